Settle the package interfaces

Cause: the work splits by package, so the types that packages exchange are agreed before any of them is filled.

--- /dev/null
+++ b/control/doc.go
@@ -0,0 +1,2 @@
+// Package control is the state machine of one node.
+package control
--- /dev/null
+++ b/control/trace.go
@@ -0,0 +1,19 @@
+package control
+
+import (
+	"time"
+
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/schedule"
+)
+
+// CallTrace tells how one attempt at a call was decided.
+type CallTrace struct {
+	Sequence uint64         `json:"sequence"`
+	Attempt  int            `json:"attempt"`
+	Backend  machine.ID     `json:"backend"`
+	Accepted time.Time      `json:"accepted"`
+	Placed   time.Time      `json:"placed"`
+	Ended    time.Time      `json:"ended"`
+	Terms    schedule.Terms `json:"terms"`
+}
--- /dev/null
+++ b/journal/doc.go
@@ -0,0 +1,3 @@
+// Package journal makes the records of one partition durable in a stream of
+// the log service.
+package journal
--- /dev/null
+++ b/link/doc.go
@@ -0,0 +1,2 @@
+// Package link carries messages between nodes.
+package link
--- /dev/null
+++ b/machine/message.go
@@ -0,0 +1,36 @@
+package machine
+
+// MessageKind tells what a membership message asks or answers.
+type MessageKind string
+
+// The kinds of membership message.
+const (
+	MessageProbe MessageKind = "probe"
+	MessageAck   MessageKind = "ack"
+	// MessageProbeFor asks the receiver to probe Target and to relay the ack.
+	MessageProbeFor MessageKind = "probe_for"
+)
+
+// Update is a rumour about one machine's status. Of two updates about the
+// same machine the higher incarnation wins, then the worse status.
+type Update struct {
+	ID          ID     `json:"id"`
+	Incarnation uint64 `json:"incarnation"`
+	Status      Status `json:"status"`
+}
+
+// Message is what the memberships of two nodes exchange.
+type Message struct {
+	Kind     MessageKind `json:"kind"`
+	Sequence uint64      `json:"sequence"`
+	Target   ID          `json:"target,omitempty"`
+	Updates  []Update    `json:"updates,omitempty"`
+	// Revision is the highest settings revision that the sender knows of.
+	Revision uint64 `json:"revision,omitempty"`
+}
+
+// Outbound is a membership message to another node.
+type Outbound struct {
+	To      ID
+	Message Message
+}
--- /dev/null
+++ b/partition/doc.go
@@ -0,0 +1,2 @@
+// Package partition decides which node owns a partition.
+package partition
--- /dev/null
+++ b/program/doc.go
@@ -0,0 +1,2 @@
+// Package program is the state machine of agent programs.
+package program
--- /dev/null
+++ b/schedule/doc.go
@@ -0,0 +1,2 @@
+// Package schedule decides which back end serves each call.
+package schedule
