workload: programs of the two deployments with unknown graphs

Add package workload: the deployments koudeketting, qasr and the design size (letter), and a seeded open-loop generator of programs whose steps (model call, tool call, pause, sub-agents) are drawn one at a time, with bursts, runaway loops and callers that hang up. Every number is the project's own assumption and is said to be one.

--- /dev/null
+++ b/workload/deployments.go
@@ -0,0 +1,194 @@
+package workload
+
+import (
+	"fmt"
+	"time"
+
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/zone"
+)
+
+// The shape of an engine, the same in every deployment.
+const (
+	engineSlots       = 16
+	engineCacheTokens = 120_000
+)
+
+// Koudeketting is the cold chain in Gauteng: three zones close to one
+// another, with clients about as close.
+func Koudeketting() Deployment {
+	zones := sameRegion("gauteng", "midrand-a", "midrand-b", "isando")
+	models := []string{"veld-8b", "veld-70b"}
+	return Deployment{
+		Name:         "koudeketting",
+		Zones:        zones,
+		LocalDelay:   100 * time.Microsecond,
+		ZoneDelay:    1200 * time.Microsecond,
+		RegionDelay:  1200 * time.Microsecond,
+		ClientDelay:  time.Millisecond,
+		NodesPerZone: 1,
+		Models:       models,
+		Replicas:     replicas(12, zones, models, 1),
+		Tools: tools(3, "depot-events", zones,
+			toolDepotLookup, toolNotifyDispatcher, toolAcknowledgeAlarm,
+			toolSealNotice, toolLoggerStore, toolAuditArchive),
+		Branches: []Branch{
+			{Path: "koudeketting/triage", Priority: 9, BudgetTokens: 200_000, MaxTurns: 60},
+			{Path: "koudeketting/alarms", Priority: 8, BudgetTokens: 50_000, MaxTurns: 20},
+			{Path: "koudeketting/seals", Priority: 6, BudgetTokens: 50_000, MaxTurns: 20},
+			{Path: "koudeketting/audit", Priority: 4, BudgetTokens: 2_000_000, MaxTurns: 160},
+			{Path: "koudeketting/loggers", Priority: 2, BudgetTokens: 100_000, MaxTurns: 80},
+			{
+				Path:  "koudeketting/loggers/isando-farms",
+				Zones: []zone.Name{"isando"}, Priority: 2, BudgetTokens: 100_000, MaxTurns: 80,
+			},
+		},
+		Profiles: koudekettingProfiles(models),
+	}
+}
+
+// Qasr is the collections desk in Amman: four zones very close to one
+// another, with clients several times farther away.
+func Qasr() Deployment {
+	zones := sameRegion("amman", "abdali", "sweileh", "marka", "khalda")
+	models := []string{"dinar-8b", "dinar-32b"}
+	return Deployment{
+		Name:         "qasr",
+		Zones:        zones,
+		LocalDelay:   100 * time.Microsecond,
+		ZoneDelay:    400 * time.Microsecond,
+		RegionDelay:  400 * time.Microsecond,
+		ClientDelay:  2500 * time.Microsecond,
+		NodesPerZone: 1,
+		Models:       models,
+		Replicas:     replicas(14, zones, models, 1),
+		Tools: tools(4, "collections", zones,
+			toolAccountLookup, toolPlanReceipt, toolSendMessage, toolBillingExport),
+		Branches: []Branch{
+			{Path: "qasr/counters", Priority: 9, BudgetTokens: 100_000, MaxTurns: 40},
+			{Path: "qasr/chats", Priority: 7, BudgetTokens: 200_000, MaxTurns: 80},
+			{
+				Path:  "qasr/chats/water-authority",
+				Zones: []zone.Name{"abdali", "khalda"}, Priority: 7, BudgetTokens: 200_000, MaxTurns: 80,
+			},
+			{Path: "qasr/letters", Priority: 3, BudgetTokens: 200_000, MaxTurns: 40},
+			{Path: "qasr/billing", Priority: 4, BudgetTokens: 500_000, MaxTurns: 80},
+		},
+		Profiles: qasrProfiles(models),
+	}
+}
+
+// The design size: what birchwood is built towards.
+const (
+	letterReplicas     = 600
+	letterTenants      = 600
+	letterModels       = 29
+	letterZones        = 10
+	letterRegions      = 3
+	letterNodesPerZone = 39
+	letterToolServices = 30
+)
+
+// Letter is the design size: 99,000 programs under way, 600 replicas, 600
+// tenants, 29 models, 10 zones of 3 regions and 390 nodes.
+func Letter() Deployment {
+	zones := make([]zone.Zone, letterZones)
+	for i := range zones {
+		region := i % letterRegions
+		zones[i] = zone.Zone{
+			Name:   zone.Name(fmt.Sprintf("r%d-z%d", region+1, i/letterRegions+1)),
+			Region: zone.Region(fmt.Sprintf("region-%d", region+1)),
+		}
+	}
+	models := make([]string, letterModels)
+	for i := range models {
+		models[i] = fmt.Sprintf("model-%02d", i+1)
+	}
+	branches := letterBranches(zones)
+	return Deployment{
+		Name:         "letter",
+		Zones:        zones,
+		LocalDelay:   100 * time.Microsecond,
+		ZoneDelay:    800 * time.Microsecond,
+		RegionDelay:  20 * time.Millisecond,
+		ClientDelay:  3 * time.Millisecond,
+		NodesPerZone: letterNodesPerZone,
+		Models:       models,
+		Replicas:     replicas(letterReplicas, zones, models, 2),
+		Tools: tools(letterToolServices, "tools", zones,
+			toolDepotLookup, toolNotifyDispatcher, toolAcknowledgeAlarm, toolSealNotice,
+			toolLoggerStore, toolAuditArchive, toolAccountLookup, toolPlanReceipt,
+			toolSendMessage, toolBillingExport),
+		Branches: branches,
+		Profiles: letterProfiles(models, branches),
+	}
+}
+
+// letterBranches gives each tenant the zones of one region, its home.
+func letterBranches(zones []zone.Zone) []Branch {
+	branches := make([]Branch, letterTenants)
+	for i := range branches {
+		home := zones[i%letterRegions].Region
+		var permitted []zone.Name
+		for _, each := range zones {
+			if each.Region == home {
+				permitted = append(permitted, each.Name)
+			}
+		}
+		branches[i] = Branch{
+			Path:         contract.Path(fmt.Sprintf("tenant-%03d", i+1)),
+			Zones:        permitted,
+			Priority:     5,
+			BudgetTokens: 2_000_000,
+			MaxTurns:     160,
+		}
+	}
+	return branches
+}
+
+// sameRegion returns zones of one region.
+func sameRegion(region zone.Region, names ...zone.Name) []zone.Zone {
+	zones := make([]zone.Zone, len(names))
+	for i, name := range names {
+		zones[i] = zone.Zone{Name: name, Region: region}
+	}
+	return zones
+}
+
+// replicas spreads engines over the zones. Each loads modelsEach models; the
+// models shift from zone to zone, so that each zone serves as many as it can.
+func replicas(count int, zones []zone.Zone, models []string, modelsEach int) []machine.Machine {
+	machines := make([]machine.Machine, count)
+	for i := range machines {
+		loaded := make([]string, modelsEach)
+		for k := range loaded {
+			loaded[k] = models[(i/len(zones)+i%len(zones)+k)%len(models)]
+		}
+		machines[i] = machine.Machine{
+			ID:          machine.ID(fmt.Sprintf("engine-%03d", i+1)),
+			Kind:        machine.KindEngine,
+			Zone:        zones[i%len(zones)].Name,
+			Status:      machine.StatusLive,
+			Models:      loaded,
+			Slots:       engineSlots,
+			CacheTokens: engineCacheTokens,
+		}
+	}
+	return machines
+}
+
+// tools spreads tool services over the zones; each answers every name.
+func tools(count int, prefix string, zones []zone.Zone, names ...string) []machine.Machine {
+	machines := make([]machine.Machine, count)
+	for i := range machines {
+		machines[i] = machine.Machine{
+			ID:     machine.ID(fmt.Sprintf("%s-%d", prefix, i+1)),
+			Kind:   machine.KindTool,
+			Zone:   zones[i%len(zones)].Name,
+			Status: machine.StatusLive,
+			Tools:  names,
+		}
+	}
+	return machines
+}
--- /dev/null
+++ b/workload/generator.go
@@ -0,0 +1,142 @@
+package workload
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Options choose a stream of programs.
+type Options struct {
+	Seed uint64
+	// ProgramsPerSecond is the mean rate of arrivals, bursts included.
+	ProgramsPerSecond float64
+	// BurstProbability is the chance that an arrival is a burst of BurstSize
+	// programs of one kind within BurstSpread, as when one cold room fails or
+	// a bill run goes out. Zero takes the defaults; a negative one means none.
+	BurstProbability float64
+	BurstSize        int
+	BurstSpread      time.Duration
+}
+
+// The defaults of Options: one arrival in fifty is a burst of eight.
+const (
+	defaultBurstProbability = 0.02
+	defaultBurstSize        = 8
+	defaultBurstSpread      = 2 * time.Second
+)
+
+// Generator draws programs in the order of their intended start.
+type Generator struct {
+	deployment *Deployment
+	options    Options
+	random     *rand.Rand
+	clock      time.Duration
+	count      int
+	// burst holds programs whose start is not reached yet, sorted by it.
+	burst []*Program
+	next  *Program
+}
+
+// Generate starts a stream of programs.
+func (d *Deployment) Generate(options Options) *Generator {
+	if options.BurstProbability == 0 {
+		options.BurstProbability = defaultBurstProbability
+	}
+	if options.BurstSize == 0 {
+		options.BurstSize = defaultBurstSize
+	}
+	if options.BurstSpread == 0 {
+		options.BurstSpread = defaultBurstSpread
+	}
+	return &Generator{
+		deployment: d,
+		options:    options,
+		random:     rand.New(rand.NewPCG(options.Seed, uint64(len(d.Name)))),
+	}
+}
+
+// Next returns the program with the next intended start.
+func (g *Generator) Next() *Program {
+	if g.next == nil {
+		g.next = g.arrive()
+	}
+	if len(g.burst) > 0 && g.burst[0].Start <= g.next.Start {
+		program := g.burst[0]
+		g.burst = g.burst[1:]
+		return program
+	}
+	program := g.next
+	g.next = nil
+	return program
+}
+
+// Take returns the next count programs.
+func (g *Generator) Take(count int) []*Program {
+	programs := make([]*Program, count)
+	for i := range programs {
+		programs[i] = g.Next()
+	}
+	return programs
+}
+
+// arrive draws the next Poisson arrival, and the rest of its burst if it is
+// the first of one.
+func (g *Generator) arrive() *Program {
+	gap := g.random.ExpFloat64() / g.arrivalRate()
+	g.clock += time.Duration(gap * float64(time.Second))
+	profile := g.pick()
+	first := g.draw(profile, g.clock)
+	if g.random.Float64() < g.options.BurstProbability {
+		g.drawBurst(profile)
+	}
+	return first
+}
+
+// arrivalRate is the rate of arrivals that, with their bursts, gives the
+// wanted rate of programs.
+func (g *Generator) arrivalRate() float64 {
+	extra := max(0, g.options.BurstProbability) * float64(g.options.BurstSize-1)
+	return g.options.ProgramsPerSecond / (1 + extra)
+}
+
+// drawBurst adds the programs that follow the first of a burst.
+func (g *Generator) drawBurst(profile *Profile) {
+	for range g.options.BurstSize - 1 {
+		delay := time.Duration(g.random.Float64() * float64(g.options.BurstSpread))
+		program := g.draw(profile, g.clock+delay)
+		at := len(g.burst)
+		for at > 0 && g.burst[at-1].Start > program.Start {
+			at--
+		}
+		g.burst = append(g.burst, nil)
+		copy(g.burst[at+1:], g.burst[at:])
+		g.burst[at] = program
+	}
+}
+
+// draw makes one program that starts at the given time.
+func (g *Generator) draw(profile *Profile, start time.Duration) *Program {
+	g.count++
+	id := fmt.Sprintf("%s-%d-%d", g.deployment.Name, g.options.Seed, g.count)
+	source := rand.New(rand.NewPCG(g.random.Uint64(), g.random.Uint64()))
+	program := newProgram(id, profile, source)
+	program.Start = start
+	return program
+}
+
+// pick draws a profile by its share.
+func (g *Generator) pick() *Profile {
+	total := 0.0
+	for i := range g.deployment.Profiles {
+		total += g.deployment.Profiles[i].Share
+	}
+	rest := g.random.Float64() * total
+	for i := range g.deployment.Profiles {
+		rest -= g.deployment.Profiles[i].Share
+		if rest < 0 {
+			return &g.deployment.Profiles[i]
+		}
+	}
+	return &g.deployment.Profiles[len(g.deployment.Profiles)-1]
+}
--- /dev/null
+++ b/workload/script.go
@@ -0,0 +1,150 @@
+package workload
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"birchwood.example/birchwood/api"
+)
+
+// script draws the steps of one program. Each turn is a model call, then the
+// turn's tool calls, sub-agents and pause, in this order.
+type script struct {
+	profile *Profile
+	random  *rand.Rand
+	model   string
+	turns   int // model calls in all
+	turn    int // model calls drawn so far
+	pending []Step
+	carried int // tokens that sub-agents handed back, for the next input
+	spawned int
+	over    bool
+}
+
+// newProgram draws the shape of a program that nothing is known of yet.
+func newProgram(id string, profile *Profile, random *rand.Rand) *Program {
+	script := &script{
+		profile: profile,
+		random:  random,
+		model:   profile.Models[random.IntN(len(profile.Models))],
+		turns:   profile.Turns.tokens(random),
+	}
+	return &Program{
+		ID:       id,
+		Kind:     profile.Kind,
+		Branch:   profile.Branches[random.IntN(len(profile.Branches))],
+		Priority: profile.Priority,
+		Deadline: profile.Deadline,
+		Runaway:  random.Float64() < profile.RunawayProbability,
+		script:   script,
+	}
+}
+
+// next gives the step after the result of the one before.
+func (s *script) next(program *Program, result Result) (Step, bool) {
+	s.carried += result.ChildOutputTokens
+	if s.over || result.HungUp || stops(result) {
+		s.over = true
+		return Step{}, false
+	}
+	if len(s.pending) > 0 {
+		return s.pop(), true
+	}
+	if s.turn >= s.turns && !program.Runaway {
+		s.over = true
+		return Step{}, false
+	}
+	s.drawTurn(program)
+	return s.pop(), true
+}
+
+// stops reports whether the caller gives up after the result. A failed or
+// unknown tool call does not stop it: the agent goes on and says so.
+func stops(result Result) bool {
+	switch result.Status {
+	case "", api.StatusSucceeded, api.StatusFailed, api.StatusOutcomeUnknown:
+		return result.Code == api.CodeBudgetExhausted || result.Code == api.CodeProgramEnded
+	}
+	return true
+}
+
+// pop takes the first pending step.
+func (s *script) pop() Step {
+	step := s.pending[0]
+	s.pending = s.pending[1:]
+	return step
+}
+
+// drawTurn draws one model call and what follows it.
+func (s *script) drawTurn(program *Program) {
+	s.turn++
+	last := s.turn == s.turns
+	s.pending = append(s.pending, s.modelStep())
+	for i := range s.profile.Tools {
+		use := &s.profile.Tools[i]
+		if use.LastTurnOnly && !last {
+			continue
+		}
+		if s.random.Float64() < use.Probability {
+			s.pending = append(s.pending, s.toolStep(use))
+		}
+	}
+	if s.profile.SubAgent != nil && s.random.Float64() < s.profile.SubAgentProbability {
+		s.pending = append(s.pending, s.spawnStep(program))
+	}
+	if !last && s.random.Float64() < s.profile.PauseProbability {
+		pause := Step{Kind: StepPause, Duration: s.profile.PauseSeconds.duration(s.random)}
+		s.pending = append(s.pending, pause)
+	}
+}
+
+// modelStep draws one model call.
+func (s *script) modelStep() Step {
+	input := s.profile.Input
+	if s.turn == 1 {
+		input = s.profile.Context
+	}
+	step := Step{
+		Kind:         StepModel,
+		Model:        s.model,
+		InputTokens:  input.tokens(s.random) + s.carried,
+		OutputTokens: min(s.profile.Output.tokens(s.random), s.profile.OutputCap),
+		OutputCap:    s.profile.OutputCap,
+		Repeatable:   true,
+	}
+	s.carried = 0
+	if s.random.Float64() < s.profile.HangUpProbability {
+		step.HangUpAfter = s.profile.HangUpSeconds.duration(s.random)
+	}
+	return step
+}
+
+// toolInputTokens is the length of a tool call's arguments.
+const toolInputTokens = 24
+
+// toolStep draws one tool call.
+func (s *script) toolStep(use *ToolUse) Step {
+	return Step{
+		Kind:         StepTool,
+		Tool:         use.Tool,
+		Repeatable:   use.Repeatable,
+		InputTokens:  toolInputTokens,
+		OutputTokens: use.Tokens.tokens(s.random),
+		Duration:     use.Seconds.duration(s.random),
+	}
+}
+
+// spawnStep draws sub-agents, which are programs on the parent's branch.
+func (s *script) spawnStep(parent *Program) Step {
+	count := 1 + s.random.IntN(s.profile.MaximumSubAgents)
+	children := make([]*Program, count)
+	for i := range children {
+		s.spawned++
+		id := fmt.Sprintf("%s.%d", parent.ID, s.spawned)
+		source := rand.New(rand.NewPCG(s.random.Uint64(), s.random.Uint64()))
+		children[i] = newProgram(id, s.profile.SubAgent, source)
+		children[i].Branch = parent.Branch
+		children[i].script.model = s.model
+	}
+	return Step{Kind: StepSpawn, Children: children}
+}
