machine: add Membership, probing beside the machine list

The platform's machine list lags and flaps, so a node needs its own way to find out which peers and back ends are live.

Membership is a pure state machine: SWIM probes with indirect probes, suspicion and refutation by incarnation, bounded gossip, local health after Lifeguard, and a machine list whose gaps are bridged.

--- /dev/null
+++ b/machine/gossip.go
@@ -0,0 +1,289 @@
+package machine
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// retransmitFactor scales how often each update is sent: this many times the
+// binary logarithm of the number of nodes. At 390 nodes this is 18.
+const retransmitFactor = 2
+
+// transmissions returns how often an update is passed on from here.
+func (m *Membership) transmissions() int {
+	return retransmitFactor * bits.Len(uint(len(m.rotation.ids)+1))
+}
+
+// statusRank orders the statuses of one incarnation: the worse one wins.
+func statusRank(status Status) int {
+	switch status {
+	case StatusLive:
+		return 0
+	case StatusSuspect:
+		return 1
+	case StatusLeaving:
+		return 2
+	case StatusDead:
+		return 3
+	}
+	return -1
+}
+
+// applyUpdate takes in a rumour and passes it on when it is news.
+func (m *Membership) applyUpdate(now time.Time, update Update) {
+	if update.ID == m.self.ID {
+		m.refute(update)
+		return
+	}
+	known, ok := m.records[update.ID]
+	if !ok || statusRank(update.Status) < 0 || update.Incarnation < known.incarnation {
+		return
+	}
+	if known.listed.Kind != KindNode {
+		if update.Status == StatusLeaving {
+			m.markLeaving(now, known)
+		}
+		return
+	}
+	if update.Incarnation == known.incarnation && statusRank(update.Status) <= statusRank(known.effectiveStatus()) {
+		return
+	}
+	m.applyNews(now, known, update)
+	m.rumours.add(update, m.transmissions())
+}
+
+func (m *Membership) applyNews(now time.Time, known *record, update Update) {
+	previous := known.machine()
+	known.incarnation = update.Incarnation
+	switch update.Status {
+	case StatusLive:
+		m.restart(known, update.Incarnation)
+	case StatusSuspect:
+		m.suspect(now, known)
+	case StatusLeaving:
+		known.status = StatusLive
+		known.leaving = true
+		known.leavingSince = now
+		delete(m.suspects, update.ID)
+	case StatusDead:
+		m.declareDead(known)
+	}
+	if !sameInViews(previous, known.machine()) {
+		m.viewChanged()
+	}
+}
+
+// refute answers a rumour of this node's own suspicion or death.
+func (m *Membership) refute(update Update) {
+	if update.Status != StatusSuspect && update.Status != StatusDead {
+		return
+	}
+	if update.Incarnation < m.self.Incarnation {
+		return
+	}
+	m.self.Incarnation = update.Incarnation + 1
+	m.health.worsen(1)
+	m.rumours.add(m.selfUpdate(), m.transmissions())
+}
+
+func (m *Membership) selfUpdate() Update {
+	return Update{ID: m.self.ID, Incarnation: m.self.Incarnation, Status: m.self.Status}
+}
+
+func (r *record) update() Update {
+	return Update{ID: r.listed.ID, Incarnation: r.incarnation, Status: r.effectiveStatus()}
+}
+
+func (m *Membership) hearRevision(from ID, revision uint64) {
+	if revision <= m.heardRevision {
+		return
+	}
+	m.heardRevision = revision
+	m.heardFrom = from
+}
+
+// send queues a message with the updates that fit. What is believed of the
+// receiver itself comes first, so that it can refute.
+func (m *Membership) send(to ID, message Message) {
+	message.Revision = m.revision
+	if known, ok := m.records[to]; ok && known.status != StatusLive {
+		message.Updates = append(message.Updates, known.update())
+	}
+	if known, ok := m.records[message.Target]; ok && message.Kind == MessageProbeFor && known.status != StatusLive {
+		message.Updates = append(message.Updates, known.update())
+	}
+	message.Updates = m.rumours.take(message.Updates, m.config.UpdatesPerMessage)
+	m.outbound = append(m.outbound, Outbound{To: to, Message: message})
+}
+
+// gossip sends fresh news to a few random peers.
+func (m *Membership) gossip() {
+	if !m.rumours.pending() {
+		return
+	}
+	for _, peer := range m.randomPeers(m.config.GossipFanout, "") {
+		m.send(peer, Message{Kind: MessageGossip})
+	}
+	m.rumours.announced()
+}
+
+// randomPeers returns up to count distinct nodes that are not dead, without
+// the given one.
+func (m *Membership) randomPeers(count int, without ID) []ID {
+	var peers []ID
+	ids := m.rotation.ids
+	if len(ids) == 0 {
+		return nil
+	}
+	// A bounded number of draws keeps the cost constant when many are dead.
+	for range 4 * count {
+		if len(peers) == count {
+			break
+		}
+		id := ids[m.config.Random.IntN(len(ids))]
+		known, ok := m.records[id]
+		if !ok || known.status != StatusLive || id == without || slices.Contains(peers, id) {
+			continue
+		}
+		peers = append(peers, id)
+	}
+	return peers
+}
+
+// rumour is an update that is still to be passed on.
+type rumour struct {
+	update    Update
+	remaining int
+}
+
+// rumours are the updates to pass on, the least sent ones first. Their number
+// is bounded by the number of machines: one for each.
+type rumours struct {
+	queue []rumour
+	// announcements is how many more gossip rounds a new settings revision
+	// is worth.
+	announcements int
+}
+
+func (r *rumours) pending() bool {
+	return len(r.queue) > 0 || r.announcements > 0
+}
+
+// announce asks for gossip even when there is no update to send.
+func (r *rumours) announce(rounds int) {
+	r.announcements = rounds
+}
+
+func (r *rumours) announced() {
+	if r.announcements > 0 {
+		r.announcements--
+	}
+}
+
+// add replaces what is queued about the same machine.
+func (r *rumours) add(update Update, transmissions int) {
+	r.remove(update.ID)
+	r.queue = append(r.queue, rumour{update: update, remaining: transmissions})
+}
+
+func (r *rumours) remove(id ID) {
+	r.queue = slices.DeleteFunc(r.queue, func(queued rumour) bool {
+		return queued.update.ID == id
+	})
+}
+
+// take appends updates until the message holds maximum, and counts them as
+// sent once more.
+func (r *rumours) take(updates []Update, maximum int) []Update {
+	slices.SortStableFunc(r.queue, func(left, right rumour) int {
+		return right.remaining - left.remaining
+	})
+	for i := range r.queue {
+		if len(updates) >= maximum {
+			break
+		}
+		queued := &r.queue[i]
+		if slices.ContainsFunc(updates, func(held Update) bool { return held.ID == queued.update.ID }) {
+			continue
+		}
+		updates = append(updates, queued.update)
+		queued.remaining--
+	}
+	r.queue = slices.DeleteFunc(r.queue, func(queued rumour) bool { return queued.remaining <= 0 })
+	return updates
+}
+
+// rotation is a shuffled round: each node comes up once before any comes up
+// again, which bounds the time until a failed node is probed.
+type rotation struct {
+	ids  []ID
+	turn int
+}
+
+// insert adds a node at a random place of the round.
+func (r *rotation) insert(id ID, random *rand.Rand) {
+	if slices.Contains(r.ids, id) {
+		return
+	}
+	place := random.IntN(len(r.ids) + 1)
+	r.ids = slices.Insert(r.ids, place, id)
+	if place < r.turn {
+		r.turn++
+	}
+}
+
+// next returns the next node that is wanted, shuffling after each round.
+func (r *rotation) next(random *rand.Rand, wanted func(ID) bool) (ID, bool) {
+	for range 2 * len(r.ids) {
+		if r.turn >= len(r.ids) {
+			r.turn = 0
+			random.Shuffle(len(r.ids), func(i, j int) { r.ids[i], r.ids[j] = r.ids[j], r.ids[i] })
+		}
+		id := r.ids[r.turn]
+		r.turn++
+		if wanted(id) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// remove forgets a node that is no longer known.
+func (r *rotation) remove(id ID) {
+	place := slices.Index(r.ids, id)
+	if place < 0 {
+		return
+	}
+	r.ids = slices.Delete(r.ids, place, place+1)
+	if place < r.turn {
+		r.turn--
+	}
+}
+
+// health is this node's trust in its own links, after Lifeguard. Score 0 is
+// healthy.
+type health struct {
+	maximum    int
+	score      int
+	lastAnswer time.Time
+}
+
+func (h *health) worsen(by int) {
+	h.score = min(h.maximum, h.score+by)
+}
+
+// improve follows an answer of any peer.
+func (h *health) improve(now time.Time) {
+	h.lastAnswer = now
+	h.score = max(0, h.score-1)
+}
+
+func (h *health) answeredSince(when time.Time) bool {
+	return h.lastAnswer.After(when)
+}
+
+func (h *health) scale(timeout time.Duration) time.Duration {
+	return timeout * time.Duration(1+h.score)
+}
--- a/machine/message.go
+++ b/machine/message.go
@@ -9,6 +9,8 @@
 	MessageAck   MessageKind = "ack"
 	// MessageProbeFor asks the receiver to probe Target and to relay the ack.
 	MessageProbeFor MessageKind = "probe_for"
+	// MessageGossip carries updates alone and is not answered.
+	MessageGossip MessageKind = "gossip"
 )
 
 // Update is a rumour about one machine's status. Of two updates about the
--- /dev/null
+++ b/machine/observe.go
@@ -0,0 +1,140 @@
+package machine
+
+import (
+	"slices"
+	"time"
+)
+
+// Observe takes in the platform's machine list. The list may lag and flap;
+// see the package's guide for what follows from an entry that is missing. It
+// is called only with lists that the platform did answer.
+func (m *Membership) Observe(now time.Time, listed []Machine) {
+	m.advance(now)
+	if len(listed) == 0 {
+		return
+	}
+	m.lastObserved = now
+	present := make(map[ID]bool, len(listed))
+	for _, entry := range listed {
+		present[entry.ID] = true
+		if entry.ID == m.self.ID {
+			m.observeSelf(now, entry)
+			continue
+		}
+		m.observeEntry(now, entry)
+	}
+	m.observeMissing(now, present)
+}
+
+// observeSelf follows the platform's wish that this node leaves.
+func (m *Membership) observeSelf(now time.Time, entry Machine) {
+	if entry.Status == StatusLeaving && entry.Incarnation >= m.config.Self.Incarnation {
+		m.Leave(now)
+	}
+}
+
+func (m *Membership) observeEntry(now time.Time, entry Machine) {
+	known, ok := m.records[entry.ID]
+	if !ok {
+		m.addRecord(now, entry)
+		return
+	}
+	known.missingSince = time.Time{}
+	previous := known.machine()
+	if entry.Incarnation > known.incarnation {
+		m.restart(known, entry.Incarnation)
+	}
+	if entry.Incarnation >= known.listed.Incarnation {
+		known.listed = entry
+	}
+	switch {
+	case entry.Incarnation < known.listed.Incarnation:
+		// A stale copy of the list tells of an earlier process.
+	case entry.Status == StatusLeaving:
+		m.markLeaving(now, known)
+	case known.leaving && now.Sub(known.leavingSince) >= m.config.LeavingTimeout:
+		known.leaving = false
+	}
+	if !sameInViews(previous, known.machine()) {
+		m.viewChanged()
+	}
+}
+
+func (m *Membership) addRecord(now time.Time, entry Machine) {
+	known := &record{listed: entry, incarnation: entry.Incarnation, status: StatusLive}
+	m.records[entry.ID] = known
+	if entry.Kind == KindNode {
+		m.rotation.insert(entry.ID, m.config.Random)
+		m.deadRotation.insert(entry.ID, m.config.Random)
+	}
+	if entry.Status == StatusLeaving {
+		m.markLeaving(now, known)
+	}
+	m.viewChanged()
+}
+
+// restart resets what was known of an earlier process of the machine.
+func (m *Membership) restart(known *record, incarnation uint64) {
+	known.incarnation = incarnation
+	known.status = StatusLive
+	known.leaving = false
+	known.unreachable = false
+	delete(m.suspects, known.listed.ID)
+}
+
+// markLeaving notes evidence of leaving and tells the peers when it is news.
+func (m *Membership) markLeaving(now time.Time, known *record) {
+	known.leavingSince = now
+	if known.leaving {
+		return
+	}
+	known.leaving = true
+	m.viewChanged()
+	m.rumours.add(Update{
+		ID:          known.listed.ID,
+		Incarnation: known.incarnation,
+		Status:      StatusLeaving,
+	}, m.transmissions())
+}
+
+// observeMissing drops entries that lists have missed for ListTimeout.
+func (m *Membership) observeMissing(now time.Time, present map[ID]bool) {
+	for id, known := range m.records {
+		if present[id] {
+			continue
+		}
+		if known.missingSince.IsZero() {
+			known.missingSince = now
+		}
+		if now.Sub(known.missingSince) < m.config.ListTimeout {
+			continue
+		}
+		delete(m.records, id)
+		delete(m.suspects, id)
+		m.rumours.remove(id)
+		m.rotation.remove(id)
+		m.deadRotation.remove(id)
+		m.viewChanged()
+	}
+}
+
+// sameInViews reports whether Nodes and Backends show both entries alike: a
+// suspect node is shown as live.
+func sameInViews(left, right Machine) bool {
+	return viewStatus(left) == viewStatus(right) &&
+		left.Kind == right.Kind &&
+		left.Zone == right.Zone &&
+		left.Address == right.Address &&
+		left.Incarnation == right.Incarnation &&
+		left.Slots == right.Slots &&
+		left.CacheTokens == right.CacheTokens &&
+		slices.Equal(left.Models, right.Models) &&
+		slices.Equal(left.Tools, right.Tools)
+}
+
+func viewStatus(entry Machine) Status {
+	if entry.Status == StatusSuspect {
+		return StatusLive
+	}
+	return entry.Status
+}
--- /dev/null
+++ b/machine/probe.go
@@ -0,0 +1,295 @@
+package machine
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// probe is one question to a peer that waits for its ack.
+type probe struct {
+	target   ID
+	started  time.Time
+	deadline time.Time
+	// indirect is set once other peers were asked to probe the target.
+	indirect bool
+}
+
+// relay is a probe sent on behalf of the peer that asked for it.
+type relay struct {
+	requester ID
+	sequence  uint64
+	target    ID
+	deadline  time.Time
+}
+
+// directTimeouts is how many probe time-outs an indirect probe gets.
+const directTimeouts = 2
+
+// minimumPeers is the number of other nodes from which on silence of all of
+// them is blamed on this node, whatever the machine list says.
+const minimumPeers = 3
+
+// Step takes in a message of another node.
+func (m *Membership) Step(now time.Time, from ID, message Message) {
+	m.advance(now)
+	if known, ok := m.records[from]; ok {
+		known.lastHeard = now
+	}
+	m.hearRevision(from, message.Revision)
+	for _, update := range message.Updates {
+		m.applyUpdate(now, update)
+	}
+	switch message.Kind {
+	case MessageProbe:
+		m.send(from, Message{Kind: MessageAck, Sequence: message.Sequence})
+		m.probeReturning(now, from)
+	case MessageProbeFor:
+		m.relayProbe(now, from, message)
+	case MessageAck:
+		m.stepAck(now, from, message)
+	}
+}
+
+func (m *Membership) relayProbe(now time.Time, from ID, message Message) {
+	if _, ok := m.records[message.Target]; !ok {
+		return
+	}
+	m.sequence++
+	m.relays[m.sequence] = relay{
+		requester: from,
+		sequence:  message.Sequence,
+		target:    message.Target,
+		deadline:  now.Add(directTimeouts * m.config.ProbeTimeout),
+	}
+	m.send(message.Target, Message{Kind: MessageProbe, Sequence: m.sequence})
+}
+
+func (m *Membership) stepAck(now time.Time, from ID, message Message) {
+	if asked, ok := m.relays[message.Sequence]; ok && asked.target == from {
+		delete(m.relays, message.Sequence)
+		m.send(asked.requester, Message{Kind: MessageAck, Sequence: asked.sequence, Target: asked.target})
+		return
+	}
+	waiting, ok := m.probes[message.Sequence]
+	relayed := message.Target != ""
+	if !ok || (relayed && message.Target != waiting.target) || (!relayed && from != waiting.target) {
+		return
+	}
+	delete(m.probes, message.Sequence)
+	m.health.improve(now)
+	known, ok := m.records[waiting.target]
+	if !ok {
+		return
+	}
+	known.unreachable = relayed
+	m.clearSuspicion(known)
+}
+
+// clearSuspicion follows an answer of the suspect itself. A death is taken
+// back only by a higher incarnation, which the answer carries.
+func (m *Membership) clearSuspicion(known *record) {
+	if known.status != StatusSuspect {
+		return
+	}
+	known.status = StatusLive
+	delete(m.suspects, known.listed.ID)
+	m.rumours.remove(known.listed.ID)
+}
+
+// probeReturning probes a node that counts as dead and has sent a probe, so
+// that it learns of it and can refute.
+func (m *Membership) probeReturning(now time.Time, from ID) {
+	known, ok := m.records[from]
+	if ok && known.status == StatusDead {
+		m.startProbe(now, from, false)
+	}
+}
+
+// ReportFailure says that traffic to the node failed. The node is probed at
+// once, directly and through peers.
+func (m *Membership) ReportFailure(now time.Time, id ID) {
+	m.advance(now)
+	known, ok := m.records[id]
+	if ok && known.listed.Kind == KindNode && known.status == StatusLive {
+		m.startProbe(now, id, true)
+	}
+}
+
+// ReportSuccess says that traffic to the node was answered.
+func (m *Membership) ReportSuccess(now time.Time, id ID) {
+	m.advance(now)
+	known, ok := m.records[id]
+	if !ok || known.listed.Kind != KindNode {
+		return
+	}
+	m.health.improve(now)
+	known.unreachable = false
+	m.clearSuspicion(known)
+}
+
+// probeNext probes the next peers of the shuffled rotation.
+func (m *Membership) probeNext(now time.Time) {
+	probed := func(id ID) bool {
+		known, ok := m.records[id]
+		return ok && known.status != StatusDead
+	}
+	for range m.config.ProbesPerPeriod {
+		target, ok := m.rotation.next(m.config.Random, probed)
+		if !ok {
+			return
+		}
+		m.startProbe(now, target, false)
+	}
+}
+
+// probeDead probes one listed dead peer, which may have come back.
+func (m *Membership) probeDead(now time.Time) {
+	dead := func(id ID) bool {
+		known, ok := m.records[id]
+		return ok && known.status == StatusDead
+	}
+	if target, ok := m.deadRotation.next(m.config.Random, dead); ok {
+		m.startProbe(now, target, false)
+	}
+}
+
+// startProbe sends a probe unless the target was probed a moment ago.
+func (m *Membership) startProbe(now time.Time, target ID, indirect bool) {
+	known := m.records[target]
+	if !known.lastProbe.IsZero() && now.Sub(known.lastProbe) < m.config.ProbePeriod {
+		return
+	}
+	known.lastProbe = now
+	m.sequence++
+	m.probes[m.sequence] = &probe{
+		target:   target,
+		started:  now,
+		deadline: now.Add(m.health.scale(m.config.ProbeTimeout)),
+	}
+	m.send(target, Message{Kind: MessageProbe, Sequence: m.sequence})
+	if indirect {
+		m.askOthers(now, m.sequence)
+	}
+}
+
+// askOthers sends indirect probes through random live peers.
+func (m *Membership) askOthers(now time.Time, sequence uint64) {
+	waiting := m.probes[sequence]
+	waiting.indirect = true
+	waiting.deadline = now.Add(m.health.scale(directTimeouts * m.config.ProbeTimeout))
+	for _, helper := range m.randomPeers(m.config.IndirectProbes, waiting.target) {
+		m.send(helper, Message{Kind: MessageProbeFor, Sequence: sequence, Target: waiting.target})
+	}
+}
+
+func (m *Membership) expireProbes(now time.Time) {
+	for _, sequence := range slices.Sorted(maps.Keys(m.probes)) {
+		waiting := m.probes[sequence]
+		if now.Before(waiting.deadline) {
+			continue
+		}
+		if !waiting.indirect {
+			m.askOthers(now, sequence)
+			continue
+		}
+		delete(m.probes, sequence)
+		m.probeFailed(now, waiting)
+	}
+	for sequence, asked := range m.relays {
+		if !now.Before(asked.deadline) {
+			delete(m.relays, sequence)
+		}
+	}
+}
+
+// probeFailed follows a probe that neither the target nor a relay answered.
+func (m *Membership) probeFailed(now time.Time, failed *probe) {
+	if !m.health.answeredSince(failed.started) {
+		m.health.worsen(1)
+	}
+	known, ok := m.records[failed.target]
+	if !ok || known.status == StatusDead {
+		return
+	}
+	known.unreachable = true
+	if known.lastHeard.After(failed.started) {
+		return
+	}
+	if known.status == StatusLive {
+		m.suspect(now, known)
+		m.rumours.add(known.update(), m.transmissions())
+	}
+	m.checkSelf(now)
+}
+
+// checkSelf probes the peer that was heard last. Its ack shows that the fault
+// is not on this side.
+func (m *Membership) checkSelf(now time.Time) {
+	var latest *record
+	for _, known := range m.records {
+		if known.listed.Kind != KindNode || known.status != StatusLive || known.unreachable {
+			continue
+		}
+		if latest == nil || known.lastHeard.After(latest.lastHeard) ||
+			(known.lastHeard.Equal(latest.lastHeard) && known.listed.ID < latest.listed.ID) {
+			latest = known
+		}
+	}
+	if latest != nil {
+		m.startProbe(now, latest.listed.ID, false)
+	}
+}
+
+func (m *Membership) suspect(now time.Time, known *record) {
+	known.status = StatusSuspect
+	known.suspectSince = now
+	m.suspects[known.listed.ID] = known
+}
+
+func (m *Membership) suspectDeadline(known *record) time.Time {
+	return known.suspectSince.Add(m.health.scale(m.config.SuspectTimeout))
+}
+
+// expireSuspects declares dead the suspects that did not refute in time.
+func (m *Membership) expireSuspects(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(m.suspects)) {
+		known := m.suspects[id]
+		if now.Before(m.suspectDeadline(known)) {
+			continue
+		}
+		if !m.mayDeclare(now, known) {
+			// Wait for one more time-out, in which a peer may answer.
+			known.suspectSince = now
+			continue
+		}
+		m.declareDead(known)
+		m.rumours.add(known.update(), m.transmissions())
+	}
+}
+
+// mayDeclare reports whether this node has proof that it is not itself the
+// one that is cut off.
+func (m *Membership) mayDeclare(now time.Time, known *record) bool {
+	if m.health.answeredSince(known.suspectSince) {
+		return true
+	}
+	fresh := now.Sub(m.lastObserved) < m.config.ListTimeout
+	return fresh && m.peerCount() < minimumPeers
+}
+
+func (m *Membership) peerCount() int {
+	count := 0
+	for _, known := range m.records {
+		if known.listed.Kind == KindNode && known.status != StatusDead {
+			count++
+		}
+	}
+	return count
+}
+
+func (m *Membership) declareDead(known *record) {
+	known.status = StatusDead
+	delete(m.suspects, known.listed.ID)
+	m.viewChanged()
+}
