contract: fold the settings stream into a tree

Every node must reach the same verdict on a change and hand out contracts to traffic goroutines while changes arrive.

Add the fold (compare-and-set on the revision, collected findings, duplicates by ID), contracts with inheritance and narrowing, explain, and a follower that reads the settings stream and knows how fresh its settings are. Readers see published states that never change; the ordered maps are copied lazily.

The follower has no test yet.

--- /dev/null
+++ b/contract/check.go
@@ -0,0 +1,111 @@
+package contract
+
+import (
+	"fmt"
+	"slices"
+
+	"birchwood.example/birchwood/zone"
+)
+
+// checkEnvelope checks what a change says about itself.
+func checkEnvelope(change Change) []Finding {
+	var findings []Finding
+	if change.ID == "" || len(change.ID) > maximumIDLength {
+		findings = append(findings, Finding{Place: "id", Message: fmt.Sprintf("want 1 to %d bytes", maximumIDLength)})
+	}
+	if len(change.Actor) > maximumActorLength {
+		findings = append(findings, Finding{Place: "actor", Message: fmt.Sprintf("want at most %d bytes", maximumActorLength)})
+	}
+	if len(change.Edits) == 0 || len(change.Edits) > MaximumEdits {
+		findings = append(findings, Finding{Place: "edits", Message: fmt.Sprintf("%d edits: want 1 to %d", len(change.Edits), MaximumEdits)})
+	}
+	return findings
+}
+
+// checkEdit checks what can be seen in the edit alone.
+func checkEdit(edit Edit, place string) []Finding {
+	var findings []Finding
+	if err := edit.Path.Validate(); err != nil {
+		findings = append(findings, Finding{Place: place + ".path", Message: err.Error()})
+	}
+	if edit.Remove && edit.Path == Root {
+		findings = append(findings, Finding{Place: place + ".remove", Message: "the root cannot be removed"})
+	}
+	for index := range fields {
+		findings = append(findings, checkField(&fields[index], edit, place)...)
+	}
+	for index, name := range edit.Unset {
+		unsetPlace := fmt.Sprintf("%s.unset[%d]", place, index)
+		if fieldNamed(name) < 0 {
+			findings = append(findings, Finding{Place: unsetPlace, Message: fmt.Sprintf("%q is no setting", name)})
+		}
+		if edit.Remove {
+			findings = append(findings, Finding{Place: unsetPlace, Message: "a removed branch has no settings"})
+		}
+	}
+	return findings
+}
+
+func checkField(field *field, edit Edit, place string) []Finding {
+	if !field.isSet(&edit.Values) {
+		return nil
+	}
+	fieldPlace := place + ".values." + field.name
+	findings := field.check(&edit.Values, fieldPlace)
+	if edit.Remove {
+		findings = append(findings, Finding{Place: fieldPlace, Message: "a removed branch has no settings"})
+	}
+	if slices.Contains(edit.Unset, field.name) {
+		findings = append(findings, Finding{Place: fieldPlace, Message: "set and unset at once"})
+	}
+	if field.name == fieldZones && len(edit.Values.Zones) == 0 {
+		findings = append(findings, Finding{Place: fieldPlace, Message: "want at least one zone; unset the list to inherit"})
+	}
+	return findings
+}
+
+// checkNarrowing finds the zones that an edit lists and the branch's parent
+// does not permit. It looks at the tree after all edits, so that one change
+// may widen a parent and its child together. A branch below an edited one may
+// be left without any zone: a rule that is tightened must never be refused
+// because of what it stops.
+func (s *state) checkNarrowing(change Change) []Finding {
+	var findings []Finding
+	for index, edit := range change.Edits {
+		if edit.Path == Root || edit.Remove || edit.Values.Zones == nil || s.branch(edit.Path) == nil {
+			continue
+		}
+		parent := s.branch(edit.Path.Parent()).contract.Placement
+		for zoneIndex, name := range edit.Values.Zones {
+			if !parent.Contains(name) {
+				findings = append(findings, Finding{
+					Place:   fmt.Sprintf("edits[%d].values.zones[%d]", index, zoneIndex),
+					Message: fmt.Sprintf("zone %q is not permitted by the parent %q, which permits %s", name, edit.Path.Parent().String(), zoneList(parent)),
+				})
+			}
+		}
+	}
+	return findings
+}
+
+func zoneList(placement zone.Placement) string {
+	if placement == "" {
+		return "none"
+	}
+	return fmt.Sprint(placement.Zones())
+}
+
+// CheckScope returns the edits that lie outside of the branch that an
+// operator's token is tied to.
+func CheckScope(scope Path, change Change) []Finding {
+	var findings []Finding
+	for index, edit := range change.Edits {
+		if !scope.Contains(edit.Path) {
+			findings = append(findings, Finding{
+				Place:   fmt.Sprintf("edits[%d].path", index),
+				Message: fmt.Sprintf("%q lies outside of %q, which the operator may change", edit.Path, scope.String()),
+			})
+		}
+	}
+	return findings
+}
--- /dev/null
+++ b/contract/fold.go
@@ -0,0 +1,272 @@
+package contract
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+)
+
+// Bounds of one change.
+const (
+	// MaximumEdits bounds the edits of one change.
+	MaximumEdits       = 2048
+	maximumIDLength    = 128
+	maximumActorLength = 256
+)
+
+// digest chains the records that were folded: equal digests at equal
+// positions mean the same stream.
+type digest [sha256.Size]byte
+
+// Short returns the first eight bytes, for messages between nodes.
+func (d digest) Short() uint64 { return binary.BigEndian.Uint64(d[:8]) }
+
+// next returns the digest after one more record.
+func (d digest) next(record []byte) digest {
+	hash := sha256.New()
+	hash.Write(d[:])
+	hash.Write(record)
+	return digest(hash.Sum(nil))
+}
+
+// foldBytes folds one record of the stream as it stands there.
+func (s *state) foldBytes(revision Revision, data []byte) Verdict {
+	change, err := decodeChange(data)
+	if err == nil {
+		return s.foldRecord(revision, change, data)
+	}
+	if revision <= s.position {
+		return s.verdictAt(revision)
+	}
+	verdict := Verdict{
+		ID:       fmt.Sprintf("malformed-%d", uint64(revision)-1),
+		Revision: s.revision,
+		Findings: []Finding{{Place: "$", Message: "not a change: " + err.Error()}},
+	}
+	s.record(revision, data, logEntry{change: Change{ID: verdict.ID}, verdict: verdict})
+	return verdict
+}
+
+func decodeChange(data []byte) (Change, error) {
+	var change Change
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&change); err != nil {
+		return Change{}, err
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return Change{}, fmt.Errorf("text follows the change")
+	}
+	return change, nil
+}
+
+// fold folds a change that was not read from the stream's bytes.
+func (s *state) fold(revision Revision, change Change) Verdict {
+	data, err := json.Marshal(change)
+	if err != nil {
+		data = []byte(err.Error())
+	}
+	return s.foldRecord(revision, change, data)
+}
+
+// foldRecord folds one change. It is the whole rule by which every node
+// reaches the same verdict.
+func (s *state) foldRecord(revision Revision, change Change, data []byte) Verdict {
+	if revision <= s.position {
+		return s.verdictAt(revision)
+	}
+	if earlier, found := s.verdict(change.ID); found {
+		s.record(revision, data, logEntry{change: Change{ID: change.ID}, verdict: earlier})
+		return earlier
+	}
+	verdict := Verdict{ID: change.ID, Revision: s.revision}
+	verdict.Findings, verdict.Winner = s.conflicts(revision, change)
+	trial := s.clone()
+	before, findings := trial.applyEdits(revision, change)
+	verdict.Findings = append(verdict.Findings, findings...)
+	if len(verdict.Findings) > 0 {
+		s.record(revision, data, logEntry{change: change, verdict: verdict})
+		return verdict
+	}
+	*s = *trial
+	s.revision = revision
+	verdict.Accepted = true
+	verdict.Revision = revision
+	s.record(revision, data, logEntry{change: change, verdict: verdict, before: before})
+	return verdict
+}
+
+// verdictAt returns the verdict of a record that was folded before.
+func (s *state) verdictAt(revision Revision) Verdict {
+	entry, found := s.log.Get(logEntry{position: revision})
+	if !found {
+		return Verdict{Revision: s.revision, Findings: []Finding{{Place: "$", Message: "folded before; its verdict is no longer held"}}}
+	}
+	return entry.verdict
+}
+
+// record advances the position over one record and remembers it.
+func (s *state) record(revision Revision, data []byte, entry logEntry) {
+	entry.position = revision
+	s.log.ReplaceOrInsert(entry)
+	if _, found := s.changes.Get(changeKey{id: entry.change.ID}); !found {
+		s.changes.ReplaceOrInsert(changeKey{id: entry.change.ID, position: revision})
+	}
+	s.position = revision
+	s.digest = s.digest.next(data)
+	s.forget()
+}
+
+// forget drops the records that left the window.
+func (s *state) forget() {
+	for {
+		oldest, found := s.log.Min()
+		if !found || oldest.position+Window > s.position {
+			return
+		}
+		s.log.DeleteMin()
+		key, found := s.changes.Get(changeKey{id: oldest.change.ID})
+		if found && key.position == oldest.position {
+			s.changes.Delete(key)
+		}
+	}
+}
+
+// conflicts compares the change with what was accepted after Based. The
+// winner is the latest of the accepted changes that it clashes with.
+func (s *state) conflicts(revision Revision, change Change) ([]Finding, string) {
+	if change.Based >= revision {
+		return []Finding{{Place: "based", Message: fmt.Sprintf("revision %d: the stream has not reached it", change.Based)}}, ""
+	}
+	if change.Based < s.revision && change.Based+Window < revision {
+		return []Finding{{Place: "based", Message: fmt.Sprintf("revision %d is more than %d records back: read the settings again", change.Based, Window)}}, ""
+	}
+	var findings []Finding
+	var winner touch
+	for index, edit := range change.Edits {
+		clash, found := s.clash(edit.Path, change.Based)
+		if !found {
+			continue
+		}
+		findings = append(findings, Finding{
+			Place: fmt.Sprintf("edits[%d].path", index),
+			Message: fmt.Sprintf("conflict: change %q by %q edited %q at revision %d, after revision %d that this change is based on",
+				clash.changeID, clash.actor, clash.path.String(), clash.revision, change.Based),
+		})
+		if clash.revision > winner.revision {
+			winner = clash
+		}
+	}
+	return findings, winner.changeID
+}
+
+// clash returns the latest edit after based at the path, above it or below it.
+func (s *state) clash(path Path, based Revision) (latest touch, found bool) {
+	consider := func(candidate touch) bool {
+		if candidate.revision > based && candidate.revision > latest.revision {
+			latest, found = candidate, true
+		}
+		return true
+	}
+	for _, ancestor := range path.lineage() {
+		if candidate, exists := s.touched.Get(touch{path: ancestor}); exists {
+			consider(candidate)
+		}
+	}
+	if path == Root {
+		s.touched.Ascend(consider)
+		return latest, found
+	}
+	from, to := below(path)
+	s.touched.AscendRange(touch{path: from}, touch{path: to}, consider)
+	return latest, found
+}
+
+// applyEdits performs the edits in order and returns the branches that they
+// replaced, or what is wrong with them.
+func (s *state) applyEdits(revision Revision, change Change) ([]branchEntry, []Finding) {
+	findings := checkEnvelope(change)
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	before := map[Path]*branch{}
+	var order []Path
+	for index, edit := range change.Edits {
+		place := fmt.Sprintf("edits[%d]", index)
+		if _, seen := before[edit.Path]; !seen {
+			before[edit.Path] = s.branch(edit.Path)
+			order = append(order, edit.Path)
+		}
+		findings = append(findings, s.applyEdit(revision, change, edit, place)...)
+	}
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	for _, path := range slices.Sorted(maps.Keys(before)) {
+		s.resolveBelow(revision, path)
+	}
+	findings = s.checkNarrowing(change)
+	entries := make([]branchEntry, len(order))
+	for index, path := range order {
+		entries[index] = branchEntry{path: path, branch: before[path]}
+	}
+	return entries, findings
+}
+
+// applyEdit performs one edit. With findings, the state is of no more use.
+func (s *state) applyEdit(revision Revision, change Change, edit Edit, place string) []Finding {
+	findings := checkEdit(edit, place)
+	if len(findings) > 0 {
+		return findings
+	}
+	s.touched.ReplaceOrInsert(touch{path: edit.Path, revision: revision, changeID: change.ID, actor: change.Actor})
+	existing := s.branch(edit.Path)
+	if edit.Remove {
+		return s.removeBranch(existing, edit, place)
+	}
+	if existing == nil {
+		if s.branch(edit.Path.Parent()) == nil {
+			return []Finding{{Place: place + ".path", Message: fmt.Sprintf("%q has no parent branch %q", edit.Path, edit.Path.Parent())}}
+		}
+		existing = &branch{path: edit.Path, since: make([]Revision, len(fields))}
+	}
+	updated := &branch{path: edit.Path, values: existing.values, since: slices.Clone(existing.since), contract: existing.contract}
+	for index := range fields {
+		updated.edit(index, edit, revision)
+	}
+	s.setTokens(edit.Path, &existing.values, &updated.values)
+	s.putBranch(updated)
+	return nil
+}
+
+// edit applies one field of an edit to a branch that no state holds yet.
+func (b *branch) edit(index int, edit Edit, revision Revision) {
+	if slices.Contains(edit.Unset, fields[index].name) {
+		fields[index].assign(&b.values, &Values{})
+		b.since[index] = 0
+	}
+	if fields[index].isSet(&edit.Values) {
+		fields[index].assign(&b.values, &edit.Values)
+		b.since[index] = revision
+	}
+}
+
+func (s *state) removeBranch(existing *branch, edit Edit, place string) []Finding {
+	if existing == nil {
+		return []Finding{{Place: place + ".path", Message: fmt.Sprintf("branch %q does not exist", edit.Path)}}
+	}
+	var findings []Finding
+	s.walk(edit.Path, func(child *branch) {
+		if child.path != edit.Path {
+			findings = append(findings, Finding{Place: place + ".remove", Message: fmt.Sprintf("branch %q lies below: remove it first", child.path)})
+		}
+	})
+	s.setTokens(edit.Path, &existing.values, &Values{})
+	s.branches.Delete(branchEntry{path: edit.Path})
+	return findings
+}
--- /dev/null
+++ b/contract/follower.go
@@ -0,0 +1,287 @@
+package contract
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/zone"
+)
+
+// StreamName is the name of the settings stream in the log service.
+const StreamName = "settings"
+
+// FollowerConfig configures a Follower.
+type FollowerConfig struct {
+	// Self and Zone name this node in its reports.
+	Self machine.ID
+	Zone zone.Name
+	// Zones are the zones that have nodes of the system. A node that cannot
+	// reach the store goes on only after hearing from each of them.
+	Zones []zone.Name
+	// PollInterval is how often the end of the stream is read when nothing
+	// tells of a newer record.
+	PollInterval time.Duration
+	// RetryInterval is the first delay after a failed read; it doubles up to
+	// MaximumRetryInterval. Half of each delay is random.
+	RetryInterval        time.Duration
+	MaximumRetryInterval time.Duration
+	// ReadTimeout is after how long a read without an answer counts as failed.
+	ReadTimeout time.Duration
+	// ReadMaximum bounds the records of one read.
+	ReadMaximum int
+	// FreshnessBound is for how long settings count as the newest after the
+	// end of the stream was seen.
+	FreshnessBound time.Duration
+	// Random spreads the delays.
+	Random *rand.Rand
+}
+
+// DefaultFollowerConfig returns the timings that the documentation states;
+// Self, Zone, Zones and Random are left to the caller.
+func DefaultFollowerConfig() FollowerConfig {
+	return FollowerConfig{
+		PollInterval:         2 * time.Second,
+		RetryInterval:        250 * time.Millisecond,
+		MaximumRetryInterval: 4 * time.Second,
+		ReadTimeout:          5 * time.Second,
+		ReadMaximum:          256,
+		FreshnessBound:       10 * time.Second,
+	}
+}
+
+// validate returns everything that is wrong with the configuration.
+func (c FollowerConfig) validate() error {
+	var findings []error
+	for _, duration := range []struct {
+		name  string
+		value time.Duration
+	}{
+		{"PollInterval", c.PollInterval},
+		{"RetryInterval", c.RetryInterval},
+		{"MaximumRetryInterval", c.MaximumRetryInterval},
+		{"ReadTimeout", c.ReadTimeout},
+		{"FreshnessBound", c.FreshnessBound},
+	} {
+		if duration.value <= 0 {
+			findings = append(findings, fmt.Errorf("%s: want a positive duration", duration.name))
+		}
+	}
+	if c.MaximumRetryInterval < c.RetryInterval {
+		findings = append(findings, errors.New("MaximumRetryInterval: want at least RetryInterval"))
+	}
+	if c.FreshnessBound < 2*c.PollInterval {
+		findings = append(findings, errors.New("FreshnessBound: want at least two PollIntervals, or a healthy node counts as stale"))
+	}
+	if c.ReadMaximum < 1 {
+		findings = append(findings, errors.New("ReadMaximum: want at least 1"))
+	}
+	if c.Self == "" {
+		findings = append(findings, errors.New("Self: want the node's name"))
+	}
+	if c.Random == nil {
+		findings = append(findings, errors.New("Random: want a seeded source"))
+	}
+	return errors.Join(findings...)
+}
+
+// ReadDone answers a FollowerRead. Changes[i] stands at offset From+i; End is
+// the offset that the next append would have got.
+type ReadDone struct {
+	From    uint64
+	Changes [][]byte
+	End     uint64
+	Err     error
+}
+
+// FollowerRead asks the driver to read the settings stream. The driver
+// answers with a ReadDone that has the same From.
+type FollowerRead struct {
+	From    uint64
+	Maximum int
+}
+
+// FollowerReady is what a Follower wants done.
+type FollowerReady struct {
+	// Read is nil when nothing is to be read now.
+	Read *FollowerRead
+	// Verdicts are those reached since the last Ready, in stream order.
+	Verdicts []Verdict
+	// Changed says that the revision rose since the last Ready.
+	Changed bool
+}
+
+// Follower keeps a Tree in step with the settings stream. It is a pure state
+// machine: the driver performs its reads and passes in answers, reports of
+// peers and the time. Only its Tree may be used from other goroutines.
+type Follower struct {
+	config FollowerConfig
+	tree   *Tree
+
+	// known is the highest position known to exist; behindSince is when it
+	// went above the position held.
+	known       uint64
+	behindSince time.Time
+	// confirmed is the last moment at which the position held was known to be
+	// the end of the stream.
+	confirmed time.Time
+
+	// reading is set while a read is under way; readIssued is when it began.
+	reading    bool
+	readFrom   uint64
+	readIssued time.Time
+	readDue    time.Time
+	failures   int
+
+	peers    map[machine.ID]heard
+	verdicts []Verdict
+	// announced is the revision that the last Ready told of.
+	announced Revision
+	wantRead  bool
+}
+
+// NewFollower returns a follower with an empty tree, which wants to read the
+// stream from its start. The error joins everything that is wrong with config.
+func NewFollower(config FollowerConfig) (*Follower, error) {
+	if err := config.validate(); err != nil {
+		return nil, fmt.Errorf("settings follower: %w", err)
+	}
+	return &Follower{config: config, tree: NewTree(), peers: map[machine.ID]heard{}}, nil
+}
+
+// Tree returns the settings tree, which is the same object for the life of
+// the follower.
+func (f *Follower) Tree() *Tree { return f.tree }
+
+// Tick tells the time: a due read starts, an overdue one counts as failed.
+func (f *Follower) Tick(now time.Time) {
+	if f.reading && !now.Before(f.readIssued.Add(f.config.ReadTimeout)) {
+		f.reading = false
+		f.retry(now)
+	}
+	if !f.reading && !now.Before(f.readDue) {
+		f.startRead(now)
+	}
+}
+
+// NextWake returns when Tick is due next.
+func (f *Follower) NextWake() time.Time {
+	if f.reading {
+		return f.readIssued.Add(f.config.ReadTimeout)
+	}
+	return f.readDue
+}
+
+func (f *Follower) startRead(now time.Time) {
+	f.reading = true
+	f.wantRead = true
+	f.readFrom = f.tree.Position()
+	f.readIssued = now
+}
+
+// retry sets the next read after a failure: exponential backoff with jitter.
+func (f *Follower) retry(now time.Time) {
+	delay := f.config.MaximumRetryInterval
+	if f.failures < 16 {
+		delay = min(delay, f.config.RetryInterval<<f.failures)
+	}
+	f.failures++
+	half := delay / 2
+	f.readDue = now.Add(half + time.Duration(f.config.Random.Int64N(int64(half)+1)))
+}
+
+// Step takes the answer to a read.
+func (f *Follower) Step(now time.Time, done ReadDone) {
+	if !f.reading || done.From != f.readFrom {
+		return // the answer to a read that was given up
+	}
+	f.reading = false
+	f.wantRead = false
+	if done.Err != nil {
+		f.retry(now)
+		return
+	}
+	f.failures = 0
+	position := f.tree.Position()
+	if skip := position - done.From; skip < uint64(len(done.Changes)) {
+		// An import may have moved the position while the read was under way.
+		f.verdicts = append(f.verdicts, f.tree.applyBatch(position, done.Changes[skip:])...)
+	}
+	f.learn(now, max(done.End, done.From+uint64(len(done.Changes))))
+	if done.End == f.tree.Position() && f.readIssued.After(f.confirmed) {
+		f.confirmed = f.readIssued
+	}
+	f.schedule(now)
+}
+
+// schedule sets the next read after a good one.
+func (f *Follower) schedule(now time.Time) {
+	if f.known > f.tree.Position() {
+		f.readDue = now
+		f.startRead(now)
+		return
+	}
+	f.readDue = now.Add(f.config.PollInterval)
+}
+
+// learn takes in that records up to position end exist.
+func (f *Follower) learn(now time.Time, end uint64) {
+	held := f.tree.Position()
+	if end <= f.known || end <= held {
+		f.known = max(f.known, end, held)
+		return
+	}
+	if f.known <= held {
+		f.behindSince = now
+	}
+	f.known = end
+}
+
+// Heard takes a peer's report. A report of a newer record starts a read at
+// once, unless reads fail: then the backoff stands, so that a store that
+// comes back is not met by a storm.
+func (f *Follower) Heard(now time.Time, report Report) {
+	if report.Peer == f.config.Self {
+		return
+	}
+	f.peers[report.Peer] = heard{report: report, at: now}
+	f.learn(now, max(report.Known, report.Position))
+	confirmed := heard{report: report, at: now}.confirmedAt()
+	if report.Position == f.tree.Position() && report.Known <= report.Position && confirmed.After(f.confirmed) {
+		f.confirmed = confirmed
+	}
+	if f.known > f.tree.Position() && !f.reading && f.failures == 0 {
+		f.startRead(now)
+	}
+}
+
+// Report returns what this node tells its peers.
+func (f *Follower) Report(now time.Time) Report {
+	current := f.tree.published.Load()
+	report := Report{
+		Peer: f.config.Self, Zone: f.config.Zone,
+		Position: uint64(current.position), Known: f.known,
+		Age: unconfirmedAge, Digest: current.digest.Short(),
+	}
+	if !f.confirmed.IsZero() && f.known <= report.Position {
+		report.Age = now.Sub(f.confirmed)
+	}
+	return report
+}
+
+// Ready returns what to do, and forgets it.
+func (f *Follower) Ready() FollowerReady {
+	ready := FollowerReady{Verdicts: f.verdicts}
+	f.verdicts = nil
+	if f.wantRead {
+		f.wantRead = false
+		ready.Read = &FollowerRead{From: f.readFrom, Maximum: f.config.ReadMaximum}
+	}
+	if revision := f.tree.Revision(); revision != f.announced {
+		f.announced = revision
+		ready.Changed = true
+	}
+	return ready
+}
--- /dev/null
+++ b/contract/freshness.go
@@ -0,0 +1,137 @@
+package contract
+
+import (
+	"fmt"
+	"time"
+
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/zone"
+)
+
+// FreshnessState says how sure a node is that it holds the newest settings.
+type FreshnessState string
+
+// The states of freshness.
+const (
+	// FreshnessFresh: within the bound, this node or a peer with the same
+	// settings saw the end of the stream.
+	FreshnessFresh FreshnessState = "fresh"
+	// FreshnessBehind: a record that this node has not read is known to exist.
+	FreshnessBehind FreshnessState = "behind"
+	// FreshnessOutage: nobody saw the end of the stream within the bound,
+	// and peers in every zone say the same: the store is down for all, so
+	// that nobody can have changed the settings since.
+	FreshnessOutage FreshnessState = "outage"
+	// FreshnessUnconfirmed: this node cannot see the end of the stream, and
+	// cannot rule out that others can.
+	FreshnessUnconfirmed FreshnessState = "unconfirmed"
+)
+
+// Freshness is a node's knowledge about its settings at one moment.
+type Freshness struct {
+	State FreshnessState `json:"state"`
+	// Since is when the state began.
+	Since time.Time `json:"since"`
+	// MayPlace says whether new work may be placed: a dispatch whose place
+	// rule could have changed must wait or be refused when it is false.
+	MayPlace bool `json:"may_place"`
+	// Position is how many records this node folded, Known how many exist as
+	// far as it knows, and Revision the last accepted one that it holds.
+	Position uint64   `json:"position"`
+	Known    uint64   `json:"known"`
+	Revision Revision `json:"revision"`
+	// Confirmed is the last moment at which the held settings were known to
+	// be the newest.
+	Confirmed time.Time `json:"confirmed"`
+	Reason    string    `json:"reason"`
+}
+
+// Report is what a node tells its peers about the settings, with each
+// message of the membership.
+type Report struct {
+	Peer machine.ID `json:"peer"`
+	Zone zone.Name  `json:"zone"`
+	// Position is how many records the peer folded; Known is the highest
+	// position that it heard of or read.
+	Position uint64 `json:"position"`
+	Known    uint64 `json:"known"`
+	// Age is how long before sending the peer's settings were last known to
+	// be the newest. It is negative when they never were. An age and not a
+	// time, since clocks differ.
+	Age time.Duration `json:"age"`
+	// Digest chains the records up to Position.
+	Digest uint64 `json:"digest"`
+}
+
+// unconfirmedAge marks a report of a node that never saw the stream's end.
+const unconfirmedAge = time.Duration(-1)
+
+// heard is the last report of one peer and when it arrived.
+type heard struct {
+	report Report
+	at     time.Time
+}
+
+// confirmedAt returns when the peer's settings were last known to be the
+// newest, by this node's clock.
+func (h heard) confirmedAt() time.Time {
+	if h.report.Age < 0 {
+		return time.Time{}
+	}
+	return h.at.Add(-h.report.Age)
+}
+
+// Freshness says how sure this node is of its settings.
+func (f *Follower) Freshness(now time.Time) Freshness {
+	result := Freshness{
+		Position: f.tree.Position(), Known: f.known, Revision: f.tree.Revision(), Confirmed: f.confirmed,
+	}
+	lapsed := f.confirmed.Add(f.config.FreshnessBound)
+	switch {
+	case f.known > result.Position:
+		result.State = FreshnessBehind
+		result.Since = f.behindSince
+		result.Reason = fmt.Sprintf("%d records of the settings stream are known and not read", f.known-result.Position)
+	case !f.confirmed.IsZero() && now.Before(lapsed):
+		result.State = FreshnessFresh
+		result.Since = f.confirmed
+		result.MayPlace = true
+		result.Reason = "the end of the settings stream was seen within the bound"
+	default:
+		result.Since = lapsed
+		result.State, result.Reason = f.outage(now)
+		result.MayPlace = result.State == FreshnessOutage
+	}
+	return result
+}
+
+// outage tells a store that is down for all from a node, or a zone, that is
+// cut off. It needs a recent report from every zone of the deployment,
+// because a zone is what the network cuts off as a whole; each recent report
+// must know of no newer record and have lost sight of the stream's end too.
+func (f *Follower) outage(now time.Time) (FreshnessState, string) {
+	if f.confirmed.IsZero() {
+		return FreshnessUnconfirmed, "the end of the settings stream was never seen"
+	}
+	zones := map[zone.Name]bool{f.config.Zone: true}
+	recent := 0
+	for _, peer := range f.peers {
+		if now.Sub(peer.at) >= f.config.FreshnessBound {
+			continue
+		}
+		recent++
+		zones[peer.report.Zone] = true
+		if peer.report.Position < f.tree.Position() {
+			return FreshnessUnconfirmed, fmt.Sprintf("node %s holds older settings and cannot vouch for these", peer.report.Peer)
+		}
+	}
+	if recent == 0 {
+		return FreshnessUnconfirmed, "the store is out of reach and no peer was heard within the bound"
+	}
+	for _, name := range f.config.Zones {
+		if !zones[name] {
+			return FreshnessUnconfirmed, fmt.Sprintf("the store is out of reach and no node of zone %s was heard within the bound", name)
+		}
+	}
+	return FreshnessOutage, fmt.Sprintf("the store is out of reach for this node and for %d peers in every zone", recent)
+}
--- a/contract/types.go
+++ b/contract/types.go
@@ -70,7 +70,8 @@
 	Values Values `json:"values"`
 	// Unset lists the field names, as in JSON, that become inherited.
 	Unset []string `json:"unset,omitempty"`
-	// Remove deletes the branch and everything below it.
+	// Remove deletes the branch. Branches below it must be removed by earlier
+	// edits of the same change, so that no branch goes without being named.
 	Remove bool `json:"remove,omitempty"`
 }
 
--- /dev/null
+++ b/contract/values.go
@@ -0,0 +1,91 @@
+package contract
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"birchwood.example/birchwood/zone"
+)
+
+// duration is a time.Duration whose JSON form is text such as "1m30s". It
+// also reads a number of nanoseconds.
+type duration time.Duration
+
+// MarshalJSON writes the duration as text.
+func (d duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON reads text, or a number of nanoseconds.
+func (d *duration) UnmarshalJSON(data []byte) error {
+	if len(data) > 0 && data[0] == '"' {
+		var text string
+		if err := json.Unmarshal(data, &text); err != nil {
+			return err
+		}
+		parsed, err := time.ParseDuration(text)
+		if err != nil {
+			return fmt.Errorf("duration %q: want a number with a unit, such as \"90s\"", text)
+		}
+		*d = duration(parsed)
+		return nil
+	}
+	return json.Unmarshal(data, (*int64)(d))
+}
+
+// encodedValues is the JSON form of Values. It differs in two points:
+// durations are text, and an empty list is kept apart from an absent one,
+// because an empty list of tools means "no tool" and an absent one "inherit".
+type encodedValues struct {
+	Zones           []zone.Name `json:"zones,omitzero"`
+	Models          []string    `json:"models,omitzero"`
+	Tools           []string    `json:"tools,omitzero"`
+	Priority        *int        `json:"priority,omitempty"`
+	BudgetTokens    *int64      `json:"budget_tokens,omitempty"`
+	MaxTurns        *int        `json:"max_turns,omitempty"`
+	MaxOutputTokens *int        `json:"max_output_tokens,omitempty"`
+	Attempts        *int        `json:"attempts,omitempty"`
+	MaxDuration     *duration   `json:"max_duration,omitempty"`
+	IdleTimeout     *duration   `json:"idle_timeout,omitempty"`
+	CallTimeout     *duration   `json:"call_timeout,omitempty"`
+	ToolTimeout     *duration   `json:"tool_timeout,omitempty"`
+	Retention       *duration   `json:"retention,omitempty"`
+	CallerTokens    []string    `json:"caller_tokens,omitzero"`
+	OperatorTokens  []string    `json:"operator_tokens,omitzero"`
+}
+
+// MarshalJSON writes durations as text and keeps empty lists.
+func (v Values) MarshalJSON() ([]byte, error) {
+	return json.Marshal(encodedValues{
+		Zones: v.Zones, Models: v.Models, Tools: v.Tools,
+		Priority: v.Priority, BudgetTokens: v.BudgetTokens, MaxTurns: v.MaxTurns,
+		MaxOutputTokens: v.MaxOutputTokens, Attempts: v.Attempts,
+		MaxDuration: (*duration)(v.MaxDuration), IdleTimeout: (*duration)(v.IdleTimeout),
+		CallTimeout: (*duration)(v.CallTimeout), ToolTimeout: (*duration)(v.ToolTimeout),
+		Retention:    (*duration)(v.Retention),
+		CallerTokens: v.CallerTokens, OperatorTokens: v.OperatorTokens,
+	})
+}
+
+// UnmarshalJSON reads what MarshalJSON writes. Unknown names are an error: a
+// misspelt rule must not pass for a rule that was never set.
+func (v *Values) UnmarshalJSON(data []byte) error {
+	var encoded encodedValues
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&encoded); err != nil {
+		return err
+	}
+	*v = Values{
+		Zones: encoded.Zones, Models: encoded.Models, Tools: encoded.Tools,
+		Priority: encoded.Priority, BudgetTokens: encoded.BudgetTokens, MaxTurns: encoded.MaxTurns,
+		MaxOutputTokens: encoded.MaxOutputTokens, Attempts: encoded.Attempts,
+		MaxDuration: (*time.Duration)(encoded.MaxDuration), IdleTimeout: (*time.Duration)(encoded.IdleTimeout),
+		CallTimeout: (*time.Duration)(encoded.CallTimeout), ToolTimeout: (*time.Duration)(encoded.ToolTimeout),
+		Retention:    (*time.Duration)(encoded.Retention),
+		CallerTokens: encoded.CallerTokens, OperatorTokens: encoded.OperatorTokens,
+	}
+	return nil
+}
