--- /dev/null
+++ b/link/budget.go
@@ -0,0 +1,83 @@
+package link
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// RetryBudgetConfig sets up a RetryBudget.
+type RetryBudgetConfig struct {
+	// PerSuccess is what each success earns, in retries.
+	PerSuccess float64
+	// PerSecond is what each second earns, in retries, so that a client with
+	// few requests can retry too.
+	PerSecond float64
+	// Capacity bounds what can be saved up, in retries.
+	Capacity float64
+}
+
+// DefaultRetryBudgetConfig allows retries for a tenth of what succeeds.
+func DefaultRetryBudgetConfig() RetryBudgetConfig {
+	return RetryBudgetConfig{PerSuccess: 0.1, PerSecond: 0.5, Capacity: 10}
+}
+
+func (c RetryBudgetConfig) validate() error {
+	var findings []error
+	if c.PerSuccess < 0 || c.PerSuccess > 1 {
+		findings = append(findings, fmt.Errorf("field PerSuccess: got %v, want 0 to 1", c.PerSuccess))
+	}
+	if c.PerSecond < 0 {
+		findings = append(findings, fmt.Errorf("field PerSecond: got %v, want at least 0", c.PerSecond))
+	}
+	if c.Capacity < 1 {
+		findings = append(findings, fmt.Errorf("field Capacity: got %v, want at least 1", c.Capacity))
+	}
+	return errors.Join(findings...)
+}
+
+// RetryBudget is a token bucket that successes fill and retries empty. Over
+// any time span, retries <= Capacity + PerSuccess * successes + PerSecond *
+// seconds. During an outage there are no successes, so the load on what has
+// failed hardly exceeds the load without retries.
+type RetryBudget struct {
+	config RetryBudgetConfig
+	tokens float64
+	filled time.Time
+}
+
+// NewRetryBudget returns a full budget.
+func NewRetryBudget(config RetryBudgetConfig) (*RetryBudget, error) {
+	if err := config.validate(); err != nil {
+		return nil, fmt.Errorf("retry budget settings: %w", err)
+	}
+	return &RetryBudget{config: config, tokens: config.Capacity}, nil
+}
+
+// Success notes a request that succeeded.
+func (b *RetryBudget) Success(now time.Time) {
+	b.fill(now)
+	b.tokens = min(b.config.Capacity, b.tokens+b.config.PerSuccess)
+}
+
+// Withdraw reports whether a retry may be made now, and pays for it.
+func (b *RetryBudget) Withdraw(now time.Time) bool {
+	b.fill(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+func (b *RetryBudget) fill(now time.Time) {
+	if b.filled.IsZero() {
+		b.filled = now
+	}
+	elapsed := now.Sub(b.filled)
+	if elapsed <= 0 {
+		return
+	}
+	b.filled = now
+	b.tokens = min(b.config.Capacity, b.tokens+b.config.PerSecond*elapsed.Seconds())
+}
--- /dev/null
+++ b/link/linkhttp/handler.go
@@ -0,0 +1,124 @@
+package linkhttp
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/link"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/zone"
+)
+
+// bearer is the authorization scheme, with its blank.
+const bearer = "Bearer "
+
+// Handler returns the handler of Path. It calls receive for each message from
+// the server's goroutines; receive must not block for long.
+func (t *Transport) Handler(receive func(link.Message)) fasthttp.RequestHandler {
+	return func(request *fasthttp.RequestCtx) {
+		messages, refusal := t.accept(request)
+		if refusal != nil {
+			t.counters.refused.Add(1)
+			request.Error(refusal.reason, refusal.status)
+		} else {
+			request.SetStatusCode(fasthttp.StatusNoContent)
+		}
+		t.counters.countExchange(request)
+		t.counters.messagesReceived.Add(int64(len(messages)))
+		for _, message := range messages {
+			receive(message)
+		}
+	}
+}
+
+// Authorized reports whether the request carries the peer token.
+func (t *Transport) Authorized(request *fasthttp.RequestCtx) bool {
+	header := request.Request.Header.Peek(fasthttp.HeaderAuthorization)
+	token, ok := bytes.CutPrefix(header, []byte(bearer))
+	if !ok {
+		return false
+	}
+	// The hashes have one length, so that the time tells nothing of it.
+	given := sha256.Sum256(token)
+	wanted := sha256.Sum256([]byte(t.config.Token))
+	return subtle.ConstantTimeCompare(given[:], wanted[:]) == 1
+}
+
+// refusal is why a request is not taken in.
+type refusal struct {
+	status int
+	reason string
+}
+
+func (t *Transport) accept(request *fasthttp.RequestCtx) ([]link.Message, *refusal) {
+	if !request.IsPost() {
+		return nil, &refusal{fasthttp.StatusMethodNotAllowed, "want POST"}
+	}
+	if !t.Authorized(request) {
+		return nil, &refusal{fasthttp.StatusUnauthorized, "want the peer token"}
+	}
+	sender := zone.Name(request.Request.Header.Peek(HeaderZone))
+	if !t.config.permits(sender, t.config.Zone) {
+		return nil, &refusal{fasthttp.StatusServiceUnavailable, "the zones are cut off from each other"}
+	}
+	body := request.Request.Body()
+	if len(body) > t.config.MaximumBody {
+		reason := fmt.Sprintf("body of %d bytes, want at most %d", len(body), t.config.MaximumBody)
+		return nil, &refusal{fasthttp.StatusRequestEntityTooLarge, reason}
+	}
+	messages, err := decode(body, t.config.Self)
+	if err != nil {
+		return nil, &refusal{fasthttp.StatusBadRequest, err.Error()}
+	}
+	return messages, nil
+}
+
+// decode reads a batch. Either all of it is good or none is taken.
+func decode(body []byte, self machine.ID) ([]link.Message, error) {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	var messages []link.Message
+	if err := decoder.Decode(&messages); err != nil {
+		return nil, fmt.Errorf("$: %w", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.New("$: text after the messages")
+	}
+	for i, message := range messages {
+		if err := check(message, self); err != nil {
+			return nil, fmt.Errorf("$[%d]: %w", i, err)
+		}
+	}
+	return messages, nil
+}
+
+func check(message link.Message, self machine.ID) error {
+	if message.From == "" {
+		return errors.New("no sender")
+	}
+	if message.To != self {
+		return fmt.Errorf("meant for %q, this is %q", message.To, self)
+	}
+	kinds := 0
+	for _, set := range []bool{
+		message.Membership != nil,
+		message.Partition != nil,
+		message.Sweep != nil,
+		message.Load != nil,
+	} {
+		if set {
+			kinds++
+		}
+	}
+	if kinds != 1 {
+		return fmt.Errorf("%d kinds of message, want 1", kinds)
+	}
+	return nil
+}
--- /dev/null
+++ b/link/linkhttp/lane.go
@@ -0,0 +1,142 @@
+package linkhttp
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/link"
+)
+
+// lane is the queue of one kind of message to one peer. The transport's mutex
+// guards it.
+type lane struct {
+	transport *Transport
+	peer      *peer
+	breaker   *link.Breaker
+	queue     []link.Message
+	// sending is set while a goroutine empties the queue.
+	sending bool
+}
+
+func (t *Transport) newLane(owner *peer) (*lane, error) {
+	breaker, err := link.NewBreaker(t.config.Breaker)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &lane{transport: t, peer: owner, breaker: breaker}, nil
+}
+
+// enqueue adds a message and makes sure that a goroutine sends it.
+func (l *lane) enqueue(message link.Message) error {
+	if len(l.queue) >= l.transport.config.QueueMessages {
+		return ErrQueueFull
+	}
+	if !l.sending && !l.breaker.Allow(time.Now()) {
+		return ErrBreakerOpen
+	}
+	l.queue = append(l.queue, message)
+	if !l.sending {
+		l.sending = true
+		l.transport.senders.Add(1)
+		go l.run()
+	}
+	return nil
+}
+
+func (l *lane) clear() {
+	l.queue = nil
+}
+
+// run sends batches until the queue is empty or the breaker opens. For the
+// first batch the breaker was asked already.
+func (l *lane) run() {
+	defer l.transport.senders.Done()
+	for batch := l.takeFirst(); len(batch) > 0; {
+		err := l.post(batch)
+		batch = l.next(len(batch), err)
+	}
+}
+
+func (l *lane) takeFirst() []link.Message {
+	l.transport.mutex.Lock()
+	defer l.transport.mutex.Unlock()
+	return l.takeLocked()
+}
+
+// next notes the result of a batch and takes the next one.
+func (l *lane) next(sent int, err error) []link.Message {
+	l.transport.mutex.Lock()
+	defer l.transport.mutex.Unlock()
+	if err != nil {
+		l.breaker.Failure(time.Now())
+		l.transport.counters.failed.Add(int64(sent))
+	} else {
+		l.breaker.Success()
+		l.transport.counters.messagesSent.Add(int64(sent))
+	}
+	if len(l.queue) > 0 && !l.breaker.Allow(time.Now()) {
+		l.transport.counters.dropped.Add(int64(len(l.queue)))
+		l.queue = nil
+	}
+	return l.takeLocked()
+}
+
+func (l *lane) takeLocked() []link.Message {
+	count := min(len(l.queue), l.transport.config.BatchMessages)
+	if count == 0 {
+		l.sending = false
+		l.queue = nil
+		return nil
+	}
+	batch := l.queue[:count:count]
+	l.queue = l.queue[count:]
+	return batch
+}
+
+// post sends a batch as one request, or as several when it is large.
+func (l *lane) post(batch []link.Message) error {
+	body := []byte{'['}
+	for _, message := range batch {
+		encoded, err := json.Marshal(message)
+		if err != nil {
+			return Error.Wrap(fmt.Errorf("encode a message to %s: %w", message.To, err))
+		}
+		if len(body) > 1 && len(body)+len(encoded) > l.transport.config.BatchBytes {
+			if err := l.request(append(body, ']')); err != nil {
+				return err
+			}
+			body = body[:1]
+		}
+		if len(body) > 1 {
+			body = append(body, ',')
+		}
+		body = append(body, encoded...)
+	}
+	return l.request(append(body, ']'))
+}
+
+func (l *lane) request(body []byte) error {
+	config := &l.transport.config
+	request := fasthttp.AcquireRequest()
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + l.peer.address + Path)
+	request.Header.SetContentType("application/json")
+	request.Header.Set(fasthttp.HeaderAuthorization, bearer+config.Token)
+	request.Header.Set(HeaderZone, string(config.Zone))
+	request.SetBodyRaw(body)
+	if err := l.peer.client.DoTimeout(request, response, config.RequestTimeout); err != nil {
+		return Error.Wrap(fmt.Errorf("post to %s: %w", l.peer.address, err))
+	}
+	if status := response.StatusCode(); status != fasthttp.StatusNoContent {
+		reason := strings.TrimSpace(string(response.Body()))
+		return Error.New("post to %s: status %d: %s", l.peer.address, status, reason)
+	}
+	return nil
+}
--- a/machine/config.go
+++ b/machine/config.go
@@ -68,10 +68,10 @@
 func (c Config) validate() error {
 	var findings []error
 	if c.Self.ID == "" {
-		findings = append(findings, errors.New("Self.ID: want a name"))
+		findings = append(findings, errors.New("field Self.ID: want a name"))
 	}
 	if c.Self.Kind != KindNode {
-		findings = append(findings, fmt.Errorf("Self.Kind: got %q, want %q", c.Self.Kind, KindNode))
+		findings = append(findings, fmt.Errorf("field Self.Kind: got %q, want %q", c.Self.Kind, KindNode))
 	}
 	durations := []struct {
 		field string
@@ -87,7 +87,7 @@
 	}
 	for _, duration := range durations {
 		if duration.value <= 0 {
-			findings = append(findings, fmt.Errorf("%s: got %v, want more than 0", duration.field, duration.value))
+			findings = append(findings, fmt.Errorf("field %s: got %v, want more than 0", duration.field, duration.value))
 		}
 	}
 	counts := []struct {
@@ -103,11 +103,11 @@
 	}
 	for _, count := range counts {
 		if count.value < count.minimum {
-			findings = append(findings, fmt.Errorf("%s: got %d, want at least %d", count.field, count.value, count.minimum))
+			findings = append(findings, fmt.Errorf("field %s: got %d, want at least %d", count.field, count.value, count.minimum))
 		}
 	}
 	if c.Random == nil {
-		findings = append(findings, errors.New("Random: want a seeded source"))
+		findings = append(findings, errors.New("field Random: want a seeded source"))
 	}
 	return errors.Join(findings...)
 }
