history: record what a run saw and check every promise against it

The proof of what must always hold needs a checker that shares no code with the scheduler and takes emulated and real runs alike.

--- /dev/null
+++ b/history/good_test.go
@@ -0,0 +1,153 @@
+package history_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/history"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/zone"
+)
+
+const (
+	seed      = 42
+	placement = zone.Placement("isando_midrand-a")
+	chat      = api.ProgramID("isando_midrand-a.0.000000000000000a")
+	farm      = api.ProgramID("isando_midrand-a.1.000000000000000b")
+	helper    = api.ProgramID("isando_midrand-a.0.000000000000000c")
+)
+
+var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// at is a moment of the history, in seconds from its beginning.
+func at(seconds float64) time.Time {
+	return epoch.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// builder writes a history in which every promise is kept.
+type builder struct {
+	events  []history.Event
+	prompts map[api.ProgramID]string
+	reads   map[api.ProgramID][]history.ReadCall
+}
+
+func (b *builder) add(seconds float64, event history.Event) {
+	event.At = at(seconds)
+	b.events = append(b.events, event)
+}
+
+// open creates a program: the first answer is lost and the key asked again.
+func (b *builder) open(seconds float64, id, parent api.ProgramID, budget int64) {
+	name := fmt.Sprintf("create-%s", id)
+	create := history.Sent{Request: name + "-1", Operation: history.OperationCreate, Node: "node-1", Branch: "cold", Key: name}
+	b.add(seconds, history.Event{Sent: &create})
+	b.add(seconds+0.1, history.Event{Lost: &history.Lost{Request: name + "-1"}})
+	again := create
+	again.Request = name + "-2"
+	b.add(seconds+0.2, history.Event{Sent: &again})
+	b.add(seconds+0.3, history.Event{Got: &history.Got{Request: name + "-2", Program: id}})
+	b.add(seconds+0.3, history.Event{Opened: &history.Opened{
+		Program: id, Branch: "cold", Parent: parent, Placement: placement, BudgetTokens: budget,
+	}})
+}
+
+// run performs one call within a second, on an engine or a tool service.
+func (b *builder) run(seconds float64, id api.ProgramID, sequence uint64, kind api.CallKind, repeatable bool) {
+	name := fmt.Sprintf("%s-%d", id, sequence)
+	input, output := "in "+name+".", "out "+name+"."
+	sent := history.Sent{
+		Request: name, Operation: history.OperationSubmit, Node: "node-1", Program: id, Key: name,
+		Sequence: sequence, Kind: kind, Repeatable: repeatable, Input: input, OutputCap: 20,
+	}
+	b.add(seconds, history.Event{Sent: &sent})
+	backend := machine.ID("engine-1")
+	usage := api.Usage{PromptTokens: 30, OutputTokens: 10}
+	started := history.Started{Backend: backend, Zone: "isando", Program: id, Sequence: sequence, Attempt: 1, Kind: kind, Repeatable: repeatable}
+	b.prompts[id] += input
+	started.PromptHash = history.HashText(b.prompts[id])
+	if kind == api.CallTool {
+		started.Backend, started.PromptHash, usage = "tool-1", 0, api.Usage{}
+	}
+	b.prompts[id] += output
+	b.add(seconds+0.2, history.Event{Started: &started})
+	b.add(seconds+0.6, history.Event{Finished: &history.Finished{
+		Backend: started.Backend, Program: id, Sequence: sequence, Attempt: 1,
+		Outcome: history.OutcomeSucceeded, Output: output, Usage: usage,
+	}})
+	b.add(seconds+0.8, history.Event{Got: &history.Got{
+		Request: name, Program: id, Sequence: sequence, Status: api.StatusSucceeded, Output: output, Usage: usage,
+	}})
+	b.reads[id] = append(b.reads[id], history.ReadCall{
+		Sequence: sequence, Key: name, Status: api.StatusSucceeded, Input: input, Output: output,
+	})
+}
+
+// refuse answers a request as not run, and lets the same key succeed later.
+func (b *builder) refuse(seconds float64, id api.ProgramID, sequence uint64) {
+	name := fmt.Sprintf("%s-%d", id, sequence)
+	b.add(seconds, history.Event{Sent: &history.Sent{
+		Request: name + "-refused", Operation: history.OperationSubmit, Node: "node-1", Program: id, Key: name,
+		Sequence: sequence, Kind: api.CallModel, Repeatable: true, Input: "in " + name + ".", OutputCap: 20,
+	}})
+	b.add(seconds+0.05, history.Event{Got: &history.Got{
+		Request: name + "-refused", Code: api.CodeOverloaded, Ran: api.RanNotRun,
+	}})
+}
+
+// describe reads a program's spent budget.
+func (b *builder) describe(seconds float64, id api.ProgramID, spent int64) {
+	name := fmt.Sprintf("describe-%s-%g", id, seconds)
+	b.add(seconds, history.Event{Sent: &history.Sent{Request: name, Operation: history.OperationDescribe, Program: id}})
+	b.add(seconds+0.1, history.Event{Got: &history.Got{Request: name, Program: id, SpentTokens: spent}})
+}
+
+// change records an accepted change and its arrival at both nodes.
+func (b *builder) change(seconds float64, id string, based, revision uint64, path string) {
+	b.add(seconds+0.2, history.Event{Change: &history.Change{
+		ID: id, SentAt: at(seconds), Based: based, Paths: []string{path}, Accepted: true, Revision: revision,
+	}})
+	for i, node := range []machine.ID{"node-1", "node-2"} {
+		delay := 1 + float64(i)
+		b.add(seconds+delay, history.Event{Verdict: &history.Verdict{Node: node, ID: id, Accepted: true, Revision: revision}})
+		b.add(seconds+delay, history.Event{InForce: &history.InForce{Node: node, Incarnation: 1, Revision: revision}})
+	}
+}
+
+// good is a history that keeps every promise.
+func good() []history.Event {
+	b := &builder{prompts: map[api.ProgramID]string{}, reads: map[api.ProgramID][]history.ReadCall{}}
+	b.add(0, history.Event{Run: &history.Run{Name: "good", Seed: seed}})
+	b.add(0, history.Event{InForce: &history.InForce{Node: "node-1", Incarnation: 1, Revision: 1}})
+	b.add(0, history.Event{InForce: &history.InForce{Node: "node-2", Incarnation: 1, Revision: 1}})
+	b.change(1, "first", 1, 2, "cold")
+	b.change(30, "second", 2, 3, "cold/depot")
+	b.open(1, chat, "", 300)
+	b.open(1, farm, "", 500)
+	b.run(2, chat, 1, api.CallModel, true)
+	b.run(2, farm, 1, api.CallModel, true)
+	b.describe(3, farm, 40)
+	b.run(3, chat, 2, api.CallTool, false)
+	b.refuse(4, chat, 3)
+	b.run(5, chat, 3, api.CallModel, true)
+	b.open(6, helper, chat, 100)
+	b.run(7, helper, 1, api.CallModel, true)
+	b.run(8, farm, 2, api.CallModel, true)
+	b.describe(9, farm, 80)
+	b.add(9, history.Event{Stream: &history.StreamUse{Machine: "node-1", Zone: "isando", Stream: string(placement) + ".0"}})
+	b.add(10, history.Event{Held: &history.Held{Backend: "engine-1", Programs: []api.ProgramID{chat, farm}}})
+	for _, id := range []api.ProgramID{chat, farm, helper} {
+		b.add(11, history.Event{Read: &history.Read{Program: id, SentAt: at(10.5), Calls: b.reads[id]}})
+	}
+	b.add(12, history.Event{Closed: &history.Closed{Program: chat}})
+	b.add(12, history.Event{Leaving: &history.Leaving{Backend: "engine-1"}})
+	b.run(13, farm, 3, api.CallModel, true)
+	b.add(14, history.Event{Stop: &history.Stop{Machine: "node-1"}})
+	b.add(20, history.Event{Stop: &history.Stop{Machine: "node-1", Done: true}})
+	b.add(60, history.Event{Held: &history.Held{Backend: "engine-1", Programs: []api.ProgramID{chat, farm}}})
+	b.add(120, history.Event{Held: &history.Held{Backend: "engine-1", Programs: []api.ProgramID{farm}}})
+	b.add(121, history.Event{RunEnded: &history.RunEnded{Settled: true}})
+	slices.SortStableFunc(b.events, func(a, b history.Event) int { return a.At.Compare(b.At) })
+	return b.events
+}
--- /dev/null
+++ b/history/history_suite_test.go
@@ -0,0 +1,13 @@
+package history_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestHistory(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "History")
+}
--- /dev/null
+++ b/history/index.go
@@ -0,0 +1,261 @@
+package history
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"birchwood.example/birchwood/api"
+)
+
+// record is an event with its place in the files.
+type record struct {
+	Event
+	line int
+}
+
+// exchange is a request with what became of it.
+type exchange struct {
+	sent *record
+	got  *record
+	lost *record
+}
+
+// callRef names a call within a history.
+type callRef struct {
+	program  api.ProgramID
+	sequence uint64
+}
+
+// call is what is known of one call of one program.
+type call struct {
+	ref       callRef
+	exchanges []*exchange
+	started   []*record
+	finished  []*record
+}
+
+// programFacts is what is known of one program.
+type programFacts struct {
+	id     api.ProgramID
+	opened []*record
+	closed *record
+	reads  []*record
+	// calls are in the order of their sequence.
+	calls []*call
+}
+
+// index arranges a history for the checks.
+type index struct {
+	run       Run
+	records   []record
+	end       time.Time
+	settled   bool
+	exchanges []*exchange
+	programs  []*programFacts
+	byProgram map[api.ProgramID]*programFacts
+	byCall    map[callRef]*call
+	held      []*record
+	streams   []*record
+	changes   []*record
+	verdicts  []*record
+	inForce   []*record
+	faults    []*record
+	leaving   []*record
+	stops     []*record
+}
+
+// The default bounds of the promises.
+const (
+	defaultLeavingBound  = 3 * time.Second
+	defaultSettingsBound = 17 * time.Second
+	defaultMemoryBound   = 60 * time.Second
+)
+
+// newIndex sorts the records by time and arranges them.
+func newIndex(records []record) *index {
+	slices.SortStableFunc(records, func(a, b record) int { return a.At.Compare(b.At) })
+	x := &index{
+		records:   records,
+		byProgram: map[api.ProgramID]*programFacts{},
+		byCall:    map[callRef]*call{},
+	}
+	requests := map[string]*exchange{}
+	for i := range records {
+		x.add(&records[i], requests)
+	}
+	x.placeExchanges()
+	for _, program := range x.programs {
+		slices.SortFunc(program.calls, func(a, b *call) int { return cmp.Compare(a.ref.sequence, b.ref.sequence) })
+	}
+	x.run.LeavingBound = cmp.Or(x.run.LeavingBound, defaultLeavingBound)
+	x.run.SettingsBound = cmp.Or(x.run.SettingsBound, defaultSettingsBound)
+	x.run.MemoryBound = cmp.Or(x.run.MemoryBound, defaultMemoryBound)
+	return x
+}
+
+// add files one record.
+func (x *index) add(r *record, requests map[string]*exchange) {
+	x.end = r.At
+	switch {
+	case r.Run != nil:
+		x.run = *r.Run
+	case r.RunEnded != nil:
+		x.settled = r.RunEnded.Settled
+	case r.Sent != nil:
+		each := &exchange{sent: r}
+		requests[r.Sent.Request] = each
+		x.exchanges = append(x.exchanges, each)
+	case r.Got != nil:
+		if each, found := requests[r.Got.Request]; found {
+			each.got = r
+		}
+	case r.Lost != nil:
+		if each, found := requests[r.Lost.Request]; found {
+			each.lost = r
+		}
+	default:
+		x.addObserved(r)
+	}
+}
+
+// addObserved files what others than callers saw.
+func (x *index) addObserved(r *record) {
+	switch {
+	case r.Read != nil:
+		program := x.program(r.Read.Program)
+		program.reads = append(program.reads, r)
+	case r.Started != nil:
+		each := x.call(callRef{r.Started.Program, r.Started.Sequence})
+		each.started = append(each.started, r)
+	case r.Finished != nil:
+		each := x.call(callRef{r.Finished.Program, r.Finished.Sequence})
+		each.finished = append(each.finished, r)
+	case r.Opened != nil:
+		program := x.program(r.Opened.Program)
+		program.opened = append(program.opened, r)
+	case r.Closed != nil:
+		program := x.program(r.Closed.Program)
+		if program.closed == nil {
+			program.closed = r
+		}
+	default:
+		x.addSurroundings(r)
+	}
+}
+
+// addSurroundings files what concerns machines and settings.
+func (x *index) addSurroundings(r *record) {
+	switch {
+	case r.Held != nil:
+		x.held = append(x.held, r)
+	case r.Stream != nil:
+		x.streams = append(x.streams, r)
+	case r.Change != nil:
+		x.changes = append(x.changes, r)
+	case r.Verdict != nil:
+		x.verdicts = append(x.verdicts, r)
+	case r.InForce != nil:
+		x.inForce = append(x.inForce, r)
+	case r.Fault != nil:
+		x.faults = append(x.faults, r)
+	case r.Leaving != nil:
+		x.leaving = append(x.leaving, r)
+	case r.Stop != nil:
+		x.stops = append(x.stops, r)
+	}
+}
+
+// placeExchanges files each request about a call with its call: by the
+// sequence that it named or was answered, else by the sequence that another
+// request of the same key has.
+func (x *index) placeExchanges() {
+	type keyRef struct {
+		program api.ProgramID
+		key     string
+	}
+	byKey := map[keyRef]uint64{}
+	for _, each := range x.exchanges {
+		if sequence := each.sequence(); sequence != 0 && each.sent.Sent.Key != "" {
+			byKey[keyRef{each.sent.Sent.Program, each.sent.Sent.Key}] = sequence
+		}
+	}
+	for _, each := range x.exchanges {
+		sent := each.sent.Sent
+		if sent.Operation != OperationSubmit && sent.Operation != OperationAttach {
+			continue
+		}
+		sequence := each.sequence()
+		if sequence == 0 {
+			sequence = byKey[keyRef{sent.Program, sent.Key}]
+		}
+		if sequence != 0 {
+			placed := x.call(callRef{sent.Program, sequence})
+			placed.exchanges = append(placed.exchanges, each)
+		}
+	}
+}
+
+// sequence is the place in the program's order that the request got or named.
+func (e *exchange) sequence() uint64 {
+	if e.got != nil && e.got.Got.Sequence != 0 {
+		return e.got.Got.Sequence
+	}
+	return e.sent.Sent.Sequence
+}
+
+// refused reports whether the request was answered as not run.
+func (e *exchange) refused() bool {
+	if e.got == nil {
+		return false
+	}
+	return e.got.Got.Ran == api.RanNotRun || e.got.Got.Status == api.StatusNotRun
+}
+
+// succeeded reports whether the request has a successful answer.
+func (e *exchange) succeeded() bool {
+	return e.got != nil && e.got.Got.Status == api.StatusSucceeded
+}
+
+// program returns the facts of a program, new ones at first.
+func (x *index) program(id api.ProgramID) *programFacts {
+	facts, found := x.byProgram[id]
+	if !found {
+		facts = &programFacts{id: id}
+		x.byProgram[id] = facts
+		x.programs = append(x.programs, facts)
+	}
+	return facts
+}
+
+// call returns the facts of a call, new ones at first.
+func (x *index) call(ref callRef) *call {
+	facts, found := x.byCall[ref]
+	if !found {
+		facts = &call{ref: ref}
+		x.byCall[ref] = facts
+		program := x.program(ref.program)
+		program.calls = append(program.calls, facts)
+	}
+	return facts
+}
+
+// over returns the first time at which the call had ended, as a back end or a
+// caller saw it, and the record that shows it.
+func (c *call) over() *record {
+	var first *record
+	earlier := func(r *record) {
+		if first == nil || r.At.Before(first.At) {
+			first = r
+		}
+	}
+	for _, r := range c.finished {
+		earlier(r)
+	}
+	for _, each := range c.exchanges {
+		if each.got != nil && each.got.Got.Status.Terminal() && each.got.Got.Status != "" {
+			earlier(each.got)
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/history/programs.go
@@ -0,0 +1,194 @@
+package history
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"birchwood.example/birchwood/api"
+)
+
+// checkPrograms verifies what must hold for each program: its history and its
+// budget.
+func (c *checker) checkPrograms() {
+	for _, program := range c.programs {
+		c.checkReads(program)
+		c.checkPrompts(program)
+	}
+	c.checkBudgets()
+}
+
+// checkReads: a history that was read holds every call that was acknowledged
+// before the read was sent, in order, each with its own texts; and two reads
+// agree about every call that both show as ended.
+func (c *checker) checkReads(program *programFacts) {
+	known := map[uint64]ReadCall{}
+	for _, read := range program.reads {
+		shown := map[uint64]ReadCall{}
+		last := uint64(0)
+		for _, each := range read.Read.Calls {
+			if each.Sequence <= last {
+				c.report(InvariantHistory, []*record{read},
+					"history of program %s shows call %d after call %d", program.id, each.Sequence, last)
+			}
+			last = each.Sequence
+			shown[each.Sequence] = each
+			before, found := known[each.Sequence]
+			if found && before.Status.Terminal() && before != each {
+				c.report(InvariantHistory, []*record{read},
+					"history of program %s changed at call %d", program.id, each.Sequence)
+			}
+			known[each.Sequence] = each
+		}
+		c.checkReadAgainstCalls(program, read, shown)
+	}
+}
+
+// checkReadAgainstCalls compares one read with what callers were told.
+func (c *checker) checkReadAgainstCalls(program *programFacts, read *record, shown map[uint64]ReadCall) {
+	for _, each := range program.calls {
+		for _, exchange := range each.exchanges {
+			sent := exchange.sent.Sent
+			if sent.Operation != OperationSubmit || !exchange.succeeded() || exchange.got.At.After(read.Read.SentAt) {
+				continue
+			}
+			held, found := shown[each.ref.sequence]
+			evidence := []*record{read, exchange.sent, exchange.got}
+			switch {
+			case !found:
+				c.report(InvariantHistory, evidence,
+					"history of program %s lost call %d", program.id, each.ref.sequence)
+			case held.Key != sent.Key || held.Input != sent.Input || held.Output != fullOutput(exchange, held):
+				c.report(InvariantHistory, evidence,
+					"history of program %s holds other texts at call %d than its caller sent and got",
+					program.id, each.ref.sequence)
+			}
+		}
+	}
+}
+
+// fullOutput completes an answer that a caller took from an offset on with
+// the beginning that the history shows.
+func fullOutput(exchange *exchange, held ReadCall) string {
+	got := exchange.got.Got
+	beginning := min(got.Offset, len(held.Output))
+	return held.Output[:beginning] + got.Output
+}
+
+// checkPrompts: an engine's prompt is the inputs and outputs of the program's
+// earlier calls, in order, and the new input. Calls whose texts no caller
+// knows end the comparison.
+func (c *checker) checkPrompts(program *programFacts) {
+	digest := xxhash.New()
+	for _, each := range program.calls {
+		if each.neverRan() {
+			continue
+		}
+		sent, output, ended := each.texts()
+		if sent == nil {
+			return
+		}
+		withInput := digest
+		_, _ = withInput.WriteString(sent.Sent.Input)
+		expected := max(1, withInput.Sum64())
+		for _, start := range each.started {
+			if start.Started.PromptHash != 0 && start.Started.PromptHash != expected {
+				c.report(InvariantHistory, []*record{start, sent},
+					"engine %s got a prompt for call %d of program %s that is not the program's history",
+					start.Started.Backend, each.ref.sequence, program.id)
+			}
+		}
+		if !ended {
+			return
+		}
+		_, _ = digest.WriteString(output)
+	}
+}
+
+// neverRan reports whether every request for the call was refused, so that the
+// call left nothing in the program's history.
+func (c *call) neverRan() bool {
+	for _, exchange := range c.exchanges {
+		if !exchange.refused() {
+			return false
+		}
+	}
+	return len(c.started) == 0
+}
+
+// texts returns the request that carries the call's input and the output that
+// its callers got. It is ended when some caller got a successful answer.
+func (c *call) texts() (sent *record, output string, ended bool) {
+	for _, exchange := range c.exchanges {
+		if exchange.sent.Sent.Operation != OperationSubmit || exchange.refused() {
+			continue
+		}
+		sent = exchange.sent
+		if exchange.succeeded() && exchange.got.Got.Offset == 0 {
+			return sent, exchange.got.Got.Output, true
+		}
+	}
+	return sent, "", false
+}
+
+// checkBudgets: what a program and its sub-agents used at engines is within
+// its budget. Of several attempts at a call the costliest counts.
+func (c *checker) checkBudgets() {
+	used := map[api.ProgramID]int64{}
+	parents := map[api.ProgramID]api.ProgramID{}
+	for _, program := range c.programs {
+		for _, r := range program.opened {
+			parents[program.id] = r.Opened.Parent
+		}
+	}
+	for _, program := range c.programs {
+		cost := program.cost()
+		for id := program.id; id != ""; id = parents[id] {
+			used[id] += cost
+		}
+	}
+	for _, program := range c.programs {
+		budget, opened := program.budget()
+		if opened != nil && used[program.id] > budget {
+			c.report(InvariantBudget, []*record{opened},
+				"program %s has a budget of %d tokens and used %d", program.id, budget, used[program.id])
+		}
+	}
+	c.checkCaps()
+}
+
+// checkCaps: an answer is no longer than its caller asked for.
+func (c *checker) checkCaps() {
+	for _, exchange := range c.exchanges {
+		if exchange.got == nil || exchange.sent.Sent.OutputCap == 0 {
+			continue
+		}
+		if exchange.got.Got.Usage.OutputTokens > exchange.sent.Sent.OutputCap {
+			c.report(InvariantBudget, []*record{exchange.sent, exchange.got},
+				"request %s asked for %d output tokens at most and used %d",
+				exchange.sent.Sent.Request, exchange.sent.Sent.OutputCap, exchange.got.Got.Usage.OutputTokens)
+		}
+	}
+}
+
+// cost sums what the program's calls used.
+func (p *programFacts) cost() int64 {
+	total := int64(0)
+	for _, each := range p.calls {
+		costliest := 0
+		for _, r := range each.finished {
+			costliest = max(costliest, r.Finished.Usage.PromptTokens+r.Finished.Usage.OutputTokens)
+		}
+		total += int64(costliest)
+	}
+	return total
+}
+
+// budget returns the largest budget that the program ever had.
+func (p *programFacts) budget() (int64, *record) {
+	largest, shown := int64(-1), (*record)(nil)
+	for _, r := range p.opened {
+		if r.Opened.BudgetTokens > largest {
+			largest, shown = r.Opened.BudgetTokens, r
+		}
+	}
+	return largest, shown
+}
--- /dev/null
+++ b/history/settings.go
@@ -0,0 +1,184 @@
+package history
+
+import (
+	"time"
+
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/zone"
+)
+
+// checkSettings verifies that nodes agree on every change, that an accepted
+// one is in force everywhere within the bound, and that no node goes back.
+func (c *checker) checkSettings() {
+	c.checkVerdicts()
+	c.checkReverts()
+	c.checkSpread()
+}
+
+// checkVerdicts: every node and the operator reach the same verdict.
+func (c *checker) checkVerdicts() {
+	type decision struct {
+		accepted bool
+		revision uint64
+	}
+	first := map[string]*record{}
+	decided := map[string]decision{}
+	compare := func(id string, r *record, reached decision) {
+		before, found := decided[id]
+		if !found {
+			first[id], decided[id] = r, reached
+			return
+		}
+		if before != reached {
+			c.report(InvariantSettings, []*record{first[id], r},
+				"change %s has two verdicts: accepted %t at revision %d, accepted %t at revision %d",
+				id, before.accepted, before.revision, reached.accepted, reached.revision)
+		}
+	}
+	for _, r := range c.verdicts {
+		compare(r.Verdict.ID, r, decision{r.Verdict.Accepted, r.Verdict.Revision})
+	}
+	for _, r := range c.changes {
+		compare(r.Change.ID, r, decision{r.Change.Accepted, r.Change.Revision})
+	}
+}
+
+// checkReverts: a node's revision never goes down within an incarnation, and
+// across incarnations a node never works with a revision that was replaced
+// longer ago than the bound.
+func (c *checker) checkReverts() {
+	type incarnation struct {
+		node   machine.ID
+		number uint64
+	}
+	highest := map[incarnation]*record{}
+	for _, r := range c.inForce {
+		key := incarnation{r.InForce.Node, r.InForce.Incarnation}
+		before, found := highest[key]
+		if found && r.InForce.Revision < before.InForce.Revision {
+			c.report(InvariantSettings, []*record{before, r},
+				"node %s went back from revision %d to %d",
+				key.node, before.InForce.Revision, r.InForce.Revision)
+			continue
+		}
+		highest[key] = r
+		if newer := c.replacedBefore(r.InForce.Revision, r.At.Add(-c.run.SettingsBound)); newer != nil {
+			c.report(InvariantSettings, []*record{newer, r},
+				"node %s put revision %d in force %s after revision %d was accepted",
+				key.node, r.InForce.Revision, r.At.Sub(newer.At), newer.Change.Revision)
+		}
+	}
+}
+
+// replacedBefore returns an accepted change newer than the revision whose
+// operator had its verdict before the time.
+func (c *checker) replacedBefore(revision uint64, before time.Time) *record {
+	for _, r := range c.changes {
+		if r.Change.Accepted && r.Change.Revision > revision && r.At.Before(before) {
+			return r
+		}
+	}
+	return nil
+}
+
+// checkSpread: a node that no fault touched puts an accepted change in force
+// within the bound.
+func (c *checker) checkSpread() {
+	nodes := map[machine.ID][]*record{}
+	var order []machine.ID
+	for _, r := range c.inForce {
+		if nodes[r.InForce.Node] == nil {
+			order = append(order, r.InForce.Node)
+		}
+		nodes[r.InForce.Node] = append(nodes[r.InForce.Node], r)
+	}
+	for _, change := range c.changes {
+		due := change.At.Add(c.run.SettingsBound)
+		if !change.Change.Accepted || due.After(c.end) {
+			continue
+		}
+		for _, node := range order {
+			if nodes[node][0].At.After(change.At) || c.stopped(node, due) {
+				continue
+			}
+			if c.quietTime(node, change.At, due) < c.run.SettingsBound {
+				continue
+			}
+			if !reached(nodes[node], change.Change.Revision, due) {
+				c.report(InvariantSettings, []*record{change},
+					"node %s did not put revision %d in force within %s",
+					node, change.Change.Revision, c.run.SettingsBound)
+			}
+		}
+	}
+}
+
+// reached reports whether the node had at least the revision by the time.
+func reached(inForce []*record, revision uint64, by time.Time) bool {
+	for _, r := range inForce {
+		if r.InForce.Revision >= revision && !r.At.After(by) {
+			return true
+		}
+	}
+	return false
+}
+
+// stopped reports whether a planned stop of the machine began before then.
+func (c *checker) stopped(id machine.ID, by time.Time) bool {
+	for _, r := range c.stops {
+		if r.Stop.Machine == id && !r.At.After(by) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkPlacement: data is only where a placement permits it that was in force
+// within the settings bound.
+func (c *checker) checkPlacement() {
+	for _, program := range c.programs {
+		for _, each := range program.calls {
+			for _, start := range each.started {
+				if start.Started.Zone == "" || len(program.opened) == 0 {
+					continue
+				}
+				if !c.permitted(program, start.Started.Zone, start.At) {
+					c.report(InvariantPlacement, []*record{program.opened[len(program.opened)-1], start},
+						"call %d of program %s ran in zone %s, which its placement does not permit",
+						each.ref.sequence, program.id, start.Started.Zone)
+				}
+			}
+		}
+	}
+	for _, r := range c.streams {
+		placement, found := streamPlacement(r.Stream.Stream)
+		if found && !placement.Contains(r.Stream.Zone) {
+			c.report(InvariantPlacement, []*record{r},
+				"machine %s in zone %s used stream %s", r.Stream.Machine, r.Stream.Zone, r.Stream.Stream)
+		}
+	}
+}
+
+// permitted reports whether a placement that the program had at the time, or
+// had until at most the settings bound before it, permits the zone.
+func (c *checker) permitted(program *programFacts, name zone.Name, at time.Time) bool {
+	for i, r := range program.opened {
+		replaced := i+1 < len(program.opened) && at.Sub(program.opened[i+1].At) > c.run.SettingsBound
+		if !replaced && r.Opened.Placement.Contains(name) {
+			return true
+		}
+	}
+	return false
+}
+
+// streamPlacement takes the placement from a partition's stream name. Other
+// streams, such as the settings', have none.
+func streamPlacement(name string) (zone.Placement, bool) {
+	for i := len(name) - 1; i >= 0; i-- {
+		if name[i] == '.' {
+			placement, err := zone.ParsePlacement(name[:i])
+			return placement, err == nil
+		}
+	}
+	return "", false
+}
--- a/workload/deployments.go
+++ b/workload/deployments.go
@@ -37,11 +37,11 @@
 			{Path: "koudeketting/triage", Priority: 9, BudgetTokens: 200_000, MaxTurns: 60},
 			{Path: "koudeketting/alarms", Priority: 8, BudgetTokens: 50_000, MaxTurns: 20},
 			{Path: "koudeketting/seals", Priority: 6, BudgetTokens: 50_000, MaxTurns: 20},
-			{Path: "koudeketting/audit", Priority: 4, BudgetTokens: 2_000_000, MaxTurns: 160},
-			{Path: "koudeketting/loggers", Priority: 2, BudgetTokens: 100_000, MaxTurns: 80},
+			{Path: "koudeketting/audit", Priority: 4, BudgetTokens: 20_000_000, MaxTurns: 160},
+			{Path: "koudeketting/loggers", Priority: 2, BudgetTokens: 500_000, MaxTurns: 80},
 			{
 				Path:  "koudeketting/loggers/isando-farms",
-				Zones: []zone.Name{"isando"}, Priority: 2, BudgetTokens: 100_000, MaxTurns: 80,
+				Zones: []zone.Name{"isando"}, Priority: 2, BudgetTokens: 500_000, MaxTurns: 80,
 			},
 		},
 		Profiles: koudekettingProfiles(models),
@@ -67,13 +67,13 @@
 			toolAccountLookup, toolPlanReceipt, toolSendMessage, toolBillingExport),
 		Branches: []Branch{
 			{Path: "qasr/counters", Priority: 9, BudgetTokens: 100_000, MaxTurns: 40},
-			{Path: "qasr/chats", Priority: 7, BudgetTokens: 200_000, MaxTurns: 80},
+			{Path: "qasr/chats", Priority: 7, BudgetTokens: 1_000_000, MaxTurns: 80},
 			{
 				Path:  "qasr/chats/water-authority",
-				Zones: []zone.Name{"abdali", "khalda"}, Priority: 7, BudgetTokens: 200_000, MaxTurns: 80,
+				Zones: []zone.Name{"abdali", "khalda"}, Priority: 7, BudgetTokens: 1_000_000, MaxTurns: 80,
 			},
 			{Path: "qasr/letters", Priority: 3, BudgetTokens: 200_000, MaxTurns: 40},
-			{Path: "qasr/billing", Priority: 4, BudgetTokens: 500_000, MaxTurns: 80},
+			{Path: "qasr/billing", Priority: 4, BudgetTokens: 2_000_000, MaxTurns: 80},
 		},
 		Profiles: qasrProfiles(models),
 	}
@@ -140,7 +140,7 @@
 			Path:         contract.Path(fmt.Sprintf("tenant-%03d", i+1)),
 			Zones:        permitted,
 			Priority:     5,
-			BudgetTokens: 2_000_000,
+			BudgetTokens: 50_000_000,
 			MaxTurns:     160,
 		}
 	}
