--- /dev/null
+++ b/journal/append.go
@@ -0,0 +1,251 @@
+package journal
+
+import "time"
+
+// appender follows the one append in flight.
+type appender struct {
+	backoff Backoff
+	// request is the append in flight, zero if none, and entries its content.
+	request  uint64
+	entries  []Entry
+	deadline time.Time
+	// retryAt is when the next append may start after a failed one.
+	retryAt time.Time
+	// unansweredSince is when the first append that is still in doubt
+	// started; zero when the log answers.
+	unansweredSince time.Time
+}
+
+func (a *appender) expired(now time.Time) bool {
+	return a.request != 0 && !now.Before(a.deadline)
+}
+
+func (a *appender) nextWake(now time.Time, waiting bool) time.Time {
+	if a.request != 0 {
+		return a.deadline
+	}
+	if waiting && a.retryAt.After(now) {
+		return a.retryAt
+	}
+	return time.Time{}
+}
+
+// canAppend reports whether the next batch may start: one append is in flight
+// at a time, and none while a gap is being read.
+func (j *Journal) canAppend() bool {
+	return (j.phase == phaseOpen || j.phase == phaseClaiming) &&
+		j.appender.request == 0 && !j.reader.busy() &&
+		len(j.queue) > 0 && !j.now.Before(j.appender.retryAt)
+}
+
+// startAppend sends the oldest unconfirmed entries in one request.
+func (j *Journal) startAppend() {
+	if !j.canAppend() {
+		return
+	}
+	entries := j.nextBatch()
+	j.appender.request = j.nextRequest()
+	j.appender.entries = entries
+	j.appender.deadline = j.now.Add(j.config.AppendTimeout)
+	if j.appender.unansweredSince.IsZero() {
+		j.appender.unansweredSince = j.now
+	}
+	j.ready.Appends = append(j.ready.Appends, Append{Request: j.appender.request, Entries: entries})
+}
+
+// nextBatch copies the head of the queue, at least one entry, within the
+// bounds of a batch.
+func (j *Journal) nextBatch() []Entry {
+	count := min(len(j.queue), j.config.MaximumBatchRecords)
+	entries := make([]Entry, 0, count)
+	bytes := 0
+	for _, waiting := range j.queue[:count] {
+		bytes += waiting.entry.Size()
+		if len(entries) > 0 && bytes > j.config.MaximumBatchBytes {
+			break
+		}
+		entries = append(entries, waiting.entry)
+	}
+	return entries
+}
+
+// Appended takes the answer to an Append.
+func (j *Journal) Appended(now time.Time, answer Appended) {
+	j.now = now
+	if answer.Request != j.appender.request || j.appender.request == 0 {
+		j.lateAnswer(answer)
+		return
+	}
+	if answer.Err != nil {
+		j.appendFailed()
+		return
+	}
+	entries := j.appender.entries
+	j.appender.request = 0
+	j.appender.entries = nil
+	j.appender.backoff.Reset()
+	j.appender.retryAt = time.Time{}
+	j.placed(answer.FirstOffset, entries)
+}
+
+// placed learns that entries of this writer stand at the offset. Directly
+// after the last folded entry nothing can precede them; otherwise the gap is
+// read first, and the entries with it.
+func (j *Journal) placed(offset uint64, entries []Entry) {
+	if offset != j.fold.Next {
+		j.readUpTo(offset + uint64(len(entries)))
+		return
+	}
+	for _, entry := range entries {
+		j.foldEntry(entry)
+	}
+	j.answered()
+}
+
+// answered notes that the log works: what is still unconfirmed waits from now
+// on.
+func (j *Journal) answered() {
+	j.appender.unansweredSince = time.Time{}
+}
+
+// lateAnswer takes the answer to an append that was given up and repeated. It
+// proves that the entries stand somewhere, so reading finds them.
+func (j *Journal) lateAnswer(answer Appended) {
+	writing := j.phase == phaseOpen || j.phase == phaseClaiming
+	if answer.Err == nil && writing && answer.FirstOffset >= j.fold.Next {
+		j.readUpTo(answer.FirstOffset + 1)
+	}
+}
+
+// appendFailed gives the append in flight up and schedules its repeat.
+func (j *Journal) appendFailed() {
+	j.appender.request = 0
+	j.appender.entries = nil
+	j.appender.retryAt = j.now.Add(j.appender.backoff.Next())
+}
+
+// UnansweredSince returns since when the oldest unconfirmed entry waits for
+// the log, or the zero time when nothing waits.
+func (j *Journal) UnansweredSince() time.Time {
+	if len(j.queue) == 0 {
+		return time.Time{}
+	}
+	return j.appender.unansweredSince
+}
+
+// UnconfirmedBytes is the size of what the log has not confirmed.
+func (j *Journal) UnconfirmedBytes() int {
+	return j.queueBytes
+}
+
+// Unconfirmed returns the entries that the log has not confirmed, after the
+// sequence, oldest first, as many as fit in maximumBytes but at least one.
+func (j *Journal) Unconfirmed(after uint64, maximumBytes int) []Entry {
+	first := j.unconfirmedIndex(after)
+	var entries []Entry
+	bytes := 0
+	for _, waiting := range j.queue[min(first, len(j.queue)):] {
+		bytes += waiting.entry.Size()
+		if len(entries) > 0 && bytes > maximumBytes {
+			break
+		}
+		entries = append(entries, waiting.entry)
+	}
+	return entries
+}
+
+// unconfirmedIndex is the place in the queue of the entry after a sequence.
+// The queue has no gaps.
+func (j *Journal) unconfirmedIndex(after uint64) int {
+	if len(j.queue) == 0 || after < j.queue[0].entry.Sequence {
+		return 0
+	}
+	return int(after - j.queue[0].entry.Sequence + 1)
+}
+
+// LastSequence is the sequence of the newest proposed entry of the epoch.
+func (j *Journal) LastSequence() uint64 {
+	if j.nextSequence == 0 {
+		return 0
+	}
+	return j.nextSequence - 1
+}
+
+// MarkMirrored confirms every proposal up to the sequence, which a quorum of
+// the mirrors holds. They are confirmed again once the log has them.
+func (j *Journal) MarkMirrored(sequence uint64) {
+	for index := range j.queue {
+		waiting := &j.queue[index]
+		if waiting.entry.Sequence > sequence {
+			return
+		}
+		if waiting.mirrored {
+			continue
+		}
+		waiting.mirrored = true
+		if waiting.token != 0 {
+			j.ready.Confirmed = append(j.ready.Confirmed, Confirmed{Token: waiting.token, Offset: NoOffset})
+		}
+	}
+}
+
+// foldEntry folds the next entry of the stream and reports what it means.
+func (j *Journal) foldEntry(entry Entry) {
+	offset := j.fold.Next
+	verdict := j.fold.Add(entry)
+	if verdict != VerdictValid {
+		return
+	}
+	if j.epoch != 0 && entry.Epoch == j.epoch && entry.Writer == j.config.Writer {
+		j.confirm(offset, entry)
+		return
+	}
+	if j.epoch != 0 && j.fold.Epoch >= j.epoch {
+		j.superseded()
+		return
+	}
+	j.recover(offset, entry)
+}
+
+// confirm takes the head of the queue out: the log has it.
+func (j *Journal) confirm(offset uint64, entry Entry) {
+	head := j.queue[0]
+	j.queue[0] = pending{}
+	j.queue = j.queue[1:]
+	j.queueBytes -= head.entry.Size()
+	switch {
+	case entry.Kind == KindClaim:
+		j.phase = phaseOpen
+	case head.token != 0:
+		j.ready.Confirmed = append(j.ready.Confirmed, Confirmed{Token: head.token, Offset: offset})
+	case entry.Kind == KindRecord:
+		j.ready.Recovered = append(j.ready.Recovered, Recovered{Offset: offset, Payload: entry.Payload})
+	case entry.Kind == KindSnapshot && entry.Part.Index == entry.Part.Count-1:
+		j.snapshotting = false
+	}
+}
+
+// recover delivers an entry of another writer, or of an earlier epoch.
+func (j *Journal) recover(offset uint64, entry Entry) {
+	switch entry.Kind {
+	case KindRecord:
+		j.replaying = false
+		j.ready.Recovered = append(j.ready.Recovered, Recovered{Offset: offset, Payload: entry.Payload})
+	case KindSnapshot:
+		if !j.replaying {
+			return
+		}
+		recovered := Recovered{Offset: offset, Snapshot: true, Payload: entry.Payload}
+		j.ready.Recovered = append(j.ready.Recovered, recovered)
+		j.replaying = entry.Part.Index < entry.Part.Count-1
+	}
+}
+
+// superseded ends the epoch of this writer: another claim holds. What was
+// found until then stands.
+func (j *Journal) superseded() {
+	found := j.TakeFound()
+	j.Reset()
+	j.ready = found
+	j.phase = phaseSuperseded
+}
--- /dev/null
+++ b/journal/read.go
@@ -0,0 +1,165 @@
+package journal
+
+import "time"
+
+// reader follows the one read in flight and what is to be read next.
+type reader struct {
+	backoff Backoff
+	// pending is set while wanted has not been sent, or must be repeated.
+	pending  bool
+	wanted   Read
+	request  uint64
+	deadline time.Time
+	retryAt  time.Time
+	// target is the offset up to which a writer must read before it goes on.
+	target uint64
+}
+
+func (r *reader) want(read Read) {
+	r.wanted = read
+	r.pending = true
+	r.request = 0
+}
+
+// busy reports whether a read is wanted or in flight.
+func (r *reader) busy() bool {
+	return r.pending || r.request != 0
+}
+
+func (r *reader) due(now time.Time) bool {
+	return r.pending && !now.Before(r.retryAt)
+}
+
+func (r *reader) expired(now time.Time) bool {
+	return r.request != 0 && !now.Before(r.deadline)
+}
+
+func (r *reader) nextWake(now time.Time) time.Time {
+	if r.request != 0 {
+		return r.deadline
+	}
+	if r.pending && r.retryAt.After(now) {
+		return r.retryAt
+	}
+	return time.Time{}
+}
+
+func (j *Journal) startRead() {
+	if !j.reader.due(j.now) {
+		return
+	}
+	read := j.reader.wanted
+	read.Request = j.nextRequest()
+	j.reader.pending = false
+	j.reader.request = read.Request
+	j.reader.deadline = j.now.Add(j.config.AppendTimeout)
+	j.ready.Reads = append(j.ready.Reads, read)
+}
+
+// readFailed schedules the repeat of the read in flight.
+func (j *Journal) readFailed() {
+	j.reader.request = 0
+	j.reader.pending = true
+	j.reader.retryAt = j.now.Add(j.reader.backoff.Next())
+}
+
+// requestBody asks for the entries from the fold's next offset on.
+func (j *Journal) requestBody() {
+	j.reader.want(Read{From: j.fold.Next, Maximum: j.config.ReadBatch})
+}
+
+// readUpTo makes a writer read and fold up to the offset before it appends
+// again.
+func (j *Journal) readUpTo(target uint64) {
+	j.reader.target = max(j.reader.target, target)
+	if j.fold.Next < j.reader.target && !j.reader.busy() {
+		j.requestBody()
+	}
+}
+
+// CheckSuperseded makes a writer read on to the end of the stream: another
+// node said that it claimed a later epoch.
+func (j *Journal) CheckSuperseded(now time.Time) {
+	j.now = now
+	if j.phase == phaseOpen && !j.reader.busy() {
+		j.requestBody()
+	}
+}
+
+// ReadDone takes the answer to a Read.
+func (j *Journal) ReadDone(now time.Time, answer ReadDone) {
+	j.now = now
+	if answer.Request != j.reader.request || j.reader.request == 0 {
+		return
+	}
+	if answer.Err != nil {
+		j.readFailed()
+		return
+	}
+	j.reader.request = 0
+	if j.phase == phasePeeking {
+		j.peekAnswered(answer)
+		return
+	}
+	j.bodyAnswered(answer)
+}
+
+// peekAnswered takes the end of the stream, or asks for the last entry if the
+// answer does not hold it.
+func (j *Journal) peekAnswered(answer ReadDone) {
+	if answer.End > 0 && len(answer.Entries) == 0 {
+		j.reader.want(Read{From: answer.End - 1, Maximum: 1})
+		return
+	}
+	j.reader.backoff.Reset()
+	j.tail = Tail{End: answer.End}
+	if answer.End > 0 {
+		j.tail.Last = answer.Entries[len(answer.Entries)-1]
+	}
+	j.peeked = true
+	j.phase = phaseIdle
+}
+
+func (j *Journal) bodyAnswered(answer ReadDone) {
+	skip := j.fold.Next - answer.FirstOffset
+	if answer.FirstOffset > j.fold.Next || skip > uint64(len(answer.Entries)) {
+		j.readFailed()
+		return
+	}
+	entries := answer.Entries[skip:]
+	if j.fold.adopt && len(entries) > 0 && !IsSnapshotStart(entries[0]) {
+		j.fold = Fold{}
+		j.replaying = false
+		j.requestBody()
+		return
+	}
+	phase := j.phase
+	for _, entry := range entries {
+		j.foldEntry(entry)
+		if j.phase == phaseSuperseded {
+			return
+		}
+	}
+	j.readOn(answer.End, len(entries) > 0, phase)
+}
+
+// readOn decides whether the stream must be read further: up to its end, and
+// for a writer at least up to the target, which a lagging end may not show.
+func (j *Journal) readOn(end uint64, progress bool, phase phase) {
+	target := max(j.reader.target, end)
+	if j.fold.Next < target {
+		j.requestBody()
+		if !progress {
+			j.readFailed()
+		}
+		return
+	}
+	j.reader.backoff.Reset()
+	j.reader.retryAt = time.Time{}
+	if phase == phaseReading {
+		j.phase = phaseCaughtUp
+		j.mirrors = j.fold.Mirrors
+		return
+	}
+	j.answered()
+}
--- /dev/null
+++ b/partition/claim.go
@@ -0,0 +1,284 @@
+package partition
+
+import (
+	"time"
+
+	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/machine"
+)
+
+// claim follows this node on its way to ownership.
+type claim struct {
+	backoff journal.Backoff
+	// notBefore delays the next look at the stream, or the next question.
+	notBefore time.Time
+	// peeking is set while the end of the stream is being read.
+	peeking bool
+	// asked is the live node that is asked to hand over, and askedEpoch the
+	// epoch it won. heardAt is when it was first asked, or answered last.
+	asked      machine.ID
+	askedEpoch uint64
+	heardAt    time.Time
+	// free is the newest epoch that its winner has given up.
+	free uint64
+	// claimed is set once the claim was handed to the journal.
+	claimed bool
+}
+
+func newClaim(config Config) claim {
+	return claim{backoff: journal.Backoff{
+		Minimum: config.ClaimBackoff,
+		Maximum: claimBackoffGrowth * config.ClaimBackoff,
+		Random:  config.Random,
+	}}
+}
+
+// postpone starts over after a wait.
+func (c *claim) postpone(now time.Time) {
+	c.notBefore = now.Add(c.backoff.Next())
+	c.restart()
+}
+
+// restart forgets what was learnt of the stream and its owner.
+func (c *claim) restart() {
+	c.peeking = false
+	c.claimed = false
+	c.asked = ""
+	c.askedEpoch = 0
+}
+
+// SetView tells the replica which nodes are live. Nodes that come and go
+// within the dwell times change nothing.
+func (r *Replica) SetView(now time.Time, view View) {
+	r.now = now
+	r.view = view
+	desired, _ := Owner(r.config.ID, r.candidates(), "")
+	if desired != r.desired || r.desiredSince.IsZero() {
+		r.desired = desired
+		r.desiredSince = now
+	}
+	r.advance()
+}
+
+// candidates are the nodes that may own: not this one while it stops.
+func (r *Replica) candidates() []machine.Machine {
+	if !r.view.Stopping {
+		return r.view.Nodes
+	}
+	var others []machine.Machine
+	for _, node := range r.view.Nodes {
+		if node.ID != r.config.Self {
+			others = append(others, node)
+		}
+	}
+	return others
+}
+
+func (r *Replica) live(id machine.ID) bool {
+	for _, node := range r.view.Nodes {
+		if node.ID == id && permitted(r.config.ID, node) {
+			return true
+		}
+	}
+	return false
+}
+
+// dwelled reports whether the desired owner has been the same for the time.
+func (r *Replica) dwelled(dwell time.Duration) bool {
+	return !r.desiredSince.IsZero() && !r.now.Before(r.desiredSince.Add(dwell))
+}
+
+// advanceFollowing looks at the stream once this node is to own it, and asks
+// a live owner to hand over.
+func (r *Replica) advanceFollowing() {
+	if r.desired != r.config.Self || !r.dwelled(r.config.ClaimDwell) {
+		r.claim.restart()
+		return
+	}
+	if r.claim.asked != "" {
+		r.askAgain()
+		return
+	}
+	if !r.claim.peeking {
+		if !r.now.Before(r.claim.notBefore) {
+			r.claim.peeking = true
+			r.journal.Peek(r.now)
+		}
+		return
+	}
+	tail, known := r.journal.Peeked()
+	if !known {
+		return
+	}
+	r.claim.peeking = false
+	released := tail.Last.Kind == journal.KindMirrors && tail.Last.Mirrors.Released
+	if tail.End == 0 || released || r.claimable(tail.Last.Writer, tail.Last.Epoch) {
+		r.startClaiming()
+		return
+	}
+	r.ask(journal.WriterMachine(tail.Last.Writer), tail.Last.Epoch)
+}
+
+// claimable reports whether nothing speaks against a claim after the epoch:
+// its winner is not live, gave the epoch up, or is an earlier process of this
+// node.
+func (r *Replica) claimable(writer string, epoch uint64) bool {
+	winner := journal.WriterMachine(writer)
+	return epoch <= r.claim.free || winner == r.config.Self || !r.live(winner)
+}
+
+func (r *Replica) startClaiming() {
+	r.state = StateClaiming
+	r.journal.CatchUp(r.now)
+}
+
+// ask asks the live winner of the epoch to hand over.
+func (r *Replica) ask(owner machine.ID, epoch uint64) {
+	r.claim.asked = owner
+	r.claim.askedEpoch = epoch
+	r.claim.heardAt = r.now
+	r.sendAsk()
+}
+
+func (r *Replica) sendAsk() {
+	r.claim.notBefore = r.now.Add(r.claim.backoff.Next())
+	r.send(r.claim.asked, Message{Ask: &HandoverAsk{Epoch: r.claim.askedEpoch}})
+}
+
+// askAgain repeats the question until the owner hands over, leaves the view
+// or has been silent for too long.
+func (r *Replica) askAgain() {
+	silent := !r.now.Before(r.claim.heardAt.Add(r.config.OwnerPatience))
+	if silent || !r.live(r.claim.asked) {
+		r.freed(r.claim.askedEpoch)
+		return
+	}
+	if !r.now.Before(r.claim.notBefore) {
+		r.sendAsk()
+	}
+}
+
+// freed notes that the winner of the epoch does not stand against a claim,
+// and looks at the stream again.
+func (r *Replica) freed(epoch uint64) {
+	r.claim.free = max(r.claim.free, epoch)
+	r.claim.restart()
+	r.claim.notBefore = r.now
+	r.claim.backoff.Reset()
+	r.advanceFollowing()
+}
+
+// advanceClaiming appends the claim once the stream is read to its end. A
+// claim that was sent is seen through whatever the view says meanwhile: it may
+// stand in the log already.
+func (r *Replica) advanceClaiming() {
+	if r.journal.Open() {
+		r.startRecovering()
+		return
+	}
+	if r.claim.claimed || !r.journal.CaughtUp() {
+		return
+	}
+	fold := r.journal.Fold()
+	free := fold.Mirrors.Released || r.claimable(fold.Writer, fold.Epoch)
+	if r.desired != r.config.Self {
+		r.lose()
+		return
+	}
+	if !free {
+		r.lose()
+		r.ask(journal.WriterMachine(fold.Writer), fold.Epoch)
+		return
+	}
+	r.claim.claimed = true
+	r.journal.Claim(r.now, r.config.Self)
+}
+
+// AnswerUnowned answers a message about a partition for which a node keeps no
+// Replica; false when the message needs no answer. Messages for mirrors go to
+// the MirrorStore.
+func AnswerUnowned(message Message) (Message, bool) {
+	if message.Ask == nil {
+		return Message{}, false
+	}
+	offer := &HandoverOffer{Epoch: message.Ask.Epoch}
+	return Message{Partition: message.Partition, Handover: offer}, true
+}
+
+// StepMessage takes a message from another replica or a mirror.
+func (r *Replica) StepMessage(now time.Time, from machine.ID, message Message) {
+	r.now = now
+	switch {
+	case message.Ask != nil:
+		r.answerAsk(from, *message.Ask)
+	case message.Handover != nil:
+		if r.state == StateFollowing && r.claim.asked == from && message.Handover.Epoch == r.claim.askedEpoch {
+			r.freed(message.Handover.Epoch)
+		}
+	case message.Keep != nil:
+		if r.claim.asked == from {
+			r.claim.heardAt = now
+			r.holder = from
+		}
+	case message.Claimed != nil:
+		if message.Claimed.Epoch > r.journal.Epoch() {
+			r.journal.CheckSuperseded(now)
+		}
+	case message.Mirrored != nil:
+		r.stepMirrored(from, *message.Mirrored)
+	case message.Answer != nil:
+		r.stepMirrorAnswer(from, *message.Answer)
+	}
+	r.advance()
+}
+
+// answerAsk keeps the partition while this node owns the epoch or is about
+// to, and gives the epoch up otherwise.
+func (r *Replica) answerAsk(from machine.ID, ask HandoverAsk) {
+	if r.state != StateFollowing && r.journal.Epoch() >= ask.Epoch {
+		r.send(from, Message{Keep: &HandoverKeep{Epoch: ask.Epoch}})
+		return
+	}
+	r.send(from, Message{Handover: &HandoverOffer{Epoch: ask.Epoch}})
+}
+
+// NextWake returns when Tick is due, or the zero time.
+func (r *Replica) NextWake() time.Time {
+	wake := r.journal.NextWake()
+	for _, at := range r.timers() {
+		if !at.IsZero() && (wake.IsZero() || at.Before(wake)) {
+			wake = at
+		}
+	}
+	return wake
+}
+
+// timers are the times at which the present state may change by itself.
+func (r *Replica) timers() []time.Time {
+	switch r.state {
+	case StateFollowing:
+		return r.followingTimers()
+	case StateOwning:
+		return r.owningTimers()
+	case StateRecovering:
+		return r.recoveringTimers()
+	default:
+		return nil
+	}
+}
+
+func (r *Replica) followingTimers() []time.Time {
+	if r.desired != r.config.Self {
+		return nil
+	}
+	if !r.dwelled(r.config.ClaimDwell) {
+		return []time.Time{r.desiredSince.Add(r.config.ClaimDwell)}
+	}
+	if r.claim.peeking {
+		return nil
+	}
+	if r.claim.asked == "" {
+		return []time.Time{r.claim.notBefore}
+	}
+	return []time.Time{r.claim.notBefore, r.claim.heardAt.Add(r.config.OwnerPatience)}
+}
--- /dev/null
+++ b/partition/cluster_test.go
@@ -0,0 +1,495 @@
+package partition
+
+import (
+	"container/heap"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/zone"
+)
+
+// The delays of the simulated cluster.
+const (
+	logDelay  = 5 * time.Millisecond
+	linkDelay = 2 * time.Millisecond
+)
+
+var errAnswerLost = errors.New("answer lost")
+
+// simulatedEvent is something that happens at a virtual time.
+type simulatedEvent struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type eventQueue []simulatedEvent
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].order < q[j].order
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(simulatedEvent)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// simulatedLog is a stream of the log service with faults.
+type simulatedLog struct {
+	entries []journal.Entry
+	down    bool
+	// loseAnswers is how many of the next appends take effect unanswered.
+	loseAnswers int
+	extraDelay  time.Duration
+	reads       int
+	readEntries int
+	appends     int
+}
+
+// simulatedNode is one node: its replica, its mirror store, and what a state
+// machine on it would hold.
+type simulatedNode struct {
+	id       machine.ID
+	zone     zone.Name
+	replica  *Replica
+	store    *MirrorStore
+	starts   uint64
+	alive    bool
+	paused   bool
+	held     []func() // events that wait for the pause to end
+	wake     time.Time
+	state    []string // payloads of records, in order
+	owning   bool
+	proposed map[journal.Token]string
+	lost     int
+	acquired int
+}
+
+// cluster runs the replicas of one partition in virtual time.
+type cluster struct {
+	now      time.Time
+	events   eventQueue
+	order    int
+	random   *rand.Rand
+	id       ID
+	log      *simulatedLog
+	nodes    []*simulatedNode
+	cut      map[[2]machine.ID]bool
+	hidden   map[machine.ID]bool // not in the machine list
+	stopping map[machine.ID]bool
+	adjust   func(*Config)
+	mirrored int
+	// confirmed lists the payloads that were confirmed to a caller, in order
+	// of confirmation; placed the offsets that the log gave them.
+	confirmed []string
+	placed    map[string]uint64
+	failures  []string
+	nextValue int
+}
+
+func newCluster(seed uint64, zones []zone.Name, adjust func(*Config)) *cluster {
+	c := &cluster{
+		now:      time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		id:       ID{Placement: zone.NewPlacement(zones...), Index: 0},
+		log:      &simulatedLog{},
+		cut:      map[[2]machine.ID]bool{},
+		hidden:   map[machine.ID]bool{},
+		stopping: map[machine.ID]bool{},
+		adjust:   adjust,
+		placed:   map[string]uint64{},
+	}
+	for index, name := range zones {
+		node := &simulatedNode{id: machine.ID(fmt.Sprintf("node-%d", index)), zone: name}
+		c.nodes = append(c.nodes, node)
+		c.start(node)
+	}
+	c.viewChanged()
+	return c
+}
+
+// start begins a new process on the node, with empty memory.
+func (c *cluster) start(node *simulatedNode) {
+	node.starts++
+	writer := journal.WriterName(node.id, node.starts)
+	config := DefaultConfig(c.id, node.id, writer, c.random)
+	if c.adjust != nil {
+		c.adjust(&config)
+	}
+	replica, err := NewReplica(config)
+	if err != nil {
+		panic(err)
+	}
+	store, err := NewMirrorStore(MirrorStoreConfig{
+		Instance:            writer,
+		MaximumBytes:        config.MaximumUnconfirmedBytes,
+		MaximumMessageBytes: config.MaximumBatchBytes,
+	})
+	if err != nil {
+		panic(err)
+	}
+	*node = simulatedNode{
+		id: node.id, zone: node.zone, starts: node.starts, alive: true,
+		replica: replica, store: store, proposed: map[journal.Token]string{},
+		lost: node.lost, acquired: node.acquired,
+	}
+}
+
+func (c *cluster) after(delay time.Duration, run func()) {
+	c.order++
+	heap.Push(&c.events, simulatedEvent{at: c.now.Add(delay), order: c.order, run: run})
+}
+
+// deliver runs an event on a node's present process, later if it is paused,
+// and never if the process died meanwhile.
+func (c *cluster) deliver(node *simulatedNode, delay time.Duration, run func()) {
+	process := node.starts
+	c.after(delay, func() {
+		c.runOn(node, process, run)
+	})
+}
+
+func (c *cluster) runOn(node *simulatedNode, process uint64, run func()) {
+	if !node.alive || node.starts != process {
+		return
+	}
+	if node.paused {
+		node.held = append(node.held, func() { c.runOn(node, process, run) })
+		return
+	}
+	run()
+	c.settle(node)
+}
+
+// run advances virtual time.
+func (c *cluster) run(duration time.Duration) {
+	end := c.now.Add(duration)
+	for len(c.events) > 0 && !c.events[0].at.After(end) {
+		event := heap.Pop(&c.events).(simulatedEvent)
+		c.now = event.at
+		event.run()
+	}
+	c.now = end
+}
+
+// runUntil advances virtual time until the condition holds.
+func (c *cluster) runUntil(limit time.Duration, condition func() bool) bool {
+	end := c.now.Add(limit)
+	for !condition() {
+		if len(c.events) == 0 || c.events[0].at.After(end) {
+			c.now = end
+			return condition()
+		}
+		event := heap.Pop(&c.events).(simulatedEvent)
+		c.now = event.at
+		event.run()
+	}
+	return true
+}
+
+// settle performs what a node's replica wants done.
+func (c *cluster) settle(node *simulatedNode) {
+	for node.replica.HasReady() {
+		c.perform(node, node.replica.Ready())
+	}
+	c.schedule(node)
+}
+
+func (c *cluster) schedule(node *simulatedNode) {
+	wake := node.replica.NextWake()
+	if wake.IsZero() || wake.Equal(node.wake) {
+		return
+	}
+	node.wake = wake
+	c.deliver(node, max(wake.Sub(c.now), 0), func() {
+		if node.wake.Equal(wake) {
+			node.wake = time.Time{}
+		}
+		node.replica.Tick(c.now)
+	})
+}
+
+func (c *cluster) perform(node *simulatedNode, ready Ready) {
+	for _, recovered := range ready.Recovered {
+		node.recover(recovered)
+	}
+	for _, confirmed := range ready.Confirmed {
+		c.confirm(node, confirmed)
+	}
+	if ready.Lost {
+		node.lost++
+		node.owning = false
+		node.state = nil
+		clear(node.proposed)
+	}
+	if ready.Acquired {
+		node.acquired++
+		node.owning = true
+		c.checkRecovered(node)
+	}
+	for _, request := range ready.Appends {
+		c.append(node, request)
+	}
+	for _, request := range ready.Reads {
+		c.read(node, request)
+	}
+	for _, outbound := range ready.Messages {
+		c.send(node, outbound)
+	}
+}
+
+func (n *simulatedNode) recover(recovered Recovered) {
+	if !recovered.Snapshot {
+		n.state = append(n.state, text(recovered.Payload))
+		return
+	}
+	var part []string
+	if err := json.Unmarshal(recovered.Payload, &part); err != nil {
+		panic(err)
+	}
+	n.state = append(n.state, part...)
+}
+
+func text(payload json.RawMessage) string {
+	var value string
+	if err := json.Unmarshal(payload, &value); err != nil {
+		panic(err)
+	}
+	return value
+}
+
+// confirm notes that a caller was told that its record is durable.
+func (c *cluster) confirm(node *simulatedNode, confirmed Confirmed) {
+	value, known := node.proposed[confirmed.Token]
+	if !known {
+		c.fail("%s: confirmed unknown token %d", node.id, confirmed.Token)
+		return
+	}
+	if confirmed.Offset == NoOffset {
+		c.mirrored++
+	} else {
+		c.placed[value] = confirmed.Offset
+		delete(node.proposed, confirmed.Token)
+	}
+	for _, earlier := range c.confirmed {
+		if earlier == value {
+			return
+		}
+	}
+	c.confirmed = append(c.confirmed, value)
+}
+
+func (c *cluster) fail(format string, values ...any) {
+	c.failures = append(c.failures, fmt.Sprintf(format, values...))
+}
+
+// checkRecovered holds a new owner's state against what was confirmed before:
+// every record once, those of one proposer in their order.
+func (c *cluster) checkRecovered(node *simulatedNode) {
+	place := map[string]int{}
+	for index, value := range node.state {
+		if _, repeated := place[value]; repeated {
+			c.fail("%s: %s recovered twice", node.id, value)
+		}
+		place[value] = index
+	}
+	last := -1
+	for _, value := range c.confirmed {
+		index, found := place[value]
+		if !found {
+			c.fail("%s: confirmed %s is not recovered", node.id, value)
+			continue
+		}
+		if index < last {
+			c.fail("%s: confirmed %s is out of order", node.id, value)
+		}
+		last = index
+	}
+}
+
+// append performs an append, which takes effect at half of its delay.
+func (c *cluster) append(node *simulatedNode, request Append) {
+	c.log.appends++
+	delay := logDelay + c.log.extraDelay
+	c.after(delay/2, func() {
+		if c.log.down {
+			c.deliver(node, delay, func() {
+				node.replica.Step(c.now, Appended{Request: request.Request, Err: ErrNotAppended})
+			})
+			return
+		}
+		answer := Appended{Request: request.Request, FirstOffset: uint64(len(c.log.entries))}
+		c.log.entries = append(c.log.entries, request.Entries...)
+		if c.log.loseAnswers > 0 {
+			c.log.loseAnswers--
+			answer = Appended{Request: request.Request, Err: errAnswerLost}
+		}
+		c.deliver(node, delay/2, func() { node.replica.Step(c.now, answer) })
+	})
+}
+
+func (c *cluster) read(node *simulatedNode, request Read) {
+	delay := logDelay + c.log.extraDelay
+	c.after(delay/2, func() {
+		if c.log.down {
+			c.deliver(node, delay, func() {
+				node.replica.Step(c.now, ReadDone{Request: request.Request, Err: errors.New("down")})
+			})
+			return
+		}
+		answer := c.log.read(request)
+		c.deliver(node, delay/2, func() { node.replica.Step(c.now, answer) })
+	})
+}
+
+func (l *simulatedLog) read(request Read) ReadDone {
+	l.reads++
+	end := uint64(len(l.entries))
+	from := min(request.From, end)
+	if request.Tail {
+		from = end - min(end, 1)
+	}
+	to := min(end, from+uint64(request.Maximum))
+	l.readEntries += int(to - from)
+	return ReadDone{Request: request.Request, FirstOffset: from, Entries: l.entries[from:to], End: end}
+}
+
+func (c *cluster) send(from *simulatedNode, outbound Outbound) {
+	to := c.node(outbound.To)
+	if to == nil || c.cut[[2]machine.ID{from.id, to.id}] {
+		return
+	}
+	process := to.starts
+	c.after(linkDelay, func() {
+		if !to.alive || to.starts != process {
+			return
+		}
+		c.runOn(to, process, func() { c.receive(to, from.id, outbound.Message) })
+	})
+}
+
+// receive hands a message to the replica or the mirror store.
+func (c *cluster) receive(node *simulatedNode, from machine.ID, message Message) {
+	if !message.ForMirror() {
+		node.replica.StepMessage(c.now, from, message)
+		return
+	}
+	for _, outbound := range node.store.Step(from, message) {
+		c.send(node, outbound)
+	}
+}
+
+func (c *cluster) node(id machine.ID) *simulatedNode {
+	for _, node := range c.nodes {
+		if node.id == id {
+			return node
+		}
+	}
+	return nil
+}
+
+// viewChanged tells every live node the machine list.
+func (c *cluster) viewChanged() {
+	var nodes []machine.Machine
+	for _, node := range c.nodes {
+		if node.alive && !node.paused && !c.hidden[node.id] && !c.stopping[node.id] {
+			nodes = append(nodes, machine.Machine{ID: node.id, Zone: node.zone, Status: machine.StatusLive})
+		}
+	}
+	for _, node := range c.nodes {
+		view := View{Nodes: nodes, Stopping: c.stopping[node.id]}
+		c.deliver(node, linkDelay, func() { node.replica.SetView(c.now, view) })
+	}
+}
+
+func (c *cluster) crash(node *simulatedNode) {
+	node.alive = false
+	node.owning = false
+	node.state = nil
+	c.viewChanged()
+}
+
+func (c *cluster) restart(node *simulatedNode) {
+	c.start(node)
+	c.viewChanged()
+}
+
+func (c *cluster) pause(node *simulatedNode) {
+	node.paused = true
+	c.viewChanged()
+}
+
+func (c *cluster) resume(node *simulatedNode) {
+	node.paused = false
+	held := node.held
+	node.held = nil
+	for _, run := range held {
+		run()
+	}
+	c.viewChanged()
+}
+
+// owner returns the newest node that may propose.
+func (c *cluster) owner() *simulatedNode {
+	var newest *simulatedNode
+	for _, node := range c.nodes {
+		if node.alive && !node.paused && node.owning && node.replica.State() == StateOwning &&
+			(newest == nil || node.replica.Epoch() > newest.replica.Epoch()) {
+			newest = node
+		}
+	}
+	return newest
+}
+
+func (c *cluster) hasOwner() bool {
+	return c.owner() != nil
+}
+
+// propose proposes the next value on a node.
+func (c *cluster) propose(node *simulatedNode) (string, error) {
+	c.nextValue++
+	value := fmt.Sprintf("v%d", c.nextValue)
+	payload, _ := json.Marshal(value)
+	token, err := node.replica.Propose(c.now, payload)
+	if err != nil {
+		c.settle(node)
+		return "", err
+	}
+	node.proposed[token] = value
+	node.state = append(node.state, value)
+	c.settle(node)
+	return value, nil
+}
+
+// snapshot proposes a snapshot of a node's state in two parts.
+func (c *cluster) snapshot(node *simulatedNode) {
+	half := len(node.state) / 2
+	first, _ := json.Marshal(node.state[:half])
+	second, _ := json.Marshal(node.state[half:])
+	if err := node.replica.ProposeSnapshot(c.now, []json.RawMessage{first, second}); err != nil {
+		c.fail("%s: snapshot: %v", node.id, err)
+	}
+	c.settle(node)
+}
+
+// isConfirmed reports whether a value was confirmed.
+func (c *cluster) isConfirmed(value string) bool {
+	for _, confirmed := range c.confirmed {
+		if confirmed == value {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/partition/config.go
@@ -0,0 +1,140 @@
+package partition
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/machine"
+)
+
+// Config sets one node's part in one partition.
+type Config struct {
+	ID ID
+	// Self is this node.
+	Self machine.ID
+	// Writer is journal.WriterName of this process: another one at each start.
+	Writer string
+
+	// MirrorCount is how many mirrors an owner keeps ready; zero for none.
+	MirrorCount int
+	// MirrorDelay is how long an append may go unanswered before mirrors get
+	// the entries.
+	MirrorDelay time.Duration
+	// MirrorTimeout is how long a mirror may leave a message unanswered
+	// before it is repeated, and before an owner opens without it.
+	MirrorTimeout time.Duration
+	// AcceptLossAfter is how long a recovery waits, once so many mirrors of
+	// the last epoch were restarted that no quorum of them can answer any
+	// more, before it goes on without them. Zero waits for AcceptLoss.
+	AcceptLossAfter time.Duration
+
+	// ClaimDwell is how long this node must be the desired owner before it
+	// claims, and HandoverDwell how long an owner must see another desired
+	// owner before it hands over. Both bridge a flapping machine list.
+	ClaimDwell    time.Duration
+	HandoverDwell time.Duration
+	// ClaimBackoff is the least wait before this node claims again after it
+	// lost, or asks a live owner again; the wait grows to eight times that.
+	ClaimBackoff time.Duration
+	// OwnerPatience is how long a live owner may leave questions about a
+	// hand-over unanswered before this node claims all the same.
+	OwnerPatience time.Duration
+
+	// The rest are the bounds of journal.Config.
+	AppendTimeout           time.Duration
+	AppendRetryMinimum      time.Duration
+	AppendRetryMaximum      time.Duration
+	MaximumUnconfirmedBytes int
+	MaximumBatchBytes       int
+	MaximumBatchRecords     int
+	ReadBatch               int
+	SnapshotEvery           int
+	// Random draws the jitter of every backoff.
+	Random *rand.Rand
+}
+
+// claimBackoffGrowth is the ratio of the longest to the shortest wait between
+// two claims.
+const claimBackoffGrowth = 8
+
+// DefaultConfig returns the config that the daemon uses for a partition.
+func DefaultConfig(id ID, self machine.ID, writer string, random *rand.Rand) Config {
+	log := journal.DefaultConfig(writer, random)
+	return Config{
+		ID:                      id,
+		Self:                    self,
+		Writer:                  writer,
+		MirrorCount:             3,
+		MirrorDelay:             250 * time.Millisecond,
+		MirrorTimeout:           200 * time.Millisecond,
+		ClaimDwell:              300 * time.Millisecond,
+		HandoverDwell:           5 * time.Second,
+		ClaimBackoff:            250 * time.Millisecond,
+		OwnerPatience:           10 * time.Second,
+		AppendTimeout:           log.AppendTimeout,
+		AppendRetryMinimum:      log.RetryMinimum,
+		AppendRetryMaximum:      log.RetryMaximum,
+		MaximumUnconfirmedBytes: log.MaximumUnconfirmedBytes,
+		MaximumBatchBytes:       log.MaximumBatchBytes,
+		MaximumBatchRecords:     log.MaximumBatchRecords,
+		ReadBatch:               log.ReadBatch,
+		SnapshotEvery:           log.SnapshotEvery,
+		Random:                  random,
+	}
+}
+
+// journalConfig returns the part of the config that the journal checks.
+func (c Config) journalConfig() journal.Config {
+	return journal.Config{
+		Writer:                  c.Writer,
+		AppendTimeout:           c.AppendTimeout,
+		RetryMinimum:            c.AppendRetryMinimum,
+		RetryMaximum:            c.AppendRetryMaximum,
+		MaximumUnconfirmedBytes: c.MaximumUnconfirmedBytes,
+		MaximumBatchBytes:       c.MaximumBatchBytes,
+		MaximumBatchRecords:     c.MaximumBatchRecords,
+		ReadBatch:               c.ReadBatch,
+		SnapshotEvery:           c.SnapshotEvery,
+		Random:                  c.Random,
+	}
+}
+
+// validate returns every finding about the config besides the journal's,
+// joined.
+func (c Config) validate() error {
+	var findings []error
+	if _, err := Parse(c.ID.String()); err != nil {
+		findings = append(findings, fmt.Errorf("partition config: ID: %w", err))
+	}
+	if c.Self == "" {
+		findings = append(findings, errors.New("partition config: Self: missing"))
+	}
+	if !strings.HasPrefix(c.Writer, string(c.Self)) || journal.WriterMachine(c.Writer) != c.Self {
+		findings = append(findings, fmt.Errorf("partition config: Writer %q: want journal.WriterName of %q", c.Writer, c.Self))
+	}
+	if c.MirrorCount < 0 {
+		findings = append(findings, errors.New("partition config: MirrorCount: negative"))
+	}
+	durations := []struct {
+		name  string
+		value time.Duration
+	}{
+		{"MirrorDelay", c.MirrorDelay},
+		{"MirrorTimeout", c.MirrorTimeout},
+		{"ClaimBackoff", c.ClaimBackoff},
+		{"OwnerPatience", c.OwnerPatience},
+	}
+	for _, duration := range durations {
+		if duration.value <= 0 {
+			findings = append(findings, fmt.Errorf("partition config: %s: want more than zero, got %s", duration.name, duration.value))
+		}
+	}
+	if c.ClaimDwell < 0 || c.HandoverDwell < 0 || c.AcceptLossAfter < 0 {
+		findings = append(findings, errors.New("partition config: ClaimDwell, HandoverDwell, AcceptLossAfter: negative"))
+	}
+	return errors.Join(findings...)
+}
--- /dev/null
+++ b/partition/mirrorstore.go
@@ -0,0 +1,230 @@
+package partition
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/machine"
+)
+
+// MirrorStoreConfig sets the bounds of a node's MirrorStore.
+type MirrorStoreConfig struct {
+	// Instance is journal.WriterName of this process.
+	Instance string
+	// MaximumBytes bounds the entries held for all partitions together.
+	MaximumBytes int
+	// MaximumMessageBytes bounds the entries of one answer.
+	MaximumMessageBytes int
+}
+
+func (c MirrorStoreConfig) validate() error {
+	var findings []error
+	if c.Instance == "" {
+		findings = append(findings, errors.New("mirror store config: Instance: missing"))
+	}
+	if c.MaximumBytes <= 0 {
+		findings = append(findings, fmt.Errorf("mirror store config: MaximumBytes: want more than zero, got %d", c.MaximumBytes))
+	}
+	if c.MaximumMessageBytes <= 0 {
+		findings = append(findings, fmt.Errorf("mirror store config: MaximumMessageBytes: want more than zero, got %d", c.MaximumMessageBytes))
+	}
+	return errors.Join(findings...)
+}
+
+// MirrorStore holds, for the owners of other nodes, entries that the log has
+// not confirmed. It lives in memory alone: a restarted process answers with
+// another instance and holds nothing.
+type MirrorStore struct {
+	config     MirrorStoreConfig
+	partitions map[ID]*mirrored
+	bytes      int
+}
+
+// mirrored is what a store knows of one partition.
+type mirrored struct {
+	// reader is the newest epoch that queried; older ones are refused.
+	reader uint64
+	epochs map[uint64]*mirroredEpoch
+}
+
+// mirroredEpoch holds the entries of one epoch after logged, without gaps.
+type mirroredEpoch struct {
+	// logged is the sequence up to which the log has the epoch.
+	logged  uint64
+	entries []journal.Entry
+}
+
+func (e *mirroredEpoch) last() uint64 {
+	return e.logged + uint64(len(e.entries))
+}
+
+// NewMirrorStore returns an empty store, or every finding about the config.
+func NewMirrorStore(config MirrorStoreConfig) (*MirrorStore, error) {
+	if err := config.validate(); err != nil {
+		return nil, err
+	}
+	return &MirrorStore{config: config, partitions: map[ID]*mirrored{}}, nil
+}
+
+// Bytes is the size of the entries that the store holds.
+func (s *MirrorStore) Bytes() int {
+	return s.bytes
+}
+
+// Step takes a message for which Message.ForMirror holds and returns the
+// answers.
+func (s *MirrorStore) Step(from machine.ID, message Message) []Outbound {
+	id := message.Partition
+	var answer Message
+	switch {
+	case message.Mirror != nil:
+		answer.Mirrored = s.hold(id, *message.Mirror)
+	case message.Query != nil:
+		answer.Answer = s.answer(id, *message.Query)
+	case message.Trim != nil:
+		answer.Mirrored = s.trim(id, *message.Trim)
+	default:
+		return nil
+	}
+	answer.Partition = id
+	return []Outbound{{To: from, Message: answer}}
+}
+
+// partition returns what is known of a partition, remembering it from now on.
+func (s *MirrorStore) partition(id ID) *mirrored {
+	known := s.partitions[id]
+	if known == nil {
+		known = &mirrored{epochs: map[uint64]*mirroredEpoch{}}
+		s.partitions[id] = known
+	}
+	return known
+}
+
+// hold takes entries of an owner and acknowledges what it holds of the epoch.
+func (s *MirrorStore) hold(id ID, request MirrorAppend) *MirrorAck {
+	ack := &MirrorAck{Epoch: request.Epoch, Instance: s.config.Instance}
+	known := s.partition(id)
+	if request.Epoch < known.reader {
+		ack.Refused = true
+		return ack
+	}
+	if request.Instance == "" {
+		return ack
+	}
+	if request.Instance != s.config.Instance {
+		ack.Restarted = true
+		return ack
+	}
+	epoch := known.epochs[request.Epoch]
+	if epoch == nil {
+		epoch = &mirroredEpoch{}
+		known.epochs[request.Epoch] = epoch
+	}
+	s.forget(epoch, request.Logged)
+	ack.Full = !s.extend(epoch, request.Entries)
+	ack.Sequence = epoch.last()
+	return ack
+}
+
+// extend adds the entries that follow on what the epoch holds, and reports
+// whether there was room for them.
+func (s *MirrorStore) extend(epoch *mirroredEpoch, entries []journal.Entry) bool {
+	for _, entry := range entries {
+		if entry.Sequence <= epoch.last() {
+			continue
+		}
+		if entry.Sequence != epoch.last()+1 {
+			return true
+		}
+		if s.bytes+entry.Size() > s.config.MaximumBytes {
+			return false
+		}
+		s.bytes += entry.Size()
+		epoch.entries = append(epoch.entries, entry)
+	}
+	return true
+}
+
+// forget drops the entries up to the sequence, which the log has.
+func (s *MirrorStore) forget(epoch *mirroredEpoch, logged uint64) {
+	if logged <= epoch.logged {
+		return
+	}
+	count := min(logged-epoch.logged, uint64(len(epoch.entries)))
+	for _, entry := range epoch.entries[:count] {
+		s.bytes -= entry.Size()
+	}
+	epoch.entries = slices.Clone(epoch.entries[count:])
+	epoch.logged = logged
+}
+
+// answer tells a later epoch's owner what the store holds, and refuses every
+// epoch before that one from then on.
+func (s *MirrorStore) answer(id ID, query MirrorQuery) *MirrorAnswer {
+	answer := &MirrorAnswer{Epoch: query.Epoch, Instance: s.config.Instance, Reader: query.Reader}
+	if query.Instance != s.config.Instance {
+		answer.Restarted = true
+		return answer
+	}
+	known := s.partition(id)
+	if query.Reader < known.reader {
+		answer.Refused = true
+		return answer
+	}
+	known.reader = query.Reader
+	epoch := known.epochs[query.Epoch]
+	if epoch == nil {
+		answer.Last = query.Sequence
+		return answer
+	}
+	answer.Last = max(epoch.last(), query.Sequence)
+	answer.Entries = s.chunk(epoch, query.Sequence)
+	return answer
+}
+
+// chunk returns the entries after the sequence that fit in one message, at
+// least one if there is any.
+func (s *MirrorStore) chunk(epoch *mirroredEpoch, sequence uint64) []journal.Entry {
+	if sequence >= epoch.last() || sequence < epoch.logged {
+		return nil
+	}
+	var chunk []journal.Entry
+	bytes := 0
+	for _, entry := range epoch.entries[sequence-epoch.logged:] {
+		bytes += entry.Size()
+		if len(chunk) > 0 && bytes > s.config.MaximumMessageBytes {
+			break
+		}
+		chunk = append(chunk, entry)
+	}
+	return chunk
+}
+
+// trim forgets what the log holds: all of the earlier epochs, and the epoch
+// itself up to the sequence.
+func (s *MirrorStore) trim(id ID, trim MirrorTrim) *MirrorAck {
+	known := s.partitions[id]
+	ack := &MirrorAck{Epoch: trim.Epoch, Instance: s.config.Instance, Sequence: trim.Sequence}
+	if known == nil {
+		return ack
+	}
+	for number, epoch := range known.epochs {
+		if number < trim.Epoch {
+			s.forget(epoch, epoch.last())
+			delete(known.epochs, number)
+		}
+	}
+	if epoch := known.epochs[trim.Epoch]; epoch != nil {
+		s.forget(epoch, trim.Sequence)
+	}
+	known.reader = max(known.reader, trim.Epoch)
+	return ack
+}
+
+// ForMirror reports whether the message is for the receiver's MirrorStore
+// rather than for its Replica.
+func (m Message) ForMirror() bool {
+	return m.Mirror != nil || m.Query != nil || m.Trim != nil
+}
--- /dev/null
+++ b/partition/owner.go
@@ -0,0 +1,92 @@
+package partition
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/zone"
+)
+
+// Owner returns the node that should own the partition: the hint while it is
+// among the nodes and permitted, else the permitted node with the greatest
+// rendezvous score. Without permitted nodes it returns false.
+//
+// Rendezvous hashing moves only the partitions of a node that comes or goes,
+// and needs no agreement: two nodes with the same list name the same owner.
+func Owner(id ID, nodes []machine.Machine, hint machine.ID) (machine.ID, bool) {
+	var best machine.ID
+	var bestScore uint64
+	for _, node := range nodes {
+		if !permitted(id, node) {
+			continue
+		}
+		if node.ID == hint {
+			return hint, true
+		}
+		score := rendezvousScore(id, node.ID)
+		if best == "" || score > bestScore || score == bestScore && node.ID < best {
+			best = node.ID
+			bestScore = score
+		}
+	}
+	return best, best != ""
+}
+
+// permitted reports whether the node may own or mirror the partition.
+func permitted(id ID, node machine.Machine) bool {
+	if node.Status == machine.StatusLeaving || node.Status == machine.StatusDead {
+		return false
+	}
+	return id.Placement.Contains(node.Zone)
+}
+
+// rendezvousScore ranks a node for a partition.
+func rendezvousScore(id ID, node machine.ID) uint64 {
+	var buffer [128]byte
+	text := append(buffer[:0], id.Placement...)
+	text = append(text, byte(id.Index), byte(id.Index>>8), byte(id.Index>>16), byte(id.Index>>24), 0)
+	text = append(text, node...)
+	return xxhash.Sum64(text)
+}
+
+// MirrorCandidates returns up to count nodes that should mirror the partition
+// for the owner: permitted nodes other than the owner, by rendezvous rank,
+// nodes of zones that no holder is in yet first.
+func MirrorCandidates(id ID, nodes []machine.Machine, owner machine.ID, count int) []machine.ID {
+	ranked := rankedCandidates(id, nodes, owner)
+	used := map[zone.Name]bool{}
+	for _, node := range nodes {
+		if node.ID == owner {
+			used[node.Zone] = true
+		}
+	}
+	var chosen []machine.ID
+	var sameZone []machine.ID
+	for _, node := range ranked {
+		if used[node.Zone] {
+			sameZone = append(sameZone, node.ID)
+			continue
+		}
+		used[node.Zone] = true
+		chosen = append(chosen, node.ID)
+	}
+	chosen = append(chosen, sameZone...)
+	return chosen[:min(count, len(chosen))]
+}
+
+func rankedCandidates(id ID, nodes []machine.Machine, owner machine.ID) []machine.Machine {
+	var ranked []machine.Machine
+	for _, node := range nodes {
+		if node.ID != owner && permitted(id, node) {
+			ranked = append(ranked, node)
+		}
+	}
+	slices.SortFunc(ranked, func(a, b machine.Machine) int {
+		byScore := cmp.Compare(rendezvousScore(id, b.ID), rendezvousScore(id, a.ID))
+		return cmp.Or(byScore, cmp.Compare(a.ID, b.ID))
+	})
+	return ranked
+}
--- a/partition/types.go
+++ b/partition/types.go
@@ -1,7 +1,6 @@
 package partition
 
 import (
-	"encoding/json"
 	"errors"
 
 	"birchwood.example/birchwood/journal"
@@ -33,43 +32,28 @@
 	StateReleasing State = "releasing"
 )
 
-// Append asks the driver to append entries to the partition's stream in one
-// request. The driver answers with Appended and the same Request.
-type Append struct {
-	Request uint64
-	Entries []journal.Entry
-}
-
-// Read asks the driver to read the partition's stream.
-type Read struct {
-	Request uint64
-	From    uint64
-	Maximum int
-	// Tail asks for the end of the stream alone: From is ignored.
-	Tail bool
-}
-
-// Appended answers an Append. Err nil means that the entries stand at
-// FirstOffset and after it, without gaps. ErrNotAppended means that they
-// certainly do not stand anywhere. Any other error leaves it open.
-type Appended struct {
-	Request     uint64
-	FirstOffset uint64
-	Err         error
-}
+// The requests to the log, their answers and what they add up to are those of
+// the journal.
+type (
+	// Append asks the driver to append entries in one request.
+	Append = journal.Append
+	// Read asks the driver to read the partition's stream.
+	Read = journal.Read
+	// Appended answers an Append.
+	Appended = journal.Appended
+	// ReadDone answers a Read.
+	ReadDone = journal.ReadDone
+	// Confirmed says that a proposed record is durable.
+	Confirmed = journal.Confirmed
+	// Recovered is one valid record or snapshot part, in order.
+	Recovered = journal.Recovered
+)
 
-// ReadDone answers a Read. Entries[i] stands at FirstOffset+i. End is the
-// offset that the next append would have got.
-type ReadDone struct {
-	Request     uint64
-	FirstOffset uint64
-	Entries     []journal.Entry
-	End         uint64
-	Err         error
-}
+// NoOffset marks a record that mirrors hold and the log does not have yet.
+const NoOffset = journal.NoOffset
 
 // ErrNotAppended marks an append that certainly took no effect.
-var ErrNotAppended = errors.New("not appended")
+var ErrNotAppended = journal.ErrNotAppended
 
 // ErrNotOwner is returned by Propose when this node does not own the
 // partition.
@@ -77,7 +61,7 @@
 
 // ErrFull is returned by Propose when the records that are not confirmed yet
 // reach the configured bound; the caller may retry later.
-var ErrFull = errors.New("partition: too many unconfirmed records")
+var ErrFull = journal.ErrFull
 
 // Message is what replicas and mirrors of one partition send to each other.
 // Exactly one of the optional fields is set.
@@ -89,73 +73,97 @@
 	Answer    *MirrorAnswer  `json:"answer,omitempty"`
 	Trim      *MirrorTrim    `json:"trim,omitempty"`
 	Handover  *HandoverOffer `json:"handover,omitempty"`
+	Ask       *HandoverAsk   `json:"ask,omitempty"`
+	Keep      *HandoverKeep  `json:"keep,omitempty"`
+	Claimed   *Claimed       `json:"claimed,omitempty"`
 }
 
-// MirrorAppend hands a mirror entries that the log has not confirmed.
+// MirrorAppend hands a mirror entries that the log has not confirmed. Without
+// entries it only trims, and without Instance it asks whether the receiver
+// would be a mirror, and under which instance.
 type MirrorAppend struct {
-	Epoch   uint64          `json:"epoch"`
-	Entries []journal.Entry `json:"entries"`
+	Epoch uint64 `json:"epoch"`
+	// Instance is the process that must hold the entries.
+	Instance string `json:"instance,omitempty"`
+	// Logged says that the log holds every entry of the epoch up to it, so
+	// that mirrors may forget them.
+	Logged  uint64          `json:"logged"`
+	Entries []journal.Entry `json:"entries,omitempty"`
 }
 
-// MirrorAck says that a mirror holds every entry of the epoch up to Sequence.
-// Refused is set when a later epoch has read this mirror.
+// MirrorAck says that a mirror holds every entry of the epoch up to Sequence
+// that the log does not have.
 type MirrorAck struct {
 	Epoch    uint64 `json:"epoch"`
+	Instance string `json:"instance"`
 	Sequence uint64 `json:"sequence"`
-	Refused  bool   `json:"refused,omitempty"`
+	// Refused is set when a later epoch has read this mirror.
+	Refused bool `json:"refused,omitempty"`
+	// Restarted is set when the process that was asked for is gone.
+	Restarted bool `json:"restarted,omitempty"`
+	// Full is set when the mirror's memory has no room for the entries.
+	Full bool `json:"full,omitempty"`
 }
 
 // MirrorQuery asks a mirror for what it holds of Epoch after Sequence. From
 // then on the mirror refuses entries of epochs before Reader.
 type MirrorQuery struct {
 	Epoch    uint64 `json:"epoch"`
+	Instance string `json:"instance"`
 	Sequence uint64 `json:"sequence"`
 	Reader   uint64 `json:"reader"`
 }
 
 // MirrorAnswer answers a MirrorQuery.
 type MirrorAnswer struct {
-	Epoch   uint64          `json:"epoch"`
-	Reader  uint64          `json:"reader"`
+	Epoch    uint64 `json:"epoch"`
+	Instance string `json:"instance"`
+	Reader   uint64 `json:"reader"`
+	// Entries follow directly on the Sequence of the query, as many as one
+	// message may hold. Last is the newest sequence that the mirror holds.
 	Entries []journal.Entry `json:"entries,omitempty"`
+	Last    uint64          `json:"last"`
+	// Restarted is set when the process that was asked for is gone.
+	Restarted bool `json:"restarted,omitempty"`
+	// Refused is set when a later epoch than Reader has read this mirror.
+	Refused bool `json:"refused,omitempty"`
 }
 
 // MirrorTrim says that the log holds every entry of the epoch up to Sequence,
-// so that mirrors may forget them.
+// and of all earlier epochs, so that mirrors may forget them.
 type MirrorTrim struct {
 	Epoch    uint64 `json:"epoch"`
 	Sequence uint64 `json:"sequence"`
 }
 
-// HandoverOffer tells the next owner that the sender has flushed and stopped,
-// so that it may claim at once.
+// HandoverAsk asks the winner of Epoch, which the sender believes live, to
+// hand the partition over to the sender.
+type HandoverAsk struct {
+	Epoch uint64 `json:"epoch"`
+}
+
+// HandoverOffer tells the next owner that the sender does not write to Epoch
+// (any more), so that it may claim at once.
 type HandoverOffer struct {
 	Epoch uint64 `json:"epoch"`
 }
 
-// Outbound is a message to another node.
-type Outbound struct {
-	To      machine.ID
-	Message Message
+// HandoverKeep answers a HandoverAsk: the sender still owns the partition, and
+// hands it over when it sees the same desired owner for long enough.
+type HandoverKeep struct {
+	Epoch uint64 `json:"epoch"`
 }
 
-// Confirmed says that a proposed record is durable. Offset is its place in
-// the stream, or NoOffset while only mirrors hold it; a second Confirmed with
-// the offset follows once the log has it.
-type Confirmed struct {
-	Token  journal.Token
-	Offset uint64
+// Claimed tells the winner of an earlier epoch that Epoch has begun. It only
+// spares a former owner some time: what it writes is void without it.
+type Claimed struct {
+	Epoch uint64 `json:"epoch"`
 }
 
-// NoOffset marks a record that mirrors hold and the log does not have yet.
-const NoOffset = ^uint64(0)
-
-// Recovered is one valid record or snapshot part, in the order in which the
-// state machine applies it.
-type Recovered struct {
-	Offset   uint64
-	Snapshot bool
-	Payload  json.RawMessage
+// Outbound is a message to another node.
+type Outbound struct {
+	To      machine.ID
+	Message Message
 }
 
 // Ready is what a Replica wants done. The driver performs all of it, then
