--- a/api/error.go
+++ b/api/error.go
@@ -62,6 +62,15 @@
 	Place string `json:"place,omitempty"`
 	// ID names this refusal; `birchwood why ID` explains it.
 	ID string `json:"id,omitempty"`
+	// Findings lists everything that is wrong with the input when there is
+	// more than one thing; Message and Place are then the first of them.
+	Findings []Finding `json:"findings,omitempty"`
+}
+
+// Finding is one thing that is wrong with an input, with its place.
+type Finding struct {
+	Place   string `json:"place"`
+	Message string `json:"message"`
 }
 
 // Error makes Error usable as a Go error.
--- /dev/null
+++ b/gateway/authenticate.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"crypto/subtle"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/contract"
+)
+
+// The headers between nodes. Scope and Hops count only beside a valid peer
+// token; Deadline may be set by callers too.
+const (
+	headerHops     = "X-Birchwood-Hops"
+	headerScope    = "X-Birchwood-Scope"
+	headerDeadline = "X-Deadline-Ms"
+	// headerPending marks a 202 answer that ended a slice of a wait.
+	headerPending = "X-Birchwood-Pending"
+	// headerOwner is the address of the owner in a not_owner answer.
+	headerOwner = "X-Birchwood-Owner"
+)
+
+var bearerPrefix = []byte("Bearer ")
+
+// callerID names a bearer token without keeping it.
+type callerID [sha256.Size]byte
+
+// authenticate fills in who sent the request and how long it may take.
+func (g *Gateway) authenticate(ctx *fasthttp.RequestCtx, request *exchange) *api.Error {
+	token, found := bytes.CutPrefix(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization), bearerPrefix)
+	if !found || len(token) == 0 {
+		return api.Refuse(api.CodeUnauthorized, "a bearer token is required").At("header Authorization")
+	}
+	if refusal := g.readDeadline(ctx, request); refusal != nil {
+		return refusal
+	}
+	if g.isPeer(token) {
+		return g.authenticatePeer(ctx, request)
+	}
+	scope, known := g.service.Caller(string(token))
+	if !known {
+		return api.Refuse(api.CodeUnauthorized, "the bearer token is not known").At("header Authorization")
+	}
+	request.scope = scope
+	request.caller = sha256.Sum256(token)
+	return nil
+}
+
+// isPeer compares in constant time, so that timing tells nothing about the
+// peer token.
+func (g *Gateway) isPeer(token []byte) bool {
+	peer := g.service.PeerToken()
+	return peer != "" && subtle.ConstantTimeCompare(token, []byte(peer)) == 1
+}
+
+// authenticatePeer takes over the scope that the first node authenticated.
+func (g *Gateway) authenticatePeer(ctx *fasthttp.RequestCtx, request *exchange) *api.Error {
+	scope, found := bytes.CutPrefix(ctx.Request.Header.Peek(headerScope), []byte("/"))
+	if !found {
+		return api.Refuse(api.CodeBadRequest, "want a branch after a slash").At("header " + headerScope)
+	}
+	hops, err := strconv.Atoi(string(ctx.Request.Header.Peek(headerHops)))
+	if err != nil || hops < 1 {
+		return api.Refuse(api.CodeBadRequest, "want a number from 1").At("header " + headerHops)
+	}
+	request.peer = true
+	request.scope = contract.Path(scope)
+	request.hops = hops
+	return nil
+}
+
+// readDeadline bounds the exchange by the configuration, and by the caller's
+// own bound when it is tighter.
+func (g *Gateway) readDeadline(ctx *fasthttp.RequestCtx, request *exchange) *api.Error {
+	bound := g.config.MaximumWait
+	if text := ctx.Request.Header.Peek(headerDeadline); len(text) > 0 {
+		milliseconds, err := strconv.ParseInt(string(text), 10, 64)
+		if err != nil || milliseconds < 1 || milliseconds > api.MaximumMilliseconds {
+			return api.Refuse(api.CodeBadRequest, "want 1 to %d milliseconds", int64(api.MaximumMilliseconds)).
+				At("header " + headerDeadline)
+		}
+		bound = min(bound, time.Duration(milliseconds)*time.Millisecond)
+	}
+	request.deadline = request.received.Add(bound)
+	return nil
+}
--- /dev/null
+++ b/gateway/event.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"bufio"
+	"encoding/json"
+	"strconv"
+	"unicode/utf8"
+
+	"birchwood.example/birchwood/api"
+)
+
+// eventKind is the name of a server-sent event. docs/API.md describes them.
+type eventKind string
+
+// The events of a stream. A stream ends with eventEnd or eventError.
+const (
+	eventAccepted  eventKind = "accepted"
+	eventText      eventKind = "text"
+	eventRestart   eventKind = "restart"
+	eventEnd       eventKind = "end"
+	eventError     eventKind = "error"
+	eventKeepAlive eventKind = ""
+)
+
+// event is one event of an answer's stream. at is the position after it.
+type event struct {
+	kind eventKind
+	at   position
+	data []byte
+}
+
+// textData is the data of a text event.
+type textData struct {
+	// Offset is where the text begins in the attempt's answer, in bytes.
+	Offset int    `json:"offset"`
+	Text   string `json:"text"`
+}
+
+// restartData is the data of a restart event.
+type restartData struct {
+	Attempt int `json:"attempt"`
+}
+
+// textEvent carries text that begins at the position. A character that is cut
+// at the end is left for the next event unless this is the last text, because
+// JSON cannot hold a part of a character.
+func textEvent(at position, text string, last bool) (event, bool) {
+	if !last {
+		text = text[:wholeCharacters(text)]
+	}
+	if text == "" {
+		return event{}, false
+	}
+	data := marshal(textData{Offset: at.offset, Text: text})
+	at.offset += len(text)
+	return event{kind: eventText, at: at, data: data}, true
+}
+
+// wholeCharacters returns the length of the text without a character that is
+// cut at its end.
+func wholeCharacters(text string) int {
+	for back := 1; back <= utf8.UTFMax && back <= len(text); back++ {
+		start := len(text) - back
+		if !utf8.RuneStart(text[start]) {
+			continue
+		}
+		if utf8.FullRuneInString(text[start:]) {
+			return len(text)
+		}
+		return start
+	}
+	return len(text)
+}
+
+// restartEvent says that the attempt's text begins anew.
+func restartEvent(attempt int) event {
+	return event{kind: eventRestart, at: position{attempt: attempt}, data: marshal(restartData{Attempt: attempt})}
+}
+
+// errorEvent ends a stream that cannot go on.
+func errorEvent(refusal *api.Error) event {
+	return event{kind: eventError, data: marshal(errorBody{Error: refusal})}
+}
+
+// writeTo writes the event and flushes it. An error means that the caller
+// hung up or does not read.
+func (e event) writeTo(writer *bufio.Writer) error {
+	if e.kind == eventKeepAlive {
+		_, _ = writer.WriteString(": keep-alive\n\n")
+		return writer.Flush()
+	}
+	_, _ = writer.WriteString("event: ")
+	_, _ = writer.WriteString(string(e.kind))
+	if e.kind == eventText || e.kind == eventRestart {
+		_, _ = writer.WriteString("\nid: ")
+		_, _ = writer.WriteString(strconv.Itoa(e.at.attempt))
+		_ = writer.WriteByte(':')
+		_, _ = writer.WriteString(strconv.Itoa(e.at.offset))
+	}
+	_, _ = writer.WriteString("\ndata: ")
+	_, _ = writer.Write(e.data)
+	_, _ = writer.WriteString("\n\n")
+	return writer.Flush()
+}
+
+// failure returns the error that an error event carries.
+func (e event) failure() *api.Error {
+	var body errorBody
+	if json.Unmarshal(e.data, &body) != nil || body.Error == nil {
+		return api.Refuse(api.CodeOwnerUnknown, "the owner's stream broke off")
+	}
+	return body.Error
+}
--- /dev/null
+++ b/gateway/exchange.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"time"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/control"
+)
+
+// exchange is one request on its way through the gateway. Everything in it is
+// copied from the request's memory, which fasthttp reuses.
+type exchange struct {
+	request control.Request
+	// scope is the caller's branch, and caller names its token in the limits.
+	scope  contract.Path
+	caller callerID
+	// peer is set when another node's gateway passed the request on.
+	peer bool
+	hops int
+	// received and deadline bound the whole exchange.
+	received time.Time
+	deadline time.Time
+	// stream asks for server-sent events from position on.
+	stream   bool
+	position position
+	// method, uri and body repeat the request to another node.
+	method string
+	uri    string
+	body   []byte
+}
+
+// position is the place in an answer up to which a caller has its text.
+// Attempt zero means that the caller does not know the attempt.
+type position struct {
+	attempt int
+	offset  int
+}
+
+// changes reports whether the operation has an effect, so that a lost answer
+// leaves its outcome unknown.
+func (e *exchange) changes() bool {
+	switch e.request.Operation {
+	case control.OperationCreate, control.OperationSubmit, control.OperationCancel, control.OperationEnd:
+		return true
+	default:
+		return false
+	}
+}
+
+// waits reports whether the answer is to wait until the call is terminal.
+func (e *exchange) waits() bool {
+	return e.request.Wait && !e.stream
+}
+
+// within reports whether the branch is the scope or below it.
+func within(scope, branch contract.Path) bool {
+	if scope == "" || scope == branch {
+		return true
+	}
+	return len(branch) > len(scope) && branch[:len(scope)] == scope && branch[len(scope)] == '/'
+}
+
+// trace is the answer to a request for a program's trace.
+type trace struct {
+	Program  api.ProgramID       `json:"program"`
+	Attempts []control.CallTrace `json:"attempts"`
+}
+
+// list is the answer to a request for programs.
+type list struct {
+	Programs []api.Program `json:"programs"`
+	// Incomplete names the nodes that did not answer.
+	Incomplete []string `json:"incomplete,omitempty"`
+}
--- /dev/null
+++ b/gateway/fake_test.go
@@ -0,0 +1,268 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/gateway"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/program"
+	"birchwood.example/birchwood/stream"
+)
+
+const (
+	peerToken   = "peer-secret"
+	triageToken = "triage-secret"
+	auditToken  = "audit-secret"
+)
+
+// world is what the nodes of a test share: the durable programs and calls,
+// and who owns them now.
+type world struct {
+	mutex    sync.Mutex
+	owner    machine.ID
+	address  map[machine.ID]string
+	programs map[api.ProgramID]*api.Program
+	calls    map[program.CallRef]*call
+	submits  int
+}
+
+// call is one call; done is closed once it is terminal.
+type call struct {
+	state  api.Call
+	body   api.SubmitCall
+	buffer *stream.Buffer
+	done   chan struct{}
+}
+
+func newWorld() *world {
+	return &world{
+		address:  make(map[machine.ID]string),
+		programs: make(map[api.ProgramID]*api.Program),
+		calls:    make(map[program.CallRef]*call),
+	}
+}
+
+// find returns the call with the sequence or key. The mutex is held.
+func (w *world) find(id api.ProgramID, sequence uint64, key string) *call {
+	for ref, held := range w.calls {
+		if ref.Program == id && (ref.Sequence == sequence || (key != "" && held.state.Key == key)) {
+			return held
+		}
+	}
+	return nil
+}
+
+// get waits until the call with the key is known.
+func (w *world) get(id api.ProgramID, key string) *call {
+	var found *call
+	Eventually(func() *call {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		found = w.find(id, 0, key)
+		return found
+	}).ShouldNot(BeNil())
+	return found
+}
+
+// finish ends the call with the output.
+func (w *world) finish(held *call, output string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	held.state.Status = api.StatusSucceeded
+	held.state.Output = output
+	held.buffer.Close()
+	close(held.done)
+}
+
+// node is one node's service.
+type node struct {
+	world   *world
+	id      machine.ID
+	lose    func() *api.Error // overrides the owner's answer to a submit
+	gateway *gateway.Gateway
+	address string
+}
+
+func (n *node) Caller(token string) (contract.Path, bool) {
+	switch token {
+	case triageToken:
+		return "koudeketting/triage", true
+	case auditToken:
+		return "koudeketting/audit", true
+	}
+	return "", false
+}
+
+func (n *node) NewProgram(branch contract.Path, key string) (api.ProgramID, *api.Error) {
+	if branch != "koudeketting/triage" && branch != "koudeketting/audit" {
+		return "", api.Refuse(api.CodeUnknownBranch, "no branch %s", branch)
+	}
+	return api.ProgramID(fmt.Sprintf("isando.%d.%016x", len(branch), len(key))), nil
+}
+
+func (n *node) Route(api.ProgramID) (gateway.Route, *api.Error) {
+	n.world.mutex.Lock()
+	defer n.world.mutex.Unlock()
+	if n.world.owner == "" {
+		return gateway.Route{}, api.Refuse(api.CodeOwnerUnknown, "no owner").After(10)
+	}
+	owner := n.world.owner
+	return gateway.Route{Local: owner == n.id, Owner: owner, Address: n.world.address[owner]}, nil
+}
+
+func (n *node) PeerToken() string { return peerToken }
+
+func (n *node) Stream(ref program.CallRef) (*stream.Buffer, bool) {
+	n.world.mutex.Lock()
+	defer n.world.mutex.Unlock()
+	held := n.world.calls[ref]
+	if held == nil || held.state.Status.Terminal() {
+		return nil, false
+	}
+	return held.buffer, true
+}
+
+func (n *node) Do(ctx context.Context, request control.Request) control.Reply {
+	n.world.mutex.Lock()
+	defer n.world.mutex.Unlock()
+	if n.world.owner != n.id {
+		return control.Reply{Error: api.Refuse(api.CodeNotOwner, "not the owner")}
+	}
+	switch request.Operation {
+	case control.OperationList:
+		return control.Reply{}
+	case control.OperationCreate:
+		return n.create(request)
+	}
+	held := n.world.programs[request.Program]
+	if held == nil || !gatewayWithin(request.Scope, held.Branch) {
+		return control.Reply{Error: api.Refuse(api.CodeNotFound, "no program %s", request.Program)}
+	}
+	switch request.Operation {
+	case control.OperationSubmit:
+		return n.submit(ctx, request)
+	case control.OperationCall, control.OperationCancel:
+		found := n.world.find(request.Program, request.Sequence, request.Key)
+		if found == nil {
+			return control.Reply{Error: api.Refuse(api.CodeNotFound, "no such call")}
+		}
+		return n.wait(ctx, request, found)
+	case control.OperationEnd:
+		held.Ended = true
+		held.EndReason = request.Reason
+	case control.OperationHistory:
+		return control.Reply{History: &api.History{Program: request.Program, Calls: []api.Call{}}}
+	}
+	return control.Reply{Program: held}
+}
+
+func gatewayWithin(scope contract.Path, branch string) bool {
+	return string(scope) == branch
+}
+
+func (n *node) create(request control.Request) control.Reply {
+	held := n.world.programs[request.Program]
+	if held == nil {
+		held = &api.Program{ID: request.Program, Branch: request.Create.Branch, Key: request.Create.Key, Parent: request.Parent}
+		n.world.programs[request.Program] = held
+	}
+	return control.Reply{Program: held}
+}
+
+// submit admits the call or finds the one with the same key.
+func (n *node) submit(ctx context.Context, request control.Request) control.Reply {
+	n.world.submits++
+	if n.lose != nil {
+		if lost := n.lose(); lost != nil {
+			return control.Reply{Error: lost}
+		}
+	}
+	found := n.world.find(request.Program, 0, request.Submit.Key)
+	if found == nil {
+		sequence := uint64(len(n.world.calls) + 1)
+		found = &call{
+			state: api.Call{
+				Program: request.Program, Sequence: sequence, Key: request.Submit.Key,
+				Kind: request.Submit.Kind, Status: api.StatusRunning, Attempt: 1,
+			},
+			body:   *request.Submit,
+			buffer: stream.NewBuffer(),
+			done:   make(chan struct{}),
+		}
+		found.buffer.Restart(1)
+		n.world.calls[program.CallRef{Program: request.Program, Sequence: sequence}] = found
+	}
+	if found.body.Input != request.Submit.Input {
+		return control.Reply{Error: api.Refuse(api.CodeKeyReused, "the key has another body").At("$.key")}
+	}
+	return n.wait(ctx, request, found)
+}
+
+// wait answers with the call's state, once it is terminal if asked to. The
+// world's mutex is held on entry and exit.
+func (n *node) wait(ctx context.Context, request control.Request, held *call) control.Reply {
+	if request.Wait {
+		n.world.mutex.Unlock()
+		select {
+		case <-held.done:
+		case <-ctx.Done():
+		}
+		n.world.mutex.Lock()
+		if ctx.Err() != nil {
+			return control.Reply{Error: &api.Error{Code: api.CodeTimeout, Ran: api.RanOutcomeUnknown}}
+		}
+	}
+	state := held.state
+	return control.Reply{Call: &state}
+}
+
+// testConfig has short time-outs.
+func testConfig(id machine.ID) gateway.Config {
+	config := gateway.DefaultConfig()
+	config.Node = string(id)
+	config.KeepAlive = 20 * time.Millisecond
+	config.WaitSlice = 50 * time.Millisecond
+	config.PeerSilence = time.Second
+	config.RetryDelay = 5 * time.Millisecond
+	config.MaximumRetryDelay = 50 * time.Millisecond
+	config.Random = rand.New(rand.NewPCG(1, 2))
+	return config
+}
+
+// start serves a node on loopback until the spec ends.
+func (w *world) start(id machine.ID, configure ...func(*gateway.Config)) *node {
+	config := testConfig(id)
+	for _, change := range configure {
+		change(&config)
+	}
+	started := &node{world: w, id: id}
+	served, err := gateway.New(config, started, &log.Logger{Level: log.PanicLevel, Writer: log.IOWriter{Writer: io.Discard}})
+	Expect(err).NotTo(HaveOccurred())
+	started.gateway = served
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	started.address = listener.Addr().String()
+	w.mutex.Lock()
+	w.address[id] = started.address
+	w.mutex.Unlock()
+	finished := make(chan error, 1)
+	go func() { finished <- served.Server().Serve(listener) }()
+	DeferCleanup(func() {
+		_ = served.Server().Shutdown()
+		Eventually(finished).Should(Receive())
+	})
+	return started
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,284 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/phuslu/log"
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/api"
+)
+
+// logPrefix starts each of this part's messages.
+const logPrefix = "gateway: "
+
+// Gateway serves callers' requests. It is safe for concurrent use.
+type Gateway struct {
+	config   Config
+	service  Service
+	logger   *log.Logger
+	observer Observer
+	router   *router.Router
+	server   *fasthttp.Server
+	client   *fasthttp.Client
+	limits   *limits
+	budget   *retryBudget
+	random   *lockedRandom
+
+	draining atomic.Bool
+	inFlight atomic.Int64
+	refusals atomic.Uint64
+}
+
+// New returns a gateway that serves nothing yet. The error lists everything
+// that is wrong with the configuration.
+func New(config Config, service Service, logger *log.Logger) (*Gateway, error) {
+	if err := config.validate(); err != nil {
+		return nil, err
+	}
+	g := &Gateway{
+		config:   config,
+		service:  service,
+		logger:   logger,
+		observer: config.Observer,
+		limits:   newLimits(config),
+		budget:   newRetryBudget(config.RetryRatio, config.RetryBurst),
+		random:   &lockedRandom{random: config.Random},
+	}
+	if g.observer == nil {
+		g.observer = silent{}
+	}
+	g.refusals.Store(uint64(time.Now().UnixMilli()))
+	g.router = g.routes()
+	g.server = g.newServer()
+	g.client = newPeerClient(config)
+	return g, nil
+}
+
+// Handler returns the handler of all routes.
+func (g *Gateway) Handler() fasthttp.RequestHandler {
+	return g.router.Handler
+}
+
+// Server returns the server, with every limit set, for the caller to Serve.
+func (g *Gateway) Server() *fasthttp.Server {
+	return g.server
+}
+
+// Routes returns the registered paths by method.
+func (g *Gateway) Routes() map[string][]string {
+	return g.router.List()
+}
+
+// InFlight returns the number of requests that are being served.
+func (g *Gateway) InFlight() int {
+	return int(g.inFlight.Load())
+}
+
+// Drain asks callers to open their next connections elsewhere. Nothing that
+// is in flight is cut, and new requests are still served or relayed.
+func (g *Gateway) Drain() {
+	g.draining.Store(true)
+}
+
+// Shutdown waits until no request is in flight, then closes the server. It
+// returns the context's error when that takes too long.
+func (g *Gateway) Shutdown(ctx context.Context) error {
+	g.Drain()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for g.inFlight.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	err := g.server.ShutdownWithContext(ctx)
+	g.client.CloseIdleConnections()
+	return err
+}
+
+// drainPoll is how often Shutdown looks at the requests in flight.
+const drainPoll = 5 * time.Millisecond
+
+// routes registers every route. docs/API.md and api/openapi.yaml describe
+// them, which a test holds against this list.
+func (g *Gateway) routes() *router.Router {
+	routes := router.New()
+	routes.RedirectTrailingSlash = false
+	routes.RedirectFixedPath = false
+	routes.HandleOPTIONS = false
+	routes.NotFound = g.routeNotFound
+	routes.MethodNotAllowed = g.methodNotAllowed
+	routes.PanicHandler = g.recovered
+
+	routes.POST("/v1/programs", g.serve(g.parseCreate))
+	routes.GET("/v1/programs", g.serve(g.parseList))
+	routes.GET("/v1/programs/{id}", g.serve(g.parseDescribe))
+	routes.GET("/v1/programs/{id}/history", g.serve(g.parseHistory))
+	routes.GET("/v1/programs/{id}/trace", g.serve(g.parseTrace))
+	routes.POST("/v1/programs/{id}/agents", g.serve(g.parseAgent))
+	routes.POST("/v1/programs/{id}/end", g.serve(g.parseEnd))
+	routes.POST("/v1/programs/{id}/calls", g.serve(g.parseSubmit))
+	routes.GET("/v1/programs/{id}/calls/{call}", g.serve(g.parseCall))
+	routes.GET("/v1/programs/{id}/calls/{call}/stream", g.serve(g.parseStream))
+	routes.POST("/v1/programs/{id}/calls/{call}/cancel", g.serve(g.parseCancel))
+	return routes
+}
+
+// serve wraps a route's parser: it authenticates, parses, performs and
+// answers.
+func (g *Gateway) serve(parse parser) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if g.draining.Load() {
+			ctx.SetConnectionClose()
+		}
+		request := &exchange{received: time.Now()}
+		done, refusal := g.admit(ctx, request)
+		if refusal == nil {
+			refusal = g.parse(ctx, request, parse)
+		}
+		if refusal != nil {
+			g.refuse(ctx, request, refusal, 0)
+			done()
+			return
+		}
+		g.answer(ctx, request, done)
+	}
+}
+
+// admit authenticates the request and counts it. The returned function ends
+// the count; it is never nil.
+func (g *Gateway) admit(ctx *fasthttp.RequestCtx, request *exchange) (func(), *api.Error) {
+	g.inFlight.Add(1)
+	g.observer.InFlight(1)
+	release := func() {}
+	done := func() {
+		release()
+		g.observer.InFlight(-1)
+		g.inFlight.Add(-1)
+	}
+	if refusal := g.authenticate(ctx, request); refusal != nil {
+		return done, refusal
+	}
+	if request.peer {
+		return done, nil
+	}
+	if g.inFlight.Load() > int64(g.config.InFlight) {
+		return done, api.Refuse(api.CodeOverloaded, "this node serves as many requests as it can").
+			After(g.limits.expectedRelease(request.received))
+	}
+	released, refusal := g.limits.acquire(request.caller, request.received)
+	if refusal != nil {
+		return done, refusal
+	}
+	release = released
+	return done, nil
+}
+
+// parse copies what outlives the request's memory and reads the input.
+func (g *Gateway) parse(ctx *fasthttp.RequestCtx, request *exchange, parse parser) *api.Error {
+	request.method = string(ctx.Method())
+	request.uri = string(ctx.RequestURI())
+	request.body = append([]byte(nil), ctx.PostBody()...)
+	request.request.Scope = request.scope
+	var findings api.Findings
+	refusal := parse(ctx, request, &findings)
+	if refusal == nil {
+		refusal = findings.Error()
+	}
+	return refusal
+}
+
+// answer performs the request and writes its answer or stream.
+func (g *Gateway) answer(ctx *fasthttp.RequestCtx, request *exchange, done func()) {
+	context, cancel := context.WithDeadline(context.Background(), request.deadline)
+	if request.waits() {
+		stop := g.watchHangUp(context, cancel, ctx.Conn())
+		defer stop()
+	}
+	answer := g.perform(context, request)
+	if answer.source != nil {
+		g.startStream(ctx, request, answer.source, func() {
+			cancel()
+			done()
+		})
+		return
+	}
+	defer done()
+	defer cancel()
+	if answer.refusal != nil {
+		if answer.owner != "" {
+			ctx.Response.Header.Set(headerOwner, answer.owner)
+		}
+		g.refuse(ctx, request, answer.refusal, answer.attempts)
+		return
+	}
+	if answer.pending {
+		ctx.Response.Header.Set(headerPending, "1")
+	}
+	writeJSON(ctx, answer.status, answer.body)
+	g.observer.Answered(request.request.Operation, answer.status, time.Since(request.received))
+}
+
+// refuse answers with an error and tells the observer.
+func (g *Gateway) refuse(ctx *fasthttp.RequestCtx, request *exchange, refusal *api.Error, attempts int) {
+	named := *refusal
+	if named.ID == "" {
+		named.ID = g.config.Node + "-" + strconv.FormatUint(g.refusals.Add(1), 36)
+	}
+	writeError(ctx, &named, named.Code.HTTPStatus())
+	g.observer.Answered(request.request.Operation, named.Code.HTTPStatus(), time.Since(request.received))
+	if request.peer {
+		return
+	}
+	g.observer.Refused(Refusal{
+		At:        request.received,
+		Operation: request.request.Operation,
+		Branch:    request.scope,
+		Program:   request.request.Program,
+		Attempts:  attempts,
+		Error:     named,
+	})
+}
+
+func (g *Gateway) routeNotFound(ctx *fasthttp.RequestCtx) {
+	writeError(ctx, api.Refuse(api.CodeNotFound, "no such route").At("path"), fasthttp.StatusNotFound)
+}
+
+func (g *Gateway) methodNotAllowed(ctx *fasthttp.RequestCtx) {
+	refusal := api.Refuse(api.CodeBadRequest, "the route does not know method %s", ctx.Method()).At("method")
+	writeError(ctx, refusal, fasthttp.StatusMethodNotAllowed)
+}
+
+// recovered answers a request whose handler panicked. What it did is unknown.
+func (g *Gateway) recovered(ctx *fasthttp.RequestCtx, cause any) {
+	g.logger.Error().Interface("cause", cause).Msg(logPrefix + "A handler panicked.")
+	unknown := &api.Error{
+		Code:    api.CodeOutcomeUnknown,
+		Message: "the request failed inside; ask again with the same key",
+		Ran:     api.RanOutcomeUnknown,
+		Retry:   true,
+	}
+	writeError(ctx, unknown, fasthttp.StatusInternalServerError)
+}
+
+// lockedRandom makes the configured source safe for concurrent use.
+type lockedRandom struct {
+	mutex  sync.Mutex
+	random *rand.Rand
+}
+
+// Float64 returns a number in [0, 1).
+func (r *lockedRandom) Float64() float64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.random.Float64()
+}
--- /dev/null
+++ b/gateway/parse.go
@@ -0,0 +1,261 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/control"
+)
+
+// Limits of GET /v1/programs/{id}/history.
+const (
+	defaultHistoryLimit = 100
+	maximumHistoryLimit = 1000
+)
+
+// keyPrefix marks a call that is named by its key in a path.
+const keyPrefix = "key:"
+
+// parser reads one route's input into the exchange.
+type parser func(ctx *fasthttp.RequestCtx, request *exchange, findings *api.Findings) *api.Error
+
+// parseCreate reads POST /v1/programs.
+func (g *Gateway) parseCreate(_ *fasthttp.RequestCtx, request *exchange, findings *api.Findings) *api.Error {
+	var create api.CreateProgram
+	*findings = append(*findings, api.Decode(request.body, &create)...)
+	if len(*findings) == 0 {
+		create.Validate(findings)
+	}
+	if len(*findings) > 0 {
+		return nil
+	}
+	unknown := api.Refuse(api.CodeUnknownBranch, "no branch %q on the caller's branch", create.Branch).At("$.branch")
+	if !within(request.scope, contract.Path(create.Branch)) {
+		return unknown
+	}
+	program, refusal := g.service.NewProgram(contract.Path(create.Branch), create.Key)
+	if refusal != nil && refusal.Code == api.CodeUnknownBranch {
+		return unknown
+	}
+	request.request.Operation = control.OperationCreate
+	request.request.Program = program
+	request.request.Create = &create
+	return refusal
+}
+
+// parseAgent reads POST /v1/programs/{id}/agents.
+func (g *Gateway) parseAgent(ctx *fasthttp.RequestCtx, request *exchange, findings *api.Findings) *api.Error {
+	var create api.CreateProgram
+	*findings = append(*findings, api.Decode(request.body, &create)...)
+	if len(*findings) == 0 {
+		create.ValidateAgent(findings)
+	}
+	parent := pathProgram(ctx, findings)
+	if len(*findings) > 0 {
+		return nil
+	}
+	if create.Branch != "" && !within(request.scope, contract.Path(create.Branch)) {
+		return api.Refuse(api.CodeUnknownBranch, "no branch %q on the caller's branch", create.Branch).At("$.branch")
+	}
+	request.request.Operation = control.OperationCreate
+	request.request.Parent = parent
+	request.request.Program = agentID(parent, create.Key)
+	request.request.Create = &create
+	return nil
+}
+
+// agentID names a sub-agent: it lives in its parent's partition, and the same
+// parent and key always name the same one.
+func agentID(parent api.ProgramID, key string) api.ProgramID {
+	partition := parent[:strings.LastIndexByte(string(parent), '.')+1]
+	digest := sha256.Sum256([]byte(string(parent) + "\x00" + key))
+	return partition + api.ProgramID(hex.EncodeToString(digest[:8]))
+}
+
+// parseSubmit reads POST /v1/programs/{id}/calls.
+func (g *Gateway) parseSubmit(ctx *fasthttp.RequestCtx, request *exchange, findings *api.Findings) *api.Error {
+	var submit api.SubmitCall
+	*findings = append(*findings, api.Decode(request.body, &submit)...)
+	if len(*findings) == 0 {
+		submit.Validate(findings)
+	}
+	request.request.Operation = control.OperationSubmit
+	request.request.Program = pathProgram(ctx, findings)
+	request.request.Wait = queryBool(ctx, "wait", true, findings)
+	request.request.Submit = &submit
+	request.stream = submit.Stream
+	if request.stream {
+		request.position = lastEvent(ctx, findings)
+	}
+	return nil
+}
+
+// parseCall reads GET /v1/programs/{id}/calls/{call}.
+func (g *Gateway) parseCall(ctx *fasthttp.RequestCtx, request *exchange, findings *api.Findings) *api.Error {
+	request.request.Operation = control.OperationCall
+	request.request.Program = pathProgram(ctx, findings)
+	request.request.Wait = queryBool(ctx, "wait", false, findings)
+	request.request.Sequence, request.request.Key = pathCall(ctx, findings)
+	return nil
+}
+
+// parseStream reads GET /v1/programs/{id}/calls/{call}/stream.
+func (g *Gateway) parseStream(ctx *fasthttp.RequestCtx, request *exchange, findings *api.Findings) *api.Error {
+	_ = g.parseCall(ctx, request, findings)
+	request.stream = true
+	request.position = lastEvent(ctx, findings)
+	if request.position == (position{}) {
+		request.position = position{
+			attempt: int(queryNumber(ctx, "attempt", 0, findings)),
+			offset:  int(queryNumber(ctx, "offset", 0, findings)),
+		}
+	}
+	return nil
+}
+
+// parseCancel reads POST /v1/programs/{id}/calls/{call}/cancel.
+func (g *Gateway) parseCancel(ctx *fasthttp.RequestCtx, request *exchange, findings *api.Findings) *api.Error {
+	_ = g.parseCall(ctx, request, findings)
+	request.request.Operation = control.OperationCancel
+	request.request.Wait = false
+	return nil
+}
+
+// endProgram is the optional body of POST /v1/programs/{id}/end.
+type endProgram struct {
+	Reason string `json:"reason"`
+}
+
+// parseEnd reads POST /v1/programs/{id}/end.
+func (g *Gateway) parseEnd(ctx *fasthttp.RequestCtx, request *exchange, findings *api.Findings) *api.Error {
+	end := endProgram{Reason: "ended by the caller"}
+	if len(request.body) > 0 {
+		*findings = append(*findings, api.Decode(request.body, &end)...)
+	}
+	if len(end.Reason) > api.MaximumNameLength {
+		findings.Add("$.reason", "longer than %d bytes", api.MaximumNameLength)
+	}
+	request.request.Operation = control.OperationEnd
+	request.request.Program = pathProgram(ctx, findings)
+	request.request.Reason = end.Reason
+	return nil
+}
+
+// parseDescribe reads GET /v1/programs/{id}.
+func (g *Gateway) parseDescribe(ctx *fasthttp.RequestCtx, request *exchange, findings *api.Findings) *api.Error {
+	request.request.Operation = control.OperationDescribe
+	request.request.Program = pathProgram(ctx, findings)
+	return nil
+}
+
+// parseTrace reads GET /v1/programs/{id}/trace.
+func (g *Gateway) parseTrace(ctx *fasthttp.RequestCtx, request *exchange, findings *api.Findings) *api.Error {
+	request.request.Operation = control.OperationTrace
+	request.request.Program = pathProgram(ctx, findings)
+	return nil
+}
+
+// parseHistory reads GET /v1/programs/{id}/history.
+func (g *Gateway) parseHistory(ctx *fasthttp.RequestCtx, request *exchange, findings *api.Findings) *api.Error {
+	request.request.Operation = control.OperationHistory
+	request.request.Program = pathProgram(ctx, findings)
+	request.request.Sequence = max(1, queryNumber(ctx, "from", 1, findings))
+	limit := queryNumber(ctx, "limit", defaultHistoryLimit, findings)
+	if limit < 1 || limit > maximumHistoryLimit {
+		findings.Add("query limit", "want 1 to %d", maximumHistoryLimit)
+	}
+	request.request.Limit = int(limit)
+	return nil
+}
+
+// parseList reads GET /v1/programs.
+func (g *Gateway) parseList(_ *fasthttp.RequestCtx, request *exchange, _ *api.Findings) *api.Error {
+	request.request.Operation = control.OperationList
+	return nil
+}
+
+// pathProgram reads the {id} of the path: placement, index and 16 digits.
+func pathProgram(ctx *fasthttp.RequestCtx, findings *api.Findings) api.ProgramID {
+	text, _ := ctx.UserValue("id").(string)
+	parts := strings.Split(text, ".")
+	valid := len(parts) == 3 && parts[0] != "" && len(parts[2]) == 16
+	if valid {
+		_, errIndex := strconv.ParseUint(parts[1], 10, 31)
+		_, errDigits := strconv.ParseUint(parts[2], 16, 64)
+		valid = errIndex == nil && errDigits == nil
+	}
+	if !valid || len(text) > 4*api.MaximumNameLength {
+		findings.Add("path id", "not a program id")
+		return ""
+	}
+	return api.ProgramID(strings.Clone(text))
+}
+
+// pathCall reads the {call} of the path: a sequence, or "key:" and a key.
+func pathCall(ctx *fasthttp.RequestCtx, findings *api.Findings) (sequence uint64, key string) {
+	text, _ := ctx.UserValue("call").(string)
+	if key, found := strings.CutPrefix(text, keyPrefix); found {
+		api.CheckKey(key, "path call", findings)
+		return 0, strings.Clone(key)
+	}
+	sequence, err := strconv.ParseUint(text, 10, 63)
+	if err != nil || sequence == 0 {
+		findings.Add("path call", "want a sequence from 1, or %q and the call's key", keyPrefix)
+	}
+	return sequence, ""
+}
+
+// queryBool reads an optional true or false of the query.
+func queryBool(ctx *fasthttp.RequestCtx, name string, absent bool, findings *api.Findings) bool {
+	text := string(ctx.QueryArgs().Peek(name))
+	if text == "" {
+		return absent
+	}
+	value, err := strconv.ParseBool(text)
+	if err != nil {
+		findings.Add("query "+name, "want true or false")
+	}
+	return value
+}
+
+// queryNumber reads an optional whole number of the query.
+func queryNumber(ctx *fasthttp.RequestCtx, name string, absent uint64, findings *api.Findings) uint64 {
+	text := string(ctx.QueryArgs().Peek(name))
+	if text == "" {
+		return absent
+	}
+	value, err := strconv.ParseUint(text, 10, 31)
+	if err != nil {
+		findings.Add("query "+name, "want a whole number from 0")
+	}
+	return value
+}
+
+// lastEvent reads the header that event-stream clients send when they
+// reconnect: the id of the last event that they got, "attempt:offset".
+func lastEvent(ctx *fasthttp.RequestCtx, findings *api.Findings) position {
+	text := string(ctx.Request.Header.Peek("Last-Event-ID"))
+	if text == "" {
+		return position{}
+	}
+	at, valid := parsePosition(text)
+	if !valid {
+		findings.Add("header Last-Event-ID", "want an event's id, attempt:offset")
+	}
+	return at
+}
+
+// parsePosition reads the id of an event.
+func parsePosition(text string) (position, bool) {
+	attemptText, offsetText, found := strings.Cut(text, ":")
+	attempt, errAttempt := strconv.ParseUint(attemptText, 10, 31)
+	offset, errOffset := strconv.ParseUint(offsetText, 10, 31)
+	valid := found && errAttempt == nil && errOffset == nil
+	return position{attempt: int(attempt), offset: int(offset)}, valid
+}
--- /dev/null
+++ b/gateway/perform.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/control"
+)
+
+// answer is what the caller gets: a JSON body, a refusal, or a stream.
+type answer struct {
+	status   int
+	body     []byte
+	refusal  *api.Error
+	source   source
+	attempts int
+	// pending: the wait was cut into slices and this one ended; the body is
+	// the call's state.
+	pending bool
+	// owner is the address to try in place of this node.
+	owner string
+}
+
+// outcome is what became of one attempt.
+type outcome struct {
+	answer
+	// retry: a later attempt, perhaps at another node, may succeed.
+	retry bool
+	// unknown: the attempt may have taken effect although it was not
+	// answered.
+	unknown bool
+}
+
+// refused returns the outcome of an attempt that was answered with an error.
+func refused(refusal *api.Error) outcome {
+	return outcome{answer: answer{refusal: refusal}}
+}
+
+// stateTimeout bounds the look at a call's state after a wait has ended.
+const stateTimeout = 2 * time.Second
+
+// minimumSlice is the least time between two slices of one wait.
+const minimumSlice = 50 * time.Millisecond
+
+// perform tries the request at its owner until it is answered. It is the only
+// layer that retries: an owner that got the request from a peer reports.
+//
+// Retrying is safe although an attempt without an answer may have taken
+// effect, because the owner knows the request by its key: a repeated create
+// or submit returns the program or call that the first one made, and a
+// repeated cancel or end changes nothing.
+func (g *Gateway) perform(ctx context.Context, request *exchange) answer {
+	g.budget.earn()
+	unknown := false
+	hint := ""
+	for attempt := 1; ; {
+		started := time.Now()
+		result := g.attempt(ctx, request, hint)
+		result.attempts = attempt
+		unknown = unknown || result.unknown
+		switch {
+		case result.pending && !request.peer && ctx.Err() == nil:
+			pauseUntil(ctx, started.Add(minimumSlice))
+		case !result.retry || request.peer:
+			return settle(request, result.answer, unknown)
+		case attempt >= g.config.MaximumAttempts || !g.budget.spend() || !g.pause(ctx, attempt):
+			return settle(request, result.answer, unknown)
+		default:
+			attempt++
+		}
+		hint = result.owner
+	}
+}
+
+// settle makes the last refusal true for the whole request: once an attempt
+// may have taken effect, "not run" would be a guess.
+func settle(request *exchange, last answer, unknown bool) answer {
+	refusal := last.refusal
+	if refusal == nil || !unknown || !request.changes() || refusal.Ran != api.RanNotRun {
+		return last
+	}
+	last.refusal = &api.Error{
+		Code:                   api.CodeOutcomeUnknown,
+		Message:                "the owner was lost after the request was sent; ask again with the same key (last: " + refusal.Message + ")",
+		Ran:                    api.RanOutcomeUnknown,
+		Retry:                  true,
+		RetryAfterMilliseconds: refusal.RetryAfterMilliseconds,
+	}
+	return last
+}
+
+// attempt performs the request once, here or at the owner.
+func (g *Gateway) attempt(ctx context.Context, request *exchange, hint string) outcome {
+	if request.request.Operation == control.OperationList {
+		return g.local(ctx, request)
+	}
+	if hint != "" {
+		return g.relay(ctx, request, hint)
+	}
+	route, refusal := g.service.Route(request.request.Program)
+	switch {
+	case refusal != nil:
+		result := refused(refusal)
+		result.retry = true
+		return result
+	case route.Local:
+		return g.local(ctx, request)
+	case request.peer:
+		result := refused(api.Refuse(api.CodeNotOwner, "node %s owns the program", route.Owner).After(0))
+		result.owner = route.Address
+		return result
+	default:
+		return g.relay(ctx, request, route.Address)
+	}
+}
+
+// local performs the request on this node.
+func (g *Gateway) local(ctx context.Context, request *exchange) outcome {
+	asked := request.request
+	asked.Wait = request.waits()
+	waitCtx := ctx
+	if asked.Wait && request.peer {
+		sliced, cancel := context.WithTimeout(ctx, g.config.WaitSlice)
+		defer cancel()
+		waitCtx = sliced
+	}
+	reply := g.service.Do(waitCtx, asked)
+	if reply.Error != nil && asked.Wait && waitCtx.Err() != nil {
+		reply = g.callState(asked)
+	}
+	if reply.Error != nil {
+		return refusedLocally(reply.Error)
+	}
+	if request.stream {
+		return g.openLocal(request, reply.Call)
+	}
+	result := outcome{answer: answer{status: statusOK, body: replyBody(&asked, &reply)}}
+	if reply.Call != nil && !reply.Call.Status.Terminal() && asked.Operation == control.OperationSubmit {
+		result.status = statusAccepted
+	}
+	if reply.Call != nil && !reply.Call.Status.Terminal() && asked.Wait {
+		result.status = statusAccepted
+		result.pending = true
+	}
+	return result
+}
+
+// The HTTP statuses of successful answers.
+const (
+	statusOK       = 200
+	statusAccepted = 202
+)
+
+// refusedLocally tells an error of this node's state machine that a later
+// attempt can mend from one that stands.
+func refusedLocally(refusal *api.Error) outcome {
+	result := refused(refusal)
+	result.retry = refusal.Code == api.CodeNotOwner || refusal.Code == api.CodeOwnerUnknown
+	result.unknown = refusal.Ran == api.RanOutcomeUnknown
+	return result
+}
+
+// callState asks for the state of a call whose wait ended early.
+func (g *Gateway) callState(asked control.Request) control.Reply {
+	if asked.Submit != nil {
+		asked.Key = asked.Submit.Key
+		asked.Sequence = 0
+	}
+	asked.Operation = control.OperationCall
+	asked.Submit = nil
+	asked.Wait = false
+	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
+	defer cancel()
+	reply := g.service.Do(ctx, asked)
+	if reply.Error == nil {
+		return reply
+	}
+	return control.Reply{Error: &api.Error{
+		Code:    api.CodeTimeout,
+		Message: "the call was not answered in time; ask again with the same key",
+		Ran:     api.RanOutcomeUnknown,
+		Retry:   true,
+	}}
+}
+
+// pause waits before the next attempt: exponential backoff of which half is
+// random. It reports false when the exchange's time is over.
+func (g *Gateway) pause(ctx context.Context, attempt int) bool {
+	delay := g.config.RetryDelay << min(attempt-1, 16)
+	delay = min(delay, g.config.MaximumRetryDelay)
+	half := delay / 2
+	delay = half + time.Duration(g.random.Float64()*float64(half))
+	return pauseUntil(ctx, time.Now().Add(delay))
+}
+
+// pauseUntil waits for the time and reports whether the context still lives.
+func pauseUntil(ctx context.Context, until time.Time) bool {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/api"
+)
+
+// contentTypeEvents is the type of server-sent events.
+const contentTypeEvents = "text/event-stream"
+
+// errNotSent marks a failure before anything of a request was sent.
+var errNotSent = errors.New("no connection to the node")
+
+// newPeerClient returns the client for requests to other nodes. It never
+// retries: perform does.
+func newPeerClient(config Config) *fasthttp.Client {
+	dialer := &net.Dialer{Timeout: config.DialTimeout}
+	return &fasthttp.Client{
+		Name:                      "birchwood-gateway",
+		NoDefaultUserAgentHeader:  true,
+		StreamResponseBody:        true,
+		MaxConnsPerHost:           config.ConnectionsPerPeer,
+		MaxConnWaitTimeout:        config.DialTimeout,
+		MaxIdleConnDuration:       config.IdleTimeout / 2,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		WriteTimeout:              config.WriteTimeout,
+		MaxResponseBodySize:       config.MaximumReplyBytes,
+		DisablePathNormalizing:    true,
+		Dial: func(address string) (net.Conn, error) {
+			conn, err := dialer.Dial("tcp", address)
+			if err != nil {
+				return nil, errNotSent
+			}
+			return &patientConn{Conn: conn, silence: config.PeerSilence}, nil
+		},
+	}
+}
+
+// patientConn bounds the silence before each read. A stream may last long, so
+// one deadline for the whole answer would cut it; a node that died without a
+// word would hold its readers for ever without any.
+type patientConn struct {
+	net.Conn
+	silence time.Duration
+}
+
+// Read waits for bytes no longer than the silence allows.
+func (c *patientConn) Read(buffer []byte) (int, error) {
+	if err := c.Conn.SetReadDeadline(time.Now().Add(c.silence)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(buffer)
+}
+
+// relay passes the request on to the node at the address.
+func (g *Gateway) relay(ctx context.Context, request *exchange, address string) outcome {
+	if request.hops >= g.config.MaximumHops {
+		return refused(api.Refuse(api.CodeOwnerUnknown, "passed on %d times without reaching the owner", request.hops).After(0))
+	}
+	outgoing := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(outgoing)
+	g.fillRelay(outgoing, request, address)
+	incoming := fasthttp.AcquireResponse()
+	err := g.client.Do(outgoing, incoming)
+	g.observer.Relayed(err != nil)
+	if err != nil {
+		fasthttp.ReleaseResponse(incoming)
+		return relayFailed(err)
+	}
+	if bytes.HasPrefix(incoming.Header.ContentType(), []byte(contentTypeEvents)) {
+		return outcome{answer: answer{source: newRemoteSource(g, request, incoming)}}
+	}
+	defer fasthttp.ReleaseResponse(incoming)
+	return g.readRelayed(ctx, incoming)
+}
+
+// fillRelay repeats the caller's request with what this node found out.
+func (g *Gateway) fillRelay(outgoing *fasthttp.Request, request *exchange, address string) {
+	outgoing.Header.SetMethod(request.method)
+	outgoing.SetRequestURI("http://" + address + request.uri)
+	outgoing.Header.SetContentType(contentTypeJSON)
+	outgoing.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+g.service.PeerToken())
+	outgoing.Header.Set(headerScope, "/"+string(request.scope))
+	outgoing.Header.Set(headerHops, strconv.Itoa(request.hops+1))
+	remaining := max(1, time.Until(request.deadline).Milliseconds())
+	outgoing.Header.Set(headerDeadline, strconv.FormatInt(remaining, 10))
+	if request.stream && request.position != (position{}) {
+		outgoing.Header.Set("Last-Event-ID", request.position.String())
+	}
+	outgoing.SetBodyRaw(request.body)
+}
+
+// relayFailed describes an attempt that got no answer.
+func relayFailed(err error) outcome {
+	notSent := errors.Is(err, errNotSent) || errors.Is(err, fasthttp.ErrNoFreeConns) ||
+		errors.Is(err, fasthttp.ErrDialTimeout)
+	result := refused(api.Refuse(api.CodeOwnerUnknown, "the owner does not answer").After(0))
+	result.retry = true
+	result.unknown = !notSent
+	return result
+}
+
+// readRelayed reads a JSON answer as a whole, so that one that breaks off can
+// still be asked for again.
+func (g *Gateway) readRelayed(_ context.Context, incoming *fasthttp.Response) outcome {
+	body, err := io.ReadAll(io.LimitReader(incoming.BodyStream(), int64(g.config.MaximumReplyBytes)))
+	if closeErr := incoming.CloseBodyStream(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return relayFailed(err)
+	}
+	status := incoming.StatusCode()
+	result := outcome{answer: answer{status: status, body: body}}
+	result.pending = len(incoming.Header.Peek(headerPending)) > 0
+	if status < fasthttp.StatusBadRequest {
+		return result
+	}
+	var failure errorBody
+	if json.Unmarshal(body, &failure) != nil || failure.Error == nil {
+		return relayFailed(errors.New("not an answer of a gateway"))
+	}
+	result = refusedLocally(failure.Error)
+	result.owner = string(incoming.Header.Peek(headerOwner))
+	return result
+}
+
+// String returns the position as an event's id.
+func (p position) String() string {
+	return strconv.Itoa(p.attempt) + ":" + strconv.Itoa(p.offset)
+}
--- /dev/null
+++ b/gateway/server.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/api"
+)
+
+const (
+	// headerBytes bounds a request's line and headers.
+	headerBytes = 16 << 10
+	// discardLimit and discardTimeout bound how much of an oversized body is
+	// read away, so that the refusal is not lost in a connection reset.
+	discardLimit   = 8 << 20
+	discardTimeout = 2 * time.Second
+)
+
+// newServer returns the server with every time-out and size limit set. The
+// write time-out bounds a whole JSON answer; streams renew it for each event.
+func (g *Gateway) newServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:               g.router.Handler,
+		ErrorHandler:          g.badRequest,
+		Name:                  "birchwood",
+		Concurrency:           g.config.Connections,
+		ReadBufferSize:        headerBytes,
+		ReadTimeout:           g.config.ReadTimeout,
+		WriteTimeout:          g.config.WriteTimeout,
+		IdleTimeout:           g.config.IdleTimeout,
+		MaxRequestBodySize:    g.config.MaximumBodyBytes,
+		ReduceMemoryUsage:     false,
+		TCPKeepalive:          true,
+		CloseOnShutdown:       true,
+		NoDefaultContentType:  true,
+		SecureErrorLogMessage: true,
+		Logger:                serverLogger{g},
+	}
+}
+
+// badRequest answers a request that could not be read as HTTP.
+func (g *Gateway) badRequest(ctx *fasthttp.RequestCtx, err error) {
+	refusal := readError(err, g.config.MaximumBodyBytes)
+	if refusal.Code == api.CodeBodyTooLarge {
+		discardBody(ctx.Conn())
+	}
+	ctx.SetConnectionClose()
+	g.refuse(ctx, &exchange{received: time.Now()}, refusal, 0)
+}
+
+// readError tells apart why a request could not be read.
+func readError(err error, maximumBody int) *api.Error {
+	var small *fasthttp.ErrSmallBuffer
+	var network net.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return api.Refuse(api.CodeBodyTooLarge, "the body is larger than %d bytes", maximumBody).At("body")
+	case errors.As(err, &small):
+		return api.Refuse(api.CodeBodyTooLarge, "the headers are larger than %d bytes", headerBytes).At("headers")
+	case errors.As(err, &network) && network.Timeout():
+		return api.Refuse(api.CodeTimeout, "the request did not arrive in time").After(0)
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		return api.Refuse(api.CodeBodyCutShort, "the connection ended before the request did").At("body").After(0)
+	default:
+		return api.Refuse(api.CodeBadRequest, "not a valid HTTP request").At("headers")
+	}
+}
+
+// discardBody reads what the caller is still sending, within bounds.
+func discardBody(conn net.Conn) {
+	_ = conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, conn, discardLimit)
+}
+
+// serverLogger passes the server's own messages on.
+type serverLogger struct{ gateway *Gateway }
+
+// Printf implements fasthttp.Logger.
+func (l serverLogger) Printf(format string, arguments ...any) {
+	l.gateway.logger.Debug().Msgf(logPrefix+format, arguments...)
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -32,7 +32,9 @@
 	// Do performs the request on this node. Its error code is
 	// CodeNotOwner when another node owns the program.
 	Do(ctx context.Context, request control.Request) control.Reply
-	// Stream returns the answer that is being generated on this node.
+	// Stream returns the answer that is being generated on this node. It
+	// should know a call's buffer from its admission on, so that the first
+	// text is seen at once; until it does, the gateway asks again and again.
 	Stream(call program.CallRef) (*stream.Buffer, bool)
 	// PeerToken authenticates nodes to each other.
 	PeerToken() string
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -75,7 +75,9 @@
 
 // Next waits until there is text after the offset of the attempt, or a newer
 // attempt, or the end. A reader whose attempt is older gets the newer one
-// from its beginning.
+// from its beginning. A reader whose attempt is newer than the buffer's (it
+// was served by another node before) waits until the buffer catches up. Next
+// returns the context's error when ctx ends first.
 func (b *Buffer) Next(ctx context.Context, attempt, offset int) (Part, error) {
 	for {
 		part, changed, ready := b.poll(attempt, offset)
@@ -90,6 +92,13 @@
 	}
 }
 
+// Attempt returns the attempt that the text belongs to; zero before the first.
+func (b *Buffer) Attempt() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.attempt
+}
+
 // poll returns what Next would return now, or the channel to wait on.
 func (b *Buffer) poll(attempt, offset int) (Part, <-chan struct{}, bool) {
 	b.mutex.Lock()
@@ -97,7 +106,8 @@
 	if attempt < b.attempt {
 		offset = 0
 	}
-	if offset < len(b.text) || b.closed || attempt < b.attempt {
+	ahead := attempt > b.attempt
+	if b.closed || attempt < b.attempt || (!ahead && offset < len(b.text)) {
 		from := min(offset, len(b.text))
 		return Part{Attempt: b.attempt, Offset: from, Text: string(b.text[from:]), Closed: b.closed}, nil, true
 	}
