config: read the settings file of a process

A process must refuse a wrong file before it starts anything, and name everything that is wrong at once.

--- /dev/null
+++ b/config/decode.go
@@ -0,0 +1,230 @@
+package config
+
+import (
+	"encoding"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// rootPath is the YAML path of a whole document.
+const rootPath = "$"
+
+// defaulter is a section that has default values of its own.
+type defaulter interface{ setDefaults() }
+
+// decoder writes a YAML document into typed values. Unlike the library's
+// decoder it goes on after a finding, and it remembers where values stand.
+type decoder struct {
+	source   source
+	findings []Finding
+}
+
+// decode reads the document into target, a pointer to a struct or slice.
+func (d *decoder) decode(data []byte, target any) {
+	parsed, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		d.syntax(err)
+		return
+	}
+	if len(parsed.Docs) != 1 || parsed.Docs[0].Body == nil {
+		d.findings = append(d.findings, d.source.finding(rootPath, "want exactly one YAML document"))
+		return
+	}
+	d.value(parsed.Docs[0].Body, reflect.ValueOf(target).Elem(), rootPath)
+}
+
+// syntax reports text that is no YAML.
+func (d *decoder) syntax(err error) {
+	found := Finding{File: d.source.name, Path: rootPath, Message: err.Error()}
+	var located yaml.Error
+	if errors.As(err, &located) {
+		found.Message = located.GetMessage()
+		if token := located.GetToken(); token != nil {
+			found.Line, found.Column = token.Position.Line, token.Position.Column
+		}
+	}
+	d.findings = append(d.findings, found)
+}
+
+func (d *decoder) find(path, format string, arguments ...any) {
+	d.findings = append(d.findings, d.source.finding(path, format, arguments...))
+}
+
+// value decodes one node of the document.
+func (d *decoder) value(node ast.Node, target reflect.Value, path string) {
+	d.locate(node, path)
+	switch typed := node.(type) {
+	case *ast.NullNode:
+		return // the default stays
+	case *ast.AliasNode, *ast.AnchorNode, *ast.TagNode, *ast.MergeKeyNode:
+		d.find(path, "aliases, anchors and tags are not used here: write the value out")
+		return
+	case *ast.MappingValueNode:
+		d.mapping([]*ast.MappingValueNode{typed}, target, path)
+		return
+	case *ast.MappingNode:
+		d.mapping(typed.Values, target, path)
+		return
+	case *ast.SequenceNode:
+		d.sequence(typed, target, path)
+		return
+	}
+	d.scalar(node, target, path)
+}
+
+func (d *decoder) locate(node ast.Node, path string) {
+	if token := node.GetToken(); token != nil {
+		if _, known := d.source.positions[path]; !known {
+			d.source.positions[path] = position{source: d.source.name, line: token.Position.Line, column: token.Position.Column}
+		}
+	}
+}
+
+func (d *decoder) mapping(entries []*ast.MappingValueNode, target reflect.Value, path string) {
+	if target.Kind() == reflect.Pointer {
+		if target.IsNil() {
+			target.Set(newValue(target.Type().Elem()))
+		}
+		target = target.Elem()
+	}
+	if target.Kind() != reflect.Struct {
+		d.find(path, "a mapping stands here: want %s", kindName(target.Type()))
+		return
+	}
+	fields := fieldsByName(target.Type())
+	for _, entry := range entries {
+		name := entry.Key.GetToken().Value
+		entryPath := path + "." + name
+		d.locate(entry.Key, entryPath)
+		index, known := fields[name]
+		if !known {
+			d.find(entryPath, "unknown key")
+			continue
+		}
+		d.value(entry.Value, target.Field(index), entryPath)
+	}
+}
+
+// newValue returns a pointer to a value that has its section's defaults.
+func newValue(created reflect.Type) reflect.Value {
+	pointer := reflect.New(created)
+	if section, hasDefaults := pointer.Interface().(defaulter); hasDefaults {
+		section.setDefaults()
+	}
+	return pointer
+}
+
+// fieldsByName returns the indexes of a struct's fields by their YAML names.
+func fieldsByName(structure reflect.Type) map[string]int {
+	fields := make(map[string]int, structure.NumField())
+	for index := range structure.NumField() {
+		if name := yamlName(structure.Field(index)); name != "" {
+			fields[name] = index
+		}
+	}
+	return fields
+}
+
+// yamlName returns a field's key in YAML; empty for a field that has none.
+func yamlName(field reflect.StructField) string {
+	tag := field.Tag.Get("yaml")
+	if tag == "" {
+		tag = field.Tag.Get("json")
+	}
+	name, _, _ := strings.Cut(tag, ",")
+	return name
+}
+
+func (d *decoder) sequence(node *ast.SequenceNode, target reflect.Value, path string) {
+	if target.Kind() != reflect.Slice {
+		d.find(path, "a list stands here: want %s", kindName(target.Type()))
+		return
+	}
+	items := reflect.MakeSlice(target.Type(), 0, len(node.Values))
+	for index, item := range node.Values {
+		element := newValue(target.Type().Elem()).Elem()
+		d.value(item, element, fmt.Sprintf("%s[%d]", path, index))
+		items = reflect.Append(items, element)
+	}
+	target.Set(items)
+}
+
+var durationType = reflect.TypeFor[time.Duration]()
+
+// scalar decodes text, a number or a truth value.
+func (d *decoder) scalar(node ast.Node, target reflect.Value, path string) {
+	if target.Kind() == reflect.Pointer {
+		target.Set(reflect.New(target.Type().Elem()))
+		target = target.Elem()
+	}
+	if err := assignScalar(node, target); err != nil {
+		d.find(path, "%v", err)
+	}
+}
+
+func assignScalar(node ast.Node, target reflect.Value) error {
+	wrong := fmt.Errorf("%q: want %s", node.GetToken().Value, kindName(target.Type()))
+	if target.Type() == durationType {
+		return assignDuration(node.GetToken().Value, target)
+	}
+	if _, isText := target.Addr().Interface().(encoding.TextUnmarshaler); isText {
+		return yaml.NodeToValue(node, target.Addr().Interface())
+	}
+	switch target.Kind() {
+	case reflect.Struct, reflect.Slice:
+		return wrong
+	case reflect.String:
+		if _, isString := node.(*ast.StringNode); !isString {
+			return fmt.Errorf("%q: want text; put it in quotes", node.GetToken().Value)
+		}
+	case reflect.Int, reflect.Int64, reflect.Uint64:
+		if _, isInteger := node.(*ast.IntegerNode); !isInteger {
+			return wrong
+		}
+	}
+	if err := yaml.NodeToValue(node, target.Addr().Interface()); err != nil {
+		return wrong
+	}
+	return nil
+}
+
+func assignDuration(text string, target reflect.Value) error {
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Errorf("%q: want a duration with a unit, such as 250ms, 2s or 1m30s", text)
+	}
+	target.SetInt(int64(parsed))
+	return nil
+}
+
+// kindName names a type for people.
+func kindName(of reflect.Type) string {
+	if of == durationType {
+		return "a duration"
+	}
+	switch of.Kind() {
+	case reflect.Pointer:
+		return kindName(of.Elem())
+	case reflect.Struct:
+		return "a mapping"
+	case reflect.Slice:
+		return "a list"
+	case reflect.String:
+		return "text"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Uint64:
+		return "a whole number that is not negative"
+	default:
+		return "a whole number"
+	}
+}
--- /dev/null
+++ b/config/dev.go
@@ -0,0 +1,116 @@
+package config
+
+import (
+	"fmt"
+	"time"
+
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/zone"
+)
+
+// AnyPort is the address of a listener whose port the system chooses.
+const AnyPort = "127.0.0.1:0"
+
+// The tokens and names of the development configuration. They are public:
+// nothing that listens beyond loopback may use them.
+const (
+	DevPeerToken     = "development-peer-token"
+	DevCallerToken   = "dev-caller-token"
+	DevOperatorToken = "dev-operator-token"
+	// DevBranch is where the caller's token counts.
+	DevBranch contract.Path = "demo"
+	// DevModel and DevLargeModel are what the engines have loaded.
+	DevModel      = "birch-8b"
+	DevLargeModel = "birch-70b"
+)
+
+// Development is all that one process needs to run the whole system in memory.
+type Development struct {
+	// Nodes are the settings of each node. Their listeners use AnyPort and
+	// their platform addresses are empty: the caller fills in what the
+	// system chose.
+	Nodes []*File
+	// Standin holds the stand-ins; its listeners use AnyPort too.
+	Standin *File
+	// Changes are the initial settings, in the order of the stream.
+	Changes []contract.Change
+}
+
+// devSpeed makes the engines of the development configuration fast enough
+// that a first call answers at once.
+const devSpeed = 10
+
+// Dev returns the configuration of `birchwood dev`: three zones, four nodes,
+// six engines and two kinds of tool service.
+func Dev() *Development {
+	zones := []Zone{{Name: "north", Region: "home"}, {Name: "south", Region: "home"}, {Name: "east", Region: "home"}}
+	development := &Development{Standin: devStandin(zones), Changes: devChanges(zones)}
+	for index := range len(zones) + 1 {
+		node := devFile(zones)
+		node.Node = &Node{
+			ID: machine.ID(fmt.Sprintf("node-%d", index+1)), Zone: zones[index%len(zones)].Name,
+			Listen: AnyPort, Operator: AnyPort,
+		}
+		node.PeerToken = DevPeerToken
+		node.Platform = &Platform{}
+		development.Nodes = append(development.Nodes, node)
+	}
+	return development
+}
+
+func devFile(zones []Zone) *File {
+	file := Defaults()
+	file.Zones = zones
+	file.Links = Links{}
+	return file
+}
+
+func devStandin(zones []Zone) *File {
+	file := devFile(zones)
+	standin := &Standin{}
+	standin.setDefaults()
+	standin.Platform, standin.Control = AnyPort, AnyPort
+	standin.MachineLag = 500 * time.Millisecond
+	for index := range 2 * len(zones) {
+		var engine Engine
+		engine.setDefaults()
+		engine.ID = machine.ID(fmt.Sprintf("engine-%d", index+1))
+		engine.Zone = zones[index%len(zones)].Name
+		engine.Address = AnyPort
+		engine.Models = []string{DevModel, DevLargeModel}
+		engine.Speed = devSpeed
+		standin.Engines = append(standin.Engines, engine)
+	}
+	for index, kind := range []string{"depot-events", "collections"} {
+		standin.Tools = append(standin.Tools, ToolService{
+			ID: machine.ID("tool-" + kind), Zone: zones[index].Name, Address: AnyPort, Kind: kind, Delay: defaultToolDelay,
+		})
+	}
+	file.Standin = standin
+	return file
+}
+
+// devTools are the tools that the two kinds of stand-in answer.
+var devTools = []string{
+	"record_seal_break", "acknowledge_alarm", "read_logger",
+	"issue_plan_receipt", "send_letter", "read_account",
+}
+
+func devChanges(zones []Zone) []contract.Change {
+	names := make([]zone.Name, len(zones))
+	for index := range zones {
+		names[index] = zones[index].Name
+	}
+	return []contract.Change{{
+		ID: "dev-settings", Actor: "birchwood dev",
+		Edits: []contract.Edit{
+			{Path: contract.Root, Values: contract.Values{
+				Zones: names, Models: []string{DevModel, DevLargeModel}, Tools: devTools,
+				OperatorTokens: []string{contract.HashToken(DevOperatorToken)},
+			}},
+			{Path: DevBranch, Values: contract.Values{CallerTokens: []string{contract.HashToken(DevCallerToken)}}},
+			{Path: DevBranch + "/" + contract.Path(names[0]) + "-only", Values: contract.Values{Zones: names[:1]}},
+		},
+	}}
+}
--- /dev/null
+++ b/config/load.go
@@ -0,0 +1,110 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml/parser"
+)
+
+// Override sets one value in place of the file's.
+type Override struct {
+	// Path is the value's YAML path without the leading "$.", such as
+	// "node.listen".
+	Path string
+	// Value is the value's text, as it would stand in the file.
+	Value string
+	// Origin names the flag in findings, such as "flag --listen".
+	Origin string
+}
+
+// Load reads a file, applies the overrides in order and checks the result. It
+// returns every finding; the file is nil when there are any.
+func Load(path string, overrides ...Override) (*File, []Finding) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, []Finding{{File: path, Path: rootPath, Message: err.Error()}}
+	}
+	return Parse(path, data, overrides...)
+}
+
+// Parse is Load for the content of a file; name stands in findings, and its
+// folder is where the relative paths of the file start.
+func Parse(name string, data []byte, overrides ...Override) (*File, []Finding) {
+	file := Defaults()
+	decoder := &decoder{source: source{name: name, positions: map[string]position{}}}
+	decoder.decode(data, file)
+	file.source = decoder.source
+	findings := decoder.findings
+	for _, override := range overrides {
+		findings = append(findings, file.Override(override)...)
+	}
+	if len(findings) > 0 && decoder.unreadable() {
+		return nil, findings
+	}
+	findings = append(findings, file.Validate()...)
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	if file.Standin != nil && file.Standin.Settings != "" && !filepath.IsAbs(file.Standin.Settings) {
+		file.Standin.Settings = filepath.Join(filepath.Dir(name), file.Standin.Settings)
+	}
+	return file, nil
+}
+
+// unreadable reports whether the document as a whole could not be read, so
+// that checks of its values would only repeat that.
+func (d *decoder) unreadable() bool {
+	for _, found := range d.findings {
+		if found.Path == rootPath {
+			return true
+		}
+	}
+	return false
+}
+
+// Override sets one value. Sections that the file leaves out are created.
+func (f *File) Override(override Override) []Finding {
+	path := rootPath + "." + override.Path
+	place := position{source: override.Origin}
+	decoder := &decoder{source: source{name: override.Origin, positions: map[string]position{path: place}}}
+	target := reflect.ValueOf(f).Elem()
+	for _, name := range strings.Split(override.Path, ".") {
+		if target.Kind() == reflect.Pointer {
+			if target.IsNil() {
+				target.Set(newValue(target.Type().Elem()))
+			}
+			target = target.Elem()
+		}
+		if target.Kind() != reflect.Struct {
+			return []Finding{decoder.source.finding(path, "unknown key")}
+		}
+		index, known := fieldsByName(target.Type())[name]
+		if !known {
+			return []Finding{decoder.source.finding(path, "unknown key")}
+		}
+		target = target.Field(index)
+	}
+	if target.Kind() == reflect.String {
+		target.SetString(override.Value)
+	} else {
+		decoder.override(override.Value, target, path)
+	}
+	if f.source.positions == nil {
+		f.source.positions = map[string]position{}
+	}
+	f.source.positions[path] = place
+	return decoder.findings
+}
+
+func (d *decoder) override(text string, target reflect.Value, path string) {
+	parsed, err := parser.ParseBytes([]byte(text), 0)
+	if err != nil || len(parsed.Docs) != 1 || parsed.Docs[0].Body == nil {
+		d.find(path, "%s", fmt.Sprintf("%q: want %s", text, kindName(target.Type())))
+		return
+	}
+	d.value(parsed.Docs[0].Body, target, path)
+}
--- /dev/null
+++ b/config/settings.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"birchwood.example/birchwood/contract"
+)
+
+// SettingsFile holds the initial settings tree of a deployment.
+type SettingsFile struct {
+	// ID and Actor are those of the change that the edits make up.
+	ID    string `yaml:"id" help:"The id of the change that the edits make up."`
+	Actor string `yaml:"actor" help:"Who makes the change, as the history shows it."`
+	// Edits are the branches, parents first.
+	Edits []contract.Edit `yaml:"edits" help:"The branches with what each sets, parents first."`
+}
+
+// LoadSettings reads a file of initial settings and checks them against an
+// empty tree. Tokens stand in the file as hashes.
+func LoadSettings(path string) ([]contract.Change, []Finding) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, []Finding{{File: path, Path: rootPath, Message: err.Error()}}
+	}
+	return ParseSettings(path, data)
+}
+
+// ParseSettings is LoadSettings for the content of a file.
+func ParseSettings(name string, data []byte) ([]contract.Change, []Finding) {
+	decoder := &decoder{source: source{name: name, positions: map[string]position{}}}
+	var file SettingsFile
+	decoder.decode(data, &file)
+	if len(decoder.findings) > 0 {
+		return nil, decoder.findings
+	}
+	change := contract.Change{ID: file.ID, Actor: file.Actor, Edits: file.Edits}
+	var findings []Finding
+	for _, found := range contract.NewTree().Check(change) {
+		path := rootPath + "." + strings.TrimPrefix(found.Place, rootPath)
+		findings = append(findings, decoder.source.finding(path, "%s", found.Message))
+	}
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	return []contract.Change{change}, nil
+}
+
+// Check reads a file of either sort and returns what is wrong with it: a file
+// with a key "edits" holds settings of the tree, any other those of a process.
+func Check(path string) []Finding {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return []Finding{{File: path, Path: rootPath, Message: err.Error()}}
+	}
+	if holdsEdits(data) {
+		_, findings := ParseSettings(path, data)
+		return findings
+	}
+	file, findings := Parse(path, data)
+	if file != nil && file.Standin != nil && file.Standin.Settings != "" {
+		_, settingsFindings := LoadSettings(file.Standin.Settings)
+		findings = append(findings, settingsFindings...)
+	}
+	return findings
+}
+
+func holdsEdits(data []byte) bool {
+	for line := range strings.Lines(string(data)) {
+		if strings.HasPrefix(line, "edits:") {
+			return true
+		}
+	}
+	return false
+}
+
+// Summary says in one line what a file describes.
+func (f *File) Summary() string {
+	if f.Node != nil {
+		return fmt.Sprintf("node %s in zone %s", f.Node.ID, f.Node.Zone)
+	}
+	return fmt.Sprintf("stand-ins: %d engines, %d tool services", len(f.Standin.Engines), len(f.Standin.Tools))
+}
--- a/contract/follower.go
+++ b/contract/follower.go
@@ -239,22 +239,28 @@
 	f.known = end
 }
 
-// Heard takes a peer's report. A report of a newer record starts a read at
-// once, unless reads fail: then the backoff stands, so that a store that
-// comes back is not met by a storm.
-func (f *Follower) Heard(now time.Time, report Report) {
+// Heard takes in that an accepted change of this revision exists. A newer one
+// than this node holds starts a read at once, unless reads fail: then the
+// backoff stands, so that a store that comes back is not met by a storm.
+func (f *Follower) Heard(now time.Time, revision Revision) {
+	f.learn(now, uint64(revision))
+	if f.known > f.tree.Position() && !f.reading && f.failures == 0 {
+		f.startRead(now)
+	}
+}
+
+// HeardReport takes a peer's report. It does what Heard does, and lets the
+// peer confirm the settings, or the outage of the store, for this node.
+func (f *Follower) HeardReport(now time.Time, report Report) {
 	if report.Peer == f.config.Self {
 		return
 	}
 	f.peers[report.Peer] = heard{report: report, at: now}
-	f.learn(now, max(report.Known, report.Position))
+	f.Heard(now, Revision(max(report.Known, report.Position)))
 	confirmed := heard{report: report, at: now}.confirmedAt()
 	if report.Position == f.tree.Position() && report.Known <= report.Position && confirmed.After(f.confirmed) {
 		f.confirmed = confirmed
 	}
-	if f.known > f.tree.Position() && !f.reading && f.failures == 0 {
-		f.startRead(now)
-	}
 }
 
 // Report returns what this node tells its peers.
--- a/contract/path.go
+++ b/contract/path.go
@@ -74,3 +74,6 @@
 	}
 	return string(p)
 }
+
+// Within reports whether p is scope or lies below it.
+func (p Path) Within(scope Path) bool { return scope.Contains(p) }
