--- /dev/null
+++ b/emulator/enginemodel/iteration.go
@@ -0,0 +1,340 @@
+package enginemodel
+
+import (
+	"container/heap"
+	"slices"
+	"strings"
+	"time"
+
+	"birchwood.example/birchwood/api"
+)
+
+// iteration is a run of equal iterations of the batch. All but the last only
+// decode, and no sequence ends before the last.
+type iteration struct {
+	start    time.Time
+	duration time.Duration
+	// count is zero while the engine is idle.
+	count int
+}
+
+// end is when the last iteration ends.
+func (i iteration) end() time.Time {
+	return i.start.Add(time.Duration(i.count) * i.duration)
+}
+
+// advance lets time pass until now.
+func (e *Engine) advance(now time.Time) {
+	for len(e.timers) > 0 && !e.timers[0].at.After(now) {
+		due := e.timers[0]
+		e.timers = e.timers[1:]
+		e.run(due.at)
+		e.fire(due)
+	}
+	e.run(now)
+	for len(e.finishedOrder) > 0 && !e.finishedOrder[0].until.After(now) {
+		delete(e.finished, e.finishedOrder[0].stream)
+		e.finishedOrder = e.finishedOrder[1:]
+	}
+}
+
+// run computes the batch until now.
+func (e *Engine) run(now time.Time) {
+	for {
+		if e.iteration.count == 0 && !e.startIteration() {
+			break
+		}
+		if end := e.iteration.end(); !end.After(now) {
+			e.complete(e.iteration.count, end)
+			continue
+		}
+		done := int(now.Sub(e.iteration.start) / e.iteration.duration)
+		if done > 0 {
+			e.complete(done, e.iteration.start.Add(time.Duration(done)*e.iteration.duration))
+		}
+		break
+	}
+	if now.After(e.clock) {
+		e.clock = now
+	}
+}
+
+// interrupt makes the iteration that runs the last of its run, because the
+// next one has another batch.
+func (e *Engine) interrupt() {
+	e.iteration.count = min(e.iteration.count, 1)
+}
+
+// startIteration admits sequences and plans the next iterations. It reports
+// false when there is nothing to run.
+func (e *Engine) startIteration() bool {
+	e.admit()
+	if len(e.running) == 0 {
+		return false
+	}
+	prefill := e.planPrefill()
+	decoding, shortest := 0, 0
+	for _, running := range e.running {
+		if running.prefillLeft > 0 {
+			continue
+		}
+		decoding++
+		left := running.target - running.produced
+		if shortest == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	e.iteration = iteration{
+		start: e.clock,
+		duration: e.config.StepOverhead +
+			time.Duration(decoding)*e.config.DecodePerSequence +
+			time.Duration(prefill)*e.config.PrefillPerToken,
+		count: 1,
+	}
+	if prefill == 0 {
+		e.iteration.count = shortest
+	}
+	return true
+}
+
+// admit moves waiting sequences into the batch while a slot and memory for
+// their prompt and whole output are free. Reserving the output means that a
+// running sequence never has to be preempted.
+func (e *Engine) admit() {
+	for len(e.waiting) > 0 && len(e.running) < e.config.Slots {
+		next := e.waiting[0]
+		needed := next.PromptTokens + next.MaxOutputTokens
+		held := e.cache.take(next.Owner)
+		if !e.makeRoom(needed) {
+			if held != nil {
+				e.putBack(held)
+			}
+			return
+		}
+		heap.Pop(&e.waiting)
+		e.start(next, held, needed)
+	}
+}
+
+// putBack returns a prefix that was taken for a sequence that did not fit.
+func (e *Engine) putBack(held *prefix) {
+	e.cache.put(held)
+}
+
+// start puts a sequence into the batch on top of the prefix that is held.
+func (e *Engine) start(started *sequence, held *prefix, reserved int) {
+	if held != nil && started.Fresh {
+		e.countIdle(held)
+	}
+	if held != nil && !started.Fresh {
+		started.cached = min(held.tokens, started.PromptTokens-1)
+	}
+	started.prefillLeft = started.PromptTokens - started.cached
+	started.reserved = reserved
+	e.reserved += reserved
+	e.running = append(e.running, started)
+	e.stats.CachedTokens += int64(started.cached)
+}
+
+// planPrefill shares the iteration's prefill among the sequences that need
+// it, in order of priority, and returns its sum.
+func (e *Engine) planPrefill() int {
+	pending := e.pendingPrefill()
+	budget := max(1, e.config.ChunkTokens*roleChunks[e.role]/chunkUnit)
+	left := budget
+	for _, next := range pending {
+		next.chunk = min(next.prefillLeft, left)
+		left -= next.chunk
+	}
+	return budget - left
+}
+
+// pendingPrefill returns the running sequences whose prompt is not computed.
+func (e *Engine) pendingPrefill() []*sequence {
+	var pending []*sequence
+	for _, running := range e.running {
+		if running.prefillLeft > 0 {
+			pending = append(pending, running)
+		}
+	}
+	slices.SortFunc(pending, func(a, b *sequence) int {
+		if before(a, b) {
+			return -1
+		}
+		return 1
+	})
+	return pending
+}
+
+// complete applies done iterations, of which the last ends at the given time.
+func (e *Engine) complete(done int, end time.Time) {
+	e.stats.Busy += time.Duration(done) * e.iteration.duration
+	e.clock = end
+	e.iteration.start = end
+	e.iteration.count -= done
+	ended := false
+	for _, running := range e.running {
+		e.progress(running, done)
+		ended = ended || running.produced >= running.target
+	}
+	if ended {
+		e.finishEnded()
+	}
+}
+
+// progress applies done iterations to one sequence.
+func (e *Engine) progress(running *sequence, done int) {
+	if running.prefillLeft == 0 {
+		running.produced += done
+		e.stats.OutputTokens += int64(done)
+		return
+	}
+	running.prefillLeft -= running.chunk
+	e.stats.PrefillTokens += int64(running.chunk)
+	running.chunk = 0
+	if running.prefillLeft > 0 {
+		return
+	}
+	running.produced = 1
+	e.stats.OutputTokens++
+	running.firstTokenAt = e.clock
+	e.outputs.add(Output{At: e.clock, FirstToken: running.Stream})
+}
+
+// finishEnded ends every sequence that has its whole output.
+func (e *Engine) finishEnded() {
+	for i := 0; i < len(e.running); {
+		running := e.running[i]
+		if running.produced < running.target {
+			i++
+			continue
+		}
+		e.leaveBatch(running)
+		e.keep(running.Owner, running.computed())
+		e.finish(running, false)
+	}
+}
+
+// order applies a fenced order.
+func (e *Engine) order(order Order) error {
+	if order.Fence < e.fence {
+		return ErrStaleFence
+	}
+	if _, known := roleChunks[order.Role]; order.Role != "" && !known {
+		return ErrUnknownRole
+	}
+	if err := e.loadable(order); err != nil {
+		return err
+	}
+	e.fence = order.Fence
+	if order.Role != "" {
+		e.role = order.Role
+	}
+	if order.Unload != "" {
+		e.unload(order.Unload)
+	}
+	if order.Load != "" && !e.models[order.Load] {
+		wait := order.WeightsIn
+		if isAdapter(order.Load) {
+			wait += e.config.AdapterLoad
+		}
+		e.addTimer(timer{at: e.clock.Add(wait), kind: timerModel, model: order.Load, fence: order.Fence})
+	}
+	return nil
+}
+
+// loadable says why the order's model cannot be loaded.
+func (e *Engine) loadable(order Order) error {
+	if order.Load == "" || e.models[order.Load] {
+		return nil
+	}
+	held := len(e.models)
+	if e.models[order.Unload] {
+		held--
+	}
+	for _, pending := range e.timers {
+		if pending.kind == timerModel && pending.model != order.Load {
+			held++
+		}
+	}
+	if held >= e.config.MaximumModels {
+		return ErrNoRoom
+	}
+	if base, _, _ := strings.Cut(order.Load, adapterSeparator); isAdapter(order.Load) && !e.models[base] {
+		return ErrModelNotLoaded
+	}
+	return nil
+}
+
+// adapterSeparator stands between a model with its version ("base@version")
+// and an adapter on it.
+const adapterSeparator = "+"
+
+// isAdapter reports whether the name is that of an adapter on a model.
+func isAdapter(model string) bool { return strings.Contains(model, adapterSeparator) }
+
+// unload forgets a model and the adapters on it. Streams that were accepted
+// still end.
+func (e *Engine) unload(model string) {
+	delete(e.models, model)
+	for name := range e.models {
+		if strings.HasPrefix(name, model+adapterSeparator) {
+			delete(e.models, name)
+		}
+	}
+	e.timers = slices.DeleteFunc(e.timers, func(pending timer) bool {
+		return pending.kind == timerModel && pending.model == model
+	})
+}
+
+// Models returns the loaded models, sorted.
+func (e *Engine) Models() []string {
+	names := make([]string, 0, len(e.models))
+	for name := range e.models {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// timerKind tells what a timer is for.
+type timerKind int
+
+const (
+	timerReport timerKind = iota
+	timerImported
+	timerModel
+)
+
+// timer is something that happens at a known time.
+type timer struct {
+	at    time.Time
+	kind  timerKind
+	owner api.ProgramID
+	model string
+	fence uint64
+}
+
+// addTimer keeps the timers sorted; equal times keep their order.
+func (e *Engine) addTimer(added timer) {
+	at := len(e.timers)
+	for at > 0 && e.timers[at-1].at.After(added.at) {
+		at--
+	}
+	e.timers = slices.Insert(e.timers, at, added)
+}
+
+// fire performs a timer.
+func (e *Engine) fire(due timer) {
+	switch due.kind {
+	case timerReport:
+		measured := e.load()
+		e.outputs.addLoad(Output{At: e.clock.Add(e.config.ReportDelay), Load: &measured})
+		e.addTimer(timer{at: due.at.Add(e.config.ReportPeriod), kind: timerReport})
+	case timerImported:
+		e.endImport(due.owner)
+	case timerModel:
+		e.models[due.model] = true
+		e.outputs.add(Output{At: e.clock, ModelReady: due.model})
+	}
+}
--- /dev/null
+++ b/emulator/standin/engine.go
@@ -0,0 +1,296 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/emulator/enginemodel"
+	"birchwood.example/birchwood/engine"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/schedule"
+)
+
+const (
+	// progressInterval is how often streams in progress are served.
+	progressInterval = 10 * time.Millisecond
+	// keptEvents is how many cache events can still be asked for.
+	keptEvents = 4096
+)
+
+// runningEngine drives the engine model in real time on a goroutine of its
+// own.
+type runningEngine struct {
+	config EngineConfig
+
+	mutex    sync.Mutex
+	model    *enginemodel.Engine
+	prefixes map[api.ProgramID]prefixText
+	answers  map[string]answerText
+	events   []engine.CacheEvent
+	report   schedule.Load
+	// changed is closed and replaced when streams have moved on.
+	changed chan struct{}
+	kick    chan struct{}
+}
+
+// prefixText identifies the text of a program's cached prefix.
+type prefixText struct {
+	length int
+	hash   uint64
+}
+
+// newRunningEngine returns an engine at rest.
+func newRunningEngine(config EngineConfig, random *rand.Rand) (*runningEngine, error) {
+	rates := enginemodel.DefaultConfig(config.ID, config.Models...).Faster(config.Speed)
+	rates.Slots = config.Slots
+	rates.CacheTokens = config.CacheTokens
+	model, err := enginemodel.New(rates, time.Now(), random)
+	if err != nil {
+		return nil, err
+	}
+	return &runningEngine{
+		config:   config,
+		model:    model,
+		prefixes: make(map[api.ProgramID]prefixText),
+		answers:  make(map[string]answerText),
+		changed:  make(chan struct{}),
+		kick:     make(chan struct{}, 1),
+	}, nil
+}
+
+// run lets time pass until closed.
+func (r *runningEngine) run(closed <-chan struct{}) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-r.kick:
+		case <-closed:
+			return
+		}
+		timer.Reset(r.tick())
+	}
+}
+
+// tick lets time pass until now and returns how long to sleep.
+func (r *runningEngine) tick() time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := time.Now()
+	_ = r.model.Step(now, enginemodel.Event{})
+	r.take(now)
+	close(r.changed)
+	r.changed = make(chan struct{})
+	sleep := time.Hour
+	if next := r.model.NextWake(); !next.IsZero() {
+		sleep = max(time.Until(next), 0)
+	}
+	if load := r.model.Load(); load.Running > 0 {
+		sleep = min(sleep, progressInterval)
+	}
+	return sleep
+}
+
+// take handles what the model tells. The mutex is held.
+func (r *runningEngine) take(now time.Time) {
+	for _, output := range r.model.Ready(now) {
+		switch {
+		case output.Load != nil:
+			r.report = *output.Load
+		case output.CacheEvent != nil:
+			r.events = append(r.events, *output.CacheEvent)
+			if len(r.events) > keptEvents {
+				r.events = append([]engine.CacheEvent(nil), r.events[len(r.events)-keptEvents/2:]...)
+			}
+		case output.Finished != nil:
+			r.forgetAnswers()
+		}
+	}
+}
+
+// forgetAnswers drops the answers of streams that cannot be resumed any more,
+// now and then. The mutex is held.
+func (r *runningEngine) forgetAnswers() {
+	if len(r.answers)%1024 != 0 {
+		return
+	}
+	for stream := range r.answers {
+		if _, known := r.model.Progress(stream); !known {
+			delete(r.answers, stream)
+		}
+	}
+	for owner := range r.prefixes {
+		if r.model.Resident(owner) == 0 && !r.runs(owner) {
+			delete(r.prefixes, owner)
+		}
+	}
+}
+
+// runs reports whether the owner has a running sequence. The mutex is held.
+func (r *runningEngine) runs(owner api.ProgramID) bool {
+	for _, listed := range r.model.Prefixes() {
+		if listed.Owner == owner {
+			return true
+		}
+	}
+	return false
+}
+
+// step applies an event now and wakes the driver.
+func (r *runningEngine) step(event enginemodel.Event) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.stepLocked(event)
+}
+
+// stepLocked is step with the mutex held.
+func (r *runningEngine) stepLocked(event enginemodel.Event) error {
+	now := time.Now()
+	err := r.model.Step(now, event)
+	r.take(now)
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+	return err
+}
+
+// generate starts the stream, or attaches to it.
+func (r *runningEngine) generate(request engine.GenerateRequest) (answerText, error) {
+	text := newAnswerText(request.Model, request.Prompt)
+	if request.Stream == "" || request.Owner == "" || request.MaxOutputTokens <= 0 {
+		return text, errors.New("stream, owner and max_output_tokens: want all")
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if known, ok := r.answers[request.Stream]; ok && known != text {
+		return text, fmt.Errorf("stream %q: known with another prompt", request.Stream)
+	}
+	output := text.tokens(request.MaxOutputTokens)
+	err := r.stepLocked(enginemodel.Event{Generate: &enginemodel.Generate{
+		Stream:          request.Stream,
+		Owner:           request.Owner,
+		Model:           request.Model,
+		Priority:        request.Priority,
+		PromptTokens:    tokensOf(request.Prompt),
+		OutputTokens:    output,
+		MaxOutputTokens: request.MaxOutputTokens,
+		Fresh:           !r.continues(request),
+	}})
+	if err != nil {
+		return text, err
+	}
+	r.answers[request.Stream] = text
+	r.prefixes[request.Owner] = prefixText{length: len(request.Prompt), hash: xxhash.Sum64String(request.Prompt)}
+	return text, nil
+}
+
+// continues reports whether the prompt begins with the last prompt of its
+// owner; else nothing that is cached for the owner can be used. The mutex is
+// held.
+func (r *runningEngine) continues(request engine.GenerateRequest) bool {
+	known, ok := r.prefixes[request.Owner]
+	if !ok || known.length == 0 {
+		return true
+	}
+	return known.length <= len(request.Prompt) &&
+		xxhash.Sum64String(request.Prompt[:known.length]) == known.hash
+}
+
+// progress returns how far a stream is, and the channel that is closed when
+// streams have moved on.
+func (r *runningEngine) progress(stream string) (enginemodel.Progress, bool, <-chan struct{}) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	progress, known := r.model.Progress(stream)
+	return progress, known, r.changed
+}
+
+// eventsAfter returns the kept cache events after a sequence.
+func (r *runningEngine) eventsAfter(after uint64) []engine.CacheEvent {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	events := []engine.CacheEvent{}
+	for _, event := range r.events {
+		if event.Sequence > after {
+			events = append(events, event)
+		}
+	}
+	return events
+}
+
+// lastReport returns the last load report that has arrived.
+func (r *runningEngine) lastReport() schedule.Load {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.report
+}
+
+// listPrefixes lists the cached prefixes.
+func (r *runningEngine) listPrefixes() []engine.Prefix {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_ = r.stepLocked(enginemodel.Event{})
+	return r.model.Prefixes()
+}
+
+// setLag changes how late reports and cache events are told.
+func (r *runningEngine) setLag(lag time.Duration, lagging bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if lagging {
+		r.model.SetDelays(lag, lag)
+		return
+	}
+	r.model.SetDelays(enginemodel.DefaultReportDelay, enginemodel.DefaultEventDelay)
+}
+
+// export drops the owner's prefix and returns what it was.
+func (r *runningEngine) export(owner api.ProgramID) (int, prefixText) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	tokens := r.model.Resident(owner)
+	_ = r.stepLocked(enginemodel.Event{Export: &enginemodel.Export{Owner: owner}})
+	return tokens, r.prefixes[owner]
+}
+
+// imports receives a prefix that another engine exported.
+func (r *runningEngine) imports(owner api.ProgramID, tokens int, text prefixText) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	err := r.stepLocked(enginemodel.Event{Import: &enginemodel.Import{Owner: owner, Tokens: tokens}})
+	if err == nil {
+		r.prefixes[owner] = text
+	}
+	return err
+}
+
+// resident returns how much of the owner's prefix is cached.
+func (r *runningEngine) resident(owner api.ProgramID) (int, <-chan struct{}) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.model.Resident(owner), r.changed
+}
+
+// machine is the engine's entry of the machine list.
+func (r *runningEngine) machine(address string, status machine.Status) machine.Machine {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return machine.Machine{
+		ID:          r.config.ID,
+		Kind:        machine.KindEngine,
+		Zone:        r.config.Zone,
+		Address:     address,
+		Status:      status,
+		Models:      r.model.Models(),
+		Slots:       r.config.Slots,
+		CacheTokens: r.config.CacheTokens,
+	}
+}
--- /dev/null
+++ b/emulator/standin/enginehttp.go
@@ -0,0 +1,293 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/emulator/enginemodel"
+	"birchwood.example/birchwood/engine"
+	"birchwood.example/birchwood/zone"
+)
+
+// keepAliveInterval is how often an idle stream gets an empty line, so that a
+// caller that hung up is noticed.
+const keepAliveInterval = 500 * time.Millisecond
+
+// engineService serves one engine's routes.
+type engineService struct {
+	engine *runningEngine
+	gate   *gate
+	set    *Set
+}
+
+// routes returns the engine's routes behind their faults.
+func (s *engineService) routes() *router.Router {
+	routes := router.New()
+	routes.POST("/generate", s.gate.guard(s.generate))
+	routes.POST("/cancel", s.gate.guard(s.cancel))
+	routes.POST("/release", s.gate.guard(s.release))
+	routes.GET("/prefixes", s.gate.guard(s.listPrefixes))
+	routes.GET("/events", s.gate.guard(s.listEvents))
+	routes.GET("/load", s.gate.guard(s.load))
+	routes.POST("/order", s.gate.guard(s.order))
+	routes.POST("/import", s.gate.guard(s.imports))
+	return routes
+}
+
+type streamBody struct {
+	Stream string `json:"stream"`
+}
+
+type ownerBody struct {
+	Owner api.ProgramID `json:"owner"`
+}
+
+type importBody struct {
+	Owner api.ProgramID `json:"owner"`
+	// From is the machine ID or the address of the engine that has the KV.
+	From string `json:"from"`
+}
+
+type prefixesBody struct {
+	Prefixes []engine.Prefix `json:"prefixes"`
+}
+
+type eventsBody struct {
+	Events []engine.CacheEvent `json:"events"`
+}
+
+// generate starts or resumes a stream and answers it as lines of JSON.
+func (s *engineService) generate(ctx *fasthttp.RequestCtx) {
+	var request engine.GenerateRequest
+	if !decode(ctx, &request) {
+		return
+	}
+	text, err := s.engine.generate(request)
+	if err != nil {
+		fail(ctx, statusOf(err), err)
+		return
+	}
+	caller := callerZone(ctx)
+	found, _ := s.gate.faults.effectsOn(s.gate.service, caller)
+	writer := &streamWriter{
+		service:    s,
+		stream:     request.Stream,
+		text:       text,
+		sent:       request.ResumeFrom / bytesPerToken,
+		skip:       request.ResumeFrom % bytesPerToken,
+		caller:     caller,
+		answerLost: found.answerLost,
+	}
+	ctx.SetContentType("application/x-ndjson")
+	ctx.SetBodyStreamWriter(writer.write)
+}
+
+// statusOf maps the engine's refusals to a status; all say that nothing ran.
+func statusOf(err error) int {
+	if errors.Is(err, enginemodel.ErrLeaving) {
+		return fasthttp.StatusServiceUnavailable
+	}
+	if errors.Is(err, enginemodel.ErrStaleFence) {
+		return fasthttp.StatusConflict
+	}
+	return fasthttp.StatusUnprocessableEntity
+}
+
+// streamWriter writes one stream to one caller.
+type streamWriter struct {
+	service *engineService
+	stream  string
+	text    answerText
+	// sent counts the tokens that the caller has; skip the bytes of the next
+	// one that it has already.
+	sent       int
+	skip       int
+	caller     zone.Name
+	answerLost bool
+}
+
+// write follows the stream until its end, or until the caller hangs up or is
+// cut off. A caller that hangs up does not stop the stream: it may resume.
+func (w *streamWriter) write(out *bufio.Writer) {
+	for {
+		progress, known, changed := w.service.engine.progress(w.stream)
+		if !known || w.service.gate.faults.isCut(w.service.gate.service, w.caller) {
+			return
+		}
+		if w.answerLost && progress.Done {
+			return
+		}
+		if err := w.writeProgress(out, progress); err != nil || progress.Done {
+			return
+		}
+		if !w.wait(out, changed) {
+			return
+		}
+	}
+}
+
+// writeProgress writes what the caller does not have yet.
+func (w *streamWriter) writeProgress(out *bufio.Writer, progress enginemodel.Progress) error {
+	if progress.Produced <= w.sent && !progress.Done {
+		return out.Flush()
+	}
+	chunk := engine.Chunk{Offset: w.sent*bytesPerToken + w.skip}
+	if progress.Produced > w.sent {
+		text := w.text.slice(w.sent, progress.Produced)
+		chunk.Text = text[min(w.skip, len(text)):]
+		w.skip = 0
+		w.sent = progress.Produced
+	}
+	if progress.Done {
+		chunk.Done = true
+		chunk.Usage = progress.Finished.Usage
+		chunk.Load = progress.Finished.Load
+		chunk.Resident = progress.Finished.Resident
+		if progress.Finished.Cancelled {
+			chunk.Error = "cancelled"
+		}
+	}
+	return writeLine(out, chunk)
+}
+
+// writeLine writes one JSON line and flushes it.
+func writeLine(out *bufio.Writer, value any) error {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	if _, err := out.Write(append(encoded, '\n')); err != nil {
+		return err
+	}
+	return out.Flush()
+}
+
+// wait blocks until the stream may have moved on. It reports false when the
+// caller has hung up or the stand-ins are closed.
+func (w *streamWriter) wait(out *bufio.Writer, changed <-chan struct{}) bool {
+	timer := time.NewTimer(keepAliveInterval)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+		_ = out.WriteByte('\n')
+		return out.Flush() == nil
+	case <-w.service.gate.closed:
+		return false
+	}
+}
+
+// cancel stops a stream.
+func (s *engineService) cancel(ctx *fasthttp.RequestCtx) {
+	var body streamBody
+	if !decode(ctx, &body) {
+		return
+	}
+	_ = s.engine.step(enginemodel.Event{Cancel: &enginemodel.Cancel{Stream: body.Stream}})
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+// release drops a program's prefix.
+func (s *engineService) release(ctx *fasthttp.RequestCtx) {
+	var body ownerBody
+	if !decode(ctx, &body) {
+		return
+	}
+	_ = s.engine.step(enginemodel.Event{Release: &enginemodel.Release{Owner: body.Owner}})
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+// listPrefixes lists the cached prefixes.
+func (s *engineService) listPrefixes(ctx *fasthttp.RequestCtx) {
+	answer(ctx, prefixesBody{Prefixes: s.engine.listPrefixes()})
+}
+
+// listEvents returns the cache events after the sequence of the query.
+func (s *engineService) listEvents(ctx *fasthttp.RequestCtx) {
+	s.followLag()
+	after, err := ctx.QueryArgs().GetUint("after")
+	if err != nil {
+		after = 0
+	}
+	answer(ctx, eventsBody{Events: s.engine.eventsAfter(uint64(after))})
+}
+
+// load returns the last load report.
+func (s *engineService) load(ctx *fasthttp.RequestCtx) {
+	s.followLag()
+	answer(ctx, s.engine.lastReport())
+}
+
+// followLag applies the lagging fault that is in force, if any.
+func (s *engineService) followLag() {
+	s.engine.setLag(s.gate.faults.lag(s.gate.service.name))
+}
+
+// order applies a fenced order. The weights come from the weight store.
+func (s *engineService) order(ctx *fasthttp.RequestCtx) {
+	var body engine.Order
+	if !decode(ctx, &body) {
+		return
+	}
+	order := enginemodel.Order{Fence: body.Fence, Load: body.Load, Unload: body.Unload}
+	if body.Load != "" {
+		order.WeightsIn = s.set.platform.reserveWeights(body.Load)
+	}
+	if err := s.engine.step(enginemodel.Event{Order: &order}); err != nil {
+		fail(ctx, statusOf(err), err)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+// imports moves a program's KV cache here from another engine of the set, and
+// answers once it has arrived.
+func (s *engineService) imports(ctx *fasthttp.RequestCtx) {
+	var body importBody
+	if !decode(ctx, &body) {
+		return
+	}
+	source := s.set.findEngine(body.From)
+	if source == nil || source == s.engine {
+		fail(ctx, fasthttp.StatusNotFound, fmt.Errorf("from: no engine %q", body.From))
+		return
+	}
+	tokens, text := source.export(body.Owner)
+	if tokens == 0 {
+		fail(ctx, fasthttp.StatusNotFound, fmt.Errorf("owner: nothing cached at %q", body.From))
+		return
+	}
+	if err := s.engine.imports(body.Owner, tokens, text); err != nil {
+		fail(ctx, statusOf(err), err)
+		return
+	}
+	s.awaitImport(body.Owner)
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+// awaitImport waits until the prefix is cached here.
+func (s *engineService) awaitImport(owner api.ProgramID) {
+	limit := time.NewTimer(hungLimit)
+	defer limit.Stop()
+	for {
+		resident, changed := s.engine.resident(owner)
+		if resident > 0 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-s.gate.closed:
+			return
+		case <-limit.C:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/emulator/standin/fault.go
@@ -0,0 +1,271 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"birchwood.example/birchwood/zone"
+)
+
+// FaultKind tells what a fault does.
+type FaultKind string
+
+// The kinds of fault.
+const (
+	// FaultDown closes the connection before anything happened.
+	FaultDown FaultKind = "down"
+	// FaultUnavailable answers 503 before anything happened.
+	FaultUnavailable FaultKind = "unavailable"
+	// FaultSlow adds Delay before the action.
+	FaultSlow FaultKind = "slow"
+	// FaultAnswerLost closes the connection after the action took effect.
+	FaultAnswerLost FaultKind = "answer_lost"
+	// FaultHung holds the request, without action or answer, until the fault
+	// is removed; then it closes the connection.
+	FaultHung FaultKind = "hung"
+	// FaultLagging makes the machine list, or an engine's load reports and
+	// cache events, as late as Delay.
+	FaultLagging FaultKind = "lagging"
+	// FaultCut holds the requests from zone From to zone To as FaultHung does,
+	// and cuts their answers.
+	FaultCut FaultKind = "cut"
+)
+
+// The targets of the platform's own services. Other targets are machine IDs;
+// TargetAll is every service.
+const (
+	TargetLog      = "log"
+	TargetMachines = "machines"
+	TargetWeights  = "weights"
+	TargetAll      = "*"
+)
+
+// Fault is one thing that goes wrong until it is removed.
+type Fault struct {
+	// Name identifies the fault; adding the same name again replaces it.
+	Name   string    `json:"name"`
+	Kind   FaultKind `json:"kind"`
+	Target string    `json:"target,omitempty"`
+	// From and To are for FaultCut. To may also be a target's name.
+	From zone.Name `json:"from,omitempty"`
+	To   zone.Name `json:"to,omitempty"`
+	// TwoWay cuts the way from To to From as well.
+	TwoWay            bool  `json:"two_way,omitempty"`
+	DelayMilliseconds int64 `json:"delay_ms,omitempty"`
+	// Probability is the share of requests that it hits; zero means all.
+	Probability float64 `json:"probability,omitempty"`
+	// ForMilliseconds removes the fault by itself; zero means never.
+	ForMilliseconds int64 `json:"for_ms,omitempty"`
+}
+
+// delay is the fault's Delay.
+func (f Fault) delay() time.Duration { return time.Duration(f.DelayMilliseconds) * time.Millisecond }
+
+// validate says what is wrong with a fault.
+func (f Fault) validate() error {
+	var findings []error
+	if f.Name == "" {
+		findings = append(findings, errors.New("name: missing"))
+	}
+	kinds := []FaultKind{FaultDown, FaultUnavailable, FaultSlow, FaultAnswerLost, FaultHung, FaultLagging, FaultCut}
+	if !slices.Contains(kinds, f.Kind) {
+		findings = append(findings, fmt.Errorf("kind: unknown %q", f.Kind))
+	}
+	if f.Kind == FaultCut && (f.From == "" || f.To == "") {
+		findings = append(findings, errors.New("from, to: missing"))
+	}
+	if f.Kind != FaultCut && f.Target == "" {
+		findings = append(findings, errors.New("target: missing"))
+	}
+	if f.Probability < 0 || f.Probability > 1 {
+		findings = append(findings, fmt.Errorf("probability: want 0 to 1, got %g", f.Probability))
+	}
+	if f.DelayMilliseconds < 0 || f.ForMilliseconds < 0 {
+		findings = append(findings, errors.New("delay_ms, for_ms: must not be negative"))
+	}
+	return errors.Join(findings...)
+}
+
+// Faults are the faults in force. It is safe for concurrent use.
+type Faults struct {
+	mutex  sync.Mutex
+	random *rand.Rand
+	active map[string]activeFault
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+	now     func() time.Time
+}
+
+// activeFault is a fault and its end.
+type activeFault struct {
+	Fault
+	until time.Time
+}
+
+// newFaults returns no faults.
+func newFaults(random *rand.Rand, now func() time.Time) *Faults {
+	return &Faults{random: random, active: make(map[string]activeFault), changed: make(chan struct{}), now: now}
+}
+
+// Add puts a fault in force, in place of the one of the same name.
+func (f *Faults) Add(fault Fault) error {
+	if err := fault.validate(); err != nil {
+		return err
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	added := activeFault{Fault: fault}
+	if fault.ForMilliseconds > 0 {
+		added.until = f.now().Add(time.Duration(fault.ForMilliseconds) * time.Millisecond)
+	}
+	f.active[fault.Name] = added
+	f.wake()
+	return nil
+}
+
+// Remove ends a fault, or all of them when the name is empty.
+func (f *Faults) Remove(name string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if name == "" {
+		clear(f.active)
+	} else {
+		delete(f.active, name)
+	}
+	f.wake()
+}
+
+// List returns the faults in force, sorted by name.
+func (f *Faults) List() []Fault {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	listed := []Fault{}
+	for _, fault := range f.live() {
+		listed = append(listed, fault.Fault)
+	}
+	return listed
+}
+
+// live returns the faults that have not ended, sorted by name. The mutex is
+// held.
+func (f *Faults) live() []activeFault {
+	var live []activeFault
+	now := f.now()
+	for name, fault := range f.active {
+		if !fault.until.IsZero() && !fault.until.After(now) {
+			delete(f.active, name)
+			continue
+		}
+		live = append(live, fault)
+	}
+	slices.SortFunc(live, func(a, b activeFault) int { return strings.Compare(a.Name, b.Name) })
+	return live
+}
+
+// wake tells every waiting request to look again. The mutex is held.
+func (f *Faults) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// service names a stand-in and its zone.
+type service struct {
+	name string
+	zone zone.Name
+}
+
+// effects are what the faults in force do to one request.
+type effects struct {
+	down        bool
+	unavailable bool
+	hung        bool
+	answerLost  bool
+	delay       time.Duration
+}
+
+// effectsOn returns what happens to a request from the caller's zone, and the
+// channel that is closed at the next change.
+func (f *Faults) effectsOn(target service, caller zone.Name) (effects, <-chan struct{}) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var found effects
+	for _, fault := range f.live() {
+		if !fault.concerns(target, caller) || !f.hits(fault.Fault) {
+			continue
+		}
+		switch fault.Kind {
+		case FaultDown:
+			found.down = true
+		case FaultUnavailable:
+			found.unavailable = true
+		case FaultSlow:
+			found.delay += fault.delay()
+		case FaultAnswerLost:
+			found.answerLost = true
+		case FaultHung, FaultCut:
+			found.hung = true
+		}
+	}
+	return found, f.changed
+}
+
+// concerns reports whether the fault is about requests from the caller's zone
+// to the target.
+func (f Fault) concerns(target service, caller zone.Name) bool {
+	if f.Kind != FaultCut {
+		return f.Target == TargetAll || f.Target == target.name
+	}
+	return f.cuts(caller, target) || f.TwoWay && f.reverseCuts(caller, target)
+}
+
+// cuts reports whether requests from the caller's zone are held.
+func (f Fault) cuts(caller zone.Name, target service) bool {
+	return caller == f.From && (target.zone == f.To || target.name == string(f.To))
+}
+
+// reverseCuts reports whether the other way of a two-way cut is meant.
+func (f Fault) reverseCuts(caller zone.Name, target service) bool {
+	return caller == f.To && target.zone == f.From
+}
+
+// hits draws whether a fault with a probability hits this request.
+func (f *Faults) hits(fault Fault) bool {
+	return fault.Probability == 0 || f.random.Float64() < fault.Probability
+}
+
+// isCut reports whether an answer from the target can no longer reach the
+// caller's zone.
+func (f *Faults) isCut(target service, caller zone.Name) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, fault := range f.live() {
+		isAnswerCut := fault.Kind == FaultCut && (fault.concerns(target, caller) || fault.cutsAnswer(target, caller))
+		isDown := fault.Kind == FaultDown && fault.Probability == 0 && fault.concerns(target, caller)
+		if isAnswerCut || isDown {
+			return true
+		}
+	}
+	return false
+}
+
+// cutsAnswer reports whether a one-way cut holds what the target sends.
+func (f Fault) cutsAnswer(target service, caller zone.Name) bool {
+	return target.zone == f.From && caller == f.To
+}
+
+// lag returns how late the target's reports are by the faults in force.
+func (f *Faults) lag(target string) (time.Duration, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, fault := range f.live() {
+		if fault.Kind == FaultLagging && (fault.Target == target || fault.Target == TargetAll) {
+			return fault.delay(), true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/emulator/standin/tool.go
@@ -0,0 +1,124 @@
+package standin
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/emulator/platformmodel"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/tool"
+)
+
+// toolService serves one tool service.
+type toolService struct {
+	config  ToolConfig
+	gate    *gate
+	mutex   sync.Mutex
+	state   *platformmodel.ToolService
+	leaving bool
+}
+
+// newToolService returns a tool service without runs.
+func newToolService(config ToolConfig, faults *Faults, closed <-chan struct{}) *toolService {
+	return &toolService{
+		config: config,
+		gate:   &gate{service: service{name: string(config.ID), zone: config.Zone}, faults: faults, closed: closed},
+		state:  platformmodel.NewToolService(config.Kind),
+	}
+}
+
+// routes returns the service's routes behind their faults.
+func (t *toolService) routes() *router.Router {
+	routes := router.New()
+	routes.POST("/run", t.gate.guard(t.run))
+	routes.GET("/lookup", t.gate.guard(t.lookup))
+	routes.GET("/runs", t.listRuns)
+	return routes
+}
+
+// machine is the service's entry of the machine list.
+func (t *toolService) machine(address string, status machine.Status) machine.Machine {
+	return machine.Machine{
+		ID:      t.config.ID,
+		Kind:    machine.KindTool,
+		Zone:    t.config.Zone,
+		Address: address,
+		Status:  status,
+		Tools:   platformmodel.ToolsOf(t.config.Kind),
+	}
+}
+
+type runBody struct {
+	Output string `json:"output"`
+}
+
+type lookupBody struct {
+	Found  bool   `json:"found"`
+	Output string `json:"output"`
+	Count  int    `json:"count"`
+}
+
+type runsBody struct {
+	Runs []platformmodel.ToolRun `json:"runs"`
+}
+
+// run takes effect, then answers after the service's delay.
+func (t *toolService) run(ctx *fasthttp.RequestCtx) {
+	var request tool.Request
+	if !decode(ctx, &request) {
+		return
+	}
+	if request.Key == "" {
+		fail(ctx, fasthttp.StatusBadRequest, fmt.Errorf("key: missing"))
+		return
+	}
+	output, err := t.runOnce(request)
+	if err != nil {
+		fail(ctx, fasthttp.StatusBadRequest, err)
+		return
+	}
+	t.gate.pause(t.config.Delay)
+	answer(ctx, runBody{Output: output})
+}
+
+// runOnce lets the request take effect.
+func (t *toolService) runOnce(request tool.Request) (string, error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.leaving {
+		return "", fmt.Errorf("leaving, no new work")
+	}
+	return t.state.Run(time.Now(), request.Key, request.Tool, request.Input)
+}
+
+// lookup tells whether a key was run.
+func (t *toolService) lookup(ctx *fasthttp.RequestCtx) {
+	key := string(ctx.QueryArgs().Peek("key"))
+	t.mutex.Lock()
+	run, found := t.state.Lookup(key)
+	t.mutex.Unlock()
+	answer(ctx, lookupBody{Found: found, Output: run.Output, Count: run.Count})
+}
+
+// listRuns shows every run, for the checks of a history. No fault hides it.
+func (t *toolService) listRuns(ctx *fasthttp.RequestCtx) {
+	answer(ctx, runsBody{Runs: t.runs()})
+}
+
+// runs returns every run, sorted by key.
+func (t *toolService) runs() []platformmodel.ToolRun {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.state.Runs()
+}
+
+// leave refuses new work from now on.
+func (t *toolService) leave() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.leaving = true
+}
--- /dev/null
+++ b/engine/enginehttp/enginehttp.go
@@ -0,0 +1,178 @@
+// Package enginehttp reaches model engines over HTTP/1.1: requests in JSON,
+// answers that stream as lines of JSON. docs/STANDINS.md describes the
+// routes.
+package enginehttp
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/engine"
+	"birchwood.example/birchwood/httpclient"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/schedule"
+)
+
+// Options are the limits and the identity towards every engine.
+type Options struct {
+	Token string
+	// Zone is the zone of this process, which the engines are told.
+	Zone string
+	// Timeout bounds each request whose context has no deadline, a whole
+	// stream included.
+	Timeout time.Duration
+}
+
+// Dialer returns the clients of engines, one per address. It is safe for
+// concurrent use.
+type Dialer struct {
+	options Options
+	mutex   sync.Mutex
+	clients map[string]*client
+}
+
+var _ engine.Dialer = (*Dialer)(nil)
+
+// NewDialer returns a dialer without clients.
+func NewDialer(options Options) *Dialer {
+	return &Dialer{options: options, clients: make(map[string]*client)}
+}
+
+// Engine implements engine.Dialer.
+func (d *Dialer) Engine(backend machine.Machine) engine.Client {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known := d.clients[backend.Address]
+	if known == nil {
+		known = &client{http: httpclient.New(httpclient.Options{
+			Address: backend.Address,
+			Token:   d.options.Token,
+			Zone:    d.options.Zone,
+			Timeout: d.options.Timeout,
+		})}
+		d.clients[backend.Address] = known
+	}
+	return known
+}
+
+// Close closes the idle connections of every client.
+func (d *Dialer) Close() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, known := range d.clients {
+		known.http.Close()
+	}
+}
+
+// client talks to one engine.
+type client struct {
+	http *httpclient.Client
+}
+
+// ErrCutShort says that a stream ended before its last chunk. The answer can
+// be resumed from the offset that was received.
+var ErrCutShort = errors.New("engine: stream ended before the last chunk")
+
+type streamBody struct {
+	Stream string `json:"stream"`
+}
+
+type ownerBody struct {
+	Owner api.ProgramID `json:"owner"`
+}
+
+type importBody struct {
+	Owner api.ProgramID `json:"owner"`
+	From  string        `json:"from"`
+}
+
+type prefixesBody struct {
+	Prefixes []engine.Prefix `json:"prefixes"`
+}
+
+type eventsBody struct {
+	Events []engine.CacheEvent `json:"events"`
+}
+
+// Generate implements engine.Client. A refusal (4xx, or 503) is reported as
+// *engine.NotSentError, because the engine promises that it did nothing.
+func (c *client) Generate(ctx context.Context, request engine.GenerateRequest, receive func(engine.Chunk) error) error {
+	done := false
+	err := c.http.Lines(ctx, "/generate", request, func(line []byte) error {
+		var chunk engine.Chunk
+		if err := json.Unmarshal(line, &chunk); err != nil {
+			return fmt.Errorf("engine: stream %s: %w", request.Stream, err)
+		}
+		done = done || chunk.Done
+		return receive(chunk)
+	})
+	if err != nil {
+		return generateError(err)
+	}
+	if !done {
+		return ErrCutShort
+	}
+	return nil
+}
+
+// generateError turns the client's error into the one that engine.Client
+// promises.
+func generateError(err error) error {
+	var notSent *httpclient.NotSentError
+	if errors.As(err, &notSent) {
+		return &engine.NotSentError{Cause: notSent.Cause}
+	}
+	var status *httpclient.StatusError
+	if errors.As(err, &status) && status.WithoutEffect() {
+		return &engine.NotSentError{Cause: status}
+	}
+	return err
+}
+
+// Cancel implements engine.Client.
+func (c *client) Cancel(ctx context.Context, stream string) error {
+	return c.http.Do(ctx, fasthttp.MethodPost, "/cancel", streamBody{Stream: stream}, nil)
+}
+
+// Release implements engine.Client.
+func (c *client) Release(ctx context.Context, owner api.ProgramID) error {
+	return c.http.Do(ctx, fasthttp.MethodPost, "/release", ownerBody{Owner: owner}, nil)
+}
+
+// Prefixes implements engine.Client.
+func (c *client) Prefixes(ctx context.Context) ([]engine.Prefix, error) {
+	var answer prefixesBody
+	err := c.http.Do(ctx, fasthttp.MethodGet, "/prefixes", nil, &answer)
+	return answer.Prefixes, err
+}
+
+// Events implements engine.Client.
+func (c *client) Events(ctx context.Context, after uint64) ([]engine.CacheEvent, error) {
+	var answer eventsBody
+	err := c.http.Do(ctx, fasthttp.MethodGet, fmt.Sprintf("/events?after=%d", after), nil, &answer)
+	return answer.Events, err
+}
+
+// Load implements engine.Client.
+func (c *client) Load(ctx context.Context) (schedule.Load, error) {
+	var answer schedule.Load
+	err := c.http.Do(ctx, fasthttp.MethodGet, "/load", nil, &answer)
+	return answer, err
+}
+
+// Order implements engine.Client.
+func (c *client) Order(ctx context.Context, order engine.Order) error {
+	return c.http.Do(ctx, fasthttp.MethodPost, "/order", order, nil)
+}
+
+// Import implements engine.Client. It returns once the cache has arrived.
+func (c *client) Import(ctx context.Context, owner api.ProgramID, from string) error {
+	return c.http.Do(ctx, fasthttp.MethodPost, "/import", importBody{Owner: owner, From: from}, nil)
+}
--- /dev/null
+++ b/httpclient/client.go
@@ -0,0 +1,246 @@
+package httpclient
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Header names of the protocols between the system and its platform.
+const (
+	// HeaderZone names the caller's zone.
+	HeaderZone = "X-Zone"
+)
+
+// Defaults of Options.
+const (
+	defaultTimeout          = 10 * time.Second
+	defaultDialTimeout      = time.Second
+	defaultMaxConnections   = 4096
+	defaultMaxResponseBytes = 64 << 20
+	// idleTimeout is shorter than what servers keep idle connections for, so
+	// that a connection is seldom closed under a request.
+	idleTimeout = 5 * time.Second
+)
+
+// Options describe one server and the limits towards it. Zero fields get a
+// default.
+type Options struct {
+	// Address is "ip:port".
+	Address string
+	// Token is sent as a bearer token.
+	Token string
+	// Zone is sent as the caller's zone.
+	Zone string
+	// Timeout bounds a request whose context has no deadline.
+	Timeout          time.Duration
+	DialTimeout      time.Duration
+	MaxConnections   int
+	MaxResponseBytes int
+}
+
+// Client sends requests to one server. It is safe for concurrent use.
+type Client struct {
+	options Options
+	host    *fasthttp.HostClient
+}
+
+// NotSentError says that no connection to the server could be had: nothing
+// was sent.
+type NotSentError struct{ Cause error }
+
+// Error describes the failure.
+func (e *NotSentError) Error() string { return "not sent: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// StatusError is an answer with an error status.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+// Error describes the answer.
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
+
+// WithoutEffect reports whether the status promises that the server did
+// nothing: the request was refused (4xx except a time-out) or the server is
+// unavailable (503).
+func (e *StatusError) WithoutEffect() bool {
+	if e.Status == fasthttp.StatusServiceUnavailable {
+		return true
+	}
+	isClientError := e.Status >= fasthttp.StatusBadRequest && e.Status < fasthttp.StatusInternalServerError
+	return isClientError && e.Status != fasthttp.StatusRequestTimeout
+}
+
+// New returns a client of one server.
+func New(options Options) *Client {
+	options = options.withDefaults()
+	dialer := net.Dialer{Timeout: options.DialTimeout}
+	host := &fasthttp.HostClient{
+		Addr:                     options.Address,
+		NoDefaultUserAgentHeader: true,
+		Dial: func(address string) (net.Conn, error) {
+			connection, err := dialer.Dial("tcp", address)
+			if err != nil {
+				return nil, &NotSentError{Cause: err}
+			}
+			return connection, nil
+		},
+		MaxConns:            options.MaxConnections,
+		MaxIdleConnDuration: idleTimeout,
+		MaxResponseBodySize: options.MaxResponseBytes,
+		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}
+	return &Client{options: options, host: host}
+}
+
+// withDefaults fills the zero fields.
+func (o Options) withDefaults() Options {
+	if o.Timeout <= 0 {
+		o.Timeout = defaultTimeout
+	}
+	if o.DialTimeout <= 0 {
+		o.DialTimeout = defaultDialTimeout
+	}
+	if o.MaxConnections <= 0 {
+		o.MaxConnections = defaultMaxConnections
+	}
+	if o.MaxResponseBytes <= 0 {
+		o.MaxResponseBytes = defaultMaxResponseBytes
+	}
+	return o
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.host.CloseIdleConnections() }
+
+// Do sends body as JSON, unless it is nil, and decodes the answer into
+// answer, unless that is nil. The path may hold a query.
+func (c *Client) Do(ctx context.Context, method, path string, body, answer any) error {
+	response, err := c.roundTrip(ctx, method, path, body, false)
+	if err != nil {
+		return err
+	}
+	defer fasthttp.ReleaseResponse(response)
+	if err := statusError(response); err != nil {
+		return err
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(response.Body(), answer); err != nil {
+		return fmt.Errorf("%s %s: answer: %w", method, path, err)
+	}
+	return nil
+}
+
+// result is what a request's goroutine hands back.
+type result struct {
+	response *fasthttp.Response
+	err      error
+}
+
+// roundTrip sends the request on a goroutine of its own, so that the end of
+// the context frees the caller at once. The goroutine itself ends with the
+// answer or at the request's timeout.
+func (c *Client) roundTrip(ctx context.Context, method, path string, body any, stream bool) (*fasthttp.Response, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, &NotSentError{Cause: err}
+	}
+	request, err := c.request(ctx, method, path, body)
+	if err != nil {
+		return nil, &NotSentError{Cause: err}
+	}
+	done := make(chan result, 1)
+	go func() {
+		done <- c.send(request, stream)
+	}()
+	select {
+	case answered := <-done:
+		return answered.response, answered.err
+	case <-ctx.Done():
+		go discard(done)
+		return nil, ctx.Err()
+	}
+}
+
+// request builds the request; it is released by send.
+func (c *Client) request(ctx context.Context, method, path string, body any) (*fasthttp.Request, error) {
+	request := fasthttp.AcquireRequest()
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + c.options.Address + path)
+	if c.options.Token != "" {
+		request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.options.Token)
+	}
+	if c.options.Zone != "" {
+		request.Header.Set(HeaderZone, c.options.Zone)
+	}
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			fasthttp.ReleaseRequest(request)
+			return nil, err
+		}
+		request.Header.SetContentType("application/json")
+		request.SetBodyRaw(encoded)
+	}
+	timeout := c.options.Timeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = max(time.Until(deadline), time.Millisecond)
+	}
+	request.SetTimeout(timeout)
+	return request, nil
+}
+
+// send performs the request and sorts its failure.
+func (c *Client) send(request *fasthttp.Request, stream bool) result {
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	response.StreamBody = stream
+	err := c.host.Do(request, response)
+	if err == nil {
+		return result{response: response}
+	}
+	fasthttp.ReleaseResponse(response)
+	return result{err: sortError(err)}
+}
+
+// sortError makes sure that a request for which no connection was had is
+// reported as not sent.
+func sortError(err error) error {
+	var notSent *NotSentError
+	if errors.As(err, &notSent) {
+		return notSent
+	}
+	if errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return &NotSentError{Cause: err}
+	}
+	return err
+}
+
+// discard frees an answer that nobody waits for any more.
+func discard(done <-chan result) {
+	late := <-done
+	if late.response == nil {
+		return
+	}
+	_ = late.response.CloseBodyStream()
+	fasthttp.ReleaseResponse(late.response)
+}
+
+// statusError returns the answer's error status as an error.
+func statusError(response *fasthttp.Response) error {
+	status := response.StatusCode()
+	if status >= fasthttp.StatusOK && status < fasthttp.StatusMultipleChoices {
+		return nil
+	}
+	return &StatusError{Status: status, Body: string(response.Body())}
+}
--- /dev/null
+++ b/tool/toolhttp/toolhttp.go
@@ -0,0 +1,127 @@
+// Package toolhttp reaches tool services over HTTP/1.1 with JSON.
+// docs/STANDINS.md describes the routes.
+package toolhttp
+
+import (
+	"context"
+	"errors"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/engine"
+	"birchwood.example/birchwood/httpclient"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/tool"
+)
+
+// Options are the limits and the identity towards every tool service.
+type Options struct {
+	Token string
+	// Zone is the zone of this process, which the services are told.
+	Zone string
+	// Timeout bounds each request whose context has no deadline.
+	Timeout time.Duration
+}
+
+// Dialer returns the clients of tool services, one per address. It is safe
+// for concurrent use.
+type Dialer struct {
+	options Options
+	mutex   sync.Mutex
+	clients map[string]*client
+}
+
+var _ tool.Dialer = (*Dialer)(nil)
+
+// NewDialer returns a dialer without clients.
+func NewDialer(options Options) *Dialer {
+	return &Dialer{options: options, clients: make(map[string]*client)}
+}
+
+// Tool implements tool.Dialer.
+func (d *Dialer) Tool(backend machine.Machine) tool.Client {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known := d.clients[backend.Address]
+	if known == nil {
+		known = &client{http: httpclient.New(httpclient.Options{
+			Address: backend.Address,
+			Token:   d.options.Token,
+			Zone:    d.options.Zone,
+			Timeout: d.options.Timeout,
+		})}
+		d.clients[backend.Address] = known
+	}
+	return known
+}
+
+// Close closes the idle connections of every client.
+func (d *Dialer) Close() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, known := range d.clients {
+		known.http.Close()
+	}
+}
+
+// client talks to one tool service.
+type client struct {
+	http *httpclient.Client
+}
+
+type runAnswer struct {
+	Output *string `json:"output"`
+}
+
+type lookupAnswer struct {
+	Found  *bool  `json:"found"`
+	Output string `json:"output"`
+}
+
+// errIncomplete marks an answer without its required field. What the request
+// did is unknown then.
+var errIncomplete = errors.New("tool service: incomplete answer")
+
+// Run implements tool.Client. A status of 4xx, or 503, is the service's word
+// that the run failed without effect; any other failure after a connection
+// was made leaves the outcome unknown.
+func (c *client) Run(ctx context.Context, request tool.Request) (string, error) {
+	var answer runAnswer
+	err := c.http.Do(ctx, fasthttp.MethodPost, "/run", request, &answer)
+	if err != nil {
+		return "", runError(err)
+	}
+	if answer.Output == nil {
+		return "", errIncomplete
+	}
+	return *answer.Output, nil
+}
+
+// runError turns the client's error into the one that tool.Client promises.
+func runError(err error) error {
+	var notSent *httpclient.NotSentError
+	if errors.As(err, &notSent) {
+		return &engine.NotSentError{Cause: notSent.Cause}
+	}
+	var status *httpclient.StatusError
+	if errors.As(err, &status) && status.WithoutEffect() {
+		return &tool.FailedError{Message: status.Error()}
+	}
+	return err
+}
+
+// Lookup implements tool.Client.
+func (c *client) Lookup(ctx context.Context, key string) (string, bool, error) {
+	var answer lookupAnswer
+	err := c.http.Do(ctx, fasthttp.MethodGet, "/lookup?key="+url.QueryEscape(key), nil, &answer)
+	if err != nil {
+		return "", false, err
+	}
+	if answer.Found == nil {
+		return "", false, errIncomplete
+	}
+	return answer.Output, *answer.Found, nil
+}
