program: a store that carries calls from submission to answer

The control loop needs the programs of a partition: their calls in order, budgets, outcomes and recovery.

This adds the Store as an event-sourced state machine: create, submit, dispatch, outcome, look-up, cancel, refuse, end and retarget commands, timers,

fields: the limits set at creation, input tokens, held tokens, retention, and the avoided back ends and the whole answer in an Effect.

--- /dev/null
+++ b/program/dispatch.go
@@ -0,0 +1,108 @@
+package program
+
+import (
+	"time"
+
+	"birchwood.example/birchwood/api"
+)
+
+// advance starts the call whose turn it is. A call that can no longer run
+// ends here, and the next one has its turn.
+func (t *transition) advance(p *heldProgram) {
+	for !p.closed {
+		head := p.head()
+		if head == nil || head.phase != phaseQueued {
+			return
+		}
+		refusal := t.hindrance(p, head)
+		if refusal == nil {
+			t.start(p, head, 0)
+			return
+		}
+		t.endUnsent(p, head, refusal)
+	}
+}
+
+// hindrance says why a call cannot be started any more.
+func (t *transition) hindrance(p *heldProgram, live *liveCall) *api.Error {
+	if live.expired(t.now) {
+		return waitedTooLong(p, live)
+	}
+	if refusal := checkKind(live.call, *p.terms); refusal != nil {
+		return refusal
+	}
+	if !live.affordable() {
+		return api.Refuse(api.CodeBudgetExhausted, "the call may cost %d tokens, the program has %d left",
+			reservation(live.call, live.promptTokens), p.budget.free()+live.reserved)
+	}
+	return nil
+}
+
+func (c *liveCall) expired(now time.Time) bool {
+	return !c.deadline.IsZero() && !now.Before(c.deadline)
+}
+
+// start hands a call to the scheduler, after the delay.
+func (t *transition) start(p *heldProgram, live *liveCall, delay time.Duration) {
+	live.phase = phaseStarted
+	effect := p.callEffect(EffectStart, live)
+	effect.Delay = delay
+	t.effect(effect)
+	t.touch(p)
+}
+
+// dispatch records the intent to send an attempt. The attempt of a call that
+// is not repeatable is sent only once the record is durable: no later epoch
+// can then take it for a call that was never sent.
+func (t *transition) dispatch(p *heldProgram, dispatch Dispatch) *api.Error {
+	live := p.liveCall(dispatch.Call.Sequence)
+	if live == nil || live.phase != phaseStarted || live != p.head() || p.closed {
+		return staleDecision(dispatch.Call)
+	}
+	if live.expired(t.now) {
+		t.expireWaiting(p, live)
+		return nil
+	}
+	t.record(Record{Program: p.id, Dispatched: &Dispatched{
+		Sequence: live.sequence,
+		Attempt:  live.attempt + 1,
+		Backend:  dispatch.Backend,
+		Epoch:    dispatch.Epoch,
+	}})
+	live.phase = phaseSent
+	send := p.callEffect(EffectSend, live)
+	if live.repeatable() {
+		t.immediate(send)
+	} else {
+		t.effect(send)
+	}
+	t.showCall(p, live.sequence)
+	return nil
+}
+
+// refuse ends a call that the scheduler will not serve.
+func (t *transition) refuse(p *heldProgram, refusal Refusal) {
+	live := p.liveCall(refusal.Call.Sequence)
+	if live == nil || live.phase != phaseStarted {
+		return
+	}
+	t.endUnsent(p, live, refusedByScheduler(refusal.Error))
+	t.advance(p)
+	t.settle(p)
+}
+
+// refusedByScheduler makes the scheduler's refusal the call's final answer.
+func refusedByScheduler(cause *api.Error) *api.Error {
+	if cause == nil {
+		return notRun(api.CodeOverloaded, queueRetry, "the scheduler does not serve the call")
+	}
+	final := *cause
+	if final.Retry {
+		wait := max(time.Millisecond, time.Duration(final.RetryAfterMilliseconds)*time.Millisecond)
+		refusal := notRun(final.Code, wait, "%s", final.Message)
+		refusal.Place, refusal.ID = final.Place, final.ID
+		return refusal
+	}
+	final.Ran = api.RanNotRun
+	return &final
+}
--- /dev/null
+++ b/program/end_call.go
@@ -0,0 +1,118 @@
+package program
+
+import (
+	"time"
+
+	"birchwood.example/birchwood/api"
+)
+
+// endCall records a call's final outcome and answers its callers. The caller
+// then lets the next call have its turn.
+func (t *transition) endCall(p *heldProgram, live *liveCall, ended CallEnded) {
+	ended.Sequence = live.sequence
+	ended.Attempt = live.attempt
+	ended.Backend = live.backend
+	t.record(Record{Program: p.id, Ended: &ended})
+	answer := p.callOf(live.sequence, live.call, &ended)
+	effect := Effect{
+		Kind:    EffectAnswer,
+		Attempt: AttemptRef{CallRef: CallRef{Program: p.id, Sequence: live.sequence}, Attempt: live.attempt},
+		Branch:  p.branch,
+		Answer:  &answer,
+	}
+	t.effect(effect)
+	t.store.gauge.count(ended.Status)
+}
+
+// endNotRun ends a call of which nothing was ever sent. Dispatch refuses a
+// call that has ended, so that nothing can be sent any more either.
+func (t *transition) endNotRun(p *heldProgram, live *liveCall, cause *api.Error) {
+	t.withdraw(p, live)
+	t.endCall(p, live, CallEnded{Status: api.StatusNotRun, Error: cause})
+}
+
+// endUnsent ends a call that waits: as not run if no attempt can have run,
+// else as given up.
+func (t *transition) endUnsent(p *heldProgram, live *liveCall, cause *api.Error) {
+	if !live.mayHaveRun {
+		t.endNotRun(p, live, cause)
+		return
+	}
+	t.endGivenUp(p, live, cause)
+}
+
+// endGivenUp ends a call of which an attempt ran or may have run.
+// Nobody knows what that cost: the reservation stays held.
+func (t *transition) endGivenUp(p *heldProgram, live *liveCall, cause *api.Error) {
+	t.withdraw(p, live)
+	final := *cause
+	if final.Ran != api.RanFailed || live.call.Kind == api.CallTool {
+		final.Ran = api.RanOutcomeUnknown
+	}
+	status := api.StatusFailed
+	if cause.Code == api.CodeCancelled || cause.Code == api.CodeProgramEnded {
+		status = api.StatusCancelled
+	}
+	if !live.repeatable() {
+		status = api.StatusOutcomeUnknown
+	}
+	t.endCall(p, live, CallEnded{Status: status, Error: &final, HeldTokens: live.reserved})
+}
+
+// withdraw takes a call out of the scheduler or stops its running attempt.
+// The stop of a call that is not repeatable follows its send, which waits for
+// the log.
+func (t *transition) withdraw(p *heldProgram, live *liveCall) {
+	stop := p.callEffect(EffectStop, live)
+	switch live.phase {
+	case phaseStarted:
+		stop.Attempt.Attempt = 0
+		stop.Backend = ""
+		t.immediate(stop)
+	case phaseSent, phaseLookup:
+		if live.repeatable() {
+			t.immediate(stop)
+		} else {
+			t.effect(stop)
+		}
+	}
+}
+
+// waitedTooLong tells why a call that was never sent has run out of time.
+func waitedTooLong(p *heldProgram, live *liveCall) *api.Error {
+	wait := max(time.Second, live.deadline.Sub(p.lastActivity)/2)
+	if head := p.head(); head == nil {
+		return notRun(api.CodeTimeout, wait, "call %d waited for call %d, which never came", live.sequence, p.next)
+	}
+	return notRun(api.CodeTimeout, wait, "call %d found no back end before its deadline", live.sequence)
+}
+
+// cancel asks to stop a call. A call that was never sent ends as not run, and
+// one that may run twice is stopped. One that may not has its outcome looked
+// up: stopping it would not undo it.
+func (t *transition) cancel(p *heldProgram, sequence uint64) *api.Error {
+	if p.entry(sequence) == nil {
+		return callNotFound(p.id, sequence)
+	}
+	live := p.liveCall(sequence)
+	if live != nil {
+		t.cancelLive(p, live)
+		t.advance(p)
+		t.settle(p)
+	}
+	t.showCall(p, sequence)
+	return nil
+}
+
+func (t *transition) cancelLive(p *heldProgram, live *liveCall) {
+	cause := api.Refuse(api.CodeCancelled, "the caller cancelled the call")
+	switch {
+	case live.phase == phaseQueued, live.phase == phaseStarted:
+		t.endUnsent(p, live, cause)
+	case live.repeatable():
+		t.endGivenUp(p, live, cause)
+	default:
+		live.lookup.cancelled = true
+		t.startLookup(p, live)
+	}
+}
--- /dev/null
+++ b/program/forget.go
@@ -0,0 +1,39 @@
+package program
+
+import (
+	"slices"
+
+	"birchwood.example/birchwood/api"
+)
+
+// makeRoom reports whether one more program may be held. A full store
+// forgets the program whose end was complete first.
+func (s *Store) makeRoom() bool {
+	for len(s.programs) >= s.config.MaximumPrograms {
+		if len(s.finished) == 0 {
+			return false
+		}
+		oldest := s.finished[0]
+		s.finished = s.finished[1:]
+		if p, ok := s.programs[oldest]; ok && p.released {
+			s.forget(p)
+		}
+	}
+	return true
+}
+
+// forget drops a program from the store.
+func (s *Store) forget(p *heldProgram) {
+	s.timers.remove(p)
+	s.gauge.LiveCalls -= len(p.live)
+	delete(s.programs, p.id)
+}
+
+// sortFinished orders the programs found complete at recovery by their end,
+// and drops those that were forgotten since.
+func (s *Store) sortFinished() {
+	s.finished = slices.DeleteFunc(s.finished, func(id api.ProgramID) bool { return s.programs[id] == nil })
+	slices.SortStableFunc(s.finished, func(a, b api.ProgramID) int {
+		return s.programs[a].closedAt.Compare(s.programs[b].closedAt)
+	})
+}
--- /dev/null
+++ b/program/outcome.go
@@ -0,0 +1,116 @@
+package program
+
+import (
+	"time"
+
+	"birchwood.example/birchwood/api"
+)
+
+// outcome takes what became of one attempt. Only the current attempt of a
+// call that was sent is listened to: late, second and crossed outcomes change
+// nothing.
+func (t *transition) outcome(p *heldProgram, outcome Outcome) {
+	live := p.liveCall(outcome.Attempt.Sequence)
+	if live == nil || live.attempt != outcome.Attempt.Attempt || outcome.Attempt.Program != p.id {
+		return
+	}
+	if live.phase != phaseSent && live.phase != phaseLookup {
+		return
+	}
+	t.touch(p)
+	switch outcome.Status {
+	case api.StatusSucceeded:
+		t.endCall(p, live, CallEnded{Status: api.StatusSucceeded, Output: outcome.Output, Usage: outcome.Usage})
+	case api.StatusFailed:
+		t.attemptFailed(p, live, outcome)
+	case api.StatusNotRun:
+		t.attemptNotSent(p, live, outcome.Error)
+	default:
+		t.attemptUnknown(p, live, outcome.Error)
+	}
+	t.advance(p)
+	t.settle(p)
+}
+
+// attemptFailed: the back end ran the attempt and says that it failed.
+func (t *transition) attemptFailed(p *heldProgram, live *liveCall, outcome Outcome) {
+	cause := outcome.Error
+	if cause == nil {
+		cause = failed(api.CodeBackendFailed, api.RanFailed, "the back end failed")
+	}
+	live.lastError = cause
+	if live.repeatable() && !definite(cause) && t.retry(p, live) {
+		return
+	}
+	t.endCall(p, live, CallEnded{Status: api.StatusFailed, Output: outcome.Output, Usage: outcome.Usage, Error: cause})
+}
+
+// definite reports that another attempt would fail alike.
+func definite(cause *api.Error) bool {
+	switch cause.Code {
+	case api.CodeBadRequest, api.CodeUnknownModel, api.CodeUnknownTool, api.CodeBodyTooLarge:
+		return true
+	}
+	return false
+}
+
+// attemptNotSent: nothing reached the back end, so that even a call that is
+// not repeatable may be dispatched again.
+func (t *transition) attemptNotSent(p *heldProgram, live *liveCall, cause *api.Error) {
+	live.mayHaveRun = live.ranBefore
+	live.lastError = cause
+	if live.phase != phaseLookup && t.retry(p, live) {
+		return
+	}
+	if live.phase == phaseLookup && live.lookup.cancelled {
+		t.endUnsent(p, live, api.Refuse(api.CodeCancelled, "the call was cancelled before anything was sent"))
+		return
+	}
+	message := "the back end cannot be reached"
+	if cause != nil {
+		message = cause.Message
+	}
+	t.endUnsent(p, live, notRun(api.CodeBackendFailed, t.store.config.RetryMaximum, "%s", message))
+}
+
+// attemptUnknown: the attempt may or may not have run.
+func (t *transition) attemptUnknown(p *heldProgram, live *liveCall, cause *api.Error) {
+	if !live.repeatable() {
+		t.startLookup(p, live)
+		return
+	}
+	if cause == nil {
+		cause = unknownOutcome("the back end's answer was lost")
+	}
+	live.lastError = cause
+	if !t.retry(p, live) {
+		t.endGivenUp(p, live, cause)
+	}
+}
+
+// retry starts the call once more, unless its attempts or its time are used
+// up. It reports whether it did.
+func (t *transition) retry(p *heldProgram, live *liveCall) bool {
+	live.failures++
+	live.avoid = append(live.avoid, live.backend)
+	if p.closed || live.failures >= max(1, p.terms.Attempts) {
+		return false
+	}
+	delay := t.store.backoff(live.failures)
+	if live.expired(t.now.Add(delay)) {
+		return false
+	}
+	t.start(p, live, delay)
+	return true
+}
+
+// backoff doubles from RetryBase up to RetryMaximum; a random half of it is
+// jitter, so that calls which failed together do not come back together.
+func (s *Store) backoff(failures int) time.Duration {
+	delay := s.config.RetryBase
+	for range failures - 1 {
+		delay = min(2*delay, s.config.RetryMaximum)
+	}
+	half := delay / 2
+	return half + time.Duration(s.config.Random.Int64N(int64(half)+1))
+}
--- /dev/null
+++ b/program/recover.go
@@ -0,0 +1,117 @@
+package program
+
+import (
+	"slices"
+	"time"
+
+	"birchwood.example/birchwood/api"
+)
+
+// Recover folds one record of the journal. The offset locates it; NoOffset
+// stands for a record that mirrors hold and the log does not have yet.
+func (s *Store) Recover(offset uint64, record Record) error {
+	if err := record.validate(); err != nil {
+		return err
+	}
+	s.apply(offset, record)
+	return nil
+}
+
+// Resume starts what the recovered records leave to do, once they are all
+// folded: calls that wait are handed to the scheduler, repeatable ones that
+// were sent are sent again, and those that may not be repeated are looked up.
+// The epoch is the new owner's.
+func (s *Store) Resume(now time.Time, epoch uint64) Output {
+	s.epoch = epoch
+	t := newTransition(s, now)
+	for _, id := range s.sortedIDs() {
+		p, ok := s.programs[id]
+		if !ok {
+			continue
+		}
+		t.resume(p)
+		s.reschedule(p)
+	}
+	s.sortFinished()
+	return t.finish()
+}
+
+func (s *Store) sortedIDs() []api.ProgramID {
+	ids := make([]api.ProgramID, 0, len(s.programs))
+	for id := range s.programs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (t *transition) resume(p *heldProgram) {
+	t.returnOrphans(p)
+	if parent, ok := t.store.programs[p.parent]; ok && parent.closed {
+		t.closeTree(p, ReasonParent)
+	}
+	for _, live := range slices.Clone(p.live) {
+		t.resumeCall(p, live)
+	}
+	t.advance(p)
+	t.resumeEnd(p)
+}
+
+// returnOrphans takes back what was carved for a sub-agent whose creation was
+// lost with the old owner.
+func (t *transition) returnOrphans(p *heldProgram) {
+	for _, id := range p.sortedChildren() {
+		if _, ok := t.store.programs[id]; !ok {
+			t.returnCarved(p, id, p.children[id])
+		}
+	}
+}
+
+// resumeCall continues a call that an older epoch has left.
+func (t *transition) resumeCall(p *heldProgram, live *liveCall) {
+	if live.attempt == 0 {
+		t.resumeUnsent(p, live)
+		return
+	}
+	switch {
+	case !live.repeatable():
+		t.startLookup(p, live)
+	case p.closed:
+		live.phase = phaseSent
+		t.endGivenUp(p, live, programEnded(p.closedReason))
+	case live.expired(t.now):
+		live.phase = phaseSent
+		t.endGivenUp(p, live, failed(api.CodeTimeout, api.RanFailed, "the call ran out of time"))
+	default:
+		t.immediate(p.callEffect(EffectStop, live))
+		t.restart(p, live)
+	}
+}
+
+// resumeUnsent continues a call that has no recorded dispatch. The older
+// epoch may have sent a repeatable one without its record: from now on it
+// never ends as not run, once it had its turn.
+func (t *transition) resumeUnsent(p *heldProgram, live *liveCall) {
+	if live == p.head() && live.repeatable() {
+		live.mayHaveRun = true
+	}
+	if p.closed {
+		t.endUnsent(p, live, programEnded(p.closedReason))
+	}
+}
+
+// resumeEnd completes the end of a program. One that was complete before is
+// left alone: what engines may still hold of it, their sweep finds.
+func (t *transition) resumeEnd(p *heldProgram) {
+	if !p.finished() {
+		return
+	}
+	if parent, ok := t.store.programs[p.parent]; ok {
+		if _, open := parent.children[p.id]; open {
+			t.settle(p)
+			return
+		}
+	}
+	p.released = true
+	t.store.finished = append(t.store.finished, p.id)
+}
--- /dev/null
+++ b/program/store.go
@@ -0,0 +1,190 @@
+package program
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"birchwood.example/birchwood/api"
+)
+
+// NoOffset stands for a record that the log does not have yet.
+const NoOffset = ^uint64(0)
+
+// The defaults of Config.
+const (
+	defaultMaximumPrograms    = 100_000
+	defaultMaximumQueuedCalls = 64
+	defaultMaximumDepth       = 8
+	defaultRetryBase          = 50 * time.Millisecond
+	defaultRetryMaximum       = 5 * time.Second
+	defaultLookupAttempts     = 5
+	defaultLookupTimeout      = 5 * time.Second
+	defaultTickPrograms       = 256
+	defaultSnapshotPartBytes  = 256 << 10
+	// bytesPerToken is the rule of thumb that counts tokens by length.
+	bytesPerToken = 4
+)
+
+// Config sets the bounds of a Store. A zero field takes its default.
+type Config struct {
+	// CountTokens measures a text. The default counts four bytes as a token.
+	CountTokens func(string) int
+	// MaximumPrograms bounds the programs held, ended ones included.
+	MaximumPrograms int
+	// MaximumQueuedCalls bounds the calls of one program that have not ended.
+	MaximumQueuedCalls int
+	// MaximumDepth bounds how deep sub-agents may start sub-agents.
+	MaximumDepth int
+	// RetryBase and RetryMaximum bound the backoff of retries and look-ups.
+	RetryBase    time.Duration
+	RetryMaximum time.Duration
+	// Random draws the backoff's jitter. The default has a fixed seed.
+	Random *rand.Rand
+	// LookupAttempts bounds how often a tool service is asked about a key.
+	LookupAttempts int
+	// LookupTimeout bounds the wait for the answer to one look-up.
+	LookupTimeout time.Duration
+	// TickPrograms bounds the programs that one Tick looks at.
+	TickPrograms int
+	// SnapshotPartBytes is the size at which a part of a snapshot is closed.
+	SnapshotPartBytes int
+}
+
+// validate collects every finding.
+func (c Config) validate() error {
+	var findings []error
+	positive := func(name string, value int64) {
+		if value < 0 {
+			findings = append(findings, fmt.Errorf("program.Config.%s is %d: want a positive number", name, value))
+		}
+	}
+	positive("MaximumPrograms", int64(c.MaximumPrograms))
+	positive("MaximumQueuedCalls", int64(c.MaximumQueuedCalls))
+	positive("MaximumDepth", int64(c.MaximumDepth))
+	positive("RetryBase", int64(c.RetryBase))
+	positive("RetryMaximum", int64(c.RetryMaximum))
+	positive("LookupAttempts", int64(c.LookupAttempts))
+	positive("LookupTimeout", int64(c.LookupTimeout))
+	positive("TickPrograms", int64(c.TickPrograms))
+	positive("SnapshotPartBytes", int64(c.SnapshotPartBytes))
+	if c.RetryMaximum > 0 && c.RetryBase > c.RetryMaximum {
+		findings = append(findings, fmt.Errorf("program.Config.RetryBase is %s: want at most RetryMaximum, %s", c.RetryBase, c.RetryMaximum))
+	}
+	return errors.Join(findings...)
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.MaximumPrograms, defaultMaximumPrograms)
+	setDefault(&c.MaximumQueuedCalls, defaultMaximumQueuedCalls)
+	setDefault(&c.MaximumDepth, defaultMaximumDepth)
+	setDefault(&c.RetryMaximum, max(defaultRetryMaximum, c.RetryBase))
+	setDefault(&c.RetryBase, min(defaultRetryBase, c.RetryMaximum))
+	setDefault(&c.LookupAttempts, defaultLookupAttempts)
+	setDefault(&c.LookupTimeout, defaultLookupTimeout)
+	setDefault(&c.TickPrograms, defaultTickPrograms)
+	setDefault(&c.SnapshotPartBytes, defaultSnapshotPartBytes)
+	if c.CountTokens == nil {
+		c.CountTokens = func(text string) int { return (len(text) + bytesPerToken - 1) / bytesPerToken }
+	}
+	if c.Random == nil {
+		c.Random = rand.New(rand.NewPCG(1, 1))
+	}
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Store holds the programs of one partition. It is not safe for concurrent
+// use: one goroutine drives it.
+type Store struct {
+	config   Config
+	programs map[api.ProgramID]*heldProgram
+	timers   timerHeap
+	// terms shares equal terms between the programs of a branch.
+	terms map[string]*Terms
+	// finished lists the programs whose end is complete, oldest first.
+	finished []api.ProgramID
+	epoch    uint64
+	gauge    Gauges
+}
+
+// NewStore returns an empty store. The error lists every wrong setting.
+func NewStore(config Config) (*Store, error) {
+	if err := config.validate(); err != nil {
+		return nil, err
+	}
+	return &Store{
+		config:   config.withDefaults(),
+		programs: make(map[api.ProgramID]*heldProgram),
+		terms:    make(map[string]*Terms),
+	}, nil
+}
+
+// Step applies one command and returns what follows from it. A refusal has
+// changed nothing. Its state counts at once; nobody may be told of it before
+// Output.Records are durable.
+func (s *Store) Step(now time.Time, command Command) (Output, *api.Error) {
+	t := newTransition(s, now)
+	refusal := t.step(command)
+	if refusal != nil {
+		t.discard()
+		return Output{}, refusal
+	}
+	return t.finish(), nil
+}
+
+func (t *transition) step(command Command) *api.Error {
+	if command.Create != nil {
+		return t.create(command.Program, *command.Create)
+	}
+	id := command.programID()
+	p, ok := t.store.programs[id]
+	if !ok {
+		return programNotFound(id)
+	}
+	switch {
+	case command.Submit != nil:
+		return t.submit(p, *command.Submit)
+	case command.Dispatch != nil:
+		return t.dispatch(p, *command.Dispatch)
+	case command.Outcome != nil:
+		t.outcome(p, *command.Outcome)
+	case command.Lookup != nil:
+		t.lookedUp(p, *command.Lookup)
+	case command.Cancel != nil:
+		return t.cancel(p, command.Cancel.Sequence)
+	case command.Refuse != nil:
+		t.refuse(p, *command.Refuse)
+	case command.End != nil:
+		t.end(p, command.End.Reason)
+	case command.Retarget != nil:
+		t.retarget(p, *command.Retarget)
+	default:
+		return api.Refuse(api.CodeBadRequest, "the command is empty")
+	}
+	return nil
+}
+
+// programID finds the program in the parts of a command that name it too.
+func (c Command) programID() api.ProgramID {
+	switch {
+	case c.Program != "":
+		return c.Program
+	case c.Dispatch != nil:
+		return c.Dispatch.Call.Program
+	case c.Outcome != nil:
+		return c.Outcome.Attempt.Program
+	case c.Lookup != nil:
+		return c.Lookup.Call.Program
+	case c.Refuse != nil:
+		return c.Refuse.Call.Program
+	}
+	return ""
+}
--- /dev/null
+++ b/program/submit.go
@@ -0,0 +1,159 @@
+package program
+
+import (
+	"slices"
+	"time"
+
+	"birchwood.example/birchwood/api"
+)
+
+// queueRetry is how soon a caller may try again when the queue is full.
+const queueRetry = 500 * time.Millisecond
+
+// submit admits a call, or returns the one that has the same key.
+func (t *transition) submit(p *heldProgram, submit Submit) *api.Error {
+	request := submit.Request
+	if request.Key == "" {
+		return api.Refuse(api.CodeBadRequest, "a call needs a key").At("$.key")
+	}
+	hash := bodyHash(request)
+	if sequence := p.findKey(request.Key); sequence > 0 {
+		return t.submitAgain(p, sequence, request, hash)
+	}
+	if refusal := t.admit(p, request); refusal != nil {
+		t.store.gauge.Refused++
+		return refusal
+	}
+	sequence := request.Sequence
+	if sequence == 0 {
+		sequence = uint64(len(p.calls)) + 1
+	}
+	request.Sequence = sequence
+	request.Stream = false
+	request.MaxOutputTokens = 0
+	if request.Kind == api.CallModel {
+		request.MaxOutputTokens = outputCap(submit.Request, *p.terms)
+	}
+	accepted := t.accepted(p, request, submit.InputTokens)
+	accepted.BodyHash = hash
+	if accepted.ReservedTokens > p.budget.free() {
+		t.store.gauge.Refused++
+		return api.Refuse(api.CodeBudgetExhausted, "the call may cost %d tokens, the program has %d left",
+			accepted.ReservedTokens, p.budget.free()).At("$.max_output_tokens")
+	}
+	t.record(Record{Program: p.id, Accepted: accepted})
+	t.advance(p)
+	t.showCall(p, sequence)
+	return nil
+}
+
+// accepted builds the record that admits the call.
+func (t *transition) accepted(p *heldProgram, request api.SubmitCall, inputTokens int) *Accepted {
+	if inputTokens <= 0 {
+		inputTokens = t.store.config.CountTokens(request.Input)
+	}
+	promptTokens := p.estimatePrompt(request.Sequence, inputTokens)
+	return &Accepted{
+		Sequence:       request.Sequence,
+		Call:           request,
+		InputTokens:    inputTokens,
+		PromptTokens:   promptTokens,
+		ReservedTokens: reservation(request, promptTokens),
+		Deadline:       callDeadline(t.now, request, *p.terms),
+	}
+}
+
+// callDeadline is the end of the call's time: the caller's, within the
+// contract's. The zero time means that neither bounds it.
+func callDeadline(now time.Time, request api.SubmitCall, terms Terms) time.Time {
+	timeout := terms.CallTimeout
+	asked := time.Duration(request.TimeoutMilliseconds) * time.Millisecond
+	if asked > 0 && (timeout <= 0 || asked < timeout) {
+		timeout = asked
+	}
+	if timeout <= 0 {
+		return time.Time{}
+	}
+	return now.Add(timeout)
+}
+
+// submitAgain answers a call whose key the program has seen: with the same
+// body it is the same call, whatever became of it.
+func (t *transition) submitAgain(p *heldProgram, sequence uint64, request api.SubmitCall, hash uint64) *api.Error {
+	if p.calls[sequence-1].bodyHash != hash {
+		return keyReused("$.key", "call %d has this key and another body", sequence)
+	}
+	if request.Sequence != 0 && request.Sequence != sequence {
+		return keyReused("$.sequence", "the call with this key has place %d", sequence)
+	}
+	t.showCall(p, sequence)
+	return nil
+}
+
+// admit checks a new call against the program and its contract.
+func (t *transition) admit(p *heldProgram, request api.SubmitCall) *api.Error {
+	if p.closed {
+		return programEnded(p.closedReason)
+	}
+	if refusal := checkKind(request, *p.terms); refusal != nil {
+		return refusal
+	}
+	if p.turnsUsedUp() {
+		return t.refuseTurns(p)
+	}
+	if refusal := t.checkPlace(p, request.Sequence); refusal != nil {
+		return refusal
+	}
+	if len(p.live) >= t.store.config.MaximumQueuedCalls {
+		return api.Refuse(api.CodeOverloaded, "%d calls of the program have not ended", len(p.live)).After(queueRetry.Milliseconds())
+	}
+	return nil
+}
+
+// checkKind checks that the contract permits the model or the tool.
+func checkKind(request api.SubmitCall, terms Terms) *api.Error {
+	switch request.Kind {
+	case api.CallModel:
+		if !slices.Contains(terms.Models, request.Model) {
+			return api.Refuse(api.CodeUnknownModel, "the contract does not permit model %q", request.Model).At("$.model")
+		}
+		if outputCap(request, terms) <= 0 {
+			return api.Refuse(api.CodeBadRequest, "neither the call nor the contract caps the output").At("$.max_output_tokens")
+		}
+	case api.CallTool:
+		if !slices.Contains(terms.Tools, request.Tool) {
+			return api.Refuse(api.CodeUnknownTool, "the contract does not permit tool %q", request.Tool).At("$.tool")
+		}
+	default:
+		return api.Refuse(api.CodeBadRequest, "kind %q: want %q or %q", request.Kind, api.CallModel, api.CallTool).At("$.kind")
+	}
+	return nil
+}
+
+// checkPlace checks that the named place of the order is free and near.
+func (t *transition) checkPlace(p *heldProgram, sequence uint64) *api.Error {
+	if sequence == 0 {
+		return nil
+	}
+	if p.entry(sequence) != nil {
+		return api.Refuse(api.CodeConflict, "place %d is taken by a call with another key", sequence).At("$.sequence")
+	}
+	last := p.next + uint64(t.store.config.MaximumQueuedCalls) - 1
+	if sequence > last {
+		return api.Refuse(api.CodeConflict, "place %d is too far ahead: %d is missing, and %d is the last that may wait for it",
+			sequence, p.next, last).At("$.sequence")
+	}
+	return nil
+}
+
+func (p *heldProgram) turnsUsedUp() bool {
+	return p.terms.MaxTurns > 0 && p.turns >= p.terms.MaxTurns
+}
+
+// refuseTurns refuses a call beyond the limit of turns. The program ends once
+// its calls have: what still loops gets program_ended from then on.
+func (t *transition) refuseTurns(p *heldProgram) *api.Error {
+	p.exhausted = true
+	t.touch(p)
+	return api.Refuse(api.CodeLimitReached, "the program has made %d turns, its maximum", p.turns)
+}
--- /dev/null
+++ b/program/transition.go
@@ -0,0 +1,95 @@
+package program
+
+import (
+	"slices"
+	"time"
+
+	"birchwood.example/birchwood/api"
+)
+
+// transition collects what one input of the store decides.
+type transition struct {
+	store   *Store
+	now     time.Time
+	out     Output
+	touched []*heldProgram
+}
+
+func newTransition(store *Store, now time.Time) *transition {
+	return &transition{store: store, now: now.Round(0).UTC()}
+}
+
+// record applies a durable fact and keeps it for the journal. Every change
+// of durable state goes through here, so that folding the records again
+// gives the same state.
+func (t *transition) record(record Record) {
+	record.At = t.now
+	t.store.apply(NoOffset, record)
+	t.out.Records = append(t.out.Records, record)
+	t.touch(t.store.programs[record.Program])
+}
+
+// touch marks a program whose next deadline may have changed.
+func (t *transition) touch(p *heldProgram) {
+	if p != nil && !slices.Contains(t.touched, p) {
+		t.touched = append(t.touched, p)
+	}
+}
+
+// effect asks for something once the records are durable.
+func (t *transition) effect(effect Effect) {
+	t.out.Effects = append(t.out.Effects, effect)
+}
+
+// immediate asks for something that need not wait.
+func (t *transition) immediate(effect Effect) {
+	t.out.Immediate = append(t.out.Immediate, effect)
+}
+
+// discard ends a transition that was refused.
+func (t *transition) discard() {
+	for _, p := range t.touched {
+		t.store.reschedule(p)
+	}
+}
+
+// finish returns the output once every timer is set.
+func (t *transition) finish() Output {
+	t.discard()
+	return t.out
+}
+
+// showProgram puts the program into the output, for the reply.
+func (t *transition) showProgram(p *heldProgram) {
+	described := p.describe()
+	t.out.Program = &described
+}
+
+// showCall puts the call into the output, for the reply.
+func (t *transition) showCall(p *heldProgram, sequence uint64) {
+	described := p.describeCall(sequence)
+	t.out.Call = &described
+	t.showProgram(p)
+}
+
+// callEffect is the part that effects about a call share.
+func (p *heldProgram) callEffect(kind EffectKind, live *liveCall) Effect {
+	return Effect{
+		Kind:         kind,
+		Attempt:      AttemptRef{CallRef: CallRef{Program: p.id, Sequence: live.sequence}, Attempt: live.attempt},
+		Backend:      live.backend,
+		Call:         live.call,
+		Key:          p.serviceKey(live),
+		PromptTokens: live.promptTokens,
+		Deadline:     live.deadline,
+		Terms:        *p.terms,
+		Branch:       p.branch,
+		Attained:     p.budget.spent,
+		Avoid:        slices.Clone(live.avoid),
+	}
+}
+
+// releaseEffect asks to free what engines keep for the program.
+func releaseEffect(id api.ProgramID) Effect {
+	return Effect{Kind: EffectRelease, Attempt: AttemptRef{CallRef: CallRef{Program: id}}}
+}
--- a/program/types.go
+++ b/program/types.go
@@ -28,6 +28,9 @@
 	MaxOutputTokens int `json:"max_output_tokens"`
 	// Attempts bounds how often a repeatable call is tried.
 	Attempts int `json:"attempts"`
+	// Retention is how long an ended program is remembered: its history stays
+	// readable and its keys stay taken. Zero keeps it as long as the store.
+	Retention time.Duration `json:"retention,omitempty"`
 }
 
 // CallRef names one call of one program.
@@ -63,6 +66,15 @@
 	Key    string        `json:"key"`
 	Parent api.ProgramID `json:"parent,omitempty"`
 	Terms  Terms         `json:"terms"`
+	// BudgetTokens and DeadlineMilliseconds are the limits that the request
+	// set below the contract's; zero where it set none.
+	BudgetTokens         int64 `json:"budget_tokens,omitempty"`
+	DeadlineMilliseconds int64 `json:"deadline_ms,omitempty"`
+	// CarvedTokens is a sub-agent's budget, taken from its parent's by the
+	// Carved record before this one.
+	CarvedTokens int64 `json:"carved_tokens,omitempty"`
+	// Depth is the number of ancestors.
+	Depth int `json:"depth,omitempty"`
 }
 
 // Accepted admits a call at its place in the program's order and reserves
@@ -72,7 +84,10 @@
 	Call     api.SubmitCall `json:"call"`
 	// BodyHash tells a repeated key with another body apart.
 	BodyHash uint64 `json:"body_hash"`
-	// PromptTokens is the length of the whole prompt, history included.
+	// InputTokens is the length of the call's own input.
+	InputTokens int `json:"input_tokens"`
+	// PromptTokens is the length of the whole prompt, history included. While
+	// earlier calls have not ended it is an estimate from their output caps.
 	PromptTokens int `json:"prompt_tokens"`
 	// ReservedTokens is held against the budget until the call ends.
 	ReservedTokens int64     `json:"reserved_tokens"`
@@ -97,10 +112,14 @@
 	Output   string         `json:"output,omitempty"`
 	Usage    api.Usage      `json:"usage"`
 	Error    *api.Error     `json:"error,omitempty"`
+	// HeldTokens is the part of the reservation that stays held for good,
+	// because nobody knows what the call cost.
+	HeldTokens int64 `json:"held_tokens,omitempty"`
 }
 
 // Carved moves budget from a parent program to its sub-agent, or back when
-// the sub-agent ends.
+// the sub-agent ends: the first record of a child carves Tokens out, the
+// second returns what is unspent, as a negative number of Tokens.
 type Carved struct {
 	Child  api.ProgramID `json:"child"`
 	Tokens int64         `json:"tokens"`
@@ -219,6 +238,10 @@
 	Attained int64
 	// Delay postpones EffectStart or EffectLookup: the retry's backoff.
 	Delay time.Duration
+	// Avoid are the back ends that failed an earlier attempt, for EffectStart.
+	Avoid []machine.ID
+	// Answer is the whole terminal call, for EffectAnswer.
+	Answer *api.Call
 }
 
 // Output is what a Step decided. Effects may be performed only once Records
