Schedule by predicted finish, with fair queues, admission and prefix care

Least outstanding and stickiness know nothing of prefill, queues or tenants, and leave every burst to the engines' own queues.

Rank candidates by the predicted finish at rates learned from finished calls, hold calls while the feasible engines are saturated, share the pools between tenants by fair queueing and within a tenant by attained service, refuse new programs early, drop prefixes that will not be used, export those of leaving engines, and move models between replicas. Decisions gain ExportTo and Model.

Tested by the rapid rules over all policies; the weights are first guesses that no measurement supports yet.

--- /dev/null
+++ b/schedule/affinity.go
@@ -0,0 +1,168 @@
+package schedule
+
+import (
+	"container/list"
+	"slices"
+	"time"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/machine"
+)
+
+// tracker knows the programs that have prefixes in engines: where, how many
+// tokens, and since when each program is paused.
+type tracker struct {
+	programs map[api.ProgramID]*tracked
+	// paused lists the programs without a call under way, the longest paused
+	// first.
+	paused *list.List
+}
+
+// tracked is one program.
+type tracked struct {
+	id     api.ProgramID
+	tenant string
+	// last is the model call that ended last; where it could run, the prefix
+	// may be moved.
+	last Request
+	// residents are the engines that hold a prefix; the last one is the
+	// newest.
+	residents []resident
+	// paused says that no model call is under way since pausedAt; pause is
+	// its place in the list, nil when nothing is resident.
+	paused   bool
+	pausedAt time.Time
+	pause    *list.Element
+}
+
+// resident is one program's prefix in one engine.
+type resident struct {
+	backend machine.ID
+	tokens  int
+}
+
+func newTracker() *tracker {
+	return &tracker{programs: map[api.ProgramID]*tracked{}, paused: list.New()}
+}
+
+// resume notes that a program has a model call under way again, and returns
+// how long it was paused.
+func (t *tracker) resume(now time.Time, owner api.ProgramID) (pause time.Duration, paused bool) {
+	entry := t.programs[owner]
+	if entry == nil || !entry.paused {
+		return 0, false
+	}
+	entry.paused = false
+	t.unlist(entry)
+	return now.Sub(entry.pausedAt), true
+}
+
+// pause notes that a program has no model call under way.
+func (t *tracker) pause(now time.Time, owner api.ProgramID) {
+	entry := t.programs[owner]
+	if entry == nil {
+		return
+	}
+	t.unlist(entry)
+	entry.paused = true
+	entry.pausedAt = now
+	if len(entry.residents) > 0 {
+		entry.pause = t.paused.PushBack(entry)
+	}
+}
+
+// unlist takes a program off the list of paused ones.
+func (t *tracker) unlist(entry *tracked) {
+	if entry.pause != nil {
+		t.paused.Remove(entry.pause)
+		entry.pause = nil
+	}
+}
+
+// finished notes that a model call ended at a back end that keeps so many
+// tokens of the program's prefix.
+func (t *tracker) finished(now time.Time, request *Request, backend machine.ID, tokens int) {
+	owner := request.Call.Program
+	entry := t.programs[owner]
+	if entry == nil {
+		if tokens <= 0 {
+			return
+		}
+		entry = &tracked{id: owner, tenant: request.Tenant}
+		t.programs[owner] = entry
+	}
+	entry.remove(backend)
+	if tokens > 0 {
+		entry.residents = append(entry.residents, resident{backend: backend, tokens: tokens})
+	}
+	entry.last = *request
+	t.pause(now, owner)
+}
+
+// evicted notes that a back end no longer holds the program's prefix.
+func (t *tracker) evicted(owner api.ProgramID, backend machine.ID) {
+	if entry := t.programs[owner]; entry != nil {
+		entry.remove(backend)
+		if len(entry.residents) == 0 {
+			t.unlist(entry)
+		}
+	}
+}
+
+// lost forgets every prefix of the back ends.
+func (t *tracker) lost(backends []machine.ID) {
+	if len(backends) == 0 {
+		return
+	}
+	for _, entry := range t.programs {
+		entry.residents = slices.DeleteFunc(entry.residents, func(r resident) bool {
+			return slices.Contains(backends, r.backend)
+		})
+	}
+}
+
+// forget drops a program that ended, and returns how long it was paused.
+func (t *tracker) forget(now time.Time, owner api.ProgramID) (tenant string, pause time.Duration, paused bool) {
+	entry := t.programs[owner]
+	if entry == nil {
+		return "", 0, false
+	}
+	pause, paused = t.resume(now, owner)
+	delete(t.programs, owner)
+	return entry.tenant, pause, paused
+}
+
+// residents returns the engines that hold a prefix of the program, the
+// newest last.
+func (t *tracker) residents(owner api.ProgramID) []resident {
+	if entry := t.programs[owner]; entry != nil {
+		return entry.residents
+	}
+	return nil
+}
+
+// remove forgets the prefix in one engine.
+func (e *tracked) remove(backend machine.ID) {
+	e.residents = slices.DeleteFunc(e.residents, func(r resident) bool { return r.backend == backend })
+}
+
+// tokensAt returns how many tokens of a prefix a back end holds.
+func tokensAt(residents []resident, backend machine.ID) int {
+	for _, entry := range residents {
+		if entry.backend == backend {
+			return entry.tokens
+		}
+	}
+	return 0
+}
+
+// largest returns the resident with the most tokens, the newest of equals.
+func largest(residents []resident) (resident, bool) {
+	var best resident
+	for _, entry := range residents {
+		if entry.tokens >= best.tokens {
+			best = entry
+		}
+	}
+	return best, best.tokens > 0
+}
--- a/schedule/config.go
+++ b/schedule/config.go
@@ -6,20 +6,25 @@
 	"math/rand/v2"
 	"time"
 
+	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/zone"
 )
 
 // Config holds what a policy needs to know of its node and how it weighs its
 // choices. DefaultConfig gives every weight a value; Self, LinkDelay and
-// Random come from the node.
+// Random come from the node. docs/design/scheduling.md says what each weight
+// was measured to bring.
 type Config struct {
 	// Self is the zone of the node that decides.
 	Self zone.Name
 	// LinkDelay is the one-way delay from this node to a zone.
 	LinkDelay func(zone.Name) time.Duration
-	// Random breaks ties and samples candidates. The same seed and the same
-	// inputs give the same decisions.
+	// Random samples candidates. The same seed and the same inputs give the
+	// same decisions.
 	Random *rand.Rand
+	// Commands reports whether this node gives orders to an engine. Exactly
+	// one live node should for each engine. Nil: this node orders none.
+	Commands func(machine.ID) bool
 
 	// Choices is how many cold candidates are ranked for one call. Few
 	// choices keep nodes that share late reports from agreeing on one engine.
@@ -33,6 +38,15 @@
 	StaleLoad time.Duration
 	// Rates are the priors of the engines' speed, until calls teach better.
 	Rates Rates
+	// Cache weighs the prefix caches against speed.
+	Cache CacheConfig
+	// Order sets the order of the calls that are held.
+	Order OrderConfig
+	// AdmissionWait is the predicted hold from which a call of a program that
+	// has not received any service yet is refused at once.
+	AdmissionWait time.Duration
+	// Models places models on replicas.
+	Models ModelsConfig
 }
 
 // Rates describe how fast an engine works.
@@ -47,40 +61,138 @@
 	TransferPerToken time.Duration
 }
 
+// CacheConfig weighs the prefix caches.
+type CacheConfig struct {
+	// MissWeight multiplies the predicted prefill in the ranking: computing
+	// a prompt again also delays the other sequences of that engine.
+	MissWeight float64
+	// EvictionWeight multiplies the prefill of the tokens that a placement
+	// would push out of a full cache.
+	EvictionWeight float64
+	// Patience bounds the wait for the engine that holds the prefix, as a
+	// multiple of the prefill that it saves.
+	Patience float64
+	// ReuseFloor is the probability of a return below which the prefix of a
+	// paused program is dropped.
+	ReuseFloor float64
+	// ReviewInterval is how often the prefixes of paused programs are
+	// reviewed.
+	ReviewInterval time.Duration
+}
+
+// OrderConfig sets the order of held calls of one tenant. Each term moves a
+// call's place by a time, as if it had been enqueued earlier or later; all
+// are bounded, so a call that waits long enough overtakes any other.
+type OrderConfig struct {
+	// AttainedPerToken moves a call later by the service of its program.
+	AttainedPerToken time.Duration
+	// AttainedMaximum bounds that move.
+	AttainedMaximum time.Duration
+	// UrgencyStep moves a call earlier by each level of its priority.
+	UrgencyStep time.Duration
+}
+
+// ModelsConfig places models on replicas.
+type ModelsConfig struct {
+	// ReviewInterval is how often the demand of the models is compared.
+	ReviewInterval time.Duration
+	// Settle is how long after a change of any engine's models the next
+	// order waits: weights take long to load, and demand follows late.
+	Settle time.Duration
+	// Busy is the share of a model's slots in use from which it is short of
+	// replicas; Spare is the share that the donor must stay under without
+	// the replica that it gives.
+	Busy  float64
+	Spare float64
+}
+
 // DefaultConfig returns a Config that lacks only Self, LinkDelay and Random.
 func DefaultConfig() Config {
 	return Config{
 		Choices:     4,
 		EngineFill:  1,
-		MaximumHold: 30 * time.Second,
+		MaximumHold: 60 * time.Second,
 		StaleLoad:   10 * time.Second,
 		Rates: Rates{
-			PrefillPerToken:  120 * time.Microsecond,
-			DecodePerToken:   20 * time.Millisecond,
-			DecodePerPeer:    300 * time.Microsecond,
-			TransferPerToken: 15 * time.Microsecond,
+			PrefillPerToken:  200 * time.Microsecond,
+			DecodePerToken:   17 * time.Millisecond,
+			DecodePerPeer:    400 * time.Microsecond,
+			TransferPerToken: 50 * time.Microsecond,
 		},
+		Cache: CacheConfig{
+			MissWeight:     2,
+			EvictionWeight: 1,
+			Patience:       1,
+			ReuseFloor:     0.05,
+			ReviewInterval: time.Second,
+		},
+		Order: OrderConfig{
+			AttainedPerToken: 200 * time.Microsecond,
+			AttainedMaximum:  10 * time.Second,
+			UrgencyStep:      time.Second,
+		},
+		AdmissionWait: 3 * time.Second,
+		Models: ModelsConfig{
+			ReviewInterval: 5 * time.Second,
+			Settle:         20 * time.Second,
+			Busy:           0.7,
+			Spare:          0.6,
+		},
+	}
+}
+
+// findings collects what is wrong with a configuration.
+type findings []error
+
+// require adds a finding about the place unless ok.
+func (f *findings) require(ok bool, place, want string) {
+	if !ok {
+		*f = append(*f, fmt.Errorf("schedule configuration: %s: want %s", place, want))
 	}
 }
 
 // validate returns every finding about the configuration, joined.
 func (c Config) validate() error {
-	var findings []error
-	require := func(ok bool, place, want string) {
-		if !ok {
-			findings = append(findings, fmt.Errorf("schedule configuration: %s: want %s", place, want))
-		}
-	}
-	require(c.Self.Validate() == nil, "Self", "a zone name")
-	require(c.LinkDelay != nil, "LinkDelay", "a function")
-	require(c.Random != nil, "Random", "a seeded source")
-	require(c.Choices >= 1, "Choices", "at least 1")
-	require(c.EngineFill > 0 && c.EngineFill <= 2, "EngineFill", "a share above 0 and at most 2")
-	require(c.MaximumHold > 0, "MaximumHold", "a positive duration")
-	require(c.StaleLoad > 0, "StaleLoad", "a positive duration")
-	require(c.Rates.PrefillPerToken > 0, "Rates.PrefillPerToken", "a positive duration")
-	require(c.Rates.DecodePerToken > 0, "Rates.DecodePerToken", "a positive duration")
-	require(c.Rates.DecodePerPeer >= 0, "Rates.DecodePerPeer", "no negative duration")
-	require(c.Rates.TransferPerToken > 0, "Rates.TransferPerToken", "a positive duration")
-	return errors.Join(findings...)
+	var found findings
+	found.require(c.Self.Validate() == nil, "Self", "a zone name")
+	found.require(c.LinkDelay != nil, "LinkDelay", "a function")
+	found.require(c.Random != nil, "Random", "a seeded source")
+	found.require(c.Choices >= 1, "Choices", "at least 1")
+	found.require(c.EngineFill > 0 && c.EngineFill <= 2, "EngineFill", "a share above 0 and at most 2")
+	found.require(c.MaximumHold > 0, "MaximumHold", "a positive duration")
+	found.require(c.StaleLoad > 0, "StaleLoad", "a positive duration")
+	found.require(c.AdmissionWait > 0, "AdmissionWait", "a positive duration")
+	c.Rates.validate(&found)
+	c.Cache.validate(&found)
+	c.Order.validate(&found)
+	c.Models.validate(&found)
+	return errors.Join(found...)
+}
+
+func (r Rates) validate(found *findings) {
+	found.require(r.PrefillPerToken > 0, "Rates.PrefillPerToken", "a positive duration")
+	found.require(r.DecodePerToken > 0, "Rates.DecodePerToken", "a positive duration")
+	found.require(r.DecodePerPeer > 0, "Rates.DecodePerPeer", "a positive duration")
+	found.require(r.TransferPerToken > 0, "Rates.TransferPerToken", "a positive duration")
+}
+
+func (c CacheConfig) validate(found *findings) {
+	found.require(c.MissWeight >= 1, "Cache.MissWeight", "at least 1")
+	found.require(c.EvictionWeight >= 0, "Cache.EvictionWeight", "no negative weight")
+	found.require(c.Patience >= 0, "Cache.Patience", "no negative factor")
+	found.require(c.ReuseFloor >= 0 && c.ReuseFloor <= 1, "Cache.ReuseFloor", "a probability")
+	found.require(c.ReviewInterval > 0, "Cache.ReviewInterval", "a positive duration")
+}
+
+func (o OrderConfig) validate(found *findings) {
+	found.require(o.AttainedPerToken >= 0, "Order.AttainedPerToken", "no negative duration")
+	found.require(o.AttainedMaximum >= 0, "Order.AttainedMaximum", "no negative duration")
+	found.require(o.UrgencyStep >= 0, "Order.UrgencyStep", "no negative duration")
+}
+
+func (m ModelsConfig) validate(found *findings) {
+	found.require(m.ReviewInterval > 0, "Models.ReviewInterval", "a positive duration")
+	found.require(m.Settle >= 0, "Models.Settle", "no negative duration")
+	found.require(m.Busy > 0 && m.Busy <= 1, "Models.Busy", "a share above 0 and at most 1")
+	found.require(m.Spare > 0 && m.Spare <= 1, "Models.Spare", "a share above 0 and at most 1")
 }
--- /dev/null
+++ b/schedule/rank.go
@@ -0,0 +1,134 @@
+package schedule
+
+import (
+	"time"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/machine"
+)
+
+// prediction is the predicted finish of a call at one back end.
+type prediction struct {
+	backend  *backend
+	link     time.Duration
+	queue    time.Duration
+	transfer time.Duration
+	prefill  time.Duration
+	decode   time.Duration
+	// prompt is the whole prompt, missing the part to compute, in tokens.
+	prompt  int
+	missing int
+	// peers is how many other sequences are expected there.
+	peers int
+	// source holds the prefix to import first; empty for none.
+	source machine.ID
+	// score orders the candidates, lower first: the predicted finish, and
+	// what the choice costs other calls.
+	score time.Duration
+}
+
+// finish is when the answer would be complete, from now.
+func (p *prediction) finish() time.Duration {
+	return p.link + p.queue + p.transfer + p.prefill + p.decode
+}
+
+// terms explains the prediction.
+func (p *prediction) terms(feasible int, reason string) Terms {
+	return Terms{
+		Feasible:      feasible,
+		Queue:         p.queue,
+		Prefill:       p.prefill,
+		Transfer:      p.transfer,
+		Decode:        p.decode,
+		Link:          p.link,
+		MissingTokens: p.missing,
+		Reason:        reason,
+	}
+}
+
+// rank predicts the finish of a request at a candidate.
+func (s *Scheduler) rank(now time.Time, request *Request, candidate *backend) prediction {
+	if request.Kind == api.CallTool {
+		return s.rankTool(now, request, candidate)
+	}
+	return s.rankModel(now, request, candidate)
+}
+
+// rankTool prefers the least outstanding back end, then the nearest. Each
+// outstanding call counts as one mean service time.
+func (s *Scheduler) rankTool(now time.Time, request *Request, candidate *backend) prediction {
+	outstanding := candidate.outstanding(now, s.config.StaleLoad)
+	predicted := prediction{backend: candidate, peers: outstanding}
+	predicted.link = 2 * s.config.LinkDelay(candidate.machine.Zone)
+	predicted.queue = time.Duration(outstanding) * s.predict.meanService(request.Tool)
+	predicted.score = predicted.finish()
+	return predicted
+}
+
+// rankModel weighs the queue, the missing prefill or the transfer of the
+// prefix, and a decode that slows with the batch.
+func (s *Scheduler) rankModel(now time.Time, request *Request, candidate *backend) prediction {
+	learned := s.predict.speed(request.Model)
+	predicted := prediction{
+		backend: candidate,
+		peers:   candidate.outstanding(now, s.config.StaleLoad),
+		prompt:  request.PromptTokens,
+		link:    2 * s.config.LinkDelay(candidate.machine.Zone),
+	}
+	residents := s.tracker.residents(request.Call.Program)
+	held := min(tokensAt(residents, candidate.machine.ID), request.PromptTokens)
+	predicted.missing = request.PromptTokens - held
+	predicted.prefill = s.predict.prefill(learned, predicted.missing)
+	s.considerImport(request, &predicted, residents, held)
+	waiting := candidate.queuedTokens(now, s.config.StaleLoad)
+	predicted.queue = s.predict.prefill(learned, waiting)
+	predicted.decode = s.predict.decode(learned, s.predict.output(request), predicted.peers)
+	predicted.score = predicted.finish() + s.costToOthers(learned, &predicted)
+	return predicted
+}
+
+// considerImport transfers the prefix from another engine when that is
+// faster than computing it again.
+func (s *Scheduler) considerImport(request *Request, predicted *prediction, residents []resident, held int) {
+	best, ok := largest(residents)
+	if !ok || best.backend == predicted.backend.machine.ID {
+		return
+	}
+	source := s.view.byID[best.backend]
+	if source == nil || !request.Placement.Contains(source.machine.Zone) {
+		return
+	}
+	tokens := min(best.tokens, request.PromptTokens)
+	saved := tokens - held
+	if saved <= 0 {
+		return
+	}
+	learned := s.predict.speed(request.Model)
+	transfer := time.Duration(tokens)*s.config.Rates.TransferPerToken + 2*s.config.LinkDelay(source.machine.Zone)
+	if transfer >= s.predict.prefill(learned, saved) {
+		return
+	}
+	predicted.source = best.backend
+	predicted.transfer = transfer
+	predicted.missing = request.PromptTokens - tokens
+	predicted.prefill = s.predict.prefill(learned, predicted.missing)
+}
+
+// costToOthers is the delay that a placement causes elsewhere: its prefill
+// holds up the batch, and what does not fit pushes other prefixes out.
+func (s *Scheduler) costToOthers(learned *speed, predicted *prediction) time.Duration {
+	cost := time.Duration((s.config.Cache.MissWeight - 1) * float64(predicted.prefill))
+	capacity := predicted.backend.machine.CacheTokens
+	if capacity == 0 {
+		return cost
+	}
+	added := predicted.missing
+	if predicted.source != "" {
+		added += int(predicted.transfer / s.config.Rates.TransferPerToken)
+	}
+	overflow := min(predicted.backend.load.CachedTokens+added-capacity, added)
+	if overflow > 0 {
+		cost += time.Duration(s.config.Cache.EvictionWeight * float64(s.predict.prefill(learned, overflow)))
+	}
+	return cost
+}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"birchwood.example/birchwood/api"
@@ -12,115 +13,250 @@
 type Scheduler struct {
 	config  Config
 	view    *view
-	pending []Request
-	scratch []*backend
-	home    map[api.ProgramID]machine.ID
+	queue   *queue
+	tracker *tracker
+	predict *predictor
+	// pauses holds what the programs of each tenant did when they paused.
+	pauses map[string]*pauses
+	// decisions are due with the next call of Ready.
+	decisions []Decision
+	// now is the time of the last input.
+	now           time.Time
+	wake          time.Time
+	nextReview    time.Time
+	nextModels    time.Time
+	modelsChanged time.Time
+	// candidates and sampled are reused from decision to decision.
+	candidates []*backend
+	sampled    []*backend
+	passed     []*heldCall
 }
 
+// holdRecheck is how often held calls are tried again without a new input:
+// a load report may have become too old to keep an engine saturated.
+const holdRecheck = time.Second
+
+// passLimit bounds how many calls of a pool one call of Ready passes over.
+const passLimit = 64
+
 // New returns a Scheduler, or every finding about its configuration.
 func New(config Config) (*Scheduler, error) {
 	if err := config.validate(); err != nil {
 		return nil, err
 	}
 	return &Scheduler{
-		config: config,
-		view:   newView(config.StaleLoad),
-		home:   map[api.ProgramID]machine.ID{},
+		config:  config,
+		view:    newView(config.StaleLoad),
+		queue:   newQueue(),
+		tracker: newTracker(),
+		predict: newPredictor(config.Rates),
+		pauses:  map[string]*pauses{},
 	}, nil
 }
 
 // SetBackends implements Policy.
-func (s *Scheduler) SetBackends(_ time.Time, backends []machine.Machine) {
-	s.view.setBackends(backends)
+func (s *Scheduler) SetBackends(now time.Time, backends []machine.Machine) {
+	s.now = now
+	lost, moved := s.view.setBackends(backends)
+	s.tracker.lost(lost)
+	if moved {
+		s.modelsChanged = now
+	}
+	s.evacuate(now)
 }
 
 // ObserveLoad implements Policy.
-func (s *Scheduler) ObserveLoad(_ time.Time, load Load) { s.view.observe(load) }
+func (s *Scheduler) ObserveLoad(now time.Time, load Load) {
+	s.now = now
+	s.view.observe(load)
+}
 
 // Enqueue implements Policy.
-func (s *Scheduler) Enqueue(_ time.Time, request Request) {
-	s.pending = append(s.pending, request)
+func (s *Scheduler) Enqueue(now time.Time, request Request) {
+	s.now = now
+	if request.Kind == api.CallModel {
+		if pause, paused := s.tracker.resume(now, request.Call.Program); paused {
+			s.pausesOf(request.Tenant).returned[pauseBucket(pause)]++
+		}
+	}
+	waiting := s.queue.poolOf(&request)
+	cost := s.predict.serviceTime(&request)
+	call := &heldCall{
+		request: request,
+		pool:    waiting,
+		line:    waiting.lineOf(&request),
+		place:   placeInLine(&request, s.config.Order, cost),
+		expires: holdUntil(request, s.config.MaximumHold),
+		cost:    cost,
+	}
+	if reason := s.admit(now, call); reason != nil {
+		s.refuse(now, request, reason)
+		return
+	}
+	s.queue.push(call)
 }
 
 // Withdraw implements Policy.
-func (s *Scheduler) Withdraw(call program.CallRef) bool {
-	for i, request := range s.pending {
-		if request.Call == call {
-			s.pending = append(s.pending[:i], s.pending[i+1:]...)
-			return true
-		}
+func (s *Scheduler) Withdraw(ref program.CallRef) bool {
+	call := s.queue.calls[ref]
+	if call == nil {
+		return false
 	}
-	return false
+	s.queue.remove(call)
+	s.tracker.pause(s.now, ref.Program)
+	return true
 }
 
 // Finished implements Policy.
-func (s *Scheduler) Finished(now time.Time, call program.CallRef, backend machine.ID, _ api.Usage, residentTokens int) {
-	s.view.finish(now, call)
-	if residentTokens > 0 {
-		s.home[call.Program] = backend
+func (s *Scheduler) Finished(now time.Time, call program.CallRef, backend machine.ID, usage api.Usage, residentTokens int) {
+	s.now = now
+	sent, ok := s.view.finish(now, call)
+	if !ok {
+		return
+	}
+	if entry := s.view.byID[backend]; entry != nil {
+		took := now.Sub(sent.placed) - 2*s.config.LinkDelay(entry.machine.Zone)
+		s.predict.learn(sent, usage, took)
+	}
+	if sent.request.Kind == api.CallTool {
+		return
+	}
+	s.tracker.finished(now, &sent.request, backend, residentTokens)
+	if entry := s.tracker.programs[call.Program]; entry != nil {
+		s.dropStale(entry, backend)
+		s.export(now, entry)
 	}
 }
 
 // Evicted implements Policy.
-func (s *Scheduler) Evicted(_ time.Time, owner api.ProgramID, backend machine.ID) {
-	if s.home[owner] == backend {
-		delete(s.home, owner)
-	}
+func (s *Scheduler) Evicted(now time.Time, owner api.ProgramID, backend machine.ID) {
+	s.now = now
+	s.tracker.evicted(owner, backend)
 }
 
 // ProgramEnded implements Policy.
-func (s *Scheduler) ProgramEnded(_ time.Time, owner api.ProgramID) { delete(s.home, owner) }
+func (s *Scheduler) ProgramEnded(now time.Time, owner api.ProgramID) {
+	s.now = now
+	if tenant, pause, paused := s.tracker.forget(now, owner); paused {
+		s.pausesOf(tenant).ended[pauseBucket(pause)]++
+	}
+}
 
 // Ready implements Policy.
 func (s *Scheduler) Ready(now time.Time) []Decision {
-	var decisions []Decision
-	held := s.pending[:0]
-	for _, request := range s.pending {
-		s.scratch = s.view.feasible(&request, s.scratch[:0])
-		switch {
-		case len(s.scratch) > 0:
-			chosen := s.choose(now, &request)
-			s.view.place(now, chosen, flight{request: request})
-			decisions = append(decisions, Decision{
-				Action: ActionPlace, Call: request.Call, Program: request.Call.Program,
-				Backend: chosen.machine.ID,
-				Terms:   Terms{Feasible: len(s.scratch), Reason: "least outstanding"},
-			})
-		case !now.Before(holdUntil(request, s.config.MaximumHold)):
-			decisions = append(decisions, refuse(request, noPlaceError(request)))
-		default:
-			held = append(held, request)
-		}
+	s.now = now
+	s.expire(now)
+	for i := range s.queue.pools {
+		s.serve(now, s.queue.pools[(s.queue.turn+i)%len(s.queue.pools)])
 	}
-	s.pending = held
+	s.queue.turn++
+	s.reviewPaused(now)
+	s.reviewModels(now)
+	s.setWake(now)
+	decisions := slices.Clone(s.decisions)
+	clear(s.decisions)
+	s.decisions = s.decisions[:0]
 	return decisions
 }
 
-// choose prefers the engine that holds the program's prefix while it has a
-// free slot, else the least outstanding.
-func (s *Scheduler) choose(now time.Time, request *Request) *backend {
-	best := s.scratch[0]
-	home := s.home[request.Call.Program]
-	for _, candidate := range s.scratch {
-		load := candidate.outstanding(now, s.config.StaleLoad)
-		if candidate.machine.ID == home && load < max(candidate.machine.Slots, 1) {
-			return candidate
+// expire refuses the calls that were held as long as they may.
+func (s *Scheduler) expire(now time.Time) {
+	for s.queue.expiry.Len() > 0 {
+		call := s.queue.expiry.items[0]
+		if call.expires.After(now) {
+			return
+		}
+		s.queue.remove(call)
+		s.refuse(now, call.request, s.expiryError(now, call))
+	}
+}
+
+// expiryError tells a call without a permitted back end from one that found
+// none free in time.
+func (s *Scheduler) expiryError(now time.Time, call *heldCall) *api.Error {
+	s.candidates = s.view.feasible(&call.request, s.candidates[:0])
+	if len(s.candidates) == 0 {
+		return noPlaceError(call.request)
+	}
+	reason := api.Refuse(api.CodeOverloaded, "held for %v without a free back end", now.Sub(call.request.Enqueued))
+	call.predictedWait = s.predictedWait(call.line, call.pool)
+	return reason.After(s.promise(now, call).Milliseconds())
+}
+
+func (s *Scheduler) refuse(now time.Time, request Request, reason *api.Error) {
+	s.tracker.pause(now, request.Call.Program)
+	s.decisions = append(s.decisions, refuse(request, reason))
+}
+
+// serve places held calls of a pool in their order, until nothing is left
+// that could be placed.
+func (s *Scheduler) serve(now time.Time, waiting *pool) {
+	waiting.trim()
+	s.passed = s.passed[:0]
+	for len(s.passed) < passLimit {
+		next := waiting.next()
+		if next == nil {
+			break
 		}
-		if load < best.outstanding(now, s.config.StaleLoad) {
-			best = candidate
+		call := next.calls.items[0]
+		switch s.place(now, call) {
+		case placed:
+			s.queue.remove(call)
+			waiting.served(call)
+			waiting.learnDrag(now, call)
+		case passed:
+			next.setAside(call)
+			s.passed = append(s.passed, call)
+		case blocked:
+			waiting.block(next.placement)
 		}
 	}
-	return best
+	for _, call := range s.passed {
+		call.line.putBack(call)
+	}
 }
 
-// NextWake implements Policy.
-func (s *Scheduler) NextWake() time.Time {
-	var wake time.Time
-	for _, request := range s.pending {
-		until := holdUntil(request, s.config.MaximumHold)
-		if wake.IsZero() || until.Before(wake) {
-			wake = until
+// setWake finds when Ready should run again without a new input.
+func (s *Scheduler) setWake(now time.Time) {
+	s.wake = time.Time{}
+	if s.queue.expiry.Len() > 0 {
+		s.wakeBy(s.queue.expiry.items[0].expires)
+		s.wakeBy(now.Add(holdRecheck))
+	}
+	for _, call := range s.passed {
+		if call.retryAt.After(now) {
+			s.wakeBy(call.retryAt)
 		}
 	}
-	return wake
+	if s.tracker.paused.Len() > 0 {
+		s.wakeBy(s.nextReview)
+	}
+	if s.config.Commands != nil {
+		s.wakeBy(s.nextModels)
+	}
+}
+
+func (s *Scheduler) wakeBy(at time.Time) {
+	if s.wake.IsZero() || at.Before(s.wake) {
+		s.wake = at
+	}
+}
+
+// NextWake implements Policy.
+func (s *Scheduler) NextWake() time.Time { return s.wake }
+
+// The engines' own queues order calls by urgency, then by attained service.
+const (
+	highestPriority  = 9
+	attainedLevels   = 10
+	attainedPerLevel = 512
+)
+
+// enginePriority orders the call in the engine's queue, lower first.
+func (s *Scheduler) enginePriority(request *Request) int {
+	level := 0
+	for limit := int64(attainedPerLevel); request.Attained > limit && level < attainedLevels-1; limit *= 2 {
+		level++
+	}
+	return (highestPriority-min(max(request.Priority, 0), highestPriority))*attainedLevels + level
 }
--- a/schedule/types.go
+++ b/schedule/types.go
@@ -56,10 +56,15 @@
 	ActionPlace Action = "place"
 	// ActionRefuse ends the call with Error; nothing was sent.
 	ActionRefuse Action = "refuse"
-	// ActionKeep, ActionDrop and ActionExport decide on a paused program's
-	// prefix at Backend.
-	ActionDrop   Action = "drop"
+	// ActionDrop releases Program's prefix at Backend: it is unlikely to be
+	// used again, or left behind after the program moved.
+	ActionDrop Action = "drop"
+	// ActionExport moves Program's prefix from Backend to ExportTo.
 	ActionExport Action = "export"
+	// ActionLoad and ActionUnload order the engine Backend to load or unload
+	// Model. Only the node that commands the engine decides them.
+	ActionLoad   Action = "load"
+	ActionUnload Action = "unload"
 )
 
 // Decision is what the scheduler decided about a call, or about a prefix.
@@ -72,7 +77,11 @@
 	EnginePriority int
 	// ImportFrom is the engine that holds the prefix to transfer first.
 	ImportFrom machine.ID
-	Error      *api.Error
+	// ExportTo is the engine that takes over an exported prefix.
+	ExportTo machine.ID
+	// Model is what an engine loads or unloads.
+	Model string
+	Error *api.Error
 	// Terms explain the ranking, for `program trace`.
 	Terms Terms
 }
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -56,8 +56,10 @@
 	backend machine.ID
 	placed  time.Time
 	request Request
-	// missing is the prefill that the placement expected.
+	// missing is the prefill that the placement expected; peers the sequences
+	// beside it.
 	missing int
+	peers   int
 }
 
 func newView(staleLoad time.Duration) *view {
@@ -70,9 +72,9 @@
 }
 
 // setBackends replaces the machine list. It returns the back ends that are
-// gone or were started anew, whose caches are lost.
-func (v *view) setBackends(machines []machine.Machine) []machine.ID {
-	var lost []machine.ID
+// gone or were started anew, whose caches are lost, and whether an engine's
+// models changed.
+func (v *view) setBackends(machines []machine.Machine) (lost []machine.ID, moved bool) {
 	listed := make(map[machine.ID]bool, len(machines))
 	for _, entry := range machines {
 		if entry.Kind == machine.KindNode {
@@ -89,6 +91,7 @@
 			known.load = Load{}
 			known.ended = nil
 		}
+		moved = moved || !slices.Equal(known.machine.Models, entry.Models)
 		known.machine = entry
 	}
 	for id := range v.byID {
@@ -99,7 +102,7 @@
 	}
 	slices.Sort(lost)
 	v.index()
-	return lost
+	return lost, moved
 }
 
 // index rebuilds the pools from the live back ends, each sorted by its id.
@@ -188,3 +191,19 @@
 	estimate := b.load.Running + b.load.Queued + len(b.sent) - len(b.ended)
 	return max(estimate, b.own)
 }
+
+// queuedTokens estimates the prefill that waits at the back end.
+func (b *backend) queuedTokens(now time.Time, staleLoad time.Duration) int {
+	total := 0
+	if b.fresh(now, staleLoad) {
+		total = b.load.QueuedTokens
+	}
+	for _, sent := range b.sent {
+		total += sent.tokens
+	}
+	return total
+}
+
+// freeCache is the part of the prefix cache that the last report left free,
+// in tokens.
+func (b *backend) freeCache() int { return b.machine.CacheTokens - b.load.CachedTokens }
