--- a/machine/doc.go
+++ b/machine/doc.go
@@ -41,8 +41,8 @@
 //
 // An entry that is missing stays for ListTimeout, so that a flapping list
 // changes nothing. An empty list is no evidence at all. "Leaving" takes effect
-// at once, is told to the peers, and is taken back only by a new incarnation
-// or after LeavingTimeout of lists that say live. Two nodes may disagree on
+// at once, is told to the peers, and is taken back only by a new incarnation or,
+// for a back end, after LeavingTimeout of lists that say live. Two nodes may disagree on
 // who is live for a while: this costs a needless claim of a partition, never a
 // wrong answer, since claims are decided by the order of the log.
 package machine
--- a/machine/gossip.go
+++ b/machine/gossip.go
@@ -75,16 +75,16 @@
 	}
 }
 
-// refute answers a rumour of this node's own suspicion or death.
+// refute answers a rumour of this node's own suspicion or death. An old one is
+// answered too: whoever passes it on has missed the refutation.
 func (m *Membership) refute(update Update) {
 	if update.Status != StatusSuspect && update.Status != StatusDead {
 		return
 	}
-	if update.Incarnation < m.self.Incarnation {
-		return
+	if update.Incarnation >= m.self.Incarnation {
+		m.self.Incarnation = update.Incarnation + 1
+		m.health.worsen(1)
 	}
-	m.self.Incarnation = update.Incarnation + 1
-	m.health.worsen(1)
 	m.rumours.add(m.selfUpdate(), m.transmissions())
 }
 
--- /dev/null
+++ b/machine/lookup.go
@@ -0,0 +1,15 @@
+package machine
+
+// Lookup returns a machine's entry as the machine list last showed it, with
+// the status that this node believes. It reports false for a machine that was
+// never listed.
+func (m *Membership) Lookup(id ID) (Machine, bool) {
+	if id == m.self.ID {
+		return m.self, true
+	}
+	record, ok := m.records[id]
+	if !ok || record.listed.ID == "" {
+		return Machine{}, false
+	}
+	return record.listed, true
+}
--- a/machine/membership.go
+++ b/machine/membership.go
@@ -60,6 +60,8 @@
 	// leavingSince is the last evidence of leaving.
 	leavingSince time.Time
 	suspectSince time.Time
+	// suspectUntil is when an unrefuted suspicion becomes a death.
+	suspectUntil time.Time
 	// unreachable is set while direct probes from here get no ack.
 	unreachable bool
 	lastProbe   time.Time
@@ -127,8 +129,8 @@
 		}
 	}
 	for _, suspect := range m.suspects {
-		if deadline := m.suspectDeadline(suspect); deadline.Before(wake) {
-			wake = deadline
+		if suspect.suspectUntil.Before(wake) {
+			wake = suspect.suspectUntil
 		}
 	}
 	return wake
@@ -230,7 +232,7 @@
 	clear(m.relays)
 	m.health.worsen(int(gap / m.config.ProbePeriod))
 	for _, suspect := range m.suspects {
-		suspect.suspectSince = now
+		m.suspect(now, suspect)
 	}
 	for _, known := range m.records {
 		if !known.missingSince.IsZero() {
--- a/machine/observe.go
+++ b/machine/observe.go
@@ -52,7 +52,7 @@
 		// A stale copy of the list tells of an earlier process.
 	case entry.Status == StatusLeaving:
 		m.markLeaving(now, known)
-	case known.leaving && now.Sub(known.leavingSince) >= m.config.LeavingTimeout:
+	case m.leavingIsOver(now, known):
 		known.leaving = false
 	}
 	if !sameInViews(previous, known.machine()) {
@@ -82,6 +82,14 @@
 	delete(m.suspects, known.listed.ID)
 }
 
+// leavingIsOver reports whether a list that says live takes the leaving back.
+// A node has said itself that it leaves, and stays by it until it restarts.
+func (m *Membership) leavingIsOver(now time.Time, known *record) bool {
+	return known.leaving &&
+		known.listed.Kind != KindNode &&
+		now.Sub(known.leavingSince) >= m.config.LeavingTimeout
+}
+
 // markLeaving notes evidence of leaving and tells the peers when it is news.
 func (m *Membership) markLeaving(now time.Time, known *record) {
 	known.leavingSince = now
--- a/machine/probe.go
+++ b/machine/probe.go
@@ -244,23 +244,20 @@
 func (m *Membership) suspect(now time.Time, known *record) {
 	known.status = StatusSuspect
 	known.suspectSince = now
+	known.suspectUntil = now.Add(m.health.scale(m.config.SuspectTimeout))
 	m.suspects[known.listed.ID] = known
 }
 
-func (m *Membership) suspectDeadline(known *record) time.Time {
-	return known.suspectSince.Add(m.health.scale(m.config.SuspectTimeout))
-}
-
 // expireSuspects declares dead the suspects that did not refute in time.
 func (m *Membership) expireSuspects(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(m.suspects)) {
 		known := m.suspects[id]
-		if now.Before(m.suspectDeadline(known)) {
+		if now.Before(known.suspectUntil) {
 			continue
 		}
 		if !m.mayDeclare(now, known) {
 			// Wait for one more time-out, in which a peer may answer.
-			known.suspectSince = now
+			m.suspect(now, known)
 			continue
 		}
 		m.declareDead(known)
