--- a/contract/fold.go
+++ b/contract/fold.go
@@ -204,13 +204,10 @@
 		}
 		findings = append(findings, s.applyEdit(revision, change, edit, place)...)
 	}
-	if len(findings) > 0 {
-		return nil, findings
-	}
 	for _, path := range slices.Sorted(maps.Keys(before)) {
 		s.resolveBelow(revision, path)
 	}
-	findings = s.checkNarrowing(change)
+	findings = append(findings, s.checkNarrowing(change)...)
 	entries := make([]branchEntry, len(order))
 	for index, path := range order {
 		entries[index] = branchEntry{path: path, branch: before[path]}
@@ -218,20 +215,22 @@
 	return entries, findings
 }
 
-// applyEdit performs one edit. With findings, the state is of no more use.
+// applyEdit performs one edit. An edit with findings is performed as far as it
+// goes, so that the edits that build on it are checked too; the state is then
+// of no more use.
 func (s *state) applyEdit(revision Revision, change Change, edit Edit, place string) []Finding {
 	findings := checkEdit(edit, place)
-	if len(findings) > 0 {
+	if edit.Path.Validate() != nil || edit.Remove && edit.Path == Root {
 		return findings
 	}
 	s.touched.ReplaceOrInsert(touch{path: edit.Path, revision: revision, changeID: change.ID, actor: change.Actor})
 	existing := s.branch(edit.Path)
 	if edit.Remove {
-		return s.removeBranch(existing, edit, place)
+		return append(findings, s.removeBranch(existing, edit, place)...)
 	}
 	if existing == nil {
 		if s.branch(edit.Path.Parent()) == nil {
-			return []Finding{{Place: place + ".path", Message: fmt.Sprintf("%q has no parent branch %q", edit.Path, edit.Path.Parent())}}
+			return append(findings, Finding{Place: place + ".path", Message: fmt.Sprintf("%q has no parent branch %q", edit.Path, edit.Path.Parent())})
 		}
 		existing = &branch{path: edit.Path, since: make([]Revision, len(fields))}
 	}
@@ -241,7 +240,7 @@
 	}
 	s.setTokens(edit.Path, &existing.values, &updated.values)
 	s.putBranch(updated)
-	return nil
+	return findings
 }
 
 // edit applies one field of an edit to a branch that no state holds yet.
@@ -266,7 +265,10 @@
 			findings = append(findings, Finding{Place: place + ".remove", Message: fmt.Sprintf("branch %q lies below: remove it first", child.path)})
 		}
 	})
+	if len(findings) > 0 {
+		return findings // a branch never lacks its parent
+	}
 	s.setTokens(edit.Path, &existing.values, &Values{})
 	s.branches.Delete(branchEntry{path: edit.Path})
-	return findings
+	return nil
 }
--- a/contract/follower.go
+++ b/contract/follower.go
@@ -66,23 +66,23 @@
 		{"FreshnessBound", c.FreshnessBound},
 	} {
 		if duration.value <= 0 {
-			findings = append(findings, fmt.Errorf("%s: want a positive duration", duration.name))
+			findings = append(findings, fmt.Errorf("field %s: want a positive duration", duration.name))
 		}
 	}
 	if c.MaximumRetryInterval < c.RetryInterval {
-		findings = append(findings, errors.New("MaximumRetryInterval: want at least RetryInterval"))
+		findings = append(findings, errors.New("field MaximumRetryInterval: want at least RetryInterval"))
 	}
 	if c.FreshnessBound < 2*c.PollInterval {
-		findings = append(findings, errors.New("FreshnessBound: want at least two PollIntervals, or a healthy node counts as stale"))
+		findings = append(findings, errors.New("field FreshnessBound: want at least two PollIntervals, or a healthy node counts as stale"))
 	}
 	if c.ReadMaximum < 1 {
-		findings = append(findings, errors.New("ReadMaximum: want at least 1"))
+		findings = append(findings, errors.New("field ReadMaximum: want at least 1"))
 	}
 	if c.Self == "" {
-		findings = append(findings, errors.New("Self: want the node's name"))
+		findings = append(findings, errors.New("field Self: want the node's name"))
 	}
 	if c.Random == nil {
-		findings = append(findings, errors.New("Random: want a seeded source"))
+		findings = append(findings, errors.New("field Random: want a seeded source"))
 	}
 	return errors.Join(findings...)
 }
