--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -101,9 +101,7 @@
 	route, refusal := g.service.Route(request.request.Program)
 	switch {
 	case refusal != nil:
-		result := refused(refusal)
-		result.retry = true
-		return result
+		return refusedLocally(refusal)
 	case route.Local:
 		return g.local(ctx, request)
 	case request.peer:
--- /dev/null
+++ b/operator/metrics.go
@@ -0,0 +1,281 @@
+package operator
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/control"
+)
+
+// The labels of the metrics.
+const (
+	labelStatus    = "status"
+	labelCode      = "code"
+	labelKind      = "kind"
+	labelOperation = "operation"
+	labelResult    = "result"
+	labelBranch    = "branch"
+	labelDirection = "direction"
+)
+
+// latencyBuckets are for times that callers feel, in seconds.
+var latencyBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 30, 60, 120, 300, 900}
+
+// stepBuckets are for the control goroutine's steps, in seconds.
+var stepBuckets = []float64{10e-6, 25e-6, 50e-6, 100e-6, 250e-6, 500e-6, 1e-3, 2.5e-3, 10e-3, 50e-3, 250e-3}
+
+// Metrics holds everything that a node measures. Its methods are safe for
+// concurrent use. docs/operate/metrics.md explains each metric.
+type Metrics struct {
+	registry *prometheus.Registry
+
+	programLatency   *prometheus.HistogramVec
+	recomputedTokens prometheus.Counter
+	idleTokenSeconds prometheus.Counter
+	promptTokens     prometheus.Counter
+	cachedTokens     prometheus.Counter
+	outputTokens     prometheus.Counter
+	firstToken       prometheus.Histogram
+	calls            *prometheus.CounterVec
+	refusals         *prometheus.CounterVec
+	controlRefusals  *prometheus.CounterVec
+	controlStep      prometheus.Histogram
+	storeAppend      *prometheus.HistogramVec
+	controlBytes     *prometheus.CounterVec
+	requests         *prometheus.HistogramVec
+	requestsInFlight prometheus.Gauge
+	relayed          *prometheus.CounterVec
+	firstText        prometheus.Histogram
+	settingsRevision prometheus.Gauge
+
+	contexts contexts
+	snapshot atomic.Pointer[func() Snapshot]
+}
+
+// Snapshot is what is read from the node at each scrape.
+type Snapshot struct {
+	OwnedPartitions    int
+	Programs           int
+	RunningCalls       int
+	UnconfirmedRecords int
+	// SettingsAge is the time since the settings were last known to be the
+	// newest.
+	SettingsAge time.Duration
+	// SettingsMayPlace says whether the settings are fresh enough for new
+	// work.
+	SettingsMayPlace bool
+	// Members counts machines by kind and status.
+	Members map[Member]int
+}
+
+// Member is a kind and status of machines.
+type Member struct {
+	Kind   string
+	Status string
+}
+
+// NewMetrics returns metrics that are all zero, in a registry of their own.
+func NewMetrics() *Metrics {
+	m := &Metrics{registry: prometheus.NewRegistry()}
+	m.declareUsers()
+	m.declareCalls()
+	m.declareNode()
+	m.declareGateway()
+	m.registry.MustRegister(
+		m.programLatency, m.recomputedTokens, m.idleTokenSeconds, m.promptTokens, m.cachedTokens, m.outputTokens,
+		m.firstToken, m.calls, m.refusals, m.controlRefusals, m.controlStep, m.storeAppend, m.controlBytes,
+		m.requests, m.requestsInFlight, m.relayed, m.firstText, m.settingsRevision,
+		snapshotCollector{m},
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return m
+}
+
+// declareUsers declares the users' own measures.
+func (m *Metrics) declareUsers() {
+	m.programLatency = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "birchwood_program_latency_seconds",
+		Help:    "Time from a program's creation to its end.",
+		Buckets: latencyBuckets,
+	}, []string{labelBranch})
+	m.recomputedTokens = counter("birchwood_wasted_cache_recomputed_tokens_total",
+		"Prompt tokens computed again although an earlier call of the program had computed them.")
+	m.idleTokenSeconds = counter("birchwood_wasted_cache_idle_token_seconds_total",
+		"Cached tokens that were dropped without being used again, times the seconds for which they were held.")
+}
+
+// declareCalls declares what calls cost and how they end.
+func (m *Metrics) declareCalls() {
+	m.promptTokens = counter("birchwood_prompt_tokens_total", "Prompt tokens of ended calls.")
+	m.cachedTokens = counter("birchwood_prompt_cached_tokens_total", "Prompt tokens of ended calls that an engine had cached.")
+	m.outputTokens = counter("birchwood_output_tokens_total", "Output tokens of ended calls.")
+	m.firstToken = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name:    "birchwood_first_token_seconds",
+		Help:    "Time from sending an attempt to an engine to its first token.",
+		Buckets: latencyBuckets,
+	})
+	m.calls = counterVector("birchwood_calls_total", "Calls that ended, by kind and final status.", labelKind, labelStatus)
+	m.refusals = counterVector("birchwood_refusals_total", "Errors that callers of this node got, by code.", labelCode)
+	m.controlRefusals = counterVector("birchwood_control_refusals_total",
+		"Requests that this node's state machine refused, by code, relayed ones included.", labelCode)
+}
+
+// declareNode declares the state of the node itself.
+func (m *Metrics) declareNode() {
+	m.controlStep = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name:    "birchwood_control_step_seconds",
+		Help:    "Time that one event takes on the control goroutine.",
+		Buckets: stepBuckets,
+	})
+	m.storeAppend = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "birchwood_store_append_seconds",
+		Help:    "Time of one append to the log service, by result.",
+		Buckets: latencyBuckets,
+	}, []string{labelResult})
+	m.controlBytes = counterVector("birchwood_control_bytes_total",
+		"Bytes of control messages between nodes, by direction.", labelDirection)
+	m.settingsRevision = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "birchwood_settings_revision",
+		Help: "Revision of the settings in force on this node.",
+	})
+}
+
+// declareGateway declares what callers ask of this node.
+func (m *Metrics) declareGateway() {
+	m.requests = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "birchwood_request_seconds",
+		Help:    "Time of one request, waiting and streaming included, by operation and HTTP status class.",
+		Buckets: latencyBuckets,
+	}, []string{labelOperation, labelStatus})
+	m.requestsInFlight = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "birchwood_requests_in_flight",
+		Help: "Requests of callers and peers that are being served.",
+	})
+	m.firstText = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name:    "birchwood_request_first_text_seconds",
+		Help:    "Time from a streaming request's arrival to its first text.",
+		Buckets: latencyBuckets,
+	})
+	m.relayed = counterVector("birchwood_relay_attempts_total",
+		"Requests passed on to other nodes, by result.", labelResult)
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+}
+
+func counterVector(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+}
+
+// resultOf is the value of the result label.
+func resultOf(failed bool) string {
+	if failed {
+		return "failed"
+	}
+	return "ok"
+}
+
+// ControlStep measures one event on the control goroutine.
+func (m *Metrics) ControlStep(took time.Duration) { m.controlStep.Observe(took.Seconds()) }
+
+// StoreAppend measures one append to the log service.
+func (m *Metrics) StoreAppend(took time.Duration, err error) {
+	m.storeAppend.WithLabelValues(resultOf(err != nil)).Observe(took.Seconds())
+}
+
+// FirstToken measures the time from sending an attempt to its first token.
+func (m *Metrics) FirstToken(took time.Duration) { m.firstToken.Observe(took.Seconds()) }
+
+// CallFinished counts a call that ended on this node.
+func (m *Metrics) CallFinished(call api.Call) {
+	m.calls.WithLabelValues(string(call.Kind), string(call.Status)).Inc()
+	if call.Kind != api.CallModel || call.Usage.PromptTokens == 0 {
+		return
+	}
+	m.promptTokens.Add(float64(call.Usage.PromptTokens))
+	m.cachedTokens.Add(float64(call.Usage.CachedTokens))
+	m.outputTokens.Add(float64(call.Usage.OutputTokens))
+	m.recomputedTokens.Add(float64(m.contexts.recomputed(call)))
+}
+
+// ProgramFinished measures a program that ended on this node.
+func (m *Metrics) ProgramFinished(program api.Program, latency time.Duration) {
+	m.programLatency.WithLabelValues(program.Branch).Observe(latency.Seconds())
+	m.contexts.forget(program.ID)
+}
+
+// IdleCache adds cached tokens that were dropped without being used again,
+// times the seconds for which they were held.
+func (m *Metrics) IdleCache(tokenSeconds float64) { m.idleTokenSeconds.Add(max(0, tokenSeconds)) }
+
+// Refused counts a request that this node's state machine refused.
+func (m *Metrics) Refused(refusal *api.Error) {
+	m.controlRefusals.WithLabelValues(string(refusal.Code)).Inc()
+}
+
+// SettingsRevision sets the revision of the settings in force.
+func (m *Metrics) SettingsRevision(revision uint64) { m.settingsRevision.Set(float64(revision)) }
+
+// ControlBytes counts bytes of control messages.
+func (m *Metrics) ControlBytes(sent, received int) {
+	m.controlBytes.WithLabelValues("sent").Add(float64(sent))
+	m.controlBytes.WithLabelValues("received").Add(float64(received))
+}
+
+// Answered measures one request of a caller or peer.
+func (m *Metrics) Answered(operation control.Operation, status int, took time.Duration) {
+	class := [...]string{"", "1xx", "2xx", "3xx", "4xx", "5xx"}[min(max(status/100, 0), 5)]
+	m.requests.WithLabelValues(string(operation), class).Observe(took.Seconds())
+}
+
+// Relayed counts one attempt at another node.
+func (m *Metrics) Relayed(failed bool) { m.relayed.WithLabelValues(resultOf(failed)).Inc() }
+
+// InFlight counts requests that are being served.
+func (m *Metrics) InFlight(change int) { m.requestsInFlight.Add(float64(change)) }
+
+// RequestRefused counts an error that a caller got.
+func (m *Metrics) RequestRefused(code api.Code) { m.refusals.WithLabelValues(string(code)).Inc() }
+
+// ReadAtScrape sets where the snapshot of the node comes from. The function
+// is called from the scrape's goroutine.
+func (m *Metrics) ReadAtScrape(read func() Snapshot) { m.snapshot.Store(&read) }
+
+// maximumContexts bounds the programs whose context is remembered.
+const maximumContexts = 1 << 17
+
+// contexts remembers how many tokens of context each running program has had
+// computed, to tell which of the next prompt are computed again.
+type contexts struct {
+	mutex  sync.Mutex
+	tokens map[api.ProgramID]int
+}
+
+// recomputed returns how many prompt tokens of the call an earlier call of
+// its program had computed and the engine did not find in its cache.
+func (c *contexts) recomputed(call api.Call) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	before := c.tokens[call.Program]
+	if c.tokens == nil {
+		c.tokens = make(map[api.ProgramID]int)
+	}
+	if before > 0 || len(c.tokens) < maximumContexts {
+		c.tokens[call.Program] = call.Usage.PromptTokens + call.Usage.OutputTokens
+	}
+	return max(0, min(before, call.Usage.PromptTokens)-call.Usage.CachedTokens)
+}
+
+// forget drops a program that ended.
+func (c *contexts) forget(id api.ProgramID) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.tokens, id)
+}
--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,178 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"birchwood.example/birchwood/api"
+)
+
+// logPrefix starts each of this part's messages.
+const logPrefix = "operator: "
+
+// Config sets up a Server.
+type Config struct {
+	// BootstrapToken acts on the whole settings tree. Empty: there is none.
+	BootstrapToken string
+	// MaximumBodyBytes bounds a request's body.
+	MaximumBodyBytes int
+	ReadTimeout      time.Duration
+	WriteTimeout     time.Duration
+	IdleTimeout      time.Duration
+	// Connections bounds the connections that are open at once.
+	Connections int
+	// RequestTimeout bounds one request, such as the wait for a verdict.
+	RequestTimeout time.Duration
+	// HealthTimeout bounds the look at the node's health.
+	HealthTimeout time.Duration
+}
+
+// DefaultConfig returns the limits that suit a small machine.
+func DefaultConfig() Config {
+	return Config{
+		MaximumBodyBytes: 1 << 20,
+		ReadTimeout:      10 * time.Second,
+		WriteTimeout:     30 * time.Second,
+		IdleTimeout:      2 * time.Minute,
+		Connections:      256,
+		RequestTimeout:   30 * time.Second,
+		HealthTimeout:    2 * time.Second,
+	}
+}
+
+// validate collects everything that is wrong with the configuration.
+func (c *Config) validate() error {
+	var findings api.Findings
+	positive := func(place string, value int64) {
+		if value <= 0 {
+			findings.Add(place, "want more than 0")
+		}
+	}
+	positive("maximum_body_bytes", int64(c.MaximumBodyBytes))
+	positive("read_timeout", int64(c.ReadTimeout))
+	positive("write_timeout", int64(c.WriteTimeout))
+	positive("idle_timeout", int64(c.IdleTimeout))
+	positive("connections", int64(c.Connections))
+	positive("request_timeout", int64(c.RequestTimeout))
+	positive("health_timeout", int64(c.HealthTimeout))
+	if refusal := findings.Error(); refusal != nil {
+		return refusal
+	}
+	return nil
+}
+
+// Server serves operators. It is safe for concurrent use.
+type Server struct {
+	config    Config
+	service   Service
+	programs  Programs
+	metrics   *Metrics
+	refusals  *RefusalLog
+	logger    *log.Logger
+	bootstrap [sha256.Size]byte
+	router    *router.Router
+	server    *fasthttp.Server
+}
+
+// New returns a server that serves nothing yet. The error lists everything
+// that is wrong with the configuration.
+func New(config Config, service Service, programs Programs, metrics *Metrics, refusals *RefusalLog, logger *log.Logger) (*Server, error) {
+	if err := config.validate(); err != nil {
+		return nil, err
+	}
+	s := &Server{
+		config:    config,
+		service:   service,
+		programs:  programs,
+		metrics:   metrics,
+		refusals:  refusals,
+		logger:    logger,
+		bootstrap: sha256.Sum256([]byte(config.BootstrapToken)),
+	}
+	s.router = s.routes()
+	s.server = &fasthttp.Server{
+		Handler:               s.router.Handler,
+		Name:                  "birchwood",
+		Concurrency:           config.Connections,
+		ReadTimeout:           config.ReadTimeout,
+		WriteTimeout:          config.WriteTimeout,
+		IdleTimeout:           config.IdleTimeout,
+		MaxRequestBodySize:    config.MaximumBodyBytes,
+		CloseOnShutdown:       true,
+		NoDefaultContentType:  true,
+		SecureErrorLogMessage: true,
+		Logger:                serverLogger{logger},
+	}
+	return s, nil
+}
+
+// Handler returns the handler of all routes.
+func (s *Server) Handler() fasthttp.RequestHandler { return s.router.Handler }
+
+// Server returns the HTTP server, with every limit set, to Serve.
+func (s *Server) Server() *fasthttp.Server { return s.server }
+
+// Routes returns the registered paths by method.
+func (s *Server) Routes() map[string][]string { return s.router.List() }
+
+// Shutdown ends the server once its requests are answered.
+func (s *Server) Shutdown(ctx context.Context) error { return s.server.ShutdownWithContext(ctx) }
+
+func (s *Server) routes() *router.Router {
+	routes := router.New()
+	routes.RedirectTrailingSlash = false
+	routes.RedirectFixedPath = false
+	routes.HandleOPTIONS = false
+	routes.NotFound = func(ctx *fasthttp.RequestCtx) {
+		writeError(ctx, api.Refuse(api.CodeNotFound, "no such route").At("path"))
+	}
+	metrics := promhttp.HandlerFor(s.metrics.registry, promhttp.HandlerOpts{MaxRequestsInFlight: 4})
+	routes.GET("/metrics", fasthttpadaptor.NewFastHTTPHandler(metrics))
+	routes.GET("/healthz", s.healthz)
+	routes.GET("/readyz", s.readyz)
+	return routes
+}
+
+// healthz answers whether the process works: its control goroutine answers.
+func (s *Server) healthz(ctx *fasthttp.RequestCtx) {
+	bounded, cancel := context.WithTimeout(context.Background(), s.config.HealthTimeout)
+	defer cancel()
+	if err := s.service.Alive(bounded); err != nil {
+		writeJSON(ctx, fasthttp.StatusServiceUnavailable, health{Findings: []string{err.Error()}})
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, health{OK: true})
+}
+
+// readyz answers whether callers should be sent here.
+func (s *Server) readyz(ctx *fasthttp.RequestCtx) {
+	bounded, cancel := context.WithTimeout(context.Background(), s.config.HealthTimeout)
+	defer cancel()
+	findings := s.service.NotReady(bounded)
+	status := fasthttp.StatusOK
+	if len(findings) > 0 {
+		status = fasthttp.StatusServiceUnavailable
+	}
+	writeJSON(ctx, status, health{OK: len(findings) == 0, Findings: findings})
+}
+
+// health is the answer of the health routes.
+type health struct {
+	OK       bool     `json:"ok"`
+	Findings []string `json:"findings,omitempty"`
+}
+
+// serverLogger passes the server's own messages on.
+type serverLogger struct{ logger *log.Logger }
+
+// Printf implements fasthttp.Logger.
+func (l serverLogger) Printf(format string, arguments ...any) {
+	l.logger.Debug().Msgf(logPrefix+format, arguments...)
+}
--- /dev/null
+++ b/operator/service.go
@@ -0,0 +1,66 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/machine"
+)
+
+// Service is what the operators' server needs of its node. Its methods are
+// called from many goroutines.
+type Service interface {
+	// Alive returns an error when the control goroutine does not answer.
+	Alive(ctx context.Context) error
+	// NotReady lists why callers should not be sent here, such as "leaving"
+	// or "no settings yet". Empty: ready.
+	NotReady(ctx context.Context) []string
+
+	// Settings returns the tree in force on this node.
+	Settings() *contract.Tree
+	// Freshness says how sure the node is of its settings.
+	Freshness(ctx context.Context) (contract.Freshness, error)
+	// ChangeSettings appends the change and waits for its verdict. An error
+	// leaves open whether the change counts: the same change, with the same
+	// id, may be sent again.
+	ChangeSettings(ctx context.Context, change contract.Change) (contract.Verdict, error)
+	// SettingsHistory returns the changes at the offsets from on, at most
+	// limit of them, and the offset after the last record that exists.
+	SettingsHistory(ctx context.Context, from uint64, limit int) ([]contract.Change, uint64, error)
+	// SettingsStatus tells which revision each node holds, as far as it is
+	// known here.
+	SettingsStatus(ctx context.Context) ([]NodeSettings, error)
+
+	// Nodes and Backends return the machines that this node knows.
+	Nodes(ctx context.Context) ([]NodeState, error)
+	Backends(ctx context.Context) ([]machine.Machine, error)
+	// DrainNode begins the planned stop of a node. It does not wait for it.
+	DrainNode(ctx context.Context, id machine.ID) error
+	// DrainBackend sends no new work to a back end any more.
+	DrainBackend(ctx context.Context, id machine.ID) error
+}
+
+// Programs reaches programs on whichever node owns them. The gateway
+// implements it.
+type Programs interface {
+	// Operate performs one request of the callers' API on the operator's
+	// branch and returns its HTTP status and JSON body.
+	Operate(ctx context.Context, scope contract.Path, method, uri string, body []byte) (int, []byte)
+}
+
+// NodeSettings is what is known of one node's settings.
+type NodeSettings struct {
+	Node     machine.ID        `json:"node"`
+	Revision contract.Revision `json:"revision"`
+	// Behind says that the node holds older settings than another one.
+	Behind bool `json:"behind"`
+	// HeardAgo is the time since the node was heard.
+	HeardAgo time.Duration `json:"heard_ago"`
+}
+
+// NodeState is a node and, for the one that answers, what it owns.
+type NodeState struct {
+	machine.Machine
+	OwnedPartitions int `json:"owned_partitions,omitempty"`
+}
