--- a/program/end_call.go
+++ b/program/end_call.go
@@ -66,9 +66,11 @@
 	stop := p.callEffect(EffectStop, live)
 	switch live.phase {
 	case phaseStarted:
+		// The start itself may still wait for the log; a second stop follows it.
 		stop.Attempt.Attempt = 0
 		stop.Backend = ""
 		t.immediate(stop)
+		t.effect(stop)
 	case phaseSent, phaseLookup:
 		if live.repeatable() {
 			t.immediate(stop)
--- a/program/store.go
+++ b/program/store.go
@@ -52,6 +52,11 @@
 	SnapshotPartBytes int
 }
 
+// DefaultConfig returns the usual bounds, with jitter from the random source.
+func DefaultConfig(random *rand.Rand) Config {
+	return Config{Random: random}.withDefaults()
+}
+
 // validate collects every finding.
 func (c Config) validate() error {
 	var findings []error
