--- a/contract/check.go
+++ b/contract/check.go
@@ -88,6 +88,26 @@
 	return findings
 }
 
+// checkTokens finds tokens that another branch lists already: a token counts
+// at one branch, so that nobody can draw another branch's callers to theirs.
+func (s *state) checkTokens(edit Edit, place string) []Finding {
+	var findings []Finding
+	for kind, list := range [][]string{edit.Values.CallerTokens, edit.Values.OperatorTokens} {
+		for index, hash := range list {
+			holder, found := s.holder(tokenKind(kind), hash)
+			if !found || holder == edit.Path {
+				continue
+			}
+			name := []string{fieldCallerTokens, fieldOperatorTokens}[kind]
+			findings = append(findings, Finding{
+				Place:   fmt.Sprintf("%s.values.%s[%d]", place, name, index),
+				Message: "another branch lists this token already",
+			})
+		}
+	}
+	return findings
+}
+
 func zoneList(placement zone.Placement) string {
 	if placement == "" {
 		return "none"
--- a/contract/explain.go
+++ b/contract/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 
 	"birchwood.example/birchwood/zone"
@@ -26,10 +27,13 @@
 // comes from, in the order of the reference page. The error is an
 // *UnknownBranchError.
 func (t *Tree) Explain(path Path) ([]Explanation, error) {
-	current := t.published.Load()
-	found := current.branch(path)
+	return t.published.Load().explain(path)
+}
+
+func (s *state) explain(path Path) ([]Explanation, error) {
+	found := s.branch(path)
 	if found == nil {
-		return nil, current.unknown(path)
+		return nil, s.unknown(path)
 	}
 	effective := valuesOf(found.contract)
 	var explanations []Explanation
@@ -37,10 +41,10 @@
 		if !fields[index].inherited {
 			continue
 		}
-		explanation := current.origin(path, index)
+		explanation := s.origin(path, index)
 		value, err := json.Marshal(fields[index].value(&effective))
 		if err != nil {
-			return nil, err
+			return nil, fmt.Errorf("value %s: %w", fields[index].name, err)
 		}
 		explanation.Value = value
 		explanations = append(explanations, explanation)
--- a/contract/fold.go
+++ b/contract/fold.go
@@ -81,7 +81,7 @@
 		return s.verdictAt(revision)
 	}
 	if earlier, found := s.verdict(change.ID); found {
-		s.record(revision, data, logEntry{change: Change{ID: change.ID}, verdict: earlier})
+		s.record(revision, data, logEntry{change: Change{ID: change.ID}, verdict: earlier, duplicate: true})
 		return earlier
 	}
 	verdict := Verdict{ID: change.ID, Revision: s.revision}
@@ -114,7 +114,7 @@
 func (s *state) record(revision Revision, data []byte, entry logEntry) {
 	entry.position = revision
 	s.log.ReplaceOrInsert(entry)
-	if _, found := s.changes.Get(changeKey{id: entry.change.ID}); !found {
+	if !entry.duplicate {
 		s.changes.ReplaceOrInsert(changeKey{id: entry.change.ID, position: revision})
 	}
 	s.position = revision
@@ -126,14 +126,28 @@
 func (s *state) forget() {
 	for {
 		oldest, found := s.log.Min()
-		if !found || oldest.position+Window > s.position {
+		if !found || oldest.position+s.window > s.position {
 			return
 		}
 		s.log.DeleteMin()
+		s.horizon = oldest.position
 		key, found := s.changes.Get(changeKey{id: oldest.change.ID})
 		if found && key.position == oldest.position {
 			s.changes.Delete(key)
 		}
+		s.forgetRemoved(oldest)
+	}
+}
+
+// forgetRemoved drops the memory of branches that a record removed for good.
+// A change that could clash with the removal is based before the window now,
+// and refused for that.
+func (s *state) forgetRemoved(forgotten logEntry) {
+	for _, replaced := range forgotten.before {
+		last, found := s.touched.Get(touch{path: replaced.path})
+		if found && last.revision == forgotten.position && s.branch(replaced.path) == nil {
+			s.touched.Delete(last)
+		}
 	}
 }
 
@@ -143,8 +157,8 @@
 	if change.Based >= revision {
 		return []Finding{{Place: "based", Message: fmt.Sprintf("revision %d: the stream has not reached it", change.Based)}}, ""
 	}
-	if change.Based < s.revision && change.Based+Window < revision {
-		return []Finding{{Place: "based", Message: fmt.Sprintf("revision %d is more than %d records back: read the settings again", change.Based, Window)}}, ""
+	if change.Based < s.revision && change.Based+s.window < revision {
+		return []Finding{{Place: "based", Message: fmt.Sprintf("revision %d is more than %d records back: read the settings again", change.Based, s.window)}}, ""
 	}
 	var findings []Finding
 	var winner touch
@@ -238,6 +252,7 @@
 	for index := range fields {
 		updated.edit(index, edit, revision)
 	}
+	findings = append(findings, s.checkTokens(edit, place)...)
 	s.setTokens(edit.Path, &existing.values, &updated.values)
 	s.putBranch(updated)
 	return findings
--- a/contract/follower.go
+++ b/contract/follower.go
@@ -90,6 +90,8 @@
 // ReadDone answers a FollowerRead. Changes[i] stands at offset From+i; End is
 // the offset that the next append would have got.
 type ReadDone struct {
+	// Request and From are those of the FollowerRead.
+	Request uint64
 	From    uint64
 	Changes [][]byte
 	End     uint64
@@ -97,8 +99,11 @@
 }
 
 // FollowerRead asks the driver to read the settings stream. The driver
-// answers with a ReadDone that has the same From.
+// answers with a ReadDone that has the same Request and From.
 type FollowerRead struct {
+	// Request tells the answer to this read from a late one to an earlier
+	// read, whose view of the stream's end is older.
+	Request uint64
 	From    uint64
 	Maximum int
 }
@@ -130,13 +135,15 @@
 
 	// reading is set while a read is under way; readIssued is when it began.
 	reading    bool
+	request    uint64
 	readFrom   uint64
 	readIssued time.Time
 	readDue    time.Time
 	failures   int
 
-	peers    map[machine.ID]heard
-	verdicts []Verdict
+	peers     map[machine.ID]heard
+	forgetDue time.Time
+	verdicts  []Verdict
 	// announced is the revision that the last Ready told of.
 	announced Revision
 	wantRead  bool
@@ -157,6 +164,7 @@
 
 // Tick tells the time: a due read starts, an overdue one counts as failed.
 func (f *Follower) Tick(now time.Time) {
+	f.forgetPeers(now)
 	if f.reading && !now.Before(f.readIssued.Add(f.config.ReadTimeout)) {
 		f.reading = false
 		f.retry(now)
@@ -177,6 +185,7 @@
 func (f *Follower) startRead(now time.Time) {
 	f.reading = true
 	f.wantRead = true
+	f.request++
 	f.readFrom = f.tree.Position()
 	f.readIssued = now
 }
@@ -194,7 +203,7 @@
 
 // Step takes the answer to a read.
 func (f *Follower) Step(now time.Time, done ReadDone) {
-	if !f.reading || done.From != f.readFrom {
+	if !f.reading || done.Request != f.request || done.From != f.readFrom {
 		return // the answer to a read that was given up
 	}
 	f.reading = false
@@ -255,9 +264,11 @@
 	if report.Peer == f.config.Self {
 		return
 	}
-	f.peers[report.Peer] = heard{report: report, at: now}
+	f.forgetPeers(now)
+	peer := heard{report: report, at: now}
+	f.peers[report.Peer] = peer
 	f.Heard(now, Revision(max(report.Known, report.Position)))
-	confirmed := heard{report: report, at: now}.confirmedAt()
+	confirmed := peer.confirmedAt()
 	if report.Position == f.tree.Position() && report.Known <= report.Position && confirmed.After(f.confirmed) {
 		f.confirmed = confirmed
 	}
@@ -283,7 +294,7 @@
 	f.verdicts = nil
 	if f.wantRead {
 		f.wantRead = false
-		ready.Read = &FollowerRead{From: f.readFrom, Maximum: f.config.ReadMaximum}
+		ready.Read = &FollowerRead{Request: f.request, From: f.readFrom, Maximum: f.config.ReadMaximum}
 	}
 	if revision := f.tree.Revision(); revision != f.announced {
 		f.announced = revision
@@ -291,3 +302,16 @@
 	}
 	return ready
 }
+
+// Export returns the settings held, for a peer that cannot read the stream.
+func (f *Follower) Export() ([]byte, error) { return f.tree.Export() }
+
+// Import takes in a peer's settings when they are newer; see Tree.Import.
+// Verdicts of the changes in it are not told by Ready: ask Tree.Verdict.
+func (f *Follower) Import(now time.Time, data []byte) error {
+	if err := f.tree.Import(data); err != nil {
+		return err
+	}
+	f.learn(now, f.tree.Position())
+	return nil
+}
--- a/contract/freshness.go
+++ b/contract/freshness.go
@@ -107,31 +107,52 @@
 
 // outage tells a store that is down for all from a node, or a zone, that is
 // cut off. It needs a recent report from every zone of the deployment,
-// because a zone is what the network cuts off as a whole; each recent report
-// must know of no newer record and have lost sight of the stream's end too.
+// because a zone is what the network cuts off as a whole. A peer vouches when
+// it holds the same settings and knows of no newer record; had it seen the
+// stream's end within the bound, its report would have confirmed the settings
+// here too. A peer that holds older settings, such as one that just started,
+// vouches for nothing.
 func (f *Follower) outage(now time.Time) (FreshnessState, string) {
 	if f.confirmed.IsZero() {
 		return FreshnessUnconfirmed, "the end of the settings stream was never seen"
 	}
 	zones := map[zone.Name]bool{f.config.Zone: true}
-	recent := 0
+	vouching := 0
 	for _, peer := range f.peers {
-		if now.Sub(peer.at) >= f.config.FreshnessBound {
-			continue
-		}
-		recent++
-		zones[peer.report.Zone] = true
-		if peer.report.Position < f.tree.Position() {
-			return FreshnessUnconfirmed, fmt.Sprintf("node %s holds older settings and cannot vouch for these", peer.report.Peer)
+		if f.recent(now, peer) && peer.report.Position == f.tree.Position() {
+			vouching++
+			zones[peer.report.Zone] = true
 		}
 	}
-	if recent == 0 {
-		return FreshnessUnconfirmed, "the store is out of reach and no peer was heard within the bound"
+	if vouching == 0 {
+		return FreshnessUnconfirmed, "the store is out of reach and no peer with the same settings was heard within the bound"
 	}
 	for _, name := range f.config.Zones {
 		if !zones[name] {
-			return FreshnessUnconfirmed, fmt.Sprintf("the store is out of reach and no node of zone %s was heard within the bound", name)
+			return FreshnessUnconfirmed, fmt.Sprintf("the store is out of reach and no node of zone %s with the same settings was heard within the bound", name)
+		}
+	}
+	return FreshnessOutage, fmt.Sprintf("the store is out of reach for this node and for %d peers in every zone", vouching)
+}
+
+// recent reports whether a peer was heard within the bound.
+func (f *Follower) recent(now time.Time, peer heard) bool {
+	return now.Sub(peer.at) < f.config.FreshnessBound
+}
+
+// peerRetention is how long the report of a silent peer is kept, so that the
+// status of the settings names it.
+const peerRetention = 5 * time.Minute
+
+// forgetPeers drops old reports, once within each bound.
+func (f *Follower) forgetPeers(now time.Time) {
+	if now.Before(f.forgetDue) {
+		return
+	}
+	f.forgetDue = now.Add(f.config.FreshnessBound)
+	for id, peer := range f.peers {
+		if now.Sub(peer.at) >= peerRetention {
+			delete(f.peers, id)
 		}
 	}
-	return FreshnessOutage, fmt.Sprintf("the store is out of reach for this node and for %d peers in every zone", recent)
 }
--- /dev/null
+++ b/contract/history.go
@@ -0,0 +1,208 @@
+package contract
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// HistoryEntry is one accepted change as it concerned a branch.
+type HistoryEntry struct {
+	Revision Revision  `json:"revision"`
+	ChangeID string    `json:"change_id"`
+	Actor    string    `json:"actor"`
+	At       time.Time `json:"at"`
+	// Edits are those at the branch, above it or below it.
+	Edits []Edit `json:"edits"`
+}
+
+// Difference is one value that differs between two revisions. A nil value
+// belongs to a branch that did not exist.
+type Difference struct {
+	Name   string          `json:"name"`
+	Before json.RawMessage `json:"before"`
+	After  json.RawMessage `json:"after"`
+	// From is the branch that the value after comes from.
+	From Path `json:"from"`
+}
+
+// Effect is what a change would do to one branch.
+type Effect struct {
+	Path        Path         `json:"path"`
+	Created     bool         `json:"created,omitempty"`
+	Removed     bool         `json:"removed,omitempty"`
+	Differences []Difference `json:"differences,omitempty"`
+}
+
+// RevisionError says that a revision cannot be shown.
+type RevisionError struct {
+	Revision Revision
+	// Oldest and Newest are the revisions that can be.
+	Oldest, Newest Revision
+}
+
+// Error describes the failure.
+func (e *RevisionError) Error() string {
+	return fmt.Sprintf("revision %d: want one from %d to %d", e.Revision, e.Oldest, e.Newest)
+}
+
+// History returns the accepted changes, newest first, that edited the branch,
+// one above it or one below it, as far as the window of the tree goes back.
+// Limit zero means all of them.
+func (t *Tree) History(path Path, limit int) []HistoryEntry {
+	var history []HistoryEntry
+	t.published.Load().log.Descend(func(entry logEntry) bool {
+		if !entry.accepted() {
+			return true
+		}
+		edits := editsConcerning(path, entry.change.Edits)
+		if len(edits) > 0 {
+			history = append(history, HistoryEntry{
+				Revision: entry.position, ChangeID: entry.change.ID,
+				Actor: entry.change.Actor, At: entry.change.At, Edits: edits,
+			})
+		}
+		return limit == 0 || len(history) < limit
+	})
+	return history
+}
+
+// accepted reports whether the record itself changed the tree: a duplicate of
+// an accepted change did not.
+func (e logEntry) accepted() bool { return e.verdict.Accepted && !e.duplicate }
+
+func editsConcerning(path Path, edits []Edit) []Edit {
+	var concerning []Edit
+	for _, edit := range edits {
+		if path.Contains(edit.Path) || edit.Path.Contains(path) {
+			concerning = append(concerning, edit)
+		}
+	}
+	return concerning
+}
+
+// Diff returns the values of a branch's contract that differ between two
+// revisions. The error is a *RevisionError, or an *UnknownBranchError when
+// the branch existed at neither.
+func (t *Tree) Diff(path Path, from, to Revision) ([]Difference, error) {
+	current := t.published.Load()
+	// A published state is never cloned: readers are many. Rolling back works
+	// on a copy of the working state, and stops at the published position.
+	t.writing.Lock()
+	working := t.working.clone()
+	t.writing.Unlock()
+	before, err := working.at(from, current.position)
+	if err != nil {
+		return nil, err
+	}
+	after, err := working.at(to, current.position)
+	if err != nil {
+		return nil, err
+	}
+	if before.branch(path) == nil && after.branch(path) == nil {
+		return nil, current.unknown(path)
+	}
+	return difference(before, after, path)
+}
+
+// at returns the state as of a revision.
+func (s *state) at(revision, newest Revision) (*state, error) {
+	if revision < s.horizon || revision > newest {
+		return nil, &RevisionError{Revision: revision, Oldest: s.horizon, Newest: newest}
+	}
+	past := s.clone()
+	s.log.Descend(func(entry logEntry) bool {
+		if entry.position <= revision {
+			return false
+		}
+		for _, replaced := range entry.before {
+			past.restore(replaced)
+		}
+		return true
+	})
+	past.resolveBelow(revision, Root)
+	return past, nil
+}
+
+// restore puts back a branch that a change replaced.
+func (s *state) restore(replaced branchEntry) {
+	if replaced.branch == nil {
+		s.branches.Delete(replaced)
+		return
+	}
+	s.branches.ReplaceOrInsert(replaced)
+}
+
+// difference compares a branch's contract in two states.
+func difference(before, after *state, path Path) ([]Difference, error) {
+	old, err := explainIfKnown(before, path)
+	if err != nil {
+		return nil, err
+	}
+	changed, err := explainIfKnown(after, path)
+	if err != nil {
+		return nil, err
+	}
+	var differences []Difference
+	for index := range max(len(old), len(changed)) {
+		var found Difference
+		if index < len(old) {
+			found.Name, found.Before = old[index].Name, old[index].Value
+		}
+		if index < len(changed) {
+			found.Name, found.After, found.From = changed[index].Name, changed[index].Value, changed[index].From
+		}
+		if !bytes.Equal(found.Before, found.After) {
+			differences = append(differences, found)
+		}
+	}
+	return differences, nil
+}
+
+func explainIfKnown(s *state, path Path) ([]Explanation, error) {
+	if s.branch(path) == nil {
+		return nil, nil
+	}
+	return s.explain(path)
+}
+
+// Preview returns what the change would do to each branch if it were folded
+// next, or everything that is wrong with it. At most limit branches are
+// listed; total counts them all. Limit zero means no limit.
+func (t *Tree) Preview(change Change, limit int) (effects []Effect, total int, findings []Finding) {
+	t.writing.Lock()
+	before := t.working.clone()
+	t.writing.Unlock()
+	after := before.clone()
+	if verdict := after.fold(after.position+1, change); !verdict.Accepted {
+		return nil, 0, verdict.Findings
+	}
+	for _, path := range affectedPaths(before, after, change) {
+		effect := Effect{Path: path, Created: before.branch(path) == nil, Removed: after.branch(path) == nil}
+		differences, err := difference(before, after, path)
+		if err != nil || len(differences) == 0 && !effect.Created && !effect.Removed {
+			continue
+		}
+		effect.Differences = differences
+		total++
+		if limit == 0 || len(effects) < limit {
+			effects = append(effects, effect)
+		}
+	}
+	return effects, total, nil
+}
+
+// affectedPaths returns the branches at and below the edited paths, in either
+// state, sorted.
+func affectedPaths(before, after *state, change Change) []Path {
+	var paths []Path
+	collect := func(branch *branch) { paths = append(paths, branch.path) }
+	for _, edit := range change.Edits {
+		before.walk(edit.Path, collect)
+		after.walk(edit.Path, collect)
+	}
+	slices.Sort(paths)
+	return slices.Compact(paths)
+}
--- a/contract/state.go
+++ b/contract/state.go
@@ -65,6 +65,8 @@
 	// before holds the branches that the change replaced, in the order of
 	// their first edit; a nil branch did not exist.
 	before []branchEntry
+	// duplicate marks a record whose change stood in an earlier record too.
+	duplicate bool
 }
 
 // changeKey finds a record of the window by its change's ID.
@@ -76,9 +78,13 @@
 // state is the whole fold. Its ordered maps are copied lazily, so that clone
 // costs a few words and a change costs the few nodes that it touches.
 type state struct {
+	// window is how many records are remembered.
+	window Revision
 	// position is the number of records folded; revision the last accepted.
-	position   Revision
-	revision   Revision
+	position Revision
+	revision Revision
+	// horizon is the position of the last record that left the window.
+	horizon    Revision
 	digest     digest
 	branches   *btree.BTreeG[branchEntry]
 	touched    *btree.BTreeG[touch]
@@ -88,8 +94,9 @@
 	placements []zone.Placement
 }
 
-func newState() *state {
+func newState(window Revision) *state {
 	created := &state{
+		window:   window,
 		branches: btree.NewG(treeDegree, func(a, b branchEntry) bool { return a.path < b.path }),
 		touched:  btree.NewG(treeDegree, func(a, b touch) bool { return a.path < b.path }),
 		tokens:   btree.NewG(treeDegree, lessToken),
@@ -156,8 +163,7 @@
 	s.branches.AscendRange(branchEntry{path: from}, branchEntry{path: to}, visitEntry)
 }
 
-// holder returns the branch that lists a token; of several, the first in the
-// order of paths, which is the one nearest to the root if they are nested.
+// holder returns the branch that lists a token. No two branches list the same.
 func (s *state) holder(kind tokenKind, hash string) (path Path, found bool) {
 	s.tokens.AscendGreaterOrEqual(tokenEntry{kind: kind, hash: hash}, func(entry tokenEntry) bool {
 		if entry.kind == kind && entry.hash == hash {
--- a/contract/tree.go
+++ b/contract/tree.go
@@ -23,8 +23,10 @@
 
 // NewTree returns the empty tree: a root that has the default values, permits
 // no zone and knows no token.
-func NewTree() *Tree {
-	tree := &Tree{working: newState()}
+func NewTree() *Tree { return newTree(Window) }
+
+func newTree(window Revision) *Tree {
+	tree := &Tree{working: newState(window)}
 	tree.publish()
 	return tree
 }
