--- a/link/linkhttp/doc.go
+++ b/link/linkhttp/doc.go
@@ -19,8 +19,8 @@
 // # Receiving
 //
 // Transport.Handler serves Path. It checks the peer token in constant time,
-// bounds the body, refuses unknown fields and messages for other nodes, and
-// hands each message to the receiver. Messages own their memory.
+// bounds the body, refuses messages for other nodes, passes over what a newer
+// version has added, and hands each message to the receiver. Messages own their memory.
 //
 // # Cuts
 //
--- a/link/types.go
+++ b/link/types.go
@@ -2,20 +2,26 @@
 
 import (
 	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/partition"
 	"birchwood.example/birchwood/schedule"
 )
 
 // Message is one control message between two nodes, a tagged union: exactly
-// one of the optional fields is set. It travels as JSON over HTTP/1.1.
+// one of the optional fields besides Settings is set. It travels as JSON over HTTP/1.1.
 type Message struct {
-	From       machine.ID         `json:"from"`
-	To         machine.ID         `json:"to"`
+	From machine.ID `json:"from"`
+	To   machine.ID `json:"to"`
+	// Settings goes with a membership message: what the sender holds of the
+	// settings and how sure it is of them.
+	Settings   *contract.Report   `json:"settings,omitempty"`
 	Membership *machine.Message   `json:"membership,omitempty"`
 	Partition  *partition.Message `json:"partition,omitempty"`
 	Sweep      *SweepMessage      `json:"sweep,omitempty"`
 	Load       *LoadMessage       `json:"load,omitempty"`
+	// Drain asks the receiver to begin its planned stop.
+	Drain bool `json:"drain,omitempty"`
 }
 
 // SweepMessage asks the owners of partitions which programs are gone
