httpclient: report every time-out as context.DeadlineExceeded

The request's own timer and that of the context race for the same moment, so a time-out came back sometimes as fasthttp's error and sometimes as the context's.

sortError maps fasthttp's time-out.

--- a/httpclient/client.go
+++ b/httpclient/client.go
@@ -214,7 +214,8 @@
 }
 
 // sortError makes sure that a request for which no connection was had is
-// reported as not sent.
+// reported as not sent, and that every time-out is context.DeadlineExceeded:
+// the request's own timer and that of the context race for the same moment.
 func sortError(err error) error {
 	var notSent *NotSentError
 	if errors.As(err, &notSent) {
@@ -223,6 +224,9 @@
 	if errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return &NotSentError{Cause: err}
 	}
+	if errors.Is(err, fasthttp.ErrTimeout) {
+		return fmt.Errorf("%w: %w", context.DeadlineExceeded, err)
+	}
 	return err
 }
 
