Keep programs' prefixes within the engines' caches

Placing calls by slots alone let long programs push each other's prefixes out of the caches: most of the prefill was computed a second time.

A call that would not fit an engine's cache is held or goes elsewhere; what a node knows of the cache counts its own calls and releases since the report. Prefixes are dropped by what programs did after the same tool, moves cost more in the ranking, and a busy model is loaded by more engines.

--- a/schedule/affinity.go
+++ b/schedule/affinity.go
@@ -28,6 +28,8 @@
 	// residents are the engines that hold a prefix; the last one is the
 	// newest.
 	residents []resident
+	// tool is the last tool that the program called since its model call.
+	tool string
 	// paused says that no model call is under way since pausedAt; pause is
 	// its place in the list, nil when nothing is resident.
 	paused   bool
@@ -45,16 +47,10 @@
 	return &tracker{programs: map[api.ProgramID]*tracked{}, paused: list.New()}
 }
 
-// resume notes that a program has a model call under way again, and returns
-// how long it was paused.
-func (t *tracker) resume(now time.Time, owner api.ProgramID) (pause time.Duration, paused bool) {
-	entry := t.programs[owner]
-	if entry == nil || !entry.paused {
-		return 0, false
-	}
+// resume notes that a program has a model call under way again.
+func (t *tracker) resume(entry *tracked) {
 	entry.paused = false
 	t.unlist(entry)
-	return now.Sub(entry.pausedAt), true
 }
 
 // pause notes that a program has no model call under way.
@@ -96,6 +92,7 @@
 		entry.residents = append(entry.residents, resident{backend: backend, tokens: tokens})
 	}
 	entry.last = *request
+	entry.tool = ""
 	t.pause(now, owner)
 }
 
@@ -121,15 +118,10 @@
 	}
 }
 
-// forget drops a program that ended, and returns how long it was paused.
-func (t *tracker) forget(now time.Time, owner api.ProgramID) (tenant string, pause time.Duration, paused bool) {
-	entry := t.programs[owner]
-	if entry == nil {
-		return "", 0, false
-	}
-	pause, paused = t.resume(now, owner)
-	delete(t.programs, owner)
-	return entry.tenant, pause, paused
+// forget drops a program.
+func (t *tracker) forget(entry *tracked) {
+	t.unlist(entry)
+	delete(t.programs, entry.id)
 }
 
 // residents returns the engines that hold a prefix of the program, the
--- a/schedule/config.go
+++ b/schedule/config.go
@@ -66,9 +66,15 @@
 	// MissWeight multiplies the predicted prefill in the ranking: computing
 	// a prompt again also delays the other sequences of that engine.
 	MissWeight float64
+	// MoveWeight multiplies the predicted transfer of a prefix.
+	MoveWeight float64
 	// EvictionWeight multiplies the prefill of the tokens that a placement
 	// would push out of a full cache.
 	EvictionWeight float64
+	// MemoryFill is the share of an engine's cache that large calls may fill.
+	// A call that adds less than SmallShare of the cache may fill the rest.
+	MemoryFill float64
+	SmallShare float64
 	// Patience bounds the wait for the engine that holds the prefix, as a
 	// multiple of the prefill that it saves.
 	Patience float64
@@ -96,14 +102,16 @@
 type ModelsConfig struct {
 	// ReviewInterval is how often the demand of the models is compared.
 	ReviewInterval time.Duration
-	// Settle is how long after a change of any engine's models the next
-	// order waits: weights take long to load, and demand follows late.
-	Settle time.Duration
-	// Busy is the share of a model's slots in use from which it is short of
-	// replicas; Spare is the share that the donor must stay under without
-	// the replica that it gives.
-	Busy  float64
-	Spare float64
+	// OrderTimeout is how long an order may take to show in the machine list
+	// before the next one is given.
+	OrderTimeout time.Duration
+	// Busy is the share in use, by slots or by cache, from which a model's
+	// engines are short; Margin is how much less busy the engine must be that
+	// is to load it too.
+	Busy   float64
+	Margin float64
+	// PerEngine is how many models an engine holds at once.
+	PerEngine int
 }
 
 // DefaultConfig returns a Config that lacks only Self, LinkDelay and Random.
@@ -121,9 +129,12 @@
 		},
 		Cache: CacheConfig{
 			MissWeight:     2,
+			MoveWeight:     4,
 			EvictionWeight: 1,
+			MemoryFill:     0.8,
+			SmallShare:     0.03,
 			Patience:       1,
-			ReuseFloor:     0.05,
+			ReuseFloor:     0.1,
 			ReviewInterval: time.Second,
 		},
 		Order: OrderConfig{
@@ -134,9 +145,10 @@
 		AdmissionWait: 3 * time.Second,
 		Models: ModelsConfig{
 			ReviewInterval: 5 * time.Second,
-			Settle:         20 * time.Second,
-			Busy:           0.7,
-			Spare:          0.6,
+			OrderTimeout:   2 * time.Minute,
+			Busy:           0.5,
+			Margin:         0.1,
+			PerEngine:      2,
 		},
 	}
 }
@@ -178,7 +190,10 @@
 
 func (c CacheConfig) validate(found *findings) {
 	found.require(c.MissWeight >= 1, "Cache.MissWeight", "at least 1")
+	found.require(c.MoveWeight >= 1, "Cache.MoveWeight", "at least 1")
 	found.require(c.EvictionWeight >= 0, "Cache.EvictionWeight", "no negative weight")
+	found.require(c.MemoryFill > 0, "Cache.MemoryFill", "a positive share")
+	found.require(c.SmallShare >= 0, "Cache.SmallShare", "no negative share")
 	found.require(c.Patience >= 0, "Cache.Patience", "no negative factor")
 	found.require(c.ReuseFloor >= 0 && c.ReuseFloor <= 1, "Cache.ReuseFloor", "a probability")
 	found.require(c.ReviewInterval > 0, "Cache.ReviewInterval", "a positive duration")
@@ -192,7 +207,8 @@
 
 func (m ModelsConfig) validate(found *findings) {
 	found.require(m.ReviewInterval > 0, "Models.ReviewInterval", "a positive duration")
-	found.require(m.Settle >= 0, "Models.Settle", "no negative duration")
-	found.require(m.Busy > 0 && m.Busy <= 1, "Models.Busy", "a share above 0 and at most 1")
-	found.require(m.Spare > 0 && m.Spare <= 1, "Models.Spare", "a share above 0 and at most 1")
+	found.require(m.OrderTimeout > 0, "Models.OrderTimeout", "a positive duration")
+	found.require(m.Busy > 0, "Models.Busy", "a share above 0")
+	found.require(m.Margin >= 0, "Models.Margin", "no negative share")
+	found.require(m.PerEngine >= 1, "Models.PerEngine", "at least 1")
 }
--- a/schedule/models.go
+++ b/schedule/models.go
@@ -5,34 +5,36 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/machine"
 )
 
-// Models move between replicas as demand moves. Each review compares how much
-// of their replicas' slots the models use. When one is short of replicas and
-// another can spare one, the donor's least busy engine is ordered to unload
-// the one and load the other. One move at a time, and none until the last one
-// has settled, keeps the weight store from being flooded and the decision
-// from chasing its own effect. Every node sees the same reports and names the
-// same engine; only the node that commands it gives the order.
+// Models move between replicas as demand moves. Each review compares how busy
+// the engines of each model are. When the busiest model's are busy, and an
+// engine without that model is clearly less so, that engine is ordered to
+// load it, and to unload its least busy model first when it has no room.
+//
+// One order at a time, and none until the last one shows in the machine list,
+// keeps the weight store from being flooded and the decision from chasing its
+// own effect. Every node sees the same reports and, by a hash, names the same
+// engine; only the node that commands it gives the order.
 
 // modelUse is the demand of one model.
 type modelUse struct {
-	model string
-	slots int
-	// outstanding counts the sequences of its engines, and the calls that
-	// this node holds for it.
-	outstanding int
-	engines     []*backend
+	model   string
+	engines []*backend
+	// busy is the mean of its engines' busy shares, and the calls that this
+	// node holds for it over its slots.
+	busy float64
 }
 
-// share is the part of the slots in use.
-func (u *modelUse) share() float64 {
-	if u.slots == 0 {
-		return float64(u.outstanding)
-	}
-	return float64(u.outstanding) / float64(u.slots)
+// modelOrder is an order that does not show in the machine list yet.
+type modelOrder struct {
+	engine machine.ID
+	model  string
+	given  time.Time
 }
 
 // reviewModels orders at most one move.
@@ -41,29 +43,41 @@
 		return
 	}
 	s.nextModels = now.Add(s.config.Models.ReviewInterval)
-	if now.Before(s.modelsChanged.Add(s.config.Models.Settle)) {
+	if s.awaitsOrder(now) {
 		return
 	}
 	uses := s.modelUses(now)
 	short := busiest(uses)
-	if short == nil || short.share() < s.config.Models.Busy {
+	if short == nil || short.busy < s.config.Models.Busy {
 		return
 	}
-	engine, donor := s.donor(now, uses, short)
+	engine := s.recipient(now, short)
 	if engine == nil || !s.config.Commands(engine.machine.ID) {
 		return
 	}
-	s.modelsChanged = now
-	s.order(ActionUnload, engine, donor, short)
-	s.order(ActionLoad, engine, short, donor)
+	s.lastOrder = modelOrder{engine: engine.machine.ID, model: short.model, given: now}
+	if len(engine.machine.Models) >= s.config.Models.PerEngine {
+		s.order(ActionUnload, engine, leastBusy(uses, engine), short)
+	}
+	s.order(ActionLoad, engine, short.model, short)
+}
+
+// awaitsOrder reports whether the last order is still under way.
+func (s *Scheduler) awaitsOrder(now time.Time) bool {
+	last := s.lastOrder
+	if last.model == "" || !now.Before(last.given.Add(s.config.Models.OrderTimeout)) {
+		return false
+	}
+	entry := s.view.byID[last.engine]
+	return entry != nil && !slices.Contains(entry.machine.Models, last.model)
 }
 
-func (s *Scheduler) order(action Action, engine *backend, use, other *modelUse) {
+func (s *Scheduler) order(action Action, engine *backend, model string, short *modelUse) {
 	s.decisions = append(s.decisions, Decision{
 		Action:  action,
 		Backend: engine.machine.ID,
-		Model:   use.model,
-		Terms:   Terms{Feasible: len(use.engines), Reason: "demand moved between " + use.model + " and " + other.model},
+		Model:   model,
+		Terms:   Terms{Feasible: len(short.engines), Reason: short.model + " is short of replicas"},
 	})
 }
 
@@ -77,75 +91,88 @@
 		}
 		return byModel[model]
 	}
-	for _, entry := range s.view.byID {
+	for _, entry := range s.view.order {
 		if entry.machine.Kind != machine.KindEngine || entry.machine.Status != machine.StatusLive {
 			continue
 		}
 		for _, model := range entry.machine.Models {
 			known := use(model)
 			known.engines = append(known.engines, entry)
-			known.slots += entry.machine.Slots
-			known.outstanding += entry.outstanding(now, s.config.StaleLoad) / len(entry.machine.Models)
+			known.busy += s.busyShare(now, entry)
 		}
 	}
 	for _, waiting := range s.queue.pools {
-		if waiting.kind != api.CallModel {
-			continue
-		}
-		for _, held := range waiting.shares {
-			use(waiting.name).outstanding += held.held
+		if waiting.kind == api.CallModel && waiting.held() > 0 {
+			use(waiting.name).busy += float64(waiting.held()) / typicalPeers
 		}
 	}
 	var uses []*modelUse
 	for _, each := range byModel {
+		each.busy /= float64(max(len(each.engines), 1))
 		uses = append(uses, each)
 	}
 	slices.SortFunc(uses, func(a, b *modelUse) int { return strings.Compare(a.model, b.model) })
 	return uses
 }
 
-// busiest returns the model that uses the largest share of its slots.
+// busyShare is the part of an engine that is in use, by slots or by cache.
+func (s *Scheduler) busyShare(now time.Time, engine *backend) float64 {
+	bySlots := float64(engine.outstanding(now, s.config.StaleLoad)) / float64(max(engine.machine.Slots, 1))
+	byCache := float64(engine.memory(now, s.config.StaleLoad)) / float64(max(engine.machine.CacheTokens, 1))
+	return max(bySlots, byCache)
+}
+
+// busiest returns the model whose engines are busiest.
 func busiest(uses []*modelUse) *modelUse {
 	var best *modelUse
 	for _, use := range uses {
-		if best == nil || use.share() > best.share() {
+		if best == nil || use.busy > best.busy {
 			best = use
 		}
 	}
 	return best
 }
 
-// donor returns the least busy engine that a model can spare for another.
-func (s *Scheduler) donor(now time.Time, uses []*modelUse, short *modelUse) (*backend, *modelUse) {
-	var best *backend
-	var from *modelUse
+// leastBusy returns the model of the engine that can best go without it: of
+// those with other engines, the least busy.
+func leastBusy(uses []*modelUse, engine *backend) string {
+	var best *modelUse
 	for _, use := range uses {
-		if use == short {
+		if !slices.Contains(engine.machine.Models, use.model) {
 			continue
 		}
-		for _, engine := range use.engines {
-			if !s.canSpare(use, engine) || slices.Contains(engine.machine.Models, short.model) {
-				continue
-			}
-			if best == nil || s.lessBusy(now, engine, best) {
-				best, from = engine, use
-			}
+		if best == nil || use.spare() > best.spare() {
+			best = use
 		}
 	}
-	return best, from
+	return best.model
 }
 
-// canSpare reports whether a model stays below the spare share without the
-// engine.
-func (s *Scheduler) canSpare(use *modelUse, engine *backend) bool {
-	left := use.slots - engine.machine.Slots
-	return left > 0 && float64(use.outstanding) <= s.config.Models.Spare*float64(left)
+// spare is how much of the model's engines is unused.
+func (u *modelUse) spare() float64 {
+	return (1 - u.busy) * float64(len(u.engines)-1)
 }
 
-func (s *Scheduler) lessBusy(now time.Time, a, b *backend) bool {
-	left, right := a.outstanding(now, s.config.StaleLoad), b.outstanding(now, s.config.StaleLoad)
-	if left != right {
-		return left < right
+// recipient returns the engine that is to load the model: of those that are
+// clearly less busy than the model's own, the first by a hash that every node
+// computes alike.
+func (s *Scheduler) recipient(now time.Time, short *modelUse) *backend {
+	var best *backend
+	var highest uint64
+	for _, entry := range s.view.order {
+		if entry.machine.Kind != machine.KindEngine || entry.machine.Status != machine.StatusLive {
+			continue
+		}
+		if slices.Contains(entry.machine.Models, short.model) {
+			continue
+		}
+		if s.busyShare(now, entry)+s.config.Models.Margin > short.busy {
+			continue
+		}
+		hash := xxhash.Sum64String(short.model + "/" + string(entry.machine.ID))
+		if best == nil || hash > highest {
+			best, highest = entry, hash
+		}
 	}
-	return a.machine.ID < b.machine.ID
+	return best
 }
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -190,6 +190,15 @@
 	}
 }
 
+// held counts the calls that the pool holds.
+func (p *pool) held() int {
+	total := 0
+	for _, each := range p.active {
+		total += each.calls.Len()
+	}
+	return total
+}
+
 // served charges a tenant for a call that was sent.
 func (p *pool) served(call *heldCall) {
 	owner := call.line.share
--- a/schedule/rank.go
+++ b/schedule/rank.go
@@ -18,6 +18,8 @@
 	// prompt is the whole prompt, missing the part to compute, in tokens.
 	prompt  int
 	missing int
+	// memory is what the call adds to the cache, in tokens.
+	memory int
 	// peers is how many other sequences are expected there.
 	peers int
 	// source holds the prefix to import first; empty for none.
@@ -80,10 +82,11 @@
 	predicted.missing = request.PromptTokens - held
 	predicted.prefill = s.predict.prefill(learned, predicted.missing)
 	s.considerImport(request, &predicted, residents, held)
+	predicted.memory = request.PromptTokens - held + request.OutputCap
 	waiting := candidate.queuedTokens(now, s.config.StaleLoad)
 	predicted.queue = s.predict.prefill(learned, waiting)
 	predicted.decode = s.predict.decode(learned, s.predict.output(request), predicted.peers)
-	predicted.score = predicted.finish() + s.costToOthers(learned, &predicted)
+	predicted.score = predicted.finish() + s.costToOthers(now, learned, &predicted)
 	return predicted
 }
 
@@ -116,19 +119,39 @@
 
 // costToOthers is the delay that a placement causes elsewhere: its prefill
 // holds up the batch, and what does not fit pushes other prefixes out.
-func (s *Scheduler) costToOthers(learned *speed, predicted *prediction) time.Duration {
+func (s *Scheduler) costToOthers(now time.Time, learned *speed, predicted *prediction) time.Duration {
 	cost := time.Duration((s.config.Cache.MissWeight - 1) * float64(predicted.prefill))
+	cost += time.Duration((s.config.Cache.MoveWeight - 1) * float64(predicted.transfer))
 	capacity := predicted.backend.machine.CacheTokens
 	if capacity == 0 {
 		return cost
 	}
-	added := predicted.missing
-	if predicted.source != "" {
-		added += int(predicted.transfer / s.config.Rates.TransferPerToken)
-	}
-	overflow := min(predicted.backend.load.CachedTokens+added-capacity, added)
+	used := predicted.backend.memory(now, s.config.StaleLoad)
+	overflow := min(used+predicted.memory-capacity, predicted.memory)
 	if overflow > 0 {
 		cost += time.Duration(s.config.Cache.EvictionWeight * float64(s.predict.prefill(learned, overflow)))
 	}
 	return cost
 }
+
+// fits reports whether an engine's cache has room for what a call adds. A
+// call that continues a prefix there always fits: it brings little, and
+// waiting would waste the prefix. A large one leaves the reserve to small
+// ones.
+func (s *Scheduler) fits(now time.Time, request *Request, candidate *backend) bool {
+	capacity := candidate.machine.CacheTokens
+	if request.Kind != api.CallModel || capacity == 0 {
+		return true
+	}
+	held := tokensAt(s.tracker.residents(request.Call.Program), candidate.machine.ID)
+	if 2*held >= request.PromptTokens {
+		return true
+	}
+	added := request.PromptTokens - held + request.OutputCap
+	limit := float64(capacity)
+	if float64(added) > s.config.Cache.SmallShare*limit {
+		limit *= s.config.Cache.MemoryFill
+	}
+	used := candidate.memory(now, s.config.StaleLoad)
+	return used == 0 || float64(used+added) <= limit
+}
--- a/schedule/retention.go
+++ b/schedule/retention.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/machine"
 )
 
@@ -18,16 +19,21 @@
 // pauseBuckets counts pauses by the power of two of their milliseconds.
 const pauseBuckets = 24
 
-// pauses is what a tenant's programs did after a model call: how long until
+// pauseKey names the pauses that are alike: those of one tenant's programs,
+// after the same tool was called. The tool tells much: a program that has
+// sent its notice seldom asks the model again.
+type pauseKey struct{ tenant, tool string }
+
+// pauses is what programs did after a model call or tool call: how long until
 // they came back, or ended without coming back.
 type pauses struct {
 	returned [pauseBuckets]uint32
 	ended    [pauseBuckets]uint32
 }
 
-// smallestSample is how many pauses must have lasted as long before they say
-// anything.
-const smallestSample = 20
+// priorReturns are counted before the first pause is seen, so that few pauses
+// say little.
+const priorReturns = 1
 
 // reviewLimit bounds how many paused programs one review looks at.
 const reviewLimit = 256
@@ -44,22 +50,56 @@
 		returned += int(p.returned[bucket])
 		ended += int(p.ended[bucket])
 	}
-	if returned+ended < smallestSample {
-		return 1
-	}
-	return float64(returned) / float64(returned+ended)
+	return float64(returned+priorReturns) / float64(returned+ended+priorReturns)
 }
 
-// pausesOf returns the pauses of a tenant's programs.
-func (s *Scheduler) pausesOf(tenant string) *pauses {
-	known := s.pauses[tenant]
+// pausesOf returns the pauses like the one that a program is in.
+func (s *Scheduler) pausesOf(entry *tracked) *pauses {
+	key := pauseKey{entry.tenant, entry.tool}
+	known := s.pauses[key]
 	if known == nil {
 		known = &pauses{}
-		s.pauses[tenant] = known
+		s.pauses[key] = known
 	}
 	return known
 }
 
+// resumed learns from a program that calls a model again.
+func (s *Scheduler) resumed(now time.Time, owner api.ProgramID) {
+	entry := s.tracker.programs[owner]
+	if entry == nil || !entry.paused {
+		return
+	}
+	s.pausesOf(entry).returned[pauseBucket(now.Sub(entry.pausedAt))]++
+	s.tracker.resume(entry)
+}
+
+// calledTool restarts a program's pause, of which the tool now tells more.
+func (s *Scheduler) calledTool(now time.Time, request *Request) {
+	entry := s.tracker.programs[request.Call.Program]
+	if entry == nil || !entry.paused {
+		return
+	}
+	entry.tool = request.Tool
+	s.tracker.pause(now, entry.id)
+	s.reviewProgram(now, entry)
+}
+
+// ended learns from a program that ended, and forgets it.
+func (s *Scheduler) ended(now time.Time, owner api.ProgramID) {
+	entry := s.tracker.programs[owner]
+	if entry == nil {
+		return
+	}
+	if entry.paused {
+		s.pausesOf(entry).ended[pauseBucket(now.Sub(entry.pausedAt))]++
+	}
+	for _, held := range entry.residents {
+		s.view.release(now, held.backend, held.tokens)
+	}
+	s.tracker.forget(entry)
+}
+
 // reviewPaused drops the prefixes of programs that are unlikely to return.
 func (s *Scheduler) reviewPaused(now time.Time) {
 	if now.Before(s.nextReview) {
@@ -70,10 +110,16 @@
 	for element := s.tracker.paused.Front(); element != nil && reviewed < reviewLimit; reviewed++ {
 		entry := element.Value.(*tracked)
 		element = element.Next()
-		probability := s.pausesOf(entry.tenant).returnProbability(now.Sub(entry.pausedAt))
-		if probability < s.config.Cache.ReuseFloor {
-			s.dropAll(entry, "unlikely to return")
-		}
+		s.reviewProgram(now, entry)
+	}
+}
+
+// reviewProgram drops a paused program's prefixes if it is unlikely to
+// return.
+func (s *Scheduler) reviewProgram(now time.Time, entry *tracked) {
+	probability := s.pausesOf(entry).returnProbability(now.Sub(entry.pausedAt))
+	if probability < s.config.Cache.ReuseFloor {
+		s.dropAll(entry, "unlikely to return")
 	}
 }
 
@@ -87,6 +133,7 @@
 }
 
 func (s *Scheduler) drop(entry *tracked, held resident, reason string) {
+	s.view.release(s.now, held.backend, held.tokens)
 	s.decisions = append(s.decisions, Decision{
 		Action:  ActionDrop,
 		Program: entry.id,
@@ -153,14 +200,15 @@
 	})
 }
 
-// roomiest returns the feasible engine with the most free cache, less what
-// was exported to it in this call of Ready.
-func (s *Scheduler) roomiest(_ time.Time, request *Request) *backend {
+// roomiest returns the feasible engine with the most free cache.
+func (s *Scheduler) roomiest(now time.Time, request *Request) *backend {
 	var best *backend
+	most := 0
 	s.candidates = s.view.feasible(request, s.candidates[:0])
 	for _, candidate := range s.candidates {
-		if best == nil || candidate.freeCache() > best.freeCache() {
-			best = candidate
+		free := candidate.machine.CacheTokens - candidate.memory(now, s.config.StaleLoad)
+		if best == nil || free > most {
+			best, most = candidate, free
 		}
 	}
 	return best
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -16,16 +16,16 @@
 	queue   *queue
 	tracker *tracker
 	predict *predictor
-	// pauses holds what the programs of each tenant did when they paused.
-	pauses map[string]*pauses
+	// pauses holds what programs did when they paused.
+	pauses map[pauseKey]*pauses
 	// decisions are due with the next call of Ready.
 	decisions []Decision
 	// now is the time of the last input.
-	now           time.Time
-	wake          time.Time
-	nextReview    time.Time
-	nextModels    time.Time
-	modelsChanged time.Time
+	now        time.Time
+	wake       time.Time
+	nextReview time.Time
+	nextModels time.Time
+	lastOrder  modelOrder
 	// candidates and sampled are reused from decision to decision.
 	candidates []*backend
 	sampled    []*backend
@@ -50,18 +50,14 @@
 		queue:   newQueue(),
 		tracker: newTracker(),
 		predict: newPredictor(config.Rates),
-		pauses:  map[string]*pauses{},
+		pauses:  map[pauseKey]*pauses{},
 	}, nil
 }
 
 // SetBackends implements Policy.
 func (s *Scheduler) SetBackends(now time.Time, backends []machine.Machine) {
 	s.now = now
-	lost, moved := s.view.setBackends(backends)
-	s.tracker.lost(lost)
-	if moved {
-		s.modelsChanged = now
-	}
+	s.tracker.lost(s.view.setBackends(backends))
 	s.evacuate(now)
 }
 
@@ -75,9 +71,9 @@
 func (s *Scheduler) Enqueue(now time.Time, request Request) {
 	s.now = now
 	if request.Kind == api.CallModel {
-		if pause, paused := s.tracker.resume(now, request.Call.Program); paused {
-			s.pausesOf(request.Tenant).returned[pauseBucket(pause)]++
-		}
+		s.resumed(now, request.Call.Program)
+	} else {
+		s.calledTool(now, &request)
 	}
 	waiting := s.queue.poolOf(&request)
 	cost := s.predict.serviceTime(&request)
@@ -137,9 +133,7 @@
 // ProgramEnded implements Policy.
 func (s *Scheduler) ProgramEnded(now time.Time, owner api.ProgramID) {
 	s.now = now
-	if tenant, pause, paused := s.tracker.forget(now, owner); paused {
-		s.pausesOf(tenant).ended[pauseBucket(pause)]++
-	}
+	s.ended(now, owner)
 }
 
 // Ready implements Policy.
--- a/schedule/select.go
+++ b/schedule/select.go
@@ -29,9 +29,9 @@
 	if feasible == 0 {
 		return passed
 	}
-	s.sample(now, request)
+	free := s.sample(now, request)
 	if len(s.sampled) == 0 {
-		if len(request.Avoid) > 0 {
+		if free > 0 || len(request.Avoid) > 0 {
 			return passed
 		}
 		return blocked
@@ -46,11 +46,17 @@
 }
 
 // sample keeps of s.candidates, in s.sampled, Choices random ones that are
-// not saturated, and those that hold the program's prefix.
-func (s *Scheduler) sample(now time.Time, request *Request) {
+// not saturated and have room in their cache, and those that hold the
+// program's prefix. It returns how many are not saturated.
+func (s *Scheduler) sample(now time.Time, request *Request) int {
+	unsaturated := 0
 	free := s.candidates[:0]
 	for _, candidate := range s.candidates {
-		if !s.saturated(now, candidate) {
+		if s.saturated(now, candidate) {
+			continue
+		}
+		unsaturated++
+		if s.fits(now, request, candidate) {
 			free = append(free, candidate)
 		}
 	}
@@ -71,6 +77,7 @@
 		free[i] = free[len(free)-1]
 		free = free[:len(free)-1]
 	}
+	return unsaturated
 }
 
 // saturated reports whether a back end should get no further call. Only
@@ -130,7 +137,12 @@
 // send records the placement and its decision.
 func (s *Scheduler) send(now time.Time, call *heldCall, best *prediction, feasible int) {
 	request := call.request
-	s.view.place(now, best.backend, flight{request: request, missing: best.missing, peers: best.peers})
+	s.view.place(now, best.backend, flight{
+		request: request,
+		missing: best.missing,
+		peers:   best.peers,
+		memory:  best.memory,
+	})
 	s.decisions = append(s.decisions, Decision{
 		Action:         ActionPlace,
 		Call:           request.Call,
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -16,6 +16,8 @@
 type view struct {
 	staleLoad time.Duration
 	byID      map[machine.ID]*backend
+	// order is every back end, by id.
+	order []*backend
 	// pools index the live back ends by what they serve and where, so that a
 	// decision touches only those that can serve it.
 	pools map[poolKey][]*backend
@@ -42,13 +44,18 @@
 	sent []stamp
 	// ended are the own calls that ended since the report counted them.
 	ended []stamp
+	// released are the prefixes that were dropped there since the report.
+	released []stamp
 }
 
-// stamp is one placed or ended call.
+// stamp is one placed or ended call, or one released prefix.
 type stamp struct {
-	call   program.CallRef
-	at     time.Time
+	call program.CallRef
+	at   time.Time
+	// tokens is the prefill that a placed call brings; memory is what it adds
+	// to the cache, or what a release frees.
 	tokens int
+	memory int
 }
 
 // flight is one placed call.
@@ -60,6 +67,8 @@
 	// beside it.
 	missing int
 	peers   int
+	// memory is what the call adds to the engine's cache, in tokens.
+	memory int
 }
 
 func newView(staleLoad time.Duration) *view {
@@ -72,9 +81,8 @@
 }
 
 // setBackends replaces the machine list. It returns the back ends that are
-// gone or were started anew, whose caches are lost, and whether an engine's
-// models changed.
-func (v *view) setBackends(machines []machine.Machine) (lost []machine.ID, moved bool) {
+// gone or were started anew, whose caches are lost.
+func (v *view) setBackends(machines []machine.Machine) (lost []machine.ID) {
 	listed := make(map[machine.ID]bool, len(machines))
 	for _, entry := range machines {
 		if entry.Kind == machine.KindNode {
@@ -90,8 +98,8 @@
 			lost = append(lost, entry.ID)
 			known.load = Load{}
 			known.ended = nil
+			known.released = nil
 		}
-		moved = moved || !slices.Equal(known.machine.Models, entry.Models)
 		known.machine = entry
 	}
 	for id := range v.byID {
@@ -102,14 +110,21 @@
 	}
 	slices.Sort(lost)
 	v.index()
-	return lost, moved
+	return lost
 }
 
-// index rebuilds the pools from the live back ends, each sorted by its id.
+// index rebuilds the order by id, and the pools from the live back ends.
 func (v *view) index() {
 	v.revision++
 	clear(v.pools)
+	v.order = v.order[:0]
 	for _, entry := range v.byID {
+		v.order = append(v.order, entry)
+	}
+	slices.SortFunc(v.order, func(a, b *backend) int {
+		return strings.Compare(string(a.machine.ID), string(b.machine.ID))
+	})
+	for _, entry := range v.order {
 		if entry.machine.Status != machine.StatusLive {
 			continue
 		}
@@ -120,11 +135,6 @@
 			v.join(poolKey{api.CallTool, tool, entry.machine.Zone}, entry)
 		}
 	}
-	for _, pool := range v.pools {
-		slices.SortFunc(pool, func(a, b *backend) int {
-			return strings.Compare(string(a.machine.ID), string(b.machine.ID))
-		})
-	}
 }
 
 func (v *view) join(key poolKey, entry *backend) {
@@ -141,6 +151,7 @@
 	counted := func(s stamp) bool { return !s.at.After(load.At) }
 	entry.sent = slices.DeleteFunc(entry.sent, counted)
 	entry.ended = slices.DeleteFunc(entry.ended, counted)
+	entry.released = slices.DeleteFunc(entry.released, counted)
 }
 
 // place counts a call that is sent to a back end.
@@ -149,7 +160,7 @@
 	sent.placed = now
 	v.inFlight[sent.request.Call] = sent
 	entry.own++
-	entry.sent = append(entry.sent, stamp{call: sent.request.Call, at: now, tokens: sent.missing})
+	entry.sent = append(entry.sent, stamp{call: sent.request.Call, at: now, tokens: sent.missing, memory: sent.memory})
 }
 
 // finish counts a call that ended, and returns its placement.
@@ -204,6 +215,27 @@
 	return total
 }
 
-// freeCache is the part of the prefix cache that the last report left free,
-// in tokens.
-func (b *backend) freeCache() int { return b.machine.CacheTokens - b.load.CachedTokens }
+// memory estimates the tokens that the back end's cache holds: what it
+// reported, what this node's calls have added since, less what was released.
+func (b *backend) memory(now time.Time, staleLoad time.Duration) int {
+	total := 0
+	if b.fresh(now, staleLoad) {
+		total = b.load.CachedTokens
+	}
+	for _, sent := range b.sent {
+		total += sent.memory
+	}
+	for _, dropped := range b.released {
+		total -= dropped.memory
+	}
+	return max(total, 0)
+}
+
+// release notes that a prefix was dropped at a back end.
+func (v *view) release(now time.Time, id machine.ID, tokens int) {
+	entry := v.byID[id]
+	if entry == nil || !entry.fresh(now, v.staleLoad) {
+		return
+	}
+	entry.released = append(entry.released, stamp{at: now, memory: tokens})
+}
