gateway: relay waits and streams through an owner change

A caller may sit at any node while a program's owner dies, moves, or falls silent. An answer must arrive whole, and "not run" must stay true.

Waits at another node are cut into slices that are asked for again, streams go on at the new owner from the caller's position, and a closed idle connection is told apart from a request that broke after it was sent. Once an attempt may have run, a later refusal is answered as outcome_unknown. Retries come from one budget.

Each test was seen failing with its protection switched off: the settling of refusals, the bound on silence, the look at idle connections, the budget, whole characters, the check of the peer token, and going on from the position. All pass with the race detector.

--- a/gateway/event.go
+++ b/gateway/event.go
@@ -41,13 +41,9 @@
 	Attempt int `json:"attempt"`
 }
 
-// textEvent carries text that begins at the position. A character that is cut
-// at the end is left for the next event unless this is the last text, because
-// JSON cannot hold a part of a character.
-func textEvent(at position, text string, last bool) (event, bool) {
-	if !last {
-		text = text[:wholeCharacters(text)]
-	}
+// textEvent carries text that begins at the position. JSON cannot hold a part
+// of a character: the text must not end inside one.
+func textEvent(at position, text string) (event, bool) {
 	if text == "" {
 		return event{}, false
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -199,14 +199,14 @@
 
 // answer performs the request and writes its answer or stream.
 func (g *Gateway) answer(ctx *fasthttp.RequestCtx, request *exchange, done func()) {
-	context, cancel := context.WithDeadline(context.Background(), request.deadline)
+	bounded, cancel := context.WithDeadline(context.Background(), request.deadline)
 	if request.waits() {
-		stop := g.watchHangUp(context, cancel, ctx.Conn())
+		stop := g.watchHangUp(bounded, cancel, ctx.Conn())
 		defer stop()
 	}
-	answer := g.perform(context, request)
+	answer := g.perform(bounded, request)
 	if answer.source != nil {
-		g.startStream(ctx, request, answer.source, func() {
+		g.startStream(bounded, ctx, request, answer.source, func() {
 			cancel()
 			done()
 		})
--- a/gateway/gateway_suite_test.go
+++ b/gateway/gateway_suite_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -9,5 +10,6 @@
 
 func TestGateway(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(20 * time.Second)
 	RunSpecs(t, "Gateway")
 }
--- /dev/null
+++ b/gateway/observer_test.go
@@ -0,0 +1,27 @@
+package gateway_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/gateway"
+)
+
+// relayCounter counts attempts at other nodes and keeps refusals.
+type relayCounter struct {
+	attempts atomic.Int64
+	mutex    sync.Mutex
+	refusals []gateway.Refusal
+}
+
+func (*relayCounter) Answered(control.Operation, int, time.Duration) {}
+func (*relayCounter) FirstText(time.Duration)                        {}
+func (*relayCounter) InFlight(int)                                   {}
+func (c *relayCounter) Relayed(bool)                                 { c.attempts.Add(1) }
+func (c *relayCounter) Refused(refusal gateway.Refusal) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.refusals = append(c.refusals, refusal)
+}
--- a/gateway/parse.go
+++ b/gateway/parse.go
@@ -16,7 +16,7 @@
 // Limits of GET /v1/programs/{id}/history.
 const (
 	defaultHistoryLimit = 100
-	maximumHistoryLimit = 1000
+	maximumHistoryLimit = 200
 )
 
 // keyPrefix marks a call that is named by its key in a path.
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -96,7 +96,7 @@
 		return g.local(ctx, request)
 	}
 	if hint != "" {
-		return g.relay(ctx, request, hint)
+		return g.relay(request, hint)
 	}
 	route, refusal := g.service.Route(request.request.Program)
 	switch {
@@ -109,7 +109,7 @@
 		result.owner = route.Address
 		return result
 	default:
-		return g.relay(ctx, request, route.Address)
+		return g.relay(request, route.Address)
 	}
 }
 
@@ -117,6 +117,9 @@
 func (g *Gateway) local(ctx context.Context, request *exchange) outcome {
 	asked := request.request
 	asked.Wait = request.waits()
+	if refusal := g.complete(ctx, &asked); refusal != nil {
+		return refusedLocally(refusal)
+	}
 	waitCtx := ctx
 	if asked.Wait && request.peer {
 		sliced, cancel := context.WithTimeout(ctx, g.config.WaitSlice)
@@ -144,6 +147,36 @@
 	return result
 }
 
+// complete fills in what the caller may leave out and only the owner knows: a
+// sub-agent's branch is its parent's, and a call that is to be cancelled can
+// be named by its key.
+func (g *Gateway) complete(ctx context.Context, asked *control.Request) *api.Error {
+	look := control.Request{Scope: asked.Scope, Program: asked.Program, Key: asked.Key}
+	switch {
+	case asked.Parent != "" && asked.Create.Branch == "":
+		look.Operation = control.OperationDescribe
+		look.Program = asked.Parent
+	case asked.Operation == control.OperationCancel && asked.Key != "":
+		look.Operation = control.OperationCall
+	default:
+		return nil
+	}
+	reply := g.service.Do(ctx, look)
+	switch {
+	case reply.Error != nil:
+		found := *reply.Error
+		found.Ran = api.RanNotRun
+		return &found
+	case reply.Program != nil:
+		create := *asked.Create
+		create.Branch = reply.Program.Branch
+		asked.Create = &create
+	case reply.Call != nil:
+		asked.Sequence = reply.Call.Sequence
+	}
+	return nil
+}
+
 // The HTTP statuses of successful answers.
 const (
 	statusOK       = 200
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -2,12 +2,12 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -42,29 +42,47 @@
 			if err != nil {
 				return nil, errNotSent
 			}
-			return &patientConn{Conn: conn, silence: config.PeerSilence}, nil
+			return &patientConn{Conn: conn, raw: rawConn(conn), silence: config.PeerSilence}, nil
 		},
 	}
 }
 
-// patientConn bounds the silence before each read. A stream may last long, so
-// one deadline for the whole answer would cut it; a node that died without a
-// word would hold its readers for ever without any.
+// patientConn is a connection to another node. It bounds the silence before
+// each read: a stream may last long, so one deadline for the whole answer
+// would cut it, and a node that died without a word would hold its readers
+// for ever without any. It also looks before it writes: an idle connection
+// that the other node has closed is told apart from one that broke after the
+// request was sent.
 type patientConn struct {
 	net.Conn
+	raw     syscall.RawConn
 	silence time.Duration
+	// sending is set between the first write of a request and its answer.
+	sending bool
 }
 
 // Read waits for bytes no longer than the silence allows.
 func (c *patientConn) Read(buffer []byte) (int, error) {
-	if err := c.Conn.SetReadDeadline(time.Now().Add(c.silence)); err != nil {
+	if err := c.SetReadDeadline(time.Now().Add(c.silence)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(buffer)
+	read, err := c.Conn.Read(buffer)
+	c.sending = c.sending && read == 0
+	return read, err
+}
+
+// Write sends bytes of a request. It fails with errNotSent when the request
+// was not begun and the other node has closed the connection.
+func (c *patientConn) Write(buffer []byte) (int, error) {
+	if !c.sending && c.raw != nil && closedByPeer(c.raw) {
+		return 0, errNotSent
+	}
+	c.sending = true
+	return c.Conn.Write(buffer)
 }
 
 // relay passes the request on to the node at the address.
-func (g *Gateway) relay(ctx context.Context, request *exchange, address string) outcome {
+func (g *Gateway) relay(request *exchange, address string) outcome {
 	if request.hops >= g.config.MaximumHops {
 		return refused(api.Refuse(api.CodeOwnerUnknown, "passed on %d times without reaching the owner", request.hops).After(0))
 	}
@@ -79,10 +97,10 @@
 		return relayFailed(err)
 	}
 	if bytes.HasPrefix(incoming.Header.ContentType(), []byte(contentTypeEvents)) {
-		return outcome{answer: answer{source: newRemoteSource(g, request, incoming)}}
+		return outcome{answer: answer{source: newRemoteSource(g, incoming)}}
 	}
 	defer fasthttp.ReleaseResponse(incoming)
-	return g.readRelayed(ctx, incoming)
+	return g.readRelayed(address, incoming)
 }
 
 // fillRelay repeats the caller's request with what this node found out.
@@ -113,7 +131,7 @@
 
 // readRelayed reads a JSON answer as a whole, so that one that breaks off can
 // still be asked for again.
-func (g *Gateway) readRelayed(_ context.Context, incoming *fasthttp.Response) outcome {
+func (g *Gateway) readRelayed(address string, incoming *fasthttp.Response) outcome {
 	body, err := io.ReadAll(io.LimitReader(incoming.BodyStream(), int64(g.config.MaximumReplyBytes)))
 	if closeErr := incoming.CloseBodyStream(); err == nil {
 		err = closeErr
@@ -131,6 +149,10 @@
 	if json.Unmarshal(body, &failure) != nil || failure.Error == nil {
 		return relayFailed(errors.New("not an answer of a gateway"))
 	}
+	if failure.Error.Code == api.CodeUnauthorized {
+		g.logger.Warn().Str("node", address).Msg(logPrefix + "A node refused this node's peer token.")
+		return relayFailed(errNotSent)
+	}
 	result = refusedLocally(failure.Error)
 	result.owner = string(incoming.Header.Peek(headerOwner))
 	return result
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -23,18 +23,16 @@
 	hasText  bool
 }
 
-// startStream answers with server-sent events. done is called once the stream
-// is over.
-func (g *Gateway) startStream(ctx *fasthttp.RequestCtx, request *exchange, first source, done func()) {
+// startStream answers with server-sent events until the lifetime ends. done is
+// called once the stream is over.
+func (g *Gateway) startStream(lifetime context.Context, ctx *fasthttp.RequestCtx, request *exchange, first source, done func()) {
 	ctx.SetStatusCode(statusOK)
 	ctx.SetContentType(contentTypeEvents)
 	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-store")
 	ctx.Response.ImmediateHeaderFlush = true
 	s := &session{gateway: g, request: request, source: first, conn: ctx.Conn()}
-	lifetime, cancel := context.WithDeadline(context.Background(), request.deadline)
 	ctx.SetBodyStreamWriter(func(writer *bufio.Writer) {
 		defer done()
-		defer cancel()
 		s.run(lifetime, writer)
 		s.source.close()
 		g.observer.Answered(request.request.Operation, statusOK, time.Since(request.received))
@@ -87,7 +85,7 @@
 	switch {
 	case errors.As(cause, &refusal):
 		return errorEvent(refusal), nil
-	case errors.Is(cause, context.DeadlineExceeded):
+	case ctx.Err() != nil:
 		return errorEvent(timedOut()), nil
 	case !errors.Is(cause, errSourceLost):
 		return event{}, cause
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -5,12 +5,12 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/control"
 	"birchwood.example/birchwood/program"
 	"birchwood.example/birchwood/stream"
@@ -29,20 +29,25 @@
 	close()
 }
 
-// bufferPoll is how often a call that runs is looked for when this node has
-// no buffer for it yet.
+// bufferPoll is how often the buffer of a call is looked for that this node
+// does not know yet.
 const bufferPoll = 20 * time.Millisecond
 
-// localSource reads an answer on the node that owns its program.
+// localSource reads an answer on the node that owns its program: from the
+// buffer while the call runs, and then from the call's durable record.
 type localSource struct {
 	gateway *Gateway
-	request *exchange
+	scope   contract.Path
 	call    program.CallRef
 	// first is sent before anything else; it is nil afterwards.
 	first *api.Call
-	// buffer is nil until the call runs, and again once it is closed.
+	// buffer is nil until it is known, and again once it is drawn.
 	buffer *stream.Buffer
-	drawn  bool
+	// drawn says that no buffer is to be looked for any more.
+	drawn bool
+	// ended delivers the call once it is terminal. It is nil until needed.
+	ended  chan control.Reply
+	cancel context.CancelFunc
 	// final is the call once it is terminal.
 	final *api.Call
 }
@@ -54,9 +59,11 @@
 	}
 	opened := &localSource{
 		gateway: g,
-		request: request,
+		scope:   request.scope,
 		call:    program.CallRef{Program: call.Program, Sequence: call.Sequence},
 		first:   call,
+		drawn:   call.Kind == api.CallTool,
+		cancel:  func() {},
 	}
 	if call.Status.Terminal() {
 		opened.final = call
@@ -74,7 +81,7 @@
 	idle, cancel := context.WithTimeout(ctx, s.gateway.config.KeepAlive)
 	defer cancel()
 	for {
-		next, found, err := s.step(idle, from)
+		next, found, err := s.step(ctx, idle, from)
 		if found || err != nil {
 			return next, err
 		}
@@ -84,8 +91,9 @@
 	}
 }
 
-// step makes one move towards the next event.
-func (s *localSource) step(ctx context.Context, from position) (event, bool, error) {
+// step makes one move towards the next event. idle ends with the next
+// keep-alive, lifetime with the stream.
+func (s *localSource) step(lifetime, idle context.Context, from position) (event, bool, error) {
 	if s.final != nil {
 		return s.fromRecord(from), true, nil
 	}
@@ -93,10 +101,10 @@
 		s.buffer, _ = s.gateway.service.Stream(s.call)
 	}
 	if s.buffer != nil {
-		next, found := s.fromBuffer(ctx, from)
+		next, found := s.fromBuffer(idle, from)
 		return next, found, nil
 	}
-	return event{}, false, s.awaitEnd(ctx)
+	return event{}, false, s.awaitEnd(lifetime, idle)
 }
 
 // fromBuffer waits for text that is being generated.
@@ -111,53 +119,74 @@
 	if part.Attempt > from.attempt && from.attempt > 0 {
 		return restartEvent(part.Attempt), true
 	}
+	buffer := s.buffer
 	if part.Closed {
 		s.buffer = nil
 		s.drawn = true
 	}
-	if part.Attempt < from.attempt || part.Text == "" {
+	if part.Attempt < from.attempt {
 		return event{}, false
 	}
-	next, found := textEvent(position{attempt: part.Attempt, offset: part.Offset}, part.Text, part.Closed)
-	if !found {
-		s.awaitCharacter(ctx, part)
+	at := position{attempt: part.Attempt, offset: part.Offset}
+	next, found := textEvent(at, part.Text[:wholeCharacters(part.Text)])
+	if !found && !part.Closed {
+		_, _ = buffer.Next(ctx, part.Attempt, part.Offset+len(part.Text))
 	}
 	return next, found
 }
 
-// awaitCharacter waits until the buffer has more than the part whose last
-// character is cut.
-func (s *localSource) awaitCharacter(ctx context.Context, part stream.Part) {
-	_, _ = s.buffer.Next(ctx, part.Attempt, part.Offset+len(part.Text))
-}
-
-// awaitEnd waits until the call is terminal. Without a buffer so far it comes
-// back soon, because the call may have begun to run.
-func (s *localSource) awaitEnd(ctx context.Context) error {
-	bounded := ctx
+// awaitEnd waits until the call is terminal, or until it is time to look for
+// its buffer again.
+func (s *localSource) awaitEnd(lifetime, idle context.Context) error {
+	if s.ended == nil {
+		s.askForEnd(lifetime)
+	}
+	var poll <-chan time.Time
 	if !s.drawn {
-		var cancel context.CancelFunc
-		bounded, cancel = context.WithTimeout(ctx, bufferPoll)
-		defer cancel()
+		timer := time.NewTimer(bufferPoll)
+		defer timer.Stop()
+		poll = timer.C
+	}
+	select {
+	case reply := <-s.ended:
+		return s.takeEnd(lifetime, reply)
+	case <-poll:
+	case <-idle.Done():
 	}
-	reply := s.gateway.service.Do(bounded, control.Request{
+	return nil
+}
+
+// askForEnd asks for the call once it is terminal.
+func (s *localSource) askForEnd(lifetime context.Context) {
+	waiting, cancel := context.WithCancel(lifetime)
+	ended := make(chan control.Reply, 1)
+	request := control.Request{
 		Operation: control.OperationCall,
-		Scope:     s.request.scope,
+		Scope:     s.scope,
 		Program:   s.call.Program,
 		Sequence:  s.call.Sequence,
 		Wait:      true,
-	})
+	}
+	go func() { ended <- s.gateway.service.Do(waiting, request) }()
+	s.ended = ended
+	s.cancel = cancel
+}
+
+// takeEnd reads what askForEnd got.
+func (s *localSource) takeEnd(lifetime context.Context, reply control.Reply) error {
+	s.cancel()
+	s.ended = nil
 	switch {
 	case reply.Error == nil && reply.Call != nil && reply.Call.Status.Terminal():
 		s.final = reply.Call
-	case reply.Error == nil, bounded.Err() != nil:
-		<-bounded.Done()
-	case reply.Error.Code == api.CodeNotOwner, reply.Error.Code == api.CodeOwnerUnknown:
+		return nil
+	case lifetime.Err() != nil:
+		return lifetime.Err()
+	case reply.Error == nil, reply.Error.Code == api.CodeNotOwner, reply.Error.Code == api.CodeOwnerUnknown:
 		return errSourceLost
 	default:
 		return reply.Error
 	}
-	return nil
 }
 
 // fromRecord serves the answer from the call's durable record: the rest of
@@ -170,14 +199,14 @@
 	}
 	if from.offset < len(call.Output) {
 		at := position{attempt: call.Attempt, offset: from.offset}
-		next, _ := textEvent(at, call.Output[from.offset:], true)
+		next, _ := textEvent(at, call.Output[from.offset:])
 		return next
 	}
 	return event{kind: eventEnd, at: from, data: marshal(call)}
 }
 
-// close implements source. Nothing is held.
-func (s *localSource) close() {}
+// close implements source: nobody waits for the call's end any more.
+func (s *localSource) close() { s.cancel() }
 
 // remoteSource reads an answer from the node that owns its program.
 type remoteSource struct {
@@ -189,7 +218,7 @@
 // eventBytes is the size of the buffer for an event's lines.
 const eventBytes = 4 << 10
 
-func newRemoteSource(g *Gateway, _ *exchange, response *fasthttp.Response) *remoteSource {
+func newRemoteSource(g *Gateway, response *fasthttp.Response) *remoteSource {
 	return &remoteSource{
 		gateway:  g,
 		response: response,
@@ -198,13 +227,13 @@
 }
 
 // next implements source.
-func (s *remoteSource) next(_ context.Context, from position) (event, error) {
+func (s *remoteSource) next(ctx context.Context, from position) (event, error) {
 	next := event{at: from}
 	size := 0
 	for {
 		line, err := s.reader.ReadBytes('\n')
 		if err != nil {
-			return event{}, errSourceLost
+			return event{}, errors.Join(ctx.Err(), errSourceLost)
 		}
 		size += len(line)
 		if size > s.gateway.config.MaximumReplyBytes {
@@ -212,14 +241,14 @@
 		}
 		line = bytes.TrimSuffix(line, []byte("\n"))
 		if len(line) == 0 {
-			return s.checked(next)
+			return checked(ctx, next)
 		}
-		s.field(&next, line)
+		readField(&next, line)
 	}
 }
 
-// field reads one line of an event.
-func (s *remoteSource) field(next *event, line []byte) {
+// readField reads one line of an event.
+func readField(next *event, line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(": "))
 	switch string(name) {
 	case "event":
@@ -234,7 +263,10 @@
 }
 
 // checked turns the owner's report that it lost the program into a loss.
-func (s *remoteSource) checked(next event) (event, error) {
+func checked(ctx context.Context, next event) (event, error) {
+	if next.kind == eventKeepAlive {
+		return next, ctx.Err()
+	}
 	if next.kind != eventError {
 		return next, nil
 	}
@@ -248,9 +280,6 @@
 // close implements source: it closes the connection unless all was read, so
 // that the owner notices.
 func (s *remoteSource) close() {
-	if closer, closes := s.response.BodyStream().(io.Closer); closes {
-		_ = closer.Close()
-	}
 	_ = s.response.CloseBodyStream()
 	fasthttp.ReleaseResponse(s.response)
 }
