--- /dev/null
+++ b/command/logger.go
@@ -0,0 +1,21 @@
+package command
+
+import (
+	"os"
+
+	"github.com/phuslu/log"
+)
+
+// newLogger returns a logger that writes one JSON line an event to standard
+// error, marked with the part of the process that it belongs to.
+func newLogger(level, node string) *log.Logger {
+	logger := &log.Logger{
+		Level:      log.ParseLevel(level),
+		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		Writer:     &log.IOWriter{Writer: os.Stderr},
+	}
+	if node != "" {
+		logger.Context = log.NewContext(nil).Str("node", node).Value()
+	}
+	return logger
+}
--- /dev/null
+++ b/command/verbs.go
@@ -0,0 +1,15 @@
+package command
+
+import "github.com/spf13/cobra"
+
+// verbs returns the commands in the order of the help page.
+func verbs() []*cobra.Command {
+	return []*cobra.Command{
+		newDevCommand(),
+		newServeCommand(),
+		newStandinCommand(),
+		newCheckCommand(),
+		newLoadCommand(),
+		newVerifyCommand(),
+	}
+}
--- /dev/null
+++ b/control/apply.go
@@ -0,0 +1,300 @@
+package control
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/partition"
+	"birchwood.example/birchwood/program"
+	"birchwood.example/birchwood/schedule"
+)
+
+// pendingReply is the answer to a request that waits for durability.
+type pendingReply struct {
+	answer *Answer
+	fetch  *FetchHistory
+}
+
+// apply proposes an output's records, performs what may be done at once, and
+// keeps the rest until every record decided so far is durable. A reply waits
+// too, even when the output has no records of its own: what it tells may rest
+// on records that are still under way.
+func (c *Core) apply(now time.Time, owned *ownedPartition, output program.Output, reply *pendingReply) {
+	if len(output.Records) == 0 && len(output.Effects) == 0 && len(output.Immediate) == 0 && reply == nil {
+		return
+	}
+	pending := pendingOutput{effects: output.Effects}
+	for _, record := range output.Records {
+		owned.position++
+		owned.unproposed = append(owned.unproposed, record)
+		if record.Ended != nil || record.Closed != nil {
+			pending.endings = append(pending.endings, record)
+		}
+	}
+	pending.position = owned.position
+	if reply != nil && reply.answer != nil {
+		pending.replies = append(pending.replies, *reply.answer)
+	}
+	if reply != nil && reply.fetch != nil {
+		pending.fetches = append(pending.fetches, *reply.fetch)
+	}
+	owned.outputs = append(owned.outputs, pending)
+	c.proposeWaiting(now, owned)
+	for _, effect := range output.Immediate {
+		c.perform(now, owned, effect)
+	}
+	c.releaseDurable(now, owned)
+}
+
+// proposeWaiting hands the replica the records it has room for, in order.
+func (c *Core) proposeWaiting(now time.Time, owned *ownedPartition) {
+	first := owned.position - uint64(len(owned.unproposed))
+	for len(owned.unproposed) > 0 {
+		record := owned.unproposed[0]
+		payload, err := json.Marshal(record)
+		if err != nil {
+			panic(fmt.Sprintf("control: a record has no JSON form: %v", err))
+		}
+		token, err := owned.replica.Propose(now, payload)
+		if err != nil {
+			return
+		}
+		first++
+		owned.proposed[token] = proposedRecord{position: first, record: record}
+		owned.unproposed = owned.unproposed[1:]
+	}
+	owned.unproposed = nil
+}
+
+// releaseDurable performs the outputs whose records are all durable.
+func (c *Core) releaseDurable(now time.Time, owned *ownedPartition) {
+	for len(owned.outputs) > 0 && owned.outputs[0].position <= owned.durable {
+		output := owned.outputs[0]
+		owned.outputs = owned.outputs[1:]
+		for _, record := range output.endings {
+			c.announceEnding(owned, record)
+		}
+		for _, effect := range output.effects {
+			c.perform(now, owned, effect)
+		}
+		for _, answer := range output.replies {
+			c.emit(answer)
+		}
+		for _, fetch := range output.fetches {
+			c.emit(fetch)
+		}
+	}
+}
+
+// perform does what an effect of the programs asks for.
+func (c *Core) perform(now time.Time, owned *ownedPartition, effect program.Effect) {
+	switch effect.Kind {
+	case program.EffectStart:
+		c.start(now, owned, effect)
+	case program.EffectSend:
+		c.send(owned, effect)
+	case program.EffectStop:
+		c.stop(owned, effect)
+	case program.EffectAnswer:
+		c.answerCall(owned, effect)
+	case program.EffectLookup:
+		c.lookUp(now, owned, effect)
+	case program.EffectRelease:
+		c.releaseProgram(now, owned, effect.Attempt.Program)
+	}
+}
+
+// start hands a call to the scheduler, now or after its delay. A partition
+// that is being handed over keeps it for the next owner.
+func (c *Core) start(now time.Time, owned *ownedPartition, effect program.Effect) {
+	if effect.Delay > 0 {
+		due := now.Add(effect.Delay)
+		effect.Delay = 0
+		c.delayed.push(due, owned.id, effect)
+		return
+	}
+	if owned.draining {
+		owned.held = append(owned.held, effect)
+		return
+	}
+	call := effect.Call
+	owned.queued[effect.Attempt.CallRef] = effect
+	c.config.Policy.Enqueue(now, schedule.Request{
+		Call:         effect.Attempt.CallRef,
+		Kind:         call.Kind,
+		Model:        call.Model,
+		Tool:         call.Tool,
+		Tenant:       tenantOf(effect.Branch),
+		Placement:    effect.Terms.Placement,
+		Priority:     effect.Terms.Priority,
+		PromptTokens: effect.PromptTokens,
+		OutputCap:    call.MaxOutputTokens,
+		Attained:     effect.Attained,
+		Enqueued:     now,
+		Deadline:     effect.Deadline,
+		Avoid:        effect.Avoid,
+	})
+}
+
+// send dispatches an attempt whose intent the programs have recorded.
+func (c *Core) send(owned *ownedPartition, effect program.Effect) {
+	placed, ok := owned.placed[effect.Attempt.CallRef]
+	backend, known := c.attendant.backend(effect.Backend)
+	if !ok || !known {
+		backend = machine.Machine{ID: effect.Backend}
+	}
+	placed.attempt = effect.Attempt.Attempt
+	placed.backend = effect.Backend
+	placed.sent = true
+	owned.placed[effect.Attempt.CallRef] = placed
+	prompt, _ := owned.store.Prompt(effect.Attempt.Program, effect.Attempt.Sequence)
+	c.emit(SendAttempt{
+		Partition: owned.id,
+		Attempt:   effect.Attempt,
+		Backend:   backend,
+		Call:      effect.Call,
+		Key:       effect.Key,
+		Deadline:  effect.Deadline,
+		Decision:  placed.decision,
+		Prompt:    prompt,
+	})
+}
+
+// stop takes a call out of the scheduler, or cancels its running attempt.
+func (c *Core) stop(owned *ownedPartition, effect program.Effect) {
+	if effect.Attempt.Attempt > 0 {
+		c.emit(StopAttempt{Attempt: effect.Attempt})
+		return
+	}
+	call := effect.Attempt.CallRef
+	c.config.Policy.Withdraw(call)
+	delete(owned.queued, call)
+	c.delayed.remove(call)
+	owned.dropHeld(call)
+}
+
+func (p *ownedPartition) dropHeld(call program.CallRef) {
+	kept := p.held[:0]
+	for _, effect := range p.held {
+		if effect.Attempt.CallRef != call {
+			kept = append(kept, effect)
+		}
+	}
+	p.held = kept
+}
+
+// answerCall gives the terminal call to everyone who waits for it.
+func (c *Core) answerCall(owned *ownedPartition, effect program.Effect) {
+	call := effect.Attempt.CallRef
+	handles := owned.waiters[call]
+	delete(owned.waiters, call)
+	for _, handle := range handles {
+		answer := *effect.Answer
+		c.emit(Answer{Handle: handle, Reply: Reply{Call: &answer}})
+	}
+}
+
+// FillEnded copies a call's outcome into what callers see.
+func FillEnded(call *api.Call, ended *program.CallEnded) {
+	call.Status = ended.Status
+	call.Output = ended.Output
+	call.Usage = ended.Usage
+	call.Backend = string(ended.Backend)
+	call.Attempt = ended.Attempt
+	call.Error = ended.Error
+}
+
+// answerLost tells every waiting caller to ask the next owner by key.
+func (c *Core) answerLost(owned *ownedPartition) {
+	refusal := notOwner(owned.id)
+	for _, call := range sortedCalls(owned.waiters) {
+		for _, handle := range owned.waiters[call] {
+			c.emit(Answer{Handle: handle, Reply: Reply{Error: refusal}})
+		}
+	}
+	for _, output := range owned.outputs {
+		for _, answer := range output.replies {
+			c.emit(Answer{Handle: answer.Handle, Reply: Reply{Error: refusal}})
+		}
+		for _, fetch := range output.fetches {
+			c.emit(Answer{Handle: fetch.Handle, Reply: Reply{Error: refusal}})
+		}
+	}
+}
+
+// notOwner is the refusal that sends a caller to another node. The request
+// may have been recorded here, so that only its key tells what became of it.
+func notOwner(id partition.ID) *api.Error {
+	refusal := &api.Error{
+		Code:    api.CodeNotOwner,
+		Message: fmt.Sprintf("this node does not own partition %s", id),
+		Ran:     api.RanOutcomeUnknown,
+	}
+	return refusal.After(int64(notOwnerRetry / time.Millisecond))
+}
+
+// notOwnerRetry is how soon a caller may ask again after CodeNotOwner.
+const notOwnerRetry = 200 * time.Millisecond
+
+// announceEnding tells the driver of a durable end, for metrics and histories.
+func (c *Core) announceEnding(owned *ownedPartition, record program.Record) {
+	described, ok := owned.store.Describe(record.Program)
+	if !ok {
+		return
+	}
+	if record.Closed != nil {
+		c.emit(ProgramFinished{Program: described, CreatedAt: described.CreatedAt, EndedAt: record.At})
+		return
+	}
+	call, ok := owned.store.Call(record.Program, record.Ended.Sequence, "")
+	if !ok {
+		return
+	}
+	FillEnded(&call, record.Ended)
+	c.emit(CallFinished{Branch: described.Branch, Call: call, Ended: record.At})
+}
+
+// lookUp asks the tool service about a key, now or after the effect's delay.
+func (c *Core) lookUp(now time.Time, owned *ownedPartition, effect program.Effect) {
+	if effect.Delay > 0 {
+		due := now.Add(effect.Delay)
+		effect.Delay = 0
+		c.delayed.push(due, owned.id, effect)
+		return
+	}
+	backend, ok := c.attendant.backend(effect.Backend)
+	if !ok {
+		result := program.LookupResult{Call: effect.Attempt.CallRef, Err: errBackendUnknown}
+		c.stepLookup(now, result)
+		return
+	}
+	c.emit(LookUpKey{Call: effect.Attempt.CallRef, Backend: backend, Key: effect.Key})
+}
+
+var errBackendUnknown = errors.New("the back end is not in the machine list")
+
+// stepLookup hands the answer about a key to the program.
+func (c *Core) stepLookup(now time.Time, result program.LookupResult) {
+	owned, ok := c.ownerOf(result.Call.Program)
+	if !ok {
+		return
+	}
+	output, refusal := owned.store.Step(now, program.Command{Program: result.Call.Program, Lookup: &result})
+	if refusal == nil {
+		c.apply(now, owned, output, nil)
+	}
+}
+
+// tenantOf is the part of a branch that fairness counts by: its first step.
+func tenantOf(branch string) string {
+	for i := range len(branch) {
+		if branch[i] == '/' {
+			return branch[:i]
+		}
+	}
+	return branch
+}
--- /dev/null
+++ b/control/attendant.go
@@ -0,0 +1,247 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/engine"
+	"birchwood.example/birchwood/link"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/partition"
+	"birchwood.example/birchwood/schedule"
+)
+
+// attendant looks after the back ends that fall to this node: each back end
+// has one node that asks for its load and sweeps its memory.
+type attendant struct {
+	config   Config
+	backends map[machine.ID]machine.Machine
+	attended map[machine.ID]*attendedBackend
+	order    []machine.ID
+	nextLoad time.Time
+}
+
+// attendedBackend is what this node keeps of one back end that it attends.
+type attendedBackend struct {
+	// lastEvent is the sequence of the newest cache event that was read.
+	lastEvent uint64
+	nextSweep time.Time
+	// outstanding is set while a query has not been answered.
+	outstanding bool
+}
+
+func newAttendant(config Config) attendant {
+	return attendant{
+		config:   config,
+		backends: make(map[machine.ID]machine.Machine),
+		attended: make(map[machine.ID]*attendedBackend),
+	}
+}
+
+// backend returns a back end that the machine list has shown.
+func (a *attendant) backend(id machine.ID) (machine.Machine, bool) {
+	backend, ok := a.backends[id]
+	return backend, ok
+}
+
+// setMachines works out anew which back ends this node attends. An entry that
+// the list no longer shows is kept for look-ups, so that a call sent to it can
+// still be asked about.
+func (a *attendant) setMachines(now time.Time, nodes, backends []machine.Machine) {
+	a.order = a.order[:0]
+	for _, backend := range backends {
+		a.backends[backend.ID] = backend
+		if attendantOf(backend, nodes) != a.config.Self.ID {
+			delete(a.attended, backend.ID)
+			continue
+		}
+		a.order = append(a.order, backend.ID)
+		if a.attended[backend.ID] == nil {
+			a.attended[backend.ID] = &attendedBackend{nextSweep: now.Add(a.config.SweepPeriod)}
+		}
+	}
+	sortIDs(a.order)
+}
+
+// attendantOf picks the node that attends a back end: one of the same zone if
+// there is any, by rendezvous hash.
+func attendantOf(backend machine.Machine, nodes []machine.Machine) machine.ID {
+	near := make([]machine.Machine, 0, len(nodes))
+	for _, node := range nodes {
+		if node.Zone == backend.Zone {
+			near = append(near, node)
+		}
+	}
+	if len(near) == 0 {
+		near = nodes
+	}
+	var best machine.ID
+	var bestScore uint64
+	for _, node := range near {
+		score := xxhash.Sum64String(string(backend.ID) + "\x00" + string(node.ID))
+		if best == "" || score > bestScore {
+			best, bestScore = node.ID, score
+		}
+	}
+	return best
+}
+
+func (a *attendant) nextWake() time.Time {
+	wake := a.nextLoad
+	for _, attended := range a.attended {
+		earliest(&wake, attended.nextSweep)
+	}
+	return wake
+}
+
+// released notes the answer to a release. One that failed is left to the next
+// sweep, which sees the prefix again.
+func (a *attendant) released(PrefixReleased) {}
+
+// tickAttendant asks the attended back ends for load and prefixes when due.
+func (c *Core) tickAttendant(now time.Time) {
+	queryLoad := !now.Before(c.attendant.nextLoad)
+	if queryLoad {
+		c.attendant.nextLoad = now.Add(c.config.LoadPeriod)
+	}
+	for _, id := range c.attendant.order {
+		attended := c.attendant.attended[id]
+		backend := c.attendant.backends[id]
+		if queryLoad && !attended.outstanding {
+			attended.outstanding = true
+			c.emit(QueryBackend{Backend: backend, AfterEvent: attended.lastEvent})
+		}
+		if backend.Kind == machine.KindEngine && !now.Before(attended.nextSweep) {
+			attended.nextSweep = now.Add(c.config.SweepPeriod)
+			c.emit(ListPrefixes{Backend: backend})
+		}
+	}
+}
+
+// stepBackendObserved takes a back end's load and cache events, and passes
+// the load on to a few random peers.
+func (c *Core) stepBackendObserved(now time.Time, event BackendObserved) {
+	attended, ok := c.attendant.attended[event.Backend]
+	if !ok {
+		return
+	}
+	attended.outstanding = false
+	if event.Err != nil {
+		return
+	}
+	if event.Load != nil {
+		load := *event.Load
+		load.At = now
+		c.observeLoad(now, load)
+		c.spreadLoad(load)
+	}
+	c.stepCacheEvents(now, event.Backend, attended, event.Events)
+}
+
+// stepCacheEvents forgets the prefixes that an engine evicted. After a gap in
+// the events the next sweep is due at once: it lists what is really there.
+func (c *Core) stepCacheEvents(now time.Time, backend machine.ID, attended *attendedBackend, events []engine.CacheEvent) {
+	for _, event := range events {
+		if attended.lastEvent != 0 && event.Sequence > attended.lastEvent+1 {
+			attended.nextSweep = now
+		}
+		attended.lastEvent = max(attended.lastEvent, event.Sequence)
+		if event.Evicted {
+			c.evicted(now, event.Owner, backend)
+		}
+	}
+}
+
+// evicted notes that an engine no longer holds a program's prefix.
+func (c *Core) evicted(now time.Time, owner api.ProgramID, backend machine.ID) {
+	c.config.Policy.Evicted(now, owner, backend)
+	if owned, ok := c.ownerOf(owner); ok {
+		delete(owned.residence[owner], backend)
+	}
+}
+
+func (c *Core) observeLoad(now time.Time, load schedule.Load) {
+	c.config.Policy.ObserveLoad(now, load)
+}
+
+// spreadLoad sends a load report to a few random peers. Nodes learn the loads
+// of the back ends that they use from those back ends' answers; this keeps the
+// others from going stale, at a cost that does not grow with the fleet.
+func (c *Core) spreadLoad(load schedule.Load) {
+	message := link.Message{Load: &link.LoadMessage{Loads: []schedule.Load{load}}}
+	for _, peer := range c.randomPeers(c.config.LoadFanout) {
+		c.sendTo(peer, message)
+	}
+}
+
+func (c *Core) randomPeers(count int) []machine.ID {
+	var peers []machine.ID
+	for _, node := range c.nodes {
+		if node.ID != c.config.Self.ID {
+			peers = append(peers, node.ID)
+		}
+	}
+	c.config.Random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(count, len(peers))]
+}
+
+// stepPrefixesListed begins a sweep: it asks the owners of the listed programs
+// which of them are gone. Programs of partitions on this node are answered
+// here.
+func (c *Core) stepPrefixesListed(now time.Time, event PrefixesListed) {
+	if event.Err != nil {
+		return
+	}
+	questions := make(map[machine.ID][]api.ProgramID)
+	for _, prefix := range event.Prefixes {
+		id, err := partition.OfProgram(prefix.Owner)
+		if err != nil {
+			continue
+		}
+		if owner, ok := c.Owner(id); ok {
+			questions[owner] = append(questions[owner], prefix.Owner)
+		}
+	}
+	for _, owner := range sortedMachines(questions) {
+		sweep := link.SweepMessage{Backend: event.Backend, Question: questions[owner]}
+		if owner == c.config.Self.ID {
+			c.releaseGone(event.Backend, c.gone(sweep.Question))
+			continue
+		}
+		c.sendTo(owner, link.Message{Sweep: &sweep})
+	}
+}
+
+// stepSweep answers a sweep's question, or releases what an owner says is gone.
+func (c *Core) stepSweep(_ time.Time, from machine.ID, sweep link.SweepMessage) {
+	if len(sweep.Question) > 0 {
+		if gone := c.gone(sweep.Question); len(gone) > 0 {
+			c.sendTo(from, link.Message{Sweep: &link.SweepMessage{Backend: sweep.Backend, Gone: gone}})
+		}
+	}
+	c.releaseGone(sweep.Backend, sweep.Gone)
+}
+
+// gone returns the programs that this node is sure to be over: it owns their
+// partitions and they have ended or never were. A program's creation is
+// durable before its first call, so that no live program can be missing.
+func (c *Core) gone(ids []api.ProgramID) []api.ProgramID {
+	var gone []api.ProgramID
+	for _, id := range ids {
+		if owned, ok := c.ownerOf(id); ok && !owned.store.Live(id) {
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
+func (c *Core) releaseGone(backend machine.ID, gone []api.ProgramID) {
+	for _, id := range gone {
+		c.releaseAt(id, backend)
+	}
+}
+
+func sortIDs(ids []machine.ID) { slices.Sort(ids) }
--- /dev/null
+++ b/control/core.go
@@ -0,0 +1,242 @@
+package control
+
+import (
+	"time"
+
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/partition"
+	"birchwood.example/birchwood/program"
+)
+
+// Core is the control state of one node. It is not safe for concurrent use:
+// one goroutine owns it, steps it with events and performs its actions.
+type Core struct {
+	config     Config
+	membership *machine.Membership
+	follower   *contract.Follower
+	mirrors    *partition.MirrorStore
+
+	// partitions holds a replica for each partition that this node owns,
+	// takes over, or is about to give up.
+	partitions map[partition.ID]*ownedPartition
+	// hints tell who owned a partition when it was last heard of.
+	hints map[partition.ID]machine.ID
+	// known are all partitions that can hold programs, sorted.
+	known []partition.ID
+	nodes []machine.Machine
+
+	attendant attendant
+	delayed   delayedEffects
+	parked    []parkedRequest
+	actions   []Action
+
+	nextList time.Time
+	// listed is set once the machine list was seen. Until then this node knows
+	// of itself alone and claims nothing: it would claim everything.
+	listed   bool
+	stopping bool
+	stopBy   time.Time
+	stopped  bool
+	// routingChanged is set until RoutingChanged is asked.
+	routingChanged bool
+}
+
+// mirrorMessageBytes bounds the entries of one mirror's answer.
+const mirrorMessageBytes = 1 << 20
+
+// New returns the Core of a node that has just started and knows nothing.
+func New(config Config) (*Core, error) {
+	if err := config.validate(); err != nil {
+		return nil, err
+	}
+	membership, err := machine.NewMembership(config.Membership)
+	if err != nil {
+		return nil, err
+	}
+	follower, err := contract.NewFollower(config.Follower)
+	if err != nil {
+		return nil, err
+	}
+	mirrors, err := partition.NewMirrorStore(partition.MirrorStoreConfig{
+		Instance:            config.Writer,
+		MaximumBytes:        config.MirrorBytes,
+		MaximumMessageBytes: mirrorMessageBytes,
+	})
+	if err != nil {
+		return nil, err
+	}
+	core := &Core{
+		config:     config,
+		membership: membership,
+		follower:   follower,
+		mirrors:    mirrors,
+		partitions: make(map[partition.ID]*ownedPartition),
+		hints:      make(map[partition.ID]machine.ID),
+		attendant:  newAttendant(config),
+	}
+	return core, nil
+}
+
+// Step takes one event at the given time. Ready then returns what to do.
+func (c *Core) Step(now time.Time, event Event) {
+	switch event := event.(type) {
+	case Tick:
+	case MessageReceived:
+		c.stepMessage(now, event.Message)
+	case MachinesListed:
+		c.stepMachines(now, event)
+	case StreamAppended:
+		c.stepReplica(now, event.Partition, event.Result)
+	case StreamRead:
+		c.stepReplica(now, event.Partition, event.Result)
+	case SettingsRead:
+		c.follower.Step(now, event.Result)
+	case SettingsAppended:
+		c.follower.Heard(now, event.Revision)
+	case RequestReceived:
+		c.stepRequest(now, event.Handle, event.Request)
+	case RequestAbandoned:
+		c.abandon(event.Handle)
+	case AttemptEnded:
+		c.stepAttemptEnded(now, event)
+	case LookupReturned:
+		c.stepLookup(now, event.Result)
+	case BackendObserved:
+		c.stepBackendObserved(now, event)
+	case PrefixesListed:
+		c.stepPrefixesListed(now, event)
+	case PrefixReleased:
+		c.attendant.released(event)
+	case DrainRequested:
+		c.requestDrain(now, event.Node)
+	case StopRequested:
+		c.requestStop(now)
+	}
+	c.advance(now)
+}
+
+// Ready returns the actions that are due, in order, and forgets them.
+func (c *Core) Ready() []Action {
+	actions := c.actions
+	c.actions = nil
+	return actions
+}
+
+// emit queues an action for the driver.
+func (c *Core) emit(action Action) {
+	c.actions = append(c.actions, action)
+}
+
+// advance lets time pass in every part and moves what one part decided to the
+// parts that depend on it, until nothing changes any more.
+func (c *Core) advance(now time.Time) {
+	c.tickTimers(now)
+	for {
+		progress := c.advanceMembership(now)
+		progress = c.advanceSettings(now) || progress
+		progress = c.advancePartitions(now) || progress
+		progress = c.advanceSchedule(now) || progress
+		if !progress {
+			break
+		}
+	}
+	c.finishStop(now)
+}
+
+// tickTimers runs everything whose time has come.
+func (c *Core) tickTimers(now time.Time) {
+	if !now.Before(c.nextList) {
+		c.nextList = now.Add(c.config.ListPeriod)
+		c.emit(ListMachines{Self: c.self()})
+	}
+	c.membership.Tick(now)
+	c.follower.Tick(now)
+	for _, owned := range c.sortedPartitions() {
+		c.tickPartition(now, owned)
+	}
+	c.releaseDelayed(now)
+	c.expireParked(now)
+	c.tickAttendant(now)
+}
+
+// NextWake returns when Tick must come if no other event does.
+func (c *Core) NextWake() time.Time {
+	wake := c.nextList
+	earliest(&wake, c.membership.NextWake())
+	earliest(&wake, c.follower.NextWake())
+	earliest(&wake, c.config.Policy.NextWake())
+	earliest(&wake, c.delayed.next())
+	earliest(&wake, c.attendant.nextWake())
+	for _, owned := range c.partitions {
+		earliest(&wake, owned.replica.NextWake())
+		if owned.acquired {
+			earliest(&wake, owned.store.NextWake())
+		}
+	}
+	for _, request := range c.parked {
+		earliest(&wake, request.until)
+	}
+	if c.stopping && !c.stopped {
+		earliest(&wake, c.stopBy)
+	}
+	return wake
+}
+
+// earliest lowers wake to candidate unless candidate is the zero time.
+func earliest(wake *time.Time, candidate time.Time) {
+	if candidate.IsZero() {
+		return
+	}
+	if wake.IsZero() || candidate.Before(*wake) {
+		*wake = candidate
+	}
+}
+
+// self is this node's entry for the machine list.
+func (c *Core) self() machine.Machine {
+	self := c.config.Self
+	self.Status = machine.StatusLive
+	if c.stopping {
+		self.Status = machine.StatusLeaving
+	}
+	return self
+}
+
+// Tree returns the settings in force on this node.
+func (c *Core) Tree() *contract.Tree { return c.follower.Tree() }
+
+// Freshness tells whether the settings may be relied on for new work.
+func (c *Core) Freshness(now time.Time) contract.Freshness { return c.follower.Freshness(now) }
+
+// SettingsOfPeers tells what every node holds of the settings, as far as this
+// node has heard.
+func (c *Core) SettingsOfPeers(now time.Time) []contract.PeerSettings { return c.follower.Peers(now) }
+
+// Machines returns every machine that this node knows, for operators.
+func (c *Core) Machines() []machine.Machine { return c.membership.All() }
+
+// Backends returns the back ends that this node knows.
+func (c *Core) Backends() []machine.Machine { return c.membership.Backends() }
+
+// Nodes returns the nodes that this node believes live.
+func (c *Core) Nodes() []machine.Machine { return c.nodes }
+
+// Owned describes the partitions that this node owns, for operators.
+func (c *Core) Owned() []PartitionStatus {
+	var statuses []PartitionStatus
+	for _, owned := range c.sortedPartitions() {
+		statuses = append(statuses, owned.status())
+	}
+	return statuses
+}
+
+// epochOf returns the epoch of an acquired partition.
+func epochOf(owned *ownedPartition) uint64 { return owned.replica.Epoch() }
+
+// storeConfig returns the configuration of one partition's programs.
+func (c *Core) storeConfig() program.Config {
+	config := c.config.Store
+	config.Random = c.config.Random
+	return config
+}
--- /dev/null
+++ b/control/events.go
@@ -0,0 +1,114 @@
+package control
+
+import (
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/engine"
+	"birchwood.example/birchwood/link"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/partition"
+	"birchwood.example/birchwood/program"
+	"birchwood.example/birchwood/schedule"
+)
+
+// Event is an input of a Core: something that happened outside of it.
+type Event interface{ isEvent() }
+
+// Tick tells a Core only that time has passed.
+type Tick struct{}
+
+// MessageReceived is a control message from a peer.
+type MessageReceived struct{ Message link.Message }
+
+// MachinesListed is the platform's machine list, or the failure to get it.
+type MachinesListed struct {
+	Machines []machine.Machine
+	Err      error
+}
+
+// StreamAppended answers AppendStream.
+type StreamAppended struct {
+	Partition partition.ID
+	Result    partition.Appended
+}
+
+// StreamRead answers ReadStream.
+type StreamRead struct {
+	Partition partition.ID
+	Result    partition.ReadDone
+}
+
+// SettingsRead answers ReadSettings.
+type SettingsRead struct{ Result contract.ReadDone }
+
+// RequestReceived is a caller's or operator's request. The Core answers with
+// the same handle, once.
+type RequestReceived struct {
+	Handle  uint64
+	Request Request
+}
+
+// RequestAbandoned says that nobody waits for the handle's answer any more.
+type RequestAbandoned struct{ Handle uint64 }
+
+// AttemptEnded is what became of an attempt at its back end.
+type AttemptEnded struct {
+	Backend machine.ID
+	Outcome program.Outcome
+	// Load is the back end's load as its answer told it, if it did.
+	Load *schedule.Load
+	// Resident is how much of the program's prefix the engine keeps.
+	Resident int
+}
+
+// LookupReturned answers LookUpKey.
+type LookupReturned struct{ Result program.LookupResult }
+
+// BackendObserved answers QueryBackend.
+type BackendObserved struct {
+	Backend machine.ID
+	Load    *schedule.Load
+	Events  []engine.CacheEvent
+	Err     error
+}
+
+// PrefixesListed answers ListPrefixes.
+type PrefixesListed struct {
+	Backend  machine.ID
+	Prefixes []engine.Prefix
+	Err      error
+}
+
+// PrefixReleased answers ReleasePrefix.
+type PrefixReleased struct {
+	Backend machine.ID
+	Owner   api.ProgramID
+	Err     error
+}
+
+// StopRequested begins the planned stop of this node.
+type StopRequested struct{}
+
+// DrainRequested begins the planned stop of any node: a peer is told.
+type DrainRequested struct{ Node machine.ID }
+
+// SettingsAppended says that this node appended a change to the settings
+// stream, at the offset that makes Revision.
+type SettingsAppended struct{ Revision contract.Revision }
+
+func (Tick) isEvent()             {}
+func (MessageReceived) isEvent()  {}
+func (MachinesListed) isEvent()   {}
+func (StreamAppended) isEvent()   {}
+func (StreamRead) isEvent()       {}
+func (SettingsRead) isEvent()     {}
+func (RequestReceived) isEvent()  {}
+func (RequestAbandoned) isEvent() {}
+func (AttemptEnded) isEvent()     {}
+func (LookupReturned) isEvent()   {}
+func (BackendObserved) isEvent()  {}
+func (PrefixesListed) isEvent()   {}
+func (PrefixReleased) isEvent()   {}
+func (DrainRequested) isEvent()   {}
+func (StopRequested) isEvent()    {}
+func (SettingsAppended) isEvent() {}
--- /dev/null
+++ b/control/messages.go
@@ -0,0 +1,170 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"birchwood.example/birchwood/link"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/partition"
+)
+
+// stepMessage hands a peer's message to the part that it is for.
+func (c *Core) stepMessage(now time.Time, message link.Message) {
+	switch {
+	case message.Membership != nil:
+		c.membership.Step(now, message.From, *message.Membership)
+		if message.Settings != nil {
+			c.follower.HeardReport(now, *message.Settings)
+		}
+	case message.Partition != nil:
+		c.stepPartitionMessage(now, message.From, *message.Partition)
+	case message.Sweep != nil:
+		c.stepSweep(now, message.From, *message.Sweep)
+	case message.Drain:
+		c.requestStop(now)
+	case message.Load != nil:
+		for _, load := range message.Load.Loads {
+			c.observeLoad(now, load)
+		}
+	}
+}
+
+// stepPartitionMessage serves a mirror's part, or hands the message to the
+// partition's replica on this node. Data of a partition is only held where
+// its placement permits.
+func (c *Core) stepPartitionMessage(now time.Time, from machine.ID, message partition.Message) {
+	if !message.Partition.Placement.Contains(c.config.Self.Zone) {
+		return
+	}
+	if message.ForMirror() {
+		for _, outbound := range c.mirrors.Step(from, message) {
+			c.sendPartition(outbound)
+		}
+		return
+	}
+	if message.Handover != nil {
+		c.hints[message.Partition] = c.config.Self.ID
+		c.routingChanged = true
+		if _, ok := c.partitions[message.Partition]; !ok && !c.stopping {
+			c.openPartition(now, message.Partition)
+		}
+	}
+	owned, ok := c.partitions[message.Partition]
+	if ok {
+		owned.replica.StepMessage(now, from, message)
+		return
+	}
+	if answer, ok := partition.AnswerUnowned(message); ok {
+		c.sendTo(from, link.Message{Partition: &answer})
+	}
+}
+
+// sendPartition sends a replica's or mirror's message; one to this node
+// itself never leaves it.
+func (c *Core) sendPartition(outbound partition.Outbound) {
+	message := outbound.Message
+	c.sendTo(outbound.To, link.Message{Partition: &message})
+}
+
+// sendTo sends a message to a node, if its address is known.
+func (c *Core) sendTo(to machine.ID, message link.Message) {
+	peer, ok := c.membership.Lookup(to)
+	if !ok || to == c.config.Self.ID {
+		return
+	}
+	message.From = c.config.Self.ID
+	message.To = to
+	c.emit(SendMessage{To: peer, Message: message})
+}
+
+// stepMachines takes the platform's machine list. A failure to get it changes
+// nothing: the probes go on with what is known.
+func (c *Core) stepMachines(now time.Time, event MachinesListed) {
+	if event.Err != nil {
+		return
+	}
+	c.membership.Observe(now, event.Machines)
+	if !c.listed {
+		c.listed = true
+		c.reviewPartitions(now)
+	}
+}
+
+// advanceMembership sends probes and follows changes of the view.
+func (c *Core) advanceMembership(now time.Time) bool {
+	ready := c.membership.Ready()
+	for _, outbound := range ready.Messages {
+		message := outbound.Message
+		report := c.follower.Report(now)
+		c.sendTo(outbound.To, link.Message{Membership: &message, Settings: &report})
+	}
+	if !ready.Changed {
+		return false
+	}
+	c.routingChanged = true
+	c.nodes = c.membership.Nodes()
+	backends := c.membership.Backends()
+	c.attendant.setMachines(now, c.nodes, backends)
+	c.config.Policy.SetBackends(now, backends)
+	c.reviewPartitions(now)
+	return true
+}
+
+// reviewPartitions opens the partitions that this node should own and tells
+// every replica of the new view.
+func (c *Core) reviewPartitions(now time.Time) {
+	if c.listed && !c.stopping {
+		for _, id := range c.known {
+			c.openIfDesired(now, id)
+		}
+	}
+	for _, owned := range c.sortedPartitions() {
+		c.setView(now, owned)
+	}
+}
+
+func (c *Core) openIfDesired(now time.Time, id partition.ID) {
+	if _, open := c.partitions[id]; open {
+		return
+	}
+	if owner, ok := partition.Owner(id, c.nodes, ""); ok && owner == c.config.Self.ID {
+		c.openPartition(now, id)
+	}
+}
+
+// desires reports whether this node should own the partition.
+func (c *Core) desires(owned *ownedPartition) bool {
+	if c.stopping {
+		return false
+	}
+	owner, ok := partition.Owner(owned.id, c.nodes, "")
+	return ok && owner == c.config.Self.ID
+}
+
+// setView tells a replica who is live. A partition that should move elsewhere
+// is drained first, so that no attempt is cut by the hand-over.
+func (c *Core) setView(now time.Time, owned *ownedPartition) {
+	if owned.acquired && !c.desires(owned) {
+		c.beginDrain(now, owned)
+		return
+	}
+	c.endDrain(now, owned)
+	owned.replica.SetView(now, partition.View{Nodes: c.nodes, Stopping: c.stopping})
+}
+
+// setKnown replaces the list of partitions that can hold programs.
+func (c *Core) setKnown(now time.Time) {
+	var known []partition.ID
+	for _, placement := range c.Tree().Placements() {
+		if !placement.Contains(c.config.Self.Zone) {
+			continue
+		}
+		for index := range c.config.PartitionsPerPlacement {
+			known = append(known, partition.ID{Placement: placement, Index: index})
+		}
+	}
+	slices.SortFunc(known, comparePartitions)
+	c.known = known
+	c.reviewPartitions(now)
+}
--- /dev/null
+++ b/control/owned.go
@@ -0,0 +1,317 @@
+package control
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/partition"
+	"birchwood.example/birchwood/program"
+	"birchwood.example/birchwood/schedule"
+)
+
+// ownedPartition is a partition that this node owns or is taking over: its
+// replica, its programs, and what waits for durability.
+type ownedPartition struct {
+	id       partition.ID
+	replica  *partition.Replica
+	store    *program.Store
+	acquired bool
+	// unreadable says why the partition stays closed on this node.
+	unreadable error
+	// draining is set while the partition is about to be handed over: no new
+	// attempt starts, and held keeps the calls that would have.
+	draining   bool
+	drainUntil time.Time
+	held       []program.Effect
+
+	// position counts the records that the store decided; durable counts
+	// those that are confirmed. Both start at zero with each acquisition.
+	position uint64
+	durable  uint64
+	// unproposed are records that the replica had no room for yet.
+	unproposed []program.Record
+	proposed   map[journal.Token]proposedRecord
+	outputs    []pendingOutput
+
+	placed  map[program.CallRef]placedCall
+	waiters map[program.CallRef][]uint64
+	traces  map[api.ProgramID][]CallTrace
+	// residence tells how many tokens of a program's prefix each engine keeps.
+	residence map[api.ProgramID]map[machine.ID]int
+	// queued are the calls that the scheduler holds.
+	queued map[program.CallRef]program.Effect
+}
+
+// proposedRecord is a record that the stream does not have yet.
+type proposedRecord struct {
+	position uint64
+	record   program.Record
+}
+
+// pendingOutput is what may happen only once all records up to position are
+// durable.
+type pendingOutput struct {
+	position uint64
+	effects  []program.Effect
+	// endings are the records of it that end a call or a program.
+	endings []program.Record
+	replies []Answer
+	fetches []FetchHistory
+}
+
+// placedCall is a call that was sent, or is about to be, to a back end.
+type placedCall struct {
+	attempt  int
+	backend  machine.ID
+	sent     bool
+	decision schedule.Decision
+}
+
+// PartitionStatus describes one partition of this node, for operators.
+type PartitionStatus struct {
+	Partition   partition.ID    `json:"partition"`
+	State       partition.State `json:"state"`
+	Epoch       uint64          `json:"epoch"`
+	Programs    int             `json:"programs"`
+	Running     int             `json:"running"`
+	Unconfirmed int             `json:"unconfirmed"`
+}
+
+func (p *ownedPartition) status() PartitionStatus {
+	status := PartitionStatus{
+		Partition:   p.id,
+		State:       p.replica.State(),
+		Epoch:       p.replica.Epoch(),
+		Running:     len(p.placed),
+		Unconfirmed: len(p.proposed) + len(p.unproposed),
+	}
+	if p.store != nil {
+		status.Programs = p.store.Count()
+	}
+	return status
+}
+
+// sortedPartitions returns the partitions of this node in a fixed order, so
+// that a run replays from its seed.
+func (c *Core) sortedPartitions() []*ownedPartition {
+	all := make([]*ownedPartition, 0, len(c.partitions))
+	for _, owned := range c.partitions {
+		all = append(all, owned)
+	}
+	slices.SortFunc(all, func(a, b *ownedPartition) int { return comparePartitions(a.id, b.id) })
+	return all
+}
+
+func comparePartitions(a, b partition.ID) int {
+	return cmp.Or(cmp.Compare(a.Placement, b.Placement), cmp.Compare(a.Index, b.Index))
+}
+
+// openPartition starts a replica that will claim the partition when it should.
+func (c *Core) openPartition(now time.Time, id partition.ID) {
+	config := c.config.Replica
+	config.ID = id
+	config.Mirrors = c.mirrors
+	replica, err := partition.NewReplica(config)
+	if err != nil {
+		panic(fmt.Sprintf("control: the replica template was not validated: %v", err))
+	}
+	owned := &ownedPartition{id: id, replica: replica}
+	owned.reset(c)
+	c.partitions[id] = owned
+	c.routingChanged = true
+	c.setView(now, owned)
+}
+
+// reset drops everything that only an owner may hold.
+func (p *ownedPartition) reset(c *Core) {
+	store, err := program.NewStore(c.storeConfig())
+	if err != nil {
+		panic(fmt.Sprintf("control: the store template was not validated: %v", err))
+	}
+	p.store = store
+	p.acquired = false
+	p.unreadable = nil
+	p.draining = false
+	p.held = nil
+	p.position, p.durable = 0, 0
+	p.unproposed = nil
+	p.proposed = make(map[journal.Token]proposedRecord)
+	p.outputs = nil
+	p.placed = make(map[program.CallRef]placedCall)
+	p.waiters = make(map[program.CallRef][]uint64)
+	p.traces = make(map[api.ProgramID][]CallTrace)
+	p.residence = make(map[api.ProgramID]map[machine.ID]int)
+	p.queued = make(map[program.CallRef]program.Effect)
+}
+
+// stepReplica hands an answer of the log service to the partition's replica.
+func (c *Core) stepReplica(now time.Time, id partition.ID, result any) {
+	if owned, ok := c.partitions[id]; ok {
+		owned.replica.Step(now, result)
+	}
+}
+
+// tickPartition runs the partition's timers.
+func (c *Core) tickPartition(now time.Time, owned *ownedPartition) {
+	owned.replica.Tick(now)
+	if owned.acquired {
+		c.apply(now, owned, owned.store.Tick(now), nil)
+	}
+	if owned.draining {
+		c.continueDrain(now, owned)
+	}
+}
+
+// advancePartitions performs what the replicas want done and reports whether
+// anything was.
+func (c *Core) advancePartitions(now time.Time) bool {
+	progress := false
+	for _, owned := range c.sortedPartitions() {
+		c.proposeWaiting(now, owned)
+		if !owned.replica.HasReady() {
+			continue
+		}
+		progress = true
+		c.performReplica(now, owned, owned.replica.Ready())
+	}
+	return progress
+}
+
+// performReplica turns one Ready of a replica into actions and state changes.
+func (c *Core) performReplica(now time.Time, owned *ownedPartition, ready partition.Ready) {
+	for _, appendRequest := range ready.Appends {
+		c.emit(AppendStream{Partition: owned.id, Append: appendRequest})
+	}
+	for _, read := range ready.Reads {
+		c.emit(ReadStream{Partition: owned.id, Read: read})
+	}
+	for _, message := range ready.Messages {
+		c.sendPartition(message)
+	}
+	for _, recovered := range ready.Recovered {
+		owned.recover(recovered)
+	}
+	for _, confirmed := range ready.Confirmed {
+		owned.confirm(confirmed)
+	}
+	if ready.Acquired {
+		c.acquired(now, owned, ready.Epoch)
+	}
+	c.releaseDurable(now, owned)
+	if ready.Lost {
+		c.lost(now, owned)
+	}
+	c.proposeSnapshot(now, owned)
+	if owned.replica.State() == partition.StateFollowing && !c.desires(owned) && !ready.Lost {
+		c.closePartition(owned)
+	}
+}
+
+// recover folds one recovered record into the programs. A record that this
+// version cannot read keeps the partition closed: serving without it could
+// break what the record promised.
+func (p *ownedPartition) recover(recovered partition.Recovered) {
+	if p.unreadable != nil {
+		return
+	}
+	if err := p.fold(recovered); err != nil {
+		p.unreadable = fmt.Errorf("partition %s, offset %d: %w", p.id, recovered.Offset, err)
+	}
+}
+
+func (p *ownedPartition) fold(recovered partition.Recovered) error {
+	if recovered.Snapshot {
+		return p.store.RecoverSnapshot(recovered.Payload)
+	}
+	var record program.Record
+	if err := json.Unmarshal(recovered.Payload, &record); err != nil {
+		return err
+	}
+	return p.store.Recover(recovered.Offset, record)
+}
+
+// confirm notes that a proposed record is durable, and where it stands.
+func (p *ownedPartition) confirm(confirmed partition.Confirmed) {
+	proposed, ok := p.proposed[confirmed.Token]
+	if !ok {
+		return
+	}
+	p.durable = max(p.durable, proposed.position)
+	if confirmed.Offset == partition.NoOffset {
+		return
+	}
+	delete(p.proposed, confirmed.Token)
+	p.store.Located(proposed.record.Program, proposed.record, confirmed.Offset)
+}
+
+// acquired opens the partition for requests and restarts what a former owner
+// left unfinished.
+func (c *Core) acquired(now time.Time, owned *ownedPartition, epoch uint64) {
+	if owned.unreadable != nil {
+		c.emit(PartitionUnreadable{Partition: owned.id, Err: owned.unreadable})
+		return
+	}
+	owned.acquired = true
+	c.hints[owned.id] = c.config.Self.ID
+	c.routingChanged = true
+	c.emit(PartitionChanged{Partition: owned.id, Owned: true, Epoch: epoch, Programs: owned.store.Count()})
+	c.apply(now, owned, owned.store.Resume(now, epoch), nil)
+	c.retargetPartition(now, owned)
+	c.replayParked(now, owned.id)
+}
+
+// lost drops the partition's state: another owner has it, or will fold it
+// again. Callers that wait are told to ask the next owner by their key.
+func (c *Core) lost(now time.Time, owned *ownedPartition) {
+	wasOwned := owned.acquired
+	for _, call := range sortedCalls(owned.placed) {
+		placed := owned.placed[call]
+		c.config.Policy.Finished(now, call, placed.backend, api.Usage{}, 0)
+		if placed.sent {
+			c.emit(StopAttempt{Attempt: program.AttemptRef{CallRef: call, Attempt: placed.attempt}})
+		}
+	}
+	c.withdrawPartition(owned)
+	c.answerLost(owned)
+	owned.reset(c)
+	delete(c.hints, owned.id)
+	c.routingChanged = true
+	if wasOwned {
+		c.emit(PartitionChanged{Partition: owned.id})
+	}
+	c.setView(now, owned)
+}
+
+// closePartition forgets a replica that has nothing left to do.
+func (c *Core) closePartition(owned *ownedPartition) {
+	delete(c.partitions, owned.id)
+	c.routingChanged = true
+}
+
+// proposeSnapshot writes the programs' state when the replica asks for it.
+func (c *Core) proposeSnapshot(now time.Time, owned *ownedPartition) {
+	if !owned.acquired || len(owned.unproposed) > 0 || !owned.replica.WantsSnapshot() {
+		return
+	}
+	// A refusal only delays the snapshot: the replica asks again.
+	_ = owned.replica.ProposeSnapshot(now, owned.store.Snapshot())
+}
+
+func sortedCalls[V any](calls map[program.CallRef]V) []program.CallRef {
+	refs := make([]program.CallRef, 0, len(calls))
+	for ref := range calls {
+		refs = append(refs, ref)
+	}
+	slices.SortFunc(refs, compareCalls)
+	return refs
+}
+
+func compareCalls(a, b program.CallRef) int {
+	return cmp.Or(cmp.Compare(a.Program, b.Program), cmp.Compare(a.Sequence, b.Sequence))
+}
--- /dev/null
+++ b/control/ready.go
@@ -0,0 +1,31 @@
+package control
+
+import (
+	"fmt"
+	"time"
+)
+
+// NotReady lists why callers should not be sent to this node: it has no fresh
+// settings, knows no back end, leaves, or is still taking partitions over.
+func (c *Core) NotReady(now time.Time) []string {
+	var reasons []string
+	if c.stopping {
+		reasons = append(reasons, "leaving")
+	}
+	if freshness := c.follower.Freshness(now); !freshness.MayPlace {
+		reasons = append(reasons, "settings: "+freshness.Reason)
+	}
+	if len(c.attendant.backends) == 0 {
+		reasons = append(reasons, "no back end is known")
+	}
+	opening := 0
+	for _, owned := range c.partitions {
+		if !owned.acquired {
+			opening++
+		}
+	}
+	if opening > 0 {
+		reasons = append(reasons, fmt.Sprintf("%d partitions are being taken over", opening))
+	}
+	return reasons
+}
--- /dev/null
+++ b/control/scheduling.go
@@ -0,0 +1,197 @@
+package control
+
+import (
+	"time"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/partition"
+	"birchwood.example/birchwood/program"
+	"birchwood.example/birchwood/schedule"
+)
+
+// advanceSchedule carries out the scheduler's decisions and reports whether
+// there were any. While the settings are not fresh nothing new is placed: a
+// place rule may have changed without this node knowing.
+func (c *Core) advanceSchedule(now time.Time) bool {
+	if !c.follower.Freshness(now).MayPlace {
+		return false
+	}
+	decisions := c.config.Policy.Ready(now)
+	for _, decision := range decisions {
+		c.carryOut(now, decision)
+	}
+	return len(decisions) > 0
+}
+
+func (c *Core) carryOut(now time.Time, decision schedule.Decision) {
+	switch decision.Action {
+	case schedule.ActionPlace:
+		c.place(now, decision)
+	case schedule.ActionRefuse:
+		c.refuse(now, decision)
+	case schedule.ActionDrop:
+		c.releaseAt(decision.Program, decision.Backend)
+	}
+}
+
+// place records the choice in the program, which then asks to send it. The
+// permission is checked once more here, where the choice takes effect: the
+// contract may have narrowed since the call was handed to the scheduler.
+func (c *Core) place(now time.Time, decision schedule.Decision) {
+	owned, ok := c.ownerOf(decision.Call.Program)
+	if !ok || owned.draining || !c.permits(owned, decision) {
+		c.unplace(now, decision)
+		return
+	}
+	delete(owned.queued, decision.Call)
+	owned.placed[decision.Call] = placedCall{backend: decision.Backend, decision: decision}
+	command := program.Command{
+		Program:  decision.Call.Program,
+		Dispatch: &program.Dispatch{Call: decision.Call, Backend: decision.Backend, Epoch: epochOf(owned)},
+	}
+	output, refusal := owned.store.Step(now, command)
+	if refusal != nil {
+		delete(owned.placed, decision.Call)
+		c.unplace(now, decision)
+		return
+	}
+	c.trace(now, owned, decision)
+	c.apply(now, owned, output, nil)
+}
+
+// permits reports whether the program's terms let the chosen back end have
+// its data.
+func (c *Core) permits(owned *ownedPartition, decision schedule.Decision) bool {
+	terms, ok := owned.store.Terms(decision.Call.Program)
+	backend, known := c.attendant.backend(decision.Backend)
+	return ok && known && terms.Placement.Contains(backend.Zone)
+}
+
+// unplace tells the scheduler that a choice was not carried out.
+func (c *Core) unplace(now time.Time, decision schedule.Decision) {
+	c.config.Policy.Finished(now, decision.Call, decision.Backend, api.Usage{}, 0)
+}
+
+// refuse ends a call that the scheduler will not serve.
+func (c *Core) refuse(now time.Time, decision schedule.Decision) {
+	owned, ok := c.ownerOf(decision.Call.Program)
+	if !ok {
+		return
+	}
+	delete(owned.queued, decision.Call)
+	command := program.Command{
+		Program: decision.Call.Program,
+		Refuse:  &program.Refusal{Call: decision.Call, Error: decision.Error},
+	}
+	output, refusal := owned.store.Step(now, command)
+	if refusal == nil {
+		c.apply(now, owned, output, nil)
+	}
+}
+
+// stepAttemptEnded hands an attempt's outcome to the scheduler and to its own
+// call, and to no other.
+func (c *Core) stepAttemptEnded(now time.Time, event AttemptEnded) {
+	if event.Load != nil {
+		c.observeLoad(now, *event.Load)
+	}
+	attempt := event.Outcome.Attempt
+	owned, ok := c.ownerOf(attempt.Program)
+	if !ok {
+		return
+	}
+	if placed, ok := owned.placed[attempt.CallRef]; ok && placed.attempt == attempt.Attempt {
+		delete(owned.placed, attempt.CallRef)
+		c.config.Policy.Finished(now, attempt.CallRef, event.Backend, event.Outcome.Usage, event.Resident)
+		c.noteResidence(owned, attempt.Program, event.Backend, event.Resident)
+		c.traceEnd(now, owned, attempt)
+	}
+	output, refusal := owned.store.Step(now, program.Command{Program: attempt.Program, Outcome: &event.Outcome})
+	if refusal == nil {
+		c.apply(now, owned, output, nil)
+	}
+}
+
+// noteResidence remembers where a program's prefix is, for its release.
+func (c *Core) noteResidence(owned *ownedPartition, id api.ProgramID, backend machine.ID, tokens int) {
+	engines := owned.residence[id]
+	if tokens == 0 {
+		delete(engines, backend)
+		return
+	}
+	if engines == nil {
+		engines = make(map[machine.ID]int)
+		owned.residence[id] = engines
+	}
+	engines[backend] = tokens
+}
+
+// releaseProgram frees everything that a program which is gone holds.
+func (c *Core) releaseProgram(now time.Time, owned *ownedPartition, id api.ProgramID) {
+	c.config.Policy.ProgramEnded(now, id)
+	for _, backend := range sortedMachines(owned.residence[id]) {
+		c.releaseAt(id, backend)
+	}
+	delete(owned.residence, id)
+	delete(owned.traces, id)
+}
+
+// releaseAt frees a program's prefix at one engine. A release that is lost is
+// made good by the sweep.
+func (c *Core) releaseAt(id api.ProgramID, engineID machine.ID) {
+	if backend, ok := c.attendant.backend(engineID); ok {
+		c.emit(ReleasePrefix{Backend: backend, Owner: id})
+	}
+}
+
+// withdrawPartition takes every call of the partition out of the scheduler.
+func (c *Core) withdrawPartition(owned *ownedPartition) {
+	c.delayed.removePartition(owned.id)
+	for _, call := range sortedCalls(owned.queued) {
+		c.config.Policy.Withdraw(call)
+	}
+}
+
+// ownerOf returns the partition of a program if this node serves it.
+func (c *Core) ownerOf(id api.ProgramID) (*ownedPartition, bool) {
+	partitionID, err := partition.OfProgram(id)
+	if err != nil {
+		return nil, false
+	}
+	owned, ok := c.partitions[partitionID]
+	if !ok || !owned.acquired {
+		return nil, false
+	}
+	return owned, true
+}
+
+// trace keeps why a call was placed where it was.
+func (c *Core) trace(now time.Time, owned *ownedPartition, decision schedule.Decision) {
+	id := decision.Call.Program
+	traces := owned.traces[id]
+	if len(traces) >= c.config.TraceLimit {
+		traces = traces[1:]
+	}
+	attempt := 1
+	if call, ok := owned.store.Call(id, decision.Call.Sequence, ""); ok {
+		attempt = call.Attempt
+	}
+	owned.traces[id] = append(traces, CallTrace{
+		Sequence: decision.Call.Sequence,
+		Attempt:  attempt,
+		Backend:  decision.Backend,
+		Placed:   now,
+		Terms:    decision.Terms,
+	})
+}
+
+func (c *Core) traceEnd(now time.Time, owned *ownedPartition, attempt program.AttemptRef) {
+	traces := owned.traces[attempt.Program]
+	for i := len(traces) - 1; i >= 0; i-- {
+		if traces[i].Sequence == attempt.Sequence {
+			traces[i].Ended = now
+			return
+		}
+	}
+}
--- /dev/null
+++ b/node/attempts.go
@@ -0,0 +1,195 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/engine"
+	"birchwood.example/birchwood/program"
+	"birchwood.example/birchwood/stream"
+	"birchwood.example/birchwood/tool"
+)
+
+// attemptTable knows how to cancel each attempt that runs on this node.
+type attemptTable struct {
+	mutex   sync.Mutex
+	cancels map[program.AttemptRef]context.CancelFunc
+}
+
+func newAttemptTable() *attemptTable {
+	return &attemptTable{cancels: make(map[program.AttemptRef]context.CancelFunc)}
+}
+
+func (t *attemptTable) add(attempt program.AttemptRef, cancel context.CancelFunc) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.cancels[attempt] = cancel
+}
+
+// cancel stops an attempt; one that has ended already is left alone.
+func (t *attemptTable) cancel(attempt program.AttemptRef) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if cancel, ok := t.cancels[attempt]; ok {
+		cancel()
+	}
+}
+
+func (t *attemptTable) remove(attempt program.AttemptRef) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if cancel, ok := t.cancels[attempt]; ok {
+		cancel()
+		delete(t.cancels, attempt)
+	}
+}
+
+// startAttempt runs an attempt on a goroutine of its own and posts its
+// outcome, whatever happens, once.
+func (n *Node) startAttempt(action control.SendAttempt) {
+	ctx, cancel := context.WithCancel(n.context)
+	if !action.Deadline.IsZero() {
+		cancel()
+		ctx, cancel = context.WithDeadline(n.context, action.Deadline)
+	}
+	n.attempts.add(action.Attempt, cancel)
+	run := n.runTool
+	if action.Call.Kind == api.CallModel {
+		// The buffer is made here, on the control goroutine, so that it is
+		// made before the action that finishes the call.
+		buffer := n.streams.ensure(action.Attempt.CallRef)
+		buffer.Restart(action.Attempt.Attempt)
+		run = func(ctx context.Context, action control.SendAttempt) control.AttemptEnded {
+			return n.runModel(ctx, action, buffer)
+		}
+	}
+	go func() {
+		defer n.attempts.remove(action.Attempt)
+		n.post(run(ctx, action))
+	}()
+}
+
+// runTool sends one tool call. Anything but the service's own word leaves the
+// outcome unknown, unless nothing was sent.
+func (n *Node) runTool(ctx context.Context, action control.SendAttempt) control.AttemptEnded {
+	request := tool.Request{Key: action.Key, Tool: action.Call.Tool, Input: action.Call.Input}
+	output, err := n.tools.Tool(action.Backend).Run(ctx, request)
+	ended := control.AttemptEnded{Backend: action.Backend.ID, Outcome: program.Outcome{Attempt: action.Attempt}}
+	if err == nil {
+		ended.Outcome.Status = api.StatusSucceeded
+		ended.Outcome.Output = output
+		return ended
+	}
+	ended.Outcome.Status, ended.Outcome.Error = classify(err, api.StatusOutcomeUnknown)
+	return ended
+}
+
+// classify turns an error of a back end into a status and what callers see.
+// otherwise is the status when the error leaves the outcome open.
+func classify(err error, otherwise api.CallStatus) (api.CallStatus, *api.Error) {
+	var notSent *engine.NotSentError
+	if errors.As(err, &notSent) {
+		return api.StatusNotRun, api.Refuse(api.CodeBackendFailed, "%v", err).After(0)
+	}
+	var failed *tool.FailedError
+	if errors.As(err, &failed) {
+		return api.StatusFailed, &api.Error{Code: api.CodeBackendFailed, Message: err.Error(), Ran: api.RanFailed}
+	}
+	ran := api.RanFailed
+	if otherwise == api.StatusOutcomeUnknown {
+		ran = api.RanOutcomeUnknown
+	}
+	return otherwise, &api.Error{Code: codeOf(err), Message: err.Error(), Ran: ran, Retry: true}
+}
+
+func codeOf(err error) api.Code {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return api.CodeTimeout
+	case errors.Is(err, context.Canceled):
+		return api.CodeCancelled
+	default:
+		return api.CodeBackendFailed
+	}
+}
+
+// errCutShort marks an answer that ended before the engine said it was whole.
+var errCutShort = errors.New("the engine's answer was cut short")
+
+// runModel sends one model call and passes its tokens to the readers as they
+// come. The attempt succeeds only if the answer is whole.
+func (n *Node) runModel(ctx context.Context, action control.SendAttempt, buffer *stream.Buffer) control.AttemptEnded {
+	ended := control.AttemptEnded{Backend: action.Backend.ID, Outcome: program.Outcome{Attempt: action.Attempt}}
+	prompt, err := n.transcripts.prompt(ctx, action.Partition, action.Attempt.Program, action.Prompt)
+	if err != nil {
+		ended.Outcome.Status = api.StatusNotRun
+		ended.Outcome.Error = api.Refuse(api.CodeStoreUnavailable, "the program's history cannot be read: %v", err).After(0)
+		return ended
+	}
+	answer := modelAnswer{node: n, attempt: action.Attempt, buffer: buffer, started: time.Now()}
+	err = n.engines.Engine(action.Backend).Generate(ctx, n.generateRequest(action, prompt+action.Call.Input), answer.receive)
+	if err == nil && answer.last == nil {
+		err = errCutShort
+	}
+	if err != nil {
+		ended.Outcome.Status, ended.Outcome.Error = classify(err, api.StatusFailed)
+		return ended
+	}
+	ended.Outcome.Status = api.StatusSucceeded
+	ended.Outcome.Output = answer.text.String()
+	ended.Outcome.Usage = answer.last.Usage
+	ended.Load = &answer.last.Load
+	ended.Load.Backend = action.Backend.ID
+	ended.Load.At = time.Now()
+	ended.Resident = answer.last.Resident
+	return ended
+}
+
+func (n *Node) generateRequest(action control.SendAttempt, prompt string) engine.GenerateRequest {
+	attempt := action.Attempt
+	return engine.GenerateRequest{
+		Stream:          fmt.Sprintf("%s/%d/%d", attempt.Program, attempt.Sequence, attempt.Attempt),
+		Owner:           attempt.Program,
+		Model:           action.Call.Model,
+		Prompt:          prompt,
+		Priority:        action.Decision.EnginePriority,
+		MaxOutputTokens: action.Call.MaxOutputTokens,
+	}
+}
+
+// modelAnswer collects the chunks of one answer.
+type modelAnswer struct {
+	node    *Node
+	attempt program.AttemptRef
+	buffer  *stream.Buffer
+	text    strings.Builder
+	started time.Time
+	last    *engine.Chunk
+}
+
+// receive takes one chunk. A gap means that the answer cannot be whole.
+func (a *modelAnswer) receive(chunk engine.Chunk) error {
+	if chunk.Error != "" {
+		return errors.New(chunk.Error)
+	}
+	if chunk.Text != "" {
+		if chunk.Offset != a.text.Len() {
+			return fmt.Errorf("the answer has a gap: %d bytes received, next chunk at %d", a.text.Len(), chunk.Offset)
+		}
+		if a.text.Len() == 0 {
+			a.node.metrics.FirstToken(time.Since(a.started))
+		}
+		a.text.WriteString(chunk.Text)
+		a.buffer.Append(a.attempt.Attempt, chunk.Offset, chunk.Text)
+	}
+	if chunk.Done {
+		a.last = &chunk
+	}
+	return nil
+}
--- /dev/null
+++ b/node/loop.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"birchwood.example/birchwood/control"
+)
+
+const (
+	// eventQueue is how many events may wait for the control goroutine.
+	eventQueue = 8192
+	// eventBatch bounds the events taken before their actions are performed.
+	eventBatch = 256
+	// longestSleep bounds the wait for the next event.
+	longestSleep = time.Second
+)
+
+// run is the control goroutine. It alone touches the core: it takes events,
+// steps the core, and starts the actions on other goroutines.
+func (n *Node) run(ctx context.Context) {
+	defer close(n.loopDone)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-n.events:
+			n.step(event)
+			n.drainEvents()
+		case inspect := <-n.inspections:
+			inspect(n.core)
+		case <-timer.C:
+			n.step(control.Tick{})
+		}
+		n.performAll()
+		timer.Reset(n.untilWake())
+	}
+}
+
+// step measures the control time, which has a budget on every node.
+func (n *Node) step(event control.Event) {
+	started := time.Now()
+	n.core.Step(started, event)
+	n.metrics.ControlStep(time.Since(started))
+}
+
+func (n *Node) drainEvents() {
+	for range eventBatch {
+		select {
+		case event := <-n.events:
+			n.step(event)
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) untilWake() time.Duration {
+	wake := n.core.NextWake()
+	if wake.IsZero() {
+		return longestSleep
+	}
+	return min(max(time.Until(wake), 0), longestSleep)
+}
+
+func (n *Node) performAll() {
+	for _, action := range n.core.Ready() {
+		n.perform(action)
+	}
+	n.publishRouting()
+}
+
+// post hands an event to the control goroutine. It gives up when the node has
+// stopped.
+func (n *Node) post(event control.Event) {
+	select {
+	case n.events <- event:
+	case <-n.loopDone:
+	}
+}
+
+// inspect runs a function on the control goroutine and waits for it. It
+// reports false when the node has stopped.
+func (n *Node) inspect(look func(*control.Core)) bool {
+	done := make(chan struct{})
+	select {
+	case n.inspections <- func(core *control.Core) { look(core); close(done) }:
+	case <-n.loopDone:
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-n.loopDone:
+		return false
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,170 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/zeebo/errs"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/engine"
+	"birchwood.example/birchwood/link"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/platform"
+	"birchwood.example/birchwood/tool"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("node")
+
+// Transport sends control messages to peers and never blocks.
+type Transport interface {
+	Send(to machine.Machine, message link.Message) error
+}
+
+// Metrics is what a Node measures.
+type Metrics interface {
+	ControlStep(time.Duration)
+	StoreAppend(time.Duration, error)
+	FirstToken(time.Duration)
+	CallFinished(api.Call)
+	ProgramFinished(api.Program, time.Duration)
+	Refused(*api.Error)
+	SettingsRevision(uint64)
+}
+
+// Config holds the settings of a Node.
+type Config struct {
+	Control control.Config
+	// PeerToken authenticates nodes to each other.
+	PeerToken string
+	// StoreTimeout bounds one request to the log service, the machine list or
+	// a tool service's look-up.
+	StoreTimeout time.Duration
+	// BackendTimeout bounds one request about a back end's state.
+	BackendTimeout time.Duration
+	// TranscriptBytes bounds the cache of program histories.
+	TranscriptBytes int
+}
+
+// Dependencies are the parts that a Node works with.
+type Dependencies struct {
+	Log       platform.Log
+	Machines  platform.MachineList
+	Engines   engine.Dialer
+	Tools     tool.Dialer
+	Transport Transport
+	Metrics   Metrics
+	Logger    *log.Logger
+}
+
+// Node drives one Core: it feeds the core events, performs its actions, and
+// serves the gateway. Its exported methods are safe for concurrent use.
+type Node struct {
+	config    Config
+	core      *control.Core
+	log       platform.Log
+	machines  platform.MachineList
+	engines   engine.Dialer
+	tools     tool.Dialer
+	transport Transport
+	metrics   Metrics
+	logger    *log.Logger
+
+	// context ends when the node stops; every goroutine works under it.
+	context     context.Context
+	cancel      context.CancelFunc
+	events      chan control.Event
+	inspections chan func(*control.Core)
+	loopDone    chan struct{}
+	handedOver  chan struct{}
+
+	attempts    *attemptTable
+	streams     *streamTable
+	transcripts *transcripts
+	waiting     *waitingTable
+	verdicts    *verdictTable
+	tree        atomic.Pointer[contract.Tree]
+	routing     atomic.Pointer[control.Routing]
+}
+
+// New returns a node that does nothing until Start.
+func New(config Config, dependencies Dependencies) (*Node, error) {
+	core, err := control.New(config.Control)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	node := &Node{
+		config:      config,
+		core:        core,
+		log:         dependencies.Log,
+		machines:    dependencies.Machines,
+		engines:     dependencies.Engines,
+		tools:       dependencies.Tools,
+		transport:   dependencies.Transport,
+		metrics:     dependencies.Metrics,
+		logger:      dependencies.Logger,
+		context:     ctx,
+		cancel:      cancel,
+		events:      make(chan control.Event, eventQueue),
+		inspections: make(chan func(*control.Core)),
+		loopDone:    make(chan struct{}),
+		handedOver:  make(chan struct{}),
+		attempts:    newAttemptTable(),
+		streams:     newStreamTable(),
+		waiting:     newWaitingTable(),
+		verdicts:    newVerdictTable(),
+	}
+	node.transcripts = newTranscripts(config.TranscriptBytes, node.readCalls)
+	node.tree.Store(core.Tree())
+	node.routing.Store(core.Routing())
+	return node, nil
+}
+
+// Start begins the control goroutine.
+func (n *Node) Start() {
+	go n.run(n.context)
+}
+
+// Receive takes a control message from a peer.
+func (n *Node) Receive(message link.Message) {
+	n.post(control.MessageReceived{Message: message})
+}
+
+// Drain begins the planned stop and waits until every partition is handed
+// over, or until the context ends.
+func (n *Node) Drain(ctx context.Context) error {
+	n.post(control.StopRequested{})
+	select {
+	case <-n.handedOver:
+		return nil
+	case <-n.loopDone:
+		return nil
+	case <-ctx.Done():
+		return Error.Wrap(ctx.Err())
+	}
+}
+
+// Close ends every goroutine of the node and takes its entry off the machine
+// list.
+func (n *Node) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), n.config.StoreTimeout)
+	defer cancel()
+	if err := n.machines.Withdraw(ctx, n.config.Control.Self.ID); err != nil {
+		n.logger.Warn().Err(err).Msg("machines: the list did not remove this node's entry")
+	}
+	n.cancel()
+	<-n.loopDone
+}
+
+// publishRouting makes the present routing visible to the gateway.
+func (n *Node) publishRouting() {
+	if n.core.RoutingChanged() {
+		n.routing.Store(n.core.Routing())
+	}
+}
--- /dev/null
+++ b/node/process.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/gateway"
+	"birchwood.example/birchwood/link/linkhttp"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/operator"
+)
+
+// Process is a node with its HTTP surfaces, ready to serve.
+type Process struct {
+	Node      *Node
+	gateway   *gateway.Gateway
+	operator  *operator.Server
+	transport *linkhttp.Transport
+	logger    *log.Logger
+	callers   *fasthttp.Server
+	failed    chan error
+}
+
+// newProcess puts the callers' routes and the peers' route on one server.
+func newProcess(node *Node, callers *gateway.Gateway, operators *operator.Server, transport *linkhttp.Transport, logger *log.Logger) *Process {
+	server := callers.Server()
+	callerHandler := server.Handler
+	peerHandler := transport.Handler(node.Receive)
+	server.Handler = func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == linkhttp.Path {
+			peerHandler(ctx)
+			return
+		}
+		callerHandler(ctx)
+	}
+	return &Process{
+		Node: node, gateway: callers, operator: operators, transport: transport,
+		logger: logger, callers: server, failed: make(chan error, 2),
+	}
+}
+
+// Start begins to serve callers and peers on one listener and operators on
+// the other.
+func (p *Process) Start(callers, operators net.Listener) {
+	p.Node.Start()
+	go func() { p.failed <- p.callers.Serve(callers) }()
+	go func() { p.failed <- p.operator.Server().Serve(operators) }()
+	p.logger.Info().Str("address", callers.Addr().String()).Msg("gateway: serving callers and peers")
+	p.logger.Info().Str("address", operators.Addr().String()).Msg("operator: serving operators")
+}
+
+// Failed delivers the error with which serving ended.
+func (p *Process) Failed() <-chan error { return p.failed }
+
+// Drained is closed when a planned stop, asked for by an operator or by Stop,
+// has handed everything over.
+func (p *Process) Drained() <-chan struct{} { return p.Node.handedOver }
+
+// Stop is the planned stop: partitions are handed over after their running
+// attempts, requests in flight are finished or relayed, and then the process
+// lets go of its listeners. Nothing is cut unless the context ends first.
+func (p *Process) Stop(ctx context.Context) error {
+	p.logger.Info().Msg("gateway: draining")
+	p.gateway.Drain()
+	drained := p.Node.Drain(ctx)
+	finished := p.gateway.Shutdown(ctx)
+	p.Node.Close()
+	p.transport.Close()
+	closed := p.operator.Shutdown(ctx)
+	p.logger.Info().Msg("control: stopped")
+	return errors.Join(drained, finished, closed)
+}
+
+// newRandom returns a source seeded by the clock and the machine's name.
+func newRandom(id machine.ID) *rand.Rand {
+	var seed uint64
+	for _, letter := range []byte(id) {
+		seed = seed*31 + uint64(letter)
+	}
+	return rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), seed))
+}
--- /dev/null
+++ b/node/service.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/gateway"
+	"birchwood.example/birchwood/partition"
+	"birchwood.example/birchwood/program"
+	"birchwood.example/birchwood/stream"
+)
+
+// Node is the gateway's service.
+var _ gateway.Service = (*Node)(nil)
+
+// Caller returns the branch that a caller's bearer token is tied to.
+func (n *Node) Caller(token string) (contract.Path, bool) {
+	return n.tree.Load().Caller(contract.HashToken(token))
+}
+
+// NewProgram returns the id that a branch and key always name.
+func (n *Node) NewProgram(branch contract.Path, key string) (api.ProgramID, *api.Error) {
+	resolved, err := n.tree.Load().Resolve(branch)
+	if err != nil {
+		return "", api.Refuse(api.CodeUnknownBranch, "%v", err).At("$.branch")
+	}
+	if resolved.Placement == "" {
+		return "", api.Refuse(api.CodeNoPermittedPlace, "branch %q permits no zone", branch).At("$.branch")
+	}
+	return partition.NewProgramID(resolved.Placement, n.config.Control.PartitionsPerPlacement, string(branch), key), nil
+}
+
+// Route finds the node that owns a program's partition.
+func (n *Node) Route(id api.ProgramID) (gateway.Route, *api.Error) {
+	partitionID, err := partition.OfProgram(id)
+	if err != nil {
+		return gateway.Route{}, api.Refuse(api.CodeNotFound, "%v", err).At("$.program")
+	}
+	owner, ok := n.routing.Load().Owner(partitionID)
+	if !ok {
+		refusal := api.Refuse(api.CodeOwnerUnknown, "no live node may own partition %s", partitionID)
+		return gateway.Route{}, refusal.After(ownerRetryMilliseconds)
+	}
+	return gateway.Route{Local: owner.ID == n.config.Control.Self.ID, Owner: owner.ID, Address: owner.Address}, nil
+}
+
+// ownerRetryMilliseconds is when to ask again while no owner is known.
+const ownerRetryMilliseconds = 1000
+
+// Do performs the request on the control goroutine and waits for the reply.
+func (n *Node) Do(ctx context.Context, request control.Request) control.Reply {
+	handle, replies := n.waiting.open(request)
+	n.post(control.RequestReceived{Handle: handle, Request: request})
+	select {
+	case reply := <-replies:
+		return reply
+	case <-ctx.Done():
+		n.waiting.close(handle)
+		n.post(control.RequestAbandoned{Handle: handle})
+		return control.Reply{Error: gaveUp(ctx.Err())}
+	case <-n.loopDone:
+		n.waiting.close(handle)
+		return control.Reply{Error: gaveUp(context.Canceled)}
+	}
+}
+
+// gaveUp is the answer when waiting ends before the reply comes. The request
+// may have been recorded; its key tells.
+func gaveUp(err error) *api.Error {
+	refusal := &api.Error{Code: codeOf(err), Message: "the reply did not come in time", Ran: api.RanOutcomeUnknown}
+	return refusal.After(0)
+}
+
+// Stream returns the answer that is being generated on this node.
+func (n *Node) Stream(call program.CallRef) (*stream.Buffer, bool) { return n.streams.get(call) }
+
+// PeerToken authenticates nodes to each other.
+func (n *Node) PeerToken() string { return n.config.PeerToken }
+
+// waitingRequest is a request whose reply has not come.
+type waitingRequest struct {
+	request control.Request
+	replies chan control.Reply
+}
+
+// waitingTable matches replies to the requests that wait for them.
+type waitingTable struct {
+	mutex    sync.Mutex
+	last     uint64
+	requests map[uint64]waitingRequest
+}
+
+func newWaitingTable() *waitingTable {
+	return &waitingTable{requests: make(map[uint64]waitingRequest)}
+}
+
+func (t *waitingTable) open(request control.Request) (uint64, <-chan control.Reply) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.last++
+	replies := make(chan control.Reply, 1)
+	t.requests[t.last] = waitingRequest{request: request, replies: replies}
+	return t.last, replies
+}
+
+// close forgets a request and returns it, if it still waited.
+func (t *waitingTable) close(handle uint64) (waitingRequest, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	waiting, ok := t.requests[handle]
+	delete(t.requests, handle)
+	return waiting, ok
+}
+
+// answer gives a reply to the request that waits for it. A call that has not
+// ended gets its buffer here, before the action that finishes it, so that a
+// caller can attach as soon as it knows the call.
+func (n *Node) answer(action control.Answer) {
+	waiting, ok := n.waiting.close(action.Handle)
+	if !ok {
+		return
+	}
+	call := action.Reply.Call
+	if call != nil && !call.Status.Terminal() && call.Kind == api.CallModel {
+		n.streams.ensure(program.CallRef{Program: call.Program, Sequence: call.Sequence})
+	}
+	if action.Reply.Error != nil {
+		n.metrics.Refused(action.Reply.Error)
+	}
+	waiting.replies <- action.Reply
+}
--- /dev/null
+++ b/node/streams.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"sync"
+
+	"birchwood.example/birchwood/partition"
+	"birchwood.example/birchwood/program"
+	"birchwood.example/birchwood/stream"
+)
+
+// streamTable holds the answers that are being generated on this node.
+type streamTable struct {
+	mutex   sync.Mutex
+	buffers map[program.CallRef]*stream.Buffer
+}
+
+func newStreamTable() *streamTable {
+	return &streamTable{buffers: make(map[program.CallRef]*stream.Buffer)}
+}
+
+// ensure returns the call's buffer, made anew if there is none.
+func (t *streamTable) ensure(call program.CallRef) *stream.Buffer {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	buffer, ok := t.buffers[call]
+	if !ok {
+		buffer = stream.NewBuffer()
+		t.buffers[call] = buffer
+	}
+	return buffer
+}
+
+func (t *streamTable) get(call program.CallRef) (*stream.Buffer, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	buffer, ok := t.buffers[call]
+	return buffer, ok
+}
+
+// finish closes a call's buffer and forgets it: readers that hold it get the
+// rest, later ones are served from the call's record.
+func (t *streamTable) finish(call program.CallRef) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if buffer, ok := t.buffers[call]; ok {
+		buffer.Close()
+		delete(t.buffers, call)
+	}
+}
+
+// closePartition ends every answer of a partition that was given up, so that
+// its readers ask the next owner.
+func (t *streamTable) closePartition(id partition.ID) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for call, buffer := range t.buffers {
+		if of, err := partition.OfProgram(call.Program); err == nil && of == id {
+			buffer.Close()
+			delete(t.buffers, call)
+		}
+	}
+}
--- /dev/null
+++ b/node/wire.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/phuslu/log"
+	"go.uber.org/dig"
+
+	"birchwood.example/birchwood/config"
+	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/engine"
+	"birchwood.example/birchwood/engine/enginehttp"
+	"birchwood.example/birchwood/gateway"
+	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/link/linkhttp"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/operator"
+	"birchwood.example/birchwood/platform"
+	"birchwood.example/birchwood/platform/platformhttp"
+	"birchwood.example/birchwood/schedule"
+	"birchwood.example/birchwood/tool"
+	"birchwood.example/birchwood/tool/toolhttp"
+	"birchwood.example/birchwood/zone"
+)
+
+// Wire builds a node's process from its settings file. It opens nothing yet.
+func Wire(file *config.File, logger *log.Logger) (*Process, error) {
+	container := dig.New()
+	constructors := []any{
+		func() *config.File { return file },
+		func() *log.Logger { return logger },
+		newSelf,
+		newNodeRandom,
+		newLog,
+		newMachineList,
+		newEngines,
+		newTools,
+		newTransport,
+		newPolicy,
+		newControlConfig,
+		operator.NewMetrics,
+		func(metrics *operator.Metrics) Metrics { return metrics },
+		newDependencies,
+		newConfig,
+		New,
+		newRefusals,
+		newGateway,
+		newOperator,
+		newProcess,
+	}
+	for _, constructor := range constructors {
+		if err := container.Provide(constructor); err != nil {
+			return nil, Error.Wrap(err)
+		}
+	}
+	var process *Process
+	err := container.Invoke(func(built *Process) { process = built })
+	return process, Error.Wrap(dig.RootCause(err))
+}
+
+// newSelf takes the start time as the incarnation, which thus grows with each
+// start of the process.
+func newSelf(file *config.File) machine.Machine {
+	return file.Node.Machine(uint64(time.Now().UnixNano()))
+}
+
+func newNodeRandom(self machine.Machine) *rand.Rand { return newRandom(self.ID) }
+
+func platformOptions(file *config.File, address string) platformhttp.Options {
+	return platformhttp.Options{Address: address, Zone: string(file.Node.Zone), Timeout: file.Timings.LogTimeout}
+}
+
+func newLog(file *config.File) platform.Log {
+	return platformhttp.New(platformOptions(file, file.Platform.Log))
+}
+
+func newMachineList(file *config.File) platform.MachineList {
+	return platformhttp.New(platformOptions(file, file.Platform.Machines))
+}
+
+func newEngines(file *config.File) engine.Dialer {
+	return enginehttp.NewDialer(enginehttp.Options{Zone: string(file.Node.Zone), Timeout: backendTimeout})
+}
+
+func newTools(file *config.File) tool.Dialer {
+	return toolhttp.NewDialer(toolhttp.Options{Zone: string(file.Node.Zone), Timeout: backendTimeout})
+}
+
+// backendTimeout bounds a request to a back end that has no deadline of its
+// own.
+const backendTimeout = 5 * time.Second
+
+func newTransport(file *config.File) (*linkhttp.Transport, error) {
+	settings := linkhttp.DefaultConfig(file.Node.ID, file.Node.Zone, file.PeerToken)
+	settings.DialTimeout = file.Timings.DialTimeout
+	return linkhttp.New(settings)
+}
+
+func newPolicy(file *config.File, random *rand.Rand) (schedule.Policy, error) {
+	settings := schedule.DefaultConfig()
+	settings.Self = file.Node.Zone
+	settings.Random = random
+	settings.LinkDelay = func(to zone.Name) time.Duration { return file.Links.Delay(file.Node.Zone, to) }
+	return schedule.New(settings)
+}
+
+func newControlConfig(file *config.File, self machine.Machine, random *rand.Rand, policy schedule.Policy) control.Config {
+	settings := control.DefaultConfig(self, journal.WriterName(self.ID, self.Incarnation), random, policy)
+	timings, limits := file.Timings, file.Limits
+	settings.PartitionsPerPlacement = limits.PartitionsPerPlacement
+	settings.MirrorBytes = max(limits.MirrorBytes, 1)
+	settings.ListPeriod = timings.MachineListPeriod
+	settings.LoadPeriod = timings.LoadPeriod
+	settings.SweepPeriod = timings.SweepPeriod
+	settings.ParkTimeout = timings.ParkTimeout
+	settings.DrainTimeout = timings.DrainTimeout
+	settings.Membership.ProbePeriod = timings.ProbePeriod
+	settings.Membership.ProbeTimeout = timings.ProbeTimeout
+	settings.Membership.SuspectTimeout = timings.SuspectTimeout
+	settings.Follower.Zones = file.ZoneNames()
+	settings.Follower.PollInterval = timings.SettingsPoll
+	settings.Follower.FreshnessBound = timings.SettingsFreshness
+	settings.Replica.MirrorCount = limits.Mirrors
+	settings.Replica.MirrorDelay = timings.MirrorDelay
+	settings.Replica.AppendTimeout = timings.LogTimeout
+	settings.Replica.AppendRetryMinimum = timings.LogRetryMinimum
+	settings.Replica.AppendRetryMaximum = timings.LogRetryMaximum
+	settings.Replica.MaximumUnconfirmedBytes = limits.UnconfirmedBytes
+	settings.Replica.SnapshotEvery = limits.SnapshotRecords
+	settings.Store.MaximumPrograms = limits.Programs
+	settings.Store.MaximumQueuedCalls = limits.QueuedCalls
+	settings.Store.MaximumDepth = limits.SubAgentDepth
+	return settings
+}
+
+func newDependencies(
+	logService platform.Log, machines platform.MachineList, engines engine.Dialer, tools tool.Dialer,
+	transport *linkhttp.Transport, metrics Metrics, logger *log.Logger,
+) Dependencies {
+	return Dependencies{
+		Log: logService, Machines: machines, Engines: engines, Tools: tools,
+		Transport: transport, Metrics: metrics, Logger: logger,
+	}
+}
+
+// transcriptBytes bounds the cache of program histories. Half of a node's
+// memory budget of 256 MB is left to everything else.
+const transcriptBytes = 64 << 20
+
+func newConfig(file *config.File, settings control.Config) Config {
+	return Config{
+		Control:         settings,
+		PeerToken:       file.PeerToken,
+		StoreTimeout:    file.Timings.LogTimeout,
+		BackendTimeout:  backendTimeout,
+		TranscriptBytes: transcriptBytes,
+	}
+}
+
+// keptRefusals is how many refusals a node keeps to explain.
+const keptRefusals = 4096
+
+func newRefusals() *operator.RefusalLog { return operator.NewRefusalLog(keptRefusals) }
+
+func newOperator(
+	file *config.File, node *Node, callers *gateway.Gateway,
+	metrics *operator.Metrics, refusals *operator.RefusalLog, logger *log.Logger,
+) (*operator.Server, error) {
+	metrics.ReadAtScrape(node.snapshot)
+	settings := operator.DefaultConfig()
+	programs, _ := any(callers).(operator.Programs)
+	return operator.New(settings, node, programs, metrics, refusals, logger)
+}
+
+func newGateway(file *config.File, node *Node, metrics *operator.Metrics, refusals *operator.RefusalLog, logger *log.Logger) (*gateway.Gateway, error) {
+	settings := gateway.DefaultConfig()
+	timings, limits := file.Timings, file.Limits
+	settings.Node = string(file.Node.ID)
+	settings.Observer = operator.Observer{Metrics: metrics, Refusals: refusals}
+	settings.MaximumBodyBytes = limits.BodyBytes
+	settings.ReadTimeout = timings.ReadTimeout
+	settings.WriteTimeout = timings.WriteTimeout
+	settings.IdleTimeout = timings.IdleTimeout
+	settings.KeepAlive = timings.KeepAlive
+	settings.MaximumWait = timings.MaximumWait
+	settings.DialTimeout = timings.DialTimeout
+	settings.Connections = limits.Connections
+	settings.ConnectionsPerPeer = limits.ConnectionsPerPeer
+	return gateway.New(settings, node, logger)
+}
