machine: find a lost zone sooner and measure the membership

The loss of a whole zone at 390 nodes took 12 s to be known everywhere, and cost 16 KB/s a node meanwhile: the suspicions queued up.

While nodes of a zone are suspect, every second probe goes to that zone. A death is told only by those whose own probe began the suspicion. Suspicions are passed on half as often as other news, and a message holds 24 updates.

go test ./machine passes.

--- a/machine/config.go
+++ b/machine/config.go
@@ -59,7 +59,7 @@
 		ProbesPerPeriod:    1,
 		IndirectProbes:     3,
 		GossipFanout:       2,
-		UpdatesPerMessage:  12,
+		UpdatesPerMessage:  24,
 		MaximumHealthScore: 8,
 		Random:             random,
 	}
--- a/machine/gossip.go
+++ b/machine/gossip.go
@@ -7,13 +7,24 @@
 	"time"
 )
 
-// retransmitFactor scales how often each update is sent: this many times the
-// binary logarithm of the number of nodes. At 390 nodes this is 18.
-const retransmitFactor = 2
+// minimumTransmissions is how often an update is passed on in a small fleet.
+const minimumTransmissions = 10
 
-// transmissions returns how often an update is passed on from here.
+// transmissions returns how often an update is passed on from here. When each
+// node that hears an update sends it k times to random peers, a share of about
+// exp(-k) of them misses it; at 390 nodes k is 18.
 func (m *Membership) transmissions() int {
-	return retransmitFactor * bits.Len(uint(len(m.rotation.ids)+1))
+	return max(minimumTransmissions, 2*bits.Len(uint(len(m.rotation.ids)+1)))
+}
+
+// spread passes an update on. Suspicions are the most frequent updates and the
+// least needed, since the death is told as well: they are sent half as often.
+func (m *Membership) spread(update Update) {
+	transmissions := m.transmissions()
+	if update.Status == StatusSuspect {
+		transmissions /= 2
+	}
+	m.rumours.add(update, transmissions)
 }
 
 // statusRank orders the statuses of one incarnation: the worse one wins.
@@ -51,7 +62,7 @@
 		return
 	}
 	m.applyNews(now, known, update)
-	m.rumours.add(update, m.transmissions())
+	m.spread(update)
 }
 
 func (m *Membership) applyNews(now time.Time, known *record, update Update) {
@@ -85,7 +96,7 @@
 		m.self.Incarnation = update.Incarnation + 1
 		m.health.worsen(1)
 	}
-	m.rumours.add(m.selfUpdate(), m.transmissions())
+	m.spread(m.selfUpdate())
 }
 
 func (m *Membership) selfUpdate() Update {
--- a/machine/membership.go
+++ b/machine/membership.go
@@ -21,6 +21,8 @@
 	// suspects are the nodes whose suspicion runs.
 	suspects map[ID]*record
 	sequence uint64
+	// round counts the rounds of probes.
+	round    uint64
 	rotation rotation
 	// deadRotation is a second round over the same nodes, for dead ones.
 	deadRotation rotation
@@ -60,6 +62,8 @@
 	// leavingSince is the last evidence of leaving.
 	leavingSince time.Time
 	suspectSince time.Time
+	// suspectedHere is set when the suspicion began with a probe of this node.
+	suspectedHere bool
 	// suspectUntil is when an unrefuted suspicion becomes a death.
 	suspectUntil time.Time
 	// unreachable is set while direct probes from here get no ack.
@@ -154,7 +158,7 @@
 	m.leaving = true
 	m.self.Status = StatusLeaving
 	m.viewChanged()
-	m.rumours.add(m.selfUpdate(), m.transmissions())
+	m.spread(m.selfUpdate())
 }
 
 // Nodes returns the live nodes, this one included unless it is leaving,
@@ -232,7 +236,7 @@
 	clear(m.relays)
 	m.health.worsen(int(gap / m.config.ProbePeriod))
 	for _, suspect := range m.suspects {
-		m.suspect(now, suspect)
+		m.extendSuspicion(now, suspect)
 	}
 	for _, known := range m.records {
 		if !known.missingSince.IsZero() {
--- a/machine/observe.go
+++ b/machine/observe.go
@@ -98,11 +98,11 @@
 	}
 	known.leaving = true
 	m.viewChanged()
-	m.rumours.add(Update{
+	m.spread(Update{
 		ID:          known.listed.ID,
 		Incarnation: known.incarnation,
 		Status:      StatusLeaving,
-	}, m.transmissions())
+	})
 }
 
 // observeMissing drops entries that lists have missed for ListTimeout.
--- a/machine/probe.go
+++ b/machine/probe.go
@@ -128,19 +128,45 @@
 	m.clearSuspicion(known)
 }
 
-// probeNext probes the next peers of the shuffled rotation.
+// probeNext probes the next peers of the shuffled rotation. While nodes of a
+// zone are suspect, every second round goes to that zone alone: the nodes of a
+// zone often fail together.
 func (m *Membership) probeNext(now time.Time) {
-	probed := func(id ID) bool {
-		known, ok := m.records[id]
-		return ok && known.status != StatusDead
-	}
+	m.round++
 	for range m.config.ProbesPerPeriod {
-		target, ok := m.rotation.next(m.config.Random, probed)
-		if !ok {
-			return
+		target, ok := m.troubled()
+		if !ok || m.round%2 == 0 {
+			target, ok = m.rotation.next(m.config.Random, m.notDead)
+		}
+		if ok {
+			m.startProbe(now, target, false)
+		}
+	}
+}
+
+func (m *Membership) notDead(id ID) bool {
+	known, ok := m.records[id]
+	return ok && known.status != StatusDead
+}
+
+// troubled returns a random live node in the zone of a random suspect.
+func (m *Membership) troubled() (ID, bool) {
+	if len(m.suspects) == 0 {
+		return "", false
+	}
+	suspects := slices.Sorted(maps.Keys(m.suspects))
+	suspect := m.suspects[suspects[m.config.Random.IntN(len(suspects))]]
+	var neighbours []ID
+	for _, id := range m.rotation.ids {
+		known := m.records[id]
+		if known.status == StatusLive && known.listed.Zone == suspect.listed.Zone {
+			neighbours = append(neighbours, id)
 		}
-		m.startProbe(now, target, false)
 	}
+	if len(neighbours) == 0 {
+		return "", false
+	}
+	return neighbours[m.config.Random.IntN(len(neighbours))], true
 }
 
 // probeDead probes one listed dead peer, which may have come back.
@@ -218,7 +244,8 @@
 	}
 	if known.status == StatusLive {
 		m.suspect(now, known)
-		m.rumours.add(known.update(), m.transmissions())
+		known.suspectedHere = true
+		m.spread(known.update())
 	}
 	m.checkSelf(now)
 }
@@ -243,9 +270,15 @@
 
 func (m *Membership) suspect(now time.Time, known *record) {
 	known.status = StatusSuspect
+	known.suspectedHere = false
+	m.suspects[known.listed.ID] = known
+	m.extendSuspicion(now, known)
+}
+
+// extendSuspicion gives the suspect the whole time-out from now on.
+func (m *Membership) extendSuspicion(now time.Time, known *record) {
 	known.suspectSince = now
 	known.suspectUntil = now.Add(m.health.scale(m.config.SuspectTimeout))
-	m.suspects[known.listed.ID] = known
 }
 
 // expireSuspects declares dead the suspects that did not refute in time.
@@ -257,11 +290,14 @@
 		}
 		if !m.mayDeclare(now, known) {
 			// Wait for one more time-out, in which a peer may answer.
-			m.suspect(now, known)
+			m.extendSuspicion(now, known)
 			continue
 		}
 		m.declareDead(known)
-		m.rumours.add(known.update(), m.transmissions())
+		if known.suspectedHere {
+			// Whoever heard of the suspicion comes to the same end alone.
+			m.spread(known.update())
+		}
 	}
 }
 
