emulator: compare scheduling policies in virtual time

It reports program latency, the share of it that callers waited, both parts of wasted cache, goodput, refusals and moves. A test of the stand-ins that read the first entry of a list that may still be empty now looks its entry up.

--- /dev/null
+++ b/emulator/capacity.go
@@ -0,0 +1,107 @@
+package emulator
+
+import (
+	"time"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/emulator/enginemodel"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/workload"
+)
+
+const (
+	// capacitySample is how many programs Capacity draws.
+	capacitySample = 2000
+	// capacitySeed makes the sample the same for every run.
+	capacitySeed = 1
+)
+
+// Capacity returns the arrival rate, in programs per second, that counts as
+// load 1. It draws a fixed sample of the deployment's programs and adds up,
+// for each model, the tokens that must be computed at least: every token of a
+// program's history once as prefill or as output. An engine with full batches
+// needs enginemodel.Config.ServiceTime for them; a replica that has several
+// models loaded counts for each of them by its share. The rate at which the
+// replicas of the most wanted model would be busy all the time is the
+// capacity. No policy reaches it: prefixes get lost and batches are not always
+// full.
+func Capacity(deployment workload.Deployment, rates func(*enginemodel.Config)) float64 {
+	demands := make(map[string]*modelDemand)
+	generator := deployment.Generate(workload.Options{Seed: capacitySeed, ProgramsPerSecond: 1})
+	for range capacitySample {
+		addDemand(demands, generator.Next(), deployment)
+	}
+	replicas := make(map[string]float64)
+	for _, replica := range deployment.Replicas {
+		for _, model := range replica.Models {
+			replicas[model] += 1 / float64(len(replica.Models))
+		}
+	}
+	config := engineConfig(deployment.Replicas[0], rates)
+	lowest := 0.0
+	for model, demand := range demands {
+		busy := config.ServiceTime(demand.prefill/capacitySample, demand.output/capacitySample)
+		rate := replicas[model] * float64(time.Second) / float64(max(busy, 1))
+		if lowest == 0 || rate < lowest {
+			lowest = rate
+		}
+	}
+	return lowest
+}
+
+// modelDemand is the work that programs ask of one model, in tokens.
+type modelDemand struct {
+	prefill float64
+	output  float64
+}
+
+// addDemand runs a program against answers that always succeed and returns
+// the length of its last answer.
+func addDemand(demands map[string]*modelDemand, program *workload.Program, deployment workload.Deployment) int {
+	branch, _ := deployment.Branch(program.Branch)
+	result := workload.Result{}
+	history, computed, turns, last := 0, 0, 0, 0
+	for {
+		step, more := program.Next(result)
+		if !more || branch.MaxTurns > 0 && turns >= branch.MaxTurns {
+			return last
+		}
+		result = workload.Result{Status: api.StatusSucceeded, HungUp: step.HangUpAfter > 0}
+		switch step.Kind {
+		case workload.StepModel:
+			turns++
+			history += step.InputTokens + step.OutputTokens
+			last = step.OutputTokens
+			demand := demands[step.Model]
+			if demand == nil {
+				demand = &modelDemand{}
+				demands[step.Model] = demand
+			}
+			demand.prefill += float64(history - computed - step.OutputTokens)
+			demand.output += float64(step.OutputTokens)
+			computed = history
+		case workload.StepTool:
+			history += step.InputTokens + step.OutputTokens
+		case workload.StepSpawn:
+			for _, child := range step.Children {
+				result.ChildOutputTokens += addDemand(demands, child, deployment)
+			}
+		}
+	}
+}
+
+// engineConfig returns the engine model's configuration of a replica.
+func engineConfig(replica machine.Machine, rates func(*enginemodel.Config)) enginemodel.Config {
+	config := enginemodel.DefaultConfig(replica.ID, replica.Models...)
+	if replica.Slots > 0 {
+		config.Slots = replica.Slots
+	}
+	if replica.CacheTokens > 0 {
+		config.CacheTokens = replica.CacheTokens
+	}
+	config.StreamRetention = 0
+	if rates != nil {
+		rates(&config)
+	}
+	return config
+}
--- /dev/null
+++ b/emulator/check.go
@@ -0,0 +1,142 @@
+package emulator
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/emulator/enginemodel"
+	"birchwood.example/birchwood/workload"
+)
+
+const (
+	// leavingBound is when a leaving back end gets no new work any more.
+	leavingBound = 3 * time.Second
+	// keptFindings is how many violations are described.
+	keptFindings = 20
+)
+
+// checker verifies the run against what must always hold, from what callers,
+// back ends and nodes do, not from what the policy believes.
+type checker struct {
+	count    int
+	findings []string
+	// toolRuns counts the runs of calls that may not be repeated.
+	toolRuns map[callKey]int
+}
+
+// newChecker returns a checker without findings.
+func newChecker() *checker { return &checker{toolRuns: make(map[callKey]int)} }
+
+// report counts a violation of the named invariant.
+func (c *checker) report(invariant, format string, arguments ...any) {
+	c.count++
+	if len(c.findings) < keptFindings {
+		c.findings = append(c.findings, invariant+": "+fmt.Sprintf(format, arguments...))
+	}
+}
+
+// accepted checks that a program's calls run one after another.
+func (c *checker) accepted(next *call) {
+	before := callKey{next.agent.id, next.sequence - 1}
+	if next.agent.node.calls[before] != nil {
+		c.report("order", "call %d of %s begins while the one before is open", next.sequence, next.agent.id)
+	}
+}
+
+// placed checks a placement against the program's contract.
+func (c *checker) placed(run *simulation, sent *call) {
+	in := run.zoneOf(sent)
+	if !sent.agent.placement.Contains(in) {
+		c.report("place", "call %d of %s went to zone %s, permitted %s", sent.sequence, sent.agent.id, in, sent.agent.placement)
+	}
+	if sent.closed {
+		c.report("order", "call %d of %s was sent after it was closed", sent.sequence, sent.agent.id)
+	}
+	if sent.sent && sent.step.Kind == workload.StepTool && !sent.step.Repeatable {
+		c.report("at most once", "call %d of %s was sent again", sent.sequence, sent.agent.id)
+	}
+}
+
+// arrives checks that a leaving back end gets no new work after the bound.
+func (c *checker) arrives(run *simulation, sent *call, leavingSince time.Time) {
+	if !leavingSince.IsZero() && run.clock.now.Sub(leavingSince) > leavingBound {
+		c.report("leaving", "%s got work %v after it began to leave", sent.backend, run.clock.now.Sub(leavingSince))
+	}
+}
+
+// toolRan counts the runs of a call that may not be repeated.
+func (c *checker) toolRan(ran *call) {
+	if ran.step.Repeatable {
+		return
+	}
+	key := callKey{ran.agent.id, ran.sequence}
+	c.toolRuns[key]++
+	if c.toolRuns[key] > 1 {
+		c.report("at most once", "call %d of %s ran %d times", ran.sequence, ran.agent.id, c.toolRuns[key])
+	}
+}
+
+// answered checks that an answer belongs to its call.
+func (c *checker) answered(ended *call, answer enginemodel.Finished) {
+	if answer.Owner != ended.agent.id || answer.Usage.PromptTokens != ended.prompt {
+		c.report("own answer", "call %d of %s got the answer of %s", ended.sequence, ended.agent.id, answer.Stream)
+	}
+	if !answer.Cancelled && answer.Usage.OutputTokens < min(ended.step.OutputTokens, ended.step.OutputCap) {
+		c.report("whole answer", "call %d of %s got %d of %d tokens", ended.sequence, ended.agent.id,
+			answer.Usage.OutputTokens, ended.step.OutputTokens)
+	}
+}
+
+// closed checks that what is said not to have run was not sent.
+func (c *checker) closed(ended *call, status api.CallStatus) {
+	if status == api.StatusNotRun && ended.sent {
+		c.report("true not_run", "call %d of %s was sent and is answered as not run", ended.sequence, ended.agent.id)
+	}
+}
+
+// delivered checks that answers arrive in the program's order.
+func (c *checker) delivered(ended *call) {
+	if ended.sequence != ended.agent.sequence {
+		c.report("order", "call %d of %s is answered during call %d", ended.sequence, ended.agent.id, ended.agent.sequence)
+	}
+}
+
+// budget checks that a program stays within its budget.
+func (c *checker) budget(spender *agent) {
+	if limit := spender.branch.BudgetTokens; limit > 0 && spender.spent > limit {
+		c.report("budget", "%s has spent %d of %d tokens", spender.id, spender.spent, limit)
+	}
+}
+
+// atEnd checks that nothing is left open or held for programs that are gone.
+func (c *checker) atEnd(run *simulation) {
+	for _, each := range run.nodes {
+		for range each.calls {
+			c.report("whole answer", "node %d holds a call after the run", each.index)
+		}
+	}
+	for _, host := range run.engines {
+		if host.down {
+			continue
+		}
+		_ = host.model.Step(run.clock.now, enginemodel.Event{})
+		for _, held := range host.model.Prefixes() {
+			if _, lives := run.measure.ownerOf[held.Owner]; !lives {
+				c.report("engine memory", "%s holds %d tokens of %s, which has ended", host.machine.ID, held.Tokens, held.Owner)
+			}
+		}
+	}
+}
+
+// sortedKeys returns the keys of a map in order.
+func sortedKeys[K cmp.Ordered, V any](items map[K]V) []K {
+	keys := make([]K, 0, len(items))
+	for key := range items {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/emulator/fault.go
@@ -0,0 +1,159 @@
+package emulator
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"birchwood.example/birchwood/emulator/enginemodel"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/workload"
+	"birchwood.example/birchwood/zone"
+)
+
+// FaultKind tells what a fault of a bench does.
+type FaultKind string
+
+// The kinds of fault.
+const (
+	// FaultCrash stops a back end without notice; its streams break.
+	FaultCrash FaultKind = "crash"
+	// FaultLeave lets a back end leave: the machine list shows it, and it
+	// takes no new work.
+	FaultLeave FaultKind = "leave"
+	// FaultCut loses the messages between the zones From and To.
+	FaultCut FaultKind = "cut"
+	// FaultSlowLinks adds Delay to every message between zones.
+	FaultSlowLinks FaultKind = "slow_links"
+	// FaultLagging makes an engine's reports and cache events later by Delay;
+	// without Target, those of every engine.
+	FaultLagging FaultKind = "lagging"
+	// FaultHungTool makes a tool service take requests without an answer.
+	FaultHungTool FaultKind = "hung_tool"
+	// FaultLostAnswers lets a tool service act and lose its answers.
+	FaultLostAnswers FaultKind = "lost_answers"
+)
+
+// Fault is one thing that goes wrong in a bench. A crash and a leave last to
+// the end of the run; the others end after For, if it is set.
+type Fault struct {
+	At     time.Duration `yaml:"at"`
+	For    time.Duration `yaml:"for"`
+	Kind   FaultKind     `yaml:"kind"`
+	Target machine.ID    `yaml:"target"`
+	From   zone.Name     `yaml:"from"`
+	To     zone.Name     `yaml:"to"`
+	Delay  time.Duration `yaml:"delay"`
+}
+
+// validate says what is wrong with a fault.
+func (f Fault) validate(deployment workload.Deployment) error {
+	var findings []error
+	if f.At < 0 || f.For < 0 || f.Delay < 0 {
+		findings = append(findings, errors.New("at, for, delay: must not be negative"))
+	}
+	engines, tools := hasMachine(deployment.Replicas, f.Target), hasMachine(deployment.Tools, f.Target)
+	switch f.Kind {
+	case FaultCrash, FaultLeave:
+		if !engines && !tools {
+			findings = append(findings, fmt.Errorf("target: no back end %q", f.Target))
+		}
+	case FaultHungTool, FaultLostAnswers:
+		if !tools {
+			findings = append(findings, fmt.Errorf("target: no tool service %q", f.Target))
+		}
+	case FaultLagging:
+		if f.Target != "" && !engines {
+			findings = append(findings, fmt.Errorf("target: no engine %q", f.Target))
+		}
+	case FaultCut:
+		if f.From == "" || f.To == "" {
+			findings = append(findings, errors.New("from, to: missing"))
+		}
+	case FaultSlowLinks:
+	default:
+		findings = append(findings, fmt.Errorf("kind: unknown %q", f.Kind))
+	}
+	return errors.Join(findings...)
+}
+
+// hasMachine reports whether a machine is among others.
+func hasMachine(machines []machine.Machine, id machine.ID) bool {
+	for _, each := range machines {
+		if each.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// scheduleFaults plans the beginning and the end of every fault.
+func (s *simulation) scheduleFaults() {
+	for _, fault := range s.config.Faults {
+		s.clock.at(epoch.Add(fault.At), func() { s.applyFault(fault, true) })
+		if fault.For > 0 {
+			s.clock.at(epoch.Add(fault.At+fault.For), func() { s.applyFault(fault, false) })
+		}
+	}
+}
+
+// applyFault begins or ends a fault.
+func (s *simulation) applyFault(fault Fault, begins bool) {
+	delta := 1
+	if !begins {
+		delta = -1
+	}
+	switch fault.Kind {
+	case FaultCut:
+		s.links.cuts[way{fault.From, fault.To}] += delta
+		s.links.cuts[way{fault.To, fault.From}] += delta
+	case FaultSlowLinks:
+		s.links.extra += time.Duration(delta) * fault.Delay
+	case FaultLagging:
+		for _, host := range s.engines {
+			if fault.Target == "" || fault.Target == host.machine.ID {
+				host.reportsLate += time.Duration(delta) * fault.Delay
+			}
+		}
+	case FaultHungTool:
+		s.toolByID[fault.Target].hung = begins
+	case FaultLostAnswers:
+		s.toolByID[fault.Target].losesAnswers = begins
+	case FaultCrash, FaultLeave:
+		if begins {
+			s.stopBackend(fault)
+		}
+	}
+}
+
+// stopBackend crashes a back end or lets it leave.
+func (s *simulation) stopBackend(fault Fault) {
+	if host := s.engineByID[fault.Target]; host != nil {
+		if fault.Kind == FaultCrash {
+			host.crash()
+			host.gone = true
+		} else {
+			host.machine.Status = machine.StatusLeaving
+			host.leavingSince = s.clock.now
+			s.clock.after(leavingBound, func() { _ = host.step(enginemodel.Event{Leave: true}) })
+		}
+		s.announceMachines()
+		return
+	}
+	host := s.toolByID[fault.Target]
+	host.down = fault.Kind == FaultCrash
+	host.machine.Status = machine.StatusLeaving
+	host.leavingSince = s.clock.now
+	s.announceMachines()
+}
+
+// zoneOf is the zone of the back end that a call was sent to.
+func (s *simulation) zoneOf(sent *call) zone.Name {
+	if host := s.engineByID[sent.backend]; host != nil {
+		return host.machine.Zone
+	}
+	if host := s.toolByID[sent.backend]; host != nil {
+		return host.machine.Zone
+	}
+	return ""
+}
--- /dev/null
+++ b/emulator/measure.go
@@ -0,0 +1,260 @@
+package emulator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/emulator/enginemodel"
+	"birchwood.example/birchwood/workload"
+)
+
+// endReason is why a program ended other than by its own last step.
+type endReason int
+
+// The reasons; the zero value is the program's own end.
+const (
+	endCompleted endReason = iota
+	endRefused
+	endLimited
+	endHungUp
+	endFailed
+)
+
+// Latencies are recorded in microseconds, up to a day, to three digits.
+const (
+	lowestLatency  = 1
+	highestLatency = int64(24 * time.Hour / time.Microsecond)
+	latencyDigits  = 3
+)
+
+// The arrivals that goodput counts: neither the start, when the engines are
+// still empty, nor the end, after which no load follows.
+const (
+	goodputFrom = 0.2
+	goodputTo   = 0.8
+)
+
+// group is the measurements of one kind or one tenant.
+type group struct {
+	programs  int
+	completed int
+	inTime    int
+	refused   int
+	latency   *hdrhistogram.Histogram
+	waiting   *hdrhistogram.Histogram
+}
+
+// newGroup returns an empty group.
+func newGroup() *group {
+	return &group{
+		latency: hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
+		waiting: hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
+	}
+}
+
+// percentilesOf returns latencies in milliseconds.
+func percentilesOf(recorded *hdrhistogram.Histogram) Percentiles {
+	if recorded.TotalCount() == 0 {
+		return Percentiles{}
+	}
+	value := func(quantile float64) float64 {
+		return float64(recorded.ValueAtQuantile(quantile)) / float64(time.Millisecond/time.Microsecond)
+	}
+	return Percentiles{P50: value(50), P95: value(95), P99: value(99)}
+}
+
+// outcome is one program's end, for the goodput.
+type outcome struct {
+	start  time.Duration
+	inTime bool
+}
+
+// measure collects what one run shows.
+type measure struct {
+	result  PolicyResult
+	all     *group
+	kinds   map[workload.Kind]*group
+	tenants map[string]*group
+	// ownerOf finds the node of each program that has not ended.
+	ownerOf     map[api.ProgramID]*node
+	outcomes    []outcome
+	lastArrival time.Duration
+	latencies   []float64
+}
+
+// newMeasure returns empty measurements.
+func newMeasure() *measure {
+	return &measure{
+		all:     newGroup(),
+		kinds:   make(map[workload.Kind]*group),
+		tenants: make(map[string]*group),
+		ownerOf: make(map[api.ProgramID]*node),
+	}
+}
+
+// arrive counts the intended start of a program.
+func (m *measure) arrive(start time.Duration) { m.lastArrival = max(m.lastArrival, start) }
+
+// placed counts a call that is sent.
+func (m *measure) placed(sent *call) {
+	if sent.step.Kind == workload.StepTool {
+		m.result.ToolCalls++
+		return
+	}
+	m.result.ModelCalls++
+	if owner := sent.agent; owner.lastEngine != "" && owner.lastEngine != sent.backend {
+		m.result.Moves++
+	}
+	sent.agent.lastEngine = sent.backend
+}
+
+// modelEnded counts the prefill that had been computed before.
+func (m *measure) modelEnded(ended *call, answer enginemodel.Finished) {
+	owner := ended.agent
+	known := min(owner.computed, answer.Usage.PromptTokens)
+	m.result.Wasted.RecomputedTokens += int64(max(0, known-max(answer.Usage.CachedTokens, 0)))
+	owner.computed = max(owner.computed, answer.Usage.PromptTokens+answer.Usage.OutputTokens)
+}
+
+// ended records a program's end at its caller.
+func (m *measure) ended(over *agent, latency time.Duration) {
+	inTime := over.stopped == endCompleted &&
+		(over.program.Deadline <= 0 || latency <= over.program.Deadline)
+	for _, counted := range m.groupsOf(over.program) {
+		counted.programs++
+		switch over.stopped {
+		case endCompleted:
+			counted.completed++
+			_ = counted.latency.RecordValue(latency.Microseconds())
+			_ = counted.waiting.RecordValue((latency - over.paused).Microseconds())
+		case endRefused:
+			counted.refused++
+		}
+		if inTime {
+			counted.inTime++
+		}
+	}
+	if over.stopped == endCompleted {
+		m.latencies = append(m.latencies, float64(latency)/float64(time.Millisecond))
+	}
+	m.countReason(over.stopped)
+	m.outcomes = append(m.outcomes, outcome{start: over.start.Sub(epoch), inTime: inTime})
+}
+
+// groupsOf returns the groups that a program counts in.
+func (m *measure) groupsOf(program *workload.Program) []*group {
+	kind := m.kinds[program.Kind]
+	if kind == nil {
+		kind = newGroup()
+		m.kinds[program.Kind] = kind
+	}
+	tenant := m.tenants[string(program.Branch)]
+	if tenant == nil {
+		tenant = newGroup()
+		m.tenants[string(program.Branch)] = tenant
+	}
+	return []*group{m.all, kind, tenant}
+}
+
+// countReason counts why a program ended.
+func (m *measure) countReason(reason endReason) {
+	switch reason {
+	case endHungUp:
+		m.result.HungUp++
+	case endLimited:
+		m.result.Limited++
+	case endFailed:
+		m.result.Failed++
+	}
+}
+
+// finish notes how long the run lasted.
+func (m *measure) finish(now time.Time) { m.result.VirtualSeconds = now.Sub(epoch).Seconds() }
+
+// summarise returns the result of the run.
+func (m *measure) summarise(policy string, check *checker, keepLatencies bool) PolicyResult {
+	result := m.result
+	result.Policy = policy
+	result.Latency = percentilesOf(m.all.latency)
+	result.Waiting = percentilesOf(m.all.waiting)
+	result.Completed = m.all.completed
+	result.InTime = m.all.inTime
+	result.Refused = m.all.refused
+	result.Goodput, result.Offered = m.goodput()
+	result.Violations = check.count
+	result.Findings = check.findings
+	result.Kinds = m.kindResults()
+	result.Tenants = m.tenantResults()
+	if keepLatencies {
+		result.Latencies = slices.Clone(m.latencies)
+		slices.Sort(result.Latencies)
+	}
+	return result
+}
+
+// goodput returns the rates of programs in time, and of all programs, among
+// those that arrived in the counted part of the arrivals.
+func (m *measure) goodput() (inTime, offered float64) {
+	from := time.Duration(float64(m.lastArrival) * goodputFrom)
+	to := time.Duration(float64(m.lastArrival) * goodputTo)
+	if to <= from {
+		return 0, 0
+	}
+	good, all := 0, 0
+	for _, each := range m.outcomes {
+		if each.start < from || each.start >= to {
+			continue
+		}
+		all++
+		if each.inTime {
+			good++
+		}
+	}
+	seconds := (to - from).Seconds()
+	return float64(good) / seconds, float64(all) / seconds
+}
+
+// kindResults returns the kinds in the order of their names.
+func (m *measure) kindResults() []KindResult {
+	results := make([]KindResult, 0, len(m.kinds))
+	for _, kind := range sortedKeys(m.kinds) {
+		counted := m.kinds[kind]
+		results = append(results, KindResult{
+			Kind:      string(kind),
+			Programs:  counted.programs,
+			Completed: counted.completed,
+			InTime:    counted.inTime,
+			Refused:   counted.refused,
+			Latency:   percentilesOf(counted.latency),
+			Waiting:   percentilesOf(counted.waiting),
+		})
+	}
+	return results
+}
+
+// maximumTenants bounds the tenants in a result: the design size has
+// hundreds.
+const maximumTenants = 32
+
+// tenantResults returns the tenants in the order of their names, if they are
+// few.
+func (m *measure) tenantResults() []TenantResult {
+	if len(m.tenants) > maximumTenants {
+		return nil
+	}
+	results := make([]TenantResult, 0, len(m.tenants))
+	for _, branch := range sortedKeys(m.tenants) {
+		counted := m.tenants[branch]
+		results = append(results, TenantResult{
+			Branch:    branch,
+			Programs:  counted.programs,
+			Completed: counted.completed,
+			Latency:   percentilesOf(counted.latency),
+			Waiting:   percentilesOf(counted.waiting),
+		})
+	}
+	return results
+}
--- /dev/null
+++ b/emulator/node.go
@@ -0,0 +1,438 @@
+package emulator
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/emulator/enginemodel"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/program"
+	"birchwood.example/birchwood/schedule"
+	"birchwood.example/birchwood/workload"
+	"birchwood.example/birchwood/zone"
+)
+
+const (
+	// brokenAfter is when a node notices that a peer does not answer.
+	brokenAfter = time.Second
+	// toolTimeout ends a tool call that has no answer.
+	toolTimeout = 30 * time.Second
+	// maximumAttempts bounds how often a repeatable call is tried.
+	maximumAttempts = 4
+)
+
+// callKey names a call for the maps of one node.
+type callKey struct {
+	program  api.ProgramID
+	sequence uint64
+}
+
+// call is one call of a program on its way.
+type call struct {
+	agent    *agent
+	sequence uint64
+	step     workload.Step
+	prompt   int
+	attempt  int
+	backend  machine.ID
+	stream   string
+	avoid    []machine.ID
+	// sent says that some attempt may have reached a back end.
+	sent bool
+	// answered says that the caller has its result, or needs none.
+	answered bool
+	// closed says that the node is done with the call.
+	closed bool
+}
+
+// ref names the call for the policy.
+func (c *call) ref() program.CallRef {
+	return program.CallRef{Program: c.agent.id, Sequence: c.sequence}
+}
+
+// sortedCalls returns the calls in the order of their streams.
+func sortedCalls(calls map[string]*call) []*call {
+	sorted := make([]*call, 0, len(calls))
+	for _, each := range calls {
+		sorted = append(sorted, each)
+	}
+	slices.SortFunc(sorted, func(a, b *call) int { return strings.Compare(a.stream, b.stream) })
+	return sorted
+}
+
+// node is one of the system's machines: a policy and the programs that the
+// node owns.
+type node struct {
+	run    *simulation
+	index  int
+	zone   zone.Name
+	policy schedule.Policy
+	// calls are those that have not been closed.
+	calls  map[callKey]*call
+	dirty  bool
+	wakeAt time.Time
+}
+
+// touch lets the policy decide at the end of this instant.
+func (n *node) touch() {
+	if n.dirty {
+		return
+	}
+	n.dirty = true
+	n.run.dirty = append(n.run.dirty, n)
+}
+
+// decide performs the policy's decisions and schedules its next wake.
+func (n *node) decide() {
+	n.dirty = false
+	for _, decision := range n.policy.Ready(n.run.clock.now) {
+		n.perform(decision)
+	}
+	next := n.policy.NextWake()
+	if next.IsZero() || !n.wakeAt.IsZero() && !n.wakeAt.After(next) {
+		return
+	}
+	n.wakeAt = next
+	n.run.clock.at(next, func() {
+		if n.wakeAt.Equal(next) {
+			n.wakeAt = time.Time{}
+			n.touch()
+		}
+	})
+}
+
+// perform carries out one decision.
+func (n *node) perform(decision schedule.Decision) {
+	switch decision.Action {
+	case schedule.ActionPlace:
+		n.place(decision)
+	case schedule.ActionRefuse:
+		if refused := n.calls[callKey{decision.Call.Program, decision.Call.Sequence}]; refused != nil {
+			n.refuse(refused, decision.Error.Code)
+		}
+	case schedule.ActionDrop:
+		n.run.measure.result.Drops++
+		n.toEngine(decision.Backend, func(host *engineHost) { host.release(decision.Program) })
+	case schedule.ActionExport:
+		target := n.run.engineByID[decision.ExportTo]
+		n.toEngine(decision.Backend, func(host *engineHost) {
+			if target != nil && host.transfer(decision.Program, target) {
+				n.run.measure.result.Imports++
+			}
+		})
+	case schedule.ActionLoad:
+		n.order(decision.Backend, enginemodel.Order{Load: decision.Model})
+	case schedule.ActionUnload:
+		n.order(decision.Backend, enginemodel.Order{Unload: decision.Model})
+	}
+}
+
+// order sends a fenced order to an engine; weights come from the store.
+func (n *node) order(to machine.ID, order enginemodel.Order) {
+	n.run.fence++
+	order.Fence = n.run.fence
+	n.run.measure.result.ModelOrders++
+	if order.Load != "" {
+		order.WeightsIn = n.run.weights.Reserve(n.run.clock.now, order.Load)
+	}
+	n.toEngine(to, func(host *engineHost) {
+		if host.step(enginemodel.Event{Order: &order}) != nil {
+			return
+		}
+		host.machine.Models = host.model.Models()
+		n.run.announceMachines()
+	})
+}
+
+// toEngine performs an action at an engine after the link's delay, unless the
+// way is cut.
+func (n *node) toEngine(id machine.ID, action func(*engineHost)) {
+	host := n.run.engineByID[id]
+	if host == nil || n.run.links.isCut(n.zone, host.machine.Zone) {
+		return
+	}
+	n.run.clock.after(n.run.links.delay(n.zone, host.machine.Zone), func() { action(host) })
+}
+
+// accept takes a call whose record is durable: limits, budget, then the
+// policy.
+func (n *node) accept(accepted *call) {
+	owner := accepted.agent
+	if owner.ended {
+		return
+	}
+	n.calls[callKey{owner.id, accepted.sequence}] = accepted
+	n.run.check.accepted(accepted)
+	if code := owner.limit(accepted); code != "" {
+		n.refuse(accepted, code)
+		return
+	}
+	owner.reserve(accepted)
+	n.enqueue(accepted)
+}
+
+// enqueue hands a call to the policy.
+func (n *node) enqueue(queued *call) {
+	owner := queued.agent
+	request := schedule.Request{
+		Call:         queued.ref(),
+		Kind:         api.CallModel,
+		Model:        queued.step.Model,
+		Tenant:       string(owner.program.Branch),
+		Placement:    owner.placement,
+		Priority:     owner.program.Priority,
+		PromptTokens: queued.prompt,
+		OutputCap:    queued.step.OutputCap,
+		Attained:     owner.attained,
+		Arrived:      owner.start,
+		Enqueued:     n.run.clock.now,
+		Deadline:     owner.deadline(),
+		Avoid:        queued.avoid,
+	}
+	if queued.step.Kind == workload.StepTool {
+		request.Kind = api.CallTool
+		request.Model = ""
+		request.Tool = queued.step.Tool
+	}
+	n.policy.Enqueue(n.run.clock.now, request)
+	n.touch()
+}
+
+// place sends a call to the back end that the policy chose.
+func (n *node) place(decision schedule.Decision) {
+	placed := n.calls[callKey{decision.Call.Program, decision.Call.Sequence}]
+	if placed == nil {
+		n.run.check.report("order", "a call that is not open was placed: %s/%d", decision.Call.Program, decision.Call.Sequence)
+		return
+	}
+	placed.attempt++
+	placed.backend = decision.Backend
+	n.run.check.placed(n.run, placed)
+	if placed.step.Kind == workload.StepTool {
+		n.sendTool(placed)
+		return
+	}
+	n.sendModel(placed, decision)
+}
+
+// sendModel sends a model call, after its prefix where one is to be moved.
+func (n *node) sendModel(placed *call, decision schedule.Decision) {
+	host := n.run.engineByID[placed.backend]
+	attempt := placed.attempt
+	owner := placed.agent
+	n.run.measure.placed(placed)
+	owner.touchEngine(placed.backend)
+	placed.stream = fmt.Sprintf("%s/%d/%d", owner.id, placed.sequence, attempt)
+	if n.run.links.isCut(n.zone, host.machine.Zone) {
+		n.run.clock.after(brokenAfter, func() { n.lostAttempt(placed, attempt, true) })
+		return
+	}
+	source := n.run.engineByID[decision.ImportFrom]
+	n.run.clock.after(n.run.links.delay(n.zone, host.machine.Zone), func() {
+		if source != nil && source != host && source.transfer(owner.id, host) {
+			n.run.measure.result.Imports++
+		}
+		n.arrive(placed, host, decision.EnginePriority, attempt)
+	})
+}
+
+// arrive hands a model call to its engine.
+func (n *node) arrive(placed *call, host *engineHost, priority, attempt int) {
+	if placed.closed || placed.attempt != attempt {
+		return
+	}
+	n.run.check.arrives(n.run, placed, host.leavingSince)
+	var err error
+	if host.down {
+		err = enginemodel.ErrLeaving
+	} else {
+		host.calls[placed.stream] = placed
+		err = host.step(enginemodel.Event{Generate: &enginemodel.Generate{
+			Stream:          placed.stream,
+			Owner:           placed.agent.id,
+			Model:           placed.step.Model,
+			Priority:        priority,
+			PromptTokens:    placed.prompt,
+			OutputTokens:    placed.step.OutputTokens,
+			MaxOutputTokens: placed.step.OutputCap,
+		}})
+	}
+	if err == nil {
+		placed.sent = true
+		return
+	}
+	delete(host.calls, placed.stream)
+	back := n.run.links.delay(host.machine.Zone, n.zone)
+	n.run.clock.after(back, func() { n.notSent(placed, host.machine.ID) })
+}
+
+// sendTool sends a tool call. One that may not be repeated is never sent
+// again once it may have reached the service.
+func (n *node) sendTool(placed *call) {
+	host := n.run.toolByID[placed.backend]
+	attempt := placed.attempt
+	n.run.measure.placed(placed)
+	n.run.clock.after(toolTimeout, func() { n.toolTimedOut(placed, attempt) })
+	if n.run.links.isCut(n.zone, host.machine.Zone) {
+		n.run.clock.after(brokenAfter, func() { n.notSentAttempt(placed, attempt, host.machine.ID) })
+		return
+	}
+	n.run.clock.after(n.run.links.delay(n.zone, host.machine.Zone), func() {
+		if placed.closed || placed.attempt != attempt {
+			return
+		}
+		n.run.check.arrives(n.run, placed, host.leavingSince)
+		placed.sent = placed.sent || !host.down
+		host.start(placed)
+	})
+}
+
+// notSentAttempt is notSent, unless the call has moved on.
+func (n *node) notSentAttempt(placed *call, attempt int, backend machine.ID) {
+	if !placed.closed && placed.attempt == attempt {
+		n.notSent(placed, backend)
+	}
+}
+
+// notSent tries a call elsewhere that certainly did not reach its back end.
+func (n *node) notSent(placed *call, backend machine.ID) {
+	if placed.closed {
+		return
+	}
+	n.policy.Finished(n.run.clock.now, placed.ref(), backend, api.Usage{}, 0)
+	n.touch()
+	n.again(placed, backend)
+}
+
+// attemptLost retries a model call whose stream broke.
+func (n *node) attemptLost(placed *call) { n.lostAttempt(placed, placed.attempt, false) }
+
+// lostAttempt retries a model call, if the attempt is still the last one.
+func (n *node) lostAttempt(placed *call, attempt int, unsent bool) {
+	if placed.closed || placed.attempt != attempt {
+		return
+	}
+	placed.sent = placed.sent || !unsent
+	n.notSent(placed, placed.backend)
+}
+
+// again enqueues a call once more, away from the back end that failed.
+func (n *node) again(failed *call, backend machine.ID) {
+	if failed.agent.gone {
+		n.finish(failed, api.StatusCancelled, "")
+		return
+	}
+	if failed.attempt >= maximumAttempts {
+		n.finish(failed, api.StatusFailed, api.CodeBackendFailed)
+		return
+	}
+	n.run.measure.result.Retries++
+	if !slices.Contains(failed.avoid, backend) {
+		failed.avoid = append(failed.avoid, backend)
+	}
+	n.enqueue(failed)
+}
+
+// modelFinished takes the end of a stream.
+func (n *node) modelFinished(ended *call, host *engineHost, answer enginemodel.Finished) {
+	n.policy.ObserveLoad(n.run.clock.now, answer.Load)
+	n.touch()
+	if ended.closed || answer.Stream != ended.stream {
+		return
+	}
+	n.policy.Finished(n.run.clock.now, ended.ref(), host.machine.ID, answer.Usage, answer.Resident)
+	n.run.check.answered(ended, answer)
+	n.run.measure.modelEnded(ended, answer)
+	if answer.Cancelled {
+		n.finish(ended, api.StatusCancelled, api.CodeCancelled)
+		return
+	}
+	ended.agent.settle(ended, answer.Usage)
+	n.finish(ended, api.StatusSucceeded, "")
+}
+
+// toolFinished takes the answer of a tool service.
+func (n *node) toolFinished(ended *call) {
+	if ended.closed {
+		return
+	}
+	n.policy.Finished(n.run.clock.now, ended.ref(), ended.backend, api.Usage{}, 0)
+	n.touch()
+	ended.agent.settleTool(ended)
+	n.finish(ended, api.StatusSucceeded, "")
+}
+
+// toolTimedOut ends a tool call that has no answer. A repeatable one is tried
+// again; for another the outcome is unknown.
+func (n *node) toolTimedOut(waiting *call, attempt int) {
+	if waiting.closed || waiting.attempt != attempt {
+		return
+	}
+	n.policy.Finished(n.run.clock.now, waiting.ref(), waiting.backend, api.Usage{}, 0)
+	n.touch()
+	if waiting.step.Repeatable {
+		n.again(waiting, waiting.backend)
+		return
+	}
+	n.finish(waiting, api.StatusOutcomeUnknown, api.CodeOutcomeUnknown)
+}
+
+// refuse answers that a call did not run.
+func (n *node) refuse(refused *call, code api.Code) {
+	if refused.sent {
+		// An earlier attempt may have run: the answer must not claim otherwise.
+		n.finish(refused, api.StatusFailed, code)
+		return
+	}
+	n.finish(refused, api.StatusNotRun, code)
+}
+
+// finish closes a call and answers its caller once the outcome is durable.
+func (n *node) finish(ended *call, status api.CallStatus, code api.Code) {
+	ended.closed = true
+	delete(n.calls, callKey{ended.agent.id, ended.sequence})
+	n.run.check.closed(ended, status)
+	if ended.agent.gone {
+		n.end(ended.agent)
+		return
+	}
+	delay := n.run.config.JournalDelay + n.run.config.Deployment.ClientDelay
+	n.run.clock.after(delay, func() { ended.agent.answer(ended, status, code) })
+}
+
+// hangUp stops a program whose caller has gone.
+func (n *node) hangUp(abandoned *agent) {
+	open := n.calls[callKey{abandoned.id, abandoned.sequence}]
+	if open == nil || open.closed {
+		n.end(abandoned)
+		return
+	}
+	if n.policy.Withdraw(open.ref()) {
+		n.touch()
+		n.finish(open, api.StatusCancelled, api.CodeCancelled)
+		return
+	}
+	if open.step.Kind == workload.StepModel && open.stream != "" {
+		stream := open.stream
+		n.toEngine(open.backend, func(host *engineHost) {
+			_ = host.step(enginemodel.Event{Cancel: &enginemodel.Cancel{Stream: stream}})
+		})
+	}
+}
+
+// end forgets a program and releases its prefixes everywhere.
+func (n *node) end(over *agent) {
+	if over.ended {
+		return
+	}
+	over.ended = true
+	n.policy.ProgramEnded(n.run.clock.now, over.id)
+	n.touch()
+	for _, id := range over.engines {
+		n.toEngine(id, func(host *engineHost) { host.release(over.id) })
+	}
+	delete(n.run.measure.ownerOf, over.id)
+}
--- a/emulator/standin/standin_test.go
+++ b/emulator/standin/standin_test.go
@@ -351,7 +351,12 @@
 		Eventually(func() machine.Status {
 			listed, err := w.platform.Machines(ctx)
 			Expect(err).NotTo(HaveOccurred())
-			return listed[0].Status
+			for _, entry := range listed {
+				if entry.ID == "depot-1" {
+					return entry.Status
+				}
+			}
+			return ""
 		}).Should(Equal(machine.StatusLeaving))
 	})
 })
