linkhttp: take in the request to drain

A message that only asks for a drain counted as one of no known kind and was passed over, so that a drain asked for at another node never began.

Drain counts as a kind of message and travels in the small lane.

go test ./link/... passes; the new table of all kinds fails without the change.

--- a/link/linkhttp/handler.go
+++ b/link/linkhttp/handler.go
@@ -125,6 +125,7 @@
 		message.Partition != nil,
 		message.Sweep != nil,
 		message.Load != nil,
+		message.Drain,
 	} {
 		if set {
 			count++
--- a/link/linkhttp/transport.go
+++ b/link/linkhttp/transport.go
@@ -148,7 +148,7 @@
 
 // laneOf keeps large messages away from small ones.
 func (p *peer) laneOf(message link.Message) *lane {
-	if message.Membership != nil || message.Load != nil {
+	if message.Membership != nil || message.Load != nil || message.Drain {
 		return p.control
 	}
 	return p.bulk
--- a/link/linkhttp/transport_test.go
+++ b/link/linkhttp/transport_test.go
@@ -1,6 +1,7 @@
 package linkhttp
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"strings"
@@ -211,6 +212,21 @@
 		Expect(messages[0].Load).NotTo(BeNil())
 	})
 
+	DescribeTable("takes in every kind of message", func(message link.Message) {
+		message.From, message.To = "a", "self"
+		body, err := json.Marshal([]link.Message{message})
+		Expect(err).NotTo(HaveOccurred())
+		messages, err := decode(body, "self")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(messages).To(HaveLen(1))
+	},
+		Entry("membership", probe(1)),
+		Entry("partition", bulk()),
+		Entry("sweep", link.Message{Sweep: &link.SweepMessage{}}),
+		Entry("load", link.Message{Load: &link.LoadMessage{}}),
+		Entry("drain", link.Message{Drain: true}),
+	)
+
 	It("names every finding of the settings", func() {
 		_, err := New(Config{})
 		for _, field := range []string{"Self", "Zone", "Token", "DialTimeout", "QueueMessages", "Breaker"} {
