--- a/command/verbs.go
+++ b/command/verbs.go
@@ -10,6 +10,7 @@
 		newStandinCommand(),
 		newCheckCommand(),
 		newLoadCommand(),
+		newBenchCommand(),
 		newVerifyCommand(),
 	}
 }
