--- a/contract/fold.go
+++ b/contract/fold.go
@@ -224,11 +224,20 @@
 	findings = append(findings, s.checkNarrowing(change)...)
 	entries := make([]branchEntry, len(order))
 	for index, path := range order {
-		entries[index] = branchEntry{path: path, branch: before[path]}
+		entries[index] = branchEntry{path: path, branch: before[path].withoutContract()}
 	}
 	return entries, findings
 }
 
+// withoutContract returns what the log keeps of a replaced branch: its contract
+// can be computed again.
+func (b *branch) withoutContract() *branch {
+	if b == nil {
+		return nil
+	}
+	return &branch{path: b.path, values: b.values, since: b.since}
+}
+
 // applyEdit performs one edit. An edit with findings is performed as far as it
 // goes, so that the edits that build on it are checked too; the state is then
 // of no more use.
--- /dev/null
+++ b/contract/follower_test.go
@@ -0,0 +1,249 @@
+package contract_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/zone"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// settingsLog is the settings stream of a test.
+type settingsLog struct{ records [][]byte }
+
+func (l *settingsLog) add(change contract.Change) {
+	data, err := json.Marshal(change)
+	Expect(err).NotTo(HaveOccurred())
+	l.records = append(l.records, data)
+}
+
+// answer performs a read.
+func (l *settingsLog) answer(read *contract.FollowerRead) contract.ReadDone {
+	end := uint64(len(l.records))
+	until := min(end, read.From+uint64(read.Maximum))
+	return contract.ReadDone{Request: read.Request, From: read.From, Changes: l.records[read.From:until], End: end}
+}
+
+// reader drives one follower.
+type reader struct {
+	*contract.Follower
+	log      *settingsLog
+	down     bool
+	verdicts []contract.Verdict
+	reads    int
+}
+
+func newReader(log *settingsLog, id machine.ID, in zone.Name, all ...zone.Name) *reader {
+	config := contract.DefaultFollowerConfig()
+	config.Self, config.Zone, config.Zones = id, in, all
+	config.ReadMaximum = 2
+	config.Random = rand.New(rand.NewPCG(1, 2))
+	follower, err := contract.NewFollower(config)
+	Expect(err).NotTo(HaveOccurred())
+	return &reader{Follower: follower, log: log}
+}
+
+// run lets the follower act at one moment until it waits.
+func (r *reader) run(now time.Time) {
+	r.Tick(now)
+	for {
+		ready := r.Ready()
+		r.verdicts = append(r.verdicts, ready.Verdicts...)
+		if ready.Read == nil {
+			return
+		}
+		r.reads++
+		if r.down {
+			r.Step(now, contract.ReadDone{Request: ready.Read.Request, From: ready.Read.From, Err: errors.New("down")})
+		} else {
+			r.Step(now, r.log.answer(ready.Read))
+		}
+	}
+}
+
+// runUntil follows the wake-ups until a moment.
+func (r *reader) runUntil(end time.Time) {
+	for !r.NextWake().After(end) {
+		r.run(r.NextWake())
+	}
+}
+
+var _ = Describe("Follower", func() {
+	var log *settingsLog
+	var north, south *reader
+
+	BeforeEach(func() {
+		log = &settingsLog{}
+		log.add(set("root", 0, "", zones("a", "b")))
+		for index := range 6 {
+			log.add(set(fmt.Sprintf("change-%d", index), contract.Revision(index+1), contract.Path(fmt.Sprintf("branch-%d", index)), contract.Values{}))
+		}
+		north, south = newReader(log, "north", "a", "a", "b"), newReader(log, "south", "b", "a", "b")
+		north.run(start)
+		south.run(start)
+	})
+
+	It("reads the stream in parts to its end and tells each verdict once, in order", func() {
+		Expect(north.reads).To(Equal(4))
+		Expect(north.verdicts).To(HaveLen(7))
+		for index, verdict := range north.verdicts {
+			Expect(verdict.Revision).To(Equal(contract.Revision(index + 1)))
+		}
+		Expect(north.Ready().Changed).To(BeFalse(), "the change was told before")
+		Expect(north.Freshness(start)).To(And(HaveField("State", contract.FreshnessFresh), HaveField("MayPlace", true)))
+	})
+
+	It("reads at once when a peer tells of a newer record, and places nothing until it has it", func() {
+		log.add(set("narrow", 7, "", zones("b")))
+		south.runUntil(start.Add(3 * time.Second))
+		now := start.Add(time.Second)
+		north.HeardReport(now, south.Report(start.Add(3*time.Second)))
+		Expect(north.Freshness(now)).To(And(HaveField("State", contract.FreshnessBehind), HaveField("MayPlace", false), HaveField("Known", uint64(8))))
+		north.run(now)
+		Expect(north.Tree().Revision()).To(Equal(contract.Revision(8)))
+		Expect(north.Freshness(now).MayPlace).To(BeTrue())
+	})
+
+	It("does not take a late answer to an abandoned read for a fresh look", func() {
+		now := start.Add(2 * time.Second)
+		north.Tick(now)
+		abandoned := north.Ready().Read
+		stale := log.answer(abandoned)
+		log.add(set("narrow", 7, "", zones("b")))
+		later := now.Add(time.Minute)
+		north.Tick(later) // the read counts as failed
+		north.Tick(later.Add(time.Second))
+		Expect(north.Ready().Read).NotTo(BeNil())
+		north.Step(later.Add(time.Second), stale)
+		Expect(north.Freshness(later.Add(time.Second)).MayPlace).To(BeFalse())
+	})
+
+	It("goes on with a peer's word when it alone cannot reach the store", func() {
+		north.down = true
+		for now := start; now.Before(start.Add(time.Minute)); now = now.Add(time.Second) {
+			north.runUntil(now)
+			south.runUntil(now)
+			north.HeardReport(now, south.Report(now))
+		}
+		Expect(north.Freshness(start.Add(time.Minute)).State).To(Equal(contract.FreshnessFresh))
+	})
+
+	Context("with the store out of reach for longer than the bound", func() {
+		var now time.Time
+
+		BeforeEach(func() {
+			north.down, south.down = true, true
+			now = start.Add(time.Minute)
+			north.runUntil(now)
+			south.runUntil(now)
+		})
+
+		It("goes on when peers in every zone hold the same settings and cannot reach it either", func() {
+			north.HeardReport(now, south.Report(now))
+			freshness := north.Freshness(now)
+			Expect(freshness.State).To(Equal(contract.FreshnessOutage), freshness.Reason)
+			Expect(freshness.MayPlace).To(BeTrue())
+			Expect(freshness.Since).To(Equal(start.Add(10 * time.Second)))
+		})
+
+		It("places nothing when it hears no peer at all", func() {
+			Expect(north.Freshness(now)).To(And(HaveField("State", contract.FreshnessUnconfirmed), HaveField("MayPlace", false)))
+
+			alone := newReader(log, "alone", "a", "a")
+			alone.run(start)
+			alone.down = true
+			alone.runUntil(now)
+			Expect(alone.Freshness(now)).To(And(HaveField("MayPlace", false), HaveField("Reason", ContainSubstring("no peer"))))
+		})
+
+		It("places nothing when a whole zone is silent, since that zone may reach the store", func() {
+			neighbour := south.Report(now)
+			neighbour.Zone = "a"
+			north.HeardReport(now, neighbour)
+			Expect(north.Freshness(now)).To(And(HaveField("MayPlace", false), HaveField("Reason", ContainSubstring("zone b"))))
+		})
+
+		It("places nothing on the word of a peer that holds older settings, or was heard long ago", func() {
+			newcomer := newReader(log, "newcomer", "b", "a", "b")
+			newcomer.down = true
+			north.HeardReport(now, newcomer.Report(now))
+			Expect(north.Freshness(now).MayPlace).To(BeFalse())
+			north.HeardReport(now, south.Report(now))
+			Expect(north.Freshness(now.Add(10 * time.Second)).MayPlace).To(BeFalse())
+		})
+
+		It("places nothing when a peer tells of a newer record, whoever else agrees", func() {
+			report := south.Report(now)
+			report.Known++
+			north.HeardReport(now, south.Report(now))
+			north.HeardReport(now, report)
+			Expect(north.Freshness(now)).To(And(HaveField("State", contract.FreshnessBehind), HaveField("MayPlace", false)))
+		})
+
+		It("starts a node from a peer's snapshot, which then may place as its peers may", func() {
+			newcomer := newReader(log, "newcomer", "a", "a", "b")
+			newcomer.down = true
+			newcomer.run(now)
+			newcomer.HeardReport(now, south.Report(now))
+			Expect(newcomer.Freshness(now).State).To(Equal(contract.FreshnessBehind))
+
+			data, err := south.Export()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(newcomer.Import(now, data)).To(Succeed())
+			Expect(newcomer.Ready().Changed).To(BeTrue())
+			Expect(newcomer.Tree().Revision()).To(Equal(south.Tree().Revision()))
+			newcomer.HeardReport(now, south.Report(now))
+			newcomer.HeardReport(now, north.Report(now))
+			Expect(newcomer.Freshness(now).State).To(Equal(contract.FreshnessOutage), newcomer.Freshness(now).Reason)
+		})
+
+		It("polls with a growing, bounded pause and reads at once again when the store is back", func() {
+			reads := north.reads
+			north.runUntil(now.Add(time.Minute))
+			Expect(north.reads - reads).To(BeNumerically("~", 20, 6))
+			north.down = false
+			log.add(set("narrow", 7, "", zones("b")))
+			north.runUntil(now.Add(time.Minute + 5*time.Second))
+			Expect(north.Tree().Revision()).To(Equal(contract.Revision(8)))
+			Expect(north.Freshness(now.Add(time.Minute + 5*time.Second)).State).To(Equal(contract.FreshnessFresh))
+		})
+	})
+
+	It("never goes back: not for an older snapshot, a shorter stream or a damaged snapshot", func() {
+		older, err := south.Export()
+		Expect(err).NotTo(HaveOccurred())
+		log.add(set("narrow", 7, "", zones("b")))
+		north.runUntil(start.Add(3 * time.Second))
+		now := start.Add(time.Minute)
+		Expect(north.Import(now, older)).To(MatchError(&contract.OlderSnapshotError{Held: 8, Offered: 7}))
+
+		newer, err := north.Export()
+		Expect(err).NotTo(HaveOccurred())
+		damaged := bytes.Replace(newer, []byte(`"zones":["b"]`), []byte(`"zones":["a"]`), 1)
+		Expect(damaged).NotTo(Equal(newer))
+		Expect(south.Import(now, damaged)).To(MatchError(ContainSubstring("checksum")))
+		Expect(south.Tree().Revision()).To(Equal(contract.Revision(7)))
+
+		log.records = log.records[:3]
+		north.Tick(now)
+		read := north.Ready().Read
+		north.Step(now, contract.ReadDone{Request: read.Request, From: read.From, End: 3})
+		Expect(north.Tree().Revision()).To(Equal(contract.Revision(8)))
+		Expect(north.Freshness(now).MayPlace).To(BeFalse())
+	})
+
+	It("collects everything that is wrong with its configuration", func() {
+		_, err := contract.NewFollower(contract.FollowerConfig{FreshnessBound: -1})
+		Expect(err).To(MatchError(And(ContainSubstring("PollInterval"), ContainSubstring("ReadMaximum"), ContainSubstring("Random"))))
+	})
+})
--- a/contract/snapshot.go
+++ b/contract/snapshot.go
@@ -38,8 +38,9 @@
 	Absent bool     `json:"absent,omitempty"`
 	Values Values   `json:"values"`
 	Since  []uint64 `json:"since,omitempty"`
-	// Contract is the revision that last changed the branch's contract.
-	Contract Revision `json:"contract"`
+	// Contract is the revision that last changed the branch's contract; it is
+	// left out for a branch that was replaced.
+	Contract Revision `json:"contract,omitempty"`
 }
 
 type snapshotTouch struct {
@@ -111,7 +112,11 @@
 	for index, revision := range entry.branch.since {
 		since[index] = uint64(revision)
 	}
-	return snapshotBranch{Path: entry.path, Values: entry.branch.values, Since: since, Contract: entry.branch.contract.Revision}
+	exported := snapshotBranch{Path: entry.path, Values: entry.branch.values, Since: since}
+	if entry.branch.contract != nil {
+		exported.Contract = entry.branch.contract.Revision
+	}
+	return exported
 }
 
 // Import replaces the state by a snapshot of a peer that is newer. The
--- a/contract/state.go
+++ b/contract/state.go
@@ -63,7 +63,7 @@
 	change   Change
 	verdict  Verdict
 	// before holds the branches that the change replaced, in the order of
-	// their first edit; a nil branch did not exist.
+	// their first edit and without their contracts; a nil branch did not exist.
 	before []branchEntry
 	// duplicate marks a record whose change stood in an earlier record too.
 	duplicate bool
