--- a/config/dev.go
+++ b/config/dev.go
@@ -63,6 +63,7 @@
 	file := Defaults()
 	file.Zones = zones
 	file.Links = Links{}
+	file.Timings.MachineListPeriod = 500 * time.Millisecond
 	return file
 }
 
--- /dev/null
+++ b/config/reference.go
@@ -0,0 +1,105 @@
+package config
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+//go:generate go run ../internal/settingsdoc -output ../docs/SETTINGS.md
+
+// Setting describes one key of a settings file, for the reference page.
+type Setting struct {
+	// Path is the YAML path, with "[]" for each item of a list.
+	Path string
+	// Kind is its type in words, and Range what is accepted.
+	Kind  string
+	Range string
+	// Default is the value when the file leaves the key out; empty when there
+	// is none.
+	Default string
+	Help    string
+}
+
+// Reference returns every key of a process's settings file, in its order.
+func Reference() []Setting {
+	return describe(reflect.ValueOf(Defaults()).Elem(), "")
+}
+
+// describe lists the keys of one section.
+func describe(section reflect.Value, prefix string) []Setting {
+	var settings []Setting
+	for index := range section.NumField() {
+		field := section.Type().Field(index)
+		name := yamlName(field)
+		if name == "" {
+			continue
+		}
+		value := section.Field(index)
+		setting := Setting{Path: prefix + name, Kind: kindName(field.Type), Range: rangeOf(field), Help: field.Tag.Get("help")}
+		if nested, path, isNested := nestedSection(value, setting.Path); isNested {
+			settings = append(settings, setting)
+			settings = append(settings, describe(nested, path)...)
+			continue
+		}
+		if !value.IsZero() {
+			setting.Default = fmt.Sprint(value.Interface())
+		}
+		settings = append(settings, setting)
+	}
+	return settings
+}
+
+// nestedSection returns a section, or an item of a list of sections, with its
+// defaults.
+func nestedSection(value reflect.Value, path string) (reflect.Value, string, bool) {
+	kind := value.Type()
+	switch {
+	case kind.Kind() == reflect.Struct:
+		return value, path + ".", true
+	case kind.Kind() == reflect.Pointer && kind.Elem().Kind() == reflect.Struct:
+		return newValue(kind.Elem()).Elem(), path + ".", true
+	case kind.Kind() == reflect.Slice && kind.Elem().Kind() == reflect.Struct:
+		return newValue(kind.Elem()).Elem(), path + "[].", true
+	default:
+		return reflect.Value{}, "", false
+	}
+}
+
+// rangeOf tells in words what the validator's rules accept.
+func rangeOf(field reflect.StructField) string {
+	var words []string
+	rules, _, _ := strings.Cut(field.Tag.Get("validate"), ",dive")
+	for rule := range strings.SplitSeq(rules, ",") {
+		name, parameter, _ := strings.Cut(rule, "=")
+		switch name {
+		case "required":
+			words = append(words, "required")
+		case "address":
+			words = append(words, "IP number and port")
+		case "zone", "machine":
+			words = append(words, "lower-case letters, digits, inner hyphens")
+		case "min":
+			words = append(words, "at least "+bound(field.Type, parameter))
+		case "max":
+			words = append(words, "at most "+bound(field.Type, parameter))
+		case "gt":
+			words = append(words, "more than "+parameter)
+		case "oneof":
+			words = append(words, "one of "+strings.ReplaceAll(parameter, " ", ", "))
+		}
+	}
+	return strings.Join(words, "; ")
+}
+
+// bound adds the unit of a bound.
+func bound(of reflect.Type, parameter string) string {
+	switch of.Kind() {
+	case reflect.Slice:
+		return parameter + " items"
+	case reflect.String:
+		return parameter + " characters"
+	default:
+		return parameter
+	}
+}
