--- a/api/decode.go
+++ b/api/decode.go
@@ -64,7 +64,7 @@
 	err := json.Unmarshal(body, &raw)
 	var syntax *json.SyntaxError
 	if errors.As(err, &syntax) {
-		return position(body, int(syntax.Offset)), "not valid JSON: " + syntax.Error()
+		return position(body, int(syntax.Offset)-1), "not valid JSON: " + syntax.Error()
 	}
 	if err != nil {
 		return "$", "not valid JSON: " + err.Error()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -21,6 +21,8 @@
 	// received and deadline bound the whole exchange.
 	received time.Time
 	deadline time.Time
+	// attempts is how often the request was tried, once it is over.
+	attempts int
 	// stream asks for server-sent events from position on.
 	stream   bool
 	position position
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -146,7 +146,7 @@
 			refusal = g.parse(ctx, request, parse)
 		}
 		if refusal != nil {
-			g.refuse(ctx, request, refusal, 0)
+			g.refuse(ctx, request, refusal, refusal.Code.HTTPStatus())
 			done()
 			return
 		}
@@ -218,7 +218,8 @@
 		if answer.owner != "" {
 			ctx.Response.Header.Set(headerOwner, answer.owner)
 		}
-		g.refuse(ctx, request, answer.refusal, answer.attempts)
+		request.attempts = answer.attempts
+		g.refuse(ctx, request, answer.refusal, answer.refusal.Code.HTTPStatus())
 		return
 	}
 	if answer.pending {
@@ -228,14 +229,14 @@
 	g.observer.Answered(request.request.Operation, answer.status, time.Since(request.received))
 }
 
-// refuse answers with an error and tells the observer.
-func (g *Gateway) refuse(ctx *fasthttp.RequestCtx, request *exchange, refusal *api.Error, attempts int) {
+// refuse answers with an error, gives it an id, and tells the observer.
+func (g *Gateway) refuse(ctx *fasthttp.RequestCtx, request *exchange, refusal *api.Error, status int) {
 	named := *refusal
 	if named.ID == "" {
 		named.ID = g.config.Node + "-" + strconv.FormatUint(g.refusals.Add(1), 36)
 	}
-	writeError(ctx, &named, named.Code.HTTPStatus())
-	g.observer.Answered(request.request.Operation, named.Code.HTTPStatus(), time.Since(request.received))
+	writeError(ctx, &named, status)
+	g.observer.Answered(request.request.Operation, status, time.Since(request.received))
 	if request.peer {
 		return
 	}
@@ -244,18 +245,19 @@
 		Operation: request.request.Operation,
 		Branch:    request.scope,
 		Program:   request.request.Program,
-		Attempts:  attempts,
+		Attempts:  request.attempts,
 		Error:     named,
 	})
 }
 
 func (g *Gateway) routeNotFound(ctx *fasthttp.RequestCtx) {
-	writeError(ctx, api.Refuse(api.CodeNotFound, "no such route").At("path"), fasthttp.StatusNotFound)
+	refusal := api.Refuse(api.CodeNotFound, "no such route").At("path")
+	g.refuse(ctx, &exchange{received: time.Now()}, refusal, fasthttp.StatusNotFound)
 }
 
 func (g *Gateway) methodNotAllowed(ctx *fasthttp.RequestCtx) {
 	refusal := api.Refuse(api.CodeBadRequest, "the route does not know method %s", ctx.Method()).At("method")
-	writeError(ctx, refusal, fasthttp.StatusMethodNotAllowed)
+	g.refuse(ctx, &exchange{received: time.Now()}, refusal, fasthttp.StatusMethodNotAllowed)
 }
 
 // recovered answers a request whose handler panicked. What it did is unknown.
@@ -267,7 +269,7 @@
 		Ran:     api.RanOutcomeUnknown,
 		Retry:   true,
 	}
-	writeError(ctx, unknown, fasthttp.StatusInternalServerError)
+	g.refuse(ctx, &exchange{received: time.Now()}, unknown, fasthttp.StatusInternalServerError)
 }
 
 // lockedRandom makes the configured source safe for concurrent use.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -14,10 +14,15 @@
 const (
 	// headerBytes bounds a request's line and headers.
 	headerBytes = 16 << 10
-	// discardLimit and discardTimeout bound how much of an oversized body is
-	// read away, so that the refusal is not lost in a connection reset.
+	// discardLimit, discardTimeout and discardPause bound how much of an
+	// oversized body is read away, in bytes, in all and without a byte, so
+	// that the refusal is not lost in a connection reset.
 	discardLimit   = 8 << 20
 	discardTimeout = 2 * time.Second
+	discardPause   = 200 * time.Millisecond
+	// idleWorkerKeepAlives is how many keep-alive times an idle goroutine of
+	// the server is kept for the next connection.
+	idleWorkerKeepAlives = 5
 )
 
 // newServer returns the server with every time-out and size limit set. The
@@ -32,6 +37,7 @@
 		ReadTimeout:           g.config.ReadTimeout,
 		WriteTimeout:          g.config.WriteTimeout,
 		IdleTimeout:           g.config.IdleTimeout,
+		MaxIdleWorkerDuration: idleWorkerKeepAlives * g.config.KeepAlive,
 		MaxRequestBodySize:    g.config.MaximumBodyBytes,
 		ReduceMemoryUsage:     false,
 		TCPKeepalive:          true,
@@ -49,7 +55,7 @@
 		discardBody(ctx.Conn())
 	}
 	ctx.SetConnectionClose()
-	g.refuse(ctx, &exchange{received: time.Now()}, refusal, 0)
+	g.refuse(ctx, &exchange{received: time.Now()}, refusal, refusal.Code.HTTPStatus())
 }
 
 // readError tells apart why a request could not be read.
@@ -72,8 +78,16 @@
 
 // discardBody reads what the caller is still sending, within bounds.
 func discardBody(conn net.Conn) {
-	_ = conn.SetReadDeadline(time.Now().Add(discardTimeout))
-	_, _ = io.CopyN(io.Discard, conn, discardLimit)
+	over := time.Now().Add(discardTimeout)
+	buffer := make([]byte, headerBytes)
+	for discarded := 0; discarded < discardLimit && time.Now().Before(over); {
+		_ = conn.SetReadDeadline(time.Now().Add(discardPause))
+		read, err := conn.Read(buffer)
+		discarded += read
+		if err != nil {
+			return
+		}
+	}
 }
 
 // serverLogger passes the server's own messages on.
