config: make the path of the initial settings absolute when a file is loaded

A caller that joined the loaded path to the file's folder again looked in the wrong place.

Load returns the path absolute. An override without an origin is named "override" in findings.

--- a/config/deployments_test.go
+++ b/config/deployments_test.go
@@ -43,6 +43,7 @@
 	Expect(standin.Links.BetweenZones).To(Equal(deployment.ZoneDelay))
 	Expect(standin.Links.Client).To(Equal(deployment.ClientDelay))
 
+	Expect(filepath.IsAbs(standin.Standin.Settings)).To(BeTrue())
 	changes, findings := config.LoadSettings(standin.Standin.Settings)
 	Expect(findings).To(BeEmpty())
 	tree := contract.NewTree()
--- a/config/load.go
+++ b/config/load.go
@@ -17,7 +17,8 @@
 	Path string
 	// Value is the value's text, as it would stand in the file.
 	Value string
-	// Origin names the flag in findings, such as "flag --listen".
+	// Origin names the flag in findings, such as "flag --listen"; left out, it
+	// is "override".
 	Origin string
 }
 
@@ -49,12 +50,26 @@
 	if len(findings) > 0 {
 		return nil, findings
 	}
-	if file.Standin != nil && file.Standin.Settings != "" && !filepath.IsAbs(file.Standin.Settings) {
-		file.Standin.Settings = filepath.Join(filepath.Dir(name), file.Standin.Settings)
+	if err := file.locateSettings(filepath.Dir(name)); err != nil {
+		return nil, []Finding{file.source.finding("$.standin.settings", "%v", err)}
 	}
 	return file, nil
 }
 
+// locateSettings makes the path of the initial settings absolute; a relative
+// one starts at folder.
+func (f *File) locateSettings(folder string) error {
+	if f.Standin == nil || f.Standin.Settings == "" || filepath.IsAbs(f.Standin.Settings) {
+		return nil
+	}
+	located, err := filepath.Abs(filepath.Join(folder, f.Standin.Settings))
+	if err != nil {
+		return err
+	}
+	f.Standin.Settings = located
+	return nil
+}
+
 // unreadable reports whether the document as a whole could not be read, so
 // that checks of its values would only repeat that.
 func (d *decoder) unreadable() bool {
@@ -69,6 +84,9 @@
 // Override sets one value. Sections that the file leaves out are created.
 func (f *File) Override(override Override) []Finding {
 	path := rootPath + "." + override.Path
+	if override.Origin == "" {
+		override.Origin = "override"
+	}
 	place := position{source: override.Origin}
 	decoder := &decoder{source: source{name: override.Origin, positions: map[string]position{path: place}}}
 	target := reflect.ValueOf(f).Elem()
