Start cold without owners changing, and tick however often the core is looked at

Cause: nodes that start together each saw a list without the others and claimed partitions from one another; the first call waited 4.6 s. A node whose state was polled every 20 ms could miss its first tick for good, because each look reset the timer to the longest sleep counted from the look. A partition that was given up was never forgotten, so a planned stop ran into its time-out.

Ruled out: the log service and the HTTP clients; every control goroutine was idle in its select when node-1 hung.

Change: nothing is claimed before the machine list has shown the same nodes twice; the sleep counts from the last step; a replica that neither owns nor should own its partition is closed at once.

--- a/control/core.go
+++ b/control/core.go
@@ -32,12 +32,12 @@
 	actions   []Action
 
 	nextList time.Time
-	// listed is set once the machine list was seen. Until then this node knows
-	// of itself alone and claims nothing: it would claim everything.
-	listed   bool
-	stopping bool
-	stopBy   time.Time
-	stopped  bool
+	// listed is set once the machine list has settled; see settleList.
+	listed     bool
+	lastListed []machine.ID
+	stopping   bool
+	stopBy     time.Time
+	stopped    bool
 	// routingChanged is set until RoutingChanged is asked.
 	routingChanged bool
 }
--- a/control/messages.go
+++ b/control/messages.go
@@ -85,10 +85,29 @@
 		return
 	}
 	c.membership.Observe(now, event.Machines)
-	if !c.listed {
+	c.settleList(now, event.Machines)
+}
+
+// settleList notes when the machine list has shown the same nodes, this one
+// among them, twice in a row: only then is the list good enough to claim by.
+// A node that has just started would otherwise claim everything, and nodes
+// that start together would claim from each other.
+func (c *Core) settleList(now time.Time, listed []machine.Machine) {
+	if c.listed {
+		return
+	}
+	var nodes []machine.ID
+	for _, entry := range listed {
+		if entry.Kind == machine.KindNode {
+			nodes = append(nodes, entry.ID)
+		}
+	}
+	sortIDs(nodes)
+	if slices.Contains(nodes, c.config.Self.ID) && slices.Equal(nodes, c.lastListed) {
 		c.listed = true
 		c.reviewPartitions(now)
 	}
+	c.lastListed = nodes
 }
 
 // advanceMembership sends probes and follows changes of the view.
--- a/control/owned.go
+++ b/control/owned.go
@@ -174,15 +174,23 @@
 	progress := false
 	for _, owned := range c.sortedPartitions() {
 		c.proposeWaiting(now, owned)
-		if !owned.replica.HasReady() {
-			continue
+		if owned.replica.HasReady() {
+			progress = true
+			c.performReplica(now, owned, owned.replica.Ready())
 		}
-		progress = true
-		c.performReplica(now, owned, owned.replica.Ready())
+		c.closeIfIdle(owned)
 	}
 	return progress
 }
 
+// closeIfIdle forgets a replica that neither owns its partition nor should.
+func (c *Core) closeIfIdle(owned *ownedPartition) {
+	if owned.replica.State() == partition.StateFollowing && !owned.replica.HasReady() && !c.desires(owned) {
+		delete(c.partitions, owned.id)
+		c.routingChanged = true
+	}
+}
+
 // performReplica turns one Ready of a replica into actions and state changes.
 func (c *Core) performReplica(now time.Time, owned *ownedPartition, ready partition.Ready) {
 	for _, appendRequest := range ready.Appends {
@@ -208,9 +216,6 @@
 		c.lost(now, owned)
 	}
 	c.proposeSnapshot(now, owned)
-	if owned.replica.State() == partition.StateFollowing && !c.desires(owned) && !ready.Lost {
-		c.closePartition(owned)
-	}
 }
 
 // recover folds one recovered record into the programs. A record that this
@@ -288,12 +293,6 @@
 	c.setView(now, owned)
 }
 
-// closePartition forgets a replica that has nothing left to do.
-func (c *Core) closePartition(owned *ownedPartition) {
-	delete(c.partitions, owned.id)
-	c.routingChanged = true
-}
-
 // proposeSnapshot writes the programs' state when the replica asks for it.
 func (c *Core) proposeSnapshot(now time.Time, owned *ownedPartition) {
 	if !owned.acquired || len(owned.unproposed) > 0 || !owned.replica.WantsSnapshot() {
--- a/control/ready.go
+++ b/control/ready.go
@@ -18,6 +18,9 @@
 	if len(c.attendant.backends) == 0 {
 		reasons = append(reasons, "no back end is known")
 	}
+	if !c.listed {
+		reasons = append(reasons, "the machine list has not settled")
+	}
 	opening := 0
 	for _, owned := range c.partitions {
 		if !owned.acquired {
--- a/node/loop.go
+++ b/node/loop.go
@@ -12,7 +12,7 @@
 	eventQueue = 8192
 	// eventBatch bounds the events taken before their actions are performed.
 	eventBatch = 256
-	// longestSleep bounds the wait for the next event.
+	// longestSleep bounds the time between two steps.
 	longestSleep = time.Second
 )
 
@@ -20,7 +20,9 @@
 // steps the core, and starts the actions on other goroutines.
 func (n *Node) run(ctx context.Context) {
 	defer close(n.loopDone)
-	timer := time.NewTimer(0)
+	n.step(control.Tick{})
+	n.performAll()
+	timer := time.NewTimer(n.untilWake())
 	defer timer.Stop()
 	for {
 		select {
@@ -43,6 +45,7 @@
 func (n *Node) step(event control.Event) {
 	started := time.Now()
 	n.core.Step(started, event)
+	n.lastStep = started
 	n.metrics.ControlStep(time.Since(started))
 }
 
@@ -57,12 +60,14 @@
 	}
 }
 
+// untilWake returns how long the control goroutine may sleep. It counts from
+// the last step, so that inspections, however frequent, do not put off a tick.
 func (n *Node) untilWake() time.Duration {
-	wake := n.core.NextWake()
-	if wake.IsZero() {
-		return longestSleep
+	wake := n.lastStep.Add(longestSleep)
+	if next := n.core.NextWake(); !next.IsZero() && next.Before(wake) {
+		wake = next
 	}
-	return min(max(time.Until(wake), 0), longestSleep)
+	return max(time.Until(wake), 0)
 }
 
 func (n *Node) performAll() {
--- a/node/node.go
+++ b/node/node.go
@@ -81,7 +81,9 @@
 	events      chan control.Event
 	inspections chan func(*control.Core)
 	loopDone    chan struct{}
-	handedOver  chan struct{}
+	// lastStep is when the core was stepped last; the control goroutine owns it.
+	lastStep   time.Time
+	handedOver chan struct{}
 
 	attempts    *attemptTable
 	streams     *streamTable
--- a/node/perform.go
+++ b/node/perform.go
@@ -143,6 +143,9 @@
 	ctx, cancel := context.WithTimeout(n.context, n.config.StoreTimeout)
 	defer cancel()
 	changes, end, err := n.log.Read(ctx, SettingsStream, action.Read.From, action.Read.Maximum)
+	if err != nil {
+		n.logger.Warn().Err(err).Msg("settings: the stream was not read")
+	}
 	n.post(control.SettingsRead{Result: contract.ReadDone{Request: action.Read.Request, From: action.Read.From, Changes: changes, End: end, Err: err}})
 }
 
@@ -153,6 +156,9 @@
 		n.logger.Warn().Err(err).Msg("machines: the list did not take this node's entry")
 	}
 	listed, err := n.machines.Machines(ctx)
+	if err != nil {
+		n.logger.Warn().Err(err).Msg("machines: the list was not had")
+	}
 	n.post(control.MachinesListed{Machines: listed, Err: err})
 }
 
