config: add bootstrap_token, the operator's way into an empty tree

The operators' server takes a bootstrap token from the process's settings file, which had no key for it.

Add the key, checked like the peers' secret, and pass it on when a node is wired. Findings about the whole file stand at line 1, column 1.

Tested: go test ./config ./internal/settingsdoc passed; node vetted.

--- a/config/decode.go
+++ b/config/decode.go
@@ -37,6 +37,7 @@
 		d.findings = append(d.findings, d.source.finding(rootPath, "want exactly one YAML document"))
 		return
 	}
+	d.source.positions[rootPath] = position{source: d.source.name, line: 1, column: 1}
 	d.value(parsed.Docs[0].Body, reflect.ValueOf(target).Elem(), rootPath)
 }
 
--- a/config/file.go
+++ b/config/file.go
@@ -14,11 +14,13 @@
 	Zones     []Zone    `yaml:"zones" validate:"required,min=1,max=64,unique=Name,dive" help:"Every zone of the deployment. All processes must agree on the list."`
 	Platform  *Platform `yaml:"platform" help:"Where the platform answers. Required for serve."`
 	PeerToken string    `yaml:"peer_token" validate:"omitempty,min=16,max=256,printascii" help:"The secret by which nodes know each other, at least 16 characters. Required for serve."`
-	Links     Links     `yaml:"links" help:"One-way delays of the network: the scheduler predicts with them, and the stand-ins emulate them."`
-	Timings   Timings   `yaml:"timings" help:"Periods and time-outs of a node."`
-	Limits    Limits    `yaml:"limits" help:"Bounds on what a node accepts and holds."`
-	Log       Log       `yaml:"log" help:"What the process writes about itself."`
-	Standin   *Standin  `yaml:"standin" help:"The stand-ins of the platform and of the back ends. Required for standin."`
+	// BootstrapToken is the way in while the settings tree lists no operator.
+	BootstrapToken string   `yaml:"bootstrap_token" validate:"omitempty,min=16,max=256,printascii" help:"An operator's bearer token that acts on the whole settings tree, for the time until the tree lists operators. Left out: there is none."`
+	Links          Links    `yaml:"links" help:"One-way delays of the network, with which the scheduler predicts."`
+	Timings        Timings  `yaml:"timings" help:"Periods and time-outs of a node."`
+	Limits         Limits   `yaml:"limits" help:"Bounds on what a node accepts and holds."`
+	Log            Log      `yaml:"log" help:"What the process writes about itself."`
+	Standin        *Standin `yaml:"standin" help:"The stand-ins of the platform and of the back ends. Required for standin."`
 
 	source source
 }
--- a/node/wire.go
+++ b/node/wire.go
@@ -169,6 +169,7 @@
 ) (*operator.Server, error) {
 	metrics.ReadAtScrape(node.snapshot)
 	settings := operator.DefaultConfig()
+	settings.BootstrapToken = file.BootstrapToken
 	programs, _ := any(callers).(operator.Programs)
 	return operator.New(settings, node, programs, metrics, refusals, logger)
 }
