load: run a deployment's agent programs against real nodes

Both deployments must be tried as real processes, with what callers feel measured and every answer checked.

Add package load and the load command: open-loop agents over the callers' API, asking again by key on lost connections and retryable refusals, latency from the intended start by kind, first token, recomputed prompt tokens, refusals by code, answers checked against the stand-ins' hashes and the history read back.

--- /dev/null
+++ b/command/load.go
@@ -0,0 +1,161 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/history"
+	"birchwood.example/birchwood/load"
+	"birchwood.example/birchwood/workload"
+)
+
+// tokenVariable is the environment variable that holds the caller's token.
+const tokenVariable = "BIRCHWOOD_TOKEN"
+
+// errUnanswered makes load exit with a failure after it has printed its result.
+var errUnanswered = errors.New("calls were left unanswered, or answered wrongly")
+
+// loadFlags are the flags of the load command.
+type loadFlags struct {
+	targets     []string
+	operators   []string
+	deployment  string
+	programs    int
+	seed        uint64
+	rate        float64
+	speed       float64
+	tokens      map[string]string
+	branch      string
+	model       string
+	callTimeout time.Duration
+	stopAfter   time.Duration
+	record      string
+	output      string
+	anyAnswer   bool
+}
+
+// newLoadCommand returns the load tool.
+func newLoadCommand() *cobra.Command {
+	flags := loadFlags{}
+	command := &cobra.Command{
+		Use:   "load --target ADDRESS --deployment NAME --programs N --seed S",
+		Short: "Run a deployment's agent programs against real nodes",
+		Long: "Starts agent programs at their intended times, whether or not earlier ones have ended, and\n" +
+			"measures what their callers feel. The caller's token is taken from --token, else from " + tokenVariable + ",\n" +
+			"else it is the example token of the deployment's settings. Exits with 1 when a call was left\n" +
+			"unanswered or got a wrong answer.",
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error { return runLoad(command, flags) },
+	}
+	set := command.Flags()
+	set.StringSliceVar(&flags.targets, "target", nil, "gateways, ip:port, separated by commas")
+	set.StringSliceVar(&flags.operators, "operator", nil, "operators' addresses, to read the nodes' control traffic from")
+	set.StringVar(&flags.deployment, "deployment", "koudeketting", strings.Join(workload.Names(), ", "))
+	set.IntVar(&flags.programs, "programs", 100, "how many programs to start")
+	set.Uint64Var(&flags.seed, "seed", 1, "the seed of the programs")
+	set.Float64Var(&flags.rate, "rate", 2, "programs that start in a second")
+	set.Float64Var(&flags.speed, "speed", 1, "how many times shorter the pauses of people are")
+	set.StringToStringVar(&flags.tokens, "token", nil, "bearer tokens, BRANCH=TOKEN; an empty branch stands for all")
+	set.StringVar(&flags.branch, "branch", "", "start every program on this branch instead")
+	set.StringVar(&flags.model, "model", "", "use this model in every call instead")
+	set.DurationVar(&flags.callTimeout, "call-timeout", 3*time.Minute, "how long a call is asked for, retries included")
+	set.DurationVar(&flags.stopAfter, "stop-after", 0, "when programs make no further step and are ended; 0 means never")
+	set.StringVar(&flags.record, "record", "", "write the history to this file, for verify")
+	set.StringVar(&flags.output, "output", "text", "text or json")
+	set.BoolVar(&flags.anyAnswer, "any-answer", false, "accept answers of engines that are not the stand-ins")
+	if err := command.MarkFlagRequired("target"); err != nil {
+		panic(err)
+	}
+	return command
+}
+
+// runLoad runs the load and prints its result.
+func runLoad(command *cobra.Command, flags loadFlags) error {
+	config, err := flags.config()
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Cause: err}
+	}
+	if flags.record != "" {
+		file, err := os.Create(flags.record)
+		if err != nil {
+			return &ExitError{Code: ExitUsage, Cause: err}
+		}
+		defer func() { _ = file.Close() }()
+		config.Recorder = history.NewRecorder(file)
+	}
+	ctx, stop := signal.NotifyContext(contextOf(command), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	result, err := load.Run(ctx, config)
+	err = errors.Join(err, config.Recorder.Flush())
+	if err != nil {
+		return &ExitError{Code: ExitFailure, Cause: err}
+	}
+	if err := printLoad(command, result, flags.output); err != nil {
+		return err
+	}
+	if result.Failed() {
+		return &ExitError{Code: ExitFailure, Cause: errUnanswered}
+	}
+	return nil
+}
+
+// contextOf returns the command's context, which is nil outside of Execute.
+func contextOf(command *cobra.Command) context.Context {
+	if ctx := command.Context(); ctx != nil {
+		return ctx
+	}
+	return context.Background()
+}
+
+// config turns the flags into a run.
+func (f loadFlags) config() (load.Config, error) {
+	if f.output != "text" && f.output != "json" {
+		return load.Config{}, fmt.Errorf("output %q: want text or json", f.output)
+	}
+	deployment, err := workload.ByName(f.deployment)
+	if err != nil {
+		return load.Config{}, err
+	}
+	tokens := map[contract.Path]string{}
+	for branch, token := range f.tokens {
+		tokens[contract.Path(branch)] = token
+	}
+	if len(tokens) == 0 {
+		tokens[contract.Root] = f.defaultToken()
+	}
+	return load.Config{
+		Targets: f.targets, Operators: f.operators, Deployment: deployment,
+		Programs: f.programs, Seed: f.seed, Rate: f.rate, Speed: f.speed, Tokens: tokens,
+		Branch: contract.Path(f.branch), Model: f.model, CallTimeout: f.callTimeout, StopAfter: f.stopAfter, AnyAnswer: f.anyAnswer,
+	}, nil
+}
+
+// defaultToken is the environment's token, else the example token that the
+// settings in config/ give the deployment.
+func (f loadFlags) defaultToken() string {
+	if token := os.Getenv(tokenVariable); token != "" {
+		return token
+	}
+	return f.deployment + "-example-token"
+}
+
+// printLoad writes the result in the wanted form.
+func printLoad(command *cobra.Command, result load.Result, output string) error {
+	if output == "text" {
+		_, err := fmt.Fprint(command.OutOrStdout(), result)
+		return err
+	}
+	encoder := json.NewEncoder(command.OutOrStdout())
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(result)
+}
--- a/command/verify.go
+++ b/command/verify.go
@@ -22,20 +22,18 @@
 		Use:   "verify FILE...",
 		Short: "Check recorded histories against every promise",
 		Long: "Reads the histories that one run recorded, one file a process, and verifies every promise.\n" +
-			"Exits with 1 when a promise was broken or a file cannot be read.",
-		Args:          cobra.MinimumNArgs(1),
-		SilenceUsage:  true,
-		SilenceErrors: false,
+			"Exits with 1 when a promise was broken, and with 2 when a file cannot be read.",
+		Args: cobra.MinimumNArgs(1),
 		RunE: func(command *cobra.Command, files []string) error {
 			report, err := verifyFiles(files)
 			if err != nil {
-				return err
+				return &ExitError{Code: ExitUsage, Cause: err}
 			}
 			if err := printReport(command.OutOrStdout(), report, output); err != nil {
 				return err
 			}
 			if len(report.Findings) > 0 {
-				return errFindings
+				return &ExitError{Code: ExitFailure, Cause: errFindings}
 			}
 			return nil
 		},
--- /dev/null
+++ b/load/agent.go
@@ -0,0 +1,278 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/history"
+	"birchwood.example/birchwood/workload"
+)
+
+// agent runs one program.
+type agent struct {
+	*caller
+	program *workload.Program
+	id      api.ProgramID
+	// transcript is the history as the caller knows it; known is false once a
+	// call ended in a way that leaves its part open.
+	transcript strings.Builder
+	known      bool
+	sequence   uint64
+	// calls are the calls that succeeded, to compare with the history.
+	calls []api.Call
+	// cachedTokens is how much of the history engines have computed.
+	cachedTokens int
+	// output is the length of the last answer, handed to a parent.
+	output int
+	paused time.Duration
+	hungUp bool
+	// stopBy is when no further step is made; stopped is set when it came.
+	stopBy  time.Time
+	stopped bool
+	fork    func() *caller
+}
+
+// run performs the program's steps and its end. The error says that something
+// was never answered.
+func (a *agent) run(ctx context.Context, parent api.ProgramID, budget int64) error {
+	branch := a.program.Branch
+	if a.config.Branch != "" {
+		branch = a.config.Branch
+	}
+	request := api.CreateProgram{Branch: string(branch), Key: a.program.ID, BudgetTokens: budget}
+	created, err := a.create(ctx, request, parent)
+	if err != nil {
+		return a.unlessRefused("create", err)
+	}
+	a.id = created.ID
+	a.config.Recorder.Record(history.Event{At: time.Now(), Opened: &history.Opened{
+		Program: created.ID, Branch: created.Branch, Parent: parent,
+		Placement: placementOf(created.ID), BudgetTokens: created.BudgetTokens,
+	}})
+	if err := a.steps(ctx); err != nil || a.hungUp {
+		return err
+	}
+	return a.finish(ctx)
+}
+
+// steps performs one step after another.
+func (a *agent) steps(ctx context.Context) error {
+	step, more := a.program.Next(workload.Result{})
+	for more {
+		if !a.stopBy.IsZero() && time.Now().After(a.stopBy) {
+			a.stopped = true
+			return nil
+		}
+		result, err := a.perform(ctx, step)
+		if err != nil {
+			return err
+		}
+		step, more = a.program.Next(result)
+	}
+	return nil
+}
+
+// perform does one step.
+func (a *agent) perform(ctx context.Context, step workload.Step) (workload.Result, error) {
+	switch step.Kind {
+	case workload.StepModel, workload.StepTool:
+		return a.call(ctx, step)
+	case workload.StepPause:
+		return workload.Result{}, a.pause(ctx, step.Duration)
+	case workload.StepSpawn:
+		return a.spawn(ctx, step)
+	}
+	return workload.Result{}, fmt.Errorf("unknown step %q", step.Kind)
+}
+
+// pause waits as people do.
+func (a *agent) pause(ctx context.Context, length time.Duration) error {
+	length = time.Duration(float64(length) / a.config.Speed)
+	a.paused += length
+	select {
+	case <-time.After(length):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// call makes a model or tool call.
+func (a *agent) call(ctx context.Context, step workload.Step) (workload.Result, error) {
+	request := a.request(step)
+	if step.HangUpAfter > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		timer := time.AfterFunc(time.Duration(float64(step.HangUpAfter)/a.config.Speed), cancel)
+		defer timer.Stop()
+	}
+	result, err := a.submit(ctx, a.id, request)
+	if step.HangUpAfter > 0 && errors.Is(ctx.Err(), context.Canceled) && err != nil {
+		a.hungUp = true
+		return workload.Result{HungUp: true}, nil
+	}
+	var refusal *api.Error
+	if err != nil && !errors.As(err, &refusal) {
+		a.totals.unanswered(fmt.Errorf("program %s, call %d: %w", a.id, request.Sequence, err))
+		return workload.Result{}, err
+	}
+	if refusal != nil {
+		a.known = false
+		return workload.Result{Status: api.StatusNotRun, Code: refusal.Code}, nil
+	}
+	a.sequence = result.call.Sequence
+	a.account(request, result)
+	outcome := workload.Result{Status: result.call.Status}
+	if result.call.Error != nil {
+		outcome.Code = result.call.Error.Code
+	}
+	return outcome, nil
+}
+
+// request is the call of a step. The stand-ins draw an answer's length evenly
+// from the upper three quarters of its cap, so the cap is chosen to give the
+// step's length on average.
+func (a *agent) request(step workload.Step) api.SubmitCall {
+	request := api.SubmitCall{
+		Key:        fmt.Sprintf("call-%d", a.sequence+1),
+		Sequence:   a.sequence + 1,
+		Kind:       api.CallTool,
+		Tool:       step.Tool,
+		Repeatable: step.Repeatable,
+		Input:      inputText(a.program.ID, a.sequence+1, step.InputTokens),
+	}
+	if step.Kind == workload.StepModel {
+		request.Kind = api.CallModel
+		request.Model = step.Model
+		if a.config.Model != "" {
+			request.Model = a.config.Model
+		}
+		request.MaxOutputTokens = max(minimumCap, step.OutputTokens*8/5)
+	}
+	return request
+}
+
+// minimumCap is the shortest answer that holds its whole hash, in tokens.
+const minimumCap = 8
+
+// bytesPerToken is how the nodes count the tokens of a text.
+const bytesPerToken = 4
+
+// inputText is a text of the given length that no other call has.
+func inputText(program string, sequence uint64, tokens int) string {
+	head := fmt.Sprintf("[%s#%d] ", program, sequence)
+	length := max(len(head), tokens*bytesPerToken)
+	filler := strings.Repeat("lorem ipsum dolor sit amet ", (length-len(head))/27+1)
+	return head + filler[:length-len(head)]
+}
+
+// account checks an answer and counts what it cost.
+func (a *agent) account(request api.SubmitCall, result answered) {
+	call := result.call
+	a.totals.ended(call)
+	if call.Status != api.StatusSucceeded {
+		return
+	}
+	a.calls = append(a.calls, api.Call{Sequence: call.Sequence, Key: request.Key, Input: request.Input, Output: call.Output})
+	if request.Kind == api.CallModel {
+		a.totals.firstText(a.program.Kind, result.firstText)
+		a.countCache(call.Usage)
+	}
+	if a.known && !a.config.AnyAnswer && !belongs(request, a.transcript.String(), call.Output) {
+		a.totals.wrong(fmt.Errorf("program %s, call %d: the answer belongs to another call or history", a.id, call.Sequence))
+	}
+	a.transcript.WriteString(request.Input)
+	a.transcript.WriteString(call.Output)
+	a.output = call.Usage.OutputTokens
+}
+
+// countCache counts the tokens that an engine computed again although one had
+// computed them for this program before.
+func (a *agent) countCache(usage api.Usage) {
+	recomputed := min(a.cachedTokens, usage.PromptTokens) - usage.CachedTokens
+	a.totals.prompt(usage, max(0, recomputed))
+	a.cachedTokens = usage.PromptTokens + usage.OutputTokens
+}
+
+// childBudget is the part of its free budget that a parent gives each
+// sub-agent: one part in this many.
+const childBudget = 8
+
+// spawn runs sub-agents side by side and waits for all.
+func (a *agent) spawn(ctx context.Context, step workload.Step) (workload.Result, error) {
+	described, err := a.describe(ctx, a.id)
+	if err != nil {
+		return workload.Result{}, a.unlessRefused("describe", err)
+	}
+	share := (described.BudgetTokens - described.SpentTokens - described.ReservedTokens) / childBudget
+	if share <= 0 {
+		return workload.Result{}, nil
+	}
+	failures := make([]error, len(step.Children))
+	outputs := make([]int, len(step.Children))
+	var group sync.WaitGroup
+	for i, child := range step.Children {
+		group.Go(func() {
+			each := &agent{caller: a.fork(), program: child, known: true, fork: a.fork, stopBy: a.stopBy}
+			failures[i] = each.run(ctx, a.id, share)
+			outputs[i] = each.output
+		})
+	}
+	group.Wait()
+	result := workload.Result{}
+	for _, output := range outputs {
+		result.ChildOutputTokens += output
+	}
+	return result, errors.Join(failures...)
+}
+
+// finish reads the history back, compares it, and ends the program.
+func (a *agent) finish(ctx context.Context) error {
+	calls, err := a.readHistory(ctx, a.id)
+	if err != nil {
+		return a.unlessRefused("history", err)
+	}
+	if err := sameCalls(a.calls, calls); err != nil {
+		a.totals.wrong(fmt.Errorf("program %s: %w", a.id, err))
+	}
+	if err := a.end(ctx, a.id); err != nil {
+		return a.unlessRefused("end", err)
+	}
+	a.config.Recorder.Record(history.Event{At: time.Now(), Closed: &history.Closed{Program: a.id}})
+	return nil
+}
+
+// unlessRefused counts a request that was never answered. A refusal is an
+// answer.
+func (a *agent) unlessRefused(operation string, err error) error {
+	var refusal *api.Error
+	if errors.As(err, &refusal) {
+		return nil
+	}
+	a.totals.unanswered(fmt.Errorf("program %s, %s: %w", a.program.ID, operation, err))
+	return err
+}
+
+// sameCalls reports the first call that the history lacks or shows otherwise.
+func sameCalls(expected, read []api.Call) error {
+	shown := map[uint64]api.Call{}
+	for _, call := range read {
+		shown[call.Sequence] = call
+	}
+	for _, call := range expected {
+		held, found := shown[call.Sequence]
+		if !found {
+			return fmt.Errorf("its history lost call %d", call.Sequence)
+		}
+		if held.Key != call.Key || held.Input != call.Input || held.Output != call.Output {
+			return fmt.Errorf("its history shows other texts at call %d", call.Sequence)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/load/answer.go
@@ -0,0 +1,34 @@
+package load
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/zone"
+)
+
+// hashDigits is how many digits the stand-ins' hashes have.
+const hashDigits = 16
+
+// belongs reports whether the output is the stand-ins' answer to this very
+// request after this very history.
+func belongs(request api.SubmitCall, transcript, output string) bool {
+	if request.Kind == api.CallTool {
+		return strings.Contains(output, fmt.Sprintf(`"input":"%016x"`, xxhash.Sum64String(request.Input)))
+	}
+	digest := xxhash.New()
+	for _, part := range []string{request.Model, "\x00", transcript, request.Input} {
+		_, _ = digest.WriteString(part)
+	}
+	expected := fmt.Sprintf("%016x", digest.Sum64())
+	return len(output) >= hashDigits && output[:hashDigits] == expected
+}
+
+// placementOf is the placement that a program's id names.
+func placementOf(id api.ProgramID) zone.Placement {
+	name, _, _ := strings.Cut(string(id), ".")
+	return zone.Placement(name)
+}
--- /dev/null
+++ b/load/caller.go
@@ -0,0 +1,320 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/history"
+	"birchwood.example/birchwood/httpclient"
+	"birchwood.example/birchwood/machine"
+)
+
+// The backoff between two requests for the same call.
+const (
+	firstBackoff   = 50 * time.Millisecond
+	longestBackoff = 2 * time.Second
+)
+
+// errBroken says that an answer ended before it was whole.
+var errBroken = errors.New("the answer broke off")
+
+// caller sends the requests of one program. One goroutine uses it.
+type caller struct {
+	config  *Config
+	targets []*httpclient.Client
+	// names are the targets' addresses; at is the target in use.
+	names  []string
+	at     int
+	totals *totals
+	ids    *atomic.Uint64
+}
+
+// question is one thing that a caller wants to know, however many requests it
+// takes.
+type question struct {
+	sent history.Sent
+	// ask sends one request, and returns the answer for the history.
+	ask func(ctx context.Context, client *httpclient.Client) (history.Got, error)
+}
+
+// resolve asks until there is an answer or the time is over. The returned
+// error is a *api.Error when the answer is a refusal.
+func (c *caller) resolve(ctx context.Context, asked question) (history.Got, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.config.CallTimeout)
+	defer cancel()
+	backoff := firstBackoff
+	for {
+		got, err := c.once(ctx, asked)
+		var refusal *api.Error
+		if err == nil || errors.As(err, &refusal) && !refusal.Retry && refusal.Ran != api.RanOutcomeUnknown {
+			return got, err
+		}
+		wait := backoff
+		if refusal != nil {
+			wait = max(wait, time.Duration(refusal.RetryAfterMilliseconds)*time.Millisecond)
+		}
+		backoff = min(2*backoff, longestBackoff)
+		c.at = (c.at + 1) % len(c.targets)
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return got, fmt.Errorf("no answer in time: %w", err)
+		}
+	}
+}
+
+// once sends one request and records it.
+func (c *caller) once(ctx context.Context, asked question) (history.Got, error) {
+	sent := asked.sent
+	sent.Request = strconv.FormatUint(c.ids.Add(1), 10)
+	sent.Node = machine.ID(c.names[c.at])
+	c.config.Recorder.Record(history.Event{At: time.Now(), Sent: &sent})
+	got, err := asked.ask(ctx, c.targets[c.at])
+	err = refusalOf(err)
+	got.Request = sent.Request
+	var refusal *api.Error
+	switch {
+	case err == nil:
+		c.config.Recorder.Record(history.Event{At: time.Now(), Got: &got})
+	case errors.As(err, &refusal):
+		got.Code, got.Ran = refusal.Code, refusal.Ran
+		c.totals.refused(refusal)
+		c.config.Recorder.Record(history.Event{At: time.Now(), Got: &got})
+	default:
+		hungUp := errors.Is(err, context.Canceled)
+		c.totals.lostConnection(hungUp)
+		c.config.Recorder.Record(history.Event{At: time.Now(), Lost: &history.Lost{Request: sent.Request, HungUp: hungUp}})
+	}
+	return got, err
+}
+
+// errorBody is the JSON form of a refusal.
+type errorBody struct {
+	Error *api.Error `json:"error"`
+}
+
+// refusalOf turns an answer with an error status into the refusal that it
+// carries.
+func refusalOf(err error) error {
+	var status *httpclient.StatusError
+	if !errors.As(err, &status) {
+		return err
+	}
+	var body errorBody
+	if json.Unmarshal([]byte(status.Body), &body) != nil || body.Error == nil {
+		return err
+	}
+	return body.Error
+}
+
+// create opens a program, or a sub-agent when parent is set.
+func (c *caller) create(ctx context.Context, request api.CreateProgram, parent api.ProgramID) (api.Program, error) {
+	path := "/v1/programs"
+	if parent != "" {
+		path = "/v1/programs/" + string(parent) + "/agents"
+	}
+	var program api.Program
+	_, err := c.resolve(ctx, question{
+		sent: history.Sent{Operation: history.OperationCreate, Branch: request.Branch, Key: request.Key},
+		ask: func(ctx context.Context, client *httpclient.Client) (history.Got, error) {
+			err := client.Do(ctx, http.MethodPost, path, request, &program)
+			return history.Got{Program: program.ID}, err
+		},
+	})
+	return program, err
+}
+
+// end closes a program.
+func (c *caller) end(ctx context.Context, id api.ProgramID) error {
+	_, err := c.resolve(ctx, question{
+		sent: history.Sent{Operation: history.OperationEnd, Program: id},
+		ask: func(ctx context.Context, client *httpclient.Client) (history.Got, error) {
+			return history.Got{Program: id}, client.Do(ctx, http.MethodPost, "/v1/programs/"+string(id)+"/end", nil, nil)
+		},
+	})
+	return err
+}
+
+// describe reads a program's budget.
+func (c *caller) describe(ctx context.Context, id api.ProgramID) (api.Program, error) {
+	var program api.Program
+	_, err := c.resolve(ctx, question{
+		sent: history.Sent{Operation: history.OperationDescribe, Program: id},
+		ask: func(ctx context.Context, client *httpclient.Client) (history.Got, error) {
+			err := client.Do(ctx, http.MethodGet, "/v1/programs/"+string(id), nil, &program)
+			return history.Got{Program: id, SpentTokens: program.SpentTokens, BudgetTokens: program.BudgetTokens}, err
+		},
+	})
+	return program, err
+}
+
+// readHistory reads all calls of a program and records them.
+func (c *caller) readHistory(ctx context.Context, id api.ProgramID) ([]api.Call, error) {
+	var calls []api.Call
+	sentAt := time.Now()
+	for from := uint64(1); from != 0; {
+		var part api.History
+		path := fmt.Sprintf("/v1/programs/%s/history?from=%d", id, from)
+		_, err := c.resolve(ctx, question{
+			sent: history.Sent{Operation: history.OperationAttach, Program: id},
+			ask: func(ctx context.Context, client *httpclient.Client) (history.Got, error) {
+				return history.Got{Program: id}, client.Do(ctx, http.MethodGet, path, nil, &part)
+			},
+		})
+		if err != nil {
+			return nil, err
+		}
+		calls = append(calls, part.Calls...)
+		from = part.Next
+	}
+	read := &history.Read{Program: id, SentAt: sentAt}
+	for _, call := range calls {
+		read.Calls = append(read.Calls, history.ReadCall{
+			Sequence: call.Sequence, Key: call.Key, Status: call.Status, Input: call.Input, Output: call.Output,
+		})
+	}
+	c.config.Recorder.Record(history.Event{At: time.Now(), Read: read})
+	return calls, nil
+}
+
+// answered is what a call gave its caller.
+type answered struct {
+	call      api.Call
+	firstText time.Duration
+}
+
+// submit makes a call and follows its stream to the end.
+func (c *caller) submit(ctx context.Context, id api.ProgramID, request api.SubmitCall) (answered, error) {
+	request.Stream = true
+	begin := time.Now()
+	result := answered{}
+	_, err := c.resolve(ctx, question{
+		sent: history.Sent{
+			Operation: history.OperationSubmit, Program: id, Key: request.Key, Sequence: request.Sequence,
+			Kind: request.Kind, Repeatable: request.Repeatable || request.Kind == api.CallModel,
+			Input: request.Input, OutputCap: request.MaxOutputTokens,
+		},
+		ask: func(ctx context.Context, client *httpclient.Client) (history.Got, error) {
+			follower := streamFollower{firstText: func() {
+				if result.firstText == 0 {
+					result.firstText = time.Since(begin)
+				}
+			}}
+			path := "/v1/programs/" + string(id) + "/calls"
+			err := client.Lines(ctx, path, request, follower.line)
+			if err == nil && follower.final == nil {
+				err = errBroken
+			}
+			if err != nil {
+				return history.Got{Program: id, Sequence: follower.sequence}, err
+			}
+			result.call = *follower.final
+			return gotOf(result.call), nil
+		},
+	})
+	return result, err
+}
+
+// gotOf is a call's answer as the history records it.
+func gotOf(call api.Call) history.Got {
+	got := history.Got{
+		Program: call.Program, Sequence: call.Sequence, Status: call.Status, Output: call.Output, Usage: call.Usage,
+	}
+	if call.Error != nil {
+		got.Code, got.Ran = call.Error.Code, call.Error.Ran
+	}
+	return got
+}
+
+// streamFollower reads the lines of an answer's stream of events.
+type streamFollower struct {
+	firstText func()
+	kind      string
+	sequence  uint64
+	text      []byte
+	final     *api.Call
+}
+
+// textEvent is the data of a "text" event.
+type textEvent struct {
+	Offset int    `json:"offset"`
+	Text   string `json:"text"`
+}
+
+// line takes one line. The error is the refusal that ended the stream, or says
+// that the stream does not fit together.
+func (f *streamFollower) line(line []byte) error {
+	name, value, _ := bytes.Cut(line, []byte(": "))
+	switch string(name) {
+	case "event":
+		f.kind = string(value)
+	case "data":
+		return f.data(value)
+	}
+	return nil
+}
+
+// data takes the data of an event.
+func (f *streamFollower) data(value []byte) error {
+	switch f.kind {
+	case "accepted":
+		var call api.Call
+		if err := json.Unmarshal(value, &call); err != nil {
+			return err
+		}
+		f.sequence = call.Sequence
+	case "text":
+		return f.addText(value)
+	case "restart":
+		f.text = nil
+	case "error":
+		var body errorBody
+		if err := json.Unmarshal(value, &body); err != nil || body.Error == nil {
+			return errBroken
+		}
+		return body.Error
+	case "end":
+		return f.end(value)
+	}
+	return nil
+}
+
+// addText appends the text of an event, which must join what came before.
+func (f *streamFollower) addText(value []byte) error {
+	var event textEvent
+	if err := json.Unmarshal(value, &event); err != nil {
+		return err
+	}
+	if event.Offset != len(f.text) {
+		return fmt.Errorf("text at offset %d after %d bytes: %w", event.Offset, len(f.text), errBroken)
+	}
+	f.text = append(f.text, event.Text...)
+	f.firstText()
+	return nil
+}
+
+// end takes the finished call. The text that was streamed must be its output.
+func (f *streamFollower) end(value []byte) error {
+	var call api.Call
+	if err := json.Unmarshal(value, &call); err != nil {
+		return err
+	}
+	if call.Status == api.StatusSucceeded {
+		if call.Output == "" {
+			call.Output = string(f.text)
+		}
+		if call.Output != string(f.text) {
+			return fmt.Errorf("the streamed text is not the call's output: %w", errBroken)
+		}
+	}
+	f.final = &call
+	return nil
+}
--- /dev/null
+++ b/load/config.go
@@ -0,0 +1,94 @@
+package load
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/history"
+	"birchwood.example/birchwood/workload"
+)
+
+// Config describes one run.
+type Config struct {
+	// Targets are the gateways, "ip:port". Programs are spread over them.
+	Targets    []string
+	Deployment workload.Deployment
+	Programs   int
+	Seed       uint64
+	// Rate is the programs that start in a second. Zero means defaultRate.
+	Rate float64
+	// Speed divides the pauses of people and the waits before they hang up.
+	// Zero means 1.
+	Speed float64
+	// Tokens are the callers' bearer tokens by branch. A program uses the one
+	// of its nearest branch; the empty path stands for every branch.
+	Tokens map[contract.Path]string
+	// Branch and Model replace those of every program, for nodes with other
+	// settings than the deployment's.
+	Branch contract.Path
+	Model  string
+	// CallTimeout bounds how long a call is asked for, retries included.
+	CallTimeout time.Duration
+	// StopAfter is when programs make no further step, counted from the
+	// beginning of the run; they are then read back and ended, and their
+	// latency does not count. Zero means never. It bounds runaway programs.
+	StopAfter time.Duration
+	// Operators are the operators' addresses of nodes, whose control traffic
+	// is read from /metrics before and after the run.
+	Operators []string
+	// AnyAnswer accepts answers that do not carry the stand-ins' hashes.
+	AnyAnswer bool
+	// Recorder gets the history; nil records nothing.
+	Recorder *history.Recorder
+	// Progress is told after each program; nil tells nobody.
+	Progress func(done int)
+}
+
+// The defaults of Config.
+const (
+	defaultRate        = 2.0
+	defaultCallTimeout = 3 * time.Minute
+)
+
+// withDefaults fills the zero fields.
+func (c Config) withDefaults() Config {
+	c.Rate = cmp.Or(c.Rate, defaultRate)
+	c.Speed = cmp.Or(c.Speed, 1)
+	c.CallTimeout = cmp.Or(c.CallTimeout, defaultCallTimeout)
+	return c
+}
+
+// validate reports everything that is wrong.
+func (c Config) validate() error {
+	var findings []error
+	check := func(ok bool, format string, arguments ...any) {
+		if !ok {
+			findings = append(findings, fmt.Errorf(format, arguments...))
+		}
+	}
+	check(len(c.Targets) > 0, "target: want at least one address")
+	for _, address := range append(append([]string{}, c.Targets...), c.Operators...) {
+		_, _, err := net.SplitHostPort(address)
+		check(err == nil, "address %q: want ip:port", address)
+	}
+	check(c.Programs > 0, "programs: want at least 1")
+	check(c.Rate >= 0, "rate: want more than 0")
+	check(c.Speed >= 0, "speed: want more than 0")
+	check(c.CallTimeout >= 0, "call timeout: want more than 0")
+	return errors.Join(findings...)
+}
+
+// token returns the token of the nearest branch that has one.
+func (c *Config) token(branch contract.Path) string {
+	for path := string(branch); ; {
+		if token, found := c.Tokens[contract.Path(path)]; found || path == "" {
+			return token
+		}
+		path = path[:max(0, strings.LastIndexByte(path, '/'))]
+	}
+}
--- /dev/null
+++ b/load/result.go
@@ -0,0 +1,94 @@
+package load
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Latency holds quantiles in milliseconds.
+type Latency struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+}
+
+// Result is what a run measured.
+type Result struct {
+	Deployment string  `json:"deployment"`
+	Seed       uint64  `json:"seed"`
+	Seconds    float64 `json:"seconds"`
+	// Programs counts the programs that ran to their end, sub-agents left out;
+	// Calls the calls that ended.
+	Programs int `json:"programs"`
+	Calls    int `json:"calls"`
+	// ProgramLatency counts from the intended start, less people's pauses.
+	ProgramLatency Latency            `json:"program_latency_ms"`
+	Kinds          map[string]Latency `json:"program_latency_by_kind_ms"`
+	FirstToken     Latency            `json:"first_token_ms"`
+	PromptTokens   int64              `json:"prompt_tokens"`
+	CachedTokens   int64              `json:"cached_tokens"`
+	OutputTokens   int64              `json:"output_tokens"`
+	// RecomputedTokens is wasted cache: prompt tokens that an engine had
+	// computed for the program before and that were computed again.
+	RecomputedTokens int64          `json:"recomputed_tokens"`
+	Statuses         map[string]int `json:"statuses"`
+	// Refusals counts answers with an error, by code; the same call may be
+	// refused several times before it runs.
+	Refusals        map[string]int `json:"refusals"`
+	Unknown         int            `json:"unknown"`
+	LostConnections int            `json:"lost_connections"`
+	HungUp          int            `json:"hung_up"`
+	WrongAnswers    int            `json:"wrong_answers"`
+	Unanswered      int            `json:"unanswered"`
+	Errors          []string       `json:"errors,omitempty"`
+	// ControlBytes is the control traffic of each node with an operator's
+	// address, in bytes a second, sent and received.
+	ControlBytes map[string]float64 `json:"control_bytes_per_s,omitempty"`
+}
+
+// Failed reports whether anything was left unanswered or answered wrongly.
+func (r Result) Failed() bool { return r.Unanswered > 0 || r.WrongAnswers > 0 }
+
+// String gives the result as text.
+func (r Result) String() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%s, seed %d: %d programs and %d calls in %.1f s\n",
+		r.Deployment, r.Seed, r.Programs, r.Calls, r.Seconds)
+	row := func(name string, latency Latency) {
+		fmt.Fprintf(&text, "%-28s %6d %12.1f %12.1f %12.1f\n", name, latency.Count, latency.P50, latency.P95, latency.P99)
+	}
+	fmt.Fprintf(&text, "%-28s %6s %12s %12s %12s\n", "latency in ms", "count", "p50", "p95", "p99")
+	row("program", r.ProgramLatency)
+	for _, kind := range slices.Sorted(maps.Keys(r.Kinds)) {
+		row("  "+kind, r.Kinds[kind])
+	}
+	row("first token", r.FirstToken)
+	fmt.Fprintf(&text, "prompt tokens %d, from cache %d, recomputed although cached before %d; output tokens %d\n",
+		r.PromptTokens, r.CachedTokens, r.RecomputedTokens, r.OutputTokens)
+	fmt.Fprintf(&text, "calls by status: %s\n", counts(r.Statuses))
+	fmt.Fprintf(&text, "refusals by code: %s\n", counts(r.Refusals))
+	fmt.Fprintf(&text, "unknown %d, connections lost %d, callers that hung up %d, wrong answers %d, unanswered %d\n",
+		r.Unknown, r.LostConnections, r.HungUp, r.WrongAnswers, r.Unanswered)
+	for _, node := range slices.Sorted(maps.Keys(r.ControlBytes)) {
+		fmt.Fprintf(&text, "control bytes of %s: %.0f a second\n", node, r.ControlBytes[node])
+	}
+	for _, each := range r.Errors {
+		fmt.Fprintln(&text, each)
+	}
+	return text.String()
+}
+
+// counts writes a map in a fixed order.
+func counts(values map[string]int) string {
+	parts := make([]string, 0, len(values))
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		parts = append(parts, fmt.Sprintf("%s %d", name, values[name]))
+	}
+	if len(parts) == 0 {
+		return "none"
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/load/run.go
@@ -0,0 +1,124 @@
+package load
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/history"
+	"birchwood.example/birchwood/httpclient"
+	"birchwood.example/birchwood/workload"
+)
+
+// runner holds what the agents of one run share.
+type runner struct {
+	config  Config
+	totals  *totals
+	ids     atomic.Uint64
+	mutex   sync.Mutex
+	clients map[clientKey]*httpclient.Client
+	done    int
+}
+
+// clientKey names a client: one for each target and token.
+type clientKey struct {
+	address string
+	token   string
+}
+
+// Run performs the run. The error says that the configuration is wrong or the
+// context ended; what went wrong with calls is in the Result.
+func Run(ctx context.Context, config Config) (Result, error) {
+	if err := config.validate(); err != nil {
+		return Result{}, err
+	}
+	r := &runner{config: config.withDefaults(), totals: newTotals(), clients: map[clientKey]*httpclient.Client{}}
+	defer r.close()
+	r.config.Recorder.Record(history.Event{At: time.Now(), Run: &history.Run{
+		Name: "load " + config.Deployment.Name, Seed: config.Seed,
+	}})
+	before := r.controlBytes()
+	begin := time.Now()
+	r.start(ctx, begin)
+	seconds := time.Since(begin).Seconds()
+	r.config.Recorder.Record(history.Event{At: time.Now(), RunEnded: &history.RunEnded{Settled: ctx.Err() == nil}})
+	result := r.totals.summary()
+	result.Deployment = config.Deployment.Name
+	result.Seed = config.Seed
+	result.Seconds = seconds
+	result.ControlBytes = ratesBetween(before, r.controlBytes(), seconds)
+	return result, ctx.Err()
+}
+
+// start starts each program at its time and waits until all have ended.
+func (r *runner) start(ctx context.Context, begin time.Time) {
+	generator := r.config.Deployment.Generate(workload.Options{
+		Seed: r.config.Seed, ProgramsPerSecond: r.config.Rate,
+	})
+	var group sync.WaitGroup
+	defer group.Wait()
+	for i := range r.config.Programs {
+		program := generator.Next()
+		intended := begin.Add(program.Start)
+		select {
+		case <-time.After(time.Until(intended)):
+		case <-ctx.Done():
+			return
+		}
+		each := &agent{program: program, known: true}
+		if r.config.StopAfter > 0 {
+			each.stopBy = begin.Add(r.config.StopAfter)
+		}
+		group.Go(func() { r.runProgram(ctx, each, intended, i) })
+	}
+}
+
+// runProgram runs one program and measures it.
+func (r *runner) runProgram(ctx context.Context, each *agent, intended time.Time, number int) {
+	each.fork = func() *caller { return r.caller(each.program.Branch, number) }
+	each.caller = each.fork()
+	err := each.run(ctx, "", 0)
+	if err == nil && !each.hungUp && !each.stopped {
+		r.totals.finished(each.program.Kind, time.Since(intended)-each.paused)
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.done++
+	if r.config.Progress != nil {
+		r.config.Progress(r.done)
+	}
+}
+
+// caller returns the caller of a program, which starts at its own target.
+func (r *runner) caller(branch contract.Path, number int) *caller {
+	token := r.config.token(branch)
+	each := &caller{config: &r.config, names: r.config.Targets, totals: r.totals, ids: &r.ids}
+	each.at = number % len(r.config.Targets)
+	for _, address := range r.config.Targets {
+		each.targets = append(each.targets, r.client(address, token))
+	}
+	return each
+}
+
+// client returns the client of a target, which all callers with the token
+// share.
+func (r *runner) client(address, token string) *httpclient.Client {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	key := clientKey{address, token}
+	if r.clients[key] == nil {
+		r.clients[key] = httpclient.New(httpclient.Options{
+			Address: address, Token: token, Timeout: r.config.CallTimeout,
+		})
+	}
+	return r.clients[key]
+}
+
+// close closes the idle connections.
+func (r *runner) close() {
+	for _, client := range r.clients {
+		client.Close()
+	}
+}
--- /dev/null
+++ b/load/totals.go
@@ -0,0 +1,149 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/workload"
+)
+
+// The range and precision of the latency histograms, in microseconds.
+const (
+	lowestMicroseconds  = 1
+	highestMicroseconds = int64(2 * time.Hour / time.Microsecond)
+	significantDigits   = 3
+)
+
+// keptErrors is how many unanswered or wrong answers are described.
+const keptErrors = 20
+
+// totals collects what the agents measure. It is safe for concurrent use.
+type totals struct {
+	mutex     sync.Mutex
+	latencies map[workload.Kind]*hdrhistogram.Histogram
+	all       *hdrhistogram.Histogram
+	first     *hdrhistogram.Histogram
+	result    Result
+}
+
+func newTotals() *totals {
+	return &totals{
+		latencies: map[workload.Kind]*hdrhistogram.Histogram{},
+		all:       newHistogram(),
+		first:     newHistogram(),
+		result:    Result{Refusals: map[string]int{}, Statuses: map[string]int{}, Kinds: map[string]Latency{}},
+	}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestMicroseconds, highestMicroseconds, significantDigits)
+}
+
+func (t *totals) refused(refusal *api.Error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.result.Refusals[string(refusal.Code)]++
+	if refusal.Ran == api.RanOutcomeUnknown {
+		t.result.Unknown++
+	}
+}
+
+func (t *totals) lostConnection(hungUp bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if hungUp {
+		t.result.HungUp++
+		return
+	}
+	t.result.LostConnections++
+}
+
+func (t *totals) ended(call api.Call) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.result.Calls++
+	t.result.Statuses[string(call.Status)]++
+}
+
+func (t *totals) prompt(usage api.Usage, recomputed int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.result.PromptTokens += int64(usage.PromptTokens)
+	t.result.CachedTokens += int64(usage.CachedTokens)
+	t.result.OutputTokens += int64(usage.OutputTokens)
+	t.result.RecomputedTokens += int64(recomputed)
+}
+
+func (t *totals) firstText(_ workload.Kind, after time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	record(t.first, after)
+}
+
+func (t *totals) unanswered(err error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.result.Unanswered++
+	t.keep(err)
+}
+
+func (t *totals) wrong(err error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.result.WrongAnswers++
+	t.keep(err)
+}
+
+// keep describes an error while there is room. The mutex is held.
+func (t *totals) keep(err error) {
+	if len(t.result.Errors) < keptErrors {
+		t.result.Errors = append(t.result.Errors, err.Error())
+	}
+}
+
+// finished counts a program that ran to its end.
+func (t *totals) finished(kind workload.Kind, latency time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.result.Programs++
+	if t.latencies[kind] == nil {
+		t.latencies[kind] = newHistogram()
+	}
+	record(t.latencies[kind], latency)
+	record(t.all, latency)
+}
+
+// record adds a time, cut to the histogram's range.
+func record(histogram *hdrhistogram.Histogram, value time.Duration) {
+	microseconds := min(max(value.Microseconds(), lowestMicroseconds), highestMicroseconds)
+	_ = histogram.RecordValue(microseconds)
+}
+
+// summary returns the result so far.
+func (t *totals) summary() Result {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	result := t.result
+	result.ProgramLatency = latencyOf(t.all)
+	result.FirstToken = latencyOf(t.first)
+	for kind, histogram := range t.latencies {
+		result.Kinds[string(kind)] = latencyOf(histogram)
+	}
+	return result
+}
+
+// latencyOf reads the quantiles of a histogram.
+func latencyOf(histogram *hdrhistogram.Histogram) Latency {
+	milliseconds := func(quantile float64) float64 {
+		return float64(histogram.ValueAtQuantile(quantile)) / 1000
+	}
+	return Latency{
+		Count: histogram.TotalCount(),
+		P50:   milliseconds(50),
+		P95:   milliseconds(95),
+		P99:   milliseconds(99),
+	}
+}
