history: follow a prompt past calls that did not succeed

A program's prompt holds the calls that succeeded; the checker stopped at the first one that did not, and so saw less than it could.

Leave out ended calls without success and go on; call the stand-ins' tools by their names in the workload, and make its test of placements fast.

Ran go test ./history ./workload.

--- a/history/programs.go
+++ b/history/programs.go
@@ -74,21 +74,21 @@
 }
 
 // checkPrompts: an engine's prompt is the inputs and outputs of the program's
-// earlier calls, in order, and the new input. Calls whose texts no caller
-// knows end the comparison.
+// earlier calls that succeeded, in order, and the new input. A call whose end
+// no caller knows ends the comparison.
 func (c *checker) checkPrompts(program *programFacts) {
 	digest := xxhash.New()
 	for _, each := range program.calls {
 		if each.neverRan() {
 			continue
 		}
-		sent, output, ended := each.texts()
+		sent, output, status := each.texts()
 		if sent == nil {
 			return
 		}
-		withInput := digest
-		_, _ = withInput.WriteString(sent.Sent.Input)
-		expected := max(1, withInput.Sum64())
+		before := *digest
+		_, _ = digest.WriteString(sent.Sent.Input)
+		expected := max(1, digest.Sum64())
 		for _, start := range each.started {
 			if start.Started.PromptHash != 0 && start.Started.PromptHash != expected {
 				c.report(InvariantHistory, []*record{start, sent},
@@ -96,10 +96,14 @@
 					start.Started.Backend, each.ref.sequence, program.id)
 			}
 		}
-		if !ended {
+		switch {
+		case status == api.StatusSucceeded:
+			_, _ = digest.WriteString(output)
+		case status.Terminal() && status != "":
+			*digest = before
+		default:
 			return
 		}
-		_, _ = digest.WriteString(output)
 	}
 }
 
@@ -114,19 +118,25 @@
 	return len(c.started) == 0
 }
 
-// texts returns the request that carries the call's input and the output that
-// its callers got. It is ended when some caller got a successful answer.
-func (c *call) texts() (sent *record, output string, ended bool) {
+// texts returns the request that carries the call's input, the output that its
+// callers got, and the terminal status that they were told, if any was.
+func (c *call) texts() (sent *record, output string, status api.CallStatus) {
 	for _, exchange := range c.exchanges {
 		if exchange.sent.Sent.Operation != OperationSubmit || exchange.refused() {
 			continue
 		}
 		sent = exchange.sent
+		if exchange.got == nil {
+			continue
+		}
 		if exchange.succeeded() && exchange.got.Got.Offset == 0 {
-			return sent, exchange.got.Got.Output, true
+			return sent, exchange.got.Got.Output, api.StatusSucceeded
+		}
+		if told := exchange.got.Got.Status; told != "" && told.Terminal() && told != api.StatusSucceeded {
+			status = told
 		}
 	}
-	return sent, "", false
+	return sent, "", status
 }
 
 // checkBudgets: what a program and its sub-agents used at engines is within
--- a/workload/deployments.go
+++ b/workload/deployments.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"birchwood.example/birchwood/contract"
@@ -30,9 +31,7 @@
 		NodesPerZone: 1,
 		Models:       models,
 		Replicas:     replicas(12, zones, models, 1),
-		Tools: tools(3, "depot-events", zones,
-			toolDepotLookup, toolNotifyDispatcher, toolAcknowledgeAlarm,
-			toolSealNotice, toolLoggerStore, toolAuditArchive),
+		Tools:        tools(3, "depot-events", zones, depotTools()...),
 		Branches: []Branch{
 			{Path: "koudeketting/triage", Priority: 9, BudgetTokens: 200_000, MaxTurns: 60},
 			{Path: "koudeketting/alarms", Priority: 8, BudgetTokens: 50_000, MaxTurns: 20},
@@ -63,8 +62,7 @@
 		NodesPerZone: 1,
 		Models:       models,
 		Replicas:     replicas(14, zones, models, 1),
-		Tools: tools(4, "collections", zones,
-			toolAccountLookup, toolPlanReceipt, toolSendMessage, toolBillingExport),
+		Tools:        tools(4, "collections", zones, collectionsTools()...),
 		Branches: []Branch{
 			{Path: "qasr/counters", Priority: 9, BudgetTokens: 100_000, MaxTurns: 40},
 			{Path: "qasr/chats", Priority: 7, BudgetTokens: 1_000_000, MaxTurns: 80},
@@ -116,12 +114,9 @@
 		NodesPerZone: letterNodesPerZone,
 		Models:       models,
 		Replicas:     replicas(letterReplicas, zones, models, 2),
-		Tools: tools(letterToolServices, "tools", zones,
-			toolDepotLookup, toolNotifyDispatcher, toolAcknowledgeAlarm, toolSealNotice,
-			toolLoggerStore, toolAuditArchive, toolAccountLookup, toolPlanReceipt,
-			toolSendMessage, toolBillingExport),
-		Branches: branches,
-		Profiles: letterProfiles(models, branches),
+		Tools:        tools(letterToolServices, "tools", zones, slices.Concat(depotTools(), collectionsTools())...),
+		Branches:     branches,
+		Profiles:     letterProfiles(models, branches),
 	}
 }
 
@@ -192,3 +187,13 @@
 	}
 	return machines
 }
+
+// depotTools are the tools that a depot event service answers.
+func depotTools() []string {
+	return []string{toolRecordSealBreak, toolAcknowledgeAlarm, toolReadLogger}
+}
+
+// collectionsTools are the tools that a collections back end answers.
+func collectionsTools() []string {
+	return []string{toolPlanReceipt, toolSendLetter, toolReadAccount}
+}
--- a/workload/profiles.go
+++ b/workload/profiles.go
@@ -9,16 +9,14 @@
 
 // The tools that programs call.
 const (
-	toolDepotLookup      = "depot-lookup"
-	toolNotifyDispatcher = "notify-dispatcher"
-	toolAcknowledgeAlarm = "acknowledge-alarm"
-	toolSealNotice       = "seal-notice"
-	toolLoggerStore      = "logger-store"
-	toolAuditArchive     = "audit-archive"
-	toolAccountLookup    = "account-lookup"
-	toolPlanReceipt      = "plan-receipt"
-	toolSendMessage      = "send-message"
-	toolBillingExport    = "billing-export"
+	// The tools of the depot event services.
+	toolReadLogger       = "read_logger"
+	toolAcknowledgeAlarm = "acknowledge_alarm"
+	toolRecordSealBreak  = "record_seal_break"
+	// The tools of the collections back ends.
+	toolReadAccount = "read_account"
+	toolPlanReceipt = "issue_plan_receipt"
+	toolSendLetter  = "send_letter"
 )
 
 // The kinds of program.
@@ -67,7 +65,7 @@
 		Context: Lognormal{Median: 1500, Sigma: 0.5, Maximum: 6000},
 		Input:   Lognormal{Median: 250, Sigma: 0.5, Maximum: 1500},
 		Output:  Lognormal{Median: 200, Sigma: 0.5}, OutputCap: 600,
-		Tools: []ToolUse{lookup(toolDepotLookup, 0.6)},
+		Tools: []ToolUse{lookup(toolReadLogger, 0.6)},
 	}
 	return []Profile{
 		{
@@ -77,7 +75,7 @@
 			Context: Lognormal{Median: 1200, Sigma: 0.4, Maximum: 4000},
 			Input:   Lognormal{Median: 150, Sigma: 0.5, Maximum: 800},
 			Output:  Lognormal{Median: 90, Sigma: 0.5}, OutputCap: 256,
-			Tools: []ToolUse{lookup(toolDepotLookup, 0.7), once(toolNotifyDispatcher)},
+			Tools: []ToolUse{lookup(toolReadLogger, 0.7), once(toolAcknowledgeAlarm)},
 		},
 		{
 			Kind: KindAudit, Branches: []contract.Path{"koudeketting/audit"}, Models: large,
@@ -86,7 +84,7 @@
 			Context: Lognormal{Median: 4000, Sigma: 0.5, Maximum: 16000},
 			Input:   Lognormal{Median: 350, Sigma: 0.6, Maximum: 3000},
 			Output:  Lognormal{Median: 280, Sigma: 0.5}, OutputCap: 800,
-			Tools:            []ToolUse{lookup(toolDepotLookup, 0.5), once(toolAuditArchive)},
+			Tools:            []ToolUse{lookup(toolReadLogger, 0.5)},
 			PauseProbability: 0.25, PauseSeconds: Lognormal{Median: 8, Sigma: 0.9, Maximum: 120},
 			SubAgentProbability: 0.06, MaximumSubAgents: 3, SubAgent: &section,
 			RunawayProbability: 0.01,
@@ -107,7 +105,7 @@
 			Context: Lognormal{Median: 700, Sigma: 0.4, Maximum: 2000},
 			Input:   Lognormal{Median: 120, Sigma: 0.4, Maximum: 500},
 			Output:  Lognormal{Median: 70, Sigma: 0.4}, OutputCap: 160,
-			Tools: []ToolUse{lookup(toolDepotLookup, 0.5), once(toolSealNotice)},
+			Tools: []ToolUse{lookup(toolReadLogger, 0.5), once(toolRecordSealBreak)},
 		},
 		{
 			Kind:     KindLogger,
@@ -118,7 +116,7 @@
 			Input:   Lognormal{Median: 40, Sigma: 0.3, Maximum: 120},
 			Output:  Lognormal{Median: 12, Sigma: 0.3}, OutputCap: 32,
 			Tools: []ToolUse{{
-				Tool: toolLoggerStore, Repeatable: true, Probability: 0.5,
+				Tool: toolReadLogger, Repeatable: true, Probability: 0.5,
 				Seconds: Lognormal{Median: 0.05, Sigma: 0.5, Maximum: 2},
 				Tokens:  Lognormal{Median: 8, Sigma: 0.2, Maximum: 20},
 			}},
@@ -138,7 +136,7 @@
 			Context: Lognormal{Median: 1800, Sigma: 0.4, Maximum: 5000},
 			Input:   Lognormal{Median: 200, Sigma: 0.5, Maximum: 1000},
 			Output:  Lognormal{Median: 320, Sigma: 0.4}, OutputCap: 700,
-			Tools: []ToolUse{lookup(toolAccountLookup, 0.6), once(toolPlanReceipt)},
+			Tools: []ToolUse{lookup(toolReadAccount, 0.6), once(toolPlanReceipt), once(toolSendLetter)},
 		},
 		{
 			Kind: KindChat, Branches: []contract.Path{"qasr/chats", "qasr/chats/water-authority"}, Models: small,
@@ -147,7 +145,7 @@
 			Context: Lognormal{Median: 900, Sigma: 0.4, Maximum: 3000},
 			Input:   Lognormal{Median: 45, Sigma: 0.6, Maximum: 300},
 			Output:  Lognormal{Median: 70, Sigma: 0.5}, OutputCap: 200,
-			Tools:            []ToolUse{lookup(toolAccountLookup, 0.25), once(toolSendMessage)},
+			Tools:            []ToolUse{lookup(toolReadAccount, 0.25), once(toolPlanReceipt)},
 			PauseProbability: 0.9, PauseSeconds: Lognormal{Median: 9, Sigma: 0.9, Maximum: 120},
 			HangUpProbability: 0.01, HangUpSeconds: Lognormal{Median: 1.5, Sigma: 0.6, Maximum: 20},
 			RunawayProbability: 0.003,
@@ -159,7 +157,7 @@
 			Context: Lognormal{Median: 800, Sigma: 0.4, Maximum: 2500},
 			Input:   Lognormal{Median: 90, Sigma: 0.5, Maximum: 400},
 			Output:  Lognormal{Median: 60, Sigma: 0.4}, OutputCap: 160,
-			Tools:            []ToolUse{lookup(toolAccountLookup, 0.8), once(toolPlanReceipt)},
+			Tools:            []ToolUse{lookup(toolReadAccount, 0.8), once(toolPlanReceipt)},
 			PauseProbability: 0.3, PauseSeconds: Lognormal{Median: 4, Sigma: 0.6, Maximum: 30},
 			HangUpProbability: 0.005, HangUpSeconds: Lognormal{Median: 3, Sigma: 0.5, Maximum: 20},
 		},
@@ -170,7 +168,7 @@
 			Context: Lognormal{Median: 3000, Sigma: 0.5, Maximum: 12000},
 			Input:   Lognormal{Median: 300, Sigma: 0.6, Maximum: 2000},
 			Output:  Lognormal{Median: 180, Sigma: 0.5}, OutputCap: 500,
-			Tools: []ToolUse{lookup(toolAccountLookup, 0.5), once(toolBillingExport)},
+			Tools: []ToolUse{lookup(toolReadAccount, 0.5), once(toolSendLetter)},
 		},
 	}
 }
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -2,14 +2,15 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"birchwood.example/birchwood/api"
-	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/workload"
+	"birchwood.example/birchwood/zone"
 )
 
 // run plays the programs in turn, one step of each at a time when interleaved,
@@ -101,13 +102,21 @@
 			Expect(deployment.Replicas).To(HaveLen(replicas))
 			Expect(deployment.Tools).To(HaveLen(tools))
 			Expect(deployment.Zones).To(HaveLen(zones))
+			served := map[zone.Name]map[string]bool{}
+			for _, each := range deployment.Replicas {
+				for _, model := range each.Models {
+					if served[each.Zone] == nil {
+						served[each.Zone] = map[string]bool{}
+					}
+					served[each.Zone][model] = true
+				}
+			}
 			for _, profile := range deployment.Profiles {
 				for _, path := range profile.Branches {
-					placement := deployment.Placement(path)
+					zones := deployment.Placement(path).Zones()
 					for _, model := range profile.Models {
-						Expect(deployment.Replicas).To(ContainElement(Satisfy(func(each machine.Machine) bool {
-							return placement.Contains(each.Zone) && has(each.Models, model)
-						})), "%s on %s", model, path)
+						anywhere := slices.ContainsFunc(zones, func(name zone.Name) bool { return served[name][model] })
+						Expect(anywhere).To(BeTrue(), "%s on %s", model, path)
 					}
 				}
 			}
@@ -116,12 +125,3 @@
 		Entry("qasr", "qasr", 14, 4, 4),
 		Entry("letter", "letter", 600, 30, 10))
 })
-
-func has(names []string, wanted string) bool {
-	for _, name := range names {
-		if name == wanted {
-			return true
-		}
-	}
-	return false
-}
