--- a/emulator/standin/enginehttp.go
+++ b/emulator/standin/enginehttp.go
@@ -237,7 +237,7 @@
 	if !decode(ctx, &body) {
 		return
 	}
-	order := enginemodel.Order{Fence: body.Fence, Load: body.Load, Unload: body.Unload}
+	order := enginemodel.Order{Fence: body.Fence, Load: body.Load, Unload: body.Unload, Role: enginemodel.Role(body.Role)}
 	if body.Load != "" {
 		order.WeightsIn = s.set.platform.reserveWeights(body.Load)
 	}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -59,13 +59,16 @@
 	Evicted  bool          `json:"evicted"`
 }
 
-// Order tells an engine to load or unload a model. Fence grows with each
+// Order tells an engine to load or unload a model ("name", "name@version" or
+// "name@version+adapter"), or to change its role. Fence grows with each
 // order's issuer; an engine refuses an order whose fence is lower than the
 // highest it has seen.
 type Order struct {
 	Fence  uint64 `json:"fence"`
 	Load   string `json:"load,omitempty"`
 	Unload string `json:"unload,omitempty"`
+	// Role changes the engine's role: "balanced", "prefill" or "decode".
+	Role string `json:"role,omitempty"`
 }
 
 // Client talks to one engine.
