operator: serve settings, machines, programs and refusals

Operators need to change and explain settings, to see and drain machines, and to reach programs and refusals on whichever node they are.

The operators' server authenticates tokens of the settings tree, or the bootstrap token, and keeps each operator on its branch. Programs are reached through the gateway, which now also lists programs and finds refusals across nodes. Shutdown takes new connections for a bounded grace, then waits for what is in flight. Long text is cut into events, so that a slow caller that reads is not cut off.

--- a/gateway/authenticate.go
+++ b/gateway/authenticate.go
@@ -32,6 +32,11 @@
 
 // authenticate fills in who sent the request and how long it may take.
 func (g *Gateway) authenticate(ctx *fasthttp.RequestCtx, request *exchange) *api.Error {
+	if scope, is := ctx.UserValue(operatorScope{}).(contract.Path); is {
+		request.scope = scope
+		request.operator = true
+		return g.readDeadline(ctx, request)
+	}
 	token, found := bytes.CutPrefix(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization), bearerPrefix)
 	if !found || len(token) == 0 {
 		return api.Refuse(api.CodeUnauthorized, "a bearer token is required").At("header Authorization")
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -30,6 +30,8 @@
 	// before it answers with the call's state; the relay then asks again. It
 	// bounds how long a silent death of the owner goes unnoticed.
 	WaitSlice time.Duration
+	// DrainGrace bounds how long Shutdown still takes new connections.
+	DrainGrace time.Duration
 	// KeepAlive is the time between two comments on an idle stream. It bounds
 	// how long a caller that hung up goes unnoticed.
 	KeepAlive time.Duration
@@ -67,6 +69,9 @@
 	Random *rand.Rand
 	// Observer gets measurements. It may be nil.
 	Observer Observer
+	// FindRefusal returns a refusal that the Observer got, for callers that
+	// ask why. It may be nil: this node then keeps none.
+	FindRefusal func(id string) (Refusal, bool)
 }
 
 // DefaultConfig returns the limits that suit a small machine.
@@ -80,6 +85,7 @@
 		IdleTimeout:        2 * time.Minute,
 		MaximumWait:        15 * time.Minute,
 		WaitSlice:          5 * time.Second,
+		DrainGrace:         3 * time.Second,
 		KeepAlive:          2 * time.Second,
 		DialTimeout:        time.Second,
 		PeerSilence:        8 * time.Second,
@@ -143,6 +149,7 @@
 		{"idle_timeout", int64(c.IdleTimeout)},
 		{"maximum_wait", int64(c.MaximumWait)},
 		{"wait_slice", int64(c.WaitSlice)},
+		{"drain_grace", int64(c.DrainGrace)},
 		{"keep_alive", int64(c.KeepAlive)},
 		{"dial_timeout", int64(c.DialTimeout)},
 		{"connections_per_peer", int64(c.ConnectionsPerPeer)},
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -41,9 +41,17 @@
 	Attempt int `json:"attempt"`
 }
 
-// textEvent carries text that begins at the position. JSON cannot hold a part
-// of a character: the text must not end inside one.
+// maximumEventText bounds the text of one event, in bytes, so that the write
+// time-out bounds the pace of a slow caller and not the size of its answer.
+const maximumEventText = 64 << 10
+
+// textEvent carries text that begins at the position, or the first part of it.
+// JSON cannot hold a part of a character: the text must not end inside one.
 func textEvent(at position, text string) (event, bool) {
+	if len(text) > maximumEventText {
+		text = text[:maximumEventText]
+		text = text[:wholeCharacters(text)]
+	}
 	if text == "" {
 		return event{}, false
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -18,6 +18,8 @@
 	// peer is set when another node's gateway passed the request on.
 	peer bool
 	hops int
+	// operator is set when this process's operators' server asks.
+	operator bool
 	// received and deadline bound the whole exchange.
 	received time.Time
 	deadline time.Time
@@ -55,23 +57,8 @@
 	return e.request.Wait && !e.stream
 }
 
-// within reports whether the branch is the scope or below it.
-func within(scope, branch contract.Path) bool {
-	if scope == "" || scope == branch {
-		return true
-	}
-	return len(branch) > len(scope) && branch[:len(scope)] == scope && branch[len(scope)] == '/'
-}
-
 // trace is the answer to a request for a program's trace.
 type trace struct {
 	Program  api.ProgramID       `json:"program"`
 	Attempts []control.CallTrace `json:"attempts"`
 }
-
-// list is the answer to a request for programs.
-type list struct {
-	Programs []api.Program `json:"programs"`
-	// Incomplete names the nodes that did not answer.
-	Incomplete []string `json:"incomplete,omitempty"`
-}
--- /dev/null
+++ b/gateway/fleet.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+
+	"golang.org/x/sync/errgroup"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/control"
+)
+
+// Directory is implemented by a Service that knows the other nodes. Without
+// it, lists cover this node alone.
+type Directory interface {
+	// Peers returns the other nodes that are believed live.
+	Peers() []Route
+}
+
+const (
+	// operationWhy asks why a request was refused.
+	operationWhy control.Operation = "why"
+	// peersAtOnce bounds the peers that one request asks at the same time.
+	peersAtOnce = 16
+	// maximumPrograms bounds the programs in one list.
+	maximumPrograms = 1000
+)
+
+// peerAnswer is what one node answered.
+type peerAnswer struct {
+	node   Route
+	status int
+	body   []byte
+}
+
+// askPeers passes the request on to every other node at once.
+func (g *Gateway) askPeers(request *exchange) []peerAnswer {
+	directory, knows := g.service.(Directory)
+	if !knows || request.peer {
+		return nil
+	}
+	peers := directory.Peers()
+	answers := make([]peerAnswer, len(peers))
+	var group errgroup.Group
+	group.SetLimit(peersAtOnce)
+	for i, peer := range peers {
+		group.Go(func() error {
+			result := g.relay(request, peer.Address)
+			answers[i] = peerAnswer{node: peer, status: result.status, body: result.body}
+			return nil
+		})
+	}
+	_ = group.Wait() // The functions report in answers, and return no error.
+	return answers
+}
+
+// list answers with the programs of the caller's branch on every node.
+func (g *Gateway) list(ctx context.Context, request *exchange) outcome {
+	reply := g.service.Do(ctx, request.request)
+	if reply.Error != nil {
+		return refusedLocally(reply.Error)
+	}
+	all := programList{Programs: append([]api.Program{}, reply.Programs...)}
+	for _, answered := range g.askPeers(request) {
+		var part programList
+		if answered.status != statusOK || json.Unmarshal(answered.body, &part) != nil {
+			all.Incomplete = append(all.Incomplete, string(answered.node.Owner))
+			continue
+		}
+		all.Programs = append(all.Programs, part.Programs...)
+	}
+	slices.SortFunc(all.Programs, func(a, b api.Program) int { return cmp.Compare(a.ID, b.ID) })
+	// A program that moves between two answers stands in both.
+	all.Programs = slices.CompactFunc(all.Programs, func(a, b api.Program) bool { return a.ID == b.ID })
+	if len(all.Programs) > maximumPrograms {
+		all.Programs = all.Programs[:maximumPrograms]
+		all.Truncated = true
+	}
+	return outcome{answer: answer{status: statusOK, body: marshal(all)}}
+}
+
+// programList is the answer to a request for programs.
+type programList struct {
+	Programs []api.Program `json:"programs"`
+	// Incomplete names the nodes that did not answer.
+	Incomplete []string `json:"incomplete,omitempty"`
+	// Truncated says that there are more programs than fit.
+	Truncated bool `json:"truncated,omitempty"`
+}
+
+// why answers with a refusal of this node or of another one.
+func (g *Gateway) why(request *exchange) outcome {
+	if found, known := g.findRefusal(request.scope, request.request.Key); known {
+		return outcome{answer: answer{status: statusOK, body: marshal(found)}}
+	}
+	for _, answered := range g.askPeers(request) {
+		if answered.status == statusOK {
+			return outcome{answer: answer{status: statusOK, body: answered.body}}
+		}
+	}
+	return refused(api.Refuse(api.CodeNotFound, "no node keeps refusal %q any more", request.request.Key).At("path id"))
+}
+
+// findRefusal looks for a refusal on the branch or below it.
+func (g *Gateway) findRefusal(scope contract.Path, id string) (Refusal, bool) {
+	if g.config.FindRefusal == nil {
+		return Refusal{}, false
+	}
+	found, known := g.config.FindRefusal(id)
+	return found, known && found.Branch.Within(scope)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -87,22 +88,32 @@
 	g.draining.Store(true)
 }
 
-// Shutdown waits until no request is in flight, then closes the server. It
-// returns the context's error when that takes too long.
+// Shutdown ends the server without cutting a request. For DrainGrace, or until
+// nothing is in flight, it still takes new connections, so that callers learn
+// from "Connection: close" to go elsewhere. Then it closes the listeners and
+// waits for what is in flight. It returns the context's error when that takes
+// too long.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	g.Drain()
+	grace, cancel := context.WithTimeout(ctx, g.config.DrainGrace)
+	g.awaitIdle(grace)
+	cancel()
+	err := g.server.ShutdownWithContext(ctx)
+	g.awaitIdle(ctx)
+	g.client.CloseIdleConnections()
+	return errors.Join(err, ctx.Err())
+}
+
+// awaitIdle waits until nothing is in flight or the context ends.
+func (g *Gateway) awaitIdle(ctx context.Context) {
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	for g.inFlight.Load() > 0 {
+	for g.inFlight.Load() > 0 && ctx.Err() == nil {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return ctx.Err()
 		}
 	}
-	err := g.server.ShutdownWithContext(ctx)
-	g.client.CloseIdleConnections()
-	return err
 }
 
 // drainPoll is how often Shutdown looks at the requests in flight.
@@ -130,6 +141,7 @@
 	routes.GET("/v1/programs/{id}/calls/{call}", g.serve(g.parseCall))
 	routes.GET("/v1/programs/{id}/calls/{call}/stream", g.serve(g.parseStream))
 	routes.POST("/v1/programs/{id}/calls/{call}/cancel", g.serve(g.parseCancel))
+	routes.GET("/v1/refusals/{id}", g.serve(g.parseWhy))
 	return routes
 }
 
@@ -168,7 +180,7 @@
 	if refusal := g.authenticate(ctx, request); refusal != nil {
 		return done, refusal
 	}
-	if request.peer {
+	if request.peer || request.operator {
 		return done, nil
 	}
 	if g.inFlight.Load() > int64(g.config.InFlight) {
--- a/gateway/input_test.go
+++ b/gateway/input_test.go
@@ -111,6 +111,12 @@
 		Expect(got.error().Retry).To(BeTrue())
 	})
 
+	It("that is larger than every buffer on the way is still answered", func() {
+		const size = 7 << 20
+		got := raw(owner.address, head(callsPath, size)+strings.Repeat("x", size), false)
+		Expect(got.error().Code).To(Equal(api.CodeBodyTooLarge))
+	})
+
 	It("that comes too slowly is cut off with an answer", func() {
 		got := raw(owner.address, head(callsPath, 100)+`{"key":`, false)
 		Expect(got.error().Code).To(Equal(api.CodeTimeout))
--- a/gateway/observer_test.go
+++ b/gateway/observer_test.go
@@ -25,3 +25,14 @@
 	defer c.mutex.Unlock()
 	c.refusals = append(c.refusals, refusal)
 }
+
+func (c *relayCounter) find(id string) (gateway.Refusal, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, refusal := range c.refusals {
+		if refusal.Error.ID == id {
+			return refusal, true
+		}
+	}
+	return gateway.Refusal{}, false
+}
--- a/gateway/parse.go
+++ b/gateway/parse.go
@@ -36,7 +36,7 @@
 		return nil
 	}
 	unknown := api.Refuse(api.CodeUnknownBranch, "no branch %q on the caller's branch", create.Branch).At("$.branch")
-	if !within(request.scope, contract.Path(create.Branch)) {
+	if !contract.Path(create.Branch).Within(request.scope) {
 		return unknown
 	}
 	program, refusal := g.service.NewProgram(contract.Path(create.Branch), create.Key)
@@ -60,7 +60,7 @@
 	if len(*findings) > 0 {
 		return nil
 	}
-	if create.Branch != "" && !within(request.scope, contract.Path(create.Branch)) {
+	if create.Branch != "" && !contract.Path(create.Branch).Within(request.scope) {
 		return api.Refuse(api.CodeUnknownBranch, "no branch %q on the caller's branch", create.Branch).At("$.branch")
 	}
 	request.request.Operation = control.OperationCreate
@@ -180,6 +180,15 @@
 	return nil
 }
 
+// parseWhy reads GET /v1/refusals/{id}.
+func (g *Gateway) parseWhy(ctx *fasthttp.RequestCtx, request *exchange, findings *api.Findings) *api.Error {
+	text, _ := ctx.UserValue("id").(string)
+	api.CheckKey(text, "path id", findings)
+	request.request.Operation = operationWhy
+	request.request.Key = strings.Clone(text)
+	return nil
+}
+
 // pathProgram reads the {id} of the path: placement, index and 16 digits.
 func pathProgram(ctx *fasthttp.RequestCtx, findings *api.Findings) api.ProgramID {
 	text, _ := ctx.UserValue("id").(string)
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -92,8 +92,11 @@
 
 // attempt performs the request once, here or at the owner.
 func (g *Gateway) attempt(ctx context.Context, request *exchange, hint string) outcome {
-	if request.request.Operation == control.OperationList {
-		return g.local(ctx, request)
+	switch request.request.Operation {
+	case control.OperationList:
+		return g.list(ctx, request)
+	case operationWhy:
+		return g.why(request)
 	}
 	if hint != "" {
 		return g.relay(request, hint)
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -55,8 +55,6 @@
 		return marshal(reply.Call)
 	case reply.History != nil:
 		return marshal(reply.History)
-	case request.Operation == control.OperationList:
-		return marshal(list{Programs: append([]api.Program{}, reply.Programs...)})
 	case request.Operation == control.OperationTrace:
 		attempts := append([]control.CallTrace{}, reply.Trace...)
 		return marshal(trace{Program: request.Program, Attempts: attempts})
--- /dev/null
+++ b/operator/authenticate.go
@@ -0,0 +1,73 @@
+package operator
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"crypto/subtle"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/contract"
+)
+
+var bearerPrefix = []byte("Bearer ")
+
+// actor is the operator who sent a request.
+type actor struct {
+	// scope is the branch on which, and below which, the operator acts.
+	scope contract.Path
+	// name tells operators apart in the history of the settings.
+	name string
+}
+
+// tokenDigits is how much of a token's hash names its holder.
+const tokenDigits = 8
+
+// authenticate finds the branch that the request's bearer token acts on.
+func (s *Server) authenticate(ctx *fasthttp.RequestCtx) (actor, *api.Error) {
+	token, found := bytes.CutPrefix(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization), bearerPrefix)
+	if !found || len(token) == 0 {
+		return actor{}, api.Refuse(api.CodeUnauthorized, "an operator's bearer token is required").At("header Authorization")
+	}
+	hash := sha256.Sum256(token)
+	if s.config.BootstrapToken != "" && subtle.ConstantTimeCompare(hash[:], s.bootstrap[:]) == 1 {
+		return actor{scope: contract.Root, name: "bootstrap"}, nil
+	}
+	hashed := contract.HashToken(string(token))
+	scope, known := s.service.Settings().Operator(hashed)
+	if !known {
+		return actor{}, api.Refuse(api.CodeUnauthorized, "no operator has this token").At("header Authorization")
+	}
+	return actor{scope: scope, name: "operator " + hashed[:tokenDigits]}, nil
+}
+
+// onWholeTree refuses operators of a branch what concerns every branch.
+func (a actor) onWholeTree() *api.Error {
+	if a.scope == contract.Root {
+		return nil
+	}
+	return api.Refuse(api.CodeForbidden, "only operators of the whole tree may do this; this token acts on %s", a.scope)
+}
+
+// branch reads the branch of the query, which must be the operator's or
+// below it. Absent, it is the operator's.
+func (a actor) branch(ctx *fasthttp.RequestCtx, name string) (contract.Path, *api.Error) {
+	if !ctx.QueryArgs().Has(name) {
+		return a.scope, nil
+	}
+	path := contract.Path(strings.Trim(string(ctx.QueryArgs().Peek(name)), "/"))
+	if err := path.Validate(); err != nil {
+		return "", api.Refuse(api.CodeBadRequest, "%v", err).At("query " + name)
+	}
+	if !path.Within(a.scope) {
+		return "", a.outside(path).At("query " + name)
+	}
+	return path, nil
+}
+
+// outside refuses a branch that is not the operator's.
+func (a actor) outside(path contract.Path) *api.Error {
+	return api.Refuse(api.CodeForbidden, "branch %s is outside of %s, which this token acts on", path, a.scope)
+}
--- /dev/null
+++ b/operator/machines.go
@@ -0,0 +1,87 @@
+package operator
+
+import (
+	"context"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/machine"
+)
+
+// draining is the answer to a request to drain a machine.
+type draining struct {
+	Draining machine.ID `json:"draining"`
+}
+
+// listNodes answers with the nodes that this node knows.
+func (s *Server) listNodes(ctx context.Context, _ *fasthttp.RequestCtx, _ actor) (any, *api.Error) {
+	nodes, err := s.service.Nodes(ctx)
+	if err != nil {
+		return nil, failed(err)
+	}
+	return nodes, nil
+}
+
+// listBackends answers with the back ends that this node knows.
+func (s *Server) listBackends(ctx context.Context, _ *fasthttp.RequestCtx, _ actor) (any, *api.Error) {
+	backends, err := s.service.Backends(ctx)
+	if err != nil {
+		return nil, failed(err)
+	}
+	return backends, nil
+}
+
+// drainNode begins the planned stop of a node.
+func (s *Server) drainNode(ctx context.Context, request *fasthttp.RequestCtx, who actor) (any, *api.Error) {
+	if refusal := who.onWholeTree(); refusal != nil {
+		return nil, refusal
+	}
+	nodes, err := s.service.Nodes(ctx)
+	if err != nil {
+		return nil, failed(err)
+	}
+	id := pathMachine(request)
+	for _, node := range nodes {
+		if node.ID == id {
+			return drained(id, s.service.DrainNode(ctx, id))
+		}
+	}
+	return nil, noMachine(id)
+}
+
+// drainBackend takes a back end out of use.
+func (s *Server) drainBackend(ctx context.Context, request *fasthttp.RequestCtx, who actor) (any, *api.Error) {
+	if refusal := who.onWholeTree(); refusal != nil {
+		return nil, refusal
+	}
+	backends, err := s.service.Backends(ctx)
+	if err != nil {
+		return nil, failed(err)
+	}
+	id := pathMachine(request)
+	for _, backend := range backends {
+		if backend.ID == id {
+			return drained(id, s.service.DrainBackend(ctx, id))
+		}
+	}
+	return nil, noMachine(id)
+}
+
+// drained answers with what became of the request to drain a machine.
+func drained(id machine.ID, err error) (any, *api.Error) {
+	if err != nil {
+		return nil, failed(err)
+	}
+	return draining{Draining: id}, nil
+}
+
+func noMachine(id machine.ID) *api.Error {
+	return api.Refuse(api.CodeNotFound, "no machine %q is known here", id).At("path id")
+}
+
+// pathMachine reads the {id} of the path.
+func pathMachine(request *fasthttp.RequestCtx) machine.ID {
+	text, _ := request.UserValue("id").(string)
+	return machine.ID(append([]byte(nil), text...))
+}
--- a/operator/respond.go
+++ b/operator/respond.go
@@ -8,6 +8,26 @@
 	"birchwood.example/birchwood/api"
 )
 
+const contentTypeJSON = "application/json"
+
+// httpAnswer is an answer with a status of its own; body is set when it is
+// JSON already.
+type httpAnswer struct {
+	status int
+	value  any
+	body   []byte
+}
+
+func (a httpAnswer) write(ctx *fasthttp.RequestCtx) {
+	if a.body == nil {
+		writeJSON(ctx, a.status, a.value)
+		return
+	}
+	ctx.SetStatusCode(a.status)
+	ctx.SetContentType(contentTypeJSON)
+	ctx.Response.SetBodyRaw(a.body)
+}
+
 // writeJSON answers with a value whose type can always be encoded.
 func writeJSON(ctx *fasthttp.RequestCtx, status int, value any) {
 	body, err := json.Marshal(value)
@@ -15,7 +35,7 @@
 		panic(err)
 	}
 	ctx.SetStatusCode(status)
-	ctx.SetContentType("application/json")
+	ctx.SetContentType(contentTypeJSON)
 	ctx.Response.SetBodyRaw(body)
 }
 
--- a/operator/server.go
+++ b/operator/server.go
@@ -7,9 +7,7 @@
 
 	"github.com/fasthttp/router"
 	"github.com/phuslu/log"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/valyala/fasthttp"
-	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"birchwood.example/birchwood/api"
 )
@@ -125,21 +123,6 @@
 // Shutdown ends the server once its requests are answered.
 func (s *Server) Shutdown(ctx context.Context) error { return s.server.ShutdownWithContext(ctx) }
 
-func (s *Server) routes() *router.Router {
-	routes := router.New()
-	routes.RedirectTrailingSlash = false
-	routes.RedirectFixedPath = false
-	routes.HandleOPTIONS = false
-	routes.NotFound = func(ctx *fasthttp.RequestCtx) {
-		writeError(ctx, api.Refuse(api.CodeNotFound, "no such route").At("path"))
-	}
-	metrics := promhttp.HandlerFor(s.metrics.registry, promhttp.HandlerOpts{MaxRequestsInFlight: 4})
-	routes.GET("/metrics", fasthttpadaptor.NewFastHTTPHandler(metrics))
-	routes.GET("/healthz", s.healthz)
-	routes.GET("/readyz", s.readyz)
-	return routes
-}
-
 // healthz answers whether the process works: its control goroutine answers.
 func (s *Server) healthz(ctx *fasthttp.RequestCtx) {
 	bounded, cancel := context.WithTimeout(context.Background(), s.config.HealthTimeout)
--- a/operator/service.go
+++ b/operator/service.go
@@ -25,9 +25,6 @@
 	// leaves open whether the change counts: the same change, with the same
 	// id, may be sent again.
 	ChangeSettings(ctx context.Context, change contract.Change) (contract.Verdict, error)
-	// SettingsHistory returns the changes at the offsets from on, at most
-	// limit of them, and the offset after the last record that exists.
-	SettingsHistory(ctx context.Context, from uint64, limit int) ([]contract.Change, uint64, error)
 	// SettingsStatus tells which revision each node holds, as far as it is
 	// known here.
 	SettingsStatus(ctx context.Context) ([]NodeSettings, error)
--- /dev/null
+++ b/operator/settings.go
@@ -0,0 +1,238 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/contract"
+)
+
+// Limits of what one answer lists.
+const (
+	defaultHistory   = 20
+	maximumHistory   = 1000
+	maximumEffects   = 200
+	maximumNameBytes = 64
+)
+
+// Settings is a branch's settings: the effective values with their origin.
+type Settings struct {
+	Path     contract.Path          `json:"path"`
+	Revision contract.Revision      `json:"revision"`
+	Values   []contract.Explanation `json:"values"`
+	Branches []contract.Path        `json:"branches"`
+}
+
+// Preview is what a change would do.
+type Preview struct {
+	Effects []contract.Effect `json:"effects"`
+	// Total counts the branches that it would change; Effects lists the first
+	// of them.
+	Total    int                `json:"total"`
+	Findings []contract.Finding `json:"findings,omitempty"`
+	// Revision is the one that the preview was made on.
+	Revision contract.Revision `json:"revision"`
+}
+
+// SettingsStatus tells which nodes hold which settings.
+type SettingsStatus struct {
+	Freshness contract.Freshness `json:"freshness"`
+	Nodes     []NodeSettings     `json:"nodes"`
+}
+
+// getSettings answers with a branch's settings.
+func (s *Server) getSettings(_ context.Context, request *fasthttp.RequestCtx, who actor) (any, *api.Error) {
+	path, refusal := who.branch(request, "path")
+	if refusal != nil {
+		return nil, refusal
+	}
+	tree := s.service.Settings()
+	values, err := tree.Explain(path)
+	if err != nil {
+		return nil, unknownBranch(err)
+	}
+	return Settings{Path: path, Revision: tree.Revision(), Values: values, Branches: tree.Branches(path)}, nil
+}
+
+// explainSettings answers with each value and the branch that it comes from.
+func (s *Server) explainSettings(_ context.Context, request *fasthttp.RequestCtx, who actor) (any, *api.Error) {
+	path, refusal := who.branch(request, "path")
+	if refusal != nil {
+		return nil, refusal
+	}
+	values, err := s.service.Settings().Explain(path)
+	if err != nil {
+		return nil, unknownBranch(err)
+	}
+	return values, nil
+}
+
+// settingsHistory answers with the accepted changes that concern a branch.
+// Only the edits on the operator's own branch are shown.
+func (s *Server) settingsHistory(_ context.Context, request *fasthttp.RequestCtx, who actor) (any, *api.Error) {
+	path, refusal := who.branch(request, "path")
+	if refusal != nil {
+		return nil, refusal
+	}
+	limit, refusal := queryNumber(request, "limit", defaultHistory)
+	if refusal != nil {
+		return nil, refusal
+	}
+	entries := s.service.Settings().History(path, int(min(max(limit, 1), maximumHistory)))
+	shown := make([]contract.HistoryEntry, 0, len(entries))
+	for _, entry := range entries {
+		entry.Edits = editsWithin(who.scope, entry.Edits)
+		shown = append(shown, entry)
+	}
+	return shown, nil
+}
+
+// editsWithin leaves out the edits of other branches, whose tokens and limits
+// are not the operator's to see.
+func editsWithin(scope contract.Path, edits []contract.Edit) []contract.Edit {
+	var within []contract.Edit
+	for _, edit := range edits {
+		if edit.Path.Within(scope) {
+			within = append(within, edit)
+		}
+	}
+	return within
+}
+
+// diffSettings answers with the values of a branch that differ between two
+// revisions.
+func (s *Server) diffSettings(_ context.Context, request *fasthttp.RequestCtx, who actor) (any, *api.Error) {
+	path, refusal := who.branch(request, "path")
+	if refusal != nil {
+		return nil, refusal
+	}
+	tree := s.service.Settings()
+	newest := uint64(tree.Revision())
+	to, refusal := queryNumber(request, "to", newest)
+	if refusal != nil {
+		return nil, refusal
+	}
+	from, refusal := queryNumber(request, "from", max(to, 1)-1)
+	if refusal != nil {
+		return nil, refusal
+	}
+	differences, err := tree.Diff(path, contract.Revision(from), contract.Revision(to))
+	var unknown *contract.UnknownBranchError
+	switch {
+	case errors.As(err, &unknown):
+		return nil, unknownBranch(err)
+	case err != nil:
+		return nil, api.Refuse(api.CodeBadRequest, "%v", err).At("query from, to")
+	case differences == nil:
+		differences = []contract.Difference{}
+	}
+	return differences, nil
+}
+
+// settingsStatus answers with the nodes and the revisions that they hold.
+func (s *Server) settingsStatus(ctx context.Context, _ *fasthttp.RequestCtx, _ actor) (any, *api.Error) {
+	freshness, err := s.service.Freshness(ctx)
+	if err != nil {
+		return nil, failed(err)
+	}
+	nodes, err := s.service.SettingsStatus(ctx)
+	if err != nil {
+		return nil, failed(err)
+	}
+	return SettingsStatus{Freshness: freshness, Nodes: nodes}, nil
+}
+
+// previewSettings answers with what a change would do, without sending it.
+func (s *Server) previewSettings(_ context.Context, request *fasthttp.RequestCtx, who actor) (any, *api.Error) {
+	change, refusal := readChange(request, who)
+	if refusal != nil {
+		return nil, refusal
+	}
+	tree := s.service.Settings()
+	effects, total, findings := tree.Preview(change, maximumEffects)
+	return Preview{Effects: effects, Total: total, Findings: findings, Revision: tree.Revision()}, nil
+}
+
+// changeSettings sends a change and answers with its verdict: 200 when it was
+// accepted, and 409 when it lost to another one or is wrong.
+func (s *Server) changeSettings(ctx context.Context, request *fasthttp.RequestCtx, who actor) (any, *api.Error) {
+	change, refusal := readChange(request, who)
+	if refusal != nil {
+		return nil, refusal
+	}
+	verdict, err := s.service.ChangeSettings(ctx, change)
+	if err != nil {
+		return nil, &api.Error{
+			Code:    api.CodeOutcomeUnknown,
+			Message: fmt.Sprintf("the verdict on change %q is not known: send the same change with the same id again (%v)", change.ID, err),
+			Ran:     api.RanOutcomeUnknown,
+			Retry:   true,
+		}
+	}
+	s.logger.Info().Str("change", change.ID).Str("actor", change.Actor).Bool("accepted", verdict.Accepted).
+		Msg(logPrefix + "Settings change decided.")
+	status := fasthttp.StatusOK
+	if !verdict.Accepted {
+		status = fasthttp.StatusConflict
+	}
+	return httpAnswer{status: status, value: verdict}, nil
+}
+
+// readChange reads a change and holds it against the operator's branch. An
+// absent id is made up, but only a caller's own can be sent again.
+func readChange(request *fasthttp.RequestCtx, who actor) (contract.Change, *api.Error) {
+	var change contract.Change
+	findings := api.Decode(request.PostBody(), &change)
+	if len(change.Actor) > maximumNameBytes {
+		findings.Add("$.actor", "longer than %d bytes", maximumNameBytes)
+	}
+	if refusal := findings.Error(); refusal != nil {
+		return change, refusal
+	}
+	for i, edit := range change.Edits {
+		if !edit.Path.Within(who.scope) {
+			return change, who.outside(edit.Path).At(fmt.Sprintf("$.edits[%d].path", i))
+		}
+	}
+	if change.ID == "" {
+		change.ID = uuid.NewString()
+	}
+	if change.At.IsZero() {
+		change.At = time.Now().UTC()
+	}
+	change.Actor = signed(change.Actor, who)
+	return change, nil
+}
+
+// signed adds to the name that an operator gave who the token belongs to.
+func signed(name string, who actor) string {
+	if name == "" {
+		return who.name
+	}
+	return name + " (" + who.name + ")"
+}
+
+// unknownBranch turns the tree's error into an answer.
+func unknownBranch(err error) *api.Error {
+	return api.Refuse(api.CodeUnknownBranch, "%v", err).At("query path")
+}
+
+// queryNumber reads an optional whole number of the query.
+func queryNumber(request *fasthttp.RequestCtx, name string, absent uint64) (uint64, *api.Error) {
+	text := string(request.QueryArgs().Peek(name))
+	if text == "" {
+		return absent, nil
+	}
+	value, err := strconv.ParseUint(text, 10, 63)
+	if err != nil {
+		return 0, api.Refuse(api.CodeBadRequest, "want a whole number from 0").At("query " + name)
+	}
+	return value, nil
+}
