node: let the gateway reach peers and refusals

Lists of programs and the question why a request was refused covered the asked node alone.

The node tells the gateway the other live nodes, and hands it its refusal log.

--- /dev/null
+++ b/control/peers.go
@@ -0,0 +1,15 @@
+package control
+
+import "birchwood.example/birchwood/machine"
+
+// Peers returns the other nodes that were believed live when the routing was
+// made.
+func (r *Routing) Peers() []machine.Machine {
+	var peers []machine.Machine
+	for _, node := range r.nodes {
+		if node.ID != r.self {
+			peers = append(peers, node)
+		}
+	}
+	return peers
+}
--- a/node/wire.go
+++ b/node/wire.go
@@ -179,6 +179,7 @@
 	timings, limits := file.Timings, file.Limits
 	settings.Node = string(file.Node.ID)
 	settings.Observer = operator.Observer{Metrics: metrics, Refusals: refusals}
+	settings.FindRefusal = refusals.Find
 	settings.MaximumBodyBytes = limits.BodyBytes
 	settings.ReadTimeout = timings.ReadTimeout
 	settings.WriteTimeout = timings.WriteTimeout
