emulator: check the bench's checker, and add floods, returns and lost releases

A count of violations says something only if each promise is seen to be reported when a policy breaks it.

BenchConfig.NewPolicy takes any policy. The bench now also finds calls that a policy forgets, places again while in flight, or refuses after sending. Faults can flood one branch, lose every release, and bring a crashed back end back. The result also tells the capacity of a fleet whose replicas follow demand. The stand-in's stream lines leave out what only the last one has.

--- a/emulator/backend.go
+++ b/emulator/backend.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"birchwood.example/birchwood/api"
@@ -13,6 +14,7 @@
 // engineHost is one replica: the engine model and what it still has to tell.
 type engineHost struct {
 	run     *simulation
+	seed    uint64
 	machine machine.Machine
 	model   *enginemodel.Engine
 	// calls are the streams that a node waits for.
@@ -30,6 +32,20 @@
 	told schedule.Load
 }
 
+// start begins with an empty engine, at first and after a crash.
+func (h *engineHost) start() error {
+	random := rand.New(rand.NewPCG(h.run.config.Seed, h.seed))
+	model, err := enginemodel.New(engineConfig(h.machine, h.run.config.Rates), h.run.clock.now, random)
+	if err != nil {
+		return err
+	}
+	h.model = model
+	h.wakeAt = time.Time{}
+	h.down = false
+	h.scheduleWake()
+	return nil
+}
+
 // step applies an event now and delivers what the engine tells.
 func (h *engineHost) step(event enginemodel.Event) error {
 	err := h.model.Step(h.run.clock.now, event)
@@ -172,6 +188,7 @@
 func (h *engineHost) crash() {
 	h.down = true
 	h.wakeAt = time.Time{}
+	h.run.measure.countEngine(h.model)
 	for _, waiting := range sortedCalls(h.calls) {
 		owner := waiting.agent.node
 		h.run.clock.after(h.run.links.delay(h.machine.Zone, owner.zone), func() { owner.attemptLost(waiting) })
--- a/emulator/bench.go
+++ b/emulator/bench.go
@@ -49,6 +49,9 @@
 	JournalDelay time.Duration
 	// Tune, if set, changes the configuration that every policy gets.
 	Tune func(*schedule.Config)
+	// NewPolicy, if set, makes the policy of each node in place of those that
+	// Policies names; the names then only label the results.
+	NewPolicy func(name string, config schedule.Config) (schedule.Policy, error)
 	// Rates, if set, changes the engines' configuration.
 	Rates func(*enginemodel.Config)
 	// Progress, if set, hears how many programs of a policy's run have ended.
@@ -67,7 +70,7 @@
 		findings = append(findings, errors.New("bench: policies: want at least one"))
 	}
 	for _, name := range c.Policies {
-		if !slices.Contains(AllPolicies(), name) {
+		if c.NewPolicy == nil && !slices.Contains(AllPolicies(), name) {
 			findings = append(findings, fmt.Errorf("bench: policy %q: want one of %v", name, AllPolicies()))
 		}
 	}
@@ -102,9 +105,12 @@
 	Seed       uint64  `json:"seed"`
 	Load       float64 `json:"load"`
 	Programs   int     `json:"programs"`
-	// CapacityProgramsPerSecond is the arrival rate of load 1.
-	CapacityProgramsPerSecond float64        `json:"capacity_programs_per_s"`
-	Policies                  []PolicyResult `json:"policies"`
+	// CapacityProgramsPerSecond is the arrival rate of load 1, with the models
+	// as they are placed; FleetCapacityProgramsPerSecond is that of a fleet
+	// whose replicas follow the demand.
+	CapacityProgramsPerSecond      float64        `json:"capacity_programs_per_s"`
+	FleetCapacityProgramsPerSecond float64        `json:"fleet_capacity_programs_per_s"`
+	Policies                       []PolicyResult `json:"policies"`
 }
 
 // Percentiles of a latency, in milliseconds.
@@ -201,13 +207,14 @@
 		return BenchResult{}, err
 	}
 	config = config.withDefaults()
-	capacity := Capacity(config.Deployment, config.Rates)
+	capacity, fleet := Capacity(config.Deployment, config.Rates)
 	result := BenchResult{
-		Deployment:                config.Deployment.Name,
-		Seed:                      config.Seed,
-		Load:                      config.Load,
-		Programs:                  config.Programs,
-		CapacityProgramsPerSecond: capacity,
+		Deployment:                     config.Deployment.Name,
+		Seed:                           config.Seed,
+		Load:                           config.Load,
+		Programs:                       config.Programs,
+		CapacityProgramsPerSecond:      capacity,
+		FleetCapacityProgramsPerSecond: fleet,
 	}
 	for _, name := range config.Policies {
 		run, err := newSimulation(config, name, capacity*config.Load)
--- a/emulator/bench_test.go
+++ b/emulator/bench_test.go
@@ -57,7 +57,9 @@
 
 	It("breaks no invariant while back ends crash and leave, zones are cut, and tools hang", func() {
 		faults := []emulator.Fault{
-			{At: 5 * time.Second, Kind: emulator.FaultCrash, Target: "engine-001"},
+			{At: 5 * time.Second, For: 20 * time.Second, Kind: emulator.FaultCrash, Target: "engine-001"},
+			{At: 6 * time.Second, For: 9 * time.Second, Kind: emulator.FaultCrash, Target: "depot-events-1"},
+			{At: 6 * time.Second, For: 30 * time.Second, Kind: emulator.FaultLostReleases},
 			{At: 8 * time.Second, Kind: emulator.FaultLeave, Target: "engine-005"},
 			{At: 10 * time.Second, For: 15 * time.Second, Kind: emulator.FaultCut, From: "midrand-a", To: "isando"},
 			{At: 12 * time.Second, For: 20 * time.Second, Kind: emulator.FaultHungTool, Target: "depot-events-2"},
@@ -72,6 +74,29 @@
 		}
 	})
 
+	It("adds the programs of a flood on one branch", func() {
+		const flooded = "koudeketting/alarms"
+		tenants := func(result emulator.BenchResult) map[string]int {
+			counts := make(map[string]int)
+			for _, tenant := range result.Policies[0].Tenants {
+				counts[tenant.Branch] = tenant.Programs
+			}
+			return counts
+		}
+		sticky := func(config *emulator.BenchConfig) { config.Policies = []string{"sticky"} }
+		calm := tenants(bench("koudeketting", sticky))
+		flood := tenants(bench("koudeketting", func(config *emulator.BenchConfig) {
+			sticky(config)
+			config.Faults = []emulator.Fault{
+				{At: 5 * time.Second, For: 20 * time.Second, Kind: emulator.FaultFlood, Branch: flooded, Rate: 10},
+			}
+		}))
+		Expect(flood[flooded] - calm[flooded]).To(BeNumerically("~", 200, 60))
+		delete(calm, flooded)
+		delete(flood, flooded)
+		Expect(flood).To(Equal(calm))
+	})
+
 	It("refuses a configuration with every finding", func() {
 		_, err := emulator.RunBench(emulator.BenchConfig{
 			Policies: []string{"magic"},
--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -197,7 +197,7 @@
 	a.run.ended++
 	a.run.measure.ended(a, a.run.clock.now.Sub(a.start))
 	if progress := a.run.config.Progress; progress != nil {
-		progress(a.run.policy, a.run.ended, a.run.config.Programs)
+		progress(a.run.policy, a.run.ended, a.run.config.Programs+a.run.extra)
 	}
 }
 
--- a/emulator/capacity.go
+++ b/emulator/capacity.go
@@ -23,9 +23,11 @@
 // needs enginemodel.Config.ServiceTime for them; a replica that has several
 // models loaded counts for each of them by its share. The rate at which the
 // replicas of the most wanted model would be busy all the time is the
-// capacity. No policy reaches it: prefixes get lost and batches are not always
-// full.
-func Capacity(deployment workload.Deployment, rates func(*enginemodel.Config)) float64 {
+// capacity as placed. The capacity of the fleet is the rate at which all
+// replicas would be busy if the models were placed in proportion to the
+// demand. No policy reaches either: prefixes get lost and batches are not
+// always full.
+func Capacity(deployment workload.Deployment, rates func(*enginemodel.Config)) (placed, fleet float64) {
 	demands := make(map[string]*modelDemand)
 	generator := deployment.Generate(workload.Options{Seed: capacitySeed, ProgramsPerSecond: 1})
 	for range capacitySample {
@@ -38,15 +40,17 @@
 		}
 	}
 	config := engineConfig(deployment.Replicas[0], rates)
-	lowest := 0.0
-	for model, demand := range demands {
+	var total time.Duration
+	for _, model := range sortedKeys(demands) {
+		demand := demands[model]
 		busy := config.ServiceTime(demand.prefill/capacitySample, demand.output/capacitySample)
+		total += busy
 		rate := replicas[model] * float64(time.Second) / float64(max(busy, 1))
-		if lowest == 0 || rate < lowest {
-			lowest = rate
+		if placed == 0 || rate < placed {
+			placed = rate
 		}
 	}
-	return lowest
+	return placed, float64(len(deployment.Replicas)) * float64(time.Second) / float64(max(total, 1))
 }
 
 // modelDemand is the work that programs ask of one model, in tokens.
--- a/emulator/check.go
+++ b/emulator/check.go
@@ -46,18 +46,19 @@
 	}
 }
 
-// placed checks a placement against the program's contract.
-func (c *checker) placed(run *simulation, sent *call) {
+// placed checks a placement against the program's contract, and reports
+// whether the call may be sent.
+func (c *checker) placed(run *simulation, sent *call) bool {
 	in := run.zoneOf(sent)
 	if !sent.agent.placement.Contains(in) {
-		c.report("place", "call %d of %s went to zone %s, permitted %s", sent.sequence, sent.agent.id, in, sent.agent.placement)
-	}
-	if sent.closed {
-		c.report("order", "call %d of %s was sent after it was closed", sent.sequence, sent.agent.id)
+		c.report("place", "call %d of %s was placed in zone %q, permitted %s", sent.sequence, sent.agent.id, in, sent.agent.placement)
+		return false
 	}
 	if sent.sent && sent.step.Kind == workload.StepTool && !sent.step.Repeatable {
 		c.report("at most once", "call %d of %s was sent again", sent.sequence, sent.agent.id)
+		return false
 	}
+	return true
 }
 
 // arrives checks that a leaving back end gets no new work after the bound.
--- a/emulator/fault.go
+++ b/emulator/fault.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/emulator/enginemodel"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/workload"
@@ -30,12 +31,17 @@
 	FaultLagging FaultKind = "lagging"
 	// FaultHungTool makes a tool service take requests without an answer.
 	FaultHungTool FaultKind = "hung_tool"
+	// FaultLostReleases loses the messages that release prefixes.
+	FaultLostReleases FaultKind = "lost_releases"
+	// FaultFlood adds arrivals on Branch, Rate programs a second.
+	FaultFlood FaultKind = "flood"
 	// FaultLostAnswers lets a tool service act and lose its answers.
 	FaultLostAnswers FaultKind = "lost_answers"
 )
 
-// Fault is one thing that goes wrong in a bench. A crash and a leave last to
-// the end of the run; the others end after For, if it is set.
+// Fault is one thing that goes wrong in a bench. It ends after For, if that is
+// set; a crashed engine is then back, empty. A leave lasts to the end, and a
+// flood must have an end.
 type Fault struct {
 	At     time.Duration `yaml:"at"`
 	For    time.Duration `yaml:"for"`
@@ -44,6 +50,9 @@
 	From   zone.Name     `yaml:"from"`
 	To     zone.Name     `yaml:"to"`
 	Delay  time.Duration `yaml:"delay"`
+	// Branch and Rate are for FaultFlood.
+	Branch contract.Path `yaml:"branch"`
+	Rate   float64       `yaml:"rate"`
 }
 
 // validate says what is wrong with a fault.
@@ -70,7 +79,11 @@
 		if f.From == "" || f.To == "" {
 			findings = append(findings, errors.New("from, to: missing"))
 		}
-	case FaultSlowLinks:
+	case FaultFlood:
+		if _, found := deployment.Branch(f.Branch); !found || f.Rate <= 0 || f.For <= 0 {
+			findings = append(findings, errors.New("branch, rate, for: want a known branch, a rate and an end"))
+		}
+	case FaultSlowLinks, FaultLostReleases:
 	default:
 		findings = append(findings, fmt.Errorf("kind: unknown %q", f.Kind))
 	}
@@ -89,7 +102,11 @@
 
 // scheduleFaults plans the beginning and the end of every fault.
 func (s *simulation) scheduleFaults() {
-	for _, fault := range s.config.Faults {
+	for i, fault := range s.config.Faults {
+		if fault.Kind == FaultFlood {
+			s.scheduleFlood(fault, uint64(i))
+			continue
+		}
 		s.clock.at(epoch.Add(fault.At), func() { s.applyFault(fault, true) })
 		if fault.For > 0 {
 			s.clock.at(epoch.Add(fault.At+fault.For), func() { s.applyFault(fault, false) })
@@ -115,6 +132,8 @@
 				host.reportsLate += time.Duration(delta) * fault.Delay
 			}
 		}
+	case FaultLostReleases:
+		s.losesReleases = begins
 	case FaultHungTool:
 		s.toolByID[fault.Target].hung = begins
 	case FaultLostAnswers:
@@ -122,10 +141,72 @@
 	case FaultCrash, FaultLeave:
 		if begins {
 			s.stopBackend(fault)
+		} else {
+			s.returnBackend(fault)
 		}
 	}
 }
 
+// scheduleFlood adds the arrivals of one branch, on top of the configured
+// programs.
+func (s *simulation) scheduleFlood(fault Fault, index uint64) {
+	share := s.shareOf(fault.Branch)
+	if share == 0 {
+		return
+	}
+	generator := s.config.Deployment.Generate(workload.Options{
+		Seed:              s.config.Seed + floodSeed + index,
+		ProgramsPerSecond: fault.Rate / share,
+		BurstProbability:  -1,
+	})
+	for {
+		program := generator.Next()
+		if program.Start >= fault.For {
+			return
+		}
+		if program.Branch != fault.Branch {
+			continue
+		}
+		s.extra++
+		program.Start += fault.At
+		s.clock.at(epoch.Add(program.Start), func() { s.startProgram(program, nil) })
+	}
+}
+
+// floodSeed keeps a flood's programs apart from those of the run.
+const floodSeed = 1 << 32
+
+// shareOf is the share of the arrivals that start on a branch.
+func (s *simulation) shareOf(branch contract.Path) float64 {
+	share, total := 0.0, 0.0
+	for _, profile := range s.config.Deployment.Profiles {
+		total += profile.Share
+		for _, each := range profile.Branches {
+			if each == branch {
+				share += profile.Share / float64(len(profile.Branches))
+			}
+		}
+	}
+	return share / total
+}
+
+// returnBackend brings a crashed back end back, empty.
+func (s *simulation) returnBackend(fault Fault) {
+	if fault.Kind != FaultCrash {
+		return
+	}
+	if host := s.engineByID[fault.Target]; host != nil {
+		host.gone = host.start() != nil
+		host.machine.Models = host.model.Models()
+	}
+	if host := s.toolByID[fault.Target]; host != nil {
+		host.down = false
+		host.leavingSince = time.Time{}
+		host.machine.Status = machine.StatusLive
+	}
+	s.announceMachines()
+}
+
 // stopBackend crashes a back end or lets it leave.
 func (s *simulation) stopBackend(fault Fault) {
 	if host := s.engineByID[fault.Target]; host != nil {
--- a/emulator/measure.go
+++ b/emulator/measure.go
@@ -83,6 +83,8 @@
 	outcomes    []outcome
 	lastArrival time.Duration
 	latencies   []float64
+	// busy is the engines' time with a running batch.
+	busy time.Duration
 }
 
 // newMeasure returns empty measurements.
@@ -171,6 +173,17 @@
 	}
 }
 
+// countEngine adds the counters of an engine that crashed, or at the end.
+func (m *measure) countEngine(model *enginemodel.Engine) {
+	counted := model.Statistics()
+	m.busy += counted.Busy
+	m.result.Evictions += counted.Evictions
+	m.result.Prefilled += counted.PrefillTokens
+	m.result.CacheHits += counted.CachedTokens
+	m.result.Decoded += counted.OutputTokens
+	m.result.Wasted.IdleTokenSeconds += model.IdleTokenSeconds()
+}
+
 // finish notes how long the run lasted.
 func (m *measure) finish(now time.Time) { m.result.VirtualSeconds = now.Sub(epoch).Seconds() }
 
--- a/emulator/node.go
+++ b/emulator/node.go
@@ -40,8 +40,12 @@
 	backend  machine.ID
 	stream   string
 	avoid    []machine.ID
-	// sent says that some attempt may have reached a back end.
-	sent bool
+	// sent says that some attempt may have reached a back end; inFlight that
+	// one is on its way or runs.
+	sent     bool
+	inFlight bool
+	// heldSince is when the policy got the call.
+	heldSince time.Time
 	// answered says that the caller has its result, or needs none.
 	answered bool
 	// closed says that the node is done with the call.
@@ -70,6 +74,8 @@
 	index  int
 	zone   zone.Name
 	policy schedule.Policy
+	// heldLimit is longer than the policy may hold a call.
+	heldLimit time.Duration
 	// calls are those that have not been closed.
 	calls  map[callKey]*call
 	dirty  bool
@@ -197,6 +203,8 @@
 		request.Model = ""
 		request.Tool = queued.step.Tool
 	}
+	queued.inFlight = false
+	queued.heldSince = n.run.clock.now
 	n.policy.Enqueue(n.run.clock.now, request)
 	n.touch()
 }
@@ -208,9 +216,17 @@
 		n.run.check.report("order", "a call that is not open was placed: %s/%d", decision.Call.Program, decision.Call.Sequence)
 		return
 	}
+	if placed.inFlight {
+		n.run.check.report("at most once", "call %d of %s was placed again while in flight", placed.sequence, placed.agent.id)
+		return
+	}
 	placed.attempt++
 	placed.backend = decision.Backend
-	n.run.check.placed(n.run, placed)
+	placed.inFlight = true
+	if !n.run.check.placed(n.run, placed) {
+		n.finish(placed, api.StatusFailed, api.CodeNoPermittedPlace)
+		return
+	}
 	if placed.step.Kind == workload.StepTool {
 		n.sendTool(placed)
 		return
@@ -382,6 +398,10 @@
 
 // refuse answers that a call did not run.
 func (n *node) refuse(refused *call, code api.Code) {
+	if refused.inFlight {
+		n.run.check.report("true not_run", "call %d of %s was refused while in flight", refused.sequence, refused.agent.id)
+		return
+	}
 	if refused.sent {
 		// An earlier attempt may have run: the answer must not claim otherwise.
 		n.finish(refused, api.StatusFailed, code)
@@ -423,6 +443,29 @@
 	}
 }
 
+// heldReview is how often a node looks for calls that its policy forgot, and
+// how much longer than its configuration says a policy may hold a call.
+const heldReview = 30 * time.Second
+
+// reviewHeld takes back the calls that the policy neither places nor refuses,
+// and comes again.
+func (n *node) reviewHeld() {
+	n.run.clock.after(heldReview, n.reviewHeld)
+	var forgotten []*call
+	for _, each := range n.calls {
+		if !each.inFlight && n.run.clock.now.Sub(each.heldSince) > n.heldLimit {
+			forgotten = append(forgotten, each)
+		}
+	}
+	slices.SortFunc(forgotten, func(a, b *call) int { return strings.Compare(string(a.agent.id), string(b.agent.id)) })
+	for _, each := range forgotten {
+		n.run.check.report("every call answered", "call %d of %s was held for %v", each.sequence, each.agent.id, n.heldLimit)
+		n.policy.Withdraw(each.ref())
+		n.touch()
+		n.refuse(each, api.CodeTimeout)
+	}
+}
+
 // end forgets a program and releases its prefixes everywhere.
 func (n *node) end(over *agent) {
 	if over.ended {
@@ -432,6 +475,9 @@
 	n.policy.ProgramEnded(n.run.clock.now, over.id)
 	n.touch()
 	for _, id := range over.engines {
+		if n.run.losesReleases {
+			break
+		}
 		n.toEngine(id, func(host *engineHost) { host.release(over.id) })
 	}
 	delete(n.run.measure.ownerOf, over.id)
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -41,8 +41,11 @@
 
 	// programs are those that were started, for the ids.
 	programs uint64
-	// open counts arrived programs, without sub-agents, that have not ended.
-	arrived, ended int
+	// arrived and ended count programs without sub-agents; extra are those
+	// that floods add to the configured number.
+	arrived, ended, extra int
+	// losesReleases drops the messages that release prefixes.
+	losesReleases bool
 	// fence grows with each order to an engine.
 	fence uint64
 	// dirty are the nodes whose policy had an input at this instant.
@@ -84,15 +87,12 @@
 // addBackends starts the engines and tool services.
 func (s *simulation) addBackends() error {
 	for i, replica := range s.config.Deployment.Replicas {
-		random := rand.New(rand.NewPCG(s.config.Seed, uint64(i)+1))
-		model, err := enginemodel.New(engineConfig(replica, s.config.Rates), s.clock.now, random)
-		if err != nil {
+		host := &engineHost{run: s, seed: uint64(i) + 1, machine: replica, calls: make(map[string]*call)}
+		if err := host.start(); err != nil {
 			return err
 		}
-		host := &engineHost{run: s, machine: replica, model: model, calls: make(map[string]*call)}
 		s.engines = append(s.engines, host)
 		s.engineByID[replica.ID] = host
-		host.scheduleWake()
 		s.clock.after(sweepInterval, host.sweep)
 	}
 	for _, service := range s.config.Deployment.Tools {
@@ -130,16 +130,21 @@
 	if s.config.Tune != nil {
 		s.config.Tune(&config)
 	}
+	added.heldLimit = config.MaximumHold + heldReview
 	var err error
-	if s.policy == PolicyBirchwood {
+	switch {
+	case s.config.NewPolicy != nil:
+		added.policy, err = s.config.NewPolicy(s.policy, config)
+	case s.policy == PolicyBirchwood:
 		added.policy, err = schedule.New(config)
-	} else {
+	default:
 		added.policy, err = schedule.NewBaseline(s.policy, config)
 	}
 	if err != nil {
 		return fmt.Errorf("policy %s: %w", s.policy, err)
 	}
 	s.nodes = append(s.nodes, added)
+	s.clock.after(heldReview, added.reviewHeld)
 	return nil
 }
 
@@ -197,7 +202,7 @@
 
 // run performs events until every program has ended.
 func (s *simulation) run() {
-	for s.ended < s.config.Programs && s.clock.step() {
+	for s.ended < s.config.Programs+s.extra && s.clock.step() {
 		if s.clock.instantOver() {
 			s.flush()
 		}
@@ -228,20 +233,16 @@
 
 // countEngines adds the engines' counters to the measurements.
 func (s *simulation) countEngines() {
-	var busy time.Duration
 	for _, host := range s.engines {
+		if host.down {
+			continue
+		}
 		_ = host.model.Step(s.clock.now, enginemodel.Event{})
 		host.deliver()
-		counted := host.model.Statistics()
-		busy += counted.Busy
-		s.measure.result.Evictions += counted.Evictions
-		s.measure.result.Prefilled += counted.PrefillTokens
-		s.measure.result.CacheHits += counted.CachedTokens
-		s.measure.result.Decoded += counted.OutputTokens
-		s.measure.result.Wasted.IdleTokenSeconds += host.model.IdleTokenSeconds()
+		s.measure.countEngine(host.model)
 	}
 	total := s.clock.now.Sub(epoch) * time.Duration(len(s.engines))
-	s.measure.result.Utilisation = float64(busy) / float64(max(total, 1))
+	s.measure.result.Utilisation = float64(s.measure.busy) / float64(max(total, 1))
 }
 
 // result returns the measurements.
--- a/emulator/standin/enginehttp.go
+++ b/emulator/standin/enginehttp.go
@@ -13,6 +13,7 @@
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/emulator/enginemodel"
 	"birchwood.example/birchwood/engine"
+	"birchwood.example/birchwood/schedule"
 	"birchwood.example/birchwood/zone"
 )
 
@@ -133,12 +134,24 @@
 	}
 }
 
+// chunkBody is one line of a stream: engine.Chunk without what only the last
+// line has.
+type chunkBody struct {
+	Offset   int           `json:"offset"`
+	Text     string        `json:"text,omitempty"`
+	Done     bool          `json:"done,omitempty"`
+	Usage    api.Usage     `json:"usage,omitzero"`
+	Load     schedule.Load `json:"load,omitzero"`
+	Resident int           `json:"resident,omitempty"`
+	Error    string        `json:"error,omitempty"`
+}
+
 // writeProgress writes what the caller does not have yet.
 func (w *streamWriter) writeProgress(out *bufio.Writer, progress enginemodel.Progress) error {
 	if progress.Produced <= w.sent && !progress.Done {
 		return out.Flush()
 	}
-	chunk := engine.Chunk{Offset: w.sent*bytesPerToken + w.skip}
+	chunk := chunkBody{Offset: w.sent*bytesPerToken + w.skip}
 	if progress.Produced > w.sent {
 		text := w.text.slice(w.sent, progress.Produced)
 		chunk.Text = text[min(w.skip, len(text)):]
