--- a/program/calls_test.go
+++ b/program/calls_test.go
@@ -53,6 +53,17 @@
 		Expect(prompt[1].Accepted.Call.Key).To(Equal("b"))
 	})
 
+	It("have only what succeeded before them in their prompt", func() {
+		d.submit("p", modelCall("a"))
+		d.dispatch("p", 1)
+		d.outcome("p", 1, program.Outcome{Status: api.StatusFailed, Error: api.Refuse(api.CodeBadRequest, "no")})
+		d.submit("p", modelCall("b"))
+		prompt, _ := d.store.Prompt("p", 2)
+		Expect(prompt).To(HaveLen(1))
+		Expect(prompt[0].Sequence).To(BeEquivalentTo(2))
+		Expect(d.effect(program.EffectStart, ref("p", 2)).PromptTokens).To(Equal(3))
+	})
+
 	It("wait for a missing place until their deadline, then end as not run", func() {
 		d.submit("p", at(3, modelCall("c")))
 		d.tick(time.Minute - time.Nanosecond)
@@ -272,6 +283,15 @@
 		Expect(d.effect(program.EffectAnswer, ref("p", 1)).Answer.Status).To(Equal(api.StatusNotRun))
 	})
 
+	It("of which a later epoch learns that nothing was sent ends as not run", func() {
+		d.dispatch("p", 1)
+		d.outcome("p", 1, program.Outcome{Status: api.StatusNotRun})
+		d.dispatch("p", 1)
+		d.crash(len(d.log))
+		d.outcome("p", 1, program.Outcome{Status: api.StatusNotRun})
+		Expect(d.effect(program.EffectAnswer, ref("p", 1)).Answer.Status).To(Equal(api.StatusNotRun))
+	})
+
 	It("that failed at the service is not tried again", func() {
 		d.dispatch("p", 1)
 		d.outcome("p", 1, program.Outcome{Status: api.StatusFailed})
--- a/program/dispatch.go
+++ b/program/dispatch.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"cmp"
 	"time"
 
 	"birchwood.example/birchwood/api"
@@ -56,7 +57,7 @@
 // can then take it for a call that was never sent.
 func (t *transition) dispatch(p *heldProgram, dispatch Dispatch) *api.Error {
 	live := p.liveCall(dispatch.Call.Sequence)
-	if live == nil || live.phase != phaseStarted || live != p.head() || p.closed {
+	if live == nil || live.phase != phaseStarted || live != p.head() {
 		return staleDecision(dispatch.Call)
 	}
 	if live.expired(t.now) {
@@ -67,7 +68,7 @@
 		Sequence: live.sequence,
 		Attempt:  live.attempt + 1,
 		Backend:  dispatch.Backend,
-		Epoch:    dispatch.Epoch,
+		Epoch:    cmp.Or(dispatch.Epoch, t.store.epoch),
 	}})
 	live.phase = phaseSent
 	send := p.callEffect(EffectSend, live)
--- a/program/held.go
+++ b/program/held.go
@@ -53,7 +53,9 @@
 	// the next Tick to end a program that ran into its limit of turns.
 	released  bool
 	exhausted bool
-	timer     timer
+	// touched is set while a transition is about to set the timer.
+	touched bool
+	timer   timer
 }
 
 // callEntry is what stays in memory of a call that has ended: 40 bytes.
--- a/program/recover.go
+++ b/program/recover.go
@@ -24,13 +24,18 @@
 func (s *Store) Resume(now time.Time, epoch uint64) Output {
 	s.epoch = epoch
 	t := newTransition(s, now)
-	for _, id := range s.sortedIDs() {
+	ids := s.sortedIDs()
+	for _, id := range ids {
+		s.programs[id].prepareCalls()
+	}
+	for _, id := range ids {
 		p, ok := s.programs[id]
 		if !ok {
 			continue
 		}
 		t.resume(p)
-		s.reschedule(p)
+		t.touch(p)
+		t.setTimers()
 	}
 	s.sortFinished()
 	return t.finish()
@@ -67,20 +72,32 @@
 	}
 }
 
+// prepareCalls notes what an older epoch may have done with the calls. It may
+// have sent the repeatable call whose turn it was without a durable record:
+// that one never ends as not run any more.
+func (p *heldProgram) prepareCalls() {
+	for _, live := range p.live {
+		switch {
+		case live.attempt > 0:
+			live.phase = phaseSent
+		case live == p.head() && live.repeatable():
+			live.mayHaveRun = true
+		}
+	}
+}
+
 // resumeCall continues a call that an older epoch has left.
 func (t *transition) resumeCall(p *heldProgram, live *liveCall) {
-	if live.attempt == 0 {
-		t.resumeUnsent(p, live)
-		return
-	}
 	switch {
+	case live.phase == phaseQueued && p.closed:
+		t.endUnsent(p, live, programEnded(p.closedReason))
+	case live.phase != phaseSent:
+		return
 	case !live.repeatable():
 		t.startLookup(p, live)
 	case p.closed:
-		live.phase = phaseSent
 		t.endGivenUp(p, live, programEnded(p.closedReason))
 	case live.expired(t.now):
-		live.phase = phaseSent
 		t.endGivenUp(p, live, failed(api.CodeTimeout, api.RanFailed, "the call ran out of time"))
 	default:
 		t.immediate(p.callEffect(EffectStop, live))
@@ -88,22 +105,10 @@
 	}
 }
 
-// resumeUnsent continues a call that has no recorded dispatch. The older
-// epoch may have sent a repeatable one without its record: from now on it
-// never ends as not run, once it had its turn.
-func (t *transition) resumeUnsent(p *heldProgram, live *liveCall) {
-	if live == p.head() && live.repeatable() {
-		live.mayHaveRun = true
-	}
-	if p.closed {
-		t.endUnsent(p, live, programEnded(p.closedReason))
-	}
-}
-
 // resumeEnd completes the end of a program. One that was complete before is
 // left alone: what engines may still hold of it, their sweep finds.
 func (t *transition) resumeEnd(p *heldProgram) {
-	if !p.finished() {
+	if p.released || !p.finished() {
 		return
 	}
 	if parent, ok := t.store.programs[p.parent]; ok {
--- a/program/store.go
+++ b/program/store.go
@@ -116,8 +116,9 @@
 	terms map[string]*Terms
 	// finished lists the programs whose end is complete, oldest first.
 	finished []api.ProgramID
-	epoch    uint64
-	gauge    Gauges
+	// epoch is this owner's, as Resume told it.
+	epoch uint64
+	gauge Gauges
 }
 
 // NewStore returns an empty store. The error lists every wrong setting.
@@ -139,7 +140,7 @@
 	t := newTransition(s, now)
 	refusal := t.step(command)
 	if refusal != nil {
-		t.discard()
+		t.setTimers()
 		return Output{}, refusal
 	}
 	return t.finish(), nil
--- a/program/timers.go
+++ b/program/timers.go
@@ -90,8 +90,7 @@
 		p := heap.Pop(&s.timers).(*heldProgram)
 		t.touch(p)
 		t.expire(p)
-		t.discard()
-		t.touched = t.touched[:0]
+		t.setTimers()
 	}
 	return t.finish()
 }
--- a/program/transition.go
+++ b/program/transition.go
@@ -31,7 +31,8 @@
 
 // touch marks a program whose next deadline may have changed.
 func (t *transition) touch(p *heldProgram) {
-	if p != nil && !slices.Contains(t.touched, p) {
+	if p != nil && !p.touched {
+		p.touched = true
 		t.touched = append(t.touched, p)
 	}
 }
@@ -46,16 +47,18 @@
 	t.out.Immediate = append(t.out.Immediate, effect)
 }
 
-// discard ends a transition that was refused.
-func (t *transition) discard() {
+// setTimers sets the timers of the programs that were touched.
+func (t *transition) setTimers() {
 	for _, p := range t.touched {
+		p.touched = false
 		t.store.reschedule(p)
 	}
+	t.touched = t.touched[:0]
 }
 
 // finish returns the output once every timer is set.
 func (t *transition) finish() Output {
-	t.discard()
+	t.setTimers()
 	return t.out
 }
 
--- a/program/types.go
+++ b/program/types.go
@@ -26,6 +26,8 @@
 	ToolTimeout time.Duration `json:"tool_timeout"`
 	// MaxOutputTokens caps the output of one model call.
 	MaxOutputTokens int `json:"max_output_tokens"`
+	// Drained are back ends that get no new calls.
+	Drained []string `json:"drained,omitempty"`
 	// Attempts bounds how often a repeatable call is tried.
 	Attempts int `json:"attempts"`
 	// Retention is how long an ended program is remembered: its history stays
