Hold records at mirrors while the store is down, and recover them

An owner could confirm nothing while the log did not answer, and a new owner read the log alone.

An owner now names its mirrors in the log when it opens its epoch, sends them what the log leaves unanswered, and confirms with a write quorum; a new owner reads a read quorum of the last opened epoch's mirrors, appends what the log lacks, and only then opens. Mirrors are named with the process that agreed, so that a restarted one never counts. A recovery whose quorum has lost its memory says so and waits for AcceptLoss. A lapsed owner that nobody told finds a later claim by an idle check: the stateful search found that it could stay unaware.

Each was seen failing with its protection switched off: mirrors that do not refuse an older epoch, duplicates kept, no contiguity check, no reading of mirrors, restarted mirrors counted, no joint quorum, claims of older debts forgotten, origins not counted, epochs not checked.

--- a/journal/append.go
+++ b/journal/append.go
@@ -11,9 +11,11 @@
 	deadline time.Time
 	// retryAt is when the next append may start after a failed one.
 	retryAt time.Time
-	// unansweredSince is when the first append that is still in doubt
-	// started; zero when the log answers.
+	// unansweredSince is since when the oldest unconfirmed entry waits, or when
+	// the log answered last; zero when nothing waits.
 	unansweredSince time.Time
+	// failing is set from a failed append to the next answered one.
+	failing bool
 }
 
 func (a *appender) expired(now time.Time) bool {
@@ -35,7 +37,7 @@
 func (j *Journal) canAppend() bool {
 	return (j.phase == phaseOpen || j.phase == phaseClaiming) &&
 		j.appender.request == 0 && !j.reader.busy() &&
-		len(j.queue) > 0 && !j.now.Before(j.appender.retryAt)
+		(len(j.queue) > 0 || len(j.parts) > 0) && !j.now.Before(j.appender.retryAt)
 }
 
 // startAppend sends the oldest unconfirmed entries in one request.
@@ -43,13 +45,13 @@
 	if !j.canAppend() {
 		return
 	}
+	if len(j.parts) > 0 && (len(j.queue) == 0 || !j.appender.failing) {
+		j.enqueuePart()
+	}
 	entries := j.nextBatch()
 	j.appender.request = j.nextRequest()
 	j.appender.entries = entries
 	j.appender.deadline = j.now.Add(j.config.AppendTimeout)
-	if j.appender.unansweredSince.IsZero() {
-		j.appender.unansweredSince = j.now
-	}
 	j.ready.Appends = append(j.ready.Appends, Append{Request: j.appender.request, Entries: entries})
 }
 
@@ -105,7 +107,11 @@
 // answered notes that the log works: what is still unconfirmed waits from now
 // on.
 func (j *Journal) answered() {
+	j.appender.failing = false
 	j.appender.unansweredSince = time.Time{}
+	if len(j.queue) > 0 {
+		j.appender.unansweredSince = j.now
+	}
 }
 
 // lateAnswer takes the answer to an append that was given up and repeated. It
@@ -119,17 +125,15 @@
 
 // appendFailed gives the append in flight up and schedules its repeat.
 func (j *Journal) appendFailed() {
+	j.appender.failing = true
 	j.appender.request = 0
 	j.appender.entries = nil
 	j.appender.retryAt = j.now.Add(j.appender.backoff.Next())
 }
 
-// UnansweredSince returns since when the oldest unconfirmed entry waits for
-// the log, or the zero time when nothing waits.
+// UnansweredSince returns since when the oldest unconfirmed entry waits for an
+// answer of the log, or the zero time when nothing waits.
 func (j *Journal) UnansweredSince() time.Time {
-	if len(j.queue) == 0 {
-		return time.Time{}
-	}
 	return j.appender.unansweredSince
 }
 
@@ -140,16 +144,22 @@
 
 // Unconfirmed returns the entries that the log has not confirmed, after the
 // sequence, oldest first, as many as fit in maximumBytes but at least one.
+// Parts of snapshots come without their payload, which holds nothing that the
+// log does not have.
 func (j *Journal) Unconfirmed(after uint64, maximumBytes int) []Entry {
 	first := j.unconfirmedIndex(after)
 	var entries []Entry
 	bytes := 0
 	for _, waiting := range j.queue[min(first, len(j.queue)):] {
-		bytes += waiting.entry.Size()
+		entry := waiting.entry
+		if entry.Kind == KindSnapshot {
+			entry.Payload = nil
+		}
+		bytes += entry.Size()
 		if len(entries) > 0 && bytes > maximumBytes {
 			break
 		}
-		entries = append(entries, waiting.entry)
+		entries = append(entries, entry)
 	}
 	return entries
 }
@@ -212,7 +222,9 @@
 	head := j.queue[0]
 	j.queue[0] = pending{}
 	j.queue = j.queue[1:]
-	j.queueBytes -= head.entry.Size()
+	if head.token != 0 {
+		j.queueBytes -= head.entry.Size()
+	}
 	switch {
 	case entry.Kind == KindClaim:
 		j.phase = phaseOpen
@@ -225,19 +237,22 @@
 	}
 }
 
-// recover delivers an entry of another writer, or of an earlier epoch.
+// recover delivers an entry of another writer, or of an earlier epoch. Records
+// that stand between the parts of the snapshot come after its last part.
 func (j *Journal) recover(offset uint64, entry Entry) {
-	switch entry.Kind {
-	case KindRecord:
-		j.replaying = false
-		j.ready.Recovered = append(j.ready.Recovered, Recovered{Offset: offset, Payload: entry.Payload})
-	case KindSnapshot:
-		if !j.replaying {
-			return
-		}
-		recovered := Recovered{Offset: offset, Snapshot: true, Payload: entry.Payload}
+	recovered := Recovered{Offset: offset, Snapshot: entry.Kind == KindSnapshot, Payload: entry.Payload}
+	switch {
+	case entry.Kind == KindRecord && j.replaying:
+		j.replayLater = append(j.replayLater, recovered)
+	case entry.Kind == KindRecord:
 		j.ready.Recovered = append(j.ready.Recovered, recovered)
-		j.replaying = entry.Part.Index < entry.Part.Count-1
+	case entry.Kind == KindSnapshot && j.replaying:
+		j.ready.Recovered = append(j.ready.Recovered, recovered)
+		if entry.Part.Index == entry.Part.Count-1 {
+			j.ready.Recovered = append(j.ready.Recovered, j.replayLater...)
+			j.replayLater = nil
+			j.replaying = false
+		}
 	}
 }
 
--- a/journal/doc.go
+++ b/journal/doc.go
@@ -15,7 +15,7 @@
 //	journal.Peek(now)     // read the last entry: who wrote last, which epoch
 //	journal.CatchUp(now)  // read from the newest snapshot to the end
 //	journal.Claim(now, self)
-//	journal.Propose(payload)
+//	journal.Propose(now, payload)
 //
 // Proposals are committed in groups: one append is in flight, and what is
 // proposed meanwhile goes with the next one. A single append in flight keeps
--- a/journal/entry.go
+++ b/journal/entry.go
@@ -102,6 +102,21 @@
 	return len(e.Payload) + entryOverheadBytes
 }
 
+// wellFormed reports whether the entry has what its kind needs. An entry of
+// an unknown kind counts for nothing but its sequence.
+func (e Entry) wellFormed() bool {
+	switch e.Kind {
+	case KindClaim:
+		return e.Claim != nil && e.Epoch > 0
+	case KindMirrors:
+		return e.Mirrors != nil
+	case KindSnapshot:
+		return e.Part != nil && e.Part.Index >= 0 && e.Part.Index < e.Part.Count
+	default:
+		return true
+	}
+}
+
 // Token names one proposed record until it is confirmed. Tokens of one
 // writer grow by one.
 type Token uint64
--- a/journal/fold.go
+++ b/journal/fold.go
@@ -74,6 +74,9 @@
 		f.adopt = false
 		f.adoptSnapshot(entry)
 	}
+	if !entry.wellFormed() {
+		return VerdictVoid
+	}
 	if entry.Kind == KindClaim {
 		return f.addClaim(entry)
 	}
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -68,10 +68,14 @@
 	appender     appender
 	reader       reader
 	// replaying is set while the parts of the snapshot that the fold started
-	// with are delivered; later snapshots hold nothing new.
-	replaying bool
-	// snapshotting is set while a proposed snapshot is not complete.
+	// with are delivered; later snapshots hold nothing new. Records between
+	// the parts wait in replayLater.
+	replaying   bool
+	replayLater []Recovered
+	// snapshotting is set while a proposed snapshot is not complete, and
+	// parts are those of its parts that were not queued yet.
 	snapshotting bool
+	parts        []Entry
 	// mirrors is the newest mirror set that was folded or proposed.
 	mirrors MirrorSet
 
@@ -116,7 +120,9 @@
 	j.appender = appender{backoff: backoff}
 	j.reader = reader{backoff: backoff}
 	j.replaying = false
+	j.replayLater = nil
 	j.snapshotting = false
+	j.parts = nil
 	j.mirrors = MirrorSet{}
 	j.ready = Ready{}
 }
@@ -207,7 +213,8 @@
 
 // Propose queues a record for the next append. The returned token comes back
 // in Confirmed. The payload must not be changed afterwards.
-func (j *Journal) Propose(payload json.RawMessage) (Token, error) {
+func (j *Journal) Propose(now time.Time, payload json.RawMessage) (Token, error) {
+	j.now = now
 	if j.phase != phaseOpen {
 		return 0, ErrNotOpen
 	}
@@ -222,37 +229,49 @@
 // Repeat queues a record of an older epoch that only mirrors held. It comes
 // back in Recovered once the log has it. The bound on unconfirmed bytes does
 // not apply: mirrors hold no more than the old owner's bound.
-func (j *Journal) Repeat(old Entry) {
+func (j *Journal) Repeat(now time.Time, old Entry) {
+	j.now = now
 	origin := &Origin{Epoch: old.Epoch, Sequence: old.Sequence}
 	j.enqueue(Entry{Kind: KindRecord, Origin: origin, Payload: old.Payload}, 0)
 }
 
 // ProposeMirrors queues a mirror set. The returned sequence is its place in
 // the epoch.
-func (j *Journal) ProposeMirrors(set MirrorSet) uint64 {
+func (j *Journal) ProposeMirrors(now time.Time, set MirrorSet) uint64 {
+	j.now = now
 	j.mirrors = set
 	j.enqueue(Entry{Kind: KindMirrors, Mirrors: &set}, 0)
 	return j.nextSequence - 1
 }
 
 // ProposeSnapshot queues the parts of a snapshot of the state as of every
-// proposal so far. The bound on unconfirmed bytes does not apply to it.
-func (j *Journal) ProposeSnapshot(parts []json.RawMessage) error {
+// proposal so far. The first part takes its place at once, the others go with
+// later appends, one each, so that records need not wait for a large snapshot.
+// The bound on unconfirmed bytes does not apply to the parts.
+func (j *Journal) ProposeSnapshot(now time.Time, parts []json.RawMessage) error {
+	j.now = now
 	if j.phase != phaseOpen {
 		return ErrNotOpen
 	}
+	if j.snapshotting || len(parts) == 0 {
+		return ErrSnapshot
+	}
+	j.snapshotting = true
 	for index, payload := range parts {
 		part := &Part{Index: index, Count: len(parts)}
-		if index == 0 {
-			mirrors := j.mirrors
-			part.Mirrors = &mirrors
-		}
-		j.enqueue(Entry{Kind: KindSnapshot, Part: part, Payload: payload}, 0)
+		j.parts = append(j.parts, Entry{Kind: KindSnapshot, Part: part, Payload: payload})
 	}
-	j.snapshotting = true
+	mirrors := j.mirrors
+	j.parts[0].Part.Mirrors = &mirrors
+	j.enqueuePart()
 	return nil
 }
 
+func (j *Journal) enqueuePart() {
+	j.enqueue(j.parts[0], 0)
+	j.parts = j.parts[1:]
+}
+
 // WantsSnapshot reports whether the records after the newest snapshot
 // outnumber SnapshotEvery and outweigh that snapshot, and none is under way.
 func (j *Journal) WantsSnapshot() bool {
@@ -266,8 +285,13 @@
 	entry.Sequence = j.nextSequence
 	entry.Snapshot = j.fold.Snapshot
 	j.nextSequence++
+	if len(j.queue) == 0 {
+		j.appender.unansweredSince = j.now
+	}
 	j.queue = append(j.queue, pending{entry: entry, token: token})
-	j.queueBytes += entry.Size()
+	if token != 0 {
+		j.queueBytes += entry.Size()
+	}
 }
 
 // HasReady reports whether Ready has anything to do.
--- a/journal/read.go
+++ b/journal/read.go
@@ -11,8 +11,10 @@
 	request  uint64
 	deadline time.Time
 	retryAt  time.Time
-	// target is the offset up to which a writer must read before it goes on.
+	// target is the offset up to which a writer must read before it goes on,
+	// and gap is set while it does: the log has answered an append.
 	target uint64
+	gap    bool
 }
 
 func (r *reader) want(read Read) {
@@ -72,6 +74,7 @@
 // again.
 func (j *Journal) readUpTo(target uint64) {
 	j.reader.target = max(j.reader.target, target)
+	j.reader.gap = true
 	if j.fold.Next < j.reader.target && !j.reader.busy() {
 		j.requestBody()
 	}
@@ -161,5 +164,8 @@
 		j.mirrors = j.fold.Mirrors
 		return
 	}
-	j.answered()
+	if j.reader.gap {
+		j.reader.gap = false
+		j.answered()
+	}
 }
--- a/partition/claim.go
+++ b/partition/claim.go
@@ -23,6 +23,8 @@
 	free uint64
 	// claimed is set once the claim was handed to the journal.
 	claimed bool
+	// previous is the machine that won the epoch before the claim.
+	previous machine.ID
 }
 
 func newClaim(config Config) claim {
@@ -57,6 +59,7 @@
 		r.desired = desired
 		r.desiredSince = now
 	}
+	r.mirrorsChanged()
 	r.advance()
 }
 
@@ -191,6 +194,7 @@
 		return
 	}
 	r.claim.claimed = true
+	r.claim.previous = journal.WriterMachine(fold.Writer)
 	r.journal.Claim(r.now, r.config.Self)
 }
 
@@ -208,28 +212,40 @@
 // StepMessage takes a message from another replica or a mirror.
 func (r *Replica) StepMessage(now time.Time, from machine.ID, message Message) {
 	r.now = now
+	r.handle(from, message)
+	r.advance()
+}
+
+func (r *Replica) handle(from machine.ID, message Message) {
 	switch {
 	case message.Ask != nil:
+		r.checkSuperseded(message.Ask.Epoch)
 		r.answerAsk(from, *message.Ask)
 	case message.Handover != nil:
+		r.checkSuperseded(message.Handover.Epoch)
 		if r.state == StateFollowing && r.claim.asked == from && message.Handover.Epoch == r.claim.askedEpoch {
 			r.freed(message.Handover.Epoch)
 		}
 	case message.Keep != nil:
 		if r.claim.asked == from {
-			r.claim.heardAt = now
+			r.claim.heardAt = r.now
 			r.holder = from
 		}
 	case message.Claimed != nil:
-		if message.Claimed.Epoch > r.journal.Epoch() {
-			r.journal.CheckSuperseded(now)
-		}
+		r.checkSuperseded(message.Claimed.Epoch)
 	case message.Mirrored != nil:
 		r.stepMirrored(from, *message.Mirrored)
 	case message.Answer != nil:
 		r.stepMirrorAnswer(from, *message.Answer)
 	}
-	r.advance()
+}
+
+// checkSuperseded reads the stream on when another node knows of a later epoch
+// than the one that this node owns.
+func (r *Replica) checkSuperseded(epoch uint64) {
+	if epoch > r.journal.Epoch() {
+		r.journal.CheckSuperseded(r.now)
+	}
 }
 
 // answerAsk keeps the partition while this node owns the epoch or is about
@@ -242,11 +258,12 @@
 	r.send(from, Message{Handover: &HandoverOffer{Epoch: ask.Epoch}})
 }
 
-// NextWake returns when Tick is due, or the zero time.
+// NextWake returns when Tick is due, or the zero time. The replica has acted
+// on every timer up to the last event.
 func (r *Replica) NextWake() time.Time {
 	wake := r.journal.NextWake()
 	for _, at := range r.timers() {
-		if !at.IsZero() && (wake.IsZero() || at.Before(wake)) {
+		if at.After(r.now) && (wake.IsZero() || at.Before(wake)) {
 			wake = at
 		}
 	}
@@ -258,7 +275,7 @@
 	switch r.state {
 	case StateFollowing:
 		return r.followingTimers()
-	case StateOwning:
+	case StateOwning, StateReleasing:
 		return r.owningTimers()
 	case StateRecovering:
 		return r.recoveringTimers()
--- a/partition/config.go
+++ b/partition/config.go
@@ -21,15 +21,19 @@
 
 	// MirrorCount is how many mirrors an owner keeps ready; zero for none.
 	MirrorCount int
+	// Mirrors is this node's own store, in which it mirrored owners before it.
+	// It is required when MirrorCount is more than zero.
+	Mirrors *MirrorStore
 	// MirrorDelay is how long an append may go unanswered before mirrors get
 	// the entries.
 	MirrorDelay time.Duration
 	// MirrorTimeout is how long a mirror may leave a message unanswered
 	// before it is repeated, and before an owner opens without it.
 	MirrorTimeout time.Duration
-	// AcceptLossAfter is how long a recovery waits, once so many mirrors of
-	// the last epoch were restarted that no quorum of them can answer any
-	// more, before it goes on without them. Zero waits for AcceptLoss.
+	// AcceptLossAfter is how long a recovery waits for a quorum of the last
+	// owner's mirrors before it goes on with those that answered. Records that
+	// only the others hold are lost then. Zero waits until a quorum answers or
+	// AcceptLoss is called.
 	AcceptLossAfter time.Duration
 
 	// ClaimDwell is how long this node must be the desired owner before it
@@ -44,6 +48,11 @@
 	// hand-over unanswered before this node claims all the same.
 	OwnerPatience time.Duration
 
+	// IdleCheck is how often an owner that has nothing to append looks whether
+	// the stream holds a later claim. It bounds how long a lapsed owner that
+	// nobody told may answer reads from its state.
+	IdleCheck time.Duration
+
 	// The rest are the bounds of journal.Config.
 	AppendTimeout           time.Duration
 	AppendRetryMinimum      time.Duration
@@ -62,6 +71,7 @@
 const claimBackoffGrowth = 8
 
 // DefaultConfig returns the config that the daemon uses for a partition.
+// Mirrors is left for the caller to set.
 func DefaultConfig(id ID, self machine.ID, writer string, random *rand.Rand) Config {
 	log := journal.DefaultConfig(writer, random)
 	return Config{
@@ -75,6 +85,7 @@
 		HandoverDwell:           5 * time.Second,
 		ClaimBackoff:            250 * time.Millisecond,
 		OwnerPatience:           10 * time.Second,
+		IdleCheck:               10 * time.Second,
 		AppendTimeout:           log.AppendTimeout,
 		AppendRetryMinimum:      log.RetryMinimum,
 		AppendRetryMaximum:      log.RetryMaximum,
@@ -119,6 +130,9 @@
 	if c.MirrorCount < 0 {
 		findings = append(findings, errors.New("partition config: MirrorCount: negative"))
 	}
+	if c.MirrorCount > 0 && c.Mirrors == nil {
+		findings = append(findings, errors.New("partition config: Mirrors: missing, but MirrorCount asks for mirrors"))
+	}
 	durations := []struct {
 		name  string
 		value time.Duration
@@ -127,6 +141,7 @@
 		{"MirrorTimeout", c.MirrorTimeout},
 		{"ClaimBackoff", c.ClaimBackoff},
 		{"OwnerPatience", c.OwnerPatience},
+		{"IdleCheck", c.IdleCheck},
 	}
 	for _, duration := range durations {
 		if duration.value <= 0 {
--- a/partition/mirroring.go
+++ b/partition/mirroring.go
@@ -1,14 +1,267 @@
 package partition
 
-import "birchwood.example/birchwood/machine"
+import (
+	"slices"
+	"time"
+
+	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/machine"
+)
+
+// mirrorTimeoutGrowth is the ratio of the longest to the shortest wait before
+// a message to a mirror is repeated.
+const mirrorTimeoutGrowth = 16
 
 // mirroring follows the mirrors of an owner.
+//
+// The set in force is the newest one in the log. While another set waits for
+// its place in the log, a later epoch may come to read either of them, so a
+// record is durable only with a write quorum in both.
 type mirroring struct {
-	config Config
+	current []journal.Mirror
+	// next waits for the log at nextSequence, zero if there is none.
+	next         []journal.Mirror
+	nextSequence uint64
+	// links follow the members of both sets, ordered by machine.
+	links []*mirrorLink
+	// durable is the sequence up to which every set has a write quorum.
+	durable uint64
+	// reviewAt is when missing members are looked for; zero for never.
+	reviewAt   time.Time
+	enlistment enlistment
+}
+
+// mirrorLink is what an owner knows of one mirror.
+type mirrorLink struct {
+	mirror journal.Mirror
+	// incarnation is the machine's incarnation in the view when it enlisted;
+	// a later one may mean that the process was restarted.
+	incarnation uint64
+	// acked is the sequence up to which the mirror holds what the log lacks.
+	acked uint64
+	// holding is set while the mirror may hold entries that the log has.
+	holding bool
+	// restarted is set once the process that enlisted is gone.
+	restarted bool
+	// deadline is when the message under way is repeated; zero if none is.
+	deadline time.Time
+	backoff  journal.Backoff
+}
+
+// enlistment asks nodes whether, and under which instance, they would mirror.
+type enlistment struct {
+	asked    []machine.ID
+	agreed   []journal.Mirror
+	deadline time.Time
+}
+
+func (e *enlistment) active() bool {
+	return len(e.asked) > 0
+}
+
+// complete reports whether every asked node agreed or the time is up.
+func (e *enlistment) complete(now time.Time) bool {
+	return len(e.agreed) == len(e.asked) || !now.Before(e.deadline)
 }
 
-func (m *mirroring) reset() {}
+// enlist asks nodes to be mirrors of the epoch.
+func (r *Replica) enlist(nodes []machine.ID) {
+	r.mirrors.enlistment = enlistment{asked: nodes, deadline: r.now.Add(r.config.MirrorTimeout)}
+	for _, node := range nodes {
+		r.send(node, Message{Mirror: &MirrorAppend{Epoch: r.journal.Epoch()}})
+	}
+}
+
+// stepMirrored takes a mirror's acknowledgement.
+func (r *Replica) stepMirrored(from machine.ID, ack MirrorAck) {
+	if r.state == StateFollowing || r.state == StateClaiming {
+		return
+	}
+	if ack.Epoch != r.journal.Epoch() {
+		return
+	}
+	if ack.Refused {
+		r.lose()
+		return
+	}
+	if ack.Trimmed {
+		r.settled.acknowledge(from)
+		return
+	}
+	r.noteAgreed(from, ack)
+	for _, link := range r.mirrors.links {
+		if link.mirror.ID == from {
+			r.acknowledged(link, ack)
+		}
+	}
+}
+
+func (r *Replica) noteAgreed(from machine.ID, ack MirrorAck) {
+	enlistment := &r.mirrors.enlistment
+	known := func(mirror journal.Mirror) bool { return mirror.ID == from }
+	if slices.Contains(enlistment.asked, from) && !slices.ContainsFunc(enlistment.agreed, known) {
+		enlistment.agreed = append(enlistment.agreed, journal.Mirror{ID: from, Instance: ack.Instance})
+	}
+}
 
-func (r *Replica) stepMirrored(machine.ID, MirrorAck) {}
+// acknowledged takes what a mirror holds. Only the process that enlisted
+// counts: another one has lost what that one held.
+func (r *Replica) acknowledged(link *mirrorLink, ack MirrorAck) {
+	if ack.Instance != link.mirror.Instance {
+		link.restarted = true
+		link.deadline = time.Time{}
+		r.reviewMirrorsAfter(r.config.HandoverDwell)
+		return
+	}
+	if ack.Sequence > link.acked || !ack.Full {
+		link.deadline = time.Time{}
+		link.backoff.Reset()
+	}
+	link.acked = max(link.acked, ack.Sequence)
+	if link.acked <= r.journal.Fold().Sequence {
+		link.holding = false
+	}
+	r.markDurable()
+}
+
+// markDurable confirms what every set that may come to be read holds.
+func (r *Replica) markDurable() {
+	durable := r.heldBy(r.mirrors.current)
+	if r.mirrors.nextSequence > 0 {
+		durable = min(durable, r.heldBy(r.mirrors.next))
+	}
+	if durable > r.mirrors.durable {
+		r.mirrors.durable = durable
+		r.journal.MarkMirrored(durable)
+	}
+}
+
+// heldBy is the sequence up to which a write quorum of the set holds the
+// epoch; zero for a set without members.
+func (r *Replica) heldBy(set []journal.Mirror) uint64 {
+	if len(set) == 0 {
+		return 0
+	}
+	var acked []uint64
+	for _, member := range set {
+		acked = append(acked, r.ackedBy(member))
+	}
+	slices.Sort(acked)
+	return acked[len(acked)-journal.WriteQuorum(len(acked))]
+}
 
-func (r *Replica) stepMirrorAnswer(machine.ID, MirrorAnswer) {}
+func (r *Replica) ackedBy(member journal.Mirror) uint64 {
+	for _, link := range r.mirrors.links {
+		if link.mirror == member {
+			return link.acked
+		}
+	}
+	return 0
+}
+
+// degraded reports whether the log has left an append unanswered for so long
+// that mirrors get the entries.
+func (r *Replica) degraded() bool {
+	since := r.journal.UnansweredSince()
+	return !since.IsZero() && !r.now.Before(since.Add(r.config.MirrorDelay))
+}
+
+// advanceMirrors takes a new set into force, sends the mirrors what they lack
+// and looks for missing members.
+func (r *Replica) advanceMirrors() {
+	r.adoptMirrors()
+	degraded := r.degraded()
+	for _, link := range r.mirrors.links {
+		r.feed(link, degraded)
+	}
+	r.reviewMirrors(degraded)
+}
+
+// adoptMirrors notices that the log has the next set.
+func (r *Replica) adoptMirrors() {
+	m := &r.mirrors
+	if m.nextSequence == 0 || r.journal.Fold().Sequence < m.nextSequence {
+		return
+	}
+	m.current = m.next
+	m.next = nil
+	m.nextSequence = 0
+	m.links = slices.DeleteFunc(m.links, func(link *mirrorLink) bool {
+		return !slices.Contains(m.current, link.mirror)
+	})
+}
+
+// feed sends one mirror the entries that the log does not answer for, or tells
+// it to forget what the log has.
+func (r *Replica) feed(link *mirrorLink, degraded bool) {
+	if link.restarted || r.now.Before(link.deadline) {
+		return
+	}
+	logged := r.journal.Fold().Sequence
+	next := max(link.acked, logged)
+	lacking := degraded && next < r.journal.LastSequence()
+	if !lacking && !(link.holding && !degraded) {
+		link.deadline = time.Time{}
+		return
+	}
+	request := MirrorAppend{Epoch: r.journal.Epoch(), Instance: link.mirror.Instance, Logged: logged}
+	if lacking {
+		request.Entries = r.journal.Unconfirmed(next, r.config.MaximumBatchBytes)
+		link.holding = true
+	}
+	link.deadline = r.now.Add(r.config.MirrorTimeout + link.backoff.Next())
+	r.send(link.mirror.ID, Message{Mirror: &request})
+}
+
+// proposeMirrors puts a set into the log, to be in force from there on.
+func (r *Replica) proposeMirrors(set journal.MirrorSet) {
+	r.mirrors.next = set.Members
+	r.mirrors.nextSequence = r.journal.ProposeMirrors(r.now, set)
+	for _, member := range set.Members {
+		r.addLink(member)
+	}
+}
+
+func (r *Replica) addLink(member journal.Mirror) {
+	known := func(link *mirrorLink) bool { return link.mirror == member }
+	if slices.ContainsFunc(r.mirrors.links, known) {
+		return
+	}
+	link := &mirrorLink{mirror: member, incarnation: r.incarnation(member.ID), backoff: r.mirrorBackoff()}
+	r.mirrors.links = append(r.mirrors.links, link)
+}
+
+func (r *Replica) mirrorBackoff() journal.Backoff {
+	return journal.Backoff{
+		Minimum: r.config.MirrorTimeout,
+		Maximum: mirrorTimeoutGrowth * r.config.MirrorTimeout,
+		Random:  r.config.Random,
+	}
+}
+
+func (r *Replica) incarnation(id machine.ID) uint64 {
+	for _, node := range r.view.Nodes {
+		if node.ID == id {
+			return node.Incarnation
+		}
+	}
+	return 0
+}
+
+// mirrorTimers are the times at which mirrors need attention.
+func (r *Replica) mirrorTimers() []time.Time {
+	var timers []time.Time
+	since := r.journal.UnansweredSince()
+	if !since.IsZero() && !r.degraded() && len(r.mirrors.links) > 0 {
+		timers = append(timers, since.Add(r.config.MirrorDelay))
+	}
+	if r.mirrors.enlistment.active() {
+		timers = append(timers, r.mirrors.enlistment.deadline)
+	} else {
+		timers = append(timers, r.mirrors.reviewAt)
+	}
+	for _, link := range r.mirrors.links {
+		timers = append(timers, link.deadline)
+	}
+	return timers
+}
--- /dev/null
+++ b/partition/mirrorset.go
@@ -0,0 +1,138 @@
+package partition
+
+import (
+	"slices"
+	"time"
+
+	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/machine"
+)
+
+// reviewMirrorsAfter schedules a look for missing mirrors, unless an earlier
+// one is due.
+func (r *Replica) reviewMirrorsAfter(wait time.Duration) {
+	at := r.now.Add(wait)
+	if r.mirrors.reviewAt.IsZero() || at.Before(r.mirrors.reviewAt) {
+		r.mirrors.reviewAt = at
+	}
+}
+
+// mirrorsChanged schedules a review when the view gives a reason for one: a
+// member is gone or was restarted, or there are fewer than wanted.
+func (r *Replica) mirrorsChanged() {
+	if r.config.MirrorCount == 0 || r.state != StateOwning {
+		return
+	}
+	for _, link := range r.mirrors.links {
+		if r.incarnation(link.mirror.ID) != link.incarnation {
+			r.reviewMirrorsAfter(r.config.HandoverDwell)
+		}
+	}
+	if len(r.keptMirrors()) < r.config.MirrorCount && len(r.missingMirrors()) > 0 {
+		r.reviewMirrorsAfter(r.config.HandoverDwell)
+	}
+}
+
+// reviewMirrors replaces members that are gone: it asks candidates, and puts
+// those that agree into the log with the members that stay. It waits while
+// the log does not answer, since only the log can change the set.
+func (r *Replica) reviewMirrors(degraded bool) {
+	m := &r.mirrors
+	if r.state != StateOwning || m.nextSequence > 0 {
+		return
+	}
+	if m.enlistment.active() {
+		r.finishReview(degraded)
+		return
+	}
+	if m.reviewAt.IsZero() || r.now.Before(m.reviewAt) {
+		return
+	}
+	m.reviewAt = time.Time{}
+	if degraded {
+		r.reviewMirrorsAfter(r.config.HandoverDwell)
+		return
+	}
+	if asked := r.reviewCandidates(); len(asked) > 0 {
+		r.enlist(asked)
+	}
+}
+
+// reviewCandidates are the nodes to ask: members that may have been restarted,
+// and nodes that could fill the set.
+func (r *Replica) reviewCandidates() []machine.ID {
+	var asked []machine.ID
+	for _, link := range r.mirrors.links {
+		if r.live(link.mirror.ID) && (link.restarted || r.incarnation(link.mirror.ID) != link.incarnation) {
+			asked = append(asked, link.mirror.ID)
+		}
+	}
+	room := r.config.MirrorCount - len(r.keptMirrors())
+	for _, id := range r.missingMirrors() {
+		if room > 0 && !slices.Contains(asked, id) {
+			asked = append(asked, id)
+			room--
+		}
+	}
+	return asked
+}
+
+// finishReview puts the new set into the log, if it is another one.
+func (r *Replica) finishReview(degraded bool) {
+	m := &r.mirrors
+	if !m.enlistment.complete(r.now) {
+		return
+	}
+	agreed := m.enlistment.agreed
+	m.enlistment = enlistment{}
+	if degraded {
+		r.reviewMirrorsAfter(r.config.HandoverDwell)
+		return
+	}
+	members := r.keptMirrors()
+	for _, mirror := range agreed {
+		members = slices.DeleteFunc(members, func(kept journal.Mirror) bool { return kept.ID == mirror.ID })
+	}
+	members = append(members, agreed...)
+	members = members[:min(len(members), r.config.MirrorCount)]
+	for _, link := range r.mirrors.links {
+		link.incarnation = r.incarnation(link.mirror.ID)
+	}
+	if sameMembers(members, m.current) {
+		return
+	}
+	r.proposeMirrors(journal.MirrorSet{Members: members})
+}
+
+// keptMirrors are the members that are live and were not restarted.
+func (r *Replica) keptMirrors() []journal.Mirror {
+	var kept []journal.Mirror
+	for _, link := range r.mirrors.links {
+		if r.live(link.mirror.ID) && !link.restarted && slices.Contains(r.mirrors.current, link.mirror) {
+			kept = append(kept, link.mirror)
+		}
+	}
+	return kept
+}
+
+// missingMirrors are the candidates that are no member, best first.
+func (r *Replica) missingMirrors() []machine.ID {
+	kept := r.keptMirrors()
+	everyone := len(r.view.Nodes)
+	candidates := MirrorCandidates(r.config.ID, r.view.Nodes, r.config.Self, everyone)
+	return slices.DeleteFunc(candidates, func(id machine.ID) bool {
+		return slices.ContainsFunc(kept, func(mirror journal.Mirror) bool { return mirror.ID == id })
+	})
+}
+
+func sameMembers(a, b []journal.Mirror) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, member := range a {
+		if !slices.Contains(b, member) {
+			return false
+		}
+	}
+	return true
+}
--- a/partition/mirrorstore.go
+++ b/partition/mirrorstore.go
@@ -117,6 +117,9 @@
 		ack.Restarted = true
 		return ack
 	}
+	// An owner appends to mirrors only after it opened its epoch, which
+	// settles the earlier ones.
+	s.forgetBefore(known, request.Epoch)
 	epoch := known.epochs[request.Epoch]
 	if epoch == nil {
 		epoch = &mirroredEpoch{}
@@ -160,6 +163,16 @@
 	epoch.logged = logged
 }
 
+// forgetBefore drops every epoch before the given one.
+func (s *MirrorStore) forgetBefore(known *mirrored, epoch uint64) {
+	for number, older := range known.epochs {
+		if number < epoch {
+			s.forget(older, older.last())
+			delete(known.epochs, number)
+		}
+	}
+}
+
 // answer tells a later epoch's owner what the store holds, and refuses every
 // epoch before that one from then on.
 func (s *MirrorStore) answer(id ID, query MirrorQuery) *MirrorAnswer {
@@ -206,16 +219,11 @@
 // itself up to the sequence.
 func (s *MirrorStore) trim(id ID, trim MirrorTrim) *MirrorAck {
 	known := s.partitions[id]
-	ack := &MirrorAck{Epoch: trim.Epoch, Instance: s.config.Instance, Sequence: trim.Sequence}
+	ack := &MirrorAck{Epoch: trim.Epoch, Instance: s.config.Instance, Sequence: trim.Sequence, Trimmed: true}
 	if known == nil {
 		return ack
 	}
-	for number, epoch := range known.epochs {
-		if number < trim.Epoch {
-			s.forget(epoch, epoch.last())
-			delete(known.epochs, number)
-		}
-	}
+	s.forgetBefore(known, trim.Epoch)
 	if epoch := known.epochs[trim.Epoch]; epoch != nil {
 		s.forget(epoch, trim.Sequence)
 	}
--- a/partition/release.go
+++ b/partition/release.go
@@ -12,12 +12,35 @@
 	sequence uint64
 }
 
+// idle follows how long the log has shown an owner nothing new.
+type idle struct {
+	next    uint64
+	checkAt time.Time
+}
+
 // advanceOwning starts a planned hand-over when another node is to own the
 // partition for long enough, or at once when this node stops.
 func (r *Replica) advanceOwning() {
 	if r.wantsRelease() {
 		r.state = StateReleasing
 		r.advanceReleasing()
+		return
+	}
+	r.advanceMirrors()
+	r.advanceSettlement()
+	r.checkIdle()
+}
+
+// checkIdle looks for a later claim when the log has shown nothing new for
+// long.
+func (r *Replica) checkIdle() {
+	if next := r.journal.Fold().Next; next != r.idle.next || r.idle.checkAt.IsZero() {
+		r.idle = idle{next: next, checkAt: r.now.Add(r.config.IdleCheck)}
+		return
+	}
+	if !r.now.Before(r.idle.checkAt) {
+		r.idle.checkAt = r.now.Add(r.config.IdleCheck)
+		r.journal.CheckSuperseded(r.now)
 	}
 }
 
@@ -25,7 +48,7 @@
 	if r.view.Stopping {
 		return true
 	}
-	return r.desired != "" && r.desired != r.config.Self && r.dwelled(r.config.HandoverDwell)
+	return !r.degraded() && r.desired != "" && r.desired != r.config.Self && r.dwelled(r.config.HandoverDwell)
 }
 
 // advanceReleasing appends the entry that ends the epoch behind the last
@@ -33,10 +56,11 @@
 // needs to read a mirror of the epoch.
 func (r *Replica) advanceReleasing() {
 	if r.release.sequence == 0 {
-		r.release.sequence = r.journal.ProposeMirrors(journal.MirrorSet{Released: true})
+		r.release.sequence = r.journal.ProposeMirrors(r.now, journal.MirrorSet{Released: true})
 	}
 	fold := r.journal.Fold()
-	if fold.Epoch != r.journal.Epoch() || fold.Sequence < r.release.sequence {
+	if fold.Sequence < r.release.sequence {
+		r.advanceMirrors()
 		return
 	}
 	epoch := fold.Epoch
@@ -48,8 +72,10 @@
 }
 
 func (r *Replica) owningTimers() []time.Time {
-	if r.desired == "" || r.desired == r.config.Self {
-		return nil
+	timers := append(r.mirrorTimers(), r.settled.timers()...)
+	timers = append(timers, r.idle.checkAt)
+	if r.desired != "" && r.desired != r.config.Self {
+		timers = append(timers, r.desiredSince.Add(r.config.HandoverDwell))
 	}
-	return []time.Time{r.desiredSince.Add(r.config.HandoverDwell)}
+	return timers
 }
--- a/partition/replica.go
+++ b/partition/replica.go
@@ -28,6 +28,10 @@
 	release release
 	recover recovery
 	mirrors mirroring
+	settled settlement
+	idle    idle
+	// local holds the answers of this node's own MirrorStore.
+	local []Message
 }
 
 // NewReplica returns a following replica, or every finding about the config.
@@ -41,7 +45,6 @@
 		state:   StateFollowing,
 		journal: log,
 		claim:   newClaim(config),
-		mirrors: mirroring{config: config},
 	}, nil
 }
 
@@ -96,7 +99,7 @@
 	if r.state != StateOwning {
 		return 0, ErrNotOwner
 	}
-	token, err := r.journal.Propose(payload)
+	token, err := r.journal.Propose(now, payload)
 	r.advance()
 	return token, err
 }
@@ -108,7 +111,7 @@
 	if r.state != StateOwning {
 		return ErrNotOwner
 	}
-	err := r.journal.ProposeSnapshot(parts)
+	err := r.journal.ProposeSnapshot(now, parts)
 	r.advance()
 	return err
 }
@@ -141,6 +144,16 @@
 
 // advance drives the replica on after any event.
 func (r *Replica) advance() {
+	r.advanceState()
+	for len(r.local) > 0 {
+		answer := r.local[0]
+		r.local = r.local[1:]
+		r.handle(r.config.Self, answer)
+		r.advanceState()
+	}
+}
+
+func (r *Replica) advanceState() {
 	r.observeJournal()
 	switch r.state {
 	case StateFollowing:
@@ -172,8 +185,10 @@
 	r.ready.Lost = true
 	r.ready.Acquired = false
 	r.holder = ""
-	r.mirrors.reset()
+	r.mirrors = mirroring{}
+	r.settled = settlement{}
 	r.release = release{}
+	r.idle = idle{}
 	r.recover = recovery{}
 	r.claim.postpone(r.now)
 }
@@ -185,7 +200,17 @@
 	r.ready.Confirmed = append(r.ready.Confirmed, found.Confirmed...)
 }
 
+// send queues a message to another node. What is for this node's own mirrors
+// is answered at once: it may have mirrored an owner before it.
 func (r *Replica) send(to machine.ID, message Message) {
 	message.Partition = r.config.ID
+	if to == r.config.Self {
+		if r.config.Mirrors != nil {
+			for _, answer := range r.config.Mirrors.Step(to, message) {
+				r.local = append(r.local, answer.Message)
+			}
+		}
+		return
+	}
 	r.ready.Messages = append(r.ready.Messages, Outbound{To: to, Message: message})
 }
--- a/partition/types.go
+++ b/partition/types.go
@@ -101,6 +101,8 @@
 	Refused bool `json:"refused,omitempty"`
 	// Restarted is set when the process that was asked for is gone.
 	Restarted bool `json:"restarted,omitempty"`
+	// Trimmed is set in the answer to a MirrorTrim.
+	Trimmed bool `json:"trimmed,omitempty"`
 	// Full is set when the mirror's memory has no room for the entries.
 	Full bool `json:"full,omitempty"`
 }
