command: add the operators' verbs

Operators need to read and change settings, follow programs and drain machines from a shell, with text or JSON and exit codes that scripts can rely on.

settings set shows the effect on each branch before it sends, asks, and prints the verdict; a change whose verdict was lost is sent again under its own id. program trace joins history and decisions. why, node, backend, program and version complete the verbs.

--- /dev/null
+++ b/command/program_list.go
@@ -0,0 +1,64 @@
+package command
+
+import (
+	"io"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/gateway"
+)
+
+func newProgramListCommand(flags *operatorFlags) *cobra.Command {
+	branch := ""
+	command := &cobra.Command{
+		Use:   "list [--branch PATH]",
+		Short: "List the programs of a branch",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			client, err := flags.open(command)
+			if err != nil {
+				return err
+			}
+			query := url.Values{}
+			if command.Flags().Changed("branch") {
+				query.Set("branch", strings.Trim(branch, "/"))
+			}
+			var list gateway.ProgramList
+			if err := client.get(command.Context(), "/programs?"+query.Encode(), &list); err != nil {
+				return err
+			}
+			return client.print(list, func(writer io.Writer) { printPrograms(writer, list) })
+		},
+	}
+	command.Flags().StringVar(&branch, "branch", "", "the branch; left out, the token's")
+	return command
+}
+
+func printPrograms(writer io.Writer, list gateway.ProgramList) {
+	row(writer, "ID", "BRANCH", "KEY", "STATE", "CALLS", "SPENT", "RESERVED", "BUDGET", "CREATED")
+	for _, program := range list.Programs {
+		row(writer, program.ID, program.Branch, program.Key, stateOf(program), program.Calls, program.SpentTokens,
+			program.ReservedTokens, program.BudgetTokens, program.CreatedAt.Format(time.RFC3339))
+	}
+	if list.Truncated {
+		row(writer, "There are more: name a narrower branch.")
+	}
+	for _, node := range list.Incomplete {
+		row(writer, "Node "+node+" did not answer: its programs are missing here.")
+	}
+}
+
+// stateOf tells whether a program runs, or why it ended.
+func stateOf(program api.Program) string {
+	if !program.Ended {
+		return "running"
+	}
+	if program.EndReason == "" {
+		return "ended"
+	}
+	return "ended: " + program.EndReason
+}
--- /dev/null
+++ b/command/program_trace.go
@@ -0,0 +1,138 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/gateway"
+	"birchwood.example/birchwood/schedule"
+)
+
+// programTrace is a program's life: its calls, and how each attempt was
+// decided.
+type programTrace struct {
+	Program  api.Program         `json:"program"`
+	Calls    []api.Call          `json:"calls"`
+	Attempts []control.CallTrace `json:"attempts"`
+}
+
+func newProgramTraceCommand(flags *operatorFlags) *cobra.Command {
+	return &cobra.Command{
+		Use:   "trace ID",
+		Short: "Show a program's life: each call, where it ran, why there, what it waited for, what it cost",
+		Long: "Shows a program's calls in their order. WAITED is the time from a call's acceptance to the\n" +
+			"choice of its back end, RAN the time from there to its end. WHY gives the terms of the\n" +
+			"choice: the predicted queueing, prefill, transfer, decode and link times, and how many back\n" +
+			"ends were feasible. Attempts made before the program's last change of owner are not kept.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			client, err := flags.open(command)
+			if err != nil {
+				return err
+			}
+			trace, err := readTrace(command.Context(), client, arguments[0])
+			if err != nil {
+				return err
+			}
+			return client.print(trace, func(writer io.Writer) { printTrace(writer, trace) })
+		},
+	}
+}
+
+// readTrace asks for the program, its whole history and its attempts.
+func readTrace(ctx context.Context, client *operatorClient, id string) (programTrace, error) {
+	var trace programTrace
+	path := "/programs/" + url.PathEscape(id)
+	if err := client.get(ctx, path, &trace.Program); err != nil {
+		return trace, err
+	}
+	var decided gateway.ProgramTrace
+	if err := client.get(ctx, path+"/trace", &decided); err != nil {
+		return trace, err
+	}
+	trace.Attempts = decided.Attempts
+	for from := uint64(1); from > 0; {
+		var history api.History
+		if err := client.get(ctx, fmt.Sprintf("%s/history?from=%d", path, from), &history); err != nil {
+			return trace, err
+		}
+		trace.Calls = append(trace.Calls, history.Calls...)
+		from = history.Next
+	}
+	return trace, nil
+}
+
+func printTrace(writer io.Writer, trace programTrace) {
+	printProgram(writer, trace.Program)
+	row(writer)
+	row(writer, "SEQ", "KEY", "KIND", "STATUS", "TRY", "BACKEND", "WAITED", "RAN", "PROMPT", "CACHED", "OUTPUT", "WHY")
+	attempts := make(map[uint64][]control.CallTrace)
+	for _, attempt := range trace.Attempts {
+		attempts[attempt.Sequence] = append(attempts[attempt.Sequence], attempt)
+	}
+	for _, call := range trace.Calls {
+		tried := attempts[call.Sequence]
+		if len(tried) == 0 {
+			tried = []control.CallTrace{{Attempt: call.Attempt}}
+		}
+		for i, attempt := range tried {
+			if i == len(tried)-1 {
+				printAttempt(writer, call, attempt)
+				continue
+			}
+			row(writer, call.Sequence, call.Key, call.Kind, "retried", attempt.Attempt, attempt.Backend,
+				span(attempt.Accepted, attempt.Placed), span(attempt.Placed, attempt.Ended), "", "", "", why(attempt.Terms))
+		}
+	}
+}
+
+// printAttempt writes a call with its last attempt.
+func printAttempt(writer io.Writer, call api.Call, attempt control.CallTrace) {
+	backend := call.Backend
+	if backend == "" {
+		backend = string(attempt.Backend)
+	}
+	reason := why(attempt.Terms)
+	if call.Error != nil {
+		reason = strings.TrimSpace(fmt.Sprintf("%s: %s %s", call.Error.Code, call.Error.Message, reason))
+	}
+	row(writer, call.Sequence, call.Key, call.Kind, call.Status, attempt.Attempt, orDash(backend),
+		span(attempt.Accepted, attempt.Placed), span(attempt.Placed, attempt.Ended),
+		call.Usage.PromptTokens, call.Usage.CachedTokens, call.Usage.OutputTokens, reason)
+}
+
+// span writes the time between two moments, where both are known.
+func span(from, to time.Time) string {
+	if from.IsZero() || to.IsZero() {
+		return "-"
+	}
+	return to.Sub(from).Round(time.Millisecond).String()
+}
+
+// why describes the terms of a choice.
+func why(terms schedule.Terms) string {
+	if terms.Feasible == 0 {
+		return terms.Reason
+	}
+	parts := []string{terms.Reason, fmt.Sprintf("of %d", terms.Feasible)}
+	for _, term := range []struct {
+		name string
+		took time.Duration
+	}{
+		{"queue", terms.Queue}, {"prefill", terms.Prefill}, {"transfer", terms.Transfer},
+		{"decode", terms.Decode}, {"link", terms.Link},
+	} {
+		if term.took > 0 {
+			parts = append(parts, term.name+" "+term.took.Round(100*time.Microsecond).String())
+		}
+	}
+	return strings.TrimSpace(strings.Join(parts, ", "))
+}
--- /dev/null
+++ b/command/settings.go
@@ -0,0 +1,56 @@
+package command
+
+import (
+	"net/url"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"birchwood.example/birchwood/contract"
+)
+
+// newSettingsCommand returns the verbs on the tree of settings.
+func newSettingsCommand() *cobra.Command {
+	flags := &operatorFlags{}
+	command := &cobra.Command{
+		Use:   "settings",
+		Short: "Read and change the tree of settings",
+		Long: "Reads and changes the tree of settings. A PATH names a branch, such as\n" +
+			"koudeketting/triage; / is the root. Without one, the branch of the token is meant.",
+	}
+	flags.register(command)
+	command.AddCommand(
+		newSettingsGetCommand(flags),
+		newSettingsSetCommand(flags),
+		newSettingsExplainCommand(flags),
+		newSettingsHistoryCommand(flags),
+		newSettingsDiffCommand(flags),
+		newSettingsStatusCommand(flags),
+	)
+	return command
+}
+
+// pathQuery returns the query that names the branch of the arguments.
+func pathQuery(arguments []string) url.Values {
+	query := url.Values{}
+	if len(arguments) > 0 {
+		query.Set("path", strings.Trim(arguments[0], "/"))
+	}
+	return query
+}
+
+// originOf tells where a value comes from.
+func originOf(value contract.Explanation) string {
+	switch {
+	case value.Default:
+		return "default"
+	case len(value.Narrowed) > 0:
+		narrowed := make([]string, len(value.Narrowed))
+		for i, path := range value.Narrowed {
+			narrowed[i] = path.String()
+		}
+		return value.From.String() + ", narrowed by " + strings.Join(narrowed, ", ")
+	default:
+		return value.From.String()
+	}
+}
--- /dev/null
+++ b/command/settings_history.go
@@ -0,0 +1,64 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"birchwood.example/birchwood/contract"
+)
+
+func newSettingsHistoryCommand(flags *operatorFlags) *cobra.Command {
+	limit := 20
+	command := &cobra.Command{
+		Use:   "history [PATH]",
+		Short: "Show the accepted changes that concern a branch, newest first",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			client, err := flags.open(command)
+			if err != nil {
+				return err
+			}
+			query := pathQuery(arguments)
+			query.Set("limit", strconv.Itoa(limit))
+			var entries []contract.HistoryEntry
+			if err := client.get(command.Context(), "/settings/history?"+query.Encode(), &entries); err != nil {
+				return err
+			}
+			return client.print(entries, func(writer io.Writer) {
+				row(writer, "REVISION", "AT", "ACTOR", "CHANGE", "EDITS")
+				for _, entry := range entries {
+					row(writer, entry.Revision, entry.At.Format(time.RFC3339), entry.Actor, entry.ChangeID, editsText(entry.Edits))
+				}
+			})
+		},
+	}
+	command.Flags().IntVar(&limit, "limit", limit, "how many changes to show at most")
+	return command
+}
+
+// editsText describes edits in one line.
+func editsText(edits []contract.Edit) string {
+	text := ""
+	for _, edit := range edits {
+		if text != "" {
+			text += "; "
+		}
+		text += edit.Path.String()
+		if edit.Remove {
+			text += " removed"
+			continue
+		}
+		if values, err := json.Marshal(edit.Values); err == nil && string(values) != "{}" {
+			text += " set " + string(values)
+		}
+		if len(edit.Unset) > 0 {
+			text += fmt.Sprintf(" unset %v", edit.Unset)
+		}
+	}
+	return text
+}
--- a/command/verbs.go
+++ b/command/verbs.go
@@ -12,5 +12,11 @@
 		newLoadCommand(),
 		newBenchCommand(),
 		newVerifyCommand(),
+		newSettingsCommand(),
+		newProgramCommand(),
+		newNodeCommand(),
+		newBackendCommand(),
+		newWhyCommand(),
+		newVersionCommand(),
 	}
 }
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -38,7 +38,8 @@
 	// DialTimeout bounds a connection attempt to another node.
 	DialTimeout time.Duration
 	// PeerSilence is how long another node may be silent on a connection
-	// that owes an answer. It exceeds WaitSlice and KeepAlive.
+	// that owes an answer. It exceeds WaitSlice and KeepAlive; zero chooses
+	// it from them.
 	PeerSilence time.Duration
 	// ConnectionsPerPeer bounds the connections to one other node.
 	ConnectionsPerPeer int
@@ -88,7 +89,6 @@
 		DrainGrace:         3 * time.Second,
 		KeepAlive:          2 * time.Second,
 		DialTimeout:        time.Second,
-		PeerSilence:        8 * time.Second,
 		ConnectionsPerPeer: 4096,
 		Connections:        16384,
 		MaximumHops:        3,
@@ -105,6 +105,16 @@
 	}
 }
 
+// silenceMargin is how much longer than its usual pauses a node may be silent.
+const silenceMargin = 3 * time.Second
+
+// complete chooses what was left to be chosen.
+func (c *Config) complete() {
+	if c.PeerSilence == 0 {
+		c.PeerSilence = max(c.WaitSlice, c.KeepAlive) + silenceMargin
+	}
+}
+
 // validate collects everything that is wrong with the configuration.
 func (c *Config) validate() error {
 	var findings api.Findings
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -57,8 +57,8 @@
 	return e.request.Wait && !e.stream
 }
 
-// trace is the answer to a request for a program's trace.
-type trace struct {
+// ProgramTrace is the answer to a request for a program's trace.
+type ProgramTrace struct {
 	Program  api.ProgramID       `json:"program"`
 	Attempts []control.CallTrace `json:"attempts"`
 }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -63,9 +63,9 @@
 	if reply.Error != nil {
 		return refusedLocally(reply.Error)
 	}
-	all := programList{Programs: append([]api.Program{}, reply.Programs...)}
+	all := ProgramList{Programs: append([]api.Program{}, reply.Programs...)}
 	for _, answered := range g.askPeers(request) {
-		var part programList
+		var part ProgramList
 		if answered.status != statusOK || json.Unmarshal(answered.body, &part) != nil {
 			all.Incomplete = append(all.Incomplete, string(answered.node.Owner))
 			continue
@@ -82,8 +82,8 @@
 	return outcome{answer: answer{status: statusOK, body: marshal(all)}}
 }
 
-// programList is the answer to a request for programs.
-type programList struct {
+// ProgramList is the answer to a request for programs.
+type ProgramList struct {
 	Programs []api.Program `json:"programs"`
 	// Incomplete names the nodes that did not answer.
 	Incomplete []string `json:"incomplete,omitempty"`
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,7 @@
 // New returns a gateway that serves nothing yet. The error lists everything
 // that is wrong with the configuration.
 func New(config Config, service Service, logger *log.Logger) (*Gateway, error) {
+	config.complete()
 	if err := config.validate(); err != nil {
 		return nil, err
 	}
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -57,7 +57,7 @@
 		return marshal(reply.History)
 	case request.Operation == control.OperationTrace:
 		attempts := append([]control.CallTrace{}, reply.Trace...)
-		return marshal(trace{Program: request.Program, Attempts: attempts})
+		return marshal(ProgramTrace{Program: request.Program, Attempts: attempts})
 	default:
 		return marshal(reply.Program)
 	}
