Admit programs by the time their callers have, and serve them in order of arrival

A fixed limit on the predicted hold refused callers who had minutes to spare, and ordering calls by their own arrival made programs under way wait behind every new one.

The first call of a program is refused when its predicted hold exceeds a share of its time limit; the prediction follows the pace at which the tenant's waiting programs start. Held calls are ordered by their program's arrival. Programs that wait to start have lines of their own, of which only the head is tried.

--- a/schedule/admission.go
+++ b/schedule/admission.go
@@ -9,35 +9,89 @@
 // Under overload some program must fail. Refusing it at its first call, when
 // nothing has been spent on it, costs least: every program that is let in can
 // then finish, and goodput stays at what the engines can do. So a call of a
-// program that has received no service is refused as soon as its predicted
-// hold exceeds Config.AdmissionWait, and calls of programs under way are held
-// until they are served or expire.
+// program that has received no service is refused when its predicted hold is
+// too large a share of the time that its caller has, and calls of programs
+// under way are held until they are served or expire.
 //
-// The prediction counts only the tenant's own backlog against the tenant's
-// own share of the engines: a flood gets its own callers refused, not others.
+// The prediction counts the tenant's own programs that wait to start, and the
+// pace at which they have started: a flood gets its own callers refused, not
+// others.
 
 // smallestRetry is the shortest retry time of a refusal.
 const smallestRetry = 100 * time.Millisecond
 
-// predictedWait is how long one more call of the line would be held.
-func (s *Scheduler) predictedWait(line *line, pool *pool) time.Duration {
-	if line.share.held == 0 {
-		return 0
+// pace is how often a tenant's waiting programs start.
+type pace struct {
+	// waiting counts the held calls of programs without service.
+	waiting int
+	// since is when the wait for the next start began.
+	since time.Time
+	// interval is the learned time between two starts.
+	interval average
+}
+
+// enter counts one more waiting program.
+func (p *pace) enter(now time.Time) {
+	if p.waiting == 0 {
+		p.since = now
 	}
-	rate := s.drainRate(line, pool)
-	return seconds(line.share.work.Seconds() / rate * pool.drag)
+	p.waiting++
 }
 
-// drainRate is the tenant's share of the pool, in seconds of service a
-// second.
-func (s *Scheduler) drainRate(line *line, pool *pool) float64 {
-	active := line.share.weight
-	for _, other := range pool.active {
-		if other.share != line.share && other.calls.Len() > 0 {
-			active += other.share.weight
-		}
+// leave counts a waiting program that started, or was taken back.
+func (p *pace) leave(now time.Time, started bool) {
+	p.waiting--
+	if started {
+		p.interval.add(now.Sub(p.since).Seconds())
+		p.since = now
 	}
-	return float64(max(s.capacity(line, pool), 1)) * line.share.weight / active
+}
+
+// expected is the time to the next start. A pace that has stalled is no
+// better than its stall.
+func (p *pace) expected(now time.Time, prior time.Duration) time.Duration {
+	interval := seconds(p.interval.value)
+	if p.interval.count == 0 {
+		interval = prior
+	}
+	if p.waiting > 0 {
+		interval = max(interval, now.Sub(p.since))
+	}
+	return interval
+}
+
+// unstarted reports whether refusing the call spares the program's whole
+// work.
+func unstarted(request *Request) bool {
+	return request.Kind == api.CallModel && request.Attained == 0 && len(request.Avoid) == 0
+}
+
+// admit decides whether a call may be held. It returns the refusal if not.
+func (s *Scheduler) admit(now time.Time, call *heldCall) *api.Error {
+	request := &call.request
+	if !unstarted(request) {
+		return nil
+	}
+	wait := s.predictedWait(now, call)
+	limit := time.Duration(s.config.AdmissionShare * float64(call.expires.Sub(now)))
+	if wait <= limit {
+		return nil
+	}
+	retry := s.promise(now, call, wait-limit)
+	reason := api.Refuse(api.CodeOverloaded, "%s: the hold would take %v, more than %v",
+		request.Tenant, wait.Round(time.Millisecond), limit.Round(time.Millisecond))
+	return reason.After(retry.Milliseconds())
+}
+
+// predictedWait is how long one more program of the tenant would wait.
+func (s *Scheduler) predictedWait(now time.Time, call *heldCall) time.Duration {
+	starts := &call.line.share.starts
+	return time.Duration(starts.waiting) * starts.expected(now, s.priorInterval(call))
+}
+
+// priorInterval is the time between two starts that the slots would allow.
+func (s *Scheduler) priorInterval(call *heldCall) time.Duration {
+	return call.cost / time.Duration(max(s.capacity(call.line, call.pool), 1))
 }
 
 // capacity is the number of calls that the back ends of a line serve at once.
@@ -55,48 +109,17 @@
 	return line.capacity
 }
 
-// admit decides whether a call may be held. It returns the refusal if not.
-func (s *Scheduler) admit(now time.Time, call *heldCall) *api.Error {
-	request := &call.request
-	call.predictedWait = s.predictedWait(call.line, call.pool)
-	started := request.Attained > 0 || len(request.Avoid) > 0
-	if started || request.Kind == api.CallTool || call.predictedWait <= s.config.AdmissionWait {
-		return nil
-	}
-	retry := s.promise(now, call)
-	reason := api.Refuse(api.CodeOverloaded, "%s: the hold would take %v, more than %v",
-		request.Tenant, call.predictedWait.Round(time.Millisecond), s.config.AdmissionWait)
-	return reason.After(retry.Milliseconds())
-}
-
-// promise returns a retry time that can be kept: the wait in excess, behind
-// the retries that were promised to the same tenant before.
-func (s *Scheduler) promise(now time.Time, call *heldCall) time.Duration {
+// promise returns a retry time that can be kept: after the excess of the
+// wait, and one start behind the retry that was promised before.
+func (s *Scheduler) promise(now time.Time, call *heldCall, excess time.Duration) time.Duration {
 	owner := call.line.share
-	earliest := now.Add(call.predictedWait - s.config.AdmissionWait)
-	if owner.nextRetry.Before(earliest) {
+	if earliest := now.Add(excess); owner.nextRetry.Before(earliest) {
 		owner.nextRetry = earliest
 	}
-	owner.nextRetry = owner.nextRetry.Add(seconds(call.cost.Seconds() / s.drainRate(call.line, call.pool)))
+	owner.nextRetry = owner.nextRetry.Add(owner.starts.expected(now, s.priorInterval(call)))
 	return max(owner.nextRetry.Sub(now), smallestRetry)
 }
 
-// learnDrag compares a call's hold with its prediction. Other nodes share the
-// engines, so that a pool drains slower than this node's slots suggest.
-func (p *pool) learnDrag(now time.Time, call *heldCall) {
-	const (
-		shortest = 50 * time.Millisecond
-		weight   = 0.05
-		smallest = 0.25
-		largest  = 16
-	)
-	if call.predictedWait < shortest {
-		return
-	}
-	ratio := p.drag * float64(now.Sub(call.request.Enqueued)) / float64(call.predictedWait)
-	p.drag += weight * (min(max(ratio, smallest), largest) - p.drag)
-}
-
 // holdUntil is when a held call is refused at the latest.
 func holdUntil(request Request, maximumHold time.Duration) time.Time {
 	until := request.Enqueued.Add(maximumHold)
--- a/schedule/config.go
+++ b/schedule/config.go
@@ -42,9 +42,9 @@
 	Cache CacheConfig
 	// Order sets the order of the calls that are held.
 	Order OrderConfig
-	// AdmissionWait is the predicted hold from which a call of a program that
-	// has not received any service yet is refused at once.
-	AdmissionWait time.Duration
+	// AdmissionShare is the share of its time limit that the predicted hold of
+	// a program's first call may take before it is refused at once.
+	AdmissionShare float64
 	// Models places models on replicas.
 	Models ModelsConfig
 }
@@ -119,7 +119,7 @@
 	return Config{
 		Choices:     4,
 		EngineFill:  1,
-		MaximumHold: 60 * time.Second,
+		MaximumHold: 15 * time.Minute,
 		StaleLoad:   10 * time.Second,
 		Rates: Rates{
 			PrefillPerToken:  200 * time.Microsecond,
@@ -142,7 +142,7 @@
 			AttainedMaximum:  10 * time.Second,
 			UrgencyStep:      time.Second,
 		},
-		AdmissionWait: 3 * time.Second,
+		AdmissionShare: 0.25,
 		Models: ModelsConfig{
 			ReviewInterval: 5 * time.Second,
 			OrderTimeout:   2 * time.Minute,
@@ -173,7 +173,7 @@
 	found.require(c.EngineFill > 0 && c.EngineFill <= 2, "EngineFill", "a share above 0 and at most 2")
 	found.require(c.MaximumHold > 0, "MaximumHold", "a positive duration")
 	found.require(c.StaleLoad > 0, "StaleLoad", "a positive duration")
-	found.require(c.AdmissionWait > 0, "AdmissionWait", "a positive duration")
+	found.require(c.AdmissionShare > 0 && c.AdmissionShare <= 1, "AdmissionShare", "a share above 0 and at most 1")
 	c.Rates.validate(&found)
 	c.Cache.validate(&found)
 	c.Order.validate(&found)
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -43,13 +43,12 @@
 	// active are the lines that hold calls, in the order in which they began
 	// to; empty ones are taken out by the next search.
 	active []*line
-	// drag is the ratio of measured to predicted holds, learned.
-	drag float64
 }
 
 type lineKey struct {
 	tenant    string
 	placement zone.Placement
+	unstarted bool
 }
 
 // share is one tenant's part of a pool.
@@ -61,17 +60,19 @@
 	// shares are not saved up.
 	virtual float64
 	held    int
-	// work is the predicted service of the tenant's held calls.
-	work time.Duration
+	// starts is the pace of the tenant's programs that wait to start.
+	starts pace
 	// nextRetry is the last retry time that a refusal promised.
 	nextRetry time.Time
 }
 
-// line is one tenant's held calls of one placement.
+// line is one tenant's held calls of one placement. Calls of programs that
+// have not started stand in a line of their own: they all need new room, so
+// that the first one speaks for those behind it.
 type line struct {
-	placement zone.Placement
-	share     *share
-	calls     callHeap
+	lineKey
+	share *share
+	calls callHeap
 	// capacity is the slots of the back ends that the placement permits, as
 	// of a revision of the view.
 	capacity int
@@ -92,12 +93,10 @@
 	expires time.Time
 	// retryAt is when a call that waits for its warm engine gives that up.
 	retryAt time.Time
-	// cost is the predicted service; predictedWait the hold foreseen when it
-	// was admitted.
-	cost          time.Duration
-	predictedWait time.Duration
-	inLine        int
-	inExpiry      int
+	// cost is the predicted service.
+	cost     time.Duration
+	inLine   int
+	inExpiry int
 }
 
 func newQueue() *queue {
@@ -116,7 +115,7 @@
 	}
 	known := q.byName[name]
 	if known == nil {
-		known = &pool{poolName: name, shares: map[string]*share{}, lines: map[lineKey]*line{}, drag: 1}
+		known = &pool{poolName: name, shares: map[string]*share{}, lines: map[lineKey]*line{}}
 		q.byName[name] = known
 		q.pools = append(q.pools, known)
 	}
@@ -125,7 +124,7 @@
 
 // lineOf returns the line of a request's tenant and placement.
 func (p *pool) lineOf(request *Request) *line {
-	key := lineKey{request.Tenant, request.Placement}
+	key := lineKey{request.Tenant, request.Placement, unstarted(request)}
 	if known := p.lines[key]; known != nil {
 		return known
 	}
@@ -136,16 +135,16 @@
 	}
 	owner.weight = float64(1 + max(request.Priority, 0))
 	added := &line{
-		placement: request.Placement,
-		share:     owner,
-		calls:     callHeap{earlier: placedEarlier, position: linePosition},
+		lineKey: key,
+		share:   owner,
+		calls:   callHeap{earlier: placedEarlier, position: linePosition},
 	}
 	p.lines[key] = added
 	return added
 }
 
 // push holds a call.
-func (q *queue) push(call *heldCall) {
+func (q *queue) push(now time.Time, call *heldCall) {
 	q.order++
 	call.order = q.order
 	q.calls[call.request.Call] = call
@@ -154,7 +153,9 @@
 		owner.virtual = max(owner.virtual, call.pool.virtual)
 	}
 	owner.held++
-	owner.work += call.cost
+	if unstarted(&call.request) {
+		owner.starts.enter(now)
+	}
 	heap.Push(&call.line.calls, call)
 	heap.Push(&q.expiry, call)
 	if !call.line.active {
@@ -163,12 +164,14 @@
 	}
 }
 
-// remove takes a call out, wherever it stands.
-func (q *queue) remove(call *heldCall) {
+// remove takes a call out, wherever it stands, because it is sent or not.
+func (q *queue) remove(now time.Time, call *heldCall, sent bool) {
 	delete(q.calls, call.request.Call)
 	owner := call.line.share
 	owner.held--
-	owner.work -= call.cost
+	if unstarted(&call.request) {
+		owner.starts.leave(now, sent)
+	}
 	if call.inLine >= 0 {
 		heap.Remove(&call.line.calls, call.inLine)
 	}
@@ -238,12 +241,12 @@
 	return placedEarlier(l.calls.items[0], other.calls.items[0])
 }
 
-// placeInLine is a call's place among its tenant's: its time of enqueueing,
-// later by the attained service, earlier by urgency. A call close to its
-// deadline is not placed later than it can bear.
+// placeInLine is a call's place among its tenant's: the arrival of its
+// program, later by the attained service, earlier by urgency. A call close to
+// its deadline is not placed later than it can bear.
 func placeInLine(request *Request, order OrderConfig, service time.Duration) time.Time {
 	attained := time.Duration(request.Attained) * order.AttainedPerToken
-	place := request.Enqueued.Add(min(attained, order.AttainedMaximum))
+	place := request.Arrived.Add(min(attained, order.AttainedMaximum))
 	place = place.Add(-time.Duration(request.Priority) * order.UrgencyStep)
 	if !request.Deadline.IsZero() {
 		latest := request.Deadline.Add(-2 * service)
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -25,7 +25,9 @@
 	wake       time.Time
 	nextReview time.Time
 	nextModels time.Time
-	lastOrder  modelOrder
+	// nextRetry is when the first call gives up waiting for a warm engine.
+	nextRetry time.Time
+	lastOrder modelOrder
 	// candidates and sampled are reused from decision to decision.
 	candidates []*backend
 	sampled    []*backend
@@ -89,7 +91,7 @@
 		s.refuse(now, request, reason)
 		return
 	}
-	s.queue.push(call)
+	s.queue.push(now, call)
 }
 
 // Withdraw implements Policy.
@@ -98,7 +100,7 @@
 	if call == nil {
 		return false
 	}
-	s.queue.remove(call)
+	s.queue.remove(s.now, call, false)
 	s.tracker.pause(s.now, ref.Program)
 	return true
 }
@@ -160,7 +162,7 @@
 		if call.expires.After(now) {
 			return
 		}
-		s.queue.remove(call)
+		s.queue.remove(now, call, false)
 		s.refuse(now, call.request, s.expiryError(now, call))
 	}
 }
@@ -173,8 +175,7 @@
 		return noPlaceError(call.request)
 	}
 	reason := api.Refuse(api.CodeOverloaded, "held for %v without a free back end", now.Sub(call.request.Enqueued))
-	call.predictedWait = s.predictedWait(call.line, call.pool)
-	return reason.After(s.promise(now, call).Milliseconds())
+	return reason.After(s.promise(now, call, 0).Milliseconds())
 }
 
 func (s *Scheduler) refuse(now time.Time, request Request, reason *api.Error) {
@@ -195,10 +196,13 @@
 		call := next.calls.items[0]
 		switch s.place(now, call) {
 		case placed:
-			s.queue.remove(call)
+			s.queue.remove(now, call, true)
 			waiting.served(call)
-			waiting.learnDrag(now, call)
 		case passed:
+			if next.unstarted {
+				next.blocked = true
+				continue
+			}
 			next.setAside(call)
 			s.passed = append(s.passed, call)
 		case blocked:
@@ -207,21 +211,28 @@
 	}
 	for _, call := range s.passed {
 		call.line.putBack(call)
+		if call.retryAt.After(now) {
+			s.nextRetry = earliest(s.nextRetry, call.retryAt)
+		}
+	}
+}
+
+// earliest returns the earlier of two times, where the zero time is never.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
 	}
+	return a
 }
 
 // setWake finds when Ready should run again without a new input.
 func (s *Scheduler) setWake(now time.Time) {
-	s.wake = time.Time{}
+	s.wake = s.nextRetry
+	s.nextRetry = time.Time{}
 	if s.queue.expiry.Len() > 0 {
 		s.wakeBy(s.queue.expiry.items[0].expires)
 		s.wakeBy(now.Add(holdRecheck))
 	}
-	for _, call := range s.passed {
-		if call.retryAt.After(now) {
-			s.wakeBy(call.retryAt)
-		}
-	}
 	if s.tracker.paused.Len() > 0 {
 		s.wakeBy(s.nextReview)
 	}
@@ -230,11 +241,7 @@
 	}
 }
 
-func (s *Scheduler) wakeBy(at time.Time) {
-	if s.wake.IsZero() || at.Before(s.wake) {
-		s.wake = at
-	}
-}
+func (s *Scheduler) wakeBy(at time.Time) { s.wake = earliest(s.wake, at) }
 
 // NextWake implements Policy.
 func (s *Scheduler) NextWake() time.Time { return s.wake }
