emulator/cluster: whole clusters in virtual time, and a stateful property

The promises must hold under every fault, together and twice, and a failure must replay from its seed.

Add package emulator/cluster: nodes that are control.Core and the daemon's scheduler, with an emulated log, machine list, links, engines, tool services, gateways, callers and operators that fail on demand, and Property, a rapid state machine that heals the cluster at the end and checks its history. A history can now say since when a placement holds and that a request was never sent.

--- /dev/null
+++ b/emulator/cluster/agent.go
@@ -0,0 +1,303 @@
+package cluster
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/history"
+	"birchwood.example/birchwood/partition"
+)
+
+// CallPlan is one call that a program will make.
+type CallPlan struct {
+	Tool       bool
+	Repeatable bool
+}
+
+// ProgramPlan is what a program will do.
+type ProgramPlan struct {
+	Branch contract.Path
+	Calls  []CallPlan
+	// Pipelined programs send all calls at once, through different nodes.
+	Pipelined bool
+	// BudgetTokens lowers the branch's budget; zero keeps it.
+	BudgetTokens int64
+	// Agent is the plan of a sub-agent that runs before the last call.
+	Agent *ProgramPlan
+	// Pause is the time between two calls.
+	Pause time.Duration
+	// Twice sends the creation and each call a second time, through another
+	// node, without waiting for the first answer.
+	Twice bool
+}
+
+// agent runs one program as its caller.
+type agent struct {
+	cluster *Cluster
+	plan    ProgramPlan
+	key     string
+	parent  api.ProgramID
+	id      api.ProgramID
+	budget  int64
+	// placements counts those that the history was told of.
+	placements int
+	answers    int
+	done       bool
+	refused    bool
+	after      func()
+}
+
+// StartProgram starts a program; it runs while virtual time passes.
+func (c *Cluster) StartProgram(plan ProgramPlan) {
+	c.startAgent(plan, "", func() {})
+}
+
+func (c *Cluster) startAgent(plan ProgramPlan, parent api.ProgramID, after func()) {
+	started := &agent{cluster: c, plan: plan, parent: parent, after: after}
+	started.key = fmt.Sprintf("program-%d", len(c.agents)+1)
+	c.agents = append(c.agents, started)
+	started.create()
+}
+
+// The backoff between two requests for the same thing.
+const (
+	firstBackoff   = 100 * time.Millisecond
+	longestBackoff = 4 * time.Second
+)
+
+// ask sends a request until it has an answer; then runs then, once. build
+// makes the request anew for each node, because it may name what that node
+// resolves.
+func (a *agent) ask(sent history.Sent, build func(at *node) (control.Request, bool), then func(control.Reply)) {
+	a.askAgain(sent, build, then, firstBackoff)
+}
+
+func (a *agent) askAgain(sent history.Sent, build func(at *node) (control.Request, bool), then func(control.Reply), backoff time.Duration) {
+	c := a.cluster
+	again := func(wait time.Duration) {
+		c.after(wait+c.jitter(wait/4), func() { a.askAgain(sent, build, then, min(2*backoff, longestBackoff)) })
+	}
+	at := c.nodes[c.random.IntN(len(c.nodes))]
+	request, ready := control.Request{}, false
+	if at.running && !at.paused {
+		request, ready = build(at)
+	}
+	if !ready {
+		again(backoff)
+		return
+	}
+	c.requests++
+	sent.Request = strconv.FormatUint(c.requests, 10)
+	sent.Node = at.self.ID
+	sent.Program = request.Program
+	if sent.Operation == history.OperationCreate {
+		sent.Program = ""
+	}
+	c.record(history.Event{Sent: &sent})
+	over := false
+	hangUp := c.request(at, request, func(reply control.Reply) {
+		over = true
+		c.record(history.Event{Got: gotOf(sent, request, reply)})
+		if wait, retry := retryAfter(reply); retry {
+			again(max(wait, backoff))
+			return
+		}
+		then(reply)
+	}, func(refused bool) {
+		over = true
+		c.record(history.Event{Lost: &history.Lost{Request: sent.Request, NotSent: refused}})
+		again(backoff)
+	})
+	c.after(callerPatience, func() {
+		if !over {
+			hangUp()
+			c.record(history.Event{Lost: &history.Lost{Request: sent.Request, HungUp: true}})
+			again(backoff)
+		}
+	})
+}
+
+// retryAfter reports whether the same request may still succeed.
+func retryAfter(reply control.Reply) (time.Duration, bool) {
+	refusal := reply.Error
+	if refusal == nil || !refusal.Retry && refusal.Ran != api.RanOutcomeUnknown {
+		return 0, false
+	}
+	return time.Duration(refusal.RetryAfterMilliseconds) * time.Millisecond, true
+}
+
+// gotOf is a reply as the history records it.
+func gotOf(sent history.Sent, request control.Request, reply control.Reply) *history.Got {
+	got := &history.Got{Request: sent.Request}
+	switch {
+	case reply.Error != nil:
+		got.Code, got.Ran = reply.Error.Code, reply.Error.Ran
+	case reply.Call != nil:
+		call := reply.Call
+		got.Program, got.Sequence, got.Status = call.Program, call.Sequence, call.Status
+		got.Output, got.Usage = call.Output, call.Usage
+		if call.Error != nil {
+			got.Code, got.Ran = call.Error.Code, call.Error.Ran
+		}
+	case reply.Program != nil:
+		got.Program = reply.Program.ID
+		got.SpentTokens, got.BudgetTokens = reply.Program.SpentTokens, reply.Program.BudgetTokens
+	default:
+		got.Program = request.Program
+	}
+	return got
+}
+
+// create opens the program, then makes its calls.
+func (a *agent) create() {
+	branch := a.plan.Branch
+	build := func(at *node) (control.Request, bool) {
+		request := control.Request{
+			Operation: control.OperationCreate, Scope: branch, Parent: a.parent,
+			Create: &api.CreateProgram{Branch: string(branch), Key: a.key, BudgetTokens: a.plan.BudgetTokens},
+		}
+		var err error
+		if a.parent != "" {
+			request.Program, err = partition.NewChildID(a.parent, string(branch), a.key)
+		} else {
+			request.Program, err = at.core.NewProgram(branch, a.key)
+		}
+		return request, err == nil
+	}
+	sent := history.Sent{Operation: history.OperationCreate, Branch: string(branch), Key: a.key}
+	a.ask(sent, build, func(reply control.Reply) {
+		if reply.Error != nil {
+			a.finish()
+			return
+		}
+		a.id = reply.Program.ID
+		a.budget = reply.Program.BudgetTokens
+		a.cluster.opened(a)
+		a.makeCalls()
+	})
+	if a.plan.Twice {
+		a.ask(sent, build, func(control.Reply) {})
+	}
+}
+
+// makeCalls sends all calls at once, or the first.
+func (a *agent) makeCalls() {
+	if len(a.plan.Calls) == 0 {
+		a.readBack()
+		return
+	}
+	if !a.plan.Pipelined {
+		a.call(1)
+		return
+	}
+	for _, i := range a.cluster.random.Perm(len(a.plan.Calls)) {
+		a.call(uint64(i + 1))
+	}
+}
+
+// outputCap is the answer's cap in every model call, in tokens.
+const outputCap = 16
+
+// call makes one call.
+func (a *agent) call(sequence uint64) {
+	plan := a.plan.Calls[sequence-1]
+	submit := api.SubmitCall{
+		Key: fmt.Sprintf("call-%d", sequence), Sequence: sequence,
+		Input: fmt.Sprintf("[%s %d]", a.key, sequence),
+	}
+	if plan.Tool {
+		submit.Kind, submit.Tool, submit.Repeatable = api.CallTool, toolName, plan.Repeatable
+	} else {
+		submit.Kind, submit.Model, submit.MaxOutputTokens = api.CallModel, modelName, outputCap
+	}
+	sent := history.Sent{
+		Operation: history.OperationSubmit, Key: submit.Key, Sequence: sequence, Kind: submit.Kind,
+		Repeatable: !plan.Tool || plan.Repeatable, Input: submit.Input, OutputCap: submit.MaxOutputTokens,
+	}
+	build := func(*node) (control.Request, bool) {
+		copied := submit
+		return control.Request{
+			Operation: control.OperationSubmit, Scope: a.plan.Branch, Program: a.id, Submit: &copied, Wait: true,
+		}, true
+	}
+	a.ask(sent, build, func(reply control.Reply) { a.answered(sequence, reply) })
+	if a.plan.Twice {
+		a.ask(sent, build, func(control.Reply) {})
+	}
+}
+
+// answered goes on after the answer to a call. A refusal that no retry mends
+// ends a program that sends one call after another; a pipelined one waits for
+// the answers to all.
+func (a *agent) answered(sequence uint64, reply control.Reply) {
+	a.answers++
+	a.refused = a.refused || reply.Error != nil
+	count := uint64(len(a.plan.Calls))
+	switch {
+	case a.plan.Pipelined:
+		if a.answers == len(a.plan.Calls) {
+			a.readBack()
+		}
+	case a.refused || sequence == count:
+		a.readBack()
+	case a.plan.Agent != nil && sequence == count-1:
+		a.cluster.startAgent(*a.plan.Agent, a.id, func() { a.call(count) })
+	default:
+		a.cluster.after(a.plan.Pause, func() { a.call(sequence + 1) })
+	}
+}
+
+// readBack reads the program's history and its budget, and ends it.
+func (a *agent) readBack() {
+	a.readPart(1, &history.Read{Program: a.id, SentAt: a.cluster.now})
+}
+
+// readPart reads the calls from a place on.
+func (a *agent) readPart(from uint64, read *history.Read) {
+	sent := history.Sent{Operation: history.OperationAttach, Key: fmt.Sprintf("history-%d", from)}
+	a.ask(sent, a.plainRequest(control.Request{Operation: control.OperationHistory, Sequence: from}), func(reply control.Reply) {
+		if reply.Error != nil {
+			a.finish()
+			return
+		}
+		for _, call := range reply.History.Calls {
+			read.Calls = append(read.Calls, history.ReadCall{
+				Sequence: call.Sequence, Key: call.Key, Status: call.Status, Input: call.Input, Output: call.Output,
+			})
+		}
+		if reply.History.Next != 0 {
+			a.readPart(reply.History.Next, read)
+			return
+		}
+		a.cluster.record(history.Event{Read: read})
+		a.describe()
+	})
+}
+
+// describe asks for the spent budget, then ends the program.
+func (a *agent) describe() {
+	sent := history.Sent{Operation: history.OperationDescribe}
+	a.ask(sent, a.plainRequest(control.Request{Operation: control.OperationDescribe}), func(control.Reply) {
+		end := history.Sent{Operation: history.OperationEnd}
+		a.ask(end, a.plainRequest(control.Request{Operation: control.OperationEnd, Reason: "done"}), func(control.Reply) {
+			a.finish()
+		})
+	})
+}
+
+// plainRequest completes a request about this program.
+func (a *agent) plainRequest(request control.Request) func(*node) (control.Request, bool) {
+	request.Scope = a.plan.Branch
+	request.Program = a.id
+	return func(*node) (control.Request, bool) { return request, true }
+}
+
+// finish ends the caller's part.
+func (a *agent) finish() {
+	a.done = true
+	a.after()
+}
--- /dev/null
+++ b/emulator/cluster/cluster.go
@@ -0,0 +1,131 @@
+package cluster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"birchwood.example/birchwood/emulator/platformmodel"
+	"birchwood.example/birchwood/history"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/zone"
+)
+
+// Cluster is one emulated cluster. It is not safe for concurrent use.
+type Cluster struct {
+	config Config
+	now    time.Time
+	random *rand.Rand
+	queue  eventQueue
+	queued uint64
+
+	log      *platformmodel.Log
+	machines *platformmodel.MachineList
+	store    storeFaults
+	flapping bool
+	cuts     map[zonePair]bool
+
+	nodes     []*node
+	engines   []*emulatedEngine
+	tools     []*emulatedTool
+	operators operators
+
+	agents   []*agent
+	requests uint64
+	events   []history.Event
+}
+
+// zonePair is a direction between two zones.
+type zonePair struct{ from, to zone.Name }
+
+// epoch is when every run begins.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// New returns a cluster whose nodes have just started, with the settings in
+// the stream.
+func New(config Config) (*Cluster, error) {
+	if err := config.validate(); err != nil {
+		return nil, err
+	}
+	c := &Cluster{
+		config:   config,
+		now:      epoch,
+		random:   rand.New(rand.NewPCG(config.Seed, 0)),
+		log:      platformmodel.NewLog(),
+		machines: platformmodel.NewMachineList(listLag, listExpiry),
+		cuts:     map[zonePair]bool{},
+	}
+	c.record(history.Event{Run: &history.Run{Name: "cluster", Seed: config.Seed}})
+	if err := c.openSettings(); err != nil {
+		return nil, err
+	}
+	c.addBackends()
+	for _, name := range config.Zones {
+		for range config.NodesPerZone {
+			if err := c.addNode(name); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return c, nil
+}
+
+// addNode starts a node in a zone.
+func (c *Cluster) addNode(name zone.Name) error {
+	index := len(c.nodes) + 1
+	added := &node{
+		cluster: c,
+		index:   index,
+		self: machine.Machine{
+			ID:      machine.ID(fmt.Sprintf("node-%d", index)),
+			Kind:    machine.KindNode,
+			Zone:    name,
+			Address: fmt.Sprintf("10.0.0.%d:7000", index),
+			Status:  machine.StatusLive,
+		},
+	}
+	c.nodes = append(c.nodes, added)
+	return added.start()
+}
+
+// Now returns the virtual time.
+func (c *Cluster) Now() time.Time { return c.now }
+
+// Events returns the history so far.
+func (c *Cluster) Events() []history.Event { return c.events }
+
+// record adds an event to the history, at the present time.
+func (c *Cluster) record(event history.Event) {
+	event.At = c.now
+	c.events = append(c.events, event)
+}
+
+// node returns the node with the id, or nil.
+func (c *Cluster) node(id machine.ID) *node {
+	for _, each := range c.nodes {
+		if each.self.ID == id {
+			return each
+		}
+	}
+	return nil
+}
+
+// jitter draws a delay around the mean, at least a tenth of it.
+func (c *Cluster) jitter(mean time.Duration) time.Duration {
+	return mean/10 + time.Duration(c.random.ExpFloat64()*float64(mean))
+}
+
+// chance reports true with the given probability.
+func (c *Cluster) chance(probability float64) bool {
+	return c.random.Float64() < probability
+}
+
+// travel lets something go from one zone to another: deliver runs on arrival,
+// lost at once if the way is cut.
+func (c *Cluster) travel(from, to zone.Name, deliver, lost func()) {
+	if c.cuts[zonePair{from, to}] {
+		lost()
+		return
+	}
+	c.after(c.jitter(c.config.LinkDelay), deliver)
+}
--- /dev/null
+++ b/emulator/cluster/gateway.go
@@ -0,0 +1,160 @@
+package cluster
+
+import (
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/partition"
+)
+
+// connection is one caller's request at a node.
+type connection struct {
+	node   *node
+	starts uint64
+	id     uint64
+	// owner is the node that the request was relayed to, and handle what it
+	// waits for there or here.
+	owner  *node
+	handle uint64
+	// reply and lost end the request; over is set by whichever came first.
+	reply func(control.Reply)
+	lost  func()
+	over  bool
+}
+
+// request sends a caller's request to a node. Exactly one of reply and lost
+// runs, unless the returned function, with which the caller hangs up, is called
+// first. refused says that no connection was had.
+func (c *Cluster) request(at *node, request control.Request, reply func(control.Reply), lost func(refused bool)) (hangUp func()) {
+	opened := &connection{node: at, reply: reply, lost: func() { lost(false) }}
+	c.requests++
+	opened.id = c.requests
+	c.after(c.jitter(c.config.ClientDelay), func() {
+		if !at.running || at.handedOver {
+			if !opened.over {
+				opened.over = true
+				lost(true)
+			}
+			return
+		}
+		opened.starts = at.starts
+		at.connections[opened.id] = opened.breakOff
+		at.enqueue(func() { opened.serve(request) })
+	})
+	return opened.hangUp
+}
+
+// serve finds the owner of the request's program.
+func (o *connection) serve(request control.Request) {
+	n := o.node
+	id, err := partition.OfProgram(request.Program)
+	if err != nil {
+		o.finish(control.Reply{Error: api.Refuse(api.CodeNotFound, "%v", err)})
+		return
+	}
+	owner, known := n.core.Routing().Owner(id)
+	switch {
+	case !known:
+		o.finish(control.Reply{Error: api.Refuse(api.CodeOwnerUnknown, "no owner is known").After(ownerRetry)})
+	case owner.ID == n.self.ID:
+		o.handle = n.open(request, o.finish)
+	default:
+		o.relay(request, n.cluster.node(owner.ID))
+	}
+}
+
+// ownerRetry is when to ask again while no owner is known, in milliseconds.
+const ownerRetry = 500
+
+// open hands a request to the core and returns its handle.
+func (n *node) open(request control.Request, reply func(control.Reply)) uint64 {
+	n.handles++
+	handle := n.handles
+	n.waiting[handle] = reply
+	n.step(control.RequestReceived{Handle: handle, Request: request})
+	return handle
+}
+
+// relay passes the request on to the owner, and waits for its reply.
+func (o *connection) relay(request control.Request, owner *node) {
+	c := o.node.cluster
+	notSent := func() {
+		o.finish(control.Reply{Error: api.Refuse(api.CodeOwnerUnknown, "the owner does not answer").After(ownerRetry)})
+	}
+	if owner == nil {
+		notSent()
+		return
+	}
+	unknown := func() {
+		refusal := &api.Error{Code: api.CodeOutcomeUnknown, Message: "the owner was lost", Ran: api.RanOutcomeUnknown}
+		o.finish(control.Reply{Error: refusal.After(0)})
+	}
+	arrive := func() {
+		if !owner.running || owner.handedOver {
+			c.after(c.jitter(c.config.LinkDelay), notSent)
+			return
+		}
+		c.requests++
+		key := c.requests
+		owner.connections[key] = func() { c.after(c.jitter(c.config.LinkDelay), unknown) }
+		owner.enqueue(func() {
+			o.owner = owner
+			o.handle = owner.open(request, func(reply control.Reply) {
+				if owner.connections != nil {
+					delete(owner.connections, key)
+				}
+				owner.finishStop()
+				c.travel(owner.self.Zone, o.node.self.Zone, func() { o.finish(reply) }, func() { c.after(peerSilence, unknown) })
+			})
+		})
+	}
+	c.travel(o.node.self.Zone, owner.self.Zone, arrive, func() { c.after(dialTimeout, notSent) })
+}
+
+// finish answers the caller, once the process can.
+func (o *connection) finish(reply control.Reply) {
+	n := o.node
+	if o.over || !n.running || n.starts != o.starts {
+		return
+	}
+	n.enqueue(func() {
+		if o.over {
+			return
+		}
+		o.over = true
+		delete(n.connections, o.id)
+		n.cluster.after(n.cluster.jitter(n.cluster.config.ClientDelay), func() { o.reply(reply) })
+		n.finishStop()
+	})
+}
+
+// breakOff tells the caller that its connection is gone.
+func (o *connection) breakOff() {
+	if !o.over {
+		o.over = true
+		o.node.cluster.after(o.node.cluster.jitter(o.node.cluster.config.ClientDelay), o.lost)
+	}
+}
+
+// hangUp is the caller closing its connection: the node stops waiting.
+func (o *connection) hangUp() {
+	if o.over {
+		return
+	}
+	o.over = true
+	n := o.node
+	if !n.running || n.starts != o.starts {
+		return
+	}
+	delete(n.connections, o.id)
+	at := n
+	if o.owner != nil {
+		at = o.owner
+	}
+	handle := o.handle
+	at.enqueue(func() {
+		if _, waits := at.waiting[handle]; waits && handle != 0 {
+			delete(at.waiting, handle)
+			at.step(control.RequestAbandoned{Handle: handle})
+		}
+	})
+}
--- /dev/null
+++ b/emulator/cluster/node.go
@@ -0,0 +1,249 @@
+package cluster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/history"
+	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/program"
+	"birchwood.example/birchwood/schedule"
+	"birchwood.example/birchwood/zone"
+)
+
+// node is one machine of the system, running or not.
+type node struct {
+	cluster *Cluster
+	index   int
+	self    machine.Machine
+	core    *control.Core
+	// starts counts the starts of the process; running and paused are its
+	// state. What reaches a paused process waits in its backlog.
+	starts  uint64
+	running bool
+	paused  bool
+	backlog []func()
+	wake    time.Time
+	// leaving is set by a planned stop, handedOver once it is complete.
+	leaving    bool
+	handedOver bool
+
+	handles  uint64
+	waiting  map[uint64]func(control.Reply)
+	attempts map[program.AttemptRef]*attempt
+	// connections are the callers' requests that this node has not answered;
+	// each value tells the caller that its connection was lost.
+	connections map[uint64]func()
+	verdicts    map[string]func(contract.Verdict)
+	inForce     contract.Revision
+}
+
+// start begins a new process on the machine.
+func (n *node) start() error {
+	n.starts++
+	n.self.Incarnation = uint64(n.cluster.now.Sub(epoch)/time.Millisecond) + n.starts
+	random := rand.New(rand.NewPCG(n.cluster.config.Seed, uint64(n.index)<<32+n.starts))
+	settings := schedule.DefaultConfig()
+	settings.Self = n.self.Zone
+	settings.Random = random
+	settings.LinkDelay = func(zone.Name) time.Duration { return n.cluster.config.LinkDelay }
+	policy, err := schedule.New(settings)
+	if err != nil {
+		return err
+	}
+	config := control.DefaultConfig(n.self, journal.WriterName(n.self.ID, n.self.Incarnation), random, policy)
+	config.PartitionsPerPlacement = 2
+	config.Replica.AcceptLossAfter = acceptLossAfter
+	config.Follower.Zones = n.cluster.config.Zones
+	core, err := control.New(config)
+	if err != nil {
+		return fmt.Errorf("node %s: %w", n.self.ID, err)
+	}
+	n.core = core
+	n.running, n.paused, n.leaving, n.handedOver = true, false, false, false
+	n.backlog = nil
+	n.wake = time.Time{}
+	n.inForce = 0
+	n.waiting = map[uint64]func(control.Reply){}
+	n.attempts = map[program.AttemptRef]*attempt{}
+	n.connections = map[uint64]func(){}
+	n.verdicts = map[string]func(contract.Verdict){}
+	n.post(control.Tick{})
+	return nil
+}
+
+// whileRunning wraps an answer to this process: it is dropped when the process
+// is gone by then, and waits while the process is paused.
+func (n *node) whileRunning(run func(error)) func(error) {
+	starts := n.starts
+	return func(err error) {
+		if n.running && n.starts == starts {
+			n.enqueue(func() { run(err) })
+		}
+	}
+}
+
+// enqueue runs a function in the process, now or when it wakes.
+func (n *node) enqueue(run func()) {
+	switch {
+	case !n.running:
+	case n.paused:
+		n.backlog = append(n.backlog, run)
+	default:
+		run()
+	}
+}
+
+// post hands an event to the core, after what happens now.
+func (n *node) post(event control.Event) {
+	starts := n.starts
+	n.cluster.after(0, func() {
+		if n.starts == starts {
+			n.enqueue(func() { n.step(event) })
+		}
+	})
+}
+
+// step steps the core and performs its actions.
+func (n *node) step(event control.Event) {
+	n.core.Step(n.cluster.now, event)
+	for _, action := range n.core.Ready() {
+		n.perform(action)
+	}
+	n.noteInForce()
+	n.scheduleWake()
+	n.finishStop()
+}
+
+// scheduleWake queues the next tick.
+func (n *node) scheduleWake() {
+	now := n.cluster.now
+	wake := now.Add(longestSleep)
+	if next := n.core.NextWake(); !next.IsZero() && next.Before(wake) {
+		wake = next
+	}
+	if wake.Before(now.Add(time.Millisecond)) {
+		wake = now.Add(time.Millisecond)
+	}
+	if n.wake.After(now) && !wake.Before(n.wake) {
+		return
+	}
+	n.wake = wake
+	starts := n.starts
+	n.cluster.after(wake.Sub(now), func() {
+		if n.running && n.starts == starts && n.wake.Equal(wake) {
+			n.enqueue(func() { n.step(control.Tick{}) })
+		}
+	})
+}
+
+// noteInForce records the revision that this node places new work by.
+func (n *node) noteInForce() {
+	revision := n.core.Tree().Revision()
+	if revision == n.inForce || !n.core.Freshness(n.cluster.now).MayPlace {
+		return
+	}
+	n.inForce = revision
+	n.cluster.record(history.Event{InForce: &history.InForce{
+		Node: n.self.ID, Incarnation: n.self.Incarnation, Revision: uint64(revision),
+	}})
+}
+
+// perform does one action of the core.
+func (n *node) perform(action control.Action) {
+	switch action := action.(type) {
+	case control.AppendStream:
+		n.appendStream(action)
+	case control.ReadStream:
+		n.readStream(action)
+	case control.ReadSettings:
+		n.readSettings(action)
+	case control.ListMachines:
+		n.listMachines(action)
+	case control.SendMessage:
+		n.sendMessage(action)
+	case control.SendAttempt:
+		n.startAttempt(action)
+	case control.StopAttempt:
+		n.stopAttempt(action.Attempt)
+	case control.LookUpKey:
+		n.lookUp(action)
+	case control.QueryBackend:
+		n.queryBackend(action)
+	case control.ListPrefixes:
+		n.listPrefixes(action)
+	case control.ReleasePrefix:
+		n.releasePrefix(action)
+	default:
+		n.note(action)
+	}
+}
+
+// note takes the actions that answer somebody or tell what happened.
+func (n *node) note(action control.Action) {
+	switch action := action.(type) {
+	case control.Answer:
+		n.answer(action.Handle, action.Reply)
+	case control.FetchHistory:
+		n.fetchHistory(action)
+	case control.SettingsVerdict:
+		n.noteVerdict(action.Verdict)
+	case control.ProgramFinished:
+		n.cluster.record(history.Event{Closed: &history.Closed{Program: action.Program.ID}})
+	case control.StopComplete:
+		n.handedOver = true
+	}
+}
+
+// sendMessage carries a control message to a peer, if it arrives.
+func (n *node) sendMessage(action control.SendMessage) {
+	c := n.cluster
+	peer := c.node(action.To.ID)
+	if peer == nil || c.chance(c.config.DropShare) {
+		return
+	}
+	message := action.Message
+	c.travel(n.self.Zone, peer.self.Zone, func() {
+		peer.enqueue(func() { peer.step(control.MessageReceived{Message: message}) })
+	}, func() {})
+}
+
+// answer gives a reply to whoever waits for the handle.
+func (n *node) answer(handle uint64, reply control.Reply) {
+	waiting, found := n.waiting[handle]
+	if !found {
+		return
+	}
+	delete(n.waiting, handle)
+	n.cluster.after(0, func() { waiting(reply) })
+}
+
+// crash ends the process without a word.
+func (n *node) crash() {
+	n.running = false
+	n.paused = false
+	n.backlog = nil
+	for _, handle := range sortedKeys(n.connections) {
+		n.connections[handle]()
+	}
+	for _, each := range sortedAttempts(n.attempts) {
+		each.disconnect()
+	}
+	n.connections, n.attempts, n.waiting = nil, nil, nil
+}
+
+// finishStop ends the process once a planned stop has handed everything over
+// and every caller has its answer.
+func (n *node) finishStop() {
+	if !n.handedOver || len(n.connections) > 0 || len(n.waiting) > 0 {
+		return
+	}
+	c := n.cluster
+	c.record(history.Event{Stop: &history.Stop{Machine: n.self.ID, Done: true}})
+	c.record(history.Event{Fault: &history.Fault{Kind: history.FaultDown, Machine: n.self.ID, Begin: true}})
+	n.crash()
+}
--- /dev/null
+++ b/emulator/cluster/settings.go
@@ -0,0 +1,161 @@
+package cluster
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/history"
+	"birchwood.example/birchwood/zone"
+)
+
+// The branches that programs run on. The depot keeps an exception of its own.
+const (
+	BranchCold  contract.Path = "cold"
+	BranchDepot contract.Path = "cold/depot"
+	BranchChat  contract.Path = "chat"
+)
+
+// Branches lists the branches that programs run on.
+func Branches() []contract.Path { return []contract.Path{BranchCold, BranchDepot, BranchChat} }
+
+// operators are the people who change the settings.
+type operators struct {
+	tree    *contract.Tree
+	changes int
+	// recorded are the changes that the history was told of.
+	recorded map[string]bool
+	// placements are each branch's placements so far, in order.
+	placements map[contract.Path][]placementSince
+}
+
+// placementSince is a branch's placement and when it took effect.
+type placementSince struct {
+	placement zone.Placement
+	since     time.Time
+}
+
+// notePlacements keeps the placements that a change has brought.
+func (c *Cluster) notePlacements() {
+	for _, path := range Branches() {
+		resolved, err := c.operators.tree.Resolve(path)
+		if err != nil {
+			continue
+		}
+		known := c.operators.placements[path]
+		if len(known) == 0 || known[len(known)-1].placement != resolved.Placement {
+			known = append(known, placementSince{placement: resolved.Placement, since: c.now})
+			c.operators.placements[path] = known
+		}
+	}
+}
+
+// openSettings puts the first settings in the stream.
+func (c *Cluster) openSettings() error {
+	c.operators = operators{
+		tree: contract.NewTree(), recorded: map[string]bool{}, placements: map[contract.Path][]placementSince{},
+	}
+	budget, turns := int64(1_000_000), 64
+	change := contract.Change{ID: "first", Actor: "operator", At: c.now, Edits: []contract.Edit{
+		{Path: contract.Root, Values: contract.Values{
+			Zones: c.config.Zones, Models: []string{modelName}, Tools: []string{toolName},
+			BudgetTokens: &budget, MaxTurns: &turns,
+		}},
+		{Path: BranchCold},
+		{Path: BranchDepot, Values: contract.Values{Zones: c.config.Zones[:max(1, len(c.config.Zones)-1)]}},
+		{Path: BranchChat},
+	}}
+	c.appendChange(change, c.now)
+	if verdict, _ := c.operators.tree.Verdict(change.ID); !verdict.Accepted {
+		return fmt.Errorf("cluster: the first settings were refused: %v", verdict.Findings)
+	}
+	return nil
+}
+
+// appendChange adds a change to the settings stream and folds it at once, so
+// that the history knows the verdict and when it took effect.
+func (c *Cluster) appendChange(change contract.Change, sentAt time.Time) uint64 {
+	text := encode(change)
+	revision := c.log.Append(contract.StreamName, [][]byte{text}) + 1
+	verdict := c.operators.tree.ApplyBytes(contract.Revision(revision), text)
+	if !c.operators.recorded[change.ID] {
+		c.operators.recorded[change.ID] = true
+		recorded := &history.Change{
+			ID: change.ID, SentAt: sentAt, Based: uint64(change.Based), Accepted: verdict.Accepted, Revision: uint64(verdict.Revision),
+		}
+		for _, edit := range change.Edits {
+			recorded.Paths = append(recorded.Paths, string(edit.Path))
+		}
+		c.record(history.Event{Change: recorded})
+	}
+	c.notePlacements()
+	for _, each := range c.agents {
+		if each.id != "" {
+			c.opened(each)
+		}
+	}
+	return revision
+}
+
+// opened tells the history which placements a program's branch has had that it
+// was not told of before.
+func (c *Cluster) opened(of *agent) {
+	placements := c.operators.placements[of.plan.Branch]
+	for _, each := range placements[of.placements:] {
+		c.record(history.Event{Opened: &history.Opened{
+			Since: each.since, Program: of.id, Branch: string(of.plan.Branch), Parent: of.parent,
+			Placement: each.placement, BudgetTokens: of.budget,
+		}})
+	}
+	of.placements = len(placements)
+}
+
+// ChangeZones lets an operator set a branch's zones through a node. The change
+// is based on what that node knows.
+func (c *Cluster) ChangeZones(path contract.Path, zones []zone.Name, through int) {
+	c.operators.changes++
+	change := contract.Change{
+		ID: fmt.Sprintf("change-%d", c.operators.changes), Actor: "operator", At: c.now,
+		Edits: []contract.Edit{{Path: path, Values: contract.Values{Zones: slices.Clone(zones)}}},
+	}
+	at := c.nodes[through%len(c.nodes)]
+	if !at.running {
+		return
+	}
+	at.enqueue(func() {
+		change.Based = at.core.Tree().Revision()
+		at.changeSettings(change)
+	})
+}
+
+// changeSettings appends a change, as the node's operator interface does, and
+// notes the verdict that the operator gets.
+func (n *node) changeSettings(change contract.Change) {
+	c := n.cluster
+	sentAt := c.now
+	n.verdicts[change.ID] = func(verdict contract.Verdict) {
+		c.record(history.Event{Verdict: &history.Verdict{
+			Node: "operator", ID: verdict.ID, Accepted: verdict.Accepted, Revision: uint64(verdict.Revision),
+		}})
+	}
+	var revision uint64
+	effect := func() { revision = c.appendChange(change, sentAt) }
+	c.storeRequest(n, effect, func(err error) {
+		if err == nil {
+			n.post(control.SettingsAppended{Revision: contract.Revision(revision)})
+		}
+	})
+}
+
+// noteVerdict records what this node decided, and tells a waiting operator.
+func (n *node) noteVerdict(verdict contract.Verdict) {
+	n.cluster.record(history.Event{Verdict: &history.Verdict{
+		Node: n.self.ID, ID: verdict.ID, Accepted: verdict.Accepted, Revision: uint64(verdict.Revision),
+	}})
+	if tell, waits := n.verdicts[verdict.ID]; waits {
+		delete(n.verdicts, verdict.ID)
+		tell(verdict)
+	}
+}
--- /dev/null
+++ b/emulator/cluster/transcript.go
@@ -0,0 +1,94 @@
+package cluster
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/partition"
+	"birchwood.example/birchwood/program"
+)
+
+// readTexts reads calls back from a partition's stream, in one request.
+func (n *node) readTexts(id partition.ID, owner api.ProgramID, locations []program.CallLocation, done func([]api.Call, error)) {
+	if len(locations) == 0 {
+		done(nil, nil)
+		return
+	}
+	var calls []api.Call
+	var failure error
+	effect := func() {
+		for _, location := range locations {
+			call, err := n.readCall(id, owner, location)
+			if err != nil {
+				failure = err
+				return
+			}
+			calls = append(calls, call)
+		}
+	}
+	n.cluster.storeRequest(n, effect, func(err error) {
+		if err == nil {
+			err = failure
+		}
+		done(calls, err)
+	})
+}
+
+// readCall puts a call together from its two records.
+func (n *node) readCall(id partition.ID, owner api.ProgramID, location program.CallLocation) (api.Call, error) {
+	accepted, ended := location.Accepted, location.Ended
+	if accepted == nil {
+		record, err := n.readRecord(id, location.AcceptedOffset)
+		if err != nil || record.Accepted == nil || record.Program != owner {
+			return api.Call{}, fmt.Errorf("offset %d does not hold call %d of program %s: %w", location.AcceptedOffset, location.Sequence, owner, err)
+		}
+		accepted = record.Accepted
+	}
+	call := api.Call{
+		Program: owner, Sequence: accepted.Sequence, Key: accepted.Call.Key, Kind: accepted.Call.Kind,
+		Input: accepted.Call.Input, Status: location.Status,
+	}
+	if !location.Status.Terminal() {
+		return call, nil
+	}
+	if ended == nil {
+		record, err := n.readRecord(id, location.EndedOffset)
+		if err != nil || record.Ended == nil || record.Program != owner {
+			return api.Call{}, fmt.Errorf("offset %d does not hold the end of call %d of program %s: %w", location.EndedOffset, location.Sequence, owner, err)
+		}
+		ended = record.Ended
+	}
+	control.FillEnded(&call, ended)
+	return call, nil
+}
+
+// readRecord reads one record of a stream.
+func (n *node) readRecord(id partition.ID, offset uint64) (program.Record, error) {
+	encoded, _ := n.cluster.log.Read(id.String(), offset, 1, readBytes)
+	if len(encoded) == 0 {
+		return program.Record{}, fmt.Errorf("partition %s has no offset %d", id, offset)
+	}
+	var record program.Record
+	err := json.Unmarshal(decodeEntry(encoded[0]).Payload, &record)
+	return record, err
+}
+
+// fetchHistory replies with calls that are read back from the log.
+func (n *node) fetchHistory(action control.FetchHistory) {
+	n.readTexts(action.Partition, action.Program, action.Locations, func(calls []api.Call, err error) {
+		reply := control.Reply{}
+		switch {
+		case err != nil:
+			refusal := api.Refuse(api.CodeStoreUnavailable, "the history cannot be read back now: %v", err)
+			refusal.Ran = api.RanOutcomeUnknown
+			reply.Error = refusal.After(1000)
+		case action.Single:
+			reply.Call = &calls[0]
+		default:
+			reply.History = &api.History{Program: action.Program, Calls: calls, Next: action.Next}
+		}
+		n.answer(action.Handle, reply)
+	})
+}
--- a/history/event.go
+++ b/history/event.go
@@ -106,6 +106,8 @@
 	Request string `json:"request"`
 	// HungUp is set when the caller itself closed the connection.
 	HungUp bool `json:"hung_up,omitempty"`
+	// NotSent is set when no connection was had, so that nothing was sent.
+	NotSent bool `json:"not_sent,omitempty"`
 }
 
 // Read is a program's whole history as a caller read it.
@@ -169,7 +171,11 @@
 }
 
 // Opened says that a program exists, or that its contract was changed.
+// Several events of one program give its placements in order.
 type Opened struct {
+	// Since is when the placement took effect, if that was earlier than the
+	// event's time.
+	Since        time.Time      `json:"since,omitzero"`
 	Program      api.ProgramID  `json:"program"`
 	Branch       string         `json:"branch"`
 	Parent       api.ProgramID  `json:"parent,omitempty"`
--- a/history/settings.go
+++ b/history/settings.go
@@ -163,7 +163,7 @@
 // had until at most the settings bound before it, permits the zone.
 func (c *checker) permitted(program *programFacts, name zone.Name, at time.Time) bool {
 	for i, r := range program.opened {
-		replaced := i+1 < len(program.opened) && at.Sub(program.opened[i+1].At) > c.run.SettingsBound
+		replaced := i+1 < len(program.opened) && at.Sub(program.opened[i+1].since()) > c.run.SettingsBound
 		if !replaced && r.Opened.Placement.Contains(name) {
 			return true
 		}
@@ -171,6 +171,14 @@
 	return false
 }
 
+// since is when the placement of an Opened event took effect.
+func (r *record) since() time.Time {
+	if r.Opened.Since.IsZero() {
+		return r.At
+	}
+	return r.Opened.Since
+}
+
 // streamPlacement takes the placement from a partition's stream name. Other
 // streams, such as the settings', have none.
 func streamPlacement(name string) (zone.Placement, bool) {
