--- a/control/attendant.go
+++ b/control/attendant.go
@@ -91,8 +91,10 @@
 
 func (a *attendant) nextWake() time.Time {
 	wake := a.nextLoad
-	for _, attended := range a.attended {
-		earliest(&wake, attended.nextSweep)
+	for id, attended := range a.attended {
+		if a.backends[id].Kind == machine.KindEngine {
+			earliest(&wake, attended.nextSweep)
+		}
 	}
 	return wake
 }
