--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -316,7 +316,7 @@
 	finished := make(chan error, 1)
 	go func() { finished <- served.Server().Serve(listener) }()
 	DeferCleanup(func() {
-		_ = served.Server().Shutdown()
+		listener.kill()
 		Eventually(finished).Should(Receive())
 	})
 	return started
