standin: restart engines, and wake with the iterations that run

A crash of an engine could not be shown over HTTP, and looking for answers that are no longer needed took time in proportion to programs times prefixes.

Set.Restart and POST /backends/{id}/restart lose streams and prefixes; the sequence of cache events goes on with a gap. Streams are served at the end of each iteration, at most every 5 ms. What is no longer needed is found in one pass.

--- a/emulator/enginemodel/output.go
+++ b/emulator/enginemodel/output.go
@@ -87,6 +87,15 @@
 	return next
 }
 
+// NextIteration returns when the iteration that runs ends and the sequences
+// have moved on; the zero time means that nothing runs.
+func (e *Engine) NextIteration() time.Time {
+	if e.iteration.count == 0 {
+		return time.Time{}
+	}
+	return e.iteration.start.Add(e.iteration.duration)
+}
+
 // Progress returns how far a stream is, as of the last Step. It reports false
 // for a stream that is unknown or forgotten.
 func (e *Engine) Progress(stream string) (Progress, bool) {
@@ -99,6 +108,9 @@
 	return Progress{}, false
 }
 
+// EventSequence returns the sequence of the last cache event, told or not.
+func (e *Engine) EventSequence() uint64 { return e.events }
+
 // Load measures the engine as of the last Step.
 func (e *Engine) Load() schedule.Load { return e.load() }
 
--- a/emulator/standin/control.go
+++ b/emulator/standin/control.go
@@ -25,6 +25,7 @@
 	routes.GET("/addresses", func(ctx *fasthttp.RequestCtx) { answer(ctx, s.Addresses()) })
 	routes.GET("/runs", func(ctx *fasthttp.RequestCtx) { answer(ctx, s.ToolRuns()) })
 	routes.POST("/backends/{id}/leave", s.leaveBackend)
+	routes.POST("/backends/{id}/restart", s.restartBackend)
 	routes.DELETE("/backends/{id}", func(ctx *fasthttp.RequestCtx) {
 		s.Withdraw(machine.ID(unescape(parameter(ctx, "id"))))
 		ctx.SetStatusCode(fasthttp.StatusNoContent)
@@ -69,3 +70,12 @@
 	}
 	ctx.SetStatusCode(fasthttp.StatusNoContent)
 }
+
+// restartBackend makes an engine lose its streams and prefixes.
+func (s *Set) restartBackend(ctx *fasthttp.RequestCtx) {
+	if err := s.Restart(machine.ID(unescape(parameter(ctx, "id")))); err != nil {
+		fail(ctx, fasthttp.StatusNotFound, err)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
--- a/emulator/standin/engine.go
+++ b/emulator/standin/engine.go
@@ -17,8 +17,11 @@
 )
 
 const (
-	// progressInterval is how often streams in progress are served.
-	progressInterval = 10 * time.Millisecond
+	// progressInterval is how often streams in progress are served at most.
+	progressInterval = 5 * time.Millisecond
+	// forgetAfter is how many streams end before what is no longer needed is
+	// looked for.
+	forgetAfter = 1000
 	// keptEvents is how many cache events can still be asked for.
 	keptEvents = 4096
 )
@@ -28,10 +31,15 @@
 type runningEngine struct {
 	config EngineConfig
 
+	random *rand.Rand
+
 	mutex    sync.Mutex
 	model    *enginemodel.Engine
 	prefixes map[api.ProgramID]prefixText
-	answers  map[string]answerText
+	answers  map[string]startedAnswer
+	ended    int
+	// firstEvent is added to the sequence of the model's cache events.
+	firstEvent uint64
 	events   []engine.CacheEvent
 	report   schedule.Load
 	// changed is closed and replaced when streams have moved on.
@@ -39,6 +47,12 @@
 	kick    chan struct{}
 }
 
+// startedAnswer is the answer of a stream that was asked for.
+type startedAnswer struct {
+	owner api.ProgramID
+	text  answerText
+}
+
 // prefixText identifies the text of a program's cached prefix.
 type prefixText struct {
 	length int
@@ -47,21 +61,41 @@
 
 // newRunningEngine returns an engine at rest.
 func newRunningEngine(config EngineConfig, random *rand.Rand) (*runningEngine, error) {
-	rates := enginemodel.DefaultConfig(config.ID, config.Models...).Faster(config.Speed)
-	rates.Slots = config.Slots
-	rates.CacheTokens = config.CacheTokens
-	model, err := enginemodel.New(rates, time.Now(), random)
+	created := &runningEngine{
+		config:  config,
+		random:  random,
+		changed: make(chan struct{}),
+		kick:    make(chan struct{}, 1),
+	}
+	return created, created.reset()
+}
+
+// reset begins with an empty engine: at first, and after a crash.
+func (r *runningEngine) reset() error {
+	rates := enginemodel.DefaultConfig(r.config.ID, r.config.Models...).Faster(r.config.Speed)
+	rates.Slots = r.config.Slots
+	rates.CacheTokens = r.config.CacheTokens
+	model, err := enginemodel.New(rates, time.Now(), r.random)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return &runningEngine{
-		config:   config,
-		model:    model,
-		prefixes: make(map[api.ProgramID]prefixText),
-		answers:  make(map[string]answerText),
-		changed:  make(chan struct{}),
-		kick:     make(chan struct{}, 1),
-	}, nil
+	r.model = model
+	r.prefixes = make(map[api.ProgramID]prefixText)
+	r.answers = make(map[string]startedAnswer)
+	r.events = nil
+	return nil
+}
+
+// restart loses every stream and prefix, as a crash does.
+func (r *runningEngine) restart() error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	// The sequence goes on with a gap, which tells readers to look anew.
+	r.firstEvent += r.model.EventSequence() + 1
+	if err := r.reset(); err != nil {
+		return err
+	}
+	return r.stepLocked(enginemodel.Event{})
 }
 
 // run lets time pass until closed.
@@ -92,8 +126,8 @@
 	if next := r.model.NextWake(); !next.IsZero() {
 		sleep = max(time.Until(next), 0)
 	}
-	if load := r.model.Load(); load.Running > 0 {
-		sleep = min(sleep, progressInterval)
+	if next := r.model.NextIteration(); !next.IsZero() {
+		sleep = min(sleep, max(time.Until(next), progressInterval))
 	}
 	return sleep
 }
@@ -105,44 +139,46 @@
 		case output.Load != nil:
 			r.report = *output.Load
 		case output.CacheEvent != nil:
-			r.events = append(r.events, *output.CacheEvent)
+			event := *output.CacheEvent
+			event.Sequence += r.firstEvent
+			r.events = append(r.events, event)
 			if len(r.events) > keptEvents {
 				r.events = append([]engine.CacheEvent(nil), r.events[len(r.events)-keptEvents/2:]...)
 			}
 		case output.Finished != nil:
-			r.forgetAnswers()
+			r.forget()
 		}
 	}
 }
 
-// forgetAnswers drops the answers of streams that cannot be resumed any more,
-// now and then. The mutex is held.
-func (r *runningEngine) forgetAnswers() {
-	if len(r.answers)%1024 != 0 {
+// forget drops, now and then, the answers of streams that cannot be resumed
+// any more and the texts of prefixes that are gone. The mutex is held.
+func (r *runningEngine) forget() {
+	r.ended++
+	if r.ended%forgetAfter != 0 {
 		return
 	}
-	for stream := range r.answers {
-		if _, known := r.model.Progress(stream); !known {
+	needed := make(map[api.ProgramID]bool)
+	for _, held := range r.model.Prefixes() {
+		needed[held.Owner] = true
+	}
+	for stream, answer := range r.answers {
+		progress, known := r.model.Progress(stream)
+		if !known {
 			delete(r.answers, stream)
+			continue
+		}
+		if !progress.Done {
+			needed[answer.owner] = true
 		}
 	}
 	for owner := range r.prefixes {
-		if r.model.Resident(owner) == 0 && !r.runs(owner) {
+		if !needed[owner] {
 			delete(r.prefixes, owner)
 		}
 	}
 }
 
-// runs reports whether the owner has a running sequence. The mutex is held.
-func (r *runningEngine) runs(owner api.ProgramID) bool {
-	for _, listed := range r.model.Prefixes() {
-		if listed.Owner == owner {
-			return true
-		}
-	}
-	return false
-}
-
 // step applies an event now and wakes the driver.
 func (r *runningEngine) step(event enginemodel.Event) error {
 	r.mutex.Lock()
@@ -170,7 +206,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if known, ok := r.answers[request.Stream]; ok && known != text {
+	if known, ok := r.answers[request.Stream]; ok && known.text != text {
 		return text, fmt.Errorf("stream %q: known with another prompt", request.Stream)
 	}
 	output := text.tokens(request.MaxOutputTokens)
@@ -187,7 +223,7 @@
 	if err != nil {
 		return text, err
 	}
-	r.answers[request.Stream] = text
+	r.answers[request.Stream] = startedAnswer{owner: request.Owner, text: text}
 	r.prefixes[request.Owner] = prefixText{length: len(request.Prompt), hash: xxhash.Sum64String(request.Prompt)}
 	return text, nil
 }
--- a/emulator/standin/set.go
+++ b/emulator/standin/set.go
@@ -167,6 +167,20 @@
 	return fmt.Errorf("%w: %q", errUnknownBackend, id)
 }
 
+// Restart makes an engine lose its streams and prefixes, as after a crash.
+func (s *Set) Restart(id machine.ID) error {
+	for _, opened := range s.engines {
+		if opened.engine.config.ID == id {
+			if err := opened.engine.restart(); err != nil {
+				return err
+			}
+			s.platform.setOwn(opened.engine.machine(s.addresses[id], machine.StatusLive))
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: %q", errUnknownBackend, id)
+}
+
 var errUnknownBackend = errors.New("no such engine or tool service")
 
 // Withdraw removes an engine or a tool service from the machine list.
--- a/emulator/standin/standin_test.go
+++ b/emulator/standin/standin_test.go
@@ -269,6 +269,23 @@
 		Expect(err).To(MatchError(context.Canceled))
 	})
 
+	It("loses its streams and prefixes in a restart, and serves again", func(ctx SpecContext) {
+		w := start()
+		long := request
+		long.MaxOutputTokens = 40000
+		_, _, err := collect(ctx, w.engine("engine-1"), request)
+		Expect(err).NotTo(HaveOccurred())
+		long.Stream = "q/1/1"
+		err = w.engine("engine-1").Generate(ctx, long, func(chunk engine.Chunk) error {
+			return w.set.Restart("engine-1")
+		})
+		Expect(err).To(MatchError(enginehttp.ErrCutShort))
+		Expect(w.engine("engine-1").Prefixes(ctx)).To(BeEmpty())
+		_, last, err := collect(ctx, w.engine("engine-1"), request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(last.Done).To(BeTrue())
+	})
+
 	It("is out of reach from a zone that is cut off, and cuts running streams", func(ctx SpecContext) {
 		w := start()
 		long := request
