--- a/program/apply.go
+++ b/program/apply.go
@@ -82,9 +82,7 @@
 
 func (p *heldProgram) applyAccepted(offset uint64, at time.Time, accepted *Accepted) {
 	sequence := accepted.Sequence
-	for uint64(len(p.calls)) < sequence {
-		p.calls = append(p.calls, callEntry{accepted: NoOffset, ended: NoOffset})
-	}
+	p.growCalls(sequence)
 	p.calls[sequence-1] = callEntry{
 		keyHash:  xxhash.Sum64String(accepted.Call.Key),
 		bodyHash: accepted.BodyHash,
@@ -111,6 +109,23 @@
 	}
 }
 
+// growCalls adds vacant entries up to the place. It grows by a quarter, not
+// by doubling: the entries of idle programs are most of the store's memory.
+func (p *heldProgram) growCalls(sequence uint64) {
+	if missing := int(sequence) - cap(p.calls); missing > 0 {
+		room := len(p.calls)/4 + minimumCallRoom
+		grown := make([]callEntry, len(p.calls), len(p.calls)+max(missing, room))
+		copy(grown, p.calls)
+		p.calls = grown
+	}
+	for uint64(len(p.calls)) < sequence {
+		p.calls = append(p.calls, callEntry{accepted: NoOffset, ended: NoOffset})
+	}
+}
+
+// minimumCallRoom is the least number of entries by which a program grows.
+const minimumCallRoom = 2
+
 func (p *heldProgram) applyDispatched(at time.Time, dispatched *Dispatched) {
 	live := p.liveCall(dispatched.Sequence)
 	if live == nil {
--- a/program/calls_test.go
+++ b/program/calls_test.go
@@ -155,6 +155,22 @@
 		Expect(d.refused(d.dispatchCommand("p", 1)).Code).To(Equal(api.CodeConflict))
 	})
 
+	It("wait for the log until their deadline while the history cannot be read", func() {
+		d.submit("p", modelCall("a"))
+		unreadable := api.Refuse(api.CodeStoreUnavailable, "the history cannot be read")
+		for range 10 {
+			d.dispatch("p", 1)
+			d.outcome("p", 1, program.Outcome{Status: api.StatusNotRun, Error: unreadable})
+			start := d.effect(program.EffectStart, ref("p", 1))
+			Expect(start.Avoid).To(BeEmpty())
+			d.tick(start.Delay)
+		}
+		d.tick(time.Minute)
+		answer := d.effect(program.EffectAnswer, ref("p", 1)).Answer
+		Expect(answer.Status).To(Equal(api.StatusNotRun))
+		Expect(answer.Error.Message).To(ContainSubstring("the history cannot be read"))
+	})
+
 	It("that run out of time while running are stopped and fail", func() {
 		d.submit("p", modelCall("a"))
 		d.dispatch("p", 1)
--- a/program/end_call.go
+++ b/program/end_call.go
@@ -80,13 +80,16 @@
 	}
 }
 
+// timeoutRetry is how soon a caller may try again after a call ran out of
+// time before it was sent.
+const timeoutRetry = time.Second
+
 // waitedTooLong tells why a call that was never sent has run out of time.
 func waitedTooLong(p *heldProgram, live *liveCall) *api.Error {
-	wait := max(time.Second, live.deadline.Sub(p.lastActivity)/2)
-	if head := p.head(); head == nil {
-		return notRun(api.CodeTimeout, wait, "call %d waited for call %d, which never came", live.sequence, p.next)
+	if p.head() == nil {
+		return notRun(api.CodeTimeout, timeoutRetry, "call %d waited for call %d, which never came", live.sequence, p.next)
 	}
-	return notRun(api.CodeTimeout, wait, "call %d found no back end before its deadline", live.sequence)
+	return notRun(api.CodeTimeout, timeoutRetry, "call %d found no back end before its deadline", live.sequence)
 }
 
 // cancel asks to stop a call. A call that was never sent ends as not run, and
--- a/program/held.go
+++ b/program/held.go
@@ -104,7 +104,8 @@
 
 	// What follows is not durable.
 	phase    phase
-	failures int
+	failures int // attempts that count against the contract's limit
+	restarts int // starts after the first, for the backoff
 	avoid    []machine.ID
 	// mayHaveRun: some attempt may have reached a back end. ranBefore is the
 	// same without the current attempt.
--- a/program/outcome.go
+++ b/program/outcome.go
@@ -59,18 +59,28 @@
 func (t *transition) attemptNotSent(p *heldProgram, live *liveCall, cause *api.Error) {
 	live.mayHaveRun = live.ranBefore
 	live.lastError = cause
-	if live.phase != phaseLookup && t.retry(p, live) {
+	if live.phase != phaseLookup && t.retryNotSent(p, live, cause) {
 		return
 	}
 	if live.phase == phaseLookup && live.lookup.cancelled {
 		t.endUnsent(p, live, api.Refuse(api.CodeCancelled, "the call was cancelled before anything was sent"))
 		return
 	}
-	message := "the back end cannot be reached"
+	code, message := api.CodeBackendFailed, "the back end cannot be reached"
 	if cause != nil {
-		message = cause.Message
+		code, message = cause.Code, cause.Message
 	}
-	t.endUnsent(p, live, notRun(api.CodeBackendFailed, t.store.config.RetryMaximum, "%s", message))
+	t.endUnsent(p, live, notRun(code, t.store.config.RetryMaximum, "%s", message))
+}
+
+// retryNotSent starts a call again of which nothing was sent. While the log
+// cannot be read, no back end is at fault: the call then waits for it until
+// its deadline, whatever its number of attempts.
+func (t *transition) retryNotSent(p *heldProgram, live *liveCall, cause *api.Error) bool {
+	if cause != nil && cause.Code == api.CodeStoreUnavailable {
+		return t.startAgain(p, live)
+	}
+	return t.retry(p, live)
 }
 
 // attemptUnknown: the attempt may or may not have run.
@@ -93,10 +103,19 @@
 func (t *transition) retry(p *heldProgram, live *liveCall) bool {
 	live.failures++
 	live.avoid = append(live.avoid, live.backend)
-	if p.closed || live.failures >= max(1, p.terms.Attempts) {
+	if live.failures >= max(1, p.terms.Attempts) {
+		return false
+	}
+	return t.startAgain(p, live)
+}
+
+// startAgain starts the call after a backoff, unless its time is used up.
+func (t *transition) startAgain(p *heldProgram, live *liveCall) bool {
+	if p.closed {
 		return false
 	}
-	delay := t.store.backoff(live.failures)
+	live.restarts++
+	delay := t.store.backoff(live.restarts)
 	if live.expired(t.now.Add(delay)) {
 		return false
 	}
@@ -108,7 +127,7 @@
 // jitter, so that calls which failed together do not come back together.
 func (s *Store) backoff(failures int) time.Duration {
 	delay := s.config.RetryBase
-	for range failures - 1 {
+	for step := 1; step < failures && delay < s.config.RetryMaximum; step++ {
 		delay = min(2*delay, s.config.RetryMaximum)
 	}
 	half := delay / 2
--- a/program/retarget.go
+++ b/program/retarget.go
@@ -36,7 +36,7 @@
 		return
 	}
 	delay := t.store.config.RetryBase
-	if live.failures == 0 {
+	if live.restarts == 0 {
 		delay = 0
 	}
 	t.start(p, live, delay)
--- a/program/snapshot.go
+++ b/program/snapshot.go
@@ -1,8 +1,9 @@
 package program
 
 import (
-	"encoding/binary"
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -12,7 +13,8 @@
 
 // snapshotPart is one part of a snapshot: some programs of the partition.
 type snapshotPart struct {
-	Programs []json.RawMessage `json:"programs"`
+	Terms    []Terms           `json:"terms"`
+	Programs []snapshotProgram `json:"programs"`
 }
 
 // snapshotProgram is the durable state of one program.
@@ -21,7 +23,7 @@
 	Branch          string                  `json:"branch"`
 	Key             string                  `json:"key"`
 	Parent          api.ProgramID           `json:"parent,omitempty"`
-	Terms           *Terms                  `json:"terms"`
+	Terms           int                     `json:"terms"` // index in the part
 	Depth           int                     `json:"depth,omitempty"`
 	RequestBudget   int64                   `json:"request_budget,omitempty"`
 	RequestDuration time.Duration           `json:"request_duration,omitempty"`
@@ -64,23 +66,79 @@
 // record applied so far, so that they must follow those in the log.
 func (s *Store) Snapshot() []json.RawMessage {
 	var parts []json.RawMessage
-	var part snapshotPart
-	size := 0
+	builder := newPartBuilder()
 	for _, id := range s.sortedIDs() {
-		encoded := mustMarshal(s.programs[id].snapshot())
-		part.Programs = append(part.Programs, encoded)
-		size += len(encoded)
-		if size >= s.config.SnapshotPartBytes {
-			parts = append(parts, mustMarshal(part))
-			part, size = snapshotPart{}, 0
+		builder.add(s.programs[id])
+		if builder.size() >= s.config.SnapshotPartBytes {
+			parts = append(parts, builder.encode())
+			builder = newPartBuilder()
 		}
 	}
-	if len(part.Programs) > 0 || len(parts) == 0 {
-		parts = append(parts, mustMarshal(part))
+	if !builder.empty() || len(parts) == 0 {
+		parts = append(parts, builder.encode())
 	}
 	return parts
 }
 
+// partBuilder encodes one part of a snapshot. Programs that have equal terms
+// share one copy of them.
+type partBuilder struct {
+	programs  bytes.Buffer
+	terms     []json.RawMessage
+	byPointer map[*Terms]int
+	byText    map[string]int
+}
+
+func newPartBuilder() *partBuilder {
+	return &partBuilder{byPointer: make(map[*Terms]int), byText: make(map[string]int)}
+}
+
+func (b *partBuilder) empty() bool { return b.programs.Len() == 0 }
+
+func (b *partBuilder) size() int { return b.programs.Len() }
+
+func (b *partBuilder) add(p *heldProgram) {
+	if !b.empty() {
+		b.programs.WriteByte(',')
+	}
+	b.programs.Write(mustMarshal(p.snapshot(b.termsIndex(p.terms))))
+}
+
+func (b *partBuilder) termsIndex(terms *Terms) int {
+	if index, ok := b.byPointer[terms]; ok {
+		return index
+	}
+	encoded := mustMarshal(terms)
+	index, ok := b.byText[string(encoded)]
+	if !ok {
+		index = len(b.terms)
+		b.terms = append(b.terms, encoded)
+		b.byText[string(encoded)] = index
+	}
+	b.byPointer[terms] = index
+	return index
+}
+
+// encode writes the form of snapshotPart around the programs, which are
+// encoded already.
+func (b *partBuilder) encode() json.RawMessage {
+	var part bytes.Buffer
+	part.WriteString(`{"terms":[`)
+	part.Write(bytes.Join(toBytes(b.terms), []byte{','}))
+	part.WriteString(`],"programs":[`)
+	part.Write(b.programs.Bytes())
+	part.WriteString(`]}`)
+	return part.Bytes()
+}
+
+func toBytes(messages []json.RawMessage) [][]byte {
+	converted := make([][]byte, len(messages))
+	for i, message := range messages {
+		converted[i] = message
+	}
+	return converted
+}
+
 // mustMarshal encodes a type of this package, which always has a JSON form.
 func mustMarshal(value any) json.RawMessage {
 	encoded, err := json.Marshal(value)
@@ -97,12 +155,11 @@
 	if err := json.Unmarshal(encoded, &part); err != nil {
 		return fmt.Errorf("part of a snapshot: %w", err)
 	}
-	for i, raw := range part.Programs {
-		var snapshot snapshotProgram
-		if err := json.Unmarshal(raw, &snapshot); err != nil {
-			return fmt.Errorf("part of a snapshot, program %d: %w", i, err)
+	for _, snapshot := range part.Programs {
+		if snapshot.Terms < 0 || snapshot.Terms >= len(part.Terms) {
+			return fmt.Errorf("part of a snapshot, program %s: it has no terms", snapshot.ID)
 		}
-		p, err := s.restore(snapshot)
+		p, err := s.restore(snapshot, part.Terms[snapshot.Terms])
 		if err != nil {
 			return fmt.Errorf("part of a snapshot, program %s: %w", snapshot.ID, err)
 		}
@@ -115,9 +172,9 @@
 	return nil
 }
 
-func (p *heldProgram) snapshot() snapshotProgram {
+func (p *heldProgram) snapshot(terms int) snapshotProgram {
 	snapshot := snapshotProgram{
-		ID: p.id, Branch: p.branch, Key: p.key, Parent: p.parent, Terms: p.terms, Depth: p.depth,
+		ID: p.id, Branch: p.branch, Key: p.key, Parent: p.parent, Terms: terms, Depth: p.depth,
 		RequestBudget: p.requestBudget, RequestDuration: p.requestDuration, Carved: p.carved,
 		CreatedAt: p.createdAt, LastActivity: p.lastActivity,
 		ClosedAt: p.closedAt, ClosedReason: p.closedReason, Closed: p.closed,
@@ -136,9 +193,9 @@
 	return snapshot
 }
 
-func (s *Store) restore(snapshot snapshotProgram) (*heldProgram, error) {
-	if snapshot.ID == "" || snapshot.Terms == nil {
-		return nil, fmt.Errorf("it has no id or no terms")
+func (s *Store) restore(snapshot snapshotProgram, terms Terms) (*heldProgram, error) {
+	if snapshot.ID == "" {
+		return nil, errors.New("it has no id")
 	}
 	calls, err := unpackCalls(snapshot.Calls)
 	if err != nil {
@@ -146,7 +203,7 @@
 	}
 	p := &heldProgram{
 		id: snapshot.ID, branch: snapshot.Branch, key: snapshot.Key, parent: snapshot.Parent,
-		terms: s.shareTerms(snapshot.Branch, *snapshot.Terms), depth: snapshot.Depth,
+		terms: s.shareTerms(snapshot.Branch, terms), depth: snapshot.Depth,
 		requestBudget: snapshot.RequestBudget, requestDuration: snapshot.RequestDuration, carved: snapshot.Carved,
 		createdAt: snapshot.CreatedAt, lastActivity: snapshot.LastActivity,
 		closedAt: snapshot.ClosedAt, closedReason: snapshot.ClosedReason, closed: snapshot.Closed,
@@ -175,49 +232,3 @@
 		dispatchedAt: call.DispatchedAt, mayHaveRun: call.Attempt > 0,
 	}
 }
-
-// The layout of one packed entry: status, kind, key hash, body hash, then the
-// two offsets, all little-endian.
-const (
-	packedKey      = 2
-	packedBody     = packedKey + 8
-	packedAccepted = packedBody + 8
-	packedEnded    = packedAccepted + 8
-	packedBytes    = packedEnded + 8
-)
-
-func packCalls(calls []callEntry) []byte {
-	packed := make([]byte, len(calls)*packedBytes)
-	for i, entry := range calls {
-		target := packed[i*packedBytes : (i+1)*packedBytes]
-		target[0] = byte(entry.status)
-		target[1] = byte(entry.kind)
-		binary.LittleEndian.PutUint64(target[packedKey:], entry.keyHash)
-		binary.LittleEndian.PutUint64(target[packedBody:], entry.bodyHash)
-		binary.LittleEndian.PutUint64(target[packedAccepted:], entry.accepted)
-		binary.LittleEndian.PutUint64(target[packedEnded:], entry.ended)
-	}
-	return packed
-}
-
-func unpackCalls(packed []byte) ([]callEntry, error) {
-	if len(packed)%packedBytes != 0 {
-		return nil, fmt.Errorf("%d bytes of call entries: want a multiple of %d", len(packed), packedBytes)
-	}
-	calls := make([]callEntry, len(packed)/packedBytes)
-	for i := range calls {
-		source := packed[i*packedBytes : (i+1)*packedBytes]
-		if statusCode(source[0]) > statusCancelled {
-			return nil, fmt.Errorf("call entry %d has status %d", i, source[0])
-		}
-		calls[i] = callEntry{
-			status:   statusCode(source[0]),
-			kind:     kindCode(source[1]),
-			keyHash:  binary.LittleEndian.Uint64(source[packedKey:]),
-			bodyHash: binary.LittleEndian.Uint64(source[packedBody:]),
-			accepted: binary.LittleEndian.Uint64(source[packedAccepted:]),
-			ended:    binary.LittleEndian.Uint64(source[packedEnded:]),
-		}
-	}
-	return calls, nil
-}
--- a/program/timers.go
+++ b/program/timers.go
@@ -218,8 +218,8 @@
 // expireWaiting ends a call that was not sent before its deadline.
 func (t *transition) expireWaiting(p *heldProgram, live *liveCall) {
 	cause := waitedTooLong(p, live)
-	if live.mayHaveRun && live.lastError != nil {
-		cause = failed(api.CodeTimeout, api.RanFailed, "the call ran out of time; last attempt: %s", live.lastError.Message)
+	if live.lastError != nil {
+		cause.Message = "the call ran out of time; last attempt: " + live.lastError.Message
 	}
 	t.endUnsent(p, live, cause)
 	t.advance(p)
