emulator: measure how evenly replicas are loaded, and split large files

Whether nodes herd on one engine was not visible in a bench's result, and two files had grown several jobs.

--- a/emulator/backend.go
+++ b/emulator/backend.go
@@ -112,7 +112,7 @@
 
 // tellCache sends a cache event to the node that owns the program.
 func (h *engineHost) tellCache(told engine.CacheEvent) {
-	owner := h.run.measure.ownerOf[told.Owner]
+	owner := h.run.owners[told.Owner]
 	if owner == nil || !told.Evicted || h.run.links.isCut(h.machine.Zone, owner.zone) {
 		return
 	}
@@ -164,7 +164,7 @@
 		return
 	}
 	for _, held := range h.model.Prefixes() {
-		if h.run.measure.ownerOf[held.Owner] == nil {
+		if h.run.owners[held.Owner] == nil {
 			h.release(held.Owner)
 		}
 	}
--- a/emulator/bench.go
+++ b/emulator/bench.go
@@ -193,6 +193,10 @@
 	Decoded     int64 `json:"output_tokens"`
 	// Utilisation is the share of the engines' time with a running batch.
 	Utilisation float64 `json:"utilisation"`
+	// Imbalance is how unevenly the replicas of one model are loaded: the
+	// standard deviation of their calls over the mean, on average over time
+	// and calls. Nodes that herd on one engine make it large.
+	Imbalance float64 `json:"imbalance"`
 	// VirtualSeconds is how long the run lasted in virtual time.
 	VirtualSeconds float64        `json:"virtual_seconds"`
 	Kinds          []KindResult   `json:"kinds"`
--- a/emulator/caller.go
+++ b/emulator/caller.go
@@ -68,7 +68,7 @@
 		started.node = s.owner(started.placement, program.ID)
 	}
 	started.id = api.ProgramID(fmt.Sprintf("%s.%d.%016x", started.placement, started.node.index, s.programs))
-	s.measure.ownerOf[started.id] = started.node
+	s.owners[started.id] = started.node
 	started.next(workload.Result{})
 }
 
--- a/emulator/check.go
+++ b/emulator/check.go
@@ -125,7 +125,7 @@
 		}
 		_ = host.model.Step(run.clock.now, enginemodel.Event{})
 		for _, held := range host.model.Prefixes() {
-			if _, lives := run.measure.ownerOf[held.Owner]; !lives {
+			if _, lives := run.owners[held.Owner]; !lives {
 				c.report("engine memory", "%s holds %d tokens of %s, which has ended", host.machine.ID, held.Tokens, held.Owner)
 			}
 		}
--- a/emulator/enginemodel/engine.go
+++ b/emulator/enginemodel/engine.go
@@ -2,13 +2,11 @@
 
 import (
 	"container/heap"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"birchwood.example/birchwood/api"
-	"birchwood.example/birchwood/engine"
 	"birchwood.example/birchwood/schedule"
 )
 
@@ -224,98 +222,6 @@
 	e.outputs.add(Output{At: e.clock, Finished: &report})
 }
 
-// resident is how many tokens of the owner's prefix are cached.
-func (e *Engine) resident(owner api.ProgramID) int {
-	if held := e.cache.get(owner); held != nil {
-		return held.tokens
-	}
-	return 0
-}
-
-// release drops the owner's prefix, if no running sequence holds it.
-func (e *Engine) release(owner api.ProgramID) {
-	dropped := e.cache.take(owner)
-	if dropped == nil {
-		return
-	}
-	e.countIdle(dropped)
-	e.tellCache(engine.CacheEvent{Owner: owner, Tokens: dropped.tokens, Evicted: true})
-	e.interrupt()
-}
-
-// keep caches a prefix for the owner, unless a longer one is there.
-func (e *Engine) keep(owner api.ProgramID, tokens int) {
-	if tokens <= 0 {
-		return
-	}
-	if held := e.cache.take(owner); held != nil {
-		tokens = max(tokens, held.tokens)
-	}
-	e.cache.put(&prefix{owner: owner, tokens: tokens, used: e.clock})
-	e.tellCache(engine.CacheEvent{Owner: owner, Tokens: tokens})
-}
-
-// makeRoom evicts the least recently used prefixes until tokens more fit. It
-// reports false, and evicts nothing, when they cannot fit.
-func (e *Engine) makeRoom(tokens int) bool {
-	if e.reserved+tokens > e.config.CacheTokens {
-		return false
-	}
-	for e.reserved+e.cache.tokens+tokens > e.config.CacheTokens {
-		victim := e.cache.take(e.cache.oldest().owner)
-		e.countIdle(victim)
-		e.stats.Evictions++
-		e.tellCache(engine.CacheEvent{Owner: victim.owner, Tokens: victim.tokens, Evicted: true})
-	}
-	return true
-}
-
-// countIdle adds the time since the last use of a prefix that goes unused.
-func (e *Engine) countIdle(dropped *prefix) {
-	e.stats.IdleTokenSeconds += float64(dropped.tokens) * e.clock.Sub(dropped.used).Seconds()
-}
-
-// startImport begins to receive a prefix.
-func (e *Engine) startImport(request Import) error {
-	if e.leaving {
-		return ErrLeaving
-	}
-	if e.imports[request.Owner] != nil || request.Tokens <= 0 {
-		return errors.New("engine: nothing to import, or an import already runs")
-	}
-	if !e.makeRoom(request.Tokens) {
-		return ErrTooLong
-	}
-	e.reserved += request.Tokens
-	e.imports[request.Owner] = &arriving{tokens: request.Tokens}
-	e.addTimer(timer{at: e.clock.Add(e.config.TransferTime(request.Tokens)), kind: timerImported, owner: request.Owner})
-	return nil
-}
-
-// endImport caches what has arrived and queues the streams that waited.
-func (e *Engine) endImport(owner api.ProgramID) {
-	transfer := e.imports[owner]
-	delete(e.imports, owner)
-	e.reserved -= transfer.tokens
-	e.stats.ImportedTokens += int64(transfer.tokens)
-	e.keep(owner, transfer.tokens)
-	for _, parked := range transfer.parked {
-		heap.Push(&e.waiting, parked)
-	}
-	e.outputs.add(Output{At: e.clock, Imported: &Imported{Owner: owner, Tokens: transfer.tokens}})
-	e.interrupt()
-}
-
-// tellCache emits a cache event, late, or loses it.
-func (e *Engine) tellCache(event engine.CacheEvent) {
-	e.events++
-	event.Sequence = e.events
-	if e.config.EventLoss > 0 && e.random.Float64() < e.config.EventLoss {
-		return
-	}
-	e.outputs.addCacheEvent(Output{At: e.clock.Add(e.config.EventDelay), CacheEvent: &event})
-}
-
 // load measures the engine.
 func (e *Engine) load() schedule.Load {
 	measured := schedule.Load{
--- a/emulator/enginemodel/output.go
+++ b/emulator/enginemodel/output.go
@@ -114,6 +114,9 @@
 // Load measures the engine as of the last Step.
 func (e *Engine) Load() schedule.Load { return e.load() }
 
+// Outstanding returns how many streams wait or run.
+func (e *Engine) Outstanding() int { return len(e.streams) }
+
 // Statistics returns the counters as of the last Step. Prefixes that are
 // still cached are not counted as idle; see IdleTokenSeconds.
 func (e *Engine) Statistics() Statistics { return e.stats }
--- a/emulator/measure.go
+++ b/emulator/measure.go
@@ -1,12 +1,12 @@
 package emulator
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/emulator/enginemodel"
 	"birchwood.example/birchwood/workload"
 )
@@ -74,15 +74,16 @@
 
 // measure collects what one run shows.
 type measure struct {
-	result  PolicyResult
-	all     *group
-	kinds   map[workload.Kind]*group
-	tenants map[string]*group
-	// ownerOf finds the node of each program that has not ended.
-	ownerOf     map[api.ProgramID]*node
+	result      PolicyResult
+	all         *group
+	kinds       map[workload.Kind]*group
+	tenants     map[string]*group
 	outcomes    []outcome
 	lastArrival time.Duration
 	latencies   []float64
+	// imbalance and imbalanceWeight are the sums of its weighted mean.
+	imbalance       float64
+	imbalanceWeight float64
 	// busy is the engines' time with a running batch.
 	busy time.Duration
 }
@@ -93,7 +94,6 @@
 		all:     newGroup(),
 		kinds:   make(map[workload.Kind]*group),
 		tenants: make(map[string]*group),
-		ownerOf: make(map[api.ProgramID]*node),
 	}
 }
 
@@ -184,6 +184,25 @@
 	m.result.Wasted.IdleTokenSeconds += model.IdleTokenSeconds()
 }
 
+// sampleImbalance looks at the calls of the replicas of each model.
+func (m *measure) sampleImbalance(outstanding map[string][]int) {
+	for _, model := range sortedKeys(outstanding) {
+		calls := outstanding[model]
+		sum, squares := 0.0, 0.0
+		for _, count := range calls {
+			sum += float64(count)
+			squares += float64(count) * float64(count)
+		}
+		mean := sum / float64(len(calls))
+		if len(calls) < 2 || sum == 0 {
+			continue
+		}
+		deviation := math.Sqrt(max(0, squares/float64(len(calls))-mean*mean))
+		m.imbalance += deviation / mean * sum
+		m.imbalanceWeight += sum
+	}
+}
+
 // finish notes how long the run lasted.
 func (m *measure) finish(now time.Time) { m.result.VirtualSeconds = now.Sub(epoch).Seconds() }
 
@@ -197,6 +216,9 @@
 	result.InTime = m.all.inTime
 	result.Refused = m.all.refused
 	result.Goodput, result.Offered = m.goodput()
+	if m.imbalanceWeight > 0 {
+		result.Imbalance = m.imbalance / m.imbalanceWeight
+	}
 	result.Violations = check.count
 	result.Findings = check.findings
 	result.Kinds = m.kindResults()
--- a/emulator/node.go
+++ b/emulator/node.go
@@ -9,7 +9,6 @@
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/emulator/enginemodel"
 	"birchwood.example/birchwood/machine"
-	"birchwood.example/birchwood/program"
 	"birchwood.example/birchwood/schedule"
 	"birchwood.example/birchwood/workload"
 	"birchwood.example/birchwood/zone"
@@ -18,55 +17,10 @@
 const (
 	// brokenAfter is when a node notices that a peer does not answer.
 	brokenAfter = time.Second
-	// toolTimeout ends a tool call that has no answer.
-	toolTimeout = 30 * time.Second
 	// maximumAttempts bounds how often a repeatable call is tried.
 	maximumAttempts = 4
 )
 
-// callKey names a call for the maps of one node.
-type callKey struct {
-	program  api.ProgramID
-	sequence uint64
-}
-
-// call is one call of a program on its way.
-type call struct {
-	agent    *agent
-	sequence uint64
-	step     workload.Step
-	prompt   int
-	attempt  int
-	backend  machine.ID
-	stream   string
-	avoid    []machine.ID
-	// sent says that some attempt may have reached a back end; inFlight that
-	// one is on its way or runs.
-	sent     bool
-	inFlight bool
-	// heldSince is when the policy got the call.
-	heldSince time.Time
-	// answered says that the caller has its result, or needs none.
-	answered bool
-	// closed says that the node is done with the call.
-	closed bool
-}
-
-// ref names the call for the policy.
-func (c *call) ref() program.CallRef {
-	return program.CallRef{Program: c.agent.id, Sequence: c.sequence}
-}
-
-// sortedCalls returns the calls in the order of their streams.
-func sortedCalls(calls map[string]*call) []*call {
-	sorted := make([]*call, 0, len(calls))
-	for _, each := range calls {
-		sorted = append(sorted, each)
-	}
-	slices.SortFunc(sorted, func(a, b *call) int { return strings.Compare(a.stream, b.stream) })
-	return sorted
-}
-
 // node is one of the system's machines: a policy and the programs that the
 // node owns.
 type node struct {
@@ -285,34 +239,6 @@
 	n.run.clock.after(back, func() { n.notSent(placed, host.machine.ID) })
 }
 
-// sendTool sends a tool call. One that may not be repeated is never sent
-// again once it may have reached the service.
-func (n *node) sendTool(placed *call) {
-	host := n.run.toolByID[placed.backend]
-	attempt := placed.attempt
-	n.run.measure.placed(placed)
-	n.run.clock.after(toolTimeout, func() { n.toolTimedOut(placed, attempt) })
-	if n.run.links.isCut(n.zone, host.machine.Zone) {
-		n.run.clock.after(brokenAfter, func() { n.notSentAttempt(placed, attempt, host.machine.ID) })
-		return
-	}
-	n.run.clock.after(n.run.links.delay(n.zone, host.machine.Zone), func() {
-		if placed.closed || placed.attempt != attempt {
-			return
-		}
-		n.run.check.arrives(n.run, placed, host.leavingSince)
-		placed.sent = placed.sent || !host.down
-		host.start(placed)
-	})
-}
-
-// notSentAttempt is notSent, unless the call has moved on.
-func (n *node) notSentAttempt(placed *call, attempt int, backend machine.ID) {
-	if !placed.closed && placed.attempt == attempt {
-		n.notSent(placed, backend)
-	}
-}
-
 // notSent tries a call elsewhere that certainly did not reach its back end.
 func (n *node) notSent(placed *call, backend machine.ID) {
 	if placed.closed {
@@ -370,32 +296,6 @@
 	n.finish(ended, api.StatusSucceeded, "")
 }
 
-// toolFinished takes the answer of a tool service.
-func (n *node) toolFinished(ended *call) {
-	if ended.closed {
-		return
-	}
-	n.policy.Finished(n.run.clock.now, ended.ref(), ended.backend, api.Usage{}, 0)
-	n.touch()
-	ended.agent.settleTool(ended)
-	n.finish(ended, api.StatusSucceeded, "")
-}
-
-// toolTimedOut ends a tool call that has no answer. A repeatable one is tried
-// again; for another the outcome is unknown.
-func (n *node) toolTimedOut(waiting *call, attempt int) {
-	if waiting.closed || waiting.attempt != attempt {
-		return
-	}
-	n.policy.Finished(n.run.clock.now, waiting.ref(), waiting.backend, api.Usage{}, 0)
-	n.touch()
-	if waiting.step.Repeatable {
-		n.again(waiting, waiting.backend)
-		return
-	}
-	n.finish(waiting, api.StatusOutcomeUnknown, api.CodeOutcomeUnknown)
-}
-
 // refuse answers that a call did not run.
 func (n *node) refuse(refused *call, code api.Code) {
 	if refused.inFlight {
@@ -480,5 +380,5 @@
 		}
 		n.toEngine(id, func(host *engineHost) { host.release(over.id) })
 	}
-	delete(n.run.measure.ownerOf, over.id)
+	delete(n.run.owners, over.id)
 }
--- a/emulator/simulation.go
+++ b/emulator/simulation.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/emulator/enginemodel"
 	"birchwood.example/birchwood/emulator/platformmodel"
 	"birchwood.example/birchwood/machine"
@@ -39,6 +40,8 @@
 	measure    *measure
 	check      *checker
 
+	// owners finds the node of each program that has not ended.
+	owners map[api.ProgramID]*node
 	// programs are those that were started, for the ids.
 	programs uint64
 	// arrived and ended count programs without sub-agents; extra are those
@@ -65,6 +68,7 @@
 		links:      newLinks(config.Deployment),
 		measure:    newMeasure(),
 		check:      newChecker(),
+		owners:     make(map[api.ProgramID]*node),
 	}
 	if err := run.addBackends(); err != nil {
 		return nil, err
@@ -72,6 +76,7 @@
 	if err := run.addNodes(); err != nil {
 		return nil, err
 	}
+	run.clock.after(imbalanceInterval, run.sampleImbalance)
 	run.scheduleFaults()
 	run.scheduleArrivals(rate)
 	return run, nil
@@ -231,6 +236,24 @@
 	}
 }
 
+// imbalanceInterval is how often the engines' calls are compared.
+const imbalanceInterval = time.Second
+
+// sampleImbalance compares the replicas of each model, and comes again.
+func (s *simulation) sampleImbalance() {
+	s.clock.after(imbalanceInterval, s.sampleImbalance)
+	outstanding := make(map[string][]int)
+	for _, host := range s.engines {
+		if host.down || host.machine.Status == machine.StatusLeaving {
+			continue
+		}
+		for _, model := range host.machine.Models {
+			outstanding[model] = append(outstanding[model], host.model.Outstanding())
+		}
+	}
+	s.measure.sampleImbalance(outstanding)
+}
+
 // countEngines adds the engines' counters to the measurements.
 func (s *simulation) countEngines() {
 	for _, host := range s.engines {
--- a/emulator/standin/engine.go
+++ b/emulator/standin/engine.go
@@ -40,8 +40,8 @@
 	ended    int
 	// firstEvent is added to the sequence of the model's cache events.
 	firstEvent uint64
-	events   []engine.CacheEvent
-	report   schedule.Load
+	events     []engine.CacheEvent
+	report     schedule.Load
 	// changed is closed and replaced when streams have moved on.
 	changed chan struct{}
 	kick    chan struct{}
--- /dev/null
+++ b/emulator/toolcall.go
@@ -0,0 +1,65 @@
+package emulator
+
+import (
+	"time"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/machine"
+)
+
+// toolTimeout ends a tool call that has no answer.
+const toolTimeout = 30 * time.Second
+
+// sendTool sends a tool call. One that may not be repeated is never sent
+// again once it may have reached the service.
+func (n *node) sendTool(placed *call) {
+	host := n.run.toolByID[placed.backend]
+	attempt := placed.attempt
+	n.run.measure.placed(placed)
+	n.run.clock.after(toolTimeout, func() { n.toolTimedOut(placed, attempt) })
+	if n.run.links.isCut(n.zone, host.machine.Zone) {
+		n.run.clock.after(brokenAfter, func() { n.notSentAttempt(placed, attempt, host.machine.ID) })
+		return
+	}
+	n.run.clock.after(n.run.links.delay(n.zone, host.machine.Zone), func() {
+		if placed.closed || placed.attempt != attempt {
+			return
+		}
+		n.run.check.arrives(n.run, placed, host.leavingSince)
+		placed.sent = placed.sent || !host.down
+		host.start(placed)
+	})
+}
+
+// notSentAttempt is notSent, unless the call has moved on.
+func (n *node) notSentAttempt(placed *call, attempt int, backend machine.ID) {
+	if !placed.closed && placed.attempt == attempt {
+		n.notSent(placed, backend)
+	}
+}
+
+// toolFinished takes the answer of a tool service.
+func (n *node) toolFinished(ended *call) {
+	if ended.closed {
+		return
+	}
+	n.policy.Finished(n.run.clock.now, ended.ref(), ended.backend, api.Usage{}, 0)
+	n.touch()
+	ended.agent.settleTool(ended)
+	n.finish(ended, api.StatusSucceeded, "")
+}
+
+// toolTimedOut ends a tool call that has no answer. A repeatable one is tried
+// again; for another the outcome is unknown.
+func (n *node) toolTimedOut(waiting *call, attempt int) {
+	if waiting.closed || waiting.attempt != attempt {
+		return
+	}
+	n.policy.Finished(n.run.clock.now, waiting.ref(), waiting.backend, api.Usage{}, 0)
+	n.touch()
+	if waiting.step.Repeatable {
+		n.again(waiting, waiting.backend)
+		return
+	}
+	n.finish(waiting, api.StatusOutcomeUnknown, api.CodeOutcomeUnknown)
+}
