Read on when an append was confirmed while a read was under way

An owner that checked for a later claim while its append was in flight could repeat the same read for ever, and append nothing more: the answer held only entries that the append's confirmation had folded already. The stateful search found it with batches of more entries than a read.

A read is now repeated from the present place, and an answer without news counts as one.

--- a/journal/read.go
+++ b/journal/read.go
@@ -51,6 +51,9 @@
 		return
 	}
 	read := j.reader.wanted
+	if j.phase != phasePeeking {
+		read.From = j.fold.Next
+	}
 	read.Request = j.nextRequest()
 	j.reader.pending = false
 	j.reader.request = read.Request
@@ -124,11 +127,12 @@
 }
 
 func (j *Journal) bodyAnswered(answer ReadDone) {
-	skip := j.fold.Next - answer.FirstOffset
-	if answer.FirstOffset > j.fold.Next || skip > uint64(len(answer.Entries)) {
+	if answer.FirstOffset > j.fold.Next {
 		j.readFailed()
 		return
 	}
+	// An append that was confirmed meanwhile may have folded them all.
+	skip := min(j.fold.Next-answer.FirstOffset, uint64(len(answer.Entries)))
 	entries := answer.Entries[skip:]
 	if j.fold.adopt && len(entries) > 0 && !IsSnapshotStart(entries[0]) {
 		j.fold = Fold{}
--- a/partition/cluster_test.go
+++ b/partition/cluster_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -20,8 +19,6 @@
 	linkDelay = 2 * time.Millisecond
 )
 
-var errAnswerLost = errors.New("answer lost")
-
 // simulatedEvent is something that happens at a virtual time.
 type simulatedEvent struct {
 	at    time.Time
@@ -47,18 +44,6 @@
 	return last
 }
 
-// simulatedLog is a stream of the log service with faults.
-type simulatedLog struct {
-	entries []journal.Entry
-	down    bool
-	// loseAnswers is how many of the next appends take effect unanswered.
-	loseAnswers int
-	extraDelay  time.Duration
-	reads       int
-	readEntries int
-	appends     int
-}
-
 // simulatedNode is one node: its replica, its mirror store, and what a state
 // machine on it would hold.
 type simulatedNode struct {
@@ -337,53 +322,6 @@
 	}
 }
 
-// append performs an append, which takes effect at half of its delay.
-func (c *cluster) append(node *simulatedNode, request Append) {
-	c.log.appends++
-	delay := logDelay + c.log.extraDelay
-	c.after(delay/2, func() {
-		if c.log.down {
-			c.deliver(node, delay, func() {
-				node.replica.Step(c.now, Appended{Request: request.Request, Err: ErrNotAppended})
-			})
-			return
-		}
-		answer := Appended{Request: request.Request, FirstOffset: uint64(len(c.log.entries))}
-		c.log.entries = append(c.log.entries, request.Entries...)
-		if c.log.loseAnswers > 0 {
-			c.log.loseAnswers--
-			answer = Appended{Request: request.Request, Err: errAnswerLost}
-		}
-		c.deliver(node, delay/2, func() { node.replica.Step(c.now, answer) })
-	})
-}
-
-func (c *cluster) read(node *simulatedNode, request Read) {
-	delay := logDelay + c.log.extraDelay
-	c.after(delay/2, func() {
-		if c.log.down {
-			c.deliver(node, delay, func() {
-				node.replica.Step(c.now, ReadDone{Request: request.Request, Err: errors.New("down")})
-			})
-			return
-		}
-		answer := c.log.read(request)
-		c.deliver(node, delay/2, func() { node.replica.Step(c.now, answer) })
-	})
-}
-
-func (l *simulatedLog) read(request Read) ReadDone {
-	l.reads++
-	end := uint64(len(l.entries))
-	from := min(request.From, end)
-	if request.Tail {
-		from = end - min(end, 1)
-	}
-	to := min(end, from+uint64(request.Maximum))
-	l.readEntries += int(to - from)
-	return ReadDone{Request: request.Request, FirstOffset: from, Entries: l.entries[from:to], End: end}
-}
-
 func (c *cluster) send(from *simulatedNode, outbound Outbound) {
 	to := c.node(outbound.To)
 	if to == nil || c.cut[[2]machine.ID{from.id, to.id}] {
--- a/partition/property_test.go
+++ b/partition/property_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/zone"
 )
 
 // The fixed part of the stateful search, the same in every run. A longer one
@@ -19,6 +20,14 @@
 	propertyChecks = "2000"
 )
 
+// propertyLayouts are the zones of the nodes, one each.
+var propertyLayouts = [][]zone.Name{
+	fiveNodes,
+	threeZones,
+	{"isando", "isando", "isando"},
+	{"isando"},
+}
+
 // fixDefault sets a flag of rapid unless the command line did.
 func fixDefault(t *testing.T, name, value string) {
 	set := false
@@ -43,7 +52,10 @@
 	fixDefault(t, "rapid.nofailfile", "true")
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
-		world := &faultyWorld{cluster: newCluster(seed, fiveNodes, func(config *Config) {
+		zones := rapid.SampledFrom(propertyLayouts).Draw(t, "zones")
+		mirrors := rapid.IntRange(0, 3).Draw(t, "mirrors")
+		world := &faultyWorld{cluster: newCluster(seed, zones, func(config *Config) {
+			config.MirrorCount = mirrors
 			config.MaximumUnconfirmedBytes = 16 << 10
 			config.MaximumBatchRecords = 7
 			config.ReadBatch = 5
@@ -185,6 +197,7 @@
 		t.Fatalf("not confirmed after healing")
 	}
 	w.crash(owner)
+	w.restart(owner)
 	if w.runUntil(2*time.Minute, w.hasOwner) {
 		w.check(t)
 	} else {
