gateway: reach an owner around a cut

Zones can be cut off from each other while a third zone reaches both. A caller whose node could not reach the owner was refused although its program ran.

A path that keeps failing is remembered by a circuit breaker for each address; meanwhile requests take a detour through another node, within the bound on hops. A detour reports what may have taken effect under the refusal's own code, so that the first node may still ask by key. Callers no longer see not_owner. Long text is cut into events.

--- a/gateway/authenticate.go
+++ b/gateway/authenticate.go
@@ -13,10 +13,11 @@
 	"birchwood.example/birchwood/contract"
 )
 
-// The headers between nodes. Scope and Hops count only beside a valid peer
+// The headers between nodes. Scope, Hops and Detour count only beside a valid peer
 // token; Deadline may be set by callers too.
 const (
 	headerHops     = "X-Birchwood-Hops"
+	headerDetour   = "X-Birchwood-Detour"
 	headerScope    = "X-Birchwood-Scope"
 	headerDeadline = "X-Deadline-Ms"
 	// headerPending marks a 202 answer that ended a slice of a wait.
@@ -76,6 +77,7 @@
 	request.peer = true
 	request.scope = contract.Path(scope)
 	request.hops = hops
+	request.detour = len(ctx.Request.Header.Peek(headerDetour)) > 0
 	return nil
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -18,6 +18,9 @@
 	// peer is set when another node's gateway passed the request on.
 	peer bool
 	hops int
+	// detour is set when the other node cannot reach the owner itself: this
+	// node is to pass the request on.
+	detour bool
 	// operator is set when this process's operators' server asks.
 	operator bool
 	// received and deadline bound the whole exchange.
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -106,6 +106,7 @@
 	world   *world
 	id      machine.ID
 	lose    func() *api.Error // overrides the owner's answer to a submit
+	cutFrom machine.ID        // a node that cannot be reached from here
 	gateway *gateway.Gateway
 	address string
 	kill    func()
@@ -161,7 +162,11 @@
 		return gateway.Route{}, api.Refuse(api.CodeOwnerUnknown, "no owner").After(10)
 	}
 	owner := n.world.owner
-	return gateway.Route{Local: owner == n.id, Owner: owner, Address: n.world.address[owner]}, nil
+	address := n.world.address[owner]
+	if n.cutFrom == owner {
+		address = "127.0.0.1:1"
+	}
+	return gateway.Route{Local: owner == n.id, Owner: owner, Address: address}, nil
 }
 
 func (n *node) PeerToken() string { return peerToken }
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -48,7 +48,7 @@
 	group.SetLimit(peersAtOnce)
 	for i, peer := range peers {
 		group.Go(func() error {
-			result := g.relay(request, peer.Address)
+			result := g.relay(request, peer.Address, false)
 			answers[i] = peerAnswer{node: peer, status: result.status, body: result.body}
 			return nil
 		})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	client   *fasthttp.Client
 	limits   *limits
 	budget   *retryBudget
+	paths    *paths
 	random   *lockedRandom
 
 	draining atomic.Bool
@@ -51,6 +52,7 @@
 		observer: config.Observer,
 		limits:   newLimits(config),
 		budget:   newRetryBudget(config.RetryRatio, config.RetryBurst),
+		paths:    newPaths(),
 		random:   &lockedRandom{random: config.Random},
 	}
 	if g.observer == nil {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"strings"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -77,11 +79,16 @@
 
 	It("gets the rest of an ended call's answer from its record", func() {
 		Expect(ask("POST", calls+"?wait=false", triageToken, submitFirst).status).To(Equal(202))
-		shared.finish(shared.get(triageProgram, "a"), "hello world")
+		rest := strings.Repeat("é", 100_000)
+		shared.finish(shared.get(triageProgram, "a"), "hello!"+rest)
 		stream := openEvents("GET", calls+"/key:a/stream", triageToken, "", "Last-Event-ID", "1:6")
 		defer stream.close()
+		Expect(stream.next().kind).To(Equal("accepted"))
+		Expect(len(stream.next().data)).To(BeNumerically("<", len(rest)/2), "long text comes in parts")
 		text, last := stream.text()
-		Expect(text).To(Equal("world"))
+		Expect(len(text)).To(BeNumerically(">", len(rest)/2))
+		Expect(rest).To(HaveSuffix(text))
+		Expect(last.id).To(BeEmpty())
 		Expect(last.kind).To(Equal("end"))
 	})
 
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -74,12 +74,27 @@
 }
 
 // settle makes the last refusal true for the whole request: once an attempt
-// may have taken effect, "not run" would be a guess.
+// may have taken effect, "not run" would be a guess. A peer is told the same
+// under the refusal's own code, because it may still try elsewhere. Which node
+// is not the owner is between nodes: callers learn that there is none now.
 func settle(request *exchange, last answer, unknown bool) answer {
 	refusal := last.refusal
+	if refusal != nil && refusal.Code == api.CodeNotOwner && !request.peer {
+		unowned := *refusal
+		unowned.Code = api.CodeOwnerUnknown
+		unowned.Message = "the program's owner changes"
+		refusal = &unowned
+		last.refusal = refusal
+	}
 	if refusal == nil || !unknown || !request.changes() || refusal.Ran != api.RanNotRun {
 		return last
 	}
+	if request.peer {
+		reported := *refusal
+		reported.Ran = api.RanOutcomeUnknown
+		last.refusal = &reported
+		return last
+	}
 	last.refusal = &api.Error{
 		Code:                   api.CodeOutcomeUnknown,
 		Message:                "the owner was lost after the request was sent; ask again with the same key (last: " + refusal.Message + ")",
@@ -99,7 +114,7 @@
 		return g.why(request)
 	}
 	if hint != "" {
-		return g.relay(request, hint)
+		return g.relay(request, hint, false)
 	}
 	route, refusal := g.service.Route(request.request.Program)
 	switch {
@@ -107,12 +122,12 @@
 		return refusedLocally(refusal)
 	case route.Local:
 		return g.local(ctx, request)
-	case request.peer:
+	case request.peer && !request.detour:
 		result := refused(api.Refuse(api.CodeNotOwner, "node %s owns the program", route.Owner).After(0))
 		result.owner = route.Address
 		return result
 	default:
-		return g.relay(request, route.Address)
+		return g.reach(request, route)
 	}
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strconv"
@@ -18,8 +19,12 @@
 // contentTypeEvents is the type of server-sent events.
 const contentTypeEvents = "text/event-stream"
 
-// errNotSent marks a failure before anything of a request was sent.
-var errNotSent = errors.New("no connection to the node")
+// The failures before anything of a request was sent.
+var (
+	errNotSent = errors.New("no connection to the node")
+	// errIdleClosed: the other node has closed a connection that was kept.
+	errIdleClosed = fmt.Errorf("%w: it closed an idle one", errNotSent)
+)
 
 // newPeerClient returns the client for requests to other nodes. It never
 // retries: perform does.
@@ -71,27 +76,33 @@
 	return read, err
 }
 
-// Write sends bytes of a request. It fails with errNotSent when the request
+// Write sends bytes of a request. It fails with errIdleClosed when the request
 // was not begun and the other node has closed the connection.
 func (c *patientConn) Write(buffer []byte) (int, error) {
 	if !c.sending && c.raw != nil && closedByPeer(c.raw) {
-		return 0, errNotSent
+		return 0, errIdleClosed
 	}
 	c.sending = true
 	return c.Conn.Write(buffer)
 }
 
-// relay passes the request on to the node at the address.
-func (g *Gateway) relay(request *exchange, address string) outcome {
+// relay passes the request on to the node at the address, which is the owner
+// unless it is a detour.
+func (g *Gateway) relay(request *exchange, address string, detour bool) outcome {
 	if request.hops >= g.config.MaximumHops {
 		return refused(api.Refuse(api.CodeOwnerUnknown, "passed on %d times without reaching the owner", request.hops).After(0))
 	}
 	outgoing := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(outgoing)
-	g.fillRelay(outgoing, request, address)
+	g.fillRelay(outgoing, request, address, detour)
 	incoming := fasthttp.AcquireResponse()
 	err := g.client.Do(outgoing, incoming)
+	if errors.Is(err, errIdleClosed) {
+		g.client.CloseIdleConnections()
+		err = g.client.Do(outgoing, incoming)
+	}
 	g.observer.Relayed(err != nil)
+	g.paths.report(address, err != nil, time.Now())
 	if err != nil {
 		fasthttp.ReleaseResponse(incoming)
 		return relayFailed(err)
@@ -104,13 +115,16 @@
 }
 
 // fillRelay repeats the caller's request with what this node found out.
-func (g *Gateway) fillRelay(outgoing *fasthttp.Request, request *exchange, address string) {
+func (g *Gateway) fillRelay(outgoing *fasthttp.Request, request *exchange, address string, detour bool) {
 	outgoing.Header.SetMethod(request.method)
 	outgoing.SetRequestURI("http://" + address + request.uri)
 	outgoing.Header.SetContentType(contentTypeJSON)
 	outgoing.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+g.service.PeerToken())
 	outgoing.Header.Set(headerScope, "/"+string(request.scope))
 	outgoing.Header.Set(headerHops, strconv.Itoa(request.hops+1))
+	if detour {
+		outgoing.Header.Set(headerDetour, "1")
+	}
 	remaining := max(1, time.Until(request.deadline).Milliseconds())
 	outgoing.Header.Set(headerDeadline, strconv.FormatInt(remaining, 10))
 	if request.stream && request.position != (position{}) {
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -14,12 +14,12 @@
 
 var _ = Describe("A caller at another node than the owner", func() {
 	var shared *world
-	var first, second *node
+	var entry, first, second *node
 	var programs, calls string
 
 	BeforeEach(func() {
 		shared = newWorld()
-		entry := shared.start("midrand-1")
+		entry = shared.start("midrand-1")
 		first = shared.start("isando-1")
 		second = shared.start("isando-2")
 		shared.move("isando-1")
@@ -117,6 +117,20 @@
 		Expect(got.error().Code).To(Equal(api.CodeNotFound))
 	})
 
+	It("reaches an owner that is cut off from its own node through a third one", func() {
+		entry.cutFrom = "isando-1"
+		stream := openEvents("POST", calls, triageToken, streamFirst)
+		defer stream.close()
+		Expect(stream.next().kind).To(Equal("accepted"))
+		held := shared.get(triageProgram, "a")
+		held.buffer.Append(1, 0, "around ")
+		Expect(stream.next().data).To(ContainSubstring("around "))
+		shared.finish(held, "around the cut")
+		text, _ := stream.text()
+		Expect(text).To(Equal("the cut"))
+		Expect(ask("GET", programs+"/"+string(triageProgram), triageToken, "").status).To(Equal(200))
+	})
+
 	It("notices an owner that falls silent without closing its connections", func() {
 		silent, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -137,7 +151,7 @@
 })
 
 var _ = Describe("Retries", func() {
-	It("are bounded in number over all requests while an owner is gone", func() {
+	It("are bounded in number over all requests while no node owns a program", func() {
 		shared := newWorld()
 		counter := &relayCounter{}
 		entry := shared.start("midrand-1", func(config *gateway.Config) {
@@ -146,8 +160,9 @@
 			config.RetryDelay = time.Millisecond
 			config.Observer = counter
 		})
-		shared.address["isando-1"] = "127.0.0.1:1"
-		shared.move("isando-1")
+		astray := shared.start("isando-1")
+		shared.address["gone"] = astray.address
+		shared.move("gone")
 		const requests = 40
 		for range requests {
 			got := ask("GET", "http://"+entry.address+"/v1/programs/"+string(triageProgram), triageToken, "")
