Let a hand-over be held, and tell the requests of two journals apart

A node that drains a partition before it hands it over had to keep the view from the replica, and so drained before the dwell time. And a replica that was closed and opened again in one process numbered its requests from one again, so that it could have taken the late answer to an append of the first for its own.

View.Hold keeps an owner from handing over, and HandoverDue tells when it is waited for. Requests count from a random number.

The test of the request numbers fails when they start at zero.

--- a/journal/journal.go
+++ b/journal/journal.go
@@ -50,6 +50,11 @@
 		len(r.Confirmed) == 0
 }
 
+// requestBaseShift leaves room above the random number from which the requests
+// of a Journal count. Two journals of one stream in one process, one after the
+// other, thus do not take each other's late answers for their own.
+const requestBaseShift = 1
+
 // Journal is one writer of one stream. It is not safe for concurrent use.
 type Journal struct {
 	config Config
@@ -96,7 +101,7 @@
 	if err := config.validate(); err != nil {
 		return nil, err
 	}
-	j := &Journal{config: config}
+	j := &Journal{config: config, lastRequest: config.Random.Uint64() >> requestBaseShift}
 	j.Reset()
 	return j, nil
 }
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -61,9 +61,8 @@
 		propose()
 		entries := writer.Ready().Appends[0].Entries
 		var waits []time.Duration
-		at := now
 		for range 8 {
-			at = writer.NextWake()
+			at := writer.NextWake()
 			writer.Tick(at)
 			retry := writer.NextWake()
 			waits = append(waits, retry.Sub(at))
@@ -74,6 +73,15 @@
 		Expect(waits[7]).To(And(BeNumerically(">=", time.Second), BeNumerically("<=", 2*time.Second)))
 	})
 
+	ginkgo.It("does not take the late answer to an earlier journal of the process for its own", func() {
+		propose()
+		late := writer.Ready().Appends[0].Request
+		later, err := New(writer.config)
+		Expect(err).NotTo(HaveOccurred())
+		later.Peek(now)
+		Expect(later.Ready().Reads[0].Request).NotTo(BeNumerically("~", late, 1000))
+	})
+
 	ginkgo.It("reports all findings of its config together", func() {
 		_, err := New(Config{RetryMinimum: 2, RetryMaximum: 1})
 		for _, finding := range []string{"Writer", "Random", "AppendTimeout", "RetryMaximum", "ReadBatch"} {
--- a/partition/ownership_test.go
+++ b/partition/ownership_test.go
@@ -119,6 +119,18 @@
 		Expect(err).To(MatchError(ErrNotOwner))
 	})
 
+	It("waits with a hand-over that is due while it is held", func() {
+		stop := View{Nodes: first.replica.view.Nodes, Stopping: true, Hold: true}
+		c.deliver(first, 0, func() { first.replica.SetView(c.now, stop) })
+		c.run(settleTime)
+		Expect(first.replica.HandoverDue()).To(BeTrue())
+		Expect(first.replica.State()).To(Equal(StateOwning))
+		expectConfirmed(c, proposeSome(c, first, 1))
+		stop.Hold = false
+		c.deliver(first, 0, func() { first.replica.SetView(c.now, stop) })
+		Expect(c.runUntil(settleTime, func() bool { return first.lost > 0 })).To(BeTrue())
+	})
+
 	It("keeps the owner while the machine list flaps", func() {
 		for range 50 {
 			c.hidden[first.id] = true
--- a/partition/release.go
+++ b/partition/release.go
@@ -21,7 +21,7 @@
 // advanceOwning starts a planned hand-over when another node is to own the
 // partition for long enough, or at once when this node stops.
 func (r *Replica) advanceOwning() {
-	if r.wantsRelease() {
+	if r.HandoverDue() && !r.view.Hold {
 		r.state = StateReleasing
 		r.advanceReleasing()
 		return
@@ -44,7 +44,13 @@
 	}
 }
 
-func (r *Replica) wantsRelease() bool {
+// HandoverDue reports whether an owner should hand the partition over: another
+// node has been the desired owner for the dwell time and the log answers, or
+// this node stops. It does so at once unless the view says Hold.
+func (r *Replica) HandoverDue() bool {
+	if r.state != StateOwning {
+		return false
+	}
 	if r.view.Stopping {
 		return true
 	}
--- a/partition/types.go
+++ b/partition/types.go
@@ -188,8 +188,12 @@
 
 // View is what ownership depends on, as this node sees it.
 type View struct {
-	// Nodes are the nodes that are believed live, leaving ones left out.
+	// Nodes are the nodes that are believed live, this one included, leaving
+	// ones left out.
 	Nodes []machine.Machine
 	// Stopping is set while this node leaves: it hands everything over.
 	Stopping bool
+	// Hold keeps an owner from handing over: work that must not be cut is under
+	// way. HandoverDue tells when it is waited for.
+	Hold bool
 }
