Serve prompts from memory through a log outage, and refuse nothing in a hand-over

Change: a finished call extends the node's transcript from its own record, so that the next prompt needs no read; a prompt that must be read waits for the log until the call's deadline. A partition that is being handed over steps its programs no more and sends callers on to the next owner. Back ends can be drained through the settings (drained_backends), by branch or for all. Package development holds the one-process system for `dev` and the tests.

--- a/command/dev.go
+++ b/command/dev.go
@@ -4,15 +4,14 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"os/signal"
 	"syscall"
 
+	"github.com/phuslu/log"
 	"github.com/spf13/cobra"
 
 	"birchwood.example/birchwood/config"
-	"birchwood.example/birchwood/emulator/standin"
-	"birchwood.example/birchwood/node"
+	"birchwood.example/birchwood/development"
 )
 
 func newDevCommand() *cobra.Command {
@@ -31,81 +30,17 @@
 	return command
 }
 
-// devNode is one node of the development system.
-type devNode struct {
-	file     *config.File
-	process  *node.Process
-	callers  net.Listener
-	operator net.Listener
-}
-
 // runDev runs the development system until the context ends.
 func runDev(ctx context.Context, output io.Writer, level string) error {
-	development := config.Dev()
-	set, err := standin.Start(standinConfig(development.Standin.Standin))
-	if err != nil {
-		return &ExitError{Code: ExitFailure, Cause: err}
-	}
-	defer set.Close()
-	if err := appendSettings(ctx, set.Addresses().Platform, development.Changes); err != nil {
-		return &ExitError{Code: ExitFailure, Cause: err}
-	}
-	nodes, err := openDevNodes(development, set.Addresses().Platform, level)
+	loggers := func(node string) *log.Logger { return newLogger(level, node) }
+	system, err := development.Start(ctx, config.Dev(), loggers)
 	if err != nil {
 		return &ExitError{Code: ExitFailure, Cause: err}
 	}
-	for _, opened := range nodes {
-		opened.process.Start(opened.callers, opened.operator)
-	}
-	if err := awaitReady(ctx, nodes); err != nil {
-		return nil
-	}
-	printDev(output, nodes, set.Addresses())
+	printDev(output, system)
 	<-ctx.Done()
-	return stopDev(nodes)
-}
-
-// openDevNodes opens the listeners, which tell the addresses that the nodes'
-// files then name, and builds the nodes.
-func openDevNodes(development *config.Development, platform, level string) ([]devNode, error) {
-	var nodes []devNode
-	for _, file := range development.Nodes {
-		callers, err := net.Listen("tcp", file.Node.Listen)
-		if err != nil {
-			return nil, err
-		}
-		operator, err := net.Listen("tcp", file.Node.Operator)
-		if err != nil {
-			return nil, err
-		}
-		file.Node.Listen = callers.Addr().String()
-		file.Node.Operator = operator.Addr().String()
-		*file.Platform = config.Platform{Log: platform, Machines: platform, Weights: platform}
-		process, err := node.Wire(file, newLogger(level, string(file.Node.ID)))
-		if err != nil {
-			return nil, err
-		}
-		nodes = append(nodes, devNode{file: file, process: process, callers: callers, operator: operator})
-	}
-	return nodes, nil
-}
-
-// awaitReady waits until every node has the settings and knows the back ends.
-func awaitReady(ctx context.Context, nodes []devNode) error {
-	for _, opened := range nodes {
-		if err := opened.process.Node.AwaitReady(ctx); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// stopDev stops the nodes one after another, as an operator would.
-func stopDev(nodes []devNode) error {
-	for _, opened := range nodes {
-		if err := stopWithin(opened.process, opened.file); err != nil {
-			return err
-		}
+	if err := system.Stop(); err != nil {
+		return &ExitError{Code: ExitFailure, Cause: err}
 	}
 	return nil
 }
@@ -122,14 +57,15 @@
 
 `
 
-func printDev(output io.Writer, nodes []devNode, standins standin.Addresses) {
+func printDev(output io.Writer, system *development.System) {
 	fmt.Fprintln(output, "birchwood dev is ready")
-	for _, opened := range nodes {
+	for _, started := range system.Nodes {
 		fmt.Fprintf(output, "  %-8s %-6s callers http://%s  operators http://%s\n",
-			opened.file.Node.ID, opened.file.Node.Zone, opened.callers.Addr(), opened.operator.Addr())
+			started.File.Node.ID, started.File.Node.Zone, started.Callers(), started.Operator())
 	}
-	fmt.Fprintf(output, "  platform http://%s  faults http://%s\n", standins.Platform, standins.Control)
+	addresses := system.Standins.Addresses()
+	fmt.Fprintf(output, "  platform http://%s  faults http://%s\n", addresses.Platform, addresses.Control)
 	fmt.Fprintf(output, "  caller token %s on branch %s, operator token %s\n",
 		config.DevCallerToken, config.DevBranch, config.DevOperatorToken)
-	fmt.Fprintf(output, devCall, nodes[0].callers.Addr(), config.DevCallerToken, config.DevBranch, config.DevModel)
+	fmt.Fprintf(output, devCall, system.Nodes[0].Callers(), config.DevCallerToken, config.DevBranch, config.DevModel)
 }
--- a/command/serve.go
+++ b/command/serve.go
@@ -48,7 +48,7 @@
 	return set
 }
 
-// serve runs a node until SIGTERM or SIGINT, then stops it without cutting a
+// serve runs a node until SIGTERM, SIGINT or an operator's drain, then stops it without cutting a
 // request. A second signal ends the process at once.
 func serve(parent context.Context, file *config.File) error {
 	logger := newLogger(file.Log.Level, string(file.Node.ID))
@@ -70,6 +70,7 @@
 	select {
 	case err := <-process.Failed():
 		return &ExitError{Code: ExitFailure, Cause: fmt.Errorf("serving ended: %w", err)}
+	case <-process.Drained():
 	case <-ctx.Done():
 	}
 	stop()
--- a/command/standin.go
+++ b/command/standin.go
@@ -1,20 +1,18 @@
 package command
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"os/signal"
 	"path/filepath"
 	"syscall"
-	"time"
 
 	"github.com/spf13/cobra"
 
 	"birchwood.example/birchwood/config"
 	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/development"
 	"birchwood.example/birchwood/emulator/standin"
-	"birchwood.example/birchwood/platform/platformhttp"
 )
 
 func newStandinCommand() *cobra.Command {
@@ -46,14 +44,14 @@
 	if len(findings) > 0 {
 		return reportFindings(command, findings)
 	}
-	set, err := standin.Start(standinConfig(file.Standin))
+	set, err := standin.Start(development.StandinConfig(file.Standin))
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Cause: err}
 	}
 	defer set.Close()
 	ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := appendSettings(ctx, set.Addresses().Platform, changes); err != nil {
+	if err := development.AppendSettings(ctx, set.Addresses().Platform, changes); err != nil {
 		return &ExitError{Code: ExitFailure, Cause: err}
 	}
 	addresses, err := json.Marshal(set.Addresses())
@@ -75,53 +73,3 @@
 	}
 	return config.LoadSettings(settings)
 }
-
-// standinConfig turns the settings file's section into the stand-ins' own
-// configuration.
-func standinConfig(file *config.Standin) standin.Config {
-	settings := standin.Config{
-		Seed:           file.Seed,
-		Platform:       file.Platform,
-		Control:        file.Control,
-		PlatformZone:   file.PlatformZone,
-		LogDelay:       file.LogDelay,
-		MachineLag:     file.MachineLag,
-		MachineExpiry:  file.MachineExpiry,
-		WeightTransfer: file.WeightTransfer,
-	}
-	for _, engine := range file.Engines {
-		settings.Engines = append(settings.Engines, standin.EngineConfig(engine))
-	}
-	for _, tool := range file.Tools {
-		settings.Tools = append(settings.Tools, standin.ToolConfig(tool))
-	}
-	return settings
-}
-
-// settingsTimeout bounds the writing of the initial settings.
-const settingsTimeout = 10 * time.Second
-
-// appendSettings writes the initial settings to a settings stream that is
-// still empty.
-func appendSettings(ctx context.Context, address string, changes []contract.Change) error {
-	if len(changes) == 0 {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, settingsTimeout)
-	defer cancel()
-	log := platformhttp.New(platformhttp.Options{Address: address, Timeout: settingsTimeout})
-	_, end, err := log.Read(ctx, contract.StreamName, 0, 0)
-	if err != nil || end > 0 {
-		return err
-	}
-	for _, change := range changes {
-		encoded, err := json.Marshal(change)
-		if err != nil {
-			return err
-		}
-		if _, err := log.Append(ctx, contract.StreamName, [][]byte{encoded}); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/contract/doc.go
+++ b/contract/doc.go
@@ -69,21 +69,21 @@
 //     may place. A node that alone cannot reach the store stays fresh so.
 //   - behind: a record that it has not read is known to exist, from its own
 //     read or from any peer. It may not place, whatever else it hears.
-//   - outage: nobody saw the end within the bound. Within the bound it heard,
-//     from every zone of the deployment, a peer that holds the same position,
-//     knows of no newer record and did not see the end either. The store is
-//     then down for all, nobody can have changed the settings, since a change
-//     is an append, and it may place.
-//   - unconfirmed: anything else. A peer of some zone was not heard, or none
-//     was heard at all: the cut may be on this side, and whoever is on the
+//   - outage: nobody saw the end within the bound. Within the bound it heard
+//     of a node in every zone of the deployment, from that node or by way of
+//     others, that holds the same position, knows of no newer record and did
+//     not see the end either. The store is then down for all, nobody can have
+//     changed the settings, since a change is an append, and it may place.
+//   - unconfirmed: anything else. Some zone was not heard of, or no peer was
+//     heard at all: the cut may be on this side, and whoever is on the
 //     other may have changed the settings. It may not place.
 //
 // The rule asks for every zone and not for every node, because a zone is what
 // the network cuts off as a whole, while a dead node is no reason to stop. A
-// node that talks to a peer of each zone and is wrong all the same, because
-// some other node of such a zone reaches the store again, hears of the newer
-// record within that node's read pause (MaximumRetryInterval) and one round
-// of messages. Operators who append to the stream by other means than a node
+// node that hears of each zone and is wrong all the same, because some other
+// node of such a zone reaches the store again, hears of the newer record
+// within that node's read pause (MaximumRetryInterval) and the time that news
+// takes between nodes. Operators who append to the stream by other means than a node
 // count as a node here: they too need the store to be up for somebody.
 //
 // A node that starts while the store is down asks a peer for Export and calls
--- a/contract/field.go
+++ b/contract/field.go
@@ -24,6 +24,7 @@
 	fieldCallTimeout     = "call_timeout"
 	fieldToolTimeout     = "tool_timeout"
 	fieldRetention       = "retention"
+	fieldDrainedBackends = "drained_backends"
 	fieldCallerTokens    = "caller_tokens"
 	fieldOperatorTokens  = "operator_tokens"
 )
@@ -135,6 +136,8 @@
 		func(v *Values) **time.Duration { return &v.ToolTimeout }, minimumTimeout, maximumDuration),
 	numberField(fieldRetention, "How long an ended program's history stays readable.",
 		func(v *Values) **time.Duration { return &v.Retention }, 0, maximumDuration),
+	listField(fieldDrainedBackends, "list of back end names", "The back ends that get no new work of the branch's programs, besides those that a branch above lists; at the root, of any program. Calls that they already run end there.",
+		func(v *Values) *[]string { return &v.DrainedBackends }, checkName),
 	ownList(listField(fieldCallerTokens, "list of token hashes", "Hexadecimal SHA-256 hashes of the bearer tokens whose holders act on this branch and below it. Not inherited: a token counts at the branch that lists it.",
 		func(v *Values) *[]string { return &v.CallerTokens }, checkTokenHash)),
 	ownList(listField(fieldOperatorTokens, "list of token hashes", "Hashes of the bearer tokens whose holders may change settings at this branch and below it. Not inherited.",
@@ -169,6 +172,7 @@
 		CallTimeout:     pointer(time.Minute),
 		ToolTimeout:     pointer(30 * time.Second),
 		Retention:       pointer(24 * time.Hour),
+		DrainedBackends: []string{},
 	}
 }
 
--- a/contract/follower.go
+++ b/contract/follower.go
@@ -143,7 +143,11 @@
 
 	peers     map[machine.ID]heard
 	forgetDue time.Time
-	verdicts  []Verdict
+	// vouched holds, for other zones, the last moment at which a node there
+	// was known to hold vouchedPosition and to know of no newer record.
+	vouched         map[zone.Name]time.Time
+	vouchedPosition uint64
+	verdicts        []Verdict
 	// announced is the revision that the last Ready told of.
 	announced Revision
 	wantRead  bool
@@ -155,7 +159,7 @@
 	if err := config.validate(); err != nil {
 		return nil, fmt.Errorf("settings follower: %w", err)
 	}
-	return &Follower{config: config, tree: NewTree(), peers: map[machine.ID]heard{}}, nil
+	return &Follower{config: config, tree: NewTree(), peers: map[machine.ID]heard{}, vouched: map[zone.Name]time.Time{}}, nil
 }
 
 // Tree returns the settings tree, which is the same object for the life of
@@ -268,6 +272,7 @@
 	peer := heard{report: report, at: now}
 	f.peers[report.Peer] = peer
 	f.Heard(now, Revision(max(report.Known, report.Position)))
+	f.vouch(now, report)
 	confirmed := peer.confirmedAt()
 	if report.Position == f.tree.Position() && report.Known <= report.Position && confirmed.After(f.confirmed) {
 		f.confirmed = confirmed
@@ -285,6 +290,7 @@
 	if !f.confirmed.IsZero() && f.known <= report.Position {
 		report.Age = now.Sub(f.confirmed)
 	}
+	report.Zones = f.vouchedZones(now)
 	return report
 }
 
--- a/contract/follower_test.go
+++ b/contract/follower_test.go
@@ -173,6 +173,19 @@
 			Expect(north.Freshness(now)).To(And(HaveField("MayPlace", false), HaveField("Reason", ContainSubstring("zone b"))))
 		})
 
+		It("goes on with a word from a distant zone that came by way of a peer, as long as it is young", func() {
+			middle := newReader(log, "middle", "a", "a", "b")
+			middle.run(start)
+			middle.down = true
+			middle.runUntil(now)
+			middle.HeardReport(now, south.Report(now))
+			later := now.Add(6 * time.Second)
+			north.HeardReport(later, middle.Report(later))
+			Expect(north.Freshness(later).State).To(Equal(contract.FreshnessOutage), north.Freshness(later).Reason)
+			north.HeardReport(later.Add(4*time.Second), middle.Report(later.Add(4*time.Second)))
+			Expect(north.Freshness(later.Add(4*time.Second)).MayPlace).To(BeFalse(), "the word of zone b is older than the bound")
+		})
+
 		It("places nothing on the word of a peer that holds older settings, or was heard long ago", func() {
 			newcomer := newReader(log, "newcomer", "b", "a", "b")
 			newcomer.down = true
--- a/contract/freshness.go
+++ b/contract/freshness.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"birchwood.example/birchwood/machine"
@@ -61,6 +62,10 @@
 	Age time.Duration `json:"age"`
 	// Digest chains the records up to Position.
 	Digest uint64 `json:"digest"`
+	// Zones tells for other zones how long ago a node there was known to hold
+	// Position and to know of no newer record. It is left out while the
+	// sender's settings are fresh.
+	Zones map[zone.Name]time.Duration `json:"zones,omitempty"`
 }
 
 // unconfirmedAge marks a report of a node that never saw the stream's end.
@@ -106,38 +111,70 @@
 }
 
 // outage tells a store that is down for all from a node, or a zone, that is
-// cut off. It needs a recent report from every zone of the deployment,
-// because a zone is what the network cuts off as a whole. A peer vouches when
-// it holds the same settings and knows of no newer record; had it seen the
-// stream's end within the bound, its report would have confirmed the settings
-// here too. A peer that holds older settings, such as one that just started,
-// vouches for nothing.
+// cut off. It needs a recent word from every zone of the deployment, because a
+// zone is what the network cuts off as a whole. A node vouches for its zone
+// when it holds the same settings and knows of no newer record; had it seen
+// the stream's end within the bound, its report would have confirmed the
+// settings here too. A node that holds older settings, such as one that just
+// started, vouches for nothing.
 func (f *Follower) outage(now time.Time) (FreshnessState, string) {
 	if f.confirmed.IsZero() {
 		return FreshnessUnconfirmed, "the end of the settings stream was never seen"
 	}
-	zones := map[zone.Name]bool{f.config.Zone: true}
 	vouching := 0
 	for _, peer := range f.peers {
-		if f.recent(now, peer) && peer.report.Position == f.tree.Position() {
+		if now.Sub(peer.at) < f.config.FreshnessBound && peer.report.Position == f.tree.Position() {
 			vouching++
-			zones[peer.report.Zone] = true
 		}
 	}
 	if vouching == 0 {
 		return FreshnessUnconfirmed, "the store is out of reach and no peer with the same settings was heard within the bound"
 	}
 	for _, name := range f.config.Zones {
-		if !zones[name] {
-			return FreshnessUnconfirmed, fmt.Sprintf("the store is out of reach and no node of zone %s with the same settings was heard within the bound", name)
+		if name != f.config.Zone && now.Sub(f.vouched[name]) >= f.config.FreshnessBound {
+			return FreshnessUnconfirmed, fmt.Sprintf("the store is out of reach and no node of zone %s with the same settings was heard of within the bound", name)
 		}
 	}
-	return FreshnessOutage, fmt.Sprintf("the store is out of reach for this node and for %d peers in every zone", vouching)
+	return FreshnessOutage, fmt.Sprintf("the store is out of reach for this node and, as far as %d peers know, for every zone", vouching)
 }
 
-// recent reports whether a peer was heard within the bound.
-func (f *Follower) recent(now time.Time, peer heard) bool {
-	return now.Sub(peer.at) < f.config.FreshnessBound
+// vouch notes what a report says about the zones: its sender's own, and those
+// that the sender heard of. Ages add up along the way, so that a word never
+// looks younger than it is.
+func (f *Follower) vouch(now time.Time, report Report) {
+	if held := f.tree.Position(); f.vouchedPosition != held {
+		f.vouchedPosition = held
+		clear(f.vouched)
+	}
+	if report.Position != f.vouchedPosition || report.Known > report.Position {
+		return
+	}
+	f.vouchFor(report.Zone, now)
+	for name, age := range report.Zones {
+		if age >= 0 {
+			f.vouchFor(name, now.Add(-age))
+		}
+	}
+}
+
+func (f *Follower) vouchFor(name zone.Name, at time.Time) {
+	if slices.Contains(f.config.Zones, name) && at.After(f.vouched[name]) {
+		f.vouched[name] = at
+	}
+}
+
+// vouchedZones returns the ages for a report; nil while they are of no use.
+func (f *Follower) vouchedZones(now time.Time) map[zone.Name]time.Duration {
+	if now.Before(f.confirmed.Add(f.config.FreshnessBound/2)) || f.vouchedPosition != f.tree.Position() {
+		return nil
+	}
+	ages := map[zone.Name]time.Duration{}
+	for name, at := range f.vouched {
+		if age := now.Sub(at); age < f.config.FreshnessBound {
+			ages[name] = age
+		}
+	}
+	return ages
 }
 
 // peerRetention is how long the report of a silent peer is kept, so that the
--- a/contract/resolve.go
+++ b/contract/resolve.go
@@ -69,6 +69,7 @@
 	parent := s.branch(b.path.Parent()).contract
 	values := valuesOf(parent)
 	overlay(&values, &b.values)
+	values.DrainedBackends = union(parent.DrainedBackends, b.values.DrainedBackends)
 	placement := parent.Placement
 	if b.values.Zones != nil {
 		placement = placement.Intersect(zone.NewPlacement(b.values.Zones...))
@@ -76,6 +77,17 @@
 	return contractOf(b.path, &values, placement)
 }
 
+// union returns the items of both lists, sorted, without repeats. It returns
+// the first list itself when the second adds nothing.
+func union(first, second []string) []string {
+	if len(second) == 0 {
+		return first
+	}
+	joined := append(slices.Clone(first), second...)
+	slices.Sort(joined)
+	return slices.Compact(joined)
+}
+
 // overlay copies every inherited field that source sets.
 func overlay(target, source *Values) {
 	for index := range fields {
@@ -93,6 +105,7 @@
 		MaxOutputTokens: &c.MaxOutputTokens, Attempts: &c.Attempts,
 		MaxDuration: &c.MaxDuration, IdleTimeout: &c.IdleTimeout,
 		CallTimeout: &c.CallTimeout, ToolTimeout: &c.ToolTimeout, Retention: &c.Retention,
+		DrainedBackends: c.DrainedBackends,
 	}
 }
 
@@ -103,12 +116,13 @@
 		MaxOutputTokens: *v.MaxOutputTokens, Attempts: *v.Attempts,
 		MaxDuration: *v.MaxDuration, IdleTimeout: *v.IdleTimeout,
 		CallTimeout: *v.CallTimeout, ToolTimeout: *v.ToolTimeout, Retention: *v.Retention,
+		DrainedBackends: v.DrainedBackends,
 	}
 }
 
 // equalContracts compares everything but the revisions.
 func equalContracts(a, b Contract) bool {
-	if !slices.Equal(a.Models, b.Models) || !slices.Equal(a.Tools, b.Tools) {
+	if !slices.Equal(a.Models, b.Models) || !slices.Equal(a.Tools, b.Tools) || !slices.Equal(a.DrainedBackends, b.DrainedBackends) {
 		return false
 	}
 	return a.Path == b.Path && a.Placement == b.Placement &&
--- a/contract/tree_test.go
+++ b/contract/tree_test.go
@@ -30,6 +30,19 @@
 	return tree
 }
 
+// inheritedValues counts the values that every branch has.
+func inheritedValues() int {
+	descriptions, err := contract.Descriptions()
+	Expect(err).NotTo(HaveOccurred())
+	count := 0
+	for _, description := range descriptions {
+		if description.Inherited {
+			count++
+		}
+	}
+	return count
+}
+
 func placementOf(tree *contract.Tree, path contract.Path) zone.Placement {
 	resolved, err := tree.Resolve(path)
 	Expect(err).NotTo(HaveOccurred())
@@ -60,6 +73,14 @@
 		Expect(placementOf(tree, "")).To(Equal(zone.Placement("c")))
 	})
 
+	It("keeps a back end drained below the branch that drains it, whatever a branch adds", func() {
+		Expect(tree.Apply(4, set("drain", 3, "", contract.Values{DrainedBackends: []string{"engine-2"}})).Accepted).To(BeTrue())
+		Expect(tree.Apply(5, set("more", 4, "tenant", contract.Values{DrainedBackends: []string{"engine-1"}})).Accepted).To(BeTrue())
+		desk, err := tree.Resolve("tenant/desk")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(desk.DrainedBackends).To(Equal([]string{"engine-1", "engine-2"}))
+	})
+
 	It("lets exactly one of two racing operators win and names it to the other", func() {
 		first := tree.Apply(4, set("first", 3, "tenant/desk", contract.Values{Priority: pointer(1)}))
 		second := tree.Apply(5, set("second", 3, "tenant", contract.Values{Priority: pointer(2)}))
@@ -135,7 +156,7 @@
 		Expect(tree.Apply(4, set("narrow", 3, "", zones("b", "c"))).Accepted).To(BeTrue())
 		explanations, err := tree.Explain("tenant/desk")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(explanations).To(HaveLen(13))
+		Expect(explanations).To(HaveLen(inheritedValues()))
 		Expect(explanations).To(ContainElements(
 			contract.Explanation{Name: "zones", Value: json.RawMessage(`["b"]`), From: "tenant", Revision: 2, Narrowed: []contract.Path{""}},
 			contract.Explanation{Name: "priority", Value: json.RawMessage(`9`), From: "tenant/desk", Revision: 3},
@@ -164,7 +185,7 @@
 		Expect(differences).To(Equal(effects[1].Differences))
 		created, err := tree.Diff("tenant/desk", 2, 4)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(created).To(HaveLen(13))
+		Expect(created).To(HaveLen(inheritedValues()))
 		Expect(created[0].Before).To(BeNil())
 
 		history := tree.History("tenant/desk", 2)
--- a/contract/types.go
+++ b/contract/types.go
@@ -34,6 +34,9 @@
 	ToolTimeout     *time.Duration `json:"tool_timeout,omitempty" yaml:"tool_timeout"`
 	// Retention is how long an ended program's history stays readable.
 	Retention *time.Duration `json:"retention,omitempty" yaml:"retention"`
+	// DrainedBackends get no new work of programs of the branch. They add to
+	// those of the branches above.
+	DrainedBackends []string `json:"drained_backends,omitempty" yaml:"drained_backends"`
 	// CallerTokens are hex SHA-256 hashes of the bearer tokens whose holders
 	// act on this branch and below it. They are not inherited values: a token
 	// counts at the branch that lists it.
@@ -60,6 +63,7 @@
 	CallTimeout     time.Duration
 	ToolTimeout     time.Duration
 	Retention       time.Duration
+	DrainedBackends []string
 }
 
 // Edit replaces or removes the overrides of one branch. Fields that Set names
--- a/contract/values.go
+++ b/contract/values.go
@@ -52,6 +52,7 @@
 	CallTimeout     *duration   `json:"call_timeout,omitempty"`
 	ToolTimeout     *duration   `json:"tool_timeout,omitempty"`
 	Retention       *duration   `json:"retention,omitempty"`
+	DrainedBackends []string    `json:"drained_backends,omitzero"`
 	CallerTokens    []string    `json:"caller_tokens,omitzero"`
 	OperatorTokens  []string    `json:"operator_tokens,omitzero"`
 }
@@ -64,7 +65,7 @@
 		MaxOutputTokens: v.MaxOutputTokens, Attempts: v.Attempts,
 		MaxDuration: (*duration)(v.MaxDuration), IdleTimeout: (*duration)(v.IdleTimeout),
 		CallTimeout: (*duration)(v.CallTimeout), ToolTimeout: (*duration)(v.ToolTimeout),
-		Retention:    (*duration)(v.Retention),
+		Retention: (*duration)(v.Retention), DrainedBackends: v.DrainedBackends,
 		CallerTokens: v.CallerTokens, OperatorTokens: v.OperatorTokens,
 	})
 }
@@ -84,7 +85,7 @@
 		MaxOutputTokens: encoded.MaxOutputTokens, Attempts: encoded.Attempts,
 		MaxDuration: (*time.Duration)(encoded.MaxDuration), IdleTimeout: (*time.Duration)(encoded.IdleTimeout),
 		CallTimeout: (*time.Duration)(encoded.CallTimeout), ToolTimeout: (*time.Duration)(encoded.ToolTimeout),
-		Retention:    (*time.Duration)(encoded.Retention),
+		Retention: (*time.Duration)(encoded.Retention), DrainedBackends: encoded.DrainedBackends,
 		CallerTokens: encoded.CallerTokens, OperatorTokens: encoded.OperatorTokens,
 	}
 	return nil
--- a/control/apply.go
+++ b/control/apply.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"birchwood.example/birchwood/api"
@@ -136,10 +137,20 @@
 		Attained:     effect.Attained,
 		Enqueued:     now,
 		Deadline:     effect.Deadline,
-		Avoid:        effect.Avoid,
+		Avoid:        avoided(effect),
 	})
 }
 
+// avoided are the back ends that the call may not go to although its placement
+// permits them: those that failed it, and those that its contract drains.
+func avoided(effect program.Effect) []machine.ID {
+	avoid := slices.Clone(effect.Avoid)
+	for _, drained := range effect.Terms.Drained {
+		avoid = append(avoid, machine.ID(drained))
+	}
+	return avoid
+}
+
 // send dispatches an attempt whose intent the programs have recorded.
 func (c *Core) send(owned *ownedPartition, effect program.Effect) {
 	placed, ok := owned.placed[effect.Attempt.CallRef]
@@ -151,7 +162,6 @@
 	placed.backend = effect.Backend
 	placed.sent = true
 	owned.placed[effect.Attempt.CallRef] = placed
-	prompt, _ := owned.store.Prompt(effect.Attempt.Program, effect.Attempt.Sequence)
 	c.emit(SendAttempt{
 		Partition: owned.id,
 		Attempt:   effect.Attempt,
@@ -160,10 +170,20 @@
 		Key:       effect.Key,
 		Deadline:  effect.Deadline,
 		Decision:  placed.decision,
-		Prompt:    prompt,
+		Prompt:    earlierCalls(owned.store, effect.Attempt.CallRef),
 	})
 }
 
+// earlierCalls locates the history that precedes a call: its prompt less the
+// call itself, whose input the attempt carries.
+func earlierCalls(store *program.Store, call program.CallRef) []program.CallLocation {
+	prompt, found := store.Prompt(call.Program, call.Sequence)
+	if !found {
+		return nil
+	}
+	return prompt[:len(prompt)-1]
+}
+
 // stop takes a call out of the scheduler, or cancels its running attempt.
 func (c *Core) stop(owned *ownedPartition, effect program.Effect) {
 	if effect.Attempt.Attempt > 0 {
--- a/control/delayed.go
+++ b/control/delayed.go
@@ -54,7 +54,7 @@
 	for len(c.delayed.entries) > 0 && !c.delayed.entries[0].due.After(now) {
 		entry := c.delayed.entries[0]
 		c.delayed.entries = c.delayed.entries[1:]
-		if owned, ok := c.partitions[entry.id]; ok && owned.acquired {
+		if owned, ok := c.partitions[entry.id]; ok && owned.serving() {
 			c.perform(now, owned, entry.effect)
 		}
 	}
--- a/control/messages.go
+++ b/control/messages.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/link"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/partition"
@@ -123,13 +124,25 @@
 	}
 	c.routingChanged = true
 	c.nodes = c.membership.Nodes()
-	backends := c.membership.Backends()
-	c.attendant.setMachines(now, c.nodes, backends)
-	c.config.Policy.SetBackends(now, backends)
+	c.attendant.setMachines(now, c.nodes, c.membership.Backends())
+	c.setBackends(now)
 	c.reviewPartitions(now)
 	return true
 }
 
+// setBackends tells the scheduler which back ends there are. One that an
+// operator drains at the root counts as leaving, for every program.
+func (c *Core) setBackends(now time.Time) {
+	backends := slices.Clone(c.membership.Backends())
+	root, err := c.Tree().Resolve(contract.Root)
+	for i, backend := range backends {
+		if err == nil && slices.Contains(root.DrainedBackends, string(backend.ID)) {
+			backends[i].Status = machine.StatusLeaving
+		}
+	}
+	c.config.Policy.SetBackends(now, backends)
+}
+
 // reviewPartitions opens the partitions that this node should own and tells
 // every replica of the new view.
 func (c *Core) reviewPartitions(now time.Time) {
--- a/control/owned.go
+++ b/control/owned.go
@@ -83,6 +83,13 @@
 	Unconfirmed int             `json:"unconfirmed"`
 }
 
+// serving reports whether the partition's programs may be stepped: this node
+// has folded them and its records still count. While a hand-over flushes the
+// last records, further ones would be lost with this node's copy.
+func (p *ownedPartition) serving() bool {
+	return p.acquired && p.replica.State() == partition.StateOwning
+}
+
 func (p *ownedPartition) status() PartitionStatus {
 	status := PartitionStatus{
 		Partition:   p.id,
@@ -160,7 +167,7 @@
 // tickPartition runs the partition's timers.
 func (c *Core) tickPartition(now time.Time, owned *ownedPartition) {
 	owned.replica.Tick(now)
-	if owned.acquired {
+	if owned.serving() {
 		c.apply(now, owned, owned.store.Tick(now), nil)
 	}
 	if owned.draining {
@@ -295,7 +302,7 @@
 
 // proposeSnapshot writes the programs' state when the replica asks for it.
 func (c *Core) proposeSnapshot(now time.Time, owned *ownedPartition) {
-	if !owned.acquired || len(owned.unproposed) > 0 || !owned.replica.WantsSnapshot() {
+	if !owned.serving() || len(owned.unproposed) > 0 || !owned.replica.WantsSnapshot() {
 		return
 	}
 	// A refusal only delays the snapshot: the replica asks again.
--- a/control/requests.go
+++ b/control/requests.go
@@ -32,10 +32,14 @@
 		return
 	}
 	owned := c.partitions[id]
-	if owned != nil && owned.acquired && owned.unreadable == nil {
+	if owned != nil && owned.serving() {
 		c.serve(now, owned, handle, request)
 		return
 	}
+	if owned != nil && owned.acquired {
+		c.reject(handle, notRunNotOwner(id))
+		return
+	}
 	if owned != nil && owned.unreadable != nil {
 		c.reject(handle, api.Refuse(api.CodeStoreUnavailable, "the partition holds a record that this node cannot read"))
 		return
@@ -304,7 +308,7 @@
 	}
 	programs := []api.Program{}
 	for _, owned := range c.sortedPartitions() {
-		if !owned.acquired || len(programs) >= limit {
+		if !owned.serving() || len(programs) >= limit {
 			continue
 		}
 		programs = append(programs, owned.store.List(string(request.Scope), limit-len(programs))...)
--- a/control/scheduling.go
+++ b/control/scheduling.go
@@ -160,7 +160,7 @@
 		return nil, false
 	}
 	owned, ok := c.partitions[partitionID]
-	if !ok || !owned.acquired {
+	if !ok || !owned.serving() {
 		return nil, false
 	}
 	return owned, true
--- a/control/settings.go
+++ b/control/settings.go
@@ -26,6 +26,7 @@
 	c.membership.SetRevision(uint64(tree.Revision()))
 	c.emit(SettingsChanged{Tree: tree})
 	c.setKnown(now)
+	c.setBackends(now)
 	for _, owned := range c.sortedPartitions() {
 		c.retargetPartition(now, owned)
 	}
@@ -38,7 +39,7 @@
 	if !owned.acquired {
 		return
 	}
-	for _, described := range owned.store.List("", 0) {
+	for _, described := range owned.store.List("", owned.store.Count()) {
 		c.retarget(now, owned, described)
 	}
 }
@@ -86,6 +87,8 @@
 		ToolTimeout:     resolved.ToolTimeout,
 		MaxOutputTokens: resolved.MaxOutputTokens,
 		Attempts:        resolved.Attempts,
+		Retention:       resolved.Retention,
+		Drained:         resolved.DrainedBackends,
 	}
 }
 
--- a/control/stop.go
+++ b/control/stop.go
@@ -70,7 +70,8 @@
 // taken too long. An attempt that still runs then is resumed by the next
 // owner, under the same stream name, or looked up by its key.
 func (c *Core) continueDrain(now time.Time, owned *ownedPartition) {
-	if len(owned.placed) > 0 && now.Before(owned.drainUntil) {
+	busy := len(owned.placed) > 0 || len(owned.unproposed) > 0
+	if busy && now.Before(owned.drainUntil) {
 		return
 	}
 	owned.replica.SetView(now, partition.View{Nodes: c.nodes, Stopping: c.stopping})
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -78,6 +78,7 @@
 // runTool sends one tool call. Anything but the service's own word leaves the
 // outcome unknown, unless nothing was sent.
 func (n *Node) runTool(ctx context.Context, action control.SendAttempt) control.AttemptEnded {
+	n.transcripts.beginKnown(action.Attempt.CallRef, action.Call.Input, action.Prompt)
 	request := tool.Request{Key: action.Key, Tool: action.Call.Tool, Input: action.Call.Input}
 	output, err := n.tools.Tool(action.Backend).Run(ctx, request)
 	ended := control.AttemptEnded{Backend: action.Backend.ID, Outcome: program.Outcome{Attempt: action.Attempt}}
@@ -126,14 +127,14 @@
 // come. The attempt succeeds only if the answer is whole.
 func (n *Node) runModel(ctx context.Context, action control.SendAttempt, buffer *stream.Buffer) control.AttemptEnded {
 	ended := control.AttemptEnded{Backend: action.Backend.ID, Outcome: program.Outcome{Attempt: action.Attempt}}
-	prompt, err := n.transcripts.prompt(ctx, action.Partition, action.Attempt.Program, action.Prompt)
+	prompt, err := n.transcripts.prompt(ctx, action.Partition, action.Attempt.CallRef, action.Call.Input, action.Prompt)
 	if err != nil {
 		ended.Outcome.Status = api.StatusNotRun
 		ended.Outcome.Error = api.Refuse(api.CodeStoreUnavailable, "the program's history cannot be read: %v", err).After(0)
 		return ended
 	}
 	answer := modelAnswer{node: n, attempt: action.Attempt, buffer: buffer, started: time.Now()}
-	err = n.engines.Engine(action.Backend).Generate(ctx, n.generateRequest(action, prompt+action.Call.Input), answer.receive)
+	err = n.engines.Engine(action.Backend).Generate(ctx, n.generateRequest(action, prompt), answer.receive)
 	if err == nil && answer.last == nil {
 		err = errCutShort
 	}
--- a/node/operator.go
+++ b/node/operator.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
+	"github.com/google/uuid"
+
 	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/control"
 	"birchwood.example/birchwood/machine"
@@ -129,5 +132,30 @@
 	return snapshot
 }
 
-// DrainBackend sends no new work to a back end any more.
-func (n *Node) DrainBackend(context.Context, machine.ID) error { return errStopped }
+// DrainBackend sends no new work to a back end any more: it adds the back end
+// to the root's drained ones. Operators who do so at the same time cannot
+// undo each other's change, so that a lost race is tried again.
+func (n *Node) DrainBackend(ctx context.Context, id machine.ID) error {
+	for range drainAttempts {
+		tree := n.tree.Load()
+		root, err := tree.Resolve(contract.Root)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		if slices.Contains(root.DrainedBackends, string(id)) {
+			return nil
+		}
+		drained := append(slices.Clone(root.DrainedBackends), string(id))
+		verdict, err := n.ChangeSettings(ctx, contract.Change{
+			ID: uuid.NewString(), Based: tree.Revision(), Actor: "drain of " + string(id), At: time.Now(),
+			Edits: []contract.Edit{{Path: contract.Root, Values: contract.Values{DrainedBackends: drained}}},
+		})
+		if err != nil || verdict.Accepted {
+			return err
+		}
+	}
+	return Error.New("back end %s was not drained: other changes of the root won %d times", id, drainAttempts)
+}
+
+// drainAttempts bounds how often DrainBackend tries again after a lost race.
+const drainAttempts = 5
--- a/node/perform.go
+++ b/node/perform.go
@@ -66,6 +66,7 @@
 		n.logger.Info().Uint64("revision", uint64(action.Tree.Revision())).Msg("settings: a new revision is in force")
 	case control.CallFinished:
 		n.streams.finish(program.CallRef{Program: action.Call.Program, Sequence: action.Call.Sequence})
+		n.transcripts.finish(action.Call)
 		n.metrics.CallFinished(action.Call)
 	case control.ProgramFinished:
 		n.transcripts.forget(action.Program.ID)
@@ -86,6 +87,7 @@
 		return
 	}
 	n.streams.closePartition(action.Partition)
+	n.transcripts.forgetPartition(action.Partition)
 	n.logger.Info().Str("partition", action.Partition.String()).Msg("partition: given up")
 }
 
--- a/node/transcripts.go
+++ b/node/transcripts.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/partition"
 	"birchwood.example/birchwood/program"
@@ -28,18 +30,41 @@
 	size    int
 	order   *list.List // of *transcript, most recently used first
 	entries map[api.ProgramID]*list.Element
+	// running holds, for each call that was sent, the history up to it with
+	// its input: what finish needs to go on without reading the log.
+	running map[api.ProgramID]runningCall
 	read    historyReader
 }
 
+// runningCall is a call that was sent and has not finished.
+type runningCall struct {
+	sequence uint64
+	text     string
+	calls    int
+}
+
 // historyReader reads calls back from a partition's stream.
 type historyReader func(ctx context.Context, id partition.ID, program api.ProgramID, locations []program.CallLocation) ([]api.Call, error)
 
 func newTranscripts(limit int, read historyReader) *transcripts {
-	return &transcripts{limit: limit, order: list.New(), entries: make(map[api.ProgramID]*list.Element), read: read}
+	return &transcripts{limit: limit, order: list.New(), entries: make(map[api.ProgramID]*list.Element), running: make(map[api.ProgramID]runningCall), read: read}
 }
 
-// prompt returns the text of the located calls, inputs and outputs in order.
-func (t *transcripts) prompt(ctx context.Context, id partition.ID, owner api.ProgramID, locations []program.CallLocation) (string, error) {
+// prompt returns the text of the located calls, inputs and outputs in order,
+// followed by the input of the call that is about to be sent. While the log
+// cannot be read it tries again until the context ends.
+func (t *transcripts) prompt(ctx context.Context, id partition.ID, call program.CallRef, input string, locations []program.CallLocation) (string, error) {
+	history, err := t.history(ctx, id, call.Program, locations)
+	if err != nil {
+		return "", err
+	}
+	text := history + input
+	t.begin(call, text, len(locations))
+	return text, nil
+}
+
+// history returns the text of the located calls.
+func (t *transcripts) history(ctx context.Context, id partition.ID, owner api.ProgramID, locations []program.CallLocation) (string, error) {
 	if len(locations) == 0 {
 		return "", nil
 	}
@@ -48,7 +73,9 @@
 	if len(missing) == 0 {
 		return known, nil
 	}
-	calls, err := t.read(ctx, id, owner, missing)
+	calls, err := backoff.Retry(ctx, func() ([]api.Call, error) {
+		return t.read(ctx, id, owner, missing)
+	}, backoff.WithBackOff(backoff.NewExponentialBackOff()), backoff.WithMaxElapsedTime(0))
 	if err != nil {
 		return "", err
 	}
@@ -62,6 +89,40 @@
 	return text.String(), nil
 }
 
+// begin notes what a call that is about to be sent adds to the history.
+func (t *transcripts) begin(call program.CallRef, text string, calls int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.running[call.Program] = runningCall{sequence: call.Sequence, text: text, calls: calls}
+}
+
+// beginKnown is begin for a call that needs no prompt: it notes the call only
+// if the history before it is known without a read.
+func (t *transcripts) beginKnown(call program.CallRef, input string, locations []program.CallLocation) {
+	known := ""
+	if len(locations) > 0 {
+		cached, missing := t.lookUp(call.Program, locations)
+		if len(missing) > 0 {
+			return
+		}
+		known = cached
+	}
+	t.begin(call, known+input, len(locations))
+}
+
+// finish extends a program's transcript by a call that succeeded, as it was
+// recorded, so that the next prompt needs no read of the log.
+func (t *transcripts) finish(call api.Call) {
+	t.mutex.Lock()
+	running, ok := t.running[call.Program]
+	delete(t.running, call.Program)
+	t.mutex.Unlock()
+	if !ok || running.sequence != call.Sequence || call.Status != api.StatusSucceeded {
+		return
+	}
+	t.store(&transcript{program: call.Program, text: running.text + call.Output, last: call.Sequence, calls: running.calls + 1})
+}
+
 // lookUp returns the cached text that begins the history, and the locations
 // that it does not cover.
 func (t *transcripts) lookUp(owner api.ProgramID, locations []program.CallLocation) (string, []program.CallLocation) {
@@ -95,6 +156,24 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.drop(owner)
+	delete(t.running, owner)
+}
+
+// forgetPartition drops every program of a partition that was given up: its
+// next owner may record another history.
+func (t *transcripts) forgetPartition(id partition.ID) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for owner := range t.entries {
+		if of, err := partition.OfProgram(owner); err == nil && of == id {
+			t.drop(owner)
+		}
+	}
+	for owner := range t.running {
+		if of, err := partition.OfProgram(owner); err == nil && of == id {
+			delete(t.running, owner)
+		}
+	}
 }
 
 // drop removes an entry. The mutex is held.
