program: look up with patience, and test recovery from damaged input

A tool service that is down at a take-over used up the look-ups within two seconds, so that a call ended as outcome_unknown that could still be known.

A service that cannot be asked is now asked again until the call's deadline, unless the caller has cancelled; a key that is not found still counts. A recovered place is checked against the program's calls.

--- a/program/doc.go
+++ b/program/doc.go
@@ -74,7 +74,8 @@
 //   - an owner that folds a Dispatched record without an Ended one never
 //     sends the call, but looks its key up at the service. A key that is not
 //     found proves nothing, since the send may still be on its way: after
-//     Config.LookupAttempts the call ends as outcome_unknown;
+//     Config.LookupAttempts the call ends as outcome_unknown. A service that
+//     cannot be asked is asked again until the call's deadline;
 //   - only the sender's own word that nothing reached the service
 //     (an Outcome with StatusNotRun) allows another attempt.
 //
--- a/program/lookup.go
+++ b/program/lookup.go
@@ -43,15 +43,18 @@
 	if result.Err == nil && result.Found {
 		t.endCall(p, live, CallEnded{Status: api.StatusSucceeded, Output: result.Output})
 	} else {
-		t.lookUpAgain(p, live)
+		t.lookUpAgain(p, live, result.Err != nil)
 	}
 	t.advance(p)
 	t.settle(p)
 }
 
-// lookUpAgain asks once more, or ends the call with an unknown outcome.
-func (t *transition) lookUpAgain(p *heldProgram, live *liveCall) {
-	if live.lookup.asked < t.store.config.LookupAttempts {
+// lookUpAgain asks once more, or ends the call with an unknown outcome. A
+// service that cannot be asked may come back: as long as the call has time
+// and its caller waits, that does not use up the look-ups.
+func (t *transition) lookUpAgain(p *heldProgram, live *liveCall, unanswered bool) {
+	patient := unanswered && !live.lookup.cancelled && !live.deadline.IsZero() && !live.expired(t.now)
+	if patient || live.lookup.asked < t.store.config.LookupAttempts {
 		t.lookUp(p, live, t.store.backoff(live.lookup.asked))
 		return
 	}
--- a/program/recover.go
+++ b/program/recover.go
@@ -13,6 +13,9 @@
 	if err := record.validate(); err != nil {
 		return err
 	}
+	if err := s.validatePlace(record); err != nil {
+		return err
+	}
 	s.apply(offset, record)
 	return nil
 }
--- a/program/timers.go
+++ b/program/timers.go
@@ -207,7 +207,7 @@
 	}
 	switch live.phase {
 	case phaseLookup:
-		t.lookUpAgain(p, live)
+		t.lookUpAgain(p, live, true)
 	case phaseSent:
 		t.expireSent(p, live)
 	default:
