history: take a call's durable end as its end

A tool call may end by a time-out and a look-up, which no back end sees; the next call then rightly started before any caller had the answer, and the checker called it out of order.

Record what a node announces as a durable end, and count it.

--- a/emulator/cluster/node.go
+++ b/emulator/cluster/node.go
@@ -192,6 +192,10 @@
 		n.fetchHistory(action)
 	case control.SettingsVerdict:
 		n.noteVerdict(action.Verdict)
+	case control.CallFinished:
+		n.cluster.record(history.Event{Ended: &history.Ended{
+			Node: n.self.ID, Program: action.Call.Program, Sequence: action.Call.Sequence, Status: action.Call.Status,
+		}})
 	case control.ProgramFinished:
 		n.cluster.record(history.Event{Closed: &history.Closed{Program: action.Program.ID}})
 	case control.StopComplete:
--- a/history/event.go
+++ b/history/event.go
@@ -18,6 +18,7 @@
 	Read     *Read      `json:"read,omitempty"`
 	Started  *Started   `json:"started,omitempty"`
 	Finished *Finished  `json:"finished,omitempty"`
+	Ended    *Ended     `json:"ended,omitempty"`
 	Held     *Held      `json:"held,omitempty"`
 	Opened   *Opened    `json:"opened,omitempty"`
 	Closed   *Closed    `json:"closed,omitempty"`
@@ -164,6 +165,15 @@
 	Usage    api.Usage     `json:"usage"`
 }
 
+// Ended says that a node announced a call's end, which was durable then: a
+// call may end without its back end's word, by a time-out or a look-up.
+type Ended struct {
+	Node     machine.ID     `json:"node"`
+	Program  api.ProgramID  `json:"program"`
+	Sequence uint64         `json:"sequence"`
+	Status   api.CallStatus `json:"status"`
+}
+
 // Held lists the programs whose prefixes an engine keeps.
 type Held struct {
 	Backend  machine.ID      `json:"backend"`
--- a/history/index.go
+++ b/history/index.go
@@ -33,6 +33,7 @@
 	exchanges []*exchange
 	started   []*record
 	finished  []*record
+	ended     []*record
 }
 
 // programFacts is what is known of one program.
@@ -131,6 +132,9 @@
 	case r.Finished != nil:
 		each := x.call(callRef{r.Finished.Program, r.Finished.Sequence})
 		each.finished = append(each.finished, r)
+	case r.Ended != nil:
+		each := x.call(callRef{r.Ended.Program, r.Ended.Sequence})
+		each.ended = append(each.ended, r)
 	case r.Opened != nil:
 		program := x.program(r.Opened.Program)
 		program.opened = append(program.opened, r)
@@ -240,8 +244,8 @@
 	return facts
 }
 
-// over returns the first time at which the call had ended, as a back end or a
-// caller saw it, and the record that shows it.
+// over returns the record that first shows the call's end, as a back end, a
+// node or a caller saw it.
 func (c *call) over() *record {
 	var first *record
 	earlier := func(r *record) {
@@ -252,6 +256,9 @@
 	for _, r := range c.finished {
 		earlier(r)
 	}
+	for _, r := range c.ended {
+		earlier(r)
+	}
 	for _, each := range c.exchanges {
 		if each.got != nil && each.got.Got.Status.Terminal() && each.got.Got.Status != "" {
 			earlier(each.got)
