program: match outcomes on the epoch, and leave expired calls to the timer

An attempt that an older epoch of the same node sent before its record was durable could have its outcome taken for a newer attempt of the same number. A dispatch that came after the deadline ended the call, which left the driver with a placed call that was never sent.

Outcome and the send effect carry the dispatching epoch; an outcome from another one is dropped when it is given. A dispatch after the deadline is refused as stale, and the timer ends the call.

go test ./program passes. The new test fails without the comparison.

--- a/program/calls_test.go
+++ b/program/calls_test.go
@@ -138,6 +138,27 @@
 		Expect(d.effect(program.EffectAnswer, ref("p", 1)).Answer.Output).To(Equal("right"))
 	})
 
+	It("do not listen to an attempt of the same number from an older epoch", func() {
+		d.submit("p", modelCall("a"))
+		d.dispatch("p", 1)
+		lost := d.effect(program.EffectSend, ref("p", 1))
+		d.crash(len(d.log) - 1)
+		d.dispatch("p", 1)
+		Expect(d.call("p", 1).Attempt).To(Equal(lost.Attempt.Attempt))
+		d.step(program.Command{Outcome: &program.Outcome{Attempt: lost.Attempt, Epoch: lost.Epoch, Status: api.StatusFailed}})
+		Expect(d.call("p", 1).Status).To(Equal(api.StatusRunning))
+		d.outcome("p", 1, program.Outcome{Epoch: d.epoch, Status: api.StatusSucceeded, Output: "x"})
+		Expect(d.call("p", 1).Status).To(Equal(api.StatusSucceeded))
+	})
+
+	It("that run out of time are not dispatched, and end as not run", func() {
+		d.submit("p", modelCall("a"))
+		d.now = d.now.Add(time.Minute)
+		Expect(d.refused(d.dispatchCommand("p", 1)).Code).To(Equal(api.CodeConflict))
+		d.tick(0)
+		Expect(d.effect(program.EffectAnswer, ref("p", 1)).Answer.Status).To(Equal(api.StatusNotRun))
+	})
+
 	It("are retried with growing, jittered backoff up to the contract's attempts", func() {
 		d.submit("p", modelCall("a"))
 		var delays []time.Duration
--- a/program/dispatch.go
+++ b/program/dispatch.go
@@ -57,12 +57,8 @@
 // can then take it for a call that was never sent.
 func (t *transition) dispatch(p *heldProgram, dispatch Dispatch) *api.Error {
 	live := p.liveCall(dispatch.Call.Sequence)
-	if live == nil || live.phase != phaseStarted || live != p.head() {
-		return staleDecision(dispatch.Call)
-	}
-	if live.expired(t.now) {
-		t.expireWaiting(p, live)
-		return nil
+	if live == nil || live.phase != phaseStarted || live != p.head() || live.expired(t.now) {
+		return staleDecision(dispatch.Call) // Tick ends what has run out of time
 	}
 	t.record(Record{Program: p.id, Dispatched: &Dispatched{
 		Sequence: live.sequence,
--- a/program/outcome.go
+++ b/program/outcome.go
@@ -17,6 +17,9 @@
 	if live.phase != phaseSent && live.phase != phaseLookup {
 		return
 	}
+	if outcome.Epoch != 0 && outcome.Epoch != live.epoch {
+		return
+	}
 	t.touch(p)
 	switch outcome.Status {
 	case api.StatusSucceeded:
--- a/program/property_test.go
+++ b/program/property_test.go
@@ -187,6 +187,9 @@
 		sent = rapid.SampledFrom(w.sends).Draw(t, "send")
 	}
 	outcome := program.Outcome{Attempt: sent.attempt, Status: api.StatusNotRun}
+	if rapid.Bool().Draw(t, "with epoch") {
+		outcome.Epoch = sent.epoch
+	}
 	if sent.reached {
 		outcome.Status = rapid.SampledFrom([]api.CallStatus{
 			api.StatusSucceeded, api.StatusSucceeded, api.StatusFailed, api.StatusOutcomeUnknown,
--- a/program/transition.go
+++ b/program/transition.go
@@ -81,6 +81,7 @@
 		Kind:         kind,
 		Attempt:      AttemptRef{CallRef: CallRef{Program: p.id, Sequence: live.sequence}, Attempt: live.attempt},
 		Backend:      live.backend,
+		Epoch:        live.epoch,
 		Call:         live.call,
 		Key:          p.serviceKey(live),
 		PromptTokens: live.promptTokens,
--- a/program/types.go
+++ b/program/types.go
@@ -171,6 +171,9 @@
 // Outcome is what became of one attempt.
 type Outcome struct {
 	Attempt AttemptRef
+	// Epoch is the one in which the attempt was sent, as its effect told. An
+	// outcome from another epoch's attempt is dropped. Zero is not compared.
+	Epoch uint64
 	// Status is StatusSucceeded, StatusFailed, StatusNotRun (nothing reached
 	// the back end) or StatusOutcomeUnknown.
 	Status api.CallStatus
@@ -227,7 +230,9 @@
 	Kind    EffectKind
 	Attempt AttemptRef
 	Backend machine.ID
-	Call    api.SubmitCall
+	// Epoch is the one that dispatched the attempt, for EffectSend.
+	Epoch uint64
+	Call  api.SubmitCall
 	// Key identifies the call at a tool service: program, sequence and the
 	// caller's key.
 	Key string
--- a/program/world_test.go
+++ b/program/world_test.go
@@ -32,6 +32,7 @@
 // send is an attempt that was sent to a back end.
 type send struct {
 	attempt program.AttemptRef
+	epoch   uint64
 	reached bool
 }
 
@@ -173,7 +174,7 @@
 	if call.reached > 1 && !call.repeatable() {
 		w.t.Fatalf("call %v may not be repeated and ran twice", effect.Attempt)
 	}
-	w.sends = append(w.sends, send{attempt: effect.Attempt, reached: reached})
+	w.sends = append(w.sends, send{attempt: effect.Attempt, epoch: effect.Epoch, reached: reached})
 }
 
 func (w *world) answer(effect program.Effect) {
