Let a former owner that lives answer for its epoch, and accept loss only when nobody can

A recovery waited for a quorum of mirrors although the former owner, taken for dead by mistake, still had everything; and with AcceptLossAfter it went on without mirrors that were merely slow to answer.

A process that loses its epoch leaves what the log lacks with its own mirror store, which answers for the whole set. AcceptLossAfter applies only while the live mirrors that were not restarted are too few and the former owner is gone. Trims of settled epochs are repeated for a while after a mirror leaves the view.

Seen failing: the new named tests, with the owner counted before it lost the epoch, with it never counted, and with the policy applied to any wait.

--- a/journal/append.go
+++ b/journal/append.go
@@ -1,6 +1,9 @@
 package journal
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // appender follows the one append in flight.
 type appender struct {
@@ -181,6 +184,29 @@
 	return j.nextSequence - 1
 }
 
+// Rest is what a writer leaves behind when it loses its epoch: everything that
+// it proposed and that the log had not confirmed.
+type Rest struct {
+	Epoch uint64
+	// Logged is the sequence up to which the log has the epoch.
+	Logged  uint64
+	Entries []Entry
+}
+
+// Rest returns what this writer would leave behind, or left behind when it was
+// superseded.
+func (j *Journal) Rest() Rest {
+	if j.phase == phaseSuperseded {
+		return j.rest
+	}
+	rest := Rest{Epoch: j.epoch, Logged: j.LastSequence()}
+	if len(j.queue) > 0 {
+		rest.Logged = j.queue[0].entry.Sequence - 1
+		rest.Entries = j.Unconfirmed(rest.Logged, math.MaxInt)
+	}
+	return rest
+}
+
 // MarkMirrored confirms every proposal up to the sequence, which a quorum of
 // the mirrors holds. They are confirmed again once the log has them.
 func (j *Journal) MarkMirrored(sequence uint64) {
@@ -260,7 +286,9 @@
 // found until then stands.
 func (j *Journal) superseded() {
 	found := j.TakeFound()
+	rest := j.Rest()
 	j.Reset()
+	j.rest = rest
 	j.ready = found
 	j.phase = phaseSuperseded
 }
--- a/journal/fold.go
+++ b/journal/fold.go
@@ -22,6 +22,9 @@
 	// the copies that later epochs appended.
 	Sequence uint64
 	Mirrors  []Mirror
+	// Writer won the epoch. While its process lives it knows best what it had
+	// not logged.
+	Writer string
 }
 
 // Fold reads the entries of a stream in offset order and decides which count.
@@ -118,7 +121,7 @@
 		return VerdictVoid
 	}
 	if len(f.Mirrors.Members) > 0 {
-		f.Debt = &Debt{Epoch: f.Epoch, Sequence: f.Sequence, Mirrors: f.Mirrors.Members}
+		f.Debt = &Debt{Epoch: f.Epoch, Sequence: f.Sequence, Mirrors: f.Mirrors.Members, Writer: f.Writer}
 	}
 	f.Epoch = entry.Epoch
 	f.Writer = entry.Writer
--- a/journal/fold_test.go
+++ b/journal/fold_test.go
@@ -58,7 +58,7 @@
 		fold.Add(recordBy(a, 1, 2))
 		fold.Add(claimBy(b, 2))
 		fold.Add(claimBy(a, 3))
-		Expect(fold.Debt).To(Equal(&Debt{Epoch: 1, Sequence: 2, Mirrors: members}))
+		Expect(fold.Debt).To(Equal(&Debt{Epoch: 1, Sequence: 2, Mirrors: members, Writer: a}))
 
 		repeated := recordBy(a, 3, 1)
 		repeated.Origin = &Origin{Epoch: 1, Sequence: 4}
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -84,6 +84,9 @@
 	// mirrors is the newest mirror set that was folded or proposed.
 	mirrors MirrorSet
 
+	// rest is what was left when another claim won.
+	rest Rest
+
 	lastRequest uint64
 	ready       Ready
 }
@@ -128,6 +131,7 @@
 	j.replayLater = nil
 	j.snapshotting = false
 	j.parts = nil
+	j.rest = Rest{}
 	j.mirrors = MirrorSet{}
 	j.ready = Ready{}
 }
--- a/partition/config.go
+++ b/partition/config.go
@@ -30,10 +30,10 @@
 	// MirrorTimeout is how long a mirror may leave a message unanswered
 	// before it is repeated, and before an owner opens without it.
 	MirrorTimeout time.Duration
-	// AcceptLossAfter is how long a recovery waits for a quorum of the last
-	// owner's mirrors before it goes on with those that answered. Records that
-	// only the others hold are lost then. Zero waits until a quorum answers or
-	// AcceptLoss is called.
+	// AcceptLossAfter is how long a recovery waits before it goes on with the
+	// mirrors that answered, when those that are live and were not restarted
+	// are too few for a quorum. Records that only the others hold are lost
+	// then. Zero waits until a quorum answers or AcceptLoss is called.
 	AcceptLossAfter time.Duration
 
 	// ClaimDwell is how long this node must be the desired owner before it
@@ -133,6 +133,9 @@
 	if c.MirrorCount > 0 && c.Mirrors == nil {
 		findings = append(findings, errors.New("partition config: Mirrors: missing, but MirrorCount asks for mirrors"))
 	}
+	if c.Mirrors != nil && c.Mirrors.config.Instance != c.Writer {
+		findings = append(findings, errors.New("partition config: Mirrors: its Instance is another one than Writer"))
+	}
 	durations := []struct {
 		name  string
 		value time.Duration
--- a/partition/doc.go
+++ b/partition/doc.go
@@ -46,8 +46,10 @@
 // next claimant finds the same debt, less what the log has by then.
 //
 // Mirrors hold entries in memory. They are named with the process that agreed,
-// so a restarted one never counts as having held nothing. When so many were
-// restarted that no read quorum is left, the recovery waits and Stall says why:
+// so a restarted one never counts as having held nothing. A former owner whose
+// process lives answers for all of them once it knows that it lost the epoch.
+// When neither a read quorum nor that owner is left, the recovery waits and Stall
+// says why:
 // records may be lost, and whether to go on is for an operator (AcceptLoss) or
 // for a policy (Config.AcceptLossAfter) to decide. The log notes the decision.
 //
--- a/partition/mirrorstore.go
+++ b/partition/mirrorstore.go
@@ -54,6 +54,8 @@
 	// logged is the sequence up to which the log has the epoch.
 	logged  uint64
 	entries []journal.Entry
+	// complete is set when this node owned the epoch itself.
+	complete bool
 }
 
 func (e *mirroredEpoch) last() uint64 {
@@ -163,6 +165,25 @@
 	epoch.logged = logged
 }
 
+// keep takes what this node had not logged of an epoch that it owned and lost,
+// if there is room. It answers for the whole epoch from then on.
+func (s *MirrorStore) keep(id ID, rest journal.Rest) {
+	epoch := &mirroredEpoch{logged: rest.Logged}
+	if !s.extend(epoch, rest.Entries) {
+		s.forget(epoch, epoch.last())
+		return
+	}
+	epoch.complete = true
+	s.partition(id).epochs[rest.Epoch] = epoch
+}
+
+// settle forgets the epochs before one that this node opened: the log has them.
+func (s *MirrorStore) settle(id ID, epoch uint64) {
+	if known := s.partitions[id]; known != nil {
+		s.forgetBefore(known, epoch)
+	}
+}
+
 // forgetBefore drops every epoch before the given one.
 func (s *MirrorStore) forgetBefore(known *mirrored, epoch uint64) {
 	for number, older := range known.epochs {
@@ -192,6 +213,7 @@
 		answer.Last = query.Sequence
 		return answer
 	}
+	answer.Complete = epoch.complete
 	answer.Last = max(epoch.last(), query.Sequence)
 	answer.Entries = s.chunk(epoch, query.Sequence)
 	return answer
--- a/partition/ownership_test.go
+++ b/partition/ownership_test.go
@@ -355,6 +355,60 @@
 		Expect(first.replica.mirrors.current).NotTo(ContainElement(HaveField("ID", gone.id)))
 	})
 
+	It("reads the former owner itself while that process lives, though a quorum of mirrors was restarted", func() {
+		c.log.down = true
+		values := proposeSome(c, first, 5)
+		expectConfirmed(c, values)
+		for _, mirror := range first.replica.mirrors.current {
+			c.crash(c.node(mirror.ID))
+			c.restart(c.node(mirror.ID))
+		}
+		c.pause(first)
+		c.log.down = false
+		c.run(settleTime)
+		Expect(c.hasOwner()).To(BeFalse())
+		c.resume(first)
+		Expect(c.runUntil(settleTime, func() bool { return c.hasOwner() && c.owner() != first })).To(BeTrue())
+		Expect(c.owner().state).To(Equal(values))
+		c.run(settleTime)
+		Expect(first.store.Bytes()).To(BeZero())
+	})
+
+	It("goes on by policy only when nobody can answer any more", func() {
+		c = newCluster(1, fiveNodes, func(config *Config) { config.AcceptLossAfter = time.Minute })
+		first = expectOwner(c)
+		c.log.down = true
+		values := proposeSome(c, first, 5)
+		expectConfirmed(c, values)
+		mirrors := first.replica.mirrors.current
+		c.crash(first)
+		for _, node := range c.nodes {
+			for _, mirror := range mirrors[:2] {
+				c.cut[[2]machine.ID{mirror.ID, node.id}] = true
+			}
+		}
+		c.log.down = false
+		c.run(10 * time.Minute)
+		Expect(c.hasOwner()).To(BeFalse(), "two mirrors are live, though out of reach")
+		clear(c.cut)
+		Expect(expectOwner(c).state).To(Equal(values))
+
+		c.run(settleTime)
+		second := c.owner()
+		Expect(second.replica.mirrors.current).To(HaveLen(3))
+		mirrors = second.replica.mirrors.current
+		c.crash(second)
+		c.restart(second)
+		for _, mirror := range mirrors[:2] {
+			c.crash(c.node(mirror.ID))
+			c.restart(c.node(mirror.ID))
+		}
+		c.run(30 * time.Second)
+		Expect(c.hasOwner()).To(BeFalse())
+		c.run(time.Minute)
+		Expect(expectOwner(c).state).To(Equal(values))
+	})
+
 	It("says so and waits when a quorum of mirrors has lost its memory, until the loss is accepted", func() {
 		c.log.down = true
 		values := proposeSome(c, first, 5)
--- a/partition/recover.go
+++ b/partition/recover.go
@@ -29,6 +29,9 @@
 // recoverySource is one mirror that is read.
 type recoverySource struct {
 	mirror journal.Mirror
+	// owner marks the process that owned the epoch. It is no mirror, and counts
+	// only once it has lost the epoch, but then for all of them.
+	owner bool
 	// answered is set by the first answer of the process that enlisted; from
 	// then on last is all that it will ever hold of the epoch.
 	answered  bool
@@ -58,15 +61,10 @@
 	r.state = StateRecovering
 	fold := r.journal.Fold()
 	r.recover = recovery{debt: fold.Debt, since: r.now}
-	if previous := r.claim.previous; previous != "" && previous != r.config.Self {
+	if previous := r.claim.previous; previous != "" {
 		r.send(previous, Message{Claimed: &Claimed{Epoch: fold.Epoch}})
 	}
-	if r.recover.debt != nil {
-		for _, mirror := range r.recover.debt.Mirrors {
-			source := &recoverySource{mirror: mirror, backoff: r.mirrorBackoff()}
-			r.recover.sources = append(r.recover.sources, source)
-		}
-	}
+	r.addSources()
 	candidates := MirrorCandidates(r.config.ID, r.view.Nodes, r.config.Self, r.config.MirrorCount)
 	if len(candidates) > 0 {
 		r.enlist(candidates)
@@ -74,6 +72,22 @@
 	r.advanceRecovering()
 }
 
+// addSources lists whom to read: the mirrors of the epoch in debt, and the
+// process that owned it, in case it lives.
+func (r *Replica) addSources() {
+	debt := r.recover.debt
+	if debt == nil {
+		return
+	}
+	for _, mirror := range debt.Mirrors {
+		source := &recoverySource{mirror: mirror, backoff: r.mirrorBackoff()}
+		r.recover.sources = append(r.recover.sources, source)
+	}
+	owner := journal.Mirror{ID: journal.WriterMachine(debt.Writer), Instance: debt.Writer}
+	source := &recoverySource{mirror: owner, owner: true, backoff: r.mirrorBackoff()}
+	r.recover.sources = append(r.recover.sources, source)
+}
+
 // advanceRecovering opens the epoch once the debt is read and the mirrors
 // agreed or had their time.
 func (r *Replica) advanceRecovering() {
@@ -108,6 +122,9 @@
 			Sequence: r.recover.suffixEnd(),
 			Reader:   r.journal.Epoch(),
 		}
+		if source.owner {
+			r.send(source.mirror.ID, Message{Claimed: &Claimed{Epoch: r.journal.Epoch()}})
+		}
 		r.send(source.mirror.ID, Message{Query: query})
 	}
 }
@@ -149,6 +166,9 @@
 		source.restarted = true
 		return
 	}
+	if source.owner && !answer.Complete {
+		return
+	}
 	known := r.recover.suffixEnd()
 	source.answered = true
 	source.last = answer.Last
@@ -174,12 +194,29 @@
 		return true
 	}
 	patience := r.config.AcceptLossAfter
-	if patience > 0 && !r.now.Before(stall.Since.Add(patience)) {
+	if patience > 0 && r.hopeless(stall) && !r.now.Before(stall.Since.Add(patience)) {
 		r.recover.accepted = true
 	}
 	return r.recover.accepted
 }
 
+// hopeless reports whether the mirrors that may still answer are too few, and
+// the epoch's owner is gone too, as far as this node's view goes.
+func (r *Replica) hopeless(stall Stall) bool {
+	for _, source := range r.recover.sources {
+		if source.owner && !source.restarted && r.live(source.mirror.ID) {
+			return false
+		}
+	}
+	reachable := stall.Read
+	for _, mirror := range stall.Silent {
+		if r.live(mirror) {
+			reachable++
+		}
+	}
+	return reachable < stall.Needed
+}
+
 // Stall tells what a recovery waits for, false when it does not wait for
 // mirrors.
 func (r *Replica) Stall() (Stall, bool) {
@@ -190,6 +227,10 @@
 	stall := Stall{Epoch: debt.Epoch, Needed: journal.ReadQuorum(len(debt.Mirrors)), Since: r.recover.since}
 	for _, source := range r.recover.sources {
 		switch {
+		case source.owner && source.answered && r.recover.done(source):
+			return Stall{}, false
+		case source.owner:
+			// Nothing is missing if it stays silent.
 		case source.restarted:
 			stall.Restarted = append(stall.Restarted, source.mirror.ID)
 		case !source.answered:
@@ -239,6 +280,9 @@
 	if r.recover.debt != nil {
 		r.settled = newSettlement(*r.recover.debt, r.journal.Epoch(), r.mirrorBackoff())
 	}
+	if r.config.Mirrors != nil {
+		r.config.Mirrors.settle(r.config.ID, r.journal.Epoch())
+	}
 	r.recover = recovery{}
 	r.state = StateOwning
 	r.ready.Acquired = true
@@ -275,28 +319,35 @@
 
 type settlementLink struct {
 	mirror   machine.ID
+	attempts int
 	deadline time.Time
 	backoff  journal.Backoff
 }
 
+// settlementAttempts is how often a mirror that has left the view is told.
+const settlementAttempts = 20
+
 func newSettlement(debt journal.Debt, epoch uint64, backoff journal.Backoff) settlement {
 	// The trim is of this epoch: it forgets all earlier ones.
 	settled := settlement{trim: MirrorTrim{Epoch: epoch}}
 	for _, mirror := range debt.Mirrors {
 		settled.links = append(settled.links, &settlementLink{mirror: mirror.ID, backoff: backoff})
 	}
+	owner := journal.WriterMachine(debt.Writer)
+	settled.links = append(settled.links, &settlementLink{mirror: owner, backoff: backoff})
 	return settled
 }
 
 // advanceSettlement repeats the trim to those that have not answered.
 func (r *Replica) advanceSettlement() {
 	r.settled.links = slices.DeleteFunc(r.settled.links, func(link *settlementLink) bool {
-		return !r.live(link.mirror)
+		return link.attempts >= settlementAttempts && !r.live(link.mirror)
 	})
 	for _, link := range r.settled.links {
 		if r.now.Before(link.deadline) {
 			continue
 		}
+		link.attempts++
 		link.deadline = r.now.Add(link.backoff.Next())
 		trim := r.settled.trim
 		r.send(link.mirror, Message{Trim: &trim})
--- a/partition/replica.go
+++ b/partition/replica.go
@@ -180,6 +180,7 @@
 // state is dropped.
 func (r *Replica) lose() {
 	r.collect()
+	r.keepRest()
 	r.journal.Reset()
 	r.state = StateFollowing
 	r.ready.Lost = true
@@ -193,6 +194,15 @@
 	r.claim.postpone(r.now)
 }
 
+// keepRest lets this node's MirrorStore answer for the epoch that it lost, if
+// the epoch had mirrors that a later one must read.
+func (r *Replica) keepRest() {
+	owned := r.state == StateOwning || r.state == StateReleasing
+	if owned && len(r.mirrors.links) > 0 && r.config.Mirrors != nil {
+		r.config.Mirrors.keep(r.config.ID, r.journal.Rest())
+	}
+}
+
 // collect takes over what the journal found before it is reset.
 func (r *Replica) collect() {
 	found := r.journal.TakeFound()
--- a/partition/types.go
+++ b/partition/types.go
@@ -125,6 +125,9 @@
 	// message may hold. Last is the newest sequence that the mirror holds.
 	Entries []journal.Entry `json:"entries,omitempty"`
 	Last    uint64          `json:"last"`
+	// Complete is set when the answering process owned the epoch and has lost
+	// it: Entries are all that anybody can have of it beyond the log.
+	Complete bool `json:"complete,omitempty"`
 	// Restarted is set when the process that was asked for is gone.
 	Restarted bool `json:"restarted,omitempty"`
 	// Refused is set when a later epoch than Reader has read this mirror.
