standin: keep a prefix whose import is refused; bench: choose the nodes per zone

An import exported the prefix first, so an engine that refused it lost it for both. How policies behave with more nodes than a deployment has could not be asked for.

The target takes the import before the source drops the prefix.

The new test failed with the old order and passes now; the packages' tests passed with the race detector.

--- a/command/bench.go
+++ b/command/bench.go
@@ -26,6 +26,7 @@
 	faults     string
 	output     string
 	plot       string
+	nodes      int
 }
 
 // errViolations makes bench exit with 1 after it has printed its result.
@@ -57,6 +58,7 @@
 	set.Float64Var(&flags.load, "load", flags.load, "arrival rate as a share of the capacity")
 	set.StringVar(&flags.faults, "faults", flags.faults, "YAML `file` with the faults of the run")
 	set.StringVar(&flags.output, "output", flags.output, "text or json")
+	set.IntVar(&flags.nodes, "nodes-per-zone", flags.nodes, "nodes that decide in each zone; 0 means the deployment's, at most 3")
 	set.StringVar(&flags.plot, "plot", flags.plot, "`directory` for plots of the latency and of a load sweep")
 	return command
 }
@@ -120,6 +122,7 @@
 		Programs:      flags.programs,
 		Load:          flags.load,
 		Faults:        faults,
+		NodesPerZone:  flags.nodes,
 		KeepLatencies: flags.plot != "",
 	}, nil
 }
--- a/emulator/standin/engine.go
+++ b/emulator/standin/engine.go
@@ -288,13 +288,12 @@
 	r.model.SetDelays(enginemodel.DefaultReportDelay, enginemodel.DefaultEventDelay)
 }
 
-// export drops the owner's prefix and returns what it was.
-func (r *runningEngine) export(owner api.ProgramID) (int, prefixText) {
+// exportable returns the owner's prefix, which another engine may import.
+func (r *runningEngine) exportable(owner api.ProgramID) (int, prefixText) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	tokens := r.model.Resident(owner)
-	_ = r.stepLocked(enginemodel.Event{Export: &enginemodel.Export{Owner: owner}})
-	return tokens, r.prefixes[owner]
+	_ = r.stepLocked(enginemodel.Event{})
+	return r.model.Resident(owner), r.prefixes[owner]
 }
 
 // imports receives a prefix that another engine exported.
--- a/emulator/standin/enginehttp.go
+++ b/emulator/standin/enginehttp.go
@@ -273,7 +273,7 @@
 		fail(ctx, fasthttp.StatusNotFound, fmt.Errorf("from: no engine %q", body.From))
 		return
 	}
-	tokens, text := source.export(body.Owner)
+	tokens, text := source.exportable(body.Owner)
 	if tokens == 0 {
 		fail(ctx, fasthttp.StatusNotFound, fmt.Errorf("owner: nothing cached at %q", body.From))
 		return
@@ -282,6 +282,7 @@
 		fail(ctx, statusOf(err), err)
 		return
 	}
+	_ = source.step(enginemodel.Event{Export: &enginemodel.Export{Owner: body.Owner}})
 	s.awaitImport(body.Owner)
 	ctx.SetStatusCode(fasthttp.StatusNoContent)
 }
--- a/emulator/standin/standin_test.go
+++ b/emulator/standin/standin_test.go
@@ -233,6 +233,15 @@
 		Expect(last.Usage.CachedTokens).To(Equal(600 + len(text)/4))
 	})
 
+	It("keeps a prefix that the other engine does not take", func(ctx SpecContext) {
+		w := start()
+		_, _, err := collect(ctx, w.engine("engine-1"), request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.set.Leave("engine-2")).To(Succeed())
+		Expect(w.engine("engine-2").Import(ctx, "p", "engine-1")).NotTo(Succeed())
+		Expect(w.engine("engine-1").Prefixes(ctx)).To(HaveLen(1))
+	})
+
 	It("says not sent for refusals and refused connections, and not for a cut stream", func(ctx SpecContext) {
 		w := start()
 		var notSent *engine.NotSentError
