Route past a former owner once it has given up, and confirm mirrored records without a rescan

A node that was told that the owner had given the partition up went on naming it for requests until its own claim won. Each acknowledgement of a mirror walked over everything that mirrors had confirmed already.

--- a/journal/append.go
+++ b/journal/append.go
@@ -210,19 +210,16 @@
 // MarkMirrored confirms every proposal up to the sequence, which a quorum of
 // the mirrors holds. They are confirmed again once the log has them.
 func (j *Journal) MarkMirrored(sequence uint64) {
-	for index := range j.queue {
-		waiting := &j.queue[index]
+	first := min(j.unconfirmedIndex(j.mirrored), len(j.queue))
+	for _, waiting := range j.queue[first:] {
 		if waiting.entry.Sequence > sequence {
-			return
-		}
-		if waiting.mirrored {
-			continue
+			break
 		}
-		waiting.mirrored = true
 		if waiting.token != 0 {
 			j.ready.Confirmed = append(j.ready.Confirmed, Confirmed{Token: waiting.token, Offset: NoOffset})
 		}
 	}
+	j.mirrored = max(j.mirrored, sequence)
 }
 
 // foldEntry folds the next entry of the stream and reports what it means.
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -32,8 +32,7 @@
 type pending struct {
 	entry Entry
 	// token is zero when nobody waits for the entry.
-	token    Token
-	mirrored bool
+	token Token
 }
 
 // Ready is what a Journal wants done and what it found.
@@ -70,8 +69,10 @@
 	lastToken    Token
 	queue        []pending
 	queueBytes   int
-	appender     appender
-	reader       reader
+	// mirrored is the sequence up to which MarkMirrored was told.
+	mirrored uint64
+	appender appender
+	reader   reader
 	// replaying is set while the parts of the snapshot that the fold started
 	// with are delivered; later snapshots hold nothing new. Records between
 	// the parts wait in replayLater.
@@ -125,6 +126,7 @@
 	j.nextSequence = 0
 	j.queue = nil
 	j.queueBytes = 0
+	j.mirrored = 0
 	j.appender = appender{backoff: backoff}
 	j.reader = reader{backoff: backoff}
 	j.replaying = false
--- a/partition/claim.go
+++ b/partition/claim.go
@@ -164,6 +164,7 @@
 // freed notes that the winner of the epoch does not stand against a claim,
 // and looks at the stream again.
 func (r *Replica) freed(epoch uint64) {
+	r.holder = ""
 	r.claim.free = max(r.claim.free, epoch)
 	r.claim.restart()
 	r.claim.notBefore = r.now
--- a/partition/ownership_test.go
+++ b/partition/ownership_test.go
@@ -151,6 +151,8 @@
 		c.restart(first)
 		c.run(4 * time.Second)
 		Expect(c.owner()).To(Equal(second))
+		routed, _ := first.replica.Owner()
+		Expect(routed).To(Equal(second.id), "requests go to the node that still owns")
 		Expect(c.runUntil(settleTime, func() bool { return c.owner() == first })).To(BeTrue())
 		Expect(first.state).To(Equal(values))
 		epoch := first.replica.Epoch()
