--- a/emulator/cluster/attempt.go
+++ b/emulator/cluster/attempt.go
@@ -31,6 +31,7 @@
 func (n *node) startAttempt(action control.SendAttempt) {
 	sent := &attempt{node: n, action: action}
 	n.attempts[action.Attempt] = sent
+	n.inputs[action.Attempt.CallRef] = action.Call.Input
 	if !action.Deadline.IsZero() {
 		n.cluster.after(action.Deadline.Sub(n.cluster.now), func() { sent.abort(api.CodeTimeout) })
 	}
@@ -38,11 +39,7 @@
 		n.sendTool(sent)
 		return
 	}
-	n.readTexts(action.Partition, action.Attempt.Program, action.Prompt, func(calls []api.Call, err error) {
-		if err != nil {
-			sent.notSent("the program's history cannot be read")
-			return
-		}
+	n.readPrompt(sent, func(calls []api.Call) {
 		prompt := ""
 		for _, call := range calls {
 			prompt += call.Input + call.Output
--- a/emulator/cluster/cluster.go
+++ b/emulator/cluster/cluster.go
@@ -32,6 +32,7 @@
 
 	agents   []*agent
 	requests uint64
+	steps    uint64
 	events   []history.Event
 }
 
@@ -91,6 +92,9 @@
 // Now returns the virtual time.
 func (c *Cluster) Now() time.Time { return c.now }
 
+// Steps counts the steps of all nodes so far: what their control costs.
+func (c *Cluster) Steps() uint64 { return c.steps }
+
 // Events returns the history so far.
 func (c *Cluster) Events() []history.Event { return c.events }
 
--- /dev/null
+++ b/emulator/cluster/cluster_test.go
@@ -0,0 +1,177 @@
+package cluster_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/emulator/cluster"
+	"birchwood.example/birchwood/history"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/zone"
+)
+
+const atRest = 10 * time.Second
+
+// open starts a cluster and lets it find its owners.
+func open(seed uint64) *cluster.Cluster {
+	opened, err := cluster.New(cluster.DefaultConfig(seed))
+	Expect(err).NotTo(HaveOccurred())
+	opened.Advance(atRest)
+	return opened
+}
+
+// settled heals and settles the cluster and expects that no promise was
+// broken. It returns the history.
+func settled(of *cluster.Cluster) []history.Event {
+	Expect(of.Settle()).To(Succeed())
+	report := history.CheckEvents(of.Events())
+	Expect(report.Findings).To(BeEmpty(), report.String())
+	return of.Events()
+}
+
+// models is a plan of model calls, one after another.
+func models(count int) cluster.ProgramPlan {
+	return cluster.ProgramPlan{Branch: cluster.BranchCold, Calls: make([]cluster.CallPlan, count), Pause: time.Second}
+}
+
+// starts returns the attempts that back ends began.
+func starts(events []history.Event) []*history.Started {
+	var all []*history.Started
+	for _, event := range events {
+		if event.Started != nil {
+			all = append(all, event.Started)
+		}
+	}
+	return all
+}
+
+// rough is a run in which much goes wrong.
+func rough(seed uint64) []history.Event {
+	running := open(seed)
+	running.StartProgram(models(4))
+	running.StartProgram(cluster.ProgramPlan{
+		Branch: cluster.BranchChat, Pipelined: true, Twice: true,
+		Calls: []cluster.CallPlan{{}, {Tool: true}, {Tool: true, Repeatable: true}, {}},
+	})
+	running.Advance(300 * time.Millisecond)
+	running.StoreLosesAnswers()
+	running.Crash(0)
+	running.Advance(2 * time.Second)
+	running.Pause(1)
+	running.Cut(0, 2)
+	running.Advance(20 * time.Second)
+	running.Wake(1)
+	return settled(running)
+}
+
+var _ = Describe("Cluster", func() {
+	It("gives the same history for the same seed and the same calls", func() {
+		first := rough(3)
+		Expect(rough(3)).To(Equal(first))
+		Expect(rough(4)).NotTo(Equal(first))
+	})
+
+	It("answers every call once though nodes die and the store loses answers", func() {
+		finished := 0
+		for _, event := range rough(5) {
+			if event.Ended != nil && event.Ended.Status == api.StatusSucceeded {
+				finished++
+			}
+		}
+		Expect(finished).To(BeNumerically(">=", 7))
+	})
+
+	It("sleeps while nothing happens", func() {
+		quiet := open(1)
+		before := quiet.Steps()
+		quiet.Advance(time.Minute)
+		const nodes, perSecond = 3, 60
+		Expect(quiet.Steps() - before).To(BeNumerically("<", nodes*perSecond*60))
+	})
+
+	It("sends a program's history and the new input as the prompt, each once", func() {
+		running := open(1)
+		running.StartProgram(models(3))
+		events := settled(running)
+		input := func(number string) string { return "[program-1 " + number + "]" }
+		outputs := map[uint64]string{}
+		for _, event := range events {
+			if event.Finished != nil {
+				outputs[event.Finished.Sequence] = event.Finished.Output
+			}
+		}
+		begun := starts(events)
+		Expect(begun).To(HaveLen(3))
+		Expect(begun[0].PromptHash).To(Equal(history.HashText(input("1"))))
+		Expect(begun[2].PromptHash).To(Equal(history.HashText(
+			input("1"), outputs[1], input("2"), outputs[2], input("3"))))
+	})
+
+	It("binds the next dispatch of a running program to zones that were narrowed", func() {
+		running := open(1)
+		plan := models(12)
+		plan.Pause = 3 * time.Second
+		running.StartProgram(plan)
+		running.Advance(5 * time.Second)
+		running.ChangeZones(cluster.BranchCold, []zone.Name{"isando"}, 0)
+		running.Advance(2 * time.Second)
+		narrowed := running.Now()
+		after := map[zone.Name]int{}
+		for _, event := range settled(running) {
+			if event.Started != nil && event.At.After(narrowed) {
+				after[event.Started.Zone]++
+			}
+		}
+		Expect(after).To(HaveLen(1))
+		Expect(after["isando"]).To(BeNumerically(">=", 8))
+	})
+
+	It("keeps programs going while the store is down for long", func() {
+		running := open(1)
+		running.StartProgram(models(8))
+		running.Advance(3 * time.Second)
+		running.StoreDown()
+		running.Advance(2 * time.Minute)
+		during := len(starts(running.Events()))
+		Expect(during).To(Equal(8))
+		running.StoreUp()
+		settled(running)
+	})
+
+	It("gives a leaving engine nothing after the bound", func() {
+		running := open(1)
+		plan := models(20)
+		running.StartProgram(plan)
+		running.StartProgram(plan)
+		running.StartProgram(plan)
+		running.Advance(3 * time.Second)
+		running.LeaveEngine(0)
+		left := running.Now()
+		for _, event := range settled(running) {
+			if event.Started != nil && event.At.Sub(left) > 3*time.Second {
+				Expect(event.Started.Backend).NotTo(Equal(machine.ID("engine-1")))
+			}
+		}
+	})
+
+	It("stops a node as planned without cutting a request", func() {
+		running := open(1)
+		for range 6 {
+			running.StartProgram(models(6))
+		}
+		running.Advance(2 * time.Second)
+		running.Stop(0)
+		running.Advance(time.Minute)
+		stopped := 0
+		for _, event := range settled(running) {
+			if event.Stop != nil && event.Stop.Done {
+				stopped++
+			}
+			Expect(event.Lost == nil || event.Lost.NotSent).To(BeTrue(), "a connection was cut")
+		}
+		Expect(stopped).To(Equal(1))
+	})
+})
--- a/emulator/cluster/fault.go
+++ b/emulator/cluster/fault.go
@@ -165,6 +165,7 @@
 	}
 	e.machine.Status = machine.StatusLeaving
 	c.machines.Announce(c.now, e.machine)
+	c.record(history.Event{Leaving: &history.Leaving{Backend: e.machine.ID}})
 }
 
 // HangTool makes a tool service take requests and never answer, or stops that.
--- a/emulator/cluster/node.go
+++ b/emulator/cluster/node.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/control"
 	"birchwood.example/birchwood/history"
@@ -40,6 +41,10 @@
 	connections map[uint64]func()
 	verdicts    map[string]func(contract.Verdict)
 	inForce     contract.Revision
+	// inputs are those of calls that were sent from here and have not ended;
+	// texts are calls that have.
+	inputs map[program.CallRef]string
+	texts  map[program.CallRef]api.Call
 }
 
 // start begins a new process on the machine.
@@ -68,6 +73,8 @@
 	n.backlog = nil
 	n.wake = time.Time{}
 	n.inForce = 0
+	n.inputs = map[program.CallRef]string{}
+	n.texts = map[program.CallRef]api.Call{}
 	n.waiting = map[uint64]func(control.Reply){}
 	n.attempts = map[program.AttemptRef]*attempt{}
 	n.connections = map[uint64]func(){}
@@ -110,6 +117,7 @@
 
 // step steps the core and performs its actions.
 func (n *node) step(event control.Event) {
+	n.cluster.steps++
 	n.core.Step(n.cluster.now, event)
 	for _, action := range n.core.Ready() {
 		n.perform(action)
@@ -193,6 +201,7 @@
 	case control.SettingsVerdict:
 		n.noteVerdict(action.Verdict)
 	case control.CallFinished:
+		n.noteText(action.Call)
 		n.cluster.record(history.Event{Ended: &history.Ended{
 			Node: n.self.ID, Program: action.Call.Program, Sequence: action.Call.Sequence, Status: action.Call.Status,
 		}})
--- a/emulator/cluster/transcript.go
+++ b/emulator/cluster/transcript.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/control"
@@ -10,22 +11,67 @@
 	"birchwood.example/birchwood/program"
 )
 
+// rereadAfter is how long a node waits before it reads a history again.
+const rereadAfter = 500 * time.Millisecond
+
+// readPrompt reads the calls that precede an attempt. It tries until it can,
+// or until the attempt is over.
+func (n *node) readPrompt(sent *attempt, done func(calls []api.Call)) {
+	action := sent.action
+	if known, found := n.knownTexts(action.Attempt.Program, action.Prompt); found {
+		done(known)
+		return
+	}
+	n.readTexts(action.Partition, action.Attempt.Program, action.Prompt, func(calls []api.Call, err error) {
+		switch {
+		case sent.ended:
+		case err != nil:
+			n.cluster.after(rereadAfter, func() { n.enqueue(func() { n.readPrompt(sent, done) }) })
+		default:
+			done(calls)
+		}
+	})
+}
+
+// noteText keeps a call that was sent and ended on this node, as the daemon
+// does for the programs that ran lately: a prompt then needs no read of the
+// log.
+func (n *node) noteText(call api.Call) {
+	ref := program.CallRef{Program: call.Program, Sequence: call.Sequence}
+	input, sentHere := n.inputs[ref]
+	delete(n.inputs, ref)
+	if sentHere && call.Status == api.StatusSucceeded {
+		call.Input = input
+		n.texts[ref] = call
+	}
+}
+
+// knownTexts returns the located calls if this node has all of them.
+func (n *node) knownTexts(owner api.ProgramID, locations []program.CallLocation) ([]api.Call, bool) {
+	calls := make([]api.Call, len(locations))
+	for i, location := range locations {
+		known, found := n.texts[program.CallRef{Program: owner, Sequence: location.Sequence}]
+		if !found {
+			return nil, false
+		}
+		calls[i] = known
+	}
+	return calls, true
+}
+
 // readTexts reads calls back from a partition's stream, in one request.
 func (n *node) readTexts(id partition.ID, owner api.ProgramID, locations []program.CallLocation, done func([]api.Call, error)) {
 	if len(locations) == 0 {
 		done(nil, nil)
 		return
 	}
-	var calls []api.Call
+	calls := make([]api.Call, len(locations))
 	var failure error
 	effect := func() {
-		for _, location := range locations {
-			call, err := n.readCall(id, owner, location)
-			if err != nil {
-				failure = err
+		for i, location := range locations {
+			if calls[i], failure = n.readCall(id, owner, location); failure != nil {
 				return
 			}
-			calls = append(calls, call)
 		}
 	}
 	n.cluster.storeRequest(n, effect, func(err error) {
