Accept as the tail of a stream only what holds its last entry

A log service that answers the question for the tail with other entries would have had an old entry taken for the last one: a needless claim, though no wrong answer.

Such an answer now leads to a read of the last entry itself.

--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -73,6 +73,20 @@
 		Expect(waits[7]).To(And(BeNumerically(">=", time.Second), BeNumerically("<=", 2*time.Second)))
 	})
 
+	ginkgo.It("finds the last entry whatever part of the stream answers for the tail", func() {
+		writer.Peek(now)
+		entries := []Entry{claimBy("b/1", 1), claimBy("c/1", 2)}
+		tail := writer.Ready().Reads[0]
+		Expect(tail.Tail).To(BeTrue())
+		writer.ReadDone(now, ReadDone{Request: tail.Request, Entries: entries[:1], End: 2})
+		last := writer.Ready().Reads[0]
+		Expect(last.From).To(Equal(uint64(1)))
+		writer.ReadDone(now, ReadDone{Request: last.Request, FirstOffset: 1, Entries: entries[1:], End: 3})
+		seen, known := writer.Peeked()
+		Expect(known).To(BeTrue())
+		Expect(seen).To(Equal(Tail{End: 3, Last: entries[1]}))
+	})
+
 	ginkgo.It("does not take the late answer to an earlier journal of the process for its own", func() {
 		propose()
 		late := writer.Ready().Appends[0].Request
--- a/journal/read.go
+++ b/journal/read.go
@@ -111,9 +111,12 @@
 }
 
 // peekAnswered takes the end of the stream, or asks for the last entry if the
-// answer does not hold it.
+// answer does not hold it. Of an answer to that question any entry will do: it
+// was the last one a moment ago.
 func (j *Journal) peekAnswered(answer ReadDone) {
-	if answer.End > 0 && len(answer.Entries) == 0 {
+	end := answer.FirstOffset + uint64(len(answer.Entries))
+	holdsLast := len(answer.Entries) > 0 && (end >= answer.End || !j.reader.wanted.Tail)
+	if answer.End > 0 && !holdsLast {
 		j.reader.want(Read{From: answer.End - 1, Maximum: 1})
 		return
 	}
