contract: carry a fleet through an outage of the store, and no further

With many zones a node does not talk to each of them within the bound, so an outage of the store would have stopped placement on large fleets. Ages that are passed on also have to grow by the time of each message, or a word about the settings circulates and never grows old.

Reports pass on how long ago each zone was heard of, and each hop adds MessageDelay. A read that brings nothing while more is known to exist backs off instead of repeating at once. Polls are spread at random.

--- a/contract/doc.go
+++ b/contract/doc.go
@@ -65,8 +65,8 @@
 //
 //   - fresh: within the bound, this node saw the end of the stream, or a peer
 //     that holds the same position did. The time that counts is when the read
-//     was issued, and a peer's time is told as an age, since clocks differ. It
-//     may place. A node that alone cannot reach the store stays fresh so.
+//     was issued, and a peer's time is told as an age, since clocks differ,
+//     to which FollowerConfig.MessageDelay is added. It may place. A node that alone cannot reach the store stays fresh so.
 //   - behind: a record that it has not read is known to exist, from its own
 //     read or from any peer. It may not place, whatever else it hears.
 //   - outage: nobody saw the end within the bound. Within the bound it heard
--- a/contract/fleet_test.go
+++ b/contract/fleet_test.go
@@ -1,6 +1,7 @@
 package contract_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -43,6 +44,7 @@
 	made.log.add(set("root", 0, "", zones(made.zones...)))
 	for index := range count {
 		node := newReader(made.log, machine.ID(fmt.Sprintf("node-%03d", index)), made.zones[index%zoneCount], made.zones...)
+		node.run(start)
 		made.nodes = append(made.nodes, node)
 		made.talkDue = append(made.talkDue, start.Add(time.Duration(made.random.Int64N(int64(fleetPeriod)))))
 	}
@@ -70,7 +72,9 @@
 		return
 	}
 	to.HeardReport(f.now.Add(fleetLink), probe)
+	to.perform(f.now.Add(fleetLink))
 	from.HeardReport(f.now.Add(2*fleetLink), answer)
+	from.perform(f.now.Add(2 * fleetLink))
 }
 
 // setDown makes the store unreachable for every node, or reachable again.
@@ -139,6 +143,7 @@
 // BenchmarkSpread reports how long an accepted change takes to be in force on
 // every node, and how many nodes stop placing when the store goes away.
 func BenchmarkSpread(b *testing.B) {
+	RegisterTestingT(b)
 	for _, count := range []int{10, 50, 100, 200, 390} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			for range b.N {
@@ -147,15 +152,29 @@
 				spread := all.spread()
 				b.ReportMetric(spread[len(spread)/2].Seconds(), "s-p50")
 				b.ReportMetric(spread[len(spread)*99/100].Seconds(), "s-p99")
+				fresh := all.reportBytes()
 				all.setDown(true)
 				stopped := 0
 				all.run(all.now.Add(time.Minute), func() { stopped += count - all.placing() })
 				b.ReportMetric(float64(stopped)*fleetTick.Seconds()/float64(count), "s-stopped/node")
+				b.ReportMetric(fresh, "bytes/report")
+				b.ReportMetric(all.reportBytes(), "bytes/report-outage")
 			}
 		})
 	}
 }
 
+// reportBytes returns the mean length of the reports in JSON.
+func (f *fleet) reportBytes() float64 {
+	total := 0
+	for _, node := range f.nodes {
+		data, err := json.Marshal(node.Report(f.now))
+		Expect(err).NotTo(HaveOccurred())
+		total += len(data)
+	}
+	return float64(total) / float64(len(f.nodes))
+}
+
 // spread appends a change and returns how long each node took to have it.
 func (f *fleet) spread() []time.Duration {
 	changed := f.now
--- a/contract/follower.go
+++ b/contract/follower.go
@@ -21,8 +21,9 @@
 	// Zones are the zones that have nodes of the system. A node that cannot
 	// reach the store goes on only after hearing from each of them.
 	Zones []zone.Name
-	// PollInterval is how often the end of the stream is read when nothing
-	// tells of a newer record.
+	// PollInterval is the longest time between two reads of the stream's end
+	// when nothing tells of a newer record; up to a quarter of it is taken
+	// off at random, so that nodes that started together drift apart.
 	PollInterval time.Duration
 	// RetryInterval is the first delay after a failed read; it doubles up to
 	// MaximumRetryInterval. Half of each delay is random.
@@ -35,6 +36,10 @@
 	// FreshnessBound is for how long settings count as the newest after the
 	// end of the stream was seen.
 	FreshnessBound time.Duration
+	// MessageDelay is added to each age that a report tells, since the report
+	// took time to come. While no message takes longer, no word about the
+	// settings ever looks younger than it is, by however many nodes it came.
+	MessageDelay time.Duration
 	// Random spreads the delays.
 	Random *rand.Rand
 }
@@ -49,6 +54,7 @@
 		ReadTimeout:          5 * time.Second,
 		ReadMaximum:          256,
 		FreshnessBound:       10 * time.Second,
+		MessageDelay:         500 * time.Millisecond,
 	}
 }
 
@@ -64,6 +70,7 @@
 		{"MaximumRetryInterval", c.MaximumRetryInterval},
 		{"ReadTimeout", c.ReadTimeout},
 		{"FreshnessBound", c.FreshnessBound},
+		{"MessageDelay", c.MessageDelay},
 	} {
 		if duration.value <= 0 {
 			findings = append(findings, fmt.Errorf("field %s: want a positive duration", duration.name))
@@ -144,8 +151,10 @@
 	peers     map[machine.ID]heard
 	forgetDue time.Time
 	// vouched holds, for other zones, the last moment at which a node there
-	// was known to hold vouchedPosition and to know of no newer record.
+	// was known to hold vouchedPosition and to know of no newer record;
+	// vouchedAt is when any peer last said so itself.
 	vouched         map[zone.Name]time.Time
+	vouchedAt       time.Time
 	vouchedPosition uint64
 	verdicts        []Verdict
 	// announced is the revision that the last Ready told of.
@@ -201,8 +210,7 @@
 		delay = min(delay, f.config.RetryInterval<<f.failures)
 	}
 	f.failures++
-	half := delay / 2
-	f.readDue = now.Add(half + time.Duration(f.config.Random.Int64N(int64(half)+1)))
+	f.readDue = now.Add(delay - f.jitter(delay/2))
 }
 
 // Step takes the answer to a read.
@@ -216,7 +224,6 @@
 		f.retry(now)
 		return
 	}
-	f.failures = 0
 	position := f.tree.Position()
 	if skip := position - done.From; skip < uint64(len(done.Changes)) {
 		// An import may have moved the position while the read was under way.
@@ -226,17 +233,29 @@
 	if done.End == f.tree.Position() && f.readIssued.After(f.confirmed) {
 		f.confirmed = f.readIssued
 	}
-	f.schedule(now)
+	f.schedule(now, f.tree.Position() > position)
 }
 
-// schedule sets the next read after a good one.
-func (f *Follower) schedule(now time.Time) {
-	if f.known > f.tree.Position() {
-		f.readDue = now
+// schedule sets the next read after an answered one. A read that brought
+// nothing while more is known to exist counts as failed: the service that
+// answered may itself be behind.
+func (f *Follower) schedule(now time.Time, advanced bool) {
+	behind := f.known > f.tree.Position()
+	if behind && !advanced {
+		f.retry(now)
+		return
+	}
+	f.failures = 0
+	if behind {
 		f.startRead(now)
 		return
 	}
-	f.readDue = now.Add(f.config.PollInterval)
+	f.readDue = now.Add(f.config.PollInterval - f.jitter(f.config.PollInterval/4))
+}
+
+// jitter returns a random duration up to bound.
+func (f *Follower) jitter(bound time.Duration) time.Duration {
+	return time.Duration(f.config.Random.Int64N(int64(bound) + 1))
 }
 
 // learn takes in that records up to position end exist.
@@ -273,7 +292,7 @@
 	f.peers[report.Peer] = peer
 	f.Heard(now, Revision(max(report.Known, report.Position)))
 	f.vouch(now, report)
-	confirmed := peer.confirmedAt()
+	confirmed := f.peerConfirmed(peer)
 	if report.Position == f.tree.Position() && report.Known <= report.Position && confirmed.After(f.confirmed) {
 		f.confirmed = confirmed
 	}
--- a/contract/follower_test.go
+++ b/contract/follower_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -47,7 +48,7 @@
 	config := contract.DefaultFollowerConfig()
 	config.Self, config.Zone, config.Zones = id, in, all
 	config.ReadMaximum = 2
-	config.Random = rand.New(rand.NewPCG(1, 2))
+	config.Random = rand.New(rand.NewPCG(1, xxhash.Sum64String(string(id))))
 	follower, err := contract.NewFollower(config)
 	Expect(err).NotTo(HaveOccurred())
 	return &reader{Follower: follower, log: log}
@@ -56,6 +57,11 @@
 // run lets the follower act at one moment until it waits.
 func (r *reader) run(now time.Time) {
 	r.Tick(now)
+	r.perform(now)
+}
+
+// perform does what the follower wants done.
+func (r *reader) perform(now time.Time) {
 	for {
 		ready := r.Ready()
 		r.verdicts = append(r.verdicts, ready.Verdicts...)
@@ -189,10 +195,17 @@
 		It("places nothing on the word of a peer that holds older settings, or was heard long ago", func() {
 			newcomer := newReader(log, "newcomer", "b", "a", "b")
 			newcomer.down = true
-			north.HeardReport(now, newcomer.Report(now))
-			Expect(north.Freshness(now).MayPlace).To(BeFalse())
-			north.HeardReport(now, south.Report(now))
-			Expect(north.Freshness(now.Add(10 * time.Second)).MayPlace).To(BeFalse())
+			single := newReader(log, "single", "a", "a") // a deployment of one zone
+			single.run(start)
+			single.down = true
+			single.runUntil(now)
+			for _, node := range []*reader{north, single} {
+				node.HeardReport(now, newcomer.Report(now))
+				Expect(node.Freshness(now).MayPlace).To(BeFalse())
+				node.HeardReport(now, south.Report(now))
+				Expect(node.Freshness(now).MayPlace).To(BeTrue())
+				Expect(node.Freshness(now.Add(10 * time.Second)).MayPlace).To(BeFalse())
+			}
 		})
 
 		It("places nothing when a peer tells of a newer record, whoever else agrees", func() {
@@ -255,6 +268,17 @@
 		Expect(north.Freshness(now).MayPlace).To(BeFalse())
 	})
 
+	It("does not read without pause when a peer tells of a record that the service does not show", func() {
+		report := south.Report(start)
+		report.Known = 9
+		north.HeardReport(start, report)
+		reads := north.reads
+		north.run(start)
+		north.runUntil(start.Add(time.Minute))
+		Expect(north.reads - reads).To(BeNumerically("~", 20, 6))
+		Expect(north.Freshness(start.Add(time.Minute)).State).To(Equal(contract.FreshnessBehind))
+	})
+
 	It("collects everything that is wrong with its configuration", func() {
 		_, err := contract.NewFollower(contract.FollowerConfig{FreshnessBound: -1})
 		Expect(err).To(MatchError(And(ContainSubstring("PollInterval"), ContainSubstring("ReadMaximum"), ContainSubstring("Random"))))
--- a/contract/freshness.go
+++ b/contract/freshness.go
@@ -77,13 +77,13 @@
 	at     time.Time
 }
 
-// confirmedAt returns when the peer's settings were last known to be the
+// peerConfirmed returns when the peer's settings were last known to be the
 // newest, by this node's clock.
-func (h heard) confirmedAt() time.Time {
-	if h.report.Age < 0 {
+func (f *Follower) peerConfirmed(peer heard) time.Time {
+	if peer.report.Age < 0 {
 		return time.Time{}
 	}
-	return h.at.Add(-h.report.Age)
+	return peer.at.Add(-f.config.MessageDelay - peer.report.Age)
 }
 
 // Freshness says how sure this node is of its settings.
@@ -121,13 +121,7 @@
 	if f.confirmed.IsZero() {
 		return FreshnessUnconfirmed, "the end of the settings stream was never seen"
 	}
-	vouching := 0
-	for _, peer := range f.peers {
-		if now.Sub(peer.at) < f.config.FreshnessBound && peer.report.Position == f.tree.Position() {
-			vouching++
-		}
-	}
-	if vouching == 0 {
+	if now.Sub(f.vouchedAt) >= f.config.FreshnessBound {
 		return FreshnessUnconfirmed, "the store is out of reach and no peer with the same settings was heard within the bound"
 	}
 	for _, name := range f.config.Zones {
@@ -135,7 +129,7 @@
 			return FreshnessUnconfirmed, fmt.Sprintf("the store is out of reach and no node of zone %s with the same settings was heard of within the bound", name)
 		}
 	}
-	return FreshnessOutage, fmt.Sprintf("the store is out of reach for this node and, as far as %d peers know, for every zone", vouching)
+	return FreshnessOutage, "the store is out of reach for this node and, as far as its peers know, for every zone"
 }
 
 // vouch notes what a report says about the zones: its sender's own, and those
@@ -144,15 +138,18 @@
 func (f *Follower) vouch(now time.Time, report Report) {
 	if held := f.tree.Position(); f.vouchedPosition != held {
 		f.vouchedPosition = held
+		f.vouchedAt = time.Time{}
 		clear(f.vouched)
 	}
 	if report.Position != f.vouchedPosition || report.Known > report.Position {
 		return
 	}
-	f.vouchFor(report.Zone, now)
+	sent := now.Add(-f.config.MessageDelay)
+	f.vouchedAt = now
+	f.vouchFor(report.Zone, sent)
 	for name, age := range report.Zones {
 		if age >= 0 {
-			f.vouchFor(name, now.Add(-age))
+			f.vouchFor(name, sent.Add(-age))
 		}
 	}
 }
