--- a/config/deployments_test.go
+++ b/config/deployments_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"path/filepath"
-	"slices"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -71,7 +70,7 @@
 		Expect(resolved.MaxTurns).To(Equal(branch.MaxTurns), string(branch.Path))
 		Expect(resolved.Models).To(ConsistOf(deployment.Models))
 		for _, service := range deployment.Tools {
-			Expect(slices.ContainsFunc(service.Tools, func(tool string) bool { return !resolved.PermitsTool(tool) })).To(BeFalse())
+			Expect(resolved.Tools).To(ConsistOf(service.Tools))
 		}
 	}
 }
--- a/config/settings.go
+++ b/config/settings.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"fmt"
 	"os"
 	"strings"
 
@@ -74,11 +73,3 @@
 	}
 	return false
 }
-
-// Summary says in one line what a file describes.
-func (f *File) Summary() string {
-	if f.Node != nil {
-		return fmt.Sprintf("node %s in zone %s", f.Node.ID, f.Node.Zone)
-	}
-	return fmt.Sprintf("stand-ins: %d engines, %d tool services", len(f.Standin.Engines), len(f.Standin.Tools))
-}
--- a/contract/check.go
+++ b/contract/check.go
@@ -114,18 +114,3 @@
 	}
 	return fmt.Sprint(placement.Zones())
 }
-
-// CheckScope returns the edits that lie outside of the branch that an
-// operator's token is tied to.
-func CheckScope(scope Path, change Change) []Finding {
-	var findings []Finding
-	for index, edit := range change.Edits {
-		if !scope.Contains(edit.Path) {
-			findings = append(findings, Finding{
-				Place:   fmt.Sprintf("edits[%d].path", index),
-				Message: fmt.Sprintf("%q lies outside of %q, which the operator may change", edit.Path, scope.String()),
-			})
-		}
-	}
-	return findings
-}
--- a/contract/doc.go
+++ b/contract/doc.go
@@ -16,7 +16,7 @@
 //
 // Bearer tokens stand in the tree as hashes (HashToken). A token counts at
 // the one branch that lists it, and below it. Tree.Caller and Tree.Operator
-// find that branch; CheckScope holds an operator's change to it.
+// find that branch; Path.Within says whether another one lies below it.
 //
 // # The fold
 //
--- a/contract/resolve.go
+++ b/contract/resolve.go
@@ -131,9 +131,3 @@
 		a.MaxDuration == b.MaxDuration && a.IdleTimeout == b.IdleTimeout &&
 		a.CallTimeout == b.CallTimeout && a.ToolTimeout == b.ToolTimeout && a.Retention == b.Retention
 }
-
-// Permits reports whether the contract lists the model.
-func (c Contract) Permits(model string) bool { return slices.Contains(c.Models, model) }
-
-// PermitsTool reports whether the contract lists the tool.
-func (c Contract) PermitsTool(tool string) bool { return slices.Contains(c.Tools, tool) }
--- a/contract/tree_test.go
+++ b/contract/tree_test.go
@@ -122,10 +122,10 @@
 		Expect(string(data)).To(ContainSubstring(`"values":{"models":[],"call_timeout":"1m30s"}`))
 		Expect(tree.ApplyBytes(4, data).Accepted).To(BeTrue())
 		desk, _ := tree.Resolve("tenant/desk")
-		Expect(desk.Permits("m")).To(BeFalse())
+		Expect(desk.Models).To(BeEmpty())
 		Expect(desk.CallTimeout).To(Equal(90 * time.Second))
 		tenant, _ := tree.Resolve("tenant")
-		Expect(tenant.Permits("m")).To(BeTrue())
+		Expect(tenant.Models).To(ConsistOf("m"))
 	})
 
 	It("names the deepest known branch above an unknown one", func() {
@@ -249,9 +249,3 @@
 		{Path: "tenant/desk", Remove: true}, {Path: "tenant", Remove: true},
 	}})).To(BeEmpty())
 })
-
-var _ = It("lets an operator change only the branch of the token and below it", func() {
-	change := contract.Change{Edits: []contract.Edit{{Path: "tenant/desk"}, {Path: "tenant"}, {Path: "tenantless"}}}
-	Expect(contract.CheckScope("tenant", change)).To(ConsistOf(HaveField("Place", "edits[2].path")))
-	Expect(contract.CheckScope("", change)).To(BeEmpty())
-})
