history: check placement by branch, and let the load tool ask the back ends

A partition's name no longer tells its placement, so the checker must be told where each branch may be. Runs of real processes saw callers alone.

Record where a branch's data is permitted since when, and check calls and streams against it; a former owner outside has a stated bound to hand over. The load tool asks the stand-ins afterwards which calls ran, how often, and which prefixes they still hold, records both, and fails on a second run of a call that may not be repeated. A request that no connection was had for is recorded as never sent.

--- a/command/load.go
+++ b/command/load.go
@@ -23,12 +23,14 @@
 const tokenVariable = "BIRCHWOOD_TOKEN"
 
 // errUnanswered makes load exit with a failure after it has printed its result.
-var errUnanswered = errors.New("calls were left unanswered, or answered wrongly")
+var errUnanswered = errors.New("calls were left unanswered, answered wrongly or run twice")
 
 // loadFlags are the flags of the load command.
 type loadFlags struct {
 	targets     []string
 	operators   []string
+	tools       []string
+	engines     []string
 	deployment  string
 	programs    int
 	seed        uint64
@@ -60,6 +62,8 @@
 	set := command.Flags()
 	set.StringSliceVar(&flags.targets, "target", nil, "gateways, ip:port, separated by commas")
 	set.StringSliceVar(&flags.operators, "operator", nil, "operators' addresses, to read the nodes' control traffic from")
+	set.StringSliceVar(&flags.tools, "tool-service", nil, "stand-in tool services, to ask afterwards what they ran")
+	set.StringSliceVar(&flags.engines, "engine", nil, "stand-in engines, to ask afterwards what they hold")
 	set.StringVar(&flags.deployment, "deployment", "koudeketting", strings.Join(workload.Names(), ", "))
 	set.IntVar(&flags.programs, "programs", 100, "how many programs to start")
 	set.Uint64Var(&flags.seed, "seed", 1, "the seed of the programs")
@@ -134,7 +138,7 @@
 		tokens[contract.Root] = f.defaultToken()
 	}
 	return load.Config{
-		Targets: f.targets, Operators: f.operators, Deployment: deployment,
+		Targets: f.targets, Operators: f.operators, ToolServices: f.tools, Engines: f.engines, Deployment: deployment,
 		Programs: f.programs, Seed: f.seed, Rate: f.rate, Speed: f.speed, Tokens: tokens,
 		Branch: contract.Path(f.branch), Model: f.model, CallTimeout: f.callTimeout, StopAfter: f.stopAfter, AnyAnswer: f.anyAnswer,
 	}, nil
--- a/emulator/cluster/agent.go
+++ b/emulator/cluster/agent.go
@@ -42,13 +42,10 @@
 	key     string
 	parent  api.ProgramID
 	id      api.ProgramID
-	budget  int64
-	// placements counts those that the history was told of.
-	placements int
-	answers    int
-	done       bool
-	refused    bool
-	after      func()
+	answers int
+	done    bool
+	refused bool
+	after   func()
 }
 
 // StartProgram starts a program; it runs while virtual time passes.
@@ -162,7 +159,7 @@
 		}
 		var err error
 		if a.parent != "" {
-			request.Program, err = partition.NewChildID(a.parent, string(branch), a.key)
+			request.Program, err = partition.NewChildID(a.parent, a.key)
 		} else {
 			request.Program, err = at.core.NewProgram(branch, a.key)
 		}
@@ -175,8 +172,9 @@
 			return
 		}
 		a.id = reply.Program.ID
-		a.budget = reply.Program.BudgetTokens
-		a.cluster.opened(a)
+		a.cluster.record(history.Event{Opened: &history.Opened{
+			Program: a.id, Branch: string(branch), Parent: a.parent, BudgetTokens: reply.Program.BudgetTokens,
+		}})
 		a.makeCalls()
 	})
 	if a.plan.Twice {
--- a/emulator/cluster/node.go
+++ b/emulator/cluster/node.go
@@ -61,7 +61,7 @@
 		return err
 	}
 	config := control.DefaultConfig(n.self, journal.WriterName(n.self.ID, n.self.Incarnation), random, policy)
-	config.PartitionsPerPlacement = 2
+	config.PartitionsPerBranch = 2
 	config.Replica.AcceptLossAfter = acceptLossAfter
 	config.Follower.Zones = n.cluster.config.Zones
 	core, err := control.New(config)
--- a/emulator/cluster/settings.go
+++ b/emulator/cluster/settings.go
@@ -27,35 +27,28 @@
 	changes int
 	// recorded are the changes that the history was told of.
 	recorded map[string]bool
-	// placements are each branch's placements so far, in order.
-	placements map[contract.Path][]placementSince
+	// placements are those that the history was told last.
+	placements map[contract.Path]zone.Placement
 }
 
-// placementSince is a branch's placement and when it took effect.
-type placementSince struct {
-	placement zone.Placement
-	since     time.Time
-}
-
-// notePlacements keeps the placements that a change has brought.
+// notePlacements tells the history the placements that a change has brought.
 func (c *Cluster) notePlacements() {
 	for _, path := range Branches() {
 		resolved, err := c.operators.tree.Resolve(path)
-		if err != nil {
+		if err != nil || c.operators.placements[path] == resolved.Placement {
 			continue
 		}
-		known := c.operators.placements[path]
-		if len(known) == 0 || known[len(known)-1].placement != resolved.Placement {
-			known = append(known, placementSince{placement: resolved.Placement, since: c.now})
-			c.operators.placements[path] = known
-		}
+		c.operators.placements[path] = resolved.Placement
+		c.record(history.Event{Placed: &history.Placed{
+			Branch: string(path), Placement: resolved.Placement, Since: c.now,
+		}})
 	}
 }
 
 // openSettings puts the first settings in the stream.
 func (c *Cluster) openSettings() error {
 	c.operators = operators{
-		tree: contract.NewTree(), recorded: map[string]bool{}, placements: map[contract.Path][]placementSince{},
+		tree: contract.NewTree(), recorded: map[string]bool{}, placements: map[contract.Path]zone.Placement{},
 	}
 	budget, turns := int64(1_000_000), 64
 	change := contract.Change{ID: "first", Actor: "operator", At: c.now, Edits: []contract.Edit{
@@ -91,27 +84,9 @@
 		c.record(history.Event{Change: recorded})
 	}
 	c.notePlacements()
-	for _, each := range c.agents {
-		if each.id != "" {
-			c.opened(each)
-		}
-	}
 	return revision
 }
 
-// opened tells the history which placements a program's branch has had that it
-// was not told of before.
-func (c *Cluster) opened(of *agent) {
-	placements := c.operators.placements[of.plan.Branch]
-	for _, each := range placements[of.placements:] {
-		c.record(history.Event{Opened: &history.Opened{
-			Since: each.since, Program: of.id, Branch: string(of.plan.Branch), Parent: of.parent,
-			Placement: each.placement, BudgetTokens: of.budget,
-		}})
-	}
-	of.placements = len(placements)
-}
-
 // ChangeZones lets an operator set a branch's zones through a node. The change
 // is based on what that node knows.
 func (c *Cluster) ChangeZones(path contract.Path, zones []zone.Name, through int) {
--- a/emulator/cluster/storeservice.go
+++ b/emulator/cluster/storeservice.go
@@ -145,7 +145,9 @@
 
 // recordUse notes that this node touched a partition's stream.
 func (n *node) recordUse(id partition.ID) {
-	n.cluster.record(history.Event{Stream: &history.StreamUse{Machine: n.self.ID, Zone: n.self.Zone, Stream: id.String()}})
+	n.cluster.record(history.Event{Stream: &history.StreamUse{
+		Machine: n.self.ID, Zone: n.self.Zone, Stream: id.String(), Branch: id.Group.Branch(),
+	}})
 }
 
 // encode returns an entry as it stands in the log.
--- a/history/check_test.go
+++ b/history/check_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -89,7 +90,7 @@
 		Entry("history: one key opens two programs", broken{history.InvariantHistory, func(events []history.Event) []history.Event {
 			name := "create-" + string(chat)
 			events = insert(events, 1.4, history.Event{Sent: &history.Sent{Request: "third", Operation: history.OperationCreate, Branch: "cold", Key: name}})
-			return insert(events, 1.5, history.Event{Got: &history.Got{Request: "third", Program: "isando_midrand-a.0.00000000000000ff"}})
+			return insert(events, 1.5, history.Event{Got: &history.Got{Request: "third", Program: "cold.0.00000000000000ff"}})
 		}}),
 		Entry("budget: a program and its sub-agent use more than its budget", broken{history.InvariantBudget, func(events []history.Event) []history.Event {
 			find(events, func(e history.Event) bool { return e.Opened != nil && e.Opened.Program == chat }).Opened.BudgetTokens = 119
@@ -174,8 +175,12 @@
 			startOf(events, farm, 2).Started.Zone = "midrand-b"
 			return events
 		}}),
+		Entry("placement: zones are narrowed, and calls go on in the old ones", broken{history.InvariantPlacement, func(events []history.Event) []history.Event {
+			since := at(13).Add(-18 * time.Second)
+			return insert(events, 0, history.Event{Placed: &history.Placed{Branch: "cold", Placement: "midrand-a", Since: since}})
+		}}),
 		Entry("placement: a node outside reads the records", broken{history.InvariantPlacement, func(events []history.Event) []history.Event {
-			return insert(events, 16, history.Event{Stream: &history.StreamUse{Machine: "node-3", Zone: "midrand-b", Stream: string(placement) + ".0"}})
+			return insert(events, 16, history.Event{Stream: &history.StreamUse{Machine: "node-3", Zone: "midrand-b", Stream: "cold.0", Branch: "cold"}})
 		}}),
 	)
 
--- a/history/event.go
+++ b/history/event.go
@@ -22,6 +22,7 @@
 	Held     *Held      `json:"held,omitempty"`
 	Opened   *Opened    `json:"opened,omitempty"`
 	Closed   *Closed    `json:"closed,omitempty"`
+	Placed   *Placed    `json:"placed,omitempty"`
 	Stream   *StreamUse `json:"stream,omitempty"`
 	Change   *Change    `json:"change,omitempty"`
 	Verdict  *Verdict   `json:"verdict,omitempty"`
@@ -38,9 +39,11 @@
 	Seed uint64 `json:"seed"`
 	// Replay is the command that runs it again.
 	Replay string `json:"replay,omitempty"`
-	// The bounds; zero takes the default.
+	// The bounds; zero takes the default. MoveBound is how long the records of
+	// a branch may be used outside of its zones after these were narrowed.
 	LeavingBound  time.Duration `json:"leaving_bound,omitempty"`
 	SettingsBound time.Duration `json:"settings_bound,omitempty"`
+	MoveBound     time.Duration `json:"move_bound,omitempty"`
 	MemoryBound   time.Duration `json:"memory_bound,omitempty"`
 }
 
@@ -180,17 +183,12 @@
 	Programs []api.ProgramID `json:"programs"`
 }
 
-// Opened says that a program exists, or that its contract was changed.
-// Several events of one program give its placements in order.
+// Opened says that a program exists.
 type Opened struct {
-	// Since is when the placement took effect, if that was earlier than the
-	// event's time.
-	Since        time.Time      `json:"since,omitzero"`
-	Program      api.ProgramID  `json:"program"`
-	Branch       string         `json:"branch"`
-	Parent       api.ProgramID  `json:"parent,omitempty"`
-	Placement    zone.Placement `json:"placement"`
-	BudgetTokens int64          `json:"budget_tokens"`
+	Program      api.ProgramID `json:"program"`
+	Branch       string        `json:"branch"`
+	Parent       api.ProgramID `json:"parent,omitempty"`
+	BudgetTokens int64         `json:"budget_tokens"`
 }
 
 // Closed says that a program's end was acknowledged.
@@ -198,12 +196,20 @@
 	Program api.ProgramID `json:"program"`
 }
 
-// StreamUse says that a machine read, wrote or mirrored a partition's stream,
-// whose name begins with its placement.
+// Placed says where the data of a branch is permitted from Since on.
+type Placed struct {
+	Branch    string         `json:"branch"`
+	Placement zone.Placement `json:"placement"`
+	Since     time.Time      `json:"since"`
+}
+
+// StreamUse says that a machine read or wrote the stream of a partition, which
+// holds programs of one branch.
 type StreamUse struct {
 	Machine machine.ID `json:"machine"`
 	Zone    zone.Name  `json:"zone"`
 	Stream  string     `json:"stream"`
+	Branch  string     `json:"branch"`
 }
 
 // Change is a change of the settings as its operator sent it, with the
--- a/history/good_test.go
+++ b/history/good_test.go
@@ -14,9 +14,9 @@
 const (
 	seed      = 42
 	placement = zone.Placement("isando_midrand-a")
-	chat      = api.ProgramID("isando_midrand-a.0.000000000000000a")
-	farm      = api.ProgramID("isando_midrand-a.1.000000000000000b")
-	helper    = api.ProgramID("isando_midrand-a.0.000000000000000c")
+	chat      = api.ProgramID("cold.0.000000000000000a")
+	farm      = api.ProgramID("cold.1.000000000000000b")
+	helper    = api.ProgramID("cold.0.000000000000000c")
 )
 
 var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -49,7 +49,7 @@
 	b.add(seconds+0.2, history.Event{Sent: &again})
 	b.add(seconds+0.3, history.Event{Got: &history.Got{Request: name + "-2", Program: id}})
 	b.add(seconds+0.3, history.Event{Opened: &history.Opened{
-		Program: id, Branch: "cold", Parent: parent, Placement: placement, BudgetTokens: budget,
+		Program: id, Branch: "cold", Parent: parent, BudgetTokens: budget,
 	}})
 }
 
@@ -119,6 +119,7 @@
 func good() []history.Event {
 	b := &builder{prompts: map[api.ProgramID]string{}, reads: map[api.ProgramID][]history.ReadCall{}}
 	b.add(0, history.Event{Run: &history.Run{Name: "good", Seed: seed}})
+	b.add(0, history.Event{Placed: &history.Placed{Branch: "cold", Placement: placement, Since: at(0)}})
 	b.add(0, history.Event{InForce: &history.InForce{Node: "node-1", Incarnation: 1, Revision: 1}})
 	b.add(0, history.Event{InForce: &history.InForce{Node: "node-2", Incarnation: 1, Revision: 1}})
 	b.change(1, "first", 1, 2, "cold")
@@ -135,7 +136,7 @@
 	b.run(7, helper, 1, api.CallModel, true)
 	b.run(8, farm, 2, api.CallModel, true)
 	b.describe(9, farm, 80)
-	b.add(9, history.Event{Stream: &history.StreamUse{Machine: "node-1", Zone: "isando", Stream: string(placement) + ".0"}})
+	b.add(9, history.Event{Stream: &history.StreamUse{Machine: "node-1", Zone: "isando", Stream: "cold.0", Branch: "cold"}})
 	b.add(10, history.Event{Held: &history.Held{Backend: "engine-1", Programs: []api.ProgramID{chat, farm}}})
 	for _, id := range []api.ProgramID{chat, farm, helper} {
 		b.add(11, history.Event{Read: &history.Read{Program: id, SentAt: at(10.5), Calls: b.reads[id]}})
--- a/history/index.go
+++ b/history/index.go
@@ -58,12 +58,14 @@
 	byCall    map[callRef]*call
 	held      []*record
 	streams   []*record
-	changes   []*record
-	verdicts  []*record
-	inForce   []*record
-	faults    []*record
-	leaving   []*record
-	stops     []*record
+	// placed are the placements of each branch, in order.
+	placed   map[string][]*record
+	changes  []*record
+	verdicts []*record
+	inForce  []*record
+	faults   []*record
+	leaving  []*record
+	stops    []*record
 }
 
 // The default bounds of the promises.
@@ -71,6 +73,7 @@
 	defaultLeavingBound  = 3 * time.Second
 	defaultSettingsBound = 17 * time.Second
 	defaultMemoryBound   = 60 * time.Second
+	defaultMoveBound     = 60 * time.Second
 )
 
 // newIndex sorts the records by time and arranges them.
@@ -80,6 +83,7 @@
 		records:   records,
 		byProgram: map[api.ProgramID]*programFacts{},
 		byCall:    map[callRef]*call{},
+		placed:    map[string][]*record{},
 	}
 	requests := map[string]*exchange{}
 	for i := range records {
@@ -91,6 +95,7 @@
 	}
 	x.run.LeavingBound = cmp.Or(x.run.LeavingBound, defaultLeavingBound)
 	x.run.SettingsBound = cmp.Or(x.run.SettingsBound, defaultSettingsBound)
+	x.run.MoveBound = cmp.Or(x.run.MoveBound, defaultMoveBound)
 	x.run.MemoryBound = cmp.Or(x.run.MemoryBound, defaultMemoryBound)
 	return x
 }
@@ -153,6 +158,8 @@
 	switch {
 	case r.Held != nil:
 		x.held = append(x.held, r)
+	case r.Placed != nil:
+		x.placed[r.Placed.Branch] = append(x.placed[r.Placed.Branch], r)
 	case r.Stream != nil:
 		x.streams = append(x.streams, r)
 	case r.Change != nil:
--- /dev/null
+++ b/history/placement.go
@@ -0,0 +1,77 @@
+package history
+
+import (
+	"slices"
+	"time"
+
+	"birchwood.example/birchwood/zone"
+)
+
+// checkPlacement: calls run, and records are used, only where the placement of
+// their branch permits it, or did until the bound.
+func (c *checker) checkPlacement() {
+	for _, program := range c.programs {
+		if len(program.opened) == 0 {
+			continue
+		}
+		placed := c.placed[program.opened[0].Opened.Branch]
+		for _, each := range program.calls {
+			for _, start := range each.started {
+				if start.Started.Zone == "" || permitted(placed, start.Started.Zone, start.At, c.run.SettingsBound) {
+					continue
+				}
+				c.report(InvariantPlacement, []*record{lastBefore(placed, start.At), start},
+					"call %d of program %s ran in zone %s, which its placement does not permit",
+					each.ref.sequence, program.id, start.Started.Zone)
+			}
+		}
+	}
+	c.checkStreams()
+}
+
+// checkStreams: the records of a branch are used in its zones. A former owner
+// outside gets the bound, without the time of faults, to hand them over.
+func (c *checker) checkStreams() {
+	for _, r := range c.streams {
+		placed := c.placed[r.Stream.Branch]
+		if permitted(placed, r.Stream.Zone, r.At, c.run.MoveBound) {
+			continue
+		}
+		last := lastBefore(placed, r.At)
+		disturbed := last != nil && c.quietTime(r.Stream.Machine, last.Placed.Since, r.At) <= c.run.MoveBound
+		if disturbed && everPermitted(placed, r.Stream.Zone) {
+			continue
+		}
+		c.report(InvariantPlacement, []*record{last, r},
+			"machine %s in zone %s used stream %s", r.Stream.Machine, r.Stream.Zone, r.Stream.Stream)
+	}
+}
+
+// permitted reports whether a placement that held at the time, or did until at
+// most the bound before it, permits the zone. Without any placement nothing is
+// known.
+func permitted(placed []*record, name zone.Name, at time.Time, bound time.Duration) bool {
+	for i, r := range placed {
+		replaced := i+1 < len(placed) && at.Sub(placed[i+1].Placed.Since) > bound
+		if !replaced && r.Placed.Placement.Contains(name) {
+			return true
+		}
+	}
+	return len(placed) == 0
+}
+
+// everPermitted reports whether any placement permitted the zone.
+func everPermitted(placed []*record, name zone.Name) bool {
+	return slices.ContainsFunc(placed, func(r *record) bool { return r.Placed.Placement.Contains(name) })
+}
+
+// lastBefore returns the placement that held at the time.
+func lastBefore(placed []*record, at time.Time) *record {
+	var last *record
+	for _, r := range placed {
+		if !r.Placed.Since.After(at) {
+			last = r
+		}
+	}
+	return last
+}
--- a/history/settings.go
+++ b/history/settings.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"birchwood.example/birchwood/machine"
-	"birchwood.example/birchwood/zone"
 )
 
 // checkSettings verifies that nodes agree on every change, that an accepted
@@ -132,61 +131,3 @@
 	}
 	return false
 }
-
-// checkPlacement: data is only where a placement permits it that was in force
-// within the settings bound.
-func (c *checker) checkPlacement() {
-	for _, program := range c.programs {
-		for _, each := range program.calls {
-			for _, start := range each.started {
-				if start.Started.Zone == "" || len(program.opened) == 0 {
-					continue
-				}
-				if !c.permitted(program, start.Started.Zone, start.At) {
-					c.report(InvariantPlacement, []*record{program.opened[len(program.opened)-1], start},
-						"call %d of program %s ran in zone %s, which its placement does not permit",
-						each.ref.sequence, program.id, start.Started.Zone)
-				}
-			}
-		}
-	}
-	for _, r := range c.streams {
-		placement, found := streamPlacement(r.Stream.Stream)
-		if found && !placement.Contains(r.Stream.Zone) {
-			c.report(InvariantPlacement, []*record{r},
-				"machine %s in zone %s used stream %s", r.Stream.Machine, r.Stream.Zone, r.Stream.Stream)
-		}
-	}
-}
-
-// permitted reports whether a placement that the program had at the time, or
-// had until at most the settings bound before it, permits the zone.
-func (c *checker) permitted(program *programFacts, name zone.Name, at time.Time) bool {
-	for i, r := range program.opened {
-		replaced := i+1 < len(program.opened) && at.Sub(program.opened[i+1].since()) > c.run.SettingsBound
-		if !replaced && r.Opened.Placement.Contains(name) {
-			return true
-		}
-	}
-	return false
-}
-
-// since is when the placement of an Opened event took effect.
-func (r *record) since() time.Time {
-	if r.Opened.Since.IsZero() {
-		return r.At
-	}
-	return r.Opened.Since
-}
-
-// streamPlacement takes the placement from a partition's stream name. Other
-// streams, such as the settings', have none.
-func streamPlacement(name string) (zone.Placement, bool) {
-	for i := len(name) - 1; i >= 0; i-- {
-		if name[i] == '.' {
-			placement, err := zone.ParsePlacement(name[:i])
-			return placement, err == nil
-		}
-	}
-	return "", false
-}
--- a/load/agent.go
+++ b/load/agent.go
@@ -10,6 +10,7 @@
 
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/history"
+	"birchwood.example/birchwood/program"
 	"birchwood.example/birchwood/workload"
 )
 
@@ -51,8 +52,7 @@
 	}
 	a.id = created.ID
 	a.config.Recorder.Record(history.Event{At: time.Now(), Opened: &history.Opened{
-		Program: created.ID, Branch: created.Branch, Parent: parent,
-		Placement: placementOf(created.ID), BudgetTokens: created.BudgetTokens,
+		Program: created.ID, Branch: created.Branch, Parent: parent, BudgetTokens: created.BudgetTokens,
 	}})
 	if err := a.steps(ctx); err != nil || a.hungUp {
 		return err
@@ -105,6 +105,9 @@
 // call makes a model or tool call.
 func (a *agent) call(ctx context.Context, step workload.Step) (workload.Result, error) {
 	request := a.request(step)
+	if request.Kind == api.CallTool {
+		a.totals.toolCalled(program.CallRef{Program: a.id, Sequence: request.Sequence}, request.Repeatable)
+	}
 	if step.HangUpAfter > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithCancel(ctx)
@@ -175,7 +178,7 @@
 // account checks an answer and counts what it cost.
 func (a *agent) account(request api.SubmitCall, result answered) {
 	call := result.call
-	a.totals.ended(call)
+	a.totals.callEnded(call)
 	if call.Status != api.StatusSucceeded {
 		return
 	}
@@ -244,6 +247,7 @@
 	if err := a.end(ctx, a.id); err != nil {
 		return a.unlessRefused("end", err)
 	}
+	a.totals.programEnded(a.id)
 	a.config.Recorder.Record(history.Event{At: time.Now(), Closed: &history.Closed{Program: a.id}})
 	return nil
 }
--- a/load/answer.go
+++ b/load/answer.go
@@ -7,7 +7,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"birchwood.example/birchwood/api"
-	"birchwood.example/birchwood/zone"
 )
 
 // hashDigits is how many digits the stand-ins' hashes have.
@@ -26,9 +25,3 @@
 	expected := fmt.Sprintf("%016x", digest.Sum64())
 	return len(output) >= hashDigits && output[:hashDigits] == expected
 }
-
-// placementOf is the placement that a program's id names.
-func placementOf(id api.ProgramID) zone.Placement {
-	name, _, _ := strings.Cut(string(id), ".")
-	return zone.Placement(name)
-}
--- a/load/caller.go
+++ b/load/caller.go
@@ -91,7 +91,9 @@
 	default:
 		hungUp := errors.Is(err, context.Canceled)
 		c.totals.lostConnection(hungUp)
-		c.config.Recorder.Record(history.Event{At: time.Now(), Lost: &history.Lost{Request: sent.Request, HungUp: hungUp}})
+		var notSent *httpclient.NotSentError
+		lost := &history.Lost{Request: sent.Request, HungUp: hungUp, NotSent: errors.As(err, &notSent)}
+		c.config.Recorder.Record(history.Event{At: time.Now(), Lost: lost})
 	}
 	return got, err
 }
--- a/load/config.go
+++ b/load/config.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -41,6 +42,10 @@
 	// Operators are the operators' addresses of nodes, whose control traffic
 	// is read from /metrics before and after the run.
 	Operators []string
+	// ToolServices and Engines are the addresses of stand-ins. After the run
+	// the first tell what they ran, and the second what they still hold.
+	ToolServices []string
+	Engines      []string
 	// AnyAnswer accepts answers that do not carry the stand-ins' hashes.
 	AnyAnswer bool
 	// Recorder gets the history; nil records nothing.
@@ -72,7 +77,7 @@
 		}
 	}
 	check(len(c.Targets) > 0, "target: want at least one address")
-	for _, address := range append(append([]string{}, c.Targets...), c.Operators...) {
+	for _, address := range slices.Concat(c.Targets, c.Operators, c.ToolServices, c.Engines) {
 		_, _, err := net.SplitHostPort(address)
 		check(err == nil, "address %q: want ip:port", address)
 	}
--- a/load/result.go
+++ b/load/result.go
@@ -43,14 +43,22 @@
 	HungUp          int            `json:"hung_up"`
 	WrongAnswers    int            `json:"wrong_answers"`
 	Unanswered      int            `json:"unanswered"`
-	Errors          []string       `json:"errors,omitempty"`
+	// Duplicates counts the calls that may not be repeated and ran twice, as
+	// the tool services tell.
+	Duplicates int `json:"duplicates"`
+	// ReleaseSeconds is how long after the run engines still held prefixes of
+	// programs that had ended; HeldAfter are those left at the bound.
+	ReleaseSeconds float64  `json:"release_s"`
+	HeldAfter      int      `json:"held_after"`
+	Errors         []string `json:"errors,omitempty"`
 	// ControlBytes is the control traffic of each node with an operator's
 	// address, in bytes a second, sent and received.
 	ControlBytes map[string]float64 `json:"control_bytes_per_s,omitempty"`
 }
 
-// Failed reports whether anything was left unanswered or answered wrongly.
-func (r Result) Failed() bool { return r.Unanswered > 0 || r.WrongAnswers > 0 }
+// Failed reports whether anything was left unanswered, answered wrongly or run
+// twice.
+func (r Result) Failed() bool { return r.Unanswered > 0 || r.WrongAnswers > 0 || r.Duplicates > 0 }
 
 // String gives the result as text.
 func (r Result) String() string {
@@ -72,6 +80,8 @@
 	fmt.Fprintf(&text, "refusals by code: %s\n", counts(r.Refusals))
 	fmt.Fprintf(&text, "unknown %d, connections lost %d, callers that hung up %d, wrong answers %d, unanswered %d\n",
 		r.Unknown, r.LostConnections, r.HungUp, r.WrongAnswers, r.Unanswered)
+	fmt.Fprintf(&text, "calls that ran twice and may not: %d; engines held prefixes of ended programs for %.1f s, %d left\n",
+		r.Duplicates, r.ReleaseSeconds, r.HeldAfter)
 	for _, node := range slices.Sorted(maps.Keys(r.ControlBytes)) {
 		fmt.Fprintf(&text, "control bytes of %s: %.0f a second\n", node, r.ControlBytes[node])
 	}
--- a/load/run.go
+++ b/load/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,13 +44,17 @@
 	begin := time.Now()
 	r.start(ctx, begin)
 	seconds := time.Since(begin).Seconds()
+	controlBytes := ratesBetween(before, r.controlBytes(), seconds)
+	toolErr := r.readToolRuns(ctx)
+	release, held := r.awaitRelease(ctx)
 	r.config.Recorder.Record(history.Event{At: time.Now(), RunEnded: &history.RunEnded{Settled: ctx.Err() == nil}})
 	result := r.totals.summary()
 	result.Deployment = config.Deployment.Name
 	result.Seed = config.Seed
 	result.Seconds = seconds
-	result.ControlBytes = ratesBetween(before, r.controlBytes(), seconds)
-	return result, ctx.Err()
+	result.ControlBytes = controlBytes
+	result.ReleaseSeconds, result.HeldAfter = release.Seconds(), held
+	return result, errors.Join(ctx.Err(), toolErr)
 }
 
 // start starts each program at its time and waits until all have ended.
--- a/load/totals.go
+++ b/load/totals.go
@@ -7,6 +7,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/history"
+	"birchwood.example/birchwood/program"
 	"birchwood.example/birchwood/workload"
 )
 
@@ -27,6 +29,16 @@
 	all       *hdrhistogram.Histogram
 	first     *hdrhistogram.Histogram
 	result    Result
+	// tools are the tool calls that were made, ended the programs whose end
+	// was acknowledged.
+	tools map[program.CallRef]*toolCall
+	ended map[api.ProgramID]bool
+}
+
+// toolCall is a tool call that was made.
+type toolCall struct {
+	repeatable bool
+	runs       int
 }
 
 func newTotals() *totals {
@@ -34,6 +46,8 @@
 		latencies: map[workload.Kind]*hdrhistogram.Histogram{},
 		all:       newHistogram(),
 		first:     newHistogram(),
+		tools:     map[program.CallRef]*toolCall{},
+		ended:     map[api.ProgramID]bool{},
 		result:    Result{Refusals: map[string]int{}, Statuses: map[string]int{}, Kinds: map[string]Latency{}},
 	}
 }
@@ -61,7 +75,7 @@
 	t.result.LostConnections++
 }
 
-func (t *totals) ended(call api.Call) {
+func (t *totals) callEnded(call api.Call) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.result.Calls++
@@ -83,6 +97,45 @@
 	record(t.first, after)
 }
 
+// toolCalled notes that a tool call is made.
+func (t *totals) toolCalled(call program.CallRef, repeatable bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.tools[call] = &toolCall{repeatable: repeatable}
+}
+
+// called completes what a tool service ran with what its caller asked for, and
+// counts a second run of a call that may not be repeated. It reports false for
+// a call that is not of this load.
+func (t *totals) called(started *history.Started, runs int) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	call, found := t.tools[program.CallRef{Program: started.Program, Sequence: started.Sequence}]
+	if !found {
+		return false
+	}
+	started.Repeatable = call.repeatable
+	call.runs += runs
+	if !call.repeatable && call.runs > 1 {
+		t.result.Duplicates++
+	}
+	return true
+}
+
+// programEnded notes that a program's end was acknowledged.
+func (t *totals) programEnded(id api.ProgramID) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.ended[id] = true
+}
+
+// hasEnded reports whether a program's end was acknowledged.
+func (t *totals) hasEnded(id api.ProgramID) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.ended[id]
+}
+
 func (t *totals) unanswered(err error) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
--- a/scripts/run-deployment.sh
+++ b/scripts/run-deployment.sh
@@ -100,12 +100,18 @@
   done | paste -sd, -
 }
 
+# backends KIND prints the addresses of the stand-ins whose id begins with KIND.
+backends() {
+  sed -n "s/^ *- {id: $1[^,]*,.*address: \([0-9.:]*\).*/\1/p" "$config/standin.yaml" | paste -sd, -
+}
+
 case $verb in
   start) start ;;
   stop) stop ;;
   load)
     exec "$binary" load --deployment "$name" \
-      --target "$(addresses listen)" --operator "$(addresses operator)" "$@"
+      --target "$(addresses listen)" --operator "$(addresses operator)" \
+      --engine "$(backends engine)" --tool-service "$(backends "[dc][eo]")" "$@"
     ;;
   *) usage ;;
 esac
