Keep one tenant's flood from slowing down the others

Fair queueing orders the calls that wait, but what a flood already holds in caches and running batches stays taken: a tenant's ten-fold rate moved the p95 of others by up to a factor of twelve.

A tenant that has a backlog of programs though it holds more than its share (of cache or running calls, whichever is more) starts none in one shard of the engines and leaves a reserve of slots and cache in the others; the rest may fill the caches meanwhile. A hold is predicted from the pace of starts.

--- a/schedule/admission.go
+++ b/schedule/admission.go
@@ -47,17 +47,22 @@
 	}
 }
 
-// expected is the time to the next start. A pace that has stalled is no
-// better than its stall.
-func (p *pace) expected(now time.Time, prior time.Duration) time.Duration {
-	interval := seconds(p.interval.value)
+// typical is the time between two starts, a prior until one is known.
+func (p *pace) typical(prior time.Duration) time.Duration {
 	if p.interval.count == 0 {
-		interval = prior
+		return prior
 	}
-	if p.waiting > 0 {
-		interval = max(interval, now.Sub(p.since))
+	return seconds(p.interval.value)
+}
+
+// wait is how long one more program would wait: as long as those before it
+// take to start, of which the next takes at least as long as it has already.
+func (p *pace) wait(now time.Time, prior time.Duration) time.Duration {
+	if p.waiting == 0 {
+		return 0
 	}
-	return interval
+	typical := p.typical(prior)
+	return max(typical, now.Sub(p.since)) + time.Duration(p.waiting-1)*typical
 }
 
 // unstarted reports whether refusing the call spares the program's whole
@@ -72,7 +77,7 @@
 	if !unstarted(request) {
 		return nil
 	}
-	wait := s.predictedWait(now, call)
+	wait := call.line.share.starts.wait(now, s.priorInterval(call))
 	limit := time.Duration(s.config.AdmissionShare * float64(call.expires.Sub(now)))
 	if wait <= limit {
 		return nil
@@ -83,12 +88,6 @@
 	return reason.After(retry.Milliseconds())
 }
 
-// predictedWait is how long one more program of the tenant would wait.
-func (s *Scheduler) predictedWait(now time.Time, call *heldCall) time.Duration {
-	starts := &call.line.share.starts
-	return time.Duration(starts.waiting) * starts.expected(now, s.priorInterval(call))
-}
-
 // priorInterval is the time between two starts that the slots would allow.
 func (s *Scheduler) priorInterval(call *heldCall) time.Duration {
 	return call.cost / time.Duration(max(s.capacity(call.line, call.pool), 1))
@@ -116,7 +115,7 @@
 	if earliest := now.Add(excess); owner.nextRetry.Before(earliest) {
 		owner.nextRetry = earliest
 	}
-	owner.nextRetry = owner.nextRetry.Add(owner.starts.expected(now, s.priorInterval(call)))
+	owner.nextRetry = owner.nextRetry.Add(owner.starts.typical(s.priorInterval(call)))
 	return max(owner.nextRetry.Sub(now), smallestRetry)
 }
 
--- a/schedule/affinity.go
+++ b/schedule/affinity.go
@@ -16,6 +16,8 @@
 	// paused lists the programs without a call under way, the longest paused
 	// first.
 	paused *list.List
+	// changed hears how the tokens of a program's prefixes change.
+	changed func(request *Request, tokens int)
 }
 
 // tracked is one program.
@@ -43,8 +45,40 @@
 	tokens  int
 }
 
-func newTracker() *tracker {
-	return &tracker{programs: map[api.ProgramID]*tracked{}, paused: list.New()}
+func newTracker(changed func(request *Request, tokens int)) *tracker {
+	return &tracker{programs: map[api.ProgramID]*tracked{}, paused: list.New(), changed: changed}
+}
+
+// setResidents replaces where a program's prefixes are.
+func (t *tracker) setResidents(entry *tracked, residents []resident) {
+	change := total(residents) - total(entry.residents)
+	entry.residents = residents
+	if len(residents) == 0 {
+		t.unlist(entry)
+	}
+	if change != 0 {
+		t.changed(&entry.last, change)
+	}
+}
+
+// total sums up the tokens of prefixes.
+func total(residents []resident) int {
+	sum := 0
+	for _, held := range residents {
+		sum += held.tokens
+	}
+	return sum
+}
+
+// without returns a copy that lacks some back ends.
+func without(residents []resident, backends ...machine.ID) []resident {
+	kept := make([]resident, 0, len(residents))
+	for _, held := range residents {
+		if !slices.Contains(backends, held.backend) {
+			kept = append(kept, held)
+		}
+	}
+	return kept
 }
 
 // resume notes that a program has a model call under way again.
@@ -87,22 +121,20 @@
 		entry = &tracked{id: owner, tenant: request.Tenant}
 		t.programs[owner] = entry
 	}
-	entry.remove(backend)
-	if tokens > 0 {
-		entry.residents = append(entry.residents, resident{backend: backend, tokens: tokens})
-	}
 	entry.last = *request
 	entry.tool = ""
+	residents := without(entry.residents, backend)
+	if tokens > 0 {
+		residents = append(residents, resident{backend: backend, tokens: tokens})
+	}
+	t.setResidents(entry, residents)
 	t.pause(now, owner)
 }
 
 // evicted notes that a back end no longer holds the program's prefix.
 func (t *tracker) evicted(owner api.ProgramID, backend machine.ID) {
 	if entry := t.programs[owner]; entry != nil {
-		entry.remove(backend)
-		if len(entry.residents) == 0 {
-			t.unlist(entry)
-		}
+		t.setResidents(entry, without(entry.residents, backend))
 	}
 }
 
@@ -112,14 +144,13 @@
 		return
 	}
 	for _, entry := range t.programs {
-		entry.residents = slices.DeleteFunc(entry.residents, func(r resident) bool {
-			return slices.Contains(backends, r.backend)
-		})
+		t.setResidents(entry, without(entry.residents, backends...))
 	}
 }
 
 // forget drops a program.
 func (t *tracker) forget(entry *tracked) {
+	t.setResidents(entry, nil)
 	t.unlist(entry)
 	delete(t.programs, entry.id)
 }
@@ -133,11 +164,6 @@
 	return nil
 }
 
-// remove forgets the prefix in one engine.
-func (e *tracked) remove(backend machine.ID) {
-	e.residents = slices.DeleteFunc(e.residents, func(r resident) bool { return r.backend == backend })
-}
-
 // tokensAt returns how many tokens of a prefix a back end holds.
 func tokensAt(residents []resident, backend machine.ID) int {
 	for _, entry := range residents {
--- a/schedule/config.go
+++ b/schedule/config.go
@@ -75,6 +75,9 @@
 	// A call that adds less than SmallShare of the cache may fill the rest.
 	MemoryFill float64
 	SmallShare float64
+	// FloodFill is the share of a cache that a tenant may fill while it
+	// floods.
+	FloodFill float64
 	// Patience bounds the wait for the engine that holds the prefix, as a
 	// multiple of the prefill that it saves.
 	Patience float64
@@ -132,6 +135,7 @@
 			MoveWeight:     4,
 			EvictionWeight: 1,
 			MemoryFill:     0.8,
+			FloodFill:      0.7,
 			SmallShare:     0.03,
 			Patience:       1,
 			ReuseFloor:     0.1,
@@ -193,6 +197,7 @@
 	found.require(c.MoveWeight >= 1, "Cache.MoveWeight", "at least 1")
 	found.require(c.EvictionWeight >= 0, "Cache.EvictionWeight", "no negative weight")
 	found.require(c.MemoryFill > 0, "Cache.MemoryFill", "a positive share")
+	found.require(c.FloodFill > 0, "Cache.FloodFill", "a positive share")
 	found.require(c.SmallShare >= 0, "Cache.SmallShare", "no negative share")
 	found.require(c.Patience >= 0, "Cache.Patience", "no negative factor")
 	found.require(c.ReuseFloor >= 0 && c.ReuseFloor <= 1, "Cache.ReuseFloor", "a probability")
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -62,6 +62,8 @@
 	held    int
 	// starts is the pace of the tenant's programs that wait to start.
 	starts pace
+	// use is what the tenant holds, in all pools.
+	use *tenantUse
 	// nextRetry is the last retry time that a refusal promised.
 	nextRetry time.Time
 }
@@ -123,14 +125,14 @@
 }
 
 // lineOf returns the line of a request's tenant and placement.
-func (p *pool) lineOf(request *Request) *line {
+func (p *pool) lineOf(request *Request, use *tenantUse) *line {
 	key := lineKey{request.Tenant, request.Placement, unstarted(request)}
 	if known := p.lines[key]; known != nil {
 		return known
 	}
 	owner := p.shares[request.Tenant]
 	if owner == nil {
-		owner = &share{tenant: request.Tenant}
+		owner = &share{tenant: request.Tenant, use: use}
 		p.shares[request.Tenant] = owner
 	}
 	owner.weight = float64(1 + max(request.Priority, 0))
@@ -184,10 +186,11 @@
 // putBack undoes setAside.
 func (l *line) putBack(call *heldCall) { heap.Push(&l.calls, call) }
 
-// block marks the lines of a placement, in which no back end is free.
-func (p *pool) block(placement zone.Placement) {
+// block marks the lines that found every back end saturated: those of the
+// placement, or only the tenant's, if others may use more slots than it.
+func (p *pool) block(full *line, onlyTenant bool) {
 	for _, each := range p.active {
-		if each.placement == placement {
+		if each.placement == full.placement && (!onlyTenant || each.share == full.share) {
 			each.blocked = true
 		}
 	}
--- a/schedule/rank.go
+++ b/schedule/rank.go
@@ -133,25 +133,3 @@
 	}
 	return cost
 }
-
-// fits reports whether an engine's cache has room for what a call adds. A
-// call that continues a prefix there always fits: it brings little, and
-// waiting would waste the prefix. A large one leaves the reserve to small
-// ones.
-func (s *Scheduler) fits(now time.Time, request *Request, candidate *backend) bool {
-	capacity := candidate.machine.CacheTokens
-	if request.Kind != api.CallModel || capacity == 0 {
-		return true
-	}
-	held := tokensAt(s.tracker.residents(request.Call.Program), candidate.machine.ID)
-	if 2*held >= request.PromptTokens {
-		return true
-	}
-	added := request.PromptTokens - held + request.OutputCap
-	limit := float64(capacity)
-	if float64(added) > s.config.Cache.SmallShare*limit {
-		limit *= s.config.Cache.MemoryFill
-	}
-	used := candidate.memory(now, s.config.StaleLoad)
-	return used == 0 || float64(used+added) <= limit
-}
--- a/schedule/retention.go
+++ b/schedule/retention.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/bits"
-	"slices"
 	"time"
 
 	"birchwood.example/birchwood/api"
@@ -106,6 +105,7 @@
 		return
 	}
 	s.nextReview = now.Add(s.config.Cache.ReviewInterval)
+	s.tenants.forget(now)
 	reviewed := 0
 	for element := s.tracker.paused.Front(); element != nil && reviewed < reviewLimit; reviewed++ {
 		entry := element.Value.(*tracked)
@@ -128,8 +128,7 @@
 	for _, held := range entry.residents {
 		s.drop(entry, held, reason)
 	}
-	entry.residents = nil
-	s.tracker.unlist(entry)
+	s.tracker.setResidents(entry, nil)
 }
 
 func (s *Scheduler) drop(entry *tracked, held resident, reason string) {
@@ -144,7 +143,7 @@
 
 // dropStale drops the prefixes that a program left behind when it moved.
 func (s *Scheduler) dropStale(entry *tracked, current machine.ID) {
-	if tokensAt(entry.residents, current) == 0 {
+	if len(entry.residents) < 2 || tokensAt(entry.residents, current) == 0 {
 		return
 	}
 	for _, held := range entry.residents {
@@ -152,7 +151,7 @@
 			s.drop(entry, held, "left behind")
 		}
 	}
-	entry.residents = slices.DeleteFunc(entry.residents, func(r resident) bool { return r.backend != current })
+	s.tracker.setResidents(entry, []resident{{backend: current, tokens: tokensAt(entry.residents, current)}})
 }
 
 // evacuate exports the prefixes of paused programs from leaving engines.
@@ -187,7 +186,7 @@
 	if target == nil {
 		return
 	}
-	entry.residents = append(entry.residents[:0], resident{backend: target.machine.ID, tokens: held.tokens})
+	s.tracker.setResidents(entry, []resident{{backend: target.machine.ID, tokens: held.tokens}})
 	s.decisions = append(s.decisions, Decision{
 		Action:   ActionExport,
 		Program:  entry.id,
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -16,6 +16,7 @@
 	queue   *queue
 	tracker *tracker
 	predict *predictor
+	tenants tenants
 	// pauses holds what programs did when they paused.
 	pauses map[pauseKey]*pauses
 	// decisions are due with the next call of Ready.
@@ -46,14 +47,18 @@
 	if err := config.validate(); err != nil {
 		return nil, err
 	}
-	return &Scheduler{
+	s := &Scheduler{
 		config:  config,
 		view:    newView(config.StaleLoad),
 		queue:   newQueue(),
-		tracker: newTracker(),
 		predict: newPredictor(config.Rates),
 		pauses:  map[pauseKey]*pauses{},
-	}, nil
+		tenants: tenants{byName: map[string]*tenantUse{}},
+	}
+	s.tracker = newTracker(func(request *Request, tokens int) {
+		s.tenants.hold(s.tenants.use(request), tokens)
+	})
+	return s, nil
 }
 
 // SetBackends implements Policy.
@@ -77,12 +82,14 @@
 	} else {
 		s.calledTool(now, &request)
 	}
+	use := s.tenants.use(&request)
+	use.seen = now
 	waiting := s.queue.poolOf(&request)
 	cost := s.predict.serviceTime(&request)
 	call := &heldCall{
 		request: request,
 		pool:    waiting,
-		line:    waiting.lineOf(&request),
+		line:    waiting.lineOf(&request, use),
 		place:   placeInLine(&request, s.config.Order, cost),
 		expires: holdUntil(request, s.config.MaximumHold),
 		cost:    cost,
@@ -92,6 +99,20 @@
 		return
 	}
 	s.queue.push(now, call)
+	s.countWaiting(call, 1)
+}
+
+// countWaiting counts a program that waits to start, or no longer does.
+func (s *Scheduler) countWaiting(call *heldCall, change int) {
+	if unstarted(&call.request) {
+		s.tenants.wait(call.line.share.use, change)
+	}
+}
+
+// release takes a call out of the queue, because it is sent or not.
+func (s *Scheduler) release(now time.Time, call *heldCall, sent bool) {
+	s.queue.remove(now, call, sent)
+	s.countWaiting(call, -1)
 }
 
 // Withdraw implements Policy.
@@ -100,7 +121,7 @@
 	if call == nil {
 		return false
 	}
-	s.queue.remove(s.now, call, false)
+	s.release(s.now, call, false)
 	s.tracker.pause(s.now, ref.Program)
 	return true
 }
@@ -119,6 +140,7 @@
 	if sent.request.Kind == api.CallTool {
 		return
 	}
+	s.tenants.run(s.tenants.use(&sent.request), -1)
 	s.tracker.finished(now, &sent.request, backend, residentTokens)
 	if entry := s.tracker.programs[call.Program]; entry != nil {
 		s.dropStale(entry, backend)
@@ -142,6 +164,7 @@
 func (s *Scheduler) Ready(now time.Time) []Decision {
 	s.now = now
 	s.expire(now)
+	s.tenants.compare()
 	for i := range s.queue.pools {
 		s.serve(now, s.queue.pools[(s.queue.turn+i)%len(s.queue.pools)])
 	}
@@ -162,7 +185,7 @@
 		if call.expires.After(now) {
 			return
 		}
-		s.queue.remove(now, call, false)
+		s.release(now, call, false)
 		s.refuse(now, call.request, s.expiryError(now, call))
 	}
 }
@@ -196,7 +219,7 @@
 		call := next.calls.items[0]
 		switch s.place(now, call) {
 		case placed:
-			s.queue.remove(now, call, true)
+			s.release(now, call, true)
 			waiting.served(call)
 		case passed:
 			if next.unstarted {
@@ -206,7 +229,7 @@
 			next.setAside(call)
 			s.passed = append(s.passed, call)
 		case blocked:
-			waiting.block(next.placement)
+			waiting.block(next, s.tenants.floods(next.share.use))
 		}
 	}
 	for _, call := range s.passed {
--- a/schedule/select.go
+++ b/schedule/select.go
@@ -29,7 +29,7 @@
 	if feasible == 0 {
 		return passed
 	}
-	free := s.sample(now, request)
+	free := s.sample(now, call)
 	if len(s.sampled) == 0 {
 		if free > 0 || len(request.Avoid) > 0 {
 			return passed
@@ -48,20 +48,20 @@
 // sample keeps of s.candidates, in s.sampled, Choices random ones that are
 // not saturated and have room in their cache, and those that hold the
 // program's prefix. It returns how many are not saturated.
-func (s *Scheduler) sample(now time.Time, request *Request) int {
+func (s *Scheduler) sample(now time.Time, call *heldCall) int {
 	unsaturated := 0
 	free := s.candidates[:0]
 	for _, candidate := range s.candidates {
-		if s.saturated(now, candidate) {
+		if s.saturated(now, candidate, call) {
 			continue
 		}
 		unsaturated++
-		if s.fits(now, request, candidate) {
+		if s.fits(now, call, candidate) {
 			free = append(free, candidate)
 		}
 	}
 	s.sampled = s.sampled[:0]
-	for _, entry := range s.tracker.residents(request.Call.Program) {
+	for _, entry := range s.tracker.residents(call.request.Call.Program) {
 		for i, candidate := range free {
 			if candidate.machine.ID == entry.backend {
 				s.sampled = append(s.sampled, candidate)
@@ -80,14 +80,24 @@
 	return unsaturated
 }
 
-// saturated reports whether a back end should get no further call. Only
-// engines state how much they take at once.
-func (s *Scheduler) saturated(now time.Time, candidate *backend) bool {
+// saturated reports whether a back end should get no further call of a
+// tenant. One that floods leaves slots to the others.
+func (s *Scheduler) saturated(now time.Time, candidate *backend, call *heldCall) bool {
+	share := s.config.EngineFill
+	if s.tenants.floods(call.line.share.use) {
+		share *= s.config.Cache.FloodFill
+	}
+	return s.loaded(now, candidate, share)
+}
+
+// loaded reports whether a share of a back end's slots is taken. Only engines
+// state how much they take at once.
+func (s *Scheduler) loaded(now time.Time, candidate *backend, share float64) bool {
 	slots := candidate.machine.Slots
 	if slots == 0 {
 		return false
 	}
-	limit := max(1, int(s.config.EngineFill*float64(slots)))
+	limit := max(1, int(share*float64(slots)))
 	return candidate.outstanding(now, s.config.StaleLoad) >= limit
 }
 
@@ -115,7 +125,7 @@
 		return time.Time{}
 	}
 	holder := s.view.byID[warm.backend]
-	if holder == nil || !s.servable(request, holder) || !s.saturated(now, holder) {
+	if holder == nil || !s.servable(request, holder) || !s.saturated(now, holder, call) {
 		return time.Time{}
 	}
 	there := s.rank(now, request, holder)
@@ -137,6 +147,9 @@
 // send records the placement and its decision.
 func (s *Scheduler) send(now time.Time, call *heldCall, best *prediction, feasible int) {
 	request := call.request
+	if request.Kind == api.CallModel {
+		s.tenants.run(call.line.share.use, 1)
+	}
 	s.view.place(now, best.backend, flight{
 		request: request,
 		missing: best.missing,
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -1,10 +1,13 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/program"
@@ -37,7 +40,9 @@
 // backend is one back end as this node sees it.
 type backend struct {
 	machine machine.Machine
-	load    Load
+	// shard is the group of engines that this one belongs to.
+	shard int
+	load  Load
 	// own counts this node's calls in flight there.
 	own int
 	// sent are the own calls in flight that the report cannot count yet.
@@ -124,6 +129,7 @@
 	slices.SortFunc(v.order, func(a, b *backend) int {
 		return strings.Compare(string(a.machine.ID), string(b.machine.ID))
 	})
+	v.assignShards()
 	for _, entry := range v.order {
 		if entry.machine.Status != machine.StatusLive {
 			continue
@@ -137,6 +143,22 @@
 	}
 }
 
+// assignShards deals the back ends into equal shards, in an order that has
+// nothing to do with zones or models.
+func (v *view) assignShards() {
+	dealt := slices.Clone(v.order)
+	slices.SortFunc(dealt, func(a, b *backend) int {
+		return cmp.Compare(xxhash.Sum64String(string(a.machine.ID)), xxhash.Sum64String(string(b.machine.ID)))
+	})
+	for i, entry := range dealt {
+		entry.shard = i % shardCount
+	}
+}
+
+// shardCount is the number of shards; a tenant that floods leaves one of them to
+// the others.
+const shardCount = 4
+
 func (v *view) join(key poolKey, entry *backend) {
 	v.pools[key] = append(v.pools[key], entry)
 }
