Keep a branch's programs in partitions of the branch, whose owners follow its zones

Cause: a partition was named for a placement. When a branch's zones changed, its running programs stayed in partitions of the old placement: their next call was sent to a permitted engine, but their history and budget stayed on nodes that the rule no longer permits.

Weighed: (1) copying each program to a partition of the new placement, a protocol of two partitions with a copy of the history; (2) naming partitions for the branch that has the rule, so that the placement is read from the settings and only the owner moves, by the hand-over that exists. (2) copies nothing, needs no second protocol, and gives each branch streams of its own. It costs more partitions: branches times partitions_per_branch.

Change: partition.ID holds the branch's group; a View carries the placement; an owner that the rule excludes hands over at once, after its running attempts (View.Hold). A sub-agent runs on its parent's branch. A node that changes the settings tells every peer at once.

--- a/config/file.go
+++ b/config/file.go
@@ -88,17 +88,17 @@
 
 // Limits are bounds on what a node accepts and holds.
 type Limits struct {
-	PartitionsPerPlacement int `yaml:"partitions_per_placement" validate:"min=1,max=1024" help:"How many partitions each placement has. All nodes must agree, and it never changes once programs exist."`
-	BodyBytes              int `yaml:"body_bytes" validate:"min=1024,max=67108864" help:"The largest body of a caller's request, in bytes."`
-	Connections            int `yaml:"connections" validate:"min=1,max=1000000" help:"How many connections of callers may be open."`
-	ConnectionsPerPeer     int `yaml:"connections_per_peer" validate:"min=1,max=100000" help:"How many connections to one other node may be open."`
-	Programs               int `yaml:"programs" validate:"min=1,max=10000000" help:"How many programs one partition holds, ended ones within their retention included."`
-	QueuedCalls            int `yaml:"queued_calls" validate:"min=1,max=100000" help:"How many calls of one program may wait or run."`
-	SubAgentDepth          int `yaml:"sub_agent_depth" validate:"min=0,max=64" help:"How deep sub-agents may start sub-agents."`
-	UnconfirmedBytes       int `yaml:"unconfirmed_bytes" validate:"min=65536,max=1073741824" help:"The records of one partition, in bytes, that the log service has not confirmed. Beyond it requests are refused."`
-	MirrorBytes            int `yaml:"mirror_bytes" validate:"min=0,max=1073741824" help:"What the node holds as a mirror for other nodes, in bytes."`
-	Mirrors                int `yaml:"mirrors" validate:"min=0,max=8" help:"How many mirrors an owner keeps ready for a slow or unreachable log service. Zero: none."`
-	SnapshotRecords        int `yaml:"snapshot_records" validate:"min=16,max=1000000" help:"The least number of records between two snapshots of a partition."`
+	PartitionsPerBranch int `yaml:"partitions_per_branch" validate:"min=1,max=1024" help:"How many partitions the programs of each branch are spread over. All nodes must agree, and it never changes once programs exist."`
+	BodyBytes           int `yaml:"body_bytes" validate:"min=1024,max=67108864" help:"The largest body of a caller's request, in bytes."`
+	Connections         int `yaml:"connections" validate:"min=1,max=1000000" help:"How many connections of callers may be open."`
+	ConnectionsPerPeer  int `yaml:"connections_per_peer" validate:"min=1,max=100000" help:"How many connections to one other node may be open."`
+	Programs            int `yaml:"programs" validate:"min=1,max=10000000" help:"How many programs one partition holds, ended ones within their retention included."`
+	QueuedCalls         int `yaml:"queued_calls" validate:"min=1,max=100000" help:"How many calls of one program may wait or run."`
+	SubAgentDepth       int `yaml:"sub_agent_depth" validate:"min=0,max=64" help:"How deep sub-agents may start sub-agents."`
+	UnconfirmedBytes    int `yaml:"unconfirmed_bytes" validate:"min=65536,max=1073741824" help:"The records of one partition, in bytes, that the log service has not confirmed. Beyond it requests are refused."`
+	MirrorBytes         int `yaml:"mirror_bytes" validate:"min=0,max=1073741824" help:"What the node holds as a mirror for other nodes, in bytes."`
+	Mirrors             int `yaml:"mirrors" validate:"min=0,max=8" help:"How many mirrors an owner keeps ready for a slow or unreachable log service. Zero: none."`
+	SnapshotRecords     int `yaml:"snapshot_records" validate:"min=16,max=1000000" help:"The least number of records between two snapshots of a partition."`
 }
 
 // Log is what the process writes about itself.
--- a/control/apply.go
+++ b/control/apply.go
@@ -119,7 +119,7 @@
 		return
 	}
 	if owned.draining {
-		owned.held = append(owned.held, effect)
+		owned.postponed = append(owned.postponed, effect)
 		return
 	}
 	call := effect.Call
@@ -194,17 +194,17 @@
 	c.config.Policy.Withdraw(call)
 	delete(owned.queued, call)
 	c.delayed.remove(call)
-	owned.dropHeld(call)
+	owned.dropPostponed(call)
 }
 
-func (p *ownedPartition) dropHeld(call program.CallRef) {
-	kept := p.held[:0]
-	for _, effect := range p.held {
+func (p *ownedPartition) dropPostponed(call program.CallRef) {
+	kept := p.postponed[:0]
+	for _, effect := range p.postponed {
 		if effect.Attempt.CallRef != call {
 			kept = append(kept, effect)
 		}
 	}
-	p.held = kept
+	p.postponed = kept
 }
 
 // answerCall gives the terminal call to everyone who waits for it.
--- a/control/attendant.go
+++ b/control/attendant.go
@@ -203,6 +203,10 @@
 		if err != nil {
 			continue
 		}
+		if c.branchGone(now, id) {
+			c.releaseAt(prefix.Owner, event.Backend)
+			continue
+		}
 		if owner, ok := c.Owner(id); ok {
 			questions[owner] = append(questions[owner], prefix.Owner)
 		}
@@ -210,7 +214,7 @@
 	for _, owner := range sortedMachines(questions) {
 		sweep := link.SweepMessage{Backend: event.Backend, Question: questions[owner]}
 		if owner == c.config.Self.ID {
-			c.releaseGone(event.Backend, c.gone(sweep.Question))
+			c.releaseGone(event.Backend, c.gone(event.Backend, sweep.Question))
 			continue
 		}
 		c.sendTo(owner, link.Message{Sweep: &sweep})
@@ -220,20 +224,33 @@
 // stepSweep answers a sweep's question, or releases what an owner says is gone.
 func (c *Core) stepSweep(_ time.Time, from machine.ID, sweep link.SweepMessage) {
 	if len(sweep.Question) > 0 {
-		if gone := c.gone(sweep.Question); len(gone) > 0 {
+		if gone := c.gone(sweep.Backend, sweep.Question); len(gone) > 0 {
 			c.sendTo(from, link.Message{Sweep: &link.SweepMessage{Backend: sweep.Backend, Gone: gone}})
 		}
 	}
 	c.releaseGone(sweep.Backend, sweep.Gone)
 }
 
-// gone returns the programs that this node is sure to be over: it owns their
-// partitions and they have ended or never were. A program's creation is
+// branchGone reports whether the branch that a partition belongs to was
+// removed: nobody owns the partition any more, and no program of it may run.
+func (c *Core) branchGone(now time.Time, id partition.ID) bool {
+	return c.follower.Freshness(now).MayPlace && c.placement(id) == ""
+}
+
+// gone returns the programs that this node is sure to have nothing to keep at
+// the back end: it owns their partitions, and they have ended, never were, or
+// may no longer have data in the back end's zone. A program's creation is
 // durable before its first call, so that no live program can be missing.
-func (c *Core) gone(ids []api.ProgramID) []api.ProgramID {
+func (c *Core) gone(backendID machine.ID, ids []api.ProgramID) []api.ProgramID {
+	backend, known := c.attendant.backend(backendID)
 	var gone []api.ProgramID
 	for _, id := range ids {
-		if owned, ok := c.ownerOf(id); ok && !owned.store.Live(id) {
+		owned, ok := c.ownerOf(id)
+		if !ok {
+			continue
+		}
+		terms, _ := owned.store.Terms(id)
+		if !owned.store.Live(id) || known && !terms.Placement.Contains(backend.Zone) {
 			gone = append(gone, id)
 		}
 	}
--- a/control/config.go
+++ b/control/config.go
@@ -24,12 +24,12 @@
 	Random *rand.Rand
 	// Policy decides which back end serves each call.
 	Policy schedule.Policy
-	// PartitionsPerPlacement is how many partitions each placement has. All
+	// PartitionsPerBranch is how many partitions each branch has. All
 	// nodes of a deployment must agree on it and it never changes, because
 	// program ids are spread over the partitions by it.
-	PartitionsPerPlacement int
-	Membership             machine.Config
-	Follower               contract.FollowerConfig
+	PartitionsPerBranch int
+	Membership          machine.Config
+	Follower            contract.FollowerConfig
 	// Replica is the template of each partition's replica; the Core fills in
 	// the ID and this node's mirror store.
 	Replica partition.Config
@@ -60,23 +60,23 @@
 // DefaultConfig returns the configuration of a node with the usual times.
 func DefaultConfig(self machine.Machine, writer string, random *rand.Rand, policy schedule.Policy) Config {
 	return Config{
-		Self:                   self,
-		Writer:                 writer,
-		Random:                 random,
-		Policy:                 policy,
-		PartitionsPerPlacement: 4,
-		Membership:             machine.DefaultConfig(self, random),
-		Follower:               followerConfig(self, random),
-		Replica:                partition.DefaultConfig(partition.ID{}, self.ID, writer, random),
-		Store:                  program.Config{CountTokens: countTokens, Random: random},
-		MirrorBytes:            32 << 20,
-		ListPeriod:             2 * time.Second,
-		LoadPeriod:             time.Second,
-		SweepPeriod:            10 * time.Second,
-		LoadFanout:             3,
-		ParkTimeout:            10 * time.Second,
-		DrainTimeout:           30 * time.Second,
-		TraceLimit:             64,
+		Self:                self,
+		Writer:              writer,
+		Random:              random,
+		Policy:              policy,
+		PartitionsPerBranch: 4,
+		Membership:          machine.DefaultConfig(self, random),
+		Follower:            followerConfig(self, random),
+		Replica:             partition.DefaultConfig(partition.ID{}, self.ID, writer, random),
+		Store:               program.Config{CountTokens: countTokens, Random: random},
+		MirrorBytes:         32 << 20,
+		ListPeriod:          2 * time.Second,
+		LoadPeriod:          time.Second,
+		SweepPeriod:         10 * time.Second,
+		LoadFanout:          3,
+		ParkTimeout:         10 * time.Second,
+		DrainTimeout:        30 * time.Second,
+		TraceLimit:          64,
 	}
 }
 
@@ -109,7 +109,7 @@
 	check(c.Writer != "", "Writer is empty")
 	check(c.Random != nil, "Random is nil")
 	check(c.Policy != nil, "Policy is nil")
-	check(c.PartitionsPerPlacement > 0, "PartitionsPerPlacement must be positive")
+	check(c.PartitionsPerBranch > 0, "PartitionsPerBranch must be positive")
 	check(c.MirrorBytes > 0, "MirrorBytes must be positive")
 	check(c.ListPeriod > 0, "ListPeriod must be positive")
 	check(c.LoadPeriod > 0, "LoadPeriod must be positive")
--- a/control/core.go
+++ b/control/core.go
@@ -94,6 +94,7 @@
 		c.follower.Step(now, event.Result)
 	case SettingsAppended:
 		c.follower.Heard(now, event.Revision)
+		c.announceSettings(now)
 	case RequestReceived:
 		c.stepRequest(now, event.Handle, event.Request)
 	case RequestAbandoned:
--- a/control/messages.go
+++ b/control/messages.go
@@ -12,12 +12,12 @@
 
 // stepMessage hands a peer's message to the part that it is for.
 func (c *Core) stepMessage(now time.Time, message link.Message) {
+	if message.Settings != nil {
+		c.follower.HeardReport(now, *message.Settings)
+	}
 	switch {
 	case message.Membership != nil:
 		c.membership.Step(now, message.From, *message.Membership)
-		if message.Settings != nil {
-			c.follower.HeardReport(now, *message.Settings)
-		}
 	case message.Partition != nil:
 		c.stepPartitionMessage(now, message.From, *message.Partition)
 	case message.Sweep != nil:
@@ -35,7 +35,7 @@
 // partition's replica on this node. Data of a partition is only held where
 // its placement permits.
 func (c *Core) stepPartitionMessage(now time.Time, from machine.ID, message partition.Message) {
-	if !message.Partition.Placement.Contains(c.config.Self.Zone) {
+	if !c.placement(message.Partition).Contains(c.config.Self.Zone) {
 		return
 	}
 	if message.ForMirror() {
@@ -160,7 +160,7 @@
 	if _, open := c.partitions[id]; open {
 		return
 	}
-	if owner, ok := partition.Owner(id, c.nodes, ""); ok && owner == c.config.Self.ID {
+	if owner, ok := partition.Owner(id, c.placement(id), c.nodes, ""); ok && owner == c.config.Self.ID {
 		c.openPartition(now, id)
 	}
 }
@@ -170,30 +170,34 @@
 	if c.stopping {
 		return false
 	}
-	owner, ok := partition.Owner(owned.id, c.nodes, "")
+	owner, ok := partition.Owner(owned.id, c.placement(owned.id), c.nodes, "")
 	return ok && owner == c.config.Self.ID
 }
 
-// setView tells a replica who is live. A partition that should move elsewhere
-// is drained first, so that no attempt is cut by the hand-over.
+// setView tells a replica who is live and what the place rule permits. A
+// hand-over is held while attempts run, so that it cuts none of them.
 func (c *Core) setView(now time.Time, owned *ownedPartition) {
-	if owned.acquired && !c.desires(owned) {
-		c.beginDrain(now, owned)
-		return
-	}
-	c.endDrain(now, owned)
-	owned.replica.SetView(now, partition.View{Nodes: c.nodes, Stopping: c.stopping})
+	placement := c.placement(owned.id)
+	owned.held = owned.busy() && (!owned.draining || now.Before(owned.drainUntil))
+	owned.replica.SetView(now, partition.View{
+		Placement: placement,
+		Nodes:     c.nodes,
+		Stopping:  c.stopping,
+		Excluded:  !placement.Contains(c.config.Self.Zone),
+		Hold:      owned.held,
+	})
 }
 
 // setKnown replaces the list of partitions that can hold programs.
 func (c *Core) setKnown(now time.Time) {
 	var known []partition.ID
-	for _, placement := range c.Tree().Placements() {
-		if !placement.Contains(c.config.Self.Zone) {
+	for _, branch := range c.Tree().Branches(contract.Root) {
+		resolved, err := c.Tree().Resolve(branch)
+		if err != nil || !resolved.Placement.Contains(c.config.Self.Zone) {
 			continue
 		}
-		for index := range c.config.PartitionsPerPlacement {
-			known = append(known, partition.ID{Placement: placement, Index: index})
+		for index := range c.config.PartitionsPerBranch {
+			known = append(known, partition.ID{Group: partition.GroupOf(string(branch)), Index: index})
 		}
 	}
 	slices.SortFunc(known, comparePartitions)
--- a/control/owned.go
+++ b/control/owned.go
@@ -24,11 +24,13 @@
 	acquired bool
 	// unreadable says why the partition stays closed on this node.
 	unreadable error
-	// draining is set while the partition is about to be handed over: no new
-	// attempt starts, and held keeps the calls that would have.
+	// draining is set while a hand-over is due: no new attempt starts, and
+	// postponed keeps the calls that would have. held is set while the
+	// hand-over waits for the attempts that run.
 	draining   bool
 	drainUntil time.Time
-	held       []program.Effect
+	held       bool
+	postponed  []program.Effect
 
 	// position counts the records that the store decided; durable counts
 	// those that are confirmed. Both start at zero with each acquisition.
@@ -116,7 +118,7 @@
 }
 
 func comparePartitions(a, b partition.ID) int {
-	return cmp.Or(cmp.Compare(a.Placement, b.Placement), cmp.Compare(a.Index, b.Index))
+	return cmp.Or(cmp.Compare(a.Group, b.Group), cmp.Compare(a.Index, b.Index))
 }
 
 // openPartition starts a replica that will claim the partition when it should.
@@ -145,7 +147,8 @@
 	p.acquired = false
 	p.unreadable = nil
 	p.draining = false
-	p.held = nil
+	p.held = false
+	p.postponed = nil
 	p.position, p.durable = 0, 0
 	p.unproposed = nil
 	p.proposed = make(map[journal.Token]proposedRecord)
@@ -170,9 +173,7 @@
 	if owned.serving() {
 		c.apply(now, owned, owned.store.Tick(now), nil)
 	}
-	if owned.draining {
-		c.continueDrain(now, owned)
-	}
+	c.reviewDrain(now, owned)
 }
 
 // advancePartitions performs what the replicas want done and reports whether
--- a/control/requests.go
+++ b/control/requests.go
@@ -207,6 +207,10 @@
 		c.reject(handle, api.Refuse(api.CodeForbidden, "branch %q is outside of the token's branch", branch).At("$.branch"))
 		return
 	}
+	if partition.GroupOf(string(branch)) != owned.id.Group {
+		c.reject(handle, api.Refuse(api.CodeBadRequest, "a sub-agent runs on its parent's branch, %q", owned.id.Group.Branch()).At("$.branch"))
+		return
+	}
 	resolved, err := c.Tree().Resolve(branch)
 	if err != nil {
 		c.reject(handle, api.Refuse(api.CodeUnknownBranch, "%v", err).At("$.branch"))
@@ -325,7 +329,7 @@
 	if resolved.Placement == "" {
 		return "", errors.New("the branch permits no zone")
 	}
-	return partition.NewProgramID(resolved.Placement, c.config.PartitionsPerPlacement, string(branch), key), nil
+	return partition.NewProgramID(string(branch), c.config.PartitionsPerBranch, key), nil
 }
 
 // Owner returns the node that owns, or should own, a partition, as far as this
@@ -337,5 +341,5 @@
 		}
 		return owned.replica.Owner()
 	}
-	return partition.Owner(id, c.nodes, c.hints[id])
+	return partition.Owner(id, c.placement(id), c.nodes, c.hints[id])
 }
--- a/control/settings.go
+++ b/control/settings.go
@@ -5,6 +5,7 @@
 
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/link"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/program"
 )
@@ -33,6 +34,16 @@
 	return true
 }
 
+// announceSettings tells every peer at once that a newer record of the
+// settings exists, so that each reads it without waiting for its next poll or
+// for gossip. Changes are rare: the cost is one small message a peer for each.
+func (c *Core) announceSettings(now time.Time) {
+	report := c.follower.Report(now)
+	for _, node := range c.nodes {
+		c.sendTo(node.ID, link.Message{Settings: &report})
+	}
+}
+
 // retargetPartition gives every program of a partition the terms that its
 // branch has now.
 func (c *Core) retargetPartition(now time.Time, owned *ownedPartition) {
--- a/control/stop.go
+++ b/control/stop.go
@@ -5,7 +5,6 @@
 
 	"birchwood.example/birchwood/link"
 	"birchwood.example/birchwood/machine"
-	"birchwood.example/birchwood/partition"
 )
 
 // requestStop begins the planned stop: the node announces that it leaves,
@@ -46,46 +45,47 @@
 	c.emit(StopComplete{})
 }
 
-// beginDrain stops new attempts in a partition that is to be handed over.
-func (c *Core) beginDrain(now time.Time, owned *ownedPartition) {
-	if !owned.draining {
+// busy reports whether work runs that a hand-over would cut.
+func (p *ownedPartition) busy() bool {
+	return len(p.placed) > 0 || len(p.unproposed) > 0
+}
+
+// reviewDrain drains a partition whose hand-over is due: no new attempt
+// starts, and the hand-over is held while attempts run, but not longer than
+// the drain's time-out. An attempt that still runs then is resumed by the next
+// owner, under the same stream name, or looked up by its key.
+func (c *Core) reviewDrain(now time.Time, owned *ownedPartition) {
+	due := owned.serving() && owned.replica.HandoverDue()
+	switch {
+	case due && !owned.draining:
 		owned.draining = true
 		owned.drainUntil = now.Add(c.config.DrainTimeout)
-		owned.holdQueued(c)
+		owned.postponeQueued(c)
+	case !due && owned.draining && owned.serving():
+		c.endDrain(now, owned)
+	}
+	hold := owned.busy() && (!owned.draining || now.Before(owned.drainUntil))
+	if hold != owned.held {
+		c.setView(now, owned)
 	}
-	c.continueDrain(now, owned)
 }
 
-// holdQueued takes the partition's calls that are not placed yet out of the
-// scheduler; the next owner starts them.
-func (p *ownedPartition) holdQueued(c *Core) {
+// postponeQueued takes the partition's calls that are not placed yet out of
+// the scheduler; the next owner starts them.
+func (p *ownedPartition) postponeQueued(c *Core) {
 	for _, call := range sortedCalls(p.queued) {
 		c.config.Policy.Withdraw(call)
-		p.held = append(p.held, p.queued[call])
+		p.postponed = append(p.postponed, p.queued[call])
 	}
 	clear(p.queued)
 }
 
-// continueDrain hands the partition over once no attempt runs, or when it has
-// taken too long. An attempt that still runs then is resumed by the next
-// owner, under the same stream name, or looked up by its key.
-func (c *Core) continueDrain(now time.Time, owned *ownedPartition) {
-	busy := len(owned.placed) > 0 || len(owned.unproposed) > 0
-	if busy && now.Before(owned.drainUntil) {
-		return
-	}
-	owned.replica.SetView(now, partition.View{Nodes: c.nodes, Stopping: c.stopping})
-}
-
 // endDrain lets a partition that stays here after all go on.
 func (c *Core) endDrain(now time.Time, owned *ownedPartition) {
-	if !owned.draining {
-		return
-	}
 	owned.draining = false
-	held := owned.held
-	owned.held = nil
-	for _, effect := range held {
+	postponed := owned.postponed
+	owned.postponed = nil
+	for _, effect := range postponed {
 		c.start(now, owned, effect)
 	}
 }
--- a/development/system_test.go
+++ b/development/system_test.go
@@ -15,8 +15,10 @@
 
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/config"
+	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/development"
 	"birchwood.example/birchwood/emulator/standin"
+	"birchwood.example/birchwood/zone"
 )
 
 // patience bounds a wait for real I/O. Nothing is asserted about how long
@@ -76,6 +78,18 @@
 	return api.SubmitCall{Key: key, Kind: api.CallTool, Tool: tool, Input: input}
 }
 
+// zoneOf returns the zone of an engine of the development system.
+func zoneOf(system *development.System, backend string) zone.Name {
+	backends, err := system.Nodes[0].Process.Node.Backends(context.Background())
+	Expect(err).NotTo(HaveOccurred())
+	for _, known := range backends {
+		if string(known.ID) == backend {
+			return known.Zone
+		}
+	}
+	return ""
+}
+
 var _ = Describe("A whole system over loopback", Ordered, func() {
 	var system *development.System
 
@@ -151,6 +165,42 @@
 		}).WithTimeout(patience).Should(Succeed())
 	})
 
+	It("moves a branch's programs to another zone, and their next call goes there", func() {
+		program := at(0).create("demo/north-only", "moved")
+		first := at(0).call(program, modelCall("first", "first. "))
+		Expect(first.Status).To(Equal(api.StatusSucceeded), "%+v", first.Error)
+		Expect(zoneOf(system, first.Backend)).To(Equal(zone.Name("north")))
+
+		tree := system.Nodes[0].Process.Node.Settings()
+		verdict, err := system.Nodes[0].Process.Node.ChangeSettings(context.Background(), contract.Change{
+			ID: "move", Based: tree.Revision(), Actor: "test",
+			Edits: []contract.Edit{{Path: "demo/north-only", Values: contract.Values{Zones: []zone.Name{"south"}}}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(verdict.Accepted).To(BeTrue(), "%+v", verdict)
+
+		for _, started := range system.Nodes {
+			Eventually(started.Process.Node.Settings().Revision).WithTimeout(patience).Should(BeNumerically(">=", verdict.Revision))
+		}
+		second := at(1).call(program, modelCall("second", "second. "))
+		Expect(second.Status).To(Equal(api.StatusSucceeded), "%+v", second.Error)
+		Expect(zoneOf(system, second.Backend)).To(Equal(zone.Name("south")))
+		Eventually(func(g Gomega) {
+			for _, started := range system.Nodes {
+				partitions, err := started.Process.Node.Owned(context.Background())
+				g.Expect(err).NotTo(HaveOccurred())
+				for _, owned := range partitions {
+					if owned.Partition.Group.Branch() == "demo/north-only" {
+						g.Expect(started.File.Node.Zone).To(Equal(zone.Name("south")))
+					}
+				}
+			}
+			var history api.History
+			g.Expect(at(2).get(fmt.Sprintf("/v1/programs/%s/history", program), &history)).To(Equal(http.StatusOK))
+			g.Expect(history.Calls).To(HaveLen(2))
+		}).WithTimeout(patience).Should(Succeed())
+	})
+
 	It("cuts no request when a node is stopped as planned under load", func() {
 		const programs, turns = 24, 6
 		ids := make([]api.ProgramID, programs)
--- a/gateway/parse.go
+++ b/gateway/parse.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"strconv"
 	"strings"
 
@@ -11,6 +9,7 @@
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/partition"
 )
 
 // Limits of GET /v1/programs/{id}/history.
@@ -63,21 +62,17 @@
 	if create.Branch != "" && !contract.Path(create.Branch).Within(request.scope) {
 		return api.Refuse(api.CodeUnknownBranch, "no branch %q on the caller's branch", create.Branch).At("$.branch")
 	}
+	program, err := partition.NewChildID(parent, create.Key)
+	if err != nil {
+		return api.Refuse(api.CodeNotFound, "%v", err).At("$.id")
+	}
 	request.request.Operation = control.OperationCreate
 	request.request.Parent = parent
-	request.request.Program = agentID(parent, create.Key)
+	request.request.Program = program
 	request.request.Create = &create
 	return nil
 }
 
-// agentID names a sub-agent: it lives in its parent's partition, and the same
-// parent and key always name the same one.
-func agentID(parent api.ProgramID, key string) api.ProgramID {
-	partition := parent[:strings.LastIndexByte(string(parent), '.')+1]
-	digest := sha256.Sum256([]byte(string(parent) + "\x00" + key))
-	return partition + api.ProgramID(hex.EncodeToString(digest[:8]))
-}
-
 // parseSubmit reads POST /v1/programs/{id}/calls.
 func (g *Gateway) parseSubmit(ctx *fasthttp.RequestCtx, request *exchange, findings *api.Findings) *api.Error {
 	var submit api.SubmitCall
--- a/link/types.go
+++ b/link/types.go
@@ -13,8 +13,9 @@
 type Message struct {
 	From machine.ID `json:"from"`
 	To   machine.ID `json:"to"`
-	// Settings goes with a membership message: what the sender holds of the
-	// settings and how sure it is of them.
+	// Settings tells what the sender holds of the settings and how sure it is
+	// of them. It goes with each membership message, and alone when the sender
+	// has made a change.
 	Settings   *contract.Report   `json:"settings,omitempty"`
 	Membership *machine.Message   `json:"membership,omitempty"`
 	Partition  *partition.Message `json:"partition,omitempty"`
--- a/node/service.go
+++ b/node/service.go
@@ -30,7 +30,7 @@
 	if resolved.Placement == "" {
 		return "", api.Refuse(api.CodeNoPermittedPlace, "branch %q permits no zone", branch).At("$.branch")
 	}
-	return partition.NewProgramID(resolved.Placement, n.config.Control.PartitionsPerPlacement, string(branch), key), nil
+	return partition.NewProgramID(string(branch), n.config.Control.PartitionsPerBranch, key), nil
 }
 
 // Route finds the node that owns a program's partition.
--- a/node/wire.go
+++ b/node/wire.go
@@ -108,7 +108,7 @@
 func newControlConfig(file *config.File, self machine.Machine, random *rand.Rand, policy schedule.Policy) control.Config {
 	settings := control.DefaultConfig(self, journal.WriterName(self.ID, self.Incarnation), random, policy)
 	timings, limits := file.Timings, file.Limits
-	settings.PartitionsPerPlacement = limits.PartitionsPerPlacement
+	settings.PartitionsPerBranch = limits.PartitionsPerBranch
 	settings.MirrorBytes = max(limits.MirrorBytes, 1)
 	settings.ListPeriod = timings.MachineListPeriod
 	settings.LoadPeriod = timings.LoadPeriod
--- a/partition/benchmark_test.go
+++ b/partition/benchmark_test.go
@@ -163,11 +163,11 @@
 	for _, count := range []int{10, 390} {
 		b.Run(fmt.Sprintf("nodes=%d", count), func(b *testing.B) {
 			nodes := benchmarkNodes(count)
-			id := ID{Placement: "isando_midrand-a_midrand-b"}
+			id := ID{Group: "koudeketting~triage"}
 			b.ReportAllocs()
 			for b.Loop() {
 				id.Index++
-				if _, found := Owner(id, nodes, ""); !found {
+				if _, found := Owner(id, "isando_midrand-a_midrand-b", nodes, ""); !found {
 					b.Fatal("no owner")
 				}
 			}
--- a/partition/claim.go
+++ b/partition/claim.go
@@ -54,7 +54,7 @@
 func (r *Replica) SetView(now time.Time, view View) {
 	r.now = now
 	r.view = view
-	desired, _ := Owner(r.config.ID, r.candidates(), "")
+	desired, _ := Owner(r.config.ID, view.Placement, r.candidates(), "")
 	if desired != r.desired || r.desiredSince.IsZero() {
 		r.desired = desired
 		r.desiredSince = now
@@ -79,7 +79,7 @@
 
 func (r *Replica) live(id machine.ID) bool {
 	for _, node := range r.view.Nodes {
-		if node.ID == id && permitted(r.config.ID, node) {
+		if node.ID == id && permitted(r.view.Placement, node) {
 			return true
 		}
 	}
--- a/partition/cluster_test.go
+++ b/partition/cluster_test.go
@@ -70,6 +70,7 @@
 	order    int
 	random   *rand.Rand
 	id       ID
+	place    zone.Placement
 	log      *simulatedLog
 	nodes    []*simulatedNode
 	cut      map[[2]machine.ID]bool
@@ -95,7 +96,8 @@
 	c := &cluster{
 		now:      time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 		random:   rand.New(rand.NewPCG(seed, seed)),
-		id:       ID{Placement: zone.NewPlacement(zones...), Index: 0},
+		id:       ID{Group: "koudeketting~triage", Index: 0},
+		place:    zone.NewPlacement(zones...),
 		log:      &simulatedLog{},
 		cut:      map[[2]machine.ID]bool{},
 		hidden:   map[machine.ID]bool{},
@@ -369,7 +371,7 @@
 		}
 	}
 	for _, node := range c.nodes {
-		view := View{Nodes: nodes, Stopping: c.stopping[node.id]}
+		view := View{Placement: c.place, Nodes: nodes, Stopping: c.stopping[node.id]}
 		c.deliver(node, linkDelay, func() { node.replica.SetView(c.now, view) })
 	}
 }
--- a/partition/example_test.go
+++ b/partition/example_test.go
@@ -52,7 +52,7 @@
 
 // A node owns a partition and dies; another node takes it over.
 func Example() {
-	id, err := partition.Parse("isando_midrand-a.0")
+	id, err := partition.Parse("koudeketting~triage.0")
 	if err != nil {
 		fmt.Println(err)
 		return
@@ -67,7 +67,7 @@
 		if err != nil {
 			fmt.Println(err)
 		}
-		replica.SetView(now, partition.View{Nodes: []machine.Machine{node}})
+		replica.SetView(now, partition.View{Placement: "isando_midrand-a", Nodes: []machine.Machine{node}})
 		now = replica.NextWake() // the dwell time before a claim
 		replica.Tick(now)
 		log.drive(replica, now)
@@ -97,8 +97,8 @@
 	}
 	owned := map[machine.ID]int{}
 	for index := range 1000 {
-		id := partition.ID{Placement: "isando_midrand-a", Index: index}
-		owner, _ := partition.Owner(id, nodes, "")
+		id := partition.ID{Group: "koudeketting~triage", Index: index}
+		owner, _ := partition.Owner(id, "isando_midrand-a", nodes, "")
 		owned[owner]++
 	}
 	fmt.Println(owned["10.0.0.1"]+owned["10.0.0.2"], "in permitted zones,", owned["10.0.0.3"], "elsewhere")
--- a/partition/id.go
+++ b/partition/id.go
@@ -2,34 +2,58 @@
 
 import (
 	"fmt"
+	"regexp"
 	"strconv"
 	"strings"
-
-	"birchwood.example/birchwood/zone"
 )
 
-// indexSeparator divides the placement from the index in a partition's text
-// form. No zone name contains it.
+// Group names the programs whose partitions share one placement: those of one
+// branch of the settings. Its placement is not part of the name, so that a
+// group whose place rule changes keeps its streams, and only its owners move.
+type Group string
+
+// indexSeparator divides the group from the index in a partition's text form.
+// No group contains it.
 const indexSeparator = "."
 
-// String returns the text form "<placement>.<index>", the stream's name.
+// branchSeparator stands for "/" in the name of a branch's group.
+const branchSeparator = "~"
+
+var validGroup = regexp.MustCompile(`^(~|[a-z0-9-]+(~[a-z0-9-]+)*)$`)
+
+// GroupOf returns the group of a branch's programs.
+func GroupOf(branch string) Group {
+	if branch == "" {
+		return branchSeparator
+	}
+	return Group(strings.ReplaceAll(branch, "/", branchSeparator))
+}
+
+// Branch returns the path of the branch whose programs the group holds.
+func (g Group) Branch() string {
+	if g == branchSeparator {
+		return ""
+	}
+	return strings.ReplaceAll(string(g), branchSeparator, "/")
+}
+
+// String returns the text form "<group>.<index>", the stream's name.
 func (id ID) String() string {
-	return string(id.Placement) + indexSeparator + strconv.Itoa(id.Index)
+	return string(id.Group) + indexSeparator + strconv.Itoa(id.Index)
 }
 
 // Parse reads the text form of a partition.
 func Parse(text string) (ID, error) {
-	placement, index, found := strings.Cut(text, indexSeparator)
+	group, index, found := strings.Cut(text, indexSeparator)
 	if !found {
-		return ID{}, fmt.Errorf("partition %q: want <placement>.<index>", text)
+		return ID{}, fmt.Errorf("partition %q: want <group>.<index>", text)
 	}
-	parsed, err := zone.ParsePlacement(placement)
-	if err != nil {
-		return ID{}, fmt.Errorf("partition %q: %w", text, err)
+	if !validGroup.MatchString(group) {
+		return ID{}, fmt.Errorf("partition %q: group: want the segments of a branch joined by %q", text, branchSeparator)
 	}
 	number, err := strconv.Atoi(index)
 	if err != nil || number < 0 || strconv.Itoa(number) != index {
 		return ID{}, fmt.Errorf("partition %q: index: want a decimal number without leading zeros", text)
 	}
-	return ID{Placement: parsed, Index: number}, nil
+	return ID{Group: Group(group), Index: number}, nil
 }
--- a/partition/mirrorset.go
+++ b/partition/mirrorset.go
@@ -119,7 +119,7 @@
 func (r *Replica) missingMirrors() []machine.ID {
 	kept := r.keptMirrors()
 	everyone := len(r.view.Nodes)
-	candidates := MirrorCandidates(r.config.ID, r.view.Nodes, r.config.Self, everyone)
+	candidates := MirrorCandidates(r.config.ID, r.view.Placement, r.view.Nodes, r.config.Self, everyone)
 	return slices.DeleteFunc(candidates, func(id machine.ID) bool {
 		return slices.ContainsFunc(kept, func(mirror journal.Mirror) bool { return mirror.ID == id })
 	})
--- a/partition/mirrorstore_test.go
+++ b/partition/mirrorstore_test.go
@@ -20,7 +20,7 @@
 
 var _ = Describe("MirrorStore", func() {
 	const owner, reader = machine.ID("a"), machine.ID("b")
-	id := ID{Placement: "isando"}
+	id := ID{Group: "koudeketting"}
 	size := entriesAfter(0, 1)[0].Size()
 	var store *MirrorStore
 
--- a/partition/owner.go
+++ b/partition/owner.go
@@ -16,11 +16,11 @@
 //
 // Rendezvous hashing moves only the partitions of a node that comes or goes,
 // and needs no agreement: two nodes with the same list name the same owner.
-func Owner(id ID, nodes []machine.Machine, hint machine.ID) (machine.ID, bool) {
+func Owner(id ID, placement zone.Placement, nodes []machine.Machine, hint machine.ID) (machine.ID, bool) {
 	var best machine.ID
 	var bestScore uint64
 	for _, node := range nodes {
-		if !permitted(id, node) {
+		if !permitted(placement, node) {
 			continue
 		}
 		if node.ID == hint {
@@ -36,17 +36,17 @@
 }
 
 // permitted reports whether the node may own or mirror the partition.
-func permitted(id ID, node machine.Machine) bool {
+func permitted(placement zone.Placement, node machine.Machine) bool {
 	if node.Status == machine.StatusLeaving || node.Status == machine.StatusDead {
 		return false
 	}
-	return id.Placement.Contains(node.Zone)
+	return placement.Contains(node.Zone)
 }
 
 // rendezvousScore ranks a node for a partition.
 func rendezvousScore(id ID, node machine.ID) uint64 {
 	var buffer [128]byte
-	text := append(buffer[:0], id.Placement...)
+	text := append(buffer[:0], id.Group...)
 	text = append(text, byte(id.Index), byte(id.Index>>8), byte(id.Index>>16), byte(id.Index>>24), 0)
 	text = append(text, node...)
 	return xxhash.Sum64(text)
@@ -55,8 +55,8 @@
 // MirrorCandidates returns up to count nodes that should mirror the partition
 // for the owner: permitted nodes other than the owner, by rendezvous rank,
 // nodes of zones that no holder is in yet first.
-func MirrorCandidates(id ID, nodes []machine.Machine, owner machine.ID, count int) []machine.ID {
-	ranked := rankedCandidates(id, nodes, owner)
+func MirrorCandidates(id ID, placement zone.Placement, nodes []machine.Machine, owner machine.ID, count int) []machine.ID {
+	ranked := rankedCandidates(id, placement, nodes, owner)
 	used := map[zone.Name]bool{}
 	for _, node := range nodes {
 		if node.ID == owner {
@@ -77,10 +77,10 @@
 	return chosen[:min(count, len(chosen))]
 }
 
-func rankedCandidates(id ID, nodes []machine.Machine, owner machine.ID) []machine.Machine {
+func rankedCandidates(id ID, placement zone.Placement, nodes []machine.Machine, owner machine.ID) []machine.Machine {
 	var ranked []machine.Machine
 	for _, node := range nodes {
-		if node.ID != owner && permitted(id, node) {
+		if node.ID != owner && permitted(placement, node) {
 			ranked = append(ranked, node)
 		}
 	}
--- a/partition/ownership_test.go
+++ b/partition/ownership_test.go
@@ -120,7 +120,7 @@
 	})
 
 	It("waits with a hand-over that is due while it is held", func() {
-		stop := View{Nodes: first.replica.view.Nodes, Stopping: true, Hold: true}
+		stop := View{Placement: c.place, Nodes: first.replica.view.Nodes, Stopping: true, Hold: true}
 		c.deliver(first, 0, func() { first.replica.SetView(c.now, stop) })
 		c.run(settleTime)
 		Expect(first.replica.HandoverDue()).To(BeTrue())
@@ -443,23 +443,21 @@
 	nodes := []machine.Machine{
 		{ID: "a", Zone: "isando"}, {ID: "b", Zone: "midrand-a"}, {ID: "c", Zone: "midrand-b"},
 	}
-	id := ID{Placement: zone.NewPlacement("isando", "midrand-a"), Index: 7}
-
 	It("names no node outside of the placement", func() {
 		for index := range 1000 {
-			owner, found := Owner(ID{Placement: id.Placement, Index: index}, nodes, "c")
+			owner, found := Owner(ID{Group: "koudeketting", Index: index}, "isando_midrand-a", nodes, "c")
 			Expect(found).To(BeTrue())
 			Expect(owner).NotTo(Equal(machine.ID("c")))
 		}
-		_, found := Owner(ID{Placement: "khalda"}, nodes, "")
+		_, found := Owner(ID{Group: "koudeketting"}, "khalda", nodes, "")
 		Expect(found).To(BeFalse())
 	})
 
 	It("moves only the partitions of a node that leaves", func() {
 		for index := range 1000 {
-			id := ID{Placement: zone.NewPlacement("isando", "midrand-a", "midrand-b"), Index: index}
-			before, _ := Owner(id, nodes, "")
-			after, _ := Owner(id, nodes[:2], "")
+			id := ID{Group: "koudeketting", Index: index}
+			before, _ := Owner(id, "isando_midrand-a_midrand-b", nodes, "")
+			after, _ := Owner(id, "isando_midrand-a_midrand-b", nodes[:2], "")
 			if before != "c" {
 				Expect(after).To(Equal(before))
 			}
@@ -468,8 +466,8 @@
 
 	It("mirrors in other zones first", func() {
 		wide := append([]machine.Machine{{ID: "d", Zone: "isando"}, {ID: "e", Zone: "midrand-a"}}, nodes...)
-		id := ID{Placement: zone.NewPlacement(threeZones...)}
-		Expect(MirrorCandidates(id, wide, "a", 2)).To(ConsistOf(
+		id := ID{Group: "koudeketting"}
+		Expect(MirrorCandidates(id, zone.NewPlacement(threeZones...), wide, "a", 2)).To(ConsistOf(
 			Or(Equal(machine.ID("b")), Equal(machine.ID("e"))), Equal(machine.ID("c"))))
 	})
 })
@@ -483,12 +481,14 @@
 				Expect(id.String()).To(Equal(text))
 			}
 		},
-		Entry("one zone", "isando.0", true),
-		Entry("two zones", "isando_midrand-a.12", true),
-		Entry("unsorted", "midrand-a_isando.12", false),
-		Entry("no index", "isando", false),
-		Entry("padded index", "isando.01", false),
-		Entry("negative index", "isando.-1", false),
+		Entry("the root", "~.0", true),
+		Entry("a branch", "koudeketting.0", true),
+		Entry("a branch below it", "koudeketting~triage.12", true),
+		Entry("an empty segment", "koudeketting~~triage.12", false),
+		Entry("a path", "koudeketting/triage.12", false),
+		Entry("no index", "koudeketting", false),
+		Entry("padded index", "koudeketting.01", false),
+		Entry("negative index", "koudeketting.-1", false),
 	)
 })
 
--- a/partition/recover.go
+++ b/partition/recover.go
@@ -65,7 +65,7 @@
 		r.send(previous, Message{Claimed: &Claimed{Epoch: fold.Epoch}})
 	}
 	r.addSources()
-	candidates := MirrorCandidates(r.config.ID, r.view.Nodes, r.config.Self, r.config.MirrorCount)
+	candidates := MirrorCandidates(r.config.ID, r.view.Placement, r.view.Nodes, r.config.Self, r.config.MirrorCount)
 	if len(candidates) > 0 {
 		r.enlist(candidates)
 	}
--- a/partition/release.go
+++ b/partition/release.go
@@ -46,12 +46,13 @@
 
 // HandoverDue reports whether an owner should hand the partition over: another
 // node has been the desired owner for the dwell time and the log answers, or
-// this node stops. It does so at once unless the view says Hold.
+// this node stops, or the place rule no longer permits it here. It does so at
+// once unless the view says Hold.
 func (r *Replica) HandoverDue() bool {
 	if r.state != StateOwning {
 		return false
 	}
-	if r.view.Stopping {
+	if r.view.Stopping || r.view.Excluded {
 		return true
 	}
 	return !r.degraded() && r.desired != "" && r.desired != r.config.Self && r.dwelled(r.config.HandoverDwell)
--- a/partition/replica.go
+++ b/partition/replica.go
@@ -70,7 +70,7 @@
 	if r.state == StateOwning || r.state == StateReleasing {
 		return r.config.Self, true
 	}
-	return Owner(r.config.ID, r.view.Nodes, r.holder)
+	return Owner(r.config.ID, r.view.Placement, r.view.Nodes, r.holder)
 }
 
 // Step takes the driver's answer to a request: an Appended or a ReadDone.
--- a/partition/types.go
+++ b/partition/types.go
@@ -11,8 +11,8 @@
 // ID names a partition: one log stream, one placement, one valid owner. Its
 // text form is "<placement>.<index>", which is also the stream's name.
 type ID struct {
-	Placement zone.Placement `json:"placement"`
-	Index     int            `json:"index"`
+	Group Group `json:"group"`
+	Index int   `json:"index"`
 }
 
 // State is a replica's part in a partition.
@@ -191,11 +191,16 @@
 
 // View is what ownership depends on, as this node sees it.
 type View struct {
+	// Placement holds the zones that may own, mirror and read the partition.
+	Placement zone.Placement
 	// Nodes are the nodes that are believed live, this one included, leaving
 	// ones left out.
 	Nodes []machine.Machine
 	// Stopping is set while this node leaves: it hands everything over.
 	Stopping bool
+	// Excluded is set on a node that the placement does not permit, such as an
+	// owner after the placement changed: it hands the partition over at once.
+	Excluded bool
 	// Hold keeps an owner from handing over: work that must not be cut is under
 	// way. HandoverDue tells when it is waited for.
 	Hold bool
--- a/scale/churn.go
+++ b/scale/churn.go
@@ -12,7 +12,6 @@
 	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/control"
 	"birchwood.example/birchwood/partition"
-	"birchwood.example/birchwood/zone"
 )
 
 // The parts of the busy phase, in hundredths of its duration.
@@ -136,7 +135,7 @@
 		victim.kill()
 	}
 	for _, id := range lost {
-		if !c.fleet.hasLiveZone(id.Placement) {
+		if !c.fleet.hasLiveZone(contract.Path(id.Group.Branch())) {
 			continue
 		}
 		c.pending.Go(func() { c.awaitOwner(id, at, recoveries) })
@@ -167,7 +166,9 @@
 	return reply.Error != nil && reply.Error.Code == api.CodeNotFound
 }
 
-func (f *fleet) hasLiveZone(placement zone.Placement) bool {
+// hasLiveZone reports whether a live node may own partitions of the branch.
+func (f *fleet) hasLiveZone(branch contract.Path) bool {
+	placement := f.world.placementOf(branch)
 	return slices.ContainsFunc(f.live(), func(joined *member) bool {
 		return placement.Contains(joined.entry.Zone)
 	})
