contract: tell the driver which peer to fetch newer settings from

A node that starts while the store is down knows from reports that newer settings exist, but nothing decided whom to ask and when.

Ready names a peer in Fetch after each failed read while one holds newer settings; the driver asks it for Export and calls Import.

Tested: go test ./contract passed.

--- a/contract/doc.go
+++ b/contract/doc.go
@@ -86,8 +86,9 @@
 // takes between nodes. Operators who append to the stream by other means than a node
 // count as a node here: they too need the store to be up for somebody.
 //
-// A node that starts while the store is down asks a peer for Export and calls
-// Import. The snapshot has a checksum, is checked as a whole before it
+// A node that cannot read the stream while a peer holds newer settings, such
+// as one that starts while the store is down, is told by Ready to Fetch: it
+// asks that peer for Export and calls Import. The snapshot has a checksum, is checked as a whole before it
 // replaces anything, and is refused when it is not newer than what is held.
 // Nothing ever moves a tree back to an older revision: not a snapshot, not a
 // stream that became shorter, not a late answer.
--- a/contract/follower.go
+++ b/contract/follower.go
@@ -119,6 +119,10 @@
 type FollowerReady struct {
 	// Read is nil when nothing is to be read now.
 	Read *FollowerRead
+	// Fetch names a peer whose settings are newer, while the stream cannot be
+	// read: the driver asks it for Export and hands the answer to Import. A
+	// failure needs no word: the next failed read asks again.
+	Fetch machine.ID
 	// Verdicts are those reached since the last Ready, in stream order.
 	Verdicts []Verdict
 	// Changed says that the revision rose since the last Ready.
@@ -160,6 +164,7 @@
 	// announced is the revision that the last Ready told of.
 	announced Revision
 	wantRead  bool
+	fetch     machine.ID
 }
 
 // NewFollower returns a follower with an empty tree, which wants to read the
@@ -211,6 +216,20 @@
 	}
 	f.failures++
 	f.readDue = now.Add(delay - f.jitter(delay/2))
+	f.fetch = f.newestPeer()
+}
+
+// newestPeer returns the peer that holds the newest settings, if they are
+// newer than those held here; of several, the first by name.
+func (f *Follower) newestPeer() machine.ID {
+	var newest machine.ID
+	position := f.tree.Position()
+	for id, peer := range f.peers {
+		if peer.report.Position > position || peer.report.Position == position && newest != "" && id < newest {
+			newest, position = id, peer.report.Position
+		}
+	}
+	return newest
 }
 
 // Step takes the answer to a read.
@@ -315,8 +334,9 @@
 
 // Ready returns what to do, and forgets it.
 func (f *Follower) Ready() FollowerReady {
-	ready := FollowerReady{Verdicts: f.verdicts}
+	ready := FollowerReady{Verdicts: f.verdicts, Fetch: f.fetch}
 	f.verdicts = nil
+	f.fetch = ""
 	if f.wantRead {
 		f.wantRead = false
 		ready.Read = &FollowerRead{Request: f.request, From: f.readFrom, Maximum: f.config.ReadMaximum}
--- a/contract/follower_test.go
+++ b/contract/follower_test.go
@@ -42,6 +42,7 @@
 	down     bool
 	verdicts []contract.Verdict
 	reads    int
+	fetches  []machine.ID
 }
 
 func newReader(log *settingsLog, id machine.ID, in zone.Name, all ...zone.Name) *reader {
@@ -65,6 +66,9 @@
 	for {
 		ready := r.Ready()
 		r.verdicts = append(r.verdicts, ready.Verdicts...)
+		if ready.Fetch != "" {
+			r.fetches = append(r.fetches, ready.Fetch)
+		}
 		if ready.Read == nil {
 			return
 		}
@@ -222,11 +226,16 @@
 			newcomer.run(now)
 			newcomer.HeardReport(now, south.Report(now))
 			Expect(newcomer.Freshness(now).State).To(Equal(contract.FreshnessBehind))
+			newcomer.runUntil(now.Add(500 * time.Millisecond))
+			Expect(newcomer.fetches).To(ContainElement(machine.ID("south")))
 
 			data, err := south.Export()
 			Expect(err).NotTo(HaveOccurred())
 			Expect(newcomer.Import(now, data)).To(Succeed())
 			Expect(newcomer.Ready().Changed).To(BeTrue())
+			newcomer.fetches = nil
+			newcomer.runUntil(now.Add(30 * time.Second))
+			Expect(newcomer.fetches).To(BeEmpty(), "no peer holds newer settings any more")
 			Expect(newcomer.Tree().Revision()).To(Equal(south.Tree().Revision()))
 			newcomer.HeardReport(now, south.Report(now))
 			newcomer.HeardReport(now, north.Report(now))
