Let partitions and gateways see leaving nodes as such

Cause: a node that began its planned stop vanished from its peers' views, so that the next owner took it for dead and claimed while it still held its hand-over for running attempts.

Change: the view lists leaving nodes with that status; they own, mirror and attend nothing new, but are asked to hand over.

--- a/api/status.go
+++ b/api/status.go
@@ -1,35 +1,52 @@
 package api
 
-import "net/http"
+// The HTTP statuses of errors, as RFC 9110 numbers them. They stand here so
+// that packages which embed the types need no HTTP package.
+const (
+	statusBadRequest            = 400
+	statusUnauthorized          = 401
+	statusPaymentRequired       = 402
+	statusForbidden             = 403
+	statusNotFound              = 404
+	statusConflict              = 409
+	statusRequestEntityTooLarge = 413
+	statusMisdirectedRequest    = 421
+	statusUnprocessableEntity   = 422
+	statusTooManyRequests       = 429
+	statusInternalServerError   = 500
+	statusBadGateway            = 502
+	statusServiceUnavailable    = 503
+	statusGatewayTimeout        = 504
+)
 
 // statuses maps each code to its HTTP status. docs/API.md holds the same
 // table, and a test compares the two.
 var statuses = map[Code]int{
-	CodeBadRequest:       http.StatusBadRequest,
-	CodeBodyTooLarge:     http.StatusRequestEntityTooLarge,
-	CodeBodyCutShort:     http.StatusBadRequest,
-	CodeUnauthorized:     http.StatusUnauthorized,
-	CodeForbidden:        http.StatusForbidden,
-	CodeNotFound:         http.StatusNotFound,
-	CodeUnknownBranch:    http.StatusNotFound,
-	CodeUnknownModel:     http.StatusUnprocessableEntity,
-	CodeUnknownTool:      http.StatusUnprocessableEntity,
-	CodeKeyReused:        http.StatusConflict,
-	CodeProgramEnded:     http.StatusConflict,
-	CodeBudgetExhausted:  http.StatusPaymentRequired,
-	CodeLimitReached:     http.StatusTooManyRequests,
-	CodeOverloaded:       http.StatusServiceUnavailable,
-	CodeNoPermittedPlace: http.StatusServiceUnavailable,
-	CodeNotOwner:         http.StatusMisdirectedRequest,
-	CodeOwnerUnknown:     http.StatusServiceUnavailable,
-	CodeStoreUnavailable: http.StatusServiceUnavailable,
-	CodeSettingsStale:    http.StatusServiceUnavailable,
-	CodeTimeout:          http.StatusGatewayTimeout,
-	CodeBackendFailed:    http.StatusBadGateway,
-	CodeCancelled:        http.StatusConflict,
-	CodeOutcomeUnknown:   http.StatusGatewayTimeout,
-	CodeShuttingDown:     http.StatusServiceUnavailable,
-	CodeConflict:         http.StatusConflict,
+	CodeBadRequest:       statusBadRequest,
+	CodeBodyTooLarge:     statusRequestEntityTooLarge,
+	CodeBodyCutShort:     statusBadRequest,
+	CodeUnauthorized:     statusUnauthorized,
+	CodeForbidden:        statusForbidden,
+	CodeNotFound:         statusNotFound,
+	CodeUnknownBranch:    statusNotFound,
+	CodeUnknownModel:     statusUnprocessableEntity,
+	CodeUnknownTool:      statusUnprocessableEntity,
+	CodeKeyReused:        statusConflict,
+	CodeProgramEnded:     statusConflict,
+	CodeBudgetExhausted:  statusPaymentRequired,
+	CodeLimitReached:     statusTooManyRequests,
+	CodeOverloaded:       statusServiceUnavailable,
+	CodeNoPermittedPlace: statusServiceUnavailable,
+	CodeNotOwner:         statusMisdirectedRequest,
+	CodeOwnerUnknown:     statusServiceUnavailable,
+	CodeStoreUnavailable: statusServiceUnavailable,
+	CodeSettingsStale:    statusServiceUnavailable,
+	CodeTimeout:          statusGatewayTimeout,
+	CodeBackendFailed:    statusBadGateway,
+	CodeCancelled:        statusConflict,
+	CodeOutcomeUnknown:   statusGatewayTimeout,
+	CodeShuttingDown:     statusServiceUnavailable,
+	CodeConflict:         statusConflict,
 }
 
 // HTTPStatus returns the HTTP status that goes with the code. An unknown code
@@ -38,7 +55,7 @@
 	if status, known := statuses[c]; known {
 		return status
 	}
-	return http.StatusInternalServerError
+	return statusInternalServerError
 }
 
 // Codes returns every known code and its HTTP status.
--- a/control/attendant.go
+++ b/control/attendant.go
@@ -69,21 +69,17 @@
 // attendantOf picks the node that attends a back end: one of the same zone if
 // there is any, by rendezvous hash.
 func attendantOf(backend machine.Machine, nodes []machine.Machine) machine.ID {
-	near := make([]machine.Machine, 0, len(nodes))
-	for _, node := range nodes {
-		if node.Zone == backend.Zone {
-			near = append(near, node)
-		}
-	}
-	if len(near) == 0 {
-		near = nodes
-	}
 	var best machine.ID
 	var bestScore uint64
-	for _, node := range near {
+	bestIsNear := false
+	for _, node := range nodes {
+		isNear := node.Zone == backend.Zone
+		if node.Status == machine.StatusLeaving || bestIsNear && !isNear {
+			continue
+		}
 		score := xxhash.Sum64String(string(backend.ID) + "\x00" + string(node.ID))
-		if best == "" || score > bestScore {
-			best, bestScore = node.ID, score
+		if best == "" || isNear && !bestIsNear || score > bestScore {
+			best, bestScore, bestIsNear = node.ID, score, isNear
 		}
 	}
 	return best
--- a/control/core.go
+++ b/control/core.go
@@ -24,6 +24,7 @@
 	hints map[partition.ID]machine.ID
 	// known are all partitions that can hold programs, sorted.
 	known []partition.ID
+	// nodes are the nodes that are believed to run, leaving ones included.
 	nodes []machine.Machine
 
 	attendant attendant
@@ -220,7 +221,7 @@
 // Backends returns the back ends that this node knows.
 func (c *Core) Backends() []machine.Machine { return c.membership.Backends() }
 
-// Nodes returns the nodes that this node believes live.
+// Nodes returns the nodes that are believed to run, leaving ones included.
 func (c *Core) Nodes() []machine.Machine { return c.nodes }
 
 // Owned describes the partitions that this node owns, for operators.
--- a/control/messages.go
+++ b/control/messages.go
@@ -123,13 +123,29 @@
 		return false
 	}
 	c.routingChanged = true
-	c.nodes = c.membership.Nodes()
+	c.nodes = presentNodes(c.membership.All())
 	c.attendant.setMachines(now, c.nodes, c.membership.Backends())
 	c.setBackends(now)
 	c.reviewPartitions(now)
 	return true
 }
 
+// presentNodes returns the nodes that are believed to run, leaving ones with
+// that status: those own nothing new, but still hold what they hand over.
+func presentNodes(known []machine.Machine) []machine.Machine {
+	var nodes []machine.Machine
+	for _, entry := range known {
+		if entry.Kind != machine.KindNode || entry.Status == machine.StatusDead {
+			continue
+		}
+		if entry.Status != machine.StatusLeaving {
+			entry.Status = machine.StatusLive
+		}
+		nodes = append(nodes, entry)
+	}
+	return nodes
+}
+
 // setBackends tells the scheduler which back ends there are. One that an
 // operator drains at the root counts as leaving, for every program.
 func (c *Core) setBackends(now time.Time) {
--- /dev/null
+++ b/internal/layout/layout_test.go
@@ -0,0 +1,245 @@
+// Package layout holds the tree to the rules of CONTRIBUTING.md: which package
+// may import which, what a pure state machine may not use, and how long files
+// and functions may be.
+package layout_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+const module = "birchwood.example/birchwood/"
+
+// layers orders the packages: each may import only packages of earlier lines.
+// A folder stands for every package below it that has no entry of its own.
+var layers = [][]string{
+	{"zone", "httpclient", "stream"},
+	{"machine", "api"},
+	{"contract", "journal", "platform", "tool", "history"},
+	{"partition", "program", "workload"},
+	{"schedule"},
+	{"engine", "link"},
+	{"control", "config", "emulator/platformmodel", "emulator/enginemodel"},
+	{"engine/enginehttp", "tool/toolhttp", "platform/platformhttp", "link/linkhttp", "gateway", "emulator/standin"},
+	{"operator", "emulator", "emulator/cluster"},
+	{"node", "load", "emulator/benchplot"},
+	{"development", "scale"},
+	{"command", "internal"},
+	{"cmd"},
+}
+
+// pure are the packages that hold state machines or plain values: no I/O, no
+// clock, no goroutine, no source of randomness that is not passed in.
+var pure = []string{
+	"zone", "machine", "api", "contract", "journal", "partition", "program", "schedule",
+	"control", "workload", "emulator/enginemodel", "emulator/platformmodel",
+}
+
+// embeddable are the packages that others use without the daemon.
+var embeddable = []string{"journal", "partition", "contract", "schedule", "history"}
+
+const (
+	maximumFileLines     = 500
+	maximumFunctionLines = 60
+)
+
+// file is one Go file of the tree.
+type file struct {
+	path    string
+	folder  string
+	syntax  *ast.File
+	lines   int
+	isTest  bool
+	imports []string
+}
+
+func load(t *testing.T) ([]file, *token.FileSet) {
+	t.Helper()
+	positions := token.NewFileSet()
+	var files []file
+	root := filepath.Join("..", "..")
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") {
+			return err
+		}
+		syntax, err := parser.ParseFile(positions, path, nil, parser.ParseComments)
+		if err != nil {
+			return err
+		}
+		relative, err := filepath.Rel(root, path)
+		if err != nil {
+			return err
+		}
+		found := file{
+			path: relative, folder: filepath.ToSlash(filepath.Dir(relative)), syntax: syntax,
+			lines: positions.File(syntax.Pos()).LineCount(), isTest: strings.HasSuffix(path, "_test.go"),
+		}
+		for _, spec := range syntax.Imports {
+			name, err := strconv.Unquote(spec.Path.Value)
+			if err != nil {
+				return err
+			}
+			found.imports = append(found.imports, name)
+		}
+		files = append(files, found)
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(files) == 0 {
+		t.Fatal("no files were read")
+	}
+	return files, positions
+}
+
+// layerOf returns the index of a folder's layer, or -1.
+func layerOf(folder string) int {
+	for name := folder; name != "." && name != ""; name = parentOf(name) {
+		for index, layer := range layers {
+			for _, entry := range layer {
+				if entry == name {
+					return index
+				}
+			}
+		}
+	}
+	return -1
+}
+
+func parentOf(folder string) string {
+	if index := strings.LastIndexByte(folder, '/'); index >= 0 {
+		return folder[:index]
+	}
+	return ""
+}
+
+func contains(list []string, entry string) bool {
+	for _, candidate := range list {
+		if candidate == entry {
+			return true
+		}
+	}
+	return false
+}
+
+func TestImportsPointToEarlierLayers(t *testing.T) {
+	files, _ := load(t)
+	for _, source := range files {
+		if source.isTest {
+			continue
+		}
+		own := layerOf(source.folder)
+		if own < 0 {
+			t.Errorf("%s: folder %s has no layer in this test", source.path, source.folder)
+			continue
+		}
+		for _, name := range source.imports {
+			target, ours := strings.CutPrefix(name, module)
+			if ours && target != source.folder && layerOf(target) >= own {
+				t.Errorf("%s imports %s, which is not in an earlier layer", source.path, target)
+			}
+		}
+	}
+}
+
+// impure are the imports and calls that a pure package may not use.
+var (
+	impureImports = []string{"net", "net/http", "os", "os/signal", "syscall", "io/fs", "crypto/rand"}
+	impureCalls   = map[string][]string{
+		"time": {"Now", "Sleep", "After", "AfterFunc", "NewTimer", "NewTicker", "Tick", "Since", "Until"},
+		"rand": {"Int", "IntN", "Int64", "Int64N", "Uint64", "Float64", "Perm", "Shuffle", "N", "NormFloat64", "ExpFloat64"},
+	}
+	impureModules = []string{"github.com/valyala/fasthttp", "github.com/fasthttp/router", "go.uber.org/dig", "github.com/phuslu/log"}
+)
+
+func TestStateMachinesArePure(t *testing.T) {
+	files, positions := load(t)
+	for _, source := range files {
+		if source.isTest || !contains(pure, source.folder) {
+			continue
+		}
+		for _, name := range source.imports {
+			if contains(impureImports, name) || contains(impureModules, name) {
+				t.Errorf("%s imports %s", source.path, name)
+			}
+		}
+		ast.Inspect(source.syntax, func(node ast.Node) bool {
+			if found := impurity(node); found != "" {
+				t.Errorf("%s: %s", positions.Position(node.Pos()), found)
+			}
+			return true
+		})
+	}
+}
+
+// impurity says what in a node a pure package may not hold.
+func impurity(node ast.Node) string {
+	switch node := node.(type) {
+	case *ast.GoStmt:
+		return "a goroutine is started"
+	case *ast.SelectorExpr:
+		if base, ok := node.X.(*ast.Ident); ok && contains(impureCalls[base.Name], node.Sel.Name) {
+			return base.Name + "." + node.Sel.Name + " is used"
+		}
+	}
+	return ""
+}
+
+func TestEmbeddablePackagesNeedNoDaemon(t *testing.T) {
+	files, _ := load(t)
+	imports := make(map[string][]string)
+	for _, source := range files {
+		if !source.isTest {
+			imports[source.folder] = append(imports[source.folder], source.imports...)
+		}
+	}
+	for _, name := range embeddable {
+		seen := make(map[string]bool)
+		visit(t, name, name, imports, seen)
+	}
+}
+
+// visit follows the project's own imports and reports HTTP and wiring.
+func visit(t *testing.T, start, folder string, imports map[string][]string, seen map[string]bool) {
+	if seen[folder] {
+		return
+	}
+	seen[folder] = true
+	for _, name := range imports[folder] {
+		if contains(impureModules, name) || name == "net/http" {
+			t.Errorf("%s reaches %s through %s", start, name, folder)
+		}
+		if target, ours := strings.CutPrefix(name, module); ours {
+			visit(t, start, target, imports, seen)
+		}
+	}
+}
+
+func TestFilesAndFunctionsAreShort(t *testing.T) {
+	files, positions := load(t)
+	for _, source := range files {
+		if source.lines > maximumFileLines {
+			t.Errorf("%s has %d lines: want at most %d", source.path, source.lines, maximumFileLines)
+		}
+		if source.isTest {
+			continue
+		}
+		for _, declaration := range source.syntax.Decls {
+			function, ok := declaration.(*ast.FuncDecl)
+			if !ok {
+				continue
+			}
+			lines := positions.Position(function.End()).Line - positions.Position(function.Pos()).Line + 1
+			if lines > maximumFunctionLines {
+				t.Errorf("%s: %s has %d lines: want at most %d", source.path, function.Name.Name, lines, maximumFunctionLines)
+			}
+		}
+	}
+}
--- a/partition/claim.go
+++ b/partition/claim.go
@@ -77,7 +77,20 @@
 	return others
 }
 
-func (r *Replica) live(id machine.ID) bool {
+// present reports whether the node is believed to run. It may be leaving, or
+// in a zone that the placement does not permit (any more): then it owns and
+// mirrors nothing new, but can still hand over and answer for what it holds.
+func (r *Replica) present(id machine.ID) bool {
+	for _, node := range r.view.Nodes {
+		if node.ID == id && node.Status != machine.StatusDead {
+			return true
+		}
+	}
+	return false
+}
+
+// eligible reports whether the node may own or mirror the partition.
+func (r *Replica) eligible(id machine.ID) bool {
 	for _, node := range r.view.Nodes {
 		if node.ID == id && permitted(r.view.Placement, node) {
 			return true
@@ -127,7 +140,7 @@
 // node.
 func (r *Replica) claimable(writer string, epoch uint64) bool {
 	winner := journal.WriterMachine(writer)
-	return epoch <= r.claim.free || winner == r.config.Self || !r.live(winner)
+	return epoch <= r.claim.free || winner == r.config.Self || !r.present(winner)
 }
 
 func (r *Replica) startClaiming() {
@@ -152,7 +165,7 @@
 // or has been silent for too long.
 func (r *Replica) askAgain() {
 	silent := !r.now.Before(r.claim.heardAt.Add(r.config.OwnerPatience))
-	if silent || !r.live(r.claim.asked) {
+	if silent || !r.present(r.claim.asked) {
 		r.freed(r.claim.askedEpoch)
 		return
 	}
--- a/partition/cluster_test.go
+++ b/partition/cluster_test.go
@@ -76,6 +76,7 @@
 	cut      map[[2]machine.ID]bool
 	hidden   map[machine.ID]bool // not in the machine list
 	stopping map[machine.ID]bool
+	holding  map[machine.ID]bool
 	adjust   func(*Config)
 	mirrored int
 	// confirmed lists the values that were confirmed to a caller, in order of
@@ -102,6 +103,7 @@
 		cut:      map[[2]machine.ID]bool{},
 		hidden:   map[machine.ID]bool{},
 		stopping: map[machine.ID]bool{},
+		holding:  map[machine.ID]bool{},
 		adjust:   adjust,
 		proposer: map[string]uint64{},
 	}
@@ -366,12 +368,16 @@
 func (c *cluster) viewChanged() {
 	var nodes []machine.Machine
 	for _, node := range c.nodes {
-		if node.alive && !node.paused && !c.hidden[node.id] && !c.stopping[node.id] {
-			nodes = append(nodes, machine.Machine{ID: node.id, Zone: node.zone, Status: machine.StatusLive})
+		status := machine.StatusLive
+		if c.stopping[node.id] {
+			status = machine.StatusLeaving
+		}
+		if node.alive && !node.paused && !c.hidden[node.id] {
+			nodes = append(nodes, machine.Machine{ID: node.id, Zone: node.zone, Status: status})
 		}
 	}
 	for _, node := range c.nodes {
-		view := View{Placement: c.place, Nodes: nodes, Stopping: c.stopping[node.id]}
+		view := View{Placement: c.place, Nodes: nodes, Stopping: c.stopping[node.id], Hold: c.holding[node.id], Excluded: !c.place.Contains(node.zone)}
 		c.deliver(node, linkDelay, func() { node.replica.SetView(c.now, view) })
 	}
 }
--- a/partition/mirrorset.go
+++ b/partition/mirrorset.go
@@ -63,7 +63,7 @@
 func (r *Replica) reviewCandidates() []machine.ID {
 	var asked []machine.ID
 	for _, link := range r.mirrors.links {
-		if r.live(link.mirror.ID) && (link.restarted || r.incarnation(link.mirror.ID) != link.incarnation) {
+		if r.eligible(link.mirror.ID) && (link.restarted || r.incarnation(link.mirror.ID) != link.incarnation) {
 			asked = append(asked, link.mirror.ID)
 		}
 	}
@@ -108,7 +108,7 @@
 func (r *Replica) keptMirrors() []journal.Mirror {
 	var kept []journal.Mirror
 	for _, link := range r.mirrors.links {
-		if r.live(link.mirror.ID) && !link.restarted && slices.Contains(r.mirrors.current, link.mirror) {
+		if r.eligible(link.mirror.ID) && !link.restarted && slices.Contains(r.mirrors.current, link.mirror) {
 			kept = append(kept, link.mirror)
 		}
 	}
--- a/partition/ownership_test.go
+++ b/partition/ownership_test.go
@@ -1,14 +1,12 @@
 package partition
 
 import (
-	"errors"
 	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/zone"
 )
@@ -119,16 +117,39 @@
 		Expect(err).To(MatchError(ErrNotOwner))
 	})
 
-	It("waits with a hand-over that is due while it is held", func() {
-		stop := View{Placement: c.place, Nodes: first.replica.view.Nodes, Stopping: true, Hold: true}
-		c.deliver(first, 0, func() { first.replica.SetView(c.now, stop) })
+	It("waits with a hand-over that is due while it is held, and nobody claims meanwhile", func() {
+		c.stopping[first.id] = true
+		c.holding[first.id] = true
+		c.viewChanged()
 		c.run(settleTime)
 		Expect(first.replica.HandoverDue()).To(BeTrue())
 		Expect(first.replica.State()).To(Equal(StateOwning))
 		expectConfirmed(c, proposeSome(c, first, 1))
-		stop.Hold = false
-		c.deliver(first, 0, func() { first.replica.SetView(c.now, stop) })
-		Expect(c.runUntil(settleTime, func() bool { return first.lost > 0 })).To(BeTrue())
+		c.holding[first.id] = false
+		c.viewChanged()
+		Expect(c.runUntil(settleTime, func() bool { return c.hasOwner() && c.owner() != first })).To(BeTrue())
+		Expect(c.owner().replica.Epoch()).To(Equal(uint64(2)))
+	})
+
+	It("leaves a node that the place rule excludes at once", func() {
+		c.place = zone.NewPlacement(slices.DeleteFunc(slices.Clone(threeZones), func(name zone.Name) bool { return name == first.zone })...)
+		c.viewChanged()
+		Expect(c.runUntil(time.Second, func() bool { return c.hasOwner() && c.owner() != first })).To(BeTrue())
+	})
+
+	It("lets a node that the place rule excludes finish what is held, and loses nothing", func() {
+		values := proposeSome(c, first, 5)
+		c.place = zone.NewPlacement(slices.DeleteFunc(slices.Clone(threeZones), func(name zone.Name) bool { return name == first.zone })...)
+		c.holding[first.id] = true
+		c.viewChanged()
+		c.run(settleTime)
+		values = append(values, proposeSome(c, first, 1)...)
+		expectConfirmed(c, values)
+		c.holding[first.id] = false
+		c.viewChanged()
+		Expect(c.runUntil(time.Second, func() bool { return c.hasOwner() && c.owner() != first })).To(BeTrue())
+		Expect(c.owner().state).To(Equal(values))
+		Expect(c.place.Contains(c.owner().zone)).To(BeTrue())
 	})
 
 	It("keeps the owner while the machine list flaps", func() {
@@ -438,70 +459,3 @@
 		Expect(owner.replica.journal.Fold().Mirrors.Unread).To(Equal(uint64(1)))
 	})
 })
-
-var _ = Describe("Owner", func() {
-	nodes := []machine.Machine{
-		{ID: "a", Zone: "isando"}, {ID: "b", Zone: "midrand-a"}, {ID: "c", Zone: "midrand-b"},
-	}
-	It("names no node outside of the placement", func() {
-		for index := range 1000 {
-			owner, found := Owner(ID{Group: "koudeketting", Index: index}, "isando_midrand-a", nodes, "c")
-			Expect(found).To(BeTrue())
-			Expect(owner).NotTo(Equal(machine.ID("c")))
-		}
-		_, found := Owner(ID{Group: "koudeketting"}, "khalda", nodes, "")
-		Expect(found).To(BeFalse())
-	})
-
-	It("moves only the partitions of a node that leaves", func() {
-		for index := range 1000 {
-			id := ID{Group: "koudeketting", Index: index}
-			before, _ := Owner(id, "isando_midrand-a_midrand-b", nodes, "")
-			after, _ := Owner(id, "isando_midrand-a_midrand-b", nodes[:2], "")
-			if before != "c" {
-				Expect(after).To(Equal(before))
-			}
-		}
-	})
-
-	It("mirrors in other zones first", func() {
-		wide := append([]machine.Machine{{ID: "d", Zone: "isando"}, {ID: "e", Zone: "midrand-a"}}, nodes...)
-		id := ID{Group: "koudeketting"}
-		Expect(MirrorCandidates(id, zone.NewPlacement(threeZones...), wide, "a", 2)).To(ConsistOf(
-			Or(Equal(machine.ID("b")), Equal(machine.ID("e"))), Equal(machine.ID("c"))))
-	})
-})
-
-var _ = Describe("ID", func() {
-	DescribeTable("Parse",
-		func(text string, valid bool) {
-			id, err := Parse(text)
-			Expect(err == nil).To(Equal(valid))
-			if valid {
-				Expect(id.String()).To(Equal(text))
-			}
-		},
-		Entry("the root", "~.0", true),
-		Entry("a branch", "koudeketting.0", true),
-		Entry("a branch below it", "koudeketting~triage.12", true),
-		Entry("an empty segment", "koudeketting~~triage.12", false),
-		Entry("a path", "koudeketting/triage.12", false),
-		Entry("no index", "koudeketting", false),
-		Entry("padded index", "koudeketting.01", false),
-		Entry("negative index", "koudeketting.-1", false),
-	)
-})
-
-var _ = Describe("Config", func() {
-	It("reports all findings together", func() {
-		_, err := NewReplica(Config{Self: "a", Writer: "b/1", MirrorCount: 3})
-		for _, finding := range []string{"ID", "Writer", "Mirrors", "MirrorDelay", "AppendTimeout", "Random"} {
-			Expect(err).To(MatchError(ContainSubstring(finding)))
-		}
-	})
-
-	It("accepts the name of any process of the node", func() {
-		Expect(journal.WriterMachine(journal.WriterName("10.0.0.1:7000", 3))).To(Equal(machine.ID("10.0.0.1:7000")))
-		Expect(errors.Is(ErrFull, journal.ErrFull)).To(BeTrue())
-	})
-})
--- a/partition/recover.go
+++ b/partition/recover.go
@@ -204,13 +204,13 @@
 // the epoch's owner is gone too, as far as this node's view goes.
 func (r *Replica) hopeless(stall Stall) bool {
 	for _, source := range r.recover.sources {
-		if source.owner && !source.restarted && r.live(source.mirror.ID) {
+		if source.owner && !source.restarted && r.present(source.mirror.ID) {
 			return false
 		}
 	}
 	reachable := stall.Read
 	for _, mirror := range stall.Silent {
-		if r.live(mirror) {
+		if r.present(mirror) {
 			reachable++
 		}
 	}
@@ -341,7 +341,7 @@
 // advanceSettlement repeats the trim to those that have not answered.
 func (r *Replica) advanceSettlement() {
 	r.settled.links = slices.DeleteFunc(r.settled.links, func(link *settlementLink) bool {
-		return link.attempts >= settlementAttempts && !r.live(link.mirror)
+		return link.attempts >= settlementAttempts && !r.present(link.mirror)
 	})
 	for _, link := range r.settled.links {
 		if r.now.Before(link.deadline) {
--- a/partition/types.go
+++ b/partition/types.go
@@ -9,7 +9,7 @@
 )
 
 // ID names a partition: one log stream, one placement, one valid owner. Its
-// text form is "<placement>.<index>", which is also the stream's name.
+// text form is "<group>.<index>", which is also the stream's name.
 type ID struct {
 	Group Group `json:"group"`
 	Index int   `json:"index"`
@@ -193,8 +193,9 @@
 type View struct {
 	// Placement holds the zones that may own, mirror and read the partition.
 	Placement zone.Placement
-	// Nodes are the nodes that are believed live, this one included, leaving
-	// ones left out.
+	// Nodes are the nodes that are believed live, this one included. Leaving
+	// ones belong to them, with that status: they own and mirror nothing new,
+	// but are asked to hand over before anybody claims.
 	Nodes []machine.Machine
 	// Stopping is set while this node leaves: it hands everything over.
 	Stopping bool
--- a/workload/profiles.go
+++ b/workload/profiles.go
@@ -55,11 +55,9 @@
 	}
 }
 
-// koudekettingProfiles are the programs of the cold chain. The small model
-// answers people who wait, the large one writes.
-func koudekettingProfiles(models []string) []Profile {
-	small, large := models[:1], models[1:]
-	section := Profile{
+// auditSection is the sub-agent that writes one section of an audit pack.
+func auditSection(large []string) Profile {
+	return Profile{
 		Kind: KindAuditSection, Branches: []contract.Path{"koudeketting/audit"}, Models: large, Priority: 4,
 		Turns:   Lognormal{Median: 3, Sigma: 0.4, Maximum: 8},
 		Context: Lognormal{Median: 1500, Sigma: 0.5, Maximum: 6000},
@@ -67,6 +65,13 @@
 		Output:  Lognormal{Median: 200, Sigma: 0.5}, OutputCap: 600,
 		Tools: []ToolUse{lookup(toolReadLogger, 0.6)},
 	}
+}
+
+// koudekettingProfiles are the programs of the cold chain. The small model
+// answers people who wait, the large one writes.
+func koudekettingProfiles(models []string) []Profile {
+	small, large := models[:1], models[1:]
+	section := auditSection(large)
 	return []Profile{
 		{
 			Kind: KindTriage, Branches: []contract.Path{"koudeketting/triage"}, Models: small,
