run-deployment: say why a process ended, and take other settings

A port that was in use showed only as a time-out of half a minute.

Look at the process while waiting for it, and print the last line of its log when it has ended; BIRCHWOOD_CONFIG names another folder of settings.

--- a/scripts/run-deployment.sh
+++ b/scripts/run-deployment.sh
@@ -6,11 +6,12 @@
 #   scripts/run-deployment.sh NAME load [FLAGS OF birchwood load...]
 #   scripts/run-deployment.sh NAME stop
 #
-# The ids and logs stand in ${BIRCHWOOD_RUN:-${TMPDIR:-/tmp}/birchwood-NAME}.
+# The ids and logs stand in ${BIRCHWOOD_RUN:-${TMPDIR:-/tmp}/birchwood-NAME}, the
+# settings in ${BIRCHWOOD_CONFIG:-config/NAME}.
 set -euo pipefail
 
 usage() {
-  sed -n '2,9s/^# \{0,1\}//p' "$0"
+  sed -n '2,10s/^# \{0,1\}//p' "$0"
   exit 2
 }
 
@@ -20,8 +21,8 @@
 shift 2
 
 root=$(cd "$(dirname "$0")/.." && pwd)
-config=$root/config/$name
-[ -f "$config/standin.yaml" ] || { echo "no deployment $name in config/" >&2; exit 2; }
+config=${BIRCHWOOD_CONFIG:-$root/config/$name}
+[ -f "$config/standin.yaml" ] || { echo "no deployment $name in $config" >&2; exit 2; }
 run=${BIRCHWOOD_RUN:-${TMPDIR:-/tmp}/birchwood-$name}
 binary=$run/birchwood
 
@@ -38,15 +39,19 @@
   echo $! >"$run/$process.pid"
 }
 
-# await ADDRESS PATH waits until the address answers with success.
+# await NAME ADDRESS PATH waits until the process answers with success.
 await() {
   for _ in $(seq 1 150); do
-    if curl -sf -m 2 -o /dev/null "http://$1$2"; then
+    if ! kill -0 "$(cat "$run/$1.pid")" 2>/dev/null; then
+      echo "$1 ended: $(tail -n 1 "$run/$1.log")" >&2
+      exit 1
+    fi
+    if curl -sf -m 2 -o /dev/null "http://$2$3"; then
       return
     fi
     sleep 0.2
   done
-  echo "$1$2 does not answer; see the logs in $run" >&2
+  echo "$1 does not answer at $2$3; see the logs in $run" >&2
   exit 1
 }
 
@@ -58,12 +63,12 @@
   fi
   (cd "$root" && go build -o "$binary" ./cmd/birchwood)
   launch standin standin --config "$config/standin.yaml"
-  await "$(node_value "$config/standin.yaml" platform)" /machines
+  await standin "$(node_value "$config/standin.yaml" platform)" /machines
   for file in "$config"/node-*.yaml; do
     launch "$(basename "$file" .yaml)" serve --config "$file"
   done
   for file in "$config"/node-*.yaml; do
-    await "$(node_value "$file" operator)" /readyz
+    await "$(basename "$file" .yaml)" "$(node_value "$file" operator)" /readyz
   done
   echo "$name runs; ids and logs in $run"
 }
