--- a/partition/property_test.go
+++ b/partition/property_test.go
@@ -79,6 +79,8 @@
 			"cut":          world.cutLink,
 			"list":         world.flapList,
 			"stop":         world.stopOne,
+			"hold":         world.holdOne,
+			"place":        world.changePlace,
 		})
 		world.healAndCheck(t)
 	})
@@ -177,6 +179,20 @@
 	w.viewChanged()
 }
 
+func (w *faultyWorld) holdOne(t *rapid.T) {
+	id := w.any(t).id
+	w.holding[id] = !w.holding[id]
+	w.viewChanged()
+}
+
+// changePlace narrows the placement to some of its zones, or widens it again.
+func (w *faultyWorld) changePlace(t *rapid.T) {
+	first := rapid.SampledFrom(w.nodes).Draw(t, "first").zone
+	second := rapid.SampledFrom(w.nodes).Draw(t, "second").zone
+	w.place = zone.NewPlacement(first, second)
+	w.viewChanged()
+}
+
 // healAndCheck ends every fault. The partition is then owned and serves,
 // unless a quorum of mirrors has lost its memory: that is said, and ends by
 // decision alone.
@@ -205,6 +221,15 @@
 	}
 }
 
+// widest is the placement of all zones that have a node.
+func (w *faultyWorld) widest() zone.Placement {
+	var zones []zone.Name
+	for _, node := range w.nodes {
+		zones = append(zones, node.zone)
+	}
+	return zone.NewPlacement(zones...)
+}
+
 func (w *faultyWorld) heal() {
 	w.log.down = false
 	w.log.loseAnswers = 0
@@ -212,6 +237,8 @@
 	clear(w.cut)
 	clear(w.hidden)
 	clear(w.stopping)
+	clear(w.holding)
+	w.place = w.widest()
 	for _, node := range w.nodes {
 		if !node.alive {
 			w.restart(node)
