--- a/gateway/config.go
+++ b/gateway/config.go
@@ -48,7 +48,8 @@
 	// MaximumHops bounds how often a request is passed on.
 	MaximumHops int
 	// MaximumAttempts bounds how often a request is tried while its owner
-	// changes.
+	// changes. With the default delays, requests outlast a change of some 20
+	// seconds.
 	MaximumAttempts int
 	// RetryDelay is the pause before the second attempt. It doubles up to
 	// MaximumRetryDelay, each with a random part.
@@ -92,7 +93,7 @@
 		ConnectionsPerPeer: 4096,
 		Connections:        16384,
 		MaximumHops:        3,
-		MaximumAttempts:    12,
+		MaximumAttempts:    30,
 		RetryDelay:         50 * time.Millisecond,
 		MaximumRetryDelay:  time.Second,
 		RetryRatio:         0.2,
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -294,6 +294,7 @@
 	config.KeepAlive = 20 * time.Millisecond
 	config.WaitSlice = 50 * time.Millisecond
 	config.PeerSilence = time.Second
+	config.MaximumAttempts = 12
 	config.RetryDelay = 5 * time.Millisecond
 	config.MaximumRetryDelay = 50 * time.Millisecond
 	config.Random = rand.New(rand.NewPCG(1, 2))
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -205,12 +205,19 @@
 // attempt can mend from one that stands.
 func refusedLocally(refusal *api.Error) outcome {
 	result := refused(refusal)
-	result.retry = refusal.Code == api.CodeNotOwner || refusal.Code == api.CodeOwnerUnknown
+	result.retry = hasMoved(refusal)
 	result.unknown = refusal.Ran == api.RanOutcomeUnknown
 	return result
 }
 
-// callState asks for the state of a call whose wait ended early.
+// hasMoved reports whether an error says that the program is to be found at
+// another node.
+func hasMoved(refusal *api.Error) bool {
+	return refusal.Code == api.CodeNotOwner || refusal.Code == api.CodeOwnerUnknown
+}
+
+// callState asks for the state of a call whose wait ended early. A program
+// that moved to another node meanwhile is asked about there.
 func (g *Gateway) callState(asked control.Request) control.Reply {
 	if asked.Submit != nil {
 		asked.Key = asked.Submit.Key
@@ -222,7 +229,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
 	defer cancel()
 	reply := g.service.Do(ctx, asked)
-	if reply.Error == nil {
+	if reply.Error == nil || hasMoved(reply.Error) {
 		return reply
 	}
 	return control.Reply{Error: &api.Error{
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -1,6 +1,3 @@
-// Package gateway serves callers over HTTP: it authenticates them, checks
-// their input, finds the owner of a program, relays requests to it, and
-// streams answers.
 package gateway
 
 import (
