control: let nodes outside of narrowed zones give up what they mirror

A node drops every message about a partition whose placement does not permit it. When the zones of a branch were narrowed while its owner was dead, the new owner asked mirrors that now stand outside, which never answered: the partition stayed closed for ever, and its programs with it.

Refuse only what would bring data to such a node, a mirror's append or a hand-over; questions and trims are served.

The new spec and the fixed runs of emulator/cluster pass, and were seen failing with the old rule.

--- a/control/messages.go
+++ b/control/messages.go
@@ -32,10 +32,12 @@
 }
 
 // stepPartitionMessage serves a mirror's part, or hands the message to the
-// partition's replica on this node. Data of a partition is only held where
-// its placement permits.
+// partition's replica on this node. Nothing new of a partition is taken where
+// its placement does not permit it. What a node outside still holds, since the
+// placement was narrowed, it gives up like any other: a new owner must read it.
 func (c *Core) stepPartitionMessage(now time.Time, from machine.ID, message partition.Message) {
-	if !c.placement(message.Partition).Contains(c.config.Self.Zone) {
+	brings := message.Mirror != nil || message.Handover != nil
+	if brings && !c.placement(message.Partition).Contains(c.config.Self.Zone) {
 		return
 	}
 	if message.ForMirror() {
--- a/emulator/cluster/cluster_test.go
+++ b/emulator/cluster/cluster_test.go
@@ -174,4 +174,19 @@
 		}
 		Expect(stopped).To(Equal(1))
 	})
+
+	It("recovers a partition whose zones were narrowed while its owner was dead", func() {
+		// One of the nodes owns the program; the others then hold its mirrors
+		// and stand outside of the new zones.
+		for owner, name := range cluster.DefaultConfig(0).Zones {
+			running := open(5)
+			running.StartProgram(models(3))
+			running.Advance(time.Second)
+			running.Crash(owner)
+			running.ChangeZones(cluster.BranchCold, []zone.Name{name}, owner+1)
+			running.Advance(time.Second)
+			Expect(running.Restart(owner)).To(Succeed())
+			settled(running)
+		}
+	})
 })
--- a/emulator/cluster/fault.go
+++ b/emulator/cluster/fault.go
@@ -137,7 +137,12 @@
 }
 
 // Flap makes the machine list leave out entries at random, or stops that.
-func (c *Cluster) Flap(on bool) { c.flapping = on }
+func (c *Cluster) Flap(on bool) {
+	if on != c.flapping {
+		c.flapping = on
+		c.fault(history.FaultList, "", on)
+	}
+}
 
 // CrashEngine kills an engine: its streams and prefixes are gone.
 func (c *Cluster) CrashEngine(index int) {
--- a/history/placement.go
+++ b/history/placement.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		last := lastBefore(placed, r.At)
-		disturbed := last != nil && c.quietTime(r.Stream.Machine, last.Placed.Since, r.At) <= c.run.MoveBound
+		disturbed := last != nil && c.quietTime(last.Placed.Since, r.At, anyFault) <= c.run.MoveBound
 		if disturbed && everPermitted(placed, r.Stream.Zone) {
 			continue
 		}
