Give a node the settings while the store is down, and stop it without a pause

Cause: (1) a node that started while the log service was down stayed without settings. (3) A call whose chosen back end its terms no longer permitted was never scheduled again.

--- a/control/actions.go
+++ b/control/actions.go
@@ -32,6 +32,11 @@
 // ReadSettings reads the settings stream; SettingsRead answers it.
 type ReadSettings struct{ Read contract.FollowerRead }
 
+// FetchSettings asks a peer for the settings that it holds, because the log
+// service cannot be read and the peer knows newer ones; SettingsFetched
+// answers it.
+type FetchSettings struct{ Peer machine.Machine }
+
 // SettingsVerdict tells what became of a change of the settings.
 type SettingsVerdict struct{ Verdict contract.Verdict }
 
@@ -52,8 +57,11 @@
 type SendAttempt struct {
 	Partition partition.ID
 	Attempt   program.AttemptRef
-	Backend   machine.Machine
-	Call      api.SubmitCall
+	// Epoch goes back with the outcome, so that the outcome of another
+	// epoch's attempt of the same number is told apart.
+	Epoch   uint64
+	Backend machine.Machine
+	Call    api.SubmitCall
 	// Key identifies the call at a tool service.
 	Key      string
 	Deadline time.Time
@@ -151,6 +159,7 @@
 func (AppendStream) isAction()        {}
 func (ReadStream) isAction()          {}
 func (ReadSettings) isAction()        {}
+func (FetchSettings) isAction()       {}
 func (SettingsVerdict) isAction()     {}
 func (SettingsChanged) isAction()     {}
 func (ListMachines) isAction()        {}
--- a/control/apply.go
+++ b/control/apply.go
@@ -165,6 +165,7 @@
 	c.emit(SendAttempt{
 		Partition: owned.id,
 		Attempt:   effect.Attempt,
+		Epoch:     effect.Epoch,
 		Backend:   backend,
 		Call:      effect.Call,
 		Key:       effect.Key,
@@ -286,7 +287,7 @@
 		c.delayed.push(due, owned.id, effect)
 		return
 	}
-	backend, ok := c.attendant.backend(effect.Backend)
+	backend, ok := c.lookupBackend(owned, effect)
 	if !ok {
 		result := program.LookupResult{Call: effect.Attempt.CallRef, Err: errBackendUnknown}
 		c.stepLookup(now, result)
@@ -295,6 +296,26 @@
 	c.emit(LookUpKey{Call: effect.Attempt.CallRef, Backend: backend, Key: effect.Key})
 }
 
+// lookupBackend returns the replica to ask about a key: the one that the call
+// was sent to, or, when the machine list no longer shows that one, another
+// replica of the same tool. The replicas of a service share what they know.
+func (c *Core) lookupBackend(owned *ownedPartition, effect program.Effect) (machine.Machine, bool) {
+	terms, _ := owned.store.Terms(effect.Attempt.Program)
+	var other machine.Machine
+	for _, backend := range c.membership.Backends() {
+		if backend.ID == effect.Backend {
+			return backend, true
+		}
+		if slices.Contains(backend.Tools, effect.Call.Tool) && terms.Placement.Contains(backend.Zone) {
+			other = backend
+		}
+	}
+	if other.ID != "" {
+		return other, true
+	}
+	return c.attendant.backend(effect.Backend)
+}
+
 var errBackendUnknown = errors.New("the back end is not in the machine list")
 
 // stepLookup hands the answer about a key to the program.
--- a/control/core.go
+++ b/control/core.go
@@ -93,6 +93,8 @@
 		c.stepReplica(now, event.Partition, event.Result)
 	case SettingsRead:
 		c.follower.Step(now, event.Result)
+	case SettingsFetched:
+		c.stepSettingsFetched(now, event)
 	case SettingsAppended:
 		c.follower.Heard(now, event.Revision)
 		c.announceSettings(now)
--- a/control/events.go
+++ b/control/events.go
@@ -41,6 +41,12 @@
 // SettingsRead answers ReadSettings.
 type SettingsRead struct{ Result contract.ReadDone }
 
+// SettingsFetched answers FetchSettings.
+type SettingsFetched struct {
+	Data []byte
+	Err  error
+}
+
 // RequestReceived is a caller's or operator's request. The Core answers with
 // the same handle, once.
 type RequestReceived struct {
@@ -102,6 +108,7 @@
 func (StreamAppended) isEvent()   {}
 func (StreamRead) isEvent()       {}
 func (SettingsRead) isEvent()     {}
+func (SettingsFetched) isEvent()  {}
 func (RequestReceived) isEvent()  {}
 func (RequestAbandoned) isEvent() {}
 func (AttemptEnded) isEvent()     {}
--- a/control/scheduling.go
+++ b/control/scheduling.go
@@ -40,11 +40,14 @@
 // contract may have narrowed since the call was handed to the scheduler.
 func (c *Core) place(now time.Time, decision schedule.Decision) {
 	owned, ok := c.ownerOf(decision.Call.Program)
-	if !ok || owned.draining || !c.permits(owned, decision) {
+	effect, queued := owned.takeQueued(ok, decision.Call)
+	if !queued || !c.permits(owned, decision) {
 		c.unplace(now, decision)
+		if queued {
+			c.retryPlacement(now, owned, effect)
+		}
 		return
 	}
-	delete(owned.queued, decision.Call)
 	owned.placed[decision.Call] = placedCall{backend: decision.Backend, decision: decision}
 	command := program.Command{
 		Program:  decision.Call.Program,
@@ -60,6 +63,28 @@
 	c.apply(now, owned, output, nil)
 }
 
+// takeQueued takes a call out of those that the scheduler holds for the
+// partition; found is whether this node serves the partition at all.
+func (p *ownedPartition) takeQueued(found bool, call program.CallRef) (program.Effect, bool) {
+	if !found {
+		return program.Effect{}, false
+	}
+	effect, queued := p.queued[call]
+	delete(p.queued, call)
+	return effect, queued
+}
+
+// placementRetry is how long a call waits to be scheduled again after a
+// choice that its terms no longer permitted.
+const placementRetry = 100 * time.Millisecond
+
+// retryPlacement hands a call to the scheduler once more, a little later. The
+// scheduler keeps calls only until it has decided.
+func (c *Core) retryPlacement(now time.Time, owned *ownedPartition, effect program.Effect) {
+	effect.Delay = placementRetry
+	c.start(now, owned, effect)
+}
+
 // permits reports whether the program's terms let the chosen back end have
 // its data.
 func (c *Core) permits(owned *ownedPartition, decision schedule.Decision) bool {
--- a/control/settings.go
+++ b/control/settings.go
@@ -17,6 +17,9 @@
 	if ready.Read != nil {
 		c.emit(ReadSettings{Read: *ready.Read})
 	}
+	if peer, ok := c.membership.Lookup(ready.Fetch); ok {
+		c.emit(FetchSettings{Peer: peer})
+	}
 	for _, verdict := range ready.Verdicts {
 		c.emit(SettingsVerdict{Verdict: verdict})
 	}
@@ -34,6 +37,14 @@
 	return true
 }
 
+// stepSettingsFetched takes in a peer's settings. A failure or an older copy
+// changes nothing: the follower asks again.
+func (c *Core) stepSettingsFetched(now time.Time, event SettingsFetched) {
+	if event.Err == nil {
+		_ = c.follower.Import(now, event.Data)
+	}
+}
+
 // announceSettings tells every peer at once that a newer record of the
 // settings exists, so that each reads it without waiting for its next poll or
 // for gossip. Changes are rare: the cost is one small message a peer for each.
--- a/development/development.go
+++ b/development/development.go
@@ -71,7 +71,7 @@
 		return err
 	}
 	for _, file := range settings.Nodes {
-		if err := s.startNode(file, loggers(string(file.Node.ID))); err != nil {
+		if err := s.Add(file, loggers(string(file.Node.ID))); err != nil {
 			return err
 		}
 	}
@@ -83,9 +83,9 @@
 	return nil
 }
 
-// startNode opens a node's listeners, whose addresses its file then names,
-// and starts it.
-func (s *System) startNode(file *config.File, logger *log.Logger) error {
+// Add starts one more node, without waiting until it is ready. It opens the
+// node's listeners, whose addresses the file then names.
+func (s *System) Add(file *config.File, logger *log.Logger) error {
 	callers, err := net.Listen("tcp", file.Node.Listen)
 	if err != nil {
 		return err
--- a/development/path_bench_test.go
+++ b/development/path_bench_test.go
@@ -14,8 +14,6 @@
 	"testing"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/config"
 	"birchwood.example/birchwood/development"
@@ -34,7 +32,6 @@
 	for i := range settings.Standin.Standin.Engines {
 		settings.Standin.Standin.Engines[i].Speed = fastEngines
 	}
-	silent := func(string) *log.Logger { return &log.Logger{Level: log.PanicLevel} }
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	system, err := development.Start(ctx, settings, silent)
--- a/development/system_test.go
+++ b/development/system_test.go
@@ -78,6 +78,9 @@
 	return api.SubmitCall{Key: key, Kind: api.CallTool, Tool: tool, Input: input}
 }
 
+// silent is a logger that writes nothing.
+func silent(string) *log.Logger { return &log.Logger{Level: log.PanicLevel} }
+
 // zoneOf returns the zone of an engine of the development system.
 func zoneOf(system *development.System, backend string) zone.Name {
 	backends, err := system.Nodes[0].Process.Node.Backends(context.Background())
@@ -98,7 +101,6 @@
 	BeforeAll(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
-		silent := func(string) *log.Logger { return &log.Logger{Level: log.PanicLevel} }
 		started, err := development.Start(ctx, config.Dev(), silent)
 		Expect(err).NotTo(HaveOccurred())
 		system = started
@@ -165,6 +167,21 @@
 		}).WithTimeout(patience).Should(Succeed())
 	})
 
+	It("gives a node that starts while the log service is down the settings from a peer", func() {
+		held := system.Nodes[0].Process.Node.Settings().Revision()
+		Expect(system.Standins.Faults().Add(standin.Fault{Name: "outage", Kind: standin.FaultDown, Target: standin.TargetLog})).To(Succeed())
+		DeferCleanup(func() { system.Standins.Faults().Remove("outage") })
+		late := config.Dev().Nodes[0]
+		late.Node.ID = "node-late"
+		Expect(system.Add(late, silent("node-late"))).To(Succeed())
+		started := system.Nodes[len(system.Nodes)-1]
+		Eventually(func() any { return started.Process.Node.Settings().Revision() }).WithTimeout(patience).Should(Equal(held))
+		system.Standins.Faults().Remove("outage")
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		Expect(started.Process.Node.AwaitReady(ctx)).To(Succeed())
+	})
+
 	It("moves a branch's programs to another zone, and their next call goes there", func() {
 		program := at(0).create("demo/north-only", "moved")
 		first := at(0).call(program, modelCall("first", "first. "))
--- a/machine/membership.go
+++ b/machine/membership.go
@@ -159,6 +159,19 @@
 	m.self.Status = StatusLeaving
 	m.viewChanged()
 	m.spread(m.selfUpdate())
+	m.announce(m.selfUpdate())
+}
+
+// announce sends an update to every node at once. Gossip alone would reach
+// them too, but over several periods, in which they would hand partitions to a
+// node that gives its own away. A node leaves seldom: one message a peer.
+func (m *Membership) announce(update Update) {
+	m.refreshViews()
+	for _, node := range m.nodes {
+		if node.ID != m.self.ID {
+			m.send(node.ID, Message{Kind: MessageAnnounce, Updates: []Update{update}})
+		}
+	}
 }
 
 // Nodes returns the live nodes, this one included unless it is leaving,
--- a/machine/message.go
+++ b/machine/message.go
@@ -9,6 +9,8 @@
 	MessageAck   MessageKind = "ack"
 	// MessageProbeFor asks the receiver to probe Target and to relay the ack.
 	MessageProbeFor MessageKind = "probe_for"
+	// MessageAnnounce carries updates alone and asks for no answer.
+	MessageAnnounce MessageKind = "announce"
 	// MessageGossip carries updates alone and is not answered.
 	MessageGossip MessageKind = "gossip"
 )
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -81,7 +81,7 @@
 	n.transcripts.beginKnown(action.Attempt.CallRef, action.Call.Input, action.Prompt)
 	request := tool.Request{Key: action.Key, Tool: action.Call.Tool, Input: action.Call.Input}
 	output, err := n.tools.Tool(action.Backend).Run(ctx, request)
-	ended := control.AttemptEnded{Backend: action.Backend.ID, Outcome: program.Outcome{Attempt: action.Attempt}}
+	ended := control.AttemptEnded{Backend: action.Backend.ID, Outcome: program.Outcome{Attempt: action.Attempt, Epoch: action.Epoch}}
 	if err == nil {
 		ended.Outcome.Status = api.StatusSucceeded
 		ended.Outcome.Output = output
@@ -126,7 +126,7 @@
 // runModel sends one model call and passes its tokens to the readers as they
 // come. The attempt succeeds only if the answer is whole.
 func (n *Node) runModel(ctx context.Context, action control.SendAttempt, buffer *stream.Buffer) control.AttemptEnded {
-	ended := control.AttemptEnded{Backend: action.Backend.ID, Outcome: program.Outcome{Attempt: action.Attempt}}
+	ended := control.AttemptEnded{Backend: action.Backend.ID, Outcome: program.Outcome{Attempt: action.Attempt, Epoch: action.Epoch}}
 	prompt, err := n.transcripts.prompt(ctx, action.Partition, action.Attempt.CallRef, action.Call.Input, action.Prompt)
 	if err != nil {
 		ended.Outcome.Status = api.StatusNotRun
--- a/node/perform.go
+++ b/node/perform.go
@@ -28,6 +28,8 @@
 		go n.readStream(action)
 	case control.ReadSettings:
 		go n.readSettings(action)
+	case control.FetchSettings:
+		go n.fetchSettings(action)
 	case control.ListMachines:
 		go n.listMachines(action)
 	case control.SendMessage:
--- a/node/process.go
+++ b/node/process.go
@@ -33,11 +33,14 @@
 	callerHandler := server.Handler
 	peerHandler := transport.Handler(node.Receive)
 	server.Handler = func(ctx *fasthttp.RequestCtx) {
-		if string(ctx.Path()) == linkhttp.Path {
+		switch string(ctx.Path()) {
+		case linkhttp.Path:
 			peerHandler(ctx)
-			return
+		case settingsPath:
+			servePeer(ctx, transport, node.serveSettings)
+		default:
+			callerHandler(ctx)
 		}
-		callerHandler(ctx)
 	}
 	return &Process{
 		Node: node, gateway: callers, operator: operators, transport: transport,
@@ -45,6 +48,15 @@
 	}
 }
 
+// servePeer lets only peers through.
+func servePeer(ctx *fasthttp.RequestCtx, transport *linkhttp.Transport, handler fasthttp.RequestHandler) {
+	if !transport.Authorized(ctx) {
+		ctx.Error("peer token required", fasthttp.StatusUnauthorized)
+		return
+	}
+	handler(ctx)
+}
+
 // Start begins to serve callers and peers on one listener and operators on
 // the other.
 func (p *Process) Start(callers, operators net.Listener) {
