Draw among late reports, probe large fleets, and test the scheduler's guarantees

With reports a second late, ranking four candidates by them herded nearly as least loaded does, and a decision over 600 replicas took 25 us.

A cold candidate is drawn in proportion to the room that other nodes' calls since the report have probably left. Large fleets are probed at random, and scanned only when no probe has room.

--- a/schedule/config.go
+++ b/schedule/config.go
@@ -120,7 +120,7 @@
 // DefaultConfig returns a Config that lacks only Self, LinkDelay and Random.
 func DefaultConfig() Config {
 	return Config{
-		Choices:     4,
+		Choices:     2,
 		EngineFill:  1,
 		MaximumHold: 15 * time.Minute,
 		StaleLoad:   10 * time.Second,
--- a/schedule/feasible.go
+++ b/schedule/feasible.go
@@ -5,17 +5,35 @@
 	"strings"
 
 	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/zone"
 )
 
 // zoneSeparator joins the zone names of a zone.Placement.
 const zoneSeparator = "_"
 
-// feasible appends to candidates the back ends that may serve the request:
-// live, in a permitted zone, with the model loaded or the tool answered, and
-// not one that failed the call before. Nothing later in a decision adds a
-// back end, so these rules hold whatever the ranking prefers.
-func (v *view) feasible(request *Request, candidates []*backend) []*backend {
+// feasible reports whether a back end may serve the request: live, in a
+// permitted zone, with the model loaded or the tool answered, and not one
+// that failed the call before. Every candidate of every policy passes here,
+// and nothing later in a decision adds one, so these rules hold whatever the
+// ranking prefers.
+func feasible(request *Request, candidate *backend) bool {
+	entry := &candidate.machine
+	if entry.Status != machine.StatusLive || !request.Placement.Contains(entry.Zone) {
+		return false
+	}
+	if slices.Contains(request.Avoid, entry.ID) {
+		return false
+	}
+	if request.Kind == api.CallTool {
+		return slices.Contains(entry.Tools, request.Tool)
+	}
+	return slices.Contains(entry.Models, request.Model)
+}
+
+// poolsOf appends the pools that may hold feasible back ends of the request,
+// one for each permitted zone, and returns how many back ends they have.
+func (v *view) poolsOf(request *Request, pools [][]*backend) (found [][]*backend, count int) {
 	key := poolKey{kind: request.Kind, name: request.Model}
 	if request.Kind == api.CallTool {
 		key.name = request.Tool
@@ -24,12 +42,35 @@
 	for rest != "" {
 		name, tail, _ := strings.Cut(rest, zoneSeparator)
 		key.zone = zone.Name(name)
-		for _, entry := range v.pools[key] {
-			if !slices.Contains(request.Avoid, entry.machine.ID) {
+		if pool := v.pools[key]; len(pool) > 0 {
+			pools = append(pools, pool)
+			count += len(pool)
+		}
+		rest = tail
+	}
+	return pools, count
+}
+
+// at returns the back end at a position of the concatenated pools.
+func at(pools [][]*backend, position int) *backend {
+	for _, pool := range pools {
+		if position < len(pool) {
+			return pool[position]
+		}
+		position -= len(pool)
+	}
+	return nil
+}
+
+// feasible appends every feasible back end of the request.
+func (v *view) feasible(request *Request, candidates []*backend) []*backend {
+	v.scratch, _ = v.poolsOf(request, v.scratch[:0])
+	for _, pool := range v.scratch {
+		for _, entry := range pool {
+			if feasible(request, entry) {
 				candidates = append(candidates, entry)
 			}
 		}
-		rest = tail
 	}
 	return candidates
 }
--- /dev/null
+++ b/schedule/harness_test.go
@@ -0,0 +1,86 @@
+package schedule_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/program"
+	"birchwood.example/birchwood/schedule"
+	"birchwood.example/birchwood/zone"
+)
+
+// bed drives one policy by hand.
+type bed struct {
+	policy schedule.Policy
+	now    time.Time
+	calls  uint64
+}
+
+// newBed returns a policy with count engines of the model "small" in zone a.
+func newBed(policy schedule.Policy, engines int) *bed {
+	b := &bed{policy: policy, now: start}
+	policy.SetBackends(b.now, engineList(engines))
+	return b
+}
+
+func engineList(count int) []machine.Machine {
+	machines := make([]machine.Machine, count)
+	for i := range machines {
+		machines[i] = machine.Machine{
+			ID: machine.ID(fmt.Sprintf("e%03d", i)), Kind: machine.KindEngine, Zone: "a",
+			Status: machine.StatusLive, Models: []string{"small"}, Slots: 2, CacheTokens: 20000,
+		}
+	}
+	return machines
+}
+
+// enqueue hands over a model call of a program, changed by adjust.
+func (b *bed) enqueue(owner, tenant string, adjust ...func(*schedule.Request)) program.CallRef {
+	b.calls++
+	request := schedule.Request{
+		Call: program.CallRef{Program: api.ProgramID(owner), Sequence: b.calls},
+		Kind: api.CallModel, Model: "small", Tenant: tenant, Placement: zone.NewPlacement("a"),
+		PromptTokens: 500, OutputCap: 100, Arrived: b.now, Enqueued: b.now, Deadline: b.now.Add(time.Minute),
+	}
+	for _, each := range adjust {
+		each(&request)
+	}
+	b.policy.Enqueue(b.now, request)
+	return request.Call
+}
+
+// ready returns the decisions that are due, by action.
+func (b *bed) ready() map[schedule.Action][]schedule.Decision {
+	byAction := map[schedule.Action][]schedule.Decision{}
+	for _, decision := range b.policy.Ready(b.now) {
+		byAction[decision.Action] = append(byAction[decision.Action], decision)
+	}
+	return byAction
+}
+
+// placeOne expects exactly one placement, and nothing refused.
+func (b *bed) placeOne() schedule.Decision {
+	decisions := b.ready()
+	gomega.ExpectWithOffset(1, decisions[schedule.ActionPlace]).To(gomega.HaveLen(1))
+	gomega.ExpectWithOffset(1, decisions[schedule.ActionRefuse]).To(gomega.BeEmpty())
+	return decisions[schedule.ActionPlace][0]
+}
+
+// finish ends a placed call after a second, with a prefix left behind.
+func (b *bed) finish(placed schedule.Decision, resident int) {
+	b.now = b.now.Add(time.Second)
+	usage := api.Usage{PromptTokens: 500, OutputTokens: 50}
+	b.policy.Finished(b.now, placed.Call, placed.Backend, usage, resident)
+}
+
+func attained(tokens int64) func(*schedule.Request) {
+	return func(request *schedule.Request) { request.Attained = tokens }
+}
+
+func prompt(tokens int) func(*schedule.Request) {
+	return func(request *schedule.Request) { request.PromptTokens = tokens }
+}
--- a/schedule/predict.go
+++ b/schedule/predict.go
@@ -116,6 +116,16 @@
 	return min(known.value, float64(request.OutputCap))
 }
 
+// perPeer predicts how much longer a call takes for each other sequence.
+func (p *predictor) perPeer(request *Request) time.Duration {
+	if request.Kind == api.CallTool {
+		return p.meanService(request.Tool)
+	}
+	learned := p.speed(request.Model)
+	output := p.output(request)
+	return p.decode(learned, output, 1) - p.decode(learned, output, 0)
+}
+
 // serviceTime predicts how long a call stays in a back end.
 func (p *predictor) serviceTime(request *Request) time.Duration {
 	if request.Kind == api.CallTool {
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -30,8 +30,10 @@
 	nextRetry time.Time
 	lastOrder modelOrder
 	// candidates and sampled are reused from decision to decision.
+	pools      [][]*backend
 	candidates []*backend
 	sampled    []*backend
+	options    []option
 	passed     []*heldCall
 }
 
--- a/schedule/select.go
+++ b/schedule/select.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"birchwood.example/birchwood/api"
@@ -20,18 +21,15 @@
 )
 
 // place tries to send a held call: it samples a few of the feasible back ends
-// that are not saturated, adds the ones that hold the program's prefix, and
-// takes the best predicted finish.
+// that have room, adds the ones that hold the program's prefix, and takes the
+// best predicted finish.
 func (s *Scheduler) place(now time.Time, call *heldCall) verdict {
 	request := &call.request
-	s.candidates = s.view.feasible(request, s.candidates[:0])
-	feasible := len(s.candidates)
-	if feasible == 0 {
-		return passed
-	}
-	free := s.sample(now, call)
+	s.sampled = s.sampled[:0]
+	s.addWarm(now, call)
+	listed, unsaturated := s.sample(now, call)
 	if len(s.sampled) == 0 {
-		if free > 0 || len(request.Avoid) > 0 {
+		if listed == 0 || unsaturated || len(request.Avoid) > 0 {
 			return passed
 		}
 		return blocked
@@ -41,43 +39,81 @@
 		call.retryAt = until
 		return passed
 	}
-	s.send(now, call, &best, feasible)
+	s.send(now, call, &best, listed)
 	return placed
 }
 
-// sample keeps of s.candidates, in s.sampled, Choices random ones that are
-// not saturated and have room in their cache, and those that hold the
-// program's prefix. It returns how many are not saturated.
-func (s *Scheduler) sample(now time.Time, call *heldCall) int {
-	unsaturated := 0
-	free := s.candidates[:0]
-	for _, candidate := range s.candidates {
-		if s.saturated(now, candidate, call) {
-			continue
-		}
-		unsaturated++
-		if s.fits(now, call, candidate) {
-			free = append(free, candidate)
+// addWarm adds the feasible back ends that hold the program's prefix to
+// s.sampled, unless they are saturated.
+func (s *Scheduler) addWarm(now time.Time, call *heldCall) {
+	for _, held := range s.tracker.residents(call.request.Call.Program) {
+		entry := s.view.byID[held.backend]
+		if entry != nil && feasible(&call.request, entry) && s.hasRoom(now, call, entry) {
+			s.sampled = append(s.sampled, entry)
 		}
 	}
-	s.sampled = s.sampled[:0]
-	for _, entry := range s.tracker.residents(call.request.Call.Program) {
-		for i, candidate := range free {
-			if candidate.machine.ID == entry.backend {
-				s.sampled = append(s.sampled, candidate)
-				free[i] = free[len(free)-1]
-				free = free[:len(free)-1]
-				break
+}
+
+// probesPerChoice is how many random back ends are looked at for each choice,
+// before all are.
+const probesPerChoice = 4
+
+// sample adds Choices random feasible back ends with room to s.sampled. It
+// probes a few of a large fleet first, so that a decision does not cost more
+// where there are more replicas. It returns how many back ends serve such
+// calls in the permitted zones, and whether any is not saturated.
+func (s *Scheduler) sample(now time.Time, call *heldCall) (listed int, unsaturated bool) {
+	s.pools, listed = s.view.poolsOf(&call.request, s.pools[:0])
+	probes := probesPerChoice * s.config.Choices
+	if listed > probes && s.probe(now, call, listed, probes) {
+		return listed, true
+	}
+	s.candidates = s.candidates[:0]
+	for _, pool := range s.pools {
+		for _, entry := range pool {
+			if !feasible(&call.request, entry) || s.saturated(now, entry, call) {
+				continue
+			}
+			unsaturated = true
+			if s.fits(now, call, entry) && !slices.Contains(s.sampled, entry) {
+				s.candidates = append(s.candidates, entry)
 			}
 		}
 	}
-	for range min(s.config.Choices, len(free)) {
-		i := s.config.Random.IntN(len(free))
-		s.sampled = append(s.sampled, free[i])
-		free[i] = free[len(free)-1]
-		free = free[:len(free)-1]
+	s.drawChoices()
+	return listed, unsaturated
+}
+
+// probe looks at a few random back ends, and reports whether it found any.
+func (s *Scheduler) probe(now time.Time, call *heldCall, listed, probes int) bool {
+	found := 0
+	for range probes {
+		entry := at(s.pools, s.config.Random.IntN(listed))
+		if slices.Contains(s.sampled, entry) || !feasible(&call.request, entry) || !s.hasRoom(now, call, entry) {
+			continue
+		}
+		s.sampled = append(s.sampled, entry)
+		if found++; found == s.config.Choices {
+			break
+		}
 	}
-	return unsaturated
+	return found > 0
+}
+
+// drawChoices moves Choices random ones of s.candidates to s.sampled.
+func (s *Scheduler) drawChoices() {
+	left := s.candidates
+	for range min(s.config.Choices, len(left)) {
+		i := s.config.Random.IntN(len(left))
+		s.sampled = append(s.sampled, left[i])
+		left[i] = left[len(left)-1]
+		left = left[:len(left)-1]
+	}
+}
+
+// hasRoom reports whether a back end has a free slot, and room in its cache.
+func (s *Scheduler) hasRoom(now time.Time, call *heldCall, entry *backend) bool {
+	return !s.saturated(now, entry, call) && s.fits(now, call, entry)
 }
 
 // saturated reports whether a back end should get no further call of a
@@ -101,17 +137,53 @@
 	return candidate.outstanding(now, s.config.StaleLoad) >= limit
 }
 
-// best ranks s.sampled.
+// best ranks s.sampled: of the cold candidates one is drawn, and it competes
+// with those that hold the program's prefix.
 func (s *Scheduler) best(now time.Time, request *Request) prediction {
-	best := s.rank(now, request, s.sampled[0])
-	for _, candidate := range s.sampled[1:] {
-		if predicted := s.rank(now, request, candidate); predicted.score < best.score {
-			best = predicted
+	residents := s.tracker.residents(request.Call.Program)
+	s.options = s.options[:0]
+	var best prediction
+	age := time.Duration(0)
+	for _, candidate := range s.sampled {
+		predicted := s.rank(now, request, candidate)
+		if tokensAt(residents, candidate.machine.ID) > 0 {
+			if best.backend == nil || predicted.score < best.score {
+				best = predicted
+			}
+			continue
 		}
+		s.options = append(s.options, option{prediction: predicted})
+		if candidate.fresh(now, s.config.StaleLoad) {
+			age = max(age, now.Sub(candidate.load.At))
+		}
+	}
+	if len(s.options) == 0 {
+		return best
+	}
+	cold := s.drawCold(request, age)
+	if best.backend == nil || cold.score < best.score {
+		return cold
 	}
 	return best
 }
 
+// drawCold draws one of s.options.
+func (s *Scheduler) drawCold(request *Request, age time.Duration) prediction {
+	lowest := s.options[0].prediction.score
+	for _, each := range s.options[1:] {
+		lowest = min(lowest, each.prediction.score)
+	}
+	if request.Kind == api.CallTool {
+		age = 0
+	}
+	perCall := max(s.predict.perPeer(request), time.Microsecond)
+	for i := range s.options {
+		each := &s.options[i]
+		each.load = float64(each.prediction.score-lowest) / float64(perCall)
+	}
+	return s.interpret(age, s.predict.meanService(request.Model))
+}
+
 // waitForWarm returns until when the call should wait for a slot at the
 // engine that holds its prefix, rather than compute it again elsewhere. The
 // wait is bounded by what it saves, from the time the call was enqueued.
@@ -125,7 +197,7 @@
 		return time.Time{}
 	}
 	holder := s.view.byID[warm.backend]
-	if holder == nil || !s.servable(request, holder) || !s.saturated(now, holder, call) {
+	if holder == nil || !feasible(request, holder) || !s.saturated(now, holder, call) {
 		return time.Time{}
 	}
 	there := s.rank(now, request, holder)
@@ -133,17 +205,6 @@
 	return request.Enqueued.Add(time.Duration(s.config.Cache.Patience * float64(saved)))
 }
 
-// servable reports whether a back end passes the hard rules.
-func (s *Scheduler) servable(request *Request, candidate *backend) bool {
-	s.candidates = s.view.feasible(request, s.candidates[:0])
-	for _, entry := range s.candidates {
-		if entry == candidate {
-			return true
-		}
-	}
-	return false
-}
-
 // send records the placement and its decision.
 func (s *Scheduler) send(now time.Time, call *heldCall, best *prediction, feasible int) {
 	request := call.request
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -24,6 +24,8 @@
 	// pools index the live back ends by what they serve and where, so that a
 	// decision touches only those that can serve it.
 	pools map[poolKey][]*backend
+	// scratch is reused from search to search.
+	scratch [][]*backend
 	// inFlight are this node's placed calls that have not ended.
 	inFlight map[program.CallRef]flight
 	// revision grows when the set of back ends changes.
