Show operators a stalled recovery, and let them accept the loss

Cause: a recovery that cannot read a quorum of the former mirrors waited silently: nothing above the partition package told of it or could end the wait.

Change: partition list shows what a recovery waits for; partition accept-loss, for operators of the whole tree and only while the recovery waits, lets it go on. The page test reads verbs with a hyphen too.

Tested: "accepts a loss only of a recovery that waits, and only by an operator of the whole tree"; the recovery itself is held in package partition.

--- a/command/page_test.go
+++ b/command/page_test.go
@@ -29,7 +29,7 @@
 		page, err := os.ReadFile("../docs/CLI.md")
 		Expect(err).NotTo(HaveOccurred())
 		var listed []string
-		for _, match := range regexp.MustCompile("(?m)^\\| `(birchwood [a-z ]+)` \\|").FindAllStringSubmatch(string(page), -1) {
+		for _, match := range regexp.MustCompile("(?m)^\\| `(birchwood [a-z -]+)` \\|").FindAllStringSubmatch(string(page), -1) {
 			listed = append(listed, match[1])
 		}
 		Expect(listed).To(ConsistOf(leaves(command.Root())))
--- a/command/verbs.go
+++ b/command/verbs.go
@@ -17,6 +17,7 @@
 		newProgramCommand(),
 		newNodeCommand(),
 		newBackendCommand(),
+		newPartitionCommand(),
 		newWhyCommand(),
 		newVersionCommand(),
 	}
--- a/control/core.go
+++ b/control/core.go
@@ -112,6 +112,8 @@
 		c.stepPrefixesListed(now, event)
 	case PrefixReleased:
 		c.attendant.released(event)
+	case LossAccepted:
+		c.acceptLoss(now, event.Partition)
 	case DrainRequested:
 		c.requestDrain(now, event.Node)
 	case StopRequested:
--- a/control/events.go
+++ b/control/events.go
@@ -95,6 +95,10 @@
 // StopRequested begins the planned stop of this node.
 type StopRequested struct{}
 
+// LossAccepted is an operator's word that a partition's recovery on this node
+// may go on without mirrors that have lost what they held.
+type LossAccepted struct{ Partition partition.ID }
+
 // DrainRequested begins the planned stop of any node: a peer is told.
 type DrainRequested struct{ Node machine.ID }
 
@@ -116,6 +120,7 @@
 func (BackendObserved) isEvent()  {}
 func (PrefixesListed) isEvent()   {}
 func (PrefixReleased) isEvent()   {}
+func (LossAccepted) isEvent()     {}
 func (DrainRequested) isEvent()   {}
 func (StopRequested) isEvent()    {}
 func (SettingsAppended) isEvent() {}
--- a/control/owned.go
+++ b/control/owned.go
@@ -83,6 +83,8 @@
 	Programs    int             `json:"programs"`
 	Running     int             `json:"running"`
 	Unconfirmed int             `json:"unconfirmed"`
+	// Stall tells what a recovery waits for; nil when it does not wait.
+	Stall *partition.Stall `json:"stall,omitempty"`
 }
 
 // serving reports whether the partition's programs may be stepped: this node
@@ -103,6 +105,9 @@
 	if p.store != nil {
 		status.Programs = p.store.Count()
 	}
+	if stall, stalled := p.replica.Stall(); stalled {
+		status.Stall = &stall
+	}
 	return status
 }
 
@@ -301,6 +306,14 @@
 	c.setView(now, owned)
 }
 
+// acceptLoss lets a partition's stalled recovery go on without the mirrors
+// that cannot answer any more.
+func (c *Core) acceptLoss(now time.Time, id partition.ID) {
+	if owned, ok := c.partitions[id]; ok {
+		owned.replica.AcceptLoss(now)
+	}
+}
+
 // proposeSnapshot writes the programs' state when the replica asks for it.
 func (c *Core) proposeSnapshot(now time.Time, owned *ownedPartition) {
 	if !owned.serving() || len(owned.unproposed) > 0 || !owned.replica.WantsSnapshot() {
--- a/node/owned.go
+++ b/node/owned.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/partition"
 )
 
 // Owned describes the partitions that this node owns or is taking over.
@@ -12,3 +13,9 @@
 	err := n.look(func(core *control.Core) { statuses = core.Owned() })
 	return statuses, err
 }
+
+// AcceptLoss lets a partition's stalled recovery on this node go on.
+func (n *Node) AcceptLoss(_ context.Context, id partition.ID) error {
+	n.post(control.LossAccepted{Partition: id})
+	return nil
+}
--- a/operator/api_test.go
+++ b/operator/api_test.go
@@ -9,9 +9,11 @@
 
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/control"
 	"birchwood.example/birchwood/gateway"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/operator"
+	"birchwood.example/birchwood/partition"
 )
 
 const triageOperator = "triage-operator"
@@ -118,6 +120,20 @@
 		Expect(node.drained).To(Equal([]machine.ID{"isando-1", "engine-1"}))
 	})
 
+	It("accepts a loss only of a recovery that waits, and only by an operator of the whole tree", func() {
+		stalled := partition.ID{Group: "triage", Index: 1}
+		node.owned = []control.PartitionStatus{
+			{Partition: partition.ID{Group: "triage", Index: 0}},
+			{Partition: stalled, Stall: &partition.Stall{Needed: 2, Read: 1}},
+		}
+		Expect(refusalOf("POST", "partitions/triage.1/accept-loss", triageOperator, "").Code).To(Equal(api.CodeForbidden))
+		Expect(refusalOf("POST", "partitions/triage.0/accept-loss", "bootstrap", "").Code).To(Equal(api.CodeConflict))
+		Expect(refusalOf("POST", "partitions/nothing/accept-loss", "bootstrap", "").Code).To(Equal(api.CodeBadRequest))
+		Expect(node.accepted).To(BeEmpty())
+		Expect(ask("POST", "partitions/triage.1/accept-loss", "bootstrap", "", nil)).To(Equal(200))
+		Expect(node.accepted).To(Equal([]partition.ID{stalled}))
+	})
+
 	It("passes requests about programs on in the operator's name, and to no other route", func() {
 		var asked struct{ Asked string }
 		ask("POST", "programs/isando.1.0000000000000001/end", triageOperator, `{"reason":"stuck"}`, &asked)
--- a/operator/fake_test.go
+++ b/operator/fake_test.go
@@ -14,8 +14,10 @@
 	"github.com/valyala/fasthttp/fasthttputil"
 
 	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/control"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/operator"
+	"birchwood.example/birchwood/partition"
 )
 
 // fakeNode is the Service of the tests.
@@ -25,6 +27,8 @@
 	stuck    bool
 	findings []string
 	drained  []machine.ID
+	owned    []control.PartitionStatus
+	accepted []partition.ID
 }
 
 func (n *fakeNode) Alive(context.Context) error {
@@ -55,6 +59,13 @@
 	n.drained = append(n.drained, id)
 	return nil
 }
+func (n *fakeNode) Owned(context.Context) ([]control.PartitionStatus, error) { return n.owned, nil }
+
+func (n *fakeNode) AcceptLoss(_ context.Context, id partition.ID) error {
+	n.accepted = append(n.accepted, id)
+	return nil
+}
+
 func (n *fakeNode) DrainBackend(_ context.Context, id machine.ID) error {
 	n.drained = append(n.drained, id)
 	return nil
--- /dev/null
+++ b/operator/partitions.go
@@ -0,0 +1,51 @@
+package operator
+
+import (
+	"context"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/partition"
+)
+
+// accepted is the answer to a request to accept a loss.
+type accepted struct {
+	Accepted partition.ID `json:"accepted"`
+}
+
+// listPartitions answers with the partitions that this node owns or is taking
+// over, and with what a stalled recovery waits for.
+func (s *Server) listPartitions(ctx context.Context, _ *fasthttp.RequestCtx, _ actor) (any, *api.Error) {
+	owned, err := s.service.Owned(ctx)
+	if err != nil {
+		return nil, failed(err)
+	}
+	return owned, nil
+}
+
+// acceptLoss lets a stalled recovery of this node go on. It refuses one that
+// is not stalled, so that a mistaken name accepts nothing.
+func (s *Server) acceptLoss(ctx context.Context, request *fasthttp.RequestCtx, who actor) (any, *api.Error) {
+	if refusal := who.onWholeTree(); refusal != nil {
+		return nil, refusal
+	}
+	id, err := partition.Parse(string(pathMachine(request)))
+	if err != nil {
+		return nil, api.Refuse(api.CodeBadRequest, "%v", err).At("path id")
+	}
+	owned, err := s.service.Owned(ctx)
+	if err != nil {
+		return nil, failed(err)
+	}
+	for _, status := range owned {
+		if status.Partition != id || status.Stall == nil {
+			continue
+		}
+		if err := s.service.AcceptLoss(ctx, id); err != nil {
+			return nil, failed(err)
+		}
+		return accepted{Accepted: id}, nil
+	}
+	return nil, api.Refuse(api.CodeConflict, "the recovery of partition %s does not wait on this node", id).At("path id")
+}
--- a/operator/routes.go
+++ b/operator/routes.go
@@ -46,6 +46,8 @@
 	routes.POST("/v1/operator/nodes/{id}/drain", s.serve(s.drainNode))
 	routes.GET("/v1/operator/backends", s.serve(s.listBackends))
 	routes.POST("/v1/operator/backends/{id}/drain", s.serve(s.drainBackend))
+	routes.GET("/v1/operator/partitions", s.serve(s.listPartitions))
+	routes.POST("/v1/operator/partitions/{id}/accept-loss", s.serve(s.acceptLoss))
 	routes.GET("/v1/operator/programs", s.serve(s.listPrograms))
 	routes.GET("/v1/operator/programs/{id}", s.serve(s.program("")))
 	routes.GET("/v1/operator/programs/{id}/history", s.serve(s.program("/history")))
--- a/operator/service.go
+++ b/operator/service.go
@@ -5,12 +5,16 @@
 	"time"
 
 	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/control"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/partition"
 )
 
 // Service is what the operators' server needs of its node. Its methods are
 // called from many goroutines.
 type Service interface {
+	Partitions
+
 	// Alive returns an error when the control goroutine does not answer.
 	Alive(ctx context.Context) error
 	// NotReady lists why callers should not be sent here, such as "leaving"
@@ -38,6 +42,15 @@
 	DrainBackend(ctx context.Context, id machine.ID) error
 }
 
+// Partitions is what operators see of the partitions of one node.
+type Partitions interface {
+	// Owned describes the partitions that the node owns or is taking over.
+	Owned(ctx context.Context) ([]control.PartitionStatus, error)
+	// AcceptLoss lets a stalled recovery go on without the mirrors that have
+	// lost what they held.
+	AcceptLoss(ctx context.Context, id partition.ID) error
+}
+
 // Programs reaches programs on whichever node owns them. The gateway
 // implements it.
 type Programs interface {
--- a/partition/recover.go
+++ b/partition/recover.go
@@ -44,15 +44,15 @@
 // Stall says why a recovery waits for mirrors.
 type Stall struct {
 	// Epoch is the epoch whose mirrors may hold records that the log lacks.
-	Epoch uint64
+	Epoch uint64 `json:"epoch"`
 	// Needed is how many mirrors must be read; Read how many were.
-	Needed int
-	Read   int
+	Needed int `json:"needed"`
+	Read   int `json:"read"`
 	// Silent mirrors have not answered. Restarted ones have lost what they
 	// held: once fewer than Needed others are left, waiting cannot help.
-	Silent    []machine.ID
-	Restarted []machine.ID
-	Since     time.Time
+	Silent    []machine.ID `json:"silent,omitempty"`
+	Restarted []machine.ID `json:"restarted,omitempty"`
+	Since     time.Time    `json:"since"`
 }
 
 // startRecovering begins what is left to do after the claim won.
