--- a/load/caller.go
+++ b/load/caller.go
@@ -51,12 +51,18 @@
 	ctx, cancel := context.WithTimeout(ctx, c.config.CallTimeout)
 	defer cancel()
 	backoff := firstBackoff
+	var failedAt time.Time
 	for {
+		sentAt := time.Now()
 		got, err := c.once(ctx, asked)
 		var refusal *api.Error
 		if err == nil || errors.As(err, &refusal) && !refusal.Retry && refusal.Ran != api.RanOutcomeUnknown {
+			c.totals.interrupted(failedAt)
 			return got, err
 		}
+		if failedAt.IsZero() {
+			failedAt = sentAt
+		}
 		wait := backoff
 		if refusal != nil {
 			wait = max(wait, time.Duration(refusal.RetryAfterMilliseconds)*time.Millisecond)
--- a/load/result.go
+++ b/load/result.go
@@ -28,9 +28,12 @@
 	ProgramLatency Latency            `json:"program_latency_ms"`
 	Kinds          map[string]Latency `json:"program_latency_by_kind_ms"`
 	FirstToken     Latency            `json:"first_token_ms"`
-	PromptTokens   int64              `json:"prompt_tokens"`
-	CachedTokens   int64              `json:"cached_tokens"`
-	OutputTokens   int64              `json:"output_tokens"`
+	// Interruption is how long the requests that had to be asked again went
+	// without an answer, from their first sending.
+	Interruption Latency `json:"interruption_ms"`
+	PromptTokens int64   `json:"prompt_tokens"`
+	CachedTokens int64   `json:"cached_tokens"`
+	OutputTokens int64   `json:"output_tokens"`
 	// RecomputedTokens is wasted cache: prompt tokens that an engine had
 	// computed for the program before and that were computed again.
 	RecomputedTokens int64          `json:"recomputed_tokens"`
@@ -74,6 +77,7 @@
 		row("  "+kind, r.Kinds[kind])
 	}
 	row("first token", r.FirstToken)
+	row("asked again until answered", r.Interruption)
 	fmt.Fprintf(&text, "prompt tokens %d, from cache %d, recomputed although cached before %d; output tokens %d\n",
 		r.PromptTokens, r.CachedTokens, r.RecomputedTokens, r.OutputTokens)
 	fmt.Fprintf(&text, "calls by status: %s\n", counts(r.Statuses))
--- a/load/totals.go
+++ b/load/totals.go
@@ -28,6 +28,7 @@
 	latencies map[workload.Kind]*hdrhistogram.Histogram
 	all       *hdrhistogram.Histogram
 	first     *hdrhistogram.Histogram
+	gaps      *hdrhistogram.Histogram
 	result    Result
 	// tools are the tool calls that were made, ended the programs whose end
 	// was acknowledged.
@@ -46,6 +47,7 @@
 		latencies: map[workload.Kind]*hdrhistogram.Histogram{},
 		all:       newHistogram(),
 		first:     newHistogram(),
+		gaps:      newHistogram(),
 		tools:     map[program.CallRef]*toolCall{},
 		ended:     map[api.ProgramID]bool{},
 		result:    Result{Refusals: map[string]int{}, Statuses: map[string]int{}, Kinds: map[string]Latency{}},
@@ -75,6 +77,17 @@
 	t.result.LostConnections++
 }
 
+// interrupted counts a request that had to be asked again: from its first
+// sending that failed until now, when it has its answer.
+func (t *totals) interrupted(since time.Time) {
+	if since.IsZero() {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	record(t.gaps, time.Since(since))
+}
+
 func (t *totals) callEnded(call api.Call) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -182,6 +195,7 @@
 	result := t.result
 	result.ProgramLatency = latencyOf(t.all)
 	result.FirstToken = latencyOf(t.first)
+	result.Interruption = latencyOf(t.gaps)
 	for kind, histogram := range t.latencies {
 		result.Kinds[string(kind)] = latencyOf(histogram)
 	}
--- a/scale/fleet.go
+++ b/scale/fleet.go
@@ -29,19 +29,19 @@
 
 // fleet is everything that runs.
 type fleet struct {
-	config                 Config
-	world                  world
-	partitionsPerPlacement int
-	network                *network
-	backends               *backends
-	replicas               []machine.Machine
-	standins               *standin.Set
-	platformAddress        string
-	operator               *platformhttp.Platform
-	machines               *machineLists
-	members                []*member
-	spread                 *spread
-	violations             *violations
+	config              Config
+	world               world
+	partitionsPerBranch int
+	network             *network
+	backends            *backends
+	replicas            []machine.Machine
+	standins            *standin.Set
+	platformAddress     string
+	operator            *platformhttp.Platform
+	machines            *machineLists
+	members             []*member
+	spread              *spread
+	violations          *violations
 	// loggedBytes is what the log stand-in holds.
 	loggedBytes atomic.Int64
 	// baseline is the memory of the process before the first node.
@@ -55,14 +55,14 @@
 func newFleet(config Config) (*fleet, error) {
 	place := newWorld(config)
 	f := &fleet{
-		config:                 config,
-		world:                  place,
-		partitionsPerPlacement: place.partitionsPerPlacement(config.Nodes),
-		network:                newNetwork(place),
-		replicas:               place.machines(config.Replicas),
-		violations:             newViolations(),
-		spread:                 newSpread(),
-		stop:                   make(chan struct{}),
+		config:              config,
+		world:               place,
+		partitionsPerBranch: place.partitionsPerBranch(config.Nodes),
+		network:             newNetwork(place),
+		replicas:            place.machines(config.Replicas),
+		violations:          newViolations(),
+		spread:              newSpread(),
+		stop:                make(chan struct{}),
 	}
 	f.backends = newBackends(f.replicas)
 	f.machines = &machineLists{fleet: f}
--- a/scale/load.go
+++ b/scale/load.go
@@ -116,7 +116,7 @@
 			return false
 		}
 	}
-	a.load.fleet.violations.add(ViolationUnanswered, "%s on %q was not created: %v", a.key, a.branch, last)
+	a.unanswered(ctx, "%s on %q was not created: %v", a.key, a.branch, last)
 	return false
 }
 
@@ -141,7 +141,7 @@
 			return
 		}
 	}
-	a.load.fleet.violations.add(ViolationUnanswered, "%s call %d: %v", a.id, sequence, last)
+	a.unanswered(ctx, "%s call %d: %v", a.id, sequence, last)
 }
 
 func (a *agent) submission(sequence uint64) api.SubmitCall {
@@ -234,7 +234,15 @@
 			return
 		}
 	}
-	a.load.fleet.violations.add(ViolationUnanswered, "%s was not ended", a.id)
+	a.unanswered(ctx, "%s was not ended", a.id)
+}
+
+// unanswered reports a request without an answer, unless the run itself was
+// broken off.
+func (a *agent) unanswered(ctx context.Context, format string, arguments ...any) {
+	if ctx.Err() == nil {
+		a.load.fleet.violations.add(ViolationUnanswered, format, arguments...)
+	}
 }
 
 // checkTools compares the tools' runs with what callers were told.
--- a/scale/member.go
+++ b/scale/member.go
@@ -103,7 +103,7 @@
 		return err
 	}
 	core := control.DefaultConfig(self, journal.WriterName(self.ID, self.Incarnation), random, policy)
-	core.PartitionsPerPlacement = m.fleet.partitionsPerPlacement
+	core.PartitionsPerBranch = m.fleet.partitionsPerBranch
 	core.SweepPeriod = m.fleet.config.SweepPeriod
 	core.Follower.Zones = m.fleet.world.names()
 	m.revision = 0
--- a/scale/world.go
+++ b/scale/world.go
@@ -143,23 +143,27 @@
 	return contract.Change{ID: "scale-first", Actor: "scale", At: time.Now(), Edits: edits}
 }
 
-// placements is how many different placements the tree has.
-func (w world) placements() int {
-	different := map[zone.Placement]bool{zone.NewPlacement(w.names()...): true}
+// placementOf returns the zones that programs of a branch may visit.
+func (w world) placementOf(branch contract.Path) zone.Placement {
 	for _, region := range w.regions {
-		different[zone.NewPlacement(w.within(region)...)] = true
+		if branch == contract.Path(region) {
+			return zone.NewPlacement(w.within(region)...)
+		}
 	}
 	for _, place := range w.zones {
-		different[zone.NewPlacement(place.Name)] = true
+		if branch == contract.Path(place.Name) {
+			return zone.NewPlacement(place.Name)
+		}
 	}
-	return len(different)
+	return zone.NewPlacement(w.names()...)
 }
 
-// partitionsPerPlacement gives each node about two partitions.
-func (w world) partitionsPerPlacement(nodes int) int {
+// partitionsPerBranch gives each node about two partitions. The root is a branch
+// too.
+func (w world) partitionsPerBranch(nodes int) int {
 	const partitionsPerNode = 2
 	const minimum = 4
-	return max(minimum, partitionsPerNode*nodes/w.placements())
+	return max(minimum, partitionsPerNode*nodes/(len(w.branches())+1))
 }
 
 func newRandom(seed uint64, stream string) *rand.Rand {
