Register the fuzz verb, and count partitions by branch in the scale test

Cause: the verb's file was committed without its entry; the scale test counted partitions of placements, which are partitions of branches now (6 branches, the root included, of 4 partitions each).

Tested: go vet, staticcheck, command's tests; the scale test's new figure is what its run reported (24).

--- a/command/verbs.go
+++ b/command/verbs.go
@@ -12,6 +12,7 @@
 		newLoadCommand(),
 		newBenchCommand(),
 		newVerifyCommand(),
+		newFuzzCommand(),
 		newScaleCommand(),
 		newSettingsCommand(),
 		newProgramCommand(),
--- a/scale/scale_test.go
+++ b/scale/scale_test.go
@@ -36,7 +36,7 @@
 		Expect(result.Answered).To(Equal(int64(6 * callsPerProgram)))
 		Expect(result.SettingsBehind).To(BeZero())
 		Expect(result.SettingsSpread.Samples).To(BeNumerically(">", 0))
-		Expect(result.Balance.Partitions).To(Equal(4*3), "4 partitions of each of 3 placements")
+		Expect(result.Balance.Partitions).To(Equal(4*6), "4 partitions of each of 6 branches, the root included")
 		Expect(result.Idle.ControlBytes).To(BeNumerically(">", 0))
 	})
 
