--- a/scripts/run-deployment.sh
+++ b/scripts/run-deployment.sh
@@ -3,6 +3,7 @@
 # stops it by the processes' ids.
 #
 #   scripts/run-deployment.sh NAME start
+#   scripts/run-deployment.sh NAME start-node node-1
 #   scripts/run-deployment.sh NAME load [FLAGS OF birchwood load...]
 #   scripts/run-deployment.sh NAME stop
 #
@@ -11,7 +12,7 @@
 set -euo pipefail
 
 usage() {
-  sed -n '2,10s/^# \{0,1\}//p' "$0"
+  sed -n '2,11s/^# \{0,1\}//p' "$0"
   exit 2
 }
 
@@ -73,6 +74,12 @@
   echo "$name runs; ids and logs in $run"
 }
 
+# start_node NAME starts one node again and waits until it is ready.
+start_node() {
+  launch "$1" serve --config "$config/$1.yaml"
+  await "$1" "$(node_value "$config/$1.yaml" operator)" /readyz
+}
+
 # stop_process FILE asks one process to stop and waits for its end.
 stop_process() {
   local id
@@ -112,6 +119,7 @@
 
 case $verb in
   start) start ;;
+  start-node) start_node "$1" ;;
   stop) stop ;;
   load)
     exec "$binary" load --deployment "$name" \
