emulator/cluster: tests for memory, leaving, restarts and one-way cuts

Cause: no named test made an engine miss the releases of ended programs, killed an owner in the moment of an end, lost messages while an engine leaves, restarted nodes while the store is down, or cut zones in one direction.

Change: guarantees_test.go does each, and also requires that the failure really happened: memory of ended programs was seen at an engine before it was freed, the leaving engine had served calls, restarted nodes put settings in force.

--- /dev/null
+++ b/emulator/cluster/guarantees_test.go
@@ -0,0 +1,226 @@
+package cluster_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/emulator/cluster"
+	"birchwood.example/birchwood/history"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/zone"
+)
+
+// inSmallSteps advances until the condition holds, which must come soon.
+func inSmallSteps(of *cluster.Cluster, condition func(events []history.Event) bool) {
+	const step, steps = 200 * time.Microsecond, 300_000
+	for range steps {
+		if condition(of.Events()) {
+			return
+		}
+		of.Advance(step)
+	}
+	Fail("the run never came to this point")
+}
+
+// orphaned returns the programs that an engine listed after their end, and
+// those that engines still list at the end of the run.
+func orphaned(events []history.Event) (seen, left map[api.ProgramID]bool) {
+	closed := map[api.ProgramID]bool{}
+	last := map[machine.ID][]api.ProgramID{}
+	seen, left = map[api.ProgramID]bool{}, map[api.ProgramID]bool{}
+	for _, event := range events {
+		if event.Closed != nil {
+			closed[event.Closed.Program] = true
+		}
+		if event.Held == nil {
+			continue
+		}
+		last[event.Held.Backend] = event.Held.Programs
+		for _, id := range event.Held.Programs {
+			seen[id] = seen[id] || closed[id]
+		}
+	}
+	for id, wasOrphaned := range seen {
+		if !wasOrphaned {
+			delete(seen, id)
+		}
+	}
+	for _, programs := range last {
+		for _, id := range programs {
+			left[id] = true
+		}
+	}
+	return seen, left
+}
+
+// closings counts the programs that ended.
+func closings(events []history.Event) int {
+	count := 0
+	for _, event := range events {
+		if event.Closed != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// highestInForce returns each node's newest revision and, apart from it, the
+// first one that each process of the node put in force.
+func highestInForce(events []history.Event) (newest map[machine.ID]uint64, first map[machine.ID][]uint64) {
+	newest, first = map[machine.ID]uint64{}, map[machine.ID][]uint64{}
+	incarnations := map[machine.ID]uint64{}
+	for _, event := range events {
+		if event.InForce == nil {
+			continue
+		}
+		each := event.InForce
+		newest[each.Node] = max(newest[each.Node], each.Revision)
+		if incarnations[each.Node] != each.Incarnation {
+			incarnations[each.Node] = each.Incarnation
+			first[each.Node] = append(first[each.Node], each.Revision)
+		}
+	}
+	return newest, first
+}
+
+var _ = Describe("Engine memory", func() {
+	It("is freed by the sweep when an engine was out of reach while its programs ended", func() {
+		running := open(2)
+		for range 6 {
+			running.StartProgram(cluster.ProgramPlan{
+				Branch: cluster.BranchCold, Pause: 8 * time.Second, Calls: []cluster.CallPlan{{}, {Tool: true}},
+			})
+		}
+		running.Advance(3 * time.Second)
+		// The engine in the first zone hears nobody and is heard by nobody
+		// outside of it: releases from other zones are lost.
+		for zone := range 3 {
+			running.Cut(0, zone)
+			running.Cut(zone, 0)
+		}
+		running.Advance(30 * time.Second)
+		events := settled(running)
+		seen, left := orphaned(events)
+		Expect(closings(events)).To(Equal(6))
+		Expect(seen).NotTo(BeEmpty(), "no engine ever held memory of a program that was gone")
+		Expect(left).To(BeEmpty())
+	})
+
+	It("is freed when the owner dies in the moment in which its program ends", func() {
+		seenInAll := 0
+		for owner := range 3 {
+			running := open(uint64(10 + owner))
+			for range 8 {
+				running.StartProgram(models(2))
+			}
+			for ended := range 4 {
+				inSmallSteps(running, func(events []history.Event) bool { return closings(events) > ended })
+				running.Crash(owner)
+				running.Advance(12 * time.Second)
+				Expect(running.Restart(owner)).To(Succeed())
+			}
+			seen, left := orphaned(settled(running))
+			seenInAll += len(seen)
+			Expect(left).To(BeEmpty())
+		}
+		Expect(seenInAll).To(BeNumerically(">", 0), "no engine ever held memory of a program that was gone")
+	})
+})
+
+var _ = Describe("A leaving engine", func() {
+	It("that served calls gets none that begins 3 s later, though a fifth of the messages is lost", func() {
+		for seed := range uint64(4) {
+			settings := cluster.DefaultConfig(30 + seed)
+			settings.DropShare = 0.2
+			running, err := cluster.New(settings)
+			Expect(err).NotTo(HaveOccurred())
+			running.Advance(atRest)
+			for range 6 {
+				running.StartProgram(models(12))
+			}
+			running.Advance(4 * time.Second)
+			running.LeaveEngine(int(seed))
+			left := running.Now()
+			leaving := machine.ID([]string{"engine-1", "engine-2", "engine-3", "engine-1"}[seed])
+			before, elsewhere := 0, 0
+			for _, event := range settled(running) {
+				switch {
+				case event.Started == nil:
+				case event.Started.Backend == leaving && event.At.Before(left):
+					before++
+				case event.At.Sub(left) > 3*time.Second:
+					Expect(event.Started.Backend).NotTo(Equal(leaving), "%s after it began to leave", event.At.Sub(left))
+					elsewhere++
+				}
+			}
+			Expect(before).To(BeNumerically(">", 0), "the engine served nothing before")
+			Expect(elsewhere).To(BeNumerically(">", 0), "nothing ran after")
+		}
+	})
+})
+
+var _ = Describe("Accepted settings", func() {
+	It("are not reverted by nodes that restart while the store is down", func() {
+		running := open(4)
+		plan := models(20)
+		plan.Pause = 4 * time.Second
+		running.StartProgram(plan)
+		running.Advance(2 * time.Second)
+		running.ChangeZones(cluster.BranchCold, []zone.Name{"midrand-a"}, 0)
+		running.Advance(5 * time.Second)
+		before, _ := highestInForce(running.Events())
+		running.StoreDown()
+		for restarted := range 2 {
+			running.Crash(restarted)
+			running.Advance(time.Second)
+			Expect(running.Restart(restarted)).To(Succeed())
+		}
+		running.Advance(40 * time.Second)
+		running.StoreUp()
+		events := settled(running)
+		_, first := highestInForce(events)
+		for _, restarted := range []machine.ID{"node-1", "node-2"} {
+			Expect(first[restarted]).To(HaveLen(2), "a process of %s put nothing in force", restarted)
+			Expect(first[restarted][1]).To(BeNumerically(">=", before[restarted]))
+		}
+		Expect(before["node-1"]).To(Equal(before["node-3"]))
+	})
+})
+
+var _ = Describe("A zone that is cut off", func() {
+	It("one way breaks no promise, whichever way it is, and calls go on meanwhile", func() {
+		for from := range 3 {
+			for to := range 3 {
+				if from == to {
+					continue
+				}
+				running := open(uint64(50 + 3*from + to))
+				for range 4 {
+					running.StartProgram(models(10))
+				}
+				running.StartProgram(cluster.ProgramPlan{
+					Branch: cluster.BranchChat, Twice: true, Pause: time.Second,
+					Calls: []cluster.CallPlan{{Tool: true}, {}, {Tool: true}, {}, {Tool: true}, {}},
+				})
+				running.Advance(2 * time.Second)
+				running.Cut(from, to)
+				running.Advance(2 * time.Second)
+				begun := len(starts(running.Events()))
+				running.Advance(38 * time.Second)
+				Expect(len(starts(running.Events()))).To(BeNumerically(">", begun), "nothing ran while %d could not reach %d", from, to)
+				events := settled(running)
+				succeeded := 0
+				for _, event := range events {
+					if event.Ended != nil && event.Ended.Status == api.StatusSucceeded {
+						succeeded++
+					}
+				}
+				Expect(closings(events)).To(Equal(5))
+				Expect(succeeded).To(BeNumerically(">=", 40))
+			}
+		}
+	})
+})
