gateway: bound requests that do not wait for a call

A request that its node does not get to, as while the log service is slow, held its caller up to the bound on waits, a quarter of an hour.

Such requests now end within Config.RequestTimeout; their outcome is told as unknown and their key tells it.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -26,6 +26,10 @@
 	// MaximumWait bounds how long a request may wait for its call. It then
 	// gets the call's state, and may ask again.
 	MaximumWait time.Duration
+	// RequestTimeout bounds a request that does not wait for a call, also
+	// when the log service is slow. Its outcome is then unknown, and its key
+	// tells.
+	RequestTimeout time.Duration
 	// WaitSlice is how long the owner lets a relayed request wait at most
 	// before it answers with the call's state; the relay then asks again. It
 	// bounds how long a silent death of the owner goes unnoticed.
@@ -86,6 +90,7 @@
 		WriteTimeout:       20 * time.Second,
 		IdleTimeout:        2 * time.Minute,
 		MaximumWait:        15 * time.Minute,
+		RequestTimeout:     time.Minute,
 		WaitSlice:          5 * time.Second,
 		DrainGrace:         3 * time.Second,
 		KeepAlive:          2 * time.Second,
@@ -159,6 +164,7 @@
 		{"write_timeout", int64(c.WriteTimeout)},
 		{"idle_timeout", int64(c.IdleTimeout)},
 		{"maximum_wait", int64(c.MaximumWait)},
+		{"request_timeout", int64(c.RequestTimeout)},
 		{"wait_slice", int64(c.WaitSlice)},
 		{"drain_grace", int64(c.DrainGrace)},
 		{"keep_alive", int64(c.KeepAlive)},
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -106,6 +106,7 @@
 	world   *world
 	id      machine.ID
 	lose    func() *api.Error // overrides the owner's answer to a submit
+	hang    bool              // no request is answered
 	cutFrom machine.ID        // a node that cannot be reached from here
 	gateway *gateway.Gateway
 	address string
@@ -194,6 +195,10 @@
 }
 
 func (n *node) Do(ctx context.Context, request control.Request) control.Reply {
+	if n.hang {
+		<-ctx.Done()
+		return control.Reply{Error: &api.Error{Code: api.CodeTimeout, Ran: api.RanOutcomeUnknown, Retry: true}}
+	}
 	n.world.mutex.Lock()
 	defer n.world.mutex.Unlock()
 	if request.Operation == control.OperationList {
--- a/gateway/life_test.go
+++ b/gateway/life_test.go
@@ -131,6 +131,15 @@
 		Expect(got.call().Status).To(Equal(api.StatusRunning))
 	})
 
+	It("answers a request that the node does not get to, and says that its outcome is unknown", func() {
+		begin(func(config *gateway.Config) { config.RequestTimeout = 30 * time.Millisecond })
+		owner.hang = true
+		got := ask("POST", base+callsPath+"?wait=false", triageToken, submitFirst)
+		Expect(got.error().Code).To(Equal(api.CodeTimeout))
+		Expect(got.error().Ran).To(Equal(api.RanOutcomeUnknown))
+		Expect(got.error().Retry).To(BeTrue())
+	})
+
 	It("ends a stream whose time is over with an error that invites to attach again", func() {
 		begin()
 		stream := openEvents("POST", base+callsPath, triageToken, streamFirst, "X-Deadline-Ms", "100")
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -75,32 +75,27 @@
 
 // settle makes the last refusal true for the whole request: once an attempt
 // may have taken effect, "not run" would be a guess. A peer is told the same
-// under the refusal's own code, because it may still try elsewhere. Which node
-// is not the owner is between nodes: callers learn that there is none now.
+// under the refusal's own code, because it may still try elsewhere.
 func settle(request *exchange, last answer, unknown bool) answer {
-	refusal := last.refusal
-	if refusal != nil && refusal.Code == api.CodeNotOwner && !request.peer {
-		unowned := *refusal
-		unowned.Code = api.CodeOwnerUnknown
-		unowned.Message = "the program's owner changes"
-		refusal = &unowned
-		last.refusal = refusal
-	}
-	if refusal == nil || !unknown || !request.changes() || refusal.Ran != api.RanNotRun {
+	if last.refusal == nil {
 		return last
 	}
-	if request.peer {
-		reported := *refusal
-		reported.Ran = api.RanOutcomeUnknown
-		last.refusal = &reported
+	settled := *last.refusal
+	last.refusal = &settled
+	if settled.Code == api.CodeNotOwner && !request.peer {
+		// Which node is not the owner is between nodes.
+		settled.Code = api.CodeOwnerUnknown
+		settled.Message = "the program's owner changes"
+	}
+	if !unknown || !request.changes() || settled.Ran != api.RanNotRun {
 		return last
 	}
-	last.refusal = &api.Error{
-		Code:                   api.CodeOutcomeUnknown,
-		Message:                "the owner was lost after the request was sent; ask again with the same key (last: " + refusal.Message + ")",
-		Ran:                    api.RanOutcomeUnknown,
-		Retry:                  true,
-		RetryAfterMilliseconds: refusal.RetryAfterMilliseconds,
+	settled.Ran = api.RanOutcomeUnknown
+	settled.Retry = true
+	if !request.peer {
+		settled.Code = api.CodeOutcomeUnknown
+		settled.Place = ""
+		settled.Message = "the owner was lost after the request was sent; ask again with the same key (last: " + settled.Message + ")"
 	}
 	return last
 }
@@ -138,12 +133,8 @@
 	if refusal := g.complete(ctx, &asked); refusal != nil {
 		return refusedLocally(refusal)
 	}
-	waitCtx := ctx
-	if asked.Wait && request.peer {
-		sliced, cancel := context.WithTimeout(ctx, g.config.WaitSlice)
-		defer cancel()
-		waitCtx = sliced
-	}
+	waitCtx, cancel := context.WithTimeout(ctx, g.bound(request))
+	defer cancel()
 	reply := g.service.Do(waitCtx, asked)
 	if reply.Error != nil && asked.Wait && waitCtx.Err() != nil {
 		reply = g.callState(asked)
@@ -165,6 +156,18 @@
 	return result
 }
 
+// bound returns how long the owner may take to answer at most.
+func (g *Gateway) bound(request *exchange) time.Duration {
+	switch {
+	case !request.waits():
+		return g.config.RequestTimeout
+	case request.peer:
+		return g.config.WaitSlice
+	default:
+		return g.config.MaximumWait
+	}
+}
+
 // complete fills in what the caller may leave out and only the owner knows: a
 // sub-agent's branch is its parent's, and a call that is to be cancelled can
 // be named by its key.
