--- a/load/caller.go
+++ b/load/caller.go
@@ -72,7 +72,8 @@
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
-			return got, fmt.Errorf("no answer in time: %w", err)
+			// Not wrapped: a refusal that invites a retry is no final answer.
+			return got, fmt.Errorf("no answer in time: %v", err)
 		}
 	}
 }
