operator: measure control bytes and idle cache

Two metrics were declared and never fed: the bytes of control messages, and the token-seconds of cache that is held in vain.

The bytes are read from the transport at each scrape.

--- a/node/wire.go
+++ b/node/wire.go
@@ -37,13 +37,14 @@
 		newEngines,
 		newTools,
 		newTransport,
+		newCommander,
 		newPolicy,
 		newControlConfig,
 		operator.NewMetrics,
 		func(metrics *operator.Metrics) Metrics { return metrics },
 		newDependencies,
 		newConfig,
-		New,
+		newNode,
 		newRefusals,
 		newGateway,
 		newOperator,
@@ -97,8 +98,25 @@
 	return linkhttp.New(settings)
 }
 
-func newPolicy(file *config.File, random *rand.Rand) (schedule.Policy, error) {
+// commander tells the scheduler which engines its node commands. The node is
+// built after the scheduler and is filled in by newNode.
+type commander struct{ node *Node }
+
+func newCommander() *commander { return &commander{} }
+
+// commands runs on the control goroutine, as the scheduler does.
+func (c *commander) commands(id machine.ID) bool { return c.node != nil && c.node.core.Attends(id) }
+
+// newNode builds the node and makes it known to its scheduler.
+func newNode(settings Config, dependencies Dependencies, commands *commander) (*Node, error) {
+	node, err := New(settings, dependencies)
+	commands.node = node
+	return node, err
+}
+
+func newPolicy(file *config.File, random *rand.Rand, commands *commander) (schedule.Policy, error) {
 	settings := schedule.DefaultConfig()
+	settings.Commands = commands.commands
 	settings.Self = file.Node.Zone
 	settings.Random = random
 	settings.LinkDelay = func(to zone.Name) time.Duration { return file.Links.Delay(file.Node.Zone, to) }
@@ -164,14 +182,19 @@
 func newRefusals() *operator.RefusalLog { return operator.NewRefusalLog(keptRefusals) }
 
 func newOperator(
-	file *config.File, node *Node, callers *gateway.Gateway,
+	file *config.File, node *Node, callers *gateway.Gateway, transport *linkhttp.Transport,
 	metrics *operator.Metrics, refusals *operator.RefusalLog, logger *log.Logger,
 ) (*operator.Server, error) {
-	metrics.ReadAtScrape(node.snapshot)
+	metrics.ReadAtScrape(func() operator.Snapshot {
+		snapshot := node.snapshot()
+		traffic := transport.Counters()
+		snapshot.ControlBytesSent = traffic.BytesSent
+		snapshot.ControlBytesReceived = traffic.BytesReceived
+		return snapshot
+	})
 	settings := operator.DefaultConfig()
 	settings.BootstrapToken = file.BootstrapToken
-	programs, _ := any(callers).(operator.Programs)
-	return operator.New(settings, node, programs, metrics, refusals, logger)
+	return operator.New(settings, node, callers, metrics, refusals, logger)
 }
 
 func newGateway(file *config.File, node *Node, metrics *operator.Metrics, refusals *operator.RefusalLog, logger *log.Logger) (*gateway.Gateway, error) {
--- a/operator/metrics.go
+++ b/operator/metrics.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -46,13 +45,13 @@
 	controlRefusals  *prometheus.CounterVec
 	controlStep      prometheus.Histogram
 	storeAppend      *prometheus.HistogramVec
-	controlBytes     *prometheus.CounterVec
 	requests         *prometheus.HistogramVec
 	requestsInFlight prometheus.Gauge
 	relayed          *prometheus.CounterVec
 	firstText        prometheus.Histogram
 	settingsRevision prometheus.Gauge
 
+	now      func() time.Time
 	contexts contexts
 	snapshot atomic.Pointer[func() Snapshot]
 }
@@ -63,6 +62,10 @@
 	Programs           int
 	RunningCalls       int
 	UnconfirmedRecords int
+	// ControlBytesSent and ControlBytesReceived count control messages between
+	// nodes since the start.
+	ControlBytesSent     int64
+	ControlBytesReceived int64
 	// SettingsAge is the time since the settings were last known to be the
 	// newest.
 	SettingsAge time.Duration
@@ -81,14 +84,14 @@
 
 // NewMetrics returns metrics that are all zero, in a registry of their own.
 func NewMetrics() *Metrics {
-	m := &Metrics{registry: prometheus.NewRegistry()}
+	m := &Metrics{registry: prometheus.NewRegistry(), now: time.Now}
 	m.declareUsers()
 	m.declareCalls()
 	m.declareNode()
 	m.declareGateway()
 	m.registry.MustRegister(
 		m.programLatency, m.recomputedTokens, m.idleTokenSeconds, m.promptTokens, m.cachedTokens, m.outputTokens,
-		m.firstToken, m.calls, m.refusals, m.controlRefusals, m.controlStep, m.storeAppend, m.controlBytes,
+		m.firstToken, m.calls, m.refusals, m.controlRefusals, m.controlStep, m.storeAppend,
 		m.requests, m.requestsInFlight, m.relayed, m.firstText, m.settingsRevision,
 		snapshotCollector{m},
 		collectors.NewGoCollector(),
@@ -107,7 +110,7 @@
 	m.recomputedTokens = counter("birchwood_wasted_cache_recomputed_tokens_total",
 		"Prompt tokens computed again although an earlier call of the program had computed them.")
 	m.idleTokenSeconds = counter("birchwood_wasted_cache_idle_token_seconds_total",
-		"Cached tokens that were dropped without being used again, times the seconds for which they were held.")
+		"Estimate: context tokens that no later call found cached, times the seconds since the call that left them.")
 }
 
 // declareCalls declares what calls cost and how they end.
@@ -138,8 +141,6 @@
 		Help:    "Time of one append to the log service, by result.",
 		Buckets: latencyBuckets,
 	}, []string{labelResult})
-	m.controlBytes = counterVector("birchwood_control_bytes_total",
-		"Bytes of control messages between nodes, by direction.", labelDirection)
 	m.settingsRevision = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "birchwood_settings_revision",
 		Help: "Revision of the settings in force on this node.",
@@ -202,19 +203,17 @@
 	m.promptTokens.Add(float64(call.Usage.PromptTokens))
 	m.cachedTokens.Add(float64(call.Usage.CachedTokens))
 	m.outputTokens.Add(float64(call.Usage.OutputTokens))
-	m.recomputedTokens.Add(float64(m.contexts.recomputed(call)))
+	recomputed, idle := m.contexts.finished(call, m.now())
+	m.recomputedTokens.Add(float64(recomputed))
+	m.idleTokenSeconds.Add(idle)
 }
 
 // ProgramFinished measures a program that ended on this node.
 func (m *Metrics) ProgramFinished(program api.Program, latency time.Duration) {
 	m.programLatency.WithLabelValues(program.Branch).Observe(latency.Seconds())
-	m.contexts.forget(program.ID)
+	m.idleTokenSeconds.Add(m.contexts.forget(program.ID, m.now()))
 }
 
-// IdleCache adds cached tokens that were dropped without being used again,
-// times the seconds for which they were held.
-func (m *Metrics) IdleCache(tokenSeconds float64) { m.idleTokenSeconds.Add(max(0, tokenSeconds)) }
-
 // Refused counts a request that this node's state machine refused.
 func (m *Metrics) Refused(refusal *api.Error) {
 	m.controlRefusals.WithLabelValues(string(refusal.Code)).Inc()
@@ -223,12 +222,6 @@
 // SettingsRevision sets the revision of the settings in force.
 func (m *Metrics) SettingsRevision(revision uint64) { m.settingsRevision.Set(float64(revision)) }
 
-// ControlBytes counts bytes of control messages.
-func (m *Metrics) ControlBytes(sent, received int) {
-	m.controlBytes.WithLabelValues("sent").Add(float64(sent))
-	m.controlBytes.WithLabelValues("received").Add(float64(received))
-}
-
 // Answered measures one request of a caller or peer.
 func (m *Metrics) Answered(operation control.Operation, status int, took time.Duration) {
 	class := [...]string{"", "1xx", "2xx", "3xx", "4xx", "5xx"}[min(max(status/100, 0), 5)]
@@ -247,35 +240,3 @@
 // ReadAtScrape sets where the snapshot of the node comes from. The function
 // is called from the scrape's goroutine.
 func (m *Metrics) ReadAtScrape(read func() Snapshot) { m.snapshot.Store(&read) }
-
-// maximumContexts bounds the programs whose context is remembered.
-const maximumContexts = 1 << 17
-
-// contexts remembers how many tokens of context each running program has had
-// computed, to tell which of the next prompt are computed again.
-type contexts struct {
-	mutex  sync.Mutex
-	tokens map[api.ProgramID]int
-}
-
-// recomputed returns how many prompt tokens of the call an earlier call of
-// its program had computed and the engine did not find in its cache.
-func (c *contexts) recomputed(call api.Call) int {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	before := c.tokens[call.Program]
-	if c.tokens == nil {
-		c.tokens = make(map[api.ProgramID]int)
-	}
-	if before > 0 || len(c.tokens) < maximumContexts {
-		c.tokens[call.Program] = call.Usage.PromptTokens + call.Usage.OutputTokens
-	}
-	return max(0, min(before, call.Usage.PromptTokens)-call.Usage.CachedTokens)
-}
-
-// forget drops a program that ended.
-func (c *contexts) forget(id api.ProgramID) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	delete(c.tokens, id)
-}
--- a/operator/snapshot.go
+++ b/operator/snapshot.go
@@ -10,7 +10,9 @@
 	programs        = describe("birchwood_programs", "Programs in the partitions that this node owns.")
 	runningCalls    = describe("birchwood_running_calls", "Calls that this node has at back ends.")
 	unconfirmed     = describe("birchwood_unconfirmed_records", "Records that the log has not confirmed yet.")
-	settingsAge     = describe("birchwood_settings_age_seconds",
+	controlBytes    = describe("birchwood_control_bytes_total",
+		"Bytes of control messages between nodes, by direction.", labelDirection)
+	settingsAge = describe("birchwood_settings_age_seconds",
 		"Time since the settings were last known to be the newest.")
 	settingsMayPlace = describe("birchwood_settings_may_place",
 		"1 when the settings are fresh enough to place new work, else 0.")
@@ -28,7 +30,7 @@
 // Describe implements prometheus.Collector.
 func (c snapshotCollector) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, description := range []*prometheus.Desc{
-		ownedPartitions, programs, runningCalls, unconfirmed, settingsAge, settingsMayPlace, members,
+		ownedPartitions, programs, runningCalls, unconfirmed, controlBytes, settingsAge, settingsMayPlace, members,
 	} {
 		descriptions <- description
 	}
@@ -48,6 +50,11 @@
 	gauge(programs, float64(snapshot.Programs))
 	gauge(runningCalls, float64(snapshot.RunningCalls))
 	gauge(unconfirmed, float64(snapshot.UnconfirmedRecords))
+	count := func(value int64, direction string) {
+		metrics <- prometheus.MustNewConstMetric(controlBytes, prometheus.CounterValue, float64(value), direction)
+	}
+	count(snapshot.ControlBytesSent, "sent")
+	count(snapshot.ControlBytesReceived, "received")
 	gauge(settingsAge, snapshot.SettingsAge.Seconds())
 	mayPlace := 0.0
 	if snapshot.SettingsMayPlace {
