Carry out the scheduler's moves of prefixes and models

Cause: the scheduler decided to transfer a prefix, to export one from a leaving engine and to load or unload models, and the node dropped those decisions.

Change: a prefix is imported before an attempt that counts on it; exports and orders are carried out. An order's fence is its offset in a stream of orders, so that of two nodes that both believe to command an engine the later in the log wins, and an order that was held up comes too late.

Moves of models have not been run on real processes yet.

--- a/control/actions.go
+++ b/control/actions.go
@@ -5,7 +5,6 @@
 
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/contract"
-	"birchwood.example/birchwood/engine"
 	"birchwood.example/birchwood/link"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/partition"
@@ -66,6 +65,9 @@
 	Key      string
 	Deadline time.Time
 	Decision schedule.Decision
+	// ImportFrom is the engine that holds the program's prefix, if it is to be
+	// transferred first.
+	ImportFrom machine.Machine
 	// Prompt locates the program's history, which precedes the call's input.
 	Prompt []program.CallLocation
 }
@@ -97,10 +99,20 @@
 	Owner   api.ProgramID
 }
 
-// OrderModel gives an engine a fenced order.
+// MovePrefix has the engine To fetch a program's prefix from the engine From.
+// A failure costs a prefill later and nothing else; nothing answers it.
+type MovePrefix struct {
+	Owner    api.ProgramID
+	From, To machine.Machine
+}
+
+// OrderModel orders an engine to load or unload a model. The driver takes the
+// fence from the log, whose order is the order of the commands; nothing
+// answers it but the machine list, once the engine has obeyed.
 type OrderModel struct {
 	Backend machine.Machine
-	Order   engine.Order
+	Load    string
+	Unload  string
 }
 
 // Answer replies to a request.
@@ -170,6 +182,7 @@
 func (QueryBackend) isAction()        {}
 func (ListPrefixes) isAction()        {}
 func (ReleasePrefix) isAction()       {}
+func (MovePrefix) isAction()          {}
 func (OrderModel) isAction()          {}
 func (Answer) isAction()              {}
 func (FetchHistory) isAction()        {}
--- a/control/apply.go
+++ b/control/apply.go
@@ -162,16 +162,18 @@
 	placed.backend = effect.Backend
 	placed.sent = true
 	owned.placed[effect.Attempt.CallRef] = placed
+	importFrom, _ := c.attendant.backend(placed.decision.ImportFrom)
 	c.emit(SendAttempt{
-		Partition: owned.id,
-		Attempt:   effect.Attempt,
-		Epoch:     effect.Epoch,
-		Backend:   backend,
-		Call:      effect.Call,
-		Key:       effect.Key,
-		Deadline:  effect.Deadline,
-		Decision:  placed.decision,
-		Prompt:    earlierCalls(owned.store, effect.Attempt.CallRef),
+		Partition:  owned.id,
+		ImportFrom: importFrom,
+		Attempt:    effect.Attempt,
+		Epoch:      effect.Epoch,
+		Backend:    backend,
+		Call:       effect.Call,
+		Key:        effect.Key,
+		Deadline:   effect.Deadline,
+		Decision:   placed.decision,
+		Prompt:     earlierCalls(owned.store, effect.Attempt.CallRef),
 	})
 }
 
--- a/control/scheduling.go
+++ b/control/scheduling.go
@@ -32,9 +32,52 @@
 		c.refuse(now, decision)
 	case schedule.ActionDrop:
 		c.releaseAt(decision.Program, decision.Backend)
+	case schedule.ActionExport:
+		c.movePrefix(decision)
+	case schedule.ActionLoad, schedule.ActionUnload:
+		c.orderModel(decision)
 	}
 }
 
+// movePrefix moves a paused program's prefix to another engine.
+func (c *Core) movePrefix(decision schedule.Decision) {
+	from, fromKnown := c.attendant.backend(decision.Backend)
+	to, toKnown := c.attendant.backend(decision.ExportTo)
+	owned, ok := c.ownerOf(decision.Program)
+	if !fromKnown || !toKnown || !ok {
+		return
+	}
+	terms, _ := owned.store.Terms(decision.Program)
+	if !terms.Placement.Contains(to.Zone) {
+		return
+	}
+	c.noteResidence(owned, decision.Program, to.ID, 1)
+	c.emit(MovePrefix{Owner: decision.Program, From: from, To: to})
+}
+
+// orderModel has an engine load or unload a model, if this node attends it.
+func (c *Core) orderModel(decision schedule.Decision) {
+	backend, ok := c.attendant.backend(decision.Backend)
+	if !ok || !c.Attends(decision.Backend) {
+		return
+	}
+	order := OrderModel{Backend: backend}
+	if decision.Action == schedule.ActionLoad {
+		order.Load = decision.Model
+	} else {
+		order.Unload = decision.Model
+	}
+	c.emit(order)
+}
+
+// Attends reports whether this node looks after a back end, and so commands
+// it. Two nodes that disagree on who is live may both think so; the fence of
+// the order settles which counts.
+func (c *Core) Attends(id machine.ID) bool {
+	_, attended := c.attendant.attended[id]
+	return attended
+}
+
 // place records the choice in the program, which then asks to send it. The
 // permission is checked once more here, where the choice takes effect: the
 // contract may have narrowed since the call was handed to the scheduler.
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -133,6 +133,7 @@
 		ended.Outcome.Error = api.Refuse(api.CodeStoreUnavailable, "the program's history cannot be read: %v", err).After(0)
 		return ended
 	}
+	n.importFirst(ctx, action)
 	answer := modelAnswer{node: n, attempt: action.Attempt, buffer: buffer, started: time.Now()}
 	err = n.engines.Engine(action.Backend).Generate(ctx, n.generateRequest(action, prompt), answer.receive)
 	if err == nil && answer.last == nil {
--- /dev/null
+++ b/node/orders_test.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
+
+	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/engine"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/platform"
+)
+
+// forgetfulLog takes every append and loses the answers of the first ones.
+type forgetfulLog struct {
+	platform.Log
+	lost     int
+	appended uint64
+}
+
+func (l *forgetfulLog) Append(context.Context, string, [][]byte) (uint64, error) {
+	offset := l.appended
+	l.appended++
+	if l.lost > 0 {
+		l.lost--
+		return 0, errors.New("the answer was lost")
+	}
+	return offset, nil
+}
+
+// fencedEngine takes an order only if its fence is above all it has seen.
+type fencedEngine struct {
+	engine.Client
+	highest uint64
+	taken   []engine.Order
+}
+
+func (e *fencedEngine) Engine(machine.Machine) engine.Client { return e }
+
+func (e *fencedEngine) Order(_ context.Context, order engine.Order) error {
+	if order.Fence <= e.highest {
+		return errors.New("the fence is too low")
+	}
+	e.highest = order.Fence
+	e.taken = append(e.taken, order)
+	return nil
+}
+
+var _ = Describe("Orders to engines", func() {
+	nodeWith := func(logService platform.Log, engines engine.Dialer) *Node {
+		return &Node{
+			context: context.Background(), log: logService, engines: engines,
+			config: Config{BackendTimeout: time.Minute}, logger: &log.Logger{Level: log.PanicLevel},
+		}
+	}
+
+	It("fences each order by its place in the log, also after a lost answer", func() {
+		logService, engines := &forgetfulLog{lost: 1}, &fencedEngine{}
+		first, second := nodeWith(logService, engines), nodeWith(logService, engines)
+		first.orderModel(control.OrderModel{Load: "birch-8b"})
+		second.orderModel(control.OrderModel{Unload: "birch-8b"})
+		Expect(engines.taken).To(Equal([]engine.Order{{Fence: 2, Load: "birch-8b"}, {Fence: 3, Unload: "birch-8b"}}))
+	})
+
+	It("lets an order that was held up change nothing", func() {
+		logService, engines := &forgetfulLog{}, &fencedEngine{}
+		nodeWith(logService, engines).orderModel(control.OrderModel{Load: "birch-8b"})
+		late := engine.Order{Fence: engines.highest, Unload: "birch-8b"}
+		Expect(engines.Order(context.Background(), late)).NotTo(Succeed())
+		Expect(engines.taken).To(HaveLen(1))
+	})
+})
--- a/node/perform.go
+++ b/node/perform.go
@@ -46,6 +46,8 @@
 		go n.listPrefixes(action)
 	case control.ReleasePrefix:
 		go n.releasePrefix(action)
+	case control.MovePrefix:
+		go n.movePrefix(action)
 	case control.OrderModel:
 		go n.orderModel(action)
 	case control.Answer:
@@ -206,14 +208,6 @@
 	n.post(control.PrefixReleased{Backend: action.Backend.ID, Owner: action.Owner, Err: err})
 }
 
-func (n *Node) orderModel(action control.OrderModel) {
-	ctx, cancel := context.WithTimeout(n.context, n.config.BackendTimeout)
-	defer cancel()
-	if err := n.engines.Engine(action.Backend).Order(ctx, action.Order); err != nil {
-		n.logger.Warn().Str("backend", string(action.Backend.ID)).Err(err).Msg("backend: an order was not taken")
-	}
-}
-
 // send hands a message to the transport. One that cannot be queued is lost,
 // as any message may be; the parts repeat what matters.
 func (n *Node) send(action control.SendMessage) {
--- a/operator/api_test.go
+++ b/operator/api_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -54,6 +55,11 @@
 		Expect(ask("POST", "settings", "bootstrap", change("c2", 1, "triage", triage), nil)).To(Equal(200))
 	})
 
+	It("answers a body that is too large with its code", func() {
+		body := `{"id":"` + strings.Repeat("x", 2<<20) + `"}`
+		Expect(refusalOf("POST", "settings", "bootstrap", body).Code).To(Equal(api.CodeBodyTooLarge))
+	})
+
 	It("needs a token that the tree lists, or the bootstrap token", func() {
 		Expect(refusalOf("GET", "settings", "", "").Code).To(Equal(api.CodeUnauthorized))
 		Expect(refusalOf("GET", "settings", "guess", "").Code).To(Equal(api.CodeUnauthorized))
--- a/operator/server.go
+++ b/operator/server.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/gateway"
 )
 
 // logPrefix starts each of this part's messages.
@@ -97,6 +98,7 @@
 	s.router = s.routes()
 	s.server = &fasthttp.Server{
 		Handler:               s.router.Handler,
+		ErrorHandler:          s.badRequest,
 		Name:                  "birchwood",
 		Concurrency:           config.Connections,
 		ReadTimeout:           config.ReadTimeout,
@@ -123,6 +125,12 @@
 // Shutdown ends the server once its requests are answered.
 func (s *Server) Shutdown(ctx context.Context) error { return s.server.ShutdownWithContext(ctx) }
 
+// badRequest answers a request that could not be read as HTTP.
+func (s *Server) badRequest(ctx *fasthttp.RequestCtx, err error) {
+	ctx.SetConnectionClose()
+	writeError(ctx, gateway.ReadError(err, s.config.MaximumBodyBytes))
+}
+
 // healthz answers whether the process works: its control goroutine answers.
 func (s *Server) healthz(ctx *fasthttp.RequestCtx) {
 	bounded, cancel := context.WithTimeout(context.Background(), s.config.HealthTimeout)
