gateway: say when a list is cut, and skip nodes that do not answer

A list of programs was cut by each node without a word, and waited for nodes that were known not to answer.

--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -106,11 +106,14 @@
 	world   *world
 	id      machine.ID
 	lose    func() *api.Error // overrides the owner's answer to a submit
+	holds   int               // programs that a list shows, at least one
 	hang    bool              // no request is answered
 	cutFrom machine.ID        // a node that cannot be reached from here
 	gateway *gateway.Gateway
 	address string
 	kill    func()
+	// opened returns how many connections were opened to the node.
+	opened func() int
 }
 
 // trackedListener remembers its connections, to cut them as a death does.
@@ -130,6 +133,12 @@
 	return conn, err
 }
 
+func (l *trackedListener) opened() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.conns)
+}
+
 func (l *trackedListener) kill() {
 	_ = l.Close()
 	l.mutex.Lock()
@@ -202,7 +211,12 @@
 	n.world.mutex.Lock()
 	defer n.world.mutex.Unlock()
 	if request.Operation == control.OperationList {
-		return control.Reply{Programs: []api.Program{{ID: api.ProgramID(n.id), Branch: string(request.Scope)}}}
+		programs := []api.Program{{ID: api.ProgramID(n.id), Branch: string(request.Scope)}}
+		for len(programs) < min(n.holds, request.Limit) {
+			id := api.ProgramID(fmt.Sprintf("%s-%d", n.id, len(programs)))
+			programs = append(programs, api.Program{ID: id, Branch: string(request.Scope)})
+		}
+		return control.Reply{Programs: programs}
 	}
 	if n.world.owner != n.id {
 		return control.Reply{Error: api.Refuse(api.CodeNotOwner, "not the owner")}
@@ -321,6 +335,7 @@
 	listener := &trackedListener{Listener: plain}
 	started.address = listener.Addr().String()
 	started.kill = listener.kill
+	started.opened = listener.opened
 	w.mutex.Lock()
 	w.address[id] = started.address
 	w.mutex.Unlock()
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -36,7 +37,8 @@
 	body   []byte
 }
 
-// askPeers passes the request on to every other node at once.
+// askPeers passes the request on to every other node at once. Nodes that keep
+// failing are left out: their answers are empty.
 func (g *Gateway) askPeers(request *exchange) []peerAnswer {
 	directory, knows := g.service.(Directory)
 	if !knows || request.peer {
@@ -47,6 +49,10 @@
 	var group errgroup.Group
 	group.SetLimit(peersAtOnce)
 	for i, peer := range peers {
+		answers[i].node = peer
+		if !g.paths.allow(peer.Address, time.Now()) {
+			continue
+		}
 		group.Go(func() error {
 			result := g.relay(request, peer.Address, false)
 			answers[i] = peerAnswer{node: peer, status: result.status, body: result.body}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -50,6 +50,15 @@
 		Expect(incomplete).To(Equal([]string{"isando-2"}))
 	})
 
+	It("says when there are more programs than a list holds", func() {
+		first.holds = 600
+		second.holds = 600
+		got := ask("GET", "http://"+first.address+"/v1/programs", triageToken, "")
+		programs, _ := listed([]byte(got.body))
+		Expect(programs).To(HaveLen(1000))
+		Expect(got.body).To(ContainSubstring(`"truncated":true`))
+	})
+
 	It("tells at any node why another one refused, to callers of the same branch only", func() {
 		refusal := ask("GET", "http://"+second.address+"/v1/programs/"+string(triageProgram), triageToken, "").error()
 		got := ask("GET", "http://"+first.address+"/v1/refusals/"+refusal.ID, triageToken, "")
--- a/gateway/parse.go
+++ b/gateway/parse.go
@@ -172,6 +172,7 @@
 // parseList reads GET /v1/programs.
 func (g *Gateway) parseList(_ *fasthttp.RequestCtx, request *exchange, _ *api.Findings) *api.Error {
 	request.request.Operation = control.OperationList
+	request.request.Limit = maximumPrograms + 1 // One more tells that there are more.
 	return nil
 }
 
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -79,6 +79,20 @@
 		Expect(last.kind).To(Equal("end"))
 	})
 
+	It("uses the connection to the owner again after a stream", func() {
+		Expect(ask("POST", calls+"?wait=false", triageToken, submitFirst).status).To(Equal(http.StatusAccepted))
+		shared.finish(shared.get(triageProgram, "a"), "one")
+		Eventually(func() int {
+			before := first.opened()
+			stream := openEvents("GET", calls+"/key:a/stream", triageToken, "")
+			defer stream.close()
+			text, last := stream.text()
+			Expect(text).To(Equal("one"))
+			Expect(last.kind).To(Equal("end"))
+			return first.opened() - before
+		}).Should(BeZero())
+	})
+
 	It("finds the owner that the asked node names", func() {
 		direct := "http://" + second.address + "/v1/programs/" + string(triageProgram)
 		headers := []string{"X-Birchwood-Scope", "/koudeketting/triage", "X-Birchwood-Hops", "1"}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -50,7 +50,7 @@
 
 // badRequest answers a request that could not be read as HTTP.
 func (g *Gateway) badRequest(ctx *fasthttp.RequestCtx, err error) {
-	refusal := readError(err, g.config.MaximumBodyBytes)
+	refusal := ReadError(err, g.config.MaximumBodyBytes)
 	if refusal.Code == api.CodeBodyTooLarge {
 		discardBody(ctx.Conn())
 	}
@@ -58,8 +58,8 @@
 	g.refuse(ctx, &exchange{received: time.Now()}, refusal, refusal.Code.HTTPStatus())
 }
 
-// readError tells apart why a request could not be read.
-func readError(err error, maximumBody int) *api.Error {
+// ReadError tells apart why a request could not be read.
+func ReadError(err error, maximumBody int) *api.Error {
 	var small *fasthttp.ErrSmallBuffer
 	var network net.Error
 	switch {
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -213,6 +213,8 @@
 	gateway  *Gateway
 	response *fasthttp.Response
 	reader   *bufio.Reader
+	// ended is set once the owner has sent its last event.
+	ended bool
 }
 
 // eventBytes is the size of the buffer for an event's lines.
@@ -241,6 +243,7 @@
 		}
 		line = bytes.TrimSuffix(line, []byte("\n"))
 		if len(line) == 0 {
+			s.ended = next.kind == eventEnd || next.kind == eventError
 			return checked(ctx, next)
 		}
 		readField(&next, line)
@@ -277,9 +280,22 @@
 	return next, nil
 }
 
-// close implements source: it closes the connection unless all was read, so
-// that the owner notices.
+// close implements source. A stream that is not over loses its connection, so
+// that the owner notices. One that is over is read to its end in the
+// background, so that the connection serves the next request: only the mark of
+// the end is still to come, and the silence allowed to a node bounds the wait.
 func (s *remoteSource) close() {
+	if !s.ended {
+		s.release()
+		return
+	}
+	go func() {
+		_, _ = s.reader.Peek(1)
+		s.release()
+	}()
+}
+
+func (s *remoteSource) release() {
 	_ = s.response.CloseBodyStream()
 	fasthttp.ReleaseResponse(s.response)
 }
