command: say once how an operators' verb asks and prints

Each operators' verb opened a client, asked and printed in the same dozen lines.

A verb now states what it asks and how it writes the answer for people; the rest stands in one place.

--- a/command/backend.go
+++ b/command/backend.go
@@ -20,27 +20,20 @@
 }
 
 func newBackendListCommand(flags *operatorFlags) *cobra.Command {
-	return &cobra.Command{
-		Use:   "list",
-		Short: "List the back ends that the asked node knows",
-		Args:  cobra.NoArgs,
-		RunE: func(command *cobra.Command, _ []string) error {
-			client, err := flags.open(command)
-			if err != nil {
-				return err
-			}
-			var backends []machine.Machine
-			if err := client.get(command.Context(), "/backends", &backends); err != nil {
-				return err
-			}
-			return client.print(backends, func(writer io.Writer) {
-				row(writer, "ID", "KIND", "ZONE", "ADDRESS", "STATUS", "SERVES", "SLOTS", "CACHE TOKENS")
-				for _, backend := range backends {
-					serves := strings.Join(append(backend.Models, backend.Tools...), ",")
-					row(writer, backend.ID, backend.Kind, backend.Zone, backend.Address, backend.Status, orDash(serves),
-						backend.Slots, backend.CacheTokens)
-				}
-			})
-		},
+	return verb[[]machine.Machine]{
+		use:       "list",
+		short:     "List the back ends that the asked node knows",
+		arguments: cobra.NoArgs,
+		ask:       getting[[]machine.Machine](fixed("/backends")),
+		text:      printBackends,
+	}.command(flags)
+}
+
+func printBackends(writer io.Writer, backends []machine.Machine) {
+	row(writer, "ID", "KIND", "ZONE", "ADDRESS", "STATUS", "SERVES", "SLOTS", "CACHE TOKENS")
+	for _, backend := range backends {
+		serves := strings.Join(append(backend.Models, backend.Tools...), ",")
+		row(writer, backend.ID, backend.Kind, backend.Zone, backend.Address, backend.Status, orDash(serves),
+			backend.Slots, backend.CacheTokens)
 	}
 }
--- a/command/node.go
+++ b/command/node.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"context"
 	"io"
 	"net/url"
 
@@ -20,27 +21,18 @@
 }
 
 func newNodeListCommand(flags *operatorFlags) *cobra.Command {
-	return &cobra.Command{
-		Use:   "list",
-		Short: "List the nodes that the asked node knows",
-		Args:  cobra.NoArgs,
-		RunE: func(command *cobra.Command, _ []string) error {
-			client, err := flags.open(command)
-			if err != nil {
-				return err
+	return verb[[]operator.NodeState]{
+		use:       "list",
+		short:     "List the nodes that the asked node knows",
+		arguments: cobra.NoArgs,
+		ask:       getting[[]operator.NodeState](fixed("/nodes")),
+		text: func(writer io.Writer, nodes []operator.NodeState) {
+			row(writer, "ID", "ZONE", "ADDRESS", "STATUS", "OWNS")
+			for _, node := range nodes {
+				row(writer, node.ID, node.Zone, node.Address, node.Status, orUnknown(node.OwnedPartitions))
 			}
-			var nodes []operator.NodeState
-			if err := client.get(command.Context(), "/nodes", &nodes); err != nil {
-				return err
-			}
-			return client.print(nodes, func(writer io.Writer) {
-				row(writer, "ID", "ZONE", "ADDRESS", "STATUS", "OWNS")
-				for _, node := range nodes {
-					row(writer, node.ID, node.Zone, node.Address, node.Status, orUnknown(node.OwnedPartitions))
-				}
-			})
 		},
-	}
+	}.command(flags)
 }
 
 // orUnknown shows what a node owns; only the asked node tells it.
@@ -51,24 +43,21 @@
 	return partitions
 }
 
+// draining is the answer to a request to drain a machine.
+type draining struct {
+	Draining string `json:"draining"`
+}
+
 // newDrainCommand returns the verb that takes a machine out of use.
 func newDrainCommand(flags *operatorFlags, kind, short string) *cobra.Command {
-	return &cobra.Command{
-		Use:   "drain ID",
-		Short: short,
-		Args:  cobra.ExactArgs(1),
-		RunE: func(command *cobra.Command, arguments []string) error {
-			client, err := flags.open(command)
-			if err != nil {
-				return err
-			}
-			var answer struct {
-				Draining string `json:"draining"`
-			}
-			if err := client.post(command.Context(), "/"+kind+"/"+url.PathEscape(arguments[0])+"/drain", nil, &answer); err != nil {
-				return err
-			}
-			return client.print(answer, func(writer io.Writer) { row(writer, "draining", answer.Draining) })
+	return verb[draining]{
+		use:       "drain ID",
+		short:     short,
+		arguments: cobra.ExactArgs(1),
+		ask: func(ctx context.Context, client *operatorClient, arguments []string) (answer draining, err error) {
+			err = client.post(ctx, "/"+kind+"/"+url.PathEscape(arguments[0])+"/drain", nil, &answer)
+			return answer, err
 		},
-	}
+		text: func(writer io.Writer, answer draining) { row(writer, "draining", answer.Draining) },
+	}.command(flags)
 }
--- a/command/partition.go
+++ b/command/partition.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"context"
 	"io"
 	"net/url"
 
@@ -20,28 +21,19 @@
 }
 
 func newPartitionListCommand(flags *operatorFlags) *cobra.Command {
-	return &cobra.Command{
-		Use:   "list",
-		Short: "List the partitions that the asked node owns or is taking over",
-		Args:  cobra.NoArgs,
-		RunE: func(command *cobra.Command, _ []string) error {
-			client, err := flags.open(command)
-			if err != nil {
-				return err
+	return verb[[]control.PartitionStatus]{
+		use:       "list",
+		short:     "List the partitions that the asked node owns or is taking over",
+		arguments: cobra.NoArgs,
+		ask:       getting[[]control.PartitionStatus](fixed("/partitions")),
+		text: func(writer io.Writer, owned []control.PartitionStatus) {
+			row(writer, "PARTITION", "STATE", "EPOCH", "PROGRAMS", "RUNNING", "UNCONFIRMED", "WAITS FOR MIRRORS")
+			for _, status := range owned {
+				row(writer, status.Partition, status.State, status.Epoch, status.Programs, status.Running,
+					status.Unconfirmed, waitsFor(status.Stall))
 			}
-			var owned []control.PartitionStatus
-			if err := client.get(command.Context(), "/partitions", &owned); err != nil {
-				return err
-			}
-			return client.print(owned, func(writer io.Writer) {
-				row(writer, "PARTITION", "STATE", "EPOCH", "PROGRAMS", "RUNNING", "UNCONFIRMED", "WAITS FOR MIRRORS")
-				for _, status := range owned {
-					row(writer, status.Partition, status.State, status.Epoch, status.Programs, status.Running,
-						status.Unconfirmed, waitsFor(status.Stall))
-				}
-			})
 		},
-	}
+	}.command(flags)
 }
 
 // waitsFor tells which mirrors a stalled recovery waits for.
@@ -59,25 +51,22 @@
 	return text + "since " + stall.Since.Format("15:04:05")
 }
 
+// acceptedLoss is the answer to a request to accept a loss.
+type acceptedLoss struct {
+	Accepted partition.ID `json:"accepted"`
+}
+
 func newAcceptLossCommand(flags *operatorFlags) *cobra.Command {
-	return &cobra.Command{
-		Use:   "accept-loss PARTITION",
-		Short: "Let a stalled recovery go on without the mirrors that have lost what they held",
-		Long: "Let a stalled recovery of the asked node go on. Records that only the missing mirrors held, " +
+	return verb[acceptedLoss]{
+		use:   "accept-loss PARTITION",
+		short: "Let a stalled recovery go on without the mirrors that have lost what they held",
+		long: "Let a stalled recovery of the asked node go on. Records that only the missing mirrors held, " +
 			"which were confirmed while the log service was down, are lost; the log notes that this was accepted.",
-		Args: cobra.ExactArgs(1),
-		RunE: func(command *cobra.Command, arguments []string) error {
-			client, err := flags.open(command)
-			if err != nil {
-				return err
-			}
-			var answer struct {
-				Accepted partition.ID `json:"accepted"`
-			}
-			if err := client.post(command.Context(), "/partitions/"+url.PathEscape(arguments[0])+"/accept-loss", nil, &answer); err != nil {
-				return err
-			}
-			return client.print(answer, func(writer io.Writer) { row(writer, "accepted", answer.Accepted) })
+		arguments: cobra.ExactArgs(1),
+		ask: func(ctx context.Context, client *operatorClient, arguments []string) (answer acceptedLoss, err error) {
+			err = client.post(ctx, "/partitions/"+url.PathEscape(arguments[0])+"/accept-loss", nil, &answer)
+			return answer, err
 		},
-	}
+		text: func(writer io.Writer, answer acceptedLoss) { row(writer, "accepted", answer.Accepted) },
+	}.command(flags)
 }
--- a/command/program_end.go
+++ b/command/program_end.go
@@ -1,7 +1,7 @@
 package command
 
 import (
-	"io"
+	"context"
 	"net/url"
 
 	"github.com/spf13/cobra"
@@ -9,27 +9,23 @@
 	"birchwood.example/birchwood/api"
 )
 
+// endReason is the body of a request to end a program.
+type endReason struct {
+	Reason string `json:"reason"`
+}
+
 func newProgramEndCommand(flags *operatorFlags) *cobra.Command {
-	reason := "ended by an operator"
-	command := &cobra.Command{
-		Use:   "end ID [--reason TEXT]",
-		Short: "End a program: its calls are cancelled and its engine memory is released",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(command *cobra.Command, arguments []string) error {
-			client, err := flags.open(command)
-			if err != nil {
-				return err
-			}
-			var program api.Program
-			body := struct {
-				Reason string `json:"reason"`
-			}{reason}
-			if err := client.post(command.Context(), "/programs/"+url.PathEscape(arguments[0])+"/end", body, &program); err != nil {
-				return err
-			}
-			return client.print(program, func(writer io.Writer) { printProgram(writer, program) })
+	reason := endReason{Reason: "ended by an operator"}
+	command := verb[api.Program]{
+		use:       "end ID [--reason TEXT]",
+		short:     "End a program: its calls are cancelled and its engine memory is released",
+		arguments: cobra.ExactArgs(1),
+		ask: func(ctx context.Context, client *operatorClient, arguments []string) (program api.Program, err error) {
+			err = client.post(ctx, "/programs/"+url.PathEscape(arguments[0])+"/end", reason, &program)
+			return program, err
 		},
-	}
-	command.Flags().StringVar(&reason, "reason", reason, "why, for the program's history")
+		text: printProgram,
+	}.command(flags)
+	command.Flags().StringVar(&reason.Reason, "reason", reason.Reason, "why, for the program's history")
 	return command
 }
--- a/command/program_list.go
+++ b/command/program_list.go
@@ -14,26 +14,19 @@
 
 func newProgramListCommand(flags *operatorFlags) *cobra.Command {
 	branch := ""
-	command := &cobra.Command{
-		Use:   "list [--branch PATH]",
-		Short: "List the programs of a branch",
-		Args:  cobra.NoArgs,
-		RunE: func(command *cobra.Command, _ []string) error {
-			client, err := flags.open(command)
-			if err != nil {
-				return err
+	command := verb[gateway.ProgramList]{
+		use:       "list [--branch PATH]",
+		short:     "List the programs of a branch",
+		arguments: cobra.NoArgs,
+		ask: getting[gateway.ProgramList](func([]string) string {
+			if branch == "" {
+				return "/programs"
 			}
-			query := url.Values{}
-			if command.Flags().Changed("branch") {
-				query.Set("branch", strings.Trim(branch, "/"))
-			}
-			var list gateway.ProgramList
-			if err := client.get(command.Context(), "/programs?"+query.Encode(), &list); err != nil {
-				return err
-			}
-			return client.print(list, func(writer io.Writer) { printPrograms(writer, list) })
-		},
-	}
+			query := url.Values{"branch": {strings.Trim(branch, "/")}}
+			return "/programs?" + query.Encode()
+		}),
+		text: printPrograms,
+	}.command(flags)
 	command.Flags().StringVar(&branch, "branch", "", "the branch; left out, the token's")
 	return command
 }
--- a/command/program_show.go
+++ b/command/program_show.go
@@ -11,22 +11,15 @@
 )
 
 func newProgramShowCommand(flags *operatorFlags) *cobra.Command {
-	return &cobra.Command{
-		Use:   "show ID",
-		Short: "Show one program",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(command *cobra.Command, arguments []string) error {
-			client, err := flags.open(command)
-			if err != nil {
-				return err
-			}
-			var program api.Program
-			if err := client.get(command.Context(), "/programs/"+url.PathEscape(arguments[0]), &program); err != nil {
-				return err
-			}
-			return client.print(program, func(writer io.Writer) { printProgram(writer, program) })
-		},
-	}
+	return verb[api.Program]{
+		use:       "show ID",
+		short:     "Show one program",
+		arguments: cobra.ExactArgs(1),
+		ask: getting[api.Program](func(arguments []string) string {
+			return "/programs/" + url.PathEscape(arguments[0])
+		}),
+		text: printProgram,
+	}.command(flags)
 }
 
 func printProgram(writer io.Writer, program api.Program) {
--- a/command/program_trace.go
+++ b/command/program_trace.go
@@ -25,26 +25,19 @@
 }
 
 func newProgramTraceCommand(flags *operatorFlags) *cobra.Command {
-	return &cobra.Command{
-		Use:   "trace ID",
-		Short: "Show a program's life: each call, where it ran, why there, what it waited for, what it cost",
-		Long: "Shows a program's calls in their order. WAITED is the time from a call's acceptance to the\n" +
+	return verb[programTrace]{
+		use:   "trace ID",
+		short: "Show a program's life: each call, where it ran, why there, what it waited for, what it cost",
+		long: "Shows a program's calls in their order. WAITED is the time from a call's acceptance to the\n" +
 			"choice of its back end, RAN the time from there to its end. WHY gives the terms of the\n" +
 			"choice: the predicted queueing, prefill, transfer, decode and link times, and how many back\n" +
 			"ends were feasible. Attempts made before the program's last change of owner are not kept.",
-		Args: cobra.ExactArgs(1),
-		RunE: func(command *cobra.Command, arguments []string) error {
-			client, err := flags.open(command)
-			if err != nil {
-				return err
-			}
-			trace, err := readTrace(command.Context(), client, arguments[0])
-			if err != nil {
-				return err
-			}
-			return client.print(trace, func(writer io.Writer) { printTrace(writer, trace) })
+		arguments: cobra.ExactArgs(1),
+		ask: func(ctx context.Context, client *operatorClient, arguments []string) (programTrace, error) {
+			return readTrace(ctx, client, arguments[0])
 		},
-	}
+		text: printTrace,
+	}.command(flags)
 }
 
 // readTrace asks for the program, its whole history and its attempts.
--- a/command/settings_diff.go
+++ b/command/settings_diff.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"strconv"
 
 	"github.com/spf13/cobra"
 
@@ -10,36 +9,24 @@
 )
 
 func newSettingsDiffCommand(flags *operatorFlags) *cobra.Command {
-	var from, to uint64
-	command := &cobra.Command{
-		Use:   "diff [PATH] [--from REVISION] [--to REVISION]",
-		Short: "Show how a branch's settings differ between two revisions",
-		Long:  "Shows how a branch's settings differ between two revisions. Left out, --to is the\nnewest revision and --from the one before --to.",
-		Args:  cobra.MaximumNArgs(1),
-		RunE: func(command *cobra.Command, arguments []string) error {
-			client, err := flags.open(command)
-			if err != nil {
-				return err
-			}
+	var from, to string
+	command := verb[[]contract.Difference]{
+		use:       "diff [PATH] [--from REVISION] [--to REVISION]",
+		short:     "Show how a branch's settings differ between two revisions",
+		arguments: cobra.MaximumNArgs(1),
+		ask: getting[[]contract.Difference](func(arguments []string) string {
 			query := pathQuery(arguments)
-			if command.Flags().Changed("from") {
-				query.Set("from", strconv.FormatUint(from, 10))
-			}
-			if command.Flags().Changed("to") {
-				query.Set("to", strconv.FormatUint(to, 10))
-			}
-			var differences []contract.Difference
-			if err := client.get(command.Context(), "/settings/diff?"+query.Encode(), &differences); err != nil {
-				return err
-			}
-			return client.print(differences, func(writer io.Writer) {
-				row(writer, "NAME", "BEFORE", "AFTER", "FROM")
-				printDifferences(writer, differences)
-			})
+			query.Set("from", from)
+			query.Set("to", to)
+			return "/settings/diff?" + query.Encode()
+		}),
+		text: func(writer io.Writer, differences []contract.Difference) {
+			row(writer, "NAME", "BEFORE", "AFTER", "FROM")
+			printDifferences(writer, differences)
 		},
-	}
-	command.Flags().Uint64Var(&from, "from", 0, "the older revision")
-	command.Flags().Uint64Var(&to, "to", 0, "the newer revision")
+	}.command(flags)
+	command.Flags().StringVar(&from, "from", "", "the older revision; left out, the one before --to")
+	command.Flags().StringVar(&to, "to", "", "the newer revision; left out, the newest")
 	return command
 }
 
--- a/command/settings_explain.go
+++ b/command/settings_explain.go
@@ -9,25 +9,18 @@
 )
 
 func newSettingsExplainCommand(flags *operatorFlags) *cobra.Command {
-	return &cobra.Command{
-		Use:   "explain [PATH]",
-		Short: "Show which branch each value of a branch comes from",
-		Args:  cobra.MaximumNArgs(1),
-		RunE: func(command *cobra.Command, arguments []string) error {
-			client, err := flags.open(command)
-			if err != nil {
-				return err
+	return verb[[]contract.Explanation]{
+		use:       "explain [PATH]",
+		short:     "Show which branch each value of a branch comes from",
+		arguments: cobra.MaximumNArgs(1),
+		ask: getting[[]contract.Explanation](func(arguments []string) string {
+			return "/settings/explain?" + pathQuery(arguments).Encode()
+		}),
+		text: func(writer io.Writer, values []contract.Explanation) {
+			row(writer, "NAME", "VALUE", "FROM", "REVISION")
+			for _, value := range values {
+				row(writer, value.Name, string(value.Value), originOf(value), value.Revision)
 			}
-			var values []contract.Explanation
-			if err := client.get(command.Context(), "/settings/explain?"+pathQuery(arguments).Encode(), &values); err != nil {
-				return err
-			}
-			return client.print(values, func(writer io.Writer) {
-				row(writer, "NAME", "VALUE", "FROM", "REVISION")
-				for _, value := range values {
-					row(writer, value.Name, string(value.Value), originOf(value), value.Revision)
-				}
-			})
 		},
-	}
+	}.command(flags)
 }
--- a/command/settings_get.go
+++ b/command/settings_get.go
@@ -9,31 +9,24 @@
 )
 
 func newSettingsGetCommand(flags *operatorFlags) *cobra.Command {
-	return &cobra.Command{
-		Use:   "get [PATH]",
-		Short: "Show the effective settings of a branch and the branches below it",
-		Args:  cobra.MaximumNArgs(1),
-		RunE: func(command *cobra.Command, arguments []string) error {
-			client, err := flags.open(command)
-			if err != nil {
-				return err
+	return verb[operator.Settings]{
+		use:       "get [PATH]",
+		short:     "Show the effective settings of a branch and the branches below it",
+		arguments: cobra.MaximumNArgs(1),
+		ask: getting[operator.Settings](func(arguments []string) string {
+			return "/settings?" + pathQuery(arguments).Encode()
+		}),
+		text: func(writer io.Writer, settings operator.Settings) {
+			row(writer, "branch", settings.Path)
+			row(writer, "revision", settings.Revision)
+			for _, value := range settings.Values {
+				row(writer, value.Name, string(value.Value))
 			}
-			var settings operator.Settings
-			if err := client.get(command.Context(), "/settings?"+pathQuery(arguments).Encode(), &settings); err != nil {
-				return err
-			}
-			return client.print(settings, func(writer io.Writer) {
-				row(writer, "branch", settings.Path)
-				row(writer, "revision", settings.Revision)
-				for _, value := range settings.Values {
-					row(writer, value.Name, string(value.Value))
-				}
-				for _, branch := range settings.Branches {
-					if branch != settings.Path {
-						row(writer, "below", branch)
-					}
+			for _, branch := range settings.Branches {
+				if branch != settings.Path {
+					row(writer, "below", branch)
 				}
-			})
+			}
 		},
-	}
+	}.command(flags)
 }
--- a/command/settings_history.go
+++ b/command/settings_history.go
@@ -14,29 +14,22 @@
 
 func newSettingsHistoryCommand(flags *operatorFlags) *cobra.Command {
 	limit := 20
-	command := &cobra.Command{
-		Use:   "history [PATH]",
-		Short: "Show the accepted changes that concern a branch, newest first",
-		Args:  cobra.MaximumNArgs(1),
-		RunE: func(command *cobra.Command, arguments []string) error {
-			client, err := flags.open(command)
-			if err != nil {
-				return err
-			}
+	command := verb[[]contract.HistoryEntry]{
+		use:       "history [PATH]",
+		short:     "Show the accepted changes that concern a branch, newest first",
+		arguments: cobra.MaximumNArgs(1),
+		ask: getting[[]contract.HistoryEntry](func(arguments []string) string {
 			query := pathQuery(arguments)
 			query.Set("limit", strconv.Itoa(limit))
-			var entries []contract.HistoryEntry
-			if err := client.get(command.Context(), "/settings/history?"+query.Encode(), &entries); err != nil {
-				return err
+			return "/settings/history?" + query.Encode()
+		}),
+		text: func(writer io.Writer, entries []contract.HistoryEntry) {
+			row(writer, "REVISION", "AT", "ACTOR", "CHANGE", "EDITS")
+			for _, entry := range entries {
+				row(writer, entry.Revision, entry.At.Format(time.RFC3339), entry.Actor, entry.ChangeID, editsText(entry.Edits))
 			}
-			return client.print(entries, func(writer io.Writer) {
-				row(writer, "REVISION", "AT", "ACTOR", "CHANGE", "EDITS")
-				for _, entry := range entries {
-					row(writer, entry.Revision, entry.At.Format(time.RFC3339), entry.Actor, entry.ChangeID, editsText(entry.Edits))
-				}
-			})
 		},
-	}
+	}.command(flags)
 	command.Flags().IntVar(&limit, "limit", limit, "how many changes to show at most")
 	return command
 }
--- a/command/settings_status.go
+++ b/command/settings_status.go
@@ -10,28 +10,19 @@
 )
 
 func newSettingsStatusCommand(flags *operatorFlags) *cobra.Command {
-	return &cobra.Command{
-		Use:   "status",
-		Short: "Show which nodes hold which revision, and which are behind",
-		Args:  cobra.NoArgs,
-		RunE: func(command *cobra.Command, _ []string) error {
-			client, err := flags.open(command)
-			if err != nil {
-				return err
+	return verb[operator.SettingsStatus]{
+		use:       "status",
+		short:     "Show which nodes hold which revision, and which are behind",
+		arguments: cobra.NoArgs,
+		ask:       getting[operator.SettingsStatus](fixed("/settings/status")),
+		text: func(writer io.Writer, status operator.SettingsStatus) {
+			row(writer, "this node is", string(status.Freshness.State)+": "+status.Freshness.Reason)
+			row(writer, "NODE", "REVISION", "BEHIND", "HEARD")
+			for _, node := range status.Nodes {
+				row(writer, node.Node, node.Revision, yesNo(node.Behind), node.HeardAgo.Round(time.Millisecond).String()+" ago")
 			}
-			var status operator.SettingsStatus
-			if err := client.get(command.Context(), "/settings/status", &status); err != nil {
-				return err
-			}
-			return client.print(status, func(writer io.Writer) {
-				row(writer, "this node is", string(status.Freshness.State)+": "+status.Freshness.Reason)
-				row(writer, "NODE", "REVISION", "BEHIND", "HEARD")
-				for _, node := range status.Nodes {
-					row(writer, node.Node, node.Revision, yesNo(node.Behind), node.HeardAgo.Round(time.Millisecond).String()+" ago")
-				}
-			})
 		},
-	}
+	}.command(flags)
 }
 
 // yesNo writes a truth value for people.
--- a/command/why.go
+++ b/command/why.go
@@ -13,22 +13,15 @@
 // newWhyCommand returns the verb that explains a refusal.
 func newWhyCommand() *cobra.Command {
 	flags := &operatorFlags{}
-	command := &cobra.Command{
-		Use:   "why ID",
-		Short: "Say why a request was refused, from the id in its error",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(command *cobra.Command, arguments []string) error {
-			client, err := flags.open(command)
-			if err != nil {
-				return err
-			}
-			var refusal gateway.Refusal
-			if err := client.get(command.Context(), "/why/"+url.PathEscape(arguments[0]), &refusal); err != nil {
-				return err
-			}
-			return client.print(refusal, func(writer io.Writer) { printRefusal(writer, refusal) })
-		},
-	}
+	command := verb[gateway.Refusal]{
+		use:       "why ID",
+		short:     "Say why a request was refused, from the id in its error",
+		arguments: cobra.ExactArgs(1),
+		ask: getting[gateway.Refusal](func(arguments []string) string {
+			return "/why/" + url.PathEscape(arguments[0])
+		}),
+		text: printRefusal,
+	}.command(flags)
 	flags.register(command)
 	return command
 }
