history: sum up how long programs were without an answer

A verified run said that nothing was lost, not how long callers had to wait for a program's next owner after a death.

Add the event Gap, which an observer records when a program's owner left it without an answer, and sum the gaps up in the report by the newest disturbance that had begun: count, p50, p95 and the longest.

No check of a promise is touched: gaps are figures, not findings.

--- a/history/check.go
+++ b/history/check.go
@@ -88,6 +88,7 @@
 		Findings:  c.findings,
 		Undecided: c.undecided,
 		Outcomes:  c.outcomes(),
+		Outages:   c.outages(),
 	}
 }
 
--- a/history/event.go
+++ b/history/event.go
@@ -29,6 +29,7 @@
 	InForce  *InForce   `json:"in_force,omitempty"`
 	Fault    *Fault     `json:"fault,omitempty"`
 	Leaving  *Leaving   `json:"leaving,omitempty"`
+	Gap      *Gap       `json:"gap,omitempty"`
 	Stop     *Stop      `json:"stop,omitempty"`
 	RunEnded *RunEnded  `json:"run_ended,omitempty"`
 }
--- a/history/index.go
+++ b/history/index.go
@@ -66,6 +66,7 @@
 	faults   []*record
 	leaving  []*record
 	stops    []*record
+	gaps     []*record
 }
 
 // The default bounds of the promises.
@@ -174,6 +175,8 @@
 		x.leaving = append(x.leaving, r)
 	case r.Stop != nil:
 		x.stops = append(x.stops, r)
+	case r.Gap != nil:
+		x.gaps = append(x.gaps, r)
 	}
 }
 
--- /dev/null
+++ b/history/outage.go
@@ -0,0 +1,97 @@
+package history
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"birchwood.example/birchwood/api"
+)
+
+// Gap says that a program's owner left an observer without an answer from
+// Since on until the event.
+type Gap struct {
+	Program api.ProgramID `json:"program"`
+	Since   time.Time     `json:"since"`
+}
+
+// The causes of gaps that are no FaultKind.
+const (
+	causeStop = "planned stop"
+	causeNone = "no disturbance"
+)
+
+// gapAttribution is how long after a gap began its cause may have begun: an
+// observer asks, and the disturbance comes while it waits.
+const gapAttribution = time.Second
+
+// Outage sums up the gaps that one kind of disturbance caused.
+type Outage struct {
+	Gaps int           `json:"gaps"`
+	P50  time.Duration `json:"p50"`
+	P95  time.Duration `json:"p95"`
+	Max  time.Duration `json:"max"`
+}
+
+// outages sorts the gaps by the newest disturbance that had begun.
+func (x *index) outages() map[string]Outage {
+	lengths := map[string][]time.Duration{}
+	for _, r := range x.gaps {
+		cause := x.causeOf(r)
+		lengths[cause] = append(lengths[cause], r.At.Sub(r.Gap.Since))
+	}
+	outages := map[string]Outage{}
+	for cause, each := range lengths {
+		slices.Sort(each)
+		outages[cause] = Outage{
+			Gaps: len(each), P50: quantile(each, 50), P95: quantile(each, 95), Max: each[len(each)-1],
+		}
+	}
+	return outages
+}
+
+// causeOf names the newest disturbance that began before the gap or soon after
+// its beginning.
+func (x *index) causeOf(gap *record) string {
+	latest := gap.Gap.Since.Add(gapAttribution)
+	if gap.At.Before(latest) {
+		latest = gap.At
+	}
+	cause, begun := causeNone, time.Time{}
+	consider := func(r *record, name string) {
+		if !r.At.After(latest) && !r.At.Before(begun) {
+			cause, begun = name, r.At
+		}
+	}
+	for _, r := range x.faults {
+		if r.Fault.Begin {
+			consider(r, string(r.Fault.Kind))
+		}
+	}
+	for _, r := range x.stops {
+		if !r.Stop.Done {
+			consider(r, causeStop)
+		}
+	}
+	return cause
+}
+
+// quantile returns the percentile of sorted values by nearest rank.
+func quantile(sorted []time.Duration, percent int) time.Duration {
+	rank := (len(sorted)*percent + 99) / 100
+	return sorted[max(rank, 1)-1]
+}
+
+// outageLines gives the outages as text, one a line.
+func outageLines(outages map[string]Outage) string {
+	var text strings.Builder
+	for _, cause := range slices.SortedFunc(maps.Keys(outages), cmp.Compare[string]) {
+		each := outages[cause]
+		fmt.Fprintf(&text, "gaps by %s: %d, p50 %s, p95 %s, max %s\n", cause, each.Gaps,
+			each.P50.Round(time.Millisecond), each.P95.Round(time.Millisecond), each.Max.Round(time.Millisecond))
+	}
+	return text.String()
+}
--- a/history/report.go
+++ b/history/report.go
@@ -61,6 +61,9 @@
 	Undecided int `json:"undecided"`
 	// Outcomes counts the answers by status or error code.
 	Outcomes map[string]int `json:"outcomes"`
+	// Outages sums up, by the disturbance that caused them, how long programs
+	// left their observers without an answer.
+	Outages map[string]Outage `json:"outages,omitempty"`
 }
 
 // Broken returns the distinct invariants of the findings.
@@ -79,6 +82,7 @@
 	var text strings.Builder
 	fmt.Fprintf(&text, "%d events, %d programs, %d calls, %d findings, %d undecided\n",
 		r.Events, r.Programs, r.Calls, len(r.Findings), r.Undecided)
+	text.WriteString(outageLines(r.Outages))
 	for _, finding := range r.Findings {
 		fmt.Fprintln(&text, finding)
 	}
