operator: show drained back ends, and answer oversized bodies in time

The list of back ends marks the drained ones. What a caller is still sending is read away, within bounds, before the refusal, by the same code as in the gateway.

--- a/command/backend.go
+++ b/command/backend.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/operator"
 )
 
 // newBackendCommand returns the verbs on back ends.
@@ -20,20 +21,28 @@
 }
 
 func newBackendListCommand(flags *operatorFlags) *cobra.Command {
-	return verb[[]machine.Machine]{
+	return verb[[]operator.BackendState]{
 		use:       "list",
 		short:     "List the back ends that the asked node knows",
 		arguments: cobra.NoArgs,
-		ask:       getting[[]machine.Machine](fixed("/backends")),
+		ask:       getting[[]operator.BackendState](fixed("/backends")),
 		text:      printBackends,
 	}.command(flags)
 }
 
-func printBackends(writer io.Writer, backends []machine.Machine) {
+func printBackends(writer io.Writer, backends []operator.BackendState) {
 	row(writer, "ID", "KIND", "ZONE", "ADDRESS", "STATUS", "SERVES", "SLOTS", "CACHE TOKENS")
 	for _, backend := range backends {
 		serves := strings.Join(append(backend.Models, backend.Tools...), ",")
-		row(writer, backend.ID, backend.Kind, backend.Zone, backend.Address, backend.Status, orDash(serves),
+		row(writer, backend.ID, backend.Kind, backend.Zone, backend.Address, statusOf(backend), orDash(serves),
 			backend.Slots, backend.CacheTokens)
 	}
 }
+
+// statusOf tells whether a back end gets new work.
+func statusOf(backend operator.BackendState) machine.Status {
+	if backend.Drained {
+		return "drained"
+	}
+	return backend.Status
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -50,16 +50,24 @@
 
 // badRequest answers a request that could not be read as HTTP.
 func (g *Gateway) badRequest(ctx *fasthttp.RequestCtx, err error) {
-	refusal := ReadError(err, g.config.MaximumBodyBytes)
-	if refusal.Code == api.CodeBodyTooLarge {
-		discardBody(ctx.Conn())
-	}
+	refusal := ReadError(ctx.Conn(), err, g.config.MaximumBodyBytes)
 	ctx.SetConnectionClose()
 	g.refuse(ctx, &exchange{received: time.Now()}, refusal, refusal.Code.HTTPStatus())
 }
 
-// ReadError tells apart why a request could not be read.
-func ReadError(err error, maximumBody int) *api.Error {
+// ReadError tells why a request could not be read. What the caller is still
+// sending of an oversized one is read away first, so that the caller gets to
+// read the refusal.
+func ReadError(conn net.Conn, err error, maximumBody int) *api.Error {
+	refusal := classifyReadError(err, maximumBody)
+	if refusal.Code == api.CodeBodyTooLarge {
+		discardBody(conn)
+	}
+	return refusal
+}
+
+// classifyReadError tells apart why a request could not be read.
+func classifyReadError(err error, maximumBody int) *api.Error {
 	var small *fasthttp.ErrSmallBuffer
 	var network net.Error
 	switch {
--- a/operator/api_test.go
+++ b/operator/api_test.go
@@ -124,6 +124,11 @@
 		Expect(ask("POST", "backends/engine-1/drain", "bootstrap", "", nil)).To(Equal(200))
 		Expect(ask("POST", "backends/engine-9/drain", "bootstrap", "", nil)).To(Equal(404))
 		Expect(node.drained).To(Equal([]machine.ID{"isando-1", "engine-1"}))
+		drained := change("c3", 2, "", `{"drained_backends":["engine-1"]}`)
+		Expect(ask("POST", "settings", "bootstrap", drained, nil)).To(Equal(200))
+		var backends []operator.BackendState
+		ask("GET", "backends", triageOperator, "", &backends)
+		Expect(backends).To(ConsistOf(HaveField("Drained", true)))
 	})
 
 	It("accepts a loss only of a recovery that waits, and only by an operator of the whole tree", func() {
--- a/operator/machines.go
+++ b/operator/machines.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/valyala/fasthttp"
 
 	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/machine"
 )
 
@@ -23,13 +25,28 @@
 	return nodes, nil
 }
 
+// BackendState is a back end, and whether operators have taken it out of use.
+type BackendState struct {
+	machine.Machine
+	Drained bool `json:"drained"`
+}
+
 // listBackends answers with the back ends that this node knows.
 func (s *Server) listBackends(ctx context.Context, _ *fasthttp.RequestCtx, _ actor) (any, *api.Error) {
 	backends, err := s.service.Backends(ctx)
 	if err != nil {
 		return nil, failed(err)
 	}
-	return backends, nil
+	root, err := s.service.Settings().Resolve(contract.Root)
+	if err != nil {
+		return nil, unknownBranch(err)
+	}
+	states := make([]BackendState, 0, len(backends))
+	for _, backend := range backends {
+		drained := slices.Contains(root.DrainedBackends, string(backend.ID))
+		states = append(states, BackendState{Machine: backend, Drained: drained})
+	}
+	return states, nil
 }
 
 // drainNode begins the planned stop of a node.
--- a/operator/server.go
+++ b/operator/server.go
@@ -128,7 +128,7 @@
 // badRequest answers a request that could not be read as HTTP.
 func (s *Server) badRequest(ctx *fasthttp.RequestCtx, err error) {
 	ctx.SetConnectionClose()
-	writeError(ctx, gateway.ReadError(err, s.config.MaximumBodyBytes))
+	writeError(ctx, gateway.ReadError(ctx.Conn(), err, s.config.MaximumBodyBytes))
 }
 
 // healthz answers whether the process works: its control goroutine answers.
