Take out the weights that an ablation does not support

Every weight is another thing to explain and to set wrong.

Out go the weight of a miss, the weight of an eviction, the wait for a warm engine, the step of urgency in a tenant's own order (all of a tenant's calls have one priority) and the share that counts as a small call.

--- a/schedule/config.go
+++ b/schedule/config.go
@@ -63,24 +63,14 @@
 
 // CacheConfig weighs the prefix caches.
 type CacheConfig struct {
-	// MissWeight multiplies the predicted prefill in the ranking: computing
-	// a prompt again also delays the other sequences of that engine.
-	MissWeight float64
 	// MoveWeight multiplies the predicted transfer of a prefix.
 	MoveWeight float64
-	// EvictionWeight multiplies the prefill of the tokens that a placement
-	// would push out of a full cache.
-	EvictionWeight float64
-	// MemoryFill is the share of an engine's cache that large calls may fill.
-	// A call that adds less than SmallShare of the cache may fill the rest.
+	// MemoryFill is the share of an engine's cache that calls may fill. The
+	// rest is for prefixes that grow; a call that does not fit is held.
 	MemoryFill float64
-	SmallShare float64
 	// FloodFill is the share of a cache that a tenant may fill while it
 	// floods.
 	FloodFill float64
-	// Patience bounds the wait for the engine that holds the prefix, as a
-	// multiple of the prefill that it saves.
-	Patience float64
 	// ReuseFloor is the probability of a return below which the prefix of a
 	// paused program is dropped.
 	ReuseFloor float64
@@ -97,8 +87,6 @@
 	AttainedPerToken time.Duration
 	// AttainedMaximum bounds that move.
 	AttainedMaximum time.Duration
-	// UrgencyStep moves a call earlier by each level of its priority.
-	UrgencyStep time.Duration
 }
 
 // ModelsConfig places models on replicas.
@@ -131,20 +119,15 @@
 			TransferPerToken: 50 * time.Microsecond,
 		},
 		Cache: CacheConfig{
-			MissWeight:     2,
 			MoveWeight:     4,
-			EvictionWeight: 1,
 			MemoryFill:     0.8,
 			FloodFill:      0.7,
-			SmallShare:     0.03,
-			Patience:       1,
 			ReuseFloor:     0.1,
 			ReviewInterval: time.Second,
 		},
 		Order: OrderConfig{
 			AttainedPerToken: 200 * time.Microsecond,
 			AttainedMaximum:  10 * time.Second,
-			UrgencyStep:      time.Second,
 		},
 		AdmissionShare: 0.25,
 		Models: ModelsConfig{
@@ -193,13 +176,9 @@
 }
 
 func (c CacheConfig) validate(found *findings) {
-	found.require(c.MissWeight >= 1, "Cache.MissWeight", "at least 1")
 	found.require(c.MoveWeight >= 1, "Cache.MoveWeight", "at least 1")
-	found.require(c.EvictionWeight >= 0, "Cache.EvictionWeight", "no negative weight")
 	found.require(c.MemoryFill > 0, "Cache.MemoryFill", "a positive share")
 	found.require(c.FloodFill > 0, "Cache.FloodFill", "a positive share")
-	found.require(c.SmallShare >= 0, "Cache.SmallShare", "no negative share")
-	found.require(c.Patience >= 0, "Cache.Patience", "no negative factor")
 	found.require(c.ReuseFloor >= 0 && c.ReuseFloor <= 1, "Cache.ReuseFloor", "a probability")
 	found.require(c.ReviewInterval > 0, "Cache.ReviewInterval", "a positive duration")
 }
@@ -207,7 +186,6 @@
 func (o OrderConfig) validate(found *findings) {
 	found.require(o.AttainedPerToken >= 0, "Order.AttainedPerToken", "no negative duration")
 	found.require(o.AttainedMaximum >= 0, "Order.AttainedMaximum", "no negative duration")
-	found.require(o.UrgencyStep >= 0, "Order.UrgencyStep", "no negative duration")
 }
 
 func (m ModelsConfig) validate(found *findings) {
--- a/schedule/doc.go
+++ b/schedule/doc.go
@@ -26,15 +26,17 @@
 // the finish of the call at a candidate: link, queue, transfer of the prefix
 // or missing prefill, and decode, at the rates that finished calls taught
 // (predict.go). Select (select.go) samples a few candidates that are not
-// saturated, adds the engine that holds the program's prefix (affinity.go),
-// and takes the best; a call may wait a little for its warm engine.
+// saturated and have room in their cache, draws one in a way that allows for
+// late reports (stale.go), and compares it with the engine that holds the
+// program's prefix (affinity.go).
 //
 // # When nothing is free
 //
 // Calls are held here and not in the engines, so that the order can still
 // change. Tenants share each pool of back ends by fair queueing; within a
-// tenant the program with the least attained service goes first, with aging,
-// urgency and deadline (queue.go). A program that has not received any
+// tenant the program with the least attained service goes first, with aging
+// and the deadline (queue.go). What a flood may hold is limited
+// (isolation.go). A program that has not received any
 // service yet is refused early when its hold would be long, with a retry time
 // that accounts for the backlog (admission.go).
 //
--- a/schedule/isolation.go
+++ b/schedule/isolation.go
@@ -148,19 +148,17 @@
 		return false
 	}
 	added := request.PromptTokens - held + request.OutputCap
-	limit := s.fill(use, floods, float64(added)/float64(capacity)) * float64(capacity)
+	limit := s.fill(floods) * float64(capacity)
 	used := candidate.memory(now, s.config.StaleLoad)
 	return used == 0 || float64(used+added) <= limit
 }
 
-// fill is the share of a cache that a tenant's call may fill. Large calls
-// leave a reserve, so that small ones need not evict.
-func (s *Scheduler) fill(use *tenantUse, floods bool, added float64) float64 {
+// fill is the share of a cache that a call may fill: as a rule all but the
+// reserve for prefixes that grow, during another tenant's flood all.
+func (s *Scheduler) fill(floods bool) float64 {
 	switch {
 	case floods:
 		return s.config.Cache.FloodFill
-	case added <= s.config.Cache.SmallShare:
-		return 1
 	case s.tenants.heaviest > 1:
 		return 1
 	}
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -13,8 +13,8 @@
 
 // queue holds the calls that wait for a back end. Two rules order them:
 // tenants share each pool of back ends by start-time fair queueing, weighted
-// by priority, and within a tenant the program with the least attained
-// service goes first, with aging, urgency and deadline as bounded shifts.
+// by their urgency, and within a tenant the program with the least attained
+// service goes first, with aging and the deadline.
 type queue struct {
 	calls map[program.CallRef]*heldCall
 	// expiry orders every held call by when it is refused.
@@ -93,8 +93,6 @@
 	order uint64
 	// expires is when the call is refused at the latest.
 	expires time.Time
-	// retryAt is when a call that waits for its warm engine gives that up.
-	retryAt time.Time
 	// cost is the predicted service.
 	cost     time.Duration
 	inLine   int
@@ -245,12 +243,11 @@
 }
 
 // placeInLine is a call's place among its tenant's: the arrival of its
-// program, later by the attained service, earlier by urgency. A call close to
-// its deadline is not placed later than it can bear.
+// program, later by the attained service. A call close to its deadline is not
+// placed later than it can bear.
 func placeInLine(request *Request, order OrderConfig, service time.Duration) time.Time {
 	attained := time.Duration(request.Attained) * order.AttainedPerToken
 	place := request.Arrived.Add(min(attained, order.AttainedMaximum))
-	place = place.Add(-time.Duration(request.Priority) * order.UrgencyStep)
 	if !request.Deadline.IsZero() {
 		latest := request.Deadline.Add(-2 * service)
 		if latest.Before(place) {
--- a/schedule/rank.go
+++ b/schedule/rank.go
@@ -86,7 +86,7 @@
 	waiting := candidate.queuedTokens(now, s.config.StaleLoad)
 	predicted.queue = s.predict.prefill(learned, waiting)
 	predicted.decode = s.predict.decode(learned, s.predict.output(request), predicted.peers)
-	predicted.score = predicted.finish() + s.costToOthers(now, learned, &predicted)
+	predicted.score = predicted.finish() + s.costOfMove(&predicted)
 	return predicted
 }
 
@@ -117,19 +117,8 @@
 	predicted.prefill = s.predict.prefill(learned, predicted.missing)
 }
 
-// costToOthers is the delay that a placement causes elsewhere: its prefill
-// holds up the batch, and what does not fit pushes other prefixes out.
-func (s *Scheduler) costToOthers(now time.Time, learned *speed, predicted *prediction) time.Duration {
-	cost := time.Duration((s.config.Cache.MissWeight - 1) * float64(predicted.prefill))
-	cost += time.Duration((s.config.Cache.MoveWeight - 1) * float64(predicted.transfer))
-	capacity := predicted.backend.machine.CacheTokens
-	if capacity == 0 {
-		return cost
-	}
-	used := predicted.backend.memory(now, s.config.StaleLoad)
-	overflow := min(used+predicted.memory-capacity, predicted.memory)
-	if overflow > 0 {
-		cost += time.Duration(s.config.Cache.EvictionWeight * float64(s.predict.prefill(learned, overflow)))
-	}
-	return cost
+// costOfMove is what a transfer costs beyond its time: the prefix is taken
+// out of the engine that holds it, and takes room in another.
+func (s *Scheduler) costOfMove(predicted *prediction) time.Duration {
+	return time.Duration((s.config.Cache.MoveWeight - 1) * float64(predicted.transfer))
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -26,9 +26,7 @@
 	wake       time.Time
 	nextReview time.Time
 	nextModels time.Time
-	// nextRetry is when the first call gives up waiting for a warm engine.
-	nextRetry time.Time
-	lastOrder modelOrder
+	lastOrder  modelOrder
 	// candidates and sampled are reused from decision to decision.
 	pools      [][]*backend
 	candidates []*backend
@@ -236,9 +234,6 @@
 	}
 	for _, call := range s.passed {
 		call.line.putBack(call)
-		if call.retryAt.After(now) {
-			s.nextRetry = earliest(s.nextRetry, call.retryAt)
-		}
 	}
 }
 
@@ -252,8 +247,7 @@
 
 // setWake finds when Ready should run again without a new input.
 func (s *Scheduler) setWake(now time.Time) {
-	s.wake = s.nextRetry
-	s.nextRetry = time.Time{}
+	s.wake = time.Time{}
 	if s.queue.expiry.Len() > 0 {
 		s.wakeBy(s.queue.expiry.items[0].expires)
 		s.wakeBy(now.Add(holdRecheck))
--- a/schedule/select.go
+++ b/schedule/select.go
@@ -13,7 +13,7 @@
 const (
 	// placed: the call is sent.
 	placed verdict = iota
-	// passed: this call waits, for its warm engine or for a back end that it
+	// passed: this call waits, for room in a cache or for a back end that it
 	// does not avoid; the ones behind it may still be placed.
 	passed
 	// blocked: every feasible back end is saturated.
@@ -35,10 +35,6 @@
 		return blocked
 	}
 	best := s.best(now, request)
-	if until := s.waitForWarm(now, call, &best); until.After(now) {
-		call.retryAt = until
-		return passed
-	}
 	s.send(now, call, &best, listed)
 	return placed
 }
@@ -184,27 +180,6 @@
 	return s.interpret(age, s.predict.meanService(request.Model))
 }
 
-// waitForWarm returns until when the call should wait for a slot at the
-// engine that holds its prefix, rather than compute it again elsewhere. The
-// wait is bounded by what it saves, from the time the call was enqueued.
-func (s *Scheduler) waitForWarm(now time.Time, call *heldCall, best *prediction) time.Time {
-	request := &call.request
-	if request.Kind != api.CallModel || s.config.Cache.Patience == 0 {
-		return time.Time{}
-	}
-	warm, ok := largest(s.tracker.residents(request.Call.Program))
-	if !ok || warm.backend == best.backend.machine.ID {
-		return time.Time{}
-	}
-	holder := s.view.byID[warm.backend]
-	if holder == nil || !feasible(request, holder) || !s.saturated(now, holder, call) {
-		return time.Time{}
-	}
-	there := s.rank(now, request, holder)
-	saved := best.transfer + best.prefill - there.prefill
-	return request.Enqueued.Add(time.Duration(s.config.Cache.Patience * float64(saved)))
-}
-
 // send records the placement and its decision.
 func (s *Scheduler) send(now time.Time, call *heldCall, best *prediction, feasible int) {
 	request := call.request
