control: tell how long a call waited for its place, and drop unused fields

Cause: a trace's accepted time was never set, so that "waited" was always empty; an action carried fields that nothing filled, and the record of where prefixes are held a token count that a moved prefix made up.

Change: the time a call was handed to the scheduler goes into its trace; residence is a set of engines.

--- a/control/actions.go
+++ b/control/actions.go
@@ -136,11 +136,7 @@
 type CallFinished struct {
 	Branch string
 	Call   api.Call
-	// Recomputed counts prompt tokens that an engine had cached for this
-	// program before and computed again.
-	Recomputed int
-	Accepted   time.Time
-	Ended      time.Time
+	Ended  time.Time
 }
 
 // ProgramFinished says that a program ended and the end is durable.
--- a/control/apply.go
+++ b/control/apply.go
@@ -123,7 +123,7 @@
 		return
 	}
 	call := effect.Call
-	owned.queued[effect.Attempt.CallRef] = effect
+	owned.queued[effect.Attempt.CallRef] = queuedCall{effect: effect, since: now}
 	c.config.Policy.Enqueue(now, schedule.Request{
 		Call:         effect.Attempt.CallRef,
 		Kind:         call.Kind,
--- a/control/owned.go
+++ b/control/owned.go
@@ -44,10 +44,10 @@
 	placed  map[program.CallRef]placedCall
 	waiters map[program.CallRef][]uint64
 	traces  map[api.ProgramID][]CallTrace
-	// residence tells how many tokens of a program's prefix each engine keeps.
-	residence map[api.ProgramID]map[machine.ID]int
+	// residence tells which engines keep a program's prefix.
+	residence map[api.ProgramID]map[machine.ID]bool
 	// queued are the calls that the scheduler holds.
-	queued map[program.CallRef]program.Effect
+	queued map[program.CallRef]queuedCall
 }
 
 // proposedRecord is a record that the stream does not have yet.
@@ -67,6 +67,12 @@
 	fetches []FetchHistory
 }
 
+// queuedCall is a call that the scheduler holds, and since when.
+type queuedCall struct {
+	effect program.Effect
+	since  time.Time
+}
+
 // placedCall is a call that was sent, or is about to be, to a back end.
 type placedCall struct {
 	attempt  int
@@ -161,8 +167,8 @@
 	p.placed = make(map[program.CallRef]placedCall)
 	p.waiters = make(map[program.CallRef][]uint64)
 	p.traces = make(map[api.ProgramID][]CallTrace)
-	p.residence = make(map[api.ProgramID]map[machine.ID]int)
-	p.queued = make(map[program.CallRef]program.Effect)
+	p.residence = make(map[api.ProgramID]map[machine.ID]bool)
+	p.queued = make(map[program.CallRef]queuedCall)
 }
 
 // stepReplica hands an answer of the log service to the partition's replica.
--- a/control/scheduling.go
+++ b/control/scheduling.go
@@ -51,7 +51,7 @@
 	if !terms.Placement.Contains(to.Zone) {
 		return
 	}
-	c.noteResidence(owned, decision.Program, to.ID, 1)
+	c.noteResidence(owned, decision.Program, to.ID, true)
 	c.emit(MovePrefix{Owner: decision.Program, From: from, To: to})
 }
 
@@ -83,11 +83,11 @@
 // contract may have narrowed since the call was handed to the scheduler.
 func (c *Core) place(now time.Time, decision schedule.Decision) {
 	owned, ok := c.ownerOf(decision.Call.Program)
-	effect, queued := owned.takeQueued(ok, decision.Call)
+	waiting, queued := owned.takeQueued(ok, decision.Call)
 	if !queued || !c.permits(owned, decision) {
 		c.unplace(now, decision)
 		if queued {
-			c.retryPlacement(now, owned, effect)
+			c.retryPlacement(now, owned, waiting.effect)
 		}
 		return
 	}
@@ -102,19 +102,19 @@
 		c.unplace(now, decision)
 		return
 	}
-	c.trace(now, owned, decision)
+	c.trace(now, owned, waiting.since, decision)
 	c.apply(now, owned, output, nil)
 }
 
 // takeQueued takes a call out of those that the scheduler holds for the
 // partition; found is whether this node serves the partition at all.
-func (p *ownedPartition) takeQueued(found bool, call program.CallRef) (program.Effect, bool) {
+func (p *ownedPartition) takeQueued(found bool, call program.CallRef) (queuedCall, bool) {
 	if !found {
-		return program.Effect{}, false
+		return queuedCall{}, false
 	}
-	effect, queued := p.queued[call]
+	waiting, queued := p.queued[call]
 	delete(p.queued, call)
-	return effect, queued
+	return waiting, queued
 }
 
 // placementRetry is how long a call waits to be scheduled again after a
@@ -172,7 +172,7 @@
 	if placed, ok := owned.placed[attempt.CallRef]; ok && placed.attempt == attempt.Attempt {
 		delete(owned.placed, attempt.CallRef)
 		c.config.Policy.Finished(now, attempt.CallRef, event.Backend, event.Outcome.Usage, event.Resident)
-		c.noteResidence(owned, attempt.Program, event.Backend, event.Resident)
+		c.noteResidence(owned, attempt.Program, event.Backend, event.Resident > 0)
 		c.traceEnd(now, owned, attempt)
 	}
 	output, refusal := owned.store.Step(now, program.Command{Program: attempt.Program, Outcome: &event.Outcome})
@@ -182,17 +182,17 @@
 }
 
 // noteResidence remembers where a program's prefix is, for its release.
-func (c *Core) noteResidence(owned *ownedPartition, id api.ProgramID, backend machine.ID, tokens int) {
+func (c *Core) noteResidence(owned *ownedPartition, id api.ProgramID, backend machine.ID, resident bool) {
 	engines := owned.residence[id]
-	if tokens == 0 {
+	if !resident {
 		delete(engines, backend)
 		return
 	}
 	if engines == nil {
-		engines = make(map[machine.ID]int)
+		engines = make(map[machine.ID]bool)
 		owned.residence[id] = engines
 	}
-	engines[backend] = tokens
+	engines[backend] = true
 }
 
 // releaseProgram frees everything that a program which is gone holds.
@@ -235,7 +235,7 @@
 }
 
 // trace keeps why a call was placed where it was.
-func (c *Core) trace(now time.Time, owned *ownedPartition, decision schedule.Decision) {
+func (c *Core) trace(now time.Time, owned *ownedPartition, since time.Time, decision schedule.Decision) {
 	id := decision.Call.Program
 	traces := owned.traces[id]
 	if len(traces) >= c.config.TraceLimit {
@@ -249,6 +249,7 @@
 		Sequence: decision.Call.Sequence,
 		Attempt:  attempt,
 		Backend:  decision.Backend,
+		Accepted: since,
 		Placed:   now,
 		Terms:    decision.Terms,
 	})
--- a/control/stop.go
+++ b/control/stop.go
@@ -75,7 +75,7 @@
 func (p *ownedPartition) postponeQueued(c *Core) {
 	for _, call := range sortedCalls(p.queued) {
 		c.config.Policy.Withdraw(call)
-		p.postponed = append(p.postponed, p.queued[call])
+		p.postponed = append(p.postponed, p.queued[call].effect)
 	}
 	clear(p.queued)
 }
--- a/control/trace.go
+++ b/control/trace.go
@@ -9,9 +9,10 @@
 
 // CallTrace tells how one attempt at a call was decided.
 type CallTrace struct {
-	Sequence uint64         `json:"sequence"`
-	Attempt  int            `json:"attempt"`
-	Backend  machine.ID     `json:"backend"`
+	Sequence uint64     `json:"sequence"`
+	Attempt  int        `json:"attempt"`
+	Backend  machine.ID `json:"backend"`
+	// Accepted is when the attempt was handed to the scheduler.
 	Accepted time.Time      `json:"accepted"`
 	Placed   time.Time      `json:"placed"`
 	Ended    time.Time      `json:"ended"`
