httpclient: say that nothing was sent on a connection that had closed before

A server may close an idle connection while its client keeps it. The next request on it failed with an unknown outcome although nobody had got it: a log append in doubt, or, at a caller, a request that a planned stop seemed to cut.

Look for the end of the connection before the first byte of a request, and report such a request as not sent.

Found by chaos.sh on qasr: 3 requests failed within 0.1 ms of their sending, 0.4 to 4.6 s after the node had closed its connections. Ran 20 times go test ./httpclient; the new spec was seen failing without the look.

--- a/httpclient/client.go
+++ b/httpclient/client.go
@@ -92,7 +92,7 @@
 			if err != nil {
 				return nil, &NotSentError{Cause: err}
 			}
-			return connection, nil
+			return newIdleConn(connection), nil
 		},
 		MaxConns:            options.MaxConnections,
 		MaxIdleConnDuration: idleTimeout,
--- a/httpclient/client_test.go
+++ b/httpclient/client_test.go
@@ -95,6 +95,22 @@
 		Entry("POST", "POST"), Entry("PUT", "PUT"), Entry("GET", "GET"),
 	)
 
+	It("says that nothing was sent when the kept connection had closed before", func(ctx SpecContext) {
+		closed := make(chan struct{})
+		s := serve(func(connection net.Conn) bool {
+			defer close(closed)
+			_ = reply(connection, okAnswer)
+			Expect(connection.Close()).To(Succeed())
+			return false
+		})
+		client := s.client()
+		Expect(client.Do(ctx, "POST", "/", nil, nil)).To(Succeed())
+		Eventually(closed).Should(BeClosed())
+		var notSent *httpclient.NotSentError
+		Expect(errors.As(client.Do(ctx, "POST", "/", nil, nil), &notSent)).To(BeTrue())
+		Expect(s.requests.Load()).To(BeEquivalentTo(1))
+	})
+
 	DescribeTable("tells the statuses that promise no effect",
 		func(ctx SpecContext, status string, withoutEffect bool) {
 			s := serve(func(connection net.Conn) bool {
