httpclient: keep the clients of back ends in one pool

Cause: the engines' and the tool services' adapters each kept a table of clients per address, line by line the same.

Tested: httpclient and emulator/standin pass, which run both adapters.

--- a/engine/enginehttp/enginehttp.go
+++ b/engine/enginehttp/enginehttp.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -32,44 +31,26 @@
 
 // Dialer returns the clients of engines, one per address. It is safe for
 // concurrent use.
-type Dialer struct {
-	options Options
-	mutex   sync.Mutex
-	clients map[string]*client
-}
+type Dialer struct{ pool *httpclient.Pool }
 
 var _ engine.Dialer = (*Dialer)(nil)
 
 // NewDialer returns a dialer without clients.
 func NewDialer(options Options) *Dialer {
-	return &Dialer{options: options, clients: make(map[string]*client)}
+	return &Dialer{pool: httpclient.NewPool(httpclient.Options{
+		Token:   options.Token,
+		Zone:    options.Zone,
+		Timeout: options.Timeout,
+	})}
 }
 
 // Engine implements engine.Dialer.
 func (d *Dialer) Engine(backend machine.Machine) engine.Client {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	known := d.clients[backend.Address]
-	if known == nil {
-		known = &client{http: httpclient.New(httpclient.Options{
-			Address: backend.Address,
-			Token:   d.options.Token,
-			Zone:    d.options.Zone,
-			Timeout: d.options.Timeout,
-		})}
-		d.clients[backend.Address] = known
-	}
-	return known
+	return &client{http: d.pool.Client(backend.Address)}
 }
 
 // Close closes the idle connections of every client.
-func (d *Dialer) Close() {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	for _, known := range d.clients {
-		known.http.Close()
-	}
-}
+func (d *Dialer) Close() { d.pool.Close() }
 
 // client talks to one engine.
 type client struct {
