standin: record what the back ends saw, for histories of real processes

A verified run of real processes rested on what callers saw; order at the back ends, the prompts and where calls ran were not checked.

The load tool tells where each branch may be, and counts second runs itself.

--- a/command/load.go
+++ b/command/load.go
@@ -44,6 +44,7 @@
 	record      string
 	output      string
 	anyAnswer   bool
+	probes      int
 }
 
 // newLoadCommand returns the load tool.
@@ -74,6 +75,7 @@
 	set.StringVar(&flags.model, "model", "", "use this model in every call instead")
 	set.DurationVar(&flags.callTimeout, "call-timeout", 3*time.Minute, "how long a call is asked for, retries included")
 	set.DurationVar(&flags.stopAfter, "stop-after", 0, "when programs make no further step and are ended; 0 means never")
+	set.IntVar(&flags.probes, "probes", 0, "how many programs stand by, to measure how long they are without an owner")
 	set.StringVar(&flags.record, "record", "", "write the history to this file, for verify")
 	set.StringVar(&flags.output, "output", "text", "text or json")
 	set.BoolVar(&flags.anyAnswer, "any-answer", false, "accept answers of engines that are not the stand-ins")
@@ -89,14 +91,12 @@
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Cause: err}
 	}
-	if flags.record != "" {
-		file, err := os.Create(flags.record)
-		if err != nil {
-			return &ExitError{Code: ExitUsage, Cause: err}
-		}
-		defer func() { _ = file.Close() }()
-		config.Recorder = history.NewRecorder(file)
+	recorder, closeRecord, err := openRecord(flags.record)
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Cause: err}
 	}
+	defer closeRecord()
+	config.Recorder = recorder
 	ctx, stop := signal.NotifyContext(contextOf(command), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	result, err := load.Run(ctx, config)
@@ -113,6 +113,20 @@
 	return nil
 }
 
+// openRecord opens a file for a history, and returns what closes it. Without a
+// name there is no recorder, which records nothing.
+func openRecord(name string) (*history.Recorder, func(), error) {
+	if name == "" {
+		return nil, func() {}, nil
+	}
+	file, err := os.Create(name)
+	if err != nil {
+		return nil, nil, err
+	}
+	recorder := history.NewRecorder(file)
+	return recorder, func() { _ = errors.Join(recorder.Flush(), file.Close()) }, nil
+}
+
 // contextOf returns the command's context, which is nil outside of Execute.
 func contextOf(command *cobra.Command) context.Context {
 	if ctx := command.Context(); ctx != nil {
@@ -141,6 +155,7 @@
 		Targets: f.targets, Operators: f.operators, ToolServices: f.tools, Engines: f.engines, Deployment: deployment,
 		Programs: f.programs, Seed: f.seed, Rate: f.rate, Speed: f.speed, Tokens: tokens,
 		Branch: contract.Path(f.branch), Model: f.model, CallTimeout: f.callTimeout, StopAfter: f.stopAfter, AnyAnswer: f.anyAnswer,
+		Probes: f.probes,
 	}, nil
 }
 
--- a/command/standin.go
+++ b/command/standin.go
@@ -16,23 +16,24 @@
 )
 
 func newStandinCommand() *cobra.Command {
-	var path string
+	var path, record string
 	command := &cobra.Command{
 		Use:   "standin --config FILE",
 		Short: "Run the stand-ins of the platform and of the back ends",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			return runStandin(command, path)
+			return runStandin(command, path, record)
 		},
 	}
 	command.Flags().StringVar(&path, "config", "", "the stand-ins' settings file")
+	command.Flags().StringVar(&record, "record", "", "write what the back ends saw to this file, for verify")
 	if err := command.MarkFlagRequired("config"); err != nil {
 		panic(err)
 	}
 	return command
 }
 
-func runStandin(command *cobra.Command, path string) error {
+func runStandin(command *cobra.Command, path, record string) error {
 	file, findings := config.Load(path)
 	if len(findings) == 0 && file.Standin == nil {
 		findings = []config.Finding{{File: path, Path: "$.standin", Message: "required for standin"}}
@@ -44,7 +45,14 @@
 	if len(findings) > 0 {
 		return reportFindings(command, findings)
 	}
-	set, err := standin.Start(development.StandinConfig(file.Standin))
+	settings := development.StandinConfig(file.Standin)
+	recorder, closeRecord, err := openRecord(record)
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Cause: err}
+	}
+	defer closeRecord()
+	settings.Recorder = recorder
+	set, err := standin.Start(settings)
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Cause: err}
 	}
--- a/emulator/standin/config.go
+++ b/emulator/standin/config.go
@@ -8,6 +8,7 @@
 
 	"birchwood.example/birchwood/emulator/enginemodel"
 	"birchwood.example/birchwood/emulator/platformmodel"
+	"birchwood.example/birchwood/history"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/zone"
 )
@@ -39,9 +40,12 @@
 	MachineLag    time.Duration `yaml:"machine_lag"`
 	MachineExpiry time.Duration `yaml:"machine_expiry"`
 	// WeightTransfer is how long the weight store needs for one model.
-	WeightTransfer time.Duration  `yaml:"weight_transfer"`
-	Engines        []EngineConfig `yaml:"engines"`
-	Tools          []ToolConfig   `yaml:"tools"`
+	WeightTransfer time.Duration `yaml:"weight_transfer"`
+	// Recorder gets what the back ends saw, for package history; nil records
+	// nothing.
+	Recorder *history.Recorder `yaml:"-"`
+	Engines  []EngineConfig    `yaml:"engines"`
+	Tools    []ToolConfig      `yaml:"tools"`
 }
 
 // EngineConfig describes one model engine.
--- a/emulator/standin/engine.go
+++ b/emulator/standin/engine.go
@@ -12,6 +12,7 @@
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/emulator/enginemodel"
 	"birchwood.example/birchwood/engine"
+	"birchwood.example/birchwood/history"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/schedule"
 )
@@ -29,7 +30,9 @@
 // runningEngine drives the engine model in real time on a goroutine of its
 // own.
 type runningEngine struct {
-	config EngineConfig
+	// recorder gets what the engine saw; nil records nothing.
+	recorder *history.Recorder
+	config   EngineConfig
 
 	random *rand.Rand
 
@@ -146,6 +149,7 @@
 				r.events = append([]engine.CacheEvent(nil), r.events[len(r.events)-keptEvents/2:]...)
 			}
 		case output.Finished != nil:
+			r.recordEnd(output.Finished)
 			r.forget()
 		}
 	}
@@ -206,7 +210,8 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if known, ok := r.answers[request.Stream]; ok && known.text != text {
+	known, resumed := r.answers[request.Stream]
+	if resumed && known.text != text {
 		return text, fmt.Errorf("stream %q: known with another prompt", request.Stream)
 	}
 	output := text.tokens(request.MaxOutputTokens)
@@ -223,6 +228,9 @@
 	if err != nil {
 		return text, err
 	}
+	if !resumed {
+		r.recordStart(request)
+	}
 	r.answers[request.Stream] = startedAnswer{owner: request.Owner, text: text}
 	r.prefixes[request.Owner] = prefixText{length: len(request.Prompt), hash: xxhash.Sum64String(request.Prompt)}
 	return text, nil
--- a/emulator/standin/set.go
+++ b/emulator/standin/set.go
@@ -87,6 +87,7 @@
 	if err != nil {
 		return err
 	}
+	running.recorder = s.config.Recorder
 	opened := &engineService{
 		engine: running,
 		gate:   &gate{service: service{name: string(config.ID), zone: config.Zone}, faults: s.faults, closed: s.closed},
@@ -107,6 +108,7 @@
 // openTool starts one tool service.
 func (s *Set) openTool(config ToolConfig) error {
 	opened := newToolService(config, s.faults, s.closed)
+	opened.recorder = s.config.Recorder
 	listening, err := serve(config.Address, opened.routes())
 	if err != nil {
 		return err
--- a/emulator/standin/tool.go
+++ b/emulator/standin/tool.go
@@ -9,17 +9,20 @@
 	"github.com/valyala/fasthttp"
 
 	"birchwood.example/birchwood/emulator/platformmodel"
+	"birchwood.example/birchwood/history"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/tool"
 )
 
 // toolService serves one tool service.
 type toolService struct {
-	config  ToolConfig
-	gate    *gate
-	mutex   sync.Mutex
-	state   *platformmodel.ToolService
-	leaving bool
+	// recorder gets what the service saw; nil records nothing.
+	recorder *history.Recorder
+	config   ToolConfig
+	gate     *gate
+	mutex    sync.Mutex
+	state    *platformmodel.ToolService
+	leaving  bool
 }
 
 // newToolService returns a tool service without runs.
@@ -82,6 +85,7 @@
 		return
 	}
 	t.gate.pause(t.config.Delay)
+	t.recordEnd(request, output)
 	answer(ctx, runBody{Output: output})
 }
 
@@ -92,7 +96,11 @@
 	if t.leaving {
 		return "", fmt.Errorf("leaving, no new work")
 	}
-	return t.state.Run(time.Now(), request.Key, request.Tool, request.Input)
+	output, err := t.state.Run(time.Now(), request.Key, request.Tool, request.Input)
+	if err == nil {
+		t.recordStart(request)
+	}
+	return output, err
 }
 
 // lookup tells whether a key was run.
--- a/load/backends.go
+++ b/load/backends.go
@@ -13,6 +13,7 @@
 	"birchwood.example/birchwood/history"
 	"birchwood.example/birchwood/httpclient"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/program"
 )
 
 // How long the engines' memory is looked at after a run, and how often.
@@ -24,10 +25,8 @@
 // toolRuns is what a stand-in tool service answers about its runs.
 type toolRuns struct {
 	Runs []struct {
-		Key   string    `json:"key"`
-		Count int       `json:"count"`
-		First time.Time `json:"first"`
-		Last  time.Time `json:"last"`
+		Key   string `json:"key"`
+		Count int    `json:"count"`
 	} `json:"runs"`
 }
 
@@ -36,8 +35,8 @@
 	Prefixes []engine.Prefix `json:"prefixes"`
 }
 
-// readToolRuns records each run that a tool service made for a program of this
-// load, and counts the calls that may not be repeated and were.
+// readToolRuns counts the calls of this load that may not be repeated and that
+// tool services ran twice.
 func (r *runner) readToolRuns(ctx context.Context) error {
 	var failures []error
 	for _, address := range r.config.ToolServices {
@@ -48,19 +47,8 @@
 			continue
 		}
 		for _, run := range answer.Runs {
-			started := startedOf(run.Key)
-			if started == nil || !r.totals.called(started, run.Count) {
-				continue
-			}
-			started.Backend = machine.ID(address)
-			for i := range run.Count {
-				at := run.First
-				if i > 0 {
-					at = run.Last
-				}
-				copied := *started
-				copied.Attempt = i + 1
-				r.config.Recorder.Record(history.Event{At: at, Started: &copied})
+			if call, found := callOf(run.Key); found {
+				r.totals.ran(call, run.Count)
 			}
 		}
 		client.Close()
@@ -68,18 +56,15 @@
 	return errors.Join(failures...)
 }
 
-// startedOf reads the key under which nodes call tools: the program, the
-// call's place and the caller's key.
-func startedOf(key string) *history.Started {
+// callOf reads the key under which nodes call tools: the program, the call's
+// place and the caller's key.
+func callOf(key string) (program.CallRef, bool) {
 	parts := strings.SplitN(key, "/", 3)
 	if len(parts) != 3 {
-		return nil
+		return program.CallRef{}, false
 	}
 	sequence, err := strconv.ParseUint(parts[1], 10, 64)
-	if err != nil {
-		return nil
-	}
-	return &history.Started{Program: api.ProgramID(parts[0]), Sequence: sequence, Kind: api.CallTool}
+	return program.CallRef{Program: api.ProgramID(parts[0]), Sequence: sequence}, err == nil
 }
 
 // awaitRelease looks at the engines until they hold nothing of the programs
--- a/load/config.go
+++ b/load/config.go
@@ -46,6 +46,9 @@
 	// the first tell what they ran, and the second what they still hold.
 	ToolServices []string
 	Engines      []string
+	// Probes are programs that only stand by; how long their owners leave them
+	// unanswered is measured.
+	Probes int
 	// AnyAnswer accepts answers that do not carry the stand-ins' hashes.
 	AnyAnswer bool
 	// Recorder gets the history; nil records nothing.
--- /dev/null
+++ b/load/probe.go
@@ -0,0 +1,107 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/history"
+)
+
+// How the programs that stand by are asked: one look after another, each
+// attempt at the next gateway. A look that takes longer than gapThreshold is a
+// gap.
+const (
+	probePause     = 100 * time.Millisecond
+	probeTimeout   = time.Second
+	probeRetry     = 20 * time.Millisecond
+	gapThreshold   = 250 * time.Millisecond
+	probeCallLimit = 30 * time.Second
+)
+
+// startProbes starts programs that only stand by, spread over the branches,
+// and asks for them until the returned function is called: what their owners
+// leave unanswered shows how long a program is without an owner.
+func (r *runner) startProbes(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	branches := r.config.Deployment.Branches
+	for i := range r.config.Probes {
+		group.Go(func() {
+			branch := branches[i%len(branches)].Path
+			if r.config.Branch != "" {
+				branch = r.config.Branch
+			}
+			each := r.caller(branch, i)
+			quiet := *each.config
+			quiet.Recorder, quiet.CallTimeout = nil, probeCallLimit
+			each.config, each.totals = &quiet, newTotals()
+			request := api.CreateProgram{Branch: string(branch), Key: fmt.Sprintf("probe-%d-%d", r.config.Seed, i)}
+			created, err := each.create(ctx, request, "")
+			if err != nil {
+				r.totals.probed(0, fmt.Errorf("probe %d: %w", i, err))
+				return
+			}
+			r.watch(ctx, each, created.ID)
+		})
+	}
+	return func() { cancel(); group.Wait() }
+}
+
+// watch asks for one program until the context ends, and records each gap.
+func (r *runner) watch(ctx context.Context, each *caller, id api.ProgramID) {
+	for ctx.Err() == nil {
+		begin := time.Now()
+		if each.look(ctx, id) {
+			now := time.Now()
+			r.totals.probed(now.Sub(begin), nil)
+			r.config.Recorder.Record(history.Event{At: now, Gap: &history.Gap{Program: id, Since: begin}})
+		}
+		select {
+		case <-time.After(probePause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// look asks for a program until a gateway describes it, and reports whether
+// that was a gap. One gateway that does not answer at all, while the next one
+// answers at once, is no gap: the program had its owner.
+func (c *caller) look(ctx context.Context, id api.ProgramID) bool {
+	begin := time.Now()
+	for attempt := 1; ctx.Err() == nil; attempt++ {
+		asked := time.Now()
+		if c.describeOnce(ctx, id) == nil {
+			quick := time.Since(asked) < gapThreshold
+			return time.Since(begin) >= gapThreshold && (attempt != 2 || !quick)
+		}
+		c.at = (c.at + 1) % len(c.targets)
+		select {
+		case <-time.After(probeRetry):
+		case <-ctx.Done():
+		}
+	}
+	return false
+}
+
+// describeOnce asks one gateway.
+func (c *caller) describeOnce(ctx context.Context, id api.ProgramID) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var program api.Program
+	return c.targets[c.at].Do(ctx, http.MethodGet, "/v1/programs/"+string(id), nil, &program)
+}
+
+// probed counts a gap, or a probe that could not be started.
+func (t *totals) probed(gap time.Duration, err error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if err != nil {
+		t.keep(err)
+		return
+	}
+	record(t.absences, gap)
+}
--- a/load/result.go
+++ b/load/result.go
@@ -28,6 +28,9 @@
 	ProgramLatency Latency            `json:"program_latency_ms"`
 	Kinds          map[string]Latency `json:"program_latency_by_kind_ms"`
 	FirstToken     Latency            `json:"first_token_ms"`
+	// Absence is how long programs that stood by were left without an answer
+	// by every gateway that was asked.
+	Absence Latency `json:"absence_ms"`
 	// Interruption is how long the requests that had to be asked again went
 	// without an answer, from their first sending.
 	Interruption Latency `json:"interruption_ms"`
@@ -77,6 +80,7 @@
 		row("  "+kind, r.Kinds[kind])
 	}
 	row("first token", r.FirstToken)
+	row("program without an owner", r.Absence)
 	row("asked again until answered", r.Interruption)
 	fmt.Fprintf(&text, "prompt tokens %d, from cache %d, recomputed although cached before %d; output tokens %d\n",
 		r.PromptTokens, r.CachedTokens, r.RecomputedTokens, r.OutputTokens)
--- a/load/run.go
+++ b/load/run.go
@@ -40,9 +40,12 @@
 	r.config.Recorder.Record(history.Event{At: time.Now(), Run: &history.Run{
 		Name: "load " + config.Deployment.Name, Seed: config.Seed,
 	}})
+	r.recordPlacements()
 	before := r.controlBytes()
 	begin := time.Now()
+	stopProbes := r.startProbes(ctx)
 	r.start(ctx, begin)
+	stopProbes()
 	seconds := time.Since(begin).Seconds()
 	controlBytes := ratesBetween(before, r.controlBytes(), seconds)
 	toolErr := r.readToolRuns(ctx)
@@ -57,6 +60,20 @@
 	return result, errors.Join(ctx.Err(), toolErr)
 }
 
+// recordPlacements tells the history where each branch's data may be, which
+// holds as long as nobody changes the deployment's settings.
+func (r *runner) recordPlacements() {
+	if r.config.Branch != "" {
+		return
+	}
+	for _, branch := range r.config.Deployment.Branches {
+		now := time.Now()
+		r.config.Recorder.Record(history.Event{At: now, Placed: &history.Placed{
+			Branch: string(branch.Path), Placement: r.config.Deployment.Placement(branch.Path), Since: now,
+		}})
+	}
+}
+
 // start starts each program at its time and waits until all have ended.
 func (r *runner) start(ctx context.Context, begin time.Time) {
 	generator := r.config.Deployment.Generate(workload.Options{
--- a/load/totals.go
+++ b/load/totals.go
@@ -7,7 +7,6 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"birchwood.example/birchwood/api"
-	"birchwood.example/birchwood/history"
 	"birchwood.example/birchwood/program"
 	"birchwood.example/birchwood/workload"
 )
@@ -29,6 +28,7 @@
 	all       *hdrhistogram.Histogram
 	first     *hdrhistogram.Histogram
 	gaps      *hdrhistogram.Histogram
+	absences  *hdrhistogram.Histogram
 	result    Result
 	// tools are the tool calls that were made, ended the programs whose end
 	// was acknowledged.
@@ -48,6 +48,7 @@
 		all:       newHistogram(),
 		first:     newHistogram(),
 		gaps:      newHistogram(),
+		absences:  newHistogram(),
 		tools:     map[program.CallRef]*toolCall{},
 		ended:     map[api.ProgramID]bool{},
 		result:    Result{Refusals: map[string]int{}, Statuses: map[string]int{}, Kinds: map[string]Latency{}},
@@ -117,22 +118,20 @@
 	t.tools[call] = &toolCall{repeatable: repeatable}
 }
 
-// called completes what a tool service ran with what its caller asked for, and
-// counts a second run of a call that may not be repeated. It reports false for
-// a call that is not of this load.
-func (t *totals) called(started *history.Started, runs int) bool {
+// ran counts the runs of a tool call that a service tells, and with them the
+// calls of this load that may not be repeated and ran twice.
+func (t *totals) ran(ref program.CallRef, runs int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	call, found := t.tools[program.CallRef{Program: started.Program, Sequence: started.Sequence}]
+	call, found := t.tools[ref]
 	if !found {
-		return false
+		return
 	}
-	started.Repeatable = call.repeatable
+	before := call.runs
 	call.runs += runs
-	if !call.repeatable && call.runs > 1 {
+	if !call.repeatable && before < 2 && call.runs > 1 {
 		t.result.Duplicates++
 	}
-	return true
 }
 
 // programEnded notes that a program's end was acknowledged.
@@ -195,6 +194,7 @@
 	result := t.result
 	result.ProgramLatency = latencyOf(t.all)
 	result.FirstToken = latencyOf(t.first)
+	result.Absence = latencyOf(t.absences)
 	result.Interruption = latencyOf(t.gaps)
 	for kind, histogram := range t.latencies {
 		result.Kinds[string(kind)] = latencyOf(histogram)
--- a/scripts/chaos.sh
+++ b/scripts/chaos.sh
@@ -96,6 +96,8 @@
 storm
 status=0
 wait "$load" || status=$?
+"$deployment" "$name" stop
+trap - EXIT
 say "verifying"
-"$binary" verify "$run/load.jsonl" "$run/chaos.jsonl" || status=1
+"$binary" verify "$run/load.jsonl" "$run/standin.jsonl" "$run/chaos.jsonl" || status=1
 exit $status
--- a/scripts/run-deployment.sh
+++ b/scripts/run-deployment.sh
@@ -63,7 +63,7 @@
     exit 1
   fi
   (cd "$root" && go build -o "$binary" ./cmd/birchwood)
-  launch standin standin --config "$config/standin.yaml"
+  launch standin standin --config "$config/standin.yaml" --record "$run/standin.jsonl"
   await standin "$(node_value "$config/standin.yaml" platform)" /machines
   for file in "$config"/node-*.yaml; do
     launch "$(basename "$file" .yaml)" serve --config "$file"
