node: refuse a creation for now while there are no settings yet

A node that has just started has an empty tree of settings. A creation that a peer relayed to it was refused as unknown_branch, which no retry mends, though the branch was there.

Refuse with settings_stale and a time to come back until the first revision is held.

--- a/node/service.go
+++ b/node/service.go
@@ -23,7 +23,12 @@
 
 // NewProgram returns the id that a branch and key always name.
 func (n *Node) NewProgram(branch contract.Path, key string) (api.ProgramID, *api.Error) {
-	resolved, err := n.tree.Load().Resolve(branch)
+	tree := n.tree.Load()
+	if tree.Revision() == 0 {
+		refusal := api.Refuse(api.CodeSettingsStale, "this node has just started and has no settings yet")
+		return "", refusal.After(ownerRetryMilliseconds)
+	}
+	resolved, err := tree.Resolve(branch)
 	if err != nil {
 		return "", api.Refuse(api.CodeUnknownBranch, "%v", err).At("$.branch")
 	}
