--- /dev/null
+++ b/gateway/lostanswer_test.go
@@ -0,0 +1,50 @@
+package gateway_test
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/api"
+)
+
+// hangUpOnRequests reads each request as a whole and closes the connection
+// without an answer, as a node does that dies in that moment.
+func hangUpOnRequests(listener net.Listener) {
+	for {
+		accepted, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		if request, err := http.ReadRequest(bufio.NewReader(accepted)); err == nil {
+			_ = request.Body.Close()
+		}
+		_ = accepted.Close()
+	}
+}
+
+var _ = Describe("A caller whose owner dies with the request", func() {
+	It("is told that the outcome is unknown, not that nothing ran", func() {
+		shared := newWorld()
+		entry := shared.start("midrand-1")
+		shared.start("isando-1")
+		shared.move("isando-1")
+		programs := "http://" + entry.address + "/v1/programs"
+		Expect(ask("POST", programs, triageToken, createTriage).status).To(Equal(http.StatusOK))
+		dying, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(dying.Close)
+		go hangUpOnRequests(dying)
+		shared.mutex.Lock()
+		shared.address["isando-1"] = dying.Addr().String()
+		shared.mutex.Unlock()
+
+		got := ask("POST", programs+"/"+string(triageProgram)+"/calls", triageToken, submitFirst)
+		Expect(got.error().Code).To(Equal(api.CodeOutcomeUnknown))
+		Expect(got.error().Ran).To(Equal(api.RanOutcomeUnknown))
+		Expect(got.error().Retry).To(BeTrue())
+	})
+})
