--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -37,6 +37,7 @@
 	programs map[api.ProgramID]*api.Program
 	calls    map[program.CallRef]*call
 	submits  int
+	waiting  int // requests that have begun to wait for a call
 }
 
 // call is one call; done is closed once it is terminal.
@@ -91,6 +92,13 @@
 	return w.submits
 }
 
+// waits returns how many requests have begun to wait for a call.
+func (w *world) waits() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.waiting
+}
+
 // finish ends the call with the output.
 func (w *world) finish(held *call, output string) {
 	w.mutex.Lock()
@@ -103,15 +111,17 @@
 
 // node is one node's service.
 type node struct {
-	world   *world
-	id      machine.ID
-	lose    func() *api.Error // overrides the owner's answer to a submit
-	holds   int               // programs that a list shows, at least one
-	hang    bool              // no request is answered
-	cutFrom machine.ID        // a node that cannot be reached from here
-	gateway *gateway.Gateway
-	address string
-	kill    func()
+	world *world
+	id    machine.ID
+	lose  func() *api.Error // overrides the owner's answer to a submit
+	holds int               // programs that a list shows, at least one
+	hang  bool              // no request is answered
+	// unreadable says that the record of an ended call cannot be read back.
+	unreadable bool
+	cutFrom    machine.ID // a node that cannot be reached from here
+	gateway    *gateway.Gateway
+	address    string
+	kill       func()
 	// opened returns how many connections were opened to the node.
 	opened func() int
 }
@@ -291,7 +301,11 @@
 // wait answers with the call's state, once it is terminal if asked to. The
 // world's mutex is held on entry and exit.
 func (n *node) wait(ctx context.Context, request control.Request, held *call) control.Reply {
+	if n.unreadable && held.state.Status.Terminal() {
+		return control.Reply{Error: api.Refuse(api.CodeStoreUnavailable, "the history cannot be read back now")}
+	}
 	if request.Wait {
+		n.world.waiting++
 		n.world.mutex.Unlock()
 		select {
 		case <-held.done:
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -65,6 +65,19 @@
 		Expect(stream.next().kind).To(Equal("end"))
 	})
 
+	It("gets the end of a stream without a read of the log", func() {
+		owner.unreadable = true
+		stream := openEvents("POST", calls, triageToken, streamFirst)
+		defer stream.close()
+		Expect(stream.next().kind).To(Equal("accepted"))
+		held := shared.get(triageProgram, "a")
+		held.buffer.Append(1, 0, "hello")
+		Expect(stream.next().kind).To(Equal("text"))
+		Eventually(shared.waits).Should(Equal(1))
+		shared.finish(held, "hello")
+		Expect(stream.next().kind).To(Equal("end"))
+	})
+
 	It("re-attaches to a running call at an offset, and restarts with a new attempt", func() {
 		Expect(ask("POST", calls+"?wait=false", triageToken, submitFirst).status).To(Equal(202))
 		held := shared.get(triageProgram, "a")
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -45,7 +45,7 @@
 	buffer *stream.Buffer
 	// drawn says that no buffer is to be looked for any more.
 	drawn bool
-	// ended delivers the call once it is terminal. It is nil until needed.
+	// ended delivers the call once it is terminal. It is nil until it is asked for.
 	ended  chan control.Reply
 	cancel context.CancelFunc
 	// final is the call once it is terminal.
@@ -97,6 +97,9 @@
 	if s.final != nil {
 		return s.fromRecord(from), true, nil
 	}
+	if s.ended == nil {
+		s.askForEnd(lifetime)
+	}
 	if s.buffer == nil && !s.drawn {
 		s.buffer, _ = s.gateway.service.Stream(s.call)
 	}
@@ -138,9 +141,6 @@
 // awaitEnd waits until the call is terminal, or until it is time to look for
 // its buffer again.
 func (s *localSource) awaitEnd(lifetime, idle context.Context) error {
-	if s.ended == nil {
-		s.askForEnd(lifetime)
-	}
 	var poll <-chan time.Time
 	if !s.drawn {
 		timer := time.NewTimer(bufferPoll)
@@ -156,7 +156,9 @@
 	return nil
 }
 
-// askForEnd asks for the call once it is terminal.
+// askForEnd asks for the call once it is terminal. It does so before the first
+// text: whoever asks after the end has the call read back from the log, which
+// costs reads and fails while the log service is down.
 func (s *localSource) askForEnd(lifetime context.Context) {
 	waiting, cancel := context.WithCancel(lifetime)
 	ended := make(chan control.Reply, 1)
