--- a/emulator/bench.go
+++ b/emulator/bench.go
@@ -158,7 +158,12 @@
 	// Waiting is the same less the pauses in which a person reads and types:
 	// what callers waited for.
 	Waiting Percentiles `json:"program_waiting_ms"`
-	Wasted  WastedCache `json:"wasted_cache"`
+	// FirstToken is of model calls, from the moment their node held them to
+	// their first token there; TokenGap is the mean time between a call's
+	// further tokens.
+	FirstToken Percentiles `json:"first_token_ms"`
+	TokenGap   Percentiles `json:"token_gap_ms"`
+	Wasted     WastedCache `json:"wasted_cache"`
 	// Goodput counts the programs that completed within their deadline, and
 	// Offered all of them: those that arrived in the middle three fifths of
 	// the arrivals, over that time.
--- a/emulator/cluster/fault.go
+++ b/emulator/cluster/fault.go
@@ -158,6 +158,7 @@
 	e := c.engines[index%len(c.engines)]
 	if e.down {
 		e.down = false
+		c.machines.Announce(c.now, e.machine)
 		c.fault(history.FaultDown, e.machine.ID, false)
 	}
 }
--- a/emulator/measure.go
+++ b/emulator/measure.go
@@ -74,10 +74,13 @@
 
 // measure collects what one run shows.
 type measure struct {
-	result      PolicyResult
-	all         *group
-	kinds       map[workload.Kind]*group
-	tenants     map[string]*group
+	result  PolicyResult
+	all     *group
+	kinds   map[workload.Kind]*group
+	tenants map[string]*group
+	// firstToken and tokenGap are of model calls that were answered.
+	firstToken  *hdrhistogram.Histogram
+	tokenGap    *hdrhistogram.Histogram
 	outcomes    []outcome
 	lastArrival time.Duration
 	latencies   []float64
@@ -91,9 +94,11 @@
 // newMeasure returns empty measurements.
 func newMeasure() *measure {
 	return &measure{
-		all:     newGroup(),
-		kinds:   make(map[workload.Kind]*group),
-		tenants: make(map[string]*group),
+		all:        newGroup(),
+		firstToken: hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
+		tokenGap:   hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
+		kinds:      make(map[workload.Kind]*group),
+		tenants:    make(map[string]*group),
 	}
 }
 
@@ -121,6 +126,21 @@
 	owner.computed = max(owner.computed, answer.Usage.PromptTokens+answer.Usage.OutputTokens)
 }
 
+// tokenTimes records how long a call waited for its first token, from the
+// moment its node held it, and the mean time between its further tokens. back
+// is the delay of the link from the engine.
+func (m *measure) tokenTimes(ended *call, answer enginemodel.Finished, now time.Time, back time.Duration) {
+	if answer.Cancelled || answer.FirstTokenAt.IsZero() {
+		return
+	}
+	first := answer.FirstTokenAt.Add(back).Sub(ended.heldSince)
+	_ = m.firstToken.RecordValue(max(first.Microseconds(), lowestLatency))
+	if further := answer.Usage.OutputTokens - 1; further > 0 {
+		decoding := now.Add(-back).Sub(answer.FirstTokenAt)
+		_ = m.tokenGap.RecordValue(max(decoding.Microseconds()/int64(further), lowestLatency))
+	}
+}
+
 // ended records a program's end at its caller.
 func (m *measure) ended(over *agent, latency time.Duration) {
 	inTime := over.stopped == endCompleted &&
@@ -212,6 +232,8 @@
 	result.Policy = policy
 	result.Latency = percentilesOf(m.all.latency)
 	result.Waiting = percentilesOf(m.all.waiting)
+	result.FirstToken = percentilesOf(m.firstToken)
+	result.TokenGap = percentilesOf(m.tokenGap)
 	result.Completed = m.all.completed
 	result.InTime = m.all.inTime
 	result.Refused = m.all.refused
--- a/emulator/node.go
+++ b/emulator/node.go
@@ -288,6 +288,7 @@
 	n.policy.Finished(n.run.clock.now, ended.ref(), host.machine.ID, answer.Usage, answer.Resident)
 	n.run.check.answered(ended, answer)
 	n.run.measure.modelEnded(ended, answer)
+	n.run.measure.tokenTimes(ended, answer, n.run.clock.now, n.run.links.delay(host.machine.Zone, n.zone))
 	if answer.Cancelled {
 		n.finish(ended, api.StatusCancelled, api.CodeCancelled)
 		return
