node: repeat the reads of a history that fail

Repeat each read until the request's time at the store is over.

A named test loses the answers of the first three reads; it failed without the repetition and passes with it.

--- a/node/history.go
+++ b/node/history.go
@@ -5,6 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
 
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/control"
@@ -12,6 +15,12 @@
 	"birchwood.example/birchwood/program"
 )
 
+// The pauses before a read of the log is repeated.
+const (
+	firstReadPause   = 20 * time.Millisecond
+	longestReadPause = 500 * time.Millisecond
+)
+
 // historyReads bounds how many records of one request are read at once.
 const historyReads = 16
 
@@ -124,9 +133,15 @@
 	}
 }
 
-// readRecord reads one record back from the log.
+// readRecord reads one record back from the log. A read that fails is repeated
+// until the context ends: of many reads of one history, none may fail for good.
 func (n *Node) readRecord(ctx context.Context, id partition.ID, offset uint64) (program.Record, error) {
-	encoded, _, err := n.log.Read(ctx, id.String(), offset, 1)
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = firstReadPause, longestReadPause
+	encoded, err := backoff.Retry(ctx, func() ([][]byte, error) {
+		entries, _, err := n.log.Read(ctx, id.String(), offset, 1)
+		return entries, err
+	}, backoff.WithBackOff(pause), backoff.WithMaxElapsedTime(0))
 	if err != nil {
 		return program.Record{}, err
 	}
--- /dev/null
+++ b/node/history_test.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/partition"
+	"birchwood.example/birchwood/platform"
+	"birchwood.example/birchwood/program"
+)
+
+// flakyLog holds one entry and loses the answers of the first reads.
+type flakyLog struct {
+	platform.Log
+	lost  int
+	entry []byte
+}
+
+func (l *flakyLog) Read(context.Context, string, uint64, int) ([][]byte, uint64, error) {
+	if l.lost > 0 {
+		l.lost--
+		return nil, 0, errors.New("the answer was lost")
+	}
+	return [][]byte{l.entry}, 1, nil
+}
+
+var _ = Describe("Reading a history back", func() {
+	It("repeats the reads whose answers were lost", func() {
+		payload, err := json.Marshal(program.Record{
+			Program: "a", Accepted: &program.Accepted{Sequence: 1, Call: api.SubmitCall{Key: "first", Input: "hello"}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		entry, err := json.Marshal(journal.Entry{Kind: journal.KindRecord, Payload: payload})
+		Expect(err).NotTo(HaveOccurred())
+		reader := &Node{log: &flakyLog{lost: 3, entry: entry}}
+		calls, err := reader.readCalls(context.Background(), partition.ID{}, "a", []program.CallLocation{{Sequence: 1, Status: api.StatusRunning}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(calls).To(HaveLen(1))
+		Expect(calls[0].Input).To(Equal("hello"))
+	})
+})
