Serve every retry from one package

All drew a wait between half and the whole of a step that doubles; link.Backoff and link.RetryBudget had no user.

The free multiplier is gone, since every user doubles.

--- a/contract/follower.go
+++ b/contract/follower.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/retry"
 	"birchwood.example/birchwood/zone"
 )
 
@@ -208,14 +209,11 @@
 	f.readIssued = now
 }
 
-// retry sets the next read after a failure: exponential backoff with jitter.
+// retry sets the next read after a failure.
 func (f *Follower) retry(now time.Time) {
-	delay := f.config.MaximumRetryInterval
-	if f.failures < 16 {
-		delay = min(delay, f.config.RetryInterval<<f.failures)
-	}
 	f.failures++
-	f.readDue = now.Add(delay - f.jitter(delay/2))
+	spaced := retry.Backoff{Minimum: f.config.RetryInterval, Maximum: f.config.MaximumRetryInterval, Random: f.config.Random}
+	f.readDue = now.Add(spaced.Delay(f.failures))
 	f.fetch = f.newestPeer()
 }
 
--- a/journal/append.go
+++ b/journal/append.go
@@ -3,11 +3,13 @@
 import (
 	"math"
 	"time"
+
+	"birchwood.example/birchwood/retry"
 )
 
 // appender follows the one append in flight.
 type appender struct {
-	backoff Backoff
+	backoff retry.Backoff
 	// request is the append in flight, zero if none, and entries its content.
 	request  uint64
 	entries  []Entry
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/retry"
 )
 
 // phase is how far a Journal has got with its stream.
@@ -113,7 +114,7 @@
 // Reset forgets the stream, the claim and everything unconfirmed. Answers to
 // earlier requests are ignored from then on. Tokens go on growing.
 func (j *Journal) Reset() {
-	backoff := Backoff{
+	backoff := retry.Backoff{
 		Minimum: j.config.RetryMinimum,
 		Maximum: j.config.RetryMaximum,
 		Random:  j.config.Random,
--- a/journal/read.go
+++ b/journal/read.go
@@ -1,10 +1,14 @@
 package journal
 
-import "time"
+import (
+	"time"
+
+	"birchwood.example/birchwood/retry"
+)
 
 // reader follows the one read in flight and what is to be read next.
 type reader struct {
-	backoff Backoff
+	backoff retry.Backoff
 	// pending is set while wanted has not been sent, or must be repeated.
 	pending  bool
 	wanted   Read
--- a/link/doc.go
+++ b/link/doc.go
@@ -8,10 +8,6 @@
 // The other types are small pure state machines. Time and randomness are
 // passed in, and the caller does the I/O:
 //
-//   - RetryBudget bounds how many retries an outage can cause. Only one layer
-//     of a request's path may retry; the others report the failure.
-//   - Backoff spaces retries out, with jitter so that clients do not retry in
-//     step.
 //   - Breaker stops requests to a peer that keeps failing and tries it again
 //     later with a few.
 //   - Limiter bounds the requests to one peer that are in flight and that
@@ -19,5 +15,7 @@
 //   - Deadline and HopLimit travel with a request, so that no node works on
 //     a request whose caller has given up, and no request circles.
 //
+// Package retry holds the rules for retries.
+//
 // None is safe for concurrent use, except where it says so.
 package link
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -11,104 +10,6 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
-var _ = Describe("RetryBudget", func() {
-	It("never allows more retries than its bound", func() {
-		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			config := RetryBudgetConfig{
-				PerSuccess: rapid.Float64Range(0, 1).Draw(t, "per success"),
-				PerSecond:  rapid.Float64Range(0, 5).Draw(t, "per second"),
-				Capacity:   rapid.Float64Range(1, 20).Draw(t, "capacity"),
-			}
-			budget, err := NewRetryBudget(config)
-			if err != nil {
-				t.Fatal(err)
-			}
-			now := start
-			retries, successes := 0, 0
-			t.Repeat(map[string]func(*rapid.T){
-				"success": func(*rapid.T) { budget.Success(now); successes++ },
-				"retry": func(*rapid.T) {
-					if budget.Withdraw(now) {
-						retries++
-					}
-				},
-				"wait": func(t *rapid.T) {
-					now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
-				},
-				"": func(t *rapid.T) {
-					bound := config.Capacity + config.PerSuccess*float64(successes) + config.PerSecond*now.Sub(start).Seconds()
-					if float64(retries) > bound+1e-6 {
-						t.Fatalf("%d retries, bound %v", retries, bound)
-					}
-				},
-			})
-		})
-	})
-
-	It("keeps an outage's load near the load without retries", func() {
-		Expect(outageAmplification(true)).To(BeNumerically("<", 1.05))
-		Expect(outageAmplification(false)).To(BeNumerically(">", 3))
-	})
-})
-
-// outageAmplification returns the requests that reach a service which fails
-// all of them, for each request of a caller, over a minute of 100 requests a
-// second with up to three retries each.
-func outageAmplification(budgeted bool) float64 {
-	const (
-		rate         = 100
-		seconds      = 60
-		retriesAtMax = 3
-	)
-	budget, err := NewRetryBudget(DefaultRetryBudgetConfig())
-	Expect(err).NotTo(HaveOccurred())
-	sent := 0
-	for i := range rate * seconds {
-		now := start.Add(time.Duration(i) * time.Second / rate)
-		sent++
-		for range retriesAtMax {
-			if budgeted && !budget.Withdraw(now) {
-				break
-			}
-			sent++
-		}
-	}
-	return float64(sent) / (rate * seconds)
-}
-
-var _ = Describe("Backoff", func() {
-	It("stays between half a step and the step, and below the maximum", func() {
-		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			config := BackoffConfig{
-				Initial:    time.Duration(rapid.Int64Range(1, int64(time.Second)).Draw(t, "initial")),
-				Maximum:    time.Duration(rapid.Int64Range(int64(time.Second), int64(time.Hour)).Draw(t, "maximum")),
-				Multiplier: rapid.Float64Range(1, 10).Draw(t, "multiplier"),
-			}
-			backoff, err := NewBackoff(config)
-			if err != nil {
-				t.Fatal(err)
-			}
-			random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
-			retry := rapid.IntRange(1, 1000).Draw(t, "retry")
-			delay, step := backoff.Delay(retry, random), backoff.step(retry)
-			if delay < step/2 || delay > step || step > config.Maximum || step < config.Initial {
-				t.Fatalf("delay %v, step %v", delay, step)
-			}
-		})
-	})
-
-	It("spreads clients that failed together", func() {
-		backoff, err := NewBackoff(DefaultBackoffConfig())
-		Expect(err).NotTo(HaveOccurred())
-		random := rand.New(rand.NewPCG(1, 1))
-		delays := make(map[time.Duration]bool)
-		for range 100 {
-			delays[backoff.Delay(3, random)] = true
-		}
-		Expect(len(delays)).To(BeNumerically(">", 95))
-	})
-})
-
 var _ = Describe("Breaker", func() {
 	var (
 		breaker *Breaker
@@ -311,8 +212,6 @@
 		Expect(err).To(MatchError(ContainSubstring(field)))
 	}
 },
-	Entry("retry budget", RetryBudgetConfig{PerSuccess: -1, PerSecond: -1}.validate, "PerSuccess", "PerSecond", "Capacity"),
-	Entry("backoff", BackoffConfig{Maximum: -1}.validate, "Initial", "Maximum", "Multiplier"),
 	Entry("breaker", BreakerConfig{MaximumOpenTime: -1}.validate, "Failures", "OpenTime", "MaximumOpenTime", "Trials", "TrialTimeout"),
 	Entry("limiter", LimiterConfig{Queue: -1}.validate, "InFlight", "Queue"),
 )
--- a/partition/claim.go
+++ b/partition/claim.go
@@ -5,11 +5,12 @@
 
 	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/retry"
 )
 
 // claim follows this node on its way to ownership.
 type claim struct {
-	backoff journal.Backoff
+	backoff retry.Backoff
 	// notBefore delays the next look at the stream, or the next question.
 	notBefore time.Time
 	// peeking is set while the end of the stream is being read.
@@ -28,7 +29,7 @@
 }
 
 func newClaim(config Config) claim {
-	return claim{backoff: journal.Backoff{
+	return claim{backoff: retry.Backoff{
 		Minimum: config.ClaimBackoff,
 		Maximum: claimBackoffGrowth * config.ClaimBackoff,
 		Random:  config.Random,
--- a/partition/mirroring.go
+++ b/partition/mirroring.go
@@ -6,6 +6,7 @@
 
 	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/retry"
 )
 
 // mirrorTimeoutGrowth is the ratio of the longest to the shortest wait before
@@ -45,7 +46,7 @@
 	restarted bool
 	// deadline is when the message under way is repeated; zero if none is.
 	deadline time.Time
-	backoff  journal.Backoff
+	backoff  retry.Backoff
 }
 
 // enlistment asks nodes whether, and under which instance, they would mirror.
@@ -231,8 +232,8 @@
 	r.mirrors.links = append(r.mirrors.links, link)
 }
 
-func (r *Replica) mirrorBackoff() journal.Backoff {
-	return journal.Backoff{
+func (r *Replica) mirrorBackoff() retry.Backoff {
+	return retry.Backoff{
 		Minimum: r.config.MirrorTimeout,
 		Maximum: mirrorTimeoutGrowth * r.config.MirrorTimeout,
 		Random:  r.config.Random,
--- a/partition/recover.go
+++ b/partition/recover.go
@@ -6,6 +6,7 @@
 
 	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/retry"
 )
 
 // recovery follows this node from its claim to the opening of its epoch: it
@@ -38,7 +39,7 @@
 	restarted bool
 	last      uint64
 	deadline  time.Time
-	backoff   journal.Backoff
+	backoff   retry.Backoff
 }
 
 // Stall says why a recovery waits for mirrors.
@@ -321,13 +322,13 @@
 	mirror   machine.ID
 	attempts int
 	deadline time.Time
-	backoff  journal.Backoff
+	backoff  retry.Backoff
 }
 
 // settlementAttempts is how often a mirror that has left the view is told.
 const settlementAttempts = 20
 
-func newSettlement(debt journal.Debt, epoch uint64, backoff journal.Backoff) settlement {
+func newSettlement(debt journal.Debt, epoch uint64, backoff retry.Backoff) settlement {
 	// The trim is of this epoch: it forgets all earlier ones.
 	settled := settlement{trim: MirrorTrim{Epoch: epoch}}
 	for _, mirror := range debt.Mirrors {
--- a/program/outcome.go
+++ b/program/outcome.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/retry"
 )
 
 // outcome takes what became of one attempt. Only the current attempt of a
@@ -126,13 +127,8 @@
 	return true
 }
 
-// backoff doubles from RetryBase up to RetryMaximum; a random half of it is
-// jitter, so that calls which failed together do not come back together.
+// backoff returns the wait after so many failures in a row.
 func (s *Store) backoff(failures int) time.Duration {
-	delay := s.config.RetryBase
-	for step := 1; step < failures && delay < s.config.RetryMaximum; step++ {
-		delay = min(2*delay, s.config.RetryMaximum)
-	}
-	half := delay / 2
-	return half + time.Duration(s.config.Random.Int64N(int64(half)+1))
+	spaced := retry.Backoff{Minimum: s.config.RetryBase, Maximum: s.config.RetryMaximum, Random: s.config.Random}
+	return spaced.Delay(failures)
 }
--- a/link/budget.go
+++ b/retry/budget.go
@@ -1,4 +1,4 @@
-package link
+package retry
 
 import (
 	"errors"
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// RetryBudgetConfig sets up a RetryBudget.
-type RetryBudgetConfig struct {
+// BudgetConfig sets up a Budget.
+type BudgetConfig struct {
 	// PerSuccess is what each success earns, in retries.
 	PerSuccess float64
 	// PerSecond is what each second earns, in retries, so that a client with
@@ -17,12 +17,12 @@
 	Capacity float64
 }
 
-// DefaultRetryBudgetConfig allows retries for a tenth of what succeeds.
-func DefaultRetryBudgetConfig() RetryBudgetConfig {
-	return RetryBudgetConfig{PerSuccess: 0.1, PerSecond: 0.5, Capacity: 10}
+// DefaultBudgetConfig allows retries for a tenth of what succeeds.
+func DefaultBudgetConfig() BudgetConfig {
+	return BudgetConfig{PerSuccess: 0.1, PerSecond: 0.5, Capacity: 10}
 }
 
-func (c RetryBudgetConfig) validate() error {
+func (c BudgetConfig) validate() error {
 	var findings []error
 	if c.PerSuccess < 0 || c.PerSuccess > 1 {
 		findings = append(findings, fmt.Errorf("field PerSuccess: got %v, want 0 to 1", c.PerSuccess))
@@ -36,32 +36,32 @@
 	return errors.Join(findings...)
 }
 
-// RetryBudget is a token bucket that successes fill and retries empty. Over
+// Budget is a token bucket that successes fill and retries empty. Over
 // any time span, retries <= Capacity + PerSuccess * successes + PerSecond *
 // seconds. During an outage there are no successes, so the load on what has
 // failed hardly exceeds the load without retries.
-type RetryBudget struct {
-	config RetryBudgetConfig
+type Budget struct {
+	config BudgetConfig
 	tokens float64
 	filled time.Time
 }
 
-// NewRetryBudget returns a full budget.
-func NewRetryBudget(config RetryBudgetConfig) (*RetryBudget, error) {
+// NewBudget returns a full budget.
+func NewBudget(config BudgetConfig) (*Budget, error) {
 	if err := config.validate(); err != nil {
 		return nil, fmt.Errorf("retry budget settings: %w", err)
 	}
-	return &RetryBudget{config: config, tokens: config.Capacity}, nil
+	return &Budget{config: config, tokens: config.Capacity}, nil
 }
 
 // Success notes a request that succeeded.
-func (b *RetryBudget) Success(now time.Time) {
+func (b *Budget) Success(now time.Time) {
 	b.fill(now)
 	b.tokens = min(b.config.Capacity, b.tokens+b.config.PerSuccess)
 }
 
 // Withdraw reports whether a retry may be made now, and pays for it.
-func (b *RetryBudget) Withdraw(now time.Time) bool {
+func (b *Budget) Withdraw(now time.Time) bool {
 	b.fill(now)
 	if b.tokens < 1 {
 		return false
@@ -70,7 +70,7 @@
 	return true
 }
 
-func (b *RetryBudget) fill(now time.Time) {
+func (b *Budget) fill(now time.Time) {
 	if b.filled.IsZero() {
 		b.filled = now
 	}
