history: take the caller's word on which calls may be repeated

What the submits of a call say now decides, and what the back end was told only counts where no submit is known. That is stricter too: a back end that is told "repeatable" of a call that its caller did not permit to be repeated no longer hides a second start.

--- a/history/calls.go
+++ b/history/calls.go
@@ -1,6 +1,7 @@
 package history
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -48,16 +49,34 @@
 	if len(each.started) < 2 {
 		return
 	}
-	for _, r := range each.started {
-		if r.Started.Repeatable || r.Started.Kind == api.CallModel {
-			return
-		}
+	if each.repeatable() {
+		return
 	}
 	c.report(InvariantAtMostOnce, each.started,
 		"call %d of program %s may not be repeated and started %d times",
 		each.ref.sequence, each.ref.program, len(each.started))
 }
 
+// repeatable reports whether the call may run twice: as those who submitted it
+// said, who know it, else as a back end was told.
+func (c *call) repeatable() bool {
+	asked := false
+	for _, exchange := range c.exchanges {
+		if sent := exchange.sent.Sent; sent.Operation == OperationSubmit {
+			if !sent.Repeatable && sent.Kind != api.CallModel {
+				return false
+			}
+			asked = true
+		}
+	}
+	if asked {
+		return true
+	}
+	return slices.ContainsFunc(c.started, func(r *record) bool {
+		return r.Started.Repeatable || r.Started.Kind == api.CallModel
+	})
+}
+
 // checkNotRun: a back end's start of a call needs a request, sent before it,
 // that was not answered as not run.
 func (c *checker) checkNotRun(each *call) {
--- /dev/null
+++ b/history/repeatable_test.go
@@ -0,0 +1,36 @@
+package history_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/history"
+)
+
+var _ = Describe("A tool call that started twice", func() {
+	// started twice at back ends that were told the one, for a caller that
+	// said the other.
+	report := func(asked, told bool) []history.Finding {
+		at := func(seconds int64) time.Time { return time.Unix(seconds, 0) }
+		started := &history.Started{Backend: "t", Program: "a", Sequence: 1, Kind: api.CallTool, Repeatable: told}
+		return history.CheckEvents([]history.Event{
+			{At: at(1), Sent: &history.Sent{
+				Request: "1", Operation: history.OperationSubmit, Program: "a", Key: "k", Sequence: 1, Kind: api.CallTool, Repeatable: asked,
+			}},
+			{At: at(2), Started: started},
+			{At: at(3), Started: started},
+		}).Findings
+	}
+
+	DescribeTable("counts as its caller asked for it, whatever the back end was told",
+		func(asked, told bool, findings int) {
+			Expect(report(asked, told)).To(HaveLen(findings))
+		},
+		Entry("repeatable", true, false, 0),
+		Entry("not repeatable", false, true, 1),
+		Entry("not repeatable, as both know", false, false, 1),
+	)
+})
