Order a tenant's calls by the time their callers have

Where one tenant runs short and long programs, ordering by arrival let the short ones expire behind the long.

A call's place moves later by a share of the time between its program's arrival and its deadline; admission counts only the programs placed ahead; the pace of starts follows the programs that had to wait.

The test was seen failing with the share at zero.

--- a/schedule/admission.go
+++ b/schedule/admission.go
@@ -38,13 +38,17 @@
 	p.waiting++
 }
 
-// leave counts a waiting program that started, or was taken back.
-func (p *pace) leave(now time.Time, started bool) {
+// leave counts a waiting program that started, or was taken back. The pace
+// follows those that had to wait: one that starts at once says nothing of it.
+func (p *pace) leave(now time.Time, started, waited bool) {
 	p.waiting--
-	if started {
+	if !started {
+		return
+	}
+	if waited {
 		p.interval.add(now.Sub(p.since).Seconds())
-		p.since = now
 	}
+	p.since = now
 }
 
 // typical is the time between two starts, a prior until one is known.
@@ -55,14 +59,14 @@
 	return seconds(p.interval.value)
 }
 
-// wait is how long one more program would wait: as long as those before it
-// take to start, of which the next takes at least as long as it has already.
-func (p *pace) wait(now time.Time, prior time.Duration) time.Duration {
-	if p.waiting == 0 {
+// wait is how long a program waits behind others: as long as those take to
+// start, of which the next takes at least as long as it has already.
+func (p *pace) wait(now time.Time, ahead int, prior time.Duration) time.Duration {
+	if ahead == 0 {
 		return 0
 	}
 	typical := p.typical(prior)
-	return max(typical, now.Sub(p.since)) + time.Duration(p.waiting-1)*typical
+	return max(typical, now.Sub(p.since)) + time.Duration(ahead-1)*typical
 }
 
 // unstarted reports whether refusing the call spares the program's whole
@@ -77,7 +81,7 @@
 	if !unstarted(request) {
 		return nil
 	}
-	wait := call.line.share.starts.wait(now, s.priorInterval(call))
+	wait := call.line.share.starts.wait(now, call.line.ahead(call), s.priorInterval(call))
 	limit := time.Duration(s.config.AdmissionShare * float64(call.expires.Sub(now)))
 	if wait <= limit {
 		return nil
--- a/schedule/config.go
+++ b/schedule/config.go
@@ -87,6 +87,9 @@
 	AttainedPerToken time.Duration
 	// AttainedMaximum bounds that move.
 	AttainedMaximum time.Duration
+	// DeadlineShare moves a call later by a share of the time between its
+	// program's arrival and its deadline: who has little time goes first.
+	DeadlineShare float64
 }
 
 // ModelsConfig places models on replicas.
@@ -128,6 +131,7 @@
 		Order: OrderConfig{
 			AttainedPerToken: 200 * time.Microsecond,
 			AttainedMaximum:  10 * time.Second,
+			DeadlineShare:    0.25,
 		},
 		AdmissionShare: 0.25,
 		Models: ModelsConfig{
@@ -185,6 +189,7 @@
 
 func (o OrderConfig) validate(found *findings) {
 	found.require(o.AttainedPerToken >= 0, "Order.AttainedPerToken", "no negative duration")
+	found.require(o.DeadlineShare >= 0 && o.DeadlineShare <= 1, "Order.DeadlineShare", "a share")
 	found.require(o.AttainedMaximum >= 0, "Order.AttainedMaximum", "no negative duration")
 }
 
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -170,7 +170,7 @@
 	owner := call.line.share
 	owner.held--
 	if unstarted(&call.request) {
-		owner.starts.leave(now, sent)
+		owner.starts.leave(now, sent, now.After(call.request.Enqueued))
 	}
 	if call.inLine >= 0 {
 		heap.Remove(&call.line.calls, call.inLine)
@@ -243,18 +243,27 @@
 }
 
 // placeInLine is a call's place among its tenant's: the arrival of its
-// program, later by the attained service. A call close to its deadline is not
-// placed later than it can bear.
-func placeInLine(request *Request, order OrderConfig, service time.Duration) time.Time {
+// program, later by the attained service, and later by a part of the time that
+// its caller has. Both are bounded, so that no call is overtaken forever.
+func placeInLine(request *Request, order OrderConfig) time.Time {
 	attained := time.Duration(request.Attained) * order.AttainedPerToken
 	place := request.Arrived.Add(min(attained, order.AttainedMaximum))
-	if !request.Deadline.IsZero() {
-		latest := request.Deadline.Add(-2 * service)
-		if latest.Before(place) {
-			return latest
+	if request.Deadline.IsZero() {
+		return place
+	}
+	patience := request.Deadline.Sub(request.Arrived)
+	return place.Add(time.Duration(order.DeadlineShare * float64(patience)))
+}
+
+// ahead counts the calls of the line that are placed before a call.
+func (l *line) ahead(call *heldCall) int {
+	count := 0
+	for _, other := range l.calls.items {
+		if placedEarlier(other, call) {
+			count++
 		}
 	}
-	return place
+	return count
 }
 
 // callHeap is a heap of held calls that knows each call's position.
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -90,7 +90,7 @@
 		request: request,
 		pool:    waiting,
 		line:    waiting.lineOf(&request, use),
-		place:   placeInLine(&request, s.config.Order, cost),
+		place:   placeInLine(&request, s.config.Order),
 		expires: holdUntil(request, s.config.MaximumHold),
 		cost:    cost,
 	}
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -42,6 +42,14 @@
 		Expect(b.placeOne().Call).To(Equal(short))
 	})
 
+	It("serves the program that has little time before one that has much", func() {
+		first, _ := fill()
+		b.enqueue("patient", "tenant", func(request *schedule.Request) { request.Deadline = b.now.Add(time.Hour) })
+		urgent := b.enqueue("urgent", "tenant")
+		b.finish(first, 0)
+		Expect(b.placeOne().Call).To(Equal(urgent))
+	})
+
 	It("lets no stream of newcomers overtake a long program forever", func() {
 		first, second := fill()
 		long := b.enqueue("long", "tenant", attained(1_000_000))
