gateway: write a stream's events on the goroutine of its connection

Cause: a streamed answer ran on a goroutine of its own, which handed each event through a pipe to the connection's goroutine, at the owner and again at the node that relays: two handovers and two wake-ups for each event at each node.

Change: the session is the response's body. The server reads the next event from it, writes it and comes back. The header leaves with the first event, which is there at once, rather than by a write of its own. A failed write still ends the stream: the server then closes the body.

The tests of control, node, gateway, development and the emulated cluster pass.

--- a/gateway/event.go
+++ b/gateway/event.go
@@ -1,9 +1,8 @@
 package gateway
 
 import (
-	"bufio"
+	"bytes"
 	"encoding/json"
-	"strconv"
 	"unicode/utf8"
 
 	"birchwood.example/birchwood/api"
@@ -86,25 +85,21 @@
 	return event{kind: eventError, data: marshal(errorBody{Error: refusal})}
 }
 
-// writeTo writes the event and flushes it. An error means that the caller
-// hung up or does not read.
-func (e event) writeTo(writer *bufio.Writer) error {
+// writeTo appends the event's lines to the buffer.
+func (e event) writeTo(buffer *bytes.Buffer) {
 	if e.kind == eventKeepAlive {
-		_, _ = writer.WriteString(": keep-alive\n\n")
-		return writer.Flush()
+		buffer.WriteString(": keep-alive\n\n")
+		return
 	}
-	_, _ = writer.WriteString("event: ")
-	_, _ = writer.WriteString(string(e.kind))
+	buffer.WriteString("event: ")
+	buffer.WriteString(string(e.kind))
 	if e.kind == eventText || e.kind == eventRestart {
-		_, _ = writer.WriteString("\nid: ")
-		_, _ = writer.WriteString(strconv.Itoa(e.at.attempt))
-		_ = writer.WriteByte(':')
-		_, _ = writer.WriteString(strconv.Itoa(e.at.offset))
+		buffer.WriteString("\nid: ")
+		buffer.WriteString(e.at.String())
 	}
-	_, _ = writer.WriteString("\ndata: ")
-	_, _ = writer.Write(e.data)
-	_, _ = writer.WriteString("\n\n")
-	return writer.Flush()
+	buffer.WriteString("\ndata: ")
+	buffer.Write(e.data)
+	buffer.WriteString("\n\n")
 }
 
 // failure returns the error that an error event carries.
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -1,9 +1,10 @@
 package gateway
 
 import (
-	"bufio"
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"time"
 
@@ -14,13 +15,23 @@
 
 // session is one caller's stream of an answer. It outlives its sources: when
 // the owner is lost, it goes on at the new owner from the caller's position.
+//
+// It is the body of the response: the server reads an event, writes it to the
+// caller and comes back for the next one, all on the connection's goroutine, so
+// that no event waits for a second one to run.
 type session struct {
 	gateway  *Gateway
+	lifetime context.Context
 	request  *exchange
 	source   source
 	conn     net.Conn
+	done     func()
 	accepted bool
 	hasText  bool
+	// unread is what the server has not read of the events so far, and over is
+	// set once there will be no more.
+	unread bytes.Buffer
+	over   bool
 }
 
 // startStream answers with server-sent events until the lifetime ends. done is
@@ -29,45 +40,56 @@
 	ctx.SetStatusCode(statusOK)
 	ctx.SetContentType(contentTypeEvents)
 	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-store")
-	ctx.Response.ImmediateHeaderFlush = true
-	s := &session{gateway: g, request: request, source: first, conn: ctx.Conn()}
-	ctx.SetBodyStreamWriter(func(writer *bufio.Writer) {
-		defer done()
-		s.run(lifetime, writer)
-		s.source.close()
-		g.observer.Answered(request.request.Operation, statusOK, time.Since(request.received))
-	})
+	s := &session{gateway: g, lifetime: lifetime, request: request, source: first, conn: ctx.Conn(), done: done}
+	ctx.SetBodyStream(s, -1)
 }
 
-// run writes events until the stream ends or the caller hangs up.
-func (s *session) run(ctx context.Context, writer *bufio.Writer) {
-	for {
-		next, err := s.source.next(ctx, s.request.position)
-		if err != nil {
-			next, err = s.recover(ctx, err)
-		}
-		if err != nil {
-			return
-		}
-		if !s.write(writer, next) || next.kind == eventEnd || next.kind == eventError {
-			return
+// Read implements io.Reader. It waits for the next event, unless some of the
+// last one is unread, and gives the caller the write time-out for it.
+func (s *session) Read(buffer []byte) (int, error) {
+	for s.unread.Len() == 0 {
+		if s.over {
+			return 0, io.EOF
 		}
+		s.advance()
 	}
+	_ = s.conn.SetWriteDeadline(time.Now().Add(s.gateway.config.WriteTimeout))
+	return s.unread.Read(buffer)
+}
+
+// Close implements io.Closer. The server calls it when it has written the whole
+// stream, and when a write failed because the caller hung up.
+func (s *session) Close() error {
+	s.source.close()
+	s.gateway.observer.Answered(s.request.request.Operation, statusOK, time.Since(s.request.received))
+	s.done()
+	return nil
 }
 
-// write sends one event and moves the caller's position. It reports false
-// when the caller hung up.
-func (s *session) write(writer *bufio.Writer, next event) bool {
+// advance waits for the next event and makes it ready to be read.
+func (s *session) advance() {
+	next, err := s.source.next(s.lifetime, s.request.position)
+	if err != nil {
+		next, err = s.recover(s.lifetime, err)
+	}
+	if err != nil {
+		s.over = true
+		return
+	}
+	s.add(next)
+	s.over = next.kind == eventEnd || next.kind == eventError
+}
+
+// add makes one event ready and moves the caller's position past it. The
+// caller's stream is accepted once, also when its sources change.
+func (s *session) add(next event) {
 	if next.kind == eventAccepted {
 		if s.accepted {
-			return true
+			return
 		}
 		s.accepted = true
 	}
-	_ = s.conn.SetWriteDeadline(time.Now().Add(s.gateway.config.WriteTimeout))
-	if next.writeTo(writer) != nil {
-		return false
-	}
+	next.writeTo(&s.unread)
 	if next.kind == eventText || next.kind == eventRestart {
 		s.request.position = next.at
 	}
@@ -75,7 +97,6 @@
 		s.hasText = true
 		s.gateway.observer.FirstText(time.Since(s.request.received))
 	}
-	return true
 }
 
 // recover finds the next event after the source failed: a keep-alive while
