--- a/gateway/lostanswer_test.go
+++ b/gateway/lostanswer_test.go
@@ -48,3 +48,44 @@
 		Expect(got.error().Retry).To(BeTrue())
 	})
 })
+
+var _ = Describe("A caller whose call was admitted while it waited", func() {
+	var shared *world
+	var owner *node
+	var programs string
+
+	BeforeEach(func() {
+		shared = newWorld()
+		entry := shared.start("midrand-1")
+		owner = shared.start("isando-1")
+		shared.move("isando-1")
+		programs = "http://" + entry.address + "/v1/programs"
+		Expect(ask("POST", programs, triageToken, createTriage).status).To(Equal(http.StatusOK))
+	})
+
+	It("is not told that nothing ran when a later slice of the wait is refused", func() {
+		slices := 0
+		owner.lose = func() *api.Error {
+			slices++
+			if slices == 1 {
+				return nil
+			}
+			return api.Refuse(api.CodeOverloaded, "too much to do").After(70)
+		}
+		got := ask("POST", programs+"/"+string(triageProgram)+"/calls", triageToken, submitFirst)
+		Expect(slices).To(Equal(2))
+		Expect(got.error().Code).To(Equal(api.CodeOutcomeUnknown))
+		Expect(got.error().Ran).To(Equal(api.RanOutcomeUnknown))
+	})
+
+	It("is not told that nothing ran when the owner loses the program during the wait", func() {
+		owner.lose = func() *api.Error {
+			shared.owner = "" // The caller holds the mutex.
+			return nil
+		}
+		got := ask("POST", programs+"/"+string(triageProgram)+"/calls", triageToken, submitFirst)
+		Expect(shared.submitted()).To(Equal(1))
+		Expect(got.error().Code).To(Equal(api.CodeOutcomeUnknown))
+		Expect(got.error().Ran).To(Equal(api.RanOutcomeUnknown))
+	})
+})
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -57,10 +57,11 @@
 		started := time.Now()
 		result := g.attempt(ctx, request, hint)
 		result.attempts = attempt
-		unknown = unknown || result.unknown
+		// A wait that is pending waits for a call that was admitted.
+		unknown = unknown || result.unknown || result.pending
 		switch {
-		case result.pending && !request.peer && ctx.Err() == nil:
-			pauseUntil(ctx, started.Add(minimumSlice))
+		case result.pending && !request.peer && pauseUntil(ctx, started.Add(minimumSlice)):
+			// The next slice of the wait.
 		case !result.retry || request.peer:
 			if result.refusal == nil && !request.peer {
 				g.budget.earn()
@@ -222,7 +223,8 @@
 }
 
 // callState asks for the state of a call whose wait ended early. A program
-// that moved to another node meanwhile is asked about there.
+// that moved to another node meanwhile is asked about there; the refusal that
+// says so is about this look, and the call may have been admitted before.
 func (g *Gateway) callState(asked control.Request) control.Reply {
 	if asked.Submit != nil {
 		asked.Key = asked.Submit.Key
@@ -234,9 +236,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
 	defer cancel()
 	reply := g.service.Do(ctx, asked)
-	if reply.Error == nil || hasMoved(reply.Error) {
+	if reply.Error == nil {
 		return reply
 	}
+	if hasMoved(reply.Error) {
+		moved := *reply.Error
+		moved.Ran = api.RanOutcomeUnknown
+		return control.Reply{Error: &moved}
+	}
 	return control.Reply{Error: &api.Error{
 		Code:    api.CodeTimeout,
 		Message: "the call was not answered in time; ask again with the same key",
