--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -226,7 +226,8 @@
 // that moved to another node meanwhile is asked about there; the refusal that
 // says so is about this look, and the call may have been admitted before.
 func (g *Gateway) callState(asked control.Request) control.Reply {
-	if asked.Submit != nil {
+	submits := asked.Submit != nil
+	if submits {
 		asked.Key = asked.Submit.Key
 		asked.Sequence = 0
 	}
@@ -241,7 +242,9 @@
 	}
 	if hasMoved(reply.Error) {
 		moved := *reply.Error
-		moved.Ran = api.RanOutcomeUnknown
+		if submits {
+			moved.Ran = api.RanOutcomeUnknown
+		}
 		return control.Reply{Error: &moved}
 	}
 	return control.Reply{Error: &api.Error{
