control: leave requests with the owner until it has handed over

In a chaos run programs that only stood by were left without an answer for 2 to 6 s by every planned stop, and again when the node came back, though the hand-over itself took 20 ms. Gateways went by who should own a partition: past an owner that was leaving but still served while its attempts ran, and to a node that had just joined, which keeps requests until it has learnt of the owner. And when it had learnt, the routing that gateways read was not renewed.

A hint now holds while its node is leaving; a change of the view leaves requests with the former owner for its dwell time and a second; a node leaves itself out of the routing until the machine list has settled; and the routing is renewed when a replica learns of another owner.

--- a/control/core.go
+++ b/control/core.go
@@ -22,6 +22,8 @@
 	partitions map[partition.ID]*ownedPartition
 	// hints tell who owned a partition when it was last heard of.
 	hints map[partition.ID]machine.ID
+	// hintUntil is when a hint that only rests on the view expires.
+	hintUntil map[partition.ID]time.Time
 	// known are all partitions that can hold programs, sorted.
 	known []partition.ID
 	// nodes are the nodes that are believed to run, leaving ones included.
@@ -74,6 +76,7 @@
 		mirrors:    mirrors,
 		partitions: make(map[partition.ID]*ownedPartition),
 		hints:      make(map[partition.ID]machine.ID),
+		hintUntil:  make(map[partition.ID]time.Time),
 		attendant:  newAttendant(config),
 	}
 	return core, nil
@@ -162,6 +165,7 @@
 		c.tickPartition(now, owned)
 	}
 	c.releaseDelayed(now)
+	c.expireHints(now)
 	c.expireParked(now)
 	c.tickAttendant(now)
 }
@@ -183,6 +187,9 @@
 	for _, request := range c.parked {
 		earliest(&wake, request.until)
 	}
+	for _, until := range c.hintUntil {
+		earliest(&wake, until)
+	}
 	if c.stopping && !c.stopped {
 		earliest(&wake, c.stopBy)
 	}
--- a/control/messages.go
+++ b/control/messages.go
@@ -47,15 +47,14 @@
 		return
 	}
 	if message.Handover != nil {
-		c.hints[message.Partition] = c.config.Self.ID
-		c.routingChanged = true
-		if _, ok := c.partitions[message.Partition]; !ok && !c.stopping {
-			c.openPartition(now, message.Partition)
-		}
+		c.handedOver(now, message.Partition)
 	}
 	owned, ok := c.partitions[message.Partition]
 	if ok {
+		before, _ := owned.replica.Owner()
 		owned.replica.StepMessage(now, from, message)
+		after, _ := owned.replica.Owner()
+		c.routingChanged = c.routingChanged || before != after
 		return
 	}
 	if answer, ok := partition.AnswerUnowned(message); ok {
@@ -63,6 +62,17 @@
 	}
 }
 
+// handedOver notes that a former owner has given the partition up to this node.
+func (c *Core) handedOver(now time.Time, id partition.ID) {
+	if c.stopping {
+		return
+	}
+	c.setHint(id, c.config.Self.ID)
+	if _, ok := c.partitions[id]; !ok {
+		c.openPartition(now, id)
+	}
+}
+
 // sendPartition sends a replica's or mirror's message; one to this node
 // itself never leaves it.
 func (c *Core) sendPartition(outbound partition.Outbound) {
@@ -108,6 +118,7 @@
 	sortIDs(nodes)
 	if slices.Contains(nodes, c.config.Self.ID) && slices.Equal(nodes, c.lastListed) {
 		c.listed = true
+		c.routingChanged = true
 		c.reviewPartitions(now)
 	}
 	c.lastListed = nodes
@@ -125,7 +136,9 @@
 		return false
 	}
 	c.routingChanged = true
+	before := c.nodes
 	c.nodes = presentNodes(c.membership.All())
+	c.rememberOwners(now, before)
 	c.attendant.setMachines(now, c.nodes, c.membership.Backends())
 	c.setBackends(now)
 	c.reviewPartitions(now)
--- a/control/owned.go
+++ b/control/owned.go
@@ -282,8 +282,7 @@
 		return
 	}
 	owned.acquired = true
-	c.hints[owned.id] = c.config.Self.ID
-	c.routingChanged = true
+	c.setHint(owned.id, c.config.Self.ID)
 	c.emit(PartitionChanged{Partition: owned.id, Owned: true, Epoch: epoch, Programs: owned.store.Count()})
 	c.apply(now, owned, owned.store.Resume(now, epoch), nil)
 	c.retargetPartition(now, owned)
@@ -304,8 +303,7 @@
 	c.withdrawPartition(owned)
 	c.answerLost(owned)
 	owned.reset(c)
-	delete(c.hints, owned.id)
-	c.routingChanged = true
+	c.setHint(owned.id, "")
 	if wasOwned {
 		c.emit(PartitionChanged{Partition: owned.id})
 	}
--- a/control/requests.go
+++ b/control/requests.go
@@ -339,7 +339,10 @@
 		if owned.acquired {
 			return c.config.Self.ID, true
 		}
-		return owned.replica.Owner()
+		owner, known := owned.replica.Owner()
+		if owner != c.config.Self.ID || owned.replica.State() != partition.StateFollowing {
+			return owner, known
+		}
 	}
-	return partition.Owner(id, c.placement(id), c.nodes, c.hints[id])
+	return partition.Owner(id, c.placement(id), c.routable(), c.hints[id])
 }
--- a/control/routing.go
+++ b/control/routing.go
@@ -2,6 +2,8 @@
 
 import (
 	"maps"
+	"slices"
+	"time"
 
 	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/machine"
@@ -21,19 +23,74 @@
 
 // Routing returns the present routing.
 func (c *Core) Routing() *Routing {
-	routing := &Routing{self: c.config.Self.ID, nodes: c.nodes, tree: c.Tree(), hints: maps.Clone(c.hints), owned: make(map[partition.ID]bool)}
+	routing := &Routing{self: c.config.Self.ID, nodes: c.routable(), tree: c.Tree(), hints: maps.Clone(c.hints), owned: make(map[partition.ID]bool)}
 	for id, owned := range c.partitions {
 		if owned.acquired {
 			routing.owned[id] = true
 			continue
 		}
-		if owner, ok := owned.replica.Owner(); ok {
+		if owner, ok := c.Owner(id); ok {
 			routing.hints[id] = owner
 		}
 	}
 	return routing
 }
 
+// routable are the nodes that requests may go to. One that has just started
+// leaves itself out until the machine list has settled: it owns nothing yet, and
+// by rendezvous the best of the others is whom its partitions are to come from.
+func (c *Core) routable() []machine.Machine {
+	if c.listed {
+		return c.nodes
+	}
+	others := slices.DeleteFunc(slices.Clone(c.nodes), func(node machine.Machine) bool { return node.ID == c.config.Self.ID })
+	if len(others) == 0 {
+		return c.nodes
+	}
+	return others
+}
+
+// hintMargin is how much longer than the owner's dwell time requests stay with
+// it after the view has named another node: until then it hands nothing over,
+// and its successor may not know yet whom to ask.
+const hintMargin = time.Second
+
+// rememberOwners keeps requests with the nodes that owned partitions by the
+// view before this one and are still there: one that joins owns nothing yet,
+// and one that leaves serves until it has handed over.
+func (c *Core) rememberOwners(now time.Time, before []machine.Machine) {
+	for _, id := range c.known {
+		placement := c.placement(id)
+		owner, _ := partition.Owner(id, placement, before, c.hints[id])
+		next, _ := partition.Owner(id, placement, c.nodes, "")
+		kept, _ := partition.Owner(id, placement, c.nodes, owner)
+		if owner == "" || owner == c.config.Self.ID || owner == next || owner != kept {
+			continue
+		}
+		c.hints[id] = owner
+		c.hintUntil[id] = now.Add(c.config.Replica.HandoverDwell + hintMargin)
+	}
+}
+
+// setHint notes the owner of a partition for certain, or that none is known.
+func (c *Core) setHint(id partition.ID, owner machine.ID) {
+	delete(c.hintUntil, id)
+	delete(c.hints, id)
+	if owner != "" {
+		c.hints[id] = owner
+	}
+	c.routingChanged = true
+}
+
+// expireHints forgets former owners that have had their time.
+func (c *Core) expireHints(now time.Time) {
+	for id, until := range c.hintUntil {
+		if !now.Before(until) {
+			c.setHint(id, "")
+		}
+	}
+}
+
 // placementOf returns the zones that may hold a partition: those of the branch
 // that its group is named for. A branch that is gone permits none.
 func placementOf(tree *contract.Tree, id partition.ID) zone.Placement {
--- a/partition/owner.go
+++ b/partition/owner.go
@@ -11,23 +11,25 @@
 )
 
 // Owner returns the node that should own the partition: the hint while it is
-// among the nodes and permitted, else the permitted node with the greatest
-// rendezvous score. Without permitted nodes it returns false.
+// among the nodes in a permitted zone, else the permitted node with the greatest
+// rendezvous score. Without permitted nodes it returns false. A hint may be
+// leaving: it still serves until it has handed over.
 //
 // Rendezvous hashing moves only the partitions of a node that comes or goes,
 // and needs no agreement: two nodes with the same list name the same owner.
 func Owner(id ID, placement zone.Placement, nodes []machine.Machine, hint machine.ID) (machine.ID, bool) {
 	var best machine.ID
 	var bestScore uint64
-	for _, node := range nodes {
-		if !permitted(placement, node) {
-			continue
-		}
-		if node.ID == hint {
+	// The score is cheaper than the look into the placement, so that it comes
+	// first: this runs for each partition whenever a node comes or goes.
+	for i := range nodes {
+		node := &nodes[i]
+		if node.ID == hint && node.Status != machine.StatusDead && placement.Contains(node.Zone) {
 			return hint, true
 		}
 		score := rendezvousScore(id, node.ID)
-		if best == "" || score > bestScore || score == bestScore && node.ID < best {
+		better := best == "" || score > bestScore || score == bestScore && node.ID < best
+		if better && permitted(placement, *node) {
 			best = node.ID
 			bestScore = score
 		}
