docs: what is guaranteed, and the tests that show it

Cause: nothing told for each promise which mechanism keeps it, which tests make the failure happen, whether they were seen failing, and what is not proved.

Change: docs/GUARANTEES.md, held to the tree by internal/guarantees: each named test exists, each section says how, what was seen failing and what is not proved, and the checker's invariants each have their broken histories.

--- /dev/null
+++ b/internal/guarantees/guarantees_test.go
@@ -0,0 +1,158 @@
+// Package guarantees holds docs/GUARANTEES.md to the tree: each test that the
+// page names exists, and the page names what the checkers' own tests break.
+package guarantees_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	"birchwood.example/birchwood/history"
+)
+
+const (
+	root = "../.."
+	page = "docs/GUARANTEES.md"
+)
+
+var (
+	// heldBy is a line that names a test: "- `package`: `name of the test`".
+	heldBy = regexp.MustCompile("(?m)^- `([a-z/]+)`: `([^`]+)`")
+	// brokenBy is a row of the checkers' tables, with the entry of the test.
+	brokenBy = regexp.MustCompile("(?m)^\\| `([a-z -]+)` \\| `([^`]+)` \\|$")
+)
+
+// containers are the functions of ginkgo whose first argument names tests. A
+// pending or focused form is none of them.
+var containers = map[string]bool{"It": true, "Entry": true, "DescribeTable": true, "Describe": true, "Context": true}
+
+func readPage(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(root, page))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// namesIn returns the names of all tests in a package's test files.
+func namesIn(t *testing.T, folder string) map[string]bool {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(root, folder, "*_test.go"))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("%s: package %s has no tests: %v", page, folder, err)
+	}
+	names := map[string]bool{}
+	for _, path := range files {
+		syntax, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ast.Inspect(syntax, func(node ast.Node) bool {
+			if name, ok := testName(node); ok {
+				names[name] = true
+			}
+			return true
+		})
+	}
+	return names
+}
+
+// testName returns the name of the test that a piece of code declares.
+func testName(node ast.Node) (string, bool) {
+	switch node := node.(type) {
+	case *ast.FuncDecl:
+		return node.Name.Name, node.Recv == nil && strings.HasPrefix(node.Name.Name, "Test")
+	case *ast.CallExpr:
+		function := node.Fun
+		if selector, ok := function.(*ast.SelectorExpr); ok {
+			function = selector.Sel
+		}
+		called, ok := function.(*ast.Ident)
+		if !ok || !containers[called.Name] || len(node.Args) == 0 {
+			return "", false
+		}
+		literal, ok := node.Args[0].(*ast.BasicLit)
+		if !ok || literal.Kind != token.STRING {
+			return "", false
+		}
+		name, err := strconv.Unquote(literal.Value)
+		return name, err == nil
+	}
+	return "", false
+}
+
+func TestEveryNamedTestExists(t *testing.T) {
+	text := readPage(t)
+	known := map[string]map[string]bool{}
+	named := heldBy.FindAllStringSubmatch(text, -1)
+	for _, match := range named {
+		folder, name := match[1], match[2]
+		if known[folder] == nil {
+			known[folder] = namesIn(t, folder)
+		}
+		if !known[folder][name] {
+			t.Errorf("%s: package %s has no test %q", page, folder, name)
+		}
+	}
+	if lines := strings.Count(text, "\n- `"); lines != len(named) {
+		t.Errorf("%s: %d lines begin with a name, and %d of them name a test", page, lines, len(named))
+	}
+}
+
+// TestEveryGuaranteeNamesTests: a section without a test is a claim alone.
+func TestEveryGuaranteeNamesTests(t *testing.T) {
+	_, guarantees, _ := strings.Cut(readPage(t), "\n# Guarantees\n")
+	guarantees, _, _ = strings.Cut(guarantees, "\n# ")
+	sections := strings.Split(guarantees, "\n## ")[1:]
+	const wanted = 11
+	if len(sections) != wanted {
+		t.Errorf("%s: %d guarantees: want %d", page, len(sections), wanted)
+	}
+	for _, section := range sections {
+		title, body, _ := strings.Cut(section, "\n")
+		for _, part := range []string{"\n**How.**", "\n**Seen failing.**", "\n**Not proved.**"} {
+			if !strings.Contains(body, part) {
+				t.Errorf("%s: %q has no part %q", page, title, strings.TrimSpace(part))
+			}
+		}
+		if !heldBy.MatchString(body) {
+			t.Errorf("%s: %q names no test", page, title)
+		}
+	}
+}
+
+// TestEveryInvariantHasABrokenHistory: the page's table is the checker's own.
+func TestEveryInvariantHasABrokenHistory(t *testing.T) {
+	shown := map[string][]string{}
+	for _, match := range brokenBy.FindAllStringSubmatch(readPage(t), -1) {
+		shown[match[1]] = append(shown[match[1]], match[2])
+	}
+	names := namesIn(t, "history")
+	onPage := map[string]bool{}
+	for _, invariant := range history.Invariants() {
+		if len(shown[string(invariant)]) == 0 {
+			t.Errorf("%s: no broken history for %q", page, invariant)
+		}
+		for _, entry := range shown[string(invariant)] {
+			onPage[string(invariant)+": "+entry] = true
+		}
+	}
+	for name := range names {
+		invariant, _, found := strings.Cut(name, ": ")
+		if found && len(shown[invariant]) > 0 && !onPage[name] {
+			t.Errorf("%s: the table lacks %q", page, name)
+		}
+	}
+	for name := range onPage {
+		if !names[name] {
+			t.Errorf("%s: package history has no entry %q", page, name)
+		}
+	}
+}
