gateway: a streamed call that was accepted is never refused as "not run"

A stream that had sent its "accepted" event and then found no owner any more ended with an error that said "not_run": each search for another source forgot what the ones before it had reached. The same held for an owner that could not read the call's record back.

The exchange now remembers whether an attempt may have taken effect, over all searches of its stream, and an opened stream counts as one. Errors that end a stream go through the same rule as refusals.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -26,6 +26,8 @@
 	// received and deadline bound the whole exchange.
 	received time.Time
 	deadline time.Time
+	// mayHaveRun is set once an attempt may have taken effect, answered or not.
+	mayHaveRun bool
 	// attempts is how often the request was tried, once it is over.
 	attempts int
 	// stream asks for server-sent events from position on.
--- a/gateway/lostanswer_test.go
+++ b/gateway/lostanswer_test.go
@@ -89,3 +89,22 @@
 		Expect(got.error().Ran).To(Equal(api.RanOutcomeUnknown))
 	})
 })
+
+var _ = Describe("A caller that streams the answer of an admitted call", func() {
+	It("is not told that nothing ran when no owner can be found any more", func() {
+		shared := newWorld()
+		entry := shared.start("midrand-1")
+		owner := shared.start("isando-1")
+		shared.move("isando-1")
+		programs := "http://" + entry.address + "/v1/programs"
+		Expect(ask("POST", programs, triageToken, createTriage).status).To(Equal(http.StatusOK))
+		stream := openEvents("POST", programs+"/"+string(triageProgram)+"/calls", triageToken, streamFirst)
+		defer stream.close()
+		Expect(stream.next().kind).To(Equal("accepted"))
+		shared.move("")
+		owner.kill()
+		_, last := stream.text()
+		Expect(last.kind).To(Equal("error"))
+		Expect(last.data).To(ContainSubstring(`"ran":"outcome_unknown"`))
+	})
+})
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -51,14 +51,14 @@
 // or submit returns the program or call that the first one made, and a
 // repeated cancel or end changes nothing.
 func (g *Gateway) perform(ctx context.Context, request *exchange) answer {
-	unknown := false
 	hint := ""
 	for attempt := 1; ; {
 		started := time.Now()
 		result := g.attempt(ctx, request, hint)
 		result.attempts = attempt
-		// A wait that is pending waits for a call that was admitted.
-		unknown = unknown || result.unknown || result.pending
+		// A wait that is pending and a stream are about a call that was admitted.
+		admitted := result.pending || result.source != nil
+		request.mayHaveRun = request.mayHaveRun || result.unknown || admitted
 		switch {
 		case result.pending && !request.peer && pauseUntil(ctx, started.Add(minimumSlice)):
 			// The next slice of the wait.
@@ -66,9 +66,9 @@
 			if result.refusal == nil && !request.peer {
 				g.budget.earn()
 			}
-			return settle(request, result.answer, unknown)
+			return settle(request, result.answer)
 		case attempt >= g.config.MaximumAttempts || !g.budget.spend() || !g.pause(ctx, attempt):
-			return settle(request, result.answer, unknown)
+			return settle(request, result.answer)
 		default:
 			attempt++
 		}
@@ -79,7 +79,7 @@
 // settle makes the last refusal true for the whole request: once an attempt
 // may have taken effect, "not run" would be a guess. A peer is told the same
 // under the refusal's own code, because it may still try elsewhere.
-func settle(request *exchange, last answer, unknown bool) answer {
+func settle(request *exchange, last answer) answer {
 	if last.refusal == nil {
 		return last
 	}
@@ -90,7 +90,7 @@
 		settled.Code = api.CodeOwnerUnknown
 		settled.Message = "the program's owner changes"
 	}
-	if !unknown || !request.changes() || settled.Ran != api.RanNotRun {
+	if !request.mayHaveRun || !request.changes() || settled.Ran != api.RanNotRun {
 		return last
 	}
 	settled.Ran = api.RanOutcomeUnknown
--- a/gateway/session.go
+++ b/gateway/session.go
@@ -105,7 +105,7 @@
 	var refusal *api.Error
 	switch {
 	case errors.As(cause, &refusal):
-		return errorEvent(refusal), nil
+		return errorEvent(settle(s.request, answer{refusal: refusal}).refusal), nil
 	case ctx.Err() != nil:
 		return errorEvent(timedOut()), nil
 	case !errors.Is(cause, errSourceLost):
