--- a/gateway/authenticate.go
+++ b/gateway/authenticate.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"strconv"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -13,13 +12,19 @@
 	"birchwood.example/birchwood/contract"
 )
 
-// The headers between nodes. Scope, Hops and Detour count only beside a valid peer
-// token; Deadline may be set by callers too.
+// The headers between nodes. Scope, Hops and Detour count only beside a valid
+// peer token.
 const (
-	headerHops     = "X-Birchwood-Hops"
-	headerDetour   = "X-Birchwood-Detour"
-	headerScope    = "X-Birchwood-Scope"
-	headerDeadline = "X-Deadline-Ms"
+	// headerScope is the branch of the caller, whom the first node has
+	// authenticated.
+	headerScope = "X-Birchwood-Scope"
+	// headerHops counts how often the request was passed on. Two nodes that
+	// each believe the other to be the owner would otherwise pass it back and
+	// forth.
+	headerHops = "X-Birchwood-Hops"
+	// headerDetour asks the receiver to pass the request on to the owner,
+	// which the sender cannot reach.
+	headerDetour = "X-Birchwood-Detour"
 	// headerPending marks a 202 answer that ended a slice of a wait.
 	headerPending = "X-Birchwood-Pending"
 	// headerOwner is the address of the owner in a not_owner answer.
@@ -33,10 +38,14 @@
 
 // authenticate fills in who sent the request and how long it may take.
 func (g *Gateway) authenticate(ctx *fasthttp.RequestCtx, request *exchange) *api.Error {
-	if scope, is := ctx.UserValue(operatorScope{}).(contract.Path); is {
-		request.scope = scope
+	if operator, is := ctx.UserValue(operatorKey{}).(operatorRequest); is {
+		request.scope = operator.scope
 		request.operator = true
-		return g.readDeadline(ctx, request)
+		request.deadline = request.received.Add(g.config.MaximumWait)
+		if !operator.deadline.IsZero() {
+			request.tighten(operator.deadline)
+		}
+		return nil
 	}
 	token, found := bytes.CutPrefix(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization), bearerPrefix)
 	if !found || len(token) == 0 {
@@ -80,19 +89,3 @@
 	request.detour = len(ctx.Request.Header.Peek(headerDetour)) > 0
 	return nil
 }
-
-// readDeadline bounds the exchange by the configuration, and by the caller's
-// own bound when it is tighter.
-func (g *Gateway) readDeadline(ctx *fasthttp.RequestCtx, request *exchange) *api.Error {
-	bound := g.config.MaximumWait
-	if text := ctx.Request.Header.Peek(headerDeadline); len(text) > 0 {
-		milliseconds, err := strconv.ParseInt(string(text), 10, 64)
-		if err != nil || milliseconds < 1 || milliseconds > api.MaximumMilliseconds {
-			return api.Refuse(api.CodeBadRequest, "want 1 to %d milliseconds", int64(api.MaximumMilliseconds)).
-				At("header " + headerDeadline)
-		}
-		bound = min(bound, time.Duration(milliseconds)*time.Millisecond)
-	}
-	request.deadline = request.received.Add(bound)
-	return nil
-}
--- a/gateway/operate.go
+++ b/gateway/operate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -10,9 +9,17 @@
 	"birchwood.example/birchwood/contract"
 )
 
-// operatorScope marks a request that comes from this process's operators'
-// server, which has authenticated it. No header can set it.
-type operatorScope struct{}
+// operatorKey is the key of the operatorRequest in a request's user values. No
+// header can set it.
+type operatorKey struct{}
+
+// operatorRequest marks a request that comes from this process's operators'
+// server, which has authenticated it.
+type operatorRequest struct {
+	scope contract.Path
+	// deadline bounds the request unless it is zero.
+	deadline time.Time
+}
 
 // Operate performs one request of the callers' API for an operator of the
 // branch, on whichever node owns the program, and returns the HTTP status and
@@ -22,13 +29,11 @@
 	request.Header.SetMethod(method)
 	request.SetRequestURI(uri)
 	request.SetBody(body)
-	if deadline, bounded := ctx.Deadline(); bounded {
-		remaining := max(1, time.Until(deadline).Milliseconds())
-		request.Header.Set(headerDeadline, strconv.FormatInt(remaining, 10))
-	}
+	operator := operatorRequest{scope: scope}
+	operator.deadline, _ = ctx.Deadline()
 	var handled fasthttp.RequestCtx
 	handled.Init(&request, nil, nil)
-	handled.SetUserValue(operatorScope{}, scope)
+	handled.SetUserValue(operatorKey{}, operator)
 	g.router.Handler(&handled)
 	return handled.Response.StatusCode(), append([]byte(nil), handled.Response.Body()...)
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -92,8 +92,13 @@
 	if request.hops >= g.config.MaximumHops {
 		return refused(api.Refuse(api.CodeOwnerUnknown, "passed on %d times without reaching the owner", request.hops).After(0))
 	}
+	remaining, left := formatDeadline(time.Now(), request.deadline)
+	if !left {
+		return refused(api.Refuse(api.CodeTimeout, "no time was left to ask the owner").After(0))
+	}
 	outgoing := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(outgoing)
+	outgoing.Header.Set(headerDeadline, remaining)
 	g.fillRelay(outgoing, request, address, detour)
 	incoming := fasthttp.AcquireResponse()
 	err := g.client.Do(outgoing, incoming)
@@ -125,8 +130,6 @@
 	if detour {
 		outgoing.Header.Set(headerDetour, "1")
 	}
-	remaining := max(1, time.Until(request.deadline).Milliseconds())
-	outgoing.Header.Set(headerDeadline, strconv.FormatInt(remaining, 10))
 	if request.stream && request.position != (position{}) {
 		outgoing.Header.Set("Last-Event-ID", request.position.String())
 	}
