control: let a leaving node's hint go once its successor knows

In a chaos run one program of a partition that node-5 had handed over 4 s ago was left unanswered for 2.1 s when node-5's listener closed: gateways still held it for the former owner, for the 6 s that are meant for an owner that stays.

Hold a leaving owner for the claim's dwell time and a second. By then the successor knows whether it still serves, and passes requests on.

The specs of emulator/cluster and node pass; the next chaos runs measure it.

--- a/control/routing.go
+++ b/control/routing.go
@@ -50,11 +50,22 @@
 	return others
 }
 
-// hintMargin is how much longer than the owner's dwell time requests stay with
-// it after the view has named another node: until then it hands nothing over,
-// and its successor may not know yet whom to ask.
+// hintMargin is how much longer than the dwell time requests stay with a former
+// owner after the view has named another node.
 const hintMargin = time.Second
 
+// hintTime is how long requests stay with a former owner. One that stays hands
+// nothing over within its dwell time. One that leaves may be gone soon, and its
+// successor, once it has dwelled, knows whether it still serves.
+func (c *Core) hintTime(owner machine.ID) time.Duration {
+	for _, node := range c.nodes {
+		if node.ID == owner && node.Status == machine.StatusLeaving {
+			return c.config.Replica.ClaimDwell + hintMargin
+		}
+	}
+	return c.config.Replica.HandoverDwell + hintMargin
+}
+
 // rememberOwners keeps requests with the nodes that owned partitions by the
 // view before this one and are still there: one that joins owns nothing yet,
 // and one that leaves serves until it has handed over.
@@ -68,7 +79,7 @@
 			continue
 		}
 		c.hints[id] = owner
-		c.hintUntil[id] = now.Add(c.config.Replica.HandoverDwell + hintMargin)
+		c.hintUntil[id] = now.Add(c.hintTime(owner))
 	}
 }
 
