Hand the recorded call to the streams that wait for its end

Cause: a stream that had drawn its call's buffer asked the control goroutine for the call's end, and the node read the two records of the call back from the log: two reads of the log and one more event for each streamed call, although the node had the call in memory when its end became durable.

Change: CallFinished carries the call as its callers are answered, taken from the same output as the record that ends it, and closes the buffer with it (stream.Buffer.Finish). Readers that attached while the call ran end with it. Later ones, and those whose partition was given up, ask as before.

Ruled out: asking for the end at the start of each stream, which costs an event of the control goroutine and a goroutine for each. The tests of stream, control, node, gateway, development and the emulated cluster pass.

--- a/control/apply.go
+++ b/control/apply.go
@@ -77,7 +77,7 @@
 		output := owned.outputs[0]
 		owned.outputs = owned.outputs[1:]
 		for _, record := range output.endings {
-			c.announceEnding(owned, record)
+			c.announceEnding(owned, record, output.effects)
 		}
 		for _, effect := range output.effects {
 			c.perform(now, owned, effect)
@@ -263,22 +263,22 @@
 // notOwnerRetry is how soon a caller may ask again after CodeNotOwner.
 const notOwnerRetry = 200 * time.Millisecond
 
-// announceEnding tells the driver of a durable end, for metrics and histories.
-func (c *Core) announceEnding(owned *ownedPartition, record program.Record) {
-	described, ok := owned.store.Describe(record.Program)
-	if !ok {
-		return
-	}
+// announceEnding tells the driver of a durable end, for metrics and histories,
+// and with the end of a call what its callers are answered.
+func (c *Core) announceEnding(owned *ownedPartition, record program.Record, effects []program.Effect) {
 	if record.Closed != nil {
-		c.emit(ProgramFinished{Program: described, CreatedAt: described.CreatedAt, EndedAt: record.At})
+		if described, ok := owned.store.Describe(record.Program); ok {
+			c.emit(ProgramFinished{Program: described, CreatedAt: described.CreatedAt, EndedAt: record.At})
+		}
 		return
 	}
-	call, ok := owned.store.Call(record.Program, record.Ended.Sequence, "")
-	if !ok {
-		return
+	call := program.CallRef{Program: record.Program, Sequence: record.Ended.Sequence}
+	for _, effect := range effects {
+		if effect.Kind == program.EffectAnswer && effect.Attempt.CallRef == call {
+			c.emit(CallFinished{Branch: effect.Branch, Call: *effect.Answer, Ended: record.At})
+			return
+		}
 	}
-	FillEnded(&call, record.Ended)
-	c.emit(CallFinished{Branch: described.Branch, Call: call, Ended: record.At})
 }
 
 // lookUp asks the tool service about a key, now or after the effect's delay.
--- a/gateway/source.go
+++ b/gateway/source.go
@@ -34,7 +34,8 @@
 const bufferPoll = 20 * time.Millisecond
 
 // localSource reads an answer on the node that owns its program: from the
-// buffer while the call runs, and then from the call's durable record.
+// buffer while the call runs, and then from the call's durable record, which
+// comes with the end of the buffer or is asked for.
 type localSource struct {
 	gateway *Gateway
 	scope   contract.Path
@@ -126,6 +127,7 @@
 	if part.Closed {
 		s.buffer = nil
 		s.drawn = true
+		s.final = part.Final
 	}
 	if part.Attempt < from.attempt {
 		return event{}, false
--- a/node/perform.go
+++ b/node/perform.go
@@ -69,7 +69,7 @@
 		n.metrics.SettingsRevision(uint64(action.Tree.Revision()))
 		n.logger.Info().Uint64("revision", uint64(action.Tree.Revision())).Msg("settings: a new revision is in force")
 	case control.CallFinished:
-		n.streams.finish(program.CallRef{Program: action.Call.Program, Sequence: action.Call.Sequence})
+		n.streams.finish(action.Call)
 		n.transcripts.finish(action.Call)
 		n.metrics.CallFinished(action.Call)
 	case control.ProgramFinished:
--- a/node/streams.go
+++ b/node/streams.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/partition"
 	"birchwood.example/birchwood/program"
 	"birchwood.example/birchwood/stream"
@@ -37,14 +38,16 @@
 	return buffer, ok
 }
 
-// finish closes a call's buffer and forgets it: readers that hold it get the
-// rest, later ones are served from the call's record.
-func (t *streamTable) finish(call program.CallRef) {
+// finish closes the buffer of a call whose end is durable and forgets it:
+// readers that hold it get the rest and the call, later ones are served from
+// the call's record.
+func (t *streamTable) finish(call api.Call) {
+	ref := program.CallRef{Program: call.Program, Sequence: call.Sequence}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if buffer, ok := t.buffers[call]; ok {
-		buffer.Close()
-		delete(t.buffers, call)
+	if buffer, ok := t.buffers[ref]; ok {
+		buffer.Finish(call)
+		delete(t.buffers, ref)
 	}
 }
 
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"sync"
+
+	"birchwood.example/birchwood/api"
 )
 
 // Buffer is the text of one attempt's answer so far. Any number of readers
@@ -15,6 +17,7 @@
 	text    []byte
 	attempt int
 	closed  bool
+	final   *api.Call
 	changed chan struct{}
 }
 
@@ -55,13 +58,20 @@
 }
 
 // Close marks the answer as complete: readers get the rest and then stop.
-func (b *Buffer) Close() {
+func (b *Buffer) Close() { b.finish(nil) }
+
+// Finish is Close with the call as it was recorded: its record must be durable.
+// Readers that attached while it ran thus need not read it back.
+func (b *Buffer) Finish(call api.Call) { b.finish(&call) }
+
+func (b *Buffer) finish(final *api.Call) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if b.closed {
 		return
 	}
 	b.closed = true
+	b.final = final
 	b.wake()
 }
 
@@ -71,6 +81,9 @@
 	Offset  int
 	Text    string
 	Closed  bool
+	// Final is the recorded call, which is not to be changed, once the buffer
+	// is closed; nil if it must be asked for.
+	Final *api.Call
 }
 
 // Next waits until there is text after the offset of the attempt, or a newer
@@ -109,7 +122,7 @@
 	ahead := attempt > b.attempt
 	if b.closed || attempt < b.attempt || (!ahead && offset < len(b.text)) {
 		from := min(offset, len(b.text))
-		return Part{Attempt: b.attempt, Offset: from, Text: string(b.text[from:]), Closed: b.closed}, nil, true
+		return Part{Attempt: b.attempt, Offset: from, Text: string(b.text[from:]), Closed: b.closed, Final: b.final}, nil, true
 	}
 	return Part{}, b.changed, false
 }
