Count a tenant as flooding only from a backlog of eight programs

A burst of a few programs on one node made its tenant count as flooding, and held it back to no one's good.

The backlog that makes a flood is eight programs instead of three.

--- a/schedule/isolation.go
+++ b/schedule/isolation.go
@@ -46,7 +46,7 @@
 
 // backlog is how many programs of a tenant wait to start on one node when the
 // tenant has a backlog.
-const backlog = 3
+const backlog = 8
 
 // use returns a request's tenant.
 func (t *tenants) use(request *Request) *tenantUse {
