load: print what an interrupted run has measured

A load that was stopped by a signal printed its error and threw its result away, and a node that had been started again showed a rate of control traffic below zero.

Print the result whenever the run had begun, then fail as before; count a node whose counter went back from zero.

The specs of load and command pass.

--- a/command/load.go
+++ b/command/load.go
@@ -101,12 +101,12 @@
 	defer stop()
 	result, err := load.Run(ctx, config)
 	err = errors.Join(err, config.Recorder.Flush())
+	if result.Seconds > 0 {
+		err = errors.Join(err, printLoad(command, result, flags.output))
+	}
 	if err != nil {
 		return &ExitError{Code: ExitFailure, Cause: err}
 	}
-	if err := printLoad(command, result, flags.output); err != nil {
-		return err
-	}
 	if result.Failed() {
 		return &ExitError{Code: ExitFailure, Cause: errUnanswered}
 	}
--- a/load/metrics.go
+++ b/load/metrics.go
@@ -61,6 +61,9 @@
 	rates := map[string]float64{}
 	for address, total := range after {
 		if earlier, found := before[address]; found && seconds > 0 {
+			if total < earlier { // The node has started again and counts from zero.
+				earlier = 0
+			}
 			rates[address] = (total - earlier) / seconds
 		}
 	}
