control: look at the settings again before an attempt is sent

A call that may not be repeated is sent once its intent is durable. A node that slept in between woke up, got the log's answer and sent the call to a zone that had been forbidden for 50 s: the choice was checked, the sending was not.

Check the freshness of the settings and the placement where the attempt is sent. One that must not be sent ends as not run, which is true, and is placed anew.

The new spec of emulator/cluster pauses the owner at five moments around the intent; it passes, and was seen failing without the check.

--- a/control/apply.go
+++ b/control/apply.go
@@ -97,7 +97,7 @@
 	case program.EffectStart:
 		c.start(now, owned, effect)
 	case program.EffectSend:
-		c.send(owned, effect)
+		c.send(now, owned, effect)
 	case program.EffectStop:
 		c.stop(owned, effect)
 	case program.EffectAnswer:
@@ -152,7 +152,7 @@
 }
 
 // send dispatches an attempt whose intent the programs have recorded.
-func (c *Core) send(owned *ownedPartition, effect program.Effect) {
+func (c *Core) send(now time.Time, owned *ownedPartition, effect program.Effect) {
 	placed, ok := owned.placed[effect.Attempt.CallRef]
 	backend, known := c.attendant.backend(effect.Backend)
 	if !ok || !known {
@@ -162,6 +162,11 @@
 	placed.backend = effect.Backend
 	placed.sent = true
 	owned.placed[effect.Attempt.CallRef] = placed
+	if refusal := c.forbids(now, owned, backend); refusal != nil {
+		outcome := program.Outcome{Attempt: effect.Attempt, Status: api.StatusNotRun, Error: refusal}
+		c.unsent = append(c.unsent, AttemptEnded{Backend: effect.Backend, Outcome: outcome})
+		return
+	}
 	importFrom, _ := c.attendant.backend(placed.decision.ImportFrom)
 	c.emit(SendAttempt{
 		Partition:  owned.id,
@@ -177,6 +182,30 @@
 	})
 }
 
+// forbids says why an attempt must not be sent after all. The choice was made
+// before its intent was durable: the process may have slept since, and the
+// placement may have been narrowed without its knowing.
+func (c *Core) forbids(now time.Time, owned *ownedPartition, backend machine.Machine) *api.Error {
+	if !c.follower.Freshness(now).MayPlace {
+		return api.Refuse(api.CodeSettingsStale, "the settings may have changed since the choice").After(0)
+	}
+	if !c.placement(owned.id).Contains(backend.Zone) {
+		return api.Refuse(api.CodeNoPermittedPlace, "back end %s is no longer permitted", backend.ID).After(0)
+	}
+	return nil
+}
+
+// endUnsent ends the attempts that were not sent after all, and reports
+// whether there were any.
+func (c *Core) endUnsent(now time.Time) bool {
+	unsent := c.unsent
+	c.unsent = nil
+	for _, ended := range unsent {
+		c.stepAttemptEnded(now, ended)
+	}
+	return len(unsent) > 0
+}
+
 // earlierCalls locates the history that precedes a call: its prompt less the
 // call itself, whose input the attempt carries.
 func earlierCalls(store *program.Store, call program.CallRef) []program.CallLocation {
--- a/control/core.go
+++ b/control/core.go
@@ -33,6 +33,8 @@
 	delayed   delayedEffects
 	parked    []parkedRequest
 	actions   []Action
+	// unsent are attempts that ended before they were sent.
+	unsent []AttemptEnded
 
 	nextList time.Time
 	// listed is set once the machine list has settled; see settleList.
@@ -146,6 +148,7 @@
 		progress = c.advanceSettings(now) || progress
 		progress = c.advancePartitions(now) || progress
 		progress = c.advanceSchedule(now) || progress
+		progress = c.endUnsent(now) || progress
 		if !progress {
 			break
 		}
--- a/emulator/cluster/cluster_test.go
+++ b/emulator/cluster/cluster_test.go
@@ -189,4 +189,19 @@
 			settled(running)
 		}
 	})
+
+	It("sends nothing outside of zones that were narrowed while its node slept", func() {
+		const moments, apart = 5, 6 * time.Millisecond
+		for moment := range moments {
+			for owner := range cluster.DefaultConfig(0).Zones {
+				running := open(uint64(moment + 1))
+				running.StartProgram(cluster.ProgramPlan{Branch: cluster.BranchCold, Calls: []cluster.CallPlan{{Tool: true}}})
+				running.Advance(time.Duration(moment) * apart)
+				running.Pause(owner)
+				running.ChangeZones(cluster.BranchCold, []zone.Name{"midrand-b"}, owner+1)
+				running.Advance(40 * time.Second)
+				settled(running)
+			}
+		}
+	})
 })
