--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -28,14 +28,14 @@
 func (b *retryBudget) earn() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.budget.Success(time.Now())
+	b.budget.Success()
 }
 
 // spend takes one retry and reports whether there was one.
 func (b *retryBudget) spend() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.budget.Withdraw(time.Now())
+	return b.budget.Withdraw()
 }
 
 // pause waits before the next attempt. It reports false when the exchange's
--- a/retry/doc.go
+++ b/retry/doc.go
@@ -8,8 +8,8 @@
 //
 // Only one layer of a request's path may retry; the others report the failure.
 //
-// Both are small state machines: time and randomness are passed in, and the
-// caller does the waiting. A library's backoff would bring its own clock and
+// Both are small state machines: randomness is passed in, and the caller does
+// the waiting. A library's backoff would bring its own clock and
 // random source, which decision parts must not use; code outside them uses
 // such a library. Neither type is safe for concurrent use.
 package retry
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -9,34 +9,27 @@
 	"pgregory.net/rapid"
 )
 
-var start = time.Unix(1_700_000_000, 0)
-
 var _ = Describe("Budget", func() {
 	It("never allows more retries than its bound", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			config := BudgetConfig{
 				PerSuccess: rapid.Float64Range(0, 1).Draw(t, "per success"),
-				PerSecond:  rapid.Float64Range(0, 5).Draw(t, "per second"),
 				Capacity:   rapid.Float64Range(1, 20).Draw(t, "capacity"),
 			}
 			budget, err := NewBudget(config)
 			if err != nil {
 				t.Fatal(err)
 			}
-			now := start
 			retries, successes := 0, 0
 			t.Repeat(map[string]func(*rapid.T){
-				"success": func(*rapid.T) { budget.Success(now); successes++ },
+				"success": func(*rapid.T) { budget.Success(); successes++ },
 				"retry": func(*rapid.T) {
-					if budget.Withdraw(now) {
+					if budget.Withdraw() {
 						retries++
 					}
 				},
-				"wait": func(t *rapid.T) {
-					now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
-				},
 				"": func(t *rapid.T) {
-					bound := config.Capacity + config.PerSuccess*float64(successes) + config.PerSecond*now.Sub(start).Seconds()
+					bound := config.Capacity + config.PerSuccess*float64(successes)
 					if float64(retries) > bound+1e-6 {
 						t.Fatalf("%d retries, bound %v", retries, bound)
 					}
@@ -60,14 +53,13 @@
 		seconds      = 60
 		retriesAtMax = 3
 	)
-	budget, err := NewBudget(DefaultBudgetConfig())
+	budget, err := NewBudget(BudgetConfig{PerSuccess: 0.1, Capacity: 10})
 	Expect(err).NotTo(HaveOccurred())
 	sent := 0
-	for i := range rate * seconds {
-		now := start.Add(time.Duration(i) * time.Second / rate)
+	for range rate * seconds {
 		sent++
 		for range retriesAtMax {
-			if budgeted && !budget.Withdraw(now) {
+			if budgeted && !budget.Withdraw() {
 				break
 			}
 			sent++
@@ -109,8 +101,8 @@
 })
 
 var _ = It("Budget settings name every finding", func() {
-	err := BudgetConfig{PerSuccess: -1, PerSecond: -1}.validate()
-	for _, field := range []string{"PerSuccess", "PerSecond", "Capacity"} {
+	err := BudgetConfig{PerSuccess: -1}.validate()
+	for _, field := range []string{"PerSuccess", "Capacity"} {
 		Expect(err).To(MatchError(ContainSubstring(field)))
 	}
 })
