--- a/internal/guarantees/guarantees_test.go
+++ b/internal/guarantees/guarantees_test.go
@@ -156,3 +156,45 @@
 		}
 	}
 }
+
+var (
+	metric = regexp.MustCompile(`birchwood_[a-z_]+`)
+	verb   = regexp.MustCompile("`(birchwood(?: [a-z][a-z-]*){1,2})")
+	listed = regexp.MustCompile("(?m)^\\| `(birchwood [a-z -]+)`")
+)
+
+// TestOperatorsPagesNameWhatExists: metrics as docs/operate/metrics.md explains
+// them, and verbs as docs/CLI.md lists them; both pages are held to the code by
+// tests of their own.
+func TestOperatorsPagesNameWhatExists(t *testing.T) {
+	read := func(path string) string {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(text)
+	}
+	explained := read(filepath.Join(root, "docs/operate/metrics.md"))
+	verbs := map[string]bool{}
+	for _, match := range listed.FindAllStringSubmatch(read(filepath.Join(root, "docs/CLI.md")), -1) {
+		verbs[match[1]] = true
+	}
+	pages, err := filepath.Glob(filepath.Join(root, "docs/operate/*.md"))
+	if err != nil || len(pages) == 0 {
+		t.Fatalf("no operators' pages: %v", err)
+	}
+	for _, path := range pages {
+		text := read(path)
+		for _, name := range metric.FindAllString(text, -1) {
+			if !strings.Contains(explained, "`"+name+"`") {
+				t.Errorf("%s names the metric %s, which is not explained", path, name)
+			}
+		}
+		for _, match := range verb.FindAllStringSubmatch(text, -1) {
+			one := strings.Join(strings.Fields(match[1])[:2], " ")
+			if !verbs[match[1]] && !verbs[one] {
+				t.Errorf("%s names the verb %q, which docs/CLI.md does not list", path, match[1])
+			}
+		}
+	}
+}
