--- a/api/api.go
+++ b/api/api.go
@@ -1,12 +1,9 @@
-// Package api holds the types that callers see: programs, calls, answers and
-// errors, in their JSON form. The gateway, the control state machine, the load
-// tool and the command line share them. docs/API.md describes the routes.
 package api
 
 import "time"
 
-// ProgramID names a program and its partition:
-// "<placement>.<partition index>.<16 hexadecimal digits>".
+// ProgramID names a program and its partition: "<branch, with "~" for
+// "/">.<partition index>.<16 hexadecimal digits>".
 type ProgramID string
 
 // CallKind tells which sort of back end serves a call.
--- a/command/root.go
+++ b/command/root.go
@@ -1,4 +1,3 @@
-// Package command holds the command line, one file for each verb.
 package command
 
 import (
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -1,6 +1,6 @@
 // Package engine is the client's view of a model engine: generate, cancel,
-// release, cache events, load and fenced orders. The HTTP adapter stands in
-// this package; the stand-in engine stands in package emulator.
+// release, cache events, load and fenced orders. The HTTP adapter is
+// package enginehttp, and the stand-in engine is in package emulator/standin.
 package engine
 
 import (
--- a/gateway/parse.go
+++ b/gateway/parse.go
@@ -185,7 +185,8 @@
 	return nil
 }
 
-// pathProgram reads the {id} of the path: placement, index and 16 digits.
+// pathProgram reads the {id} of the path: the name of the branch's group, the
+// index of the partition, and 16 digits.
 func pathProgram(ctx *fasthttp.RequestCtx, findings *api.Findings) api.ProgramID {
 	text, _ := ctx.UserValue("id").(string)
 	parts := strings.Split(text, ".")
--- a/tool/tool.go
+++ b/tool/tool.go
@@ -1,5 +1,5 @@
 // Package tool is the client's view of a tool service: run one request under
-// a key, and look a key up. The HTTP adapter stands in this package.
+// a key, and look a key up. The HTTP adapter is package toolhttp.
 package tool
 
 import (
--- a/zone/zone.go
+++ b/zone/zone.go
@@ -3,7 +3,7 @@
 // A zone is the unit of placement and of failure: machines of one zone share
 // a network that can be cut off from the others. A Placement is the set of
 // zones that a program's data may visit, in a canonical form that can be used
-// as a map key and as part of a stream's name.
+// as a map key.
 package zone
 
 import (
