machine, control, scale: bound what a burst of membership changes costs

At 390 nodes in one process the fleet never became ready: each change of the view made every node rank all nodes for all partitions and back ends anew, the probes then came late, and live nodes were taken for dead.

Membership signals a changed view at most twice a second, a leaving machine at once. The attendant's rank no longer allocates and looks only at the back end's zone. The scale run shows all nodes in the list from the start, and can raise the probe time-out for hundreds of nodes on few cores; its result says so.

go test ./machine passes; the new test fails without the ViewPeriod and without the haste for leaving.

--- a/command/scale.go
+++ b/command/scale.go
@@ -41,6 +41,7 @@
 	set.DurationVar(&config.IdleTime, "idle", config.IdleTime, "how long the fleet is measured without work first")
 	set.DurationVar(&config.SettleTimeout, "settle", config.SettleTimeout, "how long the fleet may take to become ready")
 	set.BoolVar(&config.Churn, "churn", config.Churn, "make nodes, a zone and a region fail")
+	set.DurationVar(&config.ProbeTimeout, "probe-timeout", config.ProbeTimeout, "the membership's probe time-out, for hundreds of nodes on few cores; 0 keeps production's")
 	set.Uint64Var(&config.Seed, "seed", config.Seed, "the seed of the load and the failures")
 	set.StringVar(&output, "output", output, "text or json")
 	set.BoolVar(&quiet, "quiet", quiet, "do not tell what the run does")
--- a/control/attendant.go
+++ b/control/attendant.go
@@ -67,24 +67,35 @@
 }
 
 // attendantOf picks the node that attends a back end: one of the same zone if
-// there is any, by rendezvous hash.
+// there is any, by rendezvous hash. It runs for every back end whenever a node
+// comes or goes.
 func attendantOf(backend machine.Machine, nodes []machine.Machine) machine.ID {
+	near := slices.ContainsFunc(nodes, func(node machine.Machine) bool {
+		return node.Zone == backend.Zone && node.Status != machine.StatusLeaving
+	})
 	var best machine.ID
 	var bestScore uint64
-	bestIsNear := false
-	for _, node := range nodes {
-		isNear := node.Zone == backend.Zone
-		if node.Status == machine.StatusLeaving || bestIsNear && !isNear {
+	for i := range nodes {
+		node := &nodes[i]
+		if node.Status == machine.StatusLeaving || near && node.Zone != backend.Zone {
 			continue
 		}
-		score := xxhash.Sum64String(string(backend.ID) + "\x00" + string(node.ID))
-		if best == "" || isNear && !bestIsNear || score > bestScore {
-			best, bestScore, bestIsNear = node.ID, score, isNear
+		if score := attendantScore(backend.ID, node.ID); best == "" || score > bestScore {
+			best, bestScore = node.ID, score
 		}
 	}
 	return best
 }
 
+// attendantScore ranks a node for a back end. It does not allocate for names
+// of the usual length.
+func attendantScore(backend, node machine.ID) uint64 {
+	var buffer [128]byte
+	text := append(buffer[:0], backend...)
+	text = append(text, 0)
+	return xxhash.Sum64(append(text, node...))
+}
+
 func (a *attendant) nextWake() time.Time {
 	wake := a.nextLoad
 	for id, attended := range a.attended {
--- a/machine/config.go
+++ b/machine/config.go
@@ -24,6 +24,10 @@
 	GossipPeriod time.Duration
 	// DeadProbePeriod is the time between two probes of listed dead peers.
 	DeadProbePeriod time.Duration
+	// ViewPeriod is the least time between two signals of a changed view. The
+	// first change after a quiet time is signalled at once; a burst of them, as
+	// when a zone fails, costs the rest of the node a bounded share of its time.
+	ViewPeriod time.Duration
 	// ListTimeout is how long an entry that the list misses is kept.
 	ListTimeout time.Duration
 	// LeavingTimeout is how long lists must say live before a machine that
@@ -54,6 +58,7 @@
 		SuspectTimeout:     3 * time.Second,
 		GossipPeriod:       250 * time.Millisecond,
 		DeadProbePeriod:    4 * time.Second,
+		ViewPeriod:         500 * time.Millisecond,
 		ListTimeout:        10 * time.Second,
 		LeavingTimeout:     30 * time.Second,
 		ProbesPerPeriod:    1,
@@ -82,6 +87,7 @@
 		{"SuspectTimeout", c.SuspectTimeout},
 		{"GossipPeriod", c.GossipPeriod},
 		{"DeadProbePeriod", c.DeadProbePeriod},
+		{"ViewPeriod", c.ViewPeriod},
 		{"ListTimeout", c.ListTimeout},
 		{"LeavingTimeout", c.LeavingTimeout},
 	}
--- a/machine/gossip.go
+++ b/machine/gossip.go
@@ -81,8 +81,12 @@
 	case StatusDead:
 		m.declareDead(known)
 	}
-	if !sameInViews(previous, known.machine()) {
-		m.viewChanged()
+	if sameInViews(previous, known.machine()) {
+		return
+	}
+	m.viewChanged()
+	if update.Status == StatusLeaving {
+		m.viewChangedNow()
 	}
 }
 
--- a/machine/membership.go
+++ b/machine/membership.go
@@ -39,6 +39,8 @@
 	nextProbe    time.Time
 	nextGossip   time.Time
 	nextDead     time.Time
+	// nextView is when a changed view may be signalled again.
+	nextView time.Time
 
 	outbound []Outbound
 	changed  bool
@@ -76,7 +78,8 @@
 // MembershipReady is what the driver has to act on.
 type MembershipReady struct {
 	Messages []Outbound
-	// Changed says that Nodes or Backends differ from before.
+	// Changed says that Nodes or Backends differ from before. It comes at most
+	// once in a ViewPeriod.
 	Changed bool
 }
 
@@ -127,6 +130,9 @@
 	if m.rumours.pending() && m.nextGossip.Before(wake) {
 		wake = m.nextGossip
 	}
+	if m.changed && m.nextView.Before(wake) {
+		wake = m.nextView
+	}
 	for _, waiting := range m.probes {
 		if waiting.deadline.Before(wake) {
 			wake = waiting.deadline
@@ -142,9 +148,13 @@
 
 // Ready returns what has accumulated since the last call.
 func (m *Membership) Ready() MembershipReady {
-	ready := MembershipReady{Messages: m.outbound, Changed: m.changed}
+	ready := MembershipReady{Messages: m.outbound}
 	m.outbound = nil
-	m.changed = false
+	if m.changed && !m.lastCall.Before(m.nextView) {
+		ready.Changed = true
+		m.changed = false
+		m.nextView = m.lastCall.Add(m.config.ViewPeriod)
+	}
 	return ready
 }
 
@@ -157,7 +167,7 @@
 	}
 	m.leaving = true
 	m.self.Status = StatusLeaving
-	m.viewChanged()
+	m.viewChangedNow()
 	m.spread(m.selfUpdate())
 	m.announce(m.selfUpdate())
 }
@@ -213,9 +223,14 @@
 		return
 	}
 	m.revision = revision
-	m.rumours.announce(m.transmissions())
+	m.rumours.announce(announcementRounds)
 }
 
+// announcementRounds is for how many gossip periods a new revision is worth
+// messages of its own. Every node that hears of it sends as many; whoever is
+// missed hears of it with the next probes.
+const announcementRounds = 3
+
 // HeardRevision returns the highest settings revision that any peer has
 // named, and the peer that named it first.
 func (m *Membership) HeardRevision() (from ID, revision uint64) {
@@ -267,6 +282,13 @@
 	m.changed = true
 }
 
+// viewChangedNow is for a machine that leaves, which nobody may give new work
+// to: the signal does not wait for the ViewPeriod.
+func (m *Membership) viewChangedNow() {
+	m.viewChanged()
+	m.nextView = time.Time{}
+}
+
 func (m *Membership) refreshViews() {
 	if !m.stale {
 		return
--- a/machine/membership_test.go
+++ b/machine/membership_test.go
@@ -223,6 +223,36 @@
 		Expect(trace()).To(Equal(trace()))
 	})
 
+	It("signals a burst of changes at most once a ViewPeriod, the last one included, and leaving at once", func() {
+		f := newFleet(60, 15)
+		f.run(settle)
+		observer := f.members[0].Membership
+		signals, now, shown := 0, f.now, 0
+		tell := func(update Update) {
+			observer.Step(now, "node-059", Message{Kind: MessageGossip, Updates: []Update{update}})
+			if observer.Ready().Changed {
+				signals++
+				shown = len(observer.Nodes())
+			}
+		}
+		for i := 1; i <= 50; i++ {
+			now = now.Add(20 * time.Millisecond)
+			tell(Update{ID: f.list[i].ID, Incarnation: 1, Status: StatusDead})
+		}
+		Expect(signals).To(BeNumerically("<=", 3))
+		tell(Update{ID: f.list[51].ID, Incarnation: 1, Status: StatusLeaving})
+		Expect(shown).To(Equal(9), "leaving must not wait")
+		tell(Update{ID: f.list[52].ID, Incarnation: 1, Status: StatusDead})
+		for shown > 8 {
+			now = observer.NextWake()
+			observer.Tick(now)
+			if observer.Ready().Changed {
+				shown = len(observer.Nodes())
+			}
+		}
+		Expect(now.Sub(f.now)).To(BeNumerically("<", 2*time.Second))
+	})
+
 	It("names every finding of its settings", func() {
 		_, err := NewMembership(Config{})
 		Expect(err).To(MatchError(And(
--- a/machine/observe.go
+++ b/machine/observe.go
@@ -97,7 +97,7 @@
 		return
 	}
 	known.leaving = true
-	m.viewChanged()
+	m.viewChangedNow()
 	m.spread(Update{
 		ID:          known.listed.ID,
 		Incarnation: known.incarnation,
--- a/scale/config.go
+++ b/scale/config.go
@@ -28,6 +28,14 @@
 	SettleTimeout time.Duration
 	// SweepPeriod is the time between two sweeps of an engine's memory.
 	SweepPeriod time.Duration
+	// AcceptLossAfter stands for the operator who lets a partition go on whose
+	// mirrors have all restarted, as those of a zone that was lost. The log
+	// service is up all the time in these runs, so that nothing is lost by it.
+	AcceptLossAfter time.Duration
+	// ProbeTimeout replaces the membership's, and SuspectTimeout grows with it.
+	// Zero keeps those of production. Hundreds of nodes on a few busy cores
+	// answer late, which production's time-outs would take for failures.
+	ProbeTimeout time.Duration
 	// Churn switches the failures of nodes, zone and region on.
 	Churn bool
 	// Seed drives every random choice of the load and the churn.
@@ -39,18 +47,19 @@
 // DefaultConfig returns a small run of the shape of the largest one.
 func DefaultConfig() Config {
 	return Config{
-		Nodes:         10,
-		RealNodes:     3,
-		Programs:      100,
-		Replicas:      600,
-		Zones:         10,
-		Regions:       3,
-		Duration:      time.Minute,
-		IdleTime:      20 * time.Second,
-		SettleTimeout: 2 * time.Minute,
-		SweepPeriod:   10 * time.Second,
-		Churn:         true,
-		Seed:          1,
+		Nodes:           10,
+		RealNodes:       3,
+		Programs:        100,
+		Replicas:        600,
+		Zones:           10,
+		Regions:         3,
+		Duration:        time.Minute,
+		IdleTime:        20 * time.Second,
+		SettleTimeout:   2 * time.Minute,
+		SweepPeriod:     10 * time.Second,
+		AcceptLossAfter: 5 * time.Second,
+		Churn:           true,
+		Seed:            1,
 	}
 }
 
@@ -73,6 +82,7 @@
 	check(c.Duration > 0, "duration", c.Duration, "more than 0")
 	check(c.IdleTime > 0, "idle time", c.IdleTime, "more than 0")
 	check(c.SweepPeriod > 0, "sweep period", c.SweepPeriod, "more than 0")
+	check(c.AcceptLossAfter > 0, "accept loss after", c.AcceptLossAfter, "more than 0")
 	check(c.SettleTimeout > 0, "settle timeout", c.SettleTimeout, "more than 0")
 	return errors.Join(findings...)
 }
--- a/scale/fleet.go
+++ b/scale/fleet.go
@@ -24,7 +24,7 @@
 	// announcePeriod is how often the back ends renew their entries.
 	announcePeriod = 5 * time.Second
 	// startSpacing keeps the nodes from starting in one instant.
-	startSpacing = 10 * time.Millisecond
+	startSpacing = 5 * time.Millisecond
 )
 
 // fleet is everything that runs.
@@ -97,6 +97,14 @@
 		}
 		f.members = append(f.members, joined)
 		f.network.add(joined)
+		// The list knows the node already, as it does when a fleet restarts.
+		// Every node would else take in hundreds of lists that grow by a few.
+		if err := f.operator.Announce(ctx, joined.entry); err != nil {
+			return err
+		}
+	}
+	if err := sleep(ctx, machineLag); err != nil {
+		return err
 	}
 	for _, joined := range f.members {
 		if err := joined.start(); err != nil {
--- a/scale/member.go
+++ b/scale/member.go
@@ -63,7 +63,7 @@
 		real:  real,
 		entry: machine.Machine{
 			ID: machine.ID(fmt.Sprintf("node-%03d", index)), Kind: machine.KindNode, Zone: place,
-			Address: listener.Addr().String(), Status: machine.StatusLive,
+			Address: listener.Addr().String(), Status: machine.StatusLive, Incarnation: newIncarnation(),
 		},
 	}
 	settings := linkhttp.DefaultConfig(m.entry.ID, place, peerToken)
@@ -85,14 +85,19 @@
 	return m, nil
 }
 
+// newIncarnation grows with each start.
+func newIncarnation() uint64 { return uint64(time.Now().UnixNano()) }
+
 // start begins a new process of the node, with a higher incarnation.
 func (m *member) start() error {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.starts++
 	m.started = time.Now()
+	if m.starts > 1 {
+		m.entry.Incarnation = newIncarnation()
+	}
 	self := m.entry
-	self.Incarnation = uint64(time.Now().UnixNano())
 	random := newRandom(m.fleet.config.Seed+m.starts, string(m.entry.ID))
 	settings := schedule.DefaultConfig()
 	settings.Self = self.Zone
@@ -104,6 +109,11 @@
 	}
 	core := control.DefaultConfig(self, journal.WriterName(self.ID, self.Incarnation), random, policy)
 	core.PartitionsPerBranch = m.fleet.partitionsPerBranch
+	core.Replica.AcceptLossAfter = m.fleet.config.AcceptLossAfter
+	if timeout := m.fleet.config.ProbeTimeout; timeout > 0 {
+		core.Membership.SuspectTimeout *= timeout / core.Membership.ProbeTimeout
+		core.Membership.ProbeTimeout = timeout
+	}
 	core.SweepPeriod = m.fleet.config.SweepPeriod
 	core.Follower.Zones = m.fleet.world.names()
 	m.revision = 0
--- a/scale/result.go
+++ b/scale/result.go
@@ -13,6 +13,12 @@
 	Replicas  int     `json:"replicas"`
 	Seed      uint64  `json:"seed"`
 	Seconds   float64 `json:"seconds"`
+	// ProbeTimeout is zero when it was that of production.
+	ProbeTimeout float64 `json:"probe_timeout_s"`
+	// Load is the machine's load average over the last minute and the number
+	// of its processors, at the end: others may have used the machine too.
+	Load       float64 `json:"machine_load"`
+	Processors int     `json:"machine_processors"`
 	// Ready is how long the fleet took to become ready.
 	ReadySeconds float64 `json:"ready_s"`
 	// PerNode is of the busy phase, Idle of the phase before it.
--- a/scale/run.go
+++ b/scale/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"os"
 	"runtime"
 	"sync"
 	"time"
@@ -23,6 +24,7 @@
 	result := Result{
 		Nodes: config.Nodes, RealNodes: config.RealNodes, Programs: config.Programs,
 		Replicas: config.Replicas, Seed: config.Seed, Seconds: config.Duration.Seconds(),
+		ProbeTimeout: config.ProbeTimeout.Seconds(), Processors: runtime.NumCPU(),
 	}
 	started := time.Now()
 	if err := f.start(ctx); err != nil {
@@ -102,6 +104,20 @@
 	}
 }
 
+// machineLoad is the load average of the last minute, or zero where the system
+// does not tell it.
+func machineLoad() float64 {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return 0
+	}
+	var load float64
+	if _, err := fmt.Sscan(string(text), &load); err != nil {
+		return 0
+	}
+	return load
+}
+
 // sweepMargin is the time that a sweep's questions and releases may take.
 const sweepMargin = 2 * time.Second
 
@@ -119,4 +135,5 @@
 	result.ByKind = f.violations.counts
 	result.Examples = f.violations.examples
 	result.Seconds = math.Round(result.Seconds)
+	result.Load = machineLoad()
 }
