--- a/schedule/config.go
+++ b/schedule/config.go
@@ -66,8 +66,10 @@
 	// MoveWeight multiplies the predicted transfer of a prefix.
 	MoveWeight float64
 	// MemoryFill is the share of an engine's cache that calls may fill. The
-	// rest is for prefixes that grow; a call that does not fit is held.
+	// rest is for prefixes that grow, and for calls that add no more than
+	// SmallShare of the cache; a call that does not fit is held.
 	MemoryFill float64
+	SmallShare float64
 	// FloodFill is the share of a cache that a tenant may fill while it
 	// floods.
 	FloodFill float64
@@ -124,6 +126,7 @@
 		Cache: CacheConfig{
 			MoveWeight:     4,
 			MemoryFill:     0.8,
+			SmallShare:     0.015,
 			FloodFill:      0.7,
 			ReuseFloor:     0.1,
 			ReviewInterval: time.Second,
@@ -182,6 +185,7 @@
 func (c CacheConfig) validate(found *findings) {
 	found.require(c.MoveWeight >= 1, "Cache.MoveWeight", "at least 1")
 	found.require(c.MemoryFill > 0, "Cache.MemoryFill", "a positive share")
+	found.require(c.SmallShare >= 0, "Cache.SmallShare", "no negative share")
 	found.require(c.FloodFill > 0, "Cache.FloodFill", "a positive share")
 	found.require(c.ReuseFloor >= 0 && c.ReuseFloor <= 1, "Cache.ReuseFloor", "a probability")
 	found.require(c.ReviewInterval > 0, "Cache.ReviewInterval", "a positive duration")
--- a/schedule/isolation.go
+++ b/schedule/isolation.go
@@ -148,18 +148,20 @@
 		return false
 	}
 	added := request.PromptTokens - held + request.OutputCap
-	limit := s.fill(floods) * float64(capacity)
+	small := float64(added) <= s.config.Cache.SmallShare*float64(capacity)
+	limit := s.fill(floods, small) * float64(capacity)
 	used := candidate.memory(now, s.config.StaleLoad)
 	return used == 0 || float64(used+added) <= limit
 }
 
 // fill is the share of a cache that a call may fill: as a rule all but the
-// reserve for prefixes that grow, during another tenant's flood all.
-func (s *Scheduler) fill(floods bool) float64 {
+// reserve for prefixes that grow. A small call, or one that comes during
+// another tenant's flood, may fill it whole.
+func (s *Scheduler) fill(floods, small bool) float64 {
 	switch {
 	case floods:
 		return s.config.Cache.FloodFill
-	case s.tenants.heaviest > 1:
+	case small, s.tenants.heaviest > 1:
 		return 1
 	}
 	return s.config.Cache.MemoryFill
