--- a/emulator/cluster/cluster_test.go
+++ b/emulator/cluster/cluster_test.go
@@ -191,7 +191,7 @@
 	})
 
 	It("sends nothing outside of zones that were narrowed while its node slept", func() {
-		const moments, apart = 5, 6 * time.Millisecond
+		const moments, apart = 8, 2 * time.Millisecond
 		for moment := range moments {
 			for owner := range cluster.DefaultConfig(0).Zones {
 				running := open(uint64(moment + 1))
