Collect the findings of a configuration in one way

Package findings, in the first layer, collects them: a subject, a field, and what was got and wanted. The bounds are the same ones; cluster and partition now name each field where they named three together, and an unknown zone's own finding is kept. schedule, machine and scale keep theirs for now.

--- a/contract/follower.go
+++ b/contract/follower.go
@@ -1,11 +1,10 @@
 package contract
 
 import (
-	"errors"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"birchwood.example/birchwood/findings"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/retry"
 	"birchwood.example/birchwood/zone"
@@ -61,38 +60,20 @@
 
 // validate returns everything that is wrong with the configuration.
 func (c FollowerConfig) validate() error {
-	var findings []error
-	for _, duration := range []struct {
-		name  string
-		value time.Duration
-	}{
-		{"PollInterval", c.PollInterval},
-		{"RetryInterval", c.RetryInterval},
-		{"MaximumRetryInterval", c.MaximumRetryInterval},
-		{"ReadTimeout", c.ReadTimeout},
-		{"FreshnessBound", c.FreshnessBound},
-		{"MessageDelay", c.MessageDelay},
-	} {
-		if duration.value <= 0 {
-			findings = append(findings, fmt.Errorf("field %s: want a positive duration", duration.name))
-		}
-	}
-	if c.MaximumRetryInterval < c.RetryInterval {
-		findings = append(findings, errors.New("field MaximumRetryInterval: want at least RetryInterval"))
-	}
-	if c.FreshnessBound < 2*c.PollInterval {
-		findings = append(findings, errors.New("field FreshnessBound: want at least two PollIntervals, or a healthy node counts as stale"))
-	}
-	if c.ReadMaximum < 1 {
-		findings = append(findings, errors.New("field ReadMaximum: want at least 1"))
-	}
-	if c.Self == "" {
-		findings = append(findings, errors.New("field Self: want the node's name"))
-	}
-	if c.Random == nil {
-		findings = append(findings, errors.New("field Random: want a seeded source"))
-	}
-	return errors.Join(findings...)
+	found := findings.Of("settings follower config")
+	findings.Positive(found, "PollInterval", c.PollInterval)
+	findings.Positive(found, "RetryInterval", c.RetryInterval)
+	findings.Positive(found, "MaximumRetryInterval", c.MaximumRetryInterval)
+	findings.Positive(found, "ReadTimeout", c.ReadTimeout)
+	findings.Positive(found, "FreshnessBound", c.FreshnessBound)
+	findings.Positive(found, "MessageDelay", c.MessageDelay)
+	findings.AtLeast(found, "MaximumRetryInterval", c.MaximumRetryInterval, c.RetryInterval)
+	found.Require(c.FreshnessBound >= 2*c.PollInterval, "FreshnessBound",
+		"want at least two PollIntervals, or a healthy node counts as stale")
+	findings.AtLeast(found, "ReadMaximum", c.ReadMaximum, 1)
+	found.Require(c.Self != "", "Self", "want the node's name")
+	found.Require(c.Random != nil, "Random", "want a seeded source")
+	return found.Err()
 }
 
 // ReadDone answers a FollowerRead. Changes[i] stands at offset From+i; End is
@@ -172,7 +153,7 @@
 // stream from its start. The error joins everything that is wrong with config.
 func NewFollower(config FollowerConfig) (*Follower, error) {
 	if err := config.validate(); err != nil {
-		return nil, fmt.Errorf("settings follower: %w", err)
+		return nil, err
 	}
 	return &Follower{config: config, tree: NewTree(), peers: map[machine.ID]heard{}, vouched: map[zone.Name]time.Time{}}, nil
 }
--- a/control/config.go
+++ b/control/config.go
@@ -1,11 +1,11 @@
 package control
 
 import (
-	"errors"
 	"math/rand/v2"
 	"time"
 
 	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/findings"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/partition"
 	"birchwood.example/birchwood/program"
@@ -98,25 +98,20 @@
 
 // validate reports every field that is out of range.
 func (c Config) validate() error {
-	var findings []error
-	check := func(ok bool, message string) {
-		if !ok {
-			findings = append(findings, errors.New("control: "+message))
-		}
-	}
-	check(c.Self.ID != "", "Self.ID is empty")
-	check(c.Self.Zone != "", "Self.Zone is empty")
-	check(c.Writer != "", "Writer is empty")
-	check(c.Random != nil, "Random is nil")
-	check(c.Policy != nil, "Policy is nil")
-	check(c.PartitionsPerBranch > 0, "PartitionsPerBranch must be positive")
-	check(c.MirrorBytes > 0, "MirrorBytes must be positive")
-	check(c.ListPeriod > 0, "ListPeriod must be positive")
-	check(c.LoadPeriod > 0, "LoadPeriod must be positive")
-	check(c.SweepPeriod > 0, "SweepPeriod must be positive")
-	check(c.LoadFanout > 0, "LoadFanout must be positive")
-	check(c.ParkTimeout > 0, "ParkTimeout must be positive")
-	check(c.DrainTimeout > 0, "DrainTimeout must be positive")
-	check(c.TraceLimit > 0, "TraceLimit must be positive")
-	return errors.Join(findings...)
+	found := findings.Of("control config")
+	found.Require(c.Self.ID != "", "Self.ID", "missing")
+	found.Require(c.Self.Zone != "", "Self.Zone", "missing")
+	found.Require(c.Writer != "", "Writer", "missing")
+	found.Require(c.Random != nil, "Random", "missing")
+	found.Require(c.Policy != nil, "Policy", "missing")
+	findings.Positive(found, "PartitionsPerBranch", c.PartitionsPerBranch)
+	findings.Positive(found, "MirrorBytes", c.MirrorBytes)
+	findings.Positive(found, "ListPeriod", c.ListPeriod)
+	findings.Positive(found, "LoadPeriod", c.LoadPeriod)
+	findings.Positive(found, "SweepPeriod", c.SweepPeriod)
+	findings.Positive(found, "LoadFanout", c.LoadFanout)
+	findings.Positive(found, "ParkTimeout", c.ParkTimeout)
+	findings.Positive(found, "DrainTimeout", c.DrainTimeout)
+	findings.Positive(found, "TraceLimit", c.TraceLimit)
+	return found.Err()
 }
--- a/emulator/cluster/config.go
+++ b/emulator/cluster/config.go
@@ -1,9 +1,9 @@
 package cluster
 
 import (
-	"errors"
 	"time"
 
+	"birchwood.example/birchwood/findings"
 	"birchwood.example/birchwood/zone"
 )
 
@@ -43,22 +43,19 @@
 
 // validate reports everything that is wrong.
 func (c Config) validate() error {
-	var findings []error
-	check := func(ok bool, message string) {
-		if !ok {
-			findings = append(findings, errors.New("cluster: "+message))
-		}
-	}
-	check(len(c.Zones) > 0, "Zones is empty")
+	found := findings.Of("cluster config")
+	found.Require(len(c.Zones) > 0, "Zones", "missing")
 	for _, name := range c.Zones {
-		check(name.Validate() == nil, "Zones holds a wrong name")
+		found.NoError("Zones", name.Validate())
 	}
-	check(c.NodesPerZone > 0, "NodesPerZone must be positive")
-	check(c.EnginesPerZone > 0, "EnginesPerZone must be positive")
-	check(c.Tools > 0, "Tools must be positive")
-	check(c.LinkDelay > 0 && c.ClientDelay > 0 && c.StoreDelay > 0, "delays must be positive")
-	check(c.DropShare >= 0 && c.DropShare < 1, "DropShare must be a share")
-	return errors.Join(findings...)
+	findings.Positive(found, "NodesPerZone", c.NodesPerZone)
+	findings.Positive(found, "EnginesPerZone", c.EnginesPerZone)
+	findings.Positive(found, "Tools", c.Tools)
+	findings.Positive(found, "LinkDelay", c.LinkDelay)
+	findings.Positive(found, "ClientDelay", c.ClientDelay)
+	findings.Positive(found, "StoreDelay", c.StoreDelay)
+	found.Require(c.DropShare >= 0 && c.DropShare < 1, "DropShare", "want a share")
+	return found.Err()
 }
 
 // The emulated platform's times.
--- a/emulator/enginemodel/config.go
+++ b/emulator/enginemodel/config.go
@@ -1,10 +1,9 @@
 package enginemodel
 
 import (
-	"errors"
-	"fmt"
 	"time"
 
+	"birchwood.example/birchwood/findings"
 	"birchwood.example/birchwood/machine"
 )
 
@@ -130,27 +129,16 @@
 
 // validate collects everything that is wrong.
 func (c Config) validate() error {
-	var findings []error
-	positive := func(name string, value int64) {
-		if value <= 0 {
-			findings = append(findings, fmt.Errorf("engine %s: %s: want more than 0, got %d", c.ID, name, value))
-		}
-	}
-	if c.ID == "" {
-		findings = append(findings, errors.New("engine: id: missing"))
-	}
-	positive("slots", int64(c.Slots))
-	positive("cache_tokens", int64(c.CacheTokens))
-	positive("step_overhead", int64(c.StepOverhead))
-	positive("prefill_per_token", int64(c.PrefillPerToken))
-	positive("chunk_tokens", int64(c.ChunkTokens))
-	positive("transfer_tokens_per_second", int64(c.TransferTokensPerSecond))
-	positive("maximum_models", int64(c.MaximumModels))
-	if len(c.Models) > c.MaximumModels {
-		findings = append(findings, fmt.Errorf("engine %s: models: %d do not fit, at most %d", c.ID, len(c.Models), c.MaximumModels))
-	}
-	if c.EventLoss < 0 || c.EventLoss >= 1 {
-		findings = append(findings, fmt.Errorf("engine %s: event_loss: want 0 up to 1, got %g", c.ID, c.EventLoss))
-	}
-	return errors.Join(findings...)
+	found := findings.Of("engine " + string(c.ID))
+	found.Require(c.ID != "", "id", "missing")
+	findings.Positive(found, "slots", c.Slots)
+	findings.Positive(found, "cache_tokens", c.CacheTokens)
+	findings.Positive(found, "step_overhead", c.StepOverhead)
+	findings.Positive(found, "prefill_per_token", c.PrefillPerToken)
+	findings.Positive(found, "chunk_tokens", c.ChunkTokens)
+	findings.Positive(found, "transfer_tokens_per_second", c.TransferTokensPerSecond)
+	findings.Positive(found, "maximum_models", c.MaximumModels)
+	found.Require(len(c.Models) <= c.MaximumModels, "models", "%d do not fit, at most %d", len(c.Models), c.MaximumModels)
+	found.Require(c.EventLoss >= 0 && c.EventLoss < 1, "event_loss", "want 0 up to 1, got %g", c.EventLoss)
+	return found.Err()
 }
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -19,6 +19,7 @@
 // layers orders the packages: each may import only packages of earlier lines.
 // A folder stands for every package below it that has no entry of its own.
 var layers = [][]string{
+	{"findings"},
 	{"zone", "httpclient", "stream", "retry"},
 	{"machine", "api"},
 	{"contract", "journal", "platform", "tool", "history"},
@@ -37,7 +38,7 @@
 // pure are the packages that hold state machines or plain values: no I/O, no
 // clock, no goroutine, no source of randomness that is not passed in.
 var pure = []string{
-	"zone", "machine", "api", "contract", "journal", "partition", "program", "schedule", "retry",
+	"zone", "machine", "api", "contract", "journal", "partition", "program", "schedule", "retry", "findings",
 	"control", "workload", "emulator/enginemodel", "emulator/platformmodel",
 }
 
--- a/journal/config.go
+++ b/journal/config.go
@@ -1,10 +1,10 @@
 package journal
 
 import (
-	"errors"
-	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"birchwood.example/birchwood/findings"
 )
 
 // Config sets the bounds and times of a Journal.
@@ -51,28 +51,17 @@
 
 // validate returns every finding about the config, joined.
 func (c Config) validate() error {
-	var findings []error
-	requirePositive := func(name string, value int64) {
-		if value <= 0 {
-			findings = append(findings, fmt.Errorf("journal config: %s: want more than zero, got %d", name, value))
-		}
-	}
-	if c.Writer == "" {
-		findings = append(findings, errors.New("journal config: Writer: missing"))
-	}
-	if c.Random == nil {
-		findings = append(findings, errors.New("journal config: Random: missing"))
-	}
-	requirePositive("AppendTimeout", int64(c.AppendTimeout))
-	requirePositive("RetryMinimum", int64(c.RetryMinimum))
-	requirePositive("RetryMaximum", int64(c.RetryMaximum))
-	requirePositive("MaximumUnconfirmedBytes", int64(c.MaximumUnconfirmedBytes))
-	requirePositive("MaximumBatchBytes", int64(c.MaximumBatchBytes))
-	requirePositive("MaximumBatchRecords", int64(c.MaximumBatchRecords))
-	requirePositive("ReadBatch", int64(c.ReadBatch))
-	requirePositive("SnapshotEvery", int64(c.SnapshotEvery))
-	if c.RetryMaximum < c.RetryMinimum {
-		findings = append(findings, errors.New("journal config: RetryMaximum: less than RetryMinimum"))
-	}
-	return errors.Join(findings...)
+	found := findings.Of("journal config")
+	found.Require(c.Writer != "", "Writer", "missing")
+	found.Require(c.Random != nil, "Random", "missing")
+	findings.Positive(found, "AppendTimeout", c.AppendTimeout)
+	findings.Positive(found, "RetryMinimum", c.RetryMinimum)
+	findings.Positive(found, "RetryMaximum", c.RetryMaximum)
+	findings.Positive(found, "MaximumUnconfirmedBytes", c.MaximumUnconfirmedBytes)
+	findings.Positive(found, "MaximumBatchBytes", c.MaximumBatchBytes)
+	findings.Positive(found, "MaximumBatchRecords", c.MaximumBatchRecords)
+	findings.Positive(found, "ReadBatch", c.ReadBatch)
+	findings.Positive(found, "SnapshotEvery", c.SnapshotEvery)
+	findings.AtLeast(found, "RetryMaximum", c.RetryMaximum, c.RetryMinimum)
+	return found.Err()
 }
--- a/link/breaker.go
+++ b/link/breaker.go
@@ -1,9 +1,9 @@
 package link
 
 import (
-	"errors"
-	"fmt"
 	"time"
+
+	"birchwood.example/birchwood/findings"
 )
 
 // BreakerState tells what a Breaker does with requests.
@@ -47,23 +47,13 @@
 }
 
 func (c BreakerConfig) validate() error {
-	var findings []error
-	if c.Failures < 1 {
-		findings = append(findings, fmt.Errorf("field Failures: got %d, want at least 1", c.Failures))
-	}
-	if c.OpenTime <= 0 {
-		findings = append(findings, fmt.Errorf("field OpenTime: got %v, want more than 0", c.OpenTime))
-	}
-	if c.MaximumOpenTime < c.OpenTime {
-		findings = append(findings, fmt.Errorf("field MaximumOpenTime: got %v, want at least OpenTime, %v", c.MaximumOpenTime, c.OpenTime))
-	}
-	if c.Trials < 1 {
-		findings = append(findings, fmt.Errorf("field Trials: got %d, want at least 1", c.Trials))
-	}
-	if c.TrialTimeout <= 0 {
-		findings = append(findings, fmt.Errorf("field TrialTimeout: got %v, want more than 0", c.TrialTimeout))
-	}
-	return errors.Join(findings...)
+	found := findings.Of("breaker config")
+	findings.AtLeast(found, "Failures", c.Failures, 1)
+	findings.Positive(found, "OpenTime", c.OpenTime)
+	findings.AtLeast(found, "MaximumOpenTime", c.MaximumOpenTime, c.OpenTime)
+	findings.AtLeast(found, "Trials", c.Trials, 1)
+	findings.Positive(found, "TrialTimeout", c.TrialTimeout)
+	return found.Err()
 }
 
 // Breaker refuses requests to a peer that keeps failing. Each allowed request
@@ -81,7 +71,7 @@
 // NewBreaker returns a closed breaker.
 func NewBreaker(config BreakerConfig) (*Breaker, error) {
 	if err := config.validate(); err != nil {
-		return nil, fmt.Errorf("breaker settings: %w", err)
+		return nil, err
 	}
 	return &Breaker{config: config, state: BreakerClosed, openTime: config.OpenTime}, nil
 }
--- a/link/linkhttp/config.go
+++ b/link/linkhttp/config.go
@@ -1,10 +1,9 @@
 package linkhttp
 
 import (
-	"errors"
-	"fmt"
 	"time"
 
+	"birchwood.example/birchwood/findings"
 	"birchwood.example/birchwood/link"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/zone"
@@ -64,49 +63,20 @@
 }
 
 func (c Config) validate() error {
-	var findings []error
-	if c.Self == "" {
-		findings = append(findings, errors.New("field Self: want a machine's name"))
-	}
-	if err := c.Zone.Validate(); err != nil {
-		findings = append(findings, fmt.Errorf("field Zone: %w", err))
-	}
-	if c.Token == "" {
-		findings = append(findings, errors.New("field Token: want a secret"))
-	}
-	durations := []struct {
-		field string
-		value time.Duration
-	}{
-		{"DialTimeout", c.DialTimeout},
-		{"RequestTimeout", c.RequestTimeout},
-		{"IdleTimeout", c.IdleTimeout},
-	}
-	for _, duration := range durations {
-		if duration.value <= 0 {
-			findings = append(findings, fmt.Errorf("field %s: got %v, want more than 0", duration.field, duration.value))
-		}
-	}
-	counts := []struct {
-		field string
-		value int
-	}{
-		{"QueueMessages", c.QueueMessages},
-		{"BatchMessages", c.BatchMessages},
-		{"BatchBytes", c.BatchBytes},
-	}
-	for _, count := range counts {
-		if count.value < 1 {
-			findings = append(findings, fmt.Errorf("field %s: got %d, want at least 1", count.field, count.value))
-		}
-	}
-	if c.MaximumBody < c.BatchBytes {
-		findings = append(findings, fmt.Errorf("field MaximumBody: got %d, want at least BatchBytes, %d", c.MaximumBody, c.BatchBytes))
-	}
-	if _, err := link.NewBreaker(c.Breaker); err != nil {
-		findings = append(findings, fmt.Errorf("field Breaker: %w", err))
-	}
-	return errors.Join(findings...)
+	found := findings.Of("link config")
+	found.Require(c.Self != "", "Self", "want a machine's name")
+	found.NoError("Zone", c.Zone.Validate())
+	found.Require(c.Token != "", "Token", "want a secret")
+	findings.Positive(found, "DialTimeout", c.DialTimeout)
+	findings.Positive(found, "RequestTimeout", c.RequestTimeout)
+	findings.Positive(found, "IdleTimeout", c.IdleTimeout)
+	findings.Positive(found, "QueueMessages", c.QueueMessages)
+	findings.Positive(found, "BatchMessages", c.BatchMessages)
+	findings.Positive(found, "BatchBytes", c.BatchBytes)
+	findings.AtLeast(found, "MaximumBody", c.MaximumBody, c.BatchBytes)
+	_, err := link.NewBreaker(c.Breaker)
+	found.NoError("Breaker", err)
+	return found.Err()
 }
 
 func (c Config) permits(from, to zone.Name) bool {
--- a/link/linkhttp/transport.go
+++ b/link/linkhttp/transport.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"net"
 	"sync"
 
@@ -47,7 +46,7 @@
 // New returns a transport without connections.
 func New(config Config) (*Transport, error) {
 	if err := config.validate(); err != nil {
-		return nil, Error.Wrap(fmt.Errorf("settings: %w", err))
+		return nil, Error.Wrap(err)
 	}
 	return &Transport{config: config, peers: make(map[machine.ID]*peer)}, nil
 }
--- a/partition/config.go
+++ b/partition/config.go
@@ -1,12 +1,11 @@
 package partition
 
 import (
-	"errors"
-	"fmt"
 	"math/rand/v2"
 	"strings"
 	"time"
 
+	"birchwood.example/birchwood/findings"
 	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
 )
@@ -117,42 +116,22 @@
 // validate returns every finding about the config besides the journal's,
 // joined.
 func (c Config) validate() error {
-	var findings []error
-	if _, err := Parse(c.ID.String()); err != nil {
-		findings = append(findings, fmt.Errorf("partition config: ID: %w", err))
-	}
-	if c.Self == "" {
-		findings = append(findings, errors.New("partition config: Self: missing"))
-	}
-	if !strings.HasPrefix(c.Writer, string(c.Self)) || journal.WriterMachine(c.Writer) != c.Self {
-		findings = append(findings, fmt.Errorf("partition config: Writer %q: want journal.WriterName of %q", c.Writer, c.Self))
-	}
-	if c.MirrorCount < 0 {
-		findings = append(findings, errors.New("partition config: MirrorCount: negative"))
-	}
-	if c.MirrorCount > 0 && c.Mirrors == nil {
-		findings = append(findings, errors.New("partition config: Mirrors: missing, but MirrorCount asks for mirrors"))
-	}
-	if c.Mirrors != nil && c.Mirrors.config.Instance != c.Writer {
-		findings = append(findings, errors.New("partition config: Mirrors: its Instance is another one than Writer"))
-	}
-	durations := []struct {
-		name  string
-		value time.Duration
-	}{
-		{"MirrorDelay", c.MirrorDelay},
-		{"MirrorTimeout", c.MirrorTimeout},
-		{"ClaimBackoff", c.ClaimBackoff},
-		{"OwnerPatience", c.OwnerPatience},
-		{"IdleCheck", c.IdleCheck},
-	}
-	for _, duration := range durations {
-		if duration.value <= 0 {
-			findings = append(findings, fmt.Errorf("partition config: %s: want more than zero, got %s", duration.name, duration.value))
-		}
-	}
-	if c.ClaimDwell < 0 || c.HandoverDwell < 0 || c.AcceptLossAfter < 0 {
-		findings = append(findings, errors.New("partition config: ClaimDwell, HandoverDwell, AcceptLossAfter: negative"))
-	}
-	return errors.Join(findings...)
+	found := findings.Of("partition config")
+	_, err := Parse(c.ID.String())
+	found.NoError("ID", err)
+	found.Require(c.Self != "", "Self", "missing")
+	found.Require(strings.HasPrefix(c.Writer, string(c.Self)) && journal.WriterMachine(c.Writer) == c.Self, "Writer",
+		"got %q, want journal.WriterName of %q", c.Writer, c.Self)
+	findings.AtLeast(found, "MirrorCount", c.MirrorCount, 0)
+	found.Require(c.MirrorCount <= 0 || c.Mirrors != nil, "Mirrors", "missing, but MirrorCount asks for mirrors")
+	found.Require(c.Mirrors == nil || c.Mirrors.config.Instance == c.Writer, "Mirrors", "its Instance is another one than Writer")
+	findings.Positive(found, "MirrorDelay", c.MirrorDelay)
+	findings.Positive(found, "MirrorTimeout", c.MirrorTimeout)
+	findings.Positive(found, "ClaimBackoff", c.ClaimBackoff)
+	findings.Positive(found, "OwnerPatience", c.OwnerPatience)
+	findings.Positive(found, "IdleCheck", c.IdleCheck)
+	findings.AtLeast(found, "ClaimDwell", c.ClaimDwell, 0)
+	findings.AtLeast(found, "HandoverDwell", c.HandoverDwell, 0)
+	findings.AtLeast(found, "AcceptLossAfter", c.AcceptLossAfter, 0)
+	return found.Err()
 }
--- a/partition/mirrorstore.go
+++ b/partition/mirrorstore.go
@@ -1,10 +1,9 @@
 package partition
 
 import (
-	"errors"
-	"fmt"
 	"slices"
 
+	"birchwood.example/birchwood/findings"
 	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
 )
@@ -20,17 +19,11 @@
 }
 
 func (c MirrorStoreConfig) validate() error {
-	var findings []error
-	if c.Instance == "" {
-		findings = append(findings, errors.New("mirror store config: Instance: missing"))
-	}
-	if c.MaximumBytes <= 0 {
-		findings = append(findings, fmt.Errorf("mirror store config: MaximumBytes: want more than zero, got %d", c.MaximumBytes))
-	}
-	if c.MaximumMessageBytes <= 0 {
-		findings = append(findings, fmt.Errorf("mirror store config: MaximumMessageBytes: want more than zero, got %d", c.MaximumMessageBytes))
-	}
-	return errors.Join(findings...)
+	found := findings.Of("mirror store config")
+	found.Require(c.Instance != "", "Instance", "missing")
+	findings.Positive(found, "MaximumBytes", c.MaximumBytes)
+	findings.Positive(found, "MaximumMessageBytes", c.MaximumMessageBytes)
+	return found.Err()
 }
 
 // MirrorStore holds, for the owners of other nodes, entries that the log has
--- a/program/store.go
+++ b/program/store.go
@@ -1,12 +1,11 @@
 package program
 
 import (
-	"errors"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/findings"
 )
 
 // NoOffset stands for a record that the log does not have yet.
@@ -59,25 +58,19 @@
 
 // validate collects every finding.
 func (c Config) validate() error {
-	var findings []error
-	positive := func(name string, value int64) {
-		if value < 0 {
-			findings = append(findings, fmt.Errorf("program.Config.%s is %d: want a positive number", name, value))
-		}
-	}
-	positive("MaximumPrograms", int64(c.MaximumPrograms))
-	positive("MaximumQueuedCalls", int64(c.MaximumQueuedCalls))
-	positive("MaximumDepth", int64(c.MaximumDepth))
-	positive("RetryBase", int64(c.RetryBase))
-	positive("RetryMaximum", int64(c.RetryMaximum))
-	positive("LookupAttempts", int64(c.LookupAttempts))
-	positive("LookupTimeout", int64(c.LookupTimeout))
-	positive("TickPrograms", int64(c.TickPrograms))
-	positive("SnapshotPartBytes", int64(c.SnapshotPartBytes))
-	if c.RetryMaximum > 0 && c.RetryBase > c.RetryMaximum {
-		findings = append(findings, fmt.Errorf("program.Config.RetryBase is %s: want at most RetryMaximum, %s", c.RetryBase, c.RetryMaximum))
-	}
-	return errors.Join(findings...)
+	found := findings.Of("program config")
+	findings.AtLeast(found, "MaximumPrograms", c.MaximumPrograms, 0)
+	findings.AtLeast(found, "MaximumQueuedCalls", c.MaximumQueuedCalls, 0)
+	findings.AtLeast(found, "MaximumDepth", c.MaximumDepth, 0)
+	findings.AtLeast(found, "RetryBase", c.RetryBase, 0)
+	findings.AtLeast(found, "RetryMaximum", c.RetryMaximum, 0)
+	findings.AtLeast(found, "LookupAttempts", c.LookupAttempts, 0)
+	findings.AtLeast(found, "LookupTimeout", c.LookupTimeout, 0)
+	findings.AtLeast(found, "TickPrograms", c.TickPrograms, 0)
+	findings.AtLeast(found, "SnapshotPartBytes", c.SnapshotPartBytes, 0)
+	found.Require(c.RetryMaximum <= 0 || c.RetryBase <= c.RetryMaximum, "RetryBase",
+		"got %s, want at most RetryMaximum, %s", c.RetryBase, c.RetryMaximum)
+	return found.Err()
 }
 
 func (c Config) withDefaults() Config {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,8 +1,7 @@
 package retry
 
 import (
-	"errors"
-	"fmt"
+	"birchwood.example/birchwood/findings"
 )
 
 // BudgetConfig sets up a Budget.
@@ -15,14 +14,10 @@
 
 // validate returns every finding about the config, joined.
 func (c BudgetConfig) validate() error {
-	var findings []error
-	if c.PerSuccess < 0 || c.PerSuccess > 1 {
-		findings = append(findings, fmt.Errorf("field PerSuccess: got %v, want 0 to 1", c.PerSuccess))
-	}
-	if c.Capacity < 1 {
-		findings = append(findings, fmt.Errorf("field Capacity: got %v, want at least 1", c.Capacity))
-	}
-	return errors.Join(findings...)
+	found := findings.Of("retry budget config")
+	found.Require(c.PerSuccess >= 0 && c.PerSuccess <= 1, "PerSuccess", "got %v, want 0 to 1", c.PerSuccess)
+	findings.AtLeast(found, "Capacity", c.Capacity, 1)
+	return found.Err()
 }
 
 // Budget is a token bucket that successes fill and retries empty. Over any
@@ -37,7 +32,7 @@
 // NewBudget returns a full budget, or every finding about the config.
 func NewBudget(config BudgetConfig) (*Budget, error) {
 	if err := config.validate(); err != nil {
-		return nil, fmt.Errorf("retry budget settings: %w", err)
+		return nil, err
 	}
 	return &Budget{config: config, tokens: config.Capacity}, nil
 }
