Collect the findings of machine, schedule and scale the same way

These three still checked their Config with code of their own.

They use package findings. The bounds are the same; scale's bound on replicas had a first half that never decided, and is written as what it was: at least two a zone.

The tests of machine, schedule, scale and emulator/cluster pass, without a changed expectation.

--- a/machine/config.go
+++ b/machine/config.go
@@ -1,10 +1,10 @@
 package machine
 
 import (
-	"errors"
-	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"birchwood.example/birchwood/findings"
 )
 
 // Config sets up a Membership. DefaultConfig gives values that suit links
@@ -71,49 +71,22 @@
 }
 
 func (c Config) validate() error {
-	var findings []error
-	if c.Self.ID == "" {
-		findings = append(findings, errors.New("field Self.ID: want a name"))
-	}
-	if c.Self.Kind != KindNode {
-		findings = append(findings, fmt.Errorf("field Self.Kind: got %q, want %q", c.Self.Kind, KindNode))
-	}
-	durations := []struct {
-		field string
-		value time.Duration
-	}{
-		{"ProbePeriod", c.ProbePeriod},
-		{"ProbeTimeout", c.ProbeTimeout},
-		{"SuspectTimeout", c.SuspectTimeout},
-		{"GossipPeriod", c.GossipPeriod},
-		{"DeadProbePeriod", c.DeadProbePeriod},
-		{"ViewPeriod", c.ViewPeriod},
-		{"ListTimeout", c.ListTimeout},
-		{"LeavingTimeout", c.LeavingTimeout},
-	}
-	for _, duration := range durations {
-		if duration.value <= 0 {
-			findings = append(findings, fmt.Errorf("field %s: got %v, want more than 0", duration.field, duration.value))
-		}
-	}
-	counts := []struct {
-		field   string
-		value   int
-		minimum int
-	}{
-		{"ProbesPerPeriod", c.ProbesPerPeriod, 1},
-		{"IndirectProbes", c.IndirectProbes, 0},
-		{"GossipFanout", c.GossipFanout, 1},
-		{"UpdatesPerMessage", c.UpdatesPerMessage, 2},
-		{"MaximumHealthScore", c.MaximumHealthScore, 0},
-	}
-	for _, count := range counts {
-		if count.value < count.minimum {
-			findings = append(findings, fmt.Errorf("field %s: got %d, want at least %d", count.field, count.value, count.minimum))
-		}
-	}
-	if c.Random == nil {
-		findings = append(findings, errors.New("field Random: want a seeded source"))
-	}
-	return errors.Join(findings...)
+	found := findings.Of("membership config")
+	found.Require(c.Self.ID != "", "Self.ID", "want a name")
+	found.Require(c.Self.Kind == KindNode, "Self.Kind", "got %q, want %q", c.Self.Kind, KindNode)
+	findings.Positive(found, "ProbePeriod", c.ProbePeriod)
+	findings.Positive(found, "ProbeTimeout", c.ProbeTimeout)
+	findings.Positive(found, "SuspectTimeout", c.SuspectTimeout)
+	findings.Positive(found, "GossipPeriod", c.GossipPeriod)
+	findings.Positive(found, "DeadProbePeriod", c.DeadProbePeriod)
+	findings.Positive(found, "ViewPeriod", c.ViewPeriod)
+	findings.Positive(found, "ListTimeout", c.ListTimeout)
+	findings.Positive(found, "LeavingTimeout", c.LeavingTimeout)
+	findings.AtLeast(found, "ProbesPerPeriod", c.ProbesPerPeriod, 1)
+	findings.AtLeast(found, "IndirectProbes", c.IndirectProbes, 0)
+	findings.AtLeast(found, "GossipFanout", c.GossipFanout, 1)
+	findings.AtLeast(found, "UpdatesPerMessage", c.UpdatesPerMessage, 2)
+	findings.AtLeast(found, "MaximumHealthScore", c.MaximumHealthScore, 0)
+	found.Require(c.Random != nil, "Random", "want a seeded source")
+	return found.Err()
 }
--- a/machine/membership.go
+++ b/machine/membership.go
@@ -1,7 +1,6 @@
 package machine
 
 import (
-	"fmt"
 	"slices"
 	"time"
 )
@@ -86,7 +85,7 @@
 // NewMembership returns a membership that knows of no machine but itself.
 func NewMembership(config Config) (*Membership, error) {
 	if err := config.validate(); err != nil {
-		return nil, fmt.Errorf("membership settings: %w", err)
+		return nil, err
 	}
 	config.Self.Status = StatusLive
 	return &Membership{
--- a/scale/config.go
+++ b/scale/config.go
@@ -1,9 +1,10 @@
 package scale
 
 import (
-	"errors"
 	"fmt"
 	"time"
+
+	"birchwood.example/birchwood/findings"
 )
 
 // Config sets up a run.
@@ -67,24 +68,19 @@
 const toolShare = 10
 
 func (c Config) validate() error {
-	var findings []error
-	check := func(ok bool, field string, got any, want string) {
-		if !ok {
-			findings = append(findings, fmt.Errorf("%s: got %v, want %s", field, got, want))
-		}
-	}
-	check(c.Nodes >= 1, "nodes", c.Nodes, "at least 1")
-	check(c.RealNodes >= 0 && c.RealNodes <= c.Nodes, "real nodes", c.RealNodes, "0 up to nodes")
-	check(c.Programs >= 0, "programs", c.Programs, "at least 0")
-	check(c.Zones >= 1, "zones", c.Zones, "at least 1")
-	check(c.Regions >= 1 && c.Regions <= c.Zones, "regions", c.Regions, "1 up to zones")
-	check(c.Replicas >= 2*toolShare*c.Zones || c.Replicas >= 2*c.Zones, "replicas", c.Replicas, "at least two a zone")
-	check(c.Duration > 0, "duration", c.Duration, "more than 0")
-	check(c.IdleTime > 0, "idle time", c.IdleTime, "more than 0")
-	check(c.SweepPeriod > 0, "sweep period", c.SweepPeriod, "more than 0")
-	check(c.AcceptLossAfter > 0, "accept loss after", c.AcceptLossAfter, "more than 0")
-	check(c.SettleTimeout > 0, "settle timeout", c.SettleTimeout, "more than 0")
-	return errors.Join(findings...)
+	found := findings.Of("scale config")
+	findings.AtLeast(found, "nodes", c.Nodes, 1)
+	found.Require(c.RealNodes >= 0 && c.RealNodes <= c.Nodes, "real nodes", "got %d, want 0 up to nodes", c.RealNodes)
+	findings.AtLeast(found, "programs", c.Programs, 0)
+	findings.AtLeast(found, "zones", c.Zones, 1)
+	found.Require(c.Regions >= 1 && c.Regions <= c.Zones, "regions", "got %d, want 1 up to zones", c.Regions)
+	found.Require(c.Replicas >= 2*c.Zones, "replicas", "got %d, want at least two a zone", c.Replicas)
+	findings.Positive(found, "duration", c.Duration)
+	findings.Positive(found, "idle time", c.IdleTime)
+	findings.Positive(found, "sweep period", c.SweepPeriod)
+	findings.Positive(found, "accept loss after", c.AcceptLossAfter)
+	findings.Positive(found, "settle timeout", c.SettleTimeout)
+	return found.Err()
 }
 
 func (c Config) progress(format string, arguments ...any) {
--- a/scale/run.go
+++ b/scale/run.go
@@ -13,7 +13,7 @@
 // Run starts a fleet, measures it idle and busy, and ends it.
 func Run(ctx context.Context, config Config) (Result, error) {
 	if err := config.validate(); err != nil {
-		return Result{}, fmt.Errorf("scale settings: %w", err)
+		return Result{}, err
 	}
 	f, err := newFleet(config)
 	if err != nil {
--- a/schedule/config.go
+++ b/schedule/config.go
@@ -1,11 +1,10 @@
 package schedule
 
 import (
-	"errors"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"birchwood.example/birchwood/findings"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/zone"
 )
@@ -147,60 +146,50 @@
 	}
 }
 
-// findings collects what is wrong with a configuration.
-type findings []error
-
-// require adds a finding about the place unless ok.
-func (f *findings) require(ok bool, place, want string) {
-	if !ok {
-		*f = append(*f, fmt.Errorf("schedule configuration: %s: want %s", place, want))
-	}
-}
-
 // validate returns every finding about the configuration, joined.
 func (c Config) validate() error {
-	var found findings
-	found.require(c.Self.Validate() == nil, "Self", "a zone name")
-	found.require(c.LinkDelay != nil, "LinkDelay", "a function")
-	found.require(c.Random != nil, "Random", "a seeded source")
-	found.require(c.Choices >= 1, "Choices", "at least 1")
-	found.require(c.EngineFill > 0 && c.EngineFill <= 2, "EngineFill", "a share above 0 and at most 2")
-	found.require(c.MaximumHold > 0, "MaximumHold", "a positive duration")
-	found.require(c.StaleLoad > 0, "StaleLoad", "a positive duration")
-	found.require(c.AdmissionShare > 0 && c.AdmissionShare <= 1, "AdmissionShare", "a share above 0 and at most 1")
-	c.Rates.validate(&found)
-	c.Cache.validate(&found)
-	c.Order.validate(&found)
-	c.Models.validate(&found)
-	return errors.Join(found...)
+	found := findings.Of("schedule config")
+	found.NoError("Self", c.Self.Validate())
+	found.Require(c.LinkDelay != nil, "LinkDelay", "want a function")
+	found.Require(c.Random != nil, "Random", "want a seeded source")
+	findings.AtLeast(found, "Choices", c.Choices, 1)
+	found.Require(c.EngineFill > 0 && c.EngineFill <= 2, "EngineFill", "got %v, want a share above 0 and at most 2", c.EngineFill)
+	findings.Positive(found, "MaximumHold", c.MaximumHold)
+	findings.Positive(found, "StaleLoad", c.StaleLoad)
+	found.Require(c.AdmissionShare > 0 && c.AdmissionShare <= 1, "AdmissionShare", "got %v, want a share above 0 and at most 1", c.AdmissionShare)
+	c.Rates.validate(found)
+	c.Cache.validate(found)
+	c.Order.validate(found)
+	c.Models.validate(found)
+	return found.Err()
 }
 
-func (r Rates) validate(found *findings) {
-	found.require(r.PrefillPerToken > 0, "Rates.PrefillPerToken", "a positive duration")
-	found.require(r.DecodePerToken > 0, "Rates.DecodePerToken", "a positive duration")
-	found.require(r.DecodePerPeer > 0, "Rates.DecodePerPeer", "a positive duration")
-	found.require(r.TransferPerToken > 0, "Rates.TransferPerToken", "a positive duration")
+func (r Rates) validate(found *findings.List) {
+	findings.Positive(found, "Rates.PrefillPerToken", r.PrefillPerToken)
+	findings.Positive(found, "Rates.DecodePerToken", r.DecodePerToken)
+	findings.Positive(found, "Rates.DecodePerPeer", r.DecodePerPeer)
+	findings.Positive(found, "Rates.TransferPerToken", r.TransferPerToken)
 }
 
-func (c CacheConfig) validate(found *findings) {
-	found.require(c.MoveWeight >= 1, "Cache.MoveWeight", "at least 1")
-	found.require(c.MemoryFill > 0, "Cache.MemoryFill", "a positive share")
-	found.require(c.SmallShare >= 0, "Cache.SmallShare", "no negative share")
-	found.require(c.FloodFill > 0, "Cache.FloodFill", "a positive share")
-	found.require(c.ReuseFloor >= 0 && c.ReuseFloor <= 1, "Cache.ReuseFloor", "a probability")
-	found.require(c.ReviewInterval > 0, "Cache.ReviewInterval", "a positive duration")
+func (c CacheConfig) validate(found *findings.List) {
+	findings.AtLeast(found, "Cache.MoveWeight", c.MoveWeight, 1)
+	findings.Positive(found, "Cache.MemoryFill", c.MemoryFill)
+	findings.AtLeast(found, "Cache.SmallShare", c.SmallShare, 0)
+	findings.Positive(found, "Cache.FloodFill", c.FloodFill)
+	found.Require(c.ReuseFloor >= 0 && c.ReuseFloor <= 1, "Cache.ReuseFloor", "got %v, want a probability", c.ReuseFloor)
+	findings.Positive(found, "Cache.ReviewInterval", c.ReviewInterval)
 }
 
-func (o OrderConfig) validate(found *findings) {
-	found.require(o.AttainedPerToken >= 0, "Order.AttainedPerToken", "no negative duration")
-	found.require(o.DeadlineShare >= 0 && o.DeadlineShare <= 1, "Order.DeadlineShare", "a share")
-	found.require(o.AttainedMaximum >= 0, "Order.AttainedMaximum", "no negative duration")
+func (o OrderConfig) validate(found *findings.List) {
+	findings.AtLeast(found, "Order.AttainedPerToken", o.AttainedPerToken, 0)
+	found.Require(o.DeadlineShare >= 0 && o.DeadlineShare <= 1, "Order.DeadlineShare", "got %v, want a share", o.DeadlineShare)
+	findings.AtLeast(found, "Order.AttainedMaximum", o.AttainedMaximum, 0)
 }
 
-func (m ModelsConfig) validate(found *findings) {
-	found.require(m.ReviewInterval > 0, "Models.ReviewInterval", "a positive duration")
-	found.require(m.OrderTimeout > 0, "Models.OrderTimeout", "a positive duration")
-	found.require(m.Busy > 0, "Models.Busy", "a share above 0")
-	found.require(m.Margin >= 0, "Models.Margin", "no negative share")
-	found.require(m.PerEngine >= 1, "Models.PerEngine", "at least 1")
+func (m ModelsConfig) validate(found *findings.List) {
+	findings.Positive(found, "Models.ReviewInterval", m.ReviewInterval)
+	findings.Positive(found, "Models.OrderTimeout", m.OrderTimeout)
+	findings.Positive(found, "Models.Busy", m.Busy)
+	findings.AtLeast(found, "Models.Margin", m.Margin, 0)
+	findings.AtLeast(found, "Models.PerEngine", m.PerEngine, 1)
 }
