control: answer reads only while the partition is certainly owned

Cause: an owner that is cut off from its peers is replaced without knowing it, and answered history, describe and call from its memory until it next looked at the log.

Change: a read first proposes a Confirmed record, which changes nothing. Replies wait for all records decided before them, so that a read is answered once that record is durable; in a former owner it never is. The same holds for "no such program". It costs each read one append, gathered with others under way, and works through the mirrors while the store is down.

--- a/control/request.go
+++ b/control/request.go
@@ -28,6 +28,12 @@
 	OperationTrace Operation = "trace"
 )
 
+// reads reports whether the operation tells what the owner holds and changes
+// nothing. A trace is what one node remembers, and promises nothing.
+func (o Operation) reads() bool {
+	return o == OperationCall || o == OperationDescribe || o == OperationHistory
+}
+
 // Request is one operation on a program, by an authenticated caller or
 // operator. The node that owns the program's partition answers it.
 type Request struct {
--- a/control/requests.go
+++ b/control/requests.go
@@ -129,9 +129,14 @@
 // serve performs a request on a partition that this node owns.
 func (c *Core) serve(now time.Time, owned *ownedPartition, handle uint64, request Request) {
 	if request.Operation != OperationCreate && !c.inScope(owned, request) {
-		c.reject(handle, api.Refuse(api.CodeNotFound, "no program %s", request.Program).At("$.program"))
+		c.confirmOwnership(now, owned, request.Program)
+		refusal := api.Refuse(api.CodeNotFound, "no program %s", request.Program).At("$.program")
+		c.answerDurably(now, owned, handle, Reply{Error: refusal})
 		return
 	}
+	if request.Operation.reads() {
+		c.confirmOwnership(now, owned, request.Program)
+	}
 	switch request.Operation {
 	case OperationCreate:
 		c.create(now, owned, handle, request)
@@ -156,6 +161,15 @@
 	}
 }
 
+// confirmOwnership makes the replies that follow wait until it is certain that
+// this node still owned the partition when they were made. Without it a node
+// that was replaced, and that nobody could tell so, would answer from memory
+// without the calls that its successor has acknowledged.
+func (c *Core) confirmOwnership(now time.Time, owned *ownedPartition, id api.ProgramID) {
+	record := program.Record{At: now, Program: id, Confirmed: &program.Confirmed{}}
+	c.apply(now, owned, program.Output{Records: []program.Record{record}}, nil)
+}
+
 // inScope reports whether the program exists on a branch that the request's
 // bearer token may act on.
 func (c *Core) inScope(owned *ownedPartition, request Request) bool {
--- a/program/types.go
+++ b/program/types.go
@@ -60,8 +60,15 @@
 	Carved     *Carved       `json:"carved,omitempty"`
 	Terms      *Terms        `json:"terms,omitempty"`
 	Closed     *Closed       `json:"closed,omitempty"`
+	Confirmed  *Confirmed    `json:"confirmed,omitempty"`
 }
 
+// Confirmed changes nothing. Once it is durable, its writer owned the
+// partition when it was proposed, so that what the writer held then was
+// everything: a former owner that does not know of its successor yet cannot
+// make it durable.
+type Confirmed struct{}
+
 // Created opens a program.
 type Created struct {
 	Branch string        `json:"branch"`
--- a/program/validate.go
+++ b/program/validate.go
@@ -14,7 +14,7 @@
 	set := 0
 	for _, present := range []bool{
 		r.Created != nil, r.Accepted != nil, r.Dispatched != nil, r.Ended != nil,
-		r.Carved != nil, r.Terms != nil, r.Closed != nil,
+		r.Carved != nil, r.Terms != nil, r.Closed != nil, r.Confirmed != nil,
 	} {
 		if present {
 			set++
