Say an adapter's options and an engine's wire bodies once

The five JSON bodies of an engine's routes were written out twice, in the client and in the stand-in.

The adapters take httpclient.Options, and the bodies stand in package engine beside the ones that both sides shared already.

--- a/development/development.go
+++ b/development/development.go
@@ -16,6 +16,7 @@
 	"birchwood.example/birchwood/config"
 	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/emulator/standin"
+	"birchwood.example/birchwood/httpclient"
 	"birchwood.example/birchwood/node"
 	"birchwood.example/birchwood/platform/platformhttp"
 )
@@ -151,7 +152,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, settingsTimeout)
 	defer cancel()
-	logService := platformhttp.New(platformhttp.Options{Address: platform, Timeout: settingsTimeout})
+	logService := platformhttp.New(httpclient.Options{Address: platform, Timeout: settingsTimeout})
 	_, end, err := logService.Read(ctx, contract.StreamName, 0, 0)
 	if err != nil || end > 0 {
 		return err
--- a/development/path_bench_test.go
+++ b/development/path_bench_test.go
@@ -19,6 +19,7 @@
 	"birchwood.example/birchwood/development"
 	"birchwood.example/birchwood/engine"
 	"birchwood.example/birchwood/engine/enginehttp"
+	"birchwood.example/birchwood/httpclient"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/platform/platformhttp"
 )
@@ -156,9 +157,9 @@
 
 func measureFirstToken(b *testing.B, system *development.System) {
 	addresses := system.Standins.Addresses()
-	direct := enginehttp.NewDialer(enginehttp.Options{Zone: "north", Timeout: patience}).
+	direct := enginehttp.NewDialer(httpclient.Options{Zone: "north", Timeout: patience}).
 		Engine(machine.Machine{ID: "engine-1", Address: addresses.Engines["engine-1"]})
-	logService := platformhttp.New(platformhttp.Options{Address: addresses.Platform, Timeout: patience})
+	logService := platformhttp.New(httpclient.Options{Address: addresses.Platform, Timeout: patience})
 	caller := newClient(system, 0)
 	id, err := caller.create(fmt.Sprintf("measured-%d", b.N))
 	if err != nil {
--- a/emulator/standin/enginehttp.go
+++ b/emulator/standin/enginehttp.go
@@ -42,28 +42,6 @@
 	return routes
 }
 
-type streamBody struct {
-	Stream string `json:"stream"`
-}
-
-type ownerBody struct {
-	Owner api.ProgramID `json:"owner"`
-}
-
-type importBody struct {
-	Owner api.ProgramID `json:"owner"`
-	// From is the machine ID or the address of the engine that has the KV.
-	From string `json:"from"`
-}
-
-type prefixesBody struct {
-	Prefixes []engine.Prefix `json:"prefixes"`
-}
-
-type eventsBody struct {
-	Events []engine.CacheEvent `json:"events"`
-}
-
 // generate starts or resumes a stream and answers it as lines of JSON.
 func (s *engineService) generate(ctx *fasthttp.RequestCtx) {
 	var request engine.GenerateRequest
@@ -200,7 +178,7 @@
 
 // cancel stops a stream.
 func (s *engineService) cancel(ctx *fasthttp.RequestCtx) {
-	var body streamBody
+	var body engine.CancelBody
 	if !decode(ctx, &body) {
 		return
 	}
@@ -210,7 +188,7 @@
 
 // release drops a program's prefix.
 func (s *engineService) release(ctx *fasthttp.RequestCtx) {
-	var body ownerBody
+	var body engine.ReleaseBody
 	if !decode(ctx, &body) {
 		return
 	}
@@ -220,7 +198,7 @@
 
 // listPrefixes lists the cached prefixes.
 func (s *engineService) listPrefixes(ctx *fasthttp.RequestCtx) {
-	answer(ctx, prefixesBody{Prefixes: s.engine.listPrefixes()})
+	answer(ctx, engine.PrefixesBody{Prefixes: s.engine.listPrefixes()})
 }
 
 // listEvents returns the cache events after the sequence of the query.
@@ -230,7 +208,7 @@
 	if err != nil {
 		after = 0
 	}
-	answer(ctx, eventsBody{Events: s.engine.eventsAfter(uint64(after))})
+	answer(ctx, engine.EventsBody{Events: s.engine.eventsAfter(uint64(after))})
 }
 
 // load returns the last load report.
@@ -264,7 +242,7 @@
 // imports moves a program's KV cache here from another engine of the set, and
 // answers once it has arrived.
 func (s *engineService) imports(ctx *fasthttp.RequestCtx) {
-	var body importBody
+	var body engine.ImportBody
 	if !decode(ctx, &body) {
 		return
 	}
--- a/emulator/standin/parity_test.go
+++ b/emulator/standin/parity_test.go
@@ -14,6 +14,7 @@
 	"birchwood.example/birchwood/emulator/standin"
 	"birchwood.example/birchwood/engine"
 	"birchwood.example/birchwood/engine/enginehttp"
+	"birchwood.example/birchwood/httpclient"
 	"birchwood.example/birchwood/machine"
 )
 
@@ -92,7 +93,7 @@
 		}})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(set.Close)
-		dialer := enginehttp.NewDialer(enginehttp.Options{Zone: zoneA, Timeout: 20 * time.Second})
+		dialer := enginehttp.NewDialer(httpclient.Options{Zone: zoneA, Timeout: 20 * time.Second})
 		DeferCleanup(dialer.Close)
 		client := dialer.Engine(machine.Machine{Address: set.Addresses().Engines["engine"]})
 
--- a/emulator/standin/standin_test.go
+++ b/emulator/standin/standin_test.go
@@ -15,6 +15,7 @@
 	"birchwood.example/birchwood/emulator/standin"
 	"birchwood.example/birchwood/engine"
 	"birchwood.example/birchwood/engine/enginehttp"
+	"birchwood.example/birchwood/httpclient"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/platform"
 	"birchwood.example/birchwood/platform/platformhttp"
@@ -52,9 +53,9 @@
 	Expect(err).NotTo(HaveOccurred())
 	started := &world{
 		set:      set,
-		platform: platformhttp.New(platformhttp.Options{Address: set.Addresses().Platform, Zone: zoneA, Timeout: 5 * time.Second}),
-		engines:  enginehttp.NewDialer(enginehttp.Options{Zone: zoneA, Timeout: 20 * time.Second}),
-		tools:    toolhttp.NewDialer(toolhttp.Options{Zone: zoneA, Timeout: 5 * time.Second}),
+		platform: platformhttp.New(httpclient.Options{Address: set.Addresses().Platform, Zone: zoneA, Timeout: 5 * time.Second}),
+		engines:  enginehttp.NewDialer(httpclient.Options{Zone: zoneA, Timeout: 20 * time.Second}),
+		tools:    toolhttp.NewDialer(httpclient.Options{Zone: zoneA, Timeout: 5 * time.Second}),
 	}
 	DeferCleanup(func() {
 		set.Close()
@@ -150,7 +151,7 @@
 	)
 
 	It("reports a refused connection as not appended", func(ctx SpecContext) {
-		nobody := platformhttp.New(platformhttp.Options{Address: freeAddress()})
+		nobody := platformhttp.New(httpclient.Options{Address: freeAddress()})
 		_, err := nobody.Append(ctx, "s", [][]byte{[]byte("x")})
 		Expect(errors.Is(err, platform.ErrNotAppended)).To(BeTrue())
 	})
--- a/engine/enginehttp/enginehttp.go
+++ b/engine/enginehttp/enginehttp.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -19,29 +18,17 @@
 	"birchwood.example/birchwood/schedule"
 )
 
-// Options are the limits and the identity towards every engine.
-type Options struct {
-	Token string
-	// Zone is the zone of this process, which the engines are told.
-	Zone string
-	// Timeout bounds each request whose context has no deadline, a whole
-	// stream included.
-	Timeout time.Duration
-}
-
 // Dialer returns the clients of engines, one per address. It is safe for
 // concurrent use.
 type Dialer struct{ pool *httpclient.Pool }
 
 var _ engine.Dialer = (*Dialer)(nil)
 
-// NewDialer returns a dialer without clients.
-func NewDialer(options Options) *Dialer {
-	return &Dialer{pool: httpclient.NewPool(httpclient.Options{
-		Token:   options.Token,
-		Zone:    options.Zone,
-		Timeout: options.Timeout,
-	})}
+// NewDialer returns a dialer without clients. The options hold for every one of
+// them; their Address is not used, and their Timeout bounds a request whose
+// context has no deadline, a whole stream included.
+func NewDialer(options httpclient.Options) *Dialer {
+	return &Dialer{pool: httpclient.NewPool(options)}
 }
 
 // Engine implements engine.Dialer.
@@ -61,27 +48,6 @@
 // be resumed from the offset that was received.
 var ErrCutShort = errors.New("engine: stream ended before the last chunk")
 
-type streamBody struct {
-	Stream string `json:"stream"`
-}
-
-type ownerBody struct {
-	Owner api.ProgramID `json:"owner"`
-}
-
-type importBody struct {
-	Owner api.ProgramID `json:"owner"`
-	From  string        `json:"from"`
-}
-
-type prefixesBody struct {
-	Prefixes []engine.Prefix `json:"prefixes"`
-}
-
-type eventsBody struct {
-	Events []engine.CacheEvent `json:"events"`
-}
-
 // Generate implements engine.Client. A refusal (4xx, or 503) is reported as
 // *engine.NotSentError, because the engine promises that it did nothing.
 func (c *client) Generate(ctx context.Context, request engine.GenerateRequest, receive func(engine.Chunk) error) error {
@@ -119,24 +85,24 @@
 
 // Cancel implements engine.Client.
 func (c *client) Cancel(ctx context.Context, stream string) error {
-	return c.http.Do(ctx, fasthttp.MethodPost, "/cancel", streamBody{Stream: stream}, nil)
+	return c.http.Do(ctx, fasthttp.MethodPost, "/cancel", engine.CancelBody{Stream: stream}, nil)
 }
 
 // Release implements engine.Client.
 func (c *client) Release(ctx context.Context, owner api.ProgramID) error {
-	return c.http.Do(ctx, fasthttp.MethodPost, "/release", ownerBody{Owner: owner}, nil)
+	return c.http.Do(ctx, fasthttp.MethodPost, "/release", engine.ReleaseBody{Owner: owner}, nil)
 }
 
 // Prefixes implements engine.Client.
 func (c *client) Prefixes(ctx context.Context) ([]engine.Prefix, error) {
-	var answer prefixesBody
+	var answer engine.PrefixesBody
 	err := c.http.Do(ctx, fasthttp.MethodGet, "/prefixes", nil, &answer)
 	return answer.Prefixes, err
 }
 
 // Events implements engine.Client.
 func (c *client) Events(ctx context.Context, after uint64) ([]engine.CacheEvent, error) {
-	var answer eventsBody
+	var answer engine.EventsBody
 	err := c.http.Do(ctx, fasthttp.MethodGet, fmt.Sprintf("/events?after=%d", after), nil, &answer)
 	return answer.Events, err
 }
@@ -155,5 +121,5 @@
 
 // Import implements engine.Client. It returns once the cache has arrived.
 func (c *client) Import(ctx context.Context, owner api.ProgramID, from string) error {
-	return c.http.Do(ctx, fasthttp.MethodPost, "/import", importBody{Owner: owner, From: from}, nil)
+	return c.http.Do(ctx, fasthttp.MethodPost, "/import", engine.ImportBody{Owner: owner, From: from}, nil)
 }
--- a/node/wire.go
+++ b/node/wire.go
@@ -12,6 +12,7 @@
 	"birchwood.example/birchwood/engine"
 	"birchwood.example/birchwood/engine/enginehttp"
 	"birchwood.example/birchwood/gateway"
+	"birchwood.example/birchwood/httpclient"
 	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/link/linkhttp"
 	"birchwood.example/birchwood/machine"
@@ -68,8 +69,8 @@
 
 func newNodeRandom(self machine.Machine) *rand.Rand { return newRandom(self.ID) }
 
-func platformOptions(file *config.File, address string) platformhttp.Options {
-	return platformhttp.Options{Address: address, Zone: string(file.Node.Zone), Timeout: file.Timings.LogTimeout}
+func platformOptions(file *config.File, address string) httpclient.Options {
+	return httpclient.Options{Address: address, Zone: string(file.Node.Zone), Timeout: file.Timings.LogTimeout}
 }
 
 func newLog(file *config.File) platform.Log {
@@ -81,11 +82,11 @@
 }
 
 func newEngines(file *config.File) engine.Dialer {
-	return enginehttp.NewDialer(enginehttp.Options{Zone: string(file.Node.Zone), Timeout: backendTimeout})
+	return enginehttp.NewDialer(httpclient.Options{Zone: string(file.Node.Zone), Timeout: backendTimeout})
 }
 
 func newTools(file *config.File) tool.Dialer {
-	return toolhttp.NewDialer(toolhttp.Options{Zone: string(file.Node.Zone), Timeout: backendTimeout})
+	return toolhttp.NewDialer(httpclient.Options{Zone: string(file.Node.Zone), Timeout: backendTimeout})
 }
 
 // backendTimeout bounds a request to a back end that has no deadline of its
--- a/scale/fleet.go
+++ b/scale/fleet.go
@@ -11,6 +11,7 @@
 
 	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/emulator/standin"
+	"birchwood.example/birchwood/httpclient"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/platform"
 	"birchwood.example/birchwood/platform/platformhttp"
@@ -72,7 +73,7 @@
 	}
 	f.standins = set
 	f.platformAddress = set.Addresses().Platform
-	f.operator = platformhttp.New(platformhttp.Options{Address: f.platformAddress, Timeout: storeTimeout})
+	f.operator = platformhttp.New(httpclient.Options{Address: f.platformAddress, Timeout: storeTimeout})
 	return f, nil
 }
 
--- a/scale/member.go
+++ b/scale/member.go
@@ -13,6 +13,7 @@
 
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/httpclient"
 	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/link"
 	"birchwood.example/birchwood/link/linkhttp"
@@ -80,7 +81,7 @@
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 	}
-	m.platform = platformhttp.New(platformhttp.Options{Address: f.platformAddress, Zone: string(place), Timeout: storeTimeout})
+	m.platform = platformhttp.New(httpclient.Options{Address: f.platformAddress, Zone: string(place), Timeout: storeTimeout})
 	go func() { _ = m.server.Serve(listener) }()
 	return m, nil
 }
--- a/tool/toolhttp/toolhttp.go
+++ b/tool/toolhttp/toolhttp.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"net/url"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -16,28 +15,17 @@
 	"birchwood.example/birchwood/tool"
 )
 
-// Options are the limits and the identity towards every tool service.
-type Options struct {
-	Token string
-	// Zone is the zone of this process, which the services are told.
-	Zone string
-	// Timeout bounds each request whose context has no deadline.
-	Timeout time.Duration
-}
-
 // Dialer returns the clients of tool services, one per address. It is safe
 // for concurrent use.
 type Dialer struct{ pool *httpclient.Pool }
 
 var _ tool.Dialer = (*Dialer)(nil)
 
-// NewDialer returns a dialer without clients.
-func NewDialer(options Options) *Dialer {
-	return &Dialer{pool: httpclient.NewPool(httpclient.Options{
-		Token:   options.Token,
-		Zone:    options.Zone,
-		Timeout: options.Timeout,
-	})}
+// NewDialer returns a dialer without clients. The options hold for every one of
+// them; their Address is not used, and their Timeout bounds a request whose
+// context has no deadline.
+func NewDialer(options httpclient.Options) *Dialer {
+	return &Dialer{pool: httpclient.NewPool(options)}
 }
 
 // Tool implements tool.Dialer.
