httpclient: give up an engine that has fallen silent

Cause: a call to an engine whose zone was cut off waited for its whole call_timeout of 60 s and then failed without another attempt, although engines send at least an empty line every half second. Seen on birchwood dev with the requests from one zone to another held.

Change: Lines gives up after Options.Silence (5 s) without a line, before the answer begins too, and says ErrSilent; the call is then tried at another engine like after any failure.

--- a/httpclient/client.go
+++ b/httpclient/client.go
@@ -23,6 +23,8 @@
 	defaultDialTimeout      = time.Second
 	defaultMaxConnections   = 4096
 	defaultMaxResponseBytes = 64 << 20
+	// defaultSilence is ten times what engines let pass between two lines.
+	defaultSilence = 5 * time.Second
 	// idleTimeout is shorter than what servers keep idle connections for, so
 	// that a connection is seldom closed under a request.
 	idleTimeout = 5 * time.Second
@@ -38,8 +40,11 @@
 	// Zone is sent as the caller's zone.
 	Zone string
 	// Timeout bounds a request whose context has no deadline.
-	Timeout          time.Duration
-	DialTimeout      time.Duration
+	Timeout     time.Duration
+	DialTimeout time.Duration
+	// Silence is the longest time without a line, empty ones included, in
+	// which the answer to Lines is still waited for, its beginning too.
+	Silence          time.Duration
 	MaxConnections   int
 	MaxResponseBytes int
 }
@@ -110,6 +115,9 @@
 	if o.DialTimeout <= 0 {
 		o.DialTimeout = defaultDialTimeout
 	}
+	if o.Silence <= 0 {
+		o.Silence = defaultSilence
+	}
 	if o.MaxConnections <= 0 {
 		o.MaxConnections = defaultMaxConnections
 	}
--- a/httpclient/stream.go
+++ b/httpclient/stream.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -17,12 +19,31 @@
 	maximumLine    = 8 << 20
 )
 
+// ErrSilent says that the server has sent nothing for longer than
+// Options.Silence, as one does whose zone was cut off. The request may have
+// taken effect.
+var ErrSilent = errors.New("the server has fallen silent")
+
 // Lines sends message as JSON and calls receive for each line of the answer,
 // without the line break. Empty lines, which keep the connection alive, are
 // skipped. The line is valid during the call only. Lines returns nil at the
 // end of the answer, receive's error, or the error that cut the answer; the
-// end of the context closes the connection.
+// end of the context, and a silent server, close the connection.
 func (c *Client) Lines(ctx context.Context, path string, message any, receive func(line []byte) error) error {
+	watched, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(c.options.Silence, func() { cancel(ErrSilent) })
+	defer silence.Stop()
+	heard := func() { silence.Reset(c.options.Silence) }
+	err := c.readLines(watched, path, message, heard, receive)
+	if errors.Is(context.Cause(watched), ErrSilent) && errors.Is(err, context.Canceled) {
+		return fmt.Errorf("%s: %w for %s", path, ErrSilent, c.options.Silence)
+	}
+	return err
+}
+
+// readLines is Lines with a function that is told of each line.
+func (c *Client) readLines(ctx context.Context, path string, message any, heard func(), receive func(line []byte) error) error {
 	response, err := c.roundTrip(ctx, fasthttp.MethodPost, path, message, true)
 	if err != nil {
 		return err
@@ -42,7 +63,7 @@
 		defer close(interrupted)
 		_ = body.CloseWithError(ctx.Err())
 	})
-	err = scanLines(body, receive)
+	err = scanLines(body, heard, receive)
 	if !stop() {
 		<-interrupted
 		return ctx.Err()
@@ -51,10 +72,11 @@
 }
 
 // scanLines calls receive for each line that is not empty.
-func scanLines(reader io.Reader, receive func(line []byte) error) error {
+func scanLines(reader io.Reader, heard func(), receive func(line []byte) error) error {
 	scanner := bufio.NewScanner(reader)
 	scanner.Buffer(make([]byte, 0, lineBufferSize), maximumLine)
 	for scanner.Scan() {
+		heard()
 		line := bytes.TrimSpace(scanner.Bytes())
 		if len(line) == 0 {
 			continue
