Say an error's JSON body, and sorting, once

Four packages declared the body of an error answer and decoded it each in its way; two functions of program and one of control wrapped the sorting of keys.

api.ErrorBody and api.ErrorIn serve the gateway, the operators' server, the command line and the load tool. The sorting is the standard library's.

The tests of api, gateway, operator, command, load, program and emulator/cluster pass.

--- a/api/error.go
+++ b/api/error.go
@@ -1,6 +1,9 @@
 package api
 
-import "fmt"
+import (
+	"encoding/json"
+	"fmt"
+)
 
 // Ran says whether the refused or failed request can have taken effect.
 type Ran string
@@ -95,3 +98,17 @@
 	e.RetryAfterMilliseconds = milliseconds
 	return &e
 }
+
+// ErrorBody is the JSON form of every answer that is an error.
+type ErrorBody struct {
+	Error *Error `json:"error"`
+}
+
+// ErrorIn returns the error that a JSON body carries, or nil if it is none.
+func ErrorIn(body []byte) *Error {
+	var decoded ErrorBody
+	if json.Unmarshal(body, &decoded) != nil {
+		return nil
+	}
+	return decoded.Error
+}
--- a/command/operator_client.go
+++ b/command/operator_client.go
@@ -101,13 +101,8 @@
 	if !errors.As(err, &status) {
 		return nil, false
 	}
-	var body struct {
-		Error *api.Error `json:"error"`
-	}
-	if json.Unmarshal([]byte(status.Body), &body) != nil || body.Error == nil {
-		return nil, false
-	}
-	return body.Error, true
+	refusal := api.ErrorIn([]byte(status.Body))
+	return refusal, refusal != nil
 }
 
 // exitError gives the failure of a request its exit code and words.
--- a/control/attendant.go
+++ b/control/attendant.go
@@ -63,7 +63,7 @@
 			a.attended[backend.ID] = &attendedBackend{nextSweep: now.Add(a.config.SweepPeriod)}
 		}
 	}
-	sortIDs(a.order)
+	slices.Sort(a.order)
 }
 
 // attendantOf picks the node that attends a back end: one of the same zone if
@@ -269,5 +269,3 @@
 		c.releaseAt(id, backend)
 	}
 }
-
-func sortIDs(ids []machine.ID) { slices.Sort(ids) }
--- a/control/messages.go
+++ b/control/messages.go
@@ -115,7 +115,7 @@
 			nodes = append(nodes, entry.ID)
 		}
 	}
-	sortIDs(nodes)
+	slices.Sort(nodes)
 	if slices.Contains(nodes, c.config.Self.ID) && slices.Equal(nodes, c.lastListed) {
 		c.listed = true
 		c.routingChanged = true
--- a/control/settings.go
+++ b/control/settings.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"birchwood.example/birchwood/api"
@@ -120,6 +121,6 @@
 	for id := range machines {
 		ids = append(ids, id)
 	}
-	sortIDs(ids)
+	slices.Sort(ids)
 	return ids
 }
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"unicode/utf8"
 
 	"birchwood.example/birchwood/api"
@@ -82,7 +81,7 @@
 
 // errorEvent ends a stream that cannot go on.
 func errorEvent(refusal *api.Error) event {
-	return event{kind: eventError, data: marshal(errorBody{Error: refusal})}
+	return event{kind: eventError, data: marshal(api.ErrorBody{Error: refusal})}
 }
 
 // writeTo appends the event's lines to the buffer.
@@ -104,9 +103,8 @@
 
 // failure returns the error that an error event carries.
 func (e event) failure() *api.Error {
-	var body errorBody
-	if json.Unmarshal(e.data, &body) != nil || body.Error == nil {
-		return api.Refuse(api.CodeOwnerUnknown, "the owner's stream broke off")
+	if failure := api.ErrorIn(e.data); failure != nil {
+		return failure
 	}
-	return body.Error
+	return api.Refuse(api.CodeOwnerUnknown, "the owner's stream broke off")
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -162,15 +161,15 @@
 	if status < fasthttp.StatusBadRequest {
 		return result
 	}
-	var failure errorBody
-	if json.Unmarshal(body, &failure) != nil || failure.Error == nil {
+	failure := api.ErrorIn(body)
+	if failure == nil {
 		return relayFailed(errors.New("not an answer of a gateway"))
 	}
-	if failure.Error.Code == api.CodeUnauthorized {
+	if failure.Code == api.CodeUnauthorized {
 		g.logger.Warn().Str("node", address).Msg(logPrefix + "A node refused this node's peer token.")
 		return relayFailed(errNotSent)
 	}
-	result = refusedLocally(failure.Error)
+	result = refusedLocally(failure)
 	result.owner = string(incoming.Header.Peek(headerOwner))
 	return result
 }
--- a/gateway/respond.go
+++ b/gateway/respond.go
@@ -31,12 +31,7 @@
 	if refusal.Code == api.CodeUnauthorized {
 		ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, "Bearer")
 	}
-	writeJSON(ctx, status, marshal(errorBody{Error: refusal}))
-}
-
-// errorBody is the JSON form of every error answer.
-type errorBody struct {
-	Error *api.Error `json:"error"`
+	writeJSON(ctx, status, marshal(api.ErrorBody{Error: refusal}))
 }
 
 // marshal encodes a value whose type always can be.
--- a/load/caller.go
+++ b/load/caller.go
@@ -105,11 +105,6 @@
 	return got, err
 }
 
-// errorBody is the JSON form of a refusal.
-type errorBody struct {
-	Error *api.Error `json:"error"`
-}
-
 // refusalOf turns an answer with an error status into the refusal that it
 // carries.
 func refusalOf(err error) error {
@@ -117,11 +112,10 @@
 	if !errors.As(err, &status) {
 		return err
 	}
-	var body errorBody
-	if json.Unmarshal([]byte(status.Body), &body) != nil || body.Error == nil {
-		return err
+	if refusal := api.ErrorIn([]byte(status.Body)); refusal != nil {
+		return refusal
 	}
-	return body.Error
+	return err
 }
 
 // create opens a program, or a sub-agent when parent is set.
@@ -285,11 +279,10 @@
 	case "restart":
 		f.text = nil
 	case "error":
-		var body errorBody
-		if err := json.Unmarshal(value, &body); err != nil || body.Error == nil {
-			return errBroken
+		if refusal := api.ErrorIn(value); refusal != nil {
+			return refusal
 		}
-		return body.Error
+		return errBroken
 	case "end":
 		return f.end(value)
 	}
--- a/operator/respond.go
+++ b/operator/respond.go
@@ -41,7 +41,5 @@
 
 // writeError answers with an error.
 func writeError(ctx *fasthttp.RequestCtx, refusal *api.Error) {
-	writeJSON(ctx, refusal.Code.HTTPStatus(), struct {
-		Error *api.Error `json:"error"`
-	}{refusal})
+	writeJSON(ctx, refusal.Code.HTTPStatus(), api.ErrorBody{Error: refusal})
 }
--- a/program/end.go
+++ b/program/end.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"maps"
 	"slices"
 
 	"birchwood.example/birchwood/api"
@@ -41,12 +42,7 @@
 }
 
 func (p *heldProgram) sortedChildren() []api.ProgramID {
-	ids := make([]api.ProgramID, 0, len(p.children))
-	for id := range p.children {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
+	return slices.Sorted(maps.Keys(p.children))
 }
 
 // settle completes the end of a program once its calls and sub-agents have
--- a/program/recover.go
+++ b/program/recover.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -45,12 +46,7 @@
 }
 
 func (s *Store) sortedIDs() []api.ProgramID {
-	ids := make([]api.ProgramID, 0, len(s.programs))
-	for id := range s.programs {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
+	return slices.Sorted(maps.Keys(s.programs))
 }
 
 func (t *transition) resume(p *heldProgram) {
