--- /dev/null
+++ b/control/sweep_test.go
@@ -0,0 +1,88 @@
+package control_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/engine"
+	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/schedule"
+	"birchwood.example/birchwood/zone"
+)
+
+// attendant is a node that looks after one engine.
+type attendant struct {
+	core   *control.Core
+	now    time.Time
+	sweeps int
+}
+
+func newAttendant() *attendant {
+	random := rand.New(rand.NewPCG(1, 1))
+	self := machine.Machine{ID: "node-1", Kind: machine.KindNode, Zone: "isando", Address: "10.0.0.1:1", Status: machine.StatusLive, Incarnation: 1}
+	settings := schedule.DefaultConfig()
+	settings.Self = self.Zone
+	settings.Random = random
+	settings.LinkDelay = func(zone.Name) time.Duration { return time.Millisecond }
+	policy, err := schedule.New(settings)
+	Expect(err).NotTo(HaveOccurred())
+	config := control.DefaultConfig(self, journal.WriterName(self.ID, self.Incarnation), random, policy)
+	config.Follower.Zones = []zone.Name{self.Zone}
+	core, err := control.New(config)
+	Expect(err).NotTo(HaveOccurred())
+	started := &attendant{core: core, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	started.step(control.MachinesListed{Machines: []machine.Machine{self, {
+		ID: "engine-1", Kind: machine.KindEngine, Zone: self.Zone, Address: "10.0.1.1:1",
+		Status: machine.StatusLive, Models: []string{"birch-8b"}, Slots: 1, CacheTokens: 1,
+	}}})
+	return started
+}
+
+// step gives the core an event and counts the sweeps that it asks for.
+func (a *attendant) step(event control.Event) {
+	a.core.Step(a.now, event)
+	for _, action := range a.core.Ready() {
+		if _, sweeps := action.(control.ListPrefixes); sweeps {
+			a.sweeps++
+		}
+	}
+}
+
+// observe hands over cache events and lets a moment pass, much shorter than
+// the period of the sweeps.
+func (a *attendant) observe(sequences ...uint64) {
+	observed := control.BackendObserved{Backend: "engine-1"}
+	for _, sequence := range sequences {
+		observed.Events = append(observed.Events, engine.CacheEvent{Sequence: sequence, Owner: "cold.0.0000000000000001"})
+	}
+	a.step(observed)
+	a.now = a.now.Add(10 * time.Millisecond)
+	a.step(control.Tick{})
+}
+
+var _ = Describe("The memory of an engine", func() {
+	It("is looked through at once after a gap in its cache events, and not before", func() {
+		node := newAttendant()
+		node.observe(5, 6)
+		node.observe(7)
+		Expect(node.sweeps).To(BeZero())
+		node.observe(9)
+		Expect(node.sweeps).To(Equal(1))
+		node.observe(10, 12)
+		Expect(node.sweeps).To(Equal(2))
+	})
+
+	It("is looked through in every period, though events never come", func() {
+		node := newAttendant()
+		for range 60 {
+			node.now = node.now.Add(time.Second)
+			node.step(control.Tick{})
+		}
+		Expect(node.sweeps).To(BeNumerically(">=", 5))
+	})
+})
