Name files for what they hold instead of "types"

Five packages kept their records, commands, messages, events and outputs in a types.go, whose name tells nothing: the largest held a program's whole vocabulary.

--- a/contract/path.go
+++ b/contract/path.go
@@ -6,6 +6,10 @@
 	"strings"
 )
 
+// Path names a branch of the tree, such as "koudeketting/triage"; the root is
+// the empty path.
+type Path string
+
 // Root is the path of the branch that every other branch inherits from.
 const Root Path = ""
 
--- a/contract/values.go
+++ b/contract/values.go
@@ -9,6 +9,37 @@
 	"birchwood.example/birchwood/zone"
 )
 
+// Values are the settings that one branch overrides. A nil field is
+// inherited from the nearest ancestor that sets it.
+type Values struct {
+	// Zones are the places that data of the branch may visit. A branch can
+	// only narrow what its parent permits.
+	Zones  []zone.Name `json:"zones,omitempty" yaml:"zones"`
+	Models []string    `json:"models,omitempty" yaml:"models"`
+	Tools  []string    `json:"tools,omitempty" yaml:"tools"`
+	// Priority orders programs, 0 (least urgent) to 9.
+	Priority        *int           `json:"priority,omitempty" yaml:"priority"`
+	BudgetTokens    *int64         `json:"budget_tokens,omitempty" yaml:"budget_tokens"`
+	MaxTurns        *int           `json:"max_turns,omitempty" yaml:"max_turns"`
+	MaxOutputTokens *int           `json:"max_output_tokens,omitempty" yaml:"max_output_tokens"`
+	Attempts        *int           `json:"attempts,omitempty" yaml:"attempts"`
+	MaxDuration     *time.Duration `json:"max_duration,omitempty" yaml:"max_duration"`
+	IdleTimeout     *time.Duration `json:"idle_timeout,omitempty" yaml:"idle_timeout"`
+	CallTimeout     *time.Duration `json:"call_timeout,omitempty" yaml:"call_timeout"`
+	ToolTimeout     *time.Duration `json:"tool_timeout,omitempty" yaml:"tool_timeout"`
+	// Retention is how long an ended program's history stays readable.
+	Retention *time.Duration `json:"retention,omitempty" yaml:"retention"`
+	// DrainedBackends get no new work of programs of the branch. They add to
+	// those of the branches above.
+	DrainedBackends []string `json:"drained_backends,omitempty" yaml:"drained_backends"`
+	// CallerTokens are hex SHA-256 hashes of the bearer tokens whose holders
+	// act on this branch and below it. They are not inherited values: a token
+	// counts at the branch that lists it.
+	CallerTokens []string `json:"caller_tokens,omitempty" yaml:"caller_tokens"`
+	// OperatorTokens may change settings at this branch and below it.
+	OperatorTokens []string `json:"operator_tokens,omitempty" yaml:"operator_tokens"`
+}
+
 // duration is a time.Duration whose JSON form is text such as "1m30s". It
 // also reads a number of nanoseconds.
 type duration time.Duration
--- a/emulator/enginemodel/output.go
+++ b/emulator/enginemodel/output.go
@@ -10,6 +10,60 @@
 	"birchwood.example/birchwood/schedule"
 )
 
+// Output is what the engine tells, a tagged union: exactly one field beside
+// At is set.
+type Output struct {
+	// At is when it is told; a report or a cache event is told late.
+	At         time.Time
+	FirstToken string
+	Finished   *Finished
+	CacheEvent *engine.CacheEvent
+	Load       *schedule.Load
+	Imported   *Imported
+	ModelReady string
+}
+
+// Finished is the end of a stream.
+type Finished struct {
+	Stream string
+	Owner  api.ProgramID
+	Usage  api.Usage
+	// Resident is how many tokens of the owner's prefix are cached now.
+	Resident  int
+	Cancelled bool
+	// FirstTokenAt is when the first token was there.
+	FirstTokenAt time.Time
+	Load         schedule.Load
+}
+
+// Imported is the end of a KV transfer.
+type Imported struct {
+	Owner  api.ProgramID
+	Tokens int
+}
+
+// Progress is how far a stream is.
+type Progress struct {
+	Produced int
+	Done     bool
+	Finished Finished
+}
+
+// Statistics count what the engine did since its start.
+type Statistics struct {
+	Finished       int
+	PrefillTokens  int64
+	CachedTokens   int64
+	OutputTokens   int64
+	ImportedTokens int64
+	Evictions      int
+	// IdleTokenSeconds is the KV memory that was held and never used again:
+	// tokens times seconds from the last use to the eviction or release.
+	IdleTokenSeconds float64
+	// Busy is the time with a running iteration.
+	Busy time.Duration
+}
+
 // outputs are the engine's tidings that are not told yet. Cache events and
 // load reports are told late, each in their order.
 type outputs struct {
--- /dev/null
+++ b/emulator/enginemodel/role.go
@@ -0,0 +1,19 @@
+package enginemodel
+
+// Role trades prefill throughput against the smoothness of running answers.
+type Role string
+
+// The roles of an engine.
+const (
+	RoleBalanced Role = "balanced"
+	// RolePrefill lets an iteration take four times the prefill.
+	RolePrefill Role = "prefill"
+	// RoleDecode lets an iteration take an eighth of the prefill.
+	RoleDecode Role = "decode"
+)
+
+// roleChunks is the share of ChunkTokens that each role prefills, in eighths.
+var roleChunks = map[Role]int{RoleBalanced: 8, RolePrefill: 32, RoleDecode: 1}
+
+// chunkUnit is the denominator of roleChunks.
+const chunkUnit = 8
--- a/partition/id.go
+++ b/partition/id.go
@@ -7,6 +7,13 @@
 	"strings"
 )
 
+// ID names a partition: one log stream, one placement, one valid owner. Its
+// text form is "<group>.<index>", which is also the stream's name.
+type ID struct {
+	Group Group `json:"group"`
+	Index int   `json:"index"`
+}
+
 // Group names the programs whose partitions share one placement: those of one
 // branch of the settings. Its placement is not part of the name, so that a
 // group whose place rule changes keeps its streams, and only its owners move.
