Remove members of machine and workload that nothing calls

Which paths fail is held by the gateway's breakers ("reaches an owner that is cut off from its own node through a third one"); the demand by emulator's capacity, which has its own sum by model.

The tests of machine, workload, emulator and emulator/cluster pass.

--- a/machine/doc.go
+++ b/machine/doc.go
@@ -4,10 +4,10 @@
 // # Membership
 //
 // Membership is a pure state machine. The driver passes in the platform's
-// machine list (Observe), messages of peers (Step), the time (Tick) and hints
-// from traffic (ReportFailure, ReportSuccess), and sends what Ready returns.
-// It calls Tick no later than NextWake. Nothing here reads a clock, opens a
-// connection or uses a random source that was not passed in.
+// machine list (Observe), messages of peers (Step) and the time (Tick), and
+// sends what Ready returns. It calls Tick no later than NextWake. Nothing here
+// reads a clock, opens a connection or uses a random source that was not passed
+// in.
 //
 // The machine list is the only source of addresses, but it lags. Failures are
 // therefore found by probing, after SWIM (Das, Gupta, Motivala: "SWIM:
--- a/machine/membership.go
+++ b/machine/membership.go
@@ -208,13 +208,6 @@
 	return all
 }
 
-// Reachable reports whether the node answered the last direct probe from
-// here. A node that only peers can reach is live and not reachable.
-func (m *Membership) Reachable(id ID) bool {
-	known, ok := m.records[id]
-	return ok && !known.unreachable && known.status != StatusDead
-}
-
 // SetRevision tells the highest settings revision that this node holds. A
 // higher one than before is passed on like other news.
 func (m *Membership) SetRevision(revision uint64) {
--- a/machine/probe.go
+++ b/machine/probe.go
@@ -102,32 +102,10 @@
 func (m *Membership) probeReturning(now time.Time, from ID) {
 	known, ok := m.records[from]
 	if ok && known.status == StatusDead {
-		m.startProbe(now, from, false)
+		m.startProbe(now, from)
 	}
 }
 
-// ReportFailure says that traffic to the node failed. The node is probed at
-// once, directly and through peers.
-func (m *Membership) ReportFailure(now time.Time, id ID) {
-	m.advance(now)
-	known, ok := m.records[id]
-	if ok && known.listed.Kind == KindNode && known.status == StatusLive {
-		m.startProbe(now, id, true)
-	}
-}
-
-// ReportSuccess says that traffic to the node was answered.
-func (m *Membership) ReportSuccess(now time.Time, id ID) {
-	m.advance(now)
-	known, ok := m.records[id]
-	if !ok || known.listed.Kind != KindNode {
-		return
-	}
-	m.health.improve(now)
-	known.unreachable = false
-	m.clearSuspicion(known)
-}
-
 // probeNext probes the next peers of the shuffled rotation. While nodes of a
 // zone are suspect, every second round goes to that zone alone: the nodes of a
 // zone often fail together.
@@ -139,7 +117,7 @@
 			target, ok = m.rotation.next(m.config.Random, m.notDead)
 		}
 		if ok {
-			m.startProbe(now, target, false)
+			m.startProbe(now, target)
 		}
 	}
 }
@@ -176,12 +154,12 @@
 		return ok && known.status == StatusDead
 	}
 	if target, ok := m.deadRotation.next(m.config.Random, dead); ok {
-		m.startProbe(now, target, false)
+		m.startProbe(now, target)
 	}
 }
 
 // startProbe sends a probe unless the target was probed a moment ago.
-func (m *Membership) startProbe(now time.Time, target ID, indirect bool) {
+func (m *Membership) startProbe(now time.Time, target ID) {
 	known := m.records[target]
 	if !known.lastProbe.IsZero() && now.Sub(known.lastProbe) < m.config.ProbePeriod {
 		return
@@ -194,9 +172,6 @@
 		deadline: now.Add(m.health.scale(m.config.ProbeTimeout)),
 	}
 	m.send(target, Message{Kind: MessageProbe, Sequence: m.sequence})
-	if indirect {
-		m.askOthers(now, m.sequence)
-	}
 }
 
 // askOthers sends indirect probes through random live peers.
@@ -264,7 +239,7 @@
 		}
 	}
 	if latest != nil {
-		m.startProbe(now, latest.listed.ID, false)
+		m.startProbe(now, latest.listed.ID)
 	}
 }
 
--- a/workload/profile.go
+++ b/workload/profile.go
@@ -29,11 +29,6 @@
 	return value
 }
 
-// Mean returns the expected value, without regard to Maximum.
-func (l Lognormal) Mean() float64 {
-	return l.Median * math.Exp(l.Sigma*l.Sigma/2)
-}
-
 // tokens draws a whole number of tokens, at least one.
 func (l Lognormal) tokens(random *rand.Rand) int {
 	return max(1, int(math.Round(l.Draw(random))))
