Spread load reports in one message a period, and fetch the machine list by version

Change: the reports of one period travel in one message to each of the few peers, and one that says the same as before is repeated only every 4 s. The list carries the version of its content; a node names the one that it holds and gets a short answer while nothing has changed.

"comes whole only when it has changed" holds the list.

--- a/control/attendant.go
+++ b/control/attendant.go
@@ -31,6 +31,10 @@
 	nextSweep time.Time
 	// outstanding is set while a query has not been answered.
 	outstanding bool
+	// spread is the newest load report that peers get or got; unspread is set
+	// while it has not been sent.
+	spread   schedule.Load
+	unspread bool
 }
 
 func newAttendant(config Config) attendant {
@@ -115,6 +119,7 @@
 	queryLoad := !now.Before(c.attendant.nextLoad)
 	if queryLoad {
 		c.attendant.nextLoad = now.Add(c.config.LoadPeriod)
+		c.spreadLoads()
 	}
 	for _, id := range c.attendant.order {
 		attended := c.attendant.attended[id]
@@ -145,7 +150,7 @@
 		load := *event.Load
 		load.At = now
 		c.observeLoad(now, load)
-		c.spreadLoad(load)
+		attended.report(now, load)
 	}
 	c.stepCacheEvents(now, event.Backend, attended, event.Events)
 }
@@ -176,13 +181,39 @@
 	c.config.Policy.ObserveLoad(now, load)
 }
 
-// spreadLoad sends a load report to a few random peers. Nodes learn the loads
-// of the back ends that they use from those back ends' answers; this keeps the
-// others from going stale, at a cost that does not grow with the fleet.
-func (c *Core) spreadLoad(load schedule.Load) {
-	message := link.Message{Load: &link.LoadMessage{Loads: []schedule.Load{load}}}
+// unchangedLoad is how often a load report is spread that says the same as the
+// one before.
+const unchangedLoad = 4 * time.Second
+
+// report keeps a load report to be spread, unless it says nothing new.
+func (a *attendedBackend) report(now time.Time, load schedule.Load) {
+	same := a.spread
+	same.At = load.At
+	if same == load && now.Before(a.spread.At.Add(unchangedLoad)) {
+		return
+	}
+	a.spread = load
+	a.unspread = true
+}
+
+// spreadLoads sends the load reports of one period, in one message, to a few
+// random peers. Nodes learn the loads of the back ends that they use from
+// those back ends' answers; this keeps the others from going stale, at a cost
+// that does not grow with the fleet.
+func (c *Core) spreadLoads() {
+	var loads []schedule.Load
+	for _, id := range c.attendant.order {
+		attended := c.attendant.attended[id]
+		if attended.unspread {
+			attended.unspread = false
+			loads = append(loads, attended.spread)
+		}
+	}
+	if len(loads) == 0 {
+		return
+	}
 	for _, peer := range c.randomPeers(c.config.LoadFanout) {
-		c.sendTo(peer, message)
+		c.sendTo(peer, link.Message{Load: &link.LoadMessage{Loads: loads}})
 	}
 }
 
--- a/emulator/standin/platform.go
+++ b/emulator/standin/platform.go
@@ -1,11 +1,14 @@
 package standin
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/url"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
@@ -77,7 +80,11 @@
 }
 
 type machinesBody struct {
-	Machines []machine.Machine `json:"machines"`
+	Machines []machine.Machine `json:"machines,omitempty"`
+	// Version names the list's content. Unchanged is set, and Machines left
+	// out, when the caller already knows this version.
+	Version   string `json:"version"`
+	Unchanged bool   `json:"unchanged,omitempty"`
 }
 
 type reservedBody struct {
@@ -126,7 +133,22 @@
 
 // list shows the machines.
 func (p *platformService) list(ctx *fasthttp.RequestCtx) {
-	answer(ctx, machinesBody{Machines: p.shown(time.Now())})
+	shown := p.shown(time.Now())
+	version := versionOf(shown)
+	if string(ctx.QueryArgs().Peek("known")) == version {
+		answer(ctx, machinesBody{Version: version, Unchanged: true})
+		return
+	}
+	answer(ctx, machinesBody{Machines: shown, Version: version})
+}
+
+// versionOf names the content of a list.
+func versionOf(listed []machine.Machine) string {
+	encoded, err := json.Marshal(listed)
+	if err != nil {
+		panic("standin: a machine has no JSON form: " + err.Error())
+	}
+	return strconv.FormatUint(xxhash.Sum64(encoded), 16)
 }
 
 // shown returns the machine list as it shows at a time.
--- a/emulator/standin/standin_test.go
+++ b/emulator/standin/standin_test.go
@@ -178,6 +178,26 @@
 		w.set.Faults().Remove("lag")
 		Eventually(ids).Should(Equal([]machine.ID{"depot-1", "engine-1", "engine-2"}))
 	})
+
+	It("comes whole only when it has changed", func(ctx SpecContext) {
+		w := start()
+		Eventually(func() (int, error) {
+			listed, err := w.platform.Machines(ctx)
+			return len(listed), err
+		}).Should(Equal(3))
+		whole := w.platform.FullLists()
+		for range 5 {
+			listed, err := w.platform.Machines(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(listed).To(HaveLen(3))
+		}
+		Expect(w.platform.FullLists()).To(Equal(whole))
+		Expect(w.set.Leave("depot-1")).To(Succeed())
+		Eventually(func() (uint64, error) {
+			_, err := w.platform.Machines(ctx)
+			return w.platform.FullLists(), err
+		}).Should(Equal(whole + 1))
+	})
 })
 
 var _ = Describe("A model engine", func() {
