scale: count the machine lists that come whole

Cause: the list is fetched by version now; counting every read as a whole list overstated what a node reads.

Change: reads that bring the whole list are counted.

--- a/scale/fleet.go
+++ b/scale/fleet.go
@@ -231,7 +231,7 @@
 
 // of returns the machine list of a node.
 func (l *machineLists) of(reader *member) platform.MachineList {
-	return machineList{MachineList: reader.platform, lists: l}
+	return machineList{Platform: reader.platform, lists: l}
 }
 
 // bytes is the size of the list as JSON.
@@ -248,14 +248,15 @@
 }
 
 type machineList struct {
-	platform.MachineList
+	*platformhttp.Platform
 	lists *machineLists
 }
 
-// Machines counts the reads.
+// Machines counts the reads that brought the whole list.
 func (l machineList) Machines(ctx context.Context) ([]machine.Machine, error) {
-	listed, err := l.MachineList.Machines(ctx)
-	l.lists.reads.Add(1)
+	whole := l.FullLists()
+	listed, err := l.Platform.Machines(ctx)
+	l.lists.reads.Add(int64(l.FullLists() - whole))
 	l.lists.entries.Store(int64(len(listed)))
 	return listed, err
 }
