Look whether a connection was closed with one piece of code

httpclient and gateway had the same look at a connection's next byte, once for idle connections, once for idle connections and callers that hang up.

Package connection, in the first layer, holds it as Probe; both use it.

Its tests, and those of httpclient and gateway that rest on it, were seen failing with the end of the stream not taken for a close, and its own with an empty connection taken for one.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -7,12 +7,12 @@
 	"io"
 	"net"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/connection"
 )
 
 // contentTypeEvents is the type of server-sent events.
@@ -46,7 +46,8 @@
 			if err != nil {
 				return nil, errNotSent
 			}
-			return &patientConn{Conn: conn, raw: rawConn(conn), silence: config.PeerSilence}, nil
+			probe, probed := connection.NewProbe(conn)
+			return &patientConn{Conn: conn, probe: probe, probed: probed, silence: config.PeerSilence}, nil
 		},
 	}
 }
@@ -59,7 +60,9 @@
 // request was sent.
 type patientConn struct {
 	net.Conn
-	raw     syscall.RawConn
+	// probe looks at the connection, unless probed is not set.
+	probe   connection.Probe
+	probed  bool
 	silence time.Duration
 	// sending is set between the first write of a request and its answer.
 	sending bool
@@ -78,7 +81,7 @@
 // Write sends bytes of a request. It fails with errIdleClosed when the request
 // was not begun and the other node has closed the connection.
 func (c *patientConn) Write(buffer []byte) (int, error) {
-	if !c.sending && c.raw != nil && closedByPeer(c.raw) {
+	if !c.sending && c.probed && c.probe.Closed() {
 		return 0, errIdleClosed
 	}
 	c.sending = true
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -19,7 +19,7 @@
 // layers orders the packages: each may import only packages of earlier lines.
 // A folder stands for every package below it that has no entry of its own.
 var layers = [][]string{
-	{"findings"},
+	{"findings", "connection"},
 	{"zone", "httpclient", "stream", "retry"},
 	{"machine", "api"},
 	{"contract", "journal", "platform", "tool", "history"},
