control: forget an offer of a partition that the node does not take

Cause: a node that was offered a partition noted itself as the owner.

Change: closing a replica that is not needed takes the note back.

--- a/control/owned.go
+++ b/control/owned.go
@@ -206,6 +206,9 @@
 func (c *Core) closeIfIdle(owned *ownedPartition) {
 	if owned.replica.State() == partition.StateFollowing && !owned.replica.HasReady() && !c.desires(owned) {
 		delete(c.partitions, owned.id)
+		if c.hints[owned.id] == c.config.Self.ID {
+			c.setHint(owned.id, "") // It was offered here, and never came.
+		}
 		c.routingChanged = true
 	}
 }
--- a/control/sweep_test.go
+++ b/control/sweep_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/control"
 	"birchwood.example/birchwood/engine"
 	"birchwood.example/birchwood/journal"
@@ -20,9 +21,14 @@
 	core   *control.Core
 	now    time.Time
 	sweeps int
+	// listed is the machine list, and settingsRead the last read of the
+	// settings that the core asked for.
+	listed       []machine.Machine
+	settingsRead contract.FollowerRead
 }
 
-func newAttendant() *attendant {
+// newAttendant starts the node, with peers that the machine list shows too.
+func newAttendant(peers ...machine.Machine) *attendant {
 	random := rand.New(rand.NewPCG(1, 1))
 	self := machine.Machine{ID: "node-1", Kind: machine.KindNode, Zone: "isando", Address: "10.0.0.1:1", Status: machine.StatusLive, Incarnation: 1}
 	settings := schedule.DefaultConfig()
@@ -36,19 +42,23 @@
 	core, err := control.New(config)
 	Expect(err).NotTo(HaveOccurred())
 	started := &attendant{core: core, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
-	started.step(control.MachinesListed{Machines: []machine.Machine{self, {
+	started.listed = append([]machine.Machine{self, {
 		ID: "engine-1", Kind: machine.KindEngine, Zone: self.Zone, Address: "10.0.1.1:1",
 		Status: machine.StatusLive, Models: []string{"birch-8b"}, Slots: 1, CacheTokens: 1,
-	}}})
+	}}, peers...)
+	started.step(control.MachinesListed{Machines: started.listed})
 	return started
 }
 
-// step gives the core an event and counts the sweeps that it asks for.
+// step gives the core an event and notes what it asks for.
 func (a *attendant) step(event control.Event) {
 	a.core.Step(a.now, event)
 	for _, action := range a.core.Ready() {
-		if _, sweeps := action.(control.ListPrefixes); sweeps {
+		switch action := action.(type) {
+		case control.ListPrefixes:
 			a.sweeps++
+		case control.ReadSettings:
+			a.settingsRead = action.Read
 		}
 	}
 }
