gateway, httpclient: use the buffers of streams again

Cause: each answer of an engine was read through a new line buffer of 4 KiB, and each stream of another node through a new reader of 4 KiB.

Change: both come from a pool and go back when the stream has been released.

--- a/gateway/source.go
+++ b/gateway/source.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -224,12 +225,13 @@
 // eventBytes is the size of the buffer for an event's lines.
 const eventBytes = 4 << 10
 
+// eventReaders holds readers for reuse.
+var eventReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, eventBytes) }}
+
 func newRemoteSource(g *Gateway, response *fasthttp.Response) *remoteSource {
-	return &remoteSource{
-		gateway:  g,
-		response: response,
-		reader:   bufio.NewReaderSize(response.BodyStream(), eventBytes),
-	}
+	reader := eventReaders.Get().(*bufio.Reader)
+	reader.Reset(response.BodyStream())
+	return &remoteSource{gateway: g, response: response, reader: reader}
 }
 
 // next implements source.
@@ -299,7 +301,11 @@
 	}()
 }
 
+// release gives back what the source holds; nothing reads from it any more.
 func (s *remoteSource) release() {
+	s.reader.Reset(nil)
+	eventReaders.Put(s.reader)
+	s.reader = nil
 	_ = s.response.CloseBodyStream()
 	fasthttp.ReleaseResponse(s.response)
 }
--- a/httpclient/stream.go
+++ b/httpclient/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -24,6 +25,9 @@
 // taken effect.
 var ErrSilent = errors.New("the server has fallen silent")
 
+// lineBuffers holds buffers for reuse: most streams need no larger one.
+var lineBuffers = sync.Pool{New: func() any { return new([lineBufferSize]byte) }}
+
 // Lines sends message as JSON and calls receive for each line of the answer,
 // without the line break. Empty lines, which keep the connection alive, are
 // skipped. The line is valid during the call only. Lines returns nil at the
@@ -73,8 +77,10 @@
 
 // scanLines calls receive for each line that is not empty.
 func scanLines(reader io.Reader, heard func(), receive func(line []byte) error) error {
+	buffer := lineBuffers.Get().(*[lineBufferSize]byte)
+	defer lineBuffers.Put(buffer)
 	scanner := bufio.NewScanner(reader)
-	scanner.Buffer(make([]byte, 0, lineBufferSize), maximumLine)
+	scanner.Buffer(buffer[:0], maximumLine)
 	for scanner.Scan() {
 		heard()
 		line := bytes.TrimSpace(scanner.Bytes())
