--- a/emulator/bench.go
+++ b/emulator/bench.go
@@ -1,12 +1,12 @@
 package emulator
 
 import (
-	"errors"
 	"fmt"
 	"slices"
 	"time"
 
 	"birchwood.example/birchwood/emulator/enginemodel"
+	"birchwood.example/birchwood/findings"
 	"birchwood.example/birchwood/schedule"
 	"birchwood.example/birchwood/workload"
 )
@@ -62,30 +62,18 @@
 
 // validate collects everything that is wrong.
 func (c BenchConfig) validate() error {
-	var findings []error
-	if len(c.Deployment.Replicas) == 0 {
-		findings = append(findings, errors.New("bench: deployment: has no replicas"))
-	}
-	if len(c.Policies) == 0 {
-		findings = append(findings, errors.New("bench: policies: want at least one"))
-	}
+	found := findings.Of("bench")
+	found.Require(len(c.Deployment.Replicas) > 0, "deployment", "has no replicas")
+	found.Require(len(c.Policies) > 0, "policies", "want at least one")
 	for _, name := range c.Policies {
-		if c.NewPolicy == nil && !slices.Contains(AllPolicies(), name) {
-			findings = append(findings, fmt.Errorf("bench: policy %q: want one of %v", name, AllPolicies()))
-		}
-	}
-	if c.Programs <= 0 {
-		findings = append(findings, fmt.Errorf("bench: programs: want more than 0, got %d", c.Programs))
-	}
-	if c.Load <= 0 {
-		findings = append(findings, fmt.Errorf("bench: load: want more than 0, got %g", c.Load))
+		found.Require(c.NewPolicy != nil || slices.Contains(AllPolicies(), name), "policies", "got %q, want one of %v", name, AllPolicies())
 	}
+	findings.Positive(found, "programs", c.Programs)
+	findings.Positive(found, "load", c.Load)
 	for i, fault := range c.Faults {
-		if err := fault.validate(c.Deployment); err != nil {
-			findings = append(findings, fmt.Errorf("bench: faults[%d]: %w", i, err))
-		}
+		found.NoError(fmt.Sprintf("faults[%d]", i), fault.validate(c.Deployment))
 	}
-	return errors.Join(findings...)
+	return found.Err()
 }
 
 // withDefaults fills the zero fields.
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -14,14 +14,16 @@
 //
 // perform is the only layer that retries. A node that got a request from
 // another one reports what it finds, so that attempts do not multiply; a
-// budget shared by all requests bounds the amplification. Repeating a request
+// budget shared by all requests, which only success fills, bounds the
+// amplification. Repeating a request
 // is safe although an attempt without an answer may have taken effect, because
 // the owner knows each create and submit by the caller's key, and a repeated
 // cancel or end changes nothing.
 //
 // A refusal says "not_run" only when that is certain. Once an attempt may have
 // taken effect, a later refusal is answered as outcome_unknown: the first
-// attempt may still be on its way to a back end.
+// attempt may still be on its way to a back end. A call whose state or stream
+// the caller has got is such an attempt.
 //
 // # Waiting and streaming
 //
--- a/load/config.go
+++ b/load/config.go
@@ -2,14 +2,13 @@
 
 import (
 	"cmp"
-	"errors"
-	"fmt"
 	"net"
 	"slices"
 	"strings"
 	"time"
 
 	"birchwood.example/birchwood/contract"
+	"birchwood.example/birchwood/findings"
 	"birchwood.example/birchwood/history"
 	"birchwood.example/birchwood/workload"
 )
@@ -73,22 +72,17 @@
 
 // validate reports everything that is wrong.
 func (c Config) validate() error {
-	var findings []error
-	check := func(ok bool, format string, arguments ...any) {
-		if !ok {
-			findings = append(findings, fmt.Errorf(format, arguments...))
-		}
-	}
-	check(len(c.Targets) > 0, "target: want at least one address")
+	found := findings.Of("load config")
+	found.Require(len(c.Targets) > 0, "target", "want at least one address")
 	for _, address := range slices.Concat(c.Targets, c.Operators, c.ToolServices, c.Engines) {
 		_, _, err := net.SplitHostPort(address)
-		check(err == nil, "address %q: want ip:port", address)
+		found.Require(err == nil, "address", "got %q, want ip:port", address)
 	}
-	check(c.Programs > 0, "programs: want at least 1")
-	check(c.Rate >= 0, "rate: want more than 0")
-	check(c.Speed >= 0, "speed: want more than 0")
-	check(c.CallTimeout >= 0, "call timeout: want more than 0")
-	return errors.Join(findings...)
+	findings.Positive(found, "programs", c.Programs)
+	findings.AtLeast(found, "rate", c.Rate, 0)
+	findings.AtLeast(found, "speed", c.Speed, 0)
+	findings.AtLeast(found, "call timeout", c.CallTimeout, 0)
+	return found.Err()
 }
 
 // token returns the token of the nearest branch that has one.
