--- a/schedule/config.go
+++ b/schedule/config.go
@@ -126,7 +126,7 @@
 			MoveWeight:     4,
 			MemoryFill:     0.8,
 			SmallShare:     0.015,
-			FloodFill:      0.7,
+			FloodFill:      0.5,
 			ReuseFloor:     0.1,
 			ReviewInterval: time.Second,
 		},
