Order a program of unknown arrival by its call

The control core does not know a program's arrival yet; with the zero time every call had the same place but for the attained service, and nothing aged.

Arrived zero now means Enqueued.

Tested: a long program is not overtaken by one that came 20 s later; seen failing with the rule switched off. Found by reading the caller, not by a run.

--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -77,6 +77,9 @@
 // Enqueue implements Policy.
 func (s *Scheduler) Enqueue(now time.Time, request Request) {
 	s.now = now
+	if request.Arrived.IsZero() {
+		request.Arrived = request.Enqueued
+	}
 	if request.Kind == api.CallModel {
 		s.resumed(now, request.Call.Program)
 	} else {
