--- a/emulator/bench.go
+++ b/emulator/bench.go
@@ -66,7 +66,8 @@
 	found.Require(len(c.Deployment.Replicas) > 0, "deployment", "has no replicas")
 	found.Require(len(c.Policies) > 0, "policies", "want at least one")
 	for _, name := range c.Policies {
-		found.Require(c.NewPolicy != nil || slices.Contains(AllPolicies(), name), "policies", "got %q, want one of %v", name, AllPolicies())
+		known := c.NewPolicy != nil || slices.Contains(AllPolicies(), name)
+		found.Require(known, fmt.Sprintf("policy %q", name), "want one of %v", AllPolicies())
 	}
 	findings.Positive(found, "programs", c.Programs)
 	findings.Positive(found, "load", c.Load)
