Test the order of a program of unknown arrival

The test and the field's comment stand here.

Tested: passes, and was seen failing with the rule switched off.

--- a/schedule/request.go
+++ b/schedule/request.go
@@ -25,7 +25,8 @@
 	OutputCap    int
 	// Attained is the service the program has received so far, in tokens.
 	Attained int64
-	// Arrived is the program's arrival; Deadline bounds the call.
+	// Arrived is the program's arrival, by which held calls are ordered; zero
+	// means Enqueued. Deadline bounds the call; zero means no bound.
 	Arrived  time.Time
 	Enqueued time.Time
 	Deadline time.Time
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -50,6 +50,15 @@
 		Expect(b.placeOne().Call).To(Equal(urgent))
 	})
 
+	It("takes a program of unknown arrival as arriving with its call", func() {
+		first, _ := fill()
+		unknown := b.enqueue("unknown", "tenant", attained(30_000), func(request *schedule.Request) { request.Arrived = time.Time{} })
+		b.now = b.now.Add(20 * time.Second)
+		b.enqueue("later", "tenant", func(request *schedule.Request) { request.Arrived = time.Time{} })
+		b.finish(first, 0)
+		Expect(b.placeOne().Call).To(Equal(unknown))
+	})
+
 	It("lets no stream of newcomers overtake a long program forever", func() {
 		first, second := fill()
 		long := b.enqueue("long", "tenant", attained(1_000_000))
