--- a/scripts/chaos.sh
+++ b/scripts/chaos.sh
@@ -103,7 +103,7 @@
   local first=$((RANDOM % ${#zones[@]}))
   local other=$(((first + 1 + RANDOM % (${#zones[@]} - 1)) % ${#zones[@]}))
   case $1 in
-    crash) crash "$node" 4 ;;
+    crash) crash "$node" 12 ;;
     bounce) crash "$node" 0.2 ;;
     freeze) freeze "$node" 8 ;;
     replace) replace "$node" ;;
