Pass the scheduler what it weighs, and let a new node's refusals invite a retry

Cause: the scheduler orders held calls by their program's arrival, which was not passed, so that it fell back to the call's; it took back ends that a contract drains for ones that had failed the call, so that a call that was never sent could be refused as unknown; a call without a cap of its own counted as one without output. A node that had no settings yet refused every token for good (401), and a history that could not be read claimed an unknown outcome, though a read has none. The layout test did not know that stream may use api.

Change: the program's creation, the contract's cap and the drained back ends are passed as what they are; settings_stale with a retry while there are no settings; reads are refused as not run.

Not measured on nodes.

Tested: "asks callers to come back, and refuses no token for good"; node, gateway, schedule, control, emulator, development and internal pass.

--- a/control/apply.go
+++ b/control/apply.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -133,22 +134,21 @@
 		Placement:    effect.Terms.Placement,
 		Priority:     effect.Terms.Priority,
 		PromptTokens: effect.PromptTokens,
-		OutputCap:    call.MaxOutputTokens,
+		OutputCap:    cmp.Or(call.MaxOutputTokens, effect.Terms.MaxOutputTokens),
 		Attained:     effect.Attained,
+		Arrived:      owned.arrived(effect.Attempt.Program),
 		Enqueued:     now,
 		Deadline:     effect.Deadline,
-		Avoid:        avoided(effect),
+		Avoid:        effect.Avoid,
+		Excluded:     effect.Terms.Drained,
 	})
 }
 
-// avoided are the back ends that the call may not go to although its placement
-// permits them: those that failed it, and those that its contract drains.
-func avoided(effect program.Effect) []machine.ID {
-	avoid := slices.Clone(effect.Avoid)
-	for _, drained := range effect.Terms.Drained {
-		avoid = append(avoid, machine.ID(drained))
-	}
-	return avoid
+// arrived returns when the program was created, by which its calls are ordered
+// among those of other programs.
+func (p *ownedPartition) arrived(id api.ProgramID) time.Time {
+	described, _ := p.store.Describe(id)
+	return described.CreatedAt
 }
 
 // send dispatches an attempt whose intent the programs have recorded.
--- a/gateway/authenticate.go
+++ b/gateway/authenticate.go
@@ -57,9 +57,9 @@
 	if g.isPeer(token) {
 		return g.authenticatePeer(ctx, request)
 	}
-	scope, known := g.service.Caller(string(token))
-	if !known {
-		return api.Refuse(api.CodeUnauthorized, "the bearer token is not known").At("header Authorization")
+	scope, refusal := g.service.Caller(string(token))
+	if refusal != nil {
+		return refusal
 	}
 	request.scope = scope
 	request.caller = sha256.Sum256(token)
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -158,14 +158,14 @@
 	}
 }
 
-func (n *node) Caller(token string) (contract.Path, bool) {
+func (n *node) Caller(token string) (contract.Path, *api.Error) {
 	switch token {
 	case triageToken:
-		return "koudeketting/triage", true
+		return "koudeketting/triage", nil
 	case auditToken:
-		return "koudeketting/audit", true
+		return "koudeketting/audit", nil
 	}
-	return "", false
+	return "", api.Refuse(api.CodeUnauthorized, "the bearer token is not known").At("header Authorization")
 }
 
 func (n *node) NewProgram(branch contract.Path, key string) (api.ProgramID, *api.Error) {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -20,8 +20,9 @@
 
 // Service is what the gateway needs of its node.
 type Service interface {
-	// Caller returns the branch that a bearer token is tied to.
-	Caller(token string) (contract.Path, bool)
+	// Caller returns the branch that a bearer token is tied to, or why the
+	// token is not accepted.
+	Caller(token string) (contract.Path, *api.Error)
 	// NewProgram returns the id that a branch and key always name.
 	NewProgram(branch contract.Path, key string) (api.ProgramID, *api.Error)
 	// Route finds the owner. The error says that no owner is known now.
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -20,9 +20,9 @@
 // A folder stands for every package below it that has no entry of its own.
 var layers = [][]string{
 	{"findings", "connection"},
-	{"zone", "httpclient", "stream", "retry"},
+	{"zone", "httpclient", "retry"},
 	{"machine", "api"},
-	{"contract", "journal", "platform", "tool", "history"},
+	{"contract", "journal", "platform", "tool", "history", "stream"},
 	{"partition", "program", "workload"},
 	{"schedule"},
 	{"engine", "link"},
--- a/node/history.go
+++ b/node/history.go
@@ -35,7 +35,10 @@
 func historyReply(action control.FetchHistory, calls []api.Call, err error) control.Reply {
 	if err != nil {
 		refusal := api.Refuse(api.CodeStoreUnavailable, "the history cannot be read back now: %v", err)
-		refusal.Ran = api.RanOutcomeUnknown
+		if action.Single {
+			// The call that cannot be shown has run.
+			refusal.Ran = api.RanOutcomeUnknown
+		}
 		return control.Reply{Error: refusal.After(storeRetryMilliseconds)}
 	}
 	if action.Single {
--- a/node/service.go
+++ b/node/service.go
@@ -17,16 +17,31 @@
 var _ gateway.Service = (*Node)(nil)
 
 // Caller returns the branch that a caller's bearer token is tied to.
-func (n *Node) Caller(token string) (contract.Path, bool) {
-	return n.tree.Load().Caller(contract.HashToken(token))
+// The refusal of a node that has no settings yet invites a retry: it knows no
+// token at all.
+func (n *Node) Caller(token string) (contract.Path, *api.Error) {
+	tree := n.tree.Load()
+	if tree.Revision() == 0 {
+		return "", withoutSettings()
+	}
+	scope, known := tree.Caller(contract.HashToken(token))
+	if !known {
+		return "", api.Refuse(api.CodeUnauthorized, "the bearer token is not known").At("header Authorization")
+	}
+	return scope, nil
+}
+
+// withoutSettings refuses what a node that has just started cannot decide.
+func withoutSettings() *api.Error {
+	refusal := api.Refuse(api.CodeSettingsStale, "this node has just started and has no settings yet")
+	return refusal.After(ownerRetryMilliseconds)
 }
 
 // NewProgram returns the id that a branch and key always name.
 func (n *Node) NewProgram(branch contract.Path, key string) (api.ProgramID, *api.Error) {
 	tree := n.tree.Load()
 	if tree.Revision() == 0 {
-		refusal := api.Refuse(api.CodeSettingsStale, "this node has just started and has no settings yet")
-		return "", refusal.After(ownerRetryMilliseconds)
+		return "", withoutSettings()
 	}
 	resolved, err := tree.Resolve(branch)
 	if err != nil {
--- a/schedule/feasible.go
+++ b/schedule/feasible.go
@@ -14,7 +14,7 @@
 
 // feasible reports whether a back end may serve the request: live, in a
 // permitted zone, with the model loaded or the tool answered, and not one
-// that failed the call before. Every candidate of every policy passes here,
+// that failed the call before or that its contract takes out of use. Every candidate of every policy passes here,
 // and nothing later in a decision adds one, so these rules hold whatever the
 // ranking prefers.
 func feasible(request *Request, candidate *backend) bool {
@@ -22,7 +22,7 @@
 	if entry.Status != machine.StatusLive || !request.Placement.Contains(entry.Zone) {
 		return false
 	}
-	if slices.Contains(request.Avoid, entry.ID) {
+	if slices.Contains(request.Avoid, entry.ID) || slices.Contains(request.Excluded, string(entry.ID)) {
 		return false
 	}
 	if request.Kind == api.CallTool {
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -32,6 +32,8 @@
 	Deadline time.Time
 	// Avoid are back ends that failed an earlier attempt of this call.
 	Avoid []machine.ID
+	// Excluded are back ends that the contract takes out of use.
+	Excluded []string
 }
 
 // Terms are the parts of the predicted finish, each a duration, and how many
