load: test what measures a program's absence, and refuse probes without a branch

The probes had no test, and a deployment without branches made them divide by zero.

A scripted gateway refuses twenty looks at a program, and the result counts one gap of at least 400 ms; a configuration with probes and no branch is refused.

--- a/load/config.go
+++ b/load/config.go
@@ -82,6 +82,9 @@
 	findings.AtLeast(found, "rate", c.Rate, 0)
 	findings.AtLeast(found, "speed", c.Speed, 0)
 	findings.AtLeast(found, "call timeout", c.CallTimeout, 0)
+	findings.AtLeast(found, "probes", c.Probes, 0)
+	hasBranch := c.Branch != "" || len(c.Deployment.Branches) > 0
+	found.Require(c.Probes == 0 || hasBranch, "probes", "want a branch to start them on")
 	return found.Err()
 }
 
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -33,6 +33,9 @@
 	answer func(request api.SubmitCall, asked int) (string, *api.Error)
 	// forgets makes the history that is read back lack its last call.
 	forgets bool
+	// ownerless is how many looks at a program are refused, described how many
+	// came, and probes how many programs look.
+	ownerless, described, probes int
 }
 
 func (g *gateway) serve(ctx *fasthttp.RequestCtx) {
@@ -49,7 +52,13 @@
 			calls = calls[:len(calls)-1]
 		}
 		reply(ctx, api.History{Calls: calls})
+	case strings.HasSuffix(path, "/end"):
+		reply(ctx, api.Program{})
 	default:
+		g.described++
+		if g.described <= g.ownerless {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
 		reply(ctx, api.Program{})
 	}
 }
@@ -97,7 +106,7 @@
 	go func() { served <- server.Serve(listener) }()
 	result, err := load.Run(context.Background(), load.Config{
 		Targets: []string{listener.Addr().String()}, Deployment: oneProgram(), Programs: 1, Seed: 1, Rate: 1000,
-		CallTimeout: 3 * time.Second,
+		CallTimeout: 3 * time.Second, Branch: "demo", Probes: scripted.probes,
 	})
 	Expect(err).NotTo(HaveOccurred())
 	Expect(server.Shutdown()).To(Succeed())
@@ -143,6 +152,19 @@
 		Expect(report.Findings).To(BeEmpty(), report.String())
 	})
 
+	It("measures how long a program that stands by is without an owner", func() {
+		scripted := &gateway{probes: 1, ownerless: 20}
+		scripted.answer = func(request api.SubmitCall, _ int) (string, *api.Error) {
+			if scripted.described <= scripted.ownerless+1 { // The look that ended the gap is over.
+				return "", api.Refuse(api.CodeOverloaded, "not now").After(1)
+			}
+			return ownAnswer(request), nil
+		}
+		result := runAgainst(scripted)
+		Expect(result.Absence.Count).To(Equal(int64(1)))
+		Expect(result.Absence.P50).To(BeNumerically(">=", 20*20), "20 refusals, 20 ms apart, in ms")
+	})
+
 	It("asks again by key after a refusal, and counts it", func() {
 		result := runAgainst(&gateway{answer: func(request api.SubmitCall, asked int) (string, *api.Error) {
 			if asked < 3 {
--- a/load/probe.go
+++ b/load/probe.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"birchwood.example/birchwood/api"
+	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/history"
 )
 
@@ -28,13 +29,16 @@
 func (r *runner) startProbes(ctx context.Context) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	var group sync.WaitGroup
-	branches := r.config.Deployment.Branches
+	branches := []contract.Path{r.config.Branch}
+	if r.config.Branch == "" {
+		branches = nil
+		for _, branch := range r.config.Deployment.Branches {
+			branches = append(branches, branch.Path)
+		}
+	}
 	for i := range r.config.Probes {
 		group.Go(func() {
-			branch := branches[i%len(branches)].Path
-			if r.config.Branch != "" {
-				branch = r.config.Branch
-			}
+			branch := branches[i%len(branches)]
 			each := r.caller(branch, i)
 			quiet := *each.config
 			quiet.Recorder, quiet.CallTimeout = nil, probeCallLimit
