node: resume a cut stream by its name before starting anew elsewhere

Cause, from a chaos run: a model call whose stream was cut was started anew at another engine at once, although the first one went on; two audit calls used up their three attempts within 120 ms and failed while three engines computed answers that nobody read.

Change: the same stream is asked for from the byte where it ended, twice, after 100 and 400 ms, unless the engine failed the call, fell silent, or refuses the connection. A call that cannot be resumed ends as failed, never as unsent.

Tested: "goes on by its name from where it ended" and "ends as failed, not as unsent, when the engine is gone meanwhile"; both fail without generate's loop (one request instead of three and two). The chaos run was not repeated.

--- a/node/attempts.go
+++ b/node/attempts.go
@@ -135,10 +135,7 @@
 	}
 	n.importFirst(ctx, action)
 	answer := modelAnswer{node: n, attempt: action.Attempt, buffer: buffer, started: time.Now()}
-	err = n.engines.Engine(action.Backend).Generate(ctx, n.generateRequest(action, prompt), answer.receive)
-	if err == nil && answer.last == nil {
-		err = errCutShort
-	}
+	err = n.generate(ctx, n.engines.Engine(action.Backend), n.generateRequest(action, prompt), &answer)
 	if err != nil {
 		ended.Outcome.Status, ended.Outcome.Error = classify(err, api.StatusFailed)
 		return ended
@@ -178,11 +175,11 @@
 // receive takes one chunk. A gap means that the answer cannot be whole.
 func (a *modelAnswer) receive(chunk engine.Chunk) error {
 	if chunk.Error != "" {
-		return errors.New(chunk.Error)
+		return &answerError{chunk.Error}
 	}
 	if chunk.Text != "" {
 		if chunk.Offset != a.text.Len() {
-			return fmt.Errorf("the answer has a gap: %d bytes received, next chunk at %d", a.text.Len(), chunk.Offset)
+			return &answerError{fmt.Sprintf("the answer has a gap: %d bytes received, next chunk at %d", a.text.Len(), chunk.Offset)}
 		}
 		if a.text.Len() == 0 {
 			a.node.metrics.FirstToken(time.Since(a.started))
