Show partitions whose recovery waits for mirrors, and let a node's settings end it

Weighed: opening such a partition by default. Records that were confirmed while the log was down might be lost silently, so waiting stays the default.

Not tried on processes.

--- a/config/file.go
+++ b/config/file.go
@@ -76,6 +76,7 @@
 	LogRetryMinimum   time.Duration `yaml:"log_retry_minimum" validate:"min=1ms,max=1m" help:"The first pause before a request to the log service is repeated; it doubles up to log_retry_maximum."`
 	LogRetryMaximum   time.Duration `yaml:"log_retry_maximum" validate:"min=1ms,max=10m,gtefield=LogRetryMinimum" help:"The longest pause before a request to the log service is repeated."`
 	MirrorDelay       time.Duration `yaml:"mirror_delay" validate:"min=1ms,max=1m" help:"How long an append may go unanswered before mirrors get the records."`
+	AcceptLossAfter   time.Duration `yaml:"accept_loss_after" validate:"min=0,max=24h" help:"How long a partition waits, once its last owner is dead and too few of its mirrors are left that were not restarted, before it opens without them. Records that were confirmed while the log service was down, and that only those machines held, are lost then. Zero: it waits for birchwood partition accept-loss."`
 	DialTimeout       time.Duration `yaml:"dial_timeout" validate:"min=10ms,max=1m" help:"Bound on a connection attempt to a peer, a back end or the platform."`
 	ReadTimeout       time.Duration `yaml:"read_timeout" validate:"min=100ms,max=10m" help:"In which time a whole request of a caller must arrive."`
 	WriteTimeout      time.Duration `yaml:"write_timeout" validate:"min=100ms,max=10m" help:"Bound on one write to a caller: a whole answer, or one event of a stream."`
--- a/node/operator.go
+++ b/node/operator.go
@@ -120,6 +120,9 @@
 			snapshot.Programs += owned.Programs
 			snapshot.RunningCalls += owned.Running
 			snapshot.UnconfirmedRecords += owned.Unconfirmed
+			if owned.Stall != nil {
+				snapshot.StalledPartitions++
+			}
 		}
 		freshness := core.Freshness(now)
 		snapshot.SettingsMayPlace = freshness.MayPlace
--- a/node/wire.go
+++ b/node/wire.go
@@ -142,6 +142,7 @@
 	settings.Follower.FreshnessBound = timings.SettingsFreshness
 	settings.Replica.MirrorCount = limits.Mirrors
 	settings.Replica.MirrorDelay = timings.MirrorDelay
+	settings.Replica.AcceptLossAfter = timings.AcceptLossAfter
 	settings.Replica.AppendTimeout = timings.LogTimeout
 	settings.Replica.AppendRetryMinimum = timings.LogRetryMinimum
 	settings.Replica.AppendRetryMaximum = timings.LogRetryMaximum
--- a/operator/metrics.go
+++ b/operator/metrics.go
@@ -62,6 +62,8 @@
 	Programs           int
 	RunningCalls       int
 	UnconfirmedRecords int
+	// StalledPartitions are those whose recovery waits for mirrors.
+	StalledPartitions int
 	// ControlBytesSent and ControlBytesReceived count control messages between
 	// nodes since the start.
 	ControlBytesSent     int64
--- a/operator/snapshot.go
+++ b/operator/snapshot.go
@@ -10,6 +10,7 @@
 	programs        = describe("birchwood_programs", "Programs in the partitions that this node owns.")
 	runningCalls    = describe("birchwood_running_calls", "Calls that this node has at back ends.")
 	unconfirmed     = describe("birchwood_unconfirmed_records", "Records that the log has not confirmed yet.")
+	stalled         = describe("birchwood_stalled_partitions", "Partitions whose recovery on this node waits for mirrors.")
 	controlBytes    = describe("birchwood_control_bytes_total",
 		"Bytes of control messages between nodes, by direction.", labelDirection)
 	settingsAge = describe("birchwood_settings_age_seconds",
@@ -30,7 +31,7 @@
 // Describe implements prometheus.Collector.
 func (c snapshotCollector) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, description := range []*prometheus.Desc{
-		ownedPartitions, programs, runningCalls, unconfirmed, controlBytes, settingsAge, settingsMayPlace, members,
+		ownedPartitions, programs, runningCalls, unconfirmed, stalled, controlBytes, settingsAge, settingsMayPlace, members,
 	} {
 		descriptions <- description
 	}
@@ -55,6 +56,7 @@
 	}
 	count(snapshot.ControlBytesSent, "sent")
 	count(snapshot.ControlBytesReceived, "received")
+	gauge(stalled, float64(snapshot.StalledPartitions))
 	gauge(settingsAge, snapshot.SettingsAge.Seconds())
 	mayPlace := 0.0
 	if snapshot.SettingsMayPlace {
