--- a/control/scheduling.go
+++ b/control/scheduling.go
@@ -83,7 +83,12 @@
 // contract may have narrowed since the call was handed to the scheduler.
 func (c *Core) place(now time.Time, decision schedule.Decision) {
 	owned, ok := c.ownerOf(decision.Call.Program)
-	waiting, queued := owned.takeQueued(ok, decision.Call)
+	if !ok {
+		c.unplace(now, decision)
+		return
+	}
+	waiting, queued := owned.queued[decision.Call]
+	delete(owned.queued, decision.Call)
 	if !queued || !c.permits(owned, decision) {
 		c.unplace(now, decision)
 		if queued {
@@ -106,17 +111,6 @@
 	c.apply(now, owned, output, nil)
 }
 
-// takeQueued takes a call out of those that the scheduler holds for the
-// partition; found is whether this node serves the partition at all.
-func (p *ownedPartition) takeQueued(found bool, call program.CallRef) (queuedCall, bool) {
-	if !found {
-		return queuedCall{}, false
-	}
-	waiting, queued := p.queued[call]
-	delete(p.queued, call)
-	return waiting, queued
-}
-
 // placementRetry is how long a call waits to be scheduled again after a
 // choice that its terms no longer permitted.
 const placementRetry = 100 * time.Millisecond
