machine: do not hold a former process's leaving against the next one

One peer had the new process's incarnation by gossip and then read a late machine list that still showed the former one leaving; it took that for the new process, told others so under the new incarnation, and nothing ever took it back. It sent questions about the node's programs to another node, so that engine memory of an ended program stayed held, and requests by way of it found no owner.

Change: evidence of leaving counts for the incarnation that it speaks of; a list that shows a later process live takes it back; a node answers a rumour that it leaves.

--- a/machine/gossip.go
+++ b/machine/gossip.go
@@ -54,7 +54,7 @@
 	}
 	if known.listed.Kind != KindNode {
 		if update.Status == StatusLeaving {
-			m.markLeaving(now, known)
+			m.markLeaving(now, known, update.Incarnation)
 		}
 		return
 	}
@@ -77,6 +77,7 @@
 		known.status = StatusLive
 		known.leaving = true
 		known.leavingSince = now
+		known.leavingIncarnation = update.Incarnation
 		delete(m.suspects, update.ID)
 	case StatusDead:
 		m.declareDead(known)
@@ -90,10 +91,12 @@
 	}
 }
 
-// refute answers a rumour of this node's own suspicion or death. An old one is
-// answered too: whoever passes it on has missed the refutation.
+// refute answers a rumour of this node's own suspicion or death, or of a
+// leaving that was an earlier process's. An old one is answered too: whoever
+// passes it on has missed the refutation.
 func (m *Membership) refute(update Update) {
-	if update.Status != StatusSuspect && update.Status != StatusDead {
+	falsely := update.Status == StatusLeaving && !m.leaving
+	if update.Status != StatusSuspect && update.Status != StatusDead && !falsely {
 		return
 	}
 	if update.Incarnation >= m.self.Incarnation {
--- a/machine/membership.go
+++ b/machine/membership.go
@@ -60,9 +60,11 @@
 	status Status
 	// leaving is set from the list or by gossip.
 	leaving bool
-	// leavingSince is the last evidence of leaving.
-	leavingSince time.Time
-	suspectSince time.Time
+	// leavingSince is the last evidence of leaving, and leavingIncarnation the
+	// process that the first evidence was of.
+	leavingSince       time.Time
+	leavingIncarnation uint64
+	suspectSince       time.Time
 	// suspectedHere is set when the suspicion began with a probe of this node.
 	suspectedHere bool
 	// suspectUntil is when an unrefuted suspicion becomes a death.
--- a/machine/observe.go
+++ b/machine/observe.go
@@ -51,8 +51,8 @@
 	case entry.Incarnation < known.listed.Incarnation:
 		// A stale copy of the list tells of an earlier process.
 	case entry.Status == StatusLeaving:
-		m.markLeaving(now, known)
-	case m.leavingIsOver(now, known):
+		m.markLeaving(now, known, entry.Incarnation)
+	case m.leavingIsOver(now, known, entry):
 		known.leaving = false
 	}
 	if !sameInViews(previous, known.machine()) {
@@ -68,7 +68,7 @@
 		m.deadRotation.insert(entry.ID, m.config.Random)
 	}
 	if entry.Status == StatusLeaving {
-		m.markLeaving(now, known)
+		m.markLeaving(now, known, entry.Incarnation)
 	}
 	m.viewChanged()
 }
@@ -83,24 +83,32 @@
 }
 
 // leavingIsOver reports whether a list that says live takes the leaving back.
-// A node has said itself that it leaves, and stays by it until it restarts.
-func (m *Membership) leavingIsOver(now time.Time, known *record) bool {
-	return known.leaving &&
-		known.listed.Kind != KindNode &&
-		now.Sub(known.leavingSince) >= m.config.LeavingTimeout
+// A node has said itself that it leaves, and stays by it until it restarts: a
+// list that lags can show the leaving of an earlier process after gossip told
+// of the next one.
+func (m *Membership) leavingIsOver(now time.Time, known *record, entry Machine) bool {
+	if !known.leaving {
+		return false
+	}
+	if known.listed.Kind == KindNode {
+		return entry.Incarnation > known.leavingIncarnation
+	}
+	return now.Sub(known.leavingSince) >= m.config.LeavingTimeout
 }
 
-// markLeaving notes evidence of leaving and tells the peers when it is news.
-func (m *Membership) markLeaving(now time.Time, known *record) {
+// markLeaving notes evidence of the leaving of an incarnation and tells the
+// peers when it is news.
+func (m *Membership) markLeaving(now time.Time, known *record, incarnation uint64) {
 	known.leavingSince = now
 	if known.leaving {
 		return
 	}
 	known.leaving = true
+	known.leavingIncarnation = incarnation
 	m.viewChangedNow()
 	m.spread(Update{
 		ID:          known.listed.ID,
-		Incarnation: known.incarnation,
+		Incarnation: incarnation,
 		Status:      StatusLeaving,
 	})
 }
