emulator/cluster: a relayed request whose caller hung up is over at its owner

The fault is the emulation's: the real gateway notices the closed connection.

Change: the hang-up takes the request off the owner's connections.

--- a/emulator/cluster/gateway.go
+++ b/emulator/cluster/gateway.go
@@ -12,9 +12,11 @@
 	starts uint64
 	id     uint64
 	// owner is the node that the request was relayed to, and handle what it
-	// waits for there or here.
-	owner  *node
-	handle uint64
+	// waits for there or here. relayed names the request among the owner's
+	// connections.
+	owner   *node
+	handle  uint64
+	relayed uint64
 	// reply and lost end the request; over is set by whichever came first.
 	reply func(control.Reply)
 	lost  func()
@@ -96,6 +98,7 @@
 		c.requests++
 		key := c.requests
 		owner.connections[key] = func() { c.after(c.jitter(c.config.LinkDelay), unknown) }
+		o.relayed = key
 		owner.enqueue(func() {
 			o.owner = owner
 			o.handle = owner.open(request, func(reply control.Reply) {
@@ -155,6 +158,8 @@
 		if _, waits := at.waiting[handle]; waits && handle != 0 {
 			delete(at.waiting, handle)
 			at.step(control.RequestAbandoned{Handle: handle})
+			delete(at.connections, o.relayed)
+			at.finishStop()
 		}
 	})
 }
