emulator/cluster: keep the runs that broke a promise once

Cause: the seeds of failures found by long searches were in commit bodies only.

Change: a table of them beside the fixed runs.

--- a/emulator/cluster/property_test.go
+++ b/emulator/cluster/property_test.go
@@ -22,4 +22,20 @@
 		}
 		Expect(runs).To(Equal(fixedRuns))
 	})
+
+	DescribeTable("holds in the runs that broke a promise once",
+		func(seed uint64) {
+			_, failure, err := cluster.Fuzz(cluster.FuzzConfig{Seed: seed, Runs: 1})
+			Expect(err).NotTo(HaveOccurred())
+			if failure != nil {
+				Fail(failure.Text + "\n" + failure.Replay)
+			}
+		},
+		Entry("a former process's leaving held against the next one", uint64(710028)),
+		Entry("the same, with requests that found no owner", uint64(750233)),
+		Entry("a caller that hung up on a relayed request", uint64(741272)),
+		Entry("the same, with a zone's only node", uint64(101626)),
+		Entry("reads of a lapsed owner", uint64(321)),
+		Entry("the same, in another order", uint64(20498)),
+	)
 })
