control, node: name the settings stream once, import prefixes in one place, rank less

Behaviour is the same.

Tested: go vet, staticcheck of both packages, and the tests of control, node, emulator/cluster, development, scale and internal. The saving was not measured.

--- a/control/core.go
+++ b/control/core.go
@@ -232,9 +232,6 @@
 // Machines returns every machine that this node knows, for operators.
 func (c *Core) Machines() []machine.Machine { return c.membership.All() }
 
-// Nodes returns the nodes that are believed to run, leaving ones included.
-func (c *Core) Nodes() []machine.Machine { return c.nodes }
-
 // Owned describes the partitions that this node owns, for operators.
 func (c *Core) Owned() []PartitionStatus {
 	var statuses []PartitionStatus
@@ -244,9 +241,6 @@
 	return statuses
 }
 
-// epochOf returns the epoch of an acquired partition.
-func epochOf(owned *ownedPartition) uint64 { return owned.replica.Epoch() }
-
 // storeConfig returns the configuration of one partition's programs.
 func (c *Core) storeConfig() program.Config {
 	config := c.config.Store
--- a/control/routing.go
+++ b/control/routing.go
@@ -73,9 +73,13 @@
 	for _, id := range c.known {
 		placement := c.placement(id)
 		owner, _ := partition.Owner(id, placement, before, c.hints[id])
-		next, _ := partition.Owner(id, placement, c.nodes, "")
-		kept, _ := partition.Owner(id, placement, c.nodes, owner)
-		if owner == "" || owner == c.config.Self.ID || owner == next || owner != kept {
+		if owner == "" || owner == c.config.Self.ID {
+			continue
+		}
+		if next, _ := partition.Owner(id, placement, c.nodes, ""); next == owner {
+			continue
+		}
+		if kept, _ := partition.Owner(id, placement, c.nodes, owner); kept != owner {
 			continue
 		}
 		c.hints[id] = owner
--- a/control/scheduling.go
+++ b/control/scheduling.go
@@ -99,7 +99,7 @@
 	owned.placed[decision.Call] = placedCall{backend: decision.Backend, decision: decision}
 	command := program.Command{
 		Program:  decision.Call.Program,
-		Dispatch: &program.Dispatch{Call: decision.Call, Backend: decision.Backend, Epoch: epochOf(owned)},
+		Dispatch: &program.Dispatch{Call: decision.Call, Backend: decision.Backend, Epoch: owned.replica.Epoch()},
 	}
 	output, refusal := owned.store.Step(now, command)
 	if refusal != nil {
--- a/node/orders.go
+++ b/node/orders.go
@@ -6,6 +6,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/control"
 	"birchwood.example/birchwood/engine"
 	"birchwood.example/birchwood/machine"
@@ -52,22 +53,23 @@
 
 // movePrefix has an engine fetch a program's prefix from another one.
 func (n *Node) movePrefix(action control.MovePrefix) {
-	ctx, cancel := context.WithTimeout(n.context, n.config.BackendTimeout)
-	defer cancel()
-	if err := n.engines.Engine(action.To).Import(ctx, action.Owner, string(action.From.ID)); err != nil {
-		n.logger.Debug().Str("backend", string(action.To.ID)).Err(err).Msg("backend: a prefix was not moved")
-	}
+	n.importPrefix(n.context, action.Owner, action.From.ID, action.To)
 }
 
 // importFirst has the chosen engine fetch the program's prefix, when the
 // decision counts on it. Without it the engine computes the prompt itself.
 func (n *Node) importFirst(ctx context.Context, action control.SendAttempt) {
-	if action.ImportFrom.ID == "" {
-		return
+	if action.ImportFrom.ID != "" {
+		n.importPrefix(ctx, action.Attempt.Program, action.ImportFrom.ID, action.Backend)
 	}
-	bounded, cancel := context.WithTimeout(ctx, n.config.BackendTimeout)
+}
+
+// importPrefix has one engine fetch a prefix from another and waits for it. A
+// failure costs a prefill and nothing else.
+func (n *Node) importPrefix(ctx context.Context, owner api.ProgramID, from machine.ID, to machine.Machine) {
+	ctx, cancel := context.WithTimeout(ctx, n.config.BackendTimeout)
 	defer cancel()
-	if err := n.engines.Engine(action.Backend).Import(bounded, action.Attempt.Program, string(action.ImportFrom.ID)); err != nil {
-		n.logger.Debug().Str("backend", string(action.Backend.ID)).Err(err).Msg("backend: a prefix was not imported")
+	if err := n.engines.Engine(to).Import(ctx, owner, string(from)); err != nil {
+		n.logger.Debug().Str("backend", string(to.ID)).Err(err).Msg("backend: a prefix was not imported")
 	}
 }
--- a/node/perform.go
+++ b/node/perform.go
@@ -15,9 +15,6 @@
 	"birchwood.example/birchwood/program"
 )
 
-// SettingsStream is the name of the stream that holds the settings' changes.
-const SettingsStream = "settings"
-
 // perform starts one action. What waits for I/O runs on a goroutine of its
 // own; the rest is done here, in the order of the actions.
 func (n *Node) perform(action control.Action) {
@@ -148,7 +145,7 @@
 func (n *Node) readSettings(action control.ReadSettings) {
 	ctx, cancel := context.WithTimeout(n.context, n.config.StoreTimeout)
 	defer cancel()
-	changes, end, err := n.log.Read(ctx, SettingsStream, action.Read.From, action.Read.Maximum)
+	changes, end, err := n.log.Read(ctx, contract.StreamName, action.Read.From, action.Read.Maximum)
 	if err != nil {
 		n.logger.Warn().Err(err).Msg("settings: the stream was not read")
 	}
--- a/node/verdicts.go
+++ b/node/verdicts.go
@@ -53,7 +53,7 @@
 	}
 	verdicts := n.verdicts.open(change.ID)
 	defer n.verdicts.close(change.ID)
-	offset, err := n.log.Append(ctx, SettingsStream, [][]byte{encoded})
+	offset, err := n.log.Append(ctx, contract.StreamName, [][]byte{encoded})
 	if err != nil {
 		return contract.Verdict{}, Error.Wrap(err)
 	}
