--- a/control/owned.go
+++ b/control/owned.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"birchwood.example/birchwood/api"
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/partition"
 	"birchwood.example/birchwood/program"
+	"birchwood.example/birchwood/recordlog"
 	"birchwood.example/birchwood/schedule"
 )
 
@@ -38,7 +38,7 @@
 	durable  uint64
 	// unproposed are records that the replica had no room for yet.
 	unproposed []program.Record
-	proposed   map[journal.Token]proposedRecord
+	proposed   map[recordlog.Token]proposedRecord
 	outputs    []pendingOutput
 
 	placed  map[program.CallRef]placedCall
@@ -162,7 +162,7 @@
 	p.postponed = nil
 	p.position, p.durable = 0, 0
 	p.unproposed = nil
-	p.proposed = make(map[journal.Token]proposedRecord)
+	p.proposed = make(map[recordlog.Token]proposedRecord)
 	p.outputs = nil
 	p.placed = make(map[program.CallRef]placedCall)
 	p.waiters = make(map[program.CallRef][]uint64)
--- a/control/sweep_test.go
+++ b/control/sweep_test.go
@@ -10,8 +10,8 @@
 	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/control"
 	"birchwood.example/birchwood/engine"
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/recordlog"
 	"birchwood.example/birchwood/schedule"
 	"birchwood.example/birchwood/zone"
 )
@@ -37,7 +37,7 @@
 	settings.LinkDelay = func(zone.Name) time.Duration { return time.Millisecond }
 	policy, err := schedule.New(settings)
 	Expect(err).NotTo(HaveOccurred())
-	config := control.DefaultConfig(self, journal.WriterName(self.ID, self.Incarnation), random, policy)
+	config := control.DefaultConfig(self, recordlog.WriterName(self.ID, self.Incarnation), random, policy)
 	config.Follower.Zones = []zone.Name{self.Zone}
 	core, err := control.New(config)
 	Expect(err).NotTo(HaveOccurred())
--- a/development/development.go
+++ b/development/development.go
@@ -17,8 +17,8 @@
 	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/emulator/standin"
 	"birchwood.example/birchwood/httpclient"
+	"birchwood.example/birchwood/infra/infrahttp"
 	"birchwood.example/birchwood/node"
-	"birchwood.example/birchwood/platform/platformhttp"
 )
 
 // Node is one node of the system.
@@ -152,7 +152,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, settingsTimeout)
 	defer cancel()
-	logService := platformhttp.New(httpclient.Options{Address: platform, Timeout: settingsTimeout})
+	logService := infrahttp.New(httpclient.Options{Address: platform, Timeout: settingsTimeout})
 	_, end, err := logService.Read(ctx, contract.StreamName, 0, 0)
 	if err != nil || end > 0 {
 		return err
--- a/development/path_bench_test.go
+++ b/development/path_bench_test.go
@@ -20,8 +20,8 @@
 	"birchwood.example/birchwood/engine"
 	"birchwood.example/birchwood/engine/enginehttp"
 	"birchwood.example/birchwood/httpclient"
+	"birchwood.example/birchwood/infra/infrahttp"
 	"birchwood.example/birchwood/machine"
-	"birchwood.example/birchwood/platform/platformhttp"
 )
 
 // fastEngines makes the engines' own time small beside the path's.
@@ -159,7 +159,7 @@
 	addresses := system.Standins.Addresses()
 	direct := enginehttp.NewDialer(httpclient.Options{Zone: "north", Timeout: patience}).
 		Engine(machine.Machine{ID: "engine-1", Address: addresses.Engines["engine-1"]})
-	logService := platformhttp.New(httpclient.Options{Address: addresses.Platform, Timeout: patience})
+	logService := infrahttp.New(httpclient.Options{Address: addresses.Platform, Timeout: patience})
 	caller := newClient(system, 0)
 	id, err := caller.create(fmt.Sprintf("measured-%d", b.N))
 	if err != nil {
--- a/emulator/cluster/node.go
+++ b/emulator/cluster/node.go
@@ -9,9 +9,9 @@
 	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/control"
 	"birchwood.example/birchwood/history"
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/program"
+	"birchwood.example/birchwood/recordlog"
 	"birchwood.example/birchwood/schedule"
 	"birchwood.example/birchwood/zone"
 )
@@ -60,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	config := control.DefaultConfig(n.self, journal.WriterName(n.self.ID, n.self.Incarnation), random, policy)
+	config := control.DefaultConfig(n.self, recordlog.WriterName(n.self.ID, n.self.Incarnation), random, policy)
 	config.PartitionsPerBranch = 2
 	config.Replica.AcceptLossAfter = acceptLossAfter
 	config.Follower.Zones = n.cluster.config.Zones
--- a/emulator/cluster/storeservice.go
+++ b/emulator/cluster/storeservice.go
@@ -8,9 +8,9 @@
 	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/control"
 	"birchwood.example/birchwood/history"
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/partition"
+	"birchwood.example/birchwood/recordlog"
 )
 
 // storeFaults is what is wrong with the platform's service at present.
@@ -160,10 +160,10 @@
 }
 
 // decodeEntry reads an entry; bytes that are none become one of no kind.
-func decodeEntry(text []byte) journal.Entry {
-	var entry journal.Entry
+func decodeEntry(text []byte) recordlog.Entry {
+	var entry recordlog.Entry
 	if json.Unmarshal(text, &entry) != nil {
-		return journal.Entry{}
+		return recordlog.Entry{}
 	}
 	return entry
 }
--- a/emulator/standin/standin_test.go
+++ b/emulator/standin/standin_test.go
@@ -16,9 +16,9 @@
 	"birchwood.example/birchwood/engine"
 	"birchwood.example/birchwood/engine/enginehttp"
 	"birchwood.example/birchwood/httpclient"
+	"birchwood.example/birchwood/infra"
+	"birchwood.example/birchwood/infra/infrahttp"
 	"birchwood.example/birchwood/machine"
-	"birchwood.example/birchwood/platform"
-	"birchwood.example/birchwood/platform/platformhttp"
 	"birchwood.example/birchwood/tool"
 	"birchwood.example/birchwood/tool/toolhttp"
 )
@@ -32,7 +32,7 @@
 // world is a running set of stand-ins and the adapters of a process in zoneA.
 type world struct {
 	set      *standin.Set
-	platform *platformhttp.Platform
+	platform *infrahttp.Platform
 	engines  *enginehttp.Dialer
 	tools    *toolhttp.Dialer
 }
@@ -53,7 +53,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	started := &world{
 		set:      set,
-		platform: platformhttp.New(httpclient.Options{Address: set.Addresses().Platform, Zone: zoneA, Timeout: 5 * time.Second}),
+		platform: infrahttp.New(httpclient.Options{Address: set.Addresses().Platform, Zone: zoneA, Timeout: 5 * time.Second}),
 		engines:  enginehttp.NewDialer(httpclient.Options{Zone: zoneA, Timeout: 20 * time.Second}),
 		tools:    toolhttp.NewDialer(httpclient.Options{Zone: zoneA, Timeout: 5 * time.Second}),
 	}
@@ -127,7 +127,7 @@
 		w.fault(standin.Fault{Name: "lost", Kind: standin.FaultAnswerLost, Target: standin.TargetLog})
 		_, err := w.platform.Append(ctx, "s", [][]byte{[]byte("x")})
 		Expect(err).To(HaveOccurred())
-		Expect(errors.Is(err, platform.ErrNotAppended)).To(BeFalse())
+		Expect(errors.Is(err, infra.ErrNotAppended)).To(BeFalse())
 		w.set.Faults().Remove("lost")
 		_, end, err := w.platform.Read(ctx, "s", 0, 10)
 		Expect(err).NotTo(HaveOccurred())
@@ -140,7 +140,7 @@
 			w.fault(standin.Fault{Name: "f", Kind: kind, Target: standin.TargetLog})
 			_, err := w.platform.Append(ctx, "s", [][]byte{[]byte("x")})
 			Expect(err).To(HaveOccurred())
-			Expect(errors.Is(err, platform.ErrNotAppended)).To(Equal(certain))
+			Expect(errors.Is(err, infra.ErrNotAppended)).To(Equal(certain))
 			w.set.Faults().Remove("")
 			_, end, err := w.platform.Read(ctx, "s", 0, 10)
 			Expect(err).NotTo(HaveOccurred())
@@ -151,9 +151,9 @@
 	)
 
 	It("reports a refused connection as not appended", func(ctx SpecContext) {
-		nobody := platformhttp.New(httpclient.Options{Address: freeAddress()})
+		nobody := infrahttp.New(httpclient.Options{Address: freeAddress()})
 		_, err := nobody.Append(ctx, "s", [][]byte{[]byte("x")})
-		Expect(errors.Is(err, platform.ErrNotAppended)).To(BeTrue())
+		Expect(errors.Is(err, infra.ErrNotAppended)).To(BeTrue())
 	})
 })
 
--- a/findings/doc.go
+++ b/findings/doc.go
@@ -2,7 +2,7 @@
 // that whoever sets it learns all of it at once. The Config of each state
 // machine is checked with it:
 //
-//	found := findings.Of("journal config")
+//	found := findings.Of("record log config")
 //	found.Require(c.Writer != "", "Writer", "want a name")
 //	findings.Positive(found, "ReadBatch", c.ReadBatch)
 //	return found.Err()
--- a/findings/findings.go
+++ b/findings/findings.go
@@ -11,7 +11,7 @@
 	errors  []error
 }
 
-// Of returns an empty list for a subject such as "journal config".
+// Of returns an empty list for a subject such as "record log config".
 func Of(subject string) *List {
 	return &List{subject: subject}
 }
--- a/platform/platform.go
+++ b/infra/infra.go
@@ -1,8 +1,8 @@
-// Package platform holds the small interfaces through which a node reaches
+// Package infra holds the small interfaces through which a node reaches
 // the platform: the log service, the machine list and the weight store. An
 // adapter implements them for one platform; nothing of its wire format shows
 // above this package.
-package platform
+package infra
 
 import (
 	"context"
--- a/platform/platformhttp/platformhttp.go
+++ b/infra/infrahttp/infrahttp.go
@@ -1,7 +1,7 @@
-// Package platformhttp reaches the platform over HTTP/1.1 with JSON: the log
+// Package infrahttp reaches the platform over HTTP/1.1 with JSON: the log
 // service, the machine list and the weight store. docs/STANDINS.md describes
 // the routes. One value of each type serves any number of goroutines.
-package platformhttp
+package infrahttp
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 	"github.com/valyala/fasthttp"
 
 	"birchwood.example/birchwood/httpclient"
+	"birchwood.example/birchwood/infra"
 	"birchwood.example/birchwood/machine"
-	"birchwood.example/birchwood/platform"
 )
 
 // Platform is the platform's log service, machine list and weight store at
@@ -29,9 +29,9 @@
 }
 
 var (
-	_ platform.Log         = (*Platform)(nil)
-	_ platform.MachineList = (*Platform)(nil)
-	_ platform.WeightStore = (*Platform)(nil)
+	_ infra.Log         = (*Platform)(nil)
+	_ infra.MachineList = (*Platform)(nil)
+	_ infra.WeightStore = (*Platform)(nil)
 )
 
 // New returns the platform at an address. It opens no connection yet.
@@ -71,7 +71,7 @@
 // did is unknown then.
 var errIncomplete = errors.New("platform: incomplete answer")
 
-// Append implements platform.Log. The error wraps platform.ErrNotAppended
+// Append implements infra.Log. The error wraps infra.ErrNotAppended
 // when no connection was had or the service refused the request.
 func (p *Platform) Append(ctx context.Context, stream string, entries [][]byte) (uint64, error) {
 	var answer appendAnswer
@@ -86,20 +86,20 @@
 	return *answer.FirstOffset, nil
 }
 
-// appendError adds platform.ErrNotAppended where it is certain.
+// appendError adds infra.ErrNotAppended where it is certain.
 func appendError(err error) error {
 	var notSent *httpclient.NotSentError
 	if errors.As(err, &notSent) {
-		return fmt.Errorf("%w: %w", platform.ErrNotAppended, err)
+		return fmt.Errorf("%w: %w", infra.ErrNotAppended, err)
 	}
 	var status *httpclient.StatusError
 	if errors.As(err, &status) && status.WithoutEffect() {
-		return fmt.Errorf("%w: %w", platform.ErrNotAppended, err)
+		return fmt.Errorf("%w: %w", infra.ErrNotAppended, err)
 	}
 	return err
 }
 
-// Read implements platform.Log.
+// Read implements infra.Log.
 func (p *Platform) Read(ctx context.Context, stream string, from uint64, maximum int) ([][]byte, uint64, error) {
 	var answer readAnswer
 	path := fmt.Sprintf("/streams/%s?from=%d&max=%d", url.PathEscape(stream), from, maximum)
@@ -112,7 +112,7 @@
 	return answer.Entries, *answer.End, nil
 }
 
-// Machines implements platform.MachineList. It names the version that it holds,
+// Machines implements infra.MachineList. It names the version that it holds,
 // so that an unchanged list costs a short answer and not the whole list.
 func (p *Platform) Machines(ctx context.Context) ([]machine.Machine, error) {
 	held := p.listed.Load()
@@ -135,18 +135,18 @@
 // FullLists returns how often the machine list came whole.
 func (p *Platform) FullLists() uint64 { return p.fullLists.Load() }
 
-// Announce implements platform.MachineList.
+// Announce implements infra.MachineList.
 func (p *Platform) Announce(ctx context.Context, self machine.Machine) error {
 	path := "/machines/" + url.PathEscape(string(self.ID))
 	return p.client.Do(ctx, fasthttp.MethodPut, path, self, nil)
 }
 
-// Withdraw implements platform.MachineList.
+// Withdraw implements infra.MachineList.
 func (p *Platform) Withdraw(ctx context.Context, id machine.ID) error {
 	return p.client.Do(ctx, fasthttp.MethodDelete, "/machines/"+url.PathEscape(string(id)), nil, nil)
 }
 
-// Reserve implements platform.WeightStore.
+// Reserve implements infra.WeightStore.
 func (p *Platform) Reserve(ctx context.Context, model string) (int64, error) {
 	var answer reserveAnswer
 	path := "/weights/" + url.PathEscape(model) + "/reserve"
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -22,12 +22,12 @@
 	{"findings", "connection"},
 	{"zone", "httpclient", "retry"},
 	{"machine", "api"},
-	{"contract", "journal", "platform", "tool", "history", "stream"},
+	{"contract", "recordlog", "infra", "tool", "history", "stream"},
 	{"partition", "program", "workload"},
 	{"schedule"},
 	{"engine", "link"},
 	{"control", "config", "emulator/platformmodel", "emulator/enginemodel"},
-	{"engine/enginehttp", "tool/toolhttp", "platform/platformhttp", "link/linkhttp", "gateway", "emulator/standin"},
+	{"engine/enginehttp", "tool/toolhttp", "infra/infrahttp", "link/linkhttp", "gateway", "emulator/standin"},
 	{"operator", "emulator", "emulator/cluster"},
 	{"node", "load", "emulator/benchplot"},
 	{"development", "scale"},
@@ -38,12 +38,12 @@
 // pure are the packages that hold state machines or plain values: no I/O, no
 // clock, no goroutine, no source of randomness that is not passed in.
 var pure = []string{
-	"zone", "machine", "api", "contract", "journal", "partition", "program", "schedule", "retry", "findings",
+	"zone", "machine", "api", "contract", "recordlog", "partition", "program", "schedule", "retry", "findings",
 	"control", "workload", "emulator/enginemodel", "emulator/platformmodel",
 }
 
 // embeddable are the packages that others use without the daemon.
-var embeddable = []string{"journal", "partition", "contract", "schedule", "history"}
+var embeddable = []string{"recordlog", "partition", "contract", "schedule", "history"}
 
 const (
 	maximumFileLines     = 500
--- a/node/history_test.go
+++ b/node/history_test.go
@@ -9,15 +9,15 @@
 	. "github.com/onsi/gomega"
 
 	"birchwood.example/birchwood/api"
-	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/infra"
 	"birchwood.example/birchwood/partition"
-	"birchwood.example/birchwood/platform"
 	"birchwood.example/birchwood/program"
+	"birchwood.example/birchwood/recordlog"
 )
 
 // flakyLog holds one entry and loses the answers of the first reads.
 type flakyLog struct {
-	platform.Log
+	infra.Log
 	lost  int
 	entry []byte
 }
@@ -36,7 +36,7 @@
 			Program: "a", Accepted: &program.Accepted{Sequence: 1, Call: api.SubmitCall{Key: "first", Input: "hello"}},
 		})
 		Expect(err).NotTo(HaveOccurred())
-		entry, err := json.Marshal(journal.Entry{Kind: journal.KindRecord, Payload: payload})
+		entry, err := json.Marshal(recordlog.Entry{Kind: recordlog.KindRecord, Payload: payload})
 		Expect(err).NotTo(HaveOccurred())
 		reader := &Node{log: &flakyLog{lost: 3, entry: entry}}
 		calls, err := reader.readCalls(context.Background(), partition.ID{}, "a", []program.CallLocation{{Sequence: 1, Status: api.StatusRunning}})
--- a/node/node.go
+++ b/node/node.go
@@ -12,9 +12,9 @@
 	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/control"
 	"birchwood.example/birchwood/engine"
+	"birchwood.example/birchwood/infra"
 	"birchwood.example/birchwood/link"
 	"birchwood.example/birchwood/machine"
-	"birchwood.example/birchwood/platform"
 	"birchwood.example/birchwood/tool"
 )
 
@@ -53,8 +53,8 @@
 
 // Dependencies are the parts that a Node works with.
 type Dependencies struct {
-	Log       platform.Log
-	Machines  platform.MachineList
+	Log       infra.Log
+	Machines  infra.MachineList
 	Engines   engine.Dialer
 	Tools     tool.Dialer
 	Transport Transport
@@ -67,8 +67,8 @@
 type Node struct {
 	config    Config
 	core      *control.Core
-	log       platform.Log
-	machines  platform.MachineList
+	log       infra.Log
+	machines  infra.MachineList
 	engines   engine.Dialer
 	tools     tool.Dialer
 	transport Transport
--- a/node/orders_test.go
+++ b/node/orders_test.go
@@ -11,13 +11,13 @@
 
 	"birchwood.example/birchwood/control"
 	"birchwood.example/birchwood/engine"
+	"birchwood.example/birchwood/infra"
 	"birchwood.example/birchwood/machine"
-	"birchwood.example/birchwood/platform"
 )
 
 // forgetfulLog takes every append and loses the answers of the first ones.
 type forgetfulLog struct {
-	platform.Log
+	infra.Log
 	lost     int
 	appended uint64
 }
@@ -51,7 +51,7 @@
 }
 
 var _ = Describe("Orders to engines", func() {
-	nodeWith := func(logService platform.Log, engines engine.Dialer) *Node {
+	nodeWith := func(logService infra.Log, engines engine.Dialer) *Node {
 		return &Node{
 			context: context.Background(), log: logService, engines: engines,
 			config: Config{BackendTimeout: time.Minute}, logger: &log.Logger{Level: log.PanicLevel},
--- a/node/perform.go
+++ b/node/perform.go
@@ -8,11 +8,11 @@
 
 	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/control"
-	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/infra"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/partition"
-	"birchwood.example/birchwood/platform"
 	"birchwood.example/birchwood/program"
+	"birchwood.example/birchwood/recordlog"
 )
 
 // perform starts one action. What waits for I/O runs on a goroutine of its
@@ -102,14 +102,14 @@
 	started := time.Now()
 	first, err := n.log.Append(ctx, action.Partition.String(), entries)
 	n.metrics.StoreAppend(time.Since(started), err)
-	if errors.Is(err, platform.ErrNotAppended) {
+	if errors.Is(err, infra.ErrNotAppended) {
 		err = partition.ErrNotAppended
 	}
 	result := partition.Appended{Request: action.Append.Request, FirstOffset: first, Err: err}
 	n.post(control.StreamAppended{Partition: action.Partition, Result: result})
 }
 
-func encodeEntry(entry journal.Entry) []byte {
+func encodeEntry(entry recordlog.Entry) []byte {
 	encoded, err := json.Marshal(entry)
 	if err != nil {
 		panic("node: an entry has no JSON form: " + err.Error())
@@ -119,10 +119,10 @@
 
 // decodeEntry reads an entry of a stream. Bytes that are not an entry become
 // one of no kind, which every reader skips as void.
-func decodeEntry(encoded []byte) journal.Entry {
-	var entry journal.Entry
+func decodeEntry(encoded []byte) recordlog.Entry {
+	var entry recordlog.Entry
 	if err := json.Unmarshal(encoded, &entry); err != nil {
-		return journal.Entry{}
+		return recordlog.Entry{}
 	}
 	return entry
 }
--- a/node/wire.go
+++ b/node/wire.go
@@ -13,12 +13,12 @@
 	"birchwood.example/birchwood/engine/enginehttp"
 	"birchwood.example/birchwood/gateway"
 	"birchwood.example/birchwood/httpclient"
-	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/infra"
+	"birchwood.example/birchwood/infra/infrahttp"
 	"birchwood.example/birchwood/link/linkhttp"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/operator"
-	"birchwood.example/birchwood/platform"
-	"birchwood.example/birchwood/platform/platformhttp"
+	"birchwood.example/birchwood/recordlog"
 	"birchwood.example/birchwood/schedule"
 	"birchwood.example/birchwood/tool"
 	"birchwood.example/birchwood/tool/toolhttp"
@@ -73,12 +73,12 @@
 	return httpclient.Options{Address: address, Zone: string(file.Node.Zone), Timeout: file.Timings.LogTimeout}
 }
 
-func newLog(file *config.File) platform.Log {
-	return platformhttp.New(platformOptions(file, file.Platform.Log))
+func newLog(file *config.File) infra.Log {
+	return infrahttp.New(platformOptions(file, file.Platform.Log))
 }
 
-func newMachineList(file *config.File) platform.MachineList {
-	return platformhttp.New(platformOptions(file, file.Platform.Machines))
+func newMachineList(file *config.File) infra.MachineList {
+	return infrahttp.New(platformOptions(file, file.Platform.Machines))
 }
 
 func newEngines(file *config.File) engine.Dialer {
@@ -125,7 +125,7 @@
 }
 
 func newControlConfig(file *config.File, self machine.Machine, random *rand.Rand, policy schedule.Policy) control.Config {
-	settings := control.DefaultConfig(self, journal.WriterName(self.ID, self.Incarnation), random, policy)
+	settings := control.DefaultConfig(self, recordlog.WriterName(self.ID, self.Incarnation), random, policy)
 	timings, limits := file.Timings, file.Limits
 	settings.PartitionsPerBranch = limits.PartitionsPerBranch
 	settings.MirrorBytes = max(limits.MirrorBytes, 1)
@@ -155,7 +155,7 @@
 }
 
 func newDependencies(
-	logService platform.Log, machines platform.MachineList, engines engine.Dialer, tools tool.Dialer,
+	logService infra.Log, machines infra.MachineList, engines engine.Dialer, tools tool.Dialer,
 	transport *linkhttp.Transport, metrics Metrics, logger *log.Logger,
 ) Dependencies {
 	return Dependencies{
--- a/partition/claim.go
+++ b/partition/claim.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/recordlog"
 	"birchwood.example/birchwood/retry"
 )
 
@@ -128,19 +128,19 @@
 		return
 	}
 	r.claim.peeking = false
-	released := tail.Last.Kind == journal.KindMirrors && tail.Last.Mirrors.Released
+	released := tail.Last.Kind == recordlog.KindMirrors && tail.Last.Mirrors.Released
 	if tail.End == 0 || released || r.claimable(tail.Last.Writer, tail.Last.Epoch) {
 		r.startClaiming()
 		return
 	}
-	r.ask(journal.WriterMachine(tail.Last.Writer), tail.Last.Epoch)
+	r.ask(recordlog.WriterMachine(tail.Last.Writer), tail.Last.Epoch)
 }
 
 // claimable reports whether nothing speaks against a claim after the epoch:
 // its winner is not live, gave the epoch up, or is an earlier process of this
 // node.
 func (r *Replica) claimable(writer string, epoch uint64) bool {
-	winner := journal.WriterMachine(writer)
+	winner := recordlog.WriterMachine(writer)
 	return epoch <= r.claim.free || winner == r.config.Self || !r.present(winner)
 }
 
@@ -205,11 +205,11 @@
 	}
 	if !free {
 		r.lose()
-		r.ask(journal.WriterMachine(fold.Writer), fold.Epoch)
+		r.ask(recordlog.WriterMachine(fold.Writer), fold.Epoch)
 		return
 	}
 	r.claim.claimed = true
-	r.claim.previous = journal.WriterMachine(fold.Writer)
+	r.claim.previous = recordlog.WriterMachine(fold.Writer)
 	r.journal.Claim(r.now, r.config.Self)
 }
 
--- a/partition/cluster_test.go
+++ b/partition/cluster_test.go
@@ -8,8 +8,8 @@
 	"slices"
 	"time"
 
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/recordlog"
 	"birchwood.example/birchwood/zone"
 )
 
@@ -58,7 +58,7 @@
 	wake     time.Time
 	state    []string // payloads of records, in order
 	owning   bool
-	proposed map[journal.Token]string
+	proposed map[recordlog.Token]string
 	lost     int
 	acquired int
 }
@@ -119,7 +119,7 @@
 // start begins a new process on the node, with empty memory.
 func (c *cluster) start(node *simulatedNode) {
 	node.starts++
-	writer := journal.WriterName(node.id, node.starts)
+	writer := recordlog.WriterName(node.id, node.starts)
 	config := DefaultConfig(c.id, node.id, writer, c.random)
 	if c.adjust != nil {
 		c.adjust(&config)
@@ -139,7 +139,7 @@
 	}
 	*node = simulatedNode{
 		id: node.id, zone: node.zone, starts: node.starts, alive: true,
-		replica: replica, store: store, proposed: map[journal.Token]string{},
+		replica: replica, store: store, proposed: map[recordlog.Token]string{},
 		lost: node.lost, acquired: node.acquired,
 	}
 }
--- a/partition/config.go
+++ b/partition/config.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"birchwood.example/birchwood/findings"
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/recordlog"
 )
 
 // Config sets one node's part in one partition.
@@ -15,7 +15,7 @@
 	ID ID
 	// Self is this node.
 	Self machine.ID
-	// Writer is journal.WriterName of this process: another one at each start.
+	// Writer is recordlog.WriterName of this process: another one at each start.
 	Writer string
 
 	// MirrorCount is how many mirrors an owner keeps ready; zero for none.
@@ -52,7 +52,7 @@
 	// nobody told may answer reads from its state.
 	IdleCheck time.Duration
 
-	// The rest are the bounds of journal.Config.
+	// The rest are the bounds of recordlog.Config.
 	AppendTimeout           time.Duration
 	AppendRetryMinimum      time.Duration
 	AppendRetryMaximum      time.Duration
@@ -72,7 +72,7 @@
 // DefaultConfig returns the config that the daemon uses for a partition.
 // Mirrors is left for the caller to set.
 func DefaultConfig(id ID, self machine.ID, writer string, random *rand.Rand) Config {
-	log := journal.DefaultConfig(writer, random)
+	log := recordlog.DefaultConfig(writer, random)
 	return Config{
 		ID:                      id,
 		Self:                    self,
@@ -98,8 +98,8 @@
 }
 
 // journalConfig returns the part of the config that the journal checks.
-func (c Config) journalConfig() journal.Config {
-	return journal.Config{
+func (c Config) journalConfig() recordlog.Config {
+	return recordlog.Config{
 		Writer:                  c.Writer,
 		AppendTimeout:           c.AppendTimeout,
 		RetryMinimum:            c.AppendRetryMinimum,
@@ -120,8 +120,8 @@
 	_, err := Parse(c.ID.String())
 	found.NoError("ID", err)
 	found.Require(c.Self != "", "Self", "missing")
-	found.Require(strings.HasPrefix(c.Writer, string(c.Self)) && journal.WriterMachine(c.Writer) == c.Self, "Writer",
-		"got %q, want journal.WriterName of %q", c.Writer, c.Self)
+	found.Require(strings.HasPrefix(c.Writer, string(c.Self)) && recordlog.WriterMachine(c.Writer) == c.Self, "Writer",
+		"got %q, want recordlog.WriterName of %q", c.Writer, c.Self)
 	findings.AtLeast(found, "MirrorCount", c.MirrorCount, 0)
 	found.Require(c.MirrorCount <= 0 || c.Mirrors != nil, "Mirrors", "missing, but MirrorCount asks for mirrors")
 	found.Require(c.Mirrors == nil || c.Mirrors.config.Instance == c.Writer, "Mirrors", "its Instance is another one than Writer")
--- a/partition/doc.go
+++ b/partition/doc.go
@@ -26,7 +26,7 @@
 //
 // The view only decides who tries. The order of the log decides who owns: the
 // first claim of the epoch after the newest one wins, and voids every later
-// entry of older epochs (see package journal). A former owner that was paused
+// entry of older epochs (see package recordlog). A former owner that was paused
 // finds the claim before anything that it appends is confirmed.
 //
 // # While the log does not answer
--- a/partition/errors.go
+++ b/partition/errors.go
@@ -3,11 +3,11 @@
 import (
 	"errors"
 
-	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/recordlog"
 )
 
 // ErrNotAppended marks an append that certainly took no effect.
-var ErrNotAppended = journal.ErrNotAppended
+var ErrNotAppended = recordlog.ErrNotAppended
 
 // ErrNotOwner is returned by Propose when this node does not own the
 // partition.
@@ -15,4 +15,4 @@
 
 // ErrFull is returned by Propose when the records that are not confirmed yet
 // reach the configured bound; the caller may retry later.
-var ErrFull = journal.ErrFull
+var ErrFull = recordlog.ErrFull
--- a/partition/example_test.go
+++ b/partition/example_test.go
@@ -5,14 +5,14 @@
 	"math/rand/v2"
 	"time"
 
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/partition"
+	"birchwood.example/birchwood/recordlog"
 )
 
 // stream is the partition's stream, in memory.
 type stream struct {
-	entries []journal.Entry
+	entries []recordlog.Entry
 }
 
 // drive performs what the replica wants done, until it is idle. A real driver
@@ -60,7 +60,7 @@
 	log := &stream{}
 	now := time.Unix(0, 0)
 	start := func(node machine.Machine) *partition.Replica {
-		writer := journal.WriterName(node.ID, 1)
+		writer := recordlog.WriterName(node.ID, 1)
 		config := partition.DefaultConfig(id, node.ID, writer, rand.New(rand.NewPCG(1, 2)))
 		config.MirrorCount = 0 // a deployment keeps mirrors in other zones
 		replica, err := partition.NewReplica(config)
--- a/partition/message.go
+++ b/partition/message.go
@@ -1,8 +1,8 @@
 package partition
 
 import (
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/recordlog"
 )
 
 // Message is what replicas and mirrors of one partition send to each other.
@@ -29,8 +29,8 @@
 	Instance string `json:"instance,omitempty"`
 	// Logged says that the log holds every entry of the epoch up to it, so
 	// that mirrors may forget them.
-	Logged  uint64          `json:"logged"`
-	Entries []journal.Entry `json:"entries,omitempty"`
+	Logged  uint64            `json:"logged"`
+	Entries []recordlog.Entry `json:"entries,omitempty"`
 }
 
 // MirrorAck says that a mirror holds every entry of the epoch up to Sequence
@@ -65,8 +65,8 @@
 	Reader   uint64 `json:"reader"`
 	// Entries follow directly on the Sequence of the query, as many as one
 	// message may hold. Last is the newest sequence that the mirror holds.
-	Entries []journal.Entry `json:"entries,omitempty"`
-	Last    uint64          `json:"last"`
+	Entries []recordlog.Entry `json:"entries,omitempty"`
+	Last    uint64            `json:"last"`
 	// Complete is set when the answering process owned the epoch and has lost
 	// it: Entries are all that anybody can have of it beyond the log.
 	Complete bool `json:"complete,omitempty"`
--- a/partition/mirroring.go
+++ b/partition/mirroring.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/recordlog"
 	"birchwood.example/birchwood/retry"
 )
 
@@ -19,9 +19,9 @@
 // its place in the log, a later epoch may come to read either of them, so a
 // record is durable only with a write quorum in both.
 type mirroring struct {
-	current []journal.Mirror
+	current []recordlog.Mirror
 	// next waits for the log at nextSequence, zero if there is none.
-	next         []journal.Mirror
+	next         []recordlog.Mirror
 	nextSequence uint64
 	// links follow the members of both sets, ordered by machine.
 	links []*mirrorLink
@@ -34,7 +34,7 @@
 
 // mirrorLink is what an owner knows of one mirror.
 type mirrorLink struct {
-	mirror journal.Mirror
+	mirror recordlog.Mirror
 	// incarnation is the machine's incarnation in the view when it enlisted;
 	// a later one may mean that the process was restarted.
 	incarnation uint64
@@ -52,7 +52,7 @@
 // enlistment asks nodes whether, and under which instance, they would mirror.
 type enlistment struct {
 	asked    []machine.ID
-	agreed   []journal.Mirror
+	agreed   []recordlog.Mirror
 	deadline time.Time
 }
 
@@ -99,9 +99,9 @@
 
 func (r *Replica) noteAgreed(from machine.ID, ack MirrorAck) {
 	enlistment := &r.mirrors.enlistment
-	known := func(mirror journal.Mirror) bool { return mirror.ID == from }
+	known := func(mirror recordlog.Mirror) bool { return mirror.ID == from }
 	if slices.Contains(enlistment.asked, from) && !slices.ContainsFunc(enlistment.agreed, known) {
-		enlistment.agreed = append(enlistment.agreed, journal.Mirror{ID: from, Instance: ack.Instance})
+		enlistment.agreed = append(enlistment.agreed, recordlog.Mirror{ID: from, Instance: ack.Instance})
 	}
 }
 
@@ -139,7 +139,7 @@
 
 // heldBy is the sequence up to which a write quorum of the set holds the
 // epoch; zero for a set without members.
-func (r *Replica) heldBy(set []journal.Mirror) uint64 {
+func (r *Replica) heldBy(set []recordlog.Mirror) uint64 {
 	if len(set) == 0 {
 		return 0
 	}
@@ -148,10 +148,10 @@
 		acked = append(acked, r.ackedBy(member))
 	}
 	slices.Sort(acked)
-	return acked[len(acked)-journal.WriteQuorum(len(acked))]
+	return acked[len(acked)-recordlog.WriteQuorum(len(acked))]
 }
 
-func (r *Replica) ackedBy(member journal.Mirror) uint64 {
+func (r *Replica) ackedBy(member recordlog.Mirror) uint64 {
 	for _, link := range r.mirrors.links {
 		if link.mirror == member {
 			return link.acked
@@ -215,7 +215,7 @@
 }
 
 // proposeMirrors puts a set into the log, to be in force from there on.
-func (r *Replica) proposeMirrors(set journal.MirrorSet) {
+func (r *Replica) proposeMirrors(set recordlog.MirrorSet) {
 	r.mirrors.next = set.Members
 	r.mirrors.nextSequence = r.journal.ProposeMirrors(r.now, set)
 	for _, member := range set.Members {
@@ -223,7 +223,7 @@
 	}
 }
 
-func (r *Replica) addLink(member journal.Mirror) {
+func (r *Replica) addLink(member recordlog.Mirror) {
 	known := func(link *mirrorLink) bool { return link.mirror == member }
 	if slices.ContainsFunc(r.mirrors.links, known) {
 		return
--- a/partition/mirrorset.go
+++ b/partition/mirrorset.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/recordlog"
 )
 
 // reviewMirrorsAfter schedules a look for missing mirrors, unless an earlier
@@ -91,7 +91,7 @@
 	}
 	members := r.keptMirrors()
 	for _, mirror := range agreed {
-		members = slices.DeleteFunc(members, func(kept journal.Mirror) bool { return kept.ID == mirror.ID })
+		members = slices.DeleteFunc(members, func(kept recordlog.Mirror) bool { return kept.ID == mirror.ID })
 	}
 	members = append(members, agreed...)
 	members = members[:min(len(members), r.config.MirrorCount)]
@@ -101,12 +101,12 @@
 	if sameMembers(members, m.current) {
 		return
 	}
-	r.proposeMirrors(journal.MirrorSet{Members: members})
+	r.proposeMirrors(recordlog.MirrorSet{Members: members})
 }
 
 // keptMirrors are the members that are live and were not restarted.
-func (r *Replica) keptMirrors() []journal.Mirror {
-	var kept []journal.Mirror
+func (r *Replica) keptMirrors() []recordlog.Mirror {
+	var kept []recordlog.Mirror
 	for _, link := range r.mirrors.links {
 		if r.eligible(link.mirror.ID) && !link.restarted && slices.Contains(r.mirrors.current, link.mirror) {
 			kept = append(kept, link.mirror)
@@ -121,11 +121,11 @@
 	everyone := len(r.view.Nodes)
 	candidates := MirrorCandidates(r.config.ID, r.view.Placement, r.view.Nodes, r.config.Self, everyone)
 	return slices.DeleteFunc(candidates, func(id machine.ID) bool {
-		return slices.ContainsFunc(kept, func(mirror journal.Mirror) bool { return mirror.ID == id })
+		return slices.ContainsFunc(kept, func(mirror recordlog.Mirror) bool { return mirror.ID == id })
 	})
 }
 
-func sameMembers(a, b []journal.Mirror) bool {
+func sameMembers(a, b []recordlog.Mirror) bool {
 	if len(a) != len(b) {
 		return false
 	}
--- a/partition/mirrorstore.go
+++ b/partition/mirrorstore.go
@@ -4,13 +4,13 @@
 	"slices"
 
 	"birchwood.example/birchwood/findings"
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/recordlog"
 )
 
 // MirrorStoreConfig sets the bounds of a node's MirrorStore.
 type MirrorStoreConfig struct {
-	// Instance is journal.WriterName of this process.
+	// Instance is recordlog.WriterName of this process.
 	Instance string
 	// MaximumBytes bounds the entries held for all partitions together.
 	MaximumBytes int
@@ -46,7 +46,7 @@
 type mirroredEpoch struct {
 	// logged is the sequence up to which the log has the epoch.
 	logged  uint64
-	entries []journal.Entry
+	entries []recordlog.Entry
 	// complete is set when this node owned the epoch itself.
 	complete bool
 }
@@ -128,7 +128,7 @@
 
 // extend adds the entries that follow on what the epoch holds, and reports
 // whether there was room for them.
-func (s *MirrorStore) extend(epoch *mirroredEpoch, entries []journal.Entry) bool {
+func (s *MirrorStore) extend(epoch *mirroredEpoch, entries []recordlog.Entry) bool {
 	for _, entry := range entries {
 		if entry.Sequence <= epoch.last() {
 			continue
@@ -160,7 +160,7 @@
 
 // keep takes what this node had not logged of an epoch that it owned and lost,
 // if there is room. It answers for the whole epoch from then on.
-func (s *MirrorStore) keep(id ID, rest journal.Rest) {
+func (s *MirrorStore) keep(id ID, rest recordlog.Rest) {
 	epoch := &mirroredEpoch{logged: rest.Logged}
 	if !s.extend(epoch, rest.Entries) {
 		s.forget(epoch, epoch.last())
@@ -214,11 +214,11 @@
 
 // chunk returns the entries after the sequence that fit in one message, at
 // least one if there is any.
-func (s *MirrorStore) chunk(epoch *mirroredEpoch, sequence uint64) []journal.Entry {
+func (s *MirrorStore) chunk(epoch *mirroredEpoch, sequence uint64) []recordlog.Entry {
 	if sequence >= epoch.last() || sequence < epoch.logged {
 		return nil
 	}
-	var chunk []journal.Entry
+	var chunk []recordlog.Entry
 	bytes := 0
 	for _, entry := range epoch.entries[sequence-epoch.logged:] {
 		bytes += entry.Size()
--- a/partition/mirrorstore_test.go
+++ b/partition/mirrorstore_test.go
@@ -4,16 +4,16 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/recordlog"
 )
 
 // entriesAfter returns count entries of epoch 1 after a sequence.
-func entriesAfter(sequence uint64, count int) []journal.Entry {
-	var entries []journal.Entry
+func entriesAfter(sequence uint64, count int) []recordlog.Entry {
+	var entries []recordlog.Entry
 	for index := range count {
-		header := journal.Header{Writer: "a/1", Epoch: 1, Sequence: sequence + uint64(index) + 1}
-		entries = append(entries, journal.Entry{Header: header, Kind: journal.KindRecord, Payload: []byte(`"x"`)})
+		header := recordlog.Header{Writer: "a/1", Epoch: 1, Sequence: sequence + uint64(index) + 1}
+		entries = append(entries, recordlog.Entry{Header: header, Kind: recordlog.KindRecord, Payload: []byte(`"x"`)})
 	}
 	return entries
 }
@@ -30,7 +30,7 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
-	hold := func(logged uint64, entries []journal.Entry) MirrorAck {
+	hold := func(logged uint64, entries []recordlog.Entry) MirrorAck {
 		GinkgoHelper()
 		request := &MirrorAppend{Epoch: 1, Instance: "m/1", Logged: logged, Entries: entries}
 		out := store.Step(owner, Message{Partition: id, Mirror: request})
--- a/partition/owner_test.go
+++ b/partition/owner_test.go
@@ -6,8 +6,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/recordlog"
 	"birchwood.example/birchwood/zone"
 )
 
@@ -73,7 +73,7 @@
 	})
 
 	It("accepts the name of any process of the node", func() {
-		Expect(journal.WriterMachine(journal.WriterName("10.0.0.1:7000", 3))).To(Equal(machine.ID("10.0.0.1:7000")))
-		Expect(errors.Is(ErrFull, journal.ErrFull)).To(BeTrue())
+		Expect(recordlog.WriterMachine(recordlog.WriterName("10.0.0.1:7000", 3))).To(Equal(machine.ID("10.0.0.1:7000")))
+		Expect(errors.Is(ErrFull, recordlog.ErrFull)).To(BeTrue())
 	})
 })
--- a/partition/ready.go
+++ b/partition/ready.go
@@ -1,8 +1,8 @@
 package partition
 
 import (
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/recordlog"
 	"birchwood.example/birchwood/zone"
 )
 
@@ -27,21 +27,21 @@
 // the journal.
 type (
 	// Append asks the driver to append entries in one request.
-	Append = journal.Append
+	Append = recordlog.Append
 	// Read asks the driver to read the partition's stream.
-	Read = journal.Read
+	Read = recordlog.Read
 	// Appended answers an Append.
-	Appended = journal.Appended
+	Appended = recordlog.Appended
 	// ReadDone answers a Read.
-	ReadDone = journal.ReadDone
+	ReadDone = recordlog.ReadDone
 	// Confirmed says that a proposed record is durable.
-	Confirmed = journal.Confirmed
+	Confirmed = recordlog.Confirmed
 	// Recovered is one valid record or snapshot part, in order.
-	Recovered = journal.Recovered
+	Recovered = recordlog.Recovered
 )
 
 // NoOffset marks a record that mirrors hold and the log does not have yet.
-const NoOffset = journal.NoOffset
+const NoOffset = recordlog.NoOffset
 
 // Ready is what a Replica wants done. The driver performs all of it, then
 // calls Ready again after the next Step.
--- a/partition/recover.go
+++ b/partition/recover.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/recordlog"
 	"birchwood.example/birchwood/retry"
 )
 
@@ -14,11 +14,11 @@
 // with, appends those records again and names its own mirrors.
 type recovery struct {
 	// debt is what must be read; nil when no mirror can hold anything.
-	debt    *journal.Debt
+	debt    *recordlog.Debt
 	sources []*recoverySource
 	// suffix is what the mirrors hold after the log's last sequence of the
 	// epoch, without gaps.
-	suffix []journal.Entry
+	suffix []recordlog.Entry
 	since  time.Time
 	// accepted is set when the operator or the policy gave the rest up.
 	accepted bool
@@ -29,7 +29,7 @@
 
 // recoverySource is one mirror that is read.
 type recoverySource struct {
-	mirror journal.Mirror
+	mirror recordlog.Mirror
 	// owner marks the process that owned the epoch. It is no mirror, and counts
 	// only once it has lost the epoch, but then for all of them.
 	owner bool
@@ -84,7 +84,7 @@
 		source := &recoverySource{mirror: mirror, backoff: r.mirrorBackoff()}
 		r.recover.sources = append(r.recover.sources, source)
 	}
-	owner := journal.Mirror{ID: journal.WriterMachine(debt.Writer), Instance: debt.Writer}
+	owner := recordlog.Mirror{ID: recordlog.WriterMachine(debt.Writer), Instance: debt.Writer}
 	source := &recoverySource{mirror: owner, owner: true, backoff: r.mirrorBackoff()}
 	r.recover.sources = append(r.recover.sources, source)
 }
@@ -225,7 +225,7 @@
 	if r.state != StateRecovering || debt == nil || r.recover.opening > 0 {
 		return Stall{}, false
 	}
-	stall := Stall{Epoch: debt.Epoch, Needed: journal.ReadQuorum(len(debt.Mirrors)), Since: r.recover.since}
+	stall := Stall{Epoch: debt.Epoch, Needed: recordlog.ReadQuorum(len(debt.Mirrors)), Since: r.recover.since}
 	for _, source := range r.recover.sources {
 		switch {
 		case source.owner && source.answered && r.recover.done(source):
@@ -259,11 +259,11 @@
 // written when there is nothing to settle and nobody to name.
 func (r *Replica) open() {
 	for _, entry := range r.recover.suffix {
-		if entry.Kind == journal.KindRecord {
+		if entry.Kind == recordlog.KindRecord {
 			r.journal.Repeat(r.now, entry)
 		}
 	}
-	set := journal.MirrorSet{Members: r.mirrors.enlistment.agreed}
+	set := recordlog.MirrorSet{Members: r.mirrors.enlistment.agreed}
 	r.mirrors.enlistment = enlistment{}
 	if r.recover.accepted {
 		set.Unread = r.recover.debt.Epoch
@@ -328,13 +328,13 @@
 // settlementAttempts is how often a mirror that has left the view is told.
 const settlementAttempts = 20
 
-func newSettlement(debt journal.Debt, epoch uint64, backoff retry.Backoff) settlement {
+func newSettlement(debt recordlog.Debt, epoch uint64, backoff retry.Backoff) settlement {
 	// The trim is of this epoch: it forgets all earlier ones.
 	settled := settlement{trim: MirrorTrim{Epoch: epoch}}
 	for _, mirror := range debt.Mirrors {
 		settled.links = append(settled.links, &settlementLink{mirror: mirror.ID, backoff: backoff})
 	}
-	owner := journal.WriterMachine(debt.Writer)
+	owner := recordlog.WriterMachine(debt.Writer)
 	settled.links = append(settled.links, &settlementLink{mirror: owner, backoff: backoff})
 	return settled
 }
--- a/partition/release.go
+++ b/partition/release.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/recordlog"
 )
 
 // release follows a planned hand-over.
@@ -63,7 +63,7 @@
 // needs to read a mirror of the epoch.
 func (r *Replica) advanceReleasing() {
 	if r.release.sequence == 0 {
-		r.release.sequence = r.journal.ProposeMirrors(r.now, journal.MirrorSet{Released: true})
+		r.release.sequence = r.journal.ProposeMirrors(r.now, recordlog.MirrorSet{Released: true})
 	}
 	fold := r.journal.Fold()
 	if fold.Sequence < r.release.sequence {
--- a/partition/replica.go
+++ b/partition/replica.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
-	"birchwood.example/birchwood/journal"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/recordlog"
 )
 
 // Replica is one node's part in one partition. It is not safe for concurrent
@@ -15,7 +15,7 @@
 	config  Config
 	now     time.Time
 	state   State
-	journal *journal.Journal
+	journal *recordlog.Journal
 	view    View
 	ready   Ready
 
@@ -36,7 +36,7 @@
 
 // NewReplica returns a following replica, or every finding about the config.
 func NewReplica(config Config) (*Replica, error) {
-	log, logErr := journal.New(config.journalConfig())
+	log, logErr := recordlog.New(config.journalConfig())
 	if err := errors.Join(config.validate(), logErr); err != nil {
 		return nil, err
 	}
@@ -94,7 +94,7 @@
 
 // Propose queues a record. It is durable once Ready returns its token in
 // Confirmed.
-func (r *Replica) Propose(now time.Time, payload json.RawMessage) (journal.Token, error) {
+func (r *Replica) Propose(now time.Time, payload json.RawMessage) (recordlog.Token, error) {
 	r.now = now
 	if r.state != StateOwning {
 		return 0, ErrNotOwner
--- a/partition/simulatedlog_test.go
+++ b/partition/simulatedlog_test.go
@@ -4,14 +4,14 @@
 	"errors"
 	"time"
 
-	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/recordlog"
 )
 
 var errAnswerLost = errors.New("answer lost")
 
 // simulatedLog is a stream of the log service with faults.
 type simulatedLog struct {
-	entries []journal.Entry
+	entries []recordlog.Entry
 	down    bool
 	// loseAnswers is how many of the next appends take effect unanswered.
 	loseAnswers int
--- a/journal/benchmark_test.go
+++ b/recordlog/benchmark_test.go
@@ -1,4 +1,4 @@
-package journal
+package recordlog
 
 import (
 	"encoding/json"
--- a/journal/config.go
+++ b/recordlog/config.go
@@ -1,4 +1,4 @@
-package journal
+package recordlog
 
 import (
 	"math/rand/v2"
@@ -51,7 +51,7 @@
 
 // validate returns every finding about the config, joined.
 func (c Config) validate() error {
-	found := findings.Of("journal config")
+	found := findings.Of("record log config")
 	found.Require(c.Writer != "", "Writer", "missing")
 	found.Require(c.Random != nil, "Random", "missing")
 	findings.Positive(found, "AppendTimeout", c.AppendTimeout)
--- a/journal/doc.go
+++ b/recordlog/doc.go
@@ -1,4 +1,4 @@
-// Package journal makes the records of one partition durable in a stream of
+// Package recordlog makes the records of one partition durable in a stream of
 // the log service.
 //
 // Many processes may append to the same stream, and any of them may be a
@@ -12,10 +12,10 @@
 // A Journal is one writer. It is a state machine without I/O: the caller
 // passes events and the time in, and performs what Ready returns.
 //
-//	journal.Peek(now)     // read the last entry: who wrote last, which epoch
-//	journal.CatchUp(now)  // read from the newest snapshot to the end
-//	journal.Claim(now, self)
-//	journal.Propose(now, payload)
+//	recordlog.Peek(now)     // read the last entry: who wrote last, which epoch
+//	recordlog.CatchUp(now)  // read from the newest snapshot to the end
+//	recordlog.Claim(now, self)
+//	recordlog.Propose(now, payload)
 //
 // Proposals are committed in groups: one append is in flight, and what is
 // proposed meanwhile goes with the next one. A single append in flight keeps
@@ -36,4 +36,4 @@
 // The package knows nothing of mirrors beyond the set that an entry names;
 // package partition holds records at mirrors while the log does not answer
 // and marks them with MarkMirrored.
-package journal
+package recordlog
--- a/journal/example_test.go
+++ b/recordlog/example_test.go
@@ -1,21 +1,21 @@
-package journal_test
+package recordlog_test
 
 import (
 	"fmt"
 	"math/rand/v2"
 	"time"
 
-	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/recordlog"
 )
 
 // memoryLog is a stream in memory. A real driver performs the requests on
 // other goroutines and passes the answers in when they come.
 type memoryLog struct {
-	entries []journal.Entry
+	entries []recordlog.Entry
 }
 
 // perform does everything that the journal wants done, until it is idle.
-func (l *memoryLog) perform(writer *journal.Journal, now time.Time) {
+func (l *memoryLog) perform(writer *recordlog.Journal, now time.Time) {
 	for writer.HasReady() {
 		ready := writer.Ready()
 		for _, record := range ready.Recovered {
@@ -27,7 +27,7 @@
 		for _, request := range ready.Appends {
 			first := uint64(len(l.entries))
 			l.entries = append(l.entries, request.Entries...)
-			writer.Appended(now, journal.Appended{Request: request.Request, FirstOffset: first})
+			writer.Appended(now, recordlog.Appended{Request: request.Request, FirstOffset: first})
 		}
 		for _, request := range ready.Reads {
 			writer.ReadDone(now, l.read(request))
@@ -35,14 +35,14 @@
 	}
 }
 
-func (l *memoryLog) read(request journal.Read) journal.ReadDone {
+func (l *memoryLog) read(request recordlog.Read) recordlog.ReadDone {
 	end := uint64(len(l.entries))
 	from := min(request.From, end)
 	if request.Tail {
 		from = end - min(end, 1)
 	}
 	to := min(end, from+uint64(request.Maximum))
-	return journal.ReadDone{Request: request.Request, FirstOffset: from, Entries: l.entries[from:to], End: end}
+	return recordlog.ReadDone{Request: request.Request, FirstOffset: from, Entries: l.entries[from:to], End: end}
 }
 
 // Two processes write one stream after each other. The second recovers what
@@ -50,9 +50,9 @@
 func Example() {
 	log := &memoryLog{}
 	now := time.Unix(0, 0)
-	open := func(writerName string) *journal.Journal {
-		config := journal.DefaultConfig(writerName, rand.New(rand.NewPCG(1, 2)))
-		writer, err := journal.New(config)
+	open := func(writerName string) *recordlog.Journal {
+		config := recordlog.DefaultConfig(writerName, rand.New(rand.NewPCG(1, 2)))
+		writer, err := recordlog.New(config)
 		if err != nil {
 			fmt.Println(err)
 			return nil
@@ -61,17 +61,17 @@
 		log.perform(writer, now)
 		writer.CatchUp(now)
 		log.perform(writer, now)
-		writer.Claim(now, journal.WriterMachine(writerName))
+		writer.Claim(now, recordlog.WriterMachine(writerName))
 		log.perform(writer, now)
 		return writer
 	}
 
-	first := open(journal.WriterName("10.0.0.1", 1))
+	first := open(recordlog.WriterName("10.0.0.1", 1))
 	_, _ = first.Propose(now, []byte(`"seal broken"`))
 	_, _ = first.Propose(now, []byte(`"technician sent"`))
 	log.perform(first, now)
 
-	second := open(journal.WriterName("10.0.0.2", 1))
+	second := open(recordlog.WriterName("10.0.0.2", 1))
 	fmt.Println("epoch", second.Epoch())
 
 	_, _ = first.Propose(now, []byte(`"sent again by the former owner"`))
--- a/journal/fold.go
+++ b/recordlog/fold.go
@@ -1,4 +1,4 @@
-package journal
+package recordlog
 
 // Verdict is what the fold makes of one entry.
 type Verdict string
--- a/journal/quorum.go
+++ b/recordlog/quorum.go
@@ -1,4 +1,4 @@
-package journal
+package recordlog
 
 // WriteQuorum is how many of count mirrors must hold a record before it is
 // durable without the log: a majority.
--- a/journal/request.go
+++ b/recordlog/request.go
@@ -1,4 +1,4 @@
-package journal
+package recordlog
 
 import (
 	"encoding/json"
@@ -49,11 +49,11 @@
 var ErrFull = errors.New("partition: too many unconfirmed records")
 
 // ErrNotOpen is returned by Propose while no claim of this writer holds.
-var ErrNotOpen = errors.New("journal: no claim of this writer holds")
+var ErrNotOpen = errors.New("recordlog: no claim of this writer holds")
 
 // ErrSnapshot is returned by ProposeSnapshot while an earlier snapshot is not
 // complete, and for a snapshot without parts.
-var ErrSnapshot = errors.New("journal: a snapshot is under way, or has no parts")
+var ErrSnapshot = errors.New("recordlog: a snapshot is under way, or has no parts")
 
 // Confirmed says that a proposed record is durable. Offset is its place in
 // the stream, or NoOffset while only mirrors hold it; a second Confirmed with
--- a/scale/fleet.go
+++ b/scale/fleet.go
@@ -12,9 +12,9 @@
 	"birchwood.example/birchwood/contract"
 	"birchwood.example/birchwood/emulator/standin"
 	"birchwood.example/birchwood/httpclient"
+	"birchwood.example/birchwood/infra"
+	"birchwood.example/birchwood/infra/infrahttp"
 	"birchwood.example/birchwood/machine"
-	"birchwood.example/birchwood/platform"
-	"birchwood.example/birchwood/platform/platformhttp"
 )
 
 const (
@@ -38,7 +38,7 @@
 	replicas            []machine.Machine
 	standins            *standin.Set
 	platformAddress     string
-	operator            *platformhttp.Platform
+	operator            *infrahttp.Platform
 	machines            *machineLists
 	members             []*member
 	spread              *spread
@@ -73,7 +73,7 @@
 	}
 	f.standins = set
 	f.platformAddress = set.Addresses().Platform
-	f.operator = platformhttp.New(httpclient.Options{Address: f.platformAddress, Timeout: storeTimeout})
+	f.operator = infrahttp.New(httpclient.Options{Address: f.platformAddress, Timeout: storeTimeout})
 	return f, nil
 }
 
@@ -207,7 +207,7 @@
 
 // countedLog counts what the log stand-in holds.
 type countedLog struct {
-	platform.Log
+	infra.Log
 	fleet *fleet
 }
 
@@ -230,7 +230,7 @@
 }
 
 // of returns the machine list of a node.
-func (l *machineLists) of(reader *member) platform.MachineList {
+func (l *machineLists) of(reader *member) infra.MachineList {
 	return machineList{Platform: reader.platform, lists: l}
 }
 
@@ -248,7 +248,7 @@
 }
 
 type machineList struct {
-	*platformhttp.Platform
+	*infrahttp.Platform
 	lists *machineLists
 }
 
--- a/scale/member.go
+++ b/scale/member.go
@@ -14,12 +14,12 @@
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/control"
 	"birchwood.example/birchwood/httpclient"
-	"birchwood.example/birchwood/journal"
+	"birchwood.example/birchwood/infra/infrahttp"
 	"birchwood.example/birchwood/link"
 	"birchwood.example/birchwood/link/linkhttp"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/node"
-	"birchwood.example/birchwood/platform/platformhttp"
+	"birchwood.example/birchwood/recordlog"
 	"birchwood.example/birchwood/schedule"
 	"birchwood.example/birchwood/zone"
 )
@@ -43,7 +43,7 @@
 
 	http     *linkhttp.Transport
 	server   *fasthttp.Server
-	platform *platformhttp.Platform
+	platform *infrahttp.Platform
 
 	mutex sync.RWMutex
 	node  *node.Node
@@ -81,7 +81,7 @@
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 	}
-	m.platform = platformhttp.New(httpclient.Options{Address: f.platformAddress, Zone: string(place), Timeout: storeTimeout})
+	m.platform = infrahttp.New(httpclient.Options{Address: f.platformAddress, Zone: string(place), Timeout: storeTimeout})
 	go func() { _ = m.server.Serve(listener) }()
 	return m, nil
 }
@@ -108,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	core := control.DefaultConfig(self, journal.WriterName(self.ID, self.Incarnation), random, policy)
+	core := control.DefaultConfig(self, recordlog.WriterName(self.ID, self.Incarnation), random, policy)
 	core.PartitionsPerBranch = m.fleet.partitionsPerBranch
 	core.Replica.AcceptLossAfter = m.fleet.config.AcceptLossAfter
 	if timeout := m.fleet.config.ProbeTimeout; timeout > 0 {
