--- a/command/verbs.go
+++ b/command/verbs.go
@@ -7,6 +7,7 @@
 	return []*cobra.Command{
 		newDevCommand(),
 		newServeCommand(),
+		newEdgeCommand(),
 		newStandinCommand(),
 		newCheckCommand(),
 		newLoadCommand(),
--- /dev/null
+++ b/coordinator/core.go
@@ -0,0 +1,333 @@
+package coordinator
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/ownership"
+)
+
+// Config sets up a Core.
+type Config struct {
+	Membership machine.Config
+	Ledger     ledger.Config
+	// Partitions is how many partitions there are.
+	Partitions int
+	// Salt is this process's part of its epochs.
+	Salt ownership.Salt
+	// Settle is how long after its start a node claims nothing, so that it
+	// knows its peers.
+	Settle time.Duration
+	// ClaimPause is the least time between two claims of one partition.
+	ClaimPause time.Duration
+	// StatusPeriod is the time between two statuses, each to StatusFanout
+	// peers at most.
+	StatusPeriod time.Duration
+	StatusFanout int
+	// KnownPerStatus bounds the nodes that a status names.
+	KnownPerStatus int
+	// HoldFor is how long a request waits for a takeover under way.
+	HoldFor time.Duration
+	// StallAfter is how long an append may go unanswered before turns that
+	// need the log are refused.
+	StallAfter time.Duration
+	// Random picks the peers of a status.
+	Random *rand.Rand
+}
+
+// DefaultConfig returns the settings used in production.
+func DefaultConfig(self machine.Machine, partitions int, random *rand.Rand) Config {
+	membership := machine.DefaultConfig(self, random)
+	membership.ProbePeriod = 200 * time.Millisecond
+	membership.ProbeTimeout = 150 * time.Millisecond
+	membership.SuspectTimeout = 400 * time.Millisecond
+	membership.GossipPeriod = 100 * time.Millisecond
+	membership.DeadProbePeriod = time.Second
+	membership.ViewPeriod = 50 * time.Millisecond
+	membership.ListTimeout = time.Hour
+	membership.ProbesPerPeriod = 2
+	membership.MaximumHealthScore = 4
+	return Config{
+		Membership:     membership,
+		Ledger:         ledger.DefaultConfig(),
+		Partitions:     partitions,
+		Salt:           ownership.SaltOf(random.Uint64()),
+		Settle:         700 * time.Millisecond,
+		ClaimPause:     time.Second,
+		StatusPeriod:   200 * time.Millisecond,
+		StatusFanout:   12,
+		KnownPerStatus: 8,
+		HoldFor:        800 * time.Millisecond,
+		StallAfter:     700 * time.Millisecond,
+		Random:         random,
+	}
+}
+
+// Core is one node's control state. It is not safe for concurrent use.
+type Core struct {
+	config     Config
+	membership *machine.Membership
+	partitions []*partition
+	directory  map[machine.ID]machine.Machine
+	peers      map[machine.ID]peerState
+	started    time.Time
+	listed     bool
+	reaches    bool
+	leaving    bool
+	loads      Loads
+	nextStatus time.Time
+	ready      Ready
+}
+
+// peerState is what a peer told of itself last.
+type peerState struct {
+	at     time.Time
+	status Status
+}
+
+// peerStateLifetime is how long a peer's status counts.
+const peerStateLifetime = 3 * time.Second
+
+// New returns a core that knows of no node but itself.
+func New(now time.Time, config Config) (*Core, error) {
+	membership, err := machine.NewMembership(config.Membership)
+	if err != nil {
+		return nil, err
+	}
+	core := &Core{
+		config:     config,
+		membership: membership,
+		directory:  make(map[machine.ID]machine.Machine),
+		peers:      make(map[machine.ID]peerState),
+		started:    now,
+		reaches:    true,
+	}
+	for index := range config.Partitions {
+		core.partitions = append(core.partitions, &partition{index: index})
+	}
+	return core, nil
+}
+
+// Step takes in one event.
+func (c *Core) Step(now time.Time, event Event) {
+	switch event := event.(type) {
+	case Tick:
+		c.tick(now)
+	case Listed:
+		c.listed = true
+		c.learn(now, event.Nodes)
+	case Contact:
+		c.reaches = event.Reached
+	case PeerReceived:
+		c.stepPeer(now, event.Message)
+	case Requested:
+		c.stepRequest(now, event)
+	case TakenOver:
+		c.stepTakenOver(now, event)
+	case Appended:
+		c.stepAppended(now, event)
+	case Leave:
+		c.leaving = true
+		c.membership.Leave(now)
+		c.sendStatus(now)
+	case Loads:
+		c.loads = event
+	}
+	c.collect(now)
+}
+
+// Ready returns what has accumulated since the last call.
+func (c *Core) Ready() Ready {
+	ready := c.ready
+	c.ready = Ready{}
+	return ready
+}
+
+// tickPeriod is the longest time between two ticks.
+const tickPeriod = 50 * time.Millisecond
+
+// NextWake returns when a Tick is due at the latest.
+func (c *Core) NextWake(now time.Time) time.Time {
+	wake := now.Add(tickPeriod)
+	if due := c.membership.NextWake(); due.Before(wake) {
+		return due
+	}
+	return wake
+}
+
+func (c *Core) tick(now time.Time) {
+	c.membership.Tick(now)
+	if !now.Before(c.nextStatus) {
+		c.nextStatus = now.Add(c.config.StatusPeriod)
+		c.sendStatus(now)
+	}
+	for _, one := range c.partitions {
+		c.tickPartition(now, one)
+	}
+}
+
+// collect turns what the parts have ready into the core's own.
+func (c *Core) collect(now time.Time) {
+	for _, outbound := range c.membership.Ready().Messages {
+		target, known := c.membership.Lookup(outbound.To)
+		if !known {
+			continue
+		}
+		message := outbound.Message
+		c.ready.Messages = append(c.ready.Messages, Outbound{To: target, Message: PeerMessage{From: c.self(), Membership: &message}})
+	}
+	for _, one := range c.partitions {
+		c.collectAppend(now, one)
+	}
+}
+
+func (c *Core) self() machine.Machine {
+	self := c.config.Membership.Self
+	if c.leaving {
+		self.Status = machine.StatusLeaving
+	}
+	return self
+}
+
+// learn adds nodes to the directory.
+func (c *Core) learn(now time.Time, nodes []machine.Machine) {
+	changed := false
+	for _, node := range nodes {
+		if node.ID == c.self().ID || node.Address == "" {
+			continue
+		}
+		known, found := c.directory[node.ID]
+		if found && known.Incarnation >= node.Incarnation {
+			continue
+		}
+		node.Kind = machine.KindNode
+		node.Status = machine.StatusLive
+		c.directory[node.ID] = node
+		changed = true
+	}
+	if !changed {
+		return
+	}
+	c.membership.Observe(now, c.known())
+}
+
+// known returns the directory, this node included, sorted by id.
+func (c *Core) known() []machine.Machine {
+	self := c.config.Membership.Self
+	self.Status = machine.StatusLive
+	all := []machine.Machine{self}
+	for _, node := range c.directory {
+		all = append(all, node)
+	}
+	slices.SortFunc(all, func(left, right machine.Machine) int {
+		if left.ID < right.ID {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+func (c *Core) stepPeer(now time.Time, message PeerMessage) {
+	sender := message.From
+	if message.Status != nil {
+		c.learn(now, append(message.Status.Known, sender))
+		c.peers[sender.ID] = peerState{at: now, status: *message.Status}
+		c.ready.Loads = append(c.ready.Loads, PeerLoad{
+			Node: string(sender.ID), Counts: message.Status.Loads, Version: message.Status.Version, From: sender,
+		})
+		c.hearOwned(now, message.Status.Owned)
+	} else {
+		c.learn(now, []machine.Machine{sender})
+	}
+	if message.Membership != nil {
+		c.membership.Step(now, sender.ID, *message.Membership)
+	}
+}
+
+// sendStatus tells some live peers about this node.
+func (c *Core) sendStatus(now time.Time) {
+	peers := slices.DeleteFunc(slices.Clone(c.membership.Nodes()), func(node machine.Machine) bool { return node.ID == c.self().ID })
+	c.config.Random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	status := &Status{ReachesStore: c.reaches, Owned: c.owned(), Loads: c.loads.Counts, Version: c.loads.Version}
+	known := c.known()
+	c.config.Random.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	status.Known = known[:min(len(known), c.config.KnownPerStatus)]
+	for _, peer := range peers[:min(len(peers), c.config.StatusFanout)] {
+		c.ready.Messages = append(c.ready.Messages, Outbound{To: peer, Message: PeerMessage{From: c.self(), Status: status}})
+	}
+}
+
+// owned returns the partitions that this node serves.
+func (c *Core) owned() map[int]ownership.Epoch {
+	owned := make(map[int]ownership.Epoch)
+	for _, one := range c.partitions {
+		if one.state == stateServing {
+			owned[one.index] = one.epoch
+		}
+	}
+	return owned
+}
+
+// candidates returns the nodes that may own partitions: the live ones that
+// reach the store, or all live ones where none does.
+func (c *Core) candidates(now time.Time) []string {
+	var live, able []string
+	for _, node := range c.membership.Nodes() {
+		live = append(live, string(node.ID))
+		if c.reachesStore(now, node.ID) {
+			able = append(able, string(node.ID))
+		}
+	}
+	if len(able) > 0 {
+		return able
+	}
+	return live
+}
+
+func (c *Core) reachesStore(now time.Time, node machine.ID) bool {
+	if node == c.self().ID {
+		return c.reaches
+	}
+	state, heard := c.peers[node]
+	return !heard || now.Sub(state.at) > peerStateLifetime || state.status.ReachesStore
+}
+
+// Owner returns the node that serves the partition as far as this node knows:
+// the live one with the highest epoch, or the one that ranks first.
+func (c *Core) Owner(now time.Time, index int) (machine.Machine, bool) {
+	best, bestEpoch := c.self(), ownership.Epoch(0)
+	if one := c.partitions[index]; one.state == stateServing {
+		bestEpoch = one.epoch
+	}
+	for _, node := range c.membership.Nodes() {
+		state, heard := c.peers[node.ID]
+		if !heard || now.Sub(state.at) > peerStateLifetime || node.ID == c.self().ID {
+			continue
+		}
+		if epoch := state.status.Owned[index]; epoch > bestEpoch {
+			best, bestEpoch = node, epoch
+		}
+	}
+	if bestEpoch > 0 {
+		return best, true
+	}
+	chosen := machine.ID(ownership.Rank(index, c.candidates(now)))
+	if chosen == c.self().ID {
+		return c.self(), true
+	}
+	return c.membership.Lookup(chosen)
+}
+
+// Peers returns the live nodes besides this one that reach the store.
+func (c *Core) Peers(now time.Time) []machine.Machine {
+	return slices.DeleteFunc(slices.Clone(c.membership.Nodes()), func(node machine.Machine) bool {
+		return node.ID == c.self().ID || !c.reachesStore(now, node.ID)
+	})
+}
+
+// LiveCount returns how many nodes are live, this one included.
+func (c *Core) LiveCount() int { return max(1, len(c.membership.Nodes())) }
--- /dev/null
+++ b/coordinator/doc.go
@@ -0,0 +1,27 @@
+// Package coordinator is one node's control state: who is live, which
+// partitions this node owns, and the ledgers of those partitions.
+//
+// A Core is a pure state machine. The driver passes in events with Step and
+// performs what Ready returns: messages to peers, replies to requests, takeovers
+// of partitions and appends to the log. It calls Step with a Tick no later than
+// NextWake. Nothing here reads a clock, opens a connection, starts a goroutine
+// or uses a random source that was not passed in.
+//
+// # Owning a partition
+//
+// The node that ranks first for a partition among the live nodes that reach
+// the log takes it over: it claims a new epoch, which fences the former owner,
+// and then reads the newest record of each key. From the answer on it serves.
+// Requests that arrive meanwhile are held for a bounded time.
+//
+// An append that the log refuses as fenced ends the ownership at once, as does
+// word of a higher epoch. What waited for the append is told that the owner is
+// lost, and asks the new one.
+//
+// # Answers that must be certain
+//
+// A former owner that does not yet know of its end still answers. What it
+// grants lies under marks that the new owner counts as used, so that the
+// budget holds. That a turn is not kept it says only after an append, if need
+// be an empty one, has shown that its epoch is still in force.
+package coordinator
--- /dev/null
+++ b/coordinator/event.go
@@ -0,0 +1,158 @@
+package coordinator
+
+import (
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/ownership"
+)
+
+// Event is what a driver passes to Core.Step.
+type Event interface{ event() }
+
+// Tick performs what is due.
+type Tick struct{}
+
+// Listed brings the nodes that the platform's store and the settings name.
+type Listed struct{ Nodes []machine.Machine }
+
+// Contact tells whether this node reached the store lately.
+type Contact struct{ Reached bool }
+
+// PeerReceived is a message of another node.
+type PeerReceived struct{ Message PeerMessage }
+
+// Requested is a request about a partition, of this node or of a peer.
+type Requested struct {
+	// ID correlates the Reply; the driver allocates it.
+	ID        uint64
+	Partition int
+	Request   Request
+}
+
+// TakenOver answers a Takeover.
+type TakenOver struct {
+	Partition int
+	Epoch     ownership.Epoch
+	Outcome   Outcome
+	// Highest is the highest epoch that the log named, when fenced.
+	Highest ownership.Epoch
+	// Records are the newest of each key, when done.
+	Records []ledger.Record
+}
+
+// Appended answers an Append.
+type Appended struct {
+	Partition int
+	Epoch     ownership.Epoch
+	Sequence  uint64
+	Outcome   Outcome
+}
+
+// Outcome tells how a takeover or an append ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// OutcomeDone was acknowledged.
+	OutcomeDone Outcome = iota
+	// OutcomeFenced was refused because a higher epoch holds.
+	OutcomeFenced
+	// OutcomeFailed is a takeover that was given up; it may be tried again.
+	OutcomeFailed
+)
+
+// Leave begins this node's planned stop.
+type Leave struct{}
+
+// Loads brings this node's requests under way, by replica.
+type Loads struct {
+	Counts map[string]int
+	// Version is the newest configuration that this node holds.
+	Version uint64
+}
+
+func (Tick) event()         {}
+func (Listed) event()       {}
+func (Contact) event()      {}
+func (PeerReceived) event() {}
+func (Requested) event()    {}
+func (TakenOver) event()    {}
+func (Appended) event()     {}
+func (Leave) event()        {}
+func (Loads) event()        {}
+
+// PeerMessage is what two nodes exchange besides requests.
+type PeerMessage struct {
+	From machine.Machine `json:"from"`
+	// Membership is a message of the failure detector, or nil.
+	Membership *machine.Message `json:"membership,omitempty"`
+	// Status is what the sender tells of itself, or nil.
+	Status *Status `json:"status,omitempty"`
+}
+
+// Status is what a node tells of itself every now and then.
+type Status struct {
+	// ReachesStore is false for a node that may not own partitions.
+	ReachesStore bool `json:"reaches_store"`
+	// Owned are the partitions that the node serves, with their epochs.
+	Owned map[int]ownership.Epoch `json:"owned,omitempty"`
+	// Loads are the node's requests under way, by replica.
+	Loads map[string]int `json:"loads,omitempty"`
+	// Version is the newest configuration that the node holds.
+	Version uint64 `json:"version"`
+	// Known are some of the nodes that the sender knows.
+	Known []machine.Machine `json:"known,omitempty"`
+}
+
+// Outbound is a message to another node.
+type Outbound struct {
+	To      machine.Machine
+	Message PeerMessage
+}
+
+// Takeover asks the driver to claim a partition in the log at the epoch, and
+// then to read the newest record of each key.
+type Takeover struct {
+	Partition int
+	Epoch     ownership.Epoch
+}
+
+// Append asks the driver to append records under the epoch, or none, and to
+// repeat it until it is acknowledged or fenced.
+type Append struct {
+	Partition int
+	Epoch     ownership.Epoch
+	Sequence  uint64
+	Records   []ledger.Record
+}
+
+// PeerLoad is another node's requests under way.
+type PeerLoad struct {
+	Node   string
+	Counts map[string]int
+	// Version is the newest configuration that the peer holds.
+	Version uint64
+	From    machine.Machine
+}
+
+// Ready is what a driver has to perform.
+type Ready struct {
+	Messages  []Outbound
+	Replies   []Reply
+	Takeovers []Takeover
+	Appends   []Append
+	Loads     []PeerLoad
+	// Changes tell of partitions won or lost, for the log.
+	Changes []Change
+}
+
+// Change is a partition that this node won or lost.
+type Change struct {
+	Partition int
+	Epoch     ownership.Epoch
+	Owned     bool
+	// Reason tells why, and Accounts and Turns what was found, when won.
+	Reason   string
+	Accounts int
+	Turns    int
+}
--- /dev/null
+++ b/coordinator/partition.go
@@ -0,0 +1,224 @@
+package coordinator
+
+import (
+	"time"
+
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/ownership"
+)
+
+// partitionState is where a partition stands on this node.
+type partitionState int
+
+const (
+	// stateAbsent partitions are another node's, or nobody's.
+	stateAbsent partitionState = iota
+	// stateTaking partitions are being claimed and read.
+	stateTaking
+	// stateServing partitions are this node's.
+	stateServing
+)
+
+// partition is one partition as this node has it.
+type partition struct {
+	index int
+	state partitionState
+	epoch ownership.Epoch
+	// highest is the highest epoch known of.
+	highest   ownership.Epoch
+	ledger    *ledger.Ledger
+	sequence  uint64
+	inFlight  bool
+	sentAt    time.Time
+	nextClaim time.Time
+	// begun counts appends; each verifier waits for one that began after it.
+	begun     uint64
+	waiters   []waiter
+	verifiers []verifier
+	held      []heldRequest
+}
+
+// waiter waits for a position to be durable.
+type waiter struct {
+	id       uint64
+	position uint64
+}
+
+// verifier waits for proof that the epoch was in force after it asked.
+type verifier struct {
+	id    uint64
+	after uint64
+	reply Reply
+}
+
+// heldRequest waits for the takeover under way.
+type heldRequest struct {
+	request Requested
+	until   time.Time
+}
+
+func (c *Core) tickPartition(now time.Time, one *partition) {
+	c.expireHeld(now, one)
+	if one.state == stateServing {
+		one.ledger.Tick(now)
+	}
+	if one.state != stateAbsent || !c.mayClaim(now) || now.Before(one.nextClaim) {
+		return
+	}
+	if ownership.Rank(one.index, c.candidates(now)) != string(c.self().ID) {
+		return
+	}
+	one.nextClaim = now.Add(c.config.ClaimPause)
+	one.state = stateTaking
+	one.epoch = c.config.Salt.After(one.highest)
+	c.ready.Takeovers = append(c.ready.Takeovers, Takeover{Partition: one.index, Epoch: one.epoch})
+}
+
+// mayClaim reports whether this node knows enough to take partitions over.
+func (c *Core) mayClaim(now time.Time) bool {
+	return c.listed && c.reaches && !c.leaving && now.Sub(c.started) >= c.config.Settle
+}
+
+func (c *Core) stepTakenOver(now time.Time, taken TakenOver) {
+	one := c.partitions[taken.Partition]
+	one.highest = max(one.highest, taken.Highest, taken.Epoch)
+	if one.state != stateTaking || taken.Epoch != one.epoch {
+		return
+	}
+	if taken.Outcome != OutcomeDone {
+		one.state = stateAbsent
+		if taken.Outcome == OutcomeFenced {
+			one.nextClaim = now
+		}
+		return
+	}
+	one.ledger = ledger.New(c.config.Ledger)
+	for _, record := range taken.Records {
+		// A record that does not decode was written by no version of this
+		// program; the others must not be lost for it.
+		_ = one.ledger.Restore(now, record)
+	}
+	one.state = stateServing
+	one.sequence = 0
+	one.inFlight = false
+	accounts, turns := one.ledger.Counts()
+	c.ready.Changes = append(c.ready.Changes, Change{
+		Partition: one.index, Epoch: one.epoch, Owned: true, Reason: "claimed", Accounts: accounts, Turns: turns,
+	})
+	held := one.held
+	one.held = nil
+	for _, waiting := range held {
+		c.serve(now, one, waiting.request)
+	}
+}
+
+// collectAppend puts out the partition's next append if one is due.
+func (c *Core) collectAppend(now time.Time, one *partition) {
+	if one.state != stateServing || one.inFlight {
+		return
+	}
+	records := one.ledger.Ready()
+	if records == nil && len(one.verifiers) == 0 {
+		return
+	}
+	one.inFlight = true
+	one.begun++
+	one.sequence++
+	one.sentAt = now
+	c.ready.Appends = append(c.ready.Appends, Append{
+		Partition: one.index, Epoch: one.epoch, Sequence: one.sequence, Records: records,
+	})
+}
+
+func (c *Core) stepAppended(now time.Time, appended Appended) {
+	one := c.partitions[appended.Partition]
+	if one.state != stateServing || appended.Epoch != one.epoch || appended.Sequence != one.sequence {
+		return
+	}
+	if appended.Outcome != OutcomeDone {
+		c.lose(one, "fenced by the log")
+		one.nextClaim = now.Add(c.config.ClaimPause)
+		return
+	}
+	one.inFlight = false
+	one.ledger.Stored()
+	c.answerWaiters(one)
+	c.answerVerifiers(one)
+}
+
+// stalled reports whether the log has left an append unanswered for too long.
+func (c *Core) stalled(now time.Time, one *partition) bool {
+	return one.inFlight && now.Sub(one.sentAt) > c.config.StallAfter
+}
+
+// answerWaiters answers those whose position is durable.
+func (c *Core) answerWaiters(one *partition) {
+	durable := one.ledger.Durable()
+	rest := one.waiters[:0]
+	for _, waiting := range one.waiters {
+		if waiting.position > durable {
+			rest = append(rest, waiting)
+			continue
+		}
+		c.reply(Reply{ID: waiting.id, Status: ReplyDone, Epoch: one.epoch})
+	}
+	one.waiters = rest
+}
+
+func (c *Core) answerVerifiers(one *partition) {
+	rest := one.verifiers[:0]
+	for _, waiting := range one.verifiers {
+		if waiting.after >= one.begun {
+			rest = append(rest, waiting)
+			continue
+		}
+		c.reply(waiting.reply)
+	}
+	one.verifiers = rest
+}
+
+// hearOwned ends the ownership of partitions that a peer serves at a higher
+// epoch.
+func (c *Core) hearOwned(now time.Time, owned map[int]ownership.Epoch) {
+	for index, epoch := range owned {
+		if index < 0 || index >= len(c.partitions) {
+			continue
+		}
+		one := c.partitions[index]
+		one.highest = max(one.highest, epoch)
+		if one.state == stateServing && epoch > one.epoch {
+			c.lose(one, "a peer serves a higher epoch")
+			one.nextClaim = now.Add(c.config.ClaimPause)
+		}
+	}
+}
+
+// lose ends the ownership of a partition and tells all that wait.
+func (c *Core) lose(one *partition, reason string) {
+	c.ready.Changes = append(c.ready.Changes, Change{Partition: one.index, Epoch: one.epoch, Reason: reason})
+	for _, waiting := range one.waiters {
+		c.reply(Reply{ID: waiting.id, Status: ReplyLost})
+	}
+	for _, waiting := range one.verifiers {
+		c.reply(Reply{ID: waiting.id, Status: ReplyLost})
+	}
+	one.waiters = nil
+	one.verifiers = nil
+	one.ledger = nil
+	one.state = stateAbsent
+	one.inFlight = false
+}
+
+func (c *Core) expireHeld(now time.Time, one *partition) {
+	rest := one.held[:0]
+	for _, waiting := range one.held {
+		if one.state == stateTaking && now.Before(waiting.until) {
+			rest = append(rest, waiting)
+			continue
+		}
+		c.reply(Reply{ID: waiting.request.ID, Status: ReplyNotOwner})
+	}
+	one.held = rest
+}
+
+func (c *Core) reply(reply Reply) { c.ready.Replies = append(c.ready.Replies, reply) }
--- /dev/null
+++ b/coordinator/request.go
@@ -0,0 +1,74 @@
+package coordinator
+
+import (
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/ownership"
+)
+
+// Request is a question to the owner of a partition. Exactly one field is set.
+type Request struct {
+	Admit  *AdmitRequest      `json:"admit,omitempty"`
+	Await  *AwaitRequest      `json:"await,omitempty"`
+	Settle *ledger.Settlement `json:"settle,omitempty"`
+	Keep   *KeepRequest       `json:"keep,omitempty"`
+	Find   *FindRequest       `json:"find,omitempty"`
+}
+
+// AdmitRequest asks whether a turn may run.
+type AdmitRequest struct {
+	Turn ledger.Turn `json:"turn"`
+	// Previous is the kept turn that the turn goes on from, or "". Its chain
+	// comes with the answer.
+	Previous string `json:"previous,omitempty"`
+	// HasChain says that the asker has the chain already.
+	HasChain bool `json:"has_chain,omitempty"`
+}
+
+// AwaitRequest asks to be told when a position is durable.
+type AwaitRequest struct {
+	Epoch    ownership.Epoch `json:"epoch"`
+	Position uint64          `json:"position"`
+}
+
+// KeepRequest asks to keep a whole turn, and settles it.
+type KeepRequest struct {
+	Turn       ledger.KeptTurn   `json:"turn"`
+	Settlement ledger.Settlement `json:"settlement"`
+}
+
+// FindRequest asks for the chain of a kept turn.
+type FindRequest struct {
+	Turn string `json:"turn"`
+}
+
+// Status of a reply.
+type ReplyStatus string
+
+// The statuses of a reply.
+const (
+	// ReplyDone answers the request.
+	ReplyDone ReplyStatus = "done"
+	// ReplyNotOwner says that this node does not serve the partition. Nothing
+	// was done; the asker tries the owner.
+	ReplyNotOwner ReplyStatus = "not_owner"
+	// ReplyLost says that this node lost the partition meanwhile. What was
+	// asked for may have become durable.
+	ReplyLost ReplyStatus = "lost"
+	// ReplyAbsent says that the turn is certainly not kept here.
+	ReplyAbsent ReplyStatus = "absent"
+	// ReplyStalled says that the log does not take records at present, and
+	// that nothing was done.
+	ReplyStalled ReplyStatus = "stalled"
+)
+
+// Reply answers a request.
+type Reply struct {
+	ID     uint64      `json:"-"`
+	Status ReplyStatus `json:"status"`
+	// Epoch is the owner's, for an AwaitRequest.
+	Epoch     ownership.Epoch   `json:"epoch,omitempty"`
+	Admission *ledger.Admission `json:"admission,omitempty"`
+	Chain     []byte            `json:"chain,omitempty"`
+	// Owner is the node that serves the partition as far as is known.
+	Owner string `json:"owner,omitempty"`
+}
--- /dev/null
+++ b/coordinator/serve.go
@@ -0,0 +1,91 @@
+package coordinator
+
+import (
+	"time"
+
+	"birchwood.example/birchwood/ledger"
+)
+
+// stepRequest serves a request, holds it for the takeover under way, or says
+// that this node is not the owner.
+func (c *Core) stepRequest(now time.Time, request Requested) {
+	if request.Partition < 0 || request.Partition >= len(c.partitions) {
+		c.reply(Reply{ID: request.ID, Status: ReplyNotOwner})
+		return
+	}
+	one := c.partitions[request.Partition]
+	switch one.state {
+	case stateServing:
+		c.serve(now, one, request)
+	case stateTaking:
+		one.held = append(one.held, heldRequest{request: request, until: now.Add(c.config.HoldFor)})
+	default:
+		owner, _ := c.Owner(now, request.Partition)
+		c.reply(Reply{ID: request.ID, Status: ReplyNotOwner, Owner: string(owner.ID)})
+	}
+}
+
+// serve answers a request about a partition that this node serves.
+func (c *Core) serve(now time.Time, one *partition, request Requested) {
+	body := request.Request
+	switch {
+	case body.Admit != nil:
+		c.admit(now, one, request.ID, body.Admit)
+	case body.Await != nil:
+		c.await(one, request.ID, body.Await)
+	case body.Settle != nil:
+		one.ledger.Settle(now, *body.Settle)
+		c.reply(Reply{ID: request.ID, Status: ReplyDone, Epoch: one.epoch})
+	case body.Keep != nil:
+		one.ledger.Settle(now, body.Keep.Settlement)
+		position := one.ledger.Keep(now, body.Keep.Turn)
+		one.waiters = append(one.waiters, waiter{id: request.ID, position: position})
+	case body.Find != nil:
+		c.find(one, request.ID, body.Find.Turn)
+	default:
+		c.reply(Reply{ID: request.ID, Status: ReplyNotOwner})
+	}
+}
+
+func (c *Core) admit(now time.Time, one *partition, id uint64, asked *AdmitRequest) {
+	reply := Reply{ID: id, Status: ReplyDone, Epoch: one.epoch}
+	if asked.Previous != "" && !asked.HasChain {
+		chain, found := one.ledger.Chain(asked.Previous)
+		if !found {
+			c.reply(Reply{ID: id, Status: ReplyAbsent, Epoch: one.epoch})
+			return
+		}
+		reply.Chain = chain
+	}
+	admission := one.ledger.Admit(now, asked.Turn)
+	if admission.Position > 0 && c.stalled(now, one) {
+		one.ledger.Settle(now, ledger.Settlement{Turn: asked.Turn.ID, Program: asked.Turn.Program})
+		c.reply(Reply{ID: id, Status: ReplyStalled, Epoch: one.epoch})
+		return
+	}
+	reply.Admission = &admission
+	c.reply(reply)
+}
+
+// await answers at once what is durable already.
+func (c *Core) await(one *partition, id uint64, asked *AwaitRequest) {
+	switch {
+	case asked.Epoch != one.epoch:
+		c.reply(Reply{ID: id, Status: ReplyLost})
+	case asked.Position <= one.ledger.Durable():
+		c.reply(Reply{ID: id, Status: ReplyDone, Epoch: one.epoch})
+	default:
+		one.waiters = append(one.waiters, waiter{id: id, position: asked.Position})
+	}
+}
+
+// find answers with a chain, or proves first that it is not here.
+func (c *Core) find(one *partition, id uint64, turn string) {
+	chain, found := one.ledger.Chain(turn)
+	if found {
+		c.reply(Reply{ID: id, Status: ReplyDone, Epoch: one.epoch, Chain: chain})
+		return
+	}
+	absent := Reply{ID: id, Status: ReplyAbsent, Epoch: one.epoch}
+	one.verifiers = append(one.verifiers, verifier{id: id, after: one.begun, reply: absent})
+}
--- /dev/null
+++ b/edge/call.go
@@ -0,0 +1,140 @@
+package edge
+
+import (
+	"errors"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/ingress"
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/upstream"
+)
+
+// maximumOffers bounds the replicas that one request is offered to.
+const maximumOffers = 6
+
+// serveCall serves a request whose answer is passed on whole.
+func (n *Node) serveCall(r *requestState, table *routing.Table) {
+	runs := 0
+	for offer := 0; ; offer++ {
+		entry, err := n.chooseReplica(r, table)
+		if err != nil || offer >= maximumOffers || r.left() <= 0 {
+			n.refuse(r, err, runs)
+			return
+		}
+		response, err := n.pool.Send(targetOf(entry), n.outgoing(r, entry, r.exchange.Body, ""), r.exchange.Cancel)
+		if upstream.NotSent(err) {
+			if n.abandoned(r, entry) {
+				return
+			}
+			n.reject(r, entry, replica.ResultFailed)
+			continue
+		}
+		var body []byte
+		if err == nil {
+			body, err = response.ReadAll()
+		}
+		if err == nil && n.notExecuted(response) {
+			n.reject(r, entry, replica.ResultRejected)
+			continue
+		}
+		if err == nil && n.sound(response) {
+			n.replicas.ended(entry.ID, replica.ResultAnswered)
+			r.status = response.Status()
+			r.reason = "answered"
+			r.exchange.Relay(&response.Header, body)
+			return
+		}
+		runs++
+		if n.abandoned(r, entry) {
+			return
+		}
+		n.replicas.ended(entry.ID, replica.ResultFailed)
+		if !r.route.Repeatable() || runs > r.route.Attempts() {
+			r.fail(fasthttp.StatusBadGateway, failureReason(err), 0)
+			return
+		}
+		// Once the request has run on as many replicas as it may, only the
+		// same one may run it again.
+		if runs < r.route.Attempts() {
+			r.excluded = append(r.excluded, entry.ID)
+		} else {
+			r.preferred = entry.ID
+		}
+	}
+}
+
+func failureReason(err error) string {
+	if err == nil {
+		return "the replica's answer is not signed"
+	}
+	return err.Error()
+}
+
+// chooseReplica picks the next replica for the request and counts it there.
+func (n *Node) chooseReplica(r *requestState, table *routing.Table) (replica.Entry, error) {
+	choice, err := n.replicas.choose(&replica.Request{
+		Service: r.service, Prompt: r.prompt, Preferred: r.preferred, Excluded: r.excluded,
+		PerNode: n.perNode(table, r.service), Draw: n.draw(),
+	})
+	if err != nil {
+		return replica.Entry{}, err
+	}
+	r.choice = choice
+	r.attempts++
+	return choice.Entry, nil
+}
+
+// reject notes that a replica did not run the request.
+func (n *Node) reject(r *requestState, entry replica.Entry, result replica.Result) {
+	n.replicas.ended(entry.ID, result)
+	r.excluded = append(r.excluded, entry.ID)
+}
+
+// abandoned ends a request whose client has left or whose time is up. The
+// replica has been told by the closed connection.
+func (n *Node) abandoned(r *requestState, entry replica.Entry) bool {
+	if errors.Is(r.exchange.Cancel.Cause(), ingress.ErrClientGone) {
+		n.replicas.ended(entry.ID, replica.ResultCancelled)
+		r.giveUp("the client has left")
+		return true
+	}
+	if r.left() > 0 {
+		return false
+	}
+	n.replicas.ended(entry.ID, replica.ResultCancelled)
+	r.fail(fasthttp.StatusGatewayTimeout, "the time of the request is up", 0)
+	return true
+}
+
+// refuse ends a request for which there is no replica (left).
+func (n *Node) refuse(r *requestState, err error, runs int) {
+	reason := "every replica refused the request"
+	if err != nil {
+		reason = err.Error()
+	}
+	if runs > 0 {
+		r.fail(fasthttp.StatusBadGateway, reason, 0)
+		return
+	}
+	wait := comeBackSoon
+	if errors.Is(err, replica.ErrNoReplica) && len(r.excluded) == 0 {
+		wait = comeBackLater
+	}
+	r.fail(fasthttp.StatusServiceUnavailable, reason, wait)
+}
+
+// notExecuted reports whether the answer promises that the request was not run.
+func (n *Node) notExecuted(response *upstream.Response) bool {
+	return response.Status() == fasthttp.StatusMisdirectedRequest || len(response.Header.Peek(n.adapter.Names.NotExecuted)) > 0
+}
+
+// sound reports whether the answer may be passed on: a success is signed.
+func (n *Node) sound(response *upstream.Response) bool {
+	status := response.Status()
+	if status < fasthttp.StatusOK || status >= fasthttp.StatusMultipleChoices {
+		return true
+	}
+	return len(response.Header.Peek(n.adapter.Names.Seal)) > 0
+}
--- /dev/null
+++ b/edge/control.go
@@ -0,0 +1,176 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/machine"
+)
+
+// control drives the coordinator's core on one goroutine.
+type control struct {
+	node  *Node
+	core  *coordinator.Core
+	inbox chan any
+	// replies are the requests that wait, by id. Only the loop uses them.
+	replies map[uint64]chan<- coordinator.Reply
+	nextID  uint64
+}
+
+// inboxSize bounds the inputs that wait for the control goroutine.
+const inboxSize = 1024
+
+// question is a request of a goroutine of this process.
+type question struct {
+	partition int
+	request   coordinator.Request
+	answer    chan<- coordinator.Reply
+}
+
+// lookup asks who owns a partition.
+type lookup struct {
+	partition int
+	answer    chan<- machine.Machine
+}
+
+// peerList asks for the live peers that reach the store.
+type peerList struct {
+	answer chan<- peerCount
+}
+
+// peerCount is the answer to a peerList: the peers that reach the store, and
+// how many nodes are live, this one included.
+type peerCount struct {
+	peers []machine.Machine
+	live  int
+}
+
+func newControl(node *Node, core *coordinator.Core) *control {
+	return &control{node: node, core: core, inbox: make(chan any, inboxSize), replies: make(map[uint64]chan<- coordinator.Reply)}
+}
+
+// post hands an event to the loop. It blocks while the inbox is full.
+func (c *control) post(event coordinator.Event) {
+	select {
+	case c.inbox <- event:
+	case <-c.node.ctx.Done():
+	}
+}
+
+// ask has the core answer a request about a partition.
+func (c *control) ask(ctx context.Context, partition int, request coordinator.Request) (coordinator.Reply, error) {
+	answer := make(chan coordinator.Reply, 1)
+	return exchange(ctx, c, question{partition: partition, request: request, answer: answer}, answer)
+}
+
+// owner returns the node that serves a partition.
+func (c *control) owner(ctx context.Context, partition int) (machine.Machine, error) {
+	answer := make(chan machine.Machine, 1)
+	return exchange(ctx, c, lookup{partition: partition, answer: answer}, answer)
+}
+
+// livePeers returns the live peers that reach the store.
+func (c *control) livePeers(ctx context.Context) (peerCount, error) {
+	answer := make(chan peerCount, 1)
+	return exchange(ctx, c, peerList{answer: answer}, answer)
+}
+
+// exchange puts a question into the inbox and waits for its answer.
+func exchange[A any](ctx context.Context, c *control, question any, answer <-chan A) (A, error) {
+	var none A
+	select {
+	case c.inbox <- question:
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+	select {
+	case found := <-answer:
+		return found, nil
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+// loadPeriod is the time between two reports of this node's loads to the core.
+const loadPeriod = 100 * time.Millisecond
+
+// loop runs the core until the context ends.
+func (c *control) loop(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var nextLoads time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case input := <-c.inbox:
+			c.take(input)
+		case <-timer.C:
+			now := time.Now()
+			if !now.Before(nextLoads) {
+				nextLoads = now.Add(loadPeriod)
+				c.report(now)
+			}
+			c.core.Step(now, coordinator.Tick{})
+			timer.Reset(time.Until(c.core.NextWake(now)))
+		}
+		c.perform()
+	}
+}
+
+// report tells the core what this node knows of itself.
+func (c *control) report(now time.Time) {
+	loads := coordinator.Loads{Counts: c.node.replicas.own()}
+	if table := c.node.routes.Current(); table != nil {
+		loads.Version = table.Version
+	}
+	c.core.Step(now, loads)
+	c.node.liveNodes.Store(int32(c.core.LiveCount()))
+	c.core.Step(now, coordinator.Contact{Reached: c.node.reachesStore()})
+}
+
+// take passes one input to the core.
+func (c *control) take(input any) {
+	now := time.Now()
+	switch input := input.(type) {
+	case coordinator.Event:
+		c.core.Step(now, input)
+	case question:
+		c.nextID++
+		c.replies[c.nextID] = input.answer
+		c.core.Step(now, coordinator.Requested{ID: c.nextID, Partition: input.partition, Request: input.request})
+	case lookup:
+		owner, _ := c.core.Owner(now, input.partition)
+		input.answer <- owner
+	case peerList:
+		input.answer <- peerCount{peers: c.core.Peers(now), live: c.core.LiveCount()}
+	}
+}
+
+// perform carries out what the core has ready.
+func (c *control) perform() {
+	ready := c.core.Ready()
+	for _, reply := range ready.Replies {
+		if answer, waiting := c.replies[reply.ID]; waiting {
+			delete(c.replies, reply.ID)
+			answer <- reply
+		}
+	}
+	for _, message := range ready.Messages {
+		c.node.peers.send(message)
+	}
+	for _, takeover := range ready.Takeovers {
+		c.node.takeOver(takeover)
+	}
+	for _, one := range ready.Appends {
+		c.node.append(one)
+	}
+	for _, load := range ready.Loads {
+		c.node.replicas.setPeer(load.Node, load.Counts)
+		c.node.hearVersion(load.From, load.Version)
+	}
+	for _, change := range ready.Changes {
+		c.node.logChange(change)
+	}
+}
--- /dev/null
+++ b/edge/decisions.go
@@ -0,0 +1,40 @@
+package edge
+
+import (
+	"strconv"
+	"time"
+
+	"birchwood.example/birchwood/coordinator"
+)
+
+// logChange writes a partition won or lost.
+func (n *Node) logChange(change coordinator.Change) {
+	n.metrics.partitionChanged(change.Owned)
+	n.logger.Info().Int("partition", change.Partition).Uint64("epoch", uint64(change.Epoch)).Bool("owned", change.Owned).
+		Str("reason", change.Reason).Int("accounts", change.Accounts).Int("turns", change.Turns).Msg("ledger: ownership changed")
+}
+
+// logOutcome writes how a request ended: what decided it, and how fresh that was.
+func (n *Node) logOutcome(r *requestState) {
+	took := time.Since(r.exchange.Arrived)
+	status := strconv.Itoa(r.status)
+	if r.status == 0 {
+		status = "none"
+	}
+	n.metrics.answered(string(r.kind()), status, took)
+	entry := n.logger.Info()
+	if r.status >= failedStatus || r.status == 0 {
+		entry = n.logger.Warn()
+	}
+	entry = entry.Str("request", r.id).Str("route", r.routeName()).Uint64("config", r.version).Int("status", r.status).
+		Dur("took", took).Str("reason", r.reason).Str("replica", string(r.choice.Entry.ID)).Int("attempts", r.attempts)
+	if r.program != "" {
+		entry = entry.Str("program", r.program).Str("session", r.session).Int("partition", r.partition).
+			Str("owner", r.owner).Str("verdict", string(r.admission.Verdict)).Int("settled", r.admission.Settled).
+			Int("open", r.admission.Open).Int("most", r.most).Int("budget", r.budget).Int("tokens", r.tokens)
+	}
+	entry.Int("missing", r.choice.Missing).Int("load", r.choice.Load).Dur("first", r.firstAfter).Msg("request: ended")
+}
+
+// failedStatus is the least status that tells of a failure.
+const failedStatus = 400
--- /dev/null
+++ b/edge/follow.go
@@ -0,0 +1,320 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/recordstore"
+	"birchwood.example/birchwood/replica"
+)
+
+// Times of the followers.
+const (
+	// tailWait is how long one read waits for a record.
+	tailWait = 700 * time.Millisecond
+	// tailSlack is how much later its answer may come.
+	tailSlack = 800 * time.Millisecond
+	// tailPause is the least time between two reads.
+	tailPause = 150 * time.Millisecond
+	// resyncPeriod is how often a stream is read whole again.
+	resyncPeriod = 15 * time.Second
+	// nodesPeriod is the time between two reads of the nodes' addresses.
+	nodesPeriod = 15 * time.Second
+	// peerStatePeriod is how often a node that is cut off asks a peer.
+	peerStatePeriod = 500 * time.Millisecond
+	// syncedStreams is how many streams a node must have read to be ready.
+	syncedStreams = 2
+)
+
+// latestConfiguration keeps the newest configuration as it was stored, so that
+// peers can be told of it.
+type latestConfiguration struct {
+	mutex   sync.Mutex
+	key     string
+	value   []byte
+	version uint64
+	// fetching is set while a peer is asked for a newer one.
+	fetching bool
+}
+
+// rawConfiguration is a configuration as nodes pass it on.
+type rawConfiguration struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
+func (l *latestConfiguration) raw() []byte {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.value == nil {
+		return nil
+	}
+	encoded, err := json.Marshal(rawConfiguration{Key: l.key, Value: l.value})
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
+
+// applyConfiguration takes over a record of the configuration's stream if it
+// is newer than what is in force.
+func (n *Node) applyConfiguration(key string, value []byte, source string) {
+	table, err := n.adapter.Translator.Configuration(key, value)
+	if err != nil {
+		n.logger.Error().Str("source", source).Err(err).Msg("config: not understood")
+		return
+	}
+	if table == nil || !n.routes.Offer(table) {
+		return
+	}
+	n.config.mutex.Lock()
+	if table.Version > n.config.version {
+		n.config.key, n.config.value, n.config.version = key, value, table.Version
+	}
+	n.config.mutex.Unlock()
+	n.replicas.configure(table)
+	n.logger.Info().Uint64("version", table.Version).Str("source", source).Msg("config: in force")
+}
+
+// applyReplica takes over a record of the replicas' stream.
+func (n *Node) applyReplica(key string, value []byte) {
+	if len(value) == 0 {
+		n.removeReplica(replica.ID(key), "gone from the list")
+		return
+	}
+	entry, err := n.adapter.Translator.Replica(key, value)
+	if err != nil {
+		n.logger.Error().Err(err).Msg("replicas: not understood")
+		return
+	}
+	if n.replicas.put(entry) {
+		n.logger.Info().Str("replica", string(entry.ID)).Str("service", entry.Service).Str("address", entry.Address).
+			Str("status", string(entry.Status)).Msg("replicas: changed")
+	}
+}
+
+func (n *Node) removeReplica(id replica.ID, reason string) {
+	if entry, known := n.replicas.remove(id); known {
+		n.pool.Forget(targetOf(entry))
+		n.logger.Info().Str("replica", string(id)).Str("reason", reason).Msg("replicas: removed")
+	}
+}
+
+// followConfiguration keeps the configuration up to date from the store.
+func (n *Node) followConfiguration(ctx context.Context) {
+	n.follow(ctx, recordstore.Stream{Name: recordstore.StreamConfiguration}, follower{
+		reset: func(records []recordstore.Record) {
+			for _, record := range records {
+				n.applyConfiguration(record.Key, record.Value, "store")
+			}
+		},
+		change: func(record recordstore.Record) { n.applyConfiguration(record.Key, record.Value, "store") },
+	})
+}
+
+// followReplicas keeps the replicas up to date from the store.
+func (n *Node) followReplicas(ctx context.Context) {
+	n.follow(ctx, recordstore.Stream{Name: recordstore.StreamReplicas}, follower{
+		reset:  n.resetReplicas,
+		change: func(record recordstore.Record) { n.applyReplica(record.Key, record.Value) },
+	})
+}
+
+func (n *Node) resetReplicas(records []recordstore.Record) {
+	listed := make(map[replica.ID]bool, len(records))
+	for _, record := range records {
+		if len(record.Value) > 0 {
+			listed[replica.ID(record.Key)] = true
+		}
+		n.applyReplica(record.Key, record.Value)
+	}
+	for _, entry := range n.replicas.entries() {
+		if !listed[entry.ID] {
+			n.removeReplica(entry.ID, "not in the list")
+		}
+	}
+}
+
+// follower takes in a stream: all of it, and each change.
+type follower struct {
+	reset  func([]recordstore.Record)
+	change func(recordstore.Record)
+}
+
+// follow reads a stream whole and then its tail, anew after a gap.
+func (n *Node) follow(ctx context.Context, stream recordstore.Stream, to follower) {
+	backoff := n.backoff()
+	counted := false
+	for ctx.Err() == nil {
+		records, next, err := n.readNewest(ctx, stream)
+		if err != nil {
+			n.logger.Warn().Str("stream", string(stream.Name)).Err(err).Msg("store: stream not read")
+			sleep(ctx, backoff.Next())
+			continue
+		}
+		backoff.Reset()
+		to.reset(records)
+		if !counted {
+			counted = true
+			n.synced.Add(1)
+		}
+		n.followTail(ctx, stream, next, to)
+	}
+}
+
+// followTail reads a stream's tail until a gap, or until it is to be read
+// whole again.
+func (n *Node) followTail(ctx context.Context, stream recordstore.Stream, next uint64, to follower) {
+	backoff := n.backoff()
+	resync := time.Now().Add(resyncPeriod)
+	for ctx.Err() == nil && time.Now().Before(resync) {
+		callCtx, cancel := context.WithTimeout(ctx, tailWait+tailSlack)
+		tail, err := n.adapter.Store.Tail(callCtx, stream, next, tailWait)
+		cancel()
+		n.noteStore(err)
+		if errors.Is(err, recordstore.ErrGap) {
+			return
+		}
+		if err != nil {
+			sleep(ctx, backoff.Next())
+			continue
+		}
+		backoff.Reset()
+		for _, record := range tail.Records {
+			to.change(record)
+		}
+		next = tail.Next
+		sleep(ctx, tailPause)
+	}
+}
+
+// followNodes publishes this node's address and learns those of the others.
+func (n *Node) followNodes(ctx context.Context) {
+	n.control.post(coordinator.PeerReceived{Message: coordinator.PeerMessage{From: n.self}})
+	n.greet(n.settings.Seeds)
+	stream := recordstore.Stream{Name: recordstore.StreamNodes}
+	value, err := json.Marshal(n.self)
+	if err != nil {
+		panic(err)
+	}
+	published := false
+	for ctx.Err() == nil {
+		wait := nodesPeriod
+		if !published {
+			published = n.publish(ctx, stream, value)
+		}
+		records, _, err := n.readNewest(ctx, stream)
+		if err == nil {
+			n.control.post(coordinator.Listed{Nodes: decodeNodes(records)})
+		}
+		if err != nil || !published {
+			wait = appendRetryMost
+		}
+		sleep(ctx, wait)
+	}
+}
+
+func (n *Node) publish(ctx context.Context, stream recordstore.Stream, value []byte) bool {
+	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	records := []recordstore.Record{{Key: n.settings.Node, Value: value}}
+	err := n.adapter.Store.Append(callCtx, stream, recordstore.Writer{}, records)
+	n.noteStore(err)
+	return err == nil
+}
+
+func decodeNodes(records []recordstore.Record) []machine.Machine {
+	var nodes []machine.Machine
+	for _, record := range records {
+		var node machine.Machine
+		if len(record.Value) > 0 && json.Unmarshal(record.Value, &node) == nil {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+// greet tells peers that are known by address alone of this node. They answer
+// with statuses.
+func (n *Node) greet(addresses []string) {
+	for _, address := range addresses {
+		if address == n.settings.Peers {
+			continue
+		}
+		status := &coordinator.Status{ReachesStore: true, Known: []machine.Machine{n.self}}
+		n.peers.send(coordinator.Outbound{
+			To:      machine.Machine{ID: machine.ID(address), Address: address},
+			Message: coordinator.PeerMessage{From: n.self, Status: status},
+		})
+	}
+}
+
+// followPeers has a node that alone is cut off from the store learn the
+// configuration and the replicas from a peer.
+func (n *Node) followPeers(ctx context.Context) {
+	for sleep(ctx, peerStatePeriod) {
+		if n.reachesStore() {
+			continue
+		}
+		n.learnFromPeer(ctx)
+	}
+}
+
+func (n *Node) learnFromPeer(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, peerStatePeriod)
+	defer cancel()
+	live, err := n.control.livePeers(callCtx)
+	if err != nil || len(live.peers) == 0 {
+		return
+	}
+	from := live.peers[int(n.draw()*float64(len(live.peers)))]
+	n.takeState(callCtx, from)
+}
+
+// takeState takes over what a peer knows.
+func (n *Node) takeState(ctx context.Context, from machine.Machine) {
+	state, err := n.peers.state(ctx, from)
+	if err != nil {
+		return
+	}
+	var raw rawConfiguration
+	if json.Unmarshal(state.Configuration, &raw) == nil {
+		n.applyConfiguration(raw.Key, raw.Value, "peer "+string(from.ID))
+	}
+	if n.reachesStore() || len(state.Replicas) == 0 {
+		return
+	}
+	listed := make(map[replica.ID]bool, len(state.Replicas))
+	for _, entry := range state.Replicas {
+		listed[entry.ID] = true
+		n.replicas.put(entry)
+	}
+	for _, entry := range n.replicas.entries() {
+		if !listed[entry.ID] {
+			n.removeReplica(entry.ID, "not in a peer's list")
+		}
+	}
+}
+
+// hearVersion fetches a configuration that a peer holds and this node does not.
+func (n *Node) hearVersion(from machine.Machine, version uint64) {
+	n.config.mutex.Lock()
+	defer n.config.mutex.Unlock()
+	if version <= n.config.version || n.config.fetching {
+		return
+	}
+	n.config.fetching = true
+	n.run(func(ctx context.Context) {
+		callCtx, cancel := context.WithTimeout(ctx, peerStatePeriod)
+		defer cancel()
+		n.takeState(callCtx, from)
+		n.config.mutex.Lock()
+		n.config.fetching = false
+		n.config.mutex.Unlock()
+	})
+}
--- /dev/null
+++ b/edge/handle.go
@@ -0,0 +1,151 @@
+package edge
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/ingress"
+	"birchwood.example/birchwood/ownership"
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/upstream"
+)
+
+// Times of the answers of this node's own.
+const (
+	// comeBackSoon follows a state that lasts some hundred milliseconds.
+	comeBackSoon = 150 * time.Millisecond
+	// comeBackLater follows one that lasts longer.
+	comeBackLater = 400 * time.Millisecond
+	// writeSlack is how long after its deadline an answer may still be written.
+	writeSlack = 300 * time.Millisecond
+)
+
+// handle serves one request of a client.
+func (n *Node) handle(exchange *ingress.Exchange) {
+	request := &requestState{exchange: exchange}
+	defer n.logOutcome(request)
+	table := n.routes.Current()
+	if table == nil {
+		request.fail(fasthttp.StatusServiceUnavailable, "no configuration is known yet", comeBackSoon)
+		return
+	}
+	request.version = table.Version
+	request.id = exchange.Field(n.adapter.Names.RequestID)
+	request.route = table.Match(exchange.Host, exchange.Path())
+	if request.route == nil {
+		request.fail(fasthttp.StatusNotFound, "no route for this host and path", 0)
+		return
+	}
+	if problem := n.read(request); problem != "" {
+		request.fail(fasthttp.StatusBadRequest, problem, 0)
+		return
+	}
+	exchange.SetWriteDeadline(request.deadline.Add(writeSlack))
+	service, ok := request.route.Choose(n.draw())
+	if !ok {
+		request.fail(fasthttp.StatusServiceUnavailable, "the route has no service", comeBackLater)
+		return
+	}
+	request.service = service
+	if request.route.Kind == routing.KindStream {
+		n.serveTurn(request, table)
+		return
+	}
+	n.serveCall(request, table)
+}
+
+// read takes the request's fields in, or says what is wrong with them.
+func (n *Node) read(r *requestState) (problem string) {
+	names := n.adapter.Names
+	if r.id == "" {
+		return names.RequestID + " is missing"
+	}
+	timeout := r.route.Timeout
+	if value := r.exchange.Field(names.Deadline); value != "" {
+		deadline, err := parseMilliseconds(value)
+		if err != nil {
+			return fmt.Sprintf("%s: %v", names.Deadline, err)
+		}
+		timeout = min(timeout, deadline)
+	}
+	r.deadline = r.exchange.Arrived.Add(timeout)
+	if r.route.Kind != routing.KindStream {
+		return ""
+	}
+	return n.readTurn(r)
+}
+
+// readTurn takes in the fields of a turn.
+func (n *Node) readTurn(r *requestState) (problem string) {
+	names := n.adapter.Names
+	var err error
+	if r.prompt, err = parsePrompt(r.exchange.Field(names.PromptPrefix)); err != nil {
+		return fmt.Sprintf("%s: %v", names.PromptPrefix, err)
+	}
+	if value := r.exchange.Field(names.TokenCounts); value != "" {
+		if _, r.most, err = parseTokenCounts(value); err != nil {
+			return fmt.Sprintf("%s: %v", names.TokenCounts, err)
+		}
+	}
+	if value := r.exchange.Field(names.TokenBudget); value != "" {
+		if r.budget, err = parseCount(value); err != nil {
+			return fmt.Sprintf("%s: %v", names.TokenBudget, err)
+		}
+	}
+	r.program = r.exchange.Field(names.Program)
+	r.session = r.exchange.Field(names.Session)
+	r.previous = r.exchange.Field(names.PreviousTurn)
+	r.partition = ownership.PartitionOf(r.program, n.settings.Partitions)
+	return ""
+}
+
+// outgoing builds the request that a replica gets.
+func (n *Node) outgoing(r *requestState, entry replica.Entry, body []byte, lastEvent string) *upstream.Request {
+	names := n.adapter.Names
+	without := []string{names.Deadline, names.ExpectReplica, names.Urgency}
+	if lastEvent != "" {
+		without = append(without, names.LastEvent)
+	}
+	fields := r.exchange.ForwardedFields(without...)
+	fields = appendField(fields, names.Deadline, strconv.FormatInt(max(1, r.left().Milliseconds()), 10))
+	fields = appendField(fields, names.ExpectReplica, string(entry.ID))
+	if r.route.Kind == routing.KindStream {
+		fields = appendField(fields, names.Urgency, strconv.Itoa(min(max(0, r.route.Priority), maximumUrgency)))
+	}
+	if lastEvent != "" {
+		fields = appendField(fields, names.LastEvent, lastEvent)
+	}
+	return &upstream.Request{
+		Method: r.exchange.Method, Target: r.exchange.Target, Host: r.exchange.Host, ID: r.id,
+		Fields: fields, Body: body, HasBody: r.exchange.HasBody, Deadline: r.deadline,
+	}
+}
+
+// maximumUrgency is the least urgent rank of a request at an engine.
+const maximumUrgency = 9
+
+func appendField(fields []byte, name, value string) []byte {
+	fields = append(fields, name...)
+	fields = append(fields, ": "...)
+	fields = append(fields, value...)
+	return append(fields, "\r\n"...)
+}
+
+// perNode bounds this node's connections to one replica: its share of what
+// the replica accepts from all nodes.
+func (n *Node) perNode(table *routing.Table, service string) int {
+	limit := table.Services[service].MaxConnections
+	if limit <= 0 {
+		return 0
+	}
+	nodes := max(1, int(n.liveNodes.Load()))
+	return max(1, limit*connectionShare/100/nodes)
+}
+
+// connectionShare is the part of a replica's connections that is used, in
+// hundredths: the nodes' views of their number differ for a while.
+const connectionShare = 85
--- /dev/null
+++ b/edge/ledgers.go
@@ -0,0 +1,226 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/ownership"
+	"birchwood.example/birchwood/recordstore"
+	"birchwood.example/birchwood/retry"
+)
+
+// ownerKey is the key of the record that names a partition's owner. It sorts
+// before the keys of the ledger.
+const ownerKey = "!owner"
+
+// ownerValue is that record.
+type ownerValue struct {
+	Node  string          `json:"node"`
+	Epoch ownership.Epoch `json:"epoch"`
+}
+
+// Times of the calls to the store.
+const (
+	appendTimeout    = 1200 * time.Millisecond
+	appendRetryFirst = 15 * time.Millisecond
+	appendRetryMost  = 300 * time.Millisecond
+	takeoverAttempts = 4
+)
+
+func ledgerStream(partition int) recordstore.Stream {
+	return recordstore.Stream{Name: recordstore.StreamLedger, Partition: partition}
+}
+
+func writerOf(partition int, epoch ownership.Epoch, sequence uint64) recordstore.Writer {
+	return recordstore.Writer{Name: fmt.Sprintf("partition-%d", partition), Epoch: uint64(epoch), Sequence: sequence}
+}
+
+func (n *Node) ownerRecord(epoch ownership.Epoch) recordstore.Record {
+	value, err := json.Marshal(ownerValue{Node: n.settings.Node, Epoch: epoch})
+	if err != nil {
+		panic(err)
+	}
+	return recordstore.Record{Key: ownerKey, Value: value}
+}
+
+// takeOver claims a partition and reads it, and tells the core how it ended.
+func (n *Node) takeOver(takeover coordinator.Takeover) {
+	n.run(func(ctx context.Context) {
+		n.control.post(n.claimAndRead(ctx, takeover))
+	})
+}
+
+func (n *Node) claimAndRead(ctx context.Context, takeover coordinator.Takeover) coordinator.TakenOver {
+	taken := coordinator.TakenOver{Partition: takeover.Partition, Epoch: takeover.Epoch, Outcome: coordinator.OutcomeFailed}
+	err := n.appendRecords(ctx, takeover.Partition, takeover.Epoch, 0, nil, takeoverAttempts)
+	var fenced *recordstore.FencedError
+	if errors.As(err, &fenced) {
+		taken.Outcome = coordinator.OutcomeFenced
+		taken.Highest = n.readEpoch(ctx, takeover.Partition)
+		n.logger.Info().Int("partition", takeover.Partition).Uint64("epoch", uint64(takeover.Epoch)).
+			Uint64("highest", uint64(taken.Highest)).Str("reason", fenced.Reason).Msg("ledger: claim fenced")
+		return taken
+	}
+	if err == nil {
+		taken.Records, err = n.readLedger(ctx, takeover.Partition)
+	}
+	if err != nil {
+		n.logger.Warn().Int("partition", takeover.Partition).Err(err).Msg("ledger: takeover failed")
+		return taken
+	}
+	taken.Outcome = coordinator.OutcomeDone
+	return taken
+}
+
+// readEpoch returns the epoch that the store's record of the owner names.
+func (n *Node) readEpoch(ctx context.Context, partition int) ownership.Epoch {
+	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	page, err := n.adapter.Store.Newest(callCtx, ledgerStream(partition), "")
+	if err != nil {
+		return 0
+	}
+	for _, record := range page.Records {
+		var value ownerValue
+		if record.Key == ownerKey && json.Unmarshal(record.Value, &value) == nil {
+			return value.Epoch
+		}
+	}
+	return 0
+}
+
+// readLedger reads the newest record of each key of a partition.
+func (n *Node) readLedger(ctx context.Context, partition int) ([]ledger.Record, error) {
+	records, _, err := n.readNewest(ctx, ledgerStream(partition))
+	if err != nil {
+		return nil, err
+	}
+	found := make([]ledger.Record, 0, len(records))
+	for _, record := range records {
+		found = append(found, ledger.Record{Key: record.Key, Value: record.Value})
+	}
+	return found, nil
+}
+
+// newestAttempts bounds the reads of one page.
+const newestAttempts = 5
+
+// readNewest reads all pages of a stream's newest records. The end is that of
+// the first page, so that no later change is missed.
+func (n *Node) readNewest(ctx context.Context, stream recordstore.Stream) (records []recordstore.Record, end uint64, err error) {
+	after := ""
+	for page := 0; ; page++ {
+		read, err := n.readPage(ctx, stream, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if page == 0 {
+			end = read.End
+		}
+		records = append(records, read.Records...)
+		if !read.More || len(read.Records) == 0 {
+			return records, end, nil
+		}
+		after = read.Records[len(read.Records)-1].Key
+	}
+}
+
+func (n *Node) readPage(ctx context.Context, stream recordstore.Stream, after string) (recordstore.Page, error) {
+	backoff := n.backoff()
+	var last error
+	for range newestAttempts {
+		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		page, err := n.adapter.Store.Newest(callCtx, stream, after)
+		cancel()
+		n.noteStore(err)
+		if err == nil {
+			return page, nil
+		}
+		last = err
+		if !sleep(ctx, backoff.Next()) {
+			return recordstore.Page{}, ctx.Err()
+		}
+	}
+	return recordstore.Page{}, last
+}
+
+// backoff spaces the retries of one call to the store.
+func (n *Node) backoff() *retry.Backoff {
+	n.randomMutex.Lock()
+	defer n.randomMutex.Unlock()
+	random := rand.New(rand.NewPCG(n.random.Uint64(), n.random.Uint64()))
+	return &retry.Backoff{Minimum: appendRetryFirst, Maximum: appendRetryMost, Random: random}
+}
+
+// append writes a batch, repeats it until the store has answered, and tells
+// the core how it ended.
+func (n *Node) append(batch coordinator.Append) {
+	n.run(func(ctx context.Context) {
+		begun := time.Now()
+		err := n.appendRecords(ctx, batch.Partition, batch.Epoch, batch.Sequence, batch.Records, 0)
+		n.metrics.appended(time.Since(begun))
+		outcome := coordinator.OutcomeDone
+		if err != nil {
+			outcome = coordinator.OutcomeFenced
+		}
+		n.control.post(coordinator.Appended{
+			Partition: batch.Partition, Epoch: batch.Epoch, Sequence: batch.Sequence, Outcome: outcome,
+		})
+	})
+}
+
+// appendRecords appends under an epoch until the store acknowledges or fences,
+// the context ends, or the attempts are used up (0 sets no bound). A batch
+// without records renews the record of the owner, so that the store checks the
+// epoch.
+func (n *Node) appendRecords(ctx context.Context, partition int, epoch ownership.Epoch, sequence uint64, batch []ledger.Record, attempts int) error {
+	records := make([]recordstore.Record, 0, len(batch)+1)
+	if len(batch) == 0 {
+		records = append(records, n.ownerRecord(epoch))
+	}
+	for _, record := range batch {
+		records = append(records, recordstore.Record{Key: record.Key, Value: record.Value})
+	}
+	backoff := n.backoff()
+	for attempt := 1; ; attempt++ {
+		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		err := n.adapter.Store.Append(callCtx, ledgerStream(partition), writerOf(partition, epoch, sequence), records)
+		cancel()
+		n.noteStore(err)
+		var fenced *recordstore.FencedError
+		if err == nil || errors.As(err, &fenced) || attempt == attempts {
+			return err
+		}
+		if !sleep(ctx, backoff.Next()) {
+			return ctx.Err()
+		}
+	}
+}
+
+// noteStore counts a call to the store, and notes that it answered.
+func (n *Node) noteStore(err error) {
+	n.metrics.storeCall(err)
+	var refused *recordstore.RefusedError
+	var fenced *recordstore.FencedError
+	if err == nil || errors.As(err, &refused) || errors.As(err, &fenced) || errors.Is(err, recordstore.ErrGap) {
+		n.contact()
+	}
+}
+
+// sleep waits, and reports false if the context ended first.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/edge/node.go
@@ -0,0 +1,220 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/phuslu/log"
+	"github.com/zeebo/errs"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/ingress"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/upstream"
+	"birchwood.example/birchwood/zone"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("edge")
+
+// Node is one node of the system. New builds it, Start has it serve, and Stop
+// ends it without cutting a request.
+type Node struct {
+	settings Settings
+	adapter  Adapter
+	logger   *log.Logger
+	self     machine.Machine
+
+	routes   routing.Follower
+	config   latestConfiguration
+	replicas *replicas
+	pool     *upstream.Pool
+	clients  *ingress.Server
+	control  *control
+	peers    *peers
+	metrics  *Metrics
+
+	// random draws for traffic; it is guarded by its mutex.
+	randomMutex sync.Mutex
+	random      *rand.Rand
+
+	// lastContact is when the store answered last, in nanoseconds since
+	// started; synced counts the streams that were read whole.
+	started     time.Time
+	lastContact atomic.Int64
+	synced      atomic.Int32
+	stopping    atomic.Bool
+	// liveNodes is how many nodes are live, this one included.
+	liveNodes atomic.Int32
+
+	background sync.WaitGroup
+	ctx        context.Context
+	cancel     context.CancelFunc
+	failed     chan error
+}
+
+// memoryShare is the share of the memory bound that the heap may take before
+// the collector works harder.
+const memoryShare = 0.7
+
+// New builds a node. It opens nothing yet.
+func New(settings Settings, adapter Adapter, logger *log.Logger) (*Node, error) {
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryShare))
+	}
+	now := time.Now()
+	seed := xxhash.Sum64String(settings.Node)
+	random := rand.New(rand.NewPCG(seed, uint64(now.UnixNano())))
+	node := &Node{
+		settings: settings,
+		adapter:  adapter,
+		logger:   logger,
+		self: machine.Machine{
+			ID: machine.ID(settings.Node), Kind: machine.KindNode, Zone: zone.Name(settings.Zone),
+			Address: settings.Peers, Status: machine.StatusLive, Incarnation: uint64(now.UnixNano()),
+		},
+		replicas: newReplicas(settings.Zone),
+		pool:     upstream.NewPool(upstream.DefaultConfig(adapter.Names)),
+		metrics:  newMetrics(),
+		random:   random,
+		started:  now,
+		failed:   make(chan error, 4),
+	}
+	node.ctx, node.cancel = context.WithCancel(context.Background())
+	coreRandom := rand.New(rand.NewPCG(seed+1, uint64(now.UnixNano())))
+	core, err := coordinator.New(now, coordinator.DefaultConfig(node.self, settings.Partitions, coreRandom))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	node.peers = newPeers(node)
+	node.control = newControl(node, core)
+	node.clients = ingress.NewServer(ingress.Config{Handler: node.handle, Limits: node.limits})
+	return node, nil
+}
+
+// limits returns the limits in force, or those used before any configuration
+// is known.
+func (n *Node) limits() routing.Limits {
+	if table := n.routes.Current(); table != nil {
+		return table.Limits
+	}
+	return routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+}
+
+// draw returns a uniform number from 0 to 1.
+func (n *Node) draw() float64 {
+	n.randomMutex.Lock()
+	defer n.randomMutex.Unlock()
+	return n.random.Float64()
+}
+
+// Start opens the listeners and begins to serve.
+func (n *Node) Start() error {
+	peerListener, err := net.Listen("tcp", n.settings.Peers)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	readyListener, err := net.Listen("tcp", n.settings.Readiness)
+	if err != nil {
+		return Error.Wrap(errors.Join(err, peerListener.Close()))
+	}
+	clientListener, err := net.Listen("tcp", n.settings.Clients)
+	if err != nil {
+		return Error.Wrap(errors.Join(err, peerListener.Close(), readyListener.Close()))
+	}
+	n.serve("peers", func() error { return n.peers.serve(peerListener) })
+	n.serve("readiness", func() error { return n.serveReadiness(readyListener) })
+	n.serve("clients", func() error { return n.clients.Serve(clientListener) })
+	n.startMetrics()
+	n.run(n.control.loop)
+	n.run(n.followConfiguration)
+	n.run(n.followReplicas)
+	n.run(n.followNodes)
+	n.run(n.followPeers)
+	n.logger.Info().Str("zone", n.settings.Zone).Int("partitions", n.settings.Partitions).Msg("edge: started")
+	return nil
+}
+
+// serve runs a server until its listener closes.
+func (n *Node) serve(name string, serve func() error) {
+	go func() {
+		if err := serve(); err != nil && !n.stopping.Load() {
+			n.failed <- Error.New("serving %s ended: %w", name, err)
+		}
+	}()
+}
+
+// run starts a goroutine that ends with the node.
+func (n *Node) run(loop func(ctx context.Context)) {
+	n.background.Add(1)
+	go func() {
+		defer n.background.Done()
+		loop(n.ctx)
+	}()
+}
+
+// Failed yields the error of a server that ended by itself.
+func (n *Node) Failed() <-chan error { return n.failed }
+
+// The steps of a planned stop, from its beginning.
+const (
+	// unlistedAfter is when the platform has noticed that the node is not
+	// ready any more and sends no new connections.
+	unlistedAfter = 3 * time.Second
+	// killSlack is how long before the kill the process ends.
+	killSlack = 700 * time.Millisecond
+)
+
+// Stop ends the node: it is no longer ready, gives its partitions up, closes
+// connections as their answers end, and waits for those under way.
+func (n *Node) Stop() {
+	begun := time.Now()
+	if n.stopping.Swap(true) {
+		return
+	}
+	n.logger.Info().Int("active", n.clients.Active()).Msg("edge: stopping")
+	n.control.post(coordinator.Leave{})
+	n.clients.Drain()
+	end := begun.Add(max(n.settings.Grace-killSlack, 0))
+	n.sleepUntil(minTime(begun.Add(unlistedAfter), end))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	err := n.clients.Shutdown(ctx)
+	n.cancel()
+	n.logger.Info().Bool("cut", err != nil).Dur("took", time.Since(begun)).Msg("edge: stopped")
+}
+
+func minTime(left, right time.Time) time.Time {
+	if left.Before(right) {
+		return left
+	}
+	return right
+}
+
+func (n *Node) sleepUntil(when time.Time) {
+	timer := time.NewTimer(time.Until(when))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-n.ctx.Done():
+	}
+}
+
+// contact notes that the store answered.
+func (n *Node) contact() { n.lastContact.Store(int64(time.Since(n.started))) }
+
+// contactLifetime is how long after its last answer the store counts as reached.
+const contactLifetime = 1500 * time.Millisecond
+
+// reachesStore reports whether the store answered lately.
+func (n *Node) reachesStore() bool {
+	return time.Since(n.started)-time.Duration(n.lastContact.Load()) < contactLifetime
+}
--- /dev/null
+++ b/edge/peers.go
@@ -0,0 +1,207 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/httpclient"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/replica"
+)
+
+// The paths that nodes serve to each other.
+const (
+	pathMessage = "/peer/message"
+	pathRequest = "/peer/request"
+	pathState   = "/peer/state"
+)
+
+// Times and bounds of the calls between nodes.
+const (
+	peerDialTimeout    = 300 * time.Millisecond
+	peerMessageTimeout = 500 * time.Millisecond
+	peerQueueSize      = 64
+	peerMaxConnections = 64
+	peerBodyBytes      = 8 << 20
+	// peerIdleTimeout ends the sender of a peer that nothing was sent to.
+	peerIdleTimeout = 20 * time.Second
+)
+
+// peers exchanges messages and requests with other nodes.
+type peers struct {
+	node *Node
+
+	mutex   sync.Mutex
+	clients map[string]*httpclient.Client
+	queues  map[string]chan coordinator.PeerMessage
+}
+
+func newPeers(node *Node) *peers {
+	return &peers{node: node, clients: make(map[string]*httpclient.Client), queues: make(map[string]chan coordinator.PeerMessage)}
+}
+
+// client returns the client of a peer's address.
+func (p *peers) client(address string) *httpclient.Client {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	known := p.clients[address]
+	if known == nil {
+		known = httpclient.New(httpclient.Options{
+			Address: address, Zone: p.node.settings.Zone, DialTimeout: peerDialTimeout, MaxConnections: peerMaxConnections,
+		})
+		p.clients[address] = known
+	}
+	return known
+}
+
+// send queues a message for a peer, or drops it while too many wait.
+func (p *peers) send(outbound coordinator.Outbound) {
+	address := outbound.To.Address
+	p.mutex.Lock()
+	queue := p.queues[address]
+	if queue == nil {
+		queue = make(chan coordinator.PeerMessage, peerQueueSize)
+		p.queues[address] = queue
+		p.node.run(func(ctx context.Context) { p.drain(ctx, address, queue) })
+	}
+	p.mutex.Unlock()
+	select {
+	case queue <- outbound.Message:
+	default:
+		p.node.metrics.messageDropped()
+	}
+}
+
+// drain sends a peer's messages one after the other until none came for long.
+func (p *peers) drain(ctx context.Context, address string, queue chan coordinator.PeerMessage) {
+	client := p.client(address)
+	idle := time.NewTimer(peerIdleTimeout)
+	defer idle.Stop()
+	for {
+		select {
+		case message := <-queue:
+			callCtx, cancel := context.WithTimeout(ctx, peerMessageTimeout)
+			_ = client.Do(callCtx, fasthttp.MethodPost, pathMessage, message, nil)
+			cancel()
+			idle.Reset(peerIdleTimeout)
+		case <-idle.C:
+			if p.retire(address, queue) {
+				return
+			}
+			idle.Reset(peerIdleTimeout)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// retire forgets an idle peer, unless a message came meanwhile.
+func (p *peers) retire(address string, queue chan coordinator.PeerMessage) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(queue) > 0 {
+		return false
+	}
+	delete(p.queues, address)
+	delete(p.clients, address)
+	return true
+}
+
+// peerRequest is the body of a request to the owner of a partition.
+type peerRequest struct {
+	Partition int                 `json:"partition"`
+	Request   coordinator.Request `json:"request"`
+}
+
+// ask has another node answer a request about a partition.
+func (p *peers) ask(ctx context.Context, to machine.Machine, partition int, request coordinator.Request) (coordinator.Reply, error) {
+	var reply coordinator.Reply
+	err := p.client(to.Address).Do(ctx, fasthttp.MethodPost, pathRequest, peerRequest{Partition: partition, Request: request}, &reply)
+	return reply, err
+}
+
+// peerState is what a node that is cut off from the store learns from a peer.
+type peerState struct {
+	Configuration []byte          `json:"configuration,omitempty"`
+	Replicas      []replica.Entry `json:"replicas"`
+}
+
+// state asks a peer for the configuration and the replicas that it knows.
+func (p *peers) state(ctx context.Context, from machine.Machine) (peerState, error) {
+	var state peerState
+	err := p.client(from.Address).Do(ctx, fasthttp.MethodGet, pathState, nil, &state)
+	return state, err
+}
+
+// serve answers other nodes.
+func (p *peers) serve(listener net.Listener) error {
+	routes := router.New()
+	routes.POST(pathMessage, p.receiveMessage)
+	routes.POST(pathRequest, p.receiveRequest)
+	routes.GET(pathState, p.receiveState)
+	server := &fasthttp.Server{
+		Handler: routes.Handler, MaxRequestBodySize: peerBodyBytes, NoDefaultServerHeader: true, CloseOnShutdown: true,
+		Logger: silent{},
+	}
+	go func() {
+		<-p.node.ctx.Done()
+		_ = listener.Close()
+	}()
+	return server.Serve(listener)
+}
+
+// silent drops the library's own log lines about broken connections.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
+func (p *peers) receiveMessage(ctx *fasthttp.RequestCtx) {
+	var message coordinator.PeerMessage
+	if err := json.Unmarshal(ctx.PostBody(), &message); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	p.node.control.post(coordinator.PeerReceived{Message: message})
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+// peerRequestTimeout bounds how long a peer's request waits here.
+const peerRequestTimeout = 4 * time.Second
+
+func (p *peers) receiveRequest(ctx *fasthttp.RequestCtx) {
+	var request peerRequest
+	if err := json.Unmarshal(ctx.PostBody(), &request); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	askCtx, cancel := context.WithTimeout(p.node.ctx, peerRequestTimeout)
+	defer cancel()
+	reply, err := p.node.control.ask(askCtx, request.Partition, request.Request)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(ctx, reply)
+}
+
+func (p *peers) receiveState(ctx *fasthttp.RequestCtx) {
+	writeJSON(ctx, peerState{Configuration: p.node.config.raw(), Replicas: p.node.replicas.entries()})
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/edge/reload.go
@@ -0,0 +1,32 @@
+package edge
+
+import (
+	"slices"
+	"strings"
+)
+
+// Reload takes over settings that may change while the node runs: the seeds.
+// It returns the names of those that differ, also where only a restart takes
+// them over.
+func (n *Node) Reload(settings Settings) (changed []string) {
+	known := n.settings
+	for _, field := range []struct {
+		name  string
+		equal bool
+	}{
+		{"seeds", slices.Equal(known.Seeds, settings.Seeds)},
+		{"listen", known.Clients == settings.Clients && known.Peers == settings.Peers && known.Readiness == settings.Readiness},
+		{"store", known.Store == settings.Store},
+		{"zone", known.Zone == settings.Zone},
+		{"partitions", known.Partitions == settings.Partitions},
+		{"grace", known.Grace == settings.Grace},
+	} {
+		if !field.equal {
+			changed = append(changed, field.name)
+		}
+	}
+	n.greet(slices.DeleteFunc(slices.Clone(settings.Seeds), func(seed string) bool {
+		return strings.EqualFold(seed, known.Peers)
+	}))
+	return changed
+}
--- /dev/null
+++ b/edge/request.go
@@ -0,0 +1,136 @@
+package edge
+
+import (
+	"errors"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"birchwood.example/birchwood/ingress"
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/routing"
+)
+
+// requestState is one client request while this node handles it.
+type requestState struct {
+	exchange *ingress.Exchange
+	id       string
+	route    *routing.Route
+	version  uint64
+	service  string
+	deadline time.Time
+	prompt   []replica.Part
+
+	// The fields below follow the handling, for the log.
+	choice     replica.Choice
+	attempts   int
+	excluded   []replica.ID
+	status     int
+	reason     string
+	firstAfter time.Duration
+
+	// The fields below belong to turns of programs.
+	program   string
+	session   string
+	previous  string
+	most      int
+	budget    int
+	partition int
+	owner     string
+	admission ledger.Admission
+	preferred replica.ID
+	tokens    int
+}
+
+func (r *requestState) kind() routing.Kind {
+	if r.route == nil {
+		return "none"
+	}
+	return r.route.Kind
+}
+
+func (r *requestState) routeName() string {
+	if r.route == nil {
+		return ""
+	}
+	return r.route.Name
+}
+
+// fail answers with a status of this node's own.
+func (r *requestState) fail(status int, reason string, wait time.Duration) {
+	r.status = status
+	r.reason = reason
+	r.exchange.Fail(status, reason, wait)
+}
+
+// giveUp ends the exchange without an answer.
+func (r *requestState) giveUp(reason string) {
+	r.status = 0
+	r.reason = reason
+	r.exchange.Break()
+}
+
+// left is the time until the request's deadline.
+func (r *requestState) left() time.Duration { return time.Until(r.deadline) }
+
+// errField says that a field's value is not of its form.
+var errField = errors.New("not a number that is at least zero")
+
+// maximumMilliseconds bounds a time that a client names.
+const maximumMilliseconds = 24 * 60 * 60 * 1000
+
+// parseMilliseconds reads a time; fractions are allowed.
+func parseMilliseconds(value string) (time.Duration, error) {
+	number, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || math.IsNaN(number) || number < 0 {
+		return 0, errField
+	}
+	return time.Duration(min(number, maximumMilliseconds) * float64(time.Millisecond)), nil
+}
+
+// parseCount reads a whole number that is at least zero.
+func parseCount(value string) (int, error) {
+	number, err := strconv.Atoi(strings.TrimSpace(value))
+	if err != nil || number < 0 {
+		return 0, errField
+	}
+	return number, nil
+}
+
+// parseTokenCounts reads the tokens of the prompt and the most that come out.
+func parseTokenCounts(value string) (prompt, most int, err error) {
+	first, second, found := strings.Cut(value, ",")
+	if !found {
+		return 0, 0, errField
+	}
+	if prompt, err = parseCount(first); err != nil {
+		return 0, 0, err
+	}
+	most, err = parseCount(second)
+	return prompt, most, err
+}
+
+// errPrompt says that a list of prompt parts is not of its form.
+var errPrompt = errors.New("want a list of ID:TOKENS")
+
+// parsePrompt reads the parts of a prompt.
+func parsePrompt(value string) ([]replica.Part, error) {
+	if strings.TrimSpace(value) == "" {
+		return nil, nil
+	}
+	var parts []replica.Part
+	for entry := range strings.SplitSeq(value, ",") {
+		id, count, found := strings.Cut(strings.TrimSpace(entry), ":")
+		if !found || id == "" {
+			return nil, errPrompt
+		}
+		tokens, err := parseCount(count)
+		if err != nil {
+			return nil, errPrompt
+		}
+		parts = append(parts, replica.Part{ID: id, Tokens: tokens})
+	}
+	return parts, nil
+}
--- /dev/null
+++ b/edge/run.go
@@ -0,0 +1,310 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/eventstream"
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/upstream"
+)
+
+// turnRun is the run of one admitted turn, over as many replicas as it takes.
+type turnRun struct {
+	node    *Node
+	request *requestState
+	table   *routing.Table
+	grant   grant
+
+	splitter eventstream.Splitter
+	// lastEvent is the id of the last event that the client has.
+	lastEvent    int64
+	hasLastEvent bool
+	// output is what the next turn's engine reads of the answer.
+	output []byte
+	// runs counts the runs that may have begun.
+	runs int
+}
+
+// pieceBytes is the most that is read of a stream at once.
+const pieceBytes = 4096
+
+// maximumRuns bounds the runs of one turn.
+const maximumRuns = 4
+
+// perform runs the turn and answers the client.
+func (t *turnRun) perform(ctx context.Context) {
+	r := t.request
+	if r.needsOwner() {
+		defer t.node.settle(r)
+	}
+	for offer := 0; ; offer++ {
+		entry, err := t.node.chooseReplica(r, t.table)
+		if err != nil || offer >= maximumOffers || r.left() <= 0 {
+			t.node.refuse(r, err, t.runs)
+			return
+		}
+		if t.attempt(ctx, entry) {
+			return
+		}
+	}
+}
+
+// attempt sends the turn to one replica. It reports whether the request was
+// answered; if not, another attempt may follow.
+func (t *turnRun) attempt(ctx context.Context, entry replica.Entry) (over bool) {
+	r, n := t.request, t.node
+	response, err := n.pool.Send(targetOf(entry), n.outgoing(r, entry, t.body(), t.resumeFrom()), r.exchange.Cancel)
+	if upstream.NotSent(err) {
+		if n.abandoned(r, entry) {
+			return true
+		}
+		n.reject(r, entry, replica.ResultFailed)
+		return false
+	}
+	if err != nil {
+		t.runs++
+		return t.afterFailure(entry, err)
+	}
+	if n.notExecuted(response) {
+		_, _ = response.ReadAll()
+		n.reject(r, entry, replica.ResultRejected)
+		return false
+	}
+	t.runs++
+	if response.Status() != fasthttp.StatusOK || !n.sound(response) {
+		return t.relayFailure(entry, response)
+	}
+	if err := t.relay(ctx, response); err != nil {
+		response.Abort()
+		return t.afterFailure(entry, err)
+	}
+	n.replicas.ended(entry.ID, replica.ResultAnswered)
+	return true
+}
+
+// body returns what the replica gets: on routes whose turns are kept, the
+// chain goes before the new input.
+func (t *turnRun) body() []byte {
+	if len(t.grant.chain) == 0 {
+		return t.request.exchange.Body
+	}
+	body := make([]byte, 0, len(t.grant.chain)+len(t.request.exchange.Body))
+	body = append(body, t.grant.chain...)
+	return append(body, t.request.exchange.Body...)
+}
+
+// resumeFrom returns the last event that the client has, or "".
+func (t *turnRun) resumeFrom() string {
+	if !t.hasLastEvent {
+		return ""
+	}
+	return strconv.FormatInt(t.lastEvent, 10)
+}
+
+// relayFailure passes on a replica's answer that is no stream.
+func (t *turnRun) relayFailure(entry replica.Entry, response *upstream.Response) bool {
+	r, n := t.request, t.node
+	body, err := response.ReadAll()
+	if err != nil || !n.sound(response) {
+		return t.afterFailure(entry, err)
+	}
+	n.replicas.ended(entry.ID, replica.ResultAnswered)
+	r.status = response.Status()
+	if r.exchange.Begun() {
+		r.giveUp("the replica that was to continue answered " + strconv.Itoa(response.Status()))
+		return true
+	}
+	r.reason = "answered"
+	r.exchange.Relay(&response.Header, body)
+	return true
+}
+
+// errDisorder says that a continued stream does not go on where the first run
+// broke off.
+var errDisorder = errors.New("the stream does not go on where it broke off")
+
+// clientError marks a failure to write to the client.
+type clientError struct{ cause error }
+
+// Error describes the failure.
+func (e *clientError) Error() string { return "client: " + e.cause.Error() }
+
+// relay passes the stream on, event by event, and completes the answer.
+func (t *turnRun) relay(ctx context.Context, response *upstream.Response) error {
+	t.splitter = eventstream.Splitter{}
+	piece := make([]byte, pieceBytes)
+	for {
+		read, err := response.Read(piece)
+		t.splitter.Write(piece[:read])
+		if relayErr := t.relayEvents(ctx, response); relayErr != nil {
+			return relayErr
+		}
+		if err == io.EOF {
+			return t.complete(ctx, response)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// relayEvents passes on the whole events that have come.
+func (t *turnRun) relayEvents(ctx context.Context, response *upstream.Response) error {
+	for {
+		event, whole := t.splitter.Next()
+		if !whole {
+			return nil
+		}
+		if event.HasID && t.hasLastEvent && event.ID <= t.lastEvent {
+			continue
+		}
+		if event.HasID && t.hasLastEvent && event.ID != t.lastEvent+1 && t.runs > 1 {
+			return errDisorder
+		}
+		if err := t.relayEvent(ctx, response, event); err != nil {
+			return err
+		}
+	}
+}
+
+func (t *turnRun) relayEvent(ctx context.Context, response *upstream.Response, event eventstream.Event) error {
+	r := t.request
+	if !r.exchange.Begun() {
+		if err := t.begin(ctx, response); err != nil {
+			return err
+		}
+	}
+	if event.HasData {
+		r.tokens += t.tokensPerEvent()
+		if r.route.Retain {
+			t.output = append(append(t.output, event.Data...), '\n')
+		}
+	}
+	if event.HasID {
+		t.lastEvent, t.hasLastEvent = event.ID, true
+	}
+	if err := r.exchange.Write(event.Raw); err != nil {
+		return &clientError{cause: err}
+	}
+	return nil
+}
+
+// begin sends the head, once the turn's tokens are durably counted.
+func (t *turnRun) begin(ctx context.Context, response *upstream.Response) error {
+	r := t.request
+	if t.grant.recorded != nil {
+		select {
+		case err := <-t.grant.recorded:
+			if err != nil {
+				return err
+			}
+			t.grant.recorded = nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	r.firstAfter = time.Since(r.exchange.Arrived)
+	r.status = response.Status()
+	if err := r.exchange.BeginStream(&response.Header); err != nil {
+		return &clientError{cause: err}
+	}
+	return nil
+}
+
+func (t *turnRun) tokensPerEvent() int {
+	return max(1, t.table.Services[t.request.service].TokensPerEvent)
+}
+
+// complete ends an answer that came whole. On routes whose turns are kept, the
+// turn is durable before the client can have the end.
+func (t *turnRun) complete(ctx context.Context, response *upstream.Response) error {
+	r := t.request
+	response.Finish()
+	if !r.exchange.Begun() {
+		if err := t.begin(ctx, response); err != nil {
+			return err
+		}
+	}
+	if rest := t.splitter.Rest(); len(rest) > 0 {
+		if err := r.exchange.Write(rest); err != nil {
+			return &clientError{cause: err}
+		}
+	}
+	if r.route.Retain {
+		if err := t.keep(ctx); err != nil {
+			return err
+		}
+	}
+	r.reason = "answered"
+	if err := r.exchange.EndStream(); err != nil {
+		r.reason = "the client left at the end"
+	}
+	return nil
+}
+
+// keep has the owner keep the turn, whoever it is by now.
+func (t *turnRun) keep(ctx context.Context) error {
+	r, n := t.request, t.node
+	kept := ledger.KeptTurn{
+		ID: r.id, Program: r.program, Previous: r.previous, Input: r.exchange.Body, Output: t.output, Retain: r.route.RetainFor,
+	}
+	if r.previous != "" {
+		kept.Base = t.grant.chain
+	}
+	ask := coordinator.Request{Keep: &coordinator.KeepRequest{Turn: kept, Settlement: *n.settlementOf(r)}}
+	for ctx.Err() == nil && r.exchange.Cancel.Cause() == nil {
+		reply, err := n.askOnce(ctx, r, r.partition, ask)
+		if err == nil && reply.Status == coordinator.ReplyDone {
+			return nil
+		}
+		sleep(ctx, ownerPause)
+	}
+	return &notKeptError{}
+}
+
+// notKeptError says that a turn came whole but could not be kept in time.
+type notKeptError struct{}
+
+// Error describes the failure.
+func (*notKeptError) Error() string { return "the turn could not be kept in time" }
+
+// afterFailure decides what follows a run that broke off: another run that
+// continues it, or the end of the answer.
+func (t *turnRun) afterFailure(entry replica.Entry, err error) (over bool) {
+	r, n := t.request, t.node
+	var client *clientError
+	if errors.As(err, &client) {
+		n.replicas.ended(entry.ID, replica.ResultCancelled)
+		r.giveUp(err.Error())
+		return true
+	}
+	if n.abandoned(r, entry) {
+		return true
+	}
+	var notKept *notKeptError
+	if errors.As(err, &notKept) || errors.Is(err, errNotCounted) {
+		n.replicas.ended(entry.ID, replica.ResultCancelled)
+		r.fail(fasthttp.StatusBadGateway, err.Error(), 0)
+		return true
+	}
+	n.replicas.ended(entry.ID, replica.ResultFailed)
+	if !r.route.Repeatable() || t.runs >= maximumRuns {
+		r.fail(fasthttp.StatusBadGateway, failureReason(err), 0)
+		return true
+	}
+	if t.runs < r.route.Attempts() {
+		r.excluded = append(r.excluded, entry.ID)
+	} else {
+		r.preferred = entry.ID
+	}
+	return false
+}
--- /dev/null
+++ b/edge/settings.go
@@ -0,0 +1,32 @@
+package edge
+
+import "time"
+
+// Settings are what a node is told at its start. They come from an adapter.
+type Settings struct {
+	// Node names the node, and Zone the place it is in.
+	Node string
+	Zone string
+	// Clients, Readiness and Peers are the "ip:port" that the node listens on.
+	Clients   string
+	Readiness string
+	Peers     string
+	// Metrics is "port/path" of the metrics on the node's address, or "".
+	Metrics string
+	// Seeds are addresses of peers, which may be stale.
+	Seeds []string
+	// Store is the address of the platform's store.
+	Store string
+	// Partitions is how many partitions programs are dealt to.
+	Partitions int
+	// RecordBytes and AppendBytes bound one record and one append.
+	RecordBytes int
+	AppendBytes int
+	// MemoryBytes bounds the process's memory, and Descriptors its sockets.
+	MemoryBytes int64
+	Descriptors int
+	// Grace is the time between the request to stop and the kill.
+	Grace time.Duration
+	// DrainReplica is how long a replica serves after it was said to leave.
+	DrainReplica time.Duration
+}
--- /dev/null
+++ b/edge/turn.go
@@ -0,0 +1,268 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/ownership"
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/routing"
+)
+
+// Times of the questions to owners.
+const (
+	// ownerPatience is how long a turn waits for an owner to be there.
+	ownerPatience = 900 * time.Millisecond
+	// ownerTimeout bounds one question that is answered from memory.
+	ownerTimeout = 400 * time.Millisecond
+	// ownerPause is the wait before an owner is looked for again.
+	ownerPause = 30 * time.Millisecond
+	// settleTimeout bounds how long a settlement is tried.
+	settleTimeout = 5 * time.Second
+)
+
+// errNoOwner says that no owner of the partition was found in time.
+var errNoOwner = errors.New("the program's partition has no owner at present")
+
+// grant is what the owner said of a turn that may run.
+type grant struct {
+	epoch ownership.Epoch
+	chain []byte
+	// foreign says that another partition keeps the previous turn.
+	foreign bool
+	// recorded yields nil once the turn's tokens are durably counted; nil
+	// itself where nothing has to be waited for.
+	recorded <-chan error
+}
+
+// serveTurn serves a request whose answer is a stream of events.
+func (n *Node) serveTurn(r *requestState, table *routing.Table) {
+	ctx, cancel := context.WithDeadline(n.ctx, r.deadline)
+	defer cancel()
+	granted, admitted := n.admitTurn(ctx, r)
+	if !admitted {
+		return
+	}
+	run := &turnRun{node: n, request: r, table: table, grant: granted}
+	run.perform(ctx)
+}
+
+// needsOwner reports whether the turn concerns its program's owner.
+func (r *requestState) needsOwner() bool {
+	return r.program != "" && (r.budget > 0 || r.route.Retain)
+}
+
+// admitTurn asks the owner whether the turn may run. If it returns false, the
+// request was answered.
+func (n *Node) admitTurn(ctx context.Context, r *requestState) (grant, bool) {
+	if !r.needsOwner() {
+		return grant{}, true
+	}
+	previous := ""
+	if r.route.Retain {
+		previous = r.previous
+	}
+	ask := &coordinator.AdmitRequest{Turn: n.turnOf(r), Previous: previous}
+	reply, err := n.askOwner(ctx, r, r.partition, coordinator.Request{Admit: ask}, ownerPatience)
+	var found grant
+	if err == nil && reply.Status == coordinator.ReplyAbsent {
+		chain, status := n.findChain(ctx, r, previous)
+		if status != coordinator.ReplyDone {
+			n.answerNoChain(r, status)
+			return grant{}, false
+		}
+		found.chain = chain
+		found.foreign = true
+		ask.HasChain = true
+		reply, err = n.askOwner(ctx, r, r.partition, coordinator.Request{Admit: ask}, ownerPatience)
+	}
+	if err != nil {
+		r.fail(fasthttp.StatusServiceUnavailable, err.Error(), comeBackSoon)
+		return grant{}, false
+	}
+	return n.takeReply(ctx, r, reply, found)
+}
+
+// turnOf describes the turn to the ledger.
+func (n *Node) turnOf(r *requestState) ledger.Turn {
+	return ledger.Turn{
+		ID: r.id, Program: r.program, Session: r.session, Most: r.most, Budget: r.budget,
+		Within: max(0, r.left()), Retain: r.route.RetainFor,
+	}
+}
+
+// takeReply turns the owner's reply into a grant or an answer.
+func (n *Node) takeReply(ctx context.Context, r *requestState, reply coordinator.Reply, found grant) (grant, bool) {
+	if reply.Status != coordinator.ReplyDone || reply.Admission == nil {
+		r.fail(fasthttp.StatusServiceUnavailable, "the program's partition answered "+string(reply.Status), comeBackLater)
+		return grant{}, false
+	}
+	r.admission = *reply.Admission
+	switch r.admission.Verdict {
+	case ledger.VerdictExhausted:
+		r.fail(fasthttp.StatusPaymentRequired, "the program's token budget is spent", 0)
+		return grant{}, false
+	case ledger.VerdictBusy:
+		r.fail(fasthttp.StatusServiceUnavailable, "other turns of the program hold the rest of its budget", comeBackSoon)
+		return grant{}, false
+	}
+	found.epoch = reply.Epoch
+	if !found.foreign {
+		found.chain = reply.Chain
+	}
+	r.preferred = replica.ID(r.admission.Replica)
+	if r.admission.Position > 0 {
+		found.recorded = n.awaitRecorded(ctx, r, reply.Epoch, r.admission.Position)
+	}
+	return found, true
+}
+
+// answerNoChain answers a turn whose previous turn was not found: only what is
+// certain becomes "no such turn".
+func (n *Node) answerNoChain(r *requestState, status coordinator.ReplyStatus) {
+	if status == coordinator.ReplyAbsent {
+		r.fail(fasthttp.StatusNotFound, "no such previous turn", 0)
+		return
+	}
+	r.fail(fasthttp.StatusServiceUnavailable, "whether the previous turn is kept is not certain at present", comeBackLater)
+}
+
+// askOwner asks the owner of a partition, and looks for it anew for as long as
+// the patience lasts.
+func (n *Node) askOwner(ctx context.Context, r *requestState, partition int, request coordinator.Request, patience time.Duration) (coordinator.Reply, error) {
+	until := time.Now().Add(patience)
+	for {
+		reply, err := n.askOnce(ctx, r, partition, request)
+		if err == nil && reply.Status != coordinator.ReplyNotOwner {
+			return reply, nil
+		}
+		if ctx.Err() != nil || r.exchange.Cancel.Cause() != nil || time.Now().Add(ownerPause).After(until) {
+			return coordinator.Reply{}, errNoOwner
+		}
+		sleep(ctx, ownerPause)
+	}
+}
+
+// askOnce asks the node that owns the partition as far as is known.
+func (n *Node) askOnce(ctx context.Context, r *requestState, partition int, request coordinator.Request) (coordinator.Reply, error) {
+	callCtx, cancel := context.WithTimeout(ctx, timeoutOf(request))
+	defer cancel()
+	owner, err := n.control.owner(callCtx, partition)
+	if err != nil {
+		return coordinator.Reply{}, err
+	}
+	r.owner = string(owner.ID)
+	if owner.ID == n.self.ID {
+		return n.control.ask(callCtx, partition, request)
+	}
+	return n.peers.ask(callCtx, owner, partition, request)
+}
+
+// timeoutOf bounds a question: those that wait for the log may take longer.
+func timeoutOf(request coordinator.Request) time.Duration {
+	if request.Await != nil || request.Keep != nil {
+		return peerRequestTimeout
+	}
+	if request.Find != nil {
+		return 2 * ownerTimeout
+	}
+	return ownerTimeout
+}
+
+// findChain looks for a kept turn in all partitions. It is certainly absent
+// only if every owner has said so.
+func (n *Node) findChain(ctx context.Context, r *requestState, turn string) ([]byte, coordinator.ReplyStatus) {
+	answers := make(chan coordinator.Reply, n.settings.Partitions)
+	for partition := range n.settings.Partitions {
+		go func() {
+			// Each search has a state of its own to note the owner in.
+			search := &requestState{exchange: r.exchange}
+			reply, err := n.askOwner(ctx, search, partition, coordinator.Request{Find: &coordinator.FindRequest{Turn: turn}}, ownerPatience)
+			if err != nil {
+				reply.Status = coordinator.ReplyLost
+			}
+			answers <- reply
+		}()
+	}
+	status := coordinator.ReplyAbsent
+	for range n.settings.Partitions {
+		reply := <-answers
+		if reply.Status == coordinator.ReplyDone {
+			return reply.Chain, coordinator.ReplyDone
+		}
+		if reply.Status != coordinator.ReplyAbsent {
+			status = coordinator.ReplyLost
+		}
+	}
+	return nil, status
+}
+
+// errNotCounted says that the turn's tokens could not be counted durably.
+var errNotCounted = errors.New("the tokens of the turn could not be recorded")
+
+// awaitRecorded waits beside the run until the position is durable. If the
+// owner is lost meanwhile, the new one counts the turn.
+func (n *Node) awaitRecorded(ctx context.Context, r *requestState, epoch ownership.Epoch, position uint64) <-chan error {
+	done := make(chan error, 1)
+	turn := n.turnOf(r)
+	partition := r.partition
+	search := &requestState{exchange: r.exchange}
+	go func() {
+		for ctx.Err() == nil {
+			await := &coordinator.AwaitRequest{Epoch: epoch, Position: position}
+			reply, err := n.askOnce(ctx, search, partition, coordinator.Request{Await: await})
+			if err == nil && reply.Status == coordinator.ReplyDone {
+				done <- nil
+				return
+			}
+			sleep(ctx, ownerPause)
+			admit := &coordinator.AdmitRequest{Turn: turn}
+			reply, err = n.askOwner(ctx, search, partition, coordinator.Request{Admit: admit}, ownerPatience)
+			if err != nil || reply.Admission == nil {
+				continue
+			}
+			if reply.Admission.Verdict != ledger.VerdictGranted {
+				break
+			}
+			if reply.Admission.Position == 0 {
+				done <- nil
+				return
+			}
+			epoch, position = reply.Epoch, reply.Admission.Position
+		}
+		done <- errNotCounted
+	}()
+	return done
+}
+
+// settle tells the owner how a turn ended, beside the handling of the next
+// request.
+func (n *Node) settle(r *requestState) {
+	settlement := n.settlementOf(r)
+	search := &requestState{exchange: r.exchange}
+	partition := r.partition
+	n.run(func(ctx context.Context) {
+		settleCtx, cancel := context.WithTimeout(ctx, settleTimeout)
+		defer cancel()
+		for settleCtx.Err() == nil {
+			reply, err := n.askOnce(settleCtx, search, partition, coordinator.Request{Settle: settlement})
+			if err == nil && reply.Status == coordinator.ReplyDone {
+				return
+			}
+			sleep(settleCtx, comeBackSoon)
+		}
+	})
+}
+
+func (n *Node) settlementOf(r *requestState) *ledger.Settlement {
+	settlement := &ledger.Settlement{Turn: r.id, Program: r.program, Session: r.session, Tokens: r.tokens}
+	if r.status == fasthttp.StatusOK {
+		settlement.Replica = string(r.choice.Entry.ID)
+	}
+	return settlement
+}
--- /dev/null
+++ b/ingress/connection.go
@@ -0,0 +1,138 @@
+package ingress
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	peek "birchwood.example/birchwood/connection"
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/upstream"
+)
+
+// ErrClientGone is the cause of an exchange whose client has hung up.
+var ErrClientGone = errors.New("the client has left")
+
+// connection is one client's connection. Its goroutine reads a request, has it
+// handled, and goes on to the next.
+type connection struct {
+	server *Server
+	socket net.Conn
+	probe  peek.Probe
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// exchange is the one under way, nil while a request is waited for.
+	exchange atomic.Pointer[Exchange]
+	// closing is set once the connection ends after this answer, or is idle
+	// and was told to go.
+	closing atomic.Bool
+}
+
+const (
+	writeBufferBytes = 4096
+	// spareHeadBytes is what a head may exceed the limit by before it cannot
+	// be read at all.
+	spareHeadBytes = 1024
+	minimumHead    = 4096
+)
+
+func newConnection(server *Server, socket net.Conn) *connection {
+	if tcp, ok := socket.(*net.TCPConn); ok {
+		_ = tcp.SetNoDelay(true)
+	}
+	probe, _ := peek.NewProbe(socket)
+	limits := server.config.Limits()
+	return &connection{
+		server: server,
+		socket: socket,
+		probe:  probe,
+		reader: bufio.NewReaderSize(socket, max(minimumHead, limits.HeaderBytes+spareHeadBytes)),
+		writer: bufio.NewWriterSize(socket, writeBufferBytes),
+	}
+}
+
+// serve handles the connection's requests one after the other.
+func (c *connection) serve() {
+	defer func() { _ = c.socket.Close() }()
+	for c.serveOne() {
+	}
+}
+
+// serveOne handles one request and reports whether another may follow.
+func (c *connection) serveOne() bool {
+	limits := c.server.config.Limits()
+	if !c.awaitRequest(limits) {
+		return false
+	}
+	exchange := &Exchange{connection: c, Cancel: &upstream.Cancel{}, Arrived: time.Now()}
+	c.exchange.Store(exchange)
+	defer c.exchange.Store(nil)
+	if problem := exchange.read(limits); problem != nil {
+		exchange.keepAlive = false
+		exchange.refuse(problem)
+		return false
+	}
+	c.server.config.Handler(exchange)
+	if !exchange.ended {
+		exchange.Break()
+	}
+	return exchange.keepAlive && !c.closing.Load()
+}
+
+// awaitRequest waits for the first byte of a request.
+func (c *connection) awaitRequest(limits routing.Limits) bool {
+	_ = c.socket.SetDeadline(deadlineIn(limits.IdleTimeout))
+	_, err := c.reader.Peek(1)
+	return err == nil
+}
+
+// deadlineIn returns the time after a span; none where the span is zero.
+func deadlineIn(span time.Duration) time.Time {
+	if span <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(span)
+}
+
+// closeIdle closes the connection unless an exchange is under way.
+func (c *connection) closeIdle() {
+	c.closing.Store(true)
+	if c.exchange.Load() == nil {
+		_ = c.socket.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// checkClient cancels the exchange under way if the client has left.
+func (c *connection) checkClient() {
+	exchange := c.exchange.Load()
+	if exchange != nil && exchange.watched.Load() && c.probe.Closed() {
+		exchange.Cancel.Trigger(ErrClientGone)
+	}
+}
+
+// problem is a request that is refused before any handler sees it.
+type problem struct {
+	status int
+	reason string
+	// silent closes the connection without an answer: nobody is there.
+	silent bool
+}
+
+func problemOf(err error) *problem {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.As(err, &small):
+		return &problem{status: fasthttp.StatusRequestHeaderFieldsTooLarge, reason: "the head is larger than the limit"}
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return &problem{status: fasthttp.StatusRequestTimeout, reason: "the request did not come in time"}
+	case isDisconnect(err):
+		return &problem{silent: true}
+	default:
+		return &problem{status: fasthttp.StatusBadRequest, reason: "not a valid HTTP/1.1 request"}
+	}
+}
--- /dev/null
+++ b/ingress/exchange.go
@@ -0,0 +1,240 @@
+package ingress
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/header"
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/upstream"
+)
+
+// Exchange is one request and its answer. It belongs to the handler's
+// goroutine; only Cancel may be used by others.
+type Exchange struct {
+	// Method, Target and Host are as the client sent them.
+	Method string
+	Target string
+	Host   string
+	// Body is the whole body, and HasBody tells an empty one from none.
+	Body    []byte
+	HasBody bool
+	// Arrived is when the first byte of the request was there.
+	Arrived time.Time
+	// Cancel ends the exchange, also when the client leaves.
+	Cancel *upstream.Cancel
+
+	connection *connection
+	head       fasthttp.RequestHeader
+	keepAlive  bool
+	// watched is set once the whole request was read.
+	watched atomic.Bool
+	// begun and ended follow the answer.
+	begun   bool
+	chunked bool
+	ended   bool
+}
+
+// Path returns the request target without its query.
+func (e *Exchange) Path() string {
+	path, _, _ := strings.Cut(e.Target, "?")
+	return path
+}
+
+// Field returns the value of a header field, or "".
+func (e *Exchange) Field(name string) string {
+	if name == "" {
+		return ""
+	}
+	return string(e.head.Peek(name))
+}
+
+// ForwardedFields returns the raw lines of the head without those that concern
+// one connection, the host, and the named ones.
+func (e *Exchange) ForwardedFields(without ...string) []byte {
+	raw := e.head.RawHeaders()
+	kept := make([]byte, 0, len(raw)+256)
+	listed := e.Field(header.Connection)
+	for line := range bytes.Lines(raw) {
+		name, _, found := bytes.Cut(line, []byte(":"))
+		if !found || concernsConnection(string(name), listed) || containsFold(without, string(name)) {
+			continue
+		}
+		kept = append(kept, bytes.TrimRight(line, "\r\n")...)
+		kept = append(kept, "\r\n"...)
+	}
+	return kept
+}
+
+func containsFold(names []string, name string) bool {
+	for _, candidate := range names {
+		if strings.EqualFold(candidate, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// connectionFields concern one connection alone, besides those that the
+// Connection field lists. Lengths are set anew.
+var connectionFields = []string{
+	header.Connection, header.ContentLength, header.Expect, header.Host, header.KeepAlive, header.TransferEncoding,
+	"Proxy-Connection", "Te", "Trailer", "Upgrade",
+}
+
+func concernsConnection(name, listed string) bool {
+	if containsFold(connectionFields, name) {
+		return true
+	}
+	for option := range strings.SplitSeq(listed, ",") {
+		if option = strings.TrimSpace(option); option != "" && strings.EqualFold(option, name) {
+			return true
+		}
+	}
+	return false
+}
+
+// read reads the request within the limits.
+func (e *Exchange) read(limits routing.Limits) *problem {
+	connection := e.connection
+	_ = connection.socket.SetReadDeadline(deadlineIn(limits.HeaderTimeout))
+	if err := e.head.Read(connection.reader); err != nil {
+		return problemOf(err)
+	}
+	e.Method = string(e.head.Method())
+	e.Target = string(e.head.RequestURI())
+	e.Host = string(e.head.Host())
+	e.keepAlive = !e.head.ConnectionClose()
+	if found := e.checkHead(limits); found != nil {
+		return found
+	}
+	if err := e.invite(); err != nil {
+		return problemOf(err)
+	}
+	_ = connection.socket.SetReadDeadline(deadlineIn(max(limits.HeaderTimeout, limits.IdleTimeout)))
+	if found := e.readBody(limits); found != nil {
+		return found
+	}
+	_ = connection.socket.SetReadDeadline(time.Time{})
+	e.watched.Store(true)
+	return nil
+}
+
+// checkHead refuses heads that are too large or whose framing has two readings.
+func (e *Exchange) checkHead(limits routing.Limits) *problem {
+	if limits.HeaderBytes > 0 && len(e.head.Header()) > limits.HeaderBytes {
+		return &problem{status: fasthttp.StatusRequestHeaderFieldsTooLarge, reason: "the head is larger than the limit"}
+	}
+	lengths, codings := 0, 0
+	for line := range bytes.Lines(e.head.RawHeaders()) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		switch {
+		case strings.EqualFold(string(name), header.ContentLength):
+			lengths++
+		case strings.EqualFold(string(name), header.TransferEncoding):
+			codings++
+		}
+	}
+	if lengths+codings > 1 {
+		return &problem{status: fasthttp.StatusBadRequest, reason: "the length of the body is given twice"}
+	}
+	if !strings.HasPrefix(e.Target, "/") {
+		return &problem{status: fasthttp.StatusBadRequest, reason: "the request target is not a path"}
+	}
+	e.HasBody = lengths+codings > 0
+	return nil
+}
+
+// invite answers a client that waits to be asked for the body.
+func (e *Exchange) invite() error {
+	if !e.HasBody || !strings.EqualFold(e.Field(header.Expect), "100-continue") {
+		return nil
+	}
+	_, _ = e.connection.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
+	return e.connection.writer.Flush()
+}
+
+func (e *Exchange) readBody(limits routing.Limits) *problem {
+	if !e.HasBody {
+		return nil
+	}
+	length := e.head.ContentLength()
+	limit := limits.BodyBytes
+	if limit > 0 && length > limit {
+		return &problem{status: fasthttp.StatusRequestEntityTooLarge, reason: "the body is larger than the limit"}
+	}
+	if length >= 0 {
+		e.Body = make([]byte, length)
+		if _, err := io.ReadFull(e.connection.reader, e.Body); err != nil {
+			return problemOf(err)
+		}
+		return nil
+	}
+	return e.readChunks(limit)
+}
+
+func (e *Exchange) readChunks(limit int) *problem {
+	var source io.Reader = httputil.NewChunkedReader(e.connection.reader)
+	if limit > 0 {
+		source = io.LimitReader(source, int64(limit)+1)
+	}
+	body, err := io.ReadAll(source)
+	if err != nil {
+		return problemOf(err)
+	}
+	if limit > 0 && len(body) > limit {
+		return &problem{status: fasthttp.StatusRequestEntityTooLarge, reason: "the body is larger than the limit"}
+	}
+	e.Body = body
+	return e.readTrailer()
+}
+
+// maximumTrailerLines bounds the trailer of a body in chunks.
+const maximumTrailerLines = 32
+
+func (e *Exchange) readTrailer() *problem {
+	for range maximumTrailerLines {
+		line, err := e.connection.reader.ReadSlice('\n')
+		if err != nil {
+			return problemOf(err)
+		}
+		if len(line) <= len("\r\n") {
+			return nil
+		}
+	}
+	return &problem{status: fasthttp.StatusBadRequest, reason: "the trailer is too long"}
+}
+
+// isDisconnect reports whether the client ended the connection.
+func isDisconnect(err error) bool {
+	var nothing fasthttp.ErrNothingRead
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &nothing) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// refuse answers a request that no handler sees.
+func (e *Exchange) refuse(found *problem) {
+	if found.silent {
+		e.ended = true
+		return
+	}
+	_ = e.connection.socket.SetWriteDeadline(deadlineIn(refusalTimeout))
+	e.Fail(found.status, found.reason, 0)
+}
+
+// refusalTimeout bounds the writing of a refusal to a client that misbehaves.
+const refusalTimeout = time.Second
+
+// retryAfter writes seconds with fractions.
+func retryAfter(wait time.Duration) string {
+	return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
+}
--- /dev/null
+++ b/ingress/server.go
@@ -0,0 +1,183 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"birchwood.example/birchwood/routing"
+)
+
+// Handler answers one exchange. It runs on the connection's goroutine, and the
+// exchange must not be used after it returns.
+type Handler func(*Exchange)
+
+// Config sets up a Server.
+type Config struct {
+	Handler Handler
+	// Limits returns the limits in force.
+	Limits func() routing.Limits
+	// WatchPeriod is how often clients are looked at for having left.
+	WatchPeriod time.Duration
+}
+
+// watchPeriod is the default of Config.WatchPeriod.
+const watchPeriod = 100 * time.Millisecond
+
+// Server accepts the connections of clients.
+type Server struct {
+	config   Config
+	draining atomic.Bool
+
+	mutex       sync.Mutex
+	connections map[*connection]struct{}
+	listeners   []net.Listener
+	closed      bool
+	// serving counts the goroutines of connections.
+	serving sync.WaitGroup
+	stop    chan struct{}
+}
+
+// NewServer returns a server without listeners.
+func NewServer(config Config) *Server {
+	if config.WatchPeriod <= 0 {
+		config.WatchPeriod = watchPeriod
+	}
+	server := &Server{config: config, connections: make(map[*connection]struct{}), stop: make(chan struct{})}
+	go server.watch()
+	return server
+}
+
+// Serve accepts connections until the listener is closed. It returns nil after
+// Close or StopAccepting.
+func (s *Server) Serve(listener net.Listener) error {
+	s.mutex.Lock()
+	s.listeners = append(s.listeners, listener)
+	s.mutex.Unlock()
+	for {
+		socket, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// Out of descriptors, as a rule: connections that end make room.
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.accept(socket)
+	}
+}
+
+// acceptPause follows a failed accept.
+const acceptPause = 20 * time.Millisecond
+
+func (s *Server) accept(socket net.Conn) {
+	accepted := newConnection(s, socket)
+	s.mutex.Lock()
+	if s.closed {
+		s.mutex.Unlock()
+		_ = socket.Close()
+		return
+	}
+	s.connections[accepted] = struct{}{}
+	s.serving.Add(1)
+	s.mutex.Unlock()
+	go func() {
+		defer s.serving.Done()
+		accepted.serve()
+		s.mutex.Lock()
+		delete(s.connections, accepted)
+		s.mutex.Unlock()
+	}()
+}
+
+// Drain has every later answer close its connection.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Active returns how many exchanges are under way.
+func (s *Server) Active() int {
+	active := 0
+	for _, one := range s.snapshot() {
+		if one.exchange.Load() != nil {
+			active++
+		}
+	}
+	return active
+}
+
+// StopAccepting closes the listeners and the connections that wait for a
+// request. Exchanges under way go on.
+func (s *Server) StopAccepting() {
+	s.Drain()
+	s.mutex.Lock()
+	listeners := s.listeners
+	s.listeners = nil
+	s.mutex.Unlock()
+	for _, listener := range listeners {
+		_ = listener.Close()
+	}
+	for _, one := range s.snapshot() {
+		one.closeIdle()
+	}
+}
+
+// Shutdown stops accepting, waits for the exchanges under way and closes what
+// remains when the context ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.StopAccepting()
+	done := make(chan struct{})
+	go func() {
+		s.serving.Wait()
+		close(done)
+	}()
+	defer s.close()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *Server) close() {
+	s.mutex.Lock()
+	wasClosed := s.closed
+	s.closed = true
+	s.mutex.Unlock()
+	if wasClosed {
+		return
+	}
+	close(s.stop)
+	for _, one := range s.snapshot() {
+		_ = one.socket.Close()
+	}
+}
+
+func (s *Server) snapshot() []*connection {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	all := make([]*connection, 0, len(s.connections))
+	for one := range s.connections {
+		all = append(all, one)
+	}
+	return all
+}
+
+// watch cancels the exchanges of clients that have left.
+func (s *Server) watch() {
+	ticker := time.NewTicker(s.config.WatchPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-ticker.C:
+		}
+		for _, one := range s.snapshot() {
+			one.checkClient()
+		}
+	}
+}
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -19,18 +19,18 @@
 // layers orders the packages: each may import only packages of earlier lines.
 // A folder stands for every package below it that has no entry of its own.
 var layers = [][]string{
-	{"findings", "connection"},
-	{"zone", "httpclient", "retry"},
+	{"findings", "connection", "header", "recordstore", "eventstream"},
+	{"zone", "httpclient", "retry", "routing", "replica", "ledger", "ownership", "upstream"},
 	{"machine", "api"},
 	{"contract", "recordlog", "infra", "tool", "history", "stream"},
 	{"partition", "program", "workload"},
-	{"schedule"},
+	{"schedule", "coordinator", "ingress"},
 	{"engine", "link"},
 	{"control", "config", "emulator/platformmodel", "emulator/enginemodel"},
 	{"engine/enginehttp", "tool/toolhttp", "infra/infrahttp", "link/linkhttp", "gateway", "emulator/standin"},
 	{"operator", "emulator", "emulator/cluster"},
-	{"node", "load", "emulator/benchplot"},
-	{"development", "scale"},
+	{"node", "load", "emulator/benchplot", "edge"},
+	{"development", "scale", "platform"},
 	{"command", "internal"},
 	{"cmd"},
 }
@@ -40,10 +40,11 @@
 var pure = []string{
 	"zone", "machine", "api", "contract", "recordlog", "partition", "program", "schedule", "retry", "findings",
 	"control", "workload", "emulator/enginemodel", "emulator/platformmodel",
+	"routing", "replica", "ledger", "ownership", "coordinator", "eventstream", "header", "recordstore",
 }
 
 // embeddable are the packages that others use without the daemon.
-var embeddable = []string{"recordlog", "partition", "contract", "schedule", "history"}
+var embeddable = []string{"recordlog", "partition", "contract", "schedule", "history", "routing", "replica", "ledger", "ownership", "coordinator"}
 
 const (
 	maximumFileLines     = 500
--- /dev/null
+++ b/ledger/account.go
@@ -0,0 +1,177 @@
+package ledger
+
+import "time"
+
+// Verdict is the answer to Admit.
+type Verdict string
+
+// The verdicts.
+const (
+	// VerdictGranted lets the turn run.
+	VerdictGranted Verdict = "granted"
+	// VerdictExhausted says that the budget does not hold one more turn.
+	VerdictExhausted Verdict = "exhausted"
+	// VerdictBusy says that the budget might hold the turn once the program's
+	// other turns have ended.
+	VerdictBusy Verdict = "busy"
+)
+
+// Turn asks for a turn of a program.
+type Turn struct {
+	ID      string `json:"id"`
+	Program string `json:"program"`
+	// Session is the line of turns that the turn belongs to.
+	Session string `json:"session,omitempty"`
+	// Most is the most tokens that the turn generates; Budget what all turns
+	// of the program may. A Budget of 0 sets none.
+	Most   int `json:"most"`
+	Budget int `json:"budget"`
+	// Within is when the turn is over at the latest, from now.
+	Within time.Duration `json:"within"`
+	// Retain is how long the program's account is kept after its last turn.
+	Retain time.Duration `json:"retain"`
+}
+
+// Admission is a verdict with its reasons.
+type Admission struct {
+	Verdict Verdict `json:"verdict"`
+	// Position must be durable before any token reaches the client; 0 where
+	// nothing has to be.
+	Position uint64 `json:"position,omitempty"`
+	// Replica served the line of turns last, or "".
+	Replica string `json:"replica,omitempty"`
+	// Settled and Open are the tokens that were used and those that turns
+	// under way may still use, before this turn.
+	Settled int `json:"settled"`
+	Open    int `json:"open"`
+}
+
+// account is what is known of one program.
+type account struct {
+	// settled counts the tokens of turns that are over, at their most where
+	// that is all that is known.
+	settled int
+	open    map[string]reservation
+	// mark is the highest that was proposed, and position its proposal.
+	mark     int
+	position uint64
+	// replicas served the program's lines of turns last, by session.
+	replicas map[string]string
+	used     time.Time
+	retain   time.Duration
+}
+
+type reservation struct {
+	most    int
+	expires time.Time
+}
+
+func (a *account) openTokens() int {
+	total := 0
+	for _, reserved := range a.open {
+		total += reserved.most
+	}
+	return total
+}
+
+// expire counts the turns whose end was never told at their most.
+func (a *account) expire(now time.Time) {
+	for id, reserved := range a.open {
+		if now.After(reserved.expires) {
+			a.settled += reserved.most
+			delete(a.open, id)
+		}
+	}
+}
+
+// settlementSlack is how long after its end a turn may still be settled.
+const settlementSlack = 2 * time.Second
+
+// Admit decides whether the turn may run, and reserves its most if so. The same
+// turn may be asked for again.
+func (l *Ledger) Admit(now time.Time, turn Turn) Admission {
+	held := l.accounts[turn.Program]
+	if held == nil {
+		held = &account{open: map[string]reservation{}}
+		l.accounts[turn.Program] = held
+	}
+	held.used = now
+	held.retain = max(held.retain, turn.Retain)
+	held.expire(now)
+	open := held.openTokens()
+	admission := Admission{Verdict: VerdictGranted, Replica: held.replicas[turn.Session], Settled: held.settled, Open: open}
+	if _, again := held.open[turn.ID]; again {
+		admission.Position = l.positionOf(held, held.settled+open)
+		return admission
+	}
+	if turn.Budget > 0 && held.settled+turn.Most > turn.Budget {
+		admission.Verdict = VerdictExhausted
+		return admission
+	}
+	if turn.Budget > 0 && held.settled+open+turn.Most > turn.Budget {
+		admission.Verdict = VerdictBusy
+		return admission
+	}
+	first := held.mark == 0 && open == 0 && held.settled == 0
+	held.open[turn.ID] = reservation{most: turn.Most, expires: now.Add(turn.Within + settlementSlack)}
+	need := held.settled + open + turn.Most
+	l.raise(turn, held, need)
+	if !first {
+		admission.Position = l.positionOf(held, need)
+	}
+	return admission
+}
+
+// raise proposes a higher mark where the next turns would not fit under it.
+func (l *Ledger) raise(turn Turn, held *account, need int) {
+	if held.mark >= need {
+		return
+	}
+	mark := need + l.config.Ahead*turn.Most
+	if turn.Budget > 0 {
+		mark = max(need, min(mark, turn.Budget))
+	}
+	held.mark = mark
+	held.position = l.propose(accountPrefix+turn.Program, encode(accountValue{Mark: mark}))
+}
+
+// positionOf returns what must be durable for a need to be covered.
+func (l *Ledger) positionOf(held *account, need int) uint64 {
+	if need <= held.mark && held.position > l.durable {
+		return held.position
+	}
+	return 0
+}
+
+// Settlement tells how a turn ended.
+type Settlement struct {
+	Turn    string `json:"turn"`
+	Program string `json:"program"`
+	Session string `json:"session,omitempty"`
+	// Tokens are those that were handed to the client.
+	Tokens int `json:"tokens"`
+	// Replica served the turn, or "" where none keeps its memory.
+	Replica string `json:"replica,omitempty"`
+}
+
+// Settle counts what a turn used. A turn that this ledger did not admit was
+// counted at its most by the former owner's mark.
+func (l *Ledger) Settle(now time.Time, settlement Settlement) {
+	held := l.accounts[settlement.Program]
+	if held == nil {
+		return
+	}
+	held.used = now
+	if settlement.Replica != "" {
+		if held.replicas == nil {
+			held.replicas = make(map[string]string)
+		}
+		held.replicas[settlement.Session] = settlement.Replica
+	}
+	reserved, open := held.open[settlement.Turn]
+	if !open {
+		return
+	}
+	delete(held.open, settlement.Turn)
+	held.settled += min(settlement.Tokens, reserved.most)
+}
--- /dev/null
+++ b/ledger/doc.go
@@ -0,0 +1,26 @@
+// Package ledger keeps what must outlast any loss of nodes for the programs of
+// one partition: the tokens that each program may have used, and the turns that
+// the system keeps.
+//
+// A Ledger is a pure state machine that its partition's owner drives. Admit
+// decides whether a turn may run, Settle counts what it used, Keep takes a
+// whole turn in. Each returns a Position: what was asked for is durable once
+// Durable has reached it. Ready yields the records that are due for the log,
+// one batch at a time, and Stored tells that the batch is in the log. The
+// ledger performs no I/O and reads no clock.
+//
+// # The budget
+//
+// The log holds a mark for a program: no more tokens than the mark were ever
+// granted to its turns by an owner whose grants are in force. A turn whose most
+// fits under the mark needs no write; for any other the mark is raised, and no
+// token of it may reach the client before that is durable. A new owner takes
+// the mark as used. The first turn of a program needs no mark, since a budget
+// may be exceeded by the most of one turn and nothing else exceeds it.
+//
+// # Kept turns
+//
+// A kept turn holds its input and its output, and the turn that it goes on
+// from. The chain of a turn is what an engine has to read before the next
+// input. A turn and its chain are kept for the time that its route names.
+package ledger
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,132 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+)
+
+// Config sets up a Ledger.
+type Config struct {
+	// Ahead is how many turns' most a mark is raised beyond what is needed.
+	Ahead int
+	// BatchRecords and BatchBytes bound one batch.
+	BatchRecords int
+	BatchBytes   int
+	// Slack is how much longer than promised an entry is kept.
+	Slack time.Duration
+	// SweepPeriod is how often entries are looked at for their age.
+	SweepPeriod time.Duration
+}
+
+// DefaultConfig returns the settings used in production.
+func DefaultConfig() Config {
+	return Config{Ahead: 1, BatchRecords: 256, BatchBytes: 1 << 20, Slack: 15 * time.Second, SweepPeriod: 2 * time.Second}
+}
+
+// Ledger is the accounts and kept turns of one partition. It is not safe for
+// concurrent use.
+type Ledger struct {
+	config   Config
+	accounts map[string]*account
+	turns    map[string]*turn
+
+	// pending are the proposed records that are in no batch yet, in order.
+	pending []queued
+	// proposed counts proposals. All up to batched are in the batch under way
+	// or in the log, all up to durable in the log.
+	proposed  uint64
+	batched   uint64
+	durable   uint64
+	inFlight  bool
+	nextSweep time.Time
+}
+
+// queued is a record that waits, with the first proposal that it carries out.
+type queued struct {
+	Record
+	first uint64
+}
+
+// New returns an empty ledger.
+func New(config Config) *Ledger {
+	return &Ledger{config: config, accounts: make(map[string]*account), turns: make(map[string]*turn)}
+}
+
+// propose queues a record. A record of the same key that waits is replaced:
+// only the newest counts.
+func (l *Ledger) propose(key string, value []byte) uint64 {
+	l.proposed++
+	record := Record{Key: key, Value: value}
+	index := slices.IndexFunc(l.pending, func(waiting queued) bool { return waiting.Key == key })
+	if index >= 0 {
+		l.pending[index].Record = record
+		return l.proposed
+	}
+	l.pending = append(l.pending, queued{Record: record, first: l.proposed})
+	return l.proposed
+}
+
+// Durable returns the position up to which all proposals are in the log.
+func (l *Ledger) Durable() uint64 { return l.durable }
+
+// Ready returns the next batch of records for the log, or nil while one is
+// under way or none is due.
+func (l *Ledger) Ready() []Record {
+	if l.inFlight || len(l.pending) == 0 {
+		return nil
+	}
+	batch := l.takeBatch()
+	l.inFlight = true
+	l.batched = l.proposed
+	if len(l.pending) > 0 {
+		l.batched = l.pending[0].first - 1
+	}
+	return batch
+}
+
+// takeBatch removes what fits into one batch from the front of the queue.
+func (l *Ledger) takeBatch() []Record {
+	var batch []Record
+	bytes := 0
+	for _, waiting := range l.pending {
+		bytes += len(waiting.Key) + len(waiting.Value)
+		if len(batch) > 0 && (len(batch) >= l.config.BatchRecords || bytes > l.config.BatchBytes) {
+			break
+		}
+		batch = append(batch, waiting.Record)
+	}
+	l.pending = slices.Delete(l.pending, 0, len(batch))
+	return batch
+}
+
+// Stored says that the batch of the last Ready is in the log.
+func (l *Ledger) Stored() {
+	l.inFlight = false
+	l.durable = max(l.durable, l.batched)
+}
+
+// Tick removes what is older than promised. It is called every now and then.
+func (l *Ledger) Tick(now time.Time) {
+	if now.Before(l.nextSweep) {
+		return
+	}
+	l.nextSweep = now.Add(l.config.SweepPeriod)
+	for id, held := range l.accounts {
+		held.expire(now)
+		if len(held.open) == 0 && now.Sub(held.used) > held.retain+l.config.Slack {
+			delete(l.accounts, id)
+			if held.mark > 0 {
+				l.propose(accountPrefix+id, nil)
+			}
+		}
+	}
+	for id, kept := range l.turns {
+		if now.Sub(kept.expires) > l.config.Slack {
+			delete(l.turns, id)
+			l.propose(turnPrefix+id, nil)
+		}
+	}
+}
+
+// Counts returns how many accounts and kept turns the ledger holds.
+func (l *Ledger) Counts() (accounts, turns int) { return len(l.accounts), len(l.turns) }
--- /dev/null
+++ b/ledger/turn.go
@@ -0,0 +1,70 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+)
+
+// turn is a kept turn in memory.
+type turn struct {
+	turnValue
+	expires time.Time
+}
+
+// KeptTurn is a whole turn that is to be kept.
+type KeptTurn struct {
+	ID      string `json:"id"`
+	Program string `json:"program"`
+	// Previous is the turn that this one goes on from, or "". Base is the
+	// previous turn's chain where this ledger does not hold it.
+	Previous string `json:"previous,omitempty"`
+	Base     []byte `json:"base,omitempty"`
+	// Input is the body that the client sent, and Output what the next turn's
+	// engine has to read of the answer.
+	Input  []byte        `json:"input"`
+	Output []byte        `json:"output"`
+	Retain time.Duration `json:"retain"`
+}
+
+// Keep takes a whole turn in. It is kept once the position is durable.
+func (l *Ledger) Keep(now time.Time, kept KeptTurn) (position uint64) {
+	value := turnValue{
+		Program:  kept.Program,
+		Previous: kept.Previous,
+		Input:    kept.Input,
+		Output:   kept.Output,
+		RetainMS: kept.Retain.Milliseconds(),
+	}
+	if kept.Previous != "" && l.turns[kept.Previous] == nil {
+		value.Base = kept.Base
+		value.Previous = ""
+	}
+	l.turns[kept.ID] = &turn{turnValue: value, expires: now.Add(kept.Retain)}
+	l.touchChain(kept.ID, now.Add(kept.Retain))
+	return l.propose(turnPrefix+kept.ID, encode(value))
+}
+
+// touchChain has the turns before live as long as the turn itself.
+func (l *Ledger) touchChain(id string, until time.Time) {
+	for kept := l.turns[id]; kept != nil; kept = l.turns[kept.Previous] {
+		if kept.expires.Before(until) {
+			kept.expires = until
+		}
+	}
+}
+
+// Chain returns what an engine has to read before the input of a turn that
+// goes on from the given one, or false if this ledger does not hold it.
+func (l *Ledger) Chain(id string) ([]byte, bool) {
+	var pieces [][]byte
+	for id != "" {
+		kept := l.turns[id]
+		if kept == nil {
+			return nil, false
+		}
+		pieces = append(pieces, kept.Output, kept.Input, kept.Base)
+		id = kept.Previous
+	}
+	slices.Reverse(pieces)
+	return slices.Concat(pieces...), true
+}
--- /dev/null
+++ b/replica/cache.go
@@ -0,0 +1,65 @@
+package replica
+
+import "time"
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// cache estimates which parts of prompts an engine keeps.
+type cache struct {
+	// capacity is the engine's memory in tokens; 0 where it has none.
+	capacity int
+	parts    map[string]cached
+	tokens   int
+}
+
+type cached struct {
+	tokens int
+	used   time.Time
+}
+
+func newCache(capacity int) *cache { return &cache{capacity: capacity, parts: make(map[string]cached)} }
+
+// add marks the parts as kept and used at now.
+func (c *cache) add(now time.Time, prompt []Part) {
+	if c.capacity == 0 {
+		return
+	}
+	for _, part := range prompt {
+		c.tokens += part.Tokens - c.parts[part.ID].tokens
+		c.parts[part.ID] = cached{tokens: part.Tokens, used: now}
+	}
+	for c.tokens > c.capacity && len(c.parts) > 0 {
+		c.evictOldest()
+	}
+}
+
+func (c *cache) evictOldest() {
+	var oldest string
+	var when time.Time
+	for id, entry := range c.parts {
+		if oldest == "" || entry.used.Before(when) || (entry.used.Equal(when) && id < oldest) {
+			oldest, when = id, entry.used
+		}
+	}
+	c.tokens -= c.parts[oldest].tokens
+	delete(c.parts, oldest)
+}
+
+// missing returns how many tokens of the prompt have to be read: a part counts
+// as kept only if all parts before it are.
+func (c *cache) missing(prompt []Part) int {
+	tokens, kept := 0, true
+	for _, part := range prompt {
+		if kept {
+			_, kept = c.parts[part.ID]
+		}
+		if !kept {
+			tokens += part.Tokens
+		}
+	}
+	return tokens
+}
--- /dev/null
+++ b/replica/select.go
@@ -0,0 +1,124 @@
+package replica
+
+import (
+	"errors"
+	"slices"
+	"time"
+)
+
+// Request is what a choice weighs.
+type Request struct {
+	Service string
+	// Prompt is the parts of a prompt, in order; empty for other services.
+	Prompt []Part
+	// Preferred is the replica that served the line of turns before, or "".
+	Preferred ID
+	// Excluded are the replicas that were tried.
+	Excluded []ID
+	// PerNode bounds this node's requests at one replica; 0 sets no bound.
+	PerNode int
+	// Draw is a uniform number from 0 to 1 that breaks ties, so that nodes that
+	// know the same do not all choose the same.
+	Draw float64
+}
+
+// The reasons for which no replica is chosen. Both mean that nothing was sent.
+var (
+	// ErrNoReplica says that no replica of the service is ready.
+	ErrNoReplica = errors.New("no replica of the service is ready")
+	// ErrSaturated says that every ready replica has all the requests it may.
+	ErrSaturated = errors.New("every replica of the service is full")
+)
+
+// Choice is the replica chosen for a request.
+type Choice struct {
+	Entry Entry
+	// Missing is the prefill that is expected there, in tokens.
+	Missing int
+	// Load is how many requests of all nodes were known there.
+	Load int
+	// Feasible is how many replicas could have been chosen.
+	Feasible int
+}
+
+// Select picks a replica for the request: feasible, rank, select.
+func (s *Set) Select(now time.Time, request *Request) (Choice, error) {
+	feasible, saturated := s.feasible(now, request)
+	if len(feasible) == 0 {
+		if saturated {
+			return Choice{}, ErrSaturated
+		}
+		return Choice{}, ErrNoReplica
+	}
+	start := int(request.Draw * float64(len(feasible)))
+	best := feasible[start]
+	bestCost := s.cost(best, request)
+	for step := 1; step < len(feasible); step++ {
+		candidate := feasible[(start+step)%len(feasible)]
+		if cost := s.cost(candidate, request); cost < bestCost {
+			best, bestCost = candidate, cost
+		}
+	}
+	return Choice{
+		Entry:    best.entry,
+		Missing:  best.cache.missing(request.Prompt),
+		Load:     best.own + best.peers,
+		Feasible: len(feasible),
+	}, nil
+}
+
+// feasible returns the replicas that may take the request: those that answered
+// well lately, or the suspect ones where there are no others.
+func (s *Set) feasible(now time.Time, request *Request) (list []*member, saturated bool) {
+	var suspects []*member
+	for _, one := range s.services[request.Service] {
+		if one.entry.Status != StatusReady || slices.Contains(request.Excluded, one.entry.ID) {
+			continue
+		}
+		if request.PerNode > 0 && one.own >= request.PerNode {
+			saturated = true
+			continue
+		}
+		if now.Before(one.suspectUntil) {
+			suspects = append(suspects, one)
+			continue
+		}
+		list = append(list, one)
+	}
+	if len(list) == 0 {
+		list = suspects
+	}
+	return list, saturated
+}
+
+// The weights of a cost, in tokens of prefill.
+const (
+	// besideTokens is what one request beside costs: it slows every step of
+	// the batch and its prefill comes between.
+	besideTokens = 400
+	// queuedTokens is what waiting for one place costs, per request that is
+	// over the slots, divided by the slots.
+	queuedTokens = 60000
+	// elsewhereTokens is what another zone costs: the way, and its price.
+	elsewhereTokens = 300
+)
+
+// cost predicts the work before the request's answer is whole.
+func (s *Set) cost(one *member, request *Request) int {
+	load := one.own + one.peers
+	cost := one.cache.missing(request.Prompt) + besideTokens*load
+	if slots := max(1, one.entry.Slots); load >= slots {
+		cost += queuedTokens * (load - slots + 1) / slots
+	}
+	if one.entry.Zone != s.config.Zone {
+		cost += elsewhereTokens
+	}
+	if one.entry.ID == request.Preferred {
+		cost -= preferredTokens
+	}
+	return cost
+}
+
+// preferredTokens is what the memory of the line's last turn is taken to save
+// where this node has not seen that turn itself.
+const preferredTokens = 1200
--- /dev/null
+++ b/replica/set.go
@@ -0,0 +1,244 @@
+package replica
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// ID names one incarnation of a replica.
+type ID string
+
+// Status is a replica's place in its life.
+type Status string
+
+// The states of a replica. A replica that is gone is not in the set.
+const (
+	StatusReady    Status = "ready"
+	StatusDraining Status = "draining"
+)
+
+// Entry is a replica as the platform lists it.
+type Entry struct {
+	ID      ID
+	Service string
+	// Address is "ip:port".
+	Address string
+	Zone    string
+	Status  Status
+	// Slots is how many requests it works on at once.
+	Slots int
+}
+
+// Config sets up a Set.
+type Config struct {
+	// Zone is this node's own.
+	Zone string
+	// SuspectFor is how long a replica that failed to answer is passed over
+	// while others are feasible. It doubles with each failure in a row.
+	SuspectFor time.Duration
+	// MaximumSuspect bounds it.
+	MaximumSuspect time.Duration
+	// PeerLoadLifetime is how long a peer's report counts.
+	PeerLoadLifetime time.Duration
+}
+
+// DefaultConfig returns the settings used in production.
+func DefaultConfig(zone string) Config {
+	return Config{
+		Zone:             zone,
+		SuspectFor:       500 * time.Millisecond,
+		MaximumSuspect:   4 * time.Second,
+		PeerLoadLifetime: 2 * time.Second,
+	}
+}
+
+// Set is the replicas that this node knows. It is not safe for concurrent use.
+type Set struct {
+	config   Config
+	byID     map[ID]*member
+	services map[string][]*member
+	// cacheTokens is the memory of a service's engines.
+	cacheTokens map[string]int
+	peers       map[string]peerLoad
+}
+
+// member is one replica with what is known of it.
+type member struct {
+	entry Entry
+	// own counts this node's requests there; peers those of other nodes.
+	own   int
+	peers int
+	cache *cache
+	// failures in a row, and until when the replica is passed over.
+	failures     int
+	suspectUntil time.Time
+}
+
+// peerLoad is what another node has under way.
+type peerLoad struct {
+	at     time.Time
+	counts map[ID]int
+}
+
+// NewSet returns a set without replicas.
+func NewSet(config Config) *Set {
+	return &Set{
+		config:      config,
+		byID:        make(map[ID]*member),
+		services:    make(map[string][]*member),
+		cacheTokens: make(map[string]int),
+		peers:       make(map[string]peerLoad),
+	}
+}
+
+// SetCacheTokens tells the memory of the engines of a service.
+func (s *Set) SetCacheTokens(service string, tokens int) {
+	s.cacheTokens[service] = tokens
+	for _, one := range s.services[service] {
+		one.cache.capacity = tokens
+	}
+}
+
+// Put adds a replica or takes over its new entry. It reports whether anything
+// but the entry of a known, equal replica changed.
+func (s *Set) Put(entry Entry) (changed bool) {
+	known := s.byID[entry.ID]
+	if known != nil {
+		changed = known.entry != entry
+		known.entry = entry
+		return changed
+	}
+	added := &member{entry: entry, cache: newCache(s.cacheTokens[entry.Service])}
+	s.byID[entry.ID] = added
+	list := append(s.services[entry.Service], added)
+	slices.SortFunc(list, func(left, right *member) int { return cmp.Compare(left.entry.ID, right.entry.ID) })
+	s.services[entry.Service] = list
+	s.recountPeers()
+	return true
+}
+
+// Remove forgets a replica. It returns its entry, and false if it was unknown.
+func (s *Set) Remove(id ID) (Entry, bool) {
+	known := s.byID[id]
+	if known == nil {
+		return Entry{}, false
+	}
+	delete(s.byID, id)
+	service := known.entry.Service
+	s.services[service] = slices.DeleteFunc(s.services[service], func(one *member) bool { return one == known })
+	return known.entry, true
+}
+
+// Lookup returns the entry of a replica.
+func (s *Set) Lookup(id ID) (Entry, bool) {
+	known := s.byID[id]
+	if known == nil {
+		return Entry{}, false
+	}
+	return known.entry, true
+}
+
+// Entries returns all replicas, sorted by id.
+func (s *Set) Entries() []Entry {
+	all := make([]Entry, 0, len(s.byID))
+	for _, known := range s.byID {
+		all = append(all, known.entry)
+	}
+	slices.SortFunc(all, func(left, right Entry) int { return cmp.Compare(left.ID, right.ID) })
+	return all
+}
+
+// Began counts a request that is sent to the replica, with the parts of its
+// prompt that the replica will keep.
+func (s *Set) Began(now time.Time, id ID, prompt []Part) {
+	known := s.byID[id]
+	if known == nil {
+		return
+	}
+	known.own++
+	known.cache.add(now, prompt)
+}
+
+// Result tells how a request at a replica ended.
+type Result int
+
+// The results of a request.
+const (
+	// ResultAnswered is any answer of the replica itself.
+	ResultAnswered Result = iota
+	// ResultRejected is an answer that the replica did not run the request.
+	ResultRejected
+	// ResultFailed is a connection that failed, or an answer that broke off.
+	ResultFailed
+	// ResultCancelled was ended from this side.
+	ResultCancelled
+)
+
+// Ended counts a request that is over.
+func (s *Set) Ended(now time.Time, id ID, result Result) {
+	known := s.byID[id]
+	if known == nil {
+		return
+	}
+	known.own = max(0, known.own-1)
+	switch result {
+	case ResultAnswered:
+		known.failures = 0
+		known.suspectUntil = time.Time{}
+	case ResultRejected:
+		known.suspectUntil = now.Add(rejectionPause)
+	case ResultFailed:
+		wait := s.config.SuspectFor << min(known.failures, maximumDoublings)
+		known.suspectUntil = now.Add(min(wait, s.config.MaximumSuspect))
+		known.failures++
+	case ResultCancelled:
+	}
+}
+
+const (
+	// maximumDoublings bounds the shift of the time of suspicion.
+	maximumDoublings = 6
+	// rejectionPause is how long a replica that was full is passed over.
+	rejectionPause = 50 * time.Millisecond
+)
+
+// Own returns this node's requests under way, by replica.
+func (s *Set) Own() map[ID]int {
+	counts := make(map[ID]int)
+	for id, known := range s.byID {
+		if known.own > 0 {
+			counts[id] = known.own
+		}
+	}
+	return counts
+}
+
+// SetPeer takes in the requests that a peer has under way.
+func (s *Set) SetPeer(now time.Time, peer string, counts map[ID]int) {
+	s.peers[peer] = peerLoad{at: now, counts: counts}
+	s.expirePeers(now)
+	s.recountPeers()
+}
+
+// expirePeers drops reports that are too old to count.
+func (s *Set) expirePeers(now time.Time) {
+	for peer, load := range s.peers {
+		if now.Sub(load.at) > s.config.PeerLoadLifetime {
+			delete(s.peers, peer)
+		}
+	}
+}
+
+func (s *Set) recountPeers() {
+	for _, known := range s.byID {
+		known.peers = 0
+	}
+	for _, load := range s.peers {
+		for id, count := range load.counts {
+			if known := s.byID[id]; known != nil {
+				known.peers += count
+			}
+		}
+	}
+}
--- /dev/null
+++ b/upstream/conn.go
@@ -0,0 +1,85 @@
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// bufferBytes is the size of a connection's read and write buffers.
+const bufferBytes = 4096
+
+// conn is one connection to a replica.
+type conn struct {
+	net.Conn
+	raw    syscall.RawConn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// idleSince is when the last exchange ended.
+	idleSince time.Time
+	// idleLimit is how long the replica keeps the connection when idle.
+	idleLimit time.Duration
+	// used is set once an exchange has ended on it.
+	used bool
+}
+
+func newConn(socket net.Conn, idleLimit time.Duration) *conn {
+	connection := &conn{
+		Conn:      socket,
+		reader:    bufio.NewReaderSize(socket, bufferBytes),
+		writer:    bufio.NewWriterSize(socket, bufferBytes),
+		idleLimit: idleLimit,
+	}
+	if descriptor, ok := socket.(syscall.Conn); ok {
+		connection.raw, _ = descriptor.SyscallConn()
+	}
+	return connection
+}
+
+// quiet reports whether the connection is open and no byte waits on it. Bytes
+// that wait belong to a surplus answer.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	if c.raw == nil {
+		return true
+	}
+	quiet := false
+	var next [1]byte
+	err := c.raw.Control(func(descriptor uintptr) {
+		_, _, err := unix.Recvfrom(int(descriptor), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+	})
+	return err == nil && quiet
+}
+
+// fresh reports whether the replica should still keep the idle connection.
+func (c *conn) fresh(now time.Time) bool { return now.Sub(c.idleSince) < c.idleLimit }
+
+// setUserTimeout bounds how long sent bytes may stay unacknowledged, and has an
+// idle peer probed, so that a machine that fell silent is noticed.
+func setUserTimeout(socket net.Conn, timeout time.Duration) {
+	tcp, ok := socket.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	_ = tcp.SetNoDelay(true)
+	_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveProbes})
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(descriptor uintptr) {
+		_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+}
+
+// The probes of an idle connection: the least that TCP has.
+const (
+	keepAliveIdle   = time.Second
+	keepAliveProbes = 2
+)
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,192 @@
+package upstream
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"birchwood.example/birchwood/header"
+)
+
+// Config sets up a Pool.
+type Config struct {
+	Names header.Names
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// SilenceTimeout bounds how long sent bytes stay unacknowledged.
+	SilenceTimeout time.Duration
+	// IdleLimit is how long an idle connection is kept where the replica does
+	// not tell.
+	IdleLimit time.Duration
+	// HeadBytes bounds the head of an answer, BodyBytes a body that is read whole.
+	HeadBytes int
+	BodyBytes int
+}
+
+// DefaultConfig returns the settings used in production.
+func DefaultConfig(names header.Names) Config {
+	return Config{
+		Names:          names,
+		DialTimeout:    400 * time.Millisecond,
+		SilenceTimeout: 900 * time.Millisecond,
+		IdleLimit:      4 * time.Second,
+		HeadBytes:      32 << 10,
+		BodyBytes:      16 << 20,
+	}
+}
+
+// Target is one replica.
+type Target struct {
+	// Identity is the id of the replica's incarnation; Address is "ip:port".
+	Identity string
+	Address  string
+}
+
+// Pool keeps connections to replicas. It is safe for concurrent use.
+type Pool struct {
+	config Config
+
+	mutex   sync.Mutex
+	targets map[Target]*target
+	opened  uint64
+	reused  uint64
+}
+
+// target is what the pool keeps for one replica.
+type target struct {
+	idle []*conn
+	open int
+	// limit is the most connections; 0 sets none.
+	limit int
+}
+
+// NewPool returns a pool without connections.
+func NewPool(config Config) *Pool {
+	return &Pool{config: config, targets: make(map[Target]*target)}
+}
+
+// SetLimit bounds the connections to a replica.
+func (p *Pool) SetLimit(to Target, limit int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.target(to).limit = limit
+}
+
+// Forget closes the idle connections to a replica that is gone.
+func (p *Pool) Forget(to Target) {
+	p.mutex.Lock()
+	known := p.targets[to]
+	delete(p.targets, to)
+	p.mutex.Unlock()
+	if known == nil {
+		return
+	}
+	for _, idle := range known.idle {
+		_ = idle.Close()
+	}
+}
+
+// Counts returns how many connections were opened and how often one was used
+// again.
+func (p *Pool) Counts() (opened, reused uint64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.opened, p.reused
+}
+
+// target returns the entry of a replica. The mutex is held.
+func (p *Pool) target(to Target) *target {
+	known := p.targets[to]
+	if known == nil {
+		known = &target{}
+		p.targets[to] = known
+	}
+	return known
+}
+
+// get returns a connection to the replica, kept or new.
+func (p *Pool) get(to Target, deadline time.Time) (*conn, error) {
+	for {
+		kept, err := p.takeIdle(to)
+		if err != nil {
+			return nil, err
+		}
+		if kept == nil {
+			return p.dial(to, deadline)
+		}
+		if kept.fresh(time.Now()) && kept.quiet() {
+			p.count(&p.reused)
+			return kept, nil
+		}
+		p.discard(to, kept)
+	}
+}
+
+func (p *Pool) count(counter *uint64) {
+	p.mutex.Lock()
+	*counter++
+	p.mutex.Unlock()
+}
+
+// takeIdle returns the connection that was used last, or nil after making room
+// for a new one.
+func (p *Pool) takeIdle(to Target) (*conn, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	known := p.target(to)
+	if last := len(known.idle) - 1; last >= 0 {
+		kept := known.idle[last]
+		known.idle = known.idle[:last]
+		return kept, nil
+	}
+	if known.limit > 0 && known.open >= known.limit {
+		return nil, ErrNoCapacity
+	}
+	known.open++
+	return nil, nil
+}
+
+func (p *Pool) dial(to Target, deadline time.Time) (*conn, error) {
+	timeout := min(p.config.DialTimeout, time.Until(deadline))
+	if timeout <= 0 {
+		p.release(to)
+		return nil, ErrCancelled
+	}
+	socket, err := net.DialTimeout("tcp", to.Address, timeout)
+	if err != nil {
+		p.release(to)
+		return nil, err
+	}
+	setUserTimeout(socket, p.config.SilenceTimeout)
+	p.count(&p.opened)
+	return newConn(socket, p.config.IdleLimit), nil
+}
+
+// release gives back the room of a connection that is no more.
+func (p *Pool) release(to Target) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if known := p.targets[to]; known != nil && known.open > 0 {
+		known.open--
+	}
+}
+
+func (p *Pool) discard(to Target, connection *conn) {
+	_ = connection.Close()
+	p.release(to)
+}
+
+// put keeps a connection whose exchange ended cleanly.
+func (p *Pool) put(to Target, connection *conn) {
+	connection.idleSince = time.Now()
+	connection.used = true
+	p.mutex.Lock()
+	known := p.targets[to]
+	if known != nil {
+		known.idle = append(known.idle, connection)
+	}
+	p.mutex.Unlock()
+	if known == nil {
+		_ = connection.Close()
+	}
+}
--- /dev/null
+++ b/upstream/response.go
@@ -0,0 +1,219 @@
+package upstream
+
+import (
+	"errors"
+	"io"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/header"
+)
+
+// Response is the answer to a request whose head was read. Exactly one of
+// ReadAll, Abort or Finish ends it.
+type Response struct {
+	// Header is the head; its framing fields are as the replica sent them.
+	Header fasthttp.ResponseHeader
+
+	pool    *Pool
+	to      Target
+	conn    *conn
+	cancel  *Cancel
+	writing <-chan error
+	// surplus says that an answer of another request came first.
+	surplus bool
+	body    io.Reader
+	// whole is set once the body was read up to a certain end.
+	whole bool
+}
+
+// Status returns the status code.
+func (r *Response) Status() int { return r.Header.StatusCode() }
+
+// length returns the length of the body: -1 for chunks, -2 where it ends with
+// the connection.
+func (r *Response) length() int {
+	if r.bodiless() {
+		return 0
+	}
+	return r.Header.ContentLength()
+}
+
+func (r *Response) bodiless() bool {
+	status := r.Status()
+	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+// ErrTooLarge says that a body was longer than this process holds.
+var ErrTooLarge = errors.New("the answer is too large")
+
+// ReadAll reads the whole body and ends the exchange. An error is an
+// *UnknownError: the body was cut off, or too large.
+func (r *Response) ReadAll() ([]byte, error) {
+	limit := r.pool.config.BodyBytes
+	body, err := io.ReadAll(io.LimitReader(r.reader(), int64(limit)+1))
+	if err == nil && len(body) > limit {
+		err = ErrTooLarge
+	}
+	if err != nil {
+		r.Abort()
+		return nil, &UnknownError{Stage: "read body", Cause: causeOr(r.cancel, err)}
+	}
+	r.Finish()
+	return body, nil
+}
+
+// Read yields the body as it comes, and io.EOF only after a certain end.
+func (r *Response) Read(into []byte) (int, error) { return r.reader().Read(into) }
+
+// reader returns the body without its framing.
+func (r *Response) reader() io.Reader {
+	if r.body == nil {
+		r.body = r.newReader()
+	}
+	return r.body
+}
+
+func (r *Response) newReader() io.Reader {
+	switch length := r.length(); {
+	case length == -1:
+		return &chunkedBody{response: r, chunks: httputil.NewChunkedReader(r.conn.reader)}
+	case length < 0:
+		return &closedBody{response: r}
+	default:
+		return &sizedBody{response: r, rest: length}
+	}
+}
+
+// sizedBody is a body of a known length.
+type sizedBody struct {
+	response *Response
+	rest     int
+}
+
+// Read implements io.Reader.
+func (b *sizedBody) Read(into []byte) (int, error) {
+	if b.rest == 0 {
+		b.response.whole = true
+		return 0, io.EOF
+	}
+	read, err := b.response.conn.reader.Read(into[:min(len(into), b.rest)])
+	b.rest -= read
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return read, err
+}
+
+// closedBody ends with its connection; a reset is no end.
+type closedBody struct{ response *Response }
+
+// Read implements io.Reader.
+func (b *closedBody) Read(into []byte) (int, error) { return b.response.conn.reader.Read(into) }
+
+// chunkedBody is a body in chunks, with its last chunk and trailer.
+type chunkedBody struct {
+	response *Response
+	chunks   io.Reader
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(into []byte) (int, error) {
+	if b.response.whole {
+		return 0, io.EOF
+	}
+	read, err := b.chunks.Read(into)
+	if err != io.EOF {
+		return read, err
+	}
+	if err := b.readTrailer(); err != nil {
+		return read, err
+	}
+	b.response.whole = true
+	return read, io.EOF
+}
+
+// maximumTrailerLines bounds the trailer of a chunked body.
+const maximumTrailerLines = 32
+
+func (b *chunkedBody) readTrailer() error {
+	for range maximumTrailerLines {
+		line, err := b.response.conn.reader.ReadSlice('\n')
+		if err == io.EOF {
+			return io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return err
+		}
+		if len(line) <= len("\r\n") {
+			return nil
+		}
+	}
+	return ErrTooLarge
+}
+
+// Finish ends an exchange whose body was read to its end. The connection is
+// kept if nothing speaks against it.
+func (r *Response) Finish() {
+	if r.conn == nil {
+		return
+	}
+	connection := r.conn
+	r.conn = nil
+	_ = r.cancel.bind(nil, time.Time{})
+	if !r.whole || !r.written() || r.surplus || r.Header.ConnectionClose() || r.cancel.Cause() != nil {
+		r.pool.discard(r.to, connection)
+		return
+	}
+	connection.idleLimit = keepAliveLimit(r.Header.Peek(header.KeepAlive), r.pool.config.IdleLimit)
+	_ = connection.SetDeadline(time.Time{})
+	r.pool.put(r.to, connection)
+}
+
+// written reports whether the whole request was written.
+func (r *Response) written() bool {
+	if r.writing == nil {
+		return true
+	}
+	select {
+	case err := <-r.writing:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// Abort ends the exchange wherever it stands and closes the connection, which
+// tells the replica to stop.
+func (r *Response) Abort() {
+	if r.conn == nil {
+		return
+	}
+	connection := r.conn
+	r.conn = nil
+	_ = r.cancel.bind(nil, time.Time{})
+	r.pool.discard(r.to, connection)
+}
+
+// idleSlack is taken off the time for which a replica promises to keep a
+// connection: a request that is sent at the last moment may be lost.
+const idleSlack = 300 * time.Millisecond
+
+// keepAliveLimit reads a Keep-Alive field such as "timeout=5".
+func keepAliveLimit(value []byte, otherwise time.Duration) time.Duration {
+	for parameter := range strings.SplitSeq(string(value), ",") {
+		name, number, found := strings.Cut(strings.TrimSpace(parameter), "=")
+		if !found || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(strings.TrimSpace(number))
+		if err == nil && seconds >= 0 {
+			return max(0, time.Duration(seconds)*time.Second-idleSlack)
+		}
+	}
+	return otherwise
+}
