--- /dev/null
+++ b/coordinator/coordinator_test.go
@@ -0,0 +1,188 @@
+package coordinator_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/machine"
+)
+
+// settled is long enough for a fleet to have found its owners.
+const settled = 3 * time.Second
+
+// reply lets the time pass until a node has answered.
+func reply(world *fleet, from machine.ID, id uint64) coordinator.Reply {
+	for range 400 {
+		if found, answered := world.nodes[from].replies[id]; answered {
+			return found
+		}
+		world.run(step)
+	}
+	Fail("no reply")
+	return coordinator.Reply{}
+}
+
+var _ = Describe("A fleet", func() {
+	It("gives every partition one owner", func() {
+		for seed := range uint64(8) {
+			world := newFleet(seed, 7, 6)
+			world.run(settled)
+			for partition := range 6 {
+				Expect(world.owners(partition)).To(HaveLen(1))
+			}
+		}
+	})
+
+	It("agrees on who the owner is", func() {
+		world := newFleet(3, 7, 6)
+		world.run(settled)
+		for partition := range 6 {
+			for _, id := range world.ids() {
+				owner, known := world.nodes[id].core.Owner(world.now, partition)
+				Expect(known).To(BeTrue())
+				Expect([]machine.ID{owner.ID}).To(Equal(world.owners(partition)))
+			}
+		}
+	})
+
+	It("has a new owner within two seconds of a death, and keeps what was recorded", func() {
+		for seed := range uint64(8) {
+			world := newFleet(seed, 5, 1)
+			world.run(settled)
+			owner := world.owners(0)[0]
+			admitted := reply(world, owner, world.ask(owner, 0, coordinator.Request{Admit: turn("a")}))
+			await := &coordinator.AwaitRequest{Epoch: admitted.Epoch, Position: admitted.Admission.Position}
+			Expect(reply(world, owner, world.ask(owner, 0, coordinator.Request{Await: await})).Status).To(Equal(coordinator.ReplyDone))
+			world.kill(owner)
+			world.run(2 * time.Second)
+			Expect(world.owners(0)).To(HaveLen(1))
+			heir := world.owners(0)[0]
+			Expect(heir).NotTo(Equal(owner))
+			again := reply(world, heir, world.ask(heir, 0, coordinator.Request{Admit: turn("b")}))
+			Expect(again.Admission.Settled).To(BeNumerically(">=", 100))
+		}
+	})
+
+	It("hands a partition over within half a second of a planned stop", func() {
+		world := newFleet(5, 5, 1)
+		world.run(settled)
+		owner := world.owners(0)[0]
+		world.nodes[owner].core.Step(world.now, coordinator.Leave{})
+		world.run(500 * time.Millisecond)
+		Expect(world.owners(0)).NotTo(ContainElement(owner))
+		Expect(world.owners(0)).To(HaveLen(1))
+	})
+
+	It("recovers when every node was lost at once", func() {
+		world := newFleet(6, 5, 3)
+		world.run(settled)
+		for _, id := range world.ids() {
+			world.kill(id)
+			world.run(step)
+			world.start(id)
+		}
+		world.list()
+		world.run(settled)
+		for partition := range 3 {
+			Expect(world.owners(partition)).To(HaveLen(1))
+		}
+	})
+})
+
+var _ = Describe("An owner that is cut off", func() {
+	It("from the store alone gives its partitions to a node that reaches it", func() {
+		world := newFleet(7, 5, 1)
+		world.run(settled)
+		owner := world.owners(0)[0]
+		world.nodes[owner].cut = true
+		world.run(2 * time.Second)
+		Expect(world.owners(0)).To(HaveLen(1))
+		Expect(world.owners(0)[0]).NotTo(Equal(owner))
+	})
+
+	It("keeps them while nobody reaches the store", func() {
+		world := newFleet(8, 5, 1)
+		world.run(settled)
+		owner := world.owners(0)[0]
+		world.storeDown = true
+		world.run(10 * time.Second)
+		Expect(world.owners(0)).To(Equal([]machine.ID{owner}))
+	})
+
+	It("refuses turns that need the log, at once, while the log does not answer", func() {
+		world := newFleet(9, 3, 1)
+		world.run(settled)
+		owner := world.owners(0)[0]
+		world.storeDown = true
+		reply(world, owner, world.ask(owner, 0, coordinator.Request{Admit: turn("a")}))
+		world.run(time.Second)
+		second := turn("b")
+		second.Turn.Program = "another"
+		Expect(reply(world, owner, world.ask(owner, 0, coordinator.Request{Admit: second})).Status).To(Equal(coordinator.ReplyStalled))
+	})
+})
+
+var _ = Describe("An owner that was frozen and wakes", func() {
+	// wakeFormer freezes an owner until another has taken over and kept a turn.
+	wakeFormer := func(seed uint64) (*fleet, machine.ID, machine.ID) {
+		world := newFleet(seed, 5, 1)
+		world.run(settled)
+		former := world.owners(0)[0]
+		world.nodes[former].frozen = true
+		world.run(settled)
+		heirs := world.owners(0)
+		heir := heirs[0]
+		if heir == former {
+			heir = heirs[1]
+		}
+		keep := &coordinator.KeepRequest{Turn: ledger.KeptTurn{ID: "kept", Program: "p", Input: []byte("in"), Output: []byte("out"), Retain: time.Minute}}
+		Expect(reply(world, heir, world.ask(heir, 0, coordinator.Request{Keep: keep})).Status).To(Equal(coordinator.ReplyDone))
+		return world, former, heir
+	}
+
+	It("never says that a turn is not kept which its successor keeps", func() {
+		for seed := range uint64(8) {
+			world, former, _ := wakeFormer(seed)
+			world.nodes[former].frozen = false
+			asked := world.ask(former, 0, coordinator.Request{Find: &coordinator.FindRequest{Turn: "kept"}})
+			Expect(reply(world, former, asked).Status).NotTo(Equal(coordinator.ReplyAbsent))
+		}
+	})
+
+	It("makes nothing durable that it had under way", func() {
+		world := newFleet(11, 5, 1)
+		world.run(settled)
+		former := world.owners(0)[0]
+		world.nodes[former].frozen = true
+		world.run(settled)
+		keep := &coordinator.KeepRequest{Turn: ledger.KeptTurn{ID: "late", Program: "p", Input: []byte("in"), Output: []byte("out"), Retain: time.Minute}}
+		asked := world.ask(former, 0, coordinator.Request{Keep: keep})
+		world.nodes[former].frozen = false
+		Expect(reply(world, former, asked).Status).NotTo(Equal(coordinator.ReplyDone))
+		Expect(world.store[0].records).NotTo(HaveKey("turn/late"))
+	})
+})
+
+var _ = Describe("The answer that a turn is not kept", func() {
+	It("comes once the log has confirmed the owner", func() {
+		world := newFleet(12, 3, 1)
+		world.run(settled)
+		owner := world.owners(0)[0]
+		asked := world.ask(owner, 0, coordinator.Request{Find: &coordinator.FindRequest{Turn: "unknown"}})
+		Expect(reply(world, owner, asked).Status).To(Equal(coordinator.ReplyAbsent))
+	})
+
+	It("does not come while the log does not answer", func() {
+		world := newFleet(13, 3, 1)
+		world.run(settled)
+		owner := world.owners(0)[0]
+		world.storeDown = true
+		asked := world.ask(owner, 0, coordinator.Request{Find: &coordinator.FindRequest{Turn: "unknown"}})
+		world.run(settled)
+		Expect(world.nodes[owner].replies).NotTo(HaveKey(asked))
+	})
+})
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -248,9 +248,17 @@
 	}
 }
 
+// statusPeers returns the other nodes that are not dead. Those that leave are
+// among them: they must hear who took their partitions over.
+func (c *Core) statusPeers() []machine.Machine {
+	return slices.DeleteFunc(c.membership.All(), func(node machine.Machine) bool {
+		return node.ID == c.self().ID || node.Kind != machine.KindNode || node.Status == machine.StatusDead
+	})
+}
+
 // sendStatus tells some live peers about this node.
 func (c *Core) sendStatus(now time.Time) {
-	peers := slices.DeleteFunc(slices.Clone(c.membership.Nodes()), func(node machine.Machine) bool { return node.ID == c.self().ID })
+	peers := c.statusPeers()
 	c.config.Random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	status := &Status{ReachesStore: c.reaches, Owned: c.owned(), Loads: c.loads.Counts, Version: c.loads.Version}
 	known := c.known()
--- /dev/null
+++ b/coordinator/harness_test.go
@@ -0,0 +1,244 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/ownership"
+)
+
+// start is the beginning of the virtual time.
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// The delays of the virtual world.
+const (
+	step        = 5 * time.Millisecond
+	peerDelay   = 2 * time.Millisecond
+	appendDelay = 8 * time.Millisecond
+)
+
+// fleet runs real cores against one store in virtual time.
+type fleet struct {
+	now        time.Time
+	partitions int
+	random     *rand.Rand
+	nodes      map[machine.ID]*member
+	due        []delivery
+	store      map[int]*streamState
+	// storeDown has the store answer nothing.
+	storeDown bool
+	nextID    uint64
+}
+
+// member is one node of the fleet.
+type member struct {
+	self    machine.Machine
+	core    *coordinator.Core
+	frozen  bool
+	cut     bool
+	replies map[uint64]coordinator.Reply
+	changes []coordinator.Change
+}
+
+// delivery is an event on its way.
+type delivery struct {
+	at    time.Time
+	to    machine.ID
+	from  machine.ID
+	event coordinator.Event
+	// call is carried out at the store instead.
+	call func()
+}
+
+// streamState is what the store keeps of one partition.
+type streamState struct {
+	epoch   ownership.Epoch
+	records map[string]ledger.Record
+	order   []string
+}
+
+func newFleet(seed uint64, nodes, partitions int) *fleet {
+	world := &fleet{
+		now: start, partitions: partitions, random: rand.New(rand.NewPCG(seed, 1)),
+		nodes: map[machine.ID]*member{}, store: map[int]*streamState{},
+	}
+	for index := range partitions {
+		world.store[index] = &streamState{records: map[string]ledger.Record{}}
+	}
+	for index := range nodes {
+		world.start(machine.ID(fmt.Sprintf("node-%02d", index)))
+	}
+	world.list()
+	return world
+}
+
+// start starts a node, anew if it ran before.
+func (f *fleet) start(id machine.ID) {
+	self := machine.Machine{
+		ID: id, Kind: machine.KindNode, Zone: "z", Address: "address-of-" + string(id), Status: machine.StatusLive,
+		Incarnation: uint64(f.now.UnixNano()),
+	}
+	random := rand.New(rand.NewPCG(f.random.Uint64(), 2))
+	core, err := coordinator.New(f.now, coordinator.DefaultConfig(self, f.partitions, random))
+	Expect(err).NotTo(HaveOccurred())
+	f.nodes[id] = &member{self: self, core: core, replies: map[uint64]coordinator.Reply{}}
+}
+
+// kill ends a node's process.
+func (f *fleet) kill(id machine.ID) { delete(f.nodes, id) }
+
+// list has every node read the nodes' addresses from the store.
+func (f *fleet) list() {
+	var all []machine.Machine
+	for _, id := range f.ids() {
+		all = append(all, f.nodes[id].self)
+	}
+	for _, id := range f.ids() {
+		f.nodes[id].core.Step(f.now, coordinator.Listed{Nodes: all})
+	}
+}
+
+func (f *fleet) ids() []machine.ID {
+	var ids []machine.ID
+	for id := range f.nodes {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// run lets the time pass.
+func (f *fleet) run(span time.Duration) {
+	end := f.now.Add(span)
+	for f.now.Before(end) {
+		f.now = f.now.Add(step)
+		f.deliver()
+		for _, id := range f.ids() {
+			if one := f.nodes[id]; !one.frozen {
+				one.core.Step(f.now, coordinator.Contact{Reached: !f.storeDown && !one.cut})
+				one.core.Step(f.now, coordinator.Tick{})
+				f.perform(id, one)
+			}
+		}
+	}
+}
+
+// deliver hands over what has arrived. A frozen node's events wait.
+func (f *fleet) deliver() {
+	due := f.due
+	f.due = nil
+	for _, one := range due {
+		target := f.nodes[one.to]
+		waits := one.at.After(f.now) || (target != nil && target.frozen)
+		switch {
+		case waits:
+			f.due = append(f.due, one)
+		case one.call != nil:
+			one.call()
+		case target != nil:
+			target.core.Step(f.now, one.event)
+			f.perform(one.to, target)
+		}
+	}
+}
+
+func (f *fleet) send(to machine.ID, delay time.Duration, event coordinator.Event) {
+	f.due = append(f.due, delivery{at: f.now.Add(delay), to: to, event: event})
+}
+
+// perform carries out what a core has ready.
+func (f *fleet) perform(id machine.ID, one *member) {
+	ready := one.core.Ready()
+	for _, message := range ready.Messages {
+		f.send(message.To.ID, peerDelay, coordinator.PeerReceived{Message: message.Message})
+	}
+	for _, reply := range ready.Replies {
+		one.replies[reply.ID] = reply
+	}
+	for _, takeover := range ready.Takeovers {
+		f.callStore(id, func() { f.takeOver(id, takeover) })
+	}
+	for _, batch := range ready.Appends {
+		f.callStore(id, func() { f.append(id, batch) })
+	}
+	one.changes = append(one.changes, ready.Changes...)
+}
+
+// callStore carries out a call once the store can be reached.
+func (f *fleet) callStore(from machine.ID, call func()) {
+	f.due = append(f.due, delivery{at: f.now.Add(appendDelay / 2), call: func() {
+		if sender := f.nodes[from]; f.storeDown || (sender != nil && sender.cut) {
+			f.callStore(from, call)
+			return
+		}
+		call()
+	}})
+}
+
+func (f *fleet) takeOver(id machine.ID, takeover coordinator.Takeover) {
+	stream := f.store[takeover.Partition]
+	taken := coordinator.TakenOver{Partition: takeover.Partition, Epoch: takeover.Epoch}
+	if takeover.Epoch < stream.epoch {
+		taken.Outcome, taken.Highest = coordinator.OutcomeFenced, stream.epoch
+	} else {
+		stream.epoch = takeover.Epoch
+		for _, key := range stream.order {
+			taken.Records = append(taken.Records, stream.records[key])
+		}
+	}
+	f.send(id, appendDelay/2, taken)
+}
+
+func (f *fleet) append(id machine.ID, batch coordinator.Append) {
+	stream := f.store[batch.Partition]
+	answer := coordinator.Appended{Partition: batch.Partition, Epoch: batch.Epoch, Sequence: batch.Sequence}
+	if batch.Epoch < stream.epoch {
+		answer.Outcome = coordinator.OutcomeFenced
+	} else {
+		for _, record := range batch.Records {
+			if _, known := stream.records[record.Key]; !known {
+				stream.order = append(stream.order, record.Key)
+			}
+			stream.records[record.Key] = record
+		}
+	}
+	f.send(id, appendDelay/2, answer)
+}
+
+// ask puts a request to a node and returns the id of the reply.
+func (f *fleet) ask(to machine.ID, partition int, request coordinator.Request) uint64 {
+	f.nextID++
+	f.send(to, 0, coordinator.Requested{ID: f.nextID, Partition: partition, Request: request})
+	return f.nextID
+}
+
+// owners returns the nodes that serve a partition, as they believe.
+func (f *fleet) owners(partition int) []machine.ID {
+	var owners []machine.ID
+	for _, id := range f.ids() {
+		serving := false
+		for _, change := range f.nodes[id].changes {
+			if change.Partition == partition {
+				serving = change.Owned
+			}
+		}
+		if serving {
+			owners = append(owners, id)
+		}
+	}
+	return owners
+}
+
+// turn is a turn of at most 100 tokens of a budget of 300.
+func turn(id string) *coordinator.AdmitRequest {
+	return &coordinator.AdmitRequest{Turn: ledger.Turn{
+		ID: id, Program: "p", Session: "s", Most: 100, Budget: 300, Within: time.Second, Retain: time.Minute,
+	}}
+}
--- a/coordinator/partition.go
+++ b/coordinator/partition.go
@@ -105,6 +105,8 @@
 	c.ready.Changes = append(c.ready.Changes, Change{
 		Partition: one.index, Epoch: one.epoch, Owned: true, Reason: "claimed", Accounts: accounts, Turns: turns,
 	})
+	// The others are told at once, so that they ask here.
+	c.sendStatus(now)
 	held := one.held
 	one.held = nil
 	for _, waiting := range held {
--- a/edge/ledgers.go
+++ b/edge/ledgers.go
@@ -28,9 +28,11 @@
 // Times of the calls to the store.
 const (
 	appendTimeout    = 1200 * time.Millisecond
+	appendTimeoutMin = 60 * time.Millisecond
+	appendFactor     = 6
 	appendRetryFirst = 15 * time.Millisecond
 	appendRetryMost  = 300 * time.Millisecond
-	takeoverAttempts = 4
+	takeoverAttempts = 6
 )
 
 func ledgerStream(partition int) recordstore.Stream {
@@ -189,10 +191,14 @@
 	}
 	backoff := n.backoff()
 	for attempt := 1; ; attempt++ {
-		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		begun := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, n.appendPatience(attempt))
 		err := n.adapter.Store.Append(callCtx, ledgerStream(partition), writerOf(partition, epoch, sequence), records)
 		cancel()
 		n.noteStore(err)
+		if err == nil {
+			n.observeAppend(time.Since(begun))
+		}
 		var fenced *recordstore.FencedError
 		if err == nil || errors.As(err, &fenced) || attempt == attempts {
 			return err
@@ -203,6 +209,20 @@
 	}
 }
 
+// appendPatience bounds one try of an append: one whose answer was lost is
+// repeated soon, which the store counts once.
+func (n *Node) appendPatience(attempt int) time.Duration {
+	n.randomMutex.Lock()
+	defer n.randomMutex.Unlock()
+	return n.patience.Timeout(attempt)
+}
+
+func (n *Node) observeAppend(took time.Duration) {
+	n.randomMutex.Lock()
+	defer n.randomMutex.Unlock()
+	n.patience.Observe(took)
+}
+
 // noteStore counts a call to the store, and notes that it answered.
 func (n *Node) noteStore(err error) {
 	n.metrics.storeCall(err)
--- a/edge/node.go
+++ b/edge/node.go
@@ -17,6 +17,7 @@
 	"birchwood.example/birchwood/coordinator"
 	"birchwood.example/birchwood/ingress"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/retry"
 	"birchwood.example/birchwood/routing"
 	"birchwood.example/birchwood/upstream"
 	"birchwood.example/birchwood/zone"
@@ -42,9 +43,11 @@
 	peers    *peers
 	metrics  *Metrics
 
-	// random draws for traffic; it is guarded by its mutex.
+	// randomMutex guards random, which draws for traffic, and patience, which
+	// bounds the appends.
 	randomMutex sync.Mutex
 	random      *rand.Rand
+	patience    retry.Patience
 
 	// lastContact is when the store answered last, in nanoseconds since
 	// started; synced counts the streams that were read whole.
@@ -85,6 +88,7 @@
 		pool:     upstream.NewPool(upstream.DefaultConfig(adapter.Names)),
 		metrics:  newMetrics(),
 		random:   random,
+		patience: retry.Patience{Minimum: appendTimeoutMin, Maximum: appendTimeout, Factor: appendFactor},
 		started:  now,
 		failed:   make(chan error, 4),
 	}
--- /dev/null
+++ b/ingress/ingress_test.go
@@ -0,0 +1,193 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/ingress"
+	"birchwood.example/birchwood/routing"
+)
+
+// limits are those of most tests; the times are far away.
+var limits = routing.Limits{HeaderBytes: 1024, BodyBytes: 64, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+
+// startServer serves with a handler and returns a dialler.
+func startServer(limits routing.Limits, handler ingress.Handler) (*ingress.Server, func() net.Conn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := ingress.NewServer(ingress.Config{
+		Handler: handler, Limits: func() routing.Limits { return limits }, WatchPeriod: time.Millisecond,
+	})
+	go func() { _ = server.Serve(listener) }()
+	DeferCleanup(func() {
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = server.Shutdown(ended)
+	})
+	return server, func() net.Conn {
+		socket, err := net.Dial("tcp", listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = socket.Close() })
+		return socket
+	}
+}
+
+// echo answers with the request's body.
+func echo(exchange *ingress.Exchange) {
+	head := &fasthttp.ResponseHeader{}
+	head.SetStatusCode(fasthttp.StatusOK)
+	head.SetNoDefaultContentType(true)
+	head.Set("X-Given", "as Is")
+	exchange.Relay(head, exchange.Body)
+}
+
+// exchange writes raw bytes and reads one answer.
+func exchangeRaw(socket net.Conn, reader *bufio.Reader, raw string) *http.Response {
+	_, err := io.WriteString(socket, raw)
+	Expect(err).NotTo(HaveOccurred())
+	answer, err := http.ReadResponse(reader, nil)
+	Expect(err).NotTo(HaveOccurred())
+	return answer
+}
+
+func bodyOf(answer *http.Response) string {
+	body, err := io.ReadAll(answer.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(body)
+}
+
+var _ = Describe("A client's connection", func() {
+	It("carries one request after the other, with lengths and chunks", func() {
+		_, dial := startServer(limits, echo)
+		socket := dial()
+		reader := bufio.NewReader(socket)
+		for range 2 {
+			answer := exchangeRaw(socket, reader, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\none")
+			Expect(answer.StatusCode).To(Equal(200))
+			Expect(answer.Header.Get("X-Given")).To(Equal("as Is"))
+			Expect(bodyOf(answer)).To(Equal("one"))
+			answer = exchangeRaw(socket, reader, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n")
+			Expect(bodyOf(answer)).To(Equal("two"))
+		}
+	})
+
+	It("invites a body that waits to be asked for", func() {
+		_, dial := startServer(limits, echo)
+		socket := dial()
+		reader := bufio.NewReader(socket)
+		answer := exchangeRaw(socket, reader, "POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+		Expect(answer.StatusCode).To(Equal(100))
+		answer = exchangeRaw(socket, reader, "one")
+		Expect(bodyOf(answer)).To(Equal("one"))
+	})
+
+	DescribeTable("refuses what breaks the limits or has two readings, and closes",
+		func(raw string, status int) {
+			handled := false
+			_, dial := startServer(limits, func(exchange *ingress.Exchange) {
+				handled = true
+				echo(exchange)
+			})
+			socket := dial()
+			reader := bufio.NewReader(socket)
+			answer := exchangeRaw(socket, reader, raw)
+			Expect(answer.StatusCode).To(Equal(status))
+			Expect(bodyOf(answer)).To(ContainSubstring(`"error"`))
+			_, err := reader.ReadByte()
+			Expect(err).To(HaveOccurred())
+			Expect(handled).To(BeFalse())
+		},
+		Entry("a head that is too large", "GET /a HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 5000)+"\r\n\r\n", 431),
+		Entry("a head just over the limit", "GET /a HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 1100)+"\r\n\r\n", 431),
+		Entry("a body that is too large", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n", 413),
+		Entry("chunks that are too many", "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n50\r\n"+strings.Repeat("x", 80)+"\r\n0\r\n\r\n", 413),
+		Entry("two lengths", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400),
+		Entry("a length and chunks", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+		Entry("a chunk that is none", "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+		Entry("no HTTP", "what is this\r\n\r\n", 400),
+	)
+
+	It("answers a request that does not come in time, and closes", func() {
+		short := limits
+		short.HeaderTimeout = time.Millisecond
+		_, dial := startServer(short, echo)
+		socket := dial()
+		answer := exchangeRaw(socket, bufio.NewReader(socket), "GET /a HTT")
+		Expect(answer.StatusCode).To(Equal(408))
+	})
+
+	It("cancels the exchange when the client hangs up", func() {
+		cancelled := make(chan error, 1)
+		begun := make(chan struct{})
+		_, dial := startServer(limits, func(exchange *ingress.Exchange) {
+			close(begun)
+			defer GinkgoRecover()
+			Eventually(exchange.Cancel.Cause).Should(HaveOccurred())
+			cancelled <- exchange.Cancel.Cause()
+		})
+		socket := dial()
+		_, err := io.WriteString(socket, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		<-begun
+		Expect(socket.Close()).To(Succeed())
+		Expect(<-cancelled).To(MatchError(ingress.ErrClientGone))
+	})
+
+	It("does not end a stream as complete that was broken off", func() {
+		_, dial := startServer(limits, func(exchange *ingress.Exchange) {
+			head := &fasthttp.ResponseHeader{}
+			head.SetStatusCode(fasthttp.StatusOK)
+			Expect(exchange.BeginStream(head)).To(Succeed())
+			Expect(exchange.Write([]byte("half"))).To(Succeed())
+			exchange.Break()
+		})
+		socket := dial()
+		answer := exchangeRaw(socket, bufio.NewReader(socket), "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+		body, err := io.ReadAll(answer.Body)
+		Expect(string(body)).To(Equal("half"))
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("tells when to come back", func() {
+		_, dial := startServer(limits, func(exchange *ingress.Exchange) { exchange.Fail(503, "full", 250*time.Millisecond) })
+		socket := dial()
+		answer := exchangeRaw(socket, bufio.NewReader(socket), "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+		Expect(answer.StatusCode).To(Equal(503))
+		Expect(answer.Header.Get("Retry-After")).To(Equal("0.250"))
+	})
+})
+
+var _ = Describe("A planned stop", func() {
+	It("lets the exchange under way end, says that the connection closes, and closes idle ones", func() {
+		release := make(chan struct{})
+		begun := make(chan struct{}, 1)
+		server, dial := startServer(limits, func(exchange *ingress.Exchange) {
+			begun <- struct{}{}
+			<-release
+			echo(exchange)
+		})
+		idle, busy := dial(), dial()
+		_, err := io.WriteString(busy, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\none")
+		Expect(err).NotTo(HaveOccurred())
+		<-begun
+		stopped := make(chan error, 1)
+		go func() { stopped <- server.Shutdown(context.Background()) }()
+		_, err = idle.Read(make([]byte, 1))
+		Expect(err).To(HaveOccurred())
+		close(release)
+		answer, err := http.ReadResponse(bufio.NewReader(busy), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bodyOf(answer)).To(Equal("one"))
+		Expect(answer.Close).To(BeTrue())
+		Expect(<-stopped).To(Succeed())
+	})
+})
--- /dev/null
+++ b/replica/replica_test.go
@@ -0,0 +1,130 @@
+package replica_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/replica"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// newSet returns a set of count ready replicas of service "s" in zone "here".
+func newSet(count int) *replica.Set {
+	set := replica.NewSet(replica.DefaultConfig("here"))
+	set.SetCacheTokens("s", 10000)
+	for index := range count {
+		set.Put(replica.Entry{
+			ID: replica.ID(fmt.Sprintf("r%d", index)), Service: "s", Zone: "here", Status: replica.StatusReady, Slots: 4,
+		})
+	}
+	return set
+}
+
+var _ = Describe("The choice of a replica", func() {
+	It("passes over those that drain, were tried, or belong to another service", func() {
+		set := newSet(3)
+		set.Put(replica.Entry{ID: "r0", Service: "s", Zone: "here", Status: replica.StatusDraining, Slots: 4})
+		set.Put(replica.Entry{ID: "other", Service: "t", Zone: "here", Status: replica.StatusReady, Slots: 4})
+		for draw := range 20 {
+			choice, err := set.Select(start, &replica.Request{Service: "s", Excluded: []replica.ID{"r1"}, Draw: float64(draw) / 20})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(choice.Entry.ID).To(Equal(replica.ID("r2")))
+		}
+	})
+
+	It("tells a service without replicas from one whose replicas are full", func() {
+		set := newSet(1)
+		_, err := set.Select(start, &replica.Request{Service: "none"})
+		Expect(err).To(MatchError(replica.ErrNoReplica))
+		set.Began(start, "r0", nil)
+		_, err = set.Select(start, &replica.Request{Service: "s", PerNode: 1})
+		Expect(err).To(MatchError(replica.ErrSaturated))
+	})
+
+	It("spreads requests that are alike", func() {
+		set := newSet(4)
+		counts := map[replica.ID]int{}
+		for draw := range 40 {
+			choice, err := set.Select(start, &replica.Request{Service: "s", Draw: float64(draw%7) / 7})
+			Expect(err).NotTo(HaveOccurred())
+			set.Began(start, choice.Entry.ID, nil)
+			counts[choice.Entry.ID]++
+		}
+		Expect(counts).To(HaveLen(4))
+		for _, count := range counts {
+			Expect(count).To(Equal(10))
+		}
+	})
+
+	It("counts what other nodes have under way, and forgets an old report", func() {
+		set := newSet(2)
+		set.SetPeer(start, "peer", map[replica.ID]int{"r0": 3})
+		choice, _ := set.Select(start, &replica.Request{Service: "s"})
+		Expect(choice.Entry.ID).To(Equal(replica.ID("r1")))
+		set.SetPeer(start.Add(time.Minute), "another", nil)
+		set.Began(start, "r1", nil)
+		choice, _ = set.Select(start.Add(time.Minute), &replica.Request{Service: "s"})
+		Expect(choice.Entry.ID).To(Equal(replica.ID("r0")))
+	})
+
+	It("goes where the prompt is kept, unless that replica is full", func() {
+		set := newSet(3)
+		prompt := []replica.Part{{ID: "shared", Tokens: 3000}, {ID: "own", Tokens: 1000}}
+		set.Began(start, "r1", prompt)
+		set.Ended(start, "r1", replica.ResultAnswered)
+		choice, _ := set.Select(start, &replica.Request{Service: "s", Prompt: prompt})
+		Expect(choice.Entry.ID).To(Equal(replica.ID("r1")))
+		Expect(choice.Missing).To(BeZero())
+		for range 5 {
+			set.Began(start, "r1", nil)
+		}
+		choice, _ = set.Select(start, &replica.Request{Service: "s", Prompt: prompt})
+		Expect(choice.Entry.ID).NotTo(Equal(replica.ID("r1")))
+	})
+
+	It("counts a part as kept only behind parts that are", func() {
+		set := newSet(1)
+		set.Began(start, "r0", []replica.Part{{ID: "b", Tokens: 10}})
+		choice, _ := set.Select(start, &replica.Request{Service: "s", Prompt: []replica.Part{{ID: "a", Tokens: 5}, {ID: "b", Tokens: 10}}})
+		Expect(choice.Missing).To(Equal(15))
+	})
+
+	It("forgets what was unused the longest when the memory is full", func() {
+		set := newSet(1)
+		set.Began(start, "r0", []replica.Part{{ID: "old", Tokens: 6000}})
+		set.Began(start.Add(time.Second), "r0", []replica.Part{{ID: "new", Tokens: 6000}})
+		choice, _ := set.Select(start, &replica.Request{Service: "s", Prompt: []replica.Part{{ID: "old", Tokens: 6000}}})
+		Expect(choice.Missing).To(Equal(6000))
+		choice, _ = set.Select(start, &replica.Request{Service: "s", Prompt: []replica.Part{{ID: "new", Tokens: 6000}}})
+		Expect(choice.Missing).To(BeZero())
+	})
+
+	It("passes over a replica that failed, for longer each time, but not where it is the only one", func() {
+		set := newSet(2)
+		set.Ended(start, "r0", replica.ResultFailed)
+		for draw := range 10 {
+			choice, _ := set.Select(start.Add(400*time.Millisecond), &replica.Request{Service: "s", Draw: float64(draw) / 10})
+			Expect(choice.Entry.ID).To(Equal(replica.ID("r1")))
+		}
+		choice, err := set.Select(start, &replica.Request{Service: "s", Excluded: []replica.ID{"r1"}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(choice.Entry.ID).To(Equal(replica.ID("r0")))
+		set.Ended(start, "r0", replica.ResultFailed)
+		choice, _ = set.Select(start.Add(900*time.Millisecond), &replica.Request{Service: "s"})
+		Expect(choice.Entry.ID).To(Equal(replica.ID("r1")))
+	})
+
+	It("knows nothing of a replica that was removed", func() {
+		set := newSet(1)
+		entry, known := set.Remove("r0")
+		Expect(known).To(BeTrue())
+		Expect(entry.ID).To(Equal(replica.ID("r0")))
+		_, err := set.Select(start, &replica.Request{Service: "s"})
+		Expect(err).To(MatchError(replica.ErrNoReplica))
+		set.Ended(start, "r0", replica.ResultAnswered)
+	})
+})
