--- a/coordinator/harness_test.go
+++ b/coordinator/harness_test.go
@@ -51,7 +51,6 @@
 type delivery struct {
 	at    time.Time
 	to    machine.ID
-	from  machine.ID
 	event coordinator.Event
 	// call is carried out at the store instead.
 	call func()
