platform/standin: the system on stand-ins of the users' platform, and less gossip

Change besides: a node's status travels on the failure detector's messages (before: 5 a second to each of 11 peers, with 8 known nodes each); the configuration is read with a long poll of 2 s, replicas every 0.4 s.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -23,11 +23,13 @@
 	Settle time.Duration
 	// ClaimPause is the least time between two claims of one partition.
 	ClaimPause time.Duration
-	// StatusPeriod is the time between two statuses, each to StatusFanout
-	// peers at most.
-	StatusPeriod time.Duration
+	// StatusFanout bounds the peers that are told at once of a change that
+	// cannot wait. All other statuses travel on the messages of the failure
+	// detector, whose number does not depend on the number of nodes.
 	StatusFanout int
-	// KnownPerStatus bounds the nodes that a status names.
+	// KnownPeriod is the time between two statuses that name other nodes, and
+	// KnownPerStatus how many of them one names.
+	KnownPeriod    time.Duration
 	KnownPerStatus int
 	// HoldFor is how long a request waits for a takeover under way.
 	HoldFor time.Duration
@@ -57,8 +59,8 @@
 		Salt:           ownership.SaltOf(random.Uint64()),
 		Settle:         700 * time.Millisecond,
 		ClaimPause:     time.Second,
-		StatusPeriod:   200 * time.Millisecond,
 		StatusFanout:   12,
+		KnownPeriod:    2 * time.Second,
 		KnownPerStatus: 8,
 		HoldFor:        800 * time.Millisecond,
 		StallAfter:     700 * time.Millisecond,
@@ -78,7 +80,7 @@
 	reaches    bool
 	leaving    bool
 	loads      Loads
-	nextStatus time.Time
+	nextKnown  time.Time
 	ready      Ready
 }
 
@@ -160,10 +162,6 @@
 
 func (c *Core) tick(now time.Time) {
 	c.membership.Tick(now)
-	if !now.Before(c.nextStatus) {
-		c.nextStatus = now.Add(c.config.StatusPeriod)
-		c.sendStatus(now)
-	}
 	for _, one := range c.partitions {
 		c.tickPartition(now, one)
 	}
@@ -177,7 +175,9 @@
 			continue
 		}
 		message := outbound.Message
-		c.ready.Messages = append(c.ready.Messages, Outbound{To: target, Message: PeerMessage{From: c.self(), Membership: &message}})
+		c.ready.Messages = append(c.ready.Messages, Outbound{
+			To: target, Message: PeerMessage{From: c.self(), Membership: &message, Status: c.status(now)},
+		})
 	}
 	for _, one := range c.partitions {
 		c.collectAppend(now, one)
@@ -256,17 +256,27 @@
 	})
 }
 
-// sendStatus tells some live peers about this node.
+// sendStatus tells peers about this node at once.
 func (c *Core) sendStatus(now time.Time) {
 	peers := c.statusPeers()
 	c.config.Random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, peer := range peers[:min(len(peers), c.config.StatusFanout)] {
+		c.ready.Messages = append(c.ready.Messages, Outbound{To: peer, Message: PeerMessage{From: c.self(), Status: c.status(now)}})
+	}
+}
+
+// status returns what this node tells of itself, and now and then some of the
+// nodes that it knows.
+func (c *Core) status(now time.Time) *Status {
 	status := &Status{ReachesStore: c.reaches, Owned: c.owned(), Loads: c.loads.Counts, Version: c.loads.Version}
+	if now.Before(c.nextKnown) {
+		return status
+	}
+	c.nextKnown = now.Add(c.config.KnownPeriod)
 	known := c.known()
 	c.config.Random.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
 	status.Known = known[:min(len(known), c.config.KnownPerStatus)]
-	for _, peer := range peers[:min(len(peers), c.config.StatusFanout)] {
-		c.ready.Messages = append(c.ready.Messages, Outbound{To: peer, Message: PeerMessage{From: c.self(), Status: status}})
-	}
+	return status
 }
 
 // owned returns the partitions that this node serves.
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -15,12 +15,16 @@
 
 // Times of the followers.
 const (
-	// tailWait is how long one read waits for a record.
-	tailWait = 700 * time.Millisecond
+	// configurationWait and replicasWait are how long one read waits for a
+	// record. Replicas write all the time, and their reads also show that the
+	// store is reached.
+	configurationWait = 2 * time.Second
+	replicasWait      = 700 * time.Millisecond
 	// tailSlack is how much later its answer may come.
 	tailSlack = 800 * time.Millisecond
-	// tailPause is the least time between two reads.
-	tailPause = 150 * time.Millisecond
+	// configurationPause and replicasPause are the least times between reads.
+	configurationPause = 50 * time.Millisecond
+	replicasPause      = 400 * time.Millisecond
 	// resyncPeriod is how often a stream is read whole again.
 	resyncPeriod = 15 * time.Second
 	// nodesPeriod is the time between two reads of the nodes' addresses.
@@ -108,6 +112,7 @@
 // followConfiguration keeps the configuration up to date from the store.
 func (n *Node) followConfiguration(ctx context.Context) {
 	n.follow(ctx, recordstore.Stream{Name: recordstore.StreamConfiguration}, follower{
+		wait: configurationWait, pause: configurationPause,
 		reset: func(records []recordstore.Record) {
 			for _, record := range records {
 				n.applyConfiguration(record.Key, record.Value, "store")
@@ -120,6 +125,7 @@
 // followReplicas keeps the replicas up to date from the store.
 func (n *Node) followReplicas(ctx context.Context) {
 	n.follow(ctx, recordstore.Stream{Name: recordstore.StreamReplicas}, follower{
+		wait: replicasWait, pause: replicasPause,
 		reset:  n.resetReplicas,
 		change: func(record recordstore.Record) { n.applyReplica(record.Key, record.Value) },
 	})
@@ -142,6 +148,10 @@
 
 // follower takes in a stream: all of it, and each change.
 type follower struct {
+	// wait is how long a read waits for a record, and pause the least time
+	// between two reads.
+	wait   time.Duration
+	pause  time.Duration
 	reset  func([]recordstore.Record)
 	change func(recordstore.Record)
 }
@@ -173,8 +183,8 @@
 	backoff := n.backoff()
 	resync := time.Now().Add(resyncPeriod)
 	for ctx.Err() == nil && time.Now().Before(resync) {
-		callCtx, cancel := context.WithTimeout(ctx, tailWait+tailSlack)
-		tail, err := n.adapter.Store.Tail(callCtx, stream, next, tailWait)
+		callCtx, cancel := context.WithTimeout(ctx, to.wait+tailSlack)
+		tail, err := n.adapter.Store.Tail(callCtx, stream, next, to.wait)
 		cancel()
 		n.noteStore(err)
 		if errors.Is(err, recordstore.ErrGap) {
@@ -189,7 +199,7 @@
 			to.change(record)
 		}
 		next = tail.Next
-		sleep(ctx, tailPause)
+		sleep(ctx, to.pause)
 	}
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -196,6 +196,18 @@
 	n.logger.Info().Bool("cut", err != nil).Dur("took", time.Since(begun)).Msg("edge: stopped")
 }
 
+// Kill ends the node at once, as the loss of its process does.
+func (n *Node) Kill() {
+	n.stopping.Store(true)
+	n.cancel()
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = n.clients.Shutdown(ended)
+}
+
+// Ready reports whether the node can serve clients.
+func (n *Node) Ready() bool { return n.ready() }
+
 func minTime(left, right time.Time) time.Time {
 	if left.Before(right) {
 		return left
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -31,6 +31,7 @@
 	{"operator", "emulator", "emulator/cluster"},
 	{"node", "load", "emulator/benchplot", "edge"},
 	{"development", "scale", "platform"},
+	{"platform/standin"},
 	{"command", "internal"},
 	{"cmd"},
 }
