command: explain a request from nodes' logs

One walk from a request's id to its cause: its own lines, and before them those about its partition's owner, its replica, its node's configuration.

--- /dev/null
+++ b/command/explain.go
@@ -0,0 +1,117 @@
+package command
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// newExplainCommand returns the verb that leads from a request to its cause.
+func newExplainCommand() *cobra.Command {
+	span := explainSpan
+	command := &cobra.Command{
+		Use:   "explain REQUEST-ID",
+		Short: "Show what decided a request's end, from nodes' logs on standard input",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			return explain(command.InOrStdin(), command.OutOrStdout(), arguments[0], span)
+		},
+	}
+	command.Flags().DurationVar(&span, "span", span, "how long before the request's end to look")
+	return command
+}
+
+// explainSpan is how far back causes are looked for.
+const explainSpan = 10 * time.Second
+
+// maximumLogLine bounds one line of a log.
+const maximumLogLine = 1 << 20
+
+// logLine is one line of a node's log. Fields that it does not have are empty.
+type logLine struct {
+	Time      time.Time `json:"time"`
+	Level     string    `json:"level"`
+	Node      string    `json:"node"`
+	Message   string    `json:"message"`
+	Request   string    `json:"request"`
+	Partition *int      `json:"partition"`
+	Replica   string    `json:"replica"`
+	raw       []byte
+}
+
+// explain prints the lines about a request, and before them those about what
+// it rested on: its partition's owner, its replica, the configuration, and the
+// node that handled it.
+func explain(input io.Reader, output io.Writer, request string, span time.Duration) error {
+	lines, err := readLog(input)
+	if err != nil {
+		return err
+	}
+	var own []logLine
+	for _, line := range lines {
+		if line.Request == request {
+			own = append(own, line)
+		}
+	}
+	if len(own) == 0 {
+		return &ExitError{Code: ExitFailure, Cause: fmt.Errorf("no line about request %q in %d lines", request, len(lines))}
+	}
+	last := own[len(own)-1]
+	for _, line := range lines {
+		recent := !line.Time.After(last.Time) && last.Time.Sub(line.Time) <= span
+		if line.Request == request || (recent && line.Request == "" && concerns(line, own)) {
+			if _, err := fmt.Fprintf(output, "%s\n", line.raw); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// concerns reports whether a line tells of something that a request rested on.
+func concerns(line logLine, own []logLine) bool {
+	for _, about := range own {
+		switch {
+		case line.Partition != nil:
+			if about.Partition != nil && *line.Partition == *about.Partition {
+				return true
+			}
+		case line.Replica != "":
+			if line.Replica == about.Replica {
+				return true
+			}
+		case line.Node == about.Node:
+			return true
+		}
+	}
+	return false
+}
+
+// readLog reads JSON lines, each from its first brace on, in order of time.
+// Other lines are passed over.
+func readLog(input io.Reader) ([]logLine, error) {
+	var lines []logLine
+	scanner := bufio.NewScanner(input)
+	scanner.Buffer(make([]byte, 0, maximumLogLine/16), maximumLogLine)
+	for scanner.Scan() {
+		begin := bytes.IndexByte(scanner.Bytes(), '{')
+		if begin < 0 {
+			continue
+		}
+		line := logLine{raw: slices.Clone(scanner.Bytes()[begin:])}
+		if json.Unmarshal(line.raw, &line) == nil && !line.Time.IsZero() {
+			lines = append(lines, line)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, &ExitError{Code: ExitFailure, Cause: fmt.Errorf("reading the log: %w", err)}
+	}
+	slices.SortStableFunc(lines, func(left, right logLine) int { return left.Time.Compare(right.Time) })
+	return lines, nil
+}
--- /dev/null
+++ b/command/explain_test.go
@@ -0,0 +1,41 @@
+package command
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("explain", func() {
+	const log = `10.1 node-a {"time":"2026-01-02T03:00:10Z","node":"a","message":"config: in force","version":3}
+10.1 node-b {"time":"2026-01-02T03:00:10Z","node":"b","message":"config: in force","version":3}
+not a line of a log
+{"time":"2026-01-02T03:00:11Z","node":"b","partition":4,"owned":false,"message":"ledger: ownership changed"}
+{"time":"2026-01-02T03:00:11Z","node":"b","partition":5,"owned":true,"message":"ledger: ownership changed"}
+{"time":"2026-01-02T03:00:13Z","node":"a","request":"r1","partition":4,"replica":"i-1","status":503,"message":"request: ended"}
+{"time":"2026-01-02T03:00:12Z","node":"c","replica":"i-1","status":"draining","message":"replicas: changed"}
+{"time":"2026-01-02T03:00:12Z","node":"a","request":"r2","partition":4,"status":200,"message":"request: ended"}
+`
+
+	It("shows the request and what it rested on, in order of time", func() {
+		var output bytes.Buffer
+		Expect(explain(strings.NewReader(log), &output, "r1", time.Minute)).To(Succeed())
+		lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+		Expect(lines).To(HaveLen(4))
+		Expect(lines[0]).To(ContainSubstring(`"node":"a","message":"config: in force"`))
+		Expect(lines[1]).To(ContainSubstring(`"partition":4,"owned":false`))
+		Expect(lines[2]).To(ContainSubstring("draining"))
+		Expect(lines[3]).To(ContainSubstring(`"request":"r1"`))
+	})
+
+	It("says so where the log does not know the request", func() {
+		err := explain(strings.NewReader(log), &bytes.Buffer{}, "unknown", time.Minute)
+		var exit *ExitError
+		Expect(errors.As(err, &exit)).To(BeTrue())
+		Expect(exit.Code).To(Equal(ExitFailure))
+	})
+})
--- a/command/verbs.go
+++ b/command/verbs.go
@@ -8,6 +8,7 @@
 		newDevCommand(),
 		newServeCommand(),
 		newEdgeCommand(),
+		newExplainCommand(),
 		newStandinCommand(),
 		newCheckCommand(),
 		newLoadCommand(),
