replica: a request runs again on the same replica where its route allows one

Change: a choice can be bound to one replica for as long as it is known; the bond ends when it cannot be reached. Ruled out: counting replicas that were gone meanwhile (none had left).

--- a/edge/call.go
+++ b/edge/call.go
@@ -55,14 +55,18 @@
 			r.fail(fasthttp.StatusBadGateway, failureReason(err), 0)
 			return
 		}
-		// Once the request has run on as many replicas as it may, only the
-		// same one may run it again.
-		if runs < r.route.Attempts() {
-			r.excluded = append(r.excluded, entry.ID)
-		} else {
-			r.preferred = entry.ID
-		}
+		r.again(entry, runs)
+	}
+}
+
+// again settles where a request runs next whose run broke off: elsewhere, or,
+// once it has run on as many replicas as it may, on the same one.
+func (r *requestState) again(entry replica.Entry, runs int) {
+	if runs < r.route.Attempts() {
+		r.excluded = append(r.excluded, entry.ID)
+		return
 	}
+	r.only = entry.ID
 }
 
 func failureReason(err error) string {
@@ -75,7 +79,7 @@
 // chooseReplica picks the next replica for the request and counts it there.
 func (n *Node) chooseReplica(r *requestState, table *routing.Table) (replica.Entry, error) {
 	choice, err := n.replicas.choose(&replica.Request{
-		Service: r.service, Prompt: r.prompt, Preferred: r.preferred, Excluded: r.excluded,
+		Service: r.service, Prompt: r.prompt, Preferred: r.preferred, Only: r.only, Excluded: r.excluded,
 		PerNode: n.perNode(table, r.service), Draw: n.draw(),
 	})
 	if err != nil {
@@ -89,6 +93,10 @@
 // reject notes that a replica did not run the request.
 func (n *Node) reject(r *requestState, entry replica.Entry, result replica.Result) {
 	n.replicas.ended(entry.ID, result)
+	if r.only == entry.ID && result == replica.ResultFailed {
+		// No connection: the replica has ended or is cut off.
+		r.only = ""
+	}
 	r.excluded = append(r.excluded, entry.ID)
 }
 
--- a/edge/request.go
+++ b/edge/request.go
@@ -24,9 +24,11 @@
 	prompt   []replica.Part
 
 	// The fields below follow the handling, for the log.
-	choice     replica.Choice
-	attempts   int
-	excluded   []replica.ID
+	choice   replica.Choice
+	attempts int
+	excluded []replica.ID
+	// only is the one replica that may run the request again.
+	only       replica.ID
 	status     int
 	reason     string
 	firstAfter time.Duration
--- a/edge/run.go
+++ b/edge/run.go
@@ -301,10 +301,6 @@
 		r.fail(fasthttp.StatusBadGateway, failureReason(err), 0)
 		return true
 	}
-	if t.runs < r.route.Attempts() {
-		r.excluded = append(r.excluded, entry.ID)
-	} else {
-		r.preferred = entry.ID
-	}
+	r.again(entry, t.runs)
 	return false
 }
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -118,6 +118,23 @@
 		Expect(choice.Entry.ID).To(Equal(replica.ID("r1")))
 	})
 
+	It("keeps to the one replica that may run the request again, also after it failed", func() {
+		set := newSet(4)
+		set.Ended(start, "r2", replica.ResultFailed)
+		for draw := range 10 {
+			choice, err := set.Select(start, &replica.Request{Service: "s", Only: "r2", Draw: float64(draw) / 10})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(choice.Entry.ID).To(Equal(replica.ID("r2")))
+		}
+		set.Put(replica.Entry{ID: "r2", Service: "s", Zone: "here", Status: replica.StatusDraining, Slots: 4})
+		_, err := set.Select(start, &replica.Request{Service: "s", Only: "r2"})
+		Expect(err).To(MatchError(replica.ErrNoReplica))
+		set.Remove("r2")
+		choice, err := set.Select(start, &replica.Request{Service: "s", Only: "r2"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(choice.Entry.ID).NotTo(Equal(replica.ID("r2")))
+	})
+
 	It("knows nothing of a replica that was removed", func() {
 		set := newSet(1)
 		entry, known := set.Remove("r0")
--- a/replica/select.go
+++ b/replica/select.go
@@ -13,6 +13,9 @@
 	Prompt []Part
 	// Preferred is the replica that served the line of turns before, or "".
 	Preferred ID
+	// Only is the one replica that may run the request again, or "". It counts
+	// for as long as the replica is known.
+	Only ID
 	// Excluded are the replicas that were tried.
 	Excluded []ID
 	// PerNode bounds this node's requests at one replica; 0 sets no bound.
@@ -70,6 +73,12 @@
 // feasible returns the replicas that may take the request: those that answered
 // well lately, or the suspect ones where there are no others.
 func (s *Set) feasible(now time.Time, request *Request) (list []*member, saturated bool) {
+	if known := s.byID[request.Only]; known != nil {
+		if known.entry.Status == StatusReady {
+			list = append(list, known)
+		}
+		return list, false
+	}
 	var suspects []*member
 	for _, one := range s.services[request.Service] {
 		if one.entry.Status != StatusReady || slices.Contains(request.Excluded, one.entry.ID) {
