replica: weigh the load beside less, and trust the line's last replica

Change: a request beside counts 100 tokens, not 400; the replica of the line's last turn keeps all but the last part. Ruled out: lost owners (37 refusals in all), errors of replicas.

--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -86,6 +86,17 @@
 		Expect(choice.Entry.ID).NotTo(Equal(replica.ID("r1")))
 	})
 
+	It("goes where the line of turns was served last by another node", func() {
+		set := newSet(3)
+		prompt := []replica.Part{{ID: "shared", Tokens: 500}, {ID: "history", Tokens: 900}, {ID: "new", Tokens: 100}}
+		set.SetPeer(start, "peer", map[replica.ID]int{"r1": 3})
+		for draw := range 10 {
+			choice, _ := set.Select(start, &replica.Request{Service: "s", Prompt: prompt, Preferred: "r1", Draw: float64(draw) / 10})
+			Expect(choice.Entry.ID).To(Equal(replica.ID("r1")))
+			Expect(choice.Missing).To(Equal(100))
+		}
+	})
+
 	It("counts a part as kept only behind parts that are", func() {
 		set := newSet(1)
 		set.Began(start, "r0", []replica.Part{{ID: "b", Tokens: 10}})
--- a/replica/select.go
+++ b/replica/select.go
@@ -64,7 +64,7 @@
 	}
 	return Choice{
 		Entry:    best.entry,
-		Missing:  best.cache.missing(request.Prompt),
+		Missing:  s.missing(best, request),
 		Load:     best.own + best.peers,
 		Feasible: len(feasible),
 	}, nil
@@ -102,9 +102,11 @@
 
 // The weights of a cost, in tokens of prefill.
 const (
-	// besideTokens is what one request beside costs: it slows every step of
-	// the batch and its prefill comes between.
-	besideTokens = 400
+	// besideTokens is what one request beside costs while there are places
+	// free: it slows every step of the batch a little. A larger weight has
+	// lines of turns leave the replica that keeps their prompts; under load
+	// the prefill that this costs adds to the load.
+	besideTokens = 100
 	// queuedTokens is what waiting for one place costs, per request that is
 	// over the slots, divided by the slots.
 	queuedTokens = 60000
@@ -115,19 +117,23 @@
 // cost predicts the work before the request's answer is whole.
 func (s *Set) cost(one *member, request *Request) int {
 	load := one.own + one.peers
-	cost := one.cache.missing(request.Prompt) + besideTokens*load
+	cost := s.missing(one, request) + besideTokens*load
 	if slots := max(1, one.entry.Slots); load >= slots {
 		cost += queuedTokens * (load - slots + 1) / slots
 	}
 	if one.entry.Zone != s.config.Zone {
 		cost += elsewhereTokens
 	}
-	if one.entry.ID == request.Preferred {
-		cost -= preferredTokens
-	}
 	return cost
 }
 
-// preferredTokens is what the memory of the line's last turn is taken to save
-// where this node has not seen that turn itself.
-const preferredTokens = 1200
+// missing predicts the prefill of the prompt at a replica. One that served the
+// line's last turn keeps all but the last part, also where another node sent
+// it that turn.
+func (s *Set) missing(one *member, request *Request) int {
+	missing := one.cache.missing(request.Prompt)
+	if last := len(request.Prompt) - 1; last >= 0 && one.entry.ID == request.Preferred {
+		missing = min(missing, request.Prompt[last].Tokens)
+	}
+	return missing
+}
