replica: a queue weighs less, prefill that a batch waits for more

Cause: at twelve of twelve places taken, one request over them weighed 5,000 tokens, so that lines of turns moved at every small difference and brought 1,500 tokens of prefill with them, for which the whole batch there waits. Change: 20,000 instead of 60,000 tokens a request over the slots, divided by the slots; missing prefill counts twice.

--- a/replica/select.go
+++ b/replica/select.go
@@ -109,7 +109,10 @@
 	besideTokens = 100
 	// queuedTokens is what waiting for one place costs, per request that is
 	// over the slots, divided by the slots.
-	queuedTokens = 60000
+	queuedTokens = 20000
+	// missingWeight is how much prefill costs beyond the request's own wait:
+	// all requests of the batch wait for it.
+	missingWeight = 2
 	// elsewhereTokens is what another zone costs: the way, and its price.
 	elsewhereTokens = 300
 )
@@ -117,7 +120,7 @@
 // cost predicts the work before the request's answer is whole.
 func (s *Set) cost(one *member, request *Request) int {
 	load := one.own + one.peers
-	cost := s.missing(one, request) + besideTokens*load
+	cost := missingWeight*s.missing(one, request) + besideTokens*load
 	if slots := max(1, one.entry.Slots); load >= slots {
 		cost += queuedTokens * (load - slots + 1) / slots
 	}
