coordinator, edge: come back after an outage, and find the dead sooner

Cause: (1) while the store was down, new programs were told to come back after 0.4 s; a client tries a turn six times in all and had given up after 2 s of an outage of 4.6 s. (2) A killed owner left its partitions without one for about 0.8 s, and 30 to 40 turns were refused for each kill. Change: a refusal for a log that does not answer names 1.2 s; probes get 100 ms and suspects 250 ms; a node claims 350 ms after its start, not 700.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -44,8 +44,8 @@
 func DefaultConfig(self machine.Machine, partitions int, random *rand.Rand) Config {
 	membership := machine.DefaultConfig(self, random)
 	membership.ProbePeriod = 200 * time.Millisecond
-	membership.ProbeTimeout = 150 * time.Millisecond
-	membership.SuspectTimeout = 400 * time.Millisecond
+	membership.ProbeTimeout = 100 * time.Millisecond
+	membership.SuspectTimeout = 250 * time.Millisecond
 	membership.GossipPeriod = 100 * time.Millisecond
 	membership.DeadProbePeriod = time.Second
 	membership.ViewPeriod = 50 * time.Millisecond
@@ -57,7 +57,7 @@
 		Ledger:         ledger.DefaultConfig(),
 		Partitions:     partitions,
 		Salt:           ownership.SaltOf(random.Uint64()),
-		Settle:         700 * time.Millisecond,
+		Settle:         350 * time.Millisecond,
 		ClaimPause:     time.Second,
 		StatusFanout:   12,
 		KnownPeriod:    2 * time.Second,
--- a/edge/handle.go
+++ b/edge/handle.go
@@ -20,6 +20,9 @@
 	comeBackSoon = 150 * time.Millisecond
 	// comeBackLater follows one that lasts longer.
 	comeBackLater = 400 * time.Millisecond
+	// comeBackAfterOutage follows one that lasts seconds: a program that is
+	// refused a few times in a row gives up.
+	comeBackAfterOutage = 1200 * time.Millisecond
 	// writeSlack is how long after its deadline an answer may still be written.
 	writeSlack = 300 * time.Millisecond
 )
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -99,7 +99,11 @@
 // takeReply turns the owner's reply into a grant or an answer.
 func (n *Node) takeReply(ctx context.Context, r *requestState, reply coordinator.Reply, found grant) (grant, bool) {
 	if reply.Status != coordinator.ReplyDone || reply.Admission == nil {
-		r.fail(fasthttp.StatusServiceUnavailable, "the program's partition answered "+string(reply.Status), comeBackLater)
+		wait := comeBackLater
+		if reply.Status == coordinator.ReplyStalled {
+			wait = comeBackAfterOutage
+		}
+		r.fail(fasthttp.StatusServiceUnavailable, "the program's partition answered "+string(reply.Status), wait)
 		return grant{}, false
 	}
 	r.admission = *reply.Admission
