--- a/command/check.go
+++ b/command/check.go
@@ -1,19 +1,25 @@
 package command
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/spf13/cobra"
 
 	"birchwood.example/birchwood/config"
+	"birchwood.example/birchwood/platform"
 )
 
 func newCheckCommand() *cobra.Command {
-	return &cobra.Command{
+	onPlatform := false
+	command := &cobra.Command{
 		Use:   "check FILE",
 		Short: "Check a settings file and list everything that is wrong with it",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(command *cobra.Command, arguments []string) error {
+			if onPlatform {
+				return checkPlatform(command, arguments[0])
+			}
 			findings := config.Check(arguments[0])
 			if len(findings) > 0 {
 				return reportFindings(command, findings)
@@ -22,6 +28,18 @@
 			return nil
 		},
 	}
+	command.Flags().BoolVar(&onPlatform, "platform", false, "the file is one of the users' platform, for the verb edge")
+	return command
+}
+
+// checkPlatform checks a settings file of the users' platform.
+func checkPlatform(command *cobra.Command, path string) error {
+	if _, err := platform.LoadSettings(path); err != nil {
+		fmt.Fprintln(command.ErrOrStderr(), err)
+		return &ExitError{Code: ExitUsage, Cause: errors.New("the file is not usable")}
+	}
+	fmt.Fprintf(command.OutOrStdout(), "%s: no findings\n", path)
+	return nil
 }
 
 // reportFindings prints every finding with its place and fails the command.
--- a/command/dev.go
+++ b/command/dev.go
@@ -16,6 +16,7 @@
 
 func newDevCommand() *cobra.Command {
 	var level string
+	onPlatform := false
 	command := &cobra.Command{
 		Use:   "dev",
 		Short: "Run a whole system in one process: four nodes in three zones, and the stand-ins",
@@ -23,10 +24,14 @@
 		RunE: func(command *cobra.Command, _ []string) error {
 			ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
+			if onPlatform {
+				return runDevPlatform(ctx, command.OutOrStdout(), level)
+			}
 			return runDev(ctx, command.OutOrStdout(), level)
 		},
 	}
 	command.Flags().StringVar(&level, "log-level", "warn", "the least important line that is logged")
+	command.Flags().BoolVar(&onPlatform, "platform", false, "run three nodes on stand-ins of the users' platform instead")
 	return command
 }
 
