--- a/command/edge.go
+++ b/command/edge.go
@@ -42,7 +42,8 @@
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Cause: err}
 	}
-	logger := newDecisionLogger(settings.Node)
+	logger, flush := newDecisionLogger(settings.Node)
+	defer flush()
 	node, err := edge.New(settings, platform.NewAdapter(settings), logger)
 	if err != nil {
 		return &ExitError{Code: ExitFailure, Cause: err}
@@ -87,14 +88,17 @@
 const decisionQueue = 2048
 
 // newDecisionLogger returns the logger of a node on the users' platform: JSON
-// lines on standard output that never block a request.
-func newDecisionLogger(node string) *log.Logger {
-	return &log.Logger{
+// lines on standard output that never block a request. Flush writes the lines
+// that wait.
+func newDecisionLogger(node string) (logger *log.Logger, flush func()) {
+	writer := &log.AsyncWriter{
+		ChannelSize: decisionQueue, DiscardOnFull: true, DisableWritev: true, Writer: &log.IOWriter{Writer: os.Stdout},
+	}
+	logger = &log.Logger{
 		Level:      log.InfoLevel,
 		TimeFormat: time.RFC3339Nano,
 		Context:    log.NewContext(nil).Str("node", node).Value(),
-		Writer: &log.AsyncWriter{
-			ChannelSize: decisionQueue, DiscardOnFull: true, DisableWritev: true, Writer: &log.IOWriter{Writer: os.Stdout},
-		},
+		Writer:     writer,
 	}
+	return logger, func() { _ = writer.Close() }
 }
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -167,6 +167,23 @@
 	})
 })
 
+var _ = Describe("An owner that is alone and does not hear of its successor", func() {
+	It("is told by the log, and calls nothing kept that is not", func() {
+		for seed := range uint64(8) {
+			world := newFleet(seed, 5, 1)
+			world.run(settled)
+			former := world.owners(0)[0]
+			world.nodes[former].alone = true
+			world.run(settled)
+			Expect(world.owners(0)).To(HaveLen(2))
+			keep := &coordinator.KeepRequest{Turn: ledger.KeptTurn{ID: "late", Program: "p", Input: []byte("in"), Output: []byte("out"), Retain: time.Minute}}
+			Expect(reply(world, former, world.ask(former, 0, coordinator.Request{Keep: keep})).Status).To(Equal(coordinator.ReplyLost))
+			Expect(world.owners(0)).To(HaveLen(1))
+			Expect(world.store[0].records).NotTo(HaveKey("turn/late"))
+		}
+	})
+})
+
 var _ = Describe("The answer that a turn is not kept", func() {
 	It("comes once the log has confirmed the owner", func() {
 		world := newFleet(12, 3, 1)
--- a/coordinator/harness_test.go
+++ b/coordinator/harness_test.go
@@ -43,6 +43,8 @@
 	core    *coordinator.Core
 	frozen  bool
 	cut     bool
+	// alone nodes exchange no messages with others.
+	alone bool
 	replies map[uint64]coordinator.Reply
 	changes []coordinator.Change
 }
@@ -156,6 +158,10 @@
 func (f *fleet) perform(id machine.ID, one *member) {
 	ready := one.core.Ready()
 	for _, message := range ready.Messages {
+		target := f.nodes[message.To.ID]
+		if one.alone || (target != nil && target.alone) {
+			continue
+		}
 		f.send(message.To.ID, peerDelay, coordinator.PeerReceived{Message: message.Message})
 	}
 	for _, reply := range ready.Replies {
