replica: prefer free connections, and the own zone more

Change: a replica without a free connection weighs 150 tokens more, one in another zone 600 instead of 300.

--- a/edge/call.go
+++ b/edge/call.go
@@ -81,6 +81,7 @@
 	choice, err := n.replicas.choose(&replica.Request{
 		Service: r.service, Prompt: r.prompt, Preferred: r.preferred, Only: r.only, Excluded: r.excluded,
 		PerNode: n.perNode(table, r.service), Draw: n.draw(),
+		Connected: func(entry replica.Entry) bool { return n.pool.Free(targetOf(entry)) },
 	})
 	if err != nil {
 		return replica.Entry{}, err
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -86,6 +86,21 @@
 		Expect(choice.Entry.ID).NotTo(Equal(replica.ID("r1")))
 	})
 
+	It("prefers a replica to which a connection is free, and one in its own zone, while loads are alike", func() {
+		set := newSet(3)
+		set.Put(replica.Entry{ID: "r2", Service: "s", Zone: "elsewhere", Status: replica.StatusReady, Slots: 4})
+		connected := func(entry replica.Entry) bool { return entry.ID != "r0" }
+		for draw := range 10 {
+			choice, _ := set.Select(start, &replica.Request{Service: "s", Connected: connected, Draw: float64(draw) / 10})
+			Expect(choice.Entry.ID).To(Equal(replica.ID("r1")))
+		}
+		for range 4 {
+			set.Began(start, "r1", nil)
+		}
+		choice, _ := set.Select(start, &replica.Request{Service: "s", Connected: connected})
+		Expect(choice.Entry.ID).To(Equal(replica.ID("r0")))
+	})
+
 	It("goes where the line of turns was served last by another node", func() {
 		set := newSet(3)
 		prompt := []replica.Part{{ID: "shared", Tokens: 500}, {ID: "history", Tokens: 900}, {ID: "new", Tokens: 100}}
--- a/replica/select.go
+++ b/replica/select.go
@@ -20,6 +20,9 @@
 	Excluded []ID
 	// PerNode bounds this node's requests at one replica; 0 sets no bound.
 	PerNode int
+	// Connected reports whether a kept connection to the replica is free; nil
+	// where that does not matter.
+	Connected func(Entry) bool
 	// Draw is a uniform number from 0 to 1 that breaks ties, so that nodes that
 	// know the same do not all choose the same.
 	Draw float64
@@ -114,7 +117,9 @@
 	// all requests of the batch wait for it.
 	missingWeight = 2
 	// elsewhereTokens is what another zone costs: the way, and its price.
-	elsewhereTokens = 300
+	elsewhereTokens = 600
+	// connectTokens is what a new connection costs: its opening, and its price.
+	connectTokens = 150
 )
 
 // cost predicts the work before the request's answer is whole.
@@ -127,6 +132,9 @@
 	if one.entry.Zone != s.config.Zone {
 		cost += elsewhereTokens
 	}
+	if request.Connected != nil && !request.Connected(one.entry) {
+		cost += connectTokens
+	}
 	return cost
 }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -72,6 +72,14 @@
 	p.target(to).limit = limit
 }
 
+// Free reports whether a kept connection to the replica waits to be used.
+func (p *Pool) Free(to Target) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	known := p.targets[to]
+	return known != nil && len(known.idle) > 0
+}
+
 // Forget closes the idle connections to a replica that is gone.
 func (p *Pool) Forget(to Target) {
 	p.mutex.Lock()
