replica: avoid replicas that err or hang

Cause: an answer of 500 counted as answered and a request that hung until its time was up as cancelled, so that a grey replica kept its share of requests. Change: both count as faults, which halve every 3 s; one costs 1,500 tokens. Test: replica, 'avoids a replica that answers with errors, or not at all'.

--- a/edge/call.go
+++ b/edge/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -14,6 +15,10 @@
 // maximumOffers bounds the replicas that one request is offered to.
 const maximumOffers = 6
 
+// hangSuspicion is from when on a request that had no answer counts against
+// its replica when its time is up.
+const hangSuspicion = time.Second
+
 // serveCall serves a request whose answer is passed on whole.
 func (n *Node) serveCall(r *requestState, table *routing.Table) {
 	runs := 0
@@ -40,7 +45,7 @@
 			continue
 		}
 		if err == nil && n.sound(response) {
-			n.replicas.ended(entry.ID, replica.ResultAnswered)
+			n.replicas.ended(entry.ID, resultOf(response.Status()))
 			r.status = response.Status()
 			r.reason = "answered"
 			r.exchange.Relay(&response.Header, body)
@@ -59,6 +64,14 @@
 	}
 }
 
+// resultOf tells an answer from one that tells of the replica's own fault.
+func resultOf(status int) replica.Result {
+	if status >= fasthttp.StatusInternalServerError {
+		return replica.ResultErred
+	}
+	return replica.ResultAnswered
+}
+
 // again settles where a request runs next whose run broke off: elsewhere, or,
 // once it has run on as many replicas as it may, on the same one.
 func (r *requestState) again(entry replica.Entry, runs int) {
@@ -88,6 +101,7 @@
 	}
 	r.choice = choice
 	r.attempts++
+	r.sentAt = time.Now()
 	return choice.Entry, nil
 }
 
@@ -112,7 +126,11 @@
 	if r.left() > 0 {
 		return false
 	}
-	n.replicas.ended(entry.ID, replica.ResultCancelled)
+	result := replica.ResultCancelled
+	if time.Since(r.sentAt) > hangSuspicion {
+		result = replica.ResultTimedOut
+	}
+	n.replicas.ended(entry.ID, result)
 	r.fail(fasthttp.StatusGatewayTimeout, "the time of the request is up", 0)
 	return true
 }
--- a/edge/request.go
+++ b/edge/request.go
@@ -26,6 +26,8 @@
 	// The fields below follow the handling, for the log.
 	choice   replica.Choice
 	attempts int
+	// sentAt is when the last attempt began.
+	sentAt   time.Time
 	excluded []replica.ID
 	// only is the one replica that may run the request again.
 	only       replica.ID
--- a/edge/run.go
+++ b/edge/run.go
@@ -117,7 +117,7 @@
 	if err != nil || !n.sound(response) {
 		return t.afterFailure(entry, err)
 	}
-	n.replicas.ended(entry.ID, replica.ResultAnswered)
+	n.replicas.ended(entry.ID, resultOf(response.Status()))
 	r.status = response.Status()
 	if r.exchange.Begun() {
 		r.giveUp("the replica that was to continue answered " + strconv.Itoa(response.Status()))
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -161,6 +161,26 @@
 		Expect(choice.Entry.ID).NotTo(Equal(replica.ID("r2")))
 	})
 
+	It("avoids a replica that answers with errors, or not at all, until that is some seconds ago", func() {
+		for _, result := range []replica.Result{replica.ResultErred, replica.ResultTimedOut} {
+			set := newSet(3)
+			for range 3 {
+				set.Ended(start, "r1", result)
+				set.Ended(start, "r1", replica.ResultAnswered)
+			}
+			for draw := range 10 {
+				choice, _ := set.Select(start.Add(time.Second), &replica.Request{Service: "s", Draw: float64(draw) / 10})
+				Expect(choice.Entry.ID).NotTo(Equal(replica.ID("r1")))
+			}
+			chosen := map[replica.ID]bool{}
+			for draw := range 10 {
+				choice, _ := set.Select(start.Add(time.Minute), &replica.Request{Service: "s", Draw: float64(draw) / 10})
+				chosen[choice.Entry.ID] = true
+			}
+			Expect(chosen).To(HaveKey(replica.ID("r1")))
+		}
+	})
+
 	It("knows nothing of a replica that was removed", func() {
 		set := newSet(1)
 		entry, known := set.Remove("r0")
--- a/replica/select.go
+++ b/replica/select.go
@@ -58,10 +58,10 @@
 	}
 	start := int(request.Draw * float64(len(feasible)))
 	best := feasible[start]
-	bestCost := s.cost(best, request)
+	bestCost := s.cost(now, best, request)
 	for step := 1; step < len(feasible); step++ {
 		candidate := feasible[(start+step)%len(feasible)]
-		if cost := s.cost(candidate, request); cost < bestCost {
+		if cost := s.cost(now, candidate, request); cost < bestCost {
 			best, bestCost = candidate, cost
 		}
 	}
@@ -118,17 +118,23 @@
 	missingWeight = 2
 	// elsewhereTokens is what another zone costs: the way, and its price.
 	elsewhereTokens = 600
+	// faultTokens is what one recent fault costs, and maximumFaults the most
+	// that are counted: a replica that errs is avoided, and still serves where
+	// the others are full.
+	faultTokens   = 1500
+	maximumFaults = 10
 	// connectTokens is what a new connection costs: its opening, and its price.
 	connectTokens = 150
 )
 
 // cost predicts the work before the request's answer is whole.
-func (s *Set) cost(one *member, request *Request) int {
+func (s *Set) cost(now time.Time, one *member, request *Request) int {
 	load := one.own + one.peers
 	cost := missingWeight*s.missing(one, request) + besideTokens*load
 	if slots := max(1, one.entry.Slots); load >= slots {
 		cost += queuedTokens * (load - slots + 1) / slots
 	}
+	cost += int(faultTokens * min(one.faultsNow(now), maximumFaults))
 	if one.entry.Zone != s.config.Zone {
 		cost += elsewhereTokens
 	}
--- a/replica/set.go
+++ b/replica/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -70,6 +71,9 @@
 	own   int
 	peers int
 	cache *cache
+	// faults counts errors, time-outs and failures; it halves with time.
+	faults   float64
+	faultsAt time.Time
 	// failures in a row, and until when the replica is passed over.
 	failures     int
 	suspectUntil time.Time
@@ -171,6 +175,10 @@
 	ResultRejected
 	// ResultFailed is a connection that failed, or an answer that broke off.
 	ResultFailed
+	// ResultErred is an answer of the replica that tells of its own fault.
+	ResultErred
+	// ResultTimedOut had no answer for long until its time was up.
+	ResultTimedOut
 	// ResultCancelled was ended from this side.
 	ResultCancelled
 )
@@ -192,10 +200,30 @@
 		wait := s.config.SuspectFor << min(known.failures, maximumDoublings)
 		known.suspectUntil = now.Add(min(wait, s.config.MaximumSuspect))
 		known.failures++
+		known.fault(now)
+	case ResultErred, ResultTimedOut:
+		known.fault(now)
 	case ResultCancelled:
 	}
 }
 
+// faultHalfLife is the time in which a fault counts half as much.
+const faultHalfLife = 3 * time.Second
+
+// fault counts one fault.
+func (m *member) fault(now time.Time) {
+	m.faults = m.faultsNow(now) + 1
+	m.faultsAt = now
+}
+
+// faultsNow returns the faults that still count.
+func (m *member) faultsNow(now time.Time) float64 {
+	if m.faults == 0 {
+		return 0
+	}
+	return m.faults * math.Exp2(-float64(now.Sub(m.faultsAt))/float64(faultHalfLife))
+}
+
 const (
 	// maximumDoublings bounds the shift of the time of suspicion.
 	maximumDoublings = 6
