edge: new programs wait while replicas are full

Change: the first turn of a program is refused, with the time to come back, while the emptiest replica has 1.25 times its places (1.6 on the most urgent routes). The owner tells which turns are first ones. Tests: replica 'tells how full the emptiest ready replica is', ledger 'tells a program none of whose turns was served'.

--- /dev/null
+++ b/edge/overload.go
@@ -0,0 +1,23 @@
+package edge
+
+import "time"
+
+// New programs are refused while even the emptiest replica is this full: what
+// they would add makes those under way miss their time, and their prompts give
+// way in the replicas' memory, which costs prefill and adds to the load. The
+// most urgent routes are refused later than others.
+const (
+	fullPressure       = 1.25
+	fullPressureUrgent = 1.6
+	// comeBackWhenFull is when a refused program is to try again.
+	comeBackWhenFull = 700 * time.Millisecond
+)
+
+// overloaded reports whether a program that has not begun is to wait.
+func (n *Node) overloaded(r *requestState) bool {
+	limit := fullPressure
+	if r.route.Priority == 0 {
+		limit = fullPressureUrgent
+	}
+	return n.replicas.pressure(r.service) >= limit
+}
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -36,6 +36,12 @@
 	r.set.Ended(time.Now(), id, result)
 }
 
+func (r *replicas) pressure(service string) float64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.set.Pressure(service)
+}
+
 func (r *replicas) put(entry replica.Entry) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -48,6 +48,11 @@
 	if !admitted {
 		return
 	}
+	if r.admission.Fresh && n.overloaded(r) {
+		n.settle(r)
+		r.fail(fasthttp.StatusServiceUnavailable, "the replicas are full, and programs under way go first", comeBackWhenFull)
+		return
+	}
 	run := &turnRun{node: n, request: r, table: table, grant: granted}
 	run.perform(ctx)
 }
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -44,6 +44,9 @@
 	// under way may still use, before this turn.
 	Settled int `json:"settled"`
 	Open    int `json:"open"`
+	// Fresh says that no turn of the program has been served yet, as far as
+	// this owner knows.
+	Fresh bool `json:"fresh,omitempty"`
 }
 
 // account is what is known of one program.
@@ -100,6 +103,7 @@
 	held.expire(now)
 	open := held.openTokens()
 	admission := Admission{Verdict: VerdictGranted, Replica: held.replicas[turn.Session], Settled: held.settled, Open: open}
+	admission.Fresh = len(held.replicas) == 0 && open == 0 && held.settled == 0
 	if _, again := held.open[turn.ID]; again {
 		admission.Position = l.positionOf(held, held.settled+open)
 		return admission
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -70,6 +70,16 @@
 		Expect(books.Admit(start, turn("b", 150)).Verdict).To(Equal(ledger.VerdictGranted))
 	})
 
+	It("tells a program none of whose turns was served from one under way", func() {
+		books := ledger.New(ledger.DefaultConfig())
+		Expect(books.Admit(start, turn("a", 300)).Fresh).To(BeTrue())
+		books.Settle(start, ledger.Settlement{Turn: "a", Program: "p"})
+		Expect(books.Admit(start, turn("b", 300)).Fresh).To(BeTrue())
+		Expect(books.Admit(start, turn("c", 300)).Fresh).To(BeFalse())
+		books.Settle(start, ledger.Settlement{Turn: "b", Program: "p", Session: "s", Tokens: 10, Replica: "r"})
+		Expect(books.Admit(start, turn("d", 300)).Fresh).To(BeFalse())
+	})
+
 	It("grants the same turn once, however often it is asked", func() {
 		books := ledger.New(ledger.DefaultConfig())
 		for range 3 {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -181,6 +181,19 @@
 		}
 	})
 
+	It("tells how full the emptiest ready replica is", func() {
+		set := newSet(2)
+		Expect(set.Pressure("s")).To(BeZero())
+		Expect(set.Pressure("none")).To(BeZero())
+		for range 6 {
+			set.Began(start, "r0", nil)
+		}
+		set.SetPeer(start, "peer", map[replica.ID]int{"r1": 3})
+		Expect(set.Pressure("s")).To(Equal(0.75))
+		set.Put(replica.Entry{ID: "r1", Service: "s", Zone: "here", Status: replica.StatusDraining, Slots: 4})
+		Expect(set.Pressure("s")).To(Equal(1.5))
+	})
+
 	It("knows nothing of a replica that was removed", func() {
 		set := newSet(1)
 		entry, known := set.Remove("r0")
--- a/replica/select.go
+++ b/replica/select.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"slices"
 	"time"
 )
@@ -144,6 +145,21 @@
 	return cost
 }
 
+// Pressure returns how full the emptiest ready replica of a service is: its
+// requests under way by its slots. It is 0 where none is ready.
+func (s *Set) Pressure(service string) float64 {
+	least := math.Inf(1)
+	for _, one := range s.services[service] {
+		if one.entry.Status == StatusReady {
+			least = min(least, float64(one.own+one.peers)/float64(max(1, one.entry.Slots)))
+		}
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return least
+}
+
 // missing predicts the prefill of the prompt at a replica. One that served the
 // line's last turn keeps all but the last part, also where another node sent
 // it that turn.
