--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -27,9 +27,6 @@
 	// cannot wait. All other statuses travel on the messages of the failure
 	// detector, whose number does not depend on the number of nodes.
 	StatusFanout int
-	// BusyPeriod is the time between two statuses to as many peers while
-	// replicas are filling up.
-	BusyPeriod time.Duration
 	// KnownPeriod is the time between two statuses that name other nodes, and
 	// KnownPerStatus how many of them one names.
 	KnownPeriod    time.Duration
@@ -63,7 +60,6 @@
 		Settle:         350 * time.Millisecond,
 		ClaimPause:     time.Second,
 		StatusFanout:   12,
-		BusyPeriod:     150 * time.Millisecond,
 		KnownPeriod:    2 * time.Second,
 		KnownPerStatus: 8,
 		HoldFor:        800 * time.Millisecond,
@@ -85,7 +81,6 @@
 	leaving    bool
 	loads      Loads
 	nextKnown  time.Time
-	nextBusy   time.Time
 	ready      Ready
 }
 
@@ -167,10 +162,6 @@
 
 func (c *Core) tick(now time.Time) {
 	c.membership.Tick(now)
-	if c.loads.Busy && !now.Before(c.nextBusy) {
-		c.nextBusy = now.Add(c.config.BusyPeriod)
-		c.sendStatus(now)
-	}
 	for _, one := range c.partitions {
 		c.tickPartition(now, one)
 	}
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -69,9 +69,6 @@
 	Counts map[string]int
 	// Version is the newest configuration that this node holds.
 	Version uint64
-	// Busy says that replicas are filling up: peers are told of the loads more
-	// often then, so that they do not all choose the same replicas.
-	Busy bool
 }
 
 func (Tick) event()         {}
--- a/edge/control.go
+++ b/edge/control.go
@@ -124,7 +124,7 @@
 
 // report tells the core what this node knows of itself.
 func (c *control) report(now time.Time) {
-	loads := coordinator.Loads{Counts: c.node.replicas.own(), Busy: c.node.replicas.busy()}
+	loads := coordinator.Loads{Counts: c.node.replicas.own()}
 	if table := c.node.routes.Current(); table != nil {
 		loads.Version = table.Version
 	}
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -42,21 +42,6 @@
 	return r.set.Pressure(service)
 }
 
-// busyPressure is from when on replicas count as filling up.
-const busyPressure = 0.6
-
-// busy reports whether every replica of some service is filling up.
-func (r *replicas) busy() bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	for _, service := range r.set.Services() {
-		if r.set.Pressure(service) >= busyPressure {
-			return true
-		}
-	}
-	return false
-}
-
 func (r *replicas) put(entry replica.Entry) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/replica/set.go
+++ b/replica/set.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -154,11 +153,6 @@
 	return all
 }
 
-// Services returns the names of the services that have replicas, sorted.
-func (s *Set) Services() []string {
-	return slices.Sorted(maps.Keys(s.services))
-}
-
 // Began counts a request that is sent to the replica, with the parts of its
 // prompt that the replica will keep.
 func (s *Set) Began(now time.Time, id ID, prompt []Part) {
