layout: a test that only the adapter knows the platform's names; one reader of trailers

Two packages read the trailer of a chunked body alike. Ruled out: X-Deadline-Ms in the list, a field of the product's own interface.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -195,23 +195,10 @@
 		return &problem{status: fasthttp.StatusRequestEntityTooLarge, reason: "the body is larger than the limit"}
 	}
 	e.Body = body
-	return e.readTrailer()
-}
-
-// maximumTrailerLines bounds the trailer of a body in chunks.
-const maximumTrailerLines = 32
-
-func (e *Exchange) readTrailer() *problem {
-	for range maximumTrailerLines {
-		line, err := e.connection.reader.ReadSlice('\n')
-		if err != nil {
-			return problemOf(err)
-		}
-		if len(line) <= len("\r\n") {
-			return nil
-		}
+	if err := header.SkipTrailer(e.connection.reader); err != nil {
+		return problemOf(err)
 	}
-	return &problem{status: fasthttp.StatusBadRequest, reason: "the trailer is too long"}
+	return nil
 }
 
 // isDisconnect reports whether the client ended the connection.
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -246,3 +246,31 @@
 		}
 	}
 }
+
+// platformNames are words that only the adapter of the users' platform knows.
+// X-Deadline-Ms is not among them: the product's own interface has that field too.
+var platformNames = []string{
+	"X-Program-Id", "X-Request-Id", "X-Server-Seal", "X-Prompt-Prefix", "X-Previous-Turn", "X-Token-Budget",
+	"X-Not-Executed", "X-Expect-Instance", "/-/log-", "/-/readyz", "keyed.op", "keyed.servers", "BIRCHWOOD_BOOT",
+}
+
+func TestOnlyTheAdapterKnowsThePlatformsNames(t *testing.T) {
+	files, positions := load(t)
+	for _, source := range files {
+		if source.folder == "platform" || strings.HasPrefix(source.folder, "platform/") || source.folder == "internal/layout" {
+			continue
+		}
+		ast.Inspect(source.syntax, func(node ast.Node) bool {
+			literal, ok := node.(*ast.BasicLit)
+			if !ok || literal.Kind != token.STRING {
+				return true
+			}
+			for _, name := range platformNames {
+				if strings.Contains(literal.Value, name) {
+					t.Errorf("%s: names %q", positions.Position(literal.Pos()), name)
+				}
+			}
+			return true
+		})
+	}
+}
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -130,32 +130,13 @@
 	if err != io.EOF {
 		return read, err
 	}
-	if err := b.readTrailer(); err != nil {
+	if err := header.SkipTrailer(b.response.conn.reader); err != nil {
 		return read, err
 	}
 	b.response.whole = true
 	return read, io.EOF
 }
 
-// maximumTrailerLines bounds the trailer of a chunked body.
-const maximumTrailerLines = 32
-
-func (b *chunkedBody) readTrailer() error {
-	for range maximumTrailerLines {
-		line, err := b.response.conn.reader.ReadSlice('\n')
-		if err == io.EOF {
-			return io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return err
-		}
-		if len(line) <= len("\r\n") {
-			return nil
-		}
-	}
-	return ErrTooLarge
-}
-
 // Finish ends an exchange whose body was read to its end. The connection is
 // kept if nothing speaks against it.
 func (r *Response) Finish() {
