--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -167,6 +167,24 @@
 	})
 })
 
+var _ = Describe("A node", func() {
+	It("knows that it is isolated when it reaches neither the store nor a peer", func() {
+		world := newFleet(15, 4, 1)
+		world.run(settled)
+		alone := world.nodes["node-02"]
+		Expect(alone.core.Isolated(world.now)).To(BeFalse())
+		alone.cut = true
+		world.run(settled)
+		Expect(alone.core.Isolated(world.now)).To(BeFalse())
+		alone.alone = true
+		world.run(2 * settled)
+		Expect(alone.core.Isolated(world.now)).To(BeTrue())
+		alone.cut, alone.alone = false, false
+		world.run(settled)
+		Expect(alone.core.Isolated(world.now)).To(BeFalse())
+	})
+})
+
 var _ = Describe("An owner that is alone and does not hear of its successor", func() {
 	It("is told by the log, and calls nothing kept that is not", func() {
 		for seed := range uint64(8) {
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -81,7 +81,9 @@
 	leaving    bool
 	loads      Loads
 	nextKnown  time.Time
-	ready      Ready
+	// lastHeard is when a message of another node came last.
+	lastHeard time.Time
+	ready     Ready
 }
 
 // peerState is what a peer told of itself last.
@@ -233,6 +235,7 @@
 
 func (c *Core) stepPeer(now time.Time, message PeerMessage) {
 	sender := message.From
+	c.lastHeard = now
 	if message.Status != nil {
 		c.learn(now, append(message.Status.Known, sender))
 		c.peers[sender.ID] = peerState{at: now, status: *message.Status}
@@ -349,3 +352,14 @@
 
 // LiveCount returns how many nodes are live, this one included.
 func (c *Core) LiveCount() int { return max(1, len(c.membership.Nodes())) }
+
+// silenceLimit is how long no other node has been heard before this one counts
+// as cut off from all of them. The failure detector does not tell: it declares
+// no deaths while nobody answers.
+const silenceLimit = 1500 * time.Millisecond
+
+// Isolated reports whether this node reaches neither the store nor any of the
+// other nodes that it knows of.
+func (c *Core) Isolated(now time.Time) bool {
+	return !c.reaches && len(c.directory) > 0 && now.Sub(c.lastHeard) > silenceLimit
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -55,8 +55,10 @@
 	lastContact atomic.Int64
 	synced      atomic.Int32
 	stopping    atomic.Bool
-	// liveNodes is how many nodes are live, this one included.
+	// liveNodes is how many nodes are live, this one included, and isolated
+	// is set while the node reaches neither the store nor any node it knows.
 	liveNodes atomic.Int32
+	isolated  atomic.Bool
 
 	background sync.WaitGroup
 	ctx        context.Context
@@ -100,10 +102,27 @@
 	}
 	node.peers = newPeers(node)
 	node.control = newControl(node, core)
-	node.clients = ingress.NewServer(ingress.Config{Handler: node.handle, Limits: node.limits})
+	node.clients = ingress.NewServer(ingress.Config{
+		Handler: node.handle, Limits: node.limits, MaxConnections: maximumConnections(settings),
+		Panicked: func(value any) { logger.Error().Any("panic", value).Msg("edge: a request's handler panicked") },
+	})
 	return node, nil
 }
 
+// The clients' connections get half of the memory at most.
+const (
+	connectionBytes       = 48 << 10
+	connectionsOfMemory   = 2
+	connectionsWhenUnsure = 2048
+)
+
+func maximumConnections(settings Settings) int {
+	if settings.MemoryBytes == 0 {
+		return connectionsWhenUnsure
+	}
+	return int(settings.MemoryBytes / connectionsOfMemory / connectionBytes)
+}
+
 // coreConfig returns the core's settings, within what the store takes.
 func coreConfig(settings Settings, self machine.Machine, random *rand.Rand) coordinator.Config {
 	config := coordinator.DefaultConfig(self, settings.Partitions, random)
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -157,6 +157,50 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	It("ends alone when its handler panics", func() {
+		panicked := make(chan any, 1)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := ingress.NewServer(ingress.Config{
+			Limits:         func() routing.Limits { return limits },
+			Panicked:       func(value any) { panicked <- value },
+			MaxConnections: 1,
+			Handler: func(exchange *ingress.Exchange) {
+				if exchange.Path() == "/bad" {
+					panic("bad")
+				}
+				echo(exchange)
+			},
+		})
+		go func() { _ = server.Serve(listener) }()
+		DeferCleanup(func() { _ = listener.Close() })
+		dial := func() net.Conn {
+			socket, err := net.Dial("tcp", listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(func() { _ = socket.Close() })
+			return socket
+		}
+		first := dial()
+		answer := exchangeRaw(first, bufio.NewReader(first), "POST /good HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
+		Expect(answer.StatusCode).To(Equal(200))
+		_, err = dial().Read(make([]byte, 1))
+		Expect(err).To(HaveOccurred(), "a connection over the bound is closed")
+		_, err = io.WriteString(first, "GET /bad HTTP/1.1\r\nHost: h\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(panicked).Should(Receive(Equal("bad")))
+		Eventually(func() int {
+			next := dial()
+			if _, err := io.WriteString(next, "POST /good HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"); err != nil {
+				return 0
+			}
+			answer, err := http.ReadResponse(bufio.NewReader(next), nil)
+			if err != nil {
+				return 0
+			}
+			return answer.StatusCode
+		}).Should(Equal(200))
+	})
+
 	It("tells when to come back", func() {
 		_, dial := startServer(limits, func(exchange *ingress.Exchange) { exchange.Fail(503, "full", 250*time.Millisecond) })
 		socket := dial()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -20,6 +20,11 @@
 	Handler Handler
 	// Limits returns the limits in force.
 	Limits func() routing.Limits
+	// MaxConnections bounds the connections; 0 sets no bound. One over it is
+	// closed at once.
+	MaxConnections int
+	// Panicked is told of a handler that panicked; its connection is closed.
+	Panicked func(value any)
 	// WatchPeriod is how often clients are looked at for having left.
 	WatchPeriod time.Duration
 }
@@ -77,7 +82,8 @@
 func (s *Server) accept(socket net.Conn) {
 	accepted := newConnection(s, socket)
 	s.mutex.Lock()
-	if s.closed {
+	full := s.config.MaxConnections > 0 && len(s.connections) >= s.config.MaxConnections
+	if s.closed || full {
 		s.mutex.Unlock()
 		_ = socket.Close()
 		return
@@ -85,13 +91,22 @@
 	s.connections[accepted] = struct{}{}
 	s.serving.Add(1)
 	s.mutex.Unlock()
-	go func() {
-		defer s.serving.Done()
-		accepted.serve()
+	go s.serveConnection(accepted)
+}
+
+// serveConnection serves one connection to its end. A handler that panics ends
+// its connection, not the process.
+func (s *Server) serveConnection(accepted *connection) {
+	defer s.serving.Done()
+	defer func() {
+		if value := recover(); value != nil && s.config.Panicked != nil {
+			s.config.Panicked(value)
+		}
 		s.mutex.Lock()
 		delete(s.connections, accepted)
 		s.mutex.Unlock()
 	}()
+	accepted.serve()
 }
 
 // Drain has every later answer close its connection.
