edge: count the lines of the log that are dropped

Cause: the queue of the decision log dropped lines without a count. Change: birchwood_edge_log_lines_dropped_total. Test: command, 'drops lines rather than block, and counts them'.

--- a/command/edge.go
+++ b/command/edge.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,8 +43,10 @@
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Cause: err}
 	}
-	logger, flush := newDecisionLogger(settings.Node)
+	lines := &decisionWriter{}
+	logger, flush := newDecisionLogger(settings.Node, lines)
 	defer flush()
+	settings.LogLinesDropped = lines.dropped.Load
 	node, err := edge.New(settings, platform.NewAdapter(settings), logger)
 	if err != nil {
 		return &ExitError{Code: ExitFailure, Cause: err}
@@ -87,18 +90,34 @@
 // queue of this length, and are dropped beyond it.
 const decisionQueue = 2048
 
+// decisionWriter queues the lines of the decision log and counts those that
+// are dropped because the queue is full.
+type decisionWriter struct {
+	queue   log.AsyncWriter
+	dropped atomic.Uint64
+}
+
+// WriteEntry implements log.Writer. It never blocks.
+func (w *decisionWriter) WriteEntry(entry *log.Entry) (int, error) {
+	written, err := w.queue.WriteEntry(entry)
+	if err != nil {
+		w.dropped.Add(1)
+	}
+	return written, err
+}
+
 // newDecisionLogger returns the logger of a node on the users' platform: JSON
 // lines on standard output that never block a request. Flush writes the lines
 // that wait.
-func newDecisionLogger(node string) (logger *log.Logger, flush func()) {
-	writer := &log.AsyncWriter{
+func newDecisionLogger(node string, lines *decisionWriter) (logger *log.Logger, flush func()) {
+	lines.queue = log.AsyncWriter{
 		ChannelSize: decisionQueue, DiscardOnFull: true, DisableWritev: true, Writer: &log.IOWriter{Writer: os.Stdout},
 	}
 	logger = &log.Logger{
 		Level:      log.InfoLevel,
 		TimeFormat: time.RFC3339Nano,
 		Context:    log.NewContext(nil).Str("node", node).Value(),
-		Writer:     writer,
+		Writer:     lines,
 	}
-	return logger, func() { _ = writer.Close() }
+	return logger, func() { _ = lines.queue.Close() }
 }
--- /dev/null
+++ b/command/edge_test.go
@@ -0,0 +1,31 @@
+package command
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
+)
+
+// blockedWriter blocks until it is released.
+type blockedWriter struct{ released chan struct{} }
+
+func (w blockedWriter) Write(line []byte) (int, error) {
+	<-w.released
+	return len(line), nil
+}
+
+var _ = Describe("The decision log", func() {
+	It("drops lines rather than block, and counts them", func() {
+		lines := &decisionWriter{}
+		logger, _ := newDecisionLogger("n", lines)
+		blocked := blockedWriter{released: make(chan struct{})}
+		lines.queue.Writer = &log.IOWriter{Writer: blocked}
+		const written = 3 * decisionQueue
+		for range written {
+			logger.Info().Msg("x")
+		}
+		Expect(lines.dropped.Load()).To(BeNumerically(">=", written-decisionQueue-2))
+		Expect(lines.dropped.Load()).To(BeNumerically("<", written))
+		close(blocked.released)
+	})
+})
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -28,7 +28,9 @@
 // appendBuckets are for appends to the log, in seconds.
 var appendBuckets = []float64{.002, .005, .01, .02, .05, .1, .25, 1, 5}
 
-func newMetrics() *Metrics {
+// newMetrics returns the metrics of a node. Dropped, if any, counts lines of the
+// log that were dropped.
+func newMetrics(dropped func() uint64) *Metrics {
 	metrics := &Metrics{
 		registry: prometheus.NewRegistry(),
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -51,6 +53,11 @@
 		}, []string{"change"}),
 	}
 	metrics.registry.MustRegister(metrics.answers, metrics.latency, metrics.appends, metrics.calls, metrics.dropped, metrics.partition)
+	if dropped != nil {
+		metrics.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "birchwood_edge_log_lines_dropped_total", Help: "Lines of the log dropped because its queue was full.",
+		}, func() float64 { return float64(dropped()) }))
+	}
 	return metrics
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -88,7 +88,7 @@
 		},
 		replicas: newReplicas(settings.Zone),
 		pool:     upstream.NewPool(upstream.DefaultConfig(adapter.Names)),
-		metrics:  newMetrics(),
+		metrics:  newMetrics(settings.LogLinesDropped),
 		random:   random,
 		patience: retry.Patience{Minimum: appendTimeoutMin, Maximum: appendTimeout, Factor: appendFactor},
 		started:  now,
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -27,6 +27,9 @@
 	Descriptors int
 	// Grace is the time between the request to stop and the kill.
 	Grace time.Duration
+	// LogLinesDropped returns how many lines of the log were dropped; nil
+	// where that is not counted.
+	LogLinesDropped func() uint64
 	// DrainReplica is how long a replica serves after it was said to leave.
 	DrainReplica time.Duration
 }
