ingress: do not handle a request whose client left before it was read

Change: a connection is looked at once after a request was read. Test: ingress, 'does not handle a request whose client left before it was read', failed before.

--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -76,6 +76,10 @@
 		exchange.refuse(problem)
 		return false
 	}
+	if c.probe.Closed() {
+		// The client hung up while its request waited to be read.
+		return false
+	}
 	c.server.config.Handler(exchange)
 	if !exchange.ended {
 		exchange.Break()
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -142,6 +142,33 @@
 		Eventually(cancelled).Should(Receive(MatchError(ingress.ErrClientGone)))
 	})
 
+	It("does not handle a request whose client left before it was read", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = listener.Close() })
+		send := func(path string) net.Conn {
+			socket, err := net.Dial("tcp", listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.WriteString(socket, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			return socket
+		}
+		// The server stands still until the first client has hung up.
+		Expect(send("/left").Close()).To(Succeed())
+		staying := send("/stays")
+		DeferCleanup(func() { _ = staying.Close() })
+		handled := make(chan string, 2)
+		server := ingress.NewServer(ingress.Config{
+			Limits:  func() routing.Limits { return limits },
+			Handler: func(exchange *ingress.Exchange) { handled <- exchange.Path(); echo(exchange) },
+		})
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(listener) }()
+		Eventually(handled).Should(Receive(Equal("/stays")))
+		Expect(server.Shutdown(context.Background())).To(Succeed())
+		Expect(handled).To(BeEmpty())
+	})
+
 	It("does not end a stream as complete that was broken off", func() {
 		_, dial := startServer(limits, func(exchange *ingress.Exchange) {
 			head := &fasthttp.ResponseHeader{}
