--- a/command/dev_platform.go
+++ b/command/dev_platform.go
@@ -17,6 +17,9 @@
 	devEvents = 8
 )
 
+// devStep is how long an event takes, so that a stream is seen to come.
+const devStep = 60 * time.Millisecond
+
 // devReadyPause is the time between two looks at whether the nodes are ready.
 const devReadyPause = 50 * time.Millisecond
 
@@ -24,7 +27,7 @@
 // context ends.
 func runDevPlatform(ctx context.Context, output io.Writer, level string) error {
 	system, err := standin.StartSystem(standin.Options{
-		Nodes: devNodes, Models: devModels, Plain: devPlain, Events: devEvents, Logger: newLogger(level, ""),
+		Nodes: devNodes, Models: devModels, Plain: devPlain, Events: devEvents, Step: devStep, Logger: newLogger(level, ""),
 	})
 	if err != nil {
 		return &ExitError{Code: ExitFailure, Cause: err}
