--- a/edge/node.go
+++ b/edge/node.go
@@ -60,10 +60,9 @@
 	liveNodes atomic.Int32
 	isolated  atomic.Bool
 
-	background sync.WaitGroup
-	ctx        context.Context
-	cancel     context.CancelFunc
-	failed     chan error
+	ctx    context.Context
+	cancel context.CancelFunc
+	failed chan error
 }
 
 // memoryShare is the share of the memory bound that the heap may take before
@@ -189,11 +188,7 @@
 
 // run starts a goroutine that ends with the node.
 func (n *Node) run(loop func(ctx context.Context)) {
-	n.background.Add(1)
-	go func() {
-		defer n.background.Done()
-		loop(n.ctx)
-	}()
+	go loop(n.ctx)
 }
 
 // Failed yields the error of a server that ended by itself.
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -22,14 +22,11 @@
 	// RecordBytes and AppendBytes bound one record and one append.
 	RecordBytes int
 	AppendBytes int
-	// MemoryBytes bounds the process's memory, and Descriptors its sockets.
+	// MemoryBytes bounds the process's memory.
 	MemoryBytes int64
-	Descriptors int
 	// Grace is the time between the request to stop and the kill.
 	Grace time.Duration
 	// LogLinesDropped returns how many lines of the log were dropped; nil
 	// where that is not counted.
 	LogLinesDropped func() uint64
-	// DrainReplica is how long a replica serves after it was said to leave.
-	DrainReplica time.Duration
 }
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -47,7 +47,6 @@
 	e.writeStatus(head.StatusCode())
 	e.writeFields(head)
 	e.writeConnection()
-	e.chunked = true
 	e.writeField(header.TransferEncoding, "chunked")
 	_, _ = e.connection.writer.WriteString("\r\n")
 	return e.connection.writer.Flush()
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -39,9 +39,8 @@
 	// watched is set once the whole request was read.
 	watched atomic.Bool
 	// begun and ended follow the answer.
-	begun   bool
-	chunked bool
-	ended   bool
+	begun bool
+	ended bool
 }
 
 // Path returns the request target without its query.
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -22,8 +22,6 @@
 	idleSince time.Time
 	// idleLimit is how long the replica keeps the connection when idle.
 	idleLimit time.Duration
-	// used is set once an exchange has ended on it.
-	used bool
 }
 
 func newConn(socket net.Conn, idleLimit time.Duration) *conn {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -187,7 +187,6 @@
 // put keeps a connection whose exchange ended cleanly.
 func (p *Pool) put(to Target, connection *conn) {
 	connection.idleSince = time.Now()
-	connection.used = true
 	p.mutex.Lock()
 	known := p.targets[to]
 	if known != nil {
