ledger: programs begin before the log knows of them

Change: where UnrecordedShare is set (edge: a third), a program may use that share of its budget before its first mark is durable. The owner has first put an 'open' record into the log; a successor that finds it takes the share as used by every program that the log does not know, until none of them can come back. An owner that stops in order removes the record behind all that it proposed. An owner that does not know that it was followed stops by itself 8 s after the log last proved its ownership, less than the 15 s and more that a successor assumes.

Ruled out: letting only the first turn run unrecorded (a program of three turns would still stall at its second); no bound at all (two lost owners forget twice). Seen failing: without the assumption, without the proof's age, without the open record, without Close and without the bound, the model test or the fleet fails.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -221,3 +221,60 @@
 		Expect(world.nodes[owner].replies).NotTo(HaveKey(asked))
 	})
 })
+
+var _ = Describe("While the log takes no records", func() {
+	// unrecorded has the fleet's programs begin before the log knows of them.
+	unrecorded := func(seed uint64, nodes int) *fleet {
+		world := newFleetWith(seed, nodes, 1, func(config *coordinator.Config) {
+			config.Ledger.UnrecordedShare = 0.5
+			config.Ledger.UnrecordedFor = 8 * time.Second
+		})
+		world.run(settled)
+		return world
+	}
+
+	It("a program begins at an owner that the log has proven lately, and no longer at one later", func() {
+		for seed := range uint64(8) {
+			world := unrecorded(seed, 3)
+			owner := world.owners(0)[0]
+			world.storeDown = true
+			world.run(2 * time.Second)
+			first := reply(world, owner, world.ask(owner, 0, coordinator.Request{Admit: turn("a")}))
+			Expect(first.Status).To(Equal(coordinator.ReplyDone))
+			Expect(first.Admission.Position).To(BeZero())
+			world.run(8 * time.Second)
+			late := turn("b")
+			late.Turn.Program = "another"
+			Expect(reply(world, owner, world.ask(owner, 0, coordinator.Request{Admit: late})).Status).To(Equal(coordinator.ReplyStalled))
+		}
+	})
+
+	It("what a lost owner let begin is counted by the next one", func() {
+		for seed := range uint64(8) {
+			world := unrecorded(seed, 3)
+			owner := world.owners(0)[0]
+			world.storeDown = true
+			reply(world, owner, world.ask(owner, 0, coordinator.Request{Admit: turn("a")}))
+			world.kill(owner)
+			world.run(50 * time.Millisecond)
+			world.storeDown = false
+			world.run(2 * time.Second)
+			heir := world.owners(0)[0]
+			again := reply(world, heir, world.ask(heir, 0, coordinator.Request{Admit: turn("b")}))
+			Expect(again.Admission.Settled).To(BeNumerically(">=", 100))
+		}
+	})
+
+	It("nothing is counted twice after a planned stop", func() {
+		for seed := range uint64(8) {
+			world := unrecorded(seed, 3)
+			owner := world.owners(0)[0]
+			world.nodes[owner].core.Step(world.now, coordinator.Leave{})
+			world.run(500 * time.Millisecond)
+			heir := world.owners(0)[0]
+			Expect(heir).NotTo(Equal(owner))
+			admitted := reply(world, heir, world.ask(heir, 0, coordinator.Request{Admit: turn("a")}))
+			Expect(admitted.Admission.Settled).To(BeZero())
+		}
+	})
+})
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -134,15 +134,35 @@
 	case Appended:
 		c.stepAppended(now, event)
 	case Leave:
-		c.leaving = true
-		c.membership.Leave(now)
-		c.sendStatus(now)
+		c.leave(now)
 	case Loads:
 		c.loads = event
+		c.retainFor(event.RetainFor)
 	}
 	c.collect(now)
 }
 
+// leave begins this node's planned stop.
+func (c *Core) leave(now time.Time) {
+	c.leaving = true
+	c.membership.Leave(now)
+	for _, one := range c.partitions {
+		if one.state == stateServing {
+			one.ledger.Close(now)
+		}
+	}
+	c.sendStatus(now)
+}
+
+// retainFor tells the ledgers how long programs are kept.
+func (c *Core) retainFor(retain time.Duration) {
+	for _, one := range c.partitions {
+		if one.state == stateServing {
+			one.ledger.RetainFor(retain)
+		}
+	}
+}
+
 // Ready returns what has accumulated since the last call.
 func (c *Core) Ready() Ready {
 	ready := c.ready
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"time"
+
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/ownership"
@@ -67,8 +69,10 @@
 // Loads brings this node's requests under way, by replica.
 type Loads struct {
 	Counts map[string]int
-	// Version is the newest configuration that this node holds.
-	Version uint64
+	// Version is the newest configuration that this node holds, and RetainFor
+	// the longest time for which any of its routes keeps programs.
+	Version   uint64
+	RetainFor time.Duration
 }
 
 func (Tick) event()         {}
--- a/coordinator/harness_test.go
+++ b/coordinator/harness_test.go
@@ -35,6 +35,8 @@
 	// storeDown has the store answer nothing.
 	storeDown bool
 	nextID    uint64
+	// configure changes the settings of the nodes; nil leaves them.
+	configure func(*coordinator.Config)
 }
 
 // member is one node of the fleet.
@@ -66,8 +68,12 @@
 }
 
 func newFleet(seed uint64, nodes, partitions int) *fleet {
+	return newFleetWith(seed, nodes, partitions, nil)
+}
+
+func newFleetWith(seed uint64, nodes, partitions int, configure func(*coordinator.Config)) *fleet {
 	world := &fleet{
-		now: start, partitions: partitions, random: rand.New(rand.NewPCG(seed, 1)),
+		configure: configure, now: start, partitions: partitions, random: rand.New(rand.NewPCG(seed, 1)),
 		nodes: map[machine.ID]*member{}, store: map[int]*streamState{},
 	}
 	for index := range partitions {
@@ -87,7 +93,11 @@
 		Incarnation: uint64(f.now.UnixNano()),
 	}
 	random := rand.New(rand.NewPCG(f.random.Uint64(), 2))
-	core, err := coordinator.New(f.now, coordinator.DefaultConfig(self, f.partitions, random))
+	config := coordinator.DefaultConfig(self, f.partitions, random)
+	if f.configure != nil {
+		f.configure(&config)
+	}
+	core, err := coordinator.New(f.now, config)
 	Expect(err).NotTo(HaveOccurred())
 	f.nodes[id] = &member{self: self, core: core, replies: map[uint64]coordinator.Reply{}}
 }
@@ -179,11 +189,15 @@
 // callStore carries out a call once the store can be reached.
 func (f *fleet) callStore(from machine.ID, call func()) {
 	f.due = append(f.due, delivery{at: f.now.Add(appendDelay / 2), call: func() {
-		if sender := f.nodes[from]; f.storeDown || (sender != nil && sender.cut) {
+		sender := f.nodes[from]
+		switch {
+		case f.storeDown && sender == nil:
+			// What a lost process had not got through is lost with it.
+		case f.storeDown || (sender != nil && sender.cut):
 			f.callStore(from, call)
-			return
+		default:
+			call()
 		}
-		call()
 	}})
 }
 
--- a/coordinator/partition.go
+++ b/coordinator/partition.go
@@ -31,6 +31,8 @@
 	inFlight  bool
 	sentAt    time.Time
 	nextClaim time.Time
+	// claimedAt is when the takeover under way, or the last one, began.
+	claimedAt time.Time
 	// begun counts appends; each verifier waits for one that began after it.
 	begun     uint64
 	waiters   []waiter
@@ -71,6 +73,7 @@
 	one.nextClaim = now.Add(c.config.ClaimPause)
 	one.state = stateTaking
 	one.epoch = c.config.Salt.After(one.highest)
+	one.claimedAt = now
 	c.ready.Takeovers = append(c.ready.Takeovers, Takeover{Partition: one.index, Epoch: one.epoch})
 }
 
@@ -99,6 +102,12 @@
 		_ = one.ledger.Restore(now, record)
 	}
 	one.ledger.Restored()
+	one.ledger.RetainFor(c.loads.RetainFor)
+	one.ledger.Prove(one.claimedAt)
+	one.ledger.Open(now)
+	if c.leaving {
+		one.ledger.Close(now)
+	}
 	one.state = stateServing
 	one.sequence = 0
 	one.inFlight = false
@@ -144,6 +153,7 @@
 		return
 	}
 	one.inFlight = false
+	one.ledger.Prove(one.sentAt)
 	one.ledger.Stored()
 	c.answerWaiters(one)
 	c.answerVerifiers(one)
--- a/edge/control.go
+++ b/edge/control.go
@@ -127,6 +127,7 @@
 	loads := coordinator.Loads{Counts: c.node.replicas.own()}
 	if table := c.node.routes.Current(); table != nil {
 		loads.Version = table.Version
+		loads.RetainFor = table.LongestRetain()
 	}
 	c.core.Step(now, loads)
 	c.node.liveNodes.Store(int32(c.core.LiveCount()))
--- a/edge/node.go
+++ b/edge/node.go
@@ -122,9 +122,18 @@
 	return int(settings.MemoryBytes / connectionsOfMemory / connectionBytes)
 }
 
+// Programs may use a part of their budgets before the log knows of them, so that
+// they can begin and end while the store takes no records.
+const (
+	unrecordedShare = 1.0 / 3
+	unrecordedFor   = 8 * time.Second
+)
+
 // coreConfig returns the core's settings, within what the store takes.
 func coreConfig(settings Settings, self machine.Machine, random *rand.Rand) coordinator.Config {
 	config := coordinator.DefaultConfig(self, settings.Partitions, random)
+	config.Ledger.UnrecordedShare = unrecordedShare
+	config.Ledger.UnrecordedFor = unrecordedFor
 	if settings.RecordBytes > 0 {
 		config.Ledger.RecordBytes = min(config.Ledger.RecordBytes, settings.RecordBytes/2)
 	}
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -55,6 +55,8 @@
 	// that is all that is known.
 	settled int
 	open    map[string]reservation
+	// assumed is the part of settled that was assumed of a former owner.
+	assumed int
 	// mark is the highest that was proposed, and position its proposal.
 	mark     int
 	position uint64
@@ -95,7 +97,8 @@
 func (l *Ledger) Admit(now time.Time, turn Turn) Admission {
 	held := l.accounts[turn.Program]
 	if held == nil {
-		held = &account{open: map[string]reservation{}}
+		assumed := l.assumed(now, turn)
+		held = &account{open: map[string]reservation{}, settled: assumed, assumed: assumed}
 		l.accounts[turn.Program] = held
 	}
 	held.used = now
@@ -103,9 +106,9 @@
 	held.expire(now)
 	open := held.openTokens()
 	admission := Admission{Verdict: VerdictGranted, Replica: held.replicas[turn.Session], Settled: held.settled, Open: open}
-	admission.Fresh = len(held.replicas) == 0 && open == 0 && held.settled == 0
+	admission.Fresh = len(held.replicas) == 0 && open == 0 && held.settled == held.assumed
 	if _, again := held.open[turn.ID]; again {
-		admission.Position = l.positionOf(held, held.settled+open)
+		admission.Position = l.waitsFor(now, turn, held, held.settled+open)
 		return admission
 	}
 	if turn.Budget > 0 && held.settled+turn.Most > turn.Budget {
@@ -119,10 +122,19 @@
 	held.open[turn.ID] = reservation{most: turn.Most, expires: now.Add(turn.Within + settlementSlack)}
 	need := held.settled + open + turn.Most
 	l.raise(turn, held, need)
-	admission.Position = l.positionOf(held, need)
+	admission.Position = l.waitsFor(now, turn, held, need)
 	return admission
 }
 
+// waitsFor returns what must be durable before a token of the turn may reach
+// the client, or 0.
+func (l *Ledger) waitsFor(now time.Time, turn Turn, held *account, need int) uint64 {
+	if l.runsUnrecorded(now, turn, need) {
+		return 0
+	}
+	return l.positionOf(held, need)
+}
+
 // raise proposes a higher mark where the turn would not fit under it.
 func (l *Ledger) raise(turn Turn, held *account, need int) {
 	if held.mark >= need {
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -19,6 +19,19 @@
 // turns use about a quarter of their most, so that a program is seldom short
 // of budget after its owner was lost once, and most programs need one write.
 //
+// # Programs that the log does not know yet
+//
+// Where UnrecordedShare is set, a program may use that share of its budget
+// before its first mark is durable, so that programs begin and often end while
+// the log takes no records. The owner has first put a record into the log that
+// says so (Open). A new owner that finds it takes the share as used by every
+// program that the log does not know, and lets none begin unrecorded, until no
+// program of the former owner can come back. An owner that gives up in order
+// removes the record behind everything that it has proposed (Close). A former
+// owner that does not know that it is one stops by itself: what the log has
+// proven last of its ownership (Prove) counts for UnrecordedFor only, which ends
+// before its successor stops assuming.
+//
 // # Kept turns
 //
 // A kept turn holds its input and its output, and the turn that it goes on
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -12,6 +12,16 @@
 	// programs go on for longer while the log is down; a smaller one takes
 	// less from the budget when an owner is lost.
 	AheadShare float64
+	// UnrecordedShare is the share of its budget that a program may use before
+	// the log has its first mark: programs can begin while the log takes no
+	// records. A new owner takes as much as used by programs that the log does
+	// not know, unless the former one gave up in order. 0 has every program
+	// wait for the log. What exceeds AheadShare does not count.
+	UnrecordedShare float64
+	// UnrecordedFor is how long after the log last proved the ownership that
+	// is allowed. It is less than Slack by more than a turn takes, so that a
+	// new owner outlasts it.
+	UnrecordedFor time.Duration
 	// RecordBytes bounds the value of one record.
 	RecordBytes int
 	// BatchRecords and BatchBytes bound one batch.
@@ -46,6 +56,7 @@
 	durable   uint64
 	inFlight  bool
 	nextSweep time.Time
+	tenure    tenure
 }
 
 // queued is a record that waits, with the first proposal that it carries out.
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -34,8 +34,10 @@
 }
 
 // restore returns the ledger of a new owner.
-func (l log) restore(now time.Time) *ledger.Ledger {
-	restored := ledger.New(ledger.DefaultConfig())
+func (l log) restore(now time.Time) *ledger.Ledger { return l.restoreWith(now, ledger.DefaultConfig()) }
+
+func (l log) restoreWith(now time.Time, config ledger.Config) *ledger.Ledger {
+	restored := ledger.New(config)
 	for _, key := range slices.Sorted(maps.Keys(l)) {
 		Expect(restored.Restore(now, ledger.Record{Key: key, Value: l[key]})).To(Succeed())
 	}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -53,6 +53,10 @@
 	if len(record.Value) == 0 {
 		return nil
 	}
+	if record.Key == openKey {
+		l.tenure.inherited = true
+		return nil
+	}
 	if program, found := strings.CutPrefix(record.Key, accountPrefix); found {
 		var value accountValue
 		if err := json.Unmarshal(record.Value, &value); err != nil {
--- /dev/null
+++ b/ledger/unrecorded.go
@@ -0,0 +1,103 @@
+package ledger
+
+import "time"
+
+// openKey is the key of the record that stands while an owner may have let
+// programs begin that the log does not know.
+const openKey = "open"
+
+// openValue is that record's value; only its presence counts.
+const openValue = "1"
+
+// tenure is what an owner may do before the log has a program's first mark,
+// and what it has to assume of programs that the log does not know.
+type tenure struct {
+	// begun is when the ownership began; zero where Open was not called.
+	begun time.Time
+	// proven is the latest time of which the log has shown that the ownership
+	// was in force then.
+	proven time.Time
+	// inherited says that a former owner's open record was found: programs
+	// may have begun that the log does not know.
+	inherited bool
+	// position is the proposal of this owner's own open record; 0 where the
+	// former owner's stands.
+	position uint64
+	closed   bool
+	// retain is the longest time for which any route keeps programs.
+	retain time.Duration
+}
+
+// Open begins the ownership, after Restored: from then on programs may begin
+// before the log has their first mark, where the settings allow it.
+func (l *Ledger) Open(now time.Time) {
+	if l.config.UnrecordedShare <= 0 {
+		return
+	}
+	l.tenure.begun = now
+	if !l.tenure.inherited {
+		l.tenure.position = l.propose(openKey, []byte(openValue))
+	}
+}
+
+// Prove notes that the log showed the ownership to be in force at a time: that
+// at which an append was sent which the log then took.
+func (l *Ledger) Prove(at time.Time) {
+	if at.After(l.tenure.proven) {
+		l.tenure.proven = at
+	}
+}
+
+// RetainFor tells the longest time for which any route keeps programs.
+func (l *Ledger) RetainFor(retain time.Duration) {
+	l.tenure.retain = max(l.tenure.retain, retain)
+}
+
+// Close ends the letting of programs begin before they are in the log. Once
+// everything proposed is durable, the next owner knows all programs.
+func (l *Ledger) Close(now time.Time) {
+	if l.tenure.closed || l.tenure.begun.IsZero() {
+		return
+	}
+	l.tenure.closed = true
+	if l.tenure.inherited && now.Sub(l.tenure.begun) <= l.window(l.tenure.retain) {
+		return
+	}
+	l.propose(openKey, nil)
+}
+
+// window is how long after a takeover a program may still come back that a
+// former owner let begin.
+func (l *Ledger) window(retain time.Duration) time.Duration {
+	return max(retain, l.tenure.retain) + l.config.Slack
+}
+
+// assumed is what a program that the log does not know may have used under a
+// former owner.
+func (l *Ledger) assumed(now time.Time, turn Turn) int {
+	if !l.tenure.inherited || l.tenure.begun.IsZero() || now.Sub(l.tenure.begun) > l.window(turn.Retain) {
+		return 0
+	}
+	return l.unrecordedMost(turn)
+}
+
+// unrecordedMost is the most that a program may use before the log has its
+// first mark.
+func (l *Ledger) unrecordedMost(turn Turn) int {
+	return int(min(l.config.UnrecordedShare, l.config.AheadShare) * float64(turn.Budget))
+}
+
+// runsUnrecorded reports whether a turn may hand out tokens although the log has
+// no mark of its program. Where it has one, the mark is higher than this need;
+// where a former owner's programs are to be assumed, the need is higher than
+// the share.
+func (l *Ledger) runsUnrecorded(now time.Time, turn Turn, need int) bool {
+	if turn.Budget <= 0 || need > l.unrecordedMost(turn) {
+		return false
+	}
+	own := l.tenure
+	if own.begun.IsZero() || own.closed || now.Sub(own.proven) > l.config.UnrecordedFor {
+		return false
+	}
+	return own.position <= l.durable
+}
--- /dev/null
+++ b/ledger/unrecorded_test.go
@@ -0,0 +1,211 @@
+package ledger_test
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/ledger"
+)
+
+// unrecordedConfig lets programs use a third of their budget before the log
+// knows of them.
+func unrecordedConfig() ledger.Config {
+	config := ledger.DefaultConfig()
+	config.UnrecordedShare = 1.0 / 3
+	config.UnrecordedFor = 8 * time.Second
+	return config
+}
+
+// open returns the ledger of a new owner that lets programs begin unrecorded
+// as soon as the log has its own record.
+func (l log) open(now time.Time) *ledger.Ledger {
+	books := l.restoreWith(now, unrecordedConfig())
+	books.Prove(now)
+	books.Open(now)
+	return books
+}
+
+var _ = Describe("A program that the log does not know", func() {
+	It("begins at once while it may use no more than the share", func() {
+		stored := log{}
+		books := stored.open(start)
+		stored.store(books)
+		Expect(books.Admit(start, turn("a", 600)).Position).To(BeZero())
+		Expect(books.Admit(start, turn("b", 600)).Position).To(BeZero())
+		Expect(books.Admit(start, turn("c", 600)).Position).To(BeNumerically(">", books.Durable()))
+	})
+
+	It("waits until the log says that programs may begin unrecorded", func() {
+		books := log{}.open(start)
+		Expect(books.Admit(start, turn("a", 600)).Position).To(BeNumerically(">", books.Durable()))
+	})
+
+	It("waits where the log has not proven the ownership lately", func() {
+		stored := log{}
+		books := stored.open(start)
+		stored.store(books)
+		late := start.Add(9 * time.Second)
+		Expect(books.Admit(late, turn("a", 600)).Position).To(BeNumerically(">", books.Durable()))
+	})
+
+	It("waits once a mark of its own is in the log", func() {
+		stored := log{}
+		books := stored.open(start)
+		stored.store(books)
+		books.Admit(start, turn("a", 300))
+		stored.store(books)
+		books.Settle(start, ledger.Settlement{Turn: "a", Program: "p", Tokens: 100})
+		books.Admit(start, turn("b", 300))
+		books.Settle(start, ledger.Settlement{Turn: "b", Program: "p", Tokens: 100})
+		Expect(books.Admit(start, turn("c", 300)).Position).To(BeNumerically(">", books.Durable()))
+	})
+
+	It("is taken to have used the share by a new owner, and is still one that begins", func() {
+		stored := log{}
+		stored.store(stored.open(start))
+		admission := stored.open(start).Admit(start, turn("a", 600))
+		Expect(admission.Settled).To(Equal(200))
+		Expect(admission.Fresh).To(BeTrue())
+		Expect(admission.Position).NotTo(BeZero())
+	})
+
+	It("is no longer taken to have used anything once nobody may come back", func() {
+		stored := log{}
+		stored.store(stored.open(start))
+		books := stored.open(start)
+		late := start.Add(76 * time.Second)
+		books.Prove(late)
+		admission := books.Admit(late, turn("a", 600))
+		Expect(admission.Settled).To(BeZero())
+		Expect(admission.Position).To(BeZero())
+	})
+
+	It("has used nothing where the former owner gave up in order", func() {
+		stored := log{}
+		former := stored.open(start)
+		stored.store(former)
+		former.Admit(start, turn("a", 600))
+		former.Close(start)
+		stored.store(former)
+		books := stored.open(start)
+		stored.store(books)
+		other := turn("b", 600)
+		other.Program = "another"
+		admission := books.Admit(start, other)
+		Expect(admission.Settled).To(BeZero())
+		Expect(admission.Position).To(BeZero())
+	})
+
+	It("waits at an owner that has given up, and at one after an owner that had not", func() {
+		stored := log{}
+		former := stored.open(start)
+		stored.store(former)
+		former.Close(start)
+		Expect(former.Admit(start, turn("a", 600)).Position).NotTo(BeZero())
+		stored = log{}
+		stored.store(stored.open(start))
+		heir := stored.open(start)
+		heir.Close(start)
+		stored.store(heir)
+		Expect(stored.open(start).Admit(start, turn("a", 600)).Settled).To(Equal(200))
+	})
+
+	It("never uses more than its budget and one turn, whatever happens to owners and log", func() {
+		for seed := range uint64(400) {
+			world := newOwners(seed)
+			for range 300 {
+				world.step()
+			}
+			Expect(world.used).To(BeNumerically("<=", world.budget+world.most), "seed %d", seed)
+		}
+	})
+})
+
+// owners plays one program at successive owners of its partition. Owners are
+// lost, give up in order, or stay without knowing that they were followed.
+type owners struct {
+	random *rand.Rand
+	now    time.Time
+	stored log
+	// current is the owner by the log; formers were followed and live on.
+	current *ledger.Ledger
+	formers []*ledger.Ledger
+	down    bool
+	budget  int
+	most    int
+	used    int
+	turns   int
+}
+
+func newOwners(seed uint64) *owners {
+	world := &owners{random: rand.New(rand.NewPCG(seed, 7)), now: start, stored: log{}, budget: 600 + int(seed%5)*150, most: 100}
+	world.current = world.stored.open(world.now)
+	return world
+}
+
+// step lets one thing happen.
+func (o *owners) step() {
+	o.now = o.now.Add(time.Duration(o.random.IntN(400)) * time.Millisecond)
+	switch draw := o.random.IntN(100); {
+	case draw < 4:
+		o.down = !o.down
+	case draw < 8 && !o.down:
+		o.takeOver()
+	case draw < 10 && !o.down:
+		o.current.Close(o.now)
+		o.append()
+		o.takeOver()
+	case draw < 45 && !o.down:
+		o.append()
+	default:
+		o.serve()
+	}
+}
+
+// takeOver has another node own the partition. The former owner lives on half
+// of the time.
+func (o *owners) takeOver() {
+	if o.random.IntN(2) == 0 {
+		o.formers = append(o.formers, o.current)
+	}
+	o.current = o.stored.open(o.now)
+}
+
+// append has the log take what the owner has ready, as it was at some moment
+// before the answer came.
+func (o *owners) append() {
+	o.current.Prove(o.now)
+	o.stored.store(o.current)
+}
+
+// serve runs a turn at the owner, or at one that does not know its successor.
+func (o *owners) serve() {
+	at := o.current
+	if len(o.formers) > 0 && o.random.IntN(3) == 0 {
+		at = o.formers[o.random.IntN(len(o.formers))]
+	}
+	o.turns++
+	asked := ledger.Turn{
+		ID: strconv.Itoa(o.turns), Program: "p", Most: o.most, Budget: o.budget, Within: time.Second, Retain: time.Minute,
+	}
+	admission := at.Admit(o.now, asked)
+	if admission.Verdict != ledger.VerdictGranted {
+		return
+	}
+	if admission.Position > at.Durable() {
+		if at != o.current || o.down {
+			// Its tokens wait for the log until the client has left.
+			return
+		}
+		o.append()
+	}
+	tokens := o.random.IntN(o.most + 1)
+	o.used += tokens
+	if o.random.IntN(4) > 0 {
+		at.Settle(o.now, ledger.Settlement{Turn: asked.ID, Program: "p", Tokens: tokens})
+	}
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -95,6 +95,8 @@
 	Limits   Limits
 	// byHost holds the routes of a host, the longest prefix first.
 	byHost map[string][]*Route
+	// longestRetain is the longest RetainFor of any route.
+	longestRetain time.Duration
 }
 
 // NewTable indexes the routes of a configuration.
@@ -112,6 +114,7 @@
 		route := routes[index]
 		host := strings.ToLower(route.Host)
 		table.byHost[host] = append(table.byHost[host], &route)
+		table.longestRetain = max(table.longestRetain, route.RetainFor)
 	}
 	for _, list := range table.byHost {
 		slices.SortStableFunc(list, func(left, right *Route) int {
@@ -121,6 +124,9 @@
 	return table
 }
 
+// LongestRetain returns the longest time for which any route keeps programs.
+func (t *Table) LongestRetain() time.Duration { return t.longestRetain }
+
 // Match returns the route of a host whose prefix begins the path and is the
 // longest, or nil. The host may carry a port; the path carries no query.
 func (t *Table) Match(host, path string) *Route {
