--- a/ledger/account.go
+++ b/ledger/account.go
@@ -129,7 +129,7 @@
 // waitsFor returns what must be durable before a token of the turn may reach
 // the client, or 0.
 func (l *Ledger) waitsFor(now time.Time, turn Turn, held *account, need int) uint64 {
-	if l.runsUnrecorded(now, turn, need) {
+	if l.runsUnrecorded(now, turn, held, need) {
 		return 0
 	}
 	return l.positionOf(held, need)
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -21,8 +21,8 @@
 //
 // # Programs that the log does not know yet
 //
-// Where UnrecordedShare is set, a program may use that share of its budget
-// before its first mark is durable, so that programs begin and often end while
+// Where UnrecordedShare is set, a program may use that share of its budget and
+// one turn before its first mark is durable, so that programs begin and often end while
 // the log takes no records. The owner has first put a record into the log that
 // says so (Open). A new owner that finds it takes the share as used by every
 // program that the log does not know, and lets none begin unrecorded, until no
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -12,9 +12,9 @@
 	// programs go on for longer while the log is down; a smaller one takes
 	// less from the budget when an owner is lost.
 	AheadShare float64
-	// UnrecordedShare is the share of its budget that a program may use before
-	// the log has its first mark: programs can begin while the log takes no
-	// records. A new owner takes as much as used by programs that the log does
+	// UnrecordedShare is the share of its budget that a program may use, and one
+	// turn more, before the log has its first mark: programs can begin while
+	// the log takes no records. A new owner takes as much as used by programs that the log does
 	// not know, unless the former one gave up in order. 0 has every program
 	// wait for the log. What exceeds AheadShare does not count.
 	UnrecordedShare float64
--- a/ledger/unrecorded.go
+++ b/ledger/unrecorded.go
@@ -81,18 +81,19 @@
 	return l.unrecordedMost(turn)
 }
 
-// unrecordedMost is the most that a program may use before the log has its
-// first mark.
+// unrecordedMost is what a program may use before the log has its first mark,
+// besides one turn.
 func (l *Ledger) unrecordedMost(turn Turn) int {
 	return int(min(l.config.UnrecordedShare, l.config.AheadShare) * float64(turn.Budget))
 }
 
 // runsUnrecorded reports whether a turn may hand out tokens although the log has
-// no mark of its program. Where it has one, the mark is higher than this need;
-// where a former owner's programs are to be assumed, the need is higher than
-// the share.
-func (l *Ledger) runsUnrecorded(now time.Time, turn Turn, need int) bool {
-	if turn.Budget <= 0 || need > l.unrecordedMost(turn) {
+// no mark of its program: its need is at most the share and one turn. The turn
+// beyond the share is the one by which a budget may be exceeded at a loss. Where
+// the log has a mark, the need lies under it; where the use of a former owner's
+// programs is assumed, the turn beyond the share was spent there.
+func (l *Ledger) runsUnrecorded(now time.Time, turn Turn, held *account, need int) bool {
+	if turn.Budget <= 0 || held.assumed > 0 || need > l.unrecordedMost(turn)+turn.Most {
 		return false
 	}
 	own := l.tenure
