coordinator: an outage of the store changes no owner

Cause: nodes notice an outage, and its end, up to a second apart.

Change: a peer counts as unable only once this node has had an answer of the store after the peer said so, and not within 2 s of its own return. ledger: the open record is written with the first program, so that the owners of a start, which change while nodes find each other, leave nothing to assume.

Ruled out: waiting 1.5 s before any takeover from a node that is cut off alone (it costs that time on every core_cut).

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -104,6 +104,24 @@
 		Expect(world.owners(0)[0]).NotTo(Equal(owner))
 	})
 
+	It("keeps them when nodes notice an outage and its end one after the other", func() {
+		for seed := range uint64(8) {
+			world := newFleet(seed, 7, 6)
+			world.run(2 * settled)
+			for index, id := range world.ids() {
+				world.nodes[id].noticeLag = time.Duration(index) * 200 * time.Millisecond
+			}
+			before := world.changeCount()
+			for range 3 {
+				world.turnStore(false)
+				world.run(4 * time.Second)
+				world.turnStore(true)
+				world.run(6 * time.Second)
+			}
+			Expect(world.changeCount()).To(Equal(before))
+		}
+	})
+
 	It("keeps them while nobody reaches the store", func() {
 		world := newFleet(8, 5, 1)
 		world.run(settled)
@@ -230,6 +248,11 @@
 			config.Ledger.UnrecordedFor = 8 * time.Second
 		})
 		world.run(settled)
+		// The log says that programs may begin unrecorded once there was one.
+		before := turn("before")
+		before.Turn.Program = "before"
+		reply(world, world.owners(0)[0], world.ask(world.owners(0)[0], 0, coordinator.Request{Admit: before}))
+		world.run(100 * time.Millisecond)
 		return world
 	}
 
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -77,10 +77,14 @@
 	peers      map[machine.ID]peerState
 	started    time.Time
 	listed     bool
-	reaches    bool
 	leaving    bool
-	loads      Loads
-	nextKnown  time.Time
+	// reaches says whether this node reaches the store, reachedSince since
+	// when without a break, and lastContact when the store answered last.
+	reaches      bool
+	reachedSince time.Time
+	lastContact  time.Time
+	loads        Loads
+	nextKnown    time.Time
 	// lastHeard is when a message of another node came last.
 	lastHeard time.Time
 	ready     Ready
@@ -90,6 +94,9 @@
 type peerState struct {
 	at     time.Time
 	status Status
+	// unableSince is when it first told that it does not reach the store;
+	// zero while it does.
+	unableSince time.Time
 }
 
 // peerStateLifetime is how long a peer's status counts.
@@ -124,7 +131,7 @@
 		c.listed = true
 		c.learn(now, event.Nodes)
 	case Contact:
-		c.reaches = event.Reached
+		c.noteContact(now, event)
 	case PeerReceived:
 		c.stepPeer(now, event.Message)
 	case Requested:
@@ -258,7 +265,7 @@
 	c.lastHeard = now
 	if message.Status != nil {
 		c.learn(now, append(message.Status.Known, sender))
-		c.peers[sender.ID] = peerState{at: now, status: *message.Status}
+		c.notePeer(now, sender.ID, *message.Status)
 		c.ready.Loads = append(c.ready.Loads, PeerLoad{
 			Node: string(sender.ID), Counts: message.Status.Loads, Version: message.Status.Version, From: sender,
 		})
@@ -271,6 +278,27 @@
 	}
 }
 
+// notePeer takes over what a peer tells of itself.
+func (c *Core) notePeer(now time.Time, peer machine.ID, status Status) {
+	state := peerState{at: now, status: status}
+	if !status.ReachesStore {
+		state.unableSince = now
+		if before := c.peers[peer].unableSince; !before.IsZero() {
+			state.unableSince = before
+		}
+	}
+	c.peers[peer] = state
+}
+
+// noteContact takes over whether this node reaches the store.
+func (c *Core) noteContact(now time.Time, contact Contact) {
+	if contact.Reached && !c.reaches {
+		c.reachedSince = now
+	}
+	c.reaches = contact.Reached
+	c.lastContact = contact.Last
+}
+
 // statusPeers returns the other nodes that are not dead. Those that leave are
 // among them: they must hear who took their partitions over.
 func (c *Core) statusPeers() []machine.Machine {
@@ -329,12 +357,23 @@
 	return live
 }
 
+// regainFor is how long after this node reached the store again others may not
+// have noticed yet that they do.
+const regainFor = 2 * time.Second
+
+// reachesStore reports whether a node may own partitions. A peer that does not
+// reach the store counts as able while the store may be down for all: until
+// this node has had an answer after the peer told so, and for a while after the
+// store came back.
 func (c *Core) reachesStore(now time.Time, node machine.ID) bool {
 	if node == c.self().ID {
 		return c.reaches
 	}
 	state, heard := c.peers[node]
-	return !heard || now.Sub(state.at) > peerStateLifetime || state.status.ReachesStore
+	if !heard || now.Sub(state.at) > peerStateLifetime || state.status.ReachesStore {
+		return true
+	}
+	return !c.lastContact.After(state.unableSince) || now.Sub(c.reachedSince) < regainFor
 }
 
 // Owner returns the node that serves the partition as far as this node knows:
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -17,8 +17,11 @@
 // Listed brings the nodes that the platform's store and the settings name.
 type Listed struct{ Nodes []machine.Machine }
 
-// Contact tells whether this node reached the store lately.
-type Contact struct{ Reached bool }
+// Contact tells whether this node reached the store lately, and when last.
+type Contact struct {
+	Reached bool
+	Last    time.Time
+}
 
 // PeerReceived is a message of another node.
 type PeerReceived struct{ Message PeerMessage }
--- a/edge/control.go
+++ b/edge/control.go
@@ -132,7 +132,7 @@
 	c.core.Step(now, loads)
 	c.node.liveNodes.Store(int32(c.core.LiveCount()))
 	c.node.isolated.Store(c.core.Isolated(now))
-	c.core.Step(now, coordinator.Contact{Reached: c.node.reachesStore()})
+	c.core.Step(now, coordinator.Contact{Reached: c.node.reachesStore(), Last: c.node.contactedAt()})
 	c.noteDependencies()
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -267,5 +267,8 @@
 
 // reachesStore reports whether the store answered lately.
 func (n *Node) reachesStore() bool {
-	return time.Since(n.started)-time.Duration(n.lastContact.Load()) < contactLifetime
+	return time.Since(n.contactedAt()) < contactLifetime
 }
+
+// contactedAt returns when the store answered last, or the node's start.
+func (n *Node) contactedAt() time.Time { return n.started.Add(time.Duration(n.lastContact.Load())) }
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -121,6 +121,7 @@
 	}
 	held.open[turn.ID] = reservation{most: turn.Most, expires: now.Add(turn.Within + settlementSlack)}
 	need := held.settled + open + turn.Most
+	l.markOpen()
 	l.raise(turn, held, need)
 	admission.Position = l.waitsFor(now, turn, held, need)
 	return admission
--- a/ledger/unrecorded.go
+++ b/ledger/unrecorded.go
@@ -35,9 +35,15 @@
 		return
 	}
 	l.tenure.begun = now
-	if !l.tenure.inherited {
-		l.tenure.position = l.propose(openKey, []byte(openValue))
+}
+
+// markOpen puts the owner's open record into the log, once there is a program.
+// An owner that served none leaves its successor nothing to assume.
+func (l *Ledger) markOpen() {
+	if l.tenure.begun.IsZero() || l.tenure.inherited || l.tenure.closed || l.tenure.position > 0 {
+		return
 	}
+	l.tenure.position = l.propose(openKey, []byte(openValue))
 }
 
 // Prove notes that the log showed the ownership to be in force at a time: that
@@ -60,6 +66,9 @@
 		return
 	}
 	l.tenure.closed = true
+	if l.tenure.position == 0 && !l.tenure.inherited {
+		return
+	}
 	if l.tenure.inherited && now.Sub(l.tenure.begun) <= l.window(l.tenure.retain) {
 		return
 	}
