ledger: marks two turns ahead; a planned stop lowers them to what was used

Change: a mark lies two turns ahead, a third of the rest at most, and leaves one turn; the first one covers what a program may use before it. An owner that stops in order lowers its marks to what was used and reserved.

Ruled out: nothing ahead (every turn waits for the log while it is slow, and programs under way stop with it).

--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -162,4 +162,6 @@
 	Reason   string
 	Accounts int
 	Turns    int
+	// Inherited says that the former owner did not give up in order.
+	Inherited bool
 }
--- a/coordinator/partition.go
+++ b/coordinator/partition.go
@@ -114,6 +114,7 @@
 	accounts, turns := one.ledger.Counts()
 	c.ready.Changes = append(c.ready.Changes, Change{
 		Partition: one.index, Epoch: one.epoch, Owned: true, Reason: "claimed", Accounts: accounts, Turns: turns,
+		Inherited: one.ledger.Inherited(),
 	})
 	// The others are told at once, so that they ask here.
 	c.sendStatus(now)
--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -11,7 +11,8 @@
 func (n *Node) logChange(change coordinator.Change) {
 	n.metrics.partitionChanged(change.Owned)
 	n.logger.Info().Int("partition", change.Partition).Uint64("epoch", uint64(change.Epoch)).Bool("owned", change.Owned).
-		Str("reason", change.Reason).Int("accounts", change.Accounts).Int("turns", change.Turns).Msg("ledger: ownership changed")
+		Str("reason", change.Reason).Int("accounts", change.Accounts).Int("turns", change.Turns).
+		Bool("inherited", change.Inherited).Msg("ledger: ownership changed")
 }
 
 // logOutcome writes how a request ended: what decided it, and how fresh that was.
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -141,18 +141,31 @@
 	if held.mark >= need {
 		return
 	}
+	first := held.mark == 0
 	held.mark = need + l.ahead(turn, need)
+	if first {
+		// What a program may use before its first mark is covered by it.
+		held.mark = max(held.mark, l.unrecordedMost(turn))
+	}
+	l.proposeMark(turn.Program, held)
+}
+
+// proposeMark puts an account's mark into the log.
+func (l *Ledger) proposeMark(program string, held *account) {
 	value := accountValue{Mark: held.mark, RetainMS: held.retain.Milliseconds()}
-	held.position = l.propose(accountPrefix+turn.Program, encode(value))
+	held.position = l.propose(accountPrefix+program, encode(value))
 }
 
 // ahead is how far a mark is raised beyond what is needed: by a share of what
-// the budget still holds.
+// the budget still holds and by some turns at most, and so that one more turn
+// fits into the budget if the mark counts as used.
 func (l *Ledger) ahead(turn Turn, need int) int {
 	if turn.Budget == 0 {
 		return turn.Most
 	}
-	return max(0, int(float64(turn.Budget-need)*l.config.AheadShare))
+	rest := turn.Budget - need
+	share := int(float64(rest) * l.config.AheadShare)
+	return max(0, min(share, l.config.AheadTurns*turn.Most, rest-turn.Most))
 }
 
 // positionOf returns what must be durable for a need to be covered.
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -15,9 +15,10 @@
 // granted to its turns by an owner whose grants are in force. A turn whose most
 // fits under the mark needs no write; for any other the mark is raised, and no
 // token of it may reach the client before that is durable. A new owner takes
-// the mark as used. A mark is raised by half of what the budget still holds:
-// turns use about a quarter of their most, so that a program is seldom short
-// of budget after its owner was lost once, and most programs need one write.
+// the mark as used. A mark is raised by up to two turns, a third of what the
+// budget still holds at most: turns use about a quarter of their most, so that a
+// program is seldom short of budget after its owner was lost, and most programs
+// need one write. An owner that stops in order lowers its marks to what was used.
 //
 // # Programs that the log does not know yet
 //
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -8,10 +8,11 @@
 // Config sets up a Ledger.
 type Config struct {
 	// AheadShare is the share of what a budget still holds by which a mark is
-	// raised beyond what is needed. A larger one costs fewer writes and lets
-	// programs go on for longer while the log is down; a smaller one takes
-	// less from the budget when an owner is lost.
+	// raised beyond what is needed, and AheadTurns the most turns. Larger ones
+	// cost fewer writes and let programs go on for longer while the log is
+	// down; smaller ones take less from the budget when an owner is lost.
 	AheadShare float64
+	AheadTurns int
 	// UnrecordedShare is the share of its budget that a program may use, and one
 	// turn more, before the log has its first mark: programs can begin while
 	// the log takes no records. A new owner takes as much as used by programs that the log does
@@ -35,7 +36,7 @@
 
 // DefaultConfig returns the settings used in production.
 func DefaultConfig() Config {
-	return Config{AheadShare: 0.5, RecordBytes: 128 << 10, BatchRecords: 256, BatchBytes: 1 << 20, Slack: 15 * time.Second, SweepPeriod: 2 * time.Second}
+	return Config{AheadShare: 1.0 / 3, AheadTurns: 2, RecordBytes: 128 << 10, BatchRecords: 256, BatchBytes: 1 << 20, Slack: 15 * time.Second, SweepPeriod: 2 * time.Second}
 }
 
 // Ledger is the accounts and kept turns of one partition. It is not safe for
--- a/ledger/unrecorded.go
+++ b/ledger/unrecorded.go
@@ -1,6 +1,10 @@
 package ledger
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // openKey is the key of the record that stands while an owner may have let
 // programs begin that the log does not know.
@@ -59,9 +63,28 @@
 	l.tenure.retain = max(l.tenure.retain, retain)
 }
 
-// Close ends the letting of programs begin before they are in the log. Once
-// everything proposed is durable, the next owner knows all programs.
+// Close ends the ownership in order: marks are lowered to what is used and what
+// turns under way may use, and programs no longer begin before they are in the
+// log. Once everything proposed is durable, the next owner knows all of it.
 func (l *Ledger) Close(now time.Time) {
+	l.lowerMarks()
+	l.closeTenure(now)
+}
+
+// lowerMarks proposes marks that reserve nothing ahead.
+func (l *Ledger) lowerMarks() {
+	for _, program := range slices.Sorted(maps.Keys(l.accounts)) {
+		held := l.accounts[program]
+		if used := held.settled + held.openTokens(); used < held.mark {
+			held.mark = used
+			l.proposeMark(program, held)
+		}
+	}
+}
+
+// closeTenure removes the open record, unless programs of a former owner may
+// still come back that the log does not know.
+func (l *Ledger) closeTenure(now time.Time) {
 	if l.tenure.closed || l.tenure.begun.IsZero() {
 		return
 	}
@@ -75,6 +98,10 @@
 	l.propose(openKey, nil)
 }
 
+// Inherited reports whether a former owner may have let programs begin that the
+// log does not know.
+func (l *Ledger) Inherited() bool { return l.tenure.inherited }
+
 // window is how long after a takeover a program may still come back that a
 // former owner let begin.
 func (l *Ledger) window(retain time.Duration) time.Duration {
@@ -93,7 +120,7 @@
 // unrecordedMost is what a program may use before the log has its first mark,
 // besides one turn.
 func (l *Ledger) unrecordedMost(turn Turn) int {
-	return int(min(l.config.UnrecordedShare, l.config.AheadShare) * float64(turn.Budget))
+	return int(l.config.UnrecordedShare * float64(turn.Budget))
 }
 
 // runsUnrecorded reports whether a turn may hand out tokens although the log has
--- a/ledger/unrecorded_test.go
+++ b/ledger/unrecorded_test.go
@@ -117,6 +117,25 @@
 		Expect(admission.Position).To(BeZero())
 	})
 
+	It("ends although its owner was lost once, in a budget of one and a half turns for each of its turns", func() {
+		for turns := 2; turns <= 12; turns++ {
+			budget := turns * 150
+			for lostBefore := range turns {
+				stored := log{}
+				books := stored.serving(start)
+				for index := range turns {
+					if index == lostBefore {
+						books = stored.open(start)
+					}
+					id := strconv.Itoa(index)
+					Expect(books.Admit(start, turn(id, budget)).Verdict).To(Equal(ledger.VerdictGranted), "turn %d of %d, lost before %d", index, turns, lostBefore)
+					stored.store(books)
+					books.Settle(start, ledger.Settlement{Turn: id, Program: "p", Tokens: 27})
+				}
+			}
+		}
+	})
+
 	It("waits at an owner that has given up, and at one after an owner that had not", func() {
 		stored := log{}
 		former := stored.serving(start)
@@ -130,6 +149,18 @@
 		Expect(stored.open(start).Admit(start, turn("a", 600)).Settled).To(Equal(200))
 	})
 
+	It("is charged what it used, and no more, after an owner that gave up in order", func() {
+		stored := log{}
+		former := stored.serving(start)
+		former.Admit(start, turn("a", 600))
+		stored.store(former)
+		former.Settle(start, ledger.Settlement{Turn: "a", Program: "p", Tokens: 30})
+		former.Admit(start, turn("b", 600))
+		former.Close(start)
+		stored.store(former)
+		Expect(stored.open(start).Admit(start, turn("c", 600)).Settled).To(Equal(130))
+	})
+
 	It("never uses more than its budget and one turn, whatever happens to owners and log", func() {
 		for seed := range uint64(2000) {
 			world := newOwners(seed)
