coordinator: a partition changes its owner in order

Change: the node that is to own a partition asks the owner first. The owner closes its ledger, gives the partition up once that is in the log, and answers with its epoch, so that the claim is not fenced either. An owner that does not answer within 0.2 s, or is not there, is followed as before; one that has had no contact with the store lately goes on.

Seen failing: without asking, without Close, and without waiting for the answer. Ruled out: staying with the present owner (in a large fleet nodes find an owner by its rank alone).

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -26,6 +27,18 @@
 	return coordinator.Reply{}
 }
 
+// serveAll has every owner serve a turn of a program.
+func serveAll(world *fleet) {
+	for partition := range world.partitions {
+		for _, owner := range world.owners(partition) {
+			asked := turn(fmt.Sprintf("turn-%d-%d", partition, world.nextID))
+			asked.Turn.Program = asked.Turn.ID
+			reply(world, owner, world.ask(owner, partition, coordinator.Request{Admit: asked}))
+		}
+	}
+	world.run(100 * time.Millisecond)
+}
+
 var _ = Describe("A fleet", func() {
 	It("gives every partition one owner", func() {
 		for seed := range uint64(8) {
@@ -77,6 +90,48 @@
 		Expect(world.owners(0)).To(HaveLen(1))
 	})
 
+	It("gives partitions back in order to a node that comes back", func() {
+		for seed := range uint64(8) {
+			world := newFleetWith(seed, 7, 6, func(config *coordinator.Config) {
+				config.Ledger.UnrecordedShare = 0.5
+				config.Ledger.UnrecordedFor = 8 * time.Second
+			})
+			world.run(settled)
+			serveAll(world)
+			owner := world.owners(0)[0]
+			world.nodes[owner].core.Step(world.now, coordinator.Leave{})
+			world.run(time.Second)
+			serveAll(world)
+			world.kill(owner)
+			world.run(time.Second)
+			world.start(owner)
+			world.list()
+			world.run(settled)
+			Expect(world.owners(0)).To(Equal([]machine.ID{owner}))
+			for _, id := range world.ids() {
+				for _, change := range world.nodes[id].changes {
+					Expect(change.Owned && change.Inherited).To(BeFalse(), "partition %d at %s", change.Partition, id)
+				}
+			}
+		}
+	})
+
+	It("does not wait for an owner that does not answer", func() {
+		world := newFleet(4, 5, 1)
+		world.run(settled)
+		owner := world.owners(0)[0]
+		world.nodes[owner].core.Step(world.now, coordinator.Leave{})
+		world.run(time.Second)
+		heir := world.owners(0)[0]
+		world.kill(owner)
+		world.run(time.Second)
+		world.nodes[heir].frozen = true
+		world.start(owner)
+		world.list()
+		world.run(2 * time.Second)
+		Expect(world.owners(0)).To(ContainElement(owner))
+	})
+
 	It("recovers when every node was lost at once", func() {
 		world := newFleet(6, 5, 3)
 		world.run(settled)
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -276,6 +276,9 @@
 	if message.Membership != nil {
 		c.membership.Step(now, sender.ID, *message.Membership)
 	}
+	if message.Handover != nil {
+		c.stepHandover(now, sender, *message.Handover)
+	}
 }
 
 // notePeer takes over what a peer tells of itself.
@@ -379,21 +382,11 @@
 // Owner returns the node that serves the partition as far as this node knows:
 // the live one with the highest epoch, or the one that ranks first.
 func (c *Core) Owner(now time.Time, index int) (machine.Machine, bool) {
-	best, bestEpoch := c.self(), ownership.Epoch(0)
-	if one := c.partitions[index]; one.state == stateServing {
-		bestEpoch = one.epoch
-	}
-	for _, node := range c.membership.Nodes() {
-		state, heard := c.peers[node.ID]
-		if !heard || now.Sub(state.at) > peerStateLifetime || node.ID == c.self().ID {
-			continue
-		}
-		if epoch := state.status.Owned[index]; epoch > bestEpoch {
-			best, bestEpoch = node, epoch
-		}
+	if c.partitions[index].state == stateServing {
+		return c.self(), true
 	}
-	if bestEpoch > 0 {
-		return best, true
+	if peer, found := c.servingPeer(now, index, c.membership.Nodes()); found {
+		return peer, true
 	}
 	chosen := machine.ID(ownership.Rank(index, c.candidates(now)))
 	if chosen == c.self().ID {
@@ -402,6 +395,21 @@
 	return c.membership.Lookup(chosen)
 }
 
+// servingPeer returns the one of the nodes that told of the highest epoch lately.
+func (c *Core) servingPeer(now time.Time, index int, nodes []machine.Machine) (peer machine.Machine, found bool) {
+	highest := ownership.Epoch(0)
+	for _, node := range nodes {
+		state, heard := c.peers[node.ID]
+		if !heard || now.Sub(state.at) > peerStateLifetime || node.ID == c.self().ID {
+			continue
+		}
+		if epoch := state.status.Owned[index]; epoch > highest {
+			peer, highest = node, epoch
+		}
+	}
+	return peer, highest > 0
+}
+
 // Peers returns the live nodes besides this one that reach the store.
 func (c *Core) Peers(now time.Time) []machine.Machine {
 	return slices.DeleteFunc(slices.Clone(c.membership.Nodes()), func(node machine.Machine) bool {
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -95,6 +95,8 @@
 	Membership *machine.Message `json:"membership,omitempty"`
 	// Status is what the sender tells of itself, or nil.
 	Status *Status `json:"status,omitempty"`
+	// Handover asks for a partition, or answers that, or is nil.
+	Handover *Handover `json:"handover,omitempty"`
 }
 
 // Status is what a node tells of itself every now and then.
--- a/coordinator/partition.go
+++ b/coordinator/partition.go
@@ -38,6 +38,7 @@
 	waiters   []waiter
 	verifiers []verifier
 	held      []heldRequest
+	handover  handover
 }
 
 // waiter waits for a position to be durable.
@@ -68,8 +69,13 @@
 		return
 	}
 	if ownership.Rank(one.index, c.candidates(now)) != string(c.self().ID) {
+		one.handover = handover{}
 		return
 	}
+	if !c.askOwner(now, one) {
+		return
+	}
+	one.handover = handover{}
 	one.nextClaim = now.Add(c.config.ClaimPause)
 	one.state = stateTaking
 	one.epoch = c.config.Salt.After(one.highest)
@@ -158,6 +164,7 @@
 	one.ledger.Stored()
 	c.answerWaiters(one)
 	c.answerVerifiers(one)
+	c.giveUp(now, one)
 }
 
 // stalled reports whether the log has left an append unanswered for too long.
@@ -221,6 +228,7 @@
 	one.ledger = nil
 	one.state = stateAbsent
 	one.inFlight = false
+	one.handover = handover{}
 }
 
 func (c *Core) expireHeld(now time.Time, one *partition) {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -85,6 +85,9 @@
 	return l.proposed
 }
 
+// Proposed returns the position of the last proposal.
+func (l *Ledger) Proposed() uint64 { return l.proposed }
+
 // Durable returns the position up to which all proposals are in the log.
 func (l *Ledger) Durable() uint64 { return l.durable }
 
