--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -87,6 +87,7 @@
 	nextKnown    time.Time
 	// lastHeard is when a message of another node came last.
 	lastHeard time.Time
+	ranking   ranking
 	ready     Ready
 }
 
@@ -119,6 +120,7 @@
 	for index := range config.Partitions {
 		core.partitions = append(core.partitions, &partition{index: index})
 	}
+	core.rank(now)
 	return core, nil
 }
 
@@ -191,6 +193,7 @@
 
 func (c *Core) tick(now time.Time) {
 	c.membership.Tick(now)
+	c.rank(now)
 	for _, one := range c.partitions {
 		c.tickPartition(now, one)
 	}
@@ -344,22 +347,6 @@
 	return owned
 }
 
-// candidates returns the nodes that may own partitions: the live ones that
-// reach the store, or all live ones where none does.
-func (c *Core) candidates(now time.Time) []string {
-	var live, able []string
-	for _, node := range c.membership.Nodes() {
-		live = append(live, string(node.ID))
-		if c.reachesStore(now, node.ID) {
-			able = append(able, string(node.ID))
-		}
-	}
-	if len(able) > 0 {
-		return able
-	}
-	return live
-}
-
 // regainFor is how long after this node reached the store again others may not
 // have noticed yet that they do.
 const regainFor = 2 * time.Second
@@ -388,7 +375,7 @@
 	if peer, found := c.servingPeer(now, index, c.membership.Nodes()); found {
 		return peer, true
 	}
-	chosen := machine.ID(ownership.Rank(index, c.candidates(now)))
+	chosen := machine.ID(c.ranking.first[index])
 	if chosen == c.self().ID {
 		return c.self(), true
 	}
--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -61,10 +61,10 @@
 	if owner, found := c.servingPeer(now, index, c.statusPeers()); found {
 		return owner, true
 	}
-	var others []string
+	var others []ownership.Node
 	for _, node := range c.membership.Nodes() {
 		if node.ID != c.self().ID {
-			others = append(others, string(node.ID))
+			others = append(others, ownership.Node{ID: string(node.ID), Weight: node.Weight})
 		}
 	}
 	return c.membership.Lookup(machine.ID(ownership.Rank(index, others)))
--- a/coordinator/partition.go
+++ b/coordinator/partition.go
@@ -68,7 +68,7 @@
 	if one.state != stateAbsent || !c.mayClaim(now) || now.Before(one.nextClaim) {
 		return
 	}
-	if ownership.Rank(one.index, c.candidates(now)) != string(c.self().ID) {
+	if c.ranking.first[one.index] != string(c.self().ID) {
 		one.handover = handover{}
 		return
 	}
@@ -78,7 +78,7 @@
 	one.handover = handover{}
 	one.nextClaim = now.Add(c.config.ClaimPause)
 	one.state = stateTaking
-	one.epoch = c.config.Salt.After(one.highest)
+	one.epoch = c.config.Salt.Claim(one.highest, now)
 	one.claimedAt = now
 	c.ready.Takeovers = append(c.ready.Takeovers, Takeover{Partition: one.index, Epoch: one.epoch})
 }
--- a/edge/node.go
+++ b/edge/node.go
@@ -84,6 +84,7 @@
 		self: machine.Machine{
 			ID: machine.ID(settings.Node), Kind: machine.KindNode, Zone: zone.Name(settings.Zone),
 			Address: settings.Peers, Status: machine.StatusLive, Incarnation: uint64(now.UnixNano()),
+			Weight: settings.Cores * settings.LinkMegabits,
 		},
 		replicas: newReplicas(settings.Zone),
 		pool:     upstream.NewPool(upstream.DefaultConfig(adapter.Names)),
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -24,6 +24,10 @@
 	AppendBytes int
 	// MemoryBytes bounds the process's memory.
 	MemoryBytes int64
+	// Cores is the node's share of processors, and LinkMegabits what its link
+	// carries in a second; 0 where that is not known.
+	Cores        float64
+	LinkMegabits float64
 	// Grace is the time between the request to stop and the kill.
 	Grace time.Duration
 	// LogLinesDropped returns how many lines of the log were dropped; nil
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -38,6 +38,9 @@
 	Status  Status `json:"status"`
 	// Incarnation grows with each start of the machine's process.
 	Incarnation uint64 `json:"incarnation,omitempty"`
+	// Weight is a node's share of the partitions, relative to other nodes'; 0
+	// counts as 1.
+	Weight float64 `json:"weight,omitempty"`
 	// Models are the models that an engine has loaded.
 	Models []string `json:"models,omitempty"`
 	// Tools are the tool names that a tool service answers.
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -1,7 +1,9 @@
 package ownership
 
 import (
+	"math"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -14,23 +16,47 @@
 	return int(xxhash.Sum64String(program) % uint64(count))
 }
 
+// Node is a candidate for the ownership of partitions.
+type Node struct {
+	ID string
+	// Weight is the node's share of the partitions, relative to the others';
+	// what is not positive counts as 1.
+	Weight float64
+}
+
 // Rank returns the node that is to own the partition, or "" where there is no
-// node. The order of the nodes does not matter.
-func Rank(partition int, nodes []string) string {
-	best, bestWeight := "", uint64(0)
+// node. The order of the nodes does not matter. A node gets partitions in
+// proportion to its weight, and one that goes leaves those of the others where
+// they are.
+func Rank(partition int, nodes []Node) string {
+	best, bestScore := "", 0.0
 	for _, node := range nodes {
-		weight := weightOf(partition, node)
-		if best == "" || weight > bestWeight || (weight == bestWeight && node < best) {
-			best, bestWeight = node, weight
+		score := scoreOf(partition, node)
+		if best == "" || score > bestScore || (score == bestScore && node.ID < best) {
+			best, bestScore = node.ID, score
 		}
 	}
 	return best
 }
 
-func weightOf(partition int, node string) uint64 {
-	return xxhash.Sum64String(node + "/" + strconv.Itoa(partition))
+// scoreOf is the weighted score of rendezvous hashing: the weight by the negative
+// logarithm of a uniform number that belongs to the node and the partition.
+func scoreOf(partition int, node Node) float64 {
+	weight := node.Weight
+	if weight <= 0 {
+		weight = 1
+	}
+	hash := xxhash.Sum64String(node.ID + "/" + strconv.Itoa(partition))
+	uniform := (float64(hash>>mantissaShift) + 0.5) / (1 << mantissaBits)
+	return weight / -math.Log(uniform)
 }
 
+// A hash keeps as many bits as a float64 holds exactly.
+const (
+	mantissaBits  = 53
+	mantissaShift = 64 - mantissaBits
+)
+
 // Epoch numbers the owners of a partition. The high bits count claims; the low
 // ones belong to the claiming process, so that two processes that claim after
 // the same epoch never claim the same one.
@@ -50,3 +76,12 @@
 func (s Salt) After(epoch Epoch) Epoch {
 	return (epoch>>saltBits+1)<<saltBits | Epoch(s)
 }
+
+// Claim returns the epoch of a claim at a time of day, after the given one. It is
+// higher than those of claims of earlier seconds, also where the claimant knows
+// none of them, as after the loss of all nodes. Clocks that differ cost a claim
+// that the log refuses, and no more.
+func (s Salt) Claim(highest Epoch, at time.Time) Epoch {
+	seconds := Epoch(max(0, at.Unix()))
+	return s.After(max(highest, (seconds-1)<<saltBits))
+}
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -10,17 +11,19 @@
 )
 
 var _ = Describe("The ranking", func() {
-	nodes := func(count int) []string {
-		var names []string
+	nodes := func(count int) []ownership.Node {
+		var all []ownership.Node
 		for index := range count {
-			names = append(names, fmt.Sprintf("node-%d", index))
+			all = append(all, ownership.Node{ID: fmt.Sprintf("node-%d", index), Weight: float64(1 + index%3)})
 		}
-		return names
+		return all
 	}
 
 	It("does not depend on the order of the nodes", func() {
 		for partition := range 50 {
-			Expect(ownership.Rank(partition, []string{"a", "b", "c"})).To(Equal(ownership.Rank(partition, []string{"c", "a", "b"})))
+			all := nodes(3)
+			turned := []ownership.Node{all[2], all[0], all[1]}
+			Expect(ownership.Rank(partition, all)).To(Equal(ownership.Rank(partition, turned)))
 		}
 	})
 
@@ -34,6 +37,16 @@
 		}
 	})
 
+	It("deals partitions in proportion to weights", func() {
+		all := []ownership.Node{{ID: "strong", Weight: 8}, {ID: "weak"}, {ID: "other", Weight: 1}}
+		counts := map[string]int{}
+		for partition := range 10_000 {
+			counts[ownership.Rank(partition, all)]++
+		}
+		Expect(counts["strong"]).To(BeNumerically("~", 8000, 200))
+		Expect(counts["weak"]).To(BeNumerically("~", 1000, 150))
+	})
+
 	It("names nobody where there is no node", func() {
 		Expect(ownership.Rank(1, nil)).To(BeEmpty())
 	})
@@ -47,4 +60,13 @@
 		Expect(other.After(known)).To(BeNumerically(">", known))
 		Expect(one.After(known)).NotTo(Equal(other.After(known)))
 	})
+
+	It("of a claim is higher than all of earlier seconds, known or not", func() {
+		one, other := ownership.SaltOf(7), ownership.SaltOf(9)
+		at := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+		before := other.Claim(0, at)
+		Expect(one.Claim(0, at.Add(time.Second))).To(BeNumerically(">", before))
+		Expect(one.Claim(before, at.Add(-time.Hour))).To(BeNumerically(">", before))
+		Expect(before).To(BeNumerically("<", ownership.Epoch(1)<<53))
+	})
 })
