edge, coordinator: an owner that loses the store says so to its heirs

Change: contact with the store counts for 1 s (it is renewed twice a second); an owner that loses it tells those that rank next; who is told so does not ask.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -301,8 +301,12 @@
 	if contact.Reached && !c.reaches {
 		c.reachedSince = now
 	}
+	lost := c.reaches && !contact.Reached
 	c.reaches = contact.Reached
 	c.lastContact = contact.Last
+	if lost {
+		c.tellHeirs(now)
+	}
 }
 
 // statusPeers returns the other nodes that are not dead. Those that leave are
--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -48,7 +48,7 @@
 		return now.Sub(one.handover.askedAt) >= handoverPatience
 	}
 	owner, known := c.presumedOwner(now, one.index)
-	if !known {
+	if !known || !c.reachesStore(now, owner.ID) {
 		return true
 	}
 	one.handover.askedAt = now
@@ -66,6 +66,11 @@
 	if owner, found := c.servingPeer(now, index, c.statusPeers()); found {
 		return owner, true
 	}
+	return c.nextByRank(now, index)
+}
+
+// nextByRank returns the node that ranks first besides this one.
+func (c *Core) nextByRank(now time.Time, index int) (machine.Machine, bool) {
 	var others []ownership.Node
 	for _, node := range c.membership.All() {
 		lost, wasLost := c.ranking.lost[string(node.ID)]
@@ -77,6 +82,22 @@
 	return c.membership.Lookup(machine.ID(ownership.Rank(index, others)))
 }
 
+// tellHeirs tells those that rank next after this node for its partitions that
+// it has lost the store.
+func (c *Core) tellHeirs(now time.Time) {
+	told := make(map[machine.ID]bool)
+	for _, one := range c.partitions {
+		if one.state != stateServing {
+			continue
+		}
+		heir, known := c.nextByRank(now, one.index)
+		if known && !told[heir.ID] {
+			told[heir.ID] = true
+			c.ready.Messages = append(c.ready.Messages, Outbound{To: heir, Message: PeerMessage{From: c.self(), Status: c.status(now)}})
+		}
+	}
+}
+
 // stepHandover takes in a question for a partition, or its answer.
 func (c *Core) stepHandover(now time.Time, from machine.Machine, message Handover) {
 	if message.Partition < 0 || message.Partition >= len(c.partitions) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -264,7 +264,7 @@
 func (n *Node) contact() { n.lastContact.Store(int64(time.Since(n.started))) }
 
 // contactLifetime is how long after its last answer the store counts as reached.
-const contactLifetime = 1500 * time.Millisecond
+const contactLifetime = time.Second
 
 // reachesStore reports whether the store answered lately.
 func (n *Node) reachesStore() bool {
