--- a/edge/node.go
+++ b/edge/node.go
@@ -264,7 +264,9 @@
 func (n *Node) contact() { n.lastContact.Store(int64(time.Since(n.started))) }
 
 // contactLifetime is how long after its last answer the store counts as reached.
-const contactLifetime = time.Second
+// A quiet node hears it once in replicasWait and replicasPause; replicas write
+// together, so that no read may end sooner.
+const contactLifetime = 1500 * time.Millisecond
 
 // reachesStore reports whether the store answered lately.
 func (n *Node) reachesStore() bool {
