coordinator: nodes without the store are known through others

Cause: a node that is cut off from the store and from other zones lives on for the detector, which probes it through its neighbours, and cannot be heard.

Change: a status names up to four nodes that told its sender that they do not reach the store; who cannot hear them takes that over, and they are not asked for partitions. Nobody names any while the store is down for all.

Seen failing without taking it over. Ruled out: leaving out whoever does not answer direct probes (a single cut link would make two nodes follow each other).

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -179,6 +180,29 @@
 		Expect(world.owners(0)[0]).NotTo(Equal(owner))
 	})
 
+	It("is passed over also by nodes that cannot hear it, and lie behind those that do", func() {
+		for seed := range uint64(8) {
+			world := newFleet(seed, 9, 6)
+			world.run(2 * settled)
+			for partition := range 6 {
+				ids := world.ids()
+				owner := world.owners(partition)[0]
+				lost := world.nodes[owner]
+				others := slices.DeleteFunc(ids, func(id machine.ID) bool { return id == owner })
+				lost.cut = true
+				lost.near = others[:3]
+				world.run(4 * time.Second)
+				for _, id := range others {
+					found, _ := world.nodes[id].core.Owner(world.now, partition)
+					Expect(found.ID).NotTo(Equal(owner), "seed %d, partition %d, as %s sees it", seed, partition, id)
+				}
+				lost.cut = false
+				lost.near = nil
+				world.run(2 * settled)
+			}
+		}
+	})
+
 	It("keeps them when nodes notice an outage and its end one after the other", func() {
 		for seed := range uint64(8) {
 			world := newFleet(seed, 7, 6)
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -95,6 +95,8 @@
 type peerState struct {
 	at     time.Time
 	status Status
+	// heard says that it told so itself, and not through another node.
+	heard bool
 	// unableSince is when it first told that it does not reach the store;
 	// zero while it does.
 	unableSince time.Time
@@ -269,6 +271,7 @@
 	if message.Status != nil {
 		c.learn(now, append(message.Status.Known, sender))
 		c.notePeer(now, sender.ID, *message.Status)
+		c.noteUnable(now, message.Status.Unable)
 		c.ready.Loads = append(c.ready.Loads, PeerLoad{
 			Node: string(sender.ID), Counts: message.Status.Loads, Version: message.Status.Version, From: sender,
 		})
@@ -286,7 +289,7 @@
 
 // notePeer takes over what a peer tells of itself.
 func (c *Core) notePeer(now time.Time, peer machine.ID, status Status) {
-	state := peerState{at: now, status: status}
+	state := peerState{at: now, status: status, heard: true}
 	if !status.ReachesStore {
 		state.unableSince = now
 		if before := c.peers[peer].unableSince; !before.IsZero() {
@@ -329,7 +332,9 @@
 // status returns what this node tells of itself, and now and then some of the
 // nodes that it knows.
 func (c *Core) status(now time.Time) *Status {
-	status := &Status{ReachesStore: c.reaches, Owned: c.owned(), Loads: c.loads.Counts, Version: c.loads.Version}
+	status := &Status{
+		ReachesStore: c.reaches, Owned: c.owned(), Loads: c.loads.Counts, Version: c.loads.Version, Unable: c.unable(now),
+	}
 	if now.Before(c.nextKnown) {
 		return status
 	}
@@ -386,12 +391,13 @@
 	return c.membership.Lookup(chosen)
 }
 
-// servingPeer returns the one of the nodes that told of the highest epoch lately.
+// servingPeer returns the one of the nodes that told of the highest epoch lately
+// and reaches the store.
 func (c *Core) servingPeer(now time.Time, index int, nodes []machine.Machine) (peer machine.Machine, found bool) {
 	highest := ownership.Epoch(0)
 	for _, node := range nodes {
 		state, heard := c.peers[node.ID]
-		if !heard || now.Sub(state.at) > peerStateLifetime || node.ID == c.self().ID {
+		if !heard || now.Sub(state.at) > peerStateLifetime || node.ID == c.self().ID || !c.reachesStore(now, node.ID) {
 			continue
 		}
 		if epoch := state.status.Owned[index]; epoch > highest {
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -111,6 +111,9 @@
 	Version uint64 `json:"version"`
 	// Known are some of the nodes that the sender knows.
 	Known []machine.Machine `json:"known,omitempty"`
+	// Unable are nodes that told the sender, which reaches the store, that they
+	// do not. Those that cannot hear them learn of it so.
+	Unable []machine.ID `json:"unable,omitempty"`
 }
 
 // Outbound is a message to another node.
--- a/coordinator/harness_test.go
+++ b/coordinator/harness_test.go
@@ -49,6 +49,8 @@
 	cut    bool
 	// alone nodes exchange no messages with others.
 	alone bool
+	// near nodes exchange messages with these alone, where there are any.
+	near []machine.ID
 	// noticeLag is how long after a turn of the store the node notices it.
 	noticeLag time.Duration
 	// contacted is when the store answered the node last.
@@ -202,7 +204,7 @@
 	ready := one.core.Ready()
 	for _, message := range ready.Messages {
 		target := f.nodes[message.To.ID]
-		if one.alone || (target != nil && target.alone) {
+		if one.alone || (target != nil && (target.alone || !near(one, target))) {
 			continue
 		}
 		f.send(message.To.ID, peerDelay, coordinator.PeerReceived{Message: message.Message})
@@ -219,6 +221,12 @@
 	one.changes = append(one.changes, ready.Changes...)
 }
 
+// near reports whether two nodes exchange messages as far as their limits go.
+func near(one, other *member) bool {
+	allows := func(from, to *member) bool { return len(from.near) == 0 || slices.Contains(from.near, to.self.ID) }
+	return allows(one, other) && allows(other, one)
+}
+
 // callStore carries out a call once the store can be reached.
 func (f *fleet) callStore(from machine.ID, call func()) {
 	f.due = append(f.due, delivery{at: f.now.Add(appendDelay / 2), call: func() {
--- a/coordinator/rank.go
+++ b/coordinator/rank.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/ownership"
 )
 
@@ -46,6 +47,43 @@
 	return lost
 }
 
+// maximumUnable bounds the nodes without the store that a status names.
+const maximumUnable = 4
+
+// unable returns nodes that told this one lately that they do not reach the
+// store, or none where this node does not reach it either.
+func (c *Core) unable(now time.Time) []machine.ID {
+	if !c.reaches {
+		return nil
+	}
+	var found []machine.ID
+	for id, state := range c.peers {
+		if state.heard && !state.status.ReachesStore && now.Sub(state.at) <= peerStateLifetime {
+			found = append(found, id)
+		}
+	}
+	slices.Sort(found)
+	return found[:min(len(found), maximumUnable)]
+}
+
+// noteUnable takes over what a peer heard of others, unless they were heard
+// here as well.
+func (c *Core) noteUnable(now time.Time, nodes []machine.ID) {
+	for _, id := range nodes {
+		state := c.peers[id]
+		if id == c.self().ID || (state.heard && now.Sub(state.at) <= peerStateLifetime) {
+			continue
+		}
+		if state.unableSince.IsZero() || now.Sub(state.at) > peerStateLifetime {
+			state.unableSince = now
+		}
+		state.at = now
+		state.heard = false
+		state.status.ReachesStore = false
+		c.peers[id] = state
+	}
+}
+
 // candidates returns the nodes that may own partitions: the live ones that
 // reach the store, or all live ones where none does.
 func (c *Core) candidates(now time.Time) []ownership.Node {
