--- a/edge/ledgers.go
+++ b/edge/ledgers.go
@@ -230,12 +230,14 @@
 	n.patience.Observe(took)
 }
 
-// noteStore counts a call to the store, and notes that it answered.
+// noteStore counts a call to the store, and notes that it answered. A store that
+// turns every call away is not reached, however fast it does so.
 func (n *Node) noteStore(err error) {
 	n.metrics.storeCall(err)
 	var refused *recordstore.RefusedError
 	var fenced *recordstore.FencedError
-	if err == nil || errors.As(err, &refused) || errors.As(err, &fenced) || errors.Is(err, recordstore.ErrGap) {
+	answered := errors.As(err, &refused) && !refused.Unavailable()
+	if err == nil || answered || errors.As(err, &fenced) || errors.Is(err, recordstore.ErrGap) {
 		n.contact()
 	}
 }
--- a/recordstore/recordstore.go
+++ b/recordstore/recordstore.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -89,6 +90,12 @@
 // RefusedError says that the store did nothing. It may be asked again.
 type RefusedError struct{ Status int }
 
+// Unavailable reports whether the store turned the call away whatever it asked
+// for: the store is down, overloaded, or not there for this node.
+func (e *RefusedError) Unavailable() bool {
+	return e.Status == http.StatusTooManyRequests || e.Status == http.StatusServiceUnavailable
+}
+
 // Error describes the refusal.
 func (e *RefusedError) Error() string {
 	return fmt.Sprintf("record store: refused with status %d", e.Status)
