ledger: one turn more after a lost owner; lost marks lie above what may run unrecorded

The rule allows one turn beyond the budget.

Change: a program whose owner was lost may use less than one turn more than its budget, unless that turn may have run unrecorded, which the record tells. So that it never did for a program that the log knows, its first mark covers all that may run before it, and a program known from a former owner waits for the log.

--- a/edge/node.go
+++ b/edge/node.go
@@ -135,6 +135,7 @@
 	config := coordinator.DefaultConfig(self, settings.Partitions, random)
 	config.Ledger.UnrecordedShare = unrecordedShare
 	config.Ledger.UnrecordedFor = unrecordedFor
+	config.Ledger.TurnAfterLoss = true
 	if settings.RecordBytes > 0 {
 		config.Ledger.RecordBytes = min(config.Ledger.RecordBytes, settings.RecordBytes/2)
 	}
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -55,8 +55,10 @@
 	// that is all that is known.
 	settled int
 	open    map[string]reservation
-	// assumed is the part of settled that was assumed of a former owner.
-	assumed int
+	// assumed is the part of settled that was assumed of a former owner, and
+	// restored says that settled is a former owner's mark.
+	assumed  int
+	restored bool
 	// mark is the highest that was proposed, and position its proposal.
 	mark     int
 	position uint64
@@ -89,6 +91,17 @@
 	}
 }
 
+// limit is what all turns of the program may use: its budget, and less than one
+// turn more where a former owner's mark counts as used, of which a part was not,
+// and leaves anything of the budget. The turn by which a loss may exceed a budget
+// is spent already where use is assumed.
+func (l *Ledger) limit(turn Turn, held *account) int {
+	if l.config.TurnAfterLoss && held.restored && held.assumed == 0 {
+		return turn.Budget + turn.Most - 1
+	}
+	return turn.Budget
+}
+
 // settlementSlack is how long after its end a turn may still be settled.
 const settlementSlack = 2 * time.Second
 
@@ -106,16 +119,17 @@
 	held.expire(now)
 	open := held.openTokens()
 	admission := Admission{Verdict: VerdictGranted, Replica: held.replicas[turn.Session], Settled: held.settled, Open: open}
-	admission.Fresh = len(held.replicas) == 0 && open == 0 && held.settled == held.assumed
+	admission.Fresh = len(held.replicas) == 0 && open == 0 && held.settled == held.assumed && !held.restored
 	if _, again := held.open[turn.ID]; again {
 		admission.Position = l.waitsFor(now, turn, held, held.settled+open)
 		return admission
 	}
-	if turn.Budget > 0 && held.settled+turn.Most > turn.Budget {
+	limit := l.limit(turn, held)
+	if turn.Budget > 0 && held.settled+turn.Most > limit {
 		admission.Verdict = VerdictExhausted
 		return admission
 	}
-	if turn.Budget > 0 && held.settled+open+turn.Most > turn.Budget {
+	if turn.Budget > 0 && held.settled+open+turn.Most > limit {
 		admission.Verdict = VerdictBusy
 		return admission
 	}
@@ -145,14 +159,14 @@
 	held.mark = need + l.ahead(turn, need)
 	if first {
 		// What a program may use before its first mark is covered by it.
-		held.mark = max(held.mark, l.unrecordedMost(turn))
+		held.mark = max(held.mark, l.firstMark(turn))
 	}
 	l.proposeMark(turn.Program, held)
 }
 
 // proposeMark puts an account's mark into the log.
 func (l *Ledger) proposeMark(program string, held *account) {
-	value := accountValue{Mark: held.mark, RetainMS: held.retain.Milliseconds()}
+	value := accountValue{Mark: held.mark, Assumed: held.assumed, RetainMS: held.retain.Milliseconds()}
 	held.position = l.propose(accountPrefix+program, encode(value))
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -23,6 +23,9 @@
 	// is allowed. It is less than Slack by more than a turn takes, so that a
 	// new owner outlasts it.
 	UnrecordedFor time.Duration
+	// TurnAfterLoss lets a program whose mark counts as used, because its owner
+	// was lost, use one turn more than its budget.
+	TurnAfterLoss bool
 	// RecordBytes bounds the value of one record.
 	RecordBytes int
 	// BatchRecords and BatchBytes bound one batch.
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -27,6 +27,8 @@
 // accountValue is the durable part of an account.
 type accountValue struct {
 	Mark int `json:"mark"`
+	// Assumed is the part of the mark that was assumed of a former owner.
+	Assumed int `json:"assumed,omitempty"`
 	// RetainMS is how long the account is kept after its program's last turn,
 	// in milliseconds.
 	RetainMS int64 `json:"retain_ms"`
@@ -63,7 +65,7 @@
 			return fmt.Errorf("ledger: record %q: %w", record.Key, err)
 		}
 		l.accounts[program] = &account{
-			settled: value.Mark, mark: value.Mark, open: map[string]reservation{}, used: now,
+			settled: value.Mark, mark: value.Mark, assumed: value.Assumed, restored: true, open: map[string]reservation{}, used: now,
 			retain: time.Duration(value.RetainMS) * time.Millisecond,
 		}
 		return nil
--- a/ledger/unrecorded.go
+++ b/ledger/unrecorded.go
@@ -123,13 +123,23 @@
 	return int(l.config.UnrecordedShare * float64(turn.Budget))
 }
 
+// firstMark is the least first mark: all that a program may use before it. It
+// leaves a token of the budget, since a mark that leaves none counts as spent.
+func (l *Ledger) firstMark(turn Turn) int {
+	if l.config.UnrecordedShare <= 0 {
+		return 0
+	}
+	return min(turn.Budget-1, l.unrecordedMost(turn)+turn.Most)
+}
+
 // runsUnrecorded reports whether a turn may hand out tokens although the log has
 // no mark of its program: its need is at most the share and one turn. The turn
 // beyond the share is the one by which a budget may be exceeded at a loss. Where
-// the log has a mark, the need lies under it; where the use of a former owner's
-// programs is assumed, the turn beyond the share was spent there.
+// the log has a mark of this owner, the need lies under it; a former owner's mark
+// may lie lower. Where the use of a former owner's programs is assumed, the turn
+// beyond the share was spent there.
 func (l *Ledger) runsUnrecorded(now time.Time, turn Turn, held *account, need int) bool {
-	if turn.Budget <= 0 || held.assumed > 0 || need > l.unrecordedMost(turn)+turn.Most {
+	if turn.Budget <= 0 || held.restored || held.assumed > 0 || need > l.unrecordedMost(turn)+turn.Most {
 		return false
 	}
 	own := l.tenure
