--- a/recordstore/recordstore.go
+++ b/recordstore/recordstore.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"time"
 )
 
@@ -90,10 +89,16 @@
 // RefusedError says that the store did nothing. It may be asked again.
 type RefusedError struct{ Status int }
 
+// The statuses with which a store turns calls away, as HTTP has them.
+const (
+	statusTooManyCalls = 429
+	statusUnavailable  = 503
+)
+
 // Unavailable reports whether the store turned the call away whatever it asked
 // for: the store is down, overloaded, or not there for this node.
 func (e *RefusedError) Unavailable() bool {
-	return e.Status == http.StatusTooManyRequests || e.Status == http.StatusServiceUnavailable
+	return e.Status == statusTooManyCalls || e.Status == statusUnavailable
 }
 
 // Error describes the refusal.
