edge: in a large fleet nodes follow the replicas through readers

Cause: every node reads every replica's heartbeats in the store.

Change: from 40,000 (nodes times replicas) on, two nodes of each zone follow the store, and the others follow them: a long poll that brings changes alone, with the age of the reader's list. A reader that fails or is out of date is passed over for the next, and then for the store itself. Smaller fleets, and so all deployments of today, read the store as before.

Ruled out: reading less often (all records come anyway); telling changes on the detector's messages (their time at a node is not bounded). Test on the stand-ins: five nodes, three of which follow; both readers are killed.

--- a/coordinator/rank.go
+++ b/coordinator/rank.go
@@ -12,6 +12,8 @@
 type ranking struct {
 	candidates []ownership.Node
 	first      []string
+	// readers are the candidates of this node's zone that rank first.
+	readers []machine.Machine
 	// lost is when a candidate was one last.
 	lost map[string]time.Time
 }
@@ -26,7 +28,45 @@
 	for index := range first {
 		first[index] = ownership.Rank(index, candidates)
 	}
-	c.ranking = ranking{candidates: candidates, first: first, lost: c.lostCandidates(now, candidates)}
+	c.ranking = ranking{
+		candidates: candidates, first: first, readers: c.rankReaders(candidates), lost: c.lostCandidates(now, candidates),
+	}
+}
+
+// Readers returns the nodes of this node's zone that follow in the store what
+// the others can follow through them. The caller must not change the slice.
+func (c *Core) Readers() []machine.Machine { return c.ranking.readers }
+
+const (
+	// readerRank stands for a partition in the ranking of readers.
+	readerRank = -1
+	// readersPerZone is how many there are, so that one may fail.
+	readersPerZone = 2
+)
+
+func (c *Core) rankReaders(candidates []ownership.Node) (readers []machine.Machine) {
+	zone := c.self().Zone
+	var near []ownership.Node
+	for _, candidate := range candidates {
+		if node, known := c.lookup(machine.ID(candidate.ID)); known && node.Zone == zone {
+			near = append(near, candidate)
+		}
+	}
+	for len(readers) < readersPerZone && len(near) > 0 {
+		best := ownership.Rank(readerRank, near)
+		node, _ := c.lookup(machine.ID(best))
+		readers = append(readers, node)
+		near = slices.DeleteFunc(near, func(one ownership.Node) bool { return one.ID == best })
+	}
+	return readers
+}
+
+// lookup returns a node, this one included.
+func (c *Core) lookup(id machine.ID) (machine.Machine, bool) {
+	if id == c.self().ID {
+		return c.self(), true
+	}
+	return c.membership.Lookup(id)
 }
 
 // lostCandidates adds the candidates that are none any more to those that were
--- a/edge/control.go
+++ b/edge/control.go
@@ -131,6 +131,8 @@
 	}
 	c.core.Step(now, loads)
 	c.node.liveNodes.Store(int32(c.core.LiveCount()))
+	readers := c.core.Readers()
+	c.node.readers.Store(&readers)
 	c.node.isolated.Store(c.core.Isolated(now))
 	c.core.Step(now, coordinator.Contact{Reached: c.node.reachesStore(), Last: c.node.contactedAt()})
 	c.noteDependencies()
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"birchwood.example/birchwood/coordinator"
@@ -18,8 +19,9 @@
 	// configurationWait and replicasWait are how long one read waits for a
 	// record. Replicas write all the time, and their reads also show that the
 	// store is reached.
-	configurationWait = 2 * time.Second
-	replicasWait      = 700 * time.Millisecond
+	configurationWait      = 2 * time.Second
+	configurationWaitAlone = 800 * time.Millisecond
+	replicasWait           = 700 * time.Millisecond
 	// tailSlack is how much later its answer may come.
 	tailSlack = 800 * time.Millisecond
 	// configurationPause and replicasPause are the least times between reads.
@@ -31,8 +33,6 @@
 	nodesPeriod = 15 * time.Second
 	// peerStatePeriod is how often a node that is cut off asks a peer.
 	peerStatePeriod = 500 * time.Millisecond
-	// syncedStreams is how many streams a node must have read to be ready.
-	syncedStreams = 2
 )
 
 // latestConfiguration keeps the newest configuration as it was stored, so that
@@ -96,6 +96,10 @@
 		n.logger.Error().Err(err).Msg("replicas: not understood")
 		return
 	}
+	n.putReplica(entry)
+}
+
+func (n *Node) putReplica(entry replica.Entry) {
 	if n.replicas.put(entry) {
 		n.logger.Info().Str("replica", string(entry.ID)).Str("service", entry.Service).Str("address", entry.Address).
 			Str("status", string(entry.Status)).Msg("replicas: changed")
@@ -112,7 +116,7 @@
 // followConfiguration keeps the configuration up to date from the store.
 func (n *Node) followConfiguration(ctx context.Context) {
 	n.follow(ctx, recordstore.Stream{Name: recordstore.StreamConfiguration}, follower{
-		wait: configurationWait, pause: configurationPause,
+		wait: n.configurationWait, pause: configurationPause, synced: &n.syncedConfiguration,
 		reset: func(records []recordstore.Record) {
 			for _, record := range records {
 				n.applyConfiguration(record.Key, record.Value, "store")
@@ -122,13 +126,29 @@
 	})
 }
 
-// followReplicas keeps the replicas up to date from the store.
+// configurationWait is how long a read of the configuration's stream waits. A
+// node that reads no other stream learns from it that the store is reached.
+func (n *Node) configurationWait() time.Duration {
+	if len(n.readersToFollow()) > 0 {
+		return configurationWaitAlone
+	}
+	return configurationWait
+}
+
+// followReplicas keeps the replicas up to date, from the store or, in a large
+// fleet, through readers.
 func (n *Node) followReplicas(ctx context.Context) {
-	n.follow(ctx, recordstore.Stream{Name: recordstore.StreamReplicas}, follower{
-		wait: replicasWait, pause: replicasPause,
-		reset:  n.resetReplicas,
-		change: func(record recordstore.Record) { n.applyReplica(record.Key, record.Value) },
-	})
+	for ctx.Err() == nil {
+		begun := time.Now()
+		n.follow(ctx, recordstore.Stream{Name: recordstore.StreamReplicas}, follower{
+			wait: func() time.Duration { return replicasWait }, pause: replicasPause, synced: &n.syncedReplicas,
+			reset:   n.resetReplicas,
+			change:  func(record recordstore.Record) { n.applyReplica(record.Key, record.Value) },
+			current: func() { n.noteListed(0) },
+			over:    func() bool { return time.Since(begun) > storeTurn && len(n.readersToFollow()) > 0 },
+		})
+		n.followReaders(ctx)
+	}
 }
 
 func (n *Node) resetReplicas(records []recordstore.Record) {
@@ -139,6 +159,10 @@
 		}
 		n.applyReplica(record.Key, record.Value)
 	}
+	n.removeUnlisted(listed)
+}
+
+func (n *Node) removeUnlisted(listed map[replica.ID]bool) {
 	for _, entry := range n.replicas.entries() {
 		if !listed[entry.ID] {
 			n.removeReplica(entry.ID, "not in the list")
@@ -150,17 +174,30 @@
 type follower struct {
 	// wait is how long a read waits for a record, and pause the least time
 	// between two reads.
-	wait   time.Duration
+	wait   func() time.Duration
 	pause  time.Duration
 	reset  func([]recordstore.Record)
 	change func(recordstore.Record)
+	// current is called whenever all that the stream holds was taken in, and
+	// over ends the following; nil where that does not matter.
+	current func()
+	over    func() bool
+	// synced is set once the stream was read whole.
+	synced *atomic.Bool
+}
+
+func (f *follower) done() bool { return f.over != nil && f.over() }
+
+func (f *follower) caughtUp() {
+	if f.current != nil {
+		f.current()
+	}
 }
 
 // follow reads a stream whole and then its tail, anew after a gap.
 func (n *Node) follow(ctx context.Context, stream recordstore.Stream, to follower) {
 	backoff := n.backoff()
-	counted := false
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !to.done() {
 		records, next, err := n.readNewest(ctx, stream)
 		if err != nil {
 			n.logger.Warn().Str("stream", string(stream.Name)).Err(err).Msg("store: stream not read")
@@ -169,10 +206,8 @@
 		}
 		backoff.Reset()
 		to.reset(records)
-		if !counted {
-			counted = true
-			n.synced.Add(1)
-		}
+		to.caughtUp()
+		to.synced.Store(true)
 		n.followTail(ctx, stream, next, to)
 	}
 }
@@ -182,9 +217,10 @@
 func (n *Node) followTail(ctx context.Context, stream recordstore.Stream, next uint64, to follower) {
 	backoff := n.backoff()
 	resync := time.Now().Add(resyncPeriod)
-	for ctx.Err() == nil && time.Now().Before(resync) {
-		callCtx, cancel := context.WithTimeout(ctx, to.wait+tailSlack)
-		tail, err := n.adapter.Store.Tail(callCtx, stream, next, to.wait)
+	for ctx.Err() == nil && !to.done() && time.Now().Before(resync) {
+		wait := to.wait()
+		callCtx, cancel := context.WithTimeout(ctx, wait+tailSlack)
+		tail, err := n.adapter.Store.Tail(callCtx, stream, next, wait)
 		cancel()
 		n.noteStore(err)
 		if errors.Is(err, recordstore.ErrGap) {
@@ -198,6 +234,7 @@
 		for _, record := range tail.Records {
 			to.change(record)
 		}
+		to.caughtUp()
 		next = tail.Next
 		sleep(ctx, to.pause)
 	}
--- a/edge/node.go
+++ b/edge/node.go
@@ -49,12 +49,19 @@
 	random      *rand.Rand
 	patience    retry.Patience
 
-	// lastContact is when the store answered last, in nanoseconds since
-	// started; synced counts the streams that were read whole.
+	// lastContact is when the store answered last, and listedAt when the list
+	// of replicas was last that of the store, in nanoseconds since started.
 	started     time.Time
 	lastContact atomic.Int64
-	synced      atomic.Int32
+	listedAt    atomic.Int64
 	stopping    atomic.Bool
+	// The streams that were read whole.
+	syncedConfiguration atomic.Bool
+	syncedReplicas      atomic.Bool
+	// readers are the nodes of this zone that follow the replicas in the store.
+	readers atomic.Pointer[[]machine.Machine]
+	// following is set while this node follows one of them.
+	following atomic.Bool
 	// liveNodes is how many nodes are live, this one included, and isolated
 	// is set while the node reaches neither the store nor any node it knows.
 	liveNodes atomic.Int32
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -146,6 +146,7 @@
 	routes.POST(pathMessage, p.receiveMessage)
 	routes.POST(pathRequest, p.receiveRequest)
 	routes.GET(pathState, p.receiveState)
+	routes.GET(pathReplicas, p.receiveReplicas)
 	server := &fasthttp.Server{
 		Handler: routes.Handler, MaxRequestBodySize: peerBodyBytes, NoDefaultServerHeader: true, CloseOnShutdown: true,
 		Logger: silent{},
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -13,10 +14,13 @@
 type replicas struct {
 	mutex sync.Mutex
 	set   *replica.Set
+	feed  replica.Feed
+	// changed is closed and replaced at each change of the list.
+	changed chan struct{}
 }
 
 func newReplicas(zone string) *replicas {
-	return &replicas{set: replica.NewSet(replica.DefaultConfig(zone))}
+	return &replicas{set: replica.NewSet(replica.DefaultConfig(zone)), changed: make(chan struct{})}
 }
 
 func (r *replicas) choose(request *replica.Request) (replica.Choice, error) {
@@ -45,13 +49,69 @@
 func (r *replicas) put(entry replica.Entry) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.set.Put(entry)
+	changed := r.set.Put(entry)
+	if changed {
+		r.tell(replica.Change{Entry: &entry})
+	}
+	return changed
+}
+
+// tell has those that follow this node's list hear of a change. The mutex is
+// held.
+func (r *replicas) tell(change replica.Change) {
+	r.feed.Add(change)
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// await returns once there are changes from a number on, or the time is up.
+func (r *replicas) await(ctx context.Context, since uint64, wait time.Duration) {
+	r.mutex.Lock()
+	waiting, changed := r.feed.Next() == since, r.changed
+	r.mutex.Unlock()
+	if !waiting {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// since returns the changes from a number on, or the whole list where they are
+// not known, and the number to ask for next.
+func (r *replicas) since(number uint64, known bool) (changes []replica.Change, next uint64, whole bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if known {
+		if kept, found := r.feed.Since(number); found {
+			return kept, r.feed.Next(), false
+		}
+	}
+	for _, entry := range r.set.Entries() {
+		changes = append(changes, replica.Change{Entry: &entry})
+	}
+	return changes, r.feed.Next(), true
+}
+
+// count returns how many replicas are listed.
+func (r *replicas) count() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.set.Count()
 }
 
 func (r *replicas) remove(id replica.ID) (replica.Entry, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.set.Remove(id)
+	entry, known := r.set.Remove(id)
+	if known {
+		r.tell(replica.Change{Gone: id})
+	}
+	return entry, known
 }
 
 func (r *replicas) entries() []replica.Entry {
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -28,6 +28,9 @@
 	// carries in a second; 0 where that is not known.
 	Cores        float64
 	LinkMegabits float64
+	// RelayAbove is the product of nodes and replicas from which on nodes follow
+	// the replicas through others; 0 takes a sound one.
+	RelayAbove int
 	// Grace is the time between the request to stop and the kill.
 	Grace time.Duration
 	// LogLinesDropped returns how many lines of the log were dropped; nil
--- a/replica/set.go
+++ b/replica/set.go
@@ -134,6 +134,9 @@
 	return known.entry, true
 }
 
+// Count returns how many replicas are known.
+func (s *Set) Count() int { return len(s.byID) }
+
 // Lookup returns the entry of a replica.
 func (s *Set) Lookup(id ID) (Entry, bool) {
 	known := s.byID[id]
