coordinator: word of nodes without the store does not outlive an outage

The first nodes to reach the store again named nodes whose last word was older than their return; in a fleet of 90 few hear each other within seconds, so that the word lived on, and a node that is named so was followed without being asked.

Ruled out: forgetting all statuses at the return (the nodes that are still cut off would be forgotten too).

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -180,6 +180,22 @@
 		Expect(world.owners(0)[0]).NotTo(Equal(owner))
 	})
 
+	It("keeps them in a fleet so large that nodes seldom hear each other", func() {
+		for seed := range uint64(3) {
+			world := newFleet(seed, 60, 8)
+			world.run(4 * settled)
+			for index, id := range world.ids() {
+				world.nodes[id].noticeLag = time.Duration(index%12) * 100 * time.Millisecond
+			}
+			before := world.changeCount()
+			world.turnStore(false)
+			world.run(4 * time.Second)
+			world.turnStore(true)
+			world.run(8 * time.Second)
+			Expect(world.changeCount()).To(Equal(before))
+		}
+	})
+
 	It("is passed over also by nodes that cannot hear it, and lie behind those that do", func() {
 		for seed := range uint64(8) {
 			world := newFleet(seed, 9, 6)
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -356,9 +356,9 @@
 	return owned
 }
 
-// regainFor is how long after this node reached the store again others may not
-// have noticed yet that they do.
-const regainFor = 2 * time.Second
+// regainFor is how long after this node reached the store again it may still hold
+// that others do not: as long as their statuses count, and until they notice.
+const regainFor = peerStateLifetime + time.Second
 
 // reachesStore reports whether a node may own partitions. A peer that does not
 // reach the store counts as able while the store may be down for all: until
--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -48,7 +48,8 @@
 		return now.Sub(one.handover.askedAt) >= handoverPatience
 	}
 	owner, known := c.presumedOwner(now, one.index)
-	if !known || !c.reachesStore(now, owner.ID) {
+	if !known || (c.peers[owner.ID].heard && !c.reachesStore(now, owner.ID)) {
+		// A node that told itself that it has lost the store cannot give up.
 		return true
 	}
 	one.handover.askedAt = now
--- a/coordinator/rank.go
+++ b/coordinator/rank.go
@@ -91,9 +91,9 @@
 const maximumUnable = 4
 
 // unable returns nodes that told this one lately that they do not reach the
-// store, or none where this node does not reach it either.
+// store, or none where this node does not reach it either, or did not lately.
 func (c *Core) unable(now time.Time) []machine.ID {
-	if !c.reaches {
+	if !c.reaches || now.Sub(c.reachedSince) < regainFor {
 		return nil
 	}
 	var found []machine.ID
