--- a/coordinator/doc.go
+++ b/coordinator/doc.go
@@ -14,6 +14,16 @@
 // and then reads the newest record of each key. From the answer on it serves.
 // Requests that arrive meanwhile are held for a bounded time.
 //
+// It asks the owner first, which closes its ledger, gives the partition up once
+// the log has all of it, and answers (Handover). An owner that is to own the
+// partition answers that it keeps it; one that does not answer within a fifth of
+// a second is followed all the same.
+//
+// A node that does not reach the log is no candidate. It tells so itself, or is
+// named by nodes that heard it. An outage for all changes no owner: others' lack
+// of the log counts only after an answer of the log that came later than their
+// word, and not for some seconds after one's own return.
+//
 // An append that the log refuses as fenced ends the ownership at once, as does
 // word of a higher epoch. What waited for the append is told that the owner is
 // lost, and asks the new one.
