edge: replicas that the store lacks after an outage are kept for two seconds

Cause: entries of replicas go while the store is down, and come back with the next heartbeat.

Change: within 2 s of a node's own return to the store, a ready replica that is not listed stays in use until then. One that drained goes at once. In large fleets a node follows the store for 1.5 s, not 5 s, before it follows a reader.

--- /dev/null
+++ b/edge/contact.go
@@ -0,0 +1,56 @@
+package edge
+
+import (
+	"sync"
+	"time"
+)
+
+// contact is what a node knows of its contact with the store. It is safe for
+// concurrent use.
+type contact struct {
+	mutex sync.Mutex
+	// last is when the store answered last, and regained when it did after it
+	// had been lost; zero where it never was.
+	last     time.Time
+	regained time.Time
+}
+
+const (
+	// contactLifetime is how long after its last answer the store counts as
+	// reached. A quiet node hears it once in replicasWait and replicasPause;
+	// replicas write together, so that no read may end sooner.
+	contactLifetime = 1500 * time.Millisecond
+	// doubtFor is how long after its return the store may lack replicas that
+	// live: they write again with their next heartbeat.
+	doubtFor = 2 * time.Second
+)
+
+// note takes in an answer of the store.
+func (c *contact) note(now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if now.Sub(c.last) >= contactLifetime {
+		c.regained = now
+	}
+	c.last = now
+}
+
+// at returns when the store answered last.
+func (c *contact) at() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.last
+}
+
+// reached reports whether the store answered lately.
+func (c *contact) reached(now time.Time) bool { return now.Sub(c.at()) < contactLifetime }
+
+// doubtUntil returns until when replicas that are not listed are kept.
+func (c *contact) doubtUntil() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.regained.IsZero() {
+		return time.Time{}
+	}
+	return c.regained.Add(doubtFor)
+}
--- /dev/null
+++ b/edge/contact_test.go
@@ -0,0 +1,30 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestContact follows a store that is reached, lost, and reached again.
+func TestContact(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	known := contact{last: start}
+	now := start
+	for range 10 {
+		now = now.Add(time.Second)
+		known.note(now)
+	}
+	g.Expect(known.reached(now.Add(time.Second))).To(BeTrue())
+	g.Expect(known.doubtUntil()).To(BeZero())
+	lost := now.Add(2 * time.Second)
+	g.Expect(known.reached(lost)).To(BeFalse())
+	back := now.Add(6 * time.Second)
+	known.note(back)
+	known.note(back.Add(time.Second))
+	g.Expect(known.reached(back.Add(time.Second))).To(BeTrue())
+	g.Expect(known.at()).To(Equal(back.Add(time.Second)))
+	g.Expect(known.doubtUntil()).To(Equal(back.Add(doubtFor)))
+}
--- a/edge/control.go
+++ b/edge/control.go
@@ -134,7 +134,7 @@
 	readers := c.core.Readers()
 	c.node.readers.Store(&readers)
 	c.node.isolated.Store(c.core.Isolated(now))
-	c.core.Step(now, coordinator.Contact{Reached: c.node.reachesStore(), Last: c.node.contactedAt()})
+	c.core.Step(now, coordinator.Contact{Reached: c.node.reachesStore(), Last: c.node.store.at()})
 	c.noteDependencies()
 }
 
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -88,7 +88,7 @@
 // applyReplica takes over a record of the replicas' stream.
 func (n *Node) applyReplica(key string, value []byte) {
 	if len(value) == 0 {
-		n.removeReplica(replica.ID(key), "gone from the list")
+		n.unlist(replica.ID(key), "gone from the list")
 		return
 	}
 	entry, err := n.adapter.Translator.Replica(key, value)
@@ -106,6 +106,23 @@
 	}
 }
 
+// unlist takes in that the store does not list a replica. After an outage that
+// does not say that it is gone.
+func (n *Node) unlist(id replica.ID, reason string) {
+	if until := n.store.doubtUntil(); time.Now().Before(until) && n.replicas.doubt(id, until) {
+		return
+	}
+	n.removeReplica(id, reason)
+}
+
+// replicasCurrent follows each time that all of the replicas' stream was read.
+func (n *Node) replicasCurrent() {
+	n.noteListed(0)
+	for _, id := range n.replicas.doubted() {
+		n.removeReplica(id, "not listed again after an outage")
+	}
+}
+
 func (n *Node) removeReplica(id replica.ID, reason string) {
 	if entry, known := n.replicas.remove(id); known {
 		n.pool.Forget(targetOf(entry))
@@ -144,7 +161,7 @@
 			wait: func() time.Duration { return replicasWait }, pause: replicasPause, synced: &n.syncedReplicas,
 			reset:   n.resetReplicas,
 			change:  func(record recordstore.Record) { n.applyReplica(record.Key, record.Value) },
-			current: func() { n.noteListed(0) },
+			current: n.replicasCurrent,
 			over:    func() bool { return time.Since(begun) > storeTurn && len(n.readersToFollow()) > 0 },
 		})
 		n.followReaders(ctx)
@@ -159,13 +176,17 @@
 		}
 		n.applyReplica(record.Key, record.Value)
 	}
-	n.removeUnlisted(listed)
+	for _, entry := range n.replicas.entries() {
+		if !listed[entry.ID] {
+			n.unlist(entry.ID, "not in the list")
+		}
+	}
 }
 
 func (n *Node) removeUnlisted(listed map[replica.ID]bool) {
 	for _, entry := range n.replicas.entries() {
 		if !listed[entry.ID] {
-			n.removeReplica(entry.ID, "not in the list")
+			n.removeReplica(entry.ID, "not in the reader's list")
 		}
 	}
 }
--- a/edge/ledgers.go
+++ b/edge/ledgers.go
@@ -238,7 +238,7 @@
 	var fenced *recordstore.FencedError
 	answered := errors.As(err, &refused) && !refused.Unavailable()
 	if err == nil || answered || errors.As(err, &fenced) || errors.Is(err, recordstore.ErrGap) {
-		n.contact()
+		n.store.note(time.Now())
 	}
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -49,12 +49,12 @@
 	random      *rand.Rand
 	patience    retry.Patience
 
-	// lastContact is when the store answered last, and listedAt when the list
-	// of replicas was last that of the store, in nanoseconds since started.
-	started     time.Time
-	lastContact atomic.Int64
-	listedAt    atomic.Int64
-	stopping    atomic.Bool
+	store contact
+	// listedAt is when the list of replicas was last that of the store, in
+	// nanoseconds since started.
+	started  time.Time
+	listedAt atomic.Int64
+	stopping atomic.Bool
 	// The streams that were read whole.
 	syncedConfiguration atomic.Bool
 	syncedReplicas      atomic.Bool
@@ -98,6 +98,7 @@
 		metrics:  newMetrics(settings.LogLinesDropped),
 		random:   random,
 		patience: retry.Patience{Minimum: appendTimeoutMin, Maximum: appendTimeout, Factor: appendFactor},
+		store:    contact{last: now},
 		started:  now,
 		failed:   make(chan error, 4),
 	}
@@ -268,18 +269,5 @@
 	}
 }
 
-// contact notes that the store answered.
-func (n *Node) contact() { n.lastContact.Store(int64(time.Since(n.started))) }
-
-// contactLifetime is how long after its last answer the store counts as reached.
-// A quiet node hears it once in replicasWait and replicasPause; replicas write
-// together, so that no read may end sooner.
-const contactLifetime = 1500 * time.Millisecond
-
 // reachesStore reports whether the store answered lately.
-func (n *Node) reachesStore() bool {
-	return time.Since(n.contactedAt()) < contactLifetime
-}
-
-// contactedAt returns when the store answered last, or the node's start.
-func (n *Node) contactedAt() time.Time { return n.started.Add(time.Duration(n.lastContact.Load())) }
+func (n *Node) reachesStore() bool { return n.store.reached(time.Now()) }
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -27,7 +27,7 @@
 	// relayAge is the age of a reader's list from which on it is not followed.
 	relayAge = 1300 * time.Millisecond
 	// storeTurn is how long a node follows the store that no reader serves.
-	storeTurn = 5 * time.Second
+	storeTurn = 1500 * time.Millisecond
 	// maximumRelayWait bounds the wait that another node may ask for.
 	maximumRelayWait = 5 * time.Second
 )
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -97,6 +97,20 @@
 	return changes, r.feed.Next(), true
 }
 
+// doubt keeps a replica that is not listed for a while, if it may live.
+func (r *replicas) doubt(id replica.ID, until time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.set.Doubt(id, until)
+}
+
+// doubted returns the replicas whose doubt is over.
+func (r *replicas) doubted() []replica.ID {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.set.Doubted(time.Now())
+}
+
 // count returns how many replicas are listed.
 func (r *replicas) count() int {
 	r.mutex.Lock()
--- /dev/null
+++ b/replica/doubt_test.go
@@ -0,0 +1,39 @@
+package replica_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/replica"
+)
+
+var _ = Describe("A replica that is not listed after an outage", func() {
+	until := start.Add(2 * time.Second)
+
+	It("is chosen on, and goes when the doubt is over", func() {
+		set := newSet(1)
+		Expect(set.Doubt("r0", until)).To(BeTrue())
+		Expect(set.Doubt("r0", until.Add(time.Hour))).To(BeTrue())
+		choice, err := set.Select(start, &replica.Request{Service: "s"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(choice.Entry.ID).To(Equal(replica.ID("r0")))
+		Expect(set.Doubted(until.Add(-time.Millisecond))).To(BeEmpty())
+		Expect(set.Doubted(until)).To(Equal([]replica.ID{"r0"}))
+	})
+
+	It("stays once it is listed again", func() {
+		set := newSet(1)
+		set.Doubt("r0", until)
+		set.Put(replica.Entry{ID: "r0", Service: "s", Zone: "here", Status: replica.StatusReady, Slots: 4})
+		Expect(set.Doubted(until)).To(BeEmpty())
+	})
+
+	It("is not doubted where it drained, or is not known", func() {
+		set := newSet(1)
+		set.Put(replica.Entry{ID: "r0", Service: "s", Zone: "here", Status: replica.StatusDraining, Slots: 4})
+		Expect(set.Doubt("r0", until)).To(BeFalse())
+		Expect(set.Doubt("other", until)).To(BeFalse())
+	})
+})
--- a/replica/set.go
+++ b/replica/set.go
@@ -77,6 +77,9 @@
 	// failures in a row, and until when the replica is passed over.
 	failures     int
 	suspectUntil time.Time
+	// doubtedUntil is when a replica that is not listed is to go; zero while
+	// it is listed.
+	doubtedUntil time.Time
 }
 
 // peerLoad is what another node has under way.
@@ -111,6 +114,7 @@
 	if known != nil {
 		changed = known.entry != entry
 		known.entry = entry
+		known.doubtedUntil = time.Time{}
 		return changed
 	}
 	added := &member{entry: entry, cache: newCache(s.cacheTokens[entry.Service])}
