--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -91,20 +91,6 @@
 	ready     Ready
 }
 
-// peerState is what a peer told of itself last.
-type peerState struct {
-	at     time.Time
-	status Status
-	// heard says that it told so itself, and not through another node.
-	heard bool
-	// unableSince is when it first told that it does not reach the store;
-	// zero while it does.
-	unableSince time.Time
-}
-
-// peerStateLifetime is how long a peer's status counts.
-const peerStateLifetime = 3 * time.Second
-
 // New returns a core that knows of no node but itself.
 func New(now time.Time, config Config) (*Core, error) {
 	membership, err := machine.NewMembership(config.Membership)
@@ -265,86 +251,6 @@
 	return all
 }
 
-func (c *Core) stepPeer(now time.Time, message PeerMessage) {
-	sender := message.From
-	c.lastHeard = now
-	if message.Status != nil {
-		c.learn(now, append(message.Status.Known, sender))
-		c.notePeer(now, sender.ID, *message.Status)
-		c.noteUnable(now, message.Status.Unable)
-		c.ready.Loads = append(c.ready.Loads, PeerLoad{
-			Node: string(sender.ID), Counts: message.Status.Loads, Version: message.Status.Version, From: sender,
-		})
-		c.hearOwned(now, message.Status.Owned)
-	} else {
-		c.learn(now, []machine.Machine{sender})
-	}
-	if message.Membership != nil {
-		c.membership.Step(now, sender.ID, *message.Membership)
-	}
-	if message.Handover != nil {
-		c.stepHandover(now, sender, *message.Handover)
-	}
-}
-
-// notePeer takes over what a peer tells of itself.
-func (c *Core) notePeer(now time.Time, peer machine.ID, status Status) {
-	state := peerState{at: now, status: status, heard: true}
-	if !status.ReachesStore {
-		state.unableSince = now
-		if before := c.peers[peer].unableSince; !before.IsZero() {
-			state.unableSince = before
-		}
-	}
-	c.peers[peer] = state
-}
-
-// noteContact takes over whether this node reaches the store.
-func (c *Core) noteContact(now time.Time, contact Contact) {
-	if contact.Reached && !c.reaches {
-		c.reachedSince = now
-	}
-	lost := c.reaches && !contact.Reached
-	c.reaches = contact.Reached
-	c.lastContact = contact.Last
-	if lost {
-		c.tellHeirs(now)
-	}
-}
-
-// statusPeers returns the other nodes that are not dead. Those that leave are
-// among them: they must hear who took their partitions over.
-func (c *Core) statusPeers() []machine.Machine {
-	return slices.DeleteFunc(c.membership.All(), func(node machine.Machine) bool {
-		return node.ID == c.self().ID || node.Kind != machine.KindNode || node.Status == machine.StatusDead
-	})
-}
-
-// sendStatus tells peers about this node at once.
-func (c *Core) sendStatus(now time.Time) {
-	peers := c.statusPeers()
-	c.config.Random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, peer := range peers[:min(len(peers), c.config.StatusFanout)] {
-		c.ready.Messages = append(c.ready.Messages, Outbound{To: peer, Message: PeerMessage{From: c.self(), Status: c.status(now)}})
-	}
-}
-
-// status returns what this node tells of itself, and now and then some of the
-// nodes that it knows.
-func (c *Core) status(now time.Time) *Status {
-	status := &Status{
-		ReachesStore: c.reaches, Owned: c.owned(), Loads: c.loads.Counts, Version: c.loads.Version, Unable: c.unable(now),
-	}
-	if now.Before(c.nextKnown) {
-		return status
-	}
-	c.nextKnown = now.Add(c.config.KnownPeriod)
-	known := c.known()
-	c.config.Random.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
-	status.Known = known[:min(len(known), c.config.KnownPerStatus)]
-	return status
-}
-
 // owned returns the partitions that this node serves.
 func (c *Core) owned() map[int]ownership.Epoch {
 	owned := make(map[int]ownership.Epoch)
@@ -356,64 +262,6 @@
 	return owned
 }
 
-// regainFor is how long after this node reached the store again it may still hold
-// that others do not: as long as their statuses count, and until they notice.
-const regainFor = peerStateLifetime + time.Second
-
-// reachesStore reports whether a node may own partitions. A peer that does not
-// reach the store counts as able while the store may be down for all: until
-// this node has had an answer after the peer told so, and for a while after the
-// store came back.
-func (c *Core) reachesStore(now time.Time, node machine.ID) bool {
-	if node == c.self().ID {
-		return c.reaches
-	}
-	state, heard := c.peers[node]
-	if !heard || now.Sub(state.at) > peerStateLifetime || state.status.ReachesStore {
-		return true
-	}
-	return !c.lastContact.After(state.unableSince) || now.Sub(c.reachedSince) < regainFor
-}
-
-// Owner returns the node that serves the partition as far as this node knows:
-// the live one with the highest epoch, or the one that ranks first.
-func (c *Core) Owner(now time.Time, index int) (machine.Machine, bool) {
-	if c.partitions[index].state == stateServing {
-		return c.self(), true
-	}
-	if peer, found := c.servingPeer(now, index, c.membership.Nodes()); found {
-		return peer, true
-	}
-	chosen := machine.ID(c.ranking.first[index])
-	if chosen == c.self().ID {
-		return c.self(), true
-	}
-	return c.membership.Lookup(chosen)
-}
-
-// servingPeer returns the one of the nodes that told of the highest epoch lately
-// and reaches the store.
-func (c *Core) servingPeer(now time.Time, index int, nodes []machine.Machine) (peer machine.Machine, found bool) {
-	highest := ownership.Epoch(0)
-	for _, node := range nodes {
-		state, heard := c.peers[node.ID]
-		if !heard || now.Sub(state.at) > peerStateLifetime || node.ID == c.self().ID || !c.reachesStore(now, node.ID) {
-			continue
-		}
-		if epoch := state.status.Owned[index]; epoch > highest {
-			peer, highest = node, epoch
-		}
-	}
-	return peer, highest > 0
-}
-
-// Peers returns the live nodes besides this one that reach the store.
-func (c *Core) Peers(now time.Time) []machine.Machine {
-	return slices.DeleteFunc(slices.Clone(c.membership.Nodes()), func(node machine.Machine) bool {
-		return node.ID == c.self().ID || !c.reachesStore(now, node.ID)
-	})
-}
-
 // LiveCount returns how many nodes are live, this one included.
 func (c *Core) LiveCount() int { return max(1, len(c.membership.Nodes())) }
 
