coordinator, edge: one test of a peer's recent word, one loop over unlisted replicas

A node that was never heard of has a status of the zero time, which never counts, as before. No bound, reason of a log line or test changed; tests of coordinator, edge, platform and internal green.

--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -22,6 +22,10 @@
 // peerStateLifetime is how long a peer's status counts.
 const peerStateLifetime = 3 * time.Second
 
+// counts reports whether the status is recent enough to count; that of a node
+// that was never heard of is not.
+func (s peerState) counts(now time.Time) bool { return now.Sub(s.at) <= peerStateLifetime }
+
 func (c *Core) stepPeer(now time.Time, message PeerMessage) {
 	sender := message.From
 	c.lastHeard = now
@@ -114,8 +118,8 @@
 	if node == c.self().ID {
 		return c.reaches
 	}
-	state, heard := c.peers[node]
-	if !heard || now.Sub(state.at) > peerStateLifetime || state.status.ReachesStore {
+	state := c.peers[node]
+	if !state.counts(now) || state.status.ReachesStore {
 		return true
 	}
 	return !c.lastContact.After(state.unableSince) || now.Sub(c.reachedSince) < regainFor
@@ -142,8 +146,8 @@
 func (c *Core) servingPeer(now time.Time, index int, nodes []machine.Machine) (peer machine.Machine, found bool) {
 	highest := ownership.Epoch(0)
 	for _, node := range nodes {
-		state, heard := c.peers[node.ID]
-		if !heard || now.Sub(state.at) > peerStateLifetime || node.ID == c.self().ID || !c.reachesStore(now, node.ID) {
+		state := c.peers[node.ID]
+		if !state.counts(now) || node.ID == c.self().ID || !c.reachesStore(now, node.ID) {
 			continue
 		}
 		if epoch := state.status.Owned[index]; epoch > highest {
--- a/coordinator/rank.go
+++ b/coordinator/rank.go
@@ -98,7 +98,7 @@
 	}
 	var found []machine.ID
 	for id, state := range c.peers {
-		if state.heard && !state.status.ReachesStore && now.Sub(state.at) <= peerStateLifetime {
+		if state.heard && !state.status.ReachesStore && state.counts(now) {
 			found = append(found, id)
 		}
 	}
@@ -111,10 +111,10 @@
 func (c *Core) noteUnable(now time.Time, nodes []machine.ID) {
 	for _, id := range nodes {
 		state := c.peers[id]
-		if id == c.self().ID || (state.heard && now.Sub(state.at) <= peerStateLifetime) {
+		if id == c.self().ID || (state.heard && state.counts(now)) {
 			continue
 		}
-		if state.unableSince.IsZero() || now.Sub(state.at) > peerStateLifetime {
+		if state.unableSince.IsZero() || !state.counts(now) {
 			state.unableSince = now
 		}
 		state.at = now
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -183,10 +183,11 @@
 	}
 }
 
-func (n *Node) removeUnlisted(listed map[replica.ID]bool) {
+// removeUnlisted removes the replicas that another node's list lacks.
+func (n *Node) removeUnlisted(listed map[replica.ID]bool, reason string) {
 	for _, entry := range n.replicas.entries() {
 		if !listed[entry.ID] {
-			n.removeReplica(entry.ID, "not in the reader's list")
+			n.removeReplica(entry.ID, reason)
 		}
 	}
 }
@@ -362,11 +363,7 @@
 		listed[entry.ID] = true
 		n.replicas.put(entry)
 	}
-	for _, entry := range n.replicas.entries() {
-		if !listed[entry.ID] {
-			n.removeReplica(entry.ID, "not in a peer's list")
-		}
-	}
+	n.removeUnlisted(listed, "not in a peer's list")
 }
 
 // hearVersion fetches a configuration that a peer holds and this node does not.
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -137,7 +137,7 @@
 		n.putReplica(*change.Entry)
 	}
 	if answer.Whole {
-		n.removeUnlisted(listed)
+		n.removeUnlisted(listed, "not in the reader's list")
 	}
 	n.noteListed(time.Duration(answer.AgeMS) * time.Millisecond)
 }
