edge: a call that may run more than once goes out again when its answer is late

Ruled out: the choice of replica (lost answers are spread over 15 of 25), overload (loads of 0 to 5). Change: a sketch of each route's times (a window of 20 s); later than 1.25 x its p99 a call is sent beside the first, elsewhere or on the same replica as maxAttempts allows, twice at most, a tenth of what was answered at most. The first answer counts.

--- a/command/edge.go
+++ b/command/edge.go
@@ -18,9 +18,9 @@
 
 // newEdgeCommand returns the verb that runs one node on the users' platform.
 func newEdgeCommand() *cobra.Command {
-	var path string
+	var path, without string
 	command := &cobra.Command{
-		Use:   "edge [--settings FILE]",
+		Use:   "edge [--settings FILE] [--without MECHANISM,...]",
 		Short: "Run one node on the users' platform",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
@@ -30,19 +30,25 @@
 			if path == "" {
 				return usage("no settings file: want --settings or %s", platform.SettingsVariable)
 			}
-			return runEdge(command.Context(), path)
+			switchedOff, err := edge.ParseMechanisms("--without", without)
+			if err != nil {
+				return &ExitError{Code: ExitUsage, Cause: err}
+			}
+			return runEdge(command.Context(), path, switchedOff)
 		},
 	}
 	command.Flags().StringVar(&path, "settings", "", "the settings file, in place of the one that "+platform.SettingsVariable+" names")
+	command.Flags().StringVar(&without, "without", "", "mechanisms to switch off, separated by commas, to measure what they are worth")
 	return command
 }
 
 // runEdge runs a node until SIGTERM or SIGINT. SIGHUP reads the settings again.
-func runEdge(parent context.Context, path string) error {
+func runEdge(parent context.Context, path string, without []edge.Mechanism) error {
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Cause: err}
 	}
+	settings.Without = without
 	lines := &decisionWriter{}
 	logger, flush := newDecisionLogger(settings.Node, lines)
 	defer flush()
--- a/edge/call.go
+++ b/edge/call.go
@@ -19,51 +19,6 @@
 // its replica when its time is up.
 const hangSuspicion = time.Second
 
-// serveCall serves a request whose answer is passed on whole.
-func (n *Node) serveCall(r *requestState, table *routing.Table) {
-	runs := 0
-	for offer := 0; ; offer++ {
-		entry, err := n.chooseReplica(r, table)
-		if err != nil || offer >= maximumOffers || r.left() <= 0 {
-			n.refuse(r, err, runs)
-			return
-		}
-		response, err := n.pool.Send(targetOf(entry), n.outgoing(r, entry, r.exchange.Body, ""), r.exchange.Cancel)
-		if upstream.NotSent(err) {
-			if n.abandoned(r, entry) {
-				return
-			}
-			n.reject(r, entry, replica.ResultFailed)
-			continue
-		}
-		var body []byte
-		if err == nil {
-			body, err = response.ReadAll()
-		}
-		if err == nil && n.notExecuted(response) {
-			n.reject(r, entry, replica.ResultRejected)
-			continue
-		}
-		if err == nil && n.sound(response) {
-			n.replicas.ended(entry.ID, resultOf(response.Status()))
-			r.status = response.Status()
-			r.reason = "answered"
-			r.exchange.Relay(&response.Header, body)
-			return
-		}
-		runs++
-		if n.abandoned(r, entry) {
-			return
-		}
-		n.replicas.ended(entry.ID, replica.ResultFailed)
-		if !r.route.Repeatable() || runs > r.route.Attempts() {
-			r.fail(fasthttp.StatusBadGateway, failureReason(err), 0)
-			return
-		}
-		r.again(entry, runs)
-	}
-}
-
 // resultOf tells an answer from one that tells of the replica's own fault.
 func resultOf(status int) replica.Result {
 	if status >= fasthttp.StatusInternalServerError {
--- /dev/null
+++ b/edge/callrun.go
@@ -0,0 +1,234 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/upstream"
+)
+
+// callRun is the run of one request whose answer is passed on whole, over as
+// many replicas as it takes. A request that may run more than once is sent again
+// when its answer is late; the first answer counts. One goroutine owns it.
+type callRun struct {
+	node    *Node
+	request *requestState
+	table   *routing.Table
+
+	// flying are the attempts that have no result yet, the newest last.
+	flying  []*callAttempt
+	results chan callResult
+	// runs counts the attempts that may have run, and offers all of them.
+	runs   int
+	offers int
+	// repeats counts the attempts that were sent beside another one.
+	repeats int
+}
+
+// callAttempt is a call sent to one replica.
+type callAttempt struct {
+	choice replica.Choice
+	sentAt time.Time
+	cancel *upstream.Cancel
+}
+
+// callResult is how an attempt ended.
+type callResult struct {
+	attempt  *callAttempt
+	response *upstream.Response
+	body     []byte
+	err      error
+}
+
+// maximumRepeats bounds how often one call is sent beside an attempt that is
+// late, and minimumRepeatTime is the least time left that is worth it.
+const (
+	maximumRepeats    = 2
+	minimumRepeatTime = 20 * time.Millisecond
+)
+
+// serveCall serves a request whose answer is passed on whole.
+func (n *Node) serveCall(r *requestState, table *routing.Table) {
+	run := &callRun{node: n, request: r, table: table, results: make(chan callResult, maximumRepeats+1)}
+	run.perform()
+}
+
+// perform runs the call and answers the client.
+func (c *callRun) perform() {
+	defer c.abandonRest()
+	for {
+		if len(c.flying) == 0 {
+			if err := c.launch(); err != nil {
+				c.node.refuse(c.request, err, c.runs)
+				return
+			}
+		}
+		result, came := c.await()
+		if !came {
+			c.repeat()
+			continue
+		}
+		if c.take(result) {
+			return
+		}
+	}
+}
+
+// launch sends the call to the replica that is best now.
+func (c *callRun) launch() error {
+	n, r := c.node, c.request
+	if c.offers >= maximumOffers || r.left() <= 0 {
+		return errOffered
+	}
+	entry, err := n.chooseReplica(r, c.table)
+	if err != nil {
+		return err
+	}
+	c.offers++
+	c.runs++
+	attempt := &callAttempt{choice: r.choice, sentAt: r.sentAt, cancel: r.exchange.Cancel}
+	c.flying = append(c.flying, attempt)
+	request := n.outgoing(r, entry, r.exchange.Body, "")
+	if !c.repeatable() {
+		c.results <- n.performCall(attempt, request)
+		return nil
+	}
+	attempt.cancel = r.exchange.Cancel.Child()
+	go func() { c.results <- n.performCall(attempt, request) }()
+	return nil
+}
+
+// performCall sends a call and reads its whole answer.
+func (n *Node) performCall(attempt *callAttempt, request *upstream.Request) callResult {
+	response, err := n.pool.Send(targetOf(attempt.choice.Entry), request, attempt.cancel)
+	result := callResult{attempt: attempt, response: response, err: err}
+	if err == nil {
+		result.body, result.err = response.ReadAll()
+	}
+	return result
+}
+
+// repeatable reports whether the call may be sent beside itself.
+func (c *callRun) repeatable() bool {
+	return c.request.route.Repeatable() && c.node.settings.uses(RepeatLateCalls)
+}
+
+// await returns the next result, or false once the newest attempt is late.
+func (c *callRun) await() (callResult, bool) {
+	if !c.repeatable() || c.repeats >= maximumRepeats {
+		return <-c.results, true
+	}
+	newest := c.flying[len(c.flying)-1]
+	timer := time.NewTimer(time.Until(newest.sentAt.Add(c.node.lateAfter(c.request.route))))
+	defer timer.Stop()
+	select {
+	case result := <-c.results:
+		return result, true
+	case <-timer.C:
+		return callResult{}, false
+	}
+}
+
+// repeat sends the call once more beside those that are late: elsewhere, or,
+// once it is on as many replicas as it may be, to the same one.
+func (c *callRun) repeat() {
+	c.repeats++
+	r := c.request
+	if r.left() < minimumRepeatTime || !c.node.calls.mayRepeat() {
+		return
+	}
+	newest := c.flying[len(c.flying)-1]
+	r.again(newest.choice.Entry, c.runs)
+	if err := c.launch(); err == nil {
+		r.repeats++
+		c.node.metrics.callRepeated()
+	}
+}
+
+// take takes a result in. It reports whether the request is over.
+func (c *callRun) take(result callResult) (over bool) {
+	n, r := c.node, c.request
+	c.land(result.attempt)
+	entry := result.attempt.choice.Entry
+	if upstream.NotSent(result.err) {
+		return c.notRun(result.attempt, replica.ResultFailed)
+	}
+	if result.err == nil && n.notExecuted(result.response) {
+		return c.notRun(result.attempt, replica.ResultRejected)
+	}
+	if result.err == nil && n.sound(result.response) {
+		r.choice = result.attempt.choice
+		status := result.response.Status()
+		n.replicas.ended(entry.ID, resultOf(status))
+		n.calls.answered(r.route, time.Since(result.attempt.sentAt), status)
+		r.status = status
+		r.reason = "answered"
+		r.exchange.Relay(&result.response.Header, result.body)
+		return true
+	}
+	return c.brokeOff(result)
+}
+
+// notRun takes in that an attempt certainly did not run.
+func (c *callRun) notRun(attempt *callAttempt, result replica.Result) (over bool) {
+	n, r := c.node, c.request
+	c.runs--
+	if len(c.flying) > 0 {
+		// The others go on; a replica more might be one too many.
+		n.replicas.ended(attempt.choice.Entry.ID, result)
+		c.repeats = maximumRepeats
+		return false
+	}
+	if result == replica.ResultFailed && n.abandoned(r, attempt.choice.Entry) {
+		return true
+	}
+	n.reject(r, attempt.choice.Entry, result)
+	return false
+}
+
+// brokeOff takes in that an attempt that may have run has no whole answer.
+func (c *callRun) brokeOff(result callResult) (over bool) {
+	n, r := c.node, c.request
+	entry := result.attempt.choice.Entry
+	if len(c.flying) > 0 && r.exchange.Cancel.Cause() == nil {
+		n.replicas.ended(entry.ID, replica.ResultFailed)
+		return false
+	}
+	if n.abandoned(r, entry) {
+		return true
+	}
+	n.replicas.ended(entry.ID, replica.ResultFailed)
+	if !r.route.Repeatable() || c.runs > r.route.Attempts()+c.repeats {
+		r.fail(fasthttp.StatusBadGateway, failureReason(result.err), 0)
+		return true
+	}
+	r.again(entry, c.runs)
+	return false
+}
+
+// land takes an attempt that has ended off those that fly.
+func (c *callRun) land(attempt *callAttempt) {
+	for index, flying := range c.flying {
+		if flying == attempt {
+			c.flying = append(c.flying[:index], c.flying[index+1:]...)
+			return
+		}
+	}
+}
+
+// abandonRest ends the attempts that nobody waits for any more. Their replicas
+// are told by the closed connections.
+func (c *callRun) abandonRest() {
+	left := c.request.exchange.Cancel.Cause() != nil
+	for _, attempt := range c.flying {
+		attempt.cancel.Trigger(errOvertaken)
+		result := replica.ResultCancelled
+		if !left && time.Since(attempt.sentAt) >= c.node.lateAfter(c.request.route) {
+			result = replica.ResultTimedOut
+		}
+		c.node.replicas.ended(attempt.choice.Entry.ID, result)
+	}
+}
--- /dev/null
+++ b/edge/calls.go
@@ -0,0 +1,77 @@
+package edge
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/retry"
+	"birchwood.example/birchwood/routing"
+)
+
+// calls guards what this node has learnt of the times of calls, and bounds how
+// many of them are sent again.
+type calls struct {
+	mutex    sync.Mutex
+	lateness *replica.Lateness
+	budget   *retry.Budget
+}
+
+// Calls that are sent beside a late one are bounded by those that were answered.
+const (
+	repeatsPerAnswer = 0.1
+	repeatsSaved     = 10
+)
+
+// lateUnknown is the share of a route's time after which a call is late while
+// nothing is known of the route's times and the operator names no objective.
+const lateUnknown = 4
+
+// errOffered says that a request was offered to as many replicas as it may be.
+var errOffered = errors.New("every replica refused the request")
+
+// errOvertaken says that another attempt of the same request was answered first.
+var errOvertaken = errors.New("another attempt was answered first")
+
+func newCalls() (*calls, error) {
+	budget, err := retry.NewBudget(retry.BudgetConfig{PerSuccess: repeatsPerAnswer, Capacity: repeatsSaved})
+	if err != nil {
+		return nil, err
+	}
+	return &calls{lateness: replica.NewLateness(), budget: budget}, nil
+}
+
+// answered takes in how long a call took that was answered.
+func (c *calls) answered(route *routing.Route, took time.Duration, status int) {
+	if status >= fasthttp.StatusInternalServerError {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.budget.Success()
+	if route.Repeatable() {
+		c.lateness.Observe(time.Now(), route.Name, took)
+	}
+}
+
+// mayRepeat reports whether one more call may be sent beside a late one, and
+// counts it.
+func (c *calls) mayRepeat() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.budget.Withdraw()
+}
+
+// lateAfter returns how long after its start a call of the route is late.
+func (n *Node) lateAfter(route *routing.Route) time.Duration {
+	otherwise := route.Objective
+	if otherwise <= 0 {
+		otherwise = route.Timeout / lateUnknown
+	}
+	n.calls.mutex.Lock()
+	defer n.calls.mutex.Unlock()
+	return n.calls.lateness.After(route.Name, otherwise)
+}
--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -28,7 +28,7 @@
 		entry = n.logger.Warn()
 	}
 	entry = entry.Str("request", r.id).Str("route", r.routeName()).Uint64("config", r.version).Int("status", r.status).
-		Dur("took", took).Str("reason", r.reason).Str("replica", string(r.choice.Entry.ID)).Int("attempts", r.attempts)
+		Dur("took", took).Str("reason", r.reason).Str("replica", string(r.choice.Entry.ID)).Int("attempts", r.attempts).Int("repeats", r.repeats)
 	if r.program != "" {
 		entry = entry.Str("program", r.program).Str("session", r.session).Int("partition", r.partition).
 			Str("owner", r.owner).Str("verdict", string(r.admission.Verdict)).Int("settled", r.admission.Settled).
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -20,6 +20,7 @@
 	calls     *prometheus.CounterVec
 	dropped   prometheus.Counter
 	partition *prometheus.CounterVec
+	repeats   prometheus.Counter
 }
 
 // latencyBuckets are for times that clients feel, in seconds.
@@ -51,8 +52,11 @@
 		partition: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "birchwood_edge_partition_changes_total", Help: "Partitions won and lost.",
 		}, []string{"change"}),
+		repeats: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "birchwood_edge_calls_repeated_total", Help: "Calls sent again because their answer was late.",
+		}),
 	}
-	metrics.registry.MustRegister(metrics.answers, metrics.latency, metrics.appends, metrics.calls, metrics.dropped, metrics.partition)
+	metrics.registry.MustRegister(metrics.answers, metrics.latency, metrics.appends, metrics.calls, metrics.dropped, metrics.partition, metrics.repeats)
 	if dropped != nil {
 		metrics.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "birchwood_edge_log_lines_dropped_total", Help: "Lines of the log dropped because its queue was full.",
@@ -76,6 +80,8 @@
 	m.calls.WithLabelValues(outcome).Inc()
 }
 
+func (m *Metrics) callRepeated() { m.repeats.Inc() }
+
 func (m *Metrics) messageDropped() { m.dropped.Inc() }
 
 func (m *Metrics) partitionChanged(owned bool) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -38,6 +38,7 @@
 	config   latestConfiguration
 	replicas *replicas
 	pool     *upstream.Pool
+	calls    *calls
 	clients  *ingress.Server
 	control  *control
 	peers    *peers
@@ -81,6 +82,10 @@
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryShare))
 	}
+	repeats, err := newCalls()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
 	now := time.Now()
 	seed := xxhash.Sum64String(settings.Node)
 	random := rand.New(rand.NewPCG(seed, uint64(now.UnixNano())))
@@ -95,6 +100,7 @@
 		},
 		replicas: newReplicas(settings.Zone),
 		pool:     upstream.NewPool(upstream.DefaultConfig(adapter.Names)),
+		calls:    repeats,
 		metrics:  newMetrics(settings.LogLinesDropped),
 		random:   random,
 		patience: retry.Patience{Minimum: appendTimeoutMin, Maximum: appendTimeout, Factor: appendFactor},
--- a/edge/request.go
+++ b/edge/request.go
@@ -26,6 +26,8 @@
 	// The fields below follow the handling, for the log.
 	choice   replica.Choice
 	attempts int
+	// repeats counts the attempts that were sent beside a late one.
+	repeats int
 	// sentAt is when the last attempt began.
 	sentAt   time.Time
 	excluded []replica.ID
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -31,6 +31,8 @@
 	// RelayAbove is the product of nodes and replicas from which on nodes follow
 	// the replicas through others; 0 takes a sound one.
 	RelayAbove int
+	// Without lists the mechanisms that are switched off.
+	Without []Mechanism
 	// Grace is the time between the request to stop and the kill.
 	Grace time.Duration
 	// LogLinesDropped returns how many lines of the log were dropped; nil
--- a/upstream/cancel.go
+++ b/upstream/cancel.go
@@ -13,6 +13,18 @@
 	mutex sync.Mutex
 	conn  net.Conn
 	cause error
+	// children end with this exchange.
+	children []*Cancel
+}
+
+// Child returns a Cancel of one of several attempts of the same exchange: it
+// ends with the exchange, or alone.
+func (c *Cancel) Child() *Cancel {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	child := &Cancel{cause: c.cause}
+	c.children = append(c.children, child)
+	return child
 }
 
 // Trigger ends the exchange for the given cause. Only the first cause counts.
@@ -26,6 +38,9 @@
 	if c.conn != nil {
 		_ = c.conn.SetDeadline(longAgo)
 	}
+	for _, child := range c.children {
+		child.Trigger(cause)
+	}
 }
 
 // Cause returns why the exchange was ended, or nil.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -266,3 +266,18 @@
 		Expect(upstream.NotSent(err)).To(BeTrue())
 	})
 })
+
+var _ = Describe("A cancel with attempts", func() {
+	It("ends its attempts, and leaves them alone when one of them ends", func() {
+		exchange := &upstream.Cancel{}
+		first, second := exchange.Child(), exchange.Child()
+		overtaken, left := errors.New("overtaken"), errors.New("left")
+		first.Trigger(overtaken)
+		Expect(second.Cause()).NotTo(HaveOccurred())
+		Expect(exchange.Cause()).NotTo(HaveOccurred())
+		exchange.Trigger(left)
+		Expect(first.Cause()).To(MatchError(overtaken))
+		Expect(second.Cause()).To(MatchError(left))
+		Expect(exchange.Child().Cause()).To(MatchError(left))
+	})
+})
