--- a/command/edge_test.go
+++ b/command/edgecommand/decisions_test.go
@@ -1,4 +1,4 @@
-package command
+package edgecommand
 
 import (
 	. "github.com/onsi/ginkgo/v2"
--- a/command/edge.go
+++ b/command/edgecommand/edge.go
@@ -1,23 +1,25 @@
-package command
+// Package edgecommand is the command that runs one node on the users' platform.
+// It links what a node needs and no more: `birchwood edge` and the program
+// birchwood-edge, which has a machine to itself, share it.
+package edgecommand
 
 import (
 	"context"
 	"fmt"
 	"os"
 	"os/signal"
-	"sync/atomic"
 	"syscall"
-	"time"
 
 	"github.com/phuslu/log"
 	"github.com/spf13/cobra"
 
+	"birchwood.example/birchwood/command/exit"
 	"birchwood.example/birchwood/edge"
 	"birchwood.example/birchwood/platform"
 )
 
-// newEdgeCommand returns the verb that runs one node on the users' platform.
-func newEdgeCommand() *cobra.Command {
+// New returns the command that runs one node on the users' platform.
+func New() *cobra.Command {
 	var path, without string
 	command := &cobra.Command{
 		Use:   "edge [--settings FILE] [--without MECHANISM,...]",
@@ -28,11 +30,11 @@
 				path = os.Getenv(platform.SettingsVariable)
 			}
 			if path == "" {
-				return usage("no settings file: want --settings or %s", platform.SettingsVariable)
+				return &exit.Error{Code: exit.Usage, Cause: fmt.Errorf("no settings file: want --settings or %s", platform.SettingsVariable)}
 			}
 			switchedOff, err := edge.ParseMechanisms("--without", without)
 			if err != nil {
-				return &ExitError{Code: ExitUsage, Cause: err}
+				return &exit.Error{Code: exit.Usage, Cause: err}
 			}
 			return runEdge(command.Context(), path, switchedOff)
 		},
@@ -46,7 +48,7 @@
 func runEdge(parent context.Context, path string, without []edge.Mechanism) error {
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
-		return &ExitError{Code: ExitUsage, Cause: err}
+		return &exit.Error{Code: exit.Usage, Cause: err}
 	}
 	settings.Without = without
 	lines := &decisionWriter{}
@@ -55,17 +57,17 @@
 	settings.LogLinesDropped = lines.dropped.Load
 	node, err := edge.New(settings, platform.NewAdapter(settings), logger)
 	if err != nil {
-		return &ExitError{Code: ExitFailure, Cause: err}
+		return &exit.Error{Code: exit.Failure, Cause: err}
 	}
 	signals := make(chan os.Signal, signalsWaiting)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if err := node.Start(); err != nil {
-		return &ExitError{Code: ExitFailure, Cause: err}
+		return &exit.Error{Code: exit.Failure, Cause: err}
 	}
 	for {
 		select {
 		case err := <-node.Failed():
-			return &ExitError{Code: ExitFailure, Cause: fmt.Errorf("serving ended: %w", err)}
+			return &exit.Error{Code: exit.Failure, Cause: fmt.Errorf("serving ended: %w", err)}
 		case <-parent.Done():
 			return nil
 		case received := <-signals:
@@ -91,39 +93,3 @@
 	changed := node.Reload(settings)
 	logger.Info().Strs("changed", changed).Msg("settings: reloaded")
 }
-
-// Bounds of the decision log: lines that cannot be written at once wait in a
-// queue of this length, and are dropped beyond it.
-const decisionQueue = 2048
-
-// decisionWriter queues the lines of the decision log and counts those that
-// are dropped because the queue is full.
-type decisionWriter struct {
-	queue   log.AsyncWriter
-	dropped atomic.Uint64
-}
-
-// WriteEntry implements log.Writer. It never blocks.
-func (w *decisionWriter) WriteEntry(entry *log.Entry) (int, error) {
-	written, err := w.queue.WriteEntry(entry)
-	if err != nil {
-		w.dropped.Add(1)
-	}
-	return written, err
-}
-
-// newDecisionLogger returns the logger of a node on the users' platform: JSON
-// lines on standard output that never block a request. Flush writes the lines
-// that wait.
-func newDecisionLogger(node string, lines *decisionWriter) (logger *log.Logger, flush func()) {
-	lines.queue = log.AsyncWriter{
-		ChannelSize: decisionQueue, DiscardOnFull: true, DisableWritev: true, Writer: &log.IOWriter{Writer: os.Stdout},
-	}
-	logger = &log.Logger{
-		Level:      log.InfoLevel,
-		TimeFormat: time.RFC3339Nano,
-		Context:    log.NewContext(nil).Str("node", node).Value(),
-		Writer:     lines,
-	}
-	return logger, func() { _ = lines.queue.Close() }
-}
--- a/command/root.go
+++ b/command/root.go
@@ -1,36 +1,23 @@
 package command
 
 import (
-	"errors"
-	"fmt"
 	"os"
 
 	"github.com/spf13/cobra"
+
+	"birchwood.example/birchwood/command/exit"
 )
 
-// Exit codes of the birchwood command. docs/CLI.md lists them.
+// The exit codes of the birchwood command, and the error that carries one.
 const (
-	ExitOK = 0
-	// ExitFailure: the command ran and the answer is a failure, such as a
-	// finding, a refused change or an unanswered call.
-	ExitFailure = 1
-	// ExitUsage: the arguments, flags or a settings file are wrong.
-	ExitUsage = 2
-	// ExitUnreachable: the node could not be reached.
-	ExitUnreachable = 3
+	ExitOK          = exit.OK
+	ExitFailure     = exit.Failure
+	ExitUsage       = exit.Usage
+	ExitUnreachable = exit.Unreachable
 )
 
 // ExitError carries the exit code of a command that failed.
-type ExitError struct {
-	Code  int
-	Cause error
-}
-
-// Error describes the failure.
-func (e *ExitError) Error() string { return e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *ExitError) Unwrap() error { return e.Cause }
+type ExitError = exit.Error
 
 // Root returns the birchwood command with every verb.
 func Root() *cobra.Command {
@@ -45,15 +32,4 @@
 }
 
 // Execute runs the command line and returns the exit code.
-func Execute() int {
-	err := Root().Execute()
-	if err == nil {
-		return ExitOK
-	}
-	fmt.Fprintln(os.Stderr, "birchwood:", err)
-	var exit *ExitError
-	if errors.As(err, &exit) {
-		return exit.Code
-	}
-	return ExitUsage
-}
+func Execute() int { return exit.Report(os.Stderr, "birchwood", Root().Execute()) }
--- a/command/verbs.go
+++ b/command/verbs.go
@@ -1,13 +1,17 @@
 package command
 
-import "github.com/spf13/cobra"
+import (
+	"github.com/spf13/cobra"
+
+	"birchwood.example/birchwood/command/edgecommand"
+)
 
 // verbs returns the commands in the order of the help page.
 func verbs() []*cobra.Command {
 	return []*cobra.Command{
 		newDevCommand(),
 		newServeCommand(),
-		newEdgeCommand(),
+		edgecommand.New(),
 		newExplainCommand(),
 		newStandinCommand(),
 		newCheckCommand(),
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -1,28 +1,41 @@
 package edge
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/common/expfmt"
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 )
 
 // Metrics holds what a node measures. It is safe for concurrent use.
 type Metrics struct {
-	registry  *prometheus.Registry
-	answers   *prometheus.CounterVec
-	latency   *prometheus.HistogramVec
-	appends   prometheus.Histogram
-	calls     *prometheus.CounterVec
-	dropped   prometheus.Counter
-	partition *prometheus.CounterVec
-	repeats   prometheus.Counter
+	set     *metrics.Set
+	appends *metrics.PrometheusHistogram
+	dropped *metrics.Counter
+	repeats *metrics.Counter
+	// linesDropped follows dropLines, which counts lines of the log that were
+	// dropped; nil where nobody counts them.
+	linesDropped *metrics.Counter
+	dropLines    func() uint64
 }
 
+// The names of the metrics, without labels.
+const (
+	metricAnswers    = "birchwood_edge_answers_total"
+	metricLatency    = "birchwood_edge_request_seconds"
+	metricAppends    = "birchwood_edge_append_seconds"
+	metricCalls      = "birchwood_edge_store_calls_total"
+	metricDropped    = "birchwood_edge_peer_messages_dropped_total"
+	metricPartitions = "birchwood_edge_partition_changes_total"
+	metricRepeats    = "birchwood_edge_calls_repeated_total"
+	metricLogDropped = "birchwood_edge_log_lines_dropped_total"
+)
+
 // latencyBuckets are for times that clients feel, in seconds.
 var latencyBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5}
 
@@ -32,64 +45,56 @@
 // newMetrics returns the metrics of a node. Dropped, if any, counts lines of the
 // log that were dropped.
 func newMetrics(dropped func() uint64) *Metrics {
-	metrics := &Metrics{
-		registry: prometheus.NewRegistry(),
-		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "birchwood_edge_answers_total", Help: "Answers to clients, by kind of route and status.",
-		}, []string{"kind", "status"}),
-		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "birchwood_edge_request_seconds", Help: "Time from a request to the end of its answer.", Buckets: latencyBuckets,
-		}, []string{"kind"}),
-		appends: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "birchwood_edge_append_seconds", Help: "Time of an append to the log, repetitions included.", Buckets: appendBuckets,
-		}),
-		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "birchwood_edge_store_calls_total", Help: "Calls to the platform's store, by outcome.",
-		}, []string{"outcome"}),
-		dropped: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "birchwood_edge_peer_messages_dropped_total", Help: "Messages to peers dropped because too many waited.",
-		}),
-		partition: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "birchwood_edge_partition_changes_total", Help: "Partitions won and lost.",
-		}, []string{"change"}),
-		repeats: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "birchwood_edge_calls_repeated_total", Help: "Calls sent again because their answer was late.",
-		}),
+	set := metrics.NewSet()
+	return &Metrics{
+		set:          set,
+		appends:      set.NewPrometheusHistogramExt(metricAppends, appendBuckets),
+		dropped:      set.NewCounter(metricDropped),
+		repeats:      set.NewCounter(metricRepeats),
+		linesDropped: set.NewCounter(metricLogDropped),
+		dropLines:    dropped,
 	}
-	metrics.registry.MustRegister(metrics.answers, metrics.latency, metrics.appends, metrics.calls, metrics.dropped, metrics.partition, metrics.repeats)
-	if dropped != nil {
-		metrics.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Name: "birchwood_edge_log_lines_dropped_total", Help: "Lines of the log dropped because its queue was full.",
-		}, func() float64 { return float64(dropped()) }))
+}
+
+// write writes all metrics as text.
+func (m *Metrics) write(to io.Writer) {
+	if m.dropLines != nil {
+		m.linesDropped.Set(m.dropLines())
 	}
-	return metrics
+	m.set.WritePrometheus(to)
 }
 
+// answered counts an answer to a client, by kind of route and status.
 func (m *Metrics) answered(kind, status string, took time.Duration) {
-	m.answers.WithLabelValues(kind, status).Inc()
-	m.latency.WithLabelValues(kind).Observe(took.Seconds())
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{kind=%q,status=%q}", metricAnswers, kind, status)).Inc()
+	m.set.GetOrCreatePrometheusHistogramExt(fmt.Sprintf("%s{kind=%q}", metricLatency, kind), latencyBuckets).Update(took.Seconds())
 }
 
-func (m *Metrics) appended(took time.Duration) { m.appends.Observe(took.Seconds()) }
+// appended takes in the time of an append, repetitions included.
+func (m *Metrics) appended(took time.Duration) { m.appends.Update(took.Seconds()) }
 
+// storeCall counts a call to the platform's store, by outcome.
 func (m *Metrics) storeCall(err error) {
 	outcome := "done"
 	if err != nil {
 		outcome = "failed"
 	}
-	m.calls.WithLabelValues(outcome).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", metricCalls, outcome)).Inc()
 }
 
+// callRepeated counts a call sent again because its answer was late.
 func (m *Metrics) callRepeated() { m.repeats.Inc() }
 
+// messageDropped counts a message to a peer dropped because too many waited.
 func (m *Metrics) messageDropped() { m.dropped.Inc() }
 
+// partitionChanged counts partitions won and lost.
 func (m *Metrics) partitionChanged(owned bool) {
 	change := "lost"
 	if owned {
 		change = "won"
 	}
-	m.partition.WithLabelValues(change).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{change=%q}", metricPartitions, change)).Inc()
 }
 
 // startMetrics serves the metrics if the settings name an address.
@@ -126,17 +131,6 @@
 }
 
 func (n *Node) writeMetrics(ctx *fasthttp.RequestCtx) {
-	families, err := n.metrics.registry.Gather()
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	format := expfmt.NewFormat(expfmt.TypeTextPlain)
-	ctx.SetContentType(string(format))
-	encoder := expfmt.NewEncoder(ctx, format)
-	for _, family := range families {
-		if err := encoder.Encode(family); err != nil {
-			return
-		}
-	}
+	ctx.SetContentType("text/plain; version=0.0.4; charset=utf-8")
+	n.metrics.write(ctx)
 }
--- a/edge/node.go
+++ b/edge/node.go
@@ -73,14 +73,21 @@
 	failed chan error
 }
 
-// memoryShare is the share of the memory bound that the heap may take before
-// the collector works harder.
-const memoryShare = 0.7
+// A node's memory is dear and its heap small, so that the collector costs little.
+const (
+	// memoryShare is the share of the memory bound that the heap may take before
+	// the collector works harder.
+	memoryShare = 0.7
+	// heapGrowth is how much the heap may grow before a collection, in
+	// hundredths of what the last one left.
+	heapGrowth = 40
+)
 
 // New builds a node. It opens nothing yet.
 func New(settings Settings, adapter Adapter, logger *log.Logger) (*Node, error) {
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryShare))
+		debug.SetGCPercent(heapGrowth)
 	}
 	repeats, err := newCalls()
 	if err != nil {
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -32,6 +32,8 @@
 	{"node", "load", "emulator/benchplot", "edge"},
 	{"development", "scale", "platform"},
 	{"platform/standin"},
+	{"command/exit"},
+	{"command/edgecommand"},
 	{"command", "internal"},
 	{"cmd"},
 }
