ledger, coordinator: a kept turn's record names the replica that served it

Change: the record names the replica; a new owner, and a line that goes on from another line's turn, are told it.

--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -63,6 +63,9 @@
 		c.reply(Reply{ID: id, Status: ReplyStalled, Epoch: one.epoch})
 		return
 	}
+	if admission.Replica == "" && asked.Previous != "" {
+		admission.Replica = one.ledger.ServedBy(asked.Previous)
+	}
 	reply.Admission = &admission
 	c.reply(reply)
 }
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -13,6 +13,9 @@
 
 // The mechanisms. All are on unless Settings.Without lists them.
 const (
+	// RememberReplicas has the record of a kept turn name the replica that served
+	// it, so that its line goes on there also at a new owner.
+	RememberReplicas Mechanism = "remember-replicas"
 	// RepeatLateCalls sends a call that may run more than once again when its
 	// answer is late.
 	RepeatLateCalls Mechanism = "repeat-late-calls"
@@ -21,6 +24,7 @@
 // Mechanisms returns all mechanisms, in the order of their names.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
+		RememberReplicas,
 		RepeatLateCalls,
 	}
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -257,6 +257,9 @@
 	kept := ledger.KeptTurn{
 		ID: r.id, Program: r.program, Previous: r.previous, Input: r.exchange.Body, Output: t.output, Retain: r.route.RetainFor,
 	}
+	if n.settings.uses(RememberReplicas) {
+		kept.Replica = string(r.choice.Entry.ID)
+	}
 	if r.previous != "" {
 		kept.Base = t.grant.chain
 	}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -42,6 +42,8 @@
 	Base   []byte `json:"base,omitempty"`
 	Input  []byte `json:"input"`
 	Output []byte `json:"output"`
+	// Replica served the turn, or "": its memory may still hold the chain.
+	Replica string `json:"replica,omitempty"`
 	// RetainMS is how long the turn is kept, in milliseconds.
 	RetainMS int64 `json:"retain_ms"`
 	// Parts is how many records hold the turn, where one is too small. The
--- a/ledger/turn.go
+++ b/ledger/turn.go
@@ -21,9 +21,11 @@
 	Base     []byte `json:"base,omitempty"`
 	// Input is the body that the client sent, and Output what the next turn's
 	// engine has to read of the answer.
-	Input  []byte        `json:"input"`
-	Output []byte        `json:"output"`
-	Retain time.Duration `json:"retain"`
+	Input  []byte `json:"input"`
+	Output []byte `json:"output"`
+	// Replica served the turn, or "".
+	Replica string        `json:"replica,omitempty"`
+	Retain  time.Duration `json:"retain"`
 }
 
 // Keep takes a whole turn in. It is kept once the position is durable.
@@ -33,6 +35,7 @@
 		Previous: kept.Previous,
 		Input:    kept.Input,
 		Output:   kept.Output,
+		Replica:  kept.Replica,
 		RetainMS: kept.Retain.Milliseconds(),
 	}
 	if kept.Previous != "" && l.turns[kept.Previous] == nil {
@@ -54,6 +57,16 @@
 	}
 }
 
+// ServedBy returns the replica that served a kept turn, or "" if that is not
+// known. It is known to a new owner too.
+func (l *Ledger) ServedBy(id string) string {
+	kept := l.turns[id]
+	if kept == nil {
+		return ""
+	}
+	return kept.Replica
+}
+
 // Chain returns what an engine has to read before the input of a turn that
 // goes on from the given one, or false if this ledger does not hold it.
 func (l *Ledger) Chain(id string) ([]byte, bool) {
