ingress: connections hold buffers only while a request is there; collector target 25

Change: a connection waits with one byte and takes its buffers from a pool when a request begins; queues hold pointers; the heap may grow by 25 in a hundred.

--- a/edge/node.go
+++ b/edge/node.go
@@ -81,7 +81,7 @@
 	memoryShare = 0.7
 	// heapGrowth is how much the heap may grow before a collection, in
 	// hundredths of what the last one left.
-	heapGrowth = 40
+	heapGrowth = 25
 )
 
 // New builds a node. It opens nothing yet.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -40,11 +40,11 @@
 
 	mutex   sync.Mutex
 	clients map[string]*httpclient.Client
-	queues  map[string]chan coordinator.PeerMessage
+	queues  map[string]chan *coordinator.PeerMessage
 }
 
 func newPeers(node *Node) *peers {
-	return &peers{node: node, clients: make(map[string]*httpclient.Client), queues: make(map[string]chan coordinator.PeerMessage)}
+	return &peers{node: node, clients: make(map[string]*httpclient.Client), queues: make(map[string]chan *coordinator.PeerMessage)}
 }
 
 // client returns the client of a peer's address.
@@ -67,20 +67,20 @@
 	p.mutex.Lock()
 	queue := p.queues[address]
 	if queue == nil {
-		queue = make(chan coordinator.PeerMessage, peerQueueSize)
+		queue = make(chan *coordinator.PeerMessage, peerQueueSize)
 		p.queues[address] = queue
 		p.node.run(func(ctx context.Context) { p.drain(ctx, address, queue) })
 	}
 	p.mutex.Unlock()
 	select {
-	case queue <- outbound.Message:
+	case queue <- &outbound.Message:
 	default:
 		p.node.metrics.messageDropped()
 	}
 }
 
 // drain sends a peer's messages one after the other until none came for long.
-func (p *peers) drain(ctx context.Context, address string, queue chan coordinator.PeerMessage) {
+func (p *peers) drain(ctx context.Context, address string, queue chan *coordinator.PeerMessage) {
 	client := p.client(address)
 	idle := time.NewTimer(peerIdleTimeout)
 	defer idle.Stop()
@@ -103,7 +103,7 @@
 }
 
 // retire forgets an idle peer, unless a message came meanwhile.
-func (p *peers) retire(address string, queue chan coordinator.PeerMessage) bool {
+func (p *peers) retire(address string, queue chan *coordinator.PeerMessage) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if len(queue) > 0 {
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -23,8 +23,11 @@
 	server *Server
 	socket net.Conn
 	probe  peek.Probe
+	// reader and writer are there from the first byte of a request on, and go
+	// back once it was answered and nothing of the next one was read.
 	reader *bufio.Reader
 	writer *bufio.Writer
+	first  [1]byte
 	// exchange is the one under way, nil while a request is waited for.
 	exchange atomic.Pointer[Exchange]
 	// closing is set once the connection ends after this answer, or is idle
@@ -45,23 +48,28 @@
 		_ = tcp.SetNoDelay(true)
 	}
 	probe, _ := peek.NewProbe(socket)
-	limits := server.config.Limits()
-	return &connection{
-		server: server,
-		socket: socket,
-		probe:  probe,
-		reader: bufio.NewReaderSize(socket, max(minimumHead, limits.HeaderBytes+spareHeadBytes)),
-		writer: bufio.NewWriterSize(socket, writeBufferBytes),
-	}
+	return &connection{server: server, socket: socket, probe: probe}
 }
 
 // serve handles the connection's requests one after the other.
 func (c *connection) serve() {
 	defer func() { _ = c.socket.Close() }()
 	for c.serveOne() {
+		if c.reader.Buffered() == 0 {
+			c.giveBack()
+		}
+	}
+	if c.reader != nil {
+		c.giveBack()
 	}
 }
 
+// giveBack returns the connection's buffers.
+func (c *connection) giveBack() {
+	c.server.buffers.giveBack(c.reader, c.writer)
+	c.reader, c.writer = nil, nil
+}
+
 // serveOne handles one request and reports whether another may follow.
 func (c *connection) serveOne() bool {
 	limits := c.server.config.Limits()
@@ -90,8 +98,16 @@
 // awaitRequest waits for the first byte of a request.
 func (c *connection) awaitRequest(limits routing.Limits) bool {
 	_ = c.socket.SetDeadline(deadlineIn(limits.IdleTimeout))
-	_, err := c.reader.Peek(1)
-	return err == nil
+	if c.reader != nil {
+		_, err := c.reader.Peek(1)
+		return err == nil
+	}
+	if read, _ := c.socket.Read(c.first[:]); read == 0 {
+		return false
+	}
+	c.reader = c.server.buffers.reader(c.socket, c.first[:], max(minimumHead, limits.HeaderBytes+spareHeadBytes))
+	c.writer = c.server.buffers.writer(c.socket)
+	return true
 }
 
 // deadlineIn returns the time after a span; none where the span is zero.
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -80,6 +80,20 @@
 		}
 	})
 
+	It("serves requests that came together, each with its own answer", func() {
+		_, dial := startServer(limits, echo)
+		socket := dial()
+		reader := bufio.NewReader(socket)
+		answer := exchangeRaw(socket, reader, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\none"+
+			"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\ntwo")
+		Expect(bodyOf(answer)).To(Equal("one"))
+		answer, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bodyOf(answer)).To(Equal("two"))
+		answer = exchangeRaw(socket, reader, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nthree")
+		Expect(bodyOf(answer)).To(Equal("three"))
+	})
+
 	It("invites a body that waits to be asked for", func() {
 		_, dial := startServer(limits, echo)
 		socket := dial()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -36,6 +36,7 @@
 type Server struct {
 	config   Config
 	draining atomic.Bool
+	buffers  buffers
 
 	mutex       sync.Mutex
 	connections map[*connection]struct{}
