--- a/scripts/derive_sites.py
+++ b/scripts/derive_sites.py
@@ -49,7 +49,23 @@
     return re.sub(r"^parts = \d+", "parts = 3", text, flags=re.M)
 
 
+def engines(**figures):
+    """Returns a change of the engines' figures, and of their slots and speeds."""
+    def change_line(match):
+        line = match.group(0)
+        if "model = " not in line:
+            return line
+        for field, value in figures.items():
+            line = re.sub(rf"\b{field} = (\[[^\]]*\]|[\d.]+)", f"{field} = {value}", line)
+        return line
+    return lambda text: re.sub(r"^  \{ name = [^\n]*servers = [^\n]*$", change_line, text, flags=re.M)
+
+
 VARIANTS = {
+    "uneven-engines": engines(speeds="[1.0, 1.6, 2.4]"),
+    "few-slots": engines(slots=8, batch=8, queue=24),
+    "slow-prefill": engines(prefill_tokens_per_ms=15.0, speeds="[1.0, 1.0, 1.6]"),
+    "fast-little-memory": engines(prefill_tokens_per_ms=200.0, step_ms=1.5, kv_tokens=60000),
     "two-a-zone": lambda text: scale_machines(text, 2),
     "one-a-zone": lambda text: scale_machines(text, 1),
     "nine-a-zone": lambda text: scale_machines(text, 9),
