--- /dev/null
+++ b/coordinator/asking_test.go
@@ -0,0 +1,49 @@
+package coordinator_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/coordinator"
+)
+
+var _ = Describe("A node that joins", func() {
+	// inherited returns how many partitions the new node took from owners that
+	// did not give up in order, and how many it took.
+	inherited := func(withoutAsking bool) (inherited, taken int) {
+		world := newFleetWith(5, 4, 12, func(config *coordinator.Config) {
+			config.ClaimWithoutAsking = withoutAsking
+			config.Ledger.UnrecordedShare = 1.0 / 3
+			config.Ledger.UnrecordedFor = 8 * time.Second
+		})
+		world.run(settled)
+		serveAll(world)
+		world.start("node-new")
+		world.list()
+		world.run(2 * settled)
+		for _, change := range world.nodes["node-new"].changes {
+			if !change.Owned {
+				continue
+			}
+			taken++
+			if change.Inherited {
+				inherited++
+			}
+		}
+		return inherited, taken
+	}
+
+	It("takes its partitions from owners that give them up in order", func() {
+		lost, taken := inherited(false)
+		Expect(taken).To(BeNumerically(">", 0))
+		Expect(lost).To(BeZero())
+	})
+
+	It("takes them unasked where hand-overs are switched off", func() {
+		lost, taken := inherited(true)
+		Expect(taken).To(BeNumerically(">", 0))
+		Expect(lost).To(Equal(taken))
+	})
+})
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -36,6 +36,9 @@
 	// StallAfter is how long an append may go unanswered before turns that
 	// need the log are refused.
 	StallAfter time.Duration
+	// ClaimWithoutAsking takes partitions over without asking their owner first,
+	// to measure what a hand-over in order is worth.
+	ClaimWithoutAsking bool
 	// Random picks the peers of a status.
 	Random *rand.Rand
 }
--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -41,7 +41,7 @@
 // askOwner asks the owner for the partition, once. It reports whether this node
 // may claim.
 func (c *Core) askOwner(now time.Time, one *partition) bool {
-	if one.handover.given {
+	if one.handover.given || c.config.ClaimWithoutAsking {
 		return true
 	}
 	if !one.handover.askedAt.IsZero() {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -109,7 +109,7 @@
 // unlist takes in that the store does not list a replica. After an outage that
 // does not say that it is gone.
 func (n *Node) unlist(id replica.ID, reason string) {
-	if until := n.store.doubtUntil(); time.Now().Before(until) && n.replicas.doubt(id, until) {
+	if until := n.store.doubtUntil(); n.settings.uses(DoubtUnlisted) && time.Now().Before(until) && n.replicas.doubt(id, until) {
 		return
 	}
 	n.removeReplica(id, reason)
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -13,23 +13,53 @@
 
 // The mechanisms. All are on unless Settings.Without lists them.
 const (
+	// BeginUnrecorded lets programs begin before the store has their first mark.
+	BeginUnrecorded Mechanism = "begin-unrecorded"
+	// CountPeers counts what other nodes have under way at replicas.
+	CountPeers Mechanism = "count-peers"
+	// DoubtUnlisted keeps replicas that the store lacks after an outage.
+	DoubtUnlisted Mechanism = "doubt-unlisted"
+	// FollowLines keeps a line of turns where its last turn was served.
+	FollowLines Mechanism = "follow-lines"
+	// FollowPrompts estimates which parts of prompts each engine keeps.
+	FollowPrompts Mechanism = "follow-prompts"
+	// FollowReaders has most nodes of a large fleet follow the replicas through
+	// others.
+	FollowReaders Mechanism = "follow-readers"
+	// GrantTurnAfterLoss grants one turn beyond a budget that a lost owner's mark
+	// used up.
+	GrantTurnAfterLoss Mechanism = "grant-turn-after-loss"
+	// HandOver has a partition's owner give it up in order.
+	HandOver Mechanism = "hand-over"
+	// MarkAhead raises marks beyond what a program needs at once.
+	MarkAhead Mechanism = "mark-ahead"
+	// PreferConnections prefers replicas to which a connection is free.
+	PreferConnections Mechanism = "prefer-connections"
+	// PreferZone prefers replicas of the node's own zone.
+	PreferZone Mechanism = "prefer-zone"
 	// RecallChains keeps the chains of turns that this node served, so that the
 	// owner need not send them when their lines go on here.
 	RecallChains Mechanism = "recall-chains"
+	// RefuseWhenFull has new programs wait while all replicas are full.
+	RefuseWhenFull Mechanism = "refuse-when-full"
+	// RememberFaults avoids replicas that erred or did not answer.
+	RememberFaults Mechanism = "remember-faults"
 	// RememberReplicas has the record of a kept turn name the replica that served
 	// it, so that its line goes on there also at a new owner.
 	RememberReplicas Mechanism = "remember-replicas"
 	// RepeatLateCalls sends a call that may run more than once again when its
 	// answer is late.
 	RepeatLateCalls Mechanism = "repeat-late-calls"
+	// SuspectSilent passes over replicas that failed to answer.
+	SuspectSilent Mechanism = "suspect-silent"
 )
 
 // Mechanisms returns all mechanisms, in the order of their names.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		RecallChains,
-		RememberReplicas,
-		RepeatLateCalls,
+		BeginUnrecorded, CountPeers, DoubtUnlisted, FollowLines, FollowPrompts, FollowReaders, GrantTurnAfterLoss, HandOver,
+		MarkAhead, PreferConnections, PreferZone, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
+		RepeatLateCalls, SuspectSilent,
 	}
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -106,7 +106,7 @@
 			Address: settings.Peers, Status: machine.StatusLive, Incarnation: uint64(now.UnixNano()),
 			Weight: settings.Cores * settings.LinkMegabits,
 		},
-		replicas: newReplicas(settings.Zone),
+		replicas: newReplicas(&settings),
 		pool:     upstream.NewPool(upstream.DefaultConfig(adapter.Names)),
 		calls:    repeats,
 		chains:   newChains(settings.uses(RecallChains)),
@@ -156,9 +156,15 @@
 // coreConfig returns the core's settings, within what the store takes.
 func coreConfig(settings Settings, self machine.Machine, random *rand.Rand) coordinator.Config {
 	config := coordinator.DefaultConfig(self, settings.Partitions, random)
-	config.Ledger.UnrecordedShare = unrecordedShare
-	config.Ledger.UnrecordedFor = unrecordedFor
-	config.Ledger.TurnAfterLoss = true
+	if settings.uses(BeginUnrecorded) {
+		config.Ledger.UnrecordedShare = unrecordedShare
+		config.Ledger.UnrecordedFor = unrecordedFor
+	}
+	if !settings.uses(MarkAhead) {
+		config.Ledger.AheadShare, config.Ledger.AheadTurns = 0, 0
+	}
+	config.Ledger.TurnAfterLoss = settings.uses(GrantTurnAfterLoss)
+	config.ClaimWithoutAsking = !settings.uses(HandOver)
 	if settings.RecordBytes > 0 {
 		config.Ledger.RecordBytes = min(config.Ledger.RecordBytes, settings.RecordBytes/2)
 	}
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -15,6 +15,9 @@
 
 // overloaded reports whether a program that has not begun is to wait.
 func (n *Node) overloaded(r *requestState) bool {
+	if !n.settings.uses(RefuseWhenFull) {
+		return false
+	}
 	limit := fullPressure
 	if r.route.Priority == 0 {
 		limit = fullPressureUrgent
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -60,7 +60,7 @@
 // follows the store itself.
 func (n *Node) readersToFollow() []machine.Machine {
 	readers := n.readers.Load()
-	if readers == nil || int(n.liveNodes.Load())*n.replicas.count() < n.settings.relayAbove() {
+	if readers == nil || !n.settings.uses(FollowReaders) || int(n.liveNodes.Load())*n.replicas.count() < n.settings.relayAbove() {
 		return nil
 	}
 	for _, reader := range *readers {
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -19,8 +19,23 @@
 	changed chan struct{}
 }
 
-func newReplicas(zone string) *replicas {
-	return &replicas{set: replica.NewSet(replica.DefaultConfig(zone)), changed: make(chan struct{})}
+func newReplicas(settings *Settings) *replicas {
+	config := replica.DefaultConfig(settings.Zone)
+	config.Without = partsWithout(settings)
+	return &replicas{set: replica.NewSet(config), changed: make(chan struct{})}
+}
+
+// partsWithout returns the parts of the choice that are switched off.
+func partsWithout(settings *Settings) replica.Parts {
+	return replica.Parts{
+		KeptPrompts: !settings.uses(FollowPrompts),
+		LastReplica: !settings.uses(FollowLines),
+		PeerLoads:   !settings.uses(CountPeers),
+		Zones:       !settings.uses(PreferZone),
+		Connections: !settings.uses(PreferConnections),
+		Faults:      !settings.uses(RememberFaults),
+		Suspicion:   !settings.uses(SuspectSilent),
+	}
 }
 
 func (r *replicas) choose(request *replica.Request) (replica.Choice, error) {
--- a/edge/run.go
+++ b/edge/run.go
@@ -263,13 +263,7 @@
 // only where the owner does not hold the previous turn.
 func (t *turnRun) keep(ctx context.Context) error {
 	r, n := t.request, t.node
-	kept := ledger.KeptTurn{
-		ID: r.id, Program: r.program, Previous: r.previous, Input: r.exchange.Body, Output: t.output, Retain: r.route.RetainFor,
-	}
-	if n.settings.uses(RememberReplicas) {
-		kept.Replica = string(r.choice.Entry.ID)
-	}
-	ask := &coordinator.KeepRequest{Turn: kept, Settlement: *n.settlementOf(r)}
+	ask := &coordinator.KeepRequest{Turn: t.keptTurn(), Settlement: *n.settlementOf(r)}
 	for ctx.Err() == nil && r.exchange.Cancel.Cause() == nil {
 		reply, err := n.askOnce(ctx, r, r.partition, coordinator.Request{Keep: ask})
 		switch {
@@ -286,6 +280,18 @@
 	return &notKeptError{}
 }
 
+// keptTurn returns the turn as its owner is to keep it, without its base.
+func (t *turnRun) keptTurn() ledger.KeptTurn {
+	r := t.request
+	kept := ledger.KeptTurn{
+		ID: r.id, Program: r.program, Previous: r.previous, Input: r.exchange.Body, Output: t.output, Retain: r.route.RetainFor,
+	}
+	if t.node.settings.uses(RememberReplicas) {
+		kept.Replica = string(r.choice.Entry.ID)
+	}
+	return kept
+}
+
 // chain returns what an engine has to read before a turn that goes on from this
 // one.
 func (t *turnRun) chain() []byte {
--- /dev/null
+++ b/edge/switches_test.go
@@ -0,0 +1,113 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/ingress"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/upstream"
+)
+
+// quietLogger drops what a node writes.
+var quietLogger = &log.Logger{Level: log.PanicLevel}
+
+// without returns settings with one mechanism switched off.
+func without(mechanism Mechanism) Settings {
+	return Settings{Node: "n", Zone: "z", Partitions: 2, Without: []Mechanism{mechanism}}
+}
+
+// TestSwitchesOfTheCore show in the settings of the control state.
+func TestSwitchesOfTheCore(t *testing.T) {
+	g := NewWithT(t)
+	configOf := func(settings Settings) coordinator.Config {
+		return coreConfig(settings, machine.Machine{ID: "n"}, rand.New(rand.NewPCG(1, 2)))
+	}
+	all := configOf(Settings{Partitions: 2})
+	g.Expect(all.Ledger.UnrecordedShare).To(BeNumerically(">", 0))
+	g.Expect(all.Ledger.AheadTurns).To(BeNumerically(">", 0))
+	g.Expect(all.Ledger.TurnAfterLoss).To(BeTrue())
+	g.Expect(all.ClaimWithoutAsking).To(BeFalse())
+	g.Expect(configOf(without(BeginUnrecorded)).Ledger.UnrecordedShare).To(BeZero())
+	g.Expect(configOf(without(MarkAhead)).Ledger.AheadTurns).To(BeZero())
+	g.Expect(configOf(without(GrantTurnAfterLoss)).Ledger.TurnAfterLoss).To(BeFalse())
+	g.Expect(configOf(without(HandOver)).ClaimWithoutAsking).To(BeTrue())
+}
+
+// TestSwitchesOfTheChoice pass on to the choice of a replica.
+func TestSwitchesOfTheChoice(t *testing.T) {
+	g := NewWithT(t)
+	for mechanism, parts := range map[Mechanism]replica.Parts{
+		FollowPrompts: {KeptPrompts: true}, FollowLines: {LastReplica: true}, CountPeers: {PeerLoads: true},
+		PreferZone: {Zones: true}, PreferConnections: {Connections: true}, RememberFaults: {Faults: true},
+		SuspectSilent: {Suspicion: true},
+	} {
+		settings := without(mechanism)
+		g.Expect(partsWithout(&settings)).To(Equal(parts), string(mechanism))
+	}
+	g.Expect(partsWithout(&Settings{})).To(Equal(replica.Parts{}))
+}
+
+// TestRefuseWhenFull lets new programs in while replicas are full where it is
+// switched off.
+func TestRefuseWhenFull(t *testing.T) {
+	g := NewWithT(t)
+	for _, settings := range []Settings{{}, without(RefuseWhenFull)} {
+		node := &Node{settings: settings, replicas: newReplicas(&settings)}
+		node.replicas.put(replica.Entry{ID: "r", Service: "s", Status: replica.StatusReady, Slots: 1})
+		request := &requestState{service: "s", route: &routing.Route{}}
+		g.Expect(node.overloaded(request)).To(BeFalse())
+		for range 2 {
+			_, err := node.replicas.choose(&replica.Request{Service: "s"})
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		g.Expect(node.overloaded(request)).To(Equal(settings.uses(RefuseWhenFull)))
+	}
+}
+
+// TestDoubtUnlisted removes at once what the store lacks after an outage where
+// it is switched off.
+func TestDoubtUnlisted(t *testing.T) {
+	g := NewWithT(t)
+	for _, settings := range []Settings{{}, without(DoubtUnlisted)} {
+		node := &Node{settings: settings, replicas: newReplicas(&settings), logger: quietLogger, pool: upstream.NewPool(upstream.Config{})}
+		node.replicas.put(replica.Entry{ID: "r", Service: "s", Status: replica.StatusReady, Slots: 1})
+		// The store was away, and is back.
+		node.store.note(time.Now().Add(-time.Minute))
+		node.store.note(time.Now())
+		node.unlist("r", "gone from the list")
+		g.Expect(node.replicas.count()).To(Equal(map[bool]int{true: 1, false: 0}[settings.uses(DoubtUnlisted)]))
+	}
+}
+
+// TestFollowReaders has a node of a large fleet follow the store itself where it
+// is switched off.
+func TestFollowReaders(t *testing.T) {
+	g := NewWithT(t)
+	for _, settings := range []Settings{{RelayAbove: 1}, {RelayAbove: 1, Without: []Mechanism{FollowReaders}}} {
+		node := &Node{settings: settings, replicas: newReplicas(&settings)}
+		node.replicas.put(replica.Entry{ID: "r", Service: "s", Status: replica.StatusReady, Slots: 1})
+		node.liveNodes.Store(9)
+		readers := []machine.Machine{{ID: "reader"}}
+		node.readers.Store(&readers)
+		g.Expect(node.readersToFollow()).To(HaveLen(map[bool]int{true: 1, false: 0}[settings.uses(FollowReaders)]))
+	}
+}
+
+// TestRememberReplicas has a kept turn name no replica where it is switched off.
+func TestRememberReplicas(t *testing.T) {
+	g := NewWithT(t)
+	for _, settings := range []Settings{{}, without(RememberReplicas)} {
+		request := &requestState{id: "t", route: &routing.Route{}, exchange: &ingress.Exchange{}}
+		request.choice.Entry.ID = "r1"
+		run := &turnRun{node: &Node{settings: settings}, request: request}
+		g.Expect(run.keptTurn().Replica).To(Equal(map[bool]string{true: "r1", false: ""}[settings.uses(RememberReplicas)]))
+	}
+}
--- /dev/null
+++ b/replica/parts_test.go
@@ -0,0 +1,66 @@
+package replica_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/replica"
+)
+
+var _ = Describe("A part of the choice that is switched off", func() {
+	prompt := []replica.Part{{ID: "shared", Tokens: 500}, {ID: "history", Tokens: 3000}, {ID: "new", Tokens: 100}}
+
+	// newSetWithout returns a set of two replicas, r0 in this zone.
+	newSetWithout := func(without replica.Parts) *replica.Set {
+		config := replica.DefaultConfig("here")
+		config.Without = without
+		set := replica.NewSet(config)
+		set.SetCacheTokens("s", 10000)
+		set.Put(replica.Entry{ID: "r0", Service: "s", Zone: "here", Status: replica.StatusReady, Slots: 4})
+		set.Put(replica.Entry{ID: "r1", Service: "s", Zone: "here", Status: replica.StatusReady, Slots: 4})
+		return set
+	}
+
+	// Each case makes r1 the better one by one part of the choice alone, so that
+	// without it the first replica is chosen as it would be of equal ones.
+	DescribeTable("changes the choice",
+		func(without replica.Parts, prepare func(set *replica.Set, request *replica.Request)) {
+			for _, parts := range []replica.Parts{{}, without} {
+				set := newSetWithout(parts)
+				request := &replica.Request{Service: "s"}
+				prepare(set, request)
+				choice, err := set.Select(start, request)
+				Expect(err).NotTo(HaveOccurred())
+				want := replica.ID("r1")
+				if parts == without {
+					want = "r0"
+				}
+				Expect(choice.Entry.ID).To(Equal(want))
+			}
+		},
+		Entry("kept prompts", replica.Parts{KeptPrompts: true}, func(set *replica.Set, request *replica.Request) {
+			set.Began(start, "r1", prompt)
+			set.Ended(start, "r1", replica.ResultAnswered)
+			request.Prompt = prompt
+		}),
+		Entry("last replica", replica.Parts{LastReplica: true}, func(_ *replica.Set, request *replica.Request) {
+			request.Prompt = prompt
+			request.Preferred = "r1"
+		}),
+		Entry("loads of peers", replica.Parts{PeerLoads: true}, func(set *replica.Set, _ *replica.Request) {
+			set.SetPeer(start, "peer", map[replica.ID]int{"r0": 3})
+		}),
+		Entry("zones", replica.Parts{Zones: true}, func(set *replica.Set, _ *replica.Request) {
+			set.Put(replica.Entry{ID: "r0", Service: "s", Zone: "elsewhere", Status: replica.StatusReady, Slots: 4})
+		}),
+		Entry("connections", replica.Parts{Connections: true}, func(_ *replica.Set, request *replica.Request) {
+			request.Connected = func(entry replica.Entry) bool { return entry.ID == "r1" }
+		}),
+		Entry("faults", replica.Parts{Faults: true}, func(set *replica.Set, _ *replica.Request) {
+			set.Ended(start, "r0", replica.ResultErred)
+		}),
+		Entry("suspicion", replica.Parts{Suspicion: true, Faults: true}, func(set *replica.Set, _ *replica.Request) {
+			set.Ended(start, "r0", replica.ResultFailed)
+		}),
+	)
+})
--- a/replica/select.go
+++ b/replica/select.go
@@ -92,7 +92,7 @@
 			saturated = true
 			continue
 		}
-		if now.Before(one.suspectUntil) {
+		if now.Before(one.suspectUntil) && !s.config.Without.Suspicion {
 			suspects = append(suspects, one)
 			continue
 		}
@@ -135,11 +135,14 @@
 	if slots := max(1, one.entry.Slots); load >= slots {
 		cost += queuedTokens * (load - slots + 1) / slots
 	}
-	cost += int(faultTokens * min(one.faultsNow(now), maximumFaults))
-	if one.entry.Zone != s.config.Zone {
+	without := &s.config.Without
+	if !without.Faults {
+		cost += int(faultTokens * min(one.faultsNow(now), maximumFaults))
+	}
+	if one.entry.Zone != s.config.Zone && !without.Zones {
 		cost += elsewhereTokens
 	}
-	if request.Connected != nil && !request.Connected(one.entry) {
+	if request.Connected != nil && !without.Connections && !request.Connected(one.entry) {
 		cost += connectTokens
 	}
 	return cost
@@ -165,8 +168,19 @@
 // it that turn.
 func (s *Set) missing(one *member, request *Request) int {
 	missing := one.cache.missing(request.Prompt)
-	if last := len(request.Prompt) - 1; last >= 0 && one.entry.ID == request.Preferred {
+	if s.config.Without.KeptPrompts {
+		missing = tokensOf(request.Prompt)
+	}
+	last := len(request.Prompt) - 1
+	if last >= 0 && one.entry.ID == request.Preferred && !s.config.Without.LastReplica {
 		missing = min(missing, request.Prompt[last].Tokens)
 	}
 	return missing
 }
+
+func tokensOf(prompt []Part) (tokens int) {
+	for _, part := range prompt {
+		tokens += part.Tokens
+	}
+	return tokens
+}
--- a/replica/set.go
+++ b/replica/set.go
@@ -42,6 +42,26 @@
 	MaximumSuspect time.Duration
 	// PeerLoadLifetime is how long a peer's report counts.
 	PeerLoadLifetime time.Duration
+	// Without switches parts of the choice off, to measure what they are worth.
+	Without Parts
+}
+
+// Parts are parts of the choice of a replica.
+type Parts struct {
+	// KeptPrompts is the estimate of what each engine keeps, and LastReplica that
+	// the one which served a line of turns last keeps its prompt.
+	KeptPrompts bool
+	LastReplica bool
+	// PeerLoads are the requests that other nodes have under way.
+	PeerLoads bool
+	// Zones prefers replicas of the node's own zone, Connections those to which a
+	// connection is free.
+	Zones       bool
+	Connections bool
+	// Faults avoids replicas that erred, and Suspicion passes over those that
+	// failed to answer.
+	Faults    bool
+	Suspicion bool
 }
 
 // DefaultConfig returns the settings used in production.
@@ -251,6 +271,9 @@
 
 // SetPeer takes in the requests that a peer has under way.
 func (s *Set) SetPeer(now time.Time, peer string, counts map[ID]int) {
+	if s.config.Without.PeerLoads {
+		return
+	}
 	s.peers[peer] = peerLoad{at: now, counts: counts}
 	s.expirePeers(now)
 	s.recountPeers()
