internal/wait: one wait with a context instead of four; Reply.Owner, which nobody read, is gone

Left by earlier work: edge, node, gateway and load each wrote the wait; a reply of a node that does not own a partition named the owner, which no asker followed.

--- a/coordinator/request.go
+++ b/coordinator/request.go
@@ -72,6 +72,4 @@
 	Epoch     ownership.Epoch   `json:"epoch,omitempty"`
 	Admission *ledger.Admission `json:"admission,omitempty"`
 	Chain     []byte            `json:"chain,omitempty"`
-	// Owner is the node that serves the partition as far as is known.
-	Owner string `json:"owner,omitempty"`
 }
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -20,8 +20,7 @@
 	case stateTaking:
 		one.held = append(one.held, heldRequest{request: request, until: now.Add(c.config.HoldFor)})
 	default:
-		owner, _ := c.Owner(now, request.Partition)
-		c.reply(Reply{ID: request.ID, Status: ReplyNotOwner, Owner: string(owner.ID)})
+		c.reply(Reply{ID: request.ID, Status: ReplyNotOwner})
 	}
 }
 
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/recordstore"
 	"birchwood.example/birchwood/replica"
@@ -223,7 +224,7 @@
 		records, next, err := n.readNewest(ctx, stream)
 		if err != nil {
 			n.logger.Warn().Str("stream", string(stream.Name)).Err(err).Msg("store: stream not read")
-			sleep(ctx, backoff.Next())
+			wait.For(ctx, backoff.Next())
 			continue
 		}
 		backoff.Reset()
@@ -240,16 +241,16 @@
 	backoff := n.backoff()
 	resync := time.Now().Add(resyncPeriod)
 	for ctx.Err() == nil && !to.done() && time.Now().Before(resync) {
-		wait := to.wait()
-		callCtx, cancel := context.WithTimeout(ctx, wait+tailSlack)
-		tail, err := n.adapter.Store.Tail(callCtx, stream, next, wait)
+		patience := to.wait()
+		callCtx, cancel := context.WithTimeout(ctx, patience+tailSlack)
+		tail, err := n.adapter.Store.Tail(callCtx, stream, next, patience)
 		cancel()
 		n.noteStore(err)
 		if errors.Is(err, recordstore.ErrGap) {
 			return
 		}
 		if err != nil {
-			sleep(ctx, backoff.Next())
+			wait.For(ctx, backoff.Next())
 			continue
 		}
 		backoff.Reset()
@@ -258,7 +259,7 @@
 		}
 		to.caughtUp()
 		next = tail.Next
-		sleep(ctx, to.pause)
+		wait.For(ctx, to.pause)
 	}
 }
 
@@ -273,7 +274,7 @@
 	}
 	published := false
 	for ctx.Err() == nil {
-		wait := nodesPeriod
+		pause := nodesPeriod
 		if !published {
 			published = n.publish(ctx, stream, value)
 		}
@@ -282,9 +283,9 @@
 			n.control.post(coordinator.Listed{Nodes: decodeNodes(records)})
 		}
 		if err != nil || !published {
-			wait = appendRetryMost
+			pause = appendRetryMost
 		}
-		sleep(ctx, wait)
+		wait.For(ctx, pause)
 	}
 }
 
@@ -326,7 +327,7 @@
 // followPeers has a node that alone is cut off from the store learn the
 // configuration and the replicas from a peer.
 func (n *Node) followPeers(ctx context.Context) {
-	for sleep(ctx, peerStatePeriod) {
+	for wait.For(ctx, peerStatePeriod) {
 		if n.reachesStore() {
 			continue
 		}
--- a/edge/ledgers.go
+++ b/edge/ledgers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/ownership"
 	"birchwood.example/birchwood/recordstore"
@@ -147,7 +148,7 @@
 			return page, nil
 		}
 		last = err
-		if !sleep(ctx, backoff.Next()) {
+		if !wait.For(ctx, backoff.Next()) {
 			return recordstore.Page{}, ctx.Err()
 		}
 	}
@@ -210,7 +211,7 @@
 		if err == nil || errors.As(err, &fenced) || attempt == attempts {
 			return err
 		}
-		if !sleep(ctx, backoff.Next()) {
+		if !wait.For(ctx, backoff.Next()) {
 			return ctx.Err()
 		}
 	}
@@ -241,15 +242,3 @@
 		n.store.note(time.Now())
 	}
 }
-
-// sleep waits, and reports false if the context ended first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/edge/node.go
+++ b/edge/node.go
@@ -16,6 +16,7 @@
 
 	"birchwood.example/birchwood/coordinator"
 	"birchwood.example/birchwood/ingress"
+	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/retry"
 	"birchwood.example/birchwood/routing"
@@ -254,7 +255,7 @@
 	n.control.post(coordinator.Leave{})
 	n.clients.Drain()
 	end := begun.Add(max(n.settings.Grace-killSlack, 0))
-	n.sleepUntil(minTime(begun.Add(unlistedAfter), end))
+	wait.Until(n.ctx, minTime(begun.Add(unlistedAfter), end))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := n.clients.Shutdown(ctx)
@@ -281,14 +282,5 @@
 	return right
 }
 
-func (n *Node) sleepUntil(when time.Time) {
-	timer := time.NewTimer(time.Until(when))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-n.ctx.Done():
-	}
-}
-
 // reachesStore reports whether the store answered lately.
 func (n *Node) reachesStore() bool { return n.store.reached(time.Now()) }
--- a/edge/run.go
+++ b/edge/run.go
@@ -12,6 +12,7 @@
 
 	"birchwood.example/birchwood/coordinator"
 	"birchwood.example/birchwood/eventstream"
+	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/routing"
@@ -274,7 +275,7 @@
 		case err == nil && reply.Status == coordinator.ReplyAbsent:
 			ask.Turn.Base, ask.HasBase = t.grant.chain, true
 		default:
-			sleep(ctx, ownerPause)
+			wait.For(ctx, ownerPause)
 		}
 	}
 	return &notKeptError{}
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/ownership"
 	"birchwood.example/birchwood/replica"
@@ -151,7 +152,7 @@
 		if ctx.Err() != nil || r.exchange.Cancel.Cause() != nil || time.Now().Add(ownerPause).After(until) {
 			return coordinator.Reply{}, errNoOwner
 		}
-		sleep(ctx, ownerPause)
+		wait.For(ctx, ownerPause)
 	}
 }
 
@@ -227,7 +228,7 @@
 				done <- nil
 				return
 			}
-			sleep(ctx, ownerPause)
+			wait.For(ctx, ownerPause)
 			admit := &coordinator.AdmitRequest{Turn: turn}
 			reply, err = n.askOwner(ctx, search, partition, coordinator.Request{Admit: admit}, ownerPatience)
 			if err != nil || reply.Admission == nil {
@@ -261,7 +262,7 @@
 			if err == nil && reply.Status == coordinator.ReplyDone {
 				return
 			}
-			sleep(settleCtx, comeBackSoon)
+			wait.For(settleCtx, comeBackSoon)
 		}
 	})
 }
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -6,6 +6,7 @@
 
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/control"
+	"birchwood.example/birchwood/internal/wait"
 )
 
 // answer is what the caller gets: a JSON body, a refusal, or a stream.
@@ -60,7 +61,7 @@
 		admitted := result.pending || result.source != nil
 		request.mayHaveRun = request.mayHaveRun || result.unknown || admitted
 		switch {
-		case result.pending && !request.peer && pauseUntil(ctx, started.Add(minimumSlice)):
+		case result.pending && !request.peer && wait.Until(ctx, started.Add(minimumSlice)):
 			// The next slice of the wait.
 		case !result.retry || request.peer:
 			if result.refusal == nil && !request.peer {
--- a/gateway/retry.go
+++ b/gateway/retry.go
@@ -4,8 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"time"
 
+	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/retry"
 )
 
@@ -42,19 +42,7 @@
 // time is over.
 func (g *Gateway) pause(ctx context.Context, attempt int) bool {
 	backoff := retry.Backoff{Minimum: g.config.RetryDelay, Maximum: g.config.MaximumRetryDelay, Random: g.random}
-	return pauseUntil(ctx, time.Now().Add(backoff.Delay(attempt)))
-}
-
-// pauseUntil waits for the time and reports whether the context still lives.
-func pauseUntil(ctx context.Context, until time.Time) bool {
-	timer := time.NewTimer(time.Until(until))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, backoff.Delay(attempt))
 }
 
 // lockedSource makes the configured source safe for concurrent use. A
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -19,7 +19,7 @@
 // layers orders the packages: each may import only packages of earlier lines.
 // A folder stands for every package below it that has no entry of its own.
 var layers = [][]string{
-	{"findings", "connection", "header", "recordstore", "eventstream"},
+	{"internal/wait", "findings", "connection", "header", "recordstore", "eventstream"},
 	{"zone", "httpclient", "retry", "routing", "replica", "ledger", "ownership", "upstream"},
 	{"machine", "api"},
 	{"contract", "recordlog", "infra", "tool", "history", "stream"},
--- a/load/agent.go
+++ b/load/agent.go
@@ -10,6 +10,7 @@
 
 	"birchwood.example/birchwood/api"
 	"birchwood.example/birchwood/history"
+	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/program"
 	"birchwood.example/birchwood/workload"
 )
@@ -94,12 +95,10 @@
 func (a *agent) pause(ctx context.Context, length time.Duration) error {
 	length = time.Duration(float64(length) / a.config.Speed)
 	a.paused += length
-	select {
-	case <-time.After(length):
-		return nil
-	case <-ctx.Done():
+	if !wait.For(ctx, length) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 // call makes a model or tool call.
--- a/node/resume.go
+++ b/node/resume.go
@@ -7,6 +7,7 @@
 
 	"birchwood.example/birchwood/engine"
 	"birchwood.example/birchwood/httpclient"
+	"birchwood.example/birchwood/internal/wait"
 )
 
 // resumeDelays are the pauses before a cut stream is asked for again. They are
@@ -28,7 +29,7 @@
 func (n *Node) generate(ctx context.Context, client engine.Client, request engine.GenerateRequest, answer *modelAnswer) error {
 	cut := n.generateOnce(ctx, client, request, answer)
 	for _, delay := range resumeDelays {
-		if cut == nil || !resumable(cut) || !pause(ctx, delay) {
+		if cut == nil || !resumable(cut) || !wait.For(ctx, delay) {
 			return cut
 		}
 		request.ResumeFrom = answer.text.Len()
@@ -62,15 +63,3 @@
 	givenUp := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 	return !givenUp && !errors.Is(err, httpclient.ErrSilent)
 }
-
-// pause waits, and reports false when the context ended first.
-func pause(ctx context.Context, delay time.Duration) bool {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
