upstream: the pool's own bound on connections is gone

Nobody set it: what a node uses is the bound on its requests at one replica in the choice (replica.Request.PerNode, held by 'tells a service without replicas from one whose replicas are full'). Its test tested the removed call alone.

--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -10,10 +10,6 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("upstream")
 
-// ErrNoCapacity says that the replica already has as many connections of this
-// process as it may have.
-var ErrNoCapacity = errors.New("every connection to the replica is in use")
-
 // ErrCancelled says that the exchange was ended from this side.
 var ErrCancelled = errors.New("the exchange was cancelled")
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -55,9 +55,6 @@
 // target is what the pool keeps for one replica.
 type target struct {
 	idle []*conn
-	open int
-	// limit is the most connections; 0 sets none.
-	limit int
 }
 
 // NewPool returns a pool without connections.
@@ -65,13 +62,6 @@
 	return &Pool{config: config, targets: make(map[Target]*target)}
 }
 
-// SetLimit bounds the connections to a replica.
-func (p *Pool) SetLimit(to Target, limit int) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.target(to).limit = limit
-}
-
 // Free reports whether a kept connection to the replica waits to be used.
 func (p *Pool) Free(to Target) bool {
 	p.mutex.Lock()
@@ -115,10 +105,7 @@
 // get returns a connection to the replica, kept or new.
 func (p *Pool) get(to Target, deadline time.Time) (*conn, error) {
 	for {
-		kept, err := p.takeIdle(to)
-		if err != nil {
-			return nil, err
-		}
+		kept := p.takeIdle(to)
 		if kept == nil {
 			return p.dial(to, deadline)
 		}
@@ -126,7 +113,7 @@
 			p.count(&p.reused)
 			return kept, nil
 		}
-		p.discard(to, kept)
+		_ = kept.Close()
 	}
 }
 
@@ -136,33 +123,26 @@
 	p.mutex.Unlock()
 }
 
-// takeIdle returns the connection that was used last, or nil after making room
-// for a new one.
-func (p *Pool) takeIdle(to Target) (*conn, error) {
+// takeIdle returns the connection that was used last, or nil.
+func (p *Pool) takeIdle(to Target) *conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	known := p.target(to)
 	if last := len(known.idle) - 1; last >= 0 {
 		kept := known.idle[last]
 		known.idle = known.idle[:last]
-		return kept, nil
-	}
-	if known.limit > 0 && known.open >= known.limit {
-		return nil, ErrNoCapacity
+		return kept
 	}
-	known.open++
-	return nil, nil
+	return nil
 }
 
 func (p *Pool) dial(to Target, deadline time.Time) (*conn, error) {
 	timeout := min(p.config.DialTimeout, time.Until(deadline))
 	if timeout <= 0 {
-		p.release(to)
 		return nil, ErrCancelled
 	}
 	socket, err := net.DialTimeout("tcp", to.Address, timeout)
 	if err != nil {
-		p.release(to)
 		return nil, err
 	}
 	setUserTimeout(socket, p.config.SilenceTimeout)
@@ -170,20 +150,6 @@
 	return newConn(socket, p.config.IdleLimit), nil
 }
 
-// release gives back the room of a connection that is no more.
-func (p *Pool) release(to Target) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if known := p.targets[to]; known != nil && known.open > 0 {
-		known.open--
-	}
-}
-
-func (p *Pool) discard(to Target, connection *conn) {
-	_ = connection.Close()
-	p.release(to)
-}
-
 // put keeps a connection whose exchange ended cleanly.
 func (p *Pool) put(to Target, connection *conn) {
 	connection.idleSince = time.Now()
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -147,7 +147,7 @@
 	r.conn = nil
 	_ = r.cancel.bind(nil, time.Time{})
 	if !r.whole || !r.written() || r.surplus || r.Header.ConnectionClose() || r.cancel.Cause() != nil {
-		r.pool.discard(r.to, connection)
+		_ = connection.Close()
 		return
 	}
 	connection.idleLimit = keepAliveLimit(r.Header.Peek(header.KeepAlive), r.pool.config.IdleLimit)
@@ -177,7 +177,7 @@
 	connection := r.conn
 	r.conn = nil
 	_ = r.cancel.bind(nil, time.Time{})
-	r.pool.discard(r.to, connection)
+	_ = connection.Close()
 }
 
 // idleSlack is taken off the time for which a replica promises to keep a
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -41,7 +41,7 @@
 		return nil, &NotSentError{Cause: err}
 	}
 	if err := cancel.bind(connection.Conn, request.Deadline); err != nil {
-		p.discard(to, connection)
+		_ = connection.Close()
 		return nil, &NotSentError{Cause: err}
 	}
 	response := &Response{pool: p, to: to, conn: connection, cancel: cancel}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -255,16 +255,6 @@
 		_, reused := pool.Counts()
 		Expect(reused).To(BeZero())
 	})
-
-	It("keeps to the bound on connections", func() {
-		replica := startReplica("HTTP/1.1 200 OK\r\nTest-Id: 1\r\nContent-Length: 9\r\n\r\nhalf")
-		pool.SetLimit(replica.target(), 1)
-		_, err := pool.Send(replica.target(), newRequest("1"), &upstream.Cancel{})
-		Expect(err).NotTo(HaveOccurred())
-		_, err = pool.Send(replica.target(), newRequest("2"), &upstream.Cancel{})
-		Expect(err).To(MatchError(upstream.ErrNoCapacity))
-		Expect(upstream.NotSent(err)).To(BeTrue())
-	})
 })
 
 var _ = Describe("A cancel with attempts", func() {
