--- a/edge/follow.go
+++ b/edge/follow.go
@@ -102,7 +102,7 @@
 
 func (n *Node) putReplica(entry replica.Entry) {
 	if n.replicas.put(entry) {
-		n.logger.Info().Str("replica", string(entry.ID)).Str("service", entry.Service).Str("address", entry.Address).
+		n.logger.Info().Str("replica", string(entry.ID)).Str("service", entry.Service).Str("address", entry.Address.String()).
 			Str("status", string(entry.Status)).Msg("replicas: changed")
 	}
 }
--- a/replica/set.go
+++ b/replica/set.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -23,8 +24,7 @@
 type Entry struct {
 	ID      ID
 	Service string
-	// Address is "ip:port".
-	Address string
+	Address netip.AddrPort
 	Zone    string
 	Status  Status
 	// Slots is how many requests it works on at once.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -37,9 +38,9 @@
 
 // Target is one replica.
 type Target struct {
-	// Identity is the id of the replica's incarnation; Address is "ip:port".
+	// Identity is the id of the replica's incarnation.
 	Identity string
-	Address  string
+	Address  netip.AddrPort
 }
 
 // Pool keeps connections to replicas. It is safe for concurrent use.
@@ -141,7 +142,7 @@
 	if timeout <= 0 {
 		return nil, ErrCancelled
 	}
-	socket, err := net.DialTimeout("tcp", to.Address, timeout)
+	socket, err := net.DialTimeout("tcp", to.Address.String(), timeout)
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -92,7 +93,7 @@
 }
 
 func (s *scriptedReplica) target() upstream.Target {
-	return upstream.Target{Identity: "r", Address: s.listener.Addr().String()}
+	return upstream.Target{Identity: "r", Address: addressOf(s.listener)}
 }
 
 func newRequest(id string) *upstream.Request {
@@ -137,7 +138,7 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(listener.Close()).To(Succeed())
-		_, err = pool.Send(upstream.Target{Address: listener.Addr().String()}, newRequest("1"), &upstream.Cancel{})
+		_, err = pool.Send(upstream.Target{Address: addressOf(listener)}, newRequest("1"), &upstream.Cancel{})
 		Expect(upstream.NotSent(err)).To(BeTrue())
 	})
 
@@ -246,7 +247,7 @@
 		}()
 		request := newRequest("1")
 		request.Body = make([]byte, 64<<20)
-		to := upstream.Target{Address: listener.Addr().String()}
+		to := upstream.Target{Address: addressOf(listener)}
 		response, err := pool.Send(to, request, &upstream.Cancel{})
 		Expect(err).NotTo(HaveOccurred())
 		body, err := response.ReadAll()
@@ -257,6 +258,11 @@
 	})
 })
 
+// addressOf returns where a listener listens.
+func addressOf(listener net.Listener) netip.AddrPort {
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
 var _ = Describe("A cancel with attempts", func() {
 	It("ends its attempts, and leaves them alone when one of them ends", func() {
 		exchange := &upstream.Cancel{}
