--- /dev/null
+++ b/edge/attempt.go
@@ -0,0 +1,122 @@
+package edge
+
+import (
+	"errors"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/ingress"
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/upstream"
+)
+
+// maximumOffers bounds the replicas that one request is offered to.
+const maximumOffers = 6
+
+// hangSuspicion is from when on a request that had no answer counts against
+// its replica when its time is up.
+const hangSuspicion = time.Second
+
+// resultOf tells an answer from one that tells of the replica's own fault.
+func resultOf(status int) replica.Result {
+	if status >= fasthttp.StatusInternalServerError {
+		return replica.ResultErred
+	}
+	return replica.ResultAnswered
+}
+
+// again settles where a request runs next whose run broke off: elsewhere, or,
+// once it has run on as many replicas as it may, on the same one.
+func (r *requestState) again(entry replica.Entry, runs int) {
+	if runs < r.route.Attempts() {
+		r.excluded = append(r.excluded, entry.ID)
+		return
+	}
+	r.only = entry.ID
+}
+
+func failureReason(err error) string {
+	if err == nil {
+		return "the replica's answer is not signed"
+	}
+	return err.Error()
+}
+
+// chooseReplica picks the next replica for the request and counts it there.
+func (n *Node) chooseReplica(r *requestState, table *routing.Table) (replica.Entry, error) {
+	choice, err := n.replicas.choose(&replica.Request{
+		Service: r.service, Prompt: r.prompt, Preferred: r.preferred, Only: r.only, Excluded: r.excluded,
+		PerNode: n.perNode(table, r.service), Draw: n.draw(),
+		Connected: func(entry replica.Entry) bool { return n.pool.Free(targetOf(entry)) },
+	})
+	if err != nil {
+		return replica.Entry{}, err
+	}
+	r.choice = choice
+	r.attempts++
+	r.sentAt = time.Now()
+	return choice.Entry, nil
+}
+
+// reject notes that a replica did not run the request.
+func (n *Node) reject(r *requestState, entry replica.Entry, result replica.Result) {
+	n.replicas.ended(entry.ID, result)
+	if r.only == entry.ID && result == replica.ResultFailed {
+		// No connection: the replica has ended or is cut off.
+		r.only = ""
+	}
+	r.excluded = append(r.excluded, entry.ID)
+}
+
+// abandoned ends a request whose client has left or whose time is up. The
+// replica has been told by the closed connection.
+func (n *Node) abandoned(r *requestState, entry replica.Entry) bool {
+	if errors.Is(r.exchange.Cancel.Cause(), ingress.ErrClientGone) {
+		n.replicas.ended(entry.ID, replica.ResultCancelled)
+		r.giveUp("the client has left")
+		return true
+	}
+	if r.left() > 0 {
+		return false
+	}
+	result := replica.ResultCancelled
+	if time.Since(r.sentAt) > hangSuspicion {
+		result = replica.ResultTimedOut
+	}
+	n.replicas.ended(entry.ID, result)
+	r.fail(fasthttp.StatusGatewayTimeout, "the time of the request is up", 0)
+	return true
+}
+
+// refuse ends a request for which there is no replica (left).
+func (n *Node) refuse(r *requestState, err error, runs int) {
+	reason := "every replica refused the request"
+	if err != nil {
+		reason = err.Error()
+	}
+	if runs > 0 {
+		r.fail(fasthttp.StatusBadGateway, reason, 0)
+		return
+	}
+	wait := comeBackSoon
+	if errors.Is(err, replica.ErrNoReplica) && len(r.excluded) == 0 {
+		wait = comeBackLater
+	}
+	r.fail(fasthttp.StatusServiceUnavailable, reason, wait)
+}
+
+// notExecuted reports whether the answer promises that the request was not run.
+func (n *Node) notExecuted(response *upstream.Response) bool {
+	return response.Status() == fasthttp.StatusMisdirectedRequest || len(response.Header.Peek(n.adapter.Names.NotExecuted)) > 0
+}
+
+// sound reports whether the answer may be passed on: a success is signed.
+func (n *Node) sound(response *upstream.Response) bool {
+	status := response.Status()
+	if status < fasthttp.StatusOK || status >= fasthttp.StatusMultipleChoices {
+		return true
+	}
+	return len(response.Header.Peek(n.adapter.Names.Seal)) > 0
+}
--- a/edge/call.go
+++ b/edge/call.go
@@ -1,122 +1,234 @@
 package edge
 
 import (
-	"errors"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
-	"birchwood.example/birchwood/ingress"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/routing"
 	"birchwood.example/birchwood/upstream"
 )
 
-// maximumOffers bounds the replicas that one request is offered to.
-const maximumOffers = 6
+// callRun is the run of one request whose answer is passed on whole, over as
+// many replicas as it takes. A request that may run more than once is sent again
+// when its answer is late; the first answer counts. One goroutine owns it.
+type callRun struct {
+	node    *Node
+	request *requestState
+	table   *routing.Table
 
-// hangSuspicion is from when on a request that had no answer counts against
-// its replica when its time is up.
-const hangSuspicion = time.Second
+	// flying are the attempts that have no result yet, the newest last.
+	flying  []*callAttempt
+	results chan callResult
+	// runs counts the attempts that may have run, and offers all of them.
+	runs   int
+	offers int
+	// repeats counts the attempts that were sent beside another one.
+	repeats int
+}
+
+// callAttempt is a call sent to one replica.
+type callAttempt struct {
+	choice replica.Choice
+	sentAt time.Time
+	cancel *upstream.Cancel
+}
+
+// callResult is how an attempt ended.
+type callResult struct {
+	attempt  *callAttempt
+	response *upstream.Response
+	body     []byte
+	err      error
+}
+
+// maximumRepeats bounds how often one call is sent beside an attempt that is
+// late, and minimumRepeatTime is the least time left that is worth it.
+const (
+	maximumRepeats    = 2
+	minimumRepeatTime = 20 * time.Millisecond
+)
+
+// serveCall serves a request whose answer is passed on whole.
+func (n *Node) serveCall(r *requestState, table *routing.Table) {
+	run := &callRun{node: n, request: r, table: table, results: make(chan callResult, maximumRepeats+1)}
+	run.perform()
+}
 
-// resultOf tells an answer from one that tells of the replica's own fault.
-func resultOf(status int) replica.Result {
-	if status >= fasthttp.StatusInternalServerError {
-		return replica.ResultErred
+// perform runs the call and answers the client.
+func (c *callRun) perform() {
+	defer c.abandonRest()
+	for {
+		if len(c.flying) == 0 {
+			if err := c.launch(); err != nil {
+				c.node.refuse(c.request, err, c.runs)
+				return
+			}
+		}
+		result, came := c.await()
+		if !came {
+			c.repeat()
+			continue
+		}
+		if c.take(result) {
+			return
+		}
 	}
-	return replica.ResultAnswered
 }
 
-// again settles where a request runs next whose run broke off: elsewhere, or,
-// once it has run on as many replicas as it may, on the same one.
-func (r *requestState) again(entry replica.Entry, runs int) {
-	if runs < r.route.Attempts() {
-		r.excluded = append(r.excluded, entry.ID)
-		return
+// launch sends the call to the replica that is best now.
+func (c *callRun) launch() error {
+	n, r := c.node, c.request
+	if c.offers >= maximumOffers || r.left() <= 0 {
+		return errOffered
+	}
+	entry, err := n.chooseReplica(r, c.table)
+	if err != nil {
+		return err
 	}
-	r.only = entry.ID
+	c.offers++
+	c.runs++
+	attempt := &callAttempt{choice: r.choice, sentAt: r.sentAt, cancel: r.exchange.Cancel}
+	c.flying = append(c.flying, attempt)
+	request := n.outgoing(r, entry, r.exchange.Body, "")
+	if !c.repeatable() {
+		c.results <- n.performCall(attempt, request)
+		return nil
+	}
+	attempt.cancel = r.exchange.Cancel.Child()
+	go func() { c.results <- n.performCall(attempt, request) }()
+	return nil
 }
 
-func failureReason(err error) string {
+// performCall sends a call and reads its whole answer.
+func (n *Node) performCall(attempt *callAttempt, request *upstream.Request) callResult {
+	response, err := n.pool.Send(targetOf(attempt.choice.Entry), request, attempt.cancel)
+	result := callResult{attempt: attempt, response: response, err: err}
 	if err == nil {
-		return "the replica's answer is not signed"
+		result.body, result.err = response.ReadAll()
 	}
-	return err.Error()
+	return result
 }
 
-// chooseReplica picks the next replica for the request and counts it there.
-func (n *Node) chooseReplica(r *requestState, table *routing.Table) (replica.Entry, error) {
-	choice, err := n.replicas.choose(&replica.Request{
-		Service: r.service, Prompt: r.prompt, Preferred: r.preferred, Only: r.only, Excluded: r.excluded,
-		PerNode: n.perNode(table, r.service), Draw: n.draw(),
-		Connected: func(entry replica.Entry) bool { return n.pool.Free(targetOf(entry)) },
-	})
-	if err != nil {
-		return replica.Entry{}, err
+// repeatable reports whether the call may be sent beside itself.
+func (c *callRun) repeatable() bool {
+	return c.request.route.Repeatable() && c.node.settings.uses(RepeatLateCalls)
+}
+
+// await returns the next result, or false once the newest attempt is late.
+func (c *callRun) await() (callResult, bool) {
+	if !c.repeatable() || c.repeats >= maximumRepeats {
+		return <-c.results, true
+	}
+	newest := c.flying[len(c.flying)-1]
+	timer := time.NewTimer(time.Until(newest.sentAt.Add(c.node.lateAfter(c.request.route))))
+	defer timer.Stop()
+	select {
+	case result := <-c.results:
+		return result, true
+	case <-timer.C:
+		return callResult{}, false
 	}
-	r.choice = choice
-	r.attempts++
-	r.sentAt = time.Now()
-	return choice.Entry, nil
 }
 
-// reject notes that a replica did not run the request.
-func (n *Node) reject(r *requestState, entry replica.Entry, result replica.Result) {
-	n.replicas.ended(entry.ID, result)
-	if r.only == entry.ID && result == replica.ResultFailed {
-		// No connection: the replica has ended or is cut off.
-		r.only = ""
+// repeat sends the call once more beside those that are late: elsewhere, or,
+// once it is on as many replicas as it may be, to the same one.
+func (c *callRun) repeat() {
+	c.repeats++
+	r := c.request
+	if r.left() < minimumRepeatTime || !c.node.calls.mayRepeat() {
+		return
+	}
+	newest := c.flying[len(c.flying)-1]
+	r.again(newest.choice.Entry, c.runs)
+	if err := c.launch(); err == nil {
+		r.repeats++
+		c.node.metrics.callRepeated()
 	}
-	r.excluded = append(r.excluded, entry.ID)
 }
 
-// abandoned ends a request whose client has left or whose time is up. The
-// replica has been told by the closed connection.
-func (n *Node) abandoned(r *requestState, entry replica.Entry) bool {
-	if errors.Is(r.exchange.Cancel.Cause(), ingress.ErrClientGone) {
-		n.replicas.ended(entry.ID, replica.ResultCancelled)
-		r.giveUp("the client has left")
+// take takes a result in. It reports whether the request is over.
+func (c *callRun) take(result callResult) (over bool) {
+	n, r := c.node, c.request
+	c.land(result.attempt)
+	entry := result.attempt.choice.Entry
+	if upstream.NotSent(result.err) {
+		return c.notRun(result.attempt, replica.ResultFailed)
+	}
+	if result.err == nil && n.notExecuted(result.response) {
+		return c.notRun(result.attempt, replica.ResultRejected)
+	}
+	if result.err == nil && n.sound(result.response) {
+		r.choice = result.attempt.choice
+		status := result.response.Status()
+		n.replicas.ended(entry.ID, resultOf(status))
+		n.calls.answered(r.route, time.Since(result.attempt.sentAt), status)
+		r.status = status
+		r.reason = "answered"
+		r.exchange.Relay(&result.response.Header, result.body)
 		return true
 	}
-	if r.left() > 0 {
+	return c.brokeOff(result)
+}
+
+// notRun takes in that an attempt certainly did not run.
+func (c *callRun) notRun(attempt *callAttempt, result replica.Result) (over bool) {
+	n, r := c.node, c.request
+	c.runs--
+	if len(c.flying) > 0 {
+		// The others go on; a replica more might be one too many.
+		n.replicas.ended(attempt.choice.Entry.ID, result)
+		c.repeats = maximumRepeats
 		return false
 	}
-	result := replica.ResultCancelled
-	if time.Since(r.sentAt) > hangSuspicion {
-		result = replica.ResultTimedOut
+	if result == replica.ResultFailed && n.abandoned(r, attempt.choice.Entry) {
+		return true
 	}
-	n.replicas.ended(entry.ID, result)
-	r.fail(fasthttp.StatusGatewayTimeout, "the time of the request is up", 0)
-	return true
+	n.reject(r, attempt.choice.Entry, result)
+	return false
 }
 
-// refuse ends a request for which there is no replica (left).
-func (n *Node) refuse(r *requestState, err error, runs int) {
-	reason := "every replica refused the request"
-	if err != nil {
-		reason = err.Error()
+// brokeOff takes in that an attempt that may have run has no whole answer.
+func (c *callRun) brokeOff(result callResult) (over bool) {
+	n, r := c.node, c.request
+	entry := result.attempt.choice.Entry
+	if len(c.flying) > 0 && r.exchange.Cancel.Cause() == nil {
+		n.replicas.ended(entry.ID, replica.ResultFailed)
+		return false
 	}
-	if runs > 0 {
-		r.fail(fasthttp.StatusBadGateway, reason, 0)
-		return
+	if n.abandoned(r, entry) {
+		return true
 	}
-	wait := comeBackSoon
-	if errors.Is(err, replica.ErrNoReplica) && len(r.excluded) == 0 {
-		wait = comeBackLater
+	n.replicas.ended(entry.ID, replica.ResultFailed)
+	if !r.route.Repeatable() || c.runs > r.route.Attempts()+c.repeats {
+		r.fail(fasthttp.StatusBadGateway, failureReason(result.err), 0)
+		return true
 	}
-	r.fail(fasthttp.StatusServiceUnavailable, reason, wait)
+	r.again(entry, c.runs)
+	return false
 }
 
-// notExecuted reports whether the answer promises that the request was not run.
-func (n *Node) notExecuted(response *upstream.Response) bool {
-	return response.Status() == fasthttp.StatusMisdirectedRequest || len(response.Header.Peek(n.adapter.Names.NotExecuted)) > 0
+// land takes an attempt that has ended off those that fly.
+func (c *callRun) land(attempt *callAttempt) {
+	for index, flying := range c.flying {
+		if flying == attempt {
+			c.flying = append(c.flying[:index], c.flying[index+1:]...)
+			return
+		}
+	}
 }
 
-// sound reports whether the answer may be passed on: a success is signed.
-func (n *Node) sound(response *upstream.Response) bool {
-	status := response.Status()
-	if status < fasthttp.StatusOK || status >= fasthttp.StatusMultipleChoices {
-		return true
+// abandonRest ends the attempts that nobody waits for any more. Their replicas
+// are told by the closed connections.
+func (c *callRun) abandonRest() {
+	left := c.request.exchange.Cancel.Cause() != nil
+	for _, attempt := range c.flying {
+		attempt.cancel.Trigger(errOvertaken)
+		result := replica.ResultCancelled
+		if !left && time.Since(attempt.sentAt) >= c.node.lateAfter(c.request.route) {
+			result = replica.ResultTimedOut
+		}
+		c.node.replicas.ended(attempt.choice.Entry.ID, result)
 	}
-	return len(response.Header.Peek(n.adapter.Names.Seal)) > 0
 }
--- a/edge/doc.go
+++ b/edge/doc.go
@@ -15,5 +15,6 @@
 //   - the servers of clients, peers and readiness.
 //
 // The handling of one request starts in handle.go: call.go serves requests
-// whose answer is whole, turn.go and run.go streams.
+// whose answer is whole, turn.go and run.go streams, and attempt.go holds what
+// both need of one attempt. mechanisms.go names what can be switched off.
 package edge
--- a/replica/doc.go
+++ b/replica/doc.go
@@ -12,4 +12,7 @@
 // the prompt, plus the load of the requests beside it. What a replica keeps is
 // estimated from what was sent there, the longest unused forgotten first, as
 // the engine itself does.
+//
+// Lateness learns how long the calls of each route take, and tells from when on
+// one that was not answered had better be sent again.
 package replica
