replica: a replica whose doubt is over gets nothing, whenever the list is read again

The end of that time was looked at only after the next read of the list, up to 1.1 s later. Ruled out: repeated calls (repeats 0 on these requests), a removed replica that came back, the cut's own stale list (it was read at 15.5 s). Change: the choice itself passes over a replica whose doubt is over; the doubt lasts 1.5 s instead of 2, since a node may notice the store's return a second late and is bound again 3 s after it.

--- a/edge/contact.go
+++ b/edge/contact.go
@@ -21,8 +21,11 @@
 	// replicas write together, so that no read may end sooner.
 	contactLifetime = 1500 * time.Millisecond
 	// doubtFor is how long after its return the store may lack replicas that
-	// live: they write again with their next heartbeat.
-	doubtFor = 2 * time.Second
+	// live: they write again with their next heartbeat, within about two seconds.
+	// A node may notice the return more than a second late, and a replica that
+	// left meanwhile must not get requests for longer than one that the node was
+	// told of; what comes back later is chosen again then.
+	doubtFor = 1500 * time.Millisecond
 )
 
 // note takes in an answer of the store.
--- a/replica/doubt_test.go
+++ b/replica/doubt_test.go
@@ -23,6 +23,20 @@
 		Expect(set.Doubted(until)).To(Equal([]replica.ID{"r0"}))
 	})
 
+	It("gets nothing once the doubt is over, though the list was not read since", func() {
+		set := newSet(2)
+		set.Doubt("r0", until)
+		for draw := range 10 {
+			choice, err := set.Select(until, &replica.Request{Service: "s", Draw: float64(draw) / 10})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(choice.Entry.ID).To(Equal(replica.ID("r1")))
+		}
+		_, err := set.Select(until, &replica.Request{Service: "s", Only: "r0"})
+		Expect(err).To(MatchError(replica.ErrNoReplica))
+		_, err = set.Select(until.Add(-time.Millisecond), &replica.Request{Service: "s", Only: "r0"})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("stays once it is listed again", func() {
 		set := newSet(1)
 		set.Doubt("r0", until)
--- a/replica/select.go
+++ b/replica/select.go
@@ -78,14 +78,14 @@
 // well lately, or the suspect ones where there are no others.
 func (s *Set) feasible(now time.Time, request *Request) (list []*member, saturated bool) {
 	if known := s.byID[request.Only]; known != nil {
-		if known.entry.Status == StatusReady {
+		if known.mayServe(now) {
 			list = append(list, known)
 		}
 		return list, false
 	}
 	var suspects []*member
 	for _, one := range s.services[request.Service] {
-		if one.entry.Status != StatusReady || slices.Contains(request.Excluded, one.entry.ID) {
+		if !one.mayServe(now) || slices.Contains(request.Excluded, one.entry.ID) {
 			continue
 		}
 		if request.PerNode > 0 && one.own >= request.PerNode {
@@ -104,6 +104,13 @@
 	return list, saturated
 }
 
+// mayServe reports whether a replica may get new requests: it is listed as ready,
+// or was lately and may live.
+func (m *member) mayServe(now time.Time) bool {
+	over := !m.doubtedUntil.IsZero() && !now.Before(m.doubtedUntil)
+	return m.entry.Status == StatusReady && !over
+}
+
 // The weights of a cost, in tokens of prefill.
 const (
 	// besideTokens is what one request beside costs while there are places
