--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -92,10 +92,10 @@
 
 // refuse ends a request for which there is no replica (left).
 func (n *Node) refuse(r *requestState, err error, runs int) {
-	reason := "every replica refused the request"
-	if err != nil {
-		reason = err.Error()
+	if err == nil {
+		err = errOffered
 	}
+	reason := err.Error()
 	if runs > 0 {
 		r.fail(fasthttp.StatusBadGateway, reason, 0)
 		return
