coordinator: ranks and the directory follow events, not the clock

Cause: each tick (20 a second) listed the candidates anew over all nodes and compared them; each node that was learned of had the whole directory sorted and observed again, which at a start is the square of the fleet.

Change: the ranking is renewed when the version of the nodes' view, this node's own contact, or the set of peers without the store changes; while any peer lacks the store it is renewed each tick as before, since that changes with time alone. Only fresh nodes are observed, and the listing that statuses draw from is kept sorted. The behaviour is the same; the fleets in virtual time hold it.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -77,7 +78,11 @@
 	membership *machine.Membership
 	partitions []*partition
 	directory  map[machine.ID]machine.Machine
-	peers      map[machine.ID]peerState
+	// listing is the directory and this node, sorted by id.
+	listing []machine.Machine
+	peers   map[machine.ID]peerState
+	// unreaching are the peers that last counted as not reaching the store.
+	unreaching map[machine.ID]bool
 	started    time.Time
 	listed     bool
 	leaving    bool
@@ -105,9 +110,11 @@
 		membership: membership,
 		directory:  make(map[machine.ID]machine.Machine),
 		peers:      make(map[machine.ID]peerState),
+		unreaching: make(map[machine.ID]bool),
 		started:    now,
 		reaches:    true,
 	}
+	core.list(config.Membership.Self)
 	for index := range config.Partitions {
 		core.partitions = append(core.partitions, &partition{index: index})
 	}
@@ -217,7 +224,7 @@
 
 // learn adds nodes to the directory.
 func (c *Core) learn(now time.Time, nodes []machine.Machine) {
-	changed := false
+	var fresh []machine.Machine
 	for _, node := range nodes {
 		if node.ID == c.self().ID || node.Address == "" {
 			continue
@@ -229,29 +236,24 @@
 		node.Kind = machine.KindNode
 		node.Status = machine.StatusLive
 		c.directory[node.ID] = node
-		changed = true
+		c.list(node)
+		fresh = append(fresh, node)
 	}
-	if !changed {
-		return
+	if len(fresh) > 0 {
+		c.membership.ObserveSome(now, fresh)
 	}
-	c.membership.Observe(now, c.known())
 }
 
-// known returns the directory, this node included, sorted by id.
-func (c *Core) known() []machine.Machine {
-	self := c.config.Membership.Self
-	self.Status = machine.StatusLive
-	all := []machine.Machine{self}
-	for _, node := range c.directory {
-		all = append(all, node)
-	}
-	slices.SortFunc(all, func(left, right machine.Machine) int {
-		if left.ID < right.ID {
-			return -1
-		}
-		return 1
+// list puts a node into the sorted listing, or renews its entry there.
+func (c *Core) list(node machine.Machine) {
+	place, found := slices.BinarySearchFunc(c.listing, node.ID, func(listed machine.Machine, id machine.ID) int {
+		return cmp.Compare(listed.ID, id)
 	})
-	return all
+	if found {
+		c.listing[place] = node
+		return
+	}
+	c.listing = slices.Insert(c.listing, place, node)
 }
 
 // owned returns the partitions that this node serves.
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -57,7 +57,26 @@
 			state.unableSince = before
 		}
 	}
+	c.setPeer(peer, state)
+}
+
+// setPeer takes over the state of a peer.
+func (c *Core) setPeer(peer machine.ID, state peerState) {
 	c.peers[peer] = state
+	if state.status.ReachesStore {
+		delete(c.unreaching, peer)
+		return
+	}
+	c.unreaching[peer] = true
+}
+
+// forgetUnreaching drops the peers whose word of the store counts no longer.
+func (c *Core) forgetUnreaching(now time.Time) {
+	for peer := range c.unreaching {
+		if !c.peers[peer].counts(now) {
+			delete(c.unreaching, peer)
+		}
+	}
 }
 
 // noteContact takes over whether this node reaches the store.
@@ -100,12 +119,19 @@
 		return status
 	}
 	c.nextKnown = now.Add(c.config.KnownPeriod)
-	known := c.known()
-	c.config.Random.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
-	status.Known = known[:min(len(known), c.config.KnownPerStatus)]
+	status.Known = c.someKnown()
 	return status
 }
 
+// someKnown returns some of the nodes that this one knows, itself among them.
+func (c *Core) someKnown() []machine.Machine {
+	var known []machine.Machine
+	for _, place := range c.config.Random.Perm(len(c.listing))[:min(len(c.listing), c.config.KnownPerStatus)] {
+		known = append(known, c.listing[place])
+	}
+	return known
+}
+
 // regainFor is how long after this node reached the store again it may still hold
 // that others do not: as long as their statuses count, and until they notice.
 const regainFor = peerStateLifetime + time.Second
@@ -118,8 +144,11 @@
 	if node == c.self().ID {
 		return c.reaches
 	}
+	if !c.unreaching[node] {
+		return true
+	}
 	state := c.peers[node]
-	if !state.counts(now) || state.status.ReachesStore {
+	if !state.counts(now) {
 		return true
 	}
 	return !c.lastContact.After(state.unableSince) || now.Sub(c.reachedSince) < regainFor
--- a/coordinator/rank.go
+++ b/coordinator/rank.go
@@ -16,19 +16,44 @@
 	readers []machine.Machine
 	// lost is when a candidate was one last.
 	lost map[string]time.Time
+	// version, reaches and unreaching are what the candidates followed from: the
+	// version of the nodes' view, whether this node reached the store, and whether
+	// any peer counted as not reaching it.
+	version    uint64
+	reaches    bool
+	unreaching bool
+}
+
+// current reports whether the candidates are what they were. Who reaches the
+// store changes with time alone while any peer counts as not reaching it.
+func (r *ranking) current(c *Core) bool {
+	if r.first == nil || r.unreaching || len(c.unreaching) > 0 {
+		return false
+	}
+	return r.version == c.membership.Version() && r.reaches == c.reaches
 }
 
 // rank renews the ranking where the candidates have changed.
 func (c *Core) rank(now time.Time) {
-	candidates := c.candidates(now)
-	if c.ranking.first != nil && slices.Equal(candidates, c.ranking.candidates) {
+	c.forgetUnreaching(now)
+	if c.ranking.current(c) {
 		return
 	}
+	candidates := c.candidates(now)
+	if c.ranking.first == nil || !slices.Equal(candidates, c.ranking.candidates) {
+		c.ranking = c.rankAnew(now, candidates)
+	}
+	c.ranking.version, c.ranking.reaches = c.membership.Version(), c.reaches
+	c.ranking.unreaching = len(c.unreaching) > 0
+}
+
+// rankAnew ranks the candidates for every partition.
+func (c *Core) rankAnew(now time.Time, candidates []ownership.Node) ranking {
 	first := make([]string, len(c.partitions))
 	for index := range first {
 		first[index] = ownership.Rank(index, candidates)
 	}
-	c.ranking = ranking{
+	return ranking{
 		candidates: candidates, first: first, readers: c.rankReaders(candidates), lost: c.lostCandidates(now, candidates),
 	}
 }
@@ -97,8 +122,8 @@
 		return nil
 	}
 	var found []machine.ID
-	for id, state := range c.peers {
-		if state.heard && !state.status.ReachesStore && state.counts(now) {
+	for id := range c.unreaching {
+		if state := c.peers[id]; state.heard && state.counts(now) {
 			found = append(found, id)
 		}
 	}
@@ -120,7 +145,7 @@
 		state.at = now
 		state.heard = false
 		state.status.ReachesStore = false
-		c.peers[id] = state
+		c.setPeer(id, state)
 	}
 }
 
--- a/machine/membership.go
+++ b/machine/membership.go
@@ -46,6 +46,8 @@
 	nodes    []Machine
 	backends []Machine
 	stale    bool
+	// version counts the changes of nodes and backends.
+	version uint64
 }
 
 // record is what is known of one other machine.
@@ -271,8 +273,12 @@
 	return time.Duration(m.config.Random.Int64N(int64(duration)) + 1)
 }
 
+// Version counts the changes of what Nodes and Backends return.
+func (m *Membership) Version() uint64 { return m.version }
+
 func (m *Membership) viewChanged() {
 	m.stale = true
+	m.version++
 	m.changed = true
 }
 
--- a/machine/observe.go
+++ b/machine/observe.go
@@ -9,21 +9,30 @@
 // see the package's guide for what follows from an entry that is missing. It
 // is called only with lists that the platform did answer.
 func (m *Membership) Observe(now time.Time, listed []Machine) {
-	m.advance(now)
 	if len(listed) == 0 {
+		m.advance(now)
 		return
 	}
-	m.lastObserved = now
+	m.ObserveSome(now, listed)
 	present := make(map[ID]bool, len(listed))
 	for _, entry := range listed {
 		present[entry.ID] = true
+	}
+	m.observeMissing(now, present)
+}
+
+// ObserveSome takes in entries of the machine list without saying anything of the
+// machines that are not among them.
+func (m *Membership) ObserveSome(now time.Time, listed []Machine) {
+	m.advance(now)
+	m.lastObserved = now
+	for _, entry := range listed {
 		if entry.ID == m.self.ID {
 			m.observeSelf(now, entry)
 			continue
 		}
 		m.observeEntry(now, entry)
 	}
-	m.observeMissing(now, present)
 }
 
 // observeSelf follows the platform's wish that this node leaves.
