replica: what a node cannot see of a large fleet is estimated, not taken for nothing

A node of 295 sends each shared part to one replica, is sure of it there alone, and so prefers that one by 25,200 tokens of cost; and it hears a seventh of its peers within the two seconds for which their loads count, and took the others to have nothing under way.

Change: - shared parts: a node counts how many different programs had each part of a prompt lately, scales that by nodes a replica, and takes a replica to keep the part with the likelihood that any node sent it one. Parts that only one program had are not shared; a new replica keeps nothing at first; the parts must fit into half of an engine's memory. - loads: what silent peers have under way follows from the mean of the service and from what was seen at the replica (gamma-Poisson). Where all peers are heard, as in small fleets, nothing changes. Both have a switch (assume-shared, estimate-loads).

Ruled out: loads by the readers of a zone: their exchange is older (0.7 s) than most turns are long (0.2 s).

--- a/edge/control.go
+++ b/edge/control.go
@@ -131,6 +131,7 @@
 	}
 	c.core.Step(now, loads)
 	c.node.liveNodes.Store(int32(c.core.LiveCount()))
+	c.node.replicas.setNodes(c.core.LiveCount())
 	readers := c.core.Readers()
 	c.node.readers.Store(&readers)
 	c.node.isolated.Store(c.core.Isolated(now))
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -13,12 +13,17 @@
 
 // The mechanisms. All are on unless Settings.Without lists them.
 const (
+	// AssumeShared estimates which parts that many programs share other nodes had
+	// engines read.
+	AssumeShared Mechanism = "assume-shared"
 	// BeginUnrecorded lets programs begin before the store has their first mark.
 	BeginUnrecorded Mechanism = "begin-unrecorded"
 	// CountPeers counts what other nodes have under way at replicas.
 	CountPeers Mechanism = "count-peers"
 	// DoubtUnlisted keeps replicas that the store lacks after an outage.
 	DoubtUnlisted Mechanism = "doubt-unlisted"
+	// EstimateLoads estimates the requests of nodes that were not heard lately.
+	EstimateLoads Mechanism = "estimate-loads"
 	// FollowLines keeps a line of turns where its last turn was served.
 	FollowLines Mechanism = "follow-lines"
 	// FollowPrompts estimates which parts of prompts each engine keeps.
@@ -57,8 +62,8 @@
 // Mechanisms returns all mechanisms, in the order of their names.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		BeginUnrecorded, CountPeers, DoubtUnlisted, FollowLines, FollowPrompts, FollowReaders, GrantTurnAfterLoss, HandOver,
-		MarkAhead, PreferConnections, PreferZone, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
+		AssumeShared, BeginUnrecorded, CountPeers, DoubtUnlisted, EstimateLoads, FollowLines, FollowPrompts, FollowReaders,
+		GrantTurnAfterLoss, HandOver, MarkAhead, PreferConnections, PreferZone, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
 		RepeatLateCalls, SuspectSilent,
 	}
 }
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -29,8 +29,10 @@
 func partsWithout(settings *Settings) replica.Parts {
 	return replica.Parts{
 		KeptPrompts: !settings.uses(FollowPrompts),
+		SharedParts: !settings.uses(AssumeShared),
 		LastReplica: !settings.uses(FollowLines),
 		PeerLoads:   !settings.uses(CountPeers),
+		Estimates:   !settings.uses(EstimateLoads),
 		Zones:       !settings.uses(PreferZone),
 		Connections: !settings.uses(PreferConnections),
 		Faults:      !settings.uses(RememberFaults),
@@ -44,7 +46,7 @@
 	now := time.Now()
 	choice, err := r.set.Select(now, request)
 	if err == nil {
-		r.set.Began(now, choice.Entry.ID, request.Prompt)
+		r.set.Began(now, choice.Entry.ID, request)
 	}
 	return choice, err
 }
@@ -64,7 +66,7 @@
 func (r *replicas) put(entry replica.Entry) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	changed := r.set.Put(entry)
+	changed := r.set.Put(time.Now(), entry)
 	if changed {
 		r.tell(replica.Change{Entry: &entry})
 	}
@@ -159,6 +161,13 @@
 	r.set.SetPeer(time.Now(), peer, loads)
 }
 
+// setNodes tells how many nodes are live.
+func (r *replicas) setNodes(nodes int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.set.SetNodes(nodes)
+}
+
 // own returns this node's requests under way, by replica.
 func (r *replicas) own() map[string]int {
 	r.mutex.Lock()
--- a/replica/cache.go
+++ b/replica/cache.go
@@ -49,17 +49,16 @@
 	delete(c.parts, oldest)
 }
 
-// missing returns how many tokens of the prompt have to be read: a part counts
-// as kept only if all parts before it are.
-func (c *cache) missing(prompt []Part) int {
-	tokens, kept := 0, true
+// missing returns how many tokens of the prompt are expected to be read: a part
+// counts as kept only if all parts before it are. Kept tells how likely a part is
+// kept that was not sent here from this node.
+func (c *cache) missing(prompt []Part, kept func(part string) float64) int {
+	tokens, likely := 0.0, 1.0
 	for _, part := range prompt {
-		if kept {
-			_, kept = c.parts[part.ID]
-		}
-		if !kept {
-			tokens += part.Tokens
+		if _, known := c.parts[part.ID]; !known && likely > 0 {
+			likely *= kept(part.ID)
 		}
+		tokens += (1 - likely) * float64(part.Tokens)
 	}
-	return tokens
+	return int(tokens)
 }
--- a/replica/doubt_test.go
+++ b/replica/doubt_test.go
@@ -40,13 +40,13 @@
 	It("stays once it is listed again", func() {
 		set := newSet(1)
 		set.Doubt("r0", until)
-		set.Put(replica.Entry{ID: "r0", Service: "s", Zone: "here", Status: replica.StatusReady, Slots: 4})
+		set.Put(start, replica.Entry{ID: "r0", Service: "s", Zone: "here", Status: replica.StatusReady, Slots: 4})
 		Expect(set.Doubted(until)).To(BeEmpty())
 	})
 
 	It("is not doubted where it drained, or is not known", func() {
 		set := newSet(1)
-		set.Put(replica.Entry{ID: "r0", Service: "s", Zone: "here", Status: replica.StatusDraining, Slots: 4})
+		set.Put(start, replica.Entry{ID: "r0", Service: "s", Zone: "here", Status: replica.StatusDraining, Slots: 4})
 		Expect(set.Doubt("r0", until)).To(BeFalse())
 		Expect(set.Doubt("other", until)).To(BeFalse())
 	})
--- a/replica/parts_test.go
+++ b/replica/parts_test.go
@@ -1,6 +1,8 @@
 package replica_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -16,8 +18,8 @@
 		config.Without = without
 		set := replica.NewSet(config)
 		set.SetCacheTokens("s", 10000)
-		set.Put(replica.Entry{ID: "r0", Service: "s", Zone: "here", Status: replica.StatusReady, Slots: 4})
-		set.Put(replica.Entry{ID: "r1", Service: "s", Zone: "here", Status: replica.StatusReady, Slots: 4})
+		set.Put(start.Add(-time.Minute), replica.Entry{ID: "r0", Service: "s", Zone: "here", Status: replica.StatusReady, Slots: 4})
+		set.Put(start.Add(-time.Minute), replica.Entry{ID: "r1", Service: "s", Zone: "here", Status: replica.StatusReady, Slots: 4})
 		return set
 	}
 
@@ -39,7 +41,7 @@
 			}
 		},
 		Entry("kept prompts", replica.Parts{KeptPrompts: true}, func(set *replica.Set, request *replica.Request) {
-			set.Began(start, "r1", prompt)
+			set.Began(start, "r1", &replica.Request{Prompt: prompt})
 			set.Ended(start, "r1", replica.ResultAnswered)
 			request.Prompt = prompt
 		}),
@@ -47,11 +49,29 @@
 			request.Prompt = prompt
 			request.Preferred = "r1"
 		}),
+		Entry("shared parts", replica.Parts{SharedParts: true}, func(set *replica.Set, request *replica.Request) {
+			// This node sent the part to r0 alone, which has requests under way; with
+			// nine other nodes r1 keeps it just as well.
+			set.SetNodes(10)
+			for _, program := range []string{"a", "b", "c"} {
+				set.Began(start, "r0", &replica.Request{Program: program, Prompt: prompt[:1]})
+			}
+			request.Prompt = prompt[:1]
+		}),
+		Entry("estimates of loads", replica.Parts{Estimates: true}, func(set *replica.Set, request *replica.Request) {
+			// Three requests of this node at r1 are fewer than those at r0, where two
+			// of one peer's stand for those of eight that were not heard.
+			set.SetNodes(10)
+			set.SetPeer(start, "peer", map[replica.ID]int{"r0": 2})
+			for range 3 {
+				set.Began(start, "r1", &replica.Request{})
+			}
+		}),
 		Entry("loads of peers", replica.Parts{PeerLoads: true}, func(set *replica.Set, _ *replica.Request) {
 			set.SetPeer(start, "peer", map[replica.ID]int{"r0": 3})
 		}),
 		Entry("zones", replica.Parts{Zones: true}, func(set *replica.Set, _ *replica.Request) {
-			set.Put(replica.Entry{ID: "r0", Service: "s", Zone: "elsewhere", Status: replica.StatusReady, Slots: 4})
+			set.Put(start, replica.Entry{ID: "r0", Service: "s", Zone: "elsewhere", Status: replica.StatusReady, Slots: 4})
 		}),
 		Entry("connections", replica.Parts{Connections: true}, func(_ *replica.Set, request *replica.Request) {
 			request.Connected = func(entry replica.Entry) bool { return entry.ID == "r1" }
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -17,7 +17,7 @@
 	set := replica.NewSet(replica.DefaultConfig("here"))
 	set.SetCacheTokens("s", 10000)
 	for index := range count {
-		set.Put(replica.Entry{
+		set.Put(start, replica.Entry{
 			ID: replica.ID(fmt.Sprintf("r%d", index)), Service: "s", Zone: "here", Status: replica.StatusReady, Slots: 4,
 		})
 	}
@@ -27,8 +27,8 @@
 var _ = Describe("The choice of a replica", func() {
 	It("passes over those that drain, were tried, or belong to another service", func() {
 		set := newSet(3)
-		set.Put(replica.Entry{ID: "r0", Service: "s", Zone: "here", Status: replica.StatusDraining, Slots: 4})
-		set.Put(replica.Entry{ID: "other", Service: "t", Zone: "here", Status: replica.StatusReady, Slots: 4})
+		set.Put(start, replica.Entry{ID: "r0", Service: "s", Zone: "here", Status: replica.StatusDraining, Slots: 4})
+		set.Put(start, replica.Entry{ID: "other", Service: "t", Zone: "here", Status: replica.StatusReady, Slots: 4})
 		for draw := range 20 {
 			choice, err := set.Select(start, &replica.Request{Service: "s", Excluded: []replica.ID{"r1"}, Draw: float64(draw) / 20})
 			Expect(err).NotTo(HaveOccurred())
@@ -40,7 +40,7 @@
 		set := newSet(1)
 		_, err := set.Select(start, &replica.Request{Service: "none"})
 		Expect(err).To(MatchError(replica.ErrNoReplica))
-		set.Began(start, "r0", nil)
+		set.Began(start, "r0", &replica.Request{Prompt: nil})
 		_, err = set.Select(start, &replica.Request{Service: "s", PerNode: 1})
 		Expect(err).To(MatchError(replica.ErrSaturated))
 	})
@@ -51,7 +51,7 @@
 		for draw := range 40 {
 			choice, err := set.Select(start, &replica.Request{Service: "s", Draw: float64(draw%7) / 7})
 			Expect(err).NotTo(HaveOccurred())
-			set.Began(start, choice.Entry.ID, nil)
+			set.Began(start, choice.Entry.ID, &replica.Request{Prompt: nil})
 			counts[choice.Entry.ID]++
 		}
 		Expect(counts).To(HaveLen(4))
@@ -66,7 +66,7 @@
 		choice, _ := set.Select(start, &replica.Request{Service: "s"})
 		Expect(choice.Entry.ID).To(Equal(replica.ID("r1")))
 		set.SetPeer(start.Add(time.Minute), "another", nil)
-		set.Began(start, "r1", nil)
+		set.Began(start, "r1", &replica.Request{Prompt: nil})
 		choice, _ = set.Select(start.Add(time.Minute), &replica.Request{Service: "s"})
 		Expect(choice.Entry.ID).To(Equal(replica.ID("r0")))
 	})
@@ -74,13 +74,13 @@
 	It("goes where the prompt is kept, unless that replica is full", func() {
 		set := newSet(3)
 		prompt := []replica.Part{{ID: "shared", Tokens: 3000}, {ID: "own", Tokens: 1000}}
-		set.Began(start, "r1", prompt)
+		set.Began(start, "r1", &replica.Request{Prompt: prompt})
 		set.Ended(start, "r1", replica.ResultAnswered)
 		choice, _ := set.Select(start, &replica.Request{Service: "s", Prompt: prompt})
 		Expect(choice.Entry.ID).To(Equal(replica.ID("r1")))
 		Expect(choice.Missing).To(BeZero())
 		for range 5 {
-			set.Began(start, "r1", nil)
+			set.Began(start, "r1", &replica.Request{Prompt: nil})
 		}
 		choice, _ = set.Select(start, &replica.Request{Service: "s", Prompt: prompt})
 		Expect(choice.Entry.ID).NotTo(Equal(replica.ID("r1")))
@@ -88,14 +88,14 @@
 
 	It("prefers a replica to which a connection is free, and one in its own zone, while loads are alike", func() {
 		set := newSet(3)
-		set.Put(replica.Entry{ID: "r2", Service: "s", Zone: "elsewhere", Status: replica.StatusReady, Slots: 4})
+		set.Put(start, replica.Entry{ID: "r2", Service: "s", Zone: "elsewhere", Status: replica.StatusReady, Slots: 4})
 		connected := func(entry replica.Entry) bool { return entry.ID != "r0" }
 		for draw := range 10 {
 			choice, _ := set.Select(start, &replica.Request{Service: "s", Connected: connected, Draw: float64(draw) / 10})
 			Expect(choice.Entry.ID).To(Equal(replica.ID("r1")))
 		}
 		for range 4 {
-			set.Began(start, "r1", nil)
+			set.Began(start, "r1", &replica.Request{Prompt: nil})
 		}
 		choice, _ := set.Select(start, &replica.Request{Service: "s", Connected: connected})
 		Expect(choice.Entry.ID).To(Equal(replica.ID("r0")))
@@ -114,15 +114,15 @@
 
 	It("counts a part as kept only behind parts that are", func() {
 		set := newSet(1)
-		set.Began(start, "r0", []replica.Part{{ID: "b", Tokens: 10}})
+		set.Began(start, "r0", &replica.Request{Prompt: []replica.Part{{ID: "b", Tokens: 10}}})
 		choice, _ := set.Select(start, &replica.Request{Service: "s", Prompt: []replica.Part{{ID: "a", Tokens: 5}, {ID: "b", Tokens: 10}}})
 		Expect(choice.Missing).To(Equal(15))
 	})
 
 	It("forgets what was unused the longest when the memory is full", func() {
 		set := newSet(1)
-		set.Began(start, "r0", []replica.Part{{ID: "old", Tokens: 6000}})
-		set.Began(start.Add(time.Second), "r0", []replica.Part{{ID: "new", Tokens: 6000}})
+		set.Began(start, "r0", &replica.Request{Prompt: []replica.Part{{ID: "old", Tokens: 6000}}})
+		set.Began(start.Add(time.Second), "r0", &replica.Request{Prompt: []replica.Part{{ID: "new", Tokens: 6000}}})
 		choice, _ := set.Select(start, &replica.Request{Service: "s", Prompt: []replica.Part{{ID: "old", Tokens: 6000}}})
 		Expect(choice.Missing).To(Equal(6000))
 		choice, _ = set.Select(start, &replica.Request{Service: "s", Prompt: []replica.Part{{ID: "new", Tokens: 6000}}})
@@ -152,7 +152,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(choice.Entry.ID).To(Equal(replica.ID("r2")))
 		}
-		set.Put(replica.Entry{ID: "r2", Service: "s", Zone: "here", Status: replica.StatusDraining, Slots: 4})
+		set.Put(start, replica.Entry{ID: "r2", Service: "s", Zone: "here", Status: replica.StatusDraining, Slots: 4})
 		_, err := set.Select(start, &replica.Request{Service: "s", Only: "r2"})
 		Expect(err).To(MatchError(replica.ErrNoReplica))
 		set.Remove("r2")
@@ -186,11 +186,11 @@
 		Expect(set.Pressure("s")).To(BeZero())
 		Expect(set.Pressure("none")).To(BeZero())
 		for range 6 {
-			set.Began(start, "r0", nil)
+			set.Began(start, "r0", &replica.Request{Prompt: nil})
 		}
 		set.SetPeer(start, "peer", map[replica.ID]int{"r1": 3})
 		Expect(set.Pressure("s")).To(Equal(0.75))
-		set.Put(replica.Entry{ID: "r1", Service: "s", Zone: "here", Status: replica.StatusDraining, Slots: 4})
+		set.Put(start, replica.Entry{ID: "r1", Service: "s", Zone: "here", Status: replica.StatusDraining, Slots: 4})
 		Expect(set.Pressure("s")).To(Equal(1.5))
 	})
 
--- a/replica/select.go
+++ b/replica/select.go
@@ -10,6 +10,8 @@
 // Request is what a choice weighs.
 type Request struct {
 	Service string
+	// Program names the program that a prompt belongs to; "" for other services.
+	Program string
 	// Prompt is the parts of a prompt, in order; empty for other services.
 	Prompt []Part
 	// Preferred is the replica that served the line of turns before, or "".
@@ -57,19 +59,20 @@
 		}
 		return Choice{}, ErrNoReplica
 	}
+	weighed := s.weigh(now, request)
 	start := int(request.Draw * float64(len(feasible)))
 	best := feasible[start]
-	bestCost := s.cost(now, best, request)
+	bestCost := weighed.cost(best)
 	for step := 1; step < len(feasible); step++ {
 		candidate := feasible[(start+step)%len(feasible)]
-		if cost := s.cost(now, candidate, request); cost < bestCost {
+		if cost := weighed.cost(candidate); cost < bestCost {
 			best, bestCost = candidate, cost
 		}
 	}
 	return Choice{
 		Entry:    best.entry,
-		Missing:  s.missing(best, request),
-		Load:     best.own + best.peers,
+		Missing:  weighed.missing(best),
+		Load:     int(math.Round(weighed.view.load(best))),
 		Feasible: len(feasible),
 	}, nil
 }
@@ -135,21 +138,40 @@
 	connectTokens = 150
 )
 
+// weighing is one request with what its choice rests on.
+type weighing struct {
+	set     *Set
+	now     time.Time
+	request *Request
+	// view is what peers told of the service's loads.
+	view peerView
+	// room is the share of the shared parts that an engine has the memory to keep.
+	room float64
+}
+
+func (s *Set) weigh(now time.Time, request *Request) *weighing {
+	w := &weighing{set: s, now: now, request: request, view: s.viewOf(request.Service)}
+	if tokens := s.shared.tokens(now); tokens > 0 {
+		w.room = min(1, sharedMemory*float64(s.cacheTokens[request.Service])/float64(tokens))
+	}
+	return w
+}
+
 // cost predicts the work before the request's answer is whole.
-func (s *Set) cost(now time.Time, one *member, request *Request) int {
-	load := one.own + one.peers
-	cost := missingWeight*s.missing(one, request) + besideTokens*load
-	if slots := max(1, one.entry.Slots); load >= slots {
-		cost += queuedTokens * (load - slots + 1) / slots
+func (w *weighing) cost(one *member) int {
+	load := w.view.load(one)
+	cost := missingWeight*w.missing(one) + int(besideTokens*load)
+	if slots := float64(max(1, one.entry.Slots)); load >= slots {
+		cost += int(queuedTokens * (load - slots + 1) / slots)
 	}
-	without := &s.config.Without
+	without := &w.set.config.Without
 	if !without.Faults {
-		cost += int(faultTokens * min(one.faultsNow(now), maximumFaults))
+		cost += int(faultTokens * min(one.faultsNow(w.now), maximumFaults))
 	}
-	if one.entry.Zone != s.config.Zone && !without.Zones {
+	if one.entry.Zone != w.set.config.Zone && !without.Zones {
 		cost += elsewhereTokens
 	}
-	if request.Connected != nil && !without.Connections && !request.Connected(one.entry) {
+	if w.request.Connected != nil && !without.Connections && !w.request.Connected(one.entry) {
 		cost += connectTokens
 	}
 	return cost
@@ -159,9 +181,10 @@
 // requests under way by its slots. It is 0 where none is ready.
 func (s *Set) Pressure(service string) float64 {
 	least := math.Inf(1)
+	view := s.viewOf(service)
 	for _, one := range s.services[service] {
 		if one.entry.Status == StatusReady {
-			least = min(least, float64(one.own+one.peers)/float64(max(1, one.entry.Slots)))
+			least = min(least, view.load(one)/float64(max(1, one.entry.Slots)))
 		}
 	}
 	if math.IsInf(least, 1) {
@@ -173,18 +196,29 @@
 // missing predicts the prefill of the prompt at a replica. One that served the
 // line's last turn keeps all but the last part, also where another node sent
 // it that turn.
-func (s *Set) missing(one *member, request *Request) int {
-	missing := one.cache.missing(request.Prompt)
-	if s.config.Without.KeptPrompts {
-		missing = tokensOf(request.Prompt)
+func (w *weighing) missing(one *member) int {
+	prompt, without := w.request.Prompt, &w.set.config.Without
+	missing := tokensOf(prompt)
+	if !without.KeptPrompts {
+		missing = one.cache.missing(prompt, w.keptAt(one))
 	}
-	last := len(request.Prompt) - 1
-	if last >= 0 && one.entry.ID == request.Preferred && !s.config.Without.LastReplica {
-		missing = min(missing, request.Prompt[last].Tokens)
+	last := len(prompt) - 1
+	if last >= 0 && one.entry.ID == w.request.Preferred && !without.LastReplica {
+		missing = min(missing, prompt[last].Tokens)
 	}
 	return missing
 }
 
+// keptAt returns how likely a replica keeps a part that this node did not send
+// there.
+func (w *weighing) keptAt(one *member) func(part string) float64 {
+	if w.room == 0 || w.set.config.Without.SharedParts {
+		return func(string) float64 { return 0 }
+	}
+	spread := spread(w.set.nodes, len(w.set.services[w.request.Service]), w.now.Sub(one.listedAt))
+	return func(part string) float64 { return w.room * w.set.shared.kept(w.now, part, spread) }
+}
+
 func tokensOf(prompt []Part) (tokens int) {
 	for _, part := range prompt {
 		tokens += part.Tokens
--- a/replica/set.go
+++ b/replica/set.go
@@ -52,8 +52,12 @@
 	// the one which served a line of turns last keeps its prompt.
 	KeptPrompts bool
 	LastReplica bool
-	// PeerLoads are the requests that other nodes have under way.
+	// SharedParts is the estimate of what other nodes had engines read.
+	SharedParts bool
+	// PeerLoads are the requests that other nodes have under way, and Estimates
+	// those of the nodes that were not heard lately.
 	PeerLoads bool
+	Estimates bool
 	// Zones prefers replicas of the node's own zone, Connections those to which a
 	// connection is free.
 	Zones       bool
@@ -82,11 +86,16 @@
 	// cacheTokens is the memory of a service's engines.
 	cacheTokens map[string]int
 	peers       map[string]peerLoad
+	shared      *sharedParts
+	// nodes is how many nodes send to the replicas, this one included.
+	nodes int
 }
 
 // member is one replica with what is known of it.
 type member struct {
 	entry Entry
+	// listedAt is when this node first knew of the replica.
+	listedAt time.Time
 	// own counts this node's requests there; peers those of other nodes.
 	own   int
 	peers int
@@ -102,12 +111,6 @@
 	doubtedUntil time.Time
 }
 
-// peerLoad is what another node has under way.
-type peerLoad struct {
-	at     time.Time
-	counts map[ID]int
-}
-
 // NewSet returns a set without replicas.
 func NewSet(config Config) *Set {
 	return &Set{
@@ -116,6 +119,8 @@
 		services:    make(map[string][]*member),
 		cacheTokens: make(map[string]int),
 		peers:       make(map[string]peerLoad),
+		shared:      newSharedParts(),
+		nodes:       1,
 	}
 }
 
@@ -127,9 +132,12 @@
 	}
 }
 
+// SetNodes tells how many nodes send to the replicas, this one included.
+func (s *Set) SetNodes(nodes int) { s.nodes = max(1, nodes) }
+
 // Put adds a replica or takes over its new entry. It reports whether anything
 // but the entry of a known, equal replica changed.
-func (s *Set) Put(entry Entry) (changed bool) {
+func (s *Set) Put(now time.Time, entry Entry) (changed bool) {
 	known := s.byID[entry.ID]
 	if known != nil {
 		changed = known.entry != entry
@@ -137,7 +145,7 @@
 		known.doubtedUntil = time.Time{}
 		return changed
 	}
-	added := &member{entry: entry, cache: newCache(s.cacheTokens[entry.Service]), peers: s.peersAt(entry.ID)}
+	added := &member{entry: entry, listedAt: now, cache: newCache(s.cacheTokens[entry.Service]), peers: s.peersAt(entry.ID)}
 	s.byID[entry.ID] = added
 	list := append(s.services[entry.Service], added)
 	slices.SortFunc(list, func(left, right *member) int { return cmp.Compare(left.entry.ID, right.entry.ID) })
@@ -181,13 +189,14 @@
 
 // Began counts a request that is sent to the replica, with the parts of its
 // prompt that the replica will keep.
-func (s *Set) Began(now time.Time, id ID, prompt []Part) {
+func (s *Set) Began(now time.Time, id ID, request *Request) {
 	known := s.byID[id]
 	if known == nil {
 		return
 	}
 	known.own++
-	known.cache.add(now, prompt)
+	known.cache.add(now, request.Prompt)
+	s.shared.add(now, request.Program, request.Prompt)
 }
 
 // Result tells how a request at a replica ended.
@@ -267,49 +276,3 @@
 	}
 	return counts
 }
-
-// SetPeer takes in the requests that a peer has under way.
-func (s *Set) SetPeer(now time.Time, peer string, counts map[ID]int) {
-	if s.config.Without.PeerLoads {
-		return
-	}
-	s.dropPeer(peer)
-	s.expirePeers(now)
-	if len(counts) == 0 {
-		return
-	}
-	s.peers[peer] = peerLoad{at: now, counts: counts}
-	s.countPeer(counts, 1)
-}
-
-// expirePeers drops reports that are too old to count.
-func (s *Set) expirePeers(now time.Time) {
-	for peer, load := range s.peers {
-		if now.Sub(load.at) > s.config.PeerLoadLifetime {
-			s.dropPeer(peer)
-		}
-	}
-}
-
-// dropPeer takes a peer's report back.
-func (s *Set) dropPeer(peer string) {
-	s.countPeer(s.peers[peer].counts, -1)
-	delete(s.peers, peer)
-}
-
-// countPeer adds a report to the replicas' counts, or takes it off.
-func (s *Set) countPeer(counts map[ID]int, sign int) {
-	for id, count := range counts {
-		if known := s.byID[id]; known != nil {
-			known.peers += sign * count
-		}
-	}
-}
-
-// peersAt returns what the reports that count say of one replica.
-func (s *Set) peersAt(id ID) (count int) {
-	for _, load := range s.peers {
-		count += load.counts[id]
-	}
-	return count
-}
--- /dev/null
+++ b/replica/shared_test.go
@@ -0,0 +1,68 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestSharedParts tells parts that many programs share from the histories of single
+// programs, and forgets both.
+func TestSharedParts(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	shared := newSharedParts()
+	for program := range 8 {
+		history := Part{ID: fmt.Sprint("history-", program), Tokens: 100}
+		for range 5 {
+			shared.add(now, fmt.Sprint("program-", program), []Part{{ID: "system", Tokens: 1000}, history})
+		}
+	}
+	g.Expect(shared.kept(now, "system", 1)).To(BeNumerically(">", 0.99))
+	g.Expect(shared.kept(now, "system", 0.1)).To(BeNumerically("~", 0.5, 0.05))
+	g.Expect(shared.kept(now, "history-3", 1)).To(BeZero())
+	g.Expect(shared.kept(now, "another", 1)).To(BeZero())
+	g.Expect(shared.tokens(now)).To(Equal(1000))
+	later := now.Add(time.Minute)
+	g.Expect(shared.kept(later, "system", 1)).To(BeNumerically("<", 0.01))
+	g.Expect(shared.tokens(later)).To(BeZero())
+	for program := range 2 * maximumShared {
+		shared.add(later, "p", []Part{{ID: fmt.Sprint("more-", program), Tokens: 1}})
+		g.Expect(len(shared.parts)).To(BeNumerically("<=", maximumShared+1))
+	}
+}
+
+// TestSpread counts a replica that has just come as one that keeps nothing yet.
+func TestSpread(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(spread(300, 100, time.Hour)).To(Equal(3.0))
+	g.Expect(spread(300, 100, 0)).To(BeZero())
+	g.Expect(spread(300, 100, sharedWindow/2)).To(BeNumerically("~", 1.5, 0.01))
+	g.Expect(spread(1, 0, time.Hour)).To(Equal(1.0))
+}
+
+// TestPeerView estimates what silent peers add, and nothing where all were heard.
+func TestPeerView(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	loads := func(nodes int) []float64 {
+		set := NewSet(DefaultConfig("z"))
+		for _, id := range []ID{"a", "b"} {
+			set.Put(now, Entry{ID: id, Service: "s", Zone: "z", Status: StatusReady, Slots: 4})
+		}
+		set.SetNodes(nodes)
+		set.SetPeer(now, "peer-1", map[ID]int{"a": 3})
+		set.SetPeer(now, "peer-2", nil)
+		set.Began(now, "b", &Request{})
+		view := set.viewOf("s")
+		return []float64{view.load(set.byID["a"]), view.load(set.byID["b"])}
+	}
+	g.Expect(loads(3)).To(Equal([]float64{3, 1}))
+	estimated := loads(21)
+	// Two of twenty peers were heard: the mean is 15 at each, and more is likely
+	// at the replica where more was seen.
+	g.Expect(estimated[0]).To(BeNumerically(">", 15))
+	g.Expect(estimated[1]).To(And(BeNumerically(">", 1), BeNumerically("<", 15)))
+}
