coordinator: who owns a partition is passed on, and heirs take over in turn

A node of 295 hears any other once in 15 s, so - it knew owners by rank alone, and nodes that believed otherwise asked in vain; - a status named the four nodes without the store whose names sort first, always the same ones of a hundred; - the node that ranks first may have lost the store too, and nobody took its turn.

Change: the owner of a partition is a record (epoch, node, whether it reaches the store) that the owner renews and that every node passes on, five a message, some 2 log2(n) times each. A node asked in vain answers with the record that it has, or is passed over from then on. Nodes without the store are named by a fresh draw. The second and third by rank take a partition over that has stayed without an owner for 0.3 and 0.6 s. That an outage for all changes no owner holds as before.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -82,6 +82,8 @@
 	// listing is the directory and this node, sorted by id.
 	listing []machine.Machine
 	peers   map[machine.ID]peerState
+	// owners are the newest records of who serves each partition.
+	owners []ownerRecord
 	// unreaching are the peers that last counted as not reaching the store.
 	unreaching map[machine.ID]bool
 	started    time.Time
@@ -119,6 +121,7 @@
 	for index := range config.Partitions {
 		core.partitions = append(core.partitions, &partition{index: index})
 	}
+	core.owners = make([]ownerRecord, config.Partitions)
 	core.rank(now)
 	return core, nil
 }
@@ -141,6 +144,10 @@
 		c.stepTakenOver(now, event)
 	case Appended:
 		c.stepAppended(now, event)
+	case OwnerHeard:
+		c.takeOwner(now, event.Owner)
+	case Disowned:
+		c.disown(event)
 	case Leave:
 		c.leave(now)
 	case Loads:
--- a/coordinator/doc.go
+++ b/coordinator/doc.go
@@ -24,6 +24,13 @@
 // of the log counts only after an answer of the log that came later than their
 // word, and not for some seconds after one's own return.
 //
+// In a large fleet a node hears each of the others seldom. Who serves a partition is
+// therefore a record with the owner's epoch, which its owner renews when it loses or
+// regains the log and which nodes pass on until all have it (Owner). A node that is
+// asked in vain answers with the record that it has. The nodes that rank next after
+// the first one take a partition over, one after the other, when it stays without an
+// owner.
+//
 // An append that the log refuses as fenced ends the ownership at once, as does
 // word of a higher epoch. What waited for the append is told that the owner is
 // lost, and asks the new one.
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -66,6 +66,16 @@
 	OutcomeFailed
 )
 
+// OwnerHeard is what another node answered of a partition's owner.
+type OwnerHeard struct{ Owner Owner }
+
+// Disowned tells that a node does not serve a partition, and knows of nobody who
+// does.
+type Disowned struct {
+	Partition int
+	Node      machine.ID
+}
+
 // Leave begins this node's planned stop.
 type Leave struct{}
 
@@ -85,6 +95,8 @@
 func (Requested) event()    {}
 func (TakenOver) event()    {}
 func (Appended) event()     {}
+func (OwnerHeard) event()   {}
+func (Disowned) event()     {}
 func (Leave) event()        {}
 func (Loads) event()        {}
 
@@ -105,6 +117,8 @@
 	ReachesStore bool `json:"reaches_store"`
 	// Owned are the partitions that the node serves, with their epochs.
 	Owned map[int]ownership.Epoch `json:"owned,omitempty"`
+	// Owners are records of the owners of partitions that are news.
+	Owners []Owner `json:"owners,omitempty"`
 	// Loads are the node's requests under way, by replica.
 	Loads map[string]int `json:"loads,omitempty"`
 	// Version is the newest configuration that the node holds.
--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -64,7 +64,7 @@
 // presumedOwner returns the node that serves the partition as far as is known,
 // or the one that ranks next after this one. Nodes that went lately count.
 func (c *Core) presumedOwner(now time.Time, index int) (machine.Machine, bool) {
-	if owner, found := c.servingPeer(now, index, c.statusPeers()); found {
+	if owner, found := c.recordedOwner(now, index); found {
 		return owner, true
 	}
 	return c.nextByRank(now, index)
@@ -135,7 +135,7 @@
 		return
 	}
 	c.rank(now)
-	if c.ranking.first[one.index] == string(c.self().ID) {
+	if c.ranksFirst(one.index) {
 		c.sendHandover(from, Handover{Partition: one.index, Kept: true, Epoch: one.epoch})
 		return
 	}
--- a/coordinator/partition.go
+++ b/coordinator/partition.go
@@ -31,6 +31,8 @@
 	inFlight  bool
 	sentAt    time.Time
 	nextClaim time.Time
+	// vacantSince is since when this node, an heir, has known of no owner.
+	vacantSince time.Time
 	// claimedAt is when the takeover under way, or the last one, began.
 	claimedAt time.Time
 	// begun counts appends; each verifier waits for one that began after it.
@@ -68,7 +70,7 @@
 	if one.state != stateAbsent || !c.mayClaim(now) || now.Before(one.nextClaim) {
 		return
 	}
-	if c.ranking.first[one.index] != string(c.self().ID) {
+	if !c.mayOwn(now, one) {
 		one.handover = handover{}
 		return
 	}
@@ -123,6 +125,7 @@
 		Inherited: one.ledger.Inherited(),
 	})
 	// The others are told at once, so that they ask here.
+	c.ownedHere(now, one)
 	c.sendStatus(now)
 	held := one.held
 	one.held = nil
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -1,11 +1,11 @@
 package coordinator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"birchwood.example/birchwood/machine"
-	"birchwood.example/birchwood/ownership"
 )
 
 // peerState is what a peer told of itself last.
@@ -36,7 +36,7 @@
 		c.ready.Loads = append(c.ready.Loads, PeerLoad{
 			Node: string(sender.ID), Counts: message.Status.Loads, Version: message.Status.Version, From: sender,
 		})
-		c.hearOwned(now, message.Status.Owned)
+		c.takeOwners(now, sender.ID, message.Status)
 	} else {
 		c.learn(now, []machine.Machine{sender})
 	}
@@ -48,6 +48,16 @@
 	}
 }
 
+// takeOwners takes in what a status tells of owners: the sender itself and others.
+func (c *Core) takeOwners(now time.Time, sender machine.ID, status *Status) {
+	for index, epoch := range status.Owned {
+		c.takeOwner(now, Owner{Partition: index, Epoch: epoch, Node: sender, Unable: !status.ReachesStore})
+	}
+	for _, owner := range status.Owners {
+		c.takeOwner(now, owner)
+	}
+}
+
 // notePeer takes over what a peer tells of itself.
 func (c *Core) notePeer(now time.Time, peer machine.ID, status Status) {
 	state := peerState{at: now, status: status, heard: true}
@@ -85,13 +95,26 @@
 		c.reachedSince = now
 	}
 	lost := c.reaches && !contact.Reached
+	changed := c.reaches != contact.Reached
 	c.reaches = contact.Reached
 	c.lastContact = contact.Last
+	if changed {
+		c.renewRecords(now)
+	}
 	if lost {
 		c.tellHeirs(now)
 	}
 }
 
+// renewRecords changes the records of the partitions that this node serves.
+func (c *Core) renewRecords(now time.Time) {
+	for _, one := range c.partitions {
+		if one.state == stateServing {
+			c.ownedHere(now, one)
+		}
+	}
+}
+
 // statusPeers returns the other nodes that are not dead. Those that leave are
 // among them: they must hear who took their partitions over.
 func (c *Core) statusPeers() []machine.Machine {
@@ -113,7 +136,7 @@
 // nodes that it knows.
 func (c *Core) status(now time.Time) *Status {
 	status := &Status{
-		ReachesStore: c.reaches, Owned: c.owned(), Loads: c.loads.Counts, Version: c.loads.Version, Unable: c.unable(now),
+		ReachesStore: c.reaches, Owned: c.owned(), Owners: c.someOwners(), Loads: c.loads.Counts, Version: c.loads.Version, Unable: c.unable(now),
 	}
 	if now.Before(c.nextKnown) {
 		return status
@@ -151,7 +174,13 @@
 	if !state.counts(now) {
 		return true
 	}
-	return !c.lastContact.After(state.unableSince) || now.Sub(c.reachedSince) < regainFor
+	return !c.provesUnable(now, state.unableSince)
+}
+
+// provesUnable reports whether word that a node does not reach the store, heard at a
+// time, tells of that node alone: the store has answered this one since, and for long.
+func (c *Core) provesUnable(now, heardAt time.Time) bool {
+	return c.lastContact.After(heardAt) && now.Sub(c.reachedSince) >= regainFor
 }
 
 // Owner returns the node that serves the partition as far as this node knows:
@@ -160,30 +189,26 @@
 	if c.partitions[index].state == stateServing {
 		return c.self(), true
 	}
-	if peer, found := c.servingPeer(now, index, c.membership.Nodes()); found {
+	if peer, found := c.servingPeer(now, index); found {
 		return peer, true
 	}
-	chosen := machine.ID(c.ranking.first[index])
-	if chosen == c.self().ID {
-		return c.self(), true
+	if heirs := c.ranking.heirs[index]; len(heirs) > 0 {
+		return c.lookup(machine.ID(heirs[0]))
 	}
-	return c.membership.Lookup(chosen)
+	return machine.Machine{}, false
 }
 
-// servingPeer returns the one of the nodes that told of the highest epoch lately
-// and reaches the store.
-func (c *Core) servingPeer(now time.Time, index int, nodes []machine.Machine) (peer machine.Machine, found bool) {
-	highest := ownership.Epoch(0)
-	for _, node := range nodes {
-		state := c.peers[node.ID]
-		if !state.counts(now) || node.ID == c.self().ID || !c.reachesStore(now, node.ID) {
-			continue
-		}
-		if epoch := state.status.Owned[index]; epoch > highest {
-			peer, highest = node, epoch
-		}
+// servingPeer returns the node that serves a partition by the newest record, if it
+// is live and reaches the store.
+func (c *Core) servingPeer(now time.Time, index int) (machine.Machine, bool) {
+	peer, found := c.recordedOwner(now, index)
+	if !found {
+		return machine.Machine{}, false
 	}
-	return peer, highest > 0
+	_, live := slices.BinarySearchFunc(c.membership.Nodes(), peer.ID, func(node machine.Machine, id machine.ID) int {
+		return cmp.Compare(node.ID, id)
+	})
+	return peer, live
 }
 
 // Peers returns the live nodes besides this one that reach the store.
--- a/coordinator/rank.go
+++ b/coordinator/rank.go
@@ -11,7 +11,9 @@
 // ranking is which node is to own each partition, for one set of candidates.
 type ranking struct {
 	candidates []ownership.Node
-	first      []string
+	// heirs are, for each partition, the node that is to own it and those that rank
+	// next.
+	heirs [][]string
 	// readers are the candidates of this node's zone that rank first.
 	readers []machine.Machine
 	// lost is when a candidate was one last.
@@ -24,10 +26,45 @@
 	unreaching bool
 }
 
+const (
+	// heirsPerPartition is how many nodes may take a partition over: one that ranks
+	// first may have lost the store as well, unknown to the others. With a third of
+	// all nodes cut off, three are cut off together once in 27 times.
+	heirsPerPartition = 3
+	// heirPatience is how long each heir leaves a partition without an owner to
+	// those that rank before it. A claim takes an append and a read, some 50 ms, and
+	// word of it about as long again.
+	heirPatience = 300 * time.Millisecond
+)
+
+// mayOwn reports whether this node is to own the partition: it ranks first, or those
+// that rank before it have left it without an owner for too long.
+func (c *Core) mayOwn(now time.Time, one *partition) bool {
+	place := slices.Index(c.ranking.heirs[one.index], string(c.self().ID))
+	if place <= 0 {
+		one.vacantSince = time.Time{}
+		return place == 0
+	}
+	if _, served := c.servingPeer(now, one.index); served {
+		one.vacantSince = time.Time{}
+		return false
+	}
+	if one.vacantSince.IsZero() {
+		one.vacantSince = now
+	}
+	return now.Sub(one.vacantSince) >= time.Duration(place)*heirPatience
+}
+
+// ranksFirst reports whether this node is to own the partition by rank alone.
+func (c *Core) ranksFirst(index int) bool {
+	heirs := c.ranking.heirs[index]
+	return len(heirs) > 0 && heirs[0] == string(c.self().ID)
+}
+
 // current reports whether the candidates are what they were. Who reaches the
 // store changes with time alone while any peer counts as not reaching it.
 func (r *ranking) current(c *Core) bool {
-	if r.first == nil || r.unreaching || len(c.unreaching) > 0 {
+	if r.heirs == nil || r.unreaching || len(c.unreaching) > 0 {
 		return false
 	}
 	return r.version == c.membership.Version() && r.reaches == c.reaches
@@ -40,7 +77,7 @@
 		return
 	}
 	candidates := c.candidates(now)
-	if c.ranking.first == nil || !slices.Equal(candidates, c.ranking.candidates) {
+	if c.ranking.heirs == nil || !slices.Equal(candidates, c.ranking.candidates) {
 		c.ranking = c.rankAnew(now, candidates)
 	}
 	c.ranking.version, c.ranking.reaches = c.membership.Version(), c.reaches
@@ -49,12 +86,12 @@
 
 // rankAnew ranks the candidates for every partition.
 func (c *Core) rankAnew(now time.Time, candidates []ownership.Node) ranking {
-	first := make([]string, len(c.partitions))
-	for index := range first {
-		first[index] = ownership.Rank(index, candidates)
+	heirs := make([][]string, len(c.partitions))
+	for index := range heirs {
+		heirs[index] = ownership.First(index, candidates, heirsPerPartition)
 	}
 	return ranking{
-		candidates: candidates, first: first, readers: c.rankReaders(candidates), lost: c.lostCandidates(now, candidates),
+		candidates: candidates, heirs: heirs, readers: c.rankReaders(candidates), lost: c.lostCandidates(now, candidates),
 	}
 }
 
@@ -77,11 +114,9 @@
 			near = append(near, candidate)
 		}
 	}
-	for len(readers) < readersPerZone && len(near) > 0 {
-		best := ownership.Rank(readerRank, near)
-		node, _ := c.lookup(machine.ID(best))
+	for _, id := range ownership.First(readerRank, near, readersPerZone) {
+		node, _ := c.lookup(machine.ID(id))
 		readers = append(readers, node)
-		near = slices.DeleteFunc(near, func(one ownership.Node) bool { return one.ID == best })
 	}
 	return readers
 }
@@ -112,7 +147,8 @@
 	return lost
 }
 
-// maximumUnable bounds the nodes without the store that a status names.
+// maximumUnable bounds the nodes without the store that a status names. They are
+// drawn anew for each, so that all of many are named in time.
 const maximumUnable = 4
 
 // unable returns nodes that told this one lately that they do not reach the
@@ -128,6 +164,7 @@
 		}
 	}
 	slices.Sort(found)
+	c.config.Random.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
 	return found[:min(len(found), maximumUnable)]
 }
 
--- a/coordinator/request.go
+++ b/coordinator/request.go
@@ -69,7 +69,10 @@
 	ID     uint64      `json:"-"`
 	Status ReplyStatus `json:"status"`
 	// Epoch is the owner's, for an AwaitRequest.
-	Epoch     ownership.Epoch   `json:"epoch,omitempty"`
+	Epoch ownership.Epoch `json:"epoch,omitempty"`
+	// Owner is who serves the partition as far as a node knows that does not, or
+	// nil.
+	Owner     *Owner            `json:"owner,omitempty"`
 	Admission *ledger.Admission `json:"admission,omitempty"`
 	Chain     []byte            `json:"chain,omitempty"`
 }
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -20,8 +20,18 @@
 	case stateTaking:
 		one.held = append(one.held, heldRequest{request: request, until: now.Add(c.config.HoldFor)})
 	default:
-		c.reply(Reply{ID: request.ID, Status: ReplyNotOwner})
+		c.reply(c.notOwner(request))
+	}
+}
+
+// notOwner answers a request about a partition that this node does not serve, with
+// the node that does as far as it knows.
+func (c *Core) notOwner(request Requested) Reply {
+	reply := Reply{ID: request.ID, Status: ReplyNotOwner}
+	if known := c.owners[request.Partition]; known.Epoch > 0 && known.Node != c.self().ID && !known.disowned {
+		reply.Owner = &known.Owner
 	}
+	return reply
 }
 
 // serve answers a request about a partition that this node serves.
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -10,6 +10,7 @@
 	"birchwood.example/birchwood/coordinator"
 	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/ownership"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/routing"
@@ -168,7 +169,20 @@
 	if owner.ID == n.self.ID {
 		return n.control.ask(callCtx, partition, request)
 	}
-	return n.peers.ask(callCtx, owner, partition, request)
+	reply, err := n.peers.ask(callCtx, owner, partition, request)
+	if err == nil && reply.Status == coordinator.ReplyNotOwner {
+		n.noteNotOwner(owner.ID, partition, reply)
+	}
+	return reply, err
+}
+
+// noteNotOwner tells the core that a node does not serve a partition, or who does.
+func (n *Node) noteNotOwner(asked machine.ID, partition int, reply coordinator.Reply) {
+	if reply.Owner != nil && reply.Owner.Partition == partition {
+		n.control.post(coordinator.OwnerHeard{Owner: *reply.Owner})
+		return
+	}
+	n.control.post(coordinator.Disowned{Partition: partition, Node: asked})
 }
 
 // timeoutOf bounds a question: those that wait for the log may take longer.
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -1,7 +1,9 @@
 package ownership
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -29,14 +31,41 @@
 // proportion to its weight, and one that goes leaves those of the others where
 // they are.
 func Rank(partition int, nodes []Node) string {
-	best, bestScore := "", 0.0
+	if best := First(partition, nodes, 1); len(best) > 0 {
+		return best[0]
+	}
+	return ""
+}
+
+// scored is a node with its score for one partition.
+type scored struct {
+	id    string
+	score float64
+}
+
+// First returns the nodes that rank first for the partition, count at most: the one
+// that is to own it, and those that are to own it without that one.
+func First(partition int, nodes []Node, count int) []string {
+	best := make([]scored, 0, count+1)
 	for _, node := range nodes {
-		score := scoreOf(partition, node)
-		if best == "" || score > bestScore || (score == bestScore && node.ID < best) {
-			best, bestScore = node.ID, score
+		candidate := scored{id: node.ID, score: scoreOf(partition, node)}
+		place, _ := slices.BinarySearchFunc(best, candidate, compareScored)
+		if place >= count {
+			continue
 		}
+		best = slices.Insert(best, place, candidate)
+		best = best[:min(len(best), count)]
+	}
+	first := make([]string, 0, len(best))
+	for _, one := range best {
+		first = append(first, one.id)
 	}
-	return best
+	return first
+}
+
+// compareScored orders the better node first, and equal ones by their names.
+func compareScored(left, right scored) int {
+	return cmp.Or(cmp.Compare(right.score, left.score), cmp.Compare(left.id, right.id))
 }
 
 // scoreOf is the weighted score of rendezvous hashing: the weight by the negative
