edge: datagrams and questions to former owners are counted and logged

Cause: a lasting error of the datagram socket would have taken the whole processor without a word, and a turn that was late because its node asked the wrong owner showed nothing of it.

Change: birchwood_edge_datagrams_total by end (sent, dropped, received, refused), birchwood_edge_owner_misses_total, a line for each question to a node that is not the owner with what it answered, and a pause after an error of the socket.

--- a/edge/datagram.go
+++ b/edge/datagram.go
@@ -5,8 +5,10 @@
 	"errors"
 	"net"
 	"net/netip"
+	"time"
 
 	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/internal/wait"
 )
 
 // maximumDatagram is the largest message that goes as a datagram, in bytes. A
@@ -52,11 +54,17 @@
 	}
 	if _, err := d.conn.WriteToUDPAddrPort(body, to); err != nil {
 		// As good as lost: the failure detector asks through others.
-		d.node.metrics.messageDropped()
+		d.node.metrics.datagram(datagramDropped)
+		return true
 	}
+	d.node.metrics.datagram(datagramSent)
 	return true
 }
 
+// datagramPause follows an error of the socket, so that one that lasts does not take
+// the processor.
+const datagramPause = 50 * time.Millisecond
+
 // serve takes messages in until the socket closes.
 func (d *datagrams) serve() error {
 	go func() {
@@ -70,14 +78,17 @@
 			return err
 		}
 		if err != nil {
-			// An earlier datagram was refused by its receiver.
+			d.node.logger.Warn().Err(err).Msg("peers: datagram not received")
+			wait.For(d.node.ctx, datagramPause)
 			continue
 		}
 		var message coordinator.PeerMessage
 		if err := json.Unmarshal(buf[:size], &message); err != nil {
+			d.node.metrics.datagram(datagramRefused)
 			d.node.logger.Warn().Str("from", from.String()).Int("bytes", size).Err(err).Msg("peers: datagram not understood")
 			continue
 		}
+		d.node.metrics.datagram(datagramReceived)
 		d.node.control.post(coordinator.PeerReceived{Message: message})
 	}
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -18,6 +18,9 @@
 	appends *metrics.PrometheusHistogram
 	dropped *metrics.Counter
 	repeats *metrics.Counter
+	misses  *metrics.Counter
+	// datagrams are counted by how they ended.
+	datagrams [datagramEnds]*metrics.Counter
 	// linesDropped follows dropLines, which counts lines of the log that were
 	// dropped; nil where nobody counts them.
 	linesDropped *metrics.Counter
@@ -34,6 +37,8 @@
 	metricPartitions = "birchwood_edge_partition_changes_total"
 	metricRepeats    = "birchwood_edge_calls_repeated_total"
 	metricLogDropped = "birchwood_edge_log_lines_dropped_total"
+	metricDatagrams  = "birchwood_edge_datagrams_total"
+	metricMisses     = "birchwood_edge_owner_misses_total"
 )
 
 // latencyBuckets are for times that clients feel, in seconds.
@@ -46,14 +51,19 @@
 // log that were dropped.
 func newMetrics(dropped func() uint64) *Metrics {
 	set := metrics.NewSet()
-	return &Metrics{
+	made := &Metrics{
 		set:          set,
 		appends:      set.NewPrometheusHistogramExt(metricAppends, appendBuckets),
 		dropped:      set.NewCounter(metricDropped),
 		repeats:      set.NewCounter(metricRepeats),
+		misses:       set.NewCounter(metricMisses),
 		linesDropped: set.NewCounter(metricLogDropped),
 		dropLines:    dropped,
 	}
+	for end := range made.datagrams {
+		made.datagrams[end] = set.NewCounter(fmt.Sprintf("%s{end=%q}", metricDatagrams, datagramEnd(end)))
+	}
+	return made
 }
 
 // write writes all metrics as text.
@@ -88,6 +98,30 @@
 // messageDropped counts a message to a peer dropped because too many waited.
 func (m *Metrics) messageDropped() { m.dropped.Inc() }
 
+// datagramEnd is how a datagram ended here.
+type datagramEnd int
+
+// The ends of a datagram.
+const (
+	datagramSent datagramEnd = iota
+	datagramDropped
+	datagramReceived
+	datagramRefused
+	datagramEnds
+)
+
+// String returns the value of the metric's label.
+func (e datagramEnd) String() string {
+	return [datagramEnds]string{"sent", "dropped", "received", "refused"}[e]
+}
+
+// datagram counts a datagram. Twenty a second are sent, so that its counters are
+// made once.
+func (m *Metrics) datagram(end datagramEnd) { m.datagrams[end].Inc() }
+
+// ownerMissed counts a question to a node that does not serve the partition.
+func (m *Metrics) ownerMissed() { m.misses.Inc() }
+
 // partitionChanged counts partitions won and lost.
 func (m *Metrics) partitionChanged(owned bool) {
 	change := "lost"
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -178,10 +178,14 @@
 
 // noteNotOwner tells the core that a node does not serve a partition, or who does.
 func (n *Node) noteNotOwner(asked machine.ID, partition int, reply coordinator.Reply) {
+	n.metrics.ownerMissed()
+	entry := n.logger.Info().Int("partition", partition).Str("asked", string(asked))
 	if reply.Owner != nil && reply.Owner.Partition == partition {
+		entry.Str("owner", string(reply.Owner.Node)).Uint64("epoch", uint64(reply.Owner.Epoch)).Msg("ledger: asked a former owner")
 		n.control.post(coordinator.OwnerHeard{Owner: *reply.Owner})
 		return
 	}
+	entry.Msg("ledger: asked a node that is not the owner")
 	n.control.post(coordinator.Disowned{Partition: partition, Node: asked})
 }
 
