edge, ingress: what only the system may tell replicas is taken out of what clients send

A line whose field name is not a token (a blank before the colon, a folded line) was forwarded as it stood, and could carry such a field past the check: it is answered with 400 now.

--- a/edge/handle.go
+++ b/edge/handle.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"birchwood.example/birchwood/header"
 	"birchwood.example/birchwood/ingress"
 	"birchwood.example/birchwood/ownership"
 	"birchwood.example/birchwood/replica"
@@ -109,9 +111,9 @@
 // outgoing builds the request that a replica gets.
 func (n *Node) outgoing(r *requestState, entry replica.Entry, body []byte, lastEvent string) *upstream.Request {
 	names := n.adapter.Names
-	without := []string{names.Deadline, names.ExpectReplica, names.Urgency}
+	without := n.withheld
 	if lastEvent != "" {
-		without = append(without, names.LastEvent)
+		without = append(slices.Clone(without), names.LastEvent)
 	}
 	fields := r.exchange.ForwardedFields(without...)
 	fields = appendField(fields, names.Deadline, strconv.FormatInt(max(1, r.left().Milliseconds()), 10))
@@ -128,6 +130,12 @@
 	}
 }
 
+// withheldFields returns the fields of clients that no replica gets: what only the
+// system sets, and what concerns the client and the system alone.
+func withheldFields(names header.Names) []string {
+	return append([]string{names.Deadline, names.ExpectReplica, names.Urgency}, names.Reserved...)
+}
+
 // maximumUrgency is the least urgent rank of a request at an engine.
 const maximumUrgency = 9
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -45,6 +45,8 @@
 	control  *control
 	peers    *peers
 	metrics  *Metrics
+	// withheld are the fields of clients that no replica gets.
+	withheld []string
 
 	// randomMutex guards random, which draws for traffic, and patience, which
 	// bounds the appends.
@@ -116,6 +118,7 @@
 		patience: retry.Patience{Minimum: appendTimeoutMin, Maximum: appendTimeout, Factor: appendFactor},
 		store:    contact{last: now},
 		started:  now,
+		withheld: withheldFields(adapter.Names),
 		failed:   make(chan error, 4),
 	}
 	node.ctx, node.cancel = context.WithCancel(context.Background())
--- a/header/header.go
+++ b/header/header.go
@@ -37,6 +37,9 @@
 	PreviousTurn string
 	// Affinity names the object that a request concerns.
 	Affinity string
+	// Reserved are the other fields that direct a replica and that only the
+	// system sets. What clients send in them reaches no replica.
+	Reserved []string
 }
 
 // The header fields of HTTP itself that the project reads or writes.
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -135,8 +135,11 @@
 	}
 	lengths, codings := 0, 0
 	for line := range bytes.Lines(e.head.RawHeaders()) {
-		name, _, _ := bytes.Cut(line, []byte(":"))
+		name, _, found := bytes.Cut(line, []byte(":"))
 		switch {
+		case len(bytes.TrimRight(line, "\r\n")) == 0:
+		case !found || !isToken(name):
+			return &problem{status: fasthttp.StatusBadRequest, reason: "the name of a header field is not valid"}
 		case strings.EqualFold(string(name), header.ContentLength):
 			lengths++
 		case strings.EqualFold(string(name), header.TransferEncoding):
@@ -153,6 +156,20 @@
 	return nil
 }
 
+// isToken reports whether a field's name has only the signs that RFC 9110 gives
+// it. A blank in or beside one has a line read in two ways: as a field, and as
+// the rest of the line before it.
+func isToken(name []byte) bool {
+	for _, sign := range name {
+		letter := 'a' <= sign|0x20 && sign|0x20 <= 'z'
+		digit := '0' <= sign && sign <= '9'
+		if !letter && !digit && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(sign)) {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
 // invite answers a client that waits to be asked for the body.
 func (e *Exchange) invite() error {
 	if !e.HasBody || !strings.EqualFold(e.Field(header.Expect), "100-continue") {
