--- /dev/null
+++ b/coordinator/charge_test.go
@@ -0,0 +1,295 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/tenant"
+)
+
+// account is a tenant whose clients ask all nodes alike, at a pace of their own.
+type account struct {
+	name    string
+	limit   tenant.Limit
+	version uint64
+	// perSecond is how many requests its clients send.
+	perSecond float64
+	// owed is what they have to send by now.
+	owed    float64
+	asked   int
+	granted []time.Time
+	refused int
+	unknown int
+}
+
+// charges drives accounts at a fleet.
+type charges struct {
+	world    *fleet
+	accounts []*account
+	// open are the charges without an answer.
+	open map[uint64]openCharge
+	next uint64
+	// counting are the nodes that counted last, by tenant.
+	counting map[string]machine.ID
+}
+
+type openCharge struct {
+	account *account
+	at      machine.ID
+}
+
+func newCharges(world *fleet, accounts ...*account) *charges {
+	return &charges{world: world, accounts: accounts, open: map[uint64]openCharge{}, counting: map[string]machine.ID{}}
+}
+
+// run lets the clients send for a while.
+func (c *charges) run(span time.Duration) {
+	for end := c.world.now.Add(span); c.world.now.Before(end); {
+		for _, one := range c.accounts {
+			one.owed += one.perSecond * step.Seconds()
+			for ; one.owed >= 1; one.owed-- {
+				c.ask(one)
+			}
+		}
+		c.world.run(step)
+		c.collect()
+	}
+}
+
+// ask has a random node that runs ask for one request.
+func (c *charges) ask(one *account) {
+	ids := c.world.ids()
+	if len(ids) == 0 {
+		return
+	}
+	at := ids[c.world.random.IntN(len(ids))]
+	if c.world.nodes[at].frozen {
+		return
+	}
+	c.next++
+	one.asked++
+	c.open[c.next] = openCharge{account: one, at: at}
+	c.world.send(at, 0, coordinator.ChargeRequested{ID: c.next, Patience: 600 * time.Millisecond, Charge: coordinator.Charge{
+		Tenant: one.name, Request: tenant.Request{ID: fmt.Sprint(c.next), Limit: one.limit, Version: one.version},
+	}})
+}
+
+// collect takes the answers in.
+func (c *charges) collect() {
+	for _, id := range c.world.ids() {
+		member := c.world.nodes[id]
+		for _, charged := range member.charged {
+			open, known := c.open[charged.ID]
+			if !known || open.at != id {
+				continue
+			}
+			delete(c.open, charged.ID)
+			switch charged.Status {
+			case coordinator.ChargeGranted:
+				c.counting[open.account.name] = charged.Owner
+				open.account.granted = append(open.account.granted, c.world.now)
+			case coordinator.ChargeRefused:
+				open.account.refused++
+			default:
+				open.account.unknown++
+			}
+		}
+		member.charged = nil
+	}
+}
+
+// accepted is what a window of a limit may hold, with what the operator accepts.
+func accepted(limit tenant.Limit) float64 {
+	config := tenant.DefaultConfig()
+	return (limit.Rate*config.Window.Seconds()+limit.Burst)*(1+config.Overrun) + config.Slack
+}
+
+// busiestWindow returns the most grants of any window from a time on.
+func busiestWindow(granted []time.Time, from time.Time) int {
+	first := slices.IndexFunc(granted, func(at time.Time) bool { return !at.Before(from) })
+	if first < 0 {
+		return 0
+	}
+	most, left := 0, first
+	for right := first; right < len(granted); right++ {
+		for granted[right].Sub(granted[left]) >= tenant.DefaultConfig().Window {
+			left++
+		}
+		most = max(most, right-left+1)
+	}
+	return most
+}
+
+// broken names the accounts of which a window held too much.
+func (c *charges) broken() (names []string) {
+	for _, one := range c.accounts {
+		if float64(busiestWindow(one.granted, start)) > accepted(one.limit) {
+			names = append(names, one.name)
+		}
+	}
+	return names
+}
+
+// The accounts of the tests: far beyond its limit, usual use, and a small tenant far
+// beyond its limit.
+func hot() *account {
+	return &account{name: "hot", limit: tenant.Limit{Rate: 200, Burst: 200}, version: 1, perSecond: 550}
+}
+
+func usual() *account {
+	return &account{name: "usual", limit: tenant.Limit{Rate: 80, Burst: 80}, version: 1, perSecond: 50}
+}
+
+func small() *account {
+	return &account{name: "small", limit: tenant.Limit{Rate: 3, Burst: 3}, version: 1, perSecond: 9}
+}
+
+// countingFleet starts a fleet whose nodes know each other and have counted for long.
+func countingFleet(nodes int, configure func(*coordinator.Config)) *fleet {
+	world := newFleetWith(7, nodes, 2, configure)
+	world.run(7 * time.Second)
+	return world
+}
+
+// counter returns the node that counted for a tenant last.
+func (c *charges) counter(name string) machine.ID { return c.counting[name] }
+
+var _ = Describe("The limits of tenants", func() {
+	It("hold over a calm fleet, and nothing is refused below them", func() {
+		for _, nodes := range []int{11, 65} {
+			heavy, steady, light := hot(), usual(), small()
+			load := newCharges(countingFleet(nodes, nil), heavy, steady, light)
+			load.run(12 * time.Second)
+			Expect(load.broken()).To(BeEmpty())
+			Expect((steady.refused + steady.unknown) * 200).To(BeNumerically("<", steady.asked))
+			Expect(len(heavy.granted)).To(BeNumerically(">=", 0.95*12*240))
+			Expect(len(light.granted)).To(BeNumerically(">=", 0.9*12*3.6))
+		}
+	})
+
+	It("hold over 295 nodes", func() {
+		heavy, light := hot(), small()
+		load := newCharges(countingFleet(295, nil), heavy, light)
+		load.run(6 * time.Second)
+		Expect(load.broken()).To(BeEmpty())
+		Expect(len(heavy.granted)).To(BeNumerically(">=", 1000))
+	})
+
+	It("hold when the nodes that count are lost, one after the other", func() {
+		heavy, steady, light := hot(), usual(), small()
+		load := newCharges(countingFleet(40, nil), heavy, steady, light)
+		for range 4 {
+			load.run(2500 * time.Millisecond)
+			for _, one := range load.accounts {
+				load.world.kill(load.counter(one.name))
+			}
+		}
+		load.run(6 * time.Second)
+		Expect(load.broken()).To(BeEmpty())
+		// A loss is noticed after about a second; here four in sixteen.
+		Expect(len(steady.granted)).To(BeNumerically(">=", steady.asked*2/3))
+	})
+
+	It("hold when a node that counts stands still and wakes", func() {
+		heavy, light := hot(), small()
+		load := newCharges(countingFleet(20, nil), heavy, light)
+		load.run(4 * time.Second)
+		for _, still := range []time.Duration{300 * time.Millisecond, 2 * time.Second} {
+			counting := load.counter("hot")
+			load.world.nodes[counting].frozen = true
+			load.run(still)
+			load.world.nodes[counting].frozen = false
+			load.run(4 * time.Second)
+		}
+		Expect(load.broken()).To(BeEmpty())
+	})
+
+	It("hold when the fleet is cut in two, and when it heals", func() {
+		heavy, steady, light := hot(), usual(), small()
+		load := newCharges(countingFleet(20, nil), heavy, steady, light)
+		load.run(4 * time.Second)
+		load.world.cutInTwo()
+		load.run(12 * time.Second)
+		load.world.heal()
+		load.run(6 * time.Second)
+		Expect(load.broken()).To(BeEmpty())
+		Expect(len(heavy.granted)).To(BeNumerically(">=", 22*200*3/4))
+	})
+
+	It("hold when all nodes are killed and start again", func() {
+		heavy, light := hot(), small()
+		load := newCharges(countingFleet(20, nil), heavy, light)
+		load.run(4 * time.Second)
+		ids := load.world.ids()
+		for _, id := range ids {
+			load.world.kill(id)
+		}
+		load.run(500 * time.Millisecond)
+		for _, id := range ids {
+			load.world.start(id)
+		}
+		load.world.list()
+		load.run(10 * time.Second)
+		Expect(load.broken()).To(BeEmpty())
+		Expect(len(heavy.granted)).To(BeNumerically(">=", 12*200))
+	})
+
+	It("follow a limit that is lowered and raised, and a tenant that comes and goes", func() {
+		heavy := hot()
+		load := newCharges(countingFleet(20, nil), heavy)
+		load.run(6 * time.Second)
+		heavy.version, heavy.limit = 2, tenant.Limit{Rate: 10}
+		lowered := load.world.now
+		load.run(12 * time.Second)
+		Expect(float64(busiestWindow(heavy.granted, lowered.Add(tenant.DefaultConfig().Window)))).To(BeNumerically("<=", accepted(heavy.limit)))
+		heavy.version, heavy.limit = 3, tenant.Limit{Rate: 400}
+		raised := load.world.now
+		load.run(6 * time.Second)
+		Expect(busiestWindow(heavy.granted, raised)).To(BeNumerically(">", 1500))
+		fresh := usual()
+		fresh.name = "fresh"
+		load.accounts = []*account{fresh}
+		load.run(6 * time.Second)
+		Expect(load.broken()).To(BeEmpty())
+		Expect((fresh.refused + fresh.unknown) * 200).To(BeNumerically("<", fresh.asked))
+	})
+
+	// The checker notices when a protection is missing.
+	DescribeTable("do not hold without",
+		func(configure func(*coordinator.Config), disturb func(load *charges)) {
+			heavy := hot()
+			load := newCharges(countingFleet(20, configure), heavy)
+			load.run(5 * time.Second)
+			disturb(load)
+			load.run(6 * time.Second)
+			Expect(load.broken()).To(Equal([]string{"hot"}))
+		},
+		Entry("the window's own count", func(config *coordinator.Config) { config.Tenants.Window = 500 * time.Millisecond }, func(*charges) {}),
+		Entry("a small bucket, when the nodes that count are lost", func(config *coordinator.Config) { config.Tenants.Overrun = 3 }, func(load *charges) {
+			load.accounts[0].perSecond = 0
+			load.run(5 * time.Second)
+			load.accounts[0].perSecond = 3000
+			load.run(600 * time.Millisecond)
+			load.world.kill(load.counter("hot"))
+		}),
+		Entry("the part that is left to nodes behind a cut", func(config *coordinator.Config) { config.ShareWhole = true }, func(load *charges) {
+			load.world.cutInTwo()
+			load.run(10 * time.Second)
+		}),
+		Entry("one node that counts for all", func(config *coordinator.Config) { config.CountAlone, config.ShareWhole = true, true }, func(*charges) {}),
+	)
+
+	It("refuse far more where each node counts to its own part", func() {
+		together, alone := usual(), usual()
+		newCharges(countingFleet(65, nil), together).run(6 * time.Second)
+		newCharges(countingFleet(65, func(config *coordinator.Config) { config.CountAlone = true }), alone).run(6 * time.Second)
+		Expect(together.refused * 200).To(BeNumerically("<", together.asked))
+		Expect(alone.refused).To(BeNumerically(">", 10*together.refused+1))
+	})
+})
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -9,6 +9,7 @@
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/ownership"
+	"birchwood.example/birchwood/tenant"
 )
 
 // Config sets up a Core.
@@ -41,6 +42,14 @@
 	// ClaimWithoutAsking takes partitions over without asking their owner first,
 	// to measure what a hand-over in order is worth.
 	ClaimWithoutAsking bool
+	// Tenants sets up the accounts by which the limits of tenants are kept.
+	Tenants tenant.Config
+	// CountAlone has each node count to its own part of the limits, alike for all
+	// nodes, to measure what one account for the fleet is worth.
+	CountAlone bool
+	// ShareWhole has nodes grant the whole of the limits though others that they
+	// know of may count behind a cut, to show what that would break.
+	ShareWhole bool
 	// Random picks the peers of a status.
 	Random *rand.Rand
 }
@@ -69,6 +78,7 @@
 		KnownPerStatus: 4,
 		HoldFor:        800 * time.Millisecond,
 		StallAfter:     700 * time.Millisecond,
+		Tenants:        tenant.DefaultConfig(),
 		Random:         random,
 	}
 }
@@ -99,6 +109,8 @@
 	// lastHeard is when a message of another node came last.
 	lastHeard time.Time
 	ranking   ranking
+	charging  charging
+	proving   proving
 	ready     Ready
 }
 
@@ -116,6 +128,7 @@
 		unreaching: make(map[machine.ID]bool),
 		started:    now,
 		reaches:    true,
+		charging:   newCharging(now, config.Tenants),
 	}
 	core.list(config.Membership.Self)
 	for index := range config.Partitions {
@@ -148,6 +161,12 @@
 		c.takeOwner(now, event.Owner)
 	case Disowned:
 		c.disown(event)
+	case ChargeRequested:
+		c.stepCharge(now, event)
+	case ProofNoted:
+		c.noteProof(event)
+	case ChargeReturned:
+		c.stepReturn(event)
 	case Leave:
 		c.leave(now)
 	case Loads:
@@ -200,6 +219,8 @@
 func (c *Core) tick(now time.Time) {
 	c.membership.Tick(now)
 	c.rank(now)
+	c.tickCharges(now)
+	c.tickProof(now)
 	for _, one := range c.partitions {
 		c.tickPartition(now, one)
 	}
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -88,17 +88,39 @@
 	RetainFor time.Duration
 }
 
-func (Tick) event()         {}
-func (Listed) event()       {}
-func (Contact) event()      {}
-func (PeerReceived) event() {}
-func (Requested) event()    {}
-func (TakenOver) event()    {}
-func (Appended) event()     {}
-func (OwnerHeard) event()   {}
-func (Disowned) event()     {}
-func (Leave) event()        {}
-func (Loads) event()        {}
+// ChargeRequested asks for a request of this node's traffic to be counted to its
+// tenant's limit. The answer is a Charged, after the patience at the latest.
+type ChargeRequested struct {
+	// ID correlates the Charged; the driver allocates it.
+	ID       uint64
+	Charge   Charge
+	Patience time.Duration
+}
+
+// ProofNoted says that the configuration which this node holds, of this version or a
+// newer one, was the newest at a time.
+type ProofNoted struct {
+	At      time.Time
+	Version uint64
+}
+
+// ChargeReturned says that a request did not run that was granted.
+type ChargeReturned struct{ Charge Charge }
+
+func (Tick) event()            {}
+func (ProofNoted) event()      {}
+func (ChargeRequested) event() {}
+func (ChargeReturned) event()  {}
+func (Listed) event()          {}
+func (Contact) event()         {}
+func (PeerReceived) event()    {}
+func (Requested) event()       {}
+func (TakenOver) event()       {}
+func (Appended) event()        {}
+func (OwnerHeard) event()      {}
+func (Disowned) event()        {}
+func (Leave) event()           {}
+func (Loads) event()           {}
 
 // PeerMessage is what two nodes exchange besides requests.
 type PeerMessage struct {
@@ -109,6 +131,10 @@
 	Status *Status `json:"status,omitempty"`
 	// Handover asks for a partition, or answers that, or is nil.
 	Handover *Handover `json:"handover,omitempty"`
+	// Charge is about a request that counts to its tenant's limit, or nil.
+	Charge *ChargeMessage `json:"charge,omitempty"`
+	// Proof is about the age of the sender's configuration, or nil.
+	Proof *ProofMessage `json:"proof,omitempty"`
 }
 
 // Status is what a node tells of itself every now and then.
@@ -161,6 +187,12 @@
 	From    machine.Machine
 }
 
+// PeerVersion is the version of the configuration that a peer holds.
+type PeerVersion struct {
+	From    machine.Machine
+	Version uint64
+}
+
 // Ready is what a driver has to perform.
 type Ready struct {
 	Messages  []Outbound
@@ -168,6 +200,12 @@
 	Takeovers []Takeover
 	Appends   []Append
 	Loads     []PeerLoad
+	Charged   []Charged
+	// Newer are peers that hold a newer configuration than this node.
+	Newer []PeerVersion
+	// Proven is when this node's configuration was the newest by word of a peer;
+	// zero where that is no news.
+	Proven time.Time
 	// Changes tell of partitions won or lost, for the log.
 	Changes []Change
 }
--- a/coordinator/harness_test.go
+++ b/coordinator/harness_test.go
@@ -57,6 +57,12 @@
 	contacted time.Time
 	replies   map[uint64]coordinator.Reply
 	changes   []coordinator.Change
+	// charged are the answers to charges that were not collected yet.
+	charged []coordinator.Charged
+	// proven is when the node's configuration was the newest by word of a peer.
+	proven time.Time
+	// newer are peers that hold a newer configuration, not collected yet.
+	newer []coordinator.PeerVersion
 }
 
 // delivery is an event on its way.
@@ -219,6 +225,30 @@
 		f.callStore(id, func() { f.append(id, batch) })
 	}
 	one.changes = append(one.changes, ready.Changes...)
+	one.charged = append(one.charged, ready.Charged...)
+	one.newer = append(one.newer, ready.Newer...)
+	if ready.Proven.After(one.proven) {
+		one.proven = ready.Proven
+	}
+}
+
+// cutInTwo lets each half of the nodes exchange messages with its own half alone.
+func (f *fleet) cutInTwo() {
+	ids := f.ids()
+	for index, id := range ids {
+		half := ids[:len(ids)/2]
+		if index >= len(ids)/2 {
+			half = ids[len(ids)/2:]
+		}
+		f.nodes[id].near = half
+	}
+}
+
+// heal lets all nodes exchange messages again.
+func (f *fleet) heal() {
+	for _, one := range f.nodes {
+		one.near = nil
+	}
 }
 
 // near reports whether two nodes exchange messages as far as their limits go.
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -43,6 +43,11 @@
 	if message.Membership != nil {
 		c.membership.Step(now, sender.ID, *message.Membership)
 	}
+	if message.Charge != nil {
+		c.stepChargeMessage(now, sender, message)
+	} else if message.Proof != nil {
+		c.stepProof(now, sender, *message.Proof)
+	}
 	if message.Handover != nil {
 		c.stepHandover(now, sender, *message.Handover)
 	}
--- /dev/null
+++ b/coordinator/proof_test.go
@@ -0,0 +1,191 @@
+package coordinator_test
+
+import (
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/machine"
+)
+
+// proofs drives what nodes of a fleet know of the newest configuration.
+type proofs struct {
+	world *fleet
+	// version is the newest configuration in the store, and changed when it became so.
+	version uint64
+	changed time.Time
+	held    map[machine.ID]uint64
+	proven  map[machine.ID]time.Time
+	nextAt  map[machine.ID]time.Time
+	sentAt  map[machine.ID]time.Time
+	// wait is how long a read of a node waits; readersWait that of a zone's readers.
+	wait, readersWait time.Duration
+	reads             int
+	// early names the nodes that claimed proof of a time after the change while they
+	// held the configuration before it.
+	early []machine.ID
+}
+
+func newProofs(world *fleet, wait, readersWait time.Duration) *proofs {
+	driven := &proofs{
+		world: world, version: 1, held: map[machine.ID]uint64{}, proven: map[machine.ID]time.Time{},
+		nextAt: map[machine.ID]time.Time{}, sentAt: map[machine.ID]time.Time{}, wait: wait, readersWait: readersWait,
+	}
+	for _, id := range world.ids() {
+		driven.sentAt[id] = world.now
+		driven.nextAt[id] = world.now.Add(time.Duration(world.random.Int64N(int64(wait))))
+	}
+	return driven
+}
+
+func (p *proofs) run(span time.Duration) {
+	for end := p.world.now.Add(span); p.world.now.Before(end); {
+		for _, id := range p.world.ids() {
+			p.read(id)
+		}
+		p.world.run(step)
+		p.collect()
+	}
+}
+
+// read carries out the read of the configuration that a node has under way.
+func (p *proofs) read(id machine.ID) {
+	one := p.world.nodes[id]
+	if one.frozen || p.world.now.Before(p.nextAt[id]) {
+		return
+	}
+	if p.world.reaches(one) {
+		p.held[id] = p.version
+		p.note(id, p.sentAt[id])
+		one.core.Step(p.world.now, coordinator.ProofNoted{At: p.sentAt[id], Version: p.version})
+		one.core.Step(p.world.now, coordinator.Loads{Version: p.version})
+	}
+	p.reads++
+	wait := p.wait
+	if slices.ContainsFunc(one.core.Readers(), func(reader machine.Machine) bool { return reader.ID == id }) {
+		wait = p.readersWait
+	}
+	p.sentAt[id] = p.world.now
+	p.nextAt[id] = p.world.now.Add(wait)
+}
+
+// note takes a proof in, and holds it against what the node holds.
+func (p *proofs) note(id machine.ID, at time.Time) {
+	if at.After(p.proven[id]) {
+		p.proven[id] = at
+	}
+	if p.held[id] < p.version && p.proven[id].After(p.changed) {
+		p.early = append(p.early, id)
+	}
+}
+
+// collect takes the proofs of peers in, and has nodes fetch what peers hold.
+func (p *proofs) collect() {
+	for _, id := range p.world.ids() {
+		one := p.world.nodes[id]
+		if !one.proven.IsZero() {
+			p.note(id, one.proven)
+		}
+		for _, newer := range one.newer {
+			p.held[id] = max(p.held[id], newer.Version)
+			one.core.Step(p.world.now, coordinator.Loads{Version: p.held[id]})
+		}
+		one.newer = nil
+	}
+}
+
+// ages returns how old the proofs of the nodes are, the youngest first.
+func (p *proofs) ages() (ages []time.Duration) {
+	for _, id := range p.world.ids() {
+		ages = append(ages, p.world.now.Sub(p.proven[id]))
+	}
+	slices.Sort(ages)
+	return ages
+}
+
+var _ = Describe("Word of how lately a configuration was the newest", func() {
+	It("keeps all nodes' proofs young, also of those that do not reach the store", func() {
+		for _, nodes := range []int{11, 65, 295} {
+			world := newFleet(5, nodes, 2)
+			world.run(2 * time.Second)
+			word := newProofs(world, 2*time.Second, 300*time.Millisecond)
+			word.run(5 * time.Second)
+			calm := word.ages()
+			for index, id := range world.ids() {
+				world.nodes[id].cut = index%3 == 0
+			}
+			word.run(6 * time.Second)
+			cut := word.ages()
+			GinkgoWriter.Printf("%d nodes: calm median %v p99 %v; a third cut off: median %v p99 %v\n",
+				nodes, calm[nodes/2], calm[nodes*99/100], cut[nodes/2], cut[nodes*99/100])
+			Expect(calm[nodes-1]).To(BeNumerically("<", 2500*time.Millisecond))
+			Expect(cut[nodes-1]).To(BeNumerically("<", 3*time.Second))
+		}
+	})
+
+	It("is never younger than the truth, whoever stands still, is cut off or starts anew", func() {
+		world := newFleet(6, 20, 2)
+		world.run(2 * time.Second)
+		word := newProofs(world, 2*time.Second, 300*time.Millisecond)
+		word.run(5 * time.Second)
+		for round := range 12 {
+			for _, id := range world.ids() {
+				world.nodes[id].frozen = world.random.IntN(6) == 0
+				world.nodes[id].cut = world.random.IntN(3) == 0
+			}
+			word.run(time.Duration(200+world.random.IntN(1500)) * time.Millisecond)
+			word.version, word.changed = word.version+1, world.now
+			word.run(time.Duration(200+world.random.IntN(1500)) * time.Millisecond)
+			if round%4 == 3 {
+				id := world.ids()[world.random.IntN(20)]
+				world.kill(id)
+				delete(word.held, id)
+				delete(word.proven, id)
+				word.sentAt[id], word.nextAt[id] = world.now, world.now.Add(time.Second)
+				world.start(id)
+				world.list()
+			}
+		}
+		Expect(word.early).To(BeEmpty())
+	})
+
+	It("is dated from the question, however late the answer is read", func() {
+		world := newFleet(8, 2, 1)
+		world.run(time.Second)
+		ids := world.ids()
+		asking, asked := world.nodes[ids[0]], world.nodes[ids[1]]
+		asking.core.Step(world.now, coordinator.ProofNoted{At: world.now.Add(-5 * time.Second), Version: 1})
+		asking.core.Ready()
+		asking.core.Step(world.now, coordinator.Tick{})
+		var question *coordinator.ProofMessage
+		for _, message := range asking.core.Ready().Messages {
+			if message.Message.Proof != nil {
+				question = message.Message.Proof
+			}
+		}
+		Expect(question).NotTo(BeNil())
+		Expect(question.Ask).To(BeTrue())
+		word := &coordinator.ProofMessage{Number: question.Number, Version: 1, Age: 100 * time.Millisecond}
+		answer := coordinator.PeerReceived{Message: coordinator.PeerMessage{From: asked.self, Proof: word}}
+		asking.core.Step(world.now.Add(4*time.Second), answer)
+		Expect(asking.core.Ready().Proven).To(Equal(world.now.Add(-100 * time.Millisecond)))
+		unasked := *word
+		unasked.Number++
+		answer.Message.Proof = &unasked
+		asking.core.Step(world.now.Add(5*time.Second), answer)
+		Expect(asking.core.Ready().Proven).To(BeZero())
+	})
+
+	It("grows old where no node reaches the store", func() {
+		world := newFleet(7, 20, 2)
+		world.run(2 * time.Second)
+		word := newProofs(world, 2*time.Second, 300*time.Millisecond)
+		word.run(5 * time.Second)
+		world.turnStore(false)
+		word.run(5 * time.Second)
+		Expect(word.ages()[0]).To(BeNumerically(">=", 5*time.Second))
+	})
+})
--- /dev/null
+++ b/coordinator/quota.go
@@ -0,0 +1,264 @@
+package coordinator
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/ownership"
+	"birchwood.example/birchwood/tenant"
+)
+
+// Charge asks for one request of a tenant, of the node that counts for it.
+type Charge struct {
+	Tenant  string         `json:"tenant"`
+	Request tenant.Request `json:"request"`
+}
+
+// Charged answers a Charge.
+type Charged struct {
+	// ID is that of the ChargeRequested.
+	ID     uint64
+	Status ChargeStatus
+	// Owner is the node that counts for the tenant.
+	Owner    machine.ID
+	Decision tenant.Decision
+}
+
+// ChargeStatus tells how a Charge ended.
+type ChargeStatus string
+
+// The statuses of a charge.
+const (
+	// ChargeGranted lets the request run.
+	ChargeGranted ChargeStatus = "granted"
+	// ChargeRefused says that the tenant's limit does not hold the request.
+	ChargeRefused ChargeStatus = "refused"
+	// ChargeUnknown says that no node that counts for the tenant answered in time.
+	ChargeUnknown ChargeStatus = "unknown"
+)
+
+// ChargeMessage is what nodes say to each other about charges. Exactly one of Ask,
+// Answer, NotOwner and Return is set.
+type ChargeMessage struct {
+	// Number correlates an answer with its question.
+	Number uint64           `json:"number,omitempty"`
+	Ask    *Charge          `json:"ask,omitempty"`
+	Answer *tenant.Decision `json:"answer,omitempty"`
+	// NotOwner says that the asked node does not count for the tenant.
+	NotOwner bool `json:"not_owner,omitempty"`
+	// Return gives a grant back whose request did not run.
+	Return *Charge `json:"return,omitempty"`
+}
+
+// Times of the charges.
+const (
+	// chargeResend is after what time without an answer a charge is asked for again:
+	// several times the way between zones and back.
+	chargeResend = 60 * time.Millisecond
+	// chargeSettle is how long after its start a node counts for nobody, so that it
+	// knows its peers, as for the partitions.
+	chargeSettle = 350 * time.Millisecond
+)
+
+// charging is this node's part in keeping the limits of tenants.
+type charging struct {
+	book *tenant.Book
+	// owners are the nodes that count for tenants, as far as they were asked for
+	// since the nodes were those of this version.
+	owners  map[string]machine.ID
+	version uint64
+	nodes   []machine.ID
+	// pending are this node's charges without an answer, by number.
+	pending    map[uint64]*pendingCharge
+	nextNumber uint64
+}
+
+// pendingCharge is a charge of this node's traffic that waits for its answer.
+type pendingCharge struct {
+	id     uint64
+	charge Charge
+	// askedAt is when the charge was asked for first, and until when it is given up.
+	askedAt  time.Time
+	until    time.Time
+	resendAt time.Time
+	askedOf  machine.ID
+}
+
+func newCharging(now time.Time, config tenant.Config) charging {
+	return charging{
+		book: tenant.NewBook(now.Add(chargeSettle), config), owners: make(map[string]machine.ID),
+		pending: make(map[uint64]*pendingCharge),
+	}
+}
+
+// chargeOwner returns the node that counts for a tenant: the live one that ranks
+// first for its name. Whether a node reaches the store does not matter.
+func (c *Core) chargeOwner(name string) machine.ID {
+	if c.config.CountAlone {
+		return c.self().ID
+	}
+	if owner, known := c.charging.owners[name]; known {
+		return owner
+	}
+	owner := machine.ID(ownership.Rank(chargePlace(name), c.chargeCandidates()))
+	c.charging.owners[name] = owner
+	return owner
+}
+
+// chargePlace stands for a tenant in the ranking, beside the partitions.
+func chargePlace(name string) int { return int(xxhash.Sum64String("tenant/"+name) >> 1) }
+
+func (c *Core) chargeCandidates() []ownership.Node {
+	nodes := c.membership.Nodes()
+	candidates := make([]ownership.Node, 0, len(nodes))
+	for _, node := range nodes {
+		candidates = append(candidates, ownership.Node{ID: string(node.ID), Weight: node.Weight})
+	}
+	return candidates
+}
+
+// renewCharging follows the live nodes: tenants that another node counts for by now
+// are dropped, and where a node was lost, accounts that are opened begin empty.
+func (c *Core) renewCharging(now time.Time) {
+	held := &c.charging
+	if held.nodes != nil && held.version == c.membership.Version() {
+		return
+	}
+	held.version = c.membership.Version()
+	var nodes []machine.ID
+	for _, node := range c.membership.Nodes() {
+		nodes = append(nodes, node.ID)
+	}
+	lost := slices.ContainsFunc(held.nodes, func(id machine.ID) bool { return !slices.Contains(nodes, id) })
+	if lost {
+		held.book.Inherit(now)
+	}
+	if held.nodes == nil || !slices.Equal(held.nodes, nodes) {
+		clear(held.owners)
+		held.nodes = nodes
+		held.book.Keep(func(name string) bool { return c.chargeOwner(name) == c.self().ID })
+	}
+	held.book.SetShare(c.chargeShare())
+}
+
+// chargeShare is the part of each limit that the live nodes may grant. Nodes that are
+// known and not live may be lost, or live on behind a cut and count for their side.
+func (c *Core) chargeShare() float64 {
+	if c.config.ShareWhole {
+		return 1
+	}
+	if c.config.CountAlone {
+		return 1 / float64(max(1, len(c.listing)))
+	}
+	live := float64(c.LiveCount())
+	return min(1, live/float64(max(1, len(c.listing))))
+}
+
+// countsCharges reports whether this node knows its peers well enough to count for
+// tenants.
+func (c *Core) countsCharges(now time.Time) bool {
+	return !c.leaving && now.Sub(c.started) >= chargeSettle
+}
+
+// stepCharge takes in that a request of this node's traffic is to be counted.
+func (c *Core) stepCharge(now time.Time, event ChargeRequested) {
+	c.renewCharging(now)
+	c.charging.nextNumber++
+	asked := &pendingCharge{id: event.ID, charge: event.Charge, askedAt: now, until: now.Add(event.Patience)}
+	c.charging.pending[c.charging.nextNumber] = asked
+	c.askCharge(now, c.charging.nextNumber, asked)
+}
+
+// askCharge decides a charge, or asks the node that counts for its tenant.
+func (c *Core) askCharge(now time.Time, number uint64, asked *pendingCharge) {
+	asked.resendAt = now.Add(chargeResend)
+	owner := c.chargeOwner(asked.charge.Tenant)
+	asked.askedOf = owner
+	if owner == c.self().ID {
+		if c.countsCharges(now) {
+			c.endCharge(number, asked, c.charging.book.Spend(now, asked.charge.Tenant, asked.charge.Request))
+		}
+		return
+	}
+	c.sendCharge(owner, ChargeMessage{Number: number, Ask: &asked.charge}, nil)
+}
+
+func (c *Core) sendCharge(to machine.ID, message ChargeMessage, word *ProofMessage) {
+	if target, known := c.membership.Lookup(to); known {
+		c.ready.Messages = append(c.ready.Messages, Outbound{
+			To: target, Message: PeerMessage{From: c.self(), Charge: &message, Proof: word},
+		})
+	}
+}
+
+// endCharge hands a decision to the driver.
+func (c *Core) endCharge(number uint64, asked *pendingCharge, decision tenant.Decision) {
+	delete(c.charging.pending, number)
+	status := ChargeRefused
+	if decision.Granted {
+		status = ChargeGranted
+	}
+	c.ready.Charged = append(c.ready.Charged, Charged{ID: asked.id, Status: status, Owner: asked.askedOf, Decision: decision})
+}
+
+// stepReturn gives back a grant whose request did not run.
+func (c *Core) stepReturn(event ChargeReturned) {
+	owner := c.chargeOwner(event.Charge.Tenant)
+	if owner == c.self().ID {
+		c.charging.book.Return(event.Charge.Tenant, event.Charge.Request)
+		return
+	}
+	c.sendCharge(owner, ChargeMessage{Return: &event.Charge}, nil)
+}
+
+// stepChargeMessage takes in what another node says of a charge.
+func (c *Core) stepChargeMessage(now time.Time, from machine.Machine, received PeerMessage) {
+	message := *received.Charge
+	asked := c.charging.pending[message.Number]
+	switch {
+	case message.Ask != nil:
+		c.answerCharge(now, from, message)
+	case message.Return != nil:
+		c.charging.book.Return(message.Return.Tenant, message.Return.Request)
+	case asked == nil:
+		// Too late: the charge counts at its owner, and its request does not run.
+	case message.Answer != nil:
+		c.endCharge(message.Number, asked, *message.Answer)
+	default:
+		// The views of the nodes differ for a while: asked again when that is due.
+	}
+	if asked != nil && received.Proof != nil {
+		c.takeProof(from, *received.Proof, asked.askedAt)
+	}
+}
+
+// answerCharge decides a charge of another node's traffic.
+func (c *Core) answerCharge(now time.Time, from machine.Machine, message ChargeMessage) {
+	c.renewCharging(now)
+	if c.chargeOwner(message.Ask.Tenant) != c.self().ID || !c.countsCharges(now) {
+		c.sendCharge(from.ID, ChargeMessage{Number: message.Number, NotOwner: true}, c.proofWord(now, 0))
+		return
+	}
+	decision := c.charging.book.Spend(now, message.Ask.Tenant, message.Ask.Request)
+	c.sendCharge(from.ID, ChargeMessage{Number: message.Number, Answer: &decision}, c.proofWord(now, 0))
+}
+
+// tickCharges asks again for charges without an answer, and gives up those whose time
+// is over.
+func (c *Core) tickCharges(now time.Time) {
+	c.renewCharging(now)
+	for _, number := range slices.Sorted(maps.Keys(c.charging.pending)) {
+		asked := c.charging.pending[number]
+		switch {
+		case !now.Before(asked.until):
+			delete(c.charging.pending, number)
+			c.ready.Charged = append(c.ready.Charged, Charged{ID: asked.id, Status: ChargeUnknown, Owner: asked.askedOf})
+		case !now.Before(asked.resendAt):
+			c.askCharge(now, number, asked)
+		}
+	}
+}
--- a/edge/call.go
+++ b/edge/call.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -52,6 +53,12 @@
 
 // serveCall serves a request whose answer is passed on whole.
 func (n *Node) serveCall(r *requestState, table *routing.Table) {
+	ctx, cancel := context.WithDeadline(n.ctx, r.deadline)
+	defer cancel()
+	n.beginCharge(ctx, r)
+	if !n.endCharge(ctx, r) {
+		return
+	}
 	run := &callRun{node: n, request: r, table: table, results: make(chan callResult, maximumRepeats+1)}
 	run.perform()
 }
@@ -59,6 +66,7 @@
 // perform runs the call and answers the client.
 func (c *callRun) perform() {
 	defer c.abandonRest()
+	defer c.noteRuns()
 	for {
 		if len(c.flying) == 0 {
 			if err := c.launch(); err != nil {
@@ -77,6 +85,13 @@
 	}
 }
 
+// noteRuns tells whether a replica may have run the call.
+func (c *callRun) noteRuns() {
+	if c.runs > 0 {
+		c.request.noteRun()
+	}
+}
+
 // launch sends the call to the replica that is best now.
 func (c *callRun) launch() error {
 	n, r := c.node, c.request
--- /dev/null
+++ b/edge/charge.go
@@ -0,0 +1,105 @@
+package edge
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/tenant"
+)
+
+const (
+	// chargePatience is how long a request waits for the node that counts for its
+	// tenant: until the loss of a node is noticed and another one counts.
+	chargePatience = ownerPatience
+	// chargePatienceShare bounds that by a part of the request's time.
+	chargePatienceShare = 0.5
+)
+
+// charge is how a request counts to its tenant's limit.
+type charge struct {
+	asked   coordinator.Charge
+	answer  chan coordinator.Charged
+	outcome coordinator.Charged
+	// ran is set once a replica may have run the request.
+	ran bool
+}
+
+// beginCharge asks for the request to be counted, where its tenant has a limit. The
+// answer is taken by endCharge.
+func (n *Node) beginCharge(ctx context.Context, r *requestState) {
+	if r.tenant == nil || r.tenant.Limit.Unlimited() || !n.settings.uses(KeepQuotas) {
+		return
+	}
+	r.charge = &charge{
+		asked: coordinator.Charge{Tenant: r.tenant.Name, Request: tenant.Request{
+			ID: r.id, Program: r.exchange.Field(n.adapter.Names.Program), Route: r.route.Name,
+			Limit: r.tenant.Limit, Version: r.version,
+		}},
+		answer: make(chan coordinator.Charged, 1),
+	}
+	patience := min(chargePatience, time.Duration(chargePatienceShare*float64(max(0, r.left()))))
+	n.control.charge(ctx, r.charge, patience)
+}
+
+// endCharge waits for the answer of beginCharge. If it returns false, the request was
+// answered.
+func (n *Node) endCharge(ctx context.Context, r *requestState) bool {
+	if r.charge == nil {
+		return true
+	}
+	select {
+	case r.charge.outcome = <-r.charge.answer:
+	case <-ctx.Done():
+		// The answer may still come; settleCharge takes it.
+		r.fail(fasthttp.StatusServiceUnavailable, "the time of the request was up before it was counted", comeBackSoon)
+		return false
+	}
+	n.metrics.charged(string(r.charge.outcome.Status))
+	switch r.charge.outcome.Status {
+	case coordinator.ChargeGranted:
+		return true
+	case coordinator.ChargeRefused:
+		r.fail(fasthttp.StatusTooManyRequests, "the tenant's limit of "+strconv.FormatFloat(r.tenant.Limit.Rate, 'g', -1, 64)+
+			" requests a second is reached", r.charge.outcome.Decision.RetryAfter)
+	default:
+		r.fail(fasthttp.StatusServiceUnavailable, "the node that counts the tenant's requests does not answer", comeBackSoon)
+	}
+	return false
+}
+
+// settleCharge gives back what was granted for a request that did not run.
+func (n *Node) settleCharge(r *requestState) {
+	held := r.charge
+	switch {
+	case held == nil || held.ran:
+	case held.outcome.Status == coordinator.ChargeGranted:
+		n.returnCharge(held)
+	case held.outcome.Status == "":
+		// The request ended before its answer came.
+		n.run(func(ctx context.Context) {
+			select {
+			case outcome := <-held.answer:
+				if outcome.Status == coordinator.ChargeGranted {
+					n.returnCharge(held)
+				}
+			case <-ctx.Done():
+			}
+		})
+	}
+}
+
+func (n *Node) returnCharge(held *charge) {
+	n.metrics.charged(chargeReturned)
+	n.control.post(coordinator.ChargeReturned{Charge: held.asked})
+}
+
+// noteRun notes that a replica may have run the request.
+func (r *requestState) noteRun() {
+	if r.charge != nil {
+		r.charge.ran = true
+	}
+}
--- a/edge/control.go
+++ b/edge/control.go
@@ -16,9 +16,13 @@
 	// replies are the requests that wait, by id. Only the loop uses them.
 	replies map[uint64]chan<- coordinator.Reply
 	nextID  uint64
+	// charges are the charges that wait, by id. Only the loop uses them.
+	charges map[uint64]chan<- coordinator.Charged
 	// reached and live are what was noted last of the store and of the nodes.
 	reached bool
 	live    int
+	// leased is whether keys were honoured when that was noted last.
+	leased bool
 }
 
 // inboxSize bounds the inputs that wait for the control goroutine.
@@ -31,6 +35,13 @@
 	answer    chan<- coordinator.Reply
 }
 
+// chargeQuestion is a request of a client that is to be counted.
+type chargeQuestion struct {
+	charge   coordinator.Charge
+	patience time.Duration
+	answer   chan<- coordinator.Charged
+}
+
 // lookup asks who owns a partition.
 type lookup struct {
 	partition int
@@ -50,7 +61,8 @@
 }
 
 func newControl(node *Node, core *coordinator.Core) *control {
-	return &control{node: node, core: core, inbox: make(chan any, inboxSize), replies: make(map[uint64]chan<- coordinator.Reply), reached: true}
+	return &control{node: node, core: core, inbox: make(chan any, inboxSize), replies: make(map[uint64]chan<- coordinator.Reply),
+		charges: make(map[uint64]chan<- coordinator.Charged), reached: true}
 }
 
 // post hands an event to the loop. It blocks while the inbox is full.
@@ -67,6 +79,15 @@
 	return exchange(ctx, c, question{partition: partition, request: request, answer: answer}, answer)
 }
 
+// charge asks for a request to be counted. Its answer channel gets one answer, unless
+// the context ends first.
+func (c *control) charge(ctx context.Context, asked *charge, patience time.Duration) {
+	select {
+	case c.inbox <- chargeQuestion{charge: asked.asked, patience: patience, answer: asked.answer}:
+	case <-ctx.Done():
+	}
+}
+
 // owner returns the node that serves a partition.
 func (c *control) owner(ctx context.Context, partition int) (machine.Machine, error) {
 	answer := make(chan machine.Machine, 1)
@@ -149,6 +170,15 @@
 		}
 		entry.Msg(message)
 	}
+	if leased := c.node.leased(); leased != c.leased {
+		c.leased = leased
+		age, _ := c.node.proof.age(time.Now())
+		entry, message := c.node.logger.Info(), "keys: lease regained"
+		if !leased {
+			entry, message = c.node.logger.Warn(), "keys: lease lost"
+		}
+		entry.Dur("proof", age).Msg(message)
+	}
 	if live := c.core.LiveCount(); live != c.live {
 		c.node.logger.Info().Int("live", live).Int("before", c.live).Msg("nodes: changed")
 		c.live = live
@@ -165,6 +195,10 @@
 		c.nextID++
 		c.replies[c.nextID] = input.answer
 		c.core.Step(now, coordinator.Requested{ID: c.nextID, Partition: input.partition, Request: input.request})
+	case chargeQuestion:
+		c.nextID++
+		c.charges[c.nextID] = input.answer
+		c.core.Step(now, coordinator.ChargeRequested{ID: c.nextID, Charge: input.charge, Patience: input.patience})
 	case lookup:
 		owner, _ := c.core.Owner(now, input.partition)
 		input.answer <- owner
@@ -182,6 +216,12 @@
 			answer <- reply
 		}
 	}
+	for _, charged := range ready.Charged {
+		if answer, waiting := c.charges[charged.ID]; waiting {
+			delete(c.charges, charged.ID)
+			answer <- charged
+		}
+	}
 	for _, message := range ready.Messages {
 		c.node.peers.send(message)
 	}
@@ -195,6 +235,12 @@
 		c.node.replicas.setPeer(load.Node, load.Counts)
 		c.node.hearVersion(load.From, load.Version)
 	}
+	for _, newer := range ready.Newer {
+		c.node.hearVersion(newer.From, newer.Version)
+	}
+	if !ready.Proven.IsZero() && c.node.settings.uses(ProvePeers) {
+		c.node.proof.note(ready.Proven)
+	}
 	for _, change := range ready.Changes {
 		c.node.logChange(change)
 	}
--- a/edge/datagram.go
+++ b/edge/datagram.go
@@ -40,8 +40,7 @@
 
 // send sends a message, or reports false where it has to go over a connection.
 func (d *datagrams) send(outbound *coordinator.Outbound) bool {
-	message := outbound.Message.Membership
-	if message == nil || message.Reliable || outbound.Message.Handover != nil {
+	if !mayBeLost(&outbound.Message) {
 		return false
 	}
 	to, err := netip.ParseAddrPort(outbound.To.Address)
@@ -61,6 +60,18 @@
 	return true
 }
 
+// mayBeLost reports whether a message is asked for again, or does without, where it
+// does not arrive.
+func mayBeLost(message *coordinator.PeerMessage) bool {
+	if message.Handover != nil {
+		return false
+	}
+	if message.Membership != nil {
+		return !message.Membership.Reliable
+	}
+	return message.Charge != nil || message.Proof != nil
+}
+
 // datagramPause follows an error of the socket, so that one that lasts does not take
 // the processor.
 const datagramPause = 50 * time.Millisecond
--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -29,6 +29,13 @@
 	}
 	entry = entry.Str("request", r.id).Str("route", r.routeName()).Uint64("config", r.version).Int("status", r.status).
 		Dur("took", took).Str("reason", r.reason).Str("replica", string(r.choice.Entry.ID)).Int("attempts", r.attempts).Int("repeats", r.repeats)
+	if r.tenant != nil {
+		entry = entry.Str("tenant", r.tenant.Name).Dur("proof", r.proofAge)
+	}
+	if r.charge != nil {
+		entry = entry.Str("charge", string(r.charge.outcome.Status)).Str("counted", string(r.charge.outcome.Owner)).
+			Float64("balance", r.charge.outcome.Decision.Balance)
+	}
 	if r.program != "" {
 		entry = entry.Str("program", r.program).Str("session", r.session).Int("partition", r.partition).
 			Str("owner", r.owner).Str("verdict", string(r.admission.Verdict)).Int("settled", r.admission.Settled).
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -22,7 +22,11 @@
 	// store is reached.
 	configurationWait      = 2 * time.Second
 	configurationWaitAlone = 800 * time.Millisecond
-	replicasWait           = 700 * time.Millisecond
+	// configurationWaitProving is that of the readers of a zone while the
+	// configuration holds keys. A read proves what was the newest when it was sent;
+	// the others have their proofs from the readers.
+	configurationWaitProving = 300 * time.Millisecond
+	replicasWait             = 700 * time.Millisecond
 	// tailSlack is how much later its answer may come.
 	tailSlack = 800 * time.Millisecond
 	// configurationPause and replicasPause are the least times between reads.
@@ -117,7 +121,7 @@
 }
 
 // replicasCurrent follows each time that all of the replicas' stream was read.
-func (n *Node) replicasCurrent() {
+func (n *Node) replicasCurrent(time.Time) {
 	n.noteListed(0)
 	for _, id := range n.replicas.doubted() {
 		n.removeReplica(id, "not listed again after an outage")
@@ -140,13 +144,17 @@
 				n.applyConfiguration(record.Key, record.Value, "store")
 			}
 		},
-		change: func(record recordstore.Record) { n.applyConfiguration(record.Key, record.Value, "store") },
+		change:  func(record recordstore.Record) { n.applyConfiguration(record.Key, record.Value, "store") },
+		current: n.noteProof,
 	})
 }
 
 // configurationWait is how long a read of the configuration's stream waits. A
 // node that reads no other stream learns from it that the store is reached.
 func (n *Node) configurationWait() time.Duration {
+	if n.provesForZone() {
+		return configurationWaitProving
+	}
 	if len(n.readersToFollow()) > 0 {
 		return configurationWaitAlone
 	}
@@ -201,9 +209,9 @@
 	pause  time.Duration
 	reset  func([]recordstore.Record)
 	change func(recordstore.Record)
-	// current is called whenever all that the stream holds was taken in, and
-	// over ends the following; nil where that does not matter.
-	current func()
+	// current is called whenever all was taken in that the stream held at a time,
+	// and over ends the following; nil where that does not matter.
+	current func(asOf time.Time)
 	over    func() bool
 	// synced is set once the stream was read whole.
 	synced *atomic.Bool
@@ -211,9 +219,9 @@
 
 func (f *follower) done() bool { return f.over != nil && f.over() }
 
-func (f *follower) caughtUp() {
+func (f *follower) caughtUp(asOf time.Time) {
 	if f.current != nil {
-		f.current()
+		f.current(asOf)
 	}
 }
 
@@ -221,6 +229,7 @@
 func (n *Node) follow(ctx context.Context, stream recordstore.Stream, to follower) {
 	backoff := n.backoff()
 	for ctx.Err() == nil && !to.done() {
+		asked := time.Now()
 		records, next, err := n.readNewest(ctx, stream)
 		if err != nil {
 			n.logger.Warn().Str("stream", string(stream.Name)).Err(err).Msg("store: stream not read")
@@ -229,7 +238,7 @@
 		}
 		backoff.Reset()
 		to.reset(records)
-		to.caughtUp()
+		to.caughtUp(asked)
 		to.synced.Store(true)
 		n.followTail(ctx, stream, next, to)
 	}
@@ -242,6 +251,7 @@
 	resync := time.Now().Add(resyncPeriod)
 	for ctx.Err() == nil && !to.done() && time.Now().Before(resync) {
 		patience := to.wait()
+		asked := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, patience+tailSlack)
 		tail, err := n.adapter.Store.Tail(callCtx, stream, next, patience)
 		cancel()
@@ -257,7 +267,7 @@
 		for _, record := range tail.Records {
 			to.change(record)
 		}
-		to.caughtUp()
+		to.caughtUp(asked)
 		next = tail.Next
 		wait.For(ctx, to.pause)
 	}
@@ -348,13 +358,20 @@
 
 // takeState takes over what a peer knows.
 func (n *Node) takeState(ctx context.Context, from machine.Machine) {
+	asked := time.Now()
 	state, err := n.peers.state(ctx, from)
 	if err != nil {
+		n.logger.Info().Str("peer", string(from.ID)).Err(err).Msg("peers: state not learned")
 		return
 	}
 	var raw rawConfiguration
-	if json.Unmarshal(state.Configuration, &raw) == nil {
-		n.applyConfiguration(raw.Key, raw.Value, "peer "+string(from.ID))
+	if err := json.Unmarshal(state.Configuration, &raw); err != nil {
+		n.logger.Warn().Str("peer", string(from.ID)).Err(err).Msg("peers: configuration not understood")
+		return
+	}
+	n.applyConfiguration(raw.Key, raw.Value, "peer "+string(from.ID))
+	if state.Proven {
+		n.noteProof(asked.Add(-time.Duration(state.ProofAgeMS) * time.Millisecond))
 	}
 	if n.reachesStore() || len(state.Replicas) == 0 {
 		return
--- a/edge/handle.go
+++ b/edge/handle.go
@@ -49,6 +49,10 @@
 		request.fail(fasthttp.StatusBadRequest, problem, 0)
 		return
 	}
+	if !n.authenticate(request, table) {
+		return
+	}
+	defer n.settleCharge(request)
 	exchange.SetWriteDeadline(request.deadline.Add(writeSlack))
 	service, ok := request.route.Choose(n.draw())
 	if !ok {
@@ -119,7 +123,10 @@
 	fields = appendField(fields, names.Deadline, strconv.FormatInt(max(1, r.left().Milliseconds()), 10))
 	fields = appendField(fields, names.ExpectReplica, string(entry.ID))
 	if r.route.Kind == routing.KindStream {
-		fields = appendField(fields, names.Urgency, strconv.Itoa(min(max(0, r.route.Priority), maximumUrgency)))
+		fields = appendField(fields, names.Urgency, strconv.Itoa(min(max(0, r.priority()), maximumUrgency)))
+	}
+	if r.tenant != nil {
+		fields = appendField(fields, names.Tenant, r.tenant.Name)
 	}
 	if lastEvent != "" {
 		fields = appendField(fields, names.LastEvent, lastEvent)
@@ -133,7 +140,7 @@
 // withheldFields returns the fields of clients that no replica gets: what only the
 // system sets, and what concerns the client and the system alone.
 func withheldFields(names header.Names) []string {
-	return append([]string{names.Deadline, names.ExpectReplica, names.Urgency}, names.Reserved...)
+	return append([]string{names.Deadline, names.ExpectReplica, names.Urgency, names.Key, names.Tenant}, names.Reserved...)
 }
 
 // maximumUrgency is the least urgent rank of a request at an engine.
--- /dev/null
+++ b/edge/keys.go
@@ -0,0 +1,178 @@
+package edge
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/recordstore"
+	"birchwood.example/birchwood/routing"
+)
+
+// A node honours keys only while it can prove that what it knows of them was the
+// newest a short time ago: an operator who takes a key away is told so by the store,
+// and no node may honour it for long after that, whatever the node can reach.
+const (
+	// defaultKeyLease is the lease where the operator names no bound.
+	defaultKeyLease = 5 * time.Second
+	// leaseShare is the part of the operator's bound that is used: clocks run at
+	// slightly different rates.
+	leaseShare = 0.96
+	// lookPause is the least time between two looks into the store for keys that are
+	// not known, so that clients with wrong keys cost few calls.
+	lookPause = 250 * time.Millisecond
+	// lookTimeout bounds one look, and with it how long a request with a key that is
+	// not known waits for its answer.
+	lookTimeout = 300 * time.Millisecond
+	// proofEnough is the age of a proof up to which a key that is not known is
+	// refused though the store cannot be asked: what a node in touch reaches while
+	// its read of the configuration waits.
+	proofEnough = configurationWait + 200*time.Millisecond
+)
+
+// proof is when a node's configuration was last proven to be the newest. It is safe
+// for concurrent use.
+type proof struct {
+	started time.Time
+	// at is that time since started, in nanoseconds; 0 before the first proof.
+	at atomic.Int64
+	// lookedAt is when the store was asked last because of a key that was not
+	// known, since started in nanoseconds.
+	lookedAt atomic.Int64
+}
+
+// note takes in that the configuration which the node holds was the newest at a time.
+func (p *proof) note(at time.Time) {
+	since := int64(at.Sub(p.started))
+	for known := p.at.Load(); since > known; known = p.at.Load() {
+		if p.at.CompareAndSwap(known, since) {
+			return
+		}
+	}
+}
+
+// age returns how long ago the last proof was, or false before the first one.
+func (p *proof) age(now time.Time) (time.Duration, bool) {
+	at := p.at.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return now.Sub(p.started) - time.Duration(at), true
+}
+
+// mayLook reports whether the store may be asked again because of a key.
+func (p *proof) mayLook(now time.Time) bool {
+	since := int64(now.Sub(p.started))
+	last := p.lookedAt.Load()
+	return (last == 0 || since-last >= int64(lookPause)) && p.lookedAt.CompareAndSwap(last, since)
+}
+
+// keyLease is how old a proof may be for keys to be honoured.
+func (s *Settings) keyLease() time.Duration {
+	bound := s.KeyLease
+	if bound <= 0 {
+		bound = defaultKeyLease
+	}
+	return time.Duration(leaseShare * float64(bound))
+}
+
+// authenticate finds the tenant whose key the request shows. If it returns false, the
+// request was answered.
+func (n *Node) authenticate(r *requestState, table *routing.Table) bool {
+	if table.Tenants == nil || r.route.Public {
+		return true
+	}
+	age, _ := n.proof.age(time.Now())
+	r.proofAge = age
+	if n.settings.uses(LeaseKeys) && !n.leased() {
+		n.metrics.keyRefused(keyLeaseOver)
+		r.fail(fasthttp.StatusServiceUnavailable, "whether keys are still valid is not certain at present", comeBackSoon)
+		return false
+	}
+	keys := r.exchange.Values(n.adapter.Names.Key)
+	if len(keys) != 1 || keys[0] == "" {
+		n.metrics.keyRefused(keyMissing)
+		r.fail(fasthttp.StatusUnauthorized, "want one key in "+n.adapter.Names.Key, 0)
+		return false
+	}
+	if known, found := table.Tenants.Lookup(keys[0]); found {
+		r.tenant = known
+		n.metrics.keyHonoured(age)
+		return true
+	}
+	return n.lookAgain(r, keys[0])
+}
+
+// lookAgain answers a request whose key is not known, unless a newer configuration
+// knows it: the operator may have added it since this node last heard.
+func (n *Node) lookAgain(r *requestState, key string) bool {
+	current := n.readConfigurationNow()
+	table := n.routes.Current()
+	if table.Tenants == nil {
+		return true
+	}
+	if known, found := table.Tenants.Lookup(key); found {
+		r.tenant, r.version = known, table.Version
+		return true
+	}
+	age, _ := n.proof.age(time.Now())
+	r.proofAge = age
+	if !current && age > proofEnough {
+		n.metrics.keyRefused(keyUncertain)
+		r.fail(fasthttp.StatusServiceUnavailable, "whether the key is valid is not certain at present", comeBackSoon)
+		return false
+	}
+	n.metrics.keyRefused(keyUnknown)
+	r.fail(fasthttp.StatusUnauthorized, "the key is not known", 0)
+	return false
+}
+
+// readConfigurationNow reads the configuration beside the read that waits for its next
+// change. It reports whether the store answered.
+func (n *Node) readConfigurationNow() bool {
+	asked := time.Now()
+	if !n.proof.mayLook(asked) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, lookTimeout)
+	defer cancel()
+	records, _, err := n.readNewest(ctx, recordstore.Stream{Name: recordstore.StreamConfiguration})
+	if err != nil {
+		n.logger.Warn().Err(err).Msg("config: not read again for a key that is not known")
+		return false
+	}
+	for _, record := range records {
+		n.applyConfiguration(record.Key, record.Value, "store")
+	}
+	n.noteProof(asked)
+	return true
+}
+
+// noteProof takes in that the configuration held here was the newest at a time.
+func (n *Node) noteProof(at time.Time) {
+	n.proof.note(at)
+	if table := n.routes.Current(); table != nil && table.Tenants != nil {
+		n.control.post(coordinator.ProofNoted{At: at, Version: table.Version})
+	}
+}
+
+// provesForZone reports whether the other nodes of the zone have their proofs from this
+// one.
+func (n *Node) provesForZone() bool {
+	table, readers := n.routes.Current(), n.readers.Load()
+	if table == nil || table.Tenants == nil || readers == nil || !n.settings.uses(ProvePeers) {
+		return false
+	}
+	return slices.ContainsFunc(*readers, func(reader machine.Machine) bool { return reader.ID == n.self.ID })
+}
+
+// leased reports whether this node may honour keys.
+func (n *Node) leased() bool {
+	age, proven := n.proof.age(time.Now())
+	return proven && age <= n.settings.keyLease()
+}
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -20,10 +20,15 @@
 	BeginUnrecorded Mechanism = "begin-unrecorded"
 	// CountPeers counts what other nodes have under way at replicas.
 	CountPeers Mechanism = "count-peers"
+	// CountTogether has one node count a tenant's requests for the fleet; without it
+	// each node counts to its own part of the limit.
+	CountTogether Mechanism = "count-together"
 	// DoubtUnlisted keeps replicas that the store lacks after an outage.
 	DoubtUnlisted Mechanism = "doubt-unlisted"
 	// EstimateLoads estimates the requests of nodes that were not heard lately.
 	EstimateLoads Mechanism = "estimate-loads"
+	// FinishPrograms has programs under way go before new ones at a tenant's limit.
+	FinishPrograms Mechanism = "finish-programs"
 	// FollowLines keeps a line of turns where its last turn was served.
 	FollowLines Mechanism = "follow-lines"
 	// FollowPrompts estimates which parts of prompts each engine keeps.
@@ -36,12 +41,19 @@
 	GrantTurnAfterLoss Mechanism = "grant-turn-after-loss"
 	// HandOver has a partition's owner give it up in order.
 	HandOver Mechanism = "hand-over"
+	// KeepQuotas holds tenants to their limits.
+	KeepQuotas Mechanism = "keep-quotas"
+	// LeaseKeys honours keys only while what is known of them is proven to be recent.
+	LeaseKeys Mechanism = "lease-keys"
 	// MarkAhead raises marks beyond what a program needs at once.
 	MarkAhead Mechanism = "mark-ahead"
 	// PreferConnections prefers replicas to which a connection is free.
 	PreferConnections Mechanism = "prefer-connections"
 	// PreferZone prefers replicas of the node's own zone.
 	PreferZone Mechanism = "prefer-zone"
+	// ProvePeers takes peers' word of how lately their configuration was proven to be
+	// the newest, and has the readers of each zone read it often.
+	ProvePeers Mechanism = "prove-peers"
 	// RecallChains keeps the chains of turns that this node served, so that the
 	// owner need not send them when their lines go on here.
 	RecallChains Mechanism = "recall-chains"
@@ -62,8 +74,8 @@
 // Mechanisms returns all mechanisms, in the order of their names.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		AssumeShared, BeginUnrecorded, CountPeers, DoubtUnlisted, EstimateLoads, FollowLines, FollowPrompts, FollowReaders,
-		GrantTurnAfterLoss, HandOver, MarkAhead, PreferConnections, PreferZone, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
+		AssumeShared, BeginUnrecorded, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowPrompts,
+		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, MarkAhead, PreferConnections, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
 		RepeatLateCalls, SuspectSilent,
 	}
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -16,6 +16,7 @@
 type Metrics struct {
 	set     *metrics.Set
 	appends *metrics.PrometheusHistogram
+	proofs  *metrics.PrometheusHistogram
 	dropped *metrics.Counter
 	repeats *metrics.Counter
 	misses  *metrics.Counter
@@ -39,6 +40,9 @@
 	metricLogDropped = "birchwood_edge_log_lines_dropped_total"
 	metricDatagrams  = "birchwood_edge_datagrams_total"
 	metricMisses     = "birchwood_edge_owner_misses_total"
+	metricKeys       = "birchwood_edge_keys_refused_total"
+	metricProofs     = "birchwood_edge_key_proof_seconds"
+	metricCharges    = "birchwood_edge_charges_total"
 )
 
 // latencyBuckets are for times that clients feel, in seconds.
@@ -47,6 +51,9 @@
 // appendBuckets are for appends to the log, in seconds.
 var appendBuckets = []float64{.002, .005, .01, .02, .05, .1, .25, 1, 5}
 
+// proofBuckets are for the ages of proofs that keys are valid, in seconds.
+var proofBuckets = []float64{.1, .5, 1, 1.5, 2, 2.5, 3, 4, 5}
+
 // newMetrics returns the metrics of a node. Dropped, if any, counts lines of the
 // log that were dropped.
 func newMetrics(dropped func() uint64) *Metrics {
@@ -54,6 +61,7 @@
 	made := &Metrics{
 		set:          set,
 		appends:      set.NewPrometheusHistogramExt(metricAppends, appendBuckets),
+		proofs:       set.NewPrometheusHistogramExt(metricProofs, proofBuckets),
 		dropped:      set.NewCounter(metricDropped),
 		repeats:      set.NewCounter(metricRepeats),
 		misses:       set.NewCounter(metricMisses),
@@ -131,6 +139,30 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("%s{change=%q}", metricPartitions, change)).Inc()
 }
 
+// The reasons for which a request's key is refused.
+const (
+	keyMissing   = "missing"
+	keyUnknown   = "unknown"
+	keyUncertain = "uncertain"
+	keyLeaseOver = "lease over"
+)
+
+// keyRefused counts a request that was refused for its key.
+func (m *Metrics) keyRefused(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{reason=%q}", metricKeys, reason)).Inc()
+}
+
+// keyHonoured takes in how old the proof was by which a key was honoured.
+func (m *Metrics) keyHonoured(age time.Duration) { m.proofs.Update(age.Seconds()) }
+
+// chargeReturned is the label of a grant that was given back.
+const chargeReturned = "returned"
+
+// charged counts how a request counted to its tenant's limit.
+func (m *Metrics) charged(status string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{status=%q}", metricCharges, status)).Inc()
+}
+
 // startMetrics serves the metrics if the settings name an address.
 func (n *Node) startMetrics() {
 	port, path, named := strings.Cut(n.settings.Metrics, "/")
--- a/edge/node.go
+++ b/edge/node.go
@@ -55,6 +55,7 @@
 	patience    retry.Patience
 
 	store contact
+	proof proof
 	// listedAt is when the list of replicas was last that of the store, in
 	// nanoseconds since started.
 	started  time.Time
@@ -117,6 +118,7 @@
 		random:   random,
 		patience: retry.Patience{Minimum: appendTimeoutMin, Maximum: appendTimeout, Factor: appendFactor},
 		store:    contact{last: now},
+		proof:    proof{started: now},
 		started:  now,
 		withheld: withheldFields(adapter.Names),
 		failed:   make(chan error, 4),
@@ -169,6 +171,11 @@
 	}
 	config.Ledger.TurnAfterLoss = settings.uses(GrantTurnAfterLoss)
 	config.ClaimWithoutAsking = !settings.uses(HandOver)
+	if settings.Quota.Window > 0 {
+		config.Tenants = settings.Quota
+	}
+	config.Tenants.FirstCome = !settings.uses(FinishPrograms)
+	config.CountAlone = !settings.uses(CountTogether)
 	if settings.RecordBytes > 0 {
 		config.Ledger.RecordBytes = min(config.Ledger.RecordBytes, settings.RecordBytes/2)
 	}
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -19,7 +19,7 @@
 		return false
 	}
 	limit := fullPressure
-	if r.route.Priority == 0 {
+	if r.priority() == 0 {
 		limit = fullPressureUrgent
 	}
 	return n.replicas.pressure(r.service) >= limit
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -137,6 +137,10 @@
 type peerState struct {
 	Configuration []byte          `json:"configuration,omitempty"`
 	Replicas      []replica.Entry `json:"replicas"`
+	// Proven says that the configuration was proven to be the newest, ProofAgeMS
+	// milliseconds before the peer answered.
+	Proven     bool  `json:"proven,omitempty"`
+	ProofAgeMS int64 `json:"proof_age_ms,omitempty"`
 }
 
 // state asks a peer for the configuration and the replicas that it knows.
@@ -200,7 +204,12 @@
 }
 
 func (p *peers) receiveState(ctx *fasthttp.RequestCtx) {
-	writeJSON(ctx, peerState{Configuration: p.node.config.raw(), Replicas: p.node.replicas.entries()})
+	// The age goes first: a configuration that is read after it is no older.
+	age, proven := p.node.proof.age(time.Now())
+	writeJSON(ctx, peerState{
+		Configuration: p.node.config.raw(), Replicas: p.node.replicas.entries(),
+		Proven: proven, ProofAgeMS: age.Milliseconds() + 1,
+	})
 }
 
 func writeJSON(ctx *fasthttp.RequestCtx, value any) {
--- a/edge/request.go
+++ b/edge/request.go
@@ -11,6 +11,7 @@
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/tenant"
 )
 
 // requestState is one client request while this node handles it.
@@ -22,6 +23,14 @@
 	service  string
 	deadline time.Time
 	prompt   []replica.Part
+	// tenant is whose key the client showed; nil where none is needed.
+	tenant *tenant.Tenant
+	// proofAge is how long ago what this node knows of keys was proven to be the
+	// newest, when the key was looked up.
+	proofAge time.Duration
+	// charge is how the request counts to its tenant's limit; nil where there is
+	// none.
+	charge *charge
 
 	// The fields below follow the handling, for the log.
 	choice   replica.Choice
@@ -64,6 +73,14 @@
 	return r.route.Name
 }
 
+// priority ranks the request: its tenant's rank goes before its route's.
+func (r *requestState) priority() int {
+	if r.tenant != nil {
+		return r.tenant.Priority
+	}
+	return r.route.Priority
+}
+
 // fail answers with a status of this node's own.
 func (r *requestState) fail(status int, reason string, wait time.Duration) {
 	r.status = status
--- a/edge/run.go
+++ b/edge/run.go
@@ -62,6 +62,9 @@
 
 // settle tells the owner how the turn ended, unless it knows.
 func (t *turnRun) settle() {
+	if t.runs > 0 {
+		t.request.noteRun()
+	}
 	if t.request.needsOwner() && !t.kept {
 		t.node.settle(t.request)
 	}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -1,6 +1,10 @@
 package edge
 
-import "time"
+import (
+	"time"
+
+	"birchwood.example/birchwood/tenant"
+)
 
 // Settings are what a node is told at its start. They come from an adapter.
 type Settings struct {
@@ -31,6 +35,13 @@
 	// RelayAbove is the product of nodes and replicas from which on nodes follow
 	// the replicas through others; 0 takes a sound one.
 	RelayAbove int
+	// KeyLease is within what time a key that the operator took away works nowhere;
+	// 0 takes a sound one. A node that has had no proof for as long that what it
+	// knows of keys is the newest honours none.
+	KeyLease time.Duration
+	// Quota tells how the limits of tenants are judged; its zero value takes a
+	// sound one.
+	Quota tenant.Config
 	// Without lists the mechanisms that are switched off.
 	Without []Mechanism
 	// Grace is the time between the request to stop and the kill.
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -44,10 +44,17 @@
 func (n *Node) serveTurn(r *requestState, table *routing.Table) {
 	ctx, cancel := context.WithDeadline(n.ctx, r.deadline)
 	defer cancel()
+	n.beginCharge(ctx, r)
 	granted, admitted := n.admitTurn(ctx, r)
 	if !admitted {
 		return
 	}
+	if !n.endCharge(ctx, r) {
+		if r.needsOwner() {
+			n.settle(r)
+		}
+		return
+	}
 	if r.admission.Fresh && n.overloaded(r) {
 		n.settle(r)
 		r.fail(fasthttp.StatusServiceUnavailable, "the replicas are full, and programs under way go first", comeBackWhenFull)
--- a/header/header.go
+++ b/header/header.go
@@ -37,6 +37,10 @@
 	PreviousTurn string
 	// Affinity names the object that a request concerns.
 	Affinity string
+	// Key is the key by which a client's tenant is known, and Tenant is where the
+	// replica reads that tenant's name. Neither is passed on from clients.
+	Key    string
+	Tenant string
 	// Reserved are the other fields that direct a replica and that only the
 	// system sets. What clients send in them reaches no replica.
 	Reserved []string
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -57,6 +57,15 @@
 	return string(e.head.Peek(name))
 }
 
+// Values returns the values of all lines of a header field.
+func (e *Exchange) Values(name string) []string {
+	var values []string
+	for _, value := range e.head.PeekAll(name) {
+		values = append(values, string(value))
+	}
+	return values
+}
+
 // ForwardedFields returns the raw lines of the head without those that concern
 // one connection, the host, and the named ones.
 func (e *Exchange) ForwardedFields(without ...string) []byte {
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -20,6 +20,7 @@
 // A folder stands for every package below it that has no entry of its own.
 var layers = [][]string{
 	{"internal/wait", "findings", "connection", "header", "recordstore", "eventstream"},
+	{"tenant"},
 	{"zone", "httpclient", "retry", "routing", "replica", "ledger", "ownership", "upstream"},
 	{"machine", "api"},
 	{"contract", "recordlog", "infra", "tool", "history", "stream"},
@@ -44,6 +45,7 @@
 	"zone", "machine", "api", "contract", "recordlog", "partition", "program", "schedule", "retry", "findings",
 	"control", "workload", "emulator/enginemodel", "emulator/platformmodel",
 	"routing", "replica", "ledger", "ownership", "coordinator", "eventstream", "header", "recordstore",
+	"tenant",
 }
 
 // embeddable are the packages that others use without the daemon.
--- a/routing/table.go
+++ b/routing/table.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"birchwood.example/birchwood/tenant"
 )
 
 // Kind tells how often a request may run.
@@ -55,6 +57,8 @@
 	RetainFor time.Duration
 	// EventGap is the longest pause between events that is still in time.
 	EventGap time.Duration
+	// Public routes take requests without a tenant's key.
+	Public bool
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -93,6 +97,9 @@
 	Version  uint64
 	Services map[string]Service
 	Limits   Limits
+	// Tenants are those whose clients may send requests, or nil where every
+	// client may.
+	Tenants *tenant.Directory
 	// byHost holds the routes of a host, the longest prefix first.
 	byHost map[string][]*Route
 	// longestRetain is the longest RetainFor of any route.
--- /dev/null
+++ b/tenant/account.go
@@ -0,0 +1,215 @@
+package tenant
+
+import (
+	"math"
+	"time"
+)
+
+// Config sets up the accounts of a Book.
+type Config struct {
+	// Window is the span over which a limit is judged.
+	Window time.Duration
+	// Overrun is the share of a window's limit, and Slack the number of requests
+	// beyond it, that the operator accepts for nodes that count apart.
+	Overrun float64
+	Slack   float64
+	// FirstCome grants requests in the order in which they come, programs under
+	// way and new ones alike, to measure what putting the former first is worth.
+	FirstCome bool
+}
+
+// DefaultConfig returns the settings used where the operator names none: what the
+// users' deployments name.
+func DefaultConfig() Config {
+	return Config{Window: 5 * time.Second, Overrun: 0.1, Slack: 20}
+}
+
+const (
+	// overdraftShare is the part of the accepted overrun by which programs under way
+	// may overdraw an account. The rest is for what nodes count apart while the
+	// counting passes from one to another.
+	overdraftShare = 0.25
+	// slackInBucket is the part of Config.Slack that the bucket holds besides the
+	// share Config.Overrun of a window's limit. The bucket is what may pass twice
+	// where the counting passes on.
+	slackInBucket = 0.5
+	// cautiousRate is the part of the rate that an account earns whose tenant another
+	// node counted for less than a window ago: 0.625 is what the tenants of the
+	// users' deployments usually send.
+	cautiousRate = 0.7
+)
+
+// Times of an account.
+const (
+	// grantLife is how long a grant is remembered, so that it counts once if it is
+	// asked for again, and can be returned: longer than a request is refused late.
+	grantLife = 4 * time.Second
+	// graceAfterOpening is how long a new account takes programs that it does not
+	// know for ones under way: the owner before it knew them.
+	graceAfterOpening = 2500 * time.Millisecond
+	// tightFor is how long after an account was empty new programs have to fit beside
+	// those under way: about as long as a program lasts.
+	tightFor = 3 * time.Second
+	// leastWait and mostWait bound the time to come back that a refusal names.
+	leastWait = 50 * time.Millisecond
+	mostWait  = 5 * time.Second
+)
+
+// Request asks for one request of a tenant.
+type Request struct {
+	// ID is the same for the same request, and no other has it.
+	ID string `json:"id"`
+	// Program is the program that the request belongs to, or "".
+	Program string `json:"program,omitempty"`
+	// Route names the kind of the request.
+	Route string `json:"route,omitempty"`
+	// Limit is the tenant's limit by the configuration of this version.
+	Limit   Limit  `json:"limit"`
+	Version uint64 `json:"version"`
+}
+
+// Decision answers a request.
+type Decision struct {
+	Granted bool `json:"granted,omitempty"`
+	// RetryAfter is when a request that was not granted may come back.
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
+	// Balance is what the account held after the decision.
+	Balance float64 `json:"balance"`
+}
+
+// account counts one tenant's requests against its limit.
+type account struct {
+	limit   Limit
+	version uint64
+	opened  time.Time
+	// balance is how many requests the bucket held at a time, and window those that
+	// were granted.
+	balance float64
+	at      time.Time
+	window  *window
+	// cautiousUntil is when no grant of a former owner is in the window any more.
+	cautiousUntil time.Time
+	// programs are those under way, and granted the requests that were.
+	programs map[string]*program
+	granted  map[string]time.Time
+	// tightUntil is until when new programs have to fit beside those under way.
+	tightUntil time.Time
+	// nextStart is when the next program that was refused may come back.
+	nextStart time.Time
+}
+
+// program is what an account knows of a program.
+type program struct {
+	route string
+	used  float64
+	first time.Time
+	last  time.Time
+	// joined says that the program was under way when the account was opened, and
+	// refused that a request of it was refused: neither tells what programs need.
+	joined  bool
+	refused bool
+}
+
+// newAccount opens an account whose tenant this node alone has counted for since a
+// time.
+func newAccount(now, since time.Time, config *Config, asked *Request) *account {
+	return &account{
+		limit: asked.Limit, version: asked.Version, opened: now, at: since, window: newWindow(now, config.Window),
+		cautiousUntil: since.Add(config.Window), programs: make(map[string]*program), granted: make(map[string]time.Time),
+	}
+}
+
+// most is what may pass in a window.
+func (a *account) most(config *Config) float64 {
+	return a.limit.Rate*config.Window.Seconds() + a.limit.Burst
+}
+
+// capacity is the most that the bucket holds.
+func (a *account) capacity(config *Config, share float64) float64 {
+	return max(1, share*(config.Overrun*a.most(config)+slackInBucket*config.Slack))
+}
+
+// pace is how many requests a second the account earns.
+func (a *account) pace(now time.Time, config *Config, share float64) float64 {
+	if now.Before(a.cautiousUntil) {
+		return share * cautiousRate * a.limit.Rate
+	}
+	return share * a.most(config) / config.Window.Seconds()
+}
+
+// fill lets the bucket fill up to now, and the window pass.
+func (a *account) fill(now time.Time, config *Config, share float64) {
+	if passed := now.Sub(a.at); passed > 0 {
+		a.balance += passed.Seconds() * a.pace(now, config, share)
+		a.at = now
+	}
+	a.balance = min(a.balance, a.capacity(config, share))
+	a.window.advance(now)
+}
+
+// holds is how many requests may be granted now.
+func (a *account) holds(config *Config, share float64) float64 {
+	return min(a.balance, share*a.most(config)-a.window.total)
+}
+
+// follow takes a newer limit over.
+func (a *account) follow(asked *Request) {
+	if asked.Version > a.version {
+		a.limit, a.version = asked.Limit, asked.Version
+	}
+}
+
+// overdraft is how far programs under way may overdraw the account.
+func (a *account) overdraft(config *Config) float64 {
+	return overdraftShare * (config.Overrun*a.most(config) + config.Slack)
+}
+
+// grant takes a request off the account.
+func (a *account) grant(now time.Time, asked *Request) {
+	a.balance--
+	a.window.add()
+	a.granted[asked.ID] = now
+	if known := a.programs[asked.Program]; known != nil {
+		known.used++
+		known.last = now
+	}
+}
+
+// waitFor is how long the account takes to earn an amount.
+func (a *account) waitFor(now time.Time, config *Config, amount, share float64) time.Duration {
+	seconds := amount / max(a.pace(now, config, share), math.SmallestNonzeroFloat32)
+	return boundWait(time.Duration(min(seconds, mostWait.Seconds()) * float64(time.Second)))
+}
+
+func boundWait(wait time.Duration) time.Duration { return min(max(wait, leastWait), mostWait) }
+
+// giveBack takes back a grant whose request did not run.
+func (a *account) giveBack(id, program string) {
+	at, known := a.granted[id]
+	if !known {
+		return
+	}
+	delete(a.granted, id)
+	a.balance++
+	a.window.remove(at)
+	if known := a.programs[program]; known != nil {
+		if known.used--; known.used <= 0 {
+			delete(a.programs, program)
+		}
+	}
+}
+
+// sweep forgets old grants, and hands over the programs that have ended.
+func (a *account) sweep(now time.Time, ended func(*program)) {
+	for id, at := range a.granted {
+		if now.Sub(at) > grantLife {
+			delete(a.granted, id)
+		}
+	}
+	for id, known := range a.programs {
+		if now.Sub(known.last) > programIdle {
+			delete(a.programs, id)
+			ended(known)
+		}
+	}
+}
--- /dev/null
+++ b/tenant/book_test.go
@@ -0,0 +1,221 @@
+package tenant_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/tenant"
+)
+
+var begun = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// limit lets 100 requests pass in a window of five seconds.
+var limit = tenant.Limit{Rate: 16, Burst: 20}
+
+const windowMost = 100
+
+// longAgo opens a book whose node has counted alone for longer than a window.
+func longAgo() *tenant.Book {
+	return tenant.NewBook(begun.Add(-time.Minute), tenant.DefaultConfig())
+}
+
+func request(id string) tenant.Request {
+	return tenant.Request{ID: id, Limit: limit, Version: 1}
+}
+
+func turn(id, program string) tenant.Request {
+	asked := request(id)
+	asked.Program, asked.Route = program, "route"
+	return asked
+}
+
+// inWindow returns the most that any window holds.
+func inWindow(times []time.Time, span time.Duration) int {
+	most, first := 0, 0
+	for index, at := range times {
+		for at.Sub(times[first]) >= span {
+			first++
+		}
+		most = max(most, index-first+1)
+	}
+	return most
+}
+
+// press asks every millisecond for a while, and returns when requests were granted.
+func press(book *tenant.Book, from time.Time, span time.Duration, ask func(index int) tenant.Request) (granted []time.Time) {
+	for index := range int(span / time.Millisecond) {
+		now := from.Add(time.Duration(index) * time.Millisecond)
+		if book.Spend(now, "t", ask(index)).Granted {
+			granted = append(granted, now)
+		}
+	}
+	return granted
+}
+
+func plain(index int) tenant.Request { return request(fmt.Sprint(index)) }
+
+var _ = Describe("An account", func() {
+	It("lets no more pass in any window than the limit, and as much as that", func() {
+		granted := press(longAgo(), begun, 30*time.Second, plain)
+		Expect(inWindow(granted, 5*time.Second)).To(Equal(windowMost))
+		Expect(len(granted)).To(BeNumerically(">=", 6*windowMost-windowMost/20))
+	})
+
+	It("refuses nothing of a steady use below the limit", func() {
+		book := longAgo()
+		random := rand.New(rand.NewPCG(1, 2))
+		asked, refused := 0, 0
+		for index := range 60_000 {
+			if random.Float64() >= 0.010 {
+				continue
+			}
+			asked++
+			if !book.Spend(begun.Add(time.Duration(index)*time.Millisecond), "t", plain(index)).Granted {
+				refused++
+			}
+		}
+		Expect(asked).To(BeNumerically(">", 500))
+		Expect(refused * 200).To(BeNumerically("<", asked))
+	})
+
+	It("counts a request once that is asked for again, and takes it back if it did not run", func() {
+		book := longAgo()
+		first := book.Spend(begun, "t", request("a"))
+		again := book.Spend(begun, "t", request("a"))
+		Expect(again).To(Equal(first))
+		Expect(book.Spend(begun, "t", request("b")).Balance).To(Equal(first.Balance - 1))
+		book.Return("t", request("a"))
+		book.Return("t", request("a"))
+		book.Return("t", request("never"))
+		Expect(book.Spend(begun, "t", request("c")).Balance).To(Equal(first.Balance - 1))
+	})
+
+	It("says when to come back, and takes what comes then", func() {
+		book := longAgo()
+		now := begun.Add(time.Second)
+		press(book, begun, time.Second, plain)
+		book.Spend(now, "t", request("one more"))
+		refused := book.Spend(now, "t", request("later"))
+		Expect(refused.Granted).To(BeFalse())
+		Expect(refused.RetryAfter).To(And(BeNumerically(">=", 50*time.Millisecond), BeNumerically("<=", 5*time.Second)))
+		Expect(book.Spend(now.Add(refused.RetryAfter), "t", request("later")).Granted).To(BeTrue())
+	})
+
+	It("follows a newer limit, lower or higher, and no older one", func() {
+		book := longAgo()
+		press(book, begun, 10*time.Second, plain)
+		at := func(version uint64, rate float64) func(int) tenant.Request {
+			return func(index int) tenant.Request {
+				asked := request(fmt.Sprint(version, "/", index))
+				asked.Version, asked.Limit = version, tenant.Limit{Rate: rate}
+				return asked
+			}
+		}
+		low := press(book, begun.Add(10*time.Second), 15*time.Second, at(2, 2))
+		Expect(inWindow(low[len(low)/2:], 5*time.Second)).To(BeNumerically("<=", 10))
+		Expect(inWindow(press(book, begun.Add(25*time.Second), 10*time.Second, at(1, 1000)), 5*time.Second)).To(BeNumerically("<=", 10))
+		high := press(book, begun.Add(35*time.Second), 15*time.Second, at(3, 40))
+		Expect(inWindow(high, 5*time.Second)).To(BeNumerically("~", 200, 10))
+	})
+
+	It("opens empty after another node counted, and both stay within what is accepted", func() {
+		// The first node grants all it can up to its loss, and the second all it can
+		// from then on; both count for half a second.
+		config := tenant.DefaultConfig()
+		accepted := int(windowMost*(1+config.Overrun) + config.Slack)
+		for lostAfter := 500 * time.Millisecond; lostAfter < 12*time.Second; lostAfter += 500 * time.Millisecond {
+			first := press(longAgo(), begun, lostAfter, plain)
+			lost := begun.Add(lostAfter - 500*time.Millisecond)
+			next := tenant.NewBook(begun.Add(-time.Minute), config)
+			next.Inherit(lost)
+			second := press(next, lost, 12*time.Second, plain)
+			var both []time.Time
+			for len(first) > 0 || len(second) > 0 {
+				if len(second) == 0 || (len(first) > 0 && first[0].Before(second[0])) {
+					both, first = append(both, first[0]), first[1:]
+				} else {
+					both, second = append(both, second[0]), second[1:]
+				}
+			}
+			Expect(inWindow(both, 5*time.Second)).To(BeNumerically("<=", accepted), "lost after %v", lostAfter)
+		}
+	})
+
+	It("grants its share where others may count apart", func() {
+		book := longAgo()
+		book.SetShare(0.5)
+		Expect(inWindow(press(book, begun, 15*time.Second, plain), 5*time.Second)).To(BeNumerically("<=", windowMost/2))
+	})
+
+	It("drops the tenants that another node counts for", func() {
+		book := longAgo()
+		book.Spend(begun, "t", request("a"))
+		book.Spend(begun, "u", request("b"))
+		book.Keep(func(name string) bool { return name == "u" })
+		Expect(book.Count()).To(Equal(1))
+	})
+})
+
+// needs is how many requests a program of the tests makes, one in 100 ms.
+const needs = 10
+
+// serveHot begins a program every 100 ms, five times what the limit of 20 requests a
+// second holds, and returns how many programs had all their requests granted.
+func serveHot(config tenant.Config) (ended, asked int) {
+	book := tenant.NewBook(begun.Add(-time.Minute), config)
+	type run struct{ made, failed int }
+	runs := map[int]*run{}
+	random := rand.New(rand.NewPCG(3, 4))
+	for tick := range 300 {
+		now := begun.Add(time.Duration(tick) * 100 * time.Millisecond)
+		runs[tick] = &run{}
+		first := max(0, tick-needs*2)
+		for _, place := range random.Perm(tick - first + 1) {
+			index := first + place
+			one := runs[index]
+			if one.made == needs || one.failed > 2 {
+				continue
+			}
+			if book.Spend(now, "t", turn(fmt.Sprint(index, "/", one.made), fmt.Sprint("p-", index))).Granted {
+				one.made++
+			} else {
+				one.failed++
+			}
+		}
+	}
+	for _, one := range runs {
+		asked += one.made
+		if one.made == needs {
+			ended++
+		}
+	}
+	return ended, asked
+}
+
+var _ = Describe("A tenant over its limit", func() {
+	It("has more programs end where those under way go first", func() {
+		config := tenant.DefaultConfig()
+		ended, granted := serveHot(config)
+		config.FirstCome = true
+		endedFirstCome, grantedFirstCome := serveHot(config)
+		Expect(grantedFirstCome).To(BeNumerically("~", granted, 60))
+		Expect(ended).To(BeNumerically(">=", 10*endedFirstCome))
+		Expect(float64(ended * needs)).To(BeNumerically(">=", 0.6*float64(granted)))
+	})
+
+	It("has the programs that are refused come back one after the other", func() {
+		book := longAgo()
+		press(book, begun, 3*time.Second, func(index int) tenant.Request { return turn(fmt.Sprint(index), fmt.Sprint("p-", index%50)) })
+		var waits []time.Duration
+		for index := range 5 {
+			waits = append(waits, book.Spend(begun.Add(3*time.Second), "t", turn(fmt.Sprint("n", index), fmt.Sprint("new-", index))).RetryAfter)
+		}
+		for index := 1; index < len(waits); index++ {
+			Expect(waits[index]).To(Or(BeNumerically(">", waits[index-1]), BeNumerically("==", 5*time.Second)))
+		}
+	})
+})
--- /dev/null
+++ b/tenant/directory.go
@@ -0,0 +1,90 @@
+package tenant
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math"
+
+	"birchwood.example/birchwood/findings"
+)
+
+// Tenant is one tenant of a configuration.
+type Tenant struct {
+	Name string
+	// Keys are the keys that the tenant's clients may show.
+	Keys []string
+	// Priority ranks the tenant's requests, whatever their route; 0 is the most
+	// urgent.
+	Priority int
+	Limit    Limit
+}
+
+// Limit bounds a tenant's requests over all nodes together.
+type Limit struct {
+	// Rate is how many requests a second are allowed; 0 sets no limit.
+	Rate float64 `json:"rate"`
+	// Burst is how many requests may come on top of the rate.
+	Burst float64 `json:"burst,omitempty"`
+}
+
+// Unlimited reports whether the limit bounds nothing.
+func (l Limit) Unlimited() bool { return l.Rate <= 0 }
+
+// keyHash stands for a key.
+type keyHash [sha256.Size]byte
+
+// Directory finds tenants by their keys. It is immutable, and nil where a
+// configuration knows no tenants.
+type Directory struct {
+	byKey   map[keyHash]*Tenant
+	tenants int
+}
+
+// NewDirectory returns the directory of a configuration's tenants, or every finding
+// about them.
+func NewDirectory(tenants []Tenant) (*Directory, error) {
+	found := findings.Of("tenants")
+	directory := &Directory{byKey: make(map[keyHash]*Tenant), tenants: len(tenants)}
+	places := make(map[string]int, len(tenants))
+	for index, given := range tenants {
+		place := fmt.Sprintf("tenants[%d]", index)
+		found.Require(given.Name != "", place+".name", "want a name")
+		first, taken := places[given.Name]
+		found.Require(!taken, place+".name", "%q is the name of tenants[%d] as well", given.Name, first)
+		places[given.Name] = index
+		checkNumber(found, place+".rate", given.Limit.Rate)
+		checkNumber(found, place+".burst", given.Limit.Burst)
+		directory.add(found, place, given)
+	}
+	if err := found.Err(); err != nil {
+		return nil, err
+	}
+	return directory, nil
+}
+
+func checkNumber(found *findings.List, place string, value float64) {
+	found.Require(value >= 0 && !math.IsInf(value, 0), place, "got %v, want a number that is at least 0", value)
+}
+
+// add takes a tenant's keys in. The findings name the places of keys and no key.
+func (d *Directory) add(found *findings.List, place string, given Tenant) {
+	known := &Tenant{Name: given.Name, Priority: given.Priority, Limit: given.Limit}
+	for index, key := range given.Keys {
+		keyPlace := fmt.Sprintf("%s.keys[%d]", place, index)
+		found.Require(key != "", keyPlace, "want a key that is not empty")
+		hash := keyHash(sha256.Sum256([]byte(key)))
+		other, taken := d.byKey[hash]
+		found.Require(!taken || other == known, keyPlace, "the key belongs to another tenant as well")
+		d.byKey[hash] = known
+	}
+}
+
+// Lookup returns the tenant that a key belongs to. The key counts as it stands, to
+// the last sign. The caller must not change the tenant, which holds no keys.
+func (d *Directory) Lookup(key string) (*Tenant, bool) {
+	known, found := d.byKey[keyHash(sha256.Sum256([]byte(key)))]
+	return known, found
+}
+
+// Count returns how many tenants there are.
+func (d *Directory) Count() int { return d.tenants }
