--- a/edge/follow.go
+++ b/edge/follow.go
@@ -22,11 +22,12 @@
 	// store is reached.
 	configurationWait      = 2 * time.Second
 	configurationWaitAlone = 800 * time.Millisecond
-	// configurationWaitProving is that of the readers of a zone while the
-	// configuration holds keys. A read proves what was the newest when it was sent;
-	// the others have their proofs from the readers.
-	configurationWaitProving = 300 * time.Millisecond
-	replicasWait             = 700 * time.Millisecond
+	// provingPause is the time between two reads of the readers of a zone while the
+	// configuration holds keys; the others have their proofs from these. A read proves
+	// what was the newest when it was sent, so that these do not wait for a change. Of
+	// six readers, one was answered some 50 ms ago at any time.
+	provingPause = 300 * time.Millisecond
+	replicasWait = 700 * time.Millisecond
 	// tailSlack is how much later its answer may come.
 	tailSlack = 800 * time.Millisecond
 	// configurationPause and replicasPause are the least times between reads.
@@ -138,7 +139,7 @@
 // followConfiguration keeps the configuration up to date from the store.
 func (n *Node) followConfiguration(ctx context.Context) {
 	n.follow(ctx, recordstore.Stream{Name: recordstore.StreamConfiguration}, follower{
-		wait: n.configurationWait, pause: configurationPause, synced: &n.syncedConfiguration,
+		wait: n.configurationWait, pause: n.configurationPause, synced: &n.syncedConfiguration,
 		reset: func(records []recordstore.Record) {
 			for _, record := range records {
 				n.applyConfiguration(record.Key, record.Value, "store")
@@ -153,7 +154,7 @@
 // node that reads no other stream learns from it that the store is reached.
 func (n *Node) configurationWait() time.Duration {
 	if n.provesForZone() {
-		return configurationWaitProving
+		return 0
 	}
 	if len(n.readersToFollow()) > 0 {
 		return configurationWaitAlone
@@ -161,13 +162,21 @@
 	return configurationWait
 }
 
+// configurationPause is the least time between two reads of the configuration's stream.
+func (n *Node) configurationPause() time.Duration {
+	if n.provesForZone() {
+		return provingPause
+	}
+	return configurationPause
+}
+
 // followReplicas keeps the replicas up to date, from the store or, in a large
 // fleet, through readers.
 func (n *Node) followReplicas(ctx context.Context) {
 	for ctx.Err() == nil {
 		begun := time.Now()
 		n.follow(ctx, recordstore.Stream{Name: recordstore.StreamReplicas}, follower{
-			wait: func() time.Duration { return replicasWait }, pause: replicasPause, synced: &n.syncedReplicas,
+			wait: func() time.Duration { return replicasWait }, pause: func() time.Duration { return replicasPause }, synced: &n.syncedReplicas,
 			reset:   n.resetReplicas,
 			change:  func(record recordstore.Record) { n.applyReplica(record.Key, record.Value) },
 			current: n.replicasCurrent,
@@ -206,7 +215,7 @@
 	// wait is how long a read waits for a record, and pause the least time
 	// between two reads.
 	wait   func() time.Duration
-	pause  time.Duration
+	pause  func() time.Duration
 	reset  func([]recordstore.Record)
 	change func(recordstore.Record)
 	// current is called whenever all was taken in that the stream held at a time,
@@ -269,7 +278,7 @@
 		}
 		to.caughtUp(asked)
 		next = tail.Next
-		wait.For(ctx, to.pause)
+		wait.For(ctx, to.pause())
 	}
 }
 
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -22,7 +22,7 @@
 	defaultKeyLease = 5 * time.Second
 	// leaseShare is the part of the operator's bound that is used: clocks run at
 	// slightly different rates.
-	leaseShare = 0.96
+	leaseShare = 0.98
 	// lookPause is the least time between two looks into the store for keys that are
 	// not known, so that clients with wrong keys cost few calls.
 	lookPause = 250 * time.Millisecond
