ledger: large budgets begin unrecorded also at an owner that followed a lost one

An owner that followed a lost one may now let programs of a budget of 6,000 or more use a quarter of it unrecorded, without the turn beyond it, once the log has its open record of a second kind; the owner after that takes both shares as used. Smaller budgets would not hold a program after a second loss and wait as before.

--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -16,6 +16,9 @@
 	// AssumeShared estimates which parts that many programs share other nodes had
 	// engines read.
 	AssumeShared Mechanism = "assume-shared"
+	// BeginAgain lets programs begin before the store has their first mark also at an
+	// owner that followed a lost one.
+	BeginAgain Mechanism = "begin-again"
 	// BeginUnrecorded lets programs begin before the store has their first mark.
 	BeginUnrecorded Mechanism = "begin-unrecorded"
 	// CountKept has the owner tell how much of a line of turns its last replica keeps.
@@ -76,7 +79,7 @@
 // Mechanisms returns all mechanisms, in the order of their names.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		AssumeShared, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowPrompts,
+		AssumeShared, BeginAgain, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowPrompts,
 		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, MarkAhead, PreferConnections, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
 		RepeatLateCalls, SuspectSilent,
 	}
--- a/edge/node.go
+++ b/edge/node.go
@@ -156,7 +156,12 @@
 // they can begin and end while the store takes no records.
 const (
 	unrecordedShare = 1.0 / 3
-	unrecordedFor   = 8 * time.Second
+	// againShare is what is left where an owner follows a lost one, of budgets from
+	// againBudget on: ten turns of the users' deployments at their most. Two losses in
+	// a row leave five twelfths of such a budget.
+	againShare    = 1.0 / 4
+	againBudget   = 6000
+	unrecordedFor = 8 * time.Second
 )
 
 // coreConfig returns the core's settings, within what the store takes.
@@ -165,6 +170,9 @@
 	if settings.uses(BeginUnrecorded) {
 		config.Ledger.UnrecordedShare = unrecordedShare
 		config.Ledger.UnrecordedFor = unrecordedFor
+		if settings.uses(BeginAgain) {
+			config.Ledger.AgainShare, config.Ledger.AgainBudget = againShare, againBudget
+		}
 	}
 	if !settings.uses(MarkAhead) {
 		config.Ledger.AheadShare, config.Ledger.AheadTurns = 0, 0
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -19,6 +19,12 @@
 	// not know, unless the former one gave up in order. 0 has every program
 	// wait for the log. What exceeds AheadShare does not count.
 	UnrecordedShare float64
+	// AgainShare is the share that a program of a budget of AgainBudget or more may
+	// use unrecorded at an owner that followed a lost one, besides what is assumed of
+	// it there; without a turn beyond it. The owner after that takes both shares as
+	// used. Smaller budgets would not hold a program then. 0 has all wait.
+	AgainShare  float64
+	AgainBudget int
 	// UnrecordedFor is how long after the log last proved the ownership that
 	// is allowed. It is less than Slack by more than a turn takes, so that a
 	// new owner outlasts it.
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -59,6 +59,7 @@
 	}
 	if record.Key == openKey {
 		l.tenure.inherited = true
+		l.tenure.again = string(record.Value) == openAgainValue
 		return nil
 	}
 	if program, found := strings.CutPrefix(record.Key, accountPrefix); found {
--- a/ledger/unrecorded.go
+++ b/ledger/unrecorded.go
@@ -10,8 +10,12 @@
 // programs begin that the log does not know.
 const openKey = "open"
 
-// openValue is that record's value; only its presence counts.
-const openValue = "1"
+// The values of that record: of an owner that followed one that gave up in order, and
+// of one that followed a lost one and may have let programs begin as well.
+const (
+	openValue      = "1"
+	openAgainValue = "2"
+)
 
 // tenure is what an owner may do before the log has a program's first mark,
 // and what it has to assume of programs that the log does not know.
@@ -24,6 +28,9 @@
 	// inherited says that a former owner's open record was found: programs
 	// may have begun that the log does not know.
 	inherited bool
+	// again says that the former owner had followed a lost one, and that programs of
+	// both may have begun.
+	again bool
 	// position is the proposal of this owner's own open record; 0 where the
 	// former owner's stands.
 	position uint64
@@ -44,10 +51,15 @@
 // markOpen puts the owner's open record into the log, once there is a program.
 // An owner that served none leaves its successor nothing to assume.
 func (l *Ledger) markOpen() {
-	if l.tenure.begun.IsZero() || l.tenure.inherited || l.tenure.closed || l.tenure.position > 0 {
+	if l.tenure.begun.IsZero() || l.tenure.closed || l.tenure.position > 0 {
 		return
 	}
-	l.tenure.position = l.propose(openKey, []byte(openValue))
+	switch {
+	case !l.tenure.inherited:
+		l.tenure.position = l.propose(openKey, []byte(openValue))
+	case !l.tenure.again && l.config.AgainShare > 0:
+		l.tenure.position = l.propose(openKey, []byte(openAgainValue))
+	}
 }
 
 // Prove notes that the log showed the ownership to be in force at a time: that
@@ -93,6 +105,10 @@
 		return
 	}
 	if l.tenure.inherited && now.Sub(l.tenure.begun) <= l.window(l.tenure.retain) {
+		if l.tenure.position > 0 {
+			// What began here is in the log; what began before may not be.
+			l.propose(openKey, []byte(openValue))
+		}
 		return
 	}
 	l.propose(openKey, nil)
@@ -114,7 +130,19 @@
 	if !l.tenure.inherited || l.tenure.begun.IsZero() || now.Sub(l.tenure.begun) > l.window(turn.Retain) {
 		return 0
 	}
-	return l.unrecordedMost(turn)
+	assumed := l.unrecordedMost(turn)
+	if l.tenure.again {
+		assumed += l.againMost(turn)
+	}
+	return assumed
+}
+
+// againMost is what a program may use unrecorded at an owner that followed a lost one.
+func (l *Ledger) againMost(turn Turn) int {
+	if turn.Budget < l.config.AgainBudget {
+		return 0
+	}
+	return int(l.config.AgainShare * float64(turn.Budget))
 }
 
 // unrecordedMost is what a program may use before the log has its first mark,
@@ -129,22 +157,41 @@
 	if l.config.UnrecordedShare <= 0 {
 		return 0
 	}
+	if l.tenure.inherited {
+		return min(turn.Budget-1, l.unrecordedMost(turn)+max(turn.Most, l.againMost(turn)))
+	}
 	return min(turn.Budget-1, l.unrecordedMost(turn)+turn.Most)
 }
 
+// unrecordedUpTo is the need up to which a program may run unrecorded.
+func (l *Ledger) unrecordedUpTo(turn Turn, held *account) int {
+	switch {
+	case held.assumed == 0:
+		return l.unrecordedMost(turn) + turn.Most
+	case l.tenure.again:
+		return 0
+	default:
+		return held.assumed + l.againMost(turn)
+	}
+}
+
 // runsUnrecorded reports whether a turn may hand out tokens although the log has
 // no mark of its program: its need is at most the share and one turn. The turn
 // beyond the share is the one by which a budget may be exceeded at a loss. Where
 // the log has a mark of this owner, the need lies under it; a former owner's mark
 // may lie lower. Where the use of a former owner's programs is assumed, the turn
-// beyond the share was spent there.
+// beyond the share was spent there, and a smaller share is left.
 func (l *Ledger) runsUnrecorded(now time.Time, turn Turn, held *account, need int) bool {
-	if turn.Budget <= 0 || held.restored || held.assumed > 0 || need > l.unrecordedMost(turn)+turn.Most {
+	if turn.Budget <= 0 || held.restored || need > l.unrecordedUpTo(turn, held) {
 		return false
 	}
 	own := l.tenure
 	if own.begun.IsZero() || own.closed || now.Sub(own.proven) > l.config.UnrecordedFor {
 		return false
 	}
+	if own.inherited && held.assumed == 0 {
+		// The former owner's record stands, and covers as much.
+		return true
+	}
 	return own.position <= l.durable
 }
--- a/ledger/unrecorded_test.go
+++ b/ledger/unrecorded_test.go
@@ -18,6 +18,8 @@
 	config.UnrecordedShare = 1.0 / 3
 	config.UnrecordedFor = 8 * time.Second
 	config.TurnAfterLoss = true
+	config.AgainShare = 1.0 / 4
+	config.AgainBudget = 700
 	return config
 }
 
@@ -93,6 +95,32 @@
 		Expect(admission.Position).NotTo(BeZero())
 	})
 
+	It("begins at once at the owner after a lost one, where its budget is large, and not after two", func() {
+		stored := log{}
+		stored.serving(start)
+		second := stored.open(start)
+		second.Admit(start, ledger.Turn{ID: "x", Program: "x", Most: 100, Budget: 100, Within: time.Second, Retain: time.Minute})
+		Expect(second.Admit(start, turn("a", 800)).Position).NotTo(BeZero(), "before the log says so")
+		stored.store(second)
+		small := turn("b", 600)
+		small.Program = "small"
+		Expect(second.Admit(start, small).Position).NotTo(BeZero())
+		other := turn("c", 800)
+		other.Program = "q"
+		admission := second.Admit(start, other)
+		Expect(admission.Settled).To(Equal(266))
+		Expect(admission.Position).To(BeZero())
+		other.ID = "d"
+		Expect(second.Admit(start, other).Position).To(BeZero())
+		other.ID = "e"
+		Expect(second.Admit(start, other).Position).NotTo(BeZero())
+		third := stored.open(start)
+		other.Program = "r"
+		admission = third.Admit(start, other)
+		Expect(admission.Settled).To(Equal(466))
+		Expect(admission.Position).NotTo(BeZero())
+	})
+
 	It("is no longer taken to have used anything once nobody may come back", func() {
 		stored := log{}
 		stored.serving(start)
