--- a/edge/follow.go
+++ b/edge/follow.go
@@ -153,7 +153,7 @@
 // configurationWait is how long a read of the configuration's stream waits. A
 // node that reads no other stream learns from it that the store is reached.
 func (n *Node) configurationWait() time.Duration {
-	if n.provesForZone() {
+	if n.provesForZone() || n.lacksProof() {
 		return 0
 	}
 	if len(n.readersToFollow()) > 0 {
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -171,6 +171,21 @@
 	return slices.ContainsFunc(*readers, func(reader machine.Machine) bool { return reader.ID == n.self.ID })
 }
 
+// proofLate is the age of a proof from which on a node reads the configuration without
+// waiting for a change: its peers have had nothing newer for longer than they ask for.
+const proofLate = 1500 * time.Millisecond
+
+// lacksProof reports whether this node needs a proof sooner than a read that waits
+// brings one.
+func (n *Node) lacksProof() bool {
+	table := n.routes.Current()
+	if table == nil || table.Tenants == nil || !n.settings.uses(ProvePeers) {
+		return false
+	}
+	age, proven := n.proof.age(time.Now())
+	return !proven || age > proofLate
+}
+
 // leased reports whether this node may honour keys.
 func (n *Node) leased() bool {
 	age, proven := n.proof.age(time.Now())
--- /dev/null
+++ b/edge/keys_test.go
@@ -0,0 +1,76 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/tenant"
+)
+
+// keyNode returns a node whose configuration names tenants, or none.
+func keyNode(g *WithT, settings Settings, tenants bool) *Node {
+	settings.Node, settings.Zone, settings.Partitions = "n", "z", 1
+	node, err := New(settings, Adapter{}, quietLogger)
+	g.Expect(err).NotTo(HaveOccurred())
+	table := routing.NewTable(1, nil, nil, routing.Limits{})
+	if tenants {
+		table.Tenants, err = tenant.NewDirectory([]tenant.Tenant{{Name: "a", Keys: []string{"k"}}})
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(node.routes.Offer(table)).To(BeTrue())
+	return node
+}
+
+// TestLeaseOfKeys ends a lease before the operator's bound, and follows the newest
+// proof alone.
+func TestLeaseOfKeys(t *testing.T) {
+	g := NewWithT(t)
+	node := keyNode(g, Settings{KeyLease: time.Hour}, true)
+	defer node.Kill()
+	g.Expect(node.leased()).To(BeFalse(), "before any proof")
+	now := time.Now()
+	node.proof.note(now.Add(-59 * time.Minute))
+	g.Expect(node.leased()).To(BeFalse())
+	node.proof.note(now.Add(-50 * time.Minute))
+	g.Expect(node.leased()).To(BeTrue())
+	node.proof.note(now.Add(-55 * time.Minute))
+	g.Expect(node.leased()).To(BeTrue(), "an older proof takes nothing away")
+}
+
+// TestReadsWithoutWaiting has the readers of a zone, and nodes without a young proof,
+// read the configuration at once, and all others wait for its change.
+func TestReadsWithoutWaiting(t *testing.T) {
+	g := NewWithT(t)
+	plain := keyNode(g, Settings{}, false)
+	defer plain.Kill()
+	g.Expect(plain.configurationWait()).To(Equal(configurationWait), "no keys")
+	node := keyNode(g, Settings{}, true)
+	defer node.Kill()
+	g.Expect(node.configurationWait()).To(BeZero(), "no proof yet")
+	node.proof.note(time.Now().Add(time.Hour))
+	g.Expect(node.configurationWait()).To(Equal(configurationWait))
+	node.readers.Store(&[]machine.Machine{{ID: "n"}})
+	g.Expect(node.configurationWait()).To(BeZero())
+	g.Expect(node.configurationPause()).To(Equal(provingPause))
+	alone := keyNode(g, Settings{Without: []Mechanism{ProvePeers}}, true)
+	defer alone.Kill()
+	g.Expect(alone.configurationWait()).To(Equal(configurationWait))
+}
+
+// TestSwitchesOfTenants show in the settings of the control state.
+func TestSwitchesOfTenants(t *testing.T) {
+	g := NewWithT(t)
+	all := coreConfig(Settings{Partitions: 1}, machine.Machine{ID: "n"}, rand.New(rand.NewPCG(1, 2)))
+	g.Expect(all.CountAlone).To(BeFalse())
+	g.Expect(all.Tenants).To(Equal(tenant.DefaultConfig()))
+	g.Expect(all.Ledger.AgainShare).To(BeNumerically(">", 0))
+	without := coreConfig(Settings{Partitions: 1, Without: []Mechanism{CountTogether, FinishPrograms, BeginAgain}}, machine.Machine{ID: "n"}, rand.New(rand.NewPCG(1, 2)))
+	g.Expect(without.CountAlone).To(BeTrue())
+	g.Expect(without.Tenants.FirstCome).To(BeTrue())
+	g.Expect(without.Ledger.AgainShare).To(BeZero())
+}
