edge: a proof may be older than the process that takes it

Cause: ages of proofs counted from the process's start, and a proof that a peer had before that was dropped as no news; a node that starts anew while it alone does not reach the store would have had to wait for a proof younger than itself.

--- a/edge/keys.go
+++ b/edge/keys.go
@@ -38,17 +38,25 @@
 // proof is when a node's configuration was last proven to be the newest. It is safe
 // for concurrent use.
 type proof struct {
-	started time.Time
-	// at is that time since started, in nanoseconds; 0 before the first proof.
+	// epoch is a time before any proof that counts: a peer may have had its proof
+	// before this process began.
+	epoch time.Time
+	// at is when the last proof was, since epoch in nanoseconds; 0 before the first.
 	at atomic.Int64
 	// lookedAt is when the store was asked last because of a key that was not
-	// known, since started in nanoseconds.
+	// known, since epoch in nanoseconds.
 	lookedAt atomic.Int64
 }
 
+// proofHorizon is how long before the process began proofs may lie: longer than any
+// operator's bound.
+const proofHorizon = 2 * time.Hour
+
+func newProof(now time.Time) *proof { return &proof{epoch: now.Add(-proofHorizon)} }
+
 // note takes in that the configuration which the node holds was the newest at a time.
 func (p *proof) note(at time.Time) {
-	since := int64(at.Sub(p.started))
+	since := int64(at.Sub(p.epoch))
 	for known := p.at.Load(); since > known; known = p.at.Load() {
 		if p.at.CompareAndSwap(known, since) {
 			return
@@ -62,12 +70,12 @@
 	if at == 0 {
 		return 0, false
 	}
-	return now.Sub(p.started) - time.Duration(at), true
+	return now.Sub(p.epoch) - time.Duration(at), true
 }
 
 // mayLook reports whether the store may be asked again because of a key.
 func (p *proof) mayLook(now time.Time) bool {
-	since := int64(now.Sub(p.started))
+	since := int64(now.Sub(p.epoch))
 	last := p.lookedAt.Load()
 	return (last == 0 || since-last >= int64(lookPause)) && p.lookedAt.CompareAndSwap(last, since)
 }
--- a/edge/node.go
+++ b/edge/node.go
@@ -55,7 +55,7 @@
 	patience    retry.Patience
 
 	store contact
-	proof proof
+	proof *proof
 	// listedAt is when the list of replicas was last that of the store, in
 	// nanoseconds since started.
 	started  time.Time
@@ -118,7 +118,7 @@
 		random:   random,
 		patience: retry.Patience{Minimum: appendTimeoutMin, Maximum: appendTimeout, Factor: appendFactor},
 		store:    contact{last: now},
-		proof:    proof{started: now},
+		proof:    newProof(now),
 		started:  now,
 		withheld: withheldFields(adapter.Names),
 		failed:   make(chan error, 4),
