--- a/command/dev.go
+++ b/command/dev.go
@@ -16,7 +16,7 @@
 
 func newDevCommand() *cobra.Command {
 	var level string
-	onPlatform := false
+	onPlatform, tenants := false, false
 	command := &cobra.Command{
 		Use:   "dev",
 		Short: "Run a whole system in one process: four nodes in three zones, and the stand-ins",
@@ -25,12 +25,13 @@
 			ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
 			if onPlatform {
-				return runDevPlatform(ctx, command.OutOrStdout(), level)
+				return runDevPlatform(ctx, command.OutOrStdout(), level, tenants)
 			}
 			return runDev(ctx, command.OutOrStdout(), level)
 		},
 	}
 	command.Flags().StringVar(&level, "log-level", "warn", "the least important line that is logged")
+	command.Flags().BoolVar(&tenants, "tenants", false, "with --platform: two tenants, whose keys every request needs, one of them with a limit")
 	command.Flags().BoolVar(&onPlatform, "platform", false, "run three nodes on stand-ins of the users' platform instead")
 	return command
 }
--- a/command/dev_platform.go
+++ b/command/dev_platform.go
@@ -25,10 +25,14 @@
 
 // runDevPlatform runs nodes on stand-ins of the users' platform until the
 // context ends.
-func runDevPlatform(ctx context.Context, output io.Writer, level string) error {
-	system, err := standin.StartSystem(standin.Options{
+func runDevPlatform(ctx context.Context, output io.Writer, level string, tenants bool) error {
+	options := standin.Options{
 		Nodes: devNodes, Models: devModels, Plain: devPlain, Events: devEvents, Step: devStep, Logger: newLogger(level, ""),
-	})
+	}
+	if tenants {
+		options.Tenants = standin.FirstTenants
+	}
+	system, err := standin.StartSystem(options)
 	if err != nil {
 		return &ExitError{Code: ExitFailure, Cause: err}
 	}
--- a/command/explain.go
+++ b/command/explain.go
@@ -42,12 +42,14 @@
 	Request   string    `json:"request"`
 	Partition *int      `json:"partition"`
 	Replica   string    `json:"replica"`
-	raw       []byte
+	// Counted is the node that counted the request to its tenant's limit.
+	Counted string `json:"counted"`
+	raw     []byte
 }
 
 // explain prints the lines about a request, and before them those about what
-// it rested on: its partition's owner, its replica, the configuration, and the
-// node that handled it.
+// it rested on: its partition's owner, its replica, the configuration, the node
+// that handled it, and the node that counted it to its tenant's limit.
 func explain(input io.Reader, output io.Writer, request string, span time.Duration) error {
 	lines, err := readLog(input)
 	if err != nil {
@@ -86,7 +88,7 @@
 			if line.Replica == about.Replica {
 				return true
 			}
-		case line.Node == about.Node:
+		case line.Node == about.Node || line.Node == about.Counted && about.Counted != "":
 			return true
 		}
 	}
--- a/command/explain_test.go
+++ b/command/explain_test.go
@@ -32,6 +32,18 @@
 		Expect(lines[3]).To(ContainSubstring(`"request":"r1"`))
 	})
 
+	It("shows what the node noted that counted the request to its tenant's limit", func() {
+		const counted = `{"time":"2026-01-02T03:00:11Z","node":"c","live":9,"before":10,"message":"nodes: changed"}
+{"time":"2026-01-02T03:00:11Z","node":"d","live":9,"before":10,"message":"nodes: changed"}
+{"time":"2026-01-02T03:00:12Z","node":"a","request":"r3","tenant":"t","charge":"refused","counted":"c","status":429,"message":"request: ended"}
+`
+		var output bytes.Buffer
+		Expect(explain(strings.NewReader(counted), &output, "r3", time.Minute)).To(Succeed())
+		lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+		Expect(lines).To(HaveLen(2))
+		Expect(lines[0]).To(ContainSubstring(`"node":"c"`))
+	})
+
 	It("says so where the log does not know the request", func() {
 		err := explain(strings.NewReader(log), &bytes.Buffer{}, "unknown", time.Minute)
 		var exit *ExitError
