--- a/coordinator/doc.go
+++ b/coordinator/doc.go
@@ -35,6 +35,20 @@
 // word of a higher epoch. What waited for the append is told that the owner is
 // lost, and asks the new one.
 //
+// # Counting to the limits of tenants
+//
+// One live node counts each tenant's requests, by rank; it needs neither the log nor
+// a record of its own (ChargeMessage). Who follows a lost one begins with an empty
+// account, and live nodes leave a part of each limit to those that they know of and
+// do not reach, which may live on behind a cut.
+//
+// # How lately a configuration was the newest
+//
+// Answers to charges carry how long ago the answering node's configuration was proven
+// to be the newest; nodes that hear nothing recent ask (ProofMessage). Such word
+// counts from when its question was sent, so that no delay makes it younger than it
+// is.
+//
 // # Answers that must be certain
 //
 // A former owner that does not yet know of its end still answers. What it
