--- a/edge/follow.go
+++ b/edge/follow.go
@@ -299,7 +299,7 @@
 		}
 		records, _, err := n.readNewest(ctx, stream)
 		if err == nil {
-			n.control.post(coordinator.Listed{Nodes: decodeNodes(records)})
+			n.control.post(coordinator.Listed{Nodes: n.decodeNodes(records)})
 		}
 		if err != nil || !published {
 			pause = appendRetryMost
@@ -317,13 +317,20 @@
 	return err == nil
 }
 
-func decodeNodes(records []recordstore.Record) []machine.Machine {
+// decodeNodes reads the nodes' records. One that is not understood is another version's
+// and passed over: its node is learned of through its peers.
+func (n *Node) decodeNodes(records []recordstore.Record) []machine.Machine {
 	var nodes []machine.Machine
 	for _, record := range records {
+		if len(record.Value) == 0 {
+			continue
+		}
 		var node machine.Machine
-		if len(record.Value) > 0 && json.Unmarshal(record.Value, &node) == nil {
-			nodes = append(nodes, node)
+		if err := json.Unmarshal(record.Value, &node); err != nil {
+			n.logger.Warn().Str("record", record.Key).Err(err).Msg("nodes: record not understood")
+			continue
 		}
+		nodes = append(nodes, node)
 	}
 	return nodes
 }
@@ -373,15 +380,7 @@
 		n.logger.Info().Str("peer", string(from.ID)).Err(err).Msg("peers: state not learned")
 		return
 	}
-	var raw rawConfiguration
-	if err := json.Unmarshal(state.Configuration, &raw); err != nil {
-		n.logger.Warn().Str("peer", string(from.ID)).Err(err).Msg("peers: configuration not understood")
-		return
-	}
-	n.applyConfiguration(raw.Key, raw.Value, "peer "+string(from.ID))
-	if state.Proven {
-		n.noteProof(asked.Add(-time.Duration(state.ProofAgeMS) * time.Millisecond))
-	}
+	n.takeConfiguration(from, asked, &state)
 	if n.reachesStore() || len(state.Replicas) == 0 {
 		return
 	}
@@ -393,6 +392,23 @@
 	n.removeUnlisted(listed, "not in a peer's list")
 }
 
+// takeConfiguration takes over a peer's configuration, and its proof that this was the
+// newest, if it knows one.
+func (n *Node) takeConfiguration(from machine.Machine, asked time.Time, state *peerState) {
+	if len(state.Configuration) == 0 {
+		return
+	}
+	var raw rawConfiguration
+	if err := json.Unmarshal(state.Configuration, &raw); err != nil {
+		n.logger.Warn().Str("peer", string(from.ID)).Err(err).Msg("peers: configuration not understood")
+		return
+	}
+	n.applyConfiguration(raw.Key, raw.Value, "peer "+string(from.ID))
+	if state.Proven {
+		n.noteProof(asked.Add(-time.Duration(state.ProofAgeMS) * time.Millisecond))
+	}
+}
+
 // hearVersion fetches a configuration that a peer holds and this node does not.
 func (n *Node) hearVersion(from machine.Machine, version uint64) {
 	n.config.mutex.Lock()
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -18,6 +18,7 @@
 	appends *metrics.PrometheusHistogram
 	proofs  *metrics.PrometheusHistogram
 	dropped *metrics.Counter
+	failed  *metrics.Counter
 	repeats *metrics.Counter
 	misses  *metrics.Counter
 	// datagrams are counted by how they ended.
@@ -35,6 +36,7 @@
 	metricAppends    = "birchwood_edge_append_seconds"
 	metricCalls      = "birchwood_edge_store_calls_total"
 	metricDropped    = "birchwood_edge_peer_messages_dropped_total"
+	metricFailed     = "birchwood_edge_peer_messages_failed_total"
 	metricPartitions = "birchwood_edge_partition_changes_total"
 	metricRepeats    = "birchwood_edge_calls_repeated_total"
 	metricLogDropped = "birchwood_edge_log_lines_dropped_total"
@@ -63,6 +65,7 @@
 		appends:      set.NewPrometheusHistogramExt(metricAppends, appendBuckets),
 		proofs:       set.NewPrometheusHistogramExt(metricProofs, proofBuckets),
 		dropped:      set.NewCounter(metricDropped),
+		failed:       set.NewCounter(metricFailed),
 		repeats:      set.NewCounter(metricRepeats),
 		misses:       set.NewCounter(metricMisses),
 		linesDropped: set.NewCounter(metricLogDropped),
@@ -106,6 +109,9 @@
 // messageDropped counts a message to a peer dropped because too many waited.
 func (m *Metrics) messageDropped() { m.dropped.Inc() }
 
+// messageFailed counts a message to a peer that was not taken.
+func (m *Metrics) messageFailed() { m.failed.Inc() }
+
 // datagramEnd is how a datagram ended here.
 type datagramEnd int
 
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -94,7 +94,11 @@
 		select {
 		case message := <-queue:
 			callCtx, cancel := context.WithTimeout(ctx, peerMessageTimeout)
-			_ = client.Do(callCtx, fasthttp.MethodPost, pathMessage, message, nil)
+			if err := client.Do(callCtx, fasthttp.MethodPost, pathMessage, message, nil); err != nil {
+				// The peer is lost or cut off as a rule, which the failure detector
+				// tells; what has to arrive is sent again by the core.
+				p.node.metrics.messageFailed()
+			}
 			cancel()
 			idle.Reset(peerIdleTimeout)
 		case <-idle.C:
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 	"time"
@@ -145,9 +146,14 @@
 // receiveReplicas answers a node that follows this one.
 func (p *peers) receiveReplicas(ctx *fasthttp.RequestCtx) {
 	query := ctx.QueryArgs()
-	life, _ := strconv.ParseUint(string(query.Peek("life")), 10, 64)
-	since, _ := strconv.ParseUint(string(query.Peek("since")), 10, 64)
-	wait := time.Duration(query.GetUintOrZero("wait")) * time.Millisecond
+	life, lifeErr := strconv.ParseUint(string(query.Peek("life")), 10, 64)
+	since, sinceErr := strconv.ParseUint(string(query.Peek("since")), 10, 64)
+	milliseconds, waitErr := query.GetUint("wait")
+	if err := errors.Join(lifeErr, sinceErr, waitErr); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	wait := time.Duration(milliseconds) * time.Millisecond
 	node := p.node
 	own := node.self.Incarnation
 	if life == own {
