coordinator, edge: answers of an earlier life of a process are none of this one's

Found while reading the diff: the numbers that correlate answers with questions began at 1 with each start of a process. A node that restarts at once could have taken a late answer to its former life's charge for one of its own, and dated a peer's proof from a question that came after the answer. Numbers begin at a random place now (test: three fleets name three numbers; before, all were 1). And a request that ended before its charge was asked for left a goroutine waiting for an answer that never came; it waits for twice the question's patience now.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -128,7 +128,8 @@
 		unreaching: make(map[machine.ID]bool),
 		started:    now,
 		reaches:    true,
-		charging:   newCharging(now, config.Tenants),
+		charging:   newCharging(now, &config),
+		proving:    proving{number: firstNumber(config.Random)},
 	}
 	core.list(config.Membership.Self)
 	for index := range config.Partitions {
--- a/coordinator/proof_test.go
+++ b/coordinator/proof_test.go
@@ -179,6 +179,23 @@
 		Expect(asking.core.Ready().Proven).To(BeZero())
 	})
 
+	It("has numbers that no earlier life of the process had", func() {
+		numbers := map[uint64]bool{}
+		for range 3 {
+			world := newFleet(uint64(len(numbers)+1), 2, 1)
+			world.run(time.Second)
+			asking := world.nodes[world.ids()[0]]
+			asking.core.Step(world.now, coordinator.ProofNoted{At: world.now.Add(-5 * time.Second), Version: 1})
+			asking.core.Step(world.now, coordinator.Tick{})
+			for _, message := range asking.core.Ready().Messages {
+				if message.Message.Proof != nil {
+					numbers[message.Message.Proof.Number] = true
+				}
+			}
+		}
+		Expect(numbers).To(HaveLen(3))
+	})
+
 	It("grows old where no node reaches the store", func() {
 		world := newFleet(7, 20, 2)
 		world.run(2 * time.Second)
--- a/coordinator/quota.go
+++ b/coordinator/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -88,13 +89,18 @@
 	askedOf  machine.ID
 }
 
-func newCharging(now time.Time, config tenant.Config) charging {
+func newCharging(now time.Time, config *Config) charging {
 	return charging{
-		book: tenant.NewBook(now.Add(chargeSettle), config), owners: make(map[string]machine.ID),
-		pending: make(map[uint64]*pendingCharge),
+		book: tenant.NewBook(now.Add(chargeSettle), config.Tenants), owners: make(map[string]machine.ID),
+		pending: make(map[uint64]*pendingCharge), nextNumber: firstNumber(config.Random),
 	}
 }
 
+// firstNumber draws where the numbers of a process's questions begin, so that an answer
+// to a question of the process before is none of this one's. Half of the numbers stay
+// above it.
+func firstNumber(random *rand.Rand) uint64 { return random.Uint64() >> 1 }
+
 // chargeOwner returns the node that counts for a tenant: the live one that ranks
 // first for its name. Whether a node reaches the store does not matter.
 func (c *Core) chargeOwner(name string) machine.ID {
--- a/edge/charge.go
+++ b/edge/charge.go
@@ -80,15 +80,21 @@
 		n.returnCharge(held)
 	case held.outcome.Status == "":
 		// The request ended before its answer came.
-		n.run(func(ctx context.Context) {
-			select {
-			case outcome := <-held.answer:
-				if outcome.Status == coordinator.ChargeGranted {
-					n.returnCharge(held)
-				}
-			case <-ctx.Done():
-			}
-		})
+		n.run(func(ctx context.Context) { n.awaitReturn(ctx, held) })
+	}
+}
+
+// awaitReturn gives a grant back that comes after its request has ended. None comes
+// after the patience of its question.
+func (n *Node) awaitReturn(ctx context.Context, held *charge) {
+	waitCtx, cancel := context.WithTimeout(ctx, 2*chargePatience)
+	defer cancel()
+	select {
+	case outcome := <-held.answer:
+		if outcome.Status == coordinator.ChargeGranted {
+			n.returnCharge(held)
+		}
+	case <-waitCtx.Done():
 	}
 }
 
