tenant: a name with control characters is a finding

Found while reading the diff: a tenant's name goes into a field of the head that replicas get, and one with a line break would have added fields of its own. The configuration is refused with the place (test: fails before).

--- a/tenant/directory.go
+++ b/tenant/directory.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"fmt"
 	"math"
+	"strings"
+	"unicode"
 
 	"birchwood.example/birchwood/findings"
 )
@@ -49,6 +51,7 @@
 	for index, given := range tenants {
 		place := fmt.Sprintf("tenants[%d]", index)
 		found.Require(given.Name != "", place+".name", "want a name")
+		found.Require(!strings.ContainsFunc(given.Name, unicode.IsControl), place+".name", "want no control characters in %q", given.Name)
 		first, taken := places[given.Name]
 		found.Require(!taken, place+".name", "%q is the name of tenants[%d] as well", given.Name, first)
 		places[given.Name] = index
--- a/tenant/directory_test.go
+++ b/tenant/directory_test.go
@@ -40,6 +40,11 @@
 		Expect(found.Name).To(Equal("t-9999"))
 	})
 
+	It("is refused where a name would break a field of the head that replicas get", func() {
+		_, err := tenant.NewDirectory([]tenant.Tenant{{Name: "a"}, {Name: "b\r\nX-Hold: 1"}})
+		Expect(err).To(MatchError(ContainSubstring("tenants[1].name")))
+	})
+
 	It("is refused with every finding and its place, and names no key", func() {
 		_, err := tenant.NewDirectory([]tenant.Tenant{
 			{Name: "one", Keys: []string{"secret-a", "secret-a"}},
