--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -20,8 +20,8 @@
 	Partitions int
 	// Salt is this process's part of its epochs.
 	Salt ownership.Salt
-	// Settle is how long after its start a node claims nothing, so that it
-	// knows its peers.
+	// Settle is how long after its start a node claims nothing and counts for no
+	// tenant, so that it knows its peers.
 	Settle time.Duration
 	// ClaimPause is the least time between two claims of one partition.
 	ClaimPause time.Duration
--- a/coordinator/quota.go
+++ b/coordinator/quota.go
@@ -55,15 +55,9 @@
 	Return *Charge `json:"return,omitempty"`
 }
 
-// Times of the charges.
-const (
-	// chargeResend is after what time without an answer a charge is asked for again:
-	// several times the way between zones and back.
-	chargeResend = 60 * time.Millisecond
-	// chargeSettle is how long after its start a node counts for nobody, so that it
-	// knows its peers, as for the partitions.
-	chargeSettle = 350 * time.Millisecond
-)
+// chargeResend is after what time without an answer a charge is asked for again:
+// several times the way between zones and back.
+const chargeResend = 60 * time.Millisecond
 
 // charging is this node's part in keeping the limits of tenants.
 type charging struct {
@@ -91,7 +85,7 @@
 
 func newCharging(now time.Time, config *Config) charging {
 	return charging{
-		book: tenant.NewBook(now.Add(chargeSettle), config.Tenants), owners: make(map[string]machine.ID),
+		book: tenant.NewBook(now.Add(config.Settle), config.Tenants), owners: make(map[string]machine.ID),
 		pending: make(map[uint64]*pendingCharge), nextNumber: firstNumber(config.Random),
 	}
 }
@@ -167,7 +161,7 @@
 // countsCharges reports whether this node knows its peers well enough to count for
 // tenants.
 func (c *Core) countsCharges(now time.Time) bool {
-	return !c.leaving && now.Sub(c.started) >= chargeSettle
+	return !c.leaving && now.Sub(c.started) >= c.config.Settle
 }
 
 // stepCharge takes in that a request of this node's traffic is to be counted.
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -22,17 +22,17 @@
 	// store is reached.
 	configurationWait      = 2 * time.Second
 	configurationWaitAlone = 800 * time.Millisecond
-	// provingPause is the time between two reads of the readers of a zone while the
-	// configuration holds keys; the others have their proofs from these. A read proves
-	// what was the newest when it was sent, so that these do not wait for a change. Of
-	// six readers, one was answered some 50 ms ago at any time.
-	provingPause = 300 * time.Millisecond
-	replicasWait = 700 * time.Millisecond
+	replicasWait           = 700 * time.Millisecond
 	// tailSlack is how much later its answer may come.
 	tailSlack = 800 * time.Millisecond
 	// configurationPause and replicasPause are the least times between reads.
 	configurationPause = 50 * time.Millisecond
 	replicasPause      = 400 * time.Millisecond
+	// provingPause is the time between two reads of the readers of a zone while the
+	// configuration holds keys; the others have their proofs from these. A read proves
+	// what was the newest when it was sent, so that these do not wait for a change. Of
+	// six readers, one was answered some 50 ms ago at any time.
+	provingPause = 300 * time.Millisecond
 	// resyncPeriod is how often a stream is read whole again.
 	resyncPeriod = 15 * time.Second
 	// nodesPeriod is the time between two reads of the nodes' addresses.
@@ -91,6 +91,14 @@
 	n.logger.Info().Uint64("version", table.Version).Str("source", source).Msg("config: in force")
 }
 
+// applyConfigurations takes over records of the configuration's stream, as the store
+// has them.
+func (n *Node) applyConfigurations(records []recordstore.Record) {
+	for _, record := range records {
+		n.applyConfiguration(record.Key, record.Value, "store")
+	}
+}
+
 // applyReplica takes over a record of the replicas' stream.
 func (n *Node) applyReplica(key string, value []byte) {
 	if len(value) == 0 {
@@ -140,11 +148,7 @@
 func (n *Node) followConfiguration(ctx context.Context) {
 	n.follow(ctx, recordstore.Stream{Name: recordstore.StreamConfiguration}, follower{
 		wait: n.configurationWait, pause: n.configurationPause, synced: &n.syncedConfiguration,
-		reset: func(records []recordstore.Record) {
-			for _, record := range records {
-				n.applyConfiguration(record.Key, record.Value, "store")
-			}
-		},
+		reset:   n.applyConfigurations,
 		change:  func(record recordstore.Record) { n.applyConfiguration(record.Key, record.Value, "store") },
 		current: n.noteProof,
 	})
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -154,9 +154,7 @@
 		n.logger.Warn().Err(err).Msg("config: not read again for a key that is not known")
 		return false
 	}
-	for _, record := range records {
-		n.applyConfiguration(record.Key, record.Value, "store")
-	}
+	n.applyConfigurations(records)
 	n.noteProof(asked)
 	return true
 }
@@ -164,16 +162,23 @@
 // noteProof takes in that the configuration held here was the newest at a time.
 func (n *Node) noteProof(at time.Time) {
 	n.proof.note(at)
-	if table := n.routes.Current(); table != nil && table.Tenants != nil {
-		n.control.post(coordinator.ProofNoted{At: at, Version: table.Version})
+	if n.needsProofs() {
+		n.control.post(coordinator.ProofNoted{At: at, Version: n.routes.Current().Version})
 	}
 }
 
+// needsProofs reports whether the configuration in force holds keys, so that its age
+// matters.
+func (n *Node) needsProofs() bool {
+	table := n.routes.Current()
+	return table != nil && table.Tenants != nil
+}
+
 // provesForZone reports whether the other nodes of the zone have their proofs from this
 // one.
 func (n *Node) provesForZone() bool {
-	table, readers := n.routes.Current(), n.readers.Load()
-	if table == nil || table.Tenants == nil || readers == nil || !n.settings.uses(ProvePeers) {
+	readers := n.readers.Load()
+	if !n.needsProofs() || readers == nil || !n.settings.uses(ProvePeers) {
 		return false
 	}
 	return slices.ContainsFunc(*readers, func(reader machine.Machine) bool { return reader.ID == n.self.ID })
@@ -186,8 +191,7 @@
 // lacksProof reports whether this node needs a proof sooner than a read that waits
 // brings one.
 func (n *Node) lacksProof() bool {
-	table := n.routes.Current()
-	if table == nil || table.Tenants == nil || !n.settings.uses(ProvePeers) {
+	if !n.needsProofs() || !n.settings.uses(ProvePeers) {
 		return false
 	}
 	age, proven := n.proof.age(time.Now())
