coordinator, edge, ingress: nodes cut off from the store and most zones send their clients elsewhere

Cause: the nodes of a zone that is cut off hear each other, so that none counted as isolated. They stayed ready; programs that came to them waited 0.9 s for owners that could not be reached, and then for keys that could not be proven, for as long as the cut lasted, though the platform sends a zone's clients to the nearest zones once none of its nodes is ready.

A node that does not reach the store and hears nodes of less than half of the zones is isolated now. It is not ready, closes its clients' connections with each answer, and refuses turns that need an owner at once; until new connections lead elsewhere (3 s) with a Retry-After that reaches that far. A store that is away from all leaves the zones in touch.

Ruled out: a shorter silence than 1.5 s, since contact with the store is known no sooner. Left: programs under way when the cut begins.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -316,6 +316,31 @@
 		world.run(settled)
 		Expect(alone.core.Isolated(world.now)).To(BeFalse())
 	})
+
+	It("knows that its zone is cut off from the store and from the other zones", func() {
+		world := newZonedFleet(16, 12, 4)
+		world.run(settled)
+		cut := world.cutZone("zone-1")
+		world.run(2 * settled)
+		for id, one := range world.nodes {
+			Expect(one.core.Isolated(world.now)).To(Equal(slices.Contains(cut, id)), "%s", id)
+		}
+		world.joinZones()
+		world.run(settled)
+		for id, one := range world.nodes {
+			Expect(one.core.Isolated(world.now)).To(BeFalse(), "%s", id)
+		}
+	})
+
+	It("is not isolated while the store is away from all", func() {
+		world := newZonedFleet(17, 12, 4)
+		world.run(settled)
+		world.turnStore(false)
+		world.run(2 * settled)
+		for id, one := range world.nodes {
+			Expect(one.core.Isolated(world.now)).To(BeFalse(), "%s", id)
+		}
+	})
 })
 
 var _ = Describe("An owner that is alone and does not hear of its successor", func() {
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -106,12 +106,11 @@
 	lastContact  time.Time
 	loads        Loads
 	nextKnown    time.Time
-	// lastHeard is when a message of another node came last.
-	lastHeard time.Time
-	ranking   ranking
-	charging  charging
-	proving   proving
-	ready     Ready
+	hearing      hearing
+	ranking      ranking
+	charging     charging
+	proving      proving
+	ready        Ready
 }
 
 // New returns a core that knows of no node but itself.
@@ -299,14 +298,3 @@
 
 // LiveCount returns how many nodes are live, this one included.
 func (c *Core) LiveCount() int { return max(1, len(c.membership.Nodes())) }
-
-// silenceLimit is how long no other node has been heard before this one counts
-// as cut off from all of them. The failure detector does not tell: it declares
-// no deaths while nobody answers.
-const silenceLimit = 1500 * time.Millisecond
-
-// Isolated reports whether this node reaches neither the store nor any of the
-// other nodes that it knows of.
-func (c *Core) Isolated(now time.Time) bool {
-	return !c.reaches && len(c.directory) > 0 && now.Sub(c.lastHeard) > silenceLimit
-}
--- a/coordinator/harness_test.go
+++ b/coordinator/harness_test.go
@@ -113,7 +113,7 @@
 	}
 	core, err := coordinator.New(f.now, config)
 	Expect(err).NotTo(HaveOccurred())
-	f.nodes[id] = &member{self: self, core: core, replies: map[uint64]coordinator.Reply{}}
+	f.nodes[id] = &member{self: config.Membership.Self, core: core, replies: map[uint64]coordinator.Reply{}}
 }
 
 // kill ends a node's process.
--- /dev/null
+++ b/coordinator/isolation.go
@@ -0,0 +1,61 @@
+package coordinator
+
+import (
+	"time"
+
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/zone"
+)
+
+// hearing is when this node heard other nodes last.
+type hearing struct {
+	// last is when a message of any other node came, and byZone when one of each zone
+	// did.
+	last   time.Time
+	byZone map[zone.Name]time.Time
+}
+
+// note takes in that a message of a node came.
+func (h *hearing) note(now time.Time, sender machine.Machine) {
+	h.last = now
+	if h.byZone == nil {
+		h.byZone = make(map[zone.Name]time.Time)
+	}
+	h.byZone[sender.Zone] = now
+}
+
+// silenceLimit is how long nothing has been heard before this node counts as cut off.
+// The failure detector does not tell: it declares no deaths while nobody answers.
+const silenceLimit = 1500 * time.Millisecond
+
+// Isolated reports whether this node cannot serve programs that others can: it does not
+// reach the store, and hears no other node, or nodes of less than half of the zones. A
+// store that is away from all leaves the zones in touch, so that no node is isolated
+// then.
+func (c *Core) Isolated(now time.Time) bool {
+	if c.reaches || len(c.directory) == 0 {
+		return false
+	}
+	if now.Sub(c.hearing.last) > silenceLimit {
+		return true
+	}
+	known, heard := c.zonesHeard(now)
+	return 2*heard < known
+}
+
+// zonesHeard counts the zones that this node knows of, and those of which it heard a
+// node lately. Its own counts as heard.
+func (c *Core) zonesHeard(now time.Time) (known, heard int) {
+	own := c.self().Zone
+	counted := make(map[zone.Name]bool)
+	for _, node := range c.listing {
+		if counted[node.Zone] {
+			continue
+		}
+		counted[node.Zone] = true
+		if node.Zone == own || now.Sub(c.hearing.byZone[node.Zone]) <= silenceLimit {
+			heard++
+		}
+	}
+	return len(counted), heard
+}
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -28,7 +28,7 @@
 
 func (c *Core) stepPeer(now time.Time, message PeerMessage) {
 	sender := message.From
-	c.lastHeard = now
+	c.hearing.note(now, sender)
 	if message.Status != nil {
 		c.learn(now, append(message.Status.Known, sender))
 		c.notePeer(now, sender.ID, *message.Status)
--- /dev/null
+++ b/coordinator/zones_test.go
@@ -0,0 +1,57 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"slices"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/zone"
+)
+
+// newZonedFleet starts nodes that are dealt to zones in turn.
+func newZonedFleet(seed uint64, nodes, zones int) *fleet {
+	started := 0
+	return newFleetWith(seed, nodes, 1, func(config *coordinator.Config) {
+		config.Membership.Self.Zone = zone.Name(fmt.Sprintf("zone-%d", started%zones))
+		started++
+	})
+}
+
+// cutZone cuts a zone's nodes off from the store and from the other zones.
+func (f *fleet) cutZone(name zone.Name) []machine.ID {
+	inside := f.nodesOf(name)
+	for id, one := range f.nodes {
+		one.cut = slices.Contains(inside, id)
+		one.near = inside
+		if !one.cut {
+			one.near = f.nodesOutside(name)
+		}
+	}
+	return inside
+}
+
+// joinZones ends a cut.
+func (f *fleet) joinZones() {
+	for _, one := range f.nodes {
+		one.cut, one.near = false, nil
+	}
+}
+
+func (f *fleet) nodesOf(name zone.Name) []machine.ID {
+	return f.nodesWhere(func(one *member) bool { return one.self.Zone == name })
+}
+
+func (f *fleet) nodesOutside(name zone.Name) []machine.ID {
+	return f.nodesWhere(func(one *member) bool { return one.self.Zone != name })
+}
+
+func (f *fleet) nodesWhere(matches func(*member) bool) (found []machine.ID) {
+	for id, one := range f.nodes {
+		if matches(one) {
+			found = append(found, id)
+		}
+	}
+	slices.Sort(found)
+	return found
+}
--- a/edge/control.go
+++ b/edge/control.go
@@ -155,7 +155,7 @@
 	c.node.replicas.setNodes(c.core.LiveCount())
 	readers := c.core.Readers()
 	c.node.readers.Store(&readers)
-	c.node.isolated.Store(c.core.Isolated(now))
+	c.node.noteIsolation(now, c.core.Isolated(now))
 	c.core.Step(now, coordinator.Contact{Reached: c.node.reachesStore(), Last: c.node.store.at()})
 	c.noteDependencies()
 }
--- /dev/null
+++ b/edge/isolation.go
@@ -0,0 +1,32 @@
+package edge
+
+import "time"
+
+// divertedAfter is how long the platform takes to send new connections elsewhere once
+// this node says that it is not ready: it asks once a second, and twice.
+const divertedAfter = 3 * time.Second
+
+// comeBackElsewhere is when a client that is refused by an isolated node is to come
+// back: on a new connection, once that leads to another node. A program that comes back
+// sooner uses its tries up on nodes that cannot serve it.
+func comeBackElsewhere(isolatedFor time.Duration) time.Duration {
+	return min(max(divertedAfter-isolatedFor, comeBackSoon), comeBackAfterOutage)
+}
+
+// noteIsolation takes in whether this node is cut off from the store and from most of
+// the zones. Its clients are sent elsewhere then: programs that they bring here would
+// wait for owners that cannot be reached.
+func (n *Node) noteIsolation(now time.Time, isolated bool) {
+	since := n.isolatedSince.Load()
+	if isolated == (since != nil) {
+		return
+	}
+	n.clients.Divert(isolated)
+	if !isolated {
+		n.isolatedSince.Store(nil)
+		n.logger.Info().Dur("after", now.Sub(*since)).Msg("nodes: the store or most zones are reached again")
+		return
+	}
+	n.isolatedSince.Store(&now)
+	n.logger.Warn().Time("contact", n.store.at()).Msg("nodes: cut off from the store and from most zones")
+}
--- /dev/null
+++ b/edge/isolation_test.go
@@ -0,0 +1,32 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestComeBackElsewhere has refused clients wait until new connections lead elsewhere,
+// and no longer.
+func TestComeBackElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(comeBackElsewhere(0)).To(Equal(comeBackAfterOutage))
+	g.Expect(comeBackElsewhere(divertedAfter - 500*time.Millisecond)).To(Equal(500 * time.Millisecond))
+	g.Expect(comeBackElsewhere(time.Minute)).To(Equal(comeBackSoon))
+}
+
+// TestIsolatedNodeIsNotReady while it lasts.
+func TestIsolatedNodeIsNotReady(t *testing.T) {
+	g := NewWithT(t)
+	node := datagramNode(g)
+	defer node.Kill()
+	now := time.Now()
+	node.noteIsolation(now, true)
+	g.Expect(node.isolatedSince.Load()).NotTo(BeNil())
+	g.Expect(node.ready()).To(BeFalse())
+	node.noteIsolation(now.Add(time.Second), true)
+	g.Expect(*node.isolatedSince.Load()).To(Equal(now), "counts from when it began")
+	node.noteIsolation(now.Add(2*time.Second), false)
+	g.Expect(node.isolatedSince.Load()).To(BeNil())
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -68,10 +68,11 @@
 	readers atomic.Pointer[[]machine.Machine]
 	// following is set while this node follows one of them.
 	following atomic.Bool
-	// liveNodes is how many nodes are live, this one included, and isolated
-	// is set while the node reaches neither the store nor any node it knows.
+	// liveNodes is how many nodes are live, this one included.
 	liveNodes atomic.Int32
-	isolated  atomic.Bool
+	// isolatedSince is since when the node has reached neither the store nor most of
+	// the zones it knows; nil while it does.
+	isolatedSince atomic.Pointer[time.Time]
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/edge/readiness.go
+++ b/edge/readiness.go
@@ -7,10 +7,10 @@
 	"github.com/valyala/fasthttp"
 )
 
-// ready reports whether the node can serve clients. One that is alone cannot:
+// ready reports whether the node can serve clients. One that is cut off cannot:
 // it would refuse turns that other nodes could serve.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && !n.isolated.Load() && n.syncedConfiguration.Load() && n.syncedReplicas.Load() && n.routes.Current() != nil
+	return !n.stopping.Load() && n.isolatedSince.Load() == nil && n.syncedConfiguration.Load() && n.syncedReplicas.Load() && n.routes.Current() != nil
 }
 
 // serveReadiness answers the platform's question for readiness.
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -44,6 +44,10 @@
 func (n *Node) serveTurn(r *requestState, table *routing.Table) {
 	ctx, cancel := context.WithDeadline(n.ctx, r.deadline)
 	defer cancel()
+	if since := n.isolatedSince.Load(); since != nil && r.needsOwner() {
+		r.fail(fasthttp.StatusServiceUnavailable, "this node reaches neither the store nor most of the zones", comeBackElsewhere(time.Since(*since)))
+		return
+	}
 	n.beginCharge(ctx, r)
 	granted, admitted := n.admitTurn(ctx, r)
 	if !admitted {
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -125,7 +125,7 @@
 
 // writeConnection says whether the connection stays open.
 func (e *Exchange) writeConnection() {
-	if e.connection.server.draining.Load() || e.connection.closing.Load() {
+	if e.connection.server.closesConnections() || e.connection.closing.Load() {
 		e.keepAlive = false
 	}
 	if !e.keepAlive {
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -251,6 +251,21 @@
 	})
 })
 
+var _ = Describe("A server that diverts its clients", func() {
+	It("closes the connections of answers for as long as that lasts", func() {
+		server, dial := startServer(limits, echo)
+		ask := func() bool {
+			socket := dial()
+			return exchangeRaw(socket, bufio.NewReader(socket), "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx").Close
+		}
+		Expect(ask()).To(BeFalse())
+		server.Divert(true)
+		Expect(ask()).To(BeTrue())
+		server.Divert(false)
+		Expect(ask()).To(BeFalse())
+	})
+})
+
 var _ = Describe("A planned stop", func() {
 	It("lets the exchange under way end, says that the connection closes, and closes idle ones", func() {
 		release := make(chan struct{})
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -36,6 +36,8 @@
 type Server struct {
 	config   Config
 	draining atomic.Bool
+	// diverting has answers close their connections until it is unset.
+	diverting atomic.Bool
 	buffers  buffers
 
 	mutex       sync.Mutex
@@ -113,6 +115,13 @@
 // Drain has every later answer close its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Divert has answers close their connections, or no longer, so that clients come back
+// on new ones, which may lead to other nodes.
+func (s *Server) Divert(diverting bool) { s.diverting.Store(diverting) }
+
+// closesConnections reports whether answers close their connections.
+func (s *Server) closesConnections() bool { return s.draining.Load() || s.diverting.Load() }
+
 // Active returns how many exchanges are under way.
 func (s *Server) Active() int {
 	active := 0
