edge, ledger: what a tenant's requests made does not exist for another tenant

Cause: kept turns, chains and accounts were known by the ids that clients choose, and no record named a tenant. A turn that named another tenant's kept turn went on from that conversation.

Ids now get the scope of the key where a request enters, as one text that no other scope and id has, and go so to owners, peers, the log, cached chains and the search over all partitions. The partition stays the hash of the plain id, so that nodes of both formats agree on owners. Records that name no tenant are handed to nobody: 503 in place of a 404 that would be a lie; their accounts count to every program that they may be of.

Ruled out: a tenant field that each path compares (the caches forgot it), the tenant in the hash of the partition, 400 for ids with the separator.

Tests fail with the scope switched off, as docs/GUARANTEES.md lists.

--- /dev/null
+++ b/coordinator/find_test.go
@@ -0,0 +1,39 @@
+package coordinator_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/ledger"
+)
+
+var _ = Describe("A turn that was kept before ids had a scope", func() {
+	find := coordinator.FindRequest{Turn: "acme\x1fx", Unscoped: "x"}
+
+	It("is handed to no tenant, and not called absent", func() {
+		world := newFleet(1, 3, 1)
+		world.run(settled)
+		owner := world.owners(0)[0]
+		former := coordinator.KeepRequest{Turn: ledger.KeptTurn{ID: "x", Program: "p", Input: []byte("in;"), Retain: time.Minute}}
+		Expect(reply(world, owner, world.ask(owner, 0, coordinator.Request{Keep: &former})).Status).To(Equal(coordinator.ReplyDone))
+		found := reply(world, owner, world.ask(owner, 0, coordinator.Request{Find: &find}))
+		Expect(found.Status).To(Equal(coordinator.ReplyUnowned))
+		Expect(found.Chain).To(BeEmpty())
+		Expect(find.ProvesAbsent(&found)).To(BeFalse())
+	})
+
+	It("is absent only by the word of an owner that looked for it", func() {
+		world := newFleet(2, 3, 1)
+		world.run(settled)
+		owner := world.owners(0)[0]
+		absent := reply(world, owner, world.ask(owner, 0, coordinator.Request{Find: &find}))
+		Expect(find.ProvesAbsent(&absent)).To(BeTrue())
+		ofFormer := coordinator.Reply{Status: coordinator.ReplyAbsent}
+		Expect(find.ProvesAbsent(&ofFormer)).To(BeFalse())
+		plain := coordinator.FindRequest{Turn: "x"}
+		Expect(plain.ProvesAbsent(&ofFormer)).To(BeTrue())
+	})
+})
--- a/coordinator/request.go
+++ b/coordinator/request.go
@@ -42,6 +42,15 @@
 // FindRequest asks for the chain of a kept turn.
 type FindRequest struct {
 	Turn string `json:"turn"`
+	// Unscoped is what the turn would be known by if it was kept before ids had a
+	// scope, or "".
+	Unscoped string `json:"unscoped,omitempty"`
+}
+
+// ProvesAbsent reports whether a reply to the question says for certain that the
+// partition keeps no such turn, under its id or that of a former format.
+func (f *FindRequest) ProvesAbsent(reply *Reply) bool {
+	return reply.Status == ReplyAbsent && (f.Unscoped == "" || reply.Scoped)
 }
 
 // Status of a reply.
@@ -59,6 +68,9 @@
 	ReplyLost ReplyStatus = "lost"
 	// ReplyAbsent says that the turn is certainly not kept here.
 	ReplyAbsent ReplyStatus = "absent"
+	// ReplyUnowned says that a turn of this id is kept here of which nobody knows
+	// whose it is: it was kept before ids had a scope. It is handed to nobody.
+	ReplyUnowned ReplyStatus = "unowned"
 	// ReplyStalled says that the log does not take records at present, and
 	// that nothing was done.
 	ReplyStalled ReplyStatus = "stalled"
@@ -68,6 +80,9 @@
 type Reply struct {
 	ID     uint64      `json:"-"`
 	Status ReplyStatus `json:"status"`
+	// Scoped says that the owner looked for a turn that was kept before ids had a
+	// scope, too: only then is one absent that has an Unscoped id.
+	Scoped bool `json:"scoped,omitempty"`
 	// Epoch is the owner's, for an AwaitRequest.
 	Epoch ownership.Epoch `json:"epoch,omitempty"`
 	// Owner is who serves the partition as far as a node knows that does not, or
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -48,7 +48,7 @@
 	case body.Keep != nil:
 		c.keep(now, one, request.ID, body.Keep)
 	case body.Find != nil:
-		c.find(one, request.ID, body.Find.Turn)
+		c.find(one, request.ID, body.Find)
 	default:
 		c.reply(Reply{ID: request.ID, Status: ReplyNotOwner})
 	}
@@ -102,12 +102,16 @@
 }
 
 // find answers with a chain, or proves first that it is not here.
-func (c *Core) find(one *partition, id uint64, turn string) {
-	chain, found := one.ledger.Chain(turn)
+func (c *Core) find(one *partition, id uint64, asked *FindRequest) {
+	chain, found := one.ledger.Chain(asked.Turn)
 	if found {
 		c.reply(Reply{ID: id, Status: ReplyDone, Epoch: one.epoch, Chain: chain})
 		return
 	}
-	absent := Reply{ID: id, Status: ReplyAbsent, Epoch: one.epoch}
+	if asked.Unscoped != "" && one.ledger.Holds(asked.Unscoped) {
+		c.reply(Reply{ID: id, Status: ReplyUnowned, Epoch: one.epoch})
+		return
+	}
+	absent := Reply{ID: id, Status: ReplyAbsent, Epoch: one.epoch, Scoped: true}
 	one.verifiers = append(one.verifiers, verifier{id: id, after: one.begun, reply: absent})
 }
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -12,6 +12,7 @@
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/recordstore"
 	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/tenant"
 )
 
 // A node honours keys only while it can prove that what it knows of them was the
@@ -92,7 +93,11 @@
 // authenticate finds the tenant whose key the request shows. If it returns false, the
 // request was answered.
 func (n *Node) authenticate(r *requestState, table *routing.Table) bool {
-	if table.Tenants == nil || r.route.Public {
+	if table.Tenants == nil {
+		return true
+	}
+	r.scope = tenant.PublicScope()
+	if r.route.Public {
 		return true
 	}
 	age, _ := n.proof.age(time.Now())
@@ -109,7 +114,7 @@
 		return false
 	}
 	if known, found := table.Tenants.Lookup(keys[0]); found {
-		r.tenant = known
+		r.tenant, r.scope = known, tenant.ScopeOf(known)
 		n.metrics.keyHonoured(age)
 		return true
 	}
@@ -122,10 +127,11 @@
 	current := n.readConfigurationNow()
 	table := n.routes.Current()
 	if table.Tenants == nil {
+		r.scope = tenant.Scope{}
 		return true
 	}
 	if known, found := table.Tenants.Lookup(key); found {
-		r.tenant, r.version = known, table.Version
+		r.tenant, r.version, r.scope = known, table.Version, tenant.ScopeOf(known)
 		return true
 	}
 	age, _ := n.proof.age(time.Now())
--- a/edge/request.go
+++ b/edge/request.go
@@ -25,6 +25,8 @@
 	prompt   []replica.Part
 	// tenant is whose key the client showed; nil where none is needed.
 	tenant *tenant.Tenant
+	// scope is whose the ids of the request are.
+	scope tenant.Scope
 	// proofAge is how long ago what this node knows of keys was proven to be the
 	// newest, when the key was looked up.
 	proofAge time.Duration
@@ -46,7 +48,9 @@
 	reason     string
 	firstAfter time.Duration
 
-	// The fields below belong to turns of programs.
+	// The fields below belong to turns of programs. The ids are as the client names
+	// them: replicas and logs get them so. Owners and caches get those of turnID,
+	// programID and previousID.
 	program   string
 	session   string
 	previous  string
@@ -62,6 +66,19 @@
 	tokens        int
 }
 
+// turnID is what all nodes know the turn by.
+func (r *requestState) turnID() string { return r.scope.Of(r.id) }
+
+// programID is what all nodes know the turn's program by.
+func (r *requestState) programID() string { return r.scope.Of(r.program) }
+
+// previousID is what all nodes know the kept turn by that this one goes on from, or "".
+func (r *requestState) previousID() string { return r.scope.Of(r.previous) }
+
+// formerID is what the previous turn is known by if it was kept before ids had a
+// scope, or "".
+func (r *requestState) formerID() string { return r.scope.Unscoped(r.previous) }
+
 func (r *requestState) kind() routing.Kind {
 	if r.route == nil {
 		return "none"
--- a/edge/run.go
+++ b/edge/run.go
@@ -273,7 +273,7 @@
 		switch {
 		case err == nil && reply.Status == coordinator.ReplyDone:
 			t.kept = true
-			n.chains.put(time.Now(), r.id, t.chain())
+			n.chains.put(time.Now(), r.turnID(), t.chain())
 			return nil
 		case err == nil && reply.Status == coordinator.ReplyAbsent:
 			ask.Turn.Base, ask.HasBase = t.grant.chain, true
@@ -288,7 +288,7 @@
 func (t *turnRun) keptTurn() ledger.KeptTurn {
 	r := t.request
 	kept := ledger.KeptTurn{
-		ID: r.id, Program: r.program, Previous: r.previous, Input: r.exchange.Body, Output: t.output, Retain: r.route.RetainFor,
+		ID: r.turnID(), Program: r.programID(), Previous: r.previousID(), Input: r.exchange.Body, Output: t.output, Retain: r.route.RetainFor,
 	}
 	if t.node.settings.uses(RememberReplicas) {
 		kept.Replica = string(r.choice.Entry.ID)
--- /dev/null
+++ b/edge/tenancy_test.go
@@ -0,0 +1,113 @@
+package edge
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/ingress"
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/tenant"
+)
+
+// tenantsOfTests are two tenants whose clients choose the same ids.
+var tenantsOfTests = []*tenant.Tenant{{Name: "acme"}, {Name: "small"}}
+
+// TestAuthenticateScopesIds puts the ids of each tenant into a scope of their own, and
+// those of requests without a key into another, and leaves them as they are where the
+// configuration has no tenants.
+func TestAuthenticateScopesIds(t *testing.T) {
+	g := NewWithT(t)
+	without := keyNode(g, Settings{}, false)
+	defer without.Kill()
+	plain := &requestState{id: "x", program: "p", previous: "y", route: &routing.Route{}}
+	g.Expect(without.authenticate(plain, without.routes.Current())).To(BeTrue())
+	g.Expect([]string{plain.turnID(), plain.programID(), plain.previousID(), plain.formerID()}).To(Equal([]string{"x", "p", "y", ""}))
+
+	with := keyNode(g, Settings{}, true)
+	defer with.Kill()
+	public := &requestState{id: "x", program: "p", previous: "y", route: &routing.Route{Public: true}}
+	g.Expect(with.authenticate(public, with.routes.Current())).To(BeTrue())
+	g.Expect(public.turnID()).NotTo(Equal("x"))
+	g.Expect(public.previousID()).NotTo(Equal("y"))
+	g.Expect(public.formerID()).To(Equal("y"))
+	first := &requestState{id: "x", previous: "y", scope: tenant.ScopeOf(tenantsOfTests[0])}
+	second := &requestState{id: "x", previous: "y", scope: tenant.ScopeOf(tenantsOfTests[1])}
+	g.Expect(first.turnID()).NotTo(Equal(second.turnID()))
+	g.Expect(first.previousID()).NotTo(Equal(second.previousID()))
+	g.Expect((&requestState{scope: tenant.ScopeOf(tenantsOfTests[0])}).previousID()).To(BeEmpty())
+}
+
+// tenantWorld is what a node and the owner of a partition hold between requests.
+type tenantWorld struct {
+	node  *Node
+	books *ledger.Ledger
+	now   time.Time
+}
+
+func newTenantWorld() *tenantWorld {
+	return &tenantWorld{
+		node: &Node{chains: newChains(true)}, books: ledger.New(ledger.DefaultConfig()), now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
+	}
+}
+
+// answer is what a tenant may learn from one request.
+type answer struct {
+	admission ledger.Admission
+	chain     string
+	cached    string
+	held      bool
+}
+
+// act serves one request of a tenant, or tells how it ended, as the draw says.
+func (w *tenantWorld) act(owner *tenant.Tenant, draw, ids byte) answer {
+	r := &requestState{
+		exchange: &ingress.Exchange{Body: []byte(owner.Name + strconv.Itoa(int(ids)) + ";")}, id: strconv.Itoa(int(ids % 4)),
+		program: strconv.Itoa(int(ids / 4 % 2)), previous: strconv.Itoa(int(ids / 8 % 4)), scope: tenant.ScopeOf(owner),
+		session: "s", most: 100, budget: 350, tokens: 10 * int(ids/32), deadline: w.now.Add(time.Second),
+		route: &routing.Route{Retain: true, RetainFor: time.Minute},
+	}
+	run := &turnRun{node: w.node, request: r, output: []byte("out;")}
+	switch draw % 4 {
+	case 0:
+		turn := w.node.turnOf(r)
+		turn.Within = time.Second
+		admission := w.books.Admit(w.now, turn)
+		admission.Position = 0
+		return answer{admission: admission}
+	case 1:
+		w.books.Settle(w.now, *w.node.settlementOf(r))
+		return answer{}
+	case 2:
+		w.books.Keep(w.now, run.keptTurn())
+		w.node.chains.put(w.now, r.turnID(), run.chain())
+		return answer{}
+	default:
+		cached, _ := w.node.chains.get(w.now, r.previousID())
+		chain, held := w.books.Chain(r.previousID())
+		return answer{chain: string(chain), held: held, cached: string(cached)}
+	}
+}
+
+// FuzzTenants holds that a tenant's answers are the same whatever another tenant does
+// with the same ids: it serves requests of two tenants, and the same requests of each
+// tenant alone.
+func FuzzTenants(f *testing.F) {
+	f.Add([]byte{0, 2, 8, 1, 3, 8, 0, 3, 8})
+	f.Add([]byte{0, 0, 0, 1, 0, 0, 1, 1, 224, 0, 0, 1, 1, 0, 1})
+	f.Add([]byte{0, 2, 0, 1, 2, 1, 0, 3, 8, 1, 3, 0, 1, 0, 64, 0, 1, 64})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		together := newTenantWorld()
+		alone := []*tenantWorld{newTenantWorld(), newTenantWorld()}
+		for ; len(steps) >= 3; steps = steps[3:] {
+			who := int(steps[0] % 2)
+			want := alone[who].act(tenantsOfTests[who], steps[1], steps[2])
+			if got := together.act(tenantsOfTests[who], steps[1], steps[2]); got != want {
+				t.Fatalf("%s got %+v beside the other tenant, and %+v alone", tenantsOfTests[who].Name, got, want)
+			}
+		}
+	})
+}
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -77,14 +77,14 @@
 	}
 	previous := ""
 	if r.route.Retain {
-		previous = r.previous
+		previous = r.previousID()
 	}
 	ask := &coordinator.AdmitRequest{Turn: n.turnOf(r), Previous: previous}
 	var found grant
 	found.chain, ask.HasChain = n.chains.get(time.Now(), previous)
 	reply, err := n.askOwner(ctx, r, r.partition, coordinator.Request{Admit: ask}, ownerPatience)
 	if err == nil && reply.Status == coordinator.ReplyAbsent {
-		chain, status := n.findChain(ctx, r, previous)
+		chain, status := n.findChain(ctx, r)
 		if status != coordinator.ReplyDone {
 			n.answerNoChain(r, status)
 			return grant{}, false
@@ -106,8 +106,8 @@
 // turnOf describes the turn to the ledger.
 func (n *Node) turnOf(r *requestState) ledger.Turn {
 	return ledger.Turn{
-		ID: r.id, Program: r.program, Session: r.session, Most: r.most, Budget: r.budget,
-		Within: max(0, r.left()), Retain: r.route.RetainFor,
+		ID: r.turnID(), Program: r.programID(), Unscoped: r.scope.Unscoped(r.program), Session: r.session,
+		Most: r.most, Budget: r.budget, Within: max(0, r.left()), Retain: r.route.RetainFor,
 	}
 }
 
@@ -208,15 +208,16 @@
 	return ownerTimeout
 }
 
-// findChain looks for a kept turn in all partitions. It is certainly absent
-// only if every owner has said so.
-func (n *Node) findChain(ctx context.Context, r *requestState, turn string) ([]byte, coordinator.ReplyStatus) {
+// findChain looks for the previous turn in all partitions. It is certainly absent
+// only if every owner has said so, and knows whose turns it keeps.
+func (n *Node) findChain(ctx context.Context, r *requestState) ([]byte, coordinator.ReplyStatus) {
+	find := &coordinator.FindRequest{Turn: r.previousID(), Unscoped: r.formerID()}
 	answers := make(chan coordinator.Reply, n.settings.Partitions)
 	for partition := range n.settings.Partitions {
 		go func() {
 			// Each search has a state of its own to note the owner in.
 			search := &requestState{exchange: r.exchange}
-			reply, err := n.askOwner(ctx, search, partition, coordinator.Request{Find: &coordinator.FindRequest{Turn: turn}}, ownerPatience)
+			reply, err := n.askOwner(ctx, search, partition, coordinator.Request{Find: find}, ownerPatience)
 			if err != nil {
 				reply.Status = coordinator.ReplyLost
 			}
@@ -229,7 +230,7 @@
 		if reply.Status == coordinator.ReplyDone {
 			return reply.Chain, coordinator.ReplyDone
 		}
-		if reply.Status != coordinator.ReplyAbsent {
+		if !find.ProvesAbsent(&reply) {
 			status = coordinator.ReplyLost
 		}
 	}
@@ -294,7 +295,7 @@
 }
 
 func (n *Node) settlementOf(r *requestState) *ledger.Settlement {
-	settlement := &ledger.Settlement{Turn: r.id, Program: r.program, Session: r.session, Tokens: r.tokens}
+	settlement := &ledger.Settlement{Turn: r.turnID(), Program: r.programID(), Session: r.session, Tokens: r.tokens}
 	if r.status == fasthttp.StatusOK {
 		settlement.Replica = string(r.choice.Entry.ID)
 		if n.settings.uses(CountKept) {
--- a/internal/guarantees/guarantees_test.go
+++ b/internal/guarantees/guarantees_test.go
@@ -64,11 +64,13 @@
 	return names
 }
 
-// testName returns the name of the test that a piece of code declares.
+// testName returns the name of the test, or of the fuzz target with its seeds, that a
+// piece of code declares.
 func testName(node ast.Node) (string, bool) {
 	switch node := node.(type) {
 	case *ast.FuncDecl:
-		return node.Name.Name, node.Recv == nil && strings.HasPrefix(node.Name.Name, "Test")
+		named := strings.HasPrefix(node.Name.Name, "Test") || strings.HasPrefix(node.Name.Name, "Fuzz")
+		return node.Name.Name, node.Recv == nil && named
 	case *ast.CallExpr:
 		function := node.Fun
 		if selector, ok := function.(*ast.SelectorExpr); ok {
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -20,6 +20,9 @@
 type Turn struct {
 	ID      string `json:"id"`
 	Program string `json:"program"`
+	// Unscoped is what the program's account stands under if it was opened before
+	// ids had a scope, or "".
+	Unscoped string `json:"unscoped,omitempty"`
 	// Session is the line of turns that the turn belongs to.
 	Session string `json:"session,omitempty"`
 	// Most is the most tokens that the turn generates; Budget what all turns
@@ -139,7 +142,7 @@
 		admission.Verdict = VerdictExhausted
 		return admission
 	}
-	if turn.Budget > 0 && held.settled+open+turn.Most > limit {
+	if turn.Budget > 0 && held.settled+open+l.unscoped(now, turn)+turn.Most > limit {
 		admission.Verdict = VerdictBusy
 		return admission
 	}
@@ -151,6 +154,18 @@
 	return admission
 }
 
+// unscoped is what the account of a former format holds that may be the program's, or
+// that of another tenant's program of the same name: no turn is granted from it, and
+// none is told for good that its budget is spent because of it.
+func (l *Ledger) unscoped(now time.Time, turn Turn) int {
+	former := l.accounts[turn.Unscoped]
+	if turn.Unscoped == "" || former == nil {
+		return 0
+	}
+	former.expire(now)
+	return former.settled + former.openTokens()
+}
+
 // waitsFor returns what must be durable before a token of the turn may reach
 // the client, or 0.
 func (l *Ledger) waitsFor(now time.Time, turn Turn, held *account, need int) uint64 {
