evacuation, zone: which zones get no requests, and where a request may be served

Zones that the operator evacuates, and the regions that a route or a tenant names, were not read at all. This adds their pure parts: the state of evacuated zones, ordered by the version of the operator's stream, the time at which a line of turns leaves, and a zone's region with the homes of a request.

--- /dev/null
+++ b/evacuation/state_test.go
@@ -0,0 +1,118 @@
+package evacuation_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/evacuation"
+	"birchwood.example/birchwood/zone"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// following returns a state whose reads have gone on as usual up to start.
+func following() *evacuation.State {
+	state := &evacuation.State{}
+	state.Reset(start.Add(-time.Second), 4, nil)
+	state.Current(start)
+	return state
+}
+
+// TestZonesInTheOrderOfTheStream follows two zones at once, one of which is taken back
+// while the other begins.
+func TestZonesInTheOrderOfTheStream(t *testing.T) {
+	g := NewWithT(t)
+	state := following()
+	g.Expect(state.Note(start, 5, "a", true)).To(Equal([]evacuation.Change{{Zone: "a", Evacuated: true, Since: start}}))
+	g.Expect(state.Note(start, 5, "a", true)).To(BeEmpty(), "the same record again")
+	later := start.Add(time.Second)
+	g.Expect(state.Note(later, 6, "a", true)).To(BeEmpty(), "asked for twice")
+	g.Expect(state.Note(later, 7, "b", true)).To(HaveLen(1))
+	g.Expect(state.Note(later, 8, "a", false)).To(Equal([]evacuation.Change{{Zone: "a", Since: start}}))
+	g.Expect(state.Note(later, 9, "c", false)).To(BeEmpty(), "never evacuated")
+	g.Expect(state.Note(later, 3, "b", false)).To(BeEmpty(), "an older record")
+	g.Expect(state.Zones()).To(Equal(map[zone.Name]time.Time{"b": later}))
+	g.Expect(state.Version()).To(Equal(uint64(9)))
+}
+
+// TestWholeReads take back what the stream no longer holds, and never go back to an
+// older version.
+func TestWholeReads(t *testing.T) {
+	g := NewWithT(t)
+	state := following()
+	state.Note(start, 5, "a", true)
+	g.Expect(state.Reset(start, 4, nil)).To(BeEmpty(), "a read that was overtaken")
+	g.Expect(state.Reset(start, 5, []zone.Name{"a"})).To(BeEmpty())
+	changes := state.Reset(start.Add(time.Second), 6, []zone.Name{"c", "b"})
+	g.Expect(changes).To(HaveLen(3))
+	g.Expect(changes[0]).To(Equal(evacuation.Change{Zone: "a", Since: start}))
+	g.Expect(state.Reset(start.Add(time.Minute), 6, []zone.Name{"b", "c"})).To(BeEmpty())
+	g.Expect(state.Zones()).To(HaveLen(2))
+}
+
+// TestLearnedLate counts the time to leave from when the zone was last known not to be
+// evacuated.
+func TestLearnedLate(t *testing.T) {
+	g := NewWithT(t)
+	fresh := &evacuation.State{}
+	fresh.Reset(start, 5, []zone.Name{"a"})
+	g.Expect(fresh.Zones()["a"]).To(BeTemporally("<", start.Add(-time.Hour)), "a first read")
+	late := following()
+	late.Note(start.Add(10*time.Second), 5, "a", true)
+	g.Expect(late.Zones()["a"]).To(Equal(start), "after a silence")
+	usual := following()
+	usual.Note(start.Add(2*time.Second), 5, "a", true)
+	g.Expect(usual.Zones()["a"]).To(Equal(start.Add(2 * time.Second)))
+}
+
+// TestPeers take over a newer state whole, with its ages, and no older one.
+func TestPeers(t *testing.T) {
+	g := NewWithT(t)
+	teller := following()
+	teller.Note(start, 6, "b", true)
+	told := teller.Snapshot(start.Add(3 * time.Second))
+	asked := start.Add(2900 * time.Millisecond)
+
+	state := following()
+	state.Note(start, 5, "a", true)
+	changes := state.Adopt(asked, told)
+	g.Expect(changes).To(HaveLen(2))
+	g.Expect(state.Zones()).To(Equal(map[zone.Name]time.Time{"b": start.Add(-100 * time.Millisecond)}))
+	g.Expect(state.Adopt(asked, told)).To(BeEmpty(), "the same state again")
+	state.Note(asked, 7, "b", false)
+	g.Expect(state.Adopt(asked, told)).To(BeEmpty(), "an older state")
+	g.Expect(state.Zones()).To(BeEmpty())
+	never := &evacuation.State{}
+	g.Expect(state.Adopt(asked, never.Snapshot(asked))).To(BeEmpty(), "a peer that knows nothing")
+}
+
+// TestForgetsNothingWithTheVersion goes on where the stream went on without a zone.
+func TestForgetsNothingWithTheVersion(t *testing.T) {
+	g := NewWithT(t)
+	state := following()
+	state.Note(start, 5, "a", true)
+	state.Advance(9)
+	state.Advance(7)
+	g.Expect(state.Version()).To(Equal(uint64(9)))
+	g.Expect(state.Zones()).To(HaveKey(zone.Name("a")))
+}
+
+// TestDepartures are spread over a part of the time that the operator gives.
+func TestDepartures(t *testing.T) {
+	g := NewWithT(t)
+	const lines, within = 3000, 5 * time.Second
+	thirds := [3]int{}
+	for line := range lines {
+		until := evacuation.Departure(start, within, fmt.Sprint("program-", line)).Sub(start)
+		g.Expect(until).To(And(BeNumerically(">=", 0), BeNumerically("<", 3*time.Second)))
+		thirds[until/time.Second]++
+	}
+	for _, count := range thirds {
+		g.Expect(count).To(BeNumerically("~", lines/3, lines/15))
+	}
+	g.Expect(evacuation.Departure(start, within, "x")).To(Equal(evacuation.Departure(start, within, "x")))
+	g.Expect(evacuation.Departure(start, 0, "x")).To(Equal(start), "no time is given")
+}
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -19,9 +19,9 @@
 // layers orders the packages: each may import only packages of earlier lines.
 // A folder stands for every package below it that has no entry of its own.
 var layers = [][]string{
-	{"internal/wait", "findings", "connection", "header", "recordstore", "eventstream"},
-	{"tenant"},
-	{"zone", "httpclient", "retry", "routing", "replica", "ledger", "ownership", "upstream"},
+	{"internal/wait", "findings", "connection", "header", "recordstore", "eventstream", "zone"},
+	{"tenant", "evacuation"},
+	{"httpclient", "retry", "routing", "replica", "ledger", "ownership", "upstream"},
 	{"machine", "api"},
 	{"contract", "recordlog", "infra", "tool", "history", "stream"},
 	{"partition", "program", "workload"},
@@ -45,7 +45,7 @@
 	"zone", "machine", "api", "contract", "recordlog", "partition", "program", "schedule", "retry", "findings",
 	"control", "workload", "emulator/enginemodel", "emulator/platformmodel",
 	"routing", "replica", "ledger", "ownership", "coordinator", "eventstream", "header", "recordstore",
-	"tenant",
+	"tenant", "evacuation",
 }
 
 // embeddable are the packages that others use without the daemon.
--- /dev/null
+++ b/zone/homes_test.go
@@ -0,0 +1,42 @@
+package zone_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/zone"
+)
+
+var topology = zone.Topology{"east-a": "east", "east-b": "east", "west-a": "west", "north-a": "north"}
+
+// TestHomes binds a request by all regions that are set, and by none that is left out.
+func TestHomes(t *testing.T) {
+	g := NewWithT(t)
+	var free zone.Homes
+	g.Expect(free.Permit("anywhere")).To(BeTrue())
+	g.Expect(free.Empty()).To(BeFalse())
+	g.Expect(free.Bind(topology, nil)).To(Equal(free))
+	g.Expect(free.Bind(topology, []zone.Region{})).To(Equal(free))
+
+	east := free.Bind(topology, []zone.Region{"east", "west"})
+	g.Expect(east.Placement()).To(Equal(zone.NewPlacement("east-a", "east-b", "west-a")))
+	g.Expect(east.Permit("north-a")).To(BeFalse())
+	g.Expect(east.Permit("")).To(BeFalse(), "a place that is not known")
+
+	both := east.Bind(topology, []zone.Region{"west", "north"})
+	g.Expect(both.Placement()).To(Equal(zone.NewPlacement("west-a")))
+	g.Expect(both.Empty()).To(BeFalse())
+	g.Expect(both.Bind(topology, []zone.Region{"east"}).Empty()).To(BeTrue(), "nothing in common")
+	g.Expect(free.Bind(topology, []zone.Region{"south"}).Empty()).To(BeTrue(), "no such region")
+	g.Expect(free.Bind(nil, []zone.Region{"east"}).Empty()).To(BeTrue(), "no regions known")
+}
+
+// TestTogether takes zones whose region is not known for near.
+func TestTogether(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(topology.Together("east-a", "east-b")).To(BeTrue())
+	g.Expect(topology.Together("east-a", "west-a")).To(BeFalse())
+	g.Expect(topology.Together("east-a", "new")).To(BeTrue())
+	g.Expect(zone.Topology(nil).Together("a", "b")).To(BeTrue())
+}
