edge, replica, platform: no requests to evacuated zones, homes of routes and tenants, other regions cost their way

Cause: nothing decoded the operator's records of evacuated zones nor allowedRegions, and the choice of a replica weighed every other zone alike.

The configuration's follower passes evacuations on, nodes tell each other the version in their statuses and the state where they ask for it; the choice of a replica, retries, resumed runs and admission follow. Requests that no region or no other zone can serve are refused at once. A turn that would have to be kept outside of its homes is refused before it runs, and histories are not remembered there. Another region costs the ways there and its price.

--- a/command/explain.go
+++ b/command/explain.go
@@ -44,12 +44,14 @@
 	Replica   string    `json:"replica"`
 	// Counted is the node that counted the request to its tenant's limit.
 	Counted string `json:"counted"`
-	raw     []byte
+	// Evacuated is the zone whose evacuation the line tells of.
+	Evacuated string `json:"evacuated"`
+	raw       []byte
 }
 
 // explain prints the lines about a request, and before them those about what
 // it rested on: its partition's owner, its replica, the configuration, the node
-// that handled it, and the node that counted it to its tenant's limit.
+// that handled it with what it knew of evacuated zones, and the node that counted it to its tenant's limit.
 func explain(input io.Reader, output io.Writer, request string, span time.Duration) error {
 	lines, err := readLog(input)
 	if err != nil {
@@ -66,7 +68,7 @@
 	}
 	last := own[len(own)-1]
 	for _, line := range lines {
-		recent := !line.Time.After(last.Time) && last.Time.Sub(line.Time) <= span
+		recent := !line.Time.After(last.Time) && (last.Time.Sub(line.Time) <= span || line.Evacuated != "")
 		if line.Request == request || (recent && line.Request == "" && concerns(line, own)) {
 			if _, err := fmt.Fprintf(output, "%s\n", line.raw); err != nil {
 				return err
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -86,6 +86,8 @@
 	// the longest time for which any of its routes keeps programs.
 	Version   uint64
 	RetainFor time.Duration
+	// Evacuations is the version of what this node knows of evacuated zones.
+	Evacuations uint64
 }
 
 // ChargeRequested asks for a request of this node's traffic to be counted to its
@@ -149,6 +151,8 @@
 	Loads map[string]int `json:"loads,omitempty"`
 	// Version is the newest configuration that the node holds.
 	Version uint64 `json:"version"`
+	// Evacuations is the version of what the node knows of evacuated zones.
+	Evacuations uint64 `json:"evacuations,omitempty"`
 	// Known are some of the nodes that the sender knows.
 	Known []machine.Machine `json:"known,omitempty"`
 	// Unable are nodes that told the sender, which reaches the store, that they
@@ -182,9 +186,11 @@
 type PeerLoad struct {
 	Node   string
 	Counts map[string]int
-	// Version is the newest configuration that the peer holds.
-	Version uint64
-	From    machine.Machine
+	// Version is the newest configuration that the peer holds, and Evacuations the
+	// version of what it knows of evacuated zones.
+	Version     uint64
+	Evacuations uint64
+	From        machine.Machine
 }
 
 // PeerVersion is the version of the configuration that a peer holds.
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -34,7 +34,8 @@
 		c.notePeer(now, sender.ID, *message.Status)
 		c.noteUnable(now, message.Status.Unable)
 		c.ready.Loads = append(c.ready.Loads, PeerLoad{
-			Node: string(sender.ID), Counts: message.Status.Loads, Version: message.Status.Version, From: sender,
+			Node: string(sender.ID), Counts: message.Status.Loads, Version: message.Status.Version,
+			Evacuations: message.Status.Evacuations, From: sender,
 		})
 		c.takeOwners(now, sender.ID, message.Status)
 	} else {
@@ -141,7 +142,8 @@
 // nodes that it knows.
 func (c *Core) status(now time.Time) *Status {
 	status := &Status{
-		ReachesStore: c.reaches, Owned: c.owned(), Owners: c.someOwners(), Loads: c.loads.Counts, Version: c.loads.Version, Unable: c.unable(now),
+		ReachesStore: c.reaches, Owned: c.owned(), Owners: c.someOwners(), Loads: c.loads.Counts, Version: c.loads.Version,
+		Evacuations: c.loads.Evacuations, Unable: c.unable(now),
 	}
 	if now.Before(c.nextKnown) {
 		return status
--- a/edge/adapter.go
+++ b/edge/adapter.go
@@ -5,6 +5,7 @@
 	"birchwood.example/birchwood/recordstore"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/zone"
 )
 
 // Adapter is what a node needs of its platform. A package of its own
@@ -22,6 +23,9 @@
 	// Configuration reads a record of the configuration's stream. It returns
 	// nil for a record that is no configuration.
 	Configuration(key string, value []byte) (*routing.Table, error)
+	// Evacuation reads a record of the configuration's stream that tells whether a zone
+	// is evacuated. It returns false for a record that is something else.
+	Evacuation(key string, value []byte) (name zone.Name, evacuated, ok bool)
 	// Replica reads a record of the replicas' stream.
 	Replica(key string, value []byte) (replica.Entry, error)
 }
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -46,20 +46,31 @@
 
 // chooseReplica picks the next replica for the request and counts it there.
 func (n *Node) chooseReplica(r *requestState, table *routing.Table) (replica.Entry, error) {
-	choice, err := n.replicas.choose(&replica.Request{
-		Service: r.service, Program: r.program, Prompt: r.prompt, Preferred: r.preferred, PreferredKept: r.preferredKept, Only: r.only, Excluded: r.excluded,
-		PerNode: n.perNode(table, r.service), Draw: n.draw(),
-		Connected: func(entry replica.Entry) bool { return n.pool.Free(targetOf(entry)) },
-	})
+	asked := n.choiceOf(r)
+	asked.PerNode, asked.Draw = n.perNode(table, r.service), n.draw()
+	asked.Connected = func(entry replica.Entry) bool { return n.pool.Free(targetOf(entry)) }
+	choice, err := n.replicas.choose(asked)
 	if err != nil {
+		n.metrics.placeRefused(err)
 		return replica.Entry{}, err
 	}
 	r.choice = choice
+	if choice.Left {
+		n.metrics.lineMoved()
+	}
 	r.attempts++
 	r.sentAt = time.Now()
 	return choice.Entry, nil
 }
 
+// choiceOf describes the request to the choice of a replica.
+func (n *Node) choiceOf(r *requestState) *replica.Request {
+	return &replica.Request{
+		Service: r.service, Program: r.program, Prompt: r.prompt, Preferred: r.preferred, PreferredKept: r.preferredKept,
+		Only: r.only, Homes: r.homes, Excluded: r.excluded,
+	}
+}
+
 // reject notes that a replica did not run the request.
 func (n *Node) reject(r *requestState, entry replica.Entry, result replica.Result) {
 	n.replicas.ended(entry.ID, result)
@@ -104,6 +115,9 @@
 	if errors.Is(err, replica.ErrNoReplica) && len(r.excluded) == 0 {
 		wait = comeBackLater
 	}
+	if errors.Is(err, replica.ErrEvacuated) {
+		wait = comeBackAfterOutage
+	}
 	r.fail(fasthttp.StatusServiceUnavailable, reason, wait)
 }
 
--- a/edge/control.go
+++ b/edge/control.go
@@ -146,6 +146,7 @@
 // report tells the core what this node knows of itself.
 func (c *control) report(now time.Time) {
 	loads := coordinator.Loads{Counts: c.node.replicas.own()}
+	loads.Evacuations = c.node.evacuations.version()
 	if table := c.node.routes.Current(); table != nil {
 		loads.Version = table.Version
 		loads.RetainFor = table.LongestRetain()
@@ -233,10 +234,10 @@
 	}
 	for _, load := range ready.Loads {
 		c.node.replicas.setPeer(load.Node, load.Counts)
-		c.node.hearVersion(load.From, load.Version)
+		c.node.hearVersion(load.From, load.Version, load.Evacuations)
 	}
 	for _, newer := range ready.Newer {
-		c.node.hearVersion(newer.From, newer.Version)
+		c.node.hearVersion(newer.From, newer.Version, 0)
 	}
 	if !ready.Proven.IsZero() && c.node.settings.uses(ProvePeers) {
 		c.node.proof.note(ready.Proven)
--- /dev/null
+++ b/edge/evacuations.go
@@ -0,0 +1,92 @@
+package edge
+
+import (
+	"sync"
+	"time"
+
+	"birchwood.example/birchwood/evacuation"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/recordstore"
+	"birchwood.example/birchwood/zone"
+)
+
+// evacuations guards what this node knows of evacuated zones. The zero value knows
+// nothing.
+type evacuations struct {
+	mutex sync.Mutex
+	state evacuation.State
+}
+
+func (e *evacuations) version() uint64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.state.Version()
+}
+
+func (e *evacuations) current(at time.Time) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.state.Current(at)
+}
+
+func (e *evacuations) snapshot(now time.Time) evacuation.Snapshot {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.state.Snapshot(now)
+}
+
+// resetEvacuations takes over all records of the configuration's stream: a zone of
+// which there is none is not evacuated.
+func (n *Node) resetEvacuations(records []recordstore.Record, end uint64) {
+	var zones []zone.Name
+	for _, record := range records {
+		if name, evacuated, ok := n.adapter.Translator.Evacuation(record.Key, record.Value); ok && evacuated {
+			zones = append(zones, name)
+		}
+	}
+	n.changeEvacuations("store", func(state *evacuation.State, now time.Time) []evacuation.Change {
+		return state.Reset(now, end, zones)
+	})
+}
+
+// noteEvacuation takes over one record of the configuration's stream.
+func (n *Node) noteEvacuation(record recordstore.Record) {
+	name, evacuated, ok := n.adapter.Translator.Evacuation(record.Key, record.Value)
+	n.changeEvacuations("store", func(state *evacuation.State, now time.Time) []evacuation.Change {
+		if !ok {
+			state.Advance(record.Offset + 1)
+			return nil
+		}
+		return state.Note(now, record.Offset+1, name, evacuated)
+	})
+}
+
+// adoptEvacuations takes over what a peer knew when it was asked, if that is newer.
+func (n *Node) adoptEvacuations(from machine.Machine, asked time.Time, told evacuation.Snapshot) {
+	n.changeEvacuations("peer "+string(from.ID), func(state *evacuation.State, _ time.Time) []evacuation.Change {
+		return state.Adopt(asked, told)
+	})
+}
+
+// changeEvacuations changes what is known of evacuated zones, and has the choice of
+// replicas follow.
+func (n *Node) changeEvacuations(source string, change func(*evacuation.State, time.Time) []evacuation.Change) {
+	n.evacuations.mutex.Lock()
+	defer n.evacuations.mutex.Unlock()
+	now := time.Now()
+	changes := change(&n.evacuations.state, now)
+	if len(changes) == 0 {
+		return
+	}
+	zones := n.evacuations.state.Zones()
+	n.replicas.setEvacuated(zones)
+	n.metrics.evacuated(len(zones))
+	for _, one := range changes {
+		message := "zones: evacuation ended"
+		if one.Evacuated {
+			message = "zones: evacuation began"
+		}
+		n.logger.Info().Str("evacuated", string(one.Zone)).Uint64("version", n.evacuations.state.Version()).
+			Dur("age", now.Sub(one.Since)).Str("source", source).Msg(message)
+	}
+}
--- /dev/null
+++ b/edge/evacuations_test.go
@@ -0,0 +1,125 @@
+package edge
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/evacuation"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/recordstore"
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/tenant"
+	"birchwood.example/birchwood/zone"
+)
+
+// placeWords reads records whose key is a zone after a dash: a value evacuates it.
+type placeWords struct{ Translator }
+
+func (placeWords) Configuration(string, []byte) (*routing.Table, error) { return nil, nil }
+
+func (placeWords) Evacuation(key string, value []byte) (zone.Name, bool, bool) {
+	name, ok := strings.CutPrefix(key, "-")
+	return zone.Name(name), len(value) > 0, ok
+}
+
+// placeNode returns a node in zone "here" that knows a replica there and one in "far".
+func placeNode(g *WithT) *Node {
+	node, err := New(Settings{
+		Node: "n", Zone: "here", Partitions: 1, Regions: zone.Topology{"here": "home", "far": "away"},
+	}, Adapter{Translator: placeWords{}}, quietLogger)
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, place := range []string{"here", "far"} {
+		node.replicas.put(replica.Entry{ID: replica.ID(place), Service: "s", Zone: place, Status: replica.StatusReady, Slots: 4})
+	}
+	return node
+}
+
+func chosenAt(g *WithT, node *Node) replica.ID {
+	choice, err := node.replicas.choose(&replica.Request{Service: "s"})
+	g.Expect(err).NotTo(HaveOccurred())
+	node.replicas.ended(choice.Entry.ID, replica.ResultAnswered)
+	return choice.Entry.ID
+}
+
+func evacuate(key, value string, offset uint64) recordstore.Record {
+	return recordstore.Record{Key: key, Value: []byte(value), Offset: offset}
+}
+
+// TestEvacuationsFromTheStore has the choice follow records that come, are emptied, and
+// are gone from a whole read.
+func TestEvacuationsFromTheStore(t *testing.T) {
+	g := NewWithT(t)
+	node := placeNode(g)
+	defer node.Kill()
+	node.applyConfigurations(nil, 4)
+	node.configurationCurrent(time.Now())
+	g.Expect(chosenAt(g, node)).To(Equal(replica.ID("here")))
+	node.configurationChanged(evacuate("-here", "{}", 4))
+	g.Expect(chosenAt(g, node)).To(Equal(replica.ID("far")))
+	node.configurationChanged(evacuate("-here", "", 5))
+	g.Expect(chosenAt(g, node)).To(Equal(replica.ID("here")))
+	node.configurationChanged(evacuate("-here", "{}", 6))
+	node.applyConfigurations([]recordstore.Record{evacuate("-here", "{}", 6)}, 5)
+	g.Expect(chosenAt(g, node)).To(Equal(replica.ID("far")))
+	node.applyConfigurations(nil, 8)
+	g.Expect(chosenAt(g, node)).To(Equal(replica.ID("here")), "the record is gone")
+	node.configurationChanged(evacuate("else", "{}", 9))
+	g.Expect(node.evacuations.version()).To(Equal(uint64(10)))
+}
+
+// TestEvacuationsFromPeers has a node that is cut off take over a newer state alone, and
+// have the version go along in its statuses.
+func TestEvacuationsFromPeers(t *testing.T) {
+	g := NewWithT(t)
+	node := placeNode(g)
+	defer node.Kill()
+	peer := machine.Machine{ID: "peer"}
+	asked := time.Now()
+	node.adoptEvacuations(peer, asked, evacuation.Snapshot{Version: 7, Zones: map[zone.Name]int64{"here": 900}})
+	g.Expect(chosenAt(g, node)).To(Equal(replica.ID("far")))
+	node.adoptEvacuations(peer, asked, evacuation.Snapshot{Version: 6})
+	g.Expect(chosenAt(g, node)).To(Equal(replica.ID("far")), "an older state")
+	node.adoptEvacuations(peer, asked, evacuation.Snapshot{Version: 8})
+	g.Expect(chosenAt(g, node)).To(Equal(replica.ID("here")))
+	g.Expect(node.evacuations.snapshot(time.Now()).Version).To(Equal(uint64(8)))
+}
+
+// TestHomesOfARequest are those of its route and of its tenant together.
+func TestHomesOfARequest(t *testing.T) {
+	g := NewWithT(t)
+	node := placeNode(g)
+	defer node.Kill()
+	request := &requestState{
+		route: &routing.Route{Regions: []zone.Region{"home", "away"}, Retain: true}, tenant: &tenant.Tenant{Regions: []zone.Region{"away"}},
+	}
+	g.Expect(node.bindHomes(request)).To(BeTrue())
+	g.Expect(request.homes.Placement()).To(Equal(zone.NewPlacement("far")))
+	g.Expect(node.mayRemember(request)).To(BeFalse(), "a chain outside of the homes")
+	g.Expect(node.choiceOf(request).Homes).To(Equal(request.homes))
+}
+
+// TestOwnersOutside get no turn to keep, and none is begun for them to keep.
+func TestOwnersOutside(t *testing.T) {
+	g := NewWithT(t)
+	node := placeNode(g)
+	defer node.Kill()
+	keep, admit := &coordinator.Request{Keep: &coordinator.KeepRequest{}}, &coordinator.Request{Admit: &coordinator.AdmitRequest{}}
+	settle := &coordinator.Request{Settle: nil, Find: &coordinator.FindRequest{}}
+	request := &requestState{route: &routing.Route{Retain: true, Regions: []zone.Region{"home"}}}
+	g.Expect(node.bindHomes(request)).To(BeTrue())
+	near, far := machine.Machine{ID: "p", Zone: "here"}, machine.Machine{ID: "q", Zone: "far"}
+	for _, asked := range []*coordinator.Request{keep, admit} {
+		g.Expect(node.mayAsk(request, near, asked)).To(BeTrue())
+		g.Expect(node.mayAsk(request, far, asked)).To(BeFalse())
+		g.Expect(node.mayAsk(request, node.self, asked)).To(BeTrue())
+	}
+	g.Expect(node.mayAsk(request, far, settle)).To(BeTrue(), "no body goes along")
+	free := &requestState{route: &routing.Route{Retain: true}}
+	g.Expect(node.mayAsk(free, far, keep)).To(BeTrue())
+	g.Expect(node.mayAsk(&requestState{}, far, admit)).To(BeTrue(), "a question beside a request")
+}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -91,14 +91,27 @@
 	n.logger.Info().Uint64("version", table.Version).Str("source", source).Msg("config: in force")
 }
 
-// applyConfigurations takes over records of the configuration's stream, as the store
-// has them.
-func (n *Node) applyConfigurations(records []recordstore.Record) {
+// applyConfigurations takes over all records of the configuration's stream, as the
+// store has them at an offset.
+func (n *Node) applyConfigurations(records []recordstore.Record, end uint64) {
+	n.resetEvacuations(records, end)
 	for _, record := range records {
 		n.applyConfiguration(record.Key, record.Value, "store")
 	}
 }
 
+// configurationChanged takes over one record of the configuration's stream.
+func (n *Node) configurationChanged(record recordstore.Record) {
+	n.noteEvacuation(record)
+	n.applyConfiguration(record.Key, record.Value, "store")
+}
+
+// configurationCurrent follows each time that all of the configuration's stream was read.
+func (n *Node) configurationCurrent(asOf time.Time) {
+	n.evacuations.current(time.Now())
+	n.noteProof(asOf)
+}
+
 // applyReplica takes over a record of the replicas' stream.
 func (n *Node) applyReplica(key string, value []byte) {
 	if len(value) == 0 {
@@ -149,8 +162,8 @@
 	n.follow(ctx, recordstore.Stream{Name: recordstore.StreamConfiguration}, follower{
 		wait: n.configurationWait, pause: n.configurationPause, synced: &n.syncedConfiguration,
 		reset:   n.applyConfigurations,
-		change:  func(record recordstore.Record) { n.applyConfiguration(record.Key, record.Value, "store") },
-		current: n.noteProof,
+		change:  n.configurationChanged,
+		current: n.configurationCurrent,
 	})
 }
 
@@ -190,7 +203,7 @@
 	}
 }
 
-func (n *Node) resetReplicas(records []recordstore.Record) {
+func (n *Node) resetReplicas(records []recordstore.Record, _ uint64) {
 	listed := make(map[replica.ID]bool, len(records))
 	for _, record := range records {
 		if len(record.Value) > 0 {
@@ -220,7 +233,7 @@
 	// between two reads.
 	wait   func() time.Duration
 	pause  func() time.Duration
-	reset  func([]recordstore.Record)
+	reset  func(records []recordstore.Record, end uint64)
 	change func(recordstore.Record)
 	// current is called whenever all was taken in that the stream held at a time,
 	// and over ends the following; nil where that does not matter.
@@ -250,7 +263,7 @@
 			continue
 		}
 		backoff.Reset()
-		to.reset(records)
+		to.reset(records, next)
 		to.caughtUp(asked)
 		to.synced.Store(true)
 		n.followTail(ctx, stream, next, to)
@@ -384,6 +397,7 @@
 		n.logger.Info().Str("peer", string(from.ID)).Err(err).Msg("peers: state not learned")
 		return
 	}
+	n.adoptEvacuations(from, asked, state.Evacuations)
 	n.takeConfiguration(from, asked, &state)
 	if n.reachesStore() || len(state.Replicas) == 0 {
 		return
@@ -413,11 +427,13 @@
 	}
 }
 
-// hearVersion fetches a configuration that a peer holds and this node does not.
-func (n *Node) hearVersion(from machine.Machine, version uint64) {
+// hearVersion fetches a configuration, or word of evacuated zones, that a peer holds and
+// this node does not.
+func (n *Node) hearVersion(from machine.Machine, version, evacuations uint64) {
 	n.config.mutex.Lock()
 	defer n.config.mutex.Unlock()
-	if version <= n.config.version || n.config.fetching {
+	news := version > n.config.version || evacuations > n.evacuations.version()
+	if !news || n.config.fetching {
 		return
 	}
 	n.config.fetching = true
--- a/edge/handle.go
+++ b/edge/handle.go
@@ -52,6 +52,9 @@
 	if !n.authenticate(request, table) {
 		return
 	}
+	if !n.bindHomes(request) {
+		return
+	}
 	defer n.settleCharge(request)
 	exchange.SetWriteDeadline(request.deadline.Add(writeSlack))
 	service, ok := request.route.Choose(n.draw())
--- /dev/null
+++ b/edge/homes.go
@@ -0,0 +1,49 @@
+package edge
+
+import (
+	"errors"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/zone"
+)
+
+// bindHomes finds where the request may be served: where its route and its tenant both
+// permit it. If it returns false, no place there is may serve it, and it was answered.
+func (n *Node) bindHomes(r *requestState) bool {
+	r.homes = r.homes.Bind(n.settings.Regions, r.route.Regions)
+	if r.tenant != nil {
+		r.homes = r.homes.Bind(n.settings.Regions, r.tenant.Regions)
+	}
+	if !r.homes.Empty() {
+		return true
+	}
+	n.metrics.placeRefusedFor(placeNoRegion)
+	r.fail(fasthttp.StatusServiceUnavailable, "none of the regions in which the request may be served is one of this system's", 0)
+	return false
+}
+
+// mayHold reports whether a node may be sent what the request and its answer say. The
+// node that the client reached has them anyway.
+func (n *Node) mayHold(r *requestState, node machine.Machine) bool {
+	return node.ID == n.self.ID || r.homes.Permit(node.Zone)
+}
+
+// mayRemember reports whether this node may keep what the request and its answer say
+// beyond the answer.
+func (n *Node) mayRemember(r *requestState) bool {
+	return r.homes.Permit(zone.Name(n.settings.Zone))
+}
+
+// errOwnerOutside says that the turn's words may not go to the node that would keep
+// them.
+var errOwnerOutside = errors.New("the program's partition is owned outside of the regions in which its turns may be kept")
+
+// mayAsk reports whether an owner may be asked: one outside of the request's homes gets
+// no turn to keep, and none is begun that it would have to keep.
+func (n *Node) mayAsk(r *requestState, owner machine.Machine, request *coordinator.Request) bool {
+	keeps := request.Keep != nil || request.Admit != nil && r.route != nil && r.route.Retain
+	return !keeps || n.mayHold(r, owner)
+}
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -149,12 +149,12 @@
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, lookTimeout)
 	defer cancel()
-	records, _, err := n.readNewest(ctx, recordstore.Stream{Name: recordstore.StreamConfiguration})
+	records, end, err := n.readNewest(ctx, recordstore.Stream{Name: recordstore.StreamConfiguration})
 	if err != nil {
 		n.logger.Warn().Err(err).Msg("config: not read again for a key that is not known")
 		return false
 	}
-	n.applyConfigurations(records)
+	n.applyConfigurations(records, end)
 	n.noteProof(asked)
 	return true
 }
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -54,6 +54,8 @@
 	MarkAhead Mechanism = "mark-ahead"
 	// PreferConnections prefers replicas to which a connection is free.
 	PreferConnections Mechanism = "prefer-connections"
+	// PreferRegion prefers replicas of the node's own region.
+	PreferRegion Mechanism = "prefer-region"
 	// PreferZone prefers replicas of the node's own zone.
 	PreferZone Mechanism = "prefer-zone"
 	// ProvePeers takes peers' word of how lately their configuration was proven to be
@@ -80,7 +82,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		AssumeShared, BeginAgain, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowPrompts,
-		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, MarkAhead, PreferConnections, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
+		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, MarkAhead, PreferConnections, PreferRegion, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
 		RepeatLateCalls, SuspectSilent,
 	}
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/replica"
 )
 
 // Metrics holds what a node measures. It is safe for concurrent use.
@@ -45,6 +48,9 @@
 	metricKeys       = "birchwood_edge_keys_refused_total"
 	metricProofs     = "birchwood_edge_key_proof_seconds"
 	metricCharges    = "birchwood_edge_charges_total"
+	metricEvacuated  = "birchwood_edge_evacuated_zones"
+	metricPlaces     = "birchwood_edge_place_refusals_total"
+	metricLeft       = "birchwood_edge_lines_moved_total"
 )
 
 // latencyBuckets are for times that clients feel, in seconds.
@@ -169,6 +175,37 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("%s{status=%q}", metricCharges, status)).Inc()
 }
 
+// evacuated takes in how many zones are evacuated.
+func (m *Metrics) evacuated(zones int) {
+	m.set.GetOrCreateGauge(metricEvacuated, nil).Set(float64(zones))
+}
+
+// The reasons for which a request has no place.
+const (
+	placeNoRegion  = "no such region"
+	placeOutside   = "no replica in its regions"
+	placeEvacuated = "zones evacuated"
+	placeOwner     = "owner outside its regions"
+)
+
+// placeRefusedFor counts a request for which there was no place that may serve it.
+func (m *Metrics) placeRefusedFor(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{reason=%q}", metricPlaces, reason)).Inc()
+}
+
+// placeRefused counts a choice that failed for the places of replicas.
+func (m *Metrics) placeRefused(err error) {
+	if errors.Is(err, replica.ErrEvacuated) {
+		m.placeRefusedFor(placeEvacuated)
+	}
+	if errors.Is(err, replica.ErrOutside) {
+		m.placeRefusedFor(placeOutside)
+	}
+}
+
+// lineMoved counts a turn that was sent elsewhere than its line's last one.
+func (m *Metrics) lineMoved() { m.set.GetOrCreateCounter(metricLeft).Inc() }
+
 // startMetrics serves the metrics if the settings name an address.
 func (n *Node) startMetrics() {
 	port, path, named := strings.Cut(n.settings.Metrics, "/")
--- a/edge/node.go
+++ b/edge/node.go
@@ -35,16 +35,18 @@
 	logger   *log.Logger
 	self     machine.Machine
 
-	routes   routing.Follower
-	config   latestConfiguration
-	replicas *replicas
-	pool     *upstream.Pool
-	calls    *calls
-	chains   *chains
-	clients  *ingress.Server
-	control  *control
-	peers    *peers
-	metrics  *Metrics
+	routes routing.Follower
+	config latestConfiguration
+	// evacuations is what this node knows of evacuated zones.
+	evacuations evacuations
+	replicas    *replicas
+	pool        *upstream.Pool
+	calls       *calls
+	chains      *chains
+	clients     *ingress.Server
+	control     *control
+	peers       *peers
+	metrics     *Metrics
 	// withheld are the fields of clients that no replica gets.
 	withheld []string
 
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -22,5 +22,5 @@
 	if r.priority() == 0 {
 		limit = fullPressureUrgent
 	}
-	return n.replicas.pressure(r.service) >= limit
+	return n.replicas.pressure(n.choiceOf(r)) >= limit
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/evacuation"
 	"birchwood.example/birchwood/httpclient"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/replica"
@@ -145,6 +146,8 @@
 	// milliseconds before the peer answered.
 	Proven     bool  `json:"proven,omitempty"`
 	ProofAgeMS int64 `json:"proof_age_ms,omitempty"`
+	// Evacuations is what the peer knows of evacuated zones.
+	Evacuations evacuation.Snapshot `json:"evacuations"`
 }
 
 // state asks a peer for the configuration and the replicas that it knows.
@@ -213,6 +216,7 @@
 	writeJSON(ctx, peerState{
 		Configuration: p.node.config.raw(), Replicas: p.node.replicas.entries(),
 		Proven: proven, ProofAgeMS: age.Milliseconds() + 1,
+		Evacuations: p.node.evacuations.snapshot(time.Now()),
 	})
 }
 
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -8,6 +8,7 @@
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/routing"
 	"birchwood.example/birchwood/upstream"
+	"birchwood.example/birchwood/zone"
 )
 
 // replicas guards a replica.Set for the goroutines of traffic.
@@ -21,6 +22,7 @@
 
 func newReplicas(settings *Settings) *replicas {
 	config := replica.DefaultConfig(settings.Zone)
+	config.Regions, config.LeaveWithin = settings.Regions, settings.LeaveWithin
 	config.Without = partsWithout(settings)
 	return &replicas{set: replica.NewSet(config), changed: make(chan struct{})}
 }
@@ -34,6 +36,7 @@
 		PeerLoads:   !settings.uses(CountPeers),
 		Estimates:   !settings.uses(EstimateLoads),
 		Zones:       !settings.uses(PreferZone),
+		Regions:     !settings.uses(PreferRegion),
 		Connections: !settings.uses(PreferConnections),
 		Faults:      !settings.uses(RememberFaults),
 		Suspicion:   !settings.uses(SuspectSilent),
@@ -57,10 +60,17 @@
 	r.set.Ended(time.Now(), id, result)
 }
 
-func (r *replicas) pressure(service string) float64 {
+func (r *replicas) pressure(request *replica.Request) float64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.set.Pressure(service)
+	return r.set.Pressure(time.Now(), request)
+}
+
+// setEvacuated tells which zones are to get no requests, and since when.
+func (r *replicas) setEvacuated(zones map[zone.Name]time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.set.SetEvacuated(zones)
 }
 
 func (r *replicas) put(entry replica.Entry) bool {
--- a/edge/request.go
+++ b/edge/request.go
@@ -12,6 +12,7 @@
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/routing"
 	"birchwood.example/birchwood/tenant"
+	"birchwood.example/birchwood/zone"
 )
 
 // requestState is one client request while this node handles it.
@@ -28,6 +29,8 @@
 	// proofAge is how long ago what this node knows of keys was proven to be the
 	// newest, when the key was looked up.
 	proofAge time.Duration
+	// homes bounds where the request may be served and its data may be.
+	homes zone.Homes
 	// charge is how the request counts to its tenant's limit; nil where there is
 	// none.
 	charge *charge
--- a/edge/run.go
+++ b/edge/run.go
@@ -273,7 +273,9 @@
 		switch {
 		case err == nil && reply.Status == coordinator.ReplyDone:
 			t.kept = true
-			n.chains.put(time.Now(), r.id, t.chain())
+			if n.mayRemember(r) {
+				n.chains.put(time.Now(), r.id, t.chain())
+			}
 			return nil
 		case err == nil && reply.Status == coordinator.ReplyAbsent:
 			ask.Turn.Base, ask.HasBase = t.grant.chain, true
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"birchwood.example/birchwood/tenant"
+	"birchwood.example/birchwood/zone"
 )
 
 // Settings are what a node is told at its start. They come from an adapter.
@@ -11,6 +12,11 @@
 	// Node names the node, and Zone the place it is in.
 	Node string
 	Zone string
+	// Regions tells the regions of zones; empty where they are not known.
+	Regions zone.Topology
+	// LeaveWithin is within what time no requests are sent to a zone that is
+	// evacuated; with 0 all leave at once.
+	LeaveWithin time.Duration
 	// Clients, Readiness and Peers are the "ip:port" that the node listens on.
 	Clients   string
 	Readiness string
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -158,6 +158,9 @@
 		if err == nil && reply.Status != coordinator.ReplyNotOwner {
 			return reply, nil
 		}
+		if errors.Is(err, errOwnerOutside) {
+			return coordinator.Reply{}, err
+		}
 		if ctx.Err() != nil || r.exchange.Cancel.Cause() != nil || time.Now().Add(ownerPause).After(until) {
 			return coordinator.Reply{}, errNoOwner
 		}
@@ -173,6 +176,10 @@
 	if err != nil {
 		return coordinator.Reply{}, err
 	}
+	if !n.mayAsk(r, owner, &request) {
+		n.metrics.placeRefusedFor(placeOwner)
+		return coordinator.Reply{}, errOwnerOutside
+	}
 	r.owner = string(owner.ID)
 	if owner.ID == n.self.ID {
 		return n.control.ask(callCtx, partition, request)
--- a/replica/select.go
+++ b/replica/select.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"birchwood.example/birchwood/zone"
 )
 
 // Request is what a choice weighs.
@@ -22,6 +24,8 @@
 	// Only is the one replica that may run the request again, or "". It counts
 	// for as long as the replica is known.
 	Only ID
+	// Homes bounds the zones in which a replica may get the request.
+	Homes zone.Homes
 	// Excluded are the replicas that were tried.
 	Excluded []ID
 	// PerNode bounds this node's requests at one replica; 0 sets no bound.
@@ -34,10 +38,14 @@
 	Draw float64
 }
 
-// The reasons for which no replica is chosen. Both mean that nothing was sent.
+// The reasons for which no replica is chosen. All mean that nothing was sent.
 var (
 	// ErrNoReplica says that no replica of the service is ready.
 	ErrNoReplica = errors.New("no replica of the service is ready")
+	// ErrOutside says that no replica of the service is ready where the request may go.
+	ErrOutside = errors.New("no replica of the service is ready in a region that the request may reach")
+	// ErrEvacuated says that all that could serve is in evacuated zones.
+	ErrEvacuated = errors.New("the zones of all replicas that could serve are evacuated")
 	// ErrSaturated says that every ready replica has all the requests it may.
 	ErrSaturated = errors.New("every replica of the service is full")
 )
@@ -51,6 +59,9 @@
 	Load int
 	// Feasible is how many replicas could have been chosen.
 	Feasible int
+	// Left says that the replica which served the line before is in an evacuated zone,
+	// and that the request goes elsewhere because of it.
+	Left bool
 }
 
 // Select picks a replica for the request: feasible, rank, select.
@@ -60,7 +71,7 @@
 		if saturated {
 			return Choice{}, ErrSaturated
 		}
-		return Choice{}, ErrNoReplica
+		return Choice{}, s.absence(now, request)
 	}
 	weighed := s.weigh(now, request)
 	start := int(request.Draw * float64(len(feasible)))
@@ -77,6 +88,7 @@
 		Missing:  weighed.missing(best),
 		Load:     int(math.Round(weighed.view.load(best))),
 		Feasible: len(feasible),
+		Left:     s.left(now, request),
 	}, nil
 }
 
@@ -84,14 +96,14 @@
 // well lately, or the suspect ones where there are no others.
 func (s *Set) feasible(now time.Time, request *Request) (list []*member, saturated bool) {
 	if known := s.byID[request.Only]; known != nil {
-		if known.mayServe(now) {
+		if s.mayTake(now, request, known) == nil {
 			list = append(list, known)
 		}
 		return list, false
 	}
 	var suspects []*member
 	for _, one := range s.services[request.Service] {
-		if !one.mayServe(now) || slices.Contains(request.Excluded, one.entry.ID) {
+		if s.mayTake(now, request, one) != nil || slices.Contains(request.Excluded, one.entry.ID) {
 			continue
 		}
 		if request.PerNode > 0 && one.own >= request.PerNode {
@@ -132,6 +144,10 @@
 	missingWeight = 2
 	// elsewhereTokens is what another zone costs: the way, and its price.
 	elsewhereTokens = 600
+	// regionTokens is what another region costs beyond that: the ways there and back,
+	// some 16 ms in which 300 tokens each are read, and bytes that cost four times
+	// those between zones. A request spills over once that much is waited at home.
+	regionTokens = 16*300 + 3*300
 	// faultTokens is what one recent fault costs, and maximumFaults the most
 	// that are counted: a replica that errs is avoided, and still serves where
 	// the others are full.
@@ -174,19 +190,22 @@
 	if one.entry.Zone != w.set.config.Zone && !without.Zones {
 		cost += elsewhereTokens
 	}
+	if !without.Regions && !w.set.sameRegion(one) {
+		cost += regionTokens
+	}
 	if w.request.Connected != nil && !without.Connections && !w.request.Connected(one.entry) {
 		cost += connectTokens
 	}
 	return cost
 }
 
-// Pressure returns how full the emptiest ready replica of a service is: its
-// requests under way by its slots. It is 0 where none is ready.
-func (s *Set) Pressure(service string) float64 {
+// Pressure returns how full the emptiest replica is that may take a request: its
+// requests under way by its slots. It is 0 where none may.
+func (s *Set) Pressure(now time.Time, request *Request) float64 {
 	least := math.Inf(1)
-	view := s.viewOf(service)
-	for _, one := range s.services[service] {
-		if one.entry.Status == StatusReady {
+	view := s.viewOf(request.Service)
+	for _, one := range s.services[request.Service] {
+		if s.mayTake(now, request, one) == nil {
 			least = min(least, view.load(one)/float64(max(1, one.entry.Slots)))
 		}
 	}
--- a/replica/set.go
+++ b/replica/set.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"birchwood.example/birchwood/zone"
 )
 
 // ID names one incarnation of a replica.
@@ -33,8 +35,12 @@
 
 // Config sets up a Set.
 type Config struct {
-	// Zone is this node's own.
-	Zone string
+	// Zone is this node's own, and Regions tells the regions of zones.
+	Zone    string
+	Regions zone.Topology
+	// LeaveWithin is the time that the operator gives to leave an evacuated zone; with
+	// 0 all requests leave at once.
+	LeaveWithin time.Duration
 	// SuspectFor is how long a replica that failed to answer is passed over
 	// while others are feasible. It doubles with each failure in a row.
 	SuspectFor time.Duration
@@ -58,9 +64,10 @@
 	// those of the nodes that were not heard lately.
 	PeerLoads bool
 	Estimates bool
-	// Zones prefers replicas of the node's own zone, Connections those to which a
-	// connection is free.
+	// Zones prefers replicas of the node's own zone, Regions those of its region, and
+	// Connections those to which a connection is free.
 	Zones       bool
+	Regions     bool
 	Connections bool
 	// Faults avoids replicas that erred, and Suspicion passes over those that
 	// failed to answer.
@@ -87,6 +94,8 @@
 	cacheTokens map[string]int
 	peers       map[string]peerLoad
 	shared      *sharedParts
+	// evacuated are the zones that are to get no requests, and since when.
+	evacuated map[zone.Name]time.Time
 	// nodes is how many nodes send to the replicas, this one included.
 	nodes int
 }
--- a/routing/table.go
+++ b/routing/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"birchwood.example/birchwood/tenant"
+	"birchwood.example/birchwood/zone"
 )
 
 // Kind tells how often a request may run.
@@ -59,6 +60,9 @@
 	EventGap time.Duration
 	// Public routes take requests without a tenant's key.
 	Public bool
+	// Regions are the only ones in which requests of the route may be served and
+	// their data be; none set no bound.
+	Regions []zone.Region
 }
 
 // Repeatable reports whether a request of the route may run more than once.
--- a/tenant/directory.go
+++ b/tenant/directory.go
@@ -8,6 +8,7 @@
 	"unicode"
 
 	"birchwood.example/birchwood/findings"
+	"birchwood.example/birchwood/zone"
 )
 
 // Tenant is one tenant of a configuration.
@@ -19,6 +20,9 @@
 	// urgent.
 	Priority int
 	Limit    Limit
+	// Regions are the only ones in which the tenant's requests may be served and
+	// their data be; none set no bound.
+	Regions []zone.Region
 }
 
 // Limit bounds a tenant's requests over all nodes together.
@@ -71,7 +75,7 @@
 
 // add takes a tenant's keys in. The findings name the places of keys and no key.
 func (d *Directory) add(found *findings.List, place string, given Tenant) {
-	known := &Tenant{Name: given.Name, Priority: given.Priority, Limit: given.Limit}
+	known := &Tenant{Name: given.Name, Priority: given.Priority, Limit: given.Limit, Regions: given.Regions}
 	for index, key := range given.Keys {
 		keyPlace := fmt.Sprintf("%s.keys[%d]", place, index)
 		found.Require(key != "", keyPlace, "want a key that is not empty")
