--- a/command/explain_test.go
+++ b/command/explain_test.go
@@ -44,6 +44,19 @@
 		Expect(lines[0]).To(ContainSubstring(`"node":"c"`))
 	})
 
+	It("shows what the node knew of evacuated zones, however long ago it learned it", func() {
+		const evacuated = `{"time":"2026-01-02T02:00:11Z","node":"a","evacuated":"z","version":9,"message":"zones: evacuation began"}
+{"time":"2026-01-02T02:00:11Z","node":"b","evacuated":"z","version":9,"message":"zones: evacuation began"}
+{"time":"2026-01-02T03:00:12Z","node":"a","request":"r4","status":503,"message":"request: ended"}
+{"time":"2026-01-02T03:00:13Z","node":"a","evacuated":"z","version":10,"message":"zones: evacuation ended"}
+`
+		var output bytes.Buffer
+		Expect(explain(strings.NewReader(evacuated), &output, "r4", time.Minute)).To(Succeed())
+		lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+		Expect(lines).To(HaveLen(2))
+		Expect(lines[0]).To(ContainSubstring(`"evacuated":"z","version":9`))
+	})
+
 	It("says so where the log does not know the request", func() {
 		err := explain(strings.NewReader(log), &bytes.Buffer{}, "unknown", time.Minute)
 		var exit *ExitError
--- a/edge/evacuations_test.go
+++ b/edge/evacuations_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -99,10 +100,69 @@
 	}
 	g.Expect(node.bindHomes(request)).To(BeTrue())
 	g.Expect(request.homes.Placement()).To(Equal(zone.NewPlacement("far")))
-	g.Expect(node.mayRemember(request)).To(BeFalse(), "a chain outside of the homes")
 	g.Expect(node.choiceOf(request).Homes).To(Equal(request.homes))
 }
 
+// TestHistoriesOutside of a request's homes are not remembered.
+func TestHistoriesOutside(t *testing.T) {
+	g := NewWithT(t)
+	node := placeNode(g)
+	defer node.Kill()
+	for id, region := range map[string]zone.Region{"a": "home", "b": "away"} {
+		request := &requestState{id: id, route: &routing.Route{Regions: []zone.Region{region}}}
+		g.Expect(node.bindHomes(request)).To(BeTrue())
+		node.remember(request, []byte("words"))
+		_, found := node.chains.get(time.Now(), id)
+		g.Expect(found).To(Equal(region == "home"))
+	}
+}
+
+// TestEvacuationsOfAPeerThatIsAhead are asked for by a node that hears of their version.
+func TestEvacuationsOfAPeerThatIsAhead(t *testing.T) {
+	g := NewWithT(t)
+	ahead, node := placeNode(g), placeNode(g)
+	defer ahead.Kill()
+	defer node.Kill()
+	ahead.configurationChanged(evacuate("-here", "{}", 6))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = ahead.peers.serve(listener) }()
+	from := machine.Machine{ID: "ahead", Address: listener.Addr().String()}
+	node.hearVersion(from, 0, 0)
+	g.Expect(node.config.fetching).To(BeFalse(), "nothing newer")
+	node.hearVersion(from, 0, ahead.evacuations.version())
+	g.Eventually(node.evacuations.version).WithTimeout(30 * time.Second).Should(Equal(uint64(7)))
+	g.Expect(chosenAt(g, node)).To(Equal(replica.ID("far")))
+}
+
+// TestVersionsOfEvacuations go along in the statuses of nodes, both ways.
+func TestVersionsOfEvacuations(t *testing.T) {
+	g := NewWithT(t)
+	node := placeNode(g)
+	defer node.Kill()
+	node.configurationChanged(evacuate("-here", "{}", 6))
+	now := time.Now()
+	peer := machine.Machine{
+		ID: "peer", Kind: machine.KindNode, Zone: "far", Address: "127.0.0.1:1", Status: machine.StatusLive, Incarnation: 1,
+	}
+	core := node.control.core
+	core.Step(now, coordinator.PeerReceived{Message: coordinator.PeerMessage{
+		From: peer, Status: &coordinator.Status{ReachesStore: true, Evacuations: 9},
+	}})
+	g.Expect(core.Ready().Loads).To(ContainElement(HaveField("Evacuations", uint64(9))))
+	node.control.report(now)
+	var told []uint64
+	for step := range 40 {
+		core.Step(now.Add(time.Duration(step)*25*time.Millisecond), coordinator.Tick{})
+		for _, message := range core.Ready().Messages {
+			if message.Message.Status != nil {
+				told = append(told, message.Message.Status.Evacuations)
+			}
+		}
+	}
+	g.Expect(told).To(ContainElement(uint64(7)))
+}
+
 // TestOwnersOutside get no turn to keep, and none is begun for them to keep.
 func TestOwnersOutside(t *testing.T) {
 	g := NewWithT(t)
--- a/edge/homes.go
+++ b/edge/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -31,10 +32,12 @@
 	return node.ID == n.self.ID || r.homes.Permit(node.Zone)
 }
 
-// mayRemember reports whether this node may keep what the request and its answer say
-// beyond the answer.
-func (n *Node) mayRemember(r *requestState) bool {
-	return r.homes.Permit(zone.Name(n.settings.Zone))
+// remember keeps what a turn that goes on from this one has to be sent with, unless this
+// node stands outside of the request's homes.
+func (n *Node) remember(r *requestState, chain []byte) {
+	if r.homes.Permit(zone.Name(n.settings.Zone)) {
+		n.chains.put(time.Now(), r.id, chain)
+	}
 }
 
 // errOwnerOutside says that the turn's words may not go to the node that would keep
--- a/edge/run.go
+++ b/edge/run.go
@@ -273,9 +273,7 @@
 		switch {
 		case err == nil && reply.Status == coordinator.ReplyDone:
 			t.kept = true
-			if n.mayRemember(r) {
-				n.chains.put(time.Now(), r.id, t.chain())
-			}
+			n.remember(r, t.chain())
 			return nil
 		case err == nil && reply.Status == coordinator.ReplyAbsent:
 			ask.Turn.Base, ask.HasBase = t.grant.chain, true
