--- a/edge/reload.go
+++ b/edge/reload.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"slices"
 	"strings"
 )
@@ -18,6 +19,8 @@
 		{"listen", known.Clients == settings.Clients && known.Peers == settings.Peers && known.Readiness == settings.Readiness},
 		{"store", known.Store == settings.Store},
 		{"zone", known.Zone == settings.Zone},
+		{"regions", maps.Equal(known.Regions, settings.Regions)},
+		{"time to leave a zone", known.LeaveWithin == settings.LeaveWithin},
 		{"partitions", known.Partitions == settings.Partitions},
 		{"grace", known.Grace == settings.Grace},
 	} {
