--- a/edge/follow.go
+++ b/edge/follow.go
@@ -37,8 +37,6 @@
 	resyncPeriod = 15 * time.Second
 	// nodesPeriod is the time between two reads of the nodes' addresses.
 	nodesPeriod = 15 * time.Second
-	// peerStatePeriod is how often a node that is cut off asks a peer.
-	peerStatePeriod = 500 * time.Millisecond
 )
 
 // latestConfiguration keeps the newest configuration as it was stored, so that
@@ -366,83 +364,3 @@
 		})
 	}
 }
-
-// followPeers has a node that alone is cut off from the store learn the
-// configuration and the replicas from a peer.
-func (n *Node) followPeers(ctx context.Context) {
-	for wait.For(ctx, peerStatePeriod) {
-		if n.reachesStore() {
-			continue
-		}
-		n.learnFromPeer(ctx)
-	}
-}
-
-func (n *Node) learnFromPeer(ctx context.Context) {
-	callCtx, cancel := context.WithTimeout(ctx, peerStatePeriod)
-	defer cancel()
-	live, err := n.control.livePeers(callCtx)
-	if err != nil || len(live.peers) == 0 {
-		return
-	}
-	from := live.peers[int(n.draw()*float64(len(live.peers)))]
-	n.takeState(callCtx, from)
-}
-
-// takeState takes over what a peer knows.
-func (n *Node) takeState(ctx context.Context, from machine.Machine) {
-	asked := time.Now()
-	state, err := n.peers.state(ctx, from)
-	if err != nil {
-		n.logger.Info().Str("peer", string(from.ID)).Err(err).Msg("peers: state not learned")
-		return
-	}
-	n.adoptEvacuations(from, asked, state.Evacuations)
-	n.takeConfiguration(from, asked, &state)
-	if n.reachesStore() || len(state.Replicas) == 0 {
-		return
-	}
-	listed := make(map[replica.ID]bool, len(state.Replicas))
-	for _, entry := range state.Replicas {
-		listed[entry.ID] = true
-		n.replicas.put(entry)
-	}
-	n.removeUnlisted(listed, "not in a peer's list")
-}
-
-// takeConfiguration takes over a peer's configuration, and its proof that this was the
-// newest, if it knows one.
-func (n *Node) takeConfiguration(from machine.Machine, asked time.Time, state *peerState) {
-	if len(state.Configuration) == 0 {
-		return
-	}
-	var raw rawConfiguration
-	if err := json.Unmarshal(state.Configuration, &raw); err != nil {
-		n.logger.Warn().Str("peer", string(from.ID)).Err(err).Msg("peers: configuration not understood")
-		return
-	}
-	n.applyConfiguration(raw.Key, raw.Value, "peer "+string(from.ID))
-	if state.Proven {
-		n.noteProof(asked.Add(-time.Duration(state.ProofAgeMS) * time.Millisecond))
-	}
-}
-
-// hearVersion fetches a configuration, or word of evacuated zones, that a peer holds and
-// this node does not.
-func (n *Node) hearVersion(from machine.Machine, version, evacuations uint64) {
-	n.config.mutex.Lock()
-	defer n.config.mutex.Unlock()
-	news := version > n.config.version || evacuations > n.evacuations.version()
-	if !news || n.config.fetching {
-		return
-	}
-	n.config.fetching = true
-	n.run(func(ctx context.Context) {
-		callCtx, cancel := context.WithTimeout(ctx, peerStatePeriod)
-		defer cancel()
-		n.takeState(callCtx, from)
-		n.config.mutex.Lock()
-		n.config.fetching = false
-		n.config.mutex.Unlock()
-	})
-}
