--- a/edge/follow.go
+++ b/edge/follow.go
@@ -37,8 +37,6 @@
 	resyncPeriod = 15 * time.Second
 	// nodesPeriod is the time between two reads of the nodes' addresses.
 	nodesPeriod = 15 * time.Second
-	// peerStatePeriod is how often a node that is cut off asks a peer.
-	peerStatePeriod = 500 * time.Millisecond
 )
 
 // latestConfiguration keeps the newest configuration as it was stored, so that
@@ -91,14 +89,27 @@
 	n.logger.Info().Uint64("version", table.Version).Str("source", source).Msg("config: in force")
 }
 
-// applyConfigurations takes over records of the configuration's stream, as the store
-// has them.
-func (n *Node) applyConfigurations(records []recordstore.Record) {
+// applyConfigurations takes over all records of the configuration's stream, as the
+// store has them at an offset.
+func (n *Node) applyConfigurations(records []recordstore.Record, end uint64) {
+	n.resetEvacuations(records, end)
 	for _, record := range records {
 		n.applyConfiguration(record.Key, record.Value, "store")
 	}
 }
 
+// configurationChanged takes over one record of the configuration's stream.
+func (n *Node) configurationChanged(record recordstore.Record) {
+	n.noteEvacuation(record)
+	n.applyConfiguration(record.Key, record.Value, "store")
+}
+
+// configurationCurrent follows each time that all of the configuration's stream was read.
+func (n *Node) configurationCurrent(asOf time.Time) {
+	n.evacuations.current(time.Now())
+	n.noteProof(asOf)
+}
+
 // applyReplica takes over a record of the replicas' stream.
 func (n *Node) applyReplica(key string, value []byte) {
 	if len(value) == 0 {
@@ -149,8 +160,8 @@
 	n.follow(ctx, recordstore.Stream{Name: recordstore.StreamConfiguration}, follower{
 		wait: n.configurationWait, pause: n.configurationPause, synced: &n.syncedConfiguration,
 		reset:   n.applyConfigurations,
-		change:  func(record recordstore.Record) { n.applyConfiguration(record.Key, record.Value, "store") },
-		current: n.noteProof,
+		change:  n.configurationChanged,
+		current: n.configurationCurrent,
 	})
 }
 
@@ -190,7 +201,7 @@
 	}
 }
 
-func (n *Node) resetReplicas(records []recordstore.Record) {
+func (n *Node) resetReplicas(records []recordstore.Record, _ uint64) {
 	listed := make(map[replica.ID]bool, len(records))
 	for _, record := range records {
 		if len(record.Value) > 0 {
@@ -220,7 +231,7 @@
 	// between two reads.
 	wait   func() time.Duration
 	pause  func() time.Duration
-	reset  func([]recordstore.Record)
+	reset  func(records []recordstore.Record, end uint64)
 	change func(recordstore.Record)
 	// current is called whenever all was taken in that the stream held at a time,
 	// and over ends the following; nil where that does not matter.
@@ -250,7 +261,7 @@
 			continue
 		}
 		backoff.Reset()
-		to.reset(records)
+		to.reset(records, next)
 		to.caughtUp(asked)
 		to.synced.Store(true)
 		n.followTail(ctx, stream, next, to)
@@ -353,80 +364,3 @@
 		})
 	}
 }
-
-// followPeers has a node that alone is cut off from the store learn the
-// configuration and the replicas from a peer.
-func (n *Node) followPeers(ctx context.Context) {
-	for wait.For(ctx, peerStatePeriod) {
-		if n.reachesStore() {
-			continue
-		}
-		n.learnFromPeer(ctx)
-	}
-}
-
-func (n *Node) learnFromPeer(ctx context.Context) {
-	callCtx, cancel := context.WithTimeout(ctx, peerStatePeriod)
-	defer cancel()
-	live, err := n.control.livePeers(callCtx)
-	if err != nil || len(live.peers) == 0 {
-		return
-	}
-	from := live.peers[int(n.draw()*float64(len(live.peers)))]
-	n.takeState(callCtx, from)
-}
-
-// takeState takes over what a peer knows.
-func (n *Node) takeState(ctx context.Context, from machine.Machine) {
-	asked := time.Now()
-	state, err := n.peers.state(ctx, from)
-	if err != nil {
-		n.logger.Info().Str("peer", string(from.ID)).Err(err).Msg("peers: state not learned")
-		return
-	}
-	n.takeConfiguration(from, asked, &state)
-	if n.reachesStore() || len(state.Replicas) == 0 {
-		return
-	}
-	listed := make(map[replica.ID]bool, len(state.Replicas))
-	for _, entry := range state.Replicas {
-		listed[entry.ID] = true
-		n.replicas.put(entry)
-	}
-	n.removeUnlisted(listed, "not in a peer's list")
-}
-
-// takeConfiguration takes over a peer's configuration, and its proof that this was the
-// newest, if it knows one.
-func (n *Node) takeConfiguration(from machine.Machine, asked time.Time, state *peerState) {
-	if len(state.Configuration) == 0 {
-		return
-	}
-	var raw rawConfiguration
-	if err := json.Unmarshal(state.Configuration, &raw); err != nil {
-		n.logger.Warn().Str("peer", string(from.ID)).Err(err).Msg("peers: configuration not understood")
-		return
-	}
-	n.applyConfiguration(raw.Key, raw.Value, "peer "+string(from.ID))
-	if state.Proven {
-		n.noteProof(asked.Add(-time.Duration(state.ProofAgeMS) * time.Millisecond))
-	}
-}
-
-// hearVersion fetches a configuration that a peer holds and this node does not.
-func (n *Node) hearVersion(from machine.Machine, version uint64) {
-	n.config.mutex.Lock()
-	defer n.config.mutex.Unlock()
-	if version <= n.config.version || n.config.fetching {
-		return
-	}
-	n.config.fetching = true
-	n.run(func(ctx context.Context) {
-		callCtx, cancel := context.WithTimeout(ctx, peerStatePeriod)
-		defer cancel()
-		n.takeState(callCtx, from)
-		n.config.mutex.Lock()
-		n.config.fetching = false
-		n.config.mutex.Unlock()
-	})
-}
