replica, coordinator: one node counts what a cold replica gets

A replica that has just started bears a rate and falls over above it; the operator bounds what all nodes together send it in any second. Nothing read of it: neither the entry's cold time nor the answers', and nodes sent what they liked.

A node believes a replica cold by the replica's own word, on the late side, and then asks the node that counts for it before it sends: the accounts of tenants, keyed by replica, with a window of a second. Weighed: equal shares (in virtual time with 74 and 295 nodes under half of the rate is used), few senders by rank (a node's own traffic does not use the rate).

--- /dev/null
+++ b/coordinator/cold_test.go
@@ -0,0 +1,282 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/tenant"
+)
+
+// The cold replicas of the tests: what one bears a second, and how long a request that
+// was granted is on its way at most.
+const (
+	coldRate = 28.0
+	coldWay  = 150 * time.Millisecond
+	// coldPatience is how long a node waits for the node that counts.
+	coldPatience = 100 * time.Millisecond
+)
+
+// coldReplica is a replica that all nodes hold cold.
+type coldReplica struct {
+	name string
+	// perSecond is how many requests all nodes would like to send there.
+	perSecond float64
+	owed      float64
+	arrived   []time.Time
+	refused   int
+	unknown   int
+	counter   machine.ID
+}
+
+// coldLoad has all nodes of a fleet send to cold replicas.
+type coldLoad struct {
+	world    *fleet
+	replicas []*coldReplica
+	open     map[uint64]openCold
+	next     uint64
+	// unasked sends without asking.
+	unasked bool
+}
+
+type openCold struct {
+	replica *coldReplica
+	at      machine.ID
+}
+
+func newColdLoad(world *fleet, perSecond float64, replicas int) *coldLoad {
+	load := &coldLoad{world: world, open: map[uint64]openCold{}}
+	for index := range replicas {
+		load.replicas = append(load.replicas, &coldReplica{name: fmt.Sprintf("r%d", index), perSecond: perSecond})
+	}
+	return load
+}
+
+func (c *coldLoad) run(span time.Duration) {
+	for end := c.world.now.Add(span); c.world.now.Before(end); {
+		for _, one := range c.replicas {
+			one.owed += one.perSecond * step.Seconds()
+			for ; one.owed >= 1; one.owed-- {
+				c.send(one)
+			}
+		}
+		c.world.run(step)
+		c.collect()
+	}
+}
+
+// send has a random node that runs send one request, once it may.
+func (c *coldLoad) send(one *coldReplica) {
+	ids := c.world.ids()
+	if len(ids) == 0 {
+		return
+	}
+	at := ids[c.world.random.IntN(len(ids))]
+	if c.world.nodes[at].frozen {
+		return
+	}
+	if c.unasked {
+		c.arrive(one)
+		return
+	}
+	c.next++
+	c.open[c.next] = openCold{replica: one, at: at}
+	c.world.send(at, 0, coordinator.ChargeRequested{ID: c.next, Patience: coldPatience, Charge: coordinator.Charge{
+		Replica: one.name, Request: tenant.Request{ID: fmt.Sprint(c.next), Limit: tenant.Limit{Rate: coldRate}, Version: 1},
+	}})
+}
+
+func (c *coldLoad) arrive(one *coldReplica) {
+	way := time.Duration(c.world.random.Float64() * float64(coldWay))
+	one.arrived = append(one.arrived, c.world.now.Add(way))
+}
+
+func (c *coldLoad) collect() {
+	for _, id := range c.world.ids() {
+		member := c.world.nodes[id]
+		for _, charged := range member.charged {
+			open, known := c.open[charged.ID]
+			if !known || open.at != id {
+				continue
+			}
+			delete(c.open, charged.ID)
+			switch charged.Status {
+			case coordinator.ChargeGranted:
+				open.replica.counter = charged.Owner
+				c.arrive(open.replica)
+			case coordinator.ChargeRefused:
+				open.replica.refused++
+			default:
+				open.replica.unknown++
+			}
+		}
+		member.charged = nil
+	}
+}
+
+// coldAccepted is what may reach a cold replica in a second.
+func coldAccepted() int {
+	config := tenant.ColdReplicaConfig()
+	return int(coldRate*config.Window.Seconds()*(1+config.Overrun) + config.Slack)
+}
+
+// busiestSecond returns the most arrivals of any second, and when it begins.
+func busiestSecond(arrived []time.Time) (most int, begins time.Time) {
+	sorted := slices.SortedFunc(slices.Values(arrived), time.Time.Compare)
+	left := 0
+	for right := range sorted {
+		for sorted[right].Sub(sorted[left]) >= time.Second {
+			left++
+		}
+		if count := right - left + 1; count > most {
+			most, begins = count, sorted[left]
+		}
+	}
+	return most, begins
+}
+
+// broken returns the replicas of which a second held too much.
+func (c *coldLoad) broken() (names []string) {
+	for _, one := range c.replicas {
+		if most, begins := busiestSecond(one.arrived); most > coldAccepted() {
+			names = append(names, fmt.Sprintf("%s: %d from %v on", one.name, most, begins.Sub(start)))
+		}
+	}
+	return names
+}
+
+// served is how many requests reached the replicas in a second on the mean.
+func (c *coldLoad) served(span time.Duration) float64 {
+	total := 0
+	for _, one := range c.replicas {
+		total += len(one.arrived)
+	}
+	return float64(total) / float64(len(c.replicas)) / span.Seconds()
+}
+
+// disturb brings one disturbance about, at nodes that the draw names.
+func (c *coldLoad) disturb(kind byte) {
+	world, counter := c.world, c.replicas[0].counter
+	ids := world.ids()
+	if _, runs := world.nodes[counter]; !runs {
+		counter = ids[world.random.IntN(len(ids))]
+	}
+	switch kind % 6 {
+	case 0:
+		world.kill(counter)
+	case 1:
+		world.nodes[counter].frozen = true
+		c.run(time.Duration(world.random.IntN(2500)) * time.Millisecond)
+		world.nodes[counter].frozen = false
+	case 2:
+		world.cutInTwo()
+	case 3:
+		world.heal()
+	case 4:
+		world.kill(counter)
+		c.run(100 * time.Millisecond)
+		world.start(counter)
+		world.list()
+	case 5:
+		world.start(machine.ID(fmt.Sprintf("new-%02d", len(ids))))
+		world.list()
+	}
+}
+
+var _ = Describe("The rate of a cold replica", func() {
+	It("holds over all nodes in every second, and is used", func() {
+		for _, nodes := range []int{11, 74, 295} {
+			load := newColdLoad(countingFleet(nodes, nil), 200, 3)
+			load.run(4 * time.Second)
+			Expect(load.broken()).To(BeEmpty(), "%d nodes", nodes)
+			Expect(load.served(4*time.Second)).To(BeNumerically(">=", 0.9*coldRate), "%d nodes", nodes)
+		}
+	})
+
+	It("refuses nothing below it", func() {
+		load := newColdLoad(countingFleet(74, nil), 20, 3)
+		load.run(4 * time.Second)
+		for _, one := range load.replicas {
+			Expect(one.refused + one.unknown).To(BeNumerically("<=", 1))
+		}
+	})
+
+	It("is hardly used where each node has an equal share", func() {
+		for _, nodes := range []int{11, 74, 295} {
+			load := newColdLoad(countingFleet(nodes, func(config *coordinator.Config) { config.CountAlone = true }), 200, 1)
+			load.run(4 * time.Second)
+			Expect(load.broken()).To(BeEmpty(), "%d nodes", nodes)
+			if nodes > coldRate {
+				Expect(load.served(4*time.Second)).To(BeNumerically("<", 0.5*coldRate), "%d nodes", nodes)
+			}
+		}
+	})
+
+	It("holds when nodes are lost, stand still, start anew, come, and are cut off", func() {
+		load := newColdLoad(countingFleet(74, nil), 200, 2)
+		for _, kind := range []byte{0, 1, 4, 2, 1, 3, 5, 0, 4, 1} {
+			load.run(1500 * time.Millisecond)
+			load.disturb(kind)
+		}
+		load.run(2 * time.Second)
+		Expect(load.broken()).To(BeEmpty())
+	})
+
+	It("holds over 295 nodes that are cut in two and heal", func() {
+		load := newColdLoad(countingFleet(295, nil), 200, 1)
+		load.run(time.Second)
+		load.world.cutInTwo()
+		load.run(4 * time.Second)
+		load.world.heal()
+		load.run(2 * time.Second)
+		Expect(load.broken()).To(BeEmpty())
+	})
+
+	It("lets nodes grant nothing that reach no other", func() {
+		load := newColdLoad(countingFleet(74, nil), 200, 1)
+		load.run(2 * time.Second)
+		for _, id := range load.world.ids() {
+			load.world.nodes[id].alone = true
+		}
+		load.run(4 * time.Second)
+		Expect(load.broken()).To(BeEmpty())
+	})
+
+	// The checker notices when the bound is off, or a protection is missing.
+	DescribeTable("does not hold without",
+		func(configure func(*coordinator.Config), disturb func(load *coldLoad)) {
+			load := newColdLoad(countingFleet(20, configure), 200, 1)
+			load.run(2 * time.Second)
+			disturb(load)
+			load.run(4 * time.Second)
+			Expect(load.broken()).NotTo(BeEmpty())
+		},
+		Entry("a question before each request", nil, func(load *coldLoad) { load.unasked = true }),
+		Entry("one node that counts for all", func(config *coordinator.Config) { config.CountAlone, config.ShareWhole = true, true }, func(*coldLoad) {}),
+		Entry("the part that is left to nodes behind a cut", func(config *coordinator.Config) { config.ShareWhole = true },
+			func(load *coldLoad) { load.world.cutInTwo() }),
+	)
+})
+
+// FuzzColdRate disturbs a fleet in any order.
+func FuzzColdRate(f *testing.F) {
+	f.Add([]byte{0, 1, 2})
+	f.Add([]byte{2, 0, 3, 4})
+	f.Add([]byte{1, 4, 1, 5, 0})
+	f.Fuzz(func(t *testing.T, disturbances []byte) {
+		RegisterTestingT(t)
+		load := newColdLoad(countingFleet(20, nil), 200, 1)
+		for _, kind := range disturbances[:min(len(disturbances), 8)] {
+			load.run(time.Duration(200+int(kind)*8) * time.Millisecond)
+			load.disturb(kind)
+		}
+		load.run(2 * time.Second)
+		Expect(load.broken()).To(BeEmpty())
+	})
+}
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -44,6 +44,9 @@
 	ClaimWithoutAsking bool
 	// Tenants sets up the accounts by which the limits of tenants are kept.
 	Tenants tenant.Config
+	// ColdReplicas sets up the accounts by which the requests to cold replicas are
+	// counted.
+	ColdReplicas tenant.Config
 	// CountAlone has each node count to its own part of the limits, alike for all
 	// nodes, to measure what one account for the fleet is worth.
 	CountAlone bool
@@ -79,6 +82,7 @@
 		HoldFor:        800 * time.Millisecond,
 		StallAfter:     700 * time.Millisecond,
 		Tenants:        tenant.DefaultConfig(),
+		ColdReplicas:   tenant.ColdReplicaConfig(),
 		Random:         random,
 	}
 }
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -89,7 +89,7 @@
 }
 
 // ChargeRequested asks for a request of this node's traffic to be counted to its
-// tenant's limit. The answer is a Charged, after the patience at the latest.
+// tenant's limit, or to a cold replica's rate. The answer is a Charged, after the patience at the latest.
 type ChargeRequested struct {
 	// ID correlates the Charged; the driver allocates it.
 	ID       uint64
@@ -131,7 +131,7 @@
 	Status *Status `json:"status,omitempty"`
 	// Handover asks for a partition, or answers that, or is nil.
 	Handover *Handover `json:"handover,omitempty"`
-	// Charge is about a request that counts to its tenant's limit, or nil.
+	// Charge is about a request that counts to a limit, or nil.
 	Charge *ChargeMessage `json:"charge,omitempty"`
 	// Proof is about the age of the sender's configuration, or nil.
 	Proof *ProofMessage `json:"proof,omitempty"`
--- a/coordinator/quota.go
+++ b/coordinator/quota.go
@@ -13,18 +13,42 @@
 	"birchwood.example/birchwood/tenant"
 )
 
-// Charge asks for one request of a tenant, of the node that counts for it.
+// Charge asks for one request of a tenant, or one to a cold replica, of the node that
+// counts for it. Exactly one of Tenant and Replica is set.
 type Charge struct {
-	Tenant  string         `json:"tenant"`
+	Tenant  string         `json:"tenant,omitempty"`
+	Replica string         `json:"replica,omitempty"`
 	Request tenant.Request `json:"request"`
 }
 
+// account names what the request counts to.
+func (c *Charge) account() account {
+	if c.Replica != "" {
+		return account{kind: replicaAccount, name: c.Replica}
+	}
+	return account{kind: tenantAccount, name: c.Tenant}
+}
+
+// account is what one node counts requests for.
+type account struct {
+	kind accountKind
+	name string
+}
+
+// accountKind tells accounts of tenants from those of cold replicas.
+type accountKind string
+
+const (
+	tenantAccount  accountKind = "tenant"
+	replicaAccount accountKind = "replica"
+)
+
 // Charged answers a Charge.
 type Charged struct {
 	// ID is that of the ChargeRequested.
 	ID     uint64
 	Status ChargeStatus
-	// Owner is the node that counts for the tenant.
+	// Owner is the node that counts.
 	Owner    machine.ID
 	Decision tenant.Decision
 }
@@ -36,9 +60,9 @@
 const (
 	// ChargeGranted lets the request run.
 	ChargeGranted ChargeStatus = "granted"
-	// ChargeRefused says that the tenant's limit does not hold the request.
+	// ChargeRefused says that the limit does not hold the request.
 	ChargeRefused ChargeStatus = "refused"
-	// ChargeUnknown says that no node that counts for the tenant answered in time.
+	// ChargeUnknown says that no node that counts answered in time.
 	ChargeUnknown ChargeStatus = "unknown"
 )
 
@@ -49,7 +73,7 @@
 	Number uint64           `json:"number,omitempty"`
 	Ask    *Charge          `json:"ask,omitempty"`
 	Answer *tenant.Decision `json:"answer,omitempty"`
-	// NotOwner says that the asked node does not count for the tenant.
+	// NotOwner says that the asked node does not count for the account.
 	NotOwner bool `json:"not_owner,omitempty"`
 	// Return gives a grant back whose request did not run.
 	Return *Charge `json:"return,omitempty"`
@@ -59,12 +83,12 @@
 // several times the way between zones and back.
 const chargeResend = 60 * time.Millisecond
 
-// charging is this node's part in keeping the limits of tenants.
+// charging is this node's part in keeping the limits of tenants and cold replicas.
 type charging struct {
-	book *tenant.Book
-	// owners are the nodes that count for tenants, as far as they were asked for
-	// since the nodes were those of this version.
-	owners  map[string]machine.ID
+	books map[accountKind]*tenant.Book
+	// owners are the nodes that count, as far as they were asked for since the nodes
+	// were those of this version.
+	owners  map[account]machine.ID
 	version uint64
 	nodes   []machine.ID
 	// pending are this node's charges without an answer, by number.
@@ -85,8 +109,11 @@
 
 func newCharging(now time.Time, config *Config) charging {
 	return charging{
-		book: tenant.NewBook(now.Add(config.Settle), config.Tenants), owners: make(map[string]machine.ID),
-		pending: make(map[uint64]*pendingCharge), nextNumber: firstNumber(config.Random),
+		books: map[accountKind]*tenant.Book{
+			tenantAccount:  tenant.NewBook(now.Add(config.Settle), config.Tenants),
+			replicaAccount: tenant.NewBook(now.Add(config.Settle), config.ColdReplicas),
+		},
+		owners: make(map[account]machine.ID), pending: make(map[uint64]*pendingCharge), nextNumber: firstNumber(config.Random),
 	}
 }
 
@@ -95,9 +122,21 @@
 // above it.
 func firstNumber(random *rand.Rand) uint64 { return random.Uint64() >> 1 }
 
-// chargeOwner returns the node that counts for a tenant: the live one that ranks
+// spend decides a charge that this node counts.
+func (h *charging) spend(now time.Time, charge *Charge) tenant.Decision {
+	to := charge.account()
+	return h.books[to.kind].Spend(now, to.name, charge.Request)
+}
+
+// giveBack takes back a charge that this node granted and whose request did not run.
+func (h *charging) giveBack(charge *Charge) {
+	to := charge.account()
+	h.books[to.kind].Return(to.name, charge.Request)
+}
+
+// chargeOwner returns the node that counts for an account: the live one that ranks
 // first for its name. Whether a node reaches the store does not matter.
-func (c *Core) chargeOwner(name string) machine.ID {
+func (c *Core) chargeOwner(name account) machine.ID {
 	if c.config.CountAlone {
 		return c.self().ID
 	}
@@ -109,8 +148,10 @@
 	return owner
 }
 
-// chargePlace stands for a tenant in the ranking, beside the partitions.
-func chargePlace(name string) int { return int(xxhash.Sum64String("tenant/"+name) >> 1) }
+// chargePlace stands for an account in the ranking, beside the partitions.
+func chargePlace(one account) int {
+	return int(xxhash.Sum64String(string(one.kind)+"/"+one.name) >> 1)
+}
 
 func (c *Core) chargeCandidates() []ownership.Node {
 	nodes := c.membership.Nodes()
@@ -121,7 +162,7 @@
 	return candidates
 }
 
-// renewCharging follows the live nodes: tenants that another node counts for by now
+// renewCharging follows the live nodes: accounts that another node counts for by now
 // are dropped, and where a node was lost, accounts that are opened begin empty.
 func (c *Core) renewCharging(now time.Time) {
 	held := &c.charging
@@ -134,15 +175,20 @@
 		nodes = append(nodes, node.ID)
 	}
 	lost := slices.ContainsFunc(held.nodes, func(id machine.ID) bool { return !slices.Contains(nodes, id) })
-	if lost {
-		held.book.Inherit(now)
-	}
-	if held.nodes == nil || !slices.Equal(held.nodes, nodes) {
+	changed := held.nodes == nil || !slices.Equal(held.nodes, nodes)
+	if changed {
 		clear(held.owners)
 		held.nodes = nodes
-		held.book.Keep(func(name string) bool { return c.chargeOwner(name) == c.self().ID })
 	}
-	held.book.SetShare(c.chargeShare())
+	for kind, book := range held.books {
+		if lost {
+			book.Inherit(now)
+		}
+		if changed {
+			book.Keep(func(name string) bool { return c.chargeOwner(account{kind: kind, name: name}) == c.self().ID })
+		}
+		book.SetShare(c.chargeShare())
+	}
 }
 
 // chargeShare is the part of each limit that the live nodes may grant. Nodes that are
@@ -158,8 +204,7 @@
 	return min(1, live/float64(max(1, len(c.listing))))
 }
 
-// countsCharges reports whether this node knows its peers well enough to count for
-// tenants.
+// countsCharges reports whether this node knows its peers well enough to count.
 func (c *Core) countsCharges(now time.Time) bool {
 	return !c.leaving && now.Sub(c.started) >= c.config.Settle
 }
@@ -173,14 +218,14 @@
 	c.askCharge(now, c.charging.nextNumber, asked)
 }
 
-// askCharge decides a charge, or asks the node that counts for its tenant.
+// askCharge decides a charge, or asks the node that counts for its account.
 func (c *Core) askCharge(now time.Time, number uint64, asked *pendingCharge) {
 	asked.resendAt = now.Add(chargeResend)
-	owner := c.chargeOwner(asked.charge.Tenant)
+	owner := c.chargeOwner(asked.charge.account())
 	asked.askedOf = owner
 	if owner == c.self().ID {
 		if c.countsCharges(now) {
-			c.endCharge(number, asked, c.charging.book.Spend(now, asked.charge.Tenant, asked.charge.Request))
+			c.endCharge(number, asked, c.charging.spend(now, &asked.charge))
 		}
 		return
 	}
@@ -207,9 +252,9 @@
 
 // stepReturn gives back a grant whose request did not run.
 func (c *Core) stepReturn(event ChargeReturned) {
-	owner := c.chargeOwner(event.Charge.Tenant)
+	owner := c.chargeOwner(event.Charge.account())
 	if owner == c.self().ID {
-		c.charging.book.Return(event.Charge.Tenant, event.Charge.Request)
+		c.charging.giveBack(&event.Charge)
 		return
 	}
 	c.sendCharge(owner, ChargeMessage{Return: &event.Charge}, nil)
@@ -223,7 +268,7 @@
 	case message.Ask != nil:
 		c.answerCharge(now, from, message)
 	case message.Return != nil:
-		c.charging.book.Return(message.Return.Tenant, message.Return.Request)
+		c.charging.giveBack(message.Return)
 	case asked == nil:
 		// Too late: the charge counts at its owner, and its request does not run.
 	case message.Answer != nil:
@@ -239,11 +284,11 @@
 // answerCharge decides a charge of another node's traffic.
 func (c *Core) answerCharge(now time.Time, from machine.Machine, message ChargeMessage) {
 	c.renewCharging(now)
-	if c.chargeOwner(message.Ask.Tenant) != c.self().ID || !c.countsCharges(now) {
+	if c.chargeOwner(message.Ask.account()) != c.self().ID || !c.countsCharges(now) {
 		c.sendCharge(from.ID, ChargeMessage{Number: message.Number, NotOwner: true}, c.proofWord(now, 0))
 		return
 	}
-	decision := c.charging.book.Spend(now, message.Ask.Tenant, message.Ask.Request)
+	decision := c.charging.spend(now, message.Ask)
 	c.sendCharge(from.ID, ChargeMessage{Number: message.Number, Answer: &decision}, c.proofWord(now, 0))
 }
 
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -46,7 +46,7 @@
 
 // chooseReplica picks the next replica for the request and counts it there.
 func (n *Node) chooseReplica(r *requestState, table *routing.Table) (replica.Entry, error) {
-	choice, err := n.replicas.choose(&replica.Request{
+	choice, err := n.chooseWithin(r, &replica.Request{
 		Service: r.service, Program: r.program, Prompt: r.prompt, Preferred: r.preferred, PreferredKept: r.preferredKept, Only: r.only, Excluded: r.excluded,
 		PerNode: n.perNode(table, r.service), Draw: n.draw(),
 		Connected: func(entry replica.Entry) bool { return n.pool.Free(targetOf(entry)) },
@@ -63,6 +63,7 @@
 // reject notes that a replica did not run the request.
 func (n *Node) reject(r *requestState, entry replica.Entry, result replica.Result) {
 	n.replicas.ended(entry.ID, result)
+	n.returnCold(r, entry.ID)
 	if r.only == entry.ID && result == replica.ResultFailed {
 		// No connection: the replica has ended or is cut off.
 		r.only = ""
--- a/edge/call.go
+++ b/edge/call.go
@@ -121,6 +121,7 @@
 	response, err := n.pool.Send(targetOf(attempt.choice.Entry), request, attempt.cancel)
 	result := callResult{attempt: attempt, response: response, err: err}
 	if err == nil {
+		n.hearCold(attempt.choice.Entry.ID, response)
 		result.body, result.err = response.ReadAll()
 	}
 	return result
--- a/edge/control.go
+++ b/edge/control.go
@@ -158,6 +158,7 @@
 	c.node.isolated.Store(c.core.Isolated(now))
 	c.core.Step(now, coordinator.Contact{Reached: c.node.reachesStore(), Last: c.node.store.at()})
 	c.noteDependencies()
+	c.node.noteColdTurns(now)
 }
 
 // noteDependencies writes when the store or nodes are lost or regained.
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -50,6 +50,8 @@
 	KeepQuotas Mechanism = "keep-quotas"
 	// LeaseKeys honours keys only while what is known of them is proven to be recent.
 	LeaseKeys Mechanism = "lease-keys"
+	// LimitCold bounds what all nodes together send to a cold replica in a second.
+	LimitCold Mechanism = "limit-cold"
 	// MarkAhead raises marks beyond what a program needs at once.
 	MarkAhead Mechanism = "mark-ahead"
 	// PreferConnections prefers replicas to which a connection is free.
@@ -80,7 +82,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		AssumeShared, BeginAgain, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowPrompts,
-		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, MarkAhead, PreferConnections, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
+		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, PreferConnections, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
 		RepeatLateCalls, SuspectSilent,
 	}
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -23,6 +23,8 @@
 	misses  *metrics.Counter
 	// datagrams are counted by how they ended.
 	datagrams [datagramEnds]*metrics.Counter
+	// cold is how many replicas this node holds cold.
+	cold *metrics.Gauge
 	// linesDropped follows dropLines, which counts lines of the log that were
 	// dropped; nil where nobody counts them.
 	linesDropped *metrics.Counter
@@ -45,6 +47,8 @@
 	metricKeys       = "birchwood_edge_keys_refused_total"
 	metricProofs     = "birchwood_edge_key_proof_seconds"
 	metricCharges    = "birchwood_edge_charges_total"
+	metricColdCharge = "birchwood_edge_cold_charges_total"
+	metricCold       = "birchwood_edge_replicas_cold"
 )
 
 // latencyBuckets are for times that clients feel, in seconds.
@@ -68,6 +72,7 @@
 		failed:       set.NewCounter(metricFailed),
 		repeats:      set.NewCounter(metricRepeats),
 		misses:       set.NewCounter(metricMisses),
+		cold:         set.NewGauge(metricCold, nil),
 		linesDropped: set.NewCounter(metricLogDropped),
 		dropLines:    dropped,
 	}
@@ -169,6 +174,22 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("%s{status=%q}", metricCharges, status)).Inc()
 }
 
+// The labels of charges of cold replicas, besides those of coordinator.ChargeStatus.
+const (
+	coldAsked    = "asked"
+	coldReturned = "returned"
+	// coldStale is a grant that was read too late to be used.
+	coldStale = "stale"
+)
+
+// coldCharged counts how an offer to a cold replica counted to its rate.
+func (m *Metrics) coldCharged(status string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{status=%q}", metricColdCharge, status)).Inc()
+}
+
+// replicasCold notes how many replicas this node holds cold.
+func (m *Metrics) replicasCold(count int) { m.cold.Set(float64(count)) }
+
 // startMetrics serves the metrics if the settings name an address.
 func (n *Node) startMetrics() {
 	port, path, named := strings.Cut(n.settings.Metrics, "/")
--- a/edge/node.go
+++ b/edge/node.go
@@ -182,6 +182,9 @@
 	if settings.Quota.Window > 0 {
 		config.Tenants = settings.Quota
 	}
+	if settings.ColdReplicas.Window > 0 {
+		config.ColdReplicas = settings.ColdReplicas
+	}
 	config.Tenants.FirstCome = !settings.uses(FinishPrograms)
 	config.CountAlone = !settings.uses(CountTogether)
 	if settings.RecordBytes > 0 {
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -37,6 +37,7 @@
 		Connections: !settings.uses(PreferConnections),
 		Faults:      !settings.uses(RememberFaults),
 		Suspicion:   !settings.uses(SuspectSilent),
+		Cold:        !settings.uses(LimitCold),
 	}
 }
 
@@ -45,7 +46,11 @@
 	defer r.mutex.Unlock()
 	now := time.Now()
 	choice, err := r.set.Select(now, request)
-	if err == nil {
+	switch {
+	case err != nil:
+	case choice.ColdRate > 0:
+		r.set.Reserve(choice.Entry.ID)
+	default:
 		r.set.Began(now, choice.Entry.ID, request)
 	}
 	return choice, err
@@ -60,7 +65,7 @@
 func (r *replicas) pressure(service string) float64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.set.Pressure(service)
+	return r.set.Pressure(time.Now(), service)
 }
 
 func (r *replicas) put(entry replica.Entry) bool {
@@ -105,10 +110,10 @@
 	defer r.mutex.Unlock()
 	if known {
 		if kept, found := r.feed.Since(number); found {
-			return kept, r.feed.Next(), false
+			return r.renewCold(kept), r.feed.Next(), false
 		}
 	}
-	for _, entry := range r.set.Entries() {
+	for _, entry := range r.set.Entries(time.Now()) {
 		changes = append(changes, replica.Change{Entry: &entry})
 	}
 	return changes, r.feed.Next(), true
@@ -148,7 +153,7 @@
 func (r *replicas) entries() []replica.Entry {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.set.Entries()
+	return r.set.Entries(time.Now())
 }
 
 func (r *replicas) setPeer(peer string, counts map[string]int) {
@@ -185,6 +190,7 @@
 	defer r.mutex.Unlock()
 	for name, service := range table.Services {
 		r.set.SetCacheTokens(name, service.CacheTokens)
+		r.set.SetColdRate(name, service.ColdRate)
 	}
 }
 
--- a/edge/request.go
+++ b/edge/request.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"birchwood.example/birchwood/coordinator"
 	"birchwood.example/birchwood/ingress"
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/replica"
@@ -31,6 +32,9 @@
 	// charge is how the request counts to its tenant's limit; nil where there is
 	// none.
 	charge *charge
+	// coldGrant is how the last offer to a cold replica counts to its rate; nil where
+	// there was none.
+	coldGrant *coordinator.Charge
 
 	// The fields below follow the handling, for the log.
 	choice   replica.Choice
--- a/edge/run.go
+++ b/edge/run.go
@@ -86,6 +86,7 @@
 		t.runs++
 		return t.afterFailure(entry, err)
 	}
+	n.hearCold(entry.ID, response)
 	if n.notExecuted(response) {
 		_, _ = response.ReadAll()
 		n.reject(r, entry, replica.ResultRejected)
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -42,6 +42,9 @@
 	// Quota tells how the limits of tenants are judged; its zero value takes a
 	// sound one.
 	Quota tenant.Config
+	// ColdReplicas tells how what cold replicas get is judged; its zero value takes a
+	// sound one.
+	ColdReplicas tenant.Config
 	// Without lists the mechanisms that are switched off.
 	Without []Mechanism
 	// Grace is the time between the request to stop and the kill.
--- a/header/header.go
+++ b/header/header.go
@@ -14,6 +14,8 @@
 	ExpectReplica string
 	// NotExecuted marks an answer to a request that the replica did not run.
 	NotExecuted string
+	// ColdLeft is how many milliseconds the replica that answers stays cold.
+	ColdLeft string
 	// Seal is the replica's signature of its answer.
 	Seal string
 	// Urgency ranks a request at an engine; 0 is the most urgent.
--- /dev/null
+++ b/replica/cold.go
@@ -0,0 +1,162 @@
+package replica
+
+import "time"
+
+// ColdWord is what is said of how long a replica stays cold: for some seconds after its
+// start, or again at any moment, it bears only so many requests a second.
+type ColdWord struct {
+	// Left is how much longer it stays cold from when that was said; 0 where it is
+	// warm.
+	Left time.Duration `json:"left,omitempty"`
+	// Sequence numbers the entries of a replica; 0 where they are not numbered.
+	Sequence uint64 `json:"sequence,omitempty"`
+	// Passed says that another node passes on what it believes now.
+	Passed bool `json:"passed,omitempty"`
+}
+
+// The sources of a belief that a replica is cold.
+const (
+	coldFromEntry  = "entry"
+	coldFromPeer   = "peer"
+	coldFromAnswer = "answer"
+)
+
+const (
+	// coldTokens is what a cold replica costs beyond a warm one, in tokens of prefill:
+	// a warm one gets the request until it has about as many places taken.
+	coldTokens = 1500
+	// coldNews is by how much a belief is extended at least for other nodes to be
+	// told: a cold time that runs down is told with each entry, a little later or
+	// earlier.
+	coldNews = 400 * time.Millisecond
+	// pressureAtColdRate is how full a cold replica counts that is at its rate: above
+	// every limit from which on new programs wait.
+	pressureAtColdRate = 2
+)
+
+// coldness is what a node believes of whether one replica is cold.
+type coldness struct {
+	until  time.Time
+	source string
+	// word is the newest that was heard, and heard says that there was one.
+	word  ColdWord
+	heard bool
+	// noted is the state that ColdTurns told last.
+	noted bool
+	// pausedUntil is until when the replica is at its rate, as its counter said.
+	pausedUntil time.Time
+}
+
+func (c *coldness) cold(now time.Time) bool { return now.Before(c.until) }
+
+// hear takes in an entry's word. It reports whether other nodes are to hear of it.
+func (c *coldness) hear(now time.Time, word ColdWord) (news bool) {
+	fresh := c.fresh(word)
+	if fresh {
+		c.word, c.heard = word, true
+	}
+	switch {
+	case word.Passed:
+		return c.extend(now, word.Left, coldFromPeer)
+	case fresh:
+		return c.extend(now, word.Left, coldFromEntry)
+	default:
+		return false
+	}
+}
+
+// fresh reports whether an entry's word was not taken in before. The same entry is read
+// again and again, also long after it was written, and after a peer told of it.
+func (c *coldness) fresh(word ColdWord) bool {
+	if !c.heard || word.Sequence > c.word.Sequence {
+		return true
+	}
+	again := word.Passed || c.word.Passed || word.Left == c.word.Left
+	return word.Sequence == c.word.Sequence && !again
+}
+
+// extend has the replica count as cold for a while from now on. Nothing shortens that: a
+// word may have been said before the one that made the replica count as cold.
+func (c *coldness) extend(now time.Time, left time.Duration, source string) (news bool) {
+	until := now.Add(left)
+	if left <= 0 || !until.After(c.until) {
+		return false
+	}
+	news = !c.cold(now) || until.Sub(c.until) >= coldNews
+	if news {
+		c.source = source
+	}
+	c.until = until
+	return news
+}
+
+// entryAt returns a replica's entry as it is passed on at a time.
+func (m *member) entryAt(now time.Time) Entry {
+	entry := m.entry
+	entry.Cold = ColdWord{Left: max(0, m.cold.until.Sub(now)), Sequence: m.cold.word.Sequence, Passed: true}
+	return entry
+}
+
+// EntryAt returns a replica's entry as it is passed on at a time.
+func (s *Set) EntryAt(now time.Time, id ID) (Entry, bool) {
+	known := s.byID[id]
+	if known == nil {
+		return Entry{}, false
+	}
+	return known.entryAt(now), true
+}
+
+// SetColdRate tells how many requests a second a cold replica of a service bears; 0 where
+// that is not bounded.
+func (s *Set) SetColdRate(service string, rate float64) { s.coldRates[service] = rate }
+
+// HearCold takes in what an answer of a replica says of how long it stays cold. It reports
+// whether other nodes are to hear of it.
+func (s *Set) HearCold(now time.Time, id ID, left time.Duration) (news bool) {
+	known := s.byID[id]
+	return known != nil && known.cold.extend(now, left, coldFromAnswer)
+}
+
+// PauseCold has a cold replica passed over that is at its rate.
+func (s *Set) PauseCold(now time.Time, id ID, pause time.Duration) {
+	if known := s.byID[id]; known != nil {
+		known.cold.pausedUntil = now.Add(pause)
+	}
+}
+
+// coldRate is how many requests a second a replica bears, or 0 unless it is cold.
+func (s *Set) coldRate(now time.Time, one *member) float64 {
+	if s.config.Without.Cold || !one.cold.cold(now) {
+		return 0
+	}
+	return s.coldRates[one.entry.Service]
+}
+
+// atColdRate reports whether a cold replica may not get requests for now.
+func (s *Set) atColdRate(now time.Time, one *member) bool {
+	return now.Before(one.cold.pausedUntil) && s.coldRate(now, one) > 0
+}
+
+// ColdTurn says that a replica counts as cold from now on, or no longer does.
+type ColdTurn struct {
+	ID     ID
+	Cold   bool
+	Until  time.Time
+	Source string
+}
+
+// ColdTurns returns the replicas that turned cold or warm since the last call, and how
+// many are cold.
+func (s *Set) ColdTurns(now time.Time) (turns []ColdTurn, count int) {
+	for id, known := range s.byID {
+		cold := known.cold.cold(now)
+		if cold {
+			count++
+		}
+		if cold != known.cold.noted {
+			known.cold.noted = cold
+			turns = append(turns, ColdTurn{ID: id, Cold: cold, Until: known.cold.until, Source: known.cold.source})
+		}
+	}
+	return turns, count
+}
--- /dev/null
+++ b/replica/cold_test.go
@@ -0,0 +1,155 @@
+package replica_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/replica"
+)
+
+var _ = Describe("A cold replica", func() {
+	const id = replica.ID("r0")
+	var set *replica.Set
+
+	entry := func(left time.Duration, sequence uint64) replica.Entry {
+		return replica.Entry{
+			ID: id, Service: "s", Zone: "here", Status: replica.StatusReady, Slots: 4,
+			Cold: replica.ColdWord{Left: left, Sequence: sequence},
+		}
+	}
+	passed := func(left time.Duration, sequence uint64) replica.Entry {
+		told := entry(left, sequence)
+		told.Cold.Passed = true
+		return told
+	}
+	at := func(after time.Duration) time.Time { return start.Add(after) }
+	rateAt := func(now time.Time) float64 {
+		choice, err := set.Select(now, &replica.Request{Service: "s"})
+		Expect(err).NotTo(HaveOccurred())
+		return choice.ColdRate
+	}
+
+	BeforeEach(func() {
+		set = replica.NewSet(replica.DefaultConfig("here"))
+		set.SetColdRate("s", 28)
+	})
+
+	It("is warm without a word, and cold as long as its entry says from when it is heard", func() {
+		set.Put(start, entry(0, 1))
+		Expect(rateAt(start)).To(BeZero())
+		Expect(set.Put(at(time.Second), entry(3*time.Second, 2))).To(BeTrue())
+		Expect(rateAt(at(3990 * time.Millisecond))).To(Equal(28.0))
+		Expect(rateAt(at(4 * time.Second))).To(BeZero())
+	})
+
+	It("is no news with each heartbeat, and news when it turns cold again", func() {
+		set.Put(start, entry(3*time.Second, 1))
+		Expect(set.Put(at(500*time.Millisecond), entry(2500*time.Millisecond, 2))).To(BeFalse())
+		Expect(set.Put(at(1100*time.Millisecond), entry(2*time.Second, 3))).To(BeFalse())
+		Expect(set.Put(at(1600*time.Millisecond), entry(0, 4))).To(BeFalse())
+		Expect(set.Put(at(10*time.Second), entry(3*time.Second, 9))).To(BeTrue())
+		Expect(rateAt(at(12 * time.Second))).To(Equal(28.0))
+	})
+
+	It("does not turn cold when its entry is read again, or one that is older", func() {
+		set.Put(start, entry(3*time.Second, 4))
+		Expect(set.Put(at(15*time.Second), entry(3*time.Second, 4))).To(BeFalse())
+		Expect(set.Put(at(15*time.Second), entry(2*time.Second, 3))).To(BeFalse())
+		Expect(rateAt(at(15 * time.Second))).To(BeZero())
+	})
+
+	It("turns cold by each other word where entries have no numbers", func() {
+		set.Put(start, entry(3*time.Second, 0))
+		set.Put(at(15*time.Second), entry(3*time.Second, 0))
+		Expect(rateAt(at(15 * time.Second))).To(BeZero())
+		set.Put(at(16*time.Second), entry(2*time.Second, 0))
+		Expect(rateAt(at(16 * time.Second))).To(Equal(28.0))
+	})
+
+	It("stays cold when a word comes late that was said before", func() {
+		set.Put(start, entry(0, 1))
+		Expect(set.HearCold(at(time.Second), id, 3*time.Second)).To(BeTrue())
+		set.Put(at(1100*time.Millisecond), entry(0, 2))
+		Expect(rateAt(at(3900 * time.Millisecond))).To(Equal(28.0))
+	})
+
+	It("is passed on with what is left by then, and no longer for it", func() {
+		set.Put(start, entry(3*time.Second, 5))
+		told, known := set.EntryAt(at(2*time.Second), id)
+		Expect(known).To(BeTrue())
+		Expect(told.Cold).To(Equal(replica.ColdWord{Left: time.Second, Sequence: 5, Passed: true}))
+		Expect(set.Entries(at(5 * time.Second))[0].Cold.Left).To(BeZero())
+		set.Put(at(2*time.Second), told)
+		Expect(rateAt(at(3 * time.Second))).To(BeZero())
+	})
+
+	It("is not taken for cold again by an entry that a peer told before", func() {
+		set.Put(start, passed(500*time.Millisecond, 5))
+		set.Put(at(10*time.Second), entry(3*time.Second, 5))
+		Expect(rateAt(at(10 * time.Second))).To(BeZero())
+	})
+
+	It("is passed over while it is at its rate, and others are full", func() {
+		set.Put(start, entry(3*time.Second, 1))
+		set.PauseCold(start, id, 50*time.Millisecond)
+		_, err := set.Select(start, &replica.Request{Service: "s"})
+		Expect(err).To(MatchError(replica.ErrColdRate))
+		_, err = set.Select(start, &replica.Request{Service: "s", Only: id})
+		Expect(err).To(MatchError(replica.ErrColdRate))
+		Expect(set.Pressure(start, "s")).To(BeNumerically(">", 1.6))
+		Expect(rateAt(at(50 * time.Millisecond))).To(Equal(28.0))
+		Expect(set.Pressure(at(50*time.Millisecond), "s")).To(BeZero())
+		_, err = set.Select(at(time.Second), &replica.Request{Service: "s", Warm: true})
+		Expect(err).To(MatchError(replica.ErrColdRate))
+	})
+
+	It("goes after warm ones until they have their places taken", func() {
+		set.Put(start, entry(3*time.Second, 1))
+		warm := replica.Entry{ID: "r1", Service: "s", Zone: "here", Status: replica.StatusReady, Slots: 4}
+		set.Put(start, warm)
+		chosen := map[replica.ID]int{}
+		for range 8 {
+			choice, err := set.Select(start, &replica.Request{Service: "s"})
+			Expect(err).NotTo(HaveOccurred())
+			set.Reserve(choice.Entry.ID)
+			chosen[choice.Entry.ID]++
+		}
+		Expect(chosen["r1"]).To(Equal(4))
+		Expect(chosen[id]).To(Equal(4))
+	})
+
+	It("counts like any other where its service has no rate, or the part is off", func() {
+		set.Put(start, entry(3*time.Second, 1))
+		set.SetColdRate("s", 0)
+		Expect(rateAt(start)).To(BeZero())
+		set.PauseCold(start, id, time.Second)
+		Expect(rateAt(start)).To(BeZero())
+	})
+
+	It("is told of once when it turns cold, and once when it turns warm", func() {
+		set.Put(start, entry(3*time.Second, 1))
+		turns, count := set.ColdTurns(start)
+		Expect(turns).To(Equal([]replica.ColdTurn{{ID: id, Cold: true, Until: at(3 * time.Second), Source: "entry"}}))
+		Expect(count).To(Equal(1))
+		turns, _ = set.ColdTurns(at(time.Second))
+		Expect(turns).To(BeEmpty())
+		turns, count = set.ColdTurns(at(3 * time.Second))
+		Expect(turns).To(HaveLen(1))
+		Expect(turns[0].Cold).To(BeFalse())
+		Expect(count).To(BeZero())
+	})
+
+	It("takes back what was reserved and not sent, and keeps no prompt for it", func() {
+		set.Put(start, entry(3*time.Second, 1))
+		set.SetCacheTokens("s", 1000)
+		request := &replica.Request{Service: "s", Program: "p", Prompt: []replica.Part{{ID: "a", Tokens: 100}}}
+		set.Reserve(id)
+		set.Withdraw(id)
+		Expect(set.Own()).To(BeEmpty())
+		choice, err := set.Select(start, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(choice.Missing).To(Equal(100))
+	})
+})
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -183,15 +183,15 @@
 
 	It("tells how full the emptiest ready replica is", func() {
 		set := newSet(2)
-		Expect(set.Pressure("s")).To(BeZero())
-		Expect(set.Pressure("none")).To(BeZero())
+		Expect(set.Pressure(start, "s")).To(BeZero())
+		Expect(set.Pressure(start, "none")).To(BeZero())
 		for range 6 {
 			set.Began(start, "r0", &replica.Request{Prompt: nil})
 		}
 		set.SetPeer(start, "peer", map[replica.ID]int{"r1": 3})
-		Expect(set.Pressure("s")).To(Equal(0.75))
+		Expect(set.Pressure(start, "s")).To(Equal(0.75))
 		set.Put(start, replica.Entry{ID: "r1", Service: "s", Zone: "here", Status: replica.StatusDraining, Slots: 4})
-		Expect(set.Pressure("s")).To(Equal(1.5))
+		Expect(set.Pressure(start, "s")).To(Equal(1.5))
 	})
 
 	It("knows nothing of a replica that was removed", func() {
--- a/replica/select.go
+++ b/replica/select.go
@@ -24,6 +24,8 @@
 	Only ID
 	// Excluded are the replicas that were tried.
 	Excluded []ID
+	// Warm passes over cold replicas.
+	Warm bool
 	// PerNode bounds this node's requests at one replica; 0 sets no bound.
 	PerNode int
 	// Connected reports whether a kept connection to the replica is free; nil
@@ -40,6 +42,9 @@
 	ErrNoReplica = errors.New("no replica of the service is ready")
 	// ErrSaturated says that every ready replica has all the requests it may.
 	ErrSaturated = errors.New("every replica of the service is full")
+	// ErrColdRate says that every ready replica that is not full is cold, and at its
+	// rate.
+	ErrColdRate = errors.New("every replica of the service is cold and at its rate")
 )
 
 // Choice is the replica chosen for a request.
@@ -51,16 +56,16 @@
 	Load int
 	// Feasible is how many replicas could have been chosen.
 	Feasible int
+	// ColdRate is how many requests a second the replica bears; 0 unless it is cold
+	// and its service has such a rate.
+	ColdRate float64
 }
 
 // Select picks a replica for the request: feasible, rank, select.
 func (s *Set) Select(now time.Time, request *Request) (Choice, error) {
-	feasible, saturated := s.feasible(now, request)
+	feasible, lacking := s.feasible(now, request)
 	if len(feasible) == 0 {
-		if saturated {
-			return Choice{}, ErrSaturated
-		}
-		return Choice{}, ErrNoReplica
+		return Choice{}, lacking
 	}
 	weighed := s.weigh(now, request)
 	start := int(request.Draw * float64(len(feasible)))
@@ -77,17 +82,23 @@
 		Missing:  weighed.missing(best),
 		Load:     int(math.Round(weighed.view.load(best))),
 		Feasible: len(feasible),
+		ColdRate: s.coldRate(now, best),
 	}, nil
 }
 
 // feasible returns the replicas that may take the request: those that answered
-// well lately, or the suspect ones where there are no others.
-func (s *Set) feasible(now time.Time, request *Request) (list []*member, saturated bool) {
+// well lately, or the suspect ones where there are no others. Where there are none at
+// all, lacking tells why.
+func (s *Set) feasible(now time.Time, request *Request) (list []*member, lacking error) {
+	lacking = ErrNoReplica
 	if known := s.byID[request.Only]; known != nil {
+		if s.atColdRate(now, known) {
+			return nil, ErrColdRate
+		}
 		if known.mayServe(now) {
 			list = append(list, known)
 		}
-		return list, false
+		return list, lacking
 	}
 	var suspects []*member
 	for _, one := range s.services[request.Service] {
@@ -95,7 +106,11 @@
 			continue
 		}
 		if request.PerNode > 0 && one.own >= request.PerNode {
-			saturated = true
+			lacking = ErrSaturated
+			continue
+		}
+		if s.atColdRate(now, one) || (request.Warm && s.coldRate(now, one) > 0) {
+			lacking = ErrColdRate
 			continue
 		}
 		if now.Before(one.suspectUntil) && !s.config.Without.Suspicion {
@@ -107,7 +122,7 @@
 	if len(list) == 0 {
 		list = suspects
 	}
-	return list, saturated
+	return list, lacking
 }
 
 // mayServe reports whether a replica may get new requests: it is listed as ready,
@@ -171,6 +186,9 @@
 	if !without.Faults {
 		cost += int(faultTokens * min(one.faultsNow(w.now), maximumFaults))
 	}
+	if w.set.coldRate(w.now, one) > 0 {
+		cost += coldTokens
+	}
 	if one.entry.Zone != w.set.config.Zone && !without.Zones {
 		cost += elsewhereTokens
 	}
@@ -181,14 +199,20 @@
 }
 
 // Pressure returns how full the emptiest ready replica of a service is: its
-// requests under way by its slots. It is 0 where none is ready.
-func (s *Set) Pressure(service string) float64 {
+// requests under way by its slots. A cold one that is at its rate counts as full at
+// least. It is 0 where none is ready.
+func (s *Set) Pressure(now time.Time, service string) float64 {
 	least := math.Inf(1)
 	view := s.viewOf(service)
 	for _, one := range s.services[service] {
-		if one.entry.Status == StatusReady {
-			least = min(least, view.load(one)/float64(max(1, one.entry.Slots)))
+		if one.entry.Status != StatusReady {
+			continue
+		}
+		full := view.load(one) / float64(max(1, one.entry.Slots))
+		if s.atColdRate(now, one) {
+			full = max(full, pressureAtColdRate)
 		}
+		least = min(least, full)
 	}
 	if math.IsInf(least, 1) {
 		return 0
--- a/replica/set.go
+++ b/replica/set.go
@@ -29,6 +29,8 @@
 	Status  Status
 	// Slots is how many requests it works on at once.
 	Slots int
+	// Cold is what the entry says of how long the replica stays cold.
+	Cold ColdWord
 }
 
 // Config sets up a Set.
@@ -66,6 +68,8 @@
 	// failed to answer.
 	Faults    bool
 	Suspicion bool
+	// Cold weighs that a replica is cold, and passes over one that is at its rate.
+	Cold bool
 }
 
 // DefaultConfig returns the settings used in production.
@@ -85,8 +89,10 @@
 	services map[string][]*member
 	// cacheTokens is the memory of a service's engines.
 	cacheTokens map[string]int
-	peers       map[string]peerLoad
-	shared      *sharedParts
+	// coldRates is how many requests a second a cold replica of a service bears.
+	coldRates map[string]float64
+	peers     map[string]peerLoad
+	shared    *sharedParts
 	// nodes is how many nodes send to the replicas, this one included.
 	nodes int
 }
@@ -109,6 +115,7 @@
 	// doubtedUntil is when a replica that is not listed is to go; zero while
 	// it is listed.
 	doubtedUntil time.Time
+	cold         coldness
 }
 
 // NewSet returns a set without replicas.
@@ -118,6 +125,7 @@
 		byID:        make(map[ID]*member),
 		services:    make(map[string][]*member),
 		cacheTokens: make(map[string]int),
+		coldRates:   make(map[string]float64),
 		peers:       make(map[string]peerLoad),
 		shared:      newSharedParts(),
 		nodes:       1,
@@ -136,16 +144,20 @@
 func (s *Set) SetNodes(nodes int) { s.nodes = max(1, nodes) }
 
 // Put adds a replica or takes over its new entry. It reports whether anything
-// but the entry of a known, equal replica changed.
+// but the entry of a known, equal replica changed. A cold time that runs down is no
+// change.
 func (s *Set) Put(now time.Time, entry Entry) (changed bool) {
+	word := entry.Cold
+	entry.Cold = ColdWord{}
 	known := s.byID[entry.ID]
 	if known != nil {
 		changed = known.entry != entry
 		known.entry = entry
 		known.doubtedUntil = time.Time{}
-		return changed
+		return known.cold.hear(now, word) || changed
 	}
 	added := &member{entry: entry, listedAt: now, cache: newCache(s.cacheTokens[entry.Service]), peers: s.peersAt(entry.ID)}
+	added.cold.hear(now, word)
 	s.byID[entry.ID] = added
 	list := append(s.services[entry.Service], added)
 	slices.SortFunc(list, func(left, right *member) int { return cmp.Compare(left.entry.ID, right.entry.ID) })
@@ -177,11 +189,11 @@
 	return known.entry, true
 }
 
-// Entries returns all replicas, sorted by id.
-func (s *Set) Entries() []Entry {
+// Entries returns all replicas, sorted by id, with how long they stay cold from now.
+func (s *Set) Entries(now time.Time) []Entry {
 	all := make([]Entry, 0, len(s.byID))
 	for _, known := range s.byID {
-		all = append(all, known.entry)
+		all = append(all, known.entryAt(now))
 	}
 	slices.SortFunc(all, func(left, right Entry) int { return cmp.Compare(left.ID, right.ID) })
 	return all
@@ -199,6 +211,20 @@
 	s.shared.add(now, request.Program, request.Prompt)
 }
 
+// Reserve counts a request that may be sent to the replica. Withdraw or Began follows.
+func (s *Set) Reserve(id ID) {
+	if known := s.byID[id]; known != nil {
+		known.own++
+	}
+}
+
+// Withdraw takes back what Reserve counted.
+func (s *Set) Withdraw(id ID) {
+	if known := s.byID[id]; known != nil {
+		known.own = max(0, known.own-1)
+	}
+}
+
 // Result tells how a request at a replica ended.
 type Result int
 
--- a/routing/table.go
+++ b/routing/table.go
@@ -81,6 +81,9 @@
 	CacheTokens int
 	// TokensPerEvent is how many tokens one event of an engine's stream holds.
 	TokensPerEvent int
+	// ColdRate is how many requests a second a replica bears while it is cold; 0 where
+	// that is not bounded.
+	ColdRate float64
 }
 
 // Limits bound what a client may send and how long it may take.
--- a/tenant/account.go
+++ b/tenant/account.go
@@ -13,6 +13,9 @@
 	// beyond it, that the operator accepts for nodes that count apart.
 	Overrun float64
 	Slack   float64
+	// IdleAfter is after what time without a request an account is dropped; 0 keeps
+	// it. It is longer than the window.
+	IdleAfter time.Duration
 	// FirstCome grants requests in the order in which they come, programs under
 	// way and new ones alike, to measure what putting the former first is worth.
 	FirstCome bool
@@ -24,6 +27,16 @@
 	return Config{Window: 5 * time.Second, Overrun: 0.1, Slack: 20}
 }
 
+// coldReplicaIdle is after what time an account of a cold replica is dropped: replicas
+// come and go, and are cold for seconds.
+const coldReplicaIdle = 20 * time.Second
+
+// ColdReplicaConfig returns the settings by which requests to cold replicas are counted
+// where the operator names none: what the users' deployments name.
+func ColdReplicaConfig() Config {
+	return Config{Window: time.Second, Overrun: 0.5, Slack: 5, IdleAfter: coldReplicaIdle}
+}
+
 const (
 	// overdraftShare is the part of the accepted overrun by which programs under way
 	// may overdraw an account. The rest is for what nodes count apart while the
--- a/tenant/book.go
+++ b/tenant/book.go
@@ -160,7 +160,11 @@
 		return
 	}
 	b.nextSweep = now.Add(sweepPeriod)
-	for _, held := range b.accounts {
+	for name, held := range b.accounts {
+		if b.config.IdleAfter > 0 && now.Sub(held.at) > b.config.IdleAfter {
+			delete(b.accounts, name)
+			continue
+		}
 		held.sweep(now, func(ended *program) { b.costOf(ended.route).observe(ended) })
 	}
 }
