edge, platform: cold replicas are asked for before they are sent to

A node asks the one that counts before it sends to a replica that it holds cold; refused or without answer it takes the next best at once and passes the replica over for as long as it was told. Mechanism limit-cold.

coldStartS is not read: the replica's own word tells how long.

--- a/edge/call.go
+++ b/edge/call.go
@@ -98,6 +98,7 @@
 	if c.offers >= maximumOffers || r.left() <= 0 {
 		return errOffered
 	}
+	r.beside = len(c.flying) > 0
 	entry, err := n.chooseReplica(r, c.table)
 	if err != nil {
 		return err
--- a/edge/cold.go
+++ b/edge/cold.go
@@ -37,7 +37,10 @@
 
 // chooseWithin picks the best replica, within the rates of those that are cold.
 func (n *Node) chooseWithin(r *requestState, request *replica.Request) (replica.Choice, error) {
-	waitUntil := time.Now().Add(min(coldWait, r.left()/2))
+	waitUntil := time.Now()
+	if !r.beside {
+		waitUntil = waitUntil.Add(min(coldWait, r.left()/2))
+	}
 	for asked := 0; ; {
 		request.Warm = asked >= maximumColdAsks
 		choice, err := n.replicas.choose(request)
@@ -202,3 +205,10 @@
 	defer r.mutex.Unlock()
 	return r.set.ColdTurns(now)
 }
+
+// ColdReplicas returns how many replicas this node holds cold.
+func (n *Node) ColdReplicas() int {
+	n.replicas.mutex.Lock()
+	defer n.replicas.mutex.Unlock()
+	return n.replicas.set.ColdCount(time.Now())
+}
--- /dev/null
+++ b/edge/cold_test.go
@@ -0,0 +1,140 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/header"
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/tenant"
+	"birchwood.example/birchwood/upstream"
+)
+
+// coldNode returns a node whose control answers no question by itself, with replicas
+// that are cold for long.
+func coldNode(g *WithT, without []Mechanism, ids ...replica.ID) *Node {
+	node, err := New(Settings{Node: "n", Zone: "z", Partitions: 1, Without: without}, Adapter{Names: header.Names{ColdLeft: "X-Left"}}, quietLogger)
+	g.Expect(err).NotTo(HaveOccurred())
+	table := &routing.Table{Services: map[string]routing.Service{"s": {Name: "s", ColdRate: 28}}}
+	node.replicas.configure(table)
+	for _, id := range ids {
+		node.replicas.put(replica.Entry{
+			ID: id, Service: "s", Zone: "z", Status: replica.StatusReady, Slots: 4, Cold: replica.ColdWord{Left: time.Hour, Sequence: 1},
+		})
+	}
+	return node
+}
+
+// answerCold answers the next questions with these statuses, in turn.
+func answerCold(node *Node, asked *[]coordinator.Charge, statuses ...coordinator.ChargeStatus) {
+	go func() {
+		for _, status := range statuses {
+			question, isCharge := (<-node.control.inbox).(chargeQuestion)
+			if !isCharge {
+				return
+			}
+			*asked = append(*asked, question.charge)
+			question.answer <- coordinator.Charged{Status: status, Decision: tenant.Decision{RetryAfter: time.Hour}}
+		}
+	}()
+}
+
+func coldRequest() *requestState {
+	return &requestState{id: "q", version: 3, deadline: time.Now().Add(time.Hour), beside: true}
+}
+
+// TestColdReplicaIsAskedFor before a request goes to it, and the next best is chosen at
+// once where it is refused.
+func TestColdReplicaIsAskedFor(t *testing.T) {
+	g := NewWithT(t)
+	node := coldNode(g, nil, "r0", "r1")
+	defer node.Kill()
+	var asked []coordinator.Charge
+	answerCold(node, &asked, coordinator.ChargeRefused, coordinator.ChargeGranted)
+	request := coldRequest()
+	choice, err := node.chooseWithin(request, &replica.Request{Service: "s"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(asked).To(HaveLen(2))
+	g.Expect(asked[0].Replica).To(Equal("r0"))
+	g.Expect(asked[0].Request.Limit).To(Equal(tenant.Limit{Rate: 28}))
+	g.Expect(asked[0].Request.Version).To(BeEquivalentTo(3))
+	g.Expect(choice.Entry.ID).To(BeEquivalentTo("r1"))
+	g.Expect(node.replicas.own()).To(Equal(map[string]int{"r1": 1}))
+	// The refused one is not asked for again until it may be.
+	answerCold(node, &asked, coordinator.ChargeGranted)
+	choice, err = node.chooseWithin(request, &replica.Request{Service: "s"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(choice.Entry.ID).To(BeEquivalentTo("r1"))
+	g.Expect(asked).To(HaveLen(3))
+}
+
+// TestColdReplicaWithoutAnswer is passed over.
+func TestColdReplicaWithoutAnswer(t *testing.T) {
+	g := NewWithT(t)
+	node := coldNode(g, nil, "r0")
+	defer node.Kill()
+	var asked []coordinator.Charge
+	answerCold(node, &asked, coordinator.ChargeUnknown)
+	_, err := node.chooseWithin(coldRequest(), &replica.Request{Service: "s"})
+	g.Expect(err).To(MatchError(replica.ErrColdRate))
+	g.Expect(node.replicas.own()).To(BeEmpty())
+}
+
+// TestColdGrantIsGivenBack where the replica did not run the request.
+func TestColdGrantIsGivenBack(t *testing.T) {
+	g := NewWithT(t)
+	node := coldNode(g, nil, "r0")
+	defer node.Kill()
+	var asked []coordinator.Charge
+	answerCold(node, &asked, coordinator.ChargeGranted)
+	request := coldRequest()
+	choice, err := node.chooseWithin(request, &replica.Request{Service: "s"})
+	g.Expect(err).NotTo(HaveOccurred())
+	node.reject(request, choice.Entry, replica.ResultRejected)
+	g.Expect(<-node.control.inbox).To(Equal(coordinator.ChargeReturned{Charge: asked[0]}))
+	node.reject(request, choice.Entry, replica.ResultRejected)
+	g.Expect(node.control.inbox).To(BeEmpty())
+}
+
+// TestLimitCold asks for nothing where it is switched off.
+func TestLimitCold(t *testing.T) {
+	g := NewWithT(t)
+	node := coldNode(g, []Mechanism{LimitCold}, "r0")
+	defer node.Kill()
+	_, err := node.chooseWithin(coldRequest(), &replica.Request{Service: "s"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(node.control.inbox).To(BeEmpty())
+}
+
+// TestColdTimeOfAnswers is taken in, and one that is not understood is not.
+func TestColdTimeOfAnswers(t *testing.T) {
+	g := NewWithT(t)
+	node := coldNode(g, nil)
+	defer node.Kill()
+	node.replicas.put(replica.Entry{ID: "r0", Service: "s", Status: replica.StatusReady, Slots: 4})
+	before, _, _ := node.replicas.since(0, false)
+	g.Expect(before[0].Entry.Cold.Left).To(BeZero())
+	for _, value := range []string{"", "soon", "0"} {
+		node.hearCold("r0", answerWith(value))
+		g.Expect(node.ColdReplicas()).To(BeZero(), value)
+	}
+	node.hearCold("r0", answerWith("3600000"))
+	g.Expect(node.ColdReplicas()).To(Equal(1))
+	changes, _, _ := node.replicas.since(1, true)
+	g.Expect(changes).To(HaveLen(1))
+	g.Expect(changes[0].Entry.Cold.Left).To(BeNumerically("~", time.Hour, time.Minute))
+}
+
+func answerWith(left string) *upstream.Response {
+	response := &upstream.Response{}
+	response.Header = fasthttp.ResponseHeader{}
+	if left != "" {
+		response.Header.Set("X-Left", left)
+	}
+	return response
+}
--- a/edge/request.go
+++ b/edge/request.go
@@ -41,6 +41,8 @@
 	attempts int
 	// repeats counts the attempts that were sent beside a late one.
 	repeats int
+	// beside says that an attempt is under way while the next is chosen.
+	beside bool
 	// sentAt is when the last attempt began.
 	sentAt   time.Time
 	excluded []replica.ID
--- a/replica/cold.go
+++ b/replica/cold.go
@@ -160,3 +160,13 @@
 	}
 	return turns, count
 }
+
+// ColdCount returns how many replicas are cold.
+func (s *Set) ColdCount(now time.Time) (count int) {
+	for _, known := range s.byID {
+		if known.cold.cold(now) {
+			count++
+		}
+	}
+	return count
+}
