edge: a cold replica at its rate is passed over for 100 ms at least

Each of 74 nodes asked again after 50 ms; where a whole zone is cold and full, that is work for the nodes that count and brings no grant more.

--- a/edge/cold.go
+++ b/edge/cold.go
@@ -25,6 +25,10 @@
 	// coldSilence is how long a cold replica is passed over whose counting node did not
 	// answer: so that only few requests wait in vain until its loss is noticed.
 	coldSilence = 250 * time.Millisecond
+	// leastColdPause is how long a cold replica is passed over at least that is at its
+	// rate: it bounds what many nodes with much to send ask of the one that counts, and
+	// still leaves them far more questions than there are grants.
+	leastColdPause = 100 * time.Millisecond
 	// maximumColdAsks bounds the cold replicas that are asked for in one choice; warm
 	// ones alone are chosen from then on.
 	maximumColdAsks = 3
@@ -75,7 +79,7 @@
 	n.metrics.coldCharged(coldAsked)
 	begun := time.Now()
 	n.awaitCold(asked)
-	status, pause := string(asked.outcome.Status), asked.outcome.Decision.RetryAfter
+	status, pause := string(asked.outcome.Status), max(asked.outcome.Decision.RetryAfter, leastColdPause)
 	granted := asked.outcome.Status == coordinator.ChargeGranted
 	switch {
 	case granted && time.Since(begun) > coldFresh:
