--- a/edge/cold.go
+++ b/edge/cold.go
@@ -71,7 +71,7 @@
 func (n *Node) askCold(r *requestState, choice *replica.Choice) bool {
 	asked := &charge{
 		asked: coordinator.Charge{Replica: string(choice.Entry.ID), Request: tenant.Request{
-			ID:    n.settings.Node + "/" + r.id + "/" + strconv.Itoa(r.attempts),
+			ID:    n.nextOffer(),
 			Limit: tenant.Limit{Rate: choice.ColdRate}, Version: r.version,
 		}},
 		answer: make(chan coordinator.Charged, 1),
@@ -99,6 +99,12 @@
 	return false
 }
 
+// nextOffer returns an id that no other offer of any node has, also none before a new
+// start. A client's id would not do: one that is used again is granted for nothing.
+func (n *Node) nextOffer() string {
+	return n.settings.Node + "/" + strconv.FormatUint(n.self.Incarnation, 36) + "/" + strconv.FormatUint(n.coldOffers.Add(1), 36)
+}
+
 // awaitCold asks a question and takes its answer, or that there is none in time.
 func (n *Node) awaitCold(asked *charge) {
 	ctx, cancel := context.WithTimeout(n.ctx, coldFresh)
--- a/edge/cold_test.go
+++ b/edge/cold_test.go
@@ -73,6 +73,22 @@
 	g.Expect(asked).To(HaveLen(3))
 }
 
+// TestColdOffersCountApart also where a client uses the id of a request again: what was
+// granted under it does not grant another one.
+func TestColdOffersCountApart(t *testing.T) {
+	g := NewWithT(t)
+	node := coldNode(g, nil, "r0")
+	defer node.Kill()
+	var asked []coordinator.Charge
+	answerCold(node, &asked, coordinator.ChargeGranted, coordinator.ChargeGranted)
+	for range 2 {
+		_, err := node.chooseWithin(coldRequest(), &replica.Request{Service: "s"})
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(asked).To(HaveLen(2))
+	g.Expect(asked[0].Request.ID).NotTo(Equal(asked[1].Request.ID))
+}
+
 // TestColdReplicaWithoutAnswer is passed over.
 func TestColdReplicaWithoutAnswer(t *testing.T) {
 	g := NewWithT(t)
--- a/edge/node.go
+++ b/edge/node.go
@@ -45,6 +45,8 @@
 	control  *control
 	peers    *peers
 	metrics  *Metrics
+	// coldOffers counts the offers to cold replicas, for their ids.
+	coldOffers atomic.Uint64
 	// withheld are the fields of clients that no replica gets.
 	withheld []string
 
