--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -49,7 +49,7 @@
 	asked := n.choiceOf(r)
 	asked.PerNode, asked.Draw = n.perNode(table, r.service), n.draw()
 	asked.Connected = func(entry replica.Entry) bool { return n.pool.Free(targetOf(entry)) }
-	choice, err := n.replicas.choose(asked)
+	choice, err := n.chooseWithin(r, asked)
 	if err != nil {
 		n.metrics.placeRefused(err)
 		return replica.Entry{}, err
@@ -74,6 +74,7 @@
 // reject notes that a replica did not run the request.
 func (n *Node) reject(r *requestState, entry replica.Entry, result replica.Result) {
 	n.replicas.ended(entry.ID, result)
+	n.returnCold(r, entry.ID)
 	if r.only == entry.ID && result == replica.ResultFailed {
 		// No connection: the replica has ended or is cut off.
 		r.only = ""
--- a/edge/call.go
+++ b/edge/call.go
@@ -98,6 +98,7 @@
 	if c.offers >= maximumOffers || r.left() <= 0 {
 		return errOffered
 	}
+	r.beside = len(c.flying) > 0
 	entry, err := n.chooseReplica(r, c.table)
 	if err != nil {
 		return err
@@ -121,6 +122,7 @@
 	response, err := n.pool.Send(targetOf(attempt.choice.Entry), request, attempt.cancel)
 	result := callResult{attempt: attempt, response: response, err: err}
 	if err == nil {
+		n.hearCold(attempt.choice.Entry.ID, response)
 		result.body, result.err = response.ReadAll()
 	}
 	return result
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -26,6 +26,8 @@
 	misses  *metrics.Counter
 	// datagrams are counted by how they ended.
 	datagrams [datagramEnds]*metrics.Counter
+	// cold is how many replicas this node holds cold.
+	cold *metrics.Gauge
 	// linesDropped follows dropLines, which counts lines of the log that were
 	// dropped; nil where nobody counts them.
 	linesDropped *metrics.Counter
@@ -51,6 +53,8 @@
 	metricEvacuated  = "birchwood_edge_evacuated_zones"
 	metricPlaces     = "birchwood_edge_place_refusals_total"
 	metricLeft       = "birchwood_edge_lines_moved_total"
+	metricColdCharge = "birchwood_edge_cold_charges_total"
+	metricCold       = "birchwood_edge_replicas_cold"
 )
 
 // latencyBuckets are for times that clients feel, in seconds.
@@ -74,6 +78,7 @@
 		failed:       set.NewCounter(metricFailed),
 		repeats:      set.NewCounter(metricRepeats),
 		misses:       set.NewCounter(metricMisses),
+		cold:         set.NewGauge(metricCold, nil),
 		linesDropped: set.NewCounter(metricLogDropped),
 		dropLines:    dropped,
 	}
@@ -206,6 +211,22 @@
 // lineMoved counts a turn that was sent elsewhere than its line's last one.
 func (m *Metrics) lineMoved() { m.set.GetOrCreateCounter(metricLeft).Inc() }
 
+// The labels of charges of cold replicas, besides those of coordinator.ChargeStatus.
+const (
+	coldAsked    = "asked"
+	coldReturned = "returned"
+	// coldStale is a grant that was read too late to be used.
+	coldStale = "stale"
+)
+
+// coldCharged counts how an offer to a cold replica counted to its rate.
+func (m *Metrics) coldCharged(status string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{status=%q}", metricColdCharge, status)).Inc()
+}
+
+// replicasCold notes how many replicas this node holds cold.
+func (m *Metrics) replicasCold(count int) { m.cold.Set(float64(count)) }
+
 // startMetrics serves the metrics if the settings name an address.
 func (n *Node) startMetrics() {
 	port, path, named := strings.Cut(n.settings.Metrics, "/")
--- a/edge/node.go
+++ b/edge/node.go
@@ -47,6 +47,8 @@
 	control     *control
 	peers       *peers
 	metrics     *Metrics
+	// coldOffers counts the offers to cold replicas, for their ids.
+	coldOffers atomic.Uint64
 	// withheld are the fields of clients that no replica gets.
 	withheld []string
 
@@ -185,6 +187,9 @@
 	if settings.Quota.Window > 0 {
 		config.Tenants = settings.Quota
 	}
+	if settings.ColdReplicas.Window > 0 {
+		config.ColdReplicas = settings.ColdReplicas
+	}
 	config.Tenants.FirstCome = !settings.uses(FinishPrograms)
 	config.CountAlone = !settings.uses(CountTogether)
 	if settings.RecordBytes > 0 {
--- a/edge/request.go
+++ b/edge/request.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"birchwood.example/birchwood/coordinator"
 	"birchwood.example/birchwood/ingress"
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/replica"
@@ -36,12 +37,17 @@
 	// charge is how the request counts to its tenant's limit; nil where there is
 	// none.
 	charge *charge
+	// coldGrant is how the last offer to a cold replica counts to its rate; nil where
+	// there was none.
+	coldGrant *coordinator.Charge
 
 	// The fields below follow the handling, for the log.
 	choice   replica.Choice
 	attempts int
 	// repeats counts the attempts that were sent beside a late one.
 	repeats int
+	// beside says that an attempt is under way while the next is chosen.
+	beside bool
 	// sentAt is when the last attempt began.
 	sentAt   time.Time
 	excluded []replica.ID
--- a/replica/select.go
+++ b/replica/select.go
@@ -28,6 +28,8 @@
 	Homes zone.Homes
 	// Excluded are the replicas that were tried.
 	Excluded []ID
+	// Warm passes over cold replicas.
+	Warm bool
 	// PerNode bounds this node's requests at one replica; 0 sets no bound.
 	PerNode int
 	// Connected reports whether a kept connection to the replica is free; nil
@@ -48,6 +50,9 @@
 	ErrEvacuated = errors.New("the zones of all replicas that could serve are evacuated")
 	// ErrSaturated says that every ready replica has all the requests it may.
 	ErrSaturated = errors.New("every replica of the service is full")
+	// ErrColdRate says that every ready replica that is not full is cold, and at its
+	// rate.
+	ErrColdRate = errors.New("every replica of the service is cold and at its rate")
 )
 
 // Choice is the replica chosen for a request.
@@ -62,14 +67,17 @@
 	// Left says that the replica which served the line before is in an evacuated zone,
 	// and that the request goes elsewhere because of it.
 	Left bool
+	// ColdRate is how many requests a second the replica bears; 0 unless it is cold
+	// and its service has such a rate.
+	ColdRate float64
 }
 
 // Select picks a replica for the request: feasible, rank, select.
 func (s *Set) Select(now time.Time, request *Request) (Choice, error) {
-	feasible, saturated := s.feasible(now, request)
+	feasible, lacking := s.feasible(now, request)
 	if len(feasible) == 0 {
-		if saturated {
-			return Choice{}, ErrSaturated
+		if lacking != nil {
+			return Choice{}, lacking
 		}
 		return Choice{}, s.absence(now, request)
 	}
@@ -89,17 +97,23 @@
 		Load:     int(math.Round(weighed.view.load(best))),
 		Feasible: len(feasible),
 		Left:     s.left(now, request),
+		ColdRate: s.coldRate(now, best),
 	}, nil
 }
 
 // feasible returns the replicas that may take the request: those that answered
-// well lately, or the suspect ones where there are no others.
-func (s *Set) feasible(now time.Time, request *Request) (list []*member, saturated bool) {
+// well lately, or the suspect ones where there are no others. Where there are none at
+// all that has room, lacking tells what it lacks; nil where no replica may take the
+// request at all.
+func (s *Set) feasible(now time.Time, request *Request) (list []*member, lacking error) {
 	if known := s.byID[request.Only]; known != nil {
-		if s.mayTake(now, request, known) == nil {
-			list = append(list, known)
+		if s.mayTake(now, request, known) != nil {
+			return nil, nil
 		}
-		return list, false
+		if s.atColdRate(now, known) {
+			return nil, ErrColdRate
+		}
+		return []*member{known}, nil
 	}
 	var suspects []*member
 	for _, one := range s.services[request.Service] {
@@ -107,7 +121,11 @@
 			continue
 		}
 		if request.PerNode > 0 && one.own >= request.PerNode {
-			saturated = true
+			lacking = ErrSaturated
+			continue
+		}
+		if s.atColdRate(now, one) || (request.Warm && s.coldRate(now, one) > 0) {
+			lacking = ErrColdRate
 			continue
 		}
 		if now.Before(one.suspectUntil) && !s.config.Without.Suspicion {
@@ -119,7 +137,7 @@
 	if len(list) == 0 {
 		list = suspects
 	}
-	return list, saturated
+	return list, lacking
 }
 
 // mayServe reports whether a replica may get new requests: it is listed as ready,
@@ -187,6 +205,9 @@
 	if !without.Faults {
 		cost += int(faultTokens * min(one.faultsNow(w.now), maximumFaults))
 	}
+	if w.set.coldRate(w.now, one) > 0 {
+		cost += coldTokens
+	}
 	if one.entry.Zone != w.set.config.Zone && !without.Zones {
 		cost += elsewhereTokens
 	}
@@ -200,14 +221,20 @@
 }
 
 // Pressure returns how full the emptiest replica is that may take a request: its
-// requests under way by its slots. It is 0 where none may.
+// requests under way by its slots. A cold one that is at its rate counts as full at
+// least. It is 0 where none may.
 func (s *Set) Pressure(now time.Time, request *Request) float64 {
 	least := math.Inf(1)
 	view := s.viewOf(request.Service)
 	for _, one := range s.services[request.Service] {
-		if s.mayTake(now, request, one) == nil {
-			least = min(least, view.load(one)/float64(max(1, one.entry.Slots)))
+		if s.mayTake(now, request, one) != nil {
+			continue
+		}
+		full := view.load(one) / float64(max(1, one.entry.Slots))
+		if s.atColdRate(now, one) {
+			full = max(full, pressureAtColdRate)
 		}
+		least = min(least, full)
 	}
 	if math.IsInf(least, 1) {
 		return 0
