ledger, edge: after a loss only turns really under way are in doubt

Cause: a new owner took a program's mark as used, with what was ahead of the need and the share that programs may use unrecorded; a budget of 900 with turns of 552 held one turn then, or none. And an owner that served a question after its takeover held the turn's most for an asker that had given up: budgets of one turn were busy, then spent, though nothing had run.

Kept turns now bring an exact record of the account along in their append: settled, turns under way, and slots for turns that may follow without a record. Small budgets, which need a write for each turn anyway, have it too. Settlements bring the number of their grant, so that a new owner resolves what is in doubt, each end once. 402 is said only when no doubt is left that may be resolved. Shares that hold no turn are 0. A node settles a turn that it asked for in vain.

Ruled out: a write for each grant, slots of tokens, asking all nodes (table in docs/design/budgets.md).

--- a/coordinator/find_test.go
+++ b/coordinator/find_test.go
@@ -37,3 +37,29 @@
 		Expect(plain.ProvesAbsent(&ofFormer)).To(BeTrue())
 	})
 })
+
+var _ = Describe("A turn that is asked for during a takeover", func() {
+	It("takes nothing of its program's budget once its asker has given up", func() {
+		world := newFleet(3, 3, 1)
+		world.run(settled)
+		lost := world.owners(0)[0]
+		world.kill(lost)
+		asked := turn("given up")
+		asked.Turn.Budget = asked.Turn.Most
+		end := ledger.Settlement{Turn: "given up", Program: "p", Session: "s"}
+		for len(world.owners(0)) == 0 {
+			// Whoever takes the partition over is asked, and nobody waits for the answer.
+			for _, id := range world.ids() {
+				world.ask(id, 0, coordinator.Request{Admit: asked})
+				world.ask(id, 0, coordinator.Request{Settle: &end})
+			}
+			world.run(step)
+		}
+		world.run(time.Second)
+		next := turn("next")
+		next.Turn.Budget = next.Turn.Most
+		owner := world.owners(0)[0]
+		admitted := reply(world, owner, world.ask(owner, 0, coordinator.Request{Admit: next}))
+		Expect(admitted.Admission.Verdict).To(Equal(ledger.VerdictGranted))
+	})
+})
--- /dev/null
+++ b/edge/admission_test.go
@@ -0,0 +1,51 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/ingress"
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/upstream"
+)
+
+// TestAdmissionGivenUp tells an owner that was not heard in time that the turn is over,
+// since it may have granted it.
+func TestAdmissionGivenUp(t *testing.T) {
+	g := NewWithT(t)
+	node := keyNode(g, Settings{}, false)
+	defer node.Kill()
+	ctx, cancel := context.WithCancel(node.ctx)
+	defer cancel()
+	settled := make(chan ledger.Settlement, 1)
+	go func() {
+		for input := range node.control.inbox {
+			switch input := input.(type) {
+			case lookup:
+				input.answer <- node.self
+			case question:
+				if input.request.Settle != nil {
+					settled <- *input.request.Settle
+					input.answer <- coordinator.Reply{Status: coordinator.ReplyDone}
+					return
+				}
+				// The asker gives up before the owner answers.
+				cancel()
+			}
+		}
+	}()
+	r := &requestState{
+		exchange: &ingress.Exchange{Cancel: &upstream.Cancel{}}, id: "t", program: "p", session: "s", most: 100, budget: 100,
+		deadline: time.Now().Add(time.Minute), route: &routing.Route{},
+	}
+	_, err := node.askAdmission(ctx, r, &coordinator.AdmitRequest{Turn: node.turnOf(r)})
+	g.Expect(err).To(HaveOccurred())
+	var end ledger.Settlement
+	g.Eventually(settled).WithTimeout(time.Minute).Should(Receive(&end))
+	g.Expect(end).To(Equal(ledger.Settlement{Turn: "t", Program: "p", Session: "s"}))
+}
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -82,7 +82,7 @@
 	ask := &coordinator.AdmitRequest{Turn: n.turnOf(r), Previous: previous}
 	var found grant
 	found.chain, ask.HasChain = n.chains.get(time.Now(), previous)
-	reply, err := n.askOwner(ctx, r, r.partition, coordinator.Request{Admit: ask}, ownerPatience)
+	reply, err := n.askAdmission(ctx, r, ask)
 	if err == nil && reply.Status == coordinator.ReplyAbsent {
 		chain, status := n.findChain(ctx, r)
 		if status != coordinator.ReplyDone {
@@ -91,7 +91,7 @@
 		}
 		found.chain = chain
 		ask.HasChain = true
-		reply, err = n.askOwner(ctx, r, r.partition, coordinator.Request{Admit: ask}, ownerPatience)
+		reply, err = n.askAdmission(ctx, r, ask)
 	}
 	if err != nil {
 		r.fail(fasthttp.StatusServiceUnavailable, err.Error(), comeBackSoon)
@@ -103,11 +103,22 @@
 	return n.takeReply(ctx, r, reply, found)
 }
 
+// askAdmission asks the owner for the turn. One that was not heard may have granted it,
+// or grants it once a takeover is over, to nobody: it is told that the turn is over, so
+// that the program's budget does not wait for it.
+func (n *Node) askAdmission(ctx context.Context, r *requestState, ask *coordinator.AdmitRequest) (coordinator.Reply, error) {
+	reply, err := n.askOwner(ctx, r, r.partition, coordinator.Request{Admit: ask}, ownerPatience)
+	if err != nil {
+		n.settle(r)
+	}
+	return reply, err
+}
+
 // turnOf describes the turn to the ledger.
 func (n *Node) turnOf(r *requestState) ledger.Turn {
 	return ledger.Turn{
 		ID: r.turnID(), Program: r.programID(), Unscoped: r.scope.Unscoped(r.program), Session: r.session,
-		Most: r.most, Budget: r.budget, Within: max(0, r.left()), Retain: r.route.RetainFor,
+		Most: r.most, Budget: r.budget, Within: max(0, r.left()), Retain: r.route.RetainFor, Keeps: r.route.Retain,
 	}
 }
 
@@ -295,7 +306,7 @@
 }
 
 func (n *Node) settlementOf(r *requestState) *ledger.Settlement {
-	settlement := &ledger.Settlement{Turn: r.turnID(), Program: r.programID(), Session: r.session, Tokens: r.tokens}
+	settlement := &ledger.Settlement{Turn: r.turnID(), Program: r.programID(), Session: r.session, Grant: r.admission.Grant, Tokens: r.tokens}
 	if r.status == fasthttp.StatusOK {
 		settlement.Replica = string(r.choice.Entry.ID)
 		if n.settings.uses(CountKept) {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -144,9 +144,9 @@
 	l.nextSweep = now.Add(l.config.SweepPeriod)
 	for id, held := range l.accounts {
 		held.expire(now)
-		if len(held.open) == 0 && now.Sub(held.used) > held.retain+l.config.Slack {
+		if held.underWay() == 0 && now.Sub(held.touched) > held.retain+l.config.Slack {
 			delete(l.accounts, id)
-			if held.mark > 0 {
+			if held.newest.mark > 0 {
 				l.propose(accountPrefix+id, nil)
 			}
 		}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -29,9 +29,42 @@
 	Mark int `json:"mark"`
 	// Assumed is the part of the mark that was assumed of a former owner.
 	Assumed int `json:"assumed,omitempty"`
+	// NoneAssumed says that Assumed stands for 0: the program may have begun under a
+	// former owner, and nothing but the turn beyond its budget is taken as used there.
+	// Owners of a former format know such programs by an Assumed above 0.
+	NoneAssumed bool `json:"none_assumed,omitempty"`
 	// RetainMS is how long the account is kept after its program's last turn,
 	// in milliseconds.
 	RetainMS int64 `json:"retain_ms"`
+	// Exact is what the mark is made of, where the owner recorded that; nil in
+	// records of a former format.
+	Exact *exactValue `json:"exact,omitempty"`
+}
+
+// exactValue is an account as it was, and what its owner might grant from then on
+// without another record.
+type exactValue struct {
+	// Settled counts the tokens of turns that are over, and Presumed the part of them
+	// that turns count whose use is not known.
+	Settled  int `json:"settled"`
+	Presumed int `json:"presumed,omitempty"`
+	// Open are the turns under way.
+	Open []listedValue `json:"open,omitempty"`
+	// Granted is the number of the last grant, and Slots how many more may follow, of
+	// SlotMost tokens each at most.
+	Granted  uint64 `json:"granted"`
+	Slots    int    `json:"slots,omitempty"`
+	SlotMost int    `json:"slot_most,omitempty"`
+	// WithinMS is how long any turn of the program takes at most, in milliseconds.
+	WithinMS int64 `json:"within_ms,omitempty"`
+}
+
+// listedValue is a turn under way. Its ID is empty where a former owner may have granted
+// it without a record.
+type listedValue struct {
+	ID    string `json:"id,omitempty"`
+	Grant uint64 `json:"grant"`
+	Most  int    `json:"most"`
 }
 
 // turnValue is a kept turn.
@@ -67,10 +100,7 @@
 		if err := json.Unmarshal(record.Value, &value); err != nil {
 			return fmt.Errorf("ledger: record %q: %w", record.Key, err)
 		}
-		l.accounts[program] = &account{
-			settled: value.Mark, mark: value.Mark, assumed: value.Assumed, restored: true, open: map[string]reservation{}, used: now,
-			retain: time.Duration(value.RetainMS) * time.Millisecond,
-		}
+		l.accounts[program] = restoreAccount(now, &value)
 		return nil
 	}
 	if strings.HasPrefix(record.Key, partPrefix) {
--- a/ledger/turn.go
+++ b/ledger/turn.go
@@ -42,6 +42,7 @@
 		value.Base = kept.Base
 		value.Previous = ""
 	}
+	l.renew(now, kept.Program)
 	position = l.proposeTurn(kept.ID, &value)
 	l.turns[kept.ID] = &turn{turnValue: value, expires: now.Add(kept.Retain)}
 	l.touchChain(kept.ID, now.Add(kept.Retain))
--- a/ledger/unrecorded.go
+++ b/ledger/unrecorded.go
@@ -87,9 +87,12 @@
 func (l *Ledger) lowerMarks() {
 	for _, program := range slices.Sorted(maps.Keys(l.accounts)) {
 		held := l.accounts[program]
-		if used := held.settled + held.openTokens(); used < held.mark {
-			held.mark = used
-			l.proposeMark(program, held)
+		switch used := held.used(); {
+		case used >= held.newest.mark:
+		case held.newest.grant == unbounded:
+			l.proposeMark(program, held, used)
+		default:
+			l.proposeExact(program, held, 0)
 		}
 	}
 }
@@ -127,7 +130,7 @@
 // assumed is what a program that the log does not know may have used under a
 // former owner.
 func (l *Ledger) assumed(now time.Time, turn Turn) int {
-	if !l.tenure.inherited || l.tenure.begun.IsZero() || now.Sub(l.tenure.begun) > l.window(turn.Retain) {
+	if !l.mayHaveBegun(now, turn) {
 		return 0
 	}
 	assumed := l.unrecordedMost(turn)
@@ -137,18 +140,33 @@
 	return assumed
 }
 
+// mayHaveBegun reports whether a program that the log does not know may have begun under
+// a former owner. The turn by which its budget may be exceeded was spent there then,
+// also where nothing is assumed besides.
+func (l *Ledger) mayHaveBegun(now time.Time, turn Turn) bool {
+	return l.tenure.inherited && !l.tenure.begun.IsZero() && now.Sub(l.tenure.begun) <= l.window(turn.Retain)
+}
+
 // againMost is what a program may use unrecorded at an owner that followed a lost one.
 func (l *Ledger) againMost(turn Turn) int {
 	if turn.Budget < l.config.AgainBudget {
 		return 0
 	}
-	return int(l.config.AgainShare * float64(turn.Budget))
+	return shareOf(turn, l.config.AgainShare)
 }
 
 // unrecordedMost is what a program may use before the log has its first mark,
 // besides one turn.
-func (l *Ledger) unrecordedMost(turn Turn) int {
-	return int(l.config.UnrecordedShare * float64(turn.Budget))
+func (l *Ledger) unrecordedMost(turn Turn) int { return shareOf(turn, l.config.UnrecordedShare) }
+
+// shareOf is a share of a turn's budget, or nothing where it would not hold the turn:
+// taken as used, it would leave a small budget without one.
+func shareOf(turn Turn, share float64) int {
+	tokens := int(share * float64(turn.Budget))
+	if tokens < turn.Most {
+		return 0
+	}
+	return tokens
 }
 
 // firstMark is the least first mark: all that a program may use before it. It
@@ -166,7 +184,7 @@
 // unrecordedUpTo is the need up to which a program may run unrecorded.
 func (l *Ledger) unrecordedUpTo(turn Turn, held *account) int {
 	switch {
-	case held.assumed == 0:
+	case !held.begunBefore:
 		return l.unrecordedMost(turn) + turn.Most
 	case l.tenure.again:
 		return 0
@@ -181,15 +199,17 @@
 // the log has a mark of this owner, the need lies under it; a former owner's mark
 // may lie lower. Where the use of a former owner's programs is assumed, the turn
 // beyond the share was spent there, and a smaller share is left.
-func (l *Ledger) runsUnrecorded(now time.Time, turn Turn, held *account, need int) bool {
-	if turn.Budget <= 0 || held.restored || need > l.unrecordedUpTo(turn, held) {
+// What any of this owner's records would not cover waits: each may be the last that
+// becomes durable.
+func (l *Ledger) runsUnrecorded(now time.Time, turn Turn, held *account, grant uint64, need int) bool {
+	if turn.Budget <= 0 || held.restored || need > l.unrecordedUpTo(turn, held) || !held.lowest.holds(grant, turn.Most, need) {
 		return false
 	}
 	own := l.tenure
 	if own.begun.IsZero() || own.closed || now.Sub(own.proven) > l.config.UnrecordedFor {
 		return false
 	}
-	if own.inherited && held.assumed == 0 {
+	if own.inherited && !held.begunBefore {
 		// The former owner's record stands, and covers as much.
 		return true
 	}
