ledger: a turn's end replaces a record that is still queued

Cause: the record of a small budget lists a turn that was refused before the log had it, and the next turn needed a write of its own. Conclusion: where the account's record waits in the queue, the turn's end renews it at no append.

--- a/ledger/account.go
+++ b/ledger/account.go
@@ -382,10 +382,11 @@
 	a.settled += min(tokens, reserved.most)
 }
 
-// recordEnd proposes an account's record where its newest one would leave a new owner
-// no budget for another turn.
+// recordEnd proposes an account's record where its newest one is still queued, which
+// costs no append, and where that would leave a new owner no budget for another turn.
 func (l *Ledger) recordEnd(now time.Time, program string, held *account) {
-	if held.restored && held.newest.mark >= held.budget && held.used() < held.budget {
+	spent := held.restored && held.newest.mark >= held.budget && held.used() < held.budget
+	if spent || l.queues(accountPrefix+program) {
 		l.renew(now, program)
 	}
 }
--- a/ledger/exact_test.go
+++ b/ledger/exact_test.go
@@ -183,6 +183,26 @@
 		}
 	})
 
+	It("needs no write for a turn that follows one which was refused before the log had its record", func() {
+		stored := log{}
+		books := stored.serving(start)
+		books.Keep(start, ledger.KeptTurn{ID: "other", Program: "other", Input: []byte("x"), Retain: time.Minute})
+		Expect(books.Ready()).NotTo(BeEmpty())
+		refused := books.Admit(start, smallTurn("refused"))
+		books.Settle(start, endOf("refused", refused, 0))
+		books.Stored()
+		stored.store(books)
+		Expect(books.Admit(start, smallTurn("a")).Position).To(BeZero())
+		Expect(books.Ready()).To(BeEmpty())
+	})
+
+	It("numbers the grants of an owner that the log lost apart from those of the next", func() {
+		stored := log{}
+		lost := stored.serving(start).Admit(start, smallTurn("a"))
+		next := stored.open(start.Add(time.Millisecond)).Admit(start.Add(time.Millisecond), smallTurn("b"))
+		Expect(next.Grant).To(BeNumerically(">", lost.Grant))
+	})
+
 	It("is not eaten by what is assumed of programs that the log does not know", func() {
 		stored := log{}
 		stored.serving(start)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -85,7 +85,7 @@
 func (l *Ledger) propose(key string, value []byte) uint64 {
 	l.proposed++
 	record := Record{Key: key, Value: value}
-	index := slices.IndexFunc(l.pending, func(waiting queued) bool { return waiting.Key == key })
+	index := l.queuedAt(key)
 	if index >= 0 {
 		l.pending[index].Record = record
 		return l.proposed
@@ -94,6 +94,14 @@
 	return l.proposed
 }
 
+// queuedAt returns the place of a key's record that is in no batch yet, or -1.
+func (l *Ledger) queuedAt(key string) int {
+	return slices.IndexFunc(l.pending, func(waiting queued) bool { return waiting.Key == key })
+}
+
+// queues reports whether a key's record is in no batch yet.
+func (l *Ledger) queues(key string) bool { return l.queuedAt(key) >= 0 }
+
 // Proposed returns the position of the last proposal.
 func (l *Ledger) Proposed() uint64 { return l.proposed }
 
