--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -85,7 +85,7 @@
 func (l *Ledger) propose(key string, value []byte) uint64 {
 	l.proposed++
 	record := Record{Key: key, Value: value}
-	index := slices.IndexFunc(l.pending, func(waiting queued) bool { return waiting.Key == key })
+	index := l.queuedAt(key)
 	if index >= 0 {
 		l.pending[index].Record = record
 		return l.proposed
@@ -94,6 +94,14 @@
 	return l.proposed
 }
 
+// queuedAt returns the place of a key's record that is in no batch yet, or -1.
+func (l *Ledger) queuedAt(key string) int {
+	return slices.IndexFunc(l.pending, func(waiting queued) bool { return waiting.Key == key })
+}
+
+// queues reports whether a key's record is in no batch yet.
+func (l *Ledger) queues(key string) bool { return l.queuedAt(key) >= 0 }
+
 // Proposed returns the position of the last proposal.
 func (l *Ledger) Proposed() uint64 { return l.proposed }
 
@@ -144,9 +152,9 @@
 	l.nextSweep = now.Add(l.config.SweepPeriod)
 	for id, held := range l.accounts {
 		held.expire(now)
-		if len(held.open) == 0 && now.Sub(held.used) > held.retain+l.config.Slack {
+		if held.underWay() == 0 && now.Sub(held.touched) > held.retain+l.config.Slack {
 			delete(l.accounts, id)
-			if held.mark > 0 {
+			if held.newest.mark > 0 {
 				l.propose(accountPrefix+id, nil)
 			}
 		}
