coordinator, edge: takeovers that others see, and that serve once the accounts are read

Cause: an heir that had waited 300 ms claimed anew while the node before it still read the partition, so that one takeover fenced the next one without end.

A claim under way is now passed on among the nodes with its progress, is asked for before another node claims, and is held against by those that were fenced or are behind a cut only where the log no longer grows. A partition serves once its accounts are read; what needs a kept turn that is not read yet is held. A node reads two pages at once. Heirs are in two zones, and weak nodes own nothing beside strong ones. The answer to a fenced claim reads no page any more.

Ruled out: a longer patience, which only moves the length at which it breaks; reading the end of the log with the claim itself (a condition on the append), whose effect on the writer's epoch is not said.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -10,6 +10,7 @@
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/ownership"
 	"birchwood.example/birchwood/tenant"
+	"birchwood.example/birchwood/zone"
 )
 
 // Config sets up a Core.
@@ -108,6 +109,8 @@
 	nextKnown    time.Time
 	// lastHeard is when a message of another node came last.
 	lastHeard time.Time
+	// zoneHeard is when any node of another zone was heard last.
+	zoneHeard map[zone.Name]time.Time
 	ranking   ranking
 	charging  charging
 	proving   proving
@@ -126,6 +129,7 @@
 		directory:  make(map[machine.ID]machine.Machine),
 		peers:      make(map[machine.ID]peerState),
 		unreaching: make(map[machine.ID]bool),
+		zoneHeard:  make(map[zone.Name]time.Time),
 		started:    now,
 		reaches:    true,
 		charging:   newCharging(now, &config),
@@ -154,6 +158,8 @@
 		c.stepPeer(now, event.Message)
 	case Requested:
 		c.stepRequest(now, event)
+	case TakeoverRead:
+		c.stepTakeoverRead(now, event)
 	case TakenOver:
 		c.stepTakenOver(now, event)
 	case Appended:
--- a/coordinator/doc.go
+++ b/coordinator/doc.go
@@ -11,8 +11,12 @@
 //
 // The node that ranks first for a partition among the live nodes that reach
 // the log takes it over: it claims a new epoch, which fences the former owner,
-// and then reads the newest record of each key. From the answer on it serves.
-// Requests that arrive meanwhile are held for a bounded time.
+// and then reads the newest record of each key, page by page. It serves once all
+// accounts are read; requests that need what is not read yet are held for a bounded
+// time. Others know of the takeover and wait for it while it gets on.
+//
+// A node that was fenced, or that may be behind a cut, claims only once the log shows
+// that nobody else appends.
 //
 // It asks the owner first, which closes its ledger, gives the partition up once
 // the log has all of it, and answers (Handover). An owner that is to own the
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -34,14 +34,22 @@
 	Request   Request
 }
 
-// TakenOver answers a Takeover.
+// TakeoverRead tells of progress in a takeover: the log has the claim, and some of
+// the newest record of each key were read, in the order of the keys.
+type TakeoverRead struct {
+	Partition int
+	Epoch     ownership.Epoch
+	Records   []ledger.Record
+}
+
+// TakenOver ends a Takeover.
 type TakenOver struct {
 	Partition int
 	Epoch     ownership.Epoch
 	Outcome   Outcome
-	// Highest is the highest epoch that the log named, when fenced.
-	Highest ownership.Epoch
-	// Records are the newest of each key, when done.
+	// End is where the log ended, for OutcomeMoved.
+	End uint64
+	// Records are those that no TakeoverRead has brought, when done.
 	Records []ledger.Record
 }
 
@@ -64,6 +72,8 @@
 	OutcomeFenced
 	// OutcomeFailed is a takeover that was given up; it may be tried again.
 	OutcomeFailed
+	// OutcomeMoved is a takeover that was not begun: another owner appends.
+	OutcomeMoved
 )
 
 // OwnerHeard is what another node answered of a partition's owner.
@@ -115,6 +125,7 @@
 func (Contact) event()         {}
 func (PeerReceived) event()    {}
 func (Requested) event()       {}
+func (TakeoverRead) event()    {}
 func (TakenOver) event()       {}
 func (Appended) event()        {}
 func (OwnerHeard) event()      {}
@@ -167,6 +178,16 @@
 type Takeover struct {
 	Partition int
 	Epoch     ownership.Epoch
+	// Contested claims are made only where the log still ends at Unmoved: the node
+	// was fenced by an owner of which it has heard nothing else.
+	Contested bool
+	Unmoved   uint64
+}
+
+// Stopped asks the driver to read no more for a takeover.
+type Stopped struct {
+	Partition int
+	Epoch     ownership.Epoch
 }
 
 // Append asks the driver to append records under the epoch, or none, and to
@@ -198,6 +219,7 @@
 	Messages  []Outbound
 	Replies   []Reply
 	Takeovers []Takeover
+	Stopped   []Stopped
 	Appends   []Append
 	Loads     []PeerLoad
 	Charged   []Charged
--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -1,6 +1,8 @@
 package coordinator
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"birchwood.example/birchwood/machine"
@@ -15,6 +17,9 @@
 	// does not serve the partition, or no longer does; Kept that it goes on.
 	Given bool `json:"given,omitempty"`
 	Kept  bool `json:"kept,omitempty"`
+	// Ordered says that the sender of Given was the owner, and that the log has all
+	// that it owed.
+	Ordered bool `json:"ordered,omitempty"`
 	// Epoch is the highest that the sender of an answer knows of.
 	Epoch ownership.Epoch `json:"epoch,omitempty"`
 }
@@ -29,34 +34,75 @@
 
 // handover is where a partition's change of owner stands on this node.
 type handover struct {
-	// askedAt is when this node asked the owner; given is set by the answer.
+	// askedAt is when this node asked; asked are those that have not answered, and
+	// again says that they were asked twice. given is set once all have answered.
 	askedAt time.Time
+	asked   map[machine.ID]machine.Machine
+	again   bool
 	given   bool
+	// ordered says that the owner itself gave the partition up.
+	ordered bool
 	// to is the node that this one, as the owner, gives the partition to, once
 	// the position is durable.
 	to       *machine.Machine
 	position uint64
 }
 
-// askOwner asks the owner for the partition, once. It reports whether this node
-// may claim.
+// askOwner asks those that may serve the partition, or be taking it over, for it. It
+// reports whether this node may claim.
 func (c *Core) askOwner(now time.Time, one *partition) bool {
 	if one.handover.given || c.config.ClaimWithoutAsking {
 		return true
 	}
 	if !one.handover.askedAt.IsZero() {
+		c.askAgain(now, one)
 		return now.Sub(one.handover.askedAt) >= handoverPatience
 	}
+	asked := c.heirsBefore(now, one)
 	owner, known := c.presumedOwner(now, one.index)
-	if !known || (c.peers[owner.ID].heard && !c.reachesStore(now, owner.ID)) {
-		// A node that told itself that it has lost the store cannot give up.
+	// A node that told itself that it has lost the store cannot give up.
+	if known && (!c.peers[owner.ID].heard || c.reachesStore(now, owner.ID)) {
+		asked[owner.ID] = owner
+	}
+	if len(asked) == 0 {
 		return true
 	}
 	one.handover.askedAt = now
-	c.sendHandover(owner, Handover{Partition: one.index})
+	one.handover.asked = asked
+	c.sendQuestions(one)
 	return false
 }
 
+// heirsBefore returns the live nodes that rank before this one for the partition.
+func (c *Core) heirsBefore(now time.Time, one *partition) map[machine.ID]machine.Machine {
+	before := make(map[machine.ID]machine.Machine)
+	for _, id := range c.ranking.heirs[one.index] {
+		if id == string(c.self().ID) {
+			break
+		}
+		if heir, known := c.membership.Lookup(machine.ID(id)); known && c.reachesStore(now, heir.ID) {
+			before[heir.ID] = heir
+		}
+	}
+	return before
+}
+
+// askAgain repeats the question once to those that have not answered: a message may
+// be lost.
+func (c *Core) askAgain(now time.Time, one *partition) {
+	if one.handover.again || now.Sub(one.handover.askedAt) < handoverPatience/2 {
+		return
+	}
+	one.handover.again = true
+	c.sendQuestions(one)
+}
+
+func (c *Core) sendQuestions(one *partition) {
+	for _, id := range slices.Sorted(maps.Keys(one.handover.asked)) {
+		c.sendHandover(one.handover.asked[id], Handover{Partition: one.index})
+	}
+}
+
 // lostFor is how long a node that went is asked before its partitions are
 // claimed: it may live, and be taken for dead.
 const lostFor = 3 * time.Second
@@ -105,6 +151,10 @@
 		return
 	}
 	one := c.partitions[message.Partition]
+	if message.Ordered {
+		one.contest = contest{}
+		one.handover.ordered = true
+	}
 	if message.Kept {
 		one.handover = handover{}
 		one.nextClaim = now.Add(c.config.ClaimPause)
@@ -113,21 +163,66 @@
 	if message.Given {
 		one.highest = max(one.highest, message.Epoch)
 		if one.state == stateAbsent && !one.handover.askedAt.IsZero() {
-			one.handover.given = true
+			delete(one.handover.asked, from.ID)
+			one.handover.given = len(one.handover.asked) == 0
 			c.tickPartition(now, one)
 		}
 		return
 	}
 	switch one.state {
 	case stateAbsent:
-		c.sendHandover(from, Handover{Partition: one.index, Given: true, Epoch: one.highest})
+		c.answerAbsent(now, one, from)
 	case stateServing:
 		c.answerHandover(now, one, from)
 	case stateTaking:
-		// The asker claims when its patience is over.
+		if now.Sub(one.restoring.progressAt) < takingPatience {
+			c.sendHandover(from, Handover{Partition: one.index, Kept: true, Epoch: one.epoch})
+		}
+		// Otherwise the asker claims when its patience is over.
 	}
 }
 
+// yieldFor is how long a node that has left a partition to another heir does not claim
+// it: until word of the other's claim has come.
+const yieldFor = time.Second
+
+// answerAbsent answers another heir. Of two that would claim, the one that ranks first
+// goes on.
+func (c *Core) answerAbsent(now time.Time, one *partition, from machine.Machine) {
+	if !one.handover.askedAt.IsZero() && c.ranksBefore(one.index, from.ID) {
+		c.sendHandover(from, Handover{Partition: one.index, Kept: true, Epoch: one.highest})
+		return
+	}
+	one.handover.forget()
+	one.nextClaim = later(one.nextClaim, now.Add(yieldFor))
+	c.sendHandover(from, Handover{Partition: one.index, Given: true, Epoch: one.highest})
+}
+
+// ranksBefore reports whether this node ranks before another one for a partition.
+func (c *Core) ranksBefore(index int, other machine.ID) bool {
+	for _, id := range c.ranking.heirs[index] {
+		switch id {
+		case string(c.self().ID):
+			return true
+		case string(other):
+			return false
+		}
+	}
+	return false
+}
+
+func later(one, other time.Time) time.Time {
+	if one.After(other) {
+		return one
+	}
+	return other
+}
+
+// forget drops a question that is under way.
+func (h *handover) forget() {
+	h.askedAt, h.asked, h.again, h.given, h.ordered = time.Time{}, nil, false, false, false
+}
+
 // answerHandover has an owner that is to own the partition keep it, and one that
 // is not give it up. One that has lost the store does not answer.
 func (c *Core) answerHandover(now time.Time, one *partition, from machine.Machine) {
@@ -135,7 +230,7 @@
 		return
 	}
 	c.rank(now)
-	if c.ranksFirst(one.index) {
+	if c.ranksFirst(one.index) || (c.settling(now, one) && !c.leaving) {
 		c.sendHandover(from, Handover{Partition: one.index, Kept: true, Epoch: one.epoch})
 		return
 	}
@@ -145,6 +240,15 @@
 	c.giveUp(now, one)
 }
 
+// tenureLeast is how long an owner keeps what it took over: until nodes agree again on
+// who lives, so that a partition does not pass from heir to heir meanwhile.
+const tenureLeast = 5 * time.Second
+
+// settling reports whether this owner's takeover is too young for it to be followed.
+func (c *Core) settling(now time.Time, one *partition) bool {
+	return one.restoring.turns || (one.restoring.forced && now.Sub(one.claimedAt) < tenureLeast)
+}
+
 // giveUp hands the partition over if that is asked for and nothing is owed to
 // the log any more.
 func (c *Core) giveUp(now time.Time, one *partition) {
@@ -154,7 +258,7 @@
 	}
 	c.lose(one, "handed over")
 	one.nextClaim = now.Add(c.config.ClaimPause)
-	c.sendHandover(*to, Handover{Partition: one.index, Given: true, Epoch: one.epoch})
+	c.sendHandover(*to, Handover{Partition: one.index, Given: true, Ordered: true, Epoch: one.epoch})
 }
 
 func (c *Core) sendHandover(to machine.Machine, message Handover) {
--- a/coordinator/harness_test.go
+++ b/coordinator/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -12,6 +13,7 @@
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/ownership"
+	"birchwood.example/birchwood/zone"
 )
 
 // start is the beginning of the virtual time.
@@ -37,6 +39,16 @@
 	// turned is when storeDown changed last through turnStore.
 	turned time.Time
 	nextID uint64
+	// pageTakes is how long the store takes for a page of a takeover.
+	pageTakes time.Duration
+	// lossOf is the share of the messages between nodes that are lost.
+	lossOf float64
+	// zoneOf places the nodes; nil has all in one zone.
+	zoneOf func(machine.ID) zone.Name
+	// wins are when a node began to serve a partition, for each.
+	wins map[int][]time.Time
+	// handed is how often one was given up in order.
+	handed map[int]int
 	// configure changes the settings of the nodes; nil leaves them.
 	configure func(*coordinator.Config)
 }
@@ -76,7 +88,9 @@
 
 // streamState is what the store keeps of one partition.
 type streamState struct {
-	epoch   ownership.Epoch
+	epoch ownership.Epoch
+	// end counts appends.
+	end     uint64
 	records map[string]ledger.Record
 	order   []string
 }
@@ -89,6 +103,7 @@
 	world := &fleet{
 		configure: configure, now: start, partitions: partitions, random: rand.New(rand.NewPCG(seed, 1)),
 		nodes: map[machine.ID]*member{}, store: map[int]*streamState{},
+		wins: map[int][]time.Time{}, handed: map[int]int{},
 	}
 	for index := range partitions {
 		world.store[index] = &streamState{records: map[string]ledger.Record{}}
@@ -106,6 +121,9 @@
 		ID: id, Kind: machine.KindNode, Zone: "z", Address: "address-of-" + string(id), Status: machine.StatusLive,
 		Incarnation: uint64(f.now.UnixNano()),
 	}
+	if f.zoneOf != nil {
+		self.Zone = f.zoneOf(id)
+	}
 	random := rand.New(rand.NewPCG(f.random.Uint64(), 2))
 	config := coordinator.DefaultConfig(self, f.partitions, random)
 	if f.configure != nil {
@@ -213,6 +231,9 @@
 		if one.alone || (target != nil && (target.alone || !near(one, target))) {
 			continue
 		}
+		if f.lossOf > 0 && f.random.Float64() < f.lossOf {
+			continue
+		}
 		f.send(message.To.ID, peerDelay, coordinator.PeerReceived{Message: message.Message})
 	}
 	for _, reply := range ready.Replies {
@@ -225,6 +246,14 @@
 		f.callStore(id, func() { f.append(id, batch) })
 	}
 	one.changes = append(one.changes, ready.Changes...)
+	for _, change := range ready.Changes {
+		if change.Reason == "handed over" {
+			f.handed[change.Partition]++
+		}
+		if change.Owned {
+			f.wins[change.Partition] = append(f.wins[change.Partition], f.now)
+		}
+	}
 	one.charged = append(one.charged, ready.Charged...)
 	one.newer = append(one.newer, ready.Newer...)
 	if ready.Proven.After(one.proven) {
@@ -276,14 +305,44 @@
 	stream := f.store[takeover.Partition]
 	taken := coordinator.TakenOver{Partition: takeover.Partition, Epoch: takeover.Epoch}
 	if takeover.Epoch < stream.epoch {
-		taken.Outcome, taken.Highest = coordinator.OutcomeFenced, stream.epoch
-	} else {
-		stream.epoch = takeover.Epoch
-		for _, key := range stream.order {
-			taken.Records = append(taken.Records, stream.records[key])
+		taken.Outcome = coordinator.OutcomeFenced
+		f.send(id, appendDelay/2, taken)
+		return
+	}
+	if takeover.Contested && stream.end != takeover.Unmoved {
+		taken.Outcome, taken.End = coordinator.OutcomeMoved, stream.end
+		f.send(id, appendDelay/2, taken)
+		return
+	}
+	stream.epoch = takeover.Epoch
+	stream.end++
+	f.readPages(id, takeover, stream)
+}
+
+// readPages answers a takeover whose claim the store has, page by page.
+func (f *fleet) readPages(id machine.ID, takeover coordinator.Takeover, stream *streamState) {
+	delay := appendDelay / 2
+	f.send(id, delay, coordinator.TakeoverRead{Partition: takeover.Partition, Epoch: takeover.Epoch})
+	records := stream.sorted()
+	for page := range slices.Chunk(records, pageRecords) {
+		delay += f.pageTakes
+		f.send(id, delay, coordinator.TakeoverRead{Partition: takeover.Partition, Epoch: takeover.Epoch, Records: page})
+	}
+	f.send(id, delay, coordinator.TakenOver{Partition: takeover.Partition, Epoch: takeover.Epoch})
+}
+
+// pageRecords is how many records a page of a takeover holds.
+const pageRecords = 50
+
+// sorted returns the newest records in the order of their keys.
+func (s *streamState) sorted() []ledger.Record {
+	var records []ledger.Record
+	for _, key := range slices.Sorted(maps.Keys(s.records)) {
+		if record := s.records[key]; len(record.Value) > 0 {
+			records = append(records, record)
 		}
 	}
-	f.send(id, appendDelay/2, taken)
+	return records
 }
 
 func (f *fleet) append(id machine.ID, batch coordinator.Append) {
@@ -292,6 +351,7 @@
 	if batch.Epoch < stream.epoch {
 		answer.Outcome = coordinator.OutcomeFenced
 	} else {
+		stream.end++
 		for _, record := range batch.Records {
 			if _, known := stream.records[record.Key]; !known {
 				stream.order = append(stream.order, record.Key)
--- a/coordinator/owners.go
+++ b/coordinator/owners.go
@@ -20,6 +20,9 @@
 	Revision int `json:"revision,omitempty"`
 	// Unable says that the owner does not reach the store.
 	Unable bool `json:"unable,omitempty"`
+	// Taking says that the log has the owner's claim, and that the owner still reads
+	// what it needs to serve. Each further revision tells of progress.
+	Taking bool `json:"taking,omitempty"`
 }
 
 // newer reports whether the record replaces another one.
@@ -62,6 +65,10 @@
 	if !heard.newer(known.Owner) {
 		return
 	}
+	if heard.Epoch > known.Epoch {
+		// Whoever was asked for the partition before does not have it.
+		c.partitions[heard.Partition].handover.forget()
+	}
 	*known = ownerRecord{Owner: heard, heardAt: now, remaining: c.ownerRounds()}
 	if heard.Node == c.self().ID {
 		return
@@ -72,9 +79,11 @@
 	c.hearOwned(now, map[int]ownership.Epoch{heard.Partition: heard.Epoch})
 }
 
-// ownedHere makes the record of a partition that this node serves.
+// ownedHere makes the record of a partition that this node serves, or is taking over.
 func (c *Core) ownedHere(now time.Time, one *partition) {
-	record := Owner{Partition: one.index, Epoch: one.epoch, Node: c.self().ID, Unable: !c.reaches}
+	record := Owner{
+		Partition: one.index, Epoch: one.epoch, Node: c.self().ID, Unable: !c.reaches, Taking: one.state == stateTaking,
+	}
 	if known := c.owners[one.index].Owner; known.Epoch == one.epoch {
 		record.Revision = known.Revision + 1
 	}
--- a/coordinator/partition.go
+++ b/coordinator/partition.go
@@ -13,9 +13,9 @@
 const (
 	// stateAbsent partitions are another node's, or nobody's.
 	stateAbsent partitionState = iota
-	// stateTaking partitions are being claimed and read.
+	// stateTaking partitions are being claimed, or their accounts are being read.
 	stateTaking
-	// stateServing partitions are this node's.
+	// stateServing partitions are this node's. Kept turns may still be read.
 	stateServing
 )
 
@@ -35,6 +35,8 @@
 	vacantSince time.Time
 	// claimedAt is when the takeover under way, or the last one, began.
 	claimedAt time.Time
+	restoring restoring
+	contest   contest
 	// begun counts appends; each verifier waits for one that began after it.
 	begun     uint64
 	waiters   []waiter
@@ -77,12 +79,8 @@
 	if !c.askOwner(now, one) {
 		return
 	}
+	c.claim(now, one)
 	one.handover = handover{}
-	one.nextClaim = now.Add(c.config.ClaimPause)
-	one.state = stateTaking
-	one.epoch = c.config.Salt.Claim(one.highest, now)
-	one.claimedAt = now
-	c.ready.Takeovers = append(c.ready.Takeovers, Takeover{Partition: one.index, Epoch: one.epoch})
 }
 
 // mayClaim reports whether this node knows enough to take partitions over.
@@ -90,57 +88,13 @@
 	return c.listed && c.reaches && !c.leaving && now.Sub(c.started) >= c.config.Settle
 }
 
-func (c *Core) stepTakenOver(now time.Time, taken TakenOver) {
-	one := c.partitions[taken.Partition]
-	one.highest = max(one.highest, taken.Highest, taken.Epoch)
-	if one.state != stateTaking || taken.Epoch != one.epoch {
-		return
-	}
-	if taken.Outcome != OutcomeDone {
-		one.state = stateAbsent
-		if taken.Outcome == OutcomeFenced {
-			one.nextClaim = now
-		}
-		return
-	}
-	one.ledger = ledger.New(c.config.Ledger)
-	for _, record := range taken.Records {
-		// A record that does not decode was written by no version of this
-		// program; the others must not be lost for it.
-		_ = one.ledger.Restore(now, record)
-	}
-	one.ledger.Restored()
-	one.ledger.RetainFor(c.loads.RetainFor)
-	one.ledger.Prove(one.claimedAt)
-	one.ledger.Open(now)
-	if c.leaving {
-		one.ledger.Close(now)
-	}
-	one.state = stateServing
-	one.sequence = 0
-	one.inFlight = false
-	accounts, turns := one.ledger.Counts()
-	c.ready.Changes = append(c.ready.Changes, Change{
-		Partition: one.index, Epoch: one.epoch, Owned: true, Reason: "claimed", Accounts: accounts, Turns: turns,
-		Inherited: one.ledger.Inherited(),
-	})
-	// The others are told at once, so that they ask here.
-	c.ownedHere(now, one)
-	c.sendStatus(now)
-	held := one.held
-	one.held = nil
-	for _, waiting := range held {
-		c.serve(now, one, waiting.request)
-	}
-}
-
 // collectAppend puts out the partition's next append if one is due.
 func (c *Core) collectAppend(now time.Time, one *partition) {
 	if one.state != stateServing || one.inFlight {
 		return
 	}
 	records := one.ledger.Ready()
-	if records == nil && len(one.verifiers) == 0 {
+	if records == nil && len(one.verifiers) == 0 && !c.renews(now, one) {
 		return
 	}
 	one.inFlight = true
@@ -157,10 +111,16 @@
 	if one.state != stateServing || appended.Epoch != one.epoch || appended.Sequence != one.sequence {
 		return
 	}
-	if appended.Outcome != OutcomeDone {
-		c.lose(one, "fenced by the log")
+	switch appended.Outcome {
+	case OutcomeDone:
+	case OutcomeFailed:
+		c.lose(one, "the log wants another sequence")
 		one.nextClaim = now.Add(c.config.ClaimPause)
 		return
+	default:
+		c.lose(one, "fenced by the log")
+		c.stayAway(now, one)
+		return
 	}
 	one.inFlight = false
 	one.ledger.Prove(one.sentAt)
@@ -210,9 +170,20 @@
 		}
 		one := c.partitions[index]
 		one.highest = max(one.highest, epoch)
-		if one.state == stateServing && epoch > one.epoch {
+		if one.contest.active && epoch > one.contest.epoch {
+			c.endContest(now, one)
+		}
+		if epoch <= one.epoch {
+			continue
+		}
+		switch one.state {
+		case stateServing:
 			c.lose(one, "a peer serves a higher epoch")
 			one.nextClaim = now.Add(c.config.ClaimPause)
+		case stateTaking:
+			c.abandon(one)
+			one.nextClaim = now.Add(c.config.ClaimPause)
+		case stateAbsent:
 		}
 	}
 }
@@ -228,20 +199,18 @@
 	}
 	one.waiters = nil
 	one.verifiers = nil
-	one.ledger = nil
-	one.state = stateAbsent
 	one.inFlight = false
-	one.handover = handover{}
+	c.abandon(one)
 }
 
 func (c *Core) expireHeld(now time.Time, one *partition) {
 	rest := one.held[:0]
 	for _, waiting := range one.held {
-		if one.state == stateTaking && now.Before(waiting.until) {
+		if (one.state == stateTaking || one.restoring.turns) && now.Before(waiting.until) {
 			rest = append(rest, waiting)
 			continue
 		}
-		c.reply(Reply{ID: waiting.request.ID, Status: ReplyNotOwner})
+		c.reply(c.notYet(one, waiting.request))
 	}
 	one.held = rest
 }
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -29,6 +29,7 @@
 func (c *Core) stepPeer(now time.Time, message PeerMessage) {
 	sender := message.From
 	c.lastHeard = now
+	c.noteZone(now, sender.Zone)
 	if message.Status != nil {
 		c.learn(now, append(message.Status.Known, sender))
 		c.notePeer(now, sender.ID, *message.Status)
@@ -56,6 +57,7 @@
 // takeOwners takes in what a status tells of owners: the sender itself and others.
 func (c *Core) takeOwners(now time.Time, sender machine.ID, status *Status) {
 	for index, epoch := range status.Owned {
+		c.noteServing(sender, index, epoch)
 		c.takeOwner(now, Owner{Partition: index, Epoch: epoch, Node: sender, Unable: !status.ReachesStore})
 	}
 	for _, owner := range status.Owners {
@@ -114,7 +116,7 @@
 // renewRecords changes the records of the partitions that this node serves.
 func (c *Core) renewRecords(now time.Time) {
 	for _, one := range c.partitions {
-		if one.state == stateServing {
+		if one.state == stateServing || one.restoring.claimed {
 			c.ownedHere(now, one)
 		}
 	}
--- a/coordinator/rank.go
+++ b/coordinator/rank.go
@@ -32,8 +32,7 @@
 	// all nodes cut off, three are cut off together once in 27 times.
 	heirsPerPartition = 3
 	// heirPatience is how long each heir leaves a partition without an owner to
-	// those that rank before it. A claim takes an append and a read, some 50 ms, and
-	// word of it about as long again.
+	// those that rank before it, until it asks whether they are taking it over.
 	heirPatience = 300 * time.Millisecond
 )
 
@@ -45,7 +44,7 @@
 		one.vacantSince = time.Time{}
 		return place == 0
 	}
-	if _, served := c.servingPeer(now, one.index); served {
+	if _, served := c.servingPeer(now, one.index); served && !c.stuck(now, one.index) {
 		one.vacantSince = time.Time{}
 		return false
 	}
@@ -87,8 +86,9 @@
 // rankAnew ranks the candidates for every partition.
 func (c *Core) rankAnew(now time.Time, candidates []ownership.Node) ranking {
 	heirs := make([][]string, len(c.partitions))
+	able := ownership.Able(candidates)
 	for index := range heirs {
-		heirs[index] = ownership.First(index, candidates, heirsPerPartition)
+		heirs[index] = ownership.Heirs(index, able, heirsPerPartition)
 	}
 	return ranking{
 		candidates: candidates, heirs: heirs, readers: c.rankReaders(candidates), lost: c.lostCandidates(now, candidates),
@@ -134,7 +134,7 @@
 func (c *Core) lostCandidates(now time.Time, candidates []ownership.Node) map[string]time.Time {
 	lost := make(map[string]time.Time)
 	for id, when := range c.ranking.lost {
-		if now.Sub(when) < lostFor {
+		if now.Sub(when) < contestedFor {
 			lost[id] = when
 		}
 	}
@@ -191,7 +191,7 @@
 func (c *Core) candidates(now time.Time) []ownership.Node {
 	var live, able []ownership.Node
 	for _, node := range c.membership.Nodes() {
-		candidate := ownership.Node{ID: string(node.ID), Weight: node.Weight}
+		candidate := ownership.Node{ID: string(node.ID), Weight: node.Weight, Zone: string(node.Zone)}
 		live = append(live, candidate)
 		if c.reachesStore(now, node.ID) {
 			able = append(able, candidate)
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -16,7 +16,7 @@
 	one := c.partitions[request.Partition]
 	switch one.state {
 	case stateServing:
-		c.serve(now, one, request)
+		c.serveOrHold(now, one, heldRequest{request: request, until: now.Add(c.config.HoldFor)})
 	case stateTaking:
 		one.held = append(one.held, heldRequest{request: request, until: now.Add(c.config.HoldFor)})
 	default:
--- a/edge/control.go
+++ b/edge/control.go
@@ -225,6 +225,9 @@
 	for _, message := range ready.Messages {
 		c.node.peers.send(message)
 	}
+	for _, stopped := range ready.Stopped {
+		c.node.takeovers.end(stopped)
+	}
 	for _, takeover := range ready.Takeovers {
 		c.node.takeOver(takeover)
 	}
--- a/edge/ledgers.go
+++ b/edge/ledgers.go
@@ -33,7 +33,6 @@
 	appendFactor     = 6
 	appendRetryFirst = 15 * time.Millisecond
 	appendRetryMost  = 300 * time.Millisecond
-	takeoverAttempts = 6
 	// slowAppend is from when on an append is written to the log.
 	slowAppend = 700 * time.Millisecond
 )
@@ -54,65 +53,6 @@
 	return recordstore.Record{Key: ownerKey, Value: value}
 }
 
-// takeOver claims a partition and reads it, and tells the core how it ended.
-func (n *Node) takeOver(takeover coordinator.Takeover) {
-	n.run(func(ctx context.Context) {
-		n.control.post(n.claimAndRead(ctx, takeover))
-	})
-}
-
-func (n *Node) claimAndRead(ctx context.Context, takeover coordinator.Takeover) coordinator.TakenOver {
-	taken := coordinator.TakenOver{Partition: takeover.Partition, Epoch: takeover.Epoch, Outcome: coordinator.OutcomeFailed}
-	err := n.appendRecords(ctx, takeover.Partition, takeover.Epoch, 0, nil, takeoverAttempts)
-	var fenced *recordstore.FencedError
-	if errors.As(err, &fenced) {
-		taken.Outcome = coordinator.OutcomeFenced
-		taken.Highest = n.readEpoch(ctx, takeover.Partition)
-		n.logger.Info().Int("partition", takeover.Partition).Uint64("epoch", uint64(takeover.Epoch)).
-			Uint64("highest", uint64(taken.Highest)).Str("reason", fenced.Reason).Msg("ledger: claim fenced")
-		return taken
-	}
-	if err == nil {
-		taken.Records, err = n.readLedger(ctx, takeover.Partition)
-	}
-	if err != nil {
-		n.logger.Warn().Int("partition", takeover.Partition).Err(err).Msg("ledger: takeover failed")
-		return taken
-	}
-	taken.Outcome = coordinator.OutcomeDone
-	return taken
-}
-
-// readEpoch returns the epoch that the store's record of the owner names.
-func (n *Node) readEpoch(ctx context.Context, partition int) ownership.Epoch {
-	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	page, err := n.adapter.Store.Newest(callCtx, ledgerStream(partition), "")
-	if err != nil {
-		return 0
-	}
-	for _, record := range page.Records {
-		var value ownerValue
-		if record.Key == ownerKey && json.Unmarshal(record.Value, &value) == nil {
-			return value.Epoch
-		}
-	}
-	return 0
-}
-
-// readLedger reads the newest record of each key of a partition.
-func (n *Node) readLedger(ctx context.Context, partition int) ([]ledger.Record, error) {
-	records, _, err := n.readNewest(ctx, ledgerStream(partition))
-	if err != nil {
-		return nil, err
-	}
-	found := make([]ledger.Record, 0, len(records))
-	for _, record := range records {
-		found = append(found, ledger.Record{Key: record.Key, Value: record.Value})
-	}
-	return found, nil
-}
-
 // newestAttempts bounds the reads of one page.
 const newestAttempts = 5
 
@@ -176,7 +116,11 @@
 				Int("records", len(batch.Records)).Err(err).Msg("ledger: append was late or refused")
 		}
 		outcome := coordinator.OutcomeDone
-		if err != nil {
+		var fenced *recordstore.FencedError
+		switch {
+		case errors.As(err, &fenced) && fenced.Disordered:
+			outcome = coordinator.OutcomeFailed
+		case err != nil:
 			outcome = coordinator.OutcomeFenced
 		}
 		n.control.post(coordinator.Appended{
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -45,6 +45,9 @@
 	metricKeys       = "birchwood_edge_keys_refused_total"
 	metricProofs     = "birchwood_edge_key_proof_seconds"
 	metricCharges    = "birchwood_edge_charges_total"
+	metricTakeovers  = "birchwood_edge_takeovers_total"
+	metricTaking     = "birchwood_edge_takeover_seconds"
+	metricTakenBytes = "birchwood_edge_takeover_bytes_total"
 )
 
 // latencyBuckets are for times that clients feel, in seconds.
@@ -103,6 +106,13 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", metricCalls, outcome)).Inc()
 }
 
+// takeoverEnded takes in a takeover, by outcome, with what it read.
+func (m *Metrics) takeoverEnded(outcome string, read restored, took time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", metricTakeovers, outcome)).Inc()
+	m.set.GetOrCreatePrometheusHistogramExt(metricTaking, appendBuckets).Update(took.Seconds())
+	m.set.GetOrCreateCounter(metricTakenBytes).Add(read.bytes)
+}
+
 // callRepeated counts a call sent again because its answer was late.
 func (m *Metrics) callRepeated() { m.repeats.Inc() }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -41,10 +41,12 @@
 	pool     *upstream.Pool
 	calls    *calls
 	chains   *chains
-	clients  *ingress.Server
-	control  *control
-	peers    *peers
-	metrics  *Metrics
+	// takeovers are those under way here.
+	takeovers *takeovers
+	clients   *ingress.Server
+	control   *control
+	peers     *peers
+	metrics   *Metrics
 	// withheld are the fields of clients that no replica gets.
 	withheld []string
 
@@ -110,18 +112,19 @@
 			Address: settings.Peers, Status: machine.StatusLive, Incarnation: uint64(now.UnixNano()),
 			Weight: settings.Cores * settings.LinkMegabits,
 		},
-		replicas: newReplicas(&settings),
-		pool:     upstream.NewPool(upstream.DefaultConfig(adapter.Names)),
-		calls:    repeats,
-		chains:   newChains(settings.uses(RecallChains)),
-		metrics:  newMetrics(settings.LogLinesDropped),
-		random:   random,
-		patience: retry.Patience{Minimum: appendTimeoutMin, Maximum: appendTimeout, Factor: appendFactor},
-		store:    contact{last: now},
-		proof:    newProof(now),
-		started:  now,
-		withheld: withheldFields(adapter.Names),
-		failed:   make(chan error, 4),
+		replicas:  newReplicas(&settings),
+		pool:      upstream.NewPool(upstream.DefaultConfig(adapter.Names)),
+		calls:     repeats,
+		chains:    newChains(settings.uses(RecallChains)),
+		takeovers: newTakeovers(),
+		metrics:   newMetrics(settings.LogLinesDropped),
+		random:    random,
+		patience:  retry.Patience{Minimum: appendTimeoutMin, Maximum: appendTimeout, Factor: appendFactor},
+		store:     contact{last: now},
+		proof:     newProof(now),
+		started:   now,
+		withheld:  withheldFields(adapter.Names),
+		failed:    make(chan error, 4),
 	}
 	node.ctx, node.cancel = context.WithCancel(context.Background())
 	coreRandom := rand.New(rand.NewPCG(seed+1, uint64(now.UnixNano())))
--- /dev/null
+++ b/edge/takeover.go
@@ -0,0 +1,185 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/internal/wait"
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/recordstore"
+)
+
+const (
+	// takeoverAttempts bounds the tries of one claim.
+	takeoverAttempts = 6
+	// takeoverPages bounds the pages that a node reads at once for its takeovers:
+	// more would each take longer, and none would be there early.
+	takeoverPages = 2
+	// pageTimeout is how long the first try to read a page of a takeover may take,
+	// and pageTimeoutMost the last ones, each twice as long as the one before it: a
+	// page that is given up was read in vain.
+	pageTimeout     = 1200 * time.Millisecond
+	pageTimeoutMost = 10 * time.Second
+	// pageAttempts bounds the tries of one page.
+	pageAttempts = 6
+)
+
+// takeovers are those under way on this node. It is safe for concurrent use.
+type takeovers struct {
+	// pages are the places to read a page in.
+	pages chan struct{}
+
+	mutex sync.Mutex
+	stop  map[coordinator.Stopped]context.CancelFunc
+}
+
+func newTakeovers() *takeovers {
+	return &takeovers{pages: make(chan struct{}, takeoverPages), stop: make(map[coordinator.Stopped]context.CancelFunc)}
+}
+
+// begin returns the context of a takeover, and what ends it.
+func (t *takeovers) begin(ctx context.Context, takeover coordinator.Takeover) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	name := coordinator.Stopped{Partition: takeover.Partition, Epoch: takeover.Epoch}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.stop[name] = cancel
+	return ctx, func() { t.end(name) }
+}
+
+// end has a takeover read no more.
+func (t *takeovers) end(name coordinator.Stopped) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if cancel, known := t.stop[name]; known {
+		cancel()
+		delete(t.stop, name)
+	}
+}
+
+// restored is what a takeover has read.
+type restored struct {
+	records, bytes, pages int
+}
+
+// takeOver claims a partition and reads it, and tells the core of its progress and
+// how it ended.
+func (n *Node) takeOver(takeover coordinator.Takeover) {
+	n.run(func(ctx context.Context) {
+		reading, end := n.takeovers.begin(ctx, takeover)
+		defer end()
+		n.control.post(n.claimAndRead(reading, takeover))
+	})
+}
+
+func (n *Node) claimAndRead(ctx context.Context, takeover coordinator.Takeover) coordinator.TakenOver {
+	begun := time.Now()
+	taken := coordinator.TakenOver{Partition: takeover.Partition, Epoch: takeover.Epoch, Outcome: coordinator.OutcomeFailed}
+	entry := n.logger.Info().Int("partition", takeover.Partition).Uint64("epoch", uint64(takeover.Epoch))
+	if moved := n.moved(ctx, takeover, &taken); moved {
+		entry.Uint64("end", taken.End).Int("outcome", int(taken.Outcome)).Msg("ledger: claim put off, another owner may live")
+		return taken
+	}
+	entry.Bool("contested", takeover.Contested).Msg("ledger: claim begun")
+	err := n.appendRecords(ctx, takeover.Partition, takeover.Epoch, 0, nil, takeoverAttempts)
+	var fenced *recordstore.FencedError
+	if errors.As(err, &fenced) {
+		taken.Outcome = coordinator.OutcomeFenced
+		n.metrics.takeoverEnded("fenced", restored{}, time.Since(begun))
+		n.logger.Info().Int("partition", takeover.Partition).Uint64("epoch", uint64(takeover.Epoch)).
+			Str("reason", fenced.Reason).Msg("ledger: claim fenced")
+		return taken
+	}
+	var read restored
+	if err == nil {
+		n.control.post(coordinator.TakeoverRead{Partition: takeover.Partition, Epoch: takeover.Epoch})
+		read, err = n.readLedger(ctx, takeover)
+	}
+	took := time.Since(begun)
+	outcome, entry := "done", n.logger.Info()
+	if err != nil {
+		outcome, entry = "given_up", n.logger.Warn().Err(err)
+	} else {
+		taken.Outcome = coordinator.OutcomeDone
+	}
+	n.metrics.takeoverEnded(outcome, read, took)
+	entry.Int("partition", takeover.Partition).Uint64("epoch", uint64(takeover.Epoch)).Int("records", read.records).
+		Int("bytes", read.bytes).Int("pages", read.pages).Dur("took", took).Str("outcome", outcome).Msg("ledger: takeover ended")
+	return taken
+}
+
+// moved reports whether a contested claim is not to be made now: the log does not end
+// where it did, or does not tell.
+func (n *Node) moved(ctx context.Context, takeover coordinator.Takeover, taken *coordinator.TakenOver) bool {
+	if !takeover.Contested {
+		return false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	end, err := n.adapter.Store.End(callCtx, ledgerStream(takeover.Partition))
+	n.noteStore(err)
+	if err != nil {
+		return true
+	}
+	if end == takeover.Unmoved {
+		return false
+	}
+	taken.Outcome, taken.End = coordinator.OutcomeMoved, end
+	return true
+}
+
+// readLedger reads the newest record of each key of a partition, and hands each page
+// to the core.
+func (n *Node) readLedger(ctx context.Context, takeover coordinator.Takeover) (restored, error) {
+	var read restored
+	after := ""
+	for {
+		page, err := n.readTakeoverPage(ctx, ledgerStream(takeover.Partition), after)
+		if err != nil {
+			return read, err
+		}
+		found := make([]ledger.Record, 0, len(page.Records))
+		for _, record := range page.Records {
+			found = append(found, ledger.Record{Key: record.Key, Value: record.Value})
+			read.bytes += len(record.Key) + len(record.Value)
+		}
+		read.records += len(found)
+		read.pages++
+		n.control.post(coordinator.TakeoverRead{Partition: takeover.Partition, Epoch: takeover.Epoch, Records: found})
+		if !page.More || len(found) == 0 {
+			return read, nil
+		}
+		after = found[len(found)-1].Key
+	}
+}
+
+// readTakeoverPage reads a page once it is its turn.
+func (n *Node) readTakeoverPage(ctx context.Context, stream recordstore.Stream, after string) (recordstore.Page, error) {
+	select {
+	case n.takeovers.pages <- struct{}{}:
+		defer func() { <-n.takeovers.pages }()
+	case <-ctx.Done():
+		return recordstore.Page{}, ctx.Err()
+	}
+	backoff := n.backoff()
+	timeout := pageTimeout
+	var last error
+	for range pageAttempts {
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		page, err := n.adapter.Store.Newest(callCtx, stream, after)
+		cancel()
+		n.noteStore(err)
+		if err == nil {
+			return page, nil
+		}
+		last = err
+		timeout = min(2*timeout, pageTimeoutMost)
+		if !wait.For(ctx, backoff.Next()) {
+			return recordstore.Page{}, ctx.Err()
+		}
+	}
+	return recordstore.Page{}, last
+}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -51,8 +51,25 @@
 	Parts int `json:"parts,omitempty"`
 }
 
-// Restore takes in one record of the log, before the first Admit. Its age is
-// unknown, so that it is kept as if it were new.
+// PastAccounts reports whether a key sorts behind those of all accounts and of the
+// open record: once it was read, the ledger knows all of them, and may admit.
+func PastAccounts(key string) bool { return key >= partPrefix }
+
+// HoldsChain reports whether the ledger holds a kept turn and all before it.
+func (l *Ledger) HoldsChain(id string) bool {
+	for id != "" {
+		kept := l.turns[id]
+		if kept == nil {
+			return false
+		}
+		id = kept.Previous
+	}
+	return true
+}
+
+// Restore takes in one record of the log, in the order of the keys: all accounts
+// before the first Admit, kept turns also after that. Its age is unknown, so that it
+// is kept as if it were new.
 func (l *Ledger) Restore(now time.Time, record Record) error {
 	if len(record.Value) == 0 {
 		return nil
@@ -86,6 +103,10 @@
 // restoreTurn takes in a turn's record. Its parts, whose keys sort before it,
 // were taken in already.
 func (l *Ledger) restoreTurn(now time.Time, id string, record Record) error {
+	if l.turns[id] != nil {
+		// It was kept anew since the restoring began.
+		return nil
+	}
 	var value turnValue
 	if err := json.Unmarshal(record.Value, &value); err != nil {
 		return fmt.Errorf("ledger: record %q: %w", record.Key, err)
@@ -109,11 +130,26 @@
 // not finish writing or removing, are removed.
 func (l *Ledger) Restored() {
 	for _, key := range slices.Sorted(maps.Keys(l.parts)) {
-		l.propose(key, nil)
+		if !l.partInUse(key) {
+			l.propose(key, nil)
+		}
 	}
 	clear(l.parts)
 }
 
+// partInUse reports whether a part belongs to a turn that was kept anew since the
+// restoring began.
+func (l *Ledger) partInUse(key string) bool {
+	name := strings.TrimPrefix(key, partPrefix)
+	split := strings.LastIndexByte(name, '/')
+	if split < 0 {
+		return false
+	}
+	number, err := strconv.Atoi(name[split+1:])
+	kept := l.turns[name[:split]]
+	return err == nil && kept != nil && number < kept.Parts
+}
+
 // joinParts returns what the parts of a turn hold together.
 func (l *Ledger) joinParts(id string, parts int) ([]byte, error) {
 	var whole []byte
--- /dev/null
+++ b/ledger/restore_test.go
@@ -0,0 +1,70 @@
+package ledger_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/ledger"
+)
+
+var _ = Describe("Restoring while the ledger serves", func() {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	kept := func(id, input string) ledger.KeptTurn {
+		return ledger.KeptTurn{ID: id, Program: "p", Input: []byte(input), Output: []byte("!"), Retain: time.Minute}
+	}
+	// logOf returns the records of a ledger that keeps a turn.
+	logOf := func(config ledger.Config, turn ledger.KeptTurn) []ledger.Record {
+		before := ledger.New(config)
+		before.Keep(now, turn)
+		return before.Ready()
+	}
+
+	It("tells where the accounts end", func() {
+		Expect(ledger.PastAccounts("account/zzz")).To(BeFalse())
+		Expect(ledger.PastAccounts("open")).To(BeFalse())
+		Expect(ledger.PastAccounts("part/a/0")).To(BeTrue())
+		Expect(ledger.PastAccounts("turn/a")).To(BeTrue())
+	})
+
+	It("leaves a turn that was kept anew as it is", func() {
+		one := ledger.New(ledger.DefaultConfig())
+		one.Keep(now, kept("t", "new"))
+		for _, record := range logOf(ledger.DefaultConfig(), kept("t", "old")) {
+			Expect(one.Restore(now, record)).To(Succeed())
+		}
+		chain, found := one.Chain("t")
+		Expect(found).To(BeTrue())
+		Expect(string(chain)).To(Equal("new!"))
+	})
+
+	It("does not remove the parts of a turn that was kept anew", func() {
+		config := ledger.DefaultConfig()
+		config.RecordBytes = 40
+		long := "a body that takes more than one record, since a record holds little here"
+		one := ledger.New(config)
+		one.Keep(now, kept("t", long))
+		for _, record := range logOf(config, kept("t", long)) {
+			Expect(one.Restore(now, record)).To(Succeed())
+		}
+		one.Restored()
+		for _, record := range one.Ready() {
+			Expect(record.Value).NotTo(BeEmpty(), record.Key)
+		}
+	})
+
+	It("holds a chain only with all turns before it", func() {
+		before := ledger.New(ledger.DefaultConfig())
+		before.Keep(now, kept("a", "1"))
+		next := kept("b", "2")
+		next.Previous = "a"
+		before.Keep(now, next)
+		records := before.Ready()
+		one := ledger.New(ledger.DefaultConfig())
+		Expect(one.Restore(now, records[1])).To(Succeed())
+		Expect(one.HoldsChain("b")).To(BeFalse())
+		Expect(one.Restore(now, records[0])).To(Succeed())
+		Expect(one.HoldsChain("b")).To(BeTrue())
+	})
+})
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -24,6 +24,15 @@
 	// Weight is the node's share of the partitions, relative to the others';
 	// what is not positive counts as 1.
 	Weight float64
+	// Zone is where the node is; "" where that is not known.
+	Zone string
+}
+
+func (n Node) weight() float64 {
+	if n.Weight <= 0 {
+		return 1
+	}
+	return n.Weight
 }
 
 // Rank returns the node that is to own the partition, or "" where there is no
@@ -63,6 +72,51 @@
 	return first
 }
 
+// Heirs returns those that First returns. Where all of them are in one zone, the last
+// gives way to the one of another zone that ranks first there: a zone may go as a whole.
+func Heirs(partition int, nodes []Node, count int) []string {
+	first := First(partition, nodes, count)
+	if len(first) < 2 {
+		return first
+	}
+	zones := make(map[string]string, len(nodes))
+	for _, node := range nodes {
+		zones[node.ID] = node.Zone
+	}
+	zone := zones[first[0]]
+	if slices.ContainsFunc(first, func(id string) bool { return zones[id] != zone }) {
+		return first
+	}
+	others := slices.DeleteFunc(slices.Clone(nodes), func(node Node) bool { return node.Zone == zone })
+	if other := Rank(partition, others); other != "" {
+		first[len(first)-1] = other
+	}
+	return first
+}
+
+const (
+	// weakShare is the share of the heaviest node's weight below which a node owns
+	// nothing: it could not read in time what a takeover needs.
+	weakShare = 0.1
+	// ableAtLeast is how many nodes above that there must be for it, so that the loss
+	// of one leaves another and its heir.
+	ableAtLeast = 3
+)
+
+// Able returns the nodes that are strong enough to own partitions beside the others,
+// or all where those are too few.
+func Able(nodes []Node) []Node {
+	heaviest := 0.0
+	for _, node := range nodes {
+		heaviest = max(heaviest, node.weight())
+	}
+	able := slices.DeleteFunc(slices.Clone(nodes), func(node Node) bool { return node.weight() < weakShare*heaviest })
+	if len(able) < ableAtLeast {
+		return nodes
+	}
+	return able
+}
+
 // compareScored orders the better node first, and equal ones by their names.
 func compareScored(left, right scored) int {
 	return cmp.Or(cmp.Compare(right.score, left.score), cmp.Compare(left.id, right.id))
@@ -71,13 +125,9 @@
 // scoreOf is the weighted score of rendezvous hashing: the weight by the negative
 // logarithm of a uniform number that belongs to the node and the partition.
 func scoreOf(partition int, node Node) float64 {
-	weight := node.Weight
-	if weight <= 0 {
-		weight = 1
-	}
 	hash := xxhash.Sum64String(node.ID + "/" + strconv.Itoa(partition))
 	uniform := (float64(hash>>mantissaShift) + 0.5) / (1 << mantissaBits)
-	return weight / -math.Log(uniform)
+	return node.weight() / -math.Log(uniform)
 }
 
 // A hash keeps as many bits as a float64 holds exactly.
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -70,3 +70,30 @@
 		Expect(before).To(BeNumerically("<", ownership.Epoch(1)<<53))
 	})
 })
+
+var _ = Describe("Heirs", func() {
+	It("are in two zones at least where there are two", func() {
+		var all []ownership.Node
+		for index := range 12 {
+			all = append(all, ownership.Node{ID: fmt.Sprintf("node-%d", index), Zone: []string{"a", "b"}[index/10]})
+		}
+		for partition := range 100 {
+			heirs := ownership.Heirs(partition, all, 3)
+			first := ownership.First(partition, all, 3)
+			Expect(heirs[:2]).To(Equal(first[:2]))
+			zones := map[bool]bool{}
+			for _, id := range heirs {
+				zones[id == "node-10" || id == "node-11"] = true
+			}
+			Expect(zones).To(HaveLen(2))
+		}
+	})
+
+	It("are strong nodes where there are enough", func() {
+		weak := []ownership.Node{{ID: "w1", Weight: 6}, {ID: "w2", Weight: 6}}
+		strong := []ownership.Node{{ID: "s1", Weight: 480}, {ID: "s2", Weight: 480}, {ID: "s3", Weight: 300}}
+		Expect(ownership.Able(append(strong, weak...))).To(Equal(strong))
+		Expect(ownership.Able(append(strong[:2:2], weak...))).To(HaveLen(4))
+		Expect(ownership.Able(weak)).To(Equal(weak))
+	})
+})
--- a/recordstore/recordstore.go
+++ b/recordstore/recordstore.go
@@ -66,6 +66,7 @@
 
 // Store is the platform's store. It is safe for concurrent use.
 type Store interface {
+	Endings
 	// Append adds the records to the stream, all or none. An error is a
 	// *FencedError or a *RefusedError; any other leaves the outcome unknown.
 	Append(ctx context.Context, stream Stream, writer Writer, records []Record) error
@@ -77,11 +78,21 @@
 	Tail(ctx context.Context, stream Stream, from uint64, wait time.Duration) (Tail, error)
 }
 
+// Endings is a store that tells where a stream ends without reading it.
+type Endings interface {
+	// End returns the offset of the stream's next record.
+	End(ctx context.Context, stream Stream) (uint64, error)
+}
+
 // ErrGap says that records were dropped before they were read.
 var ErrGap = errors.New("record store: records between were dropped")
 
-// FencedError says that a writer of a higher epoch has taken the stream over.
-type FencedError struct{ Reason string }
+// FencedError says that a writer of a higher epoch has taken the stream over, or,
+// where Disordered, that the store expects another sequence of this writer.
+type FencedError struct {
+	Reason     string
+	Disordered bool
+}
 
 // Error describes the refusal.
 func (e *FencedError) Error() string { return "record store: fenced: " + e.Reason }
