edge, ledger, platform: the store is trimmed, holds bodies as they are, and tells when it is full

Cause: nothing trimmed a stream, and kept turns stood in base64, so that the store reached its 400 MB within a minute and refused every append (507), which was retried without a line in the log.

An owner trims what newer records replaced; kept turns' bodies stand as they are; a record tells when its turn was kept, so that a takeover does not begin its time anew. A full store is an error of its own: counted, logged every 5 s at most, and turns that need it are refused at once with the reason. What a partition keeps is a metric.

Also takeovers: heirs do not ask an owner that is known to lack the store; an owner gives up only to the node that it too ranks first; who ranks first waits until the nodes have not changed for a second before it takes from one that serves.

Not built: giving way before the store is full.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -162,6 +162,8 @@
 		c.stepTakeoverRead(now, event)
 	case TakenOver:
 		c.stepTakenOver(now, event)
+	case LogFull:
+		c.noteFull(event)
 	case Appended:
 		c.stepAppended(now, event)
 	case OwnerHeard:
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -61,6 +61,12 @@
 	Outcome   Outcome
 }
 
+// LogFull tells that the log takes no record of an append under way, for want of space.
+type LogFull struct {
+	Partition int
+	Epoch     ownership.Epoch
+}
+
 // Outcome tells how a takeover or an append ended.
 type Outcome int
 
@@ -128,6 +134,7 @@
 func (TakeoverRead) event()    {}
 func (TakenOver) event()       {}
 func (Appended) event()        {}
+func (LogFull) event()         {}
 func (OwnerHeard) event()      {}
 func (Disowned) event()        {}
 func (Leave) event()           {}
--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -80,6 +80,9 @@
 		if id == string(c.self().ID) {
 			break
 		}
+		if c.unableOwner(now, one.index, machine.ID(id)) {
+			continue
+		}
 		if heir, known := c.membership.Lookup(machine.ID(id)); known && c.reachesStore(now, heir.ID) {
 			before[heir.ID] = heir
 		}
@@ -87,6 +90,13 @@
 	return before
 }
 
+// unableOwner reports whether a node is recorded as the partition's owner and as one
+// that does not reach the store: it cannot give up.
+func (c *Core) unableOwner(now time.Time, index int, node machine.ID) bool {
+	known := &c.owners[index]
+	return known.Node == node && known.Unable && c.provesUnable(now, known.heardAt)
+}
+
 // askAgain repeats the question once to those that have not answered: a message may
 // be lost.
 func (c *Core) askAgain(now time.Time, one *partition) {
@@ -157,7 +167,7 @@
 	}
 	if message.Kept {
 		one.handover = handover{}
-		one.nextClaim = now.Add(c.config.ClaimPause)
+		one.nextClaim = now.Add(c.keptPause(now, one))
 		return
 	}
 	if message.Given {
@@ -175,7 +185,7 @@
 	case stateServing:
 		c.answerHandover(now, one, from)
 	case stateTaking:
-		if now.Sub(one.restoring.progressAt) < takingPatience {
+		if c.reaches && now.Sub(one.restoring.progressAt) < takingPatience {
 			c.sendHandover(from, Handover{Partition: one.index, Kept: true, Epoch: one.epoch})
 		}
 		// Otherwise the asker claims when its patience is over.
@@ -184,12 +194,21 @@
 
 // yieldFor is how long a node that has left a partition to another heir does not claim
 // it: until word of the other's claim has come.
-const yieldFor = time.Second
+const yieldFor = 400 * time.Millisecond
+
+// keptPause is how long a node that was answered that the partition is kept leaves it
+// alone: for long where it knows who serves, or else until word of the claim has come.
+func (c *Core) keptPause(now time.Time, one *partition) time.Duration {
+	if _, served := c.servingPeer(now, one.index); served {
+		return c.config.ClaimPause
+	}
+	return heirPatience
+}
 
 // answerAbsent answers another heir. Of two that would claim, the one that ranks first
 // goes on.
 func (c *Core) answerAbsent(now time.Time, one *partition, from machine.Machine) {
-	if !one.handover.askedAt.IsZero() && c.ranksBefore(one.index, from.ID) {
+	if !one.handover.askedAt.IsZero() && c.mayClaim(now) && c.ranksBefore(one.index, from.ID) {
 		c.sendHandover(from, Handover{Partition: one.index, Kept: true, Epoch: one.highest})
 		return
 	}
@@ -223,14 +242,20 @@
 	h.askedAt, h.asked, h.again, h.given, h.ordered = time.Time{}, nil, false, false, false
 }
 
-// answerHandover has an owner that is to own the partition keep it, and one that
-// is not give it up. One that has lost the store does not answer.
+// toOwn reports whether a node is to own a partition by rank, as this node sees it.
+func (c *Core) toOwn(index int, node machine.ID) bool {
+	heirs := c.ranking.heirs[index]
+	return len(heirs) > 0 && heirs[0] == string(node)
+}
+
+// answerHandover has an owner give the partition up to the node that is to own it, and
+// keep it otherwise. One that has lost the store does not answer.
 func (c *Core) answerHandover(now time.Time, one *partition, from machine.Machine) {
-	if now.Sub(c.lastContact) > handoverContact {
+	if !c.reaches || now.Sub(c.lastContact) > handoverContact {
 		return
 	}
 	c.rank(now)
-	if c.ranksFirst(one.index) || (c.settling(now, one) && !c.leaving) {
+	if !c.leaving && (!c.toOwn(one.index, from.ID) || c.settling(now, one)) {
 		c.sendHandover(from, Handover{Partition: one.index, Kept: true, Epoch: one.epoch})
 		return
 	}
--- a/coordinator/partition.go
+++ b/coordinator/partition.go
@@ -25,10 +25,12 @@
 	state partitionState
 	epoch ownership.Epoch
 	// highest is the highest epoch known of.
-	highest   ownership.Epoch
-	ledger    *ledger.Ledger
-	sequence  uint64
-	inFlight  bool
+	highest  ownership.Epoch
+	ledger   *ledger.Ledger
+	sequence uint64
+	inFlight bool
+	// full says that the log had no space for the append under way.
+	full      bool
 	sentAt    time.Time
 	nextClaim time.Time
 	// vacantSince is since when this node, an heir, has known of no owner.
@@ -123,6 +125,7 @@
 		return
 	}
 	one.inFlight = false
+	one.full = false
 	one.ledger.Prove(one.sentAt)
 	one.ledger.Stored()
 	c.answerWaiters(one)
@@ -132,7 +135,34 @@
 
 // stalled reports whether the log has left an append unanswered for too long.
 func (c *Core) stalled(now time.Time, one *partition) bool {
-	return one.inFlight && now.Sub(one.sentAt) > c.config.StallAfter
+	return one.inFlight && (one.full || now.Sub(one.sentAt) > c.config.StallAfter)
+}
+
+// noteFull takes in that the log has no space for the append under way.
+func (c *Core) noteFull(event LogFull) {
+	if one := c.partitions[event.Partition]; one.state == stateServing && one.epoch == event.Epoch && one.inFlight {
+		one.full = true
+	}
+}
+
+// refusal is why a turn that needs the log is refused while appends do not get on.
+func (p *partition) refusal() ReplyStatus {
+	if p.full {
+		return ReplyFull
+	}
+	return ReplyStalled
+}
+
+// KeptBytes estimates how much the newest records of each partition take in the log
+// that this node serves.
+func (c *Core) KeptBytes() map[int]int {
+	kept := make(map[int]int)
+	for _, one := range c.partitions {
+		if one.state == stateServing {
+			kept[one.index] = one.ledger.Size()
+		}
+	}
+	return kept
 }
 
 // answerWaiters answers those whose position is durable.
@@ -200,6 +230,7 @@
 	one.waiters = nil
 	one.verifiers = nil
 	one.inFlight = false
+	one.full = false
 	c.abandon(one)
 }
 
--- a/coordinator/rank.go
+++ b/coordinator/rank.go
@@ -18,6 +18,8 @@
 	readers []machine.Machine
 	// lost is when a candidate was one last.
 	lost map[string]time.Time
+	// since is when the candidates changed last.
+	since time.Time
 	// version, reaches and unreaching are what the candidates followed from: the
 	// version of the nodes' view, whether this node reached the store, and whether
 	// any peer counted as not reaching it.
@@ -36,15 +38,22 @@
 	heirPatience = 300 * time.Millisecond
 )
 
+// calmFor is how long the candidates must not have changed before the node that ranks
+// first takes a partition over from one that serves it: while many come back, who ranks
+// first changes, and each change reads anew.
+const calmFor = time.Second
+
 // mayOwn reports whether this node is to own the partition: it ranks first, or those
 // that rank before it have left it without an owner for too long.
 func (c *Core) mayOwn(now time.Time, one *partition) bool {
 	place := slices.Index(c.ranking.heirs[one.index], string(c.self().ID))
+	_, served := c.servingPeer(now, one.index)
+	served = served && !c.stuck(now, one.index)
 	if place <= 0 {
 		one.vacantSince = time.Time{}
-		return place == 0
+		return place == 0 && (!served || now.Sub(c.ranking.since) >= calmFor)
 	}
-	if _, served := c.servingPeer(now, one.index); served && !c.stuck(now, one.index) {
+	if served {
 		one.vacantSince = time.Time{}
 		return false
 	}
@@ -54,12 +63,6 @@
 	return now.Sub(one.vacantSince) >= time.Duration(place)*heirPatience
 }
 
-// ranksFirst reports whether this node is to own the partition by rank alone.
-func (c *Core) ranksFirst(index int) bool {
-	heirs := c.ranking.heirs[index]
-	return len(heirs) > 0 && heirs[0] == string(c.self().ID)
-}
-
 // current reports whether the candidates are what they were. Who reaches the
 // store changes with time alone while any peer counts as not reaching it.
 func (r *ranking) current(c *Core) bool {
@@ -92,6 +95,7 @@
 	}
 	return ranking{
 		candidates: candidates, heirs: heirs, readers: c.rankReaders(candidates), lost: c.lostCandidates(now, candidates),
+		since: now,
 	}
 }
 
--- a/coordinator/request.go
+++ b/coordinator/request.go
@@ -62,6 +62,8 @@
 	// ReplyStalled says that the log does not take records at present, and
 	// that nothing was done.
 	ReplyStalled ReplyStatus = "stalled"
+	// ReplyFull says that the log is full, and that nothing was done.
+	ReplyFull ReplyStatus = "full"
 )
 
 // Reply answers a request.
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -67,7 +67,7 @@
 	admission := one.ledger.Admit(now, asked.Turn)
 	if admission.Position > 0 && c.stalled(now, one) {
 		one.ledger.Settle(now, ledger.Settlement{Turn: asked.Turn.ID, Program: asked.Turn.Program})
-		c.reply(Reply{ID: id, Status: ReplyStalled, Epoch: one.epoch})
+		c.reply(Reply{ID: id, Status: one.refusal(), Epoch: one.epoch})
 		return
 	}
 	if admission.Replica == "" && asked.Previous != "" {
--- a/edge/control.go
+++ b/edge/control.go
@@ -23,6 +23,10 @@
 	live    int
 	// leased is whether keys were honoured when that was noted last.
 	leased bool
+	// kept is what was noted last of the space that partitions take, and nextKept when
+	// it is looked at again.
+	kept     map[int]int
+	nextKept time.Time
 }
 
 // inboxSize bounds the inputs that wait for the control goroutine.
@@ -119,6 +123,10 @@
 // loadPeriod is the time between two reports of this node's loads to the core.
 const loadPeriod = 100 * time.Millisecond
 
+// keptPeriod is the time between two looks at the space that partitions take, which
+// visits all that they keep.
+const keptPeriod = 5 * time.Second
+
 // loop runs the core until the context ends.
 func (c *control) loop(ctx context.Context) {
 	timer := time.NewTimer(0)
@@ -156,10 +164,29 @@
 	readers := c.core.Readers()
 	c.node.readers.Store(&readers)
 	c.node.isolated.Store(c.core.Isolated(now))
+	c.reportKept(now)
 	c.core.Step(now, coordinator.Contact{Reached: c.node.reachesStore(), Last: c.node.store.at()})
 	c.noteDependencies()
 }
 
+// reportKept sets the metrics of what partitions take in the store.
+func (c *control) reportKept(now time.Time) {
+	if now.Before(c.nextKept) {
+		return
+	}
+	c.nextKept = now.Add(keptPeriod)
+	kept := c.core.KeptBytes()
+	for partition := range c.kept {
+		if _, still := kept[partition]; !still {
+			c.node.metrics.keptBytes(partition, 0)
+		}
+	}
+	for partition, bytes := range kept {
+		c.node.metrics.keptBytes(partition, bytes)
+	}
+	c.kept = kept
+}
+
 // noteDependencies writes when the store or nodes are lost or regained.
 func (c *control) noteDependencies() {
 	if reached := c.node.reachesStore(); reached != c.reached {
--- a/edge/ledgers.go
+++ b/edge/ledgers.go
@@ -150,12 +150,18 @@
 		n.noteStore(err)
 		if err == nil {
 			n.observeAppend(time.Since(begun))
+			n.appendedTo(partition, records)
 		}
 		var fenced *recordstore.FencedError
 		if err == nil || errors.As(err, &fenced) || attempt == attempts {
 			return err
 		}
-		if !wait.For(ctx, backoff.Next()) {
+		pause := backoff.Next()
+		if isFull(err) {
+			n.makeSpace(ctx, partition, epoch)
+			pause = fullPause
+		}
+		if !wait.For(ctx, pause) {
 			return ctx.Err()
 		}
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -48,6 +48,9 @@
 	metricTakeovers  = "birchwood_edge_takeovers_total"
 	metricTaking     = "birchwood_edge_takeover_seconds"
 	metricTakenBytes = "birchwood_edge_takeover_bytes_total"
+	metricKept       = "birchwood_edge_kept_bytes"
+	metricFull       = "birchwood_edge_store_full_total"
+	metricTrims      = "birchwood_edge_store_trims_total"
 )
 
 // latencyBuckets are for times that clients feel, in seconds.
@@ -113,6 +116,23 @@
 	m.set.GetOrCreateCounter(metricTakenBytes).Add(read.bytes)
 }
 
+// keptBytes sets how much a partition's newest records take in the store, about.
+func (m *Metrics) keptBytes(partition, bytes int) {
+	m.set.GetOrCreateGauge(fmt.Sprintf("%s{partition=\"%d\"}", metricKept, partition), nil).Set(float64(bytes))
+}
+
+// storeFull counts an append that the store refused because it is full.
+func (m *Metrics) storeFull() { m.set.GetOrCreateCounter(metricFull).Inc() }
+
+// trimmed counts a trim of a partition, by outcome.
+func (m *Metrics) trimmed(err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", metricTrims, outcome)).Inc()
+}
+
 // callRepeated counts a call sent again because its answer was late.
 func (m *Metrics) callRepeated() { m.repeats.Inc() }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -43,10 +43,12 @@
 	chains   *chains
 	// takeovers are those under way here.
 	takeovers *takeovers
-	clients   *ingress.Server
-	control   *control
-	peers     *peers
-	metrics   *Metrics
+	// space is what the partitions take in the store.
+	space   *space
+	clients *ingress.Server
+	control *control
+	peers   *peers
+	metrics *Metrics
 	// withheld are the fields of clients that no replica gets.
 	withheld []string
 
@@ -117,6 +119,7 @@
 		calls:     repeats,
 		chains:    newChains(settings.uses(RecallChains)),
 		takeovers: newTakeovers(),
+		space:     newSpace(),
 		metrics:   newMetrics(settings.LogLinesDropped),
 		random:    random,
 		patience:  retry.Patience{Minimum: appendTimeoutMin, Maximum: appendTimeout, Factor: appendFactor},
--- /dev/null
+++ b/edge/space.go
@@ -0,0 +1,130 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/ownership"
+	"birchwood.example/birchwood/recordstore"
+)
+
+const (
+	// trimBytes is how much is appended to a partition before its owner drops what
+	// newer records of the same keys replaced, and trimPeriod the least time between
+	// two such calls: each costs two calls to the store.
+	trimBytes  = 2 << 20
+	trimPeriod = 10 * time.Second
+	// trimPeriodFull is that time while the store is full.
+	trimPeriodFull = 2 * time.Second
+	// fullPause is the wait before an append is repeated that a full store refused:
+	// space comes back as records expire, within seconds.
+	fullPause = 500 * time.Millisecond
+	// fullLogPeriod is the least time between two lines of the log about that.
+	fullLogPeriod = 5 * time.Second
+)
+
+// space is what this node knows of the space that its partitions take in the store. It
+// is safe for concurrent use.
+type space struct {
+	mutex      sync.Mutex
+	partitions map[int]*partitionSpace
+	loggedFull time.Time
+}
+
+// partitionSpace is what was appended to a partition since it was trimmed.
+type partitionSpace struct {
+	appended  int
+	trimmedAt time.Time
+}
+
+func newSpace() *space { return &space{partitions: make(map[int]*partitionSpace)} }
+
+// appended counts what was appended to a partition, and reports whether it is to be
+// trimmed now.
+func (s *space) appended(now time.Time, partition, bytes int) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	one := s.of(now, partition)
+	one.appended += bytes
+	if one.appended < trimBytes || now.Sub(one.trimmedAt) < trimPeriod {
+		return false
+	}
+	one.appended, one.trimmedAt = 0, now
+	return true
+}
+
+// full reports whether a partition is to be trimmed now, and whether it is to be logged
+// that the store is full.
+func (s *space) full(now time.Time, partition int) (trim, logged bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if now.Sub(s.loggedFull) >= fullLogPeriod {
+		s.loggedFull = now
+		logged = true
+	}
+	one := s.of(now, partition)
+	if now.Sub(one.trimmedAt) < trimPeriodFull {
+		return false, logged
+	}
+	one.appended, one.trimmedAt = 0, now
+	return true, logged
+}
+
+// of returns a partition's entry. The mutex is held.
+func (s *space) of(now time.Time, partition int) *partitionSpace {
+	one := s.partitions[partition]
+	if one == nil {
+		one = &partitionSpace{trimmedAt: now}
+		s.partitions[partition] = one
+	}
+	return one
+}
+
+// isFull reports whether the store refused a call because it is full.
+func isFull(err error) bool {
+	var refused *recordstore.RefusedError
+	return errors.As(err, &refused) && refused.Full()
+}
+
+// appendedTo counts an append, and has the partition trimmed now and then.
+func (n *Node) appendedTo(partition int, records []recordstore.Record) {
+	bytes := 0
+	for _, record := range records {
+		bytes += len(record.Key) + len(record.Value)
+	}
+	if n.space.appended(time.Now(), partition, bytes) {
+		n.run(func(ctx context.Context) { n.trim(ctx, partition) })
+	}
+}
+
+// trim drops the records of a partition that newer ones of the same keys replaced.
+func (n *Node) trim(ctx context.Context, partition int) {
+	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	stream := ledgerStream(partition)
+	end, err := n.adapter.Store.End(callCtx, stream)
+	if err == nil {
+		err = n.adapter.Store.Trim(callCtx, stream, end)
+	}
+	n.noteStore(err)
+	n.metrics.trimmed(err)
+	if err != nil {
+		n.logger.Warn().Int("partition", partition).Uint64("end", end).Err(err).Msg("ledger: not trimmed")
+	}
+}
+
+// makeSpace takes in that the store was too full for an append.
+func (n *Node) makeSpace(ctx context.Context, partition int, epoch ownership.Epoch) {
+	n.metrics.storeFull()
+	trim, logged := n.space.full(time.Now(), partition)
+	if logged {
+		n.logger.Warn().Int("partition", partition).Uint64("epoch", uint64(epoch)).Msg("store: full, appends are refused")
+	}
+	n.control.post(coordinator.LogFull{Partition: partition, Epoch: epoch})
+	if trim {
+		n.trim(ctx, partition)
+	}
+}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -46,6 +46,9 @@
 	Replica string `json:"replica,omitempty"`
 	// RetainMS is how long the turn is kept, in milliseconds.
 	RetainMS int64 `json:"retain_ms"`
+	// KeptMS is when the turn was kept, in milliseconds since 1970 by its owner's clock;
+	// 0 in records of former versions.
+	KeptMS int64 `json:"kept_ms,omitempty"`
 	// Parts is how many records hold the turn, where one is too small. The
 	// turn's own record holds nothing but this number then.
 	Parts int `json:"parts,omitempty"`
@@ -107,8 +110,8 @@
 		// It was kept anew since the restoring began.
 		return nil
 	}
-	var value turnValue
-	if err := json.Unmarshal(record.Value, &value); err != nil {
+	value, err := decodeTurn(record.Value)
+	if err != nil {
 		return fmt.Errorf("ledger: record %q: %w", record.Key, err)
 	}
 	if parts := value.Parts; parts > 0 {
@@ -116,8 +119,7 @@
 		if err != nil {
 			return err
 		}
-		value = turnValue{}
-		if err := json.Unmarshal(whole, &value); err != nil {
+		if value, err = decodeTurn(whole); err != nil {
 			return fmt.Errorf("ledger: parts of record %q: %w", record.Key, err)
 		}
 		value.Parts = parts
@@ -135,8 +137,38 @@
 		}
 	}
 	clear(l.parts)
+	l.ageRestored()
+}
+
+// ageRestored lets the turns that were restored go when they are due: their records
+// tell when they were kept, and those of a chain live as long as its last one. The
+// slack covers clocks that differ.
+func (l *Ledger) ageRestored() {
+	for _, kept := range l.turns {
+		if due := time.UnixMilli(kept.KeptMS).Add(kept.retain()); kept.KeptMS > 0 && due.Before(kept.expires) {
+			kept.expires = due
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(l.turns)) {
+		l.touchChain(id, l.turns[id].expires)
+	}
 }
 
+// Size estimates the bytes of the newest records of the ledger in the log.
+func (l *Ledger) Size() int {
+	size := len(l.accounts) * accountBytes
+	for id, kept := range l.turns {
+		size += len(turnPrefix) + len(id) + turnBytes + len(kept.Base) + len(kept.Input) + len(kept.Output)
+	}
+	return size
+}
+
+// What a record takes besides a turn's bodies, about.
+const (
+	accountBytes = 80
+	turnBytes    = 160
+)
+
 // partInUse reports whether a part belongs to a turn that was kept anew since the
 // restoring began.
 func (l *Ledger) partInUse(key string) bool {
@@ -169,7 +201,7 @@
 // proposeTurn queues a turn's record, or its parts and then the record that
 // names their number.
 func (l *Ledger) proposeTurn(id string, value *turnValue) uint64 {
-	whole := encode(value)
+	whole := encodeTurn(value)
 	if len(whole) <= l.config.RecordBytes {
 		return l.propose(turnPrefix+id, whole)
 	}
--- a/ledger/turn.go
+++ b/ledger/turn.go
@@ -37,6 +37,7 @@
 		Output:   kept.Output,
 		Replica:  kept.Replica,
 		RetainMS: kept.Retain.Milliseconds(),
+		KeptMS:   now.UnixMilli(),
 	}
 	if kept.Previous != "" && l.turns[kept.Previous] == nil {
 		value.Base = kept.Base
--- a/recordstore/recordstore.go
+++ b/recordstore/recordstore.go
@@ -70,6 +70,9 @@
 	// Append adds the records to the stream, all or none. An error is a
 	// *FencedError or a *RefusedError; any other leaves the outcome unknown.
 	Append(ctx context.Context, stream Stream, writer Writer, records []Record) error
+	// Trim drops the records of a stream that lie before an offset, but for the newest
+	// of each key.
+	Trim(ctx context.Context, stream Stream, before uint64) error
 	// Newest returns the newest record of each key after the given one, in the
 	// order of the keys.
 	Newest(ctx context.Context, stream Stream, after string) (Page, error)
@@ -104,8 +107,13 @@
 const (
 	statusTooManyCalls = 429
 	statusUnavailable  = 503
+	statusFull         = 507
 )
 
+// Full reports whether the store holds as much as it may, and takes no records until
+// some are dropped.
+func (e *RefusedError) Full() bool { return e.Status == statusFull }
+
 // Unavailable reports whether the store turned the call away whatever it asked
 // for: the store is down, overloaded, or not there for this node.
 func (e *RefusedError) Unavailable() bool {
