--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -157,8 +157,12 @@
 		c.stepPeer(now, event.Message)
 	case Requested:
 		c.stepRequest(now, event)
+	case TakeoverRead:
+		c.stepTakeoverRead(now, event)
 	case TakenOver:
 		c.stepTakenOver(now, event)
+	case LogFull:
+		c.noteFull(event)
 	case Appended:
 		c.stepAppended(now, event)
 	case OwnerHeard:
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -34,14 +34,22 @@
 	Request   Request
 }
 
-// TakenOver answers a Takeover.
+// TakeoverRead tells of progress in a takeover: the log has the claim, and some of
+// the newest record of each key were read, in the order of the keys.
+type TakeoverRead struct {
+	Partition int
+	Epoch     ownership.Epoch
+	Records   []ledger.Record
+}
+
+// TakenOver ends a Takeover.
 type TakenOver struct {
 	Partition int
 	Epoch     ownership.Epoch
 	Outcome   Outcome
-	// Highest is the highest epoch that the log named, when fenced.
-	Highest ownership.Epoch
-	// Records are the newest of each key, when done.
+	// End is where the log ended, for OutcomeMoved.
+	End uint64
+	// Records are those that no TakeoverRead has brought, when done.
 	Records []ledger.Record
 }
 
@@ -53,6 +61,12 @@
 	Outcome   Outcome
 }
 
+// LogFull tells that the log takes no record of an append under way, for want of space.
+type LogFull struct {
+	Partition int
+	Epoch     ownership.Epoch
+}
+
 // Outcome tells how a takeover or an append ended.
 type Outcome int
 
@@ -64,6 +78,8 @@
 	OutcomeFenced
 	// OutcomeFailed is a takeover that was given up; it may be tried again.
 	OutcomeFailed
+	// OutcomeMoved is a takeover that was not begun: another owner appends.
+	OutcomeMoved
 )
 
 // OwnerHeard is what another node answered of a partition's owner.
@@ -117,8 +133,10 @@
 func (Contact) event()         {}
 func (PeerReceived) event()    {}
 func (Requested) event()       {}
+func (TakeoverRead) event()    {}
 func (TakenOver) event()       {}
 func (Appended) event()        {}
+func (LogFull) event()         {}
 func (OwnerHeard) event()      {}
 func (Disowned) event()        {}
 func (Leave) event()           {}
@@ -171,6 +189,16 @@
 type Takeover struct {
 	Partition int
 	Epoch     ownership.Epoch
+	// Contested claims are made only where the log still ends at Unmoved: the node
+	// was fenced by an owner of which it has heard nothing else.
+	Contested bool
+	Unmoved   uint64
+}
+
+// Stopped asks the driver to read no more for a takeover.
+type Stopped struct {
+	Partition int
+	Epoch     ownership.Epoch
 }
 
 // Append asks the driver to append records under the epoch, or none, and to
@@ -204,6 +232,7 @@
 	Messages  []Outbound
 	Replies   []Reply
 	Takeovers []Takeover
+	Stopped   []Stopped
 	Appends   []Append
 	Loads     []PeerLoad
 	Charged   []Charged
--- a/coordinator/isolation.go
+++ b/coordinator/isolation.go
@@ -46,16 +46,27 @@
 // zonesHeard counts the zones that this node knows of, and those of which it heard a
 // node lately. Its own counts as heard.
 func (c *Core) zonesHeard(now time.Time) (known, heard int) {
-	own := c.self().Zone
 	counted := make(map[zone.Name]bool)
 	for _, node := range c.listing {
 		if counted[node.Zone] {
 			continue
 		}
 		counted[node.Zone] = true
-		if node.Zone == own || now.Sub(c.hearing.byZone[node.Zone]) <= silenceLimit {
+		if !c.zoneSilent(now, node.Zone, silenceLimit) {
 			heard++
 		}
 	}
 	return len(counted), heard
 }
+
+// zoneSilent reports whether no node of another zone has been heard for some time. One
+// of which none ever was is silent, too.
+func (c *Core) zoneSilent(now time.Time, name zone.Name, limit time.Duration) bool {
+	return name != c.self().Zone && now.Sub(c.hearing.byZone[name]) > limit
+}
+
+// zoneLost reports whether a zone is silent of which nodes were heard before.
+func (c *Core) zoneLost(now time.Time, name zone.Name, limit time.Duration) bool {
+	_, known := c.hearing.byZone[name]
+	return known && c.zoneSilent(now, name, limit)
+}
--- a/coordinator/rank.go
+++ b/coordinator/rank.go
@@ -18,6 +18,8 @@
 	readers []machine.Machine
 	// lost is when a candidate was one last.
 	lost map[string]time.Time
+	// since is when the candidates changed last.
+	since time.Time
 	// version, reaches and unreaching are what the candidates followed from: the
 	// version of the nodes' view, whether this node reached the store, and whether
 	// any peer counted as not reaching it.
@@ -32,20 +34,26 @@
 	// all nodes cut off, three are cut off together once in 27 times.
 	heirsPerPartition = 3
 	// heirPatience is how long each heir leaves a partition without an owner to
-	// those that rank before it. A claim takes an append and a read, some 50 ms, and
-	// word of it about as long again.
+	// those that rank before it, until it asks whether they are taking it over.
 	heirPatience = 300 * time.Millisecond
 )
 
+// calmFor is how long the candidates must not have changed before the node that ranks
+// first takes a partition over from one that serves it: while many come back, who ranks
+// first changes, and each change reads anew.
+const calmFor = time.Second
+
 // mayOwn reports whether this node is to own the partition: it ranks first, or those
 // that rank before it have left it without an owner for too long.
 func (c *Core) mayOwn(now time.Time, one *partition) bool {
 	place := slices.Index(c.ranking.heirs[one.index], string(c.self().ID))
+	_, served := c.servingPeer(now, one.index)
+	served = served && !c.stuck(now, one.index)
 	if place <= 0 {
 		one.vacantSince = time.Time{}
-		return place == 0
+		return place == 0 && (!served || now.Sub(c.ranking.since) >= calmFor)
 	}
-	if _, served := c.servingPeer(now, one.index); served {
+	if served {
 		one.vacantSince = time.Time{}
 		return false
 	}
@@ -55,12 +63,6 @@
 	return now.Sub(one.vacantSince) >= time.Duration(place)*heirPatience
 }
 
-// ranksFirst reports whether this node is to own the partition by rank alone.
-func (c *Core) ranksFirst(index int) bool {
-	heirs := c.ranking.heirs[index]
-	return len(heirs) > 0 && heirs[0] == string(c.self().ID)
-}
-
 // current reports whether the candidates are what they were. Who reaches the
 // store changes with time alone while any peer counts as not reaching it.
 func (r *ranking) current(c *Core) bool {
@@ -87,11 +89,13 @@
 // rankAnew ranks the candidates for every partition.
 func (c *Core) rankAnew(now time.Time, candidates []ownership.Node) ranking {
 	heirs := make([][]string, len(c.partitions))
+	able := ownership.Able(candidates)
 	for index := range heirs {
-		heirs[index] = ownership.First(index, candidates, heirsPerPartition)
+		heirs[index] = ownership.Heirs(index, able, heirsPerPartition)
 	}
 	return ranking{
 		candidates: candidates, heirs: heirs, readers: c.rankReaders(candidates), lost: c.lostCandidates(now, candidates),
+		since: now,
 	}
 }
 
@@ -134,7 +138,7 @@
 func (c *Core) lostCandidates(now time.Time, candidates []ownership.Node) map[string]time.Time {
 	lost := make(map[string]time.Time)
 	for id, when := range c.ranking.lost {
-		if now.Sub(when) < lostFor {
+		if now.Sub(when) < contestedFor {
 			lost[id] = when
 		}
 	}
@@ -191,7 +195,7 @@
 func (c *Core) candidates(now time.Time) []ownership.Node {
 	var live, able []ownership.Node
 	for _, node := range c.membership.Nodes() {
-		candidate := ownership.Node{ID: string(node.ID), Weight: node.Weight}
+		candidate := ownership.Node{ID: string(node.ID), Weight: node.Weight, Zone: string(node.Zone)}
 		live = append(live, candidate)
 		if c.reachesStore(now, node.ID) {
 			able = append(able, candidate)
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -16,7 +16,7 @@
 	one := c.partitions[request.Partition]
 	switch one.state {
 	case stateServing:
-		c.serve(now, one, request)
+		c.serveOrHold(now, one, heldRequest{request: request, until: now.Add(c.config.HoldFor)})
 	case stateTaking:
 		one.held = append(one.held, heldRequest{request: request, until: now.Add(c.config.HoldFor)})
 	default:
@@ -67,7 +67,7 @@
 	admission := one.ledger.Admit(now, asked.Turn)
 	if admission.Position > 0 && c.stalled(now, one) {
 		one.ledger.Settle(now, ledger.Settlement{Turn: asked.Turn.ID, Program: asked.Turn.Program})
-		c.reply(Reply{ID: id, Status: ReplyStalled, Epoch: one.epoch})
+		c.reply(Reply{ID: id, Status: one.refusal(), Epoch: one.epoch})
 		return
 	}
 	if admission.Replica == "" && asked.Previous != "" {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -55,6 +55,12 @@
 	metricLeft       = "birchwood_edge_lines_moved_total"
 	metricColdCharge = "birchwood_edge_cold_charges_total"
 	metricCold       = "birchwood_edge_replicas_cold"
+	metricTakeovers  = "birchwood_edge_takeovers_total"
+	metricTaking     = "birchwood_edge_takeover_seconds"
+	metricTakenBytes = "birchwood_edge_takeover_bytes_total"
+	metricKept       = "birchwood_edge_kept_bytes"
+	metricFull       = "birchwood_edge_store_full_total"
+	metricTrims      = "birchwood_edge_store_trims_total"
 )
 
 // latencyBuckets are for times that clients feel, in seconds.
@@ -114,6 +120,30 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", metricCalls, outcome)).Inc()
 }
 
+// takeoverEnded takes in a takeover, by outcome, with what it read.
+func (m *Metrics) takeoverEnded(outcome string, read restored, took time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", metricTakeovers, outcome)).Inc()
+	m.set.GetOrCreatePrometheusHistogramExt(metricTaking, appendBuckets).Update(took.Seconds())
+	m.set.GetOrCreateCounter(metricTakenBytes).Add(read.bytes)
+}
+
+// keptBytes sets how much a partition's newest records take in the store, about.
+func (m *Metrics) keptBytes(partition, bytes int) {
+	m.set.GetOrCreateGauge(fmt.Sprintf("%s{partition=\"%d\"}", metricKept, partition), nil).Set(float64(bytes))
+}
+
+// storeFull counts an append that the store refused because it is full.
+func (m *Metrics) storeFull() { m.set.GetOrCreateCounter(metricFull).Inc() }
+
+// trimmed counts a trim of a partition, by outcome.
+func (m *Metrics) trimmed(err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", metricTrims, outcome)).Inc()
+}
+
 // callRepeated counts a call sent again because its answer was late.
 func (m *Metrics) callRepeated() { m.repeats.Inc() }
 
--- a/recordstore/recordstore.go
+++ b/recordstore/recordstore.go
@@ -66,9 +66,13 @@
 
 // Store is the platform's store. It is safe for concurrent use.
 type Store interface {
+	Endings
 	// Append adds the records to the stream, all or none. An error is a
 	// *FencedError or a *RefusedError; any other leaves the outcome unknown.
 	Append(ctx context.Context, stream Stream, writer Writer, records []Record) error
+	// Trim drops the records of a stream that lie before an offset, but for the newest
+	// of each key.
+	Trim(ctx context.Context, stream Stream, before uint64) error
 	// Newest returns the newest record of each key after the given one, in the
 	// order of the keys.
 	Newest(ctx context.Context, stream Stream, after string) (Page, error)
@@ -77,11 +81,21 @@
 	Tail(ctx context.Context, stream Stream, from uint64, wait time.Duration) (Tail, error)
 }
 
+// Endings is a store that tells where a stream ends without reading it.
+type Endings interface {
+	// End returns the offset of the stream's next record.
+	End(ctx context.Context, stream Stream) (uint64, error)
+}
+
 // ErrGap says that records were dropped before they were read.
 var ErrGap = errors.New("record store: records between were dropped")
 
-// FencedError says that a writer of a higher epoch has taken the stream over.
-type FencedError struct{ Reason string }
+// FencedError says that a writer of a higher epoch has taken the stream over, or,
+// where Disordered, that the store expects another sequence of this writer.
+type FencedError struct {
+	Reason     string
+	Disordered bool
+}
 
 // Error describes the refusal.
 func (e *FencedError) Error() string { return "record store: fenced: " + e.Reason }
@@ -93,8 +107,13 @@
 const (
 	statusTooManyCalls = 429
 	statusUnavailable  = 503
+	statusFull         = 507
 )
 
+// Full reports whether the store holds as much as it may, and takes no records until
+// some are dropped.
+func (e *RefusedError) Full() bool { return e.Status == statusFull }
+
 // Unavailable reports whether the store turned the call away whatever it asked
 // for: the store is down, overloaded, or not there for this node.
 func (e *RefusedError) Unavailable() bool {
