soak: real nodes as processes under faults, held to what callers and replicas see

Cause: `scripts/chaos.sh` covers `serve` alone, has no proxy and checks afterwards; nothing held real processes of the nodes on the users' platform to their promises under faults.

Weighed and left: proxies between nodes, since a node announces the address that it listens on; they lose each other by pause, kill and stop.

Tests: soak/promise (30 specs on fed events), soak (schedule from a seed, regression files, the proxy).

--- a/command/verbs.go
+++ b/command/verbs.go
@@ -19,6 +19,7 @@
 		newBenchCommand(),
 		newVerifyCommand(),
 		newFuzzCommand(),
+		newSoakCommand(),
 		newSettingsCommand(),
 		newProgramCommand(),
 		newNodeCommand(),
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -19,6 +19,7 @@
 // layers orders the packages: each may import only packages of earlier lines.
 // A folder stands for every package below it that has no entry of its own.
 var layers = [][]string{
+	{"soak/promise"},
 	{"internal/wait", "findings", "connection", "header", "recordstore", "eventstream"},
 	{"tenant"},
 	{"zone", "httpclient", "retry", "routing", "replica", "ledger", "ownership", "upstream"},
@@ -33,6 +34,7 @@
 	{"node", "load", "emulator/benchplot", "edge"},
 	{"development", "platform"},
 	{"platform/standin"},
+	{"soak"},
 	{"command/exit"},
 	{"command/edgecommand"},
 	{"command", "internal"},
@@ -45,7 +47,7 @@
 	"zone", "machine", "api", "contract", "recordlog", "partition", "program", "schedule", "retry", "findings",
 	"control", "workload", "emulator/enginemodel", "emulator/platformmodel",
 	"routing", "replica", "ledger", "ownership", "coordinator", "eventstream", "header", "recordstore",
-	"tenant",
+	"tenant", "soak/promise",
 }
 
 // embeddable are the packages that others use without the daemon.
--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,188 @@
+package soak
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+
+	"birchwood.example/birchwood/edge"
+	"birchwood.example/birchwood/platform"
+	"birchwood.example/birchwood/platform/standin"
+	"birchwood.example/birchwood/soak/promise"
+)
+
+// starter starts processes on one thread: the system ends a process whose parent's
+// thread is gone, so that nothing is left behind however this process ends.
+type starter chan func()
+
+func newStarter() starter {
+	calls := make(starter)
+	go func() {
+		runtime.LockOSThread()
+		for call := range calls {
+			call()
+		}
+	}()
+	return calls
+}
+
+func (s starter) start(command *exec.Cmd) error {
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	done := make(chan error)
+	s <- func() { done <- command.Start() }
+	return <-done
+}
+
+// process is one node as a process, through all of its lives.
+type process struct {
+	settings edge.Settings
+	zone     int
+	store    *proxy
+	clients  *proxy
+	binary   string
+	without  string
+	folder   string
+	starter  starter
+	// ended is told of an end that nobody asked for.
+	ended func(promise.Exited)
+
+	mutex sync.Mutex
+	life  int
+	// command is nil while the process is not there, and asked says that its end was
+	// asked for.
+	command *exec.Cmd
+	asked   bool
+	gone    chan struct{}
+}
+
+// start starts the next life of the process.
+func (p *process) start() error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.command != nil {
+		return nil
+	}
+	path := filepath.Join(p.folder, p.settings.Node+".toml")
+	if err := standin.WriteSettings(path, p.settings); err != nil {
+		return err
+	}
+	p.life++
+	output, err := os.Create(p.logPath(p.life))
+	if err != nil {
+		return err
+	}
+	var arguments []string
+	if p.without != "" {
+		arguments = append(arguments, "--without", p.without)
+	}
+	command := exec.Command(p.binary, arguments...)
+	command.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
+	command.Stdout, command.Stderr = output, output
+	if err := p.starter.start(command); err != nil {
+		return errors.Join(fmt.Errorf("start %s: %w", p.settings.Node, err), output.Close())
+	}
+	p.command, p.asked, p.gone = command, false, make(chan struct{})
+	go p.await(command, output, p.gone)
+	return nil
+}
+
+// await takes in the end of a life.
+func (p *process) await(command *exec.Cmd, output *os.File, gone chan struct{}) {
+	err := command.Wait()
+	_ = output.Close()
+	p.mutex.Lock()
+	asked := p.asked
+	p.command = nil
+	p.mutex.Unlock()
+	close(gone)
+	if !asked {
+		p.ended(promise.Exited{Node: p.settings.Node, Detail: fmt.Sprintf("life %d ended: %v", p.life, err)})
+	}
+}
+
+func (p *process) logPath(life int) string {
+	return filepath.Join(p.folder, fmt.Sprintf("%s.%d.log", p.settings.Node, life))
+}
+
+// signal sends a signal to the process, if it is there. Signals that end it are noted
+// as asked for.
+func (p *process) signal(signal syscall.Signal) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.command == nil {
+		return
+	}
+	if signal == syscall.SIGKILL || signal == syscall.SIGTERM {
+		p.asked = true
+	}
+	// A process that just ended is noted by await.
+	_ = p.command.Process.Signal(signal)
+}
+
+// awaitGone returns what is closed when the process is not there.
+func (p *process) awaitGone() <-chan struct{} {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.gone
+}
+
+// current returns the number of the process's life, and its id or 0.
+func (p *process) current() (life, pid int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.command != nil {
+		pid = p.command.Process.Pid
+	}
+	return p.life, pid
+}
+
+// sample reads what the process takes, or returns false where it is not there.
+func (p *process) sample() (promise.Sampled, bool) {
+	life, pid := p.current()
+	if pid == 0 {
+		return promise.Sampled{}, false
+	}
+	folder := filepath.Join("/proc", strconv.Itoa(pid))
+	status, err := os.ReadFile(filepath.Join(folder, "statm"))
+	if err != nil {
+		return promise.Sampled{}, false
+	}
+	descriptors, err := os.ReadDir(filepath.Join(folder, "fd"))
+	if err != nil {
+		return promise.Sampled{}, false
+	}
+	fields := strings.Fields(string(status))
+	if len(fields) < 2 {
+		return promise.Sampled{}, false
+	}
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	return promise.Sampled{
+		Node: p.settings.Node, Life: life, MemoryBytes: pages * int64(os.Getpagesize()), Descriptors: len(descriptors),
+	}, err == nil
+}
+
+// linesOf returns the lines about a request in the logs of all lives.
+func (p *process) linesOf(id string, most int) []string {
+	var found []string
+	life, _ := p.current()
+	for one := 1; one <= life; one++ {
+		text, err := os.ReadFile(p.logPath(one))
+		if err != nil {
+			continue
+		}
+		for line := range bytes.Lines(text) {
+			if len(found) < most && bytes.Contains(line, []byte(`"`+id+`"`)) {
+				found = append(found, strings.TrimSpace(string(line)))
+			}
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/soak/promise/answer.go
@@ -0,0 +1,155 @@
+package promise
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// attemptsUnserved is how many attempts of a program in a row may fail while nothing
+// is disturbed: one more than a client's retries.
+const attemptsUnserved = 4
+
+// The statuses that a check is about.
+const (
+	statusUnauthorized = 401
+	statusSpent        = 402
+	statusNotFound     = 404
+	statusTooMany      = 429
+)
+
+func (c *Checker) answer(at time.Time, event Answered) {
+	sent := c.requests[event.ID]
+	if sent == nil || sent.answered {
+		return
+	}
+	sent.answered, sent.answeredAt, sent.status, sent.whole = true, at, event.Status, event.Whole
+	if saysNotRun(event.Status) && sent.runs > 0 {
+		c.breach(at, TrueRefusals, sent, "", fmt.Sprintf("answered %d after it ran on %v", event.Status, sent.replicas))
+	}
+	if succeeded(event.Status) {
+		c.checkBody(at, sent, event)
+		c.checkForward(at, sent)
+	}
+	c.countTokens(at, sent, event)
+	switch event.Status {
+	case statusUnauthorized:
+		c.checkDenial(at, sent)
+	case statusSpent:
+		c.checkEnd(at, sent)
+	case statusNotFound:
+		c.checkFound(at, sent)
+	}
+	c.checkServed(at, sent)
+}
+
+// checkBody holds an answer against what the request's own runs wrote.
+func (c *Checker) checkBody(at time.Time, sent *request, event Answered) {
+	if sent.runs == 0 {
+		c.breach(at, WholeAnswers, sent, "", fmt.Sprintf("answered %d, though no replica ran it", event.Status))
+		return
+	}
+	if sent.Events == 0 {
+		if event.Whole && !strings.HasSuffix(event.Body, " for "+sent.ID) {
+			c.breach(at, WholeAnswers, sent, "", fmt.Sprintf("got %q", shorten(event.Body)))
+		}
+		return
+	}
+	want := stream(sent.ID, sent.Events)
+	switch {
+	case event.Whole && event.Body != want:
+		c.breach(at, WholeAnswers, sent, "", fmt.Sprintf("got %q as whole", shorten(event.Body)))
+	case !strings.HasPrefix(want, event.Body):
+		c.breach(at, WholeAnswers, sent, "", fmt.Sprintf("got %q before it broke off", shorten(event.Body)))
+	}
+}
+
+// countTokens holds what a program got in all against its budget.
+func (c *Checker) countTokens(at time.Time, sent *request, event Answered) {
+	known := c.programs[sent.Program]
+	if known == nil || !succeeded(event.Status) {
+		return
+	}
+	sent.tokens = strings.Count(event.Body, "\n\n") * c.config.TokensPerEvent
+	known.handed += sent.tokens
+	if sent.tokens > 0 && known.handed > sent.Budget+sent.Most {
+		c.breach(at, Budget, sent, "", fmt.Sprintf("program %s got %d tokens of %d + %d", sent.Program, known.handed, sent.Budget, sent.Most))
+	}
+}
+
+// checkEnd holds the end of a program against its budget. Turns that ran and have not
+// ended well some time ago count at their most.
+func (c *Checker) checkEnd(at time.Time, ended *request) {
+	known := c.programs[ended.Program]
+	if known == nil {
+		return
+	}
+	used := 0
+	for _, turn := range known.turns {
+		switch {
+		case turn == ended || turn.runs == 0:
+		case turn.answered && turn.whole && turn.answeredAt.Before(at.Add(-c.config.Settle)):
+			used += turn.tokens
+		default:
+			used += turn.Most
+		}
+	}
+	if used+ended.Most <= ended.Budget {
+		c.breach(at, NoFalseEnd, ended, "", fmt.Sprintf("program %s used at most %d of %d, one turn being %d", ended.Program, used, ended.Budget, ended.Most))
+	}
+}
+
+// checkFound holds an answer "no such turn" against the turns that are kept.
+func (c *Checker) checkFound(at time.Time, sent *request) {
+	previous := c.requests[sent.Previous]
+	switch {
+	case sent.Previous == "":
+		if sent.Proper {
+			c.breach(at, KeptTurns, sent, "", "404 for a request on a route that all configurations have")
+		}
+	case previous == nil || previous.Tenant != sent.Tenant:
+	case previous.whole && succeeded(previous.status) && sent.at.Before(previous.answeredAt.Add(c.config.Retention)):
+		c.breach(at, KeptTurns, sent, "", fmt.Sprintf("turn %s was answered whole %s before, and is not found", previous.ID, sent.at.Sub(previous.answeredAt)))
+	}
+}
+
+// checkDenial holds the refusal of a key against the configurations.
+func (c *Checker) checkDenial(at time.Time, sent *request) {
+	if _, revoked := c.revoked[sent.Key]; revoked {
+		c.denied[denial{process{sent.Node, sent.Life}, sent.Key}] = at
+		return
+	}
+	since, valid := c.added[sent.Key]
+	if valid && sent.at.After(since.Add(c.config.ApplyBound)) {
+		c.breach(at, ValidKeys, sent, "", fmt.Sprintf("key %q was added %s before the request was sent, and is refused", sent.Key, sent.at.Sub(since)))
+	}
+}
+
+// checkForward holds the success of a key that was taken away against what the same
+// process said of it before.
+func (c *Checker) checkForward(at time.Time, sent *request) {
+	denied, before := c.denied[denial{process{sent.Node, sent.Life}, sent.Key}]
+	if before && sent.at.After(denied) {
+		c.breach(at, Forward, sent, "", fmt.Sprintf("key %q works again %s after the same process refused it as taken away", sent.Key, sent.at.Sub(denied)))
+	}
+}
+
+// checkServed counts the attempts in a row that fail while nothing is disturbed.
+func (c *Checker) checkServed(at time.Time, sent *request) {
+	known := c.programs[sent.Program]
+	if known == nil || !sent.Proper {
+		return
+	}
+	if sent.whole && succeeded(sent.status) || sent.status == statusSpent || sent.status == statusTooMany {
+		known.unserved = 0
+		return
+	}
+	if !sent.calm || !c.disturbances.calm(at, c.config.Recovery) {
+		return
+	}
+	known.unserved++
+	if known.unserved == attemptsUnserved {
+		c.breach(at, ServedAgain, sent, "", fmt.Sprintf("%d attempts of program %s in a row failed (now with %d) though nothing was disturbed for %s",
+			known.unserved, sent.Program, sent.status, c.config.Recovery))
+	}
+}
--- /dev/null
+++ b/soak/promise/checker.go
@@ -0,0 +1,247 @@
+package promise
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// breachesPerPromise bounds what is kept of one promise, so that a fault that breaks
+// it all the time does not fill the memory.
+const breachesPerPromise = 3
+
+// Checker holds events against the promises. It is not safe for concurrent use.
+type Checker struct {
+	config   Config
+	requests map[string]*request
+	programs map[string]*program
+	// grants are the runs of tenants with a limit, and colds those of cold replicas.
+	grants map[string][]arrival
+	colds  map[string]*cold
+	// drained and evacuated are since when, and added and revoked are since when a
+	// key is valid or taken away.
+	drained   map[string]time.Time
+	evacuated map[string]time.Time
+	added     map[string]time.Time
+	revoked   map[string]time.Time
+	// denied is when a process refused a key that was taken away.
+	denied       map[denial]time.Time
+	disturbances disturbances
+	samples      map[process][]Sampled
+	breaches     []Breach
+	counts       map[Promise]int
+	found        []Breach
+}
+
+type request struct {
+	Sent
+	at         time.Time
+	calm       bool
+	runs       int
+	resumed    int
+	replicas   []string
+	answered   bool
+	answeredAt time.Time
+	status     int
+	whole      bool
+	tokens     int
+}
+
+type program struct {
+	turns  []*request
+	handed int
+	// unserved counts the attempts in a row that failed while nothing was disturbed.
+	unserved int
+}
+
+type process struct {
+	node string
+	life int
+}
+
+type denial struct {
+	process
+	key string
+}
+
+// New returns a checker that has seen nothing.
+func New(config Config) *Checker {
+	return &Checker{
+		config: config, requests: make(map[string]*request), programs: make(map[string]*program),
+		grants: make(map[string][]arrival), colds: make(map[string]*cold),
+		drained: make(map[string]time.Time), evacuated: make(map[string]time.Time),
+		added: make(map[string]time.Time), revoked: make(map[string]time.Time), denied: make(map[denial]time.Time),
+		disturbances: newDisturbances(), samples: make(map[process][]Sampled), counts: make(map[Promise]int),
+	}
+}
+
+// Add takes an event in and returns the promises that it shows broken.
+func (c *Checker) Add(at time.Time, event Event) []Breach {
+	c.found = nil
+	switch event := event.(type) {
+	case Sent:
+		c.send(at, event)
+	case Answered:
+		c.answer(at, event)
+	case Ran:
+		c.run(at, event)
+	case Drained:
+		c.drained[event.Replica] = at
+	case KeyAdded:
+		c.added[event.Key] = at
+	case KeyRevoked:
+		delete(c.added, event.Key)
+		c.revoked[event.Key] = at
+	case Disturbed:
+		c.disturbances.note(at, event)
+	case Exited:
+		c.breach(at, NoExits, nil, event.Node, event.Detail)
+	case Sampled:
+		c.sample(at, event)
+	case Evacuated:
+		c.evacuate(at, event)
+	case Cooled:
+		c.cool(event)
+	}
+	return c.found
+}
+
+// Counts returns how often each promise was broken.
+func (c *Checker) Counts() map[Promise]int { return c.counts }
+
+// Breaches returns the first broken promises of each kind.
+func (c *Checker) Breaches() []Breach { return c.breaches }
+
+// Seen returns how many requests were sent, and how many ended whole with success.
+func (c *Checker) Seen() (sent, served int) {
+	for _, one := range c.requests {
+		if one.whole && succeeded(one.status) {
+			served++
+		}
+	}
+	return len(c.requests), served
+}
+
+func (c *Checker) breach(at time.Time, promise Promise, about *request, node, detail string) {
+	c.counts[promise]++
+	if c.counts[promise] > breachesPerPromise {
+		return
+	}
+	broken := Breach{At: at, Promise: promise, Node: node, Detail: detail}
+	if about != nil {
+		broken.Request, broken.Node = about.ID, about.Node
+	}
+	c.breaches = append(c.breaches, broken)
+	c.found = append(c.found, broken)
+}
+
+func (c *Checker) send(at time.Time, event Sent) {
+	sent := &request{Sent: event, at: at, calm: c.disturbances.calm(at, c.config.Recovery)}
+	c.requests[event.ID] = sent
+	if event.Program == "" {
+		return
+	}
+	known := c.programs[event.Program]
+	if known == nil {
+		known = &program{}
+		c.programs[event.Program] = known
+	}
+	known.turns = append(known.turns, sent)
+}
+
+func (c *Checker) run(at time.Time, event Ran) {
+	ran := c.requests[event.ID]
+	if ran == nil {
+		c.breach(at, KnownRequests, nil, "", fmt.Sprintf("replica %s ran %q, which nobody sent", event.Replica, event.ID))
+		return
+	}
+	ran.runs++
+	ran.replicas = append(ran.replicas, event.Replica)
+	if event.Resumed {
+		ran.resumed++
+	}
+	if ran.runs > 1 && !ran.Repeats {
+		c.breach(at, AtMostOnce, ran, "", fmt.Sprintf("run %d, on %v", ran.runs, ran.replicas))
+	}
+	if ran.answered && saysNotRun(ran.status) {
+		c.breach(at, TrueRefusals, ran, "", fmt.Sprintf("answered %d, and ran afterwards on %s", ran.status, event.Replica))
+	}
+	if event.Tenant != ran.Tenant {
+		c.breach(at, Tenancy, ran, "", fmt.Sprintf("sent by tenant %q, ran as one of %q", ran.Tenant, event.Tenant))
+	}
+	c.checkKey(at, ran)
+	c.checkChain(at, ran, event.Body)
+	c.checkPlace(at, ran, event)
+	c.checkRates(at, ran, event)
+}
+
+// checkKey holds a run against the keys that were taken away before it was sent.
+func (c *Checker) checkKey(at time.Time, ran *request) {
+	since, revoked := c.revoked[ran.Key]
+	if revoked && ran.at.After(since.Add(c.config.RevokeBound)) {
+		c.breach(at, RevokedKeys, ran, "", fmt.Sprintf("key %q was taken away %s before the request was sent", ran.Key, ran.at.Sub(since)))
+	}
+}
+
+// checkChain holds what a replica was handed against the turns before.
+func (c *Checker) checkChain(at time.Time, ran *request, body string) {
+	if ran.Previous != "" {
+		previous := c.requests[ran.Previous]
+		if previous == nil {
+			c.breach(at, Chain, ran, "", fmt.Sprintf("goes on from %q, which is no turn, and ran", ran.Previous))
+			return
+		}
+		if previous.Tenant != ran.Tenant {
+			c.breach(at, Tenancy, ran, "", fmt.Sprintf("tenant %q goes on from turn %s of %q, and it ran", ran.Tenant, previous.ID, previous.Tenant))
+			return
+		}
+	}
+	if want := c.before(ran) + ran.Body; body != want {
+		c.breach(at, Chain, ran, "", fmt.Sprintf("a replica got %q, want %q", shorten(body), shorten(want)))
+	}
+}
+
+// before returns the inputs and outputs of the turns that a turn goes on from.
+func (c *Checker) before(turn *request) string {
+	previous := c.requests[turn.Previous]
+	if turn.Previous == "" || previous == nil {
+		return ""
+	}
+	var text strings.Builder
+	text.WriteString(c.before(previous))
+	text.WriteString(previous.Body)
+	for event := 1; event <= previous.Events; event++ {
+		text.WriteString(Data(previous.ID, event) + "\n")
+	}
+	return text.String()
+}
+
+// Data is what the data of an event of a request's answer has to be.
+func Data(id string, event int) string { return fmt.Sprintf("%s-%d", id, event) }
+
+// stream returns a whole answer of so many events.
+func stream(id string, events int) string {
+	var text strings.Builder
+	for event := 1; event <= events; event++ {
+		_, _ = fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", event, Data(id, event))
+	}
+	return text.String()
+}
+
+// shownBytes is how much of a body a breach shows.
+const shownBytes = 120
+
+func shorten(text string) string {
+	if len(text) <= shownBytes {
+		return text
+	}
+	return text[:shownBytes] + "..."
+}
+
+func succeeded(status int) bool { return status >= 200 && status < 300 }
+
+// saysNotRun reports whether a status promises that the request did not run.
+func saysNotRun(status int) bool {
+	return slices.Contains([]int{401, 402, 404, 408, 421, 429, 503}, status)
+}
--- /dev/null
+++ b/soak/promise/place.go
@@ -0,0 +1,119 @@
+package promise
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// disturbances tell what was disturbed until when.
+type disturbances struct {
+	open  map[string]int
+	ended map[string]time.Time
+	// running counts all that go on, and last is when the last one ended.
+	running int
+	last    time.Time
+}
+
+func newDisturbances() disturbances {
+	return disturbances{open: make(map[string]int), ended: make(map[string]time.Time)}
+}
+
+func (d *disturbances) note(at time.Time, event Disturbed) {
+	if event.Begin {
+		d.open[event.Scope]++
+		d.running++
+		return
+	}
+	d.open[event.Scope]--
+	d.running--
+	d.ended[event.Scope], d.last = at, at
+}
+
+// calm reports whether nothing at all was disturbed for so long.
+func (d *disturbances) calm(at time.Time, span time.Duration) bool {
+	return d.running == 0 && at.Sub(d.last) >= span
+}
+
+// inTouch reports whether neither a node or replica nor everything was disturbed for
+// so long.
+func (d *disturbances) inTouch(at time.Time, scope string, span time.Duration) bool {
+	for _, one := range []string{scope, Everything} {
+		if d.open[one] > 0 || at.Sub(d.ended[one]) < span {
+			return false
+		}
+	}
+	return true
+}
+
+// checkPlace holds a run against where its request may go.
+func (c *Checker) checkPlace(at time.Time, ran *request, event Ran) {
+	region := c.config.Regions[event.Zone]
+	if homes := c.config.Homes[ran.Route]; len(homes) > 0 && !slices.Contains(homes, region) {
+		c.breach(at, Homes, ran, "", fmt.Sprintf("ran on %s in %s, want one of %v", event.Replica, region, homes))
+	}
+	inTouch := c.disturbances.inTouch(at, ran.Node, c.config.Contact) && c.disturbances.inTouch(at, event.Replica, c.config.Contact)
+	if !inTouch {
+		return
+	}
+	if since, drained := c.drained[event.Replica]; drained && at.Sub(since) > c.config.DrainBound {
+		c.breach(at, Draining, ran, "", fmt.Sprintf("reached %s %s after it said that it leaves", event.Replica, at.Sub(since)))
+	}
+	if since, evacuated := c.evacuated[event.Zone]; evacuated && at.Sub(since) > c.config.EvacuationBound {
+		c.breach(at, Evacuation, ran, "", fmt.Sprintf("reached %s %s after the evacuation of %s", event.Replica, at.Sub(since), event.Zone))
+	}
+}
+
+func (c *Checker) evacuate(at time.Time, event Evacuated) {
+	if event.Back {
+		delete(c.evacuated, event.Zone)
+		return
+	}
+	c.evacuated[event.Zone] = at
+}
+
+// arrival is a request that reached a replica.
+type arrival struct{ sent, at time.Time }
+
+// cold is a replica that bears few requests.
+type cold struct {
+	rate     float64
+	arrivals []arrival
+}
+
+// coldWindow is the span in which what reaches a cold replica is counted.
+const coldWindow = time.Second
+
+func (c *Checker) cool(event Cooled) {
+	if event.Warm {
+		delete(c.colds, event.Replica)
+		return
+	}
+	c.colds[event.Replica] = &cold{rate: event.Rate}
+}
+
+// checkRates holds the requests that were both sent and run in a window against what
+// tenants and cold replicas may have.
+func (c *Checker) checkRates(at time.Time, ran *request, event Ran) {
+	reached := arrival{sent: ran.at, at: at}
+	if limit, limited := c.config.Limits[event.Tenant]; limited && ran.runs == 1 {
+		window := c.config.QuotaWindow
+		most := (limit.Rate*window.Seconds()+limit.Burst)*(1+c.config.QuotaOverrun) + c.config.QuotaSlack
+		c.grants[event.Tenant] = append(within(c.grants[event.Tenant], at, window), reached)
+		if count := len(c.grants[event.Tenant]); float64(count) > most {
+			c.breach(at, Quota, ran, "", fmt.Sprintf("%d requests of tenant %q ran within %s, want at most %g", count, event.Tenant, window, most))
+		}
+	}
+	if slow := c.colds[event.Replica]; slow != nil {
+		most := slow.rate*c.config.ColdOverrun + c.config.ColdSlack
+		slow.arrivals = append(within(slow.arrivals, at, coldWindow), reached)
+		if count := len(slow.arrivals); float64(count) > most {
+			c.breach(at, ColdRate, ran, "", fmt.Sprintf("%d requests reached %s within %s, want at most %g", count, event.Replica, coldWindow, most))
+		}
+	}
+}
+
+// within drops what was sent before the window that ends at a time.
+func within(arrivals []arrival, at time.Time, window time.Duration) []arrival {
+	return slices.DeleteFunc(arrivals, func(one arrival) bool { return at.Sub(one.sent) > window })
+}
--- /dev/null
+++ b/soak/run.go
@@ -0,0 +1,128 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"time"
+
+	"birchwood.example/birchwood/findings"
+	"birchwood.example/birchwood/platform/standin"
+	"birchwood.example/birchwood/soak/promise"
+)
+
+// ErrBroken says that a promise was broken.
+var ErrBroken = errors.New("a promise was broken")
+
+// leastSeconds is the shortest run that has time for a fault and what follows it.
+const leastSeconds = 25
+
+// validate returns every finding about a scenario.
+func (s *Scenario) validate(place string) error {
+	found := findings.Of(place)
+	found.Require(s.Seconds >= leastSeconds, "seconds", "got %d, want at least %d", s.Seconds, leastSeconds)
+	found.Require(s.Nodes > 0, "nodes", "got %d, want at least 1", s.Nodes)
+	return found.Err()
+}
+
+// Run runs a scenario and reports it. It returns ErrBroken if a promise was broken.
+// It ends all that it started, also when the context ends.
+func Run(ctx context.Context, options Options) (err error) {
+	if err := options.validate("soak"); err != nil {
+		return err
+	}
+	options.Replicas = replicaCount
+	if len(options.Faults) == 0 {
+		options.Faults = Schedule(options.Scenario)
+	}
+	run, err := newSoak(options)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, run.close()) }()
+	run.print(fmt.Sprintf("seed %d: %d nodes, %d s, %d faults, without %q", options.Seed, options.Nodes, options.Seconds, len(options.Faults), options.Without))
+	if err := run.open(); err != nil {
+		return err
+	}
+	watched, endWatch := context.WithCancel(ctx)
+	watching := make(chan struct{})
+	go func() {
+		defer close(watching)
+		run.watch(watched)
+	}()
+	err = run.play(ctx)
+	endWatch()
+	<-watching
+	return err
+}
+
+func newSoak(options Options) (*soak, error) {
+	folder := options.Logs
+	if folder == "" {
+		made, err := os.MkdirTemp("", "birchwood-soak-")
+		if err != nil {
+			return nil, err
+		}
+		folder = made
+	} else if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, err
+	}
+	return &soak{
+		options: options, begun: time.Now(), folder: folder, starter: newStarter(), checker: promise.New(bounds),
+		random: rand.New(rand.NewPCG(options.Seed, 0)), ready: make(map[*process]bool), proxies: make(map[string]*proxy),
+		lasting: make(map[Kind]int), keys: keys{next: keysValid}, replicas: []*standin.Replica{},
+	}, nil
+}
+
+// play drives the load and the faults for the run's time, and says the verdict.
+func (s *soak) play(ctx context.Context) error {
+	if err := s.awaitReady(ctx); err != nil {
+		return err
+	}
+	s.begun = time.Now()
+	span, end := context.WithTimeout(ctx, time.Duration(s.options.Seconds)*time.Second)
+	defer end()
+	disturbing := make(chan struct{})
+	go func() {
+		defer close(disturbing)
+		s.disturb(span)
+	}()
+	s.load(span)
+	<-disturbing
+	return s.verdict(ctx)
+}
+
+func (s *soak) verdict(ctx context.Context) error {
+	s.seeing.Lock()
+	defer s.seeing.Unlock()
+	counts := s.checker.Counts()
+	sent, served := s.checker.Seen()
+	broken := 0
+	for _, one := range slices.Sorted(maps.Keys(counts)) {
+		known := ""
+		if slices.Contains(s.options.Known, string(one)) {
+			known = " (known)"
+		} else {
+			broken++
+		}
+		s.print(fmt.Sprintf("broken %d times%s: %s", counts[one], known, one))
+	}
+	held := "every promise held"
+	switch {
+	case broken > 0:
+		held = "BROKEN"
+	case len(counts) > 0:
+		held = "no promise was broken but known ones"
+	case ctx.Err() != nil:
+		held = "interrupted; no promise was broken until then"
+	}
+	s.print(fmt.Sprintf("verdict: seed %d, %.0f s, %d requests, %d served: %s", s.options.Seed, time.Since(s.begun).Seconds(), sent, served, held))
+	if broken > 0 {
+		return ErrBroken
+	}
+	return ctx.Err()
+}
