--- a/soak/fault.go
+++ b/soak/fault.go
@@ -16,6 +16,7 @@
 // How strong the faults are.
 const (
 	slowStore     = 250 * time.Millisecond
+	storeAnswer   = 4 * time.Millisecond
 	slowReplica   = 60 * time.Millisecond
 	answersLost   = 20
 	answersFaulty = 3
@@ -254,7 +255,7 @@
 	case StoreRefuses:
 		store.SetTurnedAway(on)
 	case StoreSlow:
-		store.SetDelay(map[bool]time.Duration{true: slowStore}[on])
+		store.SetDelay(map[bool]time.Duration{true: slowStore, false: storeAnswer}[on])
 	case StoreLost:
 		store.LoseAnswers(map[bool]int{true: answersLost}[on])
 	case StoreForget:
--- a/soak/load.go
+++ b/soak/load.go
@@ -23,8 +23,10 @@
 	secondTenant  = "bolt"
 	limitedTenant = "small"
 	passingTenant = "passing"
-	limitedRate   = 4
-	limitedBurst  = 2
+	// forged is what clients put into the fields that only the system sets.
+	forged       = "forged"
+	limitedRate  = 4
+	limitedBurst = 2
 )
 
 // What the load is like.
@@ -32,9 +34,10 @@
 	programsAtOnce = 12
 	budget         = 400
 	mostOfTurn     = 50
-	// loopShare is the share of the programs that go on until their budget ends, and
-	// keptShare that of those whose turns are kept.
-	loopShare = 0.25
+	// loopShare is the share of the programs that go on until their budget ends, with
+	// some lines of turns side by side, and keptShare that of those whose turns are kept.
+	loopShare = 0.4
+	loopLines = 3
 	keptShare = 0.6
 	// foreignShare is how often after a kept turn another tenant names it, and
 	// returnShare how often a program of the same tenant goes on from an old one.
@@ -42,8 +45,10 @@
 	returnShare  = 0.3
 	triesOfTurn  = 4
 	// keptKnown is how many kept turns the load remembers, and keptFresh how old one
-	// may be to be gone on from: well within their retention.
+	// may be to be gone on from: well within their retention. keptDeep bounds the turns
+	// before it, so that chains do not grow without end.
 	keptKnown = 400
+	keptDeep  = 30
 	keptFresh = 45 * time.Second
 	// clientPatience is when a client leaves, after its own deadline.
 	deadline       = 4 * time.Second
@@ -54,13 +59,15 @@
 	// keysValid and keysRevoked are how many passing keys are valid at once, and how
 	// many taken away ones are tried.
 	keysValid   = 3
-	keysRevoked = 12
+	keysRevoked = 6
 )
 
 type keptTurn struct {
 	id     string
 	tenant string
 	at     time.Time
+	// depth is how many turns its chain has.
+	depth int
 }
 
 // keys are the passing tenant's: those from taken on to before next are valid.
@@ -121,27 +128,39 @@
 		Tenant: tenant, Key: tenant + "-key", Route: standin.ModelPath, Repeats: true, Events: eventsOfAnswer,
 		Program: s.nextID("p"), Budget: budget, Most: mostOfTurn, Proper: true,
 	}
+	var before keptTurn
 	if s.chance(keptShare) {
 		turn.Route, turn.Repeats, turn.Kept = standin.KeptPath, false, true
 		if s.chance(returnShare) {
-			turn.Previous = s.knownTurn(tenant)
+			before = s.knownTurn(tenant)
 		}
 	}
-	turns := 2 + s.below(4)
-	if s.chance(loopShare) {
-		turns = budget
+	if !s.chance(loopShare) {
+		s.line(ctx, turn, before, 2+s.below(4))
+		return
+	}
+	var lines sync.WaitGroup
+	for range loopLines {
+		lines.Go(func() { s.line(ctx, turn, before, budget) })
 	}
-	for range turns {
+	lines.Wait()
+}
+
+// line takes the turns of one line of a program.
+func (s *soak) line(ctx context.Context, turn promise.Sent, before keptTurn, turns int) {
+	turn.Session = s.nextID("s")
+	turn.Previous = before.id
+	for taken := 1; taken <= turns; taken++ {
 		id, going := s.turn(ctx, turn)
 		if !going {
 			return
 		}
 		if turn.Kept {
 			turn.Previous = id
-			s.remember(keptTurn{id: id, tenant: tenant, at: time.Now()})
-			s.tryForeign(id, tenant)
+			s.remember(keptTurn{id: id, tenant: turn.Tenant, at: time.Now(), depth: before.depth + taken})
+			s.tryForeign(id, turn.Tenant)
 		}
-		s.call(tenant, s.chance(0.5))
+		s.call(turn.Tenant, s.chance(0.5))
 	}
 }
 
@@ -188,7 +207,7 @@
 	id := s.nextID("f")
 	s.ask(s.pick(), http.MethodPost, promise.Sent{
 		ID: id, Tenant: other, Key: other + "-key", Route: standin.KeptPath, Events: eventsOfAnswer, Program: s.nextID("p"),
-		Previous: previous, Kept: true, Budget: budget, Most: mostOfTurn, Body: "input of " + id + ";",
+		Session: id, Previous: previous, Kept: true, Budget: budget, Most: mostOfTurn, Body: "input of " + id + ";",
 	})
 }
 
@@ -234,14 +253,18 @@
 	names := platform.Names()
 	fields := map[string]string{
 		names.RequestID: sent.ID, names.Deadline: strconv.FormatInt(deadline.Milliseconds(), 10), names.Key: sent.Key,
+		names.Tenant: forged,
+	}
+	for _, name := range names.Reserved {
+		fields[name] = forged
 	}
 	if sent.Program == "" {
 		return fields
 	}
 	maps.Copy(fields, map[string]string{
-		names.Program: sent.Program, names.Session: sent.Program, names.Finish: "9000",
+		names.Program: sent.Program, names.Session: sent.Session, names.Finish: "9000",
 		names.TokenBudget: strconv.Itoa(sent.Budget), names.TokenCounts: "10," + strconv.Itoa(sent.Most),
-		names.PromptPrefix: "aa:100," + fmt.Sprintf("%x", sent.Program) + ":10", header.ContentType: "text/plain",
+		names.PromptPrefix: "aa:100," + fmt.Sprintf("%x", sent.Session) + ":10", header.ContentType: "text/plain",
 	})
 	if sent.Previous != "" {
 		fields[names.PreviousTurn] = sent.Previous
@@ -288,15 +311,15 @@
 	s.kept = s.kept[max(0, len(s.kept)-keptKnown):]
 }
 
-// knownTurn returns a turn of a tenant that is kept still, or "".
-func (s *soak) knownTurn(tenant string) string {
+// knownTurn returns a turn of a tenant that is kept still, or none.
+func (s *soak) knownTurn(tenant string) keptTurn {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	fresh := slices.DeleteFunc(slices.Clone(s.kept), func(one keptTurn) bool {
-		return one.tenant != tenant || time.Since(one.at) > keptFresh
+		return one.tenant != tenant || one.depth > keptDeep || time.Since(one.at) > keptFresh
 	})
 	if len(fresh) == 0 {
-		return ""
+		return keptTurn{}
 	}
-	return fresh[s.random.IntN(len(fresh))].id
+	return fresh[s.random.IntN(len(fresh))]
 }
--- a/soak/promise/checker.go
+++ b/soak/promise/checker.go
@@ -170,6 +170,9 @@
 	if event.Tenant != ran.Tenant {
 		c.breach(at, Tenancy, ran, "", fmt.Sprintf("sent by tenant %q, ran as one of %q", ran.Tenant, event.Tenant))
 	}
+	if len(event.Forged) > 0 {
+		c.breach(at, OwnFields, ran, "", fmt.Sprintf("%s got the client's %v", event.Replica, event.Forged))
+	}
 	c.checkKey(at, ran)
 	c.checkChain(at, ran, event.Body)
 	c.checkPlace(at, ran, event)
--- a/soak/promise/checker_test.go
+++ b/soak/promise/checker_test.go
@@ -240,6 +240,11 @@
 		Expect(w.found).To(Equal([]promise.Promise{promise.Chain, promise.Chain}))
 	})
 
+	It("finds a client's field that only the system sets", func() {
+		w.see(0, promise.Sent{ID: "a"}, promise.Ran{ID: "a", Forged: []string{"Hold"}})
+		Expect(w.found).To(Equal([]promise.Promise{promise.OwnFields}))
+	})
+
 	It("counts its breaches, and keeps the first ones", func() {
 		for range 50 {
 			w.see(0, promise.Ran{ID: "strange"})
--- a/soak/promise/event.go
+++ b/soak/promise/event.go
@@ -20,9 +20,10 @@
 	Repeats bool
 	// Events is how many events a whole answer has; 0 for a plain body.
 	Events int
-	// Program, Previous, Budget and Most are those of a turn; Kept says that the
+	// Program, Session, Previous, Budget and Most are those of a turn; Kept says that the
 	// nodes keep it.
 	Program  string
+	Session  string
 	Previous string
 	Kept     bool
 	Budget   int
@@ -51,6 +52,8 @@
 	Body    string
 	// Resumed says that the run goes on after an event that was handed out.
 	Resumed bool
+	// Forged are the client's fields in it that clients may not set at a replica.
+	Forged []string
 }
 
 // Drained says that the store took a replica's word that it leaves.
@@ -137,6 +140,7 @@
 	Evacuation    Promise = "an evacuated zone gets nothing past its bound"
 	ColdRate      Promise = "a cold replica gets no more than it bears"
 	Homes         Promise = "requests stay in the regions of their route"
+	OwnFields     Promise = "a replica gets no field that clients may not set"
 	KnownRequests Promise = "a replica runs only what a client sent"
 )
 
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -82,7 +82,7 @@
 	faultMost = 8000
 	// outageMost is how long the store may be out of reach: longer than a key may be
 	// honoured without proof.
-	outageMost = 9000
+	outageMost = 12000
 )
 
 // weights are how often each kind of fault comes.
--- a/soak/system.go
+++ b/soak/system.go
@@ -138,6 +138,7 @@
 		return err
 	}
 	s.system = system
+	system.Store.SetDelay(storeAnswer)
 	s.replicas = append(append(s.replicas, system.Models...), system.Plain...)
 	for _, key := range s.keys.valid() {
 		s.see(promise.KeyAdded{Key: key})
@@ -172,10 +173,17 @@
 
 // ran tells of what a replica runs.
 func (s *soak) ran(replica *standin.Replica, run standin.Run) {
-	s.see(promise.Ran{
-		ID: run.ID, Replica: replica.ID, Zone: replica.Zone, Tenant: run.Header.Get(platform.Names().Tenant),
+	names := platform.Names()
+	seen := promise.Ran{
+		ID: run.ID, Replica: replica.ID, Zone: replica.Zone, Tenant: run.Header.Get(names.Tenant),
 		Body: run.Body, Resumed: run.Resumed != "",
-	})
+	}
+	for _, name := range append([]string{names.Key}, names.Reserved...) {
+		if run.Header.Get(name) != "" {
+			seen.Forged = append(seen.Forged, name)
+		}
+	}
+	s.see(seen)
 }
 
 // refusedNodes is how many nodes share the store's other address: one in so many.
