soak: replicas leave in calm times too, lines come back, nodes' ports are nobody else's

Two faults could replace one replica twice.

Change: two replicas leave 3 s into each pause between bursts; a departure in order disturbs nobody. Lines whose turn failed come back up to three times. Ports are drawn below those of outgoing connections, and an end of its own shows the last line of the process's log. A replica is replaced once.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -47,7 +48,7 @@
 	nodes, replicas := s.nodesOf(fault), s.replicasOf(fault)
 	scopes := scopesOf(fault.Kind, nodes, replicas)
 	s.seeing.Lock()
-	s.print(fmt.Sprintf("%6.1fs %s %s for %.1fs", time.Since(s.begun).Seconds(), fault.Kind, strings.Join(scopes, " "), span.Seconds()))
+	s.print(fmt.Sprintf("%6.1fs %s %s for %.1fs", time.Since(s.begun).Seconds(), fault.Kind, strings.Join(namesOf(nodes, replicas), " "), span.Seconds()))
 	s.seeing.Unlock()
 	for _, scope := range scopes {
 		s.see(promise.Disturbed{Scope: scope, Begin: true})
@@ -110,22 +111,26 @@
 	return found
 }
 
-// scopesOf names what a fault disturbs. A replica that leaves in order harms no link.
+// scopesOf names what a fault disturbs. A replica that leaves in order disturbs nobody.
 func scopesOf(kind Kind, nodes []*process, replicas []*standin.Replica) []string {
 	switch kind {
 	case StoreDown, StoreSlow, StoreLost, StoreForget:
 		return []string{promise.Everything}
 	case ReplicaDrain:
-		return []string{"replicas"}
+		return nil
 	}
-	var scopes []string
+	return namesOf(nodes, replicas)
+}
+
+func namesOf(nodes []*process, replicas []*standin.Replica) []string {
+	var names []string
 	for _, one := range nodes {
-		scopes = append(scopes, one.settings.Node)
+		names = append(names, one.settings.Node)
 	}
 	for _, one := range replicas {
-		scopes = append(scopes, one.ID)
+		names = append(names, one.ID)
 	}
-	return scopes
+	return names
 }
 
 // restart ends nodes and starts them again.
@@ -164,12 +169,7 @@
 		pause(ctx, leaving)
 	}
 	for _, one := range replicas {
-		s.system.Unlist(one)
-		s.mutex.Lock()
-		between := s.proxies[one.ID]
-		s.mutex.Unlock()
-		between.close()
-		if err := errors.Join(one.Close(), s.addReplica(one)); err != nil {
+		if err := s.swap(one); err != nil {
 			s.seeing.Lock()
 			s.print("replica not replaced: " + err.Error())
 			s.seeing.Unlock()
@@ -177,22 +177,26 @@
 	}
 }
 
-// addReplica starts a replica in the place of another.
-func (s *soak) addReplica(gone *standin.Replica) error {
-	s.adding.Lock()
+// swap ends a replica and starts another in its place, unless another fault did.
+func (s *soak) swap(gone *standin.Replica) error {
+	s.swapping.Lock()
+	defer s.swapping.Unlock()
+	s.mutex.Lock()
+	place, between := slices.Index(s.replicas, gone), s.proxies[gone.ID]
+	s.mutex.Unlock()
+	if place < 0 {
+		return nil
+	}
+	s.system.Unlist(gone)
+	between.close()
 	added, err := s.system.AddReplica(gone.Events > 0)
-	s.adding.Unlock()
 	if err != nil {
-		return err
+		return errors.Join(err, gone.Close())
 	}
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for index, one := range s.replicas {
-		if one == gone {
-			s.replicas[index] = added
-		}
-	}
-	return nil
+	s.replicas[place] = added
+	s.mutex.Unlock()
+	return gone.Close()
 }
 
 // apply begins (1) or ends (-1) a fault that lasts.
--- a/soak/load.go
+++ b/soak/load.go
@@ -44,6 +44,9 @@
 	foreignShare = 0.1
 	returnShare  = 0.3
 	triesOfTurn  = 4
+	// returns is how often a line whose turn failed comes back, within returnMost.
+	returns    = 3
+	returnMost = 4 * time.Second
 	// keptKnown is how many kept turns the load remembers, and keptFresh how old one
 	// may be to be gone on from: well within their retention. keptDeep bounds the turns
 	// before it, so that chains do not grow without end.
@@ -150,9 +153,13 @@
 func (s *soak) line(ctx context.Context, turn promise.Sent, before keptTurn, turns int) {
 	turn.Session = s.nextID("s")
 	turn.Previous = before.id
-	for taken := 1; taken <= turns; taken++ {
-		id, going := s.turn(ctx, turn)
-		if !going {
+	for taken, returned := 1, 0; taken <= turns; taken++ {
+		id, end := s.turn(ctx, turn)
+		if end == failed && returned < returns && pause(ctx, s.between(time.Second, returnMost)) {
+			returned++
+			continue
+		}
+		if end != served {
 			return
 		}
 		if turn.Kept {
@@ -164,9 +171,18 @@
 	}
 }
 
-// turn asks for one turn with a client's tries, and returns the id of the one that
-// was served.
-func (s *soak) turn(ctx context.Context, turn promise.Sent) (id string, served bool) {
+// ending tells how the tries of a turn ended.
+type ending int
+
+const (
+	served ending = iota
+	failed
+	// over ends the program.
+	over
+)
+
+// turn asks for one turn with a client's tries, and returns the id of the last one.
+func (s *soak) turn(ctx context.Context, turn promise.Sent) (id string, end ending) {
 	for range triesOfTurn {
 		turn.ID = s.nextID("t")
 		turn.Body = "input of " + turn.ID + ";"
@@ -174,16 +190,16 @@
 		switch answer.Status {
 		case http.StatusOK:
 			if answer.Whole {
-				return turn.ID, true
+				return turn.ID, served
 			}
 		case http.StatusPaymentRequired, http.StatusUnauthorized, http.StatusNotFound, http.StatusBadRequest:
-			return turn.ID, false
+			return turn.ID, over
 		}
 		if !pause(ctx, s.between(100*time.Millisecond, 400*time.Millisecond)) {
-			return turn.ID, false
+			return turn.ID, over
 		}
 	}
-	return turn.ID, false
+	return turn.ID, failed
 }
 
 // call calls a tool, which may repeat or not.
--- a/soak/process.go
+++ b/soak/process.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +22,33 @@
 	"birchwood.example/birchwood/soak/promise"
 )
 
+// The ports of nodes. They lie below those that the system hands out to connections,
+// so that none takes a node's port while the node is not there.
+const (
+	firstPort, lastPort = 12000, 32000
+	// portsTried bounds the search for a free one.
+	portsTried = 1000
+)
+
+// freeAddresses returns addresses of this machine that nobody listens on.
+func freeAddresses(count int) ([]string, error) {
+	var found []string
+	for range portsTried {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		listener, err := net.Listen("tcp", address)
+		if err != nil || slices.Contains(found, address) {
+			continue
+		}
+		if err := listener.Close(); err != nil {
+			return nil, err
+		}
+		if found = append(found, address); len(found) == count {
+			return found, nil
+		}
+	}
+	return nil, fmt.Errorf("no %d free ports of %d to %d", count, firstPort, lastPort)
+}
+
 // starter starts processes on one thread: the system ends a process whose parent's
 // thread is gone, so that nothing is left behind however this process ends.
 type starter chan func()
@@ -99,13 +129,23 @@
 	err := command.Wait()
 	_ = output.Close()
 	p.mutex.Lock()
-	asked := p.asked
+	asked, life := p.asked, p.life
 	p.command = nil
 	p.mutex.Unlock()
 	close(gone)
 	if !asked {
-		p.ended(promise.Exited{Node: p.settings.Node, Detail: fmt.Sprintf("life %d ended: %v", p.life, err)})
+		p.ended(promise.Exited{Node: p.settings.Node, Detail: fmt.Sprintf("life %d ended: %v: %s", life, err, p.lastLine(life))})
+	}
+}
+
+// lastLine returns the last line of a life's log.
+func (p *process) lastLine(life int) string {
+	text, err := os.ReadFile(p.logPath(life))
+	if err != nil {
+		return err.Error()
 	}
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
 }
 
 func (p *process) logPath(life int) string {
--- a/soak/promise/checker.go
+++ b/soak/promise/checker.go
@@ -39,7 +39,6 @@
 	at         time.Time
 	calm       bool
 	runs       int
-	resumed    int
 	replicas   []string
 	answered   bool
 	answeredAt time.Time
@@ -158,9 +157,6 @@
 	}
 	ran.runs++
 	ran.replicas = append(ran.replicas, event.Replica)
-	if event.Resumed {
-		ran.resumed++
-	}
 	if ran.runs > 1 && !ran.Repeats {
 		c.breach(at, AtMostOnce, ran, "", fmt.Sprintf("run %d, on %v", ran.runs, ran.replicas))
 	}
--- a/soak/promise/event.go
+++ b/soak/promise/event.go
@@ -50,8 +50,6 @@
 	Zone    string
 	Tenant  string
 	Body    string
-	// Resumed says that the run goes on after an event that was handed out.
-	Resumed bool
 	// Forged are the client's fields in it that clients may not set at a replica.
 	Forged []string
 }
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -76,6 +76,9 @@
 	// the nodes may take to recover.
 	burstLeast, burstMost = 12000, 24000
 	calmSpan              = 15000
+	// calmDrain is when in such a pause replicas leave in order, which disturbs nobody:
+	// late enough for the nodes to be in touch when the bound of it has passed.
+	calmDrain = 3000
 	// faultGap is the most between two faults of a burst, and faultMost how long one
 	// lasts.
 	faultGap  = 3000
@@ -109,6 +112,7 @@
 			at += 1 + random.Int64N(faultGap)
 		}
 		at = burst
+		faults = append(faults, Fault{Kind: ReplicaDrain, AtMS: burst + calmDrain, Targets: draw(random, scenario.Replicas, 2)})
 	}
 	return faults
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,11 @@
 		calms := 0
 		for _, fault := range Schedule(scenario) {
 			kinds[fault.Kind] = true
+			if fault.Kind == ReplicaDrain {
+				// It disturbs nobody, and comes in calm times too.
+				g.Expect(fault.AtMS).To(BeNumerically("<", int64(scenario.Seconds)*1000-leaving.Milliseconds()))
+				continue
+			}
 			if fault.AtMS-end >= bounds.Recovery.Milliseconds() {
 				calms++
 			}
--- a/soak/system.go
+++ b/soak/system.go
@@ -85,8 +85,8 @@
 	seeing  sync.Mutex
 	checker *promise.Checker
 
-	// adding guards the start of replicas.
-	adding sync.Mutex
+	// swapping guards the replacement of replicas.
+	swapping sync.Mutex
 
 	mutex sync.Mutex
 	// random draws what the load does; it is not what the faults are drawn from.
@@ -176,7 +176,7 @@
 	names := platform.Names()
 	seen := promise.Ran{
 		ID: run.ID, Replica: replica.ID, Zone: replica.Zone, Tenant: run.Header.Get(names.Tenant),
-		Body: run.Body, Resumed: run.Resumed != "",
+		Body: run.Body,
 	}
 	for _, name := range append([]string{names.Key}, names.Reserved...) {
 		if run.Header.Get(name) != "" {
@@ -190,7 +190,7 @@
 const refusedNodes = 3
 
 func (s *soak) newProcess(index int) (*process, error) {
-	addresses, err := standin.FreeAddresses(3)
+	addresses, err := freeAddresses(3)
 	if err != nil {
 		return nil, err
 	}
