soak: stopped programs come back; nodes listen on a loopback address of the run's own

Random ports met those of another run still (one of 15 runs side by side).

Nodes' ports lie on an address of 127.0.0.0/8 that is drawn for the run.

--- a/soak/load.go
+++ b/soak/load.go
@@ -39,6 +39,10 @@
 	loopShare = 0.4
 	loopLines = 3
 	keptShare = 0.6
+	// stoppedShare is how often a program comes back whose budget ended, one of the
+	// last stoppedKnown.
+	stoppedShare = 0.3
+	stoppedKnown = 100
 	// foreignShare is how often after a kept turn another tenant names it, and
 	// returnShare how often a program of the same tenant goes on from an old one.
 	foreignShare = 0.1
@@ -73,6 +77,12 @@
 	depth int
 }
 
+// stoppedProgram is a program that went on until its budget ended.
+type stoppedProgram struct {
+	turn promise.Sent
+	at   time.Time
+}
+
 // keys are the passing tenant's: those from taken on to before next are valid.
 type keys struct{ taken, next int }
 
@@ -131,6 +141,12 @@
 		Tenant: tenant, Key: tenant + "-key", Route: standin.ModelPath, Repeats: true, Events: eventsOfAnswer,
 		Program: s.nextID("p"), Budget: budget, Most: mostOfTurn, Proper: true,
 	}
+	if s.chance(stoppedShare) {
+		if stopped, found := s.stoppedProgram(tenant); found {
+			s.line(ctx, stopped, keptTurn{}, budget)
+			return
+		}
+	}
 	var before keptTurn
 	if s.chance(keptShare) {
 		turn.Route, turn.Repeats, turn.Kept = standin.KeptPath, false, true
@@ -147,6 +163,23 @@
 		lines.Go(func() { s.line(ctx, turn, before, budget) })
 	}
 	lines.Wait()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.stopped = append(s.stopped, stoppedProgram{turn: turn, at: time.Now()})
+	s.stopped = s.stopped[max(0, len(s.stopped)-stoppedKnown):]
+}
+
+// stoppedProgram returns a program whose budget ended some time ago, if there is any.
+func (s *soak) stoppedProgram(tenant string) (promise.Sent, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	fresh := slices.DeleteFunc(slices.Clone(s.stopped), func(one stoppedProgram) bool {
+		return one.turn.Tenant != tenant || time.Since(one.at) > keptFresh
+	})
+	if len(fresh) == 0 {
+		return promise.Sent{}, false
+	}
+	return fresh[s.random.IntN(len(fresh))].turn, true
 }
 
 // line takes the turns of one line of a program.
--- a/soak/process.go
+++ b/soak/process.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,31 +22,21 @@
 	"birchwood.example/birchwood/soak/promise"
 )
 
-// The ports of nodes. They lie below those that the system hands out to connections,
-// so that none takes a node's port while the node is not there.
-const (
-	firstPort, lastPort = 12000, 32000
-	// portsTried bounds the search for a free one.
-	portsTried = 1000
-)
+// firstPort is the port of the first node's first address.
+const firstPort = 12000
 
-// freeAddresses returns addresses of this machine that nobody listens on.
-func freeAddresses(count int) ([]string, error) {
-	var found []string
-	for range portsTried {
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
-		listener, err := net.Listen("tcp", address)
-		if err != nil || slices.Contains(found, address) {
-			continue
-		}
-		if err := listener.Close(); err != nil {
-			return nil, err
-		}
-		if found = append(found, address); len(found) == count {
-			return found, nil
-		}
+// anyHost draws an address of the loopback network for the nodes of one run: their ports
+// on it are nobody else's, also while a node is not there.
+func anyHost() string {
+	return netip.AddrFrom4([4]byte{127, byte(1 + rand.IntN(254)), byte(rand.IntN(256)), byte(1 + rand.IntN(254))}).String()
+}
+
+// addressesOf returns the addresses of a node for clients, readiness and peers.
+func addressesOf(host string, index int) (addresses [3]string) {
+	for place := range addresses {
+		addresses[place] = net.JoinHostPort(host, strconv.Itoa(firstPort+index*len(addresses)+place))
 	}
-	return nil, fmt.Errorf("no %d free ports of %d to %d", count, firstPort, lastPort)
+	return addresses
 }
 
 // starter starts processes on one thread: the system ends a process whose parent's
--- a/soak/run.go
+++ b/soak/run.go
@@ -72,7 +72,7 @@
 		return nil, err
 	}
 	return &soak{
-		options: options, begun: time.Now(), folder: folder, starter: newStarter(), checker: promise.New(bounds),
+		options: options, begun: time.Now(), folder: folder, host: anyHost(), starter: newStarter(), checker: promise.New(bounds),
 		random: rand.New(rand.NewPCG(options.Seed, 0)), ready: make(map[*process]bool), proxies: make(map[string]*proxy),
 		lasting: make(map[Kind]int), keys: keys{next: keysValid}, replicas: []*standin.Replica{},
 	}, nil
--- a/soak/system.go
+++ b/soak/system.go
@@ -77,6 +77,7 @@
 	options   Options
 	begun     time.Time
 	folder    string
+	host      string
 	system    *standin.System
 	processes []*process
 	starter   starter
@@ -98,6 +99,7 @@
 	// lasting counts the store's faults of a kind that go on.
 	lasting map[Kind]int
 	kept    []keptTurn
+	stopped []stoppedProgram
 	keys    keys
 }
 
@@ -190,10 +192,7 @@
 const refusedNodes = 3
 
 func (s *soak) newProcess(index int) (*process, error) {
-	addresses, err := freeAddresses(3)
-	if err != nil {
-		return nil, err
-	}
+	addresses := addressesOf(s.host, index)
 	target := s.system.Store.Address()
 	if index%refusedNodes == 0 {
 		target = s.system.Store.SecondAddress()
