--- a/soak/promise/growth.go
+++ b/soak/promise/growth.go
@@ -8,8 +8,9 @@
 
 // How growth is told from a process that warms up.
 const (
-	// leastSamples is how many samples a process must have given.
-	leastSamples = 40
+	// leastSamples is how many samples a process must have given: with fewer, a quarter
+	// of them is as short as an outage, in which connections are opened that rest then.
+	leastSamples = 120
 	// grownShare and the slacks are what the least of the last quarter may lie over
 	// the most of the second.
 	grownShare       = 1.25
