--- a/soak/fault.go
+++ b/soak/fault.go
@@ -20,7 +20,7 @@
 	storeAnswer   = 4 * time.Millisecond
 	slowReplica   = 60 * time.Millisecond
 	answersLost   = 20
-	answersFaulty = 3
+	answersFaulty = 12
 	// leaving is how long a replica that leaves serves on: longer than nodes may go on
 	// sending to it.
 	leaving = 5 * time.Second
@@ -238,11 +238,13 @@
 		between.setDelay(slowReplica)
 	case kind == ReplicaSlow:
 		between.setDelay(0)
-	case kind == ReplicaFault && by > 0:
-		one.Refuse(answersFaulty)
-		one.BreakOff(answersFaulty)
-		one.Reset(answersFaulty)
-		one.Hang(1)
+	case kind == ReplicaFault:
+		// What is left of them at the end does not come any more.
+		faulty := answersFaulty * max(0, by)
+		one.Refuse(faulty)
+		one.BreakOff(faulty)
+		one.Reset(faulty)
+		one.Hang(faulty / answersFaulty)
 	}
 }
 
--- a/soak/promise/answer.go
+++ b/soak/promise/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -134,6 +135,12 @@
 	}
 }
 
+// busy reports whether turns of the program are under way, which may hold the rest of
+// its budget.
+func (p *program) busy() bool {
+	return slices.ContainsFunc(p.turns, func(turn *request) bool { return !turn.answered })
+}
+
 // checkServed counts the attempts in a row that fail while nothing is disturbed.
 func (c *Checker) checkServed(at time.Time, sent *request) {
 	known := c.programs[sent.Program]
@@ -144,7 +151,7 @@
 		known.unserved = 0
 		return
 	}
-	if !sent.calm || !c.disturbances.calm(at, c.config.Recovery) {
+	if !sent.calm || !c.disturbances.calm(at, c.config.Recovery) || known.busy() {
 		return
 	}
 	known.unserved++
--- a/soak/promise/checker_test.go
+++ b/soak/promise/checker_test.go
@@ -340,6 +340,19 @@
 		Expect(w.found).To(Equal([]promise.Promise{promise.ServedAgain}))
 	})
 
+	It("excuses attempts beside a turn of the program that is under way", func() {
+		w.see(0, promise.Sent{ID: "open", Program: "p", Proper: true})
+		for range 5 {
+			w.turn("p", "", refused(503))
+		}
+		Expect(w.found).To(BeEmpty())
+		w.see(0, promise.Answered{ID: "open", Status: 200, Whole: true})
+		for range 4 {
+			w.turn("p", "", refused(503))
+		}
+		Expect(w.found).To(ContainElement(promise.ServedAgain))
+	})
+
 	It("finds an end of its own, and growth without end", func() {
 		w.see(0, promise.Exited{Node: "n"})
 		Expect(w.found).To(Equal([]promise.Promise{promise.NoExits}))
