--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -124,6 +124,10 @@
 		fault.Targets = draw(random, scenario.Nodes, 1+random.IntN(max(1, scenario.Nodes/2)))
 	case ReplicaDrain, ReplicaKill, ReplicaFault, ReplicaSlow:
 		fault.Targets = draw(random, scenario.Replicas, 1+random.IntN(3))
+		if plain := models + int(at%plains); fault.Kind == ReplicaFault && !slices.Contains(fault.Targets, plain) {
+			// One that serves calls which may not repeat is always among them.
+			fault.Targets = append(fault.Targets, plain)
+		}
 	case ZoneCut:
 		fault.Targets = draw(random, len(zones), 1)
 	case StoreDown, StoreRefuses:
