coordinator: appends that follow each other closely are joined, proofs of absence wait for one

Each call is priced, and all nodes share a rate of them.

An append begins at least 40 ms after the one before it to the same partition; the first after a pause begins at once. A proof of absence waits up to 150 ms for an append that is needed anyway.

Ruled out: fewer partitions, which would load their owners more; a wait before each append, which delays every turn.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -39,6 +39,11 @@
 	// StallAfter is how long an append may go unanswered before turns that
 	// need the log are refused.
 	StallAfter time.Duration
+	// AppendPause is the least time between the beginnings of two appends to one
+	// partition, and ProofWait how long a proof that a turn is not kept waits for an
+	// append that is needed anyway.
+	AppendPause time.Duration
+	ProofWait   time.Duration
 	// ClaimWithoutAsking takes partitions over without asking their owner first,
 	// to measure what a hand-over in order is worth.
 	ClaimWithoutAsking bool
@@ -81,6 +86,8 @@
 		KnownPerStatus: 4,
 		HoldFor:        800 * time.Millisecond,
 		StallAfter:     700 * time.Millisecond,
+		AppendPause:    40 * time.Millisecond,
+		ProofWait:      150 * time.Millisecond,
 		Tenants:        tenant.DefaultConfig(),
 		ColdReplicas:   tenant.ColdReplicaConfig(),
 		Random:         random,
--- a/coordinator/harness_test.go
+++ b/coordinator/harness_test.go
@@ -34,6 +34,8 @@
 	nodes      map[machine.ID]*member
 	due        []delivery
 	store      map[int]*streamState
+	// appends counts those that nodes began.
+	appends int
 	// storeDown has the store answer nothing.
 	storeDown bool
 	// turned is when storeDown changed last through turnStore.
@@ -243,6 +245,7 @@
 		f.callStore(id, func() { f.takeOver(id, takeover) })
 	}
 	for _, batch := range ready.Appends {
+		f.appends++
 		f.callStore(id, func() { f.append(id, batch) })
 	}
 	one.changes = append(one.changes, ready.Changes...)
--- a/coordinator/partition.go
+++ b/coordinator/partition.go
@@ -58,6 +58,8 @@
 	id    uint64
 	after uint64
 	reply Reply
+	// askedAt is when the question came.
+	askedAt time.Time
 }
 
 // heldRequest waits for the takeover under way.
@@ -90,9 +92,26 @@
 	return c.listed && c.reaches && !c.leaving && now.Sub(c.started) >= c.config.Settle
 }
 
+// appendDue reports whether the partition's next append may begin. What comes shortly
+// after an append waits for a little and shares the next one, and a proof that a turn is
+// not kept waits for an append that is needed anyway: each append is a call to the store,
+// of which all nodes together may make so many.
+func (c *Core) appendDue(now time.Time, one *partition) bool {
+	switch {
+	case c.leaving || one.handover.to != nil:
+		return true
+	case one.ledger.Pending():
+		return now.Sub(one.sentAt) >= c.config.AppendPause
+	case len(one.verifiers) > 0 && now.Sub(one.verifiers[0].askedAt) >= c.config.ProofWait:
+		return true
+	default:
+		return c.renews(now, one)
+	}
+}
+
 // collectAppend puts out the partition's next append if one is due.
 func (c *Core) collectAppend(now time.Time, one *partition) {
-	if one.state != stateServing || one.inFlight {
+	if one.state != stateServing || one.inFlight || !c.appendDue(now, one) {
 		return
 	}
 	records := one.ledger.Ready()
--- /dev/null
+++ b/coordinator/pause_test.go
@@ -0,0 +1,72 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/machine"
+)
+
+// keepSome has an owner keep turns that end one shortly after the other, and returns how
+// many appends that took.
+func keepSome(world *fleet, owner machine.ID, turns int) int {
+	before := world.appends
+	var asked []uint64
+	for index := range turns {
+		keep := &coordinator.KeepRequest{Turn: ledger.KeptTurn{ID: fmt.Sprintf("t-%d", index), Program: "p", Input: []byte("in"), Retain: time.Minute}}
+		asked = append(asked, world.ask(owner, 0, coordinator.Request{Keep: keep}))
+		world.run(2 * step)
+	}
+	for _, id := range asked {
+		Expect(reply(world, owner, id).Status).To(Equal(coordinator.ReplyDone))
+	}
+	return world.appends - before
+}
+
+var _ = Describe("Appends to one partition", func() {
+	It("are shared by turns that end shortly after each other", func() {
+		world := newFleet(31, 3, 1)
+		world.run(settled)
+		paused := keepSome(world, world.owners(0)[0], 12)
+		world = newFleetWith(31, 3, 1, func(config *coordinator.Config) { config.AppendPause = 0 })
+		world.run(settled)
+		Expect(2 * paused).To(BeNumerically("<=", keepSome(world, world.owners(0)[0], 12)))
+	})
+
+	It("begin at once where none was made lately", func() {
+		world := newFleet(32, 3, 1)
+		world.run(settled)
+		owner := world.owners(0)[0]
+		asked := world.ask(owner, 0, coordinator.Request{Keep: &coordinator.KeepRequest{Turn: ledger.KeptTurn{ID: "t", Program: "p", Retain: time.Minute}}})
+		begun := world.now
+		Expect(reply(world, owner, asked).Status).To(Equal(coordinator.ReplyDone))
+		Expect(world.now.Sub(begun)).To(BeNumerically("<=", 2*appendDelay+2*step))
+	})
+
+	It("prove the absence of a turn along with records that are due", func() {
+		world := newFleet(33, 3, 1)
+		world.run(settled)
+		owner := world.owners(0)[0]
+		before := world.appends
+		find := world.ask(owner, 0, coordinator.Request{Find: &coordinator.FindRequest{Turn: "none"}})
+		world.run(4 * step)
+		Expect(world.appends).To(Equal(before))
+		keep := world.ask(owner, 0, coordinator.Request{Keep: &coordinator.KeepRequest{Turn: ledger.KeptTurn{ID: "t", Program: "p", Retain: time.Minute}}})
+		Expect(reply(world, owner, keep).Status).To(Equal(coordinator.ReplyDone))
+		Expect(reply(world, owner, find).Status).To(Equal(coordinator.ReplyAbsent))
+		Expect(world.appends).To(Equal(before + 1))
+	})
+
+	It("prove the absence of a turn also where no record is due", func() {
+		world := newFleet(34, 3, 1)
+		world.run(settled)
+		owner := world.owners(0)[0]
+		find := world.ask(owner, 0, coordinator.Request{Find: &coordinator.FindRequest{Turn: "none"}})
+		Expect(reply(world, owner, find).Status).To(Equal(coordinator.ReplyAbsent))
+	})
+})
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -48,7 +48,7 @@
 	case body.Keep != nil:
 		c.keep(now, one, request.ID, body.Keep)
 	case body.Find != nil:
-		c.find(one, request.ID, body.Find)
+		c.find(now, one, request.ID, body.Find)
 	default:
 		c.reply(Reply{ID: request.ID, Status: ReplyNotOwner})
 	}
@@ -102,7 +102,7 @@
 }
 
 // find answers with a chain, or proves first that it is not here.
-func (c *Core) find(one *partition, id uint64, asked *FindRequest) {
+func (c *Core) find(now time.Time, one *partition, id uint64, asked *FindRequest) {
 	chain, found := one.ledger.Chain(asked.Turn)
 	if found {
 		c.reply(Reply{ID: id, Status: ReplyDone, Epoch: one.epoch, Chain: chain})
@@ -113,5 +113,5 @@
 		return
 	}
 	absent := Reply{ID: id, Status: ReplyAbsent, Epoch: one.epoch, Scoped: true}
-	one.verifiers = append(one.verifiers, verifier{id: id, after: one.begun, reply: absent})
+	one.verifiers = append(one.verifiers, verifier{id: id, after: one.begun, reply: absent, askedAt: now})
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -108,6 +108,9 @@
 // Durable returns the position up to which all proposals are in the log.
 func (l *Ledger) Durable() uint64 { return l.durable }
 
+// Pending reports whether records wait for the log that are in no batch yet.
+func (l *Ledger) Pending() bool { return len(l.pending) > 0 }
+
 // Ready returns the next batch of records for the log, or nil while one is
 // under way or none is due.
 func (l *Ledger) Ready() []Record {
