--- a/ingress/server.go
+++ b/ingress/server.go
@@ -38,7 +38,7 @@
 	draining atomic.Bool
 	// diverting has answers close their connections until it is unset.
 	diverting atomic.Bool
-	buffers  buffers
+	buffers   buffers
 
 	mutex       sync.Mutex
 	connections map[*connection]struct{}
