edge: one way to read a page of newest records

The takeovers' reading of a page repeated that of followed streams, with other bounds. readPage takes its bounds now: five tries of 1.2 s for streams that are followed, six that grow from 1.2 to 10 s for takeovers, as before. No other behaviour changes.

--- a/edge/ledgers.go
+++ b/edge/ledgers.go
@@ -53,15 +53,23 @@
 	return recordstore.Record{Key: ownerKey, Value: value}
 }
 
-// newestAttempts bounds the reads of one page.
-const newestAttempts = 5
+// pageTries bounds the tries to read one page of a stream's newest records: how many
+// there are, how long the first one may take, and how long a later one may, each twice as
+// long as the one before it.
+type pageTries struct {
+	attempts    int
+	first, most time.Duration
+}
+
+// newestTries are those of a stream that is followed.
+var newestTries = pageTries{attempts: 5, first: appendTimeout, most: appendTimeout}
 
 // readNewest reads all pages of a stream's newest records. The end is that of
 // the first page, so that no later change is missed.
 func (n *Node) readNewest(ctx context.Context, stream recordstore.Stream) (records []recordstore.Record, end uint64, err error) {
 	after := ""
 	for page := 0; ; page++ {
-		read, err := n.readPage(ctx, stream, after)
+		read, err := n.readPage(ctx, stream, after, newestTries)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -76,11 +84,12 @@
 	}
 }
 
-func (n *Node) readPage(ctx context.Context, stream recordstore.Stream, after string) (recordstore.Page, error) {
+func (n *Node) readPage(ctx context.Context, stream recordstore.Stream, after string, tries pageTries) (recordstore.Page, error) {
 	backoff := n.backoff()
+	timeout := tries.first
 	var last error
-	for range newestAttempts {
-		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	for range tries.attempts {
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		page, err := n.adapter.Store.Newest(callCtx, stream, after)
 		cancel()
 		n.noteStore(err)
@@ -88,6 +97,7 @@
 			return page, nil
 		}
 		last = err
+		timeout = min(2*timeout, tries.most)
 		if !wait.For(ctx, backoff.Next()) {
 			return recordstore.Page{}, ctx.Err()
 		}
--- a/edge/takeover.go
+++ b/edge/takeover.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"birchwood.example/birchwood/coordinator"
-	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/recordstore"
 )
@@ -18,15 +17,12 @@
 	// takeoverPages bounds the pages that a node reads at once for its takeovers:
 	// more would each take longer, and none would be there early.
 	takeoverPages = 2
-	// pageTimeout is how long the first try to read a page of a takeover may take,
-	// and pageTimeoutMost the last ones, each twice as long as the one before it: a
-	// page that is given up was read in vain.
-	pageTimeout     = 1200 * time.Millisecond
-	pageTimeoutMost = 10 * time.Second
-	// pageAttempts bounds the tries of one page.
-	pageAttempts = 6
 )
 
+// takeoverTries are those of a page of a takeover. They grow longer: a page that is given
+// up was read in vain.
+var takeoverTries = pageTries{attempts: 6, first: 1200 * time.Millisecond, most: 10 * time.Second}
+
 // takeovers are those under way on this node. It is safe for concurrent use.
 type takeovers struct {
 	// pages are the places to read a page in.
@@ -164,22 +160,5 @@
 	case <-ctx.Done():
 		return recordstore.Page{}, ctx.Err()
 	}
-	backoff := n.backoff()
-	timeout := pageTimeout
-	var last error
-	for range pageAttempts {
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
-		page, err := n.adapter.Store.Newest(callCtx, stream, after)
-		cancel()
-		n.noteStore(err)
-		if err == nil {
-			return page, nil
-		}
-		last = err
-		timeout = min(2*timeout, pageTimeoutMost)
-		if !wait.For(ctx, backoff.Next()) {
-			return recordstore.Page{}, ctx.Err()
-		}
-	}
-	return recordstore.Page{}, last
+	return n.readPage(ctx, stream, after, takeoverTries)
 }
