--- a/coordinator/charge_test.go
+++ b/coordinator/charge_test.go
@@ -1,7 +1,6 @@
 package coordinator_test
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -18,10 +17,8 @@
 	name    string
 	limit   tenant.Limit
 	version uint64
-	// perSecond is how many requests its clients send.
-	perSecond float64
-	// owed is what they have to send by now.
-	owed    float64
+	// flow is what its clients send.
+	flow
 	asked   int
 	granted []time.Time
 	refused int
@@ -30,77 +27,51 @@
 
 // charges drives accounts at a fleet.
 type charges struct {
-	world    *fleet
+	questions[*account]
 	accounts []*account
-	// open are the charges without an answer.
-	open map[uint64]openCharge
-	next uint64
 	// counting are the nodes that counted last, by tenant.
 	counting map[string]machine.ID
 }
 
-type openCharge struct {
-	account *account
-	at      machine.ID
-}
-
 func newCharges(world *fleet, accounts ...*account) *charges {
-	return &charges{world: world, accounts: accounts, open: map[uint64]openCharge{}, counting: map[string]machine.ID{}}
+	return &charges{questions: newQuestions[*account](world), accounts: accounts, counting: map[string]machine.ID{}}
 }
 
 // run lets the clients send for a while.
 func (c *charges) run(span time.Duration) {
 	for end := c.world.now.Add(span); c.world.now.Before(end); {
 		for _, one := range c.accounts {
-			one.owed += one.perSecond * step.Seconds()
-			for ; one.owed >= 1; one.owed-- {
-				c.ask(one)
+			for range one.due() {
+				c.send(one)
 			}
 		}
 		c.world.run(step)
-		c.collect()
+		c.collect(c.take)
 	}
 }
 
-// ask has a random node that runs ask for one request.
-func (c *charges) ask(one *account) {
-	ids := c.world.ids()
-	if len(ids) == 0 {
-		return
-	}
-	at := ids[c.world.random.IntN(len(ids))]
-	if c.world.nodes[at].frozen {
+// send has a random node that runs ask for one request.
+func (c *charges) send(one *account) {
+	at, runs := c.anyNode()
+	if !runs {
 		return
 	}
-	c.next++
 	one.asked++
-	c.open[c.next] = openCharge{account: one, at: at}
-	c.world.send(at, 0, coordinator.ChargeRequested{ID: c.next, Patience: 600 * time.Millisecond, Charge: coordinator.Charge{
-		Tenant: one.name, Request: tenant.Request{ID: fmt.Sprint(c.next), Limit: one.limit, Version: one.version},
-	}})
+	c.ask(one, at, 600*time.Millisecond, coordinator.Charge{
+		Tenant: one.name, Request: tenant.Request{Limit: one.limit, Version: one.version},
+	})
 }
 
-// collect takes the answers in.
-func (c *charges) collect() {
-	for _, id := range c.world.ids() {
-		member := c.world.nodes[id]
-		for _, charged := range member.charged {
-			open, known := c.open[charged.ID]
-			if !known || open.at != id {
-				continue
-			}
-			delete(c.open, charged.ID)
-			switch charged.Status {
-			case coordinator.ChargeGranted:
-				c.counting[open.account.name] = charged.Owner
-				open.account.granted = append(open.account.granted, c.world.now)
-			case coordinator.ChargeRefused:
-				open.account.refused++
-			default:
-				open.account.unknown++
-			}
-		}
-		member.charged = nil
+// take takes one answer in.
+func (c *charges) take(one *account, charged coordinator.Charged) {
+	switch charged.Status {
+	case coordinator.ChargeGranted:
+		c.counting[one.name] = charged.Owner
+		one.granted = append(one.granted, c.world.now)
+	case coordinator.ChargeRefused:
+		one.refused++
+	default:
+		one.unknown++
 	}
 }
 
@@ -139,15 +110,15 @@
 // The accounts of the tests: far beyond its limit, usual use, and a small tenant far
 // beyond its limit.
 func hot() *account {
-	return &account{name: "hot", limit: tenant.Limit{Rate: 200, Burst: 200}, version: 1, perSecond: 550}
+	return &account{name: "hot", limit: tenant.Limit{Rate: 200, Burst: 200}, version: 1, flow: flow{perSecond: 550}}
 }
 
 func usual() *account {
-	return &account{name: "usual", limit: tenant.Limit{Rate: 80, Burst: 80}, version: 1, perSecond: 50}
+	return &account{name: "usual", limit: tenant.Limit{Rate: 80, Burst: 80}, version: 1, flow: flow{perSecond: 50}}
 }
 
 func small() *account {
-	return &account{name: "small", limit: tenant.Limit{Rate: 3, Burst: 3}, version: 1, perSecond: 9}
+	return &account{name: "small", limit: tenant.Limit{Rate: 3, Burst: 3}, version: 1, flow: flow{perSecond: 9}}
 }
 
 // countingFleet starts a fleet whose nodes know each other and have counted for long.
--- a/coordinator/cold_test.go
+++ b/coordinator/cold_test.go
@@ -26,34 +26,26 @@
 // coldReplica is a replica that all nodes hold cold.
 type coldReplica struct {
 	name string
-	// perSecond is how many requests all nodes would like to send there.
-	perSecond float64
-	owed      float64
-	arrived   []time.Time
-	refused   int
-	unknown   int
-	counter   machine.ID
+	// flow is what all nodes would like to send there.
+	flow
+	arrived []time.Time
+	refused int
+	unknown int
+	counter machine.ID
 }
 
 // coldLoad has all nodes of a fleet send to cold replicas.
 type coldLoad struct {
-	world    *fleet
+	questions[*coldReplica]
 	replicas []*coldReplica
-	open     map[uint64]openCold
-	next     uint64
 	// unasked sends without asking.
 	unasked bool
 }
 
-type openCold struct {
-	replica *coldReplica
-	at      machine.ID
-}
-
 func newColdLoad(world *fleet, perSecond float64, replicas int) *coldLoad {
-	load := &coldLoad{world: world, open: map[uint64]openCold{}}
+	load := &coldLoad{questions: newQuestions[*coldReplica](world)}
 	for index := range replicas {
-		load.replicas = append(load.replicas, &coldReplica{name: fmt.Sprintf("r%d", index), perSecond: perSecond})
+		load.replicas = append(load.replicas, &coldReplica{name: fmt.Sprintf("r%d", index), flow: flow{perSecond: perSecond}})
 	}
 	return load
 }
@@ -61,35 +53,28 @@
 func (c *coldLoad) run(span time.Duration) {
 	for end := c.world.now.Add(span); c.world.now.Before(end); {
 		for _, one := range c.replicas {
-			one.owed += one.perSecond * step.Seconds()
-			for ; one.owed >= 1; one.owed-- {
+			for range one.due() {
 				c.send(one)
 			}
 		}
 		c.world.run(step)
-		c.collect()
+		c.collect(c.take)
 	}
 }
 
 // send has a random node that runs send one request, once it may.
 func (c *coldLoad) send(one *coldReplica) {
-	ids := c.world.ids()
-	if len(ids) == 0 {
-		return
-	}
-	at := ids[c.world.random.IntN(len(ids))]
-	if c.world.nodes[at].frozen {
+	at, runs := c.anyNode()
+	if !runs {
 		return
 	}
 	if c.unasked {
 		c.arrive(one)
 		return
 	}
-	c.next++
-	c.open[c.next] = openCold{replica: one, at: at}
-	c.world.send(at, 0, coordinator.ChargeRequested{ID: c.next, Patience: coldPatience, Charge: coordinator.Charge{
-		Replica: one.name, Request: tenant.Request{ID: fmt.Sprint(c.next), Limit: tenant.Limit{Rate: coldRate}, Version: 1},
-	}})
+	c.ask(one, at, coldPatience, coordinator.Charge{
+		Replica: one.name, Request: tenant.Request{Limit: tenant.Limit{Rate: coldRate}, Version: 1},
+	})
 }
 
 func (c *coldLoad) arrive(one *coldReplica) {
@@ -97,26 +82,16 @@
 	one.arrived = append(one.arrived, c.world.now.Add(way))
 }
 
-func (c *coldLoad) collect() {
-	for _, id := range c.world.ids() {
-		member := c.world.nodes[id]
-		for _, charged := range member.charged {
-			open, known := c.open[charged.ID]
-			if !known || open.at != id {
-				continue
-			}
-			delete(c.open, charged.ID)
-			switch charged.Status {
-			case coordinator.ChargeGranted:
-				open.replica.counter = charged.Owner
-				c.arrive(open.replica)
-			case coordinator.ChargeRefused:
-				open.replica.refused++
-			default:
-				open.replica.unknown++
-			}
-		}
-		member.charged = nil
+// take takes one answer in.
+func (c *coldLoad) take(one *coldReplica, charged coordinator.Charged) {
+	switch charged.Status {
+	case coordinator.ChargeGranted:
+		one.counter = charged.Owner
+		c.arrive(one)
+	case coordinator.ChargeRefused:
+		one.refused++
+	default:
+		one.unknown++
 	}
 }
 
