replica: a choice costs the same whatever the number of replicas

Cause: each choice weighed every replica of the service under one lock, the list was sorted whole at each replica that came, and the reports of each 100 ms went through all replicas.

Change: of a service with more than 128 replicas a window is weighed, at first 32 replicas in an order that all nodes of a zone share, twice as many when its mean load passes 0.4 requests a slot or all in it are full. Nodes of a zone so meet at the same replicas, where prompts and connections are kept. The list is kept by places and by rank, and what is busy, cold or doubted has an index of its own. A replica that starts again under its id (Entry.Incarnation), or serves another service, begins without what was known of it; word of its former process changes nothing. Lists of up to 128 are weighed whole, as before.

Ruled out: the whole list by an index per prompt part: the parts of programs' own histories are most of all parts and held by one replica each.

--- a/replica/cold.go
+++ b/replica/cold.go
@@ -114,7 +114,12 @@
 // whether other nodes are to hear of it.
 func (s *Set) HearCold(now time.Time, id ID, left time.Duration) (news bool) {
 	known := s.byID[id]
-	return known != nil && known.cold.extend(now, left, coldFromAnswer)
+	if known == nil {
+		return false
+	}
+	news = known.cold.extend(now, left, coldFromAnswer)
+	s.watchCold(now, known)
+	return news
 }
 
 // PauseCold has a cold replica passed over that is at its rate.
@@ -148,7 +153,7 @@
 // ColdTurns returns the replicas that turned cold or warm since the last call, and how
 // many are cold.
 func (s *Set) ColdTurns(now time.Time) (turns []ColdTurn, count int) {
-	for id, known := range s.byID {
+	for id, known := range s.coldWatched {
 		cold := known.cold.cold(now)
 		if cold {
 			count++
@@ -157,13 +162,23 @@
 			known.cold.noted = cold
 			turns = append(turns, ColdTurn{ID: id, Cold: cold, Until: known.cold.until, Source: known.cold.source})
 		}
+		if !cold {
+			delete(s.coldWatched, id)
+		}
 	}
 	return turns, count
 }
 
+// watchCold has ColdTurns tell when a replica that is cold turns warm.
+func (s *Set) watchCold(now time.Time, known *member) {
+	if known.cold.cold(now) || known.cold.noted {
+		s.coldWatched[known.entry.ID] = known
+	}
+}
+
 // ColdCount returns how many replicas are cold.
 func (s *Set) ColdCount(now time.Time) (count int) {
-	for _, known := range s.byID {
+	for _, known := range s.coldWatched {
 		if known.cold.cold(now) {
 			count++
 		}
--- a/replica/doubt.go
+++ b/replica/doubt.go
@@ -12,6 +12,7 @@
 	}
 	if known.doubtedUntil.IsZero() {
 		known.doubtedUntil = until
+		s.doubted[id] = known
 	}
 	return true
 }
@@ -19,8 +20,8 @@
 // Doubted returns the replicas whose doubt has lasted long enough for them to be
 // removed.
 func (s *Set) Doubted(now time.Time) (gone []ID) {
-	for id, known := range s.byID {
-		if !known.doubtedUntil.IsZero() && !now.Before(known.doubtedUntil) {
+	for id, known := range s.doubted {
+		if !now.Before(known.doubtedUntil) {
 			gone = append(gone, id)
 		}
 	}
--- a/replica/peerloads.go
+++ b/replica/peerloads.go
@@ -65,20 +65,20 @@
 // what lines of turns that stay at their replica make it.
 const loadShape = 2
 
-// viewOf sums up the reports for the replicas of a service.
-func (s *Set) viewOf(service string) peerView {
+// viewOf sums up the reports for the replicas of a service that are weighed.
+func (s *Set) viewOf(weighed []*member) peerView {
 	view := peerView{heard: 1}
 	if others := s.nodes - 1; others > 0 && !s.config.Without.Estimates {
 		view.heard = min(1, float64(len(s.peers))/float64(others))
 	}
-	if view.heard == 0 || len(s.services[service]) == 0 {
+	if view.heard == 0 || len(weighed) == 0 {
 		return view
 	}
 	seen := 0
-	for _, one := range s.services[service] {
+	for _, one := range weighed {
 		seen += one.peers
 	}
-	view.mean = float64(seen) / view.heard / float64(len(s.services[service]))
+	view.mean = float64(seen) / view.heard / float64(len(weighed))
 	return view
 }
 
--- a/replica/select.go
+++ b/replica/select.go
@@ -72,16 +72,29 @@
 	ColdRate float64
 }
 
-// Select picks a replica for the request: feasible, rank, select.
+// Select picks a replica for the request: feasible, rank, select. Of a large service a
+// window of replicas is weighed, which grows while all in it are full.
 func (s *Set) Select(now time.Time, request *Request) (Choice, error) {
-	feasible, lacking := s.feasible(now, request)
+	for {
+		weighed := s.weighable(now, request)
+		choice, err := s.selectFrom(now, request, weighed)
+		full := err != nil || choice.Load >= max(1, choice.Entry.Slots)
+		if !full || !s.widen(request.Service, len(weighed)) {
+			return choice, err
+		}
+	}
+}
+
+// selectFrom picks one of some replicas.
+func (s *Set) selectFrom(now time.Time, request *Request, weighable []*member) (Choice, error) {
+	feasible, lacking := s.feasible(now, request, weighable)
 	if len(feasible) == 0 {
 		if lacking != nil {
 			return Choice{}, lacking
 		}
 		return Choice{}, s.absence(now, request)
 	}
-	weighed := s.weigh(now, request)
+	weighed := s.weigh(now, request, weighable)
 	start := int(request.Draw * float64(len(feasible)))
 	best := feasible[start]
 	bestCost := weighed.cost(best)
@@ -101,11 +114,11 @@
 	}, nil
 }
 
-// feasible returns the replicas that may take the request: those that answered
+// feasible returns the replicas that may take the request, of those to be weighed: those that answered
 // well lately, or the suspect ones where there are no others. Where there are none at
 // all that has room, lacking tells what it lacks; nil where no replica may take the
 // request at all.
-func (s *Set) feasible(now time.Time, request *Request) (list []*member, lacking error) {
+func (s *Set) feasible(now time.Time, request *Request, weighable []*member) (list []*member, lacking error) {
 	if known := s.byID[request.Only]; known != nil {
 		if s.mayTake(now, request, known) != nil {
 			return nil, nil
@@ -115,8 +128,9 @@
 		}
 		return []*member{known}, nil
 	}
+	list = make([]*member, 0, len(weighable))
 	var suspects []*member
-	for _, one := range s.services[request.Service] {
+	for _, one := range weighable {
 		if s.mayTake(now, request, one) != nil || slices.Contains(request.Excluded, one.entry.ID) {
 			continue
 		}
@@ -184,10 +198,16 @@
 	view peerView
 	// room is the share of the shared parts that an engine has the memory to keep.
 	room float64
+	// sharing is how many nodes choose among the replicas that are weighed, and among
+	// how many of them.
+	sharing, among int
 }
 
-func (s *Set) weigh(now time.Time, request *Request) *weighing {
-	w := &weighing{set: s, now: now, request: request, view: s.viewOf(request.Service)}
+func (s *Set) weigh(now time.Time, request *Request, weighable []*member) *weighing {
+	w := &weighing{set: s, now: now, request: request, view: s.viewOf(weighable), sharing: s.nodes, among: len(weighable)}
+	if len(weighable) < len(s.services[request.Service]) {
+		w.sharing = max(1, s.nodes/max(1, len(s.zones)))
+	}
 	if tokens := s.shared.tokens(now); tokens > 0 {
 		w.room = min(1, sharedMemory*float64(s.cacheTokens[request.Service])/float64(tokens))
 	}
@@ -222,11 +242,28 @@
 
 // Pressure returns how full the emptiest replica is that may take a request: its
 // requests under way by its slots. A cold one that is at its rate counts as full at
-// least. It is 0 where none may.
+// least. It is 0 where none may. Of a large service a window of replicas is looked at,
+// which grows while all in it are full.
 func (s *Set) Pressure(now time.Time, request *Request) float64 {
+	for {
+		weighed := s.weighable(now, request)
+		least := s.pressureOf(now, request, weighed)
+		full := least >= 1
+		if full && s.widen(request.Service, len(weighed)) {
+			continue
+		}
+		if math.IsInf(least, 1) {
+			return 0
+		}
+		return least
+	}
+}
+
+// pressureOf is Pressure of some replicas, infinite where none may take the request.
+func (s *Set) pressureOf(now time.Time, request *Request, weighed []*member) float64 {
 	least := math.Inf(1)
-	view := s.viewOf(request.Service)
-	for _, one := range s.services[request.Service] {
+	view := s.viewOf(weighed)
+	for _, one := range weighed {
 		if s.mayTake(now, request, one) != nil {
 			continue
 		}
@@ -236,9 +273,6 @@
 		}
 		least = min(least, full)
 	}
-	if math.IsInf(least, 1) {
-		return 0
-	}
 	return least
 }
 
@@ -267,7 +301,7 @@
 	if w.room == 0 || w.set.config.Without.SharedParts {
 		return func(string) float64 { return 0 }
 	}
-	spread := spread(w.set.nodes, len(w.set.services[w.request.Service]), w.now.Sub(one.listedAt))
+	spread := spread(w.sharing, w.among, w.now.Sub(one.listedAt))
 	return func(part string) float64 { return w.room * w.set.shared.kept(w.now, part, spread) }
 }
 
--- a/replica/set.go
+++ b/replica/set.go
@@ -31,6 +31,9 @@
 	Status  Status
 	// Slots is how many requests it works on at once.
 	Slots int
+	// Incarnation is when the replica's process started, in Unix milliseconds; 0 where
+	// it does not tell. A replica that starts again under its id holds nothing of before.
+	Incarnation uint64 `json:",omitempty"`
 	// Cold is what the entry says of how long the replica stays cold.
 	Cold ColdWord
 }
@@ -91,9 +94,21 @@
 
 // Set is the replicas that this node knows. It is not safe for concurrent use.
 type Set struct {
-	config   Config
-	byID     map[ID]*member
+	config Config
+	byID   map[ID]*member
+	// services lists the replicas of each service, and ranked lists them in the order in
+	// which a window takes them in.
 	services map[string][]*member
+	ranked   map[string][]*member
+	// windows bound which replicas of a large service are weighed.
+	windows map[string]*window
+	// zones counts the replicas of each zone.
+	zones map[string]int
+	// busy are the replicas that have requests of this node, and coldWatched those
+	// whose turn to warm is still to be told. doubted are those that the list lacks.
+	busy        map[ID]*member
+	coldWatched map[ID]*member
+	doubted     map[ID]*member
 	// cacheTokens is the memory of a service's engines.
 	cacheTokens map[string]int
 	// coldRates is how many requests a second a cold replica of a service bears.
@@ -109,6 +124,10 @@
 // member is one replica with what is known of it.
 type member struct {
 	entry Entry
+	// rank orders the replicas of a zone alike for all its nodes, and place is the
+	// replica's index in the list of its service.
+	rank  uint64
+	place int
 	// listedAt is when this node first knew of the replica.
 	listedAt time.Time
 	// own counts this node's requests there; peers those of other nodes.
@@ -133,6 +152,12 @@
 		config:      config,
 		byID:        make(map[ID]*member),
 		services:    make(map[string][]*member),
+		ranked:      make(map[string][]*member),
+		windows:     make(map[string]*window),
+		zones:       make(map[string]int),
+		busy:        make(map[ID]*member),
+		coldWatched: make(map[ID]*member),
+		doubted:     make(map[ID]*member),
 		cacheTokens: make(map[string]int),
 		coldRates:   make(map[string]float64),
 		peers:       make(map[string]peerLoad),
@@ -154,35 +179,74 @@
 
 // Put adds a replica or takes over its new entry. It reports whether anything
 // but the entry of a known, equal replica changed. A cold time that runs down is no
-// change.
+// change, and word of an earlier incarnation is not taken in. A replica that started
+// again, or serves another service now, begins without anything that was known of it.
 func (s *Set) Put(now time.Time, entry Entry) (changed bool) {
 	word := entry.Cold
 	entry.Cold = ColdWord{}
 	known := s.byID[entry.ID]
+	if known != nil && entry.Incarnation != 0 && entry.Incarnation < known.entry.Incarnation {
+		return false
+	}
+	if known != nil && !known.replacedBy(entry) {
+		changed = s.renew(known, entry)
+		return s.hearEntry(now, known, word) || changed
+	}
 	if known != nil {
-		changed = known.entry != entry
-		known.entry = entry
-		known.doubtedUntil = time.Time{}
-		return known.cold.hear(now, word) || changed
+		s.Remove(entry.ID)
+	}
+	added := &member{
+		entry: entry, rank: rankIn(s.config.Zone, 0, entry.ID), listedAt: now,
+		cache: newCache(s.cacheTokens[entry.Service]), peers: s.peersAt(entry.ID),
 	}
-	added := &member{entry: entry, listedAt: now, cache: newCache(s.cacheTokens[entry.Service]), peers: s.peersAt(entry.ID)}
-	added.cold.hear(now, word)
+	s.hearEntry(now, added, word)
 	s.byID[entry.ID] = added
-	list := append(s.services[entry.Service], added)
-	slices.SortFunc(list, func(left, right *member) int { return cmp.Compare(left.entry.ID, right.entry.ID) })
-	s.services[entry.Service] = list
+	s.link(added)
 	return true
 }
 
+// replacedBy reports whether an entry is of another process than the one known.
+func (m *member) replacedBy(entry Entry) bool {
+	return entry.Incarnation > m.entry.Incarnation || entry.Service != m.entry.Service
+}
+
+// renew takes over a new entry of the process that is known. It reports whether
+// anything differs.
+func (s *Set) renew(known *member, entry Entry) (changed bool) {
+	entry.Incarnation = max(entry.Incarnation, known.entry.Incarnation)
+	changed = known.entry != entry
+	moved := known.entry.Zone != entry.Zone
+	if moved {
+		s.unrank(known)
+	}
+	known.entry = entry
+	if moved {
+		s.enrank(known)
+	}
+	known.doubtedUntil = time.Time{}
+	delete(s.doubted, entry.ID)
+	return changed
+}
+
+// hearEntry takes in what an entry says of the replica being cold. It reports whether
+// other nodes are to hear of it.
+func (s *Set) hearEntry(now time.Time, known *member, word ColdWord) (news bool) {
+	news = known.cold.hear(now, word)
+	s.watchCold(now, known)
+	return news
+}
+
 // Remove forgets a replica. It returns its entry, and false if it was unknown.
 func (s *Set) Remove(id ID) (Entry, bool) {
 	known := s.byID[id]
 	if known == nil {
 		return Entry{}, false
 	}
+	s.unlink(known)
 	delete(s.byID, id)
-	service := known.entry.Service
-	s.services[service] = slices.DeleteFunc(s.services[service], func(one *member) bool { return one == known })
+	delete(s.busy, id)
+	delete(s.coldWatched, id)
+	delete(s.doubted, id)
 	return known.entry, true
 }
 
@@ -215,7 +279,7 @@
 	if known == nil {
 		return
 	}
-	known.own++
+	s.begin(known)
 	known.cache.add(now, request.Prompt)
 	s.shared.add(now, request.Program, request.Prompt)
 }
@@ -223,14 +287,28 @@
 // Reserve counts a request that may be sent to the replica. Withdraw or Began follows.
 func (s *Set) Reserve(id ID) {
 	if known := s.byID[id]; known != nil {
-		known.own++
+		s.begin(known)
+	}
+}
+
+// begin counts one request of this node at a replica.
+func (s *Set) begin(known *member) {
+	known.own++
+	s.busy[known.entry.ID] = known
+}
+
+// end counts one request of this node less.
+func (s *Set) end(known *member) {
+	known.own = max(0, known.own-1)
+	if known.own == 0 {
+		delete(s.busy, known.entry.ID)
 	}
 }
 
 // Withdraw takes back what Reserve counted.
 func (s *Set) Withdraw(id ID) {
 	if known := s.byID[id]; known != nil {
-		known.own = max(0, known.own-1)
+		s.end(known)
 	}
 }
 
@@ -259,7 +337,7 @@
 	if known == nil {
 		return
 	}
-	known.own = max(0, known.own-1)
+	s.end(known)
 	switch result {
 	case ResultAnswered:
 		known.failures = 0
@@ -303,11 +381,9 @@
 
 // Own returns this node's requests under way, by replica.
 func (s *Set) Own() map[ID]int {
-	counts := make(map[ID]int)
-	for id, known := range s.byID {
-		if known.own > 0 {
-			counts[id] = known.own
-		}
+	counts := make(map[ID]int, len(s.busy))
+	for id, known := range s.busy {
+		counts[id] = known.own
 	}
 	return counts
 }
--- a/replica/shared.go
+++ b/replica/shared.go
@@ -11,6 +11,9 @@
 // had read there.
 type sharedParts struct {
 	parts map[string]*sharedPart
+	// counted are the tokens of the parts that many programs share, as of countedAt.
+	counted   int
+	countedAt time.Time
 }
 
 // sharedPart is one part that a prompt of this node had.
@@ -35,6 +38,9 @@
 	// count under which a part is forgotten when there are too many.
 	maximumShared   = 2048
 	sharedForgotten = 0.1
+	// countPeriod is for how long a count of the shared parts' tokens is used: a visit
+	// of all parts would be most of the cost of a choice, and they halve in seconds.
+	countPeriod = 100 * time.Millisecond
 	// sharedMemory is the share of an engine's memory that shared parts are taken
 	// to have; the rest is the requests' own.
 	sharedMemory = 0.5
@@ -103,6 +109,10 @@
 
 // tokens returns the tokens of the parts that many programs have had lately.
 func (s *sharedParts) tokens(now time.Time) (tokens int) {
+	if !s.countedAt.IsZero() && now.Sub(s.countedAt) < countPeriod {
+		return s.counted
+	}
+	defer func() { s.counted, s.countedAt = tokens, now }()
 	for _, known := range s.parts {
 		if known.programs > 0 && known.programsNow(now) >= sharedForgotten {
 			tokens += known.tokens
--- a/replica/shared_test.go
+++ b/replica/shared_test.go
@@ -56,7 +56,7 @@
 		set.SetPeer(now, "peer-1", map[ID]int{"a": 3})
 		set.SetPeer(now, "peer-2", nil)
 		set.Began(now, "b", &Request{})
-		view := set.viewOf("s")
+		view := set.viewOf(set.services["s"])
 		return []float64{view.load(set.byID["a"]), view.load(set.byID["b"])}
 	}
 	g.Expect(loads(3)).To(Equal([]float64{3, 1}))
