--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -158,6 +158,8 @@
 	case Listed:
 		c.listed = true
 		c.learn(now, event.Nodes)
+	case Learned:
+		c.learn(now, event.Nodes)
 	case Contact:
 		c.noteContact(now, event)
 	case PeerReceived:
@@ -311,5 +313,9 @@
 	return owned
 }
 
+// Directory returns the nodes that this one knows of, itself included, sorted by id, and
+// whether it has read the whole list of them. The caller must not change the slice.
+func (c *Core) Directory() (nodes []machine.Machine, whole bool) { return c.listing, c.listed }
+
 // LiveCount returns how many nodes are live, this one included.
 func (c *Core) LiveCount() int { return max(1, len(c.membership.Nodes())) }
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -14,9 +14,12 @@
 // Tick performs what is due.
 type Tick struct{}
 
-// Listed brings the nodes that the platform's store and the settings name.
+// Listed brings all nodes that the platform's store names.
 type Listed struct{ Nodes []machine.Machine }
 
+// Learned brings some nodes of the fleet.
+type Learned struct{ Nodes []machine.Machine }
+
 // Contact tells whether this node reached the store lately, and when last.
 type Contact struct {
 	Reached bool
@@ -130,6 +133,7 @@
 func (ChargeRequested) event() {}
 func (ChargeReturned) event()  {}
 func (Listed) event()          {}
+func (Learned) event()         {}
 func (Contact) event()         {}
 func (PeerReceived) event()    {}
 func (Requested) event()       {}
--- a/coordinator/rank.go
+++ b/coordinator/rank.go
@@ -14,12 +14,14 @@
 	// heirs are, for each partition, the node that is to own it and those that rank
 	// next.
 	heirs [][]string
-	// readers are the candidates of this node's zone that rank first.
-	readers []machine.Machine
+	// roles are what nodes do for others.
+	roles Roles
 	// lost is when a candidate was one last.
 	lost map[string]time.Time
-	// since is when the candidates changed last.
-	since time.Time
+	// since is when the candidates changed last, and lookedAt when they were looked at
+	// last.
+	since    time.Time
+	lookedAt time.Time
 	// version, reaches and unreaching are what the candidates followed from: the
 	// version of the nodes' view, whether this node reached the store, and whether
 	// any peer counted as not reaching it.
@@ -75,17 +77,27 @@
 // rank renews the ranking where the candidates have changed.
 func (c *Core) rank(now time.Time) {
 	c.forgetUnreaching(now)
-	if c.ranking.current(c) {
+	if c.ranking.current(c) || now.Sub(c.ranking.lookedAt) < c.rankPause() {
 		return
 	}
 	candidates := c.candidates(now)
 	if c.ranking.heirs == nil || !slices.Equal(candidates, c.ranking.candidates) {
 		c.ranking = c.rankAnew(now, candidates)
 	}
+	c.ranking.lookedAt = now
 	c.ranking.version, c.ranking.reaches = c.membership.Version(), c.reaches
 	c.ranking.unreaching = len(c.unreaching) > 0
 }
 
+// rankPausePerNode times the nodes is the least time between two looks at who may own
+// partitions: a look visits every node, and while many come or go there would be one
+// with each tick. At 1,000 nodes it is a fifth of a second, less than an heir waits.
+const rankPausePerNode = 200 * time.Microsecond
+
+func (c *Core) rankPause() time.Duration {
+	return time.Duration(len(c.listing)) * rankPausePerNode
+}
+
 // rankAnew ranks the candidates for every partition.
 func (c *Core) rankAnew(now time.Time, candidates []ownership.Node) ranking {
 	heirs := make([][]string, len(c.partitions))
@@ -94,37 +106,11 @@
 		heirs[index] = ownership.Heirs(index, able, heirsPerPartition)
 	}
 	return ranking{
-		candidates: candidates, heirs: heirs, readers: c.rankReaders(candidates), lost: c.lostCandidates(now, candidates),
+		candidates: candidates, heirs: heirs, roles: c.rankRoles(candidates, heirs), lost: c.lostCandidates(now, candidates),
 		since: now,
 	}
 }
 
-// Readers returns the nodes of this node's zone that follow in the store what
-// the others can follow through them. The caller must not change the slice.
-func (c *Core) Readers() []machine.Machine { return c.ranking.readers }
-
-const (
-	// readerRank stands for a partition in the ranking of readers.
-	readerRank = -1
-	// readersPerZone is how many there are, so that one may fail.
-	readersPerZone = 2
-)
-
-func (c *Core) rankReaders(candidates []ownership.Node) (readers []machine.Machine) {
-	zone := c.self().Zone
-	var near []ownership.Node
-	for _, candidate := range candidates {
-		if node, known := c.lookup(machine.ID(candidate.ID)); known && node.Zone == zone {
-			near = append(near, candidate)
-		}
-	}
-	for _, id := range ownership.First(readerRank, near, readersPerZone) {
-		node, _ := c.lookup(machine.ID(id))
-		readers = append(readers, node)
-	}
-	return readers
-}
-
 // lookup returns a node, this one included.
 func (c *Core) lookup(id machine.ID) (machine.Machine, bool) {
 	if id == c.self().ID {
--- a/edge/cold_test.go
+++ b/edge/cold_test.go
@@ -133,7 +133,7 @@
 	node := coldNode(g, nil)
 	defer node.Kill()
 	node.replicas.put(replica.Entry{ID: "r0", Service: "s", Status: replica.StatusReady, Slots: 4})
-	before, _, _ := node.replicas.since(0, false)
+	before, _, _ := node.replicas.since(&relayQuestion{}, false)
 	g.Expect(before[0].Entry.Cold.Left).To(BeZero())
 	for _, value := range []string{"", "soon", "0"} {
 		node.hearCold("r0", answerWith(value))
@@ -141,7 +141,7 @@
 	}
 	node.hearCold("r0", answerWith("3600000"))
 	g.Expect(node.ColdReplicas()).To(Equal(1))
-	changes, _, _ := node.replicas.since(1, true)
+	changes, _, _ := node.replicas.since(&relayQuestion{since: 1}, true)
 	g.Expect(changes).To(HaveLen(1))
 	g.Expect(changes[0].Entry.Cold.Left).To(BeNumerically("~", time.Hour, time.Minute))
 }
--- a/edge/contact.go
+++ b/edge/contact.go
@@ -13,6 +13,8 @@
 	// had been lost; zero where it never was.
 	last     time.Time
 	regained time.Time
+	// trustedUntil is until when a read that waits at the store may take.
+	trustedUntil time.Time
 }
 
 const (
@@ -48,6 +50,20 @@
 // reached reports whether the store answered lately.
 func (c *contact) reached(now time.Time) bool { return now.Sub(c.at()) < contactLifetime }
 
+// trust takes in until when a read that waits may take, or that none does any more.
+func (c *contact) trust(until time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.trustedUntil = until
+}
+
+// trusted reports whether a read waits that has not failed.
+func (c *contact) trusted(now time.Time) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return now.Before(c.trustedUntil)
+}
+
 // doubtUntil returns until when replicas that are not listed are kept.
 func (c *contact) doubtUntil() time.Time {
 	c.mutex.Lock()
--- a/edge/control.go
+++ b/edge/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"birchwood.example/birchwood/coordinator"
@@ -52,6 +53,17 @@
 	answer    chan<- machine.Machine
 }
 
+// directoryLookup asks for the nodes that this one knows of.
+type directoryLookup struct {
+	answer chan<- nodeList
+}
+
+// nodeList is the answer to a directoryLookup. Whole says that the list was read.
+type nodeList struct {
+	nodes []machine.Machine
+	whole bool
+}
+
 // peerList asks for the live peers that reach the store.
 type peerList struct {
 	answer chan<- peerCount
@@ -98,6 +110,12 @@
 	return exchange(ctx, c, lookup{partition: partition, answer: answer}, answer)
 }
 
+// directory returns the nodes that this one knows of.
+func (c *control) directory(ctx context.Context) (nodeList, error) {
+	answer := make(chan nodeList, 1)
+	return exchange(ctx, c, directoryLookup{answer: answer}, answer)
+}
+
 // livePeers returns the live peers that reach the store.
 func (c *control) livePeers(ctx context.Context) (peerCount, error) {
 	answer := make(chan peerCount, 1)
@@ -162,8 +180,7 @@
 	c.core.Step(now, loads)
 	c.node.liveNodes.Store(int32(c.core.LiveCount()))
 	c.node.replicas.setNodes(c.core.LiveCount())
-	readers := c.core.Readers()
-	c.node.readers.Store(&readers)
+	c.noteRoles(c.core.Roles())
 	c.node.noteIsolation(now, c.core.Isolated(now))
 	c.reportKept(now)
 	c.core.Step(now, coordinator.Contact{Reached: c.node.reachesStore(), Last: c.node.store.at()})
@@ -171,6 +188,18 @@
 	c.node.noteColdTurns(now)
 }
 
+// noteRoles takes in what nodes do for others. A node that may have to take a partition
+// over from now on looks at once whether it reaches the store.
+func (c *control) noteRoles(roles coordinator.Roles) {
+	before := c.node.roles.Swap(&roles)
+	if !roles.Heir || (before != nil && before.Heir) {
+		return
+	}
+	if end := c.node.watching.Load(); end != nil {
+		(*end)()
+	}
+}
+
 // reportKept sets the metrics of what partitions take in the store.
 func (c *control) reportKept(now time.Time) {
 	if now.Before(c.nextKept) {
@@ -231,6 +260,9 @@
 	case lookup:
 		owner, _ := c.core.Owner(now, input.partition)
 		input.answer <- owner
+	case directoryLookup:
+		nodes, whole := c.core.Directory()
+		input.answer <- nodeList{nodes: slices.Clone(nodes), whole: whole}
 	case peerList:
 		input.answer <- peerCount{peers: c.core.Peers(now), live: c.core.LiveCount()}
 	}
--- /dev/null
+++ b/edge/directory.go
@@ -0,0 +1,298 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/internal/wait"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/ownership"
+	"birchwood.example/birchwood/recordstore"
+)
+
+// The nodes' records are dealt to the partitions of their stream. A node reads the
+// partition of its own record. The node that ranks first among those listed there reads
+// all partitions, and the others have the list of it: what the store sends grows with the
+// nodes, and not with nodes times nodes.
+const (
+	pathNodes = "/peer/nodes"
+	// directoryRank stands for a partition in the ranking of those that read all.
+	directoryRank = -3
+	// directoryReaders is how many of a partition's nodes may be asked for the list, the
+	// one that ranks first before the others.
+	directoryReaders = 4
+	// directoryAll is how many nodes a partition names at most in a fleet in which each
+	// node reads all partitions.
+	directoryAll = 3
+	// directoryPatience is how long a node that starts waits for the list of nodes, and
+	// as much longer as half of it by chance, before it goes on without.
+	directoryPatience = 3 * time.Second
+	// listPatience bounds the answer to a question for the list: some 400 KB for 2,000
+	// nodes, which a slow link sends to forty others in that time.
+	listPatience = 8 * time.Second
+	// joinPauseFirst and joinPauseMost space the tries of a node that starts.
+	joinPauseFirst = 60 * time.Millisecond
+	joinPauseMost  = 2 * time.Second
+	// nodesPeriodFirst and nodesPeriod are the first and the longest time between two
+	// reads of the list: nodes that start together publish their records within seconds.
+	nodesPeriodFirst = 2 * time.Second
+	nodesPeriod      = 15 * time.Second
+)
+
+// nodePage is the answer to a question for the list of nodes.
+type nodePage struct {
+	// Digest tells one list from another. An answer to a question that names the
+	// same one has no nodes.
+	Digest string            `json:"digest"`
+	Nodes  []machine.Machine `json:"nodes,omitempty"`
+}
+
+// nodePartition returns the partition of the nodes' stream that has a node's record.
+func nodePartition(node string, partitions int) int { return ownership.PartitionOf(node, partitions) }
+
+// awaitDirectory waits until this node has the list of nodes, and so knows whom to follow.
+// One that does not get it goes on without, later than most have it.
+func (n *Node) awaitDirectory(ctx context.Context) {
+	patience := directoryPatience + time.Duration(n.draw()*float64(directoryPatience)/2)
+	select {
+	case <-n.listed:
+	case <-time.After(patience):
+	case <-ctx.Done():
+	}
+}
+
+// followNodes publishes this node's address and learns those of the others.
+func (n *Node) followNodes(ctx context.Context) {
+	n.control.post(coordinator.PeerReceived{Message: coordinator.PeerMessage{From: n.self}})
+	n.greet(n.settings.Seeds)
+	n.publishSelf(ctx)
+	backoff := n.backoffOf(joinPauseFirst, joinPauseMost)
+	pause, digest := nodesPeriodFirst, ""
+	var near neighbours
+	for turn := 0; ctx.Err() == nil; turn++ {
+		n.readNeighbours(ctx, &near, turn)
+		next, err := n.learnNodes(ctx, near.nodes, turn, digest)
+		if err != nil {
+			n.logger.Warn().Int("turn", turn).Int("near", len(near.nodes)).Err(err).Msg("nodes: list not learned")
+			wait.For(ctx, backoff.Next())
+			continue
+		}
+		backoff.Reset()
+		digest, turn = next, -1
+		n.watchNeighbours(ctx, &near, pause)
+		pause = min(2*pause, nodesPeriod)
+	}
+}
+
+// neighbours are the nodes whose records are in the same partition as this node's.
+type neighbours struct {
+	nodes []machine.Machine
+	// read says that the partition was read, and next is where its tail begins.
+	read bool
+	next uint64
+}
+
+// note takes in a record of the partition that was written since.
+func (near *neighbours) note(nodes []machine.Machine) {
+	for _, node := range nodes {
+		place := slices.IndexFunc(near.nodes, func(known machine.Machine) bool { return known.ID == node.ID })
+		if place < 0 {
+			near.nodes = append(near.nodes, node)
+			continue
+		}
+		near.nodes[place] = node
+	}
+}
+
+// readNeighbours reads the partition at first, and again while the list is not learned.
+func (n *Node) readNeighbours(ctx context.Context, near *neighbours, turn int) {
+	if near.read && turn == 0 {
+		return
+	}
+	nodes, next, err := n.readNodes(ctx, n.nodePartition())
+	if err != nil {
+		n.logger.Warn().Err(err).Msg("nodes: partition not read")
+		return
+	}
+	*near = neighbours{nodes: nodes, read: true, next: next}
+	n.control.post(coordinator.Learned{Nodes: nodes})
+}
+
+func (n *Node) nodePartition() int { return nodePartition(n.settings.Node, n.settings.Partitions) }
+
+// publishSelf writes this node's record, and goes on trying if it has to: others learn of
+// the node through its messages meanwhile.
+func (n *Node) publishSelf(ctx context.Context) {
+	value, err := json.Marshal(n.self)
+	if err != nil {
+		panic(err)
+	}
+	if n.publish(ctx, value) {
+		return
+	}
+	n.run(func(ctx context.Context) {
+		backoff := n.backoffOf(joinPauseFirst, joinPauseMost)
+		for wait.For(ctx, backoff.Next()) {
+			if n.publish(ctx, value) {
+				return
+			}
+		}
+	})
+}
+
+func (n *Node) publish(ctx context.Context, value []byte) bool {
+	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	stream := recordstore.Stream{Name: recordstore.StreamNodes, Partition: n.nodePartition()}
+	records := []recordstore.Record{{Key: n.settings.Node, Value: value}}
+	err := n.adapter.Store.Append(callCtx, stream, recordstore.Writer{}, records)
+	n.noteStore(err)
+	return err == nil
+}
+
+// learnNodes learns the list of nodes: of the store where this node ranks first among
+// those near, or the fleet is small, else of another node. It returns the list's digest.
+func (n *Node) learnNodes(ctx context.Context, near []machine.Machine, turn int, digest string) (string, error) {
+	ranked := rankDirectory(near)
+	first := len(ranked) > 0 && ranked[0].ID == n.self.ID
+	if first || (len(near) > 0 && len(near) <= directoryAll) || turn >= 2*directoryReaders {
+		return "", n.readAllNodes(ctx)
+	}
+	others := slices.DeleteFunc(ranked, func(node machine.Machine) bool { return node.ID == n.self.ID })
+	if len(others) > 0 && (turn%3 != 2 || len(n.settings.Seeds) == 0) {
+		return n.askNodes(ctx, others[turn%len(others)].Address, digest)
+	}
+	if len(n.settings.Seeds) == 0 {
+		return "", Error.New("no other node is known")
+	}
+	return n.askNodes(ctx, n.settings.Seeds[int(n.draw()*float64(len(n.settings.Seeds)))], digest)
+}
+
+// rankDirectory returns the nodes of a partition that are to have the list, the one that is
+// to read it of the store first.
+func rankDirectory(near []machine.Machine) []machine.Machine {
+	candidates := make([]ownership.Node, 0, len(near))
+	for _, node := range near {
+		candidates = append(candidates, ownership.Node{ID: string(node.ID), Weight: node.Weight})
+	}
+	var ranked []machine.Machine
+	for _, id := range ownership.First(directoryRank, candidates, directoryReaders) {
+		place := slices.IndexFunc(near, func(node machine.Machine) bool { return string(node.ID) == id })
+		ranked = append(ranked, near[place])
+	}
+	return ranked
+}
+
+// readNodes reads one partition of the nodes' stream.
+func (n *Node) readNodes(ctx context.Context, partition int) (nodes []machine.Machine, next uint64, err error) {
+	records, next, err := n.readNewest(ctx, recordstore.Stream{Name: recordstore.StreamNodes, Partition: partition})
+	if err != nil {
+		return nil, 0, err
+	}
+	return n.decodeNodes(records), next, nil
+}
+
+// readAllNodes reads the list of nodes of the store.
+func (n *Node) readAllNodes(ctx context.Context) error {
+	var all []machine.Machine
+	for partition := range n.settings.Partitions {
+		nodes, _, err := n.readNodes(ctx, partition)
+		if err != nil {
+			return err
+		}
+		all = append(all, nodes...)
+	}
+	n.takeNodes("store", all)
+	return nil
+}
+
+// takeNodes takes the list of nodes over.
+func (n *Node) takeNodes(source string, nodes []machine.Machine) {
+	n.control.post(coordinator.Listed{Nodes: nodes})
+	n.listedOnce.Do(func() {
+		close(n.listed)
+		n.logger.Info().Str("source", source).Int("nodes", len(nodes)).Dur("after", time.Since(n.started)).Msg("nodes: list read")
+	})
+}
+
+// askNodes asks another node for the list.
+func (n *Node) askNodes(ctx context.Context, address, digest string) (string, error) {
+	callCtx, cancel := context.WithTimeout(ctx, listPatience)
+	defer cancel()
+	var page nodePage
+	err := n.peers.client(address).Do(callCtx, fasthttp.MethodGet, pathNodes+"?digest="+digest, nil, &page)
+	if err != nil {
+		return "", err
+	}
+	if page.Digest != digest {
+		n.takeNodes(address, page.Nodes)
+	}
+	return page.Digest, nil
+}
+
+// receiveNodes answers a question for the list of nodes.
+func (p *peers) receiveNodes(ctx *fasthttp.RequestCtx) {
+	askCtx, cancel := context.WithTimeout(p.node.ctx, peerRequestTimeout)
+	defer cancel()
+	known, err := p.node.control.directory(askCtx)
+	if err != nil || !known.whole {
+		ctx.Error("the list of nodes is not known here", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	page := nodePage{Digest: digestOf(known.nodes)}
+	if string(ctx.QueryArgs().Peek("digest")) != page.Digest {
+		page.Nodes = known.nodes
+	}
+	writeJSON(ctx, page)
+}
+
+// digestOf tells lists of nodes apart that name other nodes, or other processes of them.
+func digestOf(nodes []machine.Machine) string {
+	hash := xxhash.New()
+	for _, node := range nodes {
+		// Writes to a digest return no error.
+		_, _ = hash.WriteString(string(node.ID))
+		_, _ = hash.WriteString(strconv.FormatUint(node.Incarnation, 36))
+	}
+	return strconv.FormatUint(hash.Sum64(), 36)
+}
+
+// decodeNodes reads the nodes' records. One that is not understood is another version's
+// and passed over: its node is learned of through its peers.
+func (n *Node) decodeNodes(records []recordstore.Record) []machine.Machine {
+	var nodes []machine.Machine
+	for _, record := range records {
+		if len(record.Value) == 0 {
+			continue
+		}
+		var node machine.Machine
+		if err := json.Unmarshal(record.Value, &node); err != nil {
+			n.logger.Warn().Str("record", record.Key).Err(err).Msg("nodes: record not understood")
+			continue
+		}
+		nodes = append(nodes, node)
+	}
+	return nodes
+}
+
+// greet tells peers that are known by address alone of this node. They answer
+// with statuses.
+func (n *Node) greet(addresses []string) {
+	for _, address := range addresses {
+		if address == n.settings.Peers {
+			continue
+		}
+		status := &coordinator.Status{ReachesStore: true, Known: []machine.Machine{n.self}}
+		n.peers.send(coordinator.Outbound{
+			To:      machine.Machine{ID: machine.ID(address), Address: address},
+			Message: coordinator.PeerMessage{From: n.self, Status: status},
+		})
+	}
+}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -8,9 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"birchwood.example/birchwood/coordinator"
 	"birchwood.example/birchwood/internal/wait"
-	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/recordstore"
 	"birchwood.example/birchwood/replica"
 )
@@ -35,8 +33,6 @@
 	provingPause = 300 * time.Millisecond
 	// resyncPeriod is how often a stream is read whole again.
 	resyncPeriod = 15 * time.Second
-	// nodesPeriod is the time between two reads of the nodes' addresses.
-	nodesPeriod = 15 * time.Second
 )
 
 // latestConfiguration keeps the newest configuration as it was stored, so that
@@ -56,13 +52,22 @@
 	Value []byte `json:"value"`
 }
 
-func (l *latestConfiguration) raw() []byte {
+// newest returns the newest configuration, or nil before the first.
+func (l *latestConfiguration) newest() *rawConfiguration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.value == nil {
 		return nil
 	}
-	encoded, err := json.Marshal(rawConfiguration{Key: l.key, Value: l.value})
+	return &rawConfiguration{Key: l.key, Value: l.value}
+}
+
+func (l *latestConfiguration) raw() []byte {
+	newest := l.newest()
+	if newest == nil {
+		return nil
+	}
+	encoded, err := json.Marshal(newest)
 	if err != nil {
 		return nil
 	}
@@ -86,6 +91,7 @@
 	}
 	n.config.mutex.Unlock()
 	n.replicas.configure(table)
+	n.replicas.wake()
 	n.logger.Info().Uint64("version", table.Version).Str("source", source).Msg("config: in force")
 }
 
@@ -112,18 +118,45 @@
 
 // applyReplica takes over a record of the replicas' stream.
 func (n *Node) applyReplica(key string, value []byte) {
+	id := replica.ID(key)
 	if len(value) == 0 {
-		n.unlist(replica.ID(key), "gone from the list")
+		n.unusable.forget(id)
+		n.unlist(id, "gone from the list")
 		return
 	}
 	entry, err := n.adapter.Translator.Replica(key, value)
 	if err != nil {
-		n.logger.Error().Err(err).Msg("replicas: not understood")
+		n.refuseEntry(id, err)
 		return
 	}
+	n.unusable.forget(id)
 	n.putReplica(entry)
 }
 
+// takeListed takes over a record of a whole list. It reports whether it changed anything.
+func (n *Node) takeListed(record recordstore.Record) (changed bool) {
+	if len(record.Value) == 0 {
+		return false
+	}
+	entry, err := n.adapter.Translator.Replica(record.Key, record.Value)
+	if err != nil {
+		n.refuseEntry(replica.ID(record.Key), err)
+		return false
+	}
+	n.unusable.forget(entry.ID)
+	return n.replicas.put(entry)
+}
+
+// refuseEntry takes in that an entry names no replica to use: whoever stood there before
+// is not to be used either. It is written once, and not with each of its heartbeats.
+func (n *Node) refuseEntry(id replica.ID, reason error) {
+	n.metrics.entryRefused()
+	if n.unusable.note(id) {
+		n.logger.Warn().Str("replica", string(id)).Err(reason).Msg("replicas: entry not understood")
+	}
+	n.removeReplica(id, "its entry is not understood")
+}
+
 func (n *Node) putReplica(entry replica.Entry) {
 	if n.replicas.put(entry) {
 		n.logger.Info().Str("replica", string(entry.ID)).Str("service", entry.Service).Str("address", entry.Address.String()).
@@ -134,10 +167,21 @@
 // unlist takes in that the store does not list a replica. After an outage that
 // does not say that it is gone.
 func (n *Node) unlist(id replica.ID, reason string) {
-	if until := n.store.doubtUntil(); n.settings.uses(DoubtUnlisted) && time.Now().Before(until) && n.replicas.doubt(id, until) {
-		return
+	if !n.mayLive(id) {
+		n.removeReplica(id, reason)
 	}
-	n.removeReplica(id, reason)
+}
+
+// unlistQuietly is unlist without a line in the log. It reports whether the replica was
+// removed.
+func (n *Node) unlistQuietly(id replica.ID) (removed bool) {
+	return !n.mayLive(id) && n.removeQuietly(id)
+}
+
+// mayLive reports whether a replica that is not listed is kept for a while.
+func (n *Node) mayLive(id replica.ID) bool {
+	until := n.store.doubtUntil()
+	return n.settings.uses(DoubtUnlisted) && time.Now().Before(until) && n.replicas.doubt(id, until)
 }
 
 // replicasCurrent follows each time that all of the replicas' stream was read.
@@ -149,46 +193,85 @@
 }
 
 func (n *Node) removeReplica(id replica.ID, reason string) {
-	if entry, known := n.replicas.remove(id); known {
-		n.pool.Forget(targetOf(entry))
+	if n.removeQuietly(id) {
 		n.logger.Info().Str("replica", string(id)).Str("reason", reason).Msg("replicas: removed")
 	}
 }
 
-// followConfiguration keeps the configuration up to date from the store.
+// removeQuietly removes a replica without a line in the log.
+func (n *Node) removeQuietly(id replica.ID) (known bool) {
+	entry, known := n.replicas.remove(id)
+	if known {
+		n.pool.Forget(targetOf(entry))
+	}
+	return known
+}
+
+// logList writes that a whole list of replicas was taken over.
+func (n *Node) logList(source string, listed, changed, removed int) {
+	n.logger.Info().Str("source", source).Int("listed", listed).Int("changed", changed).Int("removed", removed).
+		Msg("replicas: list taken over")
+}
+
+// followConfiguration keeps the configuration up to date from the store, unless this node
+// has it of a reader.
 func (n *Node) followConfiguration(ctx context.Context) {
-	n.follow(ctx, recordstore.Stream{Name: recordstore.StreamConfiguration}, follower{
-		wait: n.configurationWait, pause: n.configurationPause, synced: &n.syncedConfiguration,
-		reset:   n.applyConfigurations,
-		change:  n.configurationChanged,
-		current: n.configurationCurrent,
-	})
+	n.awaitDirectory(ctx)
+	for ctx.Err() == nil {
+		n.follow(ctx, recordstore.Stream{Name: recordstore.StreamConfiguration}, follower{
+			wait: n.configurationWait, pause: n.configurationPause, synced: &n.syncedConfiguration,
+			reset:   n.applyConfigurations,
+			change:  n.configurationChanged,
+			current: n.configurationCurrent,
+			over:    func() bool { return n.role() == roleFollower },
+		})
+		wait.For(ctx, rolePause)
+	}
 }
 
+// rolePause is the time between two looks at whether a node that follows others is still
+// to do so.
+const rolePause = 200 * time.Millisecond
+
 // configurationWait is how long a read of the configuration's stream waits. A
 // node that reads no other stream learns from it that the store is reached.
 func (n *Node) configurationWait() time.Duration {
 	if n.provesForZone() || n.lacksProof() {
 		return 0
 	}
-	if len(n.readersToFollow()) > 0 {
+	if n.role() == roleReader {
 		return configurationWaitAlone
 	}
 	return configurationWait
 }
 
 // configurationPause is the least time between two reads of the configuration's stream.
+// While this node lacks a proof it grows: all nodes lack theirs together when the store is
+// slow, and what they ask for would keep it so.
 func (n *Node) configurationPause() time.Duration {
-	if n.provesForZone() {
+	switch {
+	case n.provesForZone():
+		n.unproven.Store(0)
 		return provingPause
+	case !n.lacksProof():
+		n.unproven.Store(0)
+		return configurationPause
+	default:
+		doublings := min(n.unproven.Add(1)-1, unprovenDoublings)
+		return time.Duration((0.5 + n.draw()) * float64(configurationPause<<doublings))
 	}
-	return configurationPause
 }
 
+// unprovenDoublings bounds the growth of the pause between two reads for a proof, at some
+// two seconds: 2,000 nodes then ask a thousand times a second.
+const unprovenDoublings = 5
+
 // followReplicas keeps the replicas up to date, from the store or, in a large
-// fleet, through readers.
+// fleet, through others.
 func (n *Node) followReplicas(ctx context.Context) {
+	n.awaitDirectory(ctx)
 	for ctx.Err() == nil {
+		n.followReaders(ctx)
 		begun := time.Now()
 		n.follow(ctx, recordstore.Stream{Name: recordstore.StreamReplicas}, follower{
 			wait: func() time.Duration { return replicasWait }, pause: func() time.Duration { return replicasPause }, synced: &n.syncedReplicas,
@@ -197,32 +280,34 @@
 			current: n.replicasCurrent,
 			over:    func() bool { return time.Since(begun) > storeTurn && len(n.readersToFollow()) > 0 },
 		})
-		n.followReaders(ctx)
 	}
 }
 
 func (n *Node) resetReplicas(records []recordstore.Record, _ uint64) {
+	n.replicas.setTotal(0)
+	n.holdsAll.Store(true)
 	listed := make(map[replica.ID]bool, len(records))
+	changed := 0
 	for _, record := range records {
+		if n.takeListed(record) {
+			changed++
+		}
 		if len(record.Value) > 0 {
 			listed[replica.ID(record.Key)] = true
 		}
-		n.applyReplica(record.Key, record.Value)
-	}
-	for _, entry := range n.replicas.entries() {
-		if !listed[entry.ID] {
-			n.unlist(entry.ID, "not in the list")
-		}
 	}
+	removed := n.dropUnlisted(listed, n.unlistQuietly)
+	n.logList("store", len(listed), changed, removed)
 }
 
-// removeUnlisted removes the replicas that another node's list lacks.
-func (n *Node) removeUnlisted(listed map[replica.ID]bool, reason string) {
-	for _, entry := range n.replicas.entries() {
-		if !listed[entry.ID] {
-			n.removeReplica(entry.ID, reason)
+// dropUnlisted drops the replicas that a list lacks, and returns how many were removed.
+func (n *Node) dropUnlisted(listed map[replica.ID]bool, drop func(replica.ID) (removed bool)) (removed int) {
+	for _, id := range n.replicas.ids() {
+		if !listed[id] && drop(id) {
+			removed++
 		}
 	}
+	return removed
 }
 
 // follower takes in a stream: all of it, and each change.
@@ -296,71 +381,3 @@
 		wait.For(ctx, to.pause())
 	}
 }
-
-// followNodes publishes this node's address and learns those of the others.
-func (n *Node) followNodes(ctx context.Context) {
-	n.control.post(coordinator.PeerReceived{Message: coordinator.PeerMessage{From: n.self}})
-	n.greet(n.settings.Seeds)
-	stream := recordstore.Stream{Name: recordstore.StreamNodes}
-	value, err := json.Marshal(n.self)
-	if err != nil {
-		panic(err)
-	}
-	published := false
-	for ctx.Err() == nil {
-		pause := nodesPeriod
-		if !published {
-			published = n.publish(ctx, stream, value)
-		}
-		records, _, err := n.readNewest(ctx, stream)
-		if err == nil {
-			n.control.post(coordinator.Listed{Nodes: n.decodeNodes(records)})
-		}
-		if err != nil || !published {
-			pause = appendRetryMost
-		}
-		wait.For(ctx, pause)
-	}
-}
-
-func (n *Node) publish(ctx context.Context, stream recordstore.Stream, value []byte) bool {
-	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	records := []recordstore.Record{{Key: n.settings.Node, Value: value}}
-	err := n.adapter.Store.Append(callCtx, stream, recordstore.Writer{}, records)
-	n.noteStore(err)
-	return err == nil
-}
-
-// decodeNodes reads the nodes' records. One that is not understood is another version's
-// and passed over: its node is learned of through its peers.
-func (n *Node) decodeNodes(records []recordstore.Record) []machine.Machine {
-	var nodes []machine.Machine
-	for _, record := range records {
-		if len(record.Value) == 0 {
-			continue
-		}
-		var node machine.Machine
-		if err := json.Unmarshal(record.Value, &node); err != nil {
-			n.logger.Warn().Str("record", record.Key).Err(err).Msg("nodes: record not understood")
-			continue
-		}
-		nodes = append(nodes, node)
-	}
-	return nodes
-}
-
-// greet tells peers that are known by address alone of this node. They answer
-// with statuses.
-func (n *Node) greet(addresses []string) {
-	for _, address := range addresses {
-		if address == n.settings.Peers {
-			continue
-		}
-		status := &coordinator.Status{ReachesStore: true, Known: []machine.Machine{n.self}}
-		n.peers.send(coordinator.Outbound{
-			To:      machine.Machine{ID: machine.ID(address), Address: address},
-			Message: coordinator.PeerMessage{From: n.self, Status: status},
-		})
-	}
-}
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"birchwood.example/birchwood/coordinator"
-	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/recordstore"
 	"birchwood.example/birchwood/routing"
 	"birchwood.example/birchwood/tenant"
@@ -183,11 +181,11 @@
 // provesForZone reports whether the other nodes of the zone have their proofs from this
 // one.
 func (n *Node) provesForZone() bool {
-	readers := n.readers.Load()
-	if !n.needsProofs() || readers == nil || !n.settings.uses(ProvePeers) {
+	roles := n.roles.Load()
+	if !n.needsProofs() || roles == nil || !n.settings.uses(ProvePeers) {
 		return false
 	}
-	return slices.ContainsFunc(*readers, func(reader machine.Machine) bool { return reader.ID == n.self.ID })
+	return names(roles.Readers, n.self.ID)
 }
 
 // proofLate is the age of a proof from which on a node reads the configuration without
--- a/edge/keys_test.go
+++ b/edge/keys_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"birchwood.example/birchwood/coordinator"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/routing"
 	"birchwood.example/birchwood/tenant"
@@ -54,7 +55,7 @@
 	g.Expect(node.configurationWait()).To(BeZero(), "no proof yet")
 	node.proof.note(time.Now().Add(time.Hour))
 	g.Expect(node.configurationWait()).To(Equal(configurationWait))
-	node.readers.Store(&[]machine.Machine{{ID: "n"}})
+	node.roles.Store(&coordinator.Roles{Readers: []machine.Machine{{ID: "n"}}})
 	g.Expect(node.configurationWait()).To(BeZero())
 	g.Expect(node.configurationPause()).To(Equal(provingPause))
 	alone := keyNode(g, Settings{Without: []Mechanism{ProvePeers}}, true)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -60,6 +60,7 @@
 	metricTakenBytes = "birchwood_edge_takeover_bytes_total"
 	metricKept       = "birchwood_edge_kept_bytes"
 	metricFull       = "birchwood_edge_store_full_total"
+	metricUnusable   = "birchwood_edge_replica_entries_refused_total"
 	metricTrims      = "birchwood_edge_store_trims_total"
 )
 
@@ -144,6 +145,9 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", metricTrims, outcome)).Inc()
 }
 
+// entryRefused counts an entry of the list that names no replica to use.
+func (m *Metrics) entryRefused() { m.set.GetOrCreateCounter(metricUnusable).Inc() }
+
 // callRepeated counts a call sent again because its answer was late.
 func (m *Metrics) callRepeated() { m.repeats.Inc() }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -72,10 +72,25 @@
 	// The streams that were read whole.
 	syncedConfiguration atomic.Bool
 	syncedReplicas      atomic.Bool
-	// readers are the nodes of this zone that follow the replicas in the store.
-	readers atomic.Pointer[[]machine.Machine]
-	// following is set while this node follows one of them.
+	// roles are what nodes do for others in a large fleet.
+	roles atomic.Pointer[coordinator.Roles]
+	// following is set while this node follows another one, and relayedAt is when that
+	// one answered last, in nanoseconds since started.
 	following atomic.Bool
+	relayedAt atomic.Int64
+	// holdsAll says that this node holds all replicas that the store lists, and not a
+	// part of them.
+	holdsAll atomic.Bool
+	// unproven counts the reads in a row that brought no proof in time.
+	unproven atomic.Int64
+	// unusable are the entries of the list that name no replica to use.
+	unusable unusableEntries
+	// listed is closed once this node has the list of nodes.
+	listed     chan struct{}
+	listedOnce sync.Once
+	// watching ends the read by which a follower notes that the store is reached; nil
+	// while there is none.
+	watching atomic.Pointer[context.CancelFunc]
 	// liveNodes is how many nodes are live, this one included.
 	liveNodes atomic.Int32
 	// isolatedSince is since when the node has reached neither the store nor most of
@@ -133,7 +148,9 @@
 		started:   now,
 		withheld:  withheldFields(adapter.Names),
 		failed:    make(chan error, 4),
+		listed:    make(chan struct{}),
 	}
+	node.replicas.forget = node.pool.Forget
 	node.ctx, node.cancel = context.WithCancel(context.Background())
 	coreRandom := rand.New(rand.NewPCG(seed+1, uint64(now.UnixNano())))
 	core, err := coordinator.New(now, coreConfig(settings, node.self, coreRandom))
@@ -317,6 +334,3 @@
 	}
 	return right
 }
-
-// reachesStore reports whether the store answered lately.
-func (n *Node) reachesStore() bool { return n.store.reached(time.Now()) }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -150,10 +150,17 @@
 	Evacuations evacuation.Snapshot `json:"evacuations"`
 }
 
-// state asks a peer for the configuration and the replicas that it knows.
-func (p *peers) state(ctx context.Context, from machine.Machine) (peerState, error) {
+// withoutReplicas is what a question for a peer's state ends with that wants none.
+const withoutReplicas = "?replicas=none"
+
+// state asks a peer for the configuration that it knows, and for the replicas if wanted.
+func (p *peers) state(ctx context.Context, from machine.Machine, replicas bool) (peerState, error) {
 	var state peerState
-	err := p.client(from.Address).Do(ctx, fasthttp.MethodGet, pathState, nil, &state)
+	path := pathState
+	if !replicas {
+		path += withoutReplicas
+	}
+	err := p.client(from.Address).Do(ctx, fasthttp.MethodGet, path, nil, &state)
 	return state, err
 }
 
@@ -164,6 +171,7 @@
 	routes.POST(pathRequest, p.receiveRequest)
 	routes.GET(pathState, p.receiveState)
 	routes.GET(pathReplicas, p.receiveReplicas)
+	routes.GET(pathNodes, p.receiveNodes)
 	server := &fasthttp.Server{
 		Handler: routes.Handler, MaxRequestBodySize: peerBodyBytes, NoDefaultServerHeader: true, CloseOnShutdown: true,
 		Logger: silent{},
@@ -213,11 +221,15 @@
 func (p *peers) receiveState(ctx *fasthttp.RequestCtx) {
 	// The age goes first: a configuration that is read after it is no older.
 	age, proven := p.node.proof.age(time.Now())
-	writeJSON(ctx, peerState{
-		Configuration: p.node.config.raw(), Replicas: p.node.replicas.entries(),
-		Proven: proven, ProofAgeMS: age.Milliseconds() + 1,
+	state := peerState{
+		Configuration: p.node.config.raw(),
+		Proven:        proven, ProofAgeMS: age.Milliseconds() + 1,
 		Evacuations: p.node.evacuations.snapshot(time.Now()),
-	})
+	}
+	if !ctx.QueryArgs().Has("replicas") {
+		state.Replicas = p.node.replicas.entries()
+	}
+	writeJSON(ctx, state)
 }
 
 func writeJSON(ctx *fasthttp.RequestCtx, value any) {
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -13,6 +13,11 @@
 // peerStatePeriod is how often a node that is cut off asks a peer.
 const peerStatePeriod = 500 * time.Millisecond
 
+// followerFetchPause is how long a follower that hears of a newer configuration waits for
+// its reader to bring it: well within the least time that operators give for one to be in
+// force, and long enough for two questions.
+const followerFetchPause = 800 * time.Millisecond
+
 // followPeers has a node that alone is cut off from the store learn the
 // configuration and the replicas from a peer.
 func (n *Node) followPeers(ctx context.Context) {
@@ -38,14 +43,16 @@
 // takeState takes over what a peer knows.
 func (n *Node) takeState(ctx context.Context, from machine.Machine) {
 	asked := time.Now()
-	state, err := n.peers.state(ctx, from)
+	// In a large fleet each node holds a part of the replicas, of a reader.
+	replicas := !n.reachesStore() && !n.large()
+	state, err := n.peers.state(ctx, from, replicas)
 	if err != nil {
 		n.logger.Info().Str("peer", string(from.ID)).Err(err).Msg("peers: state not learned")
 		return
 	}
 	n.adoptEvacuations(from, asked, state.Evacuations)
 	n.takeConfiguration(from, asked, &state)
-	if n.reachesStore() || len(state.Replicas) == 0 {
+	if !replicas || n.reachesStore() || len(state.Replicas) == 0 {
 		return
 	}
 	listed := make(map[replica.ID]bool, len(state.Replicas))
@@ -53,7 +60,7 @@
 		listed[entry.ID] = true
 		n.replicas.put(entry)
 	}
-	n.removeUnlisted(listed, "not in a peer's list")
+	n.dropUnlisted(listed, n.removeQuietly)
 }
 
 // takeConfiguration takes over a peer's configuration, and its proof that this was the
@@ -84,9 +91,15 @@
 	}
 	n.config.fetching = true
 	n.run(func(ctx context.Context) {
+		if n.role() == roleFollower {
+			// A follower has it of its reader, as a rule sooner.
+			wait.For(ctx, followerFetchPause)
+		}
 		callCtx, cancel := context.WithTimeout(ctx, peerStatePeriod)
 		defer cancel()
-		n.takeState(callCtx, from)
+		if version > n.configVersion() || evacuations > n.evacuations.version() {
+			n.takeState(callCtx, from)
+		}
 		n.config.mutex.Lock()
 		n.config.fetching = false
 		n.config.mutex.Unlock()
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -3,34 +3,50 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"math/rand/v2"
+	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"birchwood.example/birchwood/evacuation"
+	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/retry"
 )
 
-// In a large fleet most nodes follow the replicas through readers: a few nodes of
-// their zone that follow the store. Replicas write there all the time, and what
-// all nodes would read of that grows with nodes times replicas.
+// In a large fleet most nodes follow the replicas and the configuration through others,
+// by reads that wait for a change. Each holds the part of the replicas that is its
+// group's; sources and readers hold all.
 const (
 	pathReplicas = "/peer/replicas"
-	// relayAbove is the product of nodes and replicas from which on nodes follow
-	// readers.
-	relayAbove = 40_000
-	// relayWait is how long a reader holds an answer that brings no change, and
-	// relaySlack how much later the answer may come.
+	// relayWait is how long an answer that brings no change is held for a follower, and
+	// sourceWait for a reader, whose followers count the age of its list on top.
 	relayWait  = 700 * time.Millisecond
+	sourceWait = 300 * time.Millisecond
+	// relaySlack is how much later such an answer may come.
 	relaySlack = 300 * time.Millisecond
-	// relayAge is the age of a reader's list from which on it is not followed.
+	// firstPatience is how much later a first answer may come, which holds all of a
+	// part: a reader with a slow link sends those of a hundred followers in that time.
+	firstPatience = 8 * time.Second
+	// gatherChanges is how long a reader waits for further changes after one, so that
+	// many that come close together cost its followers one answer.
+	gatherChanges = 100 * time.Millisecond
+	// relayAge is the age of a list from which on another reader is looked for.
 	relayAge = 1300 * time.Millisecond
 	// storeTurn is how long a node follows the store that no reader serves.
 	storeTurn = 1500 * time.Millisecond
+	// strandedAfter is how long a follower looks for a reader until it reads the store
+	// itself: all followers at once would take the store's whole capacity, and their
+	// readers are ranked anew sooner.
+	strandedAfter = 8 * time.Second
 	// maximumRelayWait bounds the wait that another node may ask for.
 	maximumRelayWait = 5 * time.Second
+	// readerPauseFirst and readerPauseMost space the questions while no reader serves.
+	readerPauseFirst = 50 * time.Millisecond
+	readerPauseMost  = time.Second
 )
 
 // relayAnswer is a reader's answer: the changes since the number that was asked
@@ -45,6 +61,68 @@
 	// AgeMS is how long ago the reader's list was that of the store, in
 	// milliseconds.
 	AgeMS int64 `json:"age_ms"`
+	// Total is how many replicas the store lists.
+	Total int `json:"total,omitempty"`
+	// Configuration is the newest that the reader has, where the follower's is older.
+	Configuration *rawConfiguration `json:"configuration,omitempty"`
+	// Proven says that the configuration was proven to be the newest, ProofAgeMS
+	// milliseconds before this answer.
+	Proven     bool  `json:"proven,omitempty"`
+	ProofAgeMS int64 `json:"proof_age_ms,omitempty"`
+	// Evacuations is what the reader knows of evacuated zones.
+	Evacuations *evacuation.Snapshot `json:"evacuations,omitempty"`
+}
+
+func (a *relayAnswer) age() time.Duration { return time.Duration(a.AgeMS) * time.Millisecond }
+
+// relayQuestion is what a follower asks a reader.
+type relayQuestion struct {
+	// life and since are where the follower stands; life 0 asks for the whole list.
+	life, since uint64
+	wait        time.Duration
+	// part says that the follower is of a group, and holds its part alone.
+	part  bool
+	group replica.Group
+	// version is that of the follower's configuration, and evacuations that of what it
+	// knows of evacuated zones.
+	version, evacuations uint64
+	// ageOnly asks for nothing but the age of the list.
+	ageOnly bool
+}
+
+func (q *relayQuestion) path() string {
+	query := url.Values{
+		"life": {strconv.FormatUint(q.life, 10)}, "since": {strconv.FormatUint(q.since, 10)},
+		"wait": {strconv.FormatInt(q.wait.Milliseconds(), 10)}, "version": {strconv.FormatUint(q.version, 10)},
+		"evacuations": {strconv.FormatUint(q.evacuations, 10)},
+	}
+	if q.part {
+		query.Set("zone", q.group.Zone)
+		query.Set("group", strconv.Itoa(q.group.Number))
+	}
+	if q.ageOnly {
+		query.Set("age", "only")
+	}
+	return pathReplicas + "?" + query.Encode()
+}
+
+// parseRelayQuestion reads a question. A node of an earlier version asks without a
+// group, and gets all replicas.
+func parseRelayQuestion(query *fasthttp.Args) (relayQuestion, error) {
+	var q relayQuestion
+	var lifeErr, sinceErr, waitErr, groupErr error
+	q.life, lifeErr = strconv.ParseUint(string(query.Peek("life")), 10, 64)
+	q.since, sinceErr = strconv.ParseUint(string(query.Peek("since")), 10, 64)
+	milliseconds, waitErr := query.GetUint("wait")
+	q.wait = min(time.Duration(milliseconds)*time.Millisecond, maximumRelayWait)
+	if q.part = query.Has("zone"); q.part {
+		q.group.Zone = string(query.Peek("zone"))
+		q.group.Number, groupErr = query.GetUint("group")
+	}
+	q.version = uint64(query.GetUintOrZero("version"))
+	q.evacuations = uint64(query.GetUintOrZero("evacuations"))
+	q.ageOnly = query.Has("age")
+	return q, errors.Join(lifeErr, sinceErr, waitErr, groupErr)
 }
 
 // noteListed notes how old the list of replicas is.
@@ -57,108 +135,238 @@
 	return time.Since(n.started) - time.Duration(n.listedAt.Load())
 }
 
-// readersToFollow returns the readers that this node follows, or none where it
-// follows the store itself.
-func (n *Node) readersToFollow() []machine.Machine {
-	readers := n.readers.Load()
-	if readers == nil || !n.settings.uses(FollowReaders) || int(n.liveNodes.Load())*n.replicas.count() < n.settings.relayAbove() {
-		return nil
-	}
-	for _, reader := range *readers {
-		if reader.ID == n.self.ID {
-			return nil
-		}
-	}
-	return *readers
+// relay is where a node stands that follows a reader.
+type relay struct {
+	reader machine.Machine
+	turn   int
+	// life and next are where it stands at the reader; 0 asks for the whole list.
+	life, next uint64
+	group      int
+	// failures counts the questions in a row without an answer.
+	failures int
+	// servedAt is when a reader answered last.
+	servedAt time.Time
 }
 
-func (s *Settings) relayAbove() int {
-	if s.RelayAbove > 0 {
-		return s.RelayAbove
-	}
-	return relayAbove
+// leave has the next question go to the next reader.
+func (r *relay) leave() {
+	r.turn++
+	r.life, r.next = 0, 0
 }
 
 // followReaders follows the replicas through readers for as long as that is the
 // way of this node and one of them serves.
 func (n *Node) followReaders(ctx context.Context) {
 	defer n.following.Store(false)
-	var life, next uint64
-	turn, failures := 0, 0
+	at := relay{servedAt: time.Now()}
+	backoff := n.backoffOf(readerPauseFirst, readerPauseMost)
 	for ctx.Err() == nil {
 		readers := n.readersToFollow()
-		if len(readers) == 0 || failures > len(readers) {
+		if len(readers) == 0 || n.stranded(&at, len(readers)) {
 			return
 		}
-		reader := readers[turn%len(readers)]
-		answer, err := n.askReader(ctx, reader, life, next)
-		if err != nil || time.Duration(answer.AgeMS)*time.Millisecond > relayAge {
-			n.logger.Warn().Str("reader", string(reader.ID)).Int64("age", answer.AgeMS).Err(err).Msg("replicas: reader not followed")
-			turn++
-			failures++
-			life, next = 0, 0
+		at.reader = readers[at.turn%len(readers)]
+		if group := n.ownGroup(); group != at.group {
+			at.group, at.life, at.next = group, 0, 0
+		}
+		question := n.relayQuestion(&at)
+		asked := time.Now()
+		answer, err := n.askReader(ctx, at.reader, question)
+		if err != nil {
+			n.logger.Warn().Str("reader", string(at.reader.ID)).Int("failures", at.failures).Err(err).Msg("replicas: reader not followed")
+			at.failures++
+			at.leave()
+			if at.failures%len(readers) == 0 {
+				wait.For(ctx, backoff.Next())
+			}
 			continue
 		}
-		failures = 0
-		life, next = answer.Life, answer.Next
-		n.takeRelay(answer)
-		n.noteFollowing(reader)
+		backoff.Reset()
+		at.failures, at.servedAt = 0, time.Now()
+		n.relayedAt.Store(int64(time.Since(n.started)))
+		at.life, at.next = answer.Life, answer.Next
+		n.takeRelay(at.reader, asked, question.part, &answer)
+		n.noteFollowing(at.reader)
+		if answer.age() > relayAge && n.fresherReader(ctx, &at, readers, answer.age()) {
+			at.life, at.next = 0, 0
+		}
+	}
+}
+
+// stranded reports whether no reader has served for so long that this node is to read
+// the store itself. Readers do that as soon as no source serves; followers of which there
+// are many wait, each a little longer or shorter than the others.
+func (n *Node) stranded(at *relay, readers int) bool {
+	if at.failures <= readers {
+		return false
+	}
+	if n.role() == roleReader {
+		return true
+	}
+	patience := strandedAfter + time.Duration(n.draw()*float64(strandedAfter))
+	return time.Since(at.servedAt) > patience
+}
+
+// fresherReader looks for a reader whose list is younger, and turns to it. While the store
+// is down for all there is none, and the follower stays where it is.
+func (n *Node) fresherReader(ctx context.Context, at *relay, readers []machine.Machine, age time.Duration) bool {
+	for offset := 1; offset < len(readers); offset++ {
+		other := readers[(at.turn+offset)%len(readers)]
+		answer, err := n.askReader(ctx, other, relayQuestion{ageOnly: true})
+		if err == nil && answer.age() < age-relayAge/2 {
+			n.logger.Info().Str("reader", string(at.reader.ID)).Dur("age", age).Str("next", string(other.ID)).
+				Dur("its", answer.age()).Msg("replicas: reader's list is old")
+			at.turn += offset
+			return true
+		}
 	}
+	wait.For(ctx, readerPauseMost)
+	return false
+}
+
+// relayQuestion returns the next question to a reader.
+func (n *Node) relayQuestion(at *relay) relayQuestion {
+	question := relayQuestion{life: at.life, since: at.next, evacuations: n.evacuations.version(), version: n.configVersion()}
+	question.wait = sourceWait
+	if n.role() == roleFollower {
+		question.wait = relayWait
+		question.part, question.group = true, replica.Group{Zone: n.settings.Zone, Number: at.group}
+	}
+	return question
+}
+
+func (n *Node) configVersion() uint64 {
+	if table := n.routes.Current(); table != nil {
+		return table.Version
+	}
+	return 0
 }
 
 // noteFollowing writes when this node begins to follow a reader.
 func (n *Node) noteFollowing(reader machine.Machine) {
 	if !n.following.Swap(true) {
-		n.logger.Info().Str("reader", string(reader.ID)).Msg("replicas: following a reader")
+		n.logger.Info().Str("reader", string(reader.ID)).Int("replicas", n.replicas.count()).Int("listed", n.replicas.total()).
+			Msg("replicas: following a reader")
 	}
 }
 
 // FollowsReader reports whether the node follows the replicas through another.
 func (n *Node) FollowsReader() bool { return n.following.Load() }
 
-// askReader asks a reader for what has changed.
-func (n *Node) askReader(ctx context.Context, reader machine.Machine, life, since uint64) (relayAnswer, error) {
-	callCtx, cancel := context.WithTimeout(ctx, relayWait+relaySlack)
+// askReader asks a reader for what has changed. A first answer is waited for long: given up
+// and asked for again it would be sent in vain.
+func (n *Node) askReader(ctx context.Context, reader machine.Machine, question relayQuestion) (relayAnswer, error) {
+	patience := question.wait + relaySlack
+	if question.life == 0 && !question.ageOnly {
+		patience = firstPatience
+	}
+	callCtx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	var answer relayAnswer
-	path := fmt.Sprintf("%s?life=%d&since=%d&wait=%d", pathReplicas, life, since, relayWait.Milliseconds())
-	err := n.peers.client(reader.Address).Do(callCtx, fasthttp.MethodGet, path, nil, &answer)
+	err := n.peers.client(reader.Address).Do(callCtx, fasthttp.MethodGet, question.path(), nil, &answer)
 	return answer, err
 }
 
-// takeRelay takes over a reader's answer.
-func (n *Node) takeRelay(answer relayAnswer) {
+// takeRelay takes over a reader's answer about all replicas, or a part.
+func (n *Node) takeRelay(reader machine.Machine, asked time.Time, part bool, answer *relayAnswer) {
+	n.takeRelayedConfiguration(reader, asked, answer)
+	n.replicas.setTotal(answer.Total)
 	listed := make(map[replica.ID]bool, len(answer.Changes))
+	changes := 0
 	for _, change := range answer.Changes {
-		if change.Entry == nil {
+		switch {
+		case change.Entry == nil:
 			n.removeReplica(change.Gone, "gone from the reader's list")
-			continue
+		case answer.Whole:
+			listed[change.Entry.ID] = true
+			if n.replicas.put(*change.Entry) {
+				changes++
+			}
+		default:
+			n.putReplica(*change.Entry)
 		}
-		listed[change.Entry.ID] = true
-		n.putReplica(*change.Entry)
 	}
 	if answer.Whole {
-		n.removeUnlisted(listed, "not in the reader's list")
+		n.holdsAll.Store(!part)
+		removed := n.dropUnlisted(listed, n.removeQuietly)
+		n.logList("reader "+string(reader.ID), len(listed), changes, removed)
+		n.syncedReplicas.Store(true)
+	}
+	n.noteListed(answer.age())
+}
+
+// takeRelayedConfiguration takes over a reader's configuration, its proof that this is the
+// newest, and its word of evacuated zones.
+func (n *Node) takeRelayedConfiguration(reader machine.Machine, asked time.Time, answer *relayAnswer) {
+	if answer.Evacuations != nil {
+		n.adoptEvacuations(reader, asked, *answer.Evacuations)
+	}
+	if raw := answer.Configuration; raw != nil {
+		n.applyConfiguration(raw.Key, raw.Value, "reader "+string(reader.ID))
+	}
+	if n.routes.Current() == nil {
+		return
+	}
+	n.syncedConfiguration.Store(true)
+	if answer.Proven {
+		n.noteProof(asked.Add(-time.Duration(answer.ProofAgeMS) * time.Millisecond))
 	}
-	n.noteListed(time.Duration(answer.AgeMS) * time.Millisecond)
 }
 
-// receiveReplicas answers a node that follows this one.
+// backoffOf spaces the retries of one call between two bounds.
+func (n *Node) backoffOf(first, most time.Duration) *retry.Backoff {
+	n.randomMutex.Lock()
+	defer n.randomMutex.Unlock()
+	random := rand.New(rand.NewPCG(n.random.Uint64(), n.random.Uint64()))
+	return &retry.Backoff{Minimum: first, Maximum: most, Random: random}
+}
+
+// receiveReplicas answers a node that follows this one. A node that has not read the list
+// itself has none to pass on.
 func (p *peers) receiveReplicas(ctx *fasthttp.RequestCtx) {
-	query := ctx.QueryArgs()
-	life, lifeErr := strconv.ParseUint(string(query.Peek("life")), 10, 64)
-	since, sinceErr := strconv.ParseUint(string(query.Peek("since")), 10, 64)
-	milliseconds, waitErr := query.GetUint("wait")
-	if err := errors.Join(lifeErr, sinceErr, waitErr); err != nil {
+	question, err := parseRelayQuestion(ctx.QueryArgs())
+	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	wait := time.Duration(milliseconds) * time.Millisecond
 	node := p.node
+	if !node.holdsAll.Load() {
+		ctx.Error("the whole list of replicas was not read here", fasthttp.StatusServiceUnavailable)
+		return
+	}
 	own := node.self.Incarnation
-	if life == own {
-		node.replicas.await(node.ctx, since, min(wait, maximumRelayWait))
+	known := question.life == own
+	if question.ageOnly {
+		writeJSON(ctx, relayAnswer{Life: own, AgeMS: node.listAge().Milliseconds()})
+		return
+	}
+	if known {
+		node.awaitRelay(&question)
+	}
+	answer := relayAnswer{Life: own}
+	// The age and the proof go first: what is read after them is no older.
+	age, proven := node.proof.age(time.Now())
+	answer.Proven, answer.ProofAgeMS = proven, age.Milliseconds()+1
+	answer.AgeMS = node.listAge().Milliseconds()
+	if question.version < node.configVersion() {
+		answer.Configuration = node.config.newest()
+	}
+	if question.evacuations < node.evacuations.version() {
+		snapshot := node.evacuations.snapshot(time.Now())
+		answer.Evacuations = &snapshot
+	}
+	answer.Changes, answer.Next, answer.Whole = node.replicas.since(&question, known)
+	answer.Total = node.replicas.total()
+	writeJSON(ctx, answer)
+}
+
+// awaitRelay waits until there is news for a follower, or its time is up.
+func (n *Node) awaitRelay(question *relayQuestion) {
+	until := time.Now().Add(question.wait)
+	for question.version >= n.configVersion() && question.evacuations >= n.evacuations.version() {
+		left := time.Until(until)
+		if left <= 0 || n.ctx.Err() != nil || n.replicas.await(n.ctx, question, left) {
+			return
+		}
 	}
-	changes, next, whole := node.replicas.since(since, life == own)
-	writeJSON(ctx, relayAnswer{Life: own, Next: next, Whole: whole, Changes: changes, AgeMS: node.listAge().Milliseconds()})
 }
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	pause "birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/routing"
 	"birchwood.example/birchwood/upstream"
@@ -16,15 +17,32 @@
 	mutex sync.Mutex
 	set   *replica.Set
 	feed  replica.Feed
+	// views are the parts of the list that followers have asked for lately.
+	views map[replica.Group]*view
+	// forget is told what to keep no connections to; nil in tests of the list alone.
+	forget func(upstream.Target)
+	// listed is how many replicas the store lists, as a reader told; 0 where this
+	// node holds all itself.
+	listed int
 	// changed is closed and replaced at each change of the list.
 	changed chan struct{}
 }
 
+// view is a part of the list with when it was asked for, and chosen, last.
+type view struct {
+	*replica.View
+	askedAt  time.Time
+	chosenAt time.Time
+}
+
+// viewLifetime is for how long a part is kept up to date that nobody asks for.
+const viewLifetime = 10 * time.Second
+
 func newReplicas(settings *Settings) *replicas {
 	config := replica.DefaultConfig(settings.Zone)
 	config.Regions, config.LeaveWithin = settings.Regions, settings.LeaveWithin
 	config.Without = partsWithout(settings)
-	return &replicas{set: replica.NewSet(config), changed: make(chan struct{})}
+	return &replicas{set: replica.NewSet(config), views: make(map[replica.Group]*view), changed: make(chan struct{})}
 }
 
 // partsWithout returns the parts of the choice that are switched off.
@@ -78,57 +96,137 @@
 	r.set.SetEvacuated(zones)
 }
 
+// put takes over a replica's entry. No connections are kept to a former process of the
+// replica, or to its former address.
 func (r *replicas) put(entry replica.Entry) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	before, known := r.set.Lookup(entry.ID)
 	changed := r.set.Put(time.Now(), entry)
-	if changed {
-		r.tell(replica.Change{Entry: &entry})
+	if !changed {
+		return false
 	}
-	return changed
+	after, _ := r.set.Lookup(entry.ID)
+	if known && r.forget != nil && (after.Incarnation != before.Incarnation || after.Address != before.Address) {
+		r.forget(targetOf(before))
+	}
+	r.tell(replica.Change{Entry: &entry})
+	return true
 }
 
 // tell has those that follow this node's list hear of a change. The mutex is
 // held.
 func (r *replicas) tell(change replica.Change) {
 	r.feed.Add(change)
+	for _, one := range r.views {
+		one.Note(change)
+	}
+	r.wakeFollowers()
+}
+
+// wakeFollowers has the followers that wait look for news. The mutex is held.
+func (r *replicas) wakeFollowers() {
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
-// await returns once there are changes from a number on, or the time is up.
-func (r *replicas) await(ctx context.Context, since uint64, wait time.Duration) {
+// wake has the followers that wait look for news other than replicas.
+func (r *replicas) wake() {
 	r.mutex.Lock()
-	waiting, changed := r.feed.Next() == since, r.changed
+	defer r.mutex.Unlock()
+	r.wakeFollowers()
+}
+
+// await waits for changes of the list, or until the time is up. It reports whether there
+// are some for the follower.
+func (r *replicas) await(ctx context.Context, question *relayQuestion, wait time.Duration) (news bool) {
+	r.mutex.Lock()
+	news = r.nextOf(question) != question.since
+	changed := r.changed
 	r.mutex.Unlock()
-	if !waiting {
-		return
+	if news {
+		return true
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-changed:
+		pause.For(ctx, min(wait, gatherChanges))
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	return false
+}
+
+// nextOf returns the number of the next change of what a follower holds. The mutex is
+// held.
+func (r *replicas) nextOf(question *relayQuestion) uint64 {
+	if !question.part {
+		return r.feed.Next()
+	}
+	return r.viewOf(question.group).Next()
 }
 
-// since returns the changes from a number on, or the whole list where they are
-// not known, and the number to ask for next.
-func (r *replicas) since(number uint64, known bool) (changes []replica.Change, next uint64, whole bool) {
+// viewOf returns the part of a group, chosen anew where replicas came or went. The mutex
+// is held.
+func (r *replicas) viewOf(group replica.Group) *view {
+	now := time.Now()
+	found := r.views[group]
+	if found == nil {
+		found = &view{View: replica.NewView(r.set, group), chosenAt: now}
+		r.views[group] = found
+	}
+	found.askedAt = now
+	if now.Sub(found.chosenAt) >= gatherChanges {
+		found.chosenAt = now
+		found.Refresh(now, r.set)
+	}
+	for other, one := range r.views {
+		if now.Sub(one.askedAt) > viewLifetime {
+			delete(r.views, other)
+		}
+	}
+	return found
+}
+
+// since returns what changed for a follower since it asked last, or all that it is to
+// hold where that is not known, and the number to ask for next.
+func (r *replicas) since(question *relayQuestion, known bool) (changes []replica.Change, next uint64, whole bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	now := time.Now()
+	if question.part {
+		changes, next, whole = r.viewOf(question.group).Since(now, r.set, question.since, known)
+		if !whole {
+			changes = r.renewCold(changes)
+		}
+		return changes, next, whole
+	}
 	if known {
-		if kept, found := r.feed.Since(number); found {
+		if kept, found := r.feed.Since(question.since); found {
 			return r.renewCold(kept), r.feed.Next(), false
 		}
 	}
-	for _, entry := range r.set.Entries(time.Now()) {
+	for _, entry := range r.set.Entries(now) {
 		changes = append(changes, replica.Change{Entry: &entry})
 	}
 	return changes, r.feed.Next(), true
 }
 
+// setTotal notes how many replicas the store lists, as a reader told.
+func (r *replicas) setTotal(total int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.listed = total
+}
+
+// total returns how many replicas the store lists, as far as this node knows.
+func (r *replicas) total() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return max(r.listed, r.set.Count())
+}
+
 // doubt keeps a replica that is not listed for a while, if it may live.
 func (r *replicas) doubt(id replica.ID, until time.Time) bool {
 	r.mutex.Lock()
@@ -160,6 +258,13 @@
 	return entry, known
 }
 
+// ids returns the ids of all replicas, in no order.
+func (r *replicas) ids() []replica.ID {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.set.IDs()
+}
+
 func (r *replicas) entries() []replica.Entry {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- /dev/null
+++ b/edge/storewatch.go
@@ -0,0 +1,109 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/internal/wait"
+	"birchwood.example/birchwood/recordstore"
+)
+
+// A follower reads nothing of the store that tells it whether it still reaches it. It
+// waits at the partition with its own record instead, where hardly anything is written:
+// an answer, or the end of the connection, tells.
+const (
+	// heirWait is how long a node waits there that may have to take a partition over, and
+	// watchWait how long the others do.
+	heirWait  = 700 * time.Millisecond
+	watchWait = 8 * time.Second
+	// watchPause is the least time between two such reads of the others.
+	watchPause = time.Second
+	// relayTrust is how long after the last answer of a reader a read that still waits
+	// counts as contact with the store: a node that is cut off from all hears neither.
+	relayTrust = 2 * time.Second
+)
+
+// watchNeighbours follows the partition with this node's record for a while, and notes
+// whether the store is reached. Nodes that read other streams learn that from these.
+func (n *Node) watchNeighbours(ctx context.Context, near *neighbours, span time.Duration) {
+	until := time.Now().Add(span)
+	if n.role() != roleFollower || !near.read {
+		wait.Until(ctx, until)
+		return
+	}
+	stream := recordstore.Stream{Name: recordstore.StreamNodes, Partition: n.nodePartition()}
+	backoff := n.backoffOf(appendRetryFirst, joinPauseMost)
+	for ctx.Err() == nil && time.Now().Before(until) {
+		tail, err := n.watchTail(ctx, stream, near.next)
+		switch {
+		case errors.Is(err, context.Canceled):
+			// The node's role has changed, and with it how long it waits.
+		case errors.Is(err, recordstore.ErrGap):
+			near.read = false
+			return
+		case err != nil:
+			wait.For(ctx, backoff.Next())
+		default:
+			backoff.Reset()
+			n.takeNeighbours(near, tail)
+			wait.For(ctx, n.watchPause())
+		}
+	}
+}
+
+// watchTail waits for a record of the partition.
+func (n *Node) watchTail(ctx context.Context, stream recordstore.Stream, next uint64) (recordstore.Tail, error) {
+	patience := watchWait
+	if n.heir() {
+		patience = heirWait
+	}
+	callCtx, cancel := context.WithTimeout(ctx, patience+tailSlack)
+	defer cancel()
+	n.watching.Store(&cancel)
+	n.store.trust(time.Now().Add(patience + tailSlack))
+	tail, err := n.adapter.Store.Tail(callCtx, stream, next, patience)
+	n.watching.Store(nil)
+	if err != nil && ctx.Err() == nil && errors.Is(callCtx.Err(), context.Canceled) {
+		return tail, context.Canceled
+	}
+	if err != nil {
+		n.store.trust(time.Time{})
+	}
+	n.noteStore(err)
+	return tail, err
+}
+
+// takeNeighbours takes the records over that were written to the partition.
+func (n *Node) takeNeighbours(near *neighbours, tail recordstore.Tail) {
+	near.next = tail.Next
+	if nodes := n.decodeNodes(tail.Records); len(nodes) > 0 {
+		near.note(nodes)
+		n.control.post(coordinator.Learned{Nodes: nodes})
+	}
+}
+
+func (n *Node) watchPause() time.Duration {
+	if n.heir() {
+		return configurationPause
+	}
+	return watchPause
+}
+
+// heir reports whether this node may have to take a partition over.
+func (n *Node) heir() bool {
+	roles := n.roles.Load()
+	return roles != nil && roles.Heir
+}
+
+// reachesStore reports whether the store answered lately, or a read of it still waits
+// on a node that hears others.
+func (n *Node) reachesStore() bool {
+	now := time.Now()
+	if n.store.reached(now) {
+		return true
+	}
+	heard := now.Sub(n.started) - time.Duration(n.relayedAt.Load())
+	return n.store.trusted(now) && heard < relayTrust
+}
--- a/edge/switches_test.go
+++ b/edge/switches_test.go
@@ -95,8 +95,7 @@
 		node := &Node{settings: settings, replicas: newReplicas(&settings)}
 		node.replicas.put(replica.Entry{ID: "r", Service: "s", Status: replica.StatusReady, Slots: 1})
 		node.liveNodes.Store(9)
-		readers := []machine.Machine{{ID: "reader"}}
-		node.readers.Store(&readers)
+		node.roles.Store(&coordinator.Roles{Readers: []machine.Machine{{ID: "reader"}}})
 		g.Expect(node.readersToFollow()).To(HaveLen(map[bool]int{true: 1, false: 0}[settings.uses(FollowReaders)]))
 	}
 }
--- a/replica/set.go
+++ b/replica/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -253,6 +254,9 @@
 // Count returns how many replicas are known.
 func (s *Set) Count() int { return len(s.byID) }
 
+// IDs returns the ids of all replicas, in no order.
+func (s *Set) IDs() []ID { return slices.Collect(maps.Keys(s.byID)) }
+
 // Lookup returns the entry of a replica.
 func (s *Set) Lookup(id ID) (Entry, bool) {
 	known := s.byID[id]
--- /dev/null
+++ b/replica/view_test.go
@@ -0,0 +1,98 @@
+package replica_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/replica"
+)
+
+// follow applies what a view tells to what a follower holds.
+func follow(held map[replica.ID]replica.Entry, changes []replica.Change, whole bool) {
+	if whole {
+		clear(held)
+	}
+	for _, change := range changes {
+		if change.Entry == nil {
+			delete(held, change.Gone)
+			continue
+		}
+		held[change.Entry.ID] = *change.Entry
+	}
+}
+
+// TestViewSizeDoesNotGrow has a node hold as many replicas of 20,000 as of 10,000, enough of each
+// zone, and all of a small service.
+func TestViewSizeDoesNotGrow(t *testing.T) {
+	g := NewWithT(t)
+	sizes := make(map[int]int)
+	for _, count := range []int{10_000, 20_000} {
+		set := scaleSet(count)
+		for index := range 200 {
+			entry := scaleEntry(count + index)
+			entry.Service = "small"
+			set.Put(time.Unix(1000, 0), entry)
+		}
+		byZone := make(map[string]int)
+		for id := range set.Subset(replica.Group{Zone: "a"}) {
+			entry, _ := set.Lookup(id)
+			byZone[entry.Service+"/"+entry.Zone]++
+			sizes[count]++
+		}
+		g.Expect(byZone["model/a"]).To(Equal(256))
+		g.Expect(byZone["model/b"]).To(Equal(32))
+		g.Expect(byZone["small/b"]).To(Equal(40))
+	}
+	g.Expect(sizes[20_000]).To(Equal(sizes[10_000]))
+}
+
+// TestViewFollowsList has a follower hold what the part of the list is, through replicas
+// that come, drain, go and start again.
+func TestViewFollowsList(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	set := scaleSet(2_000)
+	group := replica.Group{Zone: "b", Number: 1}
+	view := replica.NewView(set, group)
+	held := make(map[replica.ID]replica.Entry)
+	changes, next, whole := view.Since(now, set, 0, false)
+	g.Expect(whole).To(BeTrue())
+	follow(held, changes, whole)
+	for step := range 400 {
+		entry := scaleEntry(step * 37 % 2_000)
+		switch step % 4 {
+		case 0:
+			entry.Status = replica.StatusDraining
+		case 1:
+			entry = scaleEntry(2_000 + step)
+		case 2:
+			entry.Incarnation = uint64(step)
+		}
+		if step%4 == 3 {
+			if _, known := set.Remove(entry.ID); known {
+				view.Note(replica.Change{Gone: entry.ID})
+			}
+		} else if set.Put(now, entry) {
+			view.Note(replica.Change{Entry: &entry})
+		}
+		if step%7 != 0 {
+			continue
+		}
+		view.Refresh(now, set)
+		changes, next, whole = view.Since(now, set, next, true)
+		g.Expect(whole).To(BeFalse())
+		follow(held, changes, whole)
+		for id := range set.Subset(group) {
+			g.Expect(held).To(HaveKey(id), fmt.Sprint(step))
+		}
+		for id, entry := range held {
+			listed, known := set.Lookup(id)
+			g.Expect(known).To(BeTrue(), fmt.Sprint(step))
+			g.Expect(entry.Status).To(Equal(listed.Status))
+			g.Expect(entry.Incarnation).To(Equal(listed.Incarnation))
+		}
+	}
+}
