edge: a node knows its role with the list of nodes, and whole lists are read seldom

Change: the role is worked out with the list; the time between whole reads grows by 10 ms a record; many changes are one line; a lease of keys is logged where there are keys.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -158,6 +158,8 @@
 	case Listed:
 		c.listed = true
 		c.learn(now, event.Nodes)
+		c.ranking.lookedAt = time.Time{}
+		c.rank(now)
 	case Learned:
 		c.learn(now, event.Nodes)
 	case Contact:
--- a/edge/control.go
+++ b/edge/control.go
@@ -228,7 +228,7 @@
 		}
 		entry.Msg(message)
 	}
-	if leased := c.node.leased(); leased != c.leased {
+	if leased := c.node.leased(); c.node.needsProofs() && leased != c.leased {
 		c.leased = leased
 		age, _ := c.node.proof.age(time.Now())
 		entry, message := c.node.logger.Info(), "keys: lease regained"
@@ -249,6 +249,11 @@
 	switch input := input.(type) {
 	case coordinator.Event:
 		c.core.Step(now, input)
+		if _, listed := input.(coordinator.Listed); listed {
+			// Whom this node follows hangs on its role.
+			c.report(now)
+			c.node.noteDirectory()
+		}
 	case question:
 		c.nextID++
 		c.replies[c.nextID] = input.answer
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -215,13 +215,13 @@
 
 // takeNodes takes the list of nodes over.
 func (n *Node) takeNodes(source string, nodes []machine.Machine) {
+	n.logger.Info().Str("source", source).Int("nodes", len(nodes)).Dur("after", time.Since(n.started)).Msg("nodes: list read")
 	n.control.post(coordinator.Listed{Nodes: nodes})
-	n.listedOnce.Do(func() {
-		close(n.listed)
-		n.logger.Info().Str("source", source).Int("nodes", len(nodes)).Dur("after", time.Since(n.started)).Msg("nodes: list read")
-	})
 }
 
+// noteDirectory takes in that this node knows the list of nodes, and its role.
+func (n *Node) noteDirectory() { n.listedOnce.Do(func() { close(n.listed) }) }
+
 // askNodes asks another node for the list.
 func (n *Node) askNodes(ctx context.Context, address, digest string) (string, error) {
 	callCtx, cancel := context.WithTimeout(ctx, listPatience)
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -31,8 +31,11 @@
 	// what was the newest when it was sent, so that these do not wait for a change. Of
 	// six readers, one was answered some 50 ms ago at any time.
 	provingPause = 300 * time.Millisecond
-	// resyncPeriod is how often a stream is read whole again.
-	resyncPeriod = 15 * time.Second
+	// resyncPeriod is how often a stream is read whole again, in case a record was missed
+	// unnoticed, and resyncPerRecord is how much later that is for each of its records: a
+	// whole read of ten thousand takes a second, in which no change is heard.
+	resyncPeriod    = 15 * time.Second
+	resyncPerRecord = 10 * time.Millisecond
 )
 
 // latestConfiguration keeps the newest configuration as it was stored, so that
@@ -349,15 +352,15 @@
 		to.reset(records, next)
 		to.caughtUp(asked)
 		to.synced.Store(true)
-		n.followTail(ctx, stream, next, to)
+		resync := time.Now().Add(resyncPeriod + time.Duration(len(records))*resyncPerRecord)
+		n.followTail(ctx, stream, next, resync, to)
 	}
 }
 
 // followTail reads a stream's tail until a gap, or until it is to be read
 // whole again.
-func (n *Node) followTail(ctx context.Context, stream recordstore.Stream, next uint64, to follower) {
+func (n *Node) followTail(ctx context.Context, stream recordstore.Stream, next uint64, resync time.Time, to follower) {
 	backoff := n.backoff()
-	resync := time.Now().Add(resyncPeriod)
 	for ctx.Err() == nil && !to.done() && time.Now().Before(resync) {
 		patience := to.wait()
 		asked := time.Now()
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -267,32 +267,55 @@
 	return answer, err
 }
 
+// manyChanges is from how many changes in one answer on a line is written for all of them
+// and not for each.
+const manyChanges = 16
+
 // takeRelay takes over a reader's answer about all replicas, or a part.
 func (n *Node) takeRelay(reader machine.Machine, asked time.Time, part bool, answer *relayAnswer) {
 	n.takeRelayedConfiguration(reader, asked, answer)
 	n.replicas.setTotal(answer.Total)
+	if answer.Whole || len(answer.Changes) >= manyChanges {
+		n.takeList(reader, part, answer)
+	} else {
+		n.takeChanges(answer.Changes)
+	}
+	n.noteListed(answer.age())
+}
+
+// takeChanges takes a few changes over.
+func (n *Node) takeChanges(changes []replica.Change) {
+	for _, change := range changes {
+		if change.Entry == nil {
+			n.removeReplica(change.Gone, "gone from the reader's list")
+			continue
+		}
+		n.putReplica(*change.Entry)
+	}
+}
+
+// takeList takes many changes over, or a whole list.
+func (n *Node) takeList(reader machine.Machine, part bool, answer *relayAnswer) {
 	listed := make(map[replica.ID]bool, len(answer.Changes))
-	changes := 0
+	changed, removed := 0, 0
 	for _, change := range answer.Changes {
-		switch {
-		case change.Entry == nil:
-			n.removeReplica(change.Gone, "gone from the reader's list")
-		case answer.Whole:
-			listed[change.Entry.ID] = true
-			if n.replicas.put(*change.Entry) {
-				changes++
+		if change.Entry == nil {
+			if n.removeQuietly(change.Gone) {
+				removed++
 			}
-		default:
-			n.putReplica(*change.Entry)
+			continue
+		}
+		listed[change.Entry.ID] = true
+		if n.replicas.put(*change.Entry) {
+			changed++
 		}
 	}
 	if answer.Whole {
 		n.holdsAll.Store(!part)
-		removed := n.dropUnlisted(listed, n.removeQuietly)
-		n.logList("reader "+string(reader.ID), len(listed), changes, removed)
+		removed += n.dropUnlisted(listed, n.removeQuietly)
 		n.syncedReplicas.Store(true)
 	}
-	n.noteListed(answer.age())
+	n.logList("reader "+string(reader.ID), len(listed), changed, removed)
 }
 
 // takeRelayedConfiguration takes over a reader's configuration, its proof that this is the
--- a/edge/storewatch.go
+++ b/edge/storewatch.go
@@ -29,13 +29,13 @@
 // whether the store is reached. Nodes that read other streams learn that from these.
 func (n *Node) watchNeighbours(ctx context.Context, near *neighbours, span time.Duration) {
 	until := time.Now().Add(span)
-	if n.role() != roleFollower || !near.read {
-		wait.Until(ctx, until)
-		return
-	}
 	stream := recordstore.Stream{Name: recordstore.StreamNodes, Partition: n.nodePartition()}
 	backoff := n.backoffOf(appendRetryFirst, joinPauseMost)
 	for ctx.Err() == nil && time.Now().Before(until) {
+		if n.role() != roleFollower || !near.read {
+			wait.For(ctx, rolePause)
+			continue
+		}
 		tail, err := n.watchTail(ctx, stream, near.next)
 		switch {
 		case errors.Is(err, context.Canceled):
