edge: younger lists at readers, and patience before the store is read

Change: sources pause 200 ms between reads, readers' reads wait for 200 ms, a list is old from 1.5 s on; a reader waits 1 to 2 s for a source before it reads the store.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -26,6 +26,9 @@
 	// configurationPause and replicasPause are the least times between reads.
 	configurationPause = 50 * time.Millisecond
 	replicasPause      = 400 * time.Millisecond
+	// sourcePause is that of the few nodes that read for all others: the age of what
+	// these know begins with it.
+	sourcePause = 200 * time.Millisecond
 	// provingPause is the time between two reads of the readers of a zone while the
 	// configuration holds keys; the others have their proofs from these. A read proves
 	// what was the newest when it was sent, so that these do not wait for a change. Of
@@ -278,7 +281,7 @@
 		n.followReaders(ctx)
 		begun := time.Now()
 		n.follow(ctx, recordstore.Stream{Name: recordstore.StreamReplicas}, follower{
-			wait: func() time.Duration { return replicasWait }, pause: func() time.Duration { return replicasPause }, synced: &n.syncedReplicas,
+			wait: func() time.Duration { return replicasWait }, pause: n.replicasPause, synced: &n.syncedReplicas,
 			reset:   n.resetReplicas,
 			change:  func(record recordstore.Record) { n.applyReplica(record.Key, record.Value) },
 			current: n.replicasCurrent,
@@ -287,6 +290,14 @@
 	}
 }
 
+// replicasPause is the least time between two reads of the replicas' stream.
+func (n *Node) replicasPause() time.Duration {
+	if n.role() == roleSource {
+		return sourcePause
+	}
+	return replicasPause
+}
+
 func (n *Node) resetReplicas(records []recordstore.Record, _ uint64) {
 	n.replicas.setTotal(0)
 	n.holdsAll.Store(true)
--- a/edge/ledgers.go
+++ b/edge/ledgers.go
@@ -63,7 +63,7 @@
 
 // newestTries are those of a stream that is followed. They grow longer: a page that is
 // given up was read in vain, and asked for again it keeps a slow store slow.
-var newestTries = pageTries{attempts: 5, first: appendTimeout, most: 5 * time.Second}
+var newestTries = pageTries{attempts: 3, first: appendTimeout, most: 5 * time.Second}
 
 // readNewest reads all pages of a stream's newest records. The end is that of
 // the first page, so that no later change is missed.
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -26,7 +26,7 @@
 	// relayWait is how long an answer that brings no change is held for a follower, and
 	// sourceWait for a reader, whose followers count the age of its list on top.
 	relayWait  = 700 * time.Millisecond
-	sourceWait = 300 * time.Millisecond
+	sourceWait = 200 * time.Millisecond
 	// relaySlack is how much later such an answer may come.
 	relaySlack = 300 * time.Millisecond
 	// firstPatience is how much later a first answer may come, which holds all of a
@@ -35,14 +35,18 @@
 	// gatherChanges is how long a reader waits for further changes after one, so that
 	// many that come close together cost its followers one answer.
 	gatherChanges = 100 * time.Millisecond
-	// relayAge is the age of a list from which on another reader is looked for.
-	relayAge = 1300 * time.Millisecond
+	// relayAge is the age of a list from which on another reader is looked for: three
+	// times what a source and a reader add to it as a rule, half a second.
+	relayAge = 1500 * time.Millisecond
 	// storeTurn is how long a node follows the store that no reader serves.
 	storeTurn = 1500 * time.Millisecond
 	// strandedAfter is how long a follower looks for a reader until it reads the store
 	// itself: all followers at once would take the store's whole capacity, and their
 	// readers are ranked anew sooner.
 	strandedAfter = 8 * time.Second
+	// readerStrandedAfter is the same for the few readers: a source that starts has read
+	// the whole list in that time.
+	readerStrandedAfter = time.Second
 	// maximumRelayWait bounds the wait that another node may ask for.
 	maximumRelayWait = 5 * time.Second
 	// readerPauseFirst and readerPauseMost space the questions while no reader serves.
@@ -217,17 +221,17 @@
 }
 
 // stranded reports whether no reader has served for so long that this node is to read
-// the store itself. Readers do that as soon as no source serves; followers of which there
-// are many wait, each a little longer or shorter than the others.
+// the store itself. Followers, of which there are many, wait longer for one than readers,
+// and each a little longer or shorter than the others.
 func (n *Node) stranded(at *relay, readers int) bool {
 	if at.failures <= readers {
 		return false
 	}
+	patience := strandedAfter
 	if n.role() == roleReader {
-		return true
+		patience = readerStrandedAfter
 	}
-	patience := strandedAfter + time.Duration(n.draw()*float64(strandedAfter))
-	return time.Since(at.servedAt) > patience
+	return time.Since(at.servedAt) > patience+time.Duration(n.draw()*float64(patience))
 }
 
 // fresherReader looks for a reader whose list is younger, and turns to it. While the store
