edge: a node that starts serves while the list is read, and tells clients when to come back

Change: pages are taken over as they come, and readers pass on what they have, marked as partial; a node that has just started names the time that a start takes.

Ruled out: reading pages side by side (the key of the next page is in the one before).

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -115,6 +115,9 @@
 	wait := comeBackSoon
 	if errors.Is(err, replica.ErrNoReplica) && len(r.excluded) == 0 {
 		wait = comeBackLater
+		if !n.syncedReplicas.Load() {
+			wait = n.comeBackAtStart()
+		}
 	}
 	if errors.Is(err, replica.ErrEvacuated) {
 		wait = comeBackAfterOutage
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -282,6 +282,7 @@
 		begun := time.Now()
 		n.follow(ctx, recordstore.Stream{Name: recordstore.StreamReplicas}, follower{
 			wait: func() time.Duration { return replicasWait }, pause: n.replicasPause, synced: &n.syncedReplicas,
+			page:    n.takePage,
 			reset:   n.resetReplicas,
 			change:  func(record recordstore.Record) { n.applyReplica(record.Key, record.Value) },
 			current: n.replicasCurrent,
@@ -298,6 +299,14 @@
 	return replicasPause
 }
 
+// takePage takes a page of the list over, before the others are read: a node that starts
+// can serve with the first few hundred of ten thousand replicas, a second earlier.
+func (n *Node) takePage(records []recordstore.Record) {
+	for _, record := range records {
+		n.takeListed(record)
+	}
+}
+
 func (n *Node) resetReplicas(records []recordstore.Record, _ uint64) {
 	n.replicas.setTotal(0)
 	n.holdsAll.Store(true)
@@ -333,6 +342,8 @@
 	pause  func() time.Duration
 	reset  func(records []recordstore.Record, end uint64)
 	change func(recordstore.Record)
+	// page, unless it is nil, is called with each page of a whole read as it comes.
+	page func(records []recordstore.Record)
 	// current is called whenever all was taken in that the stream held at a time,
 	// and over ends the following; nil where that does not matter.
 	current func(asOf time.Time)
@@ -343,6 +354,12 @@
 
 func (f *follower) done() bool { return f.over != nil && f.over() }
 
+func (f *follower) takePage(records []recordstore.Record) {
+	if f.page != nil {
+		f.page(records)
+	}
+}
+
 func (f *follower) caughtUp(asOf time.Time) {
 	if f.current != nil {
 		f.current(asOf)
@@ -354,7 +371,7 @@
 	backoff := n.backoff()
 	for ctx.Err() == nil && !to.done() {
 		asked := time.Now()
-		records, next, err := n.readNewest(ctx, stream)
+		records, next, err := n.readPages(ctx, stream, to.takePage)
 		if err != nil {
 			n.logger.Warn().Str("stream", string(stream.Name)).Err(err).Msg("store: stream not read")
 			wait.For(ctx, backoff.Next())
--- a/edge/handle.go
+++ b/edge/handle.go
@@ -35,7 +35,7 @@
 	defer n.logOutcome(request)
 	table := n.routes.Current()
 	if table == nil {
-		request.fail(fasthttp.StatusServiceUnavailable, "no configuration is known yet", comeBackSoon)
+		request.fail(fasthttp.StatusServiceUnavailable, "no configuration is known yet", n.comeBackAtStart())
 		return
 	}
 	request.version = table.Version
--- a/edge/ledgers.go
+++ b/edge/ledgers.go
@@ -68,6 +68,11 @@
 // readNewest reads all pages of a stream's newest records. The end is that of
 // the first page, so that no later change is missed.
 func (n *Node) readNewest(ctx context.Context, stream recordstore.Stream) (records []recordstore.Record, end uint64, err error) {
+	return n.readPages(ctx, stream, func([]recordstore.Record) {})
+}
+
+// readPages is readNewest, and hands each page over as it comes.
+func (n *Node) readPages(ctx context.Context, stream recordstore.Stream, take func([]recordstore.Record)) (records []recordstore.Record, end uint64, err error) {
 	after := ""
 	for page := 0; ; page++ {
 		read, err := n.readPage(ctx, stream, after, newestTries)
@@ -78,6 +83,7 @@
 			end = read.End
 		}
 		records = append(records, read.Records...)
+		take(read.Records)
 		if !read.More || len(read.Records) == 0 {
 			return records, end, nil
 		}
--- a/edge/readiness.go
+++ b/edge/readiness.go
@@ -2,11 +2,30 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 )
 
+// What a node that starts has read after its start, as a rule: in a small fleet all of the
+// store's lists, in a large one what its reader passes on.
+const (
+	startUsually      = 300 * time.Millisecond
+	startUsuallyLarge = 1500 * time.Millisecond
+)
+
+// comeBackAtStart is when a client that is refused by a node that has just started is to
+// come back. It is here because most nodes start: else the platform sends it to others. A
+// client that comes back sooner uses its few tries up before anybody can serve it.
+func (n *Node) comeBackAtStart() time.Duration {
+	usually := startUsually
+	if n.role() != roleAlone {
+		usually = startUsuallyLarge
+	}
+	return max(usually-time.Since(n.started), comeBackSoon)
+}
+
 // ready reports whether the node can serve clients. One that is cut off cannot:
 // it would refuse turns that other nodes could serve.
 func (n *Node) ready() bool {
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -32,6 +32,8 @@
 	// firstPatience is how much later a first answer may come, which holds all of a
 	// part: a reader with a slow link sends those of a hundred followers in that time.
 	firstPatience = 8 * time.Second
+	// partialPause is the time between two questions to a reader that still reads.
+	partialPause = 300 * time.Millisecond
 	// gatherChanges is how long a reader waits for further changes after one, so that
 	// many that come close together cost its followers one answer.
 	gatherChanges = 100 * time.Millisecond
@@ -60,8 +62,11 @@
 	// Life names the reader's process; numbers of another one mean nothing.
 	Life uint64 `json:"life"`
 	// Next is the number to ask for next.
-	Next    uint64           `json:"next"`
-	Whole   bool             `json:"whole,omitempty"`
+	Next  uint64 `json:"next"`
+	Whole bool   `json:"whole,omitempty"`
+	// Partial says that the reader has not read all of the list yet: what it lacks may
+	// be there.
+	Partial bool             `json:"partial,omitempty"`
 	Changes []replica.Change `json:"changes,omitempty"`
 	// AgeMS is how long ago the reader's list was that of the store, in
 	// milliseconds.
@@ -190,8 +195,15 @@
 		at.failures, at.servedAt = 0, time.Now()
 		n.relayedAt.Store(int64(time.Since(n.started)))
 		at.life, at.next = answer.Life, answer.Next
+		if answer.Partial {
+			at.life, at.next = 0, 0
+		}
 		n.takeRelay(at.reader, asked, question.part, &answer)
 		n.noteFollowing(at.reader)
+		if answer.Partial {
+			wait.For(ctx, partialPause)
+			continue
+		}
 		if answer.age() > relayAge && n.fresherReader(ctx, &at, readers, answer.age()) {
 			at.life, at.next = 0, 0
 		}
@@ -341,8 +353,10 @@
 		}
 	}
 	if answer.Whole {
-		n.holdsAll.Store(!part)
-		removed += n.dropUnlisted(listed, n.removeQuietly)
+		n.holdsAll.Store(!part && !answer.Partial)
+		if !answer.Partial {
+			removed += n.dropUnlisted(listed, n.removeQuietly)
+		}
 		n.syncedReplicas.Store(true)
 	}
 	n.logList("reader "+string(reader.ID), len(listed), changed, removed)
@@ -383,7 +397,8 @@
 		return
 	}
 	node := p.node
-	if !node.holdsAll.Load() {
+	partial := !node.holdsAll.Load()
+	if partial && !node.mayServePart(&question) {
 		ctx.Error("the whole list of replicas was not read here", fasthttp.StatusServiceUnavailable)
 		return
 	}
@@ -396,7 +411,7 @@
 	if known {
 		node.awaitRelay(&question)
 	}
-	answer := relayAnswer{Life: own}
+	answer := relayAnswer{Life: own, Partial: partial}
 	// The age and the proof go first: what is read after them is no older.
 	age, proven := node.proof.age(time.Now())
 	answer.Proven, answer.ProofAgeMS = proven, age.Milliseconds()+1
@@ -413,6 +428,19 @@
 	writeJSON(ctx, answer)
 }
 
+// partialLeast is how many replicas a reader passes on at the least before it has read all:
+// fewer would get the requests of all nodes.
+const partialLeast = 256
+
+// mayServePart reports whether this node, which has not read the whole list, passes on what
+// it has: a source or reader that reads it. A follower holds its own part for good.
+func (n *Node) mayServePart(question *relayQuestion) bool {
+	if question.ageOnly || question.life != 0 || n.role() == roleFollower || n.role() == roleAlone {
+		return false
+	}
+	return n.replicas.count() >= partialLeast
+}
+
 // awaitRelay waits until there is news for a follower, or its time is up.
 func (n *Node) awaitRelay(question *relayQuestion) {
 	until := time.Now().Add(question.wait)
--- a/edge/role_test.go
+++ b/edge/role_test.go
@@ -104,3 +104,18 @@
 		g.Expect(rankDirectory(rotate(near, turn))).To(Equal(first))
 	}
 }
+
+// TestComeBackAtStart tells a client of a node that has just started when it will have what
+// it needs: later in a large fleet, and never at once.
+func TestComeBackAtStart(t *testing.T) {
+	g := NewWithT(t)
+	node := keyNode(g, Settings{}, false)
+	defer node.Kill()
+	node.started = time.Now()
+	g.Expect(node.comeBackAtStart()).To(BeNumerically("~", startUsually, startUsually/2))
+	node.roles.Store(&coordinator.Roles{})
+	node.liveNodes.Store(984)
+	g.Expect(node.comeBackAtStart()).To(BeNumerically(">", startUsually))
+	node.started = time.Now().Add(-time.Minute)
+	g.Expect(node.comeBackAtStart()).To(Equal(comeBackSoon))
+}
