edge: numbers of one list are not used for another

Cause, by reading: a node that turned from reader to follower, or came back to a view made anew, asked with a number of another feed; a reader that still reads answered a whole part every 0.3 s; in an outage each follower asked nine readers for their age every second.

Change: where a follower stands goes with its part of the list; views number their changes from a base of their own; a list that is still read is followed by its changes; two readers are asked. Nodes of the former version get no list that is still read.

Tests: TestWhereAFollowerStands, TestFormerViewsNumbers.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -32,8 +32,6 @@
 	// firstPatience is how much later a first answer may come, which holds all of a
 	// part: a reader with a slow link sends those of a hundred followers in that time.
 	firstPatience = 8 * time.Second
-	// partialPause is the time between two questions to a reader that still reads.
-	partialPause = 300 * time.Millisecond
 	// gatherChanges is how long a reader waits for further changes after one, so that
 	// many that come close together cost its followers one answer.
 	gatherChanges = 100 * time.Millisecond
@@ -96,6 +94,9 @@
 	// version is that of the follower's configuration, and evacuations that of what it
 	// knows of evacuated zones.
 	version, evacuations uint64
+	// takesPartial says that the follower tells a list that is not read whole from one that
+	// is. Nodes of an earlier version do not.
+	takesPartial bool
 	// ageOnly asks for nothing but the age and the length of the list.
 	ageOnly bool
 }
@@ -104,7 +105,7 @@
 	query := url.Values{
 		"life": {strconv.FormatUint(q.life, 10)}, "since": {strconv.FormatUint(q.since, 10)},
 		"wait": {strconv.FormatInt(q.wait.Milliseconds(), 10)}, "version": {strconv.FormatUint(q.version, 10)},
-		"evacuations": {strconv.FormatUint(q.evacuations, 10)},
+		"evacuations": {strconv.FormatUint(q.evacuations, 10)}, "partial": {"taken"},
 	}
 	if q.part {
 		query.Set("zone", q.group.Zone)
@@ -131,7 +132,7 @@
 	}
 	q.version = uint64(query.GetUintOrZero("version"))
 	q.evacuations = uint64(query.GetUintOrZero("evacuations"))
-	q.ageOnly = query.Has("age")
+	q.ageOnly, q.takesPartial = query.Has("age"), query.Has("partial")
 	return q, errors.Join(lifeErr, sinceErr, waitErr, groupErr)
 }
 
@@ -149,9 +150,13 @@
 type relay struct {
 	reader machine.Machine
 	turn   int
-	// life and next are where it stands at the reader; 0 asks for the whole list.
+	// life and next are where it stands at the reader, with its part of the list; life 0
+	// asks for the whole of that.
 	life, next uint64
-	group      int
+	part       bool
+	group      replica.Group
+	// unsure says that replicas are held which the reader, still reading, may not list.
+	unsure bool
 	// failures counts the questions in a row without an answer.
 	failures int
 	// servedAt is when a reader answered last.
@@ -176,9 +181,7 @@
 			return
 		}
 		at.reader = readers[at.turn%len(readers)]
-		if group := n.ownGroup(); group != at.group {
-			at.group, at.life, at.next = group, 0, 0
-		}
+		at.hold(n.role() == roleFollower, n.ownGroup())
 		question := n.relayQuestion(&at)
 		asked := time.Now()
 		answer, err := n.askReader(ctx, at.reader, question)
@@ -194,22 +197,39 @@
 		backoff.Reset()
 		at.failures, at.servedAt = 0, time.Now()
 		n.relayedAt.Store(int64(time.Since(n.started)))
-		at.life, at.next = answer.Life, answer.Next
-		if answer.Partial {
-			at.life, at.next = 0, 0
-		}
+		at.note(&answer, n.replicas.count() > 0)
 		n.takeRelay(at.reader, asked, question.part, &answer)
 		n.noteFollowing(at.reader)
-		if answer.Partial {
-			wait.For(ctx, partialPause)
-			continue
-		}
-		if answer.age() > relayAge && n.fresherReader(ctx, &at, readers, answer.age()) {
+		if !answer.Partial && answer.age() > relayAge && n.fresherReader(ctx, &at, readers, answer.age()) {
 			at.life, at.next = 0, 0
 		}
 	}
 }
 
+// hold has the next question be about a part of the list, or all of it. Where that changes,
+// the numbers that were heard mean nothing.
+func (r *relay) hold(part bool, group replica.Group) {
+	if part != r.part || (part && group != r.group) {
+		r.life, r.next = 0, 0
+	}
+	r.part, r.group = part, group
+}
+
+// note takes in where an answer leaves the follower, which held replicas before it or not.
+// Once a reader has read all that still read, the whole list is asked for again if this
+// node may hold replicas that are not in it.
+func (r *relay) note(answer *relayAnswer, held bool) {
+	r.life, r.next = answer.Life, answer.Next
+	switch {
+	case answer.Partial:
+		r.unsure = r.unsure || (answer.Whole && held)
+	case answer.Whole:
+		r.unsure = false
+	case r.unsure:
+		r.life, r.next = 0, 0
+	}
+}
+
 // learnTotal asks the readers of this zone, and the sources, how many replicas there are, by
 // which a node that starts knows whether it is to follow them or to read the store. Of a
 // small fleet that has just started nobody knows.
@@ -246,10 +266,11 @@
 	return time.Since(at.servedAt) > patience+time.Duration(n.draw()*float64(patience))
 }
 
-// fresherReader looks for a reader whose list is younger, and turns to it. While the store
-// is down for all there is none, and the follower stays where it is.
+// fresherReader looks for a reader whose list is younger, and turns to it: the next one, or
+// one of the others. While the store is down for all there is none, and the follower stays
+// where it is.
 func (n *Node) fresherReader(ctx context.Context, at *relay, readers []machine.Machine, age time.Duration) bool {
-	for offset := 1; offset < len(readers); offset++ {
+	for _, offset := range []int{1, 1 + int(n.draw()*float64(len(readers)-1))} {
 		other := readers[(at.turn+offset)%len(readers)]
 		answer, err := n.askReader(ctx, other, relayQuestion{ageOnly: true})
 		if err == nil && answer.age() < age-relayAge/2 {
@@ -267,9 +288,9 @@
 func (n *Node) relayQuestion(at *relay) relayQuestion {
 	question := relayQuestion{life: at.life, since: at.next, evacuations: n.evacuations.version(), version: n.configVersion()}
 	question.wait = sourceWait
-	if n.role() == roleFollower {
+	if at.part {
 		question.wait = relayWait
-		question.part, question.group = true, replica.Group{Zone: n.settings.Zone, Number: at.group}
+		question.part, question.group = true, at.group
 	}
 	return question
 }
@@ -398,7 +419,7 @@
 	}
 	node := p.node
 	partial := !node.holdsAll.Load()
-	if partial && !node.mayServePart(&question) {
+	if partial && (question.ageOnly || !question.takesPartial || !node.mayServePart()) {
 		ctx.Error("the whole list of replicas was not read here", fasthttp.StatusServiceUnavailable)
 		return
 	}
@@ -434,11 +455,9 @@
 
 // mayServePart reports whether this node, which has not read the whole list, passes on what
 // it has: a source or reader that reads it. A follower holds its own part for good.
-func (n *Node) mayServePart(question *relayQuestion) bool {
-	if question.ageOnly || question.life != 0 || n.role() == roleFollower || n.role() == roleAlone {
-		return false
-	}
-	return n.replicas.count() >= partialLeast
+func (n *Node) mayServePart() bool {
+	reads := n.role() == roleSource || n.role() == roleReader
+	return reads && n.replicas.count() >= partialLeast
 }
 
 // awaitRelay waits until there is news for a follower, or its time is up.
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -39,7 +39,7 @@
 	defer node.Kill()
 	ask := func() int {
 		ctx := &fasthttp.RequestCtx{}
-		ctx.Request.SetRequestURI(pathReplicas + "?life=0&since=0&wait=0&zone=a&group=0")
+		ctx.Request.SetRequestURI(pathReplicas + "?life=0&since=0&wait=0&zone=a&group=0&partial=taken")
 		node.peers.receiveReplicas(ctx)
 		return ctx.Response.StatusCode()
 	}
@@ -52,3 +52,34 @@
 	node.takeRelay(machine.Machine{ID: "source"}, time.Now(), false, &whole)
 	g.Expect(ask()).To(Equal(fasthttp.StatusOK))
 }
+
+// TestWhereAFollowerStands has numbers of one list not be used for another, and the whole
+// list asked for again once a reader that still read it has all.
+func TestWhereAFollowerStands(t *testing.T) {
+	g := NewWithT(t)
+	group := replica.Group{Zone: "a"}
+	at := relay{}
+	at.hold(true, group)
+	at.note(&relayAnswer{Life: 5, Next: 9, Whole: true}, true)
+	at.hold(true, group)
+	g.Expect(at.life).To(Equal(uint64(5)))
+	at.hold(true, replica.Group{Zone: "a", Number: 1})
+	g.Expect(at.life).To(BeZero(), "another group")
+	at.note(&relayAnswer{Life: 5, Next: 9, Whole: true}, true)
+	at.hold(false, group)
+	g.Expect(at.life).To(BeZero(), "all of the list")
+
+	at.note(&relayAnswer{Life: 6, Next: 1, Whole: true, Partial: true}, true)
+	at.note(&relayAnswer{Life: 6, Next: 4, Partial: true}, true)
+	g.Expect(at.life).To(Equal(uint64(6)))
+	at.note(&relayAnswer{Life: 6, Next: 8}, true)
+	g.Expect(at.life).To(BeZero(), "replicas of before may be gone")
+	at.note(&relayAnswer{Life: 6, Next: 8, Whole: true}, true)
+	at.note(&relayAnswer{Life: 6, Next: 9}, true)
+	g.Expect(at.life).To(Equal(uint64(6)))
+
+	fresh := relay{}
+	fresh.note(&relayAnswer{Life: 6, Next: 1, Whole: true, Partial: true}, false)
+	fresh.note(&relayAnswer{Life: 6, Next: 8}, true)
+	g.Expect(fresh.life).To(Equal(uint64(6)), "a node that held nothing")
+}
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -19,6 +19,8 @@
 	feed  replica.Feed
 	// views are the parts of the list that followers have asked for lately.
 	views map[replica.Group]*view
+	// firstOfView is the first number of the newest view.
+	firstOfView uint64
 	// forget is told what to keep no connections to; nil in tests of the list alone.
 	forget func(upstream.Target)
 	// listed is how many replicas the store lists, as a reader told; 0 where this
@@ -35,6 +37,9 @@
 	chosenAt time.Time
 }
 
+// numbersOfView is how many changes a view may number: more than it ever sees.
+const numbersOfView = 1 << 32
+
 // viewLifetime is for how long a part is kept up to date that nobody asks for.
 const viewLifetime = 10 * time.Second
 
@@ -173,7 +178,8 @@
 	now := time.Now()
 	found := r.views[group]
 	if found == nil {
-		found = &view{View: replica.NewView(r.set, group), chosenAt: now}
+		r.firstOfView += numbersOfView
+		found = &view{View: replica.NewView(r.set, group, r.firstOfView), chosenAt: now}
 		r.views[group] = found
 	}
 	found.askedAt = now
--- a/edge/role.go
+++ b/edge/role.go
@@ -5,6 +5,7 @@
 
 	"birchwood.example/birchwood/coordinator"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/replica"
 )
 
 const (
@@ -107,11 +108,12 @@
 // its own zone that a node holds serve that many at the load that they are built for.
 const groupNodes = 256
 
-// ownGroup returns the number of this node's group in its zone.
-func (n *Node) ownGroup() int {
+// ownGroup returns this node's group in its zone.
+func (n *Node) ownGroup() replica.Group {
 	near := 0
 	if roles := n.roles.Load(); roles != nil {
 		near = roles.Near
 	}
-	return int(xxhash.Sum64String(n.settings.Node) % uint64(1+near/groupNodes))
+	number := int(xxhash.Sum64String(n.settings.Node) % uint64(1+near/groupNodes))
+	return replica.Group{Zone: n.settings.Zone, Number: number}
 }
--- a/replica/view.go
+++ b/replica/view.go
@@ -12,8 +12,11 @@
 	stale bool
 }
 
-// NewView returns the view of a group of a set.
-func NewView(set *Set, group Group) *View { return &View{group: group, held: set.Subset(group)} }
+// NewView returns the view of a group of a set. Its changes are numbered from first on: a
+// follower may come back with a number of a former view, which must not be one of this.
+func NewView(set *Set, group Group, first uint64) *View {
+	return &View{group: group, held: set.Subset(group), feed: Feed{next: first}}
+}
 
 // Note takes in a change of the list.
 func (v *View) Note(change Change) {
--- a/replica/view_test.go
+++ b/replica/view_test.go
@@ -56,7 +56,7 @@
 	now := time.Unix(1000, 0)
 	set := scaleSet(2_000)
 	group := replica.Group{Zone: "b", Number: 1}
-	view := replica.NewView(set, group)
+	view := replica.NewView(set, group, 7)
 	held := make(map[replica.ID]replica.Entry)
 	changes, next, whole := view.Since(now, set, 0, false)
 	g.Expect(whole).To(BeTrue())
@@ -96,3 +96,23 @@
 		}
 	}
 }
+
+// TestFormerViewsNumbers has a follower that comes back with a number of a former view get
+// the whole part.
+func TestFormerViewsNumbers(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	set := scaleSet(100)
+	view := replica.NewView(set, replica.Group{Zone: "a"}, 1_000)
+	gone := scaleEntry(0).ID
+	set.Remove(gone)
+	view.Note(replica.Change{Gone: gone})
+	for _, number := range []uint64{0, 999, 1_002} {
+		_, _, whole := view.Since(now, set, number, true)
+		g.Expect(whole).To(BeTrue(), fmt.Sprint(number))
+	}
+	changes, next, whole := view.Since(now, set, 1_000, true)
+	g.Expect(whole).To(BeFalse())
+	g.Expect(changes).To(HaveLen(1))
+	g.Expect(next).To(Equal(uint64(1_001)))
+}
