--- a/edge/ledgers.go
+++ b/edge/ledgers.go
@@ -113,11 +113,14 @@
 }
 
 // backoff spaces the retries of one call to the store.
-func (n *Node) backoff() *retry.Backoff {
+func (n *Node) backoff() *retry.Backoff { return n.backoffOf(appendRetryFirst, appendRetryMost) }
+
+// backoffOf spaces the retries of one call between two bounds.
+func (n *Node) backoffOf(first, most time.Duration) *retry.Backoff {
 	n.randomMutex.Lock()
 	defer n.randomMutex.Unlock()
 	random := rand.New(rand.NewPCG(n.random.Uint64(), n.random.Uint64()))
-	return &retry.Backoff{Minimum: appendRetryFirst, Maximum: appendRetryMost, Random: random}
+	return &retry.Backoff{Minimum: first, Maximum: most, Random: random}
 }
 
 // append writes a batch, repeats it until the store has answered, and tells
--- /dev/null
+++ b/edge/reader.go
@@ -0,0 +1,278 @@
+package edge
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/internal/wait"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/replica"
+)
+
+// noteListed notes how old the list of replicas is.
+func (n *Node) noteListed(age time.Duration) {
+	n.listedAt.Store(int64(time.Since(n.started) - age))
+}
+
+// listAge returns how long ago the list of replicas was that of the store.
+func (n *Node) listAge() time.Duration {
+	return time.Since(n.started) - time.Duration(n.listedAt.Load())
+}
+
+// relay is where a node stands that follows a reader.
+type relay struct {
+	reader machine.Machine
+	turn   int
+	// life and next are where it stands at the reader, with its part of the list; life 0
+	// asks for the whole of that.
+	life, next uint64
+	part       bool
+	group      replica.Group
+	// unsure says that replicas are held which the reader, still reading, may not list.
+	unsure bool
+	// failures counts the questions in a row without an answer.
+	failures int
+	// servedAt is when a reader answered last.
+	servedAt time.Time
+}
+
+// leave has the next question go to the next reader.
+func (r *relay) leave() {
+	r.turn++
+	r.life, r.next = 0, 0
+}
+
+// followReaders follows the replicas through readers for as long as that is the
+// way of this node and one of them serves.
+func (n *Node) followReaders(ctx context.Context) {
+	defer n.following.Store(false)
+	at := relay{servedAt: time.Now()}
+	backoff := n.backoffOf(readerPauseFirst, readerPauseMost)
+	for ctx.Err() == nil {
+		readers := n.readersToFollow()
+		if len(readers) == 0 || n.stranded(&at, len(readers)) {
+			return
+		}
+		at.reader = readers[at.turn%len(readers)]
+		at.hold(n.role() == roleFollower, n.ownGroup())
+		question := n.relayQuestion(&at)
+		asked := time.Now()
+		answer, err := n.askReader(ctx, at.reader, question)
+		if err != nil {
+			n.logger.Warn().Str("reader", string(at.reader.ID)).Int("failures", at.failures).Err(err).Msg("replicas: reader not followed")
+			at.failures++
+			at.leave()
+			if at.failures%len(readers) == 0 {
+				wait.For(ctx, backoff.Next())
+			}
+			continue
+		}
+		backoff.Reset()
+		at.failures, at.servedAt = 0, time.Now()
+		n.relayedAt.Store(int64(time.Since(n.started)))
+		at.note(&answer, n.replicas.count() > 0)
+		n.takeRelay(at.reader, asked, question.part, &answer)
+		n.noteFollowing(at.reader)
+		if !answer.Partial && answer.age() > relayAge && n.fresherReader(ctx, &at, readers, answer.age()) {
+			at.life, at.next = 0, 0
+		}
+	}
+}
+
+// hold has the next question be about a part of the list, or all of it. Where that changes,
+// the numbers that were heard mean nothing.
+func (r *relay) hold(part bool, group replica.Group) {
+	if part != r.part || (part && group != r.group) {
+		r.life, r.next = 0, 0
+	}
+	r.part, r.group = part, group
+}
+
+// note takes in where an answer leaves the follower, which held replicas before it or not.
+// Once a reader has read all that still read, the whole list is asked for again if this
+// node may hold replicas that are not in it.
+func (r *relay) note(answer *relayAnswer, held bool) {
+	r.life, r.next = answer.Life, answer.Next
+	switch {
+	case answer.Partial:
+		r.unsure = r.unsure || (answer.Whole && held)
+	case answer.Whole:
+		r.unsure = false
+	case r.unsure:
+		r.life, r.next = 0, 0
+	}
+}
+
+// learnTotal asks the readers of this zone, and the sources, how many replicas there are, by
+// which a node that starts knows whether it is to follow them or to read the store. Of a
+// small fleet that has just started nobody knows.
+func (n *Node) learnTotal(ctx context.Context) {
+	roles := n.roles.Load()
+	if roles == nil || !n.settings.uses(FollowReaders) {
+		return
+	}
+	for _, reader := range slices.Concat(roles.Readers, roles.Sources) {
+		if n.replicas.total() > 0 {
+			return
+		}
+		if reader.ID == n.self.ID {
+			continue
+		}
+		answer, err := n.askReader(ctx, reader, relayQuestion{ageOnly: true})
+		if err == nil {
+			n.replicas.setTotal(answer.Total)
+		}
+	}
+}
+
+// stranded reports whether no reader has served for so long that this node is to read
+// the store itself. Followers, of which there are many, wait longer for one than readers,
+// and each a little longer or shorter than the others.
+func (n *Node) stranded(at *relay, readers int) bool {
+	if at.failures <= readers {
+		return false
+	}
+	patience := strandedAfter
+	if n.role() == roleReader {
+		patience = readerStrandedAfter
+	}
+	return time.Since(at.servedAt) > patience+time.Duration(n.draw()*float64(patience))
+}
+
+// fresherReader looks for a reader whose list is younger, and turns to it: the next one, or
+// one of the others. While the store is down for all there is none, and the follower stays
+// where it is.
+func (n *Node) fresherReader(ctx context.Context, at *relay, readers []machine.Machine, age time.Duration) bool {
+	for _, offset := range []int{1, 1 + int(n.draw()*float64(len(readers)-1))} {
+		other := readers[(at.turn+offset)%len(readers)]
+		answer, err := n.askReader(ctx, other, relayQuestion{ageOnly: true})
+		if err == nil && answer.age() < age-relayAge/2 {
+			n.logger.Info().Str("reader", string(at.reader.ID)).Dur("age", age).Str("next", string(other.ID)).
+				Dur("its", answer.age()).Msg("replicas: reader's list is old")
+			at.turn += offset
+			return true
+		}
+	}
+	wait.For(ctx, readerPauseMost)
+	return false
+}
+
+// relayQuestion returns the next question to a reader.
+func (n *Node) relayQuestion(at *relay) relayQuestion {
+	question := relayQuestion{life: at.life, since: at.next, evacuations: n.evacuations.version(), version: n.configVersion()}
+	question.wait = sourceWait
+	if at.part {
+		question.wait = relayWait
+		question.part, question.group = true, at.group
+	}
+	return question
+}
+
+func (n *Node) configVersion() uint64 {
+	if table := n.routes.Current(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
+// noteFollowing writes when this node begins to follow a reader.
+func (n *Node) noteFollowing(reader machine.Machine) {
+	if !n.following.Swap(true) {
+		n.logger.Info().Str("reader", string(reader.ID)).Int("replicas", n.replicas.count()).Int("listed", n.replicas.total()).
+			Msg("replicas: following a reader")
+	}
+}
+
+// FollowsReader reports whether the node follows the replicas through another.
+func (n *Node) FollowsReader() bool { return n.following.Load() }
+
+// Replicas returns how many replicas the node holds: all, or its part of them.
+func (n *Node) Replicas() int { return n.replicas.count() }
+
+// askReader asks a reader for what has changed. A first answer is waited for long: given up
+// and asked for again it would be sent in vain.
+func (n *Node) askReader(ctx context.Context, reader machine.Machine, question relayQuestion) (relayAnswer, error) {
+	patience := question.wait + relaySlack
+	if question.life == 0 && !question.ageOnly {
+		patience = firstPatience
+	}
+	callCtx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	var answer relayAnswer
+	err := n.peers.client(reader.Address).Do(callCtx, fasthttp.MethodGet, question.path(), nil, &answer)
+	return answer, err
+}
+
+// manyChanges is from how many changes in one answer on a line is written for all of them
+// and not for each.
+const manyChanges = 16
+
+// takeRelay takes over a reader's answer about all replicas, or a part.
+func (n *Node) takeRelay(reader machine.Machine, asked time.Time, part bool, answer *relayAnswer) {
+	n.takeRelayedConfiguration(reader, asked, answer)
+	n.replicas.setTotal(answer.Total)
+	if answer.Whole || len(answer.Changes) >= manyChanges {
+		n.takeList(reader, part, answer)
+	} else {
+		n.takeChanges(answer.Changes)
+	}
+	n.noteListed(answer.age())
+}
+
+// takeChanges takes a few changes over.
+func (n *Node) takeChanges(changes []replica.Change) {
+	for _, change := range changes {
+		if change.Entry == nil {
+			n.removeReplica(change.Gone, "gone from the reader's list")
+			continue
+		}
+		n.putReplica(*change.Entry)
+	}
+}
+
+// takeList takes many changes over, or a whole list.
+func (n *Node) takeList(reader machine.Machine, part bool, answer *relayAnswer) {
+	listed := make(map[replica.ID]bool, len(answer.Changes))
+	changed, removed := 0, 0
+	for _, change := range answer.Changes {
+		if change.Entry == nil {
+			if n.removeQuietly(change.Gone) {
+				removed++
+			}
+			continue
+		}
+		listed[change.Entry.ID] = true
+		if n.replicas.put(*change.Entry) {
+			changed++
+		}
+	}
+	if answer.Whole {
+		n.holdsAll.Store(!part && !answer.Partial)
+		if !answer.Partial {
+			removed += n.dropUnlisted(listed, n.removeQuietly)
+		}
+		n.syncedReplicas.Store(true)
+	}
+	n.logList("reader "+string(reader.ID), len(listed), changed, removed)
+}
+
+// takeRelayedConfiguration takes over a reader's configuration, its proof that this is the
+// newest, and its word of evacuated zones.
+func (n *Node) takeRelayedConfiguration(reader machine.Machine, asked time.Time, answer *relayAnswer) {
+	if answer.Evacuations != nil {
+		n.adoptEvacuations(reader, asked, *answer.Evacuations)
+	}
+	if raw := answer.Configuration; raw != nil {
+		n.applyConfiguration(raw.Key, raw.Value, "reader "+string(reader.ID))
+	}
+	if n.routes.Current() == nil {
+		return
+	}
+	n.syncedConfiguration.Store(true)
+	if answer.Proven {
+		n.noteProof(asked.Add(-time.Duration(answer.ProofAgeMS) * time.Millisecond))
+	}
+}
--- /dev/null
+++ b/edge/replicalist.go
@@ -0,0 +1,168 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"birchwood.example/birchwood/recordstore"
+	"birchwood.example/birchwood/replica"
+)
+
+// followReplicas keeps the replicas up to date, from the store or, in a large
+// fleet, through others.
+func (n *Node) followReplicas(ctx context.Context) {
+	n.awaitDirectory(ctx)
+	n.learnTotal(ctx)
+	for ctx.Err() == nil {
+		n.followReaders(ctx)
+		begun := time.Now()
+		n.follow(ctx, recordstore.Stream{Name: recordstore.StreamReplicas}, follower{
+			wait: func() time.Duration { return replicasWait }, pause: n.replicasPause, synced: &n.syncedReplicas,
+			page:    n.takePage,
+			reset:   n.resetReplicas,
+			change:  func(record recordstore.Record) { n.applyReplica(record.Key, record.Value) },
+			current: n.replicasCurrent,
+			over:    func() bool { return time.Since(begun) > storeTurn && len(n.readersToFollow()) > 0 },
+		})
+	}
+}
+
+// replicasPause is the least time between two reads of the replicas' stream.
+func (n *Node) replicasPause() time.Duration {
+	if n.role() == roleSource {
+		return sourcePause
+	}
+	return replicasPause
+}
+
+// takePage takes a page of the list over, before the others are read: a node that starts
+// can serve with the first few hundred of ten thousand replicas, a second earlier.
+func (n *Node) takePage(records []recordstore.Record) {
+	for _, record := range records {
+		n.takeListed(record)
+	}
+}
+
+func (n *Node) resetReplicas(records []recordstore.Record, _ uint64) {
+	n.replicas.setTotal(0)
+	n.holdsAll.Store(true)
+	listed := make(map[replica.ID]bool, len(records))
+	changed := 0
+	for _, record := range records {
+		if n.takeListed(record) {
+			changed++
+		}
+		if len(record.Value) > 0 {
+			listed[replica.ID(record.Key)] = true
+		}
+	}
+	removed := n.dropUnlisted(listed, n.unlistQuietly)
+	n.logList("store", len(listed), changed, removed)
+}
+
+// dropUnlisted drops the replicas that a list lacks, and returns how many were removed.
+func (n *Node) dropUnlisted(listed map[replica.ID]bool, drop func(replica.ID) (removed bool)) (removed int) {
+	for _, id := range n.replicas.ids() {
+		if !listed[id] && drop(id) {
+			removed++
+		}
+	}
+	return removed
+}
+
+// applyReplica takes over a record of the replicas' stream.
+func (n *Node) applyReplica(key string, value []byte) {
+	id := replica.ID(key)
+	if len(value) == 0 {
+		n.unusable.forget(id)
+		n.unlist(id, "gone from the list")
+		return
+	}
+	entry, err := n.adapter.Translator.Replica(key, value)
+	if err != nil {
+		n.refuseEntry(id, err)
+		return
+	}
+	n.unusable.forget(id)
+	n.putReplica(entry)
+}
+
+// takeListed takes over a record of a whole list. It reports whether it changed anything.
+func (n *Node) takeListed(record recordstore.Record) (changed bool) {
+	if len(record.Value) == 0 {
+		return false
+	}
+	entry, err := n.adapter.Translator.Replica(record.Key, record.Value)
+	if err != nil {
+		n.refuseEntry(replica.ID(record.Key), err)
+		return false
+	}
+	n.unusable.forget(entry.ID)
+	return n.replicas.put(entry)
+}
+
+// refuseEntry takes in that an entry names no replica to use: whoever stood there before
+// is not to be used either. It is written once, and not with each of its heartbeats.
+func (n *Node) refuseEntry(id replica.ID, reason error) {
+	n.metrics.entryRefused()
+	if n.unusable.note(id) {
+		n.logger.Warn().Str("replica", string(id)).Err(reason).Msg("replicas: entry not understood")
+	}
+	n.removeReplica(id, "its entry is not understood")
+}
+
+func (n *Node) putReplica(entry replica.Entry) {
+	if n.replicas.put(entry) {
+		n.logger.Info().Str("replica", string(entry.ID)).Str("service", entry.Service).Str("address", entry.Address.String()).
+			Str("status", string(entry.Status)).Msg("replicas: changed")
+	}
+}
+
+// unlist takes in that the store does not list a replica. After an outage that
+// does not say that it is gone.
+func (n *Node) unlist(id replica.ID, reason string) {
+	if !n.mayLive(id) {
+		n.removeReplica(id, reason)
+	}
+}
+
+// unlistQuietly is unlist without a line in the log. It reports whether the replica was
+// removed.
+func (n *Node) unlistQuietly(id replica.ID) (removed bool) {
+	return !n.mayLive(id) && n.removeQuietly(id)
+}
+
+// mayLive reports whether a replica that is not listed is kept for a while.
+func (n *Node) mayLive(id replica.ID) bool {
+	until := n.store.doubtUntil()
+	return n.settings.uses(DoubtUnlisted) && time.Now().Before(until) && n.replicas.doubt(id, until)
+}
+
+// replicasCurrent follows each time that all of the replicas' stream was read.
+func (n *Node) replicasCurrent(time.Time) {
+	n.noteListed(0)
+	for _, id := range n.replicas.doubted() {
+		n.removeReplica(id, "not listed again after an outage")
+	}
+}
+
+func (n *Node) removeReplica(id replica.ID, reason string) {
+	if n.removeQuietly(id) {
+		n.logger.Info().Str("replica", string(id)).Str("reason", reason).Msg("replicas: removed")
+	}
+}
+
+// removeQuietly removes a replica without a line in the log.
+func (n *Node) removeQuietly(id replica.ID) (known bool) {
+	entry, known := n.replicas.remove(id)
+	if known {
+		n.pool.Forget(targetOf(entry))
+	}
+	return known
+}
+
+// logList writes that a whole list of replicas was taken over.
+func (n *Node) logList(source string, listed, changed, removed int) {
+	n.logger.Info().Str("source", source).Int("listed", listed).Int("changed", changed).Int("removed", removed).
+		Msg("replicas: list taken over")
+}
