coordinator: weak machines are no sources and no readers

Readers found it timed out, turned, and read whole lists again; followers saw lists 2 to 2.9 s old.

Test: TestWeakNodesServeNobody, failing before.

--- a/coordinator/roles.go
+++ b/coordinator/roles.go
@@ -43,16 +43,17 @@
 // caller must not change the slice.
 func (c *Core) Readers() []machine.Machine { return c.ranking.roles.Readers }
 
-// rankRoles deals the roles to the candidates.
+// rankRoles deals the roles to the candidates, weak machines excepted where there are others:
+// a source or reader carries what hundreds of nodes ask for.
 func (c *Core) rankRoles(candidates []ownership.Node, heirs [][]string) Roles {
-	roles := Roles{Sources: c.machines(ownership.First(sourceRank, candidates, sourcesOfFleet))}
+	roles := Roles{Sources: c.machines(ownership.First(sourceRank, ownership.Able(candidates), sourcesOfFleet))}
 	byZone := make(map[zone.Name][]ownership.Node)
 	for _, candidate := range candidates {
 		byZone[zone.Name(candidate.Zone)] = append(byZone[zone.Name(candidate.Zone)], candidate)
 	}
 	own := c.self().Zone
 	for name, near := range byZone {
-		readers := c.machines(ownership.First(readerRank, near, readersPerZone))
+		readers := c.machines(ownership.First(readerRank, ownership.Able(near), readersPerZone))
 		if name == own {
 			roles.Readers, roles.Near = readers, len(near)
 			continue
--- a/coordinator/roles_test.go
+++ b/coordinator/roles_test.go
@@ -50,9 +50,30 @@
 			}
 			for _, reader := range append(roles.Readers, roles.Remote...) {
 				readers[reader.ID] = true
+				g.Expect(reader.Weight).To(BeNumerically(">", 100))
 			}
 		}
 		g.Expect(sources).To(HaveLen(2))
 		g.Expect(readers).To(HaveLen(10))
 	}
 }
+
+// TestWeakNodesServeNobody has no weak node be a source or a reader in any of forty fleets
+// with strong ones: one in ten had a weak source by rank and weight alone.
+func TestWeakNodesServeNobody(t *testing.T) {
+	g := NewWithT(t)
+	for fleet := range 40 {
+		nodes := rolesNodes(150)
+		for index := range nodes {
+			nodes[index].ID = machine.ID(fmt.Sprintf("fleet-%d-%s", fleet, nodes[index].ID))
+		}
+		now := time.Unix(1000, 0)
+		core, err := coordinator.New(now, coordinator.DefaultConfig(nodes[0], 24, rand.New(rand.NewPCG(1, uint64(fleet)))))
+		g.Expect(err).NotTo(HaveOccurred())
+		core.Step(now, coordinator.Listed{Nodes: nodes})
+		roles := core.Roles()
+		for _, one := range append(append(roles.Sources, roles.Readers...), roles.Remote...) {
+			g.Expect(one.Weight).To(BeNumerically(">", 100), string(one.ID))
+		}
+	}
+}
