edge: the list of nodes is read several partitions at a time

Change: six reads at the same time, as many calls as before.

Ruled out: golang.org/x/sync's group: one more module in the program of a node.

--- a/edge/directory.go
+++ b/edge/directory.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,6 +33,8 @@
 	// directoryAll is how many nodes a partition names at most in a fleet in which each
 	// node reads all partitions.
 	directoryAll = 3
+	// directoryReads is how many partitions are read at the same time.
+	directoryReads = 6
 	// directoryPatience is how long a node that starts waits for the list of nodes, and
 	// as much longer as half of it by chance, before it goes on without.
 	directoryPatience = 3 * time.Second
@@ -199,17 +203,25 @@
 	return n.decodeNodes(records), next, nil
 }
 
-// readAllNodes reads the list of nodes of the store.
+// readAllNodes reads the list of nodes of the store, a few partitions at a time: all other
+// nodes of this one's partition wait for it.
 func (n *Node) readAllNodes(ctx context.Context) error {
-	var all []machine.Machine
-	for partition := range n.settings.Partitions {
-		nodes, _, err := n.readNodes(ctx, partition)
-		if err != nil {
-			return err
-		}
-		all = append(all, nodes...)
+	parts := make([][]machine.Machine, n.settings.Partitions)
+	failures := make([]error, len(parts))
+	places := make(chan struct{}, directoryReads)
+	var reads sync.WaitGroup
+	for partition := range parts {
+		places <- struct{}{}
+		reads.Go(func() {
+			defer func() { <-places }()
+			parts[partition], _, failures[partition] = n.readNodes(ctx, partition)
+		})
+	}
+	reads.Wait()
+	if err := errors.Join(failures...); err != nil {
+		return err
 	}
-	n.takeNodes("store", all)
+	n.takeNodes("store", slices.Concat(parts...))
 	return nil
 }
 
