--- a/coordinator/doc.go
+++ b/coordinator/doc.go
@@ -35,6 +35,9 @@
 // the first one take a partition over, one after the other, when it stays without an
 // owner.
 //
+// Each node also ranks who reads the platform's lists for the others (Roles), so that
+// all agree on that without a message.
+//
 // An append that the log refuses as fenced ends the ownership at once, as does
 // word of a higher epoch. What waited for the append is told that the owner is
 // lost, and asks the new one.
--- a/edge/doc.go
+++ b/edge/doc.go
@@ -10,7 +10,9 @@
 //
 //   - control drives the coordinator.Core, alone (control.go);
 //   - followers read the configuration, the replicas and the nodes from the
-//     store, or from a peer while this node alone is cut off (follow.go);
+//     store (follow.go, replicalist.go, directory.go), in a large fleet from
+//     other nodes (role.go, reader.go, relay.go), or from a peer while this
+//     node alone is cut off (peerstate.go);
 //   - one per takeover and append under way speaks to the store (ledgers.go);
 //   - the servers of clients, peers and readiness.
 //
--- a/replica/doc.go
+++ b/replica/doc.go
@@ -13,6 +13,11 @@
 // estimated from what was sent there, the longest unused forgotten first, as
 // the engine itself does.
 //
+// What a node does and holds does not grow with a service: Select weighs a window of
+// a large service, the same for the nodes of a zone, that grows with its load
+// (window.go), and a Subset is the part that the nodes of a group hold, followed
+// through a View of it (subset.go, view.go).
+//
 // Lateness learns how long the calls of each route take, and tells from when on
 // one that was not answered had better be sent again.
 package replica
