edge: a new heir looks at the store at once; former nodes wait for changes

Cause, by reading: the store's client does not end a call with its context, so that a node that becomes heir of a partition trusted a read of up to eight seconds; a question of the former version names no configuration, and was answered at once, again and again.

Change: the read that waits is left when the role changes; a question without a version waits for replicas alone.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net/url"
 	"strconv"
 	"time"
@@ -112,7 +113,7 @@
 }
 
 // parseRelayQuestion reads a question. A node of an earlier version asks without a
-// group, and gets all replicas.
+// group, and gets all replicas; it names no configuration, and waits for none.
 func parseRelayQuestion(query *fasthttp.Args) (relayQuestion, error) {
 	var q relayQuestion
 	var lifeErr, sinceErr, waitErr, groupErr error
@@ -124,8 +125,11 @@
 		q.group.Zone = string(query.Peek("zone"))
 		q.group.Number, groupErr = query.GetUint("group")
 	}
-	q.version = uint64(query.GetUintOrZero("version"))
-	q.evacuations = uint64(query.GetUintOrZero("evacuations"))
+	q.version, q.evacuations = math.MaxUint64, math.MaxUint64
+	if query.Has("version") {
+		q.version = uint64(query.GetUintOrZero("version"))
+		q.evacuations = uint64(query.GetUintOrZero("evacuations"))
+	}
 	q.ageOnly, q.takesPartial = query.Has("age"), query.Has("partial")
 	return q, errors.Join(lifeErr, sinceErr, waitErr, groupErr)
 }
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -83,3 +83,19 @@
 	fresh.note(&relayAnswer{Life: 6, Next: 8}, true)
 	g.Expect(fresh.life).To(Equal(uint64(6)), "a node that held nothing")
 }
+
+// TestFormerVersionsQuestion has a node of the former version wait for changes of the
+// replicas alone: an answer at once, again and again, would take a reader's processor.
+func TestFormerVersionsQuestion(t *testing.T) {
+	g := NewWithT(t)
+	node := keyNode(g, Settings{}, false)
+	defer node.Kill()
+	var query fasthttp.Args
+	query.Parse("life=1&since=0&wait=700")
+	question, err := parseRelayQuestion(&query)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(question.part).To(BeFalse())
+	g.Expect(question.takesPartial).To(BeFalse())
+	g.Expect(question.version).To(BeNumerically(">=", node.configVersion()))
+	g.Expect(question.evacuations).To(BeNumerically(">=", node.evacuations.version()))
+}
--- a/edge/storewatch.go
+++ b/edge/storewatch.go
@@ -63,10 +63,10 @@
 	defer cancel()
 	n.watching.Store(&cancel)
 	n.store.trust(time.Now().Add(patience + tailSlack))
-	tail, err := n.adapter.Store.Tail(callCtx, stream, next, patience)
+	tail, err := n.tailUntil(callCtx, stream, next, patience)
 	n.watching.Store(nil)
-	if err != nil && ctx.Err() == nil && errors.Is(callCtx.Err(), context.Canceled) {
-		return tail, context.Canceled
+	if errors.Is(err, context.Canceled) {
+		return tail, err
 	}
 	if err != nil {
 		n.store.trust(time.Time{})
@@ -75,6 +75,26 @@
 	return tail, err
 }
 
+// tailUntil reads a stream's tail until the context ends, though the store's client may
+// wait for its answer longer.
+func (n *Node) tailUntil(ctx context.Context, stream recordstore.Stream, next uint64, patience time.Duration) (recordstore.Tail, error) {
+	type result struct {
+		tail recordstore.Tail
+		err  error
+	}
+	answered := make(chan result, 1)
+	go func() {
+		tail, err := n.adapter.Store.Tail(ctx, stream, next, patience)
+		answered <- result{tail: tail, err: err}
+	}()
+	select {
+	case read := <-answered:
+		return read.tail, read.err
+	case <-ctx.Done():
+		return recordstore.Tail{}, ctx.Err()
+	}
+}
+
 // takeNeighbours takes the records over that were written to the partition.
 func (n *Node) takeNeighbours(near *neighbours, tail recordstore.Tail) {
 	near.next = tail.Next
