edge: a reader whose source still read asks for the whole list once that has all

Change: a reader asks for the whole list once its source has it, as a follower does that held replicas before.

Test: TestReaderOfASourceThatStillReads, failing before. The case of a node that held nothing in TestWhereAFollowerStands is now said to be a follower's, of a part: as a reader's it was the fault itself.

--- a/edge/reader.go
+++ b/edge/reader.go
@@ -31,7 +31,8 @@
 	life, next uint64
 	part       bool
 	group      replica.Group
-	// unsure says that replicas are held which the reader, still reading, may not list.
+	// unsure says that the reader still read, and that what this node holds may differ
+	// from the whole list.
 	unsure bool
 	// failures counts the questions in a row without an answer.
 	failures int
@@ -92,13 +93,14 @@
 }
 
 // note takes in where an answer leaves the follower, which held replicas before it or not.
-// Once a reader has read all that still read, the whole list is asked for again if this
-// node may hold replicas that are not in it.
+// Once a reader has read all that still read, the whole list is asked for again: by a node
+// that may hold replicas which are not in it, and by one that passes the whole list on
+// itself and has to know that it holds all.
 func (r *relay) note(answer *relayAnswer, held bool) {
 	r.life, r.next = answer.Life, answer.Next
 	switch {
 	case answer.Partial:
-		r.unsure = r.unsure || (answer.Whole && held)
+		r.unsure = r.unsure || !r.part || (answer.Whole && held)
 	case answer.Whole:
 		r.unsure = false
 	case r.unsure:
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -79,6 +79,7 @@
 	g.Expect(at.life).To(Equal(uint64(6)))
 
 	fresh := relay{}
+	fresh.hold(true, group)
 	fresh.note(&relayAnswer{Life: 6, Next: 1, Whole: true, Partial: true}, false)
 	fresh.note(&relayAnswer{Life: 6, Next: 8}, true)
 	g.Expect(fresh.life).To(Equal(uint64(6)), "a node that held nothing")
@@ -99,3 +100,26 @@
 	g.Expect(question.version).To(BeNumerically(">=", node.configVersion()))
 	g.Expect(question.evacuations).To(BeNumerically(">=", node.evacuations.version()))
 }
+
+// TestReaderOfASourceThatStillReads has a reader that began with a part of its source's list
+// ask for all of it once the source has it: until it holds the whole list its own followers
+// drop nothing that they held before.
+func TestReaderOfASourceThatStillReads(t *testing.T) {
+	g := NewWithT(t)
+	node := keyNode(g, Settings{}, false)
+	defer node.Kill()
+	entry := replica.Entry{ID: "r", Service: "s", Status: replica.StatusReady, Slots: 1}
+	at := relay{}
+	at.hold(false, replica.Group{})
+	take := func(answer relayAnswer) {
+		at.note(&answer, node.replicas.count() > 0)
+		node.takeRelay(machine.Machine{ID: "source"}, time.Now(), false, &answer)
+	}
+	take(relayAnswer{Life: 6, Next: 1, Whole: true, Partial: true, Changes: []replica.Change{{Entry: &entry}}})
+	g.Expect(node.holdsAll.Load()).To(BeFalse())
+	take(relayAnswer{Life: 6, Next: 8})
+	g.Expect(at.life).To(BeZero(), "the whole list is asked for")
+	take(relayAnswer{Life: 6, Next: 8, Whole: true, Changes: []replica.Change{{Entry: &entry}}})
+	g.Expect(node.holdsAll.Load()).To(BeTrue())
+	g.Expect(at.life).To(Equal(uint64(6)))
+}
