edge, replica: each record of a whole list is taken over once; one way to read an entry

Found on reading the change: a page's records were decoded and taken over as the page came, and all once more at the end of the read (ten thousand at each start of a source); an entry was read in two places; a function that looks a node up in a list had the name of nothing, and a number of a group was clamped for no reason.

The benchmark of a choice told of ten requests a peer whatever the number of replicas, which fills a service of 1,000: its window then rightly holds all.

Behaviour is as it was; tests of edge, replica and platform/standin pass.

--- a/edge/directory.go
+++ b/edge/directory.go
@@ -58,9 +58,6 @@
 	Nodes  []machine.Machine `json:"nodes,omitempty"`
 }
 
-// nodePartition returns the partition of the nodes' stream that has a node's record.
-func nodePartition(node string, partitions int) int { return ownership.PartitionOf(node, partitions) }
-
 // awaitDirectory waits until this node has the list of nodes, and so knows whom to follow.
 // One that does not get it goes on without, later than most have it.
 func (n *Node) awaitDirectory(ctx context.Context) {
@@ -129,7 +126,10 @@
 	n.control.post(coordinator.Learned{Nodes: nodes})
 }
 
-func (n *Node) nodePartition() int { return nodePartition(n.settings.Node, n.settings.Partitions) }
+// nodePartition returns the partition of the nodes' stream that has this node's record.
+func (n *Node) nodePartition() int {
+	return ownership.PartitionOf(n.settings.Node, n.settings.Partitions)
+}
 
 // publishSelf writes this node's record, and goes on trying if it has to: others learn of
 // the node through its messages meanwhile.
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -185,7 +185,7 @@
 	if !n.needsProofs() || roles == nil || !n.settings.uses(ProvePeers) {
 		return false
 	}
-	return names(roles.Readers, n.self.ID)
+	return includes(roles.Readers, n.self.ID)
 }
 
 // proofLate is the age of a proof from which on a node reads the configuration without
--- a/edge/replicalist.go
+++ b/edge/replicalist.go
@@ -15,11 +15,14 @@
 	n.learnTotal(ctx)
 	for ctx.Err() == nil {
 		n.followReaders(ctx)
-		begun := time.Now()
+		begun, changed := time.Now(), 0
 		n.follow(ctx, recordstore.Stream{Name: recordstore.StreamReplicas}, follower{
 			wait: func() time.Duration { return replicasWait }, pause: n.replicasPause, synced: &n.syncedReplicas,
-			page:    n.takePage,
-			reset:   n.resetReplicas,
+			page: func(records []recordstore.Record) { changed += n.takePage(records) },
+			reset: func(records []recordstore.Record, _ uint64) {
+				n.resetReplicas(records, changed)
+				changed = 0
+			},
 			change:  func(record recordstore.Record) { n.applyReplica(record.Key, record.Value) },
 			current: n.replicasCurrent,
 			over:    func() bool { return time.Since(begun) > storeTurn && len(n.readersToFollow()) > 0 },
@@ -36,22 +39,24 @@
 }
 
 // takePage takes a page of the list over, before the others are read: a node that starts
-// can serve with the first few hundred of ten thousand replicas, a second earlier.
-func (n *Node) takePage(records []recordstore.Record) {
+// can serve with the first few hundred of ten thousand replicas, a second earlier. It
+// returns how many records changed anything.
+func (n *Node) takePage(records []recordstore.Record) (changed int) {
 	for _, record := range records {
-		n.takeListed(record)
+		if entry, ok := n.decodeReplica(record.Key, record.Value); ok && n.replicas.put(entry) {
+			changed++
+		}
 	}
+	return changed
 }
 
-func (n *Node) resetReplicas(records []recordstore.Record, _ uint64) {
+// resetReplicas drops the replicas that are in none of the pages of a whole list, which
+// were taken over as they came.
+func (n *Node) resetReplicas(records []recordstore.Record, changed int) {
 	n.replicas.setTotal(0)
 	n.holdsAll.Store(true)
 	listed := make(map[replica.ID]bool, len(records))
-	changed := 0
 	for _, record := range records {
-		if n.takeListed(record) {
-			changed++
-		}
 		if len(record.Value) > 0 {
 			listed[replica.ID(record.Key)] = true
 		}
@@ -72,33 +77,28 @@
 
 // applyReplica takes over a record of the replicas' stream.
 func (n *Node) applyReplica(key string, value []byte) {
-	id := replica.ID(key)
 	if len(value) == 0 {
-		n.unusable.forget(id)
-		n.unlist(id, "gone from the list")
+		n.unusable.forget(replica.ID(key))
+		n.unlist(replica.ID(key), "gone from the list")
 		return
 	}
-	entry, err := n.adapter.Translator.Replica(key, value)
-	if err != nil {
-		n.refuseEntry(id, err)
-		return
+	if entry, ok := n.decodeReplica(key, value); ok {
+		n.putReplica(entry)
 	}
-	n.unusable.forget(id)
-	n.putReplica(entry)
 }
 
-// takeListed takes over a record of a whole list. It reports whether it changed anything.
-func (n *Node) takeListed(record recordstore.Record) (changed bool) {
-	if len(record.Value) == 0 {
-		return false
+// decodeReplica reads an entry of the list, or reports that it names no replica to use.
+func (n *Node) decodeReplica(key string, value []byte) (entry replica.Entry, ok bool) {
+	if len(value) == 0 {
+		return replica.Entry{}, false
 	}
-	entry, err := n.adapter.Translator.Replica(record.Key, record.Value)
+	entry, err := n.adapter.Translator.Replica(key, value)
 	if err != nil {
-		n.refuseEntry(replica.ID(record.Key), err)
-		return false
+		n.refuseEntry(replica.ID(key), err)
+		return replica.Entry{}, false
 	}
 	n.unusable.forget(entry.ID)
-	return n.replicas.put(entry)
+	return entry, true
 }
 
 // refuseEntry takes in that an entry names no replica to use: whoever stood there before
--- a/edge/role.go
+++ b/edge/role.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"birchwood.example/birchwood/coordinator"
@@ -56,22 +58,18 @@
 	switch {
 	case roles == nil || !n.large():
 		return roleAlone
-	case names(roles.Sources, n.self.ID):
+	case includes(roles.Sources, n.self.ID):
 		return roleSource
-	case names(roles.Readers, n.self.ID):
+	case includes(roles.Readers, n.self.ID):
 		return roleReader
 	default:
 		return roleFollower
 	}
 }
 
-func names(nodes []machine.Machine, id machine.ID) bool {
-	for _, node := range nodes {
-		if node.ID == id {
-			return true
-		}
-	}
-	return false
+// includes reports whether a node is one of some.
+func includes(nodes []machine.Machine, id machine.ID) bool {
+	return slices.ContainsFunc(nodes, func(node machine.Machine) bool { return node.ID == id })
 }
 
 // readersToFollow returns the nodes that this node has the replicas of, those that it
--- a/replica/scale_test.go
+++ b/replica/scale_test.go
@@ -21,8 +21,8 @@
 	}
 }
 
-// scaleSet returns a set of so many replicas, as node of 984 sees it: one in twenty
-// of its peers told of a request at each of some replicas.
+// scaleSet returns a set of so many replicas, as one node of 984 sees it: one in twenty of
+// its peers told of requests at some of them.
 func scaleSet(count int) *replica.Set {
 	now := time.Unix(1000, 0)
 	set := replica.NewSet(replica.DefaultConfig("a"))
@@ -33,7 +33,8 @@
 	set.SetNodes(984)
 	for peer := range 49 {
 		counts := make(map[replica.ID]int)
-		for offset := range 10 {
+		// As many to each replica, whatever their number.
+		for offset := range max(1, count/1_000) {
 			counts[scaleEntry((peer*97+offset*13)%count).ID]++
 		}
 		set.SetPeer(now, fmt.Sprintf("node-%d", peer), counts)
--- a/replica/select.go
+++ b/replica/select.go
@@ -114,10 +114,10 @@
 	}, nil
 }
 
-// feasible returns the replicas that may take the request, of those to be weighed: those that answered
-// well lately, or the suspect ones where there are no others. Where there are none at
-// all that has room, lacking tells what it lacks; nil where no replica may take the
-// request at all.
+// feasible returns the replicas that may take the request, of those to be weighed: those
+// that answered well lately, or the suspect ones where there are no others. Where there
+// are none at all that has room, lacking tells what it lacks; nil where no replica may
+// take the request at all.
 func (s *Set) feasible(now time.Time, request *Request, weighable []*member) (list []*member, lacking error) {
 	if known := s.byID[request.Only]; known != nil {
 		if s.mayTake(now, request, known) != nil {
--- a/replica/window.go
+++ b/replica/window.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/binary"
-	"math"
 	"slices"
 	"time"
 
@@ -161,12 +160,9 @@
 
 // rankIn orders a replica among others, alike for all nodes of a group in a zone.
 func rankIn(zone string, group int, id ID) uint64 {
-	if group < 0 || group > math.MaxUint16 {
-		group = 0
-	}
 	digest := xxhash.New()
-	var number [2]byte
-	binary.BigEndian.PutUint16(number[:], uint16(group))
+	var number [8]byte
+	binary.BigEndian.PutUint64(number[:], uint64(group))
 	// Writes to a digest return no error.
 	_, _ = digest.WriteString(zone)
 	_, _ = digest.Write(number[:])
