dispatch: a package for the decisions under load; a turn's finish and expected length are read

Cause: nothing decides by what is left of a program, since its finish was not read; and edge, replica and coordinator each decide under load on their own. A hint that is not of its form is passed over with a log line: the turn is served without.

--- a/edge/handle.go
+++ b/edge/handle.go
@@ -108,6 +108,7 @@
 			return fmt.Sprintf("%s: %v", names.TokenBudget, err)
 		}
 	}
+	n.readHints(r)
 	r.program = r.exchange.Field(names.Program)
 	r.session = r.exchange.Field(names.Session)
 	r.previous = r.exchange.Field(names.PreviousTurn)
@@ -115,6 +116,32 @@
 	return ""
 }
 
+// readHints takes in what the client says of the turn's length and of its program's
+// end. Both are estimates: a turn with one that is not of its form is served without.
+func (n *Node) readHints(r *requestState) {
+	names := n.adapter.Names
+	if value := r.exchange.Field(names.Finish); value != "" {
+		left, err := parseTimeLeft(value)
+		if err == nil {
+			r.finish = r.exchange.Arrived.Add(left)
+		}
+		n.noteHint(r, names.Finish, err)
+	}
+	if value := r.exchange.Field(names.LengthHint); value != "" {
+		var err error
+		r.expected, err = parseCount(value)
+		n.noteHint(r, names.LengthHint, err)
+	}
+}
+
+// noteHint writes that a hint is passed over, if it is not of its form.
+func (n *Node) noteHint(r *requestState, field string, err error) {
+	if err == nil {
+		return
+	}
+	n.logger.Warn().Str("request", r.id).Str("field", field).Err(err).Msg("request: hint passed over")
+}
+
 // outgoing builds the request that a replica gets.
 func (n *Node) outgoing(r *requestState, entry replica.Entry, body []byte, lastEvent string) *upstream.Request {
 	names := n.adapter.Names
--- a/edge/request.go
+++ b/edge/request.go
@@ -60,11 +60,15 @@
 	// The fields below belong to turns of programs. The ids are as the client names
 	// them: replicas and logs get them so. Owners and caches get those of turnID,
 	// programID and previousID.
-	program   string
-	session   string
-	previous  string
-	most      int
-	budget    int
+	program  string
+	session  string
+	previous string
+	most     int
+	budget   int
+	// expected is the client's guess at the tokens that come out; 0 where it makes none.
+	expected int
+	// finish is when the program is to be over; zero where the client does not say.
+	finish    time.Time
 	partition int
 	owner     string
 	admission ledger.Admission
@@ -142,6 +146,17 @@
 	return time.Duration(min(number, maximumMilliseconds) * float64(time.Millisecond)), nil
 }
 
+// parseTimeLeft reads how much time is left of something, which may be over.
+func parseTimeLeft(value string) (time.Duration, error) {
+	value = strings.TrimSpace(value)
+	text, over := strings.CutPrefix(value, "-")
+	left, err := parseMilliseconds(text)
+	if over {
+		left = -left
+	}
+	return left, err
+}
+
 // parseCount reads a whole number that is at least zero.
 func parseCount(value string) (int, error) {
 	number, err := strconv.Atoi(strings.TrimSpace(value))
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -20,7 +20,7 @@
 // A folder stands for every package below it that has no entry of its own.
 var layers = [][]string{
 	{"soak/promise"},
-	{"internal/wait", "findings", "connection", "header", "recordstore", "eventstream", "zone"},
+	{"internal/wait", "findings", "connection", "header", "recordstore", "eventstream", "zone", "dispatch"},
 	{"tenant", "evacuation"},
 	{"httpclient", "retry", "routing", "replica", "ledger", "ownership", "upstream"},
 	{"machine", "api"},
@@ -47,11 +47,11 @@
 	"zone", "machine", "api", "contract", "recordlog", "partition", "program", "schedule", "retry", "findings",
 	"control", "workload", "emulator/enginemodel", "emulator/platformmodel",
 	"routing", "replica", "ledger", "ownership", "coordinator", "eventstream", "header", "recordstore",
-	"tenant", "evacuation", "soak/promise",
+	"tenant", "evacuation", "dispatch", "soak/promise",
 }
 
 // embeddable are the packages that others use without the daemon.
-var embeddable = []string{"recordlog", "partition", "contract", "schedule", "history", "routing", "replica", "ledger", "ownership", "coordinator"}
+var embeddable = []string{"recordlog", "partition", "contract", "schedule", "history", "routing", "replica", "ledger", "ownership", "coordinator", "dispatch"}
 
 const (
 	maximumFileLines     = 500
