dispatch: when a refused caller had best come back

Five constants told callers when to come back, the same for all who were refused in the same second, so that who was sent away together came back together. The time now follows from the cause, how long it has lasted, what the caller has left, and its place in a window that lasts as long as it takes to serve those who were refused. Replayed: a wave after an outage of five seconds comes back as a ramp.

--- /dev/null
+++ b/dispatch/comeback.go
@@ -0,0 +1,237 @@
+package dispatch
+
+import "time"
+
+// Cause is why a request is refused that has not run.
+type Cause int
+
+// The causes of refusals after which callers may come back.
+const (
+	// CauseStarting: the node has not read what it needs to serve.
+	CauseStarting Cause = iota
+	// CauseIsolated: the node reaches neither the store nor most other nodes.
+	CauseIsolated
+	// CauseNoOwner: nobody owns what the request concerns.
+	CauseNoOwner
+	// CauseStoreAway: what has to be durable first cannot be recorded.
+	CauseStoreAway
+	// CauseStoreFull: the store takes no further records.
+	CauseStoreFull
+	// CauseUnproven: whether the caller may ask, or what it goes on from, is uncertain.
+	CauseUnproven
+	// CauseBudgetHeld: other turns of the program hold the rest of its budget.
+	CauseBudgetHeld
+	// CauseLimit: the limit of the tenant is counted by a node that does not answer.
+	CauseLimit
+	// CauseFull: the replicas are full.
+	CauseFull
+	// CauseCold: the replicas that have room take few requests a second.
+	CauseCold
+	// CauseNoReplica: no replica is known that may serve the request.
+	CauseNoReplica
+	// CauseEvacuated: the zones that hold the replicas are to get no requests.
+	CauseEvacuated
+	// CauseRejected: every replica that was asked turned the request away.
+	CauseRejected
+	causes
+)
+
+// String returns the cause as logs and metrics name it.
+func (c Cause) String() string {
+	return [causes]string{
+		"starting", "isolated", "no owner", "store away", "store full", "unproven", "budget held", "limit not counted",
+		"replicas full", "replicas cold", "no replica", "evacuated", "rejected",
+	}[c]
+}
+
+// endurance bounds how much longer a state is taken to last whose end is not known.
+type endurance struct{ least, most time.Duration }
+
+// How much longer states last.
+var (
+	// A state of some messages or one turn.
+	passing = endurance{least: 150 * time.Millisecond, most: 600 * time.Millisecond}
+	// The takeover of a partition, or the end of some turns.
+	settling = endurance{least: 250 * time.Millisecond, most: 1200 * time.Millisecond}
+	// An outage, or work of an operator.
+	outage = endurance{least: 500 * time.Millisecond, most: 2500 * time.Millisecond}
+)
+
+// endurances holds a value for each cause.
+var endurances = [causes]endurance{
+	CauseStarting: passing, CauseIsolated: outage, CauseNoOwner: settling, CauseStoreAway: outage, CauseStoreFull: outage,
+	CauseUnproven: settling, CauseBudgetHeld: passing, CauseLimit: passing, CauseFull: settling, CauseCold: settling,
+	CauseNoReplica: settling, CauseEvacuated: outage, CauseRejected: passing,
+}
+
+// Bounds of the time after which a caller comes back.
+const (
+	// waitShare is the part of what a caller has left that it waits at most: the rest is
+	// for the try itself and one more. Clients wait for no more than that either.
+	waitShare = 1. / 3
+	// leastReturn is the shortest wait that is told: no state ends sooner.
+	leastReturn = 50 * time.Millisecond
+	// leastSpread is the part of the wait over which returns are spread at least, so that
+	// callers who were refused together do not come back together.
+	leastSpread = 0.25
+	// longestSpread bounds the ramp of returns: one that lasts longer would cost the last
+	// callers more than a second refusal.
+	longestSpread = 1500 * time.Millisecond
+)
+
+// Refusal is what is known when a request is refused that has not run.
+type Refusal struct {
+	Cause Cause
+	// Lasted is how long the cause has held.
+	Lasted time.Duration
+	// Ends is when the cause is expected to end; 0 where that is not known.
+	Ends time.Duration
+	// Refused counts those that were refused for the same cause lately and come back,
+	// and Pace those that can be served in a second once it has ended; 0 where unknown.
+	Refused, Pace float64
+	// Left is what the request has until its deadline.
+	Left time.Duration
+	// Begun says that the request's program is under way.
+	Begun bool
+	// Urgency is the rank of the request: 0 to leastUrgency, 0 first.
+	Urgency int
+	// Draw is a random number from 0 to below 1.
+	Draw float64
+}
+
+// ComeBack returns the time after which the caller had best come back: when the cause is
+// expected to end, in the order in which callers are to be served, spread so that the
+// replicas have room for them.
+func (r *Refusal) ComeBack() time.Duration {
+	ends := max(r.ends(), leastReturn)
+	spread := r.spread(ends)
+	bearable := time.Duration(float64(r.Left) * waitShare)
+	if r.Left > 0 && ends+spread > bearable {
+		// The window ends where the caller's patience does, and begins no sooner than
+		// the spread at least requires.
+		spread = max(bearable-ends, time.Duration(float64(bearable)*leastSpread))
+		ends = max(0, bearable-spread)
+	}
+	return max(ends+time.Duration(float64(spread)*r.place()), min(leastReturn, max(bearable, time.Millisecond)))
+}
+
+// ends returns when the cause is expected to end.
+func (r *Refusal) ends() time.Duration {
+	if r.Ends > 0 {
+		return r.Ends
+	}
+	bounds := endurances[r.Cause]
+	return min(max(r.Lasted, bounds.least), bounds.most)
+}
+
+// spread returns the length of the window in which those who were refused come back.
+func (r *Refusal) spread(ends time.Duration) time.Duration {
+	least := time.Duration(float64(ends) * leastSpread)
+	if r.Pace <= 0 {
+		return least
+	}
+	ramp := time.Duration(r.Refused / r.Pace * float64(time.Second))
+	return min(max(ramp, least), max(longestSpread, least))
+}
+
+// leastUrgency is the rank of the least urgent requests.
+const leastUrgency = 9
+
+// place returns where in the window the caller comes back, from 0 to below 1: programs
+// under way in its first half, new ones in its second, the more urgent sooner in both.
+func (r *Refusal) place() float64 {
+	urgency := float64(min(max(r.Urgency, 0), leastUrgency)) / leastUrgency
+	within := (urgency + r.Draw) / 2
+	if r.Begun {
+		return within / 2
+	}
+	return (1 + within) / 2
+}
+
+// Returns follows the refusals of one node by cause: since when each has held, and how
+// many callers are to come back. It is not safe for concurrent use.
+type Returns struct {
+	causes [causes]refused
+	served meter
+}
+
+// refused is one cause at one node.
+type refused struct {
+	since, last time.Time
+	lately      meter
+}
+
+// overAfter is how long after the last refusal its cause counts as over. Callers of all
+// kinds come several times a second while it holds.
+const overAfter = time.Second
+
+// Refuse notes a refusal and fills in what is known of its cause: how long it has lasted,
+// unless the caller knows that, how many were refused for it lately, and the pace of this
+// node before.
+func (r *Returns) Refuse(now time.Time, refusal *Refusal) {
+	state := &r.causes[refusal.Cause]
+	if state.last.IsZero() || now.Sub(state.last) > overAfter {
+		*state = refused{since: now}
+	}
+	state.last = now
+	state.lately.add(now)
+	if refusal.Lasted == 0 {
+		refusal.Lasted = now.Sub(state.since)
+	}
+	refusal.Refused = state.lately.rate(now)
+	refusal.Pace = r.served.steady(now)
+}
+
+// Served notes that a request was served, from which the node's pace is known.
+func (r *Returns) Served(now time.Time) { r.served.add(now) }
+
+// meterSpan is the time over which a meter counts, and meterMemory the number of spans
+// that the pace before an outage is remembered for.
+const (
+	meterSpan   = time.Second
+	meterMemory = 16
+)
+
+// meter counts events by second.
+type meter struct {
+	counts [meterMemory]float64
+	// span is the number of the span that the last event fell in.
+	span int64
+}
+
+// spanOf returns the number of the span in which a moment lies.
+func spanOf(now time.Time) int64 { return now.UnixNano() / int64(meterSpan) }
+
+// forward empties the spans that have passed without an event.
+func (m *meter) forward(now time.Time) int64 {
+	span := spanOf(now)
+	for m.span < span-meterMemory {
+		m.span = span - meterMemory
+	}
+	for m.span < span {
+		m.span++
+		m.counts[m.span%meterMemory] = 0
+	}
+	return span
+}
+
+// add counts an event.
+func (m *meter) add(now time.Time) { m.counts[m.forward(now)%meterMemory]++ }
+
+// rate returns the events in this span and the one before, as many a second.
+func (m *meter) rate(now time.Time) float64 {
+	span := m.forward(now)
+	passed := now.Sub(time.Unix(0, span*int64(meterSpan)))
+	share := 1 - float64(passed)/float64(meterSpan)
+	return m.counts[span%meterMemory] + share*m.counts[(span+meterMemory-1)%meterMemory]
+}
+
+// steady returns the most events in one span that are remembered.
+func (m *meter) steady(now time.Time) float64 {
+	m.forward(now)
+	most := 0.
+	for _, count := range m.counts {
+		most = max(most, count)
+	}
+	return most
+}
--- /dev/null
+++ b/dispatch/comeback_test.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// epoch is when replays begin.
+var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// TestComeBackIsBearable tells nobody to wait for longer than the caller would, whatever
+// the cause, and never at once.
+func TestComeBackIsBearable(t *testing.T) {
+	g := NewWithT(t)
+	draws := rand.New(rand.NewPCG(1, 2))
+	for cause := range causes {
+		for range 2000 {
+			refusal := &Refusal{
+				Cause: cause, Lasted: time.Duration(draws.Int64N(int64(9 * time.Second))), Left: time.Duration(draws.Int64N(int64(4 * time.Second))),
+				Refused: draws.Float64() * 500, Pace: draws.Float64() * 50, Begun: draws.IntN(2) == 0, Urgency: draws.IntN(12), Draw: draws.Float64(),
+			}
+			after := refusal.ComeBack()
+			g.Expect(after).To(BeNumerically(">", 0), "%+v", refusal)
+			g.Expect(after).To(BeNumerically("<=", max(refusal.Left/3, time.Millisecond)), "%+v", refusal)
+		}
+		g.Expect(cause.String()).NotTo(BeEmpty())
+	}
+}
+
+// TestComeBackFollowsTheOutage lets callers wait for longer the longer an outage has
+// lasted, and until its end where that is known.
+func TestComeBackFollowsTheOutage(t *testing.T) {
+	g := NewWithT(t)
+	early := (&Refusal{Cause: CauseStoreAway, Left: 20 * time.Second}).ComeBack()
+	late := (&Refusal{Cause: CauseStoreAway, Lasted: 2 * time.Second, Left: 20 * time.Second}).ComeBack()
+	endless := (&Refusal{Cause: CauseStoreAway, Lasted: time.Hour, Left: 20 * time.Second}).ComeBack()
+	g.Expect(early).To(BeNumerically(">=", outage.least))
+	g.Expect(late).To(BeNumerically(">=", 2*time.Second))
+	g.Expect(endless).To(BeNumerically("<=", outage.most*5/4))
+	known := (&Refusal{Cause: CauseIsolated, Ends: 900 * time.Millisecond, Left: 20 * time.Second, Draw: 0.5}).ComeBack()
+	g.Expect(known).To(BeNumerically("~", 1050*time.Millisecond, 150*time.Millisecond))
+}
+
+// TestComeBackInOrder has programs under way come back before new ones, and the more
+// urgent sooner, however the draws fall.
+func TestComeBackInOrder(t *testing.T) {
+	g := NewWithT(t)
+	draws := rand.New(rand.NewPCG(3, 4))
+	refusal := Refusal{Cause: CauseFull, Left: 30 * time.Second, Refused: 80, Pace: 80}
+	mean := func(begun bool, urgency int) (mean, first, last time.Duration) {
+		first = time.Hour
+		for range 500 {
+			one := refusal
+			one.Begun, one.Urgency, one.Draw = begun, urgency, draws.Float64()
+			after := one.ComeBack()
+			mean += after / 500
+			first, last = min(first, after), max(last, after)
+		}
+		return mean, first, last
+	}
+	urgent, _, _ := mean(true, 0)
+	other, _, lastBegun := mean(true, 9)
+	fresh, firstFresh, _ := mean(false, 0)
+	g.Expect(urgent).To(BeNumerically("<", other))
+	g.Expect(other).To(BeNumerically("<", fresh))
+	g.Expect(firstFresh).To(BeNumerically(">=", lastBegun))
+}
+
+// TestWaveComesBackAsARamp replays an outage of five seconds at a node that served 40
+// requests a second: what it refused comes back over more than a second, not at once.
+func TestWaveComesBackAsARamp(t *testing.T) {
+	g := NewWithT(t)
+	draws := rand.New(rand.NewPCG(5, 6))
+	var returns Returns
+	now := epoch
+	for range 40 * 3 {
+		returns.Served(now)
+		now = now.Add(25 * time.Millisecond)
+	}
+	began := now
+	comes := map[int64]int{}
+	tries := 0
+	queue := []time.Time{}
+	for step := range 40 * 5 {
+		queue = append(queue, began.Add(time.Duration(step)*25*time.Millisecond))
+	}
+	for len(queue) > 0 {
+		at := queue[0]
+		queue = queue[1:]
+		if at.Sub(began) >= 5*time.Second {
+			comes[at.Sub(began).Milliseconds()/100]++
+			continue
+		}
+		refusal := &Refusal{Cause: CauseStoreAway, Left: 6 * time.Second, Begun: draws.IntN(2) == 0, Draw: draws.Float64()}
+		returns.Refuse(at, refusal)
+		g.Expect(refusal.Pace).To(BeNumerically("~", 40, 1))
+		tries++
+		queue = insertTime(queue, at.Add(refusal.ComeBack()))
+	}
+	peak, total := 0, 0
+	for _, count := range comes {
+		peak, total = max(peak, count), total+count
+	}
+	g.Expect(total).To(Equal(200))
+	g.Expect(len(comes)).To(BeNumerically(">=", 12), "tenths of a second over which they come: %v", comes)
+	g.Expect(peak).To(BeNumerically("<=", 40), "in a tenth of a second: %v", comes)
+	g.Expect(tries).To(BeNumerically("<=", 4*200), "tries used up while it lasted")
+}
+
+// insertTime keeps a list of times in order.
+func insertTime(times []time.Time, at time.Time) []time.Time {
+	index := len(times)
+	for index > 0 && times[index-1].After(at) {
+		index--
+	}
+	times = append(times, time.Time{})
+	copy(times[index+1:], times[index:])
+	times[index] = at
+	return times
+}
+
+// TestReturnsForgets begins anew once a cause was over.
+func TestReturnsForgets(t *testing.T) {
+	g := NewWithT(t)
+	var returns Returns
+	refuse := func(after time.Duration) Refusal {
+		refusal := Refusal{Cause: CauseNoOwner}
+		returns.Refuse(epoch.Add(after), &refusal)
+		return refusal
+	}
+	g.Expect(refuse(0).Lasted).To(BeZero())
+	g.Expect(refuse(900 * time.Millisecond).Lasted).To(Equal(900 * time.Millisecond))
+	g.Expect(refuse(1800 * time.Millisecond).Lasted).To(Equal(1800 * time.Millisecond))
+	again := refuse(4 * time.Second)
+	g.Expect(again.Lasted).To(BeZero())
+	g.Expect(again.Refused).To(Equal(1.))
+}
