edge: refused callers are told when to come back by the cause and in an order

Each refusal that has not run names its cause; the time is dispatch's, with the node's own count of those refused and its pace. The constants of turns, keys, limits and replicas are gone, those of a start and of isolation are the known ends of their causes. New: mechanism spread-returns, counters by cause, a histogram of the times, and cause and comeBack in "request: ended".

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"birchwood.example/birchwood/dispatch"
 	"birchwood.example/birchwood/ingress"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/routing"
@@ -112,17 +113,21 @@
 		r.fail(fasthttp.StatusBadGateway, reason, 0)
 		return
 	}
-	wait := comeBackSoon
-	if errors.Is(err, replica.ErrNoReplica) && len(r.excluded) == 0 {
-		wait = comeBackLater
-		if !n.syncedReplicas.Load() {
-			wait = n.comeBackAtStart()
-		}
-	}
-	if errors.Is(err, replica.ErrEvacuated) {
-		wait = comeBackAfterOutage
+	n.turnAway(r, n.refusalOf(r, err), reason)
+}
+
+// refusalOf tells why there is no replica (left) for a request that has not run.
+func (n *Node) refusalOf(r *requestState, err error) dispatch.Refusal {
+	switch {
+	case errors.Is(err, replica.ErrEvacuated):
+		return dispatch.Refusal{Cause: dispatch.CauseEvacuated}
+	case !errors.Is(err, replica.ErrNoReplica) || len(r.excluded) > 0:
+		return dispatch.Refusal{Cause: dispatch.CauseRejected}
+	case !n.syncedReplicas.Load():
+		return dispatch.Refusal{Cause: dispatch.CauseStarting, Ends: n.comeBackAtStart()}
+	default:
+		return dispatch.Refusal{Cause: dispatch.CauseNoReplica}
 	}
-	r.fail(fasthttp.StatusServiceUnavailable, reason, wait)
 }
 
 // notExecuted reports whether the answer promises that the request was not run.
--- a/edge/charge.go
+++ b/edge/charge.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/dispatch"
 	"birchwood.example/birchwood/tenant"
 )
 
@@ -55,7 +56,7 @@
 	case r.charge.outcome = <-r.charge.answer:
 	case <-ctx.Done():
 		// The answer may still come; settleCharge takes it.
-		r.fail(fasthttp.StatusServiceUnavailable, "the time of the request was up before it was counted", comeBackSoon)
+		n.turnAway(r, dispatch.Refusal{Cause: dispatch.CauseLimit}, "the time of the request was up before it was counted")
 		return false
 	}
 	n.metrics.charged(string(r.charge.outcome.Status))
@@ -66,7 +67,7 @@
 		r.fail(fasthttp.StatusTooManyRequests, "the tenant's limit of "+strconv.FormatFloat(r.tenant.Limit.Rate, 'g', -1, 64)+
 			" requests a second is reached", r.charge.outcome.Decision.RetryAfter)
 	default:
-		r.fail(fasthttp.StatusServiceUnavailable, "the node that counts the tenant's requests does not answer", comeBackSoon)
+		n.turnAway(r, dispatch.Refusal{Cause: dispatch.CauseLimit}, "the node that counts the tenant's requests does not answer")
 	}
 	return false
 }
--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -18,6 +18,9 @@
 // logOutcome writes how a request ended: what decided it, and how fresh that was.
 func (n *Node) logOutcome(r *requestState) {
 	took := time.Since(r.exchange.Arrived)
+	if r.status < failedStatus && r.status != 0 {
+		n.returns.served(time.Now())
+	}
 	status := strconv.Itoa(r.status)
 	if r.status == 0 {
 		status = "none"
@@ -41,6 +44,9 @@
 			Str("owner", r.owner).Str("verdict", string(r.admission.Verdict)).Int("settled", r.admission.Settled).
 			Int("open", r.admission.Open).Int("most", r.most).Int("budget", r.budget).Int("tokens", r.tokens)
 	}
+	if r.cause != "" {
+		entry = entry.Str("cause", r.cause).Dur("comeBack", r.comeBack)
+	}
 	entry.Int("missing", r.choice.Missing).Int("load", r.choice.Load).Bool("left", r.choice.Left).Dur("first", r.firstAfter).Msg("request: ended")
 }
 
--- a/edge/handle.go
+++ b/edge/handle.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"birchwood.example/birchwood/dispatch"
 	"birchwood.example/birchwood/header"
 	"birchwood.example/birchwood/ingress"
 	"birchwood.example/birchwood/ownership"
@@ -20,8 +21,6 @@
 const (
 	// comeBackSoon follows a state that lasts some hundred milliseconds.
 	comeBackSoon = 150 * time.Millisecond
-	// comeBackLater follows one that lasts longer.
-	comeBackLater = 400 * time.Millisecond
 	// comeBackAfterOutage follows one that lasts seconds: a program that is
 	// refused a few times in a row gives up.
 	comeBackAfterOutage = 1200 * time.Millisecond
@@ -35,7 +34,7 @@
 	defer n.logOutcome(request)
 	table := n.routes.Current()
 	if table == nil {
-		request.fail(fasthttp.StatusServiceUnavailable, "no configuration is known yet", n.comeBackAtStart())
+		n.turnAway(request, dispatch.Refusal{Cause: dispatch.CauseStarting, Ends: n.comeBackAtStart()}, "no configuration is known yet")
 		return
 	}
 	request.version = table.Version
@@ -59,7 +58,7 @@
 	exchange.SetWriteDeadline(request.deadline.Add(writeSlack))
 	service, ok := request.route.Choose(n.draw())
 	if !ok {
-		request.fail(fasthttp.StatusServiceUnavailable, "the route has no service", comeBackLater)
+		n.turnAway(request, dispatch.Refusal{Cause: dispatch.CauseNoReplica}, "the route has no service")
 		return
 	}
 	request.service = service
--- a/edge/keys.go
+++ b/edge/keys.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/dispatch"
 	"birchwood.example/birchwood/recordstore"
 	"birchwood.example/birchwood/routing"
 	"birchwood.example/birchwood/tenant"
@@ -102,7 +103,7 @@
 	r.proofAge = age
 	if n.settings.uses(LeaseKeys) && !n.leased() {
 		n.metrics.keyRefused(keyLeaseOver)
-		r.fail(fasthttp.StatusServiceUnavailable, "whether keys are still valid is not certain at present", comeBackSoon)
+		n.turnAway(r, dispatch.Refusal{Cause: dispatch.CauseUnproven}, "whether keys are still valid is not certain at present")
 		return false
 	}
 	keys := r.exchange.Values(n.adapter.Names.Key)
@@ -136,7 +137,7 @@
 	r.proofAge = age
 	if !current && age > proofEnough {
 		n.metrics.keyRefused(keyUncertain)
-		r.fail(fasthttp.StatusServiceUnavailable, "whether the key is valid is not certain at present", comeBackSoon)
+		n.turnAway(r, dispatch.Refusal{Cause: dispatch.CauseUnproven}, "whether the key is valid is not certain at present")
 		return false
 	}
 	n.metrics.keyRefused(keyUnknown)
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -76,6 +76,9 @@
 	// RepeatLateCalls sends a call that may run more than once again when its
 	// answer is late.
 	RepeatLateCalls Mechanism = "repeat-late-calls"
+	// SpreadReturns has those who are refused together come back one after the other, in
+	// the order in which they are to be served.
+	SpreadReturns Mechanism = "spread-returns"
 	// SuspectSilent passes over replicas that failed to answer.
 	SuspectSilent Mechanism = "suspect-silent"
 )
@@ -85,7 +88,7 @@
 	return []Mechanism{
 		AssumeShared, BeginAgain, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowPrompts,
 		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, PreferConnections, PreferRegion, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
-		RepeatLateCalls, SuspectSilent,
+		RepeatLateCalls, SpreadReturns, SuspectSilent,
 	}
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -62,6 +62,8 @@
 	metricFull       = "birchwood_edge_store_full_total"
 	metricUnusable   = "birchwood_edge_replica_entries_refused_total"
 	metricTrims      = "birchwood_edge_store_trims_total"
+	metricTurnedAway = "birchwood_edge_turned_away_total"
+	metricComeBack   = "birchwood_edge_come_back_seconds"
 )
 
 // latencyBuckets are for times that clients feel, in seconds.
@@ -181,6 +183,13 @@
 // ownerMissed counts a question to a node that does not serve the partition.
 func (m *Metrics) ownerMissed() { m.misses.Inc() }
 
+// turnedAway counts a request that was refused, by cause, with the time after which its
+// caller is to come back.
+func (m *Metrics) turnedAway(cause string, comeBack time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{cause=%q}", metricTurnedAway, cause)).Inc()
+	m.set.GetOrCreatePrometheusHistogramExt(metricComeBack, latencyBuckets).Update(comeBack.Seconds())
+}
+
 // partitionChanged counts partitions won and lost.
 func (m *Metrics) partitionChanged(owned bool) {
 	change := "lost"
--- a/edge/node.go
+++ b/edge/node.go
@@ -51,6 +51,8 @@
 	control *control
 	peers   *peers
 	metrics *Metrics
+	// returns spreads the times at which refused callers come back.
+	returns returns
 	// coldOffers counts the offers to cold replicas, for their ids.
 	coldOffers atomic.Uint64
 	// withheld are the fields of clients that no replica gets.
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -1,7 +1,5 @@
 package edge
 
-import "time"
-
 // New programs are refused while even the emptiest replica is this full: what
 // they would add makes those under way miss their time, and their prompts give
 // way in the replicas' memory, which costs prefill and adds to the load. The
@@ -9,8 +7,6 @@
 const (
 	fullPressure       = 1.25
 	fullPressureUrgent = 1.6
-	// comeBackWhenFull is when a refused program is to try again.
-	comeBackWhenFull = 700 * time.Millisecond
 )
 
 // overloaded reports whether a program that has not begun is to wait.
--- a/edge/request.go
+++ b/edge/request.go
@@ -56,6 +56,10 @@
 	status     int
 	reason     string
 	firstAfter time.Duration
+	// cause and comeBack are why the request was turned away and what its caller was
+	// told.
+	cause    string
+	comeBack time.Duration
 
 	// The fields below belong to turns of programs. The ids are as the client names
 	// them: replicas and logs get them so. Owners and caches get those of turnID,
--- /dev/null
+++ b/edge/returns_test.go
@@ -0,0 +1,25 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/dispatch"
+)
+
+// TestSpreadReturns tells callers who are refused in the same moment different times, and
+// one time where it is switched off.
+func TestSpreadReturns(t *testing.T) {
+	g := NewWithT(t)
+	for _, settings := range []Settings{{}, without(SpreadReturns)} {
+		node := &Node{settings: settings, random: rand.New(rand.NewPCG(7, 8))}
+		told := map[time.Duration]bool{}
+		for range 10 {
+			told[node.comeBackAfter(&dispatch.Refusal{Cause: dispatch.CauseStoreAway, Left: time.Minute})] = true
+		}
+		g.Expect(len(told)).To(Equal(map[bool]int{true: 10, false: 1}[settings.uses(SpreadReturns)]))
+	}
+}
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/dispatch"
 	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/machine"
@@ -45,7 +46,9 @@
 	ctx, cancel := context.WithDeadline(n.ctx, r.deadline)
 	defer cancel()
 	if since := n.isolatedSince.Load(); since != nil && r.needsOwner() {
-		r.fail(fasthttp.StatusServiceUnavailable, "this node reaches neither the store nor most of the zones", comeBackElsewhere(time.Since(*since)))
+		lasted := time.Since(*since)
+		n.turnAway(r, dispatch.Refusal{Cause: dispatch.CauseIsolated, Lasted: lasted, Ends: comeBackElsewhere(lasted)},
+			"this node reaches neither the store nor most of the zones")
 		return
 	}
 	n.beginCharge(ctx, r)
@@ -61,7 +64,7 @@
 	}
 	if r.admission.Fresh && n.overloaded(r) {
 		n.settle(r)
-		r.fail(fasthttp.StatusServiceUnavailable, "the replicas are full, and programs under way go first", comeBackWhenFull)
+		n.turnAway(r, dispatch.Refusal{Cause: dispatch.CauseFull}, "the replicas are full, and programs under way go first")
 		return
 	}
 	run := &turnRun{node: n, request: r, table: table, grant: granted}
@@ -98,7 +101,7 @@
 		reply, err = n.askAdmission(ctx, r, ask)
 	}
 	if err != nil {
-		r.fail(fasthttp.StatusServiceUnavailable, err.Error(), comeBackSoon)
+		n.turnAway(r, dispatch.Refusal{Cause: dispatch.CauseNoOwner}, err.Error())
 		return grant{}, false
 	}
 	if !ask.HasChain {
@@ -129,16 +132,7 @@
 // takeReply turns the owner's reply into a grant or an answer.
 func (n *Node) takeReply(ctx context.Context, r *requestState, reply coordinator.Reply, found grant) (grant, bool) {
 	if reply.Status != coordinator.ReplyDone || reply.Admission == nil {
-		wait := comeBackLater
-		if reply.Status == coordinator.ReplyStalled {
-			wait = comeBackAfterOutage
-		}
-		reason := "the program's partition answered " + string(reply.Status)
-		if reply.Status == coordinator.ReplyFull {
-			wait = comeBackAfterOutage
-			reason = "the store is full and takes no record of the turn"
-		}
-		r.fail(fasthttp.StatusServiceUnavailable, reason, wait)
+		n.answerUnadmitted(r, reply.Status)
 		return grant{}, false
 	}
 	r.admission = *reply.Admission
@@ -147,7 +141,7 @@
 		r.fail(fasthttp.StatusPaymentRequired, "the program's token budget is spent", 0)
 		return grant{}, false
 	case ledger.VerdictBusy:
-		r.fail(fasthttp.StatusServiceUnavailable, "other turns of the program hold the rest of its budget", comeBackSoon)
+		n.turnAway(r, dispatch.Refusal{Cause: dispatch.CauseBudgetHeld}, "other turns of the program hold the rest of its budget")
 		return grant{}, false
 	}
 	found.epoch = reply.Epoch
@@ -159,6 +153,18 @@
 	return found, true
 }
 
+// answerUnadmitted answers a turn that its partition's owner did not admit.
+func (n *Node) answerUnadmitted(r *requestState, status coordinator.ReplyStatus) {
+	switch status {
+	case coordinator.ReplyFull:
+		n.turnAway(r, dispatch.Refusal{Cause: dispatch.CauseStoreFull}, "the store is full and takes no record of the turn")
+	case coordinator.ReplyStalled:
+		n.turnAway(r, dispatch.Refusal{Cause: dispatch.CauseStoreAway}, "the program's partition answered "+string(status))
+	default:
+		n.turnAway(r, dispatch.Refusal{Cause: dispatch.CauseNoOwner}, "the program's partition answered "+string(status))
+	}
+}
+
 // answerNoChain answers a turn whose previous turn was not found: only what is
 // certain becomes "no such turn".
 func (n *Node) answerNoChain(r *requestState, status coordinator.ReplyStatus) {
@@ -166,7 +172,7 @@
 		r.fail(fasthttp.StatusNotFound, "no such previous turn", 0)
 		return
 	}
-	r.fail(fasthttp.StatusServiceUnavailable, "whether the previous turn is kept is not certain at present", comeBackLater)
+	n.turnAway(r, dispatch.Refusal{Cause: dispatch.CauseUnproven}, "whether the previous turn is kept is not certain at present")
 }
 
 // askOwner asks the owner of a partition, and looks for it anew for as long as
