dispatch: who goes first, and how much longer programs take as a rule

Turns that compete are ranked by their tier (under way and in time, late, new), by slack within it, and by their wait, so that none starves. Engines get the rank within the band of the turn's priority: no turn is ever ranked with or before one of a more urgent priority.

--- /dev/null
+++ b/dispatch/order.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Standing is what a turn's program has done and needs, when turns compete.
+type Standing struct {
+	// Begun says that the program is under way.
+	Begun bool
+	// Left is the time until the program is to be over, and HasLeft whether its client
+	// says so.
+	Left    time.Duration
+	HasLeft bool
+	// Need is how much longer the program takes as a rule; 0 where that is not known.
+	Need time.Duration
+	// Waited is how long the turn has waited for room.
+	Waited time.Duration
+}
+
+// Tier is the part of the order that a turn belongs to.
+type Tier int
+
+// The tiers, the first to be served first.
+const (
+	// TierInTime: the program is under way and can still be in time.
+	TierInTime Tier = iota
+	// TierLate: the program is under way and cannot be in time any more. Its caller still
+	// waits for it, and what it has done would be lost.
+	TierLate
+	// TierNew: the program has not begun.
+	TierNew
+	tiers
+)
+
+// String returns the tier as logs and metrics name it.
+func (t Tier) String() string { return [tiers]string{"in time", "late", "new"}[t] }
+
+// Slack returns the time that the program has beyond what it needs, below zero where it
+// cannot be in time. Without the client's word it has slackUnknown.
+func (s *Standing) Slack() time.Duration {
+	if !s.HasLeft {
+		return slackUnknown
+	}
+	return s.Left - s.Need
+}
+
+// Tier returns the tier of the turn.
+func (s *Standing) Tier() Tier {
+	switch {
+	case !s.Begun:
+		return TierNew
+	case s.Slack() < 0:
+		return TierLate
+	default:
+		return TierInTime
+	}
+}
+
+const (
+	// slackUnknown is the slack of programs whose clients name no time: a few turns'.
+	slackUnknown = time.Second
+	// slackMost is the slack beyond which programs are alike: none of them is near its
+	// end.
+	slackMost = 4 * time.Second
+	// tierAge is the wait by which a turn moves up one tier, so that none waits for ever:
+	// a part of what callers bear for one turn.
+	tierAge = 400 * time.Millisecond
+)
+
+// Key returns where the turn stands in the order: the least is served first. Turns of one
+// tier go by their slack, and waiting moves a turn up, past every tier in the end.
+func (s *Standing) Key() float64 {
+	within := float64(min(max(s.Slack(), 0), slackMost)) / float64(slackMost+1)
+	return float64(s.Tier()) + within - float64(s.Waited)/float64(tierAge)
+}
+
+// Before orders two turns that compete: the more urgent by priority first, then by their
+// keys.
+func Before(priority int, standing *Standing, otherPriority int, other *Standing) bool {
+	if priority != otherPriority {
+		return priority < otherPriority
+	}
+	return standing.Key() < other.Key()
+}
+
+// Bands maps the priorities of a service's routes and tenants to ranges of the urgency
+// that engines know, 0 first to leastUrgency: each priority has its own, the more urgent
+// the lower, so that no turn is ever ranked with or before one of a more urgent priority.
+type Bands struct{ priorities []int }
+
+// NewBands returns the bands for the priorities that are in use. Where they are more than
+// engines can tell apart, priorities are urgencies as they are.
+func NewBands(priorities []int) Bands {
+	sorted := slices.Clone(priorities)
+	slices.Sort(sorted)
+	return Bands{priorities: slices.Compact(sorted)}
+}
+
+// urgencies is how many ranks engines tell apart.
+const urgencies = leastUrgency + 1
+
+// Urgency returns the rank of a turn at engines.
+func (b Bands) Urgency(priority int, standing *Standing) int {
+	count := len(b.priorities)
+	index, known := slices.BinarySearchFunc(b.priorities, priority, cmp.Compare[int])
+	if !known || 2*count > urgencies {
+		return min(max(0, priority), leastUrgency)
+	}
+	first, end := index*urgencies/count, (index+1)*urgencies/count
+	share := min(max(standing.Key()/float64(tiers), 0), 1)
+	return min(first+int(share*float64(end-first)), end-1)
+}
--- /dev/null
+++ b/dispatch/order_test.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// standing returns a program under way with a slack.
+func standing(slack time.Duration) *Standing {
+	return &Standing{Begun: true, HasLeft: true, Left: 2*time.Second + slack, Need: 2 * time.Second}
+}
+
+// TestOrderByTier serves programs that can be in time by their slack, then late ones, then
+// new ones.
+func TestOrderByTier(t *testing.T) {
+	g := NewWithT(t)
+	ranked := []*Standing{
+		standing(10 * time.Millisecond), standing(400 * time.Millisecond), {Begun: true}, standing(3 * time.Second),
+		standing(-time.Second), {HasLeft: true, Left: 3 * time.Second, Need: 2 * time.Second}, {},
+	}
+	tiersOf := []Tier{TierInTime, TierInTime, TierInTime, TierInTime, TierLate, TierNew, TierNew}
+	for index, one := range ranked {
+		g.Expect(one.Tier()).To(Equal(tiersOf[index]))
+		g.Expect(one.Tier().String()).NotTo(BeEmpty())
+		if index > 0 && index != 6 {
+			g.Expect(Before(1, ranked[index-1], 1, one)).To(BeTrue(), "%d before %d", index-1, index)
+		}
+	}
+	g.Expect(Before(0, ranked[6], 1, ranked[0])).To(BeTrue(), "the more urgent priority goes first")
+}
+
+// TestOrderStarvesNobody puts a new program before any other of its priority that comes
+// once it has waited for all tiers.
+func TestOrderStarvesNobody(t *testing.T) {
+	g := NewWithT(t)
+	waiting := &Standing{HasLeft: true, Left: time.Hour, Waited: time.Duration(tiers)*tierAge + time.Millisecond}
+	g.Expect(Before(1, waiting, 1, standing(0))).To(BeTrue())
+}
+
+// TestBandsKeepPriorities ranks no turn with or before one of a more urgent priority,
+// whatever their standing.
+func TestBandsKeepPriorities(t *testing.T) {
+	g := NewWithT(t)
+	draws := rand.New(rand.NewPCG(9, 10))
+	for _, priorities := range [][]int{{0, 1}, {0, 2}, {5}, {0, 1, 2, 3, 4}, {0, 1, 2, 3, 4, 5, 6, 7}, {2, 0, 2}} {
+		bands := NewBands(priorities)
+		sorted := slices.Compact(slices.Sorted(slices.Values(priorities)))
+		for range 2000 {
+			end := -1
+			for _, priority := range sorted {
+				one := standing(time.Duration(draws.Int64N(int64(8*time.Second))) - 4*time.Second)
+				one.Begun, one.Waited = draws.IntN(2) == 0, time.Duration(draws.Int64N(int64(2*time.Second)))
+				urgency := bands.Urgency(priority, one)
+				g.Expect(urgency).To(BeNumerically(">", end), "%v", priorities)
+				g.Expect(urgency).To(BeNumerically("<=", leastUrgency))
+				end = urgency
+			}
+		}
+	}
+}
+
+// TestBandsTellSlackApart gives programs that are nearly late a better rank than new ones
+// of the same priority.
+func TestBandsTellSlackApart(t *testing.T) {
+	g := NewWithT(t)
+	bands := NewBands([]int{0, 1})
+	g.Expect(bands.Urgency(1, standing(0))).To(Equal(5))
+	g.Expect(bands.Urgency(1, standing(0))).To(BeNumerically("<", bands.Urgency(1, standing(-time.Second))))
+	g.Expect(bands.Urgency(1, standing(-time.Second))).To(BeNumerically("<", bands.Urgency(1, &Standing{})))
+	g.Expect(bands.Urgency(0, &Standing{HasLeft: true, Left: time.Hour})).To(Equal(4))
+}
