edge: engines get each turn's rank by its program's time to spare

X-Request-Urgency was the priority alone. Within the band of a priority, programs under way go by slack, then late ones, then new ones; what they still need is learned at the node. New: mechanism order-by-slack, need, urgency and finish in "request: ended".

--- a/dispatch/usual.go
+++ b/dispatch/usual.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// Usual learns how much longer programs of each route take from each of their turns on,
-// from the programs that a node saw. It is not safe for concurrent use.
+// Usual learns how much longer programs take, from those that a node saw. What a client
+// grants its program at the first turn tells how large the program is; how long programs
+// of its route take for each of their turns is learned. It is not safe for concurrent use.
 type Usual struct {
 	programs map[string]*seenProgram
 	routes   map[string]*usualRoute
@@ -13,31 +14,29 @@
 // seenProgram is a program under way.
 type seenProgram struct {
 	route string
-	// begins are when its turns came, the first usualSteps of them.
-	begins []time.Time
-	// last is when its last turn came or ended.
-	last time.Time
+	// granted is the time that the client gave it at its first turn; 0 where this node
+	// did not see that, or the client did not say.
+	granted time.Duration
+	turns   int
+	// began and last are when its first turn came and when its last one came or ended.
+	began, last time.Time
 }
 
-// usualRoute holds the usual of one route, by how many turns came before.
+// usualRoute holds sums over the last programs of a route, which older programs leave
+// little by little.
 type usualRoute struct {
-	rest [usualSteps]usualRest
-	at   time.Time
+	programs, turns, took, granted float64
+	at                             time.Time
 }
 
-// usualRest is a mean that follows the last programs.
-type usualRest struct{ seconds, programs float64 }
-
 const (
-	// usualSteps is how many turns of a program are told apart.
-	usualSteps = 12
 	// usualPrograms bounds the programs that are followed at once, and usualRoutes the
 	// routes: more than one node has under way.
 	usualPrograms = 512
 	usualRoutes   = 200
-	// usualMean is how many programs the mean of a route holds.
-	usualMean = 50
-	// usualLeast is from how many programs on a mean is used.
+	// usualMemory is how many programs the sums of a route hold about.
+	usualMemory = 50
+	// usualLeast is from how many programs on a route's sums are used.
 	usualLeast = 5
 	// programOver is how long after its last turn a program counts as over: longer than
 	// its pauses and tools take as a rule.
@@ -51,24 +50,20 @@
 	return &Usual{programs: make(map[string]*seenProgram), routes: make(map[string]*usualRoute)}
 }
 
-// Begin takes in that a turn of a program came, and returns how many turns of it came
-// before, as far as this node knows.
-func (u *Usual) Begin(now time.Time, route, program string) (step int) {
+// Begin takes in that a turn of a program came. Granted is what the client gives the
+// whole program, if this is its first turn; else 0.
+func (u *Usual) Begin(now time.Time, route, program string, granted time.Duration) {
 	u.sweep(now)
 	seen := u.programs[program]
 	if seen == nil {
 		if len(u.programs) >= usualPrograms {
-			return 0
+			return
 		}
-		seen = &seenProgram{route: route}
+		seen = &seenProgram{route: route, granted: max(granted, 0), began: now}
 		u.programs[program] = seen
 	}
 	seen.last = now
-	step = len(seen.begins)
-	if step < usualSteps {
-		seen.begins = append(seen.begins, now)
-	}
-	return min(step, usualSteps-1)
+	seen.turns++
 }
 
 // End takes in that a turn of a program was served.
@@ -78,15 +73,20 @@
 	}
 }
 
-// Rest returns how much longer a program of the route takes as a rule from a turn on, the
-// turn itself included, or false where that is not known.
-func (u *Usual) Rest(route string, step int) (time.Duration, bool) {
+// Need returns how much longer a program takes as a rule, the turn that began last
+// included; 0 where that is not known. Of a program whose first turn this node did not
+// see, only that turn is known to be left.
+func (u *Usual) Need(route, program string) time.Duration {
 	known := u.routes[route]
-	if known == nil {
-		return 0, false
+	if known == nil || known.programs < usualLeast {
+		return 0
 	}
-	rest := known.rest[min(max(step, 0), usualSteps-1)]
-	return time.Duration(rest.seconds * float64(time.Second)), rest.programs >= usualLeast
+	rest := 1.
+	if seen := u.programs[program]; seen != nil && seen.granted > 0 && known.granted > 0 {
+		turns := seen.granted.Seconds() * known.turns / known.granted
+		rest = max(turns-float64(seen.turns-1), 1)
+	}
+	return time.Duration(rest * known.took / known.turns * float64(time.Second))
 }
 
 // sweep learns from the programs that are over.
@@ -100,11 +100,13 @@
 			continue
 		}
 		delete(u.programs, id)
-		u.learn(now, seen)
+		if seen.granted > 0 {
+			u.learn(now, seen)
+		}
 	}
 }
 
-// learn takes in a program that is over.
+// learn takes in a program that this node saw from its beginning and that is over.
 func (u *Usual) learn(now time.Time, seen *seenProgram) {
 	known := u.routes[seen.route]
 	if known == nil {
@@ -114,12 +116,12 @@
 		known = &usualRoute{}
 		u.routes[seen.route] = known
 	}
+	const kept = 1 - 1./usualMemory
 	known.at = now
-	for step, began := range seen.begins {
-		rest := &known.rest[step]
-		rest.programs = min(rest.programs+1, usualMean)
-		rest.seconds += (seen.last.Sub(began).Seconds() - rest.seconds) / rest.programs
-	}
+	known.programs = known.programs*kept + 1
+	known.turns = known.turns*kept + float64(seen.turns)
+	known.took = known.took*kept + seen.last.Sub(seen.began).Seconds()
+	known.granted = known.granted*kept + seen.granted.Seconds()
 }
 
 // forgetOldest drops the route whose programs ended longest ago.
--- a/dispatch/usual_test.go
+++ b/dispatch/usual_test.go
@@ -8,30 +8,32 @@
 	. "github.com/onsi/gomega"
 )
 
-// TestUsualLearnsWhatIsLeft of programs of four turns, each 200 ms with 50 ms between.
-func TestUsualLearnsWhatIsLeft(t *testing.T) {
+// TestUsualLearnsWhatIsNeeded by programs of two to six turns of 250 ms each, whose
+// clients grant 400 ms a turn.
+func TestUsualLearnsWhatIsNeeded(t *testing.T) {
 	g := NewWithT(t)
 	usual := NewUsual()
 	now := epoch
-	for number := range 20 {
-		for step := range 4 {
-			g.Expect(usual.Begin(now, "ask", fmt.Sprint(number))).To(Equal(step))
-			now = now.Add(200 * time.Millisecond)
+	for number := range 40 {
+		turns := 2 + number%5
+		for range turns {
+			usual.Begin(now, "ask", fmt.Sprint(number), time.Duration(turns)*400*time.Millisecond)
+			now = now.Add(250 * time.Millisecond)
 			usual.End(now, fmt.Sprint(number))
-			now = now.Add(50 * time.Millisecond)
 		}
 	}
 	now = now.Add(time.Minute)
-	usual.Begin(now, "ask", "next")
-	for step, want := range []time.Duration{950, 700, 450, 200} {
-		rest, known := usual.Rest("ask", step)
-		g.Expect(known).To(BeTrue())
-		g.Expect(rest).To(BeNumerically("~", want*time.Millisecond, time.Millisecond), "step %d", step)
+	for _, turns := range []int{2, 4, 6} {
+		program := fmt.Sprint("of ", turns)
+		for left := turns; left > 0; left-- {
+			usual.Begin(now, "ask", program, time.Duration(turns)*400*time.Millisecond)
+			want := time.Duration(left) * 250 * time.Millisecond
+			g.Expect(usual.Need("ask", program)).To(BeNumerically("~", want, 20*time.Millisecond), "%d of %d left", left, turns)
+		}
 	}
-	_, known := usual.Rest("ask", 9)
-	g.Expect(known).To(BeFalse(), "no program had so many turns")
-	_, known = usual.Rest("other", 0)
-	g.Expect(known).To(BeFalse())
+	usual.Begin(now, "ask", "from elsewhere", 0)
+	g.Expect(usual.Need("ask", "from elsewhere")).To(BeNumerically("~", 250*time.Millisecond, 20*time.Millisecond))
+	g.Expect(usual.Need("other", "1")).To(BeZero(), "a route that is not known")
 }
 
 // TestUsualIsBounded in programs and routes, whatever comes.
@@ -41,9 +43,9 @@
 	now := epoch
 	for number := range 5000 {
 		now = now.Add(time.Millisecond)
-		usual.Begin(now, fmt.Sprint("route", number), fmt.Sprint(number))
+		usual.Begin(now, fmt.Sprint("route", number), fmt.Sprint(number), time.Second)
 	}
-	usual.Begin(now.Add(time.Minute), "last", "last")
+	usual.Begin(now.Add(time.Minute), "last", "last", time.Second)
 	g.Expect(len(usual.programs)).To(BeNumerically("<=", usualPrograms))
 	g.Expect(len(usual.routes)).To(BeNumerically("<=", usualRoutes))
 }
--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -20,6 +20,7 @@
 	took := time.Since(r.exchange.Arrived)
 	if r.status < failedStatus && r.status != 0 {
 		n.returns.served(time.Now())
+		n.standings.end(time.Now(), r)
 	}
 	status := strconv.Itoa(r.status)
 	if r.status == 0 {
@@ -42,7 +43,10 @@
 	if r.program != "" {
 		entry = entry.Str("program", r.program).Str("session", r.session).Int("partition", r.partition).
 			Str("owner", r.owner).Str("verdict", string(r.admission.Verdict)).Int("settled", r.admission.Settled).
-			Int("open", r.admission.Open).Int("most", r.most).Int("budget", r.budget).Int("tokens", r.tokens)
+			Int("open", r.admission.Open).Int("most", r.most).Dur("need", r.need).Int("urgency", r.urgency).Int("budget", r.budget).Int("tokens", r.tokens)
+	}
+	if !r.finish.IsZero() {
+		entry = entry.Dur("finish", r.finish.Sub(r.exchange.Arrived))
 	}
 	if r.cause != "" {
 		entry = entry.Str("cause", r.cause).Dur("comeBack", r.comeBack)
--- a/edge/handle.go
+++ b/edge/handle.go
@@ -152,7 +152,7 @@
 	fields = appendField(fields, names.Deadline, strconv.FormatInt(max(1, r.left().Milliseconds()), 10))
 	fields = appendField(fields, names.ExpectReplica, string(entry.ID))
 	if r.route.Kind == routing.KindStream {
-		fields = appendField(fields, names.Urgency, strconv.Itoa(min(max(0, r.priority()), maximumUrgency)))
+		fields = appendField(fields, names.Urgency, strconv.Itoa(r.urgency))
 	}
 	if r.tenant != nil {
 		fields = appendField(fields, names.Tenant, r.tenant.Name)
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -54,6 +54,9 @@
 	LimitCold Mechanism = "limit-cold"
 	// MarkAhead raises marks beyond what a program needs at once.
 	MarkAhead Mechanism = "mark-ahead"
+	// OrderBySlack has engines serve the programs first that have the least time to
+	// spare, within their priority.
+	OrderBySlack Mechanism = "order-by-slack"
 	// PreferConnections prefers replicas to which a connection is free.
 	PreferConnections Mechanism = "prefer-connections"
 	// PreferRegion prefers replicas of the node's own region.
@@ -87,7 +90,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		AssumeShared, BeginAgain, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowPrompts,
-		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, PreferConnections, PreferRegion, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
+		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, OrderBySlack, PreferConnections, PreferRegion, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
 		RepeatLateCalls, SpreadReturns, SuspectSilent,
 	}
 }
--- a/edge/node.go
+++ b/edge/node.go
@@ -51,6 +51,8 @@
 	control *control
 	peers   *peers
 	metrics *Metrics
+	// standings know how much longer programs take.
+	standings *standings
 	// returns spreads the times at which refused callers come back.
 	returns returns
 	// coldOffers counts the offers to cold replicas, for their ids.
@@ -142,6 +144,7 @@
 		chains:    newChains(settings.uses(RecallChains)),
 		takeovers: newTakeovers(),
 		space:     newSpace(),
+		standings: newStandings(),
 		metrics:   newMetrics(settings.LogLinesDropped),
 		random:    random,
 		patience:  retry.Patience{Minimum: appendTimeoutMin, Maximum: appendTimeout, Factor: appendFactor},
--- a/edge/request.go
+++ b/edge/request.go
@@ -72,7 +72,11 @@
 	// expected is the client's guess at the tokens that come out; 0 where it makes none.
 	expected int
 	// finish is when the program is to be over; zero where the client does not say.
-	finish    time.Time
+	finish time.Time
+	// need is how much longer the program takes as a rule, and urgency the rank that
+	// engines get with the turn.
+	need      time.Duration
+	urgency   int
 	partition int
 	owner     string
 	admission ledger.Admission
--- a/edge/run.go
+++ b/edge/run.go
@@ -74,6 +74,7 @@
 // answered; if not, another attempt may follow.
 func (t *turnRun) attempt(ctx context.Context, entry replica.Entry) (over bool) {
 	r, n := t.request, t.node
+	r.urgency = n.urgency(r, t.table)
 	response, err := n.pool.Send(targetOf(entry), n.outgoing(r, entry, t.body(), t.resumeFrom()), r.exchange.Cancel)
 	if upstream.NotSent(err) {
 		if n.abandoned(r, entry) {
--- /dev/null
+++ b/edge/standing_test.go
@@ -0,0 +1,44 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/tenant"
+)
+
+// TestOrderBySlack ranks a turn by its program's time within the band of its priority,
+// and by the priority alone where it is switched off.
+func TestOrderBySlack(t *testing.T) {
+	g := NewWithT(t)
+	shares := []routing.Share{{Service: "engine", Weight: 1}}
+	table := routing.NewTable(1, []routing.Route{
+		{Name: "first", Host: "a", PathPrefix: "/", Shares: shares}, {Name: "second", Host: "b", PathPrefix: "/", Shares: shares, Priority: 1},
+	}, []routing.Service{{Name: "engine"}}, routing.Limits{})
+	begun := func(left time.Duration) *requestState {
+		return &requestState{route: table.Match("b", "/"), service: "engine", previous: "t", finish: time.Now().Add(left), need: time.Second}
+	}
+	node := &Node{standings: newStandings()}
+	g.Expect(node.urgency(begun(time.Second+50*time.Millisecond), table)).To(Equal(5))
+	g.Expect(node.urgency(begun(0), table)).To(BeNumerically(">", 5))
+	g.Expect(node.urgency(&requestState{route: table.Match("a", "/"), service: "engine"}, table)).To(BeNumerically("<", 5))
+	node.settings = without(OrderBySlack)
+	g.Expect(node.urgency(begun(0), table)).To(Equal(1))
+}
+
+// TestBandsCountTenants keeps a band for each priority of tenants as well.
+func TestBandsCountTenants(t *testing.T) {
+	g := NewWithT(t)
+	table := routing.NewTable(1, nil, []routing.Service{{Name: "engine"}}, routing.Limits{})
+	directory, err := tenant.NewDirectory([]tenant.Tenant{{Name: "a", Priority: 3, Keys: []string{"x", "y"}}, {Name: "b", Priority: 7, Keys: []string{"z"}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	table.Tenants = directory
+	node := &Node{standings: newStandings()}
+	urgent := &requestState{route: &routing.Route{Priority: 9}, tenant: &tenant.Tenant{Priority: 3}, service: "engine"}
+	other := &requestState{route: &routing.Route{}, tenant: &tenant.Tenant{Priority: 7}, service: "engine"}
+	g.Expect(node.urgency(urgent, table)).To(BeNumerically("<", 5))
+	g.Expect(node.urgency(other, table)).To(BeNumerically(">=", 5))
+}
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -62,6 +62,7 @@
 		}
 		return
 	}
+	n.standings.begin(time.Now(), r)
 	if r.admission.Fresh && n.overloaded(r) {
 		n.settle(r)
 		n.turnAway(r, dispatch.Refusal{Cause: dispatch.CauseFull}, "the replicas are full, and programs under way go first")
--- a/routing/table.go
+++ b/routing/table.go
@@ -190,3 +190,18 @@
 	}
 	return ""
 }
+
+// Priorities returns the priorities of the routes that a service serves, each as often as
+// there are such routes.
+func (t *Table) Priorities(service string) []int {
+	var priorities []int
+	for _, routes := range t.byHost {
+		for _, route := range routes {
+			serves := slices.ContainsFunc(route.Shares, func(share Share) bool { return share.Service == service })
+			if serves {
+				priorities = append(priorities, route.Priority)
+			}
+		}
+	}
+	return priorities
+}
--- a/tenant/directory.go
+++ b/tenant/directory.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"unicode"
 
@@ -93,5 +94,16 @@
 	return known, found
 }
 
+// Priorities returns the priorities of all tenants, each once.
+func (d *Directory) Priorities() []int {
+	var priorities []int
+	for _, known := range d.byKey {
+		if !slices.Contains(priorities, known.Priority) {
+			priorities = append(priorities, known.Priority)
+		}
+	}
+	return priorities
+}
+
 // Count returns how many tenants there are.
 func (d *Directory) Count() int { return d.tenants }
