--- a/dispatch/comeback.go
+++ b/dispatch/comeback.go
@@ -44,6 +44,11 @@
 	}[c]
 }
 
+// OfStore reports whether the cause may last for as long as the store is away.
+func (c Cause) OfStore() bool {
+	return c == CauseNoOwner || c == CauseStoreAway || c == CauseUnproven
+}
+
 // endurance bounds how much longer a state is taken to last whose end is not known.
 type endurance struct{ least, most time.Duration }
 
@@ -60,7 +65,7 @@
 // endurances holds a value for each cause.
 var endurances = [causes]endurance{
 	CauseStarting: passing, CauseIsolated: outage, CauseNoOwner: settling, CauseStoreAway: outage, CauseStoreFull: outage,
-	CauseUnproven: settling, CauseBudgetHeld: passing, CauseLimit: passing, CauseFull: settling, CauseCold: settling,
+	CauseUnproven: outage, CauseBudgetHeld: passing, CauseLimit: passing, CauseFull: settling, CauseCold: settling,
 	CauseNoReplica: settling, CauseEvacuated: outage, CauseRejected: passing,
 }
 
@@ -74,6 +79,9 @@
 	// leastSpread is the part of the wait over which returns are spread at least, so that
 	// callers who were refused together do not come back together.
 	leastSpread = 0.25
+	// lastSpread is that part where the wait is all that a caller bears: its tries are few,
+	// and none may end before it has to.
+	lastSpread = 0.1
 	// longestSpread bounds the ramp of returns: one that lasts longer would cost the last
 	// callers more than a second refusal.
 	longestSpread = 1500 * time.Millisecond
@@ -107,9 +115,9 @@
 	spread := r.spread(ends)
 	bearable := time.Duration(float64(r.Left) * waitShare)
 	if r.Left > 0 && ends+spread > bearable {
-		// The window ends where the caller's patience does, and begins no sooner than
-		// the spread at least requires.
-		spread = max(bearable-ends, time.Duration(float64(bearable)*leastSpread))
+		// The window ends where the caller's patience does. A try before the cause has
+		// ended is lost, so that one who cannot bear to wait for that comes late.
+		spread = max(bearable-ends, time.Duration(float64(bearable)*lastSpread))
 		ends = max(0, bearable-spread)
 	}
 	return max(ends+time.Duration(float64(spread)*r.place()), min(leastReturn, max(bearable, time.Millisecond)))
@@ -165,8 +173,8 @@
 // kinds come several times a second while it holds.
 const overAfter = time.Second
 
-// Refuse notes a refusal and fills in what is known of its cause: how long it has lasted,
-// unless the caller knows that, how many were refused for it lately, and the pace of this
+// Refuse notes a refusal and fills in what is known of its cause: how long it has lasted
+// at least, how many were refused for it lately, and the pace of this
 // node before.
 func (r *Returns) Refuse(now time.Time, refusal *Refusal) {
 	state := &r.causes[refusal.Cause]
@@ -175,9 +183,7 @@
 	}
 	state.last = now
 	state.lately.add(now)
-	if refusal.Lasted == 0 {
-		refusal.Lasted = now.Sub(state.since)
-	}
+	refusal.Lasted = max(refusal.Lasted, now.Sub(state.since))
 	refusal.Refused = state.lately.rate(now)
 	refusal.Pace = r.served.steady(now)
 }
--- a/dispatch/comeback_test.go
+++ b/dispatch/comeback_test.go
@@ -40,6 +40,8 @@
 	g.Expect(early).To(BeNumerically(">=", outage.least))
 	g.Expect(late).To(BeNumerically(">=", 2*time.Second))
 	g.Expect(endless).To(BeNumerically("<=", outage.most*5/4))
+	short := &Refusal{Cause: CauseStoreAway, Lasted: 2 * time.Second, Left: 3 * time.Second}
+	g.Expect(short.ComeBack()).To(BeNumerically(">=", 900*time.Millisecond), "as late as the caller bears")
 	known := (&Refusal{Cause: CauseIsolated, Ends: 900 * time.Millisecond, Left: 20 * time.Second, Draw: 0.5}).ComeBack()
 	g.Expect(known).To(BeNumerically("~", 1050*time.Millisecond, 150*time.Millisecond))
 }
--- a/edge/returns.go
+++ b/edge/returns.go
@@ -39,6 +39,9 @@
 		refusal.Left, refusal.Begun = max(r.deadline.Sub(now), 0), r.begun()
 		refusal.Urgency = r.priority()
 	}
+	if refusal.Cause.OfStore() && !n.store.reached(now) {
+		refusal.Lasted = max(refusal.Lasted, now.Sub(n.store.at()))
+	}
 	r.comeBack = n.comeBackAfter(&refusal)
 	r.cause = refusal.Cause.String()
 	n.metrics.turnedAway(r.cause, r.comeBack)
