dispatch: admission of new programs, and the queue in which they wait for room

A threshold at the emptiest replica let new programs in while those under way already waited: in a replayed burst of twice the room for six seconds most became late. New ones now wait at their node in order, for an eighth of their slack at most, while the replicas on the whole are full, and are refused on arrival where room is not expected by then; programs under way wait at replicas, which serve by slack.

--- /dev/null
+++ b/dispatch/admission_test.go
@@ -0,0 +1,117 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// The ways in which nodes treat what finds no room.
+var (
+	byThreshold = replayPolicy{refuseNew: true}
+	atReplica   = replayPolicy{bySlack: true}
+	atNode      = replayPolicy{waitHere: true, bySlack: true}
+	inArrival   = replayPolicy{waitHere: true}
+)
+
+// burst replays six seconds of a load, in parts of the room, between calm seconds, with
+// several seeds.
+func burst(policy replayPolicy, load float64) (sum crowd) {
+	for seed := range uint64(5) {
+		c := newCrowd(policy, seed)
+		c.play(10*time.Second, func(at time.Duration) float64 {
+			if at > 2*time.Second && at < 8*time.Second {
+				return load
+			}
+			return 0.5
+		})
+		sum.inTime, sum.late, sum.refused, sum.failed = sum.inTime+c.inTime, sum.late+c.late, sum.refused+c.refused, sum.failed+c.failed
+		sum.ranAfterRefusal += c.ranAfterRefusal
+	}
+	return sum
+}
+
+// TestBurstOfTwiceTheRoom serves half as many programs more in time than a threshold at
+// arrival and order of arrival at the replicas do, and refuses no more than one in a
+// hundred beyond that.
+func TestBurstOfTwiceTheRoom(t *testing.T) {
+	g := NewWithT(t)
+	for _, load := range []float64{1.2, 2, 3} {
+		before, now := burst(byThreshold, load), burst(atNode, load)
+		t.Logf("load %.1f: threshold %d in time, %d late, %d refused; waiting %d, %d, %d", load, before.inTime, before.late, before.refused, now.inTime, now.late, now.refused)
+		g.Expect(float64(now.inTime)).To(BeNumerically(">=", 1.35*float64(before.inTime)), "load %.1f", load)
+		asked := now.inTime + now.late + now.refused
+		g.Expect(now.refused).To(BeNumerically("<=", before.refused+asked/100))
+		g.Expect(now.failed).To(BeZero())
+	}
+	g.Expect(burst(atNode, 2).inTime).To(BeNumerically(">=", burst(byThreshold, 2).inTime*3/2))
+}
+
+// TestWaitAtNodeOrReplica compares the two places: what waits at its node goes where a
+// place comes free first, and holds none while programs under way need it.
+func TestWaitAtNodeOrReplica(t *testing.T) {
+	g := NewWithT(t)
+	for _, load := range []float64{1.2, 2, 3} {
+		node, replica := burst(atNode, load), burst(atReplica, load)
+		g.Expect(node.inTime).To(BeNumerically(">", replica.inTime), "load %.1f", load)
+	}
+}
+
+// TestOrderWherePrioritiesCount serves more in time where replicas keep the order, and no
+// fewer than a threshold where they serve as requests arrive.
+func TestOrderWherePrioritiesCount(t *testing.T) {
+	g := NewWithT(t)
+	for _, load := range []float64{1.2, 2, 3} {
+		g.Expect(burst(atNode, load).inTime).To(BeNumerically(">", burst(inArrival, load).inTime), "load %.1f", load)
+		g.Expect(burst(inArrival, load).inTime).To(BeNumerically(">=", burst(byThreshold, load).inTime), "load %.1f", load)
+	}
+}
+
+// TestRoomIsUsed refuses nobody and is late with nobody while there is room.
+func TestRoomIsUsed(t *testing.T) {
+	g := NewWithT(t)
+	for _, load := range []float64{0.5, 0.7, 0.9} {
+		calm := burst(atNode, load)
+		g.Expect(calm.refused+calm.failed).To(BeZero(), "load %.1f", load)
+		g.Expect(calm.late).To(BeNumerically("<=", calm.inTime/100), "load %.1f", load)
+	}
+}
+
+// TestMoreLoadIsBorne loses at most a fifth of those in time where half as much again
+// comes as twice the room.
+func TestMoreLoadIsBorne(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(burst(atNode, 3).inTime).To(BeNumerically(">=", burst(atNode, 2).inTime*4/5))
+}
+
+// TestRefusedNeverRuns holds whatever the load.
+func TestRefusedNeverRuns(t *testing.T) {
+	g := NewWithT(t)
+	for _, load := range []float64{0.9, 2, 4} {
+		g.Expect(burst(atNode, load).ranAfterRefusal).To(BeZero())
+	}
+}
+
+// TestAdmit runs what is under way, refuses what would wait for too long, and nothing
+// while a place is free.
+func TestAdmit(t *testing.T) {
+	g := NewWithT(t)
+	fresh := &Standing{HasLeft: true, Left: 3 * time.Second, Need: time.Second}
+	full := &Room{Least: 1.2, Mean: 1.5, Pace: 20}
+	g.Expect(Admit(full, &Standing{Begun: true}, time.Second).Verdict).To(Equal(VerdictRun))
+	g.Expect(Admit(&Room{Mean: 1}, fresh, time.Second).Verdict).To(Equal(VerdictRun))
+	waits := Admit(full, fresh, 3*time.Second)
+	g.Expect(waits).To(Equal(Admission{Verdict: VerdictWait, Expected: 50 * time.Millisecond, Bound: 250 * time.Millisecond}))
+	crowded := *full
+	crowded.Ahead = 10
+	g.Expect(Admit(&crowded, fresh, 3*time.Second).Verdict).To(Equal(VerdictRefuse))
+	g.Expect(Admit(full, fresh, 100*time.Millisecond).Verdict).To(Equal(VerdictRefuse), "its deadline is too near")
+	crowded.Least = 0.9
+	g.Expect(Admit(&crowded, fresh, 3*time.Second).Verdict).To(Equal(VerdictWait), "a place is free")
+	g.Expect(AfterWait(&crowded)).To(Equal(VerdictRun))
+	g.Expect(AfterWait(full)).To(Equal(VerdictRefuse))
+	for verdict := range verdicts {
+		g.Expect(verdict.String()).NotTo(BeEmpty())
+	}
+}
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -27,16 +27,18 @@
 const (
 	// TierInTime: the program is under way and can still be in time.
 	TierInTime Tier = iota
+	// TierNew: the program has not begun, and can be in time.
+	TierNew
 	// TierLate: the program is under way and cannot be in time any more. Its caller still
 	// waits for it, and what it has done would be lost.
 	TierLate
-	// TierNew: the program has not begun.
-	TierNew
+	// TierNewLate: the program has not begun, and cannot be in time.
+	TierNewLate
 	tiers
 )
 
 // String returns the tier as logs and metrics name it.
-func (t Tier) String() string { return [tiers]string{"in time", "late", "new"}[t] }
+func (t Tier) String() string { return [tiers]string{"in time", "new", "late", "new and late"}[t] }
 
 // Slack returns the time that the program has beyond what it needs, below zero where it
 // cannot be in time. Without the client's word it has slackUnknown.
@@ -49,13 +51,16 @@
 
 // Tier returns the tier of the turn.
 func (s *Standing) Tier() Tier {
+	inTime := s.Slack() >= 0
 	switch {
-	case !s.Begun:
-		return TierNew
-	case s.Slack() < 0:
+	case s.Begun && inTime:
+		return TierInTime
+	case s.Begun:
 		return TierLate
+	case inTime:
+		return TierNew
 	default:
-		return TierInTime
+		return TierNewLate
 	}
 }
 
