edge: new programs wait at their node for room, in order

A turn of a new program was refused while even the emptiest replica was a quarter over its places, else it joined the line of a replica. Now it waits here while the replicas on the whole are full: bounded in requests, memory and time, ended when its client leaves, refused at once where room is not expected in time. Its verdict and wait are counted and logged. New: mechanism wait-for-room; replica.Room.

--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -48,6 +48,9 @@
 	if !r.finish.IsZero() {
 		entry = entry.Dur("finish", r.finish.Sub(r.exchange.Arrived))
 	}
+	if r.waited > 0 {
+		entry = entry.Dur("waited", r.waited)
+	}
 	if r.cause != "" {
 		entry = entry.Str("cause", r.cause).Dur("comeBack", r.comeBack)
 	}
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -84,6 +84,9 @@
 	SpreadReturns Mechanism = "spread-returns"
 	// SuspectSilent passes over replicas that failed to answer.
 	SuspectSilent Mechanism = "suspect-silent"
+	// WaitForRoom has new programs wait at their node, in order, while the replicas are
+	// full; without it they are refused at once.
+	WaitForRoom Mechanism = "wait-for-room"
 )
 
 // Mechanisms returns all mechanisms, in the order of their names.
@@ -91,7 +94,7 @@
 	return []Mechanism{
 		AssumeShared, BeginAgain, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowPrompts,
 		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, OrderBySlack, PreferConnections, PreferRegion, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
-		RepeatLateCalls, SpreadReturns, SuspectSilent,
+		RepeatLateCalls, SpreadReturns, SuspectSilent, WaitForRoom,
 	}
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -64,6 +64,10 @@
 	metricTrims      = "birchwood_edge_store_trims_total"
 	metricTurnedAway = "birchwood_edge_turned_away_total"
 	metricComeBack   = "birchwood_edge_come_back_seconds"
+	metricWaiting    = "birchwood_edge_waiting_requests"
+	metricWaitingAge = "birchwood_edge_waiting_oldest_seconds"
+	metricAdmitted   = "birchwood_edge_admissions_total"
+	metricWaited     = "birchwood_edge_waited_seconds"
 )
 
 // latencyBuckets are for times that clients feel, in seconds.
@@ -183,6 +187,18 @@
 // ownerMissed counts a question to a node that does not serve the partition.
 func (m *Metrics) ownerMissed() { m.misses.Inc() }
 
+// waiting takes in how many requests wait for room, and how long the oldest has.
+func (m *Metrics) waiting(count int, oldest time.Duration) {
+	m.set.GetOrCreateGauge(metricWaiting, nil).Set(float64(count))
+	m.set.GetOrCreateGauge(metricWaitingAge, nil).Set(oldest.Seconds())
+}
+
+// admitted counts a new program's turn by what was decided, with how long it waited.
+func (m *Metrics) admitted(verdict string, waited time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{verdict=%q}", metricAdmitted, verdict)).Inc()
+	m.set.GetOrCreatePrometheusHistogramExt(metricWaited, latencyBuckets).Update(waited.Seconds())
+}
+
 // turnedAway counts a request that was refused, by cause, with the time after which its
 // caller is to come back.
 func (m *Metrics) turnedAway(cause string, comeBack time.Duration) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -51,6 +51,8 @@
 	control *control
 	peers   *peers
 	metrics *Metrics
+	// waiting are the requests that wait for room.
+	waiting *waiting
 	// standings know how much longer programs take.
 	standings *standings
 	// returns spreads the times at which refused callers come back.
@@ -145,6 +147,7 @@
 		takeovers: newTakeovers(),
 		space:     newSpace(),
 		standings: newStandings(),
+		waiting:   newWaiting(&settings),
 		metrics:   newMetrics(settings.LogLinesDropped),
 		random:    random,
 		patience:  retry.Patience{Minimum: appendTimeoutMin, Maximum: appendTimeout, Factor: appendFactor},
--- a/edge/request.go
+++ b/edge/request.go
@@ -56,6 +56,8 @@
 	status     int
 	reason     string
 	firstAfter time.Duration
+	// waited is how long the request waited here for room.
+	waited time.Duration
 	// cause and comeBack are why the request was turned away and what its caller was
 	// told.
 	cause    string
--- a/edge/returns.go
+++ b/edge/returns.go
@@ -31,6 +31,13 @@
 	s.state.Served(now)
 }
 
+// pace returns how many requests were served here in the last second.
+func (s *returns) pace(now time.Time) float64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.state.Pace(now)
+}
+
 // turnAway answers that the request was not run, and when to come back. The caller fills
 // in what it knows of the cause; what concerns the request is added here.
 func (n *Node) turnAway(r *requestState, refusal dispatch.Refusal, reason string) {
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -63,9 +63,8 @@
 		return
 	}
 	n.standings.begin(time.Now(), r)
-	if r.admission.Fresh && n.overloaded(r) {
+	if !n.awaitRoom(ctx, r, len(granted.chain)) {
 		n.settle(r)
-		n.turnAway(r, dispatch.Refusal{Cause: dispatch.CauseFull}, "the replicas are full, and programs under way go first")
 		return
 	}
 	run := &turnRun{node: n, request: r, table: table, grant: granted}
--- /dev/null
+++ b/edge/waiting_test.go
@@ -0,0 +1,127 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/dispatch"
+	"birchwood.example/birchwood/ingress"
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/upstream"
+)
+
+// fullNode returns a node that knows one replica, which has a place and holds two
+// requests. Tests look for room themselves.
+func fullNode(g *WithT, settings Settings) *Node {
+	node := &Node{
+		settings: settings, logger: quietLogger, metrics: newMetrics(nil), replicas: newReplicas(&settings), waiting: newWaiting(&settings),
+		standings: newStandings(),
+	}
+	// No goroutine looks for room.
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	node.ctx = ctx
+	node.replicas.put(replica.Entry{ID: "r", Service: "s", Status: replica.StatusReady, Slots: 1})
+	for range 2 {
+		_, err := node.replicas.choose(&replica.Request{Service: "s"})
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	return node
+}
+
+// freshTurn returns the first turn of a program.
+func freshTurn() *requestState {
+	return &requestState{
+		service: "s", route: &routing.Route{}, exchange: &ingress.Exchange{Cancel: &upstream.Cancel{}}, deadline: time.Now().Add(time.Hour),
+		admission: ledger.Admission{Verdict: ledger.VerdictGranted, Fresh: true},
+	}
+}
+
+// join has a turn wait, and returns its verdict to come.
+func join(g *WithT, node *Node, r *requestState) chan dispatch.Verdict {
+	now := time.Now()
+	one := &dispatch.Waiting{Standing: *r.standing(now), Since: now, Bytes: 1}
+	admission, verdict := node.joinWaiting(now, r, one)
+	g.Expect(admission.Verdict).To(Equal(dispatch.VerdictWait))
+	return verdict
+}
+
+// TestWaitForRoom has a new program wait until a place comes free, and one whose client
+// leaves, or whose wait is over, is told that it does not run.
+func TestWaitForRoom(t *testing.T) {
+	g := NewWithT(t)
+	node := fullNode(g, Settings{})
+	waits := join(g, node, freshTurn())
+	g.Expect(node.stepWaiting(time.Now())).To(BeTrue())
+	g.Expect(waits).To(BeEmpty())
+	leaver := freshTurn()
+	leaves := join(g, node, leaver)
+	leaver.exchange.Cancel.Trigger(ingress.ErrClientGone)
+	g.Expect(node.stepWaiting(time.Now())).To(BeTrue())
+	g.Expect(<-leaves).To(Equal(dispatch.VerdictRefuse))
+	node.replicas.ended("r", replica.ResultAnswered)
+	g.Expect(node.stepWaiting(time.Now())).To(BeFalse())
+	g.Expect(<-waits).To(Equal(dispatch.VerdictRun))
+	_, err := node.replicas.choose(&replica.Request{Service: "s"})
+	g.Expect(err).NotTo(HaveOccurred())
+	over := join(g, node, freshTurn())
+	g.Expect(node.stepWaiting(time.Now().Add(time.Minute))).To(BeFalse())
+	g.Expect(<-over).To(Equal(dispatch.VerdictRefuse))
+	g.Expect(node.waiting.held).To(BeEmpty())
+}
+
+// TestWaitEndsWithTheRequest leaves nothing behind.
+func TestWaitEndsWithTheRequest(t *testing.T) {
+	g := NewWithT(t)
+	node := fullNode(g, Settings{})
+	verdict := join(g, node, freshTurn())
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	g.Expect(node.awaitVerdict(ctx, 1, verdict)).To(Equal(dispatch.VerdictRefuse))
+	g.Expect(node.waiting.held).To(BeEmpty())
+	g.Expect(node.waiting.queue.Len()).To(BeZero())
+}
+
+// TestWhoNeedNotWait lets programs under way go on whatever the load, and new ones while
+// the replicas are full where nobody is to be refused.
+func TestWhoNeedNotWait(t *testing.T) {
+	g := NewWithT(t)
+	node := fullNode(g, Settings{})
+	begun := freshTurn()
+	begun.admission.Fresh = false
+	g.Expect(node.awaitRoom(context.Background(), begun, 0)).To(BeTrue())
+	node = fullNode(g, without(RefuseWhenFull))
+	g.Expect(node.awaitRoom(context.Background(), freshTurn(), 0)).To(BeTrue())
+}
+
+// TestWaitForRoomOff has nobody wait where it is switched off.
+func TestWaitForRoomOff(t *testing.T) {
+	g := NewWithT(t)
+	for _, settings := range []Settings{{}, without(WaitForRoom)} {
+		node := fullNode(g, settings)
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			// The answer has no connection to go to.
+			defer func() { _ = recover() }()
+			node.awaitRoom(ctx, freshTurn(), 0)
+		}()
+		waits := func() int {
+			node.waiting.mutex.Lock()
+			defer node.waiting.mutex.Unlock()
+			return node.waiting.queue.Len()
+		}
+		if settings.uses(WaitForRoom) {
+			g.Eventually(waits).WithTimeout(time.Minute).Should(Equal(1))
+		}
+		cancel()
+		g.Eventually(ended).WithTimeout(time.Minute).Should(BeClosed())
+		g.Expect(waits()).To(BeZero())
+	}
+}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"birchwood.example/birchwood/dispatch"
 	"birchwood.example/birchwood/replica"
 )
 
@@ -194,6 +195,18 @@
 		Expect(set.Pressure(start, &replica.Request{Service: "s"})).To(Equal(1.5))
 	})
 
+	It("tells how full the emptiest replica is, and all together", func() {
+		set := newSet(2)
+		Expect(set.Room(start, &replica.Request{Service: "none"})).To(Equal(dispatch.Room{}))
+		for range 6 {
+			set.Began(start, "r0", &replica.Request{Prompt: nil})
+		}
+		set.SetPeer(start, "peer", map[replica.ID]int{"r1": 3})
+		Expect(set.Room(start, &replica.Request{Service: "s"})).To(Equal(dispatch.Room{Least: 0.75, Mean: 9. / 8}))
+		set.Put(start, replica.Entry{ID: "r1", Service: "s", Zone: "here", Status: replica.StatusReady})
+		Expect(set.Room(start, &replica.Request{Service: "s"})).To(Equal(dispatch.Room{}), "its places are not known")
+	})
+
 	It("knows nothing of a replica that was removed", func() {
 		set := newSet(1)
 		entry, known := set.Remove("r0")
