--- a/edge/turn.go
+++ b/edge/turn.go
@@ -101,7 +101,7 @@
 		reply, err = n.askAdmission(ctx, r, ask)
 	}
 	if err != nil {
-		n.turnAway(r, dispatch.Refusal{Cause: dispatch.CauseNoOwner}, err.Error())
+		n.turnAway(r, dispatch.Refusal{Cause: dispatch.CauseNoOwner, Lasted: time.Since(r.exchange.Arrived)}, err.Error())
 		return grant{}, false
 	}
 	if !ask.HasChain {
