--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -54,6 +54,9 @@
 	LimitCold Mechanism = "limit-cold"
 	// MarkAhead raises marks beyond what a program needs at once.
 	MarkAhead Mechanism = "mark-ahead"
+	// OrderBySlack has engines serve the programs first that have the least time to
+	// spare, within their priority.
+	OrderBySlack Mechanism = "order-by-slack"
 	// PreferConnections prefers replicas to which a connection is free.
 	PreferConnections Mechanism = "prefer-connections"
 	// PreferRegion prefers replicas of the node's own region.
@@ -76,16 +79,22 @@
 	// RepeatLateCalls sends a call that may run more than once again when its
 	// answer is late.
 	RepeatLateCalls Mechanism = "repeat-late-calls"
+	// SpreadReturns has those who are refused together come back one after the other, in
+	// the order in which they are to be served.
+	SpreadReturns Mechanism = "spread-returns"
 	// SuspectSilent passes over replicas that failed to answer.
 	SuspectSilent Mechanism = "suspect-silent"
+	// WaitForRoom has new programs wait at their node, in order, while the replicas are
+	// full; without it they are refused at once.
+	WaitForRoom Mechanism = "wait-for-room"
 )
 
 // Mechanisms returns all mechanisms, in the order of their names.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		AssumeShared, BeginAgain, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowPrompts,
-		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, PreferConnections, PreferRegion, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
-		RepeatLateCalls, SuspectSilent,
+		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, OrderBySlack, PreferConnections, PreferRegion, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
+		RepeatLateCalls, SpreadReturns, SuspectSilent, WaitForRoom,
 	}
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -51,6 +51,12 @@
 	control *control
 	peers   *peers
 	metrics *Metrics
+	// waiting are the requests that wait for room.
+	waiting *waiting
+	// standings know how much longer programs take.
+	standings *standings
+	// returns spreads the times at which refused callers come back.
+	returns returns
 	// coldOffers counts the offers to cold replicas, for their ids.
 	coldOffers atomic.Uint64
 	// withheld are the fields of clients that no replica gets.
@@ -140,6 +146,8 @@
 		chains:    newChains(settings.uses(RecallChains)),
 		takeovers: newTakeovers(),
 		space:     newSpace(),
+		standings: newStandings(),
+		waiting:   newWaiting(&settings),
 		metrics:   newMetrics(settings.LogLinesDropped),
 		random:    random,
 		patience:  retry.Patience{Minimum: appendTimeoutMin, Maximum: appendTimeout, Factor: appendFactor},
--- a/edge/request.go
+++ b/edge/request.go
@@ -56,6 +56,12 @@
 	status     int
 	reason     string
 	firstAfter time.Duration
+	// waited is how long the request waited here for room.
+	waited time.Duration
+	// cause and comeBack are why the request was turned away and what its caller was
+	// told.
+	cause    string
+	comeBack time.Duration
 
 	// The fields below belong to turns of programs. The ids are as the client names
 	// them: replicas and logs get them so. Owners and caches get those of turnID,
@@ -68,7 +74,11 @@
 	// expected is the client's guess at the tokens that come out; 0 where it makes none.
 	expected int
 	// finish is when the program is to be over; zero where the client does not say.
-	finish    time.Time
+	finish time.Time
+	// need is how much longer the program takes as a rule, and urgency the rank that
+	// engines get with the turn.
+	need      time.Duration
+	urgency   int
 	partition int
 	owner     string
 	admission ledger.Admission
