edge: a takeover's pages with accounts do not wait for kept turns of others

A node that takes three partitions over at once read the second page of the first before the first page of the third: owners after 1.04, 1.39 and 1.84 s with a store of 0.4 s a call. Pages that may hold accounts have four places of their own.

--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -66,6 +66,9 @@
 	// ProvePeers takes peers' word of how lately their configuration was proven to be
 	// the newest, and has the readers of each zone read it often.
 	ProvePeers Mechanism = "prove-peers"
+	// ReadAccountsFirst has a takeover's pages with accounts not wait for pages of kept
+	// turns of other takeovers.
+	ReadAccountsFirst Mechanism = "read-accounts-first"
 	// RecallChains keeps the chains of turns that this node served, so that the
 	// owner need not send them when their lines go on here.
 	RecallChains Mechanism = "recall-chains"
@@ -87,7 +90,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		AskForList, AssumeShared, BeginAgain, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowPrompts,
-		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, PreferConnections, PreferRegion, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
+		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, PreferConnections, PreferRegion, PreferZone, ProvePeers, ReadAccountsFirst, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
 		RepeatLateCalls, SuspectSilent,
 	}
 }
--- a/edge/takeover.go
+++ b/edge/takeover.go
@@ -17,6 +17,9 @@
 	// takeoverPages bounds the pages that a node reads at once for its takeovers:
 	// more would each take longer, and none would be there early.
 	takeoverPages = 2
+	// takeoverFirst bounds the first pages beside them. A node serves a partition from
+	// its first page or two on, which do not wait for kept turns of the others.
+	takeoverFirst = 4
 )
 
 // takeoverTries are those of a page of a takeover. They grow longer: a page that is given
@@ -25,15 +28,36 @@
 
 // takeovers are those under way on this node. It is safe for concurrent use.
 type takeovers struct {
-	// pages are the places to read a page in.
+	// pages are the places to read a page in, and first those for first pages alone.
 	pages chan struct{}
+	first chan struct{}
 
 	mutex sync.Mutex
 	stop  map[coordinator.Stopped]context.CancelFunc
 }
 
 func newTakeovers() *takeovers {
-	return &takeovers{pages: make(chan struct{}, takeoverPages), stop: make(map[coordinator.Stopped]context.CancelFunc)}
+	return &takeovers{
+		pages: make(chan struct{}, takeoverPages), first: make(chan struct{}, takeoverFirst),
+		stop: make(map[coordinator.Stopped]context.CancelFunc),
+	}
+}
+
+// place waits until a page may be read, and returns what ends that. Pages with accounts
+// have places that others do not take.
+func (t *takeovers) place(ctx context.Context, accounts bool) (free func(), err error) {
+	var first chan<- struct{}
+	if accounts {
+		first = t.first
+	}
+	select {
+	case t.pages <- struct{}{}:
+		return func() { <-t.pages }, nil
+	case first <- struct{}{}:
+		return func() { <-t.first }, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 }
 
 // begin returns the context of a takeover, and what ends it.
@@ -154,11 +178,11 @@
 
 // readTakeoverPage reads a page once it is its turn.
 func (n *Node) readTakeoverPage(ctx context.Context, stream recordstore.Stream, after string) (recordstore.Page, error) {
-	select {
-	case n.takeovers.pages <- struct{}{}:
-		defer func() { <-n.takeovers.pages }()
-	case <-ctx.Done():
-		return recordstore.Page{}, ctx.Err()
+	accounts := n.settings.uses(ReadAccountsFirst) && !ledger.PastAccounts(after)
+	free, err := n.takeovers.place(ctx, accounts)
+	if err != nil {
+		return recordstore.Page{}, err
 	}
+	defer free()
 	return n.readPage(ctx, stream, after, takeoverTries)
 }
