coordinator, edge: a zone that is cut off is noticed after 0.7 s of failing calls

A test in virtual time cuts a zone while the store still counts as reached: its nodes know after a second (before: not), and no node does while the store fails for all.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -332,6 +332,34 @@
 		}
 	})
 
+	It("knows of the cut within a second where its calls to the store fail", func() {
+		for _, seed := range []uint64{16, 17, 18} {
+			world := newZonedFleet(seed, 12, 4)
+			world.contactLag = 1500 * time.Millisecond
+			world.run(settled)
+			cut := world.cutZone("zone-1")
+			world.run(time.Second)
+			for id, one := range world.nodes {
+				Expect(one.core.Isolated(world.now)).To(Equal(slices.Contains(cut, id)), "%s", id)
+			}
+		}
+	})
+
+	It("is not isolated while calls of all to the store fail", func() {
+		for _, seed := range []uint64{16, 17, 18} {
+			world := newZonedFleet(seed, 12, 4)
+			world.contactLag = 1500 * time.Millisecond
+			world.run(settled)
+			world.turnStore(false)
+			for range 40 {
+				world.run(50 * time.Millisecond)
+				for id, one := range world.nodes {
+					Expect(one.core.Isolated(world.now)).To(BeFalse(), "%s", id)
+				}
+			}
+		}
+	})
+
 	It("is not isolated while the store is away from all", func() {
 		world := newZonedFleet(17, 12, 4)
 		world.run(settled)
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -111,8 +111,10 @@
 	listed     bool
 	leaving    bool
 	// reaches says whether this node reaches the store, reachedSince since
-	// when without a break, and lastContact when the store answered last.
+	// when without a break, failing whether calls have failed since it answered last,
+	// and lastContact when that was.
 	reaches      bool
+	failing      bool
 	reachedSince time.Time
 	lastContact  time.Time
 	loads        Loads
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -24,6 +24,8 @@
 type Contact struct {
 	Reached bool
 	Last    time.Time
+	// Failing says that calls to the store have failed since it answered last.
+	Failing bool
 }
 
 // PeerReceived is a message of another node.
--- a/coordinator/harness_test.go
+++ b/coordinator/harness_test.go
@@ -38,6 +38,8 @@
 	appends int
 	// storeDown has the store answer nothing.
 	storeDown bool
+	// contactLag is how long after its last answer the store counts as reached.
+	contactLag time.Duration
 	// turned is when storeDown changed last through turnStore.
 	turned time.Time
 	nextID uint64
@@ -170,7 +172,7 @@
 				if !f.storeDown && !one.cut {
 					one.contacted = f.now
 				}
-				one.core.Step(f.now, coordinator.Contact{Reached: f.reaches(one), Last: one.contacted})
+				one.core.Step(f.now, f.contactOf(one))
 				one.core.Step(f.now, coordinator.Tick{})
 				f.perform(id, one)
 			}
@@ -178,6 +180,13 @@
 	}
 }
 
+// contactOf is what a node knows of its contact with the store.
+func (f *fleet) contactOf(one *member) coordinator.Contact {
+	reached := f.reaches(one)
+	lately := f.now.Sub(one.contacted) < f.contactLag
+	return coordinator.Contact{Reached: reached || lately, Last: one.contacted, Failing: lately && !reached}
+}
+
 // turnStore has the store answer, or not.
 func (f *fleet) turnStore(up bool) {
 	f.storeDown = !up
--- a/coordinator/isolation.go
+++ b/coordinator/isolation.go
@@ -28,31 +28,46 @@
 // The failure detector does not tell: it declares no deaths while nobody answers.
 const silenceLimit = 1500 * time.Millisecond
 
+// cutLimit is that time where calls to the store have failed for as long: several times
+// what passes between two messages of a zone, and short against what clients have left.
+// Either sign alone has other causes.
+const cutLimit = 700 * time.Millisecond
+
+// silence returns how long a zone is silent that counts as cut off, and whether this node
+// does not reach the store.
+func (c *Core) silence(now time.Time) (limit time.Duration, cut bool) {
+	if c.failing && now.Sub(c.lastContact) >= cutLimit {
+		return cutLimit, true
+	}
+	return silenceLimit, !c.reaches
+}
+
 // Isolated reports whether this node cannot serve programs that others can: it does not
 // reach the store, and hears no other node, or nodes of less than half of the zones. A
 // store that is away from all leaves the zones in touch, so that no node is isolated
 // then.
 func (c *Core) Isolated(now time.Time) bool {
-	if c.reaches || len(c.directory) == 0 {
+	limit, cut := c.silence(now)
+	if !cut || len(c.directory) == 0 {
 		return false
 	}
-	if now.Sub(c.hearing.last) > silenceLimit {
+	if now.Sub(c.hearing.last) > limit {
 		return true
 	}
-	known, heard := c.zonesHeard(now)
+	known, heard := c.zonesHeard(now, limit)
 	return 2*heard < known
 }
 
 // zonesHeard counts the zones that this node knows of, and those of which it heard a
 // node lately. Its own counts as heard.
-func (c *Core) zonesHeard(now time.Time) (known, heard int) {
+func (c *Core) zonesHeard(now time.Time, limit time.Duration) (known, heard int) {
 	counted := make(map[zone.Name]bool)
 	for _, node := range c.listing {
 		if counted[node.Zone] {
 			continue
 		}
 		counted[node.Zone] = true
-		if !c.zoneSilent(now, node.Zone, silenceLimit) {
+		if !c.zoneSilent(now, node.Zone, limit) {
 			heard++
 		}
 	}
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -104,7 +104,7 @@
 	lost := c.reaches && !contact.Reached
 	changed := c.reaches != contact.Reached
 	c.reaches = contact.Reached
-	c.lastContact = contact.Last
+	c.lastContact, c.failing = contact.Last, contact.Failing
 	if changed {
 		c.renewRecords(now)
 	}
--- a/edge/contact.go
+++ b/edge/contact.go
@@ -13,6 +13,8 @@
 	// had been lost; zero where it never was.
 	last     time.Time
 	regained time.Time
+	// failing says that calls have failed since the store answered last.
+	failing bool
 	// trustedUntil is until when a read that waits at the store may take.
 	trustedUntil time.Time
 }
@@ -37,7 +39,21 @@
 	if now.Sub(c.last) >= contactLifetime {
 		c.regained = now
 	}
-	c.last = now
+	c.last, c.failing = now, false
+}
+
+// fail takes in that a call got no answer of the store.
+func (c *contact) fail() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.failing = true
+}
+
+// fails reports whether calls have failed since the store answered last.
+func (c *contact) fails() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.failing
 }
 
 // at returns when the store answered last.
--- a/edge/contact_test.go
+++ b/edge/contact_test.go
@@ -1,10 +1,14 @@
 package edge
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/recordstore"
 )
 
 // TestContact follows a store that is reached, lost, and reached again.
@@ -28,3 +32,20 @@
 	g.Expect(known.at()).To(Equal(back.Add(time.Second)))
 	g.Expect(known.doubtUntil()).To(Equal(back.Add(doubtFor)))
 }
+
+// TestContactFails until the store answers again, whatever it answers.
+func TestContactFails(t *testing.T) {
+	g := NewWithT(t)
+	node := keyNode(g, Settings{}, false)
+	defer node.Kill()
+	node.noteStore(errors.New("no answer"))
+	g.Expect(node.contactNow().Failing).To(BeTrue())
+	node.noteStore(&recordstore.FencedError{Reason: "a higher epoch holds"})
+	g.Expect(node.contactNow().Failing).To(BeFalse())
+	node.noteStore(context.Canceled)
+	g.Expect(node.contactNow().Failing).To(BeFalse(), "it was given up here")
+	off := keyNode(g, without(NoticeCuts), false)
+	defer off.Kill()
+	off.noteStore(errors.New("no answer"))
+	g.Expect(off.contactNow().Failing).To(BeFalse())
+}
--- a/edge/control.go
+++ b/edge/control.go
@@ -183,7 +183,7 @@
 	c.noteRoles(c.core.Roles())
 	c.node.noteIsolation(now, c.core.Isolated(now))
 	c.reportKept(now)
-	c.core.Step(now, coordinator.Contact{Reached: c.node.reachesStore(), Last: c.node.store.at()})
+	c.core.Step(now, c.node.contactNow())
 	c.noteDependencies()
 	c.node.noteColdTurns(now)
 }
--- a/edge/isolation.go
+++ b/edge/isolation.go
@@ -1,6 +1,10 @@
 package edge
 
-import "time"
+import (
+	"time"
+
+	"birchwood.example/birchwood/coordinator"
+)
 
 // divertedAfter is how long the platform takes to send new connections elsewhere once
 // this node says that it is not ready: it asks once a second, and twice.
@@ -13,6 +17,13 @@
 	return min(max(divertedAfter-isolatedFor, comeBackSoon), comeBackAfterOutage)
 }
 
+// contactNow is what this node knows of its contact with the store.
+func (n *Node) contactNow() coordinator.Contact {
+	return coordinator.Contact{
+		Reached: n.reachesStore(), Last: n.store.at(), Failing: n.settings.uses(NoticeCuts) && n.store.fails(),
+	}
+}
+
 // noteIsolation takes in whether this node is cut off from the store and from most of
 // the zones. Its clients are sent elsewhere then: programs that they bring here would
 // wait for owners that cannot be reached.
--- a/edge/ledgers.go
+++ b/edge/ledgers.go
@@ -210,5 +210,9 @@
 	answered := errors.As(err, &refused) && !refused.Unavailable()
 	if err == nil || answered || errors.As(err, &fenced) || errors.Is(err, recordstore.ErrGap) {
 		n.store.note(time.Now())
+		return
+	}
+	if !errors.Is(err, context.Canceled) {
+		n.store.fail()
 	}
 }
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -63,6 +63,9 @@
 	LimitCold Mechanism = "limit-cold"
 	// MarkAhead raises marks beyond what a program needs at once.
 	MarkAhead Mechanism = "mark-ahead"
+	// NoticeCuts has a node that hears no other zone count as cut off as soon as its calls
+	// to the store have failed for some time, before it counts as not reaching the store.
+	NoticeCuts Mechanism = "notice-cuts"
 	// PreferConnections prefers replicas to which a connection is free.
 	PreferConnections Mechanism = "prefer-connections"
 	// PreferRegion prefers replicas of the node's own region.
@@ -96,7 +99,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		AskForList, AssumeShared, BeginAgain, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowOwner, FollowPrompts,
-		FollowReaders, GrantTurnAfterLoss, HandOver, KeepAside, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, PreferConnections, PreferRegion, PreferZone, ProvePeers, ReadAccountsFirst, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
+		FollowReaders, GrantTurnAfterLoss, HandOver, KeepAside, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, NoticeCuts, PreferConnections, PreferRegion, PreferZone, ProvePeers, ReadAccountsFirst, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
 		RepeatLateCalls, SuspectSilent,
 	}
 }
