--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -13,6 +13,9 @@
 
 // The mechanisms. All are on unless Settings.Without lists them.
 const (
+	// AskForList has a node that starts ask the nodes that it hears of for the list of
+	// nodes, beside what it reads of the store.
+	AskForList Mechanism = "ask-for-list"
 	// AssumeShared estimates which parts that many programs share other nodes had
 	// engines read.
 	AssumeShared Mechanism = "assume-shared"
@@ -36,6 +39,9 @@
 	FinishPrograms Mechanism = "finish-programs"
 	// FollowLines keeps a line of turns where its last turn was served.
 	FollowLines Mechanism = "follow-lines"
+	// FollowOwner has a turn that waits for the log go on with the partition's new owner
+	// as soon as one is known.
+	FollowOwner Mechanism = "follow-owner"
 	// FollowPrompts estimates which parts of prompts each engine keeps.
 	FollowPrompts Mechanism = "follow-prompts"
 	// FollowReaders has most nodes of a large fleet follow the replicas through
@@ -46,6 +52,9 @@
 	GrantTurnAfterLoss Mechanism = "grant-turn-after-loss"
 	// HandOver has a partition's owner give it up in order.
 	HandOver Mechanism = "hand-over"
+	// KeepAside has a turn kept in another partition where the log takes no records of
+	// its program's.
+	KeepAside Mechanism = "keep-aside"
 	// KeepQuotas holds tenants to their limits.
 	KeepQuotas Mechanism = "keep-quotas"
 	// LeaseKeys honours keys only while what is known of them is proven to be recent.
@@ -57,6 +66,9 @@
 	// OrderBySlack has engines serve the programs first that have the least time to
 	// spare, within their priority.
 	OrderBySlack Mechanism = "order-by-slack"
+	// NoticeCuts has a node that hears no other zone count as cut off as soon as its calls
+	// to the store have failed for some time, before it counts as not reaching the store.
+	NoticeCuts Mechanism = "notice-cuts"
 	// PreferConnections prefers replicas to which a connection is free.
 	PreferConnections Mechanism = "prefer-connections"
 	// PreferRegion prefers replicas of the node's own region.
@@ -66,6 +78,9 @@
 	// ProvePeers takes peers' word of how lately their configuration was proven to be
 	// the newest, and has the readers of each zone read it often.
 	ProvePeers Mechanism = "prove-peers"
+	// ReadAccountsFirst has a takeover's pages with accounts not wait for pages of kept
+	// turns of other takeovers.
+	ReadAccountsFirst Mechanism = "read-accounts-first"
 	// RecallChains keeps the chains of turns that this node served, so that the
 	// owner need not send them when their lines go on here.
 	RecallChains Mechanism = "recall-chains"
@@ -92,9 +107,42 @@
 // Mechanisms returns all mechanisms, in the order of their names.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		AssumeShared, BeginAgain, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowPrompts,
-		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, OrderBySlack, PreferConnections, PreferRegion, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
-		RepeatLateCalls, SpreadReturns, SuspectSilent, WaitForRoom,
+		AskForList,
+		AssumeShared,
+		BeginAgain,
+		BeginUnrecorded,
+		CountKept,
+		CountPeers,
+		CountTogether,
+		DoubtUnlisted,
+		EstimateLoads,
+		FinishPrograms,
+		FollowLines,
+		FollowOwner,
+		FollowPrompts,
+		FollowReaders,
+		GrantTurnAfterLoss,
+		HandOver,
+		KeepAside,
+		KeepQuotas,
+		LeaseKeys,
+		LimitCold,
+		MarkAhead,
+		NoticeCuts,
+		OrderBySlack,
+		PreferConnections,
+		PreferRegion,
+		PreferZone,
+		ProvePeers,
+		ReadAccountsFirst,
+		RecallChains,
+		RefuseWhenFull,
+		RememberFaults,
+		RememberReplicas,
+		RepeatLateCalls,
+		SpreadReturns,
+		SuspectSilent,
+		WaitForRoom,
 	}
 }
 
