tenant: at a limit, programs that are further go first, and long ones count as long

What a program needs was a mean over ended programs that were never refused: long ones are refused more and so counted as short (8 requests where they need 19), and all programs under way were alike at an empty account.

Now: needs are all requests by all ends; a short account keeps a quarter of its bucket for those nearly over; an account that is nine tenths full lets a program begin. No window holds more than before. Switch: rank-programs. Calls' log lines name their program.

--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -36,7 +36,10 @@
 		entry = entry.Str("charge", string(r.charge.outcome.Status)).Str("counted", string(r.charge.outcome.Owner)).
 			Float64("balance", r.charge.outcome.Decision.Balance)
 	}
-	if r.program != "" {
+	switch {
+	case r.program == "" && r.charge != nil:
+		entry = entry.Str("program", r.charge.asked.Request.Program)
+	case r.program != "":
 		entry = entry.Str("program", r.program).Str("session", r.session).Int("partition", r.partition).
 			Str("owner", r.owner).Str("verdict", string(r.admission.Verdict)).Int("settled", r.admission.Settled).
 			Int("open", r.admission.Open).Int("most", r.most).Int("budget", r.budget).Int("tokens", r.tokens)
--- a/edge/keys_test.go
+++ b/edge/keys_test.go
@@ -70,8 +70,9 @@
 	g.Expect(all.CountAlone).To(BeFalse())
 	g.Expect(all.Tenants).To(Equal(tenant.DefaultConfig()))
 	g.Expect(all.Ledger.AgainShare).To(BeNumerically(">", 0))
-	without := coreConfig(Settings{Partitions: 1, Without: []Mechanism{CountTogether, FinishPrograms, BeginAgain}}, machine.Machine{ID: "n"}, rand.New(rand.NewPCG(1, 2)))
+	without := coreConfig(Settings{Partitions: 1, Without: []Mechanism{CountTogether, FinishPrograms, RankPrograms, BeginAgain}}, machine.Machine{ID: "n"}, rand.New(rand.NewPCG(1, 2)))
 	g.Expect(without.CountAlone).To(BeTrue())
 	g.Expect(without.Tenants.FirstCome).To(BeTrue())
+	g.Expect(without.Tenants.Unranked).To(BeTrue())
 	g.Expect(without.Ledger.AgainShare).To(BeZero())
 }
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -63,6 +63,9 @@
 	// ProvePeers takes peers' word of how lately their configuration was proven to be
 	// the newest, and has the readers of each zone read it often.
 	ProvePeers Mechanism = "prove-peers"
+	// RankPrograms has programs that are further go first among those under way at a
+	// tenant's limit.
+	RankPrograms Mechanism = "rank-programs"
 	// RecallChains keeps the chains of turns that this node served, so that the
 	// owner need not send them when their lines go on here.
 	RecallChains Mechanism = "recall-chains"
@@ -84,7 +87,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		AssumeShared, BeginAgain, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowPrompts,
-		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, PreferConnections, PreferRegion, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
+		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, PreferConnections, PreferRegion, PreferZone, ProvePeers, RankPrograms, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
 		RepeatLateCalls, SuspectSilent,
 	}
 }
--- a/tenant/account.go
+++ b/tenant/account.go
@@ -19,6 +19,10 @@
 	// FirstCome grants requests in the order in which they come, programs under
 	// way and new ones alike, to measure what putting the former first is worth.
 	FirstCome bool
+	// Unranked has all programs under way alike at a limit, however far they are, and
+	// has new ones wait also while an account is full, to measure what the order among
+	// them is worth.
+	Unranked bool
 }
 
 // DefaultConfig returns the settings used where the operator names none: what the
@@ -52,6 +56,14 @@
 	takeoverOverlap = 400 * time.Millisecond
 )
 
+const (
+	// keptShare is the part of a bucket that a short account keeps for the programs that
+	// are nearly over: some tenths of a second of what it earns, in which they ask again.
+	keptShare = 0.25
+	// fullShare is the part of a bucket from which on an account is full.
+	fullShare = 0.9
+)
+
 // Times of an account.
 const (
 	// grantLife is how long a grant is remembered, so that it counts once if it is
--- a/tenant/book.go
+++ b/tenant/book.go
@@ -59,9 +59,17 @@
 		return Decision{RetryAfter: wait, Balance: b.holds(held)}
 	}
 	held.grant(now, &asked)
+	b.use(held, &asked)
 	return Decision{Granted: true, Balance: b.holds(held)}
 }
 
+// use has what programs need follow from a request that was granted.
+func (b *Book) use(held *account, asked *Request) {
+	if known := held.programs[asked.Program]; known != nil && !known.joined {
+		b.costOf(known.route).use()
+	}
+}
+
 func (b *Book) holds(held *account) float64 { return held.holds(&b.config, b.share) }
 
 // refuse returns when a request may come back that has to be refused, or 0.
@@ -93,10 +101,15 @@
 }
 
 // refuseUnderWay has a request of a program under way wait only if the account is
-// overdrawn already.
+// overdrawn already, or would be by those that are further: while the account is short,
+// what is kept for them is refused to a program in the measure in which it lies before
+// its end. So those that fail do so early, having used little.
 func (b *Book) refuseUnderWay(now time.Time, held *account, known *program) time.Duration {
 	known.last = now
 	lacks := 1 - b.holds(held) - held.overdraft(&b.config)
+	if !b.config.Unranked && now.Before(held.tightUntil) {
+		lacks += (1 - b.costOf(known.route).progress(known)) * b.kept(held)
+	}
 	if lacks <= 0 {
 		return 0
 	}
@@ -112,10 +125,10 @@
 func (b *Book) refuseNew(now time.Time, held *account, asked *Request) time.Duration {
 	needs := b.costOf(asked.Route)
 	earned := needs.span.Seconds() / 2 * held.pace(now, &b.config, b.share)
-	lacks := b.committed(now, held) + needs.requests - b.holds(held) - held.overdraft(&b.config) - earned
+	lacks := b.committed(now, held) + needs.mean() - b.holds(held) - held.overdraft(&b.config) - earned
 	loose := !now.Before(held.tightUntil)
 	alone := len(held.programs) == 0 && b.holds(held) >= 1
-	if lacks <= 0 || alone || loose {
+	if lacks <= 0 || alone || loose || b.full(held) {
 		held.programs[asked.Program] = &program{route: asked.Route, first: now, last: now}
 		return 0
 	}
@@ -126,10 +139,21 @@
 		held.nextStart = earliest
 	}
 	wait := held.nextStart.Sub(now)
-	held.nextStart = now.Add(min(wait+held.waitFor(now, &b.config, needs.requests, b.share), mostWait))
+	held.nextStart = now.Add(min(wait+held.waitFor(now, &b.config, needs.mean(), b.share), mostWait))
 	return boundWait(wait)
 }
 
+// full reports whether the account holds so much that what it earns is soon lost: then a
+// program may begin whatever those under way are expected to need.
+func (b *Book) full(held *account) bool {
+	return !b.config.Unranked && b.holds(held) >= max(1, fullShare*held.capacity(&b.config, b.share))
+}
+
+// kept is how many requests of a short account are for the programs that are nearly over.
+func (b *Book) kept(held *account) float64 {
+	return keptShare * held.capacity(&b.config, b.share)
+}
+
 // committed is how many requests the programs under way still need.
 func (b *Book) committed(now time.Time, held *account) float64 {
 	total := 0.0
--- a/tenant/cost.go
+++ b/tenant/cost.go
@@ -7,6 +7,13 @@
 const (
 	firstRequests = 8.0
 	firstSpan     = 2 * time.Second
+	// firstWeight is how many programs that counts for, and mostEnds how many the mean
+	// is taken over.
+	firstWeight = 3.0
+	mostEnds    = 50.0
+	// leastRest is the part of the mean that a program which used all of it is still
+	// expected to need.
+	leastRest = 0.25
 	// costWeight is the weight of a new program in the means.
 	costWeight = 0.1
 	// leastSpan and mostSpan bound the mean, so that a few odd programs do not
@@ -21,20 +28,35 @@
 	restIdle = 2 * time.Second
 )
 
-// cost is what the programs of one route need on the mean.
+// cost is what the programs of one route need on the mean: all requests by all ends. A
+// program that is under way or was refused before its end brings requests and no end, so
+// that long programs, which are refused more, count as long.
 type cost struct {
-	requests float64
-	span     time.Duration
+	// requests and ends are those of late, and less and less those before.
+	requests, ends float64
+	span           time.Duration
 }
 
-func newCost() *cost { return &cost{requests: firstRequests, span: firstSpan} }
+func newCost() *cost {
+	return &cost{requests: firstRequests * firstWeight, ends: firstWeight, span: firstSpan}
+}
+
+// use takes in a request of a program.
+func (c *cost) use() { c.requests++ }
+
+// mean is how many requests a program needs.
+func (c *cost) mean() float64 { return c.requests / c.ends }
 
 // observe takes in a program that has ended.
 func (c *cost) observe(ended *program) {
 	if ended.joined || ended.refused {
 		return
 	}
-	c.requests += costWeight * (ended.used - c.requests)
+	c.ends++
+	if c.ends > mostEnds {
+		c.requests *= mostEnds / c.ends
+		c.ends = mostEnds
+	}
 	span := min(max(ended.last.Sub(ended.first), leastSpan), mostSpan)
 	c.span += time.Duration(costWeight * float64(span-c.span))
 }
@@ -42,5 +64,12 @@
 // rest is how many requests a program is still expected to need.
 func (c *cost) rest(now time.Time, known *program) float64 {
 	fresh := 1 - float64(now.Sub(known.last))/float64(restIdle)
-	return max(0, fresh) * max(1, c.requests-known.used)
+	mean := c.mean()
+	return max(0, fresh) * max(leastRest*mean, mean-known.used)
+}
+
+// progress is the part of its requests that a program has behind it.
+func (c *cost) progress(known *program) float64 {
+	mean := c.mean()
+	return known.used / (known.used + max(leastRest*mean, mean-known.used))
 }
--- /dev/null
+++ b/tenant/programs_test.go
@@ -0,0 +1,207 @@
+package tenant_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/tenant"
+)
+
+// agents replays the programs of one tenant in virtual time: turns, each followed by
+// calls side by side. A turn that is refused is tried again, and goes out anew twice; a
+// call has one more try. A program ends with the first request that is given up.
+type agents struct {
+	book   *tenant.Book
+	limit  tenant.Limit
+	random *rand.Rand
+	now    time.Time
+	queue  events
+	number int
+
+	asked, ended, granted, wasted int
+}
+
+// agent is one program of agents.
+type agent struct {
+	name, route   string
+	turns         int
+	calls, failed int
+	used          int
+	over          bool
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func (a *agents) after(wait time.Duration, do func()) {
+	heap.Push(&a.queue, event{at: a.now.Add(wait), do: do})
+}
+
+// arrive begins programs at a pace that changes with time, until an end.
+func (a *agents) arrive(end time.Time, perSecond func(time.Time) float64) {
+	wait := time.Duration(a.random.ExpFloat64() / perSecond(a.now) * float64(time.Second))
+	a.after(wait, func() {
+		if a.now.After(end) {
+			return
+		}
+		a.asked++
+		one := &agent{name: fmt.Sprint("p", a.asked), route: "short", turns: a.between(2, 4)}
+		if a.random.Float64() < 0.47 {
+			one.route, one.turns = "long", a.between(4, 10)
+		}
+		a.turn(one, 0)
+		a.arrive(end, perSecond)
+	})
+}
+
+func (a *agents) between(least, most int) int { return least + a.random.IntN(most-least+1) }
+
+func (a *agents) spread(mean time.Duration) time.Duration {
+	return time.Duration(float64(mean) * math.Exp(0.6*a.random.NormFloat64()))
+}
+
+// ask asks for a request; a refused one has some more tries, within a third of its time.
+func (a *agents) ask(one *agent, route string, left time.Duration, tries int, granted, refused func()) {
+	if one.over {
+		return
+	}
+	a.number++
+	decision := a.book.Spend(a.now, "t", tenant.Request{ID: fmt.Sprint(a.number), Program: one.name, Route: route, Limit: a.limit, Version: 1})
+	switch {
+	case decision.Granted:
+		a.granted++
+		one.used++
+		granted()
+	case tries == 0:
+		refused()
+	default:
+		wait := min(decision.RetryAfter, left/3)
+		a.after(wait, func() { a.ask(one, route, left-wait, tries-1, granted, refused) })
+	}
+}
+
+func (a *agents) turn(one *agent, failed int) {
+	a.ask(one, one.route, 3*time.Second, 1, func() {
+		a.after(a.spread(110*time.Millisecond), func() { a.tools(one) })
+	}, func() {
+		if failed == 2 {
+			a.lose(one)
+			return
+		}
+		a.after(time.Duration(a.between(100, 400))*time.Millisecond, func() { a.turn(one, failed+1) })
+	})
+}
+
+func (a *agents) tools(one *agent) {
+	one.turns--
+	if one.turns == 0 {
+		a.ended++
+		one.over = true
+		return
+	}
+	number := 0
+	for _, tool := range []struct {
+		share float64
+		times int
+	}{{0.7, 3}, {0.4, 1}, {0.2, 1}} {
+		if a.random.Float64() < tool.share {
+			number += tool.times
+		}
+	}
+	pause := func() { a.after(a.spread(60*time.Millisecond), func() { a.turn(one, 0) }) }
+	one.calls = number
+	if number == 0 {
+		pause()
+	}
+	for range number {
+		a.ask(one, "tool", 1200*time.Millisecond, 1, func() {
+			a.after(a.spread(30*time.Millisecond), func() {
+				if one.calls--; one.calls == 0 {
+					pause()
+				}
+			})
+		}, func() { a.lose(one) })
+	}
+}
+
+func (a *agents) lose(one *agent) {
+	if !one.over {
+		a.wasted += one.used
+		one.over = true
+	}
+}
+
+func (a *agents) run() {
+	for len(a.queue) > 0 {
+		next := heap.Pop(&a.queue).(event)
+		a.now = next.at
+		next.do()
+	}
+}
+
+// playHot plays a tenant that sends its usual for 4 s, some times that for 5 s, and its
+// usual again, with twenty seeds.
+func playHot(config tenant.Config, rate, usual, times float64) (sum agents) {
+	for seed := range uint64(20) {
+		played := &agents{
+			book: tenant.NewBook(begun.Add(-time.Minute), config), limit: tenant.Limit{Rate: rate, Burst: rate},
+			random: rand.New(rand.NewPCG(seed, 7)), now: begun,
+		}
+		played.arrive(begun.Add(16*time.Second), func(now time.Time) float64 {
+			if since := now.Sub(begun); since > 4*time.Second && since < 9*time.Second {
+				return usual * times
+			}
+			return usual
+		})
+		played.run()
+		sum.asked += played.asked
+		sum.ended += played.ended
+		sum.granted += played.granted
+		sum.wasted += played.wasted
+	}
+	return sum
+}
+
+var _ = Describe("Programs of a tenant that sends many times its usual", func() {
+	DescribeTable("end at the limit, and those that fail have used little",
+		func(rate, usual, times, ended, wasted float64) {
+			played := playHot(tenant.DefaultConfig(), rate, usual, times)
+			Expect(float64(played.ended) / float64(played.asked)).To(BeNumerically(">=", ended))
+			Expect(float64(played.wasted) / float64(played.granted)).To(BeNumerically("<=", wasted))
+		},
+		Entry("a large tenant as usual", 134.0, 7.0, 1.0, 0.999, 0.001),
+		Entry("a large tenant, its limit and a tenth", 134.0, 7.0, 1.8, 0.95, 0.025),
+		Entry("a large tenant, three times its usual", 134.0, 7.0, 3.0, 0.77, 0.05),
+		Entry("a large tenant, ten times its usual", 134.0, 7.0, 10.0, 0.33, 0.1),
+		Entry("a small tenant, six times its usual", 15.0, 0.8, 6.0, 0.45, 0.3),
+	)
+
+	It("have fewer end where all that are under way are alike", func() {
+		config := tenant.DefaultConfig()
+		ranked := playHot(config, 134, 7, 10)
+		config.Unranked = true
+		alike := playHot(config, 134, 7, 10)
+		Expect(ranked.ended).To(BeNumerically(">", alike.ended))
+		Expect(ranked.wasted).To(BeNumerically("<", alike.wasted))
+	})
+})
