--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -81,6 +81,9 @@
 	// ReadAccountsFirst has a takeover's pages with accounts not wait for pages of kept
 	// turns of other takeovers.
 	ReadAccountsFirst Mechanism = "read-accounts-first"
+	// RankPrograms has programs that are further go first among those under way at a
+	// tenant's limit.
+	RankPrograms Mechanism = "rank-programs"
 	// RecallChains keeps the chains of turns that this node served, so that the
 	// owner need not send them when their lines go on here.
 	RecallChains Mechanism = "recall-chains"
@@ -134,6 +137,7 @@
 		PreferRegion,
 		PreferZone,
 		ProvePeers,
+		RankPrograms,
 		ReadAccountsFirst,
 		RecallChains,
 		RefuseWhenFull,
