--- a/replica/set.go
+++ b/replica/set.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"birchwood.example/birchwood/dispatch"
 	"birchwood.example/birchwood/zone"
 )
 
@@ -110,6 +111,8 @@
 	busy        map[ID]*member
 	coldWatched map[ID]*member
 	doubted     map[ID]*member
+	// paced are the replicas whose pace this node measured lately.
+	paced map[ID]*member
 	// cacheTokens is the memory of a service's engines.
 	cacheTokens map[string]int
 	// coldRates is how many requests a second a cold replica of a service bears.
@@ -145,6 +148,8 @@
 	// it is listed.
 	doubtedUntil time.Time
 	cold         coldness
+	// pace is how long a generated token takes there.
+	pace dispatch.Pace
 }
 
 // NewSet returns a set without replicas.
@@ -159,6 +164,7 @@
 		busy:        make(map[ID]*member),
 		coldWatched: make(map[ID]*member),
 		doubted:     make(map[ID]*member),
+		paced:       make(map[ID]*member),
 		cacheTokens: make(map[string]int),
 		coldRates:   make(map[string]float64),
 		peers:       make(map[string]peerLoad),
@@ -248,6 +254,7 @@
 	delete(s.busy, id)
 	delete(s.coldWatched, id)
 	delete(s.doubted, id)
+	delete(s.paced, id)
 	return known.entry, true
 }
 
