gather, coordinator, replica: collectors tell each node what all others have under way

Cause: a node heard a given peer's loads each 3.6 s among 73, with a report counting for 2 s, so that most of a load was an estimate.

Change: package gather, a report and its answer to a collector of the zone, sums between the collectors; a load is what the collector's word tells, less what has ended since, and a choice draws from it. Switch gather-loads; nothing changes where peers are heard within a second.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"birchwood.example/birchwood/gather"
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/ownership"
@@ -58,6 +59,9 @@
 	// ShareWhole has nodes grant the whole of the limits though others that they
 	// know of may count behind a cut, to show what that would break.
 	ShareWhole bool
+	// GatherNothing leaves nodes of a large fleet to hear loads by statuses alone, to
+	// measure what collectors are worth.
+	GatherNothing bool
 	// Random picks the peers of a status.
 	Random *rand.Rand
 }
@@ -121,6 +125,7 @@
 	ranking      ranking
 	charging     charging
 	proving      proving
+	gathering    *gather.Core
 	ready        Ready
 }
 
@@ -140,6 +145,7 @@
 		reaches:    true,
 		charging:   newCharging(now, &config),
 		proving:    proving{number: firstNumber(config.Random)},
+		gathering:  gather.New(uint64(now.UnixMilli())),
 	}
 	core.list(config.Membership.Self)
 	for index := range config.Partitions {
@@ -191,6 +197,7 @@
 	case Loads:
 		c.loads = event
 		c.retainFor(event.RetainFor)
+		c.gather(now)
 	}
 	c.collect(now)
 }
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"birchwood.example/birchwood/gather"
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/ownership"
+	"birchwood.example/birchwood/replica"
 )
 
 // Event is what a driver passes to Core.Step.
@@ -101,6 +103,8 @@
 // Loads brings this node's requests under way, by replica.
 type Loads struct {
 	Counts map[string]int
+	// Reports are what collectors are told: these requests, and the paces of replicas.
+	Reports map[replica.ID]replica.Report
 	// Version is the newest configuration that this node holds, and RetainFor
 	// the longest time for which any of its routes keeps programs.
 	Version   uint64
@@ -159,6 +163,8 @@
 	Charge *ChargeMessage `json:"charge,omitempty"`
 	// Proof is about the age of the sender's configuration, or nil.
 	Proof *ProofMessage `json:"proof,omitempty"`
+	// Gather is about the loads of all nodes, or nil.
+	Gather *gather.Message `json:"gather,omitempty"`
 }
 
 // Status is what a node tells of itself every now and then.
@@ -239,7 +245,13 @@
 	Stopped   []Stopped
 	Appends   []Append
 	Loads     []PeerLoad
-	Charged   []Charged
+	// Totals are what all other nodes have under way, where that is news, and Collectors
+	// tells of collectors taken and lost, for the log.
+	Totals     *gather.Totals
+	Collectors []gather.Change
+	// Unread are messages that were not understood.
+	Unread  []Unread
+	Charged []Charged
 	// Newer are peers that hold a newer configuration than this node.
 	Newer []PeerVersion
 	// Proven is when this node's configuration was the newest by word of a peer;
@@ -249,6 +261,12 @@
 	Changes []Change
 }
 
+// Unread is a message of a peer that was not understood.
+type Unread struct {
+	From machine.ID
+	Err  error
+}
+
 // Change is a partition that this node won or lost.
 type Change struct {
 	Partition int
--- /dev/null
+++ b/coordinator/gathering_test.go
@@ -0,0 +1,95 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/gather"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/zone"
+)
+
+const (
+	// gatherNodes is more than hear each other often, and reportPeriod the time between
+	// two looks of a node at its own loads.
+	gatherNodes  = 42
+	reportPeriod = 100 * time.Millisecond
+)
+
+// gatherFleet returns a fleet over three zones.
+func gatherFleet(nodes int, configure func(*coordinator.Config)) *fleet {
+	world := newFleetWith(8, 0, 3, configure)
+	zones := make(map[machine.ID]zone.Name)
+	world.zoneOf = func(id machine.ID) zone.Name { return zones[id] }
+	for index := range nodes {
+		id := machine.ID(fmt.Sprintf("node-%02d", index))
+		zones[id] = zone.Name(fmt.Sprint("z", index%3))
+		world.start(id)
+	}
+	world.list()
+	return world
+}
+
+// runLoads lets the time pass while each node has one request at a replica.
+func runLoads(world *fleet, span time.Duration) {
+	for range int(span / reportPeriod) {
+		for _, id := range world.ids() {
+			if one := world.nodes[id]; !one.frozen {
+				one.core.Step(world.now, coordinator.Loads{Reports: map[replica.ID]replica.Report{"r": {Requests: 1}}})
+				world.perform(id, one)
+			}
+		}
+		world.run(reportPeriod)
+	}
+}
+
+// heardOf returns how many requests of others at the replica each node heard of last.
+func heardOf(world *fleet) (heard []int) {
+	for _, id := range world.ids() {
+		if totals := world.nodes[id].totals; totals != nil && world.now.Sub(totals.At) < time.Second {
+			heard = append(heard, totals.Counts[gather.KeyOf("r")])
+		}
+	}
+	slices.Sort(heard)
+	return slices.Compact(heard)
+}
+
+var _ = Describe("Gathering loads", func() {
+	It("tells all nodes of a large fleet what the others have", func() {
+		world := gatherFleet(gatherNodes, nil)
+		runLoads(world, 3*time.Second)
+		Expect(heardOf(world)).To(Equal([]int{gatherNodes - 1}))
+	})
+
+	It("sends nothing in a fleet whose nodes hear each other often, or where it is switched off", func() {
+		off := func(config *coordinator.Config) { config.GatherNothing = true }
+		for _, world := range []*fleet{gatherFleet(12, nil), gatherFleet(gatherNodes, off)} {
+			runLoads(world, 3*time.Second)
+			Expect(heardOf(world)).To(BeEmpty())
+			for _, id := range world.ids() {
+				Expect(world.nodes[id].gathered).To(BeZero())
+			}
+		}
+	})
+
+	It("goes on where a collector dies, or freezes", func() {
+		world := gatherFleet(gatherNodes, nil)
+		runLoads(world, 2*time.Second)
+		collector := world.nodes["node-00"].core.Roles().Collectors[0].ID
+		world.kill(collector)
+		runLoads(world, 2*time.Second)
+		Expect(heardOf(world)).To(Equal([]int{gatherNodes - 2}))
+		// It is not seen to be dead yet when the others have left it.
+		second := world.nodes[world.ids()[0]].core.Roles().Collectors[0].ID
+		world.nodes[second].frozen = true
+		runLoads(world, 2*time.Second)
+		world.nodes[second].totals = nil
+		Expect(heardOf(world)).To(Equal([]int{gatherNodes - 3}))
+	})
+})
--- a/coordinator/harness_test.go
+++ b/coordinator/harness_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/gather"
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/ownership"
@@ -77,6 +78,9 @@
 	proven time.Time
 	// newer are peers that hold a newer configuration, not collected yet.
 	newer []coordinator.PeerVersion
+	// totals are what a collector told last, and gathered counts messages about loads.
+	totals   *gather.Totals
+	gathered int
 }
 
 // delivery is an event on its way.
@@ -228,7 +232,13 @@
 // perform carries out what a core has ready.
 func (f *fleet) perform(id machine.ID, one *member) {
 	ready := one.core.Ready()
+	if ready.Totals != nil {
+		one.totals = ready.Totals
+	}
 	for _, message := range ready.Messages {
+		if message.Message.Gather != nil {
+			one.gathered++
+		}
 		target := f.nodes[message.To.ID]
 		if one.alone || (target != nil && (target.alone || !near(one, target))) {
 			continue
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -41,6 +41,9 @@
 	} else {
 		c.learn(now, []machine.Machine{sender})
 	}
+	if message.Gather != nil {
+		c.stepGather(now, sender.ID, *message.Gather)
+	}
 	if message.Membership != nil {
 		c.membership.Step(now, sender.ID, *message.Membership)
 	}
--- a/coordinator/roles.go
+++ b/coordinator/roles.go
@@ -19,6 +19,10 @@
 	// Readers are those of this node's zone, and Remote those of the others.
 	Readers []machine.Machine
 	Remote  []machine.Machine
+	// Collectors gather the loads of this node's zone, the first that answers, and
+	// RemoteCollectors are the first ones of the other zones.
+	Collectors       []machine.Machine
+	RemoteCollectors []machine.Machine
 	// Near is how many nodes of this node's zone there are, itself included.
 	Near int
 	// Heir says that this node may own a partition: it has to notice soon when it
@@ -27,13 +31,17 @@
 }
 
 const (
-	// sourceRank and readerRank stand for a partition in the rankings of sources and
-	// readers.
-	sourceRank = -2
-	readerRank = -1
+	// sourceRank, readerRank and collectorRank stand for a partition in the rankings of
+	// sources, readers and collectors.
+	sourceRank    = -2
+	readerRank    = -1
+	collectorRank = -3
 	// sourcesOfFleet and readersPerZone are how many there are, so that one may fail.
 	sourcesOfFleet = 2
 	readersPerZone = 2
+	// collectorsPerZone is how many nodes may gather the loads of a zone: the second
+	// stands in for one that is lost, and the third where that is frozen too.
+	collectorsPerZone = 3
 )
 
 // Roles returns what nodes do for others. The caller must not change its slices.
@@ -53,19 +61,25 @@
 	}
 	own := c.self().Zone
 	for name, near := range byZone {
-		readers := c.machines(ownership.First(readerRank, ownership.Able(near), readersPerZone))
+		able := ownership.Able(near)
+		readers := c.machines(ownership.First(readerRank, able, readersPerZone))
+		collectors := c.machines(ownership.First(collectorRank, able, collectorsPerZone))
 		if name == own {
-			roles.Readers, roles.Near = readers, len(near)
+			roles.Readers, roles.Near, roles.Collectors = readers, len(near), collectors
 			continue
 		}
 		roles.Remote = append(roles.Remote, readers...)
+		roles.RemoteCollectors = append(roles.RemoteCollectors, collectors[:min(len(collectors), 1)]...)
 	}
-	slices.SortFunc(roles.Remote, func(left, right machine.Machine) int { return cmp.Compare(left.ID, right.ID) })
+	slices.SortFunc(roles.Remote, compareMachines)
+	slices.SortFunc(roles.RemoteCollectors, compareMachines)
 	self := string(c.self().ID)
 	roles.Heir = slices.ContainsFunc(heirs, func(of []string) bool { return slices.Contains(of, self) })
 	return roles
 }
 
+func compareMachines(left, right machine.Machine) int { return cmp.Compare(left.ID, right.ID) }
+
 // machines returns the nodes of some ids.
 func (c *Core) machines(ids []string) (found []machine.Machine) {
 	for _, id := range ids {
--- a/edge/control.go
+++ b/edge/control.go
@@ -171,7 +171,7 @@
 
 // report tells the core what this node knows of itself.
 func (c *control) report(now time.Time) {
-	loads := coordinator.Loads{Counts: c.node.replicas.own()}
+	loads := coordinator.Loads{Counts: c.node.replicas.own(), Reports: c.node.replicas.report()}
 	loads.Evacuations = c.node.evacuations.version()
 	if table := c.node.routes.Current(); table != nil {
 		loads.Version = table.Version
@@ -304,6 +304,7 @@
 		c.node.replicas.setPeer(load.Node, load.Counts)
 		c.node.hearVersion(load.From, load.Version, load.Evacuations)
 	}
+	c.node.hearTotals(&ready)
 	for _, newer := range ready.Newer {
 		c.node.hearVersion(newer.From, newer.Version, 0)
 	}
--- a/edge/datagram.go
+++ b/edge/datagram.go
@@ -69,7 +69,7 @@
 	if message.Membership != nil {
 		return !message.Membership.Reliable
 	}
-	return message.Charge != nil || message.Proof != nil
+	return message.Charge != nil || message.Proof != nil || message.Gather != nil
 }
 
 // datagramPause follows an error of the socket, so that one that lasts does not take
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -41,6 +41,8 @@
 	// FollowReaders has most nodes of a large fleet follow the replicas through
 	// others.
 	FollowReaders Mechanism = "follow-readers"
+	// GatherLoads has collectors gather what the nodes of a large fleet have under way.
+	GatherLoads Mechanism = "gather-loads"
 	// GrantTurnAfterLoss grants one turn beyond a budget that a lost owner's mark
 	// used up.
 	GrantTurnAfterLoss Mechanism = "grant-turn-after-loss"
@@ -84,7 +86,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		AssumeShared, BeginAgain, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowPrompts,
-		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, PreferConnections, PreferRegion, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
+		FollowReaders, GatherLoads, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, PreferConnections, PreferRegion, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
 		RepeatLateCalls, SuspectSilent,
 	}
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -62,6 +62,9 @@
 	metricFull       = "birchwood_edge_store_full_total"
 	metricUnusable   = "birchwood_edge_replica_entries_refused_total"
 	metricTrims      = "birchwood_edge_store_trims_total"
+	metricGathered   = "birchwood_edge_loads_age_seconds"
+	metricGather     = "birchwood_edge_loads_messages_total"
+	metricGatherSize = "birchwood_edge_loads_bytes_total"
 )
 
 // latencyBuckets are for times that clients feel, in seconds.
@@ -73,6 +76,9 @@
 // proofBuckets are for the ages of proofs that keys are valid, in seconds.
 var proofBuckets = []float64{.1, .5, 1, 1.5, 2, 2.5, 3, 4, 5}
 
+// loadsBuckets are for the ages of what is known of other nodes' loads, in seconds.
+var loadsBuckets = []float64{.025, .05, .1, .15, .2, .3, .5, 1, 2}
+
 // newMetrics returns the metrics of a node. Dropped, if any, counts lines of the
 // log that were dropped.
 func newMetrics(dropped func() uint64) *Metrics {
@@ -148,6 +154,17 @@
 // entryRefused counts an entry of the list that names no replica to use.
 func (m *Metrics) entryRefused() { m.set.GetOrCreateCounter(metricUnusable).Inc() }
 
+// gathered takes in how old the loads of other nodes are as a collector told them.
+func (m *Metrics) gathered(age time.Duration) {
+	m.set.GetOrCreatePrometheusHistogramExt(metricGathered, loadsBuckets).Update(age.Seconds())
+}
+
+// gatherSent counts a message about loads, by kind, and the bytes of what it lists.
+func (m *Metrics) gatherSent(kind string, bytes int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{kind=%q}", metricGather, kind)).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{kind=%q}", metricGatherSize, kind)).Add(bytes)
+}
+
 // callRepeated counts a call sent again because its answer was late.
 func (m *Metrics) callRepeated() { m.repeats.Inc() }
 
--- /dev/null
+++ b/gather/gather_test.go
@@ -0,0 +1,254 @@
+package gather_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/gather"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/replica"
+)
+
+// told is how long it takes at most until all hear of a change: a report, a sum and the
+// answer to the next report, each of which waits for its node's next look.
+const told = 4 * reported
+
+// TestIdleNodeHears has a node that sends nothing hear what the others have.
+func TestIdleNodeHears(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(3, 1)
+	w.give(0, "r1", 3)
+	w.give(1, "r1", 2)
+	w.give(1, "r2", 7)
+	w.run(2 * told)
+	g.Expect(w.hears(2, "r1")).To(Equal(5))
+	g.Expect(w.hears(2, "r2")).To(Equal(7))
+	g.Expect(w.nodes[2].heard.Nodes).To(Equal(2))
+	// Nobody hears its own.
+	g.Expect(w.hears(0, "r1")).To(Equal(2))
+	g.Expect(w.hears(1, "r2")).To(BeZero())
+}
+
+// TestChangeIsHeardSoon across zones, and never counted twice on the way.
+func TestChangeIsHeardSoon(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(30, 3)
+	for index := range w.nodes {
+		w.give(index, "busy", 1)
+	}
+	w.run(3 * told)
+	for round := range 5 {
+		id := replica.ID(fmt.Sprint("r", round))
+		w.give(7+round, id, 4)
+		w.run(told, func() {
+			for index := range w.nodes {
+				g.Expect(w.hears(index, id)).To(BeNumerically("<=", 4))
+			}
+		})
+		for index := range w.nodes {
+			want := 4
+			if index == 7+round {
+				want = 0
+			}
+			g.Expect(w.hears(index, id)).To(Equal(want), "node %d round %d", index, round)
+			g.Expect(w.hears(index, "busy")).To(Equal(29))
+		}
+	}
+}
+
+// busyWorld returns nodes that all have requests at one replica and have heard of it.
+func busyWorld(g *WithT, count, zones int) *world {
+	w := newWorld(count, zones)
+	for index := range w.nodes {
+		w.give(index, "r", 2)
+	}
+	w.run(3 * told)
+	for index := range w.nodes {
+		g.Expect(w.hears(index, "r")).To(Equal(2 * (count - 1)))
+	}
+	return w
+}
+
+// TestCollectorLost is followed by the next in the ranking, before and after the nodes
+// know that it is dead, and its requests lapse.
+func TestCollectorLost(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		g := NewWithT(t)
+		w := busyWorld(g, 30, 3)
+		w.listed = listed
+		w.nodes[0].dead = true
+		w.run(time.Second)
+		for _, one := range w.live() {
+			g.Expect(one.heard.Counts[gather.KeyOf("r")]).To(Equal(2*28), string(one.self.ID))
+			g.Expect(one.heard.Nodes).To(Equal(28))
+		}
+	}
+}
+
+// TestCollectorFrozen is left for the next, and taken again later. What is counted twice
+// while nodes change over is little.
+func TestCollectorFrozen(t *testing.T) {
+	g := NewWithT(t)
+	w := busyWorld(g, 30, 3)
+	w.nodes[0].frozen = true
+	over, heard := 0, 0
+	count := func() {
+		for _, one := range w.live() {
+			heard += 2 * 29
+			over += max(0, one.heard.Counts[gather.KeyOf("r")]-2*29)
+		}
+	}
+	w.run(3*time.Second, count)
+	for _, one := range w.live() {
+		g.Expect(one.heard.Counts[gather.KeyOf("r")]).To(Equal(2*28), string(one.self.ID))
+	}
+	g.Expect(w.nodes[3].lost).To(ContainElement(machine.ID("n0000")))
+	w.nodes[0].frozen = false
+	w.run(4*time.Second, count)
+	for _, one := range w.live() {
+		g.Expect(one.heard.Counts[gather.KeyOf("r")]).To(Equal(2*29), string(one.self.ID))
+	}
+	t.Logf("counted twice: %.4f of all", float64(over)/float64(heard))
+	g.Expect(over).To(BeNumerically("<", heard/100))
+}
+
+// TestNodeLost has the requests of a node that died lapse.
+func TestNodeLost(t *testing.T) {
+	g := NewWithT(t)
+	w := busyWorld(g, 9, 3)
+	w.nodes[8].dead = true
+	w.run(time.Second)
+	g.Expect(w.hears(7, "r")).To(Equal(2 * 7))
+}
+
+// TestZoneCut has each side hear of its own alone, and say so.
+func TestZoneCut(t *testing.T) {
+	g := NewWithT(t)
+	w := busyWorld(g, 30, 3)
+	w.cut = "z1"
+	w.run(time.Second)
+	g.Expect(w.nodes[1].heard.Nodes).To(Equal(9))
+	g.Expect(w.hears(1, "r")).To(Equal(2 * 9))
+	g.Expect(w.nodes[2].heard.Nodes).To(Equal(19))
+	g.Expect(w.hears(2, "r")).To(Equal(2 * 19))
+	w.cut = ""
+	w.run(time.Second)
+	g.Expect(w.hears(1, "r")).To(Equal(2 * 29))
+}
+
+// TestMessagesLost leave most nodes with a recent word.
+func TestMessagesLost(t *testing.T) {
+	g := NewWithT(t)
+	w := busyWorld(g, 30, 3)
+	w.loss = 0.2
+	w.run(time.Second)
+	for _, one := range w.nodes {
+		one.heardN = 0
+	}
+	w.run(4 * time.Second)
+	for _, one := range w.nodes {
+		// Of 40 reports 0.64 are answered, less what a shunned collector takes.
+		g.Expect(one.heardN).To(BeNumerically(">", 16), string(one.self.ID))
+		g.Expect(w.now.Sub(one.heard.At)).To(BeNumerically("<", time.Second))
+	}
+}
+
+// TestOff sends nothing where the nodes hear each other anyway.
+func TestOff(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(9, 3)
+	w.off = true
+	w.give(0, "r", 1)
+	w.run(time.Second)
+	for _, one := range w.nodes {
+		g.Expect(one.sent).To(BeZero())
+		g.Expect(one.heard).To(BeNil())
+	}
+}
+
+// TestFalseReports change what is known by a bounded amount.
+func TestFalseReports(t *testing.T) {
+	g := NewWithT(t)
+	w := busyWorld(g, 6, 1)
+	liar := w.nodes[5].self
+	w.nodes[5].dead = true
+	key := binary.BigEndian.AppendUint32(nil, uint32(gather.KeyOf("r")))
+	huge := binary.AppendUvarint(key, 1<<62)
+	collector := w.nodes[0].core
+	number := uint64(w.now.UnixMilli()) + 1_000_000
+	for _, said := range []gather.Message{
+		{Kind: gather.KindReport, Number: number, Nodes: -5, Age: -time.Hour, Counts: huge},
+		{Kind: gather.KindReport, Number: number + 1, Nodes: 1 << 40, Age: 1 << 60, Counts: huge},
+	} {
+		g.Expect(collector.Receive(w.now, liar, said)).To(Succeed())
+		w.run(2 * reported)
+		g.Expect(w.hears(1, "r")).To(BeNumerically("<=", 2*4+128))
+		g.Expect(w.nodes[1].heard.Nodes).To(Equal(5))
+	}
+	for _, counts := range [][]byte{key, key[:3], slices.Concat(key, []byte{0xff}), slices.Concat(key, make([]byte, 3))} {
+		err := collector.Receive(w.now, liar, gather.Message{Kind: gather.KindReport, Number: number + 2, Counts: counts})
+		g.Expect(err).To(HaveOccurred())
+	}
+	g.Expect(collector.Receive(w.now, liar, gather.Message{Kind: "else"})).To(Succeed())
+}
+
+// TestPaces are the median of what nodes told.
+func TestPaces(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(9, 3)
+	for index, one := range w.nodes {
+		one.has["r"] = replica.Report{TokenTime: time.Duration(1000+index) * time.Microsecond, Samples: 4}
+	}
+	w.nodes[4].has["r"] = replica.Report{TokenTime: time.Hour, Samples: 1 << 40}
+	heard := make(map[int]gather.Pace)
+	w.run(4*time.Second, func() {
+		for index, one := range w.nodes {
+			if one.heard != nil && one.heard.Paces != nil {
+				heard[index] = one.heard.Paces[gather.KeyOf("r")]
+			}
+		}
+	})
+	g.Expect(heard).To(HaveLen(9))
+	for index, pace := range heard {
+		g.Expect(pace.TokenTime).To(BeNumerically("~", time.Millisecond, 20*time.Microsecond), "node %d", index)
+		g.Expect(pace.Samples).To(BeNumerically(">", 0))
+	}
+}
+
+// TestBudget bounds messages and bytes of the exchange, of the mean node and of the
+// collector, in fleets under load.
+func TestBudget(t *testing.T) {
+	for _, size := range []struct{ nodes, zones, replicas, mean, collector int }{
+		{73, 3, 84, 7_000, 120_000}, {300, 6, 240, 7_000, 300_000}, {984, 10, 2_000, 7_000, 450_000},
+	} {
+		g := NewWithT(t)
+		w := newWorld(size.nodes, size.zones)
+		for index, one := range w.nodes {
+			for range 10 {
+				// A node's requests are at replicas of its own zone.
+				number := index%size.zones + size.zones*w.random.IntN(size.replicas/size.zones)
+				one.has[replica.ID(fmt.Sprint("r", number))] = replica.Report{Requests: 1, TokenTime: time.Millisecond, Samples: 3}
+			}
+		}
+		w.run(2 * time.Second)
+		for _, one := range w.nodes {
+			one.sent, one.bytes = 0, 0
+		}
+		const seconds = 4
+		w.run(seconds * time.Second)
+		sent, bytes, most, mostSent := 0, 0, 0, 0
+		for _, one := range w.nodes {
+			sent, bytes = sent+one.sent, bytes+one.bytes
+			most, mostSent = max(most, one.bytes), max(mostSent, one.sent)
+		}
+		t.Logf("%d nodes: a node %.1f messages, %d bytes a second; a collector %d, %d; age %v", size.nodes,
+			float64(sent)/seconds/float64(size.nodes), bytes/seconds/size.nodes, mostSent/seconds, most/seconds, w.now.Sub(w.nodes[size.nodes-1].heard.At))
+		g.Expect(bytes / seconds / size.nodes).To(BeNumerically("<", size.mean))
+		g.Expect(most / seconds).To(BeNumerically("<", size.collector))
+	}
+}
--- /dev/null
+++ b/gather/listing.go
@@ -0,0 +1,123 @@
+package gather
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// listedKeys bounds the replicas that a collector tells of, so that their keys and
+	// counts stay within a datagram.
+	listedKeys = packedBytes / keyBytes
+	// unusedFor is how long a replica without requests stays listed: a list that changes
+	// is told anew.
+	unusedFor = 5 * time.Second
+)
+
+// listing is a numbered list of replicas. Answers give counts in its order, and name it
+// by a hash of what it lists, so that a node that holds another one takes nothing in.
+type listing struct {
+	keys   []Key
+	packed []byte
+	hash   uint64
+	used   map[Key]time.Time
+}
+
+func newListing() listing { return listing{used: make(map[Key]time.Time)} }
+
+// fit lists the replicas that have requests, and drops those without for long.
+func (l *listing) fit(now time.Time, near, far map[Key]int) {
+	changed := false
+	for _, counts := range []map[Key]int{near, far} {
+		for key := range counts {
+			if _, listed := l.used[key]; !listed {
+				if len(l.used) >= listedKeys {
+					continue
+				}
+				changed = true
+			}
+			l.used[key] = now
+		}
+	}
+	for key, at := range l.used {
+		if now.Sub(at) > unusedFor {
+			delete(l.used, key)
+			changed = true
+		}
+	}
+	if changed {
+		l.renew()
+	}
+}
+
+// renew orders the list anew.
+func (l *listing) renew() {
+	l.keys, l.packed = l.keys[:0], nil
+	for key := range l.used {
+		l.keys = append(l.keys, key)
+	}
+	slices.Sort(l.keys)
+	for _, key := range l.keys {
+		l.packed = binary.BigEndian.AppendUint32(l.packed, uint32(key))
+	}
+	l.hash = xxhash.Sum64(l.packed)
+}
+
+// pack packs counts in the order of the list.
+func (l *listing) pack(counts map[Key]int) []byte {
+	packed := make([]byte, 0, len(l.keys))
+	length := 0
+	for _, key := range l.keys {
+		packed = binary.AppendUvarint(packed, uint64(counts[key]))
+		if counts[key] > 0 {
+			length = len(packed)
+		}
+	}
+	return packed[:length]
+}
+
+// heardList is a collector's list as a node took it in.
+type heardList struct {
+	keys []Key
+	hash uint64
+}
+
+// take takes in the list that a message brings, if any. It reports whether the message's
+// counts are in the order of the list that is held.
+func (h *heardList) take(message *Message) (held bool, err error) {
+	if len(message.Keys) > 0 && message.List != h.hash {
+		if len(message.Keys)%keyBytes != 0 || xxhash.Sum64(message.Keys) != message.List {
+			return false, errPacked
+		}
+		h.keys, h.hash = nil, message.List
+		for packed := message.Keys; len(packed) > 0; packed = packed[keyBytes:] {
+			h.keys = append(h.keys, Key(binary.BigEndian.Uint32(packed)))
+		}
+	}
+	return message.List == h.hash, nil
+}
+
+// unpack reads counts in the order of the list.
+func (h *heardList) unpack(packed []byte, bound int) (map[Key]int, error) {
+	counts := make(map[Key]int, len(h.keys))
+	for _, key := range h.keys {
+		if len(packed) == 0 {
+			break
+		}
+		count, rest, err := unpackNumber(packed)
+		if err != nil {
+			return nil, err
+		}
+		if count > 0 {
+			counts[key] = int(min(count, uint64(bound)))
+		}
+		packed = rest
+	}
+	if len(packed) > 0 {
+		return nil, errPacked
+	}
+	return counts, nil
+}
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -25,7 +25,7 @@
 	{"httpclient", "retry", "routing", "replica", "ledger", "ownership", "upstream"},
 	{"machine", "api"},
 	{"contract", "recordlog", "infra", "tool", "history", "stream"},
-	{"partition", "program", "workload"},
+	{"partition", "program", "workload", "gather"},
 	{"schedule", "coordinator", "ingress"},
 	{"engine", "link"},
 	{"control", "config", "emulator/platformmodel", "emulator/enginemodel"},
@@ -47,7 +47,7 @@
 	"zone", "machine", "api", "contract", "recordlog", "partition", "program", "schedule", "retry", "findings",
 	"control", "workload", "emulator/enginemodel", "emulator/platformmodel",
 	"routing", "replica", "ledger", "ownership", "coordinator", "eventstream", "header", "recordstore",
-	"tenant", "evacuation", "dispatch", "soak/promise",
+	"tenant", "evacuation", "dispatch", "gather", "soak/promise",
 }
 
 // embeddable are the packages that others use without the daemon.
--- a/replica/peerloads.go
+++ b/replica/peerloads.go
@@ -58,6 +58,10 @@
 	// of all peers at a replica, by those reports.
 	heard float64
 	mean  float64
+	// word says that a collector told the loads, and still is the share of the requests
+	// it told of that have not ended since.
+	word  bool
+	still float64
 }
 
 // loadShape is the shape of the gamma distribution that the loads of a service's
@@ -65,6 +69,15 @@
 // what lines of turns that stay at their replica make it.
 const loadShape = 2
 
+// viewAt sums up what is known of the loads of the replicas of a service that are
+// weighed: a collector's word, or else the reports of peers.
+func (s *Set) viewAt(now time.Time, weighed []*member) peerView {
+	if s.worded(now) {
+		return s.viewOfWord(now, weighed)
+	}
+	return s.viewOf(weighed)
+}
+
 // viewOf sums up the reports for the replicas of a service that are weighed.
 func (s *Set) viewOf(weighed []*member) peerView {
 	view := peerView{heard: 1}
@@ -86,6 +99,10 @@
 // of, and what the silent peers add by a Poisson draw whose rate follows from both
 // the service's mean and what was seen here.
 func (v peerView) load(one *member) float64 {
+	if v.word {
+		mean, _ := v.wordLoad(one)
+		return float64(one.own) + mean
+	}
 	known := float64(one.own + one.peers)
 	if v.heard >= 1 || v.mean == 0 {
 		return known
--- a/replica/select.go
+++ b/replica/select.go
@@ -204,7 +204,7 @@
 }
 
 func (s *Set) weigh(now time.Time, request *Request, weighable []*member) *weighing {
-	w := &weighing{set: s, now: now, request: request, view: s.viewOf(weighable), sharing: s.nodes, among: len(weighable)}
+	w := &weighing{set: s, now: now, request: request, view: s.viewAt(now, weighable), sharing: s.nodes, among: len(weighable)}
 	if len(weighable) < len(s.services[request.Service]) {
 		w.sharing = max(1, s.nodes/max(1, len(s.zones)))
 	}
@@ -216,7 +216,7 @@
 
 // cost predicts the work before the request's answer is whole.
 func (w *weighing) cost(one *member) int {
-	load := w.view.load(one)
+	load := w.view.drawn(one, w.request.Draw)
 	cost := missingWeight*w.missing(one) + int(besideTokens*load)
 	if slots := float64(max(1, one.entry.Slots)); load >= slots {
 		cost += int(queuedTokens * (load - slots + 1) / slots)
@@ -262,7 +262,7 @@
 // pressureOf is Pressure of some replicas, infinite where none may take the request.
 func (s *Set) pressureOf(now time.Time, request *Request, weighed []*member) float64 {
 	least := math.Inf(1)
-	view := s.viewOf(weighed)
+	view := s.viewAt(now, weighed)
 	for _, one := range weighed {
 		if s.mayTake(now, request, one) != nil {
 			continue
--- a/replica/set.go
+++ b/replica/set.go
@@ -119,6 +119,13 @@
 	coldRates map[string]float64
 	peers     map[string]peerLoad
 	shared    *sharedParts
+	// wordAt is when the counts of the last word were true, wordTaken when it was taken
+	// in, and wordOf of how many nodes it was.
+	wordAt    time.Time
+	wordTaken time.Time
+	wordOf    int
+	// flows tell how long the requests of each service take.
+	flows map[string]*flow
 	// evacuated are the zones that are to get no requests, and since when.
 	evacuated map[zone.Name]time.Time
 	// nodes is how many nodes send to the replicas, this one included.
@@ -137,7 +144,9 @@
 	// own counts this node's requests there; peers those of other nodes.
 	own   int
 	peers int
-	cache *cache
+	// others are the requests of all other nodes by the last word of a collector.
+	others float64
+	cache  *cache
 	// faults counts errors, time-outs and failures; it halves with time.
 	faults   float64
 	faultsAt time.Time
@@ -169,6 +178,7 @@
 		coldRates:   make(map[string]float64),
 		peers:       make(map[string]peerLoad),
 		shared:      newSharedParts(),
+		flows:       make(map[string]*flow),
 		nodes:       1,
 	}
 }
@@ -291,6 +301,7 @@
 		return
 	}
 	s.begin(known)
+	s.noteFlow(now, known.entry.Service, 1)
 	known.cache.add(now, request.Prompt)
 	s.shared.add(now, request.Program, request.Prompt)
 }
@@ -349,6 +360,7 @@
 		return
 	}
 	s.end(known)
+	s.noteFlow(now, known.entry.Service, -1)
 	switch result {
 	case ResultAnswered:
 		known.failures = 0
--- a/replica/window.go
+++ b/replica/window.go
@@ -55,7 +55,7 @@
 	}
 	found.size = min(found.size, len(list))
 	if now.Sub(found.lookedAt) >= windowPeriod {
-		found.look(now, s.fullness(list[:found.size]), len(list))
+		found.look(now, s.fullness(now, list[:found.size]), len(list))
 	}
 	weighed := list[:found.size:found.size]
 	if last := s.byID[request.Preferred]; last != nil && last.entry.Service == request.Service && !slices.Contains(weighed, last) {
@@ -98,8 +98,8 @@
 }
 
 // fullness returns the mean load of some replicas, in requests by slots.
-func (s *Set) fullness(members []*member) float64 {
-	view := s.viewOf(members)
+func (s *Set) fullness(now time.Time, members []*member) float64 {
+	view := s.viewAt(now, members)
 	load, slots := 0.0, 0
 	for _, one := range members {
 		load += view.load(one)
--- /dev/null
+++ b/replica/word_test.go
@@ -0,0 +1,119 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// wordStart is the beginning of the virtual time.
+var wordStart = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// wordSet returns a set of replicas of one service, before as many nodes.
+func wordSet(replicas, nodes int) *Set {
+	set := NewSet(DefaultConfig("z"))
+	for index := range replicas {
+		set.Put(wordStart, Entry{ID: ID(fmt.Sprint("r", index)), Service: "s", Zone: "z", Status: StatusReady, Slots: 8})
+	}
+	set.SetNodes(nodes)
+	return set
+}
+
+// knownLoad returns what a set takes a replica's load for.
+func knownLoad(set *Set, now time.Time, id ID) float64 {
+	return set.viewAt(now, set.services["s"]).load(set.byID[id])
+}
+
+// TestWordGoesBeforeReports while it is recent and tells of more nodes.
+func TestWordGoesBeforeReports(t *testing.T) {
+	g := NewWithT(t)
+	set := wordSet(2, 21)
+	set.SetPeer(wordStart, "peer", map[ID]int{"r0": 1})
+	reported := knownLoad(set, wordStart, "r0")
+	set.TakeWord(wordStart, Word{Nodes: 20, At: wordStart, Totals: map[ID]Total{"r0": {Requests: 6}}})
+	set.Began(wordStart, "r0", &Request{})
+	g.Expect(knownLoad(set, wordStart, "r0")).To(Equal(7.0))
+	g.Expect(knownLoad(set, wordStart, "r1")).To(BeZero())
+	// Without a newer word the reports of peers tell the loads again.
+	later := wordStart.Add(wordLifetime + time.Millisecond)
+	g.Expect(knownLoad(set, later, "r0")).To(BeNumerically("~", reported+1, 0.001))
+	// A word of fewer nodes than peers told of themselves is none.
+	set.TakeWord(later, Word{Nodes: 1, At: later, Totals: map[ID]Total{"r0": {Requests: 6}}})
+	g.Expect(knownLoad(set, later, "r0")).To(BeNumerically("~", reported+1, 0.001))
+}
+
+// TestWordAges has what an old word tells of a replica tend to what its service's
+// replicas have in the mean, by how long the service's requests take.
+func TestWordAges(t *testing.T) {
+	g := NewWithT(t)
+	set := wordSet(2, 21)
+	set.TakeWord(wordStart, Word{Nodes: 20, At: wordStart, Totals: map[ID]Total{"r0": {Requests: 8}}})
+	differs := func(age time.Duration) float64 {
+		return knownLoad(set, wordStart.Add(age), "r0") - knownLoad(set, wordStart.Add(age), "r1")
+	}
+	g.Expect(differs(0)).To(Equal(8.0))
+	g.Expect(differs(100 * time.Millisecond)).To(BeNumerically("<", 8))
+	short := differs(300 * time.Millisecond)
+	g.Expect(short).To(And(BeNumerically(">", 4), BeNumerically("<", 7.5)))
+	// Requests of two seconds are mostly still there.
+	now := wordStart
+	for range 3 {
+		set.Began(now, "r0", &Request{})
+		now = now.Add(2 * time.Second)
+		set.Ended(now, "r0", ResultAnswered)
+	}
+	g.Expect(set.durationOf("s")).To(Equal(2 * time.Second))
+	set.TakeWord(now, Word{Nodes: 20, At: now.Add(-300 * time.Millisecond), Totals: map[ID]Total{"r0": {Requests: 8}}})
+	g.Expect(knownLoad(set, now, "r0") - knownLoad(set, now, "r1")).To(BeNumerically(">", short))
+}
+
+// TestWordOfSome has the nodes that a word does not tell of estimated.
+func TestWordOfSome(t *testing.T) {
+	g := NewWithT(t)
+	set := wordSet(2, 21)
+	set.TakeWord(wordStart, Word{Nodes: 10, At: wordStart, Totals: map[ID]Total{"r0": {Requests: 4}, "r1": {Requests: 4}}})
+	g.Expect(knownLoad(set, wordStart, "r0")).To(BeNumerically("~", 8, 1))
+}
+
+// TestFalseWord changes a load by a bounded amount.
+func TestFalseWord(t *testing.T) {
+	g := NewWithT(t)
+	set := wordSet(2, 21)
+	set.TakeWord(wordStart, Word{Nodes: 20, At: wordStart, Totals: map[ID]Total{"r0": {Requests: 1e12}, "r1": {Requests: -1e12}, "gone": {Requests: 3}}})
+	g.Expect(knownLoad(set, wordStart, "r0")).To(BeNumerically("<=", fullTimes*8))
+	g.Expect(knownLoad(set, wordStart, "r1")).To(BeZero())
+}
+
+// TestSameWordDifferentChoices spreads the requests of nodes that all heard the same over
+// the replicas that are likely to be the emptiest, the fuller ones excepted.
+func TestSameWordDifferentChoices(t *testing.T) {
+	g := NewWithT(t)
+	const nodes = 60
+	chosen := make(map[ID]int)
+	for node := range nodes {
+		set := wordSet(6, nodes)
+		totals := map[ID]Total{"r0": {Requests: 3}, "r1": {Requests: 4}, "r2": {Requests: 4}, "r3": {Requests: 5}, "r4": {Requests: 30}, "r5": {Requests: 30}}
+		set.TakeWord(wordStart, Word{Nodes: nodes - 1, At: wordStart.Add(-100 * time.Millisecond), Totals: totals})
+		choice, err := set.Select(wordStart, &Request{Service: "s", Draw: float64(node) / nodes})
+		g.Expect(err).NotTo(HaveOccurred())
+		chosen[choice.Entry.ID]++
+	}
+	g.Expect(chosen["r0"]).To(BeNumerically("<", nodes*2/3), "%v", chosen)
+	g.Expect(chosen["r0"]).To(BeNumerically(">", chosen["r3"]), "%v", chosen)
+	g.Expect(chosen["r4"] + chosen["r5"]).To(BeZero())
+}
+
+// TestDeviation has a mean of 0 and a variance of 1.
+func TestDeviation(t *testing.T) {
+	g := NewWithT(t)
+	sum, squares := 0.0, 0.0
+	const draws = 20_000
+	for index := range draws {
+		deviates := deviation(float64(index%200)/200, uint64(index/200)*0x12345)
+		sum, squares = sum+deviates, squares+deviates*deviates
+	}
+	g.Expect(sum / draws).To(BeNumerically("~", 0, 0.05))
+	g.Expect(squares / draws).To(BeNumerically("~", 1, 0.05))
+}
