gather, replica: a word that names too few replicas says so, and what it lacks is estimated

A collector's list holds 350 replicas; one that was not on it counted as empty and would have drawn all requests. Those that nodes nearby have requests at are listed first.

--- a/edge/gathered.go
+++ b/edge/gathered.go
@@ -41,25 +41,32 @@
 	return r.set.Report(time.Now())
 }
 
-// takeTotals takes in what all other nodes have, of the replicas that this one knows. Two
-// replicas that share a key are both left out.
+// takeTotals takes in what all other nodes have, of the replicas that this one knows.
 func (r *replicas) takeTotals(now time.Time, totals *gather.Totals) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	word := replica.Word{Nodes: totals.Nodes, At: totals.At, Totals: make(map[replica.ID]replica.Total, len(totals.Counts))}
-	named := make(map[gather.Key]replica.ID, r.set.Count())
-	for _, id := range r.set.IDs() {
-		key := gather.KeyOf(id)
-		if other, twice := named[key]; twice {
-			delete(word.Totals, other)
-			continue
+	word := replica.Word{Nodes: totals.Nodes, At: totals.At, Partial: totals.Partial}
+	word.Totals = make(map[replica.ID]replica.Total, len(totals.Counts))
+	for key, count := range totals.Counts {
+		if id := r.keyed[key]; id != "" {
+			word.Totals[id] = replica.Total{Requests: float64(count)}
 		}
-		named[key] = id
-		total := replica.Total{Requests: float64(totals.Counts[key])}
-		if pace, told := totals.Paces[key]; told {
-			total.TokenTime, total.Samples = pace.TokenTime, pace.Samples
+	}
+	for key, pace := range totals.Paces {
+		_, counted := totals.Counts[key]
+		if id := r.keyed[key]; id != "" && (counted || !totals.Partial) {
+			word.Totals[id] = replica.Total{Requests: float64(totals.Counts[key]), TokenTime: pace.TokenTime, Samples: pace.Samples}
 		}
-		word.Totals[id] = total
 	}
 	r.set.TakeWord(now, word)
 }
+
+// key notes under which key messages name a replica. Two that share one are not heard of.
+// The mutex is held.
+func (r *replicas) key(id replica.ID) {
+	key := gather.KeyOf(id)
+	if other, known := r.keyed[key]; known && other != id {
+		id = ""
+	}
+	r.keyed[key] = id
+}
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"birchwood.example/birchwood/gather"
 	pause "birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/routing"
@@ -28,6 +29,8 @@
 	listed int
 	// changed is closed and replaced at each change of the list.
 	changed chan struct{}
+	// keyed are the replicas by the keys that messages about loads name them by.
+	keyed map[gather.Key]replica.ID
 }
 
 // view is a part of the list with when it was asked for, and chosen, last.
@@ -47,7 +50,8 @@
 	config := replica.DefaultConfig(settings.Zone)
 	config.Regions, config.LeaveWithin = settings.Regions, settings.LeaveWithin
 	config.Without = partsWithout(settings)
-	return &replicas{set: replica.NewSet(config), views: make(map[replica.Group]*view), changed: make(chan struct{})}
+	return &replicas{set: replica.NewSet(config), views: make(map[replica.Group]*view), changed: make(chan struct{}),
+		keyed: make(map[gather.Key]replica.ID)}
 }
 
 // partsWithout returns the parts of the choice that are switched off.
@@ -108,6 +112,7 @@
 	defer r.mutex.Unlock()
 	before, known := r.set.Lookup(entry.ID)
 	changed := r.set.Put(time.Now(), entry)
+	r.key(entry.ID)
 	if !changed {
 		return false
 	}
@@ -259,6 +264,7 @@
 	defer r.mutex.Unlock()
 	entry, known := r.set.Remove(id)
 	if known {
+		delete(r.keyed, gather.KeyOf(id))
 		r.tell(replica.Change{Gone: id})
 	}
 	return entry, known
--- a/gather/collect.go
+++ b/gather/collect.go
@@ -17,7 +17,9 @@
 	nodes  int
 	age    time.Duration
 	counts map[Key]int
-	paces  map[Key]Pace
+	// partial says that there are more.
+	partial bool
+	paces   map[Key]Pace
 	// pacedAt is when the paces were told.
 	pacedAt time.Time
 }
@@ -92,6 +94,16 @@
 	}
 }
 
+// partial reports whether any sender has more than its word names.
+func (t *tally) partial() bool {
+	for _, said := range t.words {
+		if said.partial {
+			return true
+		}
+	}
+	return false
+}
+
 // ages returns the sum of the ages of all nodes' counts but one's.
 func (t *tally) ages(now time.Time, except machine.ID) (sum time.Duration) {
 	for from, said := range t.words {
@@ -159,6 +171,7 @@
 			totals.Counts[key] = count
 		}
 	}
+	totals.Partial = c.near.partial() || c.far.partial()
 	if paces {
 		totals.Paces = c.pacesOfAll(now)
 	}
@@ -246,7 +259,7 @@
 	listing := &c.collects.listing
 	answer := Message{
 		Kind: KindTotals, Number: message.Number, Nodes: totals.Nodes, Age: now.Sub(totals.At),
-		List: listing.hash, Counts: listing.pack(totals.Counts),
+		List: listing.hash, Counts: listing.pack(totals.Counts), Partial: totals.Partial || listing.partial,
 	}
 	if message.List != listing.hash {
 		answer.Keys = listing.packed
@@ -290,7 +303,9 @@
 	}
 	held.toldAt, held.toldEmpty = now, empty
 	held.number++
-	message := Message{Kind: KindSum, Number: held.number, Nodes: held.near.nodes, Counts: packCounts(held.near.counts)}
+	message := Message{Kind: KindSum, Number: held.number, Nodes: held.near.nodes}
+	message.Counts, message.Partial = packCounts(held.near.counts)
+	message.Partial = message.Partial || held.near.partial()
 	message.Age = held.near.ages(now, "") / time.Duration(max(1, held.near.nodes))
 	if now.Sub(held.pacesToldAt) >= pacePeriod {
 		held.pacesToldAt = now
@@ -323,7 +338,7 @@
 	}
 	said := word{
 		at: now, number: message.Number, nodes: min(max(0, message.Nodes), maximumNodes), age: min(max(0, message.Age), maximumAge),
-		counts: counts,
+		counts: counts, partial: message.Partial,
 	}
 	if message.HasPaces {
 		said.pacedAt = now
--- a/gather/core.go
+++ b/gather/core.go
@@ -67,6 +67,8 @@
 	// At is when the counts were true in the mean.
 	At     time.Time
 	Counts map[Key]int
+	// Partial says that there are replicas with requests besides those named.
+	Partial bool
 	// Paces are those of the fleet; nil where none were told.
 	Paces map[Key]Pace
 }
@@ -192,7 +194,8 @@
 	}
 	asked.number++
 	asked.askedAt, asked.answered, asked.idle = now, false, idle
-	message := Message{Kind: KindReport, Number: asked.number, Nodes: 1, List: asked.list.hash, Counts: packCounts(c.own.counts)}
+	message := Message{Kind: KindReport, Number: asked.number, Nodes: 1, List: asked.list.hash}
+	message.Counts, message.Partial = packCounts(c.own.counts)
 	if now.Sub(asked.pacesAt) >= pacePeriod {
 		asked.pacesAt = now
 		message.HasPaces, message.Paces = true, packPaces(c.own.paces)
@@ -247,7 +250,7 @@
 		return err
 	}
 	totals := &Totals{
-		Nodes: max(0, message.Nodes), Counts: counts,
+		Nodes: max(0, message.Nodes), Counts: counts, Partial: message.Partial,
 		// How long the answer was on its way is not known: not before the question.
 		At: asked.askedAt.Add(-min(max(0, message.Age), maximumAge)),
 	}
--- a/gather/listing.go
+++ b/gather/listing.go
@@ -24,23 +24,31 @@
 	packed []byte
 	hash   uint64
 	used   map[Key]time.Time
+	// partial says that replicas with requests are not listed.
+	partial bool
 }
 
 func newListing() listing { return listing{used: make(map[Key]time.Time)} }
 
-// fit lists the replicas that have requests, and drops those without for long.
+// fit lists the replicas that have requests, and drops those without for long. Where
+// there are too many, those go first that nodes nearby have requests at.
 func (l *listing) fit(now time.Time, near, far map[Key]int) {
 	changed := false
-	for _, counts := range []map[Key]int{near, far} {
-		for key := range counts {
-			if _, listed := l.used[key]; !listed {
-				if len(l.used) >= listedKeys {
-					continue
-				}
-				changed = true
-			}
-			l.used[key] = now
+	l.partial = false
+	enter := func(key Key, evicts bool) {
+		_, listed := l.used[key]
+		if !listed && len(l.used) >= listedKeys && !(evicts && l.evict(near)) {
+			l.partial = true
+			return
 		}
+		changed = changed || !listed
+		l.used[key] = now
+	}
+	for key := range near {
+		enter(key, true)
+	}
+	for key := range far {
+		enter(key, false)
 	}
 	for key, at := range l.used {
 		if now.Sub(at) > unusedFor {
@@ -53,6 +61,17 @@
 	}
 }
 
+// evict takes a replica off the list at which nodes nearby have nothing.
+func (l *listing) evict(near map[Key]int) bool {
+	for _, key := range l.keys {
+		if _, listed := l.used[key]; listed && near[key] == 0 {
+			delete(l.used, key)
+			return true
+		}
+	}
+	return false
+}
+
 // renew orders the list anew.
 func (l *listing) renew() {
 	l.keys, l.packed = l.keys[:0], nil
--- a/gather/message.go
+++ b/gather/message.go
@@ -37,7 +37,9 @@
 	Keys []byte `json:"keys,omitempty"`
 	// Counts are the requests under way by replica, and Paces the times of a token, both
 	// packed. HasPaces tells no paces from none said.
-	Counts   []byte `json:"counts,omitempty"`
+	Counts []byte `json:"counts,omitempty"`
+	// Partial says that there are more replicas with requests.
+	Partial  bool   `json:"partial,omitempty"`
 	Paces    []byte `json:"paces,omitempty"`
 	HasPaces bool   `json:"has_paces,omitempty"`
 }
--- a/gather/pack.go
+++ b/gather/pack.go
@@ -48,14 +48,15 @@
 	Samples   int
 }
 
-// packCounts packs the counts that are positive.
-func packCounts(counts map[Key]int) []byte {
-	packed := make([]byte, 0, min(packedBytes, len(counts)*(keyBytes+1)))
-	for _, key := range busiest(counts, packedBytes/(keyBytes+2)) {
+// packCounts packs the counts that are positive. Partial says that there are too many.
+func packCounts(counts map[Key]int) (packed []byte, partial bool) {
+	packed = make([]byte, 0, min(packedBytes, len(counts)*(keyBytes+1)))
+	keys := busiest(counts, packedBytes/(keyBytes+2))
+	for _, key := range keys {
 		packed = binary.BigEndian.AppendUint32(packed, uint32(key))
 		packed = binary.AppendUvarint(packed, uint64(counts[key]))
 	}
-	return packed
+	return packed, len(keys) < len(counts)
 }
 
 // busiest returns the keys of positive counts, the highest ones where there are more
--- a/replica/peerloads.go
+++ b/replica/peerloads.go
@@ -58,9 +58,9 @@
 	// of all peers at a replica, by those reports.
 	heard float64
 	mean  float64
-	// word says that a collector told the loads, and still is the share of the requests
-	// it told of that have not ended since.
-	word  bool
+	// word is what a collector told of the loads, or nil, and still the share of the
+	// requests it told of that have not ended since.
+	word  *heardWord
 	still float64
 }
 
@@ -99,7 +99,7 @@
 // of, and what the silent peers add by a Poisson draw whose rate follows from both
 // the service's mean and what was seen here.
 func (v peerView) load(one *member) float64 {
-	if v.word {
+	if v.word != nil {
 		mean, _ := v.wordLoad(one)
 		return float64(one.own) + mean
 	}
--- a/replica/set.go
+++ b/replica/set.go
@@ -119,11 +119,8 @@
 	coldRates map[string]float64
 	peers     map[string]peerLoad
 	shared    *sharedParts
-	// wordAt is when the counts of the last word were true, wordTaken when it was taken
-	// in, and wordOf of how many nodes it was.
-	wordAt    time.Time
-	wordTaken time.Time
-	wordOf    int
+	// word is the last word of a collector.
+	word heardWord
 	// flows tell how long the requests of each service take.
 	flows map[string]*flow
 	// evacuated are the zones that are to get no requests, and since when.
@@ -144,8 +141,10 @@
 	// own counts this node's requests there; peers those of other nodes.
 	own   int
 	peers int
-	// others are the requests of all other nodes by the last word of a collector.
+	// others are the requests of all other nodes by a word of a collector, and word is
+	// the number of that word.
 	others float64
+	word   uint64
 	cache  *cache
 	// faults counts errors, time-outs and failures; it halves with time.
 	faults   float64
--- a/replica/word.go
+++ b/replica/word.go
@@ -8,9 +8,12 @@
 // Word is what all other nodes have, as a collector told it.
 type Word struct {
 	// Nodes is how many others it is of, and At when their counts were true.
-	Nodes  int
-	At     time.Time
-	Totals map[ID]Total
+	Nodes int
+	At    time.Time
+	// Totals are what they have. Partial says that there are replicas with requests that
+	// are not among them.
+	Totals  map[ID]Total
+	Partial bool
 }
 
 const (
@@ -28,55 +31,83 @@
 	durationPeriod  = time.Second
 )
 
-// TakeWord takes in what all other nodes have. A replica that it does not name has no
-// request of theirs.
+// TakeWord takes in what all other nodes have. A replica that a whole word does not name
+// has no request of theirs.
 func (s *Set) TakeWord(now time.Time, word Word) {
 	if s.config.Without.PeerLoads {
 		return
 	}
-	for id, known := range s.byID {
-		most := float64(fullTimes * max(1, known.entry.Slots))
-		known.others = min(max(0, word.Totals[id].Requests), most)
+	s.word = heardWord{at: word.At, taken: now, nodes: word.Nodes, partial: word.Partial, number: s.word.number + 1}
+	for id, total := range word.Totals {
+		if known := s.byID[id]; known != nil {
+			most := float64(fullTimes * max(1, known.entry.Slots))
+			known.others, known.word = min(max(0, total.Requests), most), s.word.number
+		}
 	}
-	s.wordAt, s.wordTaken, s.wordOf = word.At, now, word.Nodes
 	s.TakeTotals(now, word.Totals)
 }
 
+// heardWord is the last word that was taken in.
+type heardWord struct {
+	// at is when its counts were true, and taken when it was taken in.
+	at      time.Time
+	taken   time.Time
+	nodes   int
+	partial bool
+	number  uint64
+}
+
+// othersAt returns the requests of others at a replica by the last word, or false where
+// it says nothing of the replica.
+func (w *heardWord) othersAt(one *member) (requests float64, said bool) {
+	if one.word == w.number {
+		return one.others, true
+	}
+	return 0, !w.partial
+}
+
 // worded reports whether a word counts that tells of more nodes than the reports of
 // peers do.
 func (s *Set) worded(now time.Time) bool {
-	return !s.wordTaken.IsZero() && now.Sub(s.wordTaken) <= wordLifetime && s.wordOf > len(s.peers)
+	return !s.word.taken.IsZero() && now.Sub(s.word.taken) <= wordLifetime && s.word.nodes > len(s.peers)
 }
 
 // viewOfWord sums up a word for the replicas of a service that are weighed. Of the
 // requests that it names a part has ended since, as many as its age by their duration.
 func (s *Set) viewOfWord(now time.Time, weighed []*member) peerView {
-	view := peerView{heard: 1, word: true, still: 1}
+	view := peerView{heard: 1, word: &s.word, still: 1}
 	if others := s.nodes - 1; others > 0 {
-		view.heard = min(1, float64(s.wordOf)/float64(others))
+		view.heard = min(1, float64(s.word.nodes)/float64(others))
 	}
 	if len(weighed) == 0 || view.heard == 0 {
 		return view
 	}
-	if age := now.Sub(s.wordAt); age > 0 {
+	if age := now.Sub(s.word.at); age > 0 {
 		view.still = math.Exp(-float64(age) / float64(s.durationOf(weighed[0].entry.Service)))
 	}
-	seen := 0.0
+	seen, named := 0.0, 0
 	for _, one := range weighed {
-		seen += one.others
+		if requests, said := s.word.othersAt(one); said {
+			seen += requests
+			named++
+		}
 	}
-	view.mean = seen / view.heard / float64(len(weighed))
+	view.mean = seen / view.heard / float64(max(1, named))
 	return view
 }
 
 // wordLoad estimates the requests of others at a replica: those named that are still
 // there, and as many new ones as the replica and its service let expect.
 func (v peerView) wordLoad(one *member) (mean, variance float64) {
-	kept := one.others * v.still
+	others, said := v.word.othersAt(one)
+	if !said {
+		return v.mean, v.mean
+	}
+	kept := others * v.still
 	if v.mean == 0 {
 		return kept, 0
 	}
-	rate := (loadShape + one.others) / (loadShape/v.mean + v.heard)
+	rate := (loadShape + others) / (loadShape/v.mean + v.heard)
 	fresh := (1 - v.heard*v.still) * rate
 	return kept + fresh, kept*(1-v.still) + fresh
 }
@@ -85,7 +116,7 @@
 // same word draw differently, so that not all of them choose the one replica that was
 // the emptiest.
 func (v peerView) drawn(one *member, draw float64) float64 {
-	if !v.word {
+	if v.word == nil {
 		return v.load(one)
 	}
 	mean, variance := v.wordLoad(one)
--- a/replica/word_test.go
+++ b/replica/word_test.go
@@ -77,6 +77,20 @@
 	g.Expect(knownLoad(set, wordStart, "r0")).To(BeNumerically("~", 8, 1))
 }
 
+// TestPartialWord has a replica that it does not name taken for one like the others.
+func TestPartialWord(t *testing.T) {
+	g := NewWithT(t)
+	set := wordSet(3, 21)
+	totals := map[ID]Total{"r0": {Requests: 4}, "r1": {Requests: 8}}
+	set.TakeWord(wordStart, Word{Nodes: 20, At: wordStart, Totals: totals, Partial: true})
+	g.Expect(knownLoad(set, wordStart, "r2")).To(Equal(6.0))
+	set.TakeWord(wordStart, Word{Nodes: 20, At: wordStart, Totals: totals})
+	g.Expect(knownLoad(set, wordStart, "r2")).To(BeZero())
+	// What a former word named counts no longer.
+	set.TakeWord(wordStart, Word{Nodes: 20, At: wordStart})
+	g.Expect(knownLoad(set, wordStart, "r1")).To(BeZero())
+}
+
 // TestFalseWord changes a load by a bounded amount.
 func TestFalseWord(t *testing.T) {
 	g := NewWithT(t)
