--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -47,6 +47,8 @@
 	// FollowReaders has most nodes of a large fleet follow the replicas through
 	// others.
 	FollowReaders Mechanism = "follow-readers"
+	// GatherLoads has collectors gather what the nodes of a large fleet have under way.
+	GatherLoads Mechanism = "gather-loads"
 	// GrantTurnAfterLoss grants one turn beyond a budget that a lost owner's mark
 	// used up.
 	GrantTurnAfterLoss Mechanism = "grant-turn-after-loss"
@@ -124,6 +126,7 @@
 		FollowOwner,
 		FollowPrompts,
 		FollowReaders,
+		GatherLoads,
 		GrantTurnAfterLoss,
 		HandOver,
 		KeepAside,
--- a/replica/set.go
+++ b/replica/set.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"birchwood.example/birchwood/dispatch"
 	"birchwood.example/birchwood/zone"
 )
 
@@ -110,12 +111,18 @@
 	busy        map[ID]*member
 	coldWatched map[ID]*member
 	doubted     map[ID]*member
+	// paced are the replicas whose pace this node measured lately.
+	paced map[ID]*member
 	// cacheTokens is the memory of a service's engines.
 	cacheTokens map[string]int
 	// coldRates is how many requests a second a cold replica of a service bears.
 	coldRates map[string]float64
 	peers     map[string]peerLoad
 	shared    *sharedParts
+	// word is the last word of a collector.
+	word heardWord
+	// flows tell how long the requests of each service take.
+	flows map[string]*flow
 	// evacuated are the zones that are to get no requests, and since when.
 	evacuated map[zone.Name]time.Time
 	// nodes is how many nodes send to the replicas, this one included.
@@ -134,7 +141,11 @@
 	// own counts this node's requests there; peers those of other nodes.
 	own   int
 	peers int
-	cache *cache
+	// others are the requests of all other nodes by a word of a collector, and word is
+	// the number of that word.
+	others float64
+	word   uint64
+	cache  *cache
 	// faults counts errors, time-outs and failures; it halves with time.
 	faults   float64
 	faultsAt time.Time
@@ -145,6 +156,8 @@
 	// it is listed.
 	doubtedUntil time.Time
 	cold         coldness
+	// pace is how long a generated token takes there.
+	pace dispatch.Pace
 }
 
 // NewSet returns a set without replicas.
@@ -159,10 +172,12 @@
 		busy:        make(map[ID]*member),
 		coldWatched: make(map[ID]*member),
 		doubted:     make(map[ID]*member),
+		paced:       make(map[ID]*member),
 		cacheTokens: make(map[string]int),
 		coldRates:   make(map[string]float64),
 		peers:       make(map[string]peerLoad),
 		shared:      newSharedParts(),
+		flows:       make(map[string]*flow),
 		nodes:       1,
 	}
 }
@@ -248,6 +263,7 @@
 	delete(s.busy, id)
 	delete(s.coldWatched, id)
 	delete(s.doubted, id)
+	delete(s.paced, id)
 	return known.entry, true
 }
 
@@ -284,6 +300,7 @@
 		return
 	}
 	s.begin(known)
+	s.noteFlow(now, known.entry.Service, 1)
 	known.cache.add(now, request.Prompt)
 	s.shared.add(now, request.Program, request.Prompt)
 }
@@ -342,6 +359,7 @@
 		return
 	}
 	s.end(known)
+	s.noteFlow(now, known.entry.Service, -1)
 	switch result {
 	case ResultAnswered:
 		known.failures = 0
