replica, dispatch: turns are placed by when they would end, at the pace of each replica

The cost of a replica had no term for how fast it is. Paces are learned from the answers' events; where those of a service differ materially, a turn goes to the better of two replicas drawn by their shares of the load that makes one more request cost the same everywhere, up to half of the slots, and lines stay.

--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -78,12 +78,13 @@
 	total := 0.0
 	for _, one := range turns {
 		total += one.weight(now, paceFresh)
+		weight += one.weight(now, paceMemory)
 	}
 	passed := 0.0
 	for _, one := range turns {
 		passed += one.weight(now, paceFresh)
 		if passed >= total/2 && one.token > 0 {
-			return one.token, total
+			return one.token, weight
 		}
 	}
 	return 0, 0
--- /dev/null
+++ b/dispatch/pace_test.go
@@ -0,0 +1,120 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/dispatch"
+)
+
+const (
+	quick  = 700 * time.Microsecond
+	steady = 1500 * time.Microsecond
+)
+
+var begin = time.Unix(1000, 0)
+
+// feed has a replica measure one turn each period until an end, and returns the time after.
+func feed(pace *dispatch.Pace, from time.Time, lasting, period time.Duration, token time.Duration) time.Time {
+	for at := time.Duration(0); at < lasting; at += period {
+		pace.Observe(from.Add(at), token)
+	}
+	return from.Add(lasting)
+}
+
+// near expects an estimate within a tenth.
+func near(g *WithT, pace *dispatch.Pace, now time.Time, want time.Duration) {
+	g.Expect(float64(pace.Token(now, steady))).To(BeNumerically("~", float64(want), 0.1*float64(want)))
+}
+
+func TestPaceOfAReplicaWithoutTurnsIsTheMiddle(t *testing.T) {
+	g := NewWithT(t)
+	var pace dispatch.Pace
+	g.Expect(pace.Known()).To(BeFalse())
+	near(g, &pace, begin, steady)
+}
+
+func TestPaceFollowsAChangeWithinTwoSeconds(t *testing.T) {
+	g := NewWithT(t)
+	var pace dispatch.Pace
+	now := feed(&pace, begin, 10*time.Second, 250*time.Millisecond, quick)
+	near(g, &pace, now, quick)
+	now = feed(&pace, now, 2*time.Second, 250*time.Millisecond, 3*quick)
+	near(g, &pace, now, 3*quick)
+}
+
+func TestPacePassesOverAShortSlowSpell(t *testing.T) {
+	g := NewWithT(t)
+	var pace dispatch.Pace
+	now := feed(&pace, begin, 4*time.Second, 200*time.Millisecond, quick)
+	now = feed(&pace, now, 600*time.Millisecond, 200*time.Millisecond, quick*5/2)
+	now = feed(&pace, now, 200*time.Millisecond, 200*time.Millisecond, quick)
+	near(g, &pace, now, quick)
+}
+
+func TestPaceForgetsWhatIsOld(t *testing.T) {
+	g := NewWithT(t)
+	var pace dispatch.Pace
+	now := feed(&pace, begin, 4*time.Second, 200*time.Millisecond, quick)
+	near(g, &pace, now.Add(5*time.Second), quick)
+	near(g, &pace, now.Add(2*time.Minute), steady)
+}
+
+func TestPaceOfOthersIsKnownToOneThatSentNothing(t *testing.T) {
+	g := NewWithT(t)
+	var pace dispatch.Pace
+	pace.Hear(begin, quick, 10)
+	near(g, &pace, begin, quick)
+}
+
+func TestAFalseReportMovesAPaceByABoundedFactor(t *testing.T) {
+	g := NewWithT(t)
+	for _, false1 := range []time.Duration{time.Nanosecond, time.Hour} {
+		var pace dispatch.Pace
+		now := feed(&pace, begin, 4*time.Second, 100*time.Millisecond, steady)
+		pace.Hear(now, false1, 1_000_000)
+		g.Expect(pace.Token(now, steady)).To(And(BeNumerically(">=", steady/4), BeNumerically("<=", 4*steady)))
+		pace.Hear(now, -false1, 5)
+		pace.Hear(now, false1, 0)
+		g.Expect(pace.Token(now, steady)).To(And(BeNumerically(">=", steady/4), BeNumerically("<=", 4*steady)))
+	}
+}
+
+func TestExpectedLengthLiesBetweenHintAndUsual(t *testing.T) {
+	g := NewWithT(t)
+	lengths := dispatch.NewLengths()
+	g.Expect(lengths.Expected("route", 0, 500)).To(BeZero())
+	g.Expect(lengths.Expected("route", 120, 500)).To(Equal(120))
+	for range 50 {
+		lengths.Observe(begin, "route", 200)
+	}
+	g.Expect(lengths.Expected("route", 0, 500)).To(Equal(200))
+	g.Expect(lengths.Expected("route", 800, 500)).To(Equal(400))
+	g.Expect(lengths.Expected("route", 0, 100)).To(Equal(100))
+	g.Expect(lengths.Expected("other", 0, 100)).To(BeZero())
+}
+
+func TestCostRisesWithLoadAndAtAllSlots(t *testing.T) {
+	g := NewWithT(t)
+	job := dispatch.Job{Tokens: 200, Weight: 1}
+	before := 0.0
+	for load := range 24 {
+		room := dispatch.Room{Load: float64(load), Slots: 16, Token: 1e6, Read: 5e3, Missing: 1000}
+		cost := job.Cost(&room)
+		g.Expect(cost).To(BeNumerically(">", before))
+		g.Expect(cost).To(BeNumerically(">", job.End(&room)-1))
+		before = cost
+	}
+}
+
+func TestLengthsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	lengths := dispatch.NewLengths()
+	for index := range 1000 {
+		lengths.Observe(begin.Add(time.Duration(index)*time.Second), time.Duration(index).String(), 100)
+	}
+	g.Expect(lengths.Expected(time.Duration(999).String(), 0, 0)).To(Equal(100))
+	g.Expect(lengths.Expected(time.Duration(1).String(), 0, 0)).To(BeZero())
+}
--- /dev/null
+++ b/dispatch/placement.go
@@ -0,0 +1,81 @@
+package dispatch
+
+// Job is what one turn needs of a replica.
+type Job struct {
+	// Tokens is how many tokens are expected to come out.
+	Tokens float64
+	// Weight is what the turn's own end counts against what it costs those beside it;
+	// 1 where nothing is known of its time.
+	Weight float64
+}
+
+// Room is one replica as a turn would find it. Times are in nanoseconds.
+type Room struct {
+	// Load is the requests beside, and Slots how many it works on at once.
+	Load, Slots float64
+	// Token is the time of a generated token with none beside, and Read that of one
+	// token of the prompt.
+	Token, Read float64
+	// Missing is how many tokens of the prompt are to be read.
+	Missing float64
+	// Way is what else passes before the turn is there.
+	Way float64
+}
+
+const (
+	// BesideShare is how much one request beside slows each token: the batch's step
+	// grows a little, and its prompt is read between the tokens.
+	BesideShare = 0.05
+	// ReadShare is the time to read one token of a prompt by that to generate one, until
+	// a service's own is learned.
+	ReadShare = 1.0 / 200
+	// lateShare is how far, by the slots, the load may be off what is known of it: other
+	// nodes choose at the same time.
+	lateShare = 0.45
+	// waitShare is what a turn costs for each that is over the slots, by its own length:
+	// it waits for a slot, and those that come after it wait as well.
+	waitShare = 0.3
+	// moreShare is how much one request beside raises what another one costs all
+	// together, by a token with none beside: it slows them, and they slow it, and prompts
+	// are read between the tokens.
+	moreShare = 0.13
+	// roomShare is the part of the slots that shares are dealt up to: the rest is for
+	// what other nodes send at the same time.
+	roomShare = 0.5
+)
+
+// End predicts how long after it is sent the turn is whole.
+func (j *Job) End(room *Room) float64 {
+	work := room.Missing*room.Read + j.Tokens*room.Token*(1+BesideShare*room.Load)
+	return room.Way + work*(1+waitShare*room.over())
+}
+
+// Burden predicts by how much the turn delays those beside it, all together.
+func (j *Job) Burden(room *Room) float64 {
+	return room.Load * (room.Missing*room.Read + BesideShare*j.Tokens*room.Token)
+}
+
+// Cost is what a placement weighs: the turn's end, and what it costs the others.
+func (j *Job) Cost(room *Room) float64 {
+	return j.Weight*j.End(room) + j.Burden(room)
+}
+
+// over is how many requests are expected over the slots once the turn is there, where the
+// load is uncertain by a share of the slots.
+func (r *Room) over() float64 {
+	beyond, off := r.Load-r.Slots+1, lateShare*r.Slots
+	switch {
+	case beyond <= -off:
+		return 0
+	case beyond >= off:
+		return beyond
+	default:
+		return (beyond + off) * (beyond + off) / (4 * off)
+	}
+}
+
+// Fill is how many requests a replica has when one more would cost so much a token, all
+// told, up to its room.
+func Fill(level, token, slots float64) float64 {
+	return min(max(0, (level/token-1)/moreShare), roomShare*slots)
+}
--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -41,7 +41,8 @@
 			Str("owner", r.owner).Str("verdict", string(r.admission.Verdict)).Int("settled", r.admission.Settled).
 			Int("open", r.admission.Open).Int("most", r.most).Int("budget", r.budget).Int("tokens", r.tokens)
 	}
-	entry.Int("missing", r.choice.Missing).Int("load", r.choice.Load).Bool("left", r.choice.Left).Dur("first", r.firstAfter).Msg("request: ended")
+	entry.Int("missing", r.choice.Missing).Int("load", r.choice.Load).Dur("predicted", r.choice.Predicted).
+		Dur("pace", r.choice.Pace).Dur("paceage", r.choice.PaceAge).Bool("left", r.choice.Left).Dur("first", r.firstAfter).Msg("request: ended")
 }
 
 // failedStatus is the least status that tells of a failure.
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -78,6 +78,10 @@
 	RepeatLateCalls Mechanism = "repeat-late-calls"
 	// SuspectSilent passes over replicas that failed to answer.
 	SuspectSilent Mechanism = "suspect-silent"
+	// WeighPace places turns by how fast replicas are.
+	WeighPace Mechanism = "weigh-pace"
+	// WeighSlack places turns by how their programs stand against their time.
+	WeighSlack Mechanism = "weigh-slack"
 )
 
 // Mechanisms returns all mechanisms, in the order of their names.
@@ -85,7 +89,7 @@
 	return []Mechanism{
 		AssumeShared, BeginAgain, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowPrompts,
 		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, PreferConnections, PreferRegion, PreferZone, ProvePeers, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
-		RepeatLateCalls, SuspectSilent,
+		RepeatLateCalls, SuspectSilent, WeighPace, WeighSlack,
 	}
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -42,6 +42,7 @@
 	replicas    *replicas
 	pool        *upstream.Pool
 	calls       *calls
+	placing     *placing
 	chains      *chains
 	// takeovers are those under way here.
 	takeovers *takeovers
@@ -137,6 +138,7 @@
 		replicas:  newReplicas(&settings),
 		pool:      upstream.NewPool(upstream.DefaultConfig(adapter.Names)),
 		calls:     repeats,
+		placing:   newPlacing(),
 		chains:    newChains(settings.uses(RecallChains)),
 		takeovers: newTakeovers(),
 		space:     newSpace(),
--- /dev/null
+++ b/edge/placing.go
@@ -0,0 +1,79 @@
+package edge
+
+import (
+	"sync"
+	"time"
+
+	"birchwood.example/birchwood/dispatch"
+	"birchwood.example/birchwood/replica"
+)
+
+// placing guards what this node has learnt of turns: how long they are.
+type placing struct {
+	mutex   sync.Mutex
+	lengths *dispatch.Lengths
+}
+
+func newPlacing() *placing { return &placing{lengths: dispatch.NewLengths()} }
+
+// expectedTokens returns how many tokens a turn will have, or 0 for other requests and
+// where nothing is known.
+func (n *Node) expectedTokens(r *requestState) int {
+	if n.placing == nil || len(r.prompt) == 0 {
+		return 0
+	}
+	n.placing.mutex.Lock()
+	defer n.placing.mutex.Unlock()
+	return n.placing.lengths.Expected(r.routeName(), r.expected, r.most)
+}
+
+// observeLength takes in how many tokens a turn had.
+func (n *Node) observeLength(r *requestState) {
+	if n.placing == nil {
+		return
+	}
+	n.placing.mutex.Lock()
+	defer n.placing.mutex.Unlock()
+	n.placing.lengths.Observe(time.Now(), r.routeName(), r.tokens)
+}
+
+// streamTimes follows when the events of one answer came, for the pace of its replica.
+type streamTimes struct {
+	// first and last are when the first and the last event that holds tokens came, and
+	// firstTokens how many the answer had with the first.
+	first, last time.Time
+	firstTokens int
+	// heldUntil is when this node began to read on after it had waited for a record:
+	// what came meanwhile says nothing of when it did.
+	heldUntil time.Time
+}
+
+// heldMargin is how long after such a wait the last event has to come: it was not
+// among those that had come before.
+const heldMargin = 5 * time.Millisecond
+
+// note takes in that an event came.
+func (s *streamTimes) note(now time.Time, tokens int) {
+	if s.first.IsZero() {
+		s.first, s.firstTokens = now, tokens
+	}
+	s.last = now
+}
+
+// token returns the time of a token, or 0 where that was not measured.
+func (s *streamTimes) token(tokens int) time.Duration {
+	between := tokens - s.firstTokens
+	if s.first.IsZero() || between <= 0 || s.last.Before(s.heldUntil.Add(heldMargin)) {
+		return 0
+	}
+	return s.last.Sub(s.first) / time.Duration(between)
+}
+
+// observeTurn takes in what a whole answer says of its replica and of its route.
+func (t *turnRun) observeTurn(entry replica.Entry) {
+	r, n := t.request, t.node
+	n.observeLength(r)
+	if token := t.times.token(r.tokens); token > 0 && t.runs == 1 {
+		n.replicas.observe(entry.ID, replica.Sample{Load: r.choice.Load, Token: token})
+	}
+}
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -64,6 +64,8 @@
 		Faults:      !settings.uses(RememberFaults),
 		Suspicion:   !settings.uses(SuspectSilent),
 		Cold:        !settings.uses(LimitCold),
+		Pace:        !settings.uses(WeighPace),
+		Slack:       !settings.uses(WeighSlack),
 	}
 }
 
@@ -88,6 +90,13 @@
 	r.set.Ended(time.Now(), id, result)
 }
 
+// observe takes in what a turn measured of its replica.
+func (r *replicas) observe(id replica.ID, sample replica.Sample) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.set.Observe(time.Now(), id, sample)
+}
+
 func (r *replicas) pressure(request *replica.Request) float64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/edge/run.go
+++ b/edge/run.go
@@ -36,6 +36,9 @@
 	runs int
 	// kept says that the owner has kept, and so settled, the turn.
 	kept bool
+	// times follows when events came, and readAt is when the last piece was read.
+	times  streamTimes
+	readAt time.Time
 }
 
 // pieceBytes is the most that is read of a stream at once.
@@ -101,6 +104,7 @@
 		return t.afterFailure(entry, err)
 	}
 	n.replicas.ended(entry.ID, replica.ResultAnswered)
+	t.observeTurn(entry)
 	return true
 }
 
@@ -157,6 +161,7 @@
 	piece := make([]byte, pieceBytes)
 	for {
 		read, err := response.Read(piece)
+		t.readAt = time.Now()
 		t.splitter.Write(piece[:read])
 		if relayErr := t.relayEvents(ctx, response); relayErr != nil {
 			return relayErr
@@ -198,6 +203,7 @@
 	}
 	if event.HasData {
 		r.tokens += t.tokensPerEvent()
+		t.times.note(t.readAt, r.tokens)
 		if r.route.Retain {
 			t.output = append(append(t.output, event.Data...), '\n')
 		}
@@ -224,6 +230,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		t.times.heldUntil = time.Now()
 	}
 	r.firstAfter = time.Since(r.exchange.Arrived)
 	r.status = response.Status()
--- /dev/null
+++ b/replica/pace_replay_test.go
@@ -0,0 +1,232 @@
+package replica_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/replica"
+)
+
+// The replay of uneven engines: a quarter of them is twice as fast. Each reads prompts one
+// after the other, during which the others' tokens wait, and generates for all at once.
+const (
+	replayEngines = 12
+	replayNodes   = 8
+	replaySlots   = 16
+	replayTokens  = 200
+	replayTurns   = 4
+	replayTick    = 5 * time.Millisecond
+	replayPause   = 300 * time.Millisecond
+	replayBeside  = 0.03
+	replayRead    = 1.0 / 200
+)
+
+// replayTurn is one turn of a line.
+type replayTurn struct {
+	line, node, number   int
+	missing, tokens      float64
+	arrived, sent, first time.Time
+	load                 int
+}
+
+// replayEngine is one engine: whose prompts it keeps, and what it has to do.
+type replayEngine struct {
+	id    replica.ID
+	token float64 // milliseconds
+	kept  map[string]int
+	work  []*replayTurn
+}
+
+// step works for one tick and returns the turns that are whole.
+func (e *replayEngine) step(now time.Time, pace float64) (done []*replayTurn) {
+	left := float64(replayTick) / 1e6 / (e.token * pace)
+	running := e.work[:min(len(e.work), replaySlots)]
+	for _, turn := range running {
+		read := min(turn.missing, left/replayRead)
+		turn.missing -= read
+		left -= read * replayRead
+	}
+	each := left / (1 + replayBeside*float64(len(running)))
+	for _, turn := range slices.Clone(running) {
+		if turn.missing > 0 {
+			continue
+		}
+		if turn.first.IsZero() {
+			turn.first = now
+		}
+		if turn.tokens -= each; turn.tokens <= 0 {
+			done = append(done, turn)
+			e.work = slices.DeleteFunc(e.work, func(other *replayTurn) bool { return other == turn })
+		}
+	}
+	return done
+}
+
+// replay is one play of lines of turns on engines, by nodes that hear each other.
+type replay struct {
+	random  *rand.Rand
+	engines []*replayEngine
+	sets    []*replica.Set
+	last    map[int]replica.ID
+	took    []time.Duration
+	loads   map[replica.ID]int
+	counted int
+}
+
+func newReplay(without replica.Parts) *replay {
+	r := &replay{random: rand.New(rand.NewPCG(1, 2)), last: map[int]replica.ID{}, loads: map[replica.ID]int{}}
+	config := replica.DefaultConfig("a")
+	config.Without = without
+	for node := range replayNodes {
+		r.sets = append(r.sets, replica.NewSet(config))
+		r.sets[node].SetNodes(replayNodes)
+		r.sets[node].SetCacheTokens("model", 353_217)
+	}
+	for index := range replayEngines {
+		engine := &replayEngine{id: replica.ID(fmt.Sprintf("e%d", index)), token: 1.5, kept: map[string]int{}}
+		if index%4 == 0 {
+			engine.token = 0.75
+		}
+		r.engines = append(r.engines, engine)
+		for _, set := range r.sets {
+			set.Put(begun, replica.Entry{ID: engine.id, Service: "model", Zone: "a", Status: replica.StatusReady, Slots: replaySlots})
+		}
+	}
+	return r
+}
+
+var begun = time.Unix(1000, 0)
+
+// send places a turn.
+func (r *replay) send(now time.Time, turn *replayTurn) {
+	set := r.sets[turn.node]
+	parts := []replica.Part{{ID: fmt.Sprintf("shared-%d", turn.line%3), Tokens: 12_600}, {ID: fmt.Sprintf("own-%d", turn.line), Tokens: 1_000 * turn.number}}
+	request := &replica.Request{
+		Service: "model", Program: fmt.Sprint(turn.line), Prompt: parts, Preferred: r.last[turn.line],
+		Draw: r.random.Float64(), Expected: replayTokens,
+	}
+	choice, err := set.Select(now, request)
+	if err != nil {
+		panic(err)
+	}
+	set.Began(now, choice.Entry.ID, request)
+	r.last[turn.line] = choice.Entry.ID
+	engine := r.engine(choice.Entry.ID)
+	turn.sent, turn.load, turn.tokens = now, choice.Load, replayTokens
+	for _, part := range parts {
+		turn.missing += float64(max(0, part.Tokens-engine.kept[part.ID]))
+		engine.kept[part.ID] = part.Tokens
+	}
+	engine.work = append(engine.work, turn)
+}
+
+func (r *replay) engine(id replica.ID) *replayEngine {
+	return r.engines[slices.IndexFunc(r.engines, func(engine *replayEngine) bool { return engine.id == id })]
+}
+
+// hear has each node hear what the others have and measured.
+func (r *replay) hear(now time.Time) {
+	for node, set := range r.sets {
+		totals := map[replica.ID]replica.Total{}
+		for other, peer := range r.sets {
+			if other == node {
+				continue
+			}
+			set.SetPeer(now, fmt.Sprint(other), peer.Own())
+			for id, report := range peer.Report(now) {
+				total := totals[id]
+				sum := float64(total.TokenTime)*float64(total.Samples) + float64(report.TokenTime)*float64(report.Samples)
+				if total.Samples += report.Samples; total.Samples > 0 {
+					total.TokenTime = time.Duration(sum / float64(total.Samples))
+				}
+				totals[id] = total
+			}
+		}
+		set.TakeTotals(now, totals)
+	}
+}
+
+// play offers a share of what the engines bear, and returns the turns' times, sorted. Pace
+// scales an engine's times at a moment.
+func (r *replay) play(load float64, lasting time.Duration, pace func(engine int, at time.Duration) float64) []time.Duration {
+	bears := 0.0
+	for _, engine := range r.engines {
+		bears += replaySlots / (replayTokens*engine.token*(1+replayBeside*replaySlots) + replaySlots*1_500*replayRead*engine.token)
+	}
+	perTick := load * bears * float64(replayTick) / 1e6 / replayTurns
+	waiting := map[time.Duration][]*replayTurn{}
+	lines := 0
+	for at := time.Duration(0); at < lasting; at += replayTick {
+		now := begun.Add(at)
+		if at%(400*time.Millisecond) == 0 {
+			r.hear(now)
+		}
+		for arrivals := perTick + r.random.Float64(); arrivals >= 1; arrivals-- {
+			lines++
+			waiting[at] = append(waiting[at], &replayTurn{line: lines, node: lines % replayNodes, number: 1})
+		}
+		for _, turn := range waiting[at] {
+			turn.arrived = now
+			r.send(now, turn)
+		}
+		delete(waiting, at)
+		for index, engine := range r.engines {
+			for _, turn := range engine.step(now, pace(index, at)) {
+				r.end(now, engine, turn)
+				if turn.number < replayTurns {
+					next := &replayTurn{line: turn.line, node: turn.node, number: turn.number + 1}
+					waiting[at+replayPause] = append(waiting[at+replayPause], next)
+				}
+			}
+			r.loads[engine.id] += len(engine.work)
+		}
+		r.counted++
+	}
+	slices.Sort(r.took)
+	return r.took
+}
+
+// end takes in that a turn is whole.
+func (r *replay) end(now time.Time, engine *replayEngine, turn *replayTurn) {
+	set := r.sets[turn.node]
+	set.Ended(now, engine.id, replica.ResultAnswered)
+	set.Observe(now, engine.id, replica.Sample{Load: turn.load, Token: now.Sub(turn.first) / replayTokens})
+	r.took = append(r.took, now.Sub(turn.arrived))
+}
+
+// mean is the mean load of an engine over the play.
+func (r *replay) mean(engine int) float64 {
+	return float64(r.loads[r.engines[engine].id]) / float64(r.counted)
+}
+
+func even(int, time.Duration) float64 { return 1 }
+
+func quantile(times []time.Duration, share float64) time.Duration {
+	return times[int(share*float64(len(times)-1))]
+}
+
+func TestPlacementOnUnevenEngines(t *testing.T) {
+	for _, load := range []float64{0.4, 0.7, 1.2} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			g := NewWithT(t)
+			former := newReplay(replica.Parts{Pace: true})
+			before := former.play(load, 12*time.Second, even)
+			paced := newReplay(replica.Parts{})
+			after := paced.play(load, 12*time.Second, even)
+			t.Logf("former: %d turns, %v, %v, fast %.1f slow %.1f; paced: %d turns, %v, %v, fast %.1f slow %.1f",
+				len(before), quantile(before, .5), quantile(before, .9), former.mean(0), former.mean(1),
+				len(after), quantile(after, .5), quantile(after, .9), paced.mean(0), paced.mean(1))
+			g.Expect(quantile(after, .5)).To(BeNumerically("<=", quantile(before, .5)*95/100))
+			g.Expect(quantile(after, .9)).To(BeNumerically("<=", quantile(before, .9)*85/100))
+			g.Expect(len(after)).To(BeNumerically(">=", len(before)*97/100))
+			if load < 1 {
+				g.Expect(paced.mean(0)).To(BeNumerically("<", replaySlots*3/4), "the fast ones are overrun")
+			}
+		})
+	}
+}
--- a/replica/paces.go
+++ b/replica/paces.go
@@ -1,10 +1,70 @@
 package replica
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
 
-// paceReported is for how long a turn's pace is told to other nodes: what is older says
-// nothing of now.
-const paceReported = 2 * time.Second
+	"birchwood.example/birchwood/dispatch"
+)
+
+const (
+	// paceReported is for how long a turn's pace is told to other nodes: what is older
+	// says nothing of now.
+	paceReported = 2 * time.Second
+	// pacePeriod is the least time between two looks at the paces of a service.
+	pacePeriod = 100 * time.Millisecond
+	// paceUneven is the factor between the paces of the tenth and the ninth tenth of the
+	// replicas from which on they differ materially: less is within what single turns
+	// vary by.
+	paceUneven = 1.35
+	// paceKnown is the share of a service's replicas whose pace has to be known.
+	paceKnown = 0.5
+	// paceStay is what the cost at the replica that served the line before counts as: a
+	// line that leaves has its prompt read anew, which delays all that are beside, and the
+	// lines that come are placed where there is room anyway.
+	paceStay = 0.3
+	// paceDraws is how many replicas are drawn for a turn: the better of two levels the
+	// loads as far as they are known, and more than that would send all nodes to the same.
+	paceDraws = 2
+	// paceHome is the weight of a replica of the node's own zone in a draw.
+	paceHome = 2
+	// paceSmooth is the part of a look in the mean of the last loads, which makes it one
+	// of about a second, and paceSpare the requests more for each replica that shares
+	// are dealt for, so that none is left out on the word of one moment.
+	paceSmooth = 0.1
+	paceSpare  = 0.3
+)
+
+// Sample is what a turn measured of its replica.
+type Sample struct {
+	// Load is the requests beside it when it was chosen.
+	Load int
+	// Token is the time of a token, from the first event to the last.
+	Token time.Duration
+}
+
+// paces is how fast the replicas of one service are.
+type paces struct {
+	at time.Time
+	// middle is the median of their tokens' times, and uneven whether they differ
+	// materially. fastest and slowest bound all but the outer tenths.
+	middle, fastest, slowest float64
+	uneven                   bool
+	// load is the requests under way of late, all together.
+	load float64
+}
+
+// Observe takes in what a turn of this node measured.
+func (s *Set) Observe(now time.Time, id ID, sample Sample) {
+	known := s.byID[id]
+	if known == nil || sample.Token <= 0 || s.config.Without.Pace {
+		return
+	}
+	alone := float64(sample.Token) / (1 + dispatch.BesideShare*float64(max(0, sample.Load)))
+	known.pace.Observe(now, time.Duration(alone))
+	s.paced[id] = known
+}
 
 // reportPaces adds what this node measured lately.
 func (s *Set) reportPaces(now time.Time, reports map[ID]Report) {
@@ -22,5 +82,166 @@
 
 // takePace takes in what the other nodes measured at a replica.
 func (s *Set) takePace(now time.Time, known *member, total Total) {
-	known.pace.Hear(now, total.TokenTime, total.Samples)
+	if !s.config.Without.Pace {
+		known.pace.Hear(now, total.TokenTime, total.Samples)
+	}
+}
+
+// pacesOf returns the paces of a service where they differ materially, else nil.
+func (s *Set) pacesOf(now time.Time, service string) *paces {
+	if s.config.Without.Pace {
+		return nil
+	}
+	found := s.servicePaces[service]
+	if found == nil {
+		found = &paces{}
+		s.servicePaces[service] = found
+	}
+	if found.at.IsZero() || now.Sub(found.at) >= pacePeriod {
+		found.look(now, s.services[service], s.viewOf(s.services[service]))
+	}
+	if !found.uneven {
+		return nil
+	}
+	return found
+}
+
+// look estimates the paces anew.
+func (p *paces) look(now time.Time, members []*member, view peerView) {
+	p.at = now
+	tokens := make([]float64, 0, len(members))
+	for _, one := range members {
+		one.token = 0
+		if one.pace.Known() {
+			one.token = float64(one.pace.Token(now, time.Duration(p.middle)))
+			tokens = append(tokens, one.token)
+		}
+	}
+	if len(tokens) == 0 {
+		p.uneven = false
+		return
+	}
+	slices.Sort(tokens)
+	p.middle = tokens[len(tokens)/2]
+	p.fastest, p.slowest = tokens[len(tokens)/10], tokens[len(tokens)-1-len(tokens)/10]
+	enough := float64(len(tokens)) >= paceKnown*float64(len(members))
+	defer p.deal(members, view)
+	p.uneven = enough && p.slowest >= paceUneven*p.fastest
+}
+
+// tokenAt is the time of a token at a replica, the middle where none is known.
+func (p *paces) tokenAt(one *member) float64 {
+	if one.token > 0 {
+		return one.token
+	}
+	return p.middle
+}
+
+// roomAt describes a replica to a placement.
+func (w *weighing) roomAt(one *member) dispatch.Room {
+	token := w.paces.tokenAt(one)
+	return dispatch.Room{
+		Load: w.view.load(one), Slots: float64(max(1, one.entry.Slots)),
+		Token: token, Read: token * dispatch.ReadShare, Missing: float64(w.missing(one)),
+		Way: float64(w.aside(one)) * w.paces.middle * dispatch.ReadShare,
+	}
+}
+
+// pacedCost is the cost of a replica in nanoseconds.
+func (w *weighing) pacedCost(one *member) float64 {
+	room := w.roomAt(one)
+	cost := w.job.Cost(&room)
+	if one.entry.ID == w.request.Preferred {
+		return paceStay * cost
+	}
+	return cost
+}
+
+// drawn returns the best of a few replicas that are drawn by their shares, and of the one
+// that served the line before. Nodes that know the same draw differently, and together by
+// the shares.
+func (w *weighing) drawn(feasible []*member) *member {
+	total := 0.0
+	var best *member
+	for _, one := range feasible {
+		total += w.shareOf(one)
+		if one.entry.ID == w.request.Preferred {
+			best = one
+		}
+	}
+	cost := math.Inf(1)
+	if best != nil {
+		cost = w.pacedCost(best)
+	}
+	for draw := range paceDraws {
+		left := total * scatter(w.request.Draw, draw)
+		candidate := feasible[len(feasible)-1]
+		for _, one := range feasible {
+			if left -= w.shareOf(one); left <= 0 {
+				candidate = one
+				break
+			}
+		}
+		if one := w.pacedCost(candidate); best == nil || one < cost {
+			best, cost = candidate, one
+		}
+	}
+	return best
+}
+
+// shareOf is a replica's part of the draws.
+func (w *weighing) shareOf(one *member) float64 {
+	if one.entry.Zone == w.set.config.Zone {
+		return paceHome * one.share
+	}
+	return one.share
+}
+
+// scatter returns a number from 0 to 1 that follows from a draw and an index.
+func scatter(draw float64, index int) float64 {
+	bits := uint64(draw*(1<<53)) + uint64(index+1)*0x9e3779b97f4a7c15
+	bits = (bits ^ bits>>30) * 0xbf58476d1ce4e5b9
+	bits = (bits ^ bits>>27) * 0x94d049bb133111eb
+	return float64((bits^bits>>31)>>11) / (1 << 53)
+}
+
+// predict notes when the answer is expected to be whole.
+func (w *weighing) predict(one *member, choice *Choice) {
+	if w.paces == nil {
+		return
+	}
+	room := w.roomAt(one)
+	choice.Predicted = time.Duration(w.job.End(&room))
+	choice.Pace = time.Duration(room.Token)
+	if one.pace.Known() {
+		choice.PaceAge = one.pace.Age(w.now)
+	}
+}
+
+// deal gives each replica its share: of the load that all have together, as much as
+// makes one more request cost the same everywhere, up to its room.
+func (p *paces) deal(members []*member, view peerView) {
+	load := 0.0
+	for _, one := range members {
+		load += view.load(one)
+	}
+	p.load += paceSmooth * (load - p.load)
+	low, high := p.fastest/4, 100*p.slowest
+	for range 24 {
+		level := math.Sqrt(low * high)
+		held := 0.0
+		for _, one := range members {
+			held += dispatch.Fill(level, p.tokenAt(one), float64(one.entry.Slots))
+		}
+		if held < p.load+float64(len(members))*paceSpare {
+			low = level
+		} else {
+			high = level
+		}
+	}
+	for _, one := range members {
+		token := p.tokenAt(one)
+		fill := dispatch.Fill(high, token, float64(one.entry.Slots))
+		one.share = fill / (token * (1 + dispatch.BesideShare*fill))
+	}
 }
--- a/replica/select.go
+++ b/replica/select.go
@@ -1,11 +1,13 @@
 package replica
 
 import (
+	"cmp"
 	"errors"
 	"math"
 	"slices"
 	"time"
 
+	"birchwood.example/birchwood/dispatch"
 	"birchwood.example/birchwood/zone"
 )
 
@@ -26,6 +28,12 @@
 	Only ID
 	// Homes bounds the zones in which a replica may get the request.
 	Homes zone.Homes
+	// Expected is how many tokens the answer is expected to have; 0 where that is not
+	// known.
+	Expected int
+	// Weight is what the request's own end counts against what it costs others; 0
+	// counts as 1.
+	Weight float64
 	// Excluded are the replicas that were tried.
 	Excluded []ID
 	// Warm passes over cold replicas.
@@ -62,6 +70,11 @@
 	Missing int
 	// Load is how many requests of all nodes were known there.
 	Load int
+	// Predicted is how long the answer was expected to take, and Pace the time of a token
+	// there with nothing beside, which was measured PaceAge ago; 0 where paces had no part.
+	Predicted time.Duration
+	Pace      time.Duration
+	PaceAge   time.Duration
 	// Feasible is how many replicas could have been chosen.
 	Feasible int
 	// Left says that the replica which served the line before is in an evacuated zone,
@@ -95,6 +108,10 @@
 		return Choice{}, s.absence(now, request)
 	}
 	weighed := s.weigh(now, request, weighable)
+	if weighed.paces != nil {
+		best := weighed.drawn(feasible)
+		return weighed.choice(best, len(feasible)), nil
+	}
 	start := int(request.Draw * float64(len(feasible)))
 	best := feasible[start]
 	bestCost := weighed.cost(best)
@@ -104,14 +121,21 @@
 			best, bestCost = candidate, cost
 		}
 	}
-	return Choice{
+	return weighed.choice(best, len(feasible)), nil
+}
+
+// choice describes what was chosen of so many.
+func (w *weighing) choice(best *member, feasible int) Choice {
+	choice := Choice{
 		Entry:    best.entry,
-		Missing:  weighed.missing(best),
-		Load:     int(math.Round(weighed.view.load(best))),
-		Feasible: len(feasible),
-		Left:     s.left(now, request),
-		ColdRate: s.coldRate(now, best),
-	}, nil
+		Missing:  w.missing(best),
+		Load:     int(math.Round(w.view.load(best))),
+		Feasible: feasible,
+		Left:     w.set.left(w.now, w.request),
+		ColdRate: w.set.coldRate(w.now, best),
+	}
+	w.predict(best, &choice)
+	return choice
 }
 
 // feasible returns the replicas that may take the request, of those to be weighed: those
@@ -201,6 +225,10 @@
 	// sharing is how many nodes choose among the replicas that are weighed, and among
 	// how many of them.
 	sharing, among int
+	// paces are those of the service where they differ, else nil; job is what the
+	// request needs then.
+	paces *paces
+	job   dispatch.Job
 }
 
 func (s *Set) weigh(now time.Time, request *Request, weighable []*member) *weighing {
@@ -211,6 +239,10 @@
 	if tokens := s.shared.tokens(now); tokens > 0 {
 		w.room = min(1, sharedMemory*float64(s.cacheTokens[request.Service])/float64(tokens))
 	}
+	if request.Expected > 0 {
+		w.paces = s.pacesOf(now, request.Service)
+		w.job = dispatch.Job{Tokens: float64(request.Expected), Weight: cmp.Or(request.Weight, 1)}
+	}
 	return w
 }
 
@@ -221,6 +253,11 @@
 	if slots := float64(max(1, one.entry.Slots)); load >= slots {
 		cost += int(queuedTokens * (load - slots + 1) / slots)
 	}
+	return cost + w.aside(one)
+}
+
+// aside is what a replica costs beside its work: its faults, and the way to it.
+func (w *weighing) aside(one *member) (cost int) {
 	without := &w.set.config.Without
 	if !without.Faults {
 		cost += int(faultTokens * min(one.faultsNow(w.now), maximumFaults))
--- a/replica/set.go
+++ b/replica/set.go
@@ -80,6 +80,9 @@
 	// failed to answer.
 	Faults    bool
 	Suspicion bool
+	// Pace weighs how fast replicas are, and Slack how programs stand against their time.
+	Pace  bool
+	Slack bool
 	// Cold weighs that a replica is cold, and passes over one that is at its rate.
 	Cold bool
 }
@@ -112,7 +115,8 @@
 	coldWatched map[ID]*member
 	doubted     map[ID]*member
 	// paced are the replicas whose pace this node measured lately.
-	paced map[ID]*member
+	paced        map[ID]*member
+	servicePaces map[string]*paces
 	// cacheTokens is the memory of a service's engines.
 	cacheTokens map[string]int
 	// coldRates is how many requests a second a cold replica of a service bears.
@@ -150,26 +154,32 @@
 	cold         coldness
 	// pace is how long a generated token takes there.
 	pace dispatch.Pace
+	// token is the estimate of it as of the last look at the service's paces, in
+	// nanoseconds; 0 where nothing is known.
+	token float64
+	// share is the replica's part of the turns that are placed by a draw, by any measure.
+	share float64
 }
 
 // NewSet returns a set without replicas.
 func NewSet(config Config) *Set {
 	return &Set{
-		config:      config,
-		byID:        make(map[ID]*member),
-		services:    make(map[string][]*member),
-		ranked:      make(map[string][]*member),
-		windows:     make(map[string]*window),
-		zones:       make(map[string]int),
-		busy:        make(map[ID]*member),
-		coldWatched: make(map[ID]*member),
-		doubted:     make(map[ID]*member),
-		paced:       make(map[ID]*member),
-		cacheTokens: make(map[string]int),
-		coldRates:   make(map[string]float64),
-		peers:       make(map[string]peerLoad),
-		shared:      newSharedParts(),
-		nodes:       1,
+		config:       config,
+		byID:         make(map[ID]*member),
+		services:     make(map[string][]*member),
+		ranked:       make(map[string][]*member),
+		windows:      make(map[string]*window),
+		zones:        make(map[string]int),
+		busy:         make(map[ID]*member),
+		coldWatched:  make(map[ID]*member),
+		doubted:      make(map[ID]*member),
+		paced:        make(map[ID]*member),
+		servicePaces: make(map[string]*paces),
+		cacheTokens:  make(map[string]int),
+		coldRates:    make(map[string]float64),
+		peers:        make(map[string]peerLoad),
+		shared:       newSharedParts(),
+		nodes:        1,
 	}
 }
 
