--- a/replica/paces.go
+++ b/replica/paces.go
@@ -98,7 +98,7 @@
 		s.servicePaces[service] = found
 	}
 	if found.at.IsZero() || now.Sub(found.at) >= pacePeriod {
-		found.look(now, s.services[service], s.viewOf(s.services[service]))
+		found.look(now, s.services[service], s.viewAt(now, s.services[service]))
 	}
 	if !found.uneven {
 		return nil
