dispatch, replica: programs behind their time go before others at the fast replicas

What is left until a program's finish is compared with what the programs of its route usually have left at that stage. Those that are behind draw the fast replicas more often and may leave their line's replica sooner; those ahead or lost leave them to others. With several priorities at a service only the most urgent go before, and only the least urgent after.

--- a/dispatch/pace_test.go
+++ b/dispatch/pace_test.go
@@ -98,7 +98,7 @@
 
 func TestCostRisesWithLoadAndAtAllSlots(t *testing.T) {
 	g := NewWithT(t)
-	job := dispatch.Job{Tokens: 200, Weight: 1}
+	job := dispatch.Job{Tokens: 200}
 	before := 0.0
 	for load := range 24 {
 		room := dispatch.Room{Load: float64(load), Slots: 16, Token: 1e6, Read: 5e3, Missing: 1000}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -4,9 +4,6 @@
 type Job struct {
 	// Tokens is how many tokens are expected to come out.
 	Tokens float64
-	// Weight is what the turn's own end counts against what it costs those beside it;
-	// 1 where nothing is known of its time.
-	Weight float64
 }
 
 // Room is one replica as a turn would find it. Times are in nanoseconds.
@@ -57,7 +54,7 @@
 
 // Cost is what a placement weighs: the turn's end, and what it costs the others.
 func (j *Job) Cost(room *Room) float64 {
-	return j.Weight*j.End(room) + j.Burden(room)
+	return j.End(room) + j.Burden(room)
 }
 
 // over is how many requests are expected over the slots once the turn is there, where the
--- /dev/null
+++ b/dispatch/slack.go
@@ -0,0 +1,145 @@
+package dispatch
+
+import "time"
+
+// Stand is how a program stands against its time.
+type Stand int
+
+// The stands of a program. One whose time is not known stands even.
+const (
+	// StandLost is past its time: it can't be in time any more.
+	StandLost Stand = iota
+	// StandAhead has clearly more time left than programs usually have at its stage.
+	StandAhead
+	// StandEven has what they usually have.
+	StandEven
+	// StandBehind has clearly less.
+	StandBehind
+)
+
+// String names a stand for the log.
+func (s Stand) String() string { return [...]string{"lost", "ahead", "even", "behind"}[s] }
+
+// Slack learns how much time the programs of each route usually have left at each stage,
+// and tells how one stands against it. It is not safe for concurrent use.
+type Slack struct {
+	routes map[string]*slackRoute
+	// ranks is when a service's requests of each priority came last.
+	ranks map[string]*[slackRanks]time.Time
+}
+
+// slackRoute is what the programs of one route have left, in nanoseconds, by stage.
+type slackRoute struct {
+	stages [slackStages]slackStage
+	at     time.Time
+}
+
+type slackStage struct {
+	left, programs float64
+}
+
+const (
+	// slackStages bounds the stages of a program that are told apart: its turns.
+	slackStages = 24
+	// slackPrograms is how many programs the mean of a stage holds, and slackLeast how
+	// many have to be known.
+	slackPrograms = 50
+	slackLeast    = 5
+	// slackAhead and slackBehind are the shares of the usual time left from which on, and
+	// up to which, a program is ahead or behind. Between lies what the lengths of programs
+	// differ by anyway.
+	slackAhead  = 1.25
+	slackBehind = 0.8
+	// slackNames bounds the routes and the services that are followed.
+	slackNames = 200
+	// slackRanks is how many priorities there are, and slackRecent for how long one that
+	// was seen is taken to have requests.
+	slackRanks  = 10
+	slackRecent = 10 * time.Second
+)
+
+// NewSlack returns a Slack that knows no route.
+func NewSlack() *Slack {
+	return &Slack{routes: make(map[string]*slackRoute), ranks: make(map[string]*[slackRanks]time.Time)}
+}
+
+// Observe takes in a turn of a program at a stage with so much time left, and tells how the
+// program stands.
+func (s *Slack) Observe(now time.Time, route string, stage int, left time.Duration) Stand {
+	known := s.routes[route]
+	if known == nil {
+		if len(s.routes) >= slackNames {
+			clear(s.routes)
+		}
+		known = &slackRoute{}
+		s.routes[route] = known
+	}
+	known.at = now
+	at := &known.stages[min(max(0, stage), slackStages-1)]
+	stand := at.stand(float64(left))
+	if left > 0 {
+		// What is lost already says nothing of what programs need.
+		at.programs = min(at.programs+1, slackPrograms)
+		at.left += (float64(left) - at.left) / at.programs
+	}
+	return stand
+}
+
+// stand tells how a program stands that has so much time left.
+func (s *slackStage) stand(left float64) Stand {
+	switch {
+	case left <= 0:
+		return StandLost
+	case s.programs < slackLeast:
+		return StandEven
+	case left < slackBehind*s.left:
+		return StandBehind
+	case left > slackAhead*s.left:
+		return StandAhead
+	default:
+		return StandEven
+	}
+}
+
+// Haste returns how a program that stands so takes the fast replicas of its service: 1
+// before others, 0 as its share, -1 after others. Where the service has requests of several
+// priorities, only the most urgent come before their share, and only the least urgent after
+// it: none is served better than a more urgent one.
+func (s *Slack) Haste(now time.Time, service string, priority int, stand Stand) int {
+	known := s.ranks[service]
+	if known == nil {
+		if len(s.ranks) >= slackNames {
+			clear(s.ranks)
+		}
+		known = &[slackRanks]time.Time{}
+		s.ranks[service] = known
+	}
+	rank := min(max(0, priority), slackRanks-1)
+	known[rank] = now
+	first, last := rank, rank
+	for other, at := range known {
+		if !at.IsZero() && now.Sub(at) <= slackRecent {
+			first, last = min(first, other), max(last, other)
+		}
+	}
+	least, most := -1, 1
+	if rank > first {
+		most = 0
+	}
+	if rank < last {
+		least = 0
+	}
+	return min(max(least, stand.haste()), most)
+}
+
+// haste is what a stand calls for.
+func (s Stand) haste() int {
+	switch s {
+	case StandBehind:
+		return 1
+	case StandAhead, StandLost:
+		return -1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/dispatch/slack_test.go
@@ -0,0 +1,68 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/dispatch"
+)
+
+// taught returns a slack that saw programs with three seconds left at their first stage.
+func taught() *dispatch.Slack {
+	slack := dispatch.NewSlack()
+	for range 20 {
+		slack.Observe(begin, "route", 2, 3*time.Second)
+	}
+	return slack
+}
+
+func TestStandFollowsTheUsualTimeLeft(t *testing.T) {
+	g := NewWithT(t)
+	for left, want := range map[time.Duration]dispatch.Stand{
+		-time.Second: dispatch.StandLost, 0: dispatch.StandLost, time.Second: dispatch.StandBehind,
+		3 * time.Second: dispatch.StandEven, 6 * time.Second: dispatch.StandAhead,
+	} {
+		g.Expect(taught().Observe(begin, "route", 2, left)).To(Equal(want), left.String())
+	}
+	g.Expect(taught().Observe(begin, "route", 3, time.Second)).To(Equal(dispatch.StandEven), "an unknown stage")
+	g.Expect(taught().Observe(begin, "route", 1_000, time.Second)).To(Equal(dispatch.StandEven), "a stage beyond all")
+}
+
+func TestLostProgramsDoNotTeachTheUsual(t *testing.T) {
+	g := NewWithT(t)
+	slack := taught()
+	for range 500 {
+		slack.Observe(begin, "route", 2, -time.Hour)
+	}
+	g.Expect(slack.Observe(begin, "route", 2, 3*time.Second)).To(Equal(dispatch.StandEven))
+}
+
+func TestHasteOfOnePriorityFollowsTheStand(t *testing.T) {
+	g := NewWithT(t)
+	slack := dispatch.NewSlack()
+	g.Expect(slack.Haste(begin, "model", 3, dispatch.StandBehind)).To(Equal(1))
+	g.Expect(slack.Haste(begin, "model", 3, dispatch.StandEven)).To(Equal(0))
+	g.Expect(slack.Haste(begin, "model", 3, dispatch.StandAhead)).To(Equal(-1))
+	g.Expect(slack.Haste(begin, "model", 3, dispatch.StandLost)).To(Equal(-1))
+}
+
+func TestNoProgramGoesBeforeAMoreUrgentOne(t *testing.T) {
+	g := NewWithT(t)
+	slack := dispatch.NewSlack()
+	stands := []dispatch.Stand{dispatch.StandLost, dispatch.StandAhead, dispatch.StandEven, dispatch.StandBehind}
+	for _, priority := range []int{-3, 2, 5, 99} {
+		slack.Haste(begin, "model", priority, dispatch.StandEven)
+	}
+	for _, urgent := range stands {
+		for _, other := range stands {
+			for more, less := range map[int]int{0: 5, 2: 5, 5: 9} {
+				first := slack.Haste(begin, "model", more, urgent)
+				g.Expect(first).To(BeNumerically(">=", slack.Haste(begin, "model", less, other)))
+			}
+		}
+	}
+	later := begin.Add(time.Minute)
+	g.Expect(slack.Haste(later, "model", 5, dispatch.StandBehind)).To(Equal(1), "the others have no requests any more")
+}
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -46,6 +46,7 @@
 
 // chooseReplica picks the next replica for the request and counts it there.
 func (n *Node) chooseReplica(r *requestState, table *routing.Table) (replica.Entry, error) {
+	n.noteStand(r)
 	asked := n.choiceOf(r)
 	asked.PerNode, asked.Draw = n.perNode(table, r.service), n.draw()
 	asked.Connected = func(entry replica.Entry) bool { return n.pool.Free(targetOf(entry)) }
@@ -67,7 +68,7 @@
 func (n *Node) choiceOf(r *requestState) *replica.Request {
 	return &replica.Request{
 		Service: r.service, Program: r.program, Prompt: r.prompt, Preferred: r.preferred, PreferredKept: r.preferredKept,
-		Only: r.only, Homes: r.homes, Excluded: r.excluded, Expected: n.expectedTokens(r),
+		Only: r.only, Homes: r.homes, Excluded: r.excluded, Expected: n.expectedTokens(r), Haste: r.haste,
 	}
 }
 
--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -42,7 +42,7 @@
 			Int("open", r.admission.Open).Int("most", r.most).Int("budget", r.budget).Int("tokens", r.tokens)
 	}
 	entry.Int("missing", r.choice.Missing).Int("load", r.choice.Load).Dur("predicted", r.choice.Predicted).
-		Dur("pace", r.choice.Pace).Dur("paceage", r.choice.PaceAge).Bool("left", r.choice.Left).Dur("first", r.firstAfter).Msg("request: ended")
+		Dur("pace", r.choice.Pace).Str("stand", r.stand.String()).Int("haste", r.haste).Dur("paceage", r.choice.PaceAge).Bool("left", r.choice.Left).Dur("first", r.firstAfter).Msg("request: ended")
 }
 
 // failedStatus is the least status that tells of a failure.
--- a/edge/placing.go
+++ b/edge/placing.go
@@ -8,13 +8,33 @@
 	"birchwood.example/birchwood/replica"
 )
 
-// placing guards what this node has learnt of turns: how long they are.
+// placing guards what this node has learnt of turns: how long they are, and how much time
+// their programs have.
 type placing struct {
 	mutex   sync.Mutex
 	lengths *dispatch.Lengths
+	slack   *dispatch.Slack
 }
 
-func newPlacing() *placing { return &placing{lengths: dispatch.NewLengths()} }
+func newPlacing() *placing {
+	return &placing{lengths: dispatch.NewLengths(), slack: dispatch.NewSlack()}
+}
+
+// noteStand notes how the request's program stands against its time, and how the request
+// takes the fast replicas of its service by that. A turn is noted once.
+func (n *Node) noteStand(r *requestState) {
+	if n.placing == nil || len(r.prompt) == 0 || r.attempts > 0 {
+		return
+	}
+	n.placing.mutex.Lock()
+	defer n.placing.mutex.Unlock()
+	now := time.Now()
+	r.stand = dispatch.StandEven
+	if !r.finish.IsZero() {
+		r.stand = n.placing.slack.Observe(now, r.routeName(), len(r.prompt), r.finish.Sub(now))
+	}
+	r.haste = n.placing.slack.Haste(now, r.service, r.priority(), r.stand)
+}
 
 // expectedTokens returns how many tokens a turn will have, or 0 for other requests and
 // where nothing is known.
--- a/edge/request.go
+++ b/edge/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/dispatch"
 	"birchwood.example/birchwood/ingress"
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/replica"
@@ -68,7 +69,11 @@
 	// expected is the client's guess at the tokens that come out; 0 where it makes none.
 	expected int
 	// finish is when the program is to be over; zero where the client does not say.
-	finish    time.Time
+	finish time.Time
+	// stand is how the program stands against it, and haste how the turn takes the fast
+	// replicas by that.
+	stand     dispatch.Stand
+	haste     int
 	partition int
 	owner     string
 	admission ledger.Admission
--- a/replica/paces.go
+++ b/replica/paces.go
@@ -24,6 +24,9 @@
 	// line that leaves has its prompt read anew, which delays all that are beside, and the
 	// lines that come are placed where there is room anyway.
 	paceStay = 0.3
+	// paceStayBehind is that for a program that is behind its time: it moves where the
+	// whole is clearly sooner.
+	paceStayBehind = 0.6
 	// paceDraws is how many replicas are drawn for a turn: the better of two levels the
 	// loads as far as they are known, and more than that would send all nodes to the same.
 	paceDraws = 2
@@ -151,10 +154,14 @@
 func (w *weighing) pacedCost(one *member) float64 {
 	room := w.roomAt(one)
 	cost := w.job.Cost(&room)
-	if one.entry.ID == w.request.Preferred {
+	switch {
+	case one.entry.ID != w.request.Preferred:
+		return cost
+	case w.haste() > 0:
+		return paceStayBehind * cost
+	default:
 		return paceStay * cost
 	}
-	return cost
 }
 
 // drawn returns the best of a few replicas that are drawn by their shares, and of the one
@@ -189,12 +196,29 @@
 	return best
 }
 
-// shareOf is a replica's part of the draws.
+// haste is how the request takes the fast replicas.
+func (w *weighing) haste() int {
+	if w.set.config.Without.Slack {
+		return 0
+	}
+	return w.request.Haste
+}
+
+// shareOf is a replica's part of the draws: that of a fast one is larger for those that
+// go before others, and smaller for those that go after.
 func (w *weighing) shareOf(one *member) float64 {
+	share := one.share
 	if one.entry.Zone == w.set.config.Zone {
-		return paceHome * one.share
+		share *= paceHome
+	}
+	switch haste := w.haste(); {
+	case haste > 0:
+		return share * w.paces.middle / w.paces.tokenAt(one)
+	case haste < 0:
+		return share * w.paces.tokenAt(one) / w.paces.middle
+	default:
+		return share
 	}
-	return one.share
 }
 
 // scatter returns a number from 0 to 1 that follows from a draw and an index.
--- a/replica/select.go
+++ b/replica/select.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"cmp"
 	"errors"
 	"math"
 	"slices"
@@ -31,9 +30,9 @@
 	// Expected is how many tokens the answer is expected to have; 0 where that is not
 	// known.
 	Expected int
-	// Weight is what the request's own end counts against what it costs others; 0
-	// counts as 1.
-	Weight float64
+	// Haste is how the request takes the fast replicas: 1 before others, 0 as its share,
+	// -1 after others.
+	Haste int
 	// Excluded are the replicas that were tried.
 	Excluded []ID
 	// Warm passes over cold replicas.
@@ -241,7 +240,7 @@
 	}
 	if request.Expected > 0 {
 		w.paces = s.pacesOf(now, request.Service)
-		w.job = dispatch.Job{Tokens: float64(request.Expected), Weight: cmp.Or(request.Weight, 1)}
+		w.job = dispatch.Job{Tokens: float64(request.Expected)}
 	}
 	return w
 }
