--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -61,6 +61,8 @@
 	metricKept       = "birchwood_edge_kept_bytes"
 	metricFull       = "birchwood_edge_store_full_total"
 	metricUnusable   = "birchwood_edge_replica_entries_refused_total"
+	metricPredicted  = "birchwood_edge_turn_prediction_ratio"
+	metricPace       = "birchwood_edge_token_seconds"
 	metricTrims      = "birchwood_edge_store_trims_total"
 	metricGathered   = "birchwood_edge_loads_age_seconds"
 	metricGather     = "birchwood_edge_loads_messages_total"
@@ -70,6 +72,9 @@
 // latencyBuckets are for times that clients feel, in seconds.
 var latencyBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5}
 
+// ratioBuckets are for times by what they were predicted to be.
+var ratioBuckets = []float64{.25, .5, .7, .85, 1, 1.2, 1.5, 2, 3, 5, 10}
+
 // appendBuckets are for appends to the log, in seconds.
 var appendBuckets = []float64{.002, .005, .01, .02, .05, .1, .25, 1, 5}
 
@@ -118,6 +123,17 @@
 // appended takes in the time of an append, repetitions included.
 func (m *Metrics) appended(took time.Duration) { m.appends.Update(took.Seconds()) }
 
+// predicted takes in how long a turn took, by what was predicted when it was placed.
+func (m *Metrics) predicted(predicted, took time.Duration) {
+	m.set.GetOrCreatePrometheusHistogramExt(metricPredicted, ratioBuckets).Update(float64(took) / float64(predicted))
+}
+
+// paced takes in how fast the replicas of a service are.
+func (m *Metrics) paced(service string, paces replica.PaceRange) {
+	m.set.GetOrCreateGauge(fmt.Sprintf("%s{service=%q,replicas=\"fastest\"}", metricPace, service), nil).Set(paces.Fastest.Seconds())
+	m.set.GetOrCreateGauge(fmt.Sprintf("%s{service=%q,replicas=\"slowest\"}", metricPace, service), nil).Set(paces.Slowest.Seconds())
+}
+
 // storeCall counts a call to the platform's store, by outcome.
 func (m *Metrics) storeCall(err error) {
 	outcome := "done"
--- a/edge/placing.go
+++ b/edge/placing.go
@@ -93,7 +93,14 @@
 func (t *turnRun) observeTurn(entry replica.Entry) {
 	r, n := t.request, t.node
 	n.observeLength(r)
-	if token := t.times.token(r.tokens); token > 0 && t.runs == 1 {
-		n.replicas.observe(entry.ID, replica.Sample{Load: r.choice.Load, Token: token})
+	token := t.times.token(r.tokens)
+	if token <= 0 || t.runs > 1 {
+		return
+	}
+	if paces, known := n.replicas.observe(entry, replica.Sample{Load: r.choice.Load, Token: token}); known {
+		n.metrics.paced(entry.Service, paces)
+	}
+	if r.choice.Predicted > 0 {
+		n.metrics.predicted(r.choice.Predicted, t.times.last.Sub(r.sentAt))
 	}
 }
--- /dev/null
+++ b/edge/placing_test.go
@@ -0,0 +1,47 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/dispatch"
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/routing"
+)
+
+// TestStreamTimes tells the time of a token, but not where a wait of this node hid it.
+func TestStreamTimes(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Unix(1000, 0)
+	var times streamTimes
+	g.Expect(times.token(0)).To(BeZero())
+	times.note(start, 25)
+	g.Expect(times.token(25)).To(BeZero(), "one event")
+	times.note(start.Add(100*time.Millisecond), 75)
+	times.note(start.Add(200*time.Millisecond), 125)
+	g.Expect(times.token(125)).To(Equal(2 * time.Millisecond))
+	times.heldUntil = start.Add(50 * time.Millisecond)
+	g.Expect(times.token(125)).To(Equal(2*time.Millisecond), "the rest came after the wait")
+	times.heldUntil = start.Add(198 * time.Millisecond)
+	g.Expect(times.token(125)).To(BeZero(), "the rest came during the wait")
+}
+
+// TestNoteStand notes a turn once, and nothing of a request without a prompt.
+func TestNoteStand(t *testing.T) {
+	g := NewWithT(t)
+	node := &Node{placing: newPlacing()}
+	for range 20 {
+		usual := &requestState{route: &routing.Route{Name: "route"}, prompt: make([]replica.Part, 2), finish: time.Now().Add(3 * time.Second)}
+		node.noteStand(usual)
+		g.Expect(usual.stand).To(Equal(dispatch.StandEven))
+	}
+	late := &requestState{route: &routing.Route{Name: "route"}, prompt: make([]replica.Part, 2), finish: time.Now().Add(time.Second)}
+	node.noteStand(late)
+	g.Expect(late.stand).To(Equal(dispatch.StandBehind))
+	g.Expect(late.haste).To(Equal(1))
+	again := &requestState{attempts: 1, route: &routing.Route{Name: "route"}, prompt: make([]replica.Part, 2), finish: time.Now()}
+	node.noteStand(again)
+	g.Expect(again.haste).To(BeZero())
+}
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -90,11 +90,13 @@
 	r.set.Ended(time.Now(), id, result)
 }
 
-// observe takes in what a turn measured of its replica.
-func (r *replicas) observe(id replica.ID, sample replica.Sample) {
+// observe takes in what a turn measured of its replica, and returns how fast the replicas
+// of its service are, as far as that is known.
+func (r *replicas) observe(entry replica.Entry, sample replica.Sample) (replica.PaceRange, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.set.Observe(time.Now(), id, sample)
+	r.set.Observe(time.Now(), entry.ID, sample)
+	return r.set.PaceRange(entry.Service)
 }
 
 func (r *replicas) pressure(request *replica.Request) float64 {
--- a/replica/pace_replay_test.go
+++ b/replica/pace_replay_test.go
@@ -230,3 +230,136 @@
 		})
 	}
 }
+
+// TestPlacementFollowsAReplicaThatTurnsSlow has a quarter of the engines four times slower from
+// the fourth second on.
+func TestPlacementFollowsAReplicaThatTurnsSlow(t *testing.T) {
+	g := NewWithT(t)
+	turns := func(engine int, at time.Duration) float64 {
+		if engine%4 == 1 && at >= 4*time.Second {
+			return 4
+		}
+		return 1
+	}
+	former := newReplay(replica.Parts{Pace: true}).play(0.4, 12*time.Second, turns)
+	paced := newReplay(replica.Parts{}).play(0.4, 12*time.Second, turns)
+	t.Logf("former %v %v, paced %v %v", quantile(former, .5), quantile(former, .9), quantile(paced, .5), quantile(paced, .9))
+	g.Expect(quantile(paced, .9)).To(BeNumerically("<", quantile(former, .9)))
+	g.Expect(quantile(paced, .5)).To(BeNumerically("<", quantile(former, .5)))
+}
+
+// TestPlacementInSlowSpells has each engine slow for 0.6 s at a time, 15 % of the time.
+func TestPlacementInSlowSpells(t *testing.T) {
+	g := NewWithT(t)
+	spells := func(engine int, at time.Duration) float64 {
+		if spell := uint64(at/(600*time.Millisecond)) * 2654435761 >> 7; (spell+uint64(engine)*37)%100 < 15 {
+			return 2.5
+		}
+		return 1
+	}
+	former := newReplay(replica.Parts{Pace: true}).play(0.5, 12*time.Second, spells)
+	paced := newReplay(replica.Parts{}).play(0.5, 12*time.Second, spells)
+	t.Logf("former %v %v, paced %v %v", quantile(former, .5), quantile(former, .9), quantile(paced, .5), quantile(paced, .9))
+	g.Expect(quantile(paced, .5)).To(BeNumerically("<", quantile(former, .5)))
+	g.Expect(quantile(paced, .9)).To(BeNumerically("<", quantile(former, .9)))
+}
+
+// pacedSet returns a set of as many replicas, the first few of them twice as fast.
+func pacedSet(count, fast int) *replica.Set {
+	set := replica.NewSet(replica.DefaultConfig("a"))
+	for index := range count {
+		id := replica.ID(fmt.Sprintf("r%02d", index))
+		set.Put(begun, replica.Entry{ID: id, Service: "model", Zone: "a", Status: replica.StatusReady, Slots: replaySlots})
+		token := 1500 * time.Microsecond
+		if index < fast {
+			token /= 2
+		}
+		for range 8 {
+			set.Observe(begun, id, replica.Sample{Token: token})
+		}
+	}
+	return set
+}
+
+// TestNodesThatKnowTheSameDoNotChooseTheSame has many nodes with equal knowledge place one
+// turn each.
+func TestNodesThatKnowTheSameDoNotChooseTheSame(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(3, 4))
+	chosen := map[replica.ID]int{}
+	set := pacedSet(16, 4)
+	for range 200 {
+		choice, err := set.Select(begun, &replica.Request{Service: "model", Expected: 200, Draw: random.Float64()})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(choice.Predicted).To(BeNumerically(">", 0))
+		chosen[choice.Entry.ID]++
+	}
+	for id, count := range chosen {
+		g.Expect(count).To(BeNumerically("<", 2*200/4), string(id))
+	}
+	g.Expect(chosen["r00"]+chosen["r01"]+chosen["r02"]+chosen["r03"]).To(BeNumerically(">", 150), "the fast ones are filled first")
+}
+
+// TestHasteTakesTheFastOnes has the fast ones half full.
+func TestHasteTakesTheFastOnes(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(3, 4))
+	fast := map[int]int{}
+	set := pacedSet(16, 4)
+	loads := map[replica.ID]int{}
+	for index := range 16 {
+		loads[replica.ID(fmt.Sprintf("r%02d", index))] = 2
+		if index < 4 {
+			loads[replica.ID(fmt.Sprintf("r%02d", index))] = 8
+		}
+	}
+	set.SetNodes(2)
+	set.SetPeer(begun, "other", loads)
+	for _, haste := range []int{-1, 0, 1} {
+		for range 400 {
+			choice, err := set.Select(begun, &replica.Request{Service: "model", Expected: 200, Draw: random.Float64(), Haste: haste})
+			g.Expect(err).NotTo(HaveOccurred())
+			if choice.Entry.ID < "r04" {
+				fast[haste]++
+			}
+		}
+	}
+	t.Log(fast)
+	g.Expect(fast[-1]).To(BeNumerically("<", fast[0]))
+	g.Expect(fast[0]).To(BeNumerically("<", fast[1]))
+}
+
+// TestEvenReplicasAreWeighedAsWithoutPaces gives paces that hardly differ no part.
+func TestEvenReplicasAreWeighedAsWithoutPaces(t *testing.T) {
+	g := NewWithT(t)
+	choice, err := pacedSet(16, 0).Select(begun, &replica.Request{Service: "model", Expected: 200})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(choice.Predicted).To(BeZero())
+}
+
+// TestANewIncarnationBeginsWithoutAPace and a pace that was told reaches a node that sent
+// nothing.
+func TestANewIncarnationBeginsWithoutAPace(t *testing.T) {
+	g := NewWithT(t)
+	told := pacedSet(16, 4).Report(begun)
+	totals := map[replica.ID]replica.Total{}
+	for id, report := range told {
+		totals[id] = replica.Total{TokenTime: report.TokenTime, Samples: report.Samples}
+	}
+	set := pacedSet(0, 0)
+	entries := make([]replica.Entry, 16)
+	for index := range entries {
+		entries[index] = replica.Entry{ID: replica.ID(fmt.Sprintf("r%02d", index)), Service: "model", Zone: "a", Status: replica.StatusReady, Slots: replaySlots, Incarnation: 1}
+		set.Put(begun, entries[index])
+	}
+	set.TakeTotals(begun, totals)
+	request := &replica.Request{Service: "model", Expected: 200, Only: "r00"}
+	choice, err := set.Select(begun, request)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(choice.Pace).To(BeNumerically("~", 750*time.Microsecond, 100*time.Microsecond))
+	entries[0].Incarnation = 2
+	set.Put(begun, entries[0])
+	choice, err = set.Select(begun.Add(time.Second), request)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(choice.Pace).To(BeNumerically(">", 1200*time.Microsecond), "the middle of the service")
+}
--- a/replica/paces.go
+++ b/replica/paces.go
@@ -32,6 +32,8 @@
 	paceDraws = 2
 	// paceHome is the weight of a replica of the node's own zone in a draw.
 	paceHome = 2
+	// paceCold is that of one that is cold: it bears few requests, and is slow.
+	paceCold = 0.2
 	// paceSmooth is the part of a look in the mean of the last loads, which makes it one
 	// of about a second, and paceSpare the requests more for each replica that shares
 	// are dealt for, so that none is left out on the word of one moment.
@@ -90,8 +92,9 @@
 	}
 }
 
-// pacesOf returns the paces of a service where they differ materially, else nil.
-func (s *Set) pacesOf(now time.Time, service string) *paces {
+// pacesOf returns the paces of a service where they differ materially among the replicas
+// that are weighed, else nil.
+func (s *Set) pacesOf(now time.Time, service string, weighable []*member) *paces {
 	if s.config.Without.Pace {
 		return nil
 	}
@@ -101,7 +104,7 @@
 		s.servicePaces[service] = found
 	}
 	if found.at.IsZero() || now.Sub(found.at) >= pacePeriod {
-		found.look(now, s.services[service], s.viewAt(now, s.services[service]))
+		found.look(now, weighable, s.viewAt(now, weighable))
 	}
 	if !found.uneven {
 		return nil
@@ -109,6 +112,22 @@
 	return found
 }
 
+// PaceRange is how fast the replicas of a service are, but for the outer tenths: the time of
+// a token with nothing beside.
+type PaceRange struct {
+	Fastest, Slowest time.Duration
+}
+
+// PaceRange returns how fast the replicas of a service are, or false where that is not
+// known.
+func (s *Set) PaceRange(service string) (PaceRange, bool) {
+	found := s.servicePaces[service]
+	if found == nil || found.middle == 0 {
+		return PaceRange{}, false
+	}
+	return PaceRange{Fastest: time.Duration(found.fastest), Slowest: time.Duration(found.slowest)}, true
+}
+
 // look estimates the paces anew.
 func (p *paces) look(now time.Time, members []*member, view peerView) {
 	p.at = now
@@ -169,9 +188,12 @@
 // the shares.
 func (w *weighing) drawn(feasible []*member) *member {
 	total := 0.0
+	shares := slices.Grow(w.set.shares[:0], len(feasible))[:len(feasible)]
+	w.set.shares = shares
 	var best *member
-	for _, one := range feasible {
-		total += w.shareOf(one)
+	for place, one := range feasible {
+		shares[place] = w.shareOf(one)
+		total += shares[place]
 		if one.entry.ID == w.request.Preferred {
 			best = one
 		}
@@ -183,8 +205,8 @@
 	for draw := range paceDraws {
 		left := total * scatter(w.request.Draw, draw)
 		candidate := feasible[len(feasible)-1]
-		for _, one := range feasible {
-			if left -= w.shareOf(one); left <= 0 {
+		for place, one := range feasible {
+			if left -= shares[place]; left <= 0 {
 				candidate = one
 				break
 			}
@@ -211,6 +233,12 @@
 	if one.entry.Zone == w.set.config.Zone {
 		share *= paceHome
 	}
+	if !w.set.config.Without.Faults {
+		share *= math.Exp2(-one.faultsNow(w.now))
+	}
+	if w.set.coldRate(w.now, one) > 0 {
+		share *= paceCold
+	}
 	switch haste := w.haste(); {
 	case haste > 0:
 		return share * w.paces.middle / w.paces.tokenAt(one)
@@ -249,6 +277,9 @@
 	for _, one := range members {
 		load += view.load(one)
 	}
+	if p.load == 0 {
+		p.load = load
+	}
 	p.load += paceSmooth * (load - p.load)
 	low, high := p.fastest/4, 100*p.slowest
 	for range 24 {
--- a/replica/scale_test.go
+++ b/replica/scale_test.go
@@ -68,6 +68,33 @@
 	}
 }
 
+// BenchmarkSelectPaced reports what one choice costs where the replicas' paces differ. With 128
+// replicas all are weighed, with more a window.
+func BenchmarkSelectPaced(b *testing.B) {
+	for _, count := range []int{128, 768, 10_000} {
+		b.Run(fmt.Sprintf("replicas=%d", count), func(b *testing.B) {
+			set := scaleSet(count)
+			now := time.Unix(1001, 0)
+			for index := range count {
+				token := time.Millisecond * time.Duration(1+index%2)
+				set.Observe(now, scaleEntry(index).ID, replica.Sample{Token: token})
+			}
+			b.ReportAllocs()
+			for index := 0; b.Loop(); index++ {
+				request := scaleRequest(index)
+				request.Expected = 200
+				choice, err := set.Select(now.Add(time.Duration(index%5_000)*time.Millisecond), request)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if choice.Predicted == 0 {
+					b.Fatal("the paces had no part")
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkFill reports what it costs to take in a list of replicas.
 func BenchmarkFill(b *testing.B) {
 	for _, count := range []int{100, 1_000, 10_000} {
--- a/replica/select.go
+++ b/replica/select.go
@@ -239,7 +239,7 @@
 		w.room = min(1, sharedMemory*float64(s.cacheTokens[request.Service])/float64(tokens))
 	}
 	if request.Expected > 0 {
-		w.paces = s.pacesOf(now, request.Service)
+		w.paces = s.pacesOf(now, request.Service, weighable)
 		w.job = dispatch.Job{Tokens: float64(request.Expected)}
 	}
 	return w
--- a/replica/set.go
+++ b/replica/set.go
@@ -117,6 +117,8 @@
 	// paced are the replicas whose pace this node measured lately.
 	paced        map[ID]*member
 	servicePaces map[string]*paces
+	// shares is the room in which a choice draws.
+	shares []float64
 	// cacheTokens is the memory of a service's engines.
 	cacheTokens map[string]int
 	// coldRates is how many requests a second a cold replica of a service bears.
