--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -57,7 +57,8 @@
 	if r.cause != "" {
 		entry = entry.Str("cause", r.cause).Dur("comeBack", r.comeBack)
 	}
-	entry.Int("missing", r.choice.Missing).Int("load", r.choice.Load).Bool("left", r.choice.Left).Dur("first", r.firstAfter).Msg("request: ended")
+	entry.Int("missing", r.choice.Missing).Int("load", r.choice.Load).Dur("predicted", r.choice.Predicted).
+		Dur("pace", r.choice.Pace).Str("stand", r.stand.String()).Int("haste", r.haste).Dur("paceage", r.choice.PaceAge).Bool("left", r.choice.Left).Dur("first", r.firstAfter).Msg("request: ended")
 }
 
 // failedStatus is the least status that tells of a failure.
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -107,6 +107,10 @@
 	// WaitForRoom has new programs wait at their node, in order, while the replicas are
 	// full; without it they are refused at once.
 	WaitForRoom Mechanism = "wait-for-room"
+	// WeighPace places turns by how fast replicas are.
+	WeighPace Mechanism = "weigh-pace"
+	// WeighSlack places turns by how their programs stand against their time.
+	WeighSlack Mechanism = "weigh-slack"
 )
 
 // Mechanisms returns all mechanisms, in the order of their names.
@@ -150,6 +154,8 @@
 		SpreadReturns,
 		SuspectSilent,
 		WaitForRoom,
+		WeighPace,
+		WeighSlack,
 	}
 }
 
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -68,6 +68,8 @@
 		Faults:      !settings.uses(RememberFaults),
 		Suspicion:   !settings.uses(SuspectSilent),
 		Cold:        !settings.uses(LimitCold),
+		Pace:        !settings.uses(WeighPace),
+		Slack:       !settings.uses(WeighSlack),
 	}
 }
 
@@ -92,6 +94,15 @@
 	r.set.Ended(time.Now(), id, result)
 }
 
+// observe takes in what a turn measured of its replica, and returns how fast the replicas
+// of its service are, as far as that is known.
+func (r *replicas) observe(entry replica.Entry, sample replica.Sample) (replica.PaceRange, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.set.Observe(time.Now(), entry.ID, sample)
+	return r.set.PaceRange(entry.Service)
+}
+
 func (r *replicas) pressure(request *replica.Request) float64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/edge/request.go
+++ b/edge/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/dispatch"
 	"birchwood.example/birchwood/ingress"
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/replica"
@@ -77,8 +78,12 @@
 	finish time.Time
 	// need is how much longer the program takes as a rule, and urgency the rank that
 	// engines get with the turn.
-	need      time.Duration
-	urgency   int
+	need    time.Duration
+	urgency int
+	// stand is how the program stands against it, and haste how the turn takes the fast
+	// replicas by that.
+	stand     dispatch.Stand
+	haste     int
 	partition int
 	owner     string
 	admission ledger.Admission
--- a/replica/select.go
+++ b/replica/select.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"birchwood.example/birchwood/dispatch"
 	"birchwood.example/birchwood/zone"
 )
 
@@ -26,6 +27,12 @@
 	Only ID
 	// Homes bounds the zones in which a replica may get the request.
 	Homes zone.Homes
+	// Expected is how many tokens the answer is expected to have; 0 where that is not
+	// known.
+	Expected int
+	// Haste is how the request takes the fast replicas: 1 before others, 0 as its share,
+	// -1 after others.
+	Haste int
 	// Excluded are the replicas that were tried.
 	Excluded []ID
 	// Warm passes over cold replicas.
@@ -62,6 +69,11 @@
 	Missing int
 	// Load is how many requests of all nodes were known there.
 	Load int
+	// Predicted is how long the answer was expected to take, and Pace the time of a token
+	// there with nothing beside, which was measured PaceAge ago; 0 where paces had no part.
+	Predicted time.Duration
+	Pace      time.Duration
+	PaceAge   time.Duration
 	// Feasible is how many replicas could have been chosen.
 	Feasible int
 	// Left says that the replica which served the line before is in an evacuated zone,
@@ -95,6 +107,10 @@
 		return Choice{}, s.absence(now, request)
 	}
 	weighed := s.weigh(now, request, weighable)
+	if weighed.paces != nil {
+		best := weighed.drawn(feasible)
+		return weighed.choice(best, len(feasible)), nil
+	}
 	start := int(request.Draw * float64(len(feasible)))
 	best := feasible[start]
 	bestCost := weighed.cost(best)
@@ -104,14 +120,21 @@
 			best, bestCost = candidate, cost
 		}
 	}
-	return Choice{
+	return weighed.choice(best, len(feasible)), nil
+}
+
+// choice describes what was chosen of so many.
+func (w *weighing) choice(best *member, feasible int) Choice {
+	choice := Choice{
 		Entry:    best.entry,
-		Missing:  weighed.missing(best),
-		Load:     int(math.Round(weighed.view.load(best))),
-		Feasible: len(feasible),
-		Left:     s.left(now, request),
-		ColdRate: s.coldRate(now, best),
-	}, nil
+		Missing:  w.missing(best),
+		Load:     int(math.Round(w.view.load(best))),
+		Feasible: feasible,
+		Left:     w.set.left(w.now, w.request),
+		ColdRate: w.set.coldRate(w.now, best),
+	}
+	w.predict(best, &choice)
+	return choice
 }
 
 // feasible returns the replicas that may take the request, of those to be weighed: those
@@ -201,6 +224,10 @@
 	// sharing is how many nodes choose among the replicas that are weighed, and among
 	// how many of them.
 	sharing, among int
+	// paces are those of the service where they differ, else nil; job is what the
+	// request needs then.
+	paces *paces
+	job   dispatch.Job
 }
 
 func (s *Set) weigh(now time.Time, request *Request, weighable []*member) *weighing {
@@ -211,6 +238,10 @@
 	if tokens := s.shared.tokens(now); tokens > 0 {
 		w.room = min(1, sharedMemory*float64(s.cacheTokens[request.Service])/float64(tokens))
 	}
+	if request.Expected > 0 {
+		w.paces = s.pacesOf(now, request.Service, weighable)
+		w.job = dispatch.Job{Tokens: float64(request.Expected)}
+	}
 	return w
 }
 
@@ -221,6 +252,11 @@
 	if slots := float64(max(1, one.entry.Slots)); load >= slots {
 		cost += int(queuedTokens * (load - slots + 1) / slots)
 	}
+	return cost + w.aside(one)
+}
+
+// aside is what a replica costs beside its work: its faults, and the way to it.
+func (w *weighing) aside(one *member) (cost int) {
 	without := &w.set.config.Without
 	if !without.Faults {
 		cost += int(faultTokens * min(one.faultsNow(w.now), maximumFaults))
