dispatch: turns keep their priority as urgency, and lose rank within its band only

Dividing the urgencies among the priorities changed what engines got on deployments whose clients name no finish: tests of the stand-in hold such turns to their priority. Bands now begin at the priority; turns without a finish keep it.

--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -92,29 +91,29 @@
 }
 
 // Bands maps the priorities of a service's routes and tenants to ranges of the urgency
-// that engines know, 0 first to leastUrgency: each priority has its own, the more urgent
-// the lower, so that no turn is ever ranked with or before one of a more urgent priority.
+// that engines know, 0 first to leastUrgency: each begins at its priority and ends before
+// the next less urgent one in use, so that no turn is ever ranked with or before one of a
+// more urgent priority.
 type Bands struct{ priorities []int }
 
-// NewBands returns the bands for the priorities that are in use. Where they are more than
-// engines can tell apart, priorities are urgencies as they are.
+// NewBands returns the bands for the priorities that are in use.
 func NewBands(priorities []int) Bands {
 	sorted := slices.Clone(priorities)
 	slices.Sort(sorted)
 	return Bands{priorities: slices.Compact(sorted)}
 }
 
-// urgencies is how many ranks engines tell apart.
-const urgencies = leastUrgency + 1
-
-// Urgency returns the rank of a turn at engines.
+// Urgency returns the rank of a turn at engines: its priority, unless its program has less
+// claim than others of the same priority and the band has room to say so.
 func (b Bands) Urgency(priority int, standing *Standing) int {
-	count := len(b.priorities)
-	index, known := slices.BinarySearchFunc(b.priorities, priority, cmp.Compare[int])
-	if !known || 2*count > urgencies {
-		return min(max(0, priority), leastUrgency)
+	first := min(max(0, priority), leastUrgency)
+	if !standing.HasLeft {
+		return first
+	}
+	end := leastUrgency + 1
+	if index, _ := slices.BinarySearch(b.priorities, priority+1); index < len(b.priorities) {
+		end = min(end, b.priorities[index])
 	}
-	first, end := index*urgencies/count, (index+1)*urgencies/count
 	share := min(max(standing.Key()/float64(tiers), 0), 1)
-	return min(first+int(share*float64(end-first)), end-1)
+	return max(first, min(first+int(share*float64(end-first)), end-1))
 }
