edge, coordinator: a turn's answer is held back where the log takes no records

Where the log stood still when the turn was admitted, the answer now waits until the turn is kept, and the owner counts it only then.

--- a/coordinator/request.go
+++ b/coordinator/request.go
@@ -36,9 +36,9 @@
 	// HasBase says that the turn brings its base. Without it the owner answers
 	// ReplyAbsent where it does not hold the previous turn.
 	HasBase bool `json:"has_base,omitempty"`
-	// Aside says that the turn's program belongs to another partition, whose log takes no
-	// records. The owner refuses it if its own log does not either.
-	Aside      bool              `json:"aside,omitempty"`
+	// Prompt has the owner refuse the turn while its log takes no records, rather than
+	// count what it used and keep it at some time.
+	Prompt     bool              `json:"prompt,omitempty"`
 	Settlement ledger.Settlement `json:"settlement"`
 }
 
@@ -95,4 +95,7 @@
 	Owner     *Owner            `json:"owner,omitempty"`
 	Admission *ledger.Admission `json:"admission,omitempty"`
 	Chain     []byte            `json:"chain,omitempty"`
+	// Stalled says that the log has left an append of the partition unanswered for long,
+	// where a turn was admitted all the same.
+	Stalled bool `json:"stalled,omitempty"`
 }
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -76,7 +76,7 @@
 	if admission.Replica == "" && asked.Previous != "" {
 		admission.Replica = one.ledger.ServedBy(asked.Previous)
 	}
-	reply.Admission = &admission
+	reply.Admission, reply.Stalled = &admission, c.stalled(now, one)
 	c.reply(reply)
 }
 
@@ -87,7 +87,7 @@
 		c.reply(Reply{ID: id, Status: ReplyAbsent, Epoch: one.epoch})
 		return
 	}
-	if asked.Aside && c.stalled(now, one) {
+	if asked.Prompt && c.stalled(now, one) {
 		c.reply(Reply{ID: id, Status: one.refusal(), Epoch: one.epoch})
 		return
 	}
--- a/coordinator/stalled_test.go
+++ b/coordinator/stalled_test.go
@@ -29,12 +29,12 @@
 		Expect(answer.Admission.Verdict).To(Equal(ledger.VerdictBusy), "the first turn may still hand its tokens out")
 	})
 
-	It("a turn of another partition is not kept there", func() {
+	It("a turn is neither kept nor counted that is to be kept at once", func() {
 		world := newFleet(9, 3, 1)
 		world.run(settled)
 		owner := world.owners(0)[0]
 		kept := ledger.KeptTurn{ID: "aside", Program: "elsewhere", Input: []byte("in;"), Output: []byte("out;"), Retain: time.Minute}
-		keep := &coordinator.KeepRequest{Turn: kept, HasBase: true, Aside: true}
+		keep := &coordinator.KeepRequest{Turn: kept, HasBase: true, Prompt: true}
 		Expect(reply(world, owner, world.ask(owner, 0, coordinator.Request{Keep: keep})).Status).To(Equal(coordinator.ReplyDone))
 		world.storeDown = true
 		reply(world, owner, world.ask(owner, 0, coordinator.Request{Admit: turn("a")}))
--- a/edge/keeping.go
+++ b/edge/keeping.go
@@ -21,6 +21,8 @@
 	// asked: the store may be away from all, which each question costs a body.
 	asidePatience = 600 * time.Millisecond
 	asideTries    = 3
+	// stalledPause is the wait before an owner is asked again whose log took no records.
+	stalledPause = 100 * time.Millisecond
 	// ownerLook is the time between two looks whether the owner that is waited for is
 	// still the one.
 	ownerLook = 200 * time.Millisecond
@@ -36,7 +38,7 @@
 	defer cancel()
 	settlement := *t.node.settlementOf(t.request)
 	home, aside := make(chan bool, 1), make(chan bool, 1)
-	ask := coordinator.KeepRequest{Turn: t.keptTurn(), Settlement: settlement}
+	ask := coordinator.KeepRequest{Turn: t.keptTurn(), Settlement: settlement, Prompt: t.holdsBack()}
 	go func() { home <- t.keepAtHome(ctx, t.search(), ask) }()
 	go func() { aside <- t.keepAside(ctx, t.search(), ask) }()
 	var kept bool
@@ -72,6 +74,8 @@
 			return true
 		case err == nil && reply.Status == coordinator.ReplyAbsent:
 			ask.Turn.Base, ask.HasBase = t.grant.chain, true
+		case err == nil && reply.Status == coordinator.ReplyStalled:
+			wait.For(ctx, stalledPause)
 		default:
 			wait.For(ctx, ownerPause)
 		}
@@ -87,7 +91,7 @@
 	if !n.settings.uses(KeepAside) || !wait.For(ctx, asideAfter) {
 		return false
 	}
-	ask.Turn.Base, ask.HasBase, ask.Aside = t.grant.chain, true, true
+	ask.Turn.Base, ask.HasBase, ask.Prompt = t.grant.chain, true, true
 	for try := range min(asideTries, partitions-1) {
 		if ctx.Err() != nil || search.exchange.Cancel.Cause() != nil || !n.reachesStore() {
 			return false
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -52,6 +52,9 @@
 	GrantTurnAfterLoss Mechanism = "grant-turn-after-loss"
 	// HandOver has a partition's owner give it up in order.
 	HandOver Mechanism = "hand-over"
+	// HoldBack has nothing of an answer go out before its turn is kept, where the log took
+	// no records when the turn was admitted.
+	HoldBack Mechanism = "hold-back"
 	// KeepAside has a turn kept in another partition where the log takes no records of
 	// its program's.
 	KeepAside Mechanism = "keep-aside"
@@ -99,7 +102,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		AskForList, AssumeShared, BeginAgain, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowOwner, FollowPrompts,
-		FollowReaders, GrantTurnAfterLoss, HandOver, KeepAside, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, NoticeCuts, PreferConnections, PreferRegion, PreferZone, ProvePeers, ReadAccountsFirst, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
+		FollowReaders, GrantTurnAfterLoss, HandOver, HoldBack, KeepAside, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, NoticeCuts, PreferConnections, PreferRegion, PreferZone, ProvePeers, ReadAccountsFirst, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
 		RepeatLateCalls, SuspectSilent,
 	}
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -34,6 +34,10 @@
 	runs int
 	// kept says that the owner has kept, and so settled, the turn.
 	kept bool
+	// held is the answer so far, where nothing of it goes out until the turn is kept, and
+	// released says that it goes out.
+	held     []byte
+	released bool
 }
 
 // pieceBytes is the most that is read of a stream at once.
@@ -63,6 +67,9 @@
 	if t.runs > 0 {
 		t.request.noteRun()
 	}
+	if t.holdsBack() && !t.released {
+		t.request.tokens = 0
+	}
 	if t.request.needsOwner() && !t.kept {
 		t.node.settle(t.request)
 	}
@@ -189,7 +196,7 @@
 
 func (t *turnRun) relayEvent(ctx context.Context, response *upstream.Response, event eventstream.Event) error {
 	r := t.request
-	if !r.exchange.Begun() {
+	if !r.exchange.Begun() && !t.holdsBack() {
 		if err := t.begin(ctx, response); err != nil {
 			return err
 		}
@@ -203,7 +210,23 @@
 	if event.HasID {
 		t.lastEvent, t.hasLastEvent = event.ID, true
 	}
-	if err := r.exchange.Write(event.Raw); err != nil {
+	return t.send(event.Raw)
+}
+
+// holdsBack reports whether the answer waits until the turn is kept: where that was not to
+// be had when the turn was admitted, its tokens would be handed out for nothing if it comes
+// too late, and the budget would lack them when the client asks again.
+func (t *turnRun) holdsBack() bool {
+	return t.grant.stalled && t.request.route.Retain && t.node.settings.uses(HoldBack)
+}
+
+// send passes a part of the answer on, or holds it back.
+func (t *turnRun) send(part []byte) error {
+	if t.holdsBack() {
+		t.held = append(t.held, part...)
+		return nil
+	}
+	if err := t.request.exchange.Write(part); err != nil {
 		return &clientError{cause: err}
 	}
 	return nil
@@ -231,6 +254,21 @@
 	return nil
 }
 
+// release sends an answer that was held back, now that the turn is kept.
+func (t *turnRun) release(ctx context.Context, response *upstream.Response) error {
+	if !t.holdsBack() {
+		return nil
+	}
+	if err := t.begin(ctx, response); err != nil {
+		return err
+	}
+	t.released = true
+	if err := t.request.exchange.Write(t.held); err != nil {
+		return &clientError{cause: err}
+	}
+	return nil
+}
+
 func (t *turnRun) tokensPerEvent() int {
 	return max(1, t.table.Services[t.request.service].TokensPerEvent)
 }
@@ -240,21 +278,25 @@
 func (t *turnRun) complete(ctx context.Context, response *upstream.Response) error {
 	r := t.request
 	response.Finish()
-	if !r.exchange.Begun() {
+	if !r.exchange.Begun() && !t.holdsBack() {
 		if err := t.begin(ctx, response); err != nil {
 			return err
 		}
 	}
 	if rest := t.splitter.Rest(); len(rest) > 0 {
-		if err := r.exchange.Write(rest); err != nil {
-			return &clientError{cause: err}
+		if err := t.send(rest); err != nil {
+			return err
 		}
 	}
 	if r.route.Retain {
+		r.status = response.Status()
 		if err := t.keep(ctx); err != nil {
 			return err
 		}
 	}
+	if err := t.release(ctx, response); err != nil {
+		return err
+	}
 	r.reason = "answered"
 	if err := r.exchange.EndStream(); err != nil {
 		r.reason = "the client left at the end"
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -38,6 +38,9 @@
 	// recorded yields nil once the turn's tokens are durably counted; nil
 	// itself where nothing has to be waited for.
 	recorded <-chan error
+	// stalled says that the log did not take records of the partition when the turn was
+	// admitted.
+	stalled bool
 }
 
 // serveTurn serves a request whose answer is a stream of events.
@@ -150,7 +153,7 @@
 		r.fail(fasthttp.StatusServiceUnavailable, "other turns of the program hold the rest of its budget", comeBackSoon)
 		return grant{}, false
 	}
-	found.epoch = reply.Epoch
+	found.epoch, found.stalled = reply.Epoch, reply.Stalled
 	r.preferred = replica.ID(r.admission.Replica)
 	r.preferredKept = r.admission.Kept
 	if r.admission.Position > 0 {
