--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -54,6 +54,9 @@
 	GrantTurnAfterLoss Mechanism = "grant-turn-after-loss"
 	// HandOver has a partition's owner give it up in order.
 	HandOver Mechanism = "hand-over"
+	// HoldBack has nothing of an answer go out before its turn is kept, where the log took
+	// no records when the turn was admitted.
+	HoldBack Mechanism = "hold-back"
 	// KeepAside has a turn kept in another partition where the log takes no records of
 	// its program's.
 	KeepAside Mechanism = "keep-aside"
@@ -133,6 +136,7 @@
 		GatherLoads,
 		GrantTurnAfterLoss,
 		HandOver,
+		HoldBack,
 		KeepAside,
 		KeepQuotas,
 		LeaseKeys,
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -39,6 +39,9 @@
 	// recorded yields nil once the turn's tokens are durably counted; nil
 	// itself where nothing has to be waited for.
 	recorded <-chan error
+	// stalled says that the log did not take records of the partition when the turn was
+	// admitted.
+	stalled bool
 }
 
 // serveTurn serves a request whose answer is a stream of events.
@@ -144,7 +147,7 @@
 		n.turnAway(r, dispatch.Refusal{Cause: dispatch.CauseBudgetHeld}, "other turns of the program hold the rest of its budget")
 		return grant{}, false
 	}
-	found.epoch = reply.Epoch
+	found.epoch, found.stalled = reply.Epoch, reply.Stalled
 	r.preferred = replica.ID(r.admission.Replica)
 	r.preferredKept = r.admission.Kept
 	if r.admission.Position > 0 {
