dispatch, edge: shares of full replicas by tenant; late calls go out again into room only

Where limits are wide and room is short one threshold refuses all alike. Now a program that begins while every replica is full waits if its tenant has more than its max-min fair share by limit; the counting node tells with each decision how many programs the tenant has. Switch: share-by-tenant.

So only: no repeat if every replica is full or no answer can come in time. Switch: repeat-into-room.

--- /dev/null
+++ b/dispatch/late_test.go
@@ -0,0 +1,172 @@
+package dispatch
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestRepeat sends a late call again where that can bring an answer.
+func TestRepeat(t *testing.T) {
+	for _, one := range []struct {
+		call Late
+		want Again
+	}{
+		{Late{Full: 0.5, Left: time.Second, Usual: 30 * time.Millisecond}, AgainYes},
+		{Late{Full: 0.99, Left: 30 * time.Millisecond, Usual: 30 * time.Millisecond}, AgainYes},
+		{Late{Full: 0.5, Left: 29 * time.Millisecond, Usual: 30 * time.Millisecond}, AgainLate},
+		{Late{Left: 19 * time.Millisecond}, AgainLate},
+		{Late{Full: 1, Left: time.Second}, AgainFull},
+	} {
+		NewWithT(t).Expect(Repeat(&one.call)).To(Equal(one.want), "%+v", one.call)
+	}
+}
+
+// toolFleet replays calls before replicas in virtual time: 36 replicas of 6 places, of which
+// 15 in 100 take 2.5 times as long for 0.6 s at a time. A call goes to the emptiest
+// replica, waits there for a place, and goes out once more when it is late. What it takes
+// of a replica belongs to the call, however often it is sent.
+type toolFleet struct {
+	random *rand.Rand
+	guard  bool
+	queue  toolEvents
+	now    time.Duration
+	// free are the times at which the places of each replica are free.
+	free    [toolReplicas][toolPlaces]time.Duration
+	times   []time.Duration
+	repeats int
+	// budget is how many repeats may be sent: a tenth of the calls that were answered.
+	budget float64
+}
+
+const (
+	toolReplicas = 36
+	toolPlaces   = 6
+	toolLate     = 180 * time.Millisecond
+	toolSpell    = 600 * time.Millisecond
+	toolSlow     = 2.5
+)
+
+type toolEvent struct {
+	at time.Duration
+	do func()
+}
+
+type toolEvents []toolEvent
+
+func (e toolEvents) Len() int           { return len(e) }
+func (e toolEvents) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e toolEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *toolEvents) Push(x any)        { *e = append(*e, x.(toolEvent)) }
+func (e *toolEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// under is how many requests a replica has that have not ended, at most its places.
+func (f *toolFleet) under(replica int) (count int) {
+	for _, free := range f.free[replica] {
+		if free > f.now {
+			count++
+		}
+	}
+	return count
+}
+
+// emptiest returns the emptiest replica, from a random one on.
+func (f *toolFleet) emptiest() (best int) {
+	start := f.random.IntN(toolReplicas)
+	best = start
+	for step := range toolReplicas {
+		if one := (start + step) % toolReplicas; f.under(one) < f.under(best) {
+			best = one
+		}
+	}
+	return best
+}
+
+// send has a replica run a call, and returns when it ends.
+func (f *toolFleet) send(replica int, work time.Duration) time.Duration {
+	place := 0
+	for other, free := range f.free[replica] {
+		if free < f.free[replica][place] {
+			place = other
+		}
+	}
+	begins := max(f.now, f.free[replica][place])
+	spell := rand.New(rand.NewPCG(uint64(replica), uint64(begins/toolSpell)))
+	if spell.Float64() < 0.15 {
+		work = time.Duration(float64(work) * toolSlow)
+	}
+	f.free[replica][place] = begins + work
+	return begins + work
+}
+
+func (f *toolFleet) call() {
+	came := f.now
+	work := min(time.Duration(16*math.Exp(f.random.NormFloat64())*float64(time.Millisecond)), 107*time.Millisecond)
+	ends := f.send(f.emptiest(), work)
+	if ends-came <= toolLate {
+		f.times = append(f.times, ends-came)
+		f.budget = min(10, f.budget+0.1)
+		return
+	}
+	heap.Push(&f.queue, toolEvent{came + toolLate, func() {
+		other := f.emptiest()
+		late := Late{Full: float64(f.under(other)) / toolPlaces, Left: time.Second}
+		if f.budget >= 1 && (!f.guard || Repeat(&late) == AgainYes) {
+			f.budget--
+			f.repeats++
+			ends = min(ends, f.send(other, work))
+		}
+		f.times = append(f.times, ends-came)
+	}})
+}
+
+// playTools has calls come for 10 s, a burst of them in the middle.
+func playTools(guard bool, usual, burst float64) *toolFleet {
+	fleet := &toolFleet{random: rand.New(rand.NewPCG(11, 3)), guard: guard}
+	var arrive func()
+	arrive = func() {
+		rate := usual
+		if fleet.now > 4*time.Second && fleet.now < 6*time.Second {
+			rate = burst
+		}
+		fleet.call()
+		next := fleet.now + time.Duration(fleet.random.ExpFloat64()/rate*float64(time.Second))
+		if next < 10*time.Second {
+			heap.Push(&fleet.queue, toolEvent{next, arrive})
+		}
+	}
+	heap.Push(&fleet.queue, toolEvent{0, arrive})
+	for len(fleet.queue) > 0 {
+		next := heap.Pop(&fleet.queue).(toolEvent)
+		fleet.now = next.at
+		next.do()
+	}
+	return fleet
+}
+
+func meanTime(times []time.Duration) time.Duration {
+	sum := time.Duration(0)
+	for _, one := range times {
+		sum += one
+	}
+	return sum / time.Duration(len(times))
+}
+
+// TestRepeatsOfAnOverload do not make it longer.
+func TestRepeatsOfAnOverload(t *testing.T) {
+	g := NewWithT(t)
+	before, guarded := playTools(false, 2000, 11000), playTools(true, 2000, 11000)
+	t.Logf("repeats %d and %d of %d calls, mean %v and %v", before.repeats, guarded.repeats, len(before.times), meanTime(before.times), meanTime(guarded.times))
+	g.Expect(guarded.repeats).To(BeNumerically("<", before.repeats/2))
+	g.Expect(meanTime(guarded.times)).To(BeNumerically("<", meanTime(before.times)*95/100))
+	calm, calmGuarded := playTools(false, 2000, 2000), playTools(true, 2000, 2000)
+	g.Expect(calmGuarded.repeats).To(Equal(calm.repeats))
+}
--- a/edge/call.go
+++ b/edge/call.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"birchwood.example/birchwood/dispatch"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/routing"
 	"birchwood.example/birchwood/upstream"
@@ -44,12 +45,8 @@
 	err      error
 }
 
-// maximumRepeats bounds how often one call is sent beside an attempt that is
-// late, and minimumRepeatTime is the least time left that is worth it.
-const (
-	maximumRepeats    = 2
-	minimumRepeatTime = 20 * time.Millisecond
-)
+// maximumRepeats bounds how often one call is sent beside an attempt that is late.
+const maximumRepeats = 2
 
 // serveCall serves a request whose answer is passed on whole.
 func (n *Node) serveCall(r *requestState, table *routing.Table) {
@@ -154,7 +151,9 @@
 func (c *callRun) repeat() {
 	c.repeats++
 	r := c.request
-	if r.left() < minimumRepeatTime || !c.node.calls.mayRepeat() {
+	again := dispatch.Repeat(c.late())
+	c.node.metrics.callLate(again.String())
+	if again != dispatch.AgainYes || !c.node.calls.mayRepeat() {
 		return
 	}
 	newest := c.flying[len(c.flying)-1]
@@ -165,6 +164,16 @@
 	}
 }
 
+// late returns what the decision to send the call again rests on.
+func (c *callRun) late() *dispatch.Late {
+	late := &dispatch.Late{Left: c.request.left()}
+	if c.node.settings.uses(RepeatIntoRoom) {
+		late.Usual = c.node.calls.usual(c.request.route)
+		late.Full = c.node.replicas.pressure(c.node.choiceOf(c.request))
+	}
+	return late
+}
+
 // take takes a result in. It reports whether the request is over.
 func (c *callRun) take(result callResult) (over bool) {
 	n, r := c.node, c.request
--- a/edge/calls.go
+++ b/edge/calls.go
@@ -65,6 +65,13 @@
 	return c.budget.Withdraw()
 }
 
+// usual returns what a call of the route takes as a rule; 0 where that is not known.
+func (c *calls) usual(route *routing.Route) time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.lateness.Usual(route.Name)
+}
+
 // lateAfter returns how long after its start a call of the route is late.
 func (n *Node) lateAfter(route *routing.Route) time.Duration {
 	otherwise := route.Objective
--- a/edge/charge.go
+++ b/edge/charge.go
@@ -59,6 +59,7 @@
 		return false
 	}
 	n.metrics.charged(string(r.charge.outcome.Status))
+	n.shares.heard(r)
 	switch r.charge.outcome.Status {
 	case coordinator.ChargeGranted:
 		return true
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -76,9 +76,14 @@
 	// RememberReplicas has the record of a kept turn name the replica that served
 	// it, so that its line goes on there also at a new owner.
 	RememberReplicas Mechanism = "remember-replicas"
+	// RepeatIntoRoom sends late calls again only where a replica has room and an answer
+	// can come in time.
+	RepeatIntoRoom Mechanism = "repeat-into-room"
 	// RepeatLateCalls sends a call that may run more than once again when its
 	// answer is late.
 	RepeatLateCalls Mechanism = "repeat-late-calls"
+	// ShareByTenant divides the replicas' room among tenants while there is too little.
+	ShareByTenant Mechanism = "share-by-tenant"
 	// SuspectSilent passes over replicas that failed to answer.
 	SuspectSilent Mechanism = "suspect-silent"
 )
@@ -88,7 +93,7 @@
 	return []Mechanism{
 		AssumeShared, BeginAgain, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowPrompts,
 		FollowReaders, GrantTurnAfterLoss, HandOver, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, PreferConnections, PreferRegion, PreferZone, ProvePeers, RankPrograms, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
-		RepeatLateCalls, SuspectSilent,
+		RepeatIntoRoom, RepeatLateCalls, ShareByTenant, SuspectSilent,
 	}
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -61,6 +61,8 @@
 	metricKept       = "birchwood_edge_kept_bytes"
 	metricFull       = "birchwood_edge_store_full_total"
 	metricUnusable   = "birchwood_edge_replica_entries_refused_total"
+	metricShares     = "birchwood_edge_share_refusals_total"
+	metricLate       = "birchwood_edge_calls_late_total"
 	metricTrims      = "birchwood_edge_store_trims_total"
 )
 
@@ -148,6 +150,15 @@
 // entryRefused counts an entry of the list that names no replica to use.
 func (m *Metrics) entryRefused() { m.set.GetOrCreateCounter(metricUnusable).Inc() }
 
+// shareRefused counts a program that did not begin since its tenant has more than its
+// share of full replicas.
+func (m *Metrics) shareRefused() { m.set.GetOrCreateCounter(metricShares).Inc() }
+
+// callLate counts a call whose answer was late, by whether it goes out again.
+func (m *Metrics) callLate(verdict string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{verdict=%q}", metricLate, verdict)).Inc()
+}
+
 // callRepeated counts a call sent again because its answer was late.
 func (m *Metrics) callRepeated() { m.repeats.Inc() }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -42,6 +42,7 @@
 	replicas    *replicas
 	pool        *upstream.Pool
 	calls       *calls
+	shares      *shares
 	chains      *chains
 	// takeovers are those under way here.
 	takeovers *takeovers
@@ -134,9 +135,9 @@
 			Address: settings.Peers, Status: machine.StatusLive, Incarnation: uint64(now.UnixNano()),
 			Weight: settings.Cores * settings.LinkMegabits,
 		},
-		replicas:  newReplicas(&settings),
-		pool:      upstream.NewPool(upstream.DefaultConfig(adapter.Names)),
-		calls:     repeats,
+		replicas: newReplicas(&settings),
+		pool:     upstream.NewPool(upstream.DefaultConfig(adapter.Names)),
+		calls:    repeats, shares: newShares(),
 		chains:    newChains(settings.uses(RecallChains)),
 		takeovers: newTakeovers(),
 		space:     newSpace(),
--- /dev/null
+++ b/edge/share_test.go
@@ -0,0 +1,62 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/dispatch"
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/tenant"
+)
+
+// TestShareByTenant has the programs of the tenant wait that has more than its share of
+// full replicas, and no tenant's while a place is free or where it is switched off.
+func TestShareByTenant(t *testing.T) {
+	g := NewWithT(t)
+	for _, settings := range []Settings{{}, without(ShareByTenant)} {
+		node := &Node{settings: settings, replicas: newReplicas(&settings), shares: newShares(), metrics: newMetrics(func() uint64 { return 0 })}
+		node.replicas.put(replica.Entry{ID: "r", Service: "s", Status: replica.StatusReady, Slots: 1})
+		of := func(name string, programs int) *requestState {
+			request := &requestState{service: "s", route: &routing.Route{}, tenant: &tenant.Tenant{Name: name, Limit: tenant.Limit{Rate: 10}}}
+			request.charge = &charge{outcome: coordinator.Charged{
+				Status: coordinator.ChargeGranted, Decision: tenant.Decision{Granted: true, Programs: programs},
+			}}
+			node.shares.heard(request)
+			return request
+		}
+		hot, usual := of("hot", 100), of("usual", 5)
+		g.Expect(node.overShare(hot)).To(BeFalse())
+		_, err := node.replicas.choose(&replica.Request{Service: "s"})
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = node.replicas.choose(&replica.Request{Service: "s"})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(node.overShare(hot)).To(Equal(settings.uses(ShareByTenant)))
+		g.Expect(node.overShare(usual)).To(BeFalse())
+		g.Expect(node.overShare(&requestState{service: "s", route: &routing.Route{}})).To(BeFalse())
+	}
+}
+
+// TestRepeatIntoRoom sends a late call again where a replica has room, or wherever it is
+// switched off.
+func TestRepeatIntoRoom(t *testing.T) {
+	g := NewWithT(t)
+	for _, settings := range []Settings{{}, without(RepeatIntoRoom)} {
+		repeats, err := newCalls()
+		g.Expect(err).NotTo(HaveOccurred())
+		node := &Node{settings: settings, replicas: newReplicas(&settings), calls: repeats}
+		node.replicas.put(replica.Entry{ID: "r", Service: "s", Status: replica.StatusReady, Slots: 1})
+		run := &callRun{node: node, request: &requestState{service: "s", route: &routing.Route{}, deadline: time.Now().Add(time.Hour)}}
+		g.Expect(dispatch.Repeat(run.late())).To(Equal(dispatch.AgainYes))
+		_, err = node.replicas.choose(&replica.Request{Service: "s"})
+		g.Expect(err).NotTo(HaveOccurred())
+		want := dispatch.AgainYes
+		if settings.uses(RepeatIntoRoom) {
+			want = dispatch.AgainFull
+		}
+		g.Expect(dispatch.Repeat(run.late())).To(Equal(want))
+	}
+}
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -59,6 +59,11 @@
 		}
 		return
 	}
+	if r.admission.Fresh && n.overShare(r) {
+		n.settle(r)
+		r.fail(fasthttp.StatusServiceUnavailable, "the replicas are full, and the tenant has more than its share of them", comeBackWhenFull)
+		return
+	}
 	if r.admission.Fresh && n.overloaded(r) {
 		n.settle(r)
 		r.fail(fasthttp.StatusServiceUnavailable, "the replicas are full, and programs under way go first", comeBackWhenFull)
--- a/replica/lateness.go
+++ b/replica/lateness.go
@@ -17,7 +17,9 @@
 type callTimes struct {
 	window *hdrhistogram.WindowedHistogram
 	// late is the bound as of the last rotation, or 0 while too few are known.
-	late      time.Duration
+	late time.Duration
+	// usual is what half of the calls took less than, as of then.
+	usual     time.Duration
 	rotatedAt time.Time
 	// fresh counts the calls since the last rotation.
 	fresh int
@@ -40,6 +42,8 @@
 	lateQuantile = 99
 	lateFactor   = 1.25
 	lateSamples  = 30
+	// usualQuantile is the part of a route's calls that take less than its usual time.
+	usualQuantile = 50
 	// lateMinimum leaves room for pauses of this process.
 	lateMinimum = 20 * time.Millisecond
 )
@@ -75,6 +79,14 @@
 	return known.late
 }
 
+// Usual returns what a call of the route takes as a rule, or 0 while too little is known.
+func (l *Lateness) Usual(route string) time.Duration {
+	if known := l.routes[route]; known != nil {
+		return known.usual
+	}
+	return 0
+}
+
 // refresh computes the bound anew at the end of each slice, and sooner while
 // there is none.
 func (t *callTimes) refresh(now time.Time) {
@@ -85,8 +97,9 @@
 	}
 	times := t.window.Merge()
 	if times.TotalCount() >= lateSamples {
-		usual := time.Duration(times.ValueAtQuantile(lateQuantile)) * timesUnit
-		t.late = max(lateMinimum, time.Duration(lateFactor*float64(usual)))
+		tail := time.Duration(times.ValueAtQuantile(lateQuantile)) * timesUnit
+		t.late = max(lateMinimum, time.Duration(lateFactor*float64(tail)))
+		t.usual = time.Duration(times.ValueAtQuantile(usualQuantile)) * timesUnit
 	}
 	if age >= timesSlice {
 		t.window.Rotate()
--- a/replica/lateness_test.go
+++ b/replica/lateness_test.go
@@ -28,6 +28,13 @@
 		Expect(lateness.After("a", otherwise)).To(Equal(otherwise))
 	})
 
+	It("learns what calls of each route take as a rule", func() {
+		lateness := replica.NewLateness()
+		Expect(lateness.Usual("a")).To(BeZero())
+		observe(lateness, start, "a", 1000, 1)
+		Expect(lateness.Usual("a")).To(BeNumerically("~", 50*time.Millisecond, 6*time.Millisecond))
+	})
+
 	It("learns the tail of each route", func() {
 		lateness := replica.NewLateness()
 		observe(lateness, start, "a", 1000, 1)
--- a/tenant/account.go
+++ b/tenant/account.go
@@ -100,6 +100,9 @@
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
 	// Balance is what the account held after the decision.
 	Balance float64 `json:"balance"`
+	// Programs is how many programs of the tenant are under way, or were lately, over all
+	// nodes; 0 for requests without a program.
+	Programs int `json:"programs,omitempty"`
 }
 
 // account counts one tenant's requests against its limit.
--- a/tenant/book.go
+++ b/tenant/book.go
@@ -52,15 +52,25 @@
 	}
 	held.follow(&asked)
 	held.fill(now, &b.config, b.share)
+	decision := b.decide(now, held, &asked)
+	decision.Balance = b.holds(held)
+	if asked.Program != "" {
+		decision.Programs = len(held.programs)
+	}
+	return decision
+}
+
+// decide grants a request, or tells when it may come back.
+func (b *Book) decide(now time.Time, held *account, asked *Request) Decision {
 	if _, again := held.granted[asked.ID]; again {
-		return Decision{Granted: true, Balance: b.holds(held)}
+		return Decision{Granted: true}
 	}
-	if wait := b.refuse(now, held, &asked); wait > 0 {
-		return Decision{RetryAfter: wait, Balance: b.holds(held)}
+	if wait := b.refuse(now, held, asked); wait > 0 {
+		return Decision{RetryAfter: wait}
 	}
-	held.grant(now, &asked)
-	b.use(held, &asked)
-	return Decision{Granted: true, Balance: b.holds(held)}
+	held.grant(now, asked)
+	b.use(held, asked)
+	return Decision{Granted: true}
 }
 
 // use has what programs need follow from a request that was granted.
--- a/tenant/programs_test.go
+++ b/tenant/programs_test.go
@@ -29,11 +29,11 @@
 
 // agent is one program of agents.
 type agent struct {
-	name, route   string
-	turns         int
-	calls, failed int
-	used          int
-	over          bool
+	name, route string
+	turns       int
+	calls       int
+	used        int
+	over        bool
 }
 
 type event struct {
