--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -99,12 +99,17 @@
 	// RememberReplicas has the record of a kept turn name the replica that served
 	// it, so that its line goes on there also at a new owner.
 	RememberReplicas Mechanism = "remember-replicas"
+	// RepeatIntoRoom sends late calls again only where a replica has room and an answer
+	// can come in time.
+	RepeatIntoRoom Mechanism = "repeat-into-room"
 	// RepeatLateCalls sends a call that may run more than once again when its
 	// answer is late.
 	RepeatLateCalls Mechanism = "repeat-late-calls"
 	// SpreadReturns has those who are refused together come back one after the other, in
 	// the order in which they are to be served.
 	SpreadReturns Mechanism = "spread-returns"
+	// ShareByTenant divides the replicas' room among tenants while there is too little.
+	ShareByTenant Mechanism = "share-by-tenant"
 	// SuspectSilent passes over replicas that failed to answer.
 	SuspectSilent Mechanism = "suspect-silent"
 	// WaitForRoom has new programs wait at their node, in order, while the replicas are
@@ -154,7 +159,9 @@
 		RefuseWhenFull,
 		RememberFaults,
 		RememberReplicas,
+		RepeatIntoRoom,
 		RepeatLateCalls,
+		ShareByTenant,
 		SpreadReturns,
 		SuspectSilent,
 		WaitForRoom,
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -66,6 +66,8 @@
 	metricUnusable   = "birchwood_edge_replica_entries_refused_total"
 	metricPredicted  = "birchwood_edge_turn_prediction_ratio"
 	metricPace       = "birchwood_edge_token_seconds"
+	metricShares     = "birchwood_edge_share_refusals_total"
+	metricLate       = "birchwood_edge_calls_late_total"
 	metricTrims      = "birchwood_edge_store_trims_total"
 	metricTurnedAway = "birchwood_edge_turned_away_total"
 	metricComeBack   = "birchwood_edge_come_back_seconds"
@@ -191,6 +193,15 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("%s{kind=%q}", metricGatherSize, kind)).Add(bytes)
 }
 
+// shareRefused counts a program that did not begin since its tenant has more than its
+// share of full replicas.
+func (m *Metrics) shareRefused() { m.set.GetOrCreateCounter(metricShares).Inc() }
+
+// callLate counts a call whose answer was late, by whether it goes out again.
+func (m *Metrics) callLate(verdict string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{verdict=%q}", metricLate, verdict)).Inc()
+}
+
 // callRepeated counts a call sent again because its answer was late.
 func (m *Metrics) callRepeated() { m.repeats.Inc() }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -43,6 +43,7 @@
 	pool        *upstream.Pool
 	calls       *calls
 	placing     *placing
+	shares      *shares
 	chains      *chains
 	// takeovers are those under way here.
 	takeovers *takeovers
@@ -145,6 +146,7 @@
 		pool:      upstream.NewPool(upstream.DefaultConfig(adapter.Names)),
 		calls:     repeats,
 		placing:   newPlacing(),
+		shares:    newShares(),
 		chains:    newChains(settings.uses(RecallChains)),
 		takeovers: newTakeovers(),
 		space:     newSpace(),
