--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -54,8 +54,8 @@
 	LimitCold Mechanism = "limit-cold"
 	// MarkAhead raises marks beyond what a program needs at once.
 	MarkAhead Mechanism = "mark-ahead"
-	// OrderBySlack has engines serve the programs first that have the least time to
-	// spare, within their priority.
+	// OrderBySlack has engines that are full serve the programs first that have the least
+	// time to spare, within their priority.
 	OrderBySlack Mechanism = "order-by-slack"
 	// PreferConnections prefers replicas to which a connection is free.
 	PreferConnections Mechanism = "prefer-connections"
--- a/edge/standing.go
+++ b/edge/standing.go
@@ -78,9 +78,11 @@
 	return known.services[service]
 }
 
-// urgency returns the rank that an engine gets with the turn.
+// urgency returns the rank that an engine gets with the turn: its priority, unless the
+// engine that was chosen has no place free, so that turns compete there.
 func (n *Node) urgency(r *requestState, table *routing.Table) int {
-	if table == nil || !n.settings.uses(OrderBySlack) {
+	competes := r.choice.Entry.Slots > 0 && r.choice.Load >= r.choice.Entry.Slots
+	if !competes || !n.settings.uses(OrderBySlack) {
 		return min(max(0, r.priority()), maximumUrgency)
 	}
 	return n.standings.bandsFor(table, r.service).Urgency(r.priority(), r.standing(time.Now()))
--- a/edge/standing_test.go
+++ b/edge/standing_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/routing"
 	"birchwood.example/birchwood/tenant"
 )
@@ -14,14 +15,20 @@
 // and by the priority alone where it is switched off.
 func TestOrderBySlack(t *testing.T) {
 	g := NewWithT(t)
+	full := replica.Choice{Entry: replica.Entry{Slots: 4}, Load: 4}
 	shares := []routing.Share{{Service: "engine", Weight: 1}}
 	table := routing.NewTable(1, []routing.Route{
 		{Name: "first", Host: "a", PathPrefix: "/", Shares: shares}, {Name: "second", Host: "b", PathPrefix: "/", Shares: shares, Priority: 1},
 	}, []routing.Service{{Name: "engine"}}, routing.Limits{})
 	begun := func(left time.Duration) *requestState {
-		return &requestState{route: table.Match("b", "/"), service: "engine", previous: "t", finish: time.Now().Add(left), need: time.Second}
+		return &requestState{
+			route: table.Match("b", "/"), service: "engine", previous: "t", finish: time.Now().Add(left), need: time.Second, choice: full,
+		}
 	}
 	node := &Node{standings: newStandings()}
+	idle := begun(0)
+	idle.choice.Load = 3
+	g.Expect(node.urgency(idle, table)).To(Equal(1), "a place is free")
 	g.Expect(node.urgency(begun(time.Second+50*time.Millisecond), table)).To(Equal(1))
 	g.Expect(node.urgency(begun(0), table)).To(BeNumerically(">", 1))
 	g.Expect(node.urgency(&requestState{route: table.Match("a", "/"), service: "engine"}, table)).To(BeZero())
@@ -38,8 +45,9 @@
 	table.Tenants = directory
 	node := &Node{standings: newStandings()}
 	late := time.Now().Add(-time.Second)
-	urgent := &requestState{route: &routing.Route{Priority: 9}, tenant: &tenant.Tenant{Priority: 3}, service: "engine", finish: late}
-	other := &requestState{route: &routing.Route{}, tenant: &tenant.Tenant{Priority: 7}, service: "engine", finish: late}
+	full := replica.Choice{Entry: replica.Entry{Slots: 4}, Load: 4}
+	urgent := &requestState{route: &routing.Route{Priority: 9}, tenant: &tenant.Tenant{Priority: 3}, service: "engine", finish: late, choice: full}
+	other := &requestState{route: &routing.Route{}, tenant: &tenant.Tenant{Priority: 7}, service: "engine", finish: late, choice: full}
 	g.Expect(node.urgency(urgent, table)).To(Equal(6))
 	g.Expect(node.urgency(other, table)).To(Equal(9))
 }
