--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -68,8 +68,8 @@
 	LimitCold Mechanism = "limit-cold"
 	// MarkAhead raises marks beyond what a program needs at once.
 	MarkAhead Mechanism = "mark-ahead"
-	// OrderBySlack has engines serve the programs first that have the least time to
-	// spare, within their priority.
+	// OrderBySlack has engines that are full serve the programs first that have the least
+	// time to spare, within their priority.
 	OrderBySlack Mechanism = "order-by-slack"
 	// NoticeCuts has a node that hears no other zone count as cut off as soon as its calls
 	// to the store have failed for some time, before it counts as not reaching the store.
