gather, replica: a collector that never answers is tried ever less often; a word of half counts

An older node as a collector was tried each 2 s, and what its nodes have was missing from the sums for 0.3 s each time. A word of half of the nodes goes before reports of more that are up to 2 s old, as behind a cut.

--- a/coordinator/gathering_test.go
+++ b/coordinator/gathering_test.go
@@ -78,6 +78,19 @@
 		}
 	})
 
+	It("goes on where the first collector is a node that knows of no such messages", func() {
+		collector := gatherFleet(gatherNodes, nil).nodes["node-00"].core.Roles().Collectors[0].ID
+		world := gatherFleet(gatherNodes, func(config *coordinator.Config) {
+			config.GatherNothing = config.Membership.Self.ID == collector
+		})
+		runLoads(world, 3*time.Second)
+		Expect(world.nodes[collector].gathered).To(BeZero())
+		// Nodes that try the silent collector again hear nothing for a few reports.
+		heard := heardOf(world)
+		Expect(heard[len(heard)-1]).To(Equal(gatherNodes - 2))
+		Expect(world.nodes["node-01"].totals.Nodes).To(BeNumerically("<", gatherNodes-1))
+	})
+
 	It("goes on where a collector dies, or freezes", func() {
 		world := gatherFleet(gatherNodes, nil)
 		runLoads(world, 2*time.Second)
--- a/gather/core.go
+++ b/gather/core.go
@@ -1,6 +1,8 @@
 package gather
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"birchwood.example/birchwood/machine"
@@ -17,9 +19,11 @@
 	// periodPerZone times the zones is the least time between two sums of a collector.
 	periodPerZone = 20 * time.Millisecond
 	// silentReports is how many reports in a row go unanswered before a node takes the
-	// next collector, and shunFor how long it leaves the silent one alone.
-	silentReports = 3
-	shunFor       = 2 * time.Second
+	// next collector, and shunFor how long it leaves the silent one alone. That doubles
+	// with each time in a row, maximumDoublings times.
+	silentReports    = 3
+	shunFor          = 2 * time.Second
+	maximumDoublings = 4
 	// lapsePeriods is how many periods a word counts: as long as its node waits for a
 	// silent collector, so that no word counts at two for longer than one period.
 	lapsePeriods = silentReports + 1
@@ -111,12 +115,14 @@
 	idle bool
 	// shunned are collectors that did not answer, until when.
 	shunned map[machine.ID]time.Time
+	// failed counts how often in a row one did not answer.
+	failed map[machine.ID]int
 }
 
 // New returns a core. First is the number of the first report, which must not repeat
 // those of a former process.
 func New(first uint64) *Core {
-	return &Core{asking: asking{number: first, answered: true, shunned: make(map[machine.ID]time.Time)}, collects: newCollecting(first)}
+	return &Core{asking: asking{number: first, answered: true, shunned: make(map[machine.ID]time.Time), failed: make(map[machine.ID]int)}, collects: newCollecting(first)}
 }
 
 // Ready returns what has accumulated since the last call.
@@ -152,6 +158,9 @@
 			delete(c.asking.shunned, id)
 		}
 	}
+	maps.DeleteFunc(c.asking.failed, func(id machine.ID, _ int) bool {
+		return !slices.ContainsFunc(c.fleet.Collectors, func(node machine.Machine) bool { return node.ID == id })
+	})
 	chosen := c.fleet.Collectors[0]
 	for _, candidate := range c.fleet.Collectors {
 		if _, shunned := c.asking.shunned[candidate.ID]; !shunned {
@@ -207,7 +216,8 @@
 // shun leaves the silent collector for the next one.
 func (c *Core) shun(now time.Time) {
 	silent := c.asking.collector.ID
-	c.asking.shunned[silent] = now.Add(shunFor)
+	c.asking.shunned[silent] = now.Add(shunFor << min(c.asking.failed[silent], maximumDoublings))
+	c.asking.failed[silent]++
 	c.ready.Changes = append(c.ready.Changes, Change{Silent: silent})
 	c.asking.silent = 0
 	c.choose(now)
@@ -245,6 +255,7 @@
 		return err
 	}
 	asked.answered, asked.silent = true, 0
+	delete(asked.failed, from)
 	if !held {
 		return nil
 	}
--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -117,6 +117,20 @@
 	g.Expect(over).To(BeNumerically("<", heard/100))
 }
 
+// TestCollectorSilent has nodes try one that never answers less and less often.
+func TestCollectorSilent(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(20, 2)
+	w.nodes[0].frozen = true
+	for index := range w.nodes {
+		w.give(index, "r", 2)
+	}
+	w.run(30 * time.Second)
+	// After 2, 4, 8 and 16 s, with what the tries take.
+	g.Expect(len(w.nodes[4].lost)).To(And(BeNumerically(">=", 3), BeNumerically("<=", 5)))
+	g.Expect(w.hears(5, "r")).To(Equal(2 * 18))
+}
+
 // TestNodeLost has the requests of a node that died lapse.
 func TestNodeLost(t *testing.T) {
 	g := NewWithT(t)
--- a/replica/word.go
+++ b/replica/word.go
@@ -66,10 +66,13 @@
 	return 0, !w.partial
 }
 
-// worded reports whether a word counts that tells of more nodes than the reports of
-// peers do.
+// worded reports whether a recent word counts: one of half of the other nodes at least, or
+// of more than the reports of peers, which are older.
 func (s *Set) worded(now time.Time) bool {
-	return !s.word.taken.IsZero() && now.Sub(s.word.taken) <= wordLifetime && s.word.nodes > len(s.peers)
+	if s.word.taken.IsZero() || now.Sub(s.word.taken) > wordLifetime {
+		return false
+	}
+	return 2*s.word.nodes >= s.nodes-1 || s.word.nodes > len(s.peers)
 }
 
 // viewOfWord sums up a word for the replicas of a service that are weighed. Of the
--- a/replica/word_test.go
+++ b/replica/word_test.go
@@ -77,6 +77,20 @@
 	g.Expect(knownLoad(set, wordStart, "r0")).To(BeNumerically("~", 8, 1))
 }
 
+// TestWordOfHalf goes before older reports of more nodes: those of a zone that was cut off
+// just now are among them.
+func TestWordOfHalf(t *testing.T) {
+	g := NewWithT(t)
+	set := wordSet(1, 11)
+	for peer := range 7 {
+		set.SetPeer(wordStart, fmt.Sprint("peer-", peer), map[ID]int{"r0": 5})
+	}
+	set.TakeWord(wordStart, Word{Nodes: 5, At: wordStart, Totals: map[ID]Total{"r0": {Requests: 5}}})
+	g.Expect(knownLoad(set, wordStart, "r0")).To(BeNumerically("~", 10, 1))
+	set.SetNodes(21)
+	g.Expect(knownLoad(set, wordStart, "r0")).To(BeNumerically(">", 35))
+}
+
 // TestPartialWord has a replica that it does not name taken for one like the others.
 func TestPartialWord(t *testing.T) {
 	g := NewWithT(t)
