--- a/replica/peerloads.go
+++ b/replica/peerloads.go
@@ -62,6 +62,8 @@
 	// requests it told of that have not ended since.
 	word  *heardWord
 	still float64
+	// level is the load up to which emptier replicas have been filled since the word.
+	level float64
 }
 
 // loadShape is the shape of the gamma distribution that the loads of a service's
@@ -100,8 +102,7 @@
 // the service's mean and what was seen here.
 func (v peerView) load(one *member) float64 {
 	if v.word != nil {
-		mean, _ := v.wordLoad(one)
-		return float64(one.own) + mean
+		return float64(one.own) + max(v.kept(one), v.level)
 	}
 	known := float64(one.own + one.peers)
 	if v.heard >= 1 || v.mean == 0 {
--- a/replica/word.go
+++ b/replica/word.go
@@ -29,6 +29,9 @@
 	durationAssumed = 200 * time.Millisecond
 	durationWeight  = 0.3
 	durationPeriod  = time.Second
+	// levelSteps bounds the steps in which the level of the emptier replicas is found;
+	// each leaves out those that are fuller.
+	levelSteps = 8
 )
 
 // TakeWord takes in what all other nodes have. A replica that a whole word does not name
@@ -96,50 +99,44 @@
 		}
 	}
 	view.mean = seen / view.heard / float64(max(1, named))
+	view.level = view.levelOf(weighed)
 	return view
 }
 
-// wordLoad estimates the requests of others at a replica: those named that are still
-// there, and as many new ones as the replica and its service let expect.
-func (v peerView) wordLoad(one *member) (mean, variance float64) {
+// kept returns the requests of others at a replica that a word told of and that have not
+// ended since. One that the word says nothing of is taken for one like the others.
+func (v *peerView) kept(one *member) float64 {
 	others, said := v.word.othersAt(one)
 	if !said {
-		return v.mean, v.mean
+		others = v.mean * v.heard
 	}
-	kept := others * v.still
-	if v.mean == 0 {
-		return kept, 0
-	}
-	rate := (loadShape + others) / (loadShape/v.mean + v.heard)
-	fresh := (1 - v.heard*v.still) * rate
-	return kept + fresh, kept*(1-v.still) + fresh
-}
-
-// drawn returns a load that a replica may have by what is known. Nodes that heard the
-// same word draw differently, so that not all of them choose the one replica that was
-// the emptiest.
-func (v peerView) drawn(one *member, draw float64) float64 {
-	if v.word == nil {
-		return v.load(one)
-	}
-	mean, variance := v.wordLoad(one)
-	return float64(one.own) + max(0, mean+math.Sqrt(variance)*deviation(draw, one.rank))
+	return others * v.still
 }
 
-// deviation returns a number of mean 0 and variance 1 that belongs to a draw and a
-// replica.
-func deviation(draw float64, rank uint64) float64 {
-	const (
-		golden   = 0x9e3779b97f4a7c15
-		scramble = 0xbf58476d1ce4e5b9
-		shift    = 31
-		bits     = 53
-	)
-	mixed := (math.Float64bits(draw) ^ rank) * golden
-	mixed = (mixed ^ mixed>>shift) * scramble
-	mixed ^= mixed >> shift
-	uniform := float64(mixed>>(64-bits)) / (1 << bits)
-	return (2*uniform - 1) * math.Sqrt(3)
+// levelOf returns the load up to which the emptier replicas have been filled since the
+// word: as many requests are new as ended or were not told of, and the nodes, which all
+// heard the same, send them to the replicas that were the emptiest. If each node took the
+// word for what is so now, all would send to one replica until the next.
+func (v *peerView) levelOf(weighed []*member) float64 {
+	fresh := v.mean * float64(len(weighed))
+	for _, one := range weighed {
+		fresh -= v.kept(one)
+	}
+	level := v.mean
+	for range levelSteps {
+		below, sum := 0, fresh
+		for _, one := range weighed {
+			if kept := v.kept(one); kept <= level {
+				below++
+				sum += kept
+			}
+		}
+		if below == 0 || sum/float64(below) >= level {
+			break
+		}
+		level = sum / float64(below)
+	}
+	return level
 }
 
 // flow is how this node's requests of a service come and go, from which follows how long
