dispatch, replica: how long turns wait for their first event is learned by what is missing

A turn whose draw lacks most of its prompt draws again; the replay does not tell it apart from before (its few shared parts are everywhere soon).

--- a/edge/placing.go
+++ b/edge/placing.go
@@ -97,7 +97,8 @@
 	if token <= 0 || t.runs > 1 {
 		return
 	}
-	if paces, known := n.replicas.observe(entry, replica.Sample{Load: r.choice.Load, Token: token}); known {
+	sample := replica.Sample{Load: r.choice.Load, Token: token, Missing: r.choice.Missing, First: t.times.first.Sub(r.sentAt)}
+	if paces, known := n.replicas.observe(entry, sample); known {
 		n.metrics.paced(entry.Service, paces)
 	}
 	if r.choice.Predicted > 0 {
--- a/replica/pace_replay_test.go
+++ b/replica/pace_replay_test.go
@@ -31,7 +31,7 @@
 	line, node, number   int
 	missing, tokens      float64
 	arrived, sent, first time.Time
-	load                 int
+	load, expected       int
 }
 
 // replayEngine is one engine: whose prompts it keeps, and what it has to do.
@@ -117,7 +117,7 @@
 	set.Began(now, choice.Entry.ID, request)
 	r.last[turn.line] = choice.Entry.ID
 	engine := r.engine(choice.Entry.ID)
-	turn.sent, turn.load, turn.tokens = now, choice.Load, replayTokens
+	turn.sent, turn.load, turn.expected, turn.tokens = now, choice.Load, choice.Missing, replayTokens
 	for _, part := range parts {
 		turn.missing += float64(max(0, part.Tokens-engine.kept[part.ID]))
 		engine.kept[part.ID] = part.Tokens
@@ -195,7 +195,9 @@
 func (r *replay) end(now time.Time, engine *replayEngine, turn *replayTurn) {
 	set := r.sets[turn.node]
 	set.Ended(now, engine.id, replica.ResultAnswered)
-	set.Observe(now, engine.id, replica.Sample{Load: turn.load, Token: now.Sub(turn.first) / replayTokens})
+	set.Observe(now, engine.id, replica.Sample{
+		Load: turn.load, Token: now.Sub(turn.first) / replayTokens, Missing: turn.expected, First: turn.first.Sub(turn.sent),
+	})
 	r.took = append(r.took, now.Sub(turn.arrived))
 }
 
--- a/replica/paces.go
+++ b/replica/paces.go
@@ -27,9 +27,14 @@
 	// paceStayBehind is that for a program that is behind its time: it moves where the
 	// whole is clearly sooner.
 	paceStayBehind = 0.6
+	// paceIdle is the share of the slots up to which a replica's load tells how long a
+	// prompt takes to be read: beyond it turns wait for those of others.
+	paceIdle = 0.5
 	// paceDraws is how many replicas are drawn for a turn: the better of two levels the
 	// loads as far as they are known, and more than that would send all nodes to the same.
-	paceDraws = 2
+	// Those that lack most of the prompt do not count, up to paceDrawsMost draws.
+	paceDraws     = 2
+	paceDrawsMost = 6
 	// paceHome is the weight of a replica of the node's own zone in a draw.
 	paceHome = 2
 	// paceCold is that of one that is cold: it bears few requests, and is slow.
@@ -47,6 +52,10 @@
 	Load int
 	// Token is the time of a token, from the first event to the last.
 	Token time.Duration
+	// Missing is how many tokens of the prompt were missing there, as was expected, and
+	// First how long after it was sent the first event came; 0 where that is not known.
+	Missing int
+	First   time.Duration
 }
 
 // paces is how fast the replicas of one service are.
@@ -58,6 +67,10 @@
 	uneven                   bool
 	// load is the requests under way of late, all together.
 	load float64
+	// reading learns how long turns wait for their first event; base and share are what
+	// it said at the last look.
+	reading     dispatch.Reading
+	base, share float64
 }
 
 // Observe takes in what a turn of this node measured.
@@ -69,6 +82,11 @@
 	alone := float64(sample.Token) / (1 + dispatch.BesideShare*float64(max(0, sample.Load)))
 	known.pace.Observe(now, time.Duration(alone))
 	s.paced[id] = known
+	found := s.servicePaces[known.entry.Service]
+	if found == nil || sample.First <= 0 || float64(sample.Load) > paceIdle*float64(known.entry.Slots) {
+		return
+	}
+	found.reading.Observe(now, sample.Missing, sample.First, known.pace.Token(now, time.Duration(found.middle)))
 }
 
 // reportPaces adds what this node measured lately.
@@ -131,6 +149,7 @@
 // look estimates the paces anew.
 func (p *paces) look(now time.Time, members []*member, view peerView) {
 	p.at = now
+	p.base, p.share = p.reading.Fit()
 	tokens := make([]float64, 0, len(members))
 	for _, one := range members {
 		one.token = 0
@@ -164,15 +183,14 @@
 	token := w.paces.tokenAt(one)
 	return dispatch.Room{
 		Load: w.view.load(one), Slots: float64(max(1, one.entry.Slots)),
-		Token: token, Read: token * dispatch.ReadShare, Missing: float64(w.missing(one)),
-		Way: float64(w.aside(one)) * w.paces.middle * dispatch.ReadShare,
+		Token: token, Read: token * w.paces.share, Missing: float64(w.missing(one)),
+		Way: w.paces.base*token + float64(w.aside(one))*w.paces.middle*dispatch.ReadShare,
 	}
 }
 
 // pacedCost is the cost of a replica in nanoseconds.
-func (w *weighing) pacedCost(one *member) float64 {
-	room := w.roomAt(one)
-	cost := w.job.Cost(&room)
+func (w *weighing) pacedCost(one *member, room *dispatch.Room) float64 {
+	cost := w.job.Cost(room)
 	switch {
 	case one.entry.ID != w.request.Preferred:
 		return cost
@@ -200,9 +218,11 @@
 	}
 	cost := math.Inf(1)
 	if best != nil {
-		cost = w.pacedCost(best)
+		room := w.roomAt(best)
+		cost = w.pacedCost(best, &room)
 	}
-	for draw := range paceDraws {
+	prompt := float64(Tokens(w.request.Prompt))
+	for draw, counted := 0, 0; draw < paceDrawsMost && counted < paceDraws; draw++ {
 		left := total * scatter(w.request.Draw, draw)
 		candidate := feasible[len(feasible)-1]
 		for place, one := range feasible {
@@ -211,9 +231,13 @@
 				break
 			}
 		}
-		if one := w.pacedCost(candidate); best == nil || one < cost {
+		room := w.roomAt(candidate)
+		if one := w.pacedCost(candidate, &room); best == nil || one < cost {
 			best, cost = candidate, one
 		}
+		if room.Missing <= prompt/2 {
+			counted++
+		}
 	}
 	return best
 }
