--- a/replica/paces.go
+++ b/replica/paces.go
@@ -15,9 +15,10 @@
 	// pacePeriod is the least time between two looks at the paces of a service.
 	pacePeriod = 100 * time.Millisecond
 	// paceUneven is the factor between the paces of the tenth and the ninth tenth of the
-	// replicas from which on they differ materially: less is within what single turns
-	// vary by.
-	paceUneven = 1.35
+	// replicas from which on they differ materially, and paceEven the one from which on
+	// they do not any more: less is within what single turns vary by.
+	paceUneven = 1.5
+	paceEven   = 1.25
 	// paceKnown is the share of a service's replicas whose pace has to be known.
 	paceKnown = 0.5
 	// paceStay is what the cost at the replica that served the line before counts as: a
@@ -167,7 +168,11 @@
 	p.fastest, p.slowest = tokens[len(tokens)/10], tokens[len(tokens)-1-len(tokens)/10]
 	enough := float64(len(tokens)) >= paceKnown*float64(len(members))
 	defer p.deal(members, view)
-	p.uneven = enough && p.slowest >= paceUneven*p.fastest
+	factor := paceUneven
+	if p.uneven {
+		factor = paceEven
+	}
+	p.uneven = enough && p.slowest >= factor*p.fastest
 }
 
 // tokenAt is the time of a token at a replica, the middle where none is known.
