--- a/replica/paces.go
+++ b/replica/paces.go
@@ -194,7 +194,7 @@
 }
 
 // pacedCost is the cost of a replica in nanoseconds.
-func (w *weighing) pacedCost(one *member, room *dispatch.Room) float64 {
+func (w *weighing) pacedCost(one *member, room *dispatch.Place) float64 {
 	cost := w.job.Cost(room)
 	switch {
 	case one.entry.ID != w.request.Preferred:
