dispatch, edge: new programs wait only for room that is expected in time

It counts turns now, and who would wait for longer than it can bear runs at a free place at once, or is refused where there is none.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -65,8 +65,8 @@
 
 // Admit decides on a turn with a time left until its deadline. Programs under way go to a
 // replica at once and wait there, in the order that replicas keep. New ones wait here if
-// the replicas are full and room is expected within what they can bear, and are refused on
-// arrival if not; never while a place is free.
+// the replicas are full and room is expected within what they can bear. If not, they run
+// where a place is free, and are refused on arrival where none is.
 func Admit(room *Room, standing *Standing, left time.Duration) Admission {
 	if standing.Begun || room.Free() && room.Ahead == 0 {
 		return Admission{Verdict: VerdictRun}
@@ -79,10 +79,14 @@
 	if slack := standing.Slack(); slack > 0 {
 		bound = min(bound, time.Duration(float64(slack)*waitSlack))
 	}
-	if expected > bound && room.Least >= 1 {
+	switch {
+	case expected <= bound:
+		return Admission{Verdict: VerdictWait, Expected: expected, Bound: bound}
+	case room.Least < 1:
+		return Admission{Verdict: VerdictRun, Expected: expected}
+	default:
 		return Admission{Verdict: VerdictRefuse, Expected: expected, Bound: bound}
 	}
-	return Admission{Verdict: VerdictWait, Expected: expected, Bound: bound}
 }
 
 // AfterWait decides on a turn whose wait is over: it runs if a place is free by now.
--- a/dispatch/comeback.go
+++ b/dispatch/comeback.go
@@ -188,10 +188,10 @@
 	refusal.Pace = r.served.steady(now)
 }
 
-// Served notes that a request was served, from which the node's pace is known.
+// Served notes that a turn was served, from which the node's pace is known.
 func (r *Returns) Served(now time.Time) { r.served.add(now) }
 
-// Pace returns how many requests were served in the last second or two.
+// Pace returns how many turns were served in the last second or two.
 func (r *Returns) Pace(now time.Time) float64 { return r.served.rate(now) }
 
 // meterSpan is the time over which a meter counts, and meterMemory the number of spans
--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -4,7 +4,10 @@
 	"strconv"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/routing"
 )
 
 // logChange writes a partition won or lost.
@@ -18,7 +21,7 @@
 // logOutcome writes how a request ended: what decided it, and how fresh that was.
 func (n *Node) logOutcome(r *requestState) {
 	took := time.Since(r.exchange.Arrived)
-	if r.status < failedStatus && r.status != 0 {
+	if r.status == fasthttp.StatusOK && r.kind() == routing.KindStream {
 		n.returns.served(time.Now())
 		n.standings.end(time.Now(), r)
 	}
--- a/edge/returns.go
+++ b/edge/returns.go
@@ -24,14 +24,14 @@
 	return refusal.ComeBack()
 }
 
-// served notes that a request was served.
+// served notes that a turn was served.
 func (s *returns) served(now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.state.Served(now)
 }
 
-// pace returns how many requests were served here in the last second.
+// pace returns how many turns were served here in the last second.
 func (s *returns) pace(now time.Time) float64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
