edge: an answer to an append counts also after the append was sent again

A try now goes on beside the next one, and the first answer counts, with no more calls than before. Test: a store that answers the first try once there is a second; it failed before.

--- /dev/null
+++ b/edge/appending.go
@@ -0,0 +1,87 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/ownership"
+	"birchwood.example/birchwood/recordstore"
+)
+
+// errNoAnswerYet says that a try of an append has not been answered in its time.
+var errNoAnswerYet = errors.New("the store has not answered the append yet")
+
+// appending is an append that is repeated until the store answers. Tries that were not
+// answered in their time go on beside the next one, and the first answer counts: the store
+// takes a repeated append once and gives it the answer of the first, so that one which is
+// slow need not be asked for anew.
+type appending struct {
+	node      *Node
+	partition int
+	writer    recordstore.Writer
+	records   []recordstore.Record
+	answers   chan error
+}
+
+// newAppending returns an append of records under an epoch. A batch without records renews
+// the record of the owner, so that the store checks the epoch.
+func (n *Node) newAppending(partition int, epoch ownership.Epoch, sequence uint64, batch []ledger.Record) *appending {
+	records := make([]recordstore.Record, 0, len(batch)+1)
+	if len(batch) == 0 {
+		records = append(records, n.ownerRecord(epoch))
+	}
+	for _, record := range batch {
+		records = append(records, recordstore.Record{Key: record.Key, Value: record.Value})
+	}
+	return &appending{
+		node: n, partition: partition, writer: writerOf(partition, epoch, sequence), records: records, answers: make(chan error),
+	}
+}
+
+// try sends the append once more, and waits for any answer for so long.
+func (a *appending) try(ctx context.Context, patience time.Duration) error {
+	most := patience
+	if a.node.settings.uses(AwaitLateAppends) {
+		most = appendTimeout
+	}
+	go a.send(ctx, most)
+	return a.await(ctx, patience)
+}
+
+// send makes one call to the store.
+func (a *appending) send(ctx context.Context, most time.Duration) {
+	begun := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	err := a.node.adapter.Store.Append(callCtx, ledgerStream(a.partition), a.writer, a.records)
+	a.node.noteStore(err)
+	if err == nil {
+		a.node.observeAppend(time.Since(begun))
+	}
+	select {
+	case a.answers <- err:
+	case <-ctx.Done():
+	}
+}
+
+// await waits for an answer of any try.
+func (a *appending) await(ctx context.Context, patience time.Duration) error {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case err := <-a.answers:
+		return err
+	case <-timer.C:
+		return errNoAnswerYet
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// answered reports whether a try's outcome ends the append.
+func answered(err error) bool {
+	var fenced *recordstore.FencedError
+	return err == nil || errors.As(err, &fenced)
+}
--- /dev/null
+++ b/edge/appending_test.go
@@ -0,0 +1,49 @@
+package edge
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/recordstore"
+)
+
+// lateStore answers the first append once there is a second one, and no other.
+type lateStore struct {
+	recordstore.Store
+	calls  atomic.Int32
+	second chan struct{}
+}
+
+func (s *lateStore) Append(ctx context.Context, _ recordstore.Stream, _ recordstore.Writer, _ []recordstore.Record) error {
+	if s.calls.Add(1) == 1 {
+		select {
+		case <-s.second:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if s.calls.Load() == 2 {
+		close(s.second)
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// TestLateAppend takes the answer to an append that came after it was sent again.
+func TestLateAppend(t *testing.T) {
+	g := NewWithT(t)
+	appendTo := func(settings Settings, attempts int) error {
+		store := &lateStore{second: make(chan struct{})}
+		node, err := New(settings, Adapter{Store: store}, quietLogger)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer node.Kill()
+		return node.appendRecords(node.ctx, 0, 7, 1, []ledger.Record{{Key: "k", Value: []byte("v")}}, attempts)
+	}
+	g.Expect(appendTo(Settings{Node: "n", Zone: "z", Partitions: 1}, 3)).To(Succeed())
+	g.Expect(appendTo(without(AwaitLateAppends), 3)).NotTo(Succeed())
+}
--- a/edge/ledgers.go
+++ b/edge/ledgers.go
@@ -154,34 +154,29 @@
 // without records renews the record of the owner, so that the store checks the
 // epoch.
 func (n *Node) appendRecords(ctx context.Context, partition int, epoch ownership.Epoch, sequence uint64, batch []ledger.Record, attempts int) error {
-	records := make([]recordstore.Record, 0, len(batch)+1)
-	if len(batch) == 0 {
-		records = append(records, n.ownerRecord(epoch))
-	}
-	for _, record := range batch {
-		records = append(records, recordstore.Record{Key: record.Key, Value: record.Value})
-	}
+	tries, cancel := context.WithCancel(ctx)
+	defer cancel()
+	appending := n.newAppending(partition, epoch, sequence, batch)
 	backoff := n.backoff()
 	for attempt := 1; ; attempt++ {
-		begun := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, n.appendPatience(attempt))
-		err := n.adapter.Store.Append(callCtx, ledgerStream(partition), writerOf(partition, epoch, sequence), records)
-		cancel()
-		n.noteStore(err)
+		err := appending.try(tries, n.appendPatience(attempt))
+		if !answered(err) && attempt != attempts {
+			pause := backoff.Next()
+			if isFull(err) {
+				n.makeSpace(ctx, partition, epoch)
+				pause = fullPause
+			}
+			if late := appending.await(tries, pause); answered(late) {
+				err = late
+			}
+		}
 		if err == nil {
-			n.observeAppend(time.Since(begun))
-			n.appendedTo(partition, records)
+			n.appendedTo(partition, appending.records)
 		}
-		var fenced *recordstore.FencedError
-		if err == nil || errors.As(err, &fenced) || attempt == attempts {
+		if answered(err) || attempt == attempts {
 			return err
 		}
-		pause := backoff.Next()
-		if isFull(err) {
-			n.makeSpace(ctx, partition, epoch)
-			pause = fullPause
-		}
-		if !wait.For(ctx, pause) {
+		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 	}
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -19,6 +19,8 @@
 	// AssumeShared estimates which parts that many programs share other nodes had
 	// engines read.
 	AssumeShared Mechanism = "assume-shared"
+	// AwaitLateAppends takes the answer of an append also after it was sent again.
+	AwaitLateAppends Mechanism = "await-late-appends"
 	// BeginAgain lets programs begin before the store has their first mark also at an
 	// owner that followed a lost one.
 	BeginAgain Mechanism = "begin-again"
@@ -101,7 +103,7 @@
 // Mechanisms returns all mechanisms, in the order of their names.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		AskForList, AssumeShared, BeginAgain, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowOwner, FollowPrompts,
+		AskForList, AssumeShared, AwaitLateAppends, BeginAgain, BeginUnrecorded, CountKept, CountPeers, CountTogether, DoubtUnlisted, EstimateLoads, FinishPrograms, FollowLines, FollowOwner, FollowPrompts,
 		FollowReaders, GrantTurnAfterLoss, HandOver, HoldBack, KeepAside, KeepQuotas, LeaseKeys, LimitCold, MarkAhead, NoticeCuts, PreferConnections, PreferRegion, PreferZone, ProvePeers, ReadAccountsFirst, RecallChains, RefuseWhenFull, RememberFaults, RememberReplicas,
 		RepeatLateCalls, SuspectSilent,
 	}
