--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -19,6 +19,8 @@
 	// AssumeShared estimates which parts that many programs share other nodes had
 	// engines read.
 	AssumeShared Mechanism = "assume-shared"
+	// AwaitLateAppends takes the answer of an append also after it was sent again.
+	AwaitLateAppends Mechanism = "await-late-appends"
 	// BeginAgain lets programs begin before the store has their first mark also at an
 	// owner that followed a lost one.
 	BeginAgain Mechanism = "begin-again"
@@ -126,6 +128,7 @@
 	return []Mechanism{
 		AskForList,
 		AssumeShared,
+		AwaitLateAppends,
 		BeginAgain,
 		BeginUnrecorded,
 		CountKept,
