replica: replicas without a share are drawn alike where the others may not take a turn

At a low load only the fast replicas had a share: where these were excluded, of another region or evacuated, every turn went to the first of the rest (TestSlowReplicasShareWhatTheFastOnesMayNotTake, 240 of 240). Each has a least share now, which keeps its pace known as well.

--- a/replica/pace_replay_test.go
+++ b/replica/pace_replay_test.go
@@ -302,6 +302,26 @@
 	g.Expect(chosen["r00"]+chosen["r01"]+chosen["r02"]+chosen["r03"]).To(BeNumerically(">", 150), "the fast ones are filled first")
 }
 
+// TestSlowReplicasShareWhatTheFastOnesMayNotTake excludes the fast ones at a load that they
+// alone would serve.
+func TestSlowReplicasShareWhatTheFastOnesMayNotTake(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(3, 4))
+	chosen := map[replica.ID]int{}
+	set := pacedSet(16, 4)
+	for range 240 {
+		choice, err := set.Select(begun, &replica.Request{
+			Service: "model", Expected: 200, Draw: random.Float64(), Excluded: []replica.ID{"r00", "r01", "r02", "r03"},
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		chosen[choice.Entry.ID]++
+	}
+	g.Expect(chosen).To(HaveLen(12))
+	for id, count := range chosen {
+		g.Expect(count).To(BeNumerically("<", 3*240/12), string(id))
+	}
+}
+
 // TestHasteTakesTheFastOnes has the fast ones half full.
 func TestHasteTakesTheFastOnes(t *testing.T) {
 	g := NewWithT(t)
--- a/replica/paces.go
+++ b/replica/paces.go
@@ -40,6 +40,9 @@
 	paceHome = 2
 	// paceCold is that of one that is cold: it bears few requests, and is slow.
 	paceCold = 0.2
+	// paceLeast is the least load that a share is dealt for: a few turns keep the pace of
+	// each replica known, and where the others may not take a turn these do.
+	paceLeast = 0.05
 	// paceSmooth is the part of a look in the mean of the last loads, which makes it one
 	// of about a second, and paceSpare the requests more for each replica that shares
 	// are dealt for, so that none is left out on the word of one moment.
@@ -325,7 +328,7 @@
 	}
 	for _, one := range members {
 		token := p.tokenAt(one)
-		fill := dispatch.Fill(high, token, float64(one.entry.Slots))
+		fill := max(paceLeast, dispatch.Fill(high, token, float64(one.entry.Slots)))
 		one.share = fill / (token * (1 + dispatch.BesideShare*fill))
 	}
 }
