--- a/gather/core.go
+++ b/gather/core.go
@@ -1,6 +1,8 @@
 package gather
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"birchwood.example/birchwood/machine"
@@ -17,9 +19,11 @@
 	// periodPerZone times the zones is the least time between two sums of a collector.
 	periodPerZone = 20 * time.Millisecond
 	// silentReports is how many reports in a row go unanswered before a node takes the
-	// next collector, and shunFor how long it leaves the silent one alone.
-	silentReports = 3
-	shunFor       = 2 * time.Second
+	// next collector, and shunFor how long it leaves the silent one alone. That doubles
+	// with each time in a row, maximumDoublings times.
+	silentReports    = 3
+	shunFor          = 2 * time.Second
+	maximumDoublings = 4
 	// lapsePeriods is how many periods a word counts: as long as its node waits for a
 	// silent collector, so that no word counts at two for longer than one period.
 	lapsePeriods = silentReports + 1
@@ -55,9 +59,10 @@
 	return max(periodLeast, time.Duration(f.Near)*periodPerNode)
 }
 
-// sumPeriod returns the time between two sums.
+// sumPeriod returns the time between two sums: half of that between reports, as sums are
+// few.
 func (f *Fleet) sumPeriod() time.Duration {
-	return max(f.period(), time.Duration(len(f.Remote)+1)*periodPerZone)
+	return max(f.period()/2, time.Duration(len(f.Remote)+1)*periodPerZone)
 }
 
 // Totals are what all others have, as far as they were heard.
@@ -67,6 +72,8 @@
 	// At is when the counts were true in the mean.
 	At     time.Time
 	Counts map[Key]int
+	// Partial says that there are replicas with requests besides those named.
+	Partial bool
 	// Paces are those of the fleet; nil where none were told.
 	Paces map[Key]Pace
 }
@@ -108,12 +115,14 @@
 	idle bool
 	// shunned are collectors that did not answer, until when.
 	shunned map[machine.ID]time.Time
+	// failed counts how often in a row one did not answer.
+	failed map[machine.ID]int
 }
 
 // New returns a core. First is the number of the first report, which must not repeat
 // those of a former process.
 func New(first uint64) *Core {
-	return &Core{asking: asking{number: first, answered: true, shunned: make(map[machine.ID]time.Time)}, collects: newCollecting(first)}
+	return &Core{asking: asking{number: first, answered: true, shunned: make(map[machine.ID]time.Time), failed: make(map[machine.ID]int)}, collects: newCollecting(first)}
 }
 
 // Ready returns what has accumulated since the last call.
@@ -149,6 +158,9 @@
 			delete(c.asking.shunned, id)
 		}
 	}
+	maps.DeleteFunc(c.asking.failed, func(id machine.ID, _ int) bool {
+		return !slices.ContainsFunc(c.fleet.Collectors, func(node machine.Machine) bool { return node.ID == id })
+	})
 	chosen := c.fleet.Collectors[0]
 	for _, candidate := range c.fleet.Collectors {
 		if _, shunned := c.asking.shunned[candidate.ID]; !shunned {
@@ -192,7 +204,8 @@
 	}
 	asked.number++
 	asked.askedAt, asked.answered, asked.idle = now, false, idle
-	message := Message{Kind: KindReport, Number: asked.number, Nodes: 1, List: asked.list.hash, Counts: packCounts(c.own.counts)}
+	message := Message{Kind: KindReport, Number: asked.number, Nodes: 1, List: asked.list.hash}
+	message.Counts, message.Partial = packCounts(c.own.counts)
 	if now.Sub(asked.pacesAt) >= pacePeriod {
 		asked.pacesAt = now
 		message.HasPaces, message.Paces = true, packPaces(c.own.paces)
@@ -203,7 +216,8 @@
 // shun leaves the silent collector for the next one.
 func (c *Core) shun(now time.Time) {
 	silent := c.asking.collector.ID
-	c.asking.shunned[silent] = now.Add(shunFor)
+	c.asking.shunned[silent] = now.Add(shunFor << min(c.asking.failed[silent], maximumDoublings))
+	c.asking.failed[silent]++
 	c.ready.Changes = append(c.ready.Changes, Change{Silent: silent})
 	c.asking.silent = 0
 	c.choose(now)
@@ -217,7 +231,9 @@
 	}
 	switch message.Kind {
 	case KindReport:
-		return c.answer(now, from, message)
+		err := c.answer(now, from, message)
+		c.tellSums(now)
+		return err
 	case KindLeave:
 		c.collects.leave(from.ID, message.Number)
 	case KindSum:
@@ -239,6 +255,7 @@
 		return err
 	}
 	asked.answered, asked.silent = true, 0
+	delete(asked.failed, from)
 	if !held {
 		return nil
 	}
@@ -247,7 +264,7 @@
 		return err
 	}
 	totals := &Totals{
-		Nodes: max(0, message.Nodes), Counts: counts,
+		Nodes: max(0, message.Nodes), Counts: counts, Partial: message.Partial,
 		// How long the answer was on its way is not known: not before the question.
 		At: asked.askedAt.Add(-min(max(0, message.Age), maximumAge)),
 	}
--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -117,6 +117,20 @@
 	g.Expect(over).To(BeNumerically("<", heard/100))
 }
 
+// TestCollectorSilent has nodes try one that never answers less and less often.
+func TestCollectorSilent(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(20, 2)
+	w.nodes[0].frozen = true
+	for index := range w.nodes {
+		w.give(index, "r", 2)
+	}
+	w.run(30 * time.Second)
+	// After 2, 4, 8 and 16 s, with what the tries take.
+	g.Expect(len(w.nodes[4].lost)).To(And(BeNumerically(">=", 3), BeNumerically("<=", 5)))
+	g.Expect(w.hears(5, "r")).To(Equal(2 * 18))
+}
+
 // TestNodeLost has the requests of a node that died lapse.
 func TestNodeLost(t *testing.T) {
 	g := NewWithT(t)
@@ -220,11 +234,66 @@
 	}
 }
 
+// TestManyReplicas has those told that nodes nearby have requests at, where not all can
+// be, and says that there are more.
+func TestManyReplicas(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(16, 2)
+	for index := range w.nodes {
+		for number := range 40 {
+			w.give(index, replica.ID(fmt.Sprint("r", index, "-", number)), 1)
+		}
+	}
+	w.run(2 * time.Second)
+	w.give(2, "late", 3)
+	w.run(2 * told)
+	for _, index := range []int{4, 8} {
+		heard := w.nodes[index].heard
+		g.Expect(heard.Partial).To(BeTrue())
+		g.Expect(w.hears(index, "late")).To(Equal(3))
+		g.Expect(len(heard.Counts)).To(BeNumerically("<=", 350))
+		near := 0
+		for number := range 40 {
+			near += w.hears(index, replica.ID(fmt.Sprint("r", 2, "-", number)))
+		}
+		g.Expect(near).To(BeNumerically(">", 30))
+	}
+	few := busyWorld(g, 20, 2)
+	g.Expect(few.nodes[0].heard.Partial).To(BeFalse())
+}
+
+// TestOtherList takes nothing in by a list that the node does not hold.
+func TestOtherList(t *testing.T) {
+	g := NewWithT(t)
+	w := busyWorld(g, 6, 1)
+	one := w.nodes[5]
+	heard := one.heardN
+	for _, said := range []gather.Message{
+		{Kind: gather.KindTotals, List: 7, Counts: []byte{9}},
+		{Kind: gather.KindTotals, List: 7, Keys: []byte{1, 2, 3, 4}, Counts: []byte{9}},
+	} {
+		// An answer to the report that is under way.
+		w.run(reported)
+		for number := range uint64(100) {
+			said.Number = uint64(time.Unix(1000, 0).UnixMilli()) + number
+			_ = one.core.Receive(w.now, w.nodes[0].self, said)
+			g.Expect(one.core.Ready().Totals).To(BeNil())
+		}
+	}
+	w.run(told)
+	g.Expect(one.heardN).To(BeNumerically(">", heard))
+	g.Expect(w.hears(5, "r")).To(Equal(10))
+}
+
 // TestBudget bounds messages and bytes of the exchange, of the mean node and of the
 // collector, in fleets under load.
 func TestBudget(t *testing.T) {
-	for _, size := range []struct{ nodes, zones, replicas, mean, collector int }{
-		{73, 3, 84, 7_000, 120_000}, {300, 6, 240, 7_000, 300_000}, {984, 10, 2_000, 7_000, 450_000},
+	for _, size := range []struct {
+		nodes, zones, replicas, mean, collector int
+		age                                     time.Duration
+	}{
+		{73, 3, 84, 7_000, 120_000, 200 * time.Millisecond}, {300, 6, 240, 7_000, 300_000, 400 * time.Millisecond},
+		{984, 10, 2_000, 7_000, 450_000, 800 * time.Millisecond},
 	} {
 		g := NewWithT(t)
 		w := newWorld(size.nodes, size.zones)
@@ -235,20 +304,22 @@
 				one.has[replica.ID(fmt.Sprint("r", number))] = replica.Report{Requests: 1, TokenTime: time.Millisecond, Samples: 3}
 			}
 		}
-		w.run(2 * time.Second)
+		w.run(time.Second)
 		for _, one := range w.nodes {
-			one.sent, one.bytes = 0, 0
+			one.sent, one.bytes, one.heardN, one.ages = 0, 0, 0, 0
 		}
-		const seconds = 4
+		const seconds = 2
 		w.run(seconds * time.Second)
-		sent, bytes, most, mostSent := 0, 0, 0, 0
+		sent, bytes, most, mostSent, heard, ages := 0, 0, 0, 0, 0, time.Duration(0)
 		for _, one := range w.nodes {
 			sent, bytes = sent+one.sent, bytes+one.bytes
+			heard, ages = heard+one.heardN, ages+one.ages
 			most, mostSent = max(most, one.bytes), max(mostSent, one.sent)
 		}
 		t.Logf("%d nodes: a node %.1f messages, %d bytes a second; a collector %d, %d; age %v", size.nodes,
-			float64(sent)/seconds/float64(size.nodes), bytes/seconds/size.nodes, mostSent/seconds, most/seconds, w.now.Sub(w.nodes[size.nodes-1].heard.At))
+			float64(sent)/seconds/float64(size.nodes), bytes/seconds/size.nodes, mostSent/seconds, most/seconds, ages/time.Duration(heard))
 		g.Expect(bytes / seconds / size.nodes).To(BeNumerically("<", size.mean))
 		g.Expect(most / seconds).To(BeNumerically("<", size.collector))
+		g.Expect(ages / time.Duration(heard)).To(BeNumerically("<", size.age))
 	}
 }
--- a/replica/peerloads.go
+++ b/replica/peerloads.go
@@ -58,10 +58,12 @@
 	// of all peers at a replica, by those reports.
 	heard float64
 	mean  float64
-	// word says that a collector told the loads, and still is the share of the requests
-	// it told of that have not ended since.
-	word  bool
+	// word is what a collector told of the loads, or nil, and still the share of the
+	// requests it told of that have not ended since.
+	word  *heardWord
 	still float64
+	// level is the load up to which emptier replicas have been filled since the word.
+	level float64
 }
 
 // loadShape is the shape of the gamma distribution that the loads of a service's
@@ -99,9 +101,8 @@
 // of, and what the silent peers add by a Poisson draw whose rate follows from both
 // the service's mean and what was seen here.
 func (v peerView) load(one *member) float64 {
-	if v.word {
-		mean, _ := v.wordLoad(one)
-		return float64(one.own) + mean
+	if v.word != nil {
+		return float64(one.own) + max(v.kept(one), v.level)
 	}
 	known := float64(one.own + one.peers)
 	if v.heard >= 1 || v.mean == 0 {
