--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -90,6 +90,8 @@
 	ReadAccountsFirst Mechanism = "read-accounts-first"
 	// RankPrograms has programs that are further go first among those under way at a
 	// tenant's limit.
+	// RankPrograms has programs that come for the first time begin before those that come
+	// back at a tenant's limit.
 	RankPrograms Mechanism = "rank-programs"
 	// RecallChains keeps the chains of turns that this node served, so that the
 	// owner need not send them when their lines go on here.
--- a/edge/node.go
+++ b/edge/node.go
@@ -226,7 +226,7 @@
 		config.ColdReplicas = settings.ColdReplicas
 	}
 	config.Tenants.FirstCome = !settings.uses(FinishPrograms)
-	config.Tenants.Unranked = !settings.uses(RankPrograms)
+	config.Tenants.InTurn = !settings.uses(RankPrograms)
 	config.CountAlone = !settings.uses(CountTogether)
 	config.GatherNothing = !settings.uses(GatherLoads) || !settings.uses(CountPeers)
 	if settings.RecordBytes > 0 {
