--- a/replica/select.go
+++ b/replica/select.go
@@ -216,7 +216,7 @@
 
 // cost predicts the work before the request's answer is whole.
 func (w *weighing) cost(one *member) int {
-	load := w.view.load(one)
+	load := w.view.drawn(one, w.request.Draw)
 	cost := missingWeight*w.missing(one) + int(besideTokens*load)
 	if slots := float64(max(1, one.entry.Slots)); load >= slots {
 		cost += int(queuedTokens * (load - slots + 1) / slots)
--- a/replica/word.go
+++ b/replica/word.go
@@ -139,6 +139,35 @@
 	return level
 }
 
+// drawn returns a load that a replica may have by what is known: the new requests are not
+// spread evenly. Replicas that were filled to one level differ by it, those the most that
+// were the emptiest, so that nodes that heard the same do not all prefer the same of them.
+func (v *peerView) drawn(one *member, draw float64) float64 {
+	if v.word == nil {
+		return v.load(one)
+	}
+	kept := v.kept(one)
+	mean := max(kept, v.level)
+	variance := mean - kept*v.still
+	return float64(one.own) + max(0, mean+math.Sqrt(variance)*deviation(draw, one.rank))
+}
+
+// deviation returns a number of mean 0 and variance 1 that belongs to a draw and a
+// replica.
+func deviation(draw float64, rank uint64) float64 {
+	const (
+		golden   = 0x9e3779b97f4a7c15
+		scramble = 0xbf58476d1ce4e5b9
+		shift    = 31
+		bits     = 53
+	)
+	mixed := (math.Float64bits(draw) ^ rank) * golden
+	mixed = (mixed ^ mixed>>shift) * scramble
+	mixed ^= mixed >> shift
+	uniform := float64(mixed>>(64-bits)) / (1 << bits)
+	return (2*uniform - 1) * math.Sqrt(3)
+}
+
 // flow is how this node's requests of a service come and go, from which follows how long
 // they take: what is under way in the mean, by how many end in a time.
 type flow struct {
--- a/replica/word_test.go
+++ b/replica/word_test.go
@@ -114,3 +114,40 @@
 	g.Expect(knownLoad(set, wordStart, "r0")).To(BeNumerically("<=", fullTimes*8))
 	g.Expect(knownLoad(set, wordStart, "r1")).To(BeZero())
 }
+
+// TestDeviation has a mean of 0 and a variance of 1.
+func TestDeviation(t *testing.T) {
+	g := NewWithT(t)
+	sum, squares := 0.0, 0.0
+	const draws = 20_000
+	for index := range draws {
+		deviates := deviation(float64(index%200)/200, uint64(index/200)*0x12345)
+		sum, squares = sum+deviates, squares+deviates*deviates
+	}
+	g.Expect(sum / draws).To(BeNumerically("~", 0, 0.05))
+	g.Expect(squares / draws).To(BeNumerically("~", 1, 0.05))
+}
+
+// TestTiesAreSpread has replicas that were filled to one level chosen alike often, also
+// where each stands behind others that are full.
+func TestTiesAreSpread(t *testing.T) {
+	g := NewWithT(t)
+	set := wordSet(24, 73)
+	totals := make(map[ID]Total)
+	for index := range 24 {
+		// The second of two empty ones follows the first; the others stand between.
+		if index%12 > 1 {
+			totals[ID(fmt.Sprint("r", index))] = Total{Requests: 30}
+		}
+	}
+	set.TakeWord(wordStart, Word{Nodes: 72, At: wordStart.Add(-10 * time.Millisecond), Totals: totals})
+	chosen := make(map[ID]int)
+	for draw := range 400 {
+		choice, err := set.Select(wordStart, &Request{Service: "s", Draw: float64(draw) / 400})
+		g.Expect(err).NotTo(HaveOccurred())
+		chosen[choice.Entry.ID]++
+	}
+	for _, id := range []ID{"r0", "r1", "r12", "r13"} {
+		g.Expect(chosen[id]).To(BeNumerically("~", 100, 40), "%v", chosen)
+	}
+}
