replica: what waiting for a place costs is not drawn

Change: the draw counts for the requests beside alone, which is what breaks ties. A test has a line stay at its replica while all are full; it failed before.

--- a/replica/select.go
+++ b/replica/select.go
@@ -216,8 +216,10 @@
 
 // cost predicts the work before the request's answer is whole.
 func (w *weighing) cost(one *member) int {
-	load := w.view.drawn(one, w.request.Draw)
-	cost := missingWeight*w.missing(one) + int(besideTokens*load)
+	load := w.view.load(one)
+	// What waiting costs is not drawn: lines of turns would leave replicas that keep their
+	// prompts.
+	cost := missingWeight*w.missing(one) + int(besideTokens*w.view.drawn(one, w.request.Draw))
 	if slots := float64(max(1, one.entry.Slots)); load >= slots {
 		cost += int(queuedTokens * (load - slots + 1) / slots)
 	}
--- a/replica/word_test.go
+++ b/replica/word_test.go
@@ -151,3 +151,21 @@
 		g.Expect(chosen[id]).To(BeNumerically("~", 100, 40), "%v", chosen)
 	}
 }
+
+// TestLinesStayWhereAllAreFull has a line of turns stay at the replica that keeps its prompt
+// while all are as full, whatever is drawn.
+func TestLinesStayWhereAllAreFull(t *testing.T) {
+	g := NewWithT(t)
+	set := wordSet(12, 73)
+	totals := make(map[ID]Total)
+	for id := range set.byID {
+		totals[id] = Total{Requests: 10}
+	}
+	set.TakeWord(wordStart, Word{Nodes: 72, At: wordStart.Add(-100 * time.Millisecond), Totals: totals})
+	prompt := []Part{{ID: "history", Tokens: 2000}, {ID: "turn", Tokens: 50}}
+	for draw := range 100 {
+		choice, err := set.Select(wordStart, &Request{Service: "s", Preferred: "r3", Prompt: prompt, Draw: float64(draw) / 100})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(choice.Entry.ID).To(Equal(ID("r3")))
+	}
+}
