--- a/replica/select.go
+++ b/replica/select.go
@@ -248,7 +248,9 @@
 // cost predicts the work before the request's answer is whole.
 func (w *weighing) cost(one *member) int {
 	load := w.view.load(one)
-	cost := missingWeight*w.missing(one) + int(besideTokens*load)
+	// What waiting costs is not drawn: lines of turns would leave replicas that keep their
+	// prompts.
+	cost := missingWeight*w.missing(one) + int(besideTokens*w.view.drawn(one, w.request.Draw))
 	if slots := float64(max(1, one.entry.Slots)); load >= slots {
 		cost += int(queuedTokens * (load - slots + 1) / slots)
 	}
