replica: where turns are dealt by shares, a word's loads stand until the next

A word's ended requests were taken to come back to the emptiest replicas, which holds for the former choice. By shares the fast replicas are the fuller ones, and lines stay: each that ended is followed by another one there. TestLoadsOfAWordStayWhereTurnsAreDealt fails without: of 14 beside, none of note were expected after 0.4 s.

--- a/replica/pace_replay_test.go
+++ b/replica/pace_replay_test.go
@@ -385,3 +385,26 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(choice.Pace).To(BeNumerically(">", 1200*time.Microsecond), "the middle of the service")
 }
+
+// TestLoadsOfAWordStayWhereTurnsAreDealt has a word of some age tell that the fast ones are
+// the fuller ones, which they are by their shares.
+func TestLoadsOfAWordStayWhereTurnsAreDealt(t *testing.T) {
+	g := NewWithT(t)
+	set := pacedSet(16, 4)
+	set.SetNodes(8)
+	totals := map[replica.ID]replica.Total{}
+	for index := range 16 {
+		totals[replica.ID(fmt.Sprintf("r%02d", index))] = replica.Total{Requests: 2}
+		if index < 4 {
+			totals[replica.ID(fmt.Sprintf("r%02d", index))] = replica.Total{Requests: 14}
+		}
+	}
+	set.TakeWord(begun, replica.Word{Nodes: 7, At: begun, Totals: totals})
+	at := func(id replica.ID) time.Duration {
+		choice, err := set.Select(begun.Add(400*time.Millisecond), &replica.Request{Service: "model", Expected: 200, Only: id})
+		g.Expect(err).NotTo(HaveOccurred())
+		return choice.Predicted
+	}
+	g.Expect(float64(at("r00"))).To(BeNumerically(">", 1.5*200*0.75e6), "14 beside")
+	g.Expect(float64(at("r05"))).To(BeNumerically("<", 1.2*200*1.5e6), "2 beside")
+}
--- a/replica/paces.go
+++ b/replica/paces.go
@@ -190,7 +190,7 @@
 func (w *weighing) roomAt(one *member) dispatch.Room {
 	token := w.paces.tokenAt(one)
 	return dispatch.Room{
-		Load: w.view.load(one), Slots: float64(max(1, one.entry.Slots)),
+		Load: w.view.dealt(one), Slots: float64(max(1, one.entry.Slots)),
 		Token: token, Read: token * w.paces.share, Missing: float64(w.missing(one)),
 		Way: w.paces.base*token + float64(w.aside(one))*w.paces.middle*dispatch.ReadShare,
 	}
@@ -297,17 +297,31 @@
 	room := w.roomAt(one)
 	choice.Predicted = time.Duration(w.job.End(&room))
 	choice.Pace = time.Duration(room.Token)
+	choice.Load = int(math.Round(room.Load))
 	if one.pace.Known() {
 		choice.PaceAge = one.pace.Age(w.now)
 	}
 }
 
+// dealt estimates the requests at a replica where turns are placed by shares and lines
+// stay: for each that has ended since a word another one has come, wherever it was.
+func (v *peerView) dealt(one *member) float64 {
+	if v.word == nil || v.heard == 0 {
+		return v.load(one)
+	}
+	others, said := v.word.othersAt(one)
+	if !said {
+		return float64(one.own) + v.mean
+	}
+	return float64(one.own) + others/v.heard
+}
+
 // deal gives each replica its share: of the load that all have together, as much as
 // makes one more request cost the same everywhere, up to its room.
 func (p *paces) deal(members []*member, view peerView) {
 	load := 0.0
 	for _, one := range members {
-		load += view.load(one)
+		load += view.dealt(one)
 	}
 	if p.load == 0 {
 		p.load = load
