--- a/coordinator/charge_test.go
+++ b/coordinator/charge_test.go
@@ -31,10 +31,12 @@
 	accounts []*account
 	// counting are the nodes that counted last, by tenant.
 	counting map[string]machine.ID
+	// patience is how long an answer is waited for.
+	patience time.Duration
 }
 
 func newCharges(world *fleet, accounts ...*account) *charges {
-	return &charges{questions: newQuestions[*account](world), accounts: accounts, counting: map[string]machine.ID{}}
+	return &charges{questions: newQuestions[*account](world), accounts: accounts, counting: map[string]machine.ID{}, patience: 600 * time.Millisecond}
 }
 
 // run lets the clients send for a while.
@@ -57,7 +59,7 @@
 		return
 	}
 	one.asked++
-	c.ask(one, at, 600*time.Millisecond, coordinator.Charge{
+	c.ask(one, at, c.patience, coordinator.Charge{
 		Tenant: one.name, Request: tenant.Request{Limit: one.limit, Version: one.version},
 	})
 }
--- a/coordinator/quota.go
+++ b/coordinator/quota.go
@@ -73,8 +73,12 @@
 	Number uint64           `json:"number,omitempty"`
 	Ask    *Charge          `json:"ask,omitempty"`
 	Answer *tenant.Decision `json:"answer,omitempty"`
-	// NotOwner says that the asked node does not count for the account.
-	NotOwner bool `json:"not_owner,omitempty"`
+	// NotOwner says that the asked node does not count for the account, and Owner, if
+	// named, which one does by its view.
+	NotOwner bool       `json:"not_owner,omitempty"`
+	Owner    machine.ID `json:"owner,omitempty"`
+	// Left are nodes that told the asker that they leave, and so count no more.
+	Left []machine.ID `json:"left,omitempty"`
 	// Return gives a grant back whose request did not run.
 	Return *Charge `json:"return,omitempty"`
 }
@@ -83,6 +87,10 @@
 // several times the way between zones and back.
 const chargeResend = 60 * time.Millisecond
 
+// chargeSilences is the question in a row without an answer that goes to the node which
+// counts if the one asked before is gone. One or two may be lost on the way.
+const chargeSilences = 3
+
 // charging is this node's part in keeping the limits of tenants and cold replicas.
 type charging struct {
 	books map[accountKind]*tenant.Book
@@ -105,8 +113,19 @@
 	until    time.Time
 	resendAt time.Time
 	askedOf  machine.ID
+	// redirects is how often a node that was asked named another one.
+	redirects int
+	// left are the nodes that answered that they leave.
+	left []machine.ID
+	// silent is how often in a row no node that was asked answered.
+	silent int
 }
 
+// maximumRedirects bounds how often a charge follows the views of the nodes that were
+// asked, before the asker's own view is followed again: two views that name each other
+// would send it back and forth.
+const maximumRedirects = 4
+
 func newCharging(now time.Time, config *Config) charging {
 	return charging{
 		books: map[accountKind]*tenant.Book{
@@ -221,7 +240,13 @@
 // askCharge decides a charge, or asks the node that counts for its account.
 func (c *Core) askCharge(now time.Time, number uint64, asked *pendingCharge) {
 	asked.resendAt = now.Add(chargeResend)
+	asked.redirects = 0
 	owner := c.chargeOwner(asked.charge.account())
+	if asked.silent%chargeSilences == chargeSilences-1 {
+		// The node may be gone, which others may have noticed: the next one counts then.
+		owner = c.chargeOwnerWithout(asked.charge.account(), owner)
+	}
+	asked.silent++
 	asked.askedOf = owner
 	if owner == c.self().ID {
 		if c.countsCharges(now) {
@@ -274,24 +299,61 @@
 	case message.Answer != nil:
 		c.endCharge(message.Number, asked, *message.Answer)
 	default:
-		// The views of the nodes differ for a while: asked again when that is due.
+		c.redirectCharge(now, from, message, asked)
 	}
 	if asked != nil && received.Proof != nil {
 		c.takeProof(from, *received.Proof, asked.askedAt)
 	}
 }
 
+// redirectCharge follows the view of a node that does not count: the views of the nodes
+// differ for a while after one comes or goes, and whoever was asked may have heard of it.
+// Where that leads nowhere, the charge is asked for again when that is due.
+func (c *Core) redirectCharge(now time.Time, from machine.Machine, message ChargeMessage, asked *pendingCharge) {
+	if from.ID != asked.askedOf || message.Owner == "" || message.Owner == c.self().ID || asked.redirects >= maximumRedirects {
+		return
+	}
+	asked.redirects++
+	asked.silent = 0
+	asked.askedOf = message.Owner
+	asked.resendAt = now.Add(chargeResend)
+	if from.Status == machine.StatusLeaving && !slices.Contains(asked.left, from.ID) {
+		asked.left = append(asked.left, from.ID)
+	}
+	c.sendCharge(message.Owner, ChargeMessage{Number: message.Number, Ask: &asked.charge, Left: asked.left}, nil)
+}
+
 // answerCharge decides a charge of another node's traffic.
 func (c *Core) answerCharge(now time.Time, from machine.Machine, message ChargeMessage) {
 	c.renewCharging(now)
-	if c.chargeOwner(message.Ask.account()) != c.self().ID || !c.countsCharges(now) {
-		c.sendCharge(from.ID, ChargeMessage{Number: message.Number, NotOwner: true}, c.proofWord(now, 0))
+	owner := c.chargeOwner(message.Ask.account())
+	left := message.Left
+	if c.leaving {
+		left = append(slices.Clone(left), c.self().ID)
+	}
+	if slices.Contains(left, owner) {
+		owner = c.chargeOwnerWithout(message.Ask.account(), left...)
+	}
+	if owner != c.self().ID || !c.countsCharges(now) {
+		answer := ChargeMessage{Number: message.Number, NotOwner: true}
+		if owner != c.self().ID {
+			answer.Owner = owner
+		}
+		c.sendCharge(from.ID, answer, c.proofWord(now, 0))
 		return
 	}
 	decision := c.charging.spend(now, message.Ask)
 	c.sendCharge(from.ID, ChargeMessage{Number: message.Number, Answer: &decision}, c.proofWord(now, 0))
 }
 
+// chargeOwnerWithout returns the node that counts for an account once others are gone.
+func (c *Core) chargeOwnerWithout(name account, gone ...machine.ID) machine.ID {
+	rest := slices.DeleteFunc(c.chargeCandidates(), func(node ownership.Node) bool {
+		return slices.Contains(gone, machine.ID(node.ID))
+	})
+	return machine.ID(ownership.Rank(chargePlace(name), rest))
+}
+
 // tickCharges asks again for charges without an answer, and gives up those whose time
 // is over.
 func (c *Core) tickCharges(now time.Time) {
--- /dev/null
+++ b/coordinator/redirect_test.go
@@ -0,0 +1,79 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/tenant"
+)
+
+// A fleet whose nodes are stopped and started again one after the other.
+const (
+	rolledNodes   = 60
+	rolledTenants = 40
+	// rollGap lies between two stops; a node ends rollDrain after it was told to, and is
+	// back after rollDown.
+	rollGap   = 300 * time.Millisecond
+	rollDrain = 3 * time.Second
+	rollDown  = 500 * time.Millisecond
+	// rollPatience is that of the nodes of edge.
+	rollPatience = 900 * time.Millisecond
+)
+
+// roll stops each node in turn and starts it again, while the accounts' clients send.
+func (c *charges) roll(ids []machine.ID) {
+	world, begun := c.world, c.world.now
+	type stopped struct {
+		id machine.ID
+		at time.Time
+	}
+	var draining, down []stopped
+	due := func(list []stopped, after time.Duration) bool {
+		return len(list) > 0 && world.now.Sub(list[0].at) >= after
+	}
+	for next := 0; next < len(ids) || len(draining)+len(down) > 0; c.run(50 * time.Millisecond) {
+		if next < len(ids) && world.now.Sub(begun) >= time.Duration(next)*rollGap {
+			world.nodes[ids[next]].core.Step(world.now, coordinator.Leave{})
+			draining = append(draining, stopped{id: ids[next], at: world.now})
+			next++
+		}
+		if due(draining, rollDrain) {
+			world.kill(draining[0].id)
+			down = append(down, stopped{id: draining[0].id, at: world.now})
+			draining = draining[1:]
+		}
+		if due(down, rollDown) {
+			world.start(down[0].id)
+			world.list()
+			down = down[1:]
+		}
+	}
+}
+
+var _ = Describe("Requests that count to limits while nodes are stopped in turn", func() {
+	It("are answered by whoever counts, though nodes hear of each other late", func() {
+		world := countingFleet(rolledNodes, nil)
+		var accounts []*account
+		for index := range rolledTenants {
+			accounts = append(accounts, &account{
+				name: fmt.Sprintf("tenant-%d", index), limit: tenant.Limit{Rate: 30, Burst: 30}, version: 1, flow: flow{perSecond: 10},
+			})
+		}
+		sent := newCharges(world, accounts...)
+		sent.patience = rollPatience
+		sent.roll(world.ids()[:rolledNodes/2])
+		asked, unknown := 0, 0
+		for _, one := range accounts {
+			asked += one.asked
+			unknown += one.unknown
+		}
+		AddReportEntry("unknown of asked", fmt.Sprintf("%d of %d", unknown, asked))
+		Expect(float64(unknown)).To(BeNumerically("<", 0.001*float64(asked)))
+		Expect(sent.broken()).To(BeEmpty())
+	})
+})
