--- a/coordinator/request.go
+++ b/coordinator/request.go
@@ -36,9 +36,9 @@
 	// HasBase says that the turn brings its base. Without it the owner answers
 	// ReplyAbsent where it does not hold the previous turn.
 	HasBase bool `json:"has_base,omitempty"`
-	// Prompt has the owner refuse the turn while its log takes no records, rather than
+	// AtOnce has the owner refuse the turn while its log takes no records, rather than
 	// count what it used and keep it at some time.
-	Prompt     bool              `json:"prompt,omitempty"`
+	AtOnce     bool              `json:"at_once,omitempty"`
 	Settlement ledger.Settlement `json:"settlement"`
 }
 
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -87,7 +87,7 @@
 		c.reply(Reply{ID: id, Status: ReplyAbsent, Epoch: one.epoch})
 		return
 	}
-	if asked.Prompt && c.stalled(now, one) {
+	if asked.AtOnce && c.stalled(now, one) {
 		c.reply(Reply{ID: id, Status: one.refusal(), Epoch: one.epoch})
 		return
 	}
--- a/dispatch/slack.go
+++ b/dispatch/slack.go
@@ -2,26 +2,26 @@
 
 import "time"
 
-// Stand is how a program stands against its time.
-type Stand int
+// Progress is how a program stands against its time.
+type Progress int
 
-// The stands of a program. One whose time is not known stands even.
+// The values of Progress. A program whose time is not known is even.
 const (
-	// StandLost is past its time: it can't be in time any more.
-	StandLost Stand = iota
-	// StandAhead has clearly more time left than programs usually have at its stage.
-	StandAhead
-	// StandEven has what they usually have.
-	StandEven
-	// StandBehind has clearly less.
-	StandBehind
+	// ProgressLost is past its time: it can't be in time any more.
+	ProgressLost Progress = iota
+	// ProgressAhead has clearly more time left than programs usually have at its stage.
+	ProgressAhead
+	// ProgressEven has what they usually have.
+	ProgressEven
+	// ProgressBehind has clearly less.
+	ProgressBehind
 )
 
-// String names a stand for the log.
-func (s Stand) String() string { return [...]string{"lost", "ahead", "even", "behind"}[s] }
+// String names the progress for the log.
+func (s Progress) String() string { return [...]string{"lost", "ahead", "even", "behind"}[s] }
 
 // Slack learns how much time the programs of each route usually have left at each stage,
-// and tells how one stands against it. It is not safe for concurrent use.
+// and tells how one compares. It is not safe for concurrent use.
 type Slack struct {
 	routes map[string]*slackRoute
 	// ranks is when a service's requests of each priority came last.
@@ -64,8 +64,8 @@
 }
 
 // Observe takes in a turn of a program at a stage with so much time left, and tells how the
-// program stands.
-func (s *Slack) Observe(now time.Time, route string, stage int, left time.Duration) Stand {
+// program compares.
+func (s *Slack) Observe(now time.Time, route string, stage int, left time.Duration) Progress {
 	known := s.routes[route]
 	if known == nil {
 		if len(s.routes) >= slackNames {
@@ -76,36 +76,36 @@
 	}
 	known.at = now
 	at := &known.stages[min(max(0, stage), slackStages-1)]
-	stand := at.stand(float64(left))
+	progress := at.progress(float64(left))
 	if left > 0 {
 		// What is lost already says nothing of what programs need.
 		at.programs = min(at.programs+1, slackPrograms)
 		at.left += (float64(left) - at.left) / at.programs
 	}
-	return stand
+	return progress
 }
 
-// stand tells how a program stands that has so much time left.
-func (s *slackStage) stand(left float64) Stand {
+// progress tells how a program compares that has so much time left.
+func (s *slackStage) progress(left float64) Progress {
 	switch {
 	case left <= 0:
-		return StandLost
+		return ProgressLost
 	case s.programs < slackLeast:
-		return StandEven
+		return ProgressEven
 	case left < slackBehind*s.left:
-		return StandBehind
+		return ProgressBehind
 	case left > slackAhead*s.left:
-		return StandAhead
+		return ProgressAhead
 	default:
-		return StandEven
+		return ProgressEven
 	}
 }
 
-// Haste returns how a program that stands so takes the fast replicas of its service: 1
+// Haste returns how a program of such progress takes the fast replicas of its service: 1
 // before others, 0 as its share, -1 after others. Where the service has requests of several
 // priorities, only the most urgent come before their share, and only the least urgent after
 // it: none is served better than a more urgent one.
-func (s *Slack) Haste(now time.Time, service string, priority int, stand Stand) int {
+func (s *Slack) Haste(now time.Time, service string, priority int, progress Progress) int {
 	known := s.ranks[service]
 	if known == nil {
 		if len(s.ranks) >= slackNames {
@@ -129,15 +129,15 @@
 	if rank < last {
 		least = 0
 	}
-	return min(max(least, stand.haste()), most)
+	return min(max(least, progress.haste()), most)
 }
 
-// haste is what a stand calls for.
-func (s Stand) haste() int {
+// haste is what a progress calls for.
+func (s Progress) haste() int {
 	switch s {
-	case StandBehind:
+	case ProgressBehind:
 		return 1
-	case StandAhead, StandLost:
+	case ProgressAhead, ProgressLost:
 		return -1
 	default:
 		return 0
--- a/dispatch/slack_test.go
+++ b/dispatch/slack_test.go
@@ -20,14 +20,14 @@
 
 func TestStandFollowsTheUsualTimeLeft(t *testing.T) {
 	g := NewWithT(t)
-	for left, want := range map[time.Duration]dispatch.Stand{
-		-time.Second: dispatch.StandLost, 0: dispatch.StandLost, time.Second: dispatch.StandBehind,
-		3 * time.Second: dispatch.StandEven, 6 * time.Second: dispatch.StandAhead,
+	for left, want := range map[time.Duration]dispatch.Progress{
+		-time.Second: dispatch.ProgressLost, 0: dispatch.ProgressLost, time.Second: dispatch.ProgressBehind,
+		3 * time.Second: dispatch.ProgressEven, 6 * time.Second: dispatch.ProgressAhead,
 	} {
 		g.Expect(taught().Observe(begin, "route", 2, left)).To(Equal(want), left.String())
 	}
-	g.Expect(taught().Observe(begin, "route", 3, time.Second)).To(Equal(dispatch.StandEven), "an unknown stage")
-	g.Expect(taught().Observe(begin, "route", 1_000, time.Second)).To(Equal(dispatch.StandEven), "a stage beyond all")
+	g.Expect(taught().Observe(begin, "route", 3, time.Second)).To(Equal(dispatch.ProgressEven), "an unknown stage")
+	g.Expect(taught().Observe(begin, "route", 1_000, time.Second)).To(Equal(dispatch.ProgressEven), "a stage beyond all")
 }
 
 func TestLostProgramsDoNotTeachTheUsual(t *testing.T) {
@@ -36,24 +36,24 @@
 	for range 500 {
 		slack.Observe(begin, "route", 2, -time.Hour)
 	}
-	g.Expect(slack.Observe(begin, "route", 2, 3*time.Second)).To(Equal(dispatch.StandEven))
+	g.Expect(slack.Observe(begin, "route", 2, 3*time.Second)).To(Equal(dispatch.ProgressEven))
 }
 
 func TestHasteOfOnePriorityFollowsTheStand(t *testing.T) {
 	g := NewWithT(t)
 	slack := dispatch.NewSlack()
-	g.Expect(slack.Haste(begin, "model", 3, dispatch.StandBehind)).To(Equal(1))
-	g.Expect(slack.Haste(begin, "model", 3, dispatch.StandEven)).To(Equal(0))
-	g.Expect(slack.Haste(begin, "model", 3, dispatch.StandAhead)).To(Equal(-1))
-	g.Expect(slack.Haste(begin, "model", 3, dispatch.StandLost)).To(Equal(-1))
+	g.Expect(slack.Haste(begin, "model", 3, dispatch.ProgressBehind)).To(Equal(1))
+	g.Expect(slack.Haste(begin, "model", 3, dispatch.ProgressEven)).To(Equal(0))
+	g.Expect(slack.Haste(begin, "model", 3, dispatch.ProgressAhead)).To(Equal(-1))
+	g.Expect(slack.Haste(begin, "model", 3, dispatch.ProgressLost)).To(Equal(-1))
 }
 
 func TestNoProgramGoesBeforeAMoreUrgentOne(t *testing.T) {
 	g := NewWithT(t)
 	slack := dispatch.NewSlack()
-	stands := []dispatch.Stand{dispatch.StandLost, dispatch.StandAhead, dispatch.StandEven, dispatch.StandBehind}
+	stands := []dispatch.Progress{dispatch.ProgressLost, dispatch.ProgressAhead, dispatch.ProgressEven, dispatch.ProgressBehind}
 	for _, priority := range []int{-3, 2, 5, 99} {
-		slack.Haste(begin, "model", priority, dispatch.StandEven)
+		slack.Haste(begin, "model", priority, dispatch.ProgressEven)
 	}
 	for _, urgent := range stands {
 		for _, other := range stands {
@@ -64,5 +64,5 @@
 		}
 	}
 	later := begin.Add(time.Minute)
-	g.Expect(slack.Haste(later, "model", 5, dispatch.StandBehind)).To(Equal(1), "the others have no requests any more")
+	g.Expect(slack.Haste(later, "model", 5, dispatch.ProgressBehind)).To(Equal(1), "the others have no requests any more")
 }
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -47,7 +47,7 @@
 
 // chooseReplica picks the next replica for the request and counts it there.
 func (n *Node) chooseReplica(r *requestState, table *routing.Table) (replica.Entry, error) {
-	n.noteStand(r)
+	n.noteProgress(r)
 	asked := n.choiceOf(r)
 	asked.PerNode, asked.Draw = n.perNode(table, r.service), n.draw()
 	asked.Connected = func(entry replica.Entry) bool { return n.pool.Free(targetOf(entry)) }
--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -61,7 +61,7 @@
 		entry = entry.Str("cause", r.cause).Dur("comeBack", r.comeBack)
 	}
 	entry.Int("missing", r.choice.Missing).Int("load", r.choice.Load).Dur("predicted", r.choice.Predicted).
-		Dur("pace", r.choice.Pace).Str("stand", r.stand.String()).Int("haste", r.haste).Dur("paceage", r.choice.PaceAge).Bool("left", r.choice.Left).Dur("first", r.firstAfter).Msg("request: ended")
+		Dur("pace", r.choice.Pace).Str("progress", r.progress.String()).Int("haste", r.haste).Dur("paceage", r.choice.PaceAge).Bool("left", r.choice.Left).Dur("first", r.firstAfter).Msg("request: ended")
 }
 
 // failedStatus is the least status that tells of a failure.
--- a/edge/placing.go
+++ b/edge/placing.go
@@ -20,20 +20,20 @@
 	return &placing{lengths: dispatch.NewLengths(), slack: dispatch.NewSlack()}
 }
 
-// noteStand notes how the request's program stands against its time, and how the request
+// noteProgress notes how the request's program stands against its time, and how the request
 // takes the fast replicas of its service by that. A turn is noted once.
-func (n *Node) noteStand(r *requestState) {
+func (n *Node) noteProgress(r *requestState) {
 	if n.placing == nil || len(r.prompt) == 0 || r.attempts > 0 {
 		return
 	}
 	n.placing.mutex.Lock()
 	defer n.placing.mutex.Unlock()
 	now := time.Now()
-	r.stand = dispatch.StandEven
+	r.progress = dispatch.ProgressEven
 	if !r.finish.IsZero() {
-		r.stand = n.placing.slack.Observe(now, r.routeName(), len(r.prompt), r.finish.Sub(now))
+		r.progress = n.placing.slack.Observe(now, r.routeName(), len(r.prompt), r.finish.Sub(now))
 	}
-	r.haste = n.placing.slack.Haste(now, r.service, r.priority(), r.stand)
+	r.haste = n.placing.slack.Haste(now, r.service, r.priority(), r.progress)
 }
 
 // expectedTokens returns how many tokens a turn will have, or 0 for other requests and
--- a/edge/placing_test.go
+++ b/edge/placing_test.go
@@ -34,14 +34,14 @@
 	node := &Node{placing: newPlacing()}
 	for range 20 {
 		usual := &requestState{route: &routing.Route{Name: "route"}, prompt: make([]replica.Part, 2), finish: time.Now().Add(3 * time.Second)}
-		node.noteStand(usual)
-		g.Expect(usual.stand).To(Equal(dispatch.StandEven))
+		node.noteProgress(usual)
+		g.Expect(usual.progress).To(Equal(dispatch.ProgressEven))
 	}
 	late := &requestState{route: &routing.Route{Name: "route"}, prompt: make([]replica.Part, 2), finish: time.Now().Add(time.Second)}
-	node.noteStand(late)
-	g.Expect(late.stand).To(Equal(dispatch.StandBehind))
+	node.noteProgress(late)
+	g.Expect(late.progress).To(Equal(dispatch.ProgressBehind))
 	g.Expect(late.haste).To(Equal(1))
 	again := &requestState{attempts: 1, route: &routing.Route{Name: "route"}, prompt: make([]replica.Part, 2), finish: time.Now()}
-	node.noteStand(again)
+	node.noteProgress(again)
 	g.Expect(again.haste).To(BeZero())
 }
--- a/edge/request.go
+++ b/edge/request.go
@@ -82,7 +82,7 @@
 	urgency int
 	// stand is how the program stands against it, and haste how the turn takes the fast
 	// replicas by that.
-	stand     dispatch.Stand
+	progress  dispatch.Progress
 	haste     int
 	partition int
 	owner     string
--- a/replica/paces.go
+++ b/replica/paces.go
@@ -186,8 +186,8 @@
 	return p.middle
 }
 
-// roomAt describes a replica to a placement.
-func (w *weighing) roomAt(one *member) dispatch.Place {
+// placeAt describes a replica to a placement.
+func (w *weighing) placeAt(one *member) dispatch.Place {
 	token := w.paces.tokenAt(one)
 	return dispatch.Place{
 		Load: w.view.dealt(one), Slots: float64(max(1, one.entry.Slots)),
@@ -226,7 +226,7 @@
 	}
 	cost := math.Inf(1)
 	if best != nil {
-		room := w.roomAt(best)
+		room := w.placeAt(best)
 		cost = w.pacedCost(best, &room)
 	}
 	prompt := float64(Tokens(w.request.Prompt))
@@ -239,7 +239,7 @@
 				break
 			}
 		}
-		room := w.roomAt(candidate)
+		room := w.placeAt(candidate)
 		if one := w.pacedCost(candidate, &room); best == nil || one < cost {
 			best, cost = candidate, one
 		}
@@ -294,7 +294,7 @@
 	if w.paces == nil {
 		return
 	}
-	room := w.roomAt(one)
+	room := w.placeAt(one)
 	choice.Predicted = time.Duration(w.job.End(&room))
 	choice.Pace = time.Duration(room.Token)
 	choice.Load = int(math.Round(room.Load))
