--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/valyala/fasthttp"
 
 	"birchwood.example/birchwood/coordinator"
@@ -36,32 +37,59 @@
 	}
 	entry = entry.Str("request", r.id).Str("route", r.routeName()).Uint64("config", r.version).Int("status", r.status).
 		Dur("took", took).Str("reason", r.reason).Str("replica", string(r.choice.Entry.ID)).Int("attempts", r.attempts).Int("repeats", r.repeats)
+	entry = r.logTenant(entry)
+	entry = r.logProgram(entry)
+	entry = r.logWait(entry)
+	r.logChoice(entry).Dur("first", r.firstAfter).Msg("request: ended")
+}
+
+// logTenant adds whose the request is, and how it counted to a limit.
+func (r *requestState) logTenant(entry *log.Entry) *log.Entry {
 	if r.tenant != nil {
 		entry = entry.Str("tenant", r.tenant.Name).Dur("proof", r.proofAge)
 	}
-	if r.charge != nil {
-		entry = entry.Str("charge", string(r.charge.outcome.Status)).Str("counted", string(r.charge.outcome.Owner)).
-			Float64("balance", r.charge.outcome.Decision.Balance)
+	if r.charge == nil {
+		return entry
+	}
+	outcome := &r.charge.outcome
+	return entry.Str("charge", string(outcome.Status)).Str("counted", string(outcome.Owner)).Float64("balance", outcome.Decision.Balance)
+}
+
+// logProgram adds the program of the request, and what its owner said of a turn.
+func (r *requestState) logProgram(entry *log.Entry) *log.Entry {
+	if !r.finish.IsZero() {
+		entry = entry.Dur("finish", r.finish.Sub(r.exchange.Arrived))
 	}
 	switch {
 	case r.program == "" && r.charge != nil:
-		entry = entry.Str("program", r.charge.asked.Request.Program)
-	case r.program != "":
-		entry = entry.Str("program", r.program).Str("session", r.session).Int("partition", r.partition).
+		return entry.Str("program", r.charge.asked.Request.Program)
+	case r.program == "":
+		return entry
+	default:
+		return entry.Str("program", r.program).Str("session", r.session).Int("partition", r.partition).
 			Str("owner", r.owner).Str("verdict", string(r.admission.Verdict)).Int("settled", r.admission.Settled).
-			Int("open", r.admission.Open).Int("most", r.most).Dur("need", r.need).Int("urgency", r.urgency).Int("budget", r.budget).Int("tokens", r.tokens)
-	}
-	if !r.finish.IsZero() {
-		entry = entry.Dur("finish", r.finish.Sub(r.exchange.Arrived))
+			Int("open", r.admission.Open).Int("most", r.most).Int("budget", r.budget).Int("tokens", r.tokens).
+			Dur("need", r.need).Int("urgency", r.urgency)
 	}
+}
+
+// logWait adds how long the request waited here, or when its client is to come back.
+func (r *requestState) logWait(entry *log.Entry) *log.Entry {
 	if r.waited > 0 {
 		entry = entry.Dur("waited", r.waited)
 	}
-	if r.cause != "" {
-		entry = entry.Str("cause", r.cause).Dur("comeBack", r.comeBack)
+	if r.cause == "" {
+		return entry
 	}
-	entry.Int("missing", r.choice.Missing).Int("load", r.choice.Load).Dur("predicted", r.choice.Predicted).
-		Dur("pace", r.choice.Pace).Str("progress", r.progress.String()).Int("haste", r.haste).Dur("paceage", r.choice.PaceAge).Bool("left", r.choice.Left).Dur("first", r.firstAfter).Msg("request: ended")
+	return entry.Str("cause", r.cause).Dur("comeBack", r.comeBack)
+}
+
+// logChoice adds what the choice of the replica rested on.
+func (r *requestState) logChoice(entry *log.Entry) *log.Entry {
+	choice := &r.choice
+	return entry.Int("missing", choice.Missing).Int("load", choice.Load).Dur("predicted", choice.Predicted).
+		Dur("pace", choice.Pace).Dur("paceage", choice.PaceAge).Str("progress", r.progress.String()).Int("haste", r.haste).
+		Bool("left", choice.Left)
 }
 
 // failedStatus is the least status that tells of a failure.
