coordinator, gather, machine: one order of machines by id, one ranking of who counts, the role of heir from places

Cause: the change compared machines by id in two places beside machine's own comparison, ranked who counts for an account once with and once without nodes that left, and looked through all heirs for this node although its places among them are kept.

--- a/coordinator/quota.go
+++ b/coordinator/quota.go
@@ -162,7 +162,7 @@
 	if owner, known := c.charging.owners[name]; known {
 		return owner
 	}
-	owner := machine.ID(ownership.Rank(chargePlace(name), c.chargeCandidates()))
+	owner := c.chargeOwnerWithout(name)
 	c.charging.owners[name] = owner
 	return owner
 }
--- a/coordinator/rank.go
+++ b/coordinator/rank.go
@@ -116,7 +116,7 @@
 		places[index] = slices.Index(heirs[index], self)
 	}
 	return ranking{
-		candidates: candidates, heirs: heirs, places: places, roles: c.rankRoles(candidates, heirs), lost: c.lostCandidates(now, candidates),
+		candidates: candidates, heirs: heirs, places: places, roles: c.rankRoles(candidates, places), lost: c.lostCandidates(now, candidates),
 		since: now,
 	}
 }
--- a/coordinator/roles.go
+++ b/coordinator/roles.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"cmp"
 	"slices"
 
 	"birchwood.example/birchwood/machine"
@@ -52,8 +51,9 @@
 func (c *Core) Readers() []machine.Machine { return c.ranking.roles.Readers }
 
 // rankRoles deals the roles to the candidates, weak machines excepted where there are others:
-// a source or reader carries what hundreds of nodes ask for.
-func (c *Core) rankRoles(candidates []ownership.Node, heirs [][]string) Roles {
+// a source or reader carries what hundreds of nodes ask for. Places are this node's among
+// the heirs of the partitions.
+func (c *Core) rankRoles(candidates []ownership.Node, places []int) Roles {
 	roles := Roles{Sources: c.machines(ownership.First(sourceRank, ownership.Able(candidates), sourcesOfFleet))}
 	byZone := make(map[zone.Name][]ownership.Node)
 	for _, candidate := range candidates {
@@ -71,15 +71,12 @@
 		roles.Remote = append(roles.Remote, readers...)
 		roles.RemoteCollectors = append(roles.RemoteCollectors, collectors[:min(len(collectors), 1)]...)
 	}
-	slices.SortFunc(roles.Remote, compareMachines)
-	slices.SortFunc(roles.RemoteCollectors, compareMachines)
-	self := string(c.self().ID)
-	roles.Heir = slices.ContainsFunc(heirs, func(of []string) bool { return slices.Contains(of, self) })
+	slices.SortFunc(roles.Remote, machine.CompareID)
+	slices.SortFunc(roles.RemoteCollectors, machine.CompareID)
+	roles.Heir = slices.ContainsFunc(places, func(place int) bool { return place >= 0 })
 	return roles
 }
 
-func compareMachines(left, right machine.Machine) int { return cmp.Compare(left.ID, right.ID) }
-
 // machines returns the nodes of some ids.
 func (c *Core) machines(ids []string) (found []machine.Machine) {
 	for _, id := range ids {
--- a/gather/collect.go
+++ b/gather/collect.go
@@ -327,7 +327,7 @@
 		found[id] = peer
 	}
 	delete(found, c.fleet.Self.ID)
-	return slices.SortedFunc(maps.Values(found), func(left, right machine.Machine) int { return cmp.Compare(left.ID, right.ID) })
+	return slices.SortedFunc(maps.Values(found), machine.CompareID)
 }
 
 // readWord reads what a message says.
--- a/machine/membership.go
+++ b/machine/membership.go
@@ -1,6 +1,7 @@
 package machine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -208,7 +209,7 @@
 	for _, known := range m.records {
 		all = append(all, known.machine())
 	}
-	slices.SortFunc(all, compareID)
+	slices.SortFunc(all, CompareID)
 	return all
 }
 
@@ -321,12 +322,5 @@
 	return r.status
 }
 
-func compareID(left, right Machine) int {
-	switch {
-	case left.ID < right.ID:
-		return -1
-	case left.ID > right.ID:
-		return 1
-	}
-	return 0
-}
+// CompareID orders machines by their ids.
+func CompareID(left, right Machine) int { return cmp.Compare(left.ID, right.ID) }
