dispatch, edge, replica: dead code goes, and bounded maps forget their oldest entry by one function

Cause: a cause of refusals that nothing sets; the time of a route in Slack that nothing reads; three copies of the same eviction (lengths, usual needs, lateness); the least urgent rank stood in edge and in dispatch; a Place was called room, which is another type. Behaviour as it was: the tests keep their assertions, but for the argument that Slack.Observe lost.

--- a/dispatch/comeback.go
+++ b/dispatch/comeback.go
@@ -25,8 +25,6 @@
 	CauseLimit
 	// CauseFull: the replicas are full.
 	CauseFull
-	// CauseCold: the replicas that have room take few requests a second.
-	CauseCold
 	// CauseNoReplica: no replica is known that may serve the request.
 	CauseNoReplica
 	// CauseEvacuated: the zones that hold the replicas are to get no requests.
@@ -40,7 +38,7 @@
 func (c Cause) String() string {
 	return [causes]string{
 		"starting", "isolated", "no owner", "store away", "store full", "unproven", "budget held", "limit not counted",
-		"replicas full", "replicas cold", "no replica", "evacuated", "rejected",
+		"replicas full", "no replica", "evacuated", "rejected",
 	}[c]
 }
 
@@ -65,7 +63,7 @@
 // endurances holds a value for each cause.
 var endurances = [causes]endurance{
 	CauseStarting: passing, CauseIsolated: outage, CauseNoOwner: settling, CauseStoreAway: outage, CauseStoreFull: outage,
-	CauseUnproven: outage, CauseBudgetHeld: passing, CauseLimit: passing, CauseFull: settling, CauseCold: settling,
+	CauseUnproven: outage, CauseBudgetHeld: passing, CauseLimit: passing, CauseFull: settling,
 	CauseNoReplica: settling, CauseEvacuated: outage, CauseRejected: passing,
 }
 
@@ -101,7 +99,7 @@
 	Left time.Duration
 	// Begun says that the request's program is under way.
 	Begun bool
-	// Urgency is the rank of the request: 0 to leastUrgency, 0 first.
+	// Urgency is the rank of the request: 0 to LeastUrgency, 0 first.
 	Urgency int
 	// Draw is a random number from 0 to below 1.
 	Draw float64
@@ -142,13 +140,13 @@
 	return min(max(ramp, least), max(longestSpread, least))
 }
 
-// leastUrgency is the rank of the least urgent requests.
-const leastUrgency = 9
+// LeastUrgency is the rank of the least urgent requests, to replicas as well.
+const LeastUrgency = 9
 
 // place returns where in the window the caller comes back, from 0 to below 1: programs
 // under way in its first half, new ones in its second, the more urgent sooner in both.
 func (r *Refusal) place() float64 {
-	urgency := float64(min(max(r.Urgency, 0), leastUrgency)) / leastUrgency
+	urgency := float64(min(max(r.Urgency, 0), LeastUrgency)) / LeastUrgency
 	within := (urgency + r.Draw) / 2
 	if r.Begun {
 		return within / 2
--- a/dispatch/length.go
+++ b/dispatch/length.go
@@ -37,7 +37,7 @@
 	known := l.routes[route]
 	if known == nil {
 		if len(l.routes) >= lengthRoutes {
-			l.forgetOldest()
+			ForgetOldest(l.routes, func(one *length) time.Time { return one.at })
 		}
 		known = &length{}
 		l.routes[route] = known
@@ -47,17 +47,6 @@
 	known.logarithm += (math.Log(float64(tokens)) - known.logarithm) / known.turns
 }
 
-// forgetOldest drops the route that had no turn for the longest time.
-func (l *Lengths) forgetOldest() {
-	oldest := ""
-	for name, known := range l.routes {
-		if oldest == "" || known.at.Before(l.routes[oldest].at) {
-			oldest = name
-		}
-	}
-	delete(l.routes, oldest)
-}
-
 // Expected returns how many tokens a turn will have: between the client's hint and the
 // usual of the route, as far as they are known, and at most what it may have; 0 where
 // nothing is known. A hint is right in the median, and often far off.
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -91,7 +91,7 @@
 }
 
 // Bands maps the priorities of a service's routes and tenants to ranges of the urgency
-// that engines know, 0 first to leastUrgency: each begins at its priority and ends before
+// that engines know, 0 first to LeastUrgency: each begins at its priority and ends before
 // the next less urgent one in use, so that no turn is ever ranked with or before one of a
 // more urgent priority.
 type Bands struct{ priorities []int }
@@ -106,11 +106,11 @@
 // Urgency returns the rank of a turn at engines: its priority, unless its program has less
 // claim than others of the same priority and the band has room to say so.
 func (b Bands) Urgency(priority int, standing *Standing) int {
-	first := min(max(0, priority), leastUrgency)
+	first := min(max(0, priority), LeastUrgency)
 	if !standing.HasLeft {
 		return first
 	}
-	end := leastUrgency + 1
+	end := LeastUrgency + 1
 	if index, _ := slices.BinarySearch(b.priorities, priority+1); index < len(b.priorities) {
 		end = min(end, b.priorities[index])
 	}
--- a/dispatch/order_test.go
+++ b/dispatch/order_test.go
@@ -58,7 +58,7 @@
 				urgency := bands.Urgency(priority, one)
 				g.Expect(urgency).To(BeNumerically(">", end), "%v", priorities)
 				g.Expect(urgency).To(BeNumerically(">=", priority))
-				g.Expect(urgency).To(BeNumerically("<=", leastUrgency))
+				g.Expect(urgency).To(BeNumerically("<=", LeastUrgency))
 				end = urgency
 			}
 		}
@@ -79,5 +79,5 @@
 	g.Expect(bands.Urgency(1, standing(-time.Second))).To(BeNumerically("<", bands.Urgency(1, lateAndNew)))
 	g.Expect(bands.Urgency(0, lateAndNew)).To(BeZero(), "there is no rank between the two priorities")
 	g.Expect(bands.Urgency(1, &Standing{})).To(Equal(1))
-	g.Expect(bands.Urgency(12, &Standing{})).To(Equal(leastUrgency))
+	g.Expect(bands.Urgency(12, &Standing{})).To(Equal(LeastUrgency))
 }
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -42,25 +42,25 @@
 )
 
 // End predicts how long after it is sent the turn is whole.
-func (j *Job) End(room *Place) float64 {
-	work := room.Missing*room.Read + j.Tokens*room.Token*(1+BesideShare*room.Load)
-	return room.Way + work*(1+queueShare*room.over())
+func (j *Job) End(place *Place) float64 {
+	work := place.Missing*place.Read + j.Tokens*place.Token*(1+BesideShare*place.Load)
+	return place.Way + work*(1+queueShare*place.over())
 }
 
 // Burden predicts by how much the turn delays those beside it, all together.
-func (j *Job) Burden(room *Place) float64 {
-	return room.Load * (room.Missing*room.Read + BesideShare*j.Tokens*room.Token)
+func (j *Job) Burden(place *Place) float64 {
+	return place.Load * (place.Missing*place.Read + BesideShare*j.Tokens*place.Token)
 }
 
 // Cost is what a placement weighs: the turn's end, and what it costs the others.
-func (j *Job) Cost(room *Place) float64 {
-	return j.End(room) + j.Burden(room)
+func (j *Job) Cost(place *Place) float64 {
+	return j.End(place) + j.Burden(place)
 }
 
 // over is how many requests are expected over the slots once the turn is there, where the
 // load is uncertain by a share of the slots.
-func (r *Place) over() float64 {
-	beyond, off := r.Load-r.Slots+1, lateShare*r.Slots
+func (p *Place) over() float64 {
+	beyond, off := p.Load-p.Slots+1, lateShare*p.Slots
 	switch {
 	case beyond <= -off:
 		return 0
@@ -72,7 +72,7 @@
 }
 
 // Fill is how many requests a replica has when one more would cost so much a token, all
-// told, up to its room.
+// told, up to its place.
 func Fill(level, token, slots float64) float64 {
 	return min(max(0, (level/token-1)/moreShare), roomShare*slots)
 }
--- a/dispatch/slack.go
+++ b/dispatch/slack.go
@@ -23,17 +23,13 @@
 // Slack learns how much time the programs of each route usually have left at each stage,
 // and tells how one compares. It is not safe for concurrent use.
 type Slack struct {
-	routes map[string]*slackRoute
+	// routes are what the programs of each route have left, by stage.
+	routes map[string]*[slackStages]slackStage
 	// ranks is when a service's requests of each priority came last.
 	ranks map[string]*[slackRanks]time.Time
 }
 
-// slackRoute is what the programs of one route have left, in nanoseconds, by stage.
-type slackRoute struct {
-	stages [slackStages]slackStage
-	at     time.Time
-}
-
+// slackStage is what programs have left in the mean, in nanoseconds, and how many they were.
 type slackStage struct {
 	left, programs float64
 }
@@ -60,22 +56,21 @@
 
 // NewSlack returns a Slack that knows no route.
 func NewSlack() *Slack {
-	return &Slack{routes: make(map[string]*slackRoute), ranks: make(map[string]*[slackRanks]time.Time)}
+	return &Slack{routes: make(map[string]*[slackStages]slackStage), ranks: make(map[string]*[slackRanks]time.Time)}
 }
 
 // Observe takes in a turn of a program at a stage with so much time left, and tells how the
 // program compares.
-func (s *Slack) Observe(now time.Time, route string, stage int, left time.Duration) Progress {
+func (s *Slack) Observe(route string, stage int, left time.Duration) Progress {
 	known := s.routes[route]
 	if known == nil {
 		if len(s.routes) >= slackNames {
 			clear(s.routes)
 		}
-		known = &slackRoute{}
+		known = &[slackStages]slackStage{}
 		s.routes[route] = known
 	}
-	known.at = now
-	at := &known.stages[min(max(0, stage), slackStages-1)]
+	at := &known[min(max(0, stage), slackStages-1)]
 	progress := at.progress(float64(left))
 	if left > 0 {
 		// What is lost already says nothing of what programs need.
--- a/dispatch/slack_test.go
+++ b/dispatch/slack_test.go
@@ -13,7 +13,7 @@
 func taught() *dispatch.Slack {
 	slack := dispatch.NewSlack()
 	for range 20 {
-		slack.Observe(begin, "route", 2, 3*time.Second)
+		slack.Observe("route", 2, 3*time.Second)
 	}
 	return slack
 }
@@ -24,19 +24,19 @@
 		-time.Second: dispatch.ProgressLost, 0: dispatch.ProgressLost, time.Second: dispatch.ProgressBehind,
 		3 * time.Second: dispatch.ProgressEven, 6 * time.Second: dispatch.ProgressAhead,
 	} {
-		g.Expect(taught().Observe(begin, "route", 2, left)).To(Equal(want), left.String())
+		g.Expect(taught().Observe("route", 2, left)).To(Equal(want), left.String())
 	}
-	g.Expect(taught().Observe(begin, "route", 3, time.Second)).To(Equal(dispatch.ProgressEven), "an unknown stage")
-	g.Expect(taught().Observe(begin, "route", 1_000, time.Second)).To(Equal(dispatch.ProgressEven), "a stage beyond all")
+	g.Expect(taught().Observe("route", 3, time.Second)).To(Equal(dispatch.ProgressEven), "an unknown stage")
+	g.Expect(taught().Observe("route", 1_000, time.Second)).To(Equal(dispatch.ProgressEven), "a stage beyond all")
 }
 
 func TestLostProgramsDoNotTeachTheUsual(t *testing.T) {
 	g := NewWithT(t)
 	slack := taught()
 	for range 500 {
-		slack.Observe(begin, "route", 2, -time.Hour)
+		slack.Observe("route", 2, -time.Hour)
 	}
-	g.Expect(slack.Observe(begin, "route", 2, 3*time.Second)).To(Equal(dispatch.ProgressEven))
+	g.Expect(slack.Observe("route", 2, 3*time.Second)).To(Equal(dispatch.ProgressEven))
 }
 
 func TestHasteOfOnePriorityFollowsTheStand(t *testing.T) {
--- a/dispatch/usual.go
+++ b/dispatch/usual.go
@@ -111,7 +111,7 @@
 	known := u.routes[seen.route]
 	if known == nil {
 		if len(u.routes) >= usualRoutes {
-			u.forgetOldest()
+			ForgetOldest(u.routes, func(one *usualRoute) time.Time { return one.at })
 		}
 		known = &usualRoute{}
 		u.routes[seen.route] = known
@@ -123,14 +123,3 @@
 	known.took = known.took*kept + seen.last.Sub(seen.began).Seconds()
 	known.granted = known.granted*kept + seen.granted.Seconds()
 }
-
-// forgetOldest drops the route whose programs ended longest ago.
-func (u *Usual) forgetOldest() {
-	oldest := ""
-	for name, known := range u.routes {
-		if oldest == "" || known.at.Before(u.routes[oldest].at) {
-			oldest = name
-		}
-	}
-	delete(u.routes, oldest)
-}
--- a/edge/handle.go
+++ b/edge/handle.go
@@ -172,9 +172,6 @@
 	return append([]string{names.Deadline, names.ExpectReplica, names.Urgency, names.Key, names.Tenant}, names.Reserved...)
 }
 
-// maximumUrgency is the least urgent rank of a request at an engine.
-const maximumUrgency = 9
-
 func appendField(fields []byte, name, value string) []byte {
 	fields = append(fields, name...)
 	fields = append(fields, ": "...)
--- a/edge/placing.go
+++ b/edge/placing.go
@@ -31,7 +31,7 @@
 	now := time.Now()
 	r.progress = dispatch.ProgressEven
 	if !r.finish.IsZero() {
-		r.progress = n.placing.slack.Observe(now, r.routeName(), len(r.prompt), r.finish.Sub(now))
+		r.progress = n.placing.slack.Observe(r.routeName(), len(r.prompt), r.finish.Sub(now))
 	}
 	r.haste = n.placing.slack.Haste(now, r.service, r.priority(), r.progress)
 }
--- a/edge/standing.go
+++ b/edge/standing.go
@@ -83,7 +83,7 @@
 func (n *Node) urgency(r *requestState, table *routing.Table) int {
 	competes := r.choice.Entry.Slots > 0 && r.choice.Load >= r.choice.Entry.Slots
 	if !competes || !n.settings.uses(OrderBySlack) {
-		return min(max(0, r.priority()), maximumUrgency)
+		return min(max(0, r.priority()), dispatch.LeastUrgency)
 	}
 	return n.standings.bandsFor(table, r.service).Urgency(r.priority(), r.standing(time.Now()))
 }
--- a/replica/lateness.go
+++ b/replica/lateness.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"birchwood.example/birchwood/dispatch"
 )
 
 // Lateness learns how long the calls of each route take, and tells from when on
@@ -56,7 +58,7 @@
 	known := l.routes[route]
 	if known == nil {
 		if len(l.routes) >= maximumRoutes {
-			l.forgetOldest()
+			dispatch.ForgetOldest(l.routes, func(one *callTimes) time.Time { return one.rotatedAt })
 		}
 		known = &callTimes{
 			window:    hdrhistogram.NewWindowed(timesSlices, 1, int64(timesMaximum/timesUnit), timesDigits),
@@ -107,15 +109,3 @@
 		t.fresh = 0
 	}
 }
-
-// forgetOldest drops the route whose times are the oldest.
-func (l *Lateness) forgetOldest() {
-	var oldest string
-	var when time.Time
-	for route, known := range l.routes {
-		if oldest == "" || known.rotatedAt.Before(when) {
-			oldest, when = route, known.rotatedAt
-		}
-	}
-	delete(l.routes, oldest)
-}
