replica: a cold replica's load is made by one function; what others measured is taken in by a name that says so

Cause: Room repeated what Pressure does for cold replicas; TakeTotals took in paces alone. Tried and reverted: one mixer of bits for scatter and deviation; a bound of the replays of spread failed with the other mixer (replica's suite), so that both stay.

--- a/replica/pace_replay_test.go
+++ b/replica/pace_replay_test.go
@@ -147,7 +147,7 @@
 				totals[id] = total
 			}
 		}
-		set.TakeTotals(now, totals)
+		set.TakePaces(now, totals)
 	}
 }
 
@@ -374,7 +374,7 @@
 		entries[index] = replica.Entry{ID: replica.ID(fmt.Sprintf("r%02d", index)), Service: "model", Zone: "a", Status: replica.StatusReady, Slots: replaySlots, Incarnation: 1}
 		set.Put(begun, entries[index])
 	}
-	set.TakeTotals(begun, totals)
+	set.TakePaces(begun, totals)
 	request := &replica.Request{Service: "model", Expected: 200, Only: "r00"}
 	choice, err := set.Select(begun, request)
 	g.Expect(err).NotTo(HaveOccurred())
--- a/replica/paces.go
+++ b/replica/paces.go
@@ -107,13 +107,6 @@
 	}
 }
 
-// takePace takes in what the other nodes measured at a replica.
-func (s *Set) takePace(now time.Time, known *member, total Total) {
-	if !s.config.Without.Pace {
-		known.pace.Hear(now, total.TokenTime, total.Samples)
-	}
-}
-
 // pacesOf returns the paces of a service where they differ materially among the replicas
 // that are weighed, else nil.
 func (s *Set) pacesOf(now time.Time, service string, weighable []*member) *paces {
@@ -197,8 +190,8 @@
 }
 
 // pacedCost is the cost of a replica in nanoseconds.
-func (w *weighing) pacedCost(one *member, room *dispatch.Place) float64 {
-	cost := w.job.Cost(room)
+func (w *weighing) pacedCost(one *member, place *dispatch.Place) float64 {
+	cost := w.job.Cost(place)
 	switch {
 	case one.entry.ID != w.request.Preferred:
 		return cost
@@ -217,33 +210,33 @@
 	shares := slices.Grow(w.set.shares[:0], len(feasible))[:len(feasible)]
 	w.set.shares = shares
 	var best *member
-	for place, one := range feasible {
-		shares[place] = w.shareOf(one)
-		total += shares[place]
+	for index, one := range feasible {
+		shares[index] = w.shareOf(one)
+		total += shares[index]
 		if one.entry.ID == w.request.Preferred {
 			best = one
 		}
 	}
 	cost := math.Inf(1)
 	if best != nil {
-		room := w.placeAt(best)
-		cost = w.pacedCost(best, &room)
+		place := w.placeAt(best)
+		cost = w.pacedCost(best, &place)
 	}
 	prompt := float64(Tokens(w.request.Prompt))
 	for draw, counted := 0, 0; draw < paceDrawsMost && counted < paceDraws; draw++ {
 		left := total * scatter(w.request.Draw, draw)
 		candidate := feasible[len(feasible)-1]
-		for place, one := range feasible {
-			if left -= shares[place]; left <= 0 {
+		for index, one := range feasible {
+			if left -= shares[index]; left <= 0 {
 				candidate = one
 				break
 			}
 		}
-		room := w.placeAt(candidate)
-		if one := w.pacedCost(candidate, &room); best == nil || one < cost {
-			best, cost = candidate, one
+		place := w.placeAt(candidate)
+		if candidateCost := w.pacedCost(candidate, &place); best == nil || candidateCost < cost {
+			best, cost = candidate, candidateCost
 		}
-		if room.Missing <= prompt/2 {
+		if place.Missing <= prompt/2 {
 			counted++
 		}
 	}
@@ -294,10 +287,10 @@
 	if w.paces == nil {
 		return
 	}
-	room := w.placeAt(one)
-	choice.Predicted = time.Duration(w.job.End(&room))
-	choice.Pace = time.Duration(room.Token)
-	choice.Load = int(math.Round(room.Load))
+	place := w.placeAt(one)
+	choice.Predicted = time.Duration(w.job.End(&place))
+	choice.Pace = time.Duration(place.Token)
+	choice.Load = int(math.Round(place.Load))
 	if one.pace.Known() {
 		choice.PaceAge = one.pace.Age(w.now)
 	}
--- a/replica/report.go
+++ b/replica/report.go
@@ -31,11 +31,14 @@
 	return reports
 }
 
-// TakeTotals takes in what all other nodes together have and measured.
-func (s *Set) TakeTotals(now time.Time, totals map[ID]Total) {
+// TakePaces takes in what all other nodes together measured.
+func (s *Set) TakePaces(now time.Time, totals map[ID]Total) {
+	if s.config.Without.Pace {
+		return
+	}
 	for id, total := range totals {
 		if known := s.byID[id]; known != nil {
-			s.takePace(now, known, total)
+			known.pace.Hear(now, total.TokenTime, total.Samples)
 		}
 	}
 }
--- a/replica/select.go
+++ b/replica/select.go
@@ -305,15 +305,21 @@
 		if s.mayTake(now, request, one) != nil {
 			continue
 		}
-		full := view.load(one) / float64(max(1, one.entry.Slots))
-		if s.atColdRate(now, one) {
-			full = max(full, pressureAtColdRate)
-		}
-		least = min(least, full)
+		least = min(least, s.occupied(now, &view, one)/float64(max(1, one.entry.Slots)))
 	}
 	return least
 }
 
+// occupied returns the requests at a replica, or those of one that is full where it is cold
+// and at its rate.
+func (s *Set) occupied(now time.Time, view *peerView, one *member) float64 {
+	load := view.load(one)
+	if s.atColdRate(now, one) {
+		load = max(load, pressureAtColdRate*float64(max(1, one.entry.Slots)))
+	}
+	return load
+}
+
 // missing predicts the prefill of the prompt at a replica. One that served the
 // line's last turn keeps what it read and generated then, also where another node
 // sent it that turn.
--- a/replica/word.go
+++ b/replica/word.go
@@ -47,7 +47,7 @@
 			known.others, known.word = min(max(0, total.Requests), most), s.word.number
 		}
 	}
-	s.TakeTotals(now, word.Totals)
+	s.TakePaces(now, word.Totals)
 }
 
 // heardWord is the last word that was taken in.
