edge: a read of the store that had no answer is logged with when it was sent

Cause: 'store: stream not read' is one line for three tries. Change: one line for each try without an answer after 0.5 s, with when it was sent and whether the store has answered others since; a histogram of the reads, a counter of those without an answer. No logic changed.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -236,7 +236,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, patience+tailSlack)
 		tail, err := n.adapter.Store.Tail(callCtx, stream, next, patience)
 		cancel()
-		n.noteStore(err)
+		n.noteRead(storeRead{stream: stream, kind: kindTail, attempt: 1, sentAt: asked}, err)
 		if errors.Is(err, recordstore.ErrGap) {
 			return
 		}
--- a/edge/ledgers.go
+++ b/edge/ledgers.go
@@ -95,11 +95,12 @@
 	backoff := n.backoff()
 	timeout := tries.first
 	var last error
-	for range tries.attempts {
+	for attempt := range tries.attempts {
+		read := storeRead{stream: stream, kind: kindNewest, attempt: attempt + 1, sentAt: time.Now()}
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		page, err := n.adapter.Store.Newest(callCtx, stream, after)
 		cancel()
-		n.noteStore(err)
+		n.noteRead(read, err)
 		if err == nil {
 			return page, nil
 		}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -42,6 +42,8 @@
 	metricLatency    = "birchwood_edge_request_seconds"
 	metricAppends    = "birchwood_edge_append_seconds"
 	metricCalls      = "birchwood_edge_store_calls_total"
+	metricReads      = "birchwood_edge_store_read_seconds"
+	metricUnanswered = "birchwood_edge_store_reads_unanswered_total"
 	metricDropped    = "birchwood_edge_peer_messages_dropped_total"
 	metricFailed     = "birchwood_edge_peer_messages_failed_total"
 	metricPartitions = "birchwood_edge_partition_changes_total"
@@ -155,6 +157,18 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", metricCalls, outcome)).Inc()
 }
 
+// storeRead takes in one try of a read of the store: how long its answer took, or that none
+// came.
+func (m *Metrics) storeRead(read storeRead, took time.Duration, err error) {
+	switch {
+	case unanswered(err):
+		m.set.GetOrCreateCounter(fmt.Sprintf("%s{stream=%q,read=%q}", metricUnanswered, read.stream.Name, read.kind)).Inc()
+	case err == nil && read.kind == kindNewest:
+		name := fmt.Sprintf("%s{stream=%q}", metricReads, read.stream.Name)
+		m.set.GetOrCreatePrometheusHistogramExt(name, appendBuckets).Update(took.Seconds())
+	}
+}
+
 // takeoverEnded takes in a takeover, by outcome, with what it read.
 func (m *Metrics) takeoverEnded(outcome string, read restored, took time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", metricTakeovers, outcome)).Inc()
