edge: a test that a configuration is in force soon after a silent store's return, red

Change: a test in virtual time plays one node's reads through outages of a silent store of several lengths, also in series, at every phase of its reads.

--- /dev/null
+++ b/edge/silentstore_test.go
@@ -0,0 +1,153 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	pause "birchwood.example/birchwood/internal/wait"
+	"birchwood.example/birchwood/recordstore"
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/routing"
+	"birchwood.example/birchwood/zone"
+)
+
+// span is a time in which a store is silent.
+type span struct{ from, to time.Duration }
+
+// outageStore keeps records in memory. A call that is sent while it is silent, or that
+// waits when that begins, is never answered; the others are answered at once.
+type outageStore struct {
+	recordstore.Store
+	begun   time.Time
+	silent  []span
+	mutex   sync.Mutex
+	records map[recordstore.StreamName][]recordstore.Record
+}
+
+// put adds a record to a stream.
+func (s *outageStore) put(stream recordstore.StreamName, key, value string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	offset := uint64(len(s.records[stream]))
+	s.records[stream] = append(s.records[stream], recordstore.Record{Key: key, Value: []byte(value), Offset: offset})
+}
+
+// from returns the records of a stream from an offset on.
+func (s *outageStore) from(stream recordstore.StreamName, offset uint64) []recordstore.Record {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.records[stream][offset:]
+}
+
+// answers reports whether a call that was sent at a time is answered now.
+func (s *outageStore) answers(sent time.Time) bool {
+	for _, outage := range s.silent {
+		if time.Now().After(s.begun.Add(outage.from)) && sent.Before(s.begun.Add(outage.to)) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *outageStore) Newest(ctx context.Context, stream recordstore.Stream, _ string) (recordstore.Page, error) {
+	if !s.answers(time.Now()) {
+		<-ctx.Done()
+		return recordstore.Page{}, ctx.Err()
+	}
+	records := s.from(stream.Name, 0)
+	page := recordstore.Page{End: uint64(len(records))}
+	if len(records) > 0 {
+		page.Records = records[len(records)-1:]
+	}
+	return page, nil
+}
+
+func (s *outageStore) Tail(ctx context.Context, stream recordstore.Stream, from uint64, wait time.Duration) (recordstore.Tail, error) {
+	const poll = 5 * time.Millisecond
+	sent := time.Now()
+	for {
+		if !s.answers(sent) {
+			<-ctx.Done()
+			return recordstore.Tail{}, ctx.Err()
+		}
+		records := s.from(stream.Name, from)
+		if len(records) > 0 || time.Since(sent) >= wait {
+			return recordstore.Tail{Records: records, Next: from + uint64(len(records))}, nil
+		}
+		if !pause.For(ctx, poll) {
+			return recordstore.Tail{}, ctx.Err()
+		}
+	}
+}
+
+// versionTranslator reads a configuration that holds nothing but its version.
+type versionTranslator struct{}
+
+func (versionTranslator) Configuration(_ string, value []byte) (*routing.Table, error) {
+	version, err := strconv.ParseUint(string(value), 10, 64)
+	return routing.NewTable(version, nil, nil, routing.Limits{}), err
+}
+
+func (versionTranslator) Evacuation(string, []byte) (name zone.Name, evacuated, ok bool) {
+	return "", false, false
+}
+
+func (versionTranslator) Replica(key string, _ []byte) (replica.Entry, error) {
+	return replica.Entry{ID: replica.ID(key), Service: "s", Status: replica.StatusReady, Slots: 1}, nil
+}
+
+// TestConfigurationLateAfterSilentStore has a node that lives through outages in which the
+// store answers nothing put a configuration in force that was written right after the
+// store's return, whatever the node was reading when the outage began and when it ended.
+func TestConfigurationLateAfterSilentStore(t *testing.T) {
+	// inForceWithin is the shortest time after an outage from which on operators count a
+	// node as in touch with the store again.
+	const inForceWithin = 3 * time.Second
+	const step = 200 * time.Millisecond
+	for _, outages := range [][]span{
+		{{0, 2 * time.Second}}, {{0, 4 * time.Second}}, {{0, 5 * time.Second}}, {{0, 6 * time.Second}}, {{0, 9 * time.Second}},
+		{{0, 3 * time.Second}, {3300 * time.Millisecond, 5 * time.Second}},
+		{{0, 3 * time.Second}, {3300 * time.Millisecond, 4500 * time.Millisecond}, {4700 * time.Millisecond, 6 * time.Second}},
+	} {
+		for start := time.Second; start < resyncPeriod+2*time.Second; start += step {
+			shifted := make([]span, 0, len(outages))
+			for _, outage := range outages {
+				shifted = append(shifted, span{start + outage.from, start + outage.to})
+			}
+			t.Run(fmt.Sprint(shifted), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					late := configurationDelay(NewWithT(t), shifted)
+					NewWithT(t).Expect(late).To(BeNumerically("<", inForceWithin))
+				})
+			})
+		}
+	}
+}
+
+// configurationDelay returns how long after the last outage a configuration is in force
+// that was written at its end.
+func configurationDelay(g *WithT, silent []span) time.Duration {
+	node := keyNode(g, Settings{}, false)
+	defer node.Kill()
+	store := &outageStore{begun: time.Now(), silent: silent, records: make(map[recordstore.StreamName][]recordstore.Record)}
+	store.put(recordstore.StreamConfiguration, "config", "2")
+	store.put(recordstore.StreamReplicas, "r", "ready")
+	node.adapter.Store, node.adapter.Translator = store, versionTranslator{}
+	node.noteDirectory()
+	node.run(node.followConfiguration)
+	node.run(node.followReplicas)
+	back := store.begun.Add(silent[len(silent)-1].to)
+	time.Sleep(time.Until(back))
+	store.put(recordstore.StreamConfiguration, "config", "3")
+	for node.configVersion() < 3 && time.Since(back) < time.Minute {
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(back)
+}
