edge: a read that was sent before the store's return is sent again at it

For over four seconds after the store had come back, requests were refused with 404 or served as a configuration says that had been replaced: no node had read the newer one. Cause: a read of all keys has tries of 1.2, 2.4 and 4.8 s, each given up before the next is sent. The times were made to grow for a store that is slow; a store that is silent made them grow too. The last try was sent half a second before the return, was never answered, and held the follower of the configuration for 4.3 s more, while the store answered the same node's appends. All nodes begin that read in the same second (15 s after their common start), so that no peer had a newer version. Class: patience that was measured out during an outage outlives it; the return was known to the node, and the calls under way were not told. Change: the first answer after 1.5 s without any ends the waits of all reads that were sent before it, and they are sent again at once: whole reads and tails of followed streams, pages of takeovers (these waited for up to 9.6 s). The time between tries grows only while the store answers others, so that its return is noticed within 1.2 s. A try without an answer goes on beside the next one, and the first answer counts: a page that is slow is not asked for in vain, as appends have it. Why it works: a read that was lost in an outage is sent again at the node's first answer after it, and while there is none a read is sent every 1.2 s, which gives that answer.

--- a/edge/appending.go
+++ b/edge/appending.go
@@ -10,8 +10,8 @@
 	"birchwood.example/birchwood/recordstore"
 )
 
-// errNoAnswerYet says that a try of an append has not been answered in its time.
-var errNoAnswerYet = errors.New("the store has not answered the append yet")
+// errNoAnswerYet says that a try of a call has not been answered in its time.
+var errNoAnswerYet = errors.New("the store has not answered yet")
 
 // appending is an append that is repeated until the store answers. Tries that were not
 // answered in their time go on beside the next one, and the first answer counts: the store
--- a/edge/contact.go
+++ b/edge/contact.go
@@ -17,6 +17,9 @@
 	failing bool
 	// trustedUntil is until when a read that waits at the store may take.
 	trustedUntil time.Time
+	// regain is closed when the store answers again after it was lost; nil while nobody
+	// waits for that.
+	regain chan struct{}
 }
 
 const (
@@ -38,10 +41,25 @@
 	defer c.mutex.Unlock()
 	if now.Sub(c.last) >= contactLifetime {
 		c.regained = now
+		if c.regain != nil {
+			close(c.regain)
+			c.regain = nil
+		}
 	}
 	c.last, c.failing = now, false
 }
 
+// nextRegain returns what is closed when the store answers for the first time after it was
+// lost. A call that was sent before that may never be answered.
+func (c *contact) nextRegain() <-chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.regain == nil {
+		c.regain = make(chan struct{})
+	}
+	return c.regain
+}
+
 // fail takes in that a call got no answer of the store.
 func (c *contact) fail() {
 	c.mutex.Lock()
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -233,14 +233,17 @@
 	for ctx.Err() == nil && !to.done() && time.Now().Before(resync) {
 		patience := to.wait()
 		asked := time.Now()
+		regained := n.store.nextRegain()
 		callCtx, cancel := context.WithTimeout(ctx, patience+tailSlack)
-		tail, err := n.adapter.Store.Tail(callCtx, stream, next, patience)
+		tail, err := n.tailUntil(callCtx, stream, next, patience, regained)
 		cancel()
 		n.noteRead(storeRead{stream: stream, kind: kindTail, attempt: 1, sentAt: asked}, err)
-		if errors.Is(err, recordstore.ErrGap) {
+		switch {
+		case errors.Is(err, recordstore.ErrGap):
 			return
-		}
-		if err != nil {
+		case errors.Is(err, errStoreRegained):
+			continue
+		case err != nil:
 			wait.For(ctx, backoff.Next())
 			continue
 		}
--- a/edge/ledgers.go
+++ b/edge/ledgers.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"birchwood.example/birchwood/coordinator"
-	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/ownership"
 	"birchwood.example/birchwood/recordstore"
@@ -53,18 +52,6 @@
 	return recordstore.Record{Key: ownerKey, Value: value}
 }
 
-// pageTries bounds the tries to read one page of a stream's newest records: how many
-// there are, how long the first one may take, and how long a later one may, each twice as
-// long as the one before it.
-type pageTries struct {
-	attempts    int
-	first, most time.Duration
-}
-
-// newestTries are those of a stream that is followed. They grow longer: a page that is
-// given up was read in vain, and asked for again it keeps a slow store slow.
-var newestTries = pageTries{attempts: 3, first: appendTimeout, most: 5 * time.Second}
-
 // readNewest reads all pages of a stream's newest records. The end is that of
 // the first page, so that no later change is missed.
 func (n *Node) readNewest(ctx context.Context, stream recordstore.Stream) (records []recordstore.Record, end uint64, err error) {
@@ -91,28 +78,6 @@
 	}
 }
 
-func (n *Node) readPage(ctx context.Context, stream recordstore.Stream, after string, tries pageTries) (recordstore.Page, error) {
-	backoff := n.backoff()
-	timeout := tries.first
-	var last error
-	for attempt := range tries.attempts {
-		read := storeRead{stream: stream, kind: kindNewest, attempt: attempt + 1, sentAt: time.Now()}
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
-		page, err := n.adapter.Store.Newest(callCtx, stream, after)
-		cancel()
-		n.noteRead(read, err)
-		if err == nil {
-			return page, nil
-		}
-		last = err
-		timeout = min(2*timeout, tries.most)
-		if !wait.For(ctx, backoff.Next()) {
-			return recordstore.Page{}, ctx.Err()
-		}
-	}
-	return recordstore.Page{}, last
-}
-
 // backoff spaces the retries of one call to the store.
 func (n *Node) backoff() *retry.Backoff { return n.backoffOf(appendRetryFirst, appendRetryMost) }
 
--- a/edge/silentstore_test.go
+++ b/edge/silentstore_test.go
@@ -131,11 +131,10 @@
 	}
 }
 
-// configurationDelay returns how long after the last outage a configuration is in force
-// that was written at its end.
-func configurationDelay(g *WithT, silent []span) time.Duration {
+// nodeAtOutageStore returns a node that follows the configuration and the replicas of a store
+// that is silent at times.
+func nodeAtOutageStore(g *WithT, silent []span) (*Node, *outageStore) {
 	node := keyNode(g, Settings{}, false)
-	defer node.Kill()
 	store := &outageStore{begun: time.Now(), silent: silent, records: make(map[recordstore.StreamName][]recordstore.Record)}
 	store.put(recordstore.StreamConfiguration, "config", "2")
 	store.put(recordstore.StreamReplicas, "r", "ready")
@@ -143,6 +142,14 @@
 	node.noteDirectory()
 	node.run(node.followConfiguration)
 	node.run(node.followReplicas)
+	return node, store
+}
+
+// configurationDelay returns how long after the last outage a configuration is in force
+// that was written at its end.
+func configurationDelay(g *WithT, silent []span) time.Duration {
+	node, store := nodeAtOutageStore(g, silent)
+	defer node.Kill()
 	back := store.begun.Add(silent[len(silent)-1].to)
 	time.Sleep(time.Until(back))
 	store.put(recordstore.StreamConfiguration, "config", "3")
@@ -151,3 +158,24 @@
 	}
 	return time.Since(back)
 }
+
+// TestTakeoverLateAfterSilentStore has a takeover that reads its page while the store is
+// silent go on soon after the store's return.
+func TestTakeoverLateAfterSilentStore(t *testing.T) {
+	const readWithin = 3 * time.Second
+	const step = 200 * time.Millisecond
+	for length := time.Second; length < 12*time.Second; length += step {
+		t.Run(length.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				outage := span{time.Second, time.Second + length}
+				node, store := nodeAtOutageStore(g, []span{outage})
+				defer node.Kill()
+				time.Sleep(outage.from + time.Millisecond)
+				_, err := node.readTakeoverPage(node.ctx, recordstore.Stream{Name: recordstore.StreamReplicas}, "")
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(time.Since(store.begun)).To(BeNumerically("<", outage.to+readWithin))
+			})
+		})
+	}
+}
--- a/edge/storewatch.go
+++ b/edge/storewatch.go
@@ -63,7 +63,7 @@
 	defer cancel()
 	n.watching.Store(&cancel)
 	n.store.trust(time.Now().Add(patience + tailSlack))
-	tail, err := n.tailUntil(callCtx, stream, next, patience)
+	tail, err := n.tailUntil(callCtx, stream, next, patience, nil)
 	n.watching.Store(nil)
 	if errors.Is(err, context.Canceled) {
 		return tail, err
@@ -75,9 +75,10 @@
 	return tail, err
 }
 
-// tailUntil reads a stream's tail until the context ends, though the store's client may
-// wait for its answer longer.
-func (n *Node) tailUntil(ctx context.Context, stream recordstore.Stream, next uint64, patience time.Duration) (recordstore.Tail, error) {
+// tailUntil reads a stream's tail until the context ends, or the store is regained, though
+// the store's client may wait for its answer longer. A nil channel is never regained.
+func (n *Node) tailUntil(ctx context.Context, stream recordstore.Stream, next uint64, patience time.Duration,
+	regained <-chan struct{}) (recordstore.Tail, error) {
 	type result struct {
 		tail recordstore.Tail
 		err  error
@@ -90,6 +91,8 @@
 	select {
 	case read := <-answered:
 		return read.tail, read.err
+	case <-regained:
+		return recordstore.Tail{}, errStoreRegained
 	case <-ctx.Done():
 		return recordstore.Tail{}, ctx.Err()
 	}
--- a/edge/takeover.go
+++ b/edge/takeover.go
@@ -22,9 +22,9 @@
 	takeoverFirst = 4
 )
 
-// takeoverTries are those of a page of a takeover. They grow longer: a page that is given
-// up was read in vain.
-var takeoverTries = pageTries{attempts: 6, first: 1200 * time.Millisecond, most: 10 * time.Second}
+// takeoverTries are those of a page of a takeover. A takeover that were given up in an outage
+// would have to claim its partition again after it.
+var takeoverTries = pageTries{attempts: 6, first: appendTimeout, most: 10 * time.Second, throughOutages: true}
 
 // takeovers are those under way on this node. It is safe for concurrent use.
 type takeovers struct {
