edge: nodes that start together do not read streams whole in step

Cause: a stream is read whole again 15 s after the last time, on every node; nodes that start together stay in step, and a change that all hear at once has their tails end together as well. Change: the period is longer or shorter by up to a quarter, drawn each time. Evidence and measure: in virtual time 12 nodes that start together began their second whole reads within 0 s of each other; now they lie 3.75 s apart or more. The store has fewer reads at once; how many there are is the same. It is no fix by itself: an outage of 6 s finds a good part of the nodes in that read all the same.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -38,6 +38,9 @@
 	// whole read of ten thousand takes a second, in which no change is heard.
 	resyncPeriod    = 15 * time.Second
 	resyncPerRecord = 10 * time.Millisecond
+	// resyncSpread is the share of that time by which it is shorter or longer by chance, so
+	// that nodes that started together do not all read whole when the store fails.
+	resyncSpread = 0.25
 )
 
 // latestConfiguration keeps the newest configuration as it was stored, so that
@@ -221,11 +224,16 @@
 		to.reset(records, next)
 		to.caughtUp(asked)
 		to.synced.Store(true)
-		resync := time.Now().Add(resyncPeriod + time.Duration(len(records))*resyncPerRecord)
-		n.followTail(ctx, stream, next, resync, to)
+		n.followTail(ctx, stream, next, time.Now().Add(n.resyncAfter(len(records))), to)
 	}
 }
 
+// resyncAfter returns how long after a whole read of so many records the next one is due.
+func (n *Node) resyncAfter(records int) time.Duration {
+	period := resyncPeriod + time.Duration(records)*resyncPerRecord
+	return time.Duration((1 + resyncSpread*(2*n.draw()-1)) * float64(period))
+}
+
 // followTail reads a stream's tail until a gap, or until it is to be read
 // whole again.
 func (n *Node) followTail(ctx context.Context, stream recordstore.Stream, next uint64, resync time.Time, to follower) {
--- a/edge/silentstore_test.go
+++ b/edge/silentstore_test.go
@@ -29,6 +29,24 @@
 	silent  []span
 	mutex   sync.Mutex
 	records map[recordstore.StreamName][]recordstore.Record
+	// whole are the times of the reads of all keys.
+	whole []time.Time
+}
+
+// newOutageStore returns a store with a configuration of version 2 and one replica, that is
+// silent at times.
+func newOutageStore(silent []span) *outageStore {
+	store := &outageStore{begun: time.Now(), silent: silent, records: make(map[recordstore.StreamName][]recordstore.Record)}
+	store.put(recordstore.StreamConfiguration, "config", "2")
+	store.put(recordstore.StreamReplicas, "r", "ready")
+	return store
+}
+
+// wholeReads returns the times of the reads of all keys, in order.
+func (s *outageStore) wholeReads() []time.Time {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.whole
 }
 
 // put adds a record to a stream.
@@ -57,6 +75,9 @@
 }
 
 func (s *outageStore) Newest(ctx context.Context, stream recordstore.Stream, _ string) (recordstore.Page, error) {
+	s.mutex.Lock()
+	s.whole = append(s.whole, time.Now())
+	s.mutex.Unlock()
 	if !s.answers(time.Now()) {
 		<-ctx.Done()
 		return recordstore.Page{}, ctx.Err()
@@ -116,7 +137,7 @@
 		{{0, 3 * time.Second}, {3300 * time.Millisecond, 5 * time.Second}},
 		{{0, 3 * time.Second}, {3300 * time.Millisecond, 4500 * time.Millisecond}, {4700 * time.Millisecond, 6 * time.Second}},
 	} {
-		for start := time.Second; start < resyncPeriod+2*time.Second; start += step {
+		for start := time.Second; start < resyncPeriod*5/4+2*time.Second; start += step {
 			shifted := make([]span, 0, len(outages))
 			for _, outage := range outages {
 				shifted = append(shifted, span{start + outage.from, start + outage.to})
@@ -135,9 +156,7 @@
 // that is silent at times.
 func nodeAtOutageStore(g *WithT, silent []span) (*Node, *outageStore) {
 	node := keyNode(g, Settings{}, false)
-	store := &outageStore{begun: time.Now(), silent: silent, records: make(map[recordstore.StreamName][]recordstore.Record)}
-	store.put(recordstore.StreamConfiguration, "config", "2")
-	store.put(recordstore.StreamReplicas, "r", "ready")
+	store := newOutageStore(silent)
 	node.adapter.Store, node.adapter.Translator = store, versionTranslator{}
 	node.noteDirectory()
 	node.run(node.followConfiguration)
@@ -159,6 +178,27 @@
 	return time.Since(back)
 }
 
+// TestWholeReadsInStep has nodes that start together read a stream whole again at times that
+// lie apart, so that an outage does not find all of them without the stream's tail.
+func TestWholeReadsInStep(t *testing.T) {
+	const nodes = 12
+	const spreadAtLeast = resyncPeriod / 4
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := newOutageStore(nil)
+		for number := range nodes {
+			node, err := New(Settings{Node: fmt.Sprint("n-", number), Zone: "z", Partitions: 1}, Adapter{Store: store, Translator: versionTranslator{}}, quietLogger)
+			g.Expect(err).NotTo(HaveOccurred())
+			defer node.Kill()
+			node.noteDirectory()
+			node.run(node.followConfiguration)
+		}
+		time.Sleep(2 * resyncPeriod)
+		again := store.wholeReads()[nodes : 2*nodes]
+		g.Expect(again[nodes-1].Sub(again[0])).To(BeNumerically(">=", spreadAtLeast))
+	})
+}
+
 // TestTakeoverLateAfterSilentStore has a takeover that reads its page while the store is
 // silent go on soon after the store's return.
 func TestTakeoverLateAfterSilentStore(t *testing.T) {
