edge: an append that was sent before the store's return is sent again at it

What callers saw: turns that wait for a record were held for up to 1.5 s after the store was back. Change: the node's first answer after an outage ends the wait of an append as well, and its tries count anew. A repeated append counts once, as before. Evidence: a test in virtual time, red before (no append was sent when the store answered another call).

--- a/edge/appending.go
+++ b/edge/appending.go
@@ -40,14 +40,15 @@
 	}
 }
 
-// try sends the append once more, and waits for any answer for so long.
-func (a *appending) try(ctx context.Context, patience time.Duration) error {
+// try sends the append once more, and waits for any answer for so long, or until the store
+// answers again after an outage in which the append was sent.
+func (a *appending) try(ctx context.Context, patience time.Duration, regained <-chan struct{}) error {
 	most := patience
 	if a.node.settings.uses(AwaitLateAppends) {
 		most = appendTimeout
 	}
 	go a.send(ctx, most)
-	return a.await(ctx, patience)
+	return a.await(ctx, patience, regained)
 }
 
 // send makes one call to the store.
@@ -66,13 +67,15 @@
 	}
 }
 
-// await waits for an answer of any try.
-func (a *appending) await(ctx context.Context, patience time.Duration) error {
+// await waits for an answer of any try, or until the store is regained.
+func (a *appending) await(ctx context.Context, patience time.Duration, regained <-chan struct{}) error {
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
 	case err := <-a.answers:
 		return err
+	case <-regained:
+		return errStoreRegained
 	case <-timer.C:
 		return errNoAnswerYet
 	case <-ctx.Done():
--- a/edge/appending_test.go
+++ b/edge/appending_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -47,3 +49,38 @@
 	g.Expect(appendTo(Settings{Node: "n", Zone: "z", Partitions: 1}, 3)).To(Succeed())
 	g.Expect(appendTo(without(AwaitLateAppends), 3)).NotTo(Succeed())
 }
+
+// TestAppendWaitsOnAfterOutage sends an append again that was sent while the store was
+// silent, as soon as the store has answered any other call.
+func TestAppendWaitsOnAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		node := keyNode(g, Settings{}, false)
+		defer node.Kill()
+		store := &countingStore{}
+		node.adapter.Store = store
+		node.run(func(ctx context.Context) {
+			_ = node.appendRecords(ctx, 0, 7, 1, []ledger.Record{{Key: "k", Value: []byte("v")}}, 0)
+		})
+		time.Sleep(10 * appendTimeout)
+		sent := store.appends.Load()
+		node.noteStore(nil)
+		synctest.Wait()
+		g.Expect(store.appends.Load()).To(Equal(sent+1), "no time has passed")
+		node.noteStore(nil)
+		synctest.Wait()
+		g.Expect(store.appends.Load()).To(Equal(sent+1), "the store was not lost between")
+	})
+}
+
+// countingStore counts appends and answers none.
+type countingStore struct {
+	recordstore.Store
+	appends atomic.Int32
+}
+
+func (s *countingStore) Append(ctx context.Context, _ recordstore.Stream, _ recordstore.Writer, _ []recordstore.Record) error {
+	s.appends.Add(1)
+	<-ctx.Done()
+	return ctx.Err()
+}
--- a/edge/ledgers.go
+++ b/edge/ledgers.go
@@ -116,26 +116,31 @@
 }
 
 // appendRecords appends under an epoch until the store acknowledges or fences,
-// the context ends, or the attempts are used up (0 sets no bound). A batch
-// without records renews the record of the owner, so that the store checks the
-// epoch.
+// the context ends, or the attempts are used up (0 sets no bound). They count anew
+// once the store answers again after an outage. A batch without records renews the
+// record of the owner, so that the store checks the epoch.
 func (n *Node) appendRecords(ctx context.Context, partition int, epoch ownership.Epoch, sequence uint64, batch []ledger.Record, attempts int) error {
 	tries, cancel := context.WithCancel(ctx)
 	defer cancel()
 	appending := n.newAppending(partition, epoch, sequence, batch)
 	backoff := n.backoff()
 	for attempt := 1; ; attempt++ {
-		err := appending.try(tries, n.appendPatience(attempt))
-		if !answered(err) && attempt != attempts {
+		regained := n.store.nextRegain()
+		err := appending.try(tries, n.appendPatience(attempt), regained)
+		if !answered(err) && !errors.Is(err, errStoreRegained) && attempt != attempts {
 			pause := backoff.Next()
 			if isFull(err) {
 				n.makeSpace(ctx, partition, epoch)
 				pause = fullPause
 			}
-			if late := appending.await(tries, pause); answered(late) {
+			if late := appending.await(tries, pause, regained); answered(late) || errors.Is(late, errStoreRegained) {
 				err = late
 			}
 		}
+		if errors.Is(err, errStoreRegained) {
+			attempt = 0
+			continue
+		}
 		if err == nil {
 			n.appendedTo(partition, appending.records)
 		}
