--- a/soak/fault.go
+++ b/soak/fault.go
@@ -58,6 +58,8 @@
 		s.restart(ctx, fault.Kind, nodes, span)
 	case ReplicaDrain, ReplicaKill:
 		s.replace(ctx, fault.Kind, replicas)
+	case Reload:
+		reload(ctx, nodes, span)
 	default:
 		s.apply(fault.Kind, nodes, replicas, 1)
 		pause(ctx, span)
@@ -75,13 +77,13 @@
 		hit := false
 		for _, target := range fault.Targets {
 			switch fault.Kind {
-			case Pause, Kill, Stop, StoreSilent, StoreOneWay, StoreReset, ClientReset:
+			case Pause, Kill, Stop, Reload, StoreSilent, StoreOneWay, StoreReset, ClientReset:
 				hit = hit || target == index
 			case ZoneCut:
 				hit = hit || target == one.zone
 			}
 		}
-		hit = hit || fault.Kind == KillAll || fault.Kind == StoreRefuses && index%refusedNodes == 0
+		hit = hit || fault.Kind == KillAll || fault.Kind == StoreMute || fault.Kind == StoreRefuses && index%refusedNodes == 0
 		if hit {
 			found = append(found, one)
 		}
@@ -111,12 +113,13 @@
 	return found
 }
 
-// scopesOf names what a fault disturbs. A replica that leaves in order disturbs nobody.
+// scopesOf names what a fault disturbs. A replica that leaves in order, and settings
+// that are read again, disturb nobody.
 func scopesOf(kind Kind, nodes []*process, replicas []*standin.Replica) []string {
 	switch kind {
-	case StoreDown, StoreSlow, StoreLost, StoreForget:
+	case StoreDown, StoreSlow, StoreLost, StoreForget, StoreMute:
 		return []string{promise.Everything}
-	case ReplicaDrain:
+	case ReplicaDrain, Reload:
 		return nil
 	}
 	return namesOf(nodes, replicas)
@@ -133,6 +136,20 @@
 	return names
 }
 
+// reloadGap is the time between two signals of a series.
+const reloadGap = 50 * time.Millisecond
+
+// reload has nodes read their settings again until a span is over, also while they stop for
+// another fault.
+func reload(ctx context.Context, nodes []*process, span time.Duration) {
+	until := time.Now().Add(span)
+	for time.Now().Before(until) && pause(ctx, reloadGap) {
+		for _, one := range nodes {
+			one.reload()
+		}
+	}
+}
+
 // restart ends nodes and starts them again.
 func (s *soak) restart(ctx context.Context, kind Kind, nodes []*process, span time.Duration) {
 	var restarting sync.WaitGroup
@@ -212,6 +229,8 @@
 			one.store.hold(by, onward, back)
 		case kind == StoreOneWay:
 			one.store.hold(by, back)
+		case kind == StoreMute:
+			one.store.mute(by)
 		case kind == StoreReset:
 			one.store.resetAll()
 		case kind == ClientReset && begins:
--- a/soak/process.go
+++ b/soak/process.go
@@ -157,6 +157,17 @@
 	_ = p.command.Process.Signal(signal)
 }
 
+// reload has the process read its settings again, once it has written that it started: the
+// system ends a program that has not come to its first instructions yet.
+func (p *process) reload() {
+	p.mutex.Lock()
+	path := p.logPath(p.life)
+	p.mutex.Unlock()
+	if output, err := os.Stat(path); err == nil && output.Size() > 0 {
+		p.signal(syscall.SIGHUP)
+	}
+}
+
 // awaitGone returns what is closed when the process is not there.
 func (p *process) awaitGone() <-chan struct{} {
 	p.mutex.Lock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -23,16 +23,20 @@
 // proxyDial bounds how long a proxy waits for its target.
 const proxyDial = time.Second
 
-// proxy passes connections on to a target, until it is told to hold or reset them.
-// What it holds passes once it is told so, as on a link that was cut and mended.
+// proxy passes connections on to a target, until it is told to hold, mute or reset them.
+// What it holds passes once it is told so, as on a link that was cut and mended. A
+// connection that was muted passes nothing any more, and stays open.
 type proxy struct {
 	listener net.Listener
 
 	mutex  sync.Mutex
 	target string
 	held   [2]int
-	delay  time.Duration
-	conns  map[net.Conn]struct{}
+	// muted counts what mutes the proxy; connections are muted for good meanwhile.
+	muted int
+	delay time.Duration
+	// conns are both ends of the connections, and whether they are muted.
+	conns map[net.Conn]bool
 	// changed is closed and replaced when held changes, and at the end.
 	changed chan struct{}
 	closed  bool
@@ -43,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	made := &proxy{listener: listener, target: target, conns: make(map[net.Conn]struct{}), changed: make(chan struct{})}
+	made := &proxy{listener: listener, target: target, conns: make(map[net.Conn]bool), changed: make(chan struct{})}
 	go made.accept()
 	return made, nil
 }
@@ -94,7 +98,7 @@
 			_ = end.Close()
 			continue
 		}
-		p.conns[end] = struct{}{}
+		p.conns[end] = p.muted > 0
 	}
 	return !p.closed
 }
@@ -106,7 +110,7 @@
 		if !p.await(in) {
 			return
 		}
-		if size > 0 {
+		if size > 0 && !p.isMuted(from) {
 			if _, wrong := to.Write(buffer[:size]); wrong != nil {
 				reset(from)
 				return
@@ -155,6 +159,23 @@
 	p.changed = make(chan struct{})
 }
 
+// mute ends what passes over all connections, and over new ones until it is taken back as
+// often.
+func (p *proxy) mute(by int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.muted += by
+	for conn := range p.conns {
+		p.conns[conn] = p.conns[conn] || p.muted > 0
+	}
+}
+
+func (p *proxy) isMuted(conn net.Conn) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.conns[conn]
+}
+
 func (p *proxy) setDelay(delay time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -19,6 +19,8 @@
 	Pause Kind = "pause"
 	Kill  Kind = "kill"
 	Stop  Kind = "stop"
+	// Reload has processes read their settings again, time after time.
+	Reload Kind = "reload"
 	// KillAll ends all processes at once.
 	KillAll Kind = "kill-all"
 	// StoreSilent lets nothing pass between nodes and the store, StoreOneWay no
@@ -26,6 +28,9 @@
 	StoreSilent Kind = "store-silent"
 	StoreOneWay Kind = "store-one-way"
 	StoreReset  Kind = "store-reset"
+	// StoreMute leaves all calls to the store without an answer, and the connections over
+	// which they came silent for good.
+	StoreMute Kind = "store-mute"
 	// ZoneCut lets nothing pass between a zone's nodes and store and clients.
 	ZoneCut Kind = "zone-cut"
 	// ClientReset ends the connections of clients.
@@ -94,7 +99,7 @@
 	weight int
 }{
 	{Pause, 5}, {Kill, 4}, {Stop, 3}, {KillAll, 1}, {StoreSilent, 4}, {StoreOneWay, 2}, {StoreReset, 2}, {ZoneCut, 2},
-	{ClientReset, 1}, {StoreDown, 3}, {StoreSlow, 2}, {StoreLost, 3}, {StoreForget, 2}, {StoreRefuses, 2},
+	{ClientReset, 1}, {StoreDown, 3}, {StoreSlow, 2}, {StoreLost, 3}, {StoreForget, 2}, {StoreRefuses, 2}, {StoreMute, 3}, {Reload, 3},
 	{ReplicaDrain, 4}, {ReplicaKill, 2}, {ReplicaFault, 3}, {ReplicaSlow, 2},
 }
 
@@ -120,7 +125,7 @@
 func drawFault(random *rand.Rand, scenario Scenario, at int64) Fault {
 	fault := Fault{Kind: drawKind(random), AtMS: at, ForMS: 500 + random.Int64N(faultMost)}
 	switch fault.Kind {
-	case Pause, Kill, Stop, StoreSilent, StoreOneWay, StoreReset, ClientReset:
+	case Pause, Kill, Stop, Reload, StoreSilent, StoreOneWay, StoreReset, ClientReset:
 		fault.Targets = draw(random, scenario.Nodes, 1+random.IntN(max(1, scenario.Nodes/2)))
 	case ReplicaDrain, ReplicaKill, ReplicaFault, ReplicaSlow:
 		fault.Targets = draw(random, scenario.Replicas, 1+random.IntN(3))
@@ -130,7 +135,7 @@
 		}
 	case ZoneCut:
 		fault.Targets = draw(random, len(zones), 1)
-	case StoreDown, StoreRefuses:
+	case StoreDown, StoreRefuses, StoreMute:
 		fault.ForMS = 500 + random.Int64N(outageMost)
 	}
 	return fault
