edge: a follower waits for the first answer of a reader no longer than the reader lives

A node of a large fleet would have sent requests by an old list of replicas. Cause: the first answer of a reader may take 8 s, since a slow link must not be asked twice for a whole list. A reader that falls silent was waited for as long, though the failure detector had told all nodes within a second that it was lost. Change: the wait ends once the reader does not count as live; the next one is asked. Small fleets have no readers.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -333,3 +333,11 @@
 
 // LiveCount returns how many nodes are live, this one included.
 func (c *Core) LiveCount() int { return max(1, len(c.membership.Nodes())) }
+
+// Lives reports whether a node counts as live.
+func (c *Core) Lives(id machine.ID) bool {
+	_, found := slices.BinarySearchFunc(c.membership.Nodes(), id, func(node machine.Machine, id machine.ID) int {
+		return cmp.Compare(node.ID, id)
+	})
+	return found
+}
--- a/edge/control.go
+++ b/edge/control.go
@@ -241,6 +241,9 @@
 		c.node.logger.Info().Int("live", live).Int("before", c.live).Msg("nodes: changed")
 		c.live = live
 	}
+	if asked := c.node.askedReader.Load(); asked != nil && !c.core.Lives(asked.id) {
+		asked.end()
+	}
 }
 
 // take passes one input to the core.
--- a/edge/node.go
+++ b/edge/node.go
@@ -99,6 +99,8 @@
 	// watching ends the read by which a follower notes that the store is reached; nil
 	// while there is none.
 	watching atomic.Pointer[context.CancelFunc]
+	// askedReader is the reader whose first answer is waited for; nil while none is.
+	askedReader atomic.Pointer[askedReader]
 	// liveNodes is how many nodes are live, this one included.
 	liveNodes atomic.Int32
 	// isolatedSince is since when the node has reached neither the store nor most of
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -194,15 +194,27 @@
 // Replicas returns how many replicas the node holds: all, or its part of them.
 func (n *Node) Replicas() int { return n.replicas.count() }
 
-// askReader asks a reader for what has changed. A first answer is waited for long: given up
-// and asked for again it would be sent in vain.
+// askedReader is a reader whose first answer this node waits for, and what ends that.
+type askedReader struct {
+	id  machine.ID
+	end context.CancelFunc
+}
+
+// askReader asks a reader for what has changed. A first answer is waited for long, since it
+// would be sent in vain if it were given up and asked for again, but no longer than the
+// reader lives.
 func (n *Node) askReader(ctx context.Context, reader machine.Machine, question relayQuestion) (relayAnswer, error) {
+	first := question.life == 0 && !question.ageOnly
 	patience := question.wait + relaySlack
-	if question.life == 0 && !question.ageOnly {
+	if first {
 		patience = firstPatience
 	}
 	callCtx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
+	if first {
+		n.askedReader.Store(&askedReader{id: reader.ID, end: cancel})
+		defer n.askedReader.Store(nil)
+	}
 	var answer relayAnswer
 	err := n.peers.client(reader.Address).Do(callCtx, fasthttp.MethodGet, question.path(), nil, &answer)
 	return answer, err
--- /dev/null
+++ b/edge/reader_test.go
@@ -0,0 +1,40 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/machine"
+)
+
+// TestFirstAnswerOfALostReader has a follower wait for the first answer of a reader that
+// fell silent no longer than it takes the reader to live, and ask the next one.
+func TestFirstAnswerOfALostReader(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	node := keyNode(g, Settings{}, false)
+	defer node.Kill()
+	reader := machine.Machine{ID: "reader", Kind: machine.KindNode, Zone: "z", Address: listener.Addr().String(), Status: machine.StatusLive, Incarnation: 1}
+	node.control.take(coordinator.Learned{Nodes: []machine.Machine{reader}})
+	ended := make(chan error, 1)
+	go func() {
+		_, err := node.askReader(node.ctx, reader, relayQuestion{wait: relayWait})
+		ended <- err
+	}()
+	silent, err := listener.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = silent.Close() }()
+	node.control.noteDependencies()
+	g.Consistently(ended, 0).ShouldNot(Receive(), "the reader lives")
+	other := machine.Machine{ID: "other", Kind: machine.KindNode, Zone: "z", Incarnation: 1}
+	news := &machine.Message{Kind: machine.MessageAnnounce, Updates: []machine.Update{{ID: reader.ID, Incarnation: reader.Incarnation, Status: machine.StatusDead}}}
+	node.control.take(coordinator.PeerReceived{Message: coordinator.PeerMessage{From: other, Membership: news}})
+	node.control.noteDependencies()
+	g.Expect(<-ended).To(MatchError(context.Canceled))
+}
