edge: names of reads are typed; an append is not sent again for its own answer

Read again: an append whose answer was the first after an outage could be sent once more, since the return of the store was noted before the answer was handed over; a read whose context had ended made one more call. Kinds of reads have a type. Behaviour is otherwise as it was.

--- a/edge/appending.go
+++ b/edge/appending.go
@@ -51,13 +51,13 @@
 	return a.await(ctx, patience, regained)
 }
 
-// send makes one call to the store.
+// send makes one call to the store. That the store answered is noted once the answer was
+// handed over, so that the append is not sent again for it.
 func (a *appending) send(ctx context.Context, most time.Duration) {
 	begun := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	err := a.node.adapter.Store.Append(callCtx, ledgerStream(a.partition), a.writer, a.records)
-	a.node.noteStore(err)
 	if err == nil {
 		a.node.observeAppend(time.Since(begun))
 	}
@@ -65,6 +65,7 @@
 	case a.answers <- err:
 	case <-ctx.Done():
 	}
+	a.node.noteStore(err)
 }
 
 // await waits for an answer of any try, or until the store is regained.
--- a/edge/storeread.go
+++ b/edge/storeread.go
@@ -9,10 +9,13 @@
 	"birchwood.example/birchwood/recordstore"
 )
 
-// The kinds of reads, as the log and the metrics name them.
+// readKind names a kind of read, for the log and the metrics.
+type readKind string
+
+// The kinds of reads: a page of the newest records, and what comes after an offset.
 const (
-	kindNewest = "newest"
-	kindTail   = "tail"
+	kindNewest readKind = "newest"
+	kindTail   readKind = "tail"
 )
 
 // slowRead is from when on a try of a read that had no answer is logged. One that fails
@@ -22,7 +25,7 @@
 // storeRead is one try of a read of the store.
 type storeRead struct {
 	stream recordstore.Stream
-	kind   string
+	kind   readKind
 	// attempt counts the tries of the same read, from 1.
 	attempt int
 	sentAt  time.Time
@@ -38,7 +41,7 @@
 func (n *Node) noteRead(read storeRead, err error) {
 	took := time.Since(read.sentAt)
 	if errors.Is(err, errStoreRegained) {
-		n.logger.Info().Str("stream", string(read.stream.Name)).Int("partition", read.stream.Partition).Str("read", read.kind).
+		n.logger.Info().Str("stream", string(read.stream.Name)).Int("partition", read.stream.Partition).Str("read", string(read.kind)).
 			Int("attempt", read.attempt).Dur("after", took).Msg("store: read sent again after an outage")
 		return
 	}
@@ -48,7 +51,7 @@
 		return
 	}
 	now, answeredAt := time.Now(), n.store.at()
-	n.logger.Warn().Str("stream", string(read.stream.Name)).Int("partition", read.stream.Partition).Str("read", read.kind).
+	n.logger.Warn().Str("stream", string(read.stream.Name)).Int("partition", read.stream.Partition).Str("read", string(read.kind)).
 		Int("attempt", read.attempt).Dur("took", took).Dur("store_answered_ago", now.Sub(answeredAt)).
 		Bool("answered_others_since", answeredAt.After(read.sentAt)).Err(err).Msg("store: read not answered")
 }
@@ -71,8 +74,8 @@
 type pageTries struct {
 	attempts    int
 	first, most time.Duration
-	// throughOutages says that tries do not count that had no answer while the store
-	// answered no other call either: the reading lasts until the store is back.
+	// throughOutages has the reading last until the store is back: tries that had no answer
+	// while the store answered no other call either do not count.
 	throughOutages bool
 }
 
@@ -135,8 +138,8 @@
 			return recordstore.Page{}, answer.err
 		}
 		patience = tries.next(patience, reached)
-		if !silent {
-			wait.For(ctx, backoff.Next())
+		if !silent && !wait.For(ctx, backoff.Next()) {
+			return recordstore.Page{}, ctx.Err()
 		}
 	}
 }
--- a/edge/takeover.go
+++ b/edge/takeover.go
@@ -22,8 +22,8 @@
 	takeoverFirst = 4
 )
 
-// takeoverTries are those of a page of a takeover. A takeover that were given up in an outage
-// would have to claim its partition again after it.
+// takeoverTries are those of a page of a takeover. A takeover that is given up in an outage
+// has to claim its partition again after it.
 var takeoverTries = pageTries{attempts: 6, first: appendTimeout, most: 10 * time.Second, throughOutages: true}
 
 // takeovers are those under way on this node. It is safe for concurrent use.
