--- a/command/edgecommand/edge.go
+++ b/command/edgecommand/edge.go
@@ -50,7 +50,6 @@
 	// for ends it.
 	signals := make(chan os.Signal, signalsWaiting)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return &exit.Error{Code: exit.Usage, Cause: err}
