edge: the wait for a lost reader ends beside the roles, not where changes are logged

Read again: the check stood in the function that writes when the store, keys or nodes are lost and regained. It has a function of its own now, called in the same turn of the control loop; the test calls that, with the same assertions. Behaviour as it was.

--- a/edge/control.go
+++ b/edge/control.go
@@ -181,6 +181,7 @@
 	c.node.liveNodes.Store(int32(c.core.LiveCount()))
 	c.node.replicas.setNodes(c.core.LiveCount())
 	c.noteRoles(c.core.Roles())
+	c.endWaitForLostReader()
 	c.node.noteIsolation(now, c.core.Isolated(now))
 	c.reportKept(now)
 	c.core.Step(now, c.node.contactNow())
@@ -200,6 +201,13 @@
 	}
 }
 
+// endWaitForLostReader ends the wait for the first answer of a reader that is not live.
+func (c *control) endWaitForLostReader() {
+	if asked := c.node.askedReader.Load(); asked != nil && !c.core.Lives(asked.id) {
+		asked.end()
+	}
+}
+
 // reportKept sets the metrics of what partitions take in the store.
 func (c *control) reportKept(now time.Time) {
 	if now.Before(c.nextKept) {
@@ -241,9 +249,6 @@
 		c.node.logger.Info().Int("live", live).Int("before", c.live).Msg("nodes: changed")
 		c.live = live
 	}
-	if asked := c.node.askedReader.Load(); asked != nil && !c.core.Lives(asked.id) {
-		asked.end()
-	}
 }
 
 // take passes one input to the core.
--- a/edge/reader_test.go
+++ b/edge/reader_test.go
@@ -30,11 +30,11 @@
 	silent, err := listener.Accept()
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = silent.Close() }()
-	node.control.noteDependencies()
+	node.control.endWaitForLostReader()
 	g.Consistently(ended, 0).ShouldNot(Receive(), "the reader lives")
 	other := machine.Machine{ID: "other", Kind: machine.KindNode, Zone: "z", Incarnation: 1}
 	news := &machine.Message{Kind: machine.MessageAnnounce, Updates: []machine.Update{{ID: reader.ID, Incarnation: reader.Incarnation, Status: machine.StatusDead}}}
 	node.control.take(coordinator.PeerReceived{Message: coordinator.PeerMessage{From: other, Membership: news}})
-	node.control.noteDependencies()
+	node.control.endWaitForLostReader()
 	g.Expect(<-ended).To(MatchError(context.Canceled))
 }
