--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -62,7 +62,8 @@
 	default:
 		return entry.Str("program", r.program).Str("session", r.session).Int("partition", r.partition).
 			Str("owner", r.owner).Str("verdict", string(r.admission.Verdict)).Int("settled", r.admission.SettledTokens).
-			Int("open", r.admission.OpenTokens).Int("most", r.maxTokens).Int("budget", r.budget).Int("tokens", r.tokens).
+			Int("open", r.admission.OpenTokens).Int("marked", r.admission.MarkedTokens).Int("assumed", r.admission.AssumedTokens).
+			Int("presumed", r.admission.PresumedTokens).Int("most", r.maxTokens).Int("budget", r.budget).Int("tokens", r.tokens).
 			Dur("need", r.expectedRemaining).Int("urgency", r.urgency)
 	}
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
+	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/replica"
 )
 
@@ -72,6 +73,7 @@
 	metricShares             = "birchwood_edge_share_refusals_total"
 	metricLate               = "birchwood_edge_calls_late_total"
 	metricTrims              = "birchwood_edge_store_trims_total"
+	metricExhausted          = "birchwood_edge_budgets_exhausted_total"
 	metricRefused            = "birchwood_edge_turned_away_total"
 	metricRetryAfter         = "birchwood_edge_come_back_seconds"
 	metricWaiting            = "birchwood_edge_waiting_requests"
@@ -263,6 +265,12 @@
 	m.set.GetOrCreatePrometheusHistogramExt(metricWaited, latencyBuckets).Update(waited.Seconds())
 }
 
+// budgetExhausted counts a turn that was refused because its program's budget is exhausted,
+// by what the owner's verdict is based on.
+func (m *Metrics) budgetExhausted(basis ledger.Basis) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{basis=%q}", metricExhausted, basis)).Inc()
+}
+
 // refused counts a refused request, by cause, and records its retry delay.
 func (m *Metrics) refused(cause string, retryAfter time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("%s{cause=%q}", metricRefused, cause)).Inc()
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -146,6 +146,7 @@
 	r.admission = *reply.Admission
 	switch r.admission.Verdict {
 	case ledger.VerdictExhausted:
+		n.metrics.budgetExhausted(r.admission.Basis(r.maxTokens, r.budget))
 		r.fail(fasthttp.StatusPaymentRequired, "the program's token budget is spent", 0)
 		return grant{}, false
 	case ledger.VerdictBusy:
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -54,6 +54,12 @@
 	// turns, both without this turn.
 	SettledTokens int `json:"settled"`
 	OpenTokens    int `json:"open"`
+	// MarkedTokens, AssumedTokens and PresumedTokens are the parts of SettledTokens that are
+	// upper bounds: of a previous owner's mark, of its use without a record, and of turns
+	// that were not settled in time.
+	MarkedTokens   int `json:"marked,omitempty"`
+	AssumedTokens  int `json:"assumed,omitempty"`
+	PresumedTokens int `json:"presumed,omitempty"`
 	// NewProgram reports that, as far as this owner knows, no turn of the program has
 	// been served yet.
 	NewProgram bool `json:"fresh,omitempty"`
@@ -76,6 +82,8 @@
 	// program.
 	lastGrant         uint64
 	lastRecordedGrant uint64
+	// markedTokens is the part of presumedTokens that the mark of a previous owner counts.
+	markedTokens int
 	// assumedTokens is the part of settledTokens that was assumed to be used under a
 	// previous owner. mayHaveStartedBefore reports that the program may have started there
 	// without a record in the log. restored reports that the account was restored from
@@ -209,7 +217,8 @@
 	acct.expire(now)
 	open := acct.openTokens()
 	served := acct.replicas[turn.Session]
-	admission := Admission{Verdict: VerdictGranted, Replica: served.replica, CachedTokens: served.cachedTokens, SettledTokens: acct.settledTokens, OpenTokens: open}
+	admission := acct.admission(open)
+	admission.Replica, admission.CachedTokens = served.replica, served.cachedTokens
 	admission.NewProgram = len(acct.replicas) == 0 && open == 0 && acct.settledTokens == acct.assumedTokens && !acct.restored
 	if repeated, found := acct.open[turn.ID]; found && !repeated.presumed {
 		admission.Repeated, admission.Grant = true, repeated.grant
@@ -230,6 +239,15 @@
 	return admission
 }
 
+// admission returns a grant with the figures of the account.
+func (a *account) admission(open int) Admission {
+	return Admission{
+		Verdict: VerdictGranted, SettledTokens: a.settledTokens, OpenTokens: open,
+		MarkedTokens: a.markedTokens, AssumedTokens: a.assumedTokens,
+		PresumedTokens: a.presumedTokens - a.markedTokens - a.assumedTokens,
+	}
+}
+
 // openAccount creates the account of a program that has none here. Its grants are
 // numbered from the current time in microseconds, so that they differ from those of an
 // owner whose records were lost.
--- a/ledger/cover.go
+++ b/ledger/cover.go
@@ -152,6 +152,7 @@
 	exact := value.Exact
 	if exact == nil {
 		acct.settledTokens, acct.presumedTokens = value.Mark, value.Mark
+		acct.markedTokens = value.Mark - acct.assumedTokens
 		return acct
 	}
 	acct.settledTokens, acct.presumedTokens = exact.Settled, exact.Presumed
