--- a/edge/node.go
+++ b/edge/node.go
@@ -199,6 +199,10 @@
 // they can begin and end while the store accepts no records.
 const (
 	unrecordedShare = 1.0 / 3
+	// unrecordedMinBudget is the lowest budget of which that share may be used. With a
+	// smaller one, a program uses one turn: the share counts as used after the loss of an
+	// owner, also by programs that start later, and the rest would not hold them.
+	unrecordedMinBudget = 6000
 	// afterFailureShare is the share that remains if the previous owner failed, for budgets
 	// of at least afterFailureMinBudget tokens, the usual maximum of ten turns. Two
 	// failures in a row leave five twelfths of such a budget.
@@ -211,7 +215,7 @@
 func coreConfig(settings Settings, self machine.Machine, random *rand.Rand) coordinator.Config {
 	config := coordinator.DefaultConfig(self, settings.Partitions, random)
 	if settings.uses(BeginUnrecorded) {
-		config.Ledger.UnrecordedShare = unrecordedShare
+		config.Ledger.UnrecordedShare, config.Ledger.UnrecordedMinBudget = unrecordedShare, unrecordedMinBudget
 		config.Ledger.OwnershipProofTTL = ownershipProofTTL
 		if settings.uses(BeginAfterFailure) {
 			config.Ledger.AfterFailureShare, config.Ledger.AfterFailureMinBudget = afterFailureShare, afterFailureMinBudget
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -35,11 +35,12 @@
 //
 // If UnrecordedShare is set, a program may use that share of its budget and one turn
 // before its first record is durable, so that programs can start, and often finish, while
-// the log accepts no appends. If the share is smaller than one turn, only the one turn is
-// allowed. The owner first writes an open record that announces this (Open).
+// the log accepts no appends. If the share is smaller than one turn, or the budget is below
+// UnrecordedMinBudget, only the one turn is allowed. The owner first writes an open record
+// that announces this (Open).
 //
 // A new owner that finds the open record assumes that every program without a record has
-// used the share, and requires a durable record from each of them, until no program of
+// used what it was allowed besides the one turn, and requires a durable record from each of them, until no program of
 // the previous owner can return. An owner that releases the partition removes the open
 // record after everything else that it has proposed (Close). A previous owner that has
 // not noticed its replacement stops by itself: a confirmation of its ownership by the log
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -18,7 +18,12 @@
 	// log accepts no appends. A new owner assumes that programs without a record have
 	// used as much, unless the previous owner released the partition. 0 makes every
 	// program wait for the log.
-	UnrecordedShare float64
+	//
+	// The share applies to budgets of UnrecordedMinBudget tokens or more. With a smaller
+	// one a program may use only the one turn, and a new owner assumes nothing: after a
+	// third of it, few turns would be left to a program that started later.
+	UnrecordedShare     float64
+	UnrecordedMinBudget int
 	// AfterFailureShare is the share of its budget that a program may use before its
 	// first record is durable at an owner that replaced a failed one, in addition to the
 	// use assumed there but without the extra turn. The next owner after another failure
--- a/ledger/model_test.go
+++ b/ledger/model_test.go
@@ -50,6 +50,10 @@
 	restoredAccount     bool
 	variedTurns         bool
 	singleRecordBatches bool
+	// unrecordedMinBudget is the lowest budget of which a share may be used without a
+	// record. A former owner is of a version in which that was every budget.
+	unrecordedMinBudget int
+	former              bool
 	budget              int
 	maxTokens           int
 	used                int
@@ -65,6 +69,7 @@
 	model := &ownerModel{
 		random: rand.New(rand.NewPCG(seed, 7)), now: start, stored: storedLog{}, maxTokens: 100, budget: budgets[seed%uint64(len(budgets))],
 		storeShare: float64(seed/16%4) / 3, variedTurns: seed/64%2 == 0, singleRecordBatches: seed/128%2 == 0,
+		unrecordedMinBudget: []int{0, 700, 1500}[seed/256%3], former: seed/768%2 == 0,
 	}
 	model.current = model.open()
 	return model
@@ -79,12 +84,27 @@
 	if m.singleRecordBatches {
 		config.BatchRecords = 1
 	}
+	config.UnrecordedMinBudget = m.unrecordedMinBudget
+	if m.former {
+		m.stored.makeFormer()
+		m.former = m.random.IntN(2) == 0
+	}
+	if m.former {
+		config.UnrecordedMinBudget = 0
+	}
 	l := m.stored.restoreWith(m.now, config)
 	l.ConfirmOwnership(m.now)
 	l.Open(m.now)
 	return l
 }
 
+// makeFormer replaces the open record of an owner by that of a former version.
+func (s storedLog) makeFormer() {
+	if former, found := map[string]string{"3": "1", "4": "2"}[string(s["open"])]; found {
+		s["open"] = []byte(former)
+	}
+}
+
 // step performs one random action.
 func (m *ownerModel) step() {
 	m.now = m.now.Add(time.Duration(m.random.IntN(400)) * time.Millisecond)
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -113,8 +113,7 @@
 		return nil
 	}
 	if record.Key == openKey {
-		l.ownership.inheritedOpen = true
-		l.ownership.inheritedTwice = string(record.Value) == openAfterFailureValue
+		l.ownership.restore(string(record.Value))
 		return nil
 	}
 	if program, found := strings.CutPrefix(record.Key, accountPrefix); found {
--- a/ledger/unrecorded.go
+++ b/ledger/unrecorded.go
@@ -12,10 +12,13 @@
 
 // The values of the open record. An owner writes openValue if its predecessor released
 // the partition, and openAfterFailureValue if its predecessor failed: programs of both
-// may then have started without a record.
+// may then have started without a record. The former values are those of owners of an
+// earlier version, at which programs of any budget used the unrecorded share.
 const (
-	openValue             = "1"
-	openAfterFailureValue = "2"
+	openValue                   = "3"
+	openAfterFailureValue       = "4"
+	formerOpenValue             = "1"
+	formerOpenAfterFailureValue = "2"
 )
 
 // ownership decides what an owner may do before a program's first record is durable, and
@@ -32,6 +35,8 @@
 	// inheritedTwice reports that the previous owner had itself replaced a failed one,
 	// and that programs of both may have started without a record.
 	inheritedTwice bool
+	// inheritedFormer reports that a previous owner was of an earlier version.
+	inheritedFormer bool
 	// openPosition is the proposal of this owner's own open record; 0 if there is none,
 	// as when the previous owner's is still in the log.
 	openPosition uint64
@@ -58,11 +63,29 @@
 	switch {
 	case !l.ownership.inheritedOpen:
 		l.ownership.openPosition = l.propose(openKey, []byte(openValue))
-	case !l.ownership.inheritedTwice && l.config.AfterFailureShare > 0:
+	case l.ownership.inheritedTwice || l.config.AfterFailureShare <= 0:
+	case l.ownership.inheritedFormer:
+		l.ownership.openPosition = l.propose(openKey, []byte(formerOpenAfterFailureValue))
+	default:
 		l.ownership.openPosition = l.propose(openKey, []byte(openAfterFailureValue))
 	}
 }
 
+// restore restores the open record of a previous owner.
+func (o *ownership) restore(value string) {
+	o.inheritedOpen = true
+	o.inheritedTwice = value == openAfterFailureValue || value == formerOpenAfterFailureValue
+	o.inheritedFormer = value == formerOpenValue || value == formerOpenAfterFailureValue
+}
+
+// singleValue returns the value of the open record of the previous owner alone.
+func (o *ownership) singleValue() string {
+	if o.inheritedFormer {
+		return formerOpenValue
+	}
+	return openValue
+}
+
 // ConfirmOwnership records that the ownership was in force at the given time, which is
 // when an append was sent that the log then accepted.
 func (l *Ledger) ConfirmOwnership(at time.Time) {
@@ -113,7 +136,7 @@
 		if l.ownership.openPosition > 0 {
 			// All programs that started here have a record; those of the previous owner
 			// may not.
-			l.propose(openKey, []byte(openValue))
+			l.propose(openKey, []byte(l.ownership.singleValue()))
 		}
 		return
 	}
@@ -136,7 +159,7 @@
 	if !l.mayHaveStarted(now, turn) {
 		return 0
 	}
-	assumedTokens := l.unrecordedTokens(turn)
+	assumedTokens := l.inheritedTokens(turn)
 	if l.ownership.inheritedTwice {
 		assumedTokens += l.afterFailureTokens(turn)
 	}
@@ -161,7 +184,21 @@
 
 // unrecordedTokens returns how many tokens a program may use before its first record is
 // durable, in addition to one turn.
-func (l *Ledger) unrecordedTokens(turn Turn) int { return budgetShare(turn, l.config.UnrecordedShare) }
+func (l *Ledger) unrecordedTokens(turn Turn) int {
+	if turn.Budget < l.config.UnrecordedMinBudget {
+		return 0
+	}
+	return budgetShare(turn, l.config.UnrecordedShare)
+}
+
+// inheritedTokens returns how many tokens a program may have used at a previous owner
+// without a record, in addition to one turn.
+func (l *Ledger) inheritedTokens(turn Turn) int {
+	if l.ownership.inheritedFormer {
+		return budgetShare(turn, l.config.UnrecordedShare)
+	}
+	return l.unrecordedTokens(turn)
+}
 
 // budgetShare returns a share of a turn's budget, or 0 if it does not hold the turn:
 // counted as used, it would leave no turn in a small budget.
@@ -181,7 +218,7 @@
 		return 0
 	}
 	if l.ownership.inheritedOpen {
-		return min(turn.Budget-1, l.unrecordedTokens(turn)+max(turn.MaxTokens, l.afterFailureTokens(turn)))
+		return min(turn.Budget-1, l.inheritedTokens(turn)+max(turn.MaxTokens, l.afterFailureTokens(turn)))
 	}
 	return min(turn.Budget-1, l.unrecordedTokens(turn)+turn.MaxTokens)
 }
--- a/ledger/unrecorded_test.go
+++ b/ledger/unrecorded_test.go
@@ -196,6 +196,45 @@
 		Expect(third.Admit(start.Add(8*time.Second), turnRequest("b", 160)).Verdict).To(Equal(ledger.VerdictExhausted))
 	})
 
+	It("keeps its whole budget after a failed owner if the budget is small, also for the next owner", func() {
+		config := unrecordedConfig()
+		config.UnrecordedMinBudget = 700
+		stored := storedLog{}
+		former := stored.restoreWith(start, config)
+		former.ConfirmOwnership(start)
+		former.Open(start)
+		former.Admit(start, ledger.Turn{ID: "first", Program: "first", MaxTokens: 100, Budget: 400, Timeout: time.Second, Retain: time.Minute})
+		stored.store(former)
+		Expect(former.Admit(start, turnRequest("a", 400)).Position).To(BeZero())
+		Expect(former.Admit(start, turnRequest("b", 400)).Position).NotTo(BeZero(), "a second turn without a record")
+		for range 2 {
+			l := stored.restoreWith(start, config)
+			l.ConfirmOwnership(start)
+			l.Open(start)
+			for index := range 4 {
+				id := strconv.Itoa(index)
+				turn := turnRequest(id, 400)
+				turn.Program = "later"
+				admission := l.Admit(start, turn)
+				Expect(admission.Verdict).To(Equal(ledger.VerdictGranted), "turn %d: %+v", index, admission)
+				l.Settle(start, ledger.Settlement{Turn: id, Program: "later", Tokens: 100})
+			}
+		}
+		Expect(stored["open"]).To(Equal([]byte("3")))
+	})
+
+	It("is assumed to have used the share if the previous owner is of a former version", func() {
+		config := unrecordedConfig()
+		config.UnrecordedMinBudget = 700
+		stored := storedLog{"open": []byte("1")}
+		l := stored.restoreWith(start, config)
+		l.ConfirmOwnership(start)
+		l.Open(start)
+		Expect(l.Admit(start, turnRequest("a", 600)).AssumedTokens).To(Equal(200))
+		stored.store(l)
+		Expect(stored["open"]).To(Equal([]byte("2")))
+	})
+
 	It("waits at an owner that released the partition, and its use is still assumed if that owner had inherited an open record", func() {
 		stored := storedLog{}
 		former := stored.serving(start)
