--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -45,6 +45,9 @@
 	// share an append with other records.
 	MinAppendInterval time.Duration
 	AbsenceProofDelay time.Duration
+	// SkipClaimSearch leaves the turns of previous owners reserved until the time to settle
+	// them is over, to measure what asking the nodes for them gains.
+	SkipClaimSearch bool
 	// SkipHandover claims partitions without requesting a handover from their owner, to
 	// measure what clean handovers gain.
 	SkipHandover bool
@@ -196,6 +199,8 @@
 		c.stepFreshnessProven(event)
 	case ChargeRefunded:
 		c.stepChargeRefunded(event)
+	case ClaimsListed:
+		c.stepClaimsListed(now, event)
 	case Leave:
 		c.leave(now)
 	case Loads:
--- a/coordinator/doc.go
+++ b/coordinator/doc.go
@@ -42,6 +42,12 @@
 // Each node also computes by rank which nodes read the platform's lists for the others
 // (Roles), so that all nodes agree on this without exchanging messages.
 //
+// # Turns of previous owners
+//
+// A new owner asks all nodes for the turns of the partition that they have not settled
+// (ClaimMessage). Turns that no node has count at their maximum at once, since nobody will
+// settle them.
+//
 // # Limits of tenants
 //
 // One live node, the counting node, counts all requests of a tenant (ChargeMessage). It is
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -154,6 +154,7 @@
 func (OwnerReported) event()   {}
 func (OwnershipDenied) event() {}
 func (Leave) event()           {}
+func (ClaimsListed) event()    {}
 func (Loads) event()           {}
 
 // PeerMessage is a message between two nodes, other than a request.
@@ -165,6 +166,8 @@
 	Status *Status `json:"status,omitempty"`
 	// Handover requests a partition or answers such a request, or is nil.
 	Handover *Handover `json:"handover,omitempty"`
+	// Claim concerns the unsettled turns of a partition, or is nil.
+	Claim *ClaimMessage `json:"claim,omitempty"`
 	// Charge concerns a request that counts against a limit, or is nil.
 	Charge *ChargeMessage `json:"charge,omitempty"`
 	// Proof concerns the age of the sender's configuration, or is nil.
@@ -257,6 +260,10 @@
 	// Collectors are the selected and lost collectors, for logging.
 	Totals     *gather.Totals
 	Collectors []gather.Change
+	// ClaimQueries are questions for this node's unsettled turns, and ClaimsCollected the
+	// ended searches of this node, for logging.
+	ClaimQueries    []ClaimQuery
+	ClaimsCollected []ClaimsCollected
 	// Rejected are messages that could not be processed.
 	Rejected []Rejected
 	Charged  []Charged
--- a/coordinator/harness_test.go
+++ b/coordinator/harness_test.go
@@ -89,6 +89,10 @@
 	// loads.
 	totals         *gather.Totals
 	gatherMessages int
+	// unsettled are the turns that the node has not settled, and collected the ended
+	// searches for the turns of previous owners.
+	unsettled []ledger.Claim
+	collected []coordinator.ClaimsCollected
 }
 
 // delivery is an event in transit.
@@ -287,6 +291,13 @@
 	if ready.FreshAsOf.After(node.proven) {
 		node.proven = ready.FreshAsOf
 	}
+	node.collected = append(node.collected, ready.ClaimsCollected...)
+	for _, query := range ready.ClaimQueries {
+		node.core.Step(f.now, coordinator.ClaimsListed{Query: query, Claims: node.unsettled})
+	}
+	if len(ready.ClaimQueries) > 0 {
+		f.perform(id, node)
+	}
 }
 
 // partitionInHalves lets nodes exchange messages only within their half of the fleet.
--- a/coordinator/partition.go
+++ b/coordinator/partition.go
@@ -48,6 +48,7 @@
 	epochChecks  []epochCheck
 	heldRequests []heldRequest
 	handover     handover
+	search       claimSearch
 }
 
 // waiter waits until a position is durable.
@@ -76,6 +77,7 @@
 	c.expireHeld(now, p)
 	if p.state == stateServing {
 		p.ledger.Tick(now)
+		c.tickClaimSearch(now, p)
 	}
 	if p.state != stateAbsent || !c.mayClaim(now) || now.Before(p.nextClaimAt) {
 		return
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -55,6 +55,9 @@
 	if message.Handover != nil {
 		c.stepHandover(now, sender, *message.Handover)
 	}
+	if message.Claim != nil {
+		c.stepClaims(now, sender, message.Claim)
+	}
 }
 
 // mergeOwners merges the owner records of a status: those of the sender itself and those of
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -158,6 +158,7 @@
 	p.ledger = nil
 	p.takeover = takeover{}
 	p.handover = handover{}
+	p.search = claimSearch{}
 }
 
 // stepTakeoverRead processes the progress of a takeover.
@@ -288,6 +289,7 @@
 	// Notify the peers at once, so that they send their requests here.
 	c.publishOwnership(now, p)
 	c.sendStatus(now)
+	c.startClaimSearch(now, p)
 	c.serveHeld(now, p)
 }
 
--- a/edge/control.go
+++ b/edge/control.go
@@ -322,4 +322,20 @@
 	for _, change := range ready.Changes {
 		c.node.logChange(change)
 	}
+	for _, collected := range ready.ClaimsCollected {
+		c.node.logClaims(collected)
+	}
+	c.answerClaimQueries(ready.ClaimQueries)
+}
+
+// answerClaimQueries lists this node's unsettled turns to the owners that ask for them.
+func (c *control) answerClaimQueries(queries []coordinator.ClaimQuery) {
+	if len(queries) == 0 {
+		return
+	}
+	now := time.Now()
+	for _, query := range queries {
+		c.core.Step(now, coordinator.ClaimsListed{Query: query, Claims: c.node.unsettled.claims(query.Partition)})
+	}
+	c.performReady()
 }
--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -17,6 +17,14 @@
 		Bool("inherited", change.Inherited).Msg("ledger: ownership changed")
 }
 
+// logClaims logs how an owner's search for the turns of its predecessors ended.
+func (n *Node) logClaims(collected coordinator.ClaimsCollected) {
+	n.metrics.turnsInherited(collected.Claims, collected.Lapsed)
+	n.logger.Info().Int("partition", collected.Partition).Uint64("epoch", uint64(collected.Epoch)).Int("claimed", collected.Claims).
+		Int("lapsed", collected.Lapsed).Int("unanswered", collected.Unanswered).Dur("took", collected.Took).
+		Msg("ledger: turns of previous owners looked up")
+}
+
 // logOutcome logs how a request ended, with the inputs of the decisions and their age.
 func (n *Node) logOutcome(r *requestState) {
 	took := time.Since(r.exchange.Arrived)
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -16,6 +16,8 @@
 	// AskPeersForNodes makes a starting node query known peers for the list of nodes,
 	// besides reading it from the store.
 	AskPeersForNodes Mechanism = "ask-for-list"
+	// AskForTurns has a new owner ask all nodes for the turns of its predecessors.
+	AskForTurns Mechanism = "ask-for-turns"
 	// EstimateSharedPrompts estimates which prompt parts that many programs share are in
 	// the engines' caches because of requests from other nodes.
 	EstimateSharedPrompts Mechanism = "assume-shared"
@@ -133,6 +135,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		AskPeersForNodes,
+		AskForTurns,
 		EstimateSharedPrompts,
 		AwaitLateAppends,
 		BeginAfterFailure,
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -74,6 +74,7 @@
 	metricLate               = "birchwood_edge_calls_late_total"
 	metricTrims              = "birchwood_edge_store_trims_total"
 	metricExhausted          = "birchwood_edge_budgets_exhausted_total"
+	metricInherited          = "birchwood_edge_inherited_turns_total"
 	metricRefused            = "birchwood_edge_turned_away_total"
 	metricRetryAfter         = "birchwood_edge_come_back_seconds"
 	metricWaiting            = "birchwood_edge_waiting_requests"
@@ -265,6 +266,12 @@
 	m.set.GetOrCreatePrometheusHistogramExt(metricWaited, latencyBuckets).Update(waited.Seconds())
 }
 
+// turnsInherited counts the unsettled turns of previous owners, by whether a node has them.
+func (m *Metrics) turnsInherited(claimed, lapsed int) {
+	m.set.GetOrCreateCounter(metricInherited + `{state="claimed"}`).Add(claimed)
+	m.set.GetOrCreateCounter(metricInherited + `{state="lapsed"}`).Add(lapsed)
+}
+
 // budgetExhausted counts a turn that was refused because its program's budget is exhausted,
 // by what the owner's verdict is based on.
 func (m *Metrics) budgetExhausted(basis ledger.Basis) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -45,6 +45,7 @@
 	turnEstimates *turnEstimates
 	shares        *shares
 	chains        *chains
+	unsettled     *unsettledTurns
 	// takeovers are the takeovers in progress at this node.
 	takeovers *takeovers
 	// space tracks how much the partitions occupy in the store.
@@ -151,6 +152,7 @@
 		turnEstimates:         newTurnEstimates(),
 		shares:                newShares(),
 		chains:                newChains(settings.uses(CacheChains)),
+		unsettled:             newUnsettledTurns(),
 		takeovers:             newTakeovers(),
 		space:                 newSpace(),
 		scheduling:            newScheduling(),
@@ -225,6 +227,7 @@
 		config.Ledger.MarkAheadShare, config.Ledger.MarkAheadTurns = 0, 0
 	}
 	config.Ledger.ExtraTurnAfterFailure = settings.uses(GrantTurnAfterFailure)
+	config.SkipClaimSearch = !settings.uses(AskForTurns)
 	config.SkipHandover = !settings.uses(HandOver)
 	if settings.Quota.Window > 0 {
 		config.Tenants = settings.Quota
--- a/edge/run.go
+++ b/edge/run.go
@@ -73,7 +73,11 @@
 	if t.holdsOutput() && !t.released {
 		t.request.tokens = 0
 	}
-	if t.request.needsOwner() && !t.stored {
+	switch {
+	case !t.request.needsOwner():
+	case t.stored:
+		t.node.unsettled.remove(t.request.partition, t.request.turnID())
+	default:
 		t.node.settle(t.request)
 	}
 }
--- a/edge/switches_test.go
+++ b/edge/switches_test.go
@@ -36,6 +36,8 @@
 	g.Expect(all.Ledger.MarkAheadTurns).To(BeNumerically(">", 0))
 	g.Expect(all.Ledger.ExtraTurnAfterFailure).To(BeTrue())
 	g.Expect(all.SkipHandover).To(BeFalse())
+	g.Expect(all.SkipClaimSearch).To(BeFalse())
+	g.Expect(configOf(without(AskForTurns)).SkipClaimSearch).To(BeTrue())
 	g.Expect(configOf(without(BeginUnrecorded)).Ledger.UnrecordedShare).To(BeZero())
 	g.Expect(configOf(without(MarkAhead)).Ledger.MarkAheadTurns).To(BeZero())
 	g.Expect(configOf(without(GrantTurnAfterFailure)).Ledger.ExtraTurnAfterFailure).To(BeFalse())
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -97,10 +97,12 @@
 	admit := &coordinator.AdmitRequest{Turn: n.turnOf(r), Previous: previous}
 	var granted grant
 	granted.chain, admit.HasChain = n.chains.get(time.Now(), previous)
+	n.unsettled.put(r.partition, claimOf(r))
 	reply, err := n.requestAdmission(ctx, r, admit)
 	if err == nil && reply.Status == coordinator.ReplyAbsent {
 		chain, status := n.findChain(ctx, r)
 		if status != coordinator.ReplyDone {
+			n.unsettled.remove(r.partition, r.turnID())
 			n.answerNoChain(r, status)
 			return grant{}, false
 		}
@@ -115,7 +117,13 @@
 	if !admit.HasChain {
 		granted.chain = reply.Chain
 	}
-	return n.applyAdmission(ctx, r, reply, granted)
+	granted, admitted := n.applyAdmission(ctx, r, reply, granted)
+	if !admitted {
+		n.unsettled.remove(r.partition, r.turnID())
+		return grant{}, false
+	}
+	n.unsettled.put(r.partition, claimOf(r))
+	return granted, true
 }
 
 // requestAdmission requests admission from the owner. An owner whose reply was lost may
@@ -324,6 +332,7 @@
 	search := &requestState{exchange: r.exchange}
 	partition := r.partition
 	n.run(func(ctx context.Context) {
+		defer n.unsettled.remove(partition, settlement.Turn)
 		settleCtx, cancel := context.WithTimeout(ctx, settleTimeout)
 		defer cancel()
 		for settleCtx.Err() == nil {
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -128,6 +128,8 @@
 	// presumed reports that the time to settle the turn is over: it counts as settled at
 	// its maximum.
 	presumed bool
+	// inherited reports that a previous owner granted the turn.
+	inherited bool
 }
 
 // openCount returns the number of turns that may still be settled in time.
@@ -178,10 +180,8 @@
 				a.addPresumed(reserved.maxTokens)
 			}
 			delete(turns, key)
-		case !reserved.presumed && now.After(reserved.expires):
-			a.addPresumed(reserved.maxTokens)
-			reserved.presumed = true
-			turns[key] = reserved
+		case now.After(reserved.expires):
+			lapse(reserved.expires, a, turns, key)
 		}
 	}
 }
@@ -221,6 +221,9 @@
 	admission.Replica, admission.CachedTokens = served.replica, served.cachedTokens
 	admission.NewProgram = len(acct.replicas) == 0 && open == 0 && acct.settledTokens == acct.assumedTokens && !acct.restored
 	if repeated, found := acct.open[turn.ID]; found && !repeated.presumed {
+		// Its node is alive and will settle it here.
+		repeated.inherited = false
+		acct.open[turn.ID] = repeated
 		admission.Repeated, admission.Grant = true, repeated.grant
 		admission.Position = l.requiredPosition(now, turn, acct, repeated.grant, acct.settledTokens+open)
 		return admission
--- a/ledger/cover.go
+++ b/ledger/cover.go
@@ -162,7 +162,7 @@
 	acct.newest.grant, acct.newest.maxTokens = acct.lastGrant, exact.SlotTokens
 	expires := now.Add(acct.maxDuration + takeoverSettlementSlack)
 	for _, listed := range exact.Open {
-		reserved := reservation{grant: listed.Grant, maxTokens: listed.MaxTokens, expires: expires}
+		reserved := reservation{grant: listed.Grant, maxTokens: listed.MaxTokens, expires: expires, inherited: true}
 		if listed.ID != "" {
 			acct.open[listed.ID] = reserved
 			continue
@@ -171,7 +171,7 @@
 	}
 	for slot := range exact.Slots {
 		grant := exact.LastGrant + 1 + uint64(slot)
-		acct.uncertain[grant] = reservation{grant: grant, maxTokens: exact.SlotTokens, expires: expires}
+		acct.uncertain[grant] = reservation{grant: grant, maxTokens: exact.SlotTokens, expires: expires, inherited: true}
 	}
 	return acct
 }
