--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -48,6 +48,9 @@
 	// SkipClaimSearch leaves the turns of previous owners reserved until the time to settle
 	// them is over, to measure what asking the nodes for them gains.
 	SkipClaimSearch bool
+	// SkipFormerState has owners that lost a partition keep its final state to themselves,
+	// to measure what passing it on gains.
+	SkipFormerState bool
 	// SkipHandover claims partitions without requesting a handover from their owner, to
 	// measure what clean handovers gain.
 	SkipHandover bool
--- a/coordinator/doc.go
+++ b/coordinator/doc.go
@@ -48,6 +48,9 @@
 // (ClaimMessage). Turns that no node has count at their maximum at once, since nobody will
 // settle them.
 //
+// An owner that lost a partition and is alive sends the final state of its programs to the
+// new owner (FormerMessage), which then counts what was used in place of what the log allowed.
+//
 // # Limits of tenants
 //
 // One live node, the counting node, counts all requests of a tenant (ChargeMessage). It is
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -166,6 +166,8 @@
 	Status *Status `json:"status,omitempty"`
 	// Handover requests a partition or answers such a request, or is nil.
 	Handover *Handover `json:"handover,omitempty"`
+	// Former is the final state of a partition that the sender lost, or nil.
+	Former *FormerMessage `json:"former,omitempty"`
 	// Claim concerns the unsettled turns of a partition, or is nil.
 	Claim *ClaimMessage `json:"claim,omitempty"`
 	// Charge concerns a request that counts against a limit, or is nil.
@@ -264,6 +266,8 @@
 	// ended searches of this node, for logging.
 	ClaimQueries    []ClaimQuery
 	ClaimsCollected []ClaimsCollected
+	// FormerReconciled are the states of former owners that were taken over, for logging.
+	FormerReconciled []FormerReconciled
 	// Rejected are messages that could not be processed.
 	Rejected []Rejected
 	Charged  []Charged
--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -287,6 +287,8 @@
 	if p.state != stateServing || successor == nil || p.handover.flushPosition > p.ledger.Durable() {
 		return
 	}
+	// Turns were settled since the last record of their programs.
+	c.keepFormerState(now, p)
 	c.loseOwnership(p, "handed over")
 	p.nextClaimAt = now.Add(c.config.MinClaimInterval)
 	c.sendHandover(*successor, Handover{Partition: p.index, Released: true, Clean: true, Epoch: p.epoch})
--- a/coordinator/owners.go
+++ b/coordinator/owners.go
@@ -77,6 +77,7 @@
 		c.mergeStoreUnreachable(now, []machine.ID{record.Node})
 	}
 	c.stepPeerEpochs(now, map[int]ownership.Epoch{record.Partition: record.Epoch})
+	c.tickFormer(now, c.partitions[record.Partition])
 }
 
 // publishOwnership creates or revises the record of a partition that this node serves or is
--- a/coordinator/partition.go
+++ b/coordinator/partition.go
@@ -49,6 +49,9 @@
 	heldRequests []heldRequest
 	handover     handover
 	search       claimSearch
+	// former is the state of the last ownership that this node lost; nil once the new owner
+	// has it.
+	former *former
 }
 
 // waiter waits until a position is durable.
@@ -75,6 +78,7 @@
 
 func (c *Core) tickPartition(now time.Time, p *partition) {
 	c.expireHeld(now, p)
+	c.tickFormer(now, p)
 	if p.state == stateServing {
 		p.ledger.Tick(now)
 		c.tickClaimSearch(now, p)
@@ -141,10 +145,12 @@
 	switch appended.Outcome {
 	case OutcomeDone:
 	case OutcomeFailed:
+		c.keepFormerState(now, p)
 		c.loseOwnership(p, "the log expects another append sequence")
 		p.nextClaimAt = now.Add(c.config.MinClaimInterval)
 		return
 	default:
+		c.keepFormerState(now, p)
 		c.loseOwnership(p, "fenced by the log")
 		c.backOffAfterFencing(now, p)
 		return
@@ -234,6 +240,7 @@
 		}
 		switch p.state {
 		case stateServing:
+			c.keepFormerState(now, p)
 			c.loseOwnership(p, "a peer serves a higher epoch")
 			p.nextClaimAt = now.Add(c.config.MinClaimInterval)
 		case stateTakingOver:
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -55,6 +55,9 @@
 	if message.Handover != nil {
 		c.stepHandover(now, sender, *message.Handover)
 	}
+	if message.Former != nil {
+		c.stepFormer(now, sender.ID, message.Former)
+	}
 	if message.Claim != nil {
 		c.stepClaims(now, sender, message.Claim)
 	}
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"strconv"
 	"time"
 
 	"birchwood.example/birchwood/ledger"
@@ -27,6 +28,8 @@
 	// recentLossWindow is how long a lost node counts as recently lost, and for how long
 	// after its takeover an owner makes keepalive appends.
 	recentLossWindow = time.Minute
+	// idBase is the base of the IDs of owners in the log, which are their epochs.
+	idBase = 36
 	// maxEpochLeapExponent bounds how far a node whose claims are refused advances its
 	// epochs: up to 2^10 seconds.
 	maxEpochLeapExponent = 10
@@ -273,6 +276,7 @@
 	p.contested = contested{}
 	p.ledger.RetainFor(c.loads.RetainFor)
 	p.ledger.ConfirmOwnership(p.takeoverStartedAt)
+	p.ledger.Identify(strconv.FormatUint(uint64(p.epoch), idBase))
 	p.ledger.Open(now)
 	if c.leaving {
 		p.ledger.Close(now)
--- a/edge/control.go
+++ b/edge/control.go
@@ -325,6 +325,9 @@
 	for _, collected := range ready.ClaimsCollected {
 		c.node.logClaims(collected)
 	}
+	for _, reconciled := range ready.FormerReconciled {
+		c.node.logReconciled(reconciled)
+	}
 	c.answerClaimQueries(ready.ClaimQueries)
 }
 
--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -25,6 +25,14 @@
 		Msg("ledger: turns of previous owners looked up")
 }
 
+// logReconciled logs that the state of a former owner was taken over.
+func (n *Node) logReconciled(reconciled coordinator.FormerReconciled) {
+	n.metrics.accountsReconciled(reconciled.Reconciled)
+	n.logger.Info().Int("partition", reconciled.Partition).Uint64("epoch", uint64(reconciled.Epoch)).Str("from", string(reconciled.From)).
+		Int("accounts", reconciled.Accounts).Int("reconciled", reconciled.Reconciled).Dur("confirmed", reconciled.Confirmed).
+		Msg("ledger: state of a former owner taken over")
+}
+
 // logOutcome logs how a request ended, with the inputs of the decisions and their age.
 func (n *Node) logOutcome(r *requestState) {
 	took := time.Since(r.exchange.Arrived)
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -115,6 +115,9 @@
 	RepeatWithCapacity Mechanism = "repeat-into-room"
 	// RepeatLateCalls repeats a call that may run more than once when its answer is late.
 	RepeatLateCalls Mechanism = "repeat-late-calls"
+	// ReportFormerState has an owner that lost a partition pass its final state on to the
+	// new owner.
+	ReportFormerState Mechanism = "report-former-state"
 	// SpreadRetries spreads the retry times of callers that are refused together, in the
 	// order in which they should be served.
 	SpreadRetries Mechanism = "spread-returns"
@@ -174,6 +177,7 @@
 		RecordReplica,
 		RepeatWithCapacity,
 		RepeatLateCalls,
+		ReportFormerState,
 		ShareByTenant,
 		SpreadRetries,
 		AvoidUnresponsiveReplicas,
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -75,6 +75,7 @@
 	metricTrims              = "birchwood_edge_store_trims_total"
 	metricExhausted          = "birchwood_edge_budgets_exhausted_total"
 	metricInherited          = "birchwood_edge_inherited_turns_total"
+	metricReconciled         = "birchwood_edge_accounts_reconciled_total"
 	metricRefused            = "birchwood_edge_turned_away_total"
 	metricRetryAfter         = "birchwood_edge_come_back_seconds"
 	metricWaiting            = "birchwood_edge_waiting_requests"
@@ -272,6 +273,11 @@
 	m.set.GetOrCreateCounter(metricInherited + `{state="lapsed"}`).Add(lapsed)
 }
 
+// accountsReconciled counts the accounts that a former owner's state changed.
+func (m *Metrics) accountsReconciled(accounts int) {
+	m.set.GetOrCreateCounter(metricReconciled).Add(accounts)
+}
+
 // budgetExhausted counts a turn that was refused because its program's budget is exhausted,
 // by what the owner's verdict is based on.
 func (m *Metrics) budgetExhausted(basis ledger.Basis) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -228,6 +228,7 @@
 	}
 	config.Ledger.ExtraTurnAfterFailure = settings.uses(GrantTurnAfterFailure)
 	config.SkipClaimSearch = !settings.uses(AskForTurns)
+	config.SkipFormerState = !settings.uses(ReportFormerState)
 	config.SkipHandover = !settings.uses(HandOver)
 	if settings.Quota.Window > 0 {
 		config.Tenants = settings.Quota
--- a/edge/switches_test.go
+++ b/edge/switches_test.go
@@ -37,6 +37,8 @@
 	g.Expect(all.Ledger.ExtraTurnAfterFailure).To(BeTrue())
 	g.Expect(all.SkipHandover).To(BeFalse())
 	g.Expect(all.SkipClaimSearch).To(BeFalse())
+	g.Expect(all.SkipFormerState).To(BeFalse())
+	g.Expect(configOf(without(ReportFormerState)).SkipFormerState).To(BeTrue())
 	g.Expect(configOf(without(AskForTurns)).SkipClaimSearch).To(BeTrue())
 	g.Expect(configOf(without(BeginUnrecorded)).Ledger.UnrecordedShare).To(BeZero())
 	g.Expect(configOf(without(MarkAhead)).Ledger.MarkAheadTurns).To(BeZero())
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -91,6 +91,19 @@
 	assumedTokens        int
 	mayHaveStartedBefore bool
 	restored             bool
+	// writers are the owners that may have written the record in the log.
+	writers []string
+	// restoredWriter wrote the restored record, which counted restoredSettled and
+	// restoredPresumed tokens and restoredCount unsettled turns. reconciled reports that a
+	// previous owner's final state replaced them.
+	restoredWriter   string
+	restoredSettled  int
+	restoredPresumed int
+	restoredCount    int
+	reconciled       bool
+	// settledHere holds the turns that were settled here, which a previous owner's final
+	// state may list as open, and their tokens that are not counted yet.
+	settledHere map[string]int
 	// newest is what the newest record allows, which was proposed at recordPosition.
 	// common is what every record of this owner allows, and durable what the log is
 	// certain to allow.
@@ -130,6 +143,9 @@
 	presumed bool
 	// inherited reports that a previous owner granted the turn.
 	inherited bool
+	// reconciled reports that no record in the log listed the turn when this owner learned
+	// of it.
+	reconciled bool
 }
 
 // openCount returns the number of turns that may still be settled in time.
@@ -221,8 +237,13 @@
 	admission.Replica, admission.CachedTokens = served.replica, served.cachedTokens
 	admission.NewProgram = len(acct.replicas) == 0 && open == 0 && acct.settledTokens == acct.assumedTokens && !acct.restored
 	if repeated, found := acct.open[turn.ID]; found && !repeated.presumed {
+		if repeated.reconciled && turn.Budget > 0 && acct.settledTokens+open > l.tokenLimit(turn, acct) {
+			// What was granted here since then leaves no budget for it.
+			admission.Verdict = VerdictBusy
+			return admission
+		}
 		// Its node is alive and will settle it here.
-		repeated.inherited = false
+		repeated.inherited, repeated.reconciled = false, false
 		acct.open[turn.ID] = repeated
 		admission.Repeated, admission.Grant = true, repeated.grant
 		admission.Position = l.requiredPosition(now, turn, acct, repeated.grant, acct.settledTokens+open)
@@ -280,7 +301,12 @@
 	switch {
 	case turn.Budget <= 0:
 		return VerdictGranted
-	case certain+turn.MaxTokens > turn.Budget || acct.settledTokens+turn.MaxTokens > tokenLimit:
+	case certain+turn.MaxTokens > turn.Budget:
+		return VerdictExhausted
+	case acct.settledTokens+turn.MaxTokens > tokenLimit:
+		if l.awaitsState(now, acct, formerStateTimeout) {
+			return VerdictBusy
+		}
 		return VerdictExhausted
 	case acct.settledTokens+open+l.unscopedTokens(now, turn)+turn.MaxTokens > tokenLimit:
 		return VerdictBusy
@@ -377,9 +403,14 @@
 func (l *Ledger) settleTurn(now time.Time, acct *account, settlement Settlement) {
 	reserved, open := acct.open[settlement.Turn]
 	if !open {
-		l.settleUncertain(acct, settlement)
+		uncounted := settlement.Tokens
+		if l.settleUncertain(acct, settlement) {
+			uncounted = 0
+		}
+		l.noteSettled(now, acct, settlement.Turn, uncounted)
 		return
 	}
+	l.noteSettled(now, acct, settlement.Turn, 0)
 	delete(acct.open, settlement.Turn)
 	acct.applyUsage(reserved, settlement.Tokens)
 	if settlement.Tokens == 0 && reserved.grant == acct.lastGrant && reserved.grant > acct.lastRecordedGrant {
@@ -392,14 +423,15 @@
 
 // settleUncertain settles a turn that a previous owner granted without a record. One that
 // used nothing stays uncertain, since the previous owner may have reused its grant
-// number.
-func (l *Ledger) settleUncertain(acct *account, settlement Settlement) {
+// number. It reports whether the turn is settled.
+func (l *Ledger) settleUncertain(acct *account, settlement Settlement) bool {
 	reserved, found := acct.uncertain[settlement.Grant]
 	if !found || settlement.Tokens == 0 {
-		return
+		return false
 	}
 	delete(acct.uncertain, settlement.Grant)
 	acct.applyUsage(reserved, settlement.Tokens)
+	return true
 }
 
 // applyUsage replaces a reservation by the tokens used.
--- a/ledger/cover.go
+++ b/ledger/cover.go
@@ -69,14 +69,14 @@
 func (l *Ledger) proposeExact(program string, acct *account, slots int) {
 	l.replaceAllowance(acct, allowance{grant: acct.lastGrant + uint64(slots), maxTokens: acct.maxTokens, mark: acct.maxUsed() + slots*acct.maxTokens})
 	acct.lastRecordedGrant = acct.lastGrant
-	acct.recordPosition = l.propose(accountPrefix+program, encode(acct.exactRecord(slots)))
+	acct.recordPosition = l.propose(accountPrefix+program, encode(acct.exactRecord(slots, l.ownership.id)))
 }
 
 // proposeMark proposes a record that holds the account's mark.
 func (l *Ledger) proposeMark(program string, acct *account, mark int) {
 	l.replaceAllowance(acct, markAllowance(mark))
 	acct.lastRecordedGrant = acct.lastGrant
-	record := acct.record(mark)
+	record := acct.record(mark, l.ownership.id)
 	acct.recordPosition = l.propose(accountPrefix+program, encode(record))
 }
 
@@ -92,6 +92,9 @@
 	}
 	acct.durable = acct.durable.intersect(newest)
 	acct.newest = newest
+	if id := l.ownership.id; id != "" && !slices.Contains(acct.writers, id) {
+		acct.writers = append(acct.writers, id)
+	}
 }
 
 // refreshRecord proposes an account's exact record in the batch of a stored turn. It
@@ -110,33 +113,63 @@
 func sortedKeys[K cmp.Ordered](turns map[K]reservation) []K { return slices.Sorted(maps.Keys(turns)) }
 
 // exactRecord returns the exact record of the account.
-func (a *account) exactRecord(slots int) accountValue {
-	record := a.record(a.newest.mark)
+func (a *account) exactRecord(slots int, writer string) accountValue {
+	record := a.record(a.newest.mark, writer)
 	record.Exact = &exactRecord{
 		Settled: a.settledTokens, Presumed: a.presumedTokens, LastGrant: a.lastGrant, Slots: slots, SlotTokens: a.maxTokens, MaxDurationMS: a.maxDuration.Milliseconds(),
 	}
+	record.Exact.Open = a.list(func(reserved reservation) bool { return !reserved.presumed })
+	return record
+}
+
+// list lists those of the turns that are not settled which include selects.
+func (a *account) list(include func(reservation) bool) (open []listedValue) {
 	for _, id := range sortedKeys(a.open) {
-		if listed := a.open[id]; !listed.presumed {
-			record.Exact.Open = append(record.Exact.Open, listedValue{ID: id, Grant: listed.grant, MaxTokens: listed.maxTokens})
+		if listed := a.open[id]; include(listed) {
+			open = append(open, listedValue{ID: id, Grant: listed.grant, MaxTokens: listed.maxTokens})
 		}
 	}
 	for _, grant := range sortedKeys(a.uncertain) {
-		if listed := a.uncertain[grant]; !listed.presumed {
-			record.Exact.Open = append(record.Exact.Open, listedValue{Grant: grant, MaxTokens: listed.maxTokens})
+		if listed := a.uncertain[grant]; include(listed) {
+			open = append(open, listedValue{Grant: grant, MaxTokens: listed.maxTokens})
+		}
+	}
+	return open
+}
+
+// reserveListed reserves listed turns of a previous owner, except those that are reserved
+// already. reconciled reports that a FormerState lists them.
+func (a *account) reserveListed(open []listedValue, expires time.Time, reconciled bool) {
+	for _, listed := range open {
+		reserved := reservation{grant: listed.Grant, maxTokens: listed.MaxTokens, expires: expires, inherited: true, reconciled: reconciled}
+		switch _, found := a.open[listed.ID]; {
+		case found:
+		case listed.ID != "":
+			a.open[listed.ID] = reserved
+		default:
+			a.uncertain[listed.Grant] = reserved
 		}
 	}
-	return record
 }
 
 // record returns the part of a record that owners of all formats read.
-func (a *account) record(mark int) accountValue {
-	record := accountValue{Mark: mark, Assumed: a.assumedTokens, RetentionMS: a.retention.Milliseconds()}
+func (a *account) record(mark int, writer string) accountValue {
+	record := accountValue{Mark: mark, Assumed: a.assumedTokens, RetentionMS: a.retention.Milliseconds(), Writer: writer}
 	if a.mayHaveStartedBefore && a.assumedTokens == 0 {
 		record.Assumed, record.NoneAssumed = 1, true
 	}
 	return record
 }
 
+// noteRestored notes the state of a restored account, for Reconcile.
+func (a *account) noteRestored(writer string) {
+	a.restoredWriter = writer
+	if writer != "" {
+		a.writers = []string{writer}
+	}
+	a.restoredSettled, a.restoredPresumed, a.restoredCount = a.settledTokens, a.presumedTokens, a.inheritedCount()
+}
+
 // restoreAccount returns the account that a new owner derives from a record. The turns
 // that the record lists, and those that the previous owner may have granted from its
 // slots, stay reserved until they are settled or the time to settle them is over.
@@ -149,6 +182,7 @@
 	}
 	acct.retention = time.Duration(value.RetentionMS) * time.Millisecond
 	acct.newest = markAllowance(value.Mark)
+	defer func() { acct.noteRestored(value.Writer) }()
 	exact := value.Exact
 	if exact == nil {
 		acct.settledTokens, acct.presumedTokens = value.Mark, value.Mark
@@ -161,14 +195,7 @@
 	acct.lastRecordedGrant = acct.lastGrant
 	acct.newest.grant, acct.newest.maxTokens = acct.lastGrant, exact.SlotTokens
 	expires := now.Add(acct.maxDuration + takeoverSettlementSlack)
-	for _, listed := range exact.Open {
-		reserved := reservation{grant: listed.Grant, maxTokens: listed.MaxTokens, expires: expires, inherited: true}
-		if listed.ID != "" {
-			acct.open[listed.ID] = reserved
-			continue
-		}
-		acct.uncertain[listed.Grant] = reserved
-	}
+	acct.reserveListed(exact.Open, expires, false)
 	for slot := range exact.Slots {
 		grant := exact.LastGrant + 1 + uint64(slot)
 		acct.uncertain[grant] = reservation{grant: grant, maxTokens: exact.SlotTokens, expires: expires, inherited: true}
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -47,6 +47,12 @@
 // (ConfirmOwnership) is valid for OwnershipProofTTL, which ends before the new owner
 // stops assuming use.
 //
+// # The final state of a previous owner
+//
+// An owner that lost its partition and is alive passes on the use of its programs
+// (FormerState). The new owner replaces by it what it restored from that owner's records
+// (Reconcile).
+//
 // # Stored turns
 //
 // A stored turn holds its input, its output and the ID of the turn that it continues. The
--- /dev/null
+++ b/ledger/former.go
@@ -0,0 +1,301 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// FormerState is the final state, at an owner that lost its partition, of the programs that
+// used less than their records in the log allowed. The new owner, which knows only the log,
+// counts all of that as used until it has this state.
+type FormerState struct {
+	// OpenID identifies the open record that the owner wrote; "" if it wrote none.
+	OpenID string `json:"open_id,omitempty"`
+	// ConfirmedAgo is how long ago the log last confirmed the ownership, at most.
+	ConfirmedAgo time.Duration   `json:"confirmed_ago"`
+	Accounts     []FormerAccount `json:"accounts,omitempty"`
+}
+
+// FormerAccount is the final state of one program.
+type FormerAccount struct {
+	Program string `json:"program"`
+	// Writers are the owners that may have written the account's record in the log: the
+	// one that wrote the record that this owner found, and this owner itself.
+	Writers []string `json:"writers,omitempty"`
+	// The other fields are those of an account.
+	LastGrant      uint64        `json:"granted"`
+	Settled        int           `json:"settled"`
+	Presumed       int           `json:"presumed,omitempty"`
+	Assumed        int           `json:"assumed,omitempty"`
+	MayHaveStarted bool          `json:"may_have_started,omitempty"`
+	Open           []listedValue `json:"open,omitempty"`
+	RetentionMS    int64         `json:"retain_ms"`
+	MaxDurationMS  int64         `json:"within_ms"`
+}
+
+const (
+	// maxFormerAccounts bounds the size of a FormerState.
+	maxFormerAccounts = 2000
+	// formerStateTimeout is how long after its start an owner waits for the state of the
+	// former one before it answers that a budget is exhausted.
+	formerStateTimeout = time.Second
+	// formerStateLifetime is how long after its start an owner uses a state that arrives.
+	formerStateLifetime = 30 * time.Second
+	// formerTransit is how long a FormerState is in transit at most.
+	formerTransit = time.Second
+)
+
+// FormerState returns the final state of the ledger, which grants no more turns.
+func (l *Ledger) FormerState(now time.Time) FormerState {
+	state := FormerState{ConfirmedAgo: now.Sub(l.ownership.confirmedAt)}
+	for _, program := range slices.Sorted(maps.Keys(l.accounts)) {
+		acct := l.accounts[program]
+		if acct.recordPosition <= l.durable && acct.recordIsExact() {
+			continue
+		}
+		state.Accounts = append(state.Accounts, acct.formerState(program))
+	}
+	if len(state.Accounts) > maxFormerAccounts {
+		state.Accounts = state.Accounts[:maxFormerAccounts]
+		return state
+	}
+	if l.ownership.openPosition > 0 && (!l.ownership.inheritedOpen || l.ownership.reconciled) {
+		state.OpenID = l.ownership.id
+	}
+	return state
+}
+
+// recordIsExact reports whether the newest record allows no more than was used, and lists
+// the turns that are not settled.
+func (a *account) recordIsExact() bool {
+	listed := a.newest.grant != unboundedGrant || a.openCount() == 0
+	return listed && a.maxUsed() == a.newest.mark
+}
+
+// formerState returns the final state of an account. It lists turns that were not settled
+// in time as open, since they may be settled at the new owner.
+func (a *account) formerState(program string) FormerAccount {
+	lapsed := lapsedTokens(a.open) + lapsedTokens(a.uncertain)
+	return FormerAccount{
+		Program: program, Writers: a.writers, LastGrant: a.lastGrant, Settled: a.settledTokens - lapsed, Presumed: a.presumedTokens - lapsed,
+		Assumed: a.assumedTokens, MayHaveStarted: a.mayHaveStartedBefore, Open: a.list(func(reservation) bool { return true }),
+		RetentionMS: a.retention.Milliseconds(), MaxDurationMS: a.maxDuration.Milliseconds(),
+	}
+}
+
+// lapsedTokens returns the tokens of the turns that were not settled in time.
+func lapsedTokens[K comparable](turns map[K]reservation) int {
+	total := 0
+	for _, reserved := range turns {
+		if reserved.presumed {
+			total += reserved.maxTokens
+		}
+	}
+	return total
+}
+
+// Reconcile replaces what this owner counts in case by the final state of a previous one,
+// and returns the number of accounts that changed. The state may be late and may come more
+// than once.
+//
+// An account with a record is replaced only if the previous owner wrote that record, or
+// found it: an owner in between could have granted nothing without a record of its own.
+// Programs without a record are known only if the previous owner wrote the open record,
+// and an owner in between would still have been within its return window.
+func (l *Ledger) Reconcile(now time.Time, state FormerState) (reconciled int) {
+	if now.Sub(l.ownership.since) >= formerStateLifetime {
+		return 0
+	}
+	wroteOpenRecord := state.OpenID != "" && state.OpenID == l.ownership.inheritedID && !l.ownership.inheritedTwice &&
+		state.ConfirmedAgo+formerTransit < l.config.RetentionSlack
+	known := make(map[string]bool, len(state.Accounts))
+	for index := range state.Accounts {
+		former := &state.Accounts[index]
+		known[former.Program] = true
+		acct := l.accounts[former.Program]
+		switch {
+		case acct != nil && acct.restored:
+			if acct.reconcile(now, former) {
+				l.proposeState(former.Program, acct)
+				reconciled++
+			}
+		case wroteOpenRecord && !l.ownership.reconciled:
+			l.addUnrecorded(now, former)
+			reconciled++
+		}
+	}
+	if wroteOpenRecord && !l.ownership.reconciled {
+		l.ownership.reconciled = true
+		// This owner's programs without a record need an open record of its own.
+		l.ownership.openPosition = 0
+		reconciled += l.clearAssumed(known)
+	}
+	return reconciled
+}
+
+// addUnrecorded adds the use of a program that started at a previous owner and has no
+// record in the log. It may have continued here.
+func (l *Ledger) addUnrecorded(now time.Time, former *FormerAccount) {
+	acct := l.accounts[former.Program]
+	if acct == nil {
+		acct = newAccount()
+		acct.lastActive, acct.lastGrant = now, former.LastGrant
+		acct.retention = time.Duration(former.RetentionMS) * time.Millisecond
+		l.accounts[former.Program] = acct
+	}
+	acct.settledTokens -= acct.assumedTokens
+	acct.presumedTokens -= acct.assumedTokens
+	acct.restored = true
+	acct.addFormer(now, former)
+	l.proposeState(former.Program, acct)
+}
+
+// proposeState proposes a record of what was taken over from a previous owner. Its open
+// turns may be requested again here, and no record lists them yet.
+func (l *Ledger) proposeState(program string, acct *account) {
+	if len(acct.open)+len(acct.uncertain) > maxListedTurns {
+		l.proposeMark(program, acct, acct.maxUsed())
+		return
+	}
+	l.proposeExact(program, acct, 0)
+}
+
+// awaitsState reports whether the state of the former owner may still correct what is
+// counted of a program, if it arrives within the given time after this owner's start.
+func (l *Ledger) awaitsState(now time.Time, acct *account, within time.Duration) bool {
+	inherited := acct.restored || acct.mayHaveStartedBefore
+	return l.ownership.id != "" && inherited && !acct.reconciled && now.Sub(l.ownership.since) < within
+}
+
+// addFormer adds the use of a program at a previous owner.
+func (a *account) addFormer(now time.Time, former *FormerAccount) {
+	a.reconciled = true
+	defer func() { a.settledHere = nil }()
+	a.lastGrant = max(a.lastGrant, former.LastGrant)
+	a.settledTokens += former.Settled
+	a.presumedTokens += former.Presumed
+	a.assumedTokens, a.mayHaveStartedBefore = former.Assumed, former.MayHaveStarted
+	a.maxDuration = max(a.maxDuration, time.Duration(former.MaxDurationMS)*time.Millisecond)
+	open := slices.DeleteFunc(slices.Clone(former.Open), a.wasSettledHere)
+	a.reserveListed(open, now.Add(a.maxDuration+takeoverSettlementSlack), true)
+}
+
+// clearAssumed removes the assumed use of the programs that did not start at the previous
+// owner.
+func (l *Ledger) clearAssumed(known map[string]bool) (cleared int) {
+	for program, acct := range l.accounts {
+		if known[program] || acct.restored || !acct.mayHaveStartedBefore {
+			continue
+		}
+		acct.settledTokens -= acct.assumedTokens
+		acct.presumedTokens -= acct.assumedTokens
+		acct.assumedTokens, acct.mayHaveStartedBefore = 0, false
+		cleared++
+	}
+	return cleared
+}
+
+// reconcile replaces what was restored of the account by its final state at a previous
+// owner.
+func (a *account) reconcile(now time.Time, former *FormerAccount) bool {
+	if a.reconciled || a.restoredWriter == "" || !slices.Contains(former.Writers, a.restoredWriter) {
+		return false
+	}
+	if a.inheritedCount() != a.restoredCount {
+		// Some turns were settled here, and the state does not tell which of them it
+		// contains.
+		return a.dropSlotsAfter(former.LastGrant)
+	}
+	if former.Settled == a.restoredSettled && former.Presumed == a.restoredPresumed && len(former.Open) == a.restoredCount {
+		return false
+	}
+	a.dropInherited()
+	a.settledTokens -= a.restoredSettled
+	a.presumedTokens -= a.restoredPresumed
+	a.markedTokens = 0
+	// A mark of the previous owner may now leave room for turns. They need a record of this
+	// owner, so that its successor does not take the previous owner's state for the last.
+	a.newest.maxTokens, a.durable.maxTokens, a.common.maxTokens = 0, 0, 0
+	a.addFormer(now, former)
+	return true
+}
+
+// noteSettled notes a turn that was settled here while the state of a former owner may
+// still list it as open. uncounted are its tokens that are not counted here.
+func (l *Ledger) noteSettled(now time.Time, acct *account, turn string, uncounted int) {
+	if !l.awaitsState(now, acct, formerStateLifetime) {
+		return
+	}
+	if len(acct.settledHere) >= maxListedTurns {
+		acct.reconciled, acct.settledHere = true, nil
+		return
+	}
+	if acct.settledHere == nil {
+		acct.settledHere = make(map[string]int)
+	}
+	acct.settledHere[turn] = uncounted
+}
+
+// wasSettledHere reports whether a listed turn was settled here, and counts what it used.
+func (a *account) wasSettledHere(listed listedValue) bool {
+	uncounted, found := a.settledHere[listed.ID]
+	if found {
+		a.settledTokens += min(uncounted, listed.MaxTokens)
+	}
+	return found
+}
+
+// inheritedCount returns the number of turns of previous owners that are not settled.
+func (a *account) inheritedCount() int {
+	count := len(a.uncertain)
+	for _, reserved := range a.open {
+		if reserved.inherited {
+			count++
+		}
+	}
+	return count
+}
+
+// dropInherited removes the turns of previous owners.
+func (a *account) dropInherited() {
+	dropReservations(a, a.open, func(_ string, reserved reservation) bool { return reserved.inherited })
+	dropReservations(a, a.uncertain, func(uint64, reservation) bool { return true })
+}
+
+// dropSlotsAfter removes the slots that the previous owner did not grant.
+func (a *account) dropSlotsAfter(lastGrant uint64) bool {
+	before := len(a.uncertain)
+	dropReservations(a, a.uncertain, func(grant uint64, _ reservation) bool { return grant > lastGrant })
+	return len(a.uncertain) < before
+}
+
+func dropReservations[K comparable](a *account, turns map[K]reservation, drop func(K, reservation) bool) {
+	for key, reserved := range turns {
+		if !drop(key, reserved) {
+			continue
+		}
+		if reserved.presumed {
+			a.addPresumed(-reserved.maxTokens)
+		}
+		delete(turns, key)
+	}
+}
+
+// openIDSeparator separates the value of an open record from its ID.
+const openIDSeparator = ":"
+
+// joinOpenID returns an open record with the ID of the owner that wrote it, if it has one.
+func joinOpenID(value, id string) string {
+	if id == "" {
+		return value
+	}
+	return value + openIDSeparator + id
+}
+
+// cutOpenID splits an open record into its value and its ID.
+func cutOpenID(record string) (value, id string) {
+	value, id, _ = strings.Cut(record, openIDSeparator)
+	return value, id
+}
--- a/ledger/model_test.go
+++ b/ledger/model_test.go
@@ -58,12 +58,21 @@
 	maxTokens           int
 	used                int
 	turns               int
+	owners              int
+	// states are the final states of previous owners.
+	states []formerState
 	// unsettled are settlements that may still be delivered. requested are turns whose
 	// admission was lost on the way, so that none of their tokens was delivered.
 	unsettled []ledger.Settlement
 	requested []ledger.Turn
 }
 
+// formerState is the final state of a previous owner, which may be sent again.
+type formerState struct {
+	ledger.FormerState
+	takenAt time.Time
+}
+
 func newOwnerModel(seed uint64) *ownerModel {
 	budgets := []int{600, 750, 900, 1050, 1200, 100, 163, 250, 340}
 	model := &ownerModel{
@@ -94,13 +103,16 @@
 	}
 	l := m.stored.restoreWith(m.now, config)
 	l.ConfirmOwnership(m.now)
+	m.owners++
+	l.Identify(strconv.Itoa(m.owners))
 	l.Open(m.now)
 	return l
 }
 
 // makeFormer replaces the open record of an owner by that of a former version.
 func (s storedLog) makeFormer() {
-	if former, found := map[string]string{"3": "1", "4": "2"}[string(s["open"])]; found {
+	value, _, _ := strings.Cut(string(s["open"]), ":")
+	if former, found := map[string]string{"3": "1", "4": "2"}[value]; found {
 		s["open"] = []byte(former)
 	}
 }
@@ -119,6 +131,8 @@
 		m.current.Close(m.now)
 		m.append()
 		m.takeOver()
+	case draw < 12:
+		m.noticeReplacement()
 	case draw < 25 && !m.logDown:
 		m.append()
 	case draw < 40 && !m.logDown:
@@ -141,6 +155,20 @@
 	m.current = m.open()
 }
 
+// noticeReplacement has a previous owner notice that it was replaced. Its final state
+// reaches the current owner, or an earlier state comes again.
+func (m *ownerModel) noticeReplacement() {
+	if len(m.previous) > 0 {
+		m.states = append(m.states, formerState{FormerState: m.previous[0].FormerState(m.now), takenAt: m.now})
+		m.previous = m.previous[1:]
+	}
+	if len(m.states) > 0 {
+		state := m.states[m.random.IntN(len(m.states))]
+		state.ConfirmedAgo += m.now.Sub(state.takenAt)
+		m.current.Reconcile(m.now, state.FormerState)
+	}
+}
+
 // append appends all that the owner has ready, and confirms its ownership at the time of
 // the append.
 func (m *ownerModel) append() {
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -36,6 +36,8 @@
 	// RetentionMS is how long the account is retained after its program's last turn, in
 	// milliseconds.
 	RetentionMS int64 `json:"retain_ms"`
+	// Writer is the ID of the owner that wrote the record; "" in records of former versions.
+	Writer string `json:"writer,omitempty"`
 	// Exact is what the mark consists of; nil if the owner recorded only a mark, and in
 	// records of a former format.
 	Exact *exactRecord `json:"exact,omitempty"`
--- a/ledger/unrecorded.go
+++ b/ledger/unrecorded.go
@@ -24,6 +24,8 @@
 // ownership decides what an owner may do before a program's first record is durable, and
 // what it has to assume about programs without a record.
 type ownership struct {
+	// id tells this owner from all others of the partition; "" if Identify was not called.
+	id string
 	// since is when the ownership began; zero if Open was not called.
 	since time.Time
 	// confirmedAt is the latest time at which the log has confirmed that this owner was
@@ -37,6 +39,11 @@
 	inheritedTwice bool
 	// inheritedFormer reports that a previous owner was of an earlier version.
 	inheritedFormer bool
+	// inheritedID identifies the open record that was found; "" if it has no ID.
+	// reconciled reports that the final state of its owner is known, so that programs
+	// without a record did not start there.
+	inheritedID string
+	reconciled  bool
 	// openPosition is the proposal of this owner's own open record; 0 if there is none,
 	// as when the previous owner's is still in the log.
 	openPosition uint64
@@ -45,6 +52,10 @@
 	retention time.Duration
 }
 
+// Identify sets the ID that tells this owner from all others of the partition. It is called
+// before Open. Without an ID, successors cannot use this owner's FormerState.
+func (l *Ledger) Identify(id string) { l.ownership.id = id }
+
 // Open begins the ownership. It is called after FinishRestore. From then on programs may
 // start before their first record is durable, if the configuration allows it.
 func (l *Ledger) Open(now time.Time) {
@@ -61,8 +72,8 @@
 		return
 	}
 	switch {
-	case !l.ownership.inheritedOpen:
-		l.ownership.openPosition = l.propose(openKey, []byte(openValue))
+	case !l.ownership.inheritedOpen || l.ownership.reconciled:
+		l.ownership.openPosition = l.propose(openKey, []byte(joinOpenID(openValue, l.ownership.id)))
 	case l.ownership.inheritedTwice || l.config.AfterFailureShare <= 0:
 	case l.ownership.inheritedFormer:
 		l.ownership.openPosition = l.propose(openKey, []byte(formerOpenAfterFailureValue))
@@ -72,8 +83,9 @@
 }
 
 // restore restores the open record of a previous owner.
-func (o *ownership) restore(value string) {
-	o.inheritedOpen = true
+func (o *ownership) restore(record string) {
+	value, id := cutOpenID(record)
+	o.inheritedOpen, o.inheritedID = true, id
 	o.inheritedTwice = value == openAfterFailureValue || value == formerOpenAfterFailureValue
 	o.inheritedFormer = value == formerOpenValue || value == formerOpenAfterFailureValue
 }
@@ -83,7 +95,7 @@
 	if o.inheritedFormer {
 		return formerOpenValue
 	}
-	return openValue
+	return joinOpenID(openValue, o.inheritedID)
 }
 
 // ConfirmOwnership records that the ownership was in force at the given time, which is
@@ -132,7 +144,7 @@
 	if l.ownership.openPosition == 0 && !l.ownership.inheritedOpen {
 		return
 	}
-	if l.ownership.inheritedOpen && now.Sub(l.ownership.since) <= l.returnWindow(l.ownership.retention) {
+	if l.ownership.inheritedOpen && !l.ownership.reconciled && now.Sub(l.ownership.since) <= l.returnWindow(l.ownership.retention) {
 		if l.ownership.openPosition > 0 {
 			// All programs that started here have a record; those of the previous owner
 			// may not.
@@ -170,7 +182,7 @@
 // previous owner. Its extra turn then counts as used there, even if nothing else is
 // assumed.
 func (l *Ledger) mayHaveStarted(now time.Time, turn Turn) bool {
-	return l.ownership.inheritedOpen && !l.ownership.since.IsZero() && now.Sub(l.ownership.since) <= l.returnWindow(turn.Retain)
+	return l.ownership.inheritedOpen && !l.ownership.reconciled && !l.ownership.since.IsZero() && now.Sub(l.ownership.since) <= l.returnWindow(turn.Retain)
 }
 
 // afterFailureTokens returns how many tokens a program may use without a record at an
@@ -253,7 +265,7 @@
 	if state.since.IsZero() || state.released || now.Sub(state.confirmedAt) > l.config.OwnershipProofTTL {
 		return false
 	}
-	if state.inheritedOpen && !acct.mayHaveStartedBefore {
+	if state.inheritedOpen && !state.reconciled && !acct.mayHaveStartedBefore {
 		// The previous owner's open record is still in the log and covers as much.
 		return true
 	}
