--- a/ledger/account.go
+++ b/ledger/account.go
@@ -101,9 +101,11 @@
 	restoredPresumed int
 	restoredCount    int
 	reconciled       bool
+	// inheritedTokens are those of turns of previous owners that were settled here.
 	// settledHere holds the turns that were settled here, which a previous owner's final
-	// state may list as open, and their tokens that are not counted yet.
-	settledHere map[string]int
+	// state may list as open, with the tokens of those that this owner did not grant.
+	inheritedTokens int
+	settledHere     map[string]int
 	// newest is what the newest record allows, which was proposed at recordPosition.
 	// common is what every record of this owner allows, and durable what the log is
 	// certain to allow.
@@ -403,14 +405,16 @@
 func (l *Ledger) settleTurn(now time.Time, acct *account, settlement Settlement) {
 	reserved, open := acct.open[settlement.Turn]
 	if !open {
-		uncounted := settlement.Tokens
-		if l.settleUncertain(acct, settlement) {
-			uncounted = 0
-		}
-		l.noteSettled(now, acct, settlement.Turn, uncounted)
+		l.settleUncertain(acct, settlement)
+		l.noteSettled(now, acct, settlement.Turn, settlement.Tokens)
 		return
 	}
-	l.noteSettled(now, acct, settlement.Turn, 0)
+	if reserved.inherited {
+		acct.inheritedTokens += min(settlement.Tokens, reserved.maxTokens)
+		l.noteSettled(now, acct, settlement.Turn, settlement.Tokens)
+	} else {
+		l.noteSettled(now, acct, settlement.Turn, 0)
+	}
 	delete(acct.open, settlement.Turn)
 	acct.applyUsage(reserved, settlement.Tokens)
 	if settlement.Tokens == 0 && reserved.grant == acct.lastGrant && reserved.grant > acct.lastRecordedGrant {
@@ -423,15 +427,15 @@
 
 // settleUncertain settles a turn that a previous owner granted without a record. One that
 // used nothing stays uncertain, since the previous owner may have reused its grant
-// number. It reports whether the turn is settled.
-func (l *Ledger) settleUncertain(acct *account, settlement Settlement) bool {
+// number.
+func (l *Ledger) settleUncertain(acct *account, settlement Settlement) {
 	reserved, found := acct.uncertain[settlement.Grant]
 	if !found || settlement.Tokens == 0 {
-		return false
+		return
 	}
 	delete(acct.uncertain, settlement.Grant)
 	acct.applyUsage(reserved, settlement.Tokens)
-	return true
+	acct.inheritedTokens += min(settlement.Tokens, reserved.maxTokens)
 }
 
 // applyUsage replaces a reservation by the tokens used.
--- a/ledger/former.go
+++ b/ledger/former.go
@@ -203,16 +203,11 @@
 	if a.reconciled || a.restoredWriter == "" || !slices.Contains(former.Writers, a.restoredWriter) {
 		return false
 	}
-	if a.inheritedCount() != a.restoredCount {
-		// Some turns were settled here, and the state does not tell which of them it
-		// contains.
-		return a.dropSlotsAfter(former.LastGrant)
-	}
 	if former.Settled == a.restoredSettled && former.Presumed == a.restoredPresumed && len(former.Open) == a.restoredCount {
 		return false
 	}
 	a.dropInherited()
-	a.settledTokens -= a.restoredSettled
+	a.settledTokens -= a.restoredSettled + a.inheritedTokens
 	a.presumedTokens -= a.restoredPresumed
 	a.markedTokens = 0
 	// A mark of the previous owner may now leave room for turns. They need a record of this
@@ -223,8 +218,8 @@
 }
 
 // noteSettled notes a turn that was settled here while the state of a former owner may
-// still list it as open. uncounted are its tokens that are not counted here.
-func (l *Ledger) noteSettled(now time.Time, acct *account, turn string, uncounted int) {
+// still list it as open, with its tokens unless this owner granted it.
+func (l *Ledger) noteSettled(now time.Time, acct *account, turn string, tokens int) {
 	if !l.awaitsState(now, acct, formerStateLifetime) {
 		return
 	}
@@ -235,14 +230,14 @@
 	if acct.settledHere == nil {
 		acct.settledHere = make(map[string]int)
 	}
-	acct.settledHere[turn] = uncounted
+	acct.settledHere[turn] = tokens
 }
 
 // wasSettledHere reports whether a listed turn was settled here, and counts what it used.
 func (a *account) wasSettledHere(listed listedValue) bool {
-	uncounted, found := a.settledHere[listed.ID]
+	tokens, found := a.settledHere[listed.ID]
 	if found {
-		a.settledTokens += min(uncounted, listed.MaxTokens)
+		a.settledTokens += min(tokens, listed.MaxTokens)
 	}
 	return found
 }
@@ -264,13 +259,6 @@
 	dropReservations(a, a.uncertain, func(uint64, reservation) bool { return true })
 }
 
-// dropSlotsAfter removes the slots that the previous owner did not grant.
-func (a *account) dropSlotsAfter(lastGrant uint64) bool {
-	before := len(a.uncertain)
-	dropReservations(a, a.uncertain, func(grant uint64, _ reservation) bool { return grant > lastGrant })
-	return len(a.uncertain) < before
-}
-
 func dropReservations[K comparable](a *account, turns map[K]reservation, drop func(K, reservation) bool) {
 	for key, reserved := range turns {
 		if !drop(key, reserved) {
--- a/ledger/former_test.go
+++ b/ledger/former_test.go
@@ -87,6 +87,24 @@
 		Expect(l.Admit(late, turnOf("p", "c")).SettledTokens).To(Equal(20))
 	})
 
+	It("counts each turn once if only some of them were settled here before it came", func() {
+		former := owner("1")
+		kept := turnOf("p", "a")
+		kept.StoreOnSuccess = true
+		former.Admit(start, kept)
+		stored.store(former)
+		slot := turnOf("p", "b")
+		slot.StoreOnSuccess = true
+		granted := former.Admit(start, slot)
+		settle(former, "p", "a", 40)
+		l := owner("2")
+		l.Settle(start, ledger.Settlement{Turn: "b", Program: "p", Grant: granted.Grant, Tokens: 30})
+		l.Reconcile(start, former.FormerState(start))
+		admission := l.Admit(start, turnOf("p", "c"))
+		Expect(admission.SettledTokens).To(Equal(40 + 30))
+		Expect(admission.OpenTokens).To(BeZero())
+	})
+
 	It("is waited for before a budget is said to be exhausted", func() {
 		former := owner("1")
 		for _, id := range []string{"a", "b", "c"} {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -163,6 +163,9 @@
 	l.nextSweep = now.Add(l.config.SweepPeriod)
 	for id, acct := range l.accounts {
 		acct.expire(now)
+		if now.Sub(l.ownership.since) >= formerStateLifetime {
+			acct.settledHere = nil
+		}
 		if acct.openCount() == 0 && now.Sub(acct.lastActive) > acct.retention+l.config.RetentionSlack {
 			delete(l.accounts, id)
 			if acct.newest.mark > 0 {
