--- a/edge/turn.go
+++ b/edge/turn.go
@@ -26,7 +26,9 @@
 	// ownerRetryPause is the pause before the owner is looked up again.
 	ownerRetryPause = 30 * time.Millisecond
 	// settleTimeout bounds the attempts to report a settlement.
-	settleTimeout = 5 * time.Second
+	settleTimeout = ledger.LateSettlementWindow
+	// maxSettlePause is the longest pause between two attempts; the first is retrySoon.
+	maxSettlePause = 500 * time.Millisecond
 )
 
 // errNoOwner means that no owner of the partition was found in time.
@@ -158,7 +160,7 @@
 		r.fail(fasthttp.StatusPaymentRequired, "the program's token budget is spent", 0)
 		return grant{}, false
 	case ledger.VerdictBusy:
-		n.refuse(r, dispatch.Refusal{Cause: dispatch.CauseBudgetHeld}, "other turns of the program hold the rest of its budget")
+		n.refuse(r, dispatch.Refusal{Cause: dispatch.CauseBudgetHeld, EndsIn: r.admission.BusyFor}, "other turns of the program hold the rest of its budget")
 		return grant{}, false
 	}
 	granted.epoch, granted.stalled = reply.Epoch, reply.Stalled
@@ -335,12 +337,12 @@
 		defer n.unsettled.remove(partition, settlement.Turn)
 		settleCtx, cancel := context.WithTimeout(ctx, settleTimeout)
 		defer cancel()
-		for settleCtx.Err() == nil {
+		for pause := retrySoon; settleCtx.Err() == nil; pause = min(2*pause, maxSettlePause) {
 			reply, err := n.callOwnerOnce(settleCtx, search, partition, coordinator.Request{Settle: settlement})
 			if err == nil && reply.Status == coordinator.ReplyDone {
 				return
 			}
-			wait.For(settleCtx, retrySoon)
+			wait.For(settleCtx, pause)
 		}
 	})
 }
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -60,6 +60,8 @@
 	MarkedTokens   int `json:"marked,omitempty"`
 	AssumedTokens  int `json:"assumed,omitempty"`
 	PresumedTokens int `json:"presumed,omitempty"`
+	// BusyFor is how long a VerdictBusy lasts at most; 0 if that depends on other turns.
+	BusyFor time.Duration `json:"busy_for,omitempty"`
 	// NewProgram reports that, as far as this owner knows, no turn of the program has
 	// been served yet.
 	NewProgram bool `json:"fresh,omitempty"`
@@ -193,7 +195,7 @@
 func expireReservations[K comparable](now time.Time, a *account, turns map[K]reservation) {
 	for key, reserved := range turns {
 		switch {
-		case now.After(reserved.expires.Add(lateSettlementWindow)):
+		case now.After(reserved.expires.Add(LateSettlementWindow)):
 			if !reserved.presumed {
 				a.addPresumed(reserved.maxTokens)
 			}
@@ -253,6 +255,9 @@
 	}
 	if verdict := l.decide(now, turn, acct, open); verdict != VerdictGranted {
 		admission.Verdict = verdict
+		if verdict == VerdictBusy && open == 0 {
+			admission.BusyFor = l.ownership.since.Add(formerStateTimeout).Sub(now)
+		}
 		return admission
 	}
 	acct.lastGrant++
--- a/ledger/cover.go
+++ b/ledger/cover.go
@@ -15,12 +15,12 @@
 	// size. With more open turns the record only limits tokens.
 	maxListedTurns = 64
 	// takeoverSettlementSlack is how long after its timeout a turn may be settled at an
-	// owner that did not grant it: nodes retry a settlement for that long, and search for
-	// the new owner meanwhile.
+	// owner that did not grant it: nodes search for the new owner meanwhile.
 	takeoverSettlementSlack = 6 * time.Second
-	// lateSettlementWindow is how long a turn that was counted at its maximum is
-	// retained, so that a later settlement still corrects the count.
-	lateSettlementWindow = 30 * time.Second
+	// LateSettlementWindow is how long a turn that was counted at its maximum is
+	// retained, so that a later settlement still corrects the count. Nodes repeat a
+	// settlement for as long, since an owner may be paused.
+	LateSettlementWindow = 30 * time.Second
 )
 
 // allowance is what an account's record allows without a newer one: grants up to a
--- a/ledger/former.go
+++ b/ledger/former.go
@@ -39,8 +39,8 @@
 	// maxFormerAccounts bounds the size of a FormerState.
 	maxFormerAccounts = 2000
 	// formerStateTimeout is how long after its start an owner waits for the state of the
-	// former one before it answers that a budget is exhausted.
-	formerStateTimeout = time.Second
+	// former one, which may be paused, before it answers that a budget is exhausted.
+	formerStateTimeout = 5 * time.Second
 	// formerStateLifetime is how long after its start an owner uses a state that arrives.
 	formerStateLifetime = 30 * time.Second
 	// formerTransit is how long a FormerState is in transit at most.
