--- a/coordinator/claims.go
+++ b/coordinator/claims.go
@@ -10,8 +10,8 @@
 	"birchwood.example/birchwood/ownership"
 )
 
-// ClaimMessage asks a node which turns of a partition it has not settled yet, or answers
-// that question.
+// ClaimMessage asks a node which turns of a partition it has not settled yet, and which
+// ended lately, or answers that question.
 type ClaimMessage struct {
 	Partition int `json:"partition"`
 	// Epoch is that of the owner that asks.
@@ -156,10 +156,12 @@
 	c.tickClaimSearch(now, p)
 }
 
-// finishClaimSearch lets the turns lapse that no node has.
+// finishClaimSearch settles the turns that have ended, and lets those lapse that no node
+// has.
 func (c *Core) finishClaimSearch(now time.Time, p *partition) {
 	search := p.search
 	p.search = claimSearch{}
+	p.ledger.SettleEnded(now, search.claims)
 	c.ready.ClaimsCollected = append(c.ready.ClaimsCollected, ClaimsCollected{
 		Partition: p.index, Epoch: p.epoch, Claims: len(search.claims), Lapsed: p.ledger.LapseUnclaimed(now, search.claims),
 		Unanswered: len(search.unanswered), Took: now.Sub(search.startedAt),
--- a/coordinator/claims_test.go
+++ b/coordinator/claims_test.go
@@ -72,6 +72,17 @@
 			Expect(verdict(world, "e")).To(Equal(ledger.VerdictGranted))
 		})
 
+		It("count with what they used if a node says that they have ended, "+name, func() {
+			world := newFleet(uint64(nodes), nodes, 1)
+			grants := loseOwner(world)
+			for index, id := range []string{"a", "b", "c"} {
+				holder := world.nodes[world.ids()[index%(nodes-1)]]
+				holder.unsettled = append(holder.unsettled, ledger.Claim{Turn: id, Program: "p", Grant: grants[index], Ended: true, Tokens: 20})
+			}
+			world.run(3 * time.Second)
+			Expect(verdict(world, "d")).To(Equal(ledger.VerdictGranted))
+		})
+
 		It("are waited for no longer than a node that is cut off from the new owner may take to answer, "+name, func() {
 			world := newFleet(uint64(nodes), nodes, 1)
 			world.lossRate = 0.3
--- a/edge/control.go
+++ b/edge/control.go
@@ -338,7 +338,7 @@
 	}
 	now := time.Now()
 	for _, query := range queries {
-		c.core.Step(now, coordinator.ClaimsListed{Query: query, Claims: c.node.unsettled.claims(query.Partition)})
+		c.core.Step(now, coordinator.ClaimsListed{Query: query, Claims: c.node.unsettled.claims(now, query.Partition)})
 	}
 	c.performReady()
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -76,7 +76,7 @@
 	switch {
 	case !t.request.needsOwner():
 	case t.stored:
-		t.node.unsettled.remove(t.request.partition, t.request.turnID())
+		t.node.unsettled.end(time.Now(), t.request.partition, t.node.settlementOf(t.request))
 	default:
 		t.node.settle(t.request)
 	}
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -333,8 +333,8 @@
 	settlement := n.settlementOf(r)
 	search := &requestState{exchange: r.exchange}
 	partition := r.partition
+	n.unsettled.end(time.Now(), partition, settlement)
 	n.run(func(ctx context.Context) {
-		defer n.unsettled.remove(partition, settlement.Turn)
 		settleCtx, cancel := context.WithTimeout(ctx, settleTimeout)
 		defer cancel()
 		for pause := retrySoon; settleCtx.Err() == nil; pause = min(2*pause, maxSettlePause) {
--- a/ledger/claim_test.go
+++ b/ledger/claim_test.go
@@ -27,6 +27,19 @@
 		Expect(l.Admit(start.Add(20*time.Second), smallTurn("d")).SettledTokens).To(Equal(30))
 	})
 
+	It("count with what they used if their node says that they have ended", func() {
+		stored := storedLog{}
+		l := stored.serving(start)
+		first := l.Admit(start, smallTurn("a"))
+		stored.store(l)
+		l.Settle(start, settlementOf("a", first, 30))
+		l = stored.open(start)
+		ended := []ledger.Claim{{Turn: "a", Program: "p", Grant: first.Grant, Ended: true, Tokens: 30}, {Turn: "x", Program: "unknown", Ended: true}}
+		l.SettleEnded(start, ended)
+		Expect(l.LapseUnclaimed(start, ended)).To(BeZero())
+		Expect(l.Admit(start, smallTurn("b")).SettledTokens).To(Equal(30))
+	})
+
 	It("are not those of this owner", func() {
 		stored := storedLog{}
 		l := stored.serving(start)
--- a/ledger/cover.go
+++ b/ledger/cover.go
@@ -117,8 +117,8 @@
 	record := a.record(a.newest.mark, writer)
 	record.Exact = &exactRecord{
 		Settled: a.settledTokens, Presumed: a.presumedTokens, LastGrant: a.lastGrant, Slots: slots, SlotTokens: a.maxTokens, MaxDurationMS: a.maxDuration.Milliseconds(),
+		Open: a.list(func(reserved reservation) bool { return !reserved.presumed }),
 	}
-	record.Exact.Open = a.list(func(reserved reservation) bool { return !reserved.presumed })
 	return record
 }
 
