--- a/command/soak.go
+++ b/command/soak.go
@@ -33,7 +33,7 @@
 	duration := defaultSoakDuration
 	var replay string
 	command := &cobra.Command{
-		Use:   "soak [--seed N] [--duration D] [--nodes N] [--without MECHANISM,...] [--replay FILE]",
+		Use:   "soak [--seed N] [--duration D] [--nodes N] [--series] [--without MECHANISM,...] [--replay FILE]",
 		Short: "Look for broken promises of real nodes under faults",
 		Long: "Starts nodes as processes on this machine before stand-ins of the users' platform, drives programs,\n" +
 			"tools, tenants and an operator at them, brings faults about by a schedule drawn from the seed, and\n" +
@@ -57,6 +57,7 @@
 	flags.Uint64Var(&options.Seed, "seed", uint64(time.Now().UnixNano()%1_000_000), "what the faults and the load are drawn from; a fresh one by default")
 	flags.DurationVar(&duration, "duration", duration, "how long to run")
 	flags.IntVar(&options.Nodes, "nodes", options.Nodes, "how many nodes to start")
+	flags.BoolVar(&options.Series, "series", false, "add series of stops, kills, pauses and reloads that overlap the drawn faults")
 	flags.StringVar(&options.Disabled, "without", "", "mechanisms of the nodes to switch off, separated by commas, to see whether that is noticed")
 	flags.StringArrayVar(&options.KnownBroken, "known", nil, "a promise that is known to be broken, in the report's words: reported, but no reason to fail; may be given again")
 	flags.StringVar(&replay, "replay", "", "a file with a run to make again, in place of --seed, --duration and --nodes")
--- a/soak/load.go
+++ b/soak/load.go
@@ -43,6 +43,9 @@
 	// drawn from the last maxExhausted ones.
 	exhaustedShare = 0.3
 	maxExhausted   = 100
+	// keptShare is the share of sessions whose client keeps its connection open from turn to
+	// turn for as long as the node leaves it open, also while the node is not ready.
+	keptShare = 0.5
 	// foreignShare is the probability that another tenant refers to a turn just stored, and
 	// resumeShare that a program with stored turns continues an older turn of its tenant.
 	foreignShare = 0.1
@@ -189,8 +192,10 @@
 func (s *soak) session(ctx context.Context, turn promise.Sent, previous storedTurn, maxTurns int) {
 	turn.Session = s.nextID("s")
 	turn.Previous = previous.id
+	client := &client{soak: s, keep: s.chance(keptShare)}
+	defer client.disconnect()
 	for number, retries := 1, 0; number <= maxTurns; number++ {
-		id, end := s.turn(ctx, turn)
+		id, end := s.turn(ctx, client, turn)
 		if end == failed && retries < maxSessionRetries && sleep(ctx, s.randomDuration(time.Second, maxSessionRetryDelay)) {
 			retries++
 			continue
@@ -219,11 +224,11 @@
 
 // turn sends one turn, with retries as a client makes them, and returns the id of the last
 // attempt.
-func (s *soak) turn(ctx context.Context, turn promise.Sent) (id string, end ending) {
+func (s *soak) turn(ctx context.Context, client *client, turn promise.Sent) (id string, end ending) {
 	for range turnAttempts {
 		turn.ID = s.nextID("t")
 		turn.Body = "input of " + turn.ID + ";"
-		answer := s.send(s.pickNode(), http.MethodPost, turn)
+		answer := client.send(http.MethodPost, turn)
 		switch answer.Status {
 		case http.StatusOK:
 			if answer.Complete {
@@ -288,18 +293,10 @@
 	s.record(promise.KeyRevoked{Key: keyName(s.keys.oldest - 1)})
 }
 
-// send sends a request to a node, and records the request and its outcome for the checker.
+// send sends a request to a node on a new connection.
 func (s *soak) send(node *process, method string, sent promise.Sent) standin.Answer {
-	sent.Node = node.settings.Node
-	sent.Incarnation, _ = node.current()
-	s.record(sent)
-	answer, err := standin.SendRequestWithin(clientTimeout, node.clients.address(), method, standin.Host, sent.Route+"x", headerOf(sent), sent.Body)
-	if err != nil {
-		// Without an answer, no promise about its content applies. The checker counts the attempt as failed.
-		answer = standin.Answer{}
-	}
-	s.record(promise.Answered{ID: sent.ID, Status: answer.Status, Body: answer.Body, Complete: answer.Complete})
-	return answer
+	client := &client{soak: s, node: node}
+	return client.send(method, sent)
 }
 
 // headerOf returns the header fields of a request, including forged ones.
--- a/soak/run.go
+++ b/soak/run.go
@@ -39,6 +39,9 @@
 	options.Replicas = replicaCount
 	if len(options.Faults) == 0 {
 		options.Faults = Schedule(options.Scenario)
+		if options.Series {
+			options.Faults = append(options.Faults, Series(options.Scenario, options.Faults)...)
+		}
 	}
 	run, err := newSoak(options)
 	if err != nil {
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -67,12 +67,14 @@
 // Scenario describes a run, and is the content of a scenario file.
 type Scenario struct {
 	// Cause explains, for readers of the file, why this run once failed.
-	Cause    string  `json:"cause,omitempty"`
-	Seed     uint64  `json:"seed"`
-	Seconds  int     `json:"seconds"`
-	Nodes    int     `json:"nodes"`
-	Replicas int     `json:"replicas"`
-	Faults   []Fault `json:"faults,omitempty"`
+	Cause    string `json:"cause,omitempty"`
+	Seed     uint64 `json:"seed"`
+	Seconds  int    `json:"seconds"`
+	Nodes    int    `json:"nodes"`
+	Replicas int    `json:"replicas"`
+	// Series adds series of stops, kills, pauses and reloads to the drawn faults.
+	Series bool    `json:"series,omitempty"`
+	Faults []Fault `json:"faults,omitempty"`
 }
 
 // Times of a schedule, in milliseconds.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -53,6 +54,32 @@
 	g.Expect(kinds).To(HaveLen(len(weights)))
 }
 
+// TestSeriesOverlapTheFaultsOfASchedule checks that series follow from the seed, keep to the
+// faults that they accompany, and that steps on one node overlap.
+func TestSeriesOverlapTheFaultsOfASchedule(t *testing.T) {
+	g := NewWithT(t)
+	kinds := make(map[Kind]bool)
+	overlaps := 0
+	for seed := range uint64(50) {
+		scenario := aScenario(seed)
+		faults := Schedule(scenario)
+		steps := Series(scenario, faults)
+		g.Expect(Series(scenario, faults)).To(Equal(steps))
+		for index, step := range steps {
+			kinds[step.Kind] = true
+			g.Expect(step.Targets).NotTo(BeEmpty())
+			g.Expect(slices.ContainsFunc(faults, func(fault Fault) bool {
+				return step.AtMS >= fault.AtMS && step.AtMS+step.ForMS <= fault.AtMS+fault.ForMS
+			})).To(BeTrue())
+			if index > 0 && steps[index-1].AtMS+steps[index-1].ForMS > step.AtMS {
+				overlaps++
+			}
+		}
+	}
+	g.Expect(kinds).To(HaveLen(len(seriesKinds)))
+	g.Expect(overlaps).To(BeNumerically(">", 50))
+}
+
 // TestRegressionsAreWhole checks that the scenarios of earlier failures are valid and name
 // their cause.
 func TestRegressionsAreWhole(t *testing.T) {
