--- a/ledger/account.go
+++ b/ledger/account.go
@@ -311,7 +311,7 @@
 	case certain+turn.MaxTokens > turn.Budget:
 		return VerdictExhausted
 	case acct.settledTokens+turn.MaxTokens > tokenLimit:
-		if l.awaitsState(now, acct, formerStateTimeout) {
+		if l.mayBeCorrected(now, acct) {
 			return VerdictBusy
 		}
 		return VerdictExhausted
--- a/ledger/former.go
+++ b/ledger/former.go
@@ -108,6 +108,10 @@
 	if now.Sub(l.ownership.since) >= formerStateLifetime {
 		return 0
 	}
+	if state.ConfirmedAgo < formerStateTimeout {
+		// No later owner is likely to send another one.
+		l.ownership.stateReceived = true
+	}
 	wroteOpenRecord := state.OpenID != "" && state.OpenID == l.ownership.inheritedID && !l.ownership.inheritedTwice &&
 		state.ConfirmedAgo+formerTransit < l.config.RetentionSlack
 	known := make(map[string]bool, len(state.Accounts))
@@ -169,6 +173,12 @@
 	return l.ownership.id != "" && inherited && !acct.reconciled && now.Sub(l.ownership.since) < within
 }
 
+// mayBeCorrected reports whether a verdict on what is counted of a program should wait for
+// the state of the former owner.
+func (l *Ledger) mayBeCorrected(now time.Time, acct *account) bool {
+	return !l.ownership.stateReceived && l.awaitsState(now, acct, formerStateTimeout)
+}
+
 // addFormer adds the use of a program at a previous owner.
 func (a *account) addFormer(now time.Time, former *FormerAccount) {
 	a.reconciled = true
--- a/ledger/former_test.go
+++ b/ledger/former_test.go
@@ -125,6 +125,23 @@
 		Expect(l.Admit(start, turnOf("p", "f")).Verdict).To(Equal(ledger.VerdictGranted))
 	})
 
+	It("is not waited for once it has come, also if it holds nothing of the program", func() {
+		former := owner("1")
+		for _, id := range []string{"a", "b", "c"} {
+			former.Admit(start, turnOf("p", id))
+			stored.store(former)
+			settle(former, "p", id, 60)
+		}
+		l := owner("2")
+		for _, id := range []string{"d", "e"} {
+			l.Admit(start, turnOf("p", id))
+			settle(l, "p", id, 60)
+		}
+		Expect(l.Admit(start, turnOf("p", "f")).Verdict).To(Equal(ledger.VerdictBusy))
+		Expect(l.Reconcile(start, ledger.FormerState{ConfirmedAgo: time.Second})).To(BeZero())
+		Expect(l.Admit(start, turnOf("p", "f")).Verdict).To(Equal(ledger.VerdictExhausted))
+	})
+
 	It("frees slots that were not used", func() {
 		former := owner("1")
 		kept := turnOf("p", "a")
--- a/ledger/unrecorded.go
+++ b/ledger/unrecorded.go
@@ -44,6 +44,8 @@
 	// without a record did not start there.
 	inheritedID string
 	reconciled  bool
+	// stateReceived reports that a recent owner has sent its final state.
+	stateReceived bool
 	// openPosition is the proposal of this owner's own open record; 0 if there is none,
 	// as when the previous owner's is still in the log.
 	openPosition uint64
