--- a/ledger/account.go
+++ b/ledger/account.go
@@ -422,6 +422,10 @@
 	}
 	delete(acct.open, settlement.Turn)
 	acct.applyUsage(reserved, settlement.Tokens)
+	if settlement.Grant != reserved.grant && settlement.Tokens > 0 {
+		// A previous owner granted the same turn, and its tokens are in the settlement.
+		acct.dropUncertain(settlement.Grant)
+	}
 	if settlement.Tokens == 0 && reserved.grant == acct.lastGrant && reserved.grant > acct.lastRecordedGrant {
 		// The turn did not run, and no record names its grant: the next turn gets the
 		// same number.
--- a/ledger/exact_test.go
+++ b/ledger/exact_test.go
@@ -134,6 +134,22 @@
 		}
 	})
 
+	It("counts a turn once that the failed owner granted without a record and that is admitted again", func() {
+		stored := storedLog{}
+		l := stored.serving(start)
+		first := l.Admit(start, smallTurn("a"))
+		stored.store(l)
+		storeTurn(stored, l, settlementOf("a", first, 100))
+		slot := l.Admit(start, smallTurn("b"))
+		Expect(slot.Position).To(BeZero())
+		l = stored.open(start)
+		Expect(l.Admit(start, smallTurn("b")).Verdict).To(Equal(ledger.VerdictGranted))
+		l.Settle(start, settlementOf("b", slot, 70))
+		admission := l.Admit(start, smallTurn("c"))
+		Expect(admission.SettledTokens).To(Equal(170))
+		Expect(admission.OpenTokens).To(BeZero())
+	})
+
 	It("answers busy while another turn may still be settled, and exhausted only afterwards", func() {
 		stored := storedLog{}
 		l := stored.serving(start)
--- a/ledger/former.go
+++ b/ledger/former.go
@@ -269,6 +269,11 @@
 	dropReservations(a, a.uncertain, func(uint64, reservation) bool { return true })
 }
 
+// dropUncertain removes a turn that a previous owner may have granted.
+func (a *account) dropUncertain(grant uint64) {
+	dropReservations(a, a.uncertain, func(other uint64, _ reservation) bool { return other == grant })
+}
+
 func dropReservations[K comparable](a *account, turns map[K]reservation, drop func(K, reservation) bool) {
 	for key, reserved := range turns {
 		if !drop(key, reserved) {
