--- a/ledger/account.go
+++ b/ledger/account.go
@@ -212,12 +212,14 @@
 }
 
 // tokenLimit returns how many tokens all turns of the program may use. That is its
-// budget, plus one turn minus one token for a restored account: the previous owner's
-// whole mark counts as used there although a part of it may not have been, so the program
-// may run one more turn if the mark leaves any of the budget. If use under a previous
-// owner is assumed, that extra turn is already counted there.
+// budget, plus one turn minus one token for a restored account, and for one with turns
+// that were not settled: the previous owner's whole mark, or the maximum of such a turn,
+// counts as used although a part of it may not have been, so the program may run one more
+// turn if that leaves any of the budget. If use under a previous owner is assumed, that
+// extra turn is already counted there.
 func (l *Ledger) tokenLimit(turn Turn, acct *account) int {
-	if l.config.ExtraTurnAfterFailure && acct.restored && !acct.mayHaveStartedBefore {
+	bounded := acct.restored || acct.presumedTokens > 0
+	if l.config.ExtraTurnAfterFailure && bounded && !acct.mayHaveStartedBefore {
 		return turn.Budget + turn.MaxTokens - 1
 	}
 	return turn.Budget
