--- a/coordinator/claims_test.go
+++ b/coordinator/claims_test.go
@@ -92,6 +92,16 @@
 		})
 	}
 
+	It("are looked up among more nodes than are asked at once", func() {
+		world := newFleet(150, 150, 1)
+		loseOwner(world)
+		world.run(4 * time.Second)
+		collected := world.nodes[world.owners(0)[0]].collected
+		Expect(collected).To(HaveLen(1))
+		Expect(collected[0].Unanswered).To(BeZero())
+		Expect(collected[0].Lapsed).To(Equal(3))
+	})
+
 	It("hold the budget until the time to settle them is over if the nodes are not asked", func() {
 		world := newFleetWith(3, 3, 1, func(config *coordinator.Config) { config.SkipClaimSearch = true })
 		loseOwner(world)
