--- a/coordinator/claims.go
+++ b/coordinator/claims.go
@@ -153,7 +153,9 @@
 	}
 	delete(p.search.unanswered, from)
 	p.search.claims = append(p.search.claims, message.Claims...)
-	c.tickClaimSearch(now, p)
+	if len(p.search.unanswered) == 0 {
+		c.finishClaimSearch(now, p)
+	}
 }
 
 // finishClaimSearch settles the turns that have ended, and lets those lapse that no node
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -196,9 +196,7 @@
 	for key, reserved := range turns {
 		switch {
 		case now.After(reserved.expires.Add(LateSettlementWindow)):
-			if !reserved.presumed {
-				a.addPresumed(reserved.maxTokens)
-			}
+			lapse(now, a, turns, key)
 			delete(turns, key)
 		case now.After(reserved.expires):
 			lapse(reserved.expires, a, turns, key)
@@ -416,12 +414,12 @@
 		l.noteSettled(now, acct, settlement.Turn, settlement.Tokens)
 		return
 	}
+	formerTokens := 0
 	if reserved.inherited {
+		formerTokens = settlement.Tokens
 		acct.inheritedTokens += min(settlement.Tokens, reserved.maxTokens)
-		l.noteSettled(now, acct, settlement.Turn, settlement.Tokens)
-	} else {
-		l.noteSettled(now, acct, settlement.Turn, 0)
 	}
+	l.noteSettled(now, acct, settlement.Turn, formerTokens)
 	delete(acct.open, settlement.Turn)
 	acct.applyUsage(reserved, settlement.Tokens)
 	if settlement.Grant != reserved.grant && settlement.Tokens > 0 {
--- a/ledger/claim.go
+++ b/ledger/claim.go
@@ -43,9 +43,9 @@
 }
 
 // LapseUnclaimed counts the turns of previous owners that no node claims as unsettled at
-// their maximum, and returns their number. Nobody is left to settle them, so that waiting longer
-// would only hold a part of their programs' budgets. A settlement that arrives nevertheless
-// still corrects the count.
+// their maximum, and returns their number. Nobody is left to settle them, so that waiting
+// longer would only hold a part of their programs' budgets. A settlement that arrives
+// nevertheless still corrects the count.
 func (l *Ledger) LapseUnclaimed(now time.Time, claims []Claim) (lapsed int) {
 	turns := make(map[string]bool, len(claims))
 	grants := make(map[Claim]bool, len(claims))
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -40,12 +40,12 @@
 // that announces this (Open).
 //
 // A new owner that finds the open record assumes that every program without a record has
-// used what it was allowed besides the one turn, and requires a durable record from each of them, until no program of
-// the previous owner can return. An owner that releases the partition removes the open
-// record after everything else that it has proposed (Close). A previous owner that has
-// not noticed its replacement stops by itself: a confirmation of its ownership by the log
-// (ConfirmOwnership) is valid for OwnershipProofTTL, which ends before the new owner
-// stops assuming use.
+// used what it was allowed besides the one turn, and requires a durable record from each
+// of them, until no program of the previous owner can return. An owner that releases the
+// partition removes the open record after everything else that it has proposed (Close). A
+// previous owner that has not noticed its replacement stops by itself: a confirmation of
+// its ownership by the log (ConfirmOwnership) is valid for OwnershipProofTTL, which ends
+// before the new owner stops assuming use.
 //
 // # The final state of a previous owner
 //
--- a/ledger/reconcile.go
+++ b/ledger/reconcile.go
@@ -15,9 +15,9 @@
 	formerTransit = time.Second
 )
 
-// Reconcile replaces what this owner counts as an upper bound by the final state of a previous one,
-// and returns the number of accounts that changed. The state may be late and may come more
-// than once.
+// Reconcile replaces what this owner counts as an upper bound by the final state of a
+// previous one, and returns the number of accounts that changed. The state may be late and
+// may come more than once.
 //
 // An account with a record is replaced only if the previous owner wrote that record, or
 // found it: an owner in between could have granted nothing without a record of its own.
