edge: log and count how broken streams go on

Entries of replicas keep the version of their software (nothing decides by it), the line of a request's end has it, and names the attempt and the event that a resumed stream goes on from; a continuation within an answer has a line of its own with both versions. Two counters: streams continued within an answer, and requests that resume one, by status.

--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -7,6 +7,8 @@
 	"github.com/phuslu/log"
 
 	"birchwood.example/birchwood/coordinator"
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/routing"
 )
 
 // logChange logs that a partition was won or lost.
@@ -41,18 +43,43 @@
 		status = "none"
 	}
 	n.metrics.answered(string(r.kind()), status, took)
+	if r.resumedAfter != "" {
+		n.metrics.streamResumed(status)
+	}
 	entry := n.logger.Info()
 	if r.status >= failedStatus || r.status == 0 {
 		entry = n.logger.Warn()
 	}
 	entry = entry.Str("request", r.id).Str("route", r.routeName()).Uint64("config", r.version).Int("status", r.status).
 		Dur("took", took).Str("reason", r.reason).Str("replica", string(r.choice.Entry.ID)).Int("attempts", r.attempts).Int("repeats", r.repeats)
+	entry = r.logStream(entry)
 	entry = r.logTenant(entry)
 	entry = r.logProgram(entry)
 	entry = r.logWait(entry)
 	r.logChoice(entry).Dur("first", r.timeToFirstEvent).Msg("request: ended")
 }
 
+// logStream adds the version of the replica that a stream came from, and which stream the
+// request resumes.
+func (r *requestState) logStream(entry *log.Entry) *log.Entry {
+	if r.kind() != routing.KindStream {
+		return entry
+	}
+	entry = entry.Str("version", r.choice.Entry.Version)
+	if r.resumedAfter == "" {
+		return entry
+	}
+	return entry.Str("resumes", r.resumed).Str("after", r.resumedAfter)
+}
+
+// logContinued logs that a stream that broke off is continued by another run within its
+// answer.
+func (n *Node) logContinued(r *requestState, from, to replica.Entry, after string, begun bool) {
+	n.metrics.streamContinued()
+	n.logger.Info().Str("request", r.id).Str("from", string(from.ID)).Str("fromVersion", from.Version).Str("to", string(to.ID)).
+		Str("toVersion", to.Version).Str("after", after).Bool("begun", begun).Msg("request: stream continued by another run")
+}
+
 // logTenant adds the tenant of the request and how it counted towards the rate limit.
 func (r *requestState) logTenant(entry *log.Entry) *log.Entry {
 	if r.tenant != nil {
--- a/edge/handle.go
+++ b/edge/handle.go
@@ -122,6 +122,7 @@
 	r.program = r.exchange.Field(names.Program)
 	r.session = r.exchange.Field(names.Session)
 	r.previous = r.exchange.Field(names.PreviousTurn)
+	r.resumed, r.resumedAfter = r.exchange.Field(names.Resumes), r.exchange.Field(names.LastEvent)
 	r.partition = ownership.PartitionOf(r.program, n.settings.Partitions)
 	return ""
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -85,6 +85,8 @@
 	metricGathered           = "birchwood_edge_loads_age_seconds"
 	metricGather             = "birchwood_edge_loads_messages_total"
 	metricGatherSize         = "birchwood_edge_loads_bytes_total"
+	metricContinued          = "birchwood_edge_streams_continued_total"
+	metricResumed            = "birchwood_edge_streams_resumed_total"
 )
 
 // latencyBuckets are for latencies that clients see, in seconds.
@@ -278,6 +280,14 @@
 	m.set.GetOrCreateCounter(metricReconciled).Add(accounts)
 }
 
+// streamContinued counts a stream that another run continues within its answer.
+func (m *Metrics) streamContinued() { m.set.GetOrCreateCounter(metricContinued).Inc() }
+
+// streamResumed counts a request that resumes a stream, by the status of its answer.
+func (m *Metrics) streamResumed(status string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{status=%q}", metricResumed, status)).Inc()
+}
+
 // budgetExhausted counts a turn that was refused because its program's budget is exhausted,
 // by what the owner's verdict is based on.
 func (m *Metrics) budgetExhausted(basis ledger.Basis) {
--- a/edge/replicalist.go
+++ b/edge/replicalist.go
@@ -114,7 +114,7 @@
 
 func (n *Node) putReplica(entry replica.Entry) {
 	if n.replicas.put(entry) {
-		n.logger.Info().Str("replica", string(entry.ID)).Str("service", entry.Service).Str("address", entry.Address.String()).
+		n.logger.Info().Str("replica", string(entry.ID)).Str("service", entry.Service).Str("address", entry.Address.String()).Str("version", entry.Version).
 			Str("status", string(entry.Status)).Msg("replicas: changed")
 	}
 }
--- a/edge/request.go
+++ b/edge/request.go
@@ -67,11 +67,16 @@
 	// The fields below belong to turns of programs. The ids are those of the client, which
 	// replicas and logs use; owners and caches use turnID, programID and previousID
 	// instead.
-	program   string
-	session   string
-	previous  string
-	maxTokens int
-	budget    int
+	program  string
+	session  string
+	previous string
+	// resumed is the client attempt that brought the first event of the stream that this
+	// request resumes, and resumedAfter the last event that its client has received; both
+	// are "" if the request begins a stream.
+	resumed      string
+	resumedAfter string
+	maxTokens    int
+	budget       int
 	// lengthHint is the client's estimate of the output tokens; 0 if there is none.
 	lengthHint int
 	// finishBy is when the program has to be finished; zero if the client sets none.
--- a/edge/run.go
+++ b/edge/run.go
@@ -32,6 +32,8 @@
 	output []byte
 	// runs counts the runs that may have begun.
 	runs int
+	// lastRun is the replica of the last run that may have begun.
+	lastRun replica.Entry
 	// stored is set once the owner has stored, and thereby settled, the turn.
 	stored bool
 	// times records when events arrived, and lastReadAt when the stream was last read.
@@ -59,12 +61,21 @@
 			t.node.failWithoutReplica(r, err, t.runs)
 			return
 		}
+		if t.runs > 0 {
+			t.node.logContinued(r, t.lastRun, entry, t.resumeFrom(), r.exchange.HeadWritten())
+		}
 		if t.attempt(ctx, entry) {
 			return
 		}
 	}
 }
 
+// beginRun counts a run that may have begun.
+func (t *turnRun) beginRun(entry replica.Entry) {
+	t.runs++
+	t.lastRun = entry
+}
+
 // settle reports the end of the turn to the owner, unless storing it has done so.
 func (t *turnRun) settle() {
 	if t.runs > 0 {
@@ -96,7 +107,7 @@
 		return false
 	}
 	if err != nil {
-		t.runs++
+		t.beginRun(entry)
 		return t.afterFailure(entry, err)
 	}
 	n.observeColdStatus(entry.ID, response)
@@ -105,7 +116,7 @@
 		n.attemptRejected(r, entry, replica.ResultRejected)
 		return false
 	}
-	t.runs++
+	t.beginRun(entry)
 	if response.Status() != fasthttp.StatusOK || !n.mayRelay(response) {
 		return t.relayFailure(entry, response)
 	}
--- a/header/header.go
+++ b/header/header.go
@@ -22,6 +22,9 @@
 	Urgency string
 	// LastEvent is the ID of the last event that the client has received.
 	LastEvent string
+	// Resumes is the RequestID of the client attempt that brought the first event of the
+	// stream that the request resumes.
+	Resumes string
 	// PromptPrefix lists the parts of a prompt.
 	PromptPrefix string
 	// TokenCounts holds the number of prompt tokens and the maximum number of
--- a/replica/set.go
+++ b/replica/set.go
@@ -30,6 +30,9 @@
 	Service string
 	Address netip.AddrPort
 	Zone    string
+	// Version is the version of the replica's software, or "" if the replica does not report
+	// it. It never changes under one ID.
+	Version string `json:",omitempty"`
 	Status  Status
 	// Slots is the number of requests that the replica processes concurrently.
 	Slots int
