edge, replica: a stream goes on within one answer only at the version that began it

The first replica that begins to send the stream now fixes its service and version, and the selection takes a fixed version as a condition like the zones. Where no replica of it is left the answer breaks off, and the client takes the stream up or begins anew. Until events come, a rejected request may go to any version. In a large service only replicas of the version count as evaluated, so that a rare one neither hides behind the window nor widens it for all.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -67,10 +67,14 @@
 
 // selectionRequest describes the request for the selection of a replica.
 func (n *Node) selectionRequest(r *requestState) *replica.Request {
-	return &replica.Request{
+	request := &replica.Request{
 		Service: r.service, Program: r.program, Prompt: r.prompt, Preferred: r.preferred, PreferredCached: r.preferredCached,
 		Only: r.onlyReplica, Constraint: r.constraint, Excluded: r.excluded, ExpectedTokens: n.expectedTokens(r), SpeedBias: r.speedBias,
 	}
+	if r.origin != nil {
+		request.FixedVersion, request.Version = true, r.origin.Version
+	}
+	return request
 }
 
 // attemptRejected records that a replica did not run the request.
--- a/edge/request.go
+++ b/edge/request.go
@@ -52,6 +52,9 @@
 	// sentAt is when the last attempt began.
 	sentAt   time.Time
 	excluded []replica.ID
+	// origin is where the stream began: all its events come from there. It is nil until that
+	// is decided, and on routes whose streams are not resumable.
+	origin *ledger.StreamOrigin
 	// onlyReplica is the one replica that may run the request again; empty if any may.
 	onlyReplica      replica.ID
 	status           int
--- a/edge/run.go
+++ b/edge/run.go
@@ -120,6 +120,7 @@
 	if response.Status() != fasthttp.StatusOK || !n.mayRelay(response) {
 		return t.relayFailure(entry, response)
 	}
+	r.bindOrigin(entry)
 	if err := t.relay(ctx, response); err != nil {
 		response.Abort()
 		return t.afterFailure(entry, err)
--- a/replica/places.go
+++ b/replica/places.go
@@ -18,6 +18,9 @@
 	if !m.isServing(now) {
 		return ErrNoReplica
 	}
+	if request.FixedVersion && m.entry.Version != request.Version {
+		return ErrNoVersion
+	}
 	zoneName := zone.Name(m.entry.Zone)
 	if !request.Constraint.Permits(zoneName) {
 		return ErrOutsideRegions
@@ -48,7 +51,7 @@
 		if errors.Is(err, ErrEvacuated) {
 			return err
 		}
-		if errors.Is(err, ErrOutsideRegions) {
+		if errors.Is(err, ErrOutsideRegions) || errors.Is(err, ErrNoVersion) && reason == ErrNoReplica {
 			reason = err
 		}
 	}
--- a/replica/select.go
+++ b/replica/select.go
@@ -26,6 +26,10 @@
 	// Only is the one replica that may run the request again, or "". It has no effect if the
 	// replica is no longer known.
 	Only ID
+	// FixedVersion restricts the request to replicas of the software version Version, since a
+	// stream may not contain events of two versions.
+	FixedVersion bool
+	Version      string
 	// Constraint limits the zones whose replicas may receive the request.
 	Constraint zone.Constraint
 	// ExpectedTokens is the expected number of tokens in the answer, or 0 if unknown.
@@ -54,6 +58,9 @@
 	// ErrOutsideRegions means that ready replicas exist only in zones that the request may not
 	// use.
 	ErrOutsideRegions = errors.New("no replica of the service is ready in a region that the request may reach")
+	// ErrNoVersion means that replicas are ready, but none of the version that the request is
+	// restricted to.
+	ErrNoVersion = errors.New("no replica of the stream's version is ready")
 	// ErrEvacuated means that all replicas that could serve the request are in evacuated zones.
 	ErrEvacuated = errors.New("the zones of all replicas that could serve are evacuated")
 	// ErrSaturated means that this node has reached MaxPerNode at every available replica.
@@ -93,7 +100,7 @@
 		candidates := s.selectCandidates(now, request)
 		choice, err := s.selectFrom(now, request, candidates)
 		full := err != nil || choice.Load >= max(1, choice.Entry.Slots)
-		if !full || !s.growWindow(request.Service, len(candidates)) {
+		if !full || !s.growWindow(request, len(candidates)) {
 			return choice, err
 		}
 	}
@@ -291,7 +298,7 @@
 		candidates := s.selectCandidates(now, request)
 		least := s.leastUtilisation(now, request, candidates)
 		full := least >= 1
-		if full && s.growWindow(request.Service, len(candidates)) {
+		if full && s.growWindow(request, len(candidates)) {
 			continue
 		}
 		if math.IsInf(least, 1) {
--- a/replica/window.go
+++ b/replica/window.go
@@ -59,12 +59,29 @@
 		found.update(now, s.meanLoad(now, list[:found.size]), len(list))
 	}
 	selected := list[:found.size:found.size]
+	if request.FixedVersion {
+		selected = ofVersion(list, request.Version, found.size)
+	}
 	if previous := s.byID[request.Preferred]; previous != nil && previous.entry.Service == request.Service && !slices.Contains(selected, previous) {
 		selected = append(selected, previous)
 	}
 	return selected
 }
 
+// ofVersion returns the first count replicas of a version, or all if there are fewer.
+func ofVersion(list []*member, version string, count int) (selected []*member) {
+	selected = make([]*member, 0, count)
+	for _, m := range list {
+		if len(selected) == count {
+			break
+		}
+		if m.entry.Version == version {
+			selected = append(selected, m)
+		}
+	}
+	return selected
+}
+
 // update applies the current load of the window and adjusts its size. maximum is the number of
 // replicas of the service.
 func (w *window) update(now time.Time, load float64, maximum int) {
@@ -86,15 +103,19 @@
 
 // growWindow doubles the window of a service after evaluated replicas turned out to be
 // insufficient. It reports whether there are more to evaluate.
-func (s *Set) growWindow(service string, evaluated int) bool {
-	list := s.ranked[service]
+func (s *Set) growWindow(request *Request, evaluated int) bool {
+	list := s.ranked[request.Service]
 	if evaluated >= len(list) {
 		return false
 	}
-	found := s.windows[service]
+	found := s.windows[request.Service]
 	if found == nil || found.size >= len(list) {
 		return false
 	}
+	if request.FixedVersion && evaluated < found.size {
+		// All replicas of the version were evaluated.
+		return false
+	}
 	found.resize(min(2*found.size, len(list)))
 	return true
 }
