edge, coordinator, ledger: a client's stream goes on only at the version that began it

The owner of the program's partition notes the service and version of each resumable stream: with the admission where all replicas have one version, else once the first event has come, which waits for the owner for 50 ms at most. The owner records what it noted with its next batch. A node at which a client resumes a stream asks that owner, and serves the request at that version alone. Why that holds: an origin never changes, so whoever knows it knows the right one, a paused former owner too; what is lost with an owner is an answer 'not run', never another version. Nothing waits for the store. Streams without a program have their origin at the partition of the attempt's id. An id is qualified by its tenant, so that a foreign attempt looks like none.

What cannot go on is rejected at once with 503 and a short Retry-After, not run: the origin is unknown while several versions serve, or no replica of it is left. An unknown one goes on where this node saw one version alone for a minute, and a client that names no attempt where it knows of one version: clients of today's sites do not name it.

--- a/coordinator/doc.go
+++ b/coordinator/doc.go
@@ -51,6 +51,13 @@
 // An owner that lost a partition and is alive sends the final state of its programs to the
 // new owner (FormerMessage), which then counts what was used in place of what the log allowed.
 //
+// # Origins of streams
+//
+// A node reports to the owner of the program's partition which version of a service began a
+// resumable stream, with the admission where that is certain (AdmitRequest), else once the
+// first event has come (ledger.Stream). The node at which a client resumes the stream asks
+// the same owner (OriginRequest).
+//
 // # Limits of tenants
 //
 // One live node, the counting node, counts all requests of a tenant (ChargeMessage). It is
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -291,11 +291,12 @@
 	Partition int
 	Epoch     ownership.Epoch
 	Owned     bool
-	// Reason is the cause. Accounts and Turns count what the log held, if the partition was
-	// gained.
+	// Reason is the cause. Accounts, Turns and Origins (of streams) count what the log held,
+	// if the partition was gained.
 	Reason   string
 	Accounts int
 	Turns    int
+	Origins  int
 	// Inherited reports that the previous owner did not hand the partition over cleanly,
 	// and may have started programs that the log does not contain.
 	Inherited bool
--- a/coordinator/request.go
+++ b/coordinator/request.go
@@ -12,6 +12,18 @@
 	Settle *ledger.Settlement `json:"settle,omitempty"`
 	Keep   *KeepRequest       `json:"keep,omitempty"`
 	Find   *FindRequest       `json:"find,omitempty"`
+	Begin  *ledger.Stream     `json:"begin,omitempty"`
+	Origin *OriginRequest     `json:"origin,omitempty"`
+}
+
+// ConcernsStream reports whether the request concerns the origin of a stream. Owners of
+// versions without such requests answer them with ReplyNotOwner.
+func (r *Request) ConcernsStream() bool { return r.Begin != nil || r.Origin != nil }
+
+// OriginRequest requests the origin of the stream of a client attempt. The reply is
+// ReplyAbsent if the origin is not known.
+type OriginRequest struct {
+	Attempt string `json:"attempt"`
 }
 
 // AdmitRequest requests a decision on whether a turn may run.
@@ -22,6 +34,9 @@
 	Previous string `json:"previous,omitempty"`
 	// HasChain reports that the requester already has the chain.
 	HasChain bool `json:"has_chain,omitempty"`
+	// Begin is where the turn's stream will begin if the turn is granted, or nil if that is
+	// not decided.
+	Begin *ledger.Stream `json:"begin,omitempty"`
 }
 
 // AwaitRequest requests a reply once a position is durable.
@@ -93,6 +108,8 @@
 	Owner     *Owner            `json:"owner,omitempty"`
 	Admission *ledger.Admission `json:"admission,omitempty"`
 	Chain     []byte            `json:"chain,omitempty"`
+	// Origin answers an OriginRequest.
+	Origin *ledger.StreamOrigin `json:"origin,omitempty"`
 	// Stalled reports that a turn was admitted although an append of the partition has been
 	// unanswered for too long.
 	Stalled bool `json:"stalled,omitempty"`
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -49,6 +49,11 @@
 		c.storeTurn(now, p, request.ID, body.Keep)
 	case body.Find != nil:
 		c.findChain(now, p, request.ID, body.Find)
+	case body.Begin != nil:
+		p.ledger.BeginStream(now, *body.Begin)
+		c.reply(Reply{ID: request.ID, Status: ReplyDone, Epoch: p.epoch})
+	case body.Origin != nil:
+		c.findOrigin(p, request.ID, body.Origin)
 	default:
 		c.reply(Reply{ID: request.ID, Status: ReplyNotOwner})
 	}
@@ -76,10 +81,23 @@
 	if admission.Replica == "" && request.Previous != "" {
 		admission.Replica = p.ledger.ServedBy(request.Previous)
 	}
+	if request.Begin != nil && admission.Verdict == ledger.VerdictGranted {
+		p.ledger.BeginStream(now, *request.Begin)
+	}
 	reply.Admission, reply.Stalled = &admission, c.stalled(now, p)
 	c.reply(reply)
 }
 
+// findOrigin replies with the origin of a stream.
+func (c *Core) findOrigin(p *partition, id uint64, request *OriginRequest) {
+	origin, known := p.ledger.StreamOrigin(request.Attempt)
+	if !known {
+		c.reply(Reply{ID: id, Status: ReplyAbsent, Epoch: p.epoch})
+		return
+	}
+	c.reply(Reply{ID: id, Status: ReplyDone, Epoch: p.epoch, Origin: &origin})
+}
+
 // storeTurn stores a complete turn, and answers once it is durable.
 func (c *Core) storeTurn(now time.Time, p *partition, id uint64, request *KeepRequest) {
 	previous := request.Turn.Previous
--- a/coordinator/takeover.go
+++ b/coordinator/takeover.go
@@ -285,9 +285,9 @@
 	p.takeover = takeover{turnsPending: turnsPending, progressAt: now, forced: p.takeover.forced}
 	p.appendSequence = 0
 	p.appendInFlight = false
-	accounts, turns := p.ledger.Counts()
+	accounts, turns, origins := p.ledger.Counts()
 	c.ready.Changes = append(c.ready.Changes, Change{
-		Partition: p.index, Epoch: p.epoch, Owned: true, Reason: "claimed", Accounts: accounts, Turns: turns,
+		Partition: p.index, Epoch: p.epoch, Owned: true, Reason: "claimed", Accounts: accounts, Turns: turns, Origins: origins,
 		Inherited: p.ledger.Inherited(),
 	})
 	// Notify the peers at once, so that they send their requests here.
--- a/dispatch/comeback.go
+++ b/dispatch/comeback.go
@@ -34,6 +34,9 @@
 	CauseEvacuated
 	// CauseRejected: every replica that was tried rejected the request.
 	CauseRejected
+	// CauseNotResumable: the stream that the request resumes cannot go on. The caller has to
+	// begin it anew.
+	CauseNotResumable
 	causes
 )
 
@@ -41,7 +44,7 @@
 func (c Cause) String() string {
 	return [causes]string{
 		"starting", "isolated", "no owner", "store away", "store full", "unproven", "budget held", "limit not counted",
-		"replicas full", "no replica", "evacuated", "rejected",
+		"replicas full", "no replica", "evacuated", "rejected", "not resumable",
 	}[c]
 }
 
@@ -69,6 +72,7 @@
 	CauseStarting: transientBounds, CauseIsolated: outageBounds, CauseNoOwner: takeoverBounds, CauseStoreUnavailable: outageBounds, CauseStoreFull: outageBounds,
 	CauseUnproven: outageBounds, CauseBudgetHeld: transientBounds, CauseLimit: transientBounds, CauseFull: takeoverBounds,
 	CauseNoReplica: takeoverBounds, CauseEvacuated: outageBounds, CauseRejected: transientBounds,
+	CauseNotResumable: transientBounds,
 }
 
 // Bounds of the retry delay.
--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -15,7 +15,7 @@
 func (n *Node) logChange(change coordinator.Change) {
 	n.metrics.partitionChanged(change.Owned)
 	n.logger.Info().Int("partition", change.Partition).Uint64("epoch", uint64(change.Epoch)).Bool("owned", change.Owned).
-		Str("reason", change.Reason).Int("accounts", change.Accounts).Int("turns", change.Turns).
+		Str("reason", change.Reason).Int("accounts", change.Accounts).Int("turns", change.Turns).Int("origins", change.Origins).
 		Bool("inherited", change.Inherited).Msg("ledger: ownership changed")
 }
 
@@ -69,7 +69,11 @@
 	if r.resumedAfter == "" {
 		return entry
 	}
-	return entry.Str("resumes", r.resumed).Str("after", r.resumedAfter)
+	entry = entry.Str("resumes", r.resumed).Str("after", r.resumedAfter).Str("origin", string(r.originSource))
+	if r.origin == nil {
+		return entry
+	}
+	return entry.Str("begunAt", r.origin.Version)
 }
 
 // logContinued logs that a stream that broke off is continued by another run within its
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -86,6 +86,7 @@
 	metricGather             = "birchwood_edge_loads_messages_total"
 	metricGatherSize         = "birchwood_edge_loads_bytes_total"
 	metricContinued          = "birchwood_edge_streams_continued_total"
+	metricOriginsLost        = "birchwood_edge_stream_origins_unreported_total"
 	metricResumed            = "birchwood_edge_streams_resumed_total"
 )
 
@@ -283,6 +284,9 @@
 // streamContinued counts a stream that another run continues within its answer.
 func (m *Metrics) streamContinued() { m.set.GetOrCreateCounter(metricContinued).Inc() }
 
+// originNotReported counts a stream whose origin no owner accepted in time.
+func (m *Metrics) originNotReported() { m.set.GetOrCreateCounter(metricOriginsLost).Inc() }
+
 // streamResumed counts a request that resumes a stream, by the status of its answer.
 func (m *Metrics) streamResumed(status string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("%s{status=%q}", metricResumed, status)).Inc()
--- a/edge/request.go
+++ b/edge/request.go
@@ -55,6 +55,8 @@
 	// origin is where the stream began: all its events come from there. It is nil until that
 	// is decided, and on routes whose streams are not resumable.
 	origin *ledger.StreamOrigin
+	// originSource is how the origin of a resumed stream became known.
+	originSource originSource
 	// onlyReplica is the one replica that may run the request again; empty if any may.
 	onlyReplica      replica.ID
 	status           int
--- a/edge/run.go
+++ b/edge/run.go
@@ -34,6 +34,9 @@
 	runs int
 	// lastRun is the replica of the last run that may have begun.
 	lastRun replica.Entry
+	// originReported is closed once the owner knows the stream's origin; nil if there is
+	// nothing to wait for.
+	originReported <-chan struct{}
 	// stored is set once the owner has stored, and thereby settled, the turn.
 	stored bool
 	// times records when events arrived, and lastReadAt when the stream was last read.
@@ -120,7 +123,9 @@
 	if response.Status() != fasthttp.StatusOK || !n.mayRelay(response) {
 		return t.relayFailure(entry, response)
 	}
-	r.bindOrigin(entry)
+	if reported := n.bindOrigin(r, entry); reported != nil {
+		t.originReported = reported
+	}
 	if err := t.relay(ctx, response); err != nil {
 		response.Abort()
 		return t.afterFailure(entry, err)
@@ -271,6 +276,7 @@
 		}
 		t.times.heldUntil = time.Now()
 	}
+	t.awaitOrigin(ctx)
 	r.timeToFirstEvent = time.Since(r.exchange.Arrived)
 	r.status = response.Status()
 	if err := r.exchange.BeginStream(&response.Header); err != nil {
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -56,6 +56,9 @@
 			"this node reaches neither the store nor most of the zones")
 		return
 	}
+	if !n.fixOrigin(ctx, r) {
+		return
+	}
 	n.beginCharge(ctx, r)
 	granted, admitted := n.admitTurn(ctx, r)
 	if !admitted {
@@ -67,6 +70,10 @@
 		}
 		return
 	}
+	if r.resumesStream() {
+		// The program is under way, even if none of its turns has ended yet.
+		r.admission.NewProgram = false
+	}
 	n.scheduling.turnBegan(time.Now(), r)
 	if r.admission.NewProgram && n.overShare(r) {
 		n.settle(r)
@@ -96,7 +103,7 @@
 	if r.route.Retain {
 		previous = r.previousID()
 	}
-	admit := &coordinator.AdmitRequest{Turn: n.turnOf(r), Previous: previous}
+	admit := &coordinator.AdmitRequest{Turn: n.turnOf(r), Previous: previous, Begin: r.beginWithAdmission()}
 	var granted grant
 	granted.chain, admit.HasChain = n.chains.get(time.Now(), previous)
 	n.unsettled.put(r.partition, claimOf(r))
@@ -229,7 +236,7 @@
 		return n.control.call(callCtx, partition, request)
 	}
 	reply, err := n.peers.call(callCtx, owner, partition, request)
-	if err == nil && reply.Status == coordinator.ReplyNotOwner {
+	if err == nil && reply.Status == coordinator.ReplyNotOwner && (reply.Owner != nil || !request.ConcernsStream()) {
 		n.reportNotOwner(owner.ID, partition, reply)
 	}
 	return reply, err
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -53,6 +53,14 @@
 // (FormerState). The new owner replaces by it what it restored from that owner's records
 // (Reconcile).
 //
+// # Origins of streams
+//
+// BeginStream notes which version of a service began the stream of a client attempt, and
+// StreamOrigin returns it to the node at which the client resumes the stream. An origin is
+// known at once and recorded a little later, so that neither a stream nor its first event
+// waits for the log. A new owner does not know origins that were not recorded yet: their
+// streams cannot be resumed, but none goes on at another version.
+//
 // # Stored turns
 //
 // A stored turn holds its input, its output and the ID of the turn that it continues. The
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -63,6 +63,8 @@
 	turns    map[string]*turnEntry
 	// parts holds the parts of turns whose own record has not been restored yet, by key.
 	parts map[string][]byte
+	// streams holds the origins of the streams that began lately.
+	streams streams
 
 	// pending holds the proposed records that are not in a batch yet, in order.
 	pending []pendingRecord
@@ -116,13 +118,17 @@
 // Durable returns the position up to which all proposals are in the log.
 func (l *Ledger) Durable() uint64 { return l.durable }
 
-// Pending reports whether there are proposed records that are not in a batch yet.
-func (l *Ledger) Pending() bool { return len(l.pending) > 0 }
+// Pending reports whether there are records that are not in a batch yet.
+func (l *Ledger) Pending() bool { return len(l.pending) > 0 || len(l.streams.unrecorded) > 0 }
 
 // Ready returns the next batch of records to append, or nil while a batch is in flight or
 // no record is pending.
 func (l *Ledger) Ready() []Record {
-	if l.inFlight || len(l.pending) == 0 {
+	if l.inFlight {
+		return nil
+	}
+	l.proposeStreams()
+	if len(l.pending) == 0 {
 		return nil
 	}
 	batch := l.takeBatch()
@@ -161,6 +167,7 @@
 		return
 	}
 	l.nextSweep = now.Add(l.config.SweepPeriod)
+	l.streams.expire(now)
 	for id, acct := range l.accounts {
 		acct.expire(now)
 		if now.Sub(l.ownership.since) >= formerStateLifetime {
@@ -180,5 +187,7 @@
 	}
 }
 
-// Counts returns the number of accounts and of stored turns.
-func (l *Ledger) Counts() (accounts, turns int) { return len(l.accounts), len(l.turns) }
+// Counts returns the number of accounts, of stored turns and of known origins of streams.
+func (l *Ledger) Counts() (accounts, turns, origins int) {
+	return len(l.accounts), len(l.turns), len(l.streams.origins)
+}
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -17,9 +17,11 @@
 	Value []byte
 }
 
-// The prefixes of keys, each followed by an ID. A part's key ends with its number.
+// The prefixes of keys, each followed by an ID. A part's key ends with its number, and the
+// keys of records of origins are reused in turn.
 const (
 	accountPrefix = "account/"
+	streamsPrefix = "origin/"
 	partPrefix    = "part/"
 	turnPrefix    = "turn/"
 )
@@ -90,9 +92,9 @@
 	Parts int `json:"parts,omitempty"`
 }
 
-// SortsAfterAccounts reports whether a key sorts after those of all accounts and of the
-// open record. Once such a key was read, all accounts are restored and Admit may be
-// called.
+// SortsAfterAccounts reports whether a key sorts after those of all accounts, of the open
+// record and of the origins of streams. Once such a key was read, these are restored, and
+// Admit and StreamOrigin may be called.
 func SortsAfterAccounts(key string) bool { return key >= partPrefix }
 
 // HoldsChain reports whether the ledger holds a stored turn and all turns before it.
@@ -126,6 +128,9 @@
 		l.accounts[program] = restoreAccount(now, &value)
 		return nil
 	}
+	if strings.HasPrefix(record.Key, streamsPrefix) {
+		return l.restoreStreams(now, record)
+	}
 	if strings.HasPrefix(record.Key, partPrefix) {
 		l.parts[record.Key] = record.Value
 		return nil
@@ -189,16 +194,18 @@
 
 // Size estimates how many bytes the newest records of the ledger take in the log.
 func (l *Ledger) Size() int {
-	size := len(l.accounts) * accountRecordBytes
+	size := len(l.accounts)*accountRecordBytes + len(l.streams.origins)*originBytes
 	for id, entry := range l.turns {
 		size += len(turnPrefix) + len(id) + turnOverheadBytes + len(entry.Base) + len(entry.Input) + len(entry.Output)
 	}
 	return size
 }
 
-// The approximate size of a record, without the bodies of a turn.
+// The approximate size of a record, without the bodies of a turn, and of one origin in a
+// record.
 const (
 	accountRecordBytes = 80
+	originBytes        = 40
 	turnOverheadBytes  = 160
 )
 
--- a/ledger/unrecorded.go
+++ b/ledger/unrecorded.go
@@ -120,6 +120,7 @@
 func (l *Ledger) Close(now time.Time) {
 	l.lowerMarks()
 	l.releaseOwnership(now)
+	l.proposeStreams()
 }
 
 // lowerMarks proposes records that reserve nothing ahead of need.
--- a/replica/set.go
+++ b/replica/set.go
@@ -112,6 +112,8 @@
 	ranked   map[string][]*member
 	// windows holds the window of each large service.
 	windows map[string]*window
+	// versions are the software versions of each service's replicas.
+	versions map[string]*serviceVersions
 	// zoneCounts is the number of replicas in each zone.
 	zoneCounts map[string]int
 	// busy holds the replicas with requests of this node in flight, coldTracked those whose
@@ -187,6 +189,7 @@
 		services:          make(map[string][]*member),
 		ranked:            make(map[string][]*member),
 		windows:           make(map[string]*window),
+		versions:          make(map[string]*serviceVersions),
 		zoneCounts:        make(map[string]int),
 		busy:              make(map[ID]*member),
 		coldTracked:       make(map[ID]*member),
@@ -225,7 +228,7 @@
 		return false
 	}
 	if known != nil && !known.replacedBy(entry) {
-		changed = s.updateEntry(known, entry)
+		changed = s.updateEntry(now, known, entry)
 		return s.updateCold(now, known, status) || changed
 	}
 	if known != nil {
@@ -238,6 +241,7 @@
 	s.updateCold(now, m, status)
 	s.byID[entry.ID] = m
 	s.addToService(m)
+	s.addVersion(now, entry)
 	return true
 }
 
@@ -248,13 +252,17 @@
 }
 
 // updateEntry replaces the entry of the known process. It reports whether anything differs.
-func (s *Set) updateEntry(known *member, entry Entry) (changed bool) {
+func (s *Set) updateEntry(now time.Time, known *member, entry Entry) (changed bool) {
 	entry.Incarnation = max(entry.Incarnation, known.entry.Incarnation)
 	changed = known.entry != entry
 	zoneChanged := known.entry.Zone != entry.Zone
 	if zoneChanged {
 		s.removeRanked(known)
 	}
+	if known.entry.Version != entry.Version {
+		s.removeVersion(known.entry)
+		s.addVersion(now, entry)
+	}
 	known.entry = entry
 	if zoneChanged {
 		s.insertRanked(known)
@@ -279,6 +287,7 @@
 		return Entry{}, false
 	}
 	s.removeFromService(known)
+	s.removeVersion(known.entry)
 	delete(s.byID, id)
 	delete(s.busy, id)
 	delete(s.coldTracked, id)
--- /dev/null
+++ b/replica/version.go
@@ -0,0 +1,93 @@
+package replica
+
+import "time"
+
+// versionUse is how a version of a service's software is in use.
+type versionUse struct {
+	// replicas is the number of listed replicas that have the version.
+	replicas int
+	// goneAt is when this node first noticed that no replica has it any more; zero if some
+	// have it, or if that was not noticed yet.
+	goneAt time.Time
+}
+
+// serviceVersions are the versions of a service's replicas, now and lately.
+type serviceVersions struct {
+	// since is when this node first knew a replica of the service.
+	since time.Time
+	uses  map[string]*versionUse
+}
+
+// addVersion counts a replica of its version.
+func (s *Set) addVersion(now time.Time, entry Entry) {
+	known := s.versions[entry.Service]
+	if known == nil {
+		known = &serviceVersions{since: now, uses: make(map[string]*versionUse)}
+		s.versions[entry.Service] = known
+	}
+	use := known.uses[entry.Version]
+	if use == nil {
+		use = &versionUse{}
+		known.uses[entry.Version] = use
+	}
+	use.replicas++
+	use.goneAt = time.Time{}
+}
+
+// removeVersion counts a replica of its version less.
+func (s *Set) removeVersion(entry Entry) {
+	if known := s.versions[entry.Service]; known != nil {
+		known.uses[entry.Version].replicas--
+	}
+}
+
+// ListedVersion returns the version of all listed replicas of a service, and false if they
+// differ or there are none.
+func (s *Set) ListedVersion(service string) (version string, same bool) {
+	known := s.versions[service]
+	if known == nil {
+		return "", false
+	}
+	for name, use := range known.uses {
+		if use.replicas == 0 {
+			continue
+		}
+		if same {
+			return "", false
+		}
+		version, same = name, true
+	}
+	return version, same
+}
+
+// OnlyVersion returns the one version that replicas of a service had within the given time,
+// and since when this node knows replicas of the service. It returns false if they had several
+// or none.
+func (s *Set) OnlyVersion(now time.Time, service string, within time.Duration) (version string, since time.Time, only bool) {
+	known := s.versions[service]
+	if known == nil {
+		return "", time.Time{}, false
+	}
+	for name, use := range known.uses {
+		if use.replicas == 0 && use.goneAt.IsZero() {
+			use.goneAt = now
+		}
+		if use.replicas == 0 && now.Sub(use.goneAt) > within {
+			delete(known.uses, name)
+			continue
+		}
+		version = name
+	}
+	return version, known.since, len(known.uses) == 1
+}
+
+// Servable returns nil if a replica may receive the request, regardless of its load, else the
+// reason why none may.
+func (s *Set) Servable(now time.Time, request *Request) error {
+	for _, m := range s.services[request.Service] {
+		if s.checkPlacement(now, request, m) == nil {
+			return nil
+		}
+	}
+	return s.unavailableReason(now, request)
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -73,6 +73,26 @@
 // Attempts returns MaxAttempts, but at least 1.
 func (r *Route) Attempts() int { return max(1, r.MaxAttempts) }
 
+// Serves reports whether requests of the route may go to the service.
+func (r *Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(share Share) bool { return share.Service == service && share.Weight > 0 })
+}
+
+// SingleService returns the service that gets all requests of the route, and false if they
+// are split.
+func (r *Route) SingleService() (service string, single bool) {
+	for _, share := range r.Shares {
+		if share.Weight <= 0 || share.Service == service {
+			continue
+		}
+		if service != "" {
+			return "", false
+		}
+		service = share.Service
+	}
+	return service, service != ""
+}
+
 // Service describes a service that serves routes, and its replicas.
 type Service struct {
 	Name string
