soak: replicas of several versions, releases, and clients that take streams up

Replicas have a software version, which their events name. Clients take broken streams up, naming the attempt that began them, and leave 15 in 100 streams midway to do so. Two promises: a stream holds events of one version, in one answer and over a client's tries; and of 12 or more streams taken up, at nodes that nothing disturbs and while two undisturbed replicas of their version serve, at least half as large a share goes on as new ones begin, in the whole run and in any 10 s. Whole answers are compared with the version in them, so nothing of that check is lost.

--- a/soak/client.go
+++ b/soak/client.go
@@ -40,6 +40,14 @@
 		}
 		c.connection = connection
 	}
+	if sent.LeaveAfter > 0 {
+		defer c.disconnect()
+		answer, err := c.connection.SendAndLeave(clientTimeout, sent.LeaveAfter, method, standin.Host, sent.Route+"x", headerOf(sent), sent.Body)
+		if err != nil && answer.Status == 0 {
+			return standin.Answer{}
+		}
+		return answer
+	}
 	answer, reusable, err := c.connection.Send(clientTimeout, c.keep, method, standin.Host, sent.Route+"x", headerOf(sent), sent.Body)
 	if !reusable {
 		c.disconnect()
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -24,6 +24,8 @@
 	// drainTime is how long a draining replica keeps serving. It exceeds the time for which
 	// nodes may still send requests to it.
 	drainTime = 5 * time.Second
+	// releaseInterval is the time between the replacements of two replicas in a release.
+	releaseInterval = 400 * time.Millisecond
 	// stopTimeout bounds an orderly shutdown of a node. A node that takes longer is killed.
 	stopTimeout = nodeGrace + 2*time.Second
 )
@@ -58,6 +60,8 @@
 		s.restart(ctx, fault.Kind, nodes, span)
 	case ReplicaDrain, ReplicaKill:
 		s.replaceReplicas(ctx, fault.Kind, replicas)
+	case Release:
+		s.release(ctx, replicas)
 	case Reload:
 		reload(ctx, nodes, span)
 	default:
@@ -99,7 +103,7 @@
 	for index, replica := range s.replicas {
 		for _, target := range fault.Targets {
 			switch fault.Kind {
-			case ReplicaDrain, ReplicaKill, ReplicaFault, ReplicaSlow:
+			case Release, ReplicaDrain, ReplicaKill, ReplicaFault, ReplicaSlow:
 				if target == index {
 					matching = append(matching, replica)
 				}
@@ -119,7 +123,7 @@
 	switch kind {
 	case StoreDown, StoreSlow, StoreLost, StoreForget, StoreMute:
 		return []string{promise.AllNodes}
-	case ReplicaDrain, Reload:
+	case Release, ReplicaDrain, Reload:
 		return nil
 	}
 	return namesOf(nodes, replicas)
@@ -181,6 +185,7 @@
 	if kind == ReplicaDrain {
 		for _, replica := range replicas {
 			s.system.PutEntry(replica, "draining")
+			s.record(promise.Serving{Replica: replica.ID, Ended: true})
 			s.record(promise.Drained{Replica: replica.ID})
 		}
 		sleep(ctx, drainTime)
@@ -194,6 +199,33 @@
 	}
 }
 
+// release replaces replicas by others of a new version, one after the other. Releases that
+// overlap leave replicas of several versions.
+func (s *soak) release(ctx context.Context, replicas []*standin.Replica) {
+	s.replaceMutex.Lock()
+	s.releases++
+	s.system.SetVersions(versionName(s.releases))
+	s.replaceMutex.Unlock()
+	var replacing sync.WaitGroup
+	for _, replica := range replicas {
+		replacing.Go(func() { s.replaceReplicas(ctx, ReplicaDrain, []*standin.Replica{replica}) })
+		if !sleep(ctx, releaseInterval) {
+			break
+		}
+	}
+	replacing.Wait()
+}
+
+// versionName returns the software version of a release.
+func versionName(release int) string { return fmt.Sprintf("v%d", release) }
+
+// recordServing records that a model replica serves.
+func (s *soak) recordServing(replica *standin.Replica) {
+	if replica.Events > 0 {
+		s.record(promise.Serving{Replica: replica.ID, Version: replica.Version})
+	}
+}
+
 // replaceReplica ends a replica and starts another in its place. It does nothing if another
 // fault has already replaced it.
 func (s *soak) replaceReplica(old *standin.Replica) error {
@@ -206,11 +238,13 @@
 		return nil
 	}
 	s.system.RemoveEntry(old)
+	s.record(promise.Serving{Replica: old.ID, Ended: true})
 	oldProxy.close()
 	added, err := s.system.AddReplica(old.Events > 0)
 	if err != nil {
 		return errors.Join(err, old.Close())
 	}
+	s.recordServing(added)
 	s.mutex.Lock()
 	s.replicas[index] = added
 	s.mutex.Unlock()
--- a/soak/load.go
+++ b/soak/load.go
@@ -51,6 +51,9 @@
 	foreignShare = 0.1
 	resumeShare  = 0.3
 	turnAttempts = 4
+	// leaveShare is the probability that a client closes the connection of a resumable stream
+	// after some of its events, to resume it at another node.
+	leaveShare = 0.15
 	// maxSessionRetries is how often a session retries a turn that failed, each time after at
 	// most maxSessionRetryDelay.
 	maxSessionRetries    = 3
@@ -228,6 +231,10 @@
 	for range turnAttempts {
 		turn.ID = s.nextID("t")
 		turn.Body = "input of " + turn.ID + ";"
+		turn.LeaveAfter = 0
+		if turn.Repeatable && s.chance(leaveShare) {
+			turn.LeaveAfter = 1 + s.randomInt(eventsPerAnswer-1)
+		}
 		answer := client.send(http.MethodPost, turn)
 		switch answer.Status {
 		case http.StatusOK:
@@ -237,6 +244,7 @@
 		case http.StatusPaymentRequired, http.StatusUnauthorized, http.StatusNotFound, http.StatusBadRequest:
 			return turn.ID, over
 		}
+		turn.Resumes, turn.After = resumption(turn, answer)
 		if !sleep(ctx, s.randomDuration(100*time.Millisecond, 400*time.Millisecond)) {
 			return turn.ID, over
 		}
@@ -244,6 +252,27 @@
 	return turn.ID, failed
 }
 
+// resumption returns what the next attempt of a turn resumes after an answer that broke off: the
+// attempt that brought the first event, and the number of events that the client has.
+func resumption(turn promise.Sent, answer standin.Answer) (resumes string, after int) {
+	events := strings.Count(answer.Body, "\n\n")
+	switch {
+	case !turn.Repeatable:
+		return "", 0
+	case answer.Status == http.StatusServiceUnavailable && strings.Contains(answer.Body, notResumable):
+		return "", 0
+	case answer.Status != http.StatusOK:
+		return turn.Resumes, turn.After
+	case turn.Resumes == "" && events > 0:
+		return turn.ID, events
+	default:
+		return turn.Resumes, turn.After + events
+	}
+}
+
+// notResumable is in the answer of a node to a request whose stream has to begin anew.
+const notResumable = "cannot be resumed"
+
 // call sends a tool call that may or may not be repeated.
 func (s *soak) call(tenant string, repeats bool) {
 	call := promise.Sent{ID: s.nextID("c"), Tenant: tenant, Key: tenant + "-key", Route: standin.LookupPath, Repeatable: true}
@@ -317,6 +346,9 @@
 		names.TokenBudget: strconv.Itoa(sent.Budget), names.TokenCounts: "10," + strconv.Itoa(sent.MaxTokens),
 		names.PromptPrefix: "aa:100," + fmt.Sprintf("%x", sent.Session) + ":10", header.ContentType: "text/plain",
 	})
+	if sent.Resumes != "" {
+		fields[names.Resumes], fields[names.LastEvent] = sent.Resumes, strconv.Itoa(sent.After)
+	}
 	if sent.Previous != "" {
 		fields[names.PreviousTurn] = sent.Previous
 	}
--- a/soak/promise/answer.go
+++ b/soak/promise/answer.go
@@ -30,9 +30,11 @@
 	}
 	if succeeded(event.Status) {
 		c.checkBody(at, sent, event)
+		c.checkVersions(at, sent, event)
 		c.checkConfigRollback(at, sent)
 	}
 	c.checkBudget(at, sent, event)
+	c.compareStreams(at, sent, event)
 	switch event.Status {
 	case statusUnauthorized:
 		c.checkDenial(at, sent)
@@ -56,11 +58,15 @@
 		}
 		return
 	}
-	want := completeStream(sent.ID, sent.Events)
+	matches := slices.ContainsFunc(c.allVersions, func(version string) bool {
+		want := completeStream(sent.ID, version, sent.After, sent.Events)
+		return event.Body == want || !event.Complete && strings.HasPrefix(want, event.Body)
+	})
 	switch {
-	case event.Complete && event.Body != want:
+	case matches:
+	case event.Complete:
 		c.addBreach(at, WholeAnswers, sent, "", fmt.Sprintf("got %q as whole", shorten(event.Body)))
-	case !strings.HasPrefix(want, event.Body):
+	default:
 		c.addBreach(at, WholeAnswers, sent, "", fmt.Sprintf("got %q before it broke off", shorten(event.Body)))
 	}
 }
@@ -149,7 +155,7 @@
 // while another turn of it may hold the rest of its budget.
 func (c *Checker) checkServed(at time.Time, sent *request) {
 	prog := c.programs[sent.Program]
-	if prog == nil || !sent.MustServe {
+	if prog == nil || !sent.MustServe || sent.LeaveAfter > 0 && succeeded(sent.status) {
 		return
 	}
 	if sent.complete && succeeded(sent.status) || sent.status == statusBudgetSpent || sent.status == statusTooMany {
--- a/soak/promise/checker.go
+++ b/soak/promise/checker.go
@@ -27,7 +27,13 @@
 	added     map[string]time.Time
 	revoked   map[string]time.Time
 	// denied holds when a process last refused a revoked key.
-	denied       map[denial]time.Time
+	denied map[denial]time.Time
+	// versions holds the version of each replica that serves, and streams how streams began and
+	// went on.
+	versions map[string]string
+	// allVersions are all versions that ever served, and "" for replicas without one.
+	allVersions  []string
+	streams      streamOutcomes
 	disturbances disturbances
 	samples      map[process][]Sampled
 	breaches     []Breach
@@ -46,6 +52,11 @@
 	status     int
 	complete   bool
 	tokens     int
+	// streamVersions are the versions that wrote the events of the stream, over all requests
+	// that resumed it. They are stored with the request that began the stream.
+	streamVersions []string
+	// comparable is set if the request's outcome counts for StreamsResumed.
+	comparable bool
 }
 
 type program struct {
@@ -70,6 +81,7 @@
 	return &Checker{
 		config: config, requests: make(map[string]*request), programs: make(map[string]*program),
 		limitedRequests: make(map[string][]arrival), coldReplicas: make(map[string]*coldReplica),
+		versions: make(map[string]string), allVersions: []string{""},
 		drained: make(map[string]time.Time), evacuated: make(map[string]time.Time),
 		added: make(map[string]time.Time), revoked: make(map[string]time.Time), denied: make(map[denial]time.Time),
 		disturbances: newDisturbances(), samples: make(map[process][]Sampled), counts: make(map[Promise]int),
@@ -88,6 +100,8 @@
 		c.run(at, event)
 	case Drained:
 		c.drained[event.Replica] = at
+	case Serving:
+		c.setServing(event)
 	case KeyAdded:
 		c.added[event.Key] = at
 	case KeyRevoked:
@@ -140,6 +154,7 @@
 func (c *Checker) send(at time.Time, event Sent) {
 	sent := &request{Sent: event, at: at, faultFree: c.disturbances.faultFree(at, c.config.Recovery)}
 	c.requests[event.ID] = sent
+	sent.comparable = c.comparesOutcome(sent)
 	if event.Program == "" {
 		return
 	}
@@ -215,19 +230,34 @@
 	text.WriteString(c.chainBefore(previous))
 	text.WriteString(previous.Body)
 	for event := 1; event <= previous.Events; event++ {
-		text.WriteString(EventData(previous.ID, event) + "\n")
+		text.WriteString(EventData(previous.ID, previous.version(), event) + "\n")
 	}
 	return text.String()
 }
 
-// EventData returns the expected data of the numbered event in the answer to a request.
-func EventData(id string, event int) string { return fmt.Sprintf("%s-%d", id, event) }
+// version returns the version that wrote the events of the stream, or "" if they name none.
+func (r *request) version() string {
+	if len(r.streamVersions) == 0 {
+		return ""
+	}
+	return r.streamVersions[0]
+}
+
+// EventData returns the expected data of the numbered event in the answer to a request that a
+// replica of the version wrote; with "" events name no version.
+func EventData(id, version string, event int) string {
+	if version != "" {
+		id += versionSeparator + version
+	}
+	return fmt.Sprintf("%s-%d", id, event)
+}
 
-// completeStream returns the complete answer to a request, with the given number of events.
-func completeStream(id string, events int) string {
+// completeStream returns the complete answer to a request for the events that follow the one
+// numbered after, up to the one numbered events.
+func completeStream(id, version string, after, events int) string {
 	var text strings.Builder
-	for event := 1; event <= events; event++ {
-		_, _ = fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", event, EventData(id, event))
+	for event := after + 1; event <= events; event++ {
+		_, _ = fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", event, EventData(id, version, event))
 	}
 	return text.String()
 }
--- a/soak/promise/event.go
+++ b/soak/promise/event.go
@@ -29,6 +29,13 @@
 	Budget    int
 	MaxTokens int
 	Body      string
+	// Resumes is the request that brought the first event of the stream that this one resumes,
+	// and After the number of events that the client has received; "" and 0 for a new stream.
+	Resumes string
+	After   int
+	// LeaveAfter is the number of events after which the client closes the connection; 0 if it
+	// reads the whole answer.
+	LeaveAfter int
 	// MustServe is set if the request has to be served in fault-free periods.
 	MustServe bool
 }
@@ -58,6 +65,14 @@
 // Drained records that the store accepted a replica's entry as draining.
 type Drained struct{ Replica string }
 
+// Serving records that the store lists a replica of a software version as ready, or with Ended
+// that it no longer does.
+type Serving struct {
+	Replica string
+	Version string
+	Ended   bool
+}
+
 // KeyAdded and KeyRevoked record that the store accepted a configuration with the change.
 type (
 	KeyAdded   struct{ Key string }
@@ -107,6 +122,7 @@
 func (Answered) event()    {}
 func (Ran) event()         {}
 func (Drained) event()     {}
+func (Serving) event()     {}
 func (KeyAdded) event()    {}
 func (KeyRevoked) event()  {}
 func (Disturbance) event() {}
@@ -139,6 +155,8 @@
 	ColdRate          Promise = "a cold replica gets no more than it bears"
 	RouteRegions      Promise = "requests stay in the regions of their route"
 	ReservedFields    Promise = "a replica gets no field that clients may not set"
+	OneVersion        Promise = "a stream holds events of one version"
+	StreamsResumed    Promise = "streams taken up go on half as often as new ones begin"
 	KnownRequests     Promise = "a replica runs only what a client sent"
 )
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -39,9 +39,11 @@
 	options.Replicas = replicaCount
 	if len(options.Faults) == 0 {
 		options.Faults = Schedule(options.Scenario)
+		releases := Releases(options.Scenario)
 		if options.Series {
 			options.Faults = append(options.Faults, Series(options.Scenario, options.Faults)...)
 		}
+		options.Faults = append(options.Faults, releases...)
 	}
 	run, err := newSoak(options)
 	if err != nil {
@@ -106,6 +108,8 @@
 	defer s.checkerMutex.Unlock()
 	counts := s.checker.Counts()
 	sent, served := s.checker.RequestCounts()
+	resumed, wentOn := s.checker.StreamCounts()
+	s.print(fmt.Sprintf("streams taken up while their version served: %d, went on: %d", resumed, wentOn))
 	broken := 0
 	for _, name := range slices.Sorted(maps.Keys(counts)) {
 		known := ""
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -44,6 +44,8 @@
 	StoreLost    Kind = "store-lost"
 	StoreForget  Kind = "store-forget"
 	StoreRefuses Kind = "store-refuses"
+	// Release replaces replicas by others of a new software version, one after the other.
+	Release Kind = "release"
 	// ReplicaDrain drains replicas and ReplicaKill removes them at once; others replace them.
 	// ReplicaFault makes them abort answers, reset connections, refuse and hang. ReplicaSlow
 	// delays the traffic between them and nodes.
--- a/soak/system.go
+++ b/soak/system.go
@@ -87,8 +87,10 @@
 	checkerMutex sync.Mutex
 	checker      *promise.Checker
 
-	// replaceMutex serialises the replacement of replicas.
+	// replaceMutex serialises the replacement of replicas. releases counts the releases of
+	// software that began.
 	replaceMutex sync.Mutex
+	releases     int
 
 	mutex sync.Mutex
 	// random drives the load. The faults are drawn from a separate generator.
@@ -135,7 +137,7 @@
 func (s *soak) open() error {
 	system, err := standin.StartSystem(standin.Options{
 		Models: modelReplicas, Plain: plainReplicas, Events: eventsPerAnswer, Step: eventInterval, Zones: zones, Prepare: s.prepare,
-		Tenants: s.keys.tenants(),
+		Tenants: s.keys.tenants(), Versions: []string{versionName(s.releases)},
 	})
 	if err != nil {
 		return err
@@ -143,6 +145,9 @@
 	s.system = system
 	system.Store.SetDelay(storeDelay)
 	s.replicas = append(append(s.replicas, system.Models...), system.Plain...)
+	for _, model := range system.Models {
+		s.recordServing(model)
+	}
 	for _, key := range s.keys.valid() {
 		s.record(promise.KeyAdded{Key: key})
 	}
