edge: a resumed stream reserves only the tokens of the events that are left

Callers that took a stream up near the end of their program's budget got 402 although the budget held the rest of the stream: the turn reserved its whole maximum again, beside the tokens of the attempt that broke.

The reservation leaves out what Last-Event-Id says was received, and is at least one event. A client that overstates it gets fewer events, not more tokens.

--- a/edge/resume.go
+++ b/edge/resume.go
@@ -56,7 +56,7 @@
 // stream goes on where it began. A new one may begin anywhere, and its origin is fixed here
 // only if all replicas have the same version. If fixOrigin returns false, the request has been
 // answered.
-func (n *Node) fixOrigin(ctx context.Context, r *requestState) bool {
+func (n *Node) fixOrigin(ctx context.Context, r *requestState, table *routing.Table) bool {
 	if !r.resumesStream() {
 		n.expectOrigin(r)
 		return true
@@ -80,9 +80,23 @@
 			"the stream cannot be resumed, send the request without "+n.adapter.Names.LastEvent+": "+err.Error())
 		return false
 	}
+	r.limitToRest(table.Services[r.service].TokensPerEvent)
 	return true
 }
 
+// limitToRest lowers the most tokens that a resumed stream may use to those of the events that
+// its client has not received. The received ones are counted with the attempts that brought
+// them; reserving them again would end programs whose budget holds the rest of the stream. IDs
+// of events count from 1.
+func (r *requestState) limitToRest(tokensPerEvent int) {
+	received, err := parseCount(r.resumedAfter)
+	if err != nil || r.maxTokens == 0 || tokensPerEvent <= 0 {
+		return
+	}
+	rest := r.maxTokens - min(received, r.maxTokens/tokensPerEvent)*tokensPerEvent
+	r.maxTokens = max(rest, min(tokensPerEvent, r.maxTokens))
+}
+
 // findOrigin returns the origin of the stream that the request resumes.
 func (n *Node) findOrigin(ctx context.Context, r *requestState) (*ledger.StreamOrigin, error) {
 	if attempt := r.scope.Qualify(r.resumed); attempt != "" {
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -56,7 +56,7 @@
 			"this node reaches neither the store nor most of the zones")
 		return
 	}
-	if !n.fixOrigin(ctx, r) {
+	if !n.fixOrigin(ctx, r, table) {
 		return
 	}
 	n.beginCharge(ctx, r)
