edge: the next owner of a turn's partition learns where its stream begins

A turn whose owner is lost before the record of its tokens is durable is admitted again at the next owner, and its first event waits for that. The next owner was not told where the stream begins, so that a client that took the stream up was told that it cannot be resumed. The request for admission names the origin now, as the first one did; with the record of the tokens, the origin is durable then as well.

--- a/edge/admission_test.go
+++ b/edge/admission_test.go
@@ -49,3 +49,38 @@
 	g.Eventually(settled).WithTimeout(time.Minute).Should(Receive(&end))
 	g.Expect(end).To(Equal(ledger.Settlement{Turn: "t", Program: "p", Session: "s"}))
 }
+
+// TestNextOwnerLearnsOrigin checks that a turn whose owner was lost before its record was
+// durable tells the next owner where its stream begins.
+func TestNextOwnerLearnsOrigin(t *testing.T) {
+	g := NewWithT(t)
+	node := keyNode(g, Settings{}, false)
+	defer node.Kill()
+	begun := make(chan *ledger.Stream, 1)
+	go func() {
+		for input := range node.control.inbox {
+			switch input := input.(type) {
+			case ownerLookup:
+				input.answer <- node.self
+			case partitionRequest:
+				if input.request.Await != nil {
+					input.answer <- coordinator.Reply{Status: coordinator.ReplyLost}
+					continue
+				}
+				begun <- input.request.Admit.Begin
+				admission := &ledger.Admission{Verdict: ledger.VerdictGranted}
+				input.answer <- coordinator.Reply{Status: coordinator.ReplyDone, Admission: admission}
+				return
+			}
+		}
+	}()
+	origin := ledger.StreamOrigin{Service: "model", Version: "v1"}
+	r := &requestState{
+		exchange: &ingress.Exchange{Cancel: &upstream.Cancel{}}, id: "t", program: "p", session: "s", maxTokens: 100, budget: 100,
+		deadline: time.Now().Add(time.Minute), route: &routing.Route{Kind: routing.KindStream, Resumable: true}, origin: &origin,
+	}
+	g.Eventually(node.awaitRecorded(node.ctx, r, 1, 1)).WithTimeout(time.Minute).Should(Receive(BeNil()))
+	var stream *ledger.Stream
+	g.Expect(begun).To(Receive(&stream))
+	g.Expect(stream).To(Equal(&ledger.Stream{Attempt: "t", Origin: origin}))
+}
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -304,7 +304,7 @@
 // concurrently with the run. If the owner fails meanwhile, the new owner counts the turn.
 func (n *Node) awaitRecorded(ctx context.Context, r *requestState, epoch ownership.Epoch, position uint64) <-chan error {
 	done := make(chan error, 1)
-	turn := n.turnOf(r)
+	turn, begin := n.turnOf(r), r.beginWithAdmission()
 	partition := r.partition
 	search := &requestState{exchange: r.exchange}
 	go func() {
@@ -316,7 +316,7 @@
 				return
 			}
 			wait.For(ctx, ownerRetryPause)
-			admit := &coordinator.AdmitRequest{Turn: turn}
+			admit := &coordinator.AdmitRequest{Turn: turn, Begin: begin}
 			reply, err = n.callOwner(ctx, search, partition, coordinator.Request{Admit: admit}, ownerLookupTimeout)
 			if err != nil || reply.Admission == nil {
 				continue
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -57,8 +57,8 @@
 //
 // BeginStream notes which version of a service began the stream of a client attempt, and
 // StreamOrigin returns it to the node at which the client resumes the stream. An origin is
-// known at once and recorded a little later, so that neither a stream nor its first event
-// waits for the log. A new owner does not know origins that were not recorded yet: their
+// known at once and recorded with the next batch, so that neither a stream nor its first
+// event waits for the log. A new owner does not know origins that were not recorded yet: their
 // streams cannot be resumed, but none goes on at another version.
 //
 // # Stored turns
