replica: the memory of former versions is bounded

A version that no replica has any more stayed in the set's memory unless the only version of its service was asked for. Those unused for an hour are forgotten when a new one appears; a test of 500 releases. Nothing decided by it changes.

--- a/replica/version.go
+++ b/replica/version.go
@@ -27,6 +27,7 @@
 	}
 	use := known.uses[entry.Version]
 	if use == nil {
+		known.forgetUnused(now)
 		use = &versionUse{}
 		known.uses[entry.Version] = use
 	}
@@ -34,6 +35,26 @@
 	use.goneAt = time.Time{}
 }
 
+// unusedVersionLifetime is how long a version that no replica has is remembered.
+const unusedVersionLifetime = time.Hour
+
+// forgetUnused forgets the versions that have been unused for long.
+func (v *serviceVersions) forgetUnused(now time.Time) {
+	for name, use := range v.uses {
+		use.noteUnused(now)
+		if !use.goneAt.IsZero() && now.Sub(use.goneAt) > unusedVersionLifetime {
+			delete(v.uses, name)
+		}
+	}
+}
+
+// noteUnused notes that no replica has the version, if so.
+func (u *versionUse) noteUnused(now time.Time) {
+	if u.replicas == 0 && u.goneAt.IsZero() {
+		u.goneAt = now
+	}
+}
+
 // removeVersion counts a replica of its version less.
 func (s *Set) removeVersion(entry Entry) {
 	if known := s.versions[entry.Service]; known != nil {
@@ -68,17 +89,15 @@
 	if known == nil {
 		return "", time.Time{}, false
 	}
+	count := 0
 	for name, use := range known.uses {
-		if use.replicas == 0 && use.goneAt.IsZero() {
-			use.goneAt = now
-		}
-		if use.replicas == 0 && now.Sub(use.goneAt) > within {
-			delete(known.uses, name)
-			continue
+		use.noteUnused(now)
+		if use.replicas > 0 || now.Sub(use.goneAt) <= within {
+			version = name
+			count++
 		}
-		version = name
 	}
-	return version, known.since, len(known.uses) == 1
+	return version, known.since, count == 1
 }
 
 // Servable returns nil if a replica may receive the request, regardless of its load, else the
--- a/replica/version_test.go
+++ b/replica/version_test.go
@@ -63,3 +63,44 @@
 		t.Error("a replica of another version was selected")
 	}
 }
+
+func TestOnlyVersionRemembersTheFormerOne(t *testing.T) {
+	set, now := versionSet(map[string]int{"v1": 1})
+	if version, _, only := set.OnlyVersion(now, "model", time.Minute); version != "v1" || !only {
+		t.Errorf("got %q, %t, want v1 alone", version, only)
+	}
+	set.Put(now, replica.Entry{ID: "next", Service: "model", Version: "v2", Status: replica.StatusReady})
+	if _, same := set.ListedVersion("model"); same {
+		t.Error("two listed versions count as one")
+	}
+	set.Remove("v1-0")
+	if version, same := set.ListedVersion("model"); version != "v2" || !same {
+		t.Errorf("got %q, %t, want v2 alone to be listed", version, same)
+	}
+	if _, _, only := set.OnlyVersion(now.Add(time.Second), "model", time.Minute); only {
+		t.Error("the former version is forgotten at once")
+	}
+	version, since, only := set.OnlyVersion(now.Add(2*time.Minute), "model", time.Minute)
+	if version != "v2" || !only || !since.Equal(now) {
+		t.Errorf("got %q since %v, %t, want v2 alone since %v", version, since, only, now)
+	}
+	if _, _, only := set.OnlyVersion(now, "other", time.Minute); only {
+		t.Error("a service without replicas has a version")
+	}
+}
+
+// The memory of versions is bounded, however many releases a node sees.
+func TestManyReleasesLeaveFewVersions(t *testing.T) {
+	set, now := versionSet(map[string]int{"v0": 1})
+	last := replica.ID("v0-0")
+	for release := range 500 {
+		now = now.Add(30 * time.Minute)
+		next := replica.ID(fmt.Sprint("r", release))
+		set.Put(now, replica.Entry{ID: next, Service: "model", Version: string(next), Status: replica.StatusReady})
+		set.Remove(last)
+		last = next
+	}
+	if known := set.KnownVersions("model"); known > 5 {
+		t.Errorf("%d versions are remembered", known)
+	}
+}
