--- a/edge/admission_test.go
+++ b/edge/admission_test.go
@@ -14,6 +14,14 @@
 	"birchwood.example/birchwood/upstream"
 )
 
+// turnRequest returns the state of a turn's request.
+func turnRequest(route *routing.Route) *requestState {
+	return &requestState{
+		exchange: &ingress.Exchange{Cancel: &upstream.Cancel{}}, id: "t", program: "p", session: "s", maxTokens: 100, budget: 100,
+		deadline: time.Now().Add(time.Minute), route: route,
+	}
+}
+
 // TestAdmissionGivenUp checks that the node sends a settlement to an owner that did not
 // reply in time, since the owner may have granted the turn.
 func TestAdmissionGivenUp(t *testing.T) {
@@ -39,10 +47,7 @@
 			}
 		}
 	}()
-	r := &requestState{
-		exchange: &ingress.Exchange{Cancel: &upstream.Cancel{}}, id: "t", program: "p", session: "s", maxTokens: 100, budget: 100,
-		deadline: time.Now().Add(time.Minute), route: &routing.Route{},
-	}
+	r := turnRequest(&routing.Route{})
 	_, err := node.requestAdmission(ctx, r, &coordinator.AdmitRequest{Turn: node.turnOf(r)})
 	g.Expect(err).To(HaveOccurred())
 	var end ledger.Settlement
@@ -75,10 +80,8 @@
 		}
 	}()
 	origin := ledger.StreamOrigin{Service: "model", Version: "v1"}
-	r := &requestState{
-		exchange: &ingress.Exchange{Cancel: &upstream.Cancel{}}, id: "t", program: "p", session: "s", maxTokens: 100, budget: 100,
-		deadline: time.Now().Add(time.Minute), route: &routing.Route{Kind: routing.KindStream, Resumable: true}, origin: &origin,
-	}
+	r := turnRequest(&routing.Route{Kind: routing.KindStream, Resumable: true})
+	r.origin = &origin
 	g.Eventually(node.awaitRecorded(node.ctx, r, 1, 1)).WithTimeout(time.Minute).Should(Receive(BeNil()))
 	var stream *ledger.Stream
 	g.Expect(begun).To(Receive(&stream))
