upstream, edge: log and count how the bodies of replicas' answers end

It now has how the answer was framed, how its body ended, how many events came and how many bytes followed the last; so has the line of a stream that another run continues, and a counter by framing and end. No decision changes.

--- a/edge/call.go
+++ b/edge/call.go
@@ -178,6 +178,7 @@
 func (c *callRun) handleResult(result callResult) (over bool) {
 	n, r := c.node, c.request
 	c.removeInFlight(result.attempt)
+	n.noteBody(r, result.response)
 	entry := result.attempt.choice.Entry
 	if upstream.NotSent(result.err) {
 		return c.attemptNotRun(result.attempt, replica.ResultFailed)
--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -52,6 +52,7 @@
 	}
 	entry = entry.Str("request", r.id).Str("route", r.routeName()).Uint64("config", r.version).Int("status", r.status).
 		Dur("took", took).Str("reason", r.reason).Str("replica", string(r.choice.Entry.ID)).Int("attempts", r.attempts).Int("repeats", r.repeats)
+	entry = r.ended.log(entry)
 	entry = r.logStream(entry)
 	entry = r.logTenant(entry)
 	entry = r.logProgram(entry)
@@ -80,8 +81,9 @@
 // answer.
 func (n *Node) logContinued(r *requestState, from, to replica.Entry, after string, begun bool) {
 	n.metrics.streamContinued()
-	n.logger.Info().Str("request", r.id).Str("from", string(from.ID)).Str("fromVersion", from.Version).Str("to", string(to.ID)).
-		Str("toVersion", to.Version).Str("after", after).Bool("begun", begun).Msg("request: stream continued by another run")
+	entry := n.logger.Info().Str("request", r.id).Str("from", string(from.ID)).Str("fromVersion", from.Version).Str("to", string(to.ID)).
+		Str("toVersion", to.Version).Str("after", after).Bool("begun", begun)
+	r.ended.log(entry).Msg("request: stream continued by another run")
 }
 
 // logTenant adds the tenant of the request and how it counted towards the rate limit.
--- /dev/null
+++ b/edge/ending.go
@@ -0,0 +1,42 @@
+package edge
+
+import (
+	"github.com/phuslu/log"
+
+	"birchwood.example/birchwood/upstream"
+)
+
+// answerEnd is how the body of a replica's answer ended. The zero value means that there was
+// no answer.
+type answerEnd struct {
+	framing upstream.Framing
+	end     upstream.BodyEnd
+	// events is the number of complete events of a stream, and partialBytes the number of bytes
+	// that followed the last one.
+	events       int
+	partialBytes int
+}
+
+// log adds the end to a log line.
+func (e *answerEnd) log(entry *log.Entry) *log.Entry {
+	if e.framing == "" {
+		return entry
+	}
+	return entry.Str("framing", string(e.framing)).Str("bodyEnd", string(e.end)).Int("events", e.events).Int("partial", e.partialBytes)
+}
+
+// noteBody records how the body of a replica's answer ended, for the log and the metrics. It
+// does nothing without an answer.
+func (n *Node) noteBody(r *requestState, response *upstream.Response) {
+	if response == nil {
+		return
+	}
+	r.ended = answerEnd{framing: response.Framing(), end: response.End()}
+	n.metrics.bodyEnded(r.ended.framing, r.ended.end)
+}
+
+// noteStream is like noteBody for the stream of one run.
+func (t *turnRun) noteStream(response *upstream.Response) {
+	t.node.noteBody(t.request, response)
+	t.request.ended.events, t.request.ended.partialBytes = t.events, len(t.splitter.Rest())
+}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -14,6 +14,7 @@
 
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/upstream"
 )
 
 // Metrics holds the metrics of a node. It is safe for concurrent use.
@@ -88,6 +89,7 @@
 	metricContinued          = "birchwood_edge_streams_continued_total"
 	metricOriginsLost        = "birchwood_edge_stream_origins_unreported_total"
 	metricResumed            = "birchwood_edge_streams_resumed_total"
+	metricBodies             = "birchwood_edge_replica_answers_total"
 )
 
 // latencyBuckets are for latencies that clients see, in seconds.
@@ -287,6 +289,11 @@
 // originNotReported counts a stream whose origin no owner accepted in time.
 func (m *Metrics) originNotReported() { m.set.GetOrCreateCounter(metricOriginsLost).Inc() }
 
+// bodyEnded counts a replica's answer, by its framing and how its body ended.
+func (m *Metrics) bodyEnded(framing upstream.Framing, end upstream.BodyEnd) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{framing=%q,end=%q}", metricBodies, framing, end)).Inc()
+}
+
 // streamResumed counts a request that resumes a stream, by the status of its answer.
 func (m *Metrics) streamResumed(status string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("%s{status=%q}", metricResumed, status)).Inc()
--- a/edge/request.go
+++ b/edge/request.go
@@ -62,6 +62,8 @@
 	status           int
 	reason           string
 	timeToFirstEvent time.Duration
+	// ended is how the body of the last replica's answer ended.
+	ended answerEnd
 	// queuedFor is how long the request was queued at this node.
 	queuedFor time.Duration
 	// cause is why the request was refused, and retryAfter the delay that its caller was
--- a/edge/run.go
+++ b/edge/run.go
@@ -25,6 +25,8 @@
 	grant   grant
 
 	splitter eventstream.Splitter
+	// events counts the complete events of the current run.
+	events int
 	// lastEvent is the id of the last event that was sent to the client or held for it.
 	lastEvent    int64
 	hasLastEvent bool
@@ -158,6 +160,7 @@
 func (t *turnRun) relayFailure(entry replica.Entry, response *upstream.Response) bool {
 	r, n := t.request, t.node
 	body, err := response.ReadAll()
+	n.noteBody(r, response)
 	if err != nil || !n.mayRelay(response) {
 		return t.afterFailure(entry, err)
 	}
@@ -184,7 +187,8 @@
 
 // relay relays the stream event by event and completes the answer.
 func (t *turnRun) relay(ctx context.Context, response *upstream.Response) error {
-	t.splitter = eventstream.Splitter{}
+	t.splitter, t.events = eventstream.Splitter{}, 0
+	defer t.noteStream(response)
 	piece := make([]byte, pieceBytes)
 	for {
 		read, err := response.Read(piece)
@@ -209,6 +213,7 @@
 		if !whole {
 			return nil
 		}
+		t.events++
 		if event.HasID && t.hasLastEvent && event.ID <= t.lastEvent {
 			continue
 		}
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net/http/httputil"
@@ -27,15 +28,17 @@
 	// skippedAnswers is set if answers to other requests preceded this one.
 	skippedAnswers bool
 	body           io.Reader
-	// complete is set once the body was read up to an unambiguous end.
-	complete bool
+	end            BodyEnd
 }
 
 // Status returns the status code.
 func (r *Response) Status() int { return r.Header.StatusCode() }
 
-// length returns the length of the body: -1 if it is chunked, -2 if it ends
-// when the connection closes.
+// chunkedLength is the length of a chunked body. That of a body that ends when the
+// connection closes is also negative.
+const chunkedLength = -1
+
+// length returns the length of the body, which is negative if its head has none.
 func (r *Response) length() int {
 	if r.bodiless() {
 		return 0
@@ -55,7 +58,7 @@
 // *UnknownError: the body was truncated or too large.
 func (r *Response) ReadAll() ([]byte, error) {
 	limit := r.pool.config.BodyBytes
-	body, err := io.ReadAll(io.LimitReader(r.reader(), int64(limit)+1))
+	body, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
 	if err == nil && len(body) > limit {
 		err = ErrTooLarge
 	}
@@ -69,7 +72,11 @@
 
 // Read implements io.Reader. It yields the body as it arrives, and io.EOF only
 // after an unambiguous end.
-func (r *Response) Read(into []byte) (int, error) { return r.reader().Read(into) }
+func (r *Response) Read(into []byte) (int, error) {
+	read, err := r.reader().Read(into)
+	r.noteEnd(err)
+	return read, err
+}
 
 // reader returns a reader of the body without its framing.
 func (r *Response) reader() io.Reader {
@@ -80,29 +87,28 @@
 }
 
 func (r *Response) newReader() io.Reader {
-	switch length := r.length(); {
-	case length == -1:
-		return &chunkedBody{response: r, chunks: httputil.NewChunkedReader(r.conn.reader)}
-	case length < 0:
-		return &untilCloseBody{response: r}
+	switch r.Framing() {
+	case FramingChunks:
+		return &chunkedBody{connection: r.conn.reader, chunks: httputil.NewChunkedReader(r.conn.reader)}
+	case FramingClose:
+		return r.conn.reader
 	default:
-		return &sizedBody{response: r, remaining: length}
+		return &sizedBody{connection: r.conn.reader, remaining: r.length()}
 	}
 }
 
 // sizedBody reads a body of a known length.
 type sizedBody struct {
-	response  *Response
-	remaining int
+	connection io.Reader
+	remaining  int
 }
 
 // Read implements io.Reader.
 func (b *sizedBody) Read(into []byte) (int, error) {
 	if b.remaining == 0 {
-		b.response.complete = true
 		return 0, io.EOF
 	}
-	read, err := b.response.conn.reader.Read(into[:min(len(into), b.remaining)])
+	read, err := b.connection.Read(into[:min(len(into), b.remaining)])
 	b.remaining -= read
 	if err == io.EOF {
 		err = io.ErrUnexpectedEOF
@@ -110,32 +116,26 @@
 	return read, err
 }
 
-// untilCloseBody reads a body that ends when the connection closes. A reset is
-// an error, not an end.
-type untilCloseBody struct{ response *Response }
-
-// Read implements io.Reader.
-func (b *untilCloseBody) Read(into []byte) (int, error) { return b.response.conn.reader.Read(into) }
-
 // chunkedBody reads a chunked body, including its last chunk and trailer.
 type chunkedBody struct {
-	response *Response
-	chunks   io.Reader
+	connection *bufio.Reader
+	chunks     io.Reader
+	ended      bool
 }
 
 // Read implements io.Reader.
 func (b *chunkedBody) Read(into []byte) (int, error) {
-	if b.response.complete {
+	if b.ended {
 		return 0, io.EOF
 	}
 	read, err := b.chunks.Read(into)
 	if err != io.EOF {
 		return read, err
 	}
-	if err := header.SkipTrailer(b.response.conn.reader); err != nil {
+	if err := header.SkipTrailer(b.connection); err != nil {
 		return read, err
 	}
-	b.response.complete = true
+	b.ended = true
 	return read, io.EOF
 }
 
@@ -150,7 +150,7 @@
 	connection := r.conn
 	r.conn = nil
 	_ = r.cancel.bind(nil, time.Time{})
-	if !r.complete || !r.requestWritten() || r.skippedAnswers || r.Header.ConnectionClose() || r.cancel.Cause() != nil {
+	if r.end != EndDelimited || !r.requestWritten() || r.skippedAnswers || r.Header.ConnectionClose() || r.cancel.Cause() != nil {
 		_ = connection.Close()
 		return
 	}
