edge: a stream that ends inside an event was broken off

Cause: turnRun.complete took every io.EOF of a replica's body for the end of the stream, and wrote what followed the last event to the client. The run counted as answered, so the broken turn was stored, and nothing else ran.

Change: an end inside an event, in any framing, is a failure of the run.

--- a/edge/ending.go
+++ b/edge/ending.go
@@ -1,6 +1,9 @@
 package edge
 
 import (
+	"errors"
+	"io"
+
 	"github.com/phuslu/log"
 
 	"birchwood.example/birchwood/upstream"
@@ -35,6 +38,22 @@
 	n.metrics.bodyEnded(r.ended.framing, r.ended.end)
 }
 
+// errInsideEvent means that a stream ended inside an event, in whatever framing.
+var errInsideEvent = errors.New("the stream ended inside an event")
+
+// checkEnd decides whether a stream is whole, after the error that ended its body. It returns
+// nil if it is, and otherwise why it counts as broken off.
+func (t *turnRun) checkEnd(err error) error {
+	switch {
+	case err != io.EOF:
+		return err
+	case len(t.splitter.Rest()) > 0:
+		return errInsideEvent
+	default:
+		return nil
+	}
+}
+
 // noteStream is like noteBody for the stream of one run.
 func (t *turnRun) noteStream(response *upstream.Response) {
 	t.node.noteBody(t.request, response)
--- a/edge/run.go
+++ b/edge/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"slices"
 	"strconv"
 	"time"
@@ -197,12 +196,13 @@
 		if relayErr := t.relayEvents(ctx, response); relayErr != nil {
 			return relayErr
 		}
-		if err == io.EOF {
-			return t.complete(ctx, response)
+		if err == nil {
+			continue
 		}
-		if err != nil {
+		if err := t.checkEnd(err); err != nil {
 			return err
 		}
+		return t.complete(ctx, response)
 	}
 }
 
@@ -319,11 +319,6 @@
 			return err
 		}
 	}
-	if rest := t.splitter.Rest(); len(rest) > 0 {
-		if err := t.writeOrHold(rest); err != nil {
-			return err
-		}
-	}
 	if r.route.Retain {
 		r.status = response.Status()
 		if err := t.store(ctx); err != nil {
