upstream, edge: an end by close counts as the end of an answer only if the replica lives on

What callers saw: a short plain answer, or a stream that ended between two events, as complete, where the replica's process had been killed.

Cause: Response.Read promised io.EOF only after an unambiguous end, but passed on the connection's for bodies with neither a length nor chunks. A process that is killed closes its connections in the same order as one that has answered.

Change: the end of such a body is an error of its own, ErrClosed, so that no caller can take it for io.EOF. The connection replaces the one that closed in the pool, so that the next request opens none. A stream that brought no event does not count as answered by a close at all. Bodies of answers that say that nothing was run are not confirmed; their head is enough.

--- a/edge/call.go
+++ b/edge/call.go
@@ -118,10 +118,15 @@
 func (n *Node) performCall(attempt *callAttempt, request *upstream.Request) callResult {
 	response, err := n.pool.Send(targetOf(attempt.choice.Entry), request, attempt.cancel)
 	result := callResult{attempt: attempt, response: response, err: err}
-	if err == nil {
-		n.observeColdStatus(attempt.choice.Entry.ID, response)
-		result.body, result.err = response.ReadAll()
+	if err != nil {
+		return result
+	}
+	n.observeColdStatus(attempt.choice.Entry.ID, response)
+	if n.notExecuted(response) {
+		response.Discard()
+		return result
 	}
+	result.body, result.err = response.ReadAll()
 	return result
 }
 
--- a/edge/ending.go
+++ b/edge/ending.go
@@ -38,19 +38,30 @@
 	n.metrics.bodyEnded(r.ended.framing, r.ended.end)
 }
 
-// errInsideEvent means that a stream ended inside an event, in whatever framing.
-var errInsideEvent = errors.New("the stream ended inside an event")
+// Errors of streams that were broken off although their connection ended in order.
+var (
+	// errInsideEvent means that the stream ended inside an event, in whatever framing.
+	errInsideEvent = errors.New("the stream ended inside an event")
+	// errNoEvent means that only the end of the connection ended the stream, before any
+	// event.
+	errNoEvent = errors.New("the stream ended before its first event")
+)
 
 // checkEnd decides whether a stream is whole, after the error that ended its body. It returns
 // nil if it is, and otherwise why it counts as broken off.
-func (t *turnRun) checkEnd(err error) error {
+func (t *turnRun) checkEnd(response *upstream.Response, err error) error {
+	byClose := errors.Is(err, upstream.ErrClosed)
 	switch {
-	case err != io.EOF:
+	case err != io.EOF && !byClose:
 		return err
 	case len(t.splitter.Rest()) > 0:
 		return errInsideEvent
-	default:
+	case !byClose:
 		return nil
+	case t.events == 0 && !t.hasLastEvent:
+		return errNoEvent
+	default:
+		return response.ConfirmEnd()
 	}
 }
 
--- a/edge/run.go
+++ b/edge/run.go
@@ -116,7 +116,7 @@
 	}
 	n.observeColdStatus(entry.ID, response)
 	if n.notExecuted(response) {
-		_, _ = response.ReadAll()
+		response.Discard()
 		n.attemptRejected(r, entry, replica.ResultRejected)
 		return false
 	}
@@ -199,7 +199,7 @@
 		if err == nil {
 			continue
 		}
-		if err := t.checkEnd(err); err != nil {
+		if err := t.checkEnd(response, err); err != nil {
 			return err
 		}
 		return t.complete(ctx, response)
--- a/upstream/doc.go
+++ b/upstream/doc.go
@@ -9,6 +9,10 @@
 // connection that the replica has closed, or that has unread bytes of another
 // answer, is discarded.
 //
+// An answer may have neither a length nor chunks and end with its connection. That
+// end is an error of its own, ErrClosed, never io.EOF: a replica that was killed
+// midway closes its connections in the same way.
+//
 // Late answers to other requests that arrive in place of the expected one are
 // recognised by the request id that replicas echo, and skipped.
 package upstream
--- a/upstream/framing.go
+++ b/upstream/framing.go
@@ -1,6 +1,9 @@
 package upstream
 
-import "io"
+import (
+	"errors"
+	"io"
+)
 
 // Framing is how an answer delimits its body.
 type Framing string
@@ -22,9 +25,11 @@
 	EndOpen BodyEnd = "open"
 	// EndDelimited means that the whole body was read, by its length or its last chunk.
 	EndDelimited BodyEnd = "delimited"
-	// EndClosed means that the replica's side closed the connection in order, and that
-	// nothing else delimits the body. A replica that ended midway looks the same.
-	EndClosed BodyEnd = "closed"
+	// EndClosed means that the body ended with ErrClosed. ConfirmEnd replaces it by
+	// EndConfirmed or EndUnconfirmed.
+	EndClosed      BodyEnd = "closed"
+	EndConfirmed   BodyEnd = "confirmed"
+	EndUnconfirmed BodyEnd = "unconfirmed"
 	// EndBroken means that reading the body failed.
 	EndBroken BodyEnd = "broken"
 )
@@ -48,11 +53,26 @@
 func (r *Response) noteEnd(err error) {
 	switch {
 	case err == nil:
-	case err != io.EOF:
-		r.end = EndBroken
-	case r.Framing() == FramingClose:
+	case err == io.EOF:
+		r.end = EndDelimited
+	case errors.Is(err, ErrClosed):
 		r.end = EndClosed
 	default:
-		r.end = EndDelimited
+		r.end = EndBroken
+	}
+}
+
+// ConfirmEnd decides whether a body that ended with ErrClosed is whole, and returns nil if
+// it is. The connections of a process that is killed close in order as well, but then
+// nothing accepts new ones; a replica that does has ended its answer itself. The connection
+// that shows it replaces the closed one in the pool. Errors are of type *UnknownError.
+func (r *Response) ConfirmEnd() error {
+	connection, err := r.pool.dial(r.to, r.deadline)
+	if err != nil {
+		r.end = EndUnconfirmed
+		return &UnknownError{Stage: "confirm the end of the body", Cause: err}
 	}
+	r.end = EndConfirmed
+	r.pool.put(r.to, connection)
+	return nil
 }
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -25,6 +25,8 @@
 	conn        *conn
 	cancel      *Cancel
 	writeResult <-chan error
+	// deadline is the time by which the exchange has to end.
+	deadline time.Time
 	// skippedAnswers is set if answers to other requests preceded this one.
 	skippedAnswers bool
 	body           io.Reader
@@ -54,14 +56,22 @@
 // ErrTooLarge means that a body exceeds Config.BodyBytes.
 var ErrTooLarge = errors.New("the answer is too large")
 
+// ErrClosed means that the replica's side closed the connection in order under a body
+// that nothing else delimits. The replica either ended its answer or ended itself in
+// the middle of it; ConfirmEnd decides between the two.
+var ErrClosed = errors.New("the connection closed under a body without a length")
+
 // ReadAll reads the complete body and ends the exchange. Its errors are of type
-// *UnknownError: the body was truncated or too large.
+// *UnknownError: the body was truncated or too large, or its end is not confirmed.
 func (r *Response) ReadAll() ([]byte, error) {
 	limit := r.pool.config.BodyBytes
 	body, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
 	if err == nil && len(body) > limit {
 		err = ErrTooLarge
 	}
+	if errors.Is(err, ErrClosed) {
+		err = r.ConfirmEnd()
+	}
 	if err != nil {
 		r.Abort()
 		return nil, &UnknownError{Stage: "read body", Cause: cancelCauseOr(r.cancel, err)}
@@ -70,8 +80,17 @@
 	return body, nil
 }
 
-// Read implements io.Reader. It yields the body as it arrives, and io.EOF only
-// after an unambiguous end.
+// Discard ends an exchange whose body is not needed.
+func (r *Response) Discard() {
+	if r.Framing() == FramingClose {
+		r.Abort()
+		return
+	}
+	_, _ = r.ReadAll()
+}
+
+// Read implements io.Reader. It yields the body as it arrives. io.EOF means that the
+// framing ended the body; a body without a length ends with ErrClosed.
 func (r *Response) Read(into []byte) (int, error) {
 	read, err := r.reader().Read(into)
 	r.noteEnd(err)
@@ -91,7 +110,7 @@
 	case FramingChunks:
 		return &chunkedBody{connection: r.conn.reader, chunks: httputil.NewChunkedReader(r.conn.reader)}
 	case FramingClose:
-		return r.conn.reader
+		return &untilCloseBody{connection: r.conn.reader}
 	default:
 		return &sizedBody{connection: r.conn.reader, remaining: r.length()}
 	}
@@ -116,6 +135,18 @@
 	return read, err
 }
 
+// untilCloseBody reads a body that ends when the connection closes.
+type untilCloseBody struct{ connection io.Reader }
+
+// Read implements io.Reader.
+func (b *untilCloseBody) Read(into []byte) (int, error) {
+	read, err := b.connection.Read(into)
+	if err == io.EOF {
+		err = ErrClosed
+	}
+	return read, err
+}
+
 // chunkedBody reads a chunked body, including its last chunk and trailer.
 type chunkedBody struct {
 	connection *bufio.Reader
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -45,7 +45,7 @@
 		_ = connection.Close()
 		return nil, &NotSentError{Cause: err}
 	}
-	response := &Response{pool: p, to: to, conn: connection, cancel: cancel, end: EndOpen}
+	response := &Response{pool: p, to: to, conn: connection, cancel: cancel, deadline: request.Deadline, end: EndOpen}
 	response.writeResult = writeRequest(connection.writer, request)
 	if err := response.readHead(request.ID); err != nil {
 		response.Abort()
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -22,7 +22,8 @@
 
 // scriptedReplica answers each request, on any connection, with the next script,
 // which it writes unchanged. The script "close" closes the connection and "reset"
-// resets it; the suffix "!close" closes it after the script is written.
+// resets it; the suffix "!close" closes it after the script is written, and "!end" also
+// stops listening before.
 type scriptedReplica struct {
 	listener net.Listener
 	// heads receives each request's head and body, connections each accepted
@@ -34,7 +35,7 @@
 func startReplica(scripts ...string) *scriptedReplica {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
+	DeferCleanup(func() { _ = listener.Close() })
 	started := &scriptedReplica{listener: listener, heads: make(chan string, 16), connections: make(chan net.Conn, 16)}
 	pending := make(chan string, len(scripts))
 	for _, script := range scripts {
@@ -83,8 +84,11 @@
 			_ = socket.Close()
 			return
 		default:
-			closes := strings.HasSuffix(script, "!close")
-			_, _ = io.WriteString(socket, strings.TrimSuffix(script, "!close"))
+			text, ending, closes := strings.Cut(script, "!")
+			_, _ = io.WriteString(socket, text)
+			if ending == "end" {
+				_ = s.listener.Close()
+			}
 			if closes {
 				_ = socket.Close()
 				return
@@ -143,6 +147,38 @@
 		Expect(upstream.NotSent(err)).To(BeTrue())
 	})
 
+	It("takes an answer that ends with its connection for whole if the replica accepts another", func() {
+		replica := startReplica("HTTP/1.1 200 OK\r\nTest-Id: 1\r\n\r\nwhole!close", sized("2", "two"))
+		body, response, err := send(pool, replica, "1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal("whole"))
+		Expect(response.Framing()).To(Equal(upstream.FramingClose))
+		Expect(response.End()).To(Equal(upstream.EndConfirmed))
+		body, _, err = send(pool, replica, "2")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal("two"))
+		opened, _ := pool.Counts()
+		Expect(opened).To(Equal(uint64(2)), "the connection that confirmed the end is used")
+	})
+
+	It("does not take an answer that ends with its connection for whole if the replica has ended", func() {
+		replica := startReplica("HTTP/1.1 200 OK\r\nTest-Id: 1\r\n\r\nhalf!end")
+		_, _, err := send(pool, replica, "1")
+		var unknown *upstream.UnknownError
+		Expect(errors.As(err, &unknown)).To(BeTrue())
+		Expect(upstream.NotSent(err)).To(BeFalse())
+	})
+
+	It("never ends a body without a length with io.EOF", func() {
+		replica := startReplica("HTTP/1.1 200 OK\r\nTest-Id: 1\r\n\r\nhalf!close")
+		response, err := pool.Send(replica.target(), newRequest("1"), &upstream.Cancel{})
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Abort()
+		_, err = io.Copy(io.Discard, response)
+		Expect(err).To(MatchError(upstream.ErrClosed))
+		Expect(response.End()).To(Equal(upstream.EndClosed))
+	})
+
 	DescribeTable("says that the request may have run when the answer breaks off",
 		func(script string) {
 			_, _, err := send(pool, startReplica(script), "1")
