edge: a run that sent no event does not bind its stream to a version

What callers saw: 502 for a stream of which nothing had been sent, when the replicas of the version that began it ended before their first event while others served.

Cause: bindOrigin ran at the head of the replica's answer, before any event.

Evidence: the spec with two replicas of a version that are killed after the head got 502 before, and is served whole by the other version now.

Change: the origin is bound with the first event. Its report to the owner begins then too; the first event waits for it as before, 50 ms at most, where replicas of several versions serve.

--- a/edge/resume.go
+++ b/edge/resume.go
@@ -154,9 +154,9 @@
 	return &ledger.Stream{Attempt: r.turnID(), Origin: *r.origin}
 }
 
-// bindOrigin makes the replica that sends the first event of a stream its origin, and reports
-// it to the owner. The returned channel is closed once the owner is informed; it is nil if
-// there is nothing to report.
+// bindOrigin makes the replica that sent the first event of a stream its origin, and reports
+// it to the owner. It does nothing if the stream has an origin. The returned channel is closed
+// once the owner is informed; it is nil if there is nothing to report.
 func (n *Node) bindOrigin(r *requestState, entry replica.Entry) (reported <-chan struct{}) {
 	if r.origin != nil || !r.route.Resumable {
 		return nil
--- a/edge/run.go
+++ b/edge/run.go
@@ -124,9 +124,6 @@
 	if response.Status() != fasthttp.StatusOK || !n.mayRelay(response) {
 		return t.relayFailure(entry, response)
 	}
-	if reported := n.bindOrigin(r, entry); reported != nil {
-		t.originReported = reported
-	}
 	if err := t.relay(ctx, response); err != nil {
 		response.Abort()
 		return t.afterFailure(entry, err)
@@ -214,6 +211,9 @@
 			return nil
 		}
 		t.events++
+		if reported := t.node.bindOrigin(t.request, t.lastRun); reported != nil {
+			t.originReported = reported
+		}
 		if event.HasID && t.hasLastEvent && event.ID <= t.lastEvent {
 			continue
 		}
