eventstream: lines end with LF, CR LF or CR alone

What callers saw: a stream whose lines end with CR alone was passed on only at its end; with the rule that an end inside an event breaks a stream off, it would have been broken there.

Cause: the splitter knew LF and CR LF, while the standard of text/event-stream has three line ends.

Change: an event that ends with CR is returned at once. Where the LF of the same line end follows in a later piece, it is returned by itself, so that the bytes of the stream stay as they were.

--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -23,11 +23,15 @@
 	HasData bool
 }
 
-// Splitter splits a stream into events. The zero value is ready to use.
+// Splitter splits a stream into events. Lines end with LF, CR LF or CR alone. The
+// zero value is ready to use.
 type Splitter struct {
 	buffer []byte
 	// start is the offset in buffer of the next event.
 	start int
+	// endedByCR is set if the last event ended with a CR that the stream may continue with
+	// the LF of the same line end.
+	endedByCR bool
 }
 
 // Write appends bytes of the stream.
@@ -39,18 +43,30 @@
 	s.buffer = append(s.buffer, piece...)
 }
 
-// Next returns the next complete event, or false if there is none yet.
+// Next returns the next complete event, or false if there is none yet. An event that
+// ends with CR is returned without waiting for an LF; if one follows, it is returned as
+// an event of its own, without fields.
 func (s *Splitter) Next() (Event, bool) {
 	rest := s.buffer[s.start:]
+	if len(rest) == 0 {
+		return Event{}, false
+	}
+	if s.endedByCR && rest[0] == '\n' {
+		s.endedByCR = false
+		s.start++
+		return Event{Raw: rest[:1]}, true
+	}
 	length := eventLength(rest)
 	if length == 0 {
 		return Event{}, false
 	}
 	s.start += length
+	s.endedByCR = rest[length-1] == '\r'
 	return parse(rest[:length]), true
 }
 
-// Rest returns the bytes after the last event that Next returned.
+// Rest returns the bytes after the last event that Next returned. They are part of an
+// event that is not complete.
 func (s *Splitter) Rest() []byte { return s.buffer[s.start:] }
 
 // eventLength returns the length of the first event in raw, including its blank
@@ -58,35 +74,53 @@
 func eventLength(raw []byte) int {
 	length := 0
 	for {
-		end := bytes.IndexByte(raw[length:], '\n')
-		if end < 0 {
+		line, end := cutLine(raw[length:])
+		if end == 0 {
 			return 0
 		}
-		line := raw[length : length+end]
-		length += end + 1
-		if len(bytes.TrimSuffix(line, []byte("\r"))) == 0 {
+		length += end
+		if len(line) == 0 {
 			return length
 		}
 	}
 }
 
+// cutLine returns the first line of raw without its line end, and the length of both; 0 if
+// the line is not complete. A CR that ends raw completes its line.
+func cutLine(raw []byte) (line []byte, length int) {
+	end := bytes.IndexAny(raw, "\r\n")
+	if end < 0 {
+		return nil, 0
+	}
+	length = end + 1
+	if raw[end] == '\r' && length < len(raw) && raw[length] == '\n' {
+		length++
+	}
+	return raw[:end], length
+}
+
 func parse(raw []byte) Event {
 	event := Event{Raw: raw}
-	for line := range bytes.Lines(raw) {
-		line = bytes.TrimRight(line, "\r\n")
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		value = bytes.TrimPrefix(value, []byte(" "))
-		switch string(name) {
-		case "id":
-			id, err := strconv.ParseInt(string(value), 10, 64)
-			event.ID, event.HasID = id, err == nil
-		case "data":
-			if event.HasData {
-				event.Data = append(event.Data, '\n')
-			}
-			event.Data = append(event.Data, value...)
-			event.HasData = true
-		}
+	for line, length := cutLine(raw); length > 0; line, length = cutLine(raw) {
+		raw = raw[length:]
+		event.addField(line)
 	}
 	return event
 }
+
+// addField adds a line of the event.
+func (e *Event) addField(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		id, err := strconv.ParseInt(string(value), 10, 64)
+		e.ID, e.HasID = id, err == nil
+	case "data":
+		if e.HasData {
+			e.Data = append(e.Data, '\n')
+		}
+		e.Data = append(e.Data, value...)
+		e.HasData = true
+	}
+}
