httpclient: a line that broke off is not given to the caller

What callers saw: the last line of an answer of an engine or of another node, cut at any byte, as a whole line, where its framing or the end of the connection ended it. Cut JSON fails to decode in most places, but not a number.

Cause: bufio.ScanLines returns what follows the last line break as a line.

Evidence: a table over the framings; all five entries fail before.

Change: lines need their line break; without it Lines returns io.ErrUnexpectedEOF.

--- a/httpclient/client_test.go
+++ b/httpclient/client_test.go
@@ -165,4 +165,25 @@
 		Expect(lines).To(Equal([]string{`{"a"}`}))
 		Eventually(disconnected).WithTimeout(5 * time.Second).Should(BeClosed())
 	}, SpecTimeout(10*time.Second))
+
+	DescribeTable("does not give a line that broke off, in any framing",
+		func(ctx SpecContext, answer string) {
+			s := serve(func(connection net.Conn) bool {
+				reply(connection, answer)
+				return false
+			})
+			var lines []string
+			err := s.client().Lines(ctx, "/", nil, func(line []byte) error {
+				lines = append(lines, string(line))
+				return nil
+			})
+			Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+			Expect(lines).To(Equal([]string{"12"}))
+		},
+		Entry("chunks", streamHead+"3\r\n12\n\r\n1\r\n3\r\n0\r\n\r\n", SpecTimeout(10*time.Second)),
+		Entry("chunks without the last one", streamHead+"3\r\n12\n\r\n1\r\n3\r\n", SpecTimeout(10*time.Second)),
+		Entry("a length", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n12\n3", SpecTimeout(10*time.Second)),
+		Entry("a length that is not reached", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n12\n3", SpecTimeout(10*time.Second)),
+		Entry("the end of the connection", "HTTP/1.1 200 OK\r\n\r\n12\n3", SpecTimeout(10*time.Second)),
+	)
 })
--- a/httpclient/stream.go
+++ b/httpclient/stream.go
@@ -77,12 +77,14 @@
 }
 
 // scanLines calls onLine for each line and receive for each line that is not
-// empty.
+// empty. It returns io.ErrUnexpectedEOF if the last line has no line break: an answer
+// that broke off may end inside a line, at a place where it can be read as a shorter one.
 func scanLines(reader io.Reader, onLine func(), receive func(line []byte) error) error {
 	buffer := lineBuffers.Get().(*[lineBufferSize]byte)
 	defer lineBuffers.Put(buffer)
 	scanner := bufio.NewScanner(reader)
 	scanner.Buffer(buffer[:0], maxLineBytes)
+	scanner.Split(splitLine)
 	for scanner.Scan() {
 		onLine()
 		line := bytes.TrimSpace(scanner.Bytes())
@@ -95,3 +97,14 @@
 	}
 	return scanner.Err()
 }
+
+// splitLine is a bufio.SplitFunc for lines, each of which must have its line break.
+func splitLine(data []byte, atEOF bool) (advance int, line []byte, err error) {
+	if end := bytes.IndexByte(data, '\n'); end >= 0 {
+		return end + 1, data[:end], nil
+	}
+	if atEOF && len(data) > 0 {
+		return 0, nil, io.ErrUnexpectedEOF
+	}
+	return 0, nil, nil
+}
