edge: a stream whose events have no ids is not joined with another run

What callers saw: events twice within one answer, where a resumable route's replica sent events without ids and broke off.

Cause: another run followed whenever the route was resumable; without an id it began anew, behind what had been sent.

Change: once an event with data but without an id was sent or held, a run that breaks off ends the answer, without its last chunk.

--- a/edge/run.go
+++ b/edge/run.go
@@ -29,6 +29,9 @@
 	// lastEvent is the id of the last event that was sent to the client or held for it.
 	lastEvent    int64
 	hasLastEvent bool
+	// unnumbered is set once an event with data but without an id was sent or held: no other
+	// run can resume the stream after it.
+	unnumbered bool
 	// output is the part of the answer that the engine reads before the next turn.
 	output []byte
 	// runs counts the runs that may have begun.
@@ -234,6 +237,7 @@
 		}
 	}
 	if event.HasData {
+		t.unnumbered = t.unnumbered || !event.HasID
 		r.tokens += t.tokensPerEvent()
 		t.times.note(t.lastReadAt, r.tokens)
 		if r.route.Retain {
@@ -379,7 +383,7 @@
 		return true
 	}
 	n.replicas.ended(entry.ID, replica.ResultFailed)
-	if !r.route.Repeatable() || t.runs >= maximumRuns {
+	if !r.route.Repeatable() || t.unnumbered || t.runs >= maximumRuns {
 		r.fail(fasthttp.StatusBadGateway, failureReason(err), 0)
 		return true
 	}
