soak: replicas that end answers early, in any framing

Answers of the soak's replicas were chunked, or had a length, and broke off by a reset. Now half of them are framed otherwise, and beside half of the drawn faults three replicas end answers early: after any byte, with a length, chunks or the end of the connection, in order inside an event, by a reset, by being killed, or with the framing completed inside an event. Clients continue half of the turns that broke off; the checker accepts the whole turn (a node may have stored what its client lost) and nothing else. The cuts are drawn apart from the other faults, and within them, so that schedules and fault-free periods stay as they were.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -103,7 +103,7 @@
 	for index, replica := range s.replicas {
 		for _, target := range fault.Targets {
 			switch fault.Kind {
-			case Release, ReplicaDrain, ReplicaKill, ReplicaFault, ReplicaSlow:
+			case Release, ReplicaDrain, ReplicaKill, ReplicaFault, ReplicaSlow, ReplicaCut:
 				if target == index {
 					matching = append(matching, replica)
 				}
@@ -292,6 +292,12 @@
 		replicaProxy.setDelay(slowReplicaDelay)
 	case kind == ReplicaSlow:
 		replicaProxy.setDelay(0)
+	case kind == ReplicaCut && delta > 0:
+		cuts := &standin.Cuts{}
+		cuts.Add(s.drawCuts(replica)...)
+		replica.SetCuts(cuts)
+	case kind == ReplicaCut:
+		replica.SetCuts(nil)
 	case kind == ReplicaFault:
 		// Faults that are not used up when the fault ends are cancelled.
 		faulty := faultyAnswerCount * max(0, delta)
--- a/soak/load.go
+++ b/soak/load.go
@@ -244,6 +244,7 @@
 		case http.StatusPaymentRequired, http.StatusUnauthorized, http.StatusNotFound, http.StatusBadRequest:
 			return turn.ID, over
 		}
+		s.continueBroken(ctx, turn)
 		turn.Resumes, turn.After = resumption(turn, answer)
 		if !sleep(ctx, s.randomDuration(100*time.Millisecond, 400*time.Millisecond)) {
 			return turn.ID, over
--- a/soak/promise/checker.go
+++ b/soak/promise/checker.go
@@ -215,29 +215,40 @@
 			return
 		}
 	}
-	if want := c.chainBefore(ran) + ran.Body; body != want {
-		c.addBreach(at, Chain, ran, "", fmt.Sprintf("a replica got %q, want %q", shorten(body), shorten(want)))
+	if !slices.ContainsFunc(c.writersOf(ran.Previous), func(version string) bool { return body == c.chainBefore(ran, version)+ran.Body }) {
+		c.addBreach(at, Chain, ran, "", fmt.Sprintf("a replica got %q, want %q", shorten(body), shorten(c.chainBefore(ran, c.writersOf(ran.Previous)[0])+ran.Body)))
 	}
 }
 
-// chainBefore returns the inputs and outputs of all previous turns in the chain of a turn.
-func (c *Checker) chainBefore(turn *request) string {
+// writersOf returns the versions that may have written the output of a turn: the one that its
+// client saw, or any if the answer broke off before the first event.
+func (c *Checker) writersOf(turn string) []string {
+	written := c.requests[turn]
+	if written == nil || written.complete || len(written.streamVersions) > 0 {
+		return []string{written.version()}
+	}
+	return c.allVersions
+}
+
+// chainBefore returns the inputs and outputs of all previous turns in the chain of a turn, the
+// last of which a replica of the given version wrote.
+func (c *Checker) chainBefore(turn *request, version string) string {
 	previous := c.requests[turn.Previous]
 	if turn.Previous == "" || previous == nil {
 		return ""
 	}
 	var text strings.Builder
-	text.WriteString(c.chainBefore(previous))
+	text.WriteString(c.chainBefore(previous, c.writersOf(previous.Previous)[0]))
 	text.WriteString(previous.Body)
 	for event := 1; event <= previous.Events; event++ {
-		text.WriteString(EventData(previous.ID, previous.version(), event) + "\n")
+		text.WriteString(EventData(previous.ID, version, event) + "\n")
 	}
 	return text.String()
 }
 
 // version returns the version that wrote the events of the stream, or "" if they name none.
 func (r *request) version() string {
-	if len(r.streamVersions) == 0 {
+	if r == nil || len(r.streamVersions) == 0 {
 		return ""
 	}
 	return r.streamVersions[0]
--- a/soak/promise/checker_test.go
+++ b/soak/promise/checker_test.go
@@ -240,6 +240,26 @@
 		Expect(w.found).To(Equal([]promise.Promise{promise.Chain, promise.Chain}))
 	})
 
+	It("finds a turn that goes on from a part of one that broke off", func() {
+		broken := func(_ *promise.Sent, _ *promise.Ran, answer *promise.Answered) { answer.Complete, answer.Body = false, "" }
+		first := w.turn("p", "", broken)
+		w.turn("p", first, nil)
+		Expect(w.found).To(BeEmpty(), "the nodes may have stored the whole turn")
+		w.turn("p", first, func(_ *promise.Sent, ran *promise.Ran, _ *promise.Answered) {
+			ran.Body = "in-" + first + first + "-1\n" + "in-" + ran.ID
+		})
+		Expect(w.found).To(Equal([]promise.Promise{promise.Chain}))
+	})
+
+	It("accepts a whole turn of any version where the client saw no event of it", func() {
+		w.observe(0, promise.Serving{Replica: "r", Version: "v2"})
+		first := w.turn("p", "", func(_ *promise.Sent, _ *promise.Ran, answer *promise.Answered) { answer.Complete, answer.Body = false, "" })
+		w.turn("p", first, func(_ *promise.Sent, ran *promise.Ran, _ *promise.Answered) {
+			ran.Body = "in-" + first + promise.EventData(first, "v2", 1) + "\n" + promise.EventData(first, "v2", 2) + "\n" + "in-" + ran.ID
+		})
+		Expect(w.found).To(BeEmpty())
+	})
+
 	It("finds a client's header field that only the system may set", func() {
 		w.observe(0, promise.Sent{ID: "a"}, promise.Ran{ID: "a", Forged: []string{"Hold"}})
 		Expect(w.found).To(Equal([]promise.Promise{promise.ReservedFields}))
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -192,8 +192,11 @@
 	}
 }
 
+// stopAccepting refuses new connections from now on, as a process that was killed does.
+func (p *proxy) stopAccepting() { _ = p.listener.Close() }
+
 func (p *proxy) close() {
-	_ = p.listener.Close()
+	p.stopAccepting()
 	p.mutex.Lock()
 	p.closed = true
 	close(p.changed)
--- a/soak/run.go
+++ b/soak/run.go
@@ -39,11 +39,11 @@
 	options.Replicas = replicaCount
 	if len(options.Faults) == 0 {
 		options.Faults = Schedule(options.Scenario)
-		releases := Releases(options.Scenario)
+		releases, cuts := Releases(options.Scenario), Cuts(options.Scenario, options.Faults)
 		if options.Series {
 			options.Faults = append(options.Faults, Series(options.Scenario, options.Faults)...)
 		}
-		options.Faults = append(options.Faults, releases...)
+		options.Faults = append(append(options.Faults, releases...), cuts...)
 	}
 	run, err := newSoak(options)
 	if err != nil {
@@ -79,7 +79,7 @@
 	}
 	return &soak{
 		options: options, startedAt: time.Now(), folder: folder, host: randomHost(), starter: newStarter(), checker: promise.New(bounds),
-		random: rand.New(rand.NewPCG(options.Seed, 0)), ready: make(map[*process]bool), proxies: make(map[string]*proxy),
+		random: rand.New(rand.NewPCG(options.Seed, 0)), cutRandom: rand.New(rand.NewPCG(options.Seed, cutSalt)), ready: make(map[*process]bool), proxies: make(map[string]*proxy),
 		activeFaults: make(map[Kind]int), keys: keys{next: validKeyCount}, replicas: []*standin.Replica{},
 	}, nil
 }
@@ -100,6 +100,7 @@
 	}()
 	s.load(runCtx)
 	<-faultsDone
+	s.replacing.Wait()
 	return s.verdict(ctx)
 }
 
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -53,6 +53,9 @@
 	ReplicaKill  Kind = "replica-kill"
 	ReplicaFault Kind = "replica-fault"
 	ReplicaSlow  Kind = "replica-slow"
+	// ReplicaCut makes replicas end answers early: after any byte, in any framing, in order, by
+	// a reset, or by being killed.
+	ReplicaCut Kind = "replica-cut"
 )
 
 // Fault is one scheduled fault.
--- a/soak/system.go
+++ b/soak/system.go
@@ -91,14 +91,18 @@
 	// software that began.
 	replaceMutex sync.Mutex
 	releases     int
+	// replacing counts the replacements of killed replicas that are under way.
+	replacing sync.WaitGroup
 
 	mutex sync.Mutex
-	// random drives the load. The faults are drawn from a separate generator.
-	random   *rand.Rand
-	lastID   int
-	ready    map[*process]bool
-	replicas []*standin.Replica
-	proxies  map[string]*proxy
+	// random drives the load, and cutRandom the answers that replicas end early. The faults
+	// are drawn from a separate generator.
+	random    *rand.Rand
+	cutRandom *rand.Rand
+	lastID    int
+	ready     map[*process]bool
+	replicas  []*standin.Replica
+	proxies   map[string]*proxy
 	// activeFaults counts the active faults of the store by kind.
 	activeFaults map[Kind]int
 	storedTurns  []storedTurn
@@ -172,9 +176,10 @@
 	if err != nil {
 		return err
 	}
-	replica.AdvertisedAddress, replica.Echo, replica.OnRun = replicaProxy.address(), true, s.recordRun
+	replica.AdvertisedAddress, replica.Echo, replica.OnRun, replica.OnKill = replicaProxy.address(), true, s.recordRun, s.replicaKilled
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	replica.SetFraming(framings[len(s.proxies)%len(framings)])
 	s.proxies[replica.ID] = replicaProxy
 	return nil
 }
