--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -131,6 +131,28 @@
 		Entry("no HTTP", "what is this\r\n\r\n", 400),
 	)
 
+	DescribeTable("does not handle a request whose body broke off",
+		func(raw string) {
+			handled := make(chan struct{}, 1)
+			_, dial := startServer(limits, func(exchange *ingress.Exchange) {
+				handled <- struct{}{}
+				echo(exchange)
+			})
+			socket := dial()
+			_, err := io.WriteString(socket, "POST /a HTTP/1.1\r\nHost: h\r\n"+raw)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(socket.(*net.TCPConn).CloseWrite()).To(Succeed())
+			answer, err := io.ReadAll(socket)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer).To(BeEmpty())
+			Expect(handled).To(BeEmpty())
+		},
+		Entry("short of its length", "Content-Length: 5\r\n\r\nhalf"),
+		Entry("in a chunk", "Transfer-Encoding: chunked\r\n\r\n5\r\nhalf"),
+		Entry("before the last chunk", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+		Entry("before the last line of the trailer", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n"),
+	)
+
 	It("answers a request that does not come in time, and closes", func() {
 		short := limits
 		short.HeaderTimeout = time.Millisecond
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -193,6 +193,8 @@
 		Entry("in a body of a known length", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nContent-Length: 9\r\n\r\nhalf!close"),
 		Entry("in a chunk", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf!close"),
 		Entry("before the last chunk", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n!close"),
+		Entry("in the trailer", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nA: b\r\n!close"),
+		Entry("before the last line of the trailer", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n!close"),
 		Entry("with bytes that are no answer", "\x00\x01garbage\r\n\r\n"),
 		Entry("with only another request's answers", sized("7", "x")+sized("8", "x")+sized("9", "x")),
 	)
