--- a/upstream/framing.go
+++ b/upstream/framing.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 )
 
@@ -65,12 +66,12 @@
 // ConfirmEnd decides whether a body that ended with ErrClosed is whole, and returns nil if
 // it is. The connections of a process that is killed close in order as well, but then
 // nothing accepts new ones; a replica that does has ended its answer itself. The connection
-// that shows it replaces the closed one in the pool. Errors are of type *UnknownError.
+// that shows it replaces the closed one in the pool.
 func (r *Response) ConfirmEnd() error {
 	connection, err := r.pool.dial(r.to, r.deadline)
 	if err != nil {
 		r.end = EndUnconfirmed
-		return &UnknownError{Stage: "confirm the end of the body", Cause: err}
+		return fmt.Errorf("the end of the body is not confirmed: %w", err)
 	}
 	r.end = EndConfirmed
 	r.pool.put(r.to, connection)
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -14,8 +14,8 @@
 	"birchwood.example/birchwood/header"
 )
 
-// Response is an answer whose head has been read. Exactly one of ReadAll, Abort
-// or Finish must end it.
+// Response is an answer whose head has been read. Exactly one of ReadAll, Discard,
+// Abort or Finish must end it.
 type Response struct {
 	// Header is the head, with the framing fields as the replica sent them.
 	Header fasthttp.ResponseHeader
@@ -66,10 +66,10 @@
 func (r *Response) ReadAll() ([]byte, error) {
 	limit := r.pool.config.BodyBytes
 	body, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
-	if err == nil && len(body) > limit {
+	switch {
+	case err == nil && len(body) > limit:
 		err = ErrTooLarge
-	}
-	if errors.Is(err, ErrClosed) {
+	case errors.Is(err, ErrClosed):
 		err = r.ConfirmEnd()
 	}
 	if err != nil {
