--- a/soak/promise/checker_test.go
+++ b/soak/promise/checker_test.go
@@ -241,7 +241,9 @@
 	})
 
 	It("finds a turn that goes on from a part of one that broke off", func() {
-		broken := func(_ *promise.Sent, _ *promise.Ran, answer *promise.Answered) { answer.Complete, answer.Body = false, "" }
+		broken := func(_ *promise.Sent, _ *promise.Ran, answer *promise.Answered) {
+			answer.Complete, answer.Body = false, ""
+		}
 		first := w.turn("p", "", broken)
 		w.turn("p", first, nil)
 		Expect(w.found).To(BeEmpty(), "the nodes may have stored the whole turn")
@@ -253,7 +255,9 @@
 
 	It("accepts a whole turn of any version where the client saw no event of it", func() {
 		w.observe(0, promise.Serving{Replica: "r", Version: "v2"})
-		first := w.turn("p", "", func(_ *promise.Sent, _ *promise.Ran, answer *promise.Answered) { answer.Complete, answer.Body = false, "" })
+		first := w.turn("p", "", func(_ *promise.Sent, _ *promise.Ran, answer *promise.Answered) {
+			answer.Complete, answer.Body = false, ""
+		})
 		w.turn("p", first, func(_ *promise.Sent, ran *promise.Ran, _ *promise.Answered) {
 			ran.Body = "in-" + first + promise.EventData(first, "v2", 1) + "\n" + promise.EventData(first, "v2", 2) + "\n" + "in-" + ran.ID
 		})
