--- a/soak/cut.go
+++ b/soak/cut.go
@@ -87,11 +87,7 @@
 	s.record(promise.Disturbance{Scope: replica.ID, Begin: true})
 	s.replacing.Go(func() {
 		time.Sleep(killedEntryTime)
-		if err := s.replaceReplica(replica); err != nil {
-			s.checkerMutex.Lock()
-			s.print("replica not replaced: " + err.Error())
-			s.checkerMutex.Unlock()
-		}
+		s.replaceOrReport(replica)
 		s.record(promise.Disturbance{Scope: replica.ID})
 	})
 }
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -191,11 +191,7 @@
 		sleep(ctx, drainTime)
 	}
 	for _, replica := range replicas {
-		if err := s.replaceReplica(replica); err != nil {
-			s.checkerMutex.Lock()
-			s.print("replica not replaced: " + err.Error())
-			s.checkerMutex.Unlock()
-		}
+		s.replaceOrReport(replica)
 	}
 }
 
@@ -226,6 +222,15 @@
 	}
 }
 
+// replaceOrReport is replaceReplica, with its error in the report of the run.
+func (s *soak) replaceOrReport(old *standin.Replica) {
+	if err := s.replaceReplica(old); err != nil {
+		s.checkerMutex.Lock()
+		defer s.checkerMutex.Unlock()
+		s.print("replica not replaced: " + err.Error())
+	}
+}
+
 // replaceReplica ends a replica and starts another in its place. It does nothing if another
 // fault has already replaced it.
 func (s *soak) replaceReplica(old *standin.Replica) error {
