--- a/soak/promise/checker.go
+++ b/soak/promise/checker.go
@@ -215,9 +215,13 @@
 			return
 		}
 	}
-	if !slices.ContainsFunc(c.writersOf(ran.Previous), func(version string) bool { return body == c.chainBefore(ran, version)+ran.Body }) {
-		c.addBreach(at, Chain, ran, "", fmt.Sprintf("a replica got %q, want %q", shorten(body), shorten(c.chainBefore(ran, c.writersOf(ran.Previous)[0])+ran.Body)))
+	var want string
+	for _, version := range c.writersOf(ran.Previous) {
+		if want = c.chainBefore(ran, version) + ran.Body; body == want {
+			return
+		}
 	}
+	c.addBreach(at, Chain, ran, "", fmt.Sprintf("a replica got %q, want %q", shorten(body), shorten(want)))
 }
 
 // writersOf returns the versions that may have written the output of a turn: the one that its
