--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"birchwood.example/birchwood/platform/standin"
 )
 
 // direction is a direction of traffic through a proxy.
@@ -73,7 +75,7 @@
 	}
 	to, err := net.DialTimeout("tcp", p.target, proxyDialTimeout)
 	if err != nil {
-		reset(from)
+		standin.ResetConnection(from)
 		return
 	}
 	if !p.add(from, to) {
@@ -113,7 +115,7 @@
 		}
 		if size > 0 && !p.isMuted(from) {
 			if _, writeErr := to.Write(buffer[:size]); writeErr != nil {
-				reset(from)
+				standin.ResetConnection(from)
 				return
 			}
 		}
@@ -124,7 +126,7 @@
 			}
 			return
 		case err != nil:
-			reset(to)
+			standin.ResetConnection(to)
 			return
 		}
 	}
@@ -188,7 +190,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for conn := range p.conns {
-		reset(conn)
+		standin.ResetConnection(conn)
 	}
 }
 
@@ -204,11 +206,3 @@
 	p.mutex.Unlock()
 	p.resetAll()
 }
-
-// reset closes a connection with a TCP reset instead of an orderly end.
-func reset(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
