upstream, edge, quarantine: log what became of the replica of a broken run, and which tries belong together

The line of a request's end has a fingerprint now (xxhash of tenant, route, method, target, previous turn and body). A run whose connection the replica's side closed or reset is followed by a check of its process: does it accept a connection, and do its older ones still stand? A line and a counter by process tell the result. The check's connection goes into the pool. No decision changes.

--- a/edge/call.go
+++ b/edge/call.go
@@ -226,6 +226,7 @@
 func (c *callRun) attemptFailed(result callResult) (over bool) {
 	n, r := c.node, c.request
 	entry := result.attempt.choice.Entry
+	n.checkReplica(&brokenRun{request: r, replica: entry, sentAt: result.attempt.sentAt, cause: result.err})
 	if len(c.inFlight) > 0 && r.exchange.Cancel.Cause() == nil {
 		n.replicas.ended(entry.ID, replica.ResultFailed)
 		return false
--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -52,6 +52,9 @@
 	}
 	entry = entry.Str("request", r.id).Str("route", r.routeName()).Uint64("config", r.version).Int("status", r.status).
 		Dur("took", took).Str("reason", r.reason).Str("replica", string(r.choice.Entry.ID)).Int("attempts", r.attempts).Int("repeats", r.repeats)
+	if r.fingerprint != 0 {
+		entry = entry.Str("fingerprint", r.fingerprint.String())
+	}
 	entry = r.ended.log(entry)
 	entry = r.logStream(entry)
 	entry = r.logTenant(entry)
--- a/edge/ending.go
+++ b/edge/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 
 	"github.com/phuslu/log"
@@ -54,12 +55,14 @@
 	switch {
 	case err != io.EOF && !byClose:
 		return err
+	case len(t.splitter.Rest()) > 0 && byClose:
+		return fmt.Errorf("%w: %w", errInsideEvent, err)
 	case len(t.splitter.Rest()) > 0:
 		return errInsideEvent
 	case !byClose:
 		return nil
 	case t.events == 0 && !t.hasLastEvent:
-		return errNoEvent
+		return fmt.Errorf("%w: %w", errNoEvent, err)
 	default:
 		return response.ConfirmEnd()
 	}
--- a/edge/handle.go
+++ b/edge/handle.go
@@ -62,6 +62,7 @@
 		return
 	}
 	request.service = service
+	request.fingerprint = request.identity().Fingerprint()
 	if request.route.Kind == routing.KindStream {
 		n.serveTurn(request, table)
 		return
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -41,6 +41,7 @@
 
 // The names of the metrics, without labels.
 const (
+	metricBrokenRuns         = "birchwood_edge_broken_runs_total"
 	metricAnswers            = "birchwood_edge_answers_total"
 	metricLatency            = "birchwood_edge_request_seconds"
 	metricAppends            = "birchwood_edge_append_seconds"
@@ -289,6 +290,11 @@
 // originNotReported counts a stream whose origin no owner accepted in time.
 func (m *Metrics) originNotReported() { m.set.GetOrCreateCounter(metricOriginsLost).Inc() }
 
+// runBrokeOff counts runs without a whole answer by what became of the replica's process.
+func (m *Metrics) runBrokeOff(process upstream.Process) {
+	m.set.GetOrCreateCounter(metricBrokenRuns + `{process="` + string(process) + `"}`).Inc()
+}
+
 // bodyEnded counts a replica's answer, by its framing and how its body ended.
 func (m *Metrics) bodyEnded(framing upstream.Framing, end upstream.BodyEnd) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("%s{framing=%q,end=%q}", metricBodies, framing, end)).Inc()
--- a/edge/request.go
+++ b/edge/request.go
@@ -11,6 +11,7 @@
 	"birchwood.example/birchwood/dispatch"
 	"birchwood.example/birchwood/ingress"
 	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/quarantine"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/routing"
 	"birchwood.example/birchwood/tenant"
@@ -33,6 +34,8 @@
 	// proofAge is the age of this node's freshness proof of the keys at the time the key
 	// was looked up.
 	proofAge time.Duration
+	// fingerprint is common to all tries of the request.
+	fingerprint quarantine.Fingerprint
 	// constraint limits the zones in which the request may be served and its data stored.
 	constraint zone.Constraint
 	// charge is how the request counts towards its tenant's rate limit; nil where there is
--- a/edge/run.go
+++ b/edge/run.go
@@ -383,6 +383,7 @@
 		return true
 	}
 	n.replicas.ended(entry.ID, replica.ResultFailed)
+	n.checkReplica(&brokenRun{request: r, replica: entry, sentAt: r.sentAt, cause: err})
 	if !r.route.Repeatable() || t.unnumbered || t.runs >= maximumRuns {
 		r.fail(fasthttp.StatusBadGateway, failureReason(err), 0)
 		return true
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -18,6 +18,9 @@
 	raw    syscall.RawConn
 	reader *bufio.Reader
 	writer *bufio.Writer
+	// openedAt is when the connection was opened. forget removes it from those of its replica.
+	openedAt time.Time
+	forget   func()
 	// idleSince is when the last exchange on the connection ended.
 	idleSince time.Time
 	// idleLimit is how long the replica keeps the connection open while idle.
@@ -30,6 +33,8 @@
 		reader:    bufio.NewReaderSize(socket, bufferBytes),
 		writer:    bufio.NewWriterSize(socket, bufferBytes),
 		idleLimit: idleLimit,
+		openedAt:  time.Now(),
+		forget:    func() {},
 	}
 	if descriptor, ok := socket.(syscall.Conn); ok {
 		connection.raw, _ = descriptor.SyscallConn()
@@ -37,6 +42,12 @@
 	return connection
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.forget()
+	return c.Conn.Close()
+}
+
 // reusable reports whether the connection is open and has no unread bytes.
 // Unread bytes belong to an extra answer that no request expects.
 func (c *conn) reusable() bool {
--- a/upstream/framing.go
+++ b/upstream/framing.go
@@ -71,7 +71,7 @@
 	connection, err := r.pool.dial(r.to, r.deadline)
 	if err != nil {
 		r.end = EndUnconfirmed
-		return fmt.Errorf("the end of the body is not confirmed: %w", err)
+		return fmt.Errorf("%w: %w", ErrUnconfirmed, err)
 	}
 	r.end = EndConfirmed
 	r.pool.put(r.to, connection)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -53,9 +53,13 @@
 	reused  uint64
 }
 
-// target holds the idle connections to one replica, the last used one last.
+// target holds the connections to one replica.
 type target struct {
+	// idle are the idle ones, the last used one last, and open all.
 	idle []*conn
+	open map[*conn]struct{}
+	// check is the check of the replica's process that is under way, or nil.
+	check *processCheck
 }
 
 // NewPool returns a pool without connections.
@@ -100,7 +104,7 @@
 func (p *Pool) target(to Target) *target {
 	entry := p.targets[to]
 	if entry == nil {
-		entry = &target{}
+		entry = &target{open: make(map[*conn]struct{})}
 		p.targets[to] = entry
 	}
 	return entry
@@ -150,8 +154,18 @@
 		return nil, err
 	}
 	setUserTimeout(socket, p.config.SilenceTimeout)
-	p.count(&p.opened)
-	return newConn(socket, p.config.IdleLimit), nil
+	connection := newConn(socket, p.config.IdleLimit)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.opened++
+	entry := p.target(to)
+	entry.open[connection] = struct{}{}
+	connection.forget = func() {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		delete(entry.open, connection)
+	}
+	return connection, nil
 }
 
 // put returns a connection to the pool after an exchange that ended cleanly. It
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -61,6 +61,9 @@
 // the middle of it; ConfirmEnd decides between the two.
 var ErrClosed = errors.New("the connection closed under a body without a length")
 
+// ErrUnconfirmed means that ConfirmEnd could not show that the replica ended its answer itself.
+var ErrUnconfirmed = errors.New("the end of the body is not confirmed")
+
 // ReadAll reads the complete body and ends the exchange. Its errors are of type
 // *UnknownError: the body was truncated or too large, or its end is not confirmed.
 func (r *Response) ReadAll() ([]byte, error) {
