edge: a stream that every replica refused leaves nothing counted at a replica

Callers saw: replicas that looked busier than they were, and in the end 'saturated', after streams had been refused by six replicas.

Cause: the bound on attempts was checked after the selection, which had counted the request at a seventh replica; nothing took that back.

The bound is checked first.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -108,12 +108,8 @@
 	return true
 }
 
-// failWithoutReplica ends a request for which no replica is (left) available. A nil error
-// means that every attempt was refused.
+// failWithoutReplica ends a request for which no replica is (left) available.
 func (n *Node) failWithoutReplica(r *requestState, err error, runs int) {
-	if err == nil {
-		err = errAllRefused
-	}
 	reason := err.Error()
 	if runs > 0 {
 		r.fail(fasthttp.StatusBadGateway, reason, 0)
--- a/edge/cold.go
+++ b/edge/cold.go
@@ -218,6 +218,15 @@
 	return r.set.ColdTransitions(now)
 }
 
+// RequestsAtReplicas returns the number of this node's requests that count as in progress at
+// replicas.
+func (n *Node) RequestsAtReplicas() (count int) {
+	for _, requests := range n.replicas.ownRequests() {
+		count += requests
+	}
+	return count
+}
+
 // ColdReplicas returns the number of replicas that this node considers cold.
 func (n *Node) ColdReplicas() int {
 	n.replicas.mutex.Lock()
--- a/edge/run.go
+++ b/edge/run.go
@@ -63,8 +63,12 @@
 	r := t.request
 	defer t.settle()
 	for attempts := 0; ; attempts++ {
+		if attempts >= maximumAttempts || r.timeLeft() <= 0 {
+			t.node.failWithoutReplica(r, errAllRefused, t.runs)
+			return
+		}
 		entry, err := t.node.chooseReplica(r, t.table)
-		if err != nil || attempts >= maximumAttempts || r.timeLeft() <= 0 {
+		if err != nil {
 			t.node.failWithoutReplica(r, err, t.runs)
 			return
 		}
