quarantine: a table of the replicas that ended under requests, merged in any order

A replica counts once, a running one as if it had ended. Bounded by requests (the tenant with the most loses first), by cleared runs and by age. No caller yet.

--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -13,8 +13,11 @@
 type Identity struct {
 	// Tenant is the tenant that sent the request, or "".
 	Tenant string
-	Route  string
-	Method string
+	// Program is the program that the request belongs to, or "". Two programs that send the same
+	// body have two requests: each may have met crashes that it did not cause.
+	Program string
+	Route   string
+	Method  string
 	// Target is the request target with its query.
 	Target string
 	// Previous is the turn that the request continues, or "".
@@ -23,13 +26,13 @@
 }
 
 // Fingerprint stands for an Identity. Two identities with the same fingerprint share the limit
-// on ended replicas, as two requests with the same body do.
+// on ended replicas.
 type Fingerprint uint64
 
 // Fingerprint returns the hash of the identity.
 func (i *Identity) Fingerprint() Fingerprint {
 	hash := xxhash.New()
-	for _, field := range []string{i.Tenant, i.Route, i.Method, i.Target, i.Previous} {
+	for _, field := range []string{i.Tenant, i.Program, i.Route, i.Method, i.Target, i.Previous} {
 		writeLength(hash, len(field))
 		_, _ = hash.WriteString(field)
 	}
--- a/quarantine/fingerprint_test.go
+++ b/quarantine/fingerprint_test.go
@@ -8,7 +8,7 @@
 )
 
 var _ = Describe("A fingerprint", func() {
-	base := quarantine.Identity{Tenant: "t", Route: "r", Method: "POST", Target: "/x?y", Previous: "p", Body: []byte("body")}
+	base := quarantine.Identity{Tenant: "t", Program: "a", Route: "r", Method: "POST", Target: "/x?y", Previous: "p", Body: []byte("body")}
 
 	It("is the same for all tries of a request", func() {
 		again := base
@@ -20,12 +20,13 @@
 		seen := map[quarantine.Fingerprint]bool{base.Fingerprint(): true}
 		for _, change := range []func(*quarantine.Identity){
 			func(i *quarantine.Identity) { i.Tenant = "u" },
+			func(i *quarantine.Identity) { i.Program = "b" },
 			func(i *quarantine.Identity) { i.Route = "s" },
 			func(i *quarantine.Identity) { i.Method = "GET" },
 			func(i *quarantine.Identity) { i.Target = "/x" },
 			func(i *quarantine.Identity) { i.Previous = "" },
 			func(i *quarantine.Identity) { i.Body = nil },
-			func(i *quarantine.Identity) { i.Tenant, i.Route = "tr", "" },
+			func(i *quarantine.Identity) { i.Tenant, i.Program = "ta", "" },
 			func(i *quarantine.Identity) { i.Previous, i.Body = "", []byte("pbody") },
 		} {
 			other := base
--- /dev/null
+++ b/quarantine/run.go
@@ -0,0 +1,77 @@
+package quarantine
+
+import (
+	"fmt"
+	"time"
+)
+
+// RunID identifies one run of a request among all nodes and all their processes.
+type RunID struct {
+	Node        string `json:"node"`
+	Incarnation uint64 `json:"incarnation"`
+	Number      uint64 `json:"number"`
+}
+
+// String returns the ID as it is logged.
+func (id RunID) String() string { return fmt.Sprintf("%s/%d/%d", id.Node, id.Incarnation, id.Number) }
+
+// before reports whether the ID precedes another one in a fixed order.
+func (id RunID) before(other RunID) bool {
+	if id.Node != other.Node {
+		return id.Node < other.Node
+	}
+	if id.Incarnation != other.Incarnation {
+		return id.Incarnation < other.Incarnation
+	}
+	return id.Number < other.Number
+}
+
+// State is what is known of a run. Of two states of one run, the later one in this list holds.
+type State int
+
+const (
+	// StateRunning means that the run has not ended. It counts as if its replica had ended.
+	StateRunning State = iota
+	// StateEnded means that the replica ended under the run, or that nothing shows yet that it
+	// lives.
+	StateEnded
+	// StateCleared means that the replica did not end under the run.
+	StateCleared
+	states
+)
+
+// String returns the state as it is logged.
+func (s State) String() string {
+	if s < 0 || s >= states {
+		return fmt.Sprintf("state %d", int(s))
+	}
+	return [states]string{"running", "ended", "cleared"}[s]
+}
+
+// Run is one run of a request that is tracked.
+type Run struct {
+	ID          RunID       `json:"id"`
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Tenant      string      `json:"tenant,omitempty"`
+	Replica     string      `json:"replica"`
+	State       State       `json:"state"`
+	// AgeMS is how long ago the state was noted first, in milliseconds.
+	AgeMS int64 `json:"age_ms,omitempty"`
+}
+
+// LostRun returns a run that stands for one that a lost node may have had of a request, and of
+// which nobody else knows. A request has one at most. It counts only beside an end that was
+// seen.
+func LostRun(fingerprint Fingerprint, tenant string) Run {
+	return Run{ID: lostRunID, Fingerprint: fingerprint, Tenant: tenant, Replica: lostNode, State: StateEnded}
+}
+
+// lostNode is the node and the replica of a LostRun. No node or replica has this name.
+const lostNode = "(lost)"
+
+var lostRunID = RunID{Node: lostNode}
+
+// notedAt returns when the state was noted, by the clock of the node that received the run.
+func (r *Run) notedAt(now time.Time) time.Time {
+	return now.Add(-time.Duration(max(0, r.AgeMS)) * time.Millisecond)
+}
--- /dev/null
+++ b/quarantine/table.go
@@ -0,0 +1,325 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"birchwood.example/birchwood/findings"
+)
+
+// Config sets up a Table.
+type Config struct {
+	// Limit is the number of replicas that may end under a request. Nothing is sent on after
+	// that.
+	Limit int
+	// Lifetime is how long an end is remembered.
+	Lifetime time.Duration
+	// MaxRequests bounds the tracked requests.
+	MaxRequests int
+}
+
+// MaxLimit is the largest permitted Config.Limit.
+const MaxLimit = 3
+
+// Bounds of Config.Lifetime.
+const (
+	minLifetime = time.Second
+	maxLifetime = 24 * time.Hour
+)
+
+// DefaultConfig returns the settings used in production.
+func DefaultConfig() Config {
+	return Config{Limit: MaxLimit, Lifetime: 10 * time.Minute, MaxRequests: 4096}
+}
+
+// Validate returns all findings about the configuration. location names its source in them.
+func (c *Config) Validate(location string) error {
+	found := findings.Of(location)
+	found.Require(c.Limit >= 1 && c.Limit <= MaxLimit, "limit", "got %d, want 1 to %d", c.Limit, MaxLimit)
+	found.Require(c.Lifetime >= minLifetime && c.Lifetime <= maxLifetime, "lifetime", "got %s, want %s to %s", c.Lifetime, minLifetime, maxLifetime)
+	found.Require(c.MaxRequests >= 1, "max requests", "got %d, want at least 1", c.MaxRequests)
+	return found.Err()
+}
+
+// clearedLifetime is how long a run that was cleared is remembered, so that an older state of
+// it, which arrives late, does not count.
+const clearedLifetime = 30 * time.Second
+
+// maxCleared bounds the cleared runs of one request that are remembered.
+const maxCleared = 64
+
+// Table holds the tracked requests of a node. Its content is the union of what all nodes
+// report: merging the same runs in any order, any number of times, has the same result. It is
+// not safe for concurrent use.
+type Table struct {
+	config   Config
+	requests map[Fingerprint]*request
+}
+
+// request is one tracked request.
+type request struct {
+	tenant string
+	runs   map[RunID]*trackedRun
+}
+
+// trackedRun is a run with the local time at which its state was noted.
+type trackedRun struct {
+	Run
+	at time.Time
+}
+
+// NewTable returns an empty table.
+func NewTable(config Config) *Table {
+	return &Table{config: config, requests: make(map[Fingerprint]*request)}
+}
+
+// Status is what is known of a request.
+type Status struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Tenant      string      `json:"tenant,omitempty"`
+	// Ended counts the replicas that ended under the request, and Running the others at which it
+	// still runs.
+	Ended   int `json:"ended"`
+	Running int `json:"running"`
+	// EndedAt and RunningAt are these replicas, sorted.
+	EndedAt   []string `json:"ended_at,omitempty"`
+	RunningAt []string `json:"running_at,omitempty"`
+	// ExpiresAt is when the last of them is forgotten.
+	ExpiresAt time.Time `json:"expires_at"`
+}
+
+// Counted returns how many replicas count as ended.
+func (s *Status) Counted() int { return s.Ended + s.Running }
+
+// Marked reports whether a replica may have ended under the request.
+func (s *Status) Marked() bool { return s.Counted() > 0 }
+
+// Merge adds runs, and returns the fingerprints of the requests about which something new was
+// learned, sorted.
+func (t *Table) Merge(now time.Time, runs []Run) []Fingerprint {
+	changed := make(map[Fingerprint]struct{})
+	for index := range runs {
+		run := &runs[index]
+		if run.State < 0 || run.State >= states || t.expired(now, run.State, run.notedAt(now)) {
+			continue
+		}
+		if t.mergeRun(now, run) {
+			changed[run.Fingerprint] = struct{}{}
+		}
+	}
+	for len(t.requests) > t.config.MaxRequests {
+		changed[t.evict()] = struct{}{}
+	}
+	return slices.Sorted(maps.Keys(changed))
+}
+
+// News returns those of the runs whose state is new to the table.
+func (t *Table) News(runs []Run) (news []Run) {
+	for _, run := range runs {
+		tracked := t.requests[run.Fingerprint]
+		if tracked == nil || tracked.runs[run.ID] == nil || tracked.runs[run.ID].State < run.State {
+			news = append(news, run)
+		}
+	}
+	return news
+}
+
+// mergeRun merges one run, and reports whether its state is new.
+func (t *Table) mergeRun(now time.Time, run *Run) bool {
+	tracked := t.requests[run.Fingerprint]
+	if tracked == nil {
+		tracked = &request{tenant: run.Tenant, runs: make(map[RunID]*trackedRun)}
+		t.requests[run.Fingerprint] = tracked
+	}
+	known := tracked.runs[run.ID]
+	if known != nil && known.State >= run.State {
+		return false
+	}
+	tracked.runs[run.ID] = &trackedRun{Run: *run, at: run.notedAt(now)}
+	tracked.boundCleared()
+	return true
+}
+
+// boundCleared removes the oldest cleared runs beyond maxCleared.
+func (r *request) boundCleared() {
+	if len(r.runs) <= maxCleared {
+		return
+	}
+	var cleared []*trackedRun
+	for _, run := range r.runs {
+		if run.State == StateCleared {
+			cleared = append(cleared, run)
+		}
+	}
+	slices.SortFunc(cleared, func(left, right *trackedRun) int { return left.at.Compare(right.at) })
+	for _, run := range cleared[:max(0, len(cleared)-maxCleared)] {
+		delete(r.runs, run.ID)
+	}
+}
+
+// expired reports whether a state that was noted at a time is forgotten.
+func (t *Table) expired(now time.Time, state State, at time.Time) bool {
+	if state == StateCleared {
+		return now.Sub(at) >= clearedLifetime
+	}
+	return now.Sub(at) >= t.config.Lifetime
+}
+
+// evict removes the request of the tenant with the most requests that was heard of least
+// recently, and returns its fingerprint: no tenant displaces the requests of another.
+func (t *Table) evict() Fingerprint {
+	counts := make(map[string]int)
+	for _, tracked := range t.requests {
+		counts[tracked.tenant]++
+	}
+	var victim Fingerprint
+	var oldest time.Time
+	most := 0
+	for _, fingerprint := range slices.Sorted(maps.Keys(t.requests)) {
+		tracked := t.requests[fingerprint]
+		newest := tracked.newest()
+		if count := counts[tracked.tenant]; count > most || count == most && newest.Before(oldest) {
+			victim, oldest, most = fingerprint, newest, count
+		}
+	}
+	delete(t.requests, victim)
+	return victim
+}
+
+// newest returns when the newest state of the request's runs was noted.
+func (r *request) newest() (newest time.Time) {
+	for _, run := range r.runs {
+		if run.at.After(newest) {
+			newest = run.at
+		}
+	}
+	return newest
+}
+
+// Expire removes what is forgotten, and returns the requests that are no longer marked.
+func (t *Table) Expire(now time.Time) (released []Fingerprint) {
+	for _, fingerprint := range slices.Sorted(maps.Keys(t.requests)) {
+		tracked := t.requests[fingerprint]
+		lost := false
+		for id, run := range tracked.runs {
+			if t.expired(now, run.State, run.at) {
+				delete(tracked.runs, id)
+				lost = lost || run.State != StateCleared
+			}
+		}
+		if len(tracked.runs) == 0 {
+			delete(t.requests, fingerprint)
+		}
+		if status := t.Status(fingerprint); lost && !status.Marked() {
+			released = append(released, fingerprint)
+		}
+	}
+	return released
+}
+
+// Status returns what is known of a request.
+func (t *Table) Status(fingerprint Fingerprint) Status { return t.statusWithout(fingerprint, RunID{}) }
+
+// statusWithout is Status without one run.
+func (t *Table) statusWithout(fingerprint Fingerprint, without RunID) Status {
+	status := Status{Fingerprint: fingerprint}
+	tracked := t.requests[fingerprint]
+	if tracked == nil {
+		return status
+	}
+	status.Tenant = tracked.tenant
+	for id, run := range tracked.runs {
+		if id == without || run.State == StateCleared || id.Node == lostNode {
+			continue
+		}
+		if run.State == StateEnded {
+			status.EndedAt = append(status.EndedAt, run.Replica)
+		} else {
+			status.RunningAt = append(status.RunningAt, run.Replica)
+		}
+		if expires := run.at.Add(t.config.Lifetime); expires.After(status.ExpiresAt) {
+			status.ExpiresAt = expires
+		}
+	}
+	status.EndedAt = distinct(status.EndedAt)
+	status.RunningAt = slices.DeleteFunc(distinct(status.RunningAt), func(replica string) bool { return slices.Contains(status.EndedAt, replica) })
+	if lost := tracked.runs[lostRunID]; lost != nil && lost.State == StateEnded && len(status.EndedAt) > 0 {
+		status.EndedAt = append(status.EndedAt, lostNode)
+	}
+	status.Ended, status.Running = len(status.EndedAt), len(status.RunningAt)
+	return status
+}
+
+// distinct sorts replicas and removes duplicates.
+func distinct(replicas []string) []string {
+	slices.Sort(replicas)
+	return slices.Compact(replicas)
+}
+
+// Marked returns the status of all marked requests, sorted by fingerprint.
+func (t *Table) Marked() (marked []Status) {
+	for _, fingerprint := range slices.Sorted(maps.Keys(t.requests)) {
+		if status := t.Status(fingerprint); status.Marked() {
+			marked = append(marked, status)
+		}
+	}
+	return marked
+}
+
+// Count returns the number of tracked requests.
+func (t *Table) Count() int { return len(t.requests) }
+
+// Runs returns the runs of a request that count, with their age, and those of the given IDs that
+// do not, sorted by ID.
+func (t *Table) Runs(now time.Time, fingerprint Fingerprint, cleared map[RunID]struct{}) (runs []Run) {
+	tracked := t.requests[fingerprint]
+	if tracked == nil {
+		return nil
+	}
+	for id, known := range tracked.runs {
+		if _, wanted := cleared[id]; known.State == StateCleared && !wanted {
+			continue
+		}
+		run := known.Run
+		run.AgeMS = max(0, now.Sub(known.at).Milliseconds())
+		runs = append(runs, run)
+	}
+	slices.SortFunc(runs, compareRuns)
+	return runs
+}
+
+func compareRuns(left, right Run) int {
+	return cmp.Or(cmp.Compare(left.ID.Node, right.ID.Node), cmp.Compare(left.ID.Incarnation, right.ID.Incarnation), cmp.Compare(left.ID.Number, right.ID.Number))
+}
+
+// AllRuns returns the runs of all requests that count.
+func (t *Table) AllRuns(now time.Time) (runs []Run) {
+	for _, fingerprint := range slices.Sorted(maps.Keys(t.requests)) {
+		runs = append(runs, t.Runs(now, fingerprint, nil)...)
+	}
+	return runs
+}
+
+// RunningAt returns the runs that have not ended at a replica.
+func (t *Table) RunningAt(now time.Time, replica string) (runs []Run) {
+	for _, fingerprint := range slices.Sorted(maps.Keys(t.requests)) {
+		for _, run := range t.Runs(now, fingerprint, nil) {
+			if run.Replica == replica && run.State == StateRunning {
+				runs = append(runs, run)
+			}
+		}
+	}
+	return runs
+}
+
+// Release clears the runs of a request that count, and returns them for other nodes.
+func (t *Table) Release(now time.Time, fingerprint Fingerprint) []Run {
+	runs := t.Runs(now, fingerprint, nil)
+	for index := range runs {
+		runs[index].State, runs[index].AgeMS = StateCleared, 0
+	}
+	t.Merge(now, runs)
+	return runs
+}
