coordinator: nodes tell each other under which requests replicas ended, and permit the next run

A node reports its broken runs to all live nodes, with an answer each, and asks them before a marked request runs again: most must answer, within 60 ms all that do. A node that starts asks eight others for all marks; one that is live again gets them. Where a node was lost within 10 s or does not answer, one end more counts: it may have had a run nobody knows of. Messages carry what counts and what changed, at most one to all in nodes² µs.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -10,6 +10,7 @@
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/ownership"
+	"birchwood.example/birchwood/quarantine"
 	"birchwood.example/birchwood/tenant"
 )
 
@@ -56,6 +57,8 @@
 	SkipHandover bool
 	// Tenants sets up the accounts that enforce the limits of tenants.
 	Tenants tenant.Config
+	// Quarantine sets up the tracking of requests that may end their replicas.
+	Quarantine quarantine.Config
 	// ColdReplicas sets up the accounts that limit the requests to cold replicas.
 	ColdReplicas tenant.Config
 	// CountLocally has each node count against an equal share of the limits, to measure
@@ -101,6 +104,7 @@
 		MinAppendInterval:   40 * time.Millisecond,
 		AbsenceProofDelay:   150 * time.Millisecond,
 		Tenants:             tenant.DefaultConfig(),
+		Quarantine:          quarantine.DefaultConfig(),
 		ColdReplicas:        tenant.ColdReplicaConfig(),
 		Random:              random,
 	}
@@ -134,6 +138,7 @@
 	receiveTimes        receiveTimes
 	ranking             ranking
 	chargeState         chargeState
+	quarantine          quarantineState
 	freshness           freshness
 	gatherer            *gather.Core
 	ready               Ready
@@ -154,6 +159,7 @@
 		startedAt:      now,
 		storeReachable: true,
 		chargeState:    newChargeState(now, &config),
+		quarantine:     newQuarantineState(&config),
 		freshness:      freshness{queryNumber: firstNumber(config.Random)},
 		gatherer:       gather.New(uint64(now.UnixMilli())),
 	}
@@ -176,6 +182,7 @@
 		c.addNodes(now, event.Nodes)
 		c.ranking.checkedAt = time.Time{}
 		c.updateRanking(now)
+		c.tickSync(now)
 	case NodesDiscovered:
 		c.addNodes(now, event.Nodes)
 	case StoreContact:
@@ -202,6 +209,14 @@
 		c.stepFreshnessProven(event)
 	case ChargeRefunded:
 		c.stepChargeRefunded(event)
+	case RunsReported:
+		c.stepRunsReported(now, event)
+	case RunRequested:
+		c.stepRunRequested(now, event)
+	case RequestReleased:
+		c.stepRequestReleased(now, event)
+	case RunsListed:
+		c.stepRunsListed(now, event)
 	case ClaimsListed:
 		c.stepClaimsListed(now, event)
 	case Leave:
@@ -259,6 +274,7 @@
 	c.updateRanking(now)
 	c.tickCharges(now)
 	c.tickFreshness(now)
+	c.tickQuarantine(now)
 	for _, p := range c.partitions {
 		c.tickPartition(now, p)
 	}
@@ -266,6 +282,7 @@
 
 // collectReady moves the output of the components into that of the core.
 func (c *Core) collectReady(now time.Time) {
+	c.flushQuarantine(now)
 	for _, outbound := range c.membership.Ready().Messages {
 		target, known := c.membership.Lookup(outbound.To)
 		if !known {
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -155,6 +155,10 @@
 func (OwnershipDenied) event() {}
 func (Leave) event()           {}
 func (ClaimsListed) event()    {}
+func (RunsReported) event()    {}
+func (RunRequested) event()    {}
+func (RequestReleased) event() {}
+func (RunsListed) event()      {}
 func (Loads) event()           {}
 
 // PeerMessage is a message between two nodes, other than a request.
@@ -174,6 +178,8 @@
 	Charge *ChargeMessage `json:"charge,omitempty"`
 	// Proof concerns the age of the sender's configuration, or is nil.
 	Proof *FreshnessMessage `json:"proof,omitempty"`
+	// Quarantine concerns requests that may end their replicas, or is nil.
+	Quarantine *QuarantineMessage `json:"quarantine,omitempty"`
 	// Gather concerns the loads of all nodes, or is nil.
 	Gather *gather.Message `json:"gather,omitempty"`
 }
@@ -266,6 +272,13 @@
 	// ended searches of this node, for logging.
 	ClaimQueries    []ClaimQuery
 	ClaimsCollected []ClaimsCollected
+	// QuarantineQueries are questions for this node's runs of marked requests, and
+	// QuarantineChanges what is new of such requests. They come before Messages: what another
+	// node is told has to be in force here.
+	QuarantineQueries []QuarantineQuery
+	QuarantineChanges []QuarantineChange
+	RunsAnnounced     []RunsAnnounced
+	RunsDecided       []RunDecided
 	// FormerReconciled are the states of former owners that were taken over, for logging.
 	FormerReconciled []FormerReconciled
 	// Rejected are messages that could not be processed.
--- a/coordinator/harness_test.go
+++ b/coordinator/harness_test.go
@@ -15,6 +15,7 @@
 	"birchwood.example/birchwood/ledger"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/ownership"
+	"birchwood.example/birchwood/quarantine"
 	"birchwood.example/birchwood/zone"
 )
 
@@ -93,6 +94,11 @@
 	// searches for the turns of previous owners.
 	unsettled []ledger.Claim
 	collected []coordinator.ClaimsCollected
+	// marked are the marked requests, announced the reports of runs that all nodes know, and
+	// decided the decisions on runs.
+	marked    map[quarantine.Fingerprint]coordinator.QuarantineChange
+	announced map[uint64]coordinator.RunsAnnounced
+	decided   map[uint64]coordinator.RunDecided
 }
 
 // delivery is an event in transit.
@@ -149,7 +155,9 @@
 	}
 	core, err := coordinator.New(f.now, config)
 	f.expect(err).NotTo(HaveOccurred())
-	f.nodes[id] = &member{self: config.Membership.Self, core: core, replies: map[uint64]coordinator.Reply{}}
+	f.nodes[id] = &member{self: config.Membership.Self, core: core, replies: map[uint64]coordinator.Reply{},
+		marked: map[quarantine.Fingerprint]coordinator.QuarantineChange{}, announced: map[uint64]coordinator.RunsAnnounced{},
+		decided: map[uint64]coordinator.RunDecided{}}
 }
 
 // kill ends a node's process.
@@ -251,6 +259,7 @@
 // perform performs the work that a core has ready.
 func (f *fleet) perform(id machine.ID, node *member) {
 	ready := node.core.Ready()
+	node.applyQuarantine(&ready)
 	if ready.Totals != nil {
 		node.totals = ready.Totals
 	}
@@ -295,7 +304,10 @@
 	for _, query := range ready.ClaimQueries {
 		node.core.Step(f.now, coordinator.ClaimsListed{Query: query, Claims: node.unsettled})
 	}
-	if len(ready.ClaimQueries) > 0 {
+	for _, query := range ready.QuarantineQueries {
+		node.core.Step(f.now, coordinator.RunsListed{Query: query})
+	}
+	if len(ready.ClaimQueries)+len(ready.QuarantineQueries) > 0 {
 		f.perform(id, node)
 	}
 }
--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -58,6 +58,9 @@
 	if message.Former != nil {
 		c.stepFormer(now, sender.ID, message.Former)
 	}
+	if message.Quarantine != nil {
+		c.stepQuarantine(now, sender, message.Quarantine)
+	}
 	if message.Claim != nil {
 		c.stepClaims(now, sender, message.Claim)
 	}
