edge: a request under which three replicas ended is sent to no other, over all tries and nodes

Cause: what bounds the sends of a request counted runs within one try and neither replicas that ended nor the tries before, at this node or others.

Why this works: an end is known to all live nodes before the caller learns of the failure; a marked request runs again only with permission, which counts runs that have not ended and one that a lost node may have had; late calls are not repeated beside a marked one; at the limit the request is rejected at once with 503 and the time until its marks expire. Requests without a mark pay no message and no wait. An end is taken back when the replica's process is shown to live: by an older connection, by its health, by a later answer. A whole answer clears the request.

--- a/command/edgecommand/edge.go
+++ b/command/edgecommand/edge.go
@@ -16,13 +16,15 @@
 	"birchwood.example/birchwood/command/exit"
 	"birchwood.example/birchwood/edge"
 	"birchwood.example/birchwood/platform"
+	"birchwood.example/birchwood/quarantine"
 )
 
 // New returns the command that runs one node on the users' platform.
 func New() *cobra.Command {
 	var path, without string
+	tracked := quarantine.DefaultConfig()
 	command := &cobra.Command{
-		Use:   "edge [--settings FILE] [--without MECHANISM,...]",
+		Use:   "edge [--settings FILE] [--quarantine-limit N] [--quarantine-lifetime TIME] [--without MECHANISM,...]",
 		Short: "Run one node on the users' platform",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
@@ -36,16 +38,22 @@
 			if err != nil {
 				return &exit.Error{Code: exit.Usage, Cause: err}
 			}
-			return runEdge(command.Context(), path, disabled)
+			if err := tracked.Validate("--quarantine"); err != nil {
+				return &exit.Error{Code: exit.Usage, Cause: err}
+			}
+			return runEdge(command.Context(), path, disabled, tracked)
 		},
 	}
 	command.Flags().StringVar(&path, "settings", "", "the settings file, in place of the one that "+platform.SettingsVariable+" names")
+	command.Flags().IntVar(&tracked.Limit, "quarantine-limit", tracked.Limit,
+		fmt.Sprintf("how many replicas may end under a request before it is sent to no other (1 to %d)", quarantine.MaxLimit))
+	command.Flags().DurationVar(&tracked.Lifetime, "quarantine-lifetime", tracked.Lifetime, "how long the end of a replica under a request is remembered (1s to 24h)")
 	command.Flags().StringVar(&without, "without", "", "mechanisms to switch off, separated by commas, to measure what they are worth")
 	return command
 }
 
 // runEdge runs a node until SIGTERM or SIGINT. SIGHUP reloads the settings.
-func runEdge(parent context.Context, path string, without []edge.Mechanism) error {
+func runEdge(parent context.Context, path string, without []edge.Mechanism, tracked quarantine.Config) error {
 	// Register before loading the settings: a signal may arrive at any time, and
 	// an unhandled SIGHUP would end the process.
 	signals := make(chan os.Signal, signalQueueLength)
@@ -54,7 +62,7 @@
 	if err != nil {
 		return &exit.Error{Code: exit.Usage, Cause: err}
 	}
-	settings.Disabled = without
+	settings.Disabled, settings.Quarantine = without, tracked
 	decisions := &decisionWriter{}
 	logger, flush := newDecisionLogger(settings.Node, decisions)
 	defer flush()
--- a/command/edgecommand/edge_test.go
+++ b/command/edgecommand/edge_test.go
@@ -2,12 +2,31 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"path/filepath"
 	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"birchwood.example/birchwood/command/exit"
+	"birchwood.example/birchwood/quarantine"
+)
+
+var _ = DescribeTable("A node that is given invalid settings of the quarantine", func(argument, problem string) {
+	command := New()
+	command.SetArgs([]string{"--settings", "unused.toml", argument})
+	command.SilenceErrors, command.SilenceUsage = true, true
+	err := command.Execute()
+	Expect(err).To(MatchError(ContainSubstring(problem)))
+	var ended *exit.Error
+	Expect(errors.As(err, &ended)).To(BeTrue())
+	Expect(ended.Code).To(Equal(exit.Usage))
+},
+	Entry("no end at all", "--quarantine-limit=0", "--quarantine: limit: got 0, want 1 to 3"),
+	Entry("more ends than users bear", "--quarantine-limit=4", "--quarantine: limit: got 4, want 1 to 3"),
+	Entry("a time that is too short", "--quarantine-lifetime=10ms", "lifetime: got 10ms"),
 )
 
 var _ = Describe("A node that starts", func() {
@@ -15,7 +34,7 @@
 		settings := filepath.Join(GinkgoT().TempDir(), "settings.toml")
 		Expect(syscall.Mkfifo(settings, 0o600)).To(Succeed())
 		ended := make(chan error, 1)
-		go func() { ended <- runEdge(context.Background(), settings, nil) }()
+		go func() { ended <- runEdge(context.Background(), settings, nil, quarantine.DefaultConfig()) }()
 		// Opening the pipe for writing blocks until the node reads its settings.
 		writer, err := os.OpenFile(settings, os.O_WRONLY, 0)
 		Expect(err).NotTo(HaveOccurred())
--- a/dispatch/comeback.go
+++ b/dispatch/comeback.go
@@ -37,6 +37,11 @@
 	// CauseNotResumable: the stream that the request resumes cannot go on. The caller has to
 	// begin it anew.
 	CauseNotResumable
+	// CauseQuarantined: as many replicas ended under the request as may.
+	CauseQuarantined
+	// CauseUnsettled: it is not known yet whether a replica ended under an earlier run of the
+	// request.
+	CauseUnsettled
 	causes
 )
 
@@ -44,7 +49,7 @@
 func (c Cause) String() string {
 	return [causes]string{
 		"starting", "isolated", "no owner", "store away", "store full", "unproven", "budget held", "limit not counted",
-		"replicas full", "no replica", "evacuated", "rejected", "not resumable",
+		"replicas full", "no replica", "evacuated", "rejected", "not resumable", "quarantined", "unsettled",
 	}[c]
 }
 
@@ -72,7 +77,7 @@
 	CauseStarting: transientBounds, CauseIsolated: outageBounds, CauseNoOwner: takeoverBounds, CauseStoreUnavailable: outageBounds, CauseStoreFull: outageBounds,
 	CauseUnproven: outageBounds, CauseBudgetHeld: transientBounds, CauseLimit: transientBounds, CauseFull: takeoverBounds,
 	CauseNoReplica: takeoverBounds, CauseEvacuated: outageBounds, CauseRejected: transientBounds,
-	CauseNotResumable: transientBounds,
+	CauseNotResumable: transientBounds, CauseQuarantined: outageBounds, CauseUnsettled: transientBounds,
 }
 
 // Bounds of the retry delay.
@@ -119,6 +124,10 @@
 // the cause is expected to end, in the order in which callers are to be served, spread so
 // that the replicas can take all of them.
 func (r *Refusal) RetryAfter() time.Duration {
+	if r.Cause == CauseQuarantined && r.EndsIn > 0 {
+		// No try before that is served, and the callers of one request need no spreading.
+		return r.EndsIn
+	}
 	expectedEnd := max(r.expectedEnd(), minRetryAfter)
 	spread := r.spread(expectedEnd)
 	limit := time.Duration(float64(r.Left) * maxWaitFraction)
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -8,6 +8,7 @@
 
 	"birchwood.example/birchwood/dispatch"
 	"birchwood.example/birchwood/ingress"
+	"birchwood.example/birchwood/quarantine"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/routing"
 	"birchwood.example/birchwood/upstream"
@@ -51,7 +52,7 @@
 	request := n.selectionRequest(r)
 	request.MaxPerNode, request.Draw = n.maxPerNode(table, r.service), n.draw()
 	request.Connected = func(entry replica.Entry) bool { return n.pool.HasIdle(targetOf(entry)) }
-	choice, err := n.chooseWithinColdRates(r, request)
+	choice, err := n.choosePermitted(r, request)
 	if err != nil {
 		n.metrics.choiceRefused(err)
 		return replica.Entry{}, err
@@ -65,6 +66,44 @@
 	return choice.Entry, nil
 }
 
+// choosePermitted selects a replica at which the request may run, and begins the run. Replicas
+// at which other marked requests run are passed over for a marked one as long as there are
+// others.
+func (n *Node) choosePermitted(r *requestState, request *replica.Request) (replica.Choice, error) {
+	if n.isMarked(r) {
+		request.Avoided = n.suspects.runningAt(r.fingerprint)
+	}
+	for crowded := 0; ; crowded++ {
+		choice, err := n.chooseWithinColdRates(r, request)
+		if err != nil {
+			return choice, err
+		}
+		verdict := n.beginRun(r, &choice, crowded >= maxCrowded)
+		if verdict == quarantine.VerdictGranted {
+			return choice, nil
+		}
+		n.replicas.ended(choice.Entry.ID, replica.ResultCancelled)
+		n.refundColdGrant(r, choice.Entry.ID)
+		switch verdict {
+		case quarantine.VerdictCrowded:
+			request.Avoided = append(n.suspects.runningAt(r.fingerprint), choice.Entry.ID)
+		case quarantine.VerdictLimit:
+			return choice, errQuarantined
+		default:
+			return choice, errUnsettled
+		}
+	}
+}
+
+// isMarked reports whether replicas may have ended under the request.
+func (n *Node) isMarked(r *requestState) bool {
+	if n.suspects == nil {
+		return false
+	}
+	_, marked := n.suspects.status(r.fingerprint)
+	return marked
+}
+
 // selectionRequest describes the request for the selection of a replica.
 func (n *Node) selectionRequest(r *requestState) *replica.Request {
 	request := &replica.Request{
@@ -121,6 +160,10 @@
 // refusalFor returns why there is no replica for a request that has not run.
 func (n *Node) refusalFor(r *requestState, err error) dispatch.Refusal {
 	switch {
+	case errors.Is(err, errQuarantined):
+		return n.quarantineRefusal(r)
+	case errors.Is(err, errUnsettled):
+		return dispatch.Refusal{Cause: dispatch.CauseUnsettled}
 	case errors.Is(err, replica.ErrEvacuated):
 		return dispatch.Refusal{Cause: dispatch.CauseEvacuated}
 	case !errors.Is(err, replica.ErrNoReplica) || len(r.excluded) > 0:
@@ -134,7 +177,12 @@
 
 // notExecuted reports whether the answer guarantees that the request was not run.
 func (n *Node) notExecuted(response *upstream.Response) bool {
-	return response.Status() == fasthttp.StatusMisdirectedRequest || len(response.Header.Peek(n.adapter.Names.NotExecuted)) > 0
+	return n.misdirected(response) || len(response.Header.Peek(n.adapter.Names.NotExecuted)) > 0
+}
+
+// misdirected reports whether another process than the expected one rejected the request.
+func (n *Node) misdirected(response *upstream.Response) bool {
+	return response.Status() == fasthttp.StatusMisdirectedRequest
 }
 
 // mayRelay reports whether the answer may be relayed to the client: a successful one only
--- a/edge/broken.go
+++ b/edge/broken.go
@@ -2,17 +2,24 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/internal/wait"
+
 	"birchwood.example/birchwood/quarantine"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/upstream"
 )
 
 // identity returns what the request has in common with its other tries.
-func (r *requestState) identity() *quarantine.Identity {
+func (n *Node) identity(r *requestState) *quarantine.Identity {
 	identity := &quarantine.Identity{
-		Route: r.route.Name, Method: r.exchange.Method, Target: r.exchange.Target, Previous: r.previous, Body: r.exchange.Body,
+		Program: r.exchange.Field(n.adapter.Names.Program),
+		Route:   r.route.Name, Method: r.exchange.Method, Target: r.exchange.Target, Previous: r.previous, Body: r.exchange.Body,
 	}
 	if r.tenant != nil {
 		identity.Tenant = r.tenant.Name
@@ -26,6 +33,18 @@
 	replica replica.Entry
 	sentAt  time.Time
 	cause   error
+	// host is the host of the request, and healthPath that of the replica's service.
+	host       string
+	healthPath string
+}
+
+// newBrokenRun describes the end of a run.
+func (n *Node) newBrokenRun(r *requestState, entry replica.Entry, sentAt time.Time, cause error) *brokenRun {
+	broken := &brokenRun{request: r, replica: entry, sentAt: sentAt, cause: cause, host: r.exchange.Host}
+	if table := n.routes.Current(); table != nil {
+		broken.healthPath = table.Services[entry.Service].HealthPath
+	}
+	return broken
 }
 
 // brokeOff reports whether the run ended because the replica's side closed or reset the
@@ -34,17 +53,58 @@
 	return upstream.BrokeOff(b.cause) && b.request.exchange.Cancel.Cause() == nil
 }
 
-// checkReplica determines whether the replica of a broken run has ended, and logs it.
-func (n *Node) checkReplica(broken *brokenRun) {
-	if !broken.brokeOff() {
-		return
+// Probes of a replica's process.
+const (
+	// maxProbes is how often a replica is probed that resets the connections of probes too.
+	maxProbes    = 3
+	probePause   = 100 * time.Millisecond
+	probeTimeout = 500 * time.Millisecond
+)
+
+// probeProcess determines whether the process of a replica runs by its answer to a request for
+// its health: another process at its address answers that it is not the one.
+func (n *Node) probeProcess(broken *brokenRun) upstream.Process {
+	names := n.adapter.Names
+	if broken.healthPath == "" || names.ExpectReplica == "" {
+		return upstream.ProcessUnknown
+	}
+	fields := appendField(nil, names.ExpectReplica, string(broken.replica.ID))
+	for range maxProbes {
+		request := &upstream.Request{
+			Method: fasthttp.MethodGet, Target: broken.healthPath, Host: broken.host, Fields: fields, Deadline: time.Now().Add(probeTimeout),
+		}
+		response, err := n.pool.Send(targetOf(broken.replica), request, &upstream.Cancel{})
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return upstream.ProcessEnded
+		case err == nil && n.misdirected(response):
+			response.Discard()
+			return upstream.ProcessEnded
+		case err == nil:
+			response.Discard()
+			return upstream.ProcessLives
+		}
+		if !wait.For(n.ctx, probePause) {
+			break
+		}
 	}
+	return upstream.ProcessUnknown
+}
+
+// checkReplica determines whether the replica of a run that broke off has ended, and logs it.
+func (n *Node) checkReplica(f *flight, broken *brokenRun) {
 	n.run(func(context.Context) {
 		start := time.Now()
 		process := n.pool.CheckProcess(targetOf(broken.replica), broken.sentAt)
+		if process == upstream.ProcessUnknown {
+			process = n.probeProcess(broken)
+		}
 		n.metrics.runBrokeOff(process)
 		n.logger.Info().Str("request", broken.request.id).Str("fingerprint", broken.request.fingerprint.String()).
 			Str("replica", string(broken.replica.ID)).Str("process", string(process)).Dur("ranFor", start.Sub(broken.sentAt)).
 			Dur("took", time.Since(start)).Err(broken.cause).Msg("request: run broke off")
+		if f != nil {
+			n.replicaChecked(f, process)
+		}
 	})
 }
--- a/edge/call.go
+++ b/edge/call.go
@@ -35,6 +35,7 @@
 	choice replica.Choice
 	sentAt time.Time
 	cancel *upstream.Cancel
+	flight *flight
 }
 
 // callResult is how an attempt ended.
@@ -102,7 +103,7 @@
 	}
 	c.attempts++
 	c.runs++
-	attempt := &callAttempt{choice: r.choice, sentAt: r.sentAt, cancel: r.exchange.Cancel}
+	attempt := &callAttempt{choice: r.choice, sentAt: r.sentAt, cancel: r.exchange.Cancel, flight: r.flight}
 	c.inFlight = append(c.inFlight, attempt)
 	request := n.replicaRequest(r, entry, r.exchange.Body, "")
 	if !c.repeatable() {
@@ -122,6 +123,7 @@
 		return result
 	}
 	n.observeColdStatus(attempt.choice.Entry.ID, response)
+	n.replicaAnswered(attempt.choice.Entry.ID, attempt.sentAt, response)
 	if n.notExecuted(response) {
 		response.Discard()
 		return result
@@ -156,6 +158,10 @@
 func (c *callRun) repeatLate() {
 	c.repeats++
 	r := c.request
+	if c.node.isMarked(r) {
+		// A second run beside the first might end another replica.
+		return
+	}
 	retry := dispatch.DecideRepeat(c.lateCall())
 	c.node.metrics.callLate(retry.String())
 	if retry != dispatch.RepeatSent || !c.node.callStats.mayRepeat() {
@@ -194,6 +200,7 @@
 	if result.err == nil && n.mayRelay(result.response) {
 		r.choice = result.attempt.choice
 		status := result.response.Status()
+		c.runAnswered(result.attempt, status)
 		n.replicas.ended(entry.ID, resultForStatus(status))
 		n.callStats.observeAnswer(r.route, time.Since(result.attempt.sentAt), status)
 		r.status = status
@@ -204,9 +211,19 @@
 	return c.attemptFailed(result)
 }
 
+// runAnswered ends the run of an attempt that was answered whole.
+func (c *callRun) runAnswered(attempt *callAttempt, status int) {
+	if status < fasthttp.StatusMultipleChoices {
+		c.node.runServed(c.request, attempt.flight)
+		return
+	}
+	c.node.runEnded(attempt.flight)
+}
+
 // attemptNotRun handles an attempt that certainly did not run.
 func (c *callRun) attemptNotRun(attempt *callAttempt, result replica.Result) (over bool) {
 	n, r := c.node, c.request
+	n.runEnded(attempt.flight)
 	c.runs--
 	if len(c.inFlight) > 0 {
 		// The other attempts continue; sending the call to a further replica might be one
@@ -226,7 +243,7 @@
 func (c *callRun) attemptFailed(result callResult) (over bool) {
 	n, r := c.node, c.request
 	entry := result.attempt.choice.Entry
-	n.checkReplica(&brokenRun{request: r, replica: entry, sentAt: result.attempt.sentAt, cause: result.err})
+	n.runFailed(r, result.attempt.flight, n.newBrokenRun(r, entry, result.attempt.sentAt, result.err))
 	if len(c.inFlight) > 0 && r.exchange.Cancel.Cause() == nil {
 		n.replicas.ended(entry.ID, replica.ResultFailed)
 		return false
@@ -259,6 +276,7 @@
 	clientGone := c.request.exchange.Cancel.Cause() != nil
 	for _, attempt := range c.inFlight {
 		attempt.cancel.Trigger(errSuperseded)
+		c.node.runEnded(attempt.flight)
 		result := replica.ResultCancelled
 		if !clientGone && time.Since(attempt.sentAt) >= c.node.lateAfter(c.request.route) {
 			result = replica.ResultTimedOut
--- a/edge/control.go
+++ b/edge/control.go
@@ -17,6 +17,10 @@
 	// pendingReplies are the waiting requests by id. Only the loop uses them.
 	pendingReplies map[uint64]chan<- coordinator.Reply
 	nextID         uint64
+	// pendingRuns are the waiting requests for permission of a run, and pendingReports the
+	// reports of runs that are being announced. Only the loop uses them.
+	pendingRuns    map[uint64]chan<- coordinator.RunDecided
+	pendingReports map[uint64]chan<- struct{}
 	// pendingCharges are the waiting charges by id. Only the loop uses them.
 	pendingCharges map[uint64]chan<- coordinator.Charged
 	// storeReached and liveNodes are the last logged states of the store and of the nodes.
@@ -78,7 +82,8 @@
 
 func newControl(node *Node, core *coordinator.Core) *control {
 	return &control{node: node, core: core, inbox: make(chan any, inboxSize), pendingReplies: make(map[uint64]chan<- coordinator.Reply),
-		pendingCharges: make(map[uint64]chan<- coordinator.Charged), storeReached: true}
+		pendingCharges: make(map[uint64]chan<- coordinator.Charged), pendingRuns: make(map[uint64]chan<- coordinator.RunDecided),
+		pendingReports: make(map[uint64]chan<- struct{}), storeReached: true}
 }
 
 // post passes an event to the loop. It blocks while the inbox is full.
@@ -149,7 +154,7 @@
 func (c *control) loop(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	var nextLoads time.Time
+	var nextLoads, wakeAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -163,9 +168,14 @@
 				c.report(now)
 			}
 			c.core.Step(now, coordinator.Tick{})
-			timer.Reset(time.Until(c.core.NextWake(now)))
+			wakeAt = c.core.NextWake(now)
+			timer.Reset(time.Until(wakeAt))
 		}
 		c.performReady()
+		if due := c.core.QuarantineWake(time.Now()); !due.IsZero() && due.Before(wakeAt) {
+			wakeAt = due
+			timer.Reset(time.Until(wakeAt))
+		}
 	}
 }
 
@@ -184,6 +194,7 @@
 	c.cancelLostReader()
 	c.node.setIsolated(now, c.core.Isolated(now))
 	c.reportStoredBytes(now)
+	c.releaseShared(now)
 	c.core.Step(now, c.node.contactNow())
 	c.logDependencyChanges()
 	c.node.logColdTransitions(now)
@@ -270,6 +281,18 @@
 		c.nextID++
 		c.pendingCharges[c.nextID] = input.answer
 		c.core.Step(now, coordinator.ChargeRequested{ID: c.nextID, Charge: input.charge, Timeout: input.timeout})
+	case runRequest:
+		c.nextID++
+		c.pendingRuns[c.nextID] = input.answer
+		input.request.ID = c.nextID
+		c.core.Step(now, input.request)
+	case runReport:
+		c.nextID++
+		c.pendingReports[c.nextID] = input.announced
+		input.report.ID = c.nextID
+		c.core.Step(now, input.report)
+	case quarantineLookup:
+		input.answer <- c.core.Quarantined()
 	case ownerLookup:
 		owner, _ := c.core.Owner(now, input.partition)
 		input.answer <- owner
@@ -284,6 +307,7 @@
 // performReady carries out the actions that the core has ready.
 func (c *control) performReady() {
 	ready := c.core.Ready()
+	c.applyQuarantine(&ready)
 	for _, reply := range ready.Replies {
 		if answer, waiting := c.pendingReplies[reply.ID]; waiting {
 			delete(c.pendingReplies, reply.ID)
@@ -329,6 +353,7 @@
 		c.node.logReconciled(reconciled)
 	}
 	c.answerClaimQueries(ready.ClaimQueries)
+	c.answerQuarantineQueries(ready.QuarantineQueries)
 }
 
 // answerClaimQueries lists this node's unsettled turns to the owners that ask for them.
--- a/edge/datagram.go
+++ b/edge/datagram.go
@@ -69,7 +69,7 @@
 	if message.Membership != nil {
 		return !message.Membership.Reliable
 	}
-	return message.Claim != nil || message.Charge != nil || message.Proof != nil || message.Gather != nil
+	return message.Claim != nil || message.Quarantine != nil || message.Charge != nil || message.Proof != nil || message.Gather != nil
 }
 
 // datagramErrorPause is the pause after a socket error, so that a persistent one does not
--- a/edge/handle.go
+++ b/edge/handle.go
@@ -37,6 +37,10 @@
 		n.refuse(request, dispatch.Refusal{Cause: dispatch.CauseStarting, EndsIn: n.retryAfterStart()}, "no configuration is known yet")
 		return
 	}
+	if !n.knowsMarked.Load() {
+		n.refuse(request, dispatch.Refusal{Cause: dispatch.CauseStarting, EndsIn: retrySoon}, "the marked requests of other nodes are not known yet")
+		return
+	}
 	request.version = table.Version
 	request.id = exchange.Field(n.adapter.Names.RequestID)
 	request.route = table.Match(exchange.Host, exchange.Path())
@@ -62,7 +66,10 @@
 		return
 	}
 	request.service = service
-	request.fingerprint = request.identity().Fingerprint()
+	request.fingerprint = n.identity(request).Fingerprint()
+	if n.rejectQuarantined(request) {
+		return
+	}
 	if request.route.Kind == routing.KindStream {
 		n.serveTurn(request, table)
 		return
--- a/edge/mechanisms.go
+++ b/edge/mechanisms.go
@@ -94,6 +94,8 @@
 	// ReadAccountsFirst reads a takeover's pages with accounts without waiting for other
 	// takeovers' pages of stored turns.
 	ReadAccountsFirst Mechanism = "read-accounts-first"
+	// QuarantineRequests stops sending a request on after replicas ended under it.
+	QuarantineRequests Mechanism = "quarantine-requests"
 	// RankRetriesLast starts programs that arrive for the first time before retrying ones
 	// at a tenant's limit.
 	RankRetriesLast Mechanism = "rank-programs"
@@ -168,6 +170,7 @@
 		PreferRegion,
 		PreferZone,
 		ShareProofs,
+		QuarantineRequests,
 		RankRetriesLast,
 		ReadAccountsFirst,
 		CacheChains,
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -12,7 +12,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
+	"birchwood.example/birchwood/coordinator"
 	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/quarantine"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/upstream"
 )
@@ -42,6 +44,10 @@
 // The names of the metrics, without labels.
 const (
 	metricBrokenRuns         = "birchwood_edge_broken_runs_total"
+	metricRunsDecided        = "birchwood_edge_quarantine_runs_total"
+	metricRunDecision        = "birchwood_edge_quarantine_decision_seconds"
+	metricQuarantineChanges  = "birchwood_edge_quarantine_changes_total"
+	metricMarked             = "birchwood_edge_quarantine_marked"
 	metricAnswers            = "birchwood_edge_answers_total"
 	metricLatency            = "birchwood_edge_request_seconds"
 	metricAppends            = "birchwood_edge_append_seconds"
@@ -290,6 +296,25 @@
 // originNotReported counts a stream whose origin no owner accepted in time.
 func (m *Metrics) originNotReported() { m.set.GetOrCreateCounter(metricOriginsLost).Inc() }
 
+// runDecided counts the decisions on runs of marked requests, and their time.
+func (m *Metrics) runDecided(verdict quarantine.Verdict, took time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{verdict=%q}", metricRunsDecided, verdict)).Inc()
+	m.set.GetOrCreatePrometheusHistogram(metricRunDecision).Update(took.Seconds())
+}
+
+// quarantineChanged counts the changes of marked requests, and sets the number of these.
+func (m *Metrics) quarantineChanged(change *coordinator.QuarantineChange, marked int) {
+	state := "marked"
+	switch {
+	case change.Reason != "":
+		state = string(change.Reason)
+	case change.Refused:
+		state = "refused"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{state=%q}", metricQuarantineChanges, state)).Inc()
+	m.set.GetOrCreateGauge(metricMarked, nil).Set(float64(marked))
+}
+
 // runBrokeOff counts runs without a whole answer by what became of the replica's process.
 func (m *Metrics) runBrokeOff(process upstream.Process) {
 	m.set.GetOrCreateCounter(metricBrokenRuns + `{process="` + string(process) + `"}`).Inc()
--- a/edge/node.go
+++ b/edge/node.go
@@ -18,6 +18,7 @@
 	"birchwood.example/birchwood/ingress"
 	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/retry"
 	"birchwood.example/birchwood/routing"
 	"birchwood.example/birchwood/upstream"
@@ -46,6 +47,8 @@
 	shares        *shares
 	chains        *chains
 	unsettled     *unsettledTurns
+	// suspects tracks requests that may end their replicas; nil if that is switched off.
+	suspects *suspects
 	// takeovers are the takeovers in progress at this node.
 	takeovers *takeovers
 	// space tracks how much the partitions occupy in the store.
@@ -81,6 +84,8 @@
 	// syncedConfiguration and syncedReplicas are set once the stream was read completely.
 	syncedConfiguration atomic.Bool
 	syncedReplicas      atomic.Bool
+	// knowsMarked is set once this node knows the marked requests of the others.
+	knowsMarked atomic.Bool
 	// roles are the tasks that nodes perform for others in a large fleet.
 	roles atomic.Pointer[coordinator.Roles]
 	// following is set while this node follows another one, and readerAnsweredAt is when
@@ -167,7 +172,10 @@
 		failed:                make(chan error, 4),
 		nodeListKnown:         make(chan struct{}),
 	}
-	node.replicas.forget = node.pool.RemoveTarget
+	if settings.uses(QuarantineRequests) {
+		node.suspects = newSuspects(settings.Node, node.self.Incarnation)
+	}
+	node.replicas.forget = node.forgetReplica
 	node.ctx, node.cancel = context.WithCancel(context.Background())
 	coreRandom := rand.New(rand.NewPCG(seed+1, uint64(now.UnixNano())))
 	core, err := coordinator.New(now, coreConfig(settings, node.self, coreRandom))
@@ -183,6 +191,14 @@
 	return node, nil
 }
 
+// forgetReplica drops what is kept of a replica's process that is gone.
+func (n *Node) forgetReplica(gone upstream.Target) {
+	n.pool.RemoveTarget(gone)
+	if n.suspects != nil {
+		n.suspects.forget(replica.ID(gone.Identity))
+	}
+}
+
 // The clients' connections may take up to half of the memory.
 const (
 	connectionBytes           = 48 << 10
@@ -233,6 +249,9 @@
 	if settings.Quota.Window > 0 {
 		config.Tenants = settings.Quota
 	}
+	if settings.Quarantine.Limit > 0 {
+		config.Quarantine = settings.Quarantine
+	}
 	if settings.ColdReplicas.Window > 0 {
 		config.ColdReplicas = settings.ColdReplicas
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -22,6 +22,9 @@
 	pathMessage = "/peer/message"
 	pathRequest = "/peer/request"
 	pathState   = "/peer/state"
+
+	// PathQuarantine lists the marked requests, and releases one of them.
+	PathQuarantine = "/peer/quarantine"
 )
 
 // Timeouts and limits of the calls between nodes.
@@ -174,6 +177,8 @@
 	routes.GET(pathState, p.receiveState)
 	routes.GET(pathReplicas, p.receiveReplicas)
 	routes.GET(pathNodes, p.receiveNodes)
+	routes.GET(PathQuarantine, p.listQuarantined)
+	routes.DELETE(PathQuarantine+"/{fingerprint}", p.releaseQuarantined)
 	server := &fasthttp.Server{
 		Handler: routes.Handler, MaxRequestBodySize: peerBodyBytes, NoDefaultServerHeader: true, CloseOnShutdown: true,
 		Logger: discardLogger{},
--- a/edge/readiness.go
+++ b/edge/readiness.go
@@ -30,7 +30,7 @@
 // ready reports whether the node can serve clients. An isolated node cannot: it would
 // refuse turns that other nodes could serve.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.isolatedSince.Load() == nil && n.syncedConfiguration.Load() && n.syncedReplicas.Load() && n.routes.Current() != nil
+	return !n.stopping.Load() && n.isolatedSince.Load() == nil && n.knowsMarked.Load() && n.syncedConfiguration.Load() && n.syncedReplicas.Load() && n.routes.Current() != nil
 }
 
 // serveReadiness serves the platform's readiness probe.
--- a/edge/request.go
+++ b/edge/request.go
@@ -55,6 +55,11 @@
 	// sentAt is when the last attempt began.
 	sentAt   time.Time
 	excluded []replica.ID
+	// flight is the last run that began; nil if runs are not tracked. announced is closed once
+	// all nodes know that a replica may have ended under the request, or after announceTimeout;
+	// nil if none has.
+	flight    *flight
+	announced <-chan struct{}
 	// origin is where the stream began: all its events come from there. It is nil until that
 	// is decided, and on routes whose streams are not resumable.
 	origin *ledger.StreamOrigin
@@ -147,6 +152,7 @@
 
 // fail answers with a status of this node's own.
 func (r *requestState) fail(status int, reason string, wait time.Duration) {
+	r.awaitAnnounced()
 	r.status = status
 	r.reason = reason
 	r.exchange.Fail(status, reason, wait)
@@ -154,11 +160,26 @@
 
 // abort breaks the exchange off without completing an answer.
 func (r *requestState) abort(reason string) {
+	r.awaitAnnounced()
 	r.status = 0
 	r.reason = reason
 	r.exchange.Abort()
 }
 
+// awaitAnnounced waits until all nodes know that a replica may have ended under the request,
+// before its client learns of the failure and tries again elsewhere.
+func (r *requestState) awaitAnnounced() {
+	if r.announced == nil || r.exchange.Cancel.Cause() != nil {
+		return
+	}
+	timer := time.NewTimer(announceTimeout)
+	defer timer.Stop()
+	select {
+	case <-r.announced:
+	case <-timer.C:
+	}
+}
+
 // timeLeft returns the time until the request's deadline.
 func (r *requestState) timeLeft() time.Duration { return time.Until(r.deadline) }
 
--- a/edge/run.go
+++ b/edge/run.go
@@ -111,6 +111,7 @@
 	r.urgency = n.urgency(r, t.table)
 	response, err := n.pool.Send(targetOf(entry), n.replicaRequest(r, entry, t.body(), t.resumeFrom()), r.exchange.Cancel)
 	if upstream.NotSent(err) {
+		n.runEnded(r.flight)
 		if n.endIfAbandoned(r, entry) {
 			return true
 		}
@@ -122,8 +123,10 @@
 		return t.afterFailure(entry, err)
 	}
 	n.observeColdStatus(entry.ID, response)
+	n.replicaAnswered(entry.ID, r.sentAt, response)
 	if n.notExecuted(response) {
 		response.Discard()
+		n.runEnded(r.flight)
 		n.attemptRejected(r, entry, replica.ResultRejected)
 		return false
 	}
@@ -135,6 +138,7 @@
 		response.Abort()
 		return t.afterFailure(entry, err)
 	}
+	n.runServed(r, r.flight)
 	n.replicas.ended(entry.ID, replica.ResultAnswered)
 	t.observeTurn(entry)
 	return true
@@ -167,6 +171,7 @@
 	if err != nil || !n.mayRelay(response) {
 		return t.afterFailure(entry, err)
 	}
+	n.runEnded(r.flight)
 	n.replicas.ended(entry.ID, resultForStatus(response.Status()))
 	r.status = response.Status()
 	if r.exchange.HeadWritten() {
@@ -371,6 +376,7 @@
 // ends.
 func (t *turnRun) afterFailure(entry replica.Entry, err error) (over bool) {
 	r, n := t.request, t.node
+	n.runFailed(r, r.flight, n.newBrokenRun(r, entry, r.sentAt, err))
 	var client *clientError
 	if errors.As(err, &client) {
 		n.replicas.ended(entry.ID, replica.ResultCancelled)
@@ -387,7 +393,6 @@
 		return true
 	}
 	n.replicas.ended(entry.ID, replica.ResultFailed)
-	n.checkReplica(&brokenRun{request: r, replica: entry, sentAt: r.sentAt, cause: err})
 	if !r.route.Repeatable() || t.unnumbered || t.runs >= maximumRuns {
 		r.fail(fasthttp.StatusBadGateway, failureReason(err), 0)
 		return true
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"birchwood.example/birchwood/quarantine"
 	"birchwood.example/birchwood/tenant"
 	"birchwood.example/birchwood/zone"
 )
@@ -52,6 +53,9 @@
 	// ColdReplicas configures how the rates of cold replicas are enforced; the zero value
 	// selects the default.
 	ColdReplicas tenant.Config
+	// Quarantine configures how requests that end their replicas are tracked; the zero value
+	// selects the default.
+	Quarantine quarantine.Config
 	// Disabled lists the mechanisms that are switched off.
 	Disabled []Mechanism
 	// Grace is the time between the stop signal and the kill.
--- a/replica/select.go
+++ b/replica/select.go
@@ -39,6 +39,8 @@
 	SpeedBias int
 	// Excluded lists the replicas that were already tried.
 	Excluded []ID
+	// Avoided lists the replicas that are selected only if there are no others.
+	Avoided []ID
 	// WarmOnly excludes cold replicas.
 	WarmOnly bool
 	// MaxPerNode limits the requests in flight of this node at one replica; 0 means no limit.
@@ -173,6 +175,10 @@
 			reason = ErrColdRate
 			continue
 		}
+		if slices.Contains(request.Avoided, m.entry.ID) {
+			suspects = append(suspects, m)
+			continue
+		}
 		if now.Before(m.suspectUntil) && !s.config.Disabled.Suspicion {
 			suspects = append(suspects, m)
 			continue
--- a/routing/table.go
+++ b/routing/table.go
@@ -106,6 +106,9 @@
 	CacheTokens int
 	// TokensPerEvent is how many tokens one event of an engine's stream contains.
 	TokensPerEvent int
+	// HealthPath is the path at which a replica answers that it is healthy, or "" if there is
+	// none.
+	HealthPath string
 	// ColdRate is how many requests per second a replica may get while it is cold; 0
 	// means no limit.
 	ColdRate float64
