soak: requests that end every replica that runs them, and two promises

Such a request comes beside the faults of a schedule in every run: on each kind of route, before the head, between events, at once or late; in three of ten the node of a try is killed. Promises: sent to none after three replicas ended, over all tries and nodes; and no other request is refused for that.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -64,6 +64,8 @@
 		s.release(ctx, replicas)
 	case Reload:
 		reload(ctx, nodes, span)
+	case LethalRequest:
+		s.tryLethal(ctx, fault)
 	default:
 		s.setFault(fault.Kind, nodes, replicas, 1)
 		sleep(ctx, span)
--- a/soak/promise/answer.go
+++ b/soak/promise/answer.go
@@ -33,6 +33,7 @@
 		c.checkVersions(at, sent, event)
 		c.checkConfigRollback(at, sent)
 	}
+	c.checkQuarantine(at, sent, event)
 	c.checkBudget(at, sent, event)
 	c.compareStreams(at, sent, event)
 	switch event.Status {
--- a/soak/promise/checker.go
+++ b/soak/promise/checker.go
@@ -35,10 +35,12 @@
 	allVersions  []string
 	streams      streamOutcomes
 	disturbances disturbances
-	samples      map[process][]Sampled
-	breaches     []Breach
-	counts       map[Promise]int
-	newBreaches  []Breach
+	// ends counts the replicas that ended under each request that ends its replicas.
+	ends        map[string]int
+	samples     map[process][]Sampled
+	breaches    []Breach
+	counts      map[Promise]int
+	newBreaches []Breach
 }
 
 type request struct {
@@ -84,7 +86,7 @@
 		versions: make(map[string]string), allVersions: []string{""},
 		drained: make(map[string]time.Time), evacuated: make(map[string]time.Time),
 		added: make(map[string]time.Time), revoked: make(map[string]time.Time), denied: make(map[denial]time.Time),
-		disturbances: newDisturbances(), samples: make(map[process][]Sampled), counts: make(map[Promise]int),
+		ends: make(map[string]int), disturbances: newDisturbances(), samples: make(map[process][]Sampled), counts: make(map[Promise]int),
 	}
 }
 
@@ -98,6 +100,8 @@
 		c.answer(at, event)
 	case Ran:
 		c.run(at, event)
+	case ReplicaEnded:
+		c.countEnd(event)
 	case Drained:
 		c.drained[event.Replica] = at
 	case Serving:
@@ -186,6 +190,7 @@
 	if len(event.Forged) > 0 {
 		c.addBreach(at, ReservedFields, ran, "", fmt.Sprintf("%s got the client's %v", event.Replica, event.Forged))
 	}
+	c.checkEnds(at, ran, event)
 	c.checkKey(at, ran)
 	c.checkChain(at, ran, event.Body)
 	c.checkPlace(at, ran, event)
--- a/soak/promise/event.go
+++ b/soak/promise/event.go
@@ -36,6 +36,9 @@
 	// LeaveAfter is the number of events after which the client closes the connection; 0 if it
 	// reads the whole answer.
 	LeaveAfter int
+	// Lethal is common to all tries of a request that ends every replica that runs it; "" for
+	// other requests.
+	Lethal string
 	// MustServe is set if the request has to be served in fault-free periods.
 	MustServe bool
 }
@@ -62,6 +65,12 @@
 	Forged []string
 }
 
+// ReplicaEnded records that a replica ended under a request.
+type ReplicaEnded struct {
+	Replica string
+	ID      string
+}
+
 // Drained records that the store accepted a replica's entry as draining.
 type Drained struct{ Replica string }
 
@@ -118,18 +127,19 @@
 	Warm    bool
 }
 
-func (Sent) event()        {}
-func (Answered) event()    {}
-func (Ran) event()         {}
-func (Drained) event()     {}
-func (Serving) event()     {}
-func (KeyAdded) event()    {}
-func (KeyRevoked) event()  {}
-func (Disturbance) event() {}
-func (Exited) event()      {}
-func (Sampled) event()     {}
-func (Evacuated) event()   {}
-func (Cooled) event()      {}
+func (Sent) event()         {}
+func (Answered) event()     {}
+func (Ran) event()          {}
+func (ReplicaEnded) event() {}
+func (Drained) event()      {}
+func (Serving) event()      {}
+func (KeyAdded) event()     {}
+func (KeyRevoked) event()   {}
+func (Disturbance) event()  {}
+func (Exited) event()       {}
+func (Sampled) event()      {}
+func (Evacuated) event()    {}
+func (Cooled) event()       {}
 
 // Promise names a guarantee of the nodes. Reports show it.
 type Promise string
@@ -157,6 +167,8 @@
 	ReservedFields    Promise = "a replica gets no field that clients may not set"
 	OneVersion        Promise = "a stream holds events of one version"
 	StreamsResumed    Promise = "streams taken up go on half as often as new ones begin"
+	EndsBounded       Promise = "a request under which three replicas ended is sent to no more"
+	EndsCostOthers    Promise = "no other request is refused because replicas ended"
 	KnownRequests     Promise = "a replica runs only what a client sent"
 )
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -40,10 +40,11 @@
 	if len(options.Faults) == 0 {
 		options.Faults = Schedule(options.Scenario)
 		releases, cuts := Releases(options.Scenario), Cuts(options.Scenario, options.Faults)
+		lethals := Lethals(options.Scenario, options.Faults)
 		if options.Series {
 			options.Faults = append(options.Faults, Series(options.Scenario, options.Faults)...)
 		}
-		options.Faults = append(append(options.Faults, releases...), cuts...)
+		options.Faults = slices.Concat(options.Faults, releases, cuts, lethals)
 	}
 	run, err := newSoak(options)
 	if err != nil {
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -56,6 +56,8 @@
 	// ReplicaCut makes replicas end answers early: after any byte, in any framing, in order, by
 	// a reset, or by being killed.
 	ReplicaCut Kind = "replica-cut"
+	// LethalRequest has a caller try a request that ends every replica that runs it.
+	LethalRequest Kind = "lethal-request"
 )
 
 // Fault is one scheduled fault.
--- a/soak/system.go
+++ b/soak/system.go
@@ -180,6 +180,10 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	replica.SetFraming(framings[len(s.proxies)%len(framings)])
+	replica.OnEnd = func(ended *standin.Replica, run standin.Run) {
+		s.record(promise.ReplicaEnded{Replica: ended.ID, ID: run.ID})
+	}
+	replica.SetLethal(&lethalEndings[len(s.proxies)%len(lethalEndings)])
 	s.proxies[replica.ID] = replicaProxy
 	return nil
 }
