--- a/command/explain.go
+++ b/command/explain.go
@@ -44,6 +44,8 @@
 	Request   string    `json:"request"`
 	Partition *int      `json:"partition"`
 	Replica   string    `json:"replica"`
+	// Fingerprint is the same for all tries of a request.
+	Fingerprint string `json:"fingerprint"`
 	// Counted is the node that counted the request towards its tenant's limit.
 	Counted string `json:"counted"`
 	// Evacuated is the zone whose evacuation the line reports.
@@ -55,7 +57,8 @@
 // what affected it: its partition's owner, its replica, the configuration, the
 // node that handled it, and the node that counted it towards its tenant's
 // limit. The latter must lie within the span before the request's last line,
-// except for lines about evacuated zones, whose age is not limited.
+// except for lines about evacuated zones, and about other tries of the request and
+// the replicas that ended under them, whose age is not limited.
 func explain(input io.Reader, output io.Writer, request string, span time.Duration) error {
 	lines, err := readLog(input)
 	if err != nil {
@@ -72,8 +75,10 @@
 	}
 	last := requestLines[len(requestLines)-1]
 	for _, line := range lines {
-		recent := !line.Time.After(last.Time) && (last.Time.Sub(line.Time) <= span || line.Evacuated != "")
-		if line.Request == request || (recent && line.Request == "" && affectsRequest(line, requestLines)) {
+		earlier := !line.Time.After(last.Time)
+		recent := earlier && (last.Time.Sub(line.Time) <= span || line.Evacuated != "")
+		otherTry := earlier && isOtherTry(line, requestLines)
+		if line.Request == request || otherTry || (recent && line.Request == "" && affectsRequest(line, requestLines)) {
 			if _, err := fmt.Fprintf(output, "%s\n", line.raw); err != nil {
 				return err
 			}
@@ -82,6 +87,11 @@
 	return nil
 }
 
+// isOtherTry reports whether a line is about another try of the request.
+func isOtherTry(line logLine, requestLines []logLine) bool {
+	return line.Fingerprint != "" && slices.ContainsFunc(requestLines, func(own logLine) bool { return own.Fingerprint == line.Fingerprint })
+}
+
 // affectsRequest reports whether a line is about a partition, replica or node
 // that one of the request's own lines names.
 func affectsRequest(line logLine, requestLines []logLine) bool {
--- a/command/explain_test.go
+++ b/command/explain_test.go
@@ -57,6 +57,21 @@
 		Expect(lines[0]).To(ContainSubstring(`"evacuated":"z","version":9`))
 	})
 
+	It("shows the other tries of the request and the replicas that ended under them, whatever their age", func() {
+		const tries = `{"time":"2026-01-02T02:00:10Z","node":"b","request":"t1","fingerprint":"f1","status":502,"message":"request: ended"}
+{"time":"2026-01-02T02:00:11Z","node":"b","fingerprint":"f1","ended":1,"message":"quarantine: marked"}
+{"time":"2026-01-02T02:00:12Z","node":"b","fingerprint":"f2","ended":1,"message":"quarantine: marked"}
+{"time":"2026-01-02T02:09:12Z","node":"a","request":"t2","fingerprint":"f1","status":503,"message":"request: ended"}
+{"time":"2026-01-02T02:09:13Z","node":"b","request":"t3","fingerprint":"f1","status":503,"message":"request: ended"}
+`
+		var output bytes.Buffer
+		Expect(explain(strings.NewReader(tries), &output, "t2", time.Second)).To(Succeed())
+		lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+		Expect(lines).To(HaveLen(3))
+		Expect(lines[1]).To(ContainSubstring("quarantine: marked"))
+		Expect(lines[2]).To(ContainSubstring(`"request":"t2"`))
+	})
+
 	It("fails if the log has no line about the request", func() {
 		err := explain(strings.NewReader(log), &bytes.Buffer{}, "unknown", time.Minute)
 		var exit *ExitError
--- a/command/verbs.go
+++ b/command/verbs.go
@@ -13,6 +13,7 @@
 		newServeCommand(),
 		edgecommand.New(),
 		newExplainCommand(),
+		newQuarantineCommand(),
 		newStandinCommand(),
 		newCheckCommand(),
 		newLoadCommand(),
