edge, quarantine: marked requests pass over replicas that ended; a lost node's known run counts once

The possible run of a lost node no longer counts beside a run that has not ended. What was passed over stays so, and so do replicas that ended under any marked request.

--- a/coordinator/quarantine_test.go
+++ b/coordinator/quarantine_test.go
@@ -193,7 +193,7 @@
 // outbreakSeeds is the number of runs of the model, and outbreakTries the number of tries of the
 // lethal request in each.
 const (
-	outbreakSeeds = 20
+	outbreakSeeds = 40
 	outbreakTries = 8
 )
 
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -66,12 +66,12 @@
 	return choice.Entry, nil
 }
 
-// choosePermitted selects a replica at which the request may run, and begins the run. Replicas
-// at which other marked requests run are passed over for a marked one as long as there are
-// others.
+// choosePermitted selects a replica at which the request may run, and begins the run. A marked
+// request passes over replicas that ended and those at which other marked requests run, as long
+// as there are others.
 func (n *Node) choosePermitted(r *requestState, request *replica.Request) (replica.Choice, error) {
 	if n.isMarked(r) {
-		request.Avoided = n.suspects.runningAt(r.fingerprint)
+		request.Avoided = n.suspects.avoidedBy(r.fingerprint)
 	}
 	for crowded := 0; ; crowded++ {
 		choice, err := n.chooseWithinColdRates(r, request)
@@ -86,7 +86,7 @@
 		n.refundColdGrant(r, choice.Entry.ID)
 		switch verdict {
 		case quarantine.VerdictCrowded:
-			request.Avoided = append(n.suspects.runningAt(r.fingerprint), choice.Entry.ID)
+			request.Avoided = append(append(request.Avoided, n.suspects.avoidedBy(r.fingerprint)...), choice.Entry.ID)
 		case quarantine.VerdictLimit:
 			return choice, errQuarantined
 		default:
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -267,12 +267,16 @@
 	return runs
 }
 
-// runningAt returns the replicas at which other marked requests run.
-func (s *suspects) runningAt(except quarantine.Fingerprint) (ids []replica.ID) {
+// avoidedBy returns the replicas that a marked request passes over as long as there are others:
+// those that ended, and those at which other marked requests run.
+func (s *suspects) avoidedBy(fingerprint quarantine.Fingerprint) (ids []replica.ID) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for fingerprint, change := range s.marked {
-		if fingerprint == except {
+	for other, change := range s.marked {
+		for _, id := range change.Status.EndedAt {
+			ids = append(ids, replica.ID(id))
+		}
+		if other == fingerprint {
 			continue
 		}
 		for _, id := range change.Status.RunningAt {
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -61,7 +61,7 @@
 
 // LostRun returns a run that stands for one that a lost node may have had of a request, and of
 // which nobody else knows. A request has one at most. It counts only beside an end that was
-// seen.
+// seen, and not beside a run that has not ended: that one may be the lost node's.
 func LostRun(fingerprint Fingerprint, tenant string) Run {
 	return Run{ID: lostRunID, Fingerprint: fingerprint, Tenant: tenant, Replica: lostNode, State: StateEnded}
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -245,7 +245,7 @@
 	}
 	status.EndedAt = distinct(status.EndedAt)
 	status.RunningAt = slices.DeleteFunc(distinct(status.RunningAt), func(replica string) bool { return slices.Contains(status.EndedAt, replica) })
-	if lost := tracked.runs[lostRunID]; lost != nil && lost.State == StateEnded && len(status.EndedAt) > 0 {
+	if lost := tracked.runs[lostRunID]; lost != nil && lost.State == StateEnded && len(status.EndedAt) > 0 && len(status.RunningAt) == 0 {
 		status.EndedAt = append(status.EndedAt, lostNode)
 	}
 	status.Ended, status.Running = len(status.EndedAt), len(status.RunningAt)
