coordinator: what tracks marked requests looks at the members as often as the ranking does

In a large fleet each change of the members made a node list and sort all of them, and permissions timed out before a throttled message was due. Both follow the size of the fleet now.

--- a/coordinator/quarantine.go
+++ b/coordinator/quarantine.go
@@ -150,6 +150,7 @@
 	liveNodes         map[machine.ID]uint64
 	deadNodes         map[machine.ID]bool
 	membershipVersion uint64
+	membersCheckedAt  time.Time
 	// nodeLostAt is when a node was last found to be lost.
 	nodeLostAt time.Time
 	expireAt   time.Time
@@ -238,7 +239,9 @@
 	c.mergeRuns(now, c.self().ID, []quarantine.Run{event.Run})
 	c.announce(event.Run)
 	c.quarantine.pending.replicas[event.Run.Replica] = struct{}{}
-	c.awaitAnswers(runWaiter{id: event.ID, requestedAt: now, deadline: now.Add(event.Timeout), requested: &event})
+	c.awaitAnswers(runWaiter{
+		id: event.ID, requestedAt: now, deadline: now.Add(event.Timeout + c.quarantineInterval()), requested: &event,
+	})
 }
 
 // stepRequestReleased clears a request at all nodes.
--- a/coordinator/quarantine_peers.go
+++ b/coordinator/quarantine_peers.go
@@ -142,9 +142,10 @@
 // announcements. Some of the other nodes do, by rank.
 func (c *Core) welcomeLiveNodes(now time.Time) {
 	state := &c.quarantine
-	if state.liveNodes != nil && state.membershipVersion == c.membership.Version() {
+	if state.liveNodes != nil && (state.membershipVersion == c.membership.Version() || now.Sub(state.membersCheckedAt) < c.minRankInterval()) {
 		return
 	}
+	state.membersCheckedAt = now
 	first := state.liveNodes == nil
 	before := state.liveNodes
 	c.noteLostNodes(now)
