edge: a replica that starts again under its id has ended all the same

Cause: two proofs of life rest on other processes rejecting requests that name the replica (its health, a later answer), which a process of the same id does not; ends were counted by id, so that the second end of one id was none; and a run right after an end did not see that end, whose report was still on its way to the control goroutine.

Neither proof is used for replicas that report their start; a replica that ended under the request before counts again; an end is seen at its node at once.

--- a/edge/broken.go
+++ b/edge/broken.go
@@ -64,11 +64,10 @@
 // probeProcess determines whether the process of a replica runs by its answer to a request for
 // its health: another process at its address answers that it is not the one.
 func (n *Node) probeProcess(broken *brokenRun) upstream.Process {
-	names := n.adapter.Names
-	if broken.healthPath == "" || names.ExpectReplica == "" {
+	if broken.healthPath == "" || !n.rejectsOthers(broken.replica) {
 		return upstream.ProcessUnknown
 	}
-	fields := appendField(nil, names.ExpectReplica, string(broken.replica.ID))
+	fields := appendField(nil, n.adapter.Names.ExpectReplica, string(broken.replica.ID))
 	for range maxProbes {
 		request := &upstream.Request{
 			Method: fasthttp.MethodGet, Target: broken.healthPath, Host: broken.host, Fields: fields, Deadline: time.Now().Add(probeTimeout),
@@ -91,6 +90,12 @@
 	return upstream.ProcessUnknown
 }
 
+// rejectsOthers reports whether any other process at the replica's address rejects requests for
+// the replica. Replicas that may start again under their ID report when they started.
+func (n *Node) rejectsOthers(entry replica.Entry) bool {
+	return n.adapter.Names.ExpectReplica != "" && entry.Incarnation == 0
+}
+
 // checkReplica determines whether the replica of a run that broke off has ended, and logs it.
 func (n *Node) checkReplica(f *flight, broken *brokenRun) {
 	n.run(func(context.Context) {
--- a/edge/call.go
+++ b/edge/call.go
@@ -123,7 +123,7 @@
 		return result
 	}
 	n.observeColdStatus(attempt.choice.Entry.ID, response)
-	n.replicaAnswered(attempt.choice.Entry.ID, attempt.sentAt, response)
+	n.replicaAnswered(attempt.choice.Entry, attempt.sentAt, response)
 	if n.notExecuted(response) {
 		response.Discard()
 		return result
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -40,8 +42,9 @@
 
 // flight is a run at a replica that has not ended.
 type flight struct {
-	run    quarantine.Run
-	sentAt time.Time
+	run     quarantine.Run
+	replica replica.Entry
+	sentAt  time.Time
 	// announced is set once other nodes know of the run. The suspects' mutex guards it.
 	announced bool
 }
@@ -162,18 +165,22 @@
 }
 
 // newFlight returns a run that has not begun.
-func (s *suspects) newFlight(r *requestState, entry replica.ID) *flight {
+func (s *suspects) newFlight(r *requestState, entry replica.Entry) *flight {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.lastNumber++
 	run := quarantine.Run{
 		ID:          quarantine.RunID{Node: s.node, Incarnation: s.incarnation, Number: s.lastNumber},
-		Fingerprint: r.fingerprint, Replica: string(entry),
+		Fingerprint: r.fingerprint, Replica: string(entry.ID),
+	}
+	if slices.Contains(s.marked[r.fingerprint].Status.EndedAt, run.Replica) {
+		// It ended under the request before and has started again under its ID.
+		run.Replica += "#" + strconv.FormatUint(s.lastNumber, 10)
 	}
 	if r.tenant != nil {
 		run.Tenant = r.tenant.Name
 	}
-	return &flight{run: run}
+	return &flight{run: run, replica: entry}
 }
 
 // begin registers a run that begins without permission, unless its request is marked. Requests
@@ -237,16 +244,25 @@
 	s.remove(f)
 	ended := f.run
 	ended.State = quarantine.StateEnded
-	id := replica.ID(ended.Replica)
+	id := f.replica.ID
 	s.doubts[id] = append(s.doubts[id], doubt{run: ended, brokeAt: at})
-	if _, marked := s.marked[ended.Fingerprint]; !marked {
-		// The next run of the request may come before the control goroutine has the report.
-		status := quarantine.Status{Fingerprint: ended.Fingerprint, Tenant: ended.Tenant, Ended: 1, EndedAt: []string{ended.Replica}}
-		s.marked[ended.Fingerprint] = coordinator.QuarantineChange{Status: status}
-	}
+	s.mark(ended)
 	return append(s.list(ended.Fingerprint), ended)
 }
 
+// mark adds an end to what is known of a request: its next run may come before the control
+// goroutine has the report. The caller holds the mutex.
+func (s *suspects) mark(ended quarantine.Run) {
+	change := s.marked[ended.Fingerprint]
+	status := &change.Status
+	status.Fingerprint, status.Tenant = ended.Fingerprint, ended.Tenant
+	if !slices.Contains(status.EndedAt, ended.Replica) {
+		status.EndedAt = append(slices.Clone(status.EndedAt), ended.Replica)
+		status.Ended++
+	}
+	s.marked[ended.Fingerprint] = change
+}
+
 // list returns the runs of a request, which are announced from now on. The caller holds the
 // mutex.
 func (s *suspects) list(fingerprint quarantine.Fingerprint) (runs []quarantine.Run) {
@@ -342,7 +358,7 @@
 	if n.suspects == nil {
 		return quarantine.VerdictGranted
 	}
-	f := n.suspects.newFlight(r, choice.Entry.ID)
+	f := n.suspects.newFlight(r, choice.Entry)
 	if n.suspects.begin(time.Now(), f) {
 		r.flight = f
 		return quarantine.VerdictGranted
@@ -413,7 +429,7 @@
 
 // replicaChecked takes back that a replica ended, or settles that it has.
 func (n *Node) replicaChecked(f *flight, process upstream.Process) {
-	id := replica.ID(f.run.Replica)
+	id := f.replica.ID
 	switch process {
 	case upstream.ProcessLives:
 		n.clearRuns(n.suspects.resolve(id, time.Now())...)
@@ -424,12 +440,12 @@
 }
 
 // replicaAnswered takes back that a replica ended under earlier runs, since its process answers
-// a request that was sent later: replicas reject requests that name another process.
-func (n *Node) replicaAnswered(id replica.ID, sentAt time.Time, response *upstream.Response) {
-	if n.suspects == nil || n.adapter.Names.ExpectReplica == "" || n.misdirected(response) {
+// a request that was sent later.
+func (n *Node) replicaAnswered(entry replica.Entry, sentAt time.Time, response *upstream.Response) {
+	if n.suspects == nil || !n.rejectsOthers(entry) || n.misdirected(response) {
 		return
 	}
-	n.clearRuns(n.suspects.resolve(id, sentAt)...)
+	n.clearRuns(n.suspects.resolve(entry.ID, sentAt)...)
 }
 
 // logQuarantine logs what is new of a marked request.
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -9,6 +9,7 @@
 
 	"birchwood.example/birchwood/coordinator"
 	"birchwood.example/birchwood/quarantine"
+	"birchwood.example/birchwood/replica"
 )
 
 // suspect is the request of these tests.
@@ -16,7 +17,7 @@
 
 // aRun returns a run that has not begun.
 func aRun(s *suspects) *flight {
-	return s.newFlight(&requestState{fingerprint: suspect}, "i-x")
+	return s.newFlight(&requestState{fingerprint: suspect}, replica.Entry{ID: "i-x"})
 }
 
 // TestNextRunAfterAnEndNeedsPermission checks that a run that follows an end at the same node
--- a/edge/run.go
+++ b/edge/run.go
@@ -123,7 +123,7 @@
 		return t.afterFailure(entry, err)
 	}
 	n.observeColdStatus(entry.ID, response)
-	n.replicaAnswered(entry.ID, r.sentAt, response)
+	n.replicaAnswered(entry, r.sentAt, response)
 	if n.notExecuted(response) {
 		response.Discard()
 		n.runEnded(r.flight)
