--- a/coordinator/quarantine.go
+++ b/coordinator/quarantine.go
@@ -185,9 +185,6 @@
 	}
 }
 
-// QuarantineCount returns the number of requests that are tracked.
-func (c *Core) QuarantineCount() int { return c.quarantine.table.Count() }
-
 // Quarantined returns the marked requests.
 func (c *Core) Quarantined() []quarantine.Status { return c.quarantine.table.Marked() }
 
