--- a/edge/broken.go
+++ b/edge/broken.go
@@ -9,24 +9,10 @@
 	"github.com/valyala/fasthttp"
 
 	"birchwood.example/birchwood/internal/wait"
-
-	"birchwood.example/birchwood/quarantine"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/upstream"
 )
 
-// identity returns what the request has in common with its other tries.
-func (n *Node) identity(r *requestState) *quarantine.Identity {
-	identity := &quarantine.Identity{
-		Program: r.exchange.Field(n.adapter.Names.Program),
-		Route:   r.route.Name, Method: r.exchange.Method, Target: r.exchange.Target, Previous: r.previous, Body: r.exchange.Body,
-	}
-	if r.tenant != nil {
-		identity.Tenant = r.tenant.Name
-	}
-	return identity
-}
-
 // brokenRun is a run without a whole answer.
 type brokenRun struct {
 	request *requestState
