edge, quarantine: requests of many callers are not rejected the first time that replicas end under them

Cause: that a replica had answered the same call a moment ago was known to the nodes that had seen it; one was killed, and the others rejected the call for the lifetime of its marks. Where it was known, the call was rejected for a second.

An end carries now that a replica answered the request lately, and the first time at the limit it is released at once; the times after that double from 1 s. A request that ends every replica has never been answered: all specs of those hold.

--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -16,7 +16,7 @@
 	// maxShared bounds the requests of which one is remembered.
 	sharedLifetime = time.Minute
 	maxShared      = 4096
-	// sharedReleaseDelay is how long nothing of such a request is sent at first after as many
+	// sharedReleaseDelay is how long nothing of such a request is sent the second time that as many
 	// replicas ended under it as may.
 	sharedReleaseDelay = time.Second
 )
@@ -91,10 +91,29 @@
 		return
 	}
 	s.marked[fingerprint] = *change
-	if shared := s.sharedLately(now, fingerprint); shared != nil && change.Refused && shared.releaseAt.IsZero() {
-		shared.releaseAt = now.Add(sharedReleaseDelay << shared.releases)
+	if change.Status.Shared && s.sharedLately(now, fingerprint) == nil {
+		s.remember(now, fingerprint)
+	}
+	if shared := s.sharedLately(now, fingerprint); shared != nil && change.Refused {
+		s.release(now, fingerprint, shared)
+	}
+}
+
+// release schedules when a shared request of which nothing is sent is tried again: the first time
+// at once. The caller holds the mutex.
+func (s *suspects) release(now time.Time, fingerprint quarantine.Fingerprint, shared *sharedRequest) {
+	if shared.releaseAt.IsZero() {
+		shared.releaseAt = now
+		if shared.releases > 0 {
+			shared.releaseAt = now.Add(sharedReleaseDelay << (shared.releases - 1))
+		}
 		shared.releases++
 	}
+	if shared.releases == 1 {
+		change := s.marked[fingerprint]
+		change.Refused = false
+		s.marked[fingerprint] = change
+	}
 }
 
 // sharedLately returns a request without a program if a replica answered it lately, else nil.
@@ -111,6 +130,11 @@
 func (s *suspects) noteShared(now time.Time, fingerprint quarantine.Fingerprint) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.remember(now, fingerprint)
+}
+
+// remember notes a shared request. The caller holds the mutex.
+func (s *suspects) remember(now time.Time, fingerprint quarantine.Fingerprint) {
 	if _, known := s.shared[fingerprint]; !known {
 		s.sharedOrder = append(s.sharedOrder, fingerprint)
 	}
@@ -125,15 +149,13 @@
 func (s *suspects) dueReleases(now time.Time) (due []quarantine.Fingerprint) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for fingerprint, change := range s.marked {
+	for fingerprint := range s.marked {
 		shared := s.shared[fingerprint]
 		if shared == nil || shared.releaseAt.IsZero() || now.Before(shared.releaseAt) {
 			continue
 		}
 		shared.releaseAt = time.Time{}
-		if change.Refused {
-			due = append(due, fingerprint)
-		}
+		due = append(due, fingerprint)
 	}
 	return due
 }
@@ -225,6 +247,7 @@
 	s.remove(f)
 	ended := f.run
 	ended.State = quarantine.StateEnded
+	ended.Shared = s.sharedLately(at, ended.Fingerprint) != nil
 	id := f.replica.ID
 	s.doubts[id] = append(s.doubts[id], doubt{run: ended, brokeAt: at})
 	s.mark(ended)
--- a/edge/suspects_test.go
+++ b/edge/suspects_test.go
@@ -66,6 +66,9 @@
 	s.noteShared(now, suspect)
 	s.apply(now, &coordinator.QuarantineChange{Status: quarantine.Status{Fingerprint: suspect, Ended: 1}})
 	g.Expect(s.begin(now, aRun(s))).To(BeTrue())
+	s.apply(now, refused())
+	g.Expect(s.begin(now, aRun(s))).To(BeTrue(), "the first time costs nobody")
+	g.Expect(s.dueReleases(now)).To(ConsistOf(suspect))
 	for _, delay := range []time.Duration{sharedReleaseDelay, 2 * sharedReleaseDelay, 4 * sharedReleaseDelay} {
 		s.apply(now, refused())
 		g.Expect(s.begin(now, aRun(s))).To(BeFalse())
@@ -77,6 +80,23 @@
 	g.Expect(s.dueReleases(now.Add(time.Hour))).To(BeEmpty(), "no replica answered it lately")
 }
 
+// TestSharedRequestIsKnownFromOtherNodes checks that an end carries that replicas answer the
+// request, to nodes that have not seen an answer.
+func TestSharedRequestIsKnownFromOtherNodes(t *testing.T) {
+	g := NewWithT(t)
+	seen, other := newSuspects("n", 1), newSuspects("m", 1)
+	now := time.Now()
+	seen.noteShared(now, suspect)
+	broken := aRun(seen)
+	seen.begin(now, broken)
+	runs := seen.breakOff(broken, now)
+	g.Expect(runs).To(ConsistOf(HaveField("Shared", true)))
+	table := quarantine.NewTable(quarantine.DefaultConfig())
+	table.Merge(now, runs)
+	other.apply(now, &coordinator.QuarantineChange{Status: table.Status(suspect)})
+	g.Expect(other.begin(now, aRun(other))).To(BeTrue())
+}
+
 // TestSharedRequestsAreBounded checks that the memory of requests of many callers is bounded.
 func TestSharedRequestsAreBounded(t *testing.T) {
 	g := NewWithT(t)
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -55,6 +55,9 @@
 	Tenant      string      `json:"tenant,omitempty"`
 	Replica     string      `json:"replica"`
 	State       State       `json:"state"`
+	// Shared is set if the request names no program and a replica answered it lately, for whatever
+	// caller.
+	Shared bool `json:"shared,omitempty"`
 	// AgeMS is how long ago the state was noted first, in milliseconds.
 	AgeMS int64 `json:"age_ms,omitempty"`
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -86,6 +86,8 @@
 	// EndedAt and RunningAt are these replicas, sorted.
 	EndedAt   []string `json:"ended_at,omitempty"`
 	RunningAt []string `json:"running_at,omitempty"`
+	// Shared is set if a run that counts is Shared.
+	Shared bool `json:"shared,omitempty"`
 	// ExpiresAt is when the last of them is forgotten.
 	ExpiresAt time.Time `json:"expires_at"`
 }
@@ -239,6 +241,7 @@
 		} else {
 			status.RunningAt = append(status.RunningAt, run.Replica)
 		}
+		status.Shared = status.Shared || run.Shared
 		if expires := run.at.Add(t.config.Lifetime); expires.After(status.ExpiresAt) {
 			status.ExpiresAt = expires
 		}
