--- a/coordinator/quarantine_peers.go
+++ b/coordinator/quarantine_peers.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -21,7 +20,7 @@
 	case message.Answer:
 		c.stepQuarantineAnswer(now, from.ID, message)
 	case message.All:
-		c.sendQuarantine(from.ID, QuarantineMessage{Answer: true, All: true, Complete: c.quarantine.sync.done, Runs: c.quarantine.table.AllRuns(now)})
+		c.sendAllRuns(now, from.ID)
 	case message.Number != 0:
 		c.ready.QuarantineQueries = append(c.ready.QuarantineQueries, QuarantineQuery{
 			From: from, Number: message.Number, Fingerprints: fingerprintsOf(message.Runs), Runs: message.Runs, Replicas: message.Replicas,
@@ -29,6 +28,12 @@
 	}
 }
 
+// sendAllRuns sends the runs of all tracked requests to a node.
+func (c *Core) sendAllRuns(now time.Time, to machine.ID) {
+	state := &c.quarantine
+	c.sendQuarantine(to, QuarantineMessage{Answer: true, All: true, Complete: state.sync.done, Runs: state.table.AllRuns(now)})
+}
+
 // fingerprintsOf returns the requests of runs, each once and sorted.
 func fingerprintsOf(runs []quarantine.Run) []quarantine.Fingerprint {
 	seen := make(map[quarantine.Fingerprint]struct{})
@@ -157,7 +162,7 @@
 		if first || node.ID == c.self().ID || wasLive && incarnation == node.Incarnation || state.table.Count() == 0 || !c.welcomes(node.ID) {
 			continue
 		}
-		c.sendQuarantine(node.ID, QuarantineMessage{Answer: true, All: true, Complete: state.sync.done, Runs: state.table.AllRuns(now)})
+		c.sendAllRuns(now, node.ID)
 	}
 }
 
@@ -189,7 +194,7 @@
 			ranks = append(ranks, welcomeRank(newcomer, node.ID))
 		}
 	}
-	slices.SortFunc(ranks, func(left, right uint64) int { return cmp.Compare(left, right) })
+	slices.Sort(ranks)
 	return welcomeRank(newcomer, c.self().ID) <= ranks[syncFanout-1]
 }
 
--- a/edge/control_quarantine.go
+++ b/edge/control_quarantine.go
@@ -37,18 +37,12 @@
 	decided, err := roundTrip(ctx, c, runRequest{request: request, answer: answer}, answer)
 	if err != nil {
 		// The permission may still come, and nothing runs with it.
-		c.post(coordinator.RunsReported{Runs: []quarantine.Run{cleared(request.Run)}})
+		c.node.clearRuns(request.Run)
 		return coordinator.RunDecided{Verdict: quarantine.VerdictUnknown}
 	}
 	return decided
 }
 
-// cleared returns a run as one that did not end its replica.
-func cleared(run quarantine.Run) quarantine.Run {
-	run.State = quarantine.StateCleared
-	return run
-}
-
 // reportRuns reports runs to all nodes. The returned channel is closed once all live nodes know
 // them, or after the timeout of the report.
 func (c *control) reportRuns(report coordinator.RunsReported) <-chan struct{} {
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -51,7 +51,7 @@
 	if change, marked := n.suspects.status(r.fingerprint); !marked || !change.Refused {
 		return false
 	}
-	n.refuse(r, n.refusalFor(r, errQuarantined), errQuarantined.Error())
+	n.refuse(r, n.quarantineRefusal(r), errQuarantined.Error())
 	return true
 }
 
@@ -93,7 +93,7 @@
 	if f == nil {
 		return
 	}
-	if n.adapter.Names.Program == "" || r.exchange.Field(n.adapter.Names.Program) == "" {
+	if r.exchange.Field(n.adapter.Names.Program) == "" {
 		n.suspects.noteShared(time.Now(), f.run.Fingerprint)
 	}
 	if announced, marked := n.suspects.end(f); announced || marked {
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -41,7 +41,7 @@
 		return VerdictGranted
 	}
 	for _, other := range t.RunningAt(now, run.Replica) {
-		if other.Fingerprint != run.Fingerprint && other.ID.before(run.ID) {
+		if other.Fingerprint != run.Fingerprint && other.ID.compare(run.ID) < 0 {
 			return VerdictCrowded
 		}
 	}
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 )
@@ -15,15 +16,9 @@
 // String returns the ID as it is logged.
 func (id RunID) String() string { return fmt.Sprintf("%s/%d/%d", id.Node, id.Incarnation, id.Number) }
 
-// before reports whether the ID precedes another one in a fixed order.
-func (id RunID) before(other RunID) bool {
-	if id.Node != other.Node {
-		return id.Node < other.Node
-	}
-	if id.Incarnation != other.Incarnation {
-		return id.Incarnation < other.Incarnation
-	}
-	return id.Number < other.Number
+// compare orders IDs by node, process and number.
+func (id RunID) compare(other RunID) int {
+	return cmp.Or(cmp.Compare(id.Node, other.Node), cmp.Compare(id.Incarnation, other.Incarnation), cmp.Compare(id.Number, other.Number))
 }
 
 // State is what is known of a run. Of two states of one run, the later one in this list holds.
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -289,14 +288,10 @@
 		run.AgeMS = max(0, now.Sub(known.at).Milliseconds())
 		runs = append(runs, run)
 	}
-	slices.SortFunc(runs, compareRuns)
+	slices.SortFunc(runs, func(left, right Run) int { return left.ID.compare(right.ID) })
 	return runs
 }
 
-func compareRuns(left, right Run) int {
-	return cmp.Or(cmp.Compare(left.ID.Node, right.ID.Node), cmp.Compare(left.ID.Incarnation, right.ID.Incarnation), cmp.Compare(left.ID.Number, right.ID.Number))
-}
-
 // AllRuns returns the runs of all requests that count.
 func (t *Table) AllRuns(now time.Time) (runs []Run) {
 	for _, fingerprint := range slices.Sorted(maps.Keys(t.requests)) {
