quarantine: each end of a replica that starts again under its ID counts, at whichever nodes

Callers saw: a request under which every replica ends was sent to a fourth one after three had ended ("4 sends, 4 ends, 1 sends after end 3"), where replicas start again under their ids within a millisecond and the tries go to three nodes.

Cause: runs at a replica that had ended under the request got a name of their own, from the number of the run. Numbers are given by each node for itself, so that the ends of run 4 at two nodes were one. For the same reason the table did not see that two marked requests ran at one such replica: each run had another name.

A run now names its replica and says that it started again; the run's ID, which is unique among all nodes and processes, tells the ends apart. Two specs of the table: the ends of runs of one number at two nodes count as two (as one before), and a second marked request at such a replica is crowded (granted before).

--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -176,10 +175,7 @@
 		ID:          quarantine.RunID{Node: s.node, Incarnation: s.incarnation, Number: s.lastNumber},
 		Fingerprint: r.fingerprint, Replica: string(entry.ID),
 	}
-	if slices.Contains(s.marked[r.fingerprint].Status.EndedAt, run.Replica) {
-		// It ended under the request before and has started again under its ID.
-		run.Replica += "#" + strconv.FormatUint(s.lastNumber, 10)
-	}
+	run.Restarted = slices.Contains(s.marked[r.fingerprint].Status.EndedAt, run.Replica)
 	if r.tenant != nil {
 		run.Tenant = r.tenant.Name
 	}
@@ -260,8 +256,11 @@
 	change := s.marked[ended.Fingerprint]
 	status := &change.Status
 	status.Fingerprint, status.Tenant = ended.Fingerprint, ended.Tenant
-	if !slices.Contains(status.EndedAt, ended.Replica) {
+	known := slices.Contains(status.EndedAt, ended.Replica)
+	if !known {
 		status.EndedAt = append(slices.Clone(status.EndedAt), ended.Replica)
+	}
+	if !known || ended.Restarted {
 		status.Ended++
 	}
 	s.marked[ended.Fingerprint] = change
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -49,7 +49,10 @@
 	Fingerprint Fingerprint `json:"fingerprint"`
 	Tenant      string      `json:"tenant,omitempty"`
 	Replica     string      `json:"replica"`
-	State       State       `json:"state"`
+	// Restarted is set if the replica had ended under the request before the run and had started
+	// again under its ID. Each such run counts as one at a process of its own.
+	Restarted bool  `json:"restarted,omitempty"`
+	State     State `json:"state"`
 	// Shared is set if the request names no program and a replica answered it lately, for whatever
 	// caller.
 	Shared bool `json:"shared,omitempty"`
@@ -69,6 +72,20 @@
 
 var lostRunID = RunID{Node: lostNode}
 
+// process identifies the process that a run is at. run is the zero RunID for a replica that has
+// not started again.
+type process struct {
+	replica string
+	run     RunID
+}
+
+func (r *Run) process() process {
+	if r.Restarted {
+		return process{replica: r.Replica, run: r.ID}
+	}
+	return process{replica: r.Replica}
+}
+
 // notedAt returns when the state was noted, by the clock of the node that received the run.
 func (r *Run) notedAt(now time.Time) time.Time {
 	return now.Add(-time.Duration(max(0, r.AgeMS)) * time.Millisecond)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -79,10 +79,10 @@
 	Fingerprint Fingerprint `json:"fingerprint"`
 	Tenant      string      `json:"tenant,omitempty"`
 	// Ended counts the replicas that ended under the request, and Running the others at which it
-	// still runs.
+	// still runs. One that started again under its ID counts again.
 	Ended   int `json:"ended"`
 	Running int `json:"running"`
-	// EndedAt and RunningAt are these replicas, sorted.
+	// EndedAt and RunningAt are the IDs of these replicas, sorted.
 	EndedAt   []string `json:"ended_at,omitempty"`
 	RunningAt []string `json:"running_at,omitempty"`
 	// Shared is set if a run that counts is Shared.
@@ -231,31 +231,37 @@
 		return status
 	}
 	status.Tenant = tracked.tenant
+	ended, running := make(map[process]struct{}), make(map[process]struct{})
 	for id, run := range tracked.runs {
 		if id == without || run.State == StateCleared || id.Node == lostNode {
 			continue
 		}
 		if run.State == StateEnded {
-			status.EndedAt = append(status.EndedAt, run.Replica)
+			ended[run.process()] = struct{}{}
 		} else {
-			status.RunningAt = append(status.RunningAt, run.Replica)
+			running[run.process()] = struct{}{}
 		}
 		status.Shared = status.Shared || run.Shared
 		if expires := run.at.Add(t.config.Lifetime); expires.After(status.ExpiresAt) {
 			status.ExpiresAt = expires
 		}
 	}
-	status.EndedAt = distinct(status.EndedAt)
-	status.RunningAt = slices.DeleteFunc(distinct(status.RunningAt), func(replica string) bool { return slices.Contains(status.EndedAt, replica) })
-	if lost := tracked.runs[lostRunID]; lost != nil && lost.State == StateEnded && len(status.EndedAt) > 0 && len(status.RunningAt) == 0 {
-		status.EndedAt = append(status.EndedAt, lostNode)
+	for at := range ended {
+		delete(running, at)
 	}
-	status.Ended, status.Running = len(status.EndedAt), len(status.RunningAt)
+	if lost := tracked.runs[lostRunID]; lost != nil && lost.State == StateEnded && len(ended) > 0 && len(running) == 0 {
+		ended[lost.process()] = struct{}{}
+	}
+	status.Ended, status.Running = len(ended), len(running)
+	status.EndedAt, status.RunningAt = replicasOf(ended), replicasOf(running)
 	return status
 }
 
-// distinct sorts replicas and removes duplicates.
-func distinct(replicas []string) []string {
+// replicasOf returns the IDs of the processes' replicas, sorted and each once.
+func replicasOf(processes map[process]struct{}) (replicas []string) {
+	for at := range processes {
+		replicas = append(replicas, at.replica)
+	}
 	slices.Sort(replicas)
 	return slices.Compact(replicas)
 }
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -63,6 +63,33 @@
 		Expect(status.Counted()).To(Equal(2))
 	})
 
+	It("counts each end of a replica that starts again under its ID, at whichever nodes", func() {
+		table := newTable(nil)
+		runs := []quarantine.Run{run(1, "a", quarantine.StateEnded), run(7, "a", quarantine.StateEnded), run(7, "a", quarantine.StateEnded)}
+		for index := range runs[1:] {
+			runs[1+index].ID.Node, runs[1+index].Restarted = []string{"n", "o"}[index], true
+		}
+		table.Merge(start, runs)
+		status := table.Status(request)
+		Expect(status.Ended).To(Equal(3))
+		Expect(status.EndedAt).To(Equal([]string{"a"}))
+		Expect(table.ReachedLimit(&status)).To(BeTrue())
+	})
+
+	It("keeps two marked requests apart at a replica that has started again under its ID", func() {
+		table := newTable(nil)
+		first, second := run(3, "a", quarantine.StateRunning), run(4, "a", quarantine.StateRunning)
+		first.Restarted, second.Restarted = true, true
+		second.Fingerprint++
+		table.Merge(start, []quarantine.Run{run(1, "a", quarantine.StateEnded), first, second})
+		status := table.Status(request)
+		Expect(status.Ended).To(Equal(1))
+		Expect(status.Running).To(Equal(1))
+		Expect(status.RunningAt).To(Equal([]string{"a"}))
+		Expect(table.Decide(start, &first, false)).To(Equal(quarantine.VerdictGranted))
+		Expect(table.Decide(start, &second, false)).To(Equal(quarantine.VerdictCrowded))
+	})
+
 	It("counts a run that a lost node may have had beside an end that was seen, and once", func() {
 		table := newTable(nil)
 		table.Merge(start, []quarantine.Run{quarantine.LostRun(request, "t")})
