edge, replica: a marked request waits before it follows another to a restarted replica

Cause: on a route with one attempt a stream whose run broke off may run again at its replica only. Where that has started again under its id, it accepts the connection, and all streams that ended with it meet there again, the one that ends it among them: three ends within 8 ms, all of the same process.

The replica is fixed by its process: once the entry of a later one is known, the request may run elsewhere. Until then a request that meets another marked one there waits 30 ms, three times, before it shares. Replicas that do not report their start are not concerned: their successors reject the request.

--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -8,6 +8,7 @@
 
 	"birchwood.example/birchwood/dispatch"
 	"birchwood.example/birchwood/ingress"
+	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/quarantine"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/routing"
@@ -36,7 +37,7 @@
 		r.excluded = append(r.excluded, entry.ID)
 		return
 	}
-	r.onlyReplica = entry.ID
+	r.onlyReplica, r.onlyIncarnation = entry.ID, entry.Incarnation
 }
 
 func failureReason(err error) string {
@@ -87,6 +88,7 @@
 		switch verdict {
 		case quarantine.VerdictCrowded:
 			request.Avoided = append(append(request.Avoided, n.suspects.avoidedBy(r.fingerprint)...), choice.Entry.ID)
+			n.awaitRestart(r)
 		case quarantine.VerdictLimit:
 			return choice, errQuarantined
 		default:
@@ -95,6 +97,16 @@
 	}
 }
 
+// awaitRestart waits before a request that may run at one replica only is sent there beside
+// another marked one. If the replica has ended and started again under its ID, the other run may
+// end it once more, or its new entry arrives and the request may run elsewhere.
+func (n *Node) awaitRestart(r *requestState) {
+	if r.onlyReplica == "" || r.onlyIncarnation == 0 {
+		return
+	}
+	wait.For(n.ctx, min(restartPause, r.timeLeft()))
+}
+
 // isMarked reports whether replicas may have ended under the request.
 func (n *Node) isMarked(r *requestState) bool {
 	if n.suspects == nil {
@@ -108,7 +120,7 @@
 func (n *Node) selectionRequest(r *requestState) *replica.Request {
 	request := &replica.Request{
 		Service: r.service, Program: r.program, Prompt: r.prompt, Preferred: r.preferred, PreferredCached: r.preferredCached,
-		Only: r.onlyReplica, Constraint: r.constraint, Excluded: r.excluded, ExpectedTokens: n.expectedTokens(r), SpeedBias: r.speedBias,
+		Only: r.onlyReplica, OnlyIncarnation: r.onlyIncarnation, Constraint: r.constraint, Excluded: r.excluded, ExpectedTokens: n.expectedTokens(r), SpeedBias: r.speedBias,
 	}
 	if r.origin != nil {
 		request.FixedVersion, request.Version = true, r.origin.Version
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -21,6 +21,9 @@
 	// maxCrowded is how many replicas at which other marked requests run are passed over before
 	// one of them is taken.
 	maxCrowded = 3
+	// restartPause is how long a request waits each time before it runs beside another marked one
+	// at a replica that may have started again.
+	restartPause = 30 * time.Millisecond
 )
 
 // errQuarantined means that as many replicas ended under the request as may.
@@ -78,7 +81,7 @@
 	decided := n.control.requestRun(ctx, coordinator.RunRequested{Run: f.run, MayShare: mayShare, Timeout: permissionTimeout})
 	took := time.Since(start)
 	n.metrics.runDecided(decided.Verdict, took)
-	n.logger.Info().Str("request", r.id).Str("fingerprint", r.fingerprint.String()).Str("replica", f.run.Replica).
+	n.logger.Info().Str("request", r.id).Str("fingerprint", r.fingerprint.String()).Str("replica", f.run.Replica).Bool("restarted", f.run.Restarted).
 		Str("verdict", decided.Verdict.String()).Int("ended", decided.Status.Ended).Int("running", decided.Status.Running).
 		Int("answered", decided.Answered).Int("asked", decided.Asked).Dur("took", took).Msg("quarantine: run decided")
 	if decided.Verdict == quarantine.VerdictGranted {
--- a/edge/request.go
+++ b/edge/request.go
@@ -65,8 +65,10 @@
 	origin *ledger.StreamOrigin
 	// originSource is how the origin of a resumed stream became known.
 	originSource originSource
-	// onlyReplica is the one replica that may run the request again; empty if any may.
+	// onlyReplica is the one replica that may run the request again, as long as its process is
+	// that of onlyIncarnation; empty if any may.
 	onlyReplica      replica.ID
+	onlyIncarnation  uint64
 	status           int
 	reason           string
 	timeToFirstEvent time.Duration
--- a/replica/select.go
+++ b/replica/select.go
@@ -24,8 +24,10 @@
 	// parts but the last are assumed to be cached.
 	PreferredCached int
 	// Only is the one replica that may run the request again, or "". It has no effect if the
-	// replica is no longer known.
-	Only ID
+	// replica is no longer known, or if its process is a later one than OnlyIncarnation. 0 stands
+	// for any process.
+	Only            ID
+	OnlyIncarnation uint64
 	// FixedVersion restricts the request to replicas of the software version Version, since a
 	// stream may not contain events of two versions.
 	FixedVersion bool
@@ -152,7 +154,7 @@
 // only if there are no others. If the list is empty, reason is the limit that excluded the last
 // replica, or nil if no replica may receive the request regardless of such limits.
 func (s *Set) feasible(now time.Time, request *Request, candidates []*member) (list []*member, reason error) {
-	if known := s.byID[request.Only]; known != nil {
+	if known := s.byID[request.Only]; known != nil && !known.succeeds(request.OnlyIncarnation) {
 		if s.checkPlacement(now, request, known) != nil {
 			return nil, nil
 		}
@@ -191,6 +193,11 @@
 	return list, reason
 }
 
+// succeeds reports whether the replica's process is a later one than the given incarnation.
+func (m *member) succeeds(incarnation uint64) bool {
+	return incarnation != 0 && m.entry.Incarnation > incarnation
+}
+
 // isServing reports whether a replica may receive new requests: it is ready, and either listed
 // or not yet due for removal.
 func (m *member) isServing(now time.Time) bool {
