coordinator, edge: nodes tell each other that replicas answer a request of many callers

Cause: a request of many callers is told from one that ends replicas by the answers to it, and each node counts only those that it saw itself, or that came with an end from a node that saw one. A node that has just started has seen none: two replicas that ended under such calls and a lost node made three.

A node that hears of a run of such a request now tells in its answer whether a replica answered the request at it lately. The flag of a run is merged like its state: it is set by whoever knows, in any order. No message more; the answer is awaited before the caller learns of the failure, as before.

Specs: the node that reports the end learns it from another one (not before); merging in any order; what a node lists.

--- a/coordinator/harness_test.go
+++ b/coordinator/harness_test.go
@@ -96,7 +96,9 @@
 	collected []coordinator.ClaimsCollected
 	// marked are the marked requests, announced the reports of runs that all nodes know, and
 	// decided the decisions on runs.
-	marked    map[quarantine.Fingerprint]coordinator.QuarantineChange
+	marked map[quarantine.Fingerprint]coordinator.QuarantineChange
+	// shared are the requests without a program that replicas answered at the node.
+	shared    []quarantine.Fingerprint
 	announced map[uint64]coordinator.RunsAnnounced
 	decided   map[uint64]coordinator.RunDecided
 }
@@ -305,7 +307,7 @@
 		node.core.Step(f.now, coordinator.ClaimsListed{Query: query, Claims: node.unsettled})
 	}
 	for _, query := range ready.QuarantineQueries {
-		node.core.Step(f.now, coordinator.RunsListed{Query: query})
+		node.core.Step(f.now, coordinator.RunsListed{Query: query, Shared: node.shared})
 	}
 	if len(ready.ClaimQueries)+len(ready.QuarantineQueries) > 0 {
 		f.perform(id, node)
--- a/coordinator/quarantine.go
+++ b/coordinator/quarantine.go
@@ -79,6 +79,8 @@
 type RunsListed struct {
 	Query QuarantineQuery
 	Runs  []quarantine.Run
+	// Shared are those of the requests that name no program and that a replica answered lately.
+	Shared []quarantine.Fingerprint
 }
 
 // RunsAnnounced reports that the runs of a RunsReported are known to all live nodes but
--- a/coordinator/quarantine_peers.go
+++ b/coordinator/quarantine_peers.go
@@ -44,8 +44,10 @@
 }
 
 // stepRunsListed answers a node that announced something of the listed requests. Runs of this
-// node that the others do not know are announced to all of them.
+// node that the others do not know are announced to all of them. The answer tells which of the
+// requests are shared: the other node may not have seen an answer to them.
 func (c *Core) stepRunsListed(now time.Time, listed RunsListed) {
+	c.mergeRuns(now, c.self().ID, sharedRuns(listed))
 	news := c.quarantine.table.News(listed.Runs)
 	c.mergeRuns(now, c.self().ID, news)
 	c.announce(news...)
@@ -63,6 +65,17 @@
 	c.sendQuarantine(listed.Query.From.ID, answer)
 }
 
+// sharedRuns returns the announced runs of requests that are shared, marked as such.
+func sharedRuns(listed RunsListed) (shared []quarantine.Run) {
+	for _, run := range listed.Query.Runs {
+		if slices.Contains(listed.Shared, run.Fingerprint) {
+			run.Shared = true
+			shared = append(shared, run)
+		}
+	}
+	return shared
+}
+
 // stepQuarantineAnswer notes that a node knows what was announced to it.
 func (c *Core) stepQuarantineAnswer(now time.Time, from machine.ID, message *QuarantineMessage) {
 	sent := c.quarantine.sent[message.Number]
--- a/coordinator/quarantine_test.go
+++ b/coordinator/quarantine_test.go
@@ -94,6 +94,16 @@
 		}
 	})
 
+	It("are known to be those of many callers at a node that has seen no answer to them", func() {
+		fleet := newFleet(9, 5, 1)
+		fleet.run(time.Second)
+		fleet.nodes["node-03"].shared = []quarantine.Fingerprint{lethal}
+		announced := fleet.report("node-00", runOf("node-00", 1, "r1", quarantine.StateEnded))
+		Expect(announced.Unanswered).To(BeZero())
+		Expect(fleet.nodes["node-00"].marked[lethal].Status.Shared).To(BeTrue())
+		Expect(fleet.nodes["node-00"].marked[lethal].Status.Ended).To(Equal(1))
+	})
+
 	It("run again only with the permission of most nodes, up to the limit", func() {
 		fleet := newFleet(2, 5, 1)
 		fleet.run(12 * time.Second)
--- a/edge/control_quarantine.go
+++ b/edge/control_quarantine.go
@@ -104,6 +104,7 @@
 		listed := coordinator.RunsListed{Query: query}
 		if c.node.suspects != nil {
 			listed.Runs = c.node.suspects.listAll(query.Fingerprints)
+			listed.Shared = c.node.suspects.sharedAmong(now, query.Fingerprints)
 		}
 		c.core.Step(now, listed)
 	}
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -125,6 +125,19 @@
 	return shared
 }
 
+// sharedAmong returns those of the requests that name no program and that a replica answered
+// lately.
+func (s *suspects) sharedAmong(now time.Time, fingerprints []quarantine.Fingerprint) (shared []quarantine.Fingerprint) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, fingerprint := range fingerprints {
+		if s.sharedLately(now, fingerprint) != nil {
+			shared = append(shared, fingerprint)
+		}
+	}
+	return shared
+}
+
 // noteShared notes that a replica answered a request without a program.
 func (s *suspects) noteShared(now time.Time, fingerprint quarantine.Fingerprint) {
 	s.mutex.Lock()
--- a/edge/suspects_test.go
+++ b/edge/suspects_test.go
@@ -97,6 +97,18 @@
 	g.Expect(other.begin(now, aRun(other))).To(BeTrue())
 }
 
+// TestSharedAmong checks that requests are listed as those of many callers as long as an answer to
+// them counts.
+func TestSharedAmong(t *testing.T) {
+	g := NewWithT(t)
+	s := newSuspects("n", 1)
+	now := time.Now()
+	s.noteShared(now, suspect)
+	asked := []quarantine.Fingerprint{suspect, suspect + 1}
+	g.Expect(s.sharedAmong(now, asked)).To(ConsistOf(suspect))
+	g.Expect(s.sharedAmong(now.Add(2*sharedLifetime), asked)).To(BeEmpty())
+}
+
 // TestSharedRequestsAreBounded checks that the memory of requests of many callers is bounded.
 func TestSharedRequestsAreBounded(t *testing.T) {
 	g := NewWithT(t)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -136,13 +136,22 @@
 	}
 	known := tracked.runs[run.ID]
 	if known != nil && known.State >= run.State {
-		return false
+		return known.mergeShared(run)
 	}
-	tracked.runs[run.ID] = &trackedRun{Run: *run, at: run.notedAt(now)}
+	merged := &trackedRun{Run: *run, at: run.notedAt(now)}
+	merged.Shared = run.Shared || known != nil && known.Shared
+	tracked.runs[run.ID] = merged
 	tracked.boundCleared()
 	return true
 }
 
+// mergeShared takes over that the run is Shared, and reports whether that is new.
+func (r *trackedRun) mergeShared(other *Run) bool {
+	news := other.Shared && !r.Shared && r.State != StateCleared
+	r.Shared = r.Shared || other.Shared
+	return news
+}
+
 // boundCleared removes the oldest cleared runs beyond maxCleared.
 func (r *request) boundCleared() {
 	if len(r.runs) <= maxCleared {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -63,6 +63,19 @@
 		Expect(status.Counted()).To(Equal(2))
 	})
 
+	It("takes over that a run is shared, in any order", func() {
+		shared := run(1, "a", quarantine.StateRunning)
+		shared.Shared = true
+		for _, runs := range [][]quarantine.Run{{shared, run(1, "a", quarantine.StateEnded)}, {run(1, "a", quarantine.StateEnded), shared}} {
+			table := newTable(nil)
+			table.Merge(start, runs)
+			status := table.Status(request)
+			Expect(status.Shared).To(BeTrue())
+			Expect(status.Ended).To(Equal(1))
+			Expect(table.Merge(start, runs)).To(BeEmpty())
+		}
+	})
+
 	It("counts each end of a replica that starts again under its ID, at whichever nodes", func() {
 		table := newTable(nil)
 		runs := []quarantine.Run{run(1, "a", quarantine.StateEnded), run(7, "a", quarantine.StateEnded), run(7, "a", quarantine.StateEnded)}
