--- a/coordinator/quarantine_test.go
+++ b/coordinator/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -117,6 +118,18 @@
 		Expect(fleet.request("node-03", runOf("node-03", 2, "r5", quarantine.StateRunning))).To(Equal(quarantine.VerdictLimit))
 	})
 
+	It("count each end of a replica that starts again under its ID, although the nodes' runs have one number", func() {
+		fleet := newFleet(10, 5, 1)
+		fleet.run(time.Second)
+		for index, id := range []machine.ID{"node-00", "node-01", "node-02"} {
+			ended := runOf(id, 1, "r1", quarantine.StateEnded)
+			ended.Restarted = index > 0
+			fleet.report(id, ended)
+		}
+		Expect(fleet.nodes["node-03"].marked[lethal].Status.Ended).To(Equal(3))
+		Expect(fleet.nodes["node-03"].marked[lethal].Refused).To(BeTrue())
+	})
+
 	It("count one end more while a node may have been lost with a run of theirs", func() {
 		for _, lose := range []func(*fleet){
 			func(f *fleet) { f.kill("node-04") },
@@ -190,14 +203,18 @@
 		Expect(fleet.request("node-01", runOf("node-01", 2, "r2", quarantine.StateRunning))).To(Equal(quarantine.VerdictGranted))
 	})
 
-	It("are sent to none after three replicas ended, whatever becomes of one node at a time", func() {
+	DescribeTable("are sent to none after three replicas ended, whatever becomes of one node at a time", func(runsPerTry int, keepsID bool) {
 		for seed := range uint64(outbreakSeeds) {
 			model := newOutbreak(seed)
+			model.runsPerTry, model.keepsID = runsPerTry, keepsID
 			model.play()
 			Expect(model.late).To(BeZero(), "seed %d: %v", seed, model.trace)
 			Expect(model.sends).To(BeNumerically(">", 0), "seed %d", seed)
 		}
-	})
+	},
+		Entry("and they do not come back", 4, false),
+		Entry("and one starts again under its ID each time", 1, true),
+	)
 })
 
 // outbreakSeeds is the number of runs of the model, and outbreakTries the number of tries of the
@@ -215,6 +232,12 @@
 	// sends counts the runs of the request, ends the replicas that ended under it, and late the
 	// runs that began after the third end.
 	sends, ends, late int
+	// runsPerTry is how often a node runs the request in one try at most.
+	runsPerTry int
+	// keepsID has all runs at one replica, which starts again under its ID. numbers are the
+	// numbers of the last runs of the nodes.
+	keepsID bool
+	numbers map[machine.ID]uint64
 	// lostRuns counts the runs whose node was killed before it could report their end. One such
 	// run counts.
 	lostRuns int
@@ -222,7 +245,7 @@
 }
 
 func newOutbreak(seed uint64) *outbreak {
-	model := &outbreak{fleet: newFleet(seed, 5, 1), draws: rand.New(rand.NewPCG(seed, 11))}
+	model := &outbreak{fleet: newFleet(seed, 5, 1), draws: rand.New(rand.NewPCG(seed, 11)), numbers: make(map[machine.ID]uint64)}
 	model.run(time.Duration(model.draws.IntN(15)+1) * time.Second)
 	return model
 }
@@ -276,10 +299,9 @@
 	if o.nodes[id].frozen {
 		return
 	}
-	for range 4 {
-		o.nextID++
-		run := runOf(id, o.nextID, fmt.Sprintf("r%d", o.nextID), quarantine.StateRunning)
+	for range o.runsPerTry {
 		change, marked := o.nodes[id].marked[lethal]
+		run := o.nextRun(id, change.Status.EndedAt)
 		switch {
 		case change.Refused:
 			o.note("%s refuses", id)
@@ -294,6 +316,18 @@
 	}
 }
 
+// nextRun returns the next run of a node. Each node numbers its own runs.
+func (o *outbreak) nextRun(id machine.ID, endedAt []string) quarantine.Run {
+	o.numbers[id]++
+	o.nextID++
+	run := runOf(id, o.numbers[id], fmt.Sprintf("r%d", o.nextID), quarantine.StateRunning)
+	if o.keepsID {
+		run.Replica = "r"
+		run.Restarted = slices.Contains(endedAt, run.Replica)
+	}
+	return run
+}
+
 // send sends the run to a replica, which ends. It returns false if the node is killed before it
 // has told the others.
 func (o *outbreak) send(id machine.ID, run quarantine.Run) bool {
