coordinator: messages about marked requests are resent at doubling intervals

Cause: an announcement is sent again every 20 ms for up to 3 s to each node that has not answered. Killed nodes do not answer until they are found dead: about 150 messages for each of them, for each announcement of each node.

The interval now doubles up to 640 ms: about 8 messages. The first resend still comes within the 60 ms that a decision waits.

--- a/coordinator/quarantine.go
+++ b/coordinator/quarantine.go
@@ -113,8 +113,11 @@
 
 const (
 	// quarantineResendInterval is the time after which a message is sent again to the nodes
-	// that have not answered: some round trips between zones.
+	// that have not answered: some round trips between zones. It doubles with each resend, at
+	// most maxResendDoublings times: nodes that were killed do not answer until they are found
+	// dead.
 	quarantineResendInterval = 20 * time.Millisecond
+	maxResendDoublings       = 5
 	// quarantineTimeout is how long a message is sent again. A node that has not answered by
 	// then is dead, or receives all runs when it is live again.
 	quarantineTimeout = 3 * time.Second
@@ -168,6 +171,7 @@
 	asked      int
 	unanswered map[machine.ID]struct{}
 	resendAt   time.Time
+	sends      int
 	until      time.Time
 	waiters    []runWaiter
 }
@@ -331,7 +335,8 @@
 
 // sendAnnouncement sends an announcement to the nodes that have not answered it.
 func (c *Core) sendAnnouncement(now time.Time, number uint64, sent *announcement) {
-	sent.resendAt = now.Add(quarantineResendInterval + c.quarantineInterval())
+	sent.resendAt = now.Add(quarantineResendInterval<<min(sent.sends, maxResendDoublings) + c.quarantineInterval())
+	sent.sends++
 	message := QuarantineMessage{Number: number, Replicas: slices.Sorted(maps.Keys(sent.replicas))}
 	for _, fingerprint := range slices.Sorted(maps.Keys(sent.changed)) {
 		message.Runs = append(message.Runs, c.quarantine.table.Runs(now, fingerprint, sent.changed[fingerprint])...)
