coordinator: the possible run of a lost node is not announced by every node

Cause: where a node was lost lately, every node that hears of an end adds the run that the lost one may have had, and each announced it to all others: messages from all nodes to all nodes for each request under which a replica ended.

A node now tells it to who asks, with its other runs of the request: a permission needs the answers of most nodes, and one that has it suffices. Only the node that met silence itself announces it. Model and specs of lost nodes hold (10 s).

--- a/coordinator/quarantine.go
+++ b/coordinator/quarantine.go
@@ -383,7 +383,7 @@
 		}
 		if len(sent.unanswered) > 0 {
 			for _, fingerprint := range slices.Sorted(maps.Keys(sent.changed)) {
-				c.addLostRun(now, fingerprint)
+				c.announce(c.addLostRun(now, fingerprint)...)
 			}
 		}
 		c.ready.RunsAnnounced = append(c.ready.RunsAnnounced, RunsAnnounced{ID: waiter.id, Unanswered: len(sent.unanswered)})
@@ -399,7 +399,7 @@
 	verdict := quarantine.VerdictUnknown
 	if majority && !c.Isolated(now) {
 		if silent {
-			c.addLostRun(now, waiter.requested.Run.Fingerprint)
+			c.announce(c.addLostRun(now, waiter.requested.Run.Fingerprint)...)
 		}
 		verdict = c.quarantine.table.Decide(now, &waiter.requested.Run, waiter.requested.MayShare)
 	}
@@ -418,17 +418,19 @@
 }
 
 // addLostRun counts one more replica as ended under a marked request, for a run that a lost node
-// may have had.
-func (c *Core) addLostRun(now time.Time, fingerprint quarantine.Fingerprint) {
+// may have had. It returns that run if it is new. Every node adds it when it hears of an end, and
+// tells it to who asks: announced by each, it would take messages from all nodes to all nodes.
+func (c *Core) addLostRun(now time.Time, fingerprint quarantine.Fingerprint) (added []quarantine.Run) {
 	status := c.quarantine.table.Status(fingerprint)
 	if status.Ended == 0 {
-		return
+		return nil
 	}
 	lost := []quarantine.Run{quarantine.LostRun(fingerprint, status.Tenant)}
 	for _, changed := range c.quarantine.table.Merge(now, lost) {
 		c.reportChange(c.self().ID, changed, ReleaseCleared)
-		c.announce(lost...)
+		added = lost
 	}
+	return added
 }
 
 // withdraw clears a run that was not permitted.
