replica: a spec of the replica that is fixed by its process

The selection no longer keeps to the one replica once a later process runs under its ID. The spec fails where the incarnation is not looked at.

--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -162,6 +162,19 @@
 		Expect(choice.Entry.ID).NotTo(Equal(replica.ID("r2")))
 	})
 
+	It("no longer keeps to that replica once its process is a later one", func() {
+		set := newSet(4)
+		set.Put(start, replica.Entry{ID: "r2", Service: "s", Zone: "here", Status: replica.StatusReady, Slots: 4, Incarnation: 7})
+		request := &replica.Request{Service: "s", Only: "r2", OnlyIncarnation: 7, Avoided: []replica.ID{"r2"}}
+		choice, err := set.Select(start, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(choice.Entry.ID).To(Equal(replica.ID("r2")))
+		set.Put(start, replica.Entry{ID: "r2", Service: "s", Zone: "here", Status: replica.StatusReady, Slots: 4, Incarnation: 8})
+		choice, err = set.Select(start, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(choice.Entry.ID).NotTo(Equal(replica.ID("r2")))
+	})
+
 	It("avoids a replica that answers with errors, or not at all, until that is some seconds ago", func() {
 		for _, result := range []replica.Result{replica.ResultErred, replica.ResultTimedOut} {
 			set := newSet(3)
