coordinator, edge: one way to draw peers at random; a time that nothing reads goes

The statuses and the question for marked requests each shuffled the peers: both call randomPeers, which draws as before. The start of a run was noted with its flight and read nowhere. No behaviour changes. vet and staticcheck of both packages, all specs of coordinator (119) and the tests of edge and layout pass.

--- a/coordinator/peers.go
+++ b/coordinator/peers.go
@@ -144,11 +144,16 @@
 	})
 }
 
-// sendStatus sends this node's status to some peers at once.
-func (c *Core) sendStatus(now time.Time) {
+// randomPeers returns at most count of the statusPeers, drawn at random.
+func (c *Core) randomPeers(count int) []machine.Machine {
 	peers := c.statusPeers()
 	c.config.Random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, peer := range peers[:min(len(peers), c.config.StatusFanout)] {
+	return peers[:min(len(peers), count)]
+}
+
+// sendStatus sends this node's status to some peers at once.
+func (c *Core) sendStatus(now time.Time) {
+	for _, peer := range c.randomPeers(c.config.StatusFanout) {
 		c.ready.Messages = append(c.ready.Messages, Outbound{To: peer, Message: PeerMessage{From: c.self(), Status: c.status(now)}})
 	}
 }
--- a/coordinator/quarantine_peers.go
+++ b/coordinator/quarantine_peers.go
@@ -120,9 +120,7 @@
 	}
 	if sync.startedAt.IsZero() {
 		sync.startedAt, sync.unanswered = now, make(map[machine.ID]struct{})
-		peers := c.statusPeers()
-		c.config.Random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		for _, peer := range peers[:min(len(peers), syncFanout)] {
+		for _, peer := range c.randomPeers(syncFanout) {
 			sync.unanswered[peer.ID] = struct{}{}
 		}
 	}
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -24,7 +24,6 @@
 type flight struct {
 	run     quarantine.Run
 	replica replica.Entry
-	sentAt  time.Time
 	// announced is set once other nodes know of the run. The suspects' mutex guards it.
 	announced bool
 }
@@ -218,7 +217,6 @@
 
 // add registers a run. The caller holds the mutex.
 func (s *suspects) add(f *flight) {
-	f.sentAt = time.Now()
 	s.flights[f.run.Fingerprint] = append(s.flights[f.run.Fingerprint], f)
 }
 
