--- /dev/null
+++ b/review/standin/deployment_test.go
@@ -0,0 +1,235 @@
+//go:build review
+
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"birchwood.example/birchwood/platform/standin"
+)
+
+// The topics of the platform's store, and the deployment's host name.
+const (
+	configurationTopic = "keyed.op"
+	replicasTopic      = "keyed.servers"
+	host               = "review.example"
+)
+
+// zones are those of the deployment; nodes and replicas are assigned in turn.
+var zones = []string{"abdali", "sweileh", "marka"}
+
+// deployment is a small deployment: the platform with its store, replicas and nodes.
+type deployment struct {
+	*record
+	trouble  bool
+	folder   string
+	store    *standin.Store
+	platform net.Listener
+	nodes    []*node
+	replicas []*replica
+
+	mutex sync.Mutex
+	// entries are the replicas' entries in the store, without their sequence numbers, and
+	// beats the times of their last heartbeats.
+	entries map[string]string
+	beats   map[string]time.Time
+	// storeDown is set while the store takes no calls.
+	storeDown bool
+	requests  int
+}
+
+// node is one process of the system.
+type node struct {
+	name, clients, ready, peers string
+	command                     *exec.Cmd
+}
+
+// replica is one replica over all its processes.
+type replica struct {
+	id, service, version, zone, address string
+	flags                               []string
+	command                             *exec.Cmd
+}
+
+func newDeployment(folder string, trouble bool) (*deployment, error) {
+	kept, err := newRecord(folder)
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{record: kept, trouble: trouble, entries: make(map[string]string), beats: make(map[string]time.Time)}
+	if d.folder, err = os.MkdirTemp("", "review-"); err != nil {
+		return nil, err
+	}
+	if d.store, err = standin.StartStore(); err != nil {
+		return nil, err
+	}
+	if d.platform, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	handler := http.NewServeMux()
+	handler.HandleFunc("/entry", d.receiveEntry)
+	handler.HandleFunc("/run", d.receiveRun)
+	go func() { _ = http.Serve(d.platform, handler) }()
+	go d.expireEntries()
+	d.note("trouble: %t", trouble)
+	return d, nil
+}
+
+// close ends all processes that the deployment started.
+func (d *deployment) close() {
+	for _, started := range d.nodes {
+		end(started.command)
+	}
+	for _, started := range d.replicas {
+		end(started.command)
+	}
+	_ = d.platform.Close()
+	_ = os.RemoveAll(d.folder)
+	d.record.close()
+}
+
+// end kills a process, also one that is stopped, and waits for its end.
+func end(command *exec.Cmd) {
+	if command == nil || command.Process == nil {
+		return
+	}
+	_ = command.Process.Kill()
+	_ = command.Wait()
+}
+
+// receiveEntry takes a replica's heartbeat. The entry in the store changes when more than its
+// sequence number does.
+func (d *deployment) receiveEntry(_ http.ResponseWriter, request *http.Request) {
+	entry, err := io.ReadAll(request.Body)
+	if err != nil {
+		return
+	}
+	id := request.URL.Query().Get("id")
+	content, _, _ := strings.Cut(string(entry), `,"seq":`)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.storeDown {
+		return
+	}
+	d.beats[id] = time.Now()
+	if d.entries[id] != content {
+		d.entries[id] = content
+		d.store.Put(replicasTopic, id, entry)
+		d.note("store: entry of %s: %s", id, entry)
+	}
+}
+
+// expireEntries removes entries after three heartbeats of silence, while the store is up.
+func (d *deployment) expireEntries() {
+	for {
+		time.Sleep(heartbeat / 10)
+		d.mutex.Lock()
+		for id, last := range d.beats {
+			if !d.storeDown && time.Since(last) > 3*heartbeat {
+				delete(d.beats, id)
+				delete(d.entries, id)
+				d.store.Put(replicasTopic, id, nil)
+				d.note("store: entry of %s removed", id)
+			}
+		}
+		d.mutex.Unlock()
+	}
+}
+
+func (d *deployment) receiveRun(_ http.ResponseWriter, request *http.Request) {
+	line, _ := io.ReadAll(request.Body)
+	d.note("%s", line)
+}
+
+// setStoreDown makes the store refuse all calls with 503, or take them again.
+func (d *deployment) setStoreDown(down bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.storeDown = down
+	for id := range d.beats {
+		// Replicas that live write again within two seconds of the store's return.
+		d.beats[id] = time.Now()
+	}
+	d.store.SetDown(down)
+	d.note("store: down: %t", down)
+}
+
+// startReplica starts a new replica, whose process listens on a free port.
+func (d *deployment) startReplica(service, version string, flags ...string) (*replica, error) {
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	number := len(d.replicas)
+	r := &replica{id: fmt.Sprintf("i-%02d", number), service: service, version: version, zone: zones[number%len(zones)], address: address, flags: flags}
+	d.replicas = append(d.replicas, r)
+	return r, d.runReplica(r)
+}
+
+// runReplica starts a process of the replica under its id and address.
+func (d *deployment) runReplica(r *replica) error {
+	arguments := append([]string{"replica", "-id", r.id, "-service", r.service, "-version", r.version, "-zone", r.zone,
+		"-listen", r.address, "-platform", d.platform.Addr().String()}, r.flags...)
+	r.command = exec.Command(os.Args[0], arguments...)
+	r.command.Stderr = os.Stderr
+	if err := r.command.Start(); err != nil {
+		return err
+	}
+	d.note("replica %s starts: process %d, version %q", r.id, r.command.Process.Pid, r.version)
+	return until(5*time.Second, func() bool { return accepts(r.address) })
+}
+
+// crash kills the replica's process.
+func (d *deployment) crash(r *replica) {
+	d.note("replica %s: SIGKILL of process %d", r.id, r.command.Process.Pid)
+	end(r.command)
+}
+
+// signal sends a signal to a node.
+func (d *deployment) signal(n *node, sent syscall.Signal) {
+	d.note("node %s: %s", n.name, sent)
+	_ = n.command.Process.Signal(sent)
+}
+
+// freeAddress returns a loopback address with a free port.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return listener.Addr().String(), listener.Close()
+}
+
+func accepts(address string) bool {
+	connection, err := net.DialTimeout("tcp", address, time.Second)
+	if err == nil {
+		_ = connection.Close()
+	}
+	return err == nil
+}
+
+var errTooLate = errors.New("what was waited for did not come")
+
+// until waits until a condition holds.
+func until(timeout time.Duration, holds func() bool) error {
+	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return nil
+		}
+	}
+	return errTooLate
+}
+
+// settingsPath returns the path of a node's settings file.
+func (d *deployment) settingsPath(n *node) string { return filepath.Join(d.folder, n.name+".toml") }
--- /dev/null
+++ b/review/standin/node_test.go
@@ -0,0 +1,158 @@
+//go:build review
+
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+// edgeProgram is the program of a node, as deploy/system.toml runs it, relative to the root of
+// the repository.
+const edgeProgram = "target/birchwood-edge"
+
+// settingsTemplate is the settings file of a node, with the bounds of a small deployment.
+const settingsTemplate = `node = %q
+role = "edge"
+machineClass = "front"
+serves = ["front", "control"]
+ip = "127.0.0.1"
+zone = %q
+region = "amman"
+seeds = [%s]
+bootstrap = true
+countsLoss = false
+discovery = "platform"
+entry = "vip"
+heartbeatMs = 1200
+contracts = ["base", "drain", "config", "cost", "recover", "agent", "stream", "engine", "platform"]
+[zones]
+abdali = "amman"
+sweileh = "amman"
+marka = "amman"
+[listen]
+front = %q
+ready = %q
+control = %q
+[limits]
+cpuShare = 0.8
+cores = 1
+memoryMb = 254
+maxFds = 8200
+linkMbps = 1000.0
+diskMb = 0
+[tolerate]
+machines = 1
+zones = 0
+regions = 0
+[bounds]
+seedLagS = 3
+addrReuseS = 2
+contactMs = 3000
+ackMs = 4000
+catchUpS = 4.3
+drainMs = 2000
+graceS = 8
+lossSlackMs = 200
+configApplyMs = 2000
+rollbackSlackMs = 250
+maxSkewMs = 5000
+recoverS = 12
+passMs = 120
+retryAfterS = 0
+finishS = 10
+settleMs = 1000
+[platform]
+addr = %q
+form = "log"
+writesPerS = 800
+readsPerS = 2000
+parts = 8
+append_ms = 2.0
+part_mb_per_s = 20.0
+read_mb_per_s = 80.0
+record_bytes = 262144
+call_bytes = 2097152
+retainS = 300
+part_mb = 200
+ttlMinMs = 1000
+`
+
+// startNodes starts nodes and waits until all are ready.
+func (d *deployment) startNodes(count int) error {
+	var seeds []string
+	for number := range count {
+		n := &node{name: fmt.Sprintf("front-%s-%d", zones[number%len(zones)], number)}
+		for _, address := range []*string{&n.clients, &n.ready, &n.peers} {
+			var err error
+			if *address, err = freeAddress(); err != nil {
+				return err
+			}
+		}
+		d.nodes = append(d.nodes, n)
+		seeds = append(seeds, fmt.Sprintf("%q", n.peers))
+	}
+	for number, n := range d.nodes {
+		settings := fmt.Sprintf(settingsTemplate, n.name, zones[number%len(zones)], strings.Join(seeds, ", "), n.clients, n.ready, n.peers, d.store.Address())
+		if err := os.WriteFile(d.settingsPath(n), []byte(settings), 0o600); err != nil {
+			return err
+		}
+		if err := d.runNode(n); err != nil {
+			return err
+		}
+	}
+	return until(15*time.Second, func() bool {
+		for _, n := range d.nodes {
+			if !isReady(n) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// runNode starts a process of the node.
+func (d *deployment) runNode(n *node) error {
+	log, err := os.Create(filepath.Join(d.folder, n.name+".log"))
+	if err != nil {
+		return err
+	}
+	n.command = exec.Command(edgeProgram)
+	n.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "BIRCHWOOD_BOOT=" + d.settingsPath(n)}
+	n.command.Stdout, n.command.Stderr = log, log
+	d.note("node %s starts", n.name)
+	return n.command.Start()
+}
+
+func isReady(n *node) bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + n.ready + "/-/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// configure writes a configuration with the given routes. The services are an engine named
+// model and a plain one named plain.
+func (d *deployment) configure(routes ...string) {
+	configuration := fmt.Sprintf(`{"version":7,"routes":[%s],"services":[`+
+		`{"name":"model","healthPath":"/healthz","maxConns":160,"protocol":"h1","tls":false,`+
+		`"engine":{"slots":12,"kvCapacity":127559,"kvTokenBytes":131072,"linkMbps":1100000.0,"stride":9,"models":[{"name":"m"}]}},`+
+		`{"name":"plain","healthPath":"/healthz","maxConns":110,"protocol":"h1","tls":false}],`+
+		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, strings.Join(routes, ","))
+	d.store.Put(configurationTopic, "config", []byte(configuration))
+	d.note("configuration: %s", configuration)
+}
+
+// route returns a route of the configuration. fields are those that depend on its kind.
+func route(path, kind, service, fields string) string {
+	return fmt.Sprintf(`{"name":"r%s","host":%q,"pathPrefix":%q,"kind":%q,"service":%q,"sloMs":200,"priority":1,%s}`,
+		strings.Trim(path, "/"), host, path, kind, service, fields)
+}
--- /dev/null
+++ b/review/standin/resumed_test.go
@@ -0,0 +1,5 @@
+//go:build review
+
+package standin
+
+func resumed(d *deployment) (held bool, err error) { return true, nil }
