--- a/review/standin/deployment_test.go
+++ b/review/standin/deployment_test.go
@@ -47,6 +47,8 @@
 	// storeDown is set while the store takes no calls.
 	storeDown bool
 	requests  int
+	// bodies are the bodies with which requests ran, by the request's id.
+	bodies map[string]string
 }
 
 // node is one process of the system.
@@ -67,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{record: kept, trouble: trouble, entries: make(map[string]string), beats: make(map[string]time.Time)}
+	d := &deployment{record: kept, trouble: trouble, entries: make(map[string]string), bodies: make(map[string]string), beats: make(map[string]time.Time)}
 	if d.folder, err = os.MkdirTemp("", "review-"); err != nil {
 		return nil, err
 	}
@@ -148,8 +150,19 @@
 }
 
 func (d *deployment) receiveRun(_ http.ResponseWriter, request *http.Request) {
-	line, _ := io.ReadAll(request.Body)
-	d.note("%s", line)
+	body, _ := io.ReadAll(request.Body)
+	id := request.URL.Query().Get("id")
+	d.note("request %s runs at %s: body %q", id, request.URL.Query().Get("at"), body)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.bodies[id] = string(body)
+}
+
+// bodyOf returns the body with which a request ran last.
+func (d *deployment) bodyOf(id string) string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.bodies[id]
 }
 
 // setStoreDown makes the store refuse all calls with 503, or take them again.
--- a/review/standin/replica_test.go
+++ b/review/standin/replica_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -114,8 +115,9 @@
 		report := fmt.Sprintf(`{"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"born":%d,"seq":1}`, r.born)
 		return r.write(connection, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
 	}
-	r.tell("/run", fmt.Sprintf("request %s runs at %s, version %q, process %d, after event %q, previous %q, body %q",
-		id, r.id, r.version, os.Getpid(), request.Header.Get("Last-Event-Id"), request.Header.Get("X-Previous-Turn"), body))
+	at := fmt.Sprintf("%s, version %s, process %d, after event %q, previous turn %q",
+		r.id, r.version, os.Getpid(), request.Header.Get("Last-Event-Id"), request.Header.Get("X-Previous-Turn"))
+	r.tell("/run?"+url.Values{"id": {id}, "at": {at}}.Encode(), string(body))
 	return r.send(connection, id, r.pieces(id, request.Header.Get("Last-Event-Id")))
 }
 
