--- a/review/standin/main_test.go
+++ b/review/standin/main_test.go
@@ -23,6 +23,7 @@
 	"versions":  versions,
 	"resumed":   resumed,
 	"foreign":   foreign,
+	"taken-up":  takenUp,
 }
 
 func TestMain(*testing.M) { os.Exit(run(os.Args[1:])) }
