review: case 2 with programs of two turns

The streams that are not taken up are second turns, of programs with the budget that two turns may generate at most, in place of programs of one turn.

--- a/review/standin/takenup_test.go
+++ b/review/standin/takenup_test.go
@@ -24,10 +24,10 @@
 	newStreams     = 24
 )
 
-// takenUp: a node is killed in the middle of streams, each the only turn of a program whose
-// budget is what one turn may generate. Their clients take them up again at the other nodes.
-// These have to go on at least half as often as new streams begin there. With TROUBLE=loose the
-// programs have eight times that budget.
+// takenUp: programs of two turns have the budget that two turns may generate. A node is killed in
+// the middle of their second turns, and their clients take these up again at the other nodes.
+// They have to go on at least half as often as new streams begin there. With TROUBLE=loose the
+// programs have four times that budget.
 func takenUp(d *deployment) (held bool, err error) {
 	for range takenUpReplicas {
 		if _, err := d.startReplica("model", oldVersion, "-events", fmt.Sprint(streamEvents), "-step", streamStep.String()); err != nil {
@@ -43,7 +43,7 @@
 	var begun, done sync.WaitGroup
 	begun.Add(len(streams))
 	for index := range streams {
-		streams[index] = &takenUpStream{first: d.newID(), fields: singleTurnFields(index)}
+		streams[index] = &takenUpStream{first: d.newID(), fields: programFields(index)}
 		done.Go(func() { streams[index].perform(d, index, begun.Done) })
 	}
 	begun.Wait()
@@ -55,17 +55,17 @@
 	return d.compareShares(streams, started), nil
 }
 
-// singleTurnFields are the header fields of a program of one turn.
-func singleTurnFields(index int) map[string]string {
+// programFields are the header fields of a program of two turns.
+func programFields(index int) map[string]string {
 	fields := turnFields(fmt.Sprintf("p%04x", 0x8000+index))
-	fields[names.TokenBudget] = "288"
+	fields[names.TokenBudget] = "576"
 	if os.Getenv("TROUBLE") == "loose" {
 		fields[names.TokenBudget] = "2304"
 	}
 	return fields
 }
 
-// takenUpStream is the stream of one client.
+// takenUpStream is the stream of the second turn of a program.
 type takenUpStream struct {
 	first  string
 	fields map[string]string
@@ -74,12 +74,16 @@
 	resumed, wentOn bool
 }
 
-// perform sends the turn, and takes its stream up again if it breaks off, until the client's time
-// is up.
+// perform sends both turns, and takes the second one's stream up again if it breaks off, until the
+// client's time is up.
 func (s *takenUpStream) perform(d *deployment, index int, begun func()) {
-	deadline := time.Now().Add(turnTimeout)
 	var once sync.Once
 	defer once.Do(begun)
+	if before := d.send(d.nodes[0], d.newID(), streamPath+"turn", s.fields, "a first question"); !before.complete || before.status != http.StatusOK {
+		d.note("client: the first turn before %s was not served", s.first)
+		return
+	}
+	deadline := time.Now().Add(turnTimeout)
 	d.note("client: request %s sent to %s: %s %v", s.first, d.nodes[0].name, streamPath, s.fields)
 	err := readEvents(d.nodes[0].clients, requestText(s.first, streamPath+"turn", s.fields, "a question"), func(string) {
 		if s.events++; s.events == receivedBefore {
@@ -120,7 +124,7 @@
 	var sent sync.WaitGroup
 	for index := range answers {
 		sent.Go(func() {
-			answers[index] = d.send(d.nodes[1+index%2], d.newID(), streamPath+"turn", singleTurnFields(takenUpStreams+index), "a question")
+			answers[index] = d.send(d.nodes[1+index%2], d.newID(), streamPath+"turn", programFields(takenUpStreams+index), "a question")
 		})
 	}
 	sent.Wait()
