--- a/review/standin/main_test.go
+++ b/review/standin/main_test.go
@@ -21,12 +21,13 @@
 
 // scenarios are the cases by name. A scenario reports whether its rule held.
 var scenarios = map[string]func(*deployment) (held bool, err error){
-	"truncated": truncated,
-	"versions":  versions,
-	"resumed":   resumed,
-	"foreign":   foreign,
-	"taken-up":  takenUp,
-	"homes":     homes,
+	"truncated":         truncated,
+	"truncated-streams": truncatedStreams,
+	"versions":          versions,
+	"resumed":           resumed,
+	"foreign":           foreign,
+	"taken-up":          takenUp,
+	"homes":             homes,
 }
 
 func TestMain(*testing.M) { os.Exit(run(os.Args[1:])) }
