review: case 1 with the connections that other callers keep

Two things made it depend on the machine. And a replica had no connections but those of the answers, so that its listening socket closed right after them; now other callers keep 64 idle ones to each replica, where the site's service accepts 110.

The stand-in of a replica now works on as many requests at once as its entry says, and lets others wait.

--- a/review/standin/deployment_test.go
+++ b/review/standin/deployment_test.go
@@ -79,6 +79,8 @@
 	id, service, version, zone, address string
 	flags                               []string
 	command                             *exec.Cmd
+	// others are connections of other callers.
+	others []net.Conn
 }
 
 func newDeployment(folder string, trouble bool) (*deployment, error) {
--- a/review/standin/replica_test.go
+++ b/review/standin/replica_test.go
@@ -35,13 +35,18 @@
 
 	born     int64
 	sequence atomic.Int64
+	// running has an element for each slot in use.
+	running chan struct{}
 }
 
+// slots is the number of requests that a replica works on at once. Others wait.
+const slots = 8
+
 // heartbeat is the time between two heartbeats of a replica.
 const heartbeat = 1200 * time.Millisecond
 
 func runReplica(arguments []string) error {
-	r := &replicaProcess{born: time.Now().UnixMilli()}
+	r := &replicaProcess{born: time.Now().UnixMilli(), running: make(chan struct{}, slots)}
 	flags := flag.NewFlagSet("replica", flag.ContinueOnError)
 	flags.StringVar(&r.id, "id", "", "")
 	flags.StringVar(&r.service, "service", "", "")
@@ -75,8 +80,8 @@
 func (r *replicaProcess) beat() {
 	time.Sleep(r.firstBeat)
 	for {
-		entry := fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"version":%q,"slots":8,"state":"ready","coldLeftMs":0,"born":%d,"seq":%d}`,
-			r.service, r.listen, r.zone, r.version, r.born, r.sequence.Add(1))
+		entry := fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"version":%q,"slots":%d,"state":"ready","coldLeftMs":0,"born":%d,"seq":%d}`,
+			r.service, r.listen, r.zone, r.version, slots, r.born, r.sequence.Add(1))
 		r.tell("/entry?id="+r.id, entry)
 		time.Sleep(heartbeat)
 	}
@@ -112,13 +117,15 @@
 	if expected := request.Header.Get(names.ExpectReplica); expected != "" && expected != r.id {
 		return r.write(connection, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", names.RequestID, id)
 	}
-	if request.Method == http.MethodGet && request.URL.Path == "/healthz" {
-		return r.write(connection, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", r.id)
-	}
 	if request.URL.Path == "/-/report" {
 		report := fmt.Sprintf(`{"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"born":%d,"seq":1}`, r.born)
 		return r.write(connection, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
 	}
+	r.running <- struct{}{}
+	defer func() { <-r.running }()
+	if request.Method == http.MethodGet && request.URL.Path == "/healthz" {
+		return r.write(connection, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", r.id)
+	}
 	at := fmt.Sprintf("%s, version %s, process %d, after event %q, previous turn %q",
 		r.id, r.version, os.Getpid(), request.Header.Get(names.LastEvent), request.Header.Get(names.PreviousTurn))
 	r.tell("/run?"+url.Values{"id": {id}, "at": {at}}.Encode(), string(body))
--- a/review/standin/truncated_streams_test.go
+++ b/review/standin/truncated_streams_test.go
@@ -16,7 +16,11 @@
 func truncatedStreams(d *deployment) (held bool, err error) {
 	for range modelReplicas {
 		flags := []string{"-events", fmt.Sprint(streamEvents), "-step", "50ms", "-until-close"}
-		if _, err := d.startReplica("model", oldVersion, flags...); err != nil {
+		r, err := d.startReplica("model", oldVersion, flags...)
+		if err != nil {
+			return false, err
+		}
+		if err := d.connectOthers(r); err != nil {
 			return false, err
 		}
 	}
@@ -33,6 +37,7 @@
 				d.crash(crashed)
 				time.Sleep(beforeRestart)
 				_ = d.runReplica(crashed)
+				_ = d.connectOthers(crashed)
 			}
 		})
 		if d.countShort(answers) > 0 {
