review: a replica that is being killed counts as living (scenario lethal)

After a run broke off, Pool.CheckProcess opens a connection and looks whether an older one of the node's is still open. While a killed process closes its files, both can hold for a moment: the check finds that the process "lives", the end is cleared, and the request that ended it goes on to other replicas.

Scenario `lethal`: twelve replicas with 64 idle connections of other callers, and a safe request that ends each replica that runs it, tried up to six times at three nodes.

--- a/review/standin/main_test.go
+++ b/review/standin/main_test.go
@@ -28,6 +28,7 @@
 	"foreign":           foreign,
 	"taken-up":          takenUp,
 	"homes":             homes,
+	"lethal":            lethal,
 }
 
 func TestMain(*testing.M) { os.Exit(run(os.Args[1:])) }
--- a/review/standin/replica_test.go
+++ b/review/standin/replica_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -129,7 +130,7 @@
 	at := fmt.Sprintf("%s, version %s, process %d, after event %q, previous turn %q",
 		r.id, r.version, os.Getpid(), request.Header.Get(names.LastEvent), request.Header.Get(names.PreviousTurn))
 	r.tell("/run?"+url.Values{"id": {id}, "at": {at}}.Encode(), string(body))
-	return r.send(connection, id, r.pieces(id, request.Header.Get(names.LastEvent)))
+	return r.send(connection, id, body, r.pieces(id, request.Header.Get(names.LastEvent)))
 }
 
 // pieces returns the pieces of an answer: the events after one, or the parts of a plain body.
@@ -155,8 +156,9 @@
 	return fmt.Sprintf("part %d of %d of the answer to %s\n", part+1, parts, id)
 }
 
-// send sends a whole answer, piece by piece.
-func (r *replicaProcess) send(connection net.Conn, id string, pieces []string) (open bool) {
+// send sends a whole answer, piece by piece. The process ends in the middle of that to a lethal
+// request.
+func (r *replicaProcess) send(connection net.Conn, id string, body []byte, pieces []string) (open bool) {
 	kind, framing := "text/plain", "Content-Length: "+strconv.Itoa(len(strings.Join(pieces, "")))
 	chunked := r.events > 0 && !r.untilClose
 	if r.events > 0 {
@@ -170,8 +172,11 @@
 	if !r.write(connection, "%s", head) {
 		return false
 	}
-	for _, piece := range pieces {
+	for number, piece := range pieces {
 		time.Sleep(r.step)
+		if number == len(pieces)/2 && string(body) == lethalBody {
+			_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+		}
 		if chunked {
 			piece = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
 		}
