review: streams that are taken up after their last event

The scenario "finished" shows that fault by itself. A client takes a stream up after its last event at another node. The replica has no event to send and closes the connection. turnRun.checkEnd takes that for a stream that broke before its first event: it looks only at events of the node's own runs (hasLastEvent), not at the Last-Event-Id of the client. The request is run again, up to four times, and gets 502.

Nothing is fixed.

--- a/review/standin/main_test.go
+++ b/review/standin/main_test.go
@@ -29,6 +29,7 @@
 	"taken-up":          takenUp,
 	"homes":             homes,
 	"lethal":            lethal,
+	"finished":          finished,
 }
 
 func TestMain(*testing.M) { os.Exit(run(os.Args[1:])) }
