--- a/edge/broken.go
+++ b/edge/broken.go
@@ -92,7 +92,7 @@
 		}
 		n.metrics.runBrokeOff(process)
 		n.logger.Info().Str("request", broken.request.id).Str("fingerprint", broken.request.fingerprint.String()).
-			Str("replica", string(broken.replica.ID)).Str("process", string(process)).Dur("ranFor", start.Sub(broken.sentAt)).
+			Str("replica", string(broken.replica.ID)).Uint64("incarnation", broken.replica.Incarnation).Str("process", string(process)).Dur("ranFor", start.Sub(broken.sentAt)).
 			Dur("took", time.Since(start)).Err(broken.cause).Msg("request: run broke off")
 		if f != nil {
 			n.replicaChecked(f, process)
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -129,6 +129,8 @@
 // told, and the answer to the client waits for that.
 func (n *Node) runFailed(r *requestState, f *flight, broken *brokenRun) {
 	if !broken.brokeOff() {
+		n.logger.Info().Str("request", r.id).Str("fingerprint", r.fingerprint.String()).Str("replica", string(broken.replica.ID)).
+			Uint64("incarnation", broken.replica.Incarnation).Dur("ranFor", time.Since(broken.sentAt)).Err(broken.cause).Msg("request: run without an answer counts as no end")
 		n.runEnded(f)
 		return
 	}
