liveness: whether a process survived the end of an exchange, as a pure decision

What shows that a process lives is only what the same process does some time after an exchange ended; an end within a second counts as caused by it. The outcome depends on the evidence and not on its order.

--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -21,7 +21,7 @@
 // have no entry of their own.
 var layers = [][]string{
 	{"soak/promise"},
-	{"internal/wait", "findings", "connection", "header", "recordstore", "eventstream", "zone", "dispatch"},
+	{"internal/wait", "findings", "connection", "header", "recordstore", "eventstream", "zone", "dispatch", "liveness"},
 	{"tenant", "evacuation", "quarantine"},
 	{"httpclient", "retry", "routing", "replica", "ledger", "ownership", "upstream"},
 	{"machine", "api"},
@@ -48,7 +48,7 @@
 	"zone", "machine", "api", "contract", "recordlog", "partition", "program", "schedule", "retry", "findings",
 	"control", "workload", "emulator/enginemodel", "emulator/platformmodel",
 	"routing", "replica", "ledger", "ownership", "coordinator", "eventstream", "header", "recordstore",
-	"tenant", "evacuation", "dispatch", "gather", "soak/promise", "quarantine",
+	"tenant", "evacuation", "dispatch", "gather", "soak/promise", "quarantine", "liveness",
 }
 
 // embeddable lists the packages that other programs use without the daemon.
