quarantine: runs whose node learns otherwise, and ends that are not known yet

Change: a run has a revision, which its node raises each time it learns otherwise, and an end may be suspected. A request is refused for good only by ends that are known; with suspected ones it is unsettled. A whole answer no longer clears the ends under a request: they are kept for 30 s, since a caller that did not get the answer tries on. Nodes of the former version ignore both fields and take a suspected end for one.

--- a/coordinator/quarantine.go
+++ b/coordinator/quarantine.go
@@ -42,8 +42,8 @@
 	Timeout  time.Duration
 }
 
-// RequestReleased clears all runs of a request, which a replica answered or an operator
-// released.
+// RequestReleased clears all runs of a request, which an operator released. Of a request that a
+// replica answered, the ends are kept for a while: its caller may not have received the answer.
 type RequestReleased struct {
 	Fingerprint quarantine.Fingerprint
 	Reason      ReleaseReason
@@ -249,12 +249,16 @@
 
 // stepRequestReleased clears a request at all nodes.
 func (c *Core) stepRequestReleased(now time.Time, event RequestReleased) {
-	released := c.quarantine.table.Release(now, event.Fingerprint)
-	if len(released) == 0 {
+	clearRuns := c.quarantine.table.Release
+	if event.Reason == ReleaseAnswered {
+		clearRuns = c.quarantine.table.Answer
+	}
+	changed := clearRuns(now, event.Fingerprint)
+	if len(changed) == 0 {
 		return
 	}
 	c.reportChange(c.self().ID, event.Fingerprint, event.Reason)
-	c.announce(released...)
+	c.announce(changed...)
 }
 
 // announce adds runs to the next announcement.
@@ -422,7 +426,7 @@
 // tells it to who asks: announced by each, it would take messages from all nodes to all nodes.
 func (c *Core) addLostRun(now time.Time, fingerprint quarantine.Fingerprint) (added []quarantine.Run) {
 	status := c.quarantine.table.Status(fingerprint)
-	if status.Ended == 0 {
+	if status.Ended+status.Suspected == 0 {
 		return nil
 	}
 	lost := []quarantine.Run{quarantine.LostRun(fingerprint, status.Tenant)}
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -11,7 +11,8 @@
 	// VerdictCrowded means that a run of another marked request is at the replica. Another
 	// replica may be tried.
 	VerdictCrowded
-	// VerdictUnsettled means that runs that have not ended use up the limit.
+	// VerdictUnsettled means that runs that have not ended, or of which it is not known whether
+	// their replica did, use up the limit.
 	VerdictUnsettled
 	// VerdictLimit means that as many replicas have ended as the limit permits.
 	VerdictLimit
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -21,14 +22,14 @@
 	return cmp.Or(cmp.Compare(id.Node, other.Node), cmp.Compare(id.Incarnation, other.Incarnation), cmp.Compare(id.Number, other.Number))
 }
 
-// State is what is known of a run. Of two states of one run, the later one in this list holds.
+// State is what is known of a run. Of two states of one revision of a run, the later one in this
+// list holds.
 type State int
 
 const (
 	// StateRunning means that the run has not ended. It counts as if its replica had ended.
 	StateRunning State = iota
-	// StateEnded means that the replica ended under the run, or that nothing shows yet that it
-	// lives.
+	// StateEnded means that the replica ended under the run, or may have.
 	StateEnded
 	// StateCleared means that the replica did not end under the run.
 	StateCleared
@@ -53,6 +54,13 @@
 	// again under its ID. Each such run counts as one at a process of its own.
 	Restarted bool  `json:"restarted,omitempty"`
 	State     State `json:"state"`
+	// Suspected is set with StateEnded as long as it is not known whether the replica ended.
+	Suspected bool `json:"suspected,omitempty"`
+	// Revision rises each time that the node of the run learns otherwise about its replica. A
+	// later revision holds, whatever its state.
+	Revision uint32 `json:"revision,omitempty"`
+	// Answered is set once the request was answered whole. Its ends are forgotten soon after.
+	Answered bool `json:"answered,omitempty"`
 	// Shared is set if the request names no program and a replica answered it lately, for whatever
 	// caller.
 	Shared bool `json:"shared,omitempty"`
@@ -60,6 +68,17 @@
 	AgeMS int64 `json:"age_ms,omitempty"`
 }
 
+// released is the revision of a run that was cleared for good.
+const released = math.MaxUint32
+
+// supersedes reports whether the run holds in place of another state of the same run.
+func (r *Run) supersedes(other *Run) bool {
+	if order := cmp.Or(cmp.Compare(r.Revision, other.Revision), cmp.Compare(r.State, other.State)); order != 0 {
+		return order > 0
+	}
+	return r.State == StateEnded && other.Suspected && !r.Suspected
+}
+
 // LostRun returns a run that stands for one that a lost node may have had of a request, and of
 // which nobody else knows. A request has one at most. It counts only beside an end that was
 // seen, and not beside a run that has not ended: that one may be the lost node's.
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -46,6 +46,10 @@
 // it, which arrives late, does not count.
 const clearedLifetime = 30 * time.Second
 
+// answeredLifetime is how long an end is remembered after the request was answered whole: longer
+// than a caller tries on that did not get the answer.
+const answeredLifetime = 30 * time.Second
+
 // maxCleared bounds the cleared runs of one request that are remembered.
 const maxCleared = 64
 
@@ -67,6 +71,8 @@
 type trackedRun struct {
 	Run
 	at time.Time
+	// answeredAt is when it was learned that the request was answered whole.
+	answeredAt time.Time
 }
 
 // NewTable returns an empty table.
@@ -78,11 +84,14 @@
 type Status struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
 	Tenant      string      `json:"tenant,omitempty"`
-	// Ended counts the replicas that ended under the request, and Running the others at which it
-	// still runs. One that started again under its ID counts again.
-	Ended   int `json:"ended"`
-	Running int `json:"running"`
-	// EndedAt and RunningAt are the IDs of these replicas, sorted.
+	// Ended counts the replicas that ended under the request, Suspected the others that may have,
+	// and Running the rest of those at which it still runs. One that started again under its ID
+	// counts again.
+	Ended     int `json:"ended"`
+	Suspected int `json:"suspected,omitempty"`
+	Running   int `json:"running"`
+	// EndedAt are the IDs of the replicas that ended or may have, and RunningAt of those at which
+	// the request still runs, sorted.
 	EndedAt   []string `json:"ended_at,omitempty"`
 	RunningAt []string `json:"running_at,omitempty"`
 	// Shared is set if a run that counts is Shared.
@@ -92,7 +101,7 @@
 }
 
 // Counted returns how many replicas count as ended.
-func (s *Status) Counted() int { return s.Ended + s.Running }
+func (s *Status) Counted() int { return s.Ended + s.Suspected + s.Running }
 
 // Marked reports whether a replica may have ended under the request.
 func (s *Status) Marked() bool { return s.Counted() > 0 }
@@ -103,7 +112,7 @@
 	changed := make(map[Fingerprint]struct{})
 	for index := range runs {
 		run := &runs[index]
-		if run.State < 0 || run.State >= states || t.expired(now, run.State, run.notedAt(now)) {
+		if run.State < 0 || run.State >= states || t.expired(now, run, run.notedAt(now)) {
 			continue
 		}
 		if t.mergeRun(now, run) {
@@ -120,7 +129,7 @@
 func (t *Table) News(runs []Run) (news []Run) {
 	for _, run := range runs {
 		tracked := t.requests[run.Fingerprint]
-		if tracked == nil || tracked.runs[run.ID] == nil || tracked.runs[run.ID].State < run.State {
+		if tracked == nil || tracked.runs[run.ID] == nil || run.supersedes(&tracked.runs[run.ID].Run) {
 			news = append(news, run)
 		}
 	}
@@ -135,23 +144,35 @@
 		t.requests[run.Fingerprint] = tracked
 	}
 	known := tracked.runs[run.ID]
-	if known != nil && known.State >= run.State {
-		return known.mergeShared(run)
+	if known != nil && !run.supersedes(&known.Run) {
+		return known.mergeFlags(now, run)
 	}
 	merged := &trackedRun{Run: *run, at: run.notedAt(now)}
-	merged.Shared = run.Shared || known != nil && known.Shared
+	if known != nil {
+		merged.Shared = run.Shared || known.Shared
+		merged.setAnswered(run.Answered || known.Answered, known.answeredAt, now)
+	}
 	tracked.runs[run.ID] = merged
 	tracked.boundCleared()
 	return true
 }
 
-// mergeShared takes over that the run is Shared, and reports whether that is new.
-func (r *trackedRun) mergeShared(other *Run) bool {
-	news := other.Shared && !r.Shared && r.State != StateCleared
+// mergeFlags takes over that the run is Shared or Answered, and reports whether that is new.
+func (r *trackedRun) mergeFlags(now time.Time, other *Run) bool {
+	news := r.State != StateCleared && (other.Shared && !r.Shared || other.Answered && !r.Answered)
 	r.Shared = r.Shared || other.Shared
+	r.setAnswered(r.Answered || other.Answered, r.answeredAt, now)
 	return news
 }
 
+// setAnswered sets whether the request was answered whole, and since when that is known.
+func (r *trackedRun) setAnswered(answered bool, since, now time.Time) {
+	r.Answered, r.answeredAt = answered, since
+	if answered && since.IsZero() {
+		r.answeredAt = now
+	}
+}
+
 // boundCleared removes the oldest cleared runs beyond maxCleared.
 func (r *request) boundCleared() {
 	if len(r.runs) <= maxCleared {
@@ -169,9 +190,9 @@
 	}
 }
 
-// expired reports whether a state that was noted at a time is forgotten.
-func (t *Table) expired(now time.Time, state State, at time.Time) bool {
-	if state == StateCleared {
+// expired reports whether a run whose state was noted at a time is forgotten.
+func (t *Table) expired(now time.Time, run *Run, at time.Time) bool {
+	if run.State == StateCleared {
 		return now.Sub(at) >= clearedLifetime
 	}
 	return now.Sub(at) >= t.config.Lifetime
@@ -214,7 +235,7 @@
 		tracked := t.requests[fingerprint]
 		lost := false
 		for id, run := range tracked.runs {
-			if t.expired(now, run.State, run.at) {
+			if t.expired(now, &run.Run, run.at) || run.Answered && now.Sub(run.answeredAt) >= answeredLifetime {
 				delete(tracked.runs, id)
 				lost = lost || run.State != StateCleared
 			}
@@ -240,32 +261,44 @@
 		return status
 	}
 	status.Tenant = tracked.tenant
-	ended, running := make(map[process]struct{}), make(map[process]struct{})
+	ended, suspected, running := make(map[process]struct{}), make(map[process]struct{}), make(map[process]struct{})
 	for id, run := range tracked.runs {
 		if id == without || run.State == StateCleared || id.Node == lostNode {
 			continue
 		}
-		if run.State == StateEnded {
-			ended[run.process()] = struct{}{}
-		} else {
+		switch {
+		case run.State == StateRunning:
 			running[run.process()] = struct{}{}
+		case run.Suspected:
+			suspected[run.process()] = struct{}{}
+		default:
+			ended[run.process()] = struct{}{}
 		}
 		status.Shared = status.Shared || run.Shared
 		if expires := run.at.Add(t.config.Lifetime); expires.After(status.ExpiresAt) {
 			status.ExpiresAt = expires
 		}
 	}
-	for at := range ended {
-		delete(running, at)
-	}
-	if lost := tracked.runs[lostRunID]; lost != nil && lost.State == StateEnded && len(ended) > 0 && len(running) == 0 {
+	remove(suspected, ended)
+	remove(running, ended)
+	remove(running, suspected)
+	if lost := tracked.runs[lostRunID]; lost != nil && lost.State == StateEnded && len(ended)+len(suspected) > 0 && len(running) == 0 {
 		ended[lost.process()] = struct{}{}
 	}
-	status.Ended, status.Running = len(ended), len(running)
-	status.EndedAt, status.RunningAt = replicasOf(ended), replicasOf(running)
+	status.Ended, status.Suspected, status.Running = len(ended), len(suspected), len(running)
+	status.RunningAt = replicasOf(running)
+	maps.Copy(ended, suspected)
+	status.EndedAt = replicasOf(ended)
 	return status
 }
 
+// remove removes processes from a set.
+func remove(from, processes map[process]struct{}) {
+	for at := range processes {
+		delete(from, at)
+	}
+}
+
 // replicasOf returns the IDs of the processes' replicas, sorted and each once.
 func replicasOf(processes map[process]struct{}) (replicas []string) {
 	for at := range processes {
@@ -331,7 +364,18 @@
 func (t *Table) Release(now time.Time, fingerprint Fingerprint) []Run {
 	runs := t.Runs(now, fingerprint, nil)
 	for index := range runs {
-		runs[index].State, runs[index].AgeMS = StateCleared, 0
+		runs[index].State, runs[index].Suspected, runs[index].Revision, runs[index].AgeMS = StateCleared, false, released, 0
+	}
+	t.Merge(now, runs)
+	return runs
+}
+
+// Answer notes that a request was answered whole, and returns its runs that count for other
+// nodes.
+func (t *Table) Answer(now time.Time, fingerprint Fingerprint) []Run {
+	runs := t.Runs(now, fingerprint, nil)
+	for index := range runs {
+		runs[index].Answered = true
 	}
 	t.Merge(now, runs)
 	return runs
