edge, upstream: a process counts as ended until it is shown to live some time later

Cause: a connection that was accepted and an older one that stood cleared the end within a millisecond of the break, and for good; a process that is ending does both. A run that ended at its timeout left no mark at all. Change: one place, 'processes', holds a doubt for each exchange that ended without an answer (package liveness decides). A request at its limit waits for the checks, 3 s at most. ConfirmEnd asks the same question, for which a connection is opened before a body without a length is read; a stream that was taken up after its last event may end there too (scenario finished). The checks of upstream.CheckProcess went with it: its specs are replaced by those of liveness, of edge/processes and of the connections that are probed.

--- a/coordinator/quarantine.go
+++ b/coordinator/quarantine.go
@@ -103,8 +103,10 @@
 // QuarantineChange reports that something new is known of a request.
 type QuarantineChange struct {
 	Status quarantine.Status
-	// Refused is set if nothing of the request may be sent.
-	Refused bool
+	// Refused is set if nothing of the request may be sent, and Unsettled if that depends on runs
+	// that have not ended or of which it is not known whether their replica did.
+	Refused   bool
+	Unsettled bool
 	// Reason is why the request is no longer marked; "" while it is.
 	Reason ReleaseReason
 	// From is the node that reported it.
@@ -304,7 +306,8 @@
 // not marked.
 func (c *Core) reportChange(from machine.ID, fingerprint quarantine.Fingerprint, released ReleaseReason) {
 	status := c.quarantine.table.Status(fingerprint)
-	change := QuarantineChange{Status: status, Refused: c.quarantine.table.ReachedLimit(&status), From: from}
+	refused := c.quarantine.table.ReachedLimit(&status)
+	change := QuarantineChange{Status: status, Refused: refused, Unsettled: !refused && c.quarantine.table.Unsettled(&status), From: from}
 	if !status.Marked() {
 		change.Reason = released
 	}
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -8,7 +8,6 @@
 
 	"birchwood.example/birchwood/dispatch"
 	"birchwood.example/birchwood/ingress"
-	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/quarantine"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/routing"
@@ -74,6 +73,7 @@
 	if n.isMarked(r) {
 		request.Avoided = n.suspects.avoidedBy(r.fingerprint)
 	}
+	unsettledUntil := minTime(time.Now().Add(unsettledWait), r.deadline)
 	for crowded := 0; ; crowded++ {
 		choice, err := n.chooseWithinColdRates(r, request)
 		if err != nil {
@@ -91,22 +91,16 @@
 			n.awaitRestart(r)
 		case quarantine.VerdictLimit:
 			return choice, errQuarantined
+		case quarantine.VerdictUnsettled:
+			if !n.awaitSettled(r, unsettledUntil) {
+				return choice, errUnsettled
+			}
 		default:
 			return choice, errUnsettled
 		}
 	}
 }
 
-// awaitRestart waits before a request that may run at one replica only is sent there beside
-// another marked one. If the replica has ended and started again under its ID, the other run may
-// end it once more, or its new entry arrives and the request may run elsewhere.
-func (n *Node) awaitRestart(r *requestState) {
-	if r.onlyReplica == "" || r.onlyIncarnation == 0 {
-		return
-	}
-	wait.For(n.ctx, min(restartPause, r.timeLeft()))
-}
-
 // isMarked reports whether replicas may have ended under the request.
 func (n *Node) isMarked(r *requestState) bool {
 	if n.suspects == nil {
--- a/edge/call.go
+++ b/edge/call.go
@@ -276,7 +276,7 @@
 	clientGone := c.request.exchange.Cancel.Cause() != nil
 	for _, attempt := range c.inFlight {
 		attempt.cancel.Trigger(errSuperseded)
-		c.node.runEnded(attempt.flight)
+		c.node.runFailed(c.request, attempt.flight, c.node.newBrokenRun(c.request, attempt.choice.Entry, attempt.sentAt, errSuperseded))
 		result := replica.ResultCancelled
 		if !clientGone && time.Since(attempt.sentAt) >= c.node.lateAfter(c.request.route) {
 			result = replica.ResultTimedOut
--- a/edge/ending.go
+++ b/edge/ending.go
@@ -61,7 +61,7 @@
 		return errInsideEvent
 	case !byClose:
 		return nil
-	case t.events == 0 && !t.hasLastEvent:
+	case t.events == 0 && !t.hasLastEvent && !t.request.resumesStream():
 		return fmt.Errorf("%w: %w", errNoEvent, err)
 	default:
 		return response.ConfirmEnd()
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -14,6 +14,7 @@
 
 	"birchwood.example/birchwood/coordinator"
 	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/liveness"
 	"birchwood.example/birchwood/quarantine"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/upstream"
@@ -43,6 +44,7 @@
 
 // The names of the metrics, without labels.
 const (
+	metricRunsBroken         = "birchwood_edge_runs_without_answer_total"
 	metricBrokenRuns         = "birchwood_edge_broken_runs_total"
 	metricRunsDecided        = "birchwood_edge_quarantine_runs_total"
 	metricRunDecision        = "birchwood_edge_quarantine_decision_seconds"
@@ -315,9 +317,14 @@
 	m.set.GetOrCreateGauge(metricMarked, nil).Set(float64(marked))
 }
 
-// runBrokeOff counts runs without a whole answer by what became of the replica's process.
-func (m *Metrics) runBrokeOff(process upstream.Process) {
-	m.set.GetOrCreateCounter(metricBrokenRuns + `{process="` + string(process) + `"}`).Inc()
+// runBroken counts runs without a whole answer by whether the replica counts as ended at first.
+func (m *Metrics) runBroken(suspected bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{suspected=\"%t\"}", metricRunsBroken, suspected)).Inc()
+}
+
+// processDecided counts what became of the replicas' processes after such runs.
+func (m *Metrics) processDecided(outcome liveness.Outcome) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{process=%q}", metricBrokenRuns, outcome)).Inc()
 }
 
 // bodyEnded counts a replica's answer, by its framing and how its body ended.
--- a/edge/node.go
+++ b/edge/node.go
@@ -47,6 +47,8 @@
 	shares        *shares
 	chains        *chains
 	unsettled     *unsettledTurns
+	// processes holds the doubts about the replicas' processes.
+	processes *processes
 	// suspects tracks requests that may end their replicas; nil if that is switched off.
 	suspects *suspects
 	// takeovers are the takeovers in progress at this node.
@@ -152,7 +154,7 @@
 			Weight: settings.Cores * settings.LinkMegabits,
 		},
 		replicas:              newReplicas(&settings),
-		pool:                  upstream.NewPool(upstream.DefaultConfig(adapter.Names)),
+		processes:             newProcesses(),
 		callStats:             stats,
 		turnEstimates:         newTurnEstimates(),
 		shares:                newShares(),
@@ -172,6 +174,9 @@
 		failed:                make(chan error, 4),
 		nodeListKnown:         make(chan struct{}),
 	}
+	pooling := upstream.DefaultConfig(adapter.Names)
+	pooling.Survived = node.survived
+	node.pool = upstream.NewPool(pooling)
 	if settings.uses(QuarantineRequests) {
 		node.suspects = newSuspects(settings.Node, node.self.Incarnation)
 	}
@@ -192,11 +197,11 @@
 }
 
 // forgetReplica drops what is kept of a replica's process that is gone.
-func (n *Node) forgetReplica(gone upstream.Target) {
-	n.pool.RemoveTarget(gone)
-	if n.suspects != nil {
-		n.suspects.forget(replica.ID(gone.Identity))
-	}
+func (n *Node) forgetReplica(gone replica.Entry) {
+	n.pool.RemoveTarget(targetOf(gone))
+	n.processes.forget(gone.ID)
+	// The caller may hold locks that reports need.
+	n.run(func(context.Context) { n.processGone(gone, "its entry is gone") })
 }
 
 // The clients' connections may take up to half of the memory.
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -7,9 +7,9 @@
 
 	"birchwood.example/birchwood/coordinator"
 	"birchwood.example/birchwood/dispatch"
+	"birchwood.example/birchwood/liveness"
 	"birchwood.example/birchwood/quarantine"
 	"birchwood.example/birchwood/replica"
-	"birchwood.example/birchwood/upstream"
 )
 
 const (
@@ -82,7 +82,7 @@
 	took := time.Since(start)
 	n.metrics.runDecided(decided.Verdict, took)
 	n.logger.Info().Str("request", r.id).Str("fingerprint", r.fingerprint.String()).Str("replica", f.run.Replica).Bool("restarted", f.run.Restarted).
-		Str("verdict", decided.Verdict.String()).Int("ended", decided.Status.Ended).Int("running", decided.Status.Running).
+		Str("verdict", decided.Verdict.String()).Int("ended", decided.Status.Ended).Int("suspected", decided.Status.Suspected).Int("running", decided.Status.Running).
 		Int("answered", decided.Answered).Int("asked", decided.Asked).Dur("took", took).Msg("quarantine: run decided")
 	if decided.Verdict == quarantine.VerdictGranted {
 		n.suspects.beginPermitted(f)
@@ -91,7 +91,7 @@
 	return decided.Verdict
 }
 
-// runServed ends a run that brought a whole answer: the request ends no replicas.
+// runServed ends a run that brought a whole answer.
 func (n *Node) runServed(r *requestState, f *flight) {
 	if f == nil {
 		return
@@ -99,7 +99,11 @@
 	if r.exchange.Field(n.adapter.Names.Program) == "" {
 		n.suspects.noteShared(time.Now(), f.run.Fingerprint)
 	}
-	if announced, marked := n.suspects.end(f); announced || marked {
+	announced, marked := n.suspects.end(f)
+	if announced {
+		n.clearRuns(f.run)
+	}
+	if marked {
 		n.control.post(coordinator.RequestReleased{Fingerprint: f.run.Fingerprint, Reason: coordinator.ReleaseAnswered})
 	}
 }
@@ -128,38 +132,34 @@
 // runFailed ends a run without a whole answer. If its replica may have ended, all nodes are
 // told, and the answer to the client waits for that.
 func (n *Node) runFailed(r *requestState, f *flight, broken *brokenRun) {
-	if !broken.brokeOff() {
-		n.logger.Info().Str("request", r.id).Str("fingerprint", r.fingerprint.String()).Str("replica", string(broken.replica.ID)).
-			Uint64("incarnation", broken.replica.Incarnation).Dur("ranFor", time.Since(broken.sentAt)).Err(broken.cause).Msg("request: run without an answer counts as no end")
-		n.runEnded(f)
+	n.metrics.runBroken(broken.suspected)
+	n.logger.Info().Str("request", r.id).Str("fingerprint", r.fingerprint.String()).Str("replica", string(broken.replica.ID)).
+		Uint64("incarnation", broken.replica.Incarnation).Dur("ranFor", broken.endedAt.Sub(broken.sentAt)).Bool("brokeOff", broken.brokeOff()).
+		Bool("suspected", broken.suspected).Err(broken.cause).Msg("request: run without an answer")
+	if f == nil {
 		return
 	}
-	if f != nil {
-		runs := n.suspects.breakOff(f, time.Now())
+	switch {
+	case broken.suspected:
+		runs := n.suspects.breakOff(f, broken.endedAt)
 		r.announced = n.control.reportRuns(coordinator.RunsReported{Runs: runs, Timeout: announceTimeout})
+	default:
+		n.runEnded(f)
 	}
-	n.checkReplica(f, broken)
-}
-
-// replicaChecked takes back that a replica ended, or settles that it has.
-func (n *Node) replicaChecked(f *flight, process upstream.Process) {
-	id := f.replica.ID
-	switch process {
-	case upstream.ProcessLives:
-		n.clearRuns(n.suspects.resolve(id, time.Now())...)
-	case upstream.ProcessEnded:
-		n.suspects.resolve(id, time.Now())
-	case upstream.ProcessUnknown:
-	}
+	n.watch(broken.doubt(func(outcome liveness.Outcome, revision uint32) { n.runDecided(f, outcome, revision) }))
 }
 
-// replicaAnswered takes back that a replica ended under earlier runs, since its process answers
-// a request that was sent later.
-func (n *Node) replicaAnswered(entry replica.Entry, sentAt time.Time, response *upstream.Response) {
-	if n.suspects == nil || !n.rejectsOthers(entry) || n.misdirected(response) {
-		return
-	}
-	n.clearRuns(n.suspects.resolve(entry.ID, sentAt)...)
+// runDecided reports what became of the replica's process after a run without an answer.
+func (n *Node) runDecided(f *flight, outcome liveness.Outcome, revision uint32) {
+	n.metrics.processDecided(outcome)
+	n.logger.Info().Str("run", f.run.ID.String()).Str("fingerprint", f.run.Fingerprint.String()).Str("replica", f.run.Replica).
+		Uint64("incarnation", f.replica.Incarnation).Str("process", outcome.String()).Uint32("revision", revision).Msg("quarantine: process of a run")
+	run := f.run
+	run.Revision, run.State = revision, quarantine.StateEnded
+	if outcome.Lives() {
+		run.State = quarantine.StateCleared
+	}
+	n.control.post(coordinator.RunsReported{Runs: []quarantine.Run{run}})
 }
 
 // logQuarantine logs what is new of a marked request.
@@ -176,6 +176,6 @@
 		entry.Str("reason", string(change.Reason)).Msg("quarantine: released")
 		return
 	}
-	entry.Int("ended", status.Ended).Strs("endedAt", status.EndedAt).Int("running", status.Running).Strs("runningAt", status.RunningAt).
+	entry.Int("ended", status.Ended).Int("suspected", status.Suspected).Strs("endedAt", status.EndedAt).Int("running", status.Running).Strs("runningAt", status.RunningAt).
 		Bool("refused", change.Refused).Dur("expires", time.Until(status.ExpiresAt)).Msg("quarantine: marked")
 }
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -22,8 +22,9 @@
 	views map[replica.Group]*view
 	// newestViewBase is the first change number of the newest view.
 	newestViewBase uint64
-	// forget closes the idle connections to a target; nil in tests of the list alone.
-	forget func(upstream.Target)
+	// forget drops what is kept of a replica's process that is gone; nil in tests of the list
+	// alone.
+	forget func(replica.Entry)
 	// totalListed is the number of replicas in the store, as reported by a reader; 0 if
 	// this node holds all itself.
 	totalListed int
@@ -104,6 +105,13 @@
 	return r.set.TokenTimeRange(entry.Service)
 }
 
+// lookup returns the entry of a replica.
+func (r *replicas) lookup(id replica.ID) (replica.Entry, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.set.Lookup(id)
+}
+
 func (r *replicas) minUtilisation(request *replica.Request) float64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -130,7 +138,7 @@
 	}
 	after, _ := r.set.Lookup(entry.ID)
 	if known && r.forget != nil && (after.Incarnation != before.Incarnation || after.Address != before.Address) {
-		r.forget(targetOf(before))
+		r.forget(before)
 	}
 	r.publish(replica.Change{Entry: &entry})
 	return true
--- a/edge/run.go
+++ b/edge/run.go
@@ -46,6 +46,8 @@
 	// times records when events arrived, and lastReadAt when the stream was last read.
 	times      streamTimes
 	lastReadAt time.Time
+	// lastPieceAt is when the last bytes of the stream arrived.
+	lastPieceAt time.Time
 	// heldOutput is the answer so far if nothing of it may be sent until the turn is
 	// stored; released is set once it may be sent.
 	heldOutput []byte
@@ -195,12 +197,15 @@
 
 // relay relays the stream event by event and completes the answer.
 func (t *turnRun) relay(ctx context.Context, response *upstream.Response) error {
-	t.splitter, t.events = eventstream.Splitter{}, 0
+	t.splitter, t.events, t.lastPieceAt = eventstream.Splitter{}, 0, time.Time{}
 	defer t.noteStream(response)
 	piece := make([]byte, pieceBytes)
 	for {
 		read, err := response.Read(piece)
 		t.lastReadAt = time.Now()
+		if read > 0 {
+			t.lastPieceAt = t.lastReadAt
+		}
 		t.splitter.Write(piece[:read])
 		if relayErr := t.relayEvents(ctx, response); relayErr != nil {
 			return relayErr
@@ -376,6 +381,7 @@
 // ends.
 func (t *turnRun) afterFailure(entry replica.Entry, err error) (over bool) {
 	r, n := t.request, t.node
+	n.processes.hear(entry.ID, t.lastPieceAt)
 	n.runFailed(r, r.flight, n.newBrokenRun(r, entry, r.sentAt, err))
 	var client *clientError
 	if errors.As(err, &client) {
--- /dev/null
+++ b/edge/survival.go
@@ -0,0 +1,206 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"birchwood.example/birchwood/internal/wait"
+	"birchwood.example/birchwood/liveness"
+	"birchwood.example/birchwood/replica"
+	"birchwood.example/birchwood/upstream"
+)
+
+// probeTimeout bounds a request for a replica's health, which may wait for a slot there.
+const probeTimeout = 500 * time.Millisecond
+
+// Errors of bodies that end with their connection.
+var (
+	errReplicaEnded   = errors.New("the replica has ended")
+	errReplicaUnknown = errors.New("the replica is not shown to live")
+)
+
+// watch gathers evidence about the process of a doubt's replica until its outcome is final.
+func (n *Node) watch(d *doubt) {
+	if table := n.routes.Current(); table != nil {
+		d.healthPath = table.Services[d.entry.Service].HealthPath
+	}
+	watched := n.processes.add(d)
+	if watched == nil {
+		return
+	}
+	n.run(func(ctx context.Context) { n.checkProcess(ctx, d.entry.ID, watched) })
+}
+
+// checkProcess decides the doubts about the processes of a replica.
+func (n *Node) checkProcess(ctx context.Context, id replica.ID, watched *watchedProcess) {
+	for {
+		step, about, until, given := n.processes.next(time.Now(), id)
+		for _, d := range given {
+			n.logger.Warn().Str("replica", string(id)).Uint64("incarnation", d.entry.Incarnation).Dur("after", time.Since(d.At())).
+				Msg("replica: not known whether its process ended")
+		}
+		switch step {
+		case stepEnd:
+			return
+		case stepConnect:
+			n.connect(about.entry)
+		case stepProbe:
+			n.probe(about)
+		case stepWait:
+			if !waitUntil(ctx, until, watched.added) {
+				return
+			}
+		}
+	}
+}
+
+// waitUntil waits for a time or a signal. It returns false if the context is done.
+func waitUntil(ctx context.Context, until time.Time, signal <-chan struct{}) bool {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-signal:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
+// connect opens a connection to see whether a process listens at the replica's address. That one
+// accepts shows nothing.
+func (n *Node) connect(entry replica.Entry) {
+	listed, known := n.replicas.lookup(entry.ID)
+	if !known || listed.Incarnation != entry.Incarnation {
+		n.processGone(entry, "its entry is gone")
+		return
+	}
+	if err := n.pool.Connect(targetOf(entry), time.Now().Add(probeTimeout)); upstream.Refused(err) {
+		n.processGone(entry, "it refuses connections")
+	}
+}
+
+// probe asks the replica for its health, on the connection that was opened first.
+func (n *Node) probe(d *doubt) {
+	entry := d.entry
+	if d.healthPath == "" {
+		n.connect(entry)
+		return
+	}
+	sentAt := time.Now()
+	request := &upstream.Request{
+		Method: fasthttp.MethodGet, Target: d.healthPath, Host: d.host,
+		Fields: appendField(nil, n.adapter.Names.ExpectReplica, string(entry.ID)), Deadline: sentAt.Add(probeTimeout),
+	}
+	response, err := n.pool.SendOnOldest(targetOf(entry), request, &upstream.Cancel{})
+	switch {
+	case upstream.Refused(err):
+		n.processGone(entry, "it refuses connections")
+	case err == nil:
+		n.replicaAnswered(entry, sentAt, response)
+		response.Discard()
+	}
+}
+
+// replicaAnswered takes into account that a replica answered a request.
+func (n *Node) replicaAnswered(entry replica.Entry, sentAt time.Time, response *upstream.Response) {
+	n.processes.hear(entry.ID, time.Now())
+	if n.misdirected(response) {
+		n.processGone(entry, "another process answers at its address")
+		return
+	}
+	sign := liveness.Sign{ConnectedAt: response.ConnectedAt(), SentAt: sentAt, Unique: n.rejectsOthers(entry)}
+	report(n.processes.observe(entry, func(d *doubt) { d.Observe(sign) }))
+}
+
+// processGone takes into account that the process of an entry is no longer there.
+func (n *Node) processGone(entry replica.Entry, reason string) {
+	reports := n.processes.observe(entry, func(d *doubt) { d.ObserveGone() })
+	if len(reports) == 0 {
+		return
+	}
+	n.logger.Info().Str("replica", string(entry.ID)).Uint64("incarnation", entry.Incarnation).Int("runs", len(reports)).Str("reason", reason).
+		Msg("replica: process ended")
+	report(reports)
+}
+
+// report makes the reports of new outcomes.
+func report(reports []func()) {
+	for _, report := range reports {
+		report()
+	}
+}
+
+// rejectsOthers reports whether any other process at the replica's address rejects requests for
+// the replica. Replicas that may start again under their ID report when they started.
+func (n *Node) rejectsOthers(entry replica.Entry) bool {
+	return n.adapter.Names.ExpectReplica != "" && entry.Incarnation == 0
+}
+
+// survived returns nil if the process of a replica survived the end of an exchange.
+func (n *Node) survived(closed upstream.ClosedExchange) error {
+	entry, known := n.replicas.lookup(replica.ID(closed.To.Identity))
+	if !known || targetOf(entry) != closed.To {
+		return errReplicaEnded
+	}
+	outcome := make(chan liveness.Outcome, 1)
+	n.watch(&doubt{
+		Doubt: liveness.NewDoubt(closed.Since, closed.At), entry: entry,
+		decided: func(decided liveness.Outcome, _ uint32) {
+			select {
+			case outcome <- decided:
+			default:
+			}
+		},
+	})
+	ctx, cancel := context.WithDeadline(n.ctx, closed.Deadline)
+	defer cancel()
+	select {
+	case decided := <-outcome:
+		if decided.Lives() {
+			return nil
+		}
+		return errReplicaEnded
+	case <-ctx.Done():
+		return errReplicaUnknown
+	}
+}
+
+// awaitSettled waits until the runs of a marked request no longer use up its limit, or a time. It
+// returns false if they still do.
+func (n *Node) awaitSettled(r *requestState, until time.Time) bool {
+	for time.Now().Before(until) {
+		changed := n.suspects.nextChange()
+		change, _ := n.suspects.status(r.fingerprint)
+		if change.Refused {
+			return true
+		}
+		if !waitUntil(n.ctx, minTime(until, time.Now().Add(settlePoll)), changed) {
+			return false
+		}
+		if change, marked := n.suspects.status(r.fingerprint); !marked || change.Refused || !change.Unsettled {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// settlePoll is the longest time between two looks at a request whose runs use up its limit.
+	settlePoll = 100 * time.Millisecond
+	// unsettledWait is how long a request waits for that: until a process that does not answer is
+	// known by its entry.
+	unsettledWait = 3 * time.Second
+)
+
+// awaitRestart waits before a request that may run at one replica only is sent there beside
+// another marked one. If the replica has ended and started again under its ID, the other run may
+// end it once more, or its new entry arrives and the request may run elsewhere.
+func (n *Node) awaitRestart(r *requestState) {
+	if r.onlyReplica == "" || r.onlyIncarnation == 0 {
+		return
+	}
+	wait.For(n.ctx, min(restartPause, r.timeLeft()))
+}
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -43,8 +44,8 @@
 	// the oldest of them first.
 	shared      map[quarantine.Fingerprint]*sharedRequest
 	sharedOrder []quarantine.Fingerprint
-	// doubts are the broken runs of which it is not known whether their replica lives.
-	doubts map[replica.ID][]doubt
+	// changed is closed and replaced at each change of a marked request.
+	changed chan struct{}
 }
 
 // sharedRequest is a request without a program that a replica answered. Many callers may send
@@ -57,17 +58,11 @@
 	releases  int
 }
 
-// doubt is a run that broke off at a time.
-type doubt struct {
-	run     quarantine.Run
-	brokeAt time.Time
-}
-
 func newSuspects(node string, incarnation uint64) *suspects {
 	return &suspects{
 		node: node, incarnation: incarnation, marked: make(map[quarantine.Fingerprint]coordinator.QuarantineChange),
 		shared:  make(map[quarantine.Fingerprint]*sharedRequest),
-		flights: make(map[quarantine.Fingerprint][]*flight), doubts: make(map[replica.ID][]doubt),
+		flights: make(map[quarantine.Fingerprint][]*flight), changed: make(chan struct{}),
 	}
 }
 
@@ -79,10 +74,19 @@
 	return change, marked
 }
 
+// nextChange returns a channel that is closed at the next change of a marked request.
+func (s *suspects) nextChange() <-chan struct{} {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.changed
+}
+
 // apply updates what is known of a request.
 func (s *suspects) apply(now time.Time, change *coordinator.QuarantineChange) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
 	fingerprint := change.Status.Fingerprint
 	if !change.Status.Marked() {
 		delete(s.marked, fingerprint)
@@ -253,10 +257,8 @@
 	defer s.mutex.Unlock()
 	s.remove(f)
 	ended := f.run
-	ended.State = quarantine.StateEnded
+	ended.State, ended.Suspected = quarantine.StateEnded, true
 	ended.Shared = s.sharedLately(at, ended.Fingerprint) != nil
-	id := f.replica.ID
-	s.doubts[id] = append(s.doubts[id], doubt{run: ended, brokeAt: at})
 	s.mark(ended)
 	return append(s.list(ended.Fingerprint), ended)
 }
@@ -272,7 +274,7 @@
 		status.EndedAt = append(slices.Clone(status.EndedAt), ended.Replica)
 	}
 	if !known || ended.Restarted {
-		status.Ended++
+		status.Suspected++
 	}
 	s.marked[ended.Fingerprint] = change
 }
@@ -302,47 +304,17 @@
 func (s *suspects) avoidedBy(fingerprint quarantine.Fingerprint) (ids []replica.ID) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	avoided := make(map[replica.ID]struct{})
 	for other, change := range s.marked {
 		for _, id := range change.Status.EndedAt {
-			ids = append(ids, replica.ID(id))
+			avoided[replica.ID(id)] = struct{}{}
 		}
 		if other == fingerprint {
 			continue
 		}
 		for _, id := range change.Status.RunningAt {
-			ids = append(ids, replica.ID(id))
-		}
-	}
-	return ids
-}
-
-// resolve removes the doubts about runs at a replica that broke off before a time, and returns
-// these runs.
-func (s *suspects) resolve(id replica.ID, before time.Time) (runs []quarantine.Run) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if len(s.doubts) == 0 {
-		return nil
-	}
-	var left []doubt
-	for _, open := range s.doubts[id] {
-		if open.brokeAt.Before(before) {
-			runs = append(runs, open.run)
-			continue
+			avoided[replica.ID(id)] = struct{}{}
 		}
-		left = append(left, open)
-	}
-	if len(left) == 0 {
-		delete(s.doubts, id)
-		return runs
 	}
-	s.doubts[id] = left
-	return runs
-}
-
-// forget removes the doubts about a replica that is gone: it has ended.
-func (s *suspects) forget(id replica.ID) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	delete(s.doubts, id)
+	return slices.Collect(maps.Keys(avoided))
 }
--- a/edge/suspects_test.go
+++ b/edge/suspects_test.go
@@ -31,27 +31,12 @@
 	g.Expect(s.begin(now, beside)).To(BeTrue())
 	runs := s.breakOff(first, now)
 	g.Expect(runs).To(HaveLen(2), "the end, and the run beside it")
-	g.Expect(runs).To(ContainElement(HaveField("State", quarantine.StateEnded)))
+	g.Expect(runs).To(ContainElement(And(HaveField("State", quarantine.StateEnded), HaveField("Suspected", true))))
 	g.Expect(s.begin(now, aRun(s))).To(BeFalse())
 	announced, marked := s.end(beside)
 	g.Expect(announced && marked).To(BeTrue())
 }
 
-// TestLaterAnswerResolvesDoubt checks that an answer to a request that was sent after a run broke
-// off takes the end back, and an earlier one does not.
-func TestLaterAnswerResolvesDoubt(t *testing.T) {
-	g := NewWithT(t)
-	s := newSuspects("n", 1)
-	now := time.Now()
-	broken := aRun(s)
-	s.begin(now, broken)
-	s.breakOff(broken, now)
-	id := broken.run.Replica
-	g.Expect(s.resolve("i-x", now.Add(-time.Millisecond))).To(BeEmpty())
-	g.Expect(s.resolve("i-x", now.Add(time.Millisecond))).To(ConsistOf(HaveField("Replica", id)))
-	g.Expect(s.resolve("i-x", now.Add(time.Second))).To(BeEmpty())
-}
-
 // refused returns the change after which nothing of the request is sent.
 func refused() *coordinator.QuarantineChange {
 	return &coordinator.QuarantineChange{Refused: true, Status: quarantine.Status{Fingerprint: suspect, Ended: 3}}
--- a/edge/switches_test.go
+++ b/edge/switches_test.go
@@ -83,7 +83,7 @@
 func TestDeferRemovals(t *testing.T) {
 	g := NewWithT(t)
 	for _, settings := range []Settings{{}, without(DeferRemovals)} {
-		node := &Node{settings: settings, replicas: newReplicas(&settings), logger: quietLogger, pool: upstream.NewPool(upstream.Config{})}
+		node := &Node{settings: settings, replicas: newReplicas(&settings), logger: quietLogger, pool: upstream.NewPool(upstream.Config{}), processes: newProcesses()}
 		node.replicas.put(replica.Entry{ID: "r", Service: "s", Status: replica.StatusReady, Slots: 1})
 		// An outage lies between these answers.
 		node.store.recordAnswer(time.Now().Add(-time.Minute))
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -51,3 +51,6 @@
 
 // ReachedLimit reports whether nothing of a request may be sent.
 func (t *Table) ReachedLimit(status *Status) bool { return status.Ended >= t.config.Limit }
+
+// Unsettled reports whether the runs that count use up the limit.
+func (t *Table) Unsettled(status *Status) bool { return status.Counted() >= t.config.Limit }
--- a/upstream/framing.go
+++ b/upstream/framing.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 )
 
 // Framing is how an answer delimits its body.
@@ -64,16 +65,39 @@
 }
 
 // ConfirmEnd decides whether a body that ended with ErrClosed is whole, and returns nil if
-// it is. The connections of a process that is killed close in order as well, but then
-// nothing accepts new ones; a replica that does has ended its answer itself. The connection
-// that shows it replaces the closed one in the pool.
+// it is. The connections of a process that ends close in order as well; a replica whose process
+// survived has ended its answer itself.
 func (r *Response) ConfirmEnd() error {
-	connection, err := r.pool.dial(r.to, r.deadline)
-	if err != nil {
+	if r.pool.config.Survived == nil {
+		r.end = EndUnconfirmed
+		return ErrUnconfirmed
+	}
+	closed := ClosedExchange{To: r.to, Since: r.witnessedAt, At: time.Now(), Deadline: r.deadline}
+	if err := r.pool.config.Survived(closed); err != nil {
 		r.end = EndUnconfirmed
 		return fmt.Errorf("%w: %w", ErrUnconfirmed, err)
 	}
 	r.end = EndConfirmed
-	r.pool.put(r.to, connection)
 	return nil
 }
+
+// ClosedExchange is an exchange that ended with its connection.
+type ClosedExchange struct {
+	To Target
+	// Since is the time before which connections were opened to the process of the exchange.
+	Since time.Time
+	// At is when the connection closed, and Deadline the time by which it has to be known whether
+	// the process survived that.
+	At, Deadline time.Time
+}
+
+// ensureWitness opens a connection before a body that ends with its own connection is read,
+// unless an idle one is open: only what the process does on an older connection shows that it
+// survived the end of the body.
+func (r *Response) ensureWitness() {
+	if r.Framing() == FramingClose && !r.pool.HasIdle(r.to) {
+		// Without a witness, the end is not confirmed.
+		_ = r.pool.Connect(r.to, r.deadline)
+	}
+	r.witnessedAt = time.Now()
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -22,6 +22,10 @@
 	// HeadBytes limits the head of an answer, BodyBytes a body read by ReadAll.
 	HeadBytes int
 	BodyBytes int
+	// Survived returns nil if the process of a replica survived the end of an exchange, and
+	// otherwise why that is not shown. It may block until the exchange's deadline. Without it, no
+	// body that ends with its connection is confirmed.
+	Survived func(ClosedExchange) error
 }
 
 // DefaultConfig returns the settings used in production.
@@ -58,8 +62,6 @@
 	// idle are the idle ones, the last used one last, and open all.
 	idle []*conn
 	open map[*conn]struct{}
-	// check is the check of the replica's process that is under way, or nil.
-	check *processCheck
 }
 
 // NewPool returns a pool without connections.
@@ -144,6 +146,47 @@
 	return nil
 }
 
+// takeOldest removes and returns the idle connection that was opened first and can be used, or
+// nil.
+func (p *Pool) takeOldest(to Target) *conn {
+	for {
+		oldest := p.removeOldest(to)
+		if oldest == nil || oldest.withinIdleLimit(time.Now()) && oldest.reusable() {
+			return oldest
+		}
+		_ = oldest.Close()
+	}
+}
+
+func (p *Pool) removeOldest(to Target) *conn {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	entry := p.targets[to]
+	if entry == nil || len(entry.idle) == 0 {
+		return nil
+	}
+	oldest := 0
+	for index, idle := range entry.idle {
+		if idle.openedAt.Before(entry.idle[oldest].openedAt) {
+			oldest = index
+		}
+	}
+	connection := entry.idle[oldest]
+	entry.idle = append(entry.idle[:oldest:oldest], entry.idle[oldest+1:]...)
+	return connection
+}
+
+// Connect opens a connection to the replica, which the pool keeps. syscall.ECONNREFUSED among its
+// errors means that no process listens at the address.
+func (p *Pool) Connect(to Target, deadline time.Time) error {
+	connection, err := p.dial(to, deadline)
+	if err != nil {
+		return err
+	}
+	p.put(to, connection)
+	return nil
+}
+
 func (p *Pool) dial(to Target, deadline time.Time) (*conn, error) {
 	timeout := min(p.config.DialTimeout, time.Until(deadline))
 	if timeout <= 0 {
--- a/upstream/process_test.go
+++ b/upstream/process_test.go
@@ -53,17 +53,23 @@
 	}
 }
 
-var _ = Describe("The check of a replica's process", func() {
+var _ = Describe("The connections to a replica", func() {
 	var replica *acceptingReplica
 	var pool *upstream.Pool
 	var to upstream.Target
 
-	// use leaves an idle connection to the replica in the pool.
-	use := func() {
-		response, err := pool.Send(to, &upstream.Request{Method: "GET", Target: "/", Host: "h", Deadline: time.Now().Add(time.Minute)}, &upstream.Cancel{})
-		Expect(err).NotTo(HaveOccurred())
-		_, err = response.ReadAll()
-		Expect(err).NotTo(HaveOccurred())
+	request := func() *upstream.Request {
+		return &upstream.Request{Method: "GET", Target: "/", Host: "h", Deadline: time.Now().Add(time.Minute)}
+	}
+
+	// probe sends a request on the oldest connection, and returns when that was opened.
+	probe := func() (connectedAt time.Time, err error) {
+		response, err := pool.SendOnOldest(to, request(), &upstream.Cancel{})
+		if err != nil {
+			return time.Time{}, err
+		}
+		response.Discard()
+		return response.ConnectedAt(), nil
 	}
 
 	BeforeEach(func() {
@@ -72,34 +78,31 @@
 		to = upstream.Target{Identity: "i", Address: netip.MustParseAddrPort(replica.listener.Addr().String())}
 	})
 
-	It("finds a process that lives by an older connection", func() {
-		use()
-		Expect(pool.CheckProcess(to, time.Now())).To(Equal(upstream.ProcessLives))
+	It("are probed on the one that was opened first", func() {
+		before := time.Now()
+		Expect(pool.Connect(to, before.Add(time.Minute))).To(Succeed())
+		between := time.Now()
+		Expect(pool.Connect(to, before.Add(time.Minute))).To(Succeed())
+		connectedAt, err := probe()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(connectedAt).To(BeTemporally(">=", before))
+		Expect(connectedAt).To(BeTemporally("<=", between))
 	})
 
-	It("finds a process that ended, as it accepts no connection", func() {
-		use()
+	It("are refused by a process that ended", func() {
 		replica.end()
-		Expect(pool.CheckProcess(to, time.Now())).To(Equal(upstream.ProcessEnded))
+		Expect(upstream.Refused(pool.Connect(to, time.Now().Add(time.Minute)))).To(BeTrue())
 	})
 
-	It("finds a process that ended although another one listens at its address", func() {
-		use()
+	It("are not the older ones once another process listens at the address", func() {
+		Expect(pool.Connect(to, time.Now().Add(time.Minute))).To(Succeed())
+		Eventually(replica.sockets).Should(HaveLen(1))
 		replica.end()
 		startAccepting(to.Address.String())
-		Expect(pool.CheckProcess(to, time.Now())).To(Equal(upstream.ProcessEnded))
-	})
-
-	It("does not know without an older connection", func() {
 		since := time.Now()
-		use()
-		Expect(pool.CheckProcess(to, since)).To(Equal(upstream.ProcessUnknown))
-	})
-
-	It("finds that a replica whose target was removed has ended", func() {
-		use()
-		pool.RemoveTarget(to)
-		Expect(pool.CheckProcess(to, time.Now())).To(Equal(upstream.ProcessEnded))
+		connectedAt, err := probe()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(connectedAt).To(BeTemporally(">=", since))
 	})
 })
 
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -25,6 +25,10 @@
 	conn        *conn
 	cancel      *Cancel
 	writeResult <-chan error
+	// connectedAt is when the connection was opened, and witnessedAt the time before which
+	// connections were opened to the process that answers.
+	connectedAt time.Time
+	witnessedAt time.Time
 	// deadline is the time by which the exchange has to end.
 	deadline time.Time
 	// skippedAnswers is set if answers to other requests preceded this one.
@@ -36,6 +40,9 @@
 // Status returns the status code.
 func (r *Response) Status() int { return r.Header.StatusCode() }
 
+// ConnectedAt returns when the connection of the exchange was opened.
+func (r *Response) ConnectedAt() time.Time { return r.connectedAt }
+
 // chunkedLength is the length of a chunked body. That of a body that ends when the
 // connection closes is also negative.
 const chunkedLength = -1
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -41,16 +41,37 @@
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
+	return p.exchange(to, connection, request, cancel)
+}
+
+// SendOnOldest is Send on the idle connection that was opened first, or on a new one if none is
+// idle.
+func (p *Pool) SendOnOldest(to Target, request *Request, cancel *Cancel) (*Response, error) {
+	connection := p.takeOldest(to)
+	if connection == nil {
+		var err error
+		if connection, err = p.dial(to, request.Deadline); err != nil {
+			return nil, &NotSentError{Cause: err}
+		}
+	}
+	return p.exchange(to, connection, request, cancel)
+}
+
+// exchange sends a request on a connection.
+func (p *Pool) exchange(to Target, connection *conn, request *Request, cancel *Cancel) (*Response, error) {
 	if err := cancel.bind(connection.Conn, request.Deadline); err != nil {
 		_ = connection.Close()
 		return nil, &NotSentError{Cause: err}
 	}
-	response := &Response{pool: p, to: to, conn: connection, cancel: cancel, deadline: request.Deadline, end: EndOpen}
+	response := &Response{
+		pool: p, to: to, conn: connection, cancel: cancel, deadline: request.Deadline, end: EndOpen, connectedAt: connection.openedAt,
+	}
 	response.writeResult = writeRequest(connection.writer, request)
 	if err := response.readHead(request.ID); err != nil {
 		response.Abort()
 		return nil, &UnknownError{Stage: "read answer", Cause: cancelCauseOr(cancel, err)}
 	}
+	response.ensureWitness()
 	return response, nil
 }
 
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -121,6 +121,13 @@
 	return body, response, err
 }
 
+// survivingPool returns a pool that asks a function whether a replica's process survived.
+func survivingPool(survived func(upstream.ClosedExchange) error) *upstream.Pool {
+	config := upstream.DefaultConfig(names)
+	config.Survived = survived
+	return upstream.NewPool(config)
+}
+
 var _ = Describe("An exchange with a replica", func() {
 	var pool *upstream.Pool
 	BeforeEach(func() { pool = upstream.NewPool(upstream.DefaultConfig(names)) })
@@ -147,7 +154,13 @@
 		Expect(upstream.NotSent(err)).To(BeTrue())
 	})
 
-	It("takes an answer that ends with its connection for whole if the replica accepts another", func() {
+	It("takes an answer that ends with its connection for whole if the replica's process survived that", func() {
+		var closed upstream.ClosedExchange
+		before := time.Now()
+		pool = survivingPool(func(exchange upstream.ClosedExchange) error {
+			closed = exchange
+			return nil
+		})
 		replica := startReplica("HTTP/1.1 200 OK\r\nTest-Id: 1\r\n\r\nwhole!close", sized("2", "two"))
 		body, response, err := send(pool, replica, "1")
 		Expect(err).NotTo(HaveOccurred())
@@ -158,10 +171,14 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(body)).To(Equal("two"))
 		opened, _ := pool.Counts()
-		Expect(opened).To(Equal(uint64(2)), "the connection that confirmed the end is used")
+		Expect(opened).To(Equal(uint64(2)), "the connection that was opened before the end is used")
+		Expect(closed.To).To(Equal(replica.target()))
+		Expect(closed.Since).To(BeTemporally(">=", before))
+		Expect(closed.At).To(BeTemporally(">=", closed.Since))
 	})
 
 	It("does not take an answer that ends with its connection for whole if the replica has ended", func() {
+		pool = survivingPool(func(upstream.ClosedExchange) error { return errors.New("it ended") })
 		replica := startReplica("HTTP/1.1 200 OK\r\nTest-Id: 1\r\n\r\nhalf!end")
 		_, _, err := send(pool, replica, "1")
 		var unknown *upstream.UnknownError
@@ -200,6 +217,7 @@
 	)
 
 	It("takes a body that ends with its connection", func() {
+		pool = survivingPool(func(upstream.ClosedExchange) error { return nil })
 		body, _, err := send(pool, startReplica("HTTP/1.1 200 OK\r\nTest-Id: 1\r\n\r\nwhole!close"), "1")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(body)).To(Equal("whole"))
