--- a/edge/node.go
+++ b/edge/node.go
@@ -174,9 +174,7 @@
 		failed:                make(chan error, 4),
 		nodeListKnown:         make(chan struct{}),
 	}
-	pooling := upstream.DefaultConfig(adapter.Names)
-	pooling.Survived = node.survived
-	node.pool = upstream.NewPool(pooling)
+	node.pool = node.newPool()
 	if settings.uses(QuarantineRequests) {
 		node.suspects = newSuspects(settings.Node, node.self.Incarnation)
 	}
@@ -196,6 +194,13 @@
 	return node, nil
 }
 
+// newPool returns the node's connections to replicas.
+func (n *Node) newPool() *upstream.Pool {
+	config := upstream.DefaultConfig(n.adapter.Names)
+	config.Survived = n.survived
+	return upstream.NewPool(config)
+}
+
 // forgetReplica drops what is kept of a replica's process that is gone.
 func (n *Node) forgetReplica(gone replica.Entry) {
 	n.pool.RemoveTarget(targetOf(gone))
