--- a/edge/node.go
+++ b/edge/node.go
@@ -174,11 +174,10 @@
 		failed:                make(chan error, 4),
 		nodeListKnown:         make(chan struct{}),
 	}
-	node.pool = node.newPool()
 	if settings.uses(QuarantineRequests) {
 		node.suspects = newSuspects(settings.Node, node.self.Incarnation)
 	}
-	node.replicas.forget = node.forgetReplica
+	node.pool, node.replicas.forget = node.newPool(), node.forgetReplica
 	node.ctx, node.cancel = context.WithCancel(context.Background())
 	coreRandom := rand.New(rand.NewPCG(seed+1, uint64(now.UnixNano())))
 	core, err := coordinator.New(now, coreConfig(settings, node.self, coreRandom))
--- a/soak/lethal.go
+++ b/soak/lethal.go
@@ -30,7 +30,7 @@
 	lethalSalt = 4 << 32
 )
 
-// lethalEndings are how replicas end, in rotation.
+// lethalEndings are when replicas end, in rotation. Their deaths rotate as well.
 var lethalEndings = []standin.Lethal{
 	{Body: lethalBody}, {Body: lethalBody, Events: 2}, {Body: lethalBody, Delay: 100 * time.Millisecond},
 	{Body: lethalBody, Events: 1, Delay: 30 * time.Millisecond}, {Body: lethalBody, Delay: 600 * time.Millisecond},
--- a/soak/system.go
+++ b/soak/system.go
@@ -183,7 +183,9 @@
 	replica.OnEnd = func(ended *standin.Replica, run standin.Run) {
 		s.record(promise.ReplicaEnded{Replica: ended.ID, ID: run.ID})
 	}
-	replica.SetLethal(&lethalEndings[len(s.proxies)%len(lethalEndings)])
+	lethal := lethalEndings[len(s.proxies)%len(lethalEndings)]
+	lethal.Death = standin.Deaths[len(s.proxies)%len(standin.Deaths)]
+	replica.SetLethal(&lethal)
 	s.proxies[replica.ID] = replicaProxy
 	return nil
 }
