quarantine: ends of one process count once, and answers release what many callers send

Causes: a second run at a replica counted as one at a process of its own although replicas without a start time never start again under their ID; the ends under a request without a program stayed after a whole answer and added up over its callers. Change: only replicas that report their start time count again, and a whole answer releases a request without a program, as it did. Of such a request, replicas that do answer still clear the ends of those that do not (open).

--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -96,15 +96,17 @@
 	if f == nil {
 		return
 	}
+	reason := coordinator.ReleaseAnswered
 	if r.exchange.Field(n.adapter.Names.Program) == "" {
 		n.suspects.noteShared(time.Now(), f.run.Fingerprint)
+		reason = coordinator.ReleaseShared
 	}
 	announced, marked := n.suspects.end(f)
 	if announced {
 		n.clearRuns(f.run)
 	}
 	if marked {
-		n.control.post(coordinator.RequestReleased{Fingerprint: f.run.Fingerprint, Reason: coordinator.ReleaseAnswered})
+		n.control.post(coordinator.RequestReleased{Fingerprint: f.run.Fingerprint, Reason: reason})
 	}
 }
 
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -191,7 +191,7 @@
 		ID:          quarantine.RunID{Node: s.node, Incarnation: s.incarnation, Number: s.lastNumber},
 		Fingerprint: r.fingerprint, Replica: string(entry.ID),
 	}
-	run.Restarted = slices.Contains(s.marked[r.fingerprint].Status.EndedAt, run.Replica)
+	run.Restarted = entry.Incarnation != 0 && slices.Contains(s.marked[r.fingerprint].Status.EndedAt, run.Replica)
 	if r.tenant != nil {
 		run.Tenant = r.tenant.Name
 	}
--- a/edge/suspects_test.go
+++ b/edge/suspects_test.go
@@ -37,6 +37,19 @@
 	g.Expect(announced && marked).To(BeTrue())
 }
 
+// TestRunsAtOneProcessCountOnce checks that only a replica that may start again under its ID counts
+// again.
+func TestRunsAtOneProcessCountOnce(t *testing.T) {
+	g := NewWithT(t)
+	s := newSuspects("n", 1)
+	broken := aRun(s)
+	s.begin(time.Now(), broken)
+	s.breakOff(broken, time.Now())
+	g.Expect(aRun(s).run.Restarted).To(BeFalse())
+	restarting := replica.Entry{ID: "i-x", Incarnation: 3}
+	g.Expect(s.newFlight(&requestState{fingerprint: suspect}, restarting).run.Restarted).To(BeTrue())
+}
+
 // refused returns the change after which nothing of the request is sent.
 func refused() *coordinator.QuarantineChange {
 	return &coordinator.QuarantineChange{Refused: true, Status: quarantine.Status{Fingerprint: suspect, Ended: 3}}
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -50,7 +50,7 @@
 	Fingerprint Fingerprint `json:"fingerprint"`
 	Tenant      string      `json:"tenant,omitempty"`
 	Replica     string      `json:"replica"`
-	// Restarted is set if the replica had ended under the request before the run and had started
+	// Restarted is set if the replica may have ended under the request before the run and started
 	// again under its ID. Each such run counts as one at a process of its own.
 	Restarted bool  `json:"restarted,omitempty"`
 	State     State `json:"state"`
