upstream, ingress: bytes without end are broken off, and bodies have a bound for the node

What callers saw: 504 after their whole deadline while a node read up to 18 GB; 60 callers of answers without a length took it to 1.7 GB, 60 request bodies of 4 MiB to 264 MB. Cause: answers to other requests were skipped without a bound, informational responses without a count, the bodies of all requests under way had no common bound, and an event of a stream none at all. Change: an answer to another request is skipped up to 64 KiB, 16 informational responses at most, a body that is not needed up to 64 KiB; an event has 1 MiB (--event-bytes); bytes after a whole answer close the connection; all bodies of a node, and the parts of answers that it keeps, share a quarter of its memory (--body-memory), of which each may hold as much as is left free (package membudget). What exceeds a bound counts as an answer that is not valid: as run, no end, and against the replica's health; a request body gets 503 with Retry-After.

--- a/command/edgecommand/edge.go
+++ b/command/edgecommand/edge.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -22,9 +23,10 @@
 // New returns the command that runs one node on the users' platform.
 func New() *cobra.Command {
 	var path, without string
+	var bounds edge.Settings
 	tracked := quarantine.DefaultConfig()
 	command := &cobra.Command{
-		Use:   "edge [--settings FILE] [--quarantine-limit N] [--quarantine-lifetime TIME] [--without MECHANISM,...]",
+		Use:   "edge [--settings FILE] [--quarantine-limit N] [--quarantine-lifetime TIME] [--body-memory BYTES] [--event-bytes BYTES] [--without MECHANISM,...]",
 		Short: "Run one node on the users' platform",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
@@ -41,19 +43,29 @@
 			if err := tracked.Validate("--quarantine"); err != nil {
 				return &exit.Error{Code: exit.Usage, Cause: err}
 			}
-			return runEdge(command.Context(), path, disabled, tracked)
+			if bounds.BodyMemoryBytes < 0 || bounds.EventBytes < 0 {
+				return &exit.Error{Code: exit.Usage, Cause: errBounds}
+			}
+			bounds.Disabled, bounds.Quarantine = disabled, tracked
+			return runEdge(command.Context(), path, bounds)
 		},
 	}
 	command.Flags().StringVar(&path, "settings", "", "the settings file, in place of the one that "+platform.SettingsVariable+" names")
 	command.Flags().IntVar(&tracked.Limit, "quarantine-limit", tracked.Limit,
 		fmt.Sprintf("how many replicas may end under a request before it is sent to no other (1 to %d)", quarantine.MaxLimit))
 	command.Flags().DurationVar(&tracked.Lifetime, "quarantine-lifetime", tracked.Lifetime, "how long the end of a replica under a request is remembered (1s to 24h)")
+	command.Flags().Int64Var(&bounds.BodyMemoryBytes, "body-memory", 0, "bytes that the bodies of all requests under way may hold (0: a quarter of the node's memory)")
+	command.Flags().IntVar(&bounds.EventBytes, "event-bytes", 0, "bytes of one event of a stream, beyond which the stream is broken off (0: 1 MiB)")
 	command.Flags().StringVar(&without, "without", "", "mechanisms to switch off, separated by commas, to measure what they are worth")
 	return command
 }
 
-// runEdge runs a node until SIGTERM or SIGINT. SIGHUP reloads the settings.
-func runEdge(parent context.Context, path string, without []edge.Mechanism, tracked quarantine.Config) error {
+// errBounds means that a bound on memory is negative.
+var errBounds = errors.New("--body-memory, --event-bytes: want 0 or more")
+
+// runEdge runs a node until SIGTERM or SIGINT. SIGHUP reloads the settings. The bounds hold what the
+// settings file does not.
+func runEdge(parent context.Context, path string, bounds edge.Settings) error {
 	// Register before loading the settings: a signal may arrive at any time, and
 	// an unhandled SIGHUP would end the process.
 	signals := make(chan os.Signal, signalQueueLength)
@@ -62,7 +74,8 @@
 	if err != nil {
 		return &exit.Error{Code: exit.Usage, Cause: err}
 	}
-	settings.Disabled, settings.Quarantine = without, tracked
+	settings.Disabled, settings.Quarantine = bounds.Disabled, bounds.Quarantine
+	settings.BodyMemoryBytes, settings.EventBytes = bounds.BodyMemoryBytes, bounds.EventBytes
 	decisions := &decisionWriter{}
 	logger, flush := newDecisionLogger(settings.Node, decisions)
 	defer flush()
--- a/edge/node.go
+++ b/edge/node.go
@@ -18,6 +18,7 @@
 	"birchwood.example/birchwood/ingress"
 	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/machine"
+	"birchwood.example/birchwood/membudget"
 	"birchwood.example/birchwood/replica"
 	"birchwood.example/birchwood/retry"
 	"birchwood.example/birchwood/routing"
@@ -39,9 +40,11 @@
 	routes routing.LatestTable
 	config latestConfiguration
 	// evacuations is this node's view of the evacuated zones.
-	evacuations   evacuations
-	replicas      *replicas
-	pool          *upstream.Pool
+	evacuations evacuations
+	replicas    *replicas
+	pool        *upstream.Pool
+	// memory bounds the memory of the bodies of all requests under way.
+	memory        *membudget.Budget
 	callStats     *callStats
 	turnEstimates *turnEstimates
 	shares        *shares
@@ -131,12 +134,17 @@
 	gcPercent = 25
 )
 
-// New creates a node. It opens no sockets yet.
-func New(settings Settings, adapter Adapter, logger *log.Logger) (*Node, error) {
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * heapLimitShare))
+// limitHeap has the garbage collector keep to a memory limit; 0 for none.
+func limitHeap(memoryBytes int64) {
+	if memoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(memoryBytes) * heapLimitShare))
 		debug.SetGCPercent(gcPercent)
 	}
+}
+
+// New creates a node. It opens no sockets yet.
+func New(settings Settings, adapter Adapter, logger *log.Logger) (*Node, error) {
+	limitHeap(settings.MemoryBytes)
 	stats, err := newCallStats()
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -155,6 +163,7 @@
 		},
 		replicas:              newReplicas(&settings),
 		processes:             newProcesses(),
+		memory:                membudget.New(bodyMemory(settings)),
 		callStats:             stats,
 		turnEstimates:         newTurnEstimates(),
 		shares:                newShares(),
@@ -187,7 +196,7 @@
 	node.peers = newPeers(node)
 	node.control = newControl(node, core)
 	node.clients = ingress.NewServer(ingress.Config{
-		Handler: node.handle, Limits: node.limits, MaxConnections: maximumConnections(settings),
+		Handler: node.handle, Limits: node.limits, MaxConnections: maximumConnections(settings), Memory: node.memory,
 		OnPanic: func(value any) { logger.Error().Any("panic", value).Msg("edge: request handler panicked") },
 	})
 	return node, nil
@@ -208,6 +217,23 @@
 	n.run(func(context.Context) { n.processGone(gone, "its entry is gone") })
 }
 
+// The bodies of all requests under way, with those of their answers, may take up to a quarter of the
+// memory: buffers grow by copies, and the collector frees them late.
+const (
+	bodyMemoryDivisor = 4
+	defaultBodyMemory = 64 << 20
+)
+
+func bodyMemory(settings Settings) int64 {
+	if settings.BodyMemoryBytes > 0 {
+		return settings.BodyMemoryBytes
+	}
+	if settings.MemoryBytes == 0 {
+		return defaultBodyMemory
+	}
+	return settings.MemoryBytes / bodyMemoryDivisor
+}
+
 // The clients' connections may take up to half of the memory.
 const (
 	connectionBytes           = 48 << 10
--- a/edge/run.go
+++ b/edge/run.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -34,6 +35,8 @@
 	unnumbered bool
 	// output is the part of the answer that the engine reads before the next turn.
 	output []byte
+	// restHeld is the number of bytes of an incomplete event whose memory is held.
+	restHeld int
 	// runs counts the runs that may have begun.
 	runs int
 	// lastRun is the replica of the last run that may have begun.
@@ -210,6 +213,9 @@
 		if relayErr := t.relayEvents(ctx, response); relayErr != nil {
 			return relayErr
 		}
+		if err := t.boundRest(); err != nil {
+			return err
+		}
 		if err == nil {
 			continue
 		}
@@ -220,6 +226,33 @@
 	}
 }
 
+// errEventTooLarge means that an event of a stream exceeds the bound on one.
+var errEventTooLarge = errors.New("an event of the stream is too large")
+
+// defaultEventBytes is the default of Settings.EventBytes.
+const defaultEventBytes = 1 << 20
+
+// boundRest holds the memory of an event that is not complete, within the bounds.
+func (t *turnRun) boundRest() error {
+	rest, memory := len(t.splitter.Rest()), t.request.exchange.Memory
+	if rest > cmp.Or(t.node.settings.EventBytes, defaultEventBytes) {
+		return errEventTooLarge
+	}
+	if rest <= t.restHeld {
+		memory.Return(t.restHeld - rest)
+		t.restHeld = rest
+		return nil
+	}
+	if err := memory.Add(rest - t.restHeld); err != nil {
+		return err
+	}
+	t.restHeld = rest
+	return nil
+}
+
+// hold holds the memory of a part of the answer that is kept until the turn ends.
+func (t *turnRun) hold(bytes int) error { return t.request.exchange.Memory.Add(bytes) }
+
 // relayEvents relays the complete events that have been read.
 func (t *turnRun) relayEvents(ctx context.Context, response *upstream.Response) error {
 	for {
@@ -255,6 +288,9 @@
 		r.tokens += t.tokensPerEvent()
 		t.times.note(t.lastReadAt, r.tokens)
 		if r.route.Retain {
+			if err := t.hold(len(event.Data) + 1); err != nil {
+				return err
+			}
 			t.output = append(append(t.output, event.Data...), '\n')
 		}
 	}
@@ -275,6 +311,9 @@
 // writeOrHold sends a part of the answer to the client, or holds it.
 func (t *turnRun) writeOrHold(part []byte) error {
 	if t.holdsOutput() {
+		if err := t.hold(len(part)); err != nil {
+			return err
+		}
 		t.heldOutput = append(t.heldOutput, part...)
 		return nil
 	}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -36,6 +36,10 @@
 	AppendBytes int
 	// MemoryBytes is the memory limit of the process; 0 if there is none.
 	MemoryBytes int64
+	// BodyMemoryBytes bounds the memory of the bodies of all requests under way, and EventBytes one
+	// event of a stream; 0 selects the defaults.
+	BodyMemoryBytes int64
+	EventBytes      int
 	// Cores is the node's share of processors, and LinkMegabits the capacity of its link in
 	// Mbit/s; 0 if unknown.
 	Cores        float64
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -80,6 +80,10 @@
 		return false
 	}
 	exchange := &Exchange{connection: c, Cancel: &upstream.Cancel{}, Arrived: time.Now()}
+	if c.server.config.Memory != nil {
+		exchange.Memory = c.server.config.Memory.Holder()
+		defer exchange.Memory.Release()
+	}
 	c.exchange.Store(exchange)
 	defer c.exchange.Store(nil)
 	if rejected := exchange.read(limits); rejected != nil {
@@ -143,6 +147,8 @@
 type rejection struct {
 	status int
 	reason string
+	// retryAfter is when the client may try again; 0 if that would be in vain.
+	retryAfter time.Duration
 	// silent closes the connection without a response, since the client has
 	// disconnected.
 	silent bool
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"birchwood.example/birchwood/header"
+	"birchwood.example/birchwood/membudget"
 	"birchwood.example/birchwood/routing"
 	"birchwood.example/birchwood/upstream"
 )
@@ -30,6 +31,9 @@
 	HasBody bool
 	// Arrived is when the first byte of the request was received.
 	Arrived time.Time
+	// Memory holds the memory of the exchange's bodies until its handler has returned; nil if that
+	// is not bounded.
+	Memory *membudget.Holder
 	// Cancel ends the exchange. It is triggered when the client disconnects.
 	Cancel *upstream.Cancel
 
@@ -203,6 +207,9 @@
 		return &rejection{status: fasthttp.StatusRequestEntityTooLarge, reason: "the body is larger than the limit"}
 	}
 	if length >= 0 {
+		if err := e.Memory.Add(length); err != nil {
+			return outOfMemory(err)
+		}
 		e.Body = make([]byte, length)
 		if _, err := io.ReadFull(e.connection.reader, e.Body); err != nil {
 			return rejectionOf(err)
@@ -213,16 +220,14 @@
 }
 
 func (e *Exchange) readChunkedBody(limit int) *rejection {
-	var source io.Reader = httputil.NewChunkedReader(e.connection.reader)
-	if limit > 0 {
-		source = io.LimitReader(source, int64(limit)+1)
-	}
-	body, err := io.ReadAll(source)
-	if err != nil {
-		return rejectionOf(err)
-	}
-	if limit > 0 && len(body) > limit {
+	body, err := membudget.ReadAll(httputil.NewChunkedReader(e.connection.reader), limit, e.Memory)
+	switch {
+	case errors.Is(err, membudget.ErrTooLarge):
 		return &rejection{status: fasthttp.StatusRequestEntityTooLarge, reason: "the body is larger than the limit"}
+	case errors.Is(err, membudget.ErrExhausted):
+		return outOfMemory(err)
+	case err != nil:
+		return rejectionOf(err)
 	}
 	e.Body = body
 	if err := header.SkipTrailer(e.connection.reader); err != nil {
@@ -231,6 +236,15 @@
 	return nil
 }
 
+// memoryRetryAfter is when a client may try again whose body finds no memory: bodies are held for
+// as long as requests run.
+const memoryRetryAfter = 500 * time.Millisecond
+
+// outOfMemory refuses a request whose body finds no memory. It was not run.
+func outOfMemory(err error) *rejection {
+	return &rejection{status: fasthttp.StatusServiceUnavailable, reason: err.Error(), retryAfter: memoryRetryAfter}
+}
+
 // isDisconnect reports whether err means that the client closed the connection.
 func isDisconnect(err error) bool {
 	var nothing fasthttp.ErrNothingRead
@@ -245,7 +259,7 @@
 		return
 	}
 	_ = e.connection.socket.SetWriteDeadline(deadlineIn(refusalTimeout))
-	e.Fail(rejected.status, rejected.reason, 0)
+	e.Fail(rejected.status, rejected.reason, rejected.retryAfter)
 }
 
 // refusalTimeout limits the time for writing a refusal, in case the client does
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"birchwood.example/birchwood/membudget"
 	"birchwood.example/birchwood/routing"
 )
 
@@ -23,6 +24,8 @@
 	// MaxConnections limits the number of open connections; 0 means no limit.
 	// Connections accepted beyond it are closed immediately.
 	MaxConnections int
+	// Memory bounds the memory of the bodies of all exchanges; nil for no bound.
+	Memory *membudget.Budget
 	// OnPanic is called with the recovered value when a handler panics. The
 	// handler's connection is closed.
 	OnPanic func(value any)
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -21,7 +21,7 @@
 // have no entry of their own.
 var layers = [][]string{
 	{"soak/promise"},
-	{"internal/wait", "findings", "connection", "header", "recordstore", "eventstream", "zone", "dispatch", "liveness"},
+	{"internal/wait", "findings", "connection", "header", "recordstore", "eventstream", "zone", "dispatch", "liveness", "membudget"},
 	{"tenant", "evacuation", "quarantine"},
 	{"httpclient", "retry", "routing", "replica", "ledger", "ownership", "upstream"},
 	{"machine", "api"},
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -19,9 +19,10 @@
 	// IdleLimit is how long an idle connection is kept if the replica sends no
 	// Keep-Alive timeout.
 	IdleLimit time.Duration
-	// HeadBytes limits the head of an answer, BodyBytes a body read by ReadAll.
-	HeadBytes int
+	// BodyBytes limits a body read by ReadAll, and SkipBytes what is read that nobody needs: the
+	// answers to other requests, and bodies that are discarded.
 	BodyBytes int
+	SkipBytes int
 	// Survived returns nil if the process of a replica survived the end of an exchange, and
 	// otherwise why that is not shown. It may block until the exchange's deadline. Without it, no
 	// body that ends with its connection is confirmed.
@@ -35,8 +36,8 @@
 		DialTimeout:    400 * time.Millisecond,
 		SilenceTimeout: 900 * time.Millisecond,
 		IdleLimit:      4 * time.Second,
-		HeadBytes:      32 << 10,
 		BodyBytes:      16 << 20,
+		SkipBytes:      64 << 10,
 	}
 }
 
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"birchwood.example/birchwood/header"
+	"birchwood.example/birchwood/membudget"
 )
 
 // Response is an answer whose head has been read. Exactly one of ReadAll, Discard,
@@ -33,8 +34,10 @@
 	deadline time.Time
 	// skippedAnswers is set if answers to other requests preceded this one.
 	skippedAnswers bool
-	body           io.Reader
-	end            BodyEnd
+	// memory holds the memory of the body.
+	memory *membudget.Holder
+	body   io.Reader
+	end    BodyEnd
 }
 
 // Status returns the status code.
@@ -60,9 +63,6 @@
 	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
 
-// ErrTooLarge means that a body exceeds Config.BodyBytes.
-var ErrTooLarge = errors.New("the answer is too large")
-
 // ErrClosed means that the replica's side closed the connection in order under a body
 // that nothing else delimits. The replica either ended its answer or ended itself in
 // the middle of it; ConfirmEnd decides between the two.
@@ -74,12 +74,8 @@
 // ReadAll reads the complete body and ends the exchange. Its errors are of type
 // *UnknownError: the body was truncated or too large, or its end is not confirmed.
 func (r *Response) ReadAll() ([]byte, error) {
-	limit := r.pool.config.BodyBytes
-	body, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
-	switch {
-	case err == nil && len(body) > limit:
-		err = ErrTooLarge
-	case errors.Is(err, ErrClosed):
+	body, err := r.readWithin(r.pool.config.BodyBytes)
+	if errors.Is(err, ErrClosed) {
 		err = r.ConfirmEnd()
 	}
 	if err != nil {
@@ -90,13 +86,26 @@
 	return body, nil
 }
 
-// Discard ends an exchange whose body is not needed.
+// readWithin reads the body, or returns membudget.ErrTooLarge if it has more than limit bytes.
+func (r *Response) readWithin(limit int) ([]byte, error) {
+	if r.length() > limit {
+		return nil, membudget.ErrTooLarge
+	}
+	return membudget.ReadAll(r, limit, r.memory)
+}
+
+// Discard ends an exchange whose body is not needed. It closes the connection unless the body is
+// short.
 func (r *Response) Discard() {
 	if r.Framing() == FramingClose {
 		r.Abort()
 		return
 	}
-	_, _ = r.ReadAll()
+	if _, err := r.readWithin(r.pool.config.SkipBytes); err != nil {
+		r.Abort()
+		return
+	}
+	r.Finish()
 }
 
 // Read implements io.Reader. It yields the body as it arrives. io.EOF means that the
@@ -181,9 +190,9 @@
 }
 
 // Finish ends an exchange. The connection returns to the pool if the request
-// was fully written, the body was read to its end, no answer was skipped, the
-// answer does not require the connection to be closed and the exchange was not
-// cancelled; otherwise Finish closes it.
+// was fully written, the body was read to its end and nothing follows it, no answer was
+// skipped, the answer does not require the connection to be closed and the exchange was
+// not cancelled; otherwise Finish closes it.
 func (r *Response) Finish() {
 	if r.conn == nil {
 		return
@@ -191,7 +200,7 @@
 	connection := r.conn
 	r.conn = nil
 	_ = r.cancel.bind(nil, time.Time{})
-	if r.end != EndDelimited || !r.requestWritten() || r.skippedAnswers || r.Header.ConnectionClose() || r.cancel.Cause() != nil {
+	if r.end != EndDelimited || !connection.reusable() || !r.requestWritten() || r.skippedAnswers || r.Header.ConnectionClose() || r.cancel.Cause() != nil {
 		_ = connection.Close()
 		return
 	}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"birchwood.example/birchwood/header"
+	"birchwood.example/birchwood/membudget"
 )
 
 // Request is one request to a replica.
@@ -27,6 +28,8 @@
 	HasBody bool
 	// Deadline is the time by which the exchange has to end.
 	Deadline time.Time
+	// Memory holds the memory of the answer's body; nil if that is not bounded.
+	Memory *membudget.Holder
 }
 
 // inlineBodyBytes is the size up to which a body is written before the answer
@@ -65,6 +68,7 @@
 	}
 	response := &Response{
 		pool: p, to: to, conn: connection, cancel: cancel, deadline: request.Deadline, end: EndOpen, connectedAt: connection.openedAt,
+		memory: request.Memory,
 	}
 	response.writeResult = writeRequest(connection.writer, request)
 	if err := response.readHead(request.ID); err != nil {
@@ -116,9 +120,15 @@
 	_, _ = writer.WriteString("\r\n")
 }
 
-// maxForeignAnswers is the number of answers to other requests after which an
-// exchange fails.
-const maxForeignAnswers = 3
+const (
+	// maxForeignAnswers is the number of answers to other requests after which an exchange fails.
+	maxForeignAnswers = 3
+	// maxInformational is the number of informational responses after which an exchange fails.
+	maxInformational = 16
+)
+
+// errInformational means that informational responses came in place of an answer.
+var errInformational = errors.New("too many informational responses")
 
 // errForeignAnswer means that an answer to another request arrived and could
 // not be skipped.
@@ -136,7 +146,7 @@
 			return nil
 		}
 		r.skippedAnswers = true
-		if r.length() < 0 {
+		if r.length() < 0 || r.length() > r.pool.config.SkipBytes {
 			return errForeignAnswer
 		}
 		if _, err := io.CopyN(io.Discard, r.conn.reader, int64(r.length())); err != nil {
@@ -147,7 +157,7 @@
 }
 
 func (r *Response) readOneHead() error {
-	for {
+	for range maxInformational {
 		r.Header.Reset()
 		r.Header.SetNoDefaultContentType(true)
 		if err := r.Header.Read(r.conn.reader); err != nil {
@@ -157,4 +167,5 @@
 			return nil
 		}
 	}
+	return errInformational
 }
