edge: a process that lives is reported once, and only where it counted as ended

A process that lives was reported 100 ms after a run, and again once it had outlived it by a second, each to all nodes; and of runs that nobody counted.

--- a/edge/broken.go
+++ b/edge/broken.go
@@ -29,7 +29,7 @@
 // doubt returns the question whether the replica's process survived the end of the run.
 func (b *brokenRun) doubt(decided func(liveness.Outcome, uint32)) *doubt {
 	return &doubt{
-		Doubt: liveness.NewDoubt(b.sentAt, b.endedAt), entry: b.replica, host: b.request.exchange.Host, decided: decided,
+		Doubt: liveness.NewDoubt(b.sentAt, b.endedAt), entry: b.replica, host: b.request.exchange.Host, counted: b.suspected, decided: decided,
 	}
 }
 
--- a/edge/processes.go
+++ b/edge/processes.go
@@ -45,6 +45,9 @@
 	entry replica.Entry
 	// host and healthPath are those of a request for the replica's health.
 	host, healthPath string
+	// counted is set if the process counts as ended, or was reported as such: that it lives is to be
+	// reported then.
+	counted bool
 	// connected is set once a connection was opened to see whether the process still listens.
 	connected bool
 	// outcome is the last one that was reported, and revision counts the reports.
@@ -118,12 +121,15 @@
 			continue
 		}
 		evidence(d)
-		if outcome := d.Outcome(); outcome != d.outcome {
-			d.outcome = outcome
-			d.revision++
-			decided, revision := d.decided, d.revision
-			reports = append(reports, func() { decided(outcome, revision) })
+		before, outcome := d.outcome, d.Outcome()
+		d.outcome = outcome
+		if outcome == before || outcome.Lives() && before.Lives() || outcome.Lives() && !d.counted {
+			continue
 		}
+		d.counted = true
+		d.revision++
+		decided, revision := d.decided, d.revision
+		reports = append(reports, func() { decided(outcome, revision) })
 	}
 	return reports
 }
--- a/edge/processes_test.go
+++ b/edge/processes_test.go
@@ -17,7 +17,7 @@
 func watchRun(p *processes, endedAt time.Time) (d *doubt, outcomes *[]liveness.Outcome) {
 	outcomes = new([]liveness.Outcome)
 	d = &doubt{
-		Doubt: liveness.NewDoubt(endedAt.Add(-time.Second), endedAt), entry: watchedEntry,
+		Doubt: liveness.NewDoubt(endedAt.Add(-time.Second), endedAt), entry: watchedEntry, counted: true,
 		decided: func(outcome liveness.Outcome, revision uint32) {
 			if int(revision) == len(*outcomes)+1 {
 				*outcomes = append(*outcomes, outcome)
@@ -50,6 +50,21 @@
 	g.Expect(*outcomes).To(Equal([]liveness.Outcome{liveness.Survived, liveness.Ended, liveness.Outlived}))
 }
 
+// TestOnlyNewsIsReported checks that a process that lives is reported once, and not at all if nobody
+// counts it as ended.
+func TestOnlyNewsIsReported(t *testing.T) {
+	g := NewWithT(t)
+	p := newProcesses()
+	end := time.Now()
+	_, counted := watchRun(p, end)
+	uncounted, others := watchRun(p, end)
+	uncounted.counted = false
+	answered(p, watchedEntry, end.Add(liveness.SettleDelay))
+	answered(p, watchedEntry, end.Add(liveness.AttributionWindow))
+	g.Expect(*counted).To(Equal([]liveness.Outcome{liveness.Survived}))
+	g.Expect(*others).To(BeEmpty())
+}
+
 // TestSuccessorsAnswerProvesNothing checks that the process of another entry decides no doubt.
 func TestSuccessorsAnswerProvesNothing(t *testing.T) {
 	g := NewWithT(t)
--- a/edge/survival.go
+++ b/edge/survival.go
@@ -147,7 +147,7 @@
 	}
 	outcome := make(chan liveness.Outcome, 1)
 	n.watch(&doubt{
-		Doubt: liveness.NewDoubt(closed.Since, closed.At), entry: entry,
+		Doubt: liveness.NewDoubt(closed.Since, closed.At), entry: entry, counted: true,
 		decided: func(decided liveness.Outcome, _ uint32) {
 			select {
 			case outcome <- decided:
