edge, upstream: the end of a body is confirmed on a connection held for that

Found by reading: with the change of liveness, the end of a body without a length was not confirmed at a replica whose entry was gone, although replicas that leave serve on ('their entry goes, and they keep serving').

--- a/edge/handle.go
+++ b/edge/handle.go
@@ -183,6 +183,7 @@
 	return &upstream.Request{
 		Method: r.exchange.Method, Target: r.exchange.Target, Host: r.exchange.Host, ID: r.id,
 		Fields: fields, Body: body, HasBody: r.exchange.HasBody, Deadline: r.deadline, Memory: r.exchange.Memory,
+		Survived: func(closed upstream.ClosedExchange) error { return n.survived(entry, r.exchange.Host, closed) },
 	}
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -162,6 +162,7 @@
 			Weight: settings.Cores * settings.LinkMegabits,
 		},
 		replicas:              newReplicas(&settings),
+		pool:                  upstream.NewPool(upstream.DefaultConfig(adapter.Names)),
 		processes:             newProcesses(),
 		memory:                membudget.New(bodyMemory(settings)),
 		callStats:             stats,
@@ -186,7 +187,7 @@
 	if settings.uses(QuarantineRequests) {
 		node.suspects = newSuspects(settings.Node, node.self.Incarnation)
 	}
-	node.pool, node.replicas.forget = node.newPool(), node.forgetReplica
+	node.replicas.forget = node.forgetReplica
 	node.ctx, node.cancel = context.WithCancel(context.Background())
 	coreRandom := rand.New(rand.NewPCG(seed+1, uint64(now.UnixNano())))
 	core, err := coordinator.New(now, coreConfig(settings, node.self, coreRandom))
@@ -202,19 +203,12 @@
 	return node, nil
 }
 
-// newPool returns the node's connections to replicas.
-func (n *Node) newPool() *upstream.Pool {
-	config := upstream.DefaultConfig(n.adapter.Names)
-	config.Survived = n.survived
-	return upstream.NewPool(config)
-}
-
 // forgetReplica drops what is kept of a replica's process that is gone.
 func (n *Node) forgetReplica(gone replica.Entry) {
 	n.pool.RemoveTarget(targetOf(gone))
 	n.processes.forget(gone.ID)
 	// The caller may hold locks that reports need.
-	n.run(func(context.Context) { n.processGone(gone, "its entry is gone") })
+	n.run(func(context.Context) { n.entryGone(gone) })
 }
 
 // The bodies of all requests under way, with those of their answers, may take up to a quarter of the
--- a/edge/processes.go
+++ b/edge/processes.go
@@ -43,8 +43,11 @@
 type doubt struct {
 	liveness.Doubt
 	entry replica.Entry
-	// host and healthPath are those of a request for the replica's health.
-	host, healthPath string
+	// host is that of a request for the replica's health.
+	host string
+	// servesUnlisted is set if the process is not taken for gone as soon as its entry is: a replica
+	// that leaves serves on for a while.
+	servesUnlisted bool
 	// counted is set if the process counts as ended, or was reported as such: that it lives is to be
 	// reported then.
 	counted bool
--- a/edge/survival.go
+++ b/edge/survival.go
@@ -24,9 +24,6 @@
 
 // watch gathers evidence about the process of a doubt's replica until its outcome is final.
 func (n *Node) watch(d *doubt) {
-	if table := n.routes.Current(); table != nil {
-		d.healthPath = table.Services[d.entry.Service].HealthPath
-	}
 	watched := n.processes.add(d)
 	if watched == nil {
 		return
@@ -46,7 +43,7 @@
 		case stepEnd:
 			return
 		case stepConnect:
-			n.connect(about.entry)
+			n.connect(about)
 		case stepProbe:
 			n.probe(about)
 		case stepWait:
@@ -71,10 +68,10 @@
 
 // connect opens a connection to see whether a process listens at the replica's address. That one
 // accepts shows nothing.
-func (n *Node) connect(entry replica.Entry) {
-	listed, known := n.replicas.lookup(entry.ID)
-	if !known || listed.Incarnation != entry.Incarnation {
-		n.processGone(entry, "its entry is gone")
+func (n *Node) connect(d *doubt) {
+	entry := d.entry
+	if listed, known := n.replicas.lookup(entry.ID); !d.servesUnlisted && (!known || listed.Incarnation != entry.Incarnation) {
+		n.entryGone(entry)
 		return
 	}
 	if err := n.pool.Connect(targetOf(entry), time.Now().Add(probeTimeout)); upstream.Refused(err) {
@@ -84,24 +81,40 @@
 
 // probe asks the replica for its health, on the connection that was opened first.
 func (n *Node) probe(d *doubt) {
-	entry := d.entry
-	if d.healthPath == "" {
-		n.connect(entry)
+	request := n.healthRequest(d.entry, d.host)
+	if request == nil {
+		n.connect(d)
 		return
 	}
 	sentAt := time.Now()
-	request := &upstream.Request{
-		Method: fasthttp.MethodGet, Target: d.healthPath, Host: d.host,
-		Fields: appendField(nil, n.adapter.Names.ExpectReplica, string(entry.ID)), Deadline: sentAt.Add(probeTimeout),
+	response, err := n.pool.SendOnOldest(targetOf(d.entry), request, &upstream.Cancel{})
+	n.probed(d.entry, sentAt, response, err)
+}
+
+// healthRequest returns a request for the health of a replica, or nil if its service has none.
+func (n *Node) healthRequest(entry replica.Entry, host string) *upstream.Request {
+	table := n.routes.Current()
+	if table == nil || table.Services[entry.Service].HealthPath == "" {
+		return nil
 	}
-	response, err := n.pool.SendOnOldest(targetOf(entry), request, &upstream.Cancel{})
-	switch {
-	case upstream.Refused(err):
-		n.processGone(entry, "it refuses connections")
-	case err == nil:
-		n.replicaAnswered(entry, sentAt, response)
-		response.Discard()
+	return &upstream.Request{
+		Method: fasthttp.MethodGet, Target: table.Services[entry.Service].HealthPath, Host: host,
+		Fields: appendField(nil, n.adapter.Names.ExpectReplica, string(entry.ID)), Deadline: time.Now().Add(probeTimeout),
+	}
+}
+
+// probed takes the result of a probe into account, and reports whether the replica's process
+// answered.
+func (n *Node) probed(entry replica.Entry, sentAt time.Time, response *upstream.Response, err error) (answered bool) {
+	if err != nil {
+		if upstream.Refused(err) {
+			n.processGone(entry, "it refuses connections")
+		}
+		return false
 	}
+	n.replicaAnswered(entry, sentAt, response)
+	response.Discard()
+	return !n.misdirected(response)
 }
 
 // replicaAnswered takes into account that a replica answered a request.
@@ -115,6 +128,15 @@
 	report(n.processes.observe(entry, func(d *doubt) { d.Observe(sign) }))
 }
 
+// entryGone takes into account that a replica is no longer listed, or by a later process.
+func (n *Node) entryGone(entry replica.Entry) {
+	report(n.processes.observe(entry, func(d *doubt) {
+		if !d.servesUnlisted {
+			d.ObserveGone()
+		}
+	}))
+}
+
 // processGone takes into account that the process of an entry is no longer there.
 func (n *Node) processGone(entry replica.Entry, reason string) {
 	reports := n.processes.observe(entry, func(d *doubt) { d.ObserveGone() })
@@ -140,14 +162,13 @@
 }
 
 // survived returns nil if the process of a replica survived the end of an exchange.
-func (n *Node) survived(closed upstream.ClosedExchange) error {
-	entry, known := n.replicas.lookup(replica.ID(closed.To.Identity))
-	if !known || targetOf(entry) != closed.To {
-		return errReplicaEnded
+func (n *Node) survived(entry replica.Entry, host string, closed upstream.ClosedExchange) error {
+	if closed.Witness != nil && n.witnessed(entry, host, &closed) {
+		return nil
 	}
 	outcome := make(chan liveness.Outcome, 1)
 	n.watch(&doubt{
-		Doubt: liveness.NewDoubt(closed.Since, closed.At), entry: entry, counted: true,
+		Doubt: liveness.NewDoubt(closed.Since, closed.At), entry: entry, host: host, counted: true, servesUnlisted: true,
 		decided: func(decided liveness.Outcome, _ uint32) {
 			select {
 			case outcome <- decided:
@@ -168,6 +189,19 @@
 	}
 }
 
+// witnessed reports whether the process answers on the exchange's witness.
+func (n *Node) witnessed(entry replica.Entry, host string, closed *upstream.ClosedExchange) bool {
+	settled := closed.At.Add(liveness.SettleDelay)
+	request := n.healthRequest(entry, host)
+	if request == nil || settled.After(closed.Deadline) || !wait.Until(n.ctx, settled) {
+		return false
+	}
+	sentAt := time.Now()
+	request.Deadline = minTime(closed.Deadline, sentAt.Add(probeTimeout))
+	response, err := closed.Witness.Send(request)
+	return n.probed(entry, sentAt, response, err)
+}
+
 // awaitSettled waits until the runs of a marked request no longer use up its limit, or a time. It
 // returns false if they still do.
 func (n *Node) awaitSettled(r *requestState, until time.Time) bool {
--- a/upstream/framing.go
+++ b/upstream/framing.go
@@ -68,12 +68,13 @@
 // it is. The connections of a process that ends close in order as well; a replica whose process
 // survived has ended its answer itself.
 func (r *Response) ConfirmEnd() error {
-	if r.pool.config.Survived == nil {
-		r.end = EndUnconfirmed
-		return ErrUnconfirmed
+	closed := ClosedExchange{Since: r.witnessedAt, At: time.Now(), Deadline: r.deadline, Witness: r.witness}
+	r.witness = nil
+	err := errNoSurvival
+	if r.survived != nil {
+		err = r.survived(closed)
 	}
-	closed := ClosedExchange{To: r.to, Since: r.witnessedAt, At: time.Now(), Deadline: r.deadline}
-	if err := r.pool.config.Survived(closed); err != nil {
+	if err != nil {
 		r.end = EndUnconfirmed
 		return fmt.Errorf("%w: %w", ErrUnconfirmed, err)
 	}
@@ -81,23 +82,49 @@
 	return nil
 }
 
+// errNoSurvival means that the request does not tell how to confirm the end of its answer.
+var errNoSurvival = errors.New("nothing shows whether the process survived")
+
 // ClosedExchange is an exchange that ended with its connection.
 type ClosedExchange struct {
-	To Target
 	// Since is the time before which connections were opened to the process of the exchange.
 	Since time.Time
 	// At is when the connection closed, and Deadline the time by which it has to be known whether
 	// the process survived that.
 	At, Deadline time.Time
+	// Witness is a connection to the process from before Since; nil if there is none. One request
+	// may be sent on it.
+	Witness *Witness
+}
+
+// Witness is a connection that was opened before a body was read that ends with its own
+// connection: only what the process does on an older connection shows at once that it survived
+// the end of the body.
+type Witness struct {
+	pool       *Pool
+	to         Target
+	connection *conn
+}
+
+// Send sends a request on the connection, which the pool keeps afterwards.
+func (w *Witness) Send(request *Request) (*Response, error) {
+	return w.pool.exchange(w.to, w.connection, request, &Cancel{})
+}
+
+// release returns the connection to the pool. A nil Witness has none.
+func (w *Witness) release() {
+	if w != nil {
+		w.pool.put(w.to, w.connection)
+	}
 }
 
-// ensureWitness opens a connection before a body that ends with its own connection is read,
-// unless an idle one is open: only what the process does on an older connection shows that it
-// survived the end of the body.
-func (r *Response) ensureWitness() {
-	if r.Framing() == FramingClose && !r.pool.HasIdle(r.to) {
-		// Without a witness, the end is not confirmed.
-		_ = r.pool.Connect(r.to, r.deadline)
+// takeWitness holds an older connection if the body ends with its own.
+func (r *Response) takeWitness() {
+	if r.Framing() == FramingClose && r.survived != nil {
+		// Without a witness, it takes longer to confirm the end.
+		if connection, err := r.pool.oldest(r.to, r.deadline); err == nil {
+			r.witness = &Witness{pool: r.pool, to: r.to, connection: connection}
+		}
 	}
 	r.witnessedAt = time.Now()
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -23,10 +23,6 @@
 	// answers to other requests, and bodies that are discarded.
 	BodyBytes int
 	SkipBytes int
-	// Survived returns nil if the process of a replica survived the end of an exchange, and
-	// otherwise why that is not shown. It may block until the exchange's deadline. Without it, no
-	// body that ends with its connection is confirmed.
-	Survived func(ClosedExchange) error
 }
 
 // DefaultConfig returns the settings used in production.
@@ -147,6 +143,14 @@
 	return nil
 }
 
+// oldest returns the idle connection that was opened first, or a new one.
+func (p *Pool) oldest(to Target, deadline time.Time) (*conn, error) {
+	if connection := p.takeOldest(to); connection != nil {
+		return connection, nil
+	}
+	return p.dial(to, deadline)
+}
+
 // takeOldest removes and returns the idle connection that was opened first and can be used, or
 // nil.
 func (p *Pool) takeOldest(to Target) *conn {
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -30,6 +30,8 @@
 	// connections were opened to the process that answers.
 	connectedAt time.Time
 	witnessedAt time.Time
+	witness     *Witness
+	survived    func(ClosedExchange) error
 	// deadline is the time by which the exchange has to end.
 	deadline time.Time
 	// skippedAnswers is set if answers to other requests preceded this one.
@@ -199,6 +201,7 @@
 	}
 	connection := r.conn
 	r.conn = nil
+	r.witness.release()
 	_ = r.cancel.bind(nil, time.Time{})
 	if r.end != EndDelimited || !connection.reusable() || !r.requestWritten() || r.skippedAnswers || r.Header.ConnectionClose() || r.cancel.Cause() != nil {
 		_ = connection.Close()
@@ -230,6 +233,7 @@
 	}
 	connection := r.conn
 	r.conn = nil
+	r.witness.release()
 	_ = r.cancel.bind(nil, time.Time{})
 	_ = connection.Close()
 }
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -30,6 +30,10 @@
 	Deadline time.Time
 	// Memory holds the memory of the answer's body; nil if that is not bounded.
 	Memory *membudget.Holder
+	// Survived returns nil if the process of the replica survived the end of the exchange, and
+	// otherwise why that is not shown. It may block until the exchange's deadline. Without it, no
+	// body that ends with its connection is confirmed.
+	Survived func(ClosedExchange) error
 }
 
 // inlineBodyBytes is the size up to which a body is written before the answer
@@ -50,12 +54,9 @@
 // SendOnOldest is Send on the idle connection that was opened first, or on a new one if none is
 // idle.
 func (p *Pool) SendOnOldest(to Target, request *Request, cancel *Cancel) (*Response, error) {
-	connection := p.takeOldest(to)
-	if connection == nil {
-		var err error
-		if connection, err = p.dial(to, request.Deadline); err != nil {
-			return nil, &NotSentError{Cause: err}
-		}
+	connection, err := p.oldest(to, request.Deadline)
+	if err != nil {
+		return nil, &NotSentError{Cause: err}
 	}
 	return p.exchange(to, connection, request, cancel)
 }
@@ -68,14 +69,14 @@
 	}
 	response := &Response{
 		pool: p, to: to, conn: connection, cancel: cancel, deadline: request.Deadline, end: EndOpen, connectedAt: connection.openedAt,
-		memory: request.Memory,
+		memory: request.Memory, survived: request.Survived,
 	}
 	response.writeResult = writeRequest(connection.writer, request)
 	if err := response.readHead(request.ID); err != nil {
 		response.Abort()
 		return nil, &UnknownError{Stage: "read answer", Cause: cancelCauseOr(cancel, err)}
 	}
-	response.ensureWitness()
+	response.takeWitness()
 	return response, nil
 }
 
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -113,7 +113,14 @@
 }
 
 func send(pool *upstream.Pool, to *scriptedReplica, id string) ([]byte, *upstream.Response, error) {
-	response, err := pool.Send(to.target(), newRequest(id), &upstream.Cancel{})
+	return sendSurviving(pool, to, id, nil)
+}
+
+// sendSurviving is send with a function that tells whether the replica's process survived.
+func sendSurviving(pool *upstream.Pool, to *scriptedReplica, id string, survived func(upstream.ClosedExchange) error) ([]byte, *upstream.Response, error) {
+	request := newRequest(id)
+	request.Survived = survived
+	response, err := pool.Send(to.target(), request, &upstream.Cancel{})
 	if err != nil {
 		return nil, nil, err
 	}
@@ -121,13 +128,6 @@
 	return body, response, err
 }
 
-// survivingPool returns a pool that asks a function whether a replica's process survived.
-func survivingPool(survived func(upstream.ClosedExchange) error) *upstream.Pool {
-	config := upstream.DefaultConfig(names)
-	config.Survived = survived
-	return upstream.NewPool(config)
-}
-
 var _ = Describe("An exchange with a replica", func() {
 	var pool *upstream.Pool
 	BeforeEach(func() { pool = upstream.NewPool(upstream.DefaultConfig(names)) })
@@ -157,33 +157,36 @@
 	It("takes an answer that ends with its connection for whole if the replica's process survived that", func() {
 		var closed upstream.ClosedExchange
 		before := time.Now()
-		pool = survivingPool(func(exchange upstream.ClosedExchange) error {
+		replica := startReplica("HTTP/1.1 200 OK\r\nTest-Id: 1\r\n\r\nwhole!close", sized("2", "two"))
+		body, response, err := sendSurviving(pool, replica, "1", func(exchange upstream.ClosedExchange) error {
 			closed = exchange
 			return nil
 		})
-		replica := startReplica("HTTP/1.1 200 OK\r\nTest-Id: 1\r\n\r\nwhole!close", sized("2", "two"))
-		body, response, err := send(pool, replica, "1")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(body)).To(Equal("whole"))
 		Expect(response.Framing()).To(Equal(upstream.FramingClose))
 		Expect(response.End()).To(Equal(upstream.EndConfirmed))
-		body, _, err = send(pool, replica, "2")
+		Expect(closed.Since).To(BeTemporally(">=", before))
+		Expect(closed.At).To(BeTemporally(">=", closed.Since))
+		witnessed, err := closed.Witness.Send(newRequest("2"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(witnessed.ConnectedAt()).To(BeTemporally("<", closed.Since))
+		body, err = witnessed.ReadAll()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(body)).To(Equal("two"))
+		Expect(pool.HasIdle(replica.target())).To(BeTrue(), "the witness is used again")
 		opened, _ := pool.Counts()
-		Expect(opened).To(Equal(uint64(2)), "the connection that was opened before the end is used")
-		Expect(closed.To).To(Equal(replica.target()))
-		Expect(closed.Since).To(BeTemporally(">=", before))
-		Expect(closed.At).To(BeTemporally(">=", closed.Since))
+		Expect(opened).To(Equal(uint64(2)))
 	})
 
 	It("does not take an answer that ends with its connection for whole if the replica has ended", func() {
-		pool = survivingPool(func(upstream.ClosedExchange) error { return errors.New("it ended") })
 		replica := startReplica("HTTP/1.1 200 OK\r\nTest-Id: 1\r\n\r\nhalf!end")
-		_, _, err := send(pool, replica, "1")
+		_, response, err := sendSurviving(pool, replica, "1", func(upstream.ClosedExchange) error { return errors.New("it ended") })
 		var unknown *upstream.UnknownError
 		Expect(errors.As(err, &unknown)).To(BeTrue())
 		Expect(upstream.NotSent(err)).To(BeFalse())
+		Expect(upstream.BrokeOff(err)).To(BeTrue())
+		Expect(response.End()).To(Equal(upstream.EndUnconfirmed))
 	})
 
 	It("never ends a body without a length with io.EOF", func() {
@@ -217,8 +220,8 @@
 	)
 
 	It("takes a body that ends with its connection", func() {
-		pool = survivingPool(func(upstream.ClosedExchange) error { return nil })
-		body, _, err := send(pool, startReplica("HTTP/1.1 200 OK\r\nTest-Id: 1\r\n\r\nwhole!close"), "1")
+		replica := startReplica("HTTP/1.1 200 OK\r\nTest-Id: 1\r\n\r\nwhole!close")
+		body, _, err := sendSurviving(pool, replica, "1", func(upstream.ClosedExchange) error { return nil })
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(body)).To(Equal("whole"))
 	})
