edge: a process whose successor is listed has ended, also for a body that it may have left

Cause: an entry of a later process was taken for one that is gone, which is no evidence against the process of such a body; the successor answered the probe.

--- a/edge/node.go
+++ b/edge/node.go
@@ -187,7 +187,7 @@
 	if settings.uses(QuarantineRequests) {
 		node.suspects = newSuspects(settings.Node, node.self.Incarnation)
 	}
-	node.replicas.forget = node.forgetReplica
+	node.replicas.forget = node.replicaSucceeded
 	node.ctx, node.cancel = context.WithCancel(context.Background())
 	coreRandom := rand.New(rand.NewPCG(seed+1, uint64(now.UnixNano())))
 	core, err := coordinator.New(now, coreConfig(settings, node.self, coreRandom))
@@ -203,12 +203,22 @@
 	return node, nil
 }
 
-// forgetReplica drops what is kept of a replica's process that is gone.
+// replicaSucceeded drops what is kept of a replica's process in whose place another one is listed.
+func (n *Node) replicaSucceeded(gone replica.Entry) {
+	n.forgetReplica(gone)
+	// The caller may hold locks that reports need.
+	n.run(func(context.Context) { n.processGone(gone, "another process is listed") })
+}
+
+// replicaUnlisted drops what is kept of a replica's process that is no longer listed.
+func (n *Node) replicaUnlisted(gone replica.Entry) {
+	n.forgetReplica(gone)
+	n.run(func(context.Context) { n.entryGone(gone) })
+}
+
 func (n *Node) forgetReplica(gone replica.Entry) {
 	n.pool.RemoveTarget(targetOf(gone))
 	n.processes.forget(gone.ID)
-	// The caller may hold locks that reports need.
-	n.run(func(context.Context) { n.entryGone(gone) })
 }
 
 // The bodies of all requests under way, with those of their answers, may take up to a quarter of the
--- a/edge/processes_test.go
+++ b/edge/processes_test.go
@@ -132,3 +132,16 @@
 	p.forget(watchedEntry.ID)
 	g.Expect(p.quiet(watchedEntry.ID, now, now.Add(quietAfter))).To(BeTrue())
 }
+
+// TestLeavingReplicaServesOn checks that a process that may serve on without an entry has ended only
+// once another one is in its place.
+func TestLeavingReplicaServesOn(t *testing.T) {
+	g := NewWithT(t)
+	node := &Node{processes: newProcesses(), logger: quietLogger}
+	d, outcomes := watchRun(node.processes, time.Now())
+	d.servesUnlisted = true
+	node.entryGone(watchedEntry)
+	g.Expect(*outcomes).To(BeEmpty())
+	node.processGone(watchedEntry, "another process is listed")
+	g.Expect(*outcomes).To(Equal([]liveness.Outcome{liveness.Ended}))
+}
--- a/edge/replicalist.go
+++ b/edge/replicalist.go
@@ -158,7 +158,7 @@
 func (n *Node) removeQuietly(id replica.ID) (known bool) {
 	entry, known := n.replicas.remove(id)
 	if known {
-		n.forgetReplica(entry)
+		n.replicaUnlisted(entry)
 	}
 	return known
 }
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -22,8 +22,8 @@
 	views map[replica.Group]*view
 	// newestViewBase is the first change number of the newest view.
 	newestViewBase uint64
-	// forget drops what is kept of a replica's process that is gone; nil in tests of the list
-	// alone.
+	// forget drops what is kept of a replica's process in whose place another one is listed; nil in
+	// tests of the list alone.
 	forget func(replica.Entry)
 	// totalListed is the number of replicas in the store, as reported by a reader; 0 if
 	// this node holds all itself.
--- a/edge/survival.go
+++ b/edge/survival.go
@@ -70,7 +70,12 @@
 // accepts shows nothing.
 func (n *Node) connect(d *doubt) {
 	entry := d.entry
-	if listed, known := n.replicas.lookup(entry.ID); !d.servesUnlisted && (!known || listed.Incarnation != entry.Incarnation) {
+	listed, known := n.replicas.lookup(entry.ID)
+	if known && listed.Incarnation != entry.Incarnation {
+		n.processGone(entry, "another process is listed")
+		return
+	}
+	if !known && !d.servesUnlisted {
 		n.entryGone(entry)
 		return
 	}
@@ -128,7 +133,7 @@
 	report(n.processes.observe(entry, func(d *doubt) { d.Observe(sign) }))
 }
 
-// entryGone takes into account that a replica is no longer listed, or by a later process.
+// entryGone takes into account that a replica is no longer listed.
 func (n *Node) entryGone(entry replica.Entry) {
 	report(n.processes.observe(entry, func(d *doubt) {
 		if !d.servesUnlisted {
@@ -226,7 +231,7 @@
 	settlePoll = 100 * time.Millisecond
 	// unsettledWait is how long a request waits for that: until a process that does not answer is
 	// known by its entry.
-	unsettledWait = 3 * time.Second
+	unsettledWait = 4 * time.Second
 )
 
 // awaitRestart waits before a request that may run at one replica only is sent there beside
--- a/liveness/doubt.go
+++ b/liveness/doubt.go
@@ -11,7 +11,7 @@
 	AttributionWindow = time.Second
 	// SuccessorDelay is the time after which a process that started again under the ID of its
 	// predecessor is known by its own entry: a few heartbeats.
-	SuccessorDelay = 2 * time.Second
+	SuccessorDelay = 3 * time.Second
 )
 
 // Outcome is what is known of a process.
