--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -82,7 +82,7 @@
 	took := time.Since(start)
 	n.metrics.runDecided(decided.Verdict, took)
 	n.logger.Info().Str("request", r.id).Str("fingerprint", r.fingerprint.String()).Str("replica", f.run.Replica).Bool("restarted", f.run.Restarted).
-		Str("verdict", decided.Verdict.String()).Int("ended", decided.Status.Ended).Int("suspected", decided.Status.Suspected).Int("running", decided.Status.Running).
+		Str("verdict", decided.Verdict.String()).Int("ended", decided.Status.Ended).Int("suspected", decided.Status.Suspected).Int("lost", decided.Status.Lost).Int("running", decided.Status.Running).
 		Int("answered", decided.Answered).Int("asked", decided.Asked).Dur("took", took).Msg("quarantine: run decided")
 	if decided.Verdict == quarantine.VerdictGranted {
 		n.suspects.beginPermitted(f)
--- a/edge/survival.go
+++ b/edge/survival.go
@@ -216,6 +216,10 @@
 		if change.Refused {
 			return true
 		}
+		if change.Unsettled && change.Status.Open() == 0 {
+			// Nobody will know more.
+			return false
+		}
 		if !waitUntil(n.ctx, minTime(until, time.Now().Add(settlePoll)), changed) {
 			return false
 		}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -50,6 +50,10 @@
 // than a caller tries on that did not get the answer.
 const answeredLifetime = 30 * time.Second
 
+// lostLifetime is how long a run counts that a lost node may have had: longer than a caller tries
+// one request.
+const lostLifetime = 30 * time.Second
+
 // maxCleared bounds the cleared runs of one request that are remembered.
 const maxCleared = 64
 
@@ -89,7 +93,9 @@
 	// counts again.
 	Ended     int `json:"ended"`
 	Suspected int `json:"suspected,omitempty"`
-	Running   int `json:"running"`
+	// Lost is 1 if a run counts that a lost node may have had.
+	Lost    int `json:"lost,omitempty"`
+	Running int `json:"running"`
 	// EndedAt are the IDs of the replicas that ended or may have, and RunningAt of those at which
 	// the request still runs, sorted.
 	EndedAt   []string `json:"ended_at,omitempty"`
@@ -101,7 +107,10 @@
 }
 
 // Counted returns how many replicas count as ended.
-func (s *Status) Counted() int { return s.Ended + s.Suspected + s.Running }
+func (s *Status) Counted() int { return s.Ended + s.Suspected + s.Running + s.Lost }
+
+// Open returns how many replicas count of which it will be known whether they ended.
+func (s *Status) Open() int { return s.Suspected + s.Running }
 
 // Marked reports whether a replica may have ended under the request.
 func (s *Status) Marked() bool { return s.Counted() > 0 }
@@ -192,8 +201,11 @@
 
 // expired reports whether a run whose state was noted at a time is forgotten.
 func (t *Table) expired(now time.Time, run *Run, at time.Time) bool {
-	if run.State == StateCleared {
+	switch {
+	case run.State == StateCleared:
 		return now.Sub(at) >= clearedLifetime
+	case run.ID == lostRunID:
+		return now.Sub(at) >= lostLifetime
 	}
 	return now.Sub(at) >= t.config.Lifetime
 }
@@ -283,7 +295,7 @@
 	remove(running, ended)
 	remove(running, suspected)
 	if lost := tracked.runs[lostRunID]; lost != nil && lost.State == StateEnded && len(ended)+len(suspected) > 0 && len(running) == 0 {
-		ended[lost.process()] = struct{}{}
+		status.Lost = 1
 	}
 	status.Ended, status.Suspected, status.Running = len(ended), len(suspected), len(running)
 	status.RunningAt = replicasOf(running)
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -110,7 +110,9 @@
 		Expect(status.Marked()).To(BeFalse())
 		table.Merge(start, []quarantine.Run{run(1, "a", quarantine.StateEnded), quarantine.LostRun(request, "t")})
 		status = table.Status(request)
-		Expect(status.Ended).To(Equal(2))
+		Expect(status.Ended).To(Equal(1))
+		Expect(status.Counted()).To(Equal(2))
+		Expect(status.Open()).To(BeZero(), "nobody will know of it")
 		table.Merge(start, []quarantine.Run{run(2, "b", quarantine.StateRunning)})
 		status = table.Status(request)
 		Expect(status.Counted()).To(Equal(2))
@@ -119,6 +121,21 @@
 		Expect(status.Marked()).To(BeFalse())
 	})
 
+	It("counts a run that a lost node may have had for as long as a caller tries, and never as an end", func() {
+		table := newTable(nil)
+		table.Merge(start, []quarantine.Run{run(1, "a", quarantine.StateEnded), run(2, "b", quarantine.StateEnded), quarantine.LostRun(request, "t")})
+		status := table.Status(request)
+		Expect(table.ReachedLimit(&status)).To(BeFalse())
+		Expect(table.Unsettled(&status)).To(BeTrue())
+		table.Expire(start.Add(29 * time.Second))
+		status = table.Status(request)
+		Expect(table.Unsettled(&status)).To(BeTrue())
+		table.Expire(start.Add(30 * time.Second))
+		status = table.Status(request)
+		Expect(table.Unsettled(&status)).To(BeFalse())
+		Expect(status.Ended).To(Equal(2))
+	})
+
 	It("has the same content in whatever order runs are merged, and how often", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			runs := rapid.SliceOfN(rapid.Custom(drawRun), 1, 12).Draw(t, "runs")
