--- a/edge/processes.go
+++ b/edge/processes.go
@@ -145,34 +145,34 @@
 }
 
 // next returns what the check of a replica's processes does next: it connects to the replica of an
-// entry, probes it, or waits until a time. It also returns the doubts that are given up.
-func (p *processes) next(now time.Time, id replica.ID) (step processStep, about *doubt, until time.Time, given []*doubt) {
+// entry, probes it, or waits until a time. It also returns the doubts that are abandoned.
+func (p *processes) next(now time.Time, id replica.ID) (step processStep, about *doubt, until time.Time, abandoned []*doubt) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	watched := p.watched[id]
-	given = watched.drop(now)
+	abandoned = watched.drop(now)
 	if len(watched.doubts) == 0 {
 		delete(p.watched, id)
-		return stepEnd, nil, time.Time{}, given
+		return stepEnd, nil, time.Time{}, abandoned
 	}
 	step, about, until = watched.next(now)
-	return step, about, until, given
+	return step, about, until, abandoned
 }
 
 // drop removes the doubts that need no more evidence, and returns those of which nothing is known.
-func (w *watchedProcess) drop(now time.Time) (given []*doubt) {
+func (w *watchedProcess) drop(now time.Time) (abandoned []*doubt) {
 	var left []*doubt
 	for _, d := range w.doubts {
 		expired := now.Sub(d.At()) >= doubtLifetime
 		switch {
 		case expired && d.outcome == liveness.Unknown:
-			given = append(given, d)
+			abandoned = append(abandoned, d)
 		case !expired && d.outcome != liveness.Outlived:
 			left = append(left, d)
 		}
 	}
 	w.doubts = left
-	return given
+	return abandoned
 }
 
 // next returns the next step, and the doubt that it is about or the time until which to wait.
--- a/edge/processes_test.go
+++ b/edge/processes_test.go
@@ -113,9 +113,9 @@
 	p := newProcesses()
 	end := time.Now()
 	d, outcomes := watchRun(p, end)
-	step, _, _, given := p.next(end.Add(doubtLifetime), watchedEntry.ID)
+	step, _, _, abandoned := p.next(end.Add(doubtLifetime), watchedEntry.ID)
 	g.Expect(step).To(Equal(stepEnd))
-	g.Expect(given).To(ConsistOf(d))
+	g.Expect(abandoned).To(ConsistOf(d))
 	g.Expect(*outcomes).To(BeEmpty())
 }
 
--- a/edge/survival.go
+++ b/edge/survival.go
@@ -34,8 +34,8 @@
 // checkProcess decides the doubts about the processes of a replica.
 func (n *Node) checkProcess(ctx context.Context, id replica.ID, watched *watchedProcess) {
 	for {
-		step, about, until, given := n.processes.next(time.Now(), id)
-		for _, d := range given {
+		step, about, until, abandoned := n.processes.next(time.Now(), id)
+		for _, d := range abandoned {
 			n.logger.Warn().Str("replica", string(id)).Uint64("incarnation", d.entry.Incarnation).Dur("after", time.Since(d.At())).
 				Msg("replica: not known whether its process ended")
 		}
