--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -110,7 +110,24 @@
 		pool := upstream.NewPool(upstream.DefaultConfig(names))
 		replica := startEndless(sized("1", "whole"), "x")
 		Expect(replica.exchange(pool)).To(Succeed())
-		Eventually(replica.closed).WithTimeout(endlessTimeout).Should(Receive())
+		Eventually(func() chan struct{} {
+			pool.CloseUnusable()
+			return replica.closed
+		}).WithTimeout(endlessTimeout).Should(Receive())
+		Expect(pool.HasIdle(replica.target())).To(BeFalse())
+	})
+
+	It("are not looked for on connections that are in order", func() {
+		pool := upstream.NewPool(upstream.DefaultConfig(names))
+		replica := startReplica(sized("1", "one"), sized("2", "two"))
+		for _, id := range []string{"1", "2"} {
+			_, _, err := send(pool, replica, id)
+			Expect(err).NotTo(HaveOccurred())
+			pool.CloseUnusable()
+		}
+		opened, reused := pool.Counts()
+		Expect(opened).To(Equal(uint64(1)))
+		Expect(reused).To(Equal(uint64(1)))
 	})
 })
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -90,6 +90,41 @@
 	}
 }
 
+// CloseUnusable closes the idle connections that no request will use: the replica closed them or
+// sent bytes that belong to no request, or their idle time is over. It drops the targets that are
+// left without connections.
+func (p *Pool) CloseUnusable() {
+	now := time.Now()
+	var unusable []*conn
+	p.mutex.Lock()
+	for to, entry := range p.targets {
+		if len(entry.open) == 0 {
+			delete(p.targets, to)
+			continue
+		}
+		unusable = append(unusable, entry.removeUnusable(now)...)
+	}
+	p.mutex.Unlock()
+	for _, connection := range unusable {
+		_ = connection.Close()
+	}
+}
+
+// removeUnusable removes the idle connections that no request will use, and returns them. The
+// caller holds the pool's mutex.
+func (t *target) removeUnusable(now time.Time) (unusable []*conn) {
+	var usable []*conn
+	for _, idle := range t.idle {
+		if idle.withinIdleLimit(now) && idle.reusable() {
+			usable = append(usable, idle)
+			continue
+		}
+		unusable = append(unusable, idle)
+	}
+	t.idle = usable
+	return unusable
+}
+
 // Counts returns how many connections have been opened and how many exchanges
 // reused one.
 func (p *Pool) Counts() (opened, reused uint64) {
