upstream: a connection that was held for the end of a body returns to the pool if it was not used

Found by reading the diff: where the end of a body was not asked about on the connection held for that (no time left, no path for health), nobody closed or kept it. Its spec fails before, and holds.

--- a/upstream/framing.go
+++ b/upstream/framing.go
@@ -74,6 +74,7 @@
 	if r.survived != nil {
 		err = r.survived(closed)
 	}
+	closed.Witness.release()
 	if err != nil {
 		r.end = EndUnconfirmed
 		return fmt.Errorf("%w: %w", ErrUnconfirmed, err)
@@ -108,12 +109,15 @@
 
 // Send sends a request on the connection, which the pool keeps afterwards.
 func (w *Witness) Send(request *Request) (*Response, error) {
-	return w.pool.exchange(w.to, w.connection, request, &Cancel{})
+	connection := w.connection
+	w.connection = nil
+	return w.pool.exchange(w.to, connection, request, &Cancel{})
 }
 
-// release returns the connection to the pool. A nil Witness has none.
+// release returns the connection to the pool unless a request was sent on it. A nil Witness has
+// none.
 func (w *Witness) release() {
-	if w != nil {
+	if w != nil && w.connection != nil {
 		w.pool.put(w.to, w.connection)
 	}
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -179,6 +179,15 @@
 		Expect(opened).To(Equal(uint64(2)))
 	})
 
+	It("keeps the connection from before a body that ends with its own, though nothing is sent on it", func() {
+		for _, result := range []error{nil, errors.New("not known")} {
+			replica := startReplica("HTTP/1.1 200 OK\r\nTest-Id: 1\r\n\r\nwhole!close", sized("2", "two"))
+			_, _, err := sendSurviving(pool, replica, "1", func(upstream.ClosedExchange) error { return result })
+			Expect(err == nil).To(Equal(result == nil))
+			Expect(pool.HasIdle(replica.target())).To(BeTrue())
+		}
+	})
+
 	It("does not take an answer that ends with its connection for whole if the replica has ended", func() {
 		replica := startReplica("HTTP/1.1 200 OK\r\nTest-Id: 1\r\n\r\nhalf!end")
 		_, response, err := sendSurviving(pool, replica, "1", func(upstream.ClosedExchange) error { return errors.New("it ended") })
