edge: 'quarantine: marked' tells whether a run counts that a lost node may have had

Found by reading the change: docs/OPERATIONS.md names the field lost of that line, which had it in 'run decided' alone; a request at its limit by such a run could not be told from one with three known ends. The line has the field now.

--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -178,6 +178,6 @@
 		entry.Str("reason", string(change.Reason)).Msg("quarantine: released")
 		return
 	}
-	entry.Int("ended", status.Ended).Int("suspected", status.Suspected).Strs("endedAt", status.EndedAt).Int("running", status.Running).Strs("runningAt", status.RunningAt).
+	entry.Int("ended", status.Ended).Int("suspected", status.Suspected).Int("lost", status.Lost).Strs("endedAt", status.EndedAt).Int("running", status.Running).Strs("runningAt", status.RunningAt).
 		Bool("refused", change.Refused).Dur("expires", time.Until(status.ExpiresAt)).Msg("quarantine: marked")
 }
