--- a/edge/processes.go
+++ b/edge/processes.go
@@ -177,12 +177,13 @@
 
 // next returns the next step, and the doubt that it is about or the time until which to wait.
 func (w *watchedProcess) next(now time.Time) (step processStep, about *doubt, until time.Time) {
+	until = now.Add(doubtLifetime)
 	for _, d := range w.doubts {
 		if !d.connected {
 			d.connected = true
 			return stepConnect, d, time.Time{}
 		}
-		until = earliest(until, d.At().Add(doubtLifetime))
+		until = minTime(until, d.At().Add(doubtLifetime))
 		due, open := d.DueAt()
 		if !open {
 			continue
@@ -194,15 +195,7 @@
 			w.probeAt, w.pause = now.Add(w.pause), min(2*w.pause, maxProbePause)
 			return stepProbe, d, time.Time{}
 		}
-		until = earliest(until, due)
+		until = minTime(until, due)
 	}
 	return stepWait, nil, until
 }
-
-// earliest returns the earlier of two times; a zero time is none.
-func earliest(left, right time.Time) time.Time {
-	if left.IsZero() {
-		return right
-	}
-	return minTime(left, right)
-}
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -7,6 +7,7 @@
 
 	"birchwood.example/birchwood/coordinator"
 	"birchwood.example/birchwood/dispatch"
+	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/liveness"
 	"birchwood.example/birchwood/quarantine"
 	"birchwood.example/birchwood/replica"
@@ -24,6 +25,11 @@
 	// restartPause is how long a request waits each time before it runs beside another marked one
 	// at a replica that may have started again.
 	restartPause = 30 * time.Millisecond
+	// settlePoll is the longest time between two looks at a request whose runs use up its limit.
+	settlePoll = 100 * time.Millisecond
+	// unsettledWait is how long a request waits for that: until a process that does not answer is
+	// known by its entry.
+	unsettledWait = 4 * time.Second
 )
 
 // errQuarantined means that as many replicas ended under the request as may.
@@ -91,6 +97,39 @@
 	return decided.Verdict
 }
 
+// awaitSettled waits until the runs of a marked request no longer use up its limit, or a time. It
+// returns false if they still do.
+func (n *Node) awaitSettled(r *requestState, until time.Time) bool {
+	for time.Now().Before(until) {
+		changed := n.suspects.nextChange()
+		change, _ := n.suspects.status(r.fingerprint)
+		if change.Refused {
+			return true
+		}
+		if change.Unsettled && change.Status.Open() == 0 {
+			// Nobody will know more.
+			return false
+		}
+		if !waitUntil(n.ctx, minTime(until, time.Now().Add(settlePoll)), changed) {
+			return false
+		}
+		if change, _ = n.suspects.status(r.fingerprint); !change.Unsettled {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitRestart waits before a request that may run at one replica only is sent there beside
+// another marked one. If the replica has ended and started again under its ID, the other run may
+// end it once more, or its new entry arrives and the request may run elsewhere.
+func (n *Node) awaitRestart(r *requestState) {
+	if r.onlyReplica == "" || r.onlyIncarnation == 0 {
+		return
+	}
+	wait.For(n.ctx, min(restartPause, r.timeLeft()))
+}
+
 // runServed ends a run that brought a whole answer.
 func (n *Node) runServed(r *requestState, f *flight) {
 	if f == nil {
@@ -141,11 +180,10 @@
 	if f == nil {
 		return
 	}
-	switch {
-	case broken.suspected:
+	if broken.suspected {
 		runs := n.suspects.breakOff(f, broken.endedAt)
 		r.announced = n.control.reportRuns(coordinator.RunsReported{Runs: runs, Timeout: announceTimeout})
-	default:
+	} else {
 		n.runEnded(f)
 	}
 	n.watch(broken.doubt(func(outcome liveness.Outcome, revision uint32) { n.runDecided(f, outcome, revision) }))
