upstream: one way to take an idle connection that can be used

The loop that closes idle connections until one can be used stood twice (get, takeOldest), and its condition three times; takeUsable and conn.usable serve all. An answer that does not end with its connection no longer reads the clock for a witness.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -66,6 +66,9 @@
 	return err == nil && reusable
 }
 
+// usable reports whether a request may be sent on the connection, which is idle.
+func (c *conn) usable(now time.Time) bool { return c.withinIdleLimit(now) && c.reusable() }
+
 // withinIdleLimit reports whether the connection has been idle for less than
 // the replica's limit.
 func (c *conn) withinIdleLimit(now time.Time) bool { return now.Sub(c.idleSince) < c.idleLimit }
--- a/upstream/framing.go
+++ b/upstream/framing.go
@@ -124,11 +124,12 @@
 
 // takeWitness holds an older connection if the body ends with its own.
 func (r *Response) takeWitness() {
-	if r.Framing() == FramingClose && r.survived != nil {
-		// Without a witness, it takes longer to confirm the end.
-		if connection, err := r.pool.oldest(r.to, r.deadline); err == nil {
-			r.witness = &Witness{pool: r.pool, to: r.to, connection: connection}
-		}
+	if r.Framing() != FramingClose || r.survived == nil {
+		return
+	}
+	// Without a witness, it takes longer to confirm the end.
+	if connection, err := r.pool.oldest(r.to, r.deadline); err == nil {
+		r.witness = &Witness{pool: r.pool, to: r.to, connection: connection}
 	}
 	r.witnessedAt = time.Now()
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -115,7 +116,7 @@
 func (t *target) removeUnusable(now time.Time) (unusable []*conn) {
 	var usable []*conn
 	for _, idle := range t.idle {
-		if idle.withinIdleLimit(now) && idle.reusable() {
+		if idle.usable(now) {
 			usable = append(usable, idle)
 			continue
 		}
@@ -144,75 +145,70 @@
 	return entry
 }
 
-// get returns a connection to the replica, from the pool or new.
+// get returns the idle connection to the replica that was used last, or a new one.
 func (p *Pool) get(to Target, deadline time.Time) (*conn, error) {
-	for {
-		connection := p.takeIdle(to)
-		if connection == nil {
-			return p.dial(to, deadline)
-		}
-		if connection.withinIdleLimit(time.Now()) && connection.reusable() {
-			p.count(&p.reused)
-			return connection, nil
-		}
-		_ = connection.Close()
-	}
-}
-
-func (p *Pool) count(counter *uint64) {
-	p.mutex.Lock()
-	*counter++
-	p.mutex.Unlock()
-}
-
-// takeIdle removes and returns the most recently used idle connection, or nil.
-func (p *Pool) takeIdle(to Target) *conn {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	entry := p.target(to)
-	if last := len(entry.idle) - 1; last >= 0 {
-		connection := entry.idle[last]
-		entry.idle = entry.idle[:last]
-		return connection
+	if connection := p.takeUsable(to, (*target).removeNewest); connection != nil {
+		p.count(&p.reused)
+		return connection, nil
 	}
-	return nil
+	return p.dial(to, deadline)
 }
 
-// oldest returns the idle connection that was opened first, or a new one.
+// oldest returns the idle connection to the replica that was opened first, or a new one.
 func (p *Pool) oldest(to Target, deadline time.Time) (*conn, error) {
-	if connection := p.takeOldest(to); connection != nil {
+	if connection := p.takeUsable(to, (*target).removeOldest); connection != nil {
 		return connection, nil
 	}
 	return p.dial(to, deadline)
 }
 
-// takeOldest removes and returns the idle connection that was opened first and can be used, or
-// nil.
-func (p *Pool) takeOldest(to Target) *conn {
+// takeUsable removes idle connections one by one until one can be used, and returns that one, or
+// nil. It closes the others.
+func (p *Pool) takeUsable(to Target, remove func(*target) *conn) *conn {
 	for {
-		oldest := p.removeOldest(to)
-		if oldest == nil || oldest.withinIdleLimit(time.Now()) && oldest.reusable() {
-			return oldest
+		connection := p.takeIdle(to, remove)
+		if connection == nil || connection.usable(time.Now()) {
+			return connection
 		}
-		_ = oldest.Close()
+		_ = connection.Close()
 	}
 }
 
-func (p *Pool) removeOldest(to Target) *conn {
+func (p *Pool) count(counter *uint64) {
+	p.mutex.Lock()
+	*counter++
+	p.mutex.Unlock()
+}
+
+// takeIdle removes and returns an idle connection, or nil.
+func (p *Pool) takeIdle(to Target, remove func(*target) *conn) *conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	entry := p.targets[to]
 	if entry == nil || len(entry.idle) == 0 {
 		return nil
 	}
+	return remove(entry)
+}
+
+// removeNewest removes and returns the idle connection that was used last. There is at least one.
+func (t *target) removeNewest() *conn { return t.remove(len(t.idle) - 1) }
+
+// removeOldest removes and returns the idle connection that was opened first. There is at least
+// one.
+func (t *target) removeOldest() *conn {
 	oldest := 0
-	for index, idle := range entry.idle {
-		if idle.openedAt.Before(entry.idle[oldest].openedAt) {
+	for index, idle := range t.idle {
+		if idle.openedAt.Before(t.idle[oldest].openedAt) {
 			oldest = index
 		}
 	}
-	connection := entry.idle[oldest]
-	entry.idle = append(entry.idle[:oldest:oldest], entry.idle[oldest+1:]...)
+	return t.remove(oldest)
+}
+
+func (t *target) remove(index int) *conn {
+	connection := t.idle[index]
+	t.idle = slices.Delete(t.idle, index, index+1)
 	return connection
 }
 
