--- a/review/standin-2/budget_test.go
+++ b/review/standin-2/budget_test.go
@@ -18,6 +18,8 @@
 	turnTokens    = 10 * stride
 	tokenBudget   = 6 * turnTokens
 	turnDeadline  = 4 * time.Second
+	modelHost     = standin.Host
+	modelTarget   = standin.ModelPath + "2f"
 )
 
 // runBudget has one program take turns, one of which meets a replica in trouble, and adds up the
@@ -25,7 +27,7 @@
 func runBudget(b *bed) (bool, error) {
 	for index := range budgetEngines {
 		e := &engine{
-			id: fmt.Sprintf("i-%08x", index+1), version: "1", born: time.Now().UnixMilli(), step: 5 * time.Millisecond,
+			id: fmt.Sprintf("i-%08x", index+1), version: "1", born: time.Now().UnixMilli(), step: 5 * time.Millisecond, idStep: 1,
 			runaway: func(id string) bool { return b.trouble && strings.HasSuffix(id, "1") },
 		}
 		if err := b.addEngine(e, "127.0.0.1:0"); err != nil {
@@ -56,7 +58,7 @@
 
 func (b *bed) takeTurn(turn int) (standin.Answer, error) {
 	n := b.nodes[turn%len(b.nodes)]
-	return standin.SendRequestWithin(turnDeadline+time.Second, n.clients, "POST", standin.Host, standin.ModelPath+"2f", map[string]string{
+	return standin.SendRequestWithin(turnDeadline+time.Second, n.clients, "POST", modelHost, modelTarget, map[string]string{
 		names.RequestID: fmt.Sprintf("%015x%x", 0xabc000+turn, turn%16), "X-Model": "m", names.TokenCounts: "327," + strconv.Itoa(turnTokens),
 		names.PromptPrefix: "5c1e07a2:200,91bd3f06:127", names.Deadline: strconv.FormatInt(turnDeadline.Milliseconds(), 10),
 		names.Program: "3fa81c", names.Session: "77d20b", names.Finish: "60000", names.TokenBudget: strconv.Itoa(tokenBudget),
--- a/review/standin-2/doc_test.go
+++ b/review/standin-2/doc_test.go
@@ -21,6 +21,7 @@
 // cases maps the name of a case to its run, which reports whether the rule was broken.
 var cases = map[string]func(*bed) (broken bool, err error){
 	"budget":     runBudget,
+	"resumed":    runResumed,
 	"stale-list": runStaleList,
 }
 
--- a/review/standin-2/engine_test.go
+++ b/review/standin-2/engine_test.go
@@ -23,6 +23,9 @@
 	id, version string
 	born        int64
 	step        time.Duration
+	// idStep is by how much the ids of its events rise: 1, or stride where an id is the number of
+	// tokens so far.
+	idStep int
 	// runaway, if it returns true for a request, has the replica send more events after the
 	// whole answer, without end, until its caller closes.
 	runaway func(id string) bool
@@ -67,7 +70,7 @@
 	}
 	first := 1
 	if last, err := strconv.Atoi(resumedAfter); err == nil {
-		first = last + 1
+		first = last/e.idStep + 1
 	}
 	_, most, _ := strings.Cut(request.Header.Get(names.TokenCounts), ",")
 	tokens, _ := strconv.Atoi(most)
@@ -89,7 +92,7 @@
 			return
 		case <-time.After(e.step):
 		}
-		_, err := fmt.Fprintf(writer, "id: %d\ndata: token-%d@%s\n\n", event, event, e.version)
+		_, err := fmt.Fprintf(writer, "id: %d\ndata: token-%d@%s\n\n", event*e.idStep, event, e.version)
 		if err != nil || controller.Flush() != nil {
 			return
 		}
