edge: a list of replicas has its offset, in the logs of nodes and between them

The logs told neither when a node last learned that the replica is gone, nor whose list put it back, nor how old that list was: a list taken over from a peer left no line.

Nothing is decided differently. A peer's answer carries the offset up to which its list holds; taking a list over, a removal, a deferred removal and the first read of a tail after an outage are logged with offsets.

Hypotheses, before any change of logic: 1. A list taken over from a peer replaces a newer one. 2. The tail then goes on at an offset that does not belong to that list. 3. Removals that were read after the outage are deferred for too long. 4. A peer's answer is applied after the tail has delivered newer records.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -241,6 +241,7 @@
 // due.
 func (n *Node) followTail(ctx context.Context, stream recordstore.Stream, next uint64, resync time.Time, handler streamHandler) {
 	backoff := n.backoff()
+	failed := false
 	for ctx.Err() == nil && !handler.done() && time.Now().Before(resync) {
 		timeout := handler.wait()
 		requestedAt := time.Now()
@@ -253,12 +254,19 @@
 		case errors.Is(err, recordstore.ErrGap):
 			return
 		case errors.Is(err, errStoreRegained):
+			failed = true
 			continue
 		case err != nil:
+			failed = true
 			wait.For(ctx, backoff.Next())
 			continue
 		}
 		backoff.Reset()
+		if failed {
+			n.logger.Info().Str("stream", string(stream.Name)).Uint64("from", next).Int("records", len(tail.Records)).Uint64("next", tail.Next).
+				Msg("store: tail followed again")
+			failed = false
+		}
 		for _, record := range tail.Records {
 			handler.change(record)
 		}
--- a/edge/node.go
+++ b/edge/node.go
@@ -85,6 +85,7 @@
 	// nanoseconds since started.
 	started      time.Time
 	replicasAsOf atomic.Int64
+	listPosition listPosition
 	stopping     atomic.Bool
 	// syncedConfiguration and syncedReplicas are set once the stream was read completely.
 	syncedConfiguration atomic.Bool
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -147,6 +147,9 @@
 type peerState struct {
 	Configuration []byte          `json:"configuration,omitempty"`
 	Replicas      []replica.Entry `json:"replicas"`
+	// Position is the offset in the stream of replicas up to which Replicas is known to
+	// reflect the store's list; 0 if the peer does not know it.
+	Position uint64 `json:"position,omitempty"`
 	// Proven is set if the configuration was proven to be the newest, ProofAgeMS
 	// milliseconds before the peer answered.
 	Proven     bool  `json:"proven,omitempty"`
@@ -234,6 +237,8 @@
 		Evacuations: p.node.evacuations.snapshot(time.Now()),
 	}
 	if !ctx.QueryArgs().Has("replicas") {
+		// The position is read first, for the same reason.
+		state.Position = p.node.listPosition.current()
 		state.Replicas = p.node.replicas.entries()
 	}
 	writeJSON(ctx, state)
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -59,15 +59,27 @@
 	}
 	n.adoptEvacuations(from, requestedAt, state.Evacuations)
 	n.applyPeerConfiguration(from, requestedAt, &state)
-	if !replicas || n.reachesStore() || len(state.Replicas) == 0 {
-		return
+	if replicas && !n.reachesStore() && len(state.Replicas) > 0 {
+		n.adoptList(from, requestedAt, state.Replicas, state.Position)
 	}
-	listed := make(map[replica.ID]bool, len(state.Replicas))
-	for _, entry := range state.Replicas {
+}
+
+// adoptList replaces this node's list of replicas by that of a peer.
+func (n *Node) adoptList(from machine.Machine, requestedAt time.Time, entries []replica.Entry, position uint64) {
+	n.listPosition.applying.Lock()
+	defer n.listPosition.applying.Unlock()
+	own := n.listPosition.current()
+	changed := 0
+	listed := make(map[replica.ID]bool, len(entries))
+	for _, entry := range entries {
 		listed[entry.ID] = true
-		n.replicas.put(entry)
+		if n.replicas.put(entry) {
+			changed++
+		}
 	}
-	n.dropUnlisted(listed, n.removeQuietly)
+	removed := n.dropUnlisted(listed, n.removeQuietly)
+	n.logger.Info().Str("peer", string(from.ID)).Uint64("position", position).Uint64("own", own).Dur("age", time.Since(requestedAt)).
+		Int("listed", len(listed)).Int("changed", changed).Int("removed", removed).Msg("peers: list of replicas taken over")
 }
 
 // applyPeerConfiguration applies a peer's configuration, if it has one, and its freshness
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -271,7 +271,7 @@
 		}
 		n.syncedReplicas.Store(true)
 	}
-	n.logList("reader "+string(reader.ID), len(listed), changed, removed)
+	n.logList("reader "+string(reader.ID), 0, len(listed), changed, removed)
 }
 
 // applyRelayedConfiguration applies a reader's configuration, its freshness proof, and its
--- a/edge/replicalist.go
+++ b/edge/replicalist.go
@@ -19,11 +19,11 @@
 		n.followStream(ctx, recordstore.Stream{Name: recordstore.StreamReplicas}, streamHandler{
 			wait: func() time.Duration { return replicasWait }, pause: n.replicasPause, synced: &n.syncedReplicas,
 			page: func(records []recordstore.Record) { changed += n.applyPage(records) },
-			reset: func(records []recordstore.Record, _ uint64) {
-				n.resetReplicas(records, changed)
+			reset: func(records []recordstore.Record, end uint64) {
+				n.resetReplicas(records, end, changed)
 				changed = 0
 			},
-			change:  func(record recordstore.Record) { n.applyReplica(record.Key, record.Value) },
+			change:  n.applyReplicaRecord,
 			current: n.replicasCaughtUp,
 			ended:   func() bool { return time.Since(start) > directReadPeriod && len(n.readersToFollow()) > 0 },
 		})
@@ -42,6 +42,8 @@
 // serve with the first few hundred of ten thousand replicas, a second earlier. It returns
 // the number of replicas that changed.
 func (n *Node) applyPage(records []recordstore.Record) (changed int) {
+	n.listPosition.applying.Lock()
+	defer n.listPosition.applying.Unlock()
 	for _, record := range records {
 		if entry, ok := n.decodeReplica(record.Key, record.Value); ok && n.replicas.put(entry) {
 			changed++
@@ -51,8 +53,10 @@
 }
 
 // resetReplicas drops the replicas that are in none of the pages of a whole list, after the
-// pages were applied one by one.
-func (n *Node) resetReplicas(records []recordstore.Record, changed int) {
+// pages were applied one by one. The list reflects all records before the offset end.
+func (n *Node) resetReplicas(records []recordstore.Record, end uint64, changed int) {
+	n.listPosition.applying.Lock()
+	defer n.listPosition.applying.Unlock()
 	n.replicas.setTotal(0)
 	n.holdsAllReplicas.Store(true)
 	listed := make(map[replica.ID]bool, len(records))
@@ -62,7 +66,8 @@
 		}
 	}
 	removed := n.dropUnlisted(listed, n.handleUnlistedQuietly)
-	n.logList("store", len(listed), changed, removed)
+	n.logList("store", end, len(listed), changed, removed)
+	n.listPosition.set(end)
 }
 
 // dropUnlisted drops the replicas that are missing in a list, and returns how many were
@@ -76,7 +81,15 @@
 	return removed
 }
 
-// applyReplica applies a record of the replica stream.
+// applyReplicaRecord applies a record of the replica stream.
+func (n *Node) applyReplicaRecord(record recordstore.Record) {
+	n.listPosition.applying.Lock()
+	defer n.listPosition.applying.Unlock()
+	n.applyReplica(record.Key, record.Value)
+	n.listPosition.set(record.Offset + 1)
+}
+
+// applyReplica applies the key and the value of a record.
 func (n *Node) applyReplica(key string, value []byte) {
 	if len(value) == 0 {
 		n.unusable.forget(replica.ID(key))
@@ -122,9 +135,11 @@
 // handleUnlisted handles a replica that the store does not list. After an outage, this does
 // not mean that the replica is gone.
 func (n *Node) handleUnlisted(id replica.ID, reason string) {
-	if !n.mayDeferRemoval(id) {
-		n.removeReplica(id, reason)
+	if n.mayDeferRemoval(id) {
+		n.logger.Info().Str("replica", string(id)).Uint64("position", n.listPosition.current()).Str("reason", reason).Msg("replicas: removal deferred")
+		return
 	}
+	n.removeReplica(id, reason)
 }
 
 // handleUnlistedQuietly is handleUnlisted without a log line. It reports whether the
@@ -150,7 +165,7 @@
 
 func (n *Node) removeReplica(id replica.ID, reason string) {
 	if n.removeQuietly(id) {
-		n.logger.Info().Str("replica", string(id)).Str("reason", reason).Msg("replicas: removed")
+		n.logger.Info().Str("replica", string(id)).Uint64("position", n.listPosition.current()).Str("reason", reason).Msg("replicas: removed")
 	}
 }
 
@@ -163,8 +178,8 @@
 	return known
 }
 
-// logList logs that a whole list of replicas was applied.
-func (n *Node) logList(source string, listed, changed, removed int) {
-	n.logger.Info().Str("source", source).Int("listed", listed).Int("changed", changed).Int("removed", removed).
+// logList logs that a whole list of replicas was applied, with its position or 0.
+func (n *Node) logList(source string, position uint64, listed, changed, removed int) {
+	n.logger.Info().Str("source", source).Uint64("position", position).Uint64("own", n.listPosition.current()).Int("listed", listed).Int("changed", changed).Int("removed", removed).
 		Msg("replicas: list taken over")
 }
