edge: a node takes over a peer's list of replicas only if it is newer

Cause: without the store, a node takes over the list of a random peer every 0.5 s, whatever its age.

Change: the position of a list is known, and a list replaces another one only if its position is higher. The tail is read on from the position of the list taken over, and leaves out records before it. A list without a position, from a node of an earlier version, is used only by a node that has none.

The list now names the replicas whose removal is deferred.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -186,6 +186,9 @@
 	pause  func() time.Duration
 	reset  func(records []recordstore.Record, end uint64)
 	change func(recordstore.Record)
+	// position returns the offset up to which the records are known from elsewhere, from which
+	// the tail is read on; it may be nil.
+	position func() uint64
 	// page, unless nil, is called with each page of a complete read as soon as it is read.
 	page func(records []recordstore.Record)
 	// current is called whenever the stream was read to its end, and ended reports whether
@@ -198,6 +201,14 @@
 
 func (f *streamHandler) done() bool { return f.ended != nil && f.ended() }
 
+// after returns the offset from which to read on, once the records before next were read.
+func (f *streamHandler) after(next uint64) uint64 {
+	if f.position == nil {
+		return next
+	}
+	return max(next, f.position())
+}
+
 func (f *streamHandler) handlePage(records []recordstore.Record) {
 	if f.page != nil {
 		f.page(records)
@@ -255,10 +266,12 @@
 			return
 		case errors.Is(err, errStoreRegained):
 			failed = true
+			next = handler.after(next)
 			continue
 		case err != nil:
 			failed = true
 			wait.For(ctx, backoff.Next())
+			next = handler.after(next)
 			continue
 		}
 		backoff.Reset()
@@ -271,7 +284,7 @@
 			handler.change(record)
 		}
 		handler.caughtUp(requestedAt)
-		next = tail.Next
+		next = handler.after(tail.Next)
 		wait.For(ctx, handler.pause())
 	}
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -150,6 +150,9 @@
 	// Position is the offset in the stream of replicas up to which Replicas is known to
 	// reflect the store's list; 0 if the peer does not know it.
 	Position uint64 `json:"position,omitempty"`
+	// Unlisted are those of Replicas that the store does not list, and whose removal the peer
+	// defers after an outage.
+	Unlisted []replica.ID `json:"unlisted,omitempty"`
 	// Proven is set if the configuration was proven to be the newest, ProofAgeMS
 	// milliseconds before the peer answered.
 	Proven     bool  `json:"proven,omitempty"`
@@ -239,7 +242,7 @@
 	if !ctx.QueryArgs().Has("replicas") {
 		// The position is read first, for the same reason.
 		state.Position = p.node.listPosition.current()
-		state.Replicas = p.node.replicas.entries()
+		state.Replicas, state.Unlisted = p.node.replicas.entriesAndUnlisted()
 	}
 	writeJSON(ctx, state)
 }
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -60,26 +60,37 @@
 	n.adoptEvacuations(from, requestedAt, state.Evacuations)
 	n.applyPeerConfiguration(from, requestedAt, &state)
 	if replicas && !n.reachesStore() && len(state.Replicas) > 0 {
-		n.adoptList(from, requestedAt, state.Replicas, state.Position)
+		n.adoptList(from, requestedAt, &state)
 	}
 }
 
-// adoptList replaces this node's list of replicas by that of a peer.
-func (n *Node) adoptList(from machine.Machine, requestedAt time.Time, entries []replica.Entry, position uint64) {
+// adoptList replaces this node's list of replicas by that of a peer, if the peer's is newer.
+// A list without a position, as nodes of an earlier version send it, is used only while this
+// node has none.
+func (n *Node) adoptList(from machine.Machine, requestedAt time.Time, state *peerState) {
 	n.listPosition.applying.Lock()
 	defer n.listPosition.applying.Unlock()
-	own := n.listPosition.current()
+	position, own := state.Position, n.listPosition.current()
+	event := n.logger.Info().Str("peer", string(from.ID)).Uint64("position", position).Uint64("own", own).Dur("age", time.Since(requestedAt))
+	if own > 0 && position <= own {
+		event.Msg("peers: list of replicas not newer")
+		return
+	}
 	changed := 0
-	listed := make(map[replica.ID]bool, len(entries))
-	for _, entry := range entries {
+	listed := make(map[replica.ID]bool, len(state.Replicas))
+	for _, entry := range state.Replicas {
 		listed[entry.ID] = true
 		if n.replicas.put(entry) {
 			changed++
 		}
 	}
 	removed := n.dropUnlisted(listed, n.removeQuietly)
-	n.logger.Info().Str("peer", string(from.ID)).Uint64("position", position).Uint64("own", own).Dur("age", time.Since(requestedAt)).
-		Int("listed", len(listed)).Int("changed", changed).Int("removed", removed).Msg("peers: list of replicas taken over")
+	// The tail is read on behind their removal, so that it would not remove them again.
+	for _, id := range state.Unlisted {
+		n.replicas.deferRemoval(id, time.Now().Add(removalDeferral))
+	}
+	n.listPosition.set(position)
+	event.Int("listed", len(listed)).Int("unlisted", len(state.Unlisted)).Int("changed", changed).Int("removed", removed).Msg("peers: list of replicas taken over")
 }
 
 // applyPeerConfiguration applies a peer's configuration, if it has one, and its freshness
--- a/edge/replicalist.go
+++ b/edge/replicalist.go
@@ -23,9 +23,10 @@
 				n.resetReplicas(records, end, changed)
 				changed = 0
 			},
-			change:  n.applyReplicaRecord,
-			current: n.replicasCaughtUp,
-			ended:   func() bool { return time.Since(start) > directReadPeriod && len(n.readersToFollow()) > 0 },
+			change:   n.applyReplicaRecord,
+			position: n.listPosition.current,
+			current:  n.replicasCaughtUp,
+			ended:    func() bool { return time.Since(start) > directReadPeriod && len(n.readersToFollow()) > 0 },
 		})
 	}
 }
@@ -81,10 +82,14 @@
 	return removed
 }
 
-// applyReplicaRecord applies a record of the replica stream.
+// applyReplicaRecord applies a record of the replica stream, unless the list reflects it
+// already.
 func (n *Node) applyReplicaRecord(record recordstore.Record) {
 	n.listPosition.applying.Lock()
 	defer n.listPosition.applying.Unlock()
+	if record.Offset < n.listPosition.current() {
+		return
+	}
 	n.applyReplica(record.Key, record.Value)
 	n.listPosition.set(record.Offset + 1)
 }
--- a/edge/replicas.go
+++ b/edge/replicas.go
@@ -300,10 +300,12 @@
 	return r.set.IDs()
 }
 
-func (r *replicas) entries() []replica.Entry {
+// entriesAndUnlisted returns the entries of all replicas, and those of them whose removal is
+// deferred.
+func (r *replicas) entriesAndUnlisted() (entries []replica.Entry, unlisted []replica.ID) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.set.Entries(time.Now())
+	return r.set.Entries(time.Now()), r.set.Unlisted()
 }
 
 func (r *replicas) setPeerLoads(peer string, counts map[string]int) {
--- a/edge/silentstore_test.go
+++ b/edge/silentstore_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -83,11 +85,17 @@
 		return recordstore.Page{}, ctx.Err()
 	}
 	records := s.from(stream.Name, 0)
-	page := recordstore.Page{End: uint64(len(records))}
-	if len(records) > 0 {
-		page.Records = records[len(records)-1:]
+	return recordstore.Page{Records: newestRecords(records), End: uint64(len(records))}, nil
+}
+
+// newestRecords returns the newest record of each key, without the removed keys.
+func newestRecords(records []recordstore.Record) []recordstore.Record {
+	newest := make(map[string]recordstore.Record)
+	for _, record := range records {
+		newest[record.Key] = record
 	}
-	return page, nil
+	maps.DeleteFunc(newest, func(_ string, record recordstore.Record) bool { return len(record.Value) == 0 })
+	return slices.Collect(maps.Values(newest))
 }
 
 func (s *outageStore) Tail(ctx context.Context, stream recordstore.Stream, from uint64, wait time.Duration) (recordstore.Tail, error) {
--- a/replica/doubt.go
+++ b/replica/doubt.go
@@ -1,6 +1,10 @@
 package replica
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // DeferRemoval keeps an unlisted replica in the set until the given time, since the list may
 // lack it although it is alive. If the replica is listed again, it stays. If DeferRemoval is
@@ -18,6 +22,9 @@
 	return true
 }
 
+// Unlisted returns the replicas whose removal is deferred, in no particular order.
+func (s *Set) Unlisted() []ID { return slices.Collect(maps.Keys(s.unlisted)) }
+
 // DueRemovals returns the unlisted replicas whose deadline has passed.
 func (s *Set) DueRemovals(now time.Time) (gone []ID) {
 	for id, known := range s.unlisted {
