edge: a reader sends no whole list that is older than its follower's

The position of a list is passed on with it. A follower names its own when it asks; a reader that is behind answers "older" and no list, and the follower keeps its own, tries the next reader, and after the usual 8 to 16 s reads the store. Lists of readers of an earlier version have no position and are taken over as before.

Looked at without change: evacuations (versions), the configuration with its tenants and keys (versions), owners (epoch and revision), entries of an older process under the same ID (replica.Set.Put), lists of nodes (incarnations).

TestRemovedReplicaComesBackFromAnotherReader fails without the check. Not shown on processes yet: no stand-in cuts a follower from its reader.

--- a/edge/reader.go
+++ b/edge/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -62,6 +63,11 @@
 		request := n.relayRequest(&cursor)
 		requestedAt := time.Now()
 		answer, err := n.queryReader(ctx, cursor.reader, request)
+		if err == nil && answer.Older {
+			n.readerAnswered()
+			n.applyRelayedConfiguration(cursor.reader, requestedAt, &answer)
+			err = &olderListError{position: answer.Position, own: request.position}
+		}
 		if err != nil {
 			n.logger.Warn().Str("reader", string(cursor.reader.ID)).Int("failures", cursor.failures).Err(err).Msg("replicas: reader not followed")
 			cursor.failures++
@@ -73,7 +79,7 @@
 		}
 		backoff.Reset()
 		cursor.failures, cursor.servedAt = 0, time.Now()
-		n.readerAnsweredAt.Store(int64(time.Since(n.started)))
+		n.readerAnswered()
 		cursor.advance(&answer, n.replicas.count() > 0)
 		n.applyRelay(cursor.reader, requestedAt, request.part, &answer)
 		n.logFollowing(cursor.reader)
@@ -83,6 +89,18 @@
 	}
 }
 
+// olderListError says that a reader's list is older than this node's. Replicas that are gone
+// would come back with it.
+type olderListError struct{ position, own uint64 }
+
+// Error describes both positions.
+func (e *olderListError) Error() string {
+	return fmt.Sprintf("its list is at offset %d, this node's at %d", e.position, e.own)
+}
+
+// readerAnswered records that a reader answered.
+func (n *Node) readerAnswered() { n.readerAnsweredAt.Store(int64(time.Since(n.started))) }
+
 // setGroup sets whether the next request is for a group's part of the list or for all of
 // it. A change invalidates the position.
 func (r *readerCursor) setGroup(part bool, group replica.Group) {
@@ -164,7 +182,8 @@
 
 // relayRequest returns the next request to a reader.
 func (n *Node) relayRequest(cursor *readerCursor) relayRequest {
-	request := relayRequest{incarnation: cursor.incarnation, since: cursor.next, evacuations: n.evacuations.version(), version: n.configVersion()}
+	request := relayRequest{incarnation: cursor.incarnation, since: cursor.next, evacuations: n.evacuations.version(), version: n.configVersion(),
+		position: n.listPosition.current()}
 	request.wait = sourceWait
 	if cursor.part {
 		request.wait = relayWait
@@ -229,11 +248,14 @@
 func (n *Node) applyRelay(reader machine.Machine, requestedAt time.Time, part bool, answer *relayAnswer) {
 	n.applyRelayedConfiguration(reader, requestedAt, answer)
 	n.replicas.setTotal(answer.Total)
+	n.listPosition.applying.Lock()
+	defer n.listPosition.applying.Unlock()
 	if answer.Whole || len(answer.Changes) >= bulkLogThreshold {
 		n.applyList(reader, part, answer)
 	} else {
 		n.applyChanges(answer.Changes)
 	}
+	n.listPosition.set(answer.Position)
 	n.setListAge(answer.age())
 }
 
@@ -271,7 +293,7 @@
 		}
 		n.syncedReplicas.Store(true)
 	}
-	n.logList("reader "+string(reader.ID), 0, len(listed), changed, removed)
+	n.logList("reader "+string(reader.ID), answer.Position, len(listed), changed, removed)
 }
 
 // applyRelayedConfiguration applies a reader's configuration, its freshness proof, and its
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -67,6 +67,11 @@
 	// AgeMS is how long ago the reader's list was equal to that of the store, in
 	// milliseconds.
 	AgeMS int64 `json:"age_ms"`
+	// Position is the offset in the stream of replicas up to which the reader's list is known to
+	// reflect the store's; 0 if unknown.
+	Position uint64 `json:"position,omitempty"`
+	// Older is set in place of a whole list that is older than the follower's.
+	Older bool `json:"older,omitempty"`
 	// Total is the number of replicas that the store lists.
 	Total int `json:"total,omitempty"`
 	// Configuration is the reader's newest configuration, if the follower's is older.
@@ -93,6 +98,9 @@
 	// version is the version of the follower's configuration, and evacuations that of its
 	// evacuated zones.
 	version, evacuations uint64
+	// position is the position of the follower's list; 0 if unknown. A reader sends no older
+	// list.
+	position uint64
 	// takesPartial is set if the follower distinguishes an incomplete list from a complete
 	// one. Nodes of an earlier version do not.
 	takesPartial bool
@@ -105,6 +113,7 @@
 		"life": {strconv.FormatUint(q.incarnation, 10)}, "since": {strconv.FormatUint(q.since, 10)},
 		"wait": {strconv.FormatInt(q.wait.Milliseconds(), 10)}, "version": {strconv.FormatUint(q.version, 10)},
 		"evacuations": {strconv.FormatUint(q.evacuations, 10)}, "partial": {"taken"},
+		"position": {strconv.FormatUint(q.position, 10)},
 	}
 	if q.part {
 		query.Set("zone", q.group.Zone)
@@ -121,7 +130,7 @@
 // for one.
 func parseRelayRequest(query *fasthttp.Args) (relayRequest, error) {
 	var q relayRequest
-	var incarnationErr, sinceErr, waitErr, groupErr error
+	var incarnationErr, sinceErr, waitErr, groupErr, positionErr error
 	q.incarnation, incarnationErr = strconv.ParseUint(string(query.Peek("life")), 10, 64)
 	q.since, sinceErr = strconv.ParseUint(string(query.Peek("since")), 10, 64)
 	milliseconds, waitErr := query.GetUint("wait")
@@ -130,13 +139,16 @@
 		q.group.Zone = string(query.Peek("zone"))
 		q.group.Number, groupErr = query.GetUint("group")
 	}
+	if query.Has("position") {
+		q.position, positionErr = strconv.ParseUint(string(query.Peek("position")), 10, 64)
+	}
 	q.version, q.evacuations = math.MaxUint64, math.MaxUint64
 	if query.Has("version") {
 		q.version = uint64(query.GetUintOrZero("version"))
 		q.evacuations = uint64(query.GetUintOrZero("evacuations"))
 	}
 	q.ageOnly, q.takesPartial = query.Has("age"), query.Has("partial")
-	return q, errors.Join(incarnationErr, sinceErr, waitErr, groupErr)
+	return q, errors.Join(incarnationErr, sinceErr, waitErr, groupErr, positionErr)
 }
 
 // receiveReplicas answers a node that follows this one. A node that has not read the list
@@ -163,7 +175,8 @@
 		node.awaitChanges(&request)
 	}
 	answer := relayAnswer{ReaderIncarnation: ownIncarnation, Partial: partial}
-	// The age and the proof are read first: what is read after them is at least as new.
+	// The age, the position and the proof are read first: what is read after them is at least
+	// as new.
 	age, proven := node.freshnessProof.age(time.Now())
 	answer.Proven, answer.ProofAgeMS = proven, age.Milliseconds()+1
 	answer.AgeMS = node.listAge().Milliseconds()
@@ -174,7 +187,13 @@
 		snapshot := node.evacuations.snapshot(time.Now())
 		answer.Evacuations = &snapshot
 	}
+	if !partial {
+		answer.Position = node.listPosition.current()
+	}
 	answer.Changes, answer.Next, answer.Whole = node.replicas.since(&request, known)
+	if answer.Whole && answer.Position > 0 && answer.Position < request.position {
+		answer.Older, answer.Whole, answer.Changes = true, false, nil
+	}
 	answer.Total = node.replicas.total()
 	writeJSON(ctx, answer)
 }
--- a/edge/relay_test.go
+++ b/edge/relay_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -124,3 +125,37 @@
 	g.Expect(node.holdsAllReplicas.Load()).To(BeTrue())
 	g.Expect(cursor.incarnation).To(Equal(uint64(6)))
 }
+
+// TestRemovedReplicaComesBackFromAnotherReader checks that a reader sends no whole list that is older than that of the
+// follower that turns to it: replicas that are gone would come back.
+func TestRemovedReplicaComesBackFromAnotherReader(t *testing.T) {
+	g := NewWithT(t)
+	reader := keyNode(g, Settings{}, false)
+	defer reader.Kill()
+	gone := listedReplica("gone")
+	reader.applyRelay(machine.Machine{ID: "source"}, time.Now(), false, &relayAnswer{Whole: true, Position: 7, Changes: []replica.Change{{Entry: &gone}}})
+	answerTo := func(request relayRequest) (answer relayAnswer) {
+		ctx := &fasthttp.RequestCtx{}
+		ctx.Request.SetRequestURI(request.path())
+		reader.peers.receiveReplicas(ctx)
+		g.Expect(json.Unmarshal(ctx.Response.Body(), &answer)).To(Succeed())
+		return answer
+	}
+	older := answerTo(relayRequest{position: 9})
+	g.Expect(older.Older).To(BeTrue())
+	g.Expect(older.Whole).To(BeFalse())
+	g.Expect(older.Changes).To(BeEmpty())
+	for _, position := range []uint64{0, 3, 7} {
+		answer := answerTo(relayRequest{position: position})
+		g.Expect(answer.Whole).To(BeTrue(), "a follower at %d", position)
+		g.Expect(answer.Position).To(Equal(uint64(7)))
+	}
+	followed := answerTo(relayRequest{position: 9, incarnation: reader.self.Incarnation, since: older.Next})
+	g.Expect(followed.Older).To(BeFalse(), "the changes of the reader that it follows")
+
+	reader.applyRelay(machine.Machine{ID: "source"}, time.Now(), false, &relayAnswer{Position: 9, Changes: []replica.Change{{Gone: "gone"}}})
+	newer := answerTo(relayRequest{position: 9})
+	g.Expect(newer.Whole).To(BeTrue())
+	g.Expect(newer.Changes).To(BeEmpty())
+	g.Expect(newer.Position).To(Equal(uint64(9)))
+}
