ledger: a stream that is resumed is one turn of its program

Change: a turn names the stream that it resumes, what its client can have received of it, and the node and process that run it. A turn that resumes a stream known to the owner may go up to the budget and less than one turn more, the limit that was in force after a loss of an owner; turns of processes that have ended lapse when the node's next process is known; what a client says of a stream replaces the maximum of its attempts that were lost before.

A node that is only considered dead lapses nothing.

Specs that fail without one part of the change or the other: "is not refused because its lost attempt holds the rest of the budget", "... after its attempt was settled with more than the client has read", "is one turn of the program, however often its node is lost", "hold the budget no longer once it has restarted".

A former owner ignores the new fields and refuses as before; a former node names no process and no stream.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -309,6 +309,7 @@
 // addNodes adds nodes to the directory.
 func (c *Core) addNodes(now time.Time, nodes []machine.Machine) {
 	var added []machine.Machine
+	restarted := make(map[string]uint64)
 	for _, node := range nodes {
 		if node.ID == c.self().ID || node.Address == "" {
 			continue
@@ -317,6 +318,9 @@
 		if found && known.Incarnation >= node.Incarnation {
 			continue
 		}
+		if found {
+			restarted[string(node.ID)] = node.Incarnation
+		}
 		node.Kind = machine.KindNode
 		node.Status = machine.StatusLive
 		c.directory[node.ID] = node
@@ -326,6 +330,7 @@
 	if len(added) > 0 {
 		c.membership.ObservePartial(now, added)
 	}
+	c.lapseLostTurns(now, restarted)
 }
 
 // addSorted inserts a node into sortedNodes, or replaces its entry.
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -272,6 +272,8 @@
 	// ended searches of this node, for logging.
 	ClaimQueries    []ClaimQuery
 	ClaimsCollected []ClaimsCollected
+	// TurnsLost are the turns that lapsed with the processes that ran them, for logging.
+	TurnsLost []TurnsLost
 	// QuarantineQueries are questions for this node's runs of marked requests, and
 	// QuarantineChanges what is new of such requests. They come before Messages: what another
 	// node is told has to be in force here.
--- a/edge/control.go
+++ b/edge/control.go
@@ -349,6 +349,9 @@
 	for _, collected := range ready.ClaimsCollected {
 		c.node.logClaims(collected)
 	}
+	for _, lost := range ready.TurnsLost {
+		c.node.logTurnsLost(lost)
+	}
 	for _, reconciled := range ready.FormerReconciled {
 		c.node.logReconciled(reconciled)
 	}
--- a/edge/decisions.go
+++ b/edge/decisions.go
@@ -27,6 +27,13 @@
 		Msg("ledger: turns of previous owners looked up")
 }
 
+// logTurnsLost logs that turns lapsed with the processes that ran them.
+func (n *Node) logTurnsLost(lost coordinator.TurnsLost) {
+	n.metrics.turnsLost(lost.Lapsed)
+	n.logger.Info().Int("partition", lost.Partition).Uint64("epoch", uint64(lost.Epoch)).Int("lapsed", lost.Lapsed).
+		Msg("ledger: turns of restarted nodes lapsed")
+}
+
 // logReconciled logs that the state of a former owner was taken over.
 func (n *Node) logReconciled(reconciled coordinator.FormerReconciled) {
 	n.metrics.accountsReconciled(reconciled.Reconciled)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -85,6 +85,7 @@
 	metricTrims              = "birchwood_edge_store_trims_total"
 	metricExhausted          = "birchwood_edge_budgets_exhausted_total"
 	metricInherited          = "birchwood_edge_inherited_turns_total"
+	metricLostTurns          = "birchwood_edge_lost_turns_total"
 	metricReconciled         = "birchwood_edge_accounts_reconciled_total"
 	metricRefused            = "birchwood_edge_turned_away_total"
 	metricRetryAfter         = "birchwood_edge_come_back_seconds"
@@ -287,6 +288,9 @@
 	m.set.GetOrCreateCounter(metricInherited + `{state="lapsed"}`).Add(lapsed)
 }
 
+// turnsLost counts the turns that lapsed with the processes that ran them.
+func (m *Metrics) turnsLost(lapsed int) { m.set.GetOrCreateCounter(metricLostTurns).Add(lapsed) }
+
 // accountsReconciled counts the accounts that a former owner's state changed.
 func (m *Metrics) accountsReconciled(accounts int) {
 	m.set.GetOrCreateCounter(metricReconciled).Add(accounts)
--- a/edge/request.go
+++ b/edge/request.go
@@ -92,8 +92,11 @@
 	// are "" if the request begins a stream.
 	resumed      string
 	resumedAfter string
-	maxTokens    int
-	budget       int
+	// receivedTokens is the most tokens of that stream that the client can have received; 0 if
+	// the request begins a stream.
+	receivedTokens int
+	maxTokens      int
+	budget         int
 	// lengthHint is the client's estimate of the output tokens; 0 if there is none.
 	lengthHint int
 	// finishBy is when the program has to be finished; zero if the client sets none.
@@ -119,6 +122,15 @@
 // turnID returns the id of the turn that is unique among all tenants.
 func (r *requestState) turnID() string { return r.scope.Qualify(r.id) }
 
+// resumedTurnID returns the unique id of the turn that began the stream which the request
+// resumes, or "".
+func (r *requestState) resumedTurnID() string {
+	if !r.resumesStream() {
+		return ""
+	}
+	return r.scope.Qualify(r.resumed)
+}
+
 // programID returns the id of the turn's program that is unique among all tenants.
 func (r *requestState) programID() string { return r.scope.Qualify(r.program) }
 
--- a/edge/resume.go
+++ b/edge/resume.go
@@ -90,9 +90,12 @@
 // of events count from 1.
 func (r *requestState) limitToRest(tokensPerEvent int) {
 	received, err := parseCount(r.resumedAfter)
+	r.receivedTokens = r.maxTokens
 	if err != nil || r.maxTokens == 0 || tokensPerEvent <= 0 {
 		return
 	}
+	// IDs rise, and may begin at 0.
+	r.receivedTokens = min(r.maxTokens, (min(received, r.maxTokens/tokensPerEvent)+1)*tokensPerEvent)
 	rest := r.maxTokens - min(received, r.maxTokens/tokensPerEvent)*tokensPerEvent
 	r.maxTokens = max(rest, min(tokensPerEvent, r.maxTokens))
 }
--- a/edge/turn.go
+++ b/edge/turn.go
@@ -151,6 +151,7 @@
 	return ledger.Turn{
 		ID: r.turnID(), Program: r.programID(), Unscoped: r.scope.Unscoped(r.program), Session: r.session,
 		MaxTokens: r.maxTokens, Budget: r.budget, Timeout: max(0, r.timeLeft()), Retain: r.route.RetainFor, StoreOnSuccess: r.route.Retain,
+		Resumes: r.resumedTurnID(), Received: r.receivedTokens, Node: string(n.self.ID), Process: n.self.Incarnation,
 	}
 }
 
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -36,6 +36,14 @@
 	// StoreOnSuccess reports that the turn is stored if it succeeds. The account's record
 	// is then appended together with it.
 	StoreOnSuccess bool `json:"keeps,omitempty"`
+	// Resumes is the ID of the turn that began the stream which this one resumes, or "".
+	// Received is the most tokens of that stream that the client can have received; 0 if
+	// unknown.
+	Resumes  string `json:"resumes,omitempty"`
+	Received int    `json:"received,omitempty"`
+	// Node is the node that runs the turn, and Process its incarnation; "" if unknown.
+	Node    string `json:"node,omitempty"`
+	Process uint64 `json:"process,omitempty"`
 }
 
 // Admission is the verdict on a turn and the figures behind it.
@@ -150,6 +158,12 @@
 	// reconciled reports that no record in the log listed the turn when this owner learned
 	// of it.
 	reconciled bool
+	// node and process run the turn. lost reports that the process has ended.
+	node    string
+	process uint64
+	lost    bool
+	// resumes is the turn that began the stream which this one resumes, or "".
+	resumes string
 }
 
 // openCount returns the number of turns that may still be settled in time.
@@ -215,8 +229,12 @@
 // counts as used although a part of it may not have been, so the program may run one more
 // turn if that leaves any of the budget. If use under a previous owner is assumed, that
 // extra turn is already counted there.
-func (l *Ledger) tokenLimit(turn Turn, acct *account) int {
-	bounded := acct.restored || acct.presumedTokens > 0
+//
+// The same holds for a turn that resumes a stream: its earlier attempts count with their
+// maximum, or with what was sent to a client that did not read it, although all of them
+// together are one turn.
+func (l *Ledger) tokenLimit(turn Turn, acct *account, resumed bool) int {
+	bounded := acct.restored || acct.presumedTokens > 0 || resumed
 	if l.config.ExtraTurnAfterFailure && bounded && !acct.mayHaveStartedBefore {
 		return turn.Budget + turn.MaxTokens - 1
 	}
@@ -235,25 +253,27 @@
 	}
 	acct.updateFrom(now, turn)
 	acct.expire(now)
+	resumed := l.resumesKnownStream(acct, turn)
 	open := acct.openTokens()
 	served := acct.replicas[turn.Session]
 	admission := acct.admission(open)
 	admission.Replica, admission.CachedTokens = served.replica, served.cachedTokens
 	admission.NewProgram = len(acct.replicas) == 0 && open == 0 && acct.settledTokens == acct.assumedTokens && !acct.restored
 	if repeated, found := acct.open[turn.ID]; found && !repeated.presumed {
-		if repeated.reconciled && turn.Budget > 0 && acct.settledTokens+open > l.tokenLimit(turn, acct) {
+		if repeated.reconciled && turn.Budget > 0 && acct.settledTokens+open > l.tokenLimit(turn, acct, resumed) {
 			// What was granted here since then leaves no budget for it.
 			admission.Verdict = VerdictBusy
 			return admission
 		}
 		// Its node is alive and will settle it here.
 		repeated.inherited, repeated.reconciled = false, false
+		repeated.node, repeated.process, repeated.resumes = turn.Node, turn.Process, turn.Resumes
 		acct.open[turn.ID] = repeated
 		admission.Repeated, admission.Grant = true, repeated.grant
 		admission.Position = l.requiredPosition(now, turn, acct, repeated.grant, acct.settledTokens+open)
 		return admission
 	}
-	if verdict := l.decide(now, turn, acct, open); verdict != VerdictGranted {
+	if verdict := l.decide(now, turn, acct, open, resumed); verdict != VerdictGranted {
 		admission.Verdict = verdict
 		if verdict == VerdictBusy && open == 0 {
 			admission.BusyFor = l.ownership.since.Add(formerStateTimeout).Sub(now)
@@ -261,7 +281,10 @@
 		return admission
 	}
 	acct.lastGrant++
-	acct.open[turn.ID] = reservation{grant: acct.lastGrant, maxTokens: turn.MaxTokens, expires: now.Add(turn.Timeout + settlementSlack)}
+	acct.open[turn.ID] = reservation{
+		grant: acct.lastGrant, maxTokens: turn.MaxTokens, expires: now.Add(turn.Timeout + settlementSlack),
+		node: turn.Node, process: turn.Process, resumes: turn.Resumes,
+	}
 	need := acct.settledTokens + open + turn.MaxTokens
 	l.proposeOpenRecord()
 	l.ensureRecorded(turn, acct, need)
@@ -302,13 +325,17 @@
 // decide returns the verdict on one more turn. The budget is exhausted only if that is
 // certain: while other turns may still be settled, a turn that does not fit is to be
 // retried.
-func (l *Ledger) decide(now time.Time, turn Turn, acct *account, open int) Verdict {
-	tokenLimit := l.tokenLimit(turn, acct)
+func (l *Ledger) decide(now time.Time, turn Turn, acct *account, open int, resumed bool) Verdict {
+	tokenLimit := l.tokenLimit(turn, acct, resumed)
+	certainLimit := turn.Budget
+	if resumed {
+		certainLimit = tokenLimit
+	}
 	certain := acct.settledTokens - acct.presumedTokens
 	switch {
 	case turn.Budget <= 0:
 		return VerdictGranted
-	case certain+turn.MaxTokens > turn.Budget:
+	case certain+turn.MaxTokens > certainLimit:
 		return VerdictExhausted
 	case acct.settledTokens+turn.MaxTokens > tokenLimit:
 		if l.mayBeCorrected(now, acct) {
