edge: a resumed stream reserves all tokens that it may still use

Cause: the ID of the last event was taken for the number of events received. A resumed stream reserved one event's tokens, and the owner counts no more of a turn than it reserved.

Change: of the received events one is certain; the rest may still be used and is reserved. What the client can have received at most, for the owner, is taken from the ID as an upper bound.

--- a/edge/resume.go
+++ b/edge/resume.go
@@ -84,20 +84,23 @@
 	return true
 }
 
-// limitToRest lowers the most tokens that a resumed stream may use to those of the events that
-// its client has not received. The received ones are counted with the attempts that brought
-// them; reserving them again would end programs whose budget holds the rest of the stream. IDs
-// of events count from 1.
+// limitToRest lowers the most tokens that a resumed stream may use by those that its client is
+// certain to have received, and sets the most that it can have received. IDs of events rise, but
+// they need not count the events: after any ID the client has received one event or more, and no
+// more events than from ID 0 on.
 func (r *requestState) limitToRest(tokensPerEvent int) {
-	received, err := parseCount(r.resumedAfter)
-	r.receivedTokens = r.maxTokens
-	if err != nil || r.maxTokens == 0 || tokensPerEvent <= 0 {
+	mostTokens := r.maxTokens
+	r.receivedTokens = mostTokens
+	if mostTokens == 0 || tokensPerEvent <= 0 {
 		return
 	}
-	// IDs rise, and may begin at 0.
-	r.receivedTokens = min(r.maxTokens, (min(received, r.maxTokens/tokensPerEvent)+1)*tokensPerEvent)
-	rest := r.maxTokens - min(received, r.maxTokens/tokensPerEvent)*tokensPerEvent
-	r.maxTokens = max(rest, min(tokensPerEvent, r.maxTokens))
+	r.maxTokens = max(mostTokens-tokensPerEvent, min(tokensPerEvent, mostTokens))
+	lastID, err := parseCount(r.resumedAfter)
+	if err != nil {
+		return
+	}
+	events := min(lastID, mostTokens/tokensPerEvent) + 1
+	r.receivedTokens = min(mostTokens, events*tokensPerEvent)
 }
 
 // findOrigin returns the origin of the stream that the request resumes.
