edge: a stream ends at the most tokens of its turn

The owner counts no more of a turn than its maximum, so the program took six turns before its 402.

Cause: nothing compared what a stream handed out with what it was admitted with.

Change: the event that would follow the most tokens of the turn is not passed on.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -85,6 +85,7 @@
 	metricTrims              = "birchwood_edge_store_trims_total"
 	metricExhausted          = "birchwood_edge_budgets_exhausted_total"
 	metricInherited          = "birchwood_edge_inherited_turns_total"
+	metricBeyondMaximum      = "birchwood_edge_streams_beyond_maximum_total"
 	metricLostTurns          = "birchwood_edge_lost_turns_total"
 	metricReconciled         = "birchwood_edge_accounts_reconciled_total"
 	metricRefused            = "birchwood_edge_turned_away_total"
@@ -299,6 +300,9 @@
 // streamContinued counts a stream that another run continues within its answer.
 func (m *Metrics) streamContinued() { m.set.GetOrCreateCounter(metricContinued).Inc() }
 
+// streamBeyondMaximum counts a stream that a replica continued after the most tokens of its turn.
+func (m *Metrics) streamBeyondMaximum() { m.set.GetOrCreateCounter(metricBeyondMaximum).Inc() }
+
 // originNotReported counts a stream whose origin no owner accepted in time.
 func (m *Metrics) originNotReported() { m.set.GetOrCreateCounter(metricOriginsLost).Inc() }
 
--- a/edge/run.go
+++ b/edge/run.go
@@ -210,7 +210,12 @@
 			t.lastPieceAt = t.lastReadAt
 		}
 		t.splitter.Write(piece[:read])
-		if relayErr := t.relayEvents(ctx, response); relayErr != nil {
+		relayErr := t.relayEvents(ctx, response)
+		if errors.Is(relayErr, errBeyondMaximum) {
+			t.noteBeyondMaximum()
+			return t.complete(ctx, response)
+		}
+		if relayErr != nil {
 			return relayErr
 		}
 		if err := t.boundRest(); err != nil {
@@ -226,6 +231,17 @@
 	}
 }
 
+// errBeyondMaximum means that a replica goes on after the most tokens of the turn. What it sends
+// from there on belongs to no turn.
+var errBeyondMaximum = errors.New("the stream goes on after the most tokens of its turn")
+
+func (t *turnRun) noteBeyondMaximum() {
+	r := t.request
+	t.node.metrics.streamBeyondMaximum()
+	t.node.logger.Warn().Str("request", r.id).Str("replica", string(t.lastRun.ID)).Int("most", r.maxTokens).Int("tokens", r.tokens).
+		Int("events", t.events).Msg("request: stream ended at the most tokens of its turn")
+}
+
 // errEventTooLarge means that an event of a stream exceeds the bound on one.
 var errEventTooLarge = errors.New("an event of the stream is too large")
 
@@ -278,6 +294,9 @@
 
 func (t *turnRun) relayEvent(ctx context.Context, response *upstream.Response, event eventstream.Event) error {
 	r := t.request
+	if event.HasData && r.maxTokens > 0 && r.tokens >= r.maxTokens {
+		return errBeyondMaximum
+	}
 	if !r.exchange.HeadWritten() && !t.holdsOutput() {
 		if err := t.beginResponse(ctx, response); err != nil {
 			return err
