ledger: a stream is resumed although a lost owner's record allows for the whole budget

Cause: the lost owner's last record was of the first turn: its most and a slot for the second, which is the whole budget of two turns, although the first had ended with 60 tokens of 100. The limit after a loss ends one token short of one turn beyond the budget (settled 200, most 90, budget 200).

Change: a turn that resumes a stream may go beyond the budget by its whole maximum. That is the bound of the users' rule, one turn in all: the sum of all attempts and turns, each at its most, never passes it. Other turns keep their limit.

Failed try: the limit without the token less for all turns after a loss.

--- a/ledger/account.go
+++ b/ledger/account.go
@@ -230,15 +230,21 @@
 // turn if that leaves any of the budget. If use under a previous owner is assumed, that
 // extra turn is already counted there.
 //
-// The same holds for a turn that resumes a stream: its earlier attempts count with their
-// maximum, or with what was sent to a client that did not read it, although all of them
-// together are one turn.
+// A turn that resumes a stream may use one turn more than the budget: its earlier attempts
+// count with their maximum, or with what was sent to a client that did not read it, although
+// all of them together are one turn.
 func (l *Ledger) tokenLimit(turn Turn, acct *account, resumed bool) int {
-	bounded := acct.restored || acct.presumedTokens > 0 || resumed
-	if l.config.ExtraTurnAfterFailure && bounded && !acct.mayHaveStartedBefore {
+	bounded := acct.restored || acct.presumedTokens > 0
+	switch {
+	case !l.config.ExtraTurnAfterFailure || acct.mayHaveStartedBefore:
+		return turn.Budget
+	case resumed:
+		return turn.Budget + turn.MaxTokens
+	case bounded:
 		return turn.Budget + turn.MaxTokens - 1
+	default:
+		return turn.Budget
 	}
-	return turn.Budget
 }
 
 // settlementSlack is how long after its timeout a turn may still be settled.
--- a/ledger/resume_test.go
+++ b/ledger/resume_test.go
@@ -63,6 +63,23 @@
 		Expect(resumed.Verdict).To(Equal(ledger.VerdictGranted), "%+v", resumed)
 	})
 
+	// Guards against refusing it where the lost owner's last record allows for all of the budget.
+	It("is not refused at an owner that found the whole budget counted as used", func() {
+		stored := storedLog{}
+		l := stored.serving(start)
+		first := l.Admit(start, streamTurn("1", "n1"))
+		stored.store(l)
+		l.Settle(start, settlementOf("1", first, 216))
+		Expect(l.Admit(start, streamTurn("2", "n1")).Verdict).To(Equal(ledger.VerdictGranted))
+		l.BeginStream(start, ledger.Stream{Attempt: "2"})
+		successor := stored.serving(start)
+		successor.LapseUnclaimed(start, nil)
+		successor.BeginStream(start, ledger.Stream{Attempt: "2"})
+		resumed := successor.Admit(start, resumedTurn("3", "n2", "2", 5*eventTokens))
+		Expect(resumed.Verdict).To(Equal(ledger.VerdictGranted), "%+v", resumed)
+		Expect(resumed.SettledTokens + resumed.OpenTokens).To(Equal(twoTurnBudget))
+	})
+
 	It("is not refused after its attempt was settled with more than the client has read", func() {
 		l := open(storedLog{})
 		l.BeginStream(start, ledger.Stream{Attempt: "2"})
