coordinator: a new owner's search for turns does not wait for nodes that are found dead

Cause: whether a node may answer was decided by the status that the list of nodes showed last, which is never "dead"; docs/design/budgets.md says that nodes known to be dead are dropped.

"are waited for no longer once a node is found dead that was lost after the owner" fails without the change.

What it counts is the same: doubts that no node claims, at their most; a settlement that comes later still corrects that.

--- a/coordinator/claims.go
+++ b/coordinator/claims.go
@@ -106,8 +106,8 @@
 
 // mayAnswer reports whether a node is not known to be dead.
 func (c *Core) mayAnswer(id machine.ID) bool {
-	node, known := c.membership.Lookup(id)
-	return known && node.Status != machine.StatusDead
+	status, known := c.membership.Status(id)
+	return known && status != machine.StatusDead
 }
 
 func (c *Core) askForClaims(p *partition, id machine.ID) {
--- a/coordinator/claims_test.go
+++ b/coordinator/claims_test.go
@@ -124,4 +124,18 @@
 		Expect(collected[0].Lapsed).To(Equal(2), "the turn and the slot after it")
 		Expect(collected[0].Took).To(BeNumerically("<", 3*time.Second))
 	})
+
+	// Guards against holding budgets for three seconds for a node that is lost during the search.
+	It("are waited for no longer once a node is found dead that was lost after the owner", func() {
+		world := newFleet(7, 6, 1)
+		grants := loseOwner(world)
+		Expect(grants).To(HaveLen(3))
+		world.run(600 * time.Millisecond)
+		world.kill(world.ids()[0])
+		world.run(6 * time.Second)
+		collected := world.nodes[world.owners(0)[0]].collected
+		Expect(collected).To(HaveLen(1))
+		Expect(collected[0].Unanswered).To(BeZero())
+		Expect(collected[0].Took).To(BeNumerically("<", 2*time.Second))
+	})
 })
--- a/machine/lookup.go
+++ b/machine/lookup.go
@@ -12,3 +12,16 @@
 	}
 	return record.listed, true
 }
+
+// Status returns the status of a machine as this node considers it at present, and whether
+// the machine is known.
+func (m *Membership) Status(id ID) (status Status, known bool) {
+	if id == m.self.ID {
+		return m.self.Status, true
+	}
+	record, known := m.records[id]
+	if !known {
+		return "", false
+	}
+	return record.effectiveStatus(), true
+}
