ledger: a turn that is requested again lowers no lost attempt

Found by reading: a node requests the admission of a turn again when an answer was lost, with what the client had received when it sent the request. If another attempt at the stream went on meanwhile and its process ended, the owner lowered what that attempt counts to the old word, and a client that read both attempts could get more than the budget and one turn.

Change: only the first request for a turn lowers what lost attempts count.

"does not lower what its lost attempt counts when its admission is asked for again" fails without the change.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -201,8 +201,8 @@
 
 func (f *streamHandler) done() bool { return f.ended != nil && f.ended() }
 
-// after returns the offset from which to read on, once the records before next were read.
-func (f *streamHandler) after(next uint64) uint64 {
+// nextOffset returns the offset from which to read on, once the records before next were read.
+func (f *streamHandler) nextOffset(next uint64) uint64 {
 	if f.position == nil {
 		return next
 	}
@@ -266,12 +266,12 @@
 			return
 		case errors.Is(err, errStoreRegained):
 			failed = true
-			next = handler.after(next)
+			next = handler.nextOffset(next)
 			continue
 		case err != nil:
 			failed = true
 			wait.For(ctx, backoff.Next())
-			next = handler.after(next)
+			next = handler.nextOffset(next)
 			continue
 		}
 		backoff.Reset()
@@ -284,7 +284,7 @@
 			handler.change(record)
 		}
 		handler.caughtUp(requestedAt)
-		next = handler.after(tail.Next)
+		next = handler.nextOffset(tail.Next)
 		wait.For(ctx, handler.pause())
 	}
 }
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -64,9 +64,7 @@
 		requestedAt := time.Now()
 		answer, err := n.queryReader(ctx, cursor.reader, request)
 		if err == nil && answer.Older {
-			n.readerAnswered()
-			n.applyRelayedConfiguration(cursor.reader, requestedAt, &answer)
-			err = &olderListError{position: answer.Position, own: request.position}
+			err = n.leaveOlderList(cursor.reader, requestedAt, &request, &answer)
 		}
 		if err != nil {
 			n.logger.Warn().Str("reader", string(cursor.reader.ID)).Int("failures", cursor.failures).Err(err).Msg("replicas: reader not followed")
@@ -98,6 +96,14 @@
 	return fmt.Sprintf("its list is at offset %d, this node's at %d", e.position, e.own)
 }
 
+// leaveOlderList applies what a reader's answer without a list holds besides, and returns why
+// the reader is not followed.
+func (n *Node) leaveOlderList(reader machine.Machine, requestedAt time.Time, request *relayRequest, answer *relayAnswer) error {
+	n.readerAnswered()
+	n.applyRelayedConfiguration(reader, requestedAt, answer)
+	return &olderListError{position: answer.Position, own: request.position}
+}
+
 // readerAnswered records that a reader answered.
 func (n *Node) readerAnswered() { n.readerAnsweredAt.Store(int64(time.Since(n.started))) }
 
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -61,6 +61,14 @@
 // event waits for the log. A new owner does not know origins that were not recorded yet: their
 // streams cannot be resumed, but none goes on at another version.
 //
+// # Streams that are resumed
+//
+// A turn that resumes a stream names the turn that began it. All attempts at a stream are one
+// turn of the program, but each counts for itself until it is settled, since a node that is
+// slow or partitioned off may still deliver tokens. To make up for that, the resuming turn may
+// use one turn more than the budget. LapseLost lets the turns of processes lapse that have
+// ended; what a client then says that it has received replaces the maximum of such attempts.
+//
 // # Stored turns
 //
 // A stored turn holds its input, its output and the ID of the turn that it continues. The
--- a/ledger/resume.go
+++ b/ledger/resume.go
@@ -17,13 +17,14 @@
 }
 
 // resumesKnownStream reports whether a turn resumes a stream that is known here. What the
-// client says that it has received of the stream replaces what its lost attempts count.
+// client says that it has received of the stream replaces what its lost attempts count, except
+// if the turn is requested again: attempts that were lost since then may have delivered more.
 func (l *Ledger) resumesKnownStream(acct *account, turn Turn) bool {
 	if turn.Resumes == "" {
 		return false
 	}
 	attempts := acct.attemptsOf(turn.Resumes)
-	if turn.Received > 0 {
+	if _, repeated := acct.open[turn.ID]; !repeated && turn.Received > 0 {
 		acct.limitLost(attempts, turn.Received)
 	}
 	_, begun := l.streams.origins[turn.Resumes]
@@ -31,8 +32,7 @@
 }
 
 // limitLost lowers what the lost ones of the attempts at a stream count together to what the
-// client has received of the stream. They were lost before the client said so, and deliver
-// nothing more.
+// client has received of the stream. They deliver nothing more.
 func (a *account) limitLost(attempts []string, received int) {
 	for _, id := range slices.DeleteFunc(attempts, func(id string) bool { return !a.open[id].lost }) {
 		reserved := a.open[id]
--- a/ledger/resume_test.go
+++ b/ledger/resume_test.go
@@ -126,6 +126,18 @@
 		Expect(next.SettledTokens).To(Equal(216 + 30))
 	})
 
+	// Guards against counting too little where a node asks for the same admission again: its first
+	// attempt may have gone on meanwhile.
+	It("does not lower what its lost attempt counts when its admission is asked for again", func() {
+		l := open(storedLog{})
+		resumed := resumedTurn("3", "n2", "2", eventTokens)
+		Expect(l.Admit(start, resumed).Verdict).To(Equal(ledger.VerdictGranted))
+		l.LapseLost(start, map[string]uint64{"n1": 2})
+		again := l.Admit(start, resumed)
+		Expect(again.Repeated).To(BeTrue())
+		Expect(again.SettledTokens).To(Equal(216 + twoTurnMaxTokens))
+	})
+
 	It("leaves the turns of other processes alone", func() {
 		l := open(storedLog{})
 		Expect(l.LapseLost(start, map[string]uint64{"n2": 9})).To(BeZero())
@@ -228,8 +240,10 @@
 		m.begin(m.newTurn(""))
 	case draw < 60:
 		m.resume()
-	case draw < 90:
+	case draw < 85:
 		m.deliver()
+	case draw < 92:
+		m.askAgain()
 	default:
 		m.settle()
 	}
@@ -284,6 +298,18 @@
 	}
 }
 
+// askAgain requests the admission of a turn once more, as nodes do whose answer was lost. What
+// its client had received when it was sent is out of date.
+func (m *streamModel) askAgain() {
+	attempt := m.any()
+	if attempt == nil || attempt.ended || !m.lives(attempt) {
+		return
+	}
+	if admission := m.owner.Admit(m.now, attempt.turn); admission.Verdict != ledger.VerdictGranted {
+		attempt.ended = true
+	}
+}
+
 // any returns an attempt, or nil.
 func (m *streamModel) any() *streamAttempt {
 	if len(m.attempts) == 0 {
