edge, ledger, coordinator: simpler forms of what the review's fixes added

Found by reading the whole change again; behaviour stays as it is.

- coordinator: addNodes runs for each message of a peer, and made a map each time for nodes that have restarted.
It is made when there is one.
- edge: followTail moved its offset behind a list that was adopted in three places; it does so in one, before each read.
- edge: findOrigin qualified the ID of the resumed turn itself; resumedTurnID does.
- ledger: tokenLimit returned the plain budget in two cases, one is left.
- ledger: two comments of the model of streams said what it does not do.

Tests of the three packages pass, with their assertions unchanged.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -309,7 +309,7 @@
 // addNodes adds nodes to the directory.
 func (c *Core) addNodes(now time.Time, nodes []machine.Machine) {
 	var added []machine.Machine
-	restarted := make(map[string]uint64)
+	var restarted map[string]uint64
 	for _, node := range nodes {
 		if node.ID == c.self().ID || node.Address == "" {
 			continue
@@ -319,6 +319,9 @@
 			continue
 		}
 		if found {
+			if restarted == nil {
+				restarted = make(map[string]uint64)
+			}
 			restarted[string(node.ID)] = node.Incarnation
 		}
 		node.Kind = machine.KindNode
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -254,6 +254,7 @@
 	backoff := n.backoff()
 	failed := false
 	for ctx.Err() == nil && !handler.done() && time.Now().Before(resync) {
+		next = handler.nextOffset(next)
 		timeout := handler.wait()
 		requestedAt := time.Now()
 		regained := n.store.nextRegain()
@@ -266,12 +267,10 @@
 			return
 		case errors.Is(err, errStoreRegained):
 			failed = true
-			next = handler.nextOffset(next)
 			continue
 		case err != nil:
 			failed = true
 			wait.For(ctx, backoff.Next())
-			next = handler.nextOffset(next)
 			continue
 		}
 		backoff.Reset()
@@ -284,7 +283,7 @@
 			handler.change(record)
 		}
 		handler.caughtUp(requestedAt)
-		next = handler.nextOffset(tail.Next)
+		next = tail.Next
 		wait.For(ctx, handler.pause())
 	}
 }
--- a/edge/resume.go
+++ b/edge/resume.go
@@ -105,7 +105,7 @@
 
 // findOrigin returns the origin of the stream that the request resumes.
 func (n *Node) findOrigin(ctx context.Context, r *requestState) (*ledger.StreamOrigin, error) {
-	if attempt := r.scope.Qualify(r.resumed); attempt != "" {
+	if attempt := r.resumedTurnID(); attempt != "" {
 		search := &requestState{exchange: r.exchange}
 		request := coordinator.Request{Origin: &coordinator.OriginRequest{Attempt: attempt}}
 		reply, err := n.callOwner(ctx, search, n.originPartition(r, attempt), request, ownerLookupTimeout)
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -234,13 +234,11 @@
 // count with their maximum, or with what was sent to a client that did not read it, although
 // all of them together are one turn.
 func (l *Ledger) tokenLimit(turn Turn, acct *account, resumed bool) int {
-	bounded := acct.restored || acct.presumedTokens > 0
+	extraTurn := l.config.ExtraTurnAfterFailure && !acct.mayHaveStartedBefore
 	switch {
-	case !l.config.ExtraTurnAfterFailure || acct.mayHaveStartedBefore:
-		return turn.Budget
-	case resumed:
+	case extraTurn && resumed:
 		return turn.Budget + turn.MaxTokens
-	case bounded:
+	case extraTurn && (acct.restored || acct.presumedTokens > 0):
 		return turn.Budget + turn.MaxTokens - 1
 	default:
 		return turn.Budget
--- a/ledger/resume_test.go
+++ b/ledger/resume_test.go
@@ -168,8 +168,8 @@
 	stored storedLog
 	owner  *ledger.Ledger
 	budget int
-	// processes holds the present process of each node, and restarted those that the owner does
-	// not know yet.
+	// processes holds the present process of each node, and restarted that of the nodes that have
+	// restarted.
 	processes map[string]uint64
 	restarted map[string]uint64
 	attempts  []*streamAttempt
@@ -318,7 +318,7 @@
 	return m.attempts[m.random.IntN(len(m.attempts))]
 }
 
-// deliver has an attempt deliver tokens, unless its process or the time of its turn is over.
+// deliver has an attempt deliver tokens, unless it or its process has ended.
 func (m *streamModel) deliver() {
 	attempt := m.any()
 	if attempt == nil || attempt.ended || !m.lives(attempt) {
