header, upstream: the first line of an answer is checked before it is parsed

Callers got 200, sealed and whole, when a replica answered with the status 000. Cause: the library keeps a status of 000 as 0, and tells 200, its default, when asked for it; the range check of upstream saw that 200. It also accepts any HTTP version (and then ignores chunks), several blanks before the status, and control bytes in the reason. Change: header.PeekResponse checks the head while it is still in the buffer, line by line, and upstream parses it only afterwards. Status 100 to 999, HTTP/1.0 and 1.1, one blank, no control bytes, lines that end in CRLF. The error names the part, which the log line "request: run without an answer" and the 502 carry; it quotes no other bytes. 600 to 999 stay as they are: HTTP has clients take them for server errors, and a status is returned unchanged. Evidence: platform/standin "A head that is not valid HTTP ..." failed in all three entries without the call in upstream/send.go (the client got 200), and passes with it on four routes; header's tests hold each way, in one piece and one byte at a time.

--- a/upstream/send.go
+++ b/upstream/send.go
@@ -159,6 +159,10 @@
 
 func (r *Response) readOneHead() error {
 	for range maxInformational {
+		// The library accepts and repairs heads that are not valid HTTP.
+		if _, err := header.PeekResponse(r.conn.reader); err != nil {
+			return err
+		}
 		r.Header.Reset()
 		r.Header.SetNoDefaultContentType(true)
 		if err := r.Header.Read(r.conn.reader); err != nil {
