header, upstream, ingress: one check of fields for requests and answers

Callers got an answer in whose head a field's name held a blank: the line passed on, sometimes repaired ("X-Odd : a"), or a body cut short ("Content-Length : 1" gave "o" of "ok" as whole). A folded line became part of the value before it, the seal included, and a trailer was not looked at. Cause: the library keeps or repairs such lines. ingress refused them from clients by a check of its own; upstream had none. Change: header.FieldName is that check, for the heads and trailers of both directions. A folded line and a blank next to a name are refused: after them a parser may read other fields than the replica wrote. HTTP/1.0 with a transfer coding is refused too, since the library ignores the coding and would pass its framing on as the body. A control byte in a name was refused with 502 before; the error names the field now, in place of the bytes of the whole head.

--- a/header/response.go
+++ b/header/response.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 )
 
 // InvalidError means that bytes which a peer sent are not valid HTTP/1.1. It names the part that is
@@ -43,6 +44,8 @@
 	// Length is the number of bytes of the head, including the empty line that ends it.
 	Length int
 	Status int
+	// http10 is set for HTTP/1.0.
+	http10 bool
 }
 
 // PeekResponse waits until the whole head of a response is buffered, and checks it. It consumes
@@ -100,6 +103,8 @@
 			err = h.parseStatusLine(line)
 		case len(line) == 0:
 			return true, nil
+		default:
+			err = h.checkField(line)
 		}
 		if err != nil {
 			return false, err
@@ -121,18 +126,16 @@
 	if !isText(reason) {
 		return &InvalidError{Problem: "a control byte in the reason of the status"}
 	}
-	h.Status = int(status)
+	h.Status, h.http10 = int(status), string(version) == "HTTP/1.0"
 	return nil
 }
 
-// isText reports whether bytes have no control bytes except tabs, as values of fields and the reason
-// of a status must not.
-func isText(text []byte) bool {
-	const del = 0x7F
-	for _, char := range text {
-		if char < ' ' && char != '\t' || char == del {
-			return false
-		}
+// checkField checks a field of the head. HTTP/1.0 has no transfer codings, so that the end of a
+// body with one is not certain.
+func (h *ResponseHead) checkField(line []byte) error {
+	name, err := FieldName(line)
+	if err == nil && h.http10 && strings.EqualFold(name, TransferEncoding) {
+		err = &InvalidError{Problem: "a transfer coding in HTTP/1.0"}
 	}
-	return true
+	return err
 }
--- a/header/response_test.go
+++ b/header/response_test.go
@@ -88,3 +88,52 @@
 		}
 	}
 }
+
+// invalidFields are lines that are no fields, with a part of the error.
+func invalidFields() map[string]string {
+	lines := map[string]string{
+		"X Odd: a": `name of a field "X Odd"`, "X-Odd : a": `name of a field "X-Odd "`, "X-Odd\t: a": "name", "Content Length: 1": "name", "Content-Length : 1": "name",
+		"Transfer Encoding: chunked": "name", "X-Request-Id : other": "name", ": a": "without a name", "X-Odd": "without a field",
+		" X-Odd: a": "folded", "\tX-Odd: a": "folded", "  folded": "folded", "X(Odd): a": "name", "X-Odd: a\x00": `control byte in the value of "X-Odd"`, "X-Odd: a\rb": "control byte",
+	}
+	for _, char := range []byte{0x00, 0x01, 0x09, 0x0D, 0x1F, 0x7F, 0x80, 0xFF} {
+		lines["X"+string([]byte{char})+"Odd: a"] = "name"
+		lines["X-Odd"+string([]byte{char})+": a"] = "name"
+	}
+	return lines
+}
+
+func TestPeekResponseRefusesInvalidFields(t *testing.T) {
+	for line, why := range invalidFields() {
+		expectInvalid(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nA: b\r\n\r\n", why)
+		expectInvalid(t, "HTTP/1.1 200 OK\r\nA: b\r\n"+line+"\r\n", why)
+	}
+	expectInvalid(t, "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "transfer coding")
+}
+
+func TestPeekResponseAcceptsValidFields(t *testing.T) {
+	text := "HTTP/1.1 200 OK\r\nX-Empty:\r\nX_1.2~!#$%&'*+^`|: a\tb: \xe9 \r\nTransfer-Encoding: chunked\r\n\r\n"
+	if head, err := header.PeekResponse(bufio.NewReader(strings.NewReader(text))); err != nil || head.Length != len(text) {
+		t.Errorf("%+v, %v", head, err)
+	}
+}
+
+func TestSkipTrailerRefusesInvalidFields(t *testing.T) {
+	for line := range invalidFields() {
+		err := header.SkipTrailer(bufio.NewReader(strings.NewReader("A: b\r\n" + line + "\r\n\r\n")))
+		var invalid *header.InvalidError
+		if !errors.As(err, &invalid) {
+			t.Errorf("%q: %v", line, err)
+		}
+	}
+}
+
+func TestSkipTrailerEndsAfterTheEmptyLine(t *testing.T) {
+	for _, trailer := range []string{"\r\n", "A: b\r\n\r\n", "A: b\nC:\n\n"} {
+		reader := bufio.NewReader(strings.NewReader(trailer + "next"))
+		err := header.SkipTrailer(reader)
+		if rest, _ := io.ReadAll(reader); err != nil || string(rest) != "next" {
+			t.Errorf("%q: %v, %q is left", trailer, err, rest)
+		}
+	}
+}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -152,14 +152,17 @@
 	}
 	lengths, codings := 0, 0
 	for line := range bytes.Lines(e.head.RawHeaders()) {
-		name, _, found := bytes.Cut(line, []byte(":"))
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			continue
+		}
+		name, err := header.FieldName(line)
 		switch {
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
-		case !found || !isToken(name):
-			return &rejection{status: fasthttp.StatusBadRequest, reason: "the name of a header field is not valid"}
-		case strings.EqualFold(string(name), header.ContentLength):
+		case err != nil:
+			return &rejection{status: fasthttp.StatusBadRequest, reason: err.Error()}
+		case strings.EqualFold(name, header.ContentLength):
 			lengths++
-		case strings.EqualFold(string(name), header.TransferEncoding):
+		case strings.EqualFold(name, header.TransferEncoding):
 			codings++
 		}
 	}
@@ -173,20 +176,6 @@
 	return nil
 }
 
-// isToken reports whether a field name is a token of RFC 9110. A name with
-// whitespace in or next to it is ambiguous: a parser may read its line as a
-// field of its own or as a continuation of the line before it.
-func isToken(name []byte) bool {
-	for _, char := range name {
-		letter := 'a' <= char|0x20 && char|0x20 <= 'z'
-		digit := '0' <= char && char <= '9'
-		if !letter && !digit && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(char)) {
-			return false
-		}
-	}
-	return len(name) > 0
-}
-
 // sendContinue sends "100 Continue" to a client that expects it before it sends
 // the body.
 func (e *Exchange) sendContinue() error {
