upstream: an answer that echoes the ids of several requests is refused

Callers got an answer with two X-Request-Id lines of which the second was another's. Cause: only the first line was compared. Which of the two requests such an answer belongs to can't be told, so it ends the exchange as any head that is not valid.

--- a/upstream/send.go
+++ b/upstream/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"strconv"
@@ -135,6 +136,9 @@
 // not be skipped.
 var errForeignAnswer = errors.New("the answer belongs to another request")
 
+// errAmbiguousID means that an answer echoes the ids of several requests.
+var errAmbiguousID = errors.New("the answer has the ids of several requests")
+
 // readHead reads answers until it has read the head of the request's own,
 // skipping informational responses and answers to earlier requests.
 func (r *Response) readHead(id string) error {
@@ -142,9 +146,9 @@
 		if err := r.readOneHead(); err != nil {
 			return err
 		}
-		echoed := r.Header.Peek(r.pool.config.Names.RequestID)
-		if len(echoed) == 0 || string(echoed) == id {
-			return nil
+		own, err := r.answers(id)
+		if own || err != nil {
+			return err
 		}
 		r.skippedAnswers = true
 		if r.length() < 0 || r.length() > r.pool.config.SkipBytes {
@@ -157,6 +161,21 @@
 	return errForeignAnswer
 }
 
+// answers reports whether the head that was read answers the request with the given id. One without
+// an id does.
+func (r *Response) answers(id string) (bool, error) {
+	echoed := r.Header.PeekAll(r.pool.config.Names.RequestID)
+	if len(echoed) == 0 {
+		return true, nil
+	}
+	for _, other := range echoed[1:] {
+		if !bytes.Equal(other, echoed[0]) {
+			return false, errAmbiguousID
+		}
+	}
+	return len(echoed[0]) == 0 || string(echoed[0]) == id, nil
+}
+
 func (r *Response) readOneHead() error {
 	for range maxInformational {
 		// The library accepts and repairs heads that are not valid HTTP.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -225,6 +225,9 @@
 		Entry("in the trailer", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nA: b\r\n!close"),
 		Entry("before the last line of the trailer", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n!close"),
 		Entry("with bytes that are no answer", "\x00\x01garbage\r\n\r\n"),
+		Entry("with its own id and then another's", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTest-Id: 2\r\nContent-Length: 3\r\n\r\none"),
+		Entry("with another's id and then its own", "HTTP/1.1 200 OK\r\nTest-Id: 2\r\nTest-Id: 1\r\nContent-Length: 3\r\n\r\none"),
+		Entry("with its own id and an empty one", "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTest-Id:\r\nContent-Length: 3\r\n\r\none"),
 		Entry("with only another request's answers", sized("7", "x")+sized("8", "x")+sized("9", "x")),
 	)
 
@@ -256,6 +259,13 @@
 		Expect(replica.connections).To(HaveLen(2))
 	})
 
+	It("takes an answer that gives its id twice", func() {
+		replica := startReplica("HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTest-Id: 1\r\nContent-Length: 3\r\n\r\none")
+		body, _, err := send(pool, replica, "1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal("one"))
+	})
+
 	It("does not use a connection again on which bytes wait after a whole answer", func() {
 		replica := startReplica(sized("1", "mine")+sized("1", "again"), sized("2", "two"))
 		_, _, err := send(pool, replica, "1")
