upstream: a success that ends with its connection is whole only if its request was written

Callers got a part of an answer as a whole one: a replica answered a long upload at once with a 200 without a length, sent part of its body and reset the connection. On the route that stores turns the part was stored, and a later turn could continue it. Cause: the system reports a reset once. The goroutine that writes the upload got it, and the reader then read an end in order, which ConfirmEnd took for whole because the process lived. The result of the writing was asked for in Finish alone. With short bodies, whose write error was ignored, it was the same. Change: the end of the writing is kept for every request, and ConfirmEnd waits for it. It is known at the latest with the exchange's deadline: no guess. A replica that closes its side in order and reads the upload to its end has its answer passed on; one that reads no more does not, since nothing tells that end from a reset. A wrong "whole" is a broken answer that nobody notices, a wrong "broken" costs a retry or a 502. A failure (400 and above) that ends in order is passed on as before: replicas refuse long uploads early.

--- a/upstream/framing.go
+++ b/upstream/framing.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 // Framing is how an answer delimits its body.
@@ -66,13 +68,13 @@
 
 // ConfirmEnd decides whether a body that ended with ErrClosed is whole, and returns nil if
 // it is. The connections of a process that ends close in order as well; a replica whose process
-// survived has ended its answer itself.
+// survived has ended its answer itself. ConfirmEnd may block until the exchange's deadline.
 func (r *Response) ConfirmEnd() error {
 	closed := ClosedExchange{Since: r.witnessedAt, At: time.Now(), Deadline: r.deadline, Witness: r.witness}
 	r.witness = nil
-	err := errNoSurvival
-	if r.survived != nil {
-		err = r.survived(closed)
+	err := r.checkWritten()
+	if err == nil {
+		err = r.checkSurvival(closed)
 	}
 	closed.Witness.release()
 	if err != nil {
@@ -83,6 +85,28 @@
 	return nil
 }
 
+// checkWritten returns an error if the answer is a success and its request was not written whole.
+// The system reports the reset of a connection once: if the writer of the request gets it, the
+// reader sees an end in order. A failure is passed on without this check, because replicas refuse
+// a long request before they have read it.
+func (r *Response) checkWritten() error {
+	if r.Status() >= fasthttp.StatusBadRequest {
+		return nil
+	}
+	if err := r.writing.await(); err != nil {
+		return fmt.Errorf("the request was not written whole: %w", err)
+	}
+	return nil
+}
+
+// checkSurvival returns an error unless the replica's process survived the end of the exchange.
+func (r *Response) checkSurvival(closed ClosedExchange) error {
+	if r.survived == nil {
+		return errNoSurvival
+	}
+	return r.survived(closed)
+}
+
 // errNoSurvival means that the request does not tell how to confirm the end of its answer.
 var errNoSurvival = errors.New("nothing shows whether the process survived")
 
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -21,11 +21,11 @@
 	// Header is the head, with the framing fields as the replica sent them.
 	Header fasthttp.ResponseHeader
 
-	pool        *Pool
-	to          Target
-	conn        *conn
-	cancel      *Cancel
-	writeResult <-chan error
+	pool    *Pool
+	to      Target
+	conn    *conn
+	cancel  *Cancel
+	writing *requestWriting
 	// connectedAt is when the connection was opened, and witnessedAt the time before which
 	// connections were opened to the process that answers.
 	connectedAt time.Time
@@ -203,7 +203,7 @@
 	r.conn = nil
 	r.witness.release()
 	_ = r.cancel.bind(nil, time.Time{})
-	if r.end != EndDelimited || !connection.reusable() || !r.requestWritten() || r.skippedAnswers || r.Header.ConnectionClose() || r.cancel.Cause() != nil {
+	if r.end != EndDelimited || !connection.reusable() || !r.writing.written() || r.skippedAnswers || r.Header.ConnectionClose() || r.cancel.Cause() != nil {
 		_ = connection.Close()
 		return
 	}
@@ -212,19 +212,6 @@
 	r.pool.put(r.to, connection)
 }
 
-// requestWritten reports whether the complete request was written.
-func (r *Response) requestWritten() bool {
-	if r.writeResult == nil {
-		return true
-	}
-	select {
-	case err := <-r.writeResult:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // Abort ends the exchange at any point. It closes the connection, which makes the
 // replica stop working on the request.
 func (r *Response) Abort() {
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -72,7 +72,7 @@
 		pool: p, to: to, conn: connection, cancel: cancel, deadline: request.Deadline, end: EndOpen, connectedAt: connection.openedAt,
 		memory: request.Memory, survived: request.Survived,
 	}
-	response.writeResult = writeRequest(connection.writer, request)
+	response.writing = writeRequest(connection.writer, request)
 	if err := response.readHead(request.ID); err != nil {
 		response.Abort()
 		return nil, &UnknownError{Stage: "read answer", Cause: cancelCauseOr(cancel, err)}
@@ -91,24 +91,48 @@
 	return err
 }
 
+// requestWriting is the writing of a request, which may still be under way.
+type requestWriting struct {
+	// done is closed once the writing has ended, with err.
+	done chan struct{}
+	err  error
+}
+
+// await waits until the writing has ended, at the latest with the deadline of its connection. It
+// returns nil if the complete request was written.
+func (w *requestWriting) await() error {
+	<-w.done
+	return w.err
+}
+
+// written reports whether the complete request has been written.
+func (w *requestWriting) written() bool {
+	select {
+	case <-w.done:
+		return w.err == nil
+	default:
+		return false
+	}
+}
+
 // writeRequest writes the request. A body longer than inlineBodyBytes is
-// written by another goroutine, which sends its result on the returned channel;
-// otherwise the channel is nil.
-func writeRequest(writer *bufio.Writer, request *Request) <-chan error {
+// written by another goroutine. A write error does not end the exchange, since the replica
+// may have answered before it closed the connection. If not, reading the answer fails.
+func writeRequest(writer *bufio.Writer, request *Request) *requestWriting {
+	writing := &requestWriting{done: make(chan struct{})}
 	writeHead(writer, request)
-	if len(request.Body) <= inlineBodyBytes {
+	write := func() {
+		defer close(writing.done)
 		_, _ = writer.Write(request.Body)
-		// A write error is ignored here, since the replica may have answered before
-		// it closed the connection. If not, reading the answer fails.
-		_ = writer.Flush()
-		return nil
+		// The errors of a bufio.Writer are sticky.
+		writing.err = writer.Flush()
 	}
-	done := make(chan error, 1)
-	go func() {
-		_, _ = writer.Write(request.Body)
-		done <- writer.Flush()
-	}()
-	return done
+	if len(request.Body) <= inlineBodyBytes {
+		write()
+	} else {
+		go write()
+	}
+	return writing
 }
 
 func writeHead(writer *bufio.Writer, request *Request) {
