--- a/header/response_test.go
+++ b/header/response_test.go
@@ -93,7 +93,7 @@
 func invalidFields() map[string]string {
 	lines := map[string]string{
 		"X Odd: a": `name of a field "X Odd"`, "X-Odd : a": `name of a field "X-Odd "`, "X-Odd\t: a": "name", "Content Length: 1": "name", "Content-Length : 1": "name",
-		"Transfer Encoding: chunked": "name", "X-Request-Id : other": "name", ": a": "without a name", "X-Odd": "without a field",
+		"Transfer Encoding: chunked": "name", "X-Id : other": "name", ": a": "without a name", "X-Odd": "without a field",
 		" X-Odd: a": "folded", "\tX-Odd: a": "folded", "  folded": "folded", "X(Odd): a": "name", "X-Odd: a\x00": `control byte in the value of "X-Odd"`, "X-Odd: a\rb": "control byte",
 	}
 	for _, char := range []byte{0x00, 0x01, 0x09, 0x0D, 0x1F, 0x7F, 0x80, 0xFF} {
