connection, httpclient, platform, gateway: heads of all other answers are checked

Seen: the store's client took an answer of status 000 for an acknowledgement, and httpclient, which calls engines, tools and other nodes, for a success. Cause: as in upstream: the library tells 200 for a status of 0, and repairs names of fields. These clients leave the connection to the library. Change: connection.CheckResponses runs the same check on the connection, before the library reads the head; it holds a buffer only while a head is read. The first byte is handed over before the error, since the library takes an error before it for a connection that was closed. Also looked at, and handled already: link/linkhttp takes 204 alone, which 000 is not read as; bodies that end with their connection are JSON or framed records here, and a part of one fails to decode; engine/enginehttp asks for the last chunk; load reads through httpclient.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -47,7 +47,7 @@
 				return nil, errNotSent
 			}
 			probe, probed := connection.NewProbe(conn)
-			return &peerConn{Conn: conn, probe: probe, probed: probed, silence: config.PeerSilence}, nil
+			return &peerConn{Conn: connection.CheckResponses(conn), probe: probe, probed: probed, silence: config.PeerSilence}, nil
 		},
 	}
 }
--- a/httpclient/client_test.go
+++ b/httpclient/client_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gleak"
 
+	"birchwood.example/birchwood/header"
 	"birchwood.example/birchwood/httpclient"
 )
 
@@ -187,3 +188,19 @@
 		Entry("the end of the connection", "HTTP/1.1 200 OK\r\n\r\n12\n3", SpecTimeout(10*time.Second)),
 	)
 })
+
+var _ = DescribeTable("An answer whose head is not valid HTTP is no success", func(head string) {
+	server := serve(func(connection net.Conn) bool {
+		_, _ = io.WriteString(connection, head+"Content-Length: 2\r\n\r\n{}")
+		return true
+	})
+	client := httpclient.New(httpclient.Options{Address: server.listener.Addr().String()})
+	DeferCleanup(client.Close)
+	var invalid *header.InvalidError
+	Expect(errors.As(client.Do(context.Background(), "POST", "/", nil, nil), &invalid)).To(BeTrue())
+	err := client.Lines(context.Background(), "/", nil, func([]byte) error { return nil })
+	Expect(errors.As(err, &invalid)).To(BeTrue())
+},
+	Entry("by its status", "HTTP/1.1 000 OK\r\n"),
+	Entry("by the name of a field", "HTTP/1.1 200 OK\r\nX Odd: a\r\n"),
+)
--- a/httpclient/idle.go
+++ b/httpclient/idle.go
@@ -22,14 +22,15 @@
 	responseRead bool
 }
 
-// newIdleConn wraps a connection. It returns a connection without a file
-// descriptor unchanged.
+// newIdleConn wraps a connection, whose responses it also checks. A connection without a file
+// descriptor is not probed.
 func newIdleConn(conn net.Conn) net.Conn {
+	checked := connection.CheckResponses(conn)
 	probe, hasDescriptor := connection.NewProbe(conn)
 	if !hasDescriptor {
-		return conn
+		return checked
 	}
-	return &idleConn{Conn: conn, probe: probe}
+	return &idleConn{Conn: checked, probe: probe}
 }
 
 // Read implements net.Conn.
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -21,8 +21,8 @@
 // have no entry of their own.
 var layers = [][]string{
 	{"soak/promise"},
-	{"internal/wait", "findings", "connection", "header", "recordstore", "eventstream", "zone", "dispatch", "liveness", "membudget"},
-	{"tenant", "evacuation", "quarantine"},
+	{"internal/wait", "findings", "header", "recordstore", "eventstream", "zone", "dispatch", "liveness", "membudget"},
+	{"tenant", "evacuation", "quarantine", "connection"},
 	{"httpclient", "retry", "routing", "replica", "ledger", "ownership", "upstream"},
 	{"machine", "api"},
 	{"contract", "recordlog", "infra", "tool", "history", "stream"},
