--- a/edge/node.go
+++ b/edge/node.go
@@ -353,6 +353,7 @@
 	n.run(n.joinThroughPeers)
 	n.run(n.followPeers)
 	n.run(n.closeUnusable)
+	n.run(n.keepVersions)
 	n.logger.Info().Str("zone", n.settings.Zone).Int("partitions", n.settings.Partitions).Msg("edge: started")
 	return nil
 }
--- a/edge/resume.go
+++ b/edge/resume.go
@@ -118,10 +118,16 @@
 		}
 	}
 	service, single := r.route.SingleService()
-	version, only := n.replicas.onlyVersion(service, r.resumed != "")
-	if !single || !only || r.resumed != "" && !n.seesAllReplicas() {
+	version, only, throughout := n.replicas.onlyVersion(service)
+	if !single || !only {
 		return nil, errOriginUnknown
 	}
+	if !throughout || !n.seesAllReplicas() {
+		// The owner of a named attempt would know an origin that this node has not seen.
+		if r.resumed != "" || !n.servedAlone(ctx, replica.ServiceVersion{Service: service, Version: version}) {
+			return nil, errOriginUnknown
+		}
+	}
 	r.originSource = sourceOnlyVersion
 	return &ledger.StreamOrigin{Service: service, Version: version}, nil
 }
@@ -218,11 +224,12 @@
 }
 
 // onlyVersion returns the one version that the replicas of a service had for as long as a
-// stream can be resumed. With throughout, this node must have known the service for as long.
-func (r *replicas) onlyVersion(service string, throughout bool) (version string, only bool) {
+// stream can be resumed, as far as this node has seen; throughout reports whether it has known the
+// service for as long.
+func (r *replicas) onlyVersion(service string) (version string, only, throughout bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := time.Now()
 	version, since, only := r.set.OnlyVersion(now, service, ledger.StreamLifetime)
-	return version, only && (!throughout || now.Sub(since) >= ledger.StreamLifetime)
+	return version, only, now.Sub(since) >= ledger.StreamLifetime
 }
--- /dev/null
+++ b/edge/versions.go
@@ -0,0 +1,192 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"birchwood.example/birchwood/internal/wait"
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/recordstore"
+	"birchwood.example/birchwood/replica"
+)
+
+// The versions that have served lately are recorded in the store, because they outlive all nodes: a
+// node that starts after the loss of all nodes lists the versions that serve now, and not those that
+// began the streams which its clients resume. A version is recorded once a node lists it, and its
+// record is removed once a node has not listed it for as long as a stream can be resumed. The
+// nodes' clocks do not matter.
+const (
+	// versionsPeriod is the time between two comparisons of the listed and the recorded versions.
+	versionsPeriod = 500 * time.Millisecond
+	// versionsSpread is the random delay before a change is recorded. Most nodes then find it
+	// recorded by another one.
+	versionsSpread = time.Second
+	// versionsReadTimeout bounds the read for a request that resumes a stream.
+	versionsReadTimeout = 500 * time.Millisecond
+)
+
+// versionsStream holds the records.
+var versionsStream = recordstore.Stream{Name: recordstore.StreamVersions}
+
+// versionSet is a set of versions.
+type versionSet map[replica.ServiceVersion]bool
+
+// versionKeeper decides which records of versions to write and to remove.
+type versionKeeper struct {
+	// recorded are the versions that the store had when it was read last; nil before that.
+	recorded versionSet
+	// unlistedSince is since when this node has not listed a recorded version.
+	unlistedSince map[replica.ServiceVersion]time.Time
+}
+
+// changes returns the versions to record and those whose records to remove.
+func (k *versionKeeper) changes(now time.Time, listed versionSet) (add, remove []replica.ServiceVersion) {
+	for version := range listed {
+		if !k.recorded[version] {
+			add = append(add, version)
+		}
+	}
+	since := make(map[replica.ServiceVersion]time.Time)
+	for version := range k.recorded {
+		if listed[version] {
+			continue
+		}
+		first, known := k.unlistedSince[version]
+		if !known {
+			first = now
+		}
+		since[version] = first
+		if now.Sub(first) > ledger.StreamLifetime {
+			remove = append(remove, version)
+		}
+	}
+	k.unlistedSince = since
+	return add, remove
+}
+
+// keepVersions records the versions that serve, as far as this node lists all replicas.
+func (n *Node) keepVersions(ctx context.Context) {
+	var keeper versionKeeper
+	for wait.For(ctx, versionsPeriod) {
+		if !n.seesAllReplicas() || !n.versionsChanged(&keeper) {
+			continue
+		}
+		if !wait.For(ctx, time.Duration(n.draw()*float64(versionsSpread))) {
+			return
+		}
+		if err := n.recordVersions(ctx, &keeper); err != nil {
+			n.logger.Warn().Err(err).Msg("versions: not recorded")
+		}
+	}
+}
+
+func (n *Node) versionsChanged(keeper *versionKeeper) bool {
+	add, remove := keeper.changes(time.Now(), n.replicas.listedVersions())
+	return keeper.recorded == nil || len(add)+len(remove) > 0
+}
+
+// recordVersions reads the records and writes those that differ from the versions that serve.
+func (n *Node) recordVersions(ctx context.Context, keeper *versionKeeper) error {
+	recorded, err := n.readVersions(ctx)
+	if err != nil {
+		return err
+	}
+	keeper.recorded = recorded
+	add, remove := keeper.changes(time.Now(), n.replicas.listedVersions())
+	if len(add)+len(remove) == 0 {
+		return nil
+	}
+	records, err := versionRecords(add, remove)
+	if err != nil {
+		return err
+	}
+	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	err = n.adapter.Store.Append(callCtx, versionsStream, recordstore.Writer{}, records)
+	n.recordStoreCall(err)
+	if err != nil {
+		return err
+	}
+	for _, version := range add {
+		recorded[version] = true
+	}
+	for _, version := range remove {
+		delete(recorded, version)
+	}
+	n.logger.Info().Any("added", add).Any("removed", remove).Int("recorded", len(recorded)).Msg("versions: recorded")
+	return nil
+}
+
+// versionRecords returns the records that add and remove versions.
+func versionRecords(add, remove []replica.ServiceVersion) (records []recordstore.Record, err error) {
+	for _, version := range add {
+		value, err := json.Marshal(version)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, recordstore.Record{Key: versionKey(version), Value: value})
+	}
+	for _, version := range remove {
+		records = append(records, recordstore.Record{Key: versionKey(version)})
+	}
+	return records, nil
+}
+
+// versionKey returns the key of a version's record, whose length does not depend on the names.
+func versionKey(version replica.ServiceVersion) string {
+	return fmt.Sprintf("%016x%016x", xxhash.Sum64String(version.Service), xxhash.Sum64String(version.Version))
+}
+
+// readVersions reads the recorded versions. A record that cannot be decoded is from another version
+// of this system and is skipped.
+func (n *Node) readVersions(ctx context.Context) (versionSet, error) {
+	records, _, err := n.readNewest(ctx, versionsStream)
+	if err != nil {
+		return nil, err
+	}
+	recorded := make(versionSet)
+	for _, record := range records {
+		if len(record.Value) == 0 {
+			continue
+		}
+		var version replica.ServiceVersion
+		if err := json.Unmarshal(record.Value, &version); err != nil {
+			n.logger.Warn().Str("record", record.Key).Err(err).Msg("versions: record could not be decoded")
+			continue
+		}
+		recorded[version] = true
+	}
+	return recorded, nil
+}
+
+// servedAlone reports whether the store has no record of another version of the service.
+func (n *Node) servedAlone(ctx context.Context, only replica.ServiceVersion) bool {
+	readCtx, cancel := context.WithTimeout(ctx, versionsReadTimeout)
+	defer cancel()
+	recorded, err := n.readVersions(readCtx)
+	if err != nil {
+		n.logger.Warn().Str("service", only.Service).Str("version", only.Version).Err(err).Msg("versions: not read for a stream that is resumed")
+		return false
+	}
+	for version := range recorded {
+		if version.Service == only.Service && version != only {
+			return false
+		}
+	}
+	return true
+}
+
+// listedVersions returns the versions that listed replicas have.
+func (r *replicas) listedVersions() versionSet {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	listed := make(versionSet)
+	for _, version := range r.set.ListedVersions() {
+		listed[version] = true
+	}
+	return listed
+}
--- a/recordstore/recordstore.go
+++ b/recordstore/recordstore.go
@@ -29,6 +29,8 @@
 	StreamNodes StreamName = "nodes"
 	// StreamLedger holds the programs' accounts and stored turns.
 	StreamLedger StreamName = "ledger"
+	// StreamVersions holds the versions of services that have served lately.
+	StreamVersions StreamName = "versions"
 )
 
 // Record is one keyed record. An empty value removes the key.
--- a/replica/version.go
+++ b/replica/version.go
@@ -110,3 +110,21 @@
 	}
 	return s.unavailableReason(now, request)
 }
+
+// ServiceVersion is a version of a service's software.
+type ServiceVersion struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+}
+
+// ListedVersions returns the versions that listed replicas have, in no order.
+func (s *Set) ListedVersions() (listed []ServiceVersion) {
+	for service, known := range s.versions {
+		for version, use := range known.uses {
+			if use.replicas > 0 {
+				listed = append(listed, ServiceVersion{Service: service, Version: version})
+			}
+		}
+	}
+	return listed
+}
