edge, dispatch: a node that stops runs only what it is expected to end

Cause: requests were taken for 3 s, or up to 0.7 s before the kill, whichever came first. A grace of 2 s left nothing to wait with. And with any grace, an upload that was complete after the node had stopped accepting was passed on, also in the last instant. Change: the times of a stop are shares of the grace. From its beginning, and before each attempt, a request runs only if its deadline or its expected end comes before the time that is left for ending, at five sixths of the grace; a twelfth more is left for requests that take longer. Expected is, of the route's answers of the last 20 s, 1.25 times the 99th percentile for one that may run once, and the median for one that its client can repeat or resume; without answers the route's objective. Others get 503 at once, which promises that they did not run, with Retry-After 150 ms: the answer closes the connection, and a new one reaches another node. With a grace of 8 s the node accepts for 3 s and ends at 7.3 s as before.

--- a/dispatch/comeback.go
+++ b/dispatch/comeback.go
@@ -42,6 +42,8 @@
 	// CauseUnsettled: it is not known yet whether a replica ended under an earlier run of the
 	// request.
 	CauseUnsettled
+	// CauseStopping: the node stops before the request is expected to end.
+	CauseStopping
 	causes
 )
 
@@ -49,7 +51,7 @@
 func (c Cause) String() string {
 	return [causes]string{
 		"starting", "isolated", "no owner", "store away", "store full", "unproven", "budget held", "limit not counted",
-		"replicas full", "no replica", "evacuated", "rejected", "not resumable", "quarantined", "unsettled",
+		"replicas full", "no replica", "evacuated", "rejected", "not resumable", "quarantined", "unsettled", "stopping",
 	}[c]
 }
 
@@ -77,7 +79,7 @@
 	CauseStarting: transientBounds, CauseIsolated: outageBounds, CauseNoOwner: takeoverBounds, CauseStoreUnavailable: outageBounds, CauseStoreFull: outageBounds,
 	CauseUnproven: outageBounds, CauseBudgetHeld: transientBounds, CauseLimit: transientBounds, CauseFull: takeoverBounds,
 	CauseNoReplica: takeoverBounds, CauseEvacuated: outageBounds, CauseRejected: transientBounds,
-	CauseNotResumable: transientBounds, CauseQuarantined: outageBounds, CauseUnsettled: transientBounds,
+	CauseNotResumable: transientBounds, CauseQuarantined: outageBounds, CauseUnsettled: transientBounds, CauseStopping: transientBounds,
 }
 
 // Bounds of the retry delay.
--- a/edge/attempt.go
+++ b/edge/attempt.go
@@ -48,6 +48,9 @@
 
 // chooseReplica selects the next replica for the request and counts the request there.
 func (n *Node) chooseReplica(r *requestState, table *routing.Table) (replica.Entry, error) {
+	if err := n.checkStop(r); err != nil {
+		return replica.Entry{}, err
+	}
 	n.updateProgress(r)
 	request := n.selectionRequest(r)
 	request.MaxPerNode, request.Draw = n.maxPerNode(table, r.service), n.draw()
@@ -168,6 +171,8 @@
 	switch {
 	case errors.Is(err, errQuarantined):
 		return n.quarantineRefusal(r)
+	case errors.Is(err, errStopping):
+		return dispatch.Refusal{Cause: dispatch.CauseStopping, EndsIn: retrySoon}
 	case errors.Is(err, errUnsettled):
 		return dispatch.Refusal{Cause: dispatch.CauseUnsettled}
 	case errors.Is(err, replica.ErrEvacuated):
--- a/edge/handle.go
+++ b/edge/handle.go
@@ -30,7 +30,7 @@
 
 // handle serves one client request.
 func (n *Node) handle(exchange *ingress.Exchange) {
-	request := &requestState{exchange: exchange}
+	request := &requestState{exchange: exchange, handledAt: time.Now()}
 	defer n.endRequest(request)
 	table := n.routes.Current()
 	if table == nil {
@@ -52,6 +52,10 @@
 		request.fail(fasthttp.StatusBadRequest, problem, 0)
 		return
 	}
+	if err := n.checkStop(request); err != nil {
+		n.refuse(request, dispatch.Refusal{Cause: dispatch.CauseStopping, EndsIn: retrySoon}, err.Error())
+		return
+	}
 	if !n.authenticate(request, table) {
 		return
 	}
@@ -84,6 +88,7 @@
 		n.refusals.observeServed(now)
 		n.scheduling.turnEnded(now, r)
 	}
+	n.durations.observe(r)
 	n.logOutcome(r)
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -16,7 +16,6 @@
 
 	"birchwood.example/birchwood/coordinator"
 	"birchwood.example/birchwood/ingress"
-	"birchwood.example/birchwood/internal/wait"
 	"birchwood.example/birchwood/machine"
 	"birchwood.example/birchwood/membudget"
 	"birchwood.example/birchwood/replica"
@@ -87,6 +86,9 @@
 	replicasAsOf atomic.Int64
 	listPosition listPosition
 	stopping     atomic.Bool
+	durations    requestDurations
+	// stop is the plan of a planned stop; nil before that.
+	stop atomic.Pointer[stopPlan]
 	// syncedConfiguration and syncedReplicas are set once the stream was read completely.
 	syncedConfiguration atomic.Bool
 	syncedReplicas      atomic.Bool
@@ -167,6 +169,7 @@
 		processes:             newProcesses(),
 		memory:                membudget.New(bodyMemory(settings)),
 		callStats:             stats,
+		durations:             newRequestDurations(),
 		turnEstimates:         newTurnEstimates(),
 		shares:                newShares(),
 		chains:                newChains(settings.uses(CacheChains)),
@@ -375,34 +378,6 @@
 // Failed returns a channel that yields the error of a server that ended unexpectedly.
 func (n *Node) Failed() <-chan error { return n.failed }
 
-// The steps of a planned stop, measured from its beginning.
-const (
-	// readinessPropagation is how long the platform takes to notice that the node is not
-	// ready and to stop sending new connections.
-	readinessPropagation = 3 * time.Second
-	// exitMargin is how long before the kill the process exits.
-	exitMargin = 700 * time.Millisecond
-)
-
-// Stop ends the node: it reports that it is not ready, releases its partitions, closes
-// connections as their answers end, and waits for the requests in progress.
-func (n *Node) Stop() {
-	start := time.Now()
-	if n.stopping.Swap(true) {
-		return
-	}
-	n.logger.Info().Int("active", n.clients.Active()).Msg("edge: stopping")
-	n.control.post(coordinator.Leave{})
-	n.clients.Drain()
-	end := start.Add(max(n.settings.Grace-exitMargin, 0))
-	wait.Until(n.ctx, minTime(start.Add(readinessPropagation), end))
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	err := n.clients.Shutdown(ctx)
-	n.cancel()
-	n.logger.Info().Bool("cut", err != nil).Dur("took", time.Since(start)).Msg("edge: stopped")
-}
-
 // Kill ends the node at once, like a crash of its process.
 func (n *Node) Kill() {
 	n.stopping.Store(true)
@@ -414,10 +389,3 @@
 
 // Ready reports whether the node can serve clients.
 func (n *Node) Ready() bool { return n.ready() }
-
-func minTime(left, right time.Time) time.Time {
-	if left.Before(right) {
-		return left
-	}
-	return right
-}
--- a/edge/request.go
+++ b/edge/request.go
@@ -21,12 +21,14 @@
 // requestState is the state of one client request while this node handles it.
 type requestState struct {
 	exchange *ingress.Exchange
-	id       string
-	route    *routing.Route
-	version  uint64
-	service  string
-	deadline time.Time
-	prompt   []replica.Part
+	// handledAt is when the node began to handle the request, which it had read.
+	handledAt time.Time
+	id        string
+	route     *routing.Route
+	version   uint64
+	service   string
+	deadline  time.Time
+	prompt    []replica.Part
 	// tenant is the tenant that the client's key identifies; nil where no key is needed.
 	tenant *tenant.Tenant
 	// scope is the namespace of the request's ids.
