--- a/header/response.go
+++ b/header/response.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"strconv"
-	"strings"
 )
 
 // InvalidError means that bytes which a peer sent are not valid HTTP/1.1. It names the part that is
@@ -130,11 +129,13 @@
 	return nil
 }
 
+var transferEncoding = []byte(TransferEncoding)
+
 // checkField checks a field of the head. HTTP/1.0 has no transfer codings, so that the end of a
 // body with one is not certain.
 func (h *ResponseHead) checkField(line []byte) error {
 	name, err := FieldName(line)
-	if err == nil && h.http10 && strings.EqualFold(name, TransferEncoding) {
+	if err == nil && h.http10 && bytes.EqualFold(name, transferEncoding) {
 		err = &InvalidError{Problem: "a transfer coding in HTTP/1.0"}
 	}
 	return err
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -160,9 +160,9 @@
 		switch {
 		case err != nil:
 			return &rejection{status: fasthttp.StatusBadRequest, reason: err.Error()}
-		case strings.EqualFold(name, header.ContentLength):
+		case strings.EqualFold(string(name), header.ContentLength):
 			lengths++
-		case strings.EqualFold(name, header.TransferEncoding):
+		case strings.EqualFold(string(name), header.TransferEncoding):
 			codings++
 		}
 	}
