--- a/edge/versions.go
+++ b/edge/versions.go
@@ -43,8 +43,17 @@
 	unlistedSince map[replica.ServiceVersion]time.Time
 }
 
+// forgetUnlisted begins the times without a version anew, since this node may miss versions.
+func (k *versionKeeper) forgetUnlisted() { clear(k.unlistedSince) }
+
 // changes returns the versions to record and those whose records to remove.
 func (k *versionKeeper) changes(now time.Time, listed versionSet) (add, remove []replica.ServiceVersion) {
+	for version := range k.unlistedSince {
+		if listed[version] {
+			// Another node may have removed the record meanwhile.
+			delete(k.recorded, version)
+		}
+	}
 	for version := range listed {
 		if !k.recorded[version] {
 			add = append(add, version)
@@ -72,7 +81,11 @@
 func (n *Node) keepVersions(ctx context.Context) {
 	var keeper versionKeeper
 	for wait.For(ctx, versionsPeriod) {
-		if !n.seesAllReplicas() || !n.versionsChanged(&keeper) {
+		if !n.seesAllReplicas() {
+			keeper.forgetUnlisted()
+			continue
+		}
+		if !n.versionsChanged(&keeper) {
 			continue
 		}
 		if !wait.For(ctx, time.Duration(n.draw()*float64(versionsSpread))) {
--- /dev/null
+++ b/edge/versions_test.go
@@ -0,0 +1,31 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"birchwood.example/birchwood/ledger"
+	"birchwood.example/birchwood/replica"
+)
+
+func TestVersionsStayRecordedWhileTheirStreamsCanBeResumed(t *testing.T) {
+	v1, v2 := replica.ServiceVersion{Service: "s", Version: "v1"}, replica.ServiceVersion{Service: "s", Version: "v2"}
+	start := time.Unix(1000, 0)
+	keeper := versionKeeper{recorded: versionSet{v1: true}}
+	expect := func(step string, at time.Duration, listed versionSet, added, removed int) {
+		t.Helper()
+		add, remove := keeper.changes(start.Add(at), listed)
+		if len(add) != added || len(remove) != removed {
+			t.Errorf("%s: adds %v, removes %v", step, add, remove)
+		}
+	}
+	expect("one that serves", 0, versionSet{v1: true}, 0, 0)
+	expect("a new one", time.Second, versionSet{v1: true, v2: true}, 1, 0)
+	keeper.recorded[v2] = true
+	expect("one that left", 2*time.Second, versionSet{v2: true}, 0, 0)
+	expect("one that left a short time ago", ledger.StreamLifetime, versionSet{v2: true}, 0, 0)
+	keeper.forgetUnlisted()
+	expect("one that may have come back unseen", 2*ledger.StreamLifetime, versionSet{v2: true}, 0, 0)
+	expect("one that has been gone for long", 3*ledger.StreamLifetime+time.Second, versionSet{v2: true}, 0, 1)
+	expect("one that came back, whose record another node may have removed", 3*ledger.StreamLifetime+2*time.Second, versionSet{v1: true, v2: true}, 1, 0)
+}
