edge: one append that any node may write, and one refusal of a node that stops

Read again: the record of a node's address and those of versions were appended by the same five lines, and handle built the refusal that refusalFor has for the same error. Both are called now. No change of behaviour: the suites of edge and internal, and the specs of planned stops, of streams after a loss of all nodes and of a node that hands its partitions over passed.

--- a/edge/appending.go
+++ b/edge/appending.go
@@ -90,3 +90,12 @@
 	var fenced *recordstore.FencedError
 	return err == nil || errors.As(err, &fenced)
 }
+
+// appendUnfenced makes one call that appends records to a stream which any node may write.
+func (n *Node) appendUnfenced(ctx context.Context, stream recordstore.Stream, records []recordstore.Record) error {
+	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	err := n.adapter.Store.Append(callCtx, stream, recordstore.Writer{}, records)
+	n.recordStoreCall(err)
+	return err
+}
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -154,13 +154,8 @@
 }
 
 func (n *Node) publish(ctx context.Context, value []byte) bool {
-	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
 	stream := recordstore.Stream{Name: recordstore.StreamNodes, Partition: n.nodePartition()}
-	records := []recordstore.Record{{Key: n.settings.Node, Value: value}}
-	err := n.adapter.Store.Append(callCtx, stream, recordstore.Writer{}, records)
-	n.recordStoreCall(err)
-	return err == nil
+	return n.appendUnfenced(ctx, stream, []recordstore.Record{{Key: n.settings.Node, Value: value}}) == nil
 }
 
 // refreshNodes refreshes the list of nodes: from the store if this node ranks first in its
--- a/edge/handle.go
+++ b/edge/handle.go
@@ -53,7 +53,7 @@
 		return
 	}
 	if err := n.checkStop(request); err != nil {
-		n.refuse(request, dispatch.Refusal{Cause: dispatch.CauseStopping, EndsIn: retrySoon}, err.Error())
+		n.failWithoutReplica(request, err, 0)
 		return
 	}
 	if !n.authenticate(request, table) {
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -117,11 +117,7 @@
 	if err != nil {
 		return err
 	}
-	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	err = n.adapter.Store.Append(callCtx, versionsStream, recordstore.Writer{}, records)
-	n.recordStoreCall(err)
-	if err != nil {
+	if err := n.appendUnfenced(ctx, versionsStream, records); err != nil {
 		return err
 	}
 	for _, version := range add {
